--- /dev/null
+++ b/src/bench/deployments.ts
@@ -0,0 +1,115 @@
+/** The two deployments of today, as the bench and the local cluster set them up. */
+import type { SimulatedGroup, SimulatedService } from '../simulation/simulated-cluster.js';
+import { brandvoldKinds, terangaKinds } from './workloads.js';
+import type { WorkloadKind } from './workloads.js';
+
+/** A group's part of a deployment's arrivals. */
+export interface DeploymentWorkload {
+  readonly group: string;
+  /** Part of the engine time that this group's programs are made to need. */
+  readonly part: number;
+  readonly kinds: readonly WorkloadKind[];
+}
+
+/** A deployment. */
+export interface Deployment {
+  readonly name: string;
+  readonly zones: readonly string[];
+  /** One-way milliseconds between zones. */
+  readonly betweenZones: number;
+  /** One-way milliseconds to clients. */
+  readonly toClients: number;
+  readonly services: readonly SimulatedService[];
+  readonly groups: readonly SimulatedGroup[];
+  readonly workloads: readonly DeploymentWorkload[];
+}
+
+const AMPLE_BUDGET = 1e12;
+/** Calls a model engine is given at a time. */
+export const ENGINE_CONCURRENCY = 16;
+const TOOL_CONCURRENCY = 16;
+/** Memory of an engine, in tokens. */
+const ENGINE_CACHE_TOKENS = 100_000;
+
+function model(name: string, runners: number): SimulatedService {
+  const engine = { cacheTokens: ENGINE_CACHE_TOKENS };
+  return { name, kind: 'model', runners, concurrency: ENGINE_CONCURRENCY, engine };
+}
+
+function tool(name: string, runners: number): SimulatedService {
+  return { name, kind: 'tool', runners, concurrency: TOOL_CONCURRENCY };
+}
+
+const BRANDVOLD: SimulatedGroup = { name: 'brandvold', share: 1, budget: AMPLE_BUDGET };
+const TERANGA: SimulatedGroup = { name: 'teranga', share: 1, budget: AMPLE_BUDGET };
+
+/** Brandvold Configurator's deployment. */
+export const LAKESHORE: Deployment = {
+  name: 'lakeshore',
+  zones: ['hall-erie', 'hall-huron', 'hall-superior'],
+  betweenZones: 1.5,
+  toClients: 1,
+  services: [model('catalog-minds', 8), tool('order-desk', 3)],
+  groups: [BRANDVOLD],
+  workloads: [
+    {
+      group: 'brandvold',
+      part: 1,
+      kinds: brandvoldKinds({ model: 'catalog-minds', tool: 'order-desk' }),
+    },
+  ],
+};
+
+/** Teranga Trace's deployment. */
+export const DAKAR: Deployment = {
+  name: 'dakar',
+  zones: ['dkr-plateau', 'dkr-yoff', 'dkr-rufisque', 'dkr-diamniadio'],
+  betweenZones: 0.5,
+  toClients: 3,
+  services: [model('agent-models', 10), tool('notify-app', 4)],
+  groups: [TERANGA],
+  workloads: [
+    {
+      group: 'teranga',
+      part: 1,
+      kinds: terangaKinds({ model: 'agent-models', tool: 'notify-app' }),
+    },
+  ],
+};
+
+/** Both groups on one pool, Teranga asking for more than its share. */
+export const MIXED: Deployment = {
+  name: 'mixed',
+  zones: LAKESHORE.zones,
+  betweenZones: LAKESHORE.betweenZones,
+  toClients: LAKESHORE.toClients,
+  services: [model('catalog-minds', 12), tool('order-desk', 4)],
+  groups: [BRANDVOLD, TERANGA],
+  workloads: [
+    {
+      group: 'brandvold',
+      part: 0.4,
+      kinds: brandvoldKinds({ model: 'catalog-minds', tool: 'order-desk' }),
+    },
+    {
+      group: 'teranga',
+      part: 0.6,
+      kinds: terangaKinds({ model: 'catalog-minds', tool: 'order-desk' }),
+    },
+  ],
+};
+
+/** Both groups on forty engines. */
+export const SCALED: Deployment = {
+  ...MIXED,
+  name: 'scaled',
+  services: [model('catalog-minds', 40), tool('order-desk', 12)],
+};
+
+/** Every deployment by its name. */
+export const DEPLOYMENTS: Readonly<Record<string, Deployment>> = {
+  lakeshore: LAKESHORE,
+  dakar: DAKAR,
+  mixed: MIXED,
+  scaled: SCALED,
+};
--- /dev/null
+++ b/src/bench/experiment.ts
@@ -0,0 +1,269 @@
+/** Runs a workload over the real node code in virtual time, once for each policy, same seed. */
+import { createRandom } from '../runtime/random.js';
+import type { RandomSource } from '../runtime/random.js';
+import { createPolicy } from '../scheduling/create-policy.js';
+import type { PolicyName } from '../scheduling/create-policy.js';
+import type { Oracle } from '../scheduling/policies/ivyloom.js';
+import { SimulatedCluster } from '../simulation/simulated-cluster.js';
+import type { Deployment } from './deployments.js';
+import { ENGINE_CONCURRENCY } from './deployments.js';
+import { ProgramRunner } from './program-runner.js';
+import type { ProgramOutcome } from './program-runner.js';
+import { programCost, remainingCost } from './program-script.js';
+import type { ProgramScript, UnitCosts } from './program-script.js';
+import { SimulatedCaller } from './simulated-caller.js';
+import { summarize } from './statistics.js';
+import type { Summary } from './statistics.js';
+import { makeScript } from './workloads.js';
+
+/** What is run. */
+export interface ExperimentOptions {
+  readonly deployment: Deployment;
+  readonly seed: number;
+  /** Offered load as a part of the engines' capacity with every prefix cached. @default 0.85 */
+  readonly load?: number;
+  /** Virtual seconds during which programs arrive. @default 300 */
+  readonly seconds?: number;
+  readonly policies: readonly PolicyName[];
+}
+
+/** Figures of one policy. */
+export interface PolicyFigures {
+  /** First call to last answer of all programs with model calls, in seconds. */
+  readonly programLatencySeconds: Summary;
+  readonly latencyByKind: Readonly<Record<string, Summary>>;
+  /** Held token-seconds of prefixes never reused, as a part of all held. */
+  readonly wastedCacheRatio: number;
+  /** Held token-seconds whose stretch ended without reuse, as a part of all held. */
+  readonly unusedStretchRatio: number;
+  /** Token-seconds of prompt memory kept while idle. */
+  readonly heldTokenSeconds: number;
+  readonly prefillTokens: number;
+  readonly prefillTokensSaved: number;
+  /** Programs finished per second of the run. */
+  readonly throughput: number;
+  /** Jain's index of service received over service owed, while groups compete. */
+  readonly fairness: number;
+  readonly urgentWaitSeconds: Summary;
+  readonly refusals: number;
+  readonly failedPrograms: number;
+  readonly finishedPrograms: number;
+  /** Part of the engines' time spent working while programs arrived. */
+  readonly busyRatio: number;
+  readonly runSeconds: number;
+  /** Wall-clock seconds the emulation took. */
+  readonly wallSeconds: number;
+}
+
+/** Result of an experiment. */
+export interface ExperimentResult {
+  readonly experiment: string;
+  readonly seed: number;
+  readonly load: number;
+  readonly programs: number;
+  readonly policies: Readonly<Record<string, PolicyFigures>>;
+}
+
+/** Longest time the run goes on after the last arrival, in virtual milliseconds. */
+const DRAIN_MILLISECONDS = 3_600_000;
+const PROGRESS_STEP_MILLISECONDS = 5_000;
+
+/** Costs of a token on the emulated engine at the batch its limit allows. */
+export const UNIT_COSTS: UnitCosts = {
+  prefillMilliseconds: 1_000 / 12_000,
+  decodeMilliseconds: (8 + 0.35 * ENGINE_CONCURRENCY) / ENGINE_CONCURRENCY,
+};
+
+interface Arrival {
+  readonly at: number;
+  readonly script: ProgramScript;
+}
+
+function modelEngines(deployment: Deployment): number {
+  return deployment.services
+    .filter((service) => service.kind === 'model')
+    .reduce((sum, service) => sum + service.runners, 0);
+}
+
+/** Mean engine time of a workload's programs, from a sample of its own. */
+function meanCost(kinds: Parameters<typeof makeScript>[0], random: RandomSource): number {
+  const sample = 400;
+  let total = 0;
+  for (let index = 0; index < sample; index += 1) {
+    total += programCost(makeScript(kinds, `sample-${index}`, random), UNIT_COSTS);
+  }
+  return total / sample;
+}
+
+/** All programs of a run with the times at which they come. */
+export function planArrivals(options: ExperimentOptions): Arrival[] {
+  const { deployment, seed, load = 0.85, seconds = 300 } = options;
+  const arrivals: Arrival[] = [];
+  for (const workload of deployment.workloads) {
+    const random = createRandom(seed, `arrivals:${workload.group}`);
+    const cost = meanCost(workload.kinds, createRandom(seed, `sample:${workload.group}`));
+    const engineTime = modelEngines(deployment) * load * workload.part;
+    const gap = cost / engineTime;
+    let at = 0;
+    for (let index = 0; at < seconds * 1_000; index += 1) {
+      at += random.exponential(gap);
+      const name = `${workload.group}-${index}`;
+      arrivals.push({ at, script: makeScript(workload.kinds, name, random) });
+    }
+  }
+  return arrivals.sort((left, right) => left.at - right.at);
+}
+
+/** Knows each program's script; used by the clairvoyant policy alone. */
+class ScriptOracle implements Oracle {
+  private readonly progress = new Map<string, { script: ProgramScript; next: number }>();
+
+  note(script: ProgramScript, next: number): void {
+    this.progress.set(script.name, { script, next });
+  }
+
+  remainingMilliseconds(program: string): number {
+    const root = this.progress.get(program.split('/')[0] ?? program);
+    return root === undefined ? 0 : remainingCost(root.script, root.next, UNIT_COSTS);
+  }
+
+  nextPauseMilliseconds(program: string): number | undefined {
+    const known = this.progress.get(program);
+    const step = known?.script.steps[known.next + 1];
+    return step?.pauseMilliseconds;
+  }
+}
+
+function isChat(script: ProgramScript): boolean {
+  return script.steps.some((step) => step.kind === 'chat');
+}
+
+interface RunState {
+  readonly outcomes: ProgramOutcome[];
+  readonly urgentWaits: number[];
+  /** Engine time received by each group while programs arrived. */
+  readonly received: Map<string, number>;
+}
+
+function collectFigures(
+  cluster: SimulatedCluster,
+  options: ExperimentOptions,
+  state: RunState,
+  busyWhileArriving: number,
+  wallSeconds: number,
+): PolicyFigures {
+  const { deployment, seconds = 300 } = options;
+  const chats = state.outcomes.filter((outcome) => isChat(outcome.script) && !outcome.failed);
+  const latency = (outcome: ProgramOutcome): number =>
+    (outcome.endedAt - outcome.startedAt) / 1_000;
+  const kinds = [...new Set(chats.map((outcome) => outcome.script.kind))].sort();
+  const totals = [...cluster.backEnds.values()].map((backEnd) => backEnd.totals());
+  const sum = (pick: (total: (typeof totals)[number]) => number): number =>
+    totals.reduce((accumulated, total) => accumulated + pick(total), 0);
+  const idle = sum((total) => total.use.idle);
+  const runSeconds = cluster.clock.now / 1_000;
+  return {
+    programLatencySeconds: summarize(chats.map(latency)),
+    latencyByKind: Object.fromEntries(
+      kinds.map((kind) => [
+        kind,
+        summarize(chats.filter((outcome) => outcome.script.kind === kind).map(latency)),
+      ]),
+    ),
+    wastedCacheRatio: sum((total) => total.use.neverReused) / Math.max(1, idle),
+    unusedStretchRatio: sum((total) => total.use.unusedStretches) / Math.max(1, idle),
+    heldTokenSeconds: idle / 1_000,
+    prefillTokens: sum((total) => total.prefillTokens),
+    prefillTokensSaved: sum((total) => total.cachedTokens),
+    throughput: state.outcomes.length / runSeconds,
+    fairness: jainIndex(deployment, state.received),
+    urgentWaitSeconds: summarize(state.urgentWaits),
+    refusals: state.outcomes.reduce((total, outcome) => total + outcome.refusals, 0),
+    failedPrograms: state.outcomes.filter((outcome) => outcome.failed).length,
+    finishedPrograms: state.outcomes.length,
+    busyRatio: busyWhileArriving / (modelEngines(deployment) * seconds * 1_000),
+    runSeconds,
+    wallSeconds,
+  };
+}
+
+function jainIndex(deployment: Deployment, received: ReadonlyMap<string, number>): number {
+  const ratios = deployment.groups.map(
+    (group) => (received.get(group.name) ?? 0) / Math.max(1e-9, group.share),
+  );
+  const total = ratios.reduce((sum, ratio) => sum + ratio, 0);
+  const squares = ratios.reduce((sum, ratio) => sum + ratio * ratio, 0);
+  return squares === 0 ? 1 : (total * total) / (ratios.length * squares);
+}
+
+/** Runs one policy. */
+export function runPolicy(options: ExperimentOptions, name: PolicyName): PolicyFigures {
+  const { deployment, seed, seconds = 300 } = options;
+  const wallStart = process.hrtime.bigint();
+  const oracle = new ScriptOracle();
+  const cluster = new SimulatedCluster({
+    seed,
+    zones: deployment.zones,
+    betweenZones: deployment.betweenZones,
+    shardCount: 12,
+    services: deployment.services,
+    groups: deployment.groups,
+    createPolicy: () => createPolicy(name, oracle),
+  });
+  cluster.start();
+  const begin = cluster.clock.now;
+  const state: RunState = { outcomes: [], urgentWaits: [], received: new Map() };
+  const client = cluster.createProcess('caller');
+  const runtime = client.begin();
+  const port = new SimulatedCaller(cluster, { process: client, zone: 'clients' }, runtime);
+  const arrivals = planArrivals(options);
+  const startProgram = (arrival: Arrival): void => {
+    const runner = new ProgramRunner({
+      runtime,
+      port,
+      script: arrival.script,
+      onStep: (script, next) => oracle.note(script, next),
+      onCall: (call, waited) => {
+        noteReceived(state, call.script, call.step.outputTokens);
+        if (call.script.callClass === 'urgent' && call.step.kind === 'chat') {
+          const own = call.step.outputTokens * 8.35;
+          state.urgentWaits.push(Math.max(0, waited - own) / 1_000);
+        }
+      },
+      done: (outcome) => state.outcomes.push(outcome),
+    });
+    runner.start();
+  };
+  arrivals.forEach((arrival) => runtime.setTimer(arrival.at, () => startProgram(arrival)));
+  cluster.clock.runUntil(begin + seconds * 1_000);
+  const busy = [...cluster.backEnds.values()].reduce(
+    (sum, backEnd) => sum + backEnd.totals().busyMilliseconds,
+    0,
+  );
+  const finished = (): boolean => state.outcomes.length >= arrivals.length;
+  const end = begin + seconds * 1_000 + DRAIN_MILLISECONDS;
+  while (!finished() && cluster.clock.now < end) {
+    cluster.clock.runUntil(cluster.clock.now + PROGRESS_STEP_MILLISECONDS, finished);
+  }
+  const wallSeconds = Number(process.hrtime.bigint() - wallStart) / 1e9;
+  return collectFigures(cluster, options, state, busy, wallSeconds);
+}
+
+function noteReceived(state: RunState, script: ProgramScript, tokens: number): void {
+  state.received.set(script.group, (state.received.get(script.group) ?? 0) + tokens);
+}
+
+/** Runs an experiment. */
+export function runExperiment(options: ExperimentOptions): ExperimentResult {
+  const policies: Record<string, PolicyFigures> = {};
+  for (const name of options.policies) {
+    policies[name] = runPolicy(options, name);
+  }
+  return {
+    experiment: options.deployment.name,
+    seed: options.seed,
+    load: options.load ?? 0.85,
+    programs: planArrivals(options).length,
+    policies,
+  };
+}
--- /dev/null
+++ b/src/bench/free-ports.ts
@@ -0,0 +1,23 @@
+/** Finds ports that nothing listens on. */
+import { createServer } from 'node:net';
+import type { AddressInfo, Server } from 'node:net';
+
+function listen(server: Server, host: string): Promise<number> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(0, host, () => resolve((server.address() as AddressInfo).port));
+  });
+}
+
+/** Free ports of an address, all different. */
+export async function freePorts(host: string, count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  const ports: number[] = [];
+  for (const server of servers) {
+    ports.push(await listen(server, host));
+  }
+  await Promise.all(
+    servers.map((server) => new Promise<void>((resolve) => server.close(() => resolve()))),
+  );
+  return ports;
+}
--- /dev/null
+++ b/src/bench/local-cluster.ts
@@ -0,0 +1,220 @@
+/** A deployment in one process with real sockets: emulated platform, daemons, keys. */
+import type { ConfigurationDocument } from '../configuration/documents.js';
+import type { Settings } from '../configuration/settings.js';
+import { documentKey, encodeDocument, REVISION_KEY } from '../configuration/stored-documents.js';
+import { BackEndServer } from '../emulator/back-end-server.js';
+import type { EmulatedBackEnd } from '../emulator/emulated-back-end.js';
+import { EngineModel } from '../emulator/engine-model.js';
+import { KeyValueModel } from '../emulator/key-value-model.js';
+import { KeyValueServer } from '../emulator/key-value-server.js';
+import { ToolModel } from '../emulator/tool-model.js';
+import { hashKey } from '../gateway/authentication.js';
+import { startDaemon } from '../node/daemon.js';
+import type { Daemon } from '../node/daemon.js';
+import { createRealRuntime } from '../runtime/real-runtime.js';
+import type { LogLevel, Runtime } from '../runtime/runtime.js';
+import type { SimulatedService } from '../simulation/simulated-cluster.js';
+import type { Deployment } from './deployments.js';
+import { freePorts } from './free-ports.js';
+
+/** All sockets of a local cluster are on this address. */
+export const LOOPBACK = '127.0.0.1';
+/** The operator's key of a local cluster. */
+export const LOCAL_OPERATOR_KEY = 'operator-local-key';
+
+/** The key of a group in a local cluster. */
+export function localKeyOf(group: string): string {
+  return `${group}-local-key`;
+}
+
+/** A running local cluster. */
+export interface LocalCluster {
+  readonly daemons: readonly Daemon[];
+  readonly backEnds: readonly EmulatedBackEnd[];
+  readonly keyValue: KeyValueModel;
+  /** HTTP addresses of the daemons. */
+  readonly urls: readonly string[];
+  /** Base URL of the first model engine, for calls past the scheduler. */
+  readonly engineUrl: string;
+  /** Planned stop of everything. */
+  stop(): Promise<void>;
+}
+
+/** What a local cluster is made of. */
+export interface LocalClusterOptions {
+  readonly deployment: Deployment;
+  /** Nodes of the cluster, one a zone before a second in any. @default 3 */
+  readonly nodes?: number;
+  /** Port of the first node's HTTP front; 0 takes any. @default 0 */
+  readonly httpPort?: number;
+  /** @default 'warn' */
+  readonly logLevel?: LogLevel;
+  readonly seed: number;
+}
+
+interface ServedBackEnd {
+  readonly backEnd: EmulatedBackEnd;
+  readonly server: BackEndServer;
+  readonly document: ConfigurationDocument;
+  readonly url: string;
+}
+
+async function serveBackEnd(
+  runtime: Runtime,
+  service: SimulatedService,
+  name: string,
+  zone: string,
+): Promise<ServedBackEnd> {
+  const backEnd =
+    service.kind === 'model'
+      ? new EngineModel(runtime, { ...service.engine, name })
+      : new ToolModel(runtime, { ...service.tool, name });
+  const server = new BackEndServer(backEnd);
+  const port = await new Promise<number>((resolve) => server.listen(LOOPBACK, 0, resolve));
+  const url = `http://${LOOPBACK}:${port}`;
+  const cacheTokens = service.kind === 'model' ? (service.engine?.cacheTokens ?? 120_000) : 0;
+  const { concurrency } = service;
+  const document: ConfigurationDocument = {
+    kind: 'engine',
+    document: { name, service: service.name, zone, url, concurrency, cacheTokens, draining: false },
+  };
+  return { backEnd, server, document, url };
+}
+
+async function serveBackEnds(runtime: Runtime, deployment: Deployment): Promise<ServedBackEnd[]> {
+  const served: ServedBackEnd[] = [];
+  for (const service of deployment.services) {
+    for (let index = 0; index < service.runners; index += 1) {
+      const zone = deployment.zones[index % deployment.zones.length]!;
+      served.push(await serveBackEnd(runtime, service, `${service.name}-${index + 1}`, zone));
+    }
+  }
+  return served;
+}
+
+function keyDocument(
+  name: string,
+  key: string,
+  group: string,
+  role: 'caller' | 'operator',
+): ConfigurationDocument {
+  return { kind: 'key', document: { name, group, role, sha256: hashKey(key) } };
+}
+
+function listDocuments(
+  deployment: Deployment,
+  served: readonly ServedBackEnd[],
+): ConfigurationDocument[] {
+  const groups = deployment.groups.map(
+    (document): ConfigurationDocument => ({ kind: 'group', document }),
+  );
+  const services = deployment.services.map(
+    ({ name, kind }): ConfigurationDocument => ({
+      kind: 'service',
+      document: { name, kind, groups: [] },
+    }),
+  );
+  return [
+    ...groups,
+    ...services,
+    ...served.map((backEnd) => backEnd.document),
+    ...deployment.groups.map(({ name }) => keyDocument(name, localKeyOf(name), name, 'caller')),
+    keyDocument('local-operator', LOCAL_OPERATOR_KEY, '', 'operator'),
+  ];
+}
+
+/** Writes a first configuration straight into an emulated key-value service. */
+export function writeDocuments(
+  keyValue: KeyValueModel,
+  documents: readonly ConfigurationDocument[],
+): void {
+  const mark = { id: 'setup', by: 'bench', at: 0, statement: 'setup' };
+  const puts = documents.map((entry) => ({
+    key: documentKey(entry.kind, entry.document.name),
+    value: encodeDocument(entry, mark),
+  }));
+  keyValue.applyChange({
+    guards: [],
+    puts: [...puts, { key: REVISION_KEY, value: 'setup' }],
+    deletes: [],
+  });
+}
+
+async function planNodes(options: LocalClusterOptions, keyValueUrl: string): Promise<Settings[]> {
+  const { deployment, nodes = 3 } = options;
+  const ports = await freePorts(LOOPBACK, nodes);
+  const peers = ports.map((port, index) => {
+    const zone = deployment.zones[index % deployment.zones.length]!;
+    return { node: `${zone}-${Math.floor(index / deployment.zones.length) + 1}`, zone, host: LOOPBACK, port };
+  });
+  return peers.map((peer, index) => ({
+    node: peer.node,
+    zone: peer.zone,
+    host: LOOPBACK,
+    peerPort: peer.port,
+    httpPort: index === 0 ? (options.httpPort ?? 0) : 0,
+    peers,
+    keyValueUrl,
+    shardCount: 12,
+  }));
+}
+
+/** Starts a local cluster; resolves when every node is ready. */
+export async function startLocalCluster(options: LocalClusterOptions): Promise<LocalCluster> {
+  const platform = createRealRuntime({ seed: options.seed, logLevel: 'error' });
+  const keyValue = new KeyValueModel(platform);
+  const keyValueServer = new KeyValueServer(keyValue);
+  const keyValuePort = await new Promise<number>((resolve) =>
+    keyValueServer.listen(LOOPBACK, 0, resolve),
+  );
+  const served = await serveBackEnds(platform, options.deployment);
+  writeDocuments(keyValue, listDocuments(options.deployment, served));
+  const settings = await planNodes(options, `http://${LOOPBACK}:${keyValuePort}`);
+  const daemons = await Promise.all(
+    settings.map((own, index) => {
+      const { node, zone } = own;
+      const logLevel = options.logLevel ?? 'error';
+      const runtime = createRealRuntime({
+        seed: options.seed + index,
+        fields: { node, zone },
+        logLevel,
+      });
+      return startDaemon(own, runtime);
+    }),
+  );
+  await waitUntilReady(daemons, platform);
+  return {
+    daemons,
+    keyValue,
+    backEnds: served.map((backEnd) => backEnd.backEnd),
+    urls: daemons.map((daemon) => `http://${LOOPBACK}:${daemon.httpPort}`),
+    engineUrl: served[0]?.url ?? '',
+    stop: async () => {
+      for (const daemon of daemons) {
+        await new Promise<void>((resolve) => daemon.stop(resolve));
+      }
+      served.forEach((backEnd) => backEnd.server.close());
+      keyValueServer.close();
+    },
+  };
+}
+
+function waitUntilReady(daemons: readonly Daemon[], runtime: Runtime): Promise<void> {
+  return new Promise((resolve) => {
+    const look = (): void => {
+      const shardCount = daemons[0]?.node.options.map.shardCount ?? 0;
+      const led = daemons.reduce(
+        (sum, daemon) =>
+          sum + daemon.node.listShards().filter((roles) => roles.host.canServe()).length,
+        0,
+      );
+      const ready = daemons.every((daemon) => daemon.node.isReady) && led >= shardCount;
+      if (ready) {
+        resolve();
+      } else {
+        runtime.setTimer(50, look);
+      }
+    };
+    look();
+  });
+}
--- /dev/null
+++ b/src/bench/program-runner.ts
@@ -0,0 +1,154 @@
+/** Runs one program of a workload against the system, as its caller would, and times it. */
+import type { CallError } from '../model/verdict.js';
+import type { Runtime } from '../runtime/runtime.js';
+import type { ProgramScript, ProgramStep } from './program-script.js';
+
+/** A call as a caller makes it. */
+export interface CallerCall {
+  readonly script: ProgramScript;
+  readonly step: ProgramStep;
+  /** Place in the program, from 1. */
+  readonly sequence: number;
+  /** Text of the new message or of the tool's input. */
+  readonly input: string;
+  /** Leading instructions, with the first call of a program. */
+  readonly instructions: string;
+}
+
+/** What became of a call. */
+export type CallerResult =
+  | { readonly type: 'answered'; readonly text: string; readonly cachedTokens: number }
+  | { readonly type: 'failed'; readonly error: CallError };
+
+/** How a caller reaches the system. */
+export interface CallerPort {
+  call(call: CallerCall, done: (result: CallerResult) => void): void;
+  endProgram(script: ProgramScript): void;
+}
+
+/** How a program went. */
+export interface ProgramOutcome {
+  readonly script: ProgramScript;
+  /** Monotonic milliseconds. */
+  readonly startedAt: number;
+  readonly endedAt: number;
+  readonly failed: boolean;
+  /** Times the system refused a call of it. */
+  readonly refusals: number;
+}
+
+/** Tries of one call before its program gives up. */
+const MAXIMUM_TRIES = 20;
+const TEXT_UNIT = 'wind rated sash unit ';
+
+/** A text of a number of tokens that differs from every other. */
+export function makeText(label: string, tokens: number, outputTokens: number): string {
+  const characters = Math.max(8, tokens * 4);
+  const filler = TEXT_UNIT.repeat(Math.ceil(characters / TEXT_UNIT.length));
+  const mark = ` #${outputTokens}`;
+  return `${label} ${filler}`.slice(0, Math.max(label.length, characters - mark.length)) + mark;
+}
+
+/** What a runner is made with. */
+export interface ProgramRunnerOptions {
+  readonly runtime: Runtime;
+  readonly port: CallerPort;
+  readonly script: ProgramScript;
+  readonly onStep?: (script: ProgramScript, nextStep: number) => void;
+  readonly onCall?: (call: CallerCall, waitedMilliseconds: number) => void;
+  readonly done: (outcome: ProgramOutcome) => void;
+}
+
+/** See the head of this file. */
+export class ProgramRunner {
+  private startedAt = 0;
+  private refusals = 0;
+
+  constructor(private readonly options: ProgramRunnerOptions) {}
+
+  /** Begins with the program's first step. */
+  start(): void {
+    this.startedAt = this.options.runtime.now();
+    this.runStep(0);
+  }
+
+  private runStep(index: number): void {
+    const { script, runtime, onStep } = this.options;
+    const step = script.steps[index];
+    onStep?.(script, index);
+    if (step === undefined) {
+      this.finish(false);
+      return;
+    }
+    const pause = index === 0 ? 0 : step.pauseMilliseconds;
+    runtime.setTimer(pause, () => {
+      this.runChildren(step, () => this.makeCall(index, step, 1));
+    });
+  }
+
+  private runChildren(step: ProgramStep, done: () => void): void {
+    let left = step.children.length;
+    if (left === 0) {
+      done();
+      return;
+    }
+    for (const script of step.children) {
+      const child = new ProgramRunner({
+        ...this.options,
+        script,
+        done: (outcome) => {
+          this.refusals += outcome.refusals;
+          left -= 1;
+          if (left === 0) {
+            done();
+          }
+        },
+      });
+      child.start();
+    }
+  }
+
+  private makeCall(index: number, step: ProgramStep, tries: number): void {
+    const { script, port, runtime, onCall } = this.options;
+    const sequence = index + 1;
+    const label = `${script.name}:${sequence}`;
+    const call: CallerCall = {
+      script,
+      step,
+      sequence,
+      input: makeText(label, step.inputTokens, step.outputTokens),
+      instructions:
+        index === 0 && script.instructions.tokens > 0
+          ? makeText(script.instructions.name, script.instructions.tokens, 0)
+          : '',
+    };
+    const sentAt = runtime.now();
+    port.call(call, (result) => {
+      if (result.type === 'answered') {
+        onCall?.(call, runtime.now() - sentAt);
+        this.runStep(index + 1);
+      } else {
+        this.handleFailure(index, step, tries, result.error);
+      }
+    });
+  }
+
+  private handleFailure(index: number, step: ProgramStep, tries: number, error: CallError): void {
+    this.refusals += 1;
+    const mayTryAgain = error.verdict === 'NotRun' || step.repeatable;
+    const final = error.tag === 'BudgetSpent' || error.tag === 'Stopped' || error.tag === 'Forbidden';
+    if (tries >= MAXIMUM_TRIES || !mayTryAgain || final) {
+      this.finish(true);
+      return;
+    }
+    const pause = Math.max(0.2, error.retryAfterSeconds) * 1_000;
+    this.options.runtime.setTimer(pause, () => this.makeCall(index, step, tries + 1));
+  }
+
+  private finish(failed: boolean): void {
+    const { script, runtime, port, done } = this.options;
+    port.endProgram(script);
+    const { startedAt, refusals } = this;
+    done({ script, startedAt, endedAt: runtime.now(), failed, refusals });
+  }
+}
--- /dev/null
+++ b/src/bench/simulated-caller.ts
@@ -0,0 +1,91 @@
+/** A caller in virtual time: reaches gateways over the simulated network, retries elsewhere. */
+import type { CallEvent, CallRequest } from '../model/call.js';
+import { notRun } from '../model/verdict.js';
+import type { NetworkEnd } from '../simulation/simulated-network.js';
+import type { SimulatedCluster } from '../simulation/simulated-cluster.js';
+import type { Runtime } from '../runtime/runtime.js';
+import type { CallerCall, CallerPort, CallerResult } from './program-runner.js';
+import type { ProgramScript } from './program-script.js';
+
+/** Patience of a caller, in milliseconds. */
+const TIMEOUT_MILLISECONDS = 600_000;
+
+/** Builds the request of a caller's call. */
+export function requestOf(call: CallerCall, name: string, timeoutMilliseconds: number): CallRequest {
+  const { script, step, sequence, input, instructions } = call;
+  const system = instructions === '' ? [] : [{ role: 'system' as const, content: instructions }];
+  const chat = step.kind === 'chat';
+  return {
+    call: name,
+    program: script.name,
+    group: script.group,
+    service: step.service,
+    callClass: script.callClass,
+    sequence,
+    idempotencyKey: '',
+    repeatable: step.repeatable,
+    messages: chat ? [...system, { role: 'user', content: input }] : [],
+    payload: chat ? '' : input,
+    maximumTokens: chat ? Math.max(16, step.outputTokens) : 64,
+    timeoutMilliseconds,
+    endsProgram: false,
+    receivedText: '',
+  };
+}
+
+/** A port to a simulated cluster; each caller sticks to a node while it lives. */
+export class SimulatedCaller implements CallerPort {
+  private made = 0;
+
+  constructor(
+    private readonly cluster: SimulatedCluster,
+    private readonly end: NetworkEnd,
+    private readonly runtime: Runtime,
+  ) {}
+
+  call(call: CallerCall, done: (result: CallerResult) => void): void {
+    const { cluster, runtime } = this;
+    const node = runtime.random.pick(cluster.nodeNames);
+    const target = cluster.endOf(node);
+    this.made += 1;
+    const name = `c-${this.end.process.name}-${this.made}`;
+    const request = requestOf(call, name, TIMEOUT_MILLISECONDS);
+    const refuse = (): void => {
+      done({ type: 'failed', error: notRun('Unavailable', 'no connection', 0.2) });
+    };
+    const sending = { lastArrival: 0 };
+    const answering = { lastArrival: 0 };
+    const deliver = (): void => {
+      const gateway = cluster.node(node)?.gateway;
+      gateway?.submit(request, false, (event) => {
+        if (event.type !== 'piece') {
+          const arrive = (): void => done(resultOf(event));
+          cluster.network.deliverInOrder(answering, target, this.end, arrive, () => undefined);
+        }
+      });
+    };
+    cluster.network.deliverInOrder(sending, this.end, target, deliver, refuse);
+  }
+
+  endProgram(script: ProgramScript): void {
+    const { cluster, runtime } = this;
+    const node = runtime.random.pick(cluster.nodeNames);
+    this.made += 1;
+    const id = `e-${this.end.process.name}-${this.made}`;
+    const sending = { lastArrival: 0 };
+    const deliver = (): void => {
+      cluster
+        .node(node)
+        ?.gateway.requestProgram(id, 'end', script.name, script.group, () => undefined);
+    };
+    cluster.network.deliverInOrder(sending, this.end, cluster.endOf(node), deliver, () => undefined);
+  }
+}
+
+function resultOf(event: Exclude<CallEvent, { type: 'piece' }>): CallerResult {
+  if (event.type === 'failed') {
+    return event;
+  }
+  const { text, usage } = event.answer;
+  return { type: 'answered', text, cachedTokens: usage.cachedTokens };
+}
--- /dev/null
+++ b/src/commands/bench-commands.ts
@@ -0,0 +1,85 @@
+/** The commands of the bench. */
+import { DEPLOYMENTS } from '../bench/deployments.js';
+import type { Deployment } from '../bench/deployments.js';
+import { runExperiment } from '../bench/experiment.js';
+import { formatExperiment } from '../bench/experiment-report.js';
+import { runStart } from '../bench/start.js';
+import { POLICY_NAMES } from '../scheduling/create-policy.js';
+import type { PolicyName } from '../scheduling/create-policy.js';
+
+/** Flags of the bench, as its help describes them. */
+export interface BenchFlags {
+  readonly once: boolean;
+  readonly deployment: string;
+  readonly programs: number;
+  readonly httpPort: number;
+  readonly seed: number;
+  readonly load: number;
+  readonly seconds: number;
+  readonly policies: string;
+  readonly json: boolean;
+}
+
+const EXIT_DONE = 0;
+const EXIT_FAILED = 1;
+const EXIT_WRONG_USE = 2;
+
+function complain(message: string): number {
+  process.stderr.write(`ivyloom-bench: ${message}\n`);
+  return EXIT_WRONG_USE;
+}
+
+function write(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+async function start(flags: BenchFlags): Promise<number> {
+  const deployment = DEPLOYMENTS[flags.deployment];
+  if (deployment === undefined) {
+    return complain(`no deployment ${flags.deployment}; there are ${names()}`);
+  }
+  const { seed, programs, once } = flags;
+  const httpPort = once ? 0 : flags.httpPort;
+  const failed = await runStart({ deployment, seed, programs, once, httpPort });
+  return failed === 0 ? EXIT_DONE : EXIT_FAILED;
+}
+
+function names(): string {
+  return Object.keys(DEPLOYMENTS).join(', ');
+}
+
+function choosePolicies(text: string): PolicyName[] | undefined {
+  const chosen = text === '' ? POLICY_NAMES : text.split(',');
+  const known = chosen.flatMap((name) => POLICY_NAMES.filter((policy) => policy === name));
+  return known.length === chosen.length ? known : undefined;
+}
+
+function experiment(deployment: Deployment | undefined, flags: BenchFlags): number {
+  if (deployment === undefined) {
+    return complain(`name an experiment: ${names()}`);
+  }
+  const policies = choosePolicies(flags.policies);
+  if (policies === undefined) {
+    return complain(`policies are ${POLICY_NAMES.join(', ')}`);
+  }
+  const { seed, load, seconds } = flags;
+  const result = runExperiment({ deployment, seed, load, seconds, policies });
+  write(flags.json ? JSON.stringify(result) : formatExperiment(result));
+  return EXIT_DONE;
+}
+
+/** Runs one command; resolves with the exit code. */
+export async function runBenchCommand(
+  input: readonly string[],
+  flags: BenchFlags,
+): Promise<number> {
+  const [command, name = ''] = input;
+  switch (command) {
+    case 'start':
+      return start(flags);
+    case 'experiment':
+      return experiment(DEPLOYMENTS[name], flags);
+    default:
+      return complain('name a command; see --help');
+  }
+}
--- /dev/null
+++ b/src/commands/client.ts
@@ -0,0 +1,163 @@
+/** What the operators' client does: asks, prints, and says by its exit code how it went. */
+import { createInterface } from 'node:readline';
+import { setTimeout as wait } from 'node:timers/promises';
+import Table from 'cli-table3';
+import { request } from 'undici';
+import type { StatementResult } from '../language/run-statement.js';
+import type { ProblemDocument } from '../gateway/problem.js';
+
+/** Exit codes of the client; documented in its help. */
+export const EXIT = {
+  done: 0,
+  refused: 1,
+  wrong: 2,
+  unreachable: 3,
+  unknown: 4,
+  notInForce: 5,
+} as const;
+
+/** What the client is run with. */
+export interface ClientOptions {
+  readonly url: string;
+  readonly key: string;
+  readonly json: boolean;
+  /** Seconds between runs of the same statement. */
+  readonly watchSeconds?: number;
+  /** Most runs of a watched statement. @default Infinity */
+  readonly limitRuns?: number;
+}
+
+type Answer =
+  | { readonly type: 'result'; readonly result: StatementResult }
+  | { readonly type: 'problem'; readonly problem: ProblemDocument }
+  | { readonly type: 'unreachable'; readonly detail: string };
+
+async function ask(statement: string, options: ClientOptions): Promise<Answer> {
+  try {
+    const response = await request(`${options.url}/v1/operator/statements`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${options.key}`, 'content-type': 'application/json' },
+      body: JSON.stringify({ statement }),
+    });
+    const body = await response.body.json();
+    return response.statusCode === 200
+      ? { type: 'result', result: body as StatementResult }
+      : { type: 'problem', problem: body as ProblemDocument };
+  } catch (cause) {
+    const detail = cause instanceof Error ? cause.message : String(cause);
+    return { type: 'unreachable', detail };
+  }
+}
+
+function write(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+function formatRows(result: StatementResult): string {
+  const table = new Table({
+    head: [...result.columns],
+    style: { head: [], border: [], compact: true },
+  });
+  for (const row of result.rows) {
+    table.push(result.columns.map((column) => String(row[column] ?? '')));
+  }
+  return table.toString();
+}
+
+function printResult(result: StatementResult): number {
+  if (result.columns.length > 0) {
+    write(formatRows(result));
+  }
+  if (result.secret !== undefined) {
+    write(`The key, shown only once: ${result.secret}`);
+  }
+  if (result.unreachable.length > 0) {
+    write(`Not reached: ${result.unreachable.join(', ')}`);
+  }
+  if (result.revision === undefined || result.inForce === undefined) {
+    return EXIT.done;
+  }
+  const { acknowledged, total, missing } = result.inForce;
+  write(`Done at revision ${result.revision}; in force on ${acknowledged} of ${total} nodes.`);
+  if (missing.length > 0) {
+    write(`Not yet on: ${missing.join(', ')}`);
+    return EXIT.notInForce;
+  }
+  return EXIT.done;
+}
+
+function exitCodeOf(problem: ProblemDocument): number {
+  if (problem.verdict === 'MayHaveRun') {
+    return EXIT.unknown;
+  }
+  return problem.title === 'Malformed' ? EXIT.wrong : EXIT.refused;
+}
+
+function printAnswer(answer: Answer, options: ClientOptions): number {
+  switch (answer.type) {
+    case 'unreachable':
+      process.stderr.write(`ivyloom: ${options.url} was not reached: ${answer.detail}\n`);
+      return EXIT.unreachable;
+    case 'problem':
+      if (options.json) {
+        write(JSON.stringify(answer.problem));
+      } else {
+        const { title, verdict, detail } = answer.problem;
+        process.stderr.write(`ivyloom: ${title} (${verdict})\n${detail}\n`);
+      }
+      return exitCodeOf(answer.problem);
+    case 'result':
+      if (options.json) {
+        write(JSON.stringify(answer.result));
+        const missing = answer.result.inForce?.missing.length ?? 0;
+        return missing > 0 ? EXIT.notInForce : EXIT.done;
+      }
+      return printResult(answer.result);
+  }
+}
+
+async function watch(statement: string, seconds: number, options: ClientOptions): Promise<number> {
+  const most = options.limitRuns ?? Infinity;
+  let exitCode: number = EXIT.done;
+  for (let run = 1; run <= most; run += 1) {
+    exitCode = printAnswer(await ask(statement, options), options);
+    if (run < most) {
+      await wait(seconds * 1_000);
+    }
+  }
+  return exitCode;
+}
+
+async function readStatements(options: ClientOptions): Promise<number> {
+  const interactive = process.stdin.isTTY;
+  const lines = createInterface({ input: process.stdin, output: process.stdout, terminal: interactive });
+  let exitCode: number = EXIT.done;
+  lines.setPrompt('ivyloom> ');
+  if (interactive) {
+    lines.prompt();
+  }
+  for await (const line of lines) {
+    const statement = line.trim();
+    if (statement === 'exit' || statement === 'quit') {
+      break;
+    }
+    if (statement !== '') {
+      exitCode = printAnswer(await ask(statement, options), options);
+    }
+    if (interactive) {
+      lines.prompt();
+    }
+  }
+  return exitCode;
+}
+
+/** Runs the client; resolves with its exit code. */
+export async function runClient(statement: string, options: ClientOptions): Promise<number> {
+  if (statement === '') {
+    return readStatements(options);
+  }
+  if (options.watchSeconds !== undefined) {
+    return watch(statement, options.watchSeconds, options);
+  }
+  return printAnswer(await ask(statement, options), options);
+}
--- /dev/null
+++ b/src/commands/ivyloom-bench.ts
@@ -0,0 +1,47 @@
+#!/usr/bin/env node
+/** The bench: a local cluster, emulators, experiments and proofs. */
+import meow from 'meow';
+import { runBenchCommand } from './bench-commands.js';
+
+const cli = meow(
+  `
+  Usage
+    $ ivyloom-bench COMMAND [options]
+
+  Commands
+    start               a local cluster on embedded stand-ins, under a workload, then a report
+    experiment NAME     policies side by side in virtual time: lakeshore, dakar, mixed, scaled
+
+  Options
+    --once              start: end after the report
+    --deployment NAME   start: lakeshore, dakar or mixed (default mixed)
+    --programs N        start: programs to run (default 120)
+    --http-port PORT    start: port of the first node (default 7700; 0 takes any)
+    --seed N            seed of everything random (default 1)
+    --load X            experiment: offered load as a part of capacity (default 0.85)
+    --seconds N         experiment: virtual seconds of arrivals (default 300)
+    --policies A,B      experiment: policies to run (default all)
+    --json              answer as JSON
+
+  Exit codes
+    0  done
+    1  something failed
+    2  wrong use
+`,
+  {
+    importMeta: import.meta,
+    flags: {
+      once: { type: 'boolean', default: false },
+      deployment: { type: 'string', default: 'mixed' },
+      programs: { type: 'number', default: 120 },
+      httpPort: { type: 'number', default: 7700 },
+      seed: { type: 'number', default: 1 },
+      load: { type: 'number', default: 0.85 },
+      seconds: { type: 'number', default: 300 },
+      policies: { type: 'string', default: '' },
+      json: { type: 'boolean', default: false },
+    },
+  },
+);
+
+process.exitCode = await runBenchCommand(cli.input, cli.flags);
--- /dev/null
+++ b/src/configuration/settings.ts
@@ -0,0 +1,178 @@
+/** A daemon's settings: a YAML file and flags, checked; every mistake is named with its path. */
+import { readFileSync } from 'node:fs';
+import { isIP } from 'node:net';
+import * as E from 'fp-ts/lib/Either.js';
+import { pipe } from 'fp-ts/lib/function.js';
+import * as t from 'io-ts';
+import { parse } from 'yaml';
+import { POLICY_NAMES } from '../scheduling/create-policy.js';
+
+/** A checked form with the words that describe it. */
+function form<Type>(name: string, is: (value: unknown) => value is Type): t.Type<Type> {
+  return new t.Type<Type>(
+    name,
+    is,
+    (value, context) => (is(value) ? t.success(value) : t.failure(value, context)),
+    t.identity,
+  );
+}
+
+const LARGEST_PORT = 65_535;
+const LARGEST_SHARD_COUNT = 65_536;
+
+function isWhole(value: unknown, low: number, high: number): value is number {
+  return Number.isInteger(value) && (value as number) >= low && (value as number) <= high;
+}
+
+const nodeName = form('a name of letters, digits, dots and dashes', (value): value is string =>
+  typeof value === 'string' && /^[A-Za-z0-9][A-Za-z0-9.-]{0,62}$/.test(value),
+);
+const ipNumber = form('an IP number', (value): value is string =>
+  typeof value === 'string' && isIP(value) !== 0,
+);
+const port = form('a port from 0 to 65535', (value): value is number =>
+  isWhole(value, 0, LARGEST_PORT),
+);
+const shardCount = form('a whole number from 1 to 65536', (value): value is number =>
+  isWhole(value, 1, LARGEST_SHARD_COUNT),
+);
+const webAddress = form('a URL http://IP:PORT', (value): value is string => {
+  if (typeof value !== 'string' || !URL.canParse(value)) {
+    return false;
+  }
+  const { protocol, hostname } = new URL(value);
+  return protocol === 'http:' && isIP(hostname.replace(/^\[|\]$/g, '')) !== 0;
+});
+const oneOf = (names: readonly string[]): t.Type<string> =>
+  form(`one of ${names.join(', ')}`, (value): value is string =>
+    names.some((name) => name === value),
+  );
+
+const peer = t.exact(
+  t.type({ node: nodeName, zone: nodeName, host: ipNumber, port }),
+);
+
+const settingsCodec = t.exact(
+  t.intersection([
+    t.type({
+      /** Name of this node, unique in the region. */
+      node: nodeName,
+      /** Zone of this machine. */
+      zone: nodeName,
+      /** Address this node listens on. */
+      host: ipNumber,
+      /** Port for other nodes. */
+      peerPort: port,
+      /** Port for callers and operators. */
+      httpPort: port,
+      /** Every node of the region, this one among them. */
+      peers: t.array(peer),
+      /** Base URL of the key-value service. */
+      keyValueUrl: webAddress,
+    }),
+    t.partial({
+      /** Number of shards of the region; never changed once set. @default 16 */
+      shardCount,
+      /** Folder of the replicas; without one nothing outlives the process. */
+      dataFolder: t.string,
+      /** How calls are scheduled. @default ivyloom */
+      policy: oneOf(POLICY_NAMES),
+      /** Least severity of the log lines. @default info */
+      logLevel: oneOf(['debug', 'info', 'warn', 'error']),
+    }),
+  ]),
+);
+
+/** Settings of one daemon. */
+export type Settings = t.TypeOf<typeof settingsCodec>;
+
+/** Names of all settings that are not lists; each is also a flag. */
+export const FLAG_SETTINGS = [
+  'node',
+  'zone',
+  'host',
+  'peerPort',
+  'httpPort',
+  'keyValueUrl',
+  'shardCount',
+  'dataFolder',
+  'policy',
+  'logLevel',
+] as const;
+
+const KNOWN_SETTINGS: readonly string[] = [...FLAG_SETTINGS, 'peers'];
+
+function describe(error: t.ValidationError): string {
+  const path = error.context
+    .map((step) => step.key)
+    .filter((key) => key !== '' && !/^[01]$/.test(key) === true)
+    .join('.');
+  const indexed = error.context
+    .slice(1)
+    .map((step) => step.key)
+    .join('.');
+  const expected = error.context[error.context.length - 1]?.type.name ?? 'another form';
+  const given = error.value === undefined ? 'nothing' : JSON.stringify(error.value);
+  // The first step inside an intersection is the number of its part.
+  const place = indexed.replace(/^[01]\.?/, '') || path || 'settings';
+  return `${place}: expected ${expected}, found ${given}`;
+}
+
+function checkOwnEntry(settings: Settings): E.Either<string[], Settings> {
+  const own = settings.peers.find((candidate) => candidate.node === settings.node);
+  if (own === undefined) {
+    return E.left([`peers: expected an entry for this node, ${settings.node}`]);
+  }
+  return own.zone === settings.zone
+    ? E.right(settings)
+    : E.left([`zone: expected ${own.zone}, as the entry of ${own.node} in peers says`]);
+}
+
+function unknownSettings(raw: object): string[] {
+  return Object.keys(raw)
+    .filter((name) => !KNOWN_SETTINGS.includes(name))
+    .map((name) => `${name}: not a setting; there are ${KNOWN_SETTINGS.join(', ')}`);
+}
+
+/** Checks settings; on the left every mistake, one a line. */
+export function checkSettings(raw: unknown): E.Either<string[], Settings> {
+  if (typeof raw !== 'object' || raw === null || Array.isArray(raw)) {
+    return E.left(['settings: expected names with values']);
+  }
+  const unknown = unknownSettings(raw);
+  const decoded = settingsCodec.decode(raw);
+  if (E.isLeft(decoded) || unknown.length > 0) {
+    const mistakes = E.isLeft(decoded) ? decoded.left.map(describe) : [];
+    return E.left([...unknown, ...new Set(mistakes)]);
+  }
+  return checkOwnEntry(decoded.right);
+}
+
+function readText(path: string): E.Either<string[], string> {
+  return E.tryCatch(
+    () => readFileSync(path, 'utf8'),
+    (cause) => [`${path}: ${cause instanceof Error ? cause.message : String(cause)}`],
+  );
+}
+
+function parseYaml(path: string, text: string): E.Either<string[], unknown> {
+  return E.tryCatch(
+    () => parse(text) as unknown,
+    (cause) => [`${path}: ${cause instanceof Error ? cause.message : String(cause)}`],
+  );
+}
+
+/** Reads a settings file and puts flags over it. */
+export function readSettings(
+  path: string | undefined,
+  flags: Readonly<Record<string, unknown>>,
+): E.Either<string[], Settings> {
+  const file = path === undefined ? E.right({}) : pipe(readText(path), E.chain((text) => parseYaml(path, text)));
+  const given = Object.fromEntries(
+    Object.entries(flags).filter(([, value]) => value !== undefined),
+  );
+  return pipe(
+    file,
+    E.chain((raw) => checkSettings({ ...(raw as object), ...given })),
+  );
+}
--- /dev/null
+++ b/src/dispatch/engine-state.ts
@@ -0,0 +1,139 @@
+/** What a pool scheduler keeps of one back end: its view, its failures, what it holds. */
+import type { CallId, ProgramId } from '../model/identifiers.js';
+import type { EngineDocument } from '../configuration/documents.js';
+import type { EngineView } from '../scheduling/pool-view.js';
+import { occupiedTokens } from '../scheduling/placement-cost.js';
+import type { CallTicket } from '../wire/messages.js';
+
+/** Failures in a row after which an engine gets no work for a while. */
+const EJECTION_FAILURES = 3;
+/** First rest of an ejected engine, in milliseconds; doubles with each further one. */
+const FIRST_EJECTION_MILLISECONDS = 2_000;
+/** Longest rest of an ejected engine, in milliseconds. */
+const LONGEST_EJECTION_MILLISECONDS = 30_000;
+
+/** Prompt memory held by our order. */
+export interface Hold {
+  readonly tokens: number;
+  /** Monotonic milliseconds at which it lapses by itself. */
+  readonly until: number;
+}
+
+/** One back end of a pool. */
+export class EngineState {
+  readonly view: EngineView;
+  readonly running = new Map<CallId, CallTicket | undefined>();
+  readonly holds = new Map<ProgramId, Hold>();
+  private failuresInRow = 0;
+  private ejections = 0;
+  private ejectedUntil = 0;
+  private draining = false;
+
+  constructor(document: EngineDocument) {
+    this.view = {
+      engine: document.name,
+      zone: document.zone,
+      concurrency: Math.max(1, document.concurrency),
+      cacheTokens: document.cacheTokens,
+      running: 0,
+      runningTokens: 0,
+      pendingPrefillTokens: 0,
+      heldTokens: 0,
+      available: true,
+    };
+    this.draining = document.draining;
+  }
+
+  /** Takes over what a new revision of the document says. */
+  configure(document: EngineDocument, now: number): void {
+    this.draining = document.draining;
+    this.refresh(now);
+  }
+
+  /** Notes a call sent to the engine; the ticket is unknown for one learned from a report. */
+  addRunning(call: CallId, ticket: CallTicket | undefined, uncached: number): void {
+    if (this.running.has(call)) {
+      return;
+    }
+    this.running.set(call, ticket);
+    this.view.running = this.running.size;
+    if (ticket !== undefined) {
+      this.view.runningTokens += occupiedTokens(ticket);
+      this.view.pendingPrefillTokens += uncached;
+    }
+  }
+
+  /** Notes that a call has left; returns its ticket when known. */
+  removeRunning(call: CallId): CallTicket | undefined {
+    const ticket = this.running.get(call);
+    if (this.running.delete(call) && ticket !== undefined) {
+      this.view.runningTokens -= occupiedTokens(ticket);
+    }
+    this.view.running = this.running.size;
+    return ticket;
+  }
+
+  /** Notes prompt tokens that have probably been computed by now. */
+  prefillDone(tokens: number): void {
+    this.view.pendingPrefillTokens = Math.max(0, this.view.pendingPrefillTokens - tokens);
+  }
+
+  /** Notes a hold ordered for a program. */
+  addHold(program: ProgramId, hold: Hold): void {
+    this.removeHold(program);
+    this.holds.set(program, hold);
+    this.view.heldTokens += hold.tokens;
+  }
+
+  /** Notes that a program's memory is no longer held. */
+  removeHold(program: ProgramId): boolean {
+    const hold = this.holds.get(program);
+    if (hold === undefined) {
+      return false;
+    }
+    this.holds.delete(program);
+    this.view.heldTokens -= hold.tokens;
+    return true;
+  }
+
+  /** Drops holds that have lapsed; returns their programs. */
+  dropLapsedHolds(now: number): ProgramId[] {
+    const lapsed = [...this.holds].filter(([, hold]) => hold.until <= now);
+    lapsed.forEach(([program]) => this.removeHold(program));
+    return lapsed.map(([program]) => program);
+  }
+
+  /** Notes an answer. */
+  noteSuccess(): void {
+    this.failuresInRow = 0;
+    this.ejections = 0;
+  }
+
+  /** Notes a failure; too many in a row eject the engine for a while. */
+  noteFailure(now: number): void {
+    this.failuresInRow += 1;
+    if (this.failuresInRow < EJECTION_FAILURES) {
+      return;
+    }
+    const rest = FIRST_EJECTION_MILLISECONDS * 2 ** this.ejections;
+    this.ejectedUntil = now + Math.min(rest, LONGEST_EJECTION_MILLISECONDS);
+    this.ejections += 1;
+    this.failuresInRow = 0;
+    this.refresh(now);
+  }
+
+  /** Brings the view up to date with time. */
+  refresh(now: number): void {
+    this.view.available = !this.draining && now >= this.ejectedUntil;
+  }
+
+  /** True when the engine takes no new work by order. */
+  get isDraining(): boolean {
+    return this.draining;
+  }
+
+  /** True while the engine rests after failures. */
+  isEjected(now: number): boolean {
+    return now < this.ejectedUntil;
+  }
+}
--- /dev/null
+++ b/src/emulator/engine-model.ts
@@ -0,0 +1,404 @@
+/**
+ * An emulated model engine: continuous batching with chunked prefill, a prompt cache, priorities,
+ * streams that outlive their connection, holds, fenced orders, late and gappy reports, crashes.
+ */
+import type { CallId, ProgramId } from '../model/identifiers.js';
+import {
+  chainDigest,
+  CHARACTERS_PER_TOKEN,
+  countMessageTokens,
+  countTextTokens,
+  digestConversation,
+  EMPTY_HISTORY_DIGEST,
+} from '../model/chat.js';
+import type { ChatMessage } from '../model/chat.js';
+import type { Usage } from '../model/call.js';
+import type {
+  BackEndListener,
+  BackEndOrder,
+  BackEndReport,
+  Fence,
+} from '../platform/back-end-port.js';
+import { setRepeatingTimer } from '../runtime/runtime.js';
+import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import { answerLength, answerText } from './answer-text.js';
+import { FenceGuard } from './emulated-back-end.js';
+import type { BackEndTotals, EmulatedBackEnd, Execution } from './emulated-back-end.js';
+import { PrefixCache } from './prefix-cache.js';
+import type { CacheLease, PrefixLink } from './prefix-cache.js';
+
+/** How an emulated engine performs. */
+export interface EngineModelOptions {
+  readonly name: string;
+  /** Prompt tokens computed in a second. @default 12000 */
+  readonly prefillTokensPerSecond?: number;
+  /** Milliseconds of one decoding step with an empty batch. @default 8 */
+  readonly stepMilliseconds?: number;
+  /** Milliseconds each sequence adds to a step. @default 0.35 */
+  readonly sequenceMilliseconds?: number;
+  /** Memory for prompts and answers, in tokens. @default 120000 */
+  readonly cacheTokens?: number;
+  /** Most sequences in the batch. @default 32 */
+  readonly maximumBatch?: number;
+  /** Most prompt tokens computed in one step. @default 2048 */
+  readonly chunkTokens?: number;
+  /** Decoding steps run as one event when nothing else is to do; coarser is faster to emulate. @default 4 */
+  readonly stepsPerEvent?: number;
+  /** Milliseconds between reports' snapshots. @default 1000 */
+  readonly reportLagMilliseconds?: number;
+  /** Part of the eviction events that get lost. @default 0.1 */
+  readonly eventLoss?: number;
+}
+
+interface Sequence {
+  readonly order: BackEndOrder;
+  readonly chain: readonly PrefixLink[];
+  readonly digest: string;
+  readonly answer: string;
+  listener: BackEndListener | undefined;
+  lease: CacheLease | undefined;
+  /** Prompt tokens still to be computed. */
+  prefillLeft: number;
+  promptTokens: number;
+  sentCharacters: number;
+  readonly arrivedAt: number;
+}
+
+interface FinishedSequence {
+  readonly text: string;
+  readonly usage: Usage;
+  readonly at: number;
+}
+
+/** Time a finished answer stays readable for a broken stream, in milliseconds. */
+const FINISHED_RETENTION_MILLISECONDS = 60_000;
+
+/** See the head of this file. */
+export class EngineModel implements EmulatedBackEnd {
+  readonly name: string;
+  readonly executions: Execution[] = [];
+  private readonly cache: PrefixCache;
+  private fences = new FenceGuard();
+  private waiting: Sequence[] = [];
+  private batch: Sequence[] = [];
+  private readonly byCall = new Map<CallId, Sequence>();
+  private readonly finished = new Map<CallId, FinishedSequence>();
+  private stepping = false;
+  private up = true;
+  private generation = 0;
+  private snapshot: BackEndReport;
+  private readonly cancelReports: CancelTimer;
+  private prefillTokens = 0;
+  private cachedTokens = 0;
+  private generatedTokens = 0;
+  private busyMilliseconds = 0;
+
+  constructor(
+    private readonly runtime: Runtime,
+    private readonly options: EngineModelOptions,
+  ) {
+    this.name = options.name;
+    this.cache = new PrefixCache(this.capacity, () => runtime.now());
+    this.snapshot = this.takeSnapshot();
+    const lag = options.reportLagMilliseconds ?? 1_000;
+    this.cancelReports = setRepeatingTimer(runtime, lag, () => {
+      this.cache.expireHolds();
+      this.snapshot = this.takeSnapshot();
+    });
+  }
+
+  get isUp(): boolean {
+    return this.up;
+  }
+
+  private get capacity(): number {
+    return this.options.cacheTokens ?? 120_000;
+  }
+
+  start(order: BackEndOrder, listener: BackEndListener): void {
+    if (!this.up) {
+      listener({ type: 'failed', verdict: 'NotRun', detail: 'connection refused' });
+      return;
+    }
+    if (!this.fences.admit(order.fence)) {
+      listener({ type: 'failed', verdict: 'NotRun', detail: 'stale order: a newer term is known' });
+      return;
+    }
+    if (this.byCall.has(order.call) || this.finished.has(order.call)) {
+      this.resume(order.call, order.fence, listener);
+      return;
+    }
+    const sequence = this.createSequence(order, listener);
+    if (sequence.promptTokens + order.maximumTokens > this.capacity) {
+      listener({ type: 'failed', verdict: 'NotRun', detail: 'the prompt exceeds the memory' });
+      return;
+    }
+    const { call, program, service } = order;
+    this.executions.push({ call, program, service, engine: this.name, at: this.runtime.now() });
+    this.byCall.set(call, sequence);
+    this.waiting.push(sequence);
+    this.waiting.sort(
+      (left, right) => left.order.priority - right.order.priority || left.arrivedAt - right.arrivedAt,
+    );
+    this.step();
+  }
+
+  resume(call: CallId, fence: Fence, listener: BackEndListener): void {
+    if (!this.up) {
+      listener({ type: 'failed', verdict: 'MayHaveRun', detail: 'connection refused' });
+      return;
+    }
+    if (!this.fences.admit(fence)) {
+      listener({ type: 'failed', verdict: 'MayHaveRun', detail: 'stale order' });
+      return;
+    }
+    const done = this.finished.get(call);
+    if (done !== undefined) {
+      listener({ type: 'piece', offset: 0, text: done.text });
+      listener({ type: 'finished', text: done.text, usage: done.usage });
+      return;
+    }
+    const sequence = this.byCall.get(call);
+    if (sequence === undefined) {
+      listener({ type: 'failed', verdict: 'MayHaveRun', detail: 'the order is not known here' });
+      return;
+    }
+    sequence.listener = listener;
+    const text = sequence.answer.slice(0, sequence.sentCharacters);
+    if (text !== '') {
+      listener({ type: 'piece', offset: 0, text });
+    }
+  }
+
+  cancel(call: CallId): void {
+    const sequence = this.byCall.get(call);
+    if (sequence === undefined) {
+      return;
+    }
+    this.byCall.delete(call);
+    this.waiting = this.waiting.filter((other) => other !== sequence);
+    this.batch = this.batch.filter((other) => other !== sequence);
+    this.endLease(sequence);
+  }
+
+  hold(program: ProgramId, milliseconds: number, fence: Fence): void {
+    if (this.up && this.fences.admit(fence)) {
+      this.cache.hold(program, milliseconds);
+    }
+  }
+
+  report(): BackEndReport {
+    const report = this.snapshot;
+    this.snapshot = { ...report, evictedPrograms: [] };
+    return report;
+  }
+
+  crash(): void {
+    this.up = false;
+    this.generation += 1;
+    this.stepping = false;
+    const lost = [...this.byCall.values()];
+    this.byCall.clear();
+    this.finished.clear();
+    this.waiting = [];
+    this.batch = [];
+    this.cache.clear();
+    this.fences = new FenceGuard();
+    for (const sequence of lost) {
+      sequence.listener?.({ type: 'failed', verdict: 'MayHaveRun', detail: 'connection lost' });
+    }
+  }
+
+  restart(): void {
+    this.up = true;
+    this.snapshot = this.takeSnapshot();
+  }
+
+  /** Ends the engine's own timers. */
+  stop(): void {
+    this.cancelReports();
+    this.generation += 1;
+    this.up = false;
+  }
+
+  totals(): BackEndTotals {
+    return {
+      prefillTokens: this.prefillTokens,
+      cachedTokens: this.cachedTokens,
+      generatedTokens: this.generatedTokens,
+      busyMilliseconds: this.busyMilliseconds,
+      use: this.cache.measureUse(),
+    };
+  }
+
+  private createSequence(order: BackEndOrder, listener: BackEndListener): Sequence {
+    const chain = chainOf(order.messages);
+    const promptTokens = chain.reduce((sum, link) => sum + link.tokens, 0);
+    const digest = digestConversation(order.messages);
+    const length = answerLength(order.messages, order.maximumTokens);
+    return {
+      order,
+      chain,
+      digest,
+      answer: answerText(digest, length),
+      listener,
+      lease: undefined,
+      prefillLeft: 0,
+      promptTokens,
+      sentCharacters: order.continueText.length,
+      arrivedAt: this.runtime.now(),
+    };
+  }
+
+  private takeSnapshot(): BackEndReport {
+    const loss = this.options.eventLoss ?? 0.1;
+    const evicted = this.cache
+      .takeEvicted()
+      .filter(() => this.runtime.random.uniform() >= loss);
+    return {
+      running: this.batch.length,
+      waiting: this.waiting.length,
+      cachedTokens: this.cache.tokens,
+      cacheCapacityTokens: this.capacity,
+      held: this.cache.listHeld(),
+      evictedPrograms: [...new Set(evicted)],
+      unreachable: false,
+    };
+  }
+
+  private admit(): void {
+    const maximumBatch = this.options.maximumBatch ?? 32;
+    while (this.waiting.length > 0 && this.batch.length < maximumBatch) {
+      const sequence = this.waiting[0]!;
+      const lease = this.cache.acquire(sequence.order.program, sequence.chain);
+      if (lease === undefined) {
+        return;
+      }
+      sequence.lease = lease;
+      const continued = countTextTokens(sequence.order.continueText);
+      sequence.prefillLeft = sequence.promptTokens - lease.cachedTokens + continued;
+      this.prefillTokens += sequence.prefillLeft;
+      this.cachedTokens += lease.cachedTokens;
+      this.waiting.shift();
+      this.batch.push(sequence);
+    }
+  }
+
+  private step(): void {
+    if (this.stepping || !this.up) {
+      return;
+    }
+    this.admit();
+    if (this.batch.length === 0) {
+      return;
+    }
+    this.stepping = true;
+    const prefilled = this.planPrefill();
+    const decoding = this.batch.filter((sequence) => sequence.prefillLeft <= 0);
+    const steps = prefilled > 0 ? 1 : this.plannedSteps(decoding);
+    const duration = this.stepDuration(prefilled, decoding.length, steps);
+    const { generation } = this;
+    this.busyMilliseconds += duration;
+    this.runtime.setTimer(duration, () => {
+      if (generation !== this.generation) {
+        return;
+      }
+      this.stepping = false;
+      decoding.forEach((sequence) => this.generate(sequence, steps));
+      this.step();
+    });
+  }
+
+  /** Spends this step's prompt budget, most urgent first; returns the tokens computed. */
+  private planPrefill(): number {
+    let budget = this.options.chunkTokens ?? 2_048;
+    const full = budget;
+    const pending = this.batch.filter((sequence) => sequence.prefillLeft > 0);
+    pending.sort((left, right) => left.order.priority - right.order.priority);
+    for (const sequence of pending) {
+      const part = Math.min(budget, sequence.prefillLeft);
+      sequence.prefillLeft -= part;
+      budget -= part;
+      if (budget <= 0) {
+        break;
+      }
+    }
+    return full - budget;
+  }
+
+  private plannedSteps(decoding: readonly Sequence[]): number {
+    const most = this.options.stepsPerEvent ?? 4;
+    const left = decoding.map((sequence) =>
+      Math.ceil((sequence.answer.length - sequence.sentCharacters) / CHARACTERS_PER_TOKEN),
+    );
+    return Math.max(1, Math.min(most, ...left));
+  }
+
+  private stepDuration(prefilled: number, decoding: number, steps: number): number {
+    const base = this.options.stepMilliseconds ?? 8;
+    const perSequence = this.options.sequenceMilliseconds ?? 0.35;
+    const rate = this.options.prefillTokensPerSecond ?? 12_000;
+    return (prefilled / rate) * 1_000 + steps * (base + perSequence * decoding);
+  }
+
+  private generate(sequence: Sequence, tokens: number): void {
+    if (this.byCall.get(sequence.order.call) !== sequence) {
+      return;
+    }
+    const offset = sequence.sentCharacters;
+    const text = sequence.answer.slice(offset, offset + tokens * CHARACTERS_PER_TOKEN);
+    sequence.sentCharacters += text.length;
+    this.generatedTokens += countTextTokens(text);
+    if (text !== '') {
+      sequence.listener?.({ type: 'piece', offset, text });
+    }
+    if (sequence.sentCharacters >= sequence.answer.length) {
+      this.finish(sequence);
+    }
+  }
+
+  private finish(sequence: Sequence): void {
+    const { order, answer, lease } = sequence;
+    this.byCall.delete(order.call);
+    this.batch = this.batch.filter((other) => other !== sequence);
+    const message: ChatMessage = { role: 'assistant', content: answer };
+    const usage: Usage = {
+      promptTokens: sequence.promptTokens,
+      cachedTokens: lease?.cachedTokens ?? 0,
+      completionTokens: countTextTokens(answer),
+    };
+    if (lease !== undefined) {
+      const digest = chainDigest(sequence.digest, message);
+      this.cache.extend(lease, { digest, tokens: countMessageTokens(message) });
+    }
+    this.endLease(sequence);
+    const at = this.runtime.now();
+    this.finished.set(order.call, { text: answer, usage, at });
+    this.forgetOldAnswers(at);
+    sequence.listener?.({ type: 'finished', text: answer, usage });
+  }
+
+  private endLease(sequence: Sequence): void {
+    if (sequence.lease !== undefined) {
+      this.cache.release(sequence.lease);
+      sequence.lease = undefined;
+    }
+  }
+
+  private forgetOldAnswers(now: number): void {
+    for (const [call, answer] of this.finished) {
+      if (now - answer.at < FINISHED_RETENTION_MILLISECONDS) {
+        return;
+      }
+      this.finished.delete(call);
+    }
+  }
+}
+
+function chainOf(messages: readonly ChatMessage[]): PrefixLink[] {
+  let digest = EMPTY_HISTORY_DIGEST;
+  return messages.map((message) => {
+    digest = chainDigest(digest, message);
+    return { digest, tokens: countMessageTokens(message) };
+  });
+}
--- /dev/null
+++ b/src/emulator/http-helpers.ts
@@ -0,0 +1,31 @@
+/** Small helpers of the emulators' HTTP servers. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+/** Longest body an emulator reads, in bytes. */
+const MAXIMUM_BODY_BYTES = 32 * 1024 * 1024;
+
+/** Reads a JSON body. */
+export async function readJson<Body>(request: IncomingMessage): Promise<Body> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    length += chunk.length;
+    if (length > MAXIMUM_BODY_BYTES) {
+      throw new RangeError('body too long');
+    }
+    chunks.push(chunk);
+  }
+  const text = Buffer.concat(chunks).toString('utf8');
+  return JSON.parse(text === '' ? '{}' : text) as Body;
+}
+
+/** Answers with JSON. */
+export function sendJson(response: ServerResponse, status: number, body: unknown): void {
+  response.writeHead(status, { 'content-type': 'application/json' });
+  response.end(JSON.stringify(body));
+}
+
+/** Writes one server-sent event. */
+export function sendEvent(response: ServerResponse, data: string): void {
+  response.write(`data: ${data}\n\n`);
+}
--- /dev/null
+++ b/src/emulator/tool-model.ts
@@ -0,0 +1,155 @@
+/** An emulated tool service runner: slow, hanging and failing calls, with effects that count. */
+import type { CallId } from '../model/identifiers.js';
+import { countTextTokens } from '../model/chat.js';
+import type { Usage } from '../model/call.js';
+import type {
+  BackEndListener,
+  BackEndOrder,
+  BackEndReport,
+  Fence,
+} from '../platform/back-end-port.js';
+import type { Runtime } from '../runtime/runtime.js';
+import { expectedToolResult } from './answer-text.js';
+import { FenceGuard } from './emulated-back-end.js';
+import type { BackEndTotals, EmulatedBackEnd, Execution } from './emulated-back-end.js';
+
+/** How an emulated tool performs. */
+export interface ToolModelOptions {
+  readonly name: string;
+  /** Median time of a call, in milliseconds. @default 60 */
+  readonly medianMilliseconds?: number;
+  /** Part of the calls that never answer. @default 0 */
+  readonly hangRate?: number;
+  /** Part of the calls that fail after they ran. @default 0 */
+  readonly failureRate?: number;
+}
+
+interface ToolRun {
+  listener: BackEndListener;
+}
+
+interface ToolResult {
+  readonly text: string;
+  readonly usage: Usage;
+}
+
+const SPREAD = 0.5;
+
+/** See the head of this file. */
+export class ToolModel implements EmulatedBackEnd {
+  readonly name: string;
+  readonly executions: Execution[] = [];
+  private fences = new FenceGuard();
+  private readonly running = new Map<CallId, ToolRun>();
+  private readonly results = new Map<CallId, ToolResult>();
+  private up = true;
+
+  constructor(
+    private readonly runtime: Runtime,
+    private readonly options: ToolModelOptions,
+  ) {
+    this.name = options.name;
+  }
+
+  get isUp(): boolean {
+    return this.up;
+  }
+
+  start(order: BackEndOrder, listener: BackEndListener): void {
+    if (!this.up || !this.fences.admit(order.fence)) {
+      const detail = this.up ? 'stale order: a newer term is known' : 'connection refused';
+      listener({ type: 'failed', verdict: 'NotRun', detail });
+      return;
+    }
+    if (this.running.has(order.call) || this.results.has(order.call)) {
+      this.resume(order.call, order.fence, listener);
+      return;
+    }
+    const { call, program, service, payload } = order;
+    this.executions.push({ call, program, service, engine: this.name, at: this.runtime.now() });
+    const run: ToolRun = { listener };
+    this.running.set(call, run);
+    const { random } = this.runtime;
+    if (random.uniform() < (this.options.hangRate ?? 0)) {
+      return;
+    }
+    const median = this.options.medianMilliseconds ?? 60;
+    this.runtime.setTimer(random.logNormal(median, SPREAD), () => this.finish(call, run, payload));
+  }
+
+  resume(call: CallId, fence: Fence, listener: BackEndListener): void {
+    if (!this.up || !this.fences.admit(fence)) {
+      listener({ type: 'failed', verdict: 'MayHaveRun', detail: 'not reachable' });
+      return;
+    }
+    const result = this.results.get(call);
+    const run = this.running.get(call);
+    if (result !== undefined) {
+      listener({ type: 'finished', ...result });
+    } else if (run !== undefined) {
+      run.listener = listener;
+    } else {
+      listener({ type: 'failed', verdict: 'MayHaveRun', detail: 'the order is not known here' });
+    }
+  }
+
+  cancel(call: CallId): void {
+    this.running.delete(call);
+  }
+
+  hold(): void {
+    // A tool keeps no prompt memory.
+  }
+
+  report(): BackEndReport {
+    return {
+      running: this.running.size,
+      waiting: 0,
+      cachedTokens: 0,
+      cacheCapacityTokens: 0,
+      held: [],
+      evictedPrograms: [],
+      unreachable: !this.up,
+    };
+  }
+
+  crash(): void {
+    this.up = false;
+    const lost = [...this.running.values()];
+    this.running.clear();
+    this.results.clear();
+    this.fences = new FenceGuard();
+    for (const run of lost) {
+      run.listener({ type: 'failed', verdict: 'MayHaveRun', detail: 'connection lost' });
+    }
+  }
+
+  restart(): void {
+    this.up = true;
+  }
+
+  totals(): BackEndTotals {
+    const use = { idle: 0, neverReused: 0, unusedStretches: 0 };
+    return { prefillTokens: 0, cachedTokens: 0, generatedTokens: 0, busyMilliseconds: 0, use };
+  }
+
+  private finish(call: CallId, run: ToolRun, payload: string): void {
+    if (this.running.get(call) !== run) {
+      return;
+    }
+    this.running.delete(call);
+    if (this.runtime.random.uniform() < (this.options.failureRate ?? 0)) {
+      run.listener({ type: 'failed', verdict: 'Ran', detail: 'the tool failed after it ran' });
+      return;
+    }
+    const text = expectedToolResult(payload);
+    const usage = {
+      promptTokens: countTextTokens(payload),
+      cachedTokens: 0,
+      completionTokens: countTextTokens(text),
+    };
+    this.results.set(call, { text, usage });
+    run.listener({ type: 'finished', text, usage });
+  }
+}
+
--- /dev/null
+++ b/src/gateway/chat-answer.ts
@@ -0,0 +1,99 @@
+/** Answers to callers: OpenAI-compatible bodies and event streams. */
+import type { ServerResponse } from 'node:http';
+import type { Answer, CallEvent, CallRequest } from '../model/call.js';
+import { problemOf, sendProblem } from './problem.js';
+
+function usageBody(answer: Answer): Record<string, unknown> {
+  const { promptTokens, cachedTokens, completionTokens } = answer.usage;
+  return {
+    prompt_tokens: promptTokens,
+    completion_tokens: completionTokens,
+    total_tokens: promptTokens + completionTokens,
+    prompt_tokens_details: { cached_tokens: cachedTokens },
+  };
+}
+
+/** Headers that name the call, its program and its place. */
+function identify(response: ServerResponse, request: CallRequest, sequence?: number): void {
+  response.setHeader('ivyloom-call', request.call);
+  response.setHeader('ivyloom-program', request.program);
+  if (sequence !== undefined) {
+    response.setHeader('ivyloom-sequence', String(sequence));
+  }
+}
+
+/** Answers a chat call in one piece. */
+export function sendChatAnswer(
+  response: ServerResponse,
+  request: CallRequest,
+  created: number,
+  answer: Answer,
+): void {
+  identify(response, request, answer.sequence);
+  const message = { role: 'assistant', content: answer.text, refusal: null };
+  response.writeHead(200, { 'content-type': 'application/json' });
+  response.end(
+    JSON.stringify({
+      id: answer.call,
+      object: 'chat.completion',
+      created,
+      model: request.service,
+      choices: [{ index: 0, message, logprobs: null, finish_reason: 'stop' }],
+      usage: usageBody(answer),
+    }),
+  );
+}
+
+/** Answers a tool call. */
+export function sendToolAnswer(
+  response: ServerResponse,
+  request: CallRequest,
+  answer: Answer,
+): void {
+  identify(response, request, answer.sequence);
+  response.writeHead(200, { 'content-type': 'application/json' });
+  response.end(answer.text);
+}
+
+/** Streams a chat call's events to its caller; returns the listener of the events. */
+export function streamChat(
+  response: ServerResponse,
+  request: CallRequest,
+  created: number,
+): (event: CallEvent) => void {
+  let open = false;
+  const start = (): void => {
+    if (!open) {
+      open = true;
+      identify(response, request);
+      response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' });
+    }
+  };
+  const head = {
+    id: request.call,
+    object: 'chat.completion.chunk',
+    created,
+    model: request.service,
+  };
+  const write = (body: unknown): void => {
+    response.write(`data: ${JSON.stringify(body)}\n\n`);
+  };
+  return (event) => {
+    if (event.type === 'piece') {
+      start();
+      const delta = { role: 'assistant', content: event.text };
+      write({ ...head, choices: [{ index: 0, delta, finish_reason: null }] });
+    } else if (event.type === 'answered') {
+      start();
+      const choices = [{ index: 0, delta: {}, finish_reason: 'stop' }];
+      write({ ...head, choices, usage: usageBody(event.answer) });
+      response.end('data: [DONE]\n\n');
+    } else if (open) {
+      // The status is sent already: the error travels as an event, as OpenAI's own does.
+      write(problemOf(event.error, request.call));
+      response.end();
+    } else {
+      sendProblem(response, event.error, request.call);
+    }
+  };
+}
--- /dev/null
+++ b/src/gateway/http-front.ts
@@ -0,0 +1,315 @@
+/** The HTTP front of a node, for callers and operators: routing, authentication, bounds. */
+import { randomBytes } from 'node:crypto';
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import * as E from 'fp-ts/lib/Either.js';
+import { pipe } from 'fp-ts/lib/function.js';
+import type { KeyDocument } from '../configuration/documents.js';
+import { notRun } from '../model/verdict.js';
+import type { CallError } from '../model/verdict.js';
+import type { IvyloomNode } from '../node/node.js';
+import { setRepeatingTimer } from '../runtime/runtime.js';
+import type { ProgramAction } from '../wire/messages.js';
+import { runStatement } from '../language/run-statement.js';
+import { renderMetrics } from '../telemetry/metrics.js';
+import { authenticate, requireRole } from './authentication.js';
+import { nameCall, shardOfCallName } from './call-name.js';
+import { parseChat, parseToolCall } from './call-parsing.js';
+import type { ParsedCall, ParsingContext } from './call-parsing.js';
+import { sendChatAnswer, sendToolAnswer, streamChat } from './chat-answer.js';
+import { readBody, readJsonBody } from './http-body.js';
+import { sendProblem } from './problem.js';
+import type { ProgramResult } from './gateway.js';
+
+/** Most bytes of a request's headers. */
+const MAXIMUM_HEADER_BYTES = 16 * 1024;
+/** Time a client may take to send its headers, in milliseconds. */
+const HEADERS_MILLISECONDS = 10_000;
+/** Time a client may take to send its whole request, in milliseconds. */
+const REQUEST_MILLISECONDS = 60_000;
+/** Most connections at a time. */
+const MAXIMUM_CONNECTIONS = 20_000;
+/** Time between closings of idle connections while the front drains, in milliseconds. */
+const IDLE_CLOSE_MILLISECONDS = 100;
+/** Bytes of randomness in a name made here. */
+const NAME_BYTES = 12;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** A request on its way through the front. */
+interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly path: readonly string[];
+  readonly key: KeyDocument;
+}
+
+function newName(): string {
+  return randomBytes(NAME_BYTES).toString('hex');
+}
+
+function sendJson(response: ServerResponse, status: number, body: unknown): void {
+  response.writeHead(status, { 'content-type': 'application/json' });
+  response.end(typeof body === 'string' ? body : JSON.stringify(body));
+}
+
+/** See the head of this file. */
+export class HttpFront {
+  private readonly server: Server;
+
+  constructor(private readonly node: IvyloomNode) {
+    this.server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES }, (request, response) => {
+      this.serve(request, response).catch((cause: unknown) => this.fail(response, cause));
+    });
+    this.server.headersTimeout = HEADERS_MILLISECONDS;
+    this.server.requestTimeout = REQUEST_MILLISECONDS;
+    this.server.maxConnections = MAXIMUM_CONNECTIONS;
+  }
+
+  /** Listens; calls back with the port. */
+  listen(host: string, port: number, done: (port: number) => void): void {
+    this.server.listen(port, host, () => done((this.server.address() as AddressInfo).port));
+  }
+
+  /** Takes no new connections; calls back when the last request has its answer. */
+  drain(done: () => void): void {
+    const { runtime } = this.node.options;
+    // A connection becomes idle only when its answer is out, so this is done again and again.
+    const cancel = setRepeatingTimer(runtime, IDLE_CLOSE_MILLISECONDS, () =>
+      this.server.closeIdleConnections(),
+    );
+    this.server.close(() => {
+      cancel();
+      done();
+    });
+    this.server.closeIdleConnections();
+  }
+
+  /** Closes everything at once. */
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private fail(response: ServerResponse, cause: unknown): void {
+    const reason = cause instanceof Error ? (cause.stack ?? cause.message) : String(cause);
+    this.node.options.runtime.log('error', 'request failed', { reason });
+    response.destroy();
+  }
+
+  private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://front');
+    const path = url.pathname.split('/').slice(1).map(decodeSegment);
+    if (this.node.isLeaving) {
+      response.setHeader('connection', 'close');
+    }
+    if (await this.servePublic(url.pathname, response)) {
+      return;
+    }
+    const authenticated = authenticate(request, this.node.configuration.current);
+    if (E.isLeft(authenticated)) {
+      // Until the configuration is known no key is: that is not the caller's fault.
+      const error = this.node.configuration.current.revision === 0 ? notReady() : authenticated.left;
+      request.resume();
+      sendProblem(response, error);
+      return;
+    }
+    await this.route({ request, response, path, key: authenticated.right });
+  }
+
+  private async servePublic(path: string, response: ServerResponse): Promise<boolean> {
+    switch (path) {
+      case '/healthz':
+        sendJson(response, 200, { status: 'ok' });
+        return true;
+      case '/readyz':
+        sendJson(response, this.node.isReady ? 200 : 503, { ready: this.node.isReady });
+        return true;
+      case '/metrics': {
+        const { contentType, text } = await renderMetrics(this.node);
+        response.writeHead(200, { 'content-type': contentType });
+        response.end(text);
+        return true;
+      }
+      default:
+        return false;
+    }
+  }
+
+  private async route(exchange: Exchange): Promise<void> {
+    const { request, response, path } = exchange;
+    const [version, kind, name, action] = path;
+    const route = `${request.method} /${version ?? ''}/${kind ?? ''}`;
+    if (route === 'POST /v1/chat' && name === 'completions') {
+      return this.chat(exchange);
+    }
+    if (route === 'POST /v1/services' && name !== undefined && action === 'calls') {
+      return this.callTool(exchange, name);
+    }
+    if (route === 'POST /v1/operator' && name === 'statements') {
+      return this.operate(exchange);
+    }
+    if (route === 'POST /v1/programs') {
+      return this.openProgram(exchange);
+    }
+    if (route === 'GET /v1/models') {
+      return this.listModels(response);
+    }
+    if (kind === 'programs' && name !== undefined) {
+      return this.actOnProgram(exchange);
+    }
+    if (route === 'GET /v1/calls' && name !== undefined) {
+      return this.lookUpCall(exchange);
+    }
+    request.resume();
+    sendProblem(response, notRun('NotFound', `There is no ${request.method} ${request.url}.`));
+  }
+
+  private contextOf(exchange: Exchange): ParsingContext {
+    return {
+      key: exchange.key,
+      configuration: this.node.configuration.current,
+      headers: exchange.request.headers,
+      newName,
+      nameCall: (program) => nameCall(this.node.options.map, program, newName()),
+    };
+  }
+
+  private async chat(exchange: Exchange): Promise<void> {
+    const body = await readJsonBody(exchange.request);
+    const parsed = pipe(
+      requireRole(exchange.key, ['caller']),
+      E.chain(() => body),
+      E.chain((json) => parseChat(this.contextOf(exchange), json)),
+    );
+    this.submit(exchange.response, parsed);
+  }
+
+  private async callTool(exchange: Exchange, name: string): Promise<void> {
+    const body = await readBody(exchange.request);
+    const parsed = pipe(
+      requireRole(exchange.key, ['caller']),
+      E.chain(() => body),
+      E.chain((payload) => parseToolCall(this.contextOf(exchange), name, payload)),
+    );
+    this.submit(exchange.response, parsed);
+  }
+
+  private submit(response: ServerResponse, parsed: E.Either<CallError, ParsedCall>): void {
+    if (E.isLeft(parsed)) {
+      sendProblem(response, parsed.left);
+      return;
+    }
+    const { request, streaming } = parsed.right;
+    const { gateway } = this.node;
+    const created = Math.floor(this.node.options.runtime.wallTime() / MILLISECONDS_PER_SECOND);
+    response.on('close', () => gateway.abandon(request.call));
+    if (streaming) {
+      gateway.submit(request, true, streamChat(response, request, created));
+      return;
+    }
+    gateway.submit(request, false, (event) => {
+      if (event.type === 'failed') {
+        sendProblem(response, event.error, request.call);
+      } else if (event.type === 'answered' && request.messages.length === 0) {
+        sendToolAnswer(response, request, event.answer);
+      } else if (event.type === 'answered') {
+        sendChatAnswer(response, request, created, event.answer);
+      }
+    });
+  }
+
+  private async openProgram(exchange: Exchange): Promise<void> {
+    const body = await readJsonBody(exchange.request);
+    const named = E.isRight(body) ? (body.right as { name?: unknown } | null)?.name : undefined;
+    const program = typeof named === 'string' && named !== '' ? named : `p-${newName()}`;
+    this.requestProgram(exchange, 'open', program);
+  }
+
+  private actOnProgram(exchange: Exchange): void {
+    const { request, response, path } = exchange;
+    // A sub-agent's name has slashes; the last segment may be the view that is asked for.
+    const wantsHistory = path[path.length - 1] === 'history' && path.length > 3;
+    const program = path.slice(2, wantsHistory ? -1 : undefined).join('/');
+    request.resume();
+    if (request.method === 'GET') {
+      this.requestProgram(exchange, wantsHistory ? 'history' : 'describe', program);
+    } else if (request.method === 'DELETE' && !wantsHistory) {
+      this.requestProgram(exchange, 'end', program);
+    } else {
+      sendProblem(response, notRun('NotFound', 'A program can be read (GET) or ended (DELETE).'));
+    }
+  }
+
+  private requestProgram(exchange: Exchange, action: ProgramAction, program: string): void {
+    const { response, key } = exchange;
+    this.node.gateway.requestProgram(newName(), action, program, key.group, (result) =>
+      sendProgramResult(response, result),
+    );
+  }
+
+  private lookUpCall(exchange: Exchange): void {
+    const { request, response, path, key } = exchange;
+    const call = path[2] ?? '';
+    const shard = shardOfCallName(this.node.options.map, call);
+    request.resume();
+    if (shard === undefined) {
+      sendProblem(response, notRun('NotFound', `${call} is not the name of a call.`));
+      return;
+    }
+    this.node.gateway.requestShard(shard, newName(), 'findCall', call, key.group, (result) =>
+      sendProgramResult(response, result),
+    );
+  }
+
+  private listModels(response: ServerResponse): void {
+    const services = [...this.node.configuration.current.services.values()];
+    const models = services.filter((service) => service.kind === 'model');
+    const data = models.map(({ name }) => ({ id: name, object: 'model', owned_by: 'ivyloom' }));
+    sendJson(response, 200, { object: 'list', data });
+  }
+
+  private async operate(exchange: Exchange): Promise<void> {
+    const { response, key } = exchange;
+    const body = await readJsonBody(exchange.request);
+    const statement = E.isRight(body) ? (body.right as { statement?: unknown })?.statement : '';
+    const allowed = requireRole(key, ['operator', 'viewer']);
+    if (E.isLeft(allowed)) {
+      sendProblem(response, allowed.left);
+      return;
+    }
+    if (typeof statement !== 'string') {
+      sendProblem(response, notRun('Malformed', 'Send {"statement": "show nodes"}.'));
+      return;
+    }
+    const operator = { name: key.name, mayChange: key.role === 'operator' };
+    runStatement(this.node, statement, operator, newName(), (result) => {
+      if (E.isLeft(result)) {
+        sendProblem(response, result.left);
+      } else {
+        sendJson(response, 200, result.right);
+      }
+    });
+  }
+}
+
+function decodeSegment(segment: string): string {
+  try {
+    return decodeURIComponent(segment);
+  } catch {
+    return segment;
+  }
+}
+
+function notReady(): CallError {
+  return notRun('Unavailable', 'This node has not read its configuration yet.', 1);
+}
+
+function sendProgramResult(response: ServerResponse, result: ProgramResult): void {
+  const parsed = JSON.parse(result.body) as { error?: CallError };
+  if (parsed.error !== undefined) {
+    sendProblem(response, parsed.error);
+  } else {
+    sendJson(response, result.status, result.body);
+  }
+}
--- /dev/null
+++ b/src/language/change-configuration.ts
@@ -0,0 +1,173 @@
+/** Commands that change the configuration: each is one guarded edit of one document. */
+import { randomBytes } from 'node:crypto';
+import * as E from 'fp-ts/lib/Either.js';
+import type { DocumentEdit } from '../configuration/configuration-writer.js';
+import type { ConfigurationDocument, EngineDocument } from '../configuration/documents.js';
+import { checkDocument } from '../configuration/stored-documents.js';
+import { hashKey } from '../gateway/authentication.js';
+import { notRun } from '../model/verdict.js';
+import type { CallError } from '../model/verdict.js';
+import type { IvyloomNode } from '../node/node.js';
+import type { InForceState, StatementListener } from './run-statement.js';
+import type {
+  CreateStatement,
+  DeleteStatement,
+  DrainStatement,
+  ObjectKind,
+  Properties,
+  SetStatement,
+} from './statement.js';
+
+type ChangeStatement = SetStatement | CreateStatement | DeleteStatement | DrainStatement;
+
+/** Longest time a command waits for its change to be in force everywhere, in milliseconds. */
+const IN_FORCE_MILLISECONDS = 12_000;
+/** Time between looks at who has the change in force, in milliseconds. */
+const LOOK_MILLISECONDS = 100;
+/** Bytes of a new key. */
+const KEY_BYTES = 24;
+
+/** Who changes what, as it is recorded with the change. */
+export interface ChangeOrigin {
+  readonly id: string;
+  readonly by: string;
+  readonly statement: string;
+}
+
+interface PlannedEdit {
+  readonly kind: ObjectKind;
+  readonly name: string;
+  readonly edit: DocumentEdit;
+  readonly secret?: string;
+}
+
+const DEFAULTS: Readonly<Record<ObjectKind, Readonly<Record<string, unknown>>>> = {
+  group: { share: 1, budget: 0 },
+  service: { kind: 'model', groups: [] },
+  engine: { concurrency: 16, cacheTokens: 0, draining: false, zone: '', url: '', service: '' },
+  key: { group: '', role: 'caller', sha256: '' },
+};
+
+function describeMissing(kind: ObjectKind, name: string): CallError {
+  return notRun('NotFound', `There is no ${kind} ${name}.`);
+}
+
+function checked(kind: ObjectKind, document: unknown): ReturnType<DocumentEdit> {
+  const result = checkDocument(kind, document);
+  return E.isRight(result)
+    ? E.right({ put: result.right })
+    : E.left(notRun('Malformed', result.left.join('; ')));
+}
+
+function unknownProperty(kind: ObjectKind, properties: Properties): CallError | undefined {
+  const known = Object.keys(DEFAULTS[kind]).filter((name) => name !== 'sha256');
+  const wrong = Object.keys(properties).find((name) => !known.includes(name));
+  return wrong === undefined
+    ? undefined
+    : notRun('Malformed', `A ${kind} has no "${wrong}"; it has ${known.join(', ')}.`);
+}
+
+function planCreate(statement: CreateStatement): PlannedEdit {
+  const { kind, name, properties } = statement;
+  const secret = kind === 'key' ? `ivy_${randomBytes(KEY_BYTES).toString('base64url')}` : undefined;
+  const hash = secret === undefined ? {} : { sha256: hashKey(secret) };
+  const edit: DocumentEdit = (current) => {
+    if (current !== undefined) {
+      return E.left(notRun('Conflict', `The ${kind} ${name} exists; use "set" to change it.`));
+    }
+    return checked(kind, { ...DEFAULTS[kind], ...properties, ...hash, name });
+  };
+  return { kind, name, edit, ...(secret === undefined ? {} : { secret }) };
+}
+
+function planSet(statement: SetStatement): PlannedEdit {
+  const { kind, name, properties } = statement;
+  return { kind, name, edit: (current) => amend(kind, name, current, properties) };
+}
+
+function amend(
+  kind: ObjectKind,
+  name: string,
+  current: ConfigurationDocument | undefined,
+  properties: Readonly<Partial<EngineDocument>> | Properties,
+): ReturnType<DocumentEdit> {
+  return current === undefined
+    ? E.left(describeMissing(kind, name))
+    : checked(kind, { ...current.document, ...properties });
+}
+
+function plan(statement: ChangeStatement): PlannedEdit {
+  switch (statement.type) {
+    case 'create':
+      return planCreate(statement);
+    case 'set':
+      return planSet(statement);
+    case 'delete': {
+      const { kind, name } = statement;
+      const edit: DocumentEdit = (current) =>
+        current === undefined ? E.left(describeMissing(kind, name)) : E.right({ remove: true });
+      return { kind, name, edit };
+    }
+    case 'drain':
+    case 'resume': {
+      const { name } = statement;
+      const draining = statement.type === 'drain';
+      return { kind: 'engine', name, edit: (current) => amend('engine', name, current, { draining }) };
+    }
+  }
+}
+
+/** Carries a command out and waits, for a while, until every node has it in force. */
+export function changeConfiguration(
+  node: IvyloomNode,
+  statement: ChangeStatement,
+  origin: ChangeOrigin,
+  listener: StatementListener,
+): void {
+  const hasProperties = statement.type === 'create' || statement.type === 'set';
+  const mistake = hasProperties ? unknownProperty(statement.kind, statement.properties) : undefined;
+  if (mistake !== undefined) {
+    listener(E.left(mistake));
+    return;
+  }
+  const { kind, name, edit, secret } = plan(statement);
+  node.writer.edit({ ...origin, kind, name, edit }, (result) => {
+    if (E.isLeft(result)) {
+      listener(result);
+      return;
+    }
+    const revision = result.right;
+    node.configuration.read();
+    waitUntilInForce(node, revision, (inForce) => {
+      const verdict = 'Ran' as const;
+      const base = { columns: [], rows: [], unreachable: [], verdict, revision, inForce };
+      listener(E.right({ ...base, ...(secret === undefined ? {} : { secret }) }));
+    });
+  });
+}
+
+function inForceState(node: IvyloomNode, revision: number): InForceState {
+  const names = node.options.nodes.map((placed) => placed.node);
+  const acknowledged = node.configuration.acknowledgedRevisions;
+  const missing = names.filter((name) => (acknowledged.get(name) ?? 0) < revision);
+  return { acknowledged: names.length - missing.length, total: names.length, missing };
+}
+
+function waitUntilInForce(
+  node: IvyloomNode,
+  revision: number,
+  done: (state: InForceState) => void,
+): void {
+  const { runtime } = node.options;
+  const started = runtime.now();
+  const look = (): void => {
+    const state = inForceState(node, revision);
+    if (state.missing.length === 0 || runtime.now() - started > IN_FORCE_MILLISECONDS) {
+      done(state);
+      return;
+    }
+    node.configuration.askPeers(state.missing);
+    runtime.setTimer(LOOK_MILLISECONDS, look);
+  };
+  look();
+}
--- /dev/null
+++ b/src/language/run-statement.ts
@@ -0,0 +1,214 @@
+/** Runs one statement of an operator on a node and answers with rows, verdict and revision. */
+import * as E from 'fp-ts/lib/Either.js';
+import { notRun } from '../model/verdict.js';
+import type { CallError, Verdict } from '../model/verdict.js';
+import type { IvyloomNode } from '../node/node.js';
+import { COLLECTED_TABLES } from '../node/node-rows.js';
+import type { CollectedRows, Row } from '../node/row-collector.js';
+import { changeConfiguration } from './change-configuration.js';
+import { aggregateName, evaluateShow } from './evaluate-rows.js';
+import { explainCall } from './explain-call.js';
+import { parseStatement } from './parse-statement.js';
+import type { ShowStatement, Statement } from './statement.js';
+import { closestWord } from './suggest.js';
+import { findTable, TABLES } from './tables.js';
+
+/** Who runs a statement. */
+export interface Operator {
+  readonly name: string;
+  /** False for a viewer. */
+  readonly mayChange: boolean;
+}
+
+/** Where a change stands on the nodes. */
+export interface InForceState {
+  /** Nodes that have the revision in force. */
+  readonly acknowledged: number;
+  readonly total: number;
+  readonly missing: readonly string[];
+}
+
+/** Answer to a statement. */
+export interface StatementResult {
+  readonly columns: readonly string[];
+  readonly rows: readonly Row[];
+  /** Nodes whose rows are missing. */
+  readonly unreachable: readonly string[];
+  /** For a command: that it was carried out. */
+  readonly verdict?: Verdict;
+  /** For a change of configuration: the revision that has it. */
+  readonly revision?: number;
+  readonly inForce?: InForceState;
+  /** Something to be shown once, such as a new key. */
+  readonly secret?: string;
+}
+
+/** Receives the answer, once. */
+export type StatementListener = (result: E.Either<CallError, StatementResult>) => void;
+
+/** Runs a statement; `id` names it among changes. */
+export function runStatement(
+  node: IvyloomNode,
+  text: string,
+  operator: Operator,
+  id: string,
+  listener: StatementListener,
+): void {
+  const parsed = parseStatement(text);
+  if (E.isLeft(parsed)) {
+    const { message, offset } = parsed.left;
+    const pointer = `${text}\n${' '.repeat(offset)}^`;
+    listener(E.left(notRun('Malformed', `${message}\n${pointer}`)));
+    return;
+  }
+  const statement = parsed.right;
+  const changes = statement.type !== 'show' && statement.type !== 'explain';
+  if (changes && !operator.mayChange) {
+    listener(E.left(notRun('Forbidden', 'A viewer may only show and explain.')));
+    return;
+  }
+  execute(node, statement, { text, operator, id }, listener);
+}
+
+interface Origin {
+  readonly text: string;
+  readonly operator: Operator;
+  readonly id: string;
+}
+
+function execute(
+  node: IvyloomNode,
+  statement: Statement,
+  origin: Origin,
+  listener: StatementListener,
+): void {
+  switch (statement.type) {
+    case 'show':
+      return show(node, statement, listener);
+    case 'explain':
+      return statement.subject === 'call'
+        ? explainCall(node, statement.name, listener)
+        : describeProgram(node, 'describe', statement.name, origin.id, listener);
+    case 'stop':
+      return describeProgram(node, 'stop', statement.program, origin.id, listener);
+    default:
+      return changeConfiguration(
+        node,
+        statement,
+        { id: origin.id, by: origin.operator.name, statement: origin.text },
+        listener,
+      );
+  }
+}
+
+function unknownColumn(statement: ShowStatement): string | undefined {
+  const table = findTable(statement.table);
+  const known = (table?.columns ?? []).map((column) => column.name);
+  const aggregates = statement.aggregates.map(aggregateName);
+  const mentioned = [
+    ...statement.conditions.map((condition) => condition.column),
+    ...statement.groupBy,
+    ...statement.aggregates.map((aggregate) => aggregate.column).filter((name) => name !== ''),
+    ...(statement.orderBy === undefined ? [] : [statement.orderBy.column]),
+  ];
+  const wrong = mentioned.find((name) => ![...known, ...aggregates, 'count'].includes(name));
+  if (wrong === undefined) {
+    return undefined;
+  }
+  const suggestion = closestWord(wrong, known);
+  const hint = suggestion === undefined ? '' : ` Did you mean "${suggestion}"?`;
+  return `${statement.table} has no column "${wrong}"; it has ${known.join(', ')}.${hint}`;
+}
+
+function show(node: IvyloomNode, statement: ShowStatement, listener: StatementListener): void {
+  const table = findTable(statement.table);
+  if (table === undefined) {
+    const names = TABLES.map((candidate) => candidate.name);
+    const suggestion = closestWord(statement.table, names);
+    const hint = suggestion === undefined ? '' : ` Did you mean "${suggestion}"?`;
+    const detail = `There is no table "${statement.table}"; there are ${names.join(', ')}.${hint}`;
+    listener(E.left(notRun('Malformed', detail)));
+    return;
+  }
+  const mistake = unknownColumn(statement);
+  if (mistake !== undefined) {
+    listener(E.left(notRun('Malformed', mistake)));
+    return;
+  }
+  const answer = ({ rows, unreachable }: CollectedRows): void => {
+    const merged = statement.table === 'groups' ? mergeGroups(rows) : rows;
+    const shown = evaluateShow(merged, statement);
+    const grouping = statement.groupBy.length > 0 || statement.aggregates.length > 0;
+    const columns = grouping
+      ? Object.keys(shown[0] ?? {})
+      : table.columns.map((column) => column.name);
+    listener(E.right({ columns, rows: shown, unreachable }));
+  };
+  if ((COLLECTED_TABLES as readonly string[]).includes(statement.table)) {
+    node.rows.collect(statement.table, answer);
+  } else {
+    answer({ rows: configurationRows(node, statement.table), unreachable: [] });
+  }
+}
+
+/** Each node knows a part of a group's account; the whole is their sum. */
+function mergeGroups(rows: readonly Row[]): Row[] {
+  const merged = new Map<string, Record<string, string | number | boolean>>();
+  for (const row of rows) {
+    const name = String(row['group']);
+    const known = merged.get(name);
+    if (known === undefined) {
+      merged.set(name, { ...row });
+      continue;
+    }
+    for (const column of ['granted', 'reserved', 'spent', 'calls']) {
+      known[column] = Number(known[column]) + Number(row[column]);
+    }
+  }
+  return [...merged.values()];
+}
+
+function configurationRows(node: IvyloomNode, table: string): Row[] {
+  const { services, engines, keys } = node.configuration.current;
+  if (table === 'services') {
+    return [...services.values()].map(({ name, kind }) => ({
+      service: name,
+      kind,
+      engines: [...engines.values()].filter((engine) => engine.service === name).length,
+    }));
+  }
+  return [...keys.values()].map(({ name, group, role }) => ({ key: name, group, role }));
+}
+
+function describeProgram(
+  node: IvyloomNode,
+  action: 'describe' | 'stop',
+  program: string,
+  id: string,
+  listener: StatementListener,
+): void {
+  node.gateway.requestProgram(id, action, program, '', (result) => {
+    const body = JSON.parse(result.body) as Record<string, unknown> & { error?: CallError };
+    if (body.error !== undefined) {
+      listener(E.left(body.error));
+      return;
+    }
+    const rows = Object.entries(body)
+      .filter(([, value]) => typeof value === 'string' || typeof value === 'number')
+      .map(([property, value]) => ({ property, value: value as string | number }));
+    const calls = Array.isArray(body['calls']) ? (body['calls'] as Row[]) : [];
+    const last = calls[calls.length - 1];
+    if (last !== undefined) {
+      rows.push({ property: 'last call', value: `${String(last['call'])}: ${String(last['state'])}` });
+    }
+    const verdict: Verdict | undefined = action === 'stop' ? 'Ran' : undefined;
+    listener(
+      E.right({
+        columns: ['property', 'value'],
+        rows,
+        unreachable: [],
+        ...(verdict === undefined ? {} : { verdict }),
+      }),
+    );
+  });
+}
--- /dev/null
+++ b/src/model/chat.ts
@@ -0,0 +1,59 @@
+/** Chat messages, the unit of a program's history, and the digests that chain them. */
+import { hashText } from '../runtime/hashing.js';
+
+/** Who wrote a message, as in the OpenAI chat format. */
+export type ChatRole = 'system' | 'user' | 'assistant' | 'tool';
+
+/** One message of a conversation. Never changed after it is made. */
+export interface ChatMessage {
+  readonly role: ChatRole;
+  readonly content: string;
+}
+
+/** Characters counted as one token; an estimate good enough for cost and limits. */
+export const CHARACTERS_PER_TOKEN = 4;
+/** Tokens a message costs beside its content (role markers). */
+export const TOKENS_PER_MESSAGE = 4;
+/** Digest of the empty history. */
+export const EMPTY_HISTORY_DIGEST = '0000000000000000';
+
+/** Estimated tokens of a text. */
+export function countTextTokens(text: string): number {
+  return Math.ceil(text.length / CHARACTERS_PER_TOKEN);
+}
+
+/** Estimated tokens of one message. */
+export function countMessageTokens(message: ChatMessage): number {
+  return countTextTokens(message.content) + TOKENS_PER_MESSAGE;
+}
+
+/** Estimated tokens of a list of messages. */
+export function countTokens(messages: readonly ChatMessage[]): number {
+  let total = 0;
+  for (const message of messages) {
+    total += countMessageTokens(message);
+  }
+  return total;
+}
+
+const messageDigests = new WeakMap<ChatMessage, string>();
+
+function digestOfMessage(message: ChatMessage): string {
+  const known = messageDigests.get(message);
+  if (known !== undefined) {
+    return known;
+  }
+  const digest = hashText(`${message.role}\n${message.content}`);
+  messageDigests.set(message, digest);
+  return digest;
+}
+
+/** Next link of the history's hash chain: depends on every message before it. */
+export function chainDigest(previous: string, message: ChatMessage): string {
+  return hashText(`${previous}:${digestOfMessage(message)}`);
+}
+
+/** Digest of a whole conversation, from the empty history. */
+export function digestConversation(messages: readonly ChatMessage[]): string {
+  return messages.reduce(chainDigest, EMPTY_HISTORY_DIGEST);
+}
--- /dev/null
+++ b/src/node/daemon.ts
@@ -0,0 +1,119 @@
+/** A node as a real process has it: sockets, disk and HTTP around the node's roles. */
+import { randomBytes } from 'node:crypto';
+import type { Settings } from '../configuration/settings.js';
+import { HttpFront } from '../gateway/http-front.js';
+import { EtcdKeyValue } from '../platform/etcd-key-value.js';
+import { HttpBackEnds } from '../platform/http-back-ends.js';
+import { DEFAULT_OWNER_LIMITS } from '../program/program-limits.js';
+import { LevelStorage } from '../replication/level-storage.js';
+import { createMemoryStorage } from '../replication/memory-storage.js';
+import { createShardMap } from '../replication/shard-map.js';
+import type { Runtime } from '../runtime/runtime.js';
+import { createPolicy, POLICY_NAMES } from '../scheduling/create-policy.js';
+import { TcpTransport } from '../wire/tcp-transport.js';
+import { IvyloomNode } from './node.js';
+import type { NodeStorage } from './node-options.js';
+
+/** Shards of a region when the settings name no number. */
+export const DEFAULT_SHARD_COUNT = 16;
+
+/** A running daemon. */
+export interface Daemon {
+  readonly node: IvyloomNode;
+  readonly httpPort: number;
+  /** Bytes sent to other nodes so far. */
+  sentBytes(): number;
+  /** Planned stop: cuts no request; calls back when everything is closed. */
+  stop(done: () => void): void;
+  /** Ends at once, as a crash would. */
+  abort(): void;
+}
+
+interface OpenStorage {
+  readonly storage: NodeStorage;
+  readonly close: () => Promise<void>;
+}
+
+async function openStorage(
+  settings: Settings,
+  shardCount: number,
+  runtime: Runtime,
+): Promise<OpenStorage> {
+  if (settings.dataFolder === undefined) {
+    const run = randomBytes(4).toString('hex');
+    runtime.log('warn', 'no data folder: replicas do not outlive this process', { run });
+    return { storage: createMemoryStorage(), close: () => Promise.resolve() };
+  }
+  const { storage, tornShards } = await LevelStorage.open(settings.dataFolder, shardCount, runtime);
+  if (tornShards.length > 0) {
+    const shards = tornShards.join(', ');
+    runtime.log('warn', 'logs with torn tails are repaired from peers', { shards });
+  }
+  return { storage, close: () => storage.close() };
+}
+
+function listenOn(
+  listener: { listen(host: string, port: number, done: (port: number) => void): void },
+  host: string,
+  port: number,
+): Promise<number> {
+  return new Promise((resolve) => listener.listen(host, port, resolve));
+}
+
+/** Starts a daemon; resolves when it listens. */
+export async function startDaemon(settings: Settings, runtime: Runtime): Promise<Daemon> {
+  const shardCount = settings.shardCount ?? DEFAULT_SHARD_COUNT;
+  const { storage, close } = await openStorage(settings, shardCount, runtime);
+  const addresses = new Map(settings.peers.map((peer) => [peer.node, peer]));
+  const policy = POLICY_NAMES.find((name) => name === settings.policy) ?? 'ivyloom';
+  const transport = new TcpTransport({
+    self: settings.node,
+    runtime,
+    addressOf: (node) => addresses.get(node),
+    receive: (from, message) => node.receive(from, message),
+  });
+  const keyValue = new EtcdKeyValue({ url: settings.keyValueUrl, runtime });
+  const backEnds = new HttpBackEnds({
+    urlOf: (engine) => node.configuration.current.engines.get(engine)?.url,
+  });
+  const node: IvyloomNode = new IvyloomNode({
+    self: settings.node,
+    zone: settings.zone,
+    nodes: settings.peers.map(({ node: name, zone }) => ({ node: name, zone })),
+    map: createShardMap(shardCount, settings.peers),
+    runtime,
+    transport,
+    storage,
+    backEnds,
+    keyValue,
+    limits: DEFAULT_OWNER_LIMITS,
+    createPolicy: () => createPolicy(policy),
+  });
+  const front = new HttpFront(node);
+  await listenOn(transport, settings.host, settings.peerPort);
+  const httpPort = await listenOn(front, settings.host, settings.httpPort);
+  node.start();
+  runtime.log('info', 'listening', { httpPort });
+  const closeAll = (done: () => void): void => {
+    transport.close();
+    keyValue.close();
+    backEnds.close();
+    close().then(done, done);
+  };
+  return {
+    node,
+    httpPort,
+    sentBytes: () => transport.sentBytes,
+    stop: (done) => {
+      node.beginLeaving();
+      front.drain(() => {
+        node.leave(() => closeAll(done));
+      });
+    },
+    abort: () => {
+      front.close();
+      node.stop();
+      closeAll(() => undefined);
+    },
+  };
+}
--- /dev/null
+++ b/src/node/node-rows.ts
@@ -0,0 +1,127 @@
+/** The rows a node contributes to the operators' tables: what it leads, owns or is. */
+import type { ShardRoles } from './shard-roles.js';
+import type { IvyloomNode } from './node.js';
+import type { Row } from './row-collector.js';
+
+/** Tables that are collected from nodes. */
+export const COLLECTED_TABLES = ['calls', 'programs', 'engines', 'nodes', 'groups', 'holds'] as const;
+
+function ledRoles(node: IvyloomNode): ShardRoles[] {
+  return node.listShards().filter((roles) => roles.host.canServe());
+}
+
+function listCalls(node: IvyloomNode): Row[] {
+  const now = node.options.runtime.now();
+  return ledRoles(node).flatMap((roles) =>
+    roles.owner.listLive().map((call) => ({
+      call: call.request.call,
+      program: call.request.program,
+      group: call.request.group,
+      service: call.request.service,
+      class: call.request.callClass,
+      sequence: call.sequence,
+      state: call.phase,
+      engine: call.engine,
+      attempts: call.attempts,
+      age: Math.round((now - call.since) / 100) / 10,
+      node: node.options.self,
+    })),
+  );
+}
+
+function listPrograms(node: IvyloomNode): Row[] {
+  const now = node.options.runtime.wallTime();
+  return ledRoles(node).flatMap((roles) =>
+    [...roles.host.state.programs.values()].map((program) => ({
+      program: program.program,
+      group: program.group,
+      state: program.end ?? 'open',
+      turns: program.nextSequence - 1,
+      tokens: program.historyTokens,
+      attained: program.attainedService,
+      age: Math.round((now - program.openedAt) / 1_000),
+      idle: Math.round((now - program.lastActivityAt) / 1_000),
+      node: node.options.self,
+    })),
+  );
+}
+
+function listEngines(node: IvyloomNode): Row[] {
+  return ledRoles(node).flatMap((roles) =>
+    roles.listSchedulers().flatMap((scheduler) =>
+      scheduler.listEngines().map((row) => ({
+        engine: row.engine,
+        service: row.service,
+        zone: row.zone,
+        state: row.state,
+        running: row.running,
+        limit: row.limit,
+        heldPrograms: row.heldPrograms,
+        heldTokens: row.heldTokens,
+        node: node.options.self,
+      })),
+    ),
+  );
+}
+
+function listNodes(node: IvyloomNode): Row[] {
+  const roles = node.listShards();
+  return [
+    {
+      node: node.options.self,
+      zone: node.options.zone,
+      state: node.isLeaving ? 'leaving' : node.isReady ? 'ready' : 'starting',
+      shards: roles.length,
+      leads: roles.filter((shard) => shard.host.canServe()).length,
+      calls: roles.reduce((sum, shard) => sum + shard.owner.liveCount, 0),
+      revision: node.configuration.current.revision,
+    },
+  ];
+}
+
+/** Part of each group's account kept here; the reader adds the parts up. */
+function listGroups(node: IvyloomNode): Row[] {
+  const rows: Row[] = [];
+  for (const group of node.configuration.current.groups.values()) {
+    let spent = 0;
+    let reserved = 0;
+    let granted = 0;
+    let running = 0;
+    for (const roles of ledRoles(node)) {
+      const slice = roles.host.state.slices.get(group.name);
+      spent += slice?.spent ?? 0;
+      reserved += slice?.reserved ?? 0;
+      granted += roles.host.state.ledgers.get(group.name)?.outstanding ?? 0;
+      running += roles.owner.listLive().filter((call) => call.request.group === group.name).length;
+    }
+    const { name, share, budget } = group;
+    rows.push({ group: name, share, budget, granted, reserved, spent, calls: running });
+  }
+  return rows;
+}
+
+function listHolds(node: IvyloomNode): Row[] {
+  return ledRoles(node).flatMap((roles) =>
+    roles.listSchedulers().flatMap((scheduler) => scheduler.listHolds()),
+  );
+}
+
+/** Rows of one table; empty for a table that nodes do not keep. */
+export function listRows(node: IvyloomNode, table: string): Row[] {
+  switch (table) {
+    case 'calls':
+      return listCalls(node);
+    case 'programs':
+      return listPrograms(node);
+    case 'engines':
+      return listEngines(node);
+    case 'nodes':
+      return listNodes(node);
+    case 'groups':
+      return listGroups(node);
+    case 'holds':
+      return listHolds(node);
+    default:
+      return [];
+  }
+}
--- /dev/null
+++ b/src/node/node.ts
@@ -0,0 +1,363 @@
+/** One node: composes the roles, routes messages to them and drives their periodic work. */
+import type { NodeId, ProgramId, ShardId } from '../model/identifiers.js';
+import { ConfigurationFollower } from '../configuration/configuration-follower.js';
+import { ConfigurationWriter } from '../configuration/configuration-writer.js';
+import type { ClusterConfiguration } from '../configuration/documents.js';
+import { PoolClient } from '../dispatch/pool-client.js';
+import { Gateway, PROBE_MILLISECONDS } from '../gateway/gateway.js';
+import { answerProgramRequest } from '../program/program-requests.js';
+import { LeaderDirectory } from '../replication/leader-directory.js';
+import { shardOfProgram } from '../replication/shard-map.js';
+import { HEARTBEAT_MILLISECONDS } from '../replication/raft-replica.js';
+import { setRepeatingTimer } from '../runtime/runtime.js';
+import type { CancelTimer } from '../runtime/runtime.js';
+import type {
+  CallProbe,
+  HoldCheck,
+  Message,
+  NotLeader,
+  PoolAssignment,
+  PoolFinished,
+  PoolRefusal,
+  PoolReport,
+  ProgramRequest,
+  ReplicationMessage,
+} from '../wire/messages.js';
+import type { NodeOptions } from './node-options.js';
+import { RowCollector } from './row-collector.js';
+import { listRows } from './node-rows.js';
+import { ShardRoles } from './shard-roles.js';
+
+/** Time between ticks of the replicas, in milliseconds. */
+const REPLICA_TICK_MILLISECONDS = HEARTBEAT_MILLISECONDS / 3;
+/** Time between ticks of the leader's roles, in milliseconds. */
+const ROLE_TICK_MILLISECONDS = 250;
+/** Time between whole reports of an owner to the pools, in milliseconds. */
+const REPORT_MILLISECONDS = 1_000;
+/** Time a planned stop waits for calls whose callers are connected here, in milliseconds. */
+export const STOP_PATIENCE_MILLISECONDS = 60_000;
+/** Nodes that read the key-value service themselves; the rest hear from peers. */
+const SERVICE_READERS = 3;
+
+/** See the head of this file. */
+export class IvyloomNode {
+  readonly gateway: Gateway;
+  readonly configuration: ConfigurationFollower;
+  readonly writer: ConfigurationWriter;
+  readonly rows: RowCollector;
+  private readonly shards = new Map<ShardId, ShardRoles>();
+  private readonly leaders: LeaderDirectory;
+  private readonly pools: PoolClient;
+  private readonly timers: CancelTimer[] = [];
+  private leaving = false;
+
+  constructor(readonly options: NodeOptions) {
+    const { self, map, runtime, keyValue } = options;
+    this.leaders = new LeaderDirectory(map);
+    const send = (to: NodeId, message: Message): void => this.send(to, message);
+    this.pools = new PoolClient({ map, leaders: this.leaders, send });
+    this.gateway = new Gateway({ runtime, map, leaders: this.leaders, send });
+    this.writer = new ConfigurationWriter({ runtime, keyValue });
+    this.rows = new RowCollector({
+      runtime,
+      self,
+      peers: () => options.nodes.map((node) => node.node),
+      send,
+      listOwn: (table) => listRows(this, table),
+    });
+    this.configuration = new ConfigurationFollower({
+      self,
+      runtime,
+      keyValue,
+      readsService: () => this.readsService(),
+      peers: () => options.nodes.map((node) => node.node),
+      send,
+      ...(options.storage.configuration ? { store: options.storage.configuration } : {}),
+      onChange: (configuration) => this.noteConfiguration(configuration),
+    });
+    map.voters.forEach((voters, shard) => {
+      if (voters.includes(self)) {
+        this.shards.set(shard, this.createShard(shard));
+      }
+    });
+  }
+
+  /** Shards replicated here. */
+  listShards(): ShardRoles[] {
+    return [...this.shards.values()];
+  }
+
+  /** True while a planned stop is under way: the front takes no new connections. */
+  get isLeaving(): boolean {
+    return this.leaving;
+  }
+
+  /** True when callers can be served: the configuration is known. */
+  get isReady(): boolean {
+    return !this.leaving && this.configuration.current.revision > 0;
+  }
+
+  /** Begins to work. */
+  start(): void {
+    const { runtime, storage } = this.options;
+    this.configuration.start(storage.keptConfiguration);
+    this.every(REPLICA_TICK_MILLISECONDS, () => {
+      this.shards.forEach((roles) => roles.host.tick());
+    });
+    this.every(ROLE_TICK_MILLISECONDS, () => {
+      this.shards.forEach((roles) => roles.tickRoles());
+    });
+    this.every(REPORT_MILLISECONDS, () => this.report());
+    this.every(PROBE_MILLISECONDS, () => this.gateway.probe());
+    runtime.log('info', 'node started', { node: this.options.self, zone: this.options.zone });
+  }
+
+  /** First part of a planned stop: from now on leadership goes to other nodes. */
+  beginLeaving(): void {
+    if (this.leaving) {
+      return;
+    }
+    this.leaving = true;
+    this.handLeadershipOver();
+    this.every(ROLE_TICK_MILLISECONDS, () => this.handLeadershipOver());
+  }
+
+  /** Planned stop: calls back when this node leads nothing and relays no call any more. */
+  leave(done: () => void): void {
+    const { runtime } = this.options;
+    const started = runtime.now();
+    this.beginLeaving();
+    const check = (): void => {
+      const leads = this.listShards().some((roles) => roles.host.role === 'leader');
+      const late = runtime.now() - started > STOP_PATIENCE_MILLISECONDS;
+      if ((!leads && this.gateway.pendingCount === 0) || late) {
+        this.stop();
+        done();
+        return;
+      }
+      runtime.setTimer(ROLE_TICK_MILLISECONDS, check);
+    };
+    check();
+  }
+
+  private handLeadershipOver(): void {
+    for (const roles of this.shards.values()) {
+      roles.host.transferLeadership();
+    }
+  }
+
+  /** Ends all activity at once. */
+  stop(): void {
+    this.timers.forEach((cancel) => cancel());
+    this.configuration.stop();
+    this.shards.forEach((roles) => roles.host.stop());
+  }
+
+  /** Handles a message of another node, or of this one. */
+  receive(from: NodeId, message: Message): void {
+    switch (message.type) {
+      case 'appendEntries':
+      case 'appendReply':
+      case 'voteRequest':
+      case 'voteReply':
+      case 'installSnapshot':
+      case 'timeoutNow':
+        return this.receiveReplication(from, message);
+      case 'submitCall':
+        return this.withLeader(from, message.shard, message.request.call, (roles) =>
+          roles.owner.submit(from, message.request),
+        );
+      case 'callEvent':
+        return this.gateway.receiveEvent(from, message);
+      case 'notLeader':
+        return this.receiveNotLeader(from, message);
+      case 'callProbe':
+        return this.answerProbe(from, message);
+      case 'callProbeReply':
+        return this.gateway.receiveProbeReply(from, message);
+      case 'programRequest':
+        return this.receiveProgramRequest(from, message);
+      case 'programReply':
+        return this.gateway.receiveProgramReply(message);
+      case 'poolReport':
+        return this.receivePoolReport(from, message);
+      case 'poolAssignment':
+        return this.receiveAssignment(from, message);
+      case 'poolRefusal':
+        return this.receiveRefusal(message);
+      case 'poolFinished':
+        return this.receiveFinished(message);
+      case 'programGone':
+        return this.forEachScheduler((scheduler) => scheduler.receiveProgramGone(message.program));
+      case 'holdCheck':
+        return this.receiveHoldCheck(from, message);
+      case 'sliceRequest':
+        return this.withLeader(from, message.ledgerShard, '', (roles) =>
+          roles.ledger.receiveRequest(from, message),
+        );
+      case 'sliceReturn':
+        return this.withLeader(from, message.ledgerShard, '', (roles) =>
+          roles.ledger.receiveReturn(from, message),
+        );
+      case 'sliceReply':
+        return this.shards.get(message.holder)?.slices.receiveReply(message);
+      case 'sliceReturnSettled':
+        return this.shards.get(message.holder)?.slices.receiveSettled(message);
+      case 'configurationAnnounce':
+        return this.configuration.receiveAnnounce(from, message);
+      case 'configurationFetch':
+        return this.configuration.receiveFetch(from, message);
+      case 'configurationTransfer':
+        return this.configuration.receiveTransfer(from, message);
+      case 'rowsRequest':
+        return this.rows.receiveRequest(from, message);
+      case 'rowsReply':
+        return this.rows.receiveReply(from, message);
+      case 'ping':
+      case 'pingReply':
+      case 'pingRequest':
+        return undefined;
+    }
+  }
+
+  private every(milliseconds: number, work: () => void): void {
+    this.timers.push(setRepeatingTimer(this.options.runtime, milliseconds, work));
+  }
+
+  private send(to: NodeId, message: Message): void {
+    if (to === this.options.self) {
+      this.options.runtime.setTimer(0, () => this.receive(to, message));
+    } else if (to !== '') {
+      this.options.transport.send(to, message);
+    }
+  }
+
+  private createShard(shard: ShardId): ShardRoles {
+    return new ShardRoles({
+      options: this.options,
+      shard,
+      leaders: this.leaders,
+      pools: this.pools,
+      configuration: () => this.configuration.current,
+      send: (to, message) => this.send(to, message),
+      checkHolds: (programs) => this.checkHolds(programs),
+    });
+  }
+
+  private readsService(): boolean {
+    const readers = this.options.nodes.map((node) => node.node).sort();
+    return readers.slice(0, SERVICE_READERS).includes(this.options.self);
+  }
+
+  private noteConfiguration(configuration: ClusterConfiguration): void {
+    const { revision } = configuration;
+    this.options.runtime.log('info', 'configuration in force', { revision });
+  }
+
+  private report(): void {
+    for (const service of this.configuration.current.services.keys()) {
+      this.shards.forEach((roles) => roles.report(service));
+    }
+  }
+
+  private checkHolds(programs: readonly ProgramId[]): void {
+    const byShard = new Map<ShardId, ProgramId[]>();
+    for (const program of programs) {
+      const shard = shardOfProgram(this.options.map, program);
+      byShard.set(shard, [...(byShard.get(shard) ?? []), program]);
+    }
+    for (const [shard, group] of byShard) {
+      this.send(this.leaders.targetOf(shard), { type: 'holdCheck', shard, programs: group });
+    }
+  }
+
+  private receiveReplication(from: NodeId, message: ReplicationMessage): void {
+    const roles = this.shards.get(message.shard);
+    roles?.host.receive(from, message);
+    if (message.type === 'appendEntries' && roles?.host.leaderHint === from) {
+      this.leaders.confirm(message.shard, from);
+    }
+  }
+
+  private withLeader(
+    from: NodeId,
+    shard: ShardId,
+    call: string,
+    act: (roles: ShardRoles) => void,
+  ): void {
+    const roles = this.shards.get(shard);
+    if (roles?.host.canServe() === true) {
+      act(roles);
+      return;
+    }
+    const hint = roles?.host.leaderHint ?? '';
+    this.send(from, { type: 'notLeader', shard, call, hint: hint === this.options.self ? '' : hint });
+  }
+
+  private receiveNotLeader(from: NodeId, message: NotLeader): void {
+    if (message.call === '') {
+      this.leaders.learn(message.shard, message.hint, from);
+    } else {
+      this.gateway.receiveNotLeader(from, message);
+    }
+  }
+
+  private answerProbe(from: NodeId, message: CallProbe): void {
+    const owners = this.listShards().filter((roles) => roles.host.canServe());
+    const unknown = message.calls.filter(
+      (call) => !owners.some((roles) => roles.owner.knows(call)),
+    );
+    this.send(from, { type: 'callProbeReply', probed: message.calls, unknown });
+  }
+
+  private receiveProgramRequest(from: NodeId, message: ProgramRequest): void {
+    this.withLeader(from, message.shard, message.call, (roles) => {
+      const { runtime } = this.options;
+      answerProgramRequest(roles.host, roles.owner, runtime, message, ({ status, body }) => {
+        this.send(from, { type: 'programReply', call: message.call, status, body });
+      });
+    });
+  }
+
+  private receivePoolReport(from: NodeId, message: PoolReport): void {
+    this.withLeader(from, message.shard, '', (roles) =>
+      roles.schedulerOf(message.service)?.receiveReport(from, message),
+    );
+  }
+
+  private receiveAssignment(from: NodeId, message: PoolAssignment): void {
+    this.leaders.confirm(message.shard, from);
+    const owners = this.listShards().filter((roles) => roles.host.canServe());
+    const owner = owners.find((roles) => roles.owner.knows(message.call)) ?? owners[0];
+    owner?.owner.assign(message);
+  }
+
+  private receiveRefusal(message: PoolRefusal): void {
+    for (const roles of this.shards.values()) {
+      roles.owner.refuse(message.call, message.detail, message.retryAfterSeconds);
+    }
+  }
+
+  private receiveFinished(message: PoolFinished): void {
+    for (const roles of this.shards.values()) {
+      roles.schedulerOf(message.service)?.receiveFinished(message);
+    }
+  }
+
+  private forEachScheduler(
+    act: (scheduler: ReturnType<ShardRoles['listSchedulers']>[number]) => void,
+  ): void {
+    this.shards.forEach((roles) => roles.listSchedulers().forEach(act));
+  }
+
+  private receiveHoldCheck(from: NodeId, message: HoldCheck): void {
+    this.withLeader(from, message.shard, '', (roles) => {
+      for (const program of message.programs) {
+        const record = roles.host.state.programs.get(program);
+        if (record === undefined || record.end !== undefined) {
+          this.send(from, { type: 'programGone', program });
+        }
+      }
+    });
+  }
+}
--- /dev/null
+++ b/src/node/shard-roles.ts
@@ -0,0 +1,130 @@
+/** The roles of one shard on one node: its replica, and above it owner, ledger and pool schedulers. */
+import type { NodeId, ServiceName, ShardId } from '../model/identifiers.js';
+import { Ledger } from '../budget/ledger.js';
+import { SliceClient } from '../budget/slice-client.js';
+import type { ClusterConfiguration } from '../configuration/documents.js';
+import { PoolScheduler } from '../dispatch/pool-scheduler.js';
+import type { PoolClient } from '../dispatch/pool-client.js';
+import { ShardOwner } from '../program/shard-owner.js';
+import { emptyReplica } from '../replication/log-entry.js';
+import type { LeaderDirectory } from '../replication/leader-directory.js';
+import { ShardHost } from '../replication/shard-host.js';
+import { shardOfPool } from '../replication/shard-map.js';
+import type { Message } from '../wire/messages.js';
+import type { NodeOptions } from './node-options.js';
+
+/** What the roles of a shard share with their node. */
+export interface ShardRolesContext {
+  readonly options: NodeOptions;
+  readonly shard: ShardId;
+  readonly leaders: LeaderDirectory;
+  readonly pools: PoolClient;
+  readonly configuration: () => ClusterConfiguration;
+  readonly send: (to: NodeId, message: Message) => void;
+  readonly checkHolds: (programs: readonly string[]) => void;
+}
+
+/** One shard on one node. */
+export class ShardRoles {
+  readonly host: ShardHost;
+  readonly owner: ShardOwner;
+  readonly slices: SliceClient;
+  readonly ledger: Ledger;
+  private readonly schedulers = new Map<ServiceName, PoolScheduler>();
+
+  constructor(private readonly context: ShardRolesContext) {
+    const { options, shard, send, leaders, pools } = context;
+    const { runtime, map, limits, backEnds } = options;
+    const budgetOf = (group: string): number =>
+      context.configuration().groups.get(group)?.budget ?? 0;
+    this.host = new ShardHost({
+      shard,
+      self: options.self,
+      runtime,
+      storage: options.storage.replica(shard),
+      persisted: options.storage.load(shard) ?? emptyReplica(map.voters[shard] ?? []),
+      send,
+      onLeadership: (leading) => this.changeLeadership(leading),
+    });
+    this.slices = new SliceClient({ host: this.host, runtime, map, leaders, budgetOf, send });
+    this.ledger = new Ledger({ host: this.host, budgetOf, send });
+    this.owner = new ShardOwner({
+      host: this.host,
+      runtime,
+      limits,
+      backEnds,
+      pools,
+      slices: this.slices,
+      send,
+      onProgramEnded: (program) => pools.announceGone(this.allServices(), program),
+    });
+  }
+
+  /** The scheduler of a service's pool, made when first needed; only while this node leads. */
+  schedulerOf(service: ServiceName): PoolScheduler | undefined {
+    const { options, shard, configuration, send, checkHolds } = this.context;
+    const known = this.schedulers.get(service);
+    if (known !== undefined || !this.host.canServe()) {
+      return known;
+    }
+    if (shardOfPool(options.map, service) !== shard || !configuration().services.has(service)) {
+      return undefined;
+    }
+    const scheduler = new PoolScheduler({
+      service,
+      runtime: options.runtime,
+      policy: options.createPolicy(),
+      backEnds: options.backEnds,
+      configuration,
+      fence: () => ({ shard, term: this.host.term }),
+      canServe: () => this.host.canServe(),
+      send,
+      checkHolds,
+    });
+    this.schedulers.set(service, scheduler);
+    return scheduler;
+  }
+
+  /** Schedulers at work here. */
+  listSchedulers(): PoolScheduler[] {
+    return [...this.schedulers.values()];
+  }
+
+  /** Tells every pool everything this shard's calls have in it. */
+  report(service: ServiceName): void {
+    if (!this.host.canServe()) {
+      return;
+    }
+    const content = { waiting: [], running: [] };
+    this.owner.addToReport(service, content);
+    this.context.pools.reportAll(service, this.host.shard, content);
+  }
+
+  /** Work done a few times a second by the leader. */
+  tickRoles(): void {
+    if (!this.host.canServe()) {
+      return;
+    }
+    this.slices.tick();
+    for (const service of this.context.configuration().services.keys()) {
+      this.schedulerOf(service)?.tick();
+    }
+  }
+
+  private allServices(): ServiceName[] {
+    return [...this.context.configuration().services.keys()];
+  }
+
+  private changeLeadership(leading: boolean): void {
+    const { runtime, self } = this.context.options;
+    const { shard, term } = this.host;
+    runtime.log('info', leading ? 'leads shard' : 'leads shard no more', { shard, term, node: self });
+    if (leading) {
+      this.owner.takeOver();
+    } else {
+      this.owner.handOver();
+      this.slices.reset();
+      this.schedulers.clear();
+    }
+  }
+}
--- /dev/null
+++ b/src/platform/etcd-key-value.ts
@@ -0,0 +1,182 @@
+/** The key-value service over the published JSON gateway of etcd v3 (range, txn, watch). */
+import * as E from 'fp-ts/lib/Either.js';
+import { Agent, request } from 'undici';
+import { setRepeatingTimer } from '../runtime/runtime.js';
+import type { Runtime } from '../runtime/runtime.js';
+import type {
+  ChangeResult,
+  GuardedChange,
+  KeyValueError,
+  KeyValueListener,
+  KeyValuePort,
+  RangeResult,
+} from './key-value-port.js';
+
+/** Time a request may take, in milliseconds. */
+const REQUEST_MILLISECONDS = 2_000;
+/** Pause before a lost watch is opened again, in milliseconds. */
+const WATCH_RETRY_MILLISECONDS = 1_000;
+const TOO_MANY_REQUESTS = 429;
+
+interface WireRange {
+  readonly header?: { readonly revision?: string };
+  readonly kvs?: readonly { key: string; value?: string; mod_revision: string }[];
+}
+
+interface WireTransaction {
+  readonly header?: { readonly revision?: string };
+  readonly succeeded?: boolean;
+}
+
+function encode(text: string): string {
+  return Buffer.from(text, 'utf8').toString('base64');
+}
+
+function decode(text: string): string {
+  return Buffer.from(text, 'base64').toString('utf8');
+}
+
+/** The end of the range of keys that start with a prefix, as etcd counts it. */
+export function endOfPrefix(prefix: string): string {
+  const bytes = Buffer.from(prefix, 'utf8');
+  const last = bytes.length - 1;
+  bytes[last] = bytes[last]! + 1;
+  return bytes.toString('base64');
+}
+
+/** What the adapter is made with. */
+export interface EtcdKeyValueOptions {
+  /** Base URL, `http://address:port`. */
+  readonly url: string;
+  readonly runtime: Runtime;
+}
+
+/** See the head of this file. */
+export class EtcdKeyValue implements KeyValuePort {
+  private readonly agent = new Agent({ bodyTimeout: 0, connect: { timeout: REQUEST_MILLISECONDS } });
+  private closed = false;
+
+  constructor(private readonly options: EtcdKeyValueOptions) {}
+
+  range(prefix: string, listener: KeyValueListener<RangeResult>): void {
+    const body = { key: encode(prefix), range_end: endOfPrefix(prefix) };
+    this.post<WireRange, RangeResult>('/v3/kv/range', body, false, listener, (answer) => ({
+      revision: Number(answer.header?.revision ?? 0),
+      pairs: (answer.kvs ?? []).map((pair) => ({
+        key: decode(pair.key),
+        value: decode(pair.value ?? ''),
+        modRevision: Number(pair.mod_revision),
+      })),
+    }));
+  }
+
+  change(change: GuardedChange, listener: KeyValueListener<ChangeResult>): void {
+    const body = {
+      compare: change.guards.map(({ key, modRevision }) => ({
+        key: encode(key),
+        target: 'MOD',
+        result: 'EQUAL',
+        mod_revision: String(modRevision),
+      })),
+      success: [
+        ...change.puts.map(({ key, value }) => ({
+          request_put: { key: encode(key), value: encode(value) },
+        })),
+        ...change.deletes.map((key) => ({ request_delete_range: { key: encode(key) } })),
+      ],
+    };
+    this.post<WireTransaction, ChangeResult>('/v3/kv/txn', body, true, listener, (answer) => ({
+      applied: answer.succeeded === true,
+      revision: Number(answer.header?.revision ?? 0),
+    }));
+  }
+
+  watch(prefix: string, fromRevision: number, onChange: () => void): () => void {
+    const abort = new AbortController();
+    let open = false;
+    const keepOpen = (): void => {
+      if (open || this.closed) {
+        return;
+      }
+      open = true;
+      this.readWatch(prefix, fromRevision, abort.signal, onChange).then(
+        () => (open = false),
+        () => (open = false),
+      );
+    };
+    keepOpen();
+    const cancel = setRepeatingTimer(this.options.runtime, WATCH_RETRY_MILLISECONDS, keepOpen);
+    return () => {
+      cancel();
+      abort.abort();
+    };
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.closed = true;
+    void this.agent.destroy();
+  }
+
+  private async readWatch(
+    prefix: string,
+    fromRevision: number,
+    signal: AbortSignal,
+    onChange: () => void,
+  ): Promise<void> {
+    const range = { key: encode(prefix), range_end: endOfPrefix(prefix) };
+    const start = fromRevision > 0 ? { start_revision: String(fromRevision) } : {};
+    const response = await request(`${this.options.url}/v3/watch`, {
+      method: 'POST',
+      dispatcher: this.agent,
+      signal,
+      body: JSON.stringify({ create_request: { ...range, ...start } }),
+    });
+    for await (const _chunk of response.body) {
+      // Whatever the event says, the follower reads the whole range: events may have been missed.
+      onChange();
+    }
+  }
+
+  private post<Wire, Result>(
+    path: string,
+    body: unknown,
+    changes: boolean,
+    listener: KeyValueListener<Result>,
+    convert: (answer: Wire) => Result,
+  ): void {
+    const settle = (result: E.Either<KeyValueError, Result>): void => listener(result);
+    request(this.options.url + path, {
+      method: 'POST',
+      dispatcher: this.agent,
+      headers: { 'content-type': 'application/json' },
+      headersTimeout: REQUEST_MILLISECONDS,
+      bodyTimeout: REQUEST_MILLISECONDS,
+      body: JSON.stringify(body),
+    })
+      .then(async (response) => {
+        const answer = (await response.body.json()) as Wire;
+        return { status: response.statusCode, answer };
+      })
+      .then(({ status, answer }) => {
+        if (status === 200) {
+          settle(E.right(convert(answer)));
+        } else if (status === TOO_MANY_REQUESTS) {
+          const detail = 'too many requests';
+          settle(E.left({ tag: 'RateLimited', mayHaveApplied: false, detail }));
+        } else {
+          const detail = `status ${status}`;
+          settle(E.left({ tag: 'Unavailable', mayHaveApplied: changes, detail }));
+        }
+      })
+      .catch((cause: unknown) => settle(E.left(describeError(cause, changes))));
+  }
+}
+
+function describeError(cause: unknown, changes: boolean): KeyValueError {
+  const error = cause as { code?: string; message?: string };
+  const refused = error.code === 'ECONNREFUSED' || error.code === 'UND_ERR_CONNECT_TIMEOUT';
+  const mayHaveApplied = changes && !refused;
+  const detail = error.message ?? 'no answer';
+  return { tag: mayHaveApplied ? 'AnswerLost' : 'Unavailable', mayHaveApplied, detail };
+}
--- /dev/null
+++ b/src/platform/http-back-ends.ts
@@ -0,0 +1,247 @@
+/**
+ * Back ends over HTTP: OpenAI-compatible streaming for models, one POST for tools, and the
+ * extension endpoints of docs/reference/back-ends.md for resume, cancel, holds and reports.
+ */
+import { Agent, request } from 'undici';
+import type { Dispatcher } from 'undici';
+import type { CallId, EngineId, ProgramId } from '../model/identifiers.js';
+import type { Usage } from '../model/call.js';
+import { NO_USAGE } from '../model/call.js';
+import type { Verdict } from '../model/verdict.js';
+import { VERDICTS } from '../model/verdict.js';
+import type {
+  BackEndListener,
+  BackEndOrder,
+  BackEndPort,
+  BackEndReport,
+  CancelOrder,
+  Fence,
+} from './back-end-port.js';
+import { EventStreamReader } from './event-stream.js';
+
+/** Time a connection to a back end may take, in milliseconds. */
+const CONNECT_MILLISECONDS = 1_000;
+/** Connections kept to one back end. */
+const CONNECTIONS_PER_ENGINE = 256;
+/** Longest silence of a stream, in milliseconds. */
+const SILENCE_MILLISECONDS = 60_000;
+/** Errors after which the request cannot have arrived. */
+const NEVER_ARRIVED = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+
+const UNREACHABLE: BackEndReport = {
+  running: 0,
+  waiting: 0,
+  cachedTokens: 0,
+  cacheCapacityTokens: 0,
+  held: [],
+  evictedPrograms: [],
+  unreachable: true,
+};
+
+/** What the adapter is made with. */
+export interface HttpBackEndsOptions {
+  /** Base URL of a back end; undefined when it is not configured. */
+  readonly urlOf: (engine: EngineId) => string | undefined;
+}
+
+interface StreamChunk {
+  readonly choices?: readonly { readonly delta?: { readonly content?: string } }[];
+  readonly usage?: {
+    readonly prompt_tokens: number;
+    readonly completion_tokens: number;
+    readonly prompt_tokens_details?: { readonly cached_tokens?: number };
+  };
+  readonly error?: { readonly verdict?: Verdict; readonly detail?: string };
+}
+
+function isVerdict(value: unknown): value is Verdict {
+  return VERDICTS.some((verdict) => verdict === value);
+}
+
+function usageOf(chunk: StreamChunk): Usage | undefined {
+  const { usage } = chunk;
+  return usage === undefined
+    ? undefined
+    : {
+        promptTokens: usage.prompt_tokens,
+        cachedTokens: usage.prompt_tokens_details?.cached_tokens ?? 0,
+        completionTokens: usage.completion_tokens,
+      };
+}
+
+function describeFailure(cause: unknown): { verdict: Verdict; detail: string } {
+  const error = cause as { code?: string; message?: string };
+  const verdict = NEVER_ARRIVED.has(error.code ?? '') ? 'NotRun' : 'MayHaveRun';
+  return { verdict, detail: error.message ?? 'the request failed' };
+}
+
+/** See the head of this file. */
+export class HttpBackEnds implements BackEndPort {
+  private readonly agent = new Agent({
+    connections: CONNECTIONS_PER_ENGINE,
+    connect: { timeout: CONNECT_MILLISECONDS },
+    bodyTimeout: SILENCE_MILLISECONDS,
+    headersTimeout: SILENCE_MILLISECONDS,
+  });
+
+  constructor(private readonly options: HttpBackEndsOptions) {}
+
+  start(engine: EngineId, order: BackEndOrder, listener: BackEndListener): CancelOrder {
+    const isChat = order.messages.length > 0;
+    const extension = {
+      call: order.call,
+      program: order.program,
+      fence: order.fence,
+      continue_text: order.continueText,
+      last_of_program: order.lastOfProgram,
+    };
+    const body = isChat
+      ? {
+          model: order.service,
+          messages: order.messages,
+          stream: true,
+          stream_options: { include_usage: true },
+          max_tokens: order.maximumTokens,
+          priority: order.priority,
+          ivyloom: extension,
+        }
+      : { service: order.service, payload: order.payload, ivyloom: extension };
+    const path = isChat ? '/v1/chat/completions' : '/ivyloom/invocations';
+    return this.stream(engine, 'POST', path, body, order.continueText, listener, (abort) => {
+      abort();
+      this.cancel(engine, order.call);
+    });
+  }
+
+  resume(engine: EngineId, call: CallId, fence: Fence, listener: BackEndListener): CancelOrder {
+    const path = `/ivyloom/streams/${encodeURIComponent(call)}?shard=${fence.shard}&term=${fence.term}`;
+    const mayHaveRun: BackEndListener = (event) =>
+      listener(event.type === 'failed' ? { ...event, verdict: 'MayHaveRun' } : event);
+    return this.stream(engine, 'GET', path, undefined, '', mayHaveRun, (abort) => {
+      abort();
+      this.cancel(engine, call);
+    });
+  }
+
+  cancel(engine: EngineId, call: CallId): void {
+    this.order(engine, 'DELETE', `/ivyloom/streams/${encodeURIComponent(call)}`);
+  }
+
+  hold(engine: EngineId, program: ProgramId, milliseconds: number, fence: Fence): void {
+    const path = `/ivyloom/holds/${encodeURIComponent(program)}`;
+    this.order(engine, 'PUT', path, { milliseconds, fence });
+  }
+
+  report(engine: EngineId, listener: (report: BackEndReport) => void): void {
+    const url = this.options.urlOf(engine);
+    if (url === undefined) {
+      listener(UNREACHABLE);
+      return;
+    }
+    request(`${url}/ivyloom/report`, { dispatcher: this.agent })
+      .then((response) => response.body.json())
+      .then((body) => listener(body as BackEndReport))
+      .catch(() => listener(UNREACHABLE));
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    void this.agent.destroy();
+  }
+
+  private order(engine: EngineId, method: 'PUT' | 'DELETE', path: string, body?: unknown): void {
+    const url = this.options.urlOf(engine);
+    if (url === undefined) {
+      return;
+    }
+    request(url + path, this.requestOptions(method, body))
+      .then((response) => response.body.dump())
+      .catch(() => undefined);
+  }
+
+  private requestOptions(
+    method: Dispatcher.HttpMethod,
+    body: unknown,
+    signal?: AbortSignal,
+  ): Parameters<typeof request>[1] {
+    return {
+      method,
+      dispatcher: this.agent,
+      headers: { 'content-type': 'application/json' },
+      ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+      ...(signal === undefined ? {} : { signal }),
+    };
+  }
+
+  private stream(
+    engine: EngineId,
+    method: 'GET' | 'POST',
+    path: string,
+    body: unknown,
+    known: string,
+    listener: BackEndListener,
+    cancel: (abort: () => void) => void,
+  ): CancelOrder {
+    const url = this.options.urlOf(engine);
+    if (url === undefined) {
+      setImmediate(() =>
+        listener({ type: 'failed', verdict: 'NotRun', detail: 'the back end is not configured' }),
+      );
+      return () => undefined;
+    }
+    const abort = new AbortController();
+    let over = false;
+    const tell: BackEndListener = (event) => {
+      if (!over) {
+        over = event.type !== 'piece';
+        listener(event);
+      }
+    };
+    this.read(url + path, this.requestOptions(method, body, abort.signal), known, tell).catch(
+      (cause: unknown) => tell({ type: 'failed', ...describeFailure(cause) }),
+    );
+    return () => {
+      over = true;
+      cancel(() => abort.abort());
+    };
+  }
+
+  private async read(
+    url: string,
+    options: Parameters<typeof request>[1],
+    known: string,
+    listener: BackEndListener,
+  ): Promise<void> {
+    const response = await request(url, options);
+    if (response.statusCode !== 200) {
+      const problem = (await response.body.json()) as { verdict?: unknown; detail?: string };
+      const verdict = isVerdict(problem.verdict) ? problem.verdict : 'MayHaveRun';
+      listener({ type: 'failed', verdict, detail: problem.detail ?? `status ${response.statusCode}` });
+      return;
+    }
+    const reader = new EventStreamReader();
+    let text = known;
+    let usage: Usage = NO_USAGE;
+    for await (const chunk of response.body as AsyncIterable<Buffer>) {
+      for (const data of reader.push(chunk)) {
+        if (data === '[DONE]') {
+          listener({ type: 'finished', text, usage });
+          return;
+        }
+        const parsed = JSON.parse(data) as StreamChunk;
+        if (parsed.error !== undefined) {
+          const { verdict = 'MayHaveRun', detail = 'the back end failed' } = parsed.error;
+          listener({ type: 'failed', verdict, detail });
+          return;
+        }
+        const piece = parsed.choices?.[0]?.delta?.content ?? '';
+        if (piece !== '') {
+          listener({ type: 'piece', offset: text.length, text: piece });
+          text += piece;
+        }
+        usage = usageOf(parsed) ?? usage;
+      }
+    }
+    listener({ type: 'failed', verdict: 'MayHaveRun', detail: 'the stream ended early' });
+  }
+}
--- /dev/null
+++ b/src/program/live-call.ts
@@ -0,0 +1,60 @@
+/** A call under way, as its owner holds it in memory; rebuilt from the log by the next owner. */
+import type { EngineId, NodeId } from '../model/identifiers.js';
+import type { CallRequest } from '../model/call.js';
+import type { CancelOrder } from '../platform/back-end-port.js';
+import type { CancelTimer } from '../runtime/runtime.js';
+
+/** Where a live call stands. */
+export type LivePhase =
+  /** Accepted; an earlier call of the program is under way. */
+  | 'behind'
+  /** In the pool scheduler's queue. */
+  | 'waiting'
+  /** Assigned; its intent is being committed. */
+  | 'intending'
+  /** Sent to an engine. */
+  | 'running'
+  /** Found intended by a new owner; its engine is being asked. */
+  | 'recovering'
+  /** Its result is being committed. */
+  | 'ending';
+
+/** One call under way. */
+export interface LiveCall {
+  readonly request: CallRequest;
+  readonly sequence: number;
+  phase: LivePhase;
+  /** Monotonic milliseconds at which this owner took it. */
+  readonly since: number;
+  /** Gateways that want to hear of it. */
+  readonly gateways: Set<NodeId>;
+  engine: EngineId;
+  avoidEngine: EngineId;
+  attempts: number;
+  /** Text generated so far, including what an earlier owner sent. */
+  text: string;
+  startedAt: number;
+  cancelOrder: CancelOrder | undefined;
+  cancelDeadline: CancelTimer;
+  /** Stops the wait for a gateway to attach, if one goes on. */
+  cancelWait: CancelTimer;
+}
+
+/** Makes a live call in its first phase. */
+export function createLiveCall(request: CallRequest, now: number): LiveCall {
+  return {
+    request,
+    sequence: request.sequence,
+    phase: 'behind',
+    since: now,
+    gateways: new Set(),
+    engine: '',
+    avoidEngine: '',
+    attempts: 0,
+    text: '',
+    startedAt: 0,
+    cancelOrder: undefined,
+    cancelDeadline: () => undefined,
+    cancelWait: () => undefined,
+  };
+}
--- /dev/null
+++ b/src/program/program-requests.ts
@@ -0,0 +1,148 @@
+/** Answers requests about one program, at its owner. */
+import type { GroupName, ProgramId } from '../model/identifiers.js';
+import { notRun } from '../model/verdict.js';
+import type { CallError } from '../model/verdict.js';
+import { httpStatusOf } from '../model/verdict.js';
+import type { ShardHost } from '../replication/shard-host.js';
+import type { ProgramRequest } from '../wire/messages.js';
+import type { Runtime } from '../runtime/runtime.js';
+import type { CallRecord, ProgramRecord } from './program-record.js';
+import type { ShardOwner } from './shard-owner.js';
+
+/** An answer as the gateway passes it on. */
+export interface ProgramAnswer {
+  readonly status: number;
+  readonly body: string;
+}
+
+/** Receives the answer, once; never called when leadership is lost, so that the gateway asks again. */
+export type ProgramAnswerListener = (answer: ProgramAnswer) => void;
+
+/** A program as callers and operators see it. */
+export interface ProgramView {
+  readonly program: ProgramId;
+  readonly group: GroupName;
+  readonly state: string;
+  readonly turns: number;
+  readonly historyTokens: number;
+  readonly historyDigest: string;
+  readonly openedAt: number;
+  readonly lastActivityAt: number;
+  readonly attainedTokens: number;
+  readonly calls: readonly CallView[];
+}
+
+/** A call as callers and operators see it. */
+export interface CallView {
+  readonly call: string;
+  readonly sequence: number;
+  readonly state: string;
+  readonly engine: string;
+  readonly text: string | null;
+  readonly usage: CallRecord['usage'] | null;
+  readonly error: CallError | null;
+}
+
+function viewCall(record: CallRecord): CallView {
+  return {
+    call: record.call,
+    sequence: record.sequence,
+    state: record.status,
+    engine: record.engine ?? '',
+    text: record.text ?? null,
+    usage: record.usage ?? null,
+    error: record.error ?? null,
+  };
+}
+
+/** Builds the view of a program. */
+export function viewProgram(program: ProgramRecord): ProgramView {
+  return {
+    program: program.program,
+    group: program.group,
+    state: program.end ?? 'open',
+    turns: program.nextSequence - 1,
+    historyTokens: program.historyTokens,
+    historyDigest: program.historyDigest,
+    openedAt: program.openedAt,
+    lastActivityAt: program.lastActivityAt,
+    attainedTokens: program.attainedService,
+    calls: [...program.calls.values()].map(viewCall),
+  };
+}
+
+function refusal(error: CallError): ProgramAnswer {
+  return { status: httpStatusOf(error), body: JSON.stringify({ error }) };
+}
+
+/** Answers one request; the caller has checked that this node leads the shard. */
+export function answerProgramRequest(
+  host: ShardHost,
+  owner: ShardOwner,
+  runtime: Runtime,
+  request: ProgramRequest,
+  answer: ProgramAnswerListener,
+): void {
+  const { action, program: name, group } = request;
+  if (action === 'open') {
+    openProgram(host, runtime, request, answer);
+    return;
+  }
+  if (action === 'findCall') {
+    answer(findCall(host, name, group));
+    return;
+  }
+  const program = host.state.programs.get(name);
+  if (program === undefined || (group !== '' && program.group !== group)) {
+    answer(refusal(notRun('NotFound', `There is no program ${name} in this group.`)));
+    return;
+  }
+  switch (action) {
+    case 'describe':
+      answer({ status: 200, body: JSON.stringify(viewProgram(program)) });
+      return;
+    case 'history': {
+      const { history, historyDigest } = program;
+      answer({ status: 200, body: JSON.stringify({ program: name, historyDigest, history }) });
+      return;
+    }
+    case 'end':
+    case 'stop':
+      owner.endProgram(name, action === 'end' ? 'finished' : 'stopped', () => {
+        // Whoever committed the end, the state tells.
+        if (program.end !== undefined && host.canServe()) {
+          answer({ status: 200, body: JSON.stringify(viewProgram(program)) });
+        }
+      });
+  }
+}
+
+function findCall(host: ShardHost, call: string, group: GroupName): ProgramAnswer {
+  const place = host.state.callIndex.get(call);
+  const program = place === undefined ? undefined : host.state.programs.get(place.program);
+  const record = place === undefined ? undefined : program?.calls.get(place.sequence);
+  if (record === undefined || (group !== '' && program?.group !== group)) {
+    return refusal(notRun('NotFound', `There is no call ${call} in this group.`));
+  }
+  return { status: 200, body: JSON.stringify({ ...viewCall(record), program: place?.program }) };
+}
+
+function openProgram(
+  host: ShardHost,
+  runtime: Runtime,
+  request: ProgramRequest,
+  answer: ProgramAnswerListener,
+): void {
+  const { program, group } = request;
+  host.propose({ type: 'openProgram', at: runtime.wallTime(), program, group }, (result) => {
+    if (result.type !== 'committed') {
+      return;
+    }
+    const record = host.state.programs.get(program);
+    if (result.outcome.type === 'refused') {
+      answer(refusal(result.outcome.error));
+    } else if (record !== undefined) {
+      answer({ status: 201, body: JSON.stringify(viewProgram(record)) });
+    }
+  });
+}
--- /dev/null
+++ b/src/program/shard-owner.ts
@@ -0,0 +1,688 @@
+/**
+ * Owner of a shard's programs, on the node that leads the shard: takes calls in, keeps each
+ * program's order, sends calls to engines and commits their results.
+ */
+import type { CallId, GroupName, NodeId, ProgramId, ServiceName } from '../model/identifiers.js';
+import type { CallEvent, CallRequest, Usage } from '../model/call.js';
+import { NO_USAGE } from '../model/call.js';
+import type { CallError } from '../model/verdict.js';
+import { mayHaveRun, notRun } from '../model/verdict.js';
+import type { BackEndEvent, BackEndPort, Fence } from '../platform/back-end-port.js';
+import type { PoolClient, PoolContent } from '../dispatch/pool-client.js';
+import type { SliceClient } from '../budget/slice-client.js';
+import type { ShardHost } from '../replication/shard-host.js';
+import type { ProposalResult } from '../replication/raft-replica.js';
+import type { Runtime } from '../runtime/runtime.js';
+import type { FinishOutcome, Message, PoolAssignment } from '../wire/messages.js';
+import type { CommandOutcome } from './apply-command.js';
+import { sliceOf } from './apply-command.js';
+import { conversationOf, createTicket, worstCost } from './call-ticket.js';
+import { createLiveCall } from './live-call.js';
+import type { LiveCall } from './live-call.js';
+import type { OwnerLimits } from './program-limits.js';
+import { currentCall, hasEnded } from './program-record.js';
+import type { CallRecord, ProgramRecord } from './program-record.js';
+
+/** Time a new owner waits for the caller's gateway before it runs a lost call again, in ms. */
+const ATTACH_WAIT_MILLISECONDS = 3_000;
+
+/** What an owner is made with. */
+export interface ShardOwnerOptions {
+  readonly host: ShardHost;
+  readonly runtime: Runtime;
+  readonly limits: OwnerLimits;
+  readonly backEnds: BackEndPort;
+  readonly pools: PoolClient;
+  readonly slices: SliceClient;
+  readonly send: (to: NodeId, message: Message) => void;
+  /** Tells that a program is over, once for each leadership that sees it. */
+  readonly onProgramEnded: (program: ProgramId) => void;
+}
+
+interface EarlyCall {
+  readonly from: NodeId;
+  readonly request: CallRequest;
+  readonly until: number;
+}
+
+/** See the head of this file. */
+export class ShardOwner {
+  private readonly live = new Map<CallId, LiveCall>();
+  private readonly accepting = new Map<CallId, Set<NodeId>>();
+  private readonly early = new Map<ProgramId, EarlyCall[]>();
+
+  constructor(private readonly options: ShardOwnerOptions) {}
+
+  /** Number of calls under way here. */
+  get liveCount(): number {
+    return this.live.size;
+  }
+
+  /** Calls under way here. */
+  listLive(): LiveCall[] {
+    return [...this.live.values()];
+  }
+
+  /** True when this owner can tell what became of a call. */
+  knows(call: CallId): boolean {
+    return this.live.has(call) || this.accepting.has(call) || this.isEarly(call);
+  }
+
+  /** Takes a call in, or attaches to it when it is known. */
+  submit(from: NodeId, request: CallRequest): void {
+    if (this.attachToKnown(from, request)) {
+      return;
+    }
+    const program = this.options.host.state.programs.get(request.program);
+    if (this.holdIfEarly(from, request, program)) {
+      return;
+    }
+    this.accepting.set(request.call, new Set([from]));
+    this.acceptWithBudget(request, program, true);
+  }
+
+  /** Takes the pool scheduler's decision to start a call. */
+  assign(message: PoolAssignment): void {
+    const call = this.live.get(message.call);
+    if (call === undefined || call.phase !== 'waiting') {
+      if (call === undefined || call.engine !== message.engine) {
+        this.finishInPool(message.call, '', message, 'refused');
+      }
+      return;
+    }
+    if (!this.options.host.canServe()) {
+      return;
+    }
+    this.intend(call, message.engine);
+  }
+
+  /** Takes the pool scheduler's refusal of a call; final. */
+  refuse(call: CallId, detail: string, retryAfterSeconds: number): void {
+    const live = this.live.get(call);
+    if (live?.phase === 'waiting') {
+      this.fail(live, notRun('Overloaded', detail, retryAfterSeconds), NO_USAGE);
+    }
+  }
+
+  /** Ends a program and everything under way in it. */
+  endProgram(program: ProgramId, reason: 'finished' | 'stopped', done: () => void): void {
+    const { host, runtime } = this.options;
+    const at = runtime.wallTime();
+    host.propose({ type: 'endProgram', at, program, reason }, (result) => {
+      if (result.type === 'committed') {
+        this.dropEnded();
+        this.options.onProgramEnded(program);
+      }
+      done();
+    });
+  }
+
+  /** Takes up every call under way; called when this node becomes the leader. */
+  takeOver(): void {
+    for (const program of this.options.host.state.programs.values()) {
+      for (const record of program.calls.values()) {
+        if (!hasEnded(record) && record.request !== undefined) {
+          this.recover(record.request, record);
+        }
+      }
+      this.startNext(program.program);
+    }
+  }
+
+  /** Drops everything held in memory; called when this node stops leading. */
+  handOver(): void {
+    for (const call of this.live.values()) {
+      this.release(call);
+    }
+    this.live.clear();
+    this.accepting.clear();
+    this.early.clear();
+  }
+
+  /** Adds this owner's calls to a report to a pool. */
+  addToReport(service: ServiceName, content: PoolContent): void {
+    const { host, runtime } = this.options;
+    for (const call of this.live.values()) {
+      const program = host.state.programs.get(call.request.program);
+      if (call.request.service !== service || program === undefined) {
+        continue;
+      }
+      if (call.phase === 'waiting') {
+        const now = runtime.now();
+        content.waiting.push(createTicket(host.state, program, call, now, runtime.wallTime()));
+      } else if (call.phase !== 'behind') {
+        content.running.push({
+          call: call.request.call,
+          engine: call.engine,
+          program: program.program,
+          group: program.group,
+        });
+      }
+    }
+  }
+
+  /** Ends early calls that waited too long and programs that were left; called once a second. */
+  sweep(): void {
+    this.refuseStaleEarlyCalls();
+    this.expirePrograms();
+  }
+
+  private attachToKnown(from: NodeId, request: CallRequest): boolean {
+    const accepting = this.accepting.get(request.call);
+    if (accepting !== undefined) {
+      accepting.add(from);
+      return true;
+    }
+    const live = this.live.get(request.call);
+    if (live !== undefined) {
+      this.attach(live, from, request.receivedText);
+      return true;
+    }
+    return false;
+  }
+
+  private attach(call: LiveCall, from: NodeId, receivedText: string): void {
+    call.gateways.add(from);
+    if (receivedText.length > call.text.length && call.text === '') {
+      call.text = receivedText;
+    }
+    const missing = call.text.slice(receivedText.length);
+    if (missing !== '') {
+      const offset = receivedText.length;
+      this.sendEvent(from, call.request.call, { type: 'piece', offset, text: missing });
+    }
+    call.cancelWait();
+    if (call.phase === 'behind') {
+      this.startNext(call.request.program);
+    }
+  }
+
+  private isEarly(call: CallId): boolean {
+    for (const waiting of this.early.values()) {
+      if (waiting.some((early) => early.request.call === call)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private holdIfEarly(
+    from: NodeId,
+    request: CallRequest,
+    program: ProgramRecord | undefined,
+  ): boolean {
+    const next = program?.nextSequence ?? 1;
+    if (request.sequence <= next || program?.end !== undefined) {
+      return false;
+    }
+    const waiting = this.early.get(request.program) ?? [];
+    if (waiting.some((early) => early.request.call === request.call)) {
+      return true;
+    }
+    if (waiting.length >= this.options.limits.maximumEarlyCalls) {
+      const error = notRun('Conflict', `Sequence ${next} comes first; too many wait for it.`, 1);
+      this.sendEvent(from, request.call, { type: 'failed', error });
+      return true;
+    }
+    const until = this.options.runtime.now() + request.timeoutMilliseconds;
+    this.early.set(request.program, [...waiting, { from, request, until }]);
+    return true;
+  }
+
+  private acceptWithBudget(
+    request: CallRequest,
+    program: ProgramRecord | undefined,
+    mayAcquire: boolean,
+  ): void {
+    const { host, slices } = this.options;
+    const reserve = worstCost(program, request);
+    slices.touch(request.group);
+    if (mayAcquire && sliceOf(host.state, request.group).available < reserve) {
+      slices.acquire(request.group, reserve, (granted) => {
+        if (this.accepting.has(request.call)) {
+          this.acceptWithBudget(request, host.state.programs.get(request.program), granted);
+        }
+      });
+      return;
+    }
+    this.proposeAccept(request, reserve);
+  }
+
+  private proposeAccept(request: CallRequest, reserve: number): void {
+    const { host, runtime, limits } = this.options;
+    host.propose(
+      { type: 'acceptCall', at: runtime.wallTime(), request, reserve, limits: limits.program },
+      (result) => this.finishAccept(request, result),
+    );
+  }
+
+  private finishAccept(request: CallRequest, result: ProposalResult<CommandOutcome>): void {
+    const gateways = this.accepting.get(request.call) ?? new Set();
+    this.accepting.delete(request.call);
+    if (result.type !== 'committed') {
+      // The gateway asks again, whoever leads by then; the call's identifier makes that safe.
+      return;
+    }
+    const { outcome } = result;
+    if (outcome.type === 'accepted') {
+      const call = this.adopt(outcome.record.request!, gateways);
+      call.text = request.receivedText;
+      this.startNext(request.program);
+      this.releaseEarly(request.program);
+    } else if (outcome.type === 'repeated') {
+      gateways.forEach((gateway) => this.answerRepeat(gateway, request, outcome.record));
+    } else if (outcome.type === 'refused') {
+      const event: CallEvent = { type: 'failed', error: outcome.error };
+      gateways.forEach((gateway) => this.sendEvent(gateway, request.call, event));
+    }
+  }
+
+  private adopt(request: CallRequest, gateways: Iterable<NodeId>): LiveCall {
+    const { runtime } = this.options;
+    const call = createLiveCall(request, runtime.now());
+    for (const gateway of gateways) {
+      call.gateways.add(gateway);
+    }
+    this.live.set(request.call, call);
+    call.cancelDeadline = runtime.setTimer(request.timeoutMilliseconds, () =>
+      this.passDeadline(call),
+    );
+    return call;
+  }
+
+  private answerRepeat(gateway: NodeId, request: CallRequest, record: CallRecord): void {
+    const live = this.live.get(record.call);
+    if (live !== undefined && record.call === request.call) {
+      this.attach(live, gateway, request.receivedText);
+      return;
+    }
+    if (live !== undefined) {
+      const detail = `Call ${record.call} with this sequence is under way; read it there.`;
+      const error: CallError = { ...mayHaveRun('Conflict', detail), retryAfterSeconds: 1 };
+      this.sendEvent(gateway, request.call, { type: 'failed', error });
+      return;
+    }
+    this.sendEvent(gateway, request.call, resultEvent(record));
+  }
+
+  private startNext(programName: ProgramId): void {
+    const { host } = this.options;
+    const program = host.state.programs.get(programName);
+    const record = program === undefined ? undefined : currentCall(program);
+    const call = record === undefined ? undefined : this.live.get(record.call);
+    if (program !== undefined && call !== undefined && call.phase === 'behind') {
+      this.enqueue(program, call);
+    }
+  }
+
+  private enqueue(program: ProgramRecord, call: LiveCall): void {
+    const { host, runtime, pools } = this.options;
+    call.phase = 'waiting';
+    call.engine = '';
+    const ticket = createTicket(host.state, program, call, runtime.now(), runtime.wallTime());
+    pools.enqueue(call.request.service, host.shard, ticket);
+  }
+
+  private intend(call: LiveCall, engine: string): void {
+    const { host } = this.options;
+    const { program, call: name, repeatable } = call.request;
+    call.phase = 'intending';
+    call.engine = engine;
+    call.attempts += 1;
+    const { sequence } = call;
+    host.propose({ type: 'intendCall', program, sequence, call: name, engine }, (result) => {
+      const intended = result.type === 'committed' && result.outcome.type === 'done';
+      // Only a committed intent, held by a proven leader, lets a non-repeatable call go out.
+      if (intended && !repeatable && this.isCurrent(call, 'intending') && host.canServe()) {
+        this.start(call);
+      }
+    });
+    if (repeatable) {
+      this.start(call);
+    }
+  }
+
+  private isCurrent(call: LiveCall, phase: LiveCall['phase']): boolean {
+    return this.live.get(call.request.call) === call && call.phase === phase;
+  }
+
+  private fence(): Fence {
+    return { shard: this.options.host.shard, term: this.options.host.term };
+  }
+
+  private start(call: LiveCall): void {
+    const { host, runtime, backEnds } = this.options;
+    const program = host.state.programs.get(call.request.program);
+    if (program === undefined) {
+      return;
+    }
+    call.phase = 'running';
+    call.startedAt = runtime.now();
+    const { engine, attempts, request } = call;
+    const order = {
+      call: request.call,
+      program: request.program,
+      service: request.service,
+      fence: this.fence(),
+      messages: conversationOf(program, request),
+      payload: request.payload,
+      continueText: call.text,
+      maximumTokens: request.maximumTokens,
+      priority: request.callClass === 'urgent' ? 0 : request.callClass === 'batch' ? 2 : 1,
+      lastOfProgram: request.endsProgram,
+    };
+    call.cancelOrder = backEnds.start(engine, order, (event) => {
+      if (this.isCurrent(call, 'running') && call.attempts === attempts) {
+        this.receiveFromEngine(call, event);
+      }
+    });
+  }
+
+  private receiveFromEngine(call: LiveCall, event: BackEndEvent): void {
+    switch (event.type) {
+      case 'piece':
+        return this.relayPiece(call, event.offset, event.text);
+      case 'finished':
+        return this.commitAnswer(call, event.text, event.usage);
+      case 'failed':
+        return this.handleFailure(call, event.verdict === 'NotRun', event.detail);
+    }
+  }
+
+  private relayPiece(call: LiveCall, offset: number, text: string): void {
+    const end = offset + text.length;
+    if (offset > call.text.length || end <= call.text.length) {
+      return;
+    }
+    const fresh = text.slice(call.text.length - offset);
+    const event: CallEvent = { type: 'piece', offset: call.text.length, text: fresh };
+    call.text += fresh;
+    for (const gateway of call.gateways) {
+      this.sendEvent(gateway, call.request.call, event);
+    }
+  }
+
+  private commitAnswer(call: LiveCall, text: string, usage: Usage): void {
+    const { host, runtime } = this.options;
+    call.phase = 'ending';
+    this.finishInPool(call.request.call, call.request.program, call, 'answered', usage, call);
+    const { program, call: name } = call.request;
+    const { sequence } = call;
+    const at = runtime.wallTime();
+    host.propose(
+      { type: 'answerCall', at, program, sequence, call: name, text, usage },
+      (result) => this.finishCommitted(call, result),
+    );
+  }
+
+  private fail(call: LiveCall, error: CallError, usage: Usage): void {
+    const { host, runtime } = this.options;
+    call.phase = 'ending';
+    const { program, call: name } = call.request;
+    const { sequence } = call;
+    const at = runtime.wallTime();
+    host.propose(
+      { type: 'failCall', at, program, sequence, call: name, error, usage },
+      (result) => this.finishCommitted(call, result),
+    );
+  }
+
+  private finishCommitted(call: LiveCall, result: ProposalResult<CommandOutcome>): void {
+    if (result.type !== 'committed' || this.live.get(call.request.call) !== call) {
+      return;
+    }
+    const program = this.options.host.state.programs.get(call.request.program);
+    const record = program?.calls.get(call.sequence);
+    this.live.delete(call.request.call);
+    this.release(call);
+    if (program === undefined || record === undefined) {
+      return;
+    }
+    const event = resultEvent(record);
+    call.gateways.forEach((gateway) => this.sendEvent(gateway, call.request.call, event));
+    if (program.end === undefined) {
+      this.startNext(program.program);
+    } else {
+      this.options.onProgramEnded(program.program);
+    }
+  }
+
+  private handleFailure(call: LiveCall, provablyNotRun: boolean, detail: string): void {
+    const { repeatable } = call.request;
+    this.finishInPool(call.request.call, call.request.program, call, 'failed', NO_USAGE, call);
+    const mayTryAgain = call.attempts < this.options.limits.maximumAttempts;
+    if (provablyNotRun && !repeatable && mayTryAgain) {
+      this.withdrawAndRetry(call);
+    } else if ((repeatable || provablyNotRun) && mayTryAgain) {
+      this.retry(call);
+    } else if (provablyNotRun) {
+      this.fail(call, notRun('BackEndFailed', detail, 1), NO_USAGE);
+    } else {
+      this.fail(call, mayHaveRun('BackEndFailed', detail), this.worstUsage(call));
+    }
+  }
+
+  /** What a call that may have run is charged: all that was reserved for it. */
+  private worstUsage(call: LiveCall): Usage {
+    const record = this.recordOf(call);
+    return { ...NO_USAGE, promptTokens: record?.reserved ?? 0 };
+  }
+
+  private recordOf(call: LiveCall): CallRecord | undefined {
+    const program = this.options.host.state.programs.get(call.request.program);
+    return program?.calls.get(call.sequence);
+  }
+
+  private withdrawAndRetry(call: LiveCall): void {
+    const { program, call: name } = call.request;
+    const { sequence, engine } = call;
+    call.phase = 'ending';
+    this.options.host.propose(
+      { type: 'withdrawIntent', program, sequence, call: name, engine },
+      (result) => {
+        if (result.type === 'committed' && this.isCurrent(call, 'ending')) {
+          this.retry(call);
+        }
+      },
+    );
+  }
+
+  private retry(call: LiveCall): void {
+    call.avoidEngine = call.engine;
+    call.phase = 'behind';
+    call.cancelOrder = undefined;
+    this.startNext(call.request.program);
+  }
+
+  private passDeadline(call: LiveCall): void {
+    if (this.live.get(call.request.call) !== call || call.phase === 'ending') {
+      return;
+    }
+    const intended = this.recordOf(call)?.status === 'intended';
+    if (call.phase === 'waiting' || call.phase === 'behind') {
+      const error = intended
+        ? mayHaveRun('DeadlinePassed', 'The call was not answered in time.')
+        : notRun('DeadlinePassed', 'The call found no free back end in time.', 5);
+      this.fail(call, error, intended ? this.worstUsage(call) : NO_USAGE);
+      return;
+    }
+    call.cancelOrder?.();
+    this.finishInPool(call.request.call, call.request.program, call, 'cancelled', NO_USAGE, call);
+    const error = mayHaveRun('DeadlinePassed', 'The back end did not answer in time.');
+    this.fail(call, error, this.worstUsage(call));
+  }
+
+  private recover(request: CallRequest, record: CallRecord): void {
+    const call = this.adopt(request, []);
+    if (record.status === 'intended' && record.engine !== undefined) {
+      this.askEngine(call, record.engine);
+    }
+  }
+
+  private askEngine(call: LiveCall, engine: string): void {
+    const { backEnds, runtime } = this.options;
+    call.phase = 'recovering';
+    call.engine = engine;
+    call.startedAt = runtime.now();
+    call.cancelOrder = backEnds.resume(engine, call.request.call, this.fence(), (event) => {
+      if (!this.isCurrent(call, 'recovering')) {
+        return;
+      }
+      if (event.type === 'failed') {
+        this.giveUpRecovery(call, event.detail);
+      } else {
+        this.receiveFromEngine(call, event);
+      }
+    });
+  }
+
+  /** A call whose caller may hold part of an answer waits for its gateway before it runs again. */
+  private giveUpRecovery(call: LiveCall, detail: string): void {
+    if (!call.request.repeatable) {
+      this.fail(call, mayHaveRun('BackEndFailed', detail), this.worstUsage(call));
+      return;
+    }
+    const resume = (): void => {
+      if (this.isCurrent(call, 'recovering')) {
+        this.retry(call);
+      }
+    };
+    if (call.gateways.size > 0) {
+      resume();
+      return;
+    }
+    const cancel = this.options.runtime.setTimer(ATTACH_WAIT_MILLISECONDS, resume);
+    call.cancelWait = () => {
+      cancel();
+      resume();
+    };
+  }
+
+  private releaseEarly(program: ProgramId): void {
+    const waiting = this.early.get(program);
+    const next = this.options.host.state.programs.get(program)?.nextSequence ?? 1;
+    const ready = waiting?.find((early) => early.request.sequence <= next);
+    if (waiting === undefined || ready === undefined) {
+      return;
+    }
+    const rest = waiting.filter((early) => early !== ready);
+    if (rest.length === 0) {
+      this.early.delete(program);
+    } else {
+      this.early.set(program, rest);
+    }
+    this.submit(ready.from, ready.request);
+  }
+
+  private refuseStaleEarlyCalls(): void {
+    const now = this.options.runtime.now();
+    for (const [program, waiting] of this.early) {
+      const stale = waiting.filter((early) => early.until <= now);
+      const kept = waiting.filter((early) => early.until > now);
+      for (const early of stale) {
+        const error = notRun('Conflict', 'An earlier sequence never came.', 1);
+        this.sendEvent(early.from, early.request.call, { type: 'failed', error });
+      }
+      if (kept.length === 0) {
+        this.early.delete(program);
+      } else {
+        this.early.set(program, kept);
+      }
+    }
+  }
+
+  private expirePrograms(): void {
+    const { host, runtime, limits } = this.options;
+    const now = runtime.wallTime();
+    for (const program of host.state.programs.values()) {
+      const quiet = now - program.lastActivityAt;
+      if (program.end !== undefined && quiet > limits.retentionMilliseconds) {
+        host.propose({ type: 'forgetProgram', program: program.program }, () => undefined);
+      } else if (program.end === undefined && quiet > limits.idleMilliseconds) {
+        this.expire(program, now);
+      }
+    }
+  }
+
+  private expire(program: ProgramRecord, now: number): void {
+    if (currentCall(program) !== undefined) {
+      return;
+    }
+    const { program: name } = program;
+    this.options.host.propose(
+      { type: 'endProgram', at: now, program: name, reason: 'expired' },
+      (result) => {
+        if (result.type === 'committed') {
+          this.options.onProgramEnded(name);
+        }
+      },
+    );
+  }
+
+  private dropEnded(): void {
+    for (const call of [...this.live.values()]) {
+      const record = this.recordOf(call);
+      if (record === undefined || !hasEnded(record)) {
+        continue;
+      }
+      if (call.phase === 'running' || call.phase === 'recovering' || call.phase === 'intending') {
+        call.cancelOrder?.();
+        this.finishInPool(call.request.call, call.request.program, call, 'cancelled', NO_USAGE);
+      }
+      this.live.delete(call.request.call);
+      this.release(call);
+      const event = resultEvent(record);
+      call.gateways.forEach((gateway) => this.sendEvent(gateway, call.request.call, event));
+    }
+  }
+
+  private release(call: LiveCall): void {
+    call.cancelDeadline();
+    // The wait's end is not to be acted on any more.
+    call.phase = 'ending';
+    call.cancelWait();
+  }
+
+  private finishInPool(
+    call: CallId,
+    program: ProgramId,
+    place: { readonly engine: string; readonly service?: ServiceName; readonly request?: CallRequest },
+    outcome: FinishOutcome,
+    usage: Usage = NO_USAGE,
+    live?: LiveCall,
+  ): void {
+    const service = place.service ?? place.request?.service ?? '';
+    const serviceMilliseconds =
+      live === undefined ? 0 : this.options.runtime.now() - live.startedAt;
+    this.options.pools.finish({
+      type: 'poolFinished',
+      service,
+      call,
+      program,
+      engine: place.engine,
+      outcome,
+      usage,
+      serviceMilliseconds,
+    });
+  }
+
+  private sendEvent(to: NodeId, call: CallId, event: CallEvent): void {
+    this.options.send(to, { type: 'callEvent', call, event });
+  }
+}
+
+/** The final event of a call that has ended. */
+export function resultEvent(record: CallRecord): CallEvent {
+  if (record.status === 'answered') {
+    const { call, sequence } = record;
+    const usage = record.usage ?? NO_USAGE;
+    return { type: 'answered', answer: { call, sequence, text: record.text ?? '', usage } };
+  }
+  const error = record.error ?? mayHaveRun('BackEndFailed', 'The call failed.');
+  return { type: 'failed', error };
+}
+
+/** Group of a program, if the shard knows it. */
+export function groupOfProgram(host: ShardHost, program: ProgramId): GroupName | undefined {
+  return host.state.programs.get(program)?.group;
+}
--- /dev/null
+++ b/src/replication/level-storage.ts
@@ -0,0 +1,255 @@
+/**
+ * Durable storage of a node's replicas in one `classic-level` database under the data folder.
+ * Changes of all replicas that come while a write is under way share the next synced write.
+ */
+import { join } from 'node:path';
+import { ClassicLevel } from 'classic-level';
+import type { NodeId, ShardId } from '../model/identifiers.js';
+import { hashText } from '../runtime/hashing.js';
+import type { NodeStorage } from '../node/node-options.js';
+import type { Runtime } from '../runtime/runtime.js';
+import { decodeEntry, encodeEntry } from '../wire/command-codec.js';
+import { emptyReplica } from './log-entry.js';
+import type { LogEntry, PersistChange, PersistedReplica, Snapshot } from './log-entry.js';
+
+const INDEX_DIGITS = 12;
+const CHECKSUM_DIGITS = 16;
+const CONFIGURATION_KEY = 'configuration';
+
+interface ReplicaMeta {
+  readonly term: number;
+  readonly votedFor: NodeId;
+  /** Newest entry promised to be here; fewer found means a torn tail. */
+  readonly lastIndex: number;
+}
+
+interface ReplicaBook {
+  meta: ReplicaMeta;
+  snapshotIndex: number;
+  lastIndex: number;
+}
+
+type Operation =
+  | { type: 'put'; key: string; value: string }
+  | { type: 'del'; key: string };
+
+interface PendingWrite {
+  readonly operations: readonly Operation[];
+  readonly done: () => void;
+}
+
+function metaKey(shard: ShardId): string {
+  return `replica/${shard}/meta`;
+}
+
+function snapshotKey(shard: ShardId): string {
+  return `replica/${shard}/snapshot`;
+}
+
+function entryKey(shard: ShardId, index: number): string {
+  return `replica/${shard}/entry/${String(index).padStart(INDEX_DIGITS, '0')}`;
+}
+
+/** An entry with its checksum, as stored. */
+function sealEntry(entry: LogEntry): string {
+  const text = Buffer.from(encodeEntry(entry)).toString('base64');
+  return hashText(text) + text;
+}
+
+/** The entry of a stored value; undefined when it is damaged. */
+function openEntry(value: string): LogEntry | undefined {
+  const text = value.slice(CHECKSUM_DIGITS);
+  if (hashText(text) !== value.slice(0, CHECKSUM_DIGITS)) {
+    return undefined;
+  }
+  try {
+    return decodeEntry(Buffer.from(text, 'base64'));
+  } catch {
+    return undefined;
+  }
+}
+
+/** Replicas found in a data folder. */
+export interface LoadedStorage {
+  readonly storage: LevelStorage;
+  /** Shards whose logs ended before what was promised: their tails were torn. */
+  readonly tornShards: readonly ShardId[];
+}
+
+/** See the head of this file. */
+export class LevelStorage implements NodeStorage {
+  keptConfiguration?: { readonly revision: number; readonly documents: string };
+  private readonly books = new Map<ShardId, ReplicaBook>();
+  private readonly loaded = new Map<ShardId, PersistedReplica>();
+  private queue: PendingWrite[] = [];
+  private writing = false;
+  /** Synced writes so far. */
+  writeCount = 0;
+
+  private constructor(
+    private readonly database: ClassicLevel<string, string>,
+    private readonly runtime: Runtime,
+  ) {}
+
+  /** Opens the data folder and reads the replicas of a number of shards. */
+  static async open(
+    folder: string,
+    shardCount: number,
+    runtime: Runtime,
+  ): Promise<LoadedStorage> {
+    const database = new ClassicLevel<string, string>(join(folder, 'replicas'));
+    await database.open();
+    const storage = new LevelStorage(database, runtime);
+    const tornShards: ShardId[] = [];
+    for (let shard = 0; shard < shardCount; shard += 1) {
+      if (await storage.readReplica(shard)) {
+        tornShards.push(shard);
+      }
+    }
+    const kept = await database.get(CONFIGURATION_KEY);
+    if (kept !== undefined) {
+      storage.keptConfiguration = JSON.parse(kept) as { revision: number; documents: string };
+    }
+    return { storage, tornShards };
+  }
+
+  readonly configuration = {
+    save: (revision: number, documents: string): void => {
+      const value = JSON.stringify({ revision, documents });
+      this.enqueue([{ type: 'put', key: CONFIGURATION_KEY, value }], () => undefined);
+    },
+  };
+
+  load(shard: ShardId): PersistedReplica | undefined {
+    return this.loaded.get(shard);
+  }
+
+  replica(shard: ShardId): { persist: (change: PersistChange, done: () => void) => void } {
+    return {
+      persist: (change, done) => this.enqueue(this.operationsOf(shard, change), done),
+    };
+  }
+
+  /** Closes the database when the last write is done. */
+  async close(): Promise<void> {
+    await this.database.close();
+  }
+
+  private bookOf(shard: ShardId): ReplicaBook {
+    let book = this.books.get(shard);
+    if (book === undefined) {
+      book = { meta: { term: 0, votedFor: '', lastIndex: 0 }, snapshotIndex: 0, lastIndex: 0 };
+      this.books.set(shard, book);
+    }
+    return book;
+  }
+
+  private operationsOf(shard: ShardId, change: PersistChange): Operation[] {
+    const book = this.bookOf(shard);
+    const operations: Operation[] = [];
+    if (change.append !== undefined) {
+      const { fromIndex, entries } = change.append;
+      entries.forEach((entry, offset) => {
+        const key = entryKey(shard, fromIndex + offset);
+        operations.push({ type: 'put', key, value: sealEntry(entry) });
+      });
+      const lastIndex = fromIndex + entries.length - 1;
+      for (let index = lastIndex + 1; index <= book.lastIndex; index += 1) {
+        operations.push({ type: 'del', key: entryKey(shard, index) });
+      }
+      book.lastIndex = lastIndex;
+    }
+    if (change.snapshot !== undefined) {
+      this.addSnapshot(shard, book, change.snapshot, operations);
+    }
+    if (operations.length > 0 || change.vote !== undefined) {
+      book.meta = { ...book.meta, ...change.vote, lastIndex: book.lastIndex };
+      const value = JSON.stringify(book.meta);
+      operations.push({ type: 'put', key: metaKey(shard), value });
+    }
+    return operations;
+  }
+
+  private addSnapshot(
+    shard: ShardId,
+    book: ReplicaBook,
+    snapshot: Snapshot,
+    operations: Operation[],
+  ): void {
+    const value = JSON.stringify(snapshot);
+    operations.push({ type: 'put', key: snapshotKey(shard), value });
+    for (let index = book.snapshotIndex + 1; index <= snapshot.lastIndex; index += 1) {
+      operations.push({ type: 'del', key: entryKey(shard, index) });
+    }
+    book.snapshotIndex = snapshot.lastIndex;
+    book.lastIndex = Math.max(book.lastIndex, snapshot.lastIndex);
+  }
+
+  private enqueue(operations: readonly Operation[], done: () => void): void {
+    this.queue.push({ operations, done });
+    this.writeNext();
+  }
+
+  private writeNext(): void {
+    if (this.writing || this.queue.length === 0) {
+      return;
+    }
+    this.writing = true;
+    const writes = this.queue;
+    this.queue = [];
+    const operations = writes.flatMap((write) => write.operations);
+    const finish = (): void => {
+      this.writing = false;
+      this.writeCount += 1;
+      writes.forEach((write) => write.done());
+      this.writeNext();
+    };
+    if (operations.length === 0) {
+      finish();
+      return;
+    }
+    this.database.batch(operations, { sync: true }).then(finish, (cause: unknown) => {
+      // Nothing may be acknowledged that is not on disk: the node stands still until replaced.
+      const reason = cause instanceof Error ? cause.message : String(cause);
+      this.runtime.log('error', 'disk write failed; this node stops replicating', { reason });
+    });
+  }
+
+  /** Reads one replica; true when its tail is torn. */
+  private async readReplica(shard: ShardId): Promise<boolean> {
+    const metaText = await this.database.get(metaKey(shard));
+    if (metaText === undefined) {
+      return false;
+    }
+    const meta = JSON.parse(metaText) as ReplicaMeta;
+    const snapshotText = await this.database.get(snapshotKey(shard));
+    const snapshot =
+      snapshotText === undefined
+        ? emptyReplica([]).snapshot
+        : (JSON.parse(snapshotText) as Snapshot);
+    const entries = await this.readEntries(shard, snapshot.lastIndex);
+    const lastIndex = snapshot.lastIndex + entries.length;
+    const { term, votedFor } = meta;
+    this.loaded.set(shard, { term, votedFor, snapshot, entries });
+    this.books.set(shard, { meta, snapshotIndex: snapshot.lastIndex, lastIndex: meta.lastIndex });
+    return lastIndex < meta.lastIndex;
+  }
+
+  /** Entries after the snapshot up to the first gap or damage. */
+  private async readEntries(shard: ShardId, snapshotIndex: number): Promise<LogEntry[]> {
+    const entries: LogEntry[] = [];
+    const range = {
+      gt: entryKey(shard, snapshotIndex),
+      lte: entryKey(shard, 10 ** INDEX_DIGITS - 1),
+    };
+    for await (const [key, value] of this.database.iterator(range)) {
+      const expected = entryKey(shard, snapshotIndex + entries.length + 1);
+      const entry = key === expected ? openEntry(value) : undefined;
+      if (entry === undefined) {
+        break;
+      }
+      entries.push(entry);
+    }
+    return entries;
+  }
+}
