--- /dev/null
+++ b/src/replication/raft-replica.ts
@@ -0,0 +1,693 @@
+/**
+ * One replica of a shard's log: elections with pre-vote, replication, leader leases, snapshots and
+ * leadership transfer, after Ongaro's "Consensus: Bridging Theory and Practice" (2014).
+ * Driven from outside by `tick` and `receive`; sends and persists through its ports.
+ */
+import type { NodeId, ShardId } from '../model/identifiers.js';
+import type {
+  AppendEntries,
+  AppendReply,
+  InstallSnapshot,
+  Message,
+  ReplicationMessage,
+  VoteReply,
+  VoteRequest,
+} from '../wire/messages.js';
+import type { Command } from '../program/commands.js';
+import type { Runtime } from '../runtime/runtime.js';
+import type { LogEntry, PersistedReplica, ReplicaStorage, Snapshot } from './log-entry.js';
+import { ReplicaLog } from './replica-log.js';
+
+/** Shortest time without a leader before an election, in milliseconds. */
+export const ELECTION_TIMEOUT_MILLISECONDS = 600;
+/** Time between heartbeats of a leader, in milliseconds. */
+export const HEARTBEAT_MILLISECONDS = 120;
+/** Part of the election timeout a lease lasts; the rest covers clocks running at unequal rates. */
+const LEASE_FRACTION = 0.8;
+/** Applied entries after which a snapshot replaces them. */
+const SNAPSHOT_AFTER_ENTRIES = 4000;
+
+/** What a replica is at the moment. */
+export type ReplicaRole = 'follower' | 'candidate' | 'leader';
+
+/** The state machine above a replica. Every call happens in the order of the log. */
+export interface ReplicaStateMachine<Outcome> {
+  /** Applies one committed command; must depend on nothing else. */
+  apply(command: Command): Outcome;
+  /** Serializes the whole state. */
+  save(): string;
+  /** Replaces the whole state; an empty text is the initial state. */
+  restore(state: string): void;
+}
+
+/** What became of a proposed command. */
+export type ProposalResult<Outcome> =
+  | { readonly type: 'committed'; readonly outcome: Outcome }
+  /** Leadership was lost first: the command may or may not be committed later. */
+  | { readonly type: 'unknown' }
+  /** This replica does not lead: the command will never be committed. */
+  | { readonly type: 'notLeader' };
+
+/** Receives the result of a proposal, exactly once. */
+export type ProposalListener<Outcome> = (result: ProposalResult<Outcome>) => void;
+
+/** Everything a replica is made with. */
+export interface RaftReplicaOptions<Outcome> {
+  readonly shard: ShardId;
+  readonly self: NodeId;
+  readonly runtime: Runtime;
+  readonly storage: ReplicaStorage;
+  readonly persisted: PersistedReplica;
+  readonly stateMachine: ReplicaStateMachine<Outcome>;
+  readonly send: (to: NodeId, message: Message) => void;
+  /** Called when this replica starts or stops being a leader that has applied its whole past. */
+  readonly onLeadership: (leading: boolean) => void;
+}
+
+interface FollowerProgress {
+  nextIndex: number;
+  matchIndex: number;
+  /** Send time of the newest append this follower has answered. */
+  acknowledgedAt: number;
+}
+
+interface PendingProposal<Outcome> {
+  readonly term: number;
+  readonly listener: ProposalListener<Outcome>;
+}
+
+/** One replica of one shard. */
+export class RaftReplica<Outcome> {
+  private role: ReplicaRole = 'follower';
+  private term: number;
+  private votedFor: NodeId;
+  private voters: readonly NodeId[];
+  private readonly log: ReplicaLog;
+  private commitIndex: number;
+  private appliedIndex: number;
+  private durableIndex: number;
+  private leader: NodeId = '';
+  private lastHeardFromLeader: number;
+  private electionDeadline = 0;
+  private lastHeartbeat = 0;
+  private votes = new Set<NodeId>();
+  private preVoting = false;
+  private progress = new Map<NodeId, FollowerProgress>();
+  private readonly pending = new Map<number, PendingProposal<Outcome>>();
+  private flushScheduled = false;
+  private firstIndexOfTerm = 0;
+  private serving = false;
+  private transferring = false;
+  private transferStartedAt = 0;
+  private stopped = false;
+
+  constructor(private readonly options: RaftReplicaOptions<Outcome>) {
+    const { persisted, runtime } = options;
+    this.term = persisted.term;
+    this.votedFor = persisted.votedFor;
+    this.voters = persisted.snapshot.voters;
+    this.log = new ReplicaLog(persisted.snapshot, persisted.entries);
+    this.commitIndex = persisted.snapshot.lastIndex;
+    this.appliedIndex = persisted.snapshot.lastIndex;
+    this.durableIndex = this.log.lastIndex;
+    // A restarted voter has forgotten whose lease it supports: it waits one timeout out.
+    this.lastHeardFromLeader = runtime.now();
+    options.stateMachine.restore(persisted.snapshot.state);
+    this.resetElectionDeadline();
+  }
+
+  /** The node believed to lead; empty when unknown. */
+  get leaderHint(): NodeId {
+    return this.leader;
+  }
+
+  /** Term of this replica. */
+  get currentTerm(): number {
+    return this.term;
+  }
+
+  /** Members whose votes count. */
+  get currentVoters(): readonly NodeId[] {
+    return this.voters;
+  }
+
+  /** Newest committed index known here. */
+  get committedIndex(): number {
+    return this.commitIndex;
+  }
+
+  /** What this replica is. */
+  get currentRole(): ReplicaRole {
+    return this.role;
+  }
+
+  /**
+   * True when this replica provably leads: a quorum has answered it within the lease, and every
+   * entry of earlier terms is applied. A leader that wakes from a pause finds its lease over.
+   */
+  canServe(): boolean {
+    return this.role === 'leader' && this.serving && !this.transferring && this.holdsLease();
+  }
+
+  /** Proposes a command; the listener hears of it exactly once. */
+  propose(command: Command, listener: ProposalListener<Outcome>): void {
+    if (this.role !== 'leader' || this.transferring || this.stopped) {
+      listener({ type: 'notLeader' });
+      return;
+    }
+    this.appendAsLeader(command, listener);
+  }
+
+  /** To be called a few times per heartbeat period. */
+  tick(): void {
+    if (this.stopped) {
+      return;
+    }
+    const now = this.options.runtime.now();
+    if (this.role === 'leader') {
+      this.tickLeader(now);
+    } else if (now >= this.electionDeadline) {
+      this.startElection(true, false);
+    }
+  }
+
+  /** Handles one message of another replica of this shard. */
+  receive(from: NodeId, message: ReplicationMessage): void {
+    if (this.stopped) {
+      return;
+    }
+    switch (message.type) {
+      case 'appendEntries':
+        return this.receiveAppend(from, message);
+      case 'appendReply':
+        return this.receiveAppendReply(from, message);
+      case 'voteRequest':
+        return this.receiveVoteRequest(from, message);
+      case 'voteReply':
+        return this.receiveVoteReply(from, message);
+      case 'installSnapshot':
+        return this.receiveSnapshot(from, message);
+      case 'timeoutNow':
+        if (message.term === this.term && this.role === 'follower') {
+          this.startElection(false, true);
+        }
+    }
+  }
+
+  /** Hands leadership to the most advanced other voter; returns false when there is none. */
+  transferLeadership(): boolean {
+    if (this.role !== 'leader') {
+      return false;
+    }
+    const target = this.mostAdvancedFollower();
+    if (target === undefined) {
+      return false;
+    }
+    this.transferring = true;
+    this.transferStartedAt = this.options.runtime.now();
+    this.sendAppend(target);
+    this.options.send(target, {
+      type: 'timeoutNow',
+      shard: this.options.shard,
+      term: this.term,
+    });
+    return true;
+  }
+
+  /** Ends all activity; pending proposals end as unknown. */
+  stop(): void {
+    this.stopped = true;
+    this.abandonProposals();
+  }
+
+  private get quorum(): number {
+    return Math.floor(this.voters.length / 2) + 1;
+  }
+
+  private get otherVoters(): NodeId[] {
+    return this.voters.filter((voter) => voter !== this.options.self);
+  }
+
+  private tickLeader(now: number): void {
+    if (now - this.lastHeartbeat >= HEARTBEAT_MILLISECONDS) {
+      this.lastHeartbeat = now;
+      this.broadcastAppend();
+    }
+    // A leader that no quorum answers steps down, so that its callers look elsewhere.
+    if (now - this.quorumAcknowledgedAt() > 2 * ELECTION_TIMEOUT_MILLISECONDS) {
+      this.becomeFollower(this.term, '');
+    }
+    // The order to take over may still arrive late and then bypasses the lease, so a leader that
+    // tried to hand over never serves again in this term.
+    if (this.transferring && now - this.transferStartedAt > ELECTION_TIMEOUT_MILLISECONDS) {
+      this.becomeFollower(this.term, '');
+    }
+  }
+
+  private resetElectionDeadline(): void {
+    const { runtime } = this.options;
+    const jitter = runtime.random.uniform() * ELECTION_TIMEOUT_MILLISECONDS;
+    this.electionDeadline = runtime.now() + ELECTION_TIMEOUT_MILLISECONDS + jitter;
+  }
+
+  private startElection(preVote: boolean, transfer: boolean): void {
+    if (!this.voters.includes(this.options.self)) {
+      return;
+    }
+    this.resetElectionDeadline();
+    this.preVoting = preVote;
+    this.votes = new Set([this.options.self]);
+    if (!preVote) {
+      this.role = 'candidate';
+      this.leader = '';
+      this.term += 1;
+      this.votedFor = this.options.self;
+    }
+    const term = preVote ? this.term + 1 : this.term;
+    const ask = (): void => {
+      if (this.stopped || this.role === 'leader' || (!preVote && this.term !== term)) {
+        return;
+      }
+      this.sendVoteRequests(term, preVote, transfer);
+      this.countVotes();
+    };
+    if (preVote) {
+      ask();
+    } else {
+      this.persistVote(ask);
+    }
+  }
+
+  private sendVoteRequests(term: number, preVote: boolean, transfer: boolean): void {
+    for (const voter of this.otherVoters) {
+      this.options.send(voter, {
+        type: 'voteRequest',
+        shard: this.options.shard,
+        term,
+        preVote,
+        transfer,
+        lastIndex: this.log.lastIndex,
+        lastTerm: this.log.lastTerm,
+      });
+    }
+  }
+
+  private persistVote(done: () => void): void {
+    const vote = { term: this.term, votedFor: this.votedFor };
+    this.options.storage.persist({ vote }, done);
+  }
+
+  private receiveVoteRequest(from: NodeId, message: VoteRequest): void {
+    const supportsLeader =
+      this.options.runtime.now() - this.lastHeardFromLeader < ELECTION_TIMEOUT_MILLISECONDS;
+    const bound = this.role === 'leader' ? this.holdsLease() : supportsLeader;
+    // Supporting a lease means electing nobody else while it may still be in use.
+    if (bound && !message.transfer) {
+      this.replyToVote(from, message, false);
+      return;
+    }
+    if (message.preVote) {
+      this.replyToVote(from, message, message.term > this.term && this.isUpToDate(message));
+      return;
+    }
+    if (message.term > this.term) {
+      this.becomeFollower(message.term, '');
+    }
+    const free = this.votedFor === '' || this.votedFor === from;
+    const granted = message.term === this.term && free && this.isUpToDate(message);
+    if (!granted) {
+      this.replyToVote(from, message, false);
+      return;
+    }
+    this.votedFor = from;
+    this.resetElectionDeadline();
+    this.persistVote(() => this.replyToVote(from, message, true));
+  }
+
+  private isUpToDate(message: VoteRequest): boolean {
+    if (message.lastTerm !== this.log.lastTerm) {
+      return message.lastTerm > this.log.lastTerm;
+    }
+    return message.lastIndex >= this.log.lastIndex;
+  }
+
+  private replyToVote(to: NodeId, request: VoteRequest, granted: boolean): void {
+    this.options.send(to, {
+      type: 'voteReply',
+      shard: this.options.shard,
+      term: granted ? request.term : this.term,
+      preVote: request.preVote,
+      granted,
+    });
+  }
+
+  private receiveVoteReply(from: NodeId, message: VoteReply): void {
+    if (!message.granted) {
+      if (message.term > this.term) {
+        this.becomeFollower(message.term, '');
+      }
+      return;
+    }
+    const expectedTerm = message.preVote ? this.term + 1 : this.term;
+    const expected = message.preVote === this.preVoting && message.term === expectedTerm;
+    if (this.role === 'leader' || !expected) {
+      return;
+    }
+    this.votes.add(from);
+    this.countVotes();
+  }
+
+  private countVotes(): void {
+    const count = this.voters.filter((voter) => this.votes.has(voter)).length;
+    if (count < this.quorum) {
+      return;
+    }
+    if (this.preVoting) {
+      this.startElection(false, false);
+    } else if (this.role === 'candidate') {
+      this.becomeLeader();
+    }
+  }
+
+  private becomeLeader(): void {
+    this.role = 'leader';
+    this.leader = this.options.self;
+    this.serving = false;
+    this.transferring = false;
+    const now = this.options.runtime.now();
+    this.progress = new Map(
+      this.otherVoters.map((voter) => [
+        voter,
+        { nextIndex: this.log.lastIndex + 1, matchIndex: 0, acknowledgedAt: now },
+      ]),
+    );
+    // The lease starts only with real answers; until then the acknowledgement time is the past.
+    for (const progress of this.progress.values()) {
+      progress.acknowledgedAt = now - ELECTION_TIMEOUT_MILLISECONDS;
+    }
+    this.firstIndexOfTerm = this.log.lastIndex + 1;
+    this.lastHeartbeat = now;
+    this.appendAsLeader({ type: 'noop' }, () => undefined);
+  }
+
+  private becomeFollower(term: number, leader: NodeId): void {
+    const wasLeader = this.role === 'leader';
+    const newTerm = term > this.term;
+    this.role = 'follower';
+    this.leader = leader;
+    this.preVoting = false;
+    if (newTerm) {
+      this.term = term;
+      this.votedFor = '';
+      this.persistVote(() => undefined);
+    }
+    if (wasLeader) {
+      this.resetElectionDeadline();
+      this.abandonProposals();
+      if (this.serving) {
+        this.serving = false;
+        this.options.onLeadership(false);
+      }
+    }
+  }
+
+  private abandonProposals(): void {
+    const abandoned = [...this.pending.values()];
+    this.pending.clear();
+    for (const proposal of abandoned) {
+      proposal.listener({ type: 'unknown' });
+    }
+  }
+
+  private appendAsLeader(command: Command, listener: ProposalListener<Outcome>): void {
+    const index = this.log.lastIndex + 1;
+    const entry: LogEntry = { term: this.term, command };
+    this.log.replaceFrom(index, [entry]);
+    this.pending.set(index, { term: this.term, listener });
+    this.persistEntries(index, [entry], () => this.advanceCommit());
+    this.scheduleFlush();
+  }
+
+  private persistEntries(fromIndex: number, entries: readonly LogEntry[], done: () => void): void {
+    const lastIndex = fromIndex + entries.length - 1;
+    const lastTerm = entries[entries.length - 1]?.term;
+    this.durableIndex = Math.min(this.durableIndex, fromIndex - 1);
+    this.options.storage.persist({ append: { fromIndex, entries } }, () => {
+      if (this.stopped) {
+        return;
+      }
+      // The entries may have been replaced while they were being written.
+      if (this.log.termAt(lastIndex) === lastTerm) {
+        this.durableIndex = Math.max(this.durableIndex, lastIndex);
+      }
+      done();
+    });
+  }
+
+  private scheduleFlush(): void {
+    if (this.flushScheduled) {
+      return;
+    }
+    this.flushScheduled = true;
+    this.options.runtime.setTimer(0, () => {
+      this.flushScheduled = false;
+      if (this.role === 'leader' && !this.stopped) {
+        this.broadcastAppend();
+      }
+    });
+  }
+
+  private broadcastAppend(): void {
+    for (const voter of this.otherVoters) {
+      this.sendAppend(voter);
+    }
+  }
+
+  private sendAppend(to: NodeId): void {
+    const progress = this.progress.get(to);
+    if (progress === undefined) {
+      return;
+    }
+    const previousIndex = progress.nextIndex - 1;
+    const previousTerm = this.log.termAt(previousIndex);
+    if (previousTerm === undefined) {
+      this.sendSnapshot(to, progress);
+      return;
+    }
+    const entries = this.log.entriesFrom(progress.nextIndex);
+    // Optimistic: a lost message shows as a refusal of the next one.
+    progress.nextIndex += entries.length;
+    this.options.send(to, {
+      type: 'appendEntries',
+      shard: this.options.shard,
+      term: this.term,
+      previousIndex,
+      previousTerm,
+      commitIndex: this.commitIndex,
+      sentAt: this.options.runtime.now(),
+      entries,
+    });
+  }
+
+  private sendSnapshot(to: NodeId, progress: FollowerProgress): void {
+    const snapshot = this.log.snapshot;
+    progress.nextIndex = snapshot.lastIndex + 1;
+    this.options.send(to, {
+      type: 'installSnapshot',
+      shard: this.options.shard,
+      term: this.term,
+      ...snapshot,
+      sentAt: this.options.runtime.now(),
+    });
+  }
+
+  private acceptLeader(from: NodeId, term: number): boolean {
+    if (term < this.term) {
+      return false;
+    }
+    if (term > this.term || this.role !== 'follower') {
+      this.becomeFollower(term, from);
+    }
+    this.leader = from;
+    this.preVoting = false;
+    this.lastHeardFromLeader = this.options.runtime.now();
+    this.resetElectionDeadline();
+    return true;
+  }
+
+  private receiveAppend(from: NodeId, message: AppendEntries): void {
+    if (!this.acceptLeader(from, message.term)) {
+      this.replyToAppend(from, message.sentAt, false, 0);
+      return;
+    }
+    if (message.previousIndex < this.log.snapshot.lastIndex) {
+      this.replyToAppend(from, message.sentAt, true, this.commitIndex);
+      return;
+    }
+    if (this.log.termAt(message.previousIndex) !== message.previousTerm) {
+      const hint = Math.min(this.log.lastIndex, message.previousIndex - 1);
+      this.replyToAppend(from, message.sentAt, false, Math.max(hint, this.commitIndex));
+      return;
+    }
+    this.storeEntries(from, message);
+  }
+
+  private storeEntries(from: NodeId, message: AppendEntries): void {
+    const matchIndex = message.previousIndex + message.entries.length;
+    const firstNew = message.entries.findIndex(
+      (entry, offset) => this.log.termAt(message.previousIndex + 1 + offset) !== entry.term,
+    );
+    const finish = (): void => {
+      this.replyToAppend(from, message.sentAt, true, matchIndex);
+    };
+    if (firstNew >= 0) {
+      const fromIndex = message.previousIndex + 1 + firstNew;
+      const entries = message.entries.slice(firstNew);
+      this.log.replaceFrom(fromIndex, entries);
+      this.persistEntries(fromIndex, entries, finish);
+    } else if (this.durableIndex >= matchIndex) {
+      finish();
+    } else {
+      // Already in memory but still being written: answer when that write is done.
+      this.options.storage.persist({}, finish);
+    }
+    this.commitTo(Math.min(message.commitIndex, matchIndex));
+  }
+
+  private replyToAppend(to: NodeId, sentAt: number, success: boolean, matchIndex: number): void {
+    this.options.send(to, {
+      type: 'appendReply',
+      shard: this.options.shard,
+      term: this.term,
+      success,
+      matchIndex,
+      sentAt,
+    });
+  }
+
+  private receiveAppendReply(from: NodeId, message: AppendReply): void {
+    if (message.term > this.term) {
+      this.becomeFollower(message.term, '');
+      return;
+    }
+    const progress = this.progress.get(from);
+    if (this.role !== 'leader' || message.term < this.term || progress === undefined) {
+      return;
+    }
+    progress.acknowledgedAt = Math.max(progress.acknowledgedAt, message.sentAt);
+    if (!message.success) {
+      progress.nextIndex = Math.max(progress.matchIndex, message.matchIndex) + 1;
+      this.sendAppend(from);
+      return;
+    }
+    progress.matchIndex = Math.max(progress.matchIndex, message.matchIndex);
+    progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
+    this.advanceCommit();
+    if (progress.nextIndex <= this.log.lastIndex) {
+      this.sendAppend(from);
+    }
+  }
+
+  private receiveSnapshot(from: NodeId, message: InstallSnapshot): void {
+    if (!this.acceptLeader(from, message.term)) {
+      this.replyToAppend(from, message.sentAt, false, 0);
+      return;
+    }
+    if (message.lastIndex <= this.commitIndex) {
+      this.replyToAppend(from, message.sentAt, true, this.commitIndex);
+      return;
+    }
+    const { lastIndex, lastTerm, voters, state } = message;
+    const snapshot: Snapshot = { lastIndex, lastTerm, voters, state };
+    this.log.compact(snapshot);
+    this.voters = voters;
+    this.options.stateMachine.restore(state);
+    this.commitIndex = lastIndex;
+    this.appliedIndex = lastIndex;
+    this.durableIndex = Math.max(this.durableIndex, lastIndex);
+    this.options.storage.persist({ snapshot }, () =>
+      this.replyToAppend(from, message.sentAt, true, lastIndex),
+    );
+  }
+
+  private advanceCommit(): void {
+    if (this.role !== 'leader') {
+      return;
+    }
+    const matched = this.voters.map((voter) =>
+      voter === this.options.self
+        ? this.durableIndex
+        : (this.progress.get(voter)?.matchIndex ?? 0),
+    );
+    matched.sort((left, right) => right - left);
+    const index = matched[this.quorum - 1] ?? 0;
+    // Only entries of the own term are committed by counting (Raft, section 5.4.2).
+    if (index > this.commitIndex && this.log.termAt(index) === this.term) {
+      this.commitTo(index);
+      this.scheduleFlush();
+    }
+  }
+
+  private commitTo(index: number): void {
+    if (index <= this.commitIndex) {
+      return;
+    }
+    this.commitIndex = index;
+    while (this.appliedIndex < this.commitIndex) {
+      this.applyNext();
+    }
+    if (this.role === 'leader' && !this.serving && this.appliedIndex >= this.firstIndexOfTerm) {
+      this.serving = true;
+      this.options.onLeadership(true);
+    }
+    this.takeSnapshotIfLong();
+  }
+
+  private applyNext(): void {
+    const index = this.appliedIndex + 1;
+    const entry = this.log.entryAt(index)!;
+    this.appliedIndex = index;
+    const outcome = this.options.stateMachine.apply(entry.command);
+    const proposal = this.pending.get(index);
+    if (proposal === undefined) {
+      return;
+    }
+    this.pending.delete(index);
+    const committed = proposal.term === entry.term;
+    proposal.listener(committed ? { type: 'committed', outcome } : { type: 'unknown' });
+  }
+
+  private takeSnapshotIfLong(): void {
+    if (this.appliedIndex - this.log.snapshot.lastIndex < SNAPSHOT_AFTER_ENTRIES) {
+      return;
+    }
+    const snapshot: Snapshot = {
+      lastIndex: this.appliedIndex,
+      lastTerm: this.log.termAt(this.appliedIndex)!,
+      voters: this.voters,
+      state: this.options.stateMachine.save(),
+    };
+    this.log.compact(snapshot);
+    this.options.storage.persist({ snapshot }, () => undefined);
+  }
+
+  private quorumAcknowledgedAt(): number {
+    const now = this.options.runtime.now();
+    const times = this.voters.map((voter) =>
+      voter === this.options.self ? now : (this.progress.get(voter)?.acknowledgedAt ?? -Infinity),
+    );
+    times.sort((left, right) => right - left);
+    return times[this.quorum - 1] ?? -Infinity;
+  }
+
+  private holdsLease(): boolean {
+    const leaseMilliseconds = ELECTION_TIMEOUT_MILLISECONDS * LEASE_FRACTION;
+    return this.options.runtime.now() < this.quorumAcknowledgedAt() + leaseMilliseconds;
+  }
+
+  private mostAdvancedFollower(): NodeId | undefined {
+    const candidates = [...this.progress.entries()];
+    candidates.sort(([, left], [, right]) => right.matchIndex - left.matchIndex);
+    return candidates[0]?.[0];
+  }
+}
--- /dev/null
+++ b/src/replication/replica-log.ts
@@ -0,0 +1,67 @@
+/** The log of one replica in memory: entries after a snapshot, addressed by index from 1. */
+import type { LogEntry, Snapshot } from './log-entry.js';
+
+/** Most entries carried by one message. */
+export const MAXIMUM_ENTRIES_PER_MESSAGE = 256;
+
+/** Entries after a snapshot. */
+export class ReplicaLog {
+  private entries: LogEntry[];
+
+  constructor(
+    private base: Snapshot,
+    entries: readonly LogEntry[],
+  ) {
+    this.entries = [...entries];
+  }
+
+  /** Index of the newest entry. */
+  get lastIndex(): number {
+    return this.base.lastIndex + this.entries.length;
+  }
+
+  /** Term of the newest entry. */
+  get lastTerm(): number {
+    return this.termAt(this.lastIndex) ?? this.base.lastTerm;
+  }
+
+  /** The snapshot the log starts from. */
+  get snapshot(): Snapshot {
+    return this.base;
+  }
+
+  /** Term of the entry at an index; undefined when the log does not have it. */
+  termAt(index: number): number | undefined {
+    if (index === this.base.lastIndex) {
+      return this.base.lastTerm;
+    }
+    return this.entries[index - this.base.lastIndex - 1]?.term;
+  }
+
+  /** The entry at an index; undefined when the log does not have it. */
+  entryAt(index: number): LogEntry | undefined {
+    return this.entries[index - this.base.lastIndex - 1];
+  }
+
+  /** A bounded run of entries from an index on. */
+  entriesFrom(index: number): LogEntry[] {
+    const start = index - this.base.lastIndex - 1;
+    return this.entries.slice(start, start + MAXIMUM_ENTRIES_PER_MESSAGE);
+  }
+
+  /** Replaces everything from an index on. */
+  replaceFrom(index: number, entries: readonly LogEntry[]): void {
+    this.entries.length = index - this.base.lastIndex - 1;
+    for (const entry of entries) {
+      this.entries.push(entry);
+    }
+  }
+
+  /** Drops the entries a snapshot covers. */
+  compact(snapshot: Snapshot): void {
+    const agrees = this.termAt(snapshot.lastIndex) === snapshot.lastTerm;
+    const dropped = snapshot.lastIndex - this.base.lastIndex;
+    this.entries = agrees ? this.entries.slice(dropped) : [];
+    this.base = snapshot;
+  }
+}
--- /dev/null
+++ b/src/runtime/real-runtime.ts
@@ -0,0 +1,49 @@
+/** The real surroundings of a process: the machine's clocks, timers and standard output. */
+import { randomInt } from 'node:crypto';
+import { performance } from 'node:perf_hooks';
+import { ROARR, Roarr, logLevels } from 'roarr';
+import { createRandom } from './random.js';
+import type { LogFields, LogFunction, LogLevel, Runtime } from './runtime.js';
+
+/** Settings of the real surroundings. */
+export interface RealRuntimeOptions {
+  /** Seed of the random numbers; by default one from the machine. */
+  readonly seed?: number;
+  /** Fields of every log line. */
+  readonly fields?: LogFields;
+  /** Least severity written. @default 'info' */
+  readonly logLevel?: LogLevel;
+}
+
+const LARGEST_SEED = 2 ** 31;
+
+/** A logger that writes JSON lines by `roarr`. */
+export function createLog(fields: LogFields, least: LogLevel): LogFunction {
+  ROARR.write = (line: string): void => {
+    process.stdout.write(`${line}\n`);
+  };
+  const logger = Roarr.child({ application: 'ivyloom', ...fields });
+  return (level, message, extra = {}) => {
+    if (logLevels[level] >= logLevels[least]) {
+      logger[level]({ ...extra }, message);
+    }
+  };
+}
+
+/** Makes the real surroundings. */
+export function createRealRuntime(options: RealRuntimeOptions = {}): Runtime {
+  return {
+    now: () => performance.now(),
+    wallTime: () => Date.now(),
+    setTimer: (delay, callback) => {
+      if (delay <= 0) {
+        const immediate = setImmediate(callback);
+        return () => clearImmediate(immediate);
+      }
+      const timer = setTimeout(callback, delay);
+      return () => clearTimeout(timer);
+    },
+    random: createRandom(options.seed ?? randomInt(LARGEST_SEED)),
+    log: createLog(options.fields ?? {}, options.logLevel ?? 'info'),
+  };
+}
--- /dev/null
+++ b/src/scheduling/first-come-queue.ts
@@ -0,0 +1,26 @@
+/** Calls in order of arrival; the queue of the baseline policies. */
+import type { CallId } from '../model/identifiers.js';
+import type { CallTicket } from '../wire/messages.js';
+
+/** A first-come-first-served queue with removal. */
+export class FirstComeQueue {
+  private readonly tickets = new Map<CallId, CallTicket>();
+
+  /** Appends a call. */
+  add(ticket: CallTicket): void {
+    this.tickets.set(ticket.call, ticket);
+  }
+
+  /** Removes a call. */
+  remove(call: CallId): void {
+    this.tickets.delete(call);
+  }
+
+  /** The call that came first. */
+  first(): CallTicket | undefined {
+    for (const ticket of this.tickets.values()) {
+      return ticket;
+    }
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/scheduling/policies/ivyloom.ts
@@ -0,0 +1,236 @@
+/**
+ * The scheduler's own policy: class, then weighted group fairness, then programs by attained
+ * service with ageing; each call goes where it is expected to finish first, or waits a while for
+ * the engine that holds its prompt; memory is held over a pause for as long as that pays.
+ */
+import TinyQueue from 'tinyqueue';
+import type { CallId, EngineId, ProgramId } from '../../model/identifiers.js';
+import type { CallTicket } from '../../wire/messages.js';
+import { PauseModel } from '../pause-model.js';
+import { WaitingQueue } from '../waiting-queue.js';
+import type { RankedTicket } from '../waiting-queue.js';
+import type {
+  EngineView,
+  FinishedTurn,
+  HoldDecision,
+  Placement,
+  PoolView,
+  SchedulingPolicy,
+} from '../pool-view.js';
+import { chooseEngine, isStartable, uncachedTokens } from '../placement-cost.js';
+
+/** What a policy that knows the future may ask; only the bench has one. */
+export interface Oracle {
+  /** Milliseconds of service the program still needs, this call included. */
+  remainingMilliseconds(program: ProgramId): number;
+  /** Milliseconds until the program's next call, or undefined when there is none. */
+  nextPauseMilliseconds(program: ProgramId): number | undefined;
+}
+
+/** Settings of the policy. */
+export interface IvyloomPolicyOptions {
+  /** Milliseconds a program falls behind for each millisecond of service attained. @default 2 */
+  readonly attainedWeight?: number;
+  /** Longest pause, in milliseconds, over which memory is worth holding when there is plenty. @default 120000 */
+  readonly holdHorizonMilliseconds?: number;
+  /** Knowledge of the future; makes the clairvoyant bound. */
+  readonly oracle?: Oracle;
+}
+
+/** Waiting calls looked at in one decision. */
+const SCAN_LIMIT = 12;
+/** Longest time a call waits for one particular engine, in milliseconds. */
+const LONGEST_PARKING_MILLISECONDS = 4_000;
+/** Part of the hold horizon that is left when an engine's memory is full. */
+const SMALLEST_HORIZON_FRACTION = 0.05;
+
+interface ParkedTicket {
+  readonly ranked: RankedTicket;
+  readonly charged: number;
+  readonly until: number;
+}
+
+interface LastTurn {
+  readonly finishedAt: number;
+  readonly pauseKey: string;
+}
+
+/** See the head of this file. */
+export class IvyloomPolicy implements SchedulingPolicy {
+  readonly name: string;
+  readonly releasesMemory = true;
+  private readonly queue = new WaitingQueue();
+  private readonly parked = new Map<EngineId, TinyQueue<ParkedTicket>>();
+  private readonly parkedCalls = new Map<CallId, ParkedTicket>();
+  private readonly charges = new Map<CallId, number>();
+  private readonly pauses = new Map<string, PauseModel>();
+  private readonly lastTurns = new Map<ProgramId, LastTurn>();
+  private readonly attainedWeight: number;
+  private readonly holdHorizon: number;
+  private readonly oracle: Oracle | undefined;
+
+  constructor(options: IvyloomPolicyOptions = {}) {
+    this.attainedWeight = options.attainedWeight ?? 2;
+    this.holdHorizon = options.holdHorizonMilliseconds ?? 120_000;
+    this.oracle = options.oracle;
+    this.name = options.oracle === undefined ? 'ivyloom' : 'clairvoyant';
+  }
+
+  enqueue(ticket: CallTicket, now: number): void {
+    const last = this.lastTurns.get(ticket.program);
+    if (last !== undefined) {
+      this.pausesOf(last.pauseKey).observePause(now - last.finishedAt);
+      this.lastTurns.delete(ticket.program);
+    }
+    this.queue.add({ ticket, rank: this.rankOf(ticket, now), enqueuedAt: now });
+  }
+
+  remove(ticket: CallTicket): void {
+    this.queue.remove(ticket.call);
+    this.parkedCalls.delete(ticket.call);
+    this.charges.delete(ticket.call);
+  }
+
+  choose(pool: PoolView, now: number): Placement | undefined {
+    const anyFree = pool.engines.some((engine) => isStartable(engine, undefined));
+    if (!anyFree) {
+      return undefined;
+    }
+    this.returnExpired(pool, now);
+    return this.chooseParked(pool) ?? this.chooseWaiting(pool, now);
+  }
+
+  finished(pool: PoolView, turn: FinishedTurn, now: number): HoldDecision {
+    const { ticket } = turn;
+    const charged = this.charges.get(ticket.call) ?? 0;
+    this.charges.delete(ticket.call);
+    this.queue.charge(ticket.group, turn.serviceMilliseconds - charged, pool.shareOf(ticket.group));
+    if (ticket.endsProgram) {
+      return { type: 'hold', milliseconds: 0 };
+    }
+    const pauseKey = `${ticket.group}:${ticket.callClass}`;
+    this.lastTurns.set(ticket.program, { finishedAt: now, pauseKey });
+    return { type: 'hold', milliseconds: this.holdTime(turn, pauseKey) };
+  }
+
+  programEnded(program: ProgramId): void {
+    const last = this.lastTurns.get(program);
+    if (last !== undefined) {
+      this.pausesOf(last.pauseKey).observeEnd();
+      this.lastTurns.delete(program);
+    }
+  }
+
+  private rankOf(ticket: CallTicket, now: number): number {
+    if (this.oracle !== undefined) {
+      return this.oracle.remainingMilliseconds(ticket.program);
+    }
+    const startedAt = now - ticket.programAge;
+    return startedAt + this.attainedWeight * ticket.attainedService;
+  }
+
+  private pausesOf(key: string): PauseModel {
+    let model = this.pauses.get(key);
+    if (model === undefined) {
+      model = new PauseModel();
+      this.pauses.set(key, model);
+    }
+    return model;
+  }
+
+  private holdTime(turn: FinishedTurn, pauseKey: string): number {
+    const { engine, ticket } = turn;
+    const used = (engine.runningTokens + engine.heldTokens) / Math.max(1, engine.cacheTokens);
+    const plenty = Math.max(SMALLEST_HORIZON_FRACTION, 1 - used);
+    const horizon = this.holdHorizon * plenty;
+    if (this.oracle !== undefined) {
+      const pause = this.oracle.nextPauseMilliseconds(ticket.program);
+      return pause !== undefined && pause < horizon ? pause + 1_000 : 0;
+    }
+    return this.pausesOf(pauseKey).bestHold(1, 1 / horizon);
+  }
+
+  private returnExpired(pool: PoolView, now: number): void {
+    for (const parked of [...this.parkedCalls.values()]) {
+      if (parked.until > now) {
+        continue;
+      }
+      this.unpark(pool, parked);
+      this.queue.add(parked.ranked);
+    }
+  }
+
+  private unpark(pool: PoolView, parked: ParkedTicket): void {
+    const { ticket } = parked.ranked;
+    this.parkedCalls.delete(ticket.call);
+    this.charges.delete(ticket.call);
+    this.queue.charge(ticket.group, -parked.charged, pool.shareOf(ticket.group));
+  }
+
+  private chooseParked(pool: PoolView): Placement | undefined {
+    for (const [name, parked] of this.parked) {
+      const engine = pool.engineByName.get(name);
+      for (let head = parked.peek(); head !== undefined; head = parked.peek()) {
+        const { ticket } = head.ranked;
+        if (this.parkedCalls.get(ticket.call) !== head) {
+          parked.pop();
+          continue;
+        }
+        if (engine === undefined || !isStartable(engine, ticket)) {
+          break;
+        }
+        parked.pop();
+        this.parkedCalls.delete(ticket.call);
+        return { ticket, engine };
+      }
+    }
+    return undefined;
+  }
+
+  private chooseWaiting(pool: PoolView, now: number): Placement | undefined {
+    for (let scanned = 0; scanned < SCAN_LIMIT; scanned += 1) {
+      const ranked = this.queue.take(now);
+      if (ranked === undefined) {
+        return undefined;
+      }
+      const charged = this.chargeEstimate(pool, ranked.ticket);
+      const choice = chooseEngine(pool, ranked.ticket, (engine) => this.parkedOn(engine));
+      if (choice === undefined) {
+        this.queue.charge(ranked.ticket.group, -charged, pool.shareOf(ranked.ticket.group));
+        this.queue.add(ranked);
+        return undefined;
+      }
+      if (choice.waitMilliseconds === 0) {
+        return { ticket: ranked.ticket, engine: choice.engine };
+      }
+      const patience = Math.min(choice.waitMilliseconds * 2, LONGEST_PARKING_MILLISECONDS);
+      this.park(choice.engine, { ranked, charged, until: now + patience });
+    }
+    return undefined;
+  }
+
+  private chargeEstimate(pool: PoolView, ticket: CallTicket): number {
+    const uncached = uncachedTokens(pool, ticket);
+    const cost = pool.costs.serviceMilliseconds(uncached, ticket.maximumTokens);
+    this.charges.set(ticket.call, cost);
+    this.queue.charge(ticket.group, cost, pool.shareOf(ticket.group));
+    return cost;
+  }
+
+  private park(engine: EngineView, parked: ParkedTicket): void {
+    let queue = this.parked.get(engine.engine);
+    if (queue === undefined) {
+      queue = new TinyQueue<ParkedTicket>(
+        [],
+        (left, right) => left.ranked.rank - right.ranked.rank,
+      );
+      this.parked.set(engine.engine, queue);
+    }
+    queue.push(parked);
+    this.parkedCalls.set(parked.ranked.ticket.call, parked);
+  }
+
+  private parkedOn(engine: EngineView): number {
+    return this.parked.get(engine.engine)?.length ?? 0;
+  }
+}
--- /dev/null
+++ b/src/scheduling/policies/round-robin-fifo.ts
@@ -0,0 +1,44 @@
+/** Baseline: calls in order of arrival, back ends in turn. */
+import type { CallTicket } from '../../wire/messages.js';
+import { FirstComeQueue } from '../first-come-queue.js';
+import type { HoldDecision, Placement, PoolView, SchedulingPolicy } from '../pool-view.js';
+
+/** Round robin over back ends with a free place. */
+export class RoundRobinPolicy implements SchedulingPolicy {
+  readonly name = 'round-robin-fifo';
+  readonly releasesMemory = false;
+  private readonly queue = new FirstComeQueue();
+  private next = 0;
+
+  enqueue(ticket: CallTicket): void {
+    this.queue.add(ticket);
+  }
+
+  remove(ticket: CallTicket): void {
+    this.queue.remove(ticket.call);
+  }
+
+  choose(pool: PoolView): Placement | undefined {
+    const ticket = this.queue.first();
+    if (ticket === undefined) {
+      return undefined;
+    }
+    for (let step = 0; step < pool.engines.length; step += 1) {
+      const engine = pool.engines[(this.next + step) % pool.engines.length]!;
+      if (engine.available && engine.running < engine.concurrency) {
+        this.next = (this.next + step + 1) % pool.engines.length;
+        this.queue.remove(ticket.call);
+        return { ticket, engine };
+      }
+    }
+    return undefined;
+  }
+
+  finished(): HoldDecision {
+    return { type: 'leave' };
+  }
+
+  programEnded(): void {
+    // The baseline knows nothing of programs.
+  }
+}
--- /dev/null
+++ b/src/scheduling/waiting-queue.ts
@@ -0,0 +1,189 @@
+/**
+ * Waiting calls in the order of service: class, then group by weighted virtual time, then program
+ * by the policy's rank. Every operation is logarithmic in the number of waiting calls.
+ */
+import TinyQueue from 'tinyqueue';
+import type { CallId, GroupName } from '../model/identifiers.js';
+import { CALL_CLASSES } from '../model/call.js';
+import type { CallClass } from '../model/call.js';
+import type { CallTicket } from '../wire/messages.js';
+
+/** A waiting call with what orders it inside its group. */
+export interface RankedTicket {
+  readonly ticket: CallTicket;
+  /** Lower is served first among the calls of one group and class. */
+  readonly rank: number;
+  readonly enqueuedAt: number;
+}
+
+interface GroupQueue {
+  readonly group: GroupName;
+  readonly tickets: TinyQueue<RankedTicket>;
+}
+
+interface GroupTurn {
+  readonly queue: GroupQueue;
+  readonly virtualTime: number;
+}
+
+/** Milliseconds a call of a class may wait before it is served ahead of higher classes. */
+const STARVATION_MILLISECONDS: Readonly<Record<CallClass, number>> = {
+  urgent: Infinity,
+  interactive: 60_000,
+  batch: 120_000,
+};
+/** At most one call in this many is served ahead of its class for having waited too long. */
+const STARVATION_RESERVE = 8;
+/** Most service, in cost units, that a group which was idle may catch up on. */
+const LARGEST_LAG = 20_000;
+
+/** The queue of one pool. */
+export class WaitingQueue {
+  private readonly live = new Map<CallId, RankedTicket>();
+  private readonly virtualTimes = new Map<GroupName, number>();
+  private readonly groups = new Map<CallClass, Map<GroupName, GroupQueue>>();
+  private readonly turns = new Map<CallClass, TinyQueue<GroupTurn>>();
+  private readonly arrivals = new Map<CallClass, RankedTicket[]>();
+  private systemVirtualTime = 0;
+  private servedSinceReserve = 0;
+
+  constructor() {
+    for (const callClass of CALL_CLASSES) {
+      this.groups.set(callClass, new Map());
+      this.turns.set(
+        callClass,
+        new TinyQueue<GroupTurn>([], (left, right) => left.virtualTime - right.virtualTime),
+      );
+      this.arrivals.set(callClass, []);
+    }
+  }
+
+  /** Number of waiting calls. */
+  get size(): number {
+    return this.live.size;
+  }
+
+  /** Adds a call. */
+  add(ranked: RankedTicket): void {
+    const { ticket } = ranked;
+    this.live.set(ticket.call, ranked);
+    const groups = this.groups.get(ticket.callClass)!;
+    let queue = groups.get(ticket.group);
+    if (queue === undefined) {
+      queue = {
+        group: ticket.group,
+        tickets: new TinyQueue<RankedTicket>([], (left, right) => left.rank - right.rank),
+      };
+      groups.set(ticket.group, queue);
+    }
+    const wasEmpty = queue.tickets.length === 0;
+    queue.tickets.push(ranked);
+    this.arrivals.get(ticket.callClass)!.push(ranked);
+    if (wasEmpty) {
+      this.scheduleTurn(ticket.callClass, queue);
+    }
+  }
+
+  /** Removes a call, wherever it is. */
+  remove(call: CallId): void {
+    this.live.delete(call);
+  }
+
+  /** Takes the call to be served next. */
+  take(now: number): RankedTicket | undefined {
+    const starving = this.takeStarving(now);
+    if (starving !== undefined) {
+      return starving;
+    }
+    for (const callClass of CALL_CLASSES) {
+      const taken = this.takeFromClass(callClass);
+      if (taken !== undefined) {
+        this.servedSinceReserve += 1;
+        return taken;
+      }
+    }
+    return undefined;
+  }
+
+  /** Charges a group for service it was given; a negative cost gives back an overestimate. */
+  charge(group: GroupName, cost: number, share: number): void {
+    const start = Math.max(this.virtualTimeOf(group), this.systemVirtualTime - LARGEST_LAG);
+    this.virtualTimes.set(group, start + cost / Math.max(share, 0.001));
+  }
+
+  /** Virtual time of a group: its service divided by its share. */
+  virtualTimeOf(group: GroupName): number {
+    return this.virtualTimes.get(group) ?? this.systemVirtualTime;
+  }
+
+  private scheduleTurn(callClass: CallClass, queue: GroupQueue): void {
+    const floor = this.systemVirtualTime - LARGEST_LAG;
+    const virtualTime = Math.max(this.virtualTimeOf(queue.group), floor);
+    this.virtualTimes.set(queue.group, virtualTime);
+    this.turns.get(callClass)!.push({ queue, virtualTime });
+  }
+
+  private takeFromClass(callClass: CallClass): RankedTicket | undefined {
+    const turns = this.turns.get(callClass)!;
+    for (let turn = turns.pop(); turn !== undefined; turn = turns.pop()) {
+      const { queue } = turn;
+      this.dropRemoved(queue);
+      if (queue.tickets.length === 0) {
+        continue;
+      }
+      const current = this.virtualTimeOf(queue.group);
+      if (current > turn.virtualTime) {
+        // The group was charged since its turn was set: it goes back to its proper place.
+        turns.push({ queue, virtualTime: current });
+        continue;
+      }
+      const taken = queue.tickets.pop()!;
+      this.live.delete(taken.ticket.call);
+      this.systemVirtualTime = Math.max(this.systemVirtualTime, turn.virtualTime);
+      if (queue.tickets.length > 0) {
+        turns.push({ queue, virtualTime: current });
+      }
+      return taken;
+    }
+    return undefined;
+  }
+
+  private dropRemoved(queue: GroupQueue): void {
+    for (let head = queue.tickets.peek(); head !== undefined; head = queue.tickets.peek()) {
+      if (this.live.get(head.ticket.call) === head) {
+        return;
+      }
+      queue.tickets.pop();
+    }
+  }
+
+  private takeStarving(now: number): RankedTicket | undefined {
+    if (this.servedSinceReserve < STARVATION_RESERVE) {
+      return undefined;
+    }
+    for (const callClass of CALL_CLASSES) {
+      const oldest = this.oldestOf(callClass);
+      if (oldest !== undefined && now - oldest.enqueuedAt > STARVATION_MILLISECONDS[callClass]) {
+        this.live.delete(oldest.ticket.call);
+        this.servedSinceReserve = 0;
+        return oldest;
+      }
+    }
+    return undefined;
+  }
+
+  private oldestOf(callClass: CallClass): RankedTicket | undefined {
+    const arrivals = this.arrivals.get(callClass)!;
+    let gone = 0;
+    while (gone < arrivals.length) {
+      const ranked = arrivals[gone]!;
+      if (this.live.get(ranked.ticket.call) === ranked) {
+        break;
+      }
+      gone += 1;
+    }
+    // Removing from the front in one step keeps the cost per call constant.
+    arrivals.splice(0, gone);
+    return arrivals[0];
+  }
+}
--- /dev/null
+++ b/src/simulation/simulated-cluster.ts
@@ -0,0 +1,290 @@
+/** A whole cluster in virtual time: real node code, emulated platform, seeded network and faults. */
+import type { EngineId, NodeId, ZoneName } from '../model/identifiers.js';
+import type { ConfigurationDocument } from '../configuration/documents.js';
+import { documentKey, encodeDocument, REVISION_KEY } from '../configuration/stored-documents.js';
+import type { EmulatedBackEnd } from '../emulator/emulated-back-end.js';
+import { EngineModel } from '../emulator/engine-model.js';
+import type { EngineModelOptions } from '../emulator/engine-model.js';
+import { KeyValueModel } from '../emulator/key-value-model.js';
+import { ToolModel } from '../emulator/tool-model.js';
+import type { ToolModelOptions } from '../emulator/tool-model.js';
+import { IvyloomNode } from '../node/node.js';
+import type { BackEndPort } from '../platform/back-end-port.js';
+import { DEFAULT_OWNER_LIMITS } from '../program/program-limits.js';
+import type { OwnerLimits } from '../program/program-limits.js';
+import { createShardMap } from '../replication/shard-map.js';
+import type { PlacedNode, ShardMap } from '../replication/shard-map.js';
+import { createRandom } from '../runtime/random.js';
+import type { RandomSource } from '../runtime/random.js';
+import type { LogFunction, Runtime } from '../runtime/runtime.js';
+import type { SchedulingPolicy } from '../scheduling/pool-view.js';
+import { createPolicy } from '../scheduling/create-policy.js';
+import { SimulatedBackEnds } from './simulated-back-ends.js';
+import { SimulatedDisk } from './simulated-disk.js';
+import { SimulatedNetwork } from './simulated-network.js';
+import type { NetworkEnd } from './simulated-network.js';
+import { SimulatedProcess, silentLog } from './simulated-process.js';
+import { VirtualClock } from './virtual-clock.js';
+
+/** A service with its back ends, as a simulation sets it up. */
+export interface SimulatedService {
+  readonly name: string;
+  readonly kind: 'model' | 'tool';
+  readonly runners: number;
+  /** Most calls a runner is given at a time. */
+  readonly concurrency: number;
+  readonly engine?: Omit<EngineModelOptions, 'name'>;
+  readonly tool?: Omit<ToolModelOptions, 'name'>;
+}
+
+/** A group, as a simulation sets it up. */
+export interface SimulatedGroup {
+  readonly name: string;
+  readonly share: number;
+  readonly budget: number;
+}
+
+/** What a simulated cluster is made of. */
+export interface SimulatedClusterOptions {
+  readonly seed: number;
+  readonly zones: readonly ZoneName[];
+  /** Nodes in each zone. @default 1 */
+  readonly nodesPerZone?: number;
+  /** One-way milliseconds between zones. */
+  readonly betweenZones: number;
+  readonly shardCount: number;
+  readonly services: readonly SimulatedService[];
+  readonly groups: readonly SimulatedGroup[];
+  readonly limits?: OwnerLimits;
+  readonly createPolicy?: () => SchedulingPolicy;
+  readonly log?: LogFunction;
+}
+
+interface Machine {
+  readonly placed: PlacedNode;
+  readonly end: NetworkEnd;
+  readonly disk: SimulatedDisk;
+  node: IvyloomNode | undefined;
+}
+
+/** Time in which a fresh cluster elects its leaders and reads its configuration, in ms. */
+export const SETTLE_MILLISECONDS = 4_000;
+
+/** See the head of this file. */
+export class SimulatedCluster {
+  readonly clock = new VirtualClock();
+  readonly random: RandomSource;
+  readonly network: SimulatedNetwork;
+  readonly keyValue: KeyValueModel;
+  readonly map: ShardMap;
+  readonly backEnds = new Map<EngineId, EmulatedBackEnd>();
+  private readonly backEndEnds = new Map<EngineId, NetworkEnd>();
+  private readonly machines = new Map<NodeId, Machine>();
+  private readonly placed: readonly PlacedNode[];
+
+  constructor(readonly options: SimulatedClusterOptions) {
+    const { seed, zones, betweenZones } = options;
+    this.random = createRandom(seed, 'cluster');
+    this.network = new SimulatedNetwork(this.clock, createRandom(seed, 'network'), { betweenZones });
+    this.keyValue = new KeyValueModel(this.createProcess('key-value').begin());
+    this.placed = zones.flatMap((zone) =>
+      Array.from({ length: options.nodesPerZone ?? 1 }, (_, index) => ({
+        node: `${zone}-${index + 1}`,
+        zone,
+      })),
+    );
+    this.map = createShardMap(options.shardCount, this.placed);
+    this.createBackEnds();
+    this.writeConfiguration();
+    this.placed.forEach((placed) => this.createMachine(placed));
+  }
+
+  /** Names of all nodes. */
+  get nodeNames(): NodeId[] {
+    return this.placed.map((placed) => placed.node);
+  }
+
+  /** Starts every node and waits until leaders are elected. */
+  start(): void {
+    this.nodeNames.forEach((name) => this.startNode(name));
+    this.clock.runUntil(this.clock.now + SETTLE_MILLISECONDS);
+  }
+
+  /** A node; undefined while its process is dead. */
+  node(name: NodeId): IvyloomNode | undefined {
+    return this.machine(name).node;
+  }
+
+  /** Nodes whose processes live. */
+  livingNodes(): IvyloomNode[] {
+    return [...this.machines.values()].flatMap((machine) => machine.node ?? []);
+  }
+
+  /** The process a node runs in. */
+  processOf(name: NodeId): SimulatedProcess {
+    return this.machine(name).end.process;
+  }
+
+  /** The network end of a node. */
+  endOf(name: NodeId): NetworkEnd {
+    return this.machine(name).end;
+  }
+
+  /** Starts a node's process, from what its disk holds. */
+  startNode(name: NodeId): void {
+    const machine = this.machine(name);
+    if (machine.node !== undefined) {
+      return;
+    }
+    const runtime = machine.end.process.begin();
+    const node = this.createNode(machine, runtime);
+    machine.node = node;
+    node.start();
+  }
+
+  /** Ends a node's process at once. */
+  killNode(name: NodeId): void {
+    const machine = this.machine(name);
+    machine.end.process.kill();
+    machine.node = undefined;
+  }
+
+  /** Stops a node as planned; it is gone when `done` is called. */
+  leaveNode(name: NodeId, done: () => void = () => undefined): void {
+    const machine = this.machine(name);
+    machine.node?.leave(() => {
+      machine.end.process.kill();
+      machine.node = undefined;
+      done();
+    });
+  }
+
+  /** Crashes a back end; it comes back empty after a while. */
+  crashBackEnd(name: EngineId, downMilliseconds: number): void {
+    const backEnd = this.backEnds.get(name);
+    if (backEnd === undefined || !backEnd.isUp) {
+      return;
+    }
+    backEnd.crash();
+    this.clock.schedule(downMilliseconds, () => backEnd.restart());
+  }
+
+  /** Makes a process outside the cluster, such as a client's. */
+  createProcess(name: string): SimulatedProcess {
+    const random = createRandom(this.options.seed, name);
+    return new SimulatedProcess(name, this.clock, random, this.options.log ?? silentLog);
+  }
+
+  private machine(name: NodeId): Machine {
+    const machine = this.machines.get(name);
+    if (machine === undefined) {
+      throw new Error(`no machine ${name}`);
+    }
+    return machine;
+  }
+
+  private createMachine(placed: PlacedNode): void {
+    const end: NetworkEnd = { process: this.createProcess(placed.node), zone: placed.zone };
+    const disk = new SimulatedDisk(this.map);
+    this.machines.set(placed.node, { placed, end, disk, node: undefined });
+  }
+
+  private createNode(machine: Machine, runtime: Runtime): IvyloomNode {
+    const { node: self, zone } = machine.placed;
+    return new IvyloomNode({
+      self,
+      zone,
+      nodes: this.placed,
+      map: this.map,
+      runtime,
+      transport: {
+        send: (to, message) => {
+          const target = this.machines.get(to);
+          if (target !== undefined) {
+            this.network.deliver(machine.end, target.end, () =>
+              target.node?.receive(self, message),
+            );
+          }
+        },
+      },
+      storage: machine.disk.open(runtime),
+      backEnds: this.connectBackEnds(machine.end, runtime),
+      keyValue: this.keyValue.connect(runtime),
+      limits: this.options.limits ?? DEFAULT_OWNER_LIMITS,
+      createPolicy: this.options.createPolicy ?? (() => createPolicy('ivyloom')),
+    });
+  }
+
+  private connectBackEnds(end: NetworkEnd, runtime: Runtime): BackEndPort {
+    return new SimulatedBackEnds({
+      network: this.network,
+      end,
+      runtime,
+      backEnds: this.backEnds,
+      backEndEnds: this.backEndEnds,
+    });
+  }
+
+  private createBackEnds(): void {
+    for (const service of this.options.services) {
+      for (let index = 0; index < service.runners; index += 1) {
+        this.createBackEnd(service, index);
+      }
+    }
+  }
+
+  private createBackEnd(service: SimulatedService, index: number): void {
+    const name = `${service.name}-${index + 1}`;
+    const zone = this.options.zones[index % this.options.zones.length]!;
+    const process = this.createProcess(name);
+    const runtime = process.begin();
+    const backEnd =
+      service.kind === 'model'
+        ? new EngineModel(runtime, { ...service.engine, name })
+        : new ToolModel(runtime, { ...service.tool, name });
+    this.backEnds.set(name, backEnd);
+    this.backEndEnds.set(name, { process, zone });
+  }
+
+  private writeConfiguration(): void {
+    const documents = this.listDocuments();
+    const mark = { id: 'setup', by: 'simulation', at: 0, statement: 'setup' };
+    this.keyValue.applyChange({
+      guards: [],
+      puts: [
+        ...documents.map((entry) => ({
+          key: documentKey(entry.kind, entry.document.name),
+          value: encodeDocument(entry, mark),
+        })),
+        { key: REVISION_KEY, value: 'setup' },
+      ],
+      deletes: [],
+    });
+  }
+
+  private listDocuments(): ConfigurationDocument[] {
+    const { services, groups, zones } = this.options;
+    const documents: ConfigurationDocument[] = groups.map((document) => ({
+      kind: 'group',
+      document,
+    }));
+    for (const { name, kind, runners, concurrency, engine } of services) {
+      documents.push({ kind: 'service', document: { name, kind, groups: [] } });
+      for (let index = 0; index < runners; index += 1) {
+        documents.push({
+          kind: 'engine',
+          document: {
+            name: `${name}-${index + 1}`,
+            service: name,
+            zone: zones[index % zones.length]!,
+            url: 'http://127.0.0.1:1',
+            concurrency,
+            cacheTokens: kind === 'model' ? (engine?.cacheTokens ?? 120_000) : 0,
+            draining: false,
+          },
+        });
+      }
+    }
+    return documents;
+  }
+}
--- /dev/null
+++ b/src/simulation/simulated-disk.ts
@@ -0,0 +1,52 @@
+/** Disks in virtual time: writes become durable after a while, in order; a death loses the rest. */
+import type { ShardId } from '../model/identifiers.js';
+import type { NodeStorage } from '../node/node-options.js';
+import { applyChange, emptyReplica } from '../replication/log-entry.js';
+import type { PersistChange, PersistedReplica } from '../replication/log-entry.js';
+import type { ShardMap } from '../replication/shard-map.js';
+import type { Runtime } from '../runtime/runtime.js';
+
+/** Milliseconds a synced write takes. */
+const WRITE_MILLISECONDS = 0.6;
+
+/** The disk of one machine; survives its processes. */
+export class SimulatedDisk {
+  private readonly replicas = new Map<ShardId, PersistedReplica>();
+  private configuration: { revision: number; documents: string } | undefined;
+
+  constructor(private readonly map: ShardMap) {}
+
+  /** The disk as a process of one life uses it. */
+  open(runtime: Runtime): NodeStorage {
+    return {
+      load: (shard) => this.replicas.get(shard),
+      replica: (shard) => ({
+        persist: (change, done) => this.persist(runtime, shard, change, done),
+      }),
+      configuration: {
+        save: (revision, documents) => {
+          this.configuration = { revision, documents };
+        },
+      },
+      ...(this.configuration === undefined ? {} : { keptConfiguration: this.configuration }),
+    };
+  }
+
+  /** Number of entries kept, over all replicas. */
+  get entryCount(): number {
+    let count = 0;
+    for (const replica of this.replicas.values()) {
+      count += replica.entries.length;
+    }
+    return count;
+  }
+
+  private persist(runtime: Runtime, shard: ShardId, change: PersistChange, done: () => void): void {
+    // The timer dies with the process, and with it whatever was not yet written.
+    runtime.setTimer(WRITE_MILLISECONDS, () => {
+      const known = this.replicas.get(shard) ?? emptyReplica(this.map.voters[shard] ?? []);
+      this.replicas.set(shard, applyChange(known, change));
+      done();
+    });
+  }
+}
--- /dev/null
+++ b/src/wire/tcp-transport.ts
@@ -0,0 +1,157 @@
+/** Messages between nodes over TCP: one outgoing connection a peer, made when first needed. */
+import { createServer, connect } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import * as E from 'fp-ts/lib/Either.js';
+import type { NodeId } from '../model/identifiers.js';
+import type { Runtime } from '../runtime/runtime.js';
+import { encodeFrame, FrameReader } from './framing.js';
+import {
+  decodeHello,
+  decodeMessage,
+  encodeHello,
+  encodeMessage,
+  PROTOCOL_VERSION,
+} from './message-codec.js';
+import type { Message, Transport } from './messages.js';
+
+/** Where a peer listens. */
+export interface PeerAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** What the transport is made with. */
+export interface TcpTransportOptions {
+  readonly self: NodeId;
+  readonly runtime: Runtime;
+  /** Address of a peer; undefined when unknown. */
+  readonly addressOf: (node: NodeId) => PeerAddress | undefined;
+  readonly receive: (from: NodeId, message: Message) => void;
+}
+
+/** Bytes that may wait for one peer; more are dropped, as on a slow network. */
+const MAXIMUM_QUEUED_BYTES = 128 * 1024 * 1024;
+/** Pause before a failed connection is tried again, in milliseconds. */
+const RECONNECT_MILLISECONDS = 200;
+/** Time a connection may take to be made, in milliseconds. */
+const CONNECT_MILLISECONDS = 2_000;
+
+interface PeerLink {
+  socket: Socket | undefined;
+  retryAt: number;
+}
+
+/** See the head of this file. */
+export class TcpTransport implements Transport {
+  private readonly links = new Map<NodeId, PeerLink>();
+  private readonly accepted = new Set<Socket>();
+  private readonly server: Server;
+  private closed = false;
+  /** Bytes sent to peers so far. */
+  sentBytes = 0;
+
+  constructor(private readonly options: TcpTransportOptions) {
+    this.server = createServer((socket) => this.accept(socket));
+  }
+
+  /** Listens; calls back with the port. */
+  listen(host: string, port: number, done: (port: number) => void): void {
+    this.server.listen(port, host, () => done((this.server.address() as AddressInfo).port));
+  }
+
+  send(to: NodeId, message: Message): void {
+    const socket = this.socketTo(to);
+    if (socket === undefined || socket.writableLength > MAXIMUM_QUEUED_BYTES) {
+      return;
+    }
+    const frame = encodeFrame(encodeMessage(message));
+    this.sentBytes += frame.length;
+    socket.write(frame);
+  }
+
+  /** Closes every connection and stops listening. */
+  close(): void {
+    this.closed = true;
+    this.server.close();
+    this.links.forEach((link) => link.socket?.destroy());
+    this.accepted.forEach((socket) => socket.destroy());
+  }
+
+  private socketTo(node: NodeId): Socket | undefined {
+    const link = this.links.get(node) ?? { socket: undefined, retryAt: -Infinity };
+    this.links.set(node, link);
+    if (link.socket === undefined && !this.closed && this.options.runtime.now() >= link.retryAt) {
+      this.open(node, link);
+    }
+    return link.socket;
+  }
+
+  private open(node: NodeId, link: PeerLink): void {
+    const address = this.options.addressOf(node);
+    if (address === undefined) {
+      return;
+    }
+    const socket = connect({ host: address.host, port: address.port, noDelay: true });
+    link.socket = socket;
+    socket.setTimeout(CONNECT_MILLISECONDS, () => {
+      if (socket.connecting) {
+        socket.destroy();
+      }
+    });
+    socket.on('connect', () => socket.setTimeout(0));
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      link.socket = undefined;
+      link.retryAt = this.options.runtime.now() + RECONNECT_MILLISECONDS;
+    });
+    socket.resume();
+    socket.write(encodeFrame(encodeHello({ version: PROTOCOL_VERSION, node: this.options.self })));
+  }
+
+  private accept(socket: Socket): void {
+    this.accepted.add(socket);
+    const reader = new FrameReader();
+    let peer: NodeId | undefined;
+    socket.setNoDelay(true);
+    socket.on('error', () => undefined);
+    socket.on('close', () => this.accepted.delete(socket));
+    socket.on('data', (chunk: Buffer) => {
+      try {
+        for (const content of reader.push(chunk)) {
+          if (peer === undefined) {
+            peer = this.greet(content);
+          } else {
+            this.take(peer, content);
+          }
+        }
+      } catch (cause) {
+        this.reject(socket, cause);
+      }
+    });
+  }
+
+  private greet(content: Buffer): NodeId {
+    const hello = decodeHello(content);
+    if (E.isLeft(hello)) {
+      throw new Error(`not a hello: ${hello.left}`);
+    }
+    if (hello.right.version !== PROTOCOL_VERSION) {
+      throw new Error(`protocol version ${hello.right.version} is not ${PROTOCOL_VERSION}`);
+    }
+    return hello.right.node;
+  }
+
+  private take(peer: NodeId, content: Buffer): void {
+    const message = decodeMessage(content);
+    if (E.isLeft(message)) {
+      throw new Error(`not a message: ${message.left}`);
+    }
+    this.options.receive(peer, message.right);
+  }
+
+  private reject(socket: Socket, cause: unknown): void {
+    const reason = cause instanceof Error ? cause.message : String(cause);
+    this.options.runtime.log('warn', 'peer connection closed', { reason });
+    socket.destroy();
+  }
+}
