--- a/src/replication/raft-replica.ts
+++ b/src/replication/raft-replica.ts
@@ -99,6 +99,7 @@
   private serving = false;
   private transferring = false;
   private transferStartedAt = 0;
+  private standing = true;
   private stopped = false;
 
   constructor(private readonly options: RaftReplicaOptions<Outcome>) {
@@ -214,6 +215,11 @@
     return true;
   }
 
+  /** From now on this replica votes and replicates but does not stand for election. */
+  standDown(): void {
+    this.standing = false;
+  }
+
   /** Ends all activity; pending proposals end as unknown. */
   stop(): void {
     this.stopped = true;
@@ -251,7 +257,7 @@
   }
 
   private startElection(preVote: boolean, transfer: boolean): void {
-    if (!this.voters.includes(this.options.self)) {
+    if (!this.standing || !this.voters.includes(this.options.self)) {
       return;
     }
     this.resetElectionDeadline();
@@ -686,7 +692,10 @@
   }
 
   private mostAdvancedFollower(): NodeId | undefined {
-    const candidates = [...this.progress.entries()];
+    const recently = this.options.runtime.now() - ELECTION_TIMEOUT_MILLISECONDS;
+    const candidates = [...this.progress.entries()].filter(
+      ([, progress]) => progress.acknowledgedAt >= recently,
+    );
     candidates.sort(([, left], [, right]) => right.matchIndex - left.matchIndex);
     return candidates[0]?.[0];
   }
--- a/src/replication/shard-host.ts
+++ b/src/replication/shard-host.ts
@@ -87,8 +87,9 @@
     this.replica.receive(from, message);
   }
 
-  /** Hands leadership over. */
+  /** Hands leadership over and does not take it again. */
   transferLeadership(): boolean {
+    this.replica.standDown();
     return this.replica.transferLeadership();
   }
 
--- a/src/runtime/real-runtime.ts
+++ b/src/runtime/real-runtime.ts
@@ -1,4 +1,5 @@
 /** The real surroundings of a process: the machine's clocks, timers and standard output. */
+import './enable-roarr.js';
 import { randomInt } from 'node:crypto';
 import { performance } from 'node:perf_hooks';
 import { ROARR, Roarr, logLevels } from 'roarr';
