--- /dev/null
+++ b/features/steps/promises.steps.ts
@@ -0,0 +1,145 @@
+/** Steps about histories under faults and about the checkers themselves. */
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { CHECKERS } from '../../src/histories/checkers.js';
+import type { ConditionName } from '../../src/histories/checkers.js';
+import type { RecordedCall, RecordedRun } from '../../src/histories/recorded-events.js';
+import { runHistory } from '../../src/histories/run-history.js';
+import type { HistoryResult } from '../../src/histories/run-history.js';
+
+interface PromisesWorld {
+  batches?: HistoryResult[][];
+  run?: RecordedRun;
+}
+
+When(
+  'histories run from seed {int} to {int}',
+  function (this: PromisesWorld, first: number, last: number) {
+    const results: HistoryResult[] = [];
+    for (let seed = first; seed <= last; seed += 1) {
+      results.push(runHistory(seed));
+    }
+    this.batches = [...(this.batches ?? []), results];
+  },
+);
+
+Then('no promise is broken', function (this: PromisesWorld) {
+  const violations = this.batches!.flat().flatMap(({ seed, violations: broken }) =>
+    broken.map((violation) => ({ seed, ...violation })),
+  );
+  assert.deepEqual(violations, []);
+  const answered = this.batches!.flat().flatMap((result) =>
+    result.run.calls.filter((call) => call.result.type === 'answered'),
+  );
+  assert.ok(answered.length > 100, 'hardly anything was answered');
+});
+
+Then('at least {int} kinds of faults struck', function (this: PromisesWorld, kinds: number) {
+  const struck = new Set(this.batches!.flat().flatMap((result) => [...result.faults.keys()]));
+  assert.ok(struck.size >= kinds, `only ${[...struck].join(', ')}`);
+});
+
+Then('both runs recorded the same', function (this: PromisesWorld) {
+  const [first, second] = this.batches!;
+  assert.deepEqual(
+    first!.map((result) => result.run),
+    second!.map((result) => result.run),
+  );
+});
+
+Given('the record of a run without violations', function (this: PromisesWorld) {
+  const { run, violations } = runHistory(3, []);
+  assert.deepEqual(violations, []);
+  this.run = structuredClone(run);
+});
+
+function answered(run: RecordedRun, kind: 'chat' | 'tool'): RecordedCall[] {
+  return run.calls.filter((call) => call.kind === kind && call.result.type === 'answered');
+}
+
+const NOT_RUN = {
+  tag: 'Overloaded',
+  verdict: 'NotRun',
+  detail: 'planted',
+  retryAfterSeconds: 1,
+} as const;
+
+const PLANTS: Readonly<Record<string, (run: RecordedRun) => void>> = {
+  'an execution out of order': (run) => {
+    const call = run.calls.find((candidate) => candidate.sequence === 1)!;
+    const { call: name, program, service } = call;
+    run.executions.push({ call: name, program, service, engine: 'x', at: run.endedAt });
+  },
+  'a lost turn': (run) => {
+    const history = run.histories.find((candidate) => candidate.history.length > 2)!;
+    (history.history as unknown[]).splice(0, 2);
+    Object.assign(history, { historyDigest: '' });
+  },
+  'a message of another program': (run) => {
+    const [first, second] = run.histories.filter((candidate) => candidate.history.length > 2);
+    (first!.history as unknown[]).push(second!.history[0]);
+  },
+  'a history that cannot be read': (run) => {
+    run.unreadable.push('p0');
+  },
+  'a grant beyond the budget': (run) => {
+    const account = run.accounts[0]!;
+    Object.assign(account, { granted: account.budget + 1 });
+  },
+  'an answer that was not paid': (run) => {
+    run.accounts.forEach((account) => Object.assign(account, { spent: 0 }));
+  },
+  'a hold of an ended program': (run) => {
+    run.holds.push({ engine: 'catalog-minds-1', program: run.endedPrograms[0]! });
+  },
+  'crossed answers': (run) => {
+    const [first, second] = answered(run, 'tool');
+    const kept = first!.result;
+    first!.result = second!.result;
+    second!.result = kept;
+  },
+  'a stream with a gap': (run) => {
+    const call = answered(run, 'chat').find((candidate) => candidate.streaming)!;
+    call.streamed = call.streamed.slice(4);
+  },
+  'a refused call that ran': (run) => {
+    const ran = new Set(run.executions.map((execution) => execution.call));
+    const call = run.calls.find((candidate) => ran.has(candidate.call))!;
+    call.result = { type: 'failed', error: NOT_RUN };
+  },
+  'a second run': (run) => {
+    const call = answered(run, 'tool').find((candidate) => !candidate.repeatable)!;
+    const { call: name, program, service } = call;
+    run.executions.push({ call: name, program, service, engine: 'x', at: run.endedAt });
+  },
+  'work for a leaving back end': (run) => {
+    const { engine } = run.executions[0]!;
+    const base = { statement: '', revision: 1, resumes: '' };
+    run.changes.push({ ...base, at: -10_000, drains: engine });
+  },
+  'a call cut by a planned stop': (run) => {
+    const call = run.calls[0]!;
+    call.result = { type: 'broken' };
+    run.stops.push({ node: call.node, beganAt: call.sentAt, endedAt: call.endedAt });
+  },
+  'a revision that falls': (run) => {
+    const newest = run.revisions[run.revisions.length - 1]!;
+    run.revisions.push({ ...newest, revision: newest.revision - 1 });
+  },
+  'a change that never comes into force': (run) => {
+    const base = { statement: '', drains: '', resumes: '' };
+    run.changes.push({ ...base, revision: 1e9, at: 0 });
+  },
+};
+
+When('it is changed by {string}', function (this: PromisesWorld, plant: string) {
+  PLANTS[plant]!(this.run!);
+});
+
+Then(
+  'the checker of {string} names a violation',
+  function (this: PromisesWorld, condition: string) {
+    const found = CHECKERS[condition as ConditionName](this.run!);
+    assert.notDeepEqual(found, []);
+  },
+);
--- a/src/bench/http-caller.ts
+++ b/src/bench/http-caller.ts
@@ -86,8 +86,7 @@
 }
 
 function chatBody(call: CallerCall): unknown {
-  const system =
-    call.instructions === '' ? [] : [{ role: 'system', content: call.instructions }];
+  const system = call.instructions === '' ? [] : [{ role: 'system', content: call.instructions }];
   return {
     model: call.step.service,
     messages: [...system, { role: 'user', content: call.input }],
--- a/src/bench/local-cluster.ts
+++ b/src/bench/local-cluster.ts
@@ -105,15 +105,14 @@
   deployment: Deployment,
   served: readonly ServedBackEnd[],
 ): ConfigurationDocument[] {
-  const groups = deployment.groups.map(
-    (document): ConfigurationDocument => ({ kind: 'group', document }),
-  );
-  const services = deployment.services.map(
-    ({ name, kind }): ConfigurationDocument => ({
-      kind: 'service',
-      document: { name, kind, groups: [] },
-    }),
-  );
+  const groups = deployment.groups.map((document): ConfigurationDocument => ({
+    kind: 'group',
+    document,
+  }));
+  const services = deployment.services.map(({ name, kind }): ConfigurationDocument => ({
+    kind: 'service',
+    document: { name, kind, groups: [] },
+  }));
   return [
     ...groups,
     ...services,
@@ -145,7 +144,12 @@
   const ports = await freePorts(LOOPBACK, nodes);
   const peers = ports.map((port, index) => {
     const zone = deployment.zones[index % deployment.zones.length]!;
-    return { node: `${zone}-${Math.floor(index / deployment.zones.length) + 1}`, zone, host: LOOPBACK, port };
+    return {
+      node: `${zone}-${Math.floor(index / deployment.zones.length) + 1}`,
+      zone,
+      host: LOOPBACK,
+      port,
+    };
   });
   return peers.map((peer, index) => ({
     node: peer.node,
--- a/src/bench/program-runner.ts
+++ b/src/bench/program-runner.ts
@@ -136,7 +136,8 @@
   private handleFailure(index: number, step: ProgramStep, tries: number, error: CallError): void {
     this.refusals += 1;
     const mayTryAgain = error.verdict === 'NotRun' || step.repeatable;
-    const final = error.tag === 'BudgetSpent' || error.tag === 'Stopped' || error.tag === 'Forbidden';
+    const final =
+      error.tag === 'BudgetSpent' || error.tag === 'Stopped' || error.tag === 'Forbidden';
     if (tries >= MAXIMUM_TRIES || !mayTryAgain || final) {
       this.finish(true);
       return;
--- a/src/bench/simulated-caller.ts
+++ b/src/bench/simulated-caller.ts
@@ -11,7 +11,11 @@
 const TIMEOUT_MILLISECONDS = 600_000;
 
 /** Builds the request of a caller's call. */
-export function requestOf(call: CallerCall, name: string, timeoutMilliseconds: number): CallRequest {
+export function requestOf(
+  call: CallerCall,
+  name: string,
+  timeoutMilliseconds: number,
+): CallRequest {
   const { script, step, sequence, input, instructions } = call;
   const system = instructions === '' ? [] : [{ role: 'system' as const, content: instructions }];
   const chat = step.kind === 'chat';
@@ -78,7 +82,13 @@
         .node(node)
         ?.gateway.requestProgram(id, 'end', script.name, script.group, () => undefined);
     };
-    cluster.network.deliverInOrder(sending, this.end, cluster.endOf(node), deliver, () => undefined);
+    cluster.network.deliverInOrder(
+      sending,
+      this.end,
+      cluster.endOf(node),
+      deliver,
+      () => undefined,
+    );
   }
 }
 
--- a/src/bench/start.ts
+++ b/src/bench/start.ts
@@ -135,9 +135,7 @@
   write(`Starting ${deployment.name}: ${deployment.zones.join(', ')}`);
   const cluster = await startLocalCluster({ deployment, seed, httpPort });
   write(`${cluster.daemons.length} nodes, ${cluster.backEnds.length} emulated back ends are up`);
-  const keys = Object.fromEntries(
-    deployment.groups.map(({ name }) => [name, localKeyOf(name)]),
-  );
+  const keys = Object.fromEntries(deployment.groups.map(({ name }) => [name, localKeyOf(name)]));
   const caller = new HttpCaller({ urls: cluster.urls, keys });
   const runtime = createRealRuntime({ seed, logLevel: 'error' });
   const outcomes = await runWorkload(options, runtime, caller);
--- a/src/budget/slice-client.ts
+++ b/src/budget/slice-client.ts
@@ -51,9 +51,7 @@
     }
     const amount = chooseSliceAmount(needed, this.options.budgetOf(group));
     const number = slice.requestNumber + 1;
-    this.options.host.propose({ type: 'requestSlice', group, number, amount }, () =>
-      this.resend(),
-    );
+    this.options.host.propose({ type: 'requestSlice', group, number, amount }, () => this.resend());
   }
 
   /** Takes the ledger's answer. */
--- a/src/commands/bench-commands.ts
+++ b/src/commands/bench-commands.ts
@@ -3,6 +3,7 @@
 import type { Deployment } from '../bench/deployments.js';
 import { runExperiment } from '../bench/experiment.js';
 import { formatExperiment } from '../bench/experiment-report.js';
+import { runHistories, shrinkFaults } from '../histories/run-many.js';
 import { runStart } from '../bench/start.js';
 import { POLICY_NAMES } from '../scheduling/create-policy.js';
 import type { PolicyName } from '../scheduling/create-policy.js';
@@ -17,6 +18,7 @@
   readonly load: number;
   readonly seconds: number;
   readonly policies: string;
+  readonly seeds: string;
   readonly json: boolean;
 }
 
@@ -68,6 +70,33 @@
   return EXIT_DONE;
 }
 
+const SEED_RANGE = /^(\d+)\.\.(\d+)$/;
+
+function histories(flags: BenchFlags): number {
+  const range = SEED_RANGE.exec(flags.seeds);
+  if (range === null) {
+    return complain('--seeds takes a range, such as 1..2000');
+  }
+  const result = runHistories(Number(range[1]), Number(range[2]));
+  if (flags.json) {
+    write(JSON.stringify(result));
+  } else {
+    const { calls, historiesPerSecond } = result;
+    write(`${result.histories} histories, ${calls} calls, ${historiesPerSecond} a second`);
+    Object.entries(result.faults).forEach(([kind, count]) => write(`  ${kind}: ${count}`));
+    result.violations.forEach((violation) => {
+      write(`seed ${violation.seed}: ${violation.condition}: ${violation.detail}`);
+    });
+  }
+  const failing = result.violations[0]?.seed;
+  if (failing === undefined) {
+    return EXIT_DONE;
+  }
+  const fewest = shrinkFaults(failing).map((fault) => JSON.stringify(fault));
+  process.stderr.write(`seed ${failing} still fails with: ${fewest.join(' ')}\n`);
+  return EXIT_FAILED;
+}
+
 /** Runs one command; resolves with the exit code. */
 export async function runBenchCommand(
   input: readonly string[],
@@ -79,6 +108,8 @@
       return start(flags);
     case 'experiment':
       return experiment(DEPLOYMENTS[name], flags);
+    case 'histories':
+      return histories(flags);
     default:
       return complain('name a command; see --help');
   }
--- a/src/commands/client.ts
+++ b/src/commands/client.ts
@@ -130,7 +130,11 @@
 
 async function readStatements(options: ClientOptions): Promise<number> {
   const interactive = process.stdin.isTTY;
-  const lines = createInterface({ input: process.stdin, output: process.stdout, terminal: interactive });
+  const lines = createInterface({
+    input: process.stdin,
+    output: process.stdout,
+    terminal: interactive,
+  });
   let exitCode: number = EXIT.done;
   lines.setPrompt('ivyloom> ');
   if (interactive) {
--- a/src/commands/ivyloom-bench.ts
+++ b/src/commands/ivyloom-bench.ts
@@ -11,8 +11,10 @@
   Commands
     start               a local cluster on embedded stand-ins, under a workload, then a report
     experiment NAME     policies side by side in virtual time: lakeshore, dakar, mixed, scaled
+    histories           seeded programs and faults in virtual time, every promise checked
 
   Options
+    --seeds A..B        histories: seeds to run (default 1..100)
     --once              start: end after the report
     --deployment NAME   start: lakeshore, dakar or mixed (default mixed)
     --programs N        start: programs to run (default 100)
@@ -39,9 +41,11 @@
       load: { type: 'number', default: 0.85 },
       seconds: { type: 'number', default: 300 },
       policies: { type: 'string', default: '' },
+      seeds: { type: 'string', default: '1..100' },
       json: { type: 'boolean', default: false },
     },
   },
 );
 
-process.exitCode = await runBenchCommand(cli.input, cli.flags);
+// The emulators keep timers and sockets of their own; the command's end is the process's end.
+process.exit(await runBenchCommand(cli.input, cli.flags));
--- a/src/configuration/configuration-writer.ts
+++ b/src/configuration/configuration-writer.ts
@@ -138,11 +138,7 @@
     });
   }
 
-  private afterError(
-    change: PreparedChange,
-    error: KeyValueError,
-    listener: ChangeListener,
-  ): void {
+  private afterError(change: PreparedChange, error: KeyValueError, listener: ChangeListener): void {
     if (error.mayHaveApplied) {
       this.resolve(change, RESOLVE_TRIES, false, listener);
     } else {
--- a/src/configuration/documents.ts
+++ b/src/configuration/documents.ts
@@ -2,7 +2,11 @@
 import * as t from 'io-ts';
 import type { EngineId, GroupName, ServiceName } from '../model/identifiers.js';
 
-const finite = t.refinement(t.number, (value) => Number.isFinite(value) && value >= 0, 'number >= 0');
+const finite = t.refinement(
+  t.number,
+  (value) => Number.isFinite(value) && value >= 0,
+  'number >= 0',
+);
 const name = t.refinement(
   t.string,
   (value) => /^[a-z0-9][a-z0-9._-]{0,62}$/.test(value),
--- a/src/configuration/settings.ts
+++ b/src/configuration/settings.ts
@@ -24,11 +24,14 @@
   return Number.isInteger(value) && (value as number) >= low && (value as number) <= high;
 }
 
-const nodeName = form('a name of letters, digits, dots and dashes', (value): value is string =>
-  typeof value === 'string' && /^[A-Za-z0-9][A-Za-z0-9.-]{0,62}$/.test(value),
+const nodeName = form(
+  'a name of letters, digits, dots and dashes',
+  (value): value is string =>
+    typeof value === 'string' && /^[A-Za-z0-9][A-Za-z0-9.-]{0,62}$/.test(value),
 );
-const ipNumber = form('an IP number', (value): value is string =>
-  typeof value === 'string' && isIP(value) !== 0,
+const ipNumber = form(
+  'an IP number',
+  (value): value is string => typeof value === 'string' && isIP(value) !== 0,
 );
 const port = form('a port from 0 to 65535', (value): value is number =>
   isWhole(value, 0, LARGEST_PORT),
@@ -48,9 +51,7 @@
     names.some((name) => name === value),
   );
 
-const peer = t.exact(
-  t.type({ node: nodeName, zone: nodeName, host: ipNumber, port }),
-);
+const peer = t.exact(t.type({ node: nodeName, zone: nodeName, host: ipNumber, port }));
 
 const settingsCodec = t.exact(
   t.intersection([
@@ -167,7 +168,13 @@
   path: string | undefined,
   flags: Readonly<Record<string, unknown>>,
 ): E.Either<string[], Settings> {
-  const file = path === undefined ? E.right({}) : pipe(readText(path), E.chain((text) => parseYaml(path, text)));
+  const file =
+    path === undefined
+      ? E.right({})
+      : pipe(
+          readText(path),
+          E.chain((text) => parseYaml(path, text)),
+        );
   const given = Object.fromEntries(
     Object.entries(flags).filter(([, value]) => value !== undefined),
   );
--- a/src/dispatch/pool-client.ts
+++ b/src/dispatch/pool-client.ts
@@ -3,7 +3,13 @@
 import type { LeaderDirectory } from '../replication/leader-directory.js';
 import { shardOfPool } from '../replication/shard-map.js';
 import type { ShardMap } from '../replication/shard-map.js';
-import type { CallTicket, Message, PoolFinished, PoolReport, RunningCall } from '../wire/messages.js';
+import type {
+  CallTicket,
+  Message,
+  PoolFinished,
+  PoolReport,
+  RunningCall,
+} from '../wire/messages.js';
 
 /** Everything an owner has in one pool. */
 export interface PoolContent {
--- a/src/dispatch/pool-scheduler.ts
+++ b/src/dispatch/pool-scheduler.ts
@@ -2,7 +2,15 @@
  * Scheduler of one service's back ends, on the node that leads the pool's shard. All it knows is
  * rebuilt from the owners' reports and from the back ends, so it keeps nothing on disk.
  */
-import type { CallId, EngineId, GroupName, NodeId, ProgramId, ServiceName, ShardId } from '../model/identifiers.js';
+import type {
+  CallId,
+  EngineId,
+  GroupName,
+  NodeId,
+  ProgramId,
+  ServiceName,
+  ShardId,
+} from '../model/identifiers.js';
 import { enginesOf } from '../configuration/documents.js';
 import type { ClusterConfiguration } from '../configuration/documents.js';
 import type { BackEndPort, BackEndReport, Fence } from '../platform/back-end-port.js';
--- a/src/emulator/engine-model.ts
+++ b/src/emulator/engine-model.ts
@@ -138,7 +138,8 @@
     this.byCall.set(call, sequence);
     this.waiting.push(sequence);
     this.waiting.sort(
-      (left, right) => left.order.priority - right.order.priority || left.arrivedAt - right.arrivedAt,
+      (left, right) =>
+        left.order.priority - right.order.priority || left.arrivedAt - right.arrivedAt,
     );
     this.step();
   }
@@ -252,9 +253,7 @@
 
   private takeSnapshot(): BackEndReport {
     const loss = this.options.eventLoss ?? 0.1;
-    const evicted = this.cache
-      .takeEvicted()
-      .filter(() => this.runtime.random.uniform() >= loss);
+    const evicted = this.cache.takeEvicted().filter(() => this.runtime.random.uniform() >= loss);
     return {
       running: this.batch.length,
       waiting: this.waiting.length,
--- a/src/emulator/key-value-model.ts
+++ b/src/emulator/key-value-model.ts
@@ -121,7 +121,10 @@
       return;
     }
     if (!this.takeRequest()) {
-      fail({ tag: 'RateLimited', mayHaveApplied: false, detail: 'too many requests' }, this.latency);
+      fail(
+        { tag: 'RateLimited', mayHaveApplied: false, detail: 'too many requests' },
+        this.latency,
+      );
       return;
     }
     const lost = changes && this.runtime.random.uniform() < this.answerLoss;
--- a/src/emulator/tool-model.ts
+++ b/src/emulator/tool-model.ts
@@ -39,6 +39,8 @@
 export class ToolModel implements EmulatedBackEnd {
   readonly name: string;
   readonly executions: Execution[] = [];
+  /** While true, no call that begins is ever answered. */
+  hanging = false;
   private fences = new FenceGuard();
   private readonly running = new Map<CallId, ToolRun>();
   private readonly results = new Map<CallId, ToolResult>();
@@ -70,7 +72,7 @@
     const run: ToolRun = { listener };
     this.running.set(call, run);
     const { random } = this.runtime;
-    if (random.uniform() < (this.options.hangRate ?? 0)) {
+    if (this.hanging || random.uniform() < (this.options.hangRate ?? 0)) {
       return;
     }
     const median = this.options.medianMilliseconds ?? 60;
@@ -152,4 +154,3 @@
     run.listener({ type: 'finished', text, usage });
   }
 }
-
--- a/src/gateway/call-parsing.ts
+++ b/src/gateway/call-parsing.ts
@@ -106,7 +106,11 @@
     : E.left(malformed(`ivyloom-timeout: expected seconds up to ${LONGEST_TIMEOUT_SECONDS}`));
 }
 
-function checkService(context: ParsingContext, name: string, kind: 'model' | 'tool'): Checked<string> {
+function checkService(
+  context: ParsingContext,
+  name: string,
+  kind: 'model' | 'tool',
+): Checked<string> {
   const service = context.configuration.services.get(name);
   if (service === undefined || service.kind !== kind) {
     const known = [...context.configuration.services.values()]
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -47,6 +47,8 @@
   /** Text the caller has been sent. */
   received: string;
   owner: NodeId;
+  /** Times it was sent to an owner and not turned away for want of leadership. */
+  openSends: number;
   /** When the owner last proved to know the call. */
   heardAt: number;
   cancelDeadline: CancelTimer;
@@ -85,6 +87,7 @@
       streaming,
       received: '',
       owner: '',
+      openSends: 0,
       heardAt: runtime.now(),
       cancelDeadline: () => undefined,
     };
@@ -161,7 +164,7 @@
       case 'answered':
         return this.receiveAnswer(pending, message.event);
       case 'failed':
-        return this.finish(pending, message.event);
+        return this.finish(pending, withCertainty(pending, message.event));
     }
   }
 
@@ -174,6 +177,7 @@
     const pause = message.hint === '' ? RETRY_PAUSE_MILLISECONDS : 0;
     runtime.setTimer(pause, () => {
       if (pending !== undefined && this.calls.get(message.call) === pending) {
+        pending.openSends -= 1;
         this.sendToOwner(pending);
       }
       if (request !== undefined && this.programRequests.get(message.call) === request) {
@@ -231,6 +235,7 @@
     const shard = this.shardOf(pending);
     pending.owner = this.options.leaders.targetOf(shard);
     pending.heardAt = this.options.runtime.now();
+    pending.openSends += 1;
     const request = { ...pending.request, receivedText: pending.received };
     this.options.send(pending.owner, { type: 'submitCall', shard, request });
   }
@@ -297,6 +302,20 @@
   }
 }
 
+/**
+ * A refusal proves that a call did not run only when no other copy of it can still be on its way:
+ * one that was sent twice may be taken by the owner that hears of it last.
+ */
+function withCertainty(
+  pending: PendingCall,
+  event: Extract<CallEvent, { type: 'failed' }>,
+): CallEvent {
+  if (event.error.verdict !== 'NotRun' || pending.openSends <= 1) {
+    return event;
+  }
+  return { type: 'failed', error: { ...event.error, verdict: 'MayHaveRun' } };
+}
+
 function unavailableResult(action: ProgramAction): ProgramResult {
   const detail = 'The program has no reachable owner at the moment.';
   const reads = action === 'describe' || action === 'history' || action === 'findCall';
--- a/src/gateway/http-front.ts
+++ b/src/gateway/http-front.ts
@@ -109,7 +109,8 @@
     const authenticated = authenticate(request, this.node.configuration.current);
     if (E.isLeft(authenticated)) {
       // Until the configuration is known no key is: that is not the caller's fault.
-      const error = this.node.configuration.current.revision === 0 ? notReady() : authenticated.left;
+      const error =
+        this.node.configuration.current.revision === 0 ? notReady() : authenticated.left;
       request.resume();
       sendProblem(response, error);
       return;
--- /dev/null
+++ b/src/histories/checkers.ts
@@ -0,0 +1,306 @@
+/** Independent checkers of the ten promises; each reads a recorded run and names what broke. */
+import { digestConversation } from '../model/chat.js';
+import type { ChatMessage } from '../model/chat.js';
+import { expectedAnswer, expectedToolResult } from '../emulator/answer-text.js';
+import type { RecordedCall, RecordedHistory, RecordedRun } from './recorded-events.js';
+
+/** A promise that a run broke. */
+export interface Violation {
+  readonly condition: ConditionName;
+  readonly detail: string;
+}
+
+/** Names of the promises. */
+export type ConditionName =
+  | 'order'
+  | 'history'
+  | 'budget'
+  | 'memory'
+  | 'answer'
+  | 'not-run'
+  | 'at-most-once'
+  | 'leaving-back-end'
+  | 'planned-stop'
+  | 'configuration';
+
+/** A checker of one promise. */
+export type Checker = (run: RecordedRun) => string[];
+
+/** Time in which a leaving back end must have stopped receiving work, in milliseconds. */
+const LEAVING_MILLISECONDS = 5_000;
+/** Time in which an accepted change must be in force, in milliseconds. */
+const IN_FORCE_MILLISECONDS = 12_000;
+
+function byProgram<Item extends { readonly program: string }>(
+  items: readonly Item[],
+): Map<string, Item[]> {
+  const groups = new Map<string, Item[]>();
+  for (const item of items) {
+    const group = groups.get(item.program);
+    if (group === undefined) {
+      groups.set(item.program, [item]);
+    } else {
+      group.push(item);
+    }
+  }
+  return groups;
+}
+
+/** The calls of one program run in the order the program issued them. */
+export const checkOrder: Checker = (run) => {
+  const sequences = new Map(run.calls.map((call) => [call.call, call.sequence]));
+  const violations: string[] = [];
+  for (const [program, executions] of byProgram(run.executions)) {
+    let newest = 0;
+    for (const execution of [...executions].sort((left, right) => left.at - right.at)) {
+      const sequence = sequences.get(execution.call) ?? 0;
+      if (sequence < newest) {
+        violations.push(`${program}: call ${sequence} ran after call ${newest}`);
+      }
+      newest = Math.max(newest, sequence);
+    }
+  }
+  return violations;
+};
+
+function answeredCall(calls: readonly RecordedCall[], sequence: number): RecordedCall | undefined {
+  return calls.find((call) => call.sequence === sequence && call.result.type === 'answered');
+}
+
+/** True when a history continues at a place with these messages and an answer. */
+function continuesWith(
+  history: readonly ChatMessage[],
+  place: number,
+  messages: readonly ChatMessage[],
+): boolean {
+  const here = history.slice(place, place + messages.length);
+  const same = here.every(
+    (message, index) =>
+      message.role === messages[index]?.role && message.content === messages[index]?.content,
+  );
+  const answer = history[place + messages.length];
+  return same && here.length === messages.length && answer?.role === 'assistant';
+}
+
+function checkOneHistory(recorded: RecordedHistory, calls: readonly RecordedCall[]): string[] {
+  const { program, history, historyDigest } = recorded;
+  if (digestConversation(history) !== historyDigest) {
+    return [`${program}: the digest does not match the history`];
+  }
+  const violations: string[] = [];
+  const chats = calls.filter((call) => call.kind === 'chat');
+  const last = Math.max(0, ...chats.map((call) => call.sequence));
+  let place = 0;
+  for (let sequence = 1; sequence <= last; sequence += 1) {
+    const tries = chats.filter((call) => call.sequence === sequence);
+    const first = tries[0];
+    if (first === undefined) {
+      continue;
+    }
+    const present = continuesWith(history, place, first.messages);
+    const answered = answeredCall(chats, sequence);
+    if (answered !== undefined && !present) {
+      violations.push(`${program}: call ${sequence} was answered and is not in the history`);
+    }
+    if (present) {
+      const answer = history[place + first.messages.length]?.content;
+      const { result } = answered ?? first;
+      if (result.type === 'answered' && result.text !== answer) {
+        violations.push(`${program}: the history has another answer to call ${sequence}`);
+      }
+      place += first.messages.length + 1;
+    }
+  }
+  if (place !== history.length) {
+    violations.push(`${program}: ${history.length - place} messages belong to no call of it`);
+  }
+  return violations;
+}
+
+/** A program's history is never lost and never mixed with another's. */
+export const checkHistory: Checker = (run) => {
+  const calls = byProgram(run.calls);
+  const lost = run.unreadable.map((program) => `${program}: the history could not be read`);
+  const wrong = run.histories.flatMap((history) =>
+    checkOneHistory(history, calls.get(history.program) ?? []),
+  );
+  return [...lost, ...wrong];
+};
+
+/** A group's budget is never exceeded. */
+export const checkBudget: Checker = (run) =>
+  run.accounts.flatMap((account) => {
+    const { group, budget, granted, spent, reserved } = account;
+    const answered = run.calls.filter((call) => call.group === group);
+    const used = new Map<string, number>();
+    for (const call of answered) {
+      if (call.result.type === 'answered') {
+        used.set(`${call.program}:${call.sequence}`, call.result.tokens);
+      }
+    }
+    const total = [...used.values()].reduce((sum, tokens) => sum + tokens, 0);
+    const violations: string[] = [];
+    if (total > budget) {
+      violations.push(`${group}: ${total} tokens answered, budget ${budget}`);
+    }
+    if (granted > budget) {
+      violations.push(`${group}: ${granted} tokens granted, budget ${budget}`);
+    }
+    if (spent + reserved > granted) {
+      violations.push(`${group}: ${spent} spent and ${reserved} reserved of ${granted} granted`);
+    }
+    if (spent < total) {
+      violations.push(`${group}: ${total} tokens answered, only ${spent} accounted for`);
+    }
+    return violations;
+  });
+
+/** Engine memory held for a program that is gone is given back. */
+export const checkMemory: Checker = (run) => {
+  const ended = new Set(run.endedPrograms);
+  return run.holds
+    .filter((hold) => ended.has(hold.program))
+    .map((hold) => `${hold.engine} still holds memory of ${hold.program}`);
+};
+
+/** A caller receives the whole answer to its own request. */
+export const checkAnswer: Checker = (run) => {
+  const violations: string[] = [];
+  for (const [program, calls] of byProgram(run.calls)) {
+    const history = run.histories.find((recorded) => recorded.program === program)?.history;
+    const chats = calls.filter((call) => call.kind === 'chat');
+    for (const call of calls) {
+      if (call.result.type !== 'answered') {
+        continue;
+      }
+      if (call.streaming && call.streamed !== call.result.text) {
+        violations.push(`${program}: the stream of call ${call.sequence} is not its answer`);
+      }
+      const expected =
+        call.kind === 'tool'
+          ? expectedToolResult(call.payload)
+          : expectedChatAnswer(call, chats, history);
+      if (expected !== undefined && expected !== call.result.text) {
+        violations.push(`${program}: call ${call.sequence} got an answer to something else`);
+      }
+    }
+  }
+  return violations;
+};
+
+/** The answer that follows from the conversation before a call, as the history has it. */
+function expectedChatAnswer(
+  call: RecordedCall,
+  chats: readonly RecordedCall[],
+  history: readonly ChatMessage[] | undefined,
+): string | undefined {
+  const first = call.messages[0];
+  const place = history?.findIndex((message) => message.content === first?.content) ?? -1;
+  if (history === undefined || place < 0 || chats.length === 0) {
+    return undefined;
+  }
+  const conversation = history.slice(0, place + call.messages.length);
+  return expectedAnswer(conversation, call.maximumTokens);
+}
+
+/** What is reported as "not run" did not run. */
+export const checkNotRun: Checker = (run) => {
+  const ran = new Set(run.executions.map((execution) => execution.call));
+  return run.calls
+    .filter((call) => call.result.type === 'failed' && call.result.error.verdict === 'NotRun')
+    .filter((call) => ran.has(call.call))
+    .map((call) => `${call.program}: call ${call.sequence} was reported as not run, yet it ran`);
+};
+
+/** A request marked as not repeatable runs at most once. */
+export const checkAtMostOnce: Checker = (run) => {
+  const calls = new Map(run.calls.map((call) => [call.call, call]));
+  const runs = new Map<string, number>();
+  for (const execution of run.executions) {
+    const call = calls.get(execution.call);
+    if (call !== undefined && !call.repeatable) {
+      const key = `${call.program}:${call.sequence}`;
+      runs.set(key, (runs.get(key) ?? 0) + 1);
+    }
+  }
+  return [...runs]
+    .filter(([, count]) => count > 1)
+    .map(([key, count]) => `${key} is not repeatable and ran ${count} times`);
+};
+
+/** A back end that is leaving receives no new work after a few seconds. */
+export const checkLeavingBackEnd: Checker = (run) =>
+  run.changes.flatMap((change) => {
+    if (change.drains === '') {
+      return [];
+    }
+    const resumed = run.changes.find(
+      (other) => other.resumes === change.drains && other.revision > change.revision,
+    );
+    const from = change.at + LEAVING_MILLISECONDS;
+    const until = resumed?.at ?? Infinity;
+    return run.executions
+      .filter((execution) => execution.engine === change.drains)
+      .filter((execution) => execution.at > from && execution.at < until)
+      .map((execution) => `${change.drains} got ${execution.call} while it was leaving`);
+  });
+
+/** A planned stop cuts no request in flight. */
+export const checkPlannedStop: Checker = (run) =>
+  run.stops.flatMap((stop) =>
+    run.calls
+      .filter((call) => call.node === stop.node && call.result.type === 'broken')
+      .filter((call) => call.sentAt <= stop.endedAt && call.endedAt >= stop.beganAt)
+      .map((call) => `${call.program}: call ${call.sequence} was cut by the stop of ${stop.node}`),
+  );
+
+/** An accepted configuration is in force everywhere within seconds and never reverts. */
+export const checkConfiguration: Checker = (run) => {
+  const violations: string[] = [];
+  for (const node of new Set(run.revisions.map((revision) => revision.node))) {
+    const seen = run.revisions.filter((revision) => revision.node === node);
+    seen.forEach((revision, index) => {
+      const before = seen[index - 1];
+      if (before !== undefined && revision.revision < before.revision) {
+        violations.push(`${node} went from revision ${before.revision} to ${revision.revision}`);
+      }
+    });
+    if (run.livingNodes.includes(node)) {
+      violations.push(...lateChanges(run, node));
+    }
+  }
+  return violations;
+};
+
+function lateChanges(run: RecordedRun, node: string): string[] {
+  const calmFrom = Math.max(0, ...run.disturbances.map((disturbance) => disturbance.until));
+  return run.changes.flatMap((change) => {
+    const due = Math.max(change.at, calmFrom) + IN_FORCE_MILLISECONDS;
+    const inForce = run.revisions.find(
+      (revision) => revision.node === node && revision.revision >= change.revision,
+    );
+    const late = due < run.endedAt && (inForce === undefined || inForce.at > due);
+    return late ? [`${node} had revision ${change.revision} not in force in time`] : [];
+  });
+}
+
+/** Every promise with its checker. */
+export const CHECKERS: Readonly<Record<ConditionName, Checker>> = {
+  order: checkOrder,
+  history: checkHistory,
+  budget: checkBudget,
+  memory: checkMemory,
+  answer: checkAnswer,
+  'not-run': checkNotRun,
+  'at-most-once': checkAtMostOnce,
+  'leaving-back-end': checkLeavingBackEnd,
+  'planned-stop': checkPlannedStop,
+  configuration: checkConfiguration,
+};
+
+/** Checks every promise. */
+export function checkRun(run: RecordedRun): Violation[] {
+  return Object.entries(CHECKERS).flatMap(([condition, check]) =>
+    check(run).map((detail) => ({ condition: condition as ConditionName, detail })),
+  );
+}
--- /dev/null
+++ b/src/histories/history-caller.ts
@@ -0,0 +1,238 @@
+/** A caller of a history: runs one program, repeats what it may, and records what it saw. */
+import type { CallEvent, CallRequest } from '../model/call.js';
+import type { Runtime } from '../runtime/runtime.js';
+import type { SimulatedCluster } from '../simulation/simulated-cluster.js';
+import type { ConnectionOrder, NetworkEnd } from '../simulation/simulated-network.js';
+import type { RecordedCall, RecordedRun } from './recorded-events.js';
+
+/** One call that a caller will make. */
+export interface PlannedCall {
+  readonly service: string;
+  readonly kind: 'chat' | 'tool';
+  readonly repeatable: boolean;
+  readonly streaming: boolean;
+  readonly text: string;
+  readonly pauseMilliseconds: number;
+}
+
+/** A program that a caller will run. */
+export interface PlannedProgram {
+  readonly program: string;
+  readonly group: string;
+  readonly calls: readonly PlannedCall[];
+}
+
+/** What a caller is made with. */
+export interface HistoryCallerOptions {
+  readonly cluster: SimulatedCluster;
+  readonly run: RecordedRun;
+  readonly end: NetworkEnd;
+  readonly runtime: Runtime;
+  readonly plan: PlannedProgram;
+  readonly done: () => void;
+}
+
+const TIMEOUT_MILLISECONDS = 15_000;
+const MAXIMUM_TRIES = 12;
+const RETRY_MILLISECONDS = 400;
+const MAXIMUM_ANSWER_TOKENS = 48;
+
+/** See the head of this file. */
+export class HistoryCaller {
+  private made = 0;
+
+  constructor(private readonly options: HistoryCallerOptions) {}
+
+  /** Begins with the first call. */
+  start(): void {
+    this.runCall(0, 1);
+  }
+
+  private runCall(index: number, tries: number): void {
+    const { plan, runtime, done } = this.options;
+    const planned = plan.calls[index];
+    if (planned === undefined) {
+      this.endProgram();
+      done();
+      return;
+    }
+    const pause = tries === 1 ? planned.pauseMilliseconds : RETRY_MILLISECONDS;
+    runtime.setTimer(pause, () => {
+      this.send(planned, index + 1, (call) => this.afterCall(index, tries, call));
+    });
+  }
+
+  private afterCall(index: number, tries: number, call: RecordedCall): void {
+    const { result } = call;
+    const { done } = this.options;
+    if (result.type === 'answered') {
+      this.runCall(index + 1, 1);
+      return;
+    }
+    const final =
+      result.type === 'failed' &&
+      ['BudgetSpent', 'Stopped', 'Forbidden'].includes(result.error.tag);
+    if (final || tries >= MAXIMUM_TRIES) {
+      done();
+      return;
+    }
+    // The sequence makes a repeat safe, whatever became of the try before.
+    const recorded = result.type === 'failed' && result.error.verdict !== 'NotRun';
+    if (recorded && !call.repeatable && tries > 3) {
+      this.runCall(index + 1, 1);
+      return;
+    }
+    this.runCall(index, tries + 1);
+  }
+
+  private send(planned: PlannedCall, sequence: number, done: (call: RecordedCall) => void): void {
+    const { cluster, run, end, runtime } = this.options;
+    const node = runtime.random.pick(cluster.nodeNames);
+    this.made += 1;
+    const request = this.requestOf(planned, sequence);
+    const call = createRecord(request, planned, node, cluster.clock.now);
+    run.calls.push(call);
+    const target = cluster.endOf(node);
+    const asking: ConnectionOrder = { lastArrival: 0 };
+    const answering: ConnectionOrder = { lastArrival: 0 };
+    const settle = (result: RecordedCall['result']): void => {
+      if (call.result.type === 'pending') {
+        call.result = result;
+        call.endedAt = cluster.clock.now;
+        done(call);
+      }
+    };
+    const broken = (): void => settle({ type: 'broken' });
+    cluster.network.deliverInOrder(
+      asking,
+      end,
+      target,
+      () => {
+        const gateway = cluster.node(node)?.gateway;
+        const relay = (event: CallEvent): void =>
+          cluster.network.deliverInOrder(
+            answering,
+            target,
+            end,
+            () => this.receive(call, event, settle),
+            broken,
+          );
+        gateway?.submit(request, planned.streaming, relay);
+      },
+      // Nothing was sent: the connection was refused.
+      () => settle({ type: 'failed', error: refusedConnection() }),
+    );
+    this.watchConnection(node, call, answering, broken);
+  }
+
+  /** A connection to a process that dies breaks; the caller sees it. */
+  private watchConnection(
+    node: string,
+    call: RecordedCall,
+    answering: ConnectionOrder,
+    broken: () => void,
+  ): void {
+    const { cluster, runtime } = this.options;
+    const life = cluster.node(node);
+    const look = (): void => {
+      if (call.result.type !== 'pending') {
+        return;
+      }
+      const sentLongAgo = cluster.clock.now - call.sentAt > 100;
+      // The end of a connection arrives behind what was sent on it.
+      const allArrived = cluster.clock.now > answering.lastArrival;
+      if (sentLongAgo && allArrived && cluster.node(node) !== life) {
+        broken();
+        return;
+      }
+      if (cluster.clock.now - call.sentAt > 2 * TIMEOUT_MILLISECONDS) {
+        broken();
+        return;
+      }
+      runtime.setTimer(100, look);
+    };
+    runtime.setTimer(100, look);
+  }
+
+  private receive(
+    call: RecordedCall,
+    event: CallEvent,
+    settle: (result: RecordedCall['result']) => void,
+  ): void {
+    if (event.type === 'piece') {
+      call.streamed += event.text;
+    } else if (event.type === 'failed') {
+      settle({ type: 'failed', error: event.error });
+    } else {
+      const { text, usage } = event.answer;
+      settle({ type: 'answered', text, tokens: usage.promptTokens + usage.completionTokens });
+    }
+  }
+
+  private requestOf(planned: PlannedCall, sequence: number): CallRequest {
+    const { plan } = this.options;
+    const chat = planned.kind === 'chat';
+    return {
+      call: `c-${plan.program}-${this.made}`,
+      program: plan.program,
+      group: plan.group,
+      service: planned.service,
+      callClass: 'interactive',
+      sequence,
+      idempotencyKey: '',
+      repeatable: planned.repeatable,
+      messages: chat ? [{ role: 'user', content: planned.text }] : [],
+      payload: chat ? '' : planned.text,
+      maximumTokens: MAXIMUM_ANSWER_TOKENS,
+      timeoutMilliseconds: TIMEOUT_MILLISECONDS,
+      endsProgram: false,
+      receivedText: '',
+    };
+  }
+
+  private endProgram(): void {
+    const { cluster, run, plan, runtime } = this.options;
+    const node = cluster.node(runtime.random.pick(cluster.nodeNames));
+    const { program, group } = plan;
+    node?.gateway.requestProgram(`end-${program}`, 'end', program, group, (result) => {
+      if (result.status === 200) {
+        run.endedPrograms.push(program);
+      }
+    });
+  }
+}
+
+function refusedConnection(): {
+  tag: 'Unavailable';
+  verdict: 'NotRun';
+  detail: string;
+  retryAfterSeconds: number;
+} {
+  return { tag: 'Unavailable', verdict: 'NotRun', detail: 'refused', retryAfterSeconds: 1 };
+}
+
+function createRecord(
+  request: CallRequest,
+  planned: PlannedCall,
+  node: string,
+  sentAt: number,
+): RecordedCall {
+  return {
+    call: request.call,
+    program: request.program,
+    group: request.group,
+    sequence: request.sequence,
+    service: request.service,
+    kind: planned.kind,
+    repeatable: planned.repeatable,
+    messages: request.messages,
+    payload: request.payload,
+    maximumTokens: request.maximumTokens,
+    node,
+    sentAt,
+    streamed: '',
+    streaming: planned.streaming,
+    result: { type: 'pending' },
+    endedAt: Infinity,
+  };
+}
--- a/src/language/change-configuration.ts
+++ b/src/language/change-configuration.ts
@@ -112,7 +112,11 @@
     case 'resume': {
       const { name } = statement;
       const draining = statement.type === 'drain';
-      return { kind: 'engine', name, edit: (current) => amend('engine', name, current, { draining }) };
+      return {
+        kind: 'engine',
+        name,
+        edit: (current) => amend('engine', name, current, { draining }),
+      };
     }
   }
 }
--- a/src/language/evaluate-rows.ts
+++ b/src/language/evaluate-rows.ts
@@ -39,9 +39,7 @@
 
 /** Name of an aggregate's column. */
 export function aggregateName(aggregate: Aggregate): string {
-  return aggregate.column === ''
-    ? aggregate.function
-    : `${aggregate.function}_${aggregate.column}`;
+  return aggregate.column === '' ? aggregate.function : `${aggregate.function}_${aggregate.column}`;
 }
 
 function computeAggregate(rows: readonly Row[], aggregate: Aggregate): number {
@@ -95,8 +93,7 @@
   if (orderBy !== undefined) {
     const direction = orderBy.descending ? -1 : 1;
     shaped.sort(
-      (left, right) =>
-        direction * compare(left[orderBy.column], right[orderBy.column] ?? ''),
+      (left, right) => direction * compare(left[orderBy.column], right[orderBy.column] ?? ''),
     );
   }
   return statement.limit === undefined ? shaped : shaped.slice(0, statement.limit);
--- a/src/language/parse-statement.ts
+++ b/src/language/parse-statement.ts
@@ -135,35 +135,40 @@
   });
 
   private readonly direction = this.RULE('direction', (): string =>
-    wordOf(this.OR<IToken>([
-      { ALT: () => this.CONSUME(KEYWORDS.asc) },
-      { ALT: () => this.CONSUME(KEYWORDS.desc) },
-    ])),
+    wordOf(
+      this.OR<IToken>([
+        { ALT: () => this.CONSUME(KEYWORDS.asc) },
+        { ALT: () => this.CONSUME(KEYWORDS.desc) },
+      ]),
+    ),
   );
 
   private readonly aggregate = this.RULE('aggregate', (): Aggregate => {
-    const name = wordOf(this.OR1<IToken>([
-      { ALT: () => this.CONSUME(KEYWORDS.count) },
-      { ALT: () => this.CONSUME(KEYWORDS.sum) },
-      { ALT: () => this.CONSUME(KEYWORDS.avg) },
-      { ALT: () => this.CONSUME(KEYWORDS.max) },
-      { ALT: () => this.CONSUME(KEYWORDS.p95) },
-    ]));
+    const name = wordOf(
+      this.OR1<IToken>([
+        { ALT: () => this.CONSUME(KEYWORDS.count) },
+        { ALT: () => this.CONSUME(KEYWORDS.sum) },
+        { ALT: () => this.CONSUME(KEYWORDS.avg) },
+        { ALT: () => this.CONSUME(KEYWORDS.max) },
+        { ALT: () => this.CONSUME(KEYWORDS.p95) },
+      ]),
+    );
     this.CONSUME(Open);
-    const column = imageOf(this.OR2<IToken>([
-      { ALT: () => this.CONSUME(Star) },
-      { ALT: () => this.CONSUME(Name) },
-    ]));
+    const column = imageOf(
+      this.OR2<IToken>([{ ALT: () => this.CONSUME(Star) }, { ALT: () => this.CONSUME(Name) }]),
+    );
     this.CONSUME(Close);
     return { function: name as Aggregate['function'], column: column === '*' ? '' : column };
   });
 
   private readonly condition = this.RULE('condition', (): Condition => {
     const column = this.CONSUME(Name).image;
-    const comparison = wordOf(this.OR<IToken>([
-      { ALT: () => this.CONSUME(Comparator) },
-      { ALT: () => this.CONSUME(KEYWORDS.like) },
-    ])) as Comparison;
+    const comparison = wordOf(
+      this.OR<IToken>([
+        { ALT: () => this.CONSUME(Comparator) },
+        { ALT: () => this.CONSUME(KEYWORDS.like) },
+      ]),
+    ) as Comparison;
     const value = this.SUBRULE(this.value);
     return { column, comparison, value };
   });
@@ -191,20 +196,26 @@
     ]),
   );
 
-  private readonly kind = this.RULE('kind', (): ObjectKind =>
-    wordOf(this.OR<IToken>([
-      { ALT: () => this.CONSUME(KEYWORDS.group) },
-      { ALT: () => this.CONSUME(KEYWORDS.service) },
-      { ALT: () => this.CONSUME(KEYWORDS.engine) },
-      { ALT: () => this.CONSUME(KEYWORDS.key) },
-    ])) as ObjectKind,
+  private readonly kind = this.RULE(
+    'kind',
+    (): ObjectKind =>
+      wordOf(
+        this.OR<IToken>([
+          { ALT: () => this.CONSUME(KEYWORDS.group) },
+          { ALT: () => this.CONSUME(KEYWORDS.service) },
+          { ALT: () => this.CONSUME(KEYWORDS.engine) },
+          { ALT: () => this.CONSUME(KEYWORDS.key) },
+        ]),
+      ) as ObjectKind,
   );
 
   private readonly assign = this.RULE('assign', (): Statement => {
-    const verb = wordOf(this.OR<IToken>([
-      { ALT: () => this.CONSUME(KEYWORDS.set) },
-      { ALT: () => this.CONSUME(KEYWORDS.create) },
-    ])) as 'set' | 'create';
+    const verb = wordOf(
+      this.OR<IToken>([
+        { ALT: () => this.CONSUME(KEYWORDS.set) },
+        { ALT: () => this.CONSUME(KEYWORDS.create) },
+      ]),
+    ) as 'set' | 'create';
     const kind = this.SUBRULE(this.kind);
     const name = this.SUBRULE(this.name);
     const properties: Record<string, RowValue> = {};
@@ -225,10 +236,12 @@
   });
 
   private readonly drain = this.RULE('drain', (): Statement => {
-    const verb = wordOf(this.OR<IToken>([
-      { ALT: () => this.CONSUME(KEYWORDS.drain) },
-      { ALT: () => this.CONSUME(KEYWORDS.resume) },
-    ])) as 'drain' | 'resume';
+    const verb = wordOf(
+      this.OR<IToken>([
+        { ALT: () => this.CONSUME(KEYWORDS.drain) },
+        { ALT: () => this.CONSUME(KEYWORDS.resume) },
+      ]),
+    ) as 'drain' | 'resume';
     this.CONSUME(KEYWORDS.engine);
     return { type: verb, name: this.SUBRULE(this.name) };
   });
@@ -241,10 +254,12 @@
 
   private readonly explain = this.RULE('explain', (): Statement => {
     this.CONSUME(KEYWORDS.explain);
-    const subject = wordOf(this.OR<IToken>([
-      { ALT: () => this.CONSUME(KEYWORDS.call) },
-      { ALT: () => this.CONSUME(KEYWORDS.program) },
-    ])) as 'call' | 'program';
+    const subject = wordOf(
+      this.OR<IToken>([
+        { ALT: () => this.CONSUME(KEYWORDS.call) },
+        { ALT: () => this.CONSUME(KEYWORDS.program) },
+      ]),
+    ) as 'call' | 'program';
     return { type: 'explain', subject, name: this.SUBRULE(this.name) };
   });
 }
--- a/src/language/run-statement.ts
+++ b/src/language/run-statement.ts
@@ -199,7 +199,10 @@
     const calls = Array.isArray(body['calls']) ? (body['calls'] as Row[]) : [];
     const last = calls[calls.length - 1];
     if (last !== undefined) {
-      rows.push({ property: 'last call', value: `${String(last['call'])}: ${String(last['state'])}` });
+      rows.push({
+        property: 'last call',
+        value: `${String(last['call'])}: ${String(last['state'])}`,
+      });
     }
     const verdict: Verdict | undefined = action === 'stop' ? 'Ran' : undefined;
     listener(
--- a/src/language/tables.ts
+++ b/src/language/tables.ts
@@ -70,7 +70,7 @@
   },
   {
     name: 'nodes',
-    meaning: 'the system\'s own nodes',
+    meaning: "the system's own nodes",
     columns: [
       column('node', '', 'name of the node'),
       column('zone', '', 'zone it stands in'),
--- a/src/node/node-rows.ts
+++ b/src/node/node-rows.ts
@@ -4,7 +4,14 @@
 import type { Row } from './row-collector.js';
 
 /** Tables that are collected from nodes. */
-export const COLLECTED_TABLES = ['calls', 'programs', 'engines', 'nodes', 'groups', 'holds'] as const;
+export const COLLECTED_TABLES = [
+  'calls',
+  'programs',
+  'engines',
+  'nodes',
+  'groups',
+  'holds',
+] as const;
 
 function ledRoles(node: IvyloomNode): ShardRoles[] {
   return node.listShards().filter((roles) => roles.host.canServe());
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -12,6 +12,7 @@
 import { setRepeatingTimer } from '../runtime/runtime.js';
 import type { CancelTimer } from '../runtime/runtime.js';
 import type {
+  AccountingMessage,
   CallProbe,
   HoldCheck,
   Message,
@@ -179,6 +180,24 @@
         return this.receiveProgramRequest(from, message);
       case 'programReply':
         return this.gateway.receiveProgramReply(message);
+      case 'configurationAnnounce':
+        return this.configuration.receiveAnnounce(from, message);
+      case 'configurationFetch':
+        return this.configuration.receiveFetch(from, message);
+      case 'configurationTransfer':
+        return this.configuration.receiveTransfer(from, message);
+      case 'rowsRequest':
+        return this.rows.receiveRequest(from, message);
+      case 'rowsReply':
+        return this.rows.receiveReply(from, message);
+      default:
+        return this.receiveAccounting(from, message);
+    }
+  }
+
+  /** Messages between owners, pool schedulers and ledgers. */
+  private receiveAccounting(from: NodeId, message: AccountingMessage): void {
+    switch (message.type) {
       case 'poolReport':
         return this.receivePoolReport(from, message);
       case 'poolAssignment':
@@ -203,20 +222,6 @@
         return this.shards.get(message.holder)?.slices.receiveReply(message);
       case 'sliceReturnSettled':
         return this.shards.get(message.holder)?.slices.receiveSettled(message);
-      case 'configurationAnnounce':
-        return this.configuration.receiveAnnounce(from, message);
-      case 'configurationFetch':
-        return this.configuration.receiveFetch(from, message);
-      case 'configurationTransfer':
-        return this.configuration.receiveTransfer(from, message);
-      case 'rowsRequest':
-        return this.rows.receiveRequest(from, message);
-      case 'rowsReply':
-        return this.rows.receiveReply(from, message);
-      case 'ping':
-      case 'pingReply':
-      case 'pingRequest':
-        return undefined;
     }
   }
 
@@ -291,7 +296,12 @@
       return;
     }
     const hint = roles?.host.leaderHint ?? '';
-    this.send(from, { type: 'notLeader', shard, call, hint: hint === this.options.self ? '' : hint });
+    this.send(from, {
+      type: 'notLeader',
+      shard,
+      call,
+      hint: hint === this.options.self ? '' : hint,
+    });
   }
 
   private receiveNotLeader(from: NodeId, message: NotLeader): void {
--- a/src/node/shard-roles.ts
+++ b/src/node/shard-roles.ts
@@ -118,7 +118,11 @@
   private changeLeadership(leading: boolean): void {
     const { runtime, self } = this.context.options;
     const { shard, term } = this.host;
-    runtime.log('info', leading ? 'leads shard' : 'leads shard no more', { shard, term, node: self });
+    runtime.log('info', leading ? 'leads shard' : 'leads shard no more', {
+      shard,
+      term,
+      node: self,
+    });
     if (leading) {
       this.owner.takeOver();
     } else {
--- a/src/platform/back-end-port.ts
+++ b/src/platform/back-end-port.ts
@@ -1,11 +1,5 @@
 /** The port to model engines and tool services. One adapter speaks HTTP; a stand-in is in-process. */
-import type {
-  CallId,
-  EngineId,
-  ProgramId,
-  ServiceName,
-  ShardId,
-} from '../model/identifiers.js';
+import type { CallId, EngineId, ProgramId, ServiceName, ShardId } from '../model/identifiers.js';
 import type { ChatMessage } from '../model/chat.js';
 import type { Usage } from '../model/call.js';
 import type { Verdict } from '../model/verdict.js';
@@ -84,4 +78,3 @@
   /** Asks for a report. */
   report(engine: EngineId, listener: (report: BackEndReport) => void): void;
 }
-
--- a/src/platform/etcd-key-value.ts
+++ b/src/platform/etcd-key-value.ts
@@ -53,7 +53,10 @@
 
 /** See the head of this file. */
 export class EtcdKeyValue implements KeyValuePort {
-  private readonly agent = new Agent({ bodyTimeout: 0, connect: { timeout: REQUEST_MILLISECONDS } });
+  private readonly agent = new Agent({
+    bodyTimeout: 0,
+    connect: { timeout: REQUEST_MILLISECONDS },
+  });
   private closed = false;
 
   constructor(private readonly options: EtcdKeyValueOptions) {}
--- a/src/platform/http-back-ends.ts
+++ b/src/platform/http-back-ends.ts
@@ -26,7 +26,12 @@
 /** Longest silence of a stream, in milliseconds. */
 const SILENCE_MILLISECONDS = 60_000;
 /** Errors after which the request cannot have arrived. */
-const NEVER_ARRIVED = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+const NEVER_ARRIVED = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
 
 const UNREACHABLE: BackEndReport = {
   running: 0,
@@ -216,7 +221,11 @@
     if (response.statusCode !== 200) {
       const problem = (await response.body.json()) as { verdict?: unknown; detail?: string };
       const verdict = isVerdict(problem.verdict) ? problem.verdict : 'MayHaveRun';
-      listener({ type: 'failed', verdict, detail: problem.detail ?? `status ${response.statusCode}` });
+      listener({
+        type: 'failed',
+        verdict,
+        detail: problem.detail ?? `status ${response.statusCode}`,
+      });
       return;
     }
     const reader = new EventStreamReader();
--- a/src/program/apply-command.ts
+++ b/src/program/apply-command.ts
@@ -213,7 +213,7 @@
     return refuseForeign();
   }
   const earlier = findRepeated(program, request);
-  if (earlier !== undefined) {
+  if (earlier !== undefined && !mayTakeAgain(program, earlier, request)) {
     return answerRepeat(earlier, request);
   }
   const refusal =
@@ -242,6 +242,17 @@
   return undefined;
 }
 
+/**
+ * A call that provably did not run leaves its place free for another try, unless later calls have
+ * come. The same call, arriving once more over the network, is never taken again: its caller may
+ * have been told already that it did not run.
+ */
+function mayTakeAgain(program: ProgramRecord, earlier: CallRecord, request: CallRequest): boolean {
+  const isLast = earlier.sequence === program.nextSequence - 1;
+  const neverRan = earlier.status === 'failed' && earlier.error?.verdict === 'NotRun';
+  return isLast && neverRan && earlier.call !== request.call && program.end === undefined;
+}
+
 function answerRepeat(earlier: CallRecord, request: CallRequest): CommandOutcome {
   if (earlier.requestDigest === digestRequest(request)) {
     return { type: 'repeated', record: earlier };
@@ -278,7 +289,8 @@
   program: ProgramRecord,
   command: AcceptCallCommand,
 ): CallRecord {
-  const sequence = program.nextSequence;
+  const earlier = findRepeated(program, command.request);
+  const sequence = earlier?.sequence ?? program.nextSequence;
   const request: CallRequest = { ...command.request, sequence, receivedText: '' };
   const record: CallRecord = {
     call: request.call,
@@ -290,7 +302,7 @@
     idempotencyKey: request.idempotencyKey,
     reserved: command.reserve,
   };
-  program.nextSequence += 1;
+  program.nextSequence = sequence + 1;
   program.lastActivityAt = command.at;
   program.calls.set(sequence, record);
   state.callIndex.set(record.call, { program: program.program, sequence });
@@ -413,12 +425,7 @@
   }
 }
 
-function stopCall(
-  state: ShardState,
-  program: ProgramRecord,
-  record: CallRecord,
-  at: number,
-): void {
+function stopCall(state: ShardState, program: ProgramRecord, record: CallRecord, at: number): void {
   const verdict = record.status === 'intended' ? 'MayHaveRun' : 'NotRun';
   const error: CallError = {
     tag: 'Stopped',
--- a/src/program/shard-owner.ts
+++ b/src/program/shard-owner.ts
@@ -409,9 +409,8 @@
     const { program, call: name } = call.request;
     const { sequence } = call;
     const at = runtime.wallTime();
-    host.propose(
-      { type: 'answerCall', at, program, sequence, call: name, text, usage },
-      (result) => this.finishCommitted(call, result),
+    host.propose({ type: 'answerCall', at, program, sequence, call: name, text, usage }, (result) =>
+      this.finishCommitted(call, result),
     );
   }
 
@@ -421,9 +420,8 @@
     const { program, call: name } = call.request;
     const { sequence } = call;
     const at = runtime.wallTime();
-    host.propose(
-      { type: 'failCall', at, program, sequence, call: name, error, usage },
-      (result) => this.finishCommitted(call, result),
+    host.propose({ type: 'failCall', at, program, sequence, call: name, error, usage }, (result) =>
+      this.finishCommitted(call, result),
     );
   }
 
@@ -646,7 +644,11 @@
   private finishInPool(
     call: CallId,
     program: ProgramId,
-    place: { readonly engine: string; readonly service?: ServiceName; readonly request?: CallRequest },
+    place: {
+      readonly engine: string;
+      readonly service?: ServiceName;
+      readonly request?: CallRequest;
+    },
     outcome: FinishOutcome,
     usage: Usage = NO_USAGE,
     live?: LiveCall,
--- a/src/replication/level-storage.ts
+++ b/src/replication/level-storage.ts
@@ -29,9 +29,7 @@
   lastIndex: number;
 }
 
-type Operation =
-  | { type: 'put'; key: string; value: string }
-  | { type: 'del'; key: string };
+type Operation = { type: 'put'; key: string; value: string } | { type: 'del'; key: string };
 
 interface PendingWrite {
   readonly operations: readonly Operation[];
@@ -92,11 +90,7 @@
   ) {}
 
   /** Opens the data folder and reads the replicas of a number of shards. */
-  static async open(
-    folder: string,
-    shardCount: number,
-    runtime: Runtime,
-  ): Promise<LoadedStorage> {
+  static async open(folder: string, shardCount: number, runtime: Runtime): Promise<LoadedStorage> {
     const database = new ClassicLevel<string, string>(join(folder, 'replicas'));
     await database.open();
     const storage = new LevelStorage(database, runtime);
--- a/src/replication/raft-replica.ts
+++ b/src/replication/raft-replica.ts
@@ -621,9 +621,7 @@
       return;
     }
     const matched = this.voters.map((voter) =>
-      voter === this.options.self
-        ? this.durableIndex
-        : (this.progress.get(voter)?.matchIndex ?? 0),
+      voter === this.options.self ? this.durableIndex : (this.progress.get(voter)?.matchIndex ?? 0),
     );
     matched.sort((left, right) => right - left);
     const index = matched[this.quorum - 1] ?? 0;
--- a/src/replication/shard-map.ts
+++ b/src/replication/shard-map.ts
@@ -1,6 +1,13 @@
 /** Which nodes replicate which shard, and which shard a program, group or service belongs to. */
 import { hashText, hashToNumber } from '../runtime/hashing.js';
-import type { GroupName, NodeId, ProgramId, ServiceName, ShardId, ZoneName } from '../model/identifiers.js';
+import type {
+  GroupName,
+  NodeId,
+  ProgramId,
+  ServiceName,
+  ShardId,
+  ZoneName,
+} from '../model/identifiers.js';
 import { rootOf } from '../program/program-name.js';
 
 /** Replicas of a shard, in distinct zones where there are enough. */
--- a/src/simulation/simulated-back-ends.ts
+++ b/src/simulation/simulated-back-ends.ts
@@ -123,19 +123,19 @@
     const broken = (): void =>
       tell({ type: 'failed', verdict: 'MayHaveRun', detail: 'the stream broke' });
     const back = (event: BackEndEvent): void => {
-      network.deliverInOrder(answers, target.end, end, () => tell(event), () => undefined);
+      network.deliverInOrder(
+        answers,
+        target.end,
+        end,
+        () => tell(event),
+        () => undefined,
+      );
       if (!network.isConnected(target.end, end)) {
         runtime.setTimer(CONNECT_TIMEOUT_MILLISECONDS, broken);
       }
     };
     const opening: ConnectionOrder = { lastArrival: 0 };
-    network.deliverInOrder(
-      opening,
-      end,
-      target.end,
-      () => open(target.backEnd, back),
-      broken,
-    );
+    network.deliverInOrder(opening, end, target.end, () => open(target.backEnd, back), broken);
     return () => {
       over = true;
       this.cancel(engine, call);
--- a/src/simulation/simulated-cluster.ts
+++ b/src/simulation/simulated-cluster.ts
@@ -85,7 +85,9 @@
   constructor(readonly options: SimulatedClusterOptions) {
     const { seed, zones, betweenZones } = options;
     this.random = createRandom(seed, 'cluster');
-    this.network = new SimulatedNetwork(this.clock, createRandom(seed, 'network'), { betweenZones });
+    this.network = new SimulatedNetwork(this.clock, createRandom(seed, 'network'), {
+      betweenZones,
+    });
     this.keyValue = new KeyValueModel(this.createProcess('key-value').begin());
     this.placed = zones.flatMap((zone) =>
       Array.from({ length: options.nodesPerZone ?? 1 }, (_, index) => ({
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -32,7 +32,11 @@
       labelNames: ['group', 'class', 'state'],
       registers,
     }),
-    shardsLed: new Gauge({ name: 'ivyloom_shards_led', help: 'Shards this node leads.', registers }),
+    shardsLed: new Gauge({
+      name: 'ivyloom_shards_led',
+      help: 'Shards this node leads.',
+      registers,
+    }),
     revision: new Gauge({
       name: 'ivyloom_configuration_revision',
       help: 'Revision of the configuration in force on this node.',
--- a/src/wire/call-fields.ts
+++ b/src/wire/call-fields.ts
@@ -1,7 +1,17 @@
 /** Fields that messages and log commands share: calls, answers, errors. */
 import { CALL_CLASSES } from '../model/call.js';
 import { CALL_ERROR_TAGS, VERDICTS } from '../model/verdict.js';
-import { count, flag, listOf, longText, oneOf, real, record, shortText, TaggedUnion } from './fields.js';
+import {
+  count,
+  flag,
+  listOf,
+  longText,
+  oneOf,
+  real,
+  record,
+  shortText,
+  TaggedUnion,
+} from './fields.js';
 
 /** Roles in wire order; append only. */
 const CHAT_ROLES = ['system', 'user', 'assistant', 'tool'] as const;
--- a/src/wire/message-codec.ts
+++ b/src/wire/message-codec.ts
@@ -17,7 +17,7 @@
   shortText,
   TaggedUnion,
 } from './fields.js';
-import { FINISH_OUTCOMES, MEMBER_STATUSES, PROGRAM_ACTIONS } from './messages.js';
+import { FINISH_OUTCOMES, PROGRAM_ACTIONS } from './messages.js';
 import type { Message } from './messages.js';
 
 /** Version of the protocol; a node refuses connections of another. */
@@ -48,11 +48,6 @@
   program: shortText,
   group: shortText,
 });
-const memberUpdate = record({
-  node: shortText,
-  status: oneOf(MEMBER_STATUSES),
-  incarnation: count,
-});
 const slice = { group: shortText, holder: count, number: count };
 
 const message = new TaggedUnion([
@@ -146,17 +141,6 @@
   { type: 'configurationTransfer', fields: { revision: count, documents: longText } },
   { type: 'rowsRequest', fields: { query: shortText, table: shortText } },
   { type: 'rowsReply', fields: { query: shortText, rows: longText } },
-  { type: 'ping', fields: { number: count, origin: shortText, updates: listOf(memberUpdate) } },
-  {
-    type: 'pingReply',
-    fields: {
-      number: count,
-      origin: shortText,
-      subject: shortText,
-      updates: listOf(memberUpdate),
-    },
-  },
-  { type: 'pingRequest', fields: { number: count, target: shortText } },
 ]);
 
 /** Bytes of a message. */
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -325,45 +325,6 @@
   readonly rows: string;
 }
 
-/** Failure detection: are you there? */
-export interface Ping {
-  readonly type: 'ping';
-  readonly number: number;
-  /** Node on whose behalf the ping is made, or empty. */
-  readonly origin: NodeId;
-  readonly updates: readonly MemberUpdate[];
-}
-
-/** Answer to a ping. */
-export interface PingReply {
-  readonly type: 'pingReply';
-  readonly number: number;
-  readonly origin: NodeId;
-  /** The node whose life this reply proves. */
-  readonly subject: NodeId;
-  readonly updates: readonly MemberUpdate[];
-}
-
-/** Asks a third node to ping a silent one. */
-export interface PingRequest {
-  readonly type: 'pingRequest';
-  readonly number: number;
-  readonly target: NodeId;
-}
-
-/** What is believed of a member. */
-export type MemberStatus = 'alive' | 'suspect' | 'dead' | 'left';
-/** Every status, in wire order; append only. */
-export const MEMBER_STATUSES: readonly MemberStatus[] = ['alive', 'suspect', 'dead', 'left'];
-
-/** One rumour about a member. */
-export interface MemberUpdate {
-  readonly node: NodeId;
-  readonly status: MemberStatus;
-  /** Raised by the member itself to refute a suspicion. */
-  readonly incarnation: number;
-}
-
 /** Everything that travels between nodes. */
 export type Message =
   | AppendEntries
@@ -393,19 +354,24 @@
   | ConfigurationFetch
   | ConfigurationTransfer
   | RowsRequest
-  | RowsReply
-  | Ping
-  | PingReply
-  | PingRequest;
+  | RowsReply;
+
+/** Messages between owners, pool schedulers and ledgers. */
+export type AccountingMessage =
+  | PoolReport
+  | PoolAssignment
+  | PoolRefusal
+  | PoolFinished
+  | ProgramGone
+  | HoldCheck
+  | SliceRequest
+  | SliceReply
+  | SliceReturn
+  | SliceReturnSettled;
 
 /** Messages handled by a shard's replica. */
 export type ReplicationMessage =
-  | AppendEntries
-  | AppendReply
-  | VoteRequest
-  | VoteReply
-  | InstallSnapshot
-  | TimeoutNow;
+  AppendEntries | AppendReply | VoteRequest | VoteReply | InstallSnapshot | TimeoutNow;
 
 /** Carries messages between nodes; may lose, delay or reorder them, never changes them. */
 export interface Transport {
