Weigh what a call does to its neighbours; keep held memory from newcomers

Cause: a third of the calls left the engine that held their prompt, since only the call's own delay was weighed; the prompts computed again took more than half of the engines' time. When memory ran short, newcomers pushed out what pausing programs were about to use. Change: costs learned by least squares with the neighbours in the batch as a third feature; a call is charged the delay it causes to the others; one that no engine's memory takes waits by rank.

--- a/src/bench/program-script.ts
+++ b/src/bench/program-script.ts
@@ -63,6 +63,25 @@
   return instructions + remainingCost(script, 0, costs);
 }
 
+/**
+ * Memory a program needs over its life when it is kept through every pause, in token-milliseconds,
+ * sub-agents included; each generated token is counted with the time it takes at a usual batch.
+ */
+export function programMemory(script: ProgramScript, tokenMilliseconds: number): number {
+  let context = script.instructions.tokens;
+  let total = 0;
+  for (const step of script.steps) {
+    if (step.kind === 'chat') {
+      const children = step.children.map((child) => programMemory(child, tokenMilliseconds));
+      total += children.reduce((sum, memory) => sum + memory, 0);
+      total += context * step.pauseMilliseconds;
+      context += step.inputTokens + step.outputTokens + 2 * MESSAGE_OVERHEAD_TOKENS;
+      total += context * step.outputTokens * tokenMilliseconds;
+    }
+  }
+  return total;
+}
+
 /** Number of calls of a program, sub-agents included. */
 export function countCalls(script: ProgramScript): number {
   return script.steps.reduce(
--- a/src/dispatch/pool-scheduler.ts
+++ b/src/dispatch/pool-scheduler.ts
@@ -391,7 +391,12 @@
     engine.noteSuccess();
     const { usage, serviceMilliseconds } = message;
     const uncached = usage.promptTokens - usage.cachedTokens;
-    this.pool.costs.observe(uncached, usage.completionTokens, serviceMilliseconds);
+    this.pool.costs.observe(
+      uncached,
+      usage.completionTokens,
+      engine.view.running,
+      serviceMilliseconds,
+    );
     if (ticket === undefined) {
       return;
     }
@@ -448,7 +453,7 @@
         continue;
       }
       const left = ticket.deadlineIn * HOPELESS_FRACTION - (now - known.enqueuedAt);
-      const needed = this.pool.costs.serviceMilliseconds(0, ticket.maximumTokens);
+      const needed = this.pool.costs.serviceMilliseconds(0, ticket.maximumTokens, 0);
       if (left < needed) {
         this.options.policy.remove(ticket);
         this.forgetCall(known, now);
--- a/src/scheduling/placement-cost.ts
+++ b/src/scheduling/placement-cost.ts
@@ -8,8 +8,6 @@
 const USABLE_MEMORY = 0.95;
 /** Chance that memory pushed out by a new prompt would have been used again. */
 const EVICTED_REUSE = 0.5;
-/** How much a full batch slows each call's generation, as a part of its time. */
-const BATCH_SLOWDOWN = 0.6;
 
 /** The best engine for a call and the time until it can start there. */
 export interface EngineChoice {
@@ -23,18 +21,32 @@
   return ticket.promptTokens + ticket.maximumTokens;
 }
 
-/** True when the engine can take the call now; without a call, whether it could take any. */
-export function isStartable(engine: EngineView, ticket: CallTicket | undefined): boolean {
-  const urgent = ticket === undefined || ticket.callClass === 'urgent';
+/** True when the engine has a place for one more call, an urgent one if need be. */
+export function hasPlace(engine: EngineView, urgent: boolean): boolean {
   const limit = engine.concurrency + (urgent ? URGENT_RESERVE : 0);
-  if (!engine.available || engine.running >= limit) {
-    return false;
-  }
-  if (ticket === undefined || engine.cacheTokens === 0 || engine.running === 0) {
+  return engine.available && engine.running < limit;
+}
+
+/**
+ * True when the engine's memory takes the call. One that would push out memory held for programs in
+ * a pause waits: computing their prompts again costs more than the wait. An idle engine takes any.
+ */
+export function hasMemory(pool: PoolView, engine: EngineView, ticket: CallTicket): boolean {
+  if (engine.cacheTokens === 0 || engine.running === 0) {
     return true;
   }
   const usable = engine.cacheTokens * USABLE_MEMORY;
-  return engine.runningTokens + occupiedTokens(ticket) <= usable;
+  const withRunning = engine.runningTokens + occupiedTokens(ticket);
+  if (ticket.callClass === 'urgent') {
+    return withRunning <= usable;
+  }
+  const ownHold = pool.directory.cachedTokens(engine.engine, ticket.prefixes);
+  return withRunning + engine.heldTokens - ownHold <= usable;
+}
+
+/** True when the engine can take the call now. */
+export function isStartable(pool: PoolView, engine: EngineView, ticket: CallTicket): boolean {
+  return hasPlace(engine, ticket.callClass === 'urgent') && hasMemory(pool, engine, ticket);
 }
 
 /** Prompt tokens that must be computed on the engine that holds most of the prompt. */
@@ -46,7 +58,7 @@
 
 /** Expected milliseconds until a full engine has a place, behind those who wait for it already. */
 function waitFor(pool: PoolView, engine: EngineView, ticket: CallTicket, parked: number): number {
-  const usual = pool.costs.serviceMilliseconds(0, ticket.maximumTokens);
+  const usual = pool.costs.serviceMilliseconds(0, ticket.maximumTokens, engine.running);
   const places = Math.max(1, engine.running);
   return (usual * (parked + 1)) / places;
 }
@@ -57,18 +69,26 @@
   return evicted * EVICTED_REUSE * pool.costs.prefillMilliseconds;
 }
 
-/** Expected milliseconds from the start on an engine to the answer, and what it costs others. */
+/**
+ * Expected milliseconds from the start on an engine to the answer, and those by which the call
+ * delays the others there: the sum over all programs is what counts.
+ */
 export function runCost(pool: PoolView, engine: EngineView, ticket: CallTicket): number {
-  const cached = pool.directory.cachedTokens(engine.engine, ticket.prefixes);
+  const { costs, directory } = pool;
+  const cached = directory.cachedTokens(engine.engine, ticket.prefixes);
   const uncached = ticket.promptTokens - cached;
-  const prefill = (uncached + engine.pendingPrefillTokens) * pool.costs.prefillMilliseconds;
-  const output = pool.costs.expectedOutput(ticket.maximumTokens);
-  const fullness = engine.running / Math.max(1, engine.concurrency);
-  const decode = output * pool.costs.decodeMilliseconds * (1 + BATCH_SLOWDOWN * fullness);
-  return prefill + decode + evictionCost(pool, engine, uncached + output);
+  const { maximumTokens } = ticket;
+  const own = costs.serviceMilliseconds(uncached, maximumTokens, engine.running);
+  const behind = engine.pendingPrefillTokens * costs.prefillMilliseconds;
+  const others = costs.delayOfNeighbours(uncached, maximumTokens, engine.running);
+  const output = costs.expectedOutput(maximumTokens);
+  return own + behind + others + evictionCost(pool, engine, uncached + output);
 }
 
-/** Picks the engine with the least expected time to the answer; undefined when none is available. */
+/**
+ * Picks the engine with the least expected time to the answer among those whose memory takes the
+ * call; undefined when there is none.
+ */
 export function chooseEngine(
   pool: PoolView,
   ticket: CallTicket,
@@ -76,11 +96,12 @@
 ): EngineChoice | undefined {
   let best: EngineChoice | undefined;
   let bestCost = Infinity;
+  const avoid = pool.engines.length > 1 ? ticket.avoidEngine : '';
   for (const engine of pool.engines) {
-    if (!engine.available || engine.engine === ticket.avoidEngine) {
+    if (!engine.available || engine.engine === avoid || !hasMemory(pool, engine, ticket)) {
       continue;
     }
-    const startable = isStartable(engine, ticket);
+    const startable = hasPlace(engine, ticket.callClass === 'urgent');
     const parked = parkedOn(engine);
     if (!startable && parked >= engine.concurrency) {
       continue;
--- a/src/scheduling/policies/ivyloom.ts
+++ b/src/scheduling/policies/ivyloom.ts
@@ -17,7 +17,7 @@
   PoolView,
   SchedulingPolicy,
 } from '../pool-view.js';
-import { chooseEngine, isStartable, uncachedTokens } from '../placement-cost.js';
+import { chooseEngine, hasPlace, isStartable, uncachedTokens } from '../placement-cost.js';
 
 /** What a policy that knows the future may ask; only the bench has one. */
 export interface Oracle {
@@ -41,8 +41,6 @@
 const SCAN_LIMIT = 12;
 /** Longest time a call waits for one particular engine, in milliseconds. */
 const LONGEST_PARKING_MILLISECONDS = 4_000;
-/** Part of the hold horizon that is left when an engine's memory is full. */
-const SMALLEST_HORIZON_FRACTION = 0.05;
 
 interface ParkedTicket {
   readonly ranked: RankedTicket;
@@ -62,6 +60,11 @@
   private readonly queue = new WaitingQueue();
   private readonly parked = new Map<EngineId, TinyQueue<ParkedTicket>>();
   private readonly parkedCalls = new Map<CallId, ParkedTicket>();
+  private readonly blocked = new TinyQueue<RankedTicket>(
+    [],
+    (left, right) => left.rank - right.rank,
+  );
+  private readonly blockedCalls = new Map<CallId, RankedTicket>();
   private readonly charges = new Map<CallId, number>();
   private readonly pauses = new Map<string, PauseModel>();
   private readonly lastTurns = new Map<ProgramId, LastTurn>();
@@ -88,16 +91,17 @@
   remove(ticket: CallTicket): void {
     this.queue.remove(ticket.call);
     this.parkedCalls.delete(ticket.call);
+    this.blockedCalls.delete(ticket.call);
     this.charges.delete(ticket.call);
   }
 
   choose(pool: PoolView, now: number): Placement | undefined {
-    const anyFree = pool.engines.some((engine) => isStartable(engine, undefined));
+    const anyFree = pool.engines.some((engine) => hasPlace(engine, true));
     if (!anyFree) {
       return undefined;
     }
     this.returnExpired(pool, now);
-    return this.chooseParked(pool) ?? this.chooseWaiting(pool, now);
+    return this.chooseParked(pool) ?? this.chooseWaiting(pool, now) ?? this.chooseBlocked(pool);
   }
 
   finished(pool: PoolView, turn: FinishedTurn, now: number): HoldDecision {
@@ -139,10 +143,8 @@
   }
 
   private holdTime(turn: FinishedTurn, pauseKey: string): number {
-    const { engine, ticket } = turn;
-    const used = (engine.runningTokens + engine.heldTokens) / Math.max(1, engine.cacheTokens);
-    const plenty = Math.max(SMALLEST_HORIZON_FRACTION, 1 - used);
-    const horizon = this.holdHorizon * plenty;
+    const { ticket } = turn;
+    const horizon = this.holdHorizon;
     if (this.oracle !== undefined) {
       const pause = this.oracle.nextPauseMilliseconds(ticket.program);
       return pause !== undefined && pause < horizon ? pause + 1_000 : 0;
@@ -163,8 +165,37 @@
   private unpark(pool: PoolView, parked: ParkedTicket): void {
     const { ticket } = parked.ranked;
     this.parkedCalls.delete(ticket.call);
+    this.refund(pool, ticket, parked.charged);
+  }
+
+  private refund(pool: PoolView, ticket: CallTicket, charged: number): void {
     this.charges.delete(ticket.call);
-    this.queue.charge(ticket.group, -parked.charged, pool.shareOf(ticket.group));
+    this.queue.charge(ticket.group, -charged, pool.shareOf(ticket.group));
+  }
+
+  /** Keeps a call that no engine's memory takes, in the order of rank. */
+  private block(ranked: RankedTicket): void {
+    this.blocked.push(ranked);
+    this.blockedCalls.set(ranked.ticket.call, ranked);
+  }
+
+  private chooseBlocked(pool: PoolView): Placement | undefined {
+    for (let head = this.blocked.peek(); head !== undefined; head = this.blocked.peek()) {
+      const { ticket } = head;
+      if (this.blockedCalls.get(ticket.call) !== head) {
+        this.blocked.pop();
+        continue;
+      }
+      const choice = chooseEngine(pool, ticket, (engine) => this.parkedOn(engine));
+      if (choice === undefined || choice.waitMilliseconds > 0) {
+        return undefined;
+      }
+      this.blocked.pop();
+      this.blockedCalls.delete(ticket.call);
+      this.chargeEstimate(pool, ticket);
+      return { ticket, engine: choice.engine };
+    }
+    return undefined;
   }
 
   private chooseParked(pool: PoolView): Placement | undefined {
@@ -176,7 +207,7 @@
           parked.pop();
           continue;
         }
-        if (engine === undefined || !isStartable(engine, ticket)) {
+        if (engine === undefined || !isStartable(pool, engine, ticket)) {
           break;
         }
         parked.pop();
@@ -196,9 +227,9 @@
       const charged = this.chargeEstimate(pool, ranked.ticket);
       const choice = chooseEngine(pool, ranked.ticket, (engine) => this.parkedOn(engine));
       if (choice === undefined) {
-        this.queue.charge(ranked.ticket.group, -charged, pool.shareOf(ranked.ticket.group));
-        this.queue.add(ranked);
-        return undefined;
+        this.refund(pool, ranked.ticket, charged);
+        this.block(ranked);
+        continue;
       }
       if (choice.waitMilliseconds === 0) {
         return { ticket: ranked.ticket, engine: choice.engine };
@@ -211,7 +242,7 @@
 
   private chargeEstimate(pool: PoolView, ticket: CallTicket): number {
     const uncached = uncachedTokens(pool, ticket);
-    const cost = pool.costs.serviceMilliseconds(uncached, ticket.maximumTokens);
+    const cost = pool.costs.serviceMilliseconds(uncached, ticket.maximumTokens, 0);
     this.charges.set(ticket.call, cost);
     this.queue.charge(ticket.group, cost, pool.shareOf(ticket.group));
     return cost;
