Answer look-ups of calls; keep a peer's connection when a handler fails; scenarios over real sockets

Cause: a look-up's body has an error field that is null, which was taken for a refusal; the fault it raised closed the peer's connection and left the caller without an answer. A body beyond the bound left its connection unusable for the next request. Nodes of a stopped cluster could reach a new one that had been given their port. Change: the status tells a refusal; handler faults are logged; oversized bodies close the connection; a hello carries the cluster's name.

--- a/features/steps/promises.steps.ts
+++ b/features/steps/promises.steps.ts
@@ -120,7 +120,8 @@
   'a call cut by a planned stop': (run) => {
     const call = run.calls[0]!;
     call.result = { type: 'broken' };
-    run.stops.push({ node: call.node, beganAt: call.sentAt, endedAt: call.endedAt });
+    const { node, sentAt: beganAt, endedAt } = call;
+    run.stops.push({ node, beganAt, endedAt, interrupted: false });
   },
   'a revision that falls': (run) => {
     const newest = run.revisions[run.revisions.length - 1]!;
--- a/src/bench/experiment.ts
+++ b/src/bench/experiment.ts
@@ -144,10 +144,22 @@
   nextPauseMilliseconds(program: string): number | undefined {
     const known = this.progress.get(program);
     const step = known?.script.steps[known.next + 1];
-    return step?.pauseMilliseconds;
+    if (step === undefined) {
+      return undefined;
+    }
+    const children = step.children.map(expectedDuration);
+    return step.pauseMilliseconds + Math.max(0, ...children);
   }
 }
 
+/** Time a program takes on lightly loaded engines, pauses included, in milliseconds. */
+function expectedDuration(script: ProgramScript): number {
+  return script.steps.reduce(
+    (sum, step) => sum + step.pauseMilliseconds + step.outputTokens * STEP_MILLISECONDS,
+    0,
+  );
+}
+
 function isChat(script: ProgramScript): boolean {
   return script.steps.some((step) => step.kind === 'chat');
 }
--- a/src/bench/local-cluster.ts
+++ b/src/bench/local-cluster.ts
@@ -1,4 +1,5 @@
 /** A deployment in one process with real sockets: emulated platform, daemons, keys. */
+import { randomBytes } from 'node:crypto';
 import type { ConfigurationDocument } from '../configuration/documents.js';
 import type { Settings } from '../configuration/settings.js';
 import { documentKey, encodeDocument, REVISION_KEY } from '../configuration/stored-documents.js';
@@ -151,7 +152,9 @@
       port,
     };
   });
+  const cluster = `local-${randomBytes(4).toString('hex')}`;
   return peers.map((peer, index) => ({
+    cluster,
     node: peer.node,
     zone: peer.zone,
     host: LOOPBACK,
@@ -197,7 +200,10 @@
       for (const daemon of daemons) {
         await new Promise<void>((resolve) => daemon.stop(resolve));
       }
-      served.forEach((backEnd) => backEnd.server.close());
+      served.forEach(({ backEnd, server }) => {
+        server.close();
+        backEnd.stop();
+      });
       keyValueServer.close();
     },
   };
--- /dev/null
+++ b/src/bench/overhead.ts
@@ -0,0 +1,121 @@
+/**
+ * What the scheduler adds to a call: time to the first token and per relayed token against calling
+ * the emulated engine directly, in one run, and the processor time of the daemons per token.
+ */
+import { request } from 'undici';
+import { LAKESHORE } from './deployments.js';
+import { EventStreamReader } from '../platform/event-stream.js';
+import { localKeyOf, startLocalCluster } from './local-cluster.js';
+import { summarize } from './statistics.js';
+import type { Summary } from './statistics.js';
+
+/** Figures of one way of calling. */
+export interface CallTimes {
+  readonly firstTokenMilliseconds: Summary;
+  readonly perTokenMilliseconds: Summary;
+}
+
+/** Result of the measurement. */
+export interface OverheadResult {
+  readonly seed: number;
+  readonly calls: number;
+  readonly direct: CallTimes;
+  readonly throughScheduler: CallTimes;
+  readonly addedFirstTokenMilliseconds: number;
+  readonly addedPerTokenMicroseconds: number;
+  /** Processor microseconds of the whole process per generated token, both ways. */
+  readonly directCpuMicrosecondsPerToken: number;
+  readonly schedulerCpuMicrosecondsPerToken: number;
+}
+
+/** What is measured. */
+export interface OverheadOptions {
+  readonly seed: number;
+  /** Calls each way; they alternate. */
+  readonly calls: number;
+}
+
+const ANSWER_TOKENS = 64;
+const MODEL = 'catalog-minds';
+
+interface OneCall {
+  readonly firstMilliseconds: number;
+  readonly perTokenMilliseconds: number;
+  readonly cpuMicroseconds: number;
+}
+
+async function timeCall(
+  url: string,
+  headers: Record<string, string>,
+  text: string,
+): Promise<OneCall> {
+  const cpu = process.cpuUsage();
+  const started = performance.now();
+  const response = await request(`${url}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json', ...headers },
+    body: JSON.stringify({
+      model: MODEL,
+      messages: [{ role: 'user', content: `${text} #${ANSWER_TOKENS}` }],
+      max_tokens: ANSWER_TOKENS,
+      stream: true,
+    }),
+  });
+  const reader = new EventStreamReader();
+  let first = 0;
+  for await (const chunk of response.body as AsyncIterable<Buffer>) {
+    if (reader.push(chunk).length > 0 && first === 0) {
+      first = performance.now() - started;
+    }
+  }
+  const whole = performance.now() - started;
+  const used = process.cpuUsage(cpu);
+  return {
+    firstMilliseconds: first,
+    perTokenMilliseconds: (whole - first) / ANSWER_TOKENS,
+    cpuMicroseconds: used.user + used.system,
+  };
+}
+
+function timesOf(calls: readonly OneCall[]): CallTimes {
+  return {
+    firstTokenMilliseconds: summarize(calls.map((call) => call.firstMilliseconds)),
+    perTokenMilliseconds: summarize(calls.map((call) => call.perTokenMilliseconds)),
+  };
+}
+
+function median(values: readonly number[]): number {
+  return [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)] ?? 0;
+}
+
+/** Runs the measurement; calls go one after another, so that nothing waits. */
+export async function measureOverhead(options: OverheadOptions): Promise<OverheadResult> {
+  const { seed, calls } = options;
+  const cluster = await startLocalCluster({ deployment: LAKESHORE, seed });
+  const key = { authorization: `Bearer ${localKeyOf('brandvold')}` };
+  const direct: OneCall[] = [];
+  const scheduled: OneCall[] = [];
+  const node = cluster.urls[0]!;
+  await timeCall(node, key, 'warm up');
+  for (let index = 0; index < calls; index += 1) {
+    direct.push(await timeCall(cluster.engineUrl, {}, `direct ${index}`));
+    scheduled.push(await timeCall(node, key, `scheduled ${index}`));
+  }
+  await cluster.stop();
+  const directCpu = median(direct.map((call) => call.cpuMicroseconds)) / ANSWER_TOKENS;
+  const scheduledCpu = median(scheduled.map((call) => call.cpuMicroseconds)) / ANSWER_TOKENS;
+  const directTimes = timesOf(direct);
+  const scheduledTimes = timesOf(scheduled);
+  return {
+    seed,
+    calls,
+    direct: directTimes,
+    throughScheduler: scheduledTimes,
+    addedFirstTokenMilliseconds:
+      scheduledTimes.firstTokenMilliseconds.p50 - directTimes.firstTokenMilliseconds.p50,
+    addedPerTokenMicroseconds:
+      (scheduledTimes.perTokenMilliseconds.p50 - directTimes.perTokenMilliseconds.p50) * 1_000,
+    directCpuMicrosecondsPerToken: directCpu,
+    schedulerCpuMicrosecondsPerToken: scheduledCpu,
+  };
+}
--- /dev/null
+++ b/src/bench/scale.ts
@@ -0,0 +1,117 @@
+/**
+ * Idle control of hollow nodes in virtual time: real node code, messages counted in the bytes they
+ * would have on the wire, processor time of the whole emulation divided by nodes.
+ */
+import { runStatement } from '../language/run-statement.js';
+import * as E from 'fp-ts/lib/Either.js';
+import { SimulatedCluster } from '../simulation/simulated-cluster.js';
+import { encodeMessage } from '../wire/message-codec.js';
+import { encodeFrame } from '../wire/framing.js';
+import { summarize } from './statistics.js';
+
+/** What is measured. */
+export interface ScaleOptions {
+  readonly nodes: number;
+  readonly seed: number;
+}
+
+/** Figures at one size. */
+export interface ScaleFigures {
+  readonly nodes: number;
+  readonly shards: number;
+  readonly bytesPerNodeSecond: number;
+  readonly messagesPerNodeSecond: number;
+  /** Part of a core a node takes, emulation included. */
+  readonly coreShare: number;
+  readonly heapKilobytesPerNode: number;
+  /** Time from acceptance until the last node has a change in force, in milliseconds. */
+  readonly inForceP50: number;
+  readonly inForceMax: number;
+}
+
+const ZONES = 15;
+const SHARDS_PER_NODE = 3;
+const MEASURED_MILLISECONDS = 10_000;
+const CHANGES = 12;
+const CHANGE_PERIOD_MILLISECONDS = 2_000;
+const LOOK_MILLISECONDS = 20;
+const LONGEST_SPREAD_MILLISECONDS = 30_000;
+
+function createCluster(options: ScaleOptions, count: (bytes: number) => void): SimulatedCluster {
+  const zones = Array.from({ length: ZONES }, (_, index) => `zone-${index}`);
+  return new SimulatedCluster({
+    seed: options.seed,
+    zones: zones.slice(0, options.nodes),
+    nodesPerZone: Math.max(1, Math.ceil(options.nodes / ZONES)),
+    betweenZones: 1,
+    shardCount: options.nodes * SHARDS_PER_NODE,
+    services: [{ name: 'catalog-minds', kind: 'model', runners: 12, concurrency: 16 }],
+    groups: Array.from({ length: 20 }, (_, index) => ({
+      name: `group-${index}`,
+      share: 1,
+      budget: 1e9,
+    })),
+    onMessage: (_from, message) => count(encodeFrame(encodeMessage(message)).length),
+  });
+}
+
+function timeChange(cluster: SimulatedCluster, number: number): number {
+  const node = cluster.livingNodes()[number % cluster.livingNodes().length]!;
+  const operator = { name: 'scale', mayChange: true };
+  const statement = `set group group-${number} share ${number + 2}`;
+  const { clock } = cluster;
+  const started = clock.now;
+  let revision = 0;
+  runStatement(node, statement, operator, `scale-${number}`, (result) => {
+    revision = E.isRight(result) ? (result.right.revision ?? 0) : -1;
+  });
+  const spread = (): boolean =>
+    cluster
+      .livingNodes()
+      .every(
+        (other) => other.configuration.current.groups.get(`group-${number}`)?.share === number + 2,
+      );
+  while (!spread() && clock.now - started < LONGEST_SPREAD_MILLISECONDS) {
+    clock.runUntil(clock.now + LOOK_MILLISECONDS);
+  }
+  const took = clock.now - started;
+  clock.runUntil(clock.now + CHANGE_PERIOD_MILLISECONDS, () => revision !== 0);
+  return took;
+}
+
+/** Measures one size. */
+export function measureScale(options: ScaleOptions): ScaleFigures {
+  global.gc?.();
+  const heapBefore = process.memoryUsage().heapUsed;
+  let bytes = 0;
+  let messages = 0;
+  let counting = false;
+  const cluster = createCluster(options, (length) => {
+    if (counting) {
+      bytes += length;
+      messages += 1;
+    }
+  });
+  cluster.start();
+  const nodes = cluster.nodeNames.length;
+  counting = true;
+  const cpu = process.cpuUsage();
+  cluster.clock.runUntil(cluster.clock.now + MEASURED_MILLISECONDS);
+  const used = process.cpuUsage(cpu);
+  counting = false;
+  global.gc?.();
+  const heap = process.memoryUsage().heapUsed - heapBefore;
+  const spreads = Array.from({ length: CHANGES }, (_, number) => timeChange(cluster, number));
+  const seconds = MEASURED_MILLISECONDS / 1_000;
+  const summary = summarize(spreads);
+  return {
+    nodes,
+    shards: cluster.map.shardCount,
+    bytesPerNodeSecond: bytes / nodes / seconds,
+    messagesPerNodeSecond: messages / nodes / seconds,
+    coreShare: (used.user + used.system) / 1e6 / nodes / seconds,
+    heapKilobytesPerNode: heap / nodes / 1_024,
+    inForceP50: summary.p50,
+    inForceMax: summary.max,
+  };
+}
--- a/src/commands/bench-commands.ts
+++ b/src/commands/bench-commands.ts
@@ -4,6 +4,9 @@
 import { runExperiment } from '../bench/experiment.js';
 import { formatExperiment } from '../bench/experiment-report.js';
 import { runHistories, shrinkFaults } from '../histories/run-many.js';
+import { measureOverhead } from '../bench/overhead.js';
+import { measureScale } from '../bench/scale.js';
+import { measureSlopes } from '../bench/slopes.js';
 import { runStart } from '../bench/start.js';
 import { POLICY_NAMES } from '../scheduling/create-policy.js';
 import type { PolicyName } from '../scheduling/create-policy.js';
@@ -19,6 +22,8 @@
   readonly seconds: number;
   readonly policies: string;
   readonly seeds: string;
+  readonly calls: number;
+  readonly nodes: string;
   readonly json: boolean;
 }
 
@@ -97,6 +102,23 @@
   return EXIT_FAILED;
 }
 
+function writeRows(rows: readonly object[], json: boolean): void {
+  if (json) {
+    write(JSON.stringify(rows));
+    return;
+  }
+  rows.forEach((row) => write(Object.values(row).map(formatValue).join('  ')));
+}
+
+function formatValue(value: unknown): string {
+  return typeof value === 'number' ? String(Number(value.toPrecision(4))) : String(value);
+}
+
+function scaleAtSizes(flags: BenchFlags): object[] {
+  const sizes = flags.nodes.split(',').map(Number);
+  return sizes.map((nodes) => measureScale({ nodes, seed: flags.seed }));
+}
+
 /** Runs one command; resolves with the exit code. */
 export async function runBenchCommand(
   input: readonly string[],
@@ -108,6 +130,15 @@
       return start(flags);
     case 'experiment':
       return experiment(DEPLOYMENTS[name], flags);
+    case 'overhead':
+      write(JSON.stringify(await measureOverhead({ seed: flags.seed, calls: flags.calls })));
+      return EXIT_DONE;
+    case 'slopes':
+      writeRows(measureSlopes(), flags.json);
+      return EXIT_DONE;
+    case 'scale':
+      writeRows(scaleAtSizes(flags), flags.json);
+      return EXIT_DONE;
     case 'histories':
       return histories(flags);
     default:
--- a/src/commands/ivyloomd.ts
+++ b/src/commands/ivyloomd.ts
@@ -21,6 +21,7 @@
 
   Options
     --settings FILE     settings in YAML; see config/
+    --cluster NAME      name of the cluster, the same on all its nodes
     --node NAME         name of this node
     --zone NAME         zone of this machine
     --host IP           address to listen on
@@ -44,6 +45,7 @@
     importMeta: import.meta,
     flags: {
       settings: { type: 'string' },
+      cluster: { type: 'string' },
       node: { type: 'string' },
       zone: { type: 'string' },
       host: { type: 'string' },
--- a/src/configuration/settings.ts
+++ b/src/configuration/settings.ts
@@ -56,6 +56,8 @@
 const settingsCodec = t.exact(
   t.intersection([
     t.type({
+      /** Name of the cluster, the same on all its nodes. */
+      cluster: nodeName,
       /** Name of this node, unique in the region. */
       node: nodeName,
       /** Zone of this machine. */
@@ -89,6 +91,7 @@
 
 /** Names of all settings that are not lists; each is also a flag. */
 export const FLAG_SETTINGS = [
+  'cluster',
   'node',
   'zone',
   'host',
--- a/src/emulator/emulated-back-end.ts
+++ b/src/emulator/emulated-back-end.ts
@@ -39,6 +39,8 @@
   crash(): void;
   /** Comes back empty. */
   restart(): void;
+  /** Ends it for good, with its timers. */
+  stop(): void;
   readonly isUp: boolean;
   readonly executions: readonly Execution[];
   totals(): BackEndTotals;
--- a/src/emulator/tool-model.ts
+++ b/src/emulator/tool-model.ts
@@ -130,6 +130,10 @@
     this.up = true;
   }
 
+  stop(): void {
+    this.up = false;
+  }
+
   totals(): BackEndTotals {
     const use = { idle: 0, neverReused: 0, unusedStretches: 0 };
     return { prefillTokens: 0, cachedTokens: 0, generatedTokens: 0, busyMilliseconds: 0, use };
--- a/src/gateway/chat-answer.ts
+++ b/src/gateway/chat-answer.ts
@@ -14,11 +14,12 @@
 }
 
 /** Headers that name the call, its program and its place. */
-function identify(response: ServerResponse, request: CallRequest, sequence?: number): void {
-  response.setHeader('ivyloom-call', request.call);
+function identify(response: ServerResponse, request: CallRequest, answer?: Answer): void {
+  // A repeat is answered by the first call, and that is the one that can be looked up.
+  response.setHeader('ivyloom-call', answer?.call ?? request.call);
   response.setHeader('ivyloom-program', request.program);
-  if (sequence !== undefined) {
-    response.setHeader('ivyloom-sequence', String(sequence));
+  if (answer !== undefined) {
+    response.setHeader('ivyloom-sequence', String(answer.sequence));
   }
 }
 
@@ -29,7 +30,7 @@
   created: number,
   answer: Answer,
 ): void {
-  identify(response, request, answer.sequence);
+  identify(response, request, answer);
   const message = { role: 'assistant', content: answer.text, refusal: null };
   response.writeHead(200, { 'content-type': 'application/json' });
   response.end(
@@ -50,7 +51,7 @@
   request: CallRequest,
   answer: Answer,
 ): void {
-  identify(response, request, answer.sequence);
+  identify(response, request, answer);
   response.writeHead(200, { 'content-type': 'application/json' });
   response.end(answer.text);
 }
--- a/src/gateway/http-body.ts
+++ b/src/gateway/http-body.ts
@@ -7,18 +7,32 @@
 /** Longest body a caller may send, in bytes. */
 export const MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
 
-/** The body as text, or why it cannot be had. */
-export async function readBody(request: IncomingMessage): Promise<E.Either<CallError, string>> {
-  const chunks: Buffer[] = [];
-  let length = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    length += chunk.length;
-    if (length > MAXIMUM_BODY_BYTES) {
-      return E.left(notRun('TooLarge', `A body may have ${MAXIMUM_BODY_BYTES} bytes.`));
-    }
-    chunks.push(chunk);
-  }
-  return E.right(Buffer.concat(chunks).toString('utf8'));
+function tooLarge(): CallError {
+  return notRun('TooLarge', `A body may have ${MAXIMUM_BODY_BYTES} bytes.`);
+}
+
+/**
+ * The body as text, or why it cannot be had. Of a body beyond the bound nothing more is kept; the
+ * answer closes the connection, since its rest may never end.
+ */
+export function readBody(request: IncomingMessage): Promise<E.Either<CallError, string>> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    const keep = (chunk: Buffer): void => {
+      length += chunk.length;
+      if (length > MAXIMUM_BODY_BYTES) {
+        request.off('data', keep);
+        request.resume();
+        resolve(E.left(tooLarge()));
+        return;
+      }
+      chunks.push(chunk);
+    };
+    request.on('data', keep);
+    request.once('end', () => resolve(E.right(Buffer.concat(chunks).toString('utf8'))));
+    request.once('error', () => resolve(E.left(notRun('Malformed', 'The body broke off.'))));
+  });
 }
 
 /** The body as JSON, or why it cannot be had. */
--- a/src/gateway/http-front.ts
+++ b/src/gateway/http-front.ts
@@ -34,6 +34,7 @@
 const IDLE_CLOSE_MILLISECONDS = 100;
 /** Bytes of randomness in a name made here. */
 const NAME_BYTES = 12;
+const FIRST_ERROR_STATUS = 400;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** A request on its way through the front. */
@@ -307,9 +308,10 @@
 }
 
 function sendProgramResult(response: ServerResponse, result: ProgramResult): void {
-  const parsed = JSON.parse(result.body) as { error?: CallError };
-  if (parsed.error !== undefined) {
-    sendProblem(response, parsed.error);
+  const refused = result.status >= FIRST_ERROR_STATUS;
+  const { error } = refused ? (JSON.parse(result.body) as { error?: CallError }) : {};
+  if (error !== undefined) {
+    sendProblem(response, error);
   } else {
     sendJson(response, result.status, result.body);
   }
--- a/src/gateway/problem.ts
+++ b/src/gateway/problem.ts
@@ -36,6 +36,9 @@
     // A client that retries by itself must not do so with what may have run.
     'x-should-retry': error.verdict === 'NotRun' && error.retryAfterSeconds > 0 ? 'true' : 'false',
   };
+  if (error.tag === 'TooLarge') {
+    headers['connection'] = 'close';
+  }
   if (error.retryAfterSeconds > 0) {
     headers['retry-after'] = String(Math.ceil(error.retryAfterSeconds));
   }
--- a/src/histories/checkers.ts
+++ b/src/histories/checkers.ts
@@ -247,12 +247,16 @@
 
 /** A planned stop cuts no request in flight. */
 export const checkPlannedStop: Checker = (run) =>
-  run.stops.flatMap((stop) =>
-    run.calls
-      .filter((call) => call.node === stop.node && call.result.type === 'broken')
-      .filter((call) => call.sentAt <= stop.endedAt && call.endedAt >= stop.beganAt)
-      .map((call) => `${call.program}: call ${call.sequence} was cut by the stop of ${stop.node}`),
-  );
+  run.stops
+    .filter((stop) => !stop.interrupted)
+    .flatMap((stop) =>
+      run.calls
+        .filter((call) => call.node === stop.node && call.result.type === 'broken')
+        .filter((call) => call.sentAt <= stop.endedAt && call.endedAt >= stop.beganAt)
+        .map(
+          (call) => `${call.program}: call ${call.sequence} was cut by the stop of ${stop.node}`,
+        ),
+    );
 
 /** An accepted configuration is in force everywhere within seconds and never reverts. */
 export const checkConfiguration: Checker = (run) => {
--- a/src/histories/fault-injector.ts
+++ b/src/histories/fault-injector.ts
@@ -67,6 +67,9 @@
     const engine = this.engineOf(fault.other);
     switch (fault.kind) {
       case 'processDeath':
+        this.run.stops
+          .filter((stop) => stop.node === node && stop.endedAt === Infinity)
+          .forEach((stop) => (stop.interrupted = true));
         cluster.killNode(node);
         return () => cluster.startNode(node);
       case 'processPause':
@@ -143,7 +146,7 @@
     if (cluster.node(node) === undefined) {
       return () => undefined;
     }
-    const stop = { node, beganAt: cluster.clock.now, endedAt: Infinity };
+    const stop = { node, beganAt: cluster.clock.now, endedAt: Infinity, interrupted: false };
     run.stops.push(stop);
     cluster.leaveNode(node, () => {
       stop.endedAt = cluster.clock.now;
--- a/src/histories/history-caller.ts
+++ b/src/histories/history-caller.ts
@@ -108,6 +108,11 @@
       end,
       target,
       () => {
+        // A leaving node has closed its listening socket.
+        if (cluster.node(node)?.isLeaving === true) {
+          settle({ type: 'failed', error: refusedConnection() });
+          return;
+        }
         const gateway = cluster.node(node)?.gateway;
         const relay = (event: CallEvent): void =>
           cluster.network.deliverInOrder(
--- a/src/histories/recorded-events.ts
+++ b/src/histories/recorded-events.ts
@@ -62,6 +62,8 @@
   readonly node: string;
   readonly beganAt: number;
   endedAt: number;
+  /** True when the process died before the stop was complete. */
+  interrupted: boolean;
 }
 
 /** A group's account at the end of a run. */
--- a/src/language/run-statement.ts
+++ b/src/language/run-statement.ts
@@ -13,6 +13,8 @@
 import { closestWord } from './suggest.js';
 import { findTable, TABLES } from './tables.js';
 
+const FIRST_ERROR_STATUS = 400;
+
 /** Who runs a statement. */
 export interface Operator {
   readonly name: string;
@@ -189,7 +191,7 @@
 ): void {
   node.gateway.requestProgram(id, action, program, '', (result) => {
     const body = JSON.parse(result.body) as Record<string, unknown> & { error?: CallError };
-    if (body.error !== undefined) {
+    if (result.status >= FIRST_ERROR_STATUS && body.error !== undefined) {
       listener(E.left(body.error));
       return;
     }
--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -67,6 +67,7 @@
   const addresses = new Map(settings.peers.map((peer) => [peer.node, peer]));
   const policy = POLICY_NAMES.find((name) => name === settings.policy) ?? 'ivyloom';
   const transport = new TcpTransport({
+    cluster: settings.cluster,
     self: settings.node,
     runtime,
     addressOf: (node) => addresses.get(node),
@@ -94,7 +95,9 @@
   const httpPort = await listenOn(front, settings.host, settings.httpPort);
   node.start();
   runtime.log('info', 'listening', { httpPort });
+  let closed = false;
   const closeAll = (done: () => void): void => {
+    closed = true;
     transport.close();
     keyValue.close();
     backEnds.close();
@@ -105,6 +108,10 @@
     httpPort,
     sentBytes: () => transport.sentBytes,
     stop: (done) => {
+      if (closed) {
+        done();
+        return;
+      }
       node.beginLeaving();
       front.drain(() => {
         node.leave(() => closeAll(done));
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -257,6 +257,7 @@
   private noteConfiguration(configuration: ClusterConfiguration): void {
     const { revision } = configuration;
     this.options.runtime.log('info', 'configuration in force', { revision });
+    this.shards.forEach((roles) => roles.followConfiguration());
   }
 
   private report(): void {
--- a/src/node/shard-roles.ts
+++ b/src/node/shard-roles.ts
@@ -4,7 +4,7 @@
 import { SliceClient } from '../budget/slice-client.js';
 import type { ClusterConfiguration } from '../configuration/documents.js';
 import { PoolScheduler } from '../dispatch/pool-scheduler.js';
-import type { PoolClient } from '../dispatch/pool-client.js';
+import type { PoolClient, PoolContent } from '../dispatch/pool-client.js';
 import { ShardOwner } from '../program/shard-owner.js';
 import { emptyReplica } from '../replication/log-entry.js';
 import type { LeaderDirectory } from '../replication/leader-directory.js';
@@ -13,6 +13,9 @@
 import type { Message } from '../wire/messages.js';
 import type { NodeOptions } from './node-options.js';
 
+/** Empty reports sent to a pool before a shard falls silent there. */
+const QUIET_REPORTS = 5;
+
 /** What the roles of a shard share with their node. */
 export interface ShardRolesContext {
   readonly options: NodeOptions;
@@ -30,6 +33,7 @@
   readonly owner: ShardOwner;
   readonly slices: SliceClient;
   readonly ledger: Ledger;
+  private readonly quietReports = new Map<ServiceName, number>();
   private readonly schedulers = new Map<ServiceName, PoolScheduler>();
 
   constructor(private readonly context: ShardRolesContext) {
@@ -95,9 +99,20 @@
     if (!this.host.canServe()) {
       return;
     }
-    const content = { waiting: [], running: [] };
+    const content: PoolContent = { waiting: [], running: [] };
     this.owner.addToReport(service, content);
-    this.context.pools.reportAll(service, this.host.shard, content);
+    const empty = content.waiting.length === 0 && content.running.length === 0;
+    const silent = empty && this.quietReports.get(service) === QUIET_REPORTS;
+    // A few empty reports tell that nothing is left; more would only be traffic.
+    this.quietReports.set(service, empty ? Math.min(QUIET_REPORTS, this.quietOf(service) + 1) : 0);
+    if (!silent) {
+      this.context.pools.reportAll(service, this.host.shard, content);
+    }
+  }
+
+  /** Takes up a new configuration without waiting for the next tick. */
+  followConfiguration(): void {
+    this.schedulers.forEach((scheduler) => scheduler.tick());
   }
 
   /** Work done a few times a second by the leader. */
@@ -111,6 +126,10 @@
     }
   }
 
+  private quietOf(service: ServiceName): number {
+    return this.quietReports.get(service) ?? 0;
+  }
+
   private allServices(): ServiceName[] {
     return [...this.context.configuration().services.keys()];
   }
@@ -129,6 +148,7 @@
       this.owner.handOver();
       this.slices.reset();
       this.schedulers.clear();
+      this.quietReports.clear();
     }
   }
 }
--- a/src/program/live-call.ts
+++ b/src/program/live-call.ts
@@ -31,6 +31,8 @@
   engine: EngineId;
   avoidEngine: EngineId;
   attempts: number;
+  /** True once some try of it, by this owner or an earlier one, may have run. */
+  mayHaveRun: boolean;
   /** Text generated so far, including what an earlier owner sent. */
   text: string;
   startedAt: number;
@@ -51,6 +53,7 @@
     engine: '',
     avoidEngine: '',
     attempts: 0,
+    mayHaveRun: false,
     text: '',
     startedAt: 0,
     cancelOrder: undefined,
--- a/src/program/shard-owner.ts
+++ b/src/program/shard-owner.ts
@@ -5,7 +5,7 @@
 import type { CallId, GroupName, NodeId, ProgramId, ServiceName } from '../model/identifiers.js';
 import type { CallEvent, CallRequest, Usage } from '../model/call.js';
 import { NO_USAGE } from '../model/call.js';
-import type { CallError } from '../model/verdict.js';
+import type { CallError, CallErrorTag } from '../model/verdict.js';
 import { mayHaveRun, notRun } from '../model/verdict.js';
 import type { BackEndEvent, BackEndPort, Fence } from '../platform/back-end-port.js';
 import type { PoolClient, PoolContent } from '../dispatch/pool-client.js';
@@ -86,7 +86,7 @@
     const call = this.live.get(message.call);
     if (call === undefined || call.phase !== 'waiting') {
       if (call === undefined || call.engine !== message.engine) {
-        this.finishInPool(message.call, '', message, 'refused');
+        this.refuseAssignment(message);
       }
       return;
     }
@@ -100,7 +100,7 @@
   refuse(call: CallId, detail: string, retryAfterSeconds: number): void {
     const live = this.live.get(call);
     if (live?.phase === 'waiting') {
-      this.fail(live, notRun('Overloaded', detail, retryAfterSeconds), NO_USAGE);
+      this.giveUp(live, 'Overloaded', detail, retryAfterSeconds);
     }
   }
 
@@ -405,7 +405,7 @@
   private commitAnswer(call: LiveCall, text: string, usage: Usage): void {
     const { host, runtime } = this.options;
     call.phase = 'ending';
-    this.finishInPool(call.request.call, call.request.program, call, 'answered', usage, call);
+    this.finishInPool(call, 'answered', usage);
     const { program, call: name } = call.request;
     const { sequence } = call;
     const at = runtime.wallTime();
@@ -445,18 +445,26 @@
     }
   }
 
+  /** Ends a call that no back end answers; what its tries may have done decides the verdict. */
+  private giveUp(call: LiveCall, tag: CallErrorTag, detail: string, retryAfterSeconds = 0): void {
+    if (call.mayHaveRun) {
+      this.fail(call, { ...mayHaveRun(tag, detail), retryAfterSeconds }, this.worstUsage(call));
+    } else {
+      this.fail(call, notRun(tag, detail, retryAfterSeconds), NO_USAGE);
+    }
+  }
+
   private handleFailure(call: LiveCall, provablyNotRun: boolean, detail: string): void {
     const { repeatable } = call.request;
-    this.finishInPool(call.request.call, call.request.program, call, 'failed', NO_USAGE, call);
+    call.mayHaveRun ||= !provablyNotRun;
+    this.finishInPool(call, 'failed', NO_USAGE);
     const mayTryAgain = call.attempts < this.options.limits.maximumAttempts;
     if (provablyNotRun && !repeatable && mayTryAgain) {
       this.withdrawAndRetry(call);
     } else if ((repeatable || provablyNotRun) && mayTryAgain) {
       this.retry(call);
-    } else if (provablyNotRun) {
-      this.fail(call, notRun('BackEndFailed', detail, 1), NO_USAGE);
     } else {
-      this.fail(call, mayHaveRun('BackEndFailed', detail), this.worstUsage(call));
+      this.giveUp(call, 'BackEndFailed', detail, 1);
     }
   }
 
@@ -496,23 +504,19 @@
     if (this.live.get(call.request.call) !== call || call.phase === 'ending') {
       return;
     }
-    const intended = this.recordOf(call)?.status === 'intended';
-    if (call.phase === 'waiting' || call.phase === 'behind') {
-      const error = intended
-        ? mayHaveRun('DeadlinePassed', 'The call was not answered in time.')
-        : notRun('DeadlinePassed', 'The call found no free back end in time.', 5);
-      this.fail(call, error, intended ? this.worstUsage(call) : NO_USAGE);
-      return;
+    const queued = call.phase === 'waiting' || call.phase === 'behind';
+    if (!queued) {
+      call.mayHaveRun = true;
+      call.cancelOrder?.();
+      this.finishInPool(call, 'cancelled', NO_USAGE);
     }
-    call.cancelOrder?.();
-    this.finishInPool(call.request.call, call.request.program, call, 'cancelled', NO_USAGE, call);
-    const error = mayHaveRun('DeadlinePassed', 'The back end did not answer in time.');
-    this.fail(call, error, this.worstUsage(call));
+    this.giveUp(call, 'DeadlinePassed', 'The call was not answered in time.', 5);
   }
 
   private recover(request: CallRequest, record: CallRecord): void {
     const call = this.adopt(request, []);
     if (record.status === 'intended' && record.engine !== undefined) {
+      call.mayHaveRun = true;
       this.askEngine(call, record.engine);
     }
   }
@@ -625,7 +629,7 @@
       }
       if (call.phase === 'running' || call.phase === 'recovering' || call.phase === 'intending') {
         call.cancelOrder?.();
-        this.finishInPool(call.request.call, call.request.program, call, 'cancelled', NO_USAGE);
+        this.finishInPool(call, 'cancelled', NO_USAGE);
       }
       this.live.delete(call.request.call);
       this.release(call);
@@ -641,30 +645,31 @@
     call.cancelWait();
   }
 
-  private finishInPool(
-    call: CallId,
-    program: ProgramId,
-    place: {
-      readonly engine: string;
-      readonly service?: ServiceName;
-      readonly request?: CallRequest;
-    },
-    outcome: FinishOutcome,
-    usage: Usage = NO_USAGE,
-    live?: LiveCall,
-  ): void {
-    const service = place.service ?? place.request?.service ?? '';
-    const serviceMilliseconds =
-      live === undefined ? 0 : this.options.runtime.now() - live.startedAt;
+  private finishInPool(call: LiveCall, outcome: FinishOutcome, usage: Usage): void {
+    const { call: name, program, service } = call.request;
     this.options.pools.finish({
       type: 'poolFinished',
       service,
-      call,
+      call: name,
       program,
-      engine: place.engine,
+      engine: call.engine,
       outcome,
       usage,
-      serviceMilliseconds,
+      serviceMilliseconds: this.options.runtime.now() - call.startedAt,
+    });
+  }
+
+  /** Gives back the place of an assignment that came too late. */
+  private refuseAssignment({ service, call, engine }: PoolAssignment): void {
+    this.options.pools.finish({
+      type: 'poolFinished',
+      service,
+      call,
+      program: '',
+      engine,
+      outcome: 'refused',
+      usage: NO_USAGE,
+      serviceMilliseconds: 0,
     });
   }
 
--- a/src/simulation/simulated-cluster.ts
+++ b/src/simulation/simulated-cluster.ts
@@ -19,6 +19,7 @@
 import type { LogFunction, Runtime } from '../runtime/runtime.js';
 import type { SchedulingPolicy } from '../scheduling/pool-view.js';
 import { createPolicy } from '../scheduling/create-policy.js';
+import type { Message } from '../wire/messages.js';
 import { SimulatedBackEnds } from './simulated-back-ends.js';
 import { SimulatedDisk } from './simulated-disk.js';
 import { SimulatedNetwork } from './simulated-network.js';
@@ -58,6 +59,8 @@
   readonly limits?: OwnerLimits;
   readonly createPolicy?: () => SchedulingPolicy;
   readonly log?: LogFunction;
+  /** Sees every message that a node sends to another. */
+  readonly onMessage?: (from: NodeId, message: Message) => void;
 }
 
 interface Machine {
@@ -202,6 +205,7 @@
       transport: {
         send: (to, message) => {
           const target = this.machines.get(to);
+          this.options.onMessage?.(self, message);
           if (target !== undefined) {
             this.network.deliver(machine.end, target.end, () =>
               target.node?.receive(self, message),
--- a/src/wire/message-codec.ts
+++ b/src/wire/message-codec.ts
@@ -159,10 +159,12 @@
 /** First frame of a connection: who speaks, and which version. */
 export interface Hello {
   readonly version: number;
+  /** Name of the cluster; a node of another one is refused. */
+  readonly cluster: string;
   readonly node: NodeId;
 }
 
-const hello = record({ version: count, node: shortText });
+const hello = record({ version: count, cluster: shortText, node: shortText });
 
 /** Bytes of a hello. */
 export function encodeHello(value: Hello): Uint8Array {
--- a/src/wire/tcp-transport.ts
+++ b/src/wire/tcp-transport.ts
@@ -22,6 +22,8 @@
 
 /** What the transport is made with. */
 export interface TcpTransportOptions {
+  /** Name of the cluster; keeps nodes of others out, whatever address they come from. */
+  readonly cluster: string;
   readonly self: NodeId;
   readonly runtime: Runtime;
   /** Address of a peer; undefined when unknown. */
@@ -105,7 +107,9 @@
       link.retryAt = this.options.runtime.now() + RECONNECT_MILLISECONDS;
     });
     socket.resume();
-    socket.write(encodeFrame(encodeHello({ version: PROTOCOL_VERSION, node: this.options.self })));
+    const { cluster, self: ownName } = this.options;
+    const hello = encodeHello({ version: PROTOCOL_VERSION, cluster, node: ownName });
+    socket.write(encodeFrame(hello));
   }
 
   private accept(socket: Socket): void {
@@ -138,6 +142,9 @@
     if (hello.right.version !== PROTOCOL_VERSION) {
       throw new Error(`protocol version ${hello.right.version} is not ${PROTOCOL_VERSION}`);
     }
+    if (hello.right.cluster !== this.options.cluster) {
+      throw new Error(`cluster ${hello.right.cluster} is not ${this.options.cluster}`);
+    }
     return hello.right.node;
   }
 
@@ -146,7 +153,14 @@
     if (E.isLeft(message)) {
       throw new Error(`not a message: ${message.left}`);
     }
-    this.options.receive(peer, message.right);
+    try {
+      this.options.receive(peer, message.right);
+    } catch (cause) {
+      // A fault in a handler is ours, not the peer's: its connection stays.
+      const reason = cause instanceof Error ? (cause.stack ?? cause.message) : String(cause);
+      const { type } = message.right;
+      this.options.runtime.log('error', 'message handler failed', { peer, type, reason });
+    }
   }
 
   private reject(socket: Socket, cause: unknown): void {
