--- a/features/steps/promises.steps.ts
+++ b/features/steps/promises.steps.ts
@@ -115,7 +115,7 @@
   'work for a leaving back end': (run) => {
     const { engine } = run.executions[0]!;
     const base = { statement: '', revision: 1, resumes: '' };
-    run.changes.push({ ...base, at: -10_000, drains: engine });
+    run.changes.push({ ...base, issuedAt: -10_000, at: -10_000, drains: engine });
   },
   'a call cut by a planned stop': (run) => {
     const call = run.calls[0]!;
@@ -129,7 +129,7 @@
   },
   'a change that never comes into force': (run) => {
     const base = { statement: '', drains: '', resumes: '' };
-    run.changes.push({ ...base, revision: 1e9, at: 0 });
+    run.changes.push({ ...base, revision: 1e9, issuedAt: 0, at: 0 });
   },
 };
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,7 +22,7 @@
 /** Time between probes of owners, in milliseconds. */
 export const PROBE_MILLISECONDS = 1_000;
 /** Silence after which an owner is believed lost, in milliseconds. */
-const OWNER_SILENCE_MILLISECONDS = 2_200;
+const OWNER_SILENCE_MILLISECONDS = 2_700;
 /** Pause before a shard without a known leader is asked again, in milliseconds. */
 const RETRY_PAUSE_MILLISECONDS = 100;
 /** Time added to a caller's patience for the owner's own final answer to arrive, in milliseconds. */
@@ -218,6 +218,10 @@
         this.sendToOwner(pending);
         continue;
       }
+      if (now - pending.heardAt < PROBE_MILLISECONDS) {
+        // Its stream shows that the owner knows it.
+        continue;
+      }
       const calls = byOwner.get(pending.owner) ?? [];
       calls.push(pending.request.call);
       byOwner.set(pending.owner, calls);
--- a/src/histories/checkers.ts
+++ b/src/histories/checkers.ts
@@ -238,7 +238,7 @@
       (other) => other.resumes === change.drains && other.revision > change.revision,
     );
     const from = change.at + LEAVING_MILLISECONDS;
-    const until = resumed?.at ?? Infinity;
+    const until = resumed?.issuedAt ?? Infinity;
     return run.executions
       .filter((execution) => execution.engine === change.drains)
       .filter((execution) => execution.at > from && execution.at < until)
--- a/src/histories/fault-injector.ts
+++ b/src/histories/fault-injector.ts
@@ -166,6 +166,7 @@
       return;
     }
     this.changes += 1;
+    const issuedAt = this.cluster.clock.now;
     runStatement(node, statement, OPERATOR, `change-${this.changes}`, (result) => {
       if (E.isLeft(result) || result.right.revision === undefined) {
         return;
@@ -173,6 +174,7 @@
       this.run.changes.push({
         statement,
         revision: result.right.revision,
+        issuedAt,
         at: this.cluster.clock.now,
         drains: marks.drains ?? '',
         resumes: marks.resumes ?? '',
--- a/src/histories/history-caller.ts
+++ b/src/histories/history-caller.ts
@@ -103,13 +103,15 @@
       }
     };
     const broken = (): void => settle({ type: 'broken' });
+    runtime.setTimer(2 * TIMEOUT_MILLISECONDS, broken);
     cluster.network.deliverInOrder(
       asking,
       end,
       target,
       () => {
-        // A leaving node has closed its listening socket.
-        if (cluster.node(node)?.isLeaving === true) {
+        this.watchConnection(node, call, answering, broken);
+        // A leaving node has closed its listening socket after a while.
+        if (cluster.node(node)?.takesConnections === false) {
           settle({ type: 'failed', error: refusedConnection() });
           return;
         }
@@ -127,7 +129,6 @@
       // Nothing was sent: the connection was refused.
       () => settle({ type: 'failed', error: refusedConnection() }),
     );
-    this.watchConnection(node, call, answering, broken);
   }
 
   /** A connection to a process that dies breaks; the caller sees it. */
@@ -143,14 +144,9 @@
       if (call.result.type !== 'pending') {
         return;
       }
-      const sentLongAgo = cluster.clock.now - call.sentAt > 100;
       // The end of a connection arrives behind what was sent on it.
       const allArrived = cluster.clock.now > answering.lastArrival;
-      if (sentLongAgo && allArrived && cluster.node(node) !== life) {
-        broken();
-        return;
-      }
-      if (cluster.clock.now - call.sentAt > 2 * TIMEOUT_MILLISECONDS) {
+      if (allArrived && cluster.node(node) !== life) {
         broken();
         return;
       }
--- a/src/histories/recorded-events.ts
+++ b/src/histories/recorded-events.ts
@@ -44,6 +44,8 @@
 export interface RecordedChange {
   readonly statement: string;
   readonly revision: number;
+  /** When the operator sent it, and when it was reported as done. */
+  readonly issuedAt: number;
   readonly at: number;
   /** Back end that is leaving by this change, or empty. */
   readonly drains: string;
--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -60,6 +60,16 @@
   return new Promise((resolve) => listener.listen(host, port, resolve));
 }
 
+/** Listens for nodes and then for callers; resolves with the callers' port. */
+async function openDoors(
+  transport: TcpTransport,
+  front: HttpFront,
+  settings: Settings,
+): Promise<number> {
+  await listenOn(transport, settings.host, settings.peerPort);
+  return listenOn(front, settings.host, settings.httpPort);
+}
+
 /** Starts a daemon; resolves when it listens. */
 export async function startDaemon(settings: Settings, runtime: Runtime): Promise<Daemon> {
   const shardCount = settings.shardCount ?? DEFAULT_SHARD_COUNT;
@@ -91,8 +101,7 @@
     createPolicy: () => createPolicy(policy),
   });
   const front = new HttpFront(node);
-  await listenOn(transport, settings.host, settings.peerPort);
-  const httpPort = await listenOn(front, settings.host, settings.httpPort);
+  const httpPort = await openDoors(transport, front, settings);
   node.start();
   runtime.log('info', 'listening', { httpPort });
   let closed = false;
@@ -112,10 +121,7 @@
         done();
         return;
       }
-      node.beginLeaving();
-      front.drain(() => {
-        node.leave(() => closeAll(done));
-      });
+      node.beginLeaving(() => front.drain(() => node.awaitQuiet(() => closeAll(done))));
     },
     abort: () => {
       front.close();
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -37,6 +37,10 @@
 const REPORT_MILLISECONDS = 1_000;
 /** Time a planned stop waits for calls whose callers are connected here, in milliseconds. */
 export const STOP_PATIENCE_MILLISECONDS = 60_000;
+/** Time for which a leaving node still takes connections, in milliseconds. */
+const LEAVING_GRACE_MILLISECONDS = 500;
+/** Time between sweeps of left programs and early calls, in milliseconds. */
+const SWEEP_MILLISECONDS = 1_000;
 /** Nodes that read the key-value service themselves; the rest hear from peers. */
 const SERVICE_READERS = 3;
 
@@ -51,6 +55,7 @@
   private readonly pools: PoolClient;
   private readonly timers: CancelTimer[] = [];
   private leaving = false;
+  private doorsClosed = false;
 
   constructor(readonly options: NodeOptions) {
     const { self, map, runtime, keyValue } = options;
@@ -109,25 +114,42 @@
       this.shards.forEach((roles) => roles.tickRoles());
     });
     this.every(REPORT_MILLISECONDS, () => this.report());
+    this.every(SWEEP_MILLISECONDS, () => this.shards.forEach((roles) => roles.sweep()));
     this.every(PROBE_MILLISECONDS, () => this.gateway.probe());
     runtime.log('info', 'node started', { node: this.options.self, zone: this.options.zone });
   }
 
-  /** First part of a planned stop: from now on leadership goes to other nodes. */
-  beginLeaving(): void {
+  /** False once a planned stop has closed the doors: new connections are refused. */
+  get takesConnections(): boolean {
+    return !this.doorsClosed;
+  }
+
+  /**
+   * First part of a planned stop: leadership goes to other nodes. Connections that callers have
+   * made before they could know are still served for a moment; then the doors close.
+   */
+  beginLeaving(closeDoors: () => void): void {
     if (this.leaving) {
       return;
     }
     this.leaving = true;
     this.handLeadershipOver();
     this.every(ROLE_TICK_MILLISECONDS, () => this.handLeadershipOver());
+    this.options.runtime.setTimer(LEAVING_GRACE_MILLISECONDS, () => {
+      this.doorsClosed = true;
+      closeDoors();
+    });
   }
 
   /** Planned stop: calls back when this node leads nothing and relays no call any more. */
   leave(done: () => void): void {
+    this.beginLeaving(() => this.awaitQuiet(done));
+  }
+
+  /** Last part of a planned stop, after the doors are closed. */
+  awaitQuiet(done: () => void): void {
     const { runtime } = this.options;
     const started = runtime.now();
-    this.beginLeaving();
     const check = (): void => {
       const leads = this.listShards().some((roles) => roles.host.role === 'leader');
       const late = runtime.now() - started > STOP_PATIENCE_MILLISECONDS;
--- a/src/node/shard-roles.ts
+++ b/src/node/shard-roles.ts
@@ -126,6 +126,13 @@
     }
   }
 
+  /** Ends what was left; done about once a second by the leader. */
+  sweep(): void {
+    if (this.host.canServe()) {
+      this.owner.sweep();
+    }
+  }
+
   private quietOf(service: ServiceName): number {
     return this.quietReports.get(service) ?? 0;
   }
--- a/src/program/shard-owner.ts
+++ b/src/program/shard-owner.ts
@@ -2,7 +2,7 @@
  * Owner of a shard's programs, on the node that leads the shard: takes calls in, keeps each
  * program's order, sends calls to engines and commits their results.
  */
-import type { CallId, GroupName, NodeId, ProgramId, ServiceName } from '../model/identifiers.js';
+import type { CallId, NodeId, ProgramId, ServiceName } from '../model/identifiers.js';
 import type { CallEvent, CallRequest, Usage } from '../model/call.js';
 import { NO_USAGE } from '../model/call.js';
 import type { CallError, CallErrorTag } from '../model/verdict.js';
@@ -17,9 +17,11 @@
 import type { CommandOutcome } from './apply-command.js';
 import { sliceOf } from './apply-command.js';
 import { conversationOf, createTicket, worstCost } from './call-ticket.js';
+import { EarlyCalls } from './early-calls.js';
 import { createLiveCall } from './live-call.js';
 import type { LiveCall } from './live-call.js';
 import type { OwnerLimits } from './program-limits.js';
+import { ProgramExpiry } from './program-expiry.js';
 import { currentCall, hasEnded } from './program-record.js';
 import type { CallRecord, ProgramRecord } from './program-record.js';
 
@@ -39,19 +41,17 @@
   readonly onProgramEnded: (program: ProgramId) => void;
 }
 
-interface EarlyCall {
-  readonly from: NodeId;
-  readonly request: CallRequest;
-  readonly until: number;
-}
-
 /** See the head of this file. */
 export class ShardOwner {
   private readonly live = new Map<CallId, LiveCall>();
   private readonly accepting = new Map<CallId, Set<NodeId>>();
-  private readonly early = new Map<ProgramId, EarlyCall[]>();
+  private readonly early: EarlyCalls;
+  private readonly expiry: ProgramExpiry;
 
-  constructor(private readonly options: ShardOwnerOptions) {}
+  constructor(private readonly options: ShardOwnerOptions) {
+    this.early = new EarlyCalls(options.limits.maximumEarlyCalls);
+    this.expiry = new ProgramExpiry(options);
+  }
 
   /** Number of calls under way here. */
   get liveCount(): number {
@@ -65,7 +65,7 @@
 
   /** True when this owner can tell what became of a call. */
   knows(call: CallId): boolean {
-    return this.live.has(call) || this.accepting.has(call) || this.isEarly(call);
+    return this.live.has(call) || this.accepting.has(call) || this.early.has(call);
   }
 
   /** Takes a call in, or attaches to it when it is known. */
@@ -137,6 +137,7 @@
     this.live.clear();
     this.accepting.clear();
     this.early.clear();
+    this.expiry.reset();
   }
 
   /** Adds this owner's calls to a report to a pool. */
@@ -164,7 +165,7 @@
   /** Ends early calls that waited too long and programs that were left; called once a second. */
   sweep(): void {
     this.refuseStaleEarlyCalls();
-    this.expirePrograms();
+    this.expiry.sweep();
   }
 
   private attachToKnown(from: NodeId, request: CallRequest): boolean {
@@ -197,15 +198,6 @@
     }
   }
 
-  private isEarly(call: CallId): boolean {
-    for (const waiting of this.early.values()) {
-      if (waiting.some((early) => early.request.call === call)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   private holdIfEarly(
     from: NodeId,
     request: CallRequest,
@@ -215,17 +207,11 @@
     if (request.sequence <= next || program?.end !== undefined) {
       return false;
     }
-    const waiting = this.early.get(request.program) ?? [];
-    if (waiting.some((early) => early.request.call === request.call)) {
-      return true;
-    }
-    if (waiting.length >= this.options.limits.maximumEarlyCalls) {
+    const until = this.options.runtime.now() + request.timeoutMilliseconds;
+    if (!this.early.add({ from, request, until })) {
       const error = notRun('Conflict', `Sequence ${next} comes first; too many wait for it.`, 1);
       this.sendEvent(from, request.call, { type: 'failed', error });
-      return true;
     }
-    const until = this.options.runtime.now() + request.timeoutMilliseconds;
-    this.early.set(request.program, [...waiting, { from, request, until }]);
     return true;
   }
 
@@ -561,66 +547,20 @@
   }
 
   private releaseEarly(program: ProgramId): void {
-    const waiting = this.early.get(program);
     const next = this.options.host.state.programs.get(program)?.nextSequence ?? 1;
-    const ready = waiting?.find((early) => early.request.sequence <= next);
-    if (waiting === undefined || ready === undefined) {
-      return;
+    const ready = this.early.takeReady(program, next);
+    if (ready !== undefined) {
+      this.submit(ready.from, ready.request);
     }
-    const rest = waiting.filter((early) => early !== ready);
-    if (rest.length === 0) {
-      this.early.delete(program);
-    } else {
-      this.early.set(program, rest);
-    }
-    this.submit(ready.from, ready.request);
   }
 
   private refuseStaleEarlyCalls(): void {
-    const now = this.options.runtime.now();
-    for (const [program, waiting] of this.early) {
-      const stale = waiting.filter((early) => early.until <= now);
-      const kept = waiting.filter((early) => early.until > now);
-      for (const early of stale) {
-        const error = notRun('Conflict', 'An earlier sequence never came.', 1);
-        this.sendEvent(early.from, early.request.call, { type: 'failed', error });
-      }
-      if (kept.length === 0) {
-        this.early.delete(program);
-      } else {
-        this.early.set(program, kept);
-      }
+    for (const early of this.early.takeStale(this.options.runtime.now())) {
+      const error = notRun('Conflict', 'An earlier sequence never came.', 1);
+      this.sendEvent(early.from, early.request.call, { type: 'failed', error });
     }
   }
 
-  private expirePrograms(): void {
-    const { host, runtime, limits } = this.options;
-    const now = runtime.wallTime();
-    for (const program of host.state.programs.values()) {
-      const quiet = now - program.lastActivityAt;
-      if (program.end !== undefined && quiet > limits.retentionMilliseconds) {
-        host.propose({ type: 'forgetProgram', program: program.program }, () => undefined);
-      } else if (program.end === undefined && quiet > limits.idleMilliseconds) {
-        this.expire(program, now);
-      }
-    }
-  }
-
-  private expire(program: ProgramRecord, now: number): void {
-    if (currentCall(program) !== undefined) {
-      return;
-    }
-    const { program: name } = program;
-    this.options.host.propose(
-      { type: 'endProgram', at: now, program: name, reason: 'expired' },
-      (result) => {
-        if (result.type === 'committed') {
-          this.options.onProgramEnded(name);
-        }
-      },
-    );
-  }
-
   private dropEnded(): void {
     for (const call of [...this.live.values()]) {
       const record = this.recordOf(call);
@@ -688,8 +628,3 @@
   const error = record.error ?? mayHaveRun('BackEndFailed', 'The call failed.');
   return { type: 'failed', error };
 }
-
-/** Group of a program, if the shard knows it. */
-export function groupOfProgram(host: ShardHost, program: ProgramId): GroupName | undefined {
-  return host.state.programs.get(program)?.group;
-}
--- a/src/simulation/simulated-cluster.ts
+++ b/src/simulation/simulated-cluster.ts
@@ -157,10 +157,13 @@
   /** Stops a node as planned; it is gone when `done` is called. */
   leaveNode(name: NodeId, done: () => void = () => undefined): void {
     const machine = this.machine(name);
-    machine.node?.leave(() => {
-      machine.end.process.kill();
-      machine.node = undefined;
-      done();
+    // A signal to a process that stands still takes effect when it goes on.
+    machine.end.process.enter(() => {
+      machine.node?.leave(() => {
+        machine.end.process.kill();
+        machine.node = undefined;
+        done();
+      });
     });
   }
 
