--- a/src/configuration/configuration-follower.ts
+++ b/src/configuration/configuration-follower.ts
@@ -9,10 +9,12 @@
 import type { Runtime } from '../runtime/runtime.js';
 import type {
   ConfigurationAnnounce,
+  ConfigurationChanges,
   ConfigurationFetch,
   ConfigurationTransfer,
   Message,
 } from '../wire/messages.js';
+import { applyChanges, ConfigurationSteps } from './configuration-steps.js';
 import { buildConfiguration, EMPTY_CONFIGURATION, listDocuments } from './documents.js';
 import type { ClusterConfiguration, ConfigurationDocument } from './documents.js';
 import { CONFIGURATION_PREFIX, decodePairs } from './stored-documents.js';
@@ -47,6 +49,7 @@
   private configuration: ClusterConfiguration = EMPTY_CONFIGURATION;
   private readonly acknowledged = new Map<NodeId, number>();
   private readonly cancels: (() => void)[] = [];
+  private readonly steps = new ConfigurationSteps();
   private reading = false;
 
   constructor(private readonly options: ConfigurationFollowerOptions) {}
@@ -123,10 +126,20 @@
     }
   }
 
-  /** Answers a peer that is behind. */
+  /** Answers a peer that is behind: with what changed, or with everything. */
   receiveFetch(from: NodeId, message: ConfigurationFetch): void {
     if (message.revision < this.configuration.revision) {
-      this.options.send(from, this.transfer());
+      this.options.send(from, this.steps.since(message.revision) ?? this.transfer());
+    }
+  }
+
+  /** Takes what changed from a peer. */
+  receiveChanges(from: NodeId, message: ConfigurationChanges): void {
+    const { configuration } = this;
+    if (message.fromRevision <= configuration.revision) {
+      this.adopt(message.revision, applyChanges(configuration, message));
+      const { revision } = this.configuration;
+      this.options.send(from, { type: 'configurationAnnounce', revision, wantsReply: false });
     }
   }
 
@@ -163,7 +176,9 @@
     if (revision <= this.configuration.revision) {
       return;
     }
+    const before = this.configuration;
     this.configuration = buildConfiguration(revision, documents);
+    this.steps.add(before, this.configuration);
     this.acknowledged.set(this.options.self, revision);
     this.options.store?.save(revision, JSON.stringify(documents));
     this.options.onChange(this.configuration);
--- /dev/null
+++ b/src/configuration/configuration-steps.ts
@@ -0,0 +1,132 @@
+/**
+ * The newest steps from one configuration to the next, so that a node that is a little behind is
+ * sent what changed and not everything.
+ */
+import type { ConfigurationChanges } from '../wire/messages.js';
+import { listDocuments } from './documents.js';
+import type { ClusterConfiguration, ConfigurationDocument, DocumentKind } from './documents.js';
+
+/** Steps kept; a node that is further behind is sent everything. */
+const STEPS_KEPT = 256;
+
+/** Kind and name of a document. */
+export interface DocumentName {
+  readonly kind: DocumentKind;
+  readonly name: string;
+}
+
+interface Step {
+  readonly fromRevision: number;
+  readonly revision: number;
+  readonly documents: readonly ConfigurationDocument[];
+  readonly removed: readonly DocumentName[];
+}
+
+function keyOf(entry: ConfigurationDocument): string {
+  return `${entry.kind}/${entry.document.name}`;
+}
+
+function byKey(documents: readonly ConfigurationDocument[]): Map<string, ConfigurationDocument> {
+  return new Map(documents.map((entry) => [keyOf(entry), entry]));
+}
+
+/** What changed between two configurations. */
+function compare(before: ClusterConfiguration, after: ClusterConfiguration): Step {
+  const documents: ConfigurationDocument[] = [];
+  const removed: DocumentName[] = [];
+  for (const { kind, from, to } of pairTables(before, after)) {
+    for (const [key, document] of to) {
+      if (!isSame(from.get(key), document)) {
+        documents.push({ kind, document } as ConfigurationDocument);
+      }
+    }
+    for (const [key, document] of from) {
+      if (!to.has(key)) {
+        removed.push({ kind, name: document.name });
+      }
+    }
+  }
+  // A key that was replaced under its name is found by another hash, and is not gone.
+  const kept = new Set(documents.map(keyOf));
+  const gone = removed.filter(({ kind, name }) => !kept.has(`${kind}/${name}`));
+  return { fromRevision: before.revision, revision: after.revision, documents, removed: gone };
+}
+
+type Documents = ReadonlyMap<string, ConfigurationDocument['document']>;
+
+function pairTables(
+  before: ClusterConfiguration,
+  after: ClusterConfiguration,
+): { readonly kind: DocumentKind; readonly from: Documents; readonly to: Documents }[] {
+  return [
+    { kind: 'group', from: before.groups, to: after.groups },
+    { kind: 'service', from: before.services, to: after.services },
+    { kind: 'engine', from: before.engines, to: after.engines },
+    { kind: 'key', from: before.keys, to: after.keys },
+  ];
+}
+
+/** Documents that were taken over are the same objects; only others need to be looked into. */
+function isSame(known: object | undefined, document: object): boolean {
+  return known === document || JSON.stringify(known) === JSON.stringify(document);
+}
+
+/** Documents of a configuration after changes. */
+export function applyChanges(
+  configuration: ClusterConfiguration,
+  changes: ConfigurationChanges,
+): ConfigurationDocument[] {
+  const documents = byKey(listDocuments(configuration));
+  for (const { kind, name } of JSON.parse(changes.removed) as DocumentName[]) {
+    documents.delete(`${kind}/${name}`);
+  }
+  for (const entry of JSON.parse(changes.documents) as ConfigurationDocument[]) {
+    documents.set(keyOf(entry), entry);
+  }
+  return [...documents.values()];
+}
+
+/** See the head of this file. */
+export class ConfigurationSteps {
+  private readonly steps: Step[] = [];
+
+  /** Notes a step. The first one, from nothing, is everything and is not kept. */
+  add(before: ClusterConfiguration, after: ClusterConfiguration): void {
+    if (before.revision === 0) {
+      return;
+    }
+    this.steps.push(compare(before, after));
+    if (this.steps.length > STEPS_KEPT) {
+      this.steps.shift();
+    }
+  }
+
+  /** What changed since a revision; undefined when the steps kept do not reach back to it. */
+  since(revision: number): ConfigurationChanges | undefined {
+    const newer = this.steps.filter((step) => step.revision > revision);
+    const first = newer[0];
+    const last = newer[newer.length - 1];
+    if (first === undefined || last === undefined || first.fromRevision > revision) {
+      return undefined;
+    }
+    const documents = new Map<string, ConfigurationDocument>();
+    const removed = new Map<string, DocumentName>();
+    for (const step of newer) {
+      for (const entry of step.documents) {
+        documents.set(keyOf(entry), entry);
+        removed.delete(keyOf(entry));
+      }
+      for (const gone of step.removed) {
+        documents.delete(`${gone.kind}/${gone.name}`);
+        removed.set(`${gone.kind}/${gone.name}`, gone);
+      }
+    }
+    return {
+      type: 'configurationChanges',
+      fromRevision: first.fromRevision,
+      revision: last.revision,
+      documents: JSON.stringify([...documents.values()]),
+      removed: JSON.stringify([...removed.values()]),
+    };
+  }
+}
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -208,6 +208,8 @@
         return this.configuration.receiveFetch(from, message);
       case 'configurationTransfer':
         return this.configuration.receiveTransfer(from, message);
+      case 'configurationChanges':
+        return this.configuration.receiveChanges(from, message);
       case 'rowsRequest':
         return this.rows.receiveRequest(from, message);
       case 'rowsReply':
--- a/src/wire/message-codec.ts
+++ b/src/wire/message-codec.ts
@@ -141,6 +141,10 @@
   { type: 'configurationTransfer', fields: { revision: count, documents: longText } },
   { type: 'rowsRequest', fields: { query: shortText, table: shortText } },
   { type: 'rowsReply', fields: { query: shortText, rows: longText } },
+  {
+    type: 'configurationChanges',
+    fields: { fromRevision: count, revision: count, documents: longText, removed: longText },
+  },
 ]);
 
 /** Bytes of a message. */
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -311,6 +311,20 @@
   readonly documents: string;
 }
 
+/**
+ * What changed in the accepted configuration, as JSON lists. Applies to any revision from
+ * `fromRevision` on, since documents are whole.
+ */
+export interface ConfigurationChanges {
+  readonly type: 'configurationChanges';
+  readonly fromRevision: number;
+  readonly revision: number;
+  /** Documents as they are now. */
+  readonly documents: string;
+  /** Kinds and names of documents that are gone. */
+  readonly removed: string;
+}
+
 /** Operator's query, one statement, sent to every node and merged by the asker. */
 export interface RowsRequest {
   readonly type: 'rowsRequest';
@@ -353,6 +367,7 @@
   | ConfigurationAnnounce
   | ConfigurationFetch
   | ConfigurationTransfer
+  | ConfigurationChanges
   | RowsRequest
   | RowsReply;
 
