Keep a replica's voters and its promise when it comes back from disk; split admission from the owner

Cause: a rig that kills real daemons left a cluster of three live nodes without a leader: replicas read from disk had no voters, so none stood for election, and a leaving leader put off the end of its hand-over each time it tried again. Admission, early calls, holds and the set of engines are modules of their own.

--- a/src/dispatch/engine-state.ts
+++ b/src/dispatch/engine-state.ts
@@ -44,6 +44,19 @@
     this.draining = document.draining;
   }
 
+  /** True when a document leaves everything but the draining as it is. */
+  matches(document: EngineDocument): boolean {
+    const { concurrency, cacheTokens, zone } = this.view;
+    const same = cacheTokens === document.cacheTokens && zone === document.zone;
+    return same && concurrency === Math.max(1, document.concurrency);
+  }
+
+  /** Takes over the calls and holds of an earlier state of the same back end. */
+  inherit(earlier: EngineState): void {
+    earlier.running.forEach((ticket, call) => this.addRunning(call, ticket, 0));
+    earlier.holds.forEach((hold, program) => this.addHold(program, hold));
+  }
+
   /** Takes over what a new revision of the document says. */
   configure(document: EngineDocument, now: number): void {
     this.draining = document.draining;
--- a/src/dispatch/pool-scheduler.ts
+++ b/src/dispatch/pool-scheduler.ts
@@ -11,22 +11,16 @@
   ServiceName,
   ShardId,
 } from '../model/identifiers.js';
-import { enginesOf } from '../configuration/documents.js';
 import type { ClusterConfiguration } from '../configuration/documents.js';
 import type { BackEndPort, BackEndReport, Fence } from '../platform/back-end-port.js';
 import type { Runtime } from '../runtime/runtime.js';
 import { CacheDirectory } from '../scheduling/cache-directory.js';
 import { CostModel } from '../scheduling/cost-model.js';
-import { programPrefix } from '../scheduling/pool-view.js';
-import type {
-  EngineView,
-  FinishedTurn,
-  Placement,
-  PoolView,
-  SchedulingPolicy,
-} from '../scheduling/pool-view.js';
+import type { Placement, PoolView, SchedulingPolicy } from '../scheduling/pool-view.js';
 import type { CallTicket, Message, PoolFinished, PoolReport } from '../wire/messages.js';
-import { EngineState } from './engine-state.js';
+import { EngineSet } from './engine-set.js';
+import type { EngineState } from './engine-state.js';
+import { HoldKeeper } from './hold-keeper.js';
 
 /** Time between requests for a back end's report, in milliseconds. */
 const REPORT_PERIOD_MILLISECONDS = 2_000;
@@ -93,28 +87,33 @@
 
 /** See the head of this file. */
 export class PoolScheduler {
-  private readonly engines = new Map<EngineId, EngineState>();
+  private readonly engines: EngineSet;
+  private readonly holds: HoldKeeper;
   private readonly calls = new Map<CallId, KnownCall>();
   private readonly endedAt = new Map<CallId, number>();
   private readonly shardHeardAt = new Map<ShardId, number>();
-  private readonly pool: {
-    engines: EngineView[];
-    engineByName: Map<EngineId, EngineView>;
-  } & Omit<PoolView, 'engines' | 'engineByName'>;
+  private readonly pool: PoolView;
   private readonly startedAt: number;
-  private configuredRevision = -1;
   private lastReportAt = 0;
   private choosing = false;
 
   constructor(private readonly options: PoolSchedulerOptions) {
     this.startedAt = options.runtime.now();
+    const engines = new EngineSet(options.service);
+    const directory = new CacheDirectory();
+    this.engines = engines;
     this.pool = {
-      engines: [],
-      engineByName: new Map(),
-      directory: new CacheDirectory(),
+      get engines() {
+        return engines.views;
+      },
+      get engineByName() {
+        return engines.viewByName;
+      },
+      directory,
       costs: new CostModel(),
       shareOf: (group) => options.configuration().groups.get(group)?.share ?? 1,
     };
+    this.holds = new HoldKeeper({ ...options, engines, directory });
     this.configure();
   }
 
@@ -160,20 +159,7 @@
 
   /** Gives back the memory of a program that is over. */
   receiveProgramGone(program: ProgramId): void {
-    const { policy } = this.options;
-    policy.programEnded(program);
-    const holders = this.pool.directory.forget(program);
-    for (const engine of this.engines.values()) {
-      if (engine.removeHold(program)) {
-        holders.push(engine.view.engine);
-      }
-    }
-    if (!policy.releasesMemory) {
-      return;
-    }
-    for (const engine of new Set(holders)) {
-      this.options.backEnds.hold(engine, program, 0, this.options.fence());
-    }
+    this.holds.releaseProgram(program);
   }
 
   /** Called a few times a second: follows configuration, lapses, silence and reports. */
@@ -182,9 +168,8 @@
     this.configure();
     for (const engine of this.engines.values()) {
       engine.refresh(now);
-      const lapsed = engine.dropLapsedHolds(now);
-      lapsed.forEach((program) => this.pool.directory.remove(engine.view.engine, program));
     }
+    this.holds.dropLapsed(now);
     this.forgetSilentOwners(now);
     this.forgetOldEnds(now);
     this.refuseHopeless(now);
@@ -225,41 +210,7 @@
   }
 
   private configure(): void {
-    const configuration = this.options.configuration();
-    if (configuration.revision === this.configuredRevision) {
-      return;
-    }
-    this.configuredRevision = configuration.revision;
-    const now = this.options.runtime.now();
-    const documents = enginesOf(configuration, this.options.service);
-    const names = new Set(documents.map((document) => document.name));
-    for (const name of [...this.engines.keys()]) {
-      if (!names.has(name)) {
-        this.engines.delete(name);
-      }
-    }
-    for (const document of documents) {
-      const known = this.engines.get(document.name);
-      if (known !== undefined && known.view.concurrency === Math.max(1, document.concurrency)) {
-        known.configure(document, now);
-      } else if (known === undefined) {
-        this.engines.set(document.name, new EngineState(document));
-      } else {
-        this.replaceEngine(known, new EngineState(document));
-      }
-    }
-    this.pool.engines = [...this.engines.values()].map((engine) => engine.view);
-    this.pool.engineByName = new Map(this.pool.engines.map((view) => [view.engine, view]));
-  }
-
-  private replaceEngine(known: EngineState, next: EngineState): void {
-    for (const [call, ticket] of known.running) {
-      next.addRunning(call, ticket, 0);
-    }
-    for (const [program, hold] of known.holds) {
-      next.addHold(program, hold);
-    }
-    this.engines.set(next.view.engine, next);
+    this.engines.configure(this.options.configuration(), this.options.runtime.now());
   }
 
   private noteWaiting(owner: NodeId, shard: ShardId, ticket: CallTicket, now: number): void {
@@ -401,48 +352,7 @@
       return;
     }
     const turn = { ticket, engine: engine.view, usage, serviceMilliseconds };
-    this.noteCached(turn);
-    this.decideHold(engine, turn, now);
-  }
-
-  private noteCached(turn: FinishedTurn): void {
-    const { engine } = turn.engine;
-    this.pool.directory.add(engine, programPrefix(turn.ticket, turn.usage));
-    const shared = turn.ticket.prefixes.filter((prefix) => prefix.name !== turn.ticket.program);
-    shared.forEach((prefix) => this.pool.directory.add(engine, prefix));
-  }
-
-  private decideHold(engine: EngineState, turn: FinishedTurn, now: number): void {
-    const { backEnds, policy, fence } = this.options;
-    if (engine.view.cacheTokens === 0) {
-      return;
-    }
-    const decision = policy.finished(this.pool, turn, now);
-    if (decision.type === 'leave') {
-      return;
-    }
-    const { program } = turn.ticket;
-    const { engine: name } = engine.view;
-    this.releaseElsewhere(program, name);
-    backEnds.hold(name, program, decision.milliseconds, fence());
-    engine.removeHold(program);
-    if (decision.milliseconds === 0) {
-      this.pool.directory.remove(name, program);
-      return;
-    }
-    const tokens = turn.usage.promptTokens + turn.usage.completionTokens;
-    engine.addHold(program, { tokens, until: now + decision.milliseconds });
-  }
-
-  /** Older copies of the same history, left on engines the program has moved away from. */
-  private releaseElsewhere(program: ProgramId, keep: EngineId): void {
-    for (const holder of this.pool.directory.holders(program)) {
-      if (holder !== keep) {
-        this.pool.directory.remove(holder, program);
-        this.engines.get(holder)?.removeHold(program);
-        this.options.backEnds.hold(holder, program, 0, this.options.fence());
-      }
-    }
+    this.holds.finishTurn(this.pool, engine, turn, now);
   }
 
   /** Refuses at once what the queue's speed shows cannot be started before its caller gives up. */
@@ -518,43 +428,23 @@
   }
 
   private askForReports(): void {
-    const programs: ProgramId[] = [];
     for (const engine of this.engines.values()) {
-      const name = engine.view.engine;
+      const { engine: name } = engine.view;
       this.options.backEnds.report(name, (report) => this.receiveBackEndReport(name, report));
-      programs.push(...engine.holds.keys());
-    }
-    if (programs.length > 0) {
-      this.options.checkHolds(programs);
     }
+    this.holds.checkAll();
   }
 
   private receiveBackEndReport(name: EngineId, report: BackEndReport): void {
     const engine = this.engines.get(name);
+    const now = this.options.runtime.now();
     if (engine === undefined || !this.options.canServe()) {
       return;
     }
     if (report.unreachable) {
-      engine.noteFailure(this.options.runtime.now());
-      return;
-    }
-    report.evictedPrograms.forEach((program) => this.pool.directory.remove(name, program));
-    const unknown = report.held.filter((held) => !engine.holds.has(held.program));
-    if (unknown.length > 0) {
-      // Held by an earlier scheduler's order: its owner says whether the program still lives.
-      this.adoptHolds(engine, report);
-      this.options.checkHolds(unknown.map((held) => held.program));
-    }
-  }
-
-  private adoptHolds(engine: EngineState, report: BackEndReport): void {
-    const until = this.options.runtime.now() + 2 * REPORT_PERIOD_MILLISECONDS;
-    for (const held of report.held) {
-      if (!engine.holds.has(held.program)) {
-        engine.addHold(held.program, { tokens: held.tokens, until });
-        const prefix = { name: held.program, tokens: held.tokens };
-        this.pool.directory.add(engine.view.engine, prefix);
-      }
+      engine.noteFailure(now);
+    } else {
+      this.holds.receiveReport(engine, report, now);
     }
   }
 }
--- a/src/histories/fault-injector.ts
+++ b/src/histories/fault-injector.ts
@@ -9,6 +9,7 @@
 const LOSS = 0.15;
 const EXTRA_DELAY_MILLISECONDS = 400;
 const CLOCK_JUMP_MILLISECONDS = 3_600_000;
+const MOST_TORN_ENTRIES = 6;
 const OPERATOR = { name: 'operator', mayChange: true };
 
 /** See the head of this file. */
@@ -16,6 +17,7 @@
   /** How often each kind struck. */
   readonly struck = new Map<FaultKind, number>();
   private changes = 0;
+  private tornNode: NodeId = '';
 
   constructor(
     private readonly cluster: SimulatedCluster,
@@ -67,10 +69,11 @@
     const engine = this.engineOf(fault.other);
     switch (fault.kind) {
       case 'processDeath':
-        this.run.stops
-          .filter((stop) => stop.node === node && stop.endedAt === Infinity)
-          .forEach((stop) => (stop.interrupted = true));
-        cluster.killNode(node);
+        this.kill(node);
+        return () => cluster.startNode(node);
+      case 'tornTail':
+        this.kill(node);
+        this.tear(node, 1 + (fault.other % MOST_TORN_ENTRIES));
         return () => cluster.startNode(node);
       case 'processPause':
         cluster.processOf(node).pause();
@@ -125,6 +128,21 @@
     }
   }
 
+  private kill(node: NodeId): void {
+    this.run.stops
+      .filter((stop) => stop.node === node && stop.endedAt === Infinity)
+      .forEach((stop) => (stop.interrupted = true));
+    this.cluster.killNode(node);
+  }
+
+  /** One disk a run: three replicas stand the loss of one. */
+  private tear(node: NodeId, entries: number): void {
+    if (this.tornNode === '') {
+      this.tornNode = node;
+      this.cluster.tearDisk(node, entries);
+    }
+  }
+
   private isolate(node: NodeId, cut: (other: NodeId) => void): () => void {
     this.cluster.nodeNames.filter((other) => other !== node).forEach(cut);
     return () => this.cluster.network.heal();
--- a/src/histories/fault-plan.ts
+++ b/src/histories/fault-plan.ts
@@ -4,6 +4,7 @@
 /** Kinds of faults. */
 export type FaultKind =
   | 'processDeath'
+  | 'tornTail'
   | 'processPause'
   | 'partition'
   | 'oneWayPartition'
@@ -22,6 +23,7 @@
 /** Every kind. */
 export const FAULT_KINDS: readonly FaultKind[] = [
   'processDeath',
+  'tornTail',
   'processPause',
   'partition',
   'oneWayPartition',
--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -8,6 +8,7 @@
 import { LevelStorage } from '../replication/level-storage.js';
 import { createMemoryStorage } from '../replication/memory-storage.js';
 import { createShardMap } from '../replication/shard-map.js';
+import type { ShardMap } from '../replication/shard-map.js';
 import type { Runtime } from '../runtime/runtime.js';
 import { createPolicy, POLICY_NAMES } from '../scheduling/create-policy.js';
 import { TcpTransport } from '../wire/tcp-transport.js';
@@ -36,7 +37,7 @@
 
 async function openStorage(
   settings: Settings,
-  shardCount: number,
+  map: ShardMap,
   runtime: Runtime,
 ): Promise<OpenStorage> {
   if (settings.dataFolder === undefined) {
@@ -44,7 +45,7 @@
     runtime.log('warn', 'no data folder: replicas do not outlive this process', { run });
     return { storage: createMemoryStorage(), close: () => Promise.resolve() };
   }
-  const { storage, tornShards } = await LevelStorage.open(settings.dataFolder, shardCount, runtime);
+  const { storage, tornShards } = await LevelStorage.open(settings.dataFolder, map, runtime);
   if (tornShards.length > 0) {
     const shards = tornShards.join(', ');
     runtime.log('warn', 'logs with torn tails are repaired from peers', { shards });
@@ -72,8 +73,8 @@
 
 /** Starts a daemon; resolves when it listens. */
 export async function startDaemon(settings: Settings, runtime: Runtime): Promise<Daemon> {
-  const shardCount = settings.shardCount ?? DEFAULT_SHARD_COUNT;
-  const { storage, close } = await openStorage(settings, shardCount, runtime);
+  const map = createShardMap(settings.shardCount ?? DEFAULT_SHARD_COUNT, settings.peers);
+  const { storage, close } = await openStorage(settings, map, runtime);
   const addresses = new Map(settings.peers.map((peer) => [peer.node, peer]));
   const policy = POLICY_NAMES.find((name) => name === settings.policy) ?? 'ivyloom';
   const transport = new TcpTransport({
@@ -91,7 +92,7 @@
     self: settings.node,
     zone: settings.zone,
     nodes: settings.peers.map(({ node: name, zone }) => ({ node: name, zone })),
-    map: createShardMap(shardCount, settings.peers),
+    map,
     runtime,
     transport,
     storage,
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -39,6 +39,8 @@
 export const STOP_PATIENCE_MILLISECONDS = 60_000;
 /** Time for which a leaving node still takes connections, in milliseconds. */
 const LEAVING_GRACE_MILLISECONDS = 500;
+/** Time left at the end of it for connections that wait to be taken, in milliseconds. */
+const LAST_CONNECTIONS_MILLISECONDS = 20;
 /** Time between sweeps of left programs and early calls, in milliseconds. */
 const SWEEP_MILLISECONDS = 1_000;
 /** Nodes that read the key-value service themselves; the rest hear from peers. */
@@ -135,10 +137,16 @@
     this.leaving = true;
     this.handLeadershipOver();
     this.every(ROLE_TICK_MILLISECONDS, () => this.handLeadershipOver());
-    this.options.runtime.setTimer(LEAVING_GRACE_MILLISECONDS, () => {
+    const { runtime } = this.options;
+    const close = (): void => {
       this.doorsClosed = true;
       closeDoors();
-    });
+    };
+    // A process that stood still finds its timers due before the connections made meanwhile: those
+    // are taken in between the two timers.
+    runtime.setTimer(LEAVING_GRACE_MILLISECONDS, () =>
+      runtime.setTimer(LAST_CONNECTIONS_MILLISECONDS, close),
+    );
   }
 
   /** Planned stop: calls back when this node leads nothing and relays no call any more. */
--- /dev/null
+++ b/src/program/call-admission.ts
@@ -0,0 +1,186 @@
+/**
+ * Takes calls into their programs' order: attaches repeats, keeps early calls, gets budget, commits
+ * the acceptance.
+ */
+import type { CallId, NodeId, ProgramId } from '../model/identifiers.js';
+import type { SliceClient } from '../budget/slice-client.js';
+import type { CallEvent, CallRequest } from '../model/call.js';
+import type { CallError } from '../model/verdict.js';
+import { mayHaveRun, notRun } from '../model/verdict.js';
+import type { ProposalResult } from '../replication/raft-replica.js';
+import type { ShardHost } from '../replication/shard-host.js';
+import type { Runtime } from '../runtime/runtime.js';
+import type { Message } from '../wire/messages.js';
+import type { CommandOutcome } from './apply-command.js';
+import { sliceOf } from './apply-command.js';
+import { resultEvent } from './call-result.js';
+import { worstCost } from './call-ticket.js';
+import { EarlyCalls } from './early-calls.js';
+import type { LiveCall } from './live-call.js';
+import type { OwnerLimits } from './program-limits.js';
+import type { CallRecord, ProgramRecord } from './program-record.js';
+
+/** What admission is made with; the owner keeps the calls once they are taken. */
+export interface CallAdmissionOptions {
+  readonly host: ShardHost;
+  readonly runtime: Runtime;
+  readonly limits: OwnerLimits;
+  readonly slices: SliceClient;
+  readonly send: (to: NodeId, message: Message) => void;
+  /** A call under way. */
+  readonly find: (call: CallId) => LiveCall | undefined;
+  /** Lets a gateway hear of a call under way, from the text it has already. */
+  readonly attach: (call: LiveCall, from: NodeId, receivedText: string) => void;
+  /** Puts an accepted call under way. */
+  readonly adopt: (request: CallRequest, gateways: Iterable<NodeId>) => LiveCall;
+  /** Starts the next call of a program, if it can start. */
+  readonly startNext: (program: ProgramId) => void;
+}
+
+/** See the head of this file. */
+export class CallAdmission {
+  private readonly accepting = new Map<CallId, Set<NodeId>>();
+  private readonly early: EarlyCalls;
+
+  constructor(private readonly options: CallAdmissionOptions) {
+    this.early = new EarlyCalls(options.limits.maximumEarlyCalls);
+  }
+
+  /** True while a call is being taken in, or waits for an earlier one. */
+  knows(call: CallId): boolean {
+    return this.accepting.has(call) || this.early.has(call);
+  }
+
+  /** Forgets everything of a leadership that is over. */
+  reset(): void {
+    this.accepting.clear();
+    this.early.clear();
+  }
+
+  /** Takes a call in, or attaches to it when it is known. */
+  submit(from: NodeId, request: CallRequest): void {
+    if (this.attachToKnown(from, request)) {
+      return;
+    }
+    const program = this.options.host.state.programs.get(request.program);
+    if (this.holdIfEarly(from, request, program)) {
+      return;
+    }
+    this.accepting.set(request.call, new Set([from]));
+    this.acceptWithBudget(request, program, true);
+  }
+
+  private attachToKnown(from: NodeId, request: CallRequest): boolean {
+    const accepting = this.accepting.get(request.call);
+    if (accepting !== undefined) {
+      accepting.add(from);
+      return true;
+    }
+    const live = this.options.find(request.call);
+    if (live !== undefined) {
+      this.options.attach(live, from, request.receivedText);
+      return true;
+    }
+    return false;
+  }
+
+  private holdIfEarly(
+    from: NodeId,
+    request: CallRequest,
+    program: ProgramRecord | undefined,
+  ): boolean {
+    const next = program?.nextSequence ?? 1;
+    if (request.sequence <= next || program?.end !== undefined) {
+      return false;
+    }
+    const until = this.options.runtime.now() + request.timeoutMilliseconds;
+    if (!this.early.add({ from, request, until })) {
+      const error = notRun('Conflict', `Sequence ${next} comes first; too many wait for it.`, 1);
+      this.sendEvent(from, request.call, { type: 'failed', error });
+    }
+    return true;
+  }
+
+  private acceptWithBudget(
+    request: CallRequest,
+    program: ProgramRecord | undefined,
+    mayAcquire: boolean,
+  ): void {
+    const { host, slices } = this.options;
+    const reserve = worstCost(program, request);
+    slices.touch(request.group);
+    if (mayAcquire && sliceOf(host.state, request.group).available < reserve) {
+      slices.acquire(request.group, reserve, (granted) => {
+        if (this.accepting.has(request.call)) {
+          this.acceptWithBudget(request, host.state.programs.get(request.program), granted);
+        }
+      });
+      return;
+    }
+    this.proposeAccept(request, reserve);
+  }
+
+  private proposeAccept(request: CallRequest, reserve: number): void {
+    const { host, runtime, limits } = this.options;
+    host.propose(
+      { type: 'acceptCall', at: runtime.wallTime(), request, reserve, limits: limits.program },
+      (result) => this.finishAccept(request, result),
+    );
+  }
+
+  private finishAccept(request: CallRequest, result: ProposalResult<CommandOutcome>): void {
+    const gateways = this.accepting.get(request.call) ?? new Set();
+    this.accepting.delete(request.call);
+    if (result.type !== 'committed') {
+      // The gateway asks again, whoever leads by then; the call's identifier makes that safe.
+      return;
+    }
+    const { outcome } = result;
+    if (outcome.type === 'accepted') {
+      const call = this.options.adopt(outcome.record.request!, gateways);
+      call.text = request.receivedText;
+      this.options.startNext(request.program);
+      this.releaseEarly(request.program);
+    } else if (outcome.type === 'repeated') {
+      gateways.forEach((gateway) => this.answerRepeat(gateway, request, outcome.record));
+    } else if (outcome.type === 'refused') {
+      const event: CallEvent = { type: 'failed', error: outcome.error };
+      gateways.forEach((gateway) => this.sendEvent(gateway, request.call, event));
+    }
+  }
+
+  private answerRepeat(gateway: NodeId, request: CallRequest, record: CallRecord): void {
+    const live = this.options.find(record.call);
+    if (live !== undefined && record.call === request.call) {
+      this.options.attach(live, gateway, request.receivedText);
+      return;
+    }
+    if (live !== undefined) {
+      const detail = `Call ${record.call} with this sequence is under way; read it there.`;
+      const error: CallError = { ...mayHaveRun('Conflict', detail), retryAfterSeconds: 1 };
+      this.sendEvent(gateway, request.call, { type: 'failed', error });
+      return;
+    }
+    this.sendEvent(gateway, request.call, resultEvent(record));
+  }
+
+  private releaseEarly(program: ProgramId): void {
+    const next = this.options.host.state.programs.get(program)?.nextSequence ?? 1;
+    const ready = this.early.takeReady(program, next);
+    if (ready !== undefined) {
+      this.submit(ready.from, ready.request);
+    }
+  }
+
+  /** Refuses early calls that waited too long; called once a second. */
+  sweep(): void {
+    for (const early of this.early.takeStale(this.options.runtime.now())) {
+      const error = notRun('Conflict', 'An earlier sequence never came.', 1);
+      this.sendEvent(early.from, early.request.call, { type: 'failed', error });
+    }
+  }
+
+  private sendEvent(to: NodeId, call: CallId, event: CallEvent): void {
+    this.options.send(to, { type: 'callEvent', call, event });
+  }
+}
--- a/src/program/shard-owner.ts
+++ b/src/program/shard-owner.ts
@@ -15,9 +15,10 @@
 import type { Runtime } from '../runtime/runtime.js';
 import type { FinishOutcome, Message, PoolAssignment } from '../wire/messages.js';
 import type { CommandOutcome } from './apply-command.js';
-import { sliceOf } from './apply-command.js';
-import { conversationOf, createTicket, worstCost } from './call-ticket.js';
-import { EarlyCalls } from './early-calls.js';
+import { CallAdmission } from './call-admission.js';
+import { createTicket } from './call-ticket.js';
+import { resultEvent } from './call-result.js';
+import { createOrder } from './engine-order.js';
 import { createLiveCall } from './live-call.js';
 import type { LiveCall } from './live-call.js';
 import type { OwnerLimits } from './program-limits.js';
@@ -44,12 +45,17 @@
 /** See the head of this file. */
 export class ShardOwner {
   private readonly live = new Map<CallId, LiveCall>();
-  private readonly accepting = new Map<CallId, Set<NodeId>>();
-  private readonly early: EarlyCalls;
+  private readonly admission: CallAdmission;
   private readonly expiry: ProgramExpiry;
 
   constructor(private readonly options: ShardOwnerOptions) {
-    this.early = new EarlyCalls(options.limits.maximumEarlyCalls);
+    this.admission = new CallAdmission({
+      ...options,
+      find: (call) => this.live.get(call),
+      attach: (call, from, receivedText) => this.attach(call, from, receivedText),
+      adopt: (request, gateways) => this.adopt(request, gateways),
+      startNext: (program) => this.startNext(program),
+    });
     this.expiry = new ProgramExpiry(options);
   }
 
@@ -65,20 +71,12 @@
 
   /** True when this owner can tell what became of a call. */
   knows(call: CallId): boolean {
-    return this.live.has(call) || this.accepting.has(call) || this.early.has(call);
+    return this.live.has(call) || this.admission.knows(call);
   }
 
   /** Takes a call in, or attaches to it when it is known. */
   submit(from: NodeId, request: CallRequest): void {
-    if (this.attachToKnown(from, request)) {
-      return;
-    }
-    const program = this.options.host.state.programs.get(request.program);
-    if (this.holdIfEarly(from, request, program)) {
-      return;
-    }
-    this.accepting.set(request.call, new Set([from]));
-    this.acceptWithBudget(request, program, true);
+    this.admission.submit(from, request);
   }
 
   /** Takes the pool scheduler's decision to start a call. */
@@ -135,8 +133,7 @@
       this.release(call);
     }
     this.live.clear();
-    this.accepting.clear();
-    this.early.clear();
+    this.admission.reset();
     this.expiry.reset();
   }
 
@@ -164,24 +161,10 @@
 
   /** Ends early calls that waited too long and programs that were left; called once a second. */
   sweep(): void {
-    this.refuseStaleEarlyCalls();
+    this.admission.sweep();
     this.expiry.sweep();
   }
 
-  private attachToKnown(from: NodeId, request: CallRequest): boolean {
-    const accepting = this.accepting.get(request.call);
-    if (accepting !== undefined) {
-      accepting.add(from);
-      return true;
-    }
-    const live = this.live.get(request.call);
-    if (live !== undefined) {
-      this.attach(live, from, request.receivedText);
-      return true;
-    }
-    return false;
-  }
-
   private attach(call: LiveCall, from: NodeId, receivedText: string): void {
     call.gateways.add(from);
     if (receivedText.length > call.text.length && call.text === '') {
@@ -198,71 +181,6 @@
     }
   }
 
-  private holdIfEarly(
-    from: NodeId,
-    request: CallRequest,
-    program: ProgramRecord | undefined,
-  ): boolean {
-    const next = program?.nextSequence ?? 1;
-    if (request.sequence <= next || program?.end !== undefined) {
-      return false;
-    }
-    const until = this.options.runtime.now() + request.timeoutMilliseconds;
-    if (!this.early.add({ from, request, until })) {
-      const error = notRun('Conflict', `Sequence ${next} comes first; too many wait for it.`, 1);
-      this.sendEvent(from, request.call, { type: 'failed', error });
-    }
-    return true;
-  }
-
-  private acceptWithBudget(
-    request: CallRequest,
-    program: ProgramRecord | undefined,
-    mayAcquire: boolean,
-  ): void {
-    const { host, slices } = this.options;
-    const reserve = worstCost(program, request);
-    slices.touch(request.group);
-    if (mayAcquire && sliceOf(host.state, request.group).available < reserve) {
-      slices.acquire(request.group, reserve, (granted) => {
-        if (this.accepting.has(request.call)) {
-          this.acceptWithBudget(request, host.state.programs.get(request.program), granted);
-        }
-      });
-      return;
-    }
-    this.proposeAccept(request, reserve);
-  }
-
-  private proposeAccept(request: CallRequest, reserve: number): void {
-    const { host, runtime, limits } = this.options;
-    host.propose(
-      { type: 'acceptCall', at: runtime.wallTime(), request, reserve, limits: limits.program },
-      (result) => this.finishAccept(request, result),
-    );
-  }
-
-  private finishAccept(request: CallRequest, result: ProposalResult<CommandOutcome>): void {
-    const gateways = this.accepting.get(request.call) ?? new Set();
-    this.accepting.delete(request.call);
-    if (result.type !== 'committed') {
-      // The gateway asks again, whoever leads by then; the call's identifier makes that safe.
-      return;
-    }
-    const { outcome } = result;
-    if (outcome.type === 'accepted') {
-      const call = this.adopt(outcome.record.request!, gateways);
-      call.text = request.receivedText;
-      this.startNext(request.program);
-      this.releaseEarly(request.program);
-    } else if (outcome.type === 'repeated') {
-      gateways.forEach((gateway) => this.answerRepeat(gateway, request, outcome.record));
-    } else if (outcome.type === 'refused') {
-      const event: CallEvent = { type: 'failed', error: outcome.error };
-      gateways.forEach((gateway) => this.sendEvent(gateway, request.call, event));
-    }
-  }
-
   private adopt(request: CallRequest, gateways: Iterable<NodeId>): LiveCall {
     const { runtime } = this.options;
     const call = createLiveCall(request, runtime.now());
@@ -276,21 +194,6 @@
     return call;
   }
 
-  private answerRepeat(gateway: NodeId, request: CallRequest, record: CallRecord): void {
-    const live = this.live.get(record.call);
-    if (live !== undefined && record.call === request.call) {
-      this.attach(live, gateway, request.receivedText);
-      return;
-    }
-    if (live !== undefined) {
-      const detail = `Call ${record.call} with this sequence is under way; read it there.`;
-      const error: CallError = { ...mayHaveRun('Conflict', detail), retryAfterSeconds: 1 };
-      this.sendEvent(gateway, request.call, { type: 'failed', error });
-      return;
-    }
-    this.sendEvent(gateway, request.call, resultEvent(record));
-  }
-
   private startNext(programName: ProgramId): void {
     const { host } = this.options;
     const program = host.state.programs.get(programName);
@@ -344,19 +247,8 @@
     }
     call.phase = 'running';
     call.startedAt = runtime.now();
-    const { engine, attempts, request } = call;
-    const order = {
-      call: request.call,
-      program: request.program,
-      service: request.service,
-      fence: this.fence(),
-      messages: conversationOf(program, request),
-      payload: request.payload,
-      continueText: call.text,
-      maximumTokens: request.maximumTokens,
-      priority: request.callClass === 'urgent' ? 0 : request.callClass === 'batch' ? 2 : 1,
-      lastOfProgram: request.endsProgram,
-    };
+    const { engine, attempts } = call;
+    const order = createOrder(program, call, this.fence());
     call.cancelOrder = backEnds.start(engine, order, (event) => {
       if (this.isCurrent(call, 'running') && call.attempts === attempts) {
         this.receiveFromEngine(call, event);
@@ -546,21 +438,6 @@
     };
   }
 
-  private releaseEarly(program: ProgramId): void {
-    const next = this.options.host.state.programs.get(program)?.nextSequence ?? 1;
-    const ready = this.early.takeReady(program, next);
-    if (ready !== undefined) {
-      this.submit(ready.from, ready.request);
-    }
-  }
-
-  private refuseStaleEarlyCalls(): void {
-    for (const early of this.early.takeStale(this.options.runtime.now())) {
-      const error = notRun('Conflict', 'An earlier sequence never came.', 1);
-      this.sendEvent(early.from, early.request.call, { type: 'failed', error });
-    }
-  }
-
   private dropEnded(): void {
     for (const call of [...this.live.values()]) {
       const record = this.recordOf(call);
@@ -617,14 +494,3 @@
     this.options.send(to, { type: 'callEvent', call, event });
   }
 }
-
-/** The final event of a call that has ended. */
-export function resultEvent(record: CallRecord): CallEvent {
-  if (record.status === 'answered') {
-    const { call, sequence } = record;
-    const usage = record.usage ?? NO_USAGE;
-    return { type: 'answered', answer: { call, sequence, text: record.text ?? '', usage } };
-  }
-  const error = record.error ?? mayHaveRun('BackEndFailed', 'The call failed.');
-  return { type: 'failed', error };
-}
--- a/src/replication/level-storage.ts
+++ b/src/replication/level-storage.ts
@@ -11,6 +11,7 @@
 import { decodeEntry, encodeEntry } from '../wire/command-codec.js';
 import { emptyReplica } from './log-entry.js';
 import type { LogEntry, PersistChange, PersistedReplica, Snapshot } from './log-entry.js';
+import type { ShardMap } from './shard-map.js';
 
 const INDEX_DIGITS = 12;
 const CHECKSUM_DIGITS = 16;
@@ -89,14 +90,14 @@
     private readonly runtime: Runtime,
   ) {}
 
-  /** Opens the data folder and reads the replicas of a number of shards. */
-  static async open(folder: string, shardCount: number, runtime: Runtime): Promise<LoadedStorage> {
+  /** Opens the data folder and reads the replicas of a region's shards. */
+  static async open(folder: string, map: ShardMap, runtime: Runtime): Promise<LoadedStorage> {
     const database = new ClassicLevel<string, string>(join(folder, 'replicas'));
     await database.open();
     const storage = new LevelStorage(database, runtime);
     const tornShards: ShardId[] = [];
-    for (let shard = 0; shard < shardCount; shard += 1) {
-      if (await storage.readReplica(shard)) {
+    for (let shard = 0; shard < map.shardCount; shard += 1) {
+      if (await storage.readReplica(shard, map.voters[shard] ?? [])) {
         tornShards.push(shard);
       }
     }
@@ -210,7 +211,7 @@
   }
 
   /** Reads one replica; true when its tail is torn. */
-  private async readReplica(shard: ShardId): Promise<boolean> {
+  private async readReplica(shard: ShardId, voters: readonly NodeId[]): Promise<boolean> {
     const metaText = await this.database.get(metaKey(shard));
     if (metaText === undefined) {
       return false;
@@ -219,12 +220,13 @@
     const snapshotText = await this.database.get(snapshotKey(shard));
     const snapshot =
       snapshotText === undefined
-        ? emptyReplica([]).snapshot
+        ? emptyReplica(voters).snapshot
         : (JSON.parse(snapshotText) as Snapshot);
     const entries = await this.readEntries(shard, snapshot.lastIndex);
     const lastIndex = snapshot.lastIndex + entries.length;
     const { term, votedFor } = meta;
-    this.loaded.set(shard, { term, votedFor, snapshot, entries });
+    const promise = lastIndex < meta.lastIndex ? { promisedIndex: meta.lastIndex } : {};
+    this.loaded.set(shard, { term, votedFor, snapshot, entries, ...promise });
     this.books.set(shard, { meta, snapshotIndex: snapshot.lastIndex, lastIndex: meta.lastIndex });
     return lastIndex < meta.lastIndex;
   }
--- a/src/replication/log-entry.ts
+++ b/src/replication/log-entry.ts
@@ -24,6 +24,11 @@
   readonly votedFor: NodeId;
   readonly snapshot: Snapshot;
   readonly entries: readonly LogEntry[];
+  /**
+   * Newest index the replica has acknowledged, when its disk has lost the end of the log. Until it
+   * has caught up it must not help to elect a leader: that could miss what was committed.
+   */
+  readonly promisedIndex?: number;
 }
 
 /** One change to a replica's persisted part; its parts take effect together. */
--- a/src/replication/raft-replica.ts
+++ b/src/replication/raft-replica.ts
@@ -99,6 +99,7 @@
   private serving = false;
   private transferring = false;
   private transferStartedAt = 0;
+  private promisedIndex: number;
   private standing = true;
   private stopped = false;
 
@@ -111,6 +112,7 @@
     this.commitIndex = persisted.snapshot.lastIndex;
     this.appliedIndex = persisted.snapshot.lastIndex;
     this.durableIndex = this.log.lastIndex;
+    this.promisedIndex = persisted.promisedIndex ?? 0;
     // A restarted voter has forgotten whose lease it supports: it waits one timeout out.
     this.lastHeardFromLeader = runtime.now();
     options.stateMachine.restore(persisted.snapshot.state);
@@ -197,8 +199,9 @@
 
   /** Hands leadership to the most advanced other voter; returns false when there is none. */
   transferLeadership(): boolean {
-    if (this.role !== 'leader') {
-      return false;
+    if (this.role !== 'leader' || this.transferring) {
+      // A second try would put off the time at which the first one is given up.
+      return this.transferring;
     }
     const target = this.mostAdvancedFollower();
     if (target === undefined) {
@@ -226,6 +229,15 @@
     this.abandonProposals();
   }
 
+  /** False while the log ends before what this replica has acknowledged. */
+  private get mayElect(): boolean {
+    if (this.log.lastIndex >= this.promisedIndex) {
+      // Caught up once, it may well be shortened again by a leader: nothing is lost by that.
+      this.promisedIndex = 0;
+    }
+    return this.promisedIndex === 0;
+  }
+
   private get quorum(): number {
     return Math.floor(this.voters.length / 2) + 1;
   }
@@ -257,7 +269,7 @@
   }
 
   private startElection(preVote: boolean, transfer: boolean): void {
-    if (!this.standing || !this.voters.includes(this.options.self)) {
+    if (!this.standing || !this.mayElect || !this.voters.includes(this.options.self)) {
       return;
     }
     this.resetElectionDeadline();
@@ -308,7 +320,7 @@
       this.options.runtime.now() - this.lastHeardFromLeader < ELECTION_TIMEOUT_MILLISECONDS;
     const bound = this.role === 'leader' ? this.holdsLease() : supportsLeader;
     // Supporting a lease means electing nobody else while it may still be in use.
-    if (bound && !message.transfer) {
+    if ((bound && !message.transfer) || !this.mayElect) {
       this.replyToVote(from, message, false);
       return;
     }
--- a/src/simulation/simulated-cluster.ts
+++ b/src/simulation/simulated-cluster.ts
@@ -154,6 +154,11 @@
     machine.node = undefined;
   }
 
+  /** Loses the end of the logs on a dead node's disk. */
+  tearDisk(name: NodeId, entries: number): void {
+    this.machine(name).disk.tearTails(entries);
+  }
+
   /** Stops a node as planned; it is gone when `done` is called. */
   leaveNode(name: NodeId, done: () => void = () => undefined): void {
     const machine = this.machine(name);
--- a/src/simulation/simulated-disk.ts
+++ b/src/simulation/simulated-disk.ts
@@ -32,6 +32,15 @@
     };
   }
 
+  /** Loses the newest entries of every log, as a torn write does; what was promised is known. */
+  tearTails(count: number): void {
+    for (const [shard, replica] of this.replicas) {
+      const promisedIndex = replica.snapshot.lastIndex + replica.entries.length;
+      const entries = replica.entries.slice(0, Math.max(0, replica.entries.length - count));
+      this.replicas.set(shard, { ...replica, entries, promisedIndex });
+    }
+  }
+
   /** Number of entries kept, over all replicas. */
   get entryCount(): number {
     let count = 0;
