Let a leader's knowledge of a follower fall when its disk lost entries

Cause: a follower that came back without its newest entries refused every append, and the leader never went below what it once knew: the two exchanged messages as fast as the network allowed and the follower never caught up. Change: a refusal lowers both the next and the matched index.

--- a/src/replication/raft-replica.ts
+++ b/src/replication/raft-replica.ts
@@ -594,7 +594,9 @@
     }
     progress.acknowledgedAt = Math.max(progress.acknowledgedAt, message.sentAt);
     if (!message.success) {
-      progress.nextIndex = Math.max(progress.matchIndex, message.matchIndex) + 1;
+      // A follower whose disk lost its newest entries agrees less far than it once did.
+      progress.matchIndex = Math.min(progress.matchIndex, message.matchIndex);
+      progress.nextIndex = message.matchIndex + 1;
       this.sendAppend(from);
       return;
     }
