Leave a pool scheduler that is silent; a new leader knows itself

Cause: a node that came to schedule a pool itself, after the scheduler died for good, went on sending its own reports to the dead node: nothing answers a report, and its own leadership corrected nothing. Its calls waited until their deadlines (seen as a scenario that hung now and then). Change: a new leader notes itself; whole reports are acknowledged, and a scheduler silent for 2.5 s is left for the next voter.

--- a/features/steps/gateway.steps.ts
+++ b/features/steps/gateway.steps.ts
@@ -26,13 +26,13 @@
 
 const MODEL = 'catalog-minds';
 
-Given('a local cluster of three nodes', { timeout: 30_000 }, async function (this: GatewayWorld) {
+Given('a local cluster of three nodes', async function (this: GatewayWorld) {
   this.cluster = await startLocalCluster({ deployment: LAKESHORE, seed: 1 });
   this.answers = [];
   this.texts = [];
 });
 
-After({ timeout: 30_000 }, async function (this: GatewayWorld) {
+After(async function (this: GatewayWorld) {
   const { cluster } = this;
   delete this.cluster;
   await cluster?.stop();
@@ -135,7 +135,6 @@
 
 Then(
   'the history of {string} read on node {int} has {int} messages and its digest',
-  { timeout: 15_000 },
   async function (this: GatewayWorld, program: string, node: number, count: number) {
     const { body } = await send(this, node, 'GET', `/v1/programs/${program}/history`);
     const history = body['history'] as Parameters<typeof digestConversation>[0];
@@ -152,7 +151,6 @@
 
 When(
   'programs {string} and {string} each ask {int} turns at the same time',
-  { timeout: 20_000 },
   async function (this: GatewayWorld, first: string, second: string, turns: number) {
     const run = async (program: string, offset: number): Promise<void> => {
       for (let turn = 1; turn <= turns; turn += 1) {
@@ -244,7 +242,6 @@
 
 When(
   'the operator runs {string} on node {int}',
-  { timeout: 20_000 },
   async function (this: GatewayWorld, statement: string, node: number) {
     await send(this, node, 'POST', '/v1/operator/statements', {
       key: LOCAL_OPERATOR_KEY,
--- a/features/steps/replication.steps.ts
+++ b/features/steps/replication.steps.ts
@@ -1,12 +1,16 @@
 /** Steps about replicas that die and come back, in virtual time. */
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
+import { shardOfPool, shardOfProgram } from '../../src/replication/shard-map.js';
+import type { CallRequest } from '../../src/model/call.js';
 import { SimulatedCluster } from '../../src/simulation/simulated-cluster.js';
 
 interface ReplicationWorld {
   simulated?: SimulatedCluster;
   opened?: number;
   messagesPerSecond?: number;
+  answered?: number;
+  asked?: number;
 }
 
 const SHARDS = 1;
@@ -58,9 +62,12 @@
 }
 
 When(
-  'node {int} dies, loses its {int} newest entries and starts again',
-  function (this: ReplicationWorld, number: number, entries: number) {
-    const name = nameOf(this, number);
+  'a follower dies, loses its {int} newest entries and starts again',
+  function (this: ReplicationWorld, entries: number) {
+    const follower = this.simulated!.livingNodes().find(
+      (node) => node.listShards()[0]!.host.role === 'follower',
+    );
+    const name = follower!.options.self;
     this.simulated!.killNode(name);
     this.simulated!.tearDisk(name, entries);
     this.simulated!.startNode(name);
@@ -112,3 +119,59 @@
     assert.ok(this.messagesPerSecond! < most, `${this.messagesPerSecond} a second`);
   },
 );
+
+Given('a simulated cluster of three nodes that serves a model', function (this: ReplicationWorld) {
+  this.simulated = new SimulatedCluster({
+    seed: 12,
+    zones: ['a', 'b', 'c'],
+    betweenZones: 1,
+    shardCount: 12,
+    services: [{ name: 'minds', kind: 'model', runners: 3, concurrency: 8 }],
+    groups: [{ name: 'g', share: 1, budget: 1e9 }],
+  });
+  this.simulated.start();
+});
+
+When(
+  '{int} programs each ask once at the other nodes',
+  function (this: ReplicationWorld, programs: number) {
+    const nodes = this.simulated!.livingNodes();
+    this.asked = programs;
+    this.answered = 0;
+    const { map } = this.simulated!;
+    // Programs on the pool's own shard would tell their node who schedules it.
+    const names = Array.from({ length: programs * 2 }, (_, number) => `p-${number}`)
+      .filter((name) => shardOfProgram(map, name) !== shardOfPool(map, 'minds'))
+      .slice(0, programs);
+    for (const [index, program] of names.entries()) {
+      const request: CallRequest = {
+        call: `c-${index}`,
+        program,
+        group: 'g',
+        service: 'minds',
+        callClass: 'interactive',
+        sequence: 1,
+        idempotencyKey: '',
+        repeatable: true,
+        messages: [{ role: 'user', content: `hello ${index} #10` }],
+        payload: '',
+        maximumTokens: 20,
+        timeoutMilliseconds: 60_000,
+        endsProgram: false,
+        receivedText: '',
+      };
+      nodes[index % nodes.length]!.gateway.submit(request, false, (event) => {
+        this.answered! += event.type === 'answered' ? 1 : 0;
+      });
+    }
+  },
+);
+
+Then(
+  'every one of them is answered within {int} seconds',
+  function (this: ReplicationWorld, seconds: number) {
+    const { clock } = this.simulated!;
+    clock.runUntil(clock.now + seconds * 1_000);
+    assert.equal(this.answered, this.asked);
+  },
+);
--- a/src/dispatch/pool-client.ts
+++ b/src/dispatch/pool-client.ts
@@ -1,6 +1,7 @@
 /** An owner's side of the pool schedulers: enqueues calls, repeats what may be lost, reports ends. */
 import type { NodeId, ProgramId, ServiceName, ShardId } from '../model/identifiers.js';
 import type { LeaderDirectory } from '../replication/leader-directory.js';
+import type { Runtime } from '../runtime/runtime.js';
 import { shardOfPool } from '../replication/shard-map.js';
 import type { ShardMap } from '../replication/shard-map.js';
 import type {
@@ -17,17 +18,35 @@
   readonly running: RunningCall[];
 }
 
+/** Silence of a scheduler after which another node is asked, in milliseconds. */
+const SCHEDULER_SILENCE_MILLISECONDS = 2_500;
+
+interface Unanswered {
+  readonly target: NodeId;
+  /** Monotonic milliseconds of the first report that was not answered. */
+  readonly since: number;
+}
+
 /** What the client is made with. */
 export interface PoolClientOptions {
   readonly map: ShardMap;
   readonly leaders: LeaderDirectory;
+  readonly runtime: Runtime;
   readonly send: (to: NodeId, message: Message) => void;
 }
 
 /** Sends to the pool schedulers. */
 export class PoolClient {
+  private readonly unanswered = new Map<ShardId, Unanswered>();
+
   constructor(private readonly options: PoolClientOptions) {}
 
+  /** Takes the word of a pool's scheduler that it has heard. */
+  receiveAcknowledgement(from: NodeId, shard: ShardId): void {
+    this.options.leaders.confirm(shard, from);
+    this.unanswered.delete(shard);
+  }
+
   /** Puts one call into a pool's queue. */
   enqueue(service: ServiceName, from: ShardId, ticket: CallTicket): void {
     this.sendReport(service, from, false, { waiting: [ticket], running: [] });
@@ -35,9 +54,23 @@
 
   /** Tells a pool everything a shard has in it; what is not listed is no longer there. */
   reportAll(service: ServiceName, from: ShardId, content: PoolContent): void {
+    this.leaveSilentScheduler(shardOfPool(this.options.map, service));
     this.sendReport(service, from, true, content);
   }
 
+  private leaveSilentScheduler(shard: ShardId): void {
+    const { leaders, runtime } = this.options;
+    const now = runtime.now();
+    const target = leaders.targetOf(shard);
+    const known = this.unanswered.get(shard);
+    if (known === undefined || known.target !== target) {
+      this.unanswered.set(shard, { target, since: now });
+    } else if (now - known.since > SCHEDULER_SILENCE_MILLISECONDS) {
+      leaders.suspect(shard, target);
+      this.unanswered.delete(shard);
+    }
+  }
+
   /** Tells that a call has left its engine. */
   finish(finished: PoolFinished): void {
     this.options.send(this.targetOf(finished.service), finished);
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -63,7 +63,7 @@
     const { self, map, runtime, keyValue } = options;
     this.leaders = new LeaderDirectory(map);
     const send = (to: NodeId, message: Message): void => this.send(to, message);
-    this.pools = new PoolClient({ map, leaders: this.leaders, send });
+    this.pools = new PoolClient({ map, leaders: this.leaders, runtime, send });
     this.gateway = new Gateway({ runtime, map, leaders: this.leaders, send });
     this.writer = new ConfigurationWriter({ runtime, keyValue });
     this.rows = new RowCollector({
@@ -232,6 +232,8 @@
     switch (message.type) {
       case 'poolReport':
         return this.receivePoolReport(from, message);
+      case 'poolAcknowledgement':
+        return this.pools.receiveAcknowledgement(from, message.shard);
       case 'poolAssignment':
         return this.receiveAssignment(from, message);
       case 'poolRefusal':
@@ -363,9 +365,12 @@
   }
 
   private receivePoolReport(from: NodeId, message: PoolReport): void {
-    this.withLeader(from, message.shard, '', (roles) =>
-      roles.schedulerOf(message.service)?.receiveReport(from, message),
-    );
+    this.withLeader(from, message.shard, '', (roles) => {
+      roles.schedulerOf(message.service)?.receiveReport(from, message);
+      if (message.complete) {
+        this.send(from, { type: 'poolAcknowledgement', shard: message.shard });
+      }
+    });
   }
 
   private receiveAssignment(from: NodeId, message: PoolAssignment): void {
--- a/src/node/shard-roles.ts
+++ b/src/node/shard-roles.ts
@@ -150,6 +150,7 @@
       node: self,
     });
     if (leading) {
+      this.context.leaders.confirm(shard, self);
       this.owner.takeOver();
     } else {
       this.owner.handOver();
--- a/src/wire/message-codec.ts
+++ b/src/wire/message-codec.ts
@@ -145,6 +145,7 @@
     type: 'configurationChanges',
     fields: { fromRevision: count, revision: count, documents: longText, removed: longText },
   },
+  { type: 'poolAcknowledgement', fields: { shard: count } },
 ]);
 
 /** Bytes of a message. */
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -198,6 +198,13 @@
   readonly running: readonly RunningCall[];
 }
 
+/** Pool scheduler to owner: a whole report of this shard has come. */
+export interface PoolAcknowledgement {
+  readonly type: 'poolAcknowledgement';
+  /** The pool's shard. */
+  readonly shard: ShardId;
+}
+
 /** Pool scheduler to owner: send this call to this engine now. */
 export interface PoolAssignment {
   readonly type: 'poolAssignment';
@@ -355,6 +362,7 @@
   | ProgramRequest
   | ProgramReply
   | PoolReport
+  | PoolAcknowledgement
   | PoolAssignment
   | PoolRefusal
   | PoolFinished
@@ -374,6 +382,7 @@
 /** Messages between owners, pool schedulers and ledgers. */
 export type AccountingMessage =
   | PoolReport
+  | PoolAcknowledgement
   | PoolAssignment
   | PoolRefusal
   | PoolFinished
