Show a pool's engines as soon as its shard is led

Cause: the table of engines was empty until a scheduler's first tick, up to 250 ms after election; a scenario that asked at once failed now and then. Change: listing the schedulers of a shard makes those that are missing.

--- a/src/node/shard-roles.ts
+++ b/src/node/shard-roles.ts
@@ -89,8 +89,11 @@
     return scheduler;
   }
 
-  /** Schedulers at work here. */
+  /** Schedulers of the pools that this shard keeps, made now if need be. */
   listSchedulers(): PoolScheduler[] {
+    for (const service of this.context.configuration().services.keys()) {
+      this.schedulerOf(service);
+    }
     return [...this.schedulers.values()];
   }
 
