--- a/src/bench/slopes.ts
+++ b/src/bench/slopes.ts
@@ -2,6 +2,7 @@
  * Slopes for docs/CAPACITY.md: processor time, bytes and memory of each mechanism, measured by
  * running the real code at several sizes.
  */
+import { emptySlice } from '../budget/slices.js';
 import { LeaderDirectory } from '../replication/leader-directory.js';
 import { emptyShardState, serializeShard } from '../program/shard-state.js';
 import { applyCommand } from '../program/apply-command.js';
@@ -15,7 +16,6 @@
 import type { EngineView, PoolView } from '../scheduling/pool-view.js';
 import type { CallTicket, Message } from '../wire/messages.js';
 import { decodeMessage, encodeMessage } from '../wire/message-codec.js';
-import { occupiedTokens } from '../scheduling/placement-cost.js';
 
 /** One measured slope. */
 export interface Slope {
@@ -117,9 +117,8 @@
     if (placement === undefined) {
       return;
     }
-    const { engine, ticket } = placement;
-    // The call's place is free again at once and another call takes its place in the queue.
-    engine.runningTokens += 0 * occupiedTokens(ticket);
+    const { engine } = placement;
+    // Its place is taken to be free again at once; another call takes its place in the queue.
     made += 1;
     const next = makeTicket(made, 40);
     pool.directory.add(engine.engine, { name: next.program, tokens: 1_800 });
@@ -178,16 +177,7 @@
 function measurePrograms(programs: number): Slope[] {
   const before = heapUsed();
   const state = emptyShardState();
-  state.slices.set('brandvold', {
-    available: 1e12,
-    reserved: 0,
-    spent: 0,
-    requestNumber: 0,
-    requestAmount: 0,
-    lastGranted: 0,
-    returnNumber: 0,
-    returnAmount: 0,
-  });
+  state.slices.set('brandvold', { ...emptySlice(), available: 1e12 });
   const turns = 4;
   const limits = DEFAULT_OWNER_LIMITS.program;
   const started = process.hrtime.bigint();
--- a/src/bench/start.ts
+++ b/src/bench/start.ts
@@ -119,7 +119,7 @@
     `  curl -s ${url}/v1/chat/completions -H 'authorization: Bearer ${localKeyOf(group)}' ` +
       `-H 'content-type: application/json' -d '${body}'`,
   );
-  write(`  npx ivyloom --url ${url} --key ${LOCAL_OPERATOR_KEY} show engines`);
+  write(`  npm run -s ivyloom -- --url ${url} --key ${LOCAL_OPERATOR_KEY} show engines`);
 }
 
 function waitForSignal(): Promise<void> {
--- a/src/replication/raft-replica.ts
+++ b/src/replication/raft-replica.ts
@@ -16,6 +16,8 @@
 import type { Command } from '../program/commands.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { LogEntry, PersistedReplica, ReplicaStorage, Snapshot } from './log-entry.js';
+import { LeaderProgress } from './leader-progress.js';
+import type { FollowerProgress } from './leader-progress.js';
 import { ReplicaLog } from './replica-log.js';
 
 /** Shortest time without a leader before an election, in milliseconds. */
@@ -64,13 +66,6 @@
   readonly onLeadership: (leading: boolean) => void;
 }
 
-interface FollowerProgress {
-  nextIndex: number;
-  matchIndex: number;
-  /** Send time of the newest append this follower has answered. */
-  acknowledgedAt: number;
-}
-
 interface PendingProposal<Outcome> {
   readonly term: number;
   readonly listener: ProposalListener<Outcome>;
@@ -92,7 +87,7 @@
   private lastHeartbeat = 0;
   private votes = new Set<NodeId>();
   private preVoting = false;
-  private progress = new Map<NodeId, FollowerProgress>();
+  private progress: LeaderProgress;
   private readonly pending = new Map<number, PendingProposal<Outcome>>();
   private flushScheduled = false;
   private firstIndexOfTerm = 0;
@@ -108,6 +103,7 @@
     this.term = persisted.term;
     this.votedFor = persisted.votedFor;
     this.voters = persisted.snapshot.voters;
+    this.progress = new LeaderProgress([], options.self, 0, -Infinity);
     this.log = new ReplicaLog(persisted.snapshot, persisted.entries);
     this.commitIndex = persisted.snapshot.lastIndex;
     this.appliedIndex = persisted.snapshot.lastIndex;
@@ -203,7 +199,8 @@
       // A second try would put off the time at which the first one is given up.
       return this.transferring;
     }
-    const target = this.mostAdvancedFollower();
+    const recently = this.options.runtime.now() - ELECTION_TIMEOUT_MILLISECONDS;
+    const target = this.progress.mostAdvanced(recently);
     if (target === undefined) {
       return false;
     }
@@ -252,7 +249,7 @@
       this.broadcastAppend();
     }
     // A leader that no quorum answers steps down, so that its callers look elsewhere.
-    if (now - this.quorumAcknowledgedAt() > 2 * ELECTION_TIMEOUT_MILLISECONDS) {
+    if (now - this.progress.quorumAcknowledgedAt(now) > 2 * ELECTION_TIMEOUT_MILLISECONDS) {
       this.becomeFollower(this.term, '');
     }
     // The order to take over may still arrive late and then bypasses the lease, so a leader that
@@ -393,16 +390,12 @@
     this.serving = false;
     this.transferring = false;
     const now = this.options.runtime.now();
-    this.progress = new Map(
-      this.otherVoters.map((voter) => [
-        voter,
-        { nextIndex: this.log.lastIndex + 1, matchIndex: 0, acknowledgedAt: now },
-      ]),
+    this.progress = new LeaderProgress(
+      this.voters,
+      this.options.self,
+      this.log.lastIndex + 1,
+      now - ELECTION_TIMEOUT_MILLISECONDS,
     );
-    // The lease starts only with real answers; until then the acknowledgement time is the past.
-    for (const progress of this.progress.values()) {
-      progress.acknowledgedAt = now - ELECTION_TIMEOUT_MILLISECONDS;
-    }
     this.firstIndexOfTerm = this.log.lastIndex + 1;
     this.lastHeartbeat = now;
     this.appendAsLeader({ type: 'noop' }, () => undefined);
@@ -634,11 +627,7 @@
     if (this.role !== 'leader') {
       return;
     }
-    const matched = this.voters.map((voter) =>
-      voter === this.options.self ? this.durableIndex : (this.progress.get(voter)?.matchIndex ?? 0),
-    );
-    matched.sort((left, right) => right - left);
-    const index = matched[this.quorum - 1] ?? 0;
+    const index = this.progress.quorumMatch(this.durableIndex);
     // Only entries of the own term are committed by counting (Raft, section 5.4.2).
     if (index > this.commitIndex && this.log.termAt(index) === this.term) {
       this.commitTo(index);
@@ -689,26 +678,9 @@
     this.options.storage.persist({ snapshot }, () => undefined);
   }
 
-  private quorumAcknowledgedAt(): number {
-    const now = this.options.runtime.now();
-    const times = this.voters.map((voter) =>
-      voter === this.options.self ? now : (this.progress.get(voter)?.acknowledgedAt ?? -Infinity),
-    );
-    times.sort((left, right) => right - left);
-    return times[this.quorum - 1] ?? -Infinity;
-  }
-
   private holdsLease(): boolean {
     const leaseMilliseconds = ELECTION_TIMEOUT_MILLISECONDS * LEASE_FRACTION;
-    return this.options.runtime.now() < this.quorumAcknowledgedAt() + leaseMilliseconds;
-  }
-
-  private mostAdvancedFollower(): NodeId | undefined {
-    const recently = this.options.runtime.now() - ELECTION_TIMEOUT_MILLISECONDS;
-    const candidates = [...this.progress.entries()].filter(
-      ([, progress]) => progress.acknowledgedAt >= recently,
-    );
-    candidates.sort(([, left], [, right]) => right.matchIndex - left.matchIndex);
-    return candidates[0]?.[0];
+    const now = this.options.runtime.now();
+    return now < this.progress.quorumAcknowledgedAt(now) + leaseMilliseconds;
   }
 }
