Say once what stood twice; drop what nothing uses

Found on reading the change again: the report of a back end that does not answer and the writing of a first configuration each stood twice; the union of all messages listed those of its parts anew; a probability, a count and a factor of one were used by nothing; a settings mistake's path was computed twice.

--- a/src/bench/chaos.ts
+++ b/src/bench/chaos.ts
@@ -6,6 +6,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { Agent, request } from 'undici';
+import { writeFirstConfiguration } from '../emulator/first-configuration.js';
 import { KeyValueModel } from '../emulator/key-value-model.js';
 import { KeyValueServer } from '../emulator/key-value-server.js';
 import { checkRun } from '../histories/checkers.js';
@@ -26,7 +27,6 @@
   LOOPBACK,
   planNodes,
   serveBackEnds,
-  writeDocuments,
 } from './local-cluster.js';
 import { summarize } from './statistics.js';
 import type { Summary } from './statistics.js';
@@ -282,7 +282,7 @@
   const keyValueServer = new KeyValueServer(keyValue);
   const port = await new Promise<number>((resolve) => keyValueServer.listen(LOOPBACK, 0, resolve));
   const served = await serveBackEnds(platform, LAKESHORE);
-  writeDocuments(keyValue, listDocuments(LAKESHORE, served));
+  writeFirstConfiguration(keyValue, listDocuments(LAKESHORE, served));
   const keyValueUrl = `http://${LOOPBACK}:${port}`;
   const planned = await planNodes({ deployment: LAKESHORE, seed: options.seed }, keyValueUrl);
   const httpPorts = await freePorts(LOOPBACK, planned.length);
--- a/src/bench/local-cluster.ts
+++ b/src/bench/local-cluster.ts
@@ -2,12 +2,12 @@
 import { randomBytes } from 'node:crypto';
 import type { ConfigurationDocument } from '../configuration/documents.js';
 import type { Settings } from '../configuration/settings.js';
-import { documentKey, encodeDocument, REVISION_KEY } from '../configuration/stored-documents.js';
 import { BackEndServer } from '../emulator/back-end-server.js';
 import type { EmulatedBackEnd } from '../emulator/emulated-back-end.js';
 import { EngineModel } from '../emulator/engine-model.js';
 import { KeyValueModel } from '../emulator/key-value-model.js';
 import { KeyValueServer } from '../emulator/key-value-server.js';
+import { writeFirstConfiguration } from '../emulator/first-configuration.js';
 import { ToolModel } from '../emulator/tool-model.js';
 import { hashKey } from '../gateway/authentication.js';
 import { startDaemon } from '../node/daemon.js';
@@ -129,23 +129,6 @@
   ];
 }
 
-/** Writes a first configuration straight into an emulated key-value service. */
-export function writeDocuments(
-  keyValue: KeyValueModel,
-  documents: readonly ConfigurationDocument[],
-): void {
-  const mark = { id: 'setup', by: 'bench', at: 0, statement: 'setup' };
-  const puts = documents.map((entry) => ({
-    key: documentKey(entry.kind, entry.document.name),
-    value: encodeDocument(entry, mark),
-  }));
-  keyValue.applyChange({
-    guards: [],
-    puts: [...puts, { key: REVISION_KEY, value: 'setup' }],
-    deletes: [],
-  });
-}
-
 /** Settings of the nodes of a local cluster. */
 export async function planNodes(
   options: LocalClusterOptions,
@@ -185,7 +168,7 @@
     keyValueServer.listen(LOOPBACK, 0, resolve),
   );
   const served = await serveBackEnds(platform, options.deployment);
-  writeDocuments(keyValue, listDocuments(options.deployment, served));
+  writeFirstConfiguration(keyValue, listDocuments(options.deployment, served));
   const settings = await planNodes(options, `http://${LOOPBACK}:${keyValuePort}`);
   const daemons = await Promise.all(
     settings.map((own, index) => {
--- a/src/configuration/settings.ts
+++ b/src/configuration/settings.ts
@@ -107,10 +107,6 @@
 const KNOWN_SETTINGS: readonly string[] = [...FLAG_SETTINGS, 'peers'];
 
 function describe(error: t.ValidationError): string {
-  const path = error.context
-    .map((step) => step.key)
-    .filter((key) => key !== '' && !/^[01]$/.test(key) === true)
-    .join('.');
   const indexed = error.context
     .slice(1)
     .map((step) => step.key)
@@ -118,7 +114,7 @@
   const expected = error.context[error.context.length - 1]?.type.name ?? 'another form';
   const given = error.value === undefined ? 'nothing' : JSON.stringify(error.value);
   // The first step inside an intersection is the number of its part.
-  const place = indexed.replace(/^[01]\.?/, '') || path || 'settings';
+  const place = indexed.replace(/^[01]\.?/, '') || 'settings';
   return `${place}: expected ${expected}, found ${given}`;
 }
 
--- a/src/dispatch/pool-scheduler.ts
+++ b/src/dispatch/pool-scheduler.ts
@@ -30,8 +30,6 @@
 const OWNER_SILENCE_MILLISECONDS = 6_000;
 /** Time for which a new scheduler only listens, so that it hears of running calls, in ms. */
 const LISTENING_MILLISECONDS = 1_200;
-/** Estimated waits beyond this part of the caller's patience are refused at once. */
-const HOPELESS_FRACTION = 1;
 
 /** What a pool scheduler is made with. */
 export interface PoolSchedulerOptions {
@@ -362,7 +360,7 @@
       if (known.engine !== '' || ticket === undefined) {
         continue;
       }
-      const left = ticket.deadlineIn * HOPELESS_FRACTION - (now - known.enqueuedAt);
+      const left = ticket.deadlineIn - (now - known.enqueuedAt);
       const needed = this.pool.costs.serviceMilliseconds(0, ticket.maximumTokens, 0);
       if (left < needed) {
         this.options.policy.remove(ticket);
--- /dev/null
+++ b/src/emulator/first-configuration.ts
@@ -0,0 +1,21 @@
+/** Puts a first configuration straight into an emulated key-value service. */
+import type { ConfigurationDocument } from '../configuration/documents.js';
+import { documentKey, encodeDocument, REVISION_KEY } from '../configuration/stored-documents.js';
+import type { KeyValueModel } from './key-value-model.js';
+
+/** Writes documents as one accepted change. */
+export function writeFirstConfiguration(
+  keyValue: KeyValueModel,
+  documents: readonly ConfigurationDocument[],
+): void {
+  const mark = { id: 'setup', by: 'bench', at: 0, statement: 'setup' };
+  const puts = documents.map((entry) => ({
+    key: documentKey(entry.kind, entry.document.name),
+    value: encodeDocument(entry, mark),
+  }));
+  keyValue.applyChange({
+    guards: [],
+    puts: [...puts, { key: REVISION_KEY, value: mark.id }],
+    deletes: [],
+  });
+}
--- a/src/platform/back-end-port.ts
+++ b/src/platform/back-end-port.ts
@@ -55,6 +55,17 @@
   readonly unreachable: boolean;
 }
 
+/** The report of a back end that did not answer. */
+export const UNREACHABLE_REPORT: BackEndReport = {
+  running: 0,
+  waiting: 0,
+  cachedTokens: 0,
+  cacheCapacityTokens: 0,
+  held: [],
+  evictedPrograms: [],
+  unreachable: true,
+};
+
 /** Prompt memory kept for a program on request. */
 export interface HeldProgram {
   readonly program: ProgramId;
--- a/src/platform/http-back-ends.ts
+++ b/src/platform/http-back-ends.ts
@@ -9,6 +9,7 @@
 import { NO_USAGE } from '../model/call.js';
 import type { Verdict } from '../model/verdict.js';
 import { VERDICTS } from '../model/verdict.js';
+import { UNREACHABLE_REPORT } from './back-end-port.js';
 import type {
   BackEndListener,
   BackEndOrder,
@@ -33,16 +34,6 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
-const UNREACHABLE: BackEndReport = {
-  running: 0,
-  waiting: 0,
-  cachedTokens: 0,
-  cacheCapacityTokens: 0,
-  held: [],
-  evictedPrograms: [],
-  unreachable: true,
-};
-
 /** What the adapter is made with. */
 export interface HttpBackEndsOptions {
   /** Base URL of a back end; undefined when it is not configured. */
@@ -140,13 +131,13 @@
   report(engine: EngineId, listener: (report: BackEndReport) => void): void {
     const url = this.options.urlOf(engine);
     if (url === undefined) {
-      listener(UNREACHABLE);
+      listener(UNREACHABLE_REPORT);
       return;
     }
     request(`${url}/ivyloom/report`, { dispatcher: this.agent })
       .then((response) => response.body.json())
       .then((body) => listener(body as BackEndReport))
-      .catch(() => listener(UNREACHABLE));
+      .catch(() => listener(UNREACHABLE_REPORT));
   }
 
   /** Closes all connections. */
--- a/src/scheduling/pause-model.ts
+++ b/src/scheduling/pause-model.ts
@@ -29,17 +29,6 @@
     this.neverReturned += 1;
   }
 
-  /** Probability that a program returns within a time, in milliseconds. */
-  probabilityOfReturnWithin(milliseconds: number): number {
-    let within = 0;
-    let total = this.neverReturned;
-    BIN_ENDS.forEach((end, index) => {
-      total += this.counts[index]!;
-      within += end <= milliseconds ? this.counts[index]! : 0;
-    });
-    return within / total;
-  }
-
   /**
    * Time for which holding pays, in milliseconds: the horizon with the greatest expected gain,
    * where a return saves `savedMilliseconds` of an engine's time and each held millisecond costs
--- a/src/simulation/simulated-back-ends.ts
+++ b/src/simulation/simulated-back-ends.ts
@@ -1,6 +1,7 @@
 /** The back-end port of one node in virtual time: connections that delay, break and are refused. */
 import type { CallId, EngineId, ProgramId } from '../model/identifiers.js';
 import type { EmulatedBackEnd } from '../emulator/emulated-back-end.js';
+import { UNREACHABLE_REPORT } from '../platform/back-end-port.js';
 import type {
   BackEndEvent,
   BackEndListener,
@@ -25,16 +26,6 @@
 /** Time after which a request into a cut link fails, in milliseconds. */
 const CONNECT_TIMEOUT_MILLISECONDS = 500;
 
-const UNREACHABLE: BackEndReport = {
-  running: 0,
-  waiting: 0,
-  cachedTokens: 0,
-  cacheCapacityTokens: 0,
-  held: [],
-  evictedPrograms: [],
-  unreachable: true,
-};
-
 /** See the head of this file. */
 export class SimulatedBackEnds implements BackEndPort {
   constructor(private readonly options: SimulatedBackEndsOptions) {}
@@ -71,7 +62,7 @@
     const { network, end, runtime } = this.options;
     const target = this.find(engine);
     if (target === undefined || !target.backEnd.isUp || !network.isConnected(end, target.end)) {
-      runtime.setTimer(CONNECT_TIMEOUT_MILLISECONDS, () => listener(UNREACHABLE));
+      runtime.setTimer(CONNECT_TIMEOUT_MILLISECONDS, () => listener(UNREACHABLE_REPORT));
       return;
     }
     this.sendTo(engine, (backEnd) => {
--- a/src/simulation/simulated-cluster.ts
+++ b/src/simulation/simulated-cluster.ts
@@ -1,10 +1,10 @@
 /** A whole cluster in virtual time: real node code, emulated platform, seeded network and faults. */
 import type { EngineId, NodeId, ZoneName } from '../model/identifiers.js';
 import type { ConfigurationDocument } from '../configuration/documents.js';
-import { documentKey, encodeDocument, REVISION_KEY } from '../configuration/stored-documents.js';
 import type { EmulatedBackEnd } from '../emulator/emulated-back-end.js';
 import { EngineModel } from '../emulator/engine-model.js';
 import type { EngineModelOptions } from '../emulator/engine-model.js';
+import { writeFirstConfiguration } from '../emulator/first-configuration.js';
 import { KeyValueModel } from '../emulator/key-value-model.js';
 import { ToolModel } from '../emulator/tool-model.js';
 import type { ToolModelOptions } from '../emulator/tool-model.js';
@@ -100,7 +100,7 @@
     );
     this.map = createShardMap(options.shardCount, this.placed);
     this.createBackEnds();
-    this.writeConfiguration();
+    writeFirstConfiguration(this.keyValue, this.listDocuments());
     this.placed.forEach((placed) => this.createMachine(placed));
   }
 
@@ -260,22 +260,6 @@
     this.backEndEnds.set(name, { process, zone });
   }
 
-  private writeConfiguration(): void {
-    const documents = this.listDocuments();
-    const mark = { id: 'setup', by: 'simulation', at: 0, statement: 'setup' };
-    this.keyValue.applyChange({
-      guards: [],
-      puts: [
-        ...documents.map((entry) => ({
-          key: documentKey(entry.kind, entry.document.name),
-          value: encodeDocument(entry, mark),
-        })),
-        { key: REVISION_KEY, value: 'setup' },
-      ],
-      deletes: [],
-    });
-  }
-
   private listDocuments(): ConfigurationDocument[] {
     const { services, groups, zones } = this.options;
     const documents: ConfigurationDocument[] = groups.map((document) => ({
--- a/src/simulation/simulated-disk.ts
+++ b/src/simulation/simulated-disk.ts
@@ -41,15 +41,6 @@
     }
   }
 
-  /** Number of entries kept, over all replicas. */
-  get entryCount(): number {
-    let count = 0;
-    for (const replica of this.replicas.values()) {
-      count += replica.entries.length;
-    }
-    return count;
-  }
-
   private persist(runtime: Runtime, shard: ShardId, change: PersistChange, done: () => void): void {
     // The timer dies with the process, and with it whatever was not yet written.
     runtime.setTimer(WRITE_MILLISECONDS, () => {
--- a/src/wire/messages.ts
+++ b/src/wire/messages.ts
@@ -348,12 +348,8 @@
 
 /** Everything that travels between nodes. */
 export type Message =
-  | AppendEntries
-  | AppendReply
-  | VoteRequest
-  | VoteReply
-  | InstallSnapshot
-  | TimeoutNow
+  | ReplicationMessage
+  | AccountingMessage
   | SubmitCall
   | CallEventMessage
   | NotLeader
@@ -361,17 +357,6 @@
   | CallProbeReply
   | ProgramRequest
   | ProgramReply
-  | PoolReport
-  | PoolAcknowledgement
-  | PoolAssignment
-  | PoolRefusal
-  | PoolFinished
-  | ProgramGone
-  | HoldCheck
-  | SliceRequest
-  | SliceReply
-  | SliceReturn
-  | SliceReturnSettled
   | ConfigurationAnnounce
   | ConfigurationFetch
   | ConfigurationTransfer
