--- /dev/null
+++ b/src/peers/peer-exchange.ts
@@ -0,0 +1,135 @@
+/**
+ * Gateways tell one another the stored items they know, so that one that starts or is cut off while
+ * the store is out of reach still learns the configuration and the runners. Items carry revisions:
+ * whatever a peer tells, nothing goes back to an older one.
+ */
+import { createServer, request } from 'node:http';
+import type { Server } from 'node:http';
+import { isLeft } from 'fp-ts/lib/Either.js';
+import * as t from 'io-ts';
+import type { StoredItem } from '../mirror/key-space-port.js';
+import type { Runtime } from '../runtime/runtime.js';
+
+const SnapshotType = t.type({
+  items: t.array(t.type({ key: t.string, value: t.string, revision: t.number })),
+  members: t.string,
+  peers: t.array(t.string),
+});
+
+/** What one gateway tells another. */
+export interface PeerSnapshot {
+  readonly items: readonly StoredItem[];
+  /** Newest record of the members, as text. */
+  readonly members: string;
+  /** Addresses (`host:port`) of gateways it knows. */
+  readonly peers: readonly string[];
+}
+
+/** What the exchange is made with. */
+export interface PeerExchangeOptions {
+  readonly runtime: Runtime;
+  /** `host:port` at which this gateway serves its snapshot. */
+  readonly ownAddress: string;
+  readonly seeds: () => readonly string[];
+  readonly snapshot: () => Omit<PeerSnapshot, 'peers'>;
+  readonly onSnapshot: (snapshot: PeerSnapshot, from: string) => void;
+  /** Whether anything is needed from peers now. */
+  readonly isNeeded: () => 'urgently' | 'now and then' | 'no';
+}
+
+const PATH = '/ivyloom/snapshot';
+const FROM_PARAMETER = 'from';
+const URGENT_MILLISECONDS = 150;
+const CALM_MILLISECONDS = 500;
+const CALL_MILLISECONDS = 600;
+const MAXIMUM_PEERS = 400;
+/** Peers asked at a time. */
+const FAN_OUT = 2;
+
+/** See the head of this file. */
+export class PeerExchange {
+  private readonly known = new Set<string>();
+  private readonly server: Server;
+
+  constructor(private readonly options: PeerExchangeOptions) {
+    this.server = createServer((incoming, response) => {
+      const url = new URL(incoming.url ?? '/', 'http://peer');
+      if (url.pathname !== PATH) {
+        response.writeHead(404).end();
+        return;
+      }
+      this.note(url.searchParams.get(FROM_PARAMETER) ?? '');
+      const snapshot = { ...options.snapshot(), peers: [...this.known, options.ownAddress] };
+      response.writeHead(200, { 'content-type': 'application/json' });
+      response.end(JSON.stringify(snapshot));
+    });
+  }
+
+  /** Serves snapshots and asks for them when they are needed. */
+  start(host: string, port: number): void {
+    this.server.listen({ host, port });
+    this.askLater(0);
+  }
+
+  /** Stops serving. */
+  close(): void {
+    this.server.close();
+  }
+
+  private note(address: string): void {
+    if (address !== '' && address !== this.options.ownAddress && this.known.size < MAXIMUM_PEERS) {
+      this.known.add(address);
+    }
+  }
+
+  private askLater(pause: number): void {
+    const { runtime, isNeeded } = this.options;
+    runtime.setTimer(pause, () => {
+      const need = isNeeded();
+      if (need !== 'no') {
+        this.askSome();
+      }
+      this.askLater(need === 'urgently' ? URGENT_MILLISECONDS : CALM_MILLISECONDS);
+    });
+  }
+
+  private askSome(): void {
+    const { seeds, ownAddress, runtime } = this.options;
+    const all = [...new Set([...seeds(), ...this.known])].filter((peer) => peer !== ownAddress);
+    for (let asked = 0; asked < FAN_OUT && all.length > 0; asked += 1) {
+      const [peer] = all.splice(runtime.random.integer(0, all.length - 1), 1);
+      this.ask(peer!);
+    }
+  }
+
+  private ask(peer: string): void {
+    const separator = peer.lastIndexOf(':');
+    const host = peer.slice(0, separator);
+    const port = Number(peer.slice(separator + 1));
+    const query = new URLSearchParams({ [FROM_PARAMETER]: this.options.ownAddress });
+    const client = request({ host, port, path: `${PATH}?${query}`, agent: false }, (response) => {
+      const chunks: Buffer[] = [];
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('error', () => undefined);
+      response.on('end', () => this.take(Buffer.concat(chunks).toString('utf8'), peer));
+    });
+    const cancel = this.options.runtime.setTimer(CALL_MILLISECONDS, () => client.destroy());
+    client.on('close', cancel);
+    client.on('error', () => undefined);
+    client.end();
+  }
+
+  private take(text: string, from: string): void {
+    let parsed: unknown;
+    try {
+      parsed = JSON.parse(text);
+    } catch {
+      return;
+    }
+    const snapshot = SnapshotType.decode(parsed);
+    if (!isLeft(snapshot)) {
+      snapshot.right.peers.forEach((peer) => this.note(peer));
+      this.options.onSnapshot(snapshot.right, from);
+    }
+  }
+}
--- /dev/null
+++ b/src/relay/attempt.ts
@@ -0,0 +1,205 @@
+/** One try of a request at one runner, over HTTP/1.1. */
+import { request as httpRequest } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { HeaderNames } from './header-names.js';
+import type { Runner } from './runner.js';
+import type { RunnerAgent } from './runner-agent.js';
+import { noteKeepAlive } from './runner-agent.js';
+
+/** How a try failed: `NeverSent` proves that the runner has not run it, the others prove nothing. */
+export type AttemptFailure =
+  /** No connection came up, so nothing was sent. */
+  | { readonly tag: 'NeverSent'; readonly detail: string }
+  /** The request was sent, and the connection ended before the whole answer. */
+  | { readonly tag: 'Lost'; readonly detail: string }
+  /** What came is not the answer of this request. */
+  | { readonly tag: 'BadAnswer'; readonly detail: string };
+
+/** The first part of an answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly reason: string;
+  readonly rawHeaders: readonly string[];
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  /** The runner says that it has not run the request. */
+  readonly notExecuted: boolean;
+  /** The runner is going to close its connections: it may be leaving. */
+  readonly closing: boolean;
+}
+
+/** Receives what comes of a try; nothing follows `onEnd` or `onFailure`. */
+export interface AttemptListener {
+  onHead(head: AnswerHead): void;
+  onData(chunk: Buffer): void;
+  onEnd(): void;
+  onFailure(failure: AttemptFailure): void;
+}
+
+/** What is sent. */
+export interface AttemptRequest {
+  readonly requestId: string;
+  readonly method: string;
+  readonly path: string;
+  /** Names and values in turn. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+}
+
+/** A try under way. */
+export interface Attempt {
+  /** Closes the connection; the listener hears nothing more. */
+  cancel(): void;
+  /** Whether a byte may have reached the runner. */
+  wasSent(): boolean;
+  /** Stops and resumes reading of the answer. */
+  pause(): void;
+  resume(): void;
+}
+
+const STATUS_NOT_MINE = 421;
+
+function readHead(response: IncomingMessage, names: HeaderNames): AnswerHead {
+  const status = response.statusCode ?? 0;
+  return {
+    status,
+    reason: response.statusMessage ?? '',
+    rawHeaders: response.rawHeaders,
+    headers: response.headers,
+    notExecuted: response.headers[names.notExecuted] !== undefined || status === STATUS_NOT_MINE,
+    closing: response.headers.connection?.toLowerCase() === 'close',
+  };
+}
+
+function firstValue(value: string | string[] | undefined): string | undefined {
+  return Array.isArray(value) ? value[0] : value;
+}
+
+/** Whether an answer carries the id of the request it came for; refusals may carry none. */
+function belongsTo(head: AnswerHead, names: HeaderNames, requestId: string): boolean {
+  const id = head.headers[names.requestId];
+  return id === undefined ? head.status >= 300 : id === requestId;
+}
+
+class HttpAttempt implements Attempt {
+  private readonly client: ClientRequest;
+  private response: IncomingMessage | undefined;
+  private sent = false;
+  private over = false;
+
+  constructor(
+    private readonly runner: Runner,
+    agent: RunnerAgent,
+    private readonly request: AttemptRequest,
+    private readonly names: HeaderNames,
+    connectMilliseconds: number,
+    private readonly listener: AttemptListener,
+  ) {
+    this.client = httpRequest({
+      host: runner.host,
+      port: runner.port,
+      method: request.method,
+      path: request.path,
+      headers: request.headers as string[],
+      agent,
+    });
+    this.watchConnection(connectMilliseconds);
+    this.client.on('response', (response) => this.take(response));
+    this.client.on('error', (error) => this.fail(error.message));
+    this.client.on('close', () => this.fail('connection closed'));
+    this.client.end(request.body);
+  }
+
+  cancel(): void {
+    this.over = true;
+    this.client.destroy();
+  }
+
+  wasSent(): boolean {
+    return this.sent;
+  }
+
+  pause(): void {
+    this.response?.pause();
+  }
+
+  resume(): void {
+    this.response?.resume();
+  }
+
+  private watchConnection(connectMilliseconds: number): void {
+    this.client.on('socket', (socket) => {
+      if (!socket.connecting) {
+        this.sent = true;
+        return;
+      }
+      socket.setTimeout(connectMilliseconds, () => {
+        if (socket.connecting) {
+          socket.destroy(new Error('no connection in time'));
+        }
+      });
+      socket.once('connect', () => {
+        this.sent = true;
+        socket.setTimeout(0);
+      });
+    });
+  }
+
+  private take(response: IncomingMessage): void {
+    if (this.over) {
+      return;
+    }
+    const head = readHead(response, this.names);
+    if (!belongsTo(head, this.names, this.request.requestId)) {
+      const id = String(head.headers[this.names.requestId]);
+      this.finish({ tag: 'BadAnswer', detail: `answer of request ${id} from ${this.runner.id}` });
+      this.client.destroy();
+      return;
+    }
+    this.response = response;
+    noteKeepAlive(response.socket, firstValue(response.headers['keep-alive']));
+    response.on('data', (chunk: Buffer) => {
+      if (!this.over) {
+        this.listener.onData(chunk);
+      }
+    });
+    response.on('end', () => this.end(response));
+    response.on('aborted', () => this.fail('answer cut off'));
+    response.on('error', (error) => this.fail(error.message));
+    this.listener.onHead(head);
+  }
+
+  private end(response: IncomingMessage): void {
+    if (this.over) {
+      return;
+    }
+    if (!response.complete) {
+      this.fail('answer cut off');
+      return;
+    }
+    this.over = true;
+    this.listener.onEnd();
+  }
+
+  private fail(detail: string): void {
+    this.finish({ tag: this.sent ? 'Lost' : 'NeverSent', detail });
+  }
+
+  private finish(failure: AttemptFailure): void {
+    if (!this.over) {
+      this.over = true;
+      this.listener.onFailure(failure);
+    }
+  }
+}
+
+/** Sends a request to a runner. */
+export function startAttempt(
+  runner: Runner,
+  agent: RunnerAgent,
+  request: AttemptRequest,
+  names: HeaderNames,
+  connectMilliseconds: number,
+  listener: AttemptListener,
+): Attempt {
+  return new HttpAttempt(runner, agent, request, names, connectMilliseconds, listener);
+}
--- /dev/null
+++ b/src/relay/event-splitter.ts
@@ -0,0 +1,91 @@
+/** Cuts the bytes of an event stream into whole events, without changing a byte. */
+
+/** One whole event. */
+export interface StreamEvent {
+  /** The event with its closing blank line, as it came. */
+  readonly bytes: Buffer;
+  /** Its `id` field, if it has one. */
+  readonly id: string | undefined;
+  /** Its `data` lines joined by line feeds. */
+  readonly data: Buffer;
+  /** Whether it has a `data` line at all: comments and bare fields have none. */
+  readonly hasData: boolean;
+}
+
+const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
+const SPACE = 0x20;
+const DATA_FIELD = Buffer.from('data:');
+const ID_FIELD = Buffer.from('id:');
+const EMPTY = Buffer.alloc(0);
+const JOINT = Buffer.from('\n');
+
+/** Longest event that is taken, in bytes. */
+export const MAXIMUM_EVENT_BYTES = 1024 * 1024;
+
+/** Where the blank line that ends the first event ends; -1 when it has not come yet. */
+function endOfEvent(bytes: Buffer, from: number): number {
+  for (let at = bytes.indexOf(LINE_FEED, from); at >= 0; at = bytes.indexOf(LINE_FEED, at + 1)) {
+    const next = bytes[at + 1];
+    if (next === LINE_FEED) {
+      return at + 2;
+    }
+    if (next === CARRIAGE_RETURN && bytes[at + 2] === LINE_FEED) {
+      return at + 3;
+    }
+  }
+  return -1;
+}
+
+function fieldValue(line: Buffer, field: Buffer): Buffer | undefined {
+  if (line.length < field.length || line.compare(field, 0, field.length, 0, field.length) !== 0) {
+    return undefined;
+  }
+  return line.subarray(line[field.length] === SPACE ? field.length + 1 : field.length);
+}
+
+function parseEvent(bytes: Buffer): StreamEvent {
+  const data: Buffer[] = [];
+  let id: string | undefined;
+  let start = 0;
+  while (start < bytes.length) {
+    const feed = bytes.indexOf(LINE_FEED, start);
+    const stop = feed < 0 ? bytes.length : feed;
+    const end = stop > start && bytes[stop - 1] === CARRIAGE_RETURN ? stop - 1 : stop;
+    const line = bytes.subarray(start, end);
+    const dataValue = fieldValue(line, DATA_FIELD);
+    if (dataValue !== undefined) {
+      data.push(...(data.length > 0 ? [JOINT, dataValue] : [dataValue]));
+    } else {
+      id = fieldValue(line, ID_FIELD)?.toString('latin1') ?? id;
+    }
+    start = stop + 1;
+  }
+  return { bytes, id, data: data.length === 1 ? data[0]! : Buffer.concat(data), hasData: data.length > 0 };
+}
+
+/** See the head of this file. */
+export class EventSplitter {
+  private rest: Buffer = EMPTY;
+
+  /** Takes a chunk; returns the events that are whole now. Throws on one beyond the bound. */
+  push(chunk: Buffer): StreamEvent[] {
+    this.rest = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+    const events: StreamEvent[] = [];
+    for (let end = endOfEvent(this.rest, 0); end >= 0; end = endOfEvent(this.rest, 0)) {
+      events.push(parseEvent(this.rest.subarray(0, end)));
+      this.rest = this.rest.subarray(end);
+    }
+    if (this.rest.length > MAXIMUM_EVENT_BYTES) {
+      throw new RangeError('an event exceeds the bound');
+    }
+    return events;
+  }
+
+  /** Bytes after the last whole event. */
+  takeRest(): Buffer {
+    const rest = this.rest;
+    this.rest = EMPTY;
+    return rest;
+  }
+}
--- /dev/null
+++ b/src/relay/forwarded-headers.ts
@@ -0,0 +1,80 @@
+/** Which headers go on to a runner, and which of its headers go back to the client. */
+import type { HeaderNames } from './header-names.js';
+import type { RelayRequest } from './relay-request.js';
+
+/** Headers that concern one connection only. */
+const HOP_BY_HOP = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+]);
+/** Methods whose requests go without a length when they have no body. */
+const BODILESS_METHODS = new Set(['GET', 'HEAD', 'OPTIONS', 'DELETE']);
+const CONTENT_LENGTH = 'content-length';
+
+/** Names that a `Connection` header declares to concern one connection only. */
+function connectionTokens(rawHeaders: readonly string[]): Set<string> {
+  const names = new Set<string>();
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    if (rawHeaders[index]!.toLowerCase() === 'connection') {
+      rawHeaders[index + 1]!.split(',').forEach((name) => names.add(name.trim().toLowerCase()));
+    }
+  }
+  return names;
+}
+
+/** Raw headers without those of one connection, without the length, and without some more. */
+function passedOn(rawHeaders: readonly string[], dropped: (name: string) => boolean): string[] {
+  const local = connectionTokens(rawHeaders);
+  const kept: string[] = [];
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index]!.toLowerCase();
+    if (!HOP_BY_HOP.has(name) && !local.has(name) && name !== CONTENT_LENGTH && !dropped(name)) {
+      kept.push(rawHeaders[index]!, rawHeaders[index + 1]!);
+    }
+  }
+  return kept;
+}
+
+/** What the relay itself tells a runner about a request. */
+export interface RunnerInstructions {
+  readonly runnerId: string;
+  readonly remainingMilliseconds: number;
+  readonly lastEventId: string | undefined;
+  readonly bodyBytes: number;
+}
+
+/** Headers of a request on its way to a runner, as names and values in turn. */
+export function headersToRunner(
+  request: RelayRequest,
+  names: HeaderNames,
+  instructions: RunnerInstructions,
+): string[] {
+  const replaced = new Set([names.timeout, names.priority, names.lastEventId]);
+  const headers = passedOn(
+    request.rawHeaders,
+    (name) => names.reserved.has(name) || replaced.has(name),
+  );
+  headers.push(names.timeout, String(Math.max(1, Math.floor(instructions.remainingMilliseconds))));
+  headers.push(names.expectedRunner, instructions.runnerId);
+  headers.push(names.priority, String(Math.min(9, Math.max(0, request.route.priority))));
+  if (instructions.lastEventId !== undefined) {
+    headers.push(names.lastEventId, instructions.lastEventId);
+  }
+  if (instructions.bodyBytes > 0 || !BODILESS_METHODS.has(request.method)) {
+    headers.push(CONTENT_LENGTH, String(instructions.bodyBytes));
+  }
+  return headers;
+}
+
+/** Headers of a runner's answer on their way to the client. */
+export function headersToClient(rawHeaders: readonly string[]): string[] {
+  return passedOn(rawHeaders, () => false);
+}
--- /dev/null
+++ b/src/relay/plain-answer.ts
@@ -0,0 +1,35 @@
+/** A runner's answer that is passed on as a whole, once all of it is there. */
+import type { AnswerHead } from './attempt.js';
+import type { AnswerReader, RelayCall } from './relay-call.js';
+
+/** Largest answer that is taken, in bytes. */
+const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
+
+/** See the head of this file. */
+export class PlainAnswer implements AnswerReader {
+  private readonly chunks: Buffer[] = [];
+  private bytes = 0;
+  private head: AnswerHead | undefined;
+
+  constructor(private readonly call: RelayCall) {}
+
+  onHead(head: AnswerHead): void {
+    this.head = head;
+  }
+
+  onData(chunk: Buffer): void {
+    this.chunks.push(chunk);
+    this.bytes += chunk.length;
+    if (this.bytes > MAXIMUM_ANSWER_BYTES) {
+      this.call.failCurrent({ tag: 'BadAnswer', detail: 'the answer exceeds the bound' });
+    }
+  }
+
+  onEnd(): void {
+    if (this.head !== undefined) {
+      this.call.noteFirstByte();
+      this.call.answer.sendWhole(this.head, Buffer.concat(this.chunks));
+      this.call.finishAnswered(this.head.status);
+    }
+  }
+}
--- /dev/null
+++ b/src/relay/relay-call.ts
@@ -0,0 +1,464 @@
+/**
+ * The life of one relayed request: its chain and account first, then tries at runners until one
+ * answers, the request may not be tried again, or its time is over. Every end is given at once.
+ */
+import type { LogFields } from '../runtime/runtime.js';
+import type { CancelTimer } from '../runtime/runtime.js';
+import { maySendTo, mayTryAgain } from './attempt-rules.js';
+import type { TryHistory } from './attempt-rules.js';
+import { startAttempt } from './attempt.js';
+import type { AnswerHead, Attempt, AttemptFailure } from './attempt.js';
+import type { ClientAnswer, OwnAnswer } from './client-answer.js';
+import { chooseRunner } from './choose-runner.js';
+import { headersToRunner } from './forwarded-headers.js';
+import { FIRST_SERVER_ERROR, judgeAnswer } from './judge-answer.js';
+import { PlainAnswer } from './plain-answer.js';
+import type { RelayContext } from './relay-context.js';
+import { mayRepeat } from './relay-request.js';
+import type { RelayRequest } from './relay-request.js';
+import { pickService } from './routing-table.js';
+import type { RunnerRecord } from './runner-book.js';
+import { CONNECT_MILLISECONDS } from './runner-connections.js';
+import { StreamAnswer } from './stream-answer.js';
+
+/** Time beyond the route's own at which the relay stops waiting, so that runners end first. */
+const END_SLACK_MILLISECONDS = 30;
+/** Time without a byte after which the runner's address is probed. */
+const SILENCE_MILLISECONDS = 300;
+/** Pause told to clients when no runner had room. */
+const FULL_RETRY_SECONDS = 0.1;
+/** Pause told to clients when what the request needs is out of reach. */
+const UNAVAILABLE_RETRY_SECONDS = 0.2;
+/** Longest time for a reservation or a chain, in milliseconds. */
+const STATE_MILLISECONDS = 700;
+const FIRST_REDIRECT = 300;
+
+/** What takes the answer of one try apart: whole bodies or streams. */
+export interface AnswerReader {
+  onHead(head: AnswerHead): void;
+  onData(chunk: Buffer): void;
+  /** The runner ended its answer in order. */
+  onEnd(): void;
+}
+
+/** One try under way. */
+interface CurrentTry {
+  readonly attempt: Attempt;
+  readonly record: RunnerRecord;
+  readonly startedAt: number;
+  heardAt: number;
+}
+
+/** See the head of this file. */
+export class RelayCall {
+  private readonly sentTo = new Set<string>();
+  private readonly failedAt = new Set<string>();
+  private tries = 0;
+  private mayHaveRun = false;
+  private current: CurrentTry | undefined;
+  private cancelDeadline: CancelTimer = () => undefined;
+  private cancelSilence: CancelTimer = () => undefined;
+  private over = false;
+  private reserved = false;
+  private body: Buffer;
+  private readonly endAt: number;
+  private readonly stream: StreamAnswer | undefined;
+  private firstByteAt: number | undefined;
+  private dispatchedAt = 0;
+
+  constructor(
+    readonly context: RelayContext,
+    readonly request: RelayRequest,
+    readonly answer: ClientAnswer,
+    /** Told when the call is over, however it ended. */
+    private readonly onOver: () => void,
+  ) {
+    this.body = request.body;
+    const routeEnd = request.arrivedAt + request.route.timeoutMilliseconds;
+    this.endAt = Math.min(routeEnd, request.deadlineAt);
+    this.stream = request.route.kind === 'stream' ? new StreamAnswer(this) : undefined;
+  }
+
+  /** Begins. */
+  start(): void {
+    const { runtime } = this.context;
+    const left = this.endAt - runtime.now() + END_SLACK_MILLISECONDS;
+    this.cancelDeadline = runtime.setTimer(Math.max(0, left), () => this.timeOut());
+    this.answer.onLeft(() => this.leave());
+    this.readChain();
+  }
+
+  /** Milliseconds until the request's time is over. */
+  get remainingMilliseconds(): number {
+    return this.endAt - this.context.runtime.now();
+  }
+
+  /** Notes the first byte of the answer that is passed on. */
+  noteFirstByte(): void {
+    this.firstByteAt ??= this.context.runtime.now();
+  }
+
+  /** A whole answer was passed on. */
+  finishAnswered(status: number): void {
+    const current = this.takeCurrent();
+    if (current !== undefined) {
+      const { runtime, book } = this.context;
+      const whole = status < FIRST_REDIRECT ? runtime.now() - current.startedAt : undefined;
+      book.finish(current.record, whole);
+    }
+    this.finish('answered', { status, runner: current?.record.runner.id ?? '' });
+  }
+
+  /** The try under way failed although its connection stands. */
+  failCurrent(failure: AttemptFailure): void {
+    this.current?.attempt.cancel();
+    this.takeFailure(failure);
+  }
+
+  /** Breaks off an answer that has begun and can't be finished. */
+  breakOff(reason: string): void {
+    this.dropCurrent();
+    this.answer.abort();
+    this.finish('broken', { reason });
+  }
+
+  /** Ends the call with an answer of the relay. */
+  refuse(answer: OwnAnswer): void {
+    if (this.over) {
+      return;
+    }
+    this.dropCurrent();
+    if (this.answer.started) {
+      this.breakOff(answer.detail);
+      return;
+    }
+    this.answer.sendOwn(answer, this.request.id);
+    this.finish('refused', {
+      status: answer.status,
+      verdict: answer.verdict,
+      reason: answer.detail,
+      retryAfter: answer.retryAfterSeconds ?? -1,
+    });
+  }
+
+  private readChain(): void {
+    const { previousTurn, route } = this.request;
+    if (!route.retained || previousTurn === undefined) {
+      this.reserve();
+      return;
+    }
+    const timeout = Math.min(STATE_MILLISECONDS, this.remainingMilliseconds);
+    this.context.turns.readChain(previousTurn, timeout, (chain) => {
+      if (this.over) {
+        return;
+      }
+      if (chain.tag === 'found') {
+        this.body = Buffer.concat([chain.body, this.request.body]);
+        this.reserve();
+      } else if (chain.tag === 'missing') {
+        this.refuse({ status: 404, detail: 'there is no such earlier turn', verdict: 'NotRun' });
+      } else {
+        this.refuseUnavailable('the earlier turns are out of reach');
+      }
+    });
+  }
+
+  private reserve(): void {
+    const { program, route, maximumOutputTokens: mostTokens } = this.request;
+    const budgetTokens = program?.budgetTokens;
+    if (route.kind !== 'stream' || program === undefined || budgetTokens === undefined) {
+      this.tryNext();
+      return;
+    }
+    const reservation = { program: program.program, turn: this.request.id, mostTokens, budgetTokens };
+    const timeout = Math.min(STATE_MILLISECONDS, this.remainingMilliseconds);
+    this.context.turns.reserve(reservation, timeout, (outcome) => {
+      this.reserved = outcome !== 'spent';
+      if (this.over) {
+        this.settle();
+      } else if (outcome === 'granted') {
+        this.tryNext();
+      } else if (outcome === 'spent') {
+        this.refuse({ status: 402, detail: 'the token budget is spent', verdict: 'NotRun' });
+      } else {
+        this.refuseUnavailable('the token account is out of reach');
+      }
+    });
+  }
+
+  private refuseUnavailable(detail: string): void {
+    const retryAfterSeconds = UNAVAILABLE_RETRY_SECONDS;
+    this.refuse({ status: 503, detail, verdict: 'NotRun', retryAfterSeconds });
+  }
+
+  private get history(): TryHistory {
+    return {
+      mayRepeat: mayRepeat(this.request.route),
+      maximumAttempts: this.request.route.maximumAttempts,
+      sentTo: this.sentTo,
+      tries: this.tries,
+      mayHaveRun: this.mayHaveRun,
+    };
+  }
+
+  private chooseNext(): RunnerRecord | undefined {
+    const { request, context } = this;
+    const key = request.program?.program ?? request.affinityKey ?? request.id;
+    const service = pickService(request.route, key);
+    if (service === undefined) {
+      return undefined;
+    }
+    const all = context.book.candidates(service, request.promptParts, new Set());
+    const allowed = all.filter((candidate) => maySendTo(this.history, candidate.id));
+    const fresh = allowed.filter((candidate) => !this.failedAt.has(candidate.id));
+    const need = {
+      zone: context.zone,
+      promptTokens: request.promptTokens,
+      affinityKey: request.program?.session ?? key,
+    };
+    return chooseRunner(fresh.length > 0 ? fresh : allowed, need)?.record;
+  }
+
+  private tryNext(): void {
+    if (this.over) {
+      return;
+    }
+    const record = mayTryAgain(this.history) ? this.chooseNext() : undefined;
+    if (record === undefined || this.remainingMilliseconds <= 0) {
+      this.giveUp(record === undefined ? 'no runner may take it' : 'its time is over');
+      return;
+    }
+    this.tries += 1;
+    this.send(record);
+  }
+
+  private send(record: RunnerRecord): void {
+    const { context, request } = this;
+    const { runner } = record;
+    const now = context.runtime.now();
+    this.dispatchedAt ||= now;
+    context.book.begin(record, request.promptParts);
+    const headers = headersToRunner(request, context.names, {
+      runnerId: runner.id,
+      remainingMilliseconds: this.remainingMilliseconds,
+      lastEventId: this.stream?.lastEventId ?? request.lastEventId,
+      bodyBytes: this.body.length,
+    });
+    const reader: AnswerReader = this.stream ?? new PlainAnswer(this);
+    const limit = context.currentTable()?.services.get(runner.service)?.maximumConnections;
+    const agent = context.connections.agentFor(runner, limit);
+    const { method, path, id: requestId } = request;
+    const sent = { requestId, method, path, headers, body: this.body };
+    const attempt = startAttempt(runner, agent, sent, context.names, CONNECT_MILLISECONDS, {
+      onHead: (head) => this.takeHead(head, reader),
+      onData: (chunk) => {
+        this.noteHeard();
+        reader.onData(chunk);
+      },
+      onEnd: () => {
+        this.cancelSilence();
+        reader.onEnd();
+      },
+      onFailure: (failure) => this.takeFailure(failure),
+    });
+    this.current = { attempt, record, startedAt: now, heardAt: now };
+    this.watchSilence();
+  }
+
+  private takeHead(head: AnswerHead, reader: AnswerReader): void {
+    this.noteHeard();
+    const current = this.current;
+    if (current === undefined) {
+      return;
+    }
+    const judgement = judgeAnswer(head, this.context.names);
+    if (judgement === 'NotExecuted') {
+      current.attempt.cancel();
+      this.takeNotExecuted(head.status);
+      return;
+    }
+    if (judgement === 'Unsigned' || judgement === 'FalsePromise') {
+      this.failCurrent({ tag: 'BadAnswer', detail: `${judgement} answer, status ${head.status}` });
+      return;
+    }
+    const retried = head.status >= FIRST_SERVER_ERROR && mayRepeat(this.request.route);
+    const others = this.request.route.maximumAttempts > this.sentTo.size + 1;
+    if ((retried && others && !this.answer.started) || (this.answer.started && head.status >= FIRST_REDIRECT)) {
+      this.failCurrent({ tag: 'BadAnswer', detail: `status ${head.status}` });
+      return;
+    }
+    reader.onHead(head);
+  }
+
+  /** The runner has provably not run the request. */
+  private takeNotExecuted(status: number): void {
+    const current = this.takeCurrent();
+    if (current !== undefined) {
+      this.context.book.finish(current.record, undefined);
+      this.sentTo.add(current.record.runner.id);
+      this.failedAt.add(current.record.runner.id);
+      this.logTry('NotExecuted', `status ${status}`, current);
+    }
+    this.tryNext();
+  }
+
+  private takeFailure(failure: AttemptFailure): void {
+    const current = this.takeCurrent();
+    if (current === undefined || this.over) {
+      return;
+    }
+    const { book, connections } = this.context;
+    const { runner } = current.record;
+    book.finish(current.record, undefined);
+    this.failedAt.add(runner.id);
+    this.logTry(failure.tag, failure.detail, current);
+    if (failure.tag === 'NeverSent') {
+      book.distrust(current.record, failure.detail);
+      connections.closeAll(runner);
+      this.sentTo.delete(runner.id);
+    } else {
+      this.mayHaveRun = true;
+      this.sentTo.add(runner.id);
+    }
+    if (this.stream !== undefined && !this.stream.prepareResume()) {
+      this.breakOff('the stream can not be taken up again');
+      return;
+    }
+    this.tryNext();
+  }
+
+  private giveUp(reason: string): void {
+    if (this.mayHaveRun) {
+      const detail = `the runner's answer is lost: ${reason}`;
+      const timedOut = this.remainingMilliseconds <= 0;
+      this.refuse({ status: timedOut ? 504 : 502, detail, verdict: 'MayHaveRun' });
+      return;
+    }
+    const retryAfterSeconds = FULL_RETRY_SECONDS;
+    this.refuse({ status: 503, detail: reason, verdict: 'NotRun', retryAfterSeconds });
+  }
+
+  private timeOut(): void {
+    if (this.over) {
+      return;
+    }
+    if (this.current?.attempt.wasSent() === true || this.mayHaveRun) {
+      this.refuse({ status: 504, detail: 'no answer in time', verdict: 'MayHaveRun' });
+      return;
+    }
+    this.giveUp('its time is over');
+  }
+
+  /** The client closed its connection. */
+  private leave(): void {
+    if (!this.over) {
+      this.dropCurrent();
+      this.finish('left', { started: this.answer.started });
+    }
+  }
+
+  private noteHeard(): void {
+    if (this.current !== undefined) {
+      this.current.heardAt = this.context.runtime.now();
+    }
+  }
+
+  /** Probes the runner's address when nothing has come for a while: a dead one never answers. */
+  private watchSilence(): void {
+    const { runtime, connections, book } = this.context;
+    this.cancelSilence();
+    this.cancelSilence = runtime.setTimer(SILENCE_MILLISECONDS, () => {
+      const current = this.current;
+      if (current === undefined || this.over) {
+        return;
+      }
+      this.watchSilence();
+      if (runtime.now() - current.heardAt < SILENCE_MILLISECONDS) {
+        return;
+      }
+      connections.probe(current.record.runner, (reachable) => {
+        if (!reachable && this.current === current && !this.over) {
+          book.distrust(current.record, 'silent and out of reach');
+          connections.closeAll(current.record.runner);
+          this.failCurrent({ tag: 'Lost', detail: 'runner out of reach' });
+        }
+      });
+    });
+  }
+
+  private takeCurrent(): CurrentTry | undefined {
+    const current = this.current;
+    this.current = undefined;
+    this.cancelSilence();
+    return current;
+  }
+
+  private dropCurrent(): void {
+    const current = this.takeCurrent();
+    if (current !== undefined) {
+      this.mayHaveRun ||= current.attempt.wasSent();
+      current.attempt.cancel();
+      this.context.book.finish(current.record, undefined);
+    }
+  }
+
+  private settle(): void {
+    const { program, id, maximumOutputTokens } = this.request;
+    if (!this.reserved || program === undefined) {
+      return;
+    }
+    this.reserved = false;
+    const used = this.stream?.handedTokens ?? 0;
+    this.context.turns.settle(program.program, id, maximumOutputTokens, used);
+  }
+
+  private finish(outcome: string, fields: LogFields): void {
+    if (this.over) {
+      return;
+    }
+    this.over = true;
+    this.cancelDeadline();
+    this.cancelSilence();
+    this.settle();
+    this.logEnd(outcome, fields);
+    this.onOver();
+  }
+
+  private logTry(tag: string, detail: string, current: CurrentTry): void {
+    const { runtime, metrics } = this.context;
+    metrics.count('ivyloom_relay_failed_tries_total', `tag="${tag}"`);
+    runtime.log('info', 'try failed', {
+      event: 'relay.try',
+      request: this.request.id,
+      runner: current.record.runner.id,
+      tag,
+      detail,
+      tries: this.tries,
+      inFlight: current.record.inFlight,
+      age: Math.round(runtime.now() - current.startedAt),
+    });
+  }
+
+  private logEnd(outcome: string, fields: LogFields): void {
+    const { runtime, metrics } = this.context;
+    const { id, route, program, arrivedAt, configurationVersion } = this.request;
+    const total = runtime.now() - arrivedAt;
+    metrics.count('ivyloom_relay_requests_total', `kind="${route.kind}",outcome="${outcome}"`);
+    metrics.observe('ivyloom_relay_request_milliseconds', total);
+    metrics.observe('ivyloom_relay_before_dispatch_milliseconds', this.dispatchedAt - arrivedAt);
+    runtime.log(outcome === 'answered' ? 'debug' : 'info', 'request ended', {
+      event: 'relay.end',
+      request: id,
+      program: program?.program ?? '',
+      route: route.name,
+      version: configurationVersion,
+      outcome,
+      tries: this.tries,
+      total: Math.round(total),
+      beforeDispatch: Math.round(this.dispatchedAt - arrivedAt),
+      firstByte: Math.round((this.firstByteAt ?? arrivedAt) - arrivedAt),
+      events: this.stream?.eventCount ?? 0,
+      ...fields,
+    });
+  }
+}
--- /dev/null
+++ b/src/relay/relay-context.ts
@@ -0,0 +1,21 @@
+/** What all calls of one gateway share. */
+import type { Runtime } from '../runtime/runtime.js';
+import type { TurnClient } from '../turns/turn-client.js';
+import type { HeaderNames } from './header-names.js';
+import type { RelayMetrics } from './relay-metrics.js';
+import type { RunnerBook } from './runner-book.js';
+import type { RunnerConnections } from './runner-connections.js';
+import type { RoutingTable } from './routing-table.js';
+
+/** See the head of this file. */
+export interface RelayContext {
+  readonly runtime: Runtime;
+  readonly zone: string;
+  readonly names: HeaderNames;
+  readonly book: RunnerBook;
+  readonly connections: RunnerConnections;
+  readonly turns: TurnClient;
+  readonly metrics: RelayMetrics;
+  /** The newest configuration; undefined before the first. */
+  currentTable(): RoutingTable | undefined;
+}
--- /dev/null
+++ b/src/relay/relay-gateway.ts
@@ -0,0 +1,123 @@
+/**
+ * A gateway of routed requests: holds the newest configuration and the runners, takes clients'
+ * requests, says whether it is ready, and stops as planned.
+ */
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import type { Runtime } from '../runtime/runtime.js';
+import type { TurnClient } from '../turns/turn-client.js';
+import type { HeaderNames } from './header-names.js';
+import type { RelayContext } from './relay-context.js';
+import { RelayFront } from './relay-front.js';
+import { RelayMetrics } from './relay-metrics.js';
+import type { RoutingTable } from './routing-table.js';
+import { RunnerBook } from './runner-book.js';
+import { RunnerConnections } from './runner-connections.js';
+
+/** An address to listen on. */
+export interface ListenAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** What a gateway is made with. */
+export interface RelayGatewayOptions {
+  readonly runtime: Runtime;
+  readonly zone: string;
+  readonly names: HeaderNames;
+  readonly turns: TurnClient;
+  readonly front: ListenAddress;
+  readonly ready: ListenAddress;
+  /** Time between the request to stop and the kill, in milliseconds. */
+  readonly graceMilliseconds: number;
+}
+
+/** Time after the request to stop in which new connections may still come, in milliseconds. */
+const STILL_OPEN_MILLISECONDS = 3_200;
+/** Kept before the kill, in milliseconds. */
+const KILL_SLACK_MILLISECONDS = 600;
+const OK = 200;
+const UNAVAILABLE = 503;
+
+/** See the head of this file. */
+export class RelayGateway {
+  readonly book: RunnerBook;
+  readonly metrics = new RelayMetrics();
+  private readonly front: RelayFront;
+  private readonly readiness: Server;
+  private table: RoutingTable | undefined;
+  private listening = false;
+  private stopping = false;
+
+  constructor(private readonly options: RelayGatewayOptions) {
+    const { runtime, zone, names, turns } = options;
+    this.book = new RunnerBook(runtime);
+    const context: RelayContext = {
+      runtime,
+      zone,
+      names,
+      book: this.book,
+      connections: new RunnerConnections(runtime),
+      turns,
+      metrics: this.metrics,
+      currentTable: () => this.table,
+    };
+    this.front = new RelayFront(context);
+    this.readiness = createServer((request, response) => {
+      request.resume();
+      response.writeHead(this.ready ? OK : UNAVAILABLE, { 'content-length': '0' }).end();
+    });
+    this.readiness.listen(options.ready);
+  }
+
+  /** Whether new connections should come here. */
+  get ready(): boolean {
+    return this.listening && !this.stopping;
+  }
+
+  /** The configuration in force; undefined before the first. */
+  get currentTable(): RoutingTable | undefined {
+    return this.table;
+  }
+
+  /** Takes a configuration unless a newer one is in force. */
+  applyTable(table: RoutingTable, source: string): void {
+    if (this.table !== undefined && table.version <= this.table.version) {
+      return;
+    }
+    this.options.runtime.log('info', 'configuration in force', {
+      event: 'configuration.applied',
+      version: table.version,
+      before: this.table?.version ?? -1,
+      source,
+    });
+    this.table = table;
+    this.front.applyLimits(table);
+    this.listen();
+  }
+
+  /** Stops as planned: serves while new connections may come, finishes all, then calls back. */
+  stop(done: () => void): void {
+    if (this.stopping) {
+      return;
+    }
+    this.stopping = true;
+    const { runtime, graceMilliseconds } = this.options;
+    const { activeCount: active } = this.front;
+    runtime.log('info', 'planned stop', { event: 'process.stopping', active });
+    this.front.startDraining();
+    runtime.setTimer(STILL_OPEN_MILLISECONDS, () => this.front.stop(done));
+    runtime.setTimer(graceMilliseconds - KILL_SLACK_MILLISECONDS, done);
+  }
+
+  private listen(): void {
+    if (this.listening) {
+      return;
+    }
+    this.listening = true;
+    const { host, port } = this.options.front;
+    this.front.listen(host, port, () => {
+      this.options.runtime.log('info', 'serving', { event: 'process.serving', host, port });
+    });
+  }
+}
--- /dev/null
+++ b/src/relay/relay-request.ts
@@ -0,0 +1,70 @@
+/** A request as a client sent it, read and bounded, ready to be relayed. */
+import type { Route } from './routing-table.js';
+
+/** A part of a prompt that others may share. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** The program a request belongs to. */
+export interface ProgramReference {
+  readonly program: string;
+  /** The line of turns within the program. */
+  readonly session: string;
+  /** Most tokens the program's turns may generate together; undefined when not told. */
+  readonly budgetTokens: number | undefined;
+}
+
+/** See the head of this file. */
+export interface RelayRequest {
+  readonly id: string;
+  readonly method: string;
+  /** Path with its query, unaltered. */
+  readonly path: string;
+  /** Header names and values in turn, as the client sent them. */
+  readonly rawHeaders: readonly string[];
+  readonly body: Buffer;
+  /** Local time at which the request came, in milliseconds. */
+  readonly arrivedAt: number;
+  /** Local time after which the client no longer waits, in milliseconds. */
+  readonly deadlineAt: number;
+  readonly route: Route;
+  readonly configurationVersion: number;
+  readonly program: ProgramReference | undefined;
+  /** Turn this one goes on from. */
+  readonly previousTurn: string | undefined;
+  /** Identifier of the last event the client already has. */
+  readonly lastEventId: string | undefined;
+  readonly promptParts: readonly PromptPart[];
+  readonly promptTokens: number;
+  /** Most tokens the answer may have; 0 when not told. */
+  readonly maximumOutputTokens: number;
+  /** Key that keeps requests about one object together. */
+  readonly affinityKey: string | undefined;
+}
+
+/** Whether a request may run a second time. */
+export function mayRepeat(route: Route): boolean {
+  return route.kind === 'repeatable' || (route.kind === 'stream' && route.resumable);
+}
+
+/** Reads `ID:TOKENS,ID:TOKENS`; parts that are not in this form are passed over. */
+export function parsePromptParts(text: string | undefined): PromptPart[] {
+  if (text === undefined || text === '') {
+    return [];
+  }
+  return text.split(',').flatMap((part) => {
+    const [id, tokens] = part.trim().split(':');
+    const count = Number(tokens);
+    return id !== undefined && id !== '' && Number.isFinite(count) ? [{ id, tokens: count }] : [];
+  });
+}
+
+/** Reads `IN,OUT` counts of tokens. */
+export function parseTokenUsage(text: string | undefined): { prompt: number; output: number } {
+  const [prompt, output] = (text ?? '').split(',').map(Number);
+  const whole = (value: number | undefined): number =>
+    value !== undefined && Number.isFinite(value) && value > 0 ? value : 0;
+  return { prompt: whole(prompt), output: whole(output) };
+}
--- /dev/null
+++ b/src/relay/runner-book.ts
@@ -0,0 +1,194 @@
+/** What this node believes of the runners: listed, leaving, reachable, busy, fast, and what they keep. */
+import type { Runtime } from '../runtime/runtime.js';
+import { leadingCachedTokens } from './choose-runner.js';
+import type { RunnerView } from './choose-runner.js';
+import { PromptPlaces } from './prompt-places.js';
+import type { PromptPart } from './relay-request.js';
+import type { Runner } from './runner.js';
+
+/** Time for which a runner that left the list may still be used when no other is left. */
+const GONE_GRACE_MILLISECONDS = 1_200;
+const FIRST_DISTRUST_MILLISECONDS = 300;
+const LONGEST_DISTRUST_MILLISECONDS = 3_000;
+const DEFAULT_MEAN_MILLISECONDS = 100;
+/** Weight of the newest time in the running mean. */
+const MEAN_SHARE = 0.1;
+const DEFAULT_MEMORY_TOKENS = 400_000;
+
+/** Beliefs about one runner. */
+export interface RunnerRecord {
+  runner: Runner;
+  /** Requests of this node that are there now. */
+  inFlight: number;
+  /** Local time at which it left the list; undefined while it is listed. */
+  goneAt: number | undefined;
+  /** Not used before this time, after it could not be reached. */
+  distrustedUntil: number;
+  failures: number;
+  meanMilliseconds: number;
+  readonly places: PromptPlaces;
+}
+
+/** A runner that may be chosen. */
+export interface RunnerCandidate extends RunnerView {
+  readonly record: RunnerRecord;
+}
+
+/** See the head of this file. */
+export class RunnerBook {
+  private readonly records = new Map<string, RunnerRecord>();
+  private readonly byService = new Map<string, Set<RunnerRecord>>();
+
+  constructor(private readonly runtime: Runtime) {}
+
+  /** Takes a whole list: runners that are not on it have left. */
+  replaceAll(runners: readonly Runner[]): void {
+    const listed = new Set(runners.map((runner) => runner.id));
+    for (const record of this.records.values()) {
+      if (!listed.has(record.runner.id)) {
+        this.remove(record.runner.id);
+      }
+    }
+    runners.forEach((runner) => this.put(runner));
+  }
+
+  /** Takes one entry of the list. */
+  put(runner: Runner): void {
+    const known = this.records.get(runner.id);
+    if (known === undefined) {
+      this.add(runner);
+      return;
+    }
+    if (known.runner.ready !== runner.ready || known.goneAt !== undefined) {
+      const { id, service, ready } = runner;
+      this.runtime.log('info', 'runner changed', { event: 'runner.changed', runner: id, service, ready });
+    }
+    known.runner = runner;
+    known.goneAt = undefined;
+  }
+
+  /** Notes that an entry is gone from the list. */
+  remove(id: string): void {
+    const record = this.records.get(id);
+    if (record === undefined || record.goneAt !== undefined) {
+      return;
+    }
+    record.goneAt = this.runtime.now();
+    const { service } = record.runner;
+    this.runtime.log('info', 'runner left', { event: 'runner.left', runner: id, service });
+    this.runtime.setTimer(GONE_GRACE_MILLISECONDS, () => this.forget(id));
+  }
+
+  /** Runners now listed. */
+  list(): Runner[] {
+    return [...this.records.values()]
+      .filter((record) => record.goneAt === undefined)
+      .map((record) => record.runner);
+  }
+
+  get(id: string): RunnerRecord | undefined {
+    return this.records.get(id);
+  }
+
+  /** Runners of a service that may get a request, the trusted ones only if there are any. */
+  candidates(
+    service: string,
+    parts: readonly PromptPart[],
+    excluded: ReadonlySet<string>,
+  ): RunnerCandidate[] {
+    const now = this.runtime.now();
+    const usable = [...(this.byService.get(service) ?? [])].filter(
+      (record) => !excluded.has(record.runner.id),
+    );
+    const listed = usable.filter((record) => record.runner.ready && record.goneAt === undefined);
+    const trusted = listed.filter((record) => record.distrustedUntil <= now);
+    const chosen = trusted.length > 0 ? trusted : listed.length > 0 ? listed : usable.filter(isGone);
+    return chosen.map((record) => viewOf(record, parts));
+  }
+
+  /** Notes that a request is sent to a runner. */
+  begin(record: RunnerRecord, parts: readonly PromptPart[]): void {
+    record.inFlight += 1;
+    record.places.touch(parts);
+  }
+
+  /** Notes that a request there is over, whole after some milliseconds or not at all. */
+  finish(record: RunnerRecord, wholeMilliseconds: number | undefined): void {
+    record.inFlight -= 1;
+    if (wholeMilliseconds !== undefined) {
+      record.meanMilliseconds += (wholeMilliseconds - record.meanMilliseconds) * MEAN_SHARE;
+      this.trust(record);
+    }
+  }
+
+  /** Notes that a runner could not be reached or spoilt an answer. */
+  distrust(record: RunnerRecord, reason: string): void {
+    record.failures += 1;
+    const pause = Math.min(
+      LONGEST_DISTRUST_MILLISECONDS,
+      FIRST_DISTRUST_MILLISECONDS * 2 ** (record.failures - 1),
+    );
+    record.distrustedUntil = this.runtime.now() + pause;
+    const fields = { event: 'runner.distrusted', runner: record.runner.id, reason, pause };
+    this.runtime.log('warn', 'runner distrusted', fields);
+  }
+
+  private trust(record: RunnerRecord): void {
+    if (record.failures > 0) {
+      record.failures = 0;
+      record.distrustedUntil = 0;
+      const fields = { event: 'runner.trusted', runner: record.runner.id };
+      this.runtime.log('info', 'runner trusted again', fields);
+    }
+  }
+
+  private add(runner: Runner): void {
+    const record: RunnerRecord = {
+      runner,
+      inFlight: 0,
+      goneAt: undefined,
+      distrustedUntil: 0,
+      failures: 0,
+      meanMilliseconds: this.meanOf(runner.service),
+      places: new PromptPlaces(DEFAULT_MEMORY_TOKENS),
+    };
+    this.records.set(runner.id, record);
+    const ofService = this.byService.get(runner.service) ?? new Set();
+    this.byService.set(runner.service, ofService.add(record));
+    const { id, service, ready } = runner;
+    this.runtime.log('info', 'runner seen', { event: 'runner.seen', runner: id, service, ready });
+  }
+
+  private forget(id: string): void {
+    const record = this.records.get(id);
+    const goneAt = record?.goneAt;
+    const since = goneAt === undefined ? 0 : this.runtime.now() - goneAt;
+    if (record !== undefined && since >= GONE_GRACE_MILLISECONDS) {
+      this.records.delete(id);
+      this.byService.get(record.runner.service)?.delete(record);
+    }
+  }
+
+  /** Mean time of a service's known runners: what is expected of a new one. */
+  private meanOf(service: string): number {
+    const means = [...(this.byService.get(service) ?? [])].map((record) => record.meanMilliseconds);
+    const sum = means.reduce((total, mean) => total + mean, 0);
+    return means.length > 0 ? sum / means.length : DEFAULT_MEAN_MILLISECONDS;
+  }
+}
+
+function isGone(record: RunnerRecord): boolean {
+  return record.goneAt !== undefined && record.runner.ready;
+}
+
+function viewOf(record: RunnerRecord, parts: readonly PromptPart[]): RunnerCandidate {
+  return {
+    record,
+    id: record.runner.id,
+    zone: record.runner.zone,
+    slots: record.runner.slots,
+    inFlight: record.inFlight,
+    meanMilliseconds: record.meanMilliseconds,
+    cachedTokens: leadingCachedTokens(parts, (part) => record.places.has(part)),
+  };
+}
--- /dev/null
+++ b/src/relay/stream-answer.ts
@@ -0,0 +1,121 @@
+/**
+ * A runner's stream, passed on event by event. Only whole events go to the client, so a broken
+ * stream can be taken up after the last one. A kept turn is stored before the stream's end goes out.
+ */
+import type { AnswerHead } from './attempt.js';
+import { EventSplitter } from './event-splitter.js';
+import type { StreamEvent } from './event-splitter.js';
+import type { AnswerReader, RelayCall } from './relay-call.js';
+
+const FIRST_REDIRECT = 300;
+const LINE_FEED = Buffer.from('\n');
+/** Longest time for storing a turn, in milliseconds. */
+const KEEP_MILLISECONDS = 1_500;
+const MILLISECONDS_IN_SECOND = 1_000;
+
+/** See the head of this file. */
+export class StreamAnswer implements AnswerReader {
+  /** Identifier of the last event passed on; undefined before the first. */
+  lastEventId: string | undefined;
+  /** Events with data that were passed on. */
+  eventCount = 0;
+  private splitter = new EventSplitter();
+  private head: AnswerHead | undefined;
+  private readonly output: Buffer[] = [];
+
+  constructor(private readonly call: RelayCall) {}
+
+  /** Tokens handed to the client. */
+  get handedTokens(): number {
+    const { route } = this.call.request;
+    const services = this.call.context.currentTable()?.services;
+    const perEvent = Math.max(
+      1,
+      ...route.services.map((part) => services?.get(part.service)?.tokensPerEvent ?? 1),
+    );
+    return this.eventCount * perEvent;
+  }
+
+  /** Prepares for another runner; false when the stream has begun and may not be taken up. */
+  prepareResume(): boolean {
+    this.splitter = new EventSplitter();
+    this.head = undefined;
+    return !this.call.answer.started || this.call.request.route.resumable;
+  }
+
+  onHead(head: AnswerHead): void {
+    this.head = head;
+    if (head.status < FIRST_REDIRECT && !this.call.answer.started) {
+      this.call.answer.beginStream(head);
+    }
+  }
+
+  onData(chunk: Buffer): void {
+    const status = this.head?.status ?? 0;
+    if (status >= FIRST_REDIRECT) {
+      this.output.push(chunk);
+      return;
+    }
+    try {
+      this.splitter.push(chunk).forEach((event) => this.pass(event));
+    } catch (cause) {
+      const detail = cause instanceof Error ? cause.message : String(cause);
+      this.call.failCurrent({ tag: 'BadAnswer', detail });
+    }
+  }
+
+  onEnd(): void {
+    const head = this.head;
+    if (head === undefined) {
+      return;
+    }
+    if (head.status >= FIRST_REDIRECT) {
+      this.call.answer.sendWhole(head, Buffer.concat(this.output));
+      this.call.finishAnswered(head.status);
+      return;
+    }
+    const rest = this.splitter.takeRest();
+    if (rest.length > 0) {
+      this.call.failCurrent({ tag: 'Lost', detail: 'the stream ended inside an event' });
+      return;
+    }
+    this.keepThenEnd(head.status);
+  }
+
+  private pass(event: StreamEvent): void {
+    this.call.noteFirstByte();
+    this.lastEventId = event.id ?? this.lastEventId;
+    if (event.hasData) {
+      this.eventCount += 1;
+      if (this.call.request.route.retained) {
+        this.output.push(event.data, LINE_FEED);
+      }
+    }
+    this.call.answer.write(event.bytes);
+  }
+
+  private keepThenEnd(status: number): void {
+    const { request, context } = this.call;
+    if (!request.route.retained) {
+      this.call.answer.end();
+      this.call.finishAnswered(status);
+      return;
+    }
+    const turn = {
+      id: request.id,
+      previous: request.previousTurn ?? '',
+      input: request.body,
+      output: Buffer.concat(this.output),
+      retentionMilliseconds: request.route.retentionSeconds * MILLISECONDS_IN_SECOND,
+    };
+    const timeout = Math.min(KEEP_MILLISECONDS, this.call.remainingMilliseconds);
+    context.turns.keep(turn, timeout, (kept) => {
+      if (kept) {
+        this.call.answer.end();
+        this.call.finishAnswered(status);
+      } else {
+        this.call.breakOff('the turn could not be kept');
+      }
+    });
+  }
+}
--- a/src/runtime/real-runtime.ts
+++ b/src/runtime/real-runtime.ts
@@ -3,6 +3,7 @@
 import { randomInt } from 'node:crypto';
 import { performance } from 'node:perf_hooks';
 import { ROARR, Roarr, logLevels } from 'roarr';
+import { BoundedWriter, writeTo } from '../telemetry/bounded-writer.js';
 import { createRandom } from './random.js';
 import type { LogFields, LogFunction, LogLevel, Runtime } from './runtime.js';
 
@@ -16,13 +17,13 @@
   readonly logLevel?: LogLevel;
 }
 
+const STANDARD_OUTPUT = 1;
 const LARGEST_SEED = 2 ** 31;
 
 /** A logger that writes JSON lines by `roarr`. */
 export function createLog(fields: LogFields, least: LogLevel): LogFunction {
-  ROARR.write = (line: string): void => {
-    process.stdout.write(`${line}\n`);
-  };
+  const writer = new BoundedWriter(writeTo(STANDARD_OUTPUT));
+  ROARR.write = (line: string): void => writer.push(line);
   const logger = Roarr.child({ application: 'ivyloom', ...fields });
   return (level, message, extra = {}) => {
     if (logLevels[level] >= logLevels[least]) {
--- /dev/null
+++ b/src/turns/decide-membership.ts
@@ -0,0 +1,84 @@
+/** Decides what a replica should do about the record of members; plain data in, an action out. */
+import { hasMember, LEAST_MEMBERS, readQuorumOf } from './membership.js';
+import type { Member, MemberRecord } from './membership.js';
+
+/** What is known when a decision is taken. */
+export interface MembershipView {
+  readonly self: Member;
+  /** The stored record; undefined when the store holds none yet. */
+  readonly record: MemberRecord | undefined;
+  /** Whether this replica's state is complete. */
+  readonly ready: boolean;
+  /** Whether this replica has lately read all that another member has. */
+  readonly isLevelWith: (memberId: string) => boolean;
+  /** Whether another member has lately read all that this replica has. */
+  readonly hasRead: (memberId: string) => boolean;
+  /** Time for which a member has not been heard, in milliseconds. */
+  readonly silentMilliseconds: (memberId: string) => number;
+  /** Names of machines that operators want emptied. */
+  readonly retiringNodes: ReadonlySet<string>;
+}
+
+/** What to do. */
+export type MembershipAction =
+  | { readonly tag: 'Wait' }
+  /** Write the first record, with this replica alone. */
+  | { readonly tag: 'Create' }
+  /** Add this replica. */
+  | { readonly tag: 'Join' }
+  | { readonly tag: 'Remove'; readonly member: Member; readonly reason: 'retiring' | 'silent' };
+
+/** Silence after which a member is taken out, when enough others remain, in milliseconds. */
+export const REMOVAL_MILLISECONDS = 4_000;
+
+const WAIT: MembershipAction = { tag: 'Wait' };
+
+/** See the head of this file. */
+export function decideMembership(view: MembershipView): MembershipAction {
+  const { record, self } = view;
+  if (record === undefined) {
+    return { tag: 'Create' };
+  }
+  if (!hasMember(record, self.id)) {
+    return decideJoin(view, record);
+  }
+  if (!view.ready) {
+    return WAIT;
+  }
+  const others = record.members.filter((member) => member.id !== self.id);
+  if (view.retiringNodes.has(self.node)) {
+    return decideLeave(view, others);
+  }
+  return decideRemoval(view, others);
+}
+
+function decideJoin(view: MembershipView, record: MemberRecord): MembershipAction {
+  if (view.retiringNodes.has(view.self.node)) {
+    return WAIT;
+  }
+  const level = record.members.filter((member) => view.isLevelWith(member.id));
+  return level.length >= readQuorumOf(record) ? { tag: 'Join' } : WAIT;
+}
+
+function decideLeave(view: MembershipView, others: readonly Member[]): MembershipAction {
+  const present = others.filter(
+    (member) => view.silentMilliseconds(member.id) < REMOVAL_MILLISECONDS,
+  );
+  const handedOver = present.length >= 2 && present.every((member) => view.hasRead(member.id));
+  return handedOver ? { tag: 'Remove', member: view.self, reason: 'retiring' } : WAIT;
+}
+
+function decideRemoval(view: MembershipView, others: readonly Member[]): MembershipAction {
+  for (const silent of others) {
+    if (view.silentMilliseconds(silent.id) < REMOVAL_MILLISECONDS) {
+      continue;
+    }
+    const remaining = others.filter((member) => member.id !== silent.id);
+    const enough = remaining.length + 1 >= LEAST_MEMBERS;
+    const first = remaining.every((member) => view.self.id < member.id);
+    if (enough && first && remaining.every((member) => view.isLevelWith(member.id))) {
+      return { tag: 'Remove', member: silent, reason: 'silent' };
+    }
+  }
+  return WAIT;
+}
--- /dev/null
+++ b/src/turns/membership-keeper.ts
@@ -0,0 +1,170 @@
+/**
+ * Keeps the record of members right: this replica joins it, leaves it when operators empty its
+ * machine, and takes out members that are gone. Only compare-and-swap on the stored record decides.
+ */
+import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import { setRepeatingTimer } from '../runtime/runtime.js';
+import { decideMembership } from './decide-membership.js';
+import type { MembershipAction, MembershipView } from './decide-membership.js';
+import type { MemberDirectory } from './member-directory.js';
+import { decodeMemberRecord, encodeMemberRecord, hasMember, withMember, withoutMember } from './membership.js';
+import type { Member, MemberRecord } from './membership.js';
+import type { Replica } from './replica.js';
+import type { ReplicaSync } from './replica-sync.js';
+
+/** The record where all processes find it. */
+export type StoredRecord =
+  /** Nothing was read yet. */
+  | { readonly tag: 'Unknown' }
+  | { readonly tag: 'Absent' }
+  | { readonly tag: 'Present'; readonly text: string; readonly revision: number };
+
+/** Where the record is stored, and what operators ask of machines. */
+export interface MembershipStore {
+  readRecord(): StoredRecord;
+  /** Replaces the record if its revision is still the expected one; 0 when there must be none. */
+  swapRecord(expectedRevision: number, text: string, done: (swapped: boolean) => void): void;
+  /** Names of machines that are to be emptied. */
+  retiringNodes(): ReadonlySet<string>;
+  /** Tells operators how far the emptying of this machine is. */
+  reportRetirement(node: string, finished: boolean, done: (written: boolean) => void): void;
+}
+
+/** What the keeper is made with. */
+export interface MembershipKeeperOptions {
+  readonly self: Member;
+  readonly runtime: Runtime;
+  readonly replica: Replica;
+  readonly sync: ReplicaSync;
+  readonly directory: MemberDirectory;
+  readonly store: MembershipStore;
+}
+
+const STEP_MILLISECONDS = 250;
+const LEVEL_MILLISECONDS = 1_500;
+
+/** See the head of this file. */
+export class MembershipKeeper {
+  private readonly cancelTimer: CancelTimer;
+  private busy = false;
+  private reported: 'nothing' | 'running' | 'finished' = 'nothing';
+
+  constructor(private readonly options: MembershipKeeperOptions) {
+    this.cancelTimer = setRepeatingTimer(options.runtime, STEP_MILLISECONDS, () => this.step());
+  }
+
+  /** Takes one decision and carries it out. */
+  step(): void {
+    const { store, directory } = this.options;
+    const stored = store.readRecord();
+    if (this.busy || stored.tag === 'Unknown') {
+      return;
+    }
+    const record = stored.tag === 'Present' ? decodeMemberRecord(stored.text) : undefined;
+    if (record !== undefined) {
+      directory.offer(record, 'store');
+    }
+    this.noteOwnMembership(record);
+    const revision = stored.tag === 'Present' ? stored.revision : 0;
+    this.carryOut(decideMembership(this.viewOf(record)), record, revision);
+    this.reportRetirement(record);
+  }
+
+  /** Stops taking decisions. */
+  close(): void {
+    this.cancelTimer();
+  }
+
+  private viewOf(record: MemberRecord | undefined): MembershipView {
+    const { self: own, replica, sync, store, runtime } = this.options;
+    return {
+      self: own,
+      record,
+      ready: replica.ready,
+      isLevelWith: (member) => sync.isLevelWith(member, LEVEL_MILLISECONDS),
+      hasRead: (member) => this.hasRead(member),
+      silentMilliseconds: (member) => runtime.now() - sync.silentSince(member),
+      retiringNodes: store.retiringNodes(),
+    };
+  }
+
+  private hasRead(member: string): boolean {
+    const { replica, runtime } = this.options;
+    const progress = replica.pullers.get(member);
+    return (
+      progress !== undefined &&
+      progress.position >= replica.state.logEnd &&
+      progress.at >= runtime.now() - LEVEL_MILLISECONDS
+    );
+  }
+
+  /** Out of the record, others no longer write here: the state must be made complete again. */
+  private noteOwnMembership(record: MemberRecord | undefined): void {
+    const { self: own, replica } = this.options;
+    if (record !== undefined && !hasMember(record, own.id) && replica.ready) {
+      replica.loseReadiness();
+    }
+  }
+
+  private carryOut(
+    action: MembershipAction,
+    record: MemberRecord | undefined,
+    revision: number,
+  ): void {
+    const { self: own } = this.options;
+    switch (action.tag) {
+      case 'Wait':
+        return;
+      case 'Create':
+        this.swap(revision, withMember(undefined, own), 'create', () =>
+          this.options.replica.becomeReady('first member'),
+        );
+        return;
+      case 'Join':
+        this.swap(revision, withMember(record, own), 'join');
+        return;
+      case 'Remove':
+        if (record !== undefined) {
+          const reason = `remove ${action.member.id}: ${action.reason}`;
+          this.swap(revision, withoutMember(record, action.member.id), reason);
+        }
+    }
+  }
+
+  private swap(
+    revision: number,
+    record: MemberRecord,
+    reason: string,
+    done: () => void = () => undefined,
+  ): void {
+    const { store, runtime, directory } = this.options;
+    this.busy = true;
+    store.swapRecord(revision, encodeMemberRecord(record), (swapped) => {
+      this.busy = false;
+      const fields = { event: 'members.swap', epoch: record.epoch, reason, swapped };
+      runtime.log('info', 'change of members tried', fields);
+      if (swapped) {
+        directory.offer(record, 'own change');
+        done();
+      }
+    });
+  }
+
+  private reportRetirement(record: MemberRecord | undefined): void {
+    const { self: own, store } = this.options;
+    if (record === undefined || !store.retiringNodes().has(own.node)) {
+      return;
+    }
+    const handedOver =
+      !hasMember(record, own.id) && record.members.every((member) => this.hasRead(member.id));
+    const wanted = handedOver ? 'finished' : 'running';
+    if (this.reported === wanted || this.reported === 'finished') {
+      return;
+    }
+    const before = this.reported;
+    this.reported = wanted;
+    store.reportRetirement(own.node, handedOver, (written) => {
+      this.reported = written ? wanted : before;
+    });
+  }
+}
--- /dev/null
+++ b/src/turns/membership.ts
@@ -0,0 +1,75 @@
+/**
+ * The replicas that keep turns and accounts. The record is changed by compare-and-swap only, one
+ * member at a time, so that majorities of neighbouring epochs always share a replica.
+ */
+import { isLeft } from 'fp-ts/lib/Either.js';
+import * as t from 'io-ts';
+
+/** One replica. */
+export interface Member {
+  /** Unique to a machine at an address; an empty machine at another address is another member. */
+  readonly id: string;
+  /** Name of the machine, as operators call it. */
+  readonly node: string;
+  readonly host: string;
+  readonly port: number;
+  readonly zone: string;
+}
+
+/** The members of one epoch. */
+export interface MemberRecord {
+  /** Rises by one with each change. */
+  readonly epoch: number;
+  readonly members: readonly Member[];
+}
+
+/** Fewest members that removal of an unreachable one leaves behind. */
+export const LEAST_MEMBERS = 3;
+
+const MemberRecordType = t.type({
+  epoch: t.number,
+  members: t.array(
+    t.type({ id: t.string, node: t.string, host: t.string, port: t.number, zone: t.string }),
+  ),
+});
+
+/** Replicas that must acknowledge a write. */
+export function majorityOf(record: MemberRecord): number {
+  return Math.floor(record.members.length / 2) + 1;
+}
+
+/** Replicas to read from so that one of them has seen every acknowledged write. */
+export function readQuorumOf(record: MemberRecord): number {
+  return record.members.length - majorityOf(record) + 1;
+}
+
+/** The record with one member more. */
+export function withMember(record: MemberRecord | undefined, member: Member): MemberRecord {
+  return { epoch: (record?.epoch ?? 0) + 1, members: [...(record?.members ?? []), member] };
+}
+
+/** The record with one member fewer. */
+export function withoutMember(record: MemberRecord, id: string): MemberRecord {
+  const members = record.members.filter((member) => member.id !== id);
+  return { epoch: record.epoch + 1, members };
+}
+
+/** Whether a member is in the record. */
+export function hasMember(record: MemberRecord | undefined, id: string): boolean {
+  return record?.members.some((member) => member.id === id) ?? false;
+}
+
+/** The record as text. */
+export function encodeMemberRecord(record: MemberRecord): string {
+  return JSON.stringify(record);
+}
+
+/** The record of a text; undefined when the text is none. */
+export function decodeMemberRecord(text: string): MemberRecord | undefined {
+  try {
+    const decoded = MemberRecordType.decode(JSON.parse(text));
+    return isLeft(decoded) ? undefined : decoded.right;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/turns/messages.ts
@@ -0,0 +1,173 @@
+/** Messages between gateways and replicas, and among replicas, on framed TCP connections. */
+import * as r from 'restructure';
+import {
+  count,
+  decodeField,
+  encodeField,
+  flag,
+  listOf,
+  longText,
+  oneOf,
+  real,
+  record,
+  shortText,
+  TaggedUnion,
+} from '../wire/fields.js';
+import type { Reservation } from './account.js';
+import type { KeptTurn } from './kept-turn.js';
+
+/** How a replica took a request. */
+export type ReplicaOutcome =
+  /** Done, and on disk. */
+  | 'done'
+  /** The sender's epoch is older: a `members` message with the newest record went ahead. */
+  | 'staleEpoch'
+  /** This replica may not answer: it is not a member, or its state is not complete yet. */
+  | 'inactive'
+  /** Its disk refused. */
+  | 'diskFailed';
+
+/** All outcomes, in the order of the wire format; append only. */
+export const REPLICA_OUTCOMES: readonly ReplicaOutcome[] = [
+  'done',
+  'staleEpoch',
+  'inactive',
+  'diskFailed',
+];
+
+/** What a replica knows of a chain of turns. */
+export type ChainState =
+  /** The whole chain is here. */
+  | 'found'
+  /** The turn itself is not here, and every write this replica acknowledged is. */
+  | 'missing'
+  /** It can't be told from here. */
+  | 'unsure';
+
+/** All chain states, in the order of the wire format; append only. */
+export const CHAIN_STATES: readonly ChainState[] = ['found', 'missing', 'unsure'];
+
+/** A reservation with its program. */
+export interface AccountEntry extends Reservation {
+  readonly program: string;
+}
+
+/** Requests; each is answered by the reply with the same `call`. */
+export type ReplicaRequest =
+  | { type: 'reserve'; call: number; epoch: number; entry: AccountEntry }
+  | { type: 'settle'; call: number; epoch: number; entry: AccountEntry }
+  | { type: 'keep'; call: number; epoch: number; turn: KeptTurn }
+  | { type: 'chain'; call: number; turn: string }
+  | { type: 'pull'; call: number; from: string; members: string; log: string; after: number }
+  | { type: 'fetch'; call: number; turns: string[] };
+
+/** Replies. */
+export type ReplicaReply =
+  | { type: 'taken'; call: number; outcome: ReplicaOutcome }
+  | { type: 'account'; call: number; outcome: ReplicaOutcome; entries: AccountEntry[] }
+  | { type: 'chained'; call: number; state: ChainState; body: Buffer }
+  | {
+      type: 'pulled';
+      call: number;
+      active: boolean;
+      epoch: number;
+      log: string;
+      /** Where to go on, and where the log ends now. */
+      next: number;
+      end: number;
+      entries: AccountEntry[];
+      turns: string[];
+    }
+  | { type: 'fetched'; call: number; turns: KeptTurn[] };
+
+/** A newer record of the members; either side sends it whenever the other may not know it. */
+export interface MembersMessage {
+  type: 'members';
+  record: string;
+}
+
+/** All messages. */
+export type ReplicaMessage = ReplicaRequest | ReplicaReply | MembersMessage;
+
+const bytes: r.Field = new r.Buffer(r.uint32);
+const OPEN = -1;
+
+/** `usedTokens` travels as -1 while it is open. */
+class ReservationField implements r.Field {
+  private readonly inner = record({ program: shortText, turn: shortText, most: real, used: real });
+
+  decode(stream: r.DecodeStream): AccountEntry {
+    const raw = this.inner.decode(stream) as {
+      program: string;
+      turn: string;
+      most: number;
+      used: number;
+    };
+    const usedTokens = raw.used === OPEN ? undefined : raw.used;
+    return { program: raw.program, turn: raw.turn, mostTokens: raw.most, usedTokens };
+  }
+
+  encode(stream: r.EncodeStream, value: unknown): void {
+    this.inner.encode(stream, rawEntry(value as AccountEntry));
+  }
+
+  size(value: unknown): number {
+    return this.inner.size(rawEntry(value as AccountEntry));
+  }
+}
+
+function rawEntry(entry: AccountEntry): Record<string, unknown> {
+  const { program, turn, mostTokens, usedTokens } = entry;
+  return { program, turn, most: mostTokens, used: usedTokens ?? OPEN };
+}
+
+const accountEntry: r.Field = new ReservationField();
+const keptTurn = record({
+  id: shortText,
+  previous: shortText,
+  input: bytes,
+  output: bytes,
+  retentionMilliseconds: real,
+});
+const outcome = oneOf(REPLICA_OUTCOMES);
+
+/** Append only: a branch's place is its number on the wire. */
+const message = new TaggedUnion([
+  { type: 'reserve', fields: { call: count, epoch: count, entry: accountEntry } },
+  { type: 'settle', fields: { call: count, epoch: count, entry: accountEntry } },
+  { type: 'keep', fields: { call: count, epoch: count, turn: keptTurn } },
+  { type: 'chain', fields: { call: count, turn: shortText } },
+  {
+    type: 'pull',
+    fields: { call: count, from: shortText, members: longText, log: shortText, after: real },
+  },
+  { type: 'fetch', fields: { call: count, turns: listOf(shortText) } },
+  { type: 'taken', fields: { call: count, outcome } },
+  { type: 'account', fields: { call: count, outcome, entries: listOf(accountEntry) } },
+  { type: 'chained', fields: { call: count, state: oneOf(CHAIN_STATES), body: bytes } },
+  {
+    type: 'pulled',
+    fields: {
+      call: count,
+      active: flag,
+      epoch: count,
+      log: shortText,
+      next: real,
+      end: real,
+      entries: listOf(accountEntry),
+      turns: listOf(shortText),
+    },
+  },
+  { type: 'fetched', fields: { call: count, turns: listOf(keptTurn) } },
+  { type: 'members', fields: { record: longText } },
+]);
+
+/** Encodes a message without its frame. */
+export function encodeReplicaMessage(value: ReplicaMessage): Uint8Array {
+  return encodeField(message, value);
+}
+
+/** Decodes the content of a frame. Throws on bytes that are no message. */
+export function decodeReplicaMessage(content: Buffer): ReplicaMessage {
+  return decodeField(message, content) as ReplicaMessage;
+}
--- /dev/null
+++ b/src/turns/replica-server.ts
@@ -0,0 +1,74 @@
+/** Takes requests to a replica over TCP. */
+import { createServer } from 'node:net';
+import type { Server, Socket } from 'node:net';
+import type { Runtime } from '../runtime/runtime.js';
+import { encodeFrame, FrameReader } from '../wire/framing.js';
+import type { MemberDirectory } from './member-directory.js';
+import { decodeReplicaMessage, encodeReplicaMessage } from './messages.js';
+import type { ReplicaMessage, ReplicaRequest } from './messages.js';
+import type { Replica } from './replica.js';
+
+/** Bytes of replies that may wait for one caller; a slower one is cut off. */
+const MAXIMUM_QUEUED_BYTES = 32 * 1024 * 1024;
+const KEEP_ALIVE_MILLISECONDS = 2_000;
+
+/** See the head of this file. */
+export class ReplicaServer {
+  private readonly sockets = new Set<Socket>();
+  private readonly server: Server;
+
+  constructor(
+    private readonly replica: Replica,
+    private readonly directory: MemberDirectory,
+    private readonly runtime: Runtime,
+  ) {
+    this.server = createServer({ noDelay: true }, (socket) => this.accept(socket));
+  }
+
+  /** Listens; calls back when it does. */
+  listen(host: string, port: number, done: () => void): void {
+    this.server.listen({ host, port }, done);
+  }
+
+  /** Closes every connection and stops listening. */
+  close(): void {
+    this.server.close();
+    this.sockets.forEach((socket) => socket.destroy());
+  }
+
+  private accept(socket: Socket): void {
+    const reader = new FrameReader();
+    this.sockets.add(socket);
+    socket.setKeepAlive(true, KEEP_ALIVE_MILLISECONDS);
+    socket.on('error', () => undefined);
+    socket.on('close', () => this.sockets.delete(socket));
+    socket.on('data', (chunk: Buffer) => {
+      try {
+        reader.push(chunk).forEach((content) => this.take(socket, decodeReplicaMessage(content)));
+      } catch (cause) {
+        const reason = cause instanceof Error ? cause.message : String(cause);
+        this.runtime.log('error', 'unreadable request', { event: 'replica.unreadable', reason });
+        socket.destroy();
+      }
+    });
+  }
+
+  private take(socket: Socket, message: ReplicaMessage): void {
+    if (message.type === 'members') {
+      this.directory.offerText(message.record, 'caller');
+      return;
+    }
+    this.replica.handle(message as ReplicaRequest, (reply) => {
+      if (socket.destroyed) {
+        return;
+      }
+      if (socket.writableLength > MAXIMUM_QUEUED_BYTES) {
+        socket.destroy();
+        return;
+      }
+      socket.cork();
+      socket.write(encodeFrame(encodeReplicaMessage(reply)));
+      process.nextTick(() => socket.uncork());
+    });
+  }
+}
--- /dev/null
+++ b/src/turns/replica-state.ts
@@ -0,0 +1,173 @@
+/** What one replica holds in memory: accounts, turns, and the log of its changes for the others. */
+import { mergeReservation } from './account.js';
+import type { Account } from './account.js';
+import type { KeptTurn } from './kept-turn.js';
+import type { AccountEntry, ChainState } from './messages.js';
+import type { StorageChange, StoredEntry, StoredTurn } from './turn-storage.js';
+
+/** Time after its last change for which an account is kept, in milliseconds. */
+const ACCOUNT_MILLISECONDS = 300_000;
+/** Added to each expiry, since clocks of machines differ, in milliseconds. */
+const CLOCK_SLACK_MILLISECONDS = 10_000;
+/** Largest part of a reply to a pull, in entries. */
+const PULL_ENTRIES = 2_000;
+/** Longest chain that is followed. */
+const MAXIMUM_CHAIN_TURNS = 10_000;
+
+interface AccountRecord {
+  readonly account: Account;
+  changedAt: number;
+}
+
+interface TurnRecord {
+  readonly turn: KeptTurn;
+  /** Wall time after which it is dropped, in milliseconds. */
+  expiresAt: number;
+}
+
+type LoggedChange =
+  | { readonly tag: 'entry'; readonly program: string; readonly turn: string }
+  | { readonly tag: 'turn'; readonly id: string };
+
+/** A part of the change log. */
+export interface LogPart {
+  readonly next: number;
+  readonly end: number;
+  readonly entries: AccountEntry[];
+  readonly turns: string[];
+}
+
+/** See the head of this file. */
+export class ReplicaState {
+  private readonly accounts = new Map<string, AccountRecord>();
+  private readonly turns = new Map<string, TurnRecord>();
+  private readonly log: LoggedChange[] = [];
+
+  /** Takes a reservation. */
+  mergeEntry(stored: StoredEntry): void {
+    const { entry, storedAt } = stored;
+    let record = this.accounts.get(entry.program);
+    if (record === undefined) {
+      record = { account: new Map(), changedAt: storedAt };
+      this.accounts.set(entry.program, record);
+    }
+    record.changedAt = Math.max(record.changedAt, storedAt);
+    const { turn, mostTokens, usedTokens } = entry;
+    if (mergeReservation(record.account, { turn, mostTokens, usedTokens })) {
+      this.log.push({ tag: 'entry', program: entry.program, turn });
+    }
+  }
+
+  /** The reservation as it stands after merging, to be stored. */
+  entryOf(program: string, turn: string): AccountEntry | undefined {
+    const reservation = this.accounts.get(program)?.account.get(turn);
+    return reservation === undefined ? undefined : { program, ...reservation };
+  }
+
+  /** Those entries that would change what is known here. */
+  missingEntries(entries: readonly AccountEntry[]): AccountEntry[] {
+    return entries.filter((entry) => {
+      const known = this.accounts.get(entry.program)?.account.get(entry.turn);
+      return known === undefined || (known.usedTokens === undefined && entry.usedTokens !== undefined);
+    });
+  }
+
+  /** All reservations of a program. */
+  entriesOf(program: string): AccountEntry[] {
+    const account = this.accounts.get(program)?.account;
+    return account === undefined
+      ? []
+      : [...account.values()].map((reservation) => ({ program, ...reservation }));
+  }
+
+  /** Takes a turn and keeps the turns before it for as long. */
+  addTurn(stored: StoredTurn): void {
+    const { storedAt } = stored;
+    // Copies, so that the frames they came in can be freed.
+    const input = Buffer.from(stored.turn.input);
+    const output = Buffer.from(stored.turn.output);
+    const turn = { ...stored.turn, input, output };
+    const expiresAt = storedAt + turn.retentionMilliseconds + CLOCK_SLACK_MILLISECONDS;
+    if (!this.turns.has(turn.id)) {
+      this.turns.set(turn.id, { turn, expiresAt });
+      this.log.push({ tag: 'turn', id: turn.id });
+    }
+    let record = this.turns.get(turn.id);
+    for (let depth = 0; record !== undefined && depth < MAXIMUM_CHAIN_TURNS; depth += 1) {
+      record.expiresAt = Math.max(record.expiresAt, expiresAt);
+      record = this.turns.get(record.turn.previous);
+    }
+  }
+
+  hasTurn(id: string): boolean {
+    return this.turns.has(id);
+  }
+
+  getTurn(id: string): KeptTurn | undefined {
+    return this.turns.get(id)?.turn;
+  }
+
+  /** The chain that ends with a turn: inputs and outputs from the oldest on. */
+  chainOf(id: string): { readonly state: ChainState; readonly body: Buffer } {
+    const parts: Buffer[] = [];
+    let at = id;
+    for (let depth = 0; at !== '' && depth < MAXIMUM_CHAIN_TURNS; depth += 1) {
+      const record = this.turns.get(at);
+      if (record === undefined) {
+        return { state: depth === 0 ? 'missing' : 'unsure', body: Buffer.alloc(0) };
+      }
+      parts.push(record.turn.output, record.turn.input);
+      at = record.turn.previous;
+    }
+    return { state: 'found', body: Buffer.concat(parts.reverse()) };
+  }
+
+  /** Changes after a position of the log; what has been dropped since is left out. */
+  readLog(after: number): LogPart {
+    const end = this.log.length;
+    const next = Math.min(end, after + PULL_ENTRIES);
+    const entries: AccountEntry[] = [];
+    const turns: string[] = [];
+    for (const change of this.log.slice(after, next)) {
+      if (change.tag === 'turn') {
+        turns.push(change.id);
+        continue;
+      }
+      const entry = this.entryOf(change.program, change.turn);
+      if (entry !== undefined) {
+        entries.push(entry);
+      }
+    }
+    return { next, end, entries, turns: turns.filter((id) => this.turns.has(id)) };
+  }
+
+  /** Position of the log's end. */
+  get logEnd(): number {
+    return this.log.length;
+  }
+
+  /** Drops what is past its time; returns what is to be dropped from the disk. */
+  expire(wallTime: number): StorageChange[] {
+    const changes: StorageChange[] = [];
+    for (const [id, record] of this.turns) {
+      if (record.expiresAt < wallTime) {
+        this.turns.delete(id);
+        changes.push({ tag: 'dropTurn', id });
+      }
+    }
+    for (const [program, record] of this.accounts) {
+      if (record.changedAt + ACCOUNT_MILLISECONDS < wallTime) {
+        this.accounts.delete(program);
+        for (const turn of record.account.keys()) {
+          changes.push({ tag: 'dropEntry', program, turn });
+        }
+      }
+    }
+    return changes;
+  }
+
+  /** Counts for metrics. */
+  get counts(): { readonly programs: number; readonly turns: number } {
+    return { programs: this.accounts.size, turns: this.turns.size };
+  }
+}
--- /dev/null
+++ b/src/turns/replica-sync.ts
@@ -0,0 +1,246 @@
+/**
+ * Keeps a replica level with the others: pulls the log of each, position by position, and fetches
+ * the turns it lacks. A replica whose state is incomplete becomes ready when it has read to the end
+ * of the logs of enough others that know the epoch in force.
+ */
+import type { Runtime } from '../runtime/runtime.js';
+import type { MemberDirectory } from './member-directory.js';
+import { hasMember, readQuorumOf } from './membership.js';
+import type { Member } from './membership.js';
+import type { ReplicaReply } from './messages.js';
+import type { ReplicaCaller } from './replica-caller.js';
+import type { Replica } from './replica.js';
+
+/** Pause between pulls from one replica when nothing is missing, in milliseconds. */
+const PULL_MILLISECONDS = 300;
+/** Pause while this replica is not ready or behind, in milliseconds. */
+const HURRIED_MILLISECONDS = 40;
+const CALL_MILLISECONDS = 1_000;
+/** Time for which a member that left is still read, so that it can hand over, in milliseconds. */
+const FAREWELL_MILLISECONDS = 10_000;
+
+type Pulled = Extract<ReplicaReply, { type: 'pulled' }>;
+
+/** How far this replica has read the log of another. */
+interface PeerProgress {
+  log: string;
+  position: number;
+  /** Epoch that the peer knew when this replica last stood at its log's end; 0 before. */
+  levelEpoch: number;
+  /** Local time at which this replica last stood at its log's end, in milliseconds. */
+  levelAt: number;
+  /** Local time of the peer's last reply, in milliseconds. */
+  heardAt: number;
+  /** Whether the peer's own state was complete then. */
+  active: boolean;
+}
+
+/** What a replica knows of another. */
+export type PeerView = Readonly<PeerProgress>;
+
+/** What the synchronisation is made with. */
+export interface ReplicaSyncOptions {
+  readonly id: string;
+  readonly runtime: Runtime;
+  readonly replica: Replica;
+  readonly directory: MemberDirectory;
+  readonly caller: ReplicaCaller;
+}
+
+/** See the head of this file. */
+export class ReplicaSync {
+  private readonly peers = new Map<string, PeerProgress>();
+  private readonly pulling = new Set<string>();
+  /** Local time at which a member was last seen in the record, in milliseconds. */
+  private readonly memberAt = new Map<string, number>();
+  private readonly startedAt: number;
+  private becomingReady = false;
+  private closed = false;
+
+  constructor(private readonly options: ReplicaSyncOptions) {
+    this.startedAt = options.runtime.now();
+    options.directory.onChange(() => this.pullFromAll());
+    this.pullFromAll();
+  }
+
+  /** What is known of a member; undefined before its first reply. */
+  view(member: string): PeerView | undefined {
+    return this.peers.get(member);
+  }
+
+  /** Whether this replica has lately read all that another has. */
+  isLevelWith(member: string, withinMilliseconds: number): boolean {
+    const peer = this.peers.get(member);
+    const epoch = this.options.directory.current?.epoch ?? 0;
+    const since = this.options.runtime.now() - withinMilliseconds;
+    return peer !== undefined && peer.levelAt >= since && peer.levelEpoch >= epoch;
+  }
+
+  /** Local time since which a member has not been heard, in milliseconds. */
+  silentSince(member: string): number {
+    return this.peers.get(member)?.heardAt ?? this.startedAt;
+  }
+
+  /** Stops pulling. */
+  close(): void {
+    this.closed = true;
+  }
+
+  private others(): readonly Member[] {
+    const members = this.options.directory.current?.members ?? [];
+    return members.filter((member) => member.id !== this.options.id);
+  }
+
+  private pullFromAll(): void {
+    this.others().forEach((member) => this.pull(member));
+    this.checkReady();
+  }
+
+  private pull(member: Member): void {
+    const { id, directory, caller, runtime } = this.options;
+    if (this.closed || this.pulling.has(member.id)) {
+      return;
+    }
+    this.pulling.add(member.id);
+    const peer = this.peers.get(member.id);
+    const { log = '', position = 0 } = peer ?? {};
+    const members = directory.currentText;
+    caller.call(
+      member,
+      { type: 'pull', from: id, members, log, after: position },
+      CALL_MILLISECONDS,
+      (reply) => {
+        if (reply?.type !== 'pulled') {
+          this.pullLater(member, PULL_MILLISECONDS);
+          return;
+        }
+        this.noteHeard(member, reply);
+        this.take(member, reply, (complete) => {
+          if (complete) {
+            this.advance(member, reply);
+          }
+          const behind = !complete || reply.next < reply.end || !this.options.replica.ready;
+          this.pullLater(member, behind ? HURRIED_MILLISECONDS : PULL_MILLISECONDS);
+        });
+      },
+    );
+    if (peer === undefined) {
+      const fields = { event: 'replica.pull', member: member.id };
+      runtime.log('info', 'pulling from a replica', fields);
+    }
+  }
+
+  private pullLater(member: Member, pause: number): void {
+    this.options.runtime.setTimer(pause, () => {
+      this.pulling.delete(member.id);
+      if (this.isWorthPulling(member.id)) {
+        this.pull(member);
+      }
+    });
+  }
+
+  private isWorthPulling(member: string): boolean {
+    const { directory, runtime } = this.options;
+    if (hasMember(directory.current, member)) {
+      this.memberAt.set(member, runtime.now());
+      return true;
+    }
+    return runtime.now() - (this.memberAt.get(member) ?? -Infinity) < FAREWELL_MILLISECONDS;
+  }
+
+  private noteHeard(member: Member, reply: Pulled): void {
+    const now = this.options.runtime.now();
+    const peer = this.peers.get(member.id);
+    if (peer === undefined || peer.log !== reply.log) {
+      const fresh = { position: 0, levelEpoch: 0, levelAt: -Infinity };
+      const progress = { log: reply.log, heardAt: now, active: reply.active, ...fresh };
+      this.peers.set(member.id, progress);
+      return;
+    }
+    peer.heardAt = now;
+    peer.active = reply.active;
+  }
+
+  /** Stores what a pull brought and fetches the turns that are missing. */
+  private take(member: Member, reply: Pulled, done: (complete: boolean) => void): void {
+    const { replica } = this.options;
+    const entries = replica.state.missingEntries(reply.entries);
+    const turns = reply.turns.filter((turn) => !replica.state.hasTurn(turn));
+    if (entries.length === 0) {
+      this.fetch(member, turns, done);
+      return;
+    }
+    replica.storeEntries(entries, (durable) => {
+      if (durable) {
+        this.fetch(member, turns, done);
+      } else {
+        done(false);
+      }
+    });
+  }
+
+  private fetch(member: Member, turns: readonly string[], done: (complete: boolean) => void): void {
+    if (turns.length === 0) {
+      done(true);
+      return;
+    }
+    const request = { type: 'fetch' as const, turns: [...turns] };
+    this.options.caller.call(member, request, CALL_MILLISECONDS, (reply) => {
+      if (reply?.type !== 'fetched') {
+        done(false);
+        return;
+      }
+      if (reply.turns.length === 0) {
+        // They are past their time there by now.
+        done(true);
+        return;
+      }
+      const fields = { event: 'replica.repaired', member: member.id, turns: reply.turns.length };
+      this.options.runtime.log('info', 'turns copied from a replica', fields);
+      this.options.replica.storeTurns(reply.turns, (durable) => {
+        const got = new Set(reply.turns.map((turn) => turn.id));
+        const rest = turns.filter((turn) => !got.has(turn));
+        if (durable) {
+          this.fetch(member, rest, done);
+        } else {
+          done(false);
+        }
+      });
+    });
+  }
+
+  private advance(member: Member, reply: Pulled): void {
+    const peer = this.peers.get(member.id);
+    if (peer === undefined || peer.log !== reply.log) {
+      return;
+    }
+    peer.position = reply.next;
+    if (reply.next === reply.end) {
+      peer.levelAt = this.options.runtime.now();
+      peer.levelEpoch = reply.epoch;
+      this.checkReady();
+    }
+  }
+
+  /** Becomes ready when enough complete replicas have been read under the epoch in force. */
+  private checkReady(): void {
+    const { directory, replica, id } = this.options;
+    const record = directory.current;
+    if (this.becomingReady || replica.ready || record === undefined || !hasMember(record, id)) {
+      return;
+    }
+    const read = this.others().filter((member) => {
+      const peer = this.peers.get(member.id);
+      return peer !== undefined && peer.active && peer.levelEpoch >= record.epoch;
+    });
+    const needed = Math.min(readQuorumOf(record), record.members.length - 1);
+    if (read.length < needed) {
+      return;
+    }
+    this.becomingReady = true;
+    replica.becomeReady(`read ${read.length} of ${record.members.length - 1} others`);
+    this.options.runtime.setTimer(PULL_MILLISECONDS, () => {
+      this.becomingReady = false;
+    });
+  }
+}
--- /dev/null
+++ b/src/turns/replica.ts
@@ -0,0 +1,229 @@
+/**
+ * One replica of turns and accounts: takes writes, answers reads, and tells others what it has.
+ * What it acknowledges is on its disk. State is commutative, so it takes writes in any order; only
+ * its acknowledgements count towards a majority, and only while it is active.
+ */
+import type { Runtime } from '../runtime/runtime.js';
+import { setRepeatingTimer } from '../runtime/runtime.js';
+import type { CancelTimer } from '../runtime/runtime.js';
+import type { MemberDirectory } from './member-directory.js';
+import { hasMember } from './membership.js';
+import type {
+  AccountEntry,
+  MembersMessage,
+  ReplicaOutcome,
+  ReplicaReply,
+  ReplicaRequest,
+} from './messages.js';
+import type { KeptTurn } from './kept-turn.js';
+import { ReplicaState } from './replica-state.js';
+import type { StorageChange, StoredState, TurnStorage } from './turn-storage.js';
+
+const EXPIRY_MILLISECONDS = 5_000;
+/** Largest reply to a fetch, in bytes; at least one turn is sent. */
+const FETCH_BYTES = 1024 * 1024;
+
+/** What a replica is made with. */
+export interface ReplicaOptions {
+  readonly id: string;
+  readonly runtime: Runtime;
+  readonly storage: TurnStorage;
+  readonly directory: MemberDirectory;
+}
+
+/** Sends one message back on the connection a request came from. */
+export type ReplySender = (message: ReplicaReply | MembersMessage) => void;
+
+/** Where another member has come in this replica's log. */
+export interface PullerProgress {
+  readonly position: number;
+  /** Local time of the pull, in milliseconds. */
+  readonly at: number;
+}
+
+/** See the head of this file. */
+export class Replica {
+  readonly state = new ReplicaState();
+  /** Names this life of the log: positions of another life mean nothing. */
+  readonly logName: string;
+  readonly pullers = new Map<string, PullerProgress>();
+  private isReady = false;
+  private readonly cancelExpiry: CancelTimer;
+
+  constructor(private readonly options: ReplicaOptions) {
+    const { id, runtime, directory } = options;
+    this.logName = `${id} ${runtime.wallTime()} ${runtime.random.uniform()}`;
+    this.cancelExpiry = setRepeatingTimer(runtime, EXPIRY_MILLISECONDS, () => this.expire());
+    directory.onChange(() => this.saveMeta());
+  }
+
+  /** Takes what was on the disk. */
+  restore(stored: StoredState): void {
+    stored.entries.forEach((entry) => this.state.mergeEntry(entry));
+    stored.turns.forEach((turn) => this.state.addTurn(turn));
+    if (stored.meta !== undefined) {
+      this.isReady = stored.meta.ready;
+      this.options.directory.offerText(stored.meta.members, 'disk');
+    }
+    const { programs, turns } = this.state.counts;
+    const fields = { event: 'replica.restored', ready: this.isReady, programs, turns };
+    this.options.runtime.log('info', 'state read from disk', fields);
+  }
+
+  /** Whether its state is complete: it holds all that it ever acknowledged. */
+  get ready(): boolean {
+    return this.isReady;
+  }
+
+  /** Whether its acknowledgements count. */
+  get active(): boolean {
+    return this.isReady && hasMember(this.options.directory.current, this.options.id);
+  }
+
+  /** Declares the state complete, durably; calls back when it is so. */
+  becomeReady(reason: string, done: () => void = () => undefined): void {
+    this.saveMeta(true, (durable) => {
+      if (!durable) {
+        return;
+      }
+      this.isReady = true;
+      this.options.runtime.log('info', 'replica ready', { event: 'replica.ready', reason });
+      done();
+    });
+  }
+
+  /** Declares the state incomplete: it left the members and others no longer write to it. */
+  loseReadiness(): void {
+    this.isReady = false;
+    this.saveMeta();
+  }
+
+  /** Answers one request. */
+  handle(request: ReplicaRequest, send: ReplySender): void {
+    const { call } = request;
+    switch (request.type) {
+      case 'reserve':
+        this.storeEntry(request.entry, (durable) => {
+          const outcome = this.outcomeOf(request.epoch, durable, send);
+          const entries = this.state.entriesOf(request.entry.program);
+          send({ type: 'account', call, outcome, entries });
+        });
+        return;
+      case 'settle':
+        this.storeEntry(request.entry, (durable) => {
+          send({ type: 'taken', call, outcome: this.outcomeOf(request.epoch, durable, send) });
+        });
+        return;
+      case 'keep':
+        this.storeTurns([request.turn], (durable) => {
+          send({ type: 'taken', call, outcome: this.outcomeOf(request.epoch, durable, send) });
+        });
+        return;
+      case 'chain':
+        send({ type: 'chained', call, ...this.readChain(request.turn) });
+        return;
+      case 'pull':
+        this.answerPull(request, send);
+        return;
+      case 'fetch':
+        send({ type: 'fetched', call, turns: this.readTurns(request.turns) });
+    }
+  }
+
+  /** Takes a reservation from a gateway or another replica. */
+  storeEntry(entry: AccountEntry, done: (durable: boolean) => void): void {
+    this.storeEntries([entry], done);
+  }
+
+  /** Takes reservations; calls back when they are on disk. */
+  storeEntries(entries: readonly AccountEntry[], done: (durable: boolean) => void): void {
+    const storedAt = this.options.runtime.wallTime();
+    const changes = entries.map((entry): StorageChange => {
+      this.state.mergeEntry({ entry, storedAt });
+      const merged = this.state.entryOf(entry.program, entry.turn) ?? entry;
+      return { tag: 'entry', entry: { entry: merged, storedAt } };
+    });
+    this.options.storage.write(changes, done);
+  }
+
+  /** Takes turns; calls back when they are on disk. */
+  storeTurns(turns: readonly KeptTurn[], done: (durable: boolean) => void): void {
+    const storedAt = this.options.runtime.wallTime();
+    const changes = turns.map((turn): StorageChange => {
+      this.state.addTurn({ turn, storedAt });
+      return { tag: 'turn', turn: { turn, storedAt } };
+    });
+    this.options.storage.write(changes, done);
+  }
+
+  /** Stops its timers. */
+  close(): void {
+    this.cancelExpiry();
+  }
+
+  private outcomeOf(epoch: number, durable: boolean, send: ReplySender): ReplicaOutcome {
+    const { current, currentText } = this.options.directory;
+    if (!durable) {
+      return 'diskFailed';
+    }
+    if (current !== undefined && epoch < current.epoch) {
+      send({ type: 'members', record: currentText });
+      return 'staleEpoch';
+    }
+    return this.active && epoch === current?.epoch ? 'done' : 'inactive';
+  }
+
+  private readChain(turn: string): ReturnType<ReplicaState['chainOf']> {
+    const chain = this.state.chainOf(turn);
+    return chain.state === 'missing' && !this.active ? { ...chain, state: 'unsure' } : chain;
+  }
+
+  private readTurns(ids: readonly string[]): KeptTurn[] {
+    const turns: KeptTurn[] = [];
+    let bytes = 0;
+    for (const id of ids) {
+      const turn = this.state.getTurn(id);
+      if (turn !== undefined && (turns.length === 0 || bytes < FETCH_BYTES)) {
+        turns.push(turn);
+        bytes += turn.input.length + turn.output.length;
+      }
+    }
+    return turns;
+  }
+
+  private answerPull(
+    request: Extract<ReplicaRequest, { type: 'pull' }>,
+    send: ReplySender,
+  ): void {
+    const { directory, runtime } = this.options;
+    const after = request.log === this.logName ? request.after : 0;
+    this.pullers.set(request.from, { position: after, at: runtime.now() });
+    const answer = (): void =>
+      send({
+        type: 'pulled',
+        call: request.call,
+        active: this.active,
+        epoch: directory.current?.epoch ?? 0,
+        log: this.logName,
+        ...this.state.readLog(after),
+      });
+    // A newer epoch is on disk before the puller may rely on it.
+    if (directory.offerText(request.members, request.from)) {
+      this.saveMeta(this.isReady, answer);
+    } else {
+      answer();
+    }
+  }
+
+  private saveMeta(ready = this.isReady, done: (durable: boolean) => void = () => undefined): void {
+    const members = this.options.directory.currentText;
+    this.options.storage.write([{ tag: 'meta', meta: { ready, members } }], done);
+  }
+
+  private expire(): void {
+    const changes = this.state.expire(this.options.runtime.wallTime());
+    if (changes.length > 0) {
+      this.options.storage.write(changes, () => undefined);
+    }
+  }
+}
--- /dev/null
+++ b/src/turns/tcp-replica-caller.ts
@@ -0,0 +1,178 @@
+/** Calls to replicas over one kept TCP connection each, many under way at a time. */
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { encodeFrame, FrameReader } from '../wire/framing.js';
+import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import type { Member } from './membership.js';
+import { decodeReplicaMessage, encodeReplicaMessage } from './messages.js';
+import type { MembersMessage, ReplicaMessage, ReplicaReply, ReplicaRequest } from './messages.js';
+import type { ReplicaCaller, ReplyListener, UnnumberedRequest } from './replica-caller.js';
+
+const CONNECT_MILLISECONDS = 500;
+const RECONNECT_MILLISECONDS = 100;
+/** Bytes that may wait for one replica; beyond, calls to it fail at once. */
+const MAXIMUM_QUEUED_BYTES = 8 * 1024 * 1024;
+/** A connection is given up when calls are under way and nothing came for this long. */
+const SILENCE_MILLISECONDS = 1_500;
+
+interface PendingCall {
+  readonly listener: ReplyListener;
+  readonly cancelTimer: CancelTimer;
+}
+
+/** A connection to one replica, made when first needed and again after it broke. */
+class ReplicaLink {
+  private socket: Socket | undefined;
+  private retryAt = -Infinity;
+  private heardAt = 0;
+  private readonly pending = new Map<number, PendingCall>();
+
+  constructor(
+    private readonly member: Member,
+    private readonly runtime: Runtime,
+    private readonly onMembers: (record: string) => void,
+  ) {}
+
+  call(request: ReplicaRequest, timeoutMilliseconds: number, listener: ReplyListener): void {
+    const socket = this.open();
+    if (socket === undefined || socket.writableLength > MAXIMUM_QUEUED_BYTES) {
+      this.runtime.setTimer(0, () => listener(undefined));
+      return;
+    }
+    if (this.pending.size === 0) {
+      this.heardAt = this.runtime.now();
+    }
+    const cancelTimer = this.runtime.setTimer(timeoutMilliseconds, () => this.expire(request.call));
+    this.pending.set(request.call, { listener, cancelTimer });
+    this.write(socket, request);
+  }
+
+  tell(message: MembersMessage): void {
+    const socket = this.open();
+    if (socket !== undefined) {
+      this.write(socket, message);
+    }
+  }
+
+  close(): void {
+    this.socket?.destroy();
+  }
+
+  private write(socket: Socket, message: ReplicaMessage): void {
+    socket.cork();
+    socket.write(encodeFrame(encodeReplicaMessage(message)));
+    process.nextTick(() => socket.uncork());
+  }
+
+  private open(): Socket | undefined {
+    if (this.socket !== undefined || this.runtime.now() < this.retryAt) {
+      return this.socket;
+    }
+    const socket = connect({ host: this.member.host, port: this.member.port, noDelay: true });
+    this.socket = socket;
+    const reader = new FrameReader();
+    socket.setTimeout(CONNECT_MILLISECONDS, () => socket.connecting && socket.destroy());
+    socket.on('connect', () => socket.setTimeout(0));
+    socket.on('error', () => undefined);
+    socket.on('close', () => this.drop(socket));
+    socket.on('data', (chunk: Buffer) => this.read(socket, reader, chunk));
+    return socket;
+  }
+
+  private read(socket: Socket, reader: FrameReader, chunk: Buffer): void {
+    this.heardAt = this.runtime.now();
+    try {
+      for (const content of reader.push(chunk)) {
+        this.take(decodeReplicaMessage(content));
+      }
+    } catch (cause) {
+      const reason = cause instanceof Error ? cause.message : String(cause);
+      const fields = { event: 'replica.unreadable', member: this.member.id, reason };
+      this.runtime.log('error', 'unreadable message of a replica', fields);
+      socket.destroy();
+    }
+  }
+
+  private take(message: ReplicaMessage): void {
+    if (message.type === 'members') {
+      this.onMembers(message.record);
+      return;
+    }
+    const pending = this.pending.get(message.call);
+    if (pending !== undefined) {
+      this.pending.delete(message.call);
+      pending.cancelTimer();
+      pending.listener(message as ReplicaReply);
+    }
+  }
+
+  private expire(call: number): void {
+    const pending = this.pending.get(call);
+    this.pending.delete(call);
+    if (this.runtime.now() - this.heardAt >= SILENCE_MILLISECONDS) {
+      this.socket?.destroy();
+    }
+    pending?.listener(undefined);
+  }
+
+  private drop(socket: Socket): void {
+    if (this.socket !== socket) {
+      return;
+    }
+    this.socket = undefined;
+    this.retryAt = this.runtime.now() + RECONNECT_MILLISECONDS;
+    const lost = [...this.pending.values()];
+    this.pending.clear();
+    for (const pending of lost) {
+      pending.cancelTimer();
+      pending.listener(undefined);
+    }
+  }
+}
+
+/** See the head of this file. */
+export class TcpReplicaCaller implements ReplicaCaller {
+  private readonly links = new Map<string, ReplicaLink>();
+  private lastCall = 0;
+
+  constructor(
+    private readonly runtime: Runtime,
+    /** Told each record of members that a replica sends. */
+    private readonly onMembers: (record: string) => void,
+  ) {}
+
+  call(
+    member: Member,
+    request: UnnumberedRequest,
+    timeoutMilliseconds: number,
+    listener: ReplyListener,
+  ): void {
+    this.lastCall = (this.lastCall + 1) >>> 0;
+    const numbered = { ...request, call: this.lastCall } as ReplicaRequest;
+    this.linkTo(member).call(numbered, timeoutMilliseconds, listener);
+  }
+
+  tell(member: Member, message: MembersMessage): void {
+    this.linkTo(member).tell(message);
+  }
+
+  /** Closes the connections to replicas that are no longer members. */
+  keepOnly(members: readonly Member[]): void {
+    const kept = new Set(members.map((member) => member.id));
+    for (const [id, link] of this.links) {
+      if (!kept.has(id)) {
+        link.close();
+        this.links.delete(id);
+      }
+    }
+  }
+
+  private linkTo(member: Member): ReplicaLink {
+    let link = this.links.get(member.id);
+    if (link === undefined) {
+      link = new ReplicaLink(member, this.runtime, this.onMembers);
+      this.links.set(member.id, link);
+    }
+    return link;
+  }
+}
--- /dev/null
+++ b/src/turns/turn-client.ts
@@ -0,0 +1,276 @@
+/**
+ * A gateway's side of kept turns and token accounts: writes to all replicas and waits for a
+ * majority, reads from the nearest first. Repeats a write when the members have changed meanwhile.
+ */
+import type { Runtime } from '../runtime/runtime.js';
+import { fitsBudget } from './account.js';
+import type { Account } from './account.js';
+import { mergeReservation } from './account.js';
+import { ChainCache } from './chain-cache.js';
+import type { KeptTurn } from './kept-turn.js';
+import type { MemberDirectory } from './member-directory.js';
+import { majorityOf, readQuorumOf } from './membership.js';
+import type { Member, MemberRecord } from './membership.js';
+import type { ReplicaReply } from './messages.js';
+import type { ReplicaCaller, UnnumberedRequest } from './replica-caller.js';
+
+/** How a reservation ended. */
+export type ReserveOutcome = 'granted' | 'spent' | 'unavailable';
+
+/** A chain of turns, or why there is none. */
+export type ChainResult =
+  | { readonly tag: 'found'; readonly body: Buffer }
+  /** Enough replicas that have all they acknowledged say that there is no such turn. */
+  | { readonly tag: 'missing' }
+  | { readonly tag: 'unsure' };
+
+/** What the client is made with. */
+export interface TurnClientOptions {
+  readonly runtime: Runtime;
+  readonly directory: MemberDirectory;
+  readonly caller: ReplicaCaller;
+  /** Zone of this process: replicas there are read first. */
+  readonly zone: string;
+}
+
+/** A reservation to be made. */
+export interface ReserveRequest {
+  readonly program: string;
+  readonly turn: string;
+  readonly mostTokens: number;
+  readonly budgetTokens: number;
+}
+
+/** Pause before an account that seems spent is read again: turns just ended may be settling. */
+const SETTLING_MILLISECONDS = 40;
+/** Times that a seemingly spent account is read again. */
+const SETTLING_READS = 2;
+/** Pause before a write is repeated under newer members, in milliseconds. */
+const EPOCH_RETRY_MILLISECONDS = 60;
+/** Time after which the next replica is asked for a chain as well, in milliseconds. */
+const HEDGE_MILLISECONDS = 40;
+/** Time for which a settlement is tried. */
+const SETTLE_MILLISECONDS = 2_000;
+
+/** A request for replicas of one epoch. */
+type EpochRequest = (epoch: number) => UnnumberedRequest;
+
+/** See the head of this file. */
+export class TurnClient {
+  private readonly chains = new ChainCache();
+
+  constructor(private readonly options: TurnClientOptions) {}
+
+  /** Reserves tokens for a turn; grants only what a majority has on disk. */
+  reserve(
+    request: ReserveRequest,
+    timeoutMilliseconds: number,
+    done: (outcome: ReserveOutcome) => void,
+  ): void {
+    this.tryReserve(request, this.options.runtime.now() + timeoutMilliseconds, SETTLING_READS, done);
+  }
+
+  /** Settles a turn to the tokens that it handed out; tried in the background. */
+  settle(program: string, turn: string, mostTokens: number, usedTokens: number): void {
+    const entry = { program, turn, mostTokens, usedTokens };
+    const request: EpochRequest = (epoch) => ({ type: 'settle', epoch, entry });
+    const until = this.options.runtime.now() + SETTLE_MILLISECONDS;
+    this.write(request, until, (replies) => {
+      if (replies === undefined) {
+        const fields = { event: 'account.unsettled', program, request: turn, usedTokens };
+        this.options.runtime.log('warn', 'no majority took a settlement', fields);
+      }
+    });
+  }
+
+  /** Keeps a turn; true once a majority has it on disk. */
+  keep(turn: KeptTurn, timeoutMilliseconds: number, done: (kept: boolean) => void): void {
+    const request: EpochRequest = (epoch) => ({ type: 'keep', epoch, turn });
+    const until = this.options.runtime.now() + timeoutMilliseconds;
+    this.write(request, until, (replies) => {
+      if (replies !== undefined) {
+        this.chains.add(turn);
+      }
+      done(replies !== undefined);
+    });
+  }
+
+  /** Reads the chain that ends with a turn. */
+  readChain(turn: string, timeoutMilliseconds: number, done: (result: ChainResult) => void): void {
+    const cached = this.chains.get(turn);
+    if (cached !== undefined) {
+      done({ tag: 'found', body: cached });
+      return;
+    }
+    const record = this.options.directory.current;
+    if (record === undefined) {
+      done({ tag: 'unsure' });
+      return;
+    }
+    new ChainRead(this.options, record, turn, timeoutMilliseconds, (result) => {
+      if (result.tag === 'found') {
+        this.chains.put(turn, result.body);
+      }
+      done(result);
+    }).start();
+  }
+
+  private tryReserve(
+    request: ReserveRequest,
+    until: number,
+    readsLeft: number,
+    done: (outcome: ReserveOutcome) => void,
+  ): void {
+    const { program, turn, mostTokens, budgetTokens } = request;
+    const entry = { program, turn, mostTokens, usedTokens: undefined };
+    const epochRequest: EpochRequest = (epoch) => ({ type: 'reserve', epoch, entry });
+    this.write(epochRequest, until, (replies) => {
+      if (replies === undefined) {
+        done('unavailable');
+        return;
+      }
+      const account = unionOf(replies);
+      if (fitsBudget(account, turn, mostTokens, budgetTokens)) {
+        done('granted');
+      } else if (readsLeft > 0) {
+        this.options.runtime.setTimer(SETTLING_MILLISECONDS, () =>
+          this.tryReserve(request, until, readsLeft - 1, done),
+        );
+      } else {
+        this.settle(program, turn, mostTokens, 0);
+        done('spent');
+      }
+    });
+  }
+
+  /** Writes to all members; calls back with a majority's replies, or undefined. */
+  private write(
+    request: EpochRequest,
+    until: number,
+    done: (replies: readonly ReplicaReply[] | undefined) => void,
+  ): void {
+    const { runtime, directory } = this.options;
+    const record = directory.current;
+    const left = until - runtime.now();
+    if (record === undefined || left <= 0) {
+      done(undefined);
+      return;
+    }
+    this.writeOnce(record, request, left, (replies) => {
+      const changed = (directory.current?.epoch ?? 0) > record.epoch;
+      if (replies === undefined && (changed || until - runtime.now() > EPOCH_RETRY_MILLISECONDS)) {
+        runtime.setTimer(EPOCH_RETRY_MILLISECONDS, () => this.write(request, until, done));
+      } else {
+        done(replies);
+      }
+    });
+  }
+
+  private writeOnce(
+    record: MemberRecord,
+    request: EpochRequest,
+    timeoutMilliseconds: number,
+    done: (replies: readonly ReplicaReply[] | undefined) => void,
+  ): void {
+    const needed = majorityOf(record);
+    const replies: ReplicaReply[] = [];
+    let open = record.members.length;
+    let over = false;
+    const take = (reply: ReplicaReply | undefined): void => {
+      open -= 1;
+      if (reply !== undefined && 'outcome' in reply && reply.outcome === 'done') {
+        replies.push(reply);
+      }
+      if (!over && (replies.length >= needed || replies.length + open < needed)) {
+        over = true;
+        done(replies.length >= needed ? replies : undefined);
+      }
+    };
+    for (const member of record.members) {
+      this.options.caller.call(member, request(record.epoch), timeoutMilliseconds, take);
+    }
+  }
+}
+
+function unionOf(replies: readonly ReplicaReply[]): Account {
+  const account: Account = new Map();
+  for (const reply of replies) {
+    if (reply.type === 'account') {
+      reply.entries.forEach((entry) => mergeReservation(account, entry));
+    }
+  }
+  return account;
+}
+
+/** Reads one chain: asks the nearest replica, then the others one after another or when it is slow. */
+class ChainRead {
+  private readonly waiting: Member[];
+  private open = 0;
+  private missing = 0;
+  private over = false;
+  private readonly until: number;
+
+  constructor(
+    private readonly options: TurnClientOptions,
+    private readonly record: MemberRecord,
+    private readonly turn: string,
+    timeoutMilliseconds: number,
+    private readonly done: (result: ChainResult) => void,
+  ) {
+    const near = (member: Member): number => (member.zone === options.zone ? 0 : 1);
+    this.waiting = [...record.members].sort((left, right) => near(left) - near(right));
+    this.until = options.runtime.now() + timeoutMilliseconds;
+  }
+
+  start(): void {
+    this.askNext();
+  }
+
+  private askNext(): void {
+    const member = this.waiting.shift();
+    const left = this.until - this.options.runtime.now();
+    if (this.over || member === undefined || left <= 0) {
+      this.endIfDone();
+      return;
+    }
+    this.open += 1;
+    this.options.caller.call(member, { type: 'chain', turn: this.turn }, left, (reply) => {
+      this.open -= 1;
+      this.take(reply);
+    });
+    this.options.runtime.setTimer(HEDGE_MILLISECONDS, () => {
+      if (!this.over && this.waiting.length > 0) {
+        this.askNext();
+      }
+    });
+  }
+
+  private take(reply: ReplicaReply | undefined): void {
+    if (this.over) {
+      return;
+    }
+    if (reply?.type === 'chained' && reply.state === 'found') {
+      this.finish({ tag: 'found', body: reply.body });
+      return;
+    }
+    if (reply?.type === 'chained' && reply.state === 'missing') {
+      this.missing += 1;
+    }
+    if (this.missing >= readQuorumOf(this.record)) {
+      this.finish({ tag: 'missing' });
+      return;
+    }
+    this.askNext();
+  }
+
+  private endIfDone(): void {
+    if (!this.over && this.open === 0) {
+      this.finish({ tag: 'unsure' });
+    }
+  }
+
+  private finish(result: ChainResult): void {
+    this.over = true;
+    this.done(result);
+  }
+}
--- /dev/null
+++ b/src/turns/turn-storage.ts
@@ -0,0 +1,45 @@
+/** Durable storage of one replica, as its logic sees it. */
+import type { AccountEntry } from './messages.js';
+import type { KeptTurn } from './kept-turn.js';
+
+/** What a replica knows of itself. */
+export interface ReplicaMeta {
+  /** Whether the state was complete when this was written. */
+  readonly ready: boolean;
+  /** Newest record of the members, as text. */
+  readonly members: string;
+}
+
+/** A turn with the wall time at which it was stored, in milliseconds. */
+export interface StoredTurn {
+  readonly turn: KeptTurn;
+  readonly storedAt: number;
+}
+
+/** A reservation with the wall time of its last change, in milliseconds. */
+export interface StoredEntry {
+  readonly entry: AccountEntry;
+  readonly storedAt: number;
+}
+
+/** One change. */
+export type StorageChange =
+  | { readonly tag: 'meta'; readonly meta: ReplicaMeta }
+  | { readonly tag: 'entry'; readonly entry: StoredEntry }
+  | { readonly tag: 'turn'; readonly turn: StoredTurn }
+  | { readonly tag: 'dropEntry'; readonly program: string; readonly turn: string }
+  | { readonly tag: 'dropTurn'; readonly id: string };
+
+/** Everything found on the disk at the start. */
+export interface StoredState {
+  /** Undefined when the disk is empty. */
+  readonly meta: ReplicaMeta | undefined;
+  readonly entries: readonly StoredEntry[];
+  readonly turns: readonly StoredTurn[];
+}
+
+/** See the head of this file. */
+export interface TurnStorage {
+  /** Makes changes durable, in the order of the calls; false when the disk refused. */
+  write(changes: readonly StorageChange[], done: (durable: boolean) => void): void;
+}
--- a/src/types/restructure.d.ts
+++ b/src/types/restructure.d.ts
@@ -50,6 +50,9 @@
   export class Enum extends AnyField {
     constructor(type: NumberField, options: readonly string[]);
   }
+  export class Buffer extends AnyField {
+    constructor(length: NumberField);
+  }
   export class Boolean extends AnyField {
     constructor(type: NumberField);
   }
