--- a/eslint.config.js
+++ b/eslint.config.js
@@ -33,6 +33,7 @@
       'src/bench/**',
       'src/commands/**',
       'src/platform/http-*.ts',
+      'src/emulator/relay-runner.ts',
       'features/**',
     ],
     rules: { 'no-restricted-properties': 'off', 'no-restricted-globals': 'off' },
--- /dev/null
+++ b/features/support/relay-world.ts
@@ -0,0 +1,226 @@
+/** A gateway with runners and replicas on loopback, and a plain HTTP client to drive it. */
+import { request as httpRequest } from 'node:http';
+import type { IncomingMessage } from 'node:http';
+import { RelayRunner } from '../../src/emulator/relay-runner.js';
+import { freePorts } from '../../src/bench/free-ports.js';
+import { DEFAULT_HEADER_NAMES } from '../../src/relay/default-header-names.js';
+import { RelayGateway } from '../../src/relay/relay-gateway.js';
+import { createRoutingTable } from '../../src/relay/routing-table.js';
+import type { RequestKind, Route } from '../../src/relay/routing-table.js';
+import { createRealRuntime } from '../../src/runtime/real-runtime.js';
+import type { Runtime } from '../../src/runtime/runtime.js';
+import { MemberDirectory } from '../../src/turns/member-directory.js';
+import { MemoryTurnStorage } from '../../src/turns/memory-turn-storage.js';
+import { Replica } from '../../src/turns/replica.js';
+import { ReplicaServer } from '../../src/turns/replica-server.js';
+import { TcpReplicaCaller } from '../../src/turns/tcp-replica-caller.js';
+import { TurnClient } from '../../src/turns/turn-client.js';
+
+const HOST = '127.0.0.1';
+const ZONE = 'hall';
+const SERVICE = 'workers';
+const NAMES = DEFAULT_HEADER_NAMES;
+const TOKENS_PER_EVENT = 10;
+/** Host of the routes. */
+export const ROUTED_HOST = 'shop.example';
+
+/** What a client got. */
+export interface ClientResult {
+  readonly status: number;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+  /** Whether the answer ended in order. */
+  readonly complete: boolean;
+}
+
+/** What a client sends beside the usual. */
+export interface ClientOptions {
+  readonly host?: string;
+  readonly path?: string;
+  readonly id?: string | undefined;
+  readonly body?: string;
+  readonly headers?: Record<string, string>;
+  /** Leaves after this many milliseconds. */
+  readonly leaveAfter?: number;
+  /** Sends the head and half of the body only. */
+  readonly stopHalfway?: boolean;
+}
+
+function routeOf(name: string, kind: RequestKind, extra: Partial<Route>): Route {
+  return {
+    name,
+    host: ROUTED_HOST,
+    pathPrefix: `/${name}/`,
+    kind,
+    timeoutMilliseconds: 3_000,
+    targetMilliseconds: 200,
+    priority: 1,
+    services: [{ service: SERVICE, weight: 1 }],
+    maximumAttempts: 2,
+    resumable: false,
+    retained: false,
+    retentionSeconds: 60,
+    ...extra,
+  };
+}
+
+const ROUTES = [
+  routeOf('repeatable', 'repeatable', {}),
+  routeOf('single', 'single', {}),
+  routeOf('stream', 'stream', { resumable: true }),
+  routeOf('kept', 'stream', { retained: true }),
+];
+const LIMITS = {
+  headerBytes: 4_096,
+  bodyBytes: 100_000,
+  headerMilliseconds: 3_000,
+  idleMilliseconds: 5_000,
+};
+const SERVICES = [
+  {
+    name: SERVICE,
+    maximumConnections: 20,
+    tokensPerEvent: TOKENS_PER_EVENT,
+    cachesPrompts: true,
+  },
+];
+
+/** See the head of this file. */
+export class RelayWorld {
+  readonly runtime: Runtime = createRealRuntime({ seed: 1, logLevel: 'error' });
+  readonly runners: RelayRunner[] = [];
+  readonly results: ClientResult[] = [];
+  gateway!: RelayGateway;
+  private ports: readonly number[] = [];
+  private runnerPorts: number[] = [];
+  private replicaServer: ReplicaServer | undefined;
+  private replica: Replica | undefined;
+  private caller: TcpReplicaCaller | undefined;
+  private requestCount = 0;
+  /** Id of the last request sent. */
+  lastId = '';
+
+  /** Starts everything; without a configuration the gateway serves nothing. */
+  async start(configured: boolean): Promise<void> {
+    this.ports = await freePorts(HOST, 3);
+    const [front, ready, replicaPort] = this.ports as [number, number, number];
+    const directory = new MemberDirectory(this.runtime);
+    const member = { id: 'r1', node: 'r1', host: HOST, port: replicaPort, zone: ZONE };
+    directory.offer({ epoch: 1, members: [member] }, 'test');
+    const storage = new MemoryTurnStorage(this.runtime);
+    this.replica = new Replica({ id: 'r1', runtime: this.runtime, storage, directory });
+    this.replica.becomeReady('test');
+    this.replicaServer = new ReplicaServer(this.replica, directory, this.runtime);
+    this.replicaServer.listen(HOST, replicaPort, () => undefined);
+    this.caller = new TcpReplicaCaller(this.runtime, () => undefined);
+    const { runtime, caller } = this;
+    const turns = new TurnClient({ runtime, directory, caller, zone: ZONE });
+    this.gateway = new RelayGateway({
+      runtime,
+      zone: ZONE,
+      names: NAMES,
+      turns,
+      front: { host: HOST, port: front },
+      ready: { host: HOST, port: ready },
+      graceMilliseconds: 8_000,
+    });
+    for (const id of ['one', 'two']) {
+      const runner = new RelayRunner({ id, names: NAMES, pauseMilliseconds: 20 });
+      this.runners.push(runner);
+      this.runnerPorts.push(await runner.listen());
+      this.listRunner(this.runners.length - 1, true);
+    }
+    if (configured) {
+      this.gateway.applyTable(createRoutingTable(7, ROUTES, SERVICES, LIMITS), 'test');
+    }
+  }
+
+  /** Offers an empty configuration. */
+  offerEmpty(version: number): void {
+    this.gateway.applyTable(createRoutingTable(version, [], [], LIMITS), 'test');
+  }
+
+  /** Puts a runner on the list. */
+  listRunner(index: number, ready: boolean): void {
+    const id = ['one', 'two'][index]!;
+    const port = this.runnerPorts[index]!;
+    this.gateway.book.put({ id, service: SERVICE, host: HOST, port, zone: ZONE, slots: 4, ready });
+  }
+
+  /** Ends the replicas. */
+  stopReplicas(): void {
+    this.replicaServer?.close();
+    this.replica?.close();
+  }
+
+  /** Sends one request and waits for its end. */
+  send(route: string, options: ClientOptions = {}): Promise<ClientResult> {
+    this.requestCount += 1;
+    const id = 'id' in options ? options.id : `request-${this.requestCount}`;
+    this.lastId = id ?? '';
+    const { body = '', host = ROUTED_HOST, path = `/${route}/work?${route}` } = options;
+    const streamPath = route === 'kept' ? `/${route}/work?stream` : path;
+    const headers: Record<string, string> = {
+      host,
+      'content-length': String(body.length),
+      ...(id === undefined ? {} : { [NAMES.requestId]: id }),
+      [NAMES.timeout]: '3000',
+      ...options.headers,
+    };
+    return new Promise((resolve) => {
+      const client = httpRequest(
+        {
+          host: HOST,
+          port: this.ports[0]!,
+          method: 'POST',
+          path: 'path' in options ? path : streamPath,
+          headers,
+          agent: false,
+        },
+        (response) => {
+          const chunks: Buffer[] = [];
+          response.on('data', (chunk: Buffer) => chunks.push(chunk));
+          response.on('error', () => undefined);
+          response.on('close', () =>
+            resolve({
+              status: response.statusCode ?? 0,
+              headers: response.headers,
+              body: Buffer.concat(chunks).toString('utf8'),
+              complete: response.complete,
+            }),
+          );
+        },
+      );
+      client.on('error', () => resolve({ status: 0, headers: {}, body: '', complete: false }));
+      if (options.stopHalfway === true) {
+        client.write(body.slice(0, body.length / 2));
+      } else {
+        client.end(body);
+      }
+      if (options.leaveAfter !== undefined) {
+        setTimeout(() => client.destroy(), options.leaveAfter);
+      }
+    });
+  }
+
+  /** Whether the gateway calls itself ready. */
+  askReady(): Promise<number> {
+    return new Promise((resolve, reject) => {
+      const target = { host: HOST, port: this.ports[1]!, path: '/', agent: false as const };
+      const client = httpRequest(target, (response) => {
+        response.resume();
+        resolve(response.statusCode ?? 0);
+      });
+      client.on('error', reject);
+      client.end();
+    });
+  }
+
+  /** Ends everything. */
+  async stop(): Promise<void> {
+    this.gateway.close();
+    this.caller?.close();
+    this.stopReplicas();
+    await Promise.all(this.runners.map((runner) => runner.crash()));
+  }
+}
--- /dev/null
+++ b/src/emulator/relay-runner.ts
@@ -0,0 +1,217 @@
+/**
+ * A stand-in for a runner of routed requests: answers with a signature, streams events, and can
+ * misbehave in every way that the relay has to bear. Records what it ran.
+ */
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import type { HeaderNames } from '../relay/header-names.js';
+
+/** How the stand-in treats one request. */
+export type RunnerBehaviour =
+  | 'answer'
+  /** Says that it has not run the request. */
+  | 'refuse'
+  /** Runs it and closes the connection without an answer. */
+  | 'loseAnswer'
+  /** Answers with the id of another request. */
+  | 'wrongId'
+  /** Answers without a signature. */
+  | 'unsigned'
+  /** Sends a second answer after the first. */
+  | 'extraAnswer'
+  /** Cuts the answer or the stream off in the middle. */
+  | 'cutOff'
+  /** Fails with a status that promises nothing ran, without saying that itself. */
+  | 'falsePromise'
+  /** Fails on its own account. */
+  | 'fail'
+  /** Answers without a length and ends with the connection. */
+  | 'unframed'
+  /** Runs it and never answers. */
+  | 'silent';
+
+/** One request that the stand-in began to work on. */
+export interface RunnerRun {
+  readonly requestId: string;
+  readonly method: string;
+  readonly path: string;
+  readonly body: string;
+  readonly headers: IncomingMessage['headers'];
+  /** Whether its client left before the end. */
+  left: boolean;
+}
+
+/** What the stand-in is made with. */
+export interface RelayRunnerOptions {
+  /** Name of this incarnation. */
+  readonly id: string;
+  readonly names: HeaderNames;
+  /** Events of a stream. @default 4 */
+  readonly eventCount?: number;
+  /** Pause before each event and each answer, in milliseconds. @default 1 */
+  readonly pauseMilliseconds?: number;
+}
+
+const STREAM_QUERY = 'stream';
+
+/** See the head of this file. */
+export class RelayRunner {
+  readonly runs: RunnerRun[] = [];
+  /** Behaviour of requests to come, the first first; then they are answered. */
+  readonly behaviours: RunnerBehaviour[] = [];
+  /** Connections taken so far. */
+  connectionCount = 0;
+  private readonly sockets = new Set<Socket>();
+  private readonly server: Server;
+
+  constructor(private readonly options: RelayRunnerOptions) {
+    this.server = createServer((request, response) => this.take(request, response));
+    this.server.on('connection', (socket: Socket) => {
+      this.connectionCount += 1;
+      this.sockets.add(socket);
+      socket.on('close', () => this.sockets.delete(socket));
+    });
+  }
+
+  /** Listens on a free loopback port, or on a given one; resolves with the port. */
+  listen(port = 0): Promise<number> {
+    return new Promise((resolve) => {
+      this.server.listen(port, '127.0.0.1', () =>
+        resolve((this.server.address() as AddressInfo).port),
+      );
+    });
+  }
+
+  /** Ends at once, as a crash does. */
+  crash(): Promise<void> {
+    return new Promise((resolve) => {
+      this.server.close(() => resolve());
+      this.sockets.forEach((socket) => socket.destroy());
+    });
+  }
+
+  private take(request: IncomingMessage, response: ServerResponse): void {
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('end', () => this.work(request, response, Buffer.concat(chunks).toString('utf8')));
+  }
+
+  private work(request: IncomingMessage, response: ServerResponse, body: string): void {
+    const { names, id, pauseMilliseconds = 1 } = this.options;
+    const requestId = String(request.headers[names.requestId]);
+    const expected = request.headers[names.expectedRunner];
+    if (expected !== undefined && expected !== id) {
+      response.writeHead(421).end();
+      return;
+    }
+    const behaviour = this.behaviours.shift() ?? 'answer';
+    if (behaviour === 'refuse') {
+      response.writeHead(503, { [names.notExecuted]: '1' }).end();
+      return;
+    }
+    const { method = '', url: path = '', headers } = request;
+    const run: RunnerRun = { requestId, method, path, body, headers, left: false };
+    this.runs.push(run);
+    response.on('close', () => {
+      run.left = !response.writableFinished;
+    });
+    setTimeout(() => this.answer(request, response, behaviour, requestId), pauseMilliseconds);
+  }
+
+  private answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+    behaviour: RunnerBehaviour,
+    requestId: string,
+  ): void {
+    const { names } = this.options;
+    switch (behaviour) {
+      case 'loseAnswer':
+        request.socket.destroy();
+        return;
+      case 'silent':
+        return;
+      case 'falsePromise':
+        response.writeHead(503, { [names.requestId]: requestId }).end();
+        return;
+      case 'fail':
+        response.writeHead(500, this.headersOf(requestId)).end('failed');
+        return;
+      case 'unsigned':
+        response.writeHead(200, { [names.requestId]: requestId }).end('unsigned');
+        return;
+      default:
+        if (request.url?.includes(STREAM_QUERY)) {
+          this.stream(request, response, behaviour, requestId);
+        } else {
+          this.answerPlain(request, response, behaviour, requestId);
+        }
+    }
+  }
+
+  private answerPlain(
+    request: IncomingMessage,
+    response: ServerResponse,
+    behaviour: RunnerBehaviour,
+    requestId: string,
+  ): void {
+    const body = `answer of ${this.options.id} to ${requestId}`;
+    const length = { 'content-length': String(body.length) };
+    if (behaviour === 'cutOff') {
+      response.writeHead(200, { ...this.headersOf(requestId), ...length });
+      response.write(body.slice(0, body.length / 2), () => request.socket.destroy());
+      return;
+    }
+    if (behaviour === 'unframed') {
+      const head = Object.entries(this.headersOf(requestId)).map(
+        ([key, value]) => `${key}: ${value}`,
+      );
+      request.socket.end(
+        `HTTP/1.1 200 OK\r\n${head.join('\r\n')}\r\nconnection: close\r\n\r\n${body}`,
+      );
+      return;
+    }
+    const answeredId = behaviour === 'wrongId' ? 'another-request' : requestId;
+    response.writeHead(200, { ...this.headersOf(answeredId), ...length }).end(body);
+    if (behaviour === 'extraAnswer') {
+      response.on('finish', () =>
+        request.socket.write('HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra'),
+      );
+    }
+  }
+
+  private stream(
+    request: IncomingMessage,
+    response: ServerResponse,
+    behaviour: RunnerBehaviour,
+    requestId: string,
+  ): void {
+    const { eventCount = 4, pauseMilliseconds = 1, names } = this.options;
+    const first = Number(request.headers[names.lastEventId] ?? 0) + 1;
+    const type = { 'content-type': 'text/event-stream' };
+    const answeredId = behaviour === 'wrongId' ? 'another-request' : requestId;
+    response.writeHead(200, { ...this.headersOf(answeredId), ...type });
+    const next = (id: number): void => {
+      if (response.destroyed) {
+        return;
+      }
+      if (behaviour === 'cutOff' && id > eventCount / 2) {
+        response.write(`id: ${id}\nda`, () => request.socket.destroy());
+        return;
+      }
+      if (id > eventCount) {
+        response.end();
+        return;
+      }
+      response.write(`id: ${id}\ndata: event ${id}\n\n`);
+      setTimeout(() => next(id + 1), pauseMilliseconds);
+    };
+    next(first);
+  }
+
+  private headersOf(requestId: string): Record<string, string> {
+    const { names, id } = this.options;
+    return { [names.requestId]: requestId, [names.signature]: `signed by ${id}` };
+  }
+}
--- /dev/null
+++ b/src/histories/turn-history.ts
@@ -0,0 +1,347 @@
+/**
+ * One seeded history of kept turns and token accounts under faults: gateways keep chains of turns
+ * and reserve tokens while replicas are killed, wiped, paused, cut off, added and emptied, one at a
+ * time or all killed at once. Promises are checked from what the gateways saw.
+ */
+import { createRandom } from '../runtime/random.js';
+import type { RandomSource } from '../runtime/random.js';
+import type { LogFunction } from '../runtime/runtime.js';
+import { SimulatedReplicas } from '../simulation/simulated-replicas.js';
+import { VirtualClock } from '../simulation/virtual-clock.js';
+import type { TurnClient } from '../turns/turn-client.js';
+
+/** Kinds of faults. */
+export const TURN_FAULTS = [
+  'kill',
+  'wipe',
+  'pause',
+  'cutGateway',
+  'cutPeers',
+  'cutStore',
+  'storeDown',
+  'killAll',
+  'wipeOneKillOthers',
+  'add',
+  'retire',
+  'replace',
+] as const;
+
+/** One kind of fault. */
+export type TurnFault = (typeof TURN_FAULTS)[number];
+
+/** What a history showed. */
+export interface TurnHistoryResult {
+  readonly seed: number;
+  readonly violations: readonly string[];
+  readonly kept: number;
+  readonly granted: number;
+  readonly refused: number;
+  readonly unavailable: number;
+  readonly faults: readonly TurnFault[];
+}
+
+const SETTLE_MILLISECONDS = 4_500;
+const FAULT_COUNT = 5;
+const PROGRAM_COUNT = 6;
+const BUDGET_TOKENS = 600;
+const MOST_TOKENS = 100;
+const OPERATION_MILLISECONDS = 700;
+const START_MILLISECONDS = 6_000;
+const RETENTION_MILLISECONDS = 600_000;
+
+interface ProgramBook {
+  readonly name: string;
+  lastTurn: string;
+  body: string;
+  handedTokens: number;
+  turns: number;
+}
+
+/** See the head of this file. */
+class TurnHistory {
+  private readonly clock = new VirtualClock();
+  private readonly random: RandomSource;
+  private readonly replicas: SimulatedReplicas;
+  private readonly names: string[] = [];
+  private clients: TurnClient[] = [];
+  private readonly programs: ProgramBook[] = [];
+  private readonly bodies = new Map<string, string>();
+  private readonly violations: string[] = [];
+  private readonly faults: TurnFault[] = [];
+  private granted = 0;
+  private refused = 0;
+  private unavailable = 0;
+  private stopped = false;
+  private turnCount = 0;
+  private machineCount = 0;
+
+  constructor(
+    private readonly seed: number,
+    log?: LogFunction,
+  ) {
+    this.random = createRandom(seed, 'turn history');
+    this.replicas = new SimulatedReplicas(this.clock, createRandom(seed, 'links'), log);
+  }
+
+  run(): TurnHistoryResult {
+    const machineCount = this.random.integer(3, 5);
+    for (let index = 0; index < machineCount; index += 1) {
+      this.addMachine();
+    }
+    this.wait(START_MILLISECONDS);
+    this.clients = ['g1', 'g2'].map(
+      (name) => this.replicas.client(name, 'z1', this.names[0]!).client,
+    );
+    for (let index = 0; index < PROGRAM_COUNT; index += 1) {
+      const name = `p${index}`;
+      this.programs.push({ name, lastTurn: '', body: '', handedTokens: 0, turns: 0 });
+    }
+    this.programs.forEach((program) => this.nextTurn(program));
+    for (let index = 0; index < FAULT_COUNT; index += 1) {
+      this.strike(this.random.pick(TURN_FAULTS));
+      this.wait(SETTLE_MILLISECONDS);
+    }
+    this.stopped = true;
+    this.wait(SETTLE_MILLISECONDS);
+    this.checkAll();
+    return {
+      seed: this.seed,
+      violations: this.violations,
+      kept: this.bodies.size,
+      granted: this.granted,
+      refused: this.refused,
+      unavailable: this.unavailable,
+      faults: this.faults,
+    };
+  }
+
+  private wait(milliseconds: number): void {
+    this.clock.runUntil(this.clock.now + milliseconds);
+  }
+
+  private addMachine(): string {
+    this.machineCount += 1;
+    const name = `m${this.machineCount}`;
+    this.names.push(name);
+    this.replicas.add(name, `z${this.machineCount}`);
+    return name;
+  }
+
+  /** A turn: reserve, read the chain, keep, settle; then the next one. */
+  private nextTurn(program: ProgramBook): void {
+    if (this.stopped) {
+      return;
+    }
+    this.turnCount += 1;
+    const turn = `t${this.turnCount}`;
+    const client = this.random.pick(this.clients);
+    const again = (): void => {
+      this.clock.schedule(this.random.exponential(150), () => this.nextTurn(program));
+    };
+    const request = {
+      program: program.name,
+      turn,
+      mostTokens: MOST_TOKENS,
+      budgetTokens: BUDGET_TOKENS,
+    };
+    client.reserve(request, OPERATION_MILLISECONDS, (outcome) => {
+      if (outcome !== 'granted') {
+        this.noteRefusal(program, outcome);
+        again();
+        return;
+      }
+      this.granted += 1;
+      this.readThenKeep(program, turn, client, again);
+    });
+  }
+
+  private noteRefusal(program: ProgramBook, outcome: 'spent' | 'unavailable'): void {
+    if (outcome === 'unavailable') {
+      this.unavailable += 1;
+      return;
+    }
+    this.refused += 1;
+    if (program.handedTokens + MOST_TOKENS > BUDGET_TOKENS) {
+      // A new program takes the place of one that is through.
+      program.handedTokens = 0;
+      program.turns += 1;
+      Object.assign(program, { name: `${program.name}'` });
+    }
+  }
+
+  private readThenKeep(
+    program: ProgramBook,
+    turn: string,
+    client: TurnClient,
+    again: () => void,
+  ): void {
+    const used = this.random.integer(0, MOST_TOKENS);
+    program.handedTokens += used;
+    if (program.handedTokens > BUDGET_TOKENS + MOST_TOKENS) {
+      this.violations.push(`budget: ${program.name} was handed ${program.handedTokens} tokens`);
+    }
+    const keep = (before: string): void => {
+      const input = `in ${turn};`;
+      const output = `out ${turn};`;
+      const kept = {
+        id: turn,
+        previous: program.lastTurn,
+        input: Buffer.from(input),
+        output: Buffer.from(output),
+        retentionMilliseconds: RETENTION_MILLISECONDS,
+      };
+      client.keep(kept, OPERATION_MILLISECONDS, (done) => {
+        client.settle(program.name, turn, MOST_TOKENS, used);
+        if (done) {
+          program.lastTurn = turn;
+          program.body = before + input + output;
+          this.bodies.set(turn, program.body);
+        }
+        again();
+      });
+    };
+    if (program.lastTurn === '') {
+      keep('');
+      return;
+    }
+    const { lastTurn, body } = program;
+    client.readChain(lastTurn, OPERATION_MILLISECONDS, (chain) => {
+      this.checkChain(lastTurn, body, chain);
+      if (chain.tag === 'found') {
+        keep(body);
+      } else {
+        again();
+      }
+    });
+  }
+
+  private checkChain(
+    turn: string,
+    body: string,
+    chain: { readonly tag: string; readonly body?: Buffer },
+  ): void {
+    if (chain.tag === 'missing') {
+      this.violations.push(`history: ${turn} was kept and is said to be missing`);
+    } else if (chain.tag === 'found' && chain.body?.toString() !== body) {
+      this.violations.push(`history: ${turn} is not what was kept`);
+    }
+  }
+
+  private checkAll(): void {
+    const { client } = this.replicas.client('checker', 'z2', this.aliveName());
+    let open = 0;
+    for (const [turn, body] of this.bodies) {
+      open += 1;
+      client.readChain(turn, OPERATION_MILLISECONDS, (chain) => {
+        open -= 1;
+        this.checkChain(turn, body, chain);
+        if (chain.tag === 'unsure') {
+          this.violations.push(`history: ${turn} can't be read after all faults ended`);
+        }
+      });
+    }
+    this.wait(SETTLE_MILLISECONDS);
+    if (open > 0) {
+      this.violations.push(`history: ${open} reads never ended`);
+    }
+  }
+
+  private aliveName(): string {
+    return this.replicas.activeNames()[0] ?? this.names[0]!;
+  }
+
+  private strike(fault: TurnFault): void {
+    this.faults.push(fault);
+    const name = this.random.pick(this.names);
+    const { replicas } = this;
+    const pause = this.random.integer(200, 3_500);
+    switch (fault) {
+      case 'kill':
+      case 'wipe':
+        replicas.kill(name);
+        if (fault === 'wipe') {
+          replicas.wipe(name);
+        }
+        this.wait(pause);
+        replicas.start(name);
+        return;
+      case 'pause':
+        replicas.pause(name);
+        this.wait(pause);
+        replicas.resume(name);
+        return;
+      case 'cutGateway':
+        this.cutFor(name, ['g1', 'g2'], pause);
+        return;
+      case 'cutPeers':
+        this.cutFor(name, this.names, pause);
+        return;
+      case 'cutStore':
+        this.cutFor(name, ['store'], pause);
+        return;
+      case 'storeDown':
+        replicas.store.reachable = false;
+        this.wait(pause);
+        replicas.store.reachable = true;
+        return;
+      case 'killAll':
+      case 'wipeOneKillOthers':
+        this.names.forEach((other) => replicas.kill(other));
+        if (fault === 'wipeOneKillOthers') {
+          replicas.wipe(name);
+        }
+        this.wait(pause);
+        this.names.forEach((other) => replicas.start(other));
+        return;
+      case 'add':
+        this.addMachine();
+        return;
+      case 'replace':
+        this.replace(name, pause);
+        return;
+      case 'retire':
+        this.retire(name);
+    }
+  }
+
+  private cutFor(name: string, others: readonly string[], pause: number): void {
+    others.forEach((other) => this.replicas.cut(name, other));
+    this.wait(pause);
+    others.forEach((other) => this.replicas.heal(name, other));
+  }
+
+  /** One machine is gone for good; an empty one comes at another address. */
+  private replace(name: string, pause: number): void {
+    this.replicas.kill(name);
+    this.names.splice(this.names.indexOf(name), 1);
+    this.wait(pause);
+    this.addMachine();
+    this.wait(SETTLE_MILLISECONDS);
+  }
+
+  /** A machine is emptied; once that is done it goes, and another loses its disk right after. */
+  private retire(name: string): void {
+    if (this.names.length < 4) {
+      this.addMachine();
+      this.wait(SETTLE_MILLISECONDS);
+    }
+    this.replicas.store.retiring.add(name);
+    this.clock.runUntil(this.clock.now + 10_000, () => this.replicas.store.finished.has(name));
+    if (!this.replicas.store.finished.has(name)) {
+      this.replicas.store.retiring.delete(name);
+      return;
+    }
+    this.replicas.kill(name);
+    this.names.splice(this.names.indexOf(name), 1);
+    const other = this.random.pick(this.names);
+    this.replicas.kill(other);
+    this.replicas.wipe(other);
+    this.wait(1_000);
+    this.replicas.start(other);
+  }
+}
+
+/** Runs one history. */
+export function runTurnHistory(seed: number, log?: LogFunction): TurnHistoryResult {
+  return new TurnHistory(seed, log).run();
+}
--- a/src/relay/choose-runner.ts
+++ b/src/relay/choose-runner.ts
@@ -59,7 +59,14 @@
     Math.max(0, need.promptTokens - view.cachedTokens) / weights.promptTokensPerMillisecond;
   const zone = view.zone === need.zone ? 0 : weights.zoneMilliseconds;
   const preference = hashToNumber(`${need.affinityKey} ${view.id}`) / HASH_RANGE;
-  return queue + load + reading + view.meanMilliseconds + zone + preference * weights.affinityMilliseconds;
+  return (
+    queue +
+    load +
+    reading +
+    view.meanMilliseconds +
+    zone +
+    preference * weights.affinityMilliseconds
+  );
 }
 
 /** The runner of least cost; undefined when there is none. */
--- /dev/null
+++ b/src/relay/default-header-names.ts
@@ -0,0 +1,21 @@
+/** The product's own names of headers, for deployments that have none of theirs. */
+import type { HeaderNames } from './header-names.js';
+
+/** See the head of this file. */
+export const DEFAULT_HEADER_NAMES: HeaderNames = {
+  requestId: 'ivyloom-request',
+  timeout: 'ivyloom-timeout-milliseconds',
+  affinity: 'ivyloom-affinity',
+  promptParts: 'ivyloom-prompt-parts',
+  tokenUsage: 'ivyloom-token-usage',
+  lastEventId: 'last-event-id',
+  expectedRunner: 'ivyloom-runner',
+  priority: 'ivyloom-priority',
+  signature: 'ivyloom-signature',
+  notExecuted: 'ivyloom-not-executed',
+  program: 'ivyloom-program',
+  session: 'ivyloom-session',
+  tokenBudget: 'ivyloom-token-budget',
+  previousTurn: 'ivyloom-previous-turn',
+  reserved: new Set(['ivyloom-runner', 'ivyloom-signature', 'ivyloom-not-executed']),
+};
--- a/src/relay/event-splitter.ts
+++ b/src/relay/event-splitter.ts
@@ -61,7 +61,12 @@
     }
     start = stop + 1;
   }
-  return { bytes, id, data: data.length === 1 ? data[0]! : Buffer.concat(data), hasData: data.length > 0 };
+  return {
+    bytes,
+    id,
+    data: data.length === 1 ? data[0]! : Buffer.concat(data),
+    hasData: data.length > 0,
+  };
 }
 
 /** See the head of this file. */
--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -170,7 +170,12 @@
       this.tryNext();
       return;
     }
-    const reservation = { program: program.program, turn: this.request.id, mostTokens, budgetTokens };
+    const reservation = {
+      program: program.program,
+      turn: this.request.id,
+      mostTokens,
+      budgetTokens,
+    };
     const timeout = Math.min(STATE_MILLISECONDS, this.remainingMilliseconds);
     this.context.turns.reserve(reservation, timeout, (outcome) => {
       this.reserved = outcome !== 'spent';
@@ -283,7 +288,10 @@
     }
     const retried = head.status >= FIRST_SERVER_ERROR && mayRepeat(this.request.route);
     const others = this.request.route.maximumAttempts > this.sentTo.size + 1;
-    if ((retried && others && !this.answer.started) || (this.answer.started && head.status >= FIRST_REDIRECT)) {
+    if (
+      (retried && others && !this.answer.started) ||
+      (this.answer.started && head.status >= FIRST_REDIRECT)
+    ) {
       this.failCurrent({ tag: 'BadAnswer', detail: `status ${head.status}` });
       return;
     }
--- a/src/relay/relay-front.ts
+++ b/src/relay/relay-front.ts
@@ -104,6 +104,12 @@
     this.checkIdle();
   }
 
+  /** Breaks every connection and stops listening. */
+  close(): void {
+    this.server.close();
+    this.sockets.forEach((socket) => socket.destroy());
+  }
+
   private take(request: IncomingMessage, response: ServerResponse): void {
     const { names, runtime } = this.context;
     const arrivedAt = runtime.now();
@@ -241,9 +247,7 @@
     };
   }
 
-  private programOf(
-    header: (name: string) => string | undefined,
-  ): ProgramReference | undefined {
+  private programOf(header: (name: string) => string | undefined): ProgramReference | undefined {
     const { names } = this.context;
     const program = header(names.program);
     if (program === undefined) {
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -110,6 +110,12 @@
     runtime.setTimer(graceMilliseconds - KILL_SLACK_MILLISECONDS, done);
   }
 
+  /** Ends at once. */
+  close(): void {
+    this.readiness.close();
+    this.front.close();
+  }
+
   private listen(): void {
     if (this.listening) {
       return;
--- a/src/relay/runner-book.ts
+++ b/src/relay/runner-book.ts
@@ -61,7 +61,12 @@
     }
     if (known.runner.ready !== runner.ready || known.goneAt !== undefined) {
       const { id, service, ready } = runner;
-      this.runtime.log('info', 'runner changed', { event: 'runner.changed', runner: id, service, ready });
+      this.runtime.log('info', 'runner changed', {
+        event: 'runner.changed',
+        runner: id,
+        service,
+        ready,
+      });
     }
     known.runner = runner;
     known.goneAt = undefined;
@@ -102,7 +107,8 @@
     );
     const listed = usable.filter((record) => record.runner.ready && record.goneAt === undefined);
     const trusted = listed.filter((record) => record.distrustedUntil <= now);
-    const chosen = trusted.length > 0 ? trusted : listed.length > 0 ? listed : usable.filter(isGone);
+    const chosen =
+      trusted.length > 0 ? trusted : listed.length > 0 ? listed : usable.filter(isGone);
     return chosen.map((record) => viewOf(record, parts));
   }
 
--- /dev/null
+++ b/src/simulation/simulated-replicas.ts
@@ -0,0 +1,328 @@
+/**
+ * Replicas of turns and accounts, their members' record and gateways in virtual time: messages are
+ * delayed and lost, machines are cut off, processes killed and paused, disks wiped, machines added,
+ * replaced and emptied.
+ */
+import type { LogFunction, Runtime } from '../runtime/runtime.js';
+import type { RandomSource } from '../runtime/random.js';
+import { MemberDirectory } from '../turns/member-directory.js';
+import { MembershipKeeper } from '../turns/membership-keeper.js';
+import type { MembershipStore, StoredRecord } from '../turns/membership-keeper.js';
+import type { Member } from '../turns/membership.js';
+import type { OneWayMessage, ReplicaReply, ReplicaRequest } from '../turns/messages.js';
+import type { ReplicaCaller, ReplyListener, UnnumberedRequest } from '../turns/replica-caller.js';
+import { ReplicaSync } from '../turns/replica-sync.js';
+import { Replica } from '../turns/replica.js';
+import { TurnClient } from '../turns/turn-client.js';
+import type { StorageChange, StoredState, TurnStorage } from '../turns/turn-storage.js';
+import { silentLog, SimulatedProcess } from './simulated-process.js';
+import type { VirtualClock } from './virtual-clock.js';
+
+const WRITE_MILLISECONDS = 1;
+const LAZY_MILLISECONDS = 250;
+const LINK_MILLISECONDS = 1;
+const LINK_JITTER_MILLISECONDS = 2;
+const STORE_MILLISECONDS = 4;
+
+/** A disk of one machine: what was written lasts, unless the disk is wiped. */
+class SimulatedTurnDisk {
+  private state = emptyState();
+
+  wipe(): void {
+    this.state = emptyState();
+  }
+
+  read(): StoredState {
+    const { meta, entries, turns } = this.state;
+    return { meta, entries: [...entries.values()], turns: [...turns.values()] };
+  }
+
+  open(runtime: Runtime): TurnStorage {
+    return {
+      write: (changes, done, urgency = 'urgent') => {
+        const pause = urgency === 'lazy' ? LAZY_MILLISECONDS : WRITE_MILLISECONDS;
+        // The timer dies with the process, and with it whatever was not yet written.
+        runtime.setTimer(pause, () => {
+          changes.forEach((change) => this.apply(change));
+          done(true);
+        });
+      },
+    };
+  }
+
+  private apply(change: StorageChange): void {
+    switch (change.tag) {
+      case 'meta':
+        this.state.meta = change.meta;
+        return;
+      case 'entry': {
+        const { program, turn } = change.entry.entry;
+        this.state.entries.set(`${program} ${turn}`, change.entry);
+        return;
+      }
+      case 'turn':
+        this.state.turns.set(change.turn.turn.id, change.turn);
+        return;
+      case 'dropEntry':
+        this.state.entries.delete(`${change.program} ${change.turn}`);
+        return;
+      case 'dropTurn':
+        this.state.turns.delete(change.id);
+    }
+  }
+}
+
+interface DiskState {
+  meta: StoredState['meta'];
+  readonly entries: Map<string, StoredState['entries'][number]>;
+  readonly turns: Map<string, StoredState['turns'][number]>;
+}
+
+function emptyState(): DiskState {
+  return { meta: undefined, entries: new Map(), turns: new Map() };
+}
+
+/** The store that holds the record of members. */
+class SimulatedMembershipStore {
+  private text = '';
+  private revision = 0;
+  /** While false, nobody reaches it. */
+  reachable = true;
+  readonly retiring = new Set<string>();
+  readonly finished = new Set<string>();
+
+  portOf(runtime: Runtime, isCut: () => boolean): MembershipStore {
+    return {
+      readRecord: (): StoredRecord => {
+        if (!this.reachable || isCut()) {
+          return { tag: 'Unknown' };
+        }
+        return this.revision === 0
+          ? { tag: 'Absent' }
+          : { tag: 'Present', text: this.text, revision: this.revision };
+      },
+      swapRecord: (expected, text, done) => {
+        runtime.setTimer(STORE_MILLISECONDS, () => {
+          const swapped = this.reachable && !isCut() && expected === this.revision;
+          if (swapped) {
+            this.text = text;
+            this.revision += 1;
+          }
+          done(swapped);
+        });
+      },
+      retiringNodes: () => this.retiring,
+      reportRetirement: (node, finished, done) => {
+        if (finished) {
+          this.finished.add(node);
+        }
+        done(true);
+      },
+    };
+  }
+}
+
+/** One machine with a disk. */
+interface SimulatedMachine {
+  readonly member: Member;
+  readonly process: SimulatedProcess;
+  readonly disk: SimulatedTurnDisk;
+  replica: Replica | undefined;
+  directory: MemberDirectory | undefined;
+  close: () => void;
+}
+
+/** See the head of this file. */
+export class SimulatedReplicas {
+  readonly store = new SimulatedMembershipStore();
+  private readonly machines = new Map<string, SimulatedMachine>();
+  /** Pairs of names, `a b`, between which nothing passes. */
+  private readonly cuts = new Set<string>();
+  private lastCall = 0;
+
+  constructor(
+    private readonly clock: VirtualClock,
+    private readonly random: RandomSource,
+    private readonly log: LogFunction = silentLog,
+  ) {}
+
+  /** Adds a machine and starts its process. */
+  add(name: string, zone: string): void {
+    const member: Member = { id: `${name}@${name}`, node: name, host: name, port: 1, zone };
+    const machine: SimulatedMachine = {
+      member,
+      process: new SimulatedProcess(name, this.clock, this.random, this.log),
+      disk: new SimulatedTurnDisk(),
+      replica: undefined,
+      directory: undefined,
+      close: () => undefined,
+    };
+    this.machines.set(name, machine);
+    this.start(name);
+  }
+
+  /** Starts the process of a machine. */
+  start(name: string): void {
+    const machine = this.machine(name);
+    const runtime = machine.process.begin();
+    const directory = new MemberDirectory(runtime);
+    const { id } = machine.member;
+    const storage = machine.disk.open(runtime);
+    const replica = new Replica({ id, runtime, storage, directory });
+    replica.restore(machine.disk.read());
+    const caller = this.callerOf(name, runtime, directory);
+    const sync = new ReplicaSync({ id, runtime, replica, directory, caller });
+    const isCut = (): boolean => this.cuts.has(`${name} store`);
+    const store = this.store.portOf(runtime, isCut);
+    const keeper = new MembershipKeeper({
+      self: machine.member,
+      runtime,
+      replica,
+      sync,
+      directory,
+      store,
+    });
+    machine.replica = replica;
+    machine.directory = directory;
+    machine.close = () => {
+      keeper.close();
+      sync.close();
+      replica.close();
+    };
+  }
+
+  /** Kills a process; its disk stays. */
+  kill(name: string): void {
+    const machine = this.machine(name);
+    machine.close();
+    machine.process.kill();
+    machine.replica = undefined;
+  }
+
+  /** Empties the disk of a machine whose process is dead. */
+  wipe(name: string): void {
+    this.machine(name).disk.wipe();
+  }
+
+  /** Stops a process without ending it, and lets it go on. */
+  pause(name: string): void {
+    this.machine(name).process.pause();
+  }
+
+  resume(name: string): void {
+    this.machine(name).process.resume();
+  }
+
+  /** Lets nothing pass between two; a name may also be `store` or a gateway's. */
+  cut(left: string, right: string): void {
+    this.cuts.add(`${left} ${right}`);
+    this.cuts.add(`${right} ${left}`);
+  }
+
+  heal(left: string, right: string): void {
+    this.cuts.delete(`${left} ${right}`);
+    this.cuts.delete(`${right} ${left}`);
+  }
+
+  /** Machines whose acknowledgements count. */
+  activeNames(): string[] {
+    return [...this.machines].flatMap(([name, { replica }]) => (replica?.active ? [name] : []));
+  }
+
+  /** Whether every active replica has a turn. */
+  holdersOf(turn: string): string[] {
+    return [...this.machines].flatMap(([name, { replica }]) =>
+      replica?.state.hasTurn(turn) ? [name] : [],
+    );
+  }
+
+  /** A gateway's client; it knows the members that a machine knows. */
+  client(
+    name: string,
+    zone: string,
+    knownTo: string,
+  ): { client: TurnClient; process: SimulatedProcess } {
+    const process = new SimulatedProcess(name, this.clock, this.random, this.log);
+    const runtime = process.begin();
+    const directory = new MemberDirectory(runtime);
+    directory.offerText(this.machine(knownTo).directory?.currentText ?? '', knownTo);
+    const caller = this.callerOf(name, runtime, directory);
+    return { client: new TurnClient({ runtime, directory, caller, zone }), process };
+  }
+
+  private machine(name: string): SimulatedMachine {
+    const machine = this.machines.get(name);
+    if (machine === undefined) {
+      throw new Error(`no machine ${name}`);
+    }
+    return machine;
+  }
+
+  private delay(): number {
+    return LINK_MILLISECONDS + this.random.uniform() * LINK_JITTER_MILLISECONDS;
+  }
+
+  private callerOf(from: string, runtime: Runtime, directory: MemberDirectory): ReplicaCaller {
+    return {
+      call: (member, request, timeout, listener) =>
+        this.call(from, runtime, directory, member, request, timeout, listener),
+      tell: (member, message) => {
+        this.clock.schedule(this.delay(), () => this.tell(from, member, message));
+      },
+    };
+  }
+
+  private tell(from: string, member: Member, message: OneWayMessage): void {
+    const machine = this.machines.get(member.node);
+    if (machine?.replica !== undefined && !this.cuts.has(`${from} ${member.node}`)) {
+      if (message.type === 'settle') {
+        machine.replica.settle(message.entry);
+      } else {
+        machine.directory?.offerText(message.record, from);
+      }
+    }
+  }
+
+  private call(
+    from: string,
+    runtime: Runtime,
+    directory: MemberDirectory,
+    member: Member,
+    request: UnnumberedRequest,
+    timeout: number,
+    listener: ReplyListener,
+  ): void {
+    this.lastCall += 1;
+    let over = false;
+    const finish = (reply: ReplicaReply | undefined): void => {
+      if (!over) {
+        over = true;
+        listener(reply);
+      }
+    };
+    runtime.setTimer(timeout, () => finish(undefined));
+    const numbered = { ...request, call: this.lastCall } as ReplicaRequest;
+    const target = this.machines.get(member.node);
+    const { replica } = target ?? {};
+    this.clock.schedule(this.delay(), () => {
+      const gone = replica === undefined || target?.replica !== replica;
+      if (gone || this.cuts.has(`${from} ${member.node}`)) {
+        return;
+      }
+      const serve = (): void =>
+        replica.handle(numbered, (reply) => {
+          this.clock.schedule(this.delay(), () => {
+            if (this.cuts.has(`${member.node} ${from}`)) {
+              return;
+            }
+            if (reply.type === 'members') {
+              runtime.setTimer(0, () => directory.offerText(reply.record, member.id));
+            } else {
+              runtime.setTimer(0, () => finish(reply));
+            }
+          });
+        });
+      target?.process.enter(serve);
+    });
+  }
+}
--- a/src/turns/level-turn-storage.ts
+++ b/src/turns/level-turn-storage.ts
@@ -13,11 +13,14 @@
   StoredState,
   StoredTurn,
   TurnStorage,
+  WriteUrgency,
 } from './turn-storage.js';
 
 const META_KEY = 'meta';
 const ENTRY_PREFIX = 'entry/';
 const TURN_PREFIX = 'turn/';
+/** Longest wait of a lazy write, in milliseconds. */
+const LAZY_MILLISECONDS = 250;
 const REOPEN_MILLISECONDS = 500;
 const WRITE_BUFFER_BYTES = 4 * 1024 * 1024;
 const CACHE_BYTES = 4 * 1024 * 1024;
@@ -91,7 +94,11 @@
       return { type: 'put', key: entryKey(program, turn), value: encodeEntry(change.entry) };
     }
     case 'turn':
-      return { type: 'put', key: TURN_PREFIX + change.turn.turn.id, value: encodeTurn(change.turn) };
+      return {
+        type: 'put',
+        key: TURN_PREFIX + change.turn.turn.id,
+        value: encodeTurn(change.turn),
+      };
     case 'dropEntry':
       return { type: 'del', key: entryKey(change.program, change.turn) };
     case 'dropTurn':
@@ -103,6 +110,7 @@
 export class LevelTurnStorage implements TurnStorage {
   private queue: PendingWrite[] = [];
   private writing = false;
+  private lazyTimerSet = false;
   /** Synced writes so far. */
   writeCount = 0;
 
@@ -133,9 +141,21 @@
     return { meta: decoded as ReplicaMeta | undefined, entries, turns };
   }
 
-  write(changes: readonly StorageChange[], done: (durable: boolean) => void): void {
+  write(
+    changes: readonly StorageChange[],
+    done: (durable: boolean) => void,
+    urgency: WriteUrgency = 'urgent',
+  ): void {
     this.queue.push({ operations: changes.map(operationOf), done });
-    this.writeNext();
+    if (urgency === 'urgent') {
+      this.writeNext();
+    } else if (!this.lazyTimerSet) {
+      this.lazyTimerSet = true;
+      this.runtime.setTimer(LAZY_MILLISECONDS, () => {
+        this.lazyTimerSet = false;
+        this.writeNext();
+      });
+    }
   }
 
   /** Closes the database. */
--- a/src/turns/membership-keeper.ts
+++ b/src/turns/membership-keeper.ts
@@ -7,7 +7,13 @@
 import { decideMembership } from './decide-membership.js';
 import type { MembershipAction, MembershipView } from './decide-membership.js';
 import type { MemberDirectory } from './member-directory.js';
-import { decodeMemberRecord, encodeMemberRecord, hasMember, withMember, withoutMember } from './membership.js';
+import {
+  decodeMemberRecord,
+  encodeMemberRecord,
+  hasMember,
+  withMember,
+  withoutMember,
+} from './membership.js';
 import type { Member, MemberRecord } from './membership.js';
 import type { Replica } from './replica.js';
 import type { ReplicaSync } from './replica-sync.js';
--- /dev/null
+++ b/src/turns/memory-turn-storage.ts
@@ -0,0 +1,12 @@
+/** Storage of a replica that lasts as long as the process: for stand-ins and tests. */
+import type { Runtime } from '../runtime/runtime.js';
+import type { StorageChange, TurnStorage } from './turn-storage.js';
+
+/** See the head of this file. */
+export class MemoryTurnStorage implements TurnStorage {
+  constructor(private readonly runtime: Runtime) {}
+
+  write(_changes: readonly StorageChange[], done: (durable: boolean) => void): void {
+    this.runtime.setTimer(0, () => done(true));
+  }
+}
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -55,7 +55,6 @@
 /** Requests; each is answered by the reply with the same `call`. */
 export type ReplicaRequest =
   | { type: 'reserve'; call: number; epoch: number; entry: AccountEntry }
-  | { type: 'settle'; call: number; epoch: number; entry: AccountEntry }
   | { type: 'keep'; call: number; epoch: number; turn: KeptTurn }
   | { type: 'chain'; call: number; turn: string }
   | { type: 'pull'; call: number; from: string; members: string; log: string; after: number }
@@ -86,8 +85,17 @@
   record: string;
 }
 
+/** What a turn handed out; nobody waits for it. */
+export interface SettleMessage {
+  type: 'settle';
+  entry: AccountEntry;
+}
+
+/** Messages without a reply. */
+export type OneWayMessage = MembersMessage | SettleMessage;
+
 /** All messages. */
-export type ReplicaMessage = ReplicaRequest | ReplicaReply | MembersMessage;
+export type ReplicaMessage = ReplicaRequest | ReplicaReply | OneWayMessage;
 
 const bytes: r.Field = new r.Buffer(r.uint32);
 const OPEN = -1;
@@ -134,7 +142,7 @@
 /** Append only: a branch's place is its number on the wire. */
 const message = new TaggedUnion([
   { type: 'reserve', fields: { call: count, epoch: count, entry: accountEntry } },
-  { type: 'settle', fields: { call: count, epoch: count, entry: accountEntry } },
+  { type: 'settle', fields: { entry: accountEntry } },
   { type: 'keep', fields: { call: count, epoch: count, turn: keptTurn } },
   { type: 'chain', fields: { call: count, turn: shortText } },
   {
--- a/src/turns/replica-caller.ts
+++ b/src/turns/replica-caller.ts
@@ -1,6 +1,6 @@
 /** Calls from a gateway or a replica to replicas, as the logic sees them. */
 import type { Member } from './membership.js';
-import type { MembersMessage, ReplicaReply, ReplicaRequest } from './messages.js';
+import type { OneWayMessage, ReplicaReply, ReplicaRequest } from './messages.js';
 
 /** A request without its number, which the caller gives. */
 export type UnnumberedRequest = ReplicaRequest extends infer Request
@@ -20,6 +20,6 @@
     timeoutMilliseconds: number,
     listener: ReplyListener,
   ): void;
-  /** Sends the newest record; nothing comes back. */
-  tell(member: Member, message: MembersMessage): void;
+  /** Sends something to which nothing comes back. */
+  tell(member: Member, message: OneWayMessage): void;
 }
--- a/src/turns/replica-server.ts
+++ b/src/turns/replica-server.ts
@@ -58,6 +58,10 @@
       this.directory.offerText(message.record, 'caller');
       return;
     }
+    if (message.type === 'settle') {
+      this.replica.settle(message.entry);
+      return;
+    }
     this.replica.handle(message as ReplicaRequest, (reply) => {
       if (socket.destroyed) {
         return;
--- a/src/turns/replica-state.ts
+++ b/src/turns/replica-state.ts
@@ -68,7 +68,9 @@
   missingEntries(entries: readonly AccountEntry[]): AccountEntry[] {
     return entries.filter((entry) => {
       const known = this.accounts.get(entry.program)?.account.get(entry.turn);
-      return known === undefined || (known.usedTokens === undefined && entry.usedTokens !== undefined);
+      return (
+        known === undefined || (known.usedTokens === undefined && entry.usedTokens !== undefined)
+      );
     });
   }
 
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -17,7 +17,7 @@
 } from './messages.js';
 import type { KeptTurn } from './kept-turn.js';
 import { ReplicaState } from './replica-state.js';
-import type { StorageChange, StoredState, TurnStorage } from './turn-storage.js';
+import type { StorageChange, StoredState, TurnStorage, WriteUrgency } from './turn-storage.js';
 
 const EXPIRY_MILLISECONDS = 5_000;
 /** Largest reply to a fetch, in bytes; at least one turn is sent. */
@@ -98,22 +98,22 @@
     this.saveMeta();
   }
 
+  /** Takes a settlement: until it is on disk the reservation stands, which spends no more. */
+  settle(entry: AccountEntry): void {
+    this.storeEntries([entry], () => undefined, 'lazy');
+  }
+
   /** Answers one request. */
   handle(request: ReplicaRequest, send: ReplySender): void {
     const { call } = request;
     switch (request.type) {
       case 'reserve':
-        this.storeEntry(request.entry, (durable) => {
+        this.storeEntries([request.entry], (durable) => {
           const outcome = this.outcomeOf(request.epoch, durable, send);
           const entries = this.state.entriesOf(request.entry.program);
           send({ type: 'account', call, outcome, entries });
         });
         return;
-      case 'settle':
-        this.storeEntry(request.entry, (durable) => {
-          send({ type: 'taken', call, outcome: this.outcomeOf(request.epoch, durable, send) });
-        });
-        return;
       case 'keep':
         this.storeTurns([request.turn], (durable) => {
           send({ type: 'taken', call, outcome: this.outcomeOf(request.epoch, durable, send) });
@@ -130,20 +130,19 @@
     }
   }
 
-  /** Takes a reservation from a gateway or another replica. */
-  storeEntry(entry: AccountEntry, done: (durable: boolean) => void): void {
-    this.storeEntries([entry], done);
-  }
-
   /** Takes reservations; calls back when they are on disk. */
-  storeEntries(entries: readonly AccountEntry[], done: (durable: boolean) => void): void {
+  storeEntries(
+    entries: readonly AccountEntry[],
+    done: (durable: boolean) => void,
+    urgency: WriteUrgency = 'urgent',
+  ): void {
     const storedAt = this.options.runtime.wallTime();
     const changes = entries.map((entry): StorageChange => {
       this.state.mergeEntry({ entry, storedAt });
       const merged = this.state.entryOf(entry.program, entry.turn) ?? entry;
       return { tag: 'entry', entry: { entry: merged, storedAt } };
     });
-    this.options.storage.write(changes, done);
+    this.options.storage.write(changes, done, urgency);
   }
 
   /** Takes turns; calls back when they are on disk. */
@@ -191,10 +190,7 @@
     return turns;
   }
 
-  private answerPull(
-    request: Extract<ReplicaRequest, { type: 'pull' }>,
-    send: ReplySender,
-  ): void {
+  private answerPull(request: Extract<ReplicaRequest, { type: 'pull' }>, send: ReplySender): void {
     const { directory, runtime } = this.options;
     const after = request.log === this.logName ? request.after : 0;
     this.pullers.set(request.from, { position: after, at: runtime.now() });
--- a/src/turns/tcp-replica-caller.ts
+++ b/src/turns/tcp-replica-caller.ts
@@ -5,7 +5,7 @@
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { Member } from './membership.js';
 import { decodeReplicaMessage, encodeReplicaMessage } from './messages.js';
-import type { MembersMessage, ReplicaMessage, ReplicaReply, ReplicaRequest } from './messages.js';
+import type { OneWayMessage, ReplicaMessage, ReplicaReply, ReplicaRequest } from './messages.js';
 import type { ReplicaCaller, ReplyListener, UnnumberedRequest } from './replica-caller.js';
 
 const CONNECT_MILLISECONDS = 500;
@@ -47,7 +47,7 @@
     this.write(socket, request);
   }
 
-  tell(message: MembersMessage): void {
+  tell(message: OneWayMessage): void {
     const socket = this.open();
     if (socket !== undefined) {
       this.write(socket, message);
@@ -98,6 +98,9 @@
       this.onMembers(message.record);
       return;
     }
+    if (message.type === 'settle') {
+      return;
+    }
     const pending = this.pending.get(message.call);
     if (pending !== undefined) {
       this.pending.delete(message.call);
@@ -152,7 +155,7 @@
     this.linkTo(member).call(numbered, timeoutMilliseconds, listener);
   }
 
-  tell(member: Member, message: MembersMessage): void {
+  tell(member: Member, message: OneWayMessage): void {
     this.linkTo(member).tell(message);
   }
 
@@ -167,6 +170,11 @@
     }
   }
 
+  /** Closes all connections. */
+  close(): void {
+    this.keepOnly([]);
+  }
+
   private linkTo(member: Member): ReplicaLink {
     let link = this.links.get(member.id);
     if (link === undefined) {
--- a/src/turns/turn-client.ts
+++ b/src/turns/turn-client.ts
@@ -49,8 +49,6 @@
 const EPOCH_RETRY_MILLISECONDS = 60;
 /** Time after which the next replica is asked for a chain as well, in milliseconds. */
 const HEDGE_MILLISECONDS = 40;
-/** Time for which a settlement is tried. */
-const SETTLE_MILLISECONDS = 2_000;
 
 /** A request for replicas of one epoch. */
 type EpochRequest = (epoch: number) => UnnumberedRequest;
@@ -67,20 +65,19 @@
     timeoutMilliseconds: number,
     done: (outcome: ReserveOutcome) => void,
   ): void {
-    this.tryReserve(request, this.options.runtime.now() + timeoutMilliseconds, SETTLING_READS, done);
+    this.tryReserve(
+      request,
+      this.options.runtime.now() + timeoutMilliseconds,
+      SETTLING_READS,
+      done,
+    );
   }
 
-  /** Settles a turn to the tokens that it handed out; tried in the background. */
+  /** Settles a turn to the tokens that it handed out; replicas tell those that miss it. */
   settle(program: string, turn: string, mostTokens: number, usedTokens: number): void {
     const entry = { program, turn, mostTokens, usedTokens };
-    const request: EpochRequest = (epoch) => ({ type: 'settle', epoch, entry });
-    const until = this.options.runtime.now() + SETTLE_MILLISECONDS;
-    this.write(request, until, (replies) => {
-      if (replies === undefined) {
-        const fields = { event: 'account.unsettled', program, request: turn, usedTokens };
-        this.options.runtime.log('warn', 'no majority took a settlement', fields);
-      }
-    });
+    const members = this.options.directory.current?.members ?? [];
+    members.forEach((member) => this.options.caller.tell(member, { type: 'settle', entry }));
   }
 
   /** Keeps a turn; true once a majority has it on disk. */
--- a/src/turns/turn-storage.ts
+++ b/src/turns/turn-storage.ts
@@ -38,8 +38,15 @@
   readonly turns: readonly StoredTurn[];
 }
 
+/** A lazy write may wait for the next urgent one, or for a moment. */
+export type WriteUrgency = 'urgent' | 'lazy';
+
 /** See the head of this file. */
 export interface TurnStorage {
   /** Makes changes durable, in the order of the calls; false when the disk refused. */
-  write(changes: readonly StorageChange[], done: (durable: boolean) => void): void;
+  write(
+    changes: readonly StorageChange[],
+    done: (durable: boolean) => void,
+    urgency?: WriteUrgency,
+  ): void;
 }
