Tell other gateways the load at each runner; keep connections of refused tries

Change: datagrams every 100 ms with the requests at each runner; a refused try no longer closes its connection.

--- /dev/null
+++ b/src/peers/load-gossip.ts
@@ -0,0 +1,153 @@
+/**
+ * Gateways tell one another several times a second how many of their requests are at each runner,
+ * so that each can weigh all load and not its own alone. Datagrams may be lost; what a silent peer
+ * told is forgotten soon. Peers are found through seeds and through one another.
+ */
+import { createSocket } from 'node:dgram';
+import type { Socket } from 'node:dgram';
+import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import { setRepeatingTimer } from '../runtime/runtime.js';
+import { decodeLoadMessage, encodeLoadMessage } from './load-message.js';
+import type { LoadMessage, RunnerLoad } from './load-message.js';
+
+/** What the gossip is made with. */
+export interface LoadGossipOptions {
+  readonly runtime: Runtime;
+  readonly host: string;
+  /** Port of all gateways. */
+  readonly port: number;
+  /** Hosts to begin with. */
+  readonly seeds: () => readonly string[];
+  /** Load of this gateway. */
+  readonly ownLoads: () => readonly RunnerLoad[];
+}
+
+const PERIOD_MILLISECONDS = 100;
+/** Time after which what a silent peer told is forgotten, in milliseconds. */
+const STALE_MILLISECONDS = 500;
+/** Time after which a silent peer is no longer sent to, in milliseconds. */
+const FORGET_MILLISECONDS = 10_000;
+/** Most peers told in a period. */
+const FAN_OUT = 16;
+/** Peers named in a message. */
+const NAMED_PEERS = 6;
+const LARGEST_LIFE = 2 ** 31;
+
+interface PeerLoad {
+  life: number;
+  sequence: number;
+  heardAt: number;
+  loads: readonly RunnerLoad[];
+}
+
+/** See the head of this file. */
+export class LoadGossip {
+  private readonly socket: Socket;
+  private readonly peers = new Map<string, PeerLoad>();
+  private readonly cancelTimer: CancelTimer;
+  private readonly life: number;
+  private sequence = 0;
+  /** Requests of all other gateways by runner. */
+  private totals = new Map<string, number>();
+
+  constructor(private readonly options: LoadGossipOptions) {
+    const { runtime, host, port } = options;
+    this.life = runtime.random.integer(0, LARGEST_LIFE);
+    this.socket = createSocket('udp4');
+    this.socket.on('error', () => undefined);
+    this.socket.on('message', (bytes, sender) => this.take(bytes, sender.address));
+    this.socket.bind(port, host);
+    this.cancelTimer = setRepeatingTimer(runtime, PERIOD_MILLISECONDS, () => this.tell());
+  }
+
+  /** Requests of other gateways that are believed to be at a runner. */
+  inFlightOfOthers(runner: string): number {
+    return this.totals.get(runner) ?? 0;
+  }
+
+  /** Gateways heard lately. */
+  get peerCount(): number {
+    return this.peers.size;
+  }
+
+  /** Ends. */
+  close(): void {
+    this.cancelTimer();
+    this.socket.close();
+  }
+
+  private tell(): void {
+    this.forgetSilent();
+    const { random } = this.options.runtime;
+    const known = [...this.peers.keys()];
+    const targets = new Set<string>();
+    while (targets.size < Math.min(FAN_OUT, known.length)) {
+      targets.add(random.pick(known));
+    }
+    this.addSeed(targets);
+    this.sequence += 1;
+    const message: LoadMessage = {
+      sequence: this.sequence,
+      life: this.life,
+      loads: this.options.ownLoads(),
+      peers: known.slice(-NAMED_PEERS),
+    };
+    const bytes = encodeLoadMessage(message);
+    for (const target of targets) {
+      this.socket.send(bytes, this.options.port, target, () => undefined);
+    }
+    this.sumUp();
+  }
+
+  /** Greets one seed that was not heard, so that parted groups find one another again. */
+  private addSeed(targets: Set<string>): void {
+    const { seeds, host, runtime } = this.options;
+    const silent = seeds().filter((seed) => seed !== host && !this.peers.has(seed));
+    if (silent.length > 0) {
+      targets.add(runtime.random.pick(silent));
+    }
+  }
+
+  private take(bytes: Uint8Array, from: string): void {
+    const message = decodeLoadMessage(bytes);
+    if (message === undefined || from === this.options.host) {
+      return;
+    }
+    const known = this.peers.get(from);
+    if (known?.life === message.life && message.sequence <= known.sequence) {
+      return;
+    }
+    const { life, sequence, loads } = message;
+    this.peers.set(from, { life, sequence, loads, heardAt: this.options.runtime.now() });
+    message.peers.forEach((peer) => this.learn(peer));
+  }
+
+  private learn(peer: string): void {
+    if (peer !== this.options.host && !this.peers.has(peer)) {
+      const heardAt = this.options.runtime.now();
+      this.peers.set(peer, { life: -1, sequence: 0, loads: [], heardAt });
+    }
+  }
+
+  private forgetSilent(): void {
+    const now = this.options.runtime.now();
+    for (const [peer, state] of this.peers) {
+      if (now - state.heardAt > FORGET_MILLISECONDS) {
+        this.peers.delete(peer);
+      }
+    }
+  }
+
+  private sumUp(): void {
+    const now = this.options.runtime.now();
+    const totals = new Map<string, number>();
+    for (const state of this.peers.values()) {
+      if (now - state.heardAt <= STALE_MILLISECONDS) {
+        for (const { runner, inFlight } of state.loads) {
+          totals.set(runner, (totals.get(runner) ?? 0) + inFlight);
+        }
+      }
+    }
+    this.totals = totals;
+  }
+}
--- /dev/null
+++ b/src/peers/load-message.ts
@@ -0,0 +1,43 @@
+/** What gateways tell one another of their load, in one datagram. */
+import * as r from 'restructure';
+import { count, decodeField, encodeField, listOf, record, shortText } from '../wire/fields.js';
+
+/** Requests of the sender that are at one runner. */
+export interface RunnerLoad {
+  readonly runner: string;
+  readonly inFlight: number;
+}
+
+/** One datagram. */
+export interface LoadMessage {
+  /** Rises with each message of one life of the sender. */
+  readonly sequence: number;
+  /** Names the life of the sender. */
+  readonly life: number;
+  /** Runners with requests of the sender; all others have none. */
+  readonly loads: readonly RunnerLoad[];
+  /** Hosts of some other gateways that the sender has heard lately. */
+  readonly peers: readonly string[];
+}
+
+const load = record({ runner: shortText, inFlight: r.uint16 });
+const message = record({
+  sequence: count,
+  life: count,
+  loads: listOf(load),
+  peers: listOf(shortText),
+});
+
+/** Encodes a datagram. */
+export function encodeLoadMessage(value: LoadMessage): Uint8Array {
+  return encodeField(message, value);
+}
+
+/** Decodes a datagram; undefined when it is none. */
+export function decodeLoadMessage(bytes: Uint8Array): LoadMessage | undefined {
+  try {
+    return decodeField(message, bytes) as LoadMessage;
+  } catch {
+    return undefined;
+  }
+}
--- a/src/relay/attempt.ts
+++ b/src/relay/attempt.ts
@@ -49,6 +49,8 @@
 export interface Attempt {
   /** Closes the connection; the listener hears nothing more. */
   cancel(): void;
+  /** The listener hears nothing more; the rest of the answer is read, so the connection stays. */
+  ignoreRest(): void;
   /** Whether a byte may have reached the runner. */
   wasSent(): boolean;
   /** Stops and resumes reading of the answer. */
@@ -114,6 +116,11 @@
     this.client.destroy();
   }
 
+  ignoreRest(): void {
+    this.over = true;
+    this.response?.resume();
+  }
+
   wasSent(): boolean {
     return this.sent;
   }
--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -278,7 +278,7 @@
     }
     const judgement = judgeAnswer(head, this.context.names);
     if (judgement === 'NotExecuted') {
-      current.attempt.cancel();
+      current.attempt.ignoreRest();
       this.takeNotExecuted(head.status);
       return;
     }
--- a/src/relay/runner-book.ts
+++ b/src/relay/runner-book.ts
@@ -1,5 +1,6 @@
 /** What this node believes of the runners: listed, leaving, reachable, busy, fast, and what they keep. */
 import type { Runtime } from '../runtime/runtime.js';
+import type { RunnerLoad } from '../peers/load-message.js';
 import { leadingCachedTokens } from './choose-runner.js';
 import type { RunnerView } from './choose-runner.js';
 import { PromptPlaces } from './prompt-places.js';
@@ -39,8 +40,18 @@
   private readonly records = new Map<string, RunnerRecord>();
   private readonly byService = new Map<string, Set<RunnerRecord>>();
 
+  /** Requests of other gateways at a runner. */
+  inFlightOfOthers: (runner: string) => number = () => 0;
+
   constructor(private readonly runtime: Runtime) {}
 
+  /** Requests of this gateway at each runner that has some. */
+  ownLoads(): RunnerLoad[] {
+    return [...this.records.values()].flatMap(({ runner, inFlight }) =>
+      inFlight > 0 ? [{ runner: runner.id, inFlight }] : [],
+    );
+  }
+
   /** Takes a whole list: runners that are not on it have left. */
   replaceAll(runners: readonly Runner[]): void {
     const listed = new Set(runners.map((runner) => runner.id));
@@ -109,7 +120,7 @@
     const trusted = listed.filter((record) => record.distrustedUntil <= now);
     const chosen =
       trusted.length > 0 ? trusted : listed.length > 0 ? listed : usable.filter(isGone);
-    return chosen.map((record) => viewOf(record, parts));
+    return chosen.map((record) => this.viewOf(record, parts));
   }
 
   /** Notes that a request is sent to a runner. */
@@ -139,6 +150,19 @@
     this.runtime.log('warn', 'runner distrusted', fields);
   }
 
+  private viewOf(record: RunnerRecord, parts: readonly PromptPart[]): RunnerCandidate {
+    const { id, zone, slots } = record.runner;
+    return {
+      record,
+      id,
+      zone,
+      slots,
+      inFlight: record.inFlight + this.inFlightOfOthers(id),
+      meanMilliseconds: record.meanMilliseconds,
+      cachedTokens: leadingCachedTokens(parts, (part) => record.places.has(part)),
+    };
+  }
+
   private trust(record: RunnerRecord): void {
     if (record.failures > 0) {
       record.failures = 0;
@@ -186,15 +210,3 @@
 function isGone(record: RunnerRecord): boolean {
   return record.goneAt !== undefined && record.runner.ready;
 }
-
-function viewOf(record: RunnerRecord, parts: readonly PromptPart[]): RunnerCandidate {
-  return {
-    record,
-    id: record.runner.id,
-    zone: record.runner.zone,
-    slots: record.runner.slots,
-    inFlight: record.inFlight,
-    meanMilliseconds: record.meanMilliseconds,
-    cachedTokens: leadingCachedTokens(parts, (part) => record.places.has(part)),
-  };
-}
