--- a/features/relay.feature
+++ b/features/relay.feature
@@ -43,6 +43,13 @@
       | fail         | 500    | 1    | no    |
       | unframed     | 200    | 1    | no    |
 
+  Scenario: A full runner is not asked again by a request that may go to one runner only
+    Given the first try of a request ends as "refuse"
+    When a client sends a "once" request
+    Then the client gets status 503
+    And the runners ran it 0 times
+    And the answer says when to come back: yes
+
   Scenario: An answer that comes after its own belongs to nobody
     Given the first try of a request ends as "extraAnswer"
     When a client sends a "single" request
--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -68,6 +68,7 @@
   routeOf('repeatable', 'repeatable', {}),
   routeOf('single', 'single', {}),
   routeOf('stream', 'stream', { resumable: true }),
+  routeOf('once', 'single', { maximumAttempts: 1 }),
   routeOf('kept', 'stream', { retained: true }),
 ];
 const LIMITS = {
--- a/src/commands/ivyloom.ts
+++ b/src/commands/ivyloom.ts
@@ -2,12 +2,15 @@
 /** The operators' client: sends statements to a node and shows what comes back. */
 import meow from 'meow';
 import { runClient } from './client.js';
+import { runExplainRequest, runLogs } from './log-commands.js';
 
 const cli = meow(
   `
   Usage
     $ ivyloom [--url URL] [--key KEY] [--json] [--watch SECONDS] STATEMENT
     $ ivyloom            reads statements from standard input, one a line
+    $ ivyloom explain request ID [--logs FILE …]
+    $ ivyloom logs [--request ID] [--program NAME] [--node NAME] [--event NAME] [--logs FILE …]
 
   Options
     --url URL        a node's HTTP address (default: $IVYLOOM_URL or http://127.0.0.1:7700)
@@ -15,6 +18,8 @@
     --json           answer as JSON instead of a table
     --watch SECONDS  run the statement again and again
     --limit-runs N   with --watch, end after so many runs
+    --logs FILE      logs of any number of nodes (default: standard input); may be repeated
+    --request ID, --program NAME, --node NAME, --event NAME   which lines of logs are wanted
 
   Statements
     show TABLE [count(*)|sum(C)|avg(C)|max(C)|p95(C) …] [where C = V and …]
@@ -37,7 +42,7 @@
 
   Exit codes
     0  done
-    1  refused, and nothing was changed (verdict NotRun)
+    1  refused, and nothing was changed (verdict NotRun); with logs: no line matches
     2  the statement or an option is wrong
     3  no node could be reached
     4  nobody can tell whether the command took effect (verdict MayHaveRun)
@@ -51,15 +56,43 @@
       json: { type: 'boolean', default: false },
       watch: { type: 'number' },
       limitRuns: { type: 'number' },
+      logs: { type: 'string', isMultiple: true },
+      request: { type: 'string' },
+      program: { type: 'string' },
+      node: { type: 'string' },
+      event: { type: 'string' },
     },
   },
 );
 
-const { url, key, json, watch, limitRuns } = cli.flags;
-process.exitCode = await runClient(cli.input.join(' '), {
-  url,
-  key,
-  json,
-  ...(watch === undefined ? {} : { watchSeconds: watch }),
-  ...(limitRuns === undefined ? {} : { limitRuns }),
-});
+/** Commands on logs; undefined when the words are a statement for a node. */
+function runLogCommand(): Promise<number> | undefined {
+  const [first, second, id] = cli.input;
+  const { logs, request, program, node, event } = cli.flags;
+  if (first === 'explain' && second === 'request' && id !== undefined) {
+    return runExplainRequest(id, logs ?? []);
+  }
+  if (first !== 'logs') {
+    return undefined;
+  }
+  const filter = {
+    ...(request === undefined ? {} : { request }),
+    ...(program === undefined ? {} : { program }),
+    ...(node === undefined ? {} : { node }),
+    ...(event === undefined ? {} : { event }),
+  };
+  return runLogs(filter, logs ?? []);
+}
+
+function runStatement(): Promise<number> {
+  const { url, key, json, watch, limitRuns } = cli.flags;
+  return runClient(cli.input.join(' '), {
+    url,
+    key,
+    json,
+    ...(watch === undefined ? {} : { watchSeconds: watch }),
+    ...(limitRuns === undefined ? {} : { limitRuns }),
+  });
+}
+
+process.exitCode = await (runLogCommand() ?? runStatement());
--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -53,6 +53,8 @@
 export class RelayCall {
   private readonly sentTo = new Set<string>();
   private readonly failedAt = new Set<string>();
+  /** Runners that refused the request: asking them again at once helps nobody. */
+  private readonly refusedBy = new Set<string>();
   private tries = 0;
   private mayHaveRun = false;
   private current: CurrentTry | undefined;
@@ -213,7 +215,7 @@
     if (service === undefined) {
       return undefined;
     }
-    const all = context.book.candidates(service, request.promptParts, new Set());
+    const all = context.book.candidates(service, request.promptParts, this.refusedBy);
     const allowed = all.filter((candidate) => maySendTo(this.history, candidate.id));
     const fresh = allowed.filter((candidate) => !this.failedAt.has(candidate.id));
     const need = {
@@ -304,7 +306,7 @@
     if (current !== undefined) {
       this.context.book.finish(current.record, undefined);
       this.sentTo.add(current.record.runner.id);
-      this.failedAt.add(current.record.runner.id);
+      this.refusedBy.add(current.record.runner.id);
       this.logTry('NotExecuted', `status ${status}`, current);
     }
     this.tryNext();
