--- /dev/null
+++ b/features/mirror.feature
@@ -0,0 +1,32 @@
+Feature: A copy of the store's keys
+  Scenario: Changes arrive, and an item never goes back to an older revision
+    Given a mirror of a store with keys "a b"
+    When "a" is changed, "b" is removed and an older "a" is offered
+    Then the mirror has the newest "a" and no "b"
+
+  Scenario: A watch that says nothing is overtaken by a read of the key that matters
+    Given a mirror of a store with keys "a b"
+    When the store's watches fall silent and "a" is changed
+    Then the mirror has the newest "a" within 2000 milliseconds
+
+  Scenario: A lost history leads to a new list
+    Given a mirror of a store with keys "a b"
+    When the store forgets its history while "b" is removed and "c" is added
+    Then the mirror has the keys "a c"
+
+  Scenario: A store that is out of reach changes nothing, and is followed again
+    Given a mirror of a store with keys "a b"
+    When the store is out of reach for 5000 milliseconds while "a" is changed
+    Then the mirror was told once that it is out of reach and once that it is back
+    And the mirror has the newest "a" within 2000 milliseconds
+
+  Scenario: A store that refuses is asked less and less often
+    Given a mirror of a store with keys "a b"
+    When the store refuses for 10000 milliseconds
+    Then it was asked at most 30 times meanwhile
+
+  Scenario: What peers tell counts only when it is newer
+    Given a mirror of a store with keys "a b"
+    When peers offer "a" at revision 1 and "z" at revision 9
+    Then the mirror has the keys "a b z"
+    And the mirror has the newest "a"
