--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -16,7 +16,6 @@
 import type { RelayContext } from './relay-context.js';
 import { mayRepeat } from './relay-request.js';
 import type { RelayRequest } from './relay-request.js';
-import { pickService } from './routing-table.js';
 import type { RunnerRecord } from './runner-book.js';
 import { CONNECT_MILLISECONDS } from './runner-connections.js';
 import { StreamAnswer } from './stream-answer.js';
@@ -56,6 +55,8 @@
   /** Runners that refused the request: asking them again at once helps nobody. */
   private readonly refusedBy = new Set<string>();
   private tries = 0;
+  /** The service that was chosen for the request. */
+  private service: string | undefined;
   private mayHaveRun = false;
   private current: CurrentTry | undefined;
   private cancelDeadline: CancelTimer = () => undefined;
@@ -211,11 +212,11 @@
   private chooseNext(): RunnerRecord | undefined {
     const { request, context } = this;
     const key = request.program?.program ?? request.affinityKey ?? request.id;
-    const service = pickService(request.route, key);
-    if (service === undefined) {
+    this.service ??= context.split.pick(request.route, key);
+    if (this.service === undefined) {
       return undefined;
     }
-    const all = context.book.candidates(service, request.promptParts, this.refusedBy);
+    const all = context.book.candidates(this.service, request.promptParts, this.refusedBy);
     const allowed = all.filter((candidate) => maySendTo(this.history, candidate.id));
     const fresh = allowed.filter((candidate) => !this.failedAt.has(candidate.id));
     const need = {
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -5,6 +5,7 @@
 import type { RelayMetrics } from './relay-metrics.js';
 import type { RunnerBook } from './runner-book.js';
 import type { RunnerConnections } from './runner-connections.js';
+import type { TrafficSplit } from './traffic-split.js';
 import type { RoutingTable } from './routing-table.js';
 
 /** See the head of this file. */
@@ -14,6 +15,7 @@
   readonly names: HeaderNames;
   readonly book: RunnerBook;
   readonly connections: RunnerConnections;
+  readonly split: TrafficSplit;
   readonly turns: TurnClient;
   readonly metrics: RelayMetrics;
   /** The newest configuration; undefined before the first. */
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -13,6 +13,7 @@
 import type { RoutingTable } from './routing-table.js';
 import { RunnerBook } from './runner-book.js';
 import { RunnerConnections } from './runner-connections.js';
+import { TrafficSplit } from './traffic-split.js';
 
 /** An address to listen on. */
 export interface ListenAddress {
@@ -58,6 +59,7 @@
       names,
       book: this.book,
       connections: new RunnerConnections(runtime),
+      split: new TrafficSplit(),
       turns,
       metrics: this.metrics,
       currentTable: () => this.table,
--- a/src/relay/routing-table.ts
+++ b/src/relay/routing-table.ts
@@ -1,6 +1,4 @@
 /** One version of the routed configuration: which request goes to which service, and within what. */
-import { hashToNumber } from '../runtime/hashing.js';
-
 /**
  * What may be done with a request again: `repeatable` requests may run more than once, `single`
  * ones at most once, and a `stream` at most once unless its route says that it may be resumed.
@@ -96,24 +94,3 @@
   const bare = question < 0 ? path : path.slice(0, question);
   return table.routesByHost.get(host)?.find((route) => bare.startsWith(route.pathPrefix));
 }
-
-const FRACTION_STEPS = 2 ** 32;
-
-/**
- * The service of a request on a route with several: drawn by the hash of a key in proportion to the
- * weights, so that all requests with one key go to one service, through whatever node.
- */
-export function pickService(route: Route, key: string): string | undefined {
-  if (route.services.length <= 1) {
-    return route.services[0]?.service;
-  }
-  const total = route.services.reduce((sum, part) => sum + part.weight, 0);
-  let point = (hashToNumber(`${route.name} ${key}`) / FRACTION_STEPS) * total;
-  for (const part of route.services) {
-    point -= part.weight;
-    if (point < 0) {
-      return part.service;
-    }
-  }
-  return route.services.findLast((part) => part.weight > 0)?.service;
-}
--- /dev/null
+++ b/src/relay/traffic-split.ts
@@ -0,0 +1,82 @@
+/**
+ * Shares the requests of a route among its services by weight. Requests with one key (a program's)
+ * stay with one service; a new key goes to the service that is furthest behind its share, so that the
+ * shares hold over tens of requests and not over thousands only.
+ */
+import type { Route } from './routing-table.js';
+
+/** Keys remembered for each route; the longest unused go first. */
+const MAXIMUM_KEYS = 20_000;
+/** Requests after which older ones count half, so that shares follow the present. */
+const HALVING_REQUESTS = 2_000;
+
+interface RouteShares {
+  /** Services and weights for which the counts hold. */
+  readonly signature: string;
+  readonly counts: Map<string, number>;
+  readonly serviceByKey: Map<string, string>;
+  total: number;
+}
+
+function signatureOf(route: Route): string {
+  return route.services.map(({ service, weight }) => `${service}=${weight}`).join(' ');
+}
+
+/** See the head of this file. */
+export class TrafficSplit {
+  private readonly shares = new Map<string, RouteShares>();
+
+  /** The service of a request; undefined when the route has none. */
+  pick(route: Route, key: string): string | undefined {
+    if (route.services.length <= 1) {
+      return route.services[0]?.service;
+    }
+    const shares = this.sharesOf(route);
+    const service = shares.serviceByKey.get(key) ?? furthestBehind(route, shares);
+    if (service === undefined) {
+      return undefined;
+    }
+    this.note(shares, key, service);
+    return service;
+  }
+
+  private sharesOf(route: Route): RouteShares {
+    const signature = signatureOf(route);
+    const known = this.shares.get(route.name);
+    if (known?.signature === signature) {
+      return known;
+    }
+    const fresh = { signature, counts: new Map(), serviceByKey: new Map(), total: 0 };
+    this.shares.set(route.name, fresh);
+    return fresh;
+  }
+
+  private note(shares: RouteShares, key: string, service: string): void {
+    shares.counts.set(service, (shares.counts.get(service) ?? 0) + 1);
+    shares.total += 1;
+    shares.serviceByKey.delete(key);
+    shares.serviceByKey.set(key, service);
+    if (shares.serviceByKey.size > MAXIMUM_KEYS) {
+      shares.serviceByKey.delete(shares.serviceByKey.keys().next().value!);
+    }
+    if (shares.total >= HALVING_REQUESTS) {
+      shares.total /= 2;
+      shares.counts.forEach((count, name) => shares.counts.set(name, count / 2));
+    }
+  }
+}
+
+function furthestBehind(route: Route, shares: RouteShares): string | undefined {
+  const totalWeight = route.services.reduce((sum, part) => sum + part.weight, 0);
+  let best: string | undefined;
+  let mostBehind = -Infinity;
+  for (const { service, weight } of route.services) {
+    const due = ((shares.total + 1) * weight) / totalWeight;
+    const behind = due - (shares.counts.get(service) ?? 0);
+    if (weight > 0 && behind > mostBehind) {
+      best = service;
+      mostBehind = behind;
+    }
+  }
+  return best;
+}
--- a/src/turns/replica-server.ts
+++ b/src/turns/replica-server.ts
@@ -70,9 +70,7 @@
         socket.destroy();
         return;
       }
-      socket.cork();
       socket.write(encodeFrame(encodeReplicaMessage(reply)));
-      process.nextTick(() => socket.uncork());
     });
   }
 }
--- a/src/turns/tcp-replica-caller.ts
+++ b/src/turns/tcp-replica-caller.ts
@@ -9,6 +9,8 @@
 import type { ReplicaCaller, ReplyListener, UnnumberedRequest } from './replica-caller.js';
 
 const CONNECT_MILLISECONDS = 500;
+/** Longest wait of a message to which nothing comes back, in milliseconds. */
+const LAZY_MILLISECONDS = 25;
 const RECONNECT_MILLISECONDS = 100;
 /** Bytes that may wait for one replica; beyond, calls to it fail at once. */
 const MAXIMUM_QUEUED_BYTES = 8 * 1024 * 1024;
@@ -25,6 +27,9 @@
   private socket: Socket | undefined;
   private retryAt = -Infinity;
   private heardAt = 0;
+  /** Frames to which nothing comes back; they go with the next call or after a moment. */
+  private lazyFrames: Buffer[] = [];
+  private lazyBytes = 0;
   private readonly pending = new Map<number, PendingCall>();
 
   constructor(
@@ -44,13 +49,18 @@
     }
     const cancelTimer = this.runtime.setTimer(timeoutMilliseconds, () => this.expire(request.call));
     this.pending.set(request.call, { listener, cancelTimer });
-    this.write(socket, request);
+    this.flush(encodeFrame(encodeReplicaMessage(request)));
   }
 
   tell(message: OneWayMessage): void {
-    const socket = this.open();
-    if (socket !== undefined) {
-      this.write(socket, message);
+    if (this.open() === undefined || this.lazyBytes > MAXIMUM_QUEUED_BYTES) {
+      return;
+    }
+    const frame = encodeFrame(encodeReplicaMessage(message));
+    this.lazyFrames.push(frame);
+    this.lazyBytes += frame.length;
+    if (this.lazyFrames.length === 1) {
+      this.runtime.setTimer(LAZY_MILLISECONDS, () => this.flush());
     }
   }
 
@@ -58,10 +68,14 @@
     this.socket?.destroy();
   }
 
-  private write(socket: Socket, message: ReplicaMessage): void {
-    socket.cork();
-    socket.write(encodeFrame(encodeReplicaMessage(message)));
-    process.nextTick(() => socket.uncork());
+  /** Sends what waited, and a frame behind it, in one write. */
+  private flush(frame?: Buffer): void {
+    const frames = frame === undefined ? this.lazyFrames : [...this.lazyFrames, frame];
+    this.lazyFrames = [];
+    this.lazyBytes = 0;
+    if (frames.length > 0) {
+      this.socket?.write(frames.length === 1 ? frames[0]! : Buffer.concat(frames));
+    }
   }
 
   private open(): Socket | undefined {
