Empty a busy machine in time

Cause: a machine left the members only when all others had read its log to the end, which no reader of a growing log ever stands at; afterwards it went on copying from the others, so its log grew on. Change: others must have read what the log held a moment ago; after leaving, what it held then.

--- a/features/steps/turns.steps.ts
+++ b/features/steps/turns.steps.ts
@@ -13,12 +13,17 @@
 import type { Account, Reservation } from '../../src/turns/account.js';
 import { decideMembership, REMOVAL_MILLISECONDS } from '../../src/turns/decide-membership.js';
 import type { MembershipAction } from '../../src/turns/decide-membership.js';
+import { SimulatedReplicas } from '../../src/simulation/simulated-replicas.js';
+import { VirtualClock } from '../../src/simulation/virtual-clock.js';
 import { SegmentTurnStorage } from '../../src/turns/segment-turn-storage.js';
 import { majorityOf, withMember } from '../../src/turns/membership.js';
 import type { Member, MemberRecord } from '../../src/turns/membership.js';
 import type { StoredState } from '../../src/turns/turn-storage.js';
 
 interface World {
+  clock?: VirtualClock;
+  replicas?: SimulatedReplicas;
+  keptTurns?: string[];
   histories?: TurnHistoryResult[];
   members?: string[];
   self?: string;
@@ -201,6 +206,49 @@
   },
 );
 
+Given(
+  '{int} replicas that take {int} writes a second',
+  function (this: World, count: number, writes: number) {
+    const clock = new VirtualClock();
+    const replicas = new SimulatedReplicas(clock, createRandom(1));
+    for (let index = 1; index <= count; index += 1) {
+      replicas.add(`m${index}`, `z${index}`);
+    }
+    clock.runUntil(clock.now + 6_000);
+    const { client } = replicas.client('g', 'z1', 'm2');
+    const kept: string[] = [];
+    let turns = 0;
+    const keepNext = (): void => {
+      turns += 1;
+      const id = `t${turns}`;
+      const bytes = Buffer.from(id);
+      const turn = { id, previous: '', input: bytes, output: bytes, retentionMilliseconds: 60_000 };
+      client.keep(turn, 700, (done) => done && kept.push(id));
+      clock.schedule(1_000 / writes, keepNext);
+    };
+    keepNext();
+    clock.runUntil(clock.now + 2_000);
+    Object.assign(this, { clock, replicas, keptTurns: kept });
+  },
+);
+
+When('machine {string} is to be emptied', function (this: World, name: string) {
+  this.replicas!.store.retiring.add(name);
+});
+
+Then(
+  'within {int} milliseconds it is told to be empty and the others hold every turn',
+  function (this: World, milliseconds: number) {
+    const { clock, replicas, keptTurns } = this;
+    const finished = (): boolean => replicas!.store.finished.has('m1');
+    assert.ok(clock!.runUntil(clock!.now + milliseconds, finished), 'it is not empty');
+    const lacking = keptTurns!.filter(
+      (turn) => replicas!.holdersOf(turn).filter((name) => name !== 'm1').length < 2,
+    );
+    assert.deepEqual(lacking, []);
+  },
+);
+
 Given(
   "a replica's disk with a turn, a settled reservation and its members",
   async function (this: World) {
--- a/features/turns.feature
+++ b/features/turns.feature
@@ -50,6 +50,11 @@
       | a b c d | a    | complete   |        | b c d | a        | Remove a  |
       | a b c   | a    | complete   | c      | b c   | a        | Wait      |
 
+  Scenario: A busy machine is emptied in time
+    Given 4 replicas that take 200 writes a second
+    When machine "m1" is to be emptied
+    Then within 3000 milliseconds it is told to be empty and the others hold every turn
+
   Scenario: A disk holds what was acknowledged
     Given a replica's disk with a turn, a settled reservation and its members
     When the disk is opened again
--- a/src/turns/membership-keeper.ts
+++ b/src/turns/membership-keeper.ts
@@ -48,11 +48,16 @@
 
 const STEP_MILLISECONDS = 250;
 const LEVEL_MILLISECONDS = 1_500;
+/** Samples of the log's end that are kept. */
+const LOG_END_SAMPLES = 12;
 
 /** See the head of this file. */
 export class MembershipKeeper {
   private readonly cancelTimer: CancelTimer;
   private busy = false;
+  /** End of the log when this replica was no longer a member; undefined while it is one. */
+  private leftAtLogEnd: number | undefined;
+  private readonly logEnds: { readonly at: number; readonly end: number }[] = [];
   private reported: 'nothing' | 'running' | 'finished' = 'nothing';
 
   constructor(private readonly options: MembershipKeeperOptions) {
@@ -62,6 +67,7 @@
   /** Takes one decision and carries it out. */
   step(): void {
     const { store, directory } = this.options;
+    this.noteLogEnd();
     const stored = store.readRecord();
     if (this.busy || stored.tag === 'Unknown') {
       return;
@@ -88,18 +94,32 @@
       record,
       ready: replica.ready,
       isLevelWith: (member) => sync.isLevelWith(member, LEVEL_MILLISECONDS),
-      hasRead: (member) => this.hasRead(member),
+      hasRead: (member) => this.hasRead(member, this.logEndBefore()),
       silentMilliseconds: (member) => runtime.now() - sync.silentSince(member),
       retiringNodes: store.retiringNodes(),
     };
   }
 
-  private hasRead(member: string): boolean {
+  /** End of the log a little while ago: those that read it always stand behind its end now. */
+  private logEndBefore(): number {
+    const since = this.options.runtime.now() - LEVEL_MILLISECONDS;
+    return this.logEnds.findLast((sample) => sample.at <= since)?.end ?? Infinity;
+  }
+
+  private noteLogEnd(): void {
+    const { runtime, replica } = this.options;
+    this.logEnds.push({ at: runtime.now(), end: replica.state.logEnd });
+    if (this.logEnds.length > LOG_END_SAMPLES) {
+      this.logEnds.shift();
+    }
+  }
+
+  private hasRead(member: string, logEnd: number): boolean {
     const { replica, runtime } = this.options;
     const progress = replica.pullers.get(member);
     return (
       progress !== undefined &&
-      progress.position >= replica.state.logEnd &&
+      progress.position >= logEnd &&
       progress.at >= runtime.now() - LEVEL_MILLISECONDS
     );
   }
@@ -161,8 +181,14 @@
     if (record === undefined || !store.retiringNodes().has(own.node)) {
       return;
     }
-    const handedOver =
-      !hasMember(record, own.id) && record.members.every((member) => this.hasRead(member.id));
+    if (hasMember(record, own.id)) {
+      this.leftAtLogEnd = undefined;
+    } else {
+      // Nothing that comes later was acknowledged here: others pull it from one another.
+      this.leftAtLogEnd ??= this.options.replica.state.logEnd;
+    }
+    const logEnd = this.leftAtLogEnd ?? Infinity;
+    const handedOver = record.members.every((member) => this.hasRead(member.id, logEnd));
     const wanted = handedOver ? 'finished' : 'running';
     if (this.reported === wanted || this.reported === 'finished') {
       return;
