Keep new programs out of full runners, late programs behind those in time

Change: a program that is not under way is refused, with a time to come back, when the runners hold more requests than an adaptive limit; turns of late programs lower the limit, others raise it. Late programs rank behind those in time at the runner.

--- a/src/relay/default-header-names.ts
+++ b/src/relay/default-header-names.ts
@@ -15,6 +15,7 @@
   notExecuted: 'ivyloom-not-executed',
   program: 'ivyloom-program',
   session: 'ivyloom-session',
+  programDeadline: 'ivyloom-program-deadline-milliseconds',
   tokenBudget: 'ivyloom-token-budget',
   previousTurn: 'ivyloom-previous-turn',
   reserved: new Set(['ivyloom-runner', 'ivyloom-signature', 'ivyloom-not-executed']),
--- a/src/relay/forwarded-headers.ts
+++ b/src/relay/forwarded-headers.ts
@@ -47,6 +47,8 @@
 export interface RunnerInstructions {
   readonly runnerId: string;
   readonly remainingMilliseconds: number;
+  /** Rank at the runner, 0 to 9. */
+  readonly urgency: number;
   readonly lastEventId: string | undefined;
   readonly bodyBytes: number;
 }
@@ -64,7 +66,7 @@
   );
   headers.push(names.timeout, String(Math.max(1, Math.floor(instructions.remainingMilliseconds))));
   headers.push(names.expectedRunner, instructions.runnerId);
-  headers.push(names.priority, String(Math.min(9, Math.max(0, request.route.priority))));
+  headers.push(names.priority, String(instructions.urgency));
   if (instructions.lastEventId !== undefined) {
     headers.push(names.lastEventId, instructions.lastEventId);
   }
--- a/src/relay/header-names.ts
+++ b/src/relay/header-names.ts
@@ -24,6 +24,8 @@
   readonly notExecuted: string;
   readonly program: string;
   readonly session: string;
+  /** Milliseconds until the program should be over. */
+  readonly programDeadline: string;
   readonly tokenBudget: string;
   readonly previousTurn: string;
   /** Headers of clients that are never passed on, since only the relay may set them. */
--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -13,12 +13,14 @@
 import { headersToRunner } from './forwarded-headers.js';
 import { FIRST_SERVER_ERROR, judgeAnswer } from './judge-answer.js';
 import { PlainAnswer } from './plain-answer.js';
+import type { ServiceLoad } from './program-admission.js';
 import type { RelayContext } from './relay-context.js';
 import { mayRepeat } from './relay-request.js';
 import type { RelayRequest } from './relay-request.js';
 import type { RunnerRecord } from './runner-book.js';
 import { CONNECT_MILLISECONDS } from './runner-connections.js';
 import { StreamAnswer } from './stream-answer.js';
+import { isLate, urgencyOf } from './urgency.js';
 
 /** Time beyond the route's own at which the relay stops waiting, so that runners end first. */
 const END_SLACK_MILLISECONDS = 30;
@@ -26,6 +28,8 @@
 const SILENCE_MILLISECONDS = 300;
 /** Pause told to clients when no runner had room. */
 const FULL_RETRY_SECONDS = 0.1;
+/** Pause told to clients whose program may not begin yet. */
+const OVERLOAD_RETRY_SECONDS = 0.15;
 /** Pause told to clients when what the request needs is out of reach. */
 const UNAVAILABLE_RETRY_SECONDS = 0.2;
 /** Longest time for a reservation or a chain, in milliseconds. */
@@ -88,7 +92,13 @@
     const left = this.endAt - runtime.now() + END_SLACK_MILLISECONDS;
     this.cancelDeadline = runtime.setTimer(Math.max(0, left), () => this.timeOut());
     this.answer.onLeft(() => this.leave());
-    this.readChain();
+    if (this.isAdmitted()) {
+      this.readChain();
+    } else {
+      const detail = 'all places are taken, and programs under way go first';
+      const retryAfterSeconds = OVERLOAD_RETRY_SECONDS;
+      this.refuse({ status: 503, detail, verdict: 'NotRun', retryAfterSeconds });
+    }
   }
 
   /** Milliseconds until the request's time is over. */
@@ -144,6 +154,18 @@
     });
   }
 
+  /** Programs under way go before new ones when the runners are full. */
+  private isAdmitted(): boolean {
+    const { route, program } = this.request;
+    if (route.kind !== 'stream' || program === undefined) {
+      return true;
+    }
+    this.service = this.context.split.pick(route, program.program);
+    const load = (): ServiceLoad => this.context.book.loadOf(this.service ?? '');
+    const late = isLate(this.request, this.context.runtime.now());
+    return this.context.admission.admit(program.program, late, load, route.priority);
+  }
+
   private readChain(): void {
     const { previousTurn, route } = this.request;
     if (!route.retained || previousTurn === undefined) {
@@ -249,6 +271,7 @@
     const headers = headersToRunner(request, context.names, {
       runnerId: runner.id,
       remainingMilliseconds: this.remainingMilliseconds,
+      urgency: urgencyOf(request, now),
       lastEventId: this.stream?.lastEventId ?? request.lastEventId,
       bodyBytes: this.body.length,
     });
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -2,6 +2,7 @@
 import type { Runtime } from '../runtime/runtime.js';
 import type { TurnClient } from '../turns/turn-client.js';
 import type { HeaderNames } from './header-names.js';
+import type { ProgramAdmission } from './program-admission.js';
 import type { RelayMetrics } from './relay-metrics.js';
 import type { RunnerBook } from './runner-book.js';
 import type { RunnerConnections } from './runner-connections.js';
@@ -15,6 +16,7 @@
   readonly names: HeaderNames;
   readonly book: RunnerBook;
   readonly connections: RunnerConnections;
+  readonly admission: ProgramAdmission;
   readonly split: TrafficSplit;
   readonly turns: TurnClient;
   readonly metrics: RelayMetrics;
--- a/src/relay/relay-front.ts
+++ b/src/relay/relay-front.ts
@@ -226,6 +226,7 @@
   ): RelayRequest {
     const { names } = this.context;
     const header = (name: string): string | undefined => single(request.headers[name]);
+    const programLeft = Number(header(names.programDeadline) ?? NaN);
     const usage = parseTokenUsage(header(names.tokenUsage));
     return {
       id,
@@ -238,6 +239,7 @@
       route,
       configurationVersion: table.version,
       program: this.programOf(header),
+      programDeadlineAt: Number.isFinite(programLeft) ? arrivedAt + programLeft : undefined,
       previousTurn: header(names.previousTurn),
       lastEventId: header(names.lastEventId),
       promptParts: parsePromptParts(header(names.promptParts)),
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -7,6 +7,7 @@
 import type { Runtime } from '../runtime/runtime.js';
 import type { TurnClient } from '../turns/turn-client.js';
 import type { HeaderNames } from './header-names.js';
+import { ProgramAdmission } from './program-admission.js';
 import type { RelayContext } from './relay-context.js';
 import { RelayFront } from './relay-front.js';
 import { RelayMetrics } from './relay-metrics.js';
@@ -59,6 +60,7 @@
       names,
       book: this.book,
       connections: new RunnerConnections(runtime),
+      admission: new ProgramAdmission(),
       split: new TrafficSplit(),
       turns,
       metrics: this.metrics,
--- a/src/relay/relay-request.ts
+++ b/src/relay/relay-request.ts
@@ -32,6 +32,8 @@
   readonly route: Route;
   readonly configurationVersion: number;
   readonly program: ProgramReference | undefined;
+  /** Local time at which the program should be over, in milliseconds. */
+  readonly programDeadlineAt: number | undefined;
   /** Turn this one goes on from. */
   readonly previousTurn: string | undefined;
   /** Identifier of the last event the client already has. */
--- a/src/relay/runner-book.ts
+++ b/src/relay/runner-book.ts
@@ -3,6 +3,7 @@
 import type { RunnerLoad } from '../peers/load-message.js';
 import { leadingCachedTokens } from './choose-runner.js';
 import type { RunnerView } from './choose-runner.js';
+import type { ServiceLoad } from './program-admission.js';
 import { PromptPlaces } from './prompt-places.js';
 import type { PromptPart } from './relay-request.js';
 import type { Runner } from './runner.js';
@@ -123,6 +124,19 @@
     return chosen.map((record) => this.viewOf(record, parts));
   }
 
+  /** Requests and places of all runners of a service that take new requests. */
+  loadOf(service: string): ServiceLoad {
+    let inFlight = 0;
+    let slots = 0;
+    for (const { runner, goneAt, inFlight: own } of this.byService.get(service) ?? []) {
+      if (runner.ready && goneAt === undefined) {
+        inFlight += own + this.inFlightOfOthers(runner.id);
+        slots += runner.slots;
+      }
+    }
+    return { inFlight, slots };
+  }
+
   /** Notes that a request is sent to a runner. */
   begin(record: RunnerRecord, parts: readonly PromptPart[]): void {
     record.inFlight += 1;
--- /dev/null
+++ b/src/relay/urgency.ts
@@ -0,0 +1,21 @@
+/** How urgent a request is at its runner: the rank of its route, and whether its program can still be in time. */
+import type { RelayRequest } from './relay-request.js';
+
+/** Least urgent rank. */
+export const LEAST_URGENT = 9;
+/** Ranks between neighbouring priorities of routes, so that a late program falls behind the next. */
+const RANKS_PER_PRIORITY = 2;
+/** Ranks that a program falls behind once it is late. */
+const LATE_RANKS = 3;
+
+/** Whether the time by which a request's program should be over has passed. */
+export function isLate(request: RelayRequest, now: number): boolean {
+  return request.programDeadlineAt !== undefined && request.programDeadlineAt <= now;
+}
+
+/** Rank from 0, the most urgent, to 9. */
+export function urgencyOf(request: RelayRequest, now: number): number {
+  const rank = request.route.priority * RANKS_PER_PRIORITY;
+  const late = isLate(request, now) ? LATE_RANKS : 0;
+  return Math.min(LEAST_URGENT, Math.max(0, rank + late));
+}
