--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,10 +34,41 @@
       'src/commands/**',
       'src/platform/http-*.ts',
       'src/emulator/relay-runner.ts',
+      'platform/stand-in/**',
+      'soak/**',
       'features/**',
     ],
     rules: { 'no-restricted-properties': 'off', 'no-restricted-globals': 'off' },
   },
+  {
+    // The product knows nothing of the platform; the platform's folder imports the product.
+    files: ['src/**'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            {
+              group: [
+                '**/platform/main*',
+                '**/../platform/stand-in/**',
+                '../../platform/**',
+                '**/soak/**',
+              ],
+            },
+          ],
+        },
+      ],
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector:
+            'Literal[value=/^(request-id|response-stamp|expect-instance|not-executed|previous-turn|token-budget|prompt-prefix|program-deadline-ms)$|kv-txn|kv-watch|kv-range|PathPrefix/i]',
+          message: "The platform's words stand in platform/ only.",
+        },
+      ],
+    },
+  },
   {
     files: ['features/**'],
     rules: { 'max-lines-per-function': 'off', '@typescript-eslint/no-invalid-void-type': 'off' },
--- /dev/null
+++ b/soak/platform-process.ts
@@ -0,0 +1,122 @@
+/** One process of the platform's program, started and struck by the soak. */
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { createWriteStream, mkdirSync, rmSync, writeFileSync } from 'node:fs';
+import { join, resolve } from 'node:path';
+
+/** The role of a process. */
+export type PlatformRole = 'gateway' | 'replica';
+
+/** Where one machine of the soak is. */
+export interface SoakMachine {
+  readonly name: string;
+  readonly role: PlatformRole;
+  readonly host: string;
+  readonly zone: string;
+  /** `host:port` at which it finds the store. */
+  readonly storeAddress: string;
+  readonly seeds: readonly string[];
+}
+
+/** Ports, alike on all machines. */
+export const SOAK_PORTS = {
+  front: 18149,
+  ready: 18141,
+  control: 18144,
+  peer: 17380,
+  metrics: 17395,
+};
+
+const PROGRAM = resolve('target/main.mjs');
+const HEAP_MEGABYTES = 160;
+
+function settingsOf(machine: SoakMachine, folder: string): Record<string, unknown> {
+  const { name, host, zone, role, seeds, storeAddress } = machine;
+  const listen =
+    role === 'gateway'
+      ? {
+          Front: `${host}:${SOAK_PORTS.front}`,
+          Ready: `${host}:${SOAK_PORTS.ready}`,
+          Control: `${host}:${SOAK_PORTS.control}`,
+        }
+      : {};
+  return {
+    NodeName: name,
+    Ip: host,
+    Zone: zone,
+    Listen: listen,
+    InternalPorts: [SOAK_PORTS.peer, SOAK_PORTS.metrics],
+    Seeds: seeds,
+    DataDir: role === 'replica' ? join(folder, 'data') : null,
+    Bounds: { GraceS: 8 },
+    Platform: { Address: storeAddress },
+  };
+}
+
+/** See the head of this file. */
+export class PlatformProcess {
+  private child: ChildProcess | undefined;
+  /** True from a signal of the soak that ends the process until it is started again. */
+  private endExpected = false;
+  /** Exits that nobody asked for. */
+  readonly ownExits: string[] = [];
+
+  constructor(
+    readonly machine: SoakMachine,
+    private readonly folder: string,
+  ) {
+    mkdirSync(folder, { recursive: true });
+  }
+
+  /** Whether the process lives. */
+  get isRunning(): boolean {
+    return this.child !== undefined;
+  }
+
+  /** Starts the process. */
+  start(): void {
+    const file = join(this.folder, 'node.json');
+    writeFileSync(file, JSON.stringify(settingsOf(this.machine, this.folder)));
+    const log = createWriteStream(join(this.folder, 'log'), { flags: 'a' });
+    const words = [`--max-old-space-size=${HEAP_MEGABYTES}`, PROGRAM, this.machine.role];
+    const environment = { ...process.env, IVYLOOM_NODE_FILE: file };
+    const child = spawn(process.execPath, words, { env: environment });
+    child.stdout.pipe(log);
+    child.stderr.pipe(log);
+    this.child = child;
+    this.endExpected = false;
+    child.on('exit', (code, signal) => {
+      if (this.child === child) {
+        this.child = undefined;
+      }
+      if (!this.endExpected) {
+        this.ownExits.push(`${this.machine.name} ended with ${code ?? signal ?? 'nothing'}`);
+      }
+    });
+  }
+
+  /** Sends a signal; SIGKILL and SIGTERM are expected to end the process. */
+  signal(name: NodeJS.Signals): void {
+    if (name === 'SIGKILL' || name === 'SIGTERM') {
+      this.endExpected = true;
+    }
+    this.child?.kill(name);
+  }
+
+  /** Resolves when the process has ended. */
+  ended(): Promise<void> {
+    const { child } = this;
+    return new Promise((done) => {
+      if (child === undefined) {
+        done();
+      } else {
+        child.once('exit', () => done());
+      }
+    });
+  }
+
+  /** Empties the disk of an ended process. */
+  wipe(): void {
+    rmSync(join(this.folder, 'data'), { recursive: true, force: true });
+  }
+}
--- /dev/null
+++ b/soak/run-soak.ts
@@ -0,0 +1,358 @@
+/**
+ * The fault soak: real processes of the platform's program on one machine, faults from outside, and
+ * the promises checked from what clients and runners see.
+ */
+import { mkdirSync, mkdtempSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { PLATFORM_HEADER_NAMES } from '../platform/header-names.js';
+import { StandInStore } from '../platform/stand-in/store-server.js';
+import type { StoreMode } from '../platform/stand-in/store-server.js';
+import { CONFIGURATION_KEY, RUNNER_PREFIX } from '../platform/store-keys.js';
+import { RelayRunner } from '../src/emulator/relay-runner.js';
+import type { RunnerBehaviour } from '../src/emulator/relay-runner.js';
+import { createRandom } from '../src/runtime/random.js';
+import type { RandomSource } from '../src/runtime/random.js';
+import { FaultProxy } from './fault-proxy.js';
+import type { ProxyMode } from './fault-proxy.js';
+import { PlatformProcess, SOAK_PORTS } from './platform-process.js';
+import type { PlatformRole } from './platform-process.js';
+import { SOAK_EVENTS, SOAK_HOST, SOAK_TOKENS_PER_EVENT, SoakClient } from './soak-client.js';
+import type { SoakCounts } from './soak-client.js';
+
+/** What a soak is run with. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly minutes: number;
+  /** Clients at work at the same time. @default 8 */
+  readonly clientCount?: number;
+}
+
+/** What a soak showed. */
+export interface SoakReport {
+  readonly seed: number;
+  readonly counts: SoakCounts;
+  readonly faults: Readonly<Record<string, number>>;
+  readonly violations: readonly string[];
+  /** Where the logs of the processes are. */
+  readonly folder: string;
+}
+
+/** Kinds of faults. */
+const FAULTS = [
+  'killGateway',
+  'killReplica',
+  'wipeReplica',
+  'pauseGateway',
+  'pauseReplica',
+  'stopGateway',
+  'killAll',
+  'storeRefuses',
+  'storeSilent',
+  'storeLosesAnswers',
+  'storeForgets',
+  'storePath',
+  'runnerPath',
+  'runnerCrash',
+  'runnerMisbehaves',
+  'configurationChange',
+] as const;
+type Fault = (typeof FAULTS)[number];
+
+const GATEWAYS = 3;
+const REPLICAS = 3;
+const RUNNERS = 4;
+const STORE_HOST = '127.0.4.1';
+const STORE_PORT = 18142;
+const RUNNER_PORT = 18080;
+const SERVICE = 'workers';
+const START_MILLISECONDS = 5_000;
+const SETTLE_MILLISECONDS = 4_500;
+const RECOVERY_MILLISECONDS = 15_000;
+const MISBEHAVIOURS: readonly RunnerBehaviour[] = [
+  'refuse',
+  'loseAnswer',
+  'wrongId',
+  'unsigned',
+  'extraAnswer',
+  'cutOff',
+  'falsePromise',
+  'fail',
+  'unframed',
+];
+
+function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+function route(name: string, kind: string, more: Record<string, unknown>): Record<string, unknown> {
+  return {
+    Name: name,
+    Host: SOAK_HOST,
+    PathPrefix: `/${name}/`,
+    Kind: kind,
+    TimeoutMs: 3_000,
+    TargetLatencyMs: 200,
+    Priority: 1,
+    Service: SERVICE,
+    MaxAttempts: 2,
+    ...more,
+  };
+}
+
+/** See the head of this file. */
+class Soak {
+  private readonly random: RandomSource;
+  private readonly folder = mkdtempSync(join(tmpdir(), 'ivyloom-soak-'));
+  private readonly store = new StandInStore();
+  private readonly storeProxies = new Map<string, FaultProxy>();
+  private readonly runnerProxies: FaultProxy[] = [];
+  private readonly runners: RelayRunner[] = [];
+  private readonly liveRunners: RelayRunner[] = [];
+  private readonly processes: PlatformProcess[] = [];
+  private readonly violations: string[] = [];
+  private readonly faults: Record<string, number> = {};
+  private readonly counts: SoakCounts = {
+    sent: 0,
+    answered: 0,
+    refused: 0,
+    failed: 0,
+    kept: 0,
+    budgetRefused: 0,
+  };
+  private version = 1;
+
+  constructor(private readonly options: SoakOptions) {
+    this.random = createRandom(options.seed, 'soak');
+  }
+
+  async run(): Promise<SoakReport> {
+    await this.startAll();
+    let over = false;
+    const clients = Array.from({ length: this.options.clientCount ?? 8 }, (_, index) =>
+      this.client(`c${index}`),
+    );
+    const work = clients.map((client) => client.run(() => over));
+    const until = performance.now() + this.options.minutes * 60_000;
+    while (performance.now() < until) {
+      const fault = this.random.pick(FAULTS);
+      this.faults[fault] = (this.faults[fault] ?? 0) + 1;
+      await this.strike(fault);
+      await sleep(SETTLE_MILLISECONDS);
+    }
+    over = true;
+    await Promise.all(work);
+    await this.checkRecovery();
+    await this.stopAll();
+    const { seed } = this.options;
+    const { counts, faults, violations, folder } = this;
+    return { seed, counts, faults, violations, folder };
+  }
+
+  private client(name: string): SoakClient {
+    const gatewayHosts = this.of('gateway').map((process) => process.machine.host);
+    const violate = (promise: string, detail: string): void => {
+      this.violations.push(`${promise}: ${detail}`);
+    };
+    const { random, runners, counts } = this;
+    return new SoakClient(name, { random, gatewayHosts, runners, counts, violate });
+  }
+
+  private of(role: PlatformRole): PlatformProcess[] {
+    return this.processes.filter((process) => process.machine.role === role);
+  }
+
+  private async startAll(): Promise<void> {
+    await this.store.listen(STORE_HOST, STORE_PORT);
+    for (let index = 0; index < RUNNERS; index += 1) {
+      await this.startRunner(index);
+    }
+    this.changeConfiguration();
+    const seeds = [`127.0.2.1:${SOAK_PORTS.control}`, `127.0.2.2:${SOAK_PORTS.control}`];
+    for (let index = 1; index <= GATEWAYS + REPLICAS; index += 1) {
+      const role: PlatformRole = index <= GATEWAYS ? 'gateway' : 'replica';
+      const number = role === 'gateway' ? index : index - GATEWAYS;
+      const name = `${role}-${number}`;
+      const proxy = new FaultProxy(STORE_HOST, STORE_PORT);
+      const proxyHost = `127.0.5.${index}`;
+      await proxy.listen(proxyHost, STORE_PORT);
+      this.storeProxies.set(name, proxy);
+      const host = role === 'gateway' ? `127.0.2.${number}` : `127.0.3.${number}`;
+      const storeAddress = `${proxyHost}:${STORE_PORT}`;
+      const machine = { name, role, host, zone: `z${number}`, storeAddress, seeds };
+      const folder = join(this.folder, name);
+      mkdirSync(folder);
+      const process = new PlatformProcess(machine, folder);
+      this.processes.push(process);
+      process.start();
+    }
+    await sleep(START_MILLISECONDS);
+  }
+
+  private async startRunner(index: number): Promise<void> {
+    const id = `runner-${index}-${this.runners.length}`;
+    const names = PLATFORM_HEADER_NAMES;
+    const runner = new RelayRunner({ id, names, eventCount: SOAK_EVENTS, pauseMilliseconds: 8 });
+    await runner.listen(RUNNER_PORT, `127.0.6.${index + 1}`);
+    this.runners.push(runner);
+    this.liveRunners[index] = runner;
+    const proxyHost = `127.0.7.${index + 1}`;
+    if (this.runnerProxies[index] === undefined) {
+      const proxy = new FaultProxy(`127.0.6.${index + 1}`, RUNNER_PORT);
+      await proxy.listen(proxyHost, RUNNER_PORT);
+      this.runnerProxies[index] = proxy;
+    }
+    this.store.put(RUNNER_PREFIX + id, {
+      Service: SERVICE,
+      Address: `${proxyHost}:${RUNNER_PORT}`,
+      Zone: `z${(index % GATEWAYS) + 1}`,
+      Slots: 8,
+      State: 'ready',
+    });
+  }
+
+  private changeConfiguration(): void {
+    this.version += this.random.integer(1, 4);
+    this.store.put(CONFIGURATION_KEY, {
+      Version: this.version,
+      Routes: [
+        route('single', 'non_idempotent', {}),
+        route('repeatable', 'idempotent', { TimeoutMs: 2_000 + this.version }),
+        route('kept', 'streaming', { Retain: true, RetentionS: 600 }),
+      ],
+      Services: [{ Name: SERVICE, MaxConnections: 60, Engine: { Stride: SOAK_TOKENS_PER_EVENT } }],
+      Limits: {
+        MaxHeaderBytes: 16_384,
+        MaxBodyBytes: 4_194_304,
+        HeaderTimeoutMs: 3_000,
+        IdleTimeoutMs: 15_000,
+      },
+    });
+  }
+
+  private async strike(fault: Fault): Promise<void> {
+    const pause = this.random.integer(300, 3_000);
+    const gateway = this.random.pick(this.of('gateway'));
+    const replica = this.random.pick(this.of('replica'));
+    switch (fault) {
+      case 'killGateway':
+        return this.kill([gateway], pause, []);
+      case 'killReplica':
+        return this.kill([replica], pause, []);
+      case 'wipeReplica':
+        return this.kill([replica], pause, [replica]);
+      case 'killAll':
+        return this.kill(this.processes, pause, []);
+      case 'pauseGateway':
+      case 'pauseReplica': {
+        const paused = fault === 'pauseGateway' ? gateway : replica;
+        paused.signal('SIGSTOP');
+        await sleep(pause);
+        paused.signal('SIGCONT');
+        return;
+      }
+      case 'stopGateway':
+        gateway.signal('SIGTERM');
+        await gateway.ended();
+        gateway.start();
+        return;
+      case 'storeRefuses':
+        return this.troubleStore('refusing', pause);
+      case 'storeSilent':
+        return this.troubleStore('silent', pause);
+      case 'storeLosesAnswers':
+        return this.troubleStore('losingAnswers', pause);
+      case 'storeForgets':
+        this.changeConfiguration();
+        this.store.forget();
+        return;
+      case 'storePath':
+        return this.troublePath(this.storeProxies.get(gateway.machine.name)!, pause);
+      case 'runnerPath':
+        return this.troublePath(this.random.pick(this.runnerProxies), pause);
+      case 'runnerCrash':
+        return this.crashRunner(pause);
+      case 'runnerMisbehaves':
+        this.liveRunners.forEach((runner) =>
+          runner.behaviours.push(this.random.pick(MISBEHAVIOURS), this.random.pick(MISBEHAVIOURS)),
+        );
+        return;
+      case 'configurationChange':
+        this.changeConfiguration();
+    }
+  }
+
+  private async kill(
+    victims: readonly PlatformProcess[],
+    pause: number,
+    wiped: readonly PlatformProcess[],
+  ): Promise<void> {
+    const ended = victims.map((victim) => victim.ended());
+    victims.forEach((victim) => victim.signal('SIGKILL'));
+    await Promise.all(ended);
+    wiped.forEach((victim) => victim.wipe());
+    await sleep(pause);
+    victims.forEach((victim) => victim.start());
+  }
+
+  private async troubleStore(mode: StoreMode, pause: number): Promise<void> {
+    this.store.mode = mode;
+    this.changeConfiguration();
+    await sleep(pause);
+    this.store.mode = 'well';
+  }
+
+  private async troublePath(proxy: FaultProxy, pause: number): Promise<void> {
+    const mode: ProxyMode = this.random.pick(['delay', 'silence', 'oneWay', 'reset']);
+    proxy.setMode(mode);
+    await sleep(pause);
+    // What was held up is lost: both ends find out by a reset.
+    proxy.setMode('reset');
+    proxy.setMode('pass');
+  }
+
+  private async crashRunner(pause: number): Promise<void> {
+    const index = this.random.integer(0, RUNNERS - 1);
+    const crashed = this.liveRunners[index]!;
+    await crashed.crash();
+    await sleep(pause);
+    this.store.remove(RUNNER_PREFIX + crashed.id);
+    await this.startRunner(index);
+  }
+
+  /** After all faults every kind is served again. */
+  private async checkRecovery(): Promise<void> {
+    const client = this.client('after');
+    const until = performance.now() + RECOVERY_MILLISECONDS;
+    let inARow = 0;
+    while (inARow < 10 && performance.now() < until) {
+      inARow = (await client.sendPlain('single')) ? inARow + 1 : 0;
+      await sleep(50);
+    }
+    const keptBefore = this.counts.kept;
+    if (inARow === 10) {
+      await client.run(() => performance.now() > until || this.counts.kept > keptBefore);
+    }
+    if (inARow < 10 || this.counts.kept === keptBefore) {
+      this.violations.push('recovery: not all kinds were served after the last fault');
+    }
+  }
+
+  private async stopAll(): Promise<void> {
+    const ended = this.processes.map((process) => process.ended());
+    this.processes.forEach((process) => {
+      this.violations.push(...process.ownExits.map((exit) => `own exit: ${exit}`));
+      process.signal('SIGKILL');
+    });
+    await Promise.all(ended);
+    this.storeProxies.forEach((proxy) => proxy.close());
+    this.runnerProxies.forEach((proxy) => proxy.close());
+    await Promise.all(this.liveRunners.map((runner) => runner.crash()));
+    this.store.close();
+  }
+}
+
+/** Runs one soak. */
+export function runSoak(options: SoakOptions): Promise<SoakReport> {
+  return new Soak(options).run();
+}
--- /dev/null
+++ b/soak/soak-client.ts
@@ -0,0 +1,225 @@
+/** Clients of the soak: send requests of every kind and keep what they were promised. */
+import { request as httpRequest } from 'node:http';
+import type { IncomingMessage } from 'node:http';
+import type { RelayRunner, RunnerRun } from '../src/emulator/relay-runner.js';
+import type { RandomSource } from '../src/runtime/random.js';
+import { PLATFORM_HEADER_NAMES as NAMES } from '../platform/header-names.js';
+import { SOAK_PORTS } from './platform-process.js';
+
+/** Host of the routes. */
+export const SOAK_HOST = 'soak.example';
+/** Events of each stream, and tokens in each event. */
+export const SOAK_EVENTS = 6;
+export const SOAK_TOKENS_PER_EVENT = 10;
+
+const MOST_TOKENS = SOAK_EVENTS * SOAK_TOKENS_PER_EVENT;
+const TIMEOUT_MILLISECONDS = 3_000;
+const PROMISES = new Set([408, 421, 429, 503]);
+
+interface Result {
+  readonly status: number;
+  readonly headers: IncomingMessage['headers'];
+  readonly body: string;
+  readonly complete: boolean;
+}
+
+/** Counts of a soak. */
+export interface SoakCounts {
+  sent: number;
+  answered: number;
+  refused: number;
+  failed: number;
+  kept: number;
+  budgetRefused: number;
+}
+
+/** What clients share. */
+export interface SoakClientContext {
+  readonly random: RandomSource;
+  readonly gatewayHosts: readonly string[];
+  /** All runners there ever were. */
+  readonly runners: readonly RelayRunner[];
+  readonly counts: SoakCounts;
+  readonly violate: (promise: string, detail: string) => void;
+}
+
+/** One client that does one thing after another. */
+export class SoakClient {
+  private programCount = 0;
+
+  constructor(
+    private readonly name: string,
+    private readonly context: SoakClientContext,
+  ) {}
+
+  /** Goes on until told to stop. */
+  async run(isOver: () => boolean): Promise<void> {
+    while (!isOver()) {
+      const draw = this.context.random.uniform();
+      if (draw < 0.35) {
+        await this.sendPlain('single');
+      } else if (draw < 0.6) {
+        await this.sendPlain('repeatable');
+      } else {
+        await this.runProgram(isOver);
+      }
+      await new Promise((resolve) => setTimeout(resolve, 5 + this.context.random.uniform() * 30));
+    }
+  }
+
+  /** Sends one request of a kind; true when it was answered well. */
+  async sendPlain(kind: 'single' | 'repeatable'): Promise<boolean> {
+    const id = this.newId();
+    const result = await this.send(`/${kind}/work`, id, {}, '');
+    this.judge(kind, id, result);
+    if (result.status === 200 && result.complete) {
+      const signer = /^signed by (.*)$/.exec(String(result.headers[NAMES.signature]))?.[1];
+      if (result.body !== `answer of ${signer} to ${id}`) {
+        this.context.violate('own answer', `${id} got "${result.body.slice(0, 80)}"`);
+      }
+      return true;
+    }
+    return false;
+  }
+
+  /** Turns that go on from one another, until the budget is spent or too many fail. */
+  private async runProgram(isOver: () => boolean): Promise<void> {
+    const { random, counts, violate } = this.context;
+    this.programCount += 1;
+    const program = `${this.name}-p${this.programCount}`;
+    const budget = MOST_TOKENS * random.integer(3, 6);
+    let previous = '';
+    let chain = '';
+    let handed = 0;
+    for (let failures = 0; failures < 4 && !isOver();) {
+      const id = this.newId();
+      const input = `in ${id};`;
+      const headers = {
+        [NAMES.program]: program,
+        [NAMES.session]: program,
+        [NAMES.tokenBudget]: String(budget),
+        [NAMES.tokenUsage]: `100,${MOST_TOKENS}`,
+        ...(previous === '' ? {} : { [NAMES.previousTurn]: previous }),
+      };
+      const result = await this.send('/kept/work?stream', id, headers, input);
+      const events = [...result.body.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
+      handed += events.length * SOAK_TOKENS_PER_EVENT;
+      this.checkEvents(id, events, result);
+      this.checkChain(id, chain + input);
+      if (handed > budget + MOST_TOKENS) {
+        violate('budget', `${program} was handed ${handed} of ${budget} tokens`);
+      }
+      if (result.status === 402) {
+        counts.budgetRefused += 1;
+        this.checkNotRun(id, 402);
+        return;
+      }
+      if (result.status === 404 && previous !== '') {
+        violate('history', `${previous} was answered whole and is said not to exist`);
+      }
+      this.judge('single', id, result);
+      if (result.status === 200 && result.complete) {
+        counts.kept += 1;
+        previous = id;
+        chain += input + events.map((event) => `event ${event}\n`).join('');
+      } else {
+        failures += 1;
+        await new Promise((resolve) => setTimeout(resolve, 100 + random.uniform() * 300));
+      }
+    }
+  }
+
+  private checkEvents(id: string, events: readonly number[], result: Result): void {
+    const { violate } = this.context;
+    if (result.status !== 200) {
+      return;
+    }
+    const expected = events.map((_, index) => index + 1);
+    if (events.some((event, index) => event !== expected[index])) {
+      violate('whole answer', `${id} got events ${events.join(',')}`);
+    }
+    if (result.complete && events.length !== SOAK_EVENTS) {
+      violate('whole answer', `${id} ended as complete after ${events.length} events`);
+    }
+  }
+
+  /** What the runner got is the whole chain and nothing else. */
+  private checkChain(id: string, expected: string): void {
+    const run = this.runsOf(id)[0];
+    if (run !== undefined && run.body !== expected) {
+      this.context.violate('history', `${id} ran with "${run.body.slice(0, 120)}"`);
+    }
+  }
+
+  private judge(kind: 'single' | 'repeatable', id: string, result: Result): void {
+    const { counts } = this.context;
+    if (result.status === 200 && result.complete) {
+      counts.answered += 1;
+    } else if (PROMISES.has(result.status)) {
+      counts.refused += 1;
+      this.checkNotRun(id, result.status);
+    } else {
+      counts.failed += 1;
+    }
+    if (kind === 'single' && this.runsOf(id).length > 1) {
+      this.context.violate('at most once', `${id} ran ${this.runsOf(id).length} times`);
+    }
+  }
+
+  private checkNotRun(id: string, status: number): void {
+    if (!id.includes('repeatable') && this.runsOf(id).length > 0) {
+      this.context.violate('not run', `${id} got ${status} and ran`);
+    }
+  }
+
+  private runsOf(id: string): RunnerRun[] {
+    return this.context.runners.flatMap((runner) =>
+      runner.runs.filter((run) => run.requestId === id),
+    );
+  }
+
+  private newId(): string {
+    this.context.counts.sent += 1;
+    return `${this.name}-${this.context.counts.sent}`;
+  }
+
+  private send(
+    path: string,
+    id: string,
+    extra: Record<string, string>,
+    body: string,
+  ): Promise<Result> {
+    const host = this.context.random.pick(this.context.gatewayHosts);
+    const headers = {
+      host: SOAK_HOST,
+      'content-length': String(Buffer.byteLength(body)),
+      [NAMES.requestId]: id,
+      [NAMES.timeout]: String(TIMEOUT_MILLISECONDS),
+      ...extra,
+    };
+    const nothing: Result = { status: 0, headers: {}, body: '', complete: false };
+    return new Promise((resolve) => {
+      const options = { host, port: SOAK_PORTS.front, path, method: 'POST', headers };
+      const client = httpRequest({ ...options, agent: false }, (response) => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('error', () => undefined);
+        response.on('close', () => {
+          clearTimeout(timer);
+          resolve({
+            status: response.statusCode ?? 0,
+            headers: response.headers,
+            body: Buffer.concat(chunks).toString('utf8'),
+            complete: response.complete,
+          });
+        });
+      });
+      const timer = setTimeout(() => client.destroy(), TIMEOUT_MILLISECONDS + 500);
+      client.on('error', () => {
+        clearTimeout(timer);
+        resolve(nothing);
+      });
+      client.end(body);
+    });
+  }
+}
--- a/src/emulator/relay-runner.ts
+++ b/src/emulator/relay-runner.ts
@@ -65,6 +65,11 @@
   private readonly sockets = new Set<Socket>();
   private readonly server: Server;
 
+  /** Name of this incarnation. */
+  get id(): string {
+    return this.options.id;
+  }
+
   constructor(private readonly options: RelayRunnerOptions) {
     this.server = createServer((request, response) => this.take(request, response));
     this.server.on('connection', (socket: Socket) => {
@@ -74,12 +79,10 @@
     });
   }
 
-  /** Listens on a free loopback port, or on a given one; resolves with the port. */
-  listen(port = 0): Promise<number> {
+  /** Listens on a free loopback port, or on a given address; resolves with the port. */
+  listen(port = 0, host = '127.0.0.1'): Promise<number> {
     return new Promise((resolve) => {
-      this.server.listen(port, '127.0.0.1', () =>
-        resolve((this.server.address() as AddressInfo).port),
-      );
+      this.server.listen(port, host, () => resolve((this.server.address() as AddressInfo).port));
     });
   }
 
