--- a/features/logs.feature
+++ b/features/logs.feature
@@ -15,3 +15,6 @@
     Then the bytes that wait are bounded and the dropped lines are counted
     When the reader reads again
     Then it is told how many lines were dropped
+
+  Scenario: Every event and metric of the code is documented, and no other
+    Then the events and metrics named in the code are those of its reference page
--- a/features/steps/logs.steps.ts
+++ b/features/steps/logs.steps.ts
@@ -1,5 +1,7 @@
 /** Steps about logs: what they explain, and that writing them never blocks. */
 import assert from 'node:assert/strict';
+import { readdirSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { BoundedWriter, MAXIMUM_WAITING_BYTES } from '../../src/telemetry/bounded-writer.js';
 import { explainRequest } from '../../src/telemetry/explain-request.js';
@@ -103,3 +105,27 @@
     .find((text) => text.includes('dropped'));
   assert.equal((JSON.parse(told!) as { dropped: number }).dropped, this.writer!.droppedLines);
 });
+
+/** All matches of a pattern's first group in the sources under some folders. */
+function namesIn(folders: readonly string[], pattern: RegExp): Set<string> {
+  const names = new Set<string>();
+  for (const folder of folders) {
+    for (const file of readdirSync(folder, { recursive: true, encoding: 'utf8' })) {
+      if (file.endsWith('.ts')) {
+        const text = readFileSync(join(folder, file), 'utf8');
+        [...text.matchAll(pattern)].forEach((match) => names.add(match[1]!));
+      }
+    }
+  }
+  return names;
+}
+
+Then('the events and metrics named in the code are those of its reference page', function () {
+  const page = readFileSync('docs/reference/logs.md', 'utf8');
+  const listed = (pattern: RegExp): Set<string> =>
+    new Set([...page.matchAll(pattern)].map((match) => match[1]!));
+  const events = namesIn(['src', 'platform'], /event: '([a-zA-Z]+\.[a-zA-Z]+)'/g);
+  assert.deepEqual(listed(/^\| `([a-z]+\.[a-zA-Z]+)`/gm), events);
+  const metrics = namesIn(['src/relay', 'platform'], /['`](ivyloom_[a-z_]+)/g);
+  assert.deepEqual(listed(/^\| `(ivyloom_[a-z_]+)`/gm), metrics);
+});
