--- a/features/steps/placement.steps.ts
+++ b/features/steps/placement.steps.ts
@@ -4,12 +4,19 @@
 import fc from 'fast-check';
 import { chooseRunner } from '../../src/relay/choose-runner.js';
 import type { RunnerView } from '../../src/relay/choose-runner.js';
+import { ProgramAdmission } from '../../src/relay/program-admission.js';
+import type { ServiceLoad } from '../../src/relay/program-admission.js';
+import type { RelayRequest } from '../../src/relay/relay-request.js';
+import { LEAST_URGENT, urgencyOf } from '../../src/relay/urgency.js';
 import { EventSplitter } from '../../src/relay/event-splitter.js';
 import { createRoutingTable, findRoute } from '../../src/relay/routing-table.js';
 import type { Route } from '../../src/relay/routing-table.js';
 import { TrafficSplit } from '../../src/relay/traffic-split.js';
 
 interface World {
+  admission: ProgramAdmission;
+  load: ServiceLoad;
+  admitted: boolean;
   views: RunnerView[];
   chosen: string | undefined;
 }
@@ -127,3 +134,63 @@
 Then('it goes to {string}', function (this: World, chosen: string) {
   assert.equal(this.chosen, chosen);
 });
+
+const EMPTY: ServiceLoad = { inFlight: 0, slots: 100 };
+
+Given(
+  'runners with {int} places that hold {int} requests',
+  function (this: World, slots: number, inFlight: number) {
+    this.admission = new ProgramAdmission();
+    this.load = { inFlight, slots };
+    assert.ok(this.admission.admit('known', false, () => EMPTY, 1));
+  },
+);
+
+When('a program on a route of priority {int} begins', function (this: World, priority: number) {
+  const fresh = `fresh ${Math.random()}`;
+  this.admitted = this.admission.admit(fresh, false, () => this.load, priority);
+});
+
+When('{int} turns of late programs arrive', function (this: World, count: number) {
+  for (let turn = 0; turn < count; turn += 1) {
+    this.admission.admit('known', true, () => this.load, 1);
+  }
+});
+
+When('{int} turns of timely programs arrive', function (this: World, count: number) {
+  for (let turn = 0; turn < count; turn += 1) {
+    this.admission.admit('known', false, () => this.load, 1);
+  }
+});
+
+Then('it is let in', function (this: World) {
+  assert.equal(this.admitted, true);
+});
+
+Then('it is kept out', function (this: World) {
+  assert.equal(this.admitted, false);
+});
+
+Then('a program that was let in before is let in again', function (this: World) {
+  assert.ok(this.admission.admit('known', false, () => this.load, 1));
+});
+
+Then('late requests rank behind timely ones of the same and of the next priority', function () {
+  const rank = (priority: number, deadlineAt: number): number => {
+    const route = { ...routeWith('/', [1]), priority };
+    const request = { route, programDeadlineAt: deadlineAt } as RelayRequest;
+    return urgencyOf(request, 100);
+  };
+  for (let priority = 0; priority <= LEAST_URGENT; priority += 1) {
+    const [timely, late, next] = [
+      rank(priority, 101),
+      rank(priority, 100),
+      rank(priority + 1, 101),
+    ];
+    assert.ok(timely >= 0 && late <= LEAST_URGENT);
+    assert.ok(timely <= next && timely <= late);
+    if (late < LEAST_URGENT) {
+      assert.ok(late > timely && late > next);
+    }
+  }
+});
