--- /dev/null
+++ b/features/steps/peers.steps.ts
@@ -0,0 +1,142 @@
+/** Steps about what gateways tell one another, over loopback sockets. */
+import assert from 'node:assert/strict';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import fc from 'fast-check';
+import { freePorts } from '../../src/bench/free-ports.js';
+import { LoadGossip } from '../../src/peers/load-gossip.js';
+import { decodeLoadMessage, encodeLoadMessage } from '../../src/peers/load-message.js';
+import type { LoadMessage, RunnerLoad } from '../../src/peers/load-message.js';
+import { PeerExchange } from '../../src/peers/peer-exchange.js';
+import type { PeerSnapshot } from '../../src/peers/peer-exchange.js';
+import { createRealRuntime } from '../../src/runtime/real-runtime.js';
+
+const HOSTS = ['127.0.8.1', '127.0.8.2', '127.0.8.3'] as const;
+const MEMBERS = 'the members';
+
+interface World {
+  port?: number;
+  gossips?: LoadGossip[];
+  exchanges?: PeerExchange[];
+  seed?: string;
+  learnt?: PeerSnapshot;
+}
+
+function startGossip(
+  world: World,
+  place: number,
+  seeds: readonly string[],
+  loads: readonly RunnerLoad[],
+): void {
+  const gossip = new LoadGossip({
+    runtime: createRealRuntime({ logLevel: 'error' }),
+    host: HOSTS[place]!,
+    port: world.port!,
+    seeds: () => seeds,
+    ownLoads: () => loads,
+  });
+  world.gossips!.push(gossip);
+}
+
+async function holdsWithin(milliseconds: number, holds: () => boolean): Promise<boolean> {
+  const until = performance.now() + milliseconds;
+  while (!holds() && performance.now() < until) {
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  return holds();
+}
+
+After(function (this: World) {
+  this.gossips?.forEach((gossip) => gossip.close());
+  this.exchanges?.forEach((exchange) => exchange.close());
+});
+
+Given(
+  'two gateways that gossip, of which the first has {int} requests at runner {string}',
+  async function (this: World, inFlight: number, runner: string) {
+    [this.port] = await freePorts(HOSTS[0], 1);
+    this.gossips = [];
+    startGossip(this, 0, [HOSTS[1]], [{ runner, inFlight }]);
+    startGossip(this, 1, [HOSTS[0]], []);
+  },
+);
+
+When('the first falls silent', function (this: World) {
+  this.gossips!.shift()!.close();
+});
+
+When('a third gateway joins that knows only the second', async function (this: World) {
+  assert.ok(await holdsWithin(2_000, () => this.gossips![1]!.peerCount > 0));
+  startGossip(this, 2, [HOSTS[1]], []);
+});
+
+Then(
+  /^the (second|third) learns within (\d+) milliseconds that others have (\d+) requests at runner "(.*)"$/,
+  async function (this: World, _which: string, within: string, count: string, runner: string) {
+    const last = this.gossips!.at(-1)!;
+    const holds = (): boolean => last.inFlightOfOthers(runner) === Number(count);
+    assert.ok(await holdsWithin(Number(within), holds), `${last.inFlightOfOthers(runner)}`);
+  },
+);
+
+Given(
+  'a gateway that knows item {string} at revision {int} and the members',
+  async function (this: World, key: string, revision: number) {
+    [this.port] = await freePorts(HOSTS[0], 1);
+    this.seed = `${HOSTS[0]}:${this.port}`;
+    const exchange = new PeerExchange({
+      runtime: createRealRuntime({ logLevel: 'error' }),
+      ownAddress: this.seed,
+      seeds: () => [],
+      snapshot: () => ({ items: [{ key, value: 'value', revision }], members: MEMBERS }),
+      onSnapshot: () => undefined,
+      isNeeded: () => 'no',
+    });
+    exchange.start(HOSTS[0], this.port!);
+    this.exchanges = [exchange];
+  },
+);
+
+When('another starts with it as a seed and needs what it knows urgently', function (this: World) {
+  const exchange = new PeerExchange({
+    runtime: createRealRuntime({ logLevel: 'error' }),
+    ownAddress: `${HOSTS[1]}:${this.port!}`,
+    seeds: () => [this.seed!],
+    snapshot: () => ({ items: [], members: '' }),
+    onSnapshot: (snapshot) => {
+      this.learnt = snapshot;
+    },
+    isNeeded: () => (this.learnt === undefined ? 'urgently' : 'no'),
+  });
+  exchange.start(HOSTS[1], this.port!);
+  this.exchanges!.push(exchange);
+});
+
+Then(
+  'within {int} milliseconds it knows item {string} at revision {int} and the members',
+  async function (this: World, within: number, key: string, revision: number) {
+    assert.ok(await holdsWithin(within, () => this.learnt !== undefined));
+    assert.deepEqual(this.learnt!.items, [{ key, value: 'value', revision }]);
+    assert.equal(this.learnt!.members, MEMBERS);
+    assert.ok(this.learnt!.peers.includes(this.seed!));
+  },
+);
+
+Then('any bytes are decoded to a load message or to nothing', function () {
+  fc.assert(
+    fc.property(fc.uint8Array({ maxLength: 64 }), (bytes) => {
+      const message = decodeLoadMessage(bytes);
+      assert.ok(message === undefined || Array.isArray(message.loads));
+    }),
+  );
+  const plain = { noNullPrototype: true };
+  const load = fc.record({ runner: fc.string({ maxLength: 30 }), inFlight: fc.nat(65_535) }, plain);
+  const message: fc.Arbitrary<LoadMessage> = fc.record(
+    { sequence: fc.nat(), life: fc.nat(), loads: fc.array(load), peers: fc.array(fc.ipV4()) },
+    plain,
+  );
+  fc.assert(
+    fc.property(message, (value) => {
+      assert.deepEqual(decodeLoadMessage(encodeLoadMessage(value)), value);
+    }),
+  );
+});
