Place by what a request costs those beside it; scale times by length of answers

Change: times of streams are scaled to a stream of mean length and differences within the noise count as none; reading is charged for all that it holds up; load is convex; leaving the zone is charged by bytes; requests with the same first part prefer the same runner.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -22,6 +22,22 @@
       | warm:z1:8:16:400:2000 cold:z1:8:1:400:0    | cold   |
       | slow:z1:8:0:900:0 fast:z2:8:0:100:0        | fast   |
 
+  Scenario Outline: What was read or is near outweighs a few requests more
+    Given runners "<runners>"
+    When a request of <bytes> bytes with a prompt of 15000 tokens in zone "z1" is placed
+    Then it goes to "<chosen>"
+
+    Examples:
+      | runners                                        | bytes | chosen |
+      | warm:z1:12:6:350:14000 cold:z1:12:3:350:2000   | 0     | warm   |
+      | warm:z1:12:16:350:14000 cold:z1:12:3:350:12000 | 0     | cold   |
+      | near:z1:12:4:350:14000 far:z2:12:2:350:14000   | 17000 | near   |
+      | near:z1:12:11:350:14000 far:z2:12:2:350:14000  | 17000 | far    |
+
+  Scenario: Long answers do not make a runner look slow
+    Then streams of any length leave a usual runner as fast as its service
+    And a runner that takes five times as long is known after 4 requests
+
   Scenario Outline: New programs wait while the runners are full, those under way go on
     Given runners with <slots> places that hold <held> requests
     When a program on a route of priority <priority> begins
--- a/features/steps/placement.steps.ts
+++ b/features/steps/placement.steps.ts
@@ -11,6 +11,7 @@
 import { EventSplitter } from '../../src/relay/event-splitter.js';
 import { createRoutingTable, findRoute } from '../../src/relay/routing-table.js';
 import type { Route } from '../../src/relay/routing-table.js';
+import { RunnerPace, ServicePace } from '../../src/relay/service-pace.js';
 import { TrafficSplit } from '../../src/relay/traffic-split.js';
 
 interface World {
@@ -127,7 +128,47 @@
 When(
   'a request with a prompt of {int} tokens in zone {string} is placed',
   function (this: World, promptTokens: number, zone: string) {
-    this.chosen = chooseRunner(this.views, { zone, promptTokens, affinityKey: 'k' })?.id;
+    const need = { zone, promptTokens, bodyBytes: 0, affinityKey: 'k' };
+    this.chosen = chooseRunner(this.views, need)?.id;
+  },
+);
+
+When(
+  'a request of {int} bytes with a prompt of {int} tokens in zone {string} is placed',
+  function (this: World, bodyBytes: number, promptTokens: number, zone: string) {
+    const need = { zone, promptTokens, bodyBytes, affinityKey: 'k' };
+    this.chosen = chooseRunner(this.views, need)?.id;
+  },
+);
+
+Then('streams of any length leave a usual runner as fast as its service', function () {
+  const lengths = fc.array(fc.integer({ min: 4, max: 24 }), { minLength: 40, maxLength: 120 });
+  fc.assert(
+    fc.property(lengths, fc.integer({ min: 5, max: 60 }), (counts, perEvent) => {
+      const service = new ServicePace();
+      const runners = [new RunnerPace(service), new RunnerPace(service)];
+      counts.forEach((eventCount, index) => {
+        runners[index % 2]!.take({ totalMilliseconds: eventCount * perEvent, eventCount });
+      });
+      const [first, second] = runners.map((runner) => runner.expectedMilliseconds);
+      assert.equal(first, second);
+    }),
+  );
+});
+
+Then(
+  'a runner that takes five times as long is known after {int} requests',
+  function (some: number) {
+    const service = new ServicePace();
+    const usual = new RunnerPace(service);
+    const slow = new RunnerPace(service);
+    for (let request = 0; request < 200; request += 1) {
+      usual.take({ totalMilliseconds: 100, eventCount: 0 });
+    }
+    for (let request = 0; request < some; request += 1) {
+      slow.take({ totalMilliseconds: 500, eventCount: 0 });
+    }
+    assert.ok(slow.expectedMilliseconds > usual.expectedMilliseconds * 1.4);
   },
 );
 
--- a/src/relay/choose-runner.ts
+++ b/src/relay/choose-runner.ts
@@ -19,6 +19,8 @@
 export interface PlacementNeed {
   readonly zone: string;
   readonly promptTokens: number;
+  /** Bytes that travel to the runner. */
+  readonly bodyBytes: number;
   /** Requests with the same key prefer the same runner when nothing else tells them apart. */
   readonly affinityKey: string;
 }
@@ -27,9 +29,15 @@
 export interface PlacementWeights {
   /** Prompt tokens that a runner reads in a millisecond. */
   readonly promptTokensPerMillisecond: number;
-  /** Charge for leaving the zone. */
+  /** Part of the reading time by which each request that runs there is held up. */
+  readonly readingShare: number;
+  /** Charge for leaving the zone, whatever the request. */
   readonly zoneMilliseconds: number;
-  /** Charge for each request already there, as a share of the mean time divided by the slots. */
+  /** Added to it for each thousand bytes that leave the zone. */
+  readonly zoneMillisecondsPerKilobyte: number;
+  /** Largest charge for leaving the zone. */
+  readonly largestZoneMilliseconds: number;
+  /** Charge for a runner with all places taken, as a share of the mean time. */
   readonly loadShare: number;
   /** Largest advantage of the runner that the key prefers. */
   readonly affinityMilliseconds: number;
@@ -37,34 +45,62 @@
 
 /** Weights in use unless an experiment says otherwise. */
 export const DEFAULT_PLACEMENT_WEIGHTS: PlacementWeights = {
-  promptTokensPerMillisecond: 200,
-  zoneMilliseconds: 5,
-  loadShare: 0.5,
-  affinityMilliseconds: 4,
+  promptTokensPerMillisecond: 270,
+  readingShare: 0.5,
+  zoneMilliseconds: 3,
+  zoneMillisecondsPerKilobyte: 1,
+  largestZoneMilliseconds: 60,
+  loadShare: 1,
+  affinityMilliseconds: 8,
 };
 
 const HASH_RANGE = 2 ** 32;
+const BYTES_IN_KILOBYTE = 1_000;
 
-/** Expected cost of a request at a runner, in milliseconds. */
+/**
+ * Charge for the requests that are there. Programs have some time to spare, so the first requests of
+ * a batch hardly delay one another and the last ones do.
+ */
+function loadCost(view: RunnerView, slots: number, weights: PlacementWeights): number {
+  const taken = Math.min(view.inFlight, slots) / slots;
+  const waiting = Math.max(0, view.inFlight + 1 - slots);
+  const queue = (waiting * view.meanMilliseconds) / slots;
+  return queue + view.meanMilliseconds * weights.loadShare * taken ** 3;
+}
+
+/** Charge for reading what is not in memory there: it holds up all that run at the same time. */
+function readingCost(
+  view: RunnerView,
+  slots: number,
+  need: PlacementNeed,
+  weights: PlacementWeights,
+): number {
+  const unread = Math.max(0, need.promptTokens - view.cachedTokens);
+  const heldUp = Math.min(view.inFlight, slots) * weights.readingShare;
+  return (unread / weights.promptTokensPerMillisecond) * (1 + heldUp);
+}
+
+function zoneCost(view: RunnerView, need: PlacementNeed, weights: PlacementWeights): number {
+  if (view.zone === need.zone) {
+    return 0;
+  }
+  const bytes = (need.bodyBytes / BYTES_IN_KILOBYTE) * weights.zoneMillisecondsPerKilobyte;
+  return Math.min(weights.largestZoneMilliseconds, weights.zoneMilliseconds + bytes);
+}
+
+/** Expected cost of a request at a runner, in milliseconds, to itself and to those beside it. */
 export function placementCost(
   view: RunnerView,
   need: PlacementNeed,
   weights: PlacementWeights,
 ): number {
   const slots = Math.max(1, view.slots);
-  const waiting = Math.max(0, view.inFlight + 1 - slots);
-  const queue = (waiting * view.meanMilliseconds) / slots;
-  const load = (view.inFlight * view.meanMilliseconds * weights.loadShare) / slots;
-  const reading =
-    Math.max(0, need.promptTokens - view.cachedTokens) / weights.promptTokensPerMillisecond;
-  const zone = view.zone === need.zone ? 0 : weights.zoneMilliseconds;
   const preference = hashToNumber(`${need.affinityKey} ${view.id}`) / HASH_RANGE;
   return (
-    queue +
-    load +
-    reading +
     view.meanMilliseconds +
-    zone +
+    loadCost(view, slots, weights) +
+    readingCost(view, slots, need, weights) +
+    zoneCost(view, need, weights) +
     preference * weights.affinityMilliseconds
   );
 }
--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -116,8 +116,10 @@
     const current = this.takeCurrent();
     if (current !== undefined) {
       const { runtime, book } = this.context;
-      const whole = status < FIRST_REDIRECT ? runtime.now() - current.startedAt : undefined;
-      book.finish(current.record, whole);
+      const totalMilliseconds = runtime.now() - current.startedAt;
+      const eventCount = this.stream?.eventCount ?? 0;
+      const isWhole = status < FIRST_REDIRECT;
+      book.finish(current.record, isWhole ? { totalMilliseconds, eventCount } : undefined);
     }
     this.finish('answered', { status, runner: current?.record.runner.id ?? '' });
   }
@@ -244,7 +246,8 @@
     const need = {
       zone: context.zone,
       promptTokens: request.promptTokens,
-      affinityKey: request.program?.session ?? key,
+      bodyBytes: this.body.length,
+      affinityKey: request.promptParts[0]?.id ?? request.program?.session ?? key,
     };
     return chooseRunner(fresh.length > 0 ? fresh : allowed, need)?.record;
   }
--- a/src/relay/runner-book.ts
+++ b/src/relay/runner-book.ts
@@ -7,14 +7,13 @@
 import { PromptPlaces } from './prompt-places.js';
 import type { PromptPart } from './relay-request.js';
 import type { Runner } from './runner.js';
+import { RunnerPace, ServicePace } from './service-pace.js';
+import type { PaceSample } from './service-pace.js';
 
 /** Time for which a runner that left the list may still be used when no other is left. */
 const GONE_GRACE_MILLISECONDS = 1_200;
 const FIRST_DISTRUST_MILLISECONDS = 300;
 const LONGEST_DISTRUST_MILLISECONDS = 3_000;
-const DEFAULT_MEAN_MILLISECONDS = 100;
-/** Weight of the newest time in the running mean. */
-const MEAN_SHARE = 0.1;
 const DEFAULT_MEMORY_TOKENS = 400_000;
 
 /** Beliefs about one runner. */
@@ -27,7 +26,7 @@
   /** Not used before this time, after it could not be reached. */
   distrustedUntil: number;
   failures: number;
-  meanMilliseconds: number;
+  readonly pace: RunnerPace;
   readonly places: PromptPlaces;
 }
 
@@ -40,6 +39,7 @@
 export class RunnerBook {
   private readonly records = new Map<string, RunnerRecord>();
   private readonly byService = new Map<string, Set<RunnerRecord>>();
+  private readonly paces = new Map<string, ServicePace>();
 
   /** Requests of other gateways at a runner. */
   inFlightOfOthers: (runner: string) => number = () => 0;
@@ -143,11 +143,11 @@
     record.places.touch(parts);
   }
 
-  /** Notes that a request there is over, whole after some milliseconds or not at all. */
-  finish(record: RunnerRecord, wholeMilliseconds: number | undefined): void {
+  /** Notes that a request there is over; `whole` tells how long it took if it was answered whole. */
+  finish(record: RunnerRecord, whole: PaceSample | undefined): void {
     record.inFlight -= 1;
-    if (wholeMilliseconds !== undefined) {
-      record.meanMilliseconds += (wholeMilliseconds - record.meanMilliseconds) * MEAN_SHARE;
+    if (whole !== undefined) {
+      record.pace.take(whole);
       this.trust(record);
     }
   }
@@ -172,7 +172,7 @@
       zone,
       slots,
       inFlight: record.inFlight + this.inFlightOfOthers(id),
-      meanMilliseconds: record.meanMilliseconds,
+      meanMilliseconds: record.pace.expectedMilliseconds,
       cachedTokens: leadingCachedTokens(parts, (part) => record.places.has(part)),
     };
   }
@@ -193,7 +193,7 @@
       goneAt: undefined,
       distrustedUntil: 0,
       failures: 0,
-      meanMilliseconds: this.meanOf(runner.service),
+      pace: new RunnerPace(this.paceOf(runner.service)),
       places: new PromptPlaces(DEFAULT_MEMORY_TOKENS),
     };
     this.records.set(runner.id, record);
@@ -213,11 +213,13 @@
     }
   }
 
-  /** Mean time of a service's known runners: what is expected of a new one. */
-  private meanOf(service: string): number {
-    const means = [...(this.byService.get(service) ?? [])].map((record) => record.meanMilliseconds);
-    const sum = means.reduce((total, mean) => total + mean, 0);
-    return means.length > 0 ? sum / means.length : DEFAULT_MEAN_MILLISECONDS;
+  private paceOf(service: string): ServicePace {
+    let pace = this.paces.get(service);
+    if (pace === undefined) {
+      pace = new ServicePace();
+      this.paces.set(service, pace);
+    }
+    return pace;
   }
 }
 
