--- a/features/steps/turns.steps.ts
+++ b/features/steps/turns.steps.ts
@@ -15,6 +15,9 @@
 import type { MembershipAction } from '../../src/turns/decide-membership.js';
 import { SimulatedReplicas } from '../../src/simulation/simulated-replicas.js';
 import { VirtualClock } from '../../src/simulation/virtual-clock.js';
+import type { AccountEntry } from '../../src/turns/messages.js';
+import { ReplicaState } from '../../src/turns/replica-state.js';
+import { unpackDigests } from '../../src/turns/reservation-digests.js';
 import { SegmentTurnStorage } from '../../src/turns/segment-turn-storage.js';
 import { majorityOf, withMember } from '../../src/turns/membership.js';
 import type { Member, MemberRecord } from '../../src/turns/membership.js';
@@ -304,3 +307,53 @@
     }),
   );
 });
+
+const reservation: fc.Arbitrary<AccountEntry> = fc.record({
+  program: fc.constantFrom('p', 'q'),
+  turn: fc.stringMatching(/^[a-f]$/),
+  mostTokens: fc.constant(9),
+  usedTokens: fc.constantFrom(undefined, 5),
+});
+
+function stateOf(entries: readonly AccountEntry[]): ReplicaState {
+  const state = new ReplicaState();
+  entries.forEach((entry) => state.mergeEntry({ entry, storedAt: 0 }));
+  return state;
+}
+
+/** Copies what `to` lacks of `from`; returns how many reservations were sent. */
+function level(to: ReplicaState, from: ReplicaState): number {
+  const missing = to.missingDigests(unpackDigests(from.readLog(0).digests));
+  const sent = from.entriesByDigest(missing);
+  sent.forEach((entry) => to.mergeEntry({ entry, storedAt: 0 }));
+  return sent.length;
+}
+
+function contentOf(state: ReplicaState): string[] {
+  const entries = ['p', 'q'].flatMap((program) => state.entriesOf(program));
+  return entries.map((entry) => JSON.stringify(entry)).sort();
+}
+
+Then('any two sets of reservations are made level by the digests that each lacks', function () {
+  fc.assert(
+    fc.property(fc.array(reservation), fc.array(reservation), (left, right) => {
+      const [one, other] = [stateOf(left), stateOf(right)];
+      level(one, other);
+      level(other, one);
+      assert.deepEqual(contentOf(one), contentOf(other));
+      assert.deepEqual(contentOf(one), contentOf(stateOf([...left, ...right])));
+      assert.equal(level(one, other) + level(other, one), 0);
+    }),
+  );
+});
+
+Then('who knows a reservation settled lacks no word of it open', function () {
+  fc.assert(
+    fc.property(fc.array(reservation), (entries) => {
+      const open = entries.map((entry) => ({ ...entry, usedTokens: undefined }));
+      const settled = entries.map((entry) => ({ ...entry, usedTokens: 5 }));
+      assert.equal(level(stateOf(settled), stateOf(open)), 0);
+      assert.equal(level(stateOf(open), stateOf(settled)) > 0, entries.length > 0);
+    }),
+  );
+});
--- a/features/turns.feature
+++ b/features/turns.feature
@@ -50,6 +50,10 @@
       | a b c d | a    | complete   |        | b c d | a        | Remove a  |
       | a b c   | a    | complete   | c      | b c   | a        | Wait      |
 
+  Scenario: Replicas that hold the same reservations find that out by digests alone
+    Then any two sets of reservations are made level by the digests that each lacks
+    And who knows a reservation settled lacks no word of it open
+
   Scenario: A busy machine is emptied in time
     Given 4 replicas that take 200 writes a second
     When machine "m1" is to be emptied
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -58,7 +58,9 @@
   | { type: 'keep'; call: number; epoch: number; turn: KeptTurn }
   | { type: 'chain'; call: number; turn: string }
   | { type: 'pull'; call: number; from: string; members: string; log: string; after: number }
-  | { type: 'fetch'; call: number; turns: string[] };
+  | { type: 'fetch'; call: number; turns: string[] }
+  /** Asks for the reservations with these digests. */
+  | { type: 'readEntries'; call: number; digests: Buffer };
 
 /** Replies. */
 export type ReplicaReply =
@@ -74,10 +76,12 @@
       /** Where to go on, and where the log ends now. */
       next: number;
       end: number;
-      entries: AccountEntry[];
+      /** Digests of reservations one behind the other, see `ReservationDigests`. */
+      digests: Buffer;
       turns: string[];
     }
-  | { type: 'fetched'; call: number; turns: KeptTurn[] };
+  | { type: 'fetched'; call: number; turns: KeptTurn[] }
+  | { type: 'entriesRead'; call: number; entries: AccountEntry[] };
 
 /** A newer record of the members; either side sends it whenever the other may not know it. */
 export interface MembersMessage {
@@ -164,12 +168,14 @@
       log: shortText,
       next: real,
       end: real,
-      entries: listOf(accountEntryField),
+      digests: bytes,
       turns: listOf(shortText),
     },
   },
   { type: 'fetched', fields: { call: count, turns: listOf(keptTurnField) } },
   { type: 'members', fields: { record: longText } },
+  { type: 'readEntries', fields: { call: count, digests: bytes } },
+  { type: 'entriesRead', fields: { call: count, entries: listOf(accountEntryField) } },
 ]);
 
 /** Encodes a message without its frame. */
--- a/src/turns/replica-state.ts
+++ b/src/turns/replica-state.ts
@@ -3,6 +3,7 @@
 import type { Account } from './account.js';
 import type { KeptTurn } from './kept-turn.js';
 import type { AccountEntry, ChainState } from './messages.js';
+import { packDigests, ReservationDigests } from './reservation-digests.js';
 import type { StorageChange, StoredEntry, StoredTurn } from './turn-storage.js';
 
 /** Time after its last change for which an account is kept, in milliseconds. */
@@ -26,14 +27,15 @@
 }
 
 type LoggedChange =
-  | { readonly tag: 'entry'; readonly program: string; readonly turn: string }
+  | { readonly tag: 'entry'; readonly digest: string }
   | { readonly tag: 'turn'; readonly id: string };
 
 /** A part of the change log. */
 export interface LogPart {
   readonly next: number;
   readonly end: number;
-  readonly entries: AccountEntry[];
+  /** Digests of reservations one behind the other. */
+  readonly digests: Buffer;
   readonly turns: string[];
 }
 
@@ -42,6 +44,7 @@
   private readonly accounts = new Map<string, AccountRecord>();
   private readonly turns = new Map<string, TurnRecord>();
   private readonly log: LoggedChange[] = [];
+  private readonly digests = new ReservationDigests();
 
   /** Takes a reservation. */
   mergeEntry(stored: StoredEntry): void {
@@ -54,7 +57,8 @@
     record.changedAt = Math.max(record.changedAt, storedAt);
     const { turn, mostTokens, usedTokens } = entry;
     if (mergeReservation(record.account, { turn, mostTokens, usedTokens })) {
-      this.log.push({ tag: 'entry', program: entry.program, turn });
+      const merged = this.entryOf(entry.program, turn) ?? entry;
+      this.log.push({ tag: 'entry', digest: this.digests.add(merged) });
     }
   }
 
@@ -64,13 +68,16 @@
     return reservation === undefined ? undefined : { program, ...reservation };
   }
 
-  /** Those entries that would change what is known here. */
-  missingEntries(entries: readonly AccountEntry[]): AccountEntry[] {
-    return entries.filter((entry) => {
-      const known = this.accounts.get(entry.program)?.account.get(entry.turn);
-      return (
-        known === undefined || (known.usedTokens === undefined && entry.usedTokens !== undefined)
-      );
+  /** Those digests whose reservations are not known here in that state. */
+  missingDigests(digests: readonly string[]): string[] {
+    return digests.filter((digest) => this.digests.find(digest) === undefined);
+  }
+
+  /** The reservations of digests, in their present states; what was dropped is left out. */
+  entriesByDigest(digests: readonly string[]): AccountEntry[] {
+    return digests.flatMap((digest) => {
+      const key = this.digests.find(digest);
+      return key === undefined ? [] : (this.entryOf(key.program, key.turn) ?? []);
     });
   }
 
@@ -128,19 +135,16 @@
   readLog(after: number): LogPart {
     const end = this.log.length;
     const next = Math.min(end, after + PULL_ENTRIES);
-    const entries: AccountEntry[] = [];
+    const digests: string[] = [];
     const turns: string[] = [];
     for (const change of this.log.slice(after, next)) {
-      if (change.tag === 'turn') {
+      if (change.tag === 'entry') {
+        digests.push(change.digest);
+      } else if (this.turns.has(change.id)) {
         turns.push(change.id);
-        continue;
-      }
-      const entry = this.entryOf(change.program, change.turn);
-      if (entry !== undefined) {
-        entries.push(entry);
       }
     }
-    return { next, end, entries, turns: turns.filter((id) => this.turns.has(id)) };
+    return { next, end, digests: packDigests(digests), turns };
   }
 
   /** Position of the log's end. */
@@ -160,8 +164,9 @@
     for (const [program, record] of this.accounts) {
       if (record.changedAt + ACCOUNT_MILLISECONDS < wallTime) {
         this.accounts.delete(program);
-        for (const turn of record.account.keys()) {
-          changes.push({ tag: 'dropEntry', program, turn });
+        for (const reservation of record.account.values()) {
+          this.digests.drop({ program, ...reservation });
+          changes.push({ tag: 'dropEntry', program, turn: reservation.turn });
         }
       }
     }
--- a/src/turns/replica-sync.ts
+++ b/src/turns/replica-sync.ts
@@ -10,6 +10,7 @@
 import type { ReplicaReply } from './messages.js';
 import type { ReplicaCaller } from './replica-caller.js';
 import type { Replica } from './replica.js';
+import { packDigests, unpackDigests } from './reservation-digests.js';
 
 /** Pause between pulls from one replica when nothing is missing, in milliseconds. */
 const PULL_MILLISECONDS = 300;
@@ -161,18 +162,33 @@
     peer.active = reply.active;
   }
 
-  /** Stores what a pull brought and fetches the turns that are missing. */
+  /** Fetches and stores what a pull named and this replica lacks. */
   private take(member: Member, reply: Pulled, done: (complete: boolean) => void): void {
-    const { replica } = this.options;
-    const entries = replica.state.missingEntries(reply.entries);
-    const turns = reply.turns.filter((turn) => !replica.state.hasTurn(turn));
-    if (entries.length === 0) {
-      this.fetch(member, turns, done);
+    const { state } = this.options.replica;
+    const missing = state.missingDigests(unpackDigests(reply.digests));
+    const turns = reply.turns.filter((turn) => !state.hasTurn(turn));
+    this.fetchEntries(member, missing, (complete) => {
+      if (complete) {
+        this.fetch(member, turns, done);
+      } else {
+        done(false);
+      }
+    });
+  }
+
+  private fetchEntries(
+    member: Member,
+    digests: readonly string[],
+    done: (complete: boolean) => void,
+  ): void {
+    if (digests.length === 0) {
+      done(true);
       return;
     }
-    replica.storeEntries(entries, (durable) => {
-      if (durable) {
-        this.fetch(member, turns, done);
+    const request = { type: 'readEntries' as const, digests: packDigests(digests) };
+    this.options.caller.call(member, request, CALL_MILLISECONDS, (reply) => {
+      if (reply?.type === 'entriesRead') {
+        this.options.replica.storeEntries(reply.entries, done);
       } else {
         done(false);
       }
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -17,6 +17,7 @@
 } from './messages.js';
 import type { KeptTurn } from './kept-turn.js';
 import { ReplicaState } from './replica-state.js';
+import { unpackDigests } from './reservation-digests.js';
 import type { StorageChange, StoredState, TurnStorage, WriteUrgency } from './turn-storage.js';
 
 const EXPIRY_MILLISECONDS = 5_000;
@@ -127,6 +128,11 @@
         return;
       case 'fetch':
         send({ type: 'fetched', call, turns: this.readTurns(request.turns) });
+        return;
+      case 'readEntries': {
+        const entries = this.state.entriesByDigest(unpackDigests(request.digests));
+        send({ type: 'entriesRead', call, entries });
+      }
     }
   }
 
