Call the store less: long watches, cheap lists, and peers that show when a watch hangs

Load messages name runners by hash, and go to eight peers in a period; what a peer told is kept for as long as the number of peers makes it wait. Scenarios: a hanging watch is overtaken by what a peer knows, a stale list takes nothing back.

--- a/features/mirror.feature
+++ b/features/mirror.feature
@@ -9,6 +9,20 @@
     When the store's watches fall silent and "a" is changed
     Then the mirror has the newest "a" within 2000 milliseconds
 
+  Scenario: A watch that says nothing is overtaken by what a peer knows
+    Given a mirror of a store with keys "a b"
+    When stale lists fall behind
+    And the store's watches fall silent and "a" is changed
+    And a peer knows a change of "a"
+    Then the mirror has the newest "a" within 500 milliseconds
+
+  Scenario: A stale list takes nothing back
+    Given a mirror of a store with keys "a b"
+    When stale lists fall behind
+    And "a" is changed, "b" is removed and an older "a" is offered
+    Then the mirror has the newest "a" within 3000 milliseconds
+    And the mirror has the newest "a" and no "b"
+
   Scenario: A lost history leads to a new list
     Given a mirror of a store with keys "a b"
     When the store forgets its history while "b" is removed and "c" is added
--- a/features/steps/mirror.steps.ts
+++ b/features/steps/mirror.steps.ts
@@ -22,6 +22,8 @@
   revision = 0;
   mode: 'well' | 'unreachable' | 'refusing' = 'well';
   silentWatches = false;
+  /** What stale lists answer while they are behind; undefined when they are not. */
+  frozenList: { items: StoredItem[]; revision: number } | undefined;
   callCount = 0;
   private history: ItemChange[] = [];
   private forgottenBefore = 0;
@@ -82,8 +84,16 @@
     this.answer(listener, () => undefined, look);
   }
 
-  read(key: string, listener: KeySpaceListener<StoredItem | undefined>): void {
-    this.answer(listener, () => E.right(this.items.get(key)));
+  listStale(
+    prefix: string,
+    listener: KeySpaceListener<{ items: StoredItem[]; revision: number }>,
+  ): void {
+    if (this.frozenList === undefined) {
+      this.list(prefix, listener);
+    } else {
+      const frozen = this.frozenList;
+      this.answer(listener, () => E.right(frozen));
+    }
   }
 
   private answer<Result>(
@@ -135,7 +145,6 @@
     runtime: new SimulatedProcess('m', this.clock, createRandom(1)).begin(),
     port: this.store,
     prefix: '',
-    verifiedKeys: ['a'],
     verifyMilliseconds: 1_000,
     watchMilliseconds: 2_000,
     onPut: () => undefined,
@@ -162,6 +171,14 @@
   },
 );
 
+When('stale lists fall behind', function (this: World) {
+  this.store.frozenList = { items: [...this.store.items.values()], revision: this.store.revision };
+});
+
+When('a peer knows a change of {string}', function (this: World, key: string) {
+  this.mirror.heedRevision(this.store.items.get(key)!.revision);
+});
+
 When('the store forgets its history while "b" is removed and "c" is added', function (this: World) {
   this.store.silentWatches = true;
   this.store.remove('b');
--- a/features/steps/peers.steps.ts
+++ b/features/steps/peers.steps.ts
@@ -5,7 +5,7 @@
 import { freePorts } from '../../src/bench/free-ports.js';
 import { LoadGossip } from '../../src/peers/load-gossip.js';
 import { decodeLoadMessage, encodeLoadMessage } from '../../src/peers/load-message.js';
-import type { LoadMessage, RunnerLoad } from '../../src/peers/load-message.js';
+import type { LoadMessage } from '../../src/peers/load-message.js';
 import { PeerExchange } from '../../src/peers/peer-exchange.js';
 import type { PeerSnapshot } from '../../src/peers/peer-exchange.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
@@ -19,13 +19,14 @@
   exchanges?: PeerExchange[];
   seed?: string;
   learnt?: PeerSnapshot;
+  heardRevisions?: Set<number>;
 }
 
 function startGossip(
   world: World,
   place: number,
   seeds: readonly string[],
-  loads: readonly RunnerLoad[],
+  loads: ReadonlyMap<string, number>,
 ): void {
   const gossip = new LoadGossip({
     runtime: createRealRuntime({ logLevel: 'error' }),
@@ -33,6 +34,8 @@
     port: world.port!,
     seeds: () => seeds,
     ownLoads: () => loads,
+    ownRevision: () => 7,
+    onRevision: (revision) => (world.heardRevisions ??= new Set()).add(revision),
   });
   world.gossips!.push(gossip);
 }
@@ -55,18 +58,22 @@
   async function (this: World, inFlight: number, runner: string) {
     [this.port] = await freePorts(HOSTS[0], 1);
     this.gossips = [];
-    startGossip(this, 0, [HOSTS[1]], [{ runner, inFlight }]);
-    startGossip(this, 1, [HOSTS[0]], []);
+    startGossip(this, 0, [HOSTS[1]], new Map([[runner, inFlight]]));
+    startGossip(this, 1, [HOSTS[0]], new Map());
   },
 );
 
+Then('they tell one another the newest revision they know', function (this: World) {
+  assert.deepEqual([...this.heardRevisions!], [7]);
+});
+
 When('the first falls silent', function (this: World) {
   this.gossips!.shift()!.close();
 });
 
 When('a third gateway joins that knows only the second', async function (this: World) {
   assert.ok(await holdsWithin(2_000, () => this.gossips![1]!.peerCount > 0));
-  startGossip(this, 2, [HOSTS[1]], []);
+  startGossip(this, 2, [HOSTS[1]], new Map());
 });
 
 Then(
@@ -129,9 +136,17 @@
     }),
   );
   const plain = { noNullPrototype: true };
-  const load = fc.record({ runner: fc.string({ maxLength: 30 }), inFlight: fc.nat(65_535) }, plain);
+  const runnerHash = fc.nat(0xffff_ffff);
+  const load = fc.record({ runnerHash, inFlight: fc.nat(65_535) }, plain);
+  const revision = fc.nat(Number.MAX_SAFE_INTEGER);
   const message: fc.Arbitrary<LoadMessage> = fc.record(
-    { sequence: fc.nat(), life: fc.nat(), loads: fc.array(load), peers: fc.array(fc.ipV4()) },
+    {
+      sequence: fc.nat(),
+      life: fc.nat(),
+      loads: fc.array(load),
+      peers: fc.array(fc.ipV4()),
+      revision,
+    },
     plain,
   );
   fc.assert(
--- a/src/mirror/key-space-mirror.ts
+++ b/src/mirror/key-space-mirror.ts
@@ -1,7 +1,8 @@
 /**
  * A copy of the items under one prefix of a store, kept up to date by a watch. The watch may be
- * silent, cut or forgotten: waits are bounded, a lost history leads to a new list, and chosen keys
- * are read again now and then. An item never goes back to an older revision.
+ * silent, cut or forgotten: waits are bounded, a lost history leads to a new list, a cheap list that
+ * may be old is read now and then, and a peer that knows a newer change shows that this watch hangs.
+ * An item never goes back to an older revision.
  */
 import { isRight } from 'fp-ts/lib/Either.js';
 import type { Runtime } from '../runtime/runtime.js';
@@ -12,9 +13,7 @@
   readonly runtime: Runtime;
   readonly port: KeySpacePort;
   readonly prefix: string;
-  /** Keys read again now and then, since a watch can be silent. */
-  readonly verifiedKeys: readonly string[];
-  /** Pause between these reads, in milliseconds. */
+  /** Pause between cheap lists, read since a watch can be silent, in milliseconds. */
   readonly verifyMilliseconds: number;
   /** Longest wait of one watch call, in milliseconds. */
   readonly watchMilliseconds: number;
@@ -30,6 +29,10 @@
 
 const FIRST_PAUSE_MILLISECONDS = 60;
 const LONGEST_PAUSE_MILLISECONDS = 800;
+/** Pause after changes before the next watch, so that changes in quick succession come in one call. */
+const GATHER_MILLISECONDS = 100;
+/** Time that a watch has to bring a change that a peer knows already, in milliseconds. */
+const BEHIND_MILLISECONDS = 400;
 
 /** See the head of this file. */
 export class KeySpaceMirror {
@@ -37,6 +40,12 @@
   /** Revisions at which keys were removed, until the next list. */
   private readonly goneAt = new Map<string, number>();
   private revision = 0;
+  /** Revision of the newest change seen. */
+  private changedRevision = 0;
+  /** Rises with each list: what an earlier watch brings later is not followed up. */
+  private generation = 0;
+  private watching = false;
+  private checkingBehind = false;
   private failures = 0;
   private reachable: boolean | undefined;
   private closed = false;
@@ -59,6 +68,28 @@
     return [...this.items.values()];
   }
 
+  /** Revision of the newest change that is known here. */
+  get newestChange(): number {
+    return this.changedRevision;
+  }
+
+  /** Takes a peer's word for its newest change: if the watch does not bring it, the watch hangs. */
+  heedRevision(revision: number): void {
+    if (revision <= this.revision || this.checkingBehind || !this.watching) {
+      return;
+    }
+    this.checkingBehind = true;
+    const { runtime } = this.options;
+    runtime.setTimer(BEHIND_MILLISECONDS, () => {
+      this.checkingBehind = false;
+      if (revision > this.revision && this.watching && !this.closed) {
+        const fields = { event: 'mirror.behind', known: this.revision, elsewhere: revision };
+        runtime.log('warn', 'the watch hangs', fields);
+        this.readList();
+      }
+    });
+  }
+
   /** Whether a whole list was ever taken. */
   get listed(): boolean {
     return this.revision > 0;
@@ -69,6 +100,7 @@
     const known = this.items.get(item.key)?.revision ?? this.goneAt.get(item.key) ?? 0;
     if (item.revision > known) {
       this.items.set(item.key, item);
+      this.changedRevision = Math.max(this.changedRevision, item.revision);
       this.goneAt.delete(item.key);
       this.options.onPut(item);
     }
@@ -80,8 +112,11 @@
   }
 
   private readList(): void {
+    this.generation += 1;
+    this.watching = false;
+    const { generation } = this;
     this.options.port.list(this.options.prefix, (result) => {
-      if (this.closed) {
+      if (this.closed || generation !== this.generation) {
         return;
       }
       if (!isRight(result)) {
@@ -98,11 +133,14 @@
   }
 
   private watch(): void {
-    const { port, prefix, watchMilliseconds } = this.options;
+    const { port, prefix, watchMilliseconds, runtime } = this.options;
+    const { generation } = this;
+    this.watching = true;
     port.watch(prefix, this.revision, watchMilliseconds, (result) => {
-      if (this.closed) {
+      if (this.closed || generation !== this.generation) {
         return;
       }
+      this.watching = false;
       if (!isRight(result)) {
         if (result.left.tag === 'HistoryLost') {
           this.readList();
@@ -120,15 +158,22 @@
         }
       }
       this.revision = Math.max(this.revision, result.right.revision);
-      this.watch();
+      if (result.right.changes.length === 0) {
+        this.watch();
+      } else {
+        runtime.setTimer(GATHER_MILLISECONDS, () => this.watchUnless(generation));
+      }
     });
   }
 
-  private verifyLater(): void {
-    const { runtime, verifyMilliseconds, verifiedKeys, port } = this.options;
-    if (verifiedKeys.length === 0) {
-      return;
+  private watchUnless(generation: number): void {
+    if (!this.closed && generation === this.generation) {
+      this.watch();
     }
+  }
+
+  private verifyLater(): void {
+    const { runtime, verifyMilliseconds, prefix, port } = this.options;
     const pause = verifyMilliseconds * (0.8 + 0.4 * runtime.random.uniform());
     runtime.setTimer(pause, () => {
       if (this.closed) {
@@ -136,20 +181,23 @@
       }
       this.verifyLater();
       if (this.reachable === true) {
-        verifiedKeys.forEach((key) => {
-          port.read(key, (result) => {
-            if (isRight(result) && result.right !== undefined && !this.closed) {
-              this.offer(result.right);
-            }
-          });
+        port.listStale(prefix, (result) => {
+          if (isRight(result) && !this.closed) {
+            this.merge(result.right.items, result.right.revision);
+          }
         });
       }
     });
   }
 
   private replaceAll(items: readonly StoredItem[], revision: number): void {
-    const present = new Set(items.map((item) => item.key));
     this.goneAt.clear();
+    this.merge(items, revision);
+  }
+
+  /** Takes a list that may be old: only what is newer than known counts. */
+  private merge(items: readonly StoredItem[], revision: number): void {
+    const present = new Set(items.map((item) => item.key));
     for (const key of [...this.items.keys()]) {
       if (!present.has(key)) {
         this.drop(key, revision);
@@ -163,6 +211,7 @@
     if (known !== undefined && known.revision < revision) {
       this.items.delete(key);
       this.goneAt.set(key, revision);
+      this.changedRevision = Math.max(this.changedRevision, revision);
       this.options.onGone(key);
     }
   }
--- a/src/mirror/key-space-port.ts
+++ b/src/mirror/key-space-port.ts
@@ -41,6 +41,8 @@
 /** See the head of this file. Each call ends within a time of its own, answered or not. */
 export interface KeySpacePort {
   list(prefix: string, listener: KeySpaceListener<ItemList>): void;
+  /** A list that may be seconds old and costs the store little. */
+  listStale(prefix: string, listener: KeySpaceListener<ItemList>): void;
   /** Waits for changes after a revision, for `waitMilliseconds` at most; none is an empty list. */
   watch(
     prefix: string,
@@ -48,6 +50,4 @@
     waitMilliseconds: number,
     listener: KeySpaceListener<ChangeList>,
   ): void;
-  /** Reads one item; undefined when there is none. */
-  read(key: string, listener: KeySpaceListener<StoredItem | undefined>): void;
 }
--- a/src/peers/load-gossip.ts
+++ b/src/peers/load-gossip.ts
@@ -5,6 +5,7 @@
  */
 import { createSocket } from 'node:dgram';
 import type { Socket } from 'node:dgram';
+import { hashToNumber } from '../runtime/hashing.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import { setRepeatingTimer } from '../runtime/runtime.js';
 import { decodeLoadMessage, encodeLoadMessage } from './load-message.js';
@@ -18,19 +19,25 @@
   readonly port: number;
   /** Hosts to begin with. */
   readonly seeds: () => readonly string[];
-  /** Load of this gateway. */
-  readonly ownLoads: () => readonly RunnerLoad[];
+  /** Requests of this gateway by runner. */
+  readonly ownLoads: () => ReadonlyMap<string, number>;
+  /** Revision of the newest change of the store known here. */
+  readonly ownRevision: () => number;
+  /** A peer told the revision of the newest change that it knows. */
+  readonly onRevision: (revision: number) => void;
 }
 
 const PERIOD_MILLISECONDS = 100;
-/** Time after which what a silent peer told is forgotten, in milliseconds. */
+/** Least time after which what a silent peer told is forgotten, in milliseconds. */
 const STALE_MILLISECONDS = 500;
+/** The same in mean times between two messages of a peer: with many peers these are longer. */
+const STALE_MESSAGES = 2.5;
 /** Time after which a silent peer is no longer sent to, in milliseconds. */
 const FORGET_MILLISECONDS = 10_000;
 /** Most peers told in a period. */
-const FAN_OUT = 16;
+const FAN_OUT = 8;
 /** Peers named in a message. */
-const NAMED_PEERS = 6;
+const NAMED_PEERS = 3;
 const LARGEST_LIFE = 2 ** 31;
 
 interface PeerLoad {
@@ -47,8 +54,8 @@
   private readonly cancelTimer: CancelTimer;
   private readonly life: number;
   private sequence = 0;
-  /** Requests of all other gateways by runner. */
-  private totals = new Map<string, number>();
+  /** Requests of all other gateways by the hash of their runner. */
+  private totals = new Map<number, number>();
 
   constructor(private readonly options: LoadGossipOptions) {
     const { runtime, host, port } = options;
@@ -62,7 +69,7 @@
 
   /** Requests of other gateways that are believed to be at a runner. */
   inFlightOfOthers(runner: string): number {
-    return this.totals.get(runner) ?? 0;
+    return this.totals.get(hashToNumber(runner)) ?? 0;
   }
 
   /** Gateways heard lately. */
@@ -89,8 +96,9 @@
     const message: LoadMessage = {
       sequence: this.sequence,
       life: this.life,
-      loads: this.options.ownLoads(),
+      loads: this.hashedLoads(),
       peers: known.slice(-NAMED_PEERS),
+      revision: this.options.ownRevision(),
     };
     const bytes = encodeLoadMessage(message);
     for (const target of targets) {
@@ -99,6 +107,13 @@
     this.sumUp();
   }
 
+  private hashedLoads(): RunnerLoad[] {
+    return [...this.options.ownLoads()].map(([runner, inFlight]) => ({
+      runnerHash: hashToNumber(runner),
+      inFlight,
+    }));
+  }
+
   /** Greets one seed that was not heard, so that parted groups find one another again. */
   private addSeed(targets: Set<string>): void {
     const { seeds, host, runtime } = this.options;
@@ -120,6 +135,7 @@
     const { life, sequence, loads } = message;
     this.peers.set(from, { life, sequence, loads, heardAt: this.options.runtime.now() });
     message.peers.forEach((peer) => this.learn(peer));
+    this.options.onRevision(message.revision);
   }
 
   private learn(peer: string): void {
@@ -138,13 +154,20 @@
     }
   }
 
+  /** Time after which what a silent peer told is forgotten, in milliseconds. */
+  private get staleMilliseconds(): number {
+    const messageMilliseconds = (PERIOD_MILLISECONDS * this.peers.size) / FAN_OUT;
+    return Math.max(STALE_MILLISECONDS, STALE_MESSAGES * messageMilliseconds);
+  }
+
   private sumUp(): void {
     const now = this.options.runtime.now();
-    const totals = new Map<string, number>();
+    const totals = new Map<number, number>();
+    const stale = this.staleMilliseconds;
     for (const state of this.peers.values()) {
-      if (now - state.heardAt <= STALE_MILLISECONDS) {
-        for (const { runner, inFlight } of state.loads) {
-          totals.set(runner, (totals.get(runner) ?? 0) + inFlight);
+      if (now - state.heardAt <= stale) {
+        for (const { runnerHash, inFlight } of state.loads) {
+          totals.set(runnerHash, (totals.get(runnerHash) ?? 0) + inFlight);
         }
       }
     }
--- a/src/peers/load-message.ts
+++ b/src/peers/load-message.ts
@@ -1,10 +1,19 @@
 /** What gateways tell one another of their load, in one datagram. */
 import * as r from 'restructure';
-import { count, decodeField, encodeField, listOf, record, shortText } from '../wire/fields.js';
+import {
+  count,
+  decodeField,
+  encodeField,
+  listOf,
+  real,
+  record,
+  shortText,
+} from '../wire/fields.js';
 
 /** Requests of the sender that are at one runner. */
 export interface RunnerLoad {
-  readonly runner: string;
+  /** Hash of the runner's identifier, 32 bits: messages stay small at hundreds of runners. */
+  readonly runnerHash: number;
   readonly inFlight: number;
 }
 
@@ -18,14 +27,17 @@
   readonly loads: readonly RunnerLoad[];
   /** Hosts of some other gateways that the sender has heard lately. */
   readonly peers: readonly string[];
+  /** Revision of the newest change of the store that the sender knows; 0 when it knows none. */
+  readonly revision: number;
 }
 
-const load = record({ runner: shortText, inFlight: r.uint16 });
+const load = record({ runnerHash: r.uint32, inFlight: r.uint16 });
 const message = record({
   sequence: count,
   life: count,
   loads: listOf(load),
   peers: listOf(shortText),
+  revision: real,
 });
 
 /** Encodes a datagram. */
--- a/src/relay/runner-book.ts
+++ b/src/relay/runner-book.ts
@@ -1,6 +1,5 @@
 /** What this node believes of the runners: listed, leaving, reachable, busy, fast, and what they keep. */
 import type { Runtime } from '../runtime/runtime.js';
-import type { RunnerLoad } from '../peers/load-message.js';
 import { leadingCachedTokens } from './choose-runner.js';
 import type { RunnerView } from './choose-runner.js';
 import type { ServiceLoad } from './program-admission.js';
@@ -47,21 +46,14 @@
   constructor(private readonly runtime: Runtime) {}
 
   /** Requests of this gateway at each runner that has some. */
-  ownLoads(): RunnerLoad[] {
-    return [...this.records.values()].flatMap(({ runner, inFlight }) =>
-      inFlight > 0 ? [{ runner: runner.id, inFlight }] : [],
-    );
-  }
-
-  /** Takes a whole list: runners that are not on it have left. */
-  replaceAll(runners: readonly Runner[]): void {
-    const listed = new Set(runners.map((runner) => runner.id));
-    for (const record of this.records.values()) {
-      if (!listed.has(record.runner.id)) {
-        this.remove(record.runner.id);
+  ownLoads(): Map<string, number> {
+    const loads = new Map<string, number>();
+    for (const { runner, inFlight } of this.records.values()) {
+      if (inFlight > 0) {
+        loads.set(runner.id, inFlight);
       }
     }
-    runners.forEach((runner) => this.put(runner));
+    return loads;
   }
 
   /** Takes one entry of the list. */
@@ -96,17 +88,6 @@
     this.runtime.setTimer(GONE_GRACE_MILLISECONDS, () => this.forget(id));
   }
 
-  /** Runners now listed. */
-  list(): Runner[] {
-    return [...this.records.values()]
-      .filter((record) => record.goneAt === undefined)
-      .map((record) => record.runner);
-  }
-
-  get(id: string): RunnerRecord | undefined {
-    return this.records.get(id);
-  }
-
   /** Runners of a service that may get a request, the trusted ones only if there are any. */
   candidates(
     service: string,
