A runner out of reach takes none of the runners that a route allows; probe it sooner

Ruled out: the resets, after which the same runner is asked again and refuses. Change: a runner whose address takes no connection counts no more; a runner that says nothing to anyone for 150 ms is probed, instead of after 300 ms of one request's silence. Answers of 502 to requests that may not repeat stay: nothing proves that they did not run. The new scenario fails without the change.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -66,6 +66,12 @@
     Then the client gets events 1 to 4 and the end
     And the second try asked for events after 2
 
+  Scenario: A runner that lost power takes none of the runners that a route allows
+    Given the first try of a request ends as "dark"
+    When a client sends a "lone" request
+    Then the client gets events 1 to 4 and the end
+    And the second try asked for events after 2
+
   Scenario: A broken stream that may not be taken up never looks complete
     Given the first try of a request ends as "cutOff"
     When a client sends a "kept" request
--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -69,6 +69,7 @@
   routeOf('single', 'single', {}),
   routeOf('stream', 'stream', { resumable: true }),
   routeOf('once', 'single', { maximumAttempts: 1 }),
+  routeOf('lone', 'stream', { resumable: true, maximumAttempts: 1 }),
   routeOf('kept', 'stream', { retained: true }),
 ];
 const LIMITS = {
@@ -160,7 +161,7 @@
     const id = 'id' in options ? options.id : `request-${this.requestCount}`;
     this.lastId = id ?? '';
     const { body = '', host = ROUTED_HOST, path = `/${route}/work?${route}` } = options;
-    const streamPath = route === 'kept' ? `/${route}/work?stream` : path;
+    const streamPath = route === 'kept' || route === 'lone' ? `/${route}/work?stream` : path;
     const headers: Record<string, string> = {
       host,
       'content-length': String(body.length),
--- a/src/emulator/relay-runner.ts
+++ b/src/emulator/relay-runner.ts
@@ -29,7 +29,9 @@
   /** Answers without a length and ends with the connection. */
   | 'unframed'
   /** Runs it and never answers. */
-  | 'silent';
+  | 'silent'
+  /** Loses power in the middle of a stream: says nothing more and takes no connections. */
+  | 'dark';
 
 /** One request that the stand-in began to work on. */
 export interface RunnerRun {
@@ -203,6 +205,10 @@
         response.write(`id: ${id}\nda`, () => request.socket.destroy());
         return;
       }
+      if (behaviour === 'dark' && id > eventCount / 2) {
+        this.server.close();
+        return;
+      }
       if (id > eventCount) {
         response.end();
         return;
--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -24,8 +24,8 @@
 
 /** Time beyond the route's own at which the relay stops waiting, so that runners end first. */
 const END_SLACK_MILLISECONDS = 30;
-/** Time without a byte after which the runner's address is probed. */
-const SILENCE_MILLISECONDS = 300;
+/** Time without a byte from a runner, for whatever request, after which its address is probed. */
+const SILENCE_MILLISECONDS = 150;
 /** Pause told to clients when no runner had room. */
 const FULL_RETRY_SECONDS = 0.1;
 /** Pause told to clients whose program may not begin yet. */
@@ -355,7 +355,7 @@
       this.sentTo.delete(runner.id);
     } else {
       this.mayHaveRun = true;
-      this.sentTo.add(runner.id);
+      this.noteSentTo(current.record);
     }
     if (this.stream !== undefined && !this.stream.prepareResume()) {
       this.breakOff('the stream can not be taken up again');
@@ -364,6 +364,15 @@
     this.tryNext();
   }
 
+  /** Runners that ended or are cut off take none of the number of runners that a route allows. */
+  private noteSentTo(record: RunnerRecord): void {
+    if (record.outOfReach) {
+      this.sentTo.delete(record.runner.id);
+    } else {
+      this.sentTo.add(record.runner.id);
+    }
+  }
+
   private giveUp(reason: string): void {
     if (this.mayHaveRun) {
       const detail = `the runner's answer is lost: ${reason}`;
@@ -396,7 +405,9 @@
 
   private noteHeard(): void {
     if (this.current !== undefined) {
-      this.current.heardAt = this.context.runtime.now();
+      const now = this.context.runtime.now();
+      this.current.heardAt = now;
+      this.current.record.heardAt = now;
     }
   }
 
@@ -410,14 +421,15 @@
         return;
       }
       this.watchSilence();
-      if (runtime.now() - current.heardAt < SILENCE_MILLISECONDS) {
+      const silentSince = Math.max(current.heardAt, current.record.heardAt);
+      if (runtime.now() - silentSince < SILENCE_MILLISECONDS) {
         return;
       }
       connections.probe(current.record.runner, (reachable) => {
         if (!reachable && this.current === current && !this.over) {
-          book.distrust(current.record, 'silent and out of reach');
-          connections.closeAll(current.record.runner);
+          book.noteOutOfReach(current.record, 'silent and out of reach');
           this.failCurrent({ tag: 'Lost', detail: 'runner out of reach' });
+          connections.closeAll(current.record.runner);
         }
       });
     });
--- a/src/relay/runner-book.ts
+++ b/src/relay/runner-book.ts
@@ -25,6 +25,10 @@
   /** Not used before this time, after it could not be reached. */
   distrustedUntil: number;
   failures: number;
+  /** True from the time its address took no connection until it answers again. */
+  outOfReach: boolean;
+  /** Local time at which a byte last came from it, in milliseconds. */
+  heardAt: number;
   readonly pace: RunnerPace;
   readonly places: PromptPlaces;
 }
@@ -145,6 +149,12 @@
     this.runtime.log('warn', 'runner distrusted', fields);
   }
 
+  /** Notes that a runner's address takes no connection: it ended or is cut off. */
+  noteOutOfReach(record: RunnerRecord, reason: string): void {
+    record.outOfReach = true;
+    this.distrust(record, reason);
+  }
+
   private viewOf(record: RunnerRecord, parts: readonly PromptPart[]): RunnerCandidate {
     const { id, zone, slots } = record.runner;
     return {
@@ -159,6 +169,7 @@
   }
 
   private trust(record: RunnerRecord): void {
+    record.outOfReach = false;
     if (record.failures > 0) {
       record.failures = 0;
       record.distrustedUntil = 0;
@@ -174,6 +185,8 @@
       goneAt: undefined,
       distrustedUntil: 0,
       failures: 0,
+      outOfReach: false,
+      heardAt: this.runtime.now(),
       pace: new RunnerPace(this.paceOf(runner.service)),
       places: new PromptPlaces(DEFAULT_MEMORY_TOKENS),
     };
