Part the relay's call: silence of runners and log lines in modules of their own; drop what nothing uses

Removed: openedCount of RunnerAgent, currentLimit of ProgramAdmission, onListed of the mirror, the call's onOver. relay.end tells -1 in place of the time of a try or byte that never came, which was meaningless before. The port to the record of members has a file of its own.

--- a/features/steps/mirror.steps.ts
+++ b/features/steps/mirror.steps.ts
@@ -149,7 +149,6 @@
     watchMilliseconds: 2_000,
     onPut: () => undefined,
     onGone: () => undefined,
-    onListed: () => undefined,
     onReachable: (reachable) => this.reached.push(reachable),
   });
   this.mirror.start();
--- a/src/mirror/key-space-mirror.ts
+++ b/src/mirror/key-space-mirror.ts
@@ -21,8 +21,6 @@
   readonly onPut: (item: StoredItem) => void;
   /** An item is gone. */
   readonly onGone: (key: string) => void;
-  /** A whole list was taken; everything known is as the store had it. */
-  readonly onListed: () => void;
   /** The store was reached again, or is out of reach. */
   readonly onReachable: (reachable: boolean) => void;
 }
@@ -127,7 +125,6 @@
       const { items, revision } = result.right;
       this.replaceAll(items, revision);
       this.revision = Math.max(1, revision);
-      this.options.onListed();
       this.watch();
     });
   }
--- /dev/null
+++ b/src/relay/call-log.ts
@@ -0,0 +1,80 @@
+/** Log lines and figures of relayed requests. */
+import type { LogFields } from '../runtime/runtime.js';
+import type { RelayContext } from './relay-context.js';
+import type { RelayRequest } from './relay-request.js';
+import type { RunnerRecord } from './runner-book.js';
+
+/** Told in place of a time that never came, such as that of the first try of a request without one. */
+const NEVER = -1;
+
+/** One try that failed. */
+export interface FailedTry {
+  readonly request: string;
+  readonly record: RunnerRecord;
+  /** How it failed. */
+  readonly tag: string;
+  readonly detail: string;
+  /** Tries of the request so far, this one included. */
+  readonly tries: number;
+  /** Local time at which the try was sent, in milliseconds. */
+  readonly startedAt: number;
+}
+
+/** The end of one call. */
+export interface CallEnd {
+  readonly request: RelayRequest;
+  readonly outcome: string;
+  readonly tries: number;
+  /** Local times in milliseconds; undefined when it never came to that. */
+  readonly dispatchedAt: number | undefined;
+  readonly firstByteAt: number | undefined;
+  readonly eventCount: number;
+  /** What else decided the end. */
+  readonly fields: LogFields;
+}
+
+/** Logs and counts a try that failed. */
+export function logFailedTry(context: RelayContext, failed: FailedTry): void {
+  const { runtime, metrics } = context;
+  const { request, record, tag, detail, tries, startedAt } = failed;
+  metrics.count('ivyloom_relay_failed_tries_total', `tag="${tag}"`);
+  runtime.log('info', 'try failed', {
+    event: 'relay.try',
+    request,
+    runner: record.runner.id,
+    tag,
+    detail,
+    tries,
+    inFlight: record.inFlight,
+    age: Math.round(runtime.now() - startedAt),
+  });
+}
+
+/** Logs and counts the end of a call. */
+export function logCallEnd(context: RelayContext, end: CallEnd): void {
+  const { runtime, metrics } = context;
+  const { request, outcome, tries, dispatchedAt, firstByteAt, eventCount, fields } = end;
+  const { id, route, program, arrivedAt, configurationVersion } = request;
+  const sinceArrival = (at: number | undefined): number =>
+    at === undefined ? NEVER : Math.round(at - arrivedAt);
+  const total = runtime.now() - arrivedAt;
+  metrics.count('ivyloom_relay_requests_total', `kind="${route.kind}",outcome="${outcome}"`);
+  metrics.observe('ivyloom_relay_request_milliseconds', total);
+  if (dispatchedAt !== undefined) {
+    metrics.observe('ivyloom_relay_before_dispatch_milliseconds', dispatchedAt - arrivedAt);
+  }
+  runtime.log(outcome === 'answered' ? 'debug' : 'info', 'request ended', {
+    event: 'relay.end',
+    request: id,
+    program: program?.program ?? '',
+    route: route.name,
+    version: configurationVersion,
+    outcome,
+    tries,
+    total: Math.round(total),
+    beforeDispatch: sinceArrival(dispatchedAt),
+    firstByte: sinceArrival(firstByteAt),
+    events: eventCount,
+    ...fields,
+  });
+}
--- a/src/relay/program-admission.ts
+++ b/src/relay/program-admission.ts
@@ -35,11 +35,6 @@
   private readonly underWay = new Set<string>();
   private limit = FIRST_LIMIT;
 
-  /** Load in requests a slot at which routine programs are kept out now. */
-  get currentLimit(): number {
-    return this.limit;
-  }
-
   /**
    * Whether a request of a program is let in; one that was let in once always is. Turns of programs
    * that are late lower the limit, those of others raise it: how full the runners may be depends on
--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -9,6 +9,7 @@
 import { startAttempt } from './attempt.js';
 import type { AnswerHead, Attempt, AttemptFailure } from './attempt.js';
 import type { ClientAnswer, OwnAnswer } from './client-answer.js';
+import { logCallEnd, logFailedTry } from './call-log.js';
 import { chooseRunner } from './choose-runner.js';
 import { headersToRunner } from './forwarded-headers.js';
 import { FIRST_SERVER_ERROR, judgeAnswer } from './judge-answer.js';
@@ -19,13 +20,12 @@
 import type { RelayRequest } from './relay-request.js';
 import type { RunnerRecord } from './runner-book.js';
 import { CONNECT_MILLISECONDS } from './runner-connections.js';
+import { SilenceWatch } from './silence-watch.js';
 import { StreamAnswer } from './stream-answer.js';
 import { isLate, urgencyOf } from './urgency.js';
 
 /** Time beyond the route's own at which the relay stops waiting, so that runners end first. */
 const END_SLACK_MILLISECONDS = 30;
-/** Time without a byte from a runner, for whatever request, after which its address is probed. */
-const SILENCE_MILLISECONDS = 150;
 /** Pause told to clients when no runner had room. */
 const FULL_RETRY_SECONDS = 0.1;
 /** Pause told to clients whose program may not begin yet. */
@@ -49,7 +49,7 @@
   readonly attempt: Attempt;
   readonly record: RunnerRecord;
   readonly startedAt: number;
-  heardAt: number;
+  readonly silence: SilenceWatch;
 }
 
 /** See the head of this file. */
@@ -64,21 +64,18 @@
   private mayHaveRun = false;
   private current: CurrentTry | undefined;
   private cancelDeadline: CancelTimer = () => undefined;
-  private cancelSilence: CancelTimer = () => undefined;
   private over = false;
   private reserved = false;
   private body: Buffer;
   private readonly endAt: number;
   private readonly stream: StreamAnswer | undefined;
   private firstByteAt: number | undefined;
-  private dispatchedAt = 0;
+  private dispatchedAt: number | undefined;
 
   constructor(
     readonly context: RelayContext,
     readonly request: RelayRequest,
     readonly answer: ClientAnswer,
-    /** Told when the call is over, however it ended. */
-    private readonly onOver: () => void,
   ) {
     this.body = request.body;
     const routeEnd = request.arrivedAt + request.route.timeoutMilliseconds;
@@ -269,7 +266,7 @@
     const { context, request } = this;
     const { runner } = record;
     const now = context.runtime.now();
-    this.dispatchedAt ||= now;
+    this.dispatchedAt ??= now;
     context.book.begin(record, request.promptParts);
     const headers = headersToRunner(request, context.names, {
       runnerId: runner.id,
@@ -290,13 +287,15 @@
         reader.onData(chunk);
       },
       onEnd: () => {
-        this.cancelSilence();
+        this.current?.silence.stop();
         reader.onEnd();
       },
       onFailure: (failure) => this.takeFailure(failure),
     });
-    this.current = { attempt, record, startedAt: now, heardAt: now };
-    this.watchSilence();
+    const silence = new SilenceWatch(context, record, () =>
+      this.failCurrent({ tag: 'Lost', detail: 'runner out of reach' }),
+    );
+    this.current = { attempt, record, startedAt: now, silence };
   }
 
   private takeHead(head: AnswerHead, reader: AnswerReader): void {
@@ -404,41 +403,13 @@
   }
 
   private noteHeard(): void {
-    if (this.current !== undefined) {
-      const now = this.context.runtime.now();
-      this.current.heardAt = now;
-      this.current.record.heardAt = now;
-    }
-  }
-
-  /** Probes the runner's address when nothing has come for a while: a dead one never answers. */
-  private watchSilence(): void {
-    const { runtime, connections, book } = this.context;
-    this.cancelSilence();
-    this.cancelSilence = runtime.setTimer(SILENCE_MILLISECONDS, () => {
-      const current = this.current;
-      if (current === undefined || this.over) {
-        return;
-      }
-      this.watchSilence();
-      const silentSince = Math.max(current.heardAt, current.record.heardAt);
-      if (runtime.now() - silentSince < SILENCE_MILLISECONDS) {
-        return;
-      }
-      connections.probe(current.record.runner, (reachable) => {
-        if (!reachable && this.current === current && !this.over) {
-          book.noteOutOfReach(current.record, 'silent and out of reach');
-          this.failCurrent({ tag: 'Lost', detail: 'runner out of reach' });
-          connections.closeAll(current.record.runner);
-        }
-      });
-    });
+    this.current?.silence.noteHeard();
   }
 
   private takeCurrent(): CurrentTry | undefined {
     const current = this.current;
     this.current = undefined;
-    this.cancelSilence();
+    current?.silence.stop();
     return current;
   }
 
@@ -467,47 +438,16 @@
     }
     this.over = true;
     this.cancelDeadline();
-    this.cancelSilence();
     this.settle();
-    this.logEnd(outcome, fields);
-    this.onOver();
+    const { request, tries, dispatchedAt, firstByteAt } = this;
+    const eventCount = this.stream?.eventCount ?? 0;
+    const end = { request, outcome, tries, dispatchedAt, firstByteAt, eventCount, fields };
+    logCallEnd(this.context, end);
   }
 
   private logTry(tag: string, detail: string, current: CurrentTry): void {
-    const { runtime, metrics } = this.context;
-    metrics.count('ivyloom_relay_failed_tries_total', `tag="${tag}"`);
-    runtime.log('info', 'try failed', {
-      event: 'relay.try',
-      request: this.request.id,
-      runner: current.record.runner.id,
-      tag,
-      detail,
-      tries: this.tries,
-      inFlight: current.record.inFlight,
-      age: Math.round(runtime.now() - current.startedAt),
-    });
-  }
-
-  private logEnd(outcome: string, fields: LogFields): void {
-    const { runtime, metrics } = this.context;
-    const { id, route, program, arrivedAt, configurationVersion } = this.request;
-    const total = runtime.now() - arrivedAt;
-    metrics.count('ivyloom_relay_requests_total', `kind="${route.kind}",outcome="${outcome}"`);
-    metrics.observe('ivyloom_relay_request_milliseconds', total);
-    metrics.observe('ivyloom_relay_before_dispatch_milliseconds', this.dispatchedAt - arrivedAt);
-    runtime.log(outcome === 'answered' ? 'debug' : 'info', 'request ended', {
-      event: 'relay.end',
-      request: id,
-      program: program?.program ?? '',
-      route: route.name,
-      version: configurationVersion,
-      outcome,
-      tries: this.tries,
-      total: Math.round(total),
-      beforeDispatch: Math.round(this.dispatchedAt - arrivedAt),
-      firstByte: Math.round((this.firstByteAt ?? arrivedAt) - arrivedAt),
-      events: this.stream?.eventCount ?? 0,
-      ...fields,
-    });
+    const { record, startedAt } = current;
+    const { request, tries } = this;
+    logFailedTry(this.context, { request: request.id, record, tag, detail, tries, startedAt });
   }
 }
--- a/src/relay/relay-front.ts
+++ b/src/relay/relay-front.ts
@@ -127,7 +127,7 @@
     }
     this.readBody(request, answer, checked.table, (body) => {
       const parsed = this.parse(request, checked.id, checked.route, checked.table, body, arrivedAt);
-      new RelayCall(this.context, parsed, answer, () => undefined).start();
+      new RelayCall(this.context, parsed, answer).start();
     });
   }
 
--- a/src/relay/runner-agent.ts
+++ b/src/relay/runner-agent.ts
@@ -26,20 +26,10 @@
 
 /** See the head of this file. One agent serves one address. */
 export class RunnerAgent extends Agent {
-  /** Connections opened so far. */
-  openedCount = 0;
-
   constructor(maximumConnections: number) {
     super({ keepAlive: true, maxSockets: maximumConnections, scheduling: 'lifo', noDelay: true });
   }
 
-  override createConnection(
-    ...parameters: Parameters<Agent['createConnection']>
-  ): ReturnType<Agent['createConnection']> {
-    this.openedCount += 1;
-    return super.createConnection(...parameters);
-  }
-
   /** Called by Node when a request is done; false closes the connection. */
   override keepSocketAlive(stream: Duplex): boolean {
     const socket = stream as Socket;
--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -7,7 +7,7 @@
 import type { RandomSource } from '../runtime/random.js';
 import { MemberDirectory } from '../turns/member-directory.js';
 import { MembershipKeeper } from '../turns/membership-keeper.js';
-import type { MembershipStore, StoredRecord } from '../turns/membership-keeper.js';
+import type { MembershipStore, StoredRecord } from '../turns/membership-store.js';
 import type { Member } from '../turns/membership.js';
 import type { OneWayMessage, ReplicaReply, ReplicaRequest } from '../turns/messages.js';
 import type { ReplicaCaller, ReplyListener, UnnumberedRequest } from '../turns/replica-caller.js';
--- a/src/turns/membership-keeper.ts
+++ b/src/turns/membership-keeper.ts
@@ -15,28 +15,11 @@
   withoutMember,
 } from './membership.js';
 import type { Member, MemberRecord } from './membership.js';
+import type { MembershipStore } from './membership-store.js';
 import type { Replica } from './replica.js';
 import type { ReplicaSync } from './replica-sync.js';
 import { Retirement } from './retirement.js';
 
-/** The record where all processes find it. */
-export type StoredRecord =
-  /** Nothing was read yet. */
-  | { readonly tag: 'Unknown' }
-  | { readonly tag: 'Absent' }
-  | { readonly tag: 'Present'; readonly text: string; readonly revision: number };
-
-/** Where the record is stored, and what operators ask of machines. */
-export interface MembershipStore {
-  readRecord(): StoredRecord;
-  /** Replaces the record if its revision is still the expected one; 0 when there must be none. */
-  swapRecord(expectedRevision: number, text: string, done: (swapped: boolean) => void): void;
-  /** Names of machines that are to be emptied. */
-  retiringNodes(): ReadonlySet<string>;
-  /** Tells operators how far the emptying of this machine is. */
-  reportRetirement(node: string, finished: boolean, done: (written: boolean) => void): void;
-}
-
 /** What the keeper is made with. */
 export interface MembershipKeeperOptions {
   readonly self: Member;
--- a/src/turns/retirement.ts
+++ b/src/turns/retirement.ts
@@ -4,7 +4,7 @@
  * acknowledged here, and a member that read it and is down since still has it on its disk.
  */
 import type { Runtime } from '../runtime/runtime.js';
-import type { MembershipStore } from './membership-keeper.js';
+import type { MembershipStore } from './membership-store.js';
 import { hasMember } from './membership.js';
 import type { Member, MemberRecord } from './membership.js';
 import type { Replica } from './replica.js';
