--- a/src/turns/membership-keeper.ts
+++ b/src/turns/membership-keeper.ts
@@ -15,26 +15,10 @@
   withoutMember,
 } from './membership.js';
 import type { Member, MemberRecord } from './membership.js';
+import type { MembershipStore } from './membership-store.js';
 import type { Replica } from './replica.js';
 import type { ReplicaSync } from './replica-sync.js';
-
-/** The record where all processes find it. */
-export type StoredRecord =
-  /** Nothing was read yet. */
-  | { readonly tag: 'Unknown' }
-  | { readonly tag: 'Absent' }
-  | { readonly tag: 'Present'; readonly text: string; readonly revision: number };
-
-/** Where the record is stored, and what operators ask of machines. */
-export interface MembershipStore {
-  readRecord(): StoredRecord;
-  /** Replaces the record if its revision is still the expected one; 0 when there must be none. */
-  swapRecord(expectedRevision: number, text: string, done: (swapped: boolean) => void): void;
-  /** Names of machines that are to be emptied. */
-  retiringNodes(): ReadonlySet<string>;
-  /** Tells operators how far the emptying of this machine is. */
-  reportRetirement(node: string, finished: boolean, done: (written: boolean) => void): void;
-}
+import { Retirement } from './retirement.js';
 
 /** What the keeper is made with. */
 export interface MembershipKeeperOptions {
@@ -55,12 +39,11 @@
 export class MembershipKeeper {
   private readonly cancelTimer: CancelTimer;
   private busy = false;
-  /** End of the log when this replica was no longer a member; undefined while it is one. */
-  private leftAtLogEnd: number | undefined;
   private readonly logEnds: { readonly at: number; readonly end: number }[] = [];
-  private reported: 'nothing' | 'running' | 'finished' = 'nothing';
+  private readonly retirement: Retirement;
 
   constructor(private readonly options: MembershipKeeperOptions) {
+    this.retirement = new Retirement(options);
     this.cancelTimer = setRepeatingTimer(options.runtime, STEP_MILLISECONDS, () => this.step());
   }
 
@@ -79,7 +62,9 @@
     this.noteOwnMembership(record);
     const revision = stored.tag === 'Present' ? stored.revision : 0;
     this.carryOut(decideMembership(this.viewOf(record)), record, revision);
-    this.reportRetirement(record);
+    if (record !== undefined) {
+      this.retirement.step(record);
+    }
   }
 
   /** Stops taking decisions. */
@@ -175,28 +160,4 @@
       }
     });
   }
-
-  private reportRetirement(record: MemberRecord | undefined): void {
-    const { self: own, store } = this.options;
-    if (record === undefined || !store.retiringNodes().has(own.node)) {
-      return;
-    }
-    if (hasMember(record, own.id)) {
-      this.leftAtLogEnd = undefined;
-    } else {
-      // Nothing that comes later was acknowledged here: others pull it from one another.
-      this.leftAtLogEnd ??= this.options.replica.state.logEnd;
-    }
-    const logEnd = this.leftAtLogEnd ?? Infinity;
-    const handedOver = record.members.every((member) => this.hasRead(member.id, logEnd));
-    const wanted = handedOver ? 'finished' : 'running';
-    if (this.reported === wanted || this.reported === 'finished') {
-      return;
-    }
-    const before = this.reported;
-    this.reported = wanted;
-    store.reportRetirement(own.node, handedOver, (written) => {
-      this.reported = written ? wanted : before;
-    });
-  }
 }
