Write to one replica more than a majority first, the others when one refuses or is slow

Groups of up to four replicas are asked as before. Change: the replicas asked first are chosen by rendezvous hashing of the program or turn; the others learn it by levelling, in batches.

--- a/features/steps/turns.steps.ts
+++ b/features/steps/turns.steps.ts
@@ -13,17 +13,29 @@
 import type { Account, Reservation } from '../../src/turns/account.js';
 import { decideMembership, REMOVAL_MILLISECONDS } from '../../src/turns/decide-membership.js';
 import type { MembershipAction } from '../../src/turns/decide-membership.js';
+import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
 import { SimulatedReplicas } from '../../src/simulation/simulated-replicas.js';
 import { VirtualClock } from '../../src/simulation/virtual-clock.js';
 import type { AccountEntry } from '../../src/turns/messages.js';
 import { ReplicaState } from '../../src/turns/replica-state.js';
 import { unpackDigests } from '../../src/turns/reservation-digests.js';
+import { writeToQuorum } from '../../src/turns/quorum-write.js';
+import type { ReplicaCaller } from '../../src/turns/replica-caller.js';
 import { SegmentTurnStorage } from '../../src/turns/segment-turn-storage.js';
 import { majorityOf, withMember } from '../../src/turns/membership.js';
 import type { Member, MemberRecord } from '../../src/turns/membership.js';
 import type { StoredState } from '../../src/turns/turn-storage.js';
 
+/** Replicas that answer, refuse or say nothing; counts what they are asked. */
+interface AnsweringReplicas {
+  readonly record: MemberRecord;
+  readonly caller: ReplicaCaller;
+  messageCount: number;
+}
+
 interface World {
+  answering?: AnsweringReplicas;
+  writtenCount?: number;
   clock?: VirtualClock;
   replicas?: SimulatedReplicas;
   keptTurns?: string[];
@@ -376,3 +388,54 @@
     }),
   );
 });
+
+Given(
+  '{int} replicas of which {int} never answer and {int} refuse',
+  function (this: World, members: number, dead: number, refusing: number) {
+    const clock = new VirtualClock();
+    const names = Array.from({ length: members }, (_, index) => `m${index}`);
+    const record = { epoch: 1, members: names.map(member) };
+    const answering: AnsweringReplicas = {
+      record,
+      messageCount: 0,
+      caller: {
+        call: (to, _request, timeout, listener) => {
+          answering.messageCount += 1;
+          const place = names.indexOf(to.id);
+          const answer = (outcome: 'done' | 'inactive'): void =>
+            listener({ type: 'taken', call: 1, outcome });
+          if (place < dead) {
+            clock.schedule(timeout, () => listener(undefined));
+          } else {
+            clock.schedule(2, () => answer(place < dead + refusing ? 'inactive' : 'done'));
+          }
+        },
+        tell: () => undefined,
+      },
+    };
+    Object.assign(this, { clock, answering });
+  },
+);
+
+When('{int} writes with keys of their own are made', function (this: World, count: number) {
+  const { clock, answering } = this;
+  const runtime = new SimulatedProcess('g', clock!, createRandom(1)).begin();
+  this.writtenCount = 0;
+  for (let place = 0; place < count; place += 1) {
+    const request = { type: 'chain', turn: 't' } as const;
+    const { record, caller } = answering!;
+    const write = { record, request, key: `k${place}`, timeoutMilliseconds: 500 };
+    writeToQuorum(runtime, caller, write, (replies) => {
+      this.writtenCount! += replies === undefined ? 0 : 1;
+    });
+  }
+  clock!.runUntil(clock!.now + 2_000);
+});
+
+Then(
+  '{int} are acknowledged by a majority, with at most {int} messages',
+  function (this: World, written: number, messages: number) {
+    assert.equal(this.writtenCount, written);
+    assert.ok(this.answering!.messageCount <= messages, `${this.answering!.messageCount} messages`);
+  },
+);
--- a/features/turns.feature
+++ b/features/turns.feature
@@ -54,6 +54,20 @@
     Then any two sets of reservations are made level by the digests that each lacks
     And who knows a reservation settled lacks no word of it open
 
+  Scenario Outline: A write reaches a majority with few messages and in spite of dead replicas
+    Given <members> replicas of which <dead> never answer and <refusing> refuse
+    When 40 writes with keys of their own are made
+    Then <written> are acknowledged by a majority, with at most <messages> messages
+
+    Examples:
+      | members | dead | refusing | written | messages |
+      | 3       | 0    | 0        | 40      | 120      |
+      | 9       | 0    | 0        | 40      | 240      |
+      | 9       | 4    | 0        | 40      | 360      |
+      | 9       | 0    | 4        | 40      | 360      |
+      | 9       | 2    | 3        | 0       | 360      |
+      | 3       | 0    | 2        | 0       | 120      |
+
   Scenario: A busy machine is emptied in time
     Given 4 replicas that take 200 writes a second
     When machine "m1" is to be emptied
--- a/src/turns/turn-client.ts
+++ b/src/turns/turn-client.ts
@@ -1,6 +1,6 @@
 /**
- * A gateway's side of kept turns and token accounts: writes to all replicas and waits for a
- * majority, reads from the nearest first. Repeats a write when the members have changed meanwhile.
+ * A gateway's side of kept turns and token accounts: writes to the replicas and waits for
+ * a majority, reads from the nearest first. Repeats a write when the members have changed meanwhile.
  */
 import type { Runtime } from '../runtime/runtime.js';
 import { fitsBudget } from './account.js';
@@ -9,9 +9,10 @@
 import { ChainCache } from './chain-cache.js';
 import type { KeptTurn } from './kept-turn.js';
 import type { MemberDirectory } from './member-directory.js';
-import { majorityOf, readQuorumOf } from './membership.js';
+import { readQuorumOf } from './membership.js';
 import type { Member, MemberRecord } from './membership.js';
 import type { ReplicaReply } from './messages.js';
+import { writeToQuorum } from './quorum-write.js';
 import type { ReplicaCaller, UnnumberedRequest } from './replica-caller.js';
 
 /** How a reservation ended. */
@@ -84,7 +85,7 @@
   keep(turn: KeptTurn, timeoutMilliseconds: number, done: (kept: boolean) => void): void {
     const request: EpochRequest = (epoch) => ({ type: 'keep', epoch, turn });
     const until = this.options.runtime.now() + timeoutMilliseconds;
-    this.write(request, until, (replies) => {
+    this.write(turn.id, request, until, (replies) => {
       if (replies !== undefined) {
         this.chains.add(turn);
       }
@@ -121,7 +122,7 @@
     const { program, turn, mostTokens, budgetTokens } = request;
     const entry = { program, turn, mostTokens, usedTokens: undefined };
     const epochRequest: EpochRequest = (epoch) => ({ type: 'reserve', epoch, entry });
-    this.write(epochRequest, until, (replies) => {
+    this.write(program, epochRequest, until, (replies) => {
       if (replies === undefined) {
         done('unavailable');
         return;
@@ -140,8 +141,9 @@
     });
   }
 
-  /** Writes to all members; calls back with a majority's replies, or undefined. */
+  /** Writes to the members; calls back with a majority's replies, or undefined. */
   private write(
+    key: string,
     request: EpochRequest,
     until: number,
     done: (replies: readonly ReplicaReply[] | undefined) => void,
@@ -153,40 +155,16 @@
       done(undefined);
       return;
     }
-    this.writeOnce(record, request, left, (replies) => {
+    const write = { record, request: request(record.epoch), key, timeoutMilliseconds: left };
+    writeToQuorum(runtime, this.options.caller, write, (replies) => {
       const changed = (directory.current?.epoch ?? 0) > record.epoch;
       if (replies === undefined && (changed || until - runtime.now() > EPOCH_RETRY_MILLISECONDS)) {
-        runtime.setTimer(EPOCH_RETRY_MILLISECONDS, () => this.write(request, until, done));
+        runtime.setTimer(EPOCH_RETRY_MILLISECONDS, () => this.write(key, request, until, done));
       } else {
         done(replies);
       }
     });
   }
-
-  private writeOnce(
-    record: MemberRecord,
-    request: EpochRequest,
-    timeoutMilliseconds: number,
-    done: (replies: readonly ReplicaReply[] | undefined) => void,
-  ): void {
-    const needed = majorityOf(record);
-    const replies: ReplicaReply[] = [];
-    let open = record.members.length;
-    let over = false;
-    const take = (reply: ReplicaReply | undefined): void => {
-      open -= 1;
-      if (reply !== undefined && 'outcome' in reply && reply.outcome === 'done') {
-        replies.push(reply);
-      }
-      if (!over && (replies.length >= needed || replies.length + open < needed)) {
-        over = true;
-        done(replies.length >= needed ? replies : undefined);
-      }
-    };
-    for (const member of record.members) {
-      this.options.caller.call(member, request(record.epoch), timeoutMilliseconds, take);
-    }
-  }
 }
 
 function unionOf(replies: readonly ReplicaReply[]): Account {
