--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -22,6 +22,8 @@
 import { CONNECT_MILLISECONDS } from './runner-connections.js';
 import { SilenceWatch } from './silence-watch.js';
 import { StreamAnswer } from './stream-answer.js';
+import { TurnPreparation } from './turn-preparation.js';
+import type { Preparation } from './turn-preparation.js';
 import { isLate, urgencyOf } from './urgency.js';
 
 /** Time beyond the route's own at which the relay stops waiting, so that runners end first. */
@@ -32,8 +34,6 @@
 const OVERLOAD_RETRY_SECONDS = 0.15;
 /** Pause told to clients when what the request needs is out of reach. */
 const UNAVAILABLE_RETRY_SECONDS = 0.2;
-/** Longest time for a reservation or a chain, in milliseconds. */
-const STATE_MILLISECONDS = 700;
 const FIRST_REDIRECT = 300;
 
 /** What takes the answer of one try apart: whole bodies or streams. */
@@ -65,7 +65,7 @@
   private current: CurrentTry | undefined;
   private cancelDeadline: CancelTimer = () => undefined;
   private over = false;
-  private reserved = false;
+  private readonly preparation: TurnPreparation;
   private body: Buffer;
   private readonly endAt: number;
   private readonly stream: StreamAnswer | undefined;
@@ -78,6 +78,7 @@
     readonly answer: ClientAnswer,
   ) {
     this.body = request.body;
+    this.preparation = new TurnPreparation(context, request, () => this.remainingMilliseconds);
     const routeEnd = request.arrivedAt + request.route.timeoutMilliseconds;
     this.endAt = Math.min(routeEnd, request.deadlineAt);
     this.stream = request.route.kind === 'stream' ? new StreamAnswer(this) : undefined;
@@ -90,7 +91,7 @@
     this.cancelDeadline = runtime.setTimer(Math.max(0, left), () => this.timeOut());
     this.answer.onLeft(() => this.leave());
     if (this.isAdmitted()) {
-      this.readChain();
+      this.preparation.prepare((preparation) => this.takePreparation(preparation));
     } else {
       const detail = 'all places are taken, and programs under way go first';
       const retryAfterSeconds = OVERLOAD_RETRY_SECONDS;
@@ -165,54 +166,29 @@
     return this.context.admission.admit(program.program, late, load, route.priority);
   }
 
-  private readChain(): void {
-    const { previousTurn, route } = this.request;
-    if (!route.retained || previousTurn === undefined) {
-      this.reserve();
+  private takePreparation(preparation: Preparation): void {
+    if (this.over) {
+      this.settle();
       return;
     }
-    const timeout = Math.min(STATE_MILLISECONDS, this.remainingMilliseconds);
-    this.context.turns.readChain(previousTurn, timeout, (chain) => {
-      if (this.over) {
+    switch (preparation.tag) {
+      case 'Ready':
+        this.body = preparation.body;
+        this.tryNext();
         return;
-      }
-      if (chain.tag === 'found') {
-        this.body = Buffer.concat([chain.body, this.request.body]);
-        this.reserve();
-      } else if (chain.tag === 'missing') {
+      case 'NoSuchTurn':
         this.refuse({ status: 404, detail: 'there is no such earlier turn', verdict: 'NotRun' });
-      } else {
-        this.refuseUnavailable('the earlier turns are out of reach');
-      }
-    });
-  }
-
-  private reserve(): void {
-    const { program, route, maximumOutputTokens: mostTokens } = this.request;
-    const budgetTokens = program?.budgetTokens;
-    if (route.kind !== 'stream' || program === undefined || budgetTokens === undefined) {
-      this.tryNext();
-      return;
-    }
-    const reservation = {
-      program: program.program,
-      turn: this.request.id,
-      mostTokens,
-      budgetTokens,
-    };
-    const timeout = Math.min(STATE_MILLISECONDS, this.remainingMilliseconds);
-    this.context.turns.reserve(reservation, timeout, (outcome) => {
-      this.reserved = outcome !== 'spent';
-      if (this.over) {
-        this.settle();
-      } else if (outcome === 'granted') {
-        this.tryNext();
-      } else if (outcome === 'spent') {
+        return;
+      case 'BudgetSpent':
         this.refuse({ status: 402, detail: 'the token budget is spent', verdict: 'NotRun' });
-      } else {
-        this.refuseUnavailable('the token account is out of reach');
-      }
-    });
+        return;
+      case 'OutOfReach':
+        this.refuseUnavailable(
+          preparation.what === 'turns'
+            ? 'the earlier turns are out of reach'
+            : 'the token account is out of reach',
+        );
+    }
   }
 
   private refuseUnavailable(detail: string): void {
@@ -423,13 +399,7 @@
   }
 
   private settle(): void {
-    const { program, id, maximumOutputTokens } = this.request;
-    if (!this.reserved || program === undefined) {
-      return;
-    }
-    this.reserved = false;
-    const used = this.stream?.handedTokens ?? 0;
-    this.context.turns.settle(program.program, id, maximumOutputTokens, used);
+    this.preparation.settle(this.stream?.handedTokens ?? 0);
   }
 
   private finish(outcome: string, fields: LogFields): void {
