--- a/src/commands/bench-commands.ts
+++ b/src/commands/bench-commands.ts
@@ -5,6 +5,7 @@
 import { runExperiment } from '../bench/experiment.js';
 import { formatExperiment } from '../bench/experiment-report.js';
 import { runHistories, shrinkFaults } from '../histories/run-many.js';
+import { runTurnHistories } from '../histories/run-turn-histories.js';
 import { measureOverhead } from '../bench/overhead.js';
 import { measureScale } from '../bench/scale.js';
 import { measureSlopes } from '../bench/slopes.js';
@@ -26,6 +27,8 @@
   readonly calls: number;
   readonly nodes: string;
   readonly minutes: number;
+  /** Replicas of turn histories; 0 leaves it to the seeds. */
+  readonly replicas: number;
   readonly json: boolean;
 }
 
@@ -104,6 +107,17 @@
   return EXIT_FAILED;
 }
 
+function turnHistories(flags: BenchFlags): number {
+  const range = SEED_RANGE.exec(flags.seeds);
+  if (range === null) {
+    return complain('--seeds takes a range, such as 1..2000');
+  }
+  const replicaCount = flags.replicas === 0 ? {} : { replicaCount: flags.replicas };
+  const result = runTurnHistories(Number(range[1]), Number(range[2]), replicaCount);
+  write(JSON.stringify(result));
+  return result.violations.length === 0 ? EXIT_DONE : EXIT_FAILED;
+}
+
 function writeRows(rows: readonly object[], json: boolean): void {
   if (json) {
     write(JSON.stringify(rows));
@@ -148,6 +162,8 @@
       return EXIT_DONE;
     case 'histories':
       return histories(flags);
+    case 'turn-histories':
+      return turnHistories(flags);
     default:
       return complain('name a command; see --help');
   }
--- a/src/commands/ivyloom-bench.ts
+++ b/src/commands/ivyloom-bench.ts
@@ -12,6 +12,7 @@
     start               a local cluster on embedded stand-ins, under a workload, then a report
     experiment NAME     policies side by side in virtual time: lakeshore, dakar, mixed, scaled
     histories           seeded programs and faults in virtual time, every promise checked
+    turn-histories      the same for kept turns and token accounts on their replicas
     chaos               real daemons killed, paused and stopped under load, every promise checked
     overhead            what the scheduler adds to a call, against the engine called directly
     slopes              processor time, bytes and memory of each mechanism
@@ -21,7 +22,8 @@
     --minutes N         chaos: how long (default 1)
     --calls N           overhead: calls each way (default 60)
     --nodes A,B,…       scale: numbers of nodes (default 6,12,24,48)
-    --seeds A..B        histories: seeds to run (default 1..100)
+    --seeds A..B        histories, turn-histories: seeds to run (default 1..100)
+    --replicas N        turn-histories: replicas to begin with (default three to five, by the seed)
     --once              start: end after the report
     --deployment NAME   start: lakeshore, dakar or mixed (default mixed)
     --programs N        start: programs to run (default 100)
@@ -49,6 +51,7 @@
       seconds: { type: 'number', default: 300 },
       policies: { type: 'string', default: '' },
       seeds: { type: 'string', default: '1..100' },
+      replicas: { type: 'number', default: 0 },
       calls: { type: 'number', default: 60 },
       minutes: { type: 'number', default: 1 },
       nodes: { type: 'string', default: '6,12,24,48' },
--- a/src/histories/turn-history.ts
+++ b/src/histories/turn-history.ts
@@ -41,6 +41,8 @@
 /** How a history is played. */
 export interface TurnHistoryOptions {
   readonly planted?: PlantedFault;
+  /** Replicas to begin with. @default three to five, by the seed */
+  readonly replicaCount?: number;
   readonly log?: LogFunction;
 }
 
@@ -92,14 +94,14 @@
 
   constructor(
     private readonly seed: number,
-    options: TurnHistoryOptions,
+    private readonly options: TurnHistoryOptions,
   ) {
     this.random = createRandom(seed, 'turn history');
     this.replicas = new SimulatedReplicas(this.clock, createRandom(seed, 'links'), options);
   }
 
   run(): TurnHistoryResult {
-    const machineCount = this.random.integer(3, 5);
+    const machineCount = this.options.replicaCount ?? this.random.integer(3, 5);
     for (let index = 0; index < machineCount; index += 1) {
       this.addMachine();
     }
