Show that the checks of the fault soak notice each promise that is broken

Each check was only ever seen to pass. A stand-in of a gateway breaks one promise at a time (an answer of another request, streams that end early or lack an event, a second run, a false refusal, a budget that never ends, turns forgotten or mixed); the clients of the soak tell of that promise and of nothing else.

--- /dev/null
+++ b/features/steps/soak.steps.ts
@@ -0,0 +1,54 @@
+/** Steps about the checks of the fault soak, against a gateway that lies. */
+import assert from 'node:assert/strict';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { PLATFORM_HEADER_NAMES } from '../../platform/header-names.js';
+import { SOAK_PORTS } from '../../soak/platform-process.js';
+import { SoakClient } from '../../soak/soak-client.js';
+import type { SoakClientContext } from '../../soak/soak-client.js';
+import { RelayRunner } from '../../src/emulator/relay-runner.js';
+import { createRandom } from '../../src/runtime/random.js';
+import { LyingGateway } from '../support/lying-gateway.js';
+import type { Lie } from '../support/lying-gateway.js';
+
+const HOST = '127.0.9.1';
+const CLIENTS = 4;
+
+interface World {
+  lyingGateway?: LyingGateway;
+  soakRunner?: RelayRunner;
+  told?: Set<string>;
+}
+
+After(function (this: World) {
+  this.lyingGateway?.close();
+});
+
+Given('a gateway that lies: {string}', async function (this: World, lie: Lie) {
+  this.soakRunner = new RelayRunner({ id: 'runner', names: PLATFORM_HEADER_NAMES });
+  this.lyingGateway = new LyingGateway(lie, this.soakRunner);
+  await this.lyingGateway.listen(HOST, SOAK_PORTS.front);
+});
+
+When(
+  'clients of the soak work with it for {int} milliseconds',
+  async function (this: World, milliseconds: number) {
+    this.told = new Set();
+    const context: SoakClientContext = {
+      random: createRandom(1),
+      gatewayHosts: [HOST],
+      runners: [this.soakRunner!],
+      counts: { sent: 0, answered: 0, refused: 0, failed: 0, kept: 0, budgetRefused: 0 },
+      violate: (promise) => this.told!.add(promise),
+    };
+    const until = performance.now() + milliseconds;
+    const clients = Array.from({ length: CLIENTS }, (_, index) =>
+      new SoakClient(`c${index}`, context).run(() => performance.now() > until),
+    );
+    await Promise.all(clients);
+    assert.ok(context.counts.sent > CLIENTS, 'the clients sent next to nothing');
+  },
+);
+
+Then('they tell of {string} and of nothing else', function (this: World, promise: string) {
+  assert.deepEqual([...this.told!], promise === '' ? [] : [promise]);
+});
--- /dev/null
+++ b/features/support/lying-gateway.ts
@@ -0,0 +1,120 @@
+/** A stand-in of a gateway that breaks one promise, to show that the clients of the soak notice it. */
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { PLATFORM_HEADER_NAMES as NAMES } from '../../platform/header-names.js';
+import { SOAK_EVENTS, SOAK_TOKENS_PER_EVENT } from '../../soak/soak-client.js';
+import type { RelayRunner } from '../../src/emulator/relay-runner.js';
+
+/** Promises that it may break; `nothing` keeps them all. */
+export type Lie =
+  | 'nothing'
+  /** Gives the answer of another request. */
+  | 'foreignAnswer'
+  /** Ends a stream as complete before its last event. */
+  | 'endsEarly'
+  /** Leaves out an event. */
+  | 'skipsEvent'
+  /** Runs what may not repeat a second time. */
+  | 'runsTwice'
+  /** Says that a request has not run that has. */
+  | 'refusesAfterRun'
+  /** Never says that a budget is spent. */
+  | 'ignoresBudget'
+  /** Knows no earlier turn. */
+  | 'forgetsTurns'
+  /** Gives a runner the chain of nobody. */
+  | 'mixesChains';
+
+const MOST_TOKENS = SOAK_EVENTS * SOAK_TOKENS_PER_EVENT;
+
+/** See the head of this file. */
+export class LyingGateway {
+  private readonly server: Server;
+  private readonly chains = new Map<string, string>();
+  private readonly handed = new Map<string, number>();
+
+  constructor(
+    private readonly lie: Lie,
+    private readonly runner: RelayRunner,
+  ) {
+    this.server = createServer((request, response) => {
+      const chunks: Buffer[] = [];
+      request.on('data', (chunk: Buffer) => chunks.push(chunk));
+      request.on('end', () => this.answer(request, response, Buffer.concat(chunks).toString()));
+    });
+  }
+
+  /** Listens; resolves when it does. */
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve) => this.server.listen(port, host, () => resolve()));
+  }
+
+  /** Ends. */
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private answer(request: IncomingMessage, response: ServerResponse, body: string): void {
+    const id = String(request.headers[NAMES.requestId]);
+    if (request.url?.includes('stream') === true) {
+      this.answerTurn(request, response, id, body);
+      return;
+    }
+    this.run(request, id, body);
+    if (this.lie === 'runsTwice') {
+      this.run(request, id, body);
+    }
+    if (this.lie === 'refusesAfterRun') {
+      response.writeHead(503).end();
+      return;
+    }
+    const owner = this.lie === 'foreignAnswer' ? 'another' : id;
+    response.writeHead(200, this.signature).end(`answer of ${this.runner.id} to ${owner}`);
+  }
+
+  private answerTurn(
+    request: IncomingMessage,
+    response: ServerResponse,
+    id: string,
+    input: string,
+  ): void {
+    const program = String(request.headers[NAMES.program]);
+    const budget = Number(request.headers[NAMES.tokenBudget]);
+    const previous = request.headers[NAMES.previousTurn];
+    const handed = this.handed.get(program) ?? 0;
+    if (handed + MOST_TOKENS > budget && this.lie !== 'ignoresBudget') {
+      response.writeHead(402).end();
+      return;
+    }
+    if (previous !== undefined && this.lie === 'forgetsTurns') {
+      response.writeHead(404).end();
+      return;
+    }
+    const chain = this.lie === 'mixesChains' ? 'of nobody;' : this.chains.get(String(previous));
+    this.run(request, id, (chain ?? '') + input);
+    const events = this.events();
+    this.handed.set(program, handed + events.length * SOAK_TOKENS_PER_EVENT);
+    const output = events.map((event) => `event ${event}\n`).join('');
+    this.chains.set(id, (chain ?? '') + input + output);
+    response.writeHead(200, { ...this.signature, 'content-type': 'text/event-stream' });
+    response.end(events.map((event) => `id: ${event}\ndata: event ${event}\n\n`).join(''));
+  }
+
+  private events(): number[] {
+    const all = Array.from({ length: SOAK_EVENTS }, (_, index) => index + 1);
+    if (this.lie === 'endsEarly') {
+      return all.slice(0, -1);
+    }
+    return this.lie === 'skipsEvent' ? all.filter((event) => event !== 2) : all;
+  }
+
+  private run(request: IncomingMessage, requestId: string, body: string): void {
+    const { method = '', url: path = '', headers } = request;
+    this.runner.runs.push({ requestId, method, path, body, headers, left: false });
+  }
+
+  private get signature(): Record<string, string> {
+    return { [NAMES.signature]: `signed by ${this.runner.id}` };
+  }
+}
