--- a/src/program/call-admission.ts
+++ b/src/program/call-admission.ts
@@ -7,7 +7,7 @@
 import type { CallEvent, CallRequest } from '../model/call.js';
 import type { CallError } from '../model/verdict.js';
 import { mayHaveRun, notRun } from '../model/verdict.js';
-import type { ProposalResult } from '../replication/raft-replica.js';
+import type { ProposalResult } from '../replication/proposals.js';
 import type { ShardHost } from '../replication/shard-host.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { Message } from '../wire/messages.js';
--- a/src/program/shard-owner.ts
+++ b/src/program/shard-owner.ts
@@ -11,7 +11,7 @@
 import type { PoolClient, PoolContent } from '../dispatch/pool-client.js';
 import type { SliceClient } from '../budget/slice-client.js';
 import type { ShardHost } from '../replication/shard-host.js';
-import type { ProposalResult } from '../replication/raft-replica.js';
+import type { ProposalResult } from '../replication/proposals.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { FinishOutcome, Message, PoolAssignment } from '../wire/messages.js';
 import type { CommandOutcome } from './apply-command.js';
--- a/src/replication/raft-replica.ts
+++ b/src/replication/raft-replica.ts
@@ -15,10 +15,15 @@
 } from '../wire/messages.js';
 import type { Command } from '../program/commands.js';
 import type { Runtime } from '../runtime/runtime.js';
-import type { LogEntry, PersistedReplica, ReplicaStorage, Snapshot } from './log-entry.js';
+import { AppliedLog } from './applied-log.js';
+import { Ballot } from './ballot.js';
+import type { LogEntry, PersistedReplica, ReplicaStorage } from './log-entry.js';
 import { LeaderProgress } from './leader-progress.js';
 import type { FollowerProgress } from './leader-progress.js';
+import { PendingProposals } from './proposals.js';
+import type { ProposalListener } from './proposals.js';
 import { ReplicaLog } from './replica-log.js';
+import type { ReplicaStateMachine } from './state-machine.js';
 
 /** Shortest time without a leader before an election, in milliseconds. */
 export const ELECTION_TIMEOUT_MILLISECONDS = 600;
@@ -26,33 +31,10 @@
 export const HEARTBEAT_MILLISECONDS = 120;
 /** Part of the election timeout a lease lasts; the rest covers clocks running at unequal rates. */
 const LEASE_FRACTION = 0.8;
-/** Applied entries after which a snapshot replaces them. */
-const SNAPSHOT_AFTER_ENTRIES = 4000;
 
 /** What a replica is at the moment. */
 export type ReplicaRole = 'follower' | 'candidate' | 'leader';
 
-/** The state machine above a replica. Every call happens in the order of the log. */
-export interface ReplicaStateMachine<Outcome> {
-  /** Applies one committed command; must depend on nothing else. */
-  apply(command: Command): Outcome;
-  /** Serializes the whole state. */
-  save(): string;
-  /** Replaces the whole state; an empty text is the initial state. */
-  restore(state: string): void;
-}
-
-/** What became of a proposed command. */
-export type ProposalResult<Outcome> =
-  | { readonly type: 'committed'; readonly outcome: Outcome }
-  /** Leadership was lost first: the command may or may not be committed later. */
-  | { readonly type: 'unknown' }
-  /** This replica does not lead: the command will never be committed. */
-  | { readonly type: 'notLeader' };
-
-/** Receives the result of a proposal, exactly once. */
-export type ProposalListener<Outcome> = (result: ProposalResult<Outcome>) => void;
-
 /** Everything a replica is made with. */
 export interface RaftReplicaOptions<Outcome> {
   readonly shard: ShardId;
@@ -66,11 +48,6 @@
   readonly onLeadership: (leading: boolean) => void;
 }
 
-interface PendingProposal<Outcome> {
-  readonly term: number;
-  readonly listener: ProposalListener<Outcome>;
-}
-
 /** One replica of one shard. */
 export class RaftReplica<Outcome> {
   private role: ReplicaRole = 'follower';
@@ -79,16 +56,16 @@
   private voters: readonly NodeId[];
   private readonly log: ReplicaLog;
   private commitIndex: number;
-  private appliedIndex: number;
+  private readonly applied: AppliedLog<Outcome>;
   private durableIndex: number;
   private leader: NodeId = '';
   private lastHeardFromLeader: number;
   private electionDeadline = 0;
   private lastHeartbeat = 0;
-  private votes = new Set<NodeId>();
-  private preVoting = false;
+  /** The election or poll under way; undefined when none is. */
+  private ballot: Ballot | undefined;
   private progress: LeaderProgress;
-  private readonly pending = new Map<number, PendingProposal<Outcome>>();
+  private readonly pending = new PendingProposals<Outcome>();
   private flushScheduled = false;
   private firstIndexOfTerm = 0;
   private serving = false;
@@ -106,12 +83,12 @@
     this.progress = new LeaderProgress([], options.self, 0, -Infinity);
     this.log = new ReplicaLog(persisted.snapshot, persisted.entries);
     this.commitIndex = persisted.snapshot.lastIndex;
-    this.appliedIndex = persisted.snapshot.lastIndex;
     this.durableIndex = this.log.lastIndex;
     this.promisedIndex = persisted.promisedIndex ?? 0;
     // A restarted voter has forgotten whose lease it supports: it waits one timeout out.
     this.lastHeardFromLeader = runtime.now();
-    options.stateMachine.restore(persisted.snapshot.state);
+    const { storage, stateMachine } = options;
+    this.applied = new AppliedLog({ log: this.log, storage, stateMachine, pending: this.pending });
     this.resetElectionDeadline();
   }
 
@@ -223,7 +200,7 @@
   /** Ends all activity; pending proposals end as unknown. */
   stop(): void {
     this.stopped = true;
-    this.abandonProposals();
+    this.pending.abandon();
   }
 
   /** False while the log ends before what this replica has acknowledged. */
@@ -235,10 +212,6 @@
     return this.promisedIndex === 0;
   }
 
-  private get quorum(): number {
-    return Math.floor(this.voters.length / 2) + 1;
-  }
-
   private get otherVoters(): NodeId[] {
     return this.voters.filter((voter) => voter !== this.options.self);
   }
@@ -270,8 +243,6 @@
       return;
     }
     this.resetElectionDeadline();
-    this.preVoting = preVote;
-    this.votes = new Set([this.options.self]);
     if (!preVote) {
       this.role = 'candidate';
       this.leader = '';
@@ -279,6 +250,7 @@
       this.votedFor = this.options.self;
     }
     const term = preVote ? this.term + 1 : this.term;
+    this.ballot = new Ballot(this.options.self, preVote, term);
     const ask = (): void => {
       if (this.stopped || this.role === 'leader' || (!preVote && this.term !== term)) {
         return;
@@ -363,21 +335,20 @@
       }
       return;
     }
-    const expectedTerm = message.preVote ? this.term + 1 : this.term;
-    const expected = message.preVote === this.preVoting && message.term === expectedTerm;
+    const { ballot } = this;
+    const expected = message.preVote === ballot?.preVote && message.term === ballot.term;
     if (this.role === 'leader' || !expected) {
       return;
     }
-    this.votes.add(from);
+    ballot.add(from);
     this.countVotes();
   }
 
   private countVotes(): void {
-    const count = this.voters.filter((voter) => this.votes.has(voter)).length;
-    if (count < this.quorum) {
+    if (this.ballot?.isWon(this.voters) !== true) {
       return;
     }
-    if (this.preVoting) {
+    if (this.ballot.preVote) {
       this.startElection(false, false);
     } else if (this.role === 'candidate') {
       this.becomeLeader();
@@ -406,7 +377,7 @@
     const newTerm = term > this.term;
     this.role = 'follower';
     this.leader = leader;
-    this.preVoting = false;
+    this.ballot = undefined;
     if (newTerm) {
       this.term = term;
       this.votedFor = '';
@@ -414,7 +385,7 @@
     }
     if (wasLeader) {
       this.resetElectionDeadline();
-      this.abandonProposals();
+      this.pending.abandon();
       if (this.serving) {
         this.serving = false;
         this.options.onLeadership(false);
@@ -422,19 +393,11 @@
     }
   }
 
-  private abandonProposals(): void {
-    const abandoned = [...this.pending.values()];
-    this.pending.clear();
-    for (const proposal of abandoned) {
-      proposal.listener({ type: 'unknown' });
-    }
-  }
-
   private appendAsLeader(command: Command, listener: ProposalListener<Outcome>): void {
     const index = this.log.lastIndex + 1;
     const entry: LogEntry = { term: this.term, command };
     this.log.replaceFrom(index, [entry]);
-    this.pending.set(index, { term: this.term, listener });
+    this.pending.add(index, this.term, listener);
     this.persistEntries(index, [entry], () => this.advanceCommit());
     this.scheduleFlush();
   }
@@ -520,7 +483,7 @@
       this.becomeFollower(term, from);
     }
     this.leader = from;
-    this.preVoting = false;
+    this.ballot = undefined;
     this.lastHeardFromLeader = this.options.runtime.now();
     this.resetElectionDeadline();
     return true;
@@ -611,16 +574,12 @@
       return;
     }
     const { lastIndex, lastTerm, voters, state } = message;
-    const snapshot: Snapshot = { lastIndex, lastTerm, voters, state };
-    this.log.compact(snapshot);
     this.voters = voters;
-    this.options.stateMachine.restore(state);
     this.commitIndex = lastIndex;
-    this.appliedIndex = lastIndex;
-    this.durableIndex = Math.max(this.durableIndex, lastIndex);
-    this.options.storage.persist({ snapshot }, () =>
+    this.applied.install({ lastIndex, lastTerm, voters, state }, () =>
       this.replyToAppend(from, message.sentAt, true, lastIndex),
     );
+    this.durableIndex = Math.max(this.durableIndex, lastIndex);
   }
 
   private advanceCommit(): void {
@@ -640,42 +599,12 @@
       return;
     }
     this.commitIndex = index;
-    while (this.appliedIndex < this.commitIndex) {
-      this.applyNext();
-    }
-    if (this.role === 'leader' && !this.serving && this.appliedIndex >= this.firstIndexOfTerm) {
+    this.applied.applyTo(index);
+    if (this.role === 'leader' && !this.serving && index >= this.firstIndexOfTerm) {
       this.serving = true;
       this.options.onLeadership(true);
     }
-    this.takeSnapshotIfLong();
-  }
-
-  private applyNext(): void {
-    const index = this.appliedIndex + 1;
-    const entry = this.log.entryAt(index)!;
-    this.appliedIndex = index;
-    const outcome = this.options.stateMachine.apply(entry.command);
-    const proposal = this.pending.get(index);
-    if (proposal === undefined) {
-      return;
-    }
-    this.pending.delete(index);
-    const committed = proposal.term === entry.term;
-    proposal.listener(committed ? { type: 'committed', outcome } : { type: 'unknown' });
-  }
-
-  private takeSnapshotIfLong(): void {
-    if (this.appliedIndex - this.log.snapshot.lastIndex < SNAPSHOT_AFTER_ENTRIES) {
-      return;
-    }
-    const snapshot: Snapshot = {
-      lastIndex: this.appliedIndex,
-      lastTerm: this.log.termAt(this.appliedIndex)!,
-      voters: this.voters,
-      state: this.options.stateMachine.save(),
-    };
-    this.log.compact(snapshot);
-    this.options.storage.persist({ snapshot }, () => undefined);
+    this.applied.takeSnapshotIfLong(this.voters);
   }
 
   private holdsLease(): boolean {
--- a/src/replication/shard-host.ts
+++ b/src/replication/shard-host.ts
@@ -9,7 +9,8 @@
 import type { ShardState } from '../program/shard-state.js';
 import type { PersistedReplica, ReplicaStorage } from './log-entry.js';
 import { RaftReplica } from './raft-replica.js';
-import type { ProposalListener, ReplicaRole } from './raft-replica.js';
+import type { ReplicaRole } from './raft-replica.js';
+import type { ProposalListener } from './proposals.js';
 
 /** Everything a shard host is made with. */
 export interface ShardHostOptions {
