--- a/src/commands/bench-commands.ts
+++ b/src/commands/bench-commands.ts
@@ -82,12 +82,27 @@
 
 const SEED_RANGE = /^(\d+)\.\.(\d+)$/;
 
-function histories(flags: BenchFlags): number {
-  const range = SEED_RANGE.exec(flags.seeds);
+interface SeedRange {
+  readonly first: number;
+  readonly last: number;
+}
+
+/** Reads `A..B`; undefined, with a complaint, when the text is no range. */
+function parseSeeds(text: string): SeedRange | undefined {
+  const range = SEED_RANGE.exec(text);
   if (range === null) {
-    return complain('--seeds takes a range, such as 1..2000');
+    complain('--seeds takes a range, such as 1..2000');
+    return undefined;
+  }
+  return { first: Number(range[1]), last: Number(range[2]) };
+}
+
+function histories(flags: BenchFlags): number {
+  const seeds = parseSeeds(flags.seeds);
+  if (seeds === undefined) {
+    return EXIT_WRONG_USE;
   }
-  const result = runHistories(Number(range[1]), Number(range[2]));
+  const result = runHistories(seeds.first, seeds.last);
   if (flags.json) {
     write(JSON.stringify(result));
   } else {
@@ -108,12 +123,12 @@
 }
 
 function turnHistories(flags: BenchFlags): number {
-  const range = SEED_RANGE.exec(flags.seeds);
-  if (range === null) {
-    return complain('--seeds takes a range, such as 1..2000');
+  const seeds = parseSeeds(flags.seeds);
+  if (seeds === undefined) {
+    return EXIT_WRONG_USE;
   }
   const replicaCount = flags.replicas === 0 ? {} : { replicaCount: flags.replicas };
-  const result = runTurnHistories(Number(range[1]), Number(range[2]), replicaCount);
+  const result = runTurnHistories(seeds.first, seeds.last, replicaCount);
   write(JSON.stringify(result));
   return result.violations.length === 0 ? EXIT_DONE : EXIT_FAILED;
 }
