Place requests by what their engines cost, and tell peers what runners keep

Change: the cost of reading and of generating beside others is learned from the streams (recursive least squares from a wide prior); memory comes from the configuration; load datagrams name the parts of prompts that runners have begun to keep; idle connections are kept for 0.85 of the runner's time and count as cheaper.

--- a/features/peers.feature
+++ b/features/peers.feature
@@ -3,6 +3,7 @@
     Given two gateways that gossip, of which the first has 3 requests at runner "a"
     Then the second learns within 2000 milliseconds that others have 3 requests at runner "a"
     And they tell one another the newest revision they know
+    And the second learns what the runner keeps
     When the first falls silent
     Then the second learns within 2000 milliseconds that others have 0 requests at runner "a"
 
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -34,6 +34,26 @@
       | near:z1:12:4:350:14000 far:z2:12:2:350:14000   | 17000 | near   |
       | near:z1:12:11:350:14000 far:z2:12:2:350:14000  | 17000 | far    |
 
+  Scenario: What an engine costs is learned from its streams
+    Then the reading rates of engines that differ twentyfold are within 20 % after 60 streams
+    And an engine whose events slow down with each request beside them is known within 30 %
+    And streams that stall leave the reading rate of an engine within bounds
+
+  Scenario: What a runner keeps counts up to the first part that it lacks
+    Given a runner with memory for 10000 tokens
+    When prompts "a:2000,b:1000" and "a:2000,c:500" were read there
+    Then it keeps 3000 tokens of the prompt "a:2000,b:3000"
+    And it keeps 2000 tokens of the prompt "a:2000,d:100"
+    And it keeps 0 tokens of the prompt "e:100,b:1000"
+    When prompts "f:7000" and "g:1000" were read there
+    Then it keeps 0 tokens of the prompt "a:2000,b:3000"
+
+  Scenario: An open connection decides between runners that are alike
+    Given runners "open:z1:8:1:100:0 closed:z1:8:0:100:0"
+    When the connection to "closed" has yet to be made
+    And a request with a prompt of 0 tokens in zone "z1" is placed
+    Then it goes to "open"
+
   Scenario: Long answers do not make a runner look slow
     Then streams of any length leave a usual runner as fast as its service
     And a runner that takes five times as long is known after 4 requests
--- a/features/steps/peers.steps.ts
+++ b/features/steps/peers.steps.ts
@@ -8,10 +8,14 @@
 import type { LoadMessage } from '../../src/peers/load-message.js';
 import { PeerExchange } from '../../src/peers/peer-exchange.js';
 import type { PeerSnapshot } from '../../src/peers/peer-exchange.js';
+import type { PromptPlace } from '../../src/peers/recent-places.js';
+import { promptKeyOf } from '../../src/relay/relay-request.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
 
 const HOSTS = ['127.0.8.1', '127.0.8.2', '127.0.8.3'] as const;
 const MEMBERS = 'the members';
+/** What the first gateway tells that a runner keeps. */
+const PLACE: PromptPlace = { runnerHash: 5, part: promptKeyOf('a part'), tokens: 900 };
 
 interface World {
   port?: number;
@@ -20,6 +24,7 @@
   seed?: string;
   learnt?: PeerSnapshot;
   heardRevisions?: Set<number>;
+  heardPlaces?: PromptPlace[];
 }
 
 function startGossip(
@@ -27,6 +32,7 @@
   place: number,
   seeds: readonly string[],
   loads: ReadonlyMap<string, number>,
+  places: readonly PromptPlace[] = [],
 ): void {
   const gossip = new LoadGossip({
     runtime: createRealRuntime({ logLevel: 'error' }),
@@ -36,6 +42,8 @@
     ownLoads: () => loads,
     ownRevision: () => 7,
     onRevision: (revision) => (world.heardRevisions ??= new Set()).add(revision),
+    ownPlaces: () => places,
+    onPlaces: (told) => (world.heardPlaces ??= []).push(...told),
   });
   world.gossips!.push(gossip);
 }
@@ -58,11 +66,16 @@
   async function (this: World, inFlight: number, runner: string) {
     [this.port] = await freePorts(HOSTS[0], 1);
     this.gossips = [];
-    startGossip(this, 0, [HOSTS[1]], new Map([[runner, inFlight]]));
+    startGossip(this, 0, [HOSTS[1]], new Map([[runner, inFlight]]), [PLACE]);
     startGossip(this, 1, [HOSTS[0]], new Map());
   },
 );
 
+Then('the second learns what the runner keeps', async function (this: World) {
+  assert.ok(await holdsWithin(1_000, () => this.heardPlaces !== undefined));
+  assert.deepEqual(this.heardPlaces![0], PLACE);
+});
+
 Then('they tell one another the newest revision they know', function (this: World) {
   assert.deepEqual([...this.heardRevisions!], [7]);
 });
@@ -139,6 +152,8 @@
   const runnerHash = fc.nat(0xffff_ffff);
   const load = fc.record({ runnerHash, inFlight: fc.nat(65_535) }, plain);
   const revision = fc.nat(Number.MAX_SAFE_INTEGER);
+  const part = fc.nat(0xffff_ffff).map((key) => key as PromptPlace['part']);
+  const place = fc.record({ runnerHash, part, tokens: fc.nat(0xffff_ffff) }, plain);
   const message: fc.Arbitrary<LoadMessage> = fc.record(
     {
       sequence: fc.nat(),
@@ -146,6 +161,7 @@
       loads: fc.array(load),
       peers: fc.array(fc.ipV4()),
       revision,
+      places: fc.array(place),
     },
     plain,
   );
--- a/features/steps/placement.steps.ts
+++ b/features/steps/placement.steps.ts
@@ -3,10 +3,14 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
 import { chooseRunner } from '../../src/relay/choose-runner.js';
-import type { RunnerView } from '../../src/relay/choose-runner.js';
+import { chargesWithout } from '../../src/relay/placement-charges.js';
+import type { PlacementNeed, RunnerView } from '../../src/relay/placement-charges.js';
 import { ProgramAdmission } from '../../src/relay/program-admission.js';
 import type { ServiceLoad } from '../../src/relay/program-admission.js';
 import type { RelayRequest } from '../../src/relay/relay-request.js';
+import { EngineEstimate } from '../../src/relay/engine-estimate.js';
+import { PromptPlaces } from '../../src/relay/prompt-places.js';
+import { parsePromptParts } from '../../src/relay/relay-request.js';
 import { LEAST_URGENT, urgencyOf } from '../../src/relay/urgency.js';
 import { EventSplitter } from '../../src/relay/event-splitter.js';
 import { createRoutingTable, findRoute } from '../../src/relay/routing-table.js';
@@ -20,6 +24,19 @@
   admitted: boolean;
   views: RunnerView[];
   chosen: string | undefined;
+  places: PromptPlaces;
+}
+
+/** An engine that reads 270 tokens in a millisecond. */
+const ENGINE = {
+  millisecondsPerToken: 1 / 270,
+  eventMillisecondsPerRequest: 0,
+  meanEvents: 10,
+};
+const ALL_CHARGES = chargesWithout(new Set());
+
+function needOf(zone: string, promptTokens: number, bodyBytes: number): PlacementNeed {
+  return { zone, promptTokens, bodyBytes, affinityHash: 1, engine: ENGINE };
 }
 
 const LIMITS = { headerBytes: 1, bodyBytes: 1, headerMilliseconds: 1, idleMilliseconds: 1 };
@@ -116,11 +133,14 @@
     const [id, zone, slots, inFlight, mean, cached] = word.split(':');
     return {
       id: id!,
+      // All alike, so that the preference of a key decides nothing here.
+      hash: 0,
       zone: zone!,
       slots: Number(slots),
       inFlight: Number(inFlight),
       meanMilliseconds: Number(mean),
       cachedTokens: Number(cached),
+      hasIdleConnection: true,
     };
   });
 });
@@ -128,16 +148,108 @@
 When(
   'a request with a prompt of {int} tokens in zone {string} is placed',
   function (this: World, promptTokens: number, zone: string) {
-    const need = { zone, promptTokens, bodyBytes: 0, affinityKey: 'k' };
-    this.chosen = chooseRunner(this.views, need)?.id;
+    this.chosen = chooseRunner(this.views, needOf(zone, promptTokens, 0), ALL_CHARGES)?.id;
   },
 );
 
 When(
   'a request of {int} bytes with a prompt of {int} tokens in zone {string} is placed',
   function (this: World, bodyBytes: number, promptTokens: number, zone: string) {
-    const need = { zone, promptTokens, bodyBytes, affinityKey: 'k' };
-    this.chosen = chooseRunner(this.views, need)?.id;
+    const need = needOf(zone, promptTokens, bodyBytes);
+    this.chosen = chooseRunner(this.views, need, ALL_CHARGES)?.id;
+  },
+);
+
+When('the connection to {string} has yet to be made', function (this: World, id: string) {
+  this.views = this.views.map((view) => ({ ...view, hasIdleConnection: view.id !== id }));
+});
+
+/** What one emulated engine does, in milliseconds. */
+interface EmulatedEngine {
+  readonly perToken: number;
+  readonly perRequest: number;
+}
+
+const BASE_MILLISECONDS = 25;
+const BASE_PAUSE = 15;
+
+/** Streams of an engine with some noise, taken by a fresh estimate. */
+function learnFrom(engine: EmulatedEngine, streams: readonly number[]): EngineEstimate {
+  const estimate = new EngineEstimate();
+  streams.forEach((unreadTokens, index) => {
+    const running = 1 + (index % 8);
+    const noise = ((index % 5) - 2) * 2;
+    estimate.take({
+      unreadTokens,
+      running,
+      firstEventMilliseconds: BASE_MILLISECONDS + unreadTokens * engine.perToken + noise,
+      pauseMilliseconds: BASE_PAUSE + running * engine.perRequest + noise / 4,
+      eventCount: 10,
+    });
+  });
+  return estimate;
+}
+
+const PROMPTS = fc.array(fc.integer({ min: 200, max: 6_000 }), { minLength: 60, maxLength: 60 });
+
+Then(
+  'the reading rates of engines that differ twentyfold are within 20 % after 60 streams',
+  function () {
+    const perToken = fc.constantFrom(1 / 10, 1 / 38, 1 / 90, 1 / 200);
+    fc.assert(
+      fc.property(PROMPTS, perToken, (prompts, rate) => {
+        const learned = learnFrom({ perToken: rate, perRequest: 1 }, prompts);
+        const ratio = learned.millisecondsPerToken / rate;
+        assert.ok(ratio > 0.8 && ratio < 1.2, `${ratio} of the rate`);
+      }),
+    );
+  },
+);
+
+Then(
+  'an engine whose events slow down with each request beside them is known within 30 %',
+  function () {
+    fc.assert(
+      fc.property(PROMPTS, fc.constantFrom(0.5, 2, 10), (prompts, perRequest) => {
+        const learned = learnFrom({ perToken: 1 / 38, perRequest }, prompts);
+        const ratio = learned.eventMillisecondsPerRequest / perRequest;
+        assert.ok(ratio > 0.7 && ratio < 1.3, `${ratio} of the slope`);
+      }),
+    );
+  },
+);
+
+Then('streams that stall leave the reading rate of an engine within bounds', function () {
+  const sample = fc.record({
+    unreadTokens: fc.option(fc.integer({ min: 0, max: 1e9 }), { nil: undefined }),
+    running: fc.integer({ min: 1, max: 10_000 }),
+    firstEventMilliseconds: fc.double({ min: 0, max: 1e9, noNaN: true }),
+    pauseMilliseconds: fc.option(fc.double({ min: 0, max: 1e9, noNaN: true }), { nil: undefined }),
+    eventCount: fc.integer({ min: 1, max: 1e6 }),
+  });
+  fc.assert(
+    fc.property(fc.array(sample), (samples) => {
+      const estimate = new EngineEstimate();
+      samples.forEach((one) => estimate.take(one));
+      assert.ok(estimate.millisecondsPerToken > 0 && estimate.millisecondsPerToken <= 5);
+      assert.ok(estimate.eventMillisecondsPerRequest >= 0);
+      assert.ok(Number.isFinite(estimate.eventMillisecondsPerRequest));
+    }),
+  );
+});
+
+Given('a runner with memory for {int} tokens', function (this: World, tokens: number) {
+  this.places = new PromptPlaces(() => tokens);
+});
+
+When(/^prompts "(.*)" and "(.*)" were read there$/, function (this: World, a: string, b: string) {
+  [a, b].forEach((prompt) => this.places.touch(parsePromptParts(prompt)));
+});
+
+Then(
+  'it keeps {int} tokens of the prompt {string}',
+  function (this: World, tokens: number, prompt: string) {
+    assert.equal(this.places.leadingTokens(parsePromptParts(prompt)), tokens);
   },
 );
 
--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -84,6 +84,7 @@
     maximumConnections: 20,
     tokensPerEvent: TOKENS_PER_EVENT,
     cachesPrompts: true,
+    memoryTokens: undefined,
   },
 ];
 
--- a/src/peers/load-gossip.ts
+++ b/src/peers/load-gossip.ts
@@ -10,6 +10,7 @@
 import { setRepeatingTimer } from '../runtime/runtime.js';
 import { decodeLoadMessage, encodeLoadMessage } from './load-message.js';
 import type { LoadMessage, RunnerLoad } from './load-message.js';
+import type { PromptPlace } from './recent-places.js';
 
 /** What the gossip is made with. */
 export interface LoadGossipOptions {
@@ -25,6 +26,10 @@
   readonly ownRevision: () => number;
   /** A peer told the revision of the newest change that it knows. */
   readonly onRevision: (revision: number) => void;
+  /** What this gateway's requests have put into runners' memory within the last milliseconds. */
+  readonly ownPlaces: (milliseconds: number) => readonly PromptPlace[];
+  /** A peer told what runners have begun to keep. */
+  readonly onPlaces: (places: readonly PromptPlace[]) => void;
 }
 
 const PERIOD_MILLISECONDS = 100;
@@ -36,6 +41,8 @@
 const FORGET_MILLISECONDS = 10_000;
 /** Most peers told in a period. */
 const FAN_OUT = 8;
+/** Times that each peer is told a place, since datagrams are lost now and then. */
+const PLACE_REPEATS = 3;
 /** Peers named in a message. */
 const NAMED_PEERS = 3;
 const LARGEST_LIFE = 2 ** 31;
@@ -99,6 +106,7 @@
       loads: this.hashedLoads(),
       peers: known.slice(-NAMED_PEERS),
       revision: this.options.ownRevision(),
+      places: this.options.ownPlaces(PLACE_REPEATS * this.messageMilliseconds),
     };
     const bytes = encodeLoadMessage(message);
     for (const target of targets) {
@@ -136,6 +144,7 @@
     this.peers.set(from, { life, sequence, loads, heardAt: this.options.runtime.now() });
     message.peers.forEach((peer) => this.learn(peer));
     this.options.onRevision(message.revision);
+    this.options.onPlaces(message.places);
   }
 
   private learn(peer: string): void {
@@ -156,8 +165,12 @@
 
   /** Time after which what a silent peer told is forgotten, in milliseconds. */
   private get staleMilliseconds(): number {
-    const messageMilliseconds = (PERIOD_MILLISECONDS * this.peers.size) / FAN_OUT;
-    return Math.max(STALE_MILLISECONDS, STALE_MESSAGES * messageMilliseconds);
+    return Math.max(STALE_MILLISECONDS, STALE_MESSAGES * this.messageMilliseconds);
+  }
+
+  /** Mean time between two messages to the same peer, in milliseconds. */
+  private get messageMilliseconds(): number {
+    return PERIOD_MILLISECONDS * Math.max(1, this.peers.size / FAN_OUT);
   }
 
   private sumUp(): void {
--- a/src/peers/load-message.ts
+++ b/src/peers/load-message.ts
@@ -9,6 +9,7 @@
   record,
   shortText,
 } from '../wire/fields.js';
+import type { PromptPlace } from './recent-places.js';
 
 /** Requests of the sender that are at one runner. */
 export interface RunnerLoad {
@@ -29,15 +30,19 @@
   readonly peers: readonly string[];
   /** Revision of the newest change of the store that the sender knows; 0 when it knows none. */
   readonly revision: number;
+  /** What runners have lately begun to keep. */
+  readonly places: readonly PromptPlace[];
 }
 
 const load = record({ runnerHash: r.uint32, inFlight: r.uint16 });
+const place = record({ runnerHash: r.uint32, part: r.uint32, tokens: r.uint32 });
 const message = record({
   sequence: count,
   life: count,
   loads: listOf(load),
   peers: listOf(shortText),
   revision: real,
+  places: listOf(place),
 });
 
 /** Encodes a datagram. */
--- /dev/null
+++ b/src/relay/placement-charges.ts
@@ -0,0 +1,125 @@
+/**
+ * What makes a runner a worse choice for a request, one charge a cause, all in milliseconds of delay
+ * to the request and to those beside it. The table is what placement adds up; a charge can be
+ * switched off by its name to measure what it is worth.
+ */
+import { mixHashes } from '../runtime/hashing.js';
+import type { EngineCosts } from './engine-estimate.js';
+
+/** What is known of one runner that may get the request. */
+export interface RunnerView {
+  readonly id: string;
+  /** Hash of its name. */
+  readonly hash: number;
+  readonly zone: string;
+  readonly slots: number;
+  /** Requests that are believed to be there, ours and those of other nodes. */
+  readonly inFlight: number;
+  /** Mean time from sending to the end of a request there, in milliseconds. */
+  readonly meanMilliseconds: number;
+  /** Tokens of the prompt's leading parts believed to be in its memory. */
+  readonly cachedTokens: number;
+  /** Whether a connection to it is open and idle. */
+  readonly hasIdleConnection: boolean;
+}
+
+/** What the request needs. */
+export interface PlacementNeed {
+  readonly zone: string;
+  readonly promptTokens: number;
+  /** Bytes that travel to the runner. */
+  readonly bodyBytes: number;
+  /** Requests with the same hash prefer the same runner when nothing else tells them apart. */
+  readonly affinityHash: number;
+  /** What the service's engines cost; undefined where the service is no model engine. */
+  readonly engine: EngineCosts | undefined;
+}
+
+/** One cause of delay, in milliseconds. */
+export type PlacementCharge = (view: RunnerView, need: PlacementNeed) => number;
+
+/** Part of its reading and generating time by which a request holds up each one beside it. */
+const HELD_UP_SHARE = 0.5;
+/** Charge for a runner with all places taken, as a share of the mean time there. */
+const CROWDED_SHARE = 1;
+/** How late the charge for taken places sets in: the first ones hardly delay one another. */
+const CROWDED_EXPONENT = 3;
+/** Charge for leaving the zone, whatever the request, and for each thousand bytes that leave it. */
+const ZONE_MILLISECONDS = 3;
+const ZONE_MILLISECONDS_PER_KILOBYTE = 1;
+const LARGEST_ZONE_MILLISECONDS = 60;
+const BYTES_IN_KILOBYTE = 1_000;
+/** Charge for a connection that has to be made first: a new one may also take a place for a moment. */
+const CONNECTION_MILLISECONDS = 15;
+/** Largest advantage of the runner that the affinity prefers. */
+const AFFINITY_MILLISECONDS = 8;
+const HASH_RANGE = 2 ** 32;
+
+function placesOf(view: RunnerView): number {
+  return Math.max(1, view.slots);
+}
+
+function runningBeside(view: RunnerView): number {
+  return Math.min(view.inFlight, placesOf(view));
+}
+
+/** All charges by name. */
+export const PLACEMENT_CHARGES = {
+  /** How long requests take at this runner. */
+  pace: (view) => view.meanMilliseconds,
+
+  /** Waiting for a place. */
+  queue: (view) => {
+    const waiting = Math.max(0, view.inFlight + 1 - placesOf(view));
+    return (waiting * view.meanMilliseconds) / placesOf(view);
+  },
+
+  /** Places that are taken: others may fill the rest before the request is there. */
+  crowding: (view) => {
+    const taken = runningBeside(view) / placesOf(view);
+    return view.meanMilliseconds * CROWDED_SHARE * taken ** CROWDED_EXPONENT;
+  },
+
+  /** Reading what is not kept there, which also holds up all that run at the same time. */
+  reading: (view, need) => {
+    const unread = Math.max(0, need.promptTokens - view.cachedTokens);
+    const heldUp = runningBeside(view) * HELD_UP_SHARE;
+    return unread * (need.engine?.millisecondsPerToken ?? 0) * (1 + heldUp);
+  },
+
+  /** Generating beside others: each slows the others' events and its own. */
+  generating: (view, need) => {
+    if (need.engine === undefined) {
+      return 0;
+    }
+    const { eventMillisecondsPerRequest, meanEvents } = need.engine;
+    const slowed = runningBeside(view) * (1 + HELD_UP_SHARE);
+    return eventMillisecondsPerRequest * meanEvents * slowed;
+  },
+
+  /** Leaving the zone. */
+  zone: (view, need) => {
+    if (view.zone === need.zone) {
+      return 0;
+    }
+    const bytes = (need.bodyBytes / BYTES_IN_KILOBYTE) * ZONE_MILLISECONDS_PER_KILOBYTE;
+    return Math.min(LARGEST_ZONE_MILLISECONDS, ZONE_MILLISECONDS + bytes);
+  },
+
+  /** Opening a connection. */
+  connection: (view) => (view.hasIdleConnection ? 0 : CONNECTION_MILLISECONDS),
+
+  /** Requests about the same thing prefer the same runner. */
+  affinity: (view, need) =>
+    (mixHashes(need.affinityHash, view.hash) / HASH_RANGE) * AFFINITY_MILLISECONDS,
+} as const satisfies Readonly<Record<string, PlacementCharge>>;
+
+/** Name of a charge. */
+export type PlacementChargeName = keyof typeof PLACEMENT_CHARGES;
+
+/** All charges but those that are switched off by name. */
+export function chargesWithout(off: ReadonlySet<string>): readonly PlacementCharge[] {
+  return Object.entries(PLACEMENT_CHARGES)
+    .filter(([name]) => !off.has(name))
+    .map(([, charge]) => charge);
+}
--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -11,6 +11,7 @@
 import type { ClientAnswer, OwnAnswer } from './client-answer.js';
 import { logCallEnd, logFailedTry } from './call-log.js';
 import { chooseRunner } from './choose-runner.js';
+import type { EngineSample } from './engine-estimate.js';
 import { headersToRunner } from './forwarded-headers.js';
 import { FIRST_SERVER_ERROR, judgeAnswer } from './judge-answer.js';
 import { PlainAnswer } from './plain-answer.js';
@@ -18,13 +19,14 @@
 import type { RelayContext } from './relay-context.js';
 import { mayRepeat } from './relay-request.js';
 import type { RelayRequest } from './relay-request.js';
-import type { RunnerRecord } from './runner-book.js';
+import type { RunnerCandidate, RunnerRecord } from './runner-book.js';
 import { CONNECT_MILLISECONDS } from './runner-connections.js';
 import { SilenceWatch } from './silence-watch.js';
 import { StreamAnswer } from './stream-answer.js';
 import { TurnPreparation } from './turn-preparation.js';
 import type { Preparation } from './turn-preparation.js';
 import { isLate, urgencyOf } from './urgency.js';
+import { hashToNumber } from '../runtime/hashing.js';
 
 /** Time beyond the route's own at which the relay stops waiting, so that runners end first. */
 const END_SLACK_MILLISECONDS = 30;
@@ -50,8 +52,13 @@
   readonly record: RunnerRecord;
   readonly startedAt: number;
   readonly silence: SilenceWatch;
+  /** What its runner was believed to be like when it was chosen. */
+  readonly chosen: RunnerCandidate;
 }
 
+/** Fewest events whose mean pause tells anything. */
+const EVENTS_WITH_PAUSE = 4;
+
 /** See the head of this file. */
 export class RelayCall {
   private readonly sentTo = new Set<string>();
@@ -117,7 +124,8 @@
       const totalMilliseconds = runtime.now() - current.startedAt;
       const eventCount = this.stream?.eventCount ?? 0;
       const isWhole = status < FIRST_REDIRECT;
-      book.finish(current.record, isWhole ? { totalMilliseconds, eventCount } : undefined);
+      const pace = isWhole ? { totalMilliseconds, eventCount } : undefined;
+      book.finish(current.record, pace, isWhole ? this.engineSampleOf(current) : undefined);
     }
     this.finish('answered', { status, runner: current?.record.runner.id ?? '' });
   }
@@ -206,7 +214,41 @@
     };
   }
 
-  private chooseNext(): RunnerRecord | undefined {
+  /** What an answered stream showed of its engine; undefined where it shows nothing. */
+  private engineSampleOf(current: CurrentTry): EngineSample | undefined {
+    const { stream } = this;
+    if (stream?.firstEventAt === undefined || this.tries > 1) {
+      return undefined;
+    }
+    const { firstEventAt, lastEventAt, eventCount } = stream;
+    const pauses = eventCount - 1;
+    return {
+      unreadTokens: this.surelyUnreadTokens(current.chosen),
+      running: current.chosen.inFlight + 1,
+      firstEventMilliseconds: firstEventAt - current.startedAt,
+      pauseMilliseconds:
+        eventCount >= EVENTS_WITH_PAUSE ? (lastEventAt - firstEventAt) / pauses : undefined,
+      eventCount,
+    };
+  }
+
+  /**
+   * Tokens that the runner had to read; undefined when another node may have sent the prompt there
+   * before without this one's knowledge, as after a start.
+   */
+  private surelyUnreadTokens({ cachedTokens }: RunnerCandidate): number | undefined {
+    const { promptParts, promptTokens, route, previousTurn } = this.request;
+    const last = promptParts.at(-1);
+    if (last === undefined) {
+      return undefined;
+    }
+    const before = promptTokens - last.tokens;
+    const beginsLine = route.retained && previousTurn === undefined;
+    const isSure = cachedTokens > before || (beginsLine && cachedTokens >= before);
+    return isSure ? promptTokens - cachedTokens : undefined;
+  }
+
+  private chooseNext(): RunnerCandidate | undefined {
     const { request, context } = this;
     const key = request.program?.program ?? request.affinityKey ?? request.id;
     this.service ??= context.split.pick(request.route, key);
@@ -216,30 +258,33 @@
     const all = context.book.candidates(this.service, request.promptParts, this.refusedBy);
     const allowed = all.filter((candidate) => maySendTo(this.history, candidate.id));
     const fresh = allowed.filter((candidate) => !this.failedAt.has(candidate.id));
+    const isEngine = context.currentTable()?.services.get(this.service)?.cachesPrompts === true;
     const need = {
       zone: context.zone,
       promptTokens: request.promptTokens,
       bodyBytes: this.body.length,
-      affinityKey: request.promptParts[0]?.id ?? request.program?.session ?? key,
+      affinityHash: request.promptParts[0]?.key ?? hashToNumber(request.program?.session ?? key),
+      engine: isEngine ? context.book.engineCosts(this.service) : undefined,
     };
-    return chooseRunner(fresh.length > 0 ? fresh : allowed, need)?.record;
+    return chooseRunner(fresh.length > 0 ? fresh : allowed, need, context.charges);
   }
 
   private tryNext(): void {
     if (this.over) {
       return;
     }
-    const record = mayTryAgain(this.history) ? this.chooseNext() : undefined;
-    if (record === undefined || this.remainingMilliseconds <= 0) {
-      this.giveUp(record === undefined ? 'no runner may take it' : 'its time is over');
+    const chosen = mayTryAgain(this.history) ? this.chooseNext() : undefined;
+    if (chosen === undefined || this.remainingMilliseconds <= 0) {
+      this.giveUp(chosen === undefined ? 'no runner may take it' : 'its time is over');
       return;
     }
     this.tries += 1;
-    this.send(record);
+    this.send(chosen);
   }
 
-  private send(record: RunnerRecord): void {
+  private send(chosen: RunnerCandidate): void {
     const { context, request } = this;
+    const { record } = chosen;
     const { runner } = record;
     const now = context.runtime.now();
     this.dispatchedAt ??= now;
@@ -271,7 +316,7 @@
     const silence = new SilenceWatch(context, record, () =>
       this.failCurrent({ tag: 'Lost', detail: 'runner out of reach' }),
     );
-    this.current = { attempt, record, startedAt: now, silence };
+    this.current = { attempt, record, startedAt: now, silence, chosen };
   }
 
   private takeHead(head: AnswerHead, reader: AnswerReader): void {
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -3,6 +3,7 @@
 import type { TurnClient } from '../turns/turn-client.js';
 import type { HeaderNames } from './header-names.js';
 import type { ProgramAdmission } from './program-admission.js';
+import type { PlacementCharge } from './placement-charges.js';
 import type { RelayMetrics } from './relay-metrics.js';
 import type { RunnerBook } from './runner-book.js';
 import type { RunnerConnections } from './runner-connections.js';
@@ -18,6 +19,8 @@
   readonly connections: RunnerConnections;
   readonly admission: ProgramAdmission;
   readonly split: TrafficSplit;
+  /** What placement adds up. */
+  readonly charges: readonly PlacementCharge[];
   readonly turns: TurnClient;
   readonly metrics: RelayMetrics;
   /** The newest configuration; undefined before the first. */
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -7,6 +7,7 @@
 import type { Runtime } from '../runtime/runtime.js';
 import type { TurnClient } from '../turns/turn-client.js';
 import type { HeaderNames } from './header-names.js';
+import { chargesWithout } from './placement-charges.js';
 import { ProgramAdmission } from './program-admission.js';
 import type { RelayContext } from './relay-context.js';
 import { RelayFront } from './relay-front.js';
@@ -32,6 +33,8 @@
   readonly ready: ListenAddress;
   /** Time between the request to stop and the kill, in milliseconds. */
   readonly graceMilliseconds: number;
+  /** Names of policies that are switched off, to measure what they are worth. */
+  readonly policiesOff?: ReadonlySet<string>;
 }
 
 /** Time after the request to stop in which new connections may still come, in milliseconds. */
@@ -54,14 +57,18 @@
   constructor(private readonly options: RelayGatewayOptions) {
     const { runtime, zone, names, turns } = options;
     this.book = new RunnerBook(runtime);
+    this.book.memoryTokensOf = (service) => this.table?.services.get(service)?.memoryTokens;
+    const connections = new RunnerConnections(runtime);
+    this.book.hasIdleConnection = (runner) => connections.hasIdle(runner);
     const context: RelayContext = {
       runtime,
       zone,
       names,
       book: this.book,
-      connections: new RunnerConnections(runtime),
+      connections,
       admission: new ProgramAdmission(),
       split: new TrafficSplit(),
+      charges: chargesWithout(options.policiesOff ?? new Set()),
       turns,
       metrics: this.metrics,
       currentTable: () => this.table,
--- a/src/relay/relay-request.ts
+++ b/src/relay/relay-request.ts
@@ -1,9 +1,13 @@
 /** A request as a client sent it, read and bounded, ready to be relayed. */
+import { hashToNumber } from '../runtime/hashing.js';
 import type { Route } from './routing-table.js';
 
+/** Short name of a part of a prompt: the hash of its identifier, unsigned 32 bits. */
+export type PromptKey = number & { readonly brand: 'PromptKey' };
+
 /** A part of a prompt that others may share. */
 export interface PromptPart {
-  readonly id: string;
+  readonly key: PromptKey;
   readonly tokens: number;
 }
 
@@ -51,6 +55,11 @@
   return route.kind === 'repeatable' || (route.kind === 'stream' && route.resumable);
 }
 
+/** The key of a part's identifier. */
+export function promptKeyOf(id: string): PromptKey {
+  return hashToNumber(id) as PromptKey;
+}
+
 /** Reads `ID:TOKENS,ID:TOKENS`; parts that are not in this form are passed over. */
 export function parsePromptParts(text: string | undefined): PromptPart[] {
   if (text === undefined || text === '') {
@@ -59,7 +68,9 @@
   return text.split(',').flatMap((part) => {
     const [id, tokens] = part.trim().split(':');
     const count = Number(tokens);
-    return id !== undefined && id !== '' && Number.isFinite(count) ? [{ id, tokens: count }] : [];
+    return id !== undefined && id !== '' && Number.isFinite(count) && count >= 0
+      ? [{ key: promptKeyOf(id), tokens: count }]
+      : [];
   });
 }
 
--- a/src/relay/routing-table.ts
+++ b/src/relay/routing-table.ts
@@ -45,6 +45,8 @@
   readonly tokensPerEvent: number;
   /** Whether the runners are model engines that cache prompts. */
   readonly cachesPrompts: boolean;
+  /** Tokens that one runner has memory for; undefined where that is not told. */
+  readonly memoryTokens: number | undefined;
 }
 
 /** Bounds on what a client may send and how long it may take. */
--- a/src/relay/runner-agent.ts
+++ b/src/relay/runner-agent.ts
@@ -8,7 +8,7 @@
 import type { Duplex } from 'node:stream';
 
 /** Part of the runner's own idle time after which we close first. */
-const IDLE_SHARE = 0.6;
+const IDLE_SHARE = 0.85;
 /** Idle time of a connection whose runner told none, in milliseconds. */
 const DEFAULT_IDLE_MILLISECONDS = 4_000;
 const MILLISECONDS_IN_SECOND = 1_000;
@@ -30,6 +30,16 @@
     super({ keepAlive: true, maxSockets: maximumConnections, scheduling: 'lifo', noDelay: true });
   }
 
+  /** Whether a connection is open that carries no request. */
+  get hasIdle(): boolean {
+    for (const name in this.freeSockets) {
+      if ((this.freeSockets[name]?.length ?? 0) > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Called by Node when a request is done; false closes the connection. */
   override keepSocketAlive(stream: Duplex): boolean {
     const socket = stream as Socket;
--- a/src/relay/runner-book.ts
+++ b/src/relay/runner-book.ts
@@ -1,10 +1,12 @@
 /** What this node believes of the runners: listed, leaving, reachable, busy, fast, and what they keep. */
 import type { Runtime } from '../runtime/runtime.js';
-import { leadingCachedTokens } from './choose-runner.js';
-import type { RunnerView } from './choose-runner.js';
+import { hashToNumber } from '../runtime/hashing.js';
+import { EngineEstimate } from './engine-estimate.js';
+import type { EngineCosts, EngineSample } from './engine-estimate.js';
+import type { RunnerView } from './placement-charges.js';
 import type { ServiceLoad } from './program-admission.js';
 import { PromptPlaces } from './prompt-places.js';
-import type { PromptPart } from './relay-request.js';
+import type { PromptKey, PromptPart } from './relay-request.js';
 import type { Runner } from './runner.js';
 import { RunnerPace, ServicePace } from './service-pace.js';
 import type { PaceSample } from './service-pace.js';
@@ -13,11 +15,12 @@
 const GONE_GRACE_MILLISECONDS = 1_200;
 const FIRST_DISTRUST_MILLISECONDS = 300;
 const LONGEST_DISTRUST_MILLISECONDS = 3_000;
-const DEFAULT_MEMORY_TOKENS = 400_000;
 
 /** Beliefs about one runner. */
 export interface RunnerRecord {
   runner: Runner;
+  /** Hash of its name. */
+  readonly hash: number;
   /** Requests of this node that are there now. */
   inFlight: number;
   /** Local time at which it left the list; undefined while it is listed. */
@@ -42,10 +45,18 @@
 export class RunnerBook {
   private readonly records = new Map<string, RunnerRecord>();
   private readonly byService = new Map<string, Set<RunnerRecord>>();
+  private readonly byHash = new Map<number, RunnerRecord>();
   private readonly paces = new Map<string, ServicePace>();
+  private readonly engines = new Map<string, EngineEstimate>();
 
   /** Requests of other gateways at a runner. */
   inFlightOfOthers: (runner: string) => number = () => 0;
+  /** Tokens that a runner of a service has memory for; undefined while that is not known. */
+  memoryTokensOf: (service: string) => number | undefined = () => undefined;
+  /** A runner begins to keep parts of a prompt that this node has not known there. */
+  onKept: (runnerHash: number, parts: readonly PromptPart[]) => void = () => undefined;
+  /** Whether a connection to a runner is open and idle. */
+  hasIdleConnection: (runner: Runner) => boolean = () => false;
 
   constructor(private readonly runtime: Runtime) {}
 
@@ -125,16 +136,32 @@
   /** Notes that a request is sent to a runner. */
   begin(record: RunnerRecord, parts: readonly PromptPart[]): void {
     record.inFlight += 1;
-    record.places.touch(parts);
+    const changed = record.places.touch(parts);
+    if (changed.length > 0) {
+      this.onKept(record.hash, changed);
+    }
   }
 
   /** Notes that a request there is over; `whole` tells how long it took if it was answered whole. */
-  finish(record: RunnerRecord, whole: PaceSample | undefined): void {
+  finish(record: RunnerRecord, whole: PaceSample | undefined, engine?: EngineSample): void {
     record.inFlight -= 1;
     if (whole !== undefined) {
       record.pace.take(whole);
       this.trust(record);
     }
+    if (engine !== undefined) {
+      this.engineOf(record.runner.service).take(engine);
+    }
+  }
+
+  /** What the engines of a service cost, as far as it was learned. */
+  engineCosts(service: string): EngineCosts {
+    return this.engineOf(service);
+  }
+
+  /** Takes another gateway's word that a runner keeps a part of a prompt. */
+  learnPlace(runnerHash: number, key: PromptKey, tokens: number): void {
+    this.byHash.get(runnerHash)?.places.learn(key, tokens);
   }
 
   /** Notes that a runner could not be reached or spoilt an answer. */
@@ -160,11 +187,13 @@
     return {
       record,
       id,
+      hash: record.hash,
       zone,
       slots,
       inFlight: record.inFlight + this.inFlightOfOthers(id),
       meanMilliseconds: record.pace.expectedMilliseconds,
-      cachedTokens: leadingCachedTokens(parts, (part) => record.places.has(part)),
+      cachedTokens: record.places.leadingTokens(parts),
+      hasIdleConnection: this.hasIdleConnection(record.runner),
     };
   }
 
@@ -181,6 +210,7 @@
   private add(runner: Runner): void {
     const record: RunnerRecord = {
       runner,
+      hash: hashToNumber(runner.id),
       inFlight: 0,
       goneAt: undefined,
       distrustedUntil: 0,
@@ -188,9 +218,10 @@
       outOfReach: false,
       heardAt: this.runtime.now(),
       pace: new RunnerPace(this.paceOf(runner.service)),
-      places: new PromptPlaces(DEFAULT_MEMORY_TOKENS),
+      places: new PromptPlaces(() => this.memoryTokensOf(runner.service) ?? Infinity),
     };
     this.records.set(runner.id, record);
+    this.byHash.set(record.hash, record);
     const ofService = this.byService.get(runner.service) ?? new Set();
     this.byService.set(runner.service, ofService.add(record));
     const { id, service, ready } = runner;
@@ -203,10 +234,20 @@
     const since = goneAt === undefined ? 0 : this.runtime.now() - goneAt;
     if (record !== undefined && since >= GONE_GRACE_MILLISECONDS) {
       this.records.delete(id);
+      this.byHash.delete(record.hash);
       this.byService.get(record.runner.service)?.delete(record);
     }
   }
 
+  private engineOf(service: string): EngineEstimate {
+    let engine = this.engines.get(service);
+    if (engine === undefined) {
+      engine = new EngineEstimate();
+      this.engines.set(service, engine);
+    }
+    return engine;
+  }
+
   private paceOf(service: string): ServicePace {
     let pace = this.paces.get(service);
     if (pace === undefined) {
--- a/src/relay/runner-connections.ts
+++ b/src/relay/runner-connections.ts
@@ -28,6 +28,11 @@
     return agent;
   }
 
+  /** Whether a connection to a runner is open that carries no request. */
+  hasIdle(runner: Runner): boolean {
+    return this.agents.get(addressOf(runner))?.hasIdle ?? false;
+  }
+
   /** Closes all connections to an address: what is under way there fails at once. */
   closeAll(runner: Runner): void {
     const address = addressOf(runner);
--- a/src/relay/stream-answer.ts
+++ b/src/relay/stream-answer.ts
@@ -19,6 +19,9 @@
   lastEventId: string | undefined;
   /** Events with data that were passed on. */
   eventCount = 0;
+  /** Local times of the first and the last event of this try, in milliseconds. */
+  firstEventAt: number | undefined;
+  lastEventAt = 0;
   private splitter = new EventSplitter();
   private head: AnswerHead | undefined;
   private readonly output: Buffer[] = [];
@@ -84,6 +87,8 @@
 
   private pass(event: StreamEvent): void {
     this.call.noteFirstByte();
+    this.lastEventAt = this.call.context.runtime.now();
+    this.firstEventAt ??= this.lastEventAt;
     this.lastEventId = event.id ?? this.lastEventId;
     if (event.hasData) {
       this.eventCount += 1;
--- a/src/runtime/hashing.ts
+++ b/src/runtime/hashing.ts
@@ -12,3 +12,15 @@
 export function hashToNumber(text: string): number {
   return hasher.h32(text);
 }
+
+const MIX_MULTIPLIER = 0x9e37_79b1;
+const MIX_SHIFT = 15;
+
+/** A hash of two hashes, unsigned 32 bits: ranks things for a key without building a text for each pair. */
+export function mixHashes(left: number, right: number): number {
+  let mixed = Math.imul(left ^ right, MIX_MULTIPLIER);
+  mixed ^= mixed >>> MIX_SHIFT;
+  mixed = Math.imul(mixed, MIX_MULTIPLIER);
+  mixed ^= mixed >>> MIX_SHIFT;
+  return mixed >>> 0;
+}
