Refuse at once, and send clients elsewhere, while the replicas are out of reach

Change: a replica that owes a reply for 250 ms counts as silent and is probed; while a majority is silent the gateway is not ready, closes connections behind its answers, and refuses what needs replicas at once. What needs none is served as before.

--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -36,6 +36,8 @@
 const OVERLOAD_RETRY_SECONDS = 0.15;
 /** Pause told to clients when what the request needs is out of reach. */
 const UNAVAILABLE_RETRY_SECONDS = 0.2;
+/** Pause told to clients when another gateway may reach what this one doesn't. */
+const ELSEWHERE_RETRY_SECONDS = 0.02;
 const FIRST_REDIRECT = 300;
 
 /** What takes the answer of one try apart: whole bodies or streams. */
@@ -200,7 +202,8 @@
   }
 
   private refuseUnavailable(detail: string): void {
-    const retryAfterSeconds = UNAVAILABLE_RETRY_SECONDS;
+    const { isReachable } = this.context.turns;
+    const retryAfterSeconds = isReachable ? UNAVAILABLE_RETRY_SECONDS : ELSEWHERE_RETRY_SECONDS;
     this.refuse({ status: 503, detail, verdict: 'NotRun', retryAfterSeconds });
   }
 
--- a/src/relay/relay-front.ts
+++ b/src/relay/relay-front.ts
@@ -110,10 +110,15 @@
     this.sockets.forEach((socket) => socket.destroy());
   }
 
+  /** Clients are to come back over another connection, which may lead to another gateway. */
+  private get isClosing(): boolean {
+    return this.draining || !this.context.turns.isReachable;
+  }
+
   private take(request: IncomingMessage, response: ServerResponse): void {
     const { names, runtime } = this.context;
     const arrivedAt = runtime.now();
-    const answer = new ClientAnswer(response, names.requestId, () => this.draining);
+    const answer = new ClientAnswer(response, names.requestId, () => this.isClosing);
     this.activeCount += 1;
     response.on('close', () => {
       this.activeCount -= 1;
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -83,7 +83,7 @@
 
   /** Whether new connections should come here. */
   get ready(): boolean {
-    return this.listening && !this.stopping;
+    return this.listening && !this.stopping && this.options.turns.isReachable;
   }
 
   /** The configuration in force; undefined before the first. */
--- /dev/null
+++ b/src/turns/replica-reach.ts
@@ -0,0 +1,133 @@
+/**
+ * Whether this process reaches enough replicas for what needs them. A cut connection says nothing, so
+ * a replica counts as silent once a call has waited too long without any reply from it; silent ones
+ * are probed until they answer. Requests that need replicas can then be refused at once, and clients
+ * be sent to gateways that reach them, instead of each waiting for its own timeout.
+ */
+import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import { majorityOf } from './membership.js';
+import type { Member, MemberRecord } from './membership.js';
+import type { OneWayMessage } from './messages.js';
+import type { ReplicaCaller, ReplyListener, UnnumberedRequest } from './replica-caller.js';
+
+/** Time without any reply, while calls wait for one, after which a replica counts as silent. */
+const SILENCE_MILLISECONDS = 250;
+/** Pause between looks at the calls that wait, and between probes. */
+const LOOK_MILLISECONDS = 100;
+/** A turn that never exists: asking for it changes nothing. */
+const PROBED_TURN = '';
+
+/** What is known of one replica. */
+interface ReplicaContact {
+  /** Calls that have no reply yet. */
+  waiting: number;
+  /** Local time since which a reply is owed, in milliseconds; undefined when none is. */
+  owedSince: number | undefined;
+}
+
+/** See the head of this file. Passes all calls on to another caller. */
+export class ReplicaReach implements ReplicaCaller {
+  private readonly contacts = new Map<string, ReplicaContact>();
+  private reachable = true;
+  private cancelLook: CancelTimer | undefined;
+
+  constructor(
+    private readonly runtime: Runtime,
+    private readonly caller: ReplicaCaller,
+    private readonly currentRecord: () => MemberRecord | undefined,
+    /** Told each time that a majority is lost or reached again. */
+    private readonly onChange: (reachable: boolean) => void = () => undefined,
+  ) {}
+
+  /** Whether a majority of the replicas is not silent; true as long as nothing is known of them. */
+  get isReachable(): boolean {
+    return this.reachable;
+  }
+
+  call(
+    member: Member,
+    request: UnnumberedRequest,
+    timeoutMilliseconds: number,
+    listener: ReplyListener,
+  ): void {
+    const contact = this.contactOf(member);
+    contact.waiting += 1;
+    contact.owedSince ??= this.runtime.now();
+    this.lookLater();
+    this.caller.call(member, request, timeoutMilliseconds, (reply) => {
+      contact.waiting -= 1;
+      if (reply !== undefined) {
+        contact.owedSince = contact.waiting > 0 ? this.runtime.now() : undefined;
+      }
+      listener(reply);
+    });
+  }
+
+  tell(member: Member, message: OneWayMessage): void {
+    this.caller.tell(member, message);
+  }
+
+  private contactOf(member: Member): ReplicaContact {
+    let contact = this.contacts.get(member.id);
+    if (contact === undefined) {
+      contact = { waiting: 0, owedSince: undefined };
+      this.contacts.set(member.id, contact);
+    }
+    return contact;
+  }
+
+  private lookLater(): void {
+    this.cancelLook ??= this.runtime.setTimer(LOOK_MILLISECONDS, () => {
+      this.cancelLook = undefined;
+      this.look();
+    });
+  }
+
+  /** Compares what is owed with the clock; goes on as long as something is. */
+  private look(): void {
+    const record = this.currentRecord();
+    if (record === undefined) {
+      return;
+    }
+    this.forgetOthers(record);
+    const silent = record.members.filter((member) => this.isSilent(member));
+    this.note(record.members.length - silent.length >= majorityOf(record), silent);
+    silent.forEach((member) => this.probe(member));
+    if (record.members.some((member) => this.contactOf(member).owedSince !== undefined)) {
+      this.lookLater();
+    }
+  }
+
+  private isSilent(member: Member): boolean {
+    const { owedSince } = this.contactOf(member);
+    return owedSince !== undefined && this.runtime.now() - owedSince >= SILENCE_MILLISECONDS;
+  }
+
+  private probe(member: Member): void {
+    if (this.contactOf(member).waiting === 0) {
+      const request: UnnumberedRequest = { type: 'chain', turn: PROBED_TURN };
+      this.call(member, request, SILENCE_MILLISECONDS, () => undefined);
+    }
+  }
+
+  private note(reachable: boolean, silent: readonly Member[]): void {
+    if (reachable === this.reachable) {
+      return;
+    }
+    this.reachable = reachable;
+    this.runtime.log(reachable ? 'info' : 'warn', 'reach of the replicas', {
+      event: reachable ? 'replicas.reached' : 'replicas.lost',
+      silent: silent.map((member) => member.id).join(' '),
+    });
+    this.onChange(reachable);
+  }
+
+  private forgetOthers(record: MemberRecord): void {
+    const members = new Set(record.members.map((member) => member.id));
+    for (const id of this.contacts.keys()) {
+      if (!members.has(id)) {
+        this.contacts.delete(id);
+      }
+    }
+  }
+}
--- a/src/turns/turn-client.ts
+++ b/src/turns/turn-client.ts
@@ -32,6 +32,8 @@
   readonly caller: ReplicaCaller;
   /** Zone of this process: replicas there are read first. */
   readonly zone: string;
+  /** Whether enough replicas answer; what needs them is given up at once while they don't. */
+  readonly isReachable?: () => boolean;
 }
 
 /** A reservation to be made. */
@@ -66,6 +68,10 @@
     timeoutMilliseconds: number,
     done: (outcome: ReserveOutcome) => void,
   ): void {
+    if (!this.isReachable) {
+      done('unavailable');
+      return;
+    }
     this.tryReserve(
       request,
       this.options.runtime.now() + timeoutMilliseconds,
@@ -74,6 +80,11 @@
     );
   }
 
+  /** Whether enough replicas answer. */
+  get isReachable(): boolean {
+    return this.options.isReachable?.() ?? true;
+  }
+
   /** Settles a turn to the tokens that it handed out; replicas tell those that miss it. */
   settle(program: string, turn: string, mostTokens: number, usedTokens: number): void {
     const entry = { program, turn, mostTokens, usedTokens };
@@ -101,7 +112,7 @@
       return;
     }
     const record = this.options.directory.current;
-    if (record === undefined) {
+    if (record === undefined || !this.isReachable) {
       done({ tag: 'unsure' });
       return;
     }
