--- a/src/relay/runner-book.ts
+++ b/src/relay/runner-book.ts
@@ -55,6 +55,8 @@
   memoryTokensOf: (service: string) => number | undefined = () => undefined;
   /** A runner begins to keep parts of a prompt that this node has not known there. */
   onKept: (runnerHash: number, parts: readonly PromptPart[]) => void = () => undefined;
+  /** A runner is seen that was not known before. */
+  onSeen: (runner: Runner) => void = () => undefined;
   /** Whether a connection to a runner is open and idle. */
   hasIdleConnection: (runner: Runner) => boolean = () => false;
 
@@ -225,6 +227,7 @@
     const ofService = this.byService.get(runner.service) ?? new Set();
     this.byService.set(runner.service, ofService.add(record));
     const { id, service, ready } = runner;
+    this.onSeen(runner);
     this.runtime.log('info', 'runner seen', { event: 'runner.seen', runner: id, service, ready });
   }
 
