Probe a silent runner only when its silence is unusual for its service

Cause: every request without a byte for 150 ms opened a connection to its runner to see whether it is there, again every 150 ms; plain services work for 300 ms. Change: the usual silence of a service is learned (mean and deviation, as TCP does for acknowledgements), bounded by 150 ms and 1 s; a runner that was reached is given twice the time, and counts as heard for all that wait for it.

--- a/features/placement.feature
+++ b/features/placement.feature
@@ -48,6 +48,11 @@
     When prompts "f:7000" and "g:1000" were read there
     Then it keeps 0 tokens of the prompt "a:2000,b:3000"
 
+  Scenario: A silence is unusual when it is longer than the service's answers show
+    Then a service that says nothing for 300 milliseconds is not asked again before 240 milliseconds
+    And a service that is never silent for long is asked again after 150 milliseconds
+    And no silence is usual beyond 1000 milliseconds
+
   Scenario: An open connection decides between runners that are alike
     Given runners "open:z1:8:1:100:0 closed:z1:8:0:100:0"
     When the connection to "closed" has yet to be made
--- a/features/steps/placement.steps.ts
+++ b/features/steps/placement.steps.ts
@@ -16,6 +16,7 @@
 import { createRoutingTable, findRoute } from '../../src/relay/routing-table.js';
 import type { Route } from '../../src/relay/routing-table.js';
 import { RunnerPace, ServicePace } from '../../src/relay/service-pace.js';
+import { SilenceEstimate } from '../../src/relay/silence-estimate.js';
 import { TrafficSplit } from '../../src/relay/traffic-split.js';
 
 interface World {
@@ -253,6 +254,36 @@
   },
 );
 
+/** The unusual silence of a service whose answers had these longest silences. */
+function unusualAfter(silences: readonly number[]): number {
+  const estimate = new SilenceEstimate();
+  silences.forEach((silence) => estimate.take(silence));
+  return estimate.unusualMilliseconds;
+}
+
+Then(
+  'a service that says nothing for {int} milliseconds is not asked again before {int} milliseconds',
+  function (usual: number, least: number) {
+    const around = fc.integer({ min: Math.round(usual * 0.8), max: Math.round(usual * 1.2) });
+    const silences = fc.array(around, { minLength: 20, maxLength: 60 });
+    fc.assert(fc.property(silences, (some) => assert.ok(unusualAfter(some) >= least)));
+    fc.assert(fc.property(silences, (some) => assert.ok(unusualAfter(some) <= usual * 2)));
+  },
+);
+
+Then(
+  'a service that is never silent for long is asked again after {int} milliseconds',
+  function (least: number) {
+    const silences = fc.array(fc.integer({ min: 0, max: 40 }), { maxLength: 60 });
+    fc.assert(fc.property(silences, (some) => assert.equal(unusualAfter(some), least)));
+  },
+);
+
+Then('no silence is usual beyond {int} milliseconds', function (most: number) {
+  const silences = fc.array(fc.integer({ min: 0, max: 1e9 }), { maxLength: 60 });
+  fc.assert(fc.property(silences, (some) => assert.ok(unusualAfter(some) <= most)));
+});
+
 Then('streams of any length leave a usual runner as fast as its service', function () {
   const lengths = fc.array(fc.integer({ min: 4, max: 24 }), { minLength: 40, maxLength: 120 });
   fc.assert(
--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -123,6 +123,7 @@
     const current = this.takeCurrent();
     if (current !== undefined) {
       const { runtime, book } = this.context;
+      current.silence.noteWhole();
       const totalMilliseconds = runtime.now() - current.startedAt;
       const eventCount = this.stream?.eventCount ?? 0;
       const isWhole = status < FIRST_REDIRECT;
--- a/src/relay/runner-book.ts
+++ b/src/relay/runner-book.ts
@@ -8,6 +8,7 @@
 import { PromptPlaces } from './prompt-places.js';
 import type { PromptKey, PromptPart } from './relay-request.js';
 import type { Runner } from './runner.js';
+import { SilenceEstimate } from './silence-estimate.js';
 import { RunnerPace, ServicePace } from './service-pace.js';
 import type { PaceSample } from './service-pace.js';
 
@@ -33,6 +34,8 @@
   /** Local time at which a byte last came from it, in milliseconds. */
   heardAt: number;
   readonly pace: RunnerPace;
+  /** Usual silences of its service. */
+  readonly silence: SilenceEstimate;
   readonly places: PromptPlaces;
 }
 
@@ -41,13 +44,19 @@
   readonly record: RunnerRecord;
 }
 
+/** What is learned of all runners of one service together. */
+interface LearnedOfService {
+  readonly pace: ServicePace;
+  readonly engine: EngineEstimate;
+  readonly silence: SilenceEstimate;
+}
+
 /** See the head of this file. */
 export class RunnerBook {
   private readonly records = new Map<string, RunnerRecord>();
   private readonly byService = new Map<string, Set<RunnerRecord>>();
   private readonly byHash = new Map<number, RunnerRecord>();
-  private readonly paces = new Map<string, ServicePace>();
-  private readonly engines = new Map<string, EngineEstimate>();
+  private readonly learned = new Map<string, LearnedOfService>();
 
   /** Requests of other gateways at a runner. */
   inFlightOfOthers: (runner: string) => number = () => 0;
@@ -152,13 +161,13 @@
       this.trust(record);
     }
     if (engine !== undefined) {
-      this.engineOf(record.runner.service).take(engine);
+      this.learnedOf(record.runner.service).engine.take(engine);
     }
   }
 
   /** What the engines of a service cost, as far as it was learned. */
   engineCosts(service: string): EngineCosts {
-    return this.engineOf(service);
+    return this.learnedOf(service).engine;
   }
 
   /** Takes another gateway's word that a runner keeps a part of a prompt. */
@@ -219,7 +228,8 @@
       failures: 0,
       outOfReach: false,
       heardAt: this.runtime.now(),
-      pace: new RunnerPace(this.paceOf(runner.service)),
+      pace: new RunnerPace(this.learnedOf(runner.service).pace),
+      silence: this.learnedOf(runner.service).silence,
       places: new PromptPlaces(() => this.memoryTokensOf(runner.service) ?? Infinity),
     };
     this.records.set(runner.id, record);
@@ -242,22 +252,17 @@
     }
   }
 
-  private engineOf(service: string): EngineEstimate {
-    let engine = this.engines.get(service);
-    if (engine === undefined) {
-      engine = new EngineEstimate();
-      this.engines.set(service, engine);
-    }
-    return engine;
-  }
-
-  private paceOf(service: string): ServicePace {
-    let pace = this.paces.get(service);
-    if (pace === undefined) {
-      pace = new ServicePace();
-      this.paces.set(service, pace);
+  private learnedOf(service: string): LearnedOfService {
+    let learned = this.learned.get(service);
+    if (learned === undefined) {
+      learned = {
+        pace: new ServicePace(),
+        engine: new EngineEstimate(),
+        silence: new SilenceEstimate(),
+      };
+      this.learned.set(service, learned);
     }
-    return pace;
+    return learned;
   }
 }
 
--- a/src/relay/silence-watch.ts
+++ b/src/relay/silence-watch.ts
@@ -3,14 +3,18 @@
 import type { RelayContext } from './relay-context.js';
 import type { RunnerRecord } from './runner-book.js';
 
-/** Time without a byte from a runner, for whatever request, after which its address is probed. */
-const SILENCE_MILLISECONDS = 150;
+/** How much longer the next silence may be after a probe that found the runner in reach. */
+const PATIENCE_FACTOR = 2;
 
 /** Watches the runner of one try until it is stopped. */
 export class SilenceWatch {
   private cancelTimer: CancelTimer = () => undefined;
   private stopped = false;
   private heardAt: number;
+  /** Longest time without a byte so far, in milliseconds. */
+  private longestSilence = 0;
+  /** Silence after which the address is probed, in milliseconds. */
+  private limit: number;
 
   constructor(
     private readonly context: RelayContext,
@@ -19,13 +23,21 @@
     private readonly onOutOfReach: () => void,
   ) {
     this.heardAt = context.runtime.now();
-    this.lookLater();
+    this.limit = record.silence.unusualMilliseconds;
+    this.lookAfter(this.limit);
   }
 
   /** Notes a byte from the runner. */
   noteHeard(): void {
-    this.heardAt = this.context.runtime.now();
-    this.record.heardAt = this.heardAt;
+    const now = this.context.runtime.now();
+    this.longestSilence = Math.max(this.longestSilence, now - this.heardAt);
+    this.heardAt = now;
+    this.record.heardAt = now;
+  }
+
+  /** Notes that the answer came whole: its silences were usual ones. */
+  noteWhole(): void {
+    this.record.silence.take(this.longestSilence);
   }
 
   /** Ends the watch. */
@@ -34,21 +46,29 @@
     this.cancelTimer();
   }
 
-  private lookLater(): void {
-    this.cancelTimer = this.context.runtime.setTimer(SILENCE_MILLISECONDS, () => this.look());
+  private lookAfter(milliseconds: number): void {
+    this.cancelTimer = this.context.runtime.setTimer(milliseconds, () => this.look());
   }
 
   private look(): void {
     const { runtime, connections } = this.context;
-    this.lookLater();
-    const silentSince = Math.max(this.heardAt, this.record.heardAt);
-    if (runtime.now() - silentSince >= SILENCE_MILLISECONDS) {
-      connections.probe(this.record.runner, (reachable) => this.judge(reachable));
+    const silence = runtime.now() - Math.max(this.heardAt, this.record.heardAt);
+    if (silence < this.limit) {
+      this.lookAfter(this.limit - silence);
+      return;
     }
+    connections.probe(this.record.runner, (reachable) => this.judge(reachable));
   }
 
   private judge(reachable: boolean): void {
-    if (reachable || this.stopped) {
+    if (this.stopped) {
+      return;
+    }
+    if (reachable) {
+      // Others that wait for this runner need not ask again so soon.
+      this.record.heardAt = this.context.runtime.now();
+      this.limit *= PATIENCE_FACTOR;
+      this.lookAfter(this.limit);
       return;
     }
     const { book, connections } = this.context;
