Report from the logs where the time of programs went

ivyloom report losses and explain program split each program's time along its critical path by cause; every end of a request is now logged, with what placement went by.

--- a/features/logs.feature
+++ b/features/logs.feature
@@ -9,6 +9,20 @@
     When another request is explained
     Then nothing is said
 
+  Scenario: The time of programs is split by what held them up
+    Given logs of a program that was late, one that was in time and one whose last answer was lost
+    When the losses are reported
+    Then the late program spent these milliseconds
+      | before the first try  | 10  |
+      | waiting at the runner | 40  |
+      | reading               | 50  |
+      | generating            | 100 |
+      | tool calls            | 250 |
+      | refused               | 30  |
+      | client pauses         | 120 |
+    And of 3 programs 1 was in time, 1 late and 1 failed
+    And any program's parts add up to its time
+
   Scenario: A reader that stops reading stops nothing
     Given a writer whose reader has stopped reading
     When 100000 lines are written
--- a/features/steps/logs.steps.ts
+++ b/features/steps/logs.steps.ts
@@ -3,10 +3,21 @@
 import { readdirSync, readFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { Given, Then, When } from '@cucumber/cucumber';
+import type { DataTable } from '@cucumber/cucumber';
+import fc from 'fast-check';
 import { BoundedWriter, MAXIMUM_WAITING_BYTES } from '../../src/telemetry/bounded-writer.js';
 import { explainRequest } from '../../src/telemetry/explain-request.js';
 import { parseLogLine } from '../../src/telemetry/log-lines.js';
 import type { LogLine } from '../../src/telemetry/log-lines.js';
+import { traceProgramsOf } from '../../src/telemetry/program-traces.js';
+import type { ProgramTrace } from '../../src/telemetry/program-traces.js';
+import {
+  lossRows,
+  lossWindows,
+  splitTime,
+  TIME_CAUSES,
+} from '../../src/telemetry/report-losses.js';
+import type { TimeCause } from '../../src/telemetry/report-losses.js';
 
 interface World {
   lines?: LogLine[];
@@ -15,6 +26,7 @@
   written?: string[];
   pending?: (() => void)[];
   stopped?: boolean;
+  programs?: ProgramTrace[];
 }
 
 function line(time: number, node: string, event: string, fields: Record<string, unknown>): string {
@@ -129,3 +141,85 @@
   const metrics = namesIn(['src/relay', 'platform'], /['`](ivyloom_[a-z_]+)/g);
   assert.deepEqual(listed(/^\| `(ivyloom_[a-z_]+)`/gm), metrics);
 });
+
+/** The end of a request that came at one time and ended at another, in milliseconds. */
+function endOf(program: string, from: number, to: number, fields: Record<string, unknown>): string {
+  const usual = { outcome: 'answered', status: 200, tries: 1, events: 0, reading: 0, unread: 0 };
+  const times = { beforeDispatch: 0, firstByte: to - from, deadline: 1_000 };
+  const end = { program, route: 'r', ...usual, ...times, ...fields, total: to - from };
+  return line(to, 'n', 'relay.end', end);
+}
+
+Given(
+  'logs of a program that was late, one that was in time and one whose last answer was lost',
+  function (this: World) {
+    const turn = { events: 5, beforeDispatch: 10, firstByte: 100, reading: 50, deadline: 500 };
+    const refusal = { outcome: 'refused', status: 503, beforeDispatch: -1, firstByte: -1 };
+    const texts = [
+      endOf('late', 0, 200, turn),
+      // Two calls at a time: the program waits for the longer one.
+      endOf('late', 250, 300, {}),
+      endOf('late', 250, 500, {}),
+      endOf('late', 570, 600, refusal),
+      endOf('timely', 0, 900, {}),
+      endOf('lost', 0, 100, {}),
+      endOf('lost', 100, 300, { outcome: 'left', status: undefined }),
+    ];
+    this.lines = texts.flatMap((text) => parseLogLine(text) ?? []);
+    // The refusal came back as an answer of no length, so that the program ends late and not refused.
+    this.lines.push(parseLogLine(endOf('late', 600, 600, {}))!);
+  },
+);
+
+When('the losses are reported', function (this: World) {
+  this.programs = traceProgramsOf(this.lines!);
+});
+
+Then('the late program spent these milliseconds', function (this: World, table: DataTable) {
+  const late = this.programs!.find(({ outcome }) => outcome === 'late')!;
+  const expected = Object.fromEntries(TIME_CAUSES.map((cause) => [cause, 0]));
+  table.raw().forEach(([cause, milliseconds]) => {
+    expected[cause as TimeCause] = Number(milliseconds);
+  });
+  assert.deepEqual(splitTime(late), expected);
+});
+
+Then(
+  'of {int} programs {int} was in time, {int} late and {int} failed',
+  function (this: World, all: number, timely: number, late: number, failed: number) {
+    const rows = lossRows(this.programs!);
+    const count = (outcome: string): number =>
+      rows.filter((row) => row.outcome === outcome).reduce((sum, row) => sum + row.programs, 0);
+    assert.deepEqual([count('in time'), count('late'), count('failed')], [timely, late, failed]);
+    const [window] = lossWindows(this.programs!, 2);
+    assert.deepEqual([window!.begun, window!.late, window!.failed], [all, late, failed]);
+  },
+);
+
+Then("any program's parts add up to its time", function () {
+  const request = fc.record({
+    from: fc.nat(1_000),
+    length: fc.nat(500),
+    beforeDispatch: fc.integer({ min: -1, max: 100 }),
+    firstByte: fc.integer({ min: -1, max: 300 }),
+    reading: fc.nat(1_000),
+    events: fc.nat(3),
+    tries: fc.nat(3),
+    outcome: fc.constantFrom('answered', 'refused', 'left', 'broken'),
+  });
+  fc.assert(
+    fc.property(fc.array(request, { minLength: 1 }), (requests) => {
+      const lines = requests.flatMap(({ from, length, ...fields }) => {
+        const before = Math.min(fields.beforeDispatch, length);
+        const firstByte = fields.firstByte < 0 ? -1 : Math.min(length, before + fields.firstByte);
+        const times = { beforeDispatch: before, firstByte };
+        return parseLogLine(endOf('p', from, from + length, { ...fields, ...times })) ?? [];
+      });
+      const [program] = traceProgramsOf(lines);
+      const split = splitTime(program!);
+      const sum = TIME_CAUSES.reduce((total, cause) => total + split[cause], 0);
+      assert.ok(Math.abs(sum - (program!.endedAt - program!.beganAt)) < 0.001);
+      assert.ok(TIME_CAUSES.every((cause) => split[cause] >= 0));
+    }),
+  );
+});
--- a/src/commands/ivyloom.ts
+++ b/src/commands/ivyloom.ts
@@ -2,7 +2,7 @@
 /** The operators' client: sends statements to a node and shows what comes back. */
 import meow from 'meow';
 import { runClient } from './client.js';
-import { runExplainRequest, runLogs } from './log-commands.js';
+import { runExplainProgram, runExplainRequest, runLogs, runReportLosses } from './log-commands.js';
 
 const cli = meow(
   `
@@ -10,6 +10,8 @@
     $ ivyloom [--url URL] [--key KEY] [--json] [--watch SECONDS] STATEMENT
     $ ivyloom            reads statements from standard input, one a line
     $ ivyloom explain request ID [--logs FILE …]
+    $ ivyloom explain program ID --logs FILE …   where its time went, by cause
+    $ ivyloom report losses [--logs FILE …]      the same of all programs, and when they were lost
     $ ivyloom logs [--request ID] [--program NAME] [--node NAME] [--event NAME] [--logs FILE …]
 
   Options
@@ -72,6 +74,13 @@
   if (first === 'explain' && second === 'request' && id !== undefined) {
     return runExplainRequest(id, logs ?? []);
   }
+  // Without logs, `explain program` asks a node about a program that is under way.
+  if (first === 'explain' && second === 'program' && id !== undefined && logs?.length) {
+    return runExplainProgram(id, logs);
+  }
+  if (first === 'report' && second === 'losses') {
+    return runReportLosses(logs ?? []);
+  }
   if (first !== 'logs') {
     return undefined;
   }
--- a/src/commands/log-commands.ts
+++ b/src/commands/log-commands.ts
@@ -1,11 +1,18 @@
-/** Commands that read logs: `ivyloom explain request ID` and `ivyloom logs`. */
+/** Commands that read logs: `ivyloom explain`, `ivyloom report losses` and `ivyloom logs`. */
 import { createReadStream } from 'node:fs';
 import { createInterface } from 'node:readline';
+import Table from 'cli-table3';
 import { explainRequest } from '../telemetry/explain-request.js';
 import { formatLogLine, matchesFilter, parseLogLine } from '../telemetry/log-lines.js';
 import type { LogFilter, LogLine } from '../telemetry/log-lines.js';
+import { traceProgramsOf } from '../telemetry/program-traces.js';
+import type { ProgramTrace } from '../telemetry/program-traces.js';
+import { lossRows, lossWindows, splitTime, TIME_CAUSES } from '../telemetry/report-losses.js';
 import { EXIT } from './client.js';
 
+/** Width of the windows in which programs are counted, in seconds. */
+const WINDOW_SECONDS = 2;
+
 async function readLines(files: readonly string[], filter: LogFilter): Promise<LogLine[]> {
   const lines: LogLine[] = [];
   const inputs = files.length === 0 ? [process.stdin] : files.map((file) => createReadStream(file));
@@ -41,6 +48,72 @@
   }
 }
 
+function printTable(
+  head: readonly string[],
+  rows: readonly (readonly (string | number)[])[],
+): void {
+  const table = new Table({ head: [...head], style: { head: [], border: [] } });
+  rows.forEach((row) => table.push([...row]));
+  process.stdout.write(`${table.toString()}\n`);
+}
+
+async function readPrograms(files: readonly string[]): Promise<ProgramTrace[]> {
+  return traceProgramsOf(await readLines(files, {}));
+}
+
+/** Splits the time of one program by cause. */
+export async function runExplainProgram(id: string, files: readonly string[]): Promise<number> {
+  try {
+    const program = (await readPrograms(files)).find((one) => one.program === id);
+    if (program === undefined) {
+      process.stderr.write(`ivyloom: no line names a program ${id} with a deadline\n`);
+      return EXIT.refused;
+    }
+    const over = Math.round(program.endedAt - program.deadlineAt);
+    const total = Math.round(program.endedAt - program.beganAt);
+    process.stdout.write(
+      `${id}: ${program.outcome}, ${total} ms, ${Math.abs(over)} ms ${over > 0 ? 'after' : 'before'} its time was over\n`,
+    );
+    const split = splitTime(program);
+    printTable(
+      ['cause', 'ms'],
+      TIME_CAUSES.map((cause) => [cause, Math.round(split[cause])]),
+    );
+    return EXIT.done;
+  } catch (cause) {
+    return fail(cause);
+  }
+}
+
+/** Reports where the time of all programs went, by kind and outcome, and when programs were lost. */
+export async function runReportLosses(files: readonly string[]): Promise<number> {
+  try {
+    const programs = await readPrograms(files);
+    printTable(
+      ['kind', 'outcome', 'programs', ...TIME_CAUSES],
+      lossRows(programs).map(({ kind, outcome, programs: count, mean }) => [
+        kind,
+        outcome,
+        count,
+        ...TIME_CAUSES.map((cause) => Math.round(mean[cause])),
+      ]),
+    );
+    printTable(
+      ['second', 'begun', 'late', 'failed', 'mostly'],
+      lossWindows(programs, WINDOW_SECONDS).map((window) => [
+        window.second,
+        window.begun,
+        window.late,
+        window.failed,
+        window.mostly,
+      ]),
+    );
+    return programs.length > 0 ? EXIT.done : EXIT.refused;
+  } catch (cause) {
+    return fail(cause);
+  }
+}
+
 /** Prints the lines of files, or of standard input, that match a filter. */
 export async function runLogs(filter: LogFilter, files: readonly string[]): Promise<number> {
   try {
--- a/src/relay/call-log.ts
+++ b/src/relay/call-log.ts
@@ -2,7 +2,7 @@
 import type { LogFields } from '../runtime/runtime.js';
 import type { RelayContext } from './relay-context.js';
 import type { RelayRequest } from './relay-request.js';
-import type { RunnerRecord } from './runner-book.js';
+import type { RunnerCandidate, RunnerRecord } from './runner-book.js';
 
 /** Told in place of a time that never came, such as that of the first try of a request without one. */
 const NEVER = -1;
@@ -29,6 +29,8 @@
   readonly dispatchedAt: number | undefined;
   readonly firstByteAt: number | undefined;
   readonly eventCount: number;
+  /** Runner of the last try as it was believed to be; undefined when nothing was tried. */
+  readonly chosen: RunnerCandidate | undefined;
   /** What else decided the end. */
   readonly fields: LogFields;
 }
@@ -50,10 +52,37 @@
   });
 }
 
+/** What placement went by. */
+interface PlacementInputs {
+  /** Milliseconds that the program had left when the request came. */
+  readonly deadline: number;
+  /** Prompt tokens believed not to be kept there. */
+  readonly unread: number;
+  /** Time expected for reading them, in milliseconds. */
+  readonly reading: number;
+  /** Requests believed to be there. */
+  readonly running: number;
+}
+
+/** What placement went by, in whole tokens and milliseconds; `NEVER` where there is no such thing. */
+function inputsOf(context: RelayContext, { request, chosen }: CallEnd): PlacementInputs {
+  const { programDeadlineAt, arrivedAt, promptTokens } = request;
+  const deadline =
+    programDeadlineAt === undefined ? NEVER : Math.round(programDeadlineAt - arrivedAt);
+  if (chosen === undefined) {
+    return { deadline, unread: NEVER, reading: NEVER, running: NEVER };
+  }
+  const unread = Math.max(0, promptTokens - chosen.cachedTokens);
+  const costs = context.book.engineCosts(chosen.record.runner.service);
+  const reading = Math.round(unread * costs.millisecondsPerToken);
+  return { deadline, unread, reading, running: chosen.inFlight };
+}
+
 /** Logs and counts the end of a call. */
 export function logCallEnd(context: RelayContext, end: CallEnd): void {
   const { runtime, metrics } = context;
   const { request, outcome, tries, dispatchedAt, firstByteAt, eventCount, fields } = end;
+  const { deadline, unread, reading, running } = inputsOf(context, end);
   const { id, route, program, arrivedAt, configurationVersion } = request;
   const sinceArrival = (at: number | undefined): number =>
     at === undefined ? NEVER : Math.round(at - arrivedAt);
@@ -63,7 +92,7 @@
   if (dispatchedAt !== undefined) {
     metrics.observe('ivyloom_relay_before_dispatch_milliseconds', dispatchedAt - arrivedAt);
   }
-  runtime.log(outcome === 'answered' ? 'debug' : 'info', 'request ended', {
+  runtime.log('info', 'request ended', {
     event: 'relay.end',
     request: id,
     program: program?.program ?? '',
@@ -75,6 +104,10 @@
     beforeDispatch: sinceArrival(dispatchedAt),
     firstByte: sinceArrival(firstByteAt),
     events: eventCount,
+    deadline,
+    unread,
+    reading,
+    running,
     ...fields,
   });
 }
--- a/src/relay/kept-memory.ts
+++ b/src/relay/kept-memory.ts
@@ -70,15 +70,15 @@
     }
     const hash = hashToNumber(runner.id);
     read(runner, (result) => {
-      const refused = isLeft(result);
-      const parts = refused ? [] : result.right;
-      parts.forEach(({ key, tokens }) => book.learnPlace(hash, key, tokens));
-      runtime.log(refused ? 'warn' : 'info', 'memory of a runner', {
-        event: refused ? 'memory.unread' : 'memory.read',
-        runner: runner.id,
-        parts: parts.length,
-        reason: refused ? result.left : '',
-      });
+      if (isLeft(result)) {
+        const fields = { event: 'memory.unread', runner: runner.id, reason: result.left };
+        runtime.log('warn', 'memory of a runner not read', fields);
+        return;
+      }
+      const { length: parts } = result.right;
+      result.right.forEach(({ key, tokens }) => book.learnPlace(hash, key, tokens));
+      const fields = { event: 'memory.read', runner: runner.id, parts };
+      runtime.log('info', 'memory of a runner read', fields);
     });
   }
 }
--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -80,6 +80,7 @@
   private readonly stream: StreamAnswer | undefined;
   private firstByteAt: number | undefined;
   private dispatchedAt: number | undefined;
+  private lastChosen: RunnerCandidate | undefined;
 
   constructor(
     readonly context: RelayContext,
@@ -292,6 +293,7 @@
     const { runner } = record;
     const now = context.runtime.now();
     this.dispatchedAt ??= now;
+    this.lastChosen = chosen;
     context.book.begin(record, request.promptParts);
     const headers = headersToRunner(request, context.names, {
       runnerId: runner.id,
@@ -460,8 +462,9 @@
     this.settle();
     const { request, tries, dispatchedAt, firstByteAt } = this;
     const eventCount = this.stream?.eventCount ?? 0;
-    const end = { request, outcome, tries, dispatchedAt, firstByteAt, eventCount, fields };
-    logCallEnd(this.context, end);
+    const { lastChosen: chosen } = this;
+    const times = { dispatchedAt, firstByteAt };
+    logCallEnd(this.context, { request, outcome, tries, ...times, eventCount, chosen, fields });
   }
 
   private logTry(tag: string, detail: string, current: CurrentTry): void {
--- /dev/null
+++ b/src/telemetry/program-traces.ts
@@ -0,0 +1,109 @@
+/** Programs put together again from the lines that gateways write at the end of each request. */
+import type { LogLine } from './log-lines.js';
+
+/** How a program went, as far as the logs show. */
+export type ProgramOutcome =
+  /** Its last request was answered before the program's time was over. */
+  | 'in time'
+  | 'late'
+  /** Its last request was broken off, lost, given up or refused for another reason than its budget. */
+  | 'failed'
+  /** It was told that its budget is spent, or that its earlier turn does not exist. */
+  | 'stopped';
+
+/** One request of a program; times in milliseconds since 1970. */
+export interface RequestTrace {
+  readonly route: string;
+  readonly arrivedAt: number;
+  /** First time that it was sent to a runner; undefined if it never was. */
+  readonly sentAt: number | undefined;
+  /** First byte passed on to the client; undefined if there was none. */
+  readonly firstByteAt: number | undefined;
+  readonly endedAt: number;
+  readonly outcome: string;
+  readonly status: number;
+  readonly tries: number;
+  /** Events of its stream; 0 for other answers. */
+  readonly events: number;
+  /** Time that its unread prompt takes to be read, as the gateway expected, in milliseconds. */
+  readonly readingMilliseconds: number;
+}
+
+/** One program; times in milliseconds since 1970. */
+export interface ProgramTrace {
+  readonly program: string;
+  readonly beganAt: number;
+  readonly endedAt: number;
+  /** When it should have been over. */
+  readonly deadlineAt: number;
+  readonly outcome: ProgramOutcome;
+  /** Its requests by their arrival. */
+  readonly requests: readonly RequestTrace[];
+}
+
+const END_EVENT = 'relay.end';
+const STATUS_BUDGET_SPENT = 402;
+const STATUS_NO_SUCH_TURN = 404;
+const FIRST_SERVER_ERROR = 500;
+
+function numberOf(line: LogLine, field: string): number {
+  return Number(line.fields[field] ?? -1);
+}
+
+function traceOf(line: LogLine): RequestTrace {
+  const arrivedAt = line.time - numberOf(line, 'total');
+  const after = (milliseconds: number): number | undefined =>
+    milliseconds < 0 ? undefined : arrivedAt + milliseconds;
+  return {
+    route: String(line.fields['route'] ?? ''),
+    arrivedAt,
+    sentAt: after(numberOf(line, 'beforeDispatch')),
+    firstByteAt: after(numberOf(line, 'firstByte')),
+    endedAt: line.time,
+    outcome: String(line.fields['outcome'] ?? ''),
+    status: numberOf(line, 'status'),
+    tries: numberOf(line, 'tries'),
+    events: numberOf(line, 'events'),
+    readingMilliseconds: Math.max(0, numberOf(line, 'reading')),
+  };
+}
+
+function outcomeOf(last: RequestTrace, deadlineAt: number): ProgramOutcome {
+  if (last.status === STATUS_BUDGET_SPENT || last.status === STATUS_NO_SUCH_TURN) {
+    return 'stopped';
+  }
+  if (last.outcome !== 'answered' || last.status >= FIRST_SERVER_ERROR) {
+    return 'failed';
+  }
+  return last.endedAt > deadlineAt ? 'late' : 'in time';
+}
+
+/** Programs with a deadline, by their beginning. */
+export function traceProgramsOf(lines: readonly LogLine[]): ProgramTrace[] {
+  const byProgram = new Map<string, LogLine[]>();
+  for (const line of lines) {
+    const program = String(line.fields['program'] ?? '');
+    if (line.event === END_EVENT && program !== '' && numberOf(line, 'deadline') >= 0) {
+      byProgram.set(program, [...(byProgram.get(program) ?? []), line]);
+    }
+  }
+  const traces = [...byProgram].map(([program, own]) => traceProgram(program, own));
+  return traces.sort((left, right) => left.beganAt - right.beganAt);
+}
+
+function traceProgram(program: string, lines: readonly LogLine[]): ProgramTrace {
+  const pairs = lines.map((line) => ({ line, trace: traceOf(line) }));
+  pairs.sort((left, right) => left.trace.arrivedAt - right.trace.arrivedAt);
+  const requests = pairs.map(({ trace }) => trace);
+  const first = pairs[0]!;
+  const last = requests.reduce((left, right) => (right.endedAt >= left.endedAt ? right : left));
+  const deadlineAt = first.trace.arrivedAt + numberOf(first.line, 'deadline');
+  return {
+    program,
+    beganAt: first.trace.arrivedAt,
+    endedAt: last.endedAt,
+    deadlineAt,
+    outcome: outcomeOf(last, deadlineAt),
+    requests,
+  };
+}
--- /dev/null
+++ b/src/telemetry/report-losses.ts
@@ -0,0 +1,162 @@
+/**
+ * Where the time of programs went: each moment between a program's first request and its last answer
+ * is put to the one cause that held it up, along its critical path. Of several requests under way the
+ * one that ends last is the one that the program waits for.
+ */
+import type { ProgramTrace, RequestTrace } from './program-traces.js';
+
+/** Causes in the order in which they are reported. */
+export const TIME_CAUSES = [
+  'before the first try',
+  'tried again',
+  'waiting at the runner',
+  'reading',
+  'generating',
+  'tool calls',
+  'refused',
+  'answers lost',
+  'client pauses',
+] as const;
+
+/** What a moment of a program was spent on. */
+export type TimeCause = (typeof TIME_CAUSES)[number];
+
+/** Milliseconds by cause. */
+export type TimeSplit = Readonly<Record<TimeCause, number>>;
+
+interface Phase {
+  readonly from: number;
+  readonly until: number;
+  readonly cause: TimeCause;
+}
+
+/** Phases of one request, one behind the other. */
+function phasesOf(request: RequestTrace): Phase[] {
+  const { arrivedAt, sentAt, firstByteAt, endedAt } = request;
+  if (request.outcome === 'refused') {
+    return [{ from: arrivedAt, until: endedAt, cause: 'refused' }];
+  }
+  if (request.outcome !== 'answered' || sentAt === undefined) {
+    return [{ from: arrivedAt, until: endedAt, cause: 'answers lost' }];
+  }
+  const before: Phase = { from: arrivedAt, until: sentAt, cause: 'before the first try' };
+  const answeredAt = firstByteAt ?? endedAt;
+  if (request.tries > 1) {
+    const again: Phase = { from: sentAt, until: answeredAt, cause: 'tried again' };
+    return [before, again, { from: answeredAt, until: endedAt, cause: answerCause(request) }];
+  }
+  if (request.events <= 0) {
+    return [before, { from: sentAt, until: endedAt, cause: 'tool calls' }];
+  }
+  const readAt = Math.max(sentAt, answeredAt - request.readingMilliseconds);
+  return [
+    before,
+    { from: sentAt, until: readAt, cause: 'waiting at the runner' },
+    { from: readAt, until: answeredAt, cause: 'reading' },
+    { from: answeredAt, until: endedAt, cause: 'generating' },
+  ];
+}
+
+function answerCause(request: RequestTrace): TimeCause {
+  return request.events > 0 ? 'generating' : 'tool calls';
+}
+
+function emptySplit(): Record<TimeCause, number> {
+  return Object.fromEntries(TIME_CAUSES.map((cause) => [cause, 0])) as Record<TimeCause, number>;
+}
+
+/** Splits one program's time; the parts add up to the time from its beginning to its end. */
+export function splitTime(program: ProgramTrace): TimeSplit {
+  const split = emptySplit();
+  let now = program.beganAt;
+  while (now < program.endedAt) {
+    const open = program.requests.filter((one) => one.arrivedAt <= now && one.endedAt > now);
+    const next = program.requests.filter((one) => one.arrivedAt > now);
+    const nextArrival = Math.min(program.endedAt, ...next.map((one) => one.arrivedAt));
+    if (open.length === 0) {
+      split['client pauses'] += nextArrival - now;
+      now = nextArrival;
+      continue;
+    }
+    const held = open.reduce((left, right) => (right.endedAt > left.endedAt ? right : left));
+    const phase = phasesOf(held).find((one) => one.until > now)!;
+    const until = Math.min(phase.until, nextArrival > now ? nextArrival : phase.until);
+    split[phase.cause] += until - now;
+    now = until;
+  }
+  return split;
+}
+
+/** Mean times of the programs of one kind and outcome. */
+export interface LossRow {
+  /** Route of the program's first request. */
+  readonly kind: string;
+  readonly outcome: string;
+  readonly programs: number;
+  /** Mean milliseconds by cause. */
+  readonly mean: TimeSplit;
+}
+
+/** One row for each kind and outcome, the most frequent first. */
+export function lossRows(programs: readonly ProgramTrace[]): LossRow[] {
+  const groups = new Map<string, ProgramTrace[]>();
+  for (const program of programs) {
+    const key = `${program.requests[0]!.route}\n${program.outcome}`;
+    groups.set(key, [...(groups.get(key) ?? []), program]);
+  }
+  const rows = [...groups].map(([key, members]) => {
+    const [kind, outcome] = key.split('\n');
+    return { kind: kind!, outcome: outcome!, programs: members.length, mean: meanSplit(members) };
+  });
+  return rows.sort((left, right) => right.programs - left.programs);
+}
+
+function meanSplit(programs: readonly ProgramTrace[]): TimeSplit {
+  const mean = emptySplit();
+  for (const split of programs.map(splitTime)) {
+    TIME_CAUSES.forEach((cause) => {
+      mean[cause] += split[cause] / programs.length;
+    });
+  }
+  return mean;
+}
+
+/** Programs that began within one window. */
+export interface LossWindow {
+  /** Seconds from the first program's beginning. */
+  readonly second: number;
+  readonly begun: number;
+  readonly late: number;
+  readonly failed: number;
+  /** The cause that took most of the time of late and failed ones; empty when there are none. */
+  readonly mostly: string;
+}
+
+const MILLISECONDS_IN_SECOND = 1_000;
+
+/** Programs by the time at which they began. */
+export function lossWindows(programs: readonly ProgramTrace[], seconds: number): LossWindow[] {
+  const first = programs[0]?.beganAt ?? 0;
+  const windows = new Map<number, ProgramTrace[]>();
+  for (const program of programs) {
+    const passed = (program.beganAt - first) / MILLISECONDS_IN_SECOND;
+    const second = Math.floor(passed / seconds) * seconds;
+    windows.set(second, [...(windows.get(second) ?? []), program]);
+  }
+  return [...windows].map(([second, members]) => windowOf(second, members));
+}
+
+function windowOf(second: number, members: readonly ProgramTrace[]): LossWindow {
+  const late = members.filter(({ outcome }) => outcome === 'late');
+  const failed = members.filter(({ outcome }) => outcome === 'failed');
+  const lost = [...late, ...failed];
+  const mean = meanSplit(lost);
+  const mostly = TIME_CAUSES.reduce((left, right) => (mean[right] > mean[left] ? right : left));
+  return {
+    second,
+    begun: members.length,
+    late: late.length,
+    failed: failed.length,
+    mostly: lost.length > 0 ? mostly : '',
+  };
+}
--- a/src/turns/replica-reach.ts
+++ b/src/turns/replica-reach.ts
@@ -115,10 +115,14 @@
       return;
     }
     this.reachable = reachable;
-    this.runtime.log(reachable ? 'info' : 'warn', 'reach of the replicas', {
-      event: reachable ? 'replicas.reached' : 'replicas.lost',
-      silent: silent.map((member) => member.id).join(' '),
-    });
+    const names = silent.map((member) => member.id).join(' ');
+    if (reachable) {
+      const fields = { event: 'replicas.reached', silent: names };
+      this.runtime.log('info', 'replicas reached', fields);
+    } else {
+      const fields = { event: 'replicas.lost', silent: names };
+      this.runtime.log('warn', 'replicas out of reach', fields);
+    }
     this.onChange(reachable);
   }
 
