--- a/features/peers.feature
+++ b/features/peers.feature
@@ -4,8 +4,10 @@
     Then the second learns within 2000 milliseconds that others have 3 requests at runner "a"
     And they tell one another the newest revision they know
     And the second learns what the runner keeps
+    And the second alone knows that a peer reaches the replicas
     When the first falls silent
     Then the second learns within 2000 milliseconds that others have 0 requests at runner "a"
+    And no peer is known to reach the replicas
 
   Scenario: A third gateway is found through the one both know
     Given two gateways that gossip, of which the first has 3 requests at runner "a"
--- a/features/steps/peers.steps.ts
+++ b/features/steps/peers.steps.ts
@@ -42,6 +42,7 @@
     ownLoads: () => loads,
     ownRevision: () => 7,
     onRevision: (revision) => (world.heardRevisions ??= new Set()).add(revision),
+    reachesReplicas: () => place === 0,
     ownPlaces: () => places,
     onPlaces: (told) => (world.heardPlaces ??= []).push(...told),
   });
@@ -71,6 +72,16 @@
   },
 );
 
+Then('the second alone knows that a peer reaches the replicas', async function (this: World) {
+  const [first, second] = this.gossips!;
+  assert.ok(await holdsWithin(1_000, () => second!.somePeerReachesReplicas));
+  assert.equal(first!.somePeerReachesReplicas, false);
+});
+
+Then('no peer is known to reach the replicas', function (this: World) {
+  assert.equal(this.gossips!.at(-1)!.somePeerReachesReplicas, false);
+});
+
 Then('the second learns what the runner keeps', async function (this: World) {
   assert.ok(await holdsWithin(1_000, () => this.heardPlaces !== undefined));
   assert.deepEqual(this.heardPlaces![0], PLACE);
@@ -162,6 +173,7 @@
       peers: fc.array(fc.ipV4()),
       revision,
       places: fc.array(place),
+      reachesReplicas: fc.boolean(),
     },
     plain,
   );
--- a/src/peers/load-gossip.ts
+++ b/src/peers/load-gossip.ts
@@ -26,6 +26,8 @@
   readonly ownRevision: () => number;
   /** A peer told the revision of the newest change that it knows. */
   readonly onRevision: (revision: number) => void;
+  /** Whether this gateway reaches a majority of the replicas. */
+  readonly reachesReplicas: () => boolean;
   /** What this gateway's requests have put into runners' memory within the last milliseconds. */
   readonly ownPlaces: (milliseconds: number) => readonly PromptPlace[];
   /** A peer told what runners have begun to keep. */
@@ -52,6 +54,7 @@
   sequence: number;
   heardAt: number;
   loads: readonly RunnerLoad[];
+  reachesReplicas: boolean;
 }
 
 /** See the head of this file. */
@@ -79,6 +82,12 @@
     return this.totals.get(hashToNumber(runner)) ?? 0;
   }
 
+  /** Whether a gateway that was heard lately reaches the replicas. */
+  get somePeerReachesReplicas(): boolean {
+    const since = this.options.runtime.now() - this.staleMilliseconds;
+    return [...this.peers.values()].some((peer) => peer.reachesReplicas && peer.heardAt >= since);
+  }
+
   /** Gateways heard lately. */
   get peerCount(): number {
     return this.peers.size;
@@ -106,6 +115,7 @@
       loads: this.hashedLoads(),
       peers: known.slice(-NAMED_PEERS),
       revision: this.options.ownRevision(),
+      reachesReplicas: this.options.reachesReplicas(),
       places: this.options.ownPlaces(PLACE_REPEATS * this.messageMilliseconds),
     };
     const bytes = encodeLoadMessage(message);
@@ -140,8 +150,9 @@
     if (known?.life === message.life && message.sequence <= known.sequence) {
       return;
     }
-    const { life, sequence, loads } = message;
-    this.peers.set(from, { life, sequence, loads, heardAt: this.options.runtime.now() });
+    const { life, sequence, loads, reachesReplicas } = message;
+    const heardAt = this.options.runtime.now();
+    this.peers.set(from, { life, sequence, loads, reachesReplicas, heardAt });
     message.peers.forEach((peer) => this.learn(peer));
     this.options.onRevision(message.revision);
     this.options.onPlaces(message.places);
@@ -150,7 +161,13 @@
   private learn(peer: string): void {
     if (peer !== this.options.host && !this.peers.has(peer)) {
       const heardAt = this.options.runtime.now();
-      this.peers.set(peer, { life: -1, sequence: 0, loads: [], heardAt });
+      this.peers.set(peer, {
+        life: -1,
+        sequence: 0,
+        loads: [],
+        reachesReplicas: false,
+        heardAt,
+      });
     }
   }
 
--- a/src/peers/load-message.ts
+++ b/src/peers/load-message.ts
@@ -4,6 +4,7 @@
   count,
   decodeField,
   encodeField,
+  flag,
   listOf,
   real,
   record,
@@ -32,6 +33,8 @@
   readonly revision: number;
   /** What runners have lately begun to keep. */
   readonly places: readonly PromptPlace[];
+  /** Whether the sender reaches a majority of the replicas. */
+  readonly reachesReplicas: boolean;
 }
 
 const load = record({ runnerHash: r.uint32, inFlight: r.uint16 });
@@ -43,6 +46,7 @@
   peers: listOf(shortText),
   revision: real,
   places: listOf(place),
+  reachesReplicas: flag,
 });
 
 /** Encodes a datagram. */
