--- a/features/steps/placement.steps.ts
+++ b/features/steps/placement.steps.ts
@@ -149,7 +149,9 @@
 When(
   'a request with a prompt of {int} tokens in zone {string} is placed',
   function (this: World, promptTokens: number, zone: string) {
-    this.chosen = chooseRunner(this.views, needOf(zone, promptTokens, 0), ALL_CHARGES)?.id;
+    const { engine, ...rest } = needOf(zone, promptTokens, 0);
+    const need = { ...rest, engine: promptTokens > 0 ? engine : undefined };
+    this.chosen = chooseRunner(this.views, need, ALL_CHARGES)?.id;
   },
 );
 
--- a/src/relay/placement-charges.ts
+++ b/src/relay/placement-charges.ts
@@ -106,8 +106,9 @@
     return Math.min(LARGEST_ZONE_MILLISECONDS, ZONE_MILLISECONDS + bytes);
   },
 
-  /** Opening a connection. */
-  connection: (view) => (view.hasIdleConnection ? 0 : CONNECTION_MILLISECONDS),
+  /** Opening a connection to a plain service; at an engine it costs little beside what is kept there. */
+  connection: (view, need) =>
+    need.engine === undefined && !view.hasIdleConnection ? CONNECTION_MILLISECONDS : 0,
 
   /** Requests about the same thing prefer the same runner. */
   affinity: (view, need) =>
--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -2,6 +2,7 @@
  * The life of one relayed request: its chain and account first, then tries at runners until one
  * answers, the request may not be tried again, or its time is over. Every end is given at once.
  */
+import { hashToNumber } from '../runtime/hashing.js';
 import type { LogFields } from '../runtime/runtime.js';
 import type { CancelTimer } from '../runtime/runtime.js';
 import { maySendTo, mayTryAgain } from './attempt-rules.js';
@@ -12,6 +13,7 @@
 import { logCallEnd, logFailedTry } from './call-log.js';
 import { chooseRunner } from './choose-runner.js';
 import type { EngineSample } from './engine-estimate.js';
+import { engineSampleOf } from './engine-sample.js';
 import { headersToRunner } from './forwarded-headers.js';
 import { FIRST_SERVER_ERROR, judgeAnswer } from './judge-answer.js';
 import { PlainAnswer } from './plain-answer.js';
@@ -26,7 +28,6 @@
 import { TurnPreparation } from './turn-preparation.js';
 import type { Preparation } from './turn-preparation.js';
 import { isLate, urgencyOf } from './urgency.js';
-import { hashToNumber } from '../runtime/hashing.js';
 
 /** Time beyond the route's own at which the relay stops waiting, so that runners end first. */
 const END_SLACK_MILLISECONDS = 30;
@@ -58,9 +59,6 @@
   readonly chosen: RunnerCandidate;
 }
 
-/** Fewest events whose mean pause tells anything. */
-const EVENTS_WITH_PAUSE = 4;
-
 /** See the head of this file. */
 export class RelayCall {
   private readonly sentTo = new Set<string>();
@@ -220,37 +218,13 @@
   }
 
   /** What an answered stream showed of its engine; undefined where it shows nothing. */
-  private engineSampleOf(current: CurrentTry): EngineSample | undefined {
-    const { stream } = this;
-    if (stream?.firstEventAt === undefined || this.tries > 1) {
+  private engineSampleOf({ chosen, startedAt: sentAt }: CurrentTry): EngineSample | undefined {
+    const { stream, request, tries } = this;
+    if (stream?.firstEventAt === undefined || tries > 1) {
       return undefined;
     }
     const { firstEventAt, lastEventAt, eventCount } = stream;
-    const pauses = eventCount - 1;
-    return {
-      unreadTokens: this.surelyUnreadTokens(current.chosen),
-      running: current.chosen.inFlight + 1,
-      firstEventMilliseconds: firstEventAt - current.startedAt,
-      pauseMilliseconds:
-        eventCount >= EVENTS_WITH_PAUSE ? (lastEventAt - firstEventAt) / pauses : undefined,
-      eventCount,
-    };
-  }
-
-  /**
-   * Tokens that the runner had to read; undefined when another node may have sent the prompt there
-   * before without this one's knowledge, as after a start.
-   */
-  private surelyUnreadTokens({ cachedTokens }: RunnerCandidate): number | undefined {
-    const { promptParts, promptTokens, route, previousTurn } = this.request;
-    const last = promptParts.at(-1);
-    if (last === undefined) {
-      return undefined;
-    }
-    const before = promptTokens - last.tokens;
-    const beginsLine = route.retained && previousTurn === undefined;
-    const isSure = cachedTokens > before || (beginsLine && cachedTokens >= before);
-    return isSure ? promptTokens - cachedTokens : undefined;
+    return engineSampleOf(request, chosen, { sentAt, firstEventAt, lastEventAt, eventCount });
   }
 
   private chooseNext(): RunnerCandidate | undefined {
