Name as many replicas in the record as the loss to be borne asks for; others stand by

One that stands by and was never a member has nothing to hand over when its machine is emptied. Silence of a member counts from the time it was first asked.

--- a/features/steps/turns.steps.ts
+++ b/features/steps/turns.steps.ts
@@ -39,6 +39,7 @@
   clock?: VirtualClock;
   replicas?: SimulatedReplicas;
   keptTurns?: string[];
+  standby?: string;
   histories?: TurnHistoryResult[];
   members?: string[];
   self?: string;
@@ -90,6 +91,16 @@
   },
 );
 
+When(
+  'histories of turns with seeds {int} to {int} are played with {int} replicas of which {int} are to be members',
+  function (this: World, first: number, last: number, replicaCount: number, wantedMembers: number) {
+    this.histories = [];
+    for (let seed = first; seed <= last; seed += 1) {
+      this.histories.push(runTurnHistory(seed, { replicaCount, wantedMembers }));
+    }
+  },
+);
+
 Then('no promise about turns is broken', function (this: World) {
   const broken = this.histories!.filter((history) => history.violations.length > 0);
   assert.deepEqual(broken, []);
@@ -207,10 +218,79 @@
       hasRead: (id) => isLevel.has(id),
       silentMilliseconds: (id) => (isSilent.has(id) ? REMOVAL_MILLISECONDS : 0),
       retiringNodes: new Set(words(retiring)),
+      wantedMembers: Infinity,
+      vacantMilliseconds: 0,
     });
   },
 );
 
+When(
+  'the record is to name {int} members and has named {string} with zones {string} for {int} milliseconds',
+  function (this: World, wanted: number, names: string, zones: string, milliseconds: number) {
+    const zoneNames = words(zones);
+    const members = words(names).map((name, place) => ({
+      ...member(name),
+      zone: zoneNames[place]!,
+    }));
+    this.action = decideMembership({
+      self: { ...member(this.self!), zone: 'z1' },
+      record: { epoch: 1, members },
+      ready: false,
+      isLevelWith: () => true,
+      hasRead: () => true,
+      silentMilliseconds: () => 0,
+      retiringNodes: new Set(),
+      wantedMembers: wanted,
+      vacantMilliseconds: milliseconds,
+    });
+  },
+);
+
+Given(
+  '{int} replicas of which {int} are to be members',
+  function (this: World, count: number, wantedMembers: number) {
+    const clock = new VirtualClock();
+    const replicas = new SimulatedReplicas(clock, createRandom(1), { wantedMembers });
+    for (let index = 1; index <= count; index += 1) {
+      replicas.add(`m${index}`, `z${index}`);
+    }
+    clock.runUntil(clock.now + 6_000);
+    Object.assign(this, { clock, replicas });
+  },
+);
+
+Then('{int} replicas are active', function (this: World, count: number) {
+  assert.equal(this.replicas!.activeNames().length, count);
+});
+
+When('one active replica dies for good', function (this: World) {
+  this.replicas!.kill(this.replicas!.activeNames()[0]!);
+});
+
+When('a replica that stands by is to be emptied', function (this: World) {
+  const active = new Set(this.replicas!.activeNames());
+  this.standby = this.replicas!.runningNames().find((name) => !active.has(name))!;
+  this.replicas!.store.retiring.add(this.standby);
+});
+
+Then(
+  'within {int} milliseconds {int} replicas are active',
+  function (this: World, milliseconds: number, count: number) {
+    const { clock, replicas } = this;
+    const isFull = (): boolean => replicas!.activeNames().length === count;
+    assert.ok(clock!.runUntil(clock!.now + milliseconds, isFull), `${replicas!.activeNames()}`);
+  },
+);
+
+Then(
+  'within {int} milliseconds it is told to be empty',
+  function (this: World, milliseconds: number) {
+    const { clock, replicas, standby } = this;
+    const finished = (): boolean => replicas!.store.finished.has(standby!);
+    assert.ok(clock!.runUntil(clock!.now + milliseconds, finished), 'it is not empty');
+  },
+);
+
 Then(
   /^it decides to (Create|Join|Wait|Remove)(?: (\w+))?$/,
   function (this: World, tag: string, id?: string) {
--- a/features/turns.feature
+++ b/features/turns.feature
@@ -12,6 +12,16 @@
       | first | last |
       | 1     | 30   |
 
+  Scenario Outline: Histories in which replicas stand by keep every promise too
+    When histories of turns with seeds <first> to <last> are played with 8 replicas of which 3 are to be members
+    Then no promise about turns is broken
+    And turns were kept, tokens granted and budgets refused
+    And every kind of fault struck
+
+    Examples:
+      | first | last |
+      | 1     | 30   |
+
   Scenario Outline: The checker finds a planted fault
     When histories of turns are played with the planted fault "<fault>"
     Then a promise about "<promise>" is broken
@@ -50,6 +60,27 @@
       | a b c d | a    | complete   |        | b c d | a        | Remove a  |
       | a b c   | a    | complete   | c      | b c   | a        | Wait      |
 
+  Scenario Outline: A replica joins while the record names too few, those of other zones first
+    Given replicas "" and this one is "a"
+    When the record is to name <wanted> members and has named "<members>" with zones "<zones>" for <vacant> milliseconds
+    Then it decides to <action>
+
+    Examples:
+      | wanted | members | zones    | vacant | action |
+      | 3      | b c     | z2 z3    | 0      | Join   |
+      | 3      | b c d   | z2 z3 z4 | 9000   | Wait   |
+      | 5      | b c d   | z1 z2 z3 | 900    | Wait   |
+      | 5      | b c d   | z1 z2 z3 | 1100   | Join   |
+      | 5      | b c d   | z1 z1 z3 | 1100   | Wait   |
+
+  Scenario: No more replicas are members than the loss to be borne asks for; others take vacant places
+    Given 9 replicas of which 5 are to be members
+    Then 5 replicas are active
+    When one active replica dies for good
+    Then within 6500 milliseconds 5 replicas are active
+    When a replica that stands by is to be emptied
+    Then within 1000 milliseconds it is told to be empty
+
   Scenario: Replicas that hold the same reservations find that out by digests alone
     Then any two sets of reservations are made level by the digests that each lacks
     And who knows a reservation settled lacks no word of it open
--- a/src/commands/bench-commands.ts
+++ b/src/commands/bench-commands.ts
@@ -29,6 +29,8 @@
   readonly minutes: number;
   /** Replicas of turn histories; 0 leaves it to the seeds. */
   readonly replicas: number;
+  /** Replicas of turn histories that the record is to name; 0 stands for all. */
+  readonly members: number;
   readonly json: boolean;
 }
 
@@ -127,8 +129,10 @@
   if (seeds === undefined) {
     return EXIT_WRONG_USE;
   }
-  const replicaCount = flags.replicas === 0 ? {} : { replicaCount: flags.replicas };
-  const result = runTurnHistories(seeds.first, seeds.last, replicaCount);
+  const result = runTurnHistories(seeds.first, seeds.last, {
+    ...(flags.replicas === 0 ? {} : { replicaCount: flags.replicas }),
+    ...(flags.members === 0 ? {} : { wantedMembers: flags.members }),
+  });
   write(JSON.stringify(result));
   return result.violations.length === 0 ? EXIT_DONE : EXIT_FAILED;
 }
--- a/src/histories/turn-history.ts
+++ b/src/histories/turn-history.ts
@@ -43,6 +43,8 @@
   readonly planted?: PlantedFault;
   /** Replicas to begin with. @default three to five, by the seed */
   readonly replicaCount?: number;
+  /** Replicas that the record is to name. @default all */
+  readonly wantedMembers?: number;
   readonly log?: LogFunction;
 }
 
--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -149,6 +149,8 @@
 export interface SimulatedReplicasOptions {
   readonly planted?: 'noRepair' | 'hastyAcknowledge' | 'lostAccounts';
   readonly log?: LogFunction;
+  /** Members that the record is to name. @default as many as there are machines */
+  readonly wantedMembers?: number;
 }
 
 /** See the head of this file. */
@@ -196,7 +198,8 @@
       replica.becomeReady('planted fault');
     }
     const caller = this.callerOf(name, runtime, directory);
-    const sync = new ReplicaSync({ id, runtime, replica, directory, caller });
+    const { wantedMembers = Infinity } = this.options;
+    const sync = new ReplicaSync({ id, runtime, replica, directory, caller, wantedMembers });
     if (this.options.planted === 'noRepair') {
       sync.close();
     }
@@ -209,6 +212,7 @@
       sync,
       directory,
       store,
+      wantedMembers,
     });
     machine.replica = replica;
     machine.directory = directory;
@@ -252,6 +256,11 @@
     this.cuts.delete(`${right} ${left}`);
   }
 
+  /** Machines whose process runs. */
+  runningNames(): string[] {
+    return [...this.machines].flatMap(([name, { replica }]) => (replica ? [name] : []));
+  }
+
   /** Machines whose acknowledgements count. */
   activeNames(): string[] {
     return [...this.machines].flatMap(([name, { replica }]) => (replica?.active ? [name] : []));
--- a/src/turns/decide-membership.ts
+++ b/src/turns/decide-membership.ts
@@ -17,6 +17,10 @@
   readonly silentMilliseconds: (memberId: string) => number;
   /** Names of machines that operators want emptied. */
   readonly retiringNodes: ReadonlySet<string>;
+  /** Members that the record is to name; others stand by. */
+  readonly wantedMembers: number;
+  /** Time for which the record has named fewer, in milliseconds. */
+  readonly vacantMilliseconds: number;
 }
 
 /** What to do. */
@@ -31,6 +35,12 @@
 /** Silence after which a member is taken out, when enough others remain, in milliseconds. */
 export const REMOVAL_MILLISECONDS = 4_000;
 
+/**
+ * Time for which a replica leaves a vacant place to one of another zone, for each member that its own
+ * zone has already, in milliseconds: long against the few hundred that such a one needs to join.
+ */
+export const ZONE_COURTESY_MILLISECONDS = 1_000;
+
 const WAIT: MembershipAction = { tag: 'Wait' };
 
 /** See the head of this file. */
@@ -53,7 +63,11 @@
 }
 
 function decideJoin(view: MembershipView, record: MemberRecord): MembershipAction {
-  if (view.retiringNodes.has(view.self.node)) {
+  if (view.retiringNodes.has(view.self.node) || record.members.length >= view.wantedMembers) {
+    return WAIT;
+  }
+  const neighbours = record.members.filter((member) => member.zone === view.self.zone);
+  if (view.vacantMilliseconds < neighbours.length * ZONE_COURTESY_MILLISECONDS) {
     return WAIT;
   }
   const level = record.members.filter((member) => view.isLevelWith(member.id));
--- a/src/turns/membership-keeper.ts
+++ b/src/turns/membership-keeper.ts
@@ -28,6 +28,8 @@
   readonly sync: ReplicaSync;
   readonly directory: MemberDirectory;
   readonly store: MembershipStore;
+  /** Members that the record is to name; others stand by. */
+  readonly wantedMembers: number;
 }
 
 const STEP_MILLISECONDS = 250;
@@ -41,6 +43,8 @@
   private busy = false;
   private readonly logEnds: { readonly at: number; readonly end: number }[] = [];
   private readonly retirement: Retirement;
+  /** Local time since which the record names fewer members than wanted; undefined while it is full. */
+  private vacantSince: number | undefined;
 
   constructor(private readonly options: MembershipKeeperOptions) {
     this.retirement = new Retirement(options);
@@ -60,6 +64,7 @@
       directory.offer(record, 'store');
     }
     this.noteOwnMembership(record);
+    this.noteVacancy(record);
     const revision = stored.tag === 'Present' ? stored.revision : 0;
     this.carryOut(decideMembership(this.viewOf(record)), record, revision);
     if (record !== undefined) {
@@ -82,6 +87,8 @@
       hasRead: (member) => this.hasRead(member, this.logEndBefore()),
       silentMilliseconds: (member) => runtime.now() - sync.silentSince(member),
       retiringNodes: store.retiringNodes(),
+      wantedMembers: this.options.wantedMembers,
+      vacantMilliseconds: runtime.now() - (this.vacantSince ?? runtime.now()),
     };
   }
 
@@ -117,6 +124,15 @@
     }
   }
 
+  private noteVacancy(record: MemberRecord | undefined): void {
+    const { wantedMembers, runtime } = this.options;
+    if (record === undefined || record.members.length >= wantedMembers) {
+      this.vacantSince = undefined;
+    } else {
+      this.vacantSince ??= runtime.now();
+    }
+  }
+
   private carryOut(
     action: MembershipAction,
     record: MemberRecord | undefined,
--- a/src/turns/membership.ts
+++ b/src/turns/membership.ts
@@ -26,6 +26,15 @@
 /** Fewest members that removal of an unreachable one leaves behind. */
 export const LEAST_MEMBERS = 3;
 
+/**
+ * Members that are needed so that a majority is left, and with it every acknowledged write, when
+ * `lossCount` of them are lost at once. More would make each write and each levelling dearer and bear
+ * no more losses: further replicas stand by.
+ */
+export function membersToBear(lossCount: number): number {
+  return Math.max(LEAST_MEMBERS, 2 * lossCount + 1);
+}
+
 const MemberRecordType = t.type({
   epoch: t.number,
   members: t.array(
--- a/src/turns/replica-sync.ts
+++ b/src/turns/replica-sync.ts
@@ -46,6 +46,8 @@
   readonly replica: Replica;
   readonly directory: MemberDirectory;
   readonly caller: ReplicaCaller;
+  /** Members that the record is to name: while it names as many, others stand by and read nothing. */
+  readonly wantedMembers: number;
 }
 
 /** See the head of this file. */
@@ -54,12 +56,12 @@
   private readonly pulling = new Set<string>();
   /** Local time at which a member was last seen in the record, in milliseconds. */
   private readonly memberAt = new Map<string, number>();
-  private readonly startedAt: number;
+  /** Local time since which a member has been read from without a break, in milliseconds. */
+  private readonly readSince = new Map<string, number>();
   private becomingReady = false;
   private closed = false;
 
   constructor(private readonly options: ReplicaSyncOptions) {
-    this.startedAt = options.runtime.now();
     options.directory.onChange(() => this.pullFromAll());
     this.pullFromAll();
   }
@@ -77,9 +79,10 @@
     return peer !== undefined && peer.levelAt >= since && peer.levelEpoch >= epoch;
   }
 
-  /** Local time since which a member has not been heard, in milliseconds. */
+  /** Local time since which a member has not been heard although it was asked, in milliseconds. */
   silentSince(member: string): number {
-    return this.peers.get(member)?.heardAt ?? this.startedAt;
+    const askedSince = this.readSince.get(member) ?? this.options.runtime.now();
+    return Math.max(askedSince, this.peers.get(member)?.heardAt ?? -Infinity);
   }
 
   /** Stops pulling. */
@@ -93,16 +96,28 @@
   }
 
   private pullFromAll(): void {
-    this.others().forEach((member) => this.pull(member));
+    if (!this.standsBy) {
+      this.others().forEach((member) => this.pull(member));
+    }
     this.checkReady();
   }
 
+  /** Whether the record names enough members and this replica is none of them. */
+  private get standsBy(): boolean {
+    const { id, directory, wantedMembers } = this.options;
+    const record = directory.current;
+    return record !== undefined && record.members.length >= wantedMembers && !hasMember(record, id);
+  }
+
   private pull(member: Member): void {
     const { id, directory, caller, runtime } = this.options;
     if (this.closed || this.pulling.has(member.id)) {
       return;
     }
     this.pulling.add(member.id);
+    if (!this.readSince.has(member.id)) {
+      this.readSince.set(member.id, runtime.now());
+    }
     const peer = this.peers.get(member.id);
     const { log = '', position = 0 } = peer ?? {};
     const members = directory.currentText;
@@ -134,8 +149,10 @@
   private pullLater(member: Member, pause: number): void {
     this.options.runtime.setTimer(pause, () => {
       this.pulling.delete(member.id);
-      if (this.isWorthPulling(member.id)) {
+      if (!this.standsBy && this.isWorthPulling(member.id)) {
         this.pull(member);
+      } else {
+        this.readSince.delete(member.id);
       }
     });
   }
--- a/src/turns/retirement.ts
+++ b/src/turns/retirement.ts
@@ -1,7 +1,8 @@
 /**
  * Reports how far the emptying of this replica's machine is. It is done once every member has at some
  * time read all that was here when this replica left the record: what is acknowledged later is not
- * acknowledged here, and a member that read it and is down since still has it on its disk.
+ * acknowledged here, and a member that read it and is down since still has it on its disk. A replica
+ * that stood by and was never a member has nothing to hand over.
  */
 import type { Runtime } from '../runtime/runtime.js';
 import type { MembershipStore } from './membership-store.js';
@@ -25,20 +26,26 @@
   private leftAtLogEnd: number | undefined;
   /** Members that have read the log up to there. */
   private readonly handedTo = new Set<string>();
+  /** Whether acknowledged writes may be here that only members are sure to have elsewhere. */
+  private wasMember: boolean;
   private reported: Report = 'nothing';
 
-  constructor(private readonly options: RetirementOptions) {}
+  constructor(private readonly options: RetirementOptions) {
+    this.wasMember = options.replica.ready;
+  }
 
   /** Notes who has read what and reports what has changed; called now and then. */
   step(record: MemberRecord): void {
     const { self: own, store } = this.options;
+    this.wasMember ||= hasMember(record, own.id);
     if (!store.retiringNodes().has(own.node)) {
       return;
     }
     this.noteMembership(record);
     this.noteReaders(record);
     const isOut = this.leftAtLogEnd !== undefined;
-    const isDone = isOut && record.members.every((member) => this.handedTo.has(member.id));
+    const isRead = record.members.every((member) => this.handedTo.has(member.id));
+    const isDone = isOut && (isRead || !this.wasMember);
     this.report(isDone ? 'finished' : 'running', record);
   }
 
