Few gateways follow the store; the others take its changes from peers

Change: the twelve gateways that come first by the hash of their host follow the store (all of them, on small sites); datagrams tell up to which revision their sender misses nothing and when a gateway last heard from the store. Who is behind fetches the changes since its revision from the peer that told of them; when no follower is heard of, whoever notices follows. The items of a store are a module of their own, and datagrams a port, so that forty gateways are played in virtual time. Found by the property test of copies that tell one another: a copy that had taken a whole list, or had never seen a removed key, could not pass the removal on.

--- /dev/null
+++ b/features/followers.feature
@@ -0,0 +1,40 @@
+Feature: Few gateways follow the store, the others hear of changes from them
+  Scenario Outline: Whether a gateway follows the store
+    Given a gateway of rank <rank> that <does> the store since <since> milliseconds
+    When no other gateway is known to have heard from the store for <silence> milliseconds
+    Then it <then> the store
+
+    Examples:
+      | rank | does          | since | silence | then           |
+      | 0    | doesn't ask   | 0     | 100     | follows        |
+      | 11   | doesn't ask   | 0     | 100     | follows        |
+      | 12   | doesn't ask   | 0     | 100     | doesn't follow |
+      | 170  | doesn't ask   | 60000 | 1100    | doesn't follow |
+      | 170  | doesn't ask   | 60000 | 1300    | follows        |
+      | 170  | follows       | 3000  | 100     | follows        |
+      | 170  | follows       | 5000  | 100     | doesn't follow |
+      | 170  | follows       | 5000  | 1000    | follows        |
+      | 14   | follows       | 60000 | 100     | follows        |
+
+  Scenario: Of forty gateways some twelve follow the store, and all hear of a change
+    Given 40 gateways that tell one another what they know of the store
+    Then after 8000 milliseconds between 12 and 20 of them follow the store
+    When a key of the store is changed
+    Then within 1200 milliseconds all that run know the change
+
+  Scenario: When all that follow the store die at once, others take their place
+    Given 40 gateways that tell one another what they know of the store
+    Then after 8000 milliseconds between 12 and 20 of them follow the store
+    When all that follow the store die and a key of the store is changed
+    Then within 2500 milliseconds all that run know the change
+
+  Scenario: When the store refuses those that follow it and serves the others, all hear of a change
+    Given 40 gateways that tell one another what they know of the store
+    Then after 8000 milliseconds between 12 and 20 of them follow the store
+    When the store refuses all that follow it and a key of the store is changed
+    Then within 2500 milliseconds all that run know the change
+
+  Scenario: A gateway that is told a revision that never was does not ask without end
+    Given 3 gateways that tell one another what they know of the store
+    When one of them says for 5000 milliseconds that it knows revision 900000
+    Then each asks it at most 40 times, and a key that is changed then is known to all within 2000 milliseconds
--- a/features/mirror.feature
+++ b/features/mirror.feature
@@ -52,3 +52,18 @@
     When peers offer "a" at revision 1 and "z" at revision 9
     Then the mirror has the keys "a b z"
     And the mirror has the newest "a"
+
+  Scenario: A copy that hears of changes through peers alone comes to what the store has
+    Then copies that take changes from one another, in any order and with losses, agree with the store
+
+  Scenario: A peer's wrong word for the revision is healed by the next cheap list
+    Given a mirror of a store with keys "a b"
+    When the mirror rests and a peer says that nothing is missing up to revision 900
+    Then within 8000 milliseconds it asks for changes after revision 3
+
+  Scenario: A resting mirror asks the store almost nothing
+    Given a mirror of a store with keys "a b"
+    When the mirror rests for 20000 milliseconds
+    Then it was asked at most 5 times meanwhile
+    When the mirror follows again and "a" is changed
+    Then the mirror has the newest "a" within 500 milliseconds
--- a/features/steps/mirror.steps.ts
+++ b/features/steps/mirror.steps.ts
@@ -1,127 +1,14 @@
 /** Steps about mirrors of a store's keys, in virtual time. */
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import * as E from 'fp-ts/lib/Either.js';
+import fc from 'fast-check';
+import { KeySpaceCopy } from '../../src/mirror/key-space-copy.js';
 import { KeySpaceMirror } from '../../src/mirror/key-space-mirror.js';
-import type {
-  ItemChange,
-  KeySpaceListener,
-  KeySpacePort,
-  StoredItem,
-} from '../../src/mirror/key-space-port.js';
+import type { StoredItem } from '../../src/mirror/key-space-port.js';
 import { createRandom } from '../../src/runtime/random.js';
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
 import { VirtualClock } from '../../src/simulation/virtual-clock.js';
-
-const ANSWER_MILLISECONDS = 4;
-const GIVE_UP_MILLISECONDS = 1_000;
-
-/** A store in virtual time. */
-class SimulatedKeySpace implements KeySpacePort {
-  readonly items = new Map<string, StoredItem>();
-  revision = 0;
-  mode: 'well' | 'unreachable' | 'refusing' = 'well';
-  silentWatches = false;
-  /** What stale lists answer while they are behind; undefined when they are not. */
-  frozenList: { items: StoredItem[]; revision: number } | undefined;
-  callCount = 0;
-  private history: ItemChange[] = [];
-  private forgottenBefore = 0;
-
-  constructor(private readonly clock: VirtualClock) {}
-
-  put(key: string, value: string): void {
-    this.revision += 1;
-    const item = { key, value, revision: this.revision };
-    this.items.set(key, item);
-    this.history.push({ tag: 'Put', item });
-  }
-
-  remove(key: string): void {
-    this.revision += 1;
-    this.items.delete(key);
-    this.history.push({ tag: 'Gone', key, revision: this.revision });
-  }
-
-  forget(): void {
-    this.history = [];
-    this.forgottenBefore = this.revision;
-  }
-
-  list(
-    prefix: string,
-    listener: KeySpaceListener<{ items: StoredItem[]; revision: number }>,
-  ): void {
-    this.answer(listener, () => {
-      const items = [...this.items.values()].filter((item) => item.key.startsWith(prefix));
-      return E.right({ items, revision: this.revision });
-    });
-  }
-
-  watch(
-    _prefix: string,
-    after: number,
-    wait: number,
-    listener: KeySpaceListener<{ changes: ItemChange[]; revision: number }>,
-  ): void {
-    const until = this.clock.now + wait;
-    const look = (): void => {
-      if (after < this.forgottenBefore) {
-        listener(E.left({ tag: 'HistoryLost' }));
-        return;
-      }
-      const changes = this.history.filter(
-        (change) => (change.tag === 'Put' ? change.item.revision : change.revision) > after,
-      );
-      if (!this.silentWatches && (changes.length > 0 || this.clock.now >= until)) {
-        listener(E.right({ changes, revision: this.revision }));
-      } else if (this.clock.now >= until + GIVE_UP_MILLISECONDS) {
-        listener(E.left({ tag: 'Unreachable', detail: 'no answer in time' }));
-      } else {
-        this.clock.schedule(20, look);
-      }
-    };
-    this.answer(listener, () => undefined, look);
-  }
-
-  listStale(
-    prefix: string,
-    listener: KeySpaceListener<{ items: StoredItem[]; revision: number }>,
-  ): void {
-    if (this.frozenList === undefined) {
-      this.list(prefix, listener);
-    } else {
-      const frozen = this.frozenList;
-      this.answer(listener, () => E.right(frozen));
-    }
-  }
-
-  private answer<Result>(
-    listener: KeySpaceListener<Result>,
-    result: () => E.Either<never, Result> | undefined,
-    otherwise: () => void = () => undefined,
-  ): void {
-    this.callCount += 1;
-    if (this.mode === 'unreachable') {
-      this.clock.schedule(GIVE_UP_MILLISECONDS, () =>
-        listener(E.left({ tag: 'Unreachable', detail: 'no answer in time' })),
-      );
-      return;
-    }
-    this.clock.schedule(ANSWER_MILLISECONDS, () => {
-      if (this.mode === 'refusing') {
-        listener(E.left({ tag: 'Refused', detail: 'status 429' }));
-        return;
-      }
-      const ready = result();
-      if (ready === undefined) {
-        otherwise();
-      } else {
-        listener(ready);
-      }
-    });
-  }
-}
+import { SimulatedKeySpace } from '../support/simulated-key-space.js';
 
 interface World {
   clock: VirtualClock;
@@ -151,7 +38,7 @@
     onGone: () => undefined,
     onReachable: (reachable) => this.reached.push(reachable),
   });
-  this.mirror.start();
+  this.mirror.follow();
   wait(this, 500);
 });
 
@@ -214,6 +101,109 @@
   },
 );
 
+When('the mirror rests for {int} milliseconds', function (this: World, milliseconds: number) {
+  this.mirror.rest();
+  const before = this.store.callCount;
+  wait(this, milliseconds);
+  this.calls = this.store.callCount - before;
+});
+
+When(
+  'the mirror rests and a peer says that nothing is missing up to revision {int}',
+  function (this: World, revision: number) {
+    this.mirror.rest();
+    const since = this.mirror.completeRevision;
+    this.mirror.take({ since, revision, items: [], gone: [] });
+    assert.equal(this.mirror.completeRevision, revision);
+  },
+);
+
+Then(
+  'within {int} milliseconds it asks for changes after revision {int}',
+  function (this: World, milliseconds: number, revision: number) {
+    wait(this, milliseconds);
+    assert.equal(this.mirror.completeRevision, revision);
+  },
+);
+
+When('the mirror follows again and {string} is changed', function (this: World, key: string) {
+  this.mirror.follow();
+  wait(this, 100);
+  this.store.put(key, 'second');
+});
+
+/** A step of the store or of one of three copies. */
+type CopyStep =
+  | { readonly tag: 'put' | 'remove'; readonly key: string }
+  /** A copy reads a whole list. */
+  | { readonly tag: 'list'; readonly copy: number }
+  /** A copy takes what another has, unless the answer is lost. */
+  | { readonly tag: 'take'; readonly copy: number; readonly from: number; readonly lost: boolean };
+
+const copyStep: fc.Arbitrary<CopyStep> = fc.oneof(
+  fc.record({
+    tag: fc.constantFrom('put' as const, 'remove' as const),
+    key: fc.constantFrom('a', 'b', 'c', 'd'),
+  }),
+  fc.record({ tag: fc.constant('list' as const), copy: fc.nat(1) }),
+  fc.record({
+    tag: fc.constant('take' as const),
+    copy: fc.nat(2),
+    from: fc.nat(2),
+    lost: fc.boolean(),
+  }),
+);
+
+function playCopies(steps: readonly CopyStep[]): void {
+  const stored = new Map<string, StoredItem>();
+  let revision = 0;
+  const inForce = [0, 1, 2].map(() => new Map<string, number>());
+  const copies = inForce.map(
+    (seen) =>
+      new KeySpaceCopy({
+        onPut: (item) => {
+          assert.ok(item.revision > (seen.get(item.key) ?? 0), 'an item went back');
+          seen.set(item.key, item.revision);
+        },
+        onGone: () => undefined,
+      }),
+  );
+  const take = (copy: KeySpaceCopy, from: KeySpaceCopy): void =>
+    copy.take(from.changesSince(copy.completeRevision));
+  for (const step of steps) {
+    switch (step.tag) {
+      case 'put':
+        revision += 1;
+        stored.set(step.key, { key: step.key, value: String(revision), revision });
+        break;
+      case 'remove':
+        revision += 1;
+        stored.delete(step.key);
+        break;
+      case 'list':
+        copies[step.copy]!.replaceAll([...stored.values()], revision);
+        break;
+      case 'take':
+        if (!step.lost) {
+          take(copies[step.copy]!, copies[step.from]!);
+        }
+    }
+  }
+  copies[0]!.replaceAll([...stored.values()], revision);
+  take(copies[1]!, copies[0]!);
+  take(copies[2]!, copies[1]!);
+  const sorted = (items: Iterable<StoredItem>): StoredItem[] =>
+    [...items].sort((left, right) => (left.key < right.key ? -1 : 1));
+  copies.forEach((copy) => assert.deepEqual(sorted(copy.list()), sorted(stored.values())));
+}
+
+Then(
+  'copies that take changes from one another, in any order and with losses, agree with the store',
+  function () {
+    fc.assert(fc.property(fc.array(copyStep, { maxLength: 40 }), playCopies), { numRuns: 3_000 });
+  },
+);
+
 Then('the mirror has the newest "a" and no "b"', function (this: World) {
   assert.equal(this.mirror.get('a')?.value, 'second');
   assert.equal(this.mirror.get('b'), undefined);
--- a/features/steps/peers.steps.ts
+++ b/features/steps/peers.steps.ts
@@ -3,7 +3,9 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
 import { freePorts } from '../../src/bench/free-ports.js';
+import { openUdpPort } from '../../src/peers/datagram-port.js';
 import { LoadGossip } from '../../src/peers/load-gossip.js';
+import type { StoreNews } from '../../src/peers/load-gossip.js';
 import { decodeLoadMessage, encodeLoadMessage } from '../../src/peers/load-message.js';
 import type { LoadMessage } from '../../src/peers/load-message.js';
 import { PeerExchange } from '../../src/peers/peer-exchange.js';
@@ -23,7 +25,7 @@
   exchanges?: PeerExchange[];
   seed?: string;
   learnt?: PeerSnapshot;
-  heardRevisions?: Set<number>;
+  heardNews?: StoreNews[];
   heardPlaces?: PromptPlace[];
 }
 
@@ -37,11 +39,12 @@
   const gossip = new LoadGossip({
     runtime: createRealRuntime({ logLevel: 'error' }),
     host: HOSTS[place]!,
-    port: world.port!,
+    datagrams: openUdpPort(HOSTS[place]!, world.port!),
     seeds: () => seeds,
     ownLoads: () => loads,
     ownRevision: () => 7,
-    onRevision: (revision) => (world.heardRevisions ??= new Set()).add(revision),
+    storeAgeMilliseconds: () => 40,
+    onStoreNews: (news) => (world.heardNews ??= []).push(news),
     reachesReplicas: () => place === 0,
     ownPlaces: () => places,
     onPlaces: (told) => (world.heardPlaces ??= []).push(...told),
@@ -88,7 +91,9 @@
 });
 
 Then('they tell one another the newest revision they know', function (this: World) {
-  assert.deepEqual([...this.heardRevisions!], [7]);
+  assert.deepEqual(new Set(this.heardNews!.map(({ revision }) => revision)), new Set([7]));
+  const ages = new Set(this.heardNews!.map(({ ageMilliseconds }) => ageMilliseconds));
+  assert.deepEqual(ages, new Set([40]));
 });
 
 When('the first falls silent', function (this: World) {
@@ -118,7 +123,14 @@
       runtime: createRealRuntime({ logLevel: 'error' }),
       ownAddress: this.seed,
       seeds: () => [],
-      snapshot: () => ({ items: [{ key, value: 'value', revision }], members: MEMBERS }),
+      ownRevision: () => revision,
+      snapshotSince: (since) => ({
+        since,
+        revision,
+        items: [{ key, value: 'value', revision }],
+        gone: [],
+        members: MEMBERS,
+      }),
       onSnapshot: () => undefined,
       isNeeded: () => 'no',
     });
@@ -132,7 +144,8 @@
     runtime: createRealRuntime({ logLevel: 'error' }),
     ownAddress: `${HOSTS[1]}:${this.port!}`,
     seeds: () => [this.seed!],
-    snapshot: () => ({ items: [], members: '' }),
+    ownRevision: () => 3,
+    snapshotSince: (since) => ({ since, revision: 3, items: [], gone: [], members: '' }),
     onSnapshot: (snapshot) => {
       this.learnt = snapshot;
     },
@@ -148,6 +161,8 @@
     assert.ok(await holdsWithin(within, () => this.learnt !== undefined));
     assert.deepEqual(this.learnt!.items, [{ key, value: 'value', revision }]);
     assert.equal(this.learnt!.members, MEMBERS);
+    // What it has already is not sent again.
+    assert.equal(this.learnt!.since, 3);
     assert.ok(this.learnt!.peers.includes(this.seed!));
   },
 );
@@ -174,6 +189,7 @@
       revision,
       places: fc.array(place),
       reachesReplicas: fc.boolean(),
+      storeAgeMilliseconds: fc.nat(0xffff),
     },
     plain,
   );
--- a/src/mirror/key-space-mirror.ts
+++ b/src/mirror/key-space-mirror.ts
@@ -1,11 +1,14 @@
 /**
- * A copy of the items under one prefix of a store, kept up to date by a watch. The watch may be
- * silent, cut or forgotten: waits are bounded, a lost history leads to a new list, a cheap list that
- * may be old is read now and then, and a peer that knows a newer change shows that this watch hangs.
- * An item never goes back to an older revision.
+ * A copy of the items under one prefix of a store. While it follows the store it is kept up to date by
+ * a watch. The watch may be silent, cut or forgotten: waits are bounded, a lost history leads to a new
+ * list, a cheap list that may be old is read now and then, and a peer that knows a newer change shows
+ * that this watch hangs. While it rests, peers bring the changes, and the cheap list, read seldom,
+ * finds what they have missed.
  */
 import { isRight } from 'fp-ts/lib/Either.js';
-import type { Runtime } from '../runtime/runtime.js';
+import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import { KeySpaceCopy } from './key-space-copy.js';
+import type { KeySpaceChanges } from './key-space-copy.js';
 import type { KeySpaceError, KeySpacePort, StoredItem } from './key-space-port.js';
 
 /** What a mirror is made with. */
@@ -31,59 +34,94 @@
 const GATHER_MILLISECONDS = 100;
 /** Time that a watch has to bring a change that a peer knows already, in milliseconds. */
 const BEHIND_MILLISECONDS = 400;
+/** Cheap lists of a resting mirror are that many times as far apart. */
+const RESTING_VERIFY_FACTOR = 5;
 
 /** See the head of this file. */
 export class KeySpaceMirror {
-  private readonly items = new Map<string, StoredItem>();
-  /** Revisions at which keys were removed since the last whole list. */
-  private readonly goneAt = new Map<string, number>();
-  /** Revision of the last whole list: what is older and was not in it was gone by then. */
-  private listedRevision = 0;
-  private revision = 0;
-  /** Revision of the newest change seen. */
-  private changedRevision = 0;
-  /** Rises with each list: what an earlier watch brings later is not followed up. */
+  private readonly copy: KeySpaceCopy;
+  /** Rises with each list and each rest: what an earlier call brings later is not followed up. */
   private generation = 0;
+  private following = false;
   private watching = false;
   private checkingBehind = false;
   private failures = 0;
   private reachable: boolean | undefined;
   private closed = false;
+  private cancelVerify: CancelTimer | undefined;
 
-  constructor(private readonly options: KeySpaceMirrorOptions) {}
+  constructor(private readonly options: KeySpaceMirrorOptions) {
+    this.copy = new KeySpaceCopy(options);
+  }
 
-  /** Begins with a list. */
-  start(): void {
-    this.readList();
+  /** Begins to follow the store: with a list, or after the last change that is known for sure. */
+  follow(): void {
+    if (this.following) {
+      return;
+    }
+    this.following = true;
     this.verifyLater();
+    if (this.listed) {
+      this.watch();
+    } else {
+      this.readList();
+    }
+  }
+
+  /** Leaves the store to others; their word is taken by `take`. */
+  rest(): void {
+    this.following = false;
+    this.watching = false;
+    this.generation += 1;
+    this.verifyLater();
+  }
+
+  /** Whether it follows the store and hears from it. */
+  get hearsStore(): boolean {
+    return this.following && this.reachable === true;
+  }
+
+  get isFollowing(): boolean {
+    return this.following;
   }
 
   /** An item as last seen. */
   get(key: string): StoredItem | undefined {
-    return this.items.get(key);
+    return this.copy.get(key);
   }
 
   /** All items as last seen. */
   list(): StoredItem[] {
-    return [...this.items.values()];
+    return this.copy.list();
+  }
+
+  /** Revision up to which nothing is missing here; 0 before the first list. */
+  get completeRevision(): number {
+    return this.copy.completeRevision;
   }
 
-  /** Revision of the newest change that is known here. */
-  get newestChange(): number {
-    return this.changedRevision;
+  /** What a peer that is complete up to a revision lacks. */
+  changesSince(revision: number): KeySpaceChanges {
+    return this.copy.changesSince(revision);
   }
 
-  /** Takes a peer's word for its newest change: if the watch does not bring it, the watch hangs. */
+  /** Takes what a peer has. */
+  take(changes: KeySpaceChanges): void {
+    this.copy.take(changes);
+  }
+
+  /** Takes a peer's word for how far it knows all: if the watch does not bring it, the watch hangs. */
   heedRevision(revision: number): void {
-    if (revision <= this.revision || this.checkingBehind || !this.watching) {
+    if (revision <= this.completeRevision || this.checkingBehind || !this.watching) {
       return;
     }
     this.checkingBehind = true;
     const { runtime } = this.options;
     runtime.setTimer(BEHIND_MILLISECONDS, () => {
       this.checkingBehind = false;
-      if (revision > this.revision && this.watching && !this.closed) {
-        const fields = { event: 'mirror.behind', known: this.revision, elsewhere: revision };
+      if (revision > this.completeRevision && this.watching && !this.closed) {
+        const known = this.completeRevision;
+        const fields = { event: 'mirror.behind', known, elsewhere: revision };
         runtime.log('warn', 'the watch hangs', fields);
         this.readList();
       }
@@ -92,22 +130,18 @@
 
   /** Whether a whole list was ever taken. */
   get listed(): boolean {
-    return this.revision > 0;
+    return this.completeRevision > 0;
   }
 
   /** Takes an item that another source has, such as a change of our own. */
   offer(item: StoredItem): void {
-    if (item.revision > this.knownRevision(item.key)) {
-      this.items.set(item.key, item);
-      this.changedRevision = Math.max(this.changedRevision, item.revision);
-      this.goneAt.delete(item.key);
-      this.options.onPut(item);
-    }
+    this.copy.offer(item);
   }
 
   /** Stops following. */
   close(): void {
     this.closed = true;
+    this.cancelVerify?.();
   }
 
   private readList(): void {
@@ -115,7 +149,7 @@
     this.watching = false;
     const { generation } = this;
     this.options.port.list(this.options.prefix, (result) => {
-      if (this.closed || generation !== this.generation) {
+      if (this.isOver(generation)) {
         return;
       }
       if (!isRight(result)) {
@@ -124,8 +158,7 @@
       }
       this.noteReached();
       const { items, revision } = result.right;
-      this.replaceAll(items, revision);
-      this.revision = Math.max(1, revision);
+      this.copy.replaceAll(items, Math.max(1, revision));
       this.watch();
     });
   }
@@ -134,8 +167,8 @@
     const { port, prefix, watchMilliseconds, runtime } = this.options;
     const { generation } = this;
     this.watching = true;
-    port.watch(prefix, this.revision, watchMilliseconds, (result) => {
-      if (this.closed || generation !== this.generation) {
+    port.watch(prefix, this.completeRevision, watchMilliseconds, (result) => {
+      if (this.isOver(generation)) {
         return;
       }
       this.watching = false;
@@ -148,77 +181,61 @@
         return;
       }
       this.noteReached();
-      for (const change of result.right.changes) {
+      const { changes, revision } = result.right;
+      for (const change of changes) {
         if (change.tag === 'Put') {
-          this.offer(change.item);
+          this.copy.offer(change.item);
         } else {
-          this.drop(change.key, change.revision);
+          this.copy.drop(change.key, change.revision);
         }
       }
-      this.revision = Math.max(this.revision, result.right.revision);
-      if (result.right.changes.length === 0) {
+      this.copy.completeTo(revision);
+      if (changes.length === 0) {
         this.watch();
       } else {
-        runtime.setTimer(GATHER_MILLISECONDS, () => this.watchUnless(generation));
+        runtime.setTimer(GATHER_MILLISECONDS, () =>
+          this.unlessOver(generation, () => this.watch()),
+        );
       }
     });
   }
 
-  private watchUnless(generation: number): void {
-    if (!this.closed && generation === this.generation) {
-      this.watch();
+  private isOver(generation: number): boolean {
+    return this.closed || generation !== this.generation;
+  }
+
+  private unlessOver(generation: number, action: () => void): void {
+    if (!this.isOver(generation)) {
+      action();
     }
   }
 
   private verifyLater(): void {
-    const { runtime, verifyMilliseconds, prefix, port } = this.options;
-    const pause = verifyMilliseconds * (0.8 + 0.4 * runtime.random.uniform());
-    runtime.setTimer(pause, () => {
-      if (this.closed) {
-        return;
-      }
+    const { runtime, verifyMilliseconds } = this.options;
+    this.cancelVerify?.();
+    const period = verifyMilliseconds * (this.following ? 1 : RESTING_VERIFY_FACTOR);
+    const pause = period * (0.8 + 0.4 * runtime.random.uniform());
+    this.cancelVerify = runtime.setTimer(pause, () => {
       this.verifyLater();
-      if (this.reachable === true) {
-        port.listStale(prefix, (result) => {
-          if (isRight(result) && !this.closed) {
-            this.merge(result.right.items, result.right.revision);
-          }
-        });
-      }
+      this.verify();
     });
   }
 
-  /** Revision of what is known of a key, be it that it is there or that it is not. */
-  private knownRevision(key: string): number {
-    return this.items.get(key)?.revision ?? this.goneAt.get(key) ?? this.listedRevision;
-  }
-
-  private replaceAll(items: readonly StoredItem[], revision: number): void {
-    this.goneAt.clear();
-    this.listedRevision = 0;
-    this.merge(items, revision);
-    this.listedRevision = revision;
-  }
-
-  /** Takes a list that may be old: only what is newer than known counts. */
-  private merge(items: readonly StoredItem[], revision: number): void {
-    const present = new Set(items.map((item) => item.key));
-    for (const key of [...this.items.keys()]) {
-      if (!present.has(key)) {
-        this.drop(key, revision);
-      }
-    }
-    items.forEach((item) => this.offer(item));
-  }
-
-  private drop(key: string, revision: number): void {
-    const known = this.items.get(key);
-    if (known !== undefined && known.revision < revision) {
-      this.items.delete(key);
-      this.goneAt.set(key, revision);
-      this.changedRevision = Math.max(this.changedRevision, revision);
-      this.options.onGone(key);
+  private verify(): void {
+    if (this.following && this.reachable !== true) {
+      return;
     }
+    this.options.port.listStale(this.options.prefix, (result) => {
+      if (!isRight(result) || this.closed) {
+        return;
+      }
+      const { items, revision } = result.right;
+      this.copy.merge(items, revision);
+      if (!this.following) {
+        // Heals what a peer told wrongly: what came after this list is asked for once more.
+        this.copy.trustOnlyTo(revision);
+      }
+    });
   }
 
   private retry(error: KeySpaceError, again: () => void): void {
@@ -235,11 +252,8 @@
       FIRST_PAUSE_MILLISECONDS * 2 ** (this.failures - 1),
     );
     const pause = longest * (0.5 + 0.5 * this.options.runtime.random.uniform());
-    this.options.runtime.setTimer(pause, () => {
-      if (!this.closed) {
-        again();
-      }
-    });
+    const { generation } = this;
+    this.options.runtime.setTimer(pause, () => this.unlessOver(generation, again));
   }
 
   private noteReached(): void {
--- a/src/peers/load-gossip.ts
+++ b/src/peers/load-gossip.ts
@@ -3,12 +3,15 @@
  * so that each can weigh all load and not its own alone. Datagrams may be lost; what a silent peer
  * told is forgotten soon. Peers are found through seeds and through one another.
  */
-import { createSocket } from 'node:dgram';
-import type { Socket } from 'node:dgram';
 import { hashToNumber } from '../runtime/hashing.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import { setRepeatingTimer } from '../runtime/runtime.js';
-import { decodeLoadMessage, encodeLoadMessage } from './load-message.js';
+import type { DatagramPort } from './datagram-port.js';
+import {
+  decodeLoadMessage,
+  encodeLoadMessage,
+  LARGEST_STORE_AGE_MILLISECONDS,
+} from './load-message.js';
 import type { LoadMessage, RunnerLoad } from './load-message.js';
 import type { PromptPlace } from './recent-places.js';
 
@@ -16,16 +19,17 @@
 export interface LoadGossipOptions {
   readonly runtime: Runtime;
   readonly host: string;
-  /** Port of all gateways. */
-  readonly port: number;
+  readonly datagrams: DatagramPort;
   /** Hosts to begin with. */
   readonly seeds: () => readonly string[];
   /** Requests of this gateway by runner. */
   readonly ownLoads: () => ReadonlyMap<string, number>;
-  /** Revision of the newest change of the store known here. */
+  /** Revision of the store up to which nothing is missing here. */
   readonly ownRevision: () => number;
-  /** A peer told the revision of the newest change that it knows. */
-  readonly onRevision: (revision: number) => void;
+  /** Time since a gateway known here heard from the store, in milliseconds. */
+  readonly storeAgeMilliseconds: () => number;
+  /** A peer told what it knows of the store. */
+  readonly onStoreNews: (news: StoreNews) => void;
   /** Whether this gateway reaches a majority of the replicas. */
   readonly reachesReplicas: () => boolean;
   /** What this gateway's requests have put into runners' memory within the last milliseconds. */
@@ -34,6 +38,16 @@
   readonly onPlaces: (places: readonly PromptPlace[]) => void;
 }
 
+/** What a peer knows of the store. */
+export interface StoreNews {
+  /** Host of the peer. */
+  readonly from: string;
+  /** Revision up to which it misses nothing. */
+  readonly revision: number;
+  /** Time since a gateway known to it heard from the store, in milliseconds. */
+  readonly ageMilliseconds: number;
+}
+
 const PERIOD_MILLISECONDS = 100;
 /** Least time after which what a silent peer told is forgotten, in milliseconds. */
 const STALE_MILLISECONDS = 500;
@@ -48,6 +62,8 @@
 /** Peers named in a message. */
 const NAMED_PEERS = 3;
 const LARGEST_LIFE = 2 ** 31;
+/** Life of a peer that others have named and that was not heard itself. */
+const UNKNOWN_LIFE = -1;
 
 interface PeerLoad {
   life: number;
@@ -59,7 +75,6 @@
 
 /** See the head of this file. */
 export class LoadGossip {
-  private readonly socket: Socket;
   private readonly peers = new Map<string, PeerLoad>();
   private readonly cancelTimer: CancelTimer;
   private readonly life: number;
@@ -68,12 +83,9 @@
   private totals = new Map<number, number>();
 
   constructor(private readonly options: LoadGossipOptions) {
-    const { runtime, host, port } = options;
+    const { runtime, datagrams } = options;
     this.life = runtime.random.integer(0, LARGEST_LIFE);
-    this.socket = createSocket('udp4');
-    this.socket.on('error', () => undefined);
-    this.socket.on('message', (bytes, sender) => this.take(bytes, sender.address));
-    this.socket.bind(port, host);
+    datagrams.onDatagram((bytes, from) => this.take(bytes, from));
     this.cancelTimer = setRepeatingTimer(runtime, PERIOD_MILLISECONDS, () => this.tell());
   }
 
@@ -93,10 +105,15 @@
     return this.peers.size;
   }
 
+  /** Hosts of the gateways that were heard themselves lately. */
+  get heardPeers(): string[] {
+    return [...this.peers].flatMap(([host, { life }]) => (life === UNKNOWN_LIFE ? [] : [host]));
+  }
+
   /** Ends. */
   close(): void {
     this.cancelTimer();
-    this.socket.close();
+    this.options.datagrams.close();
   }
 
   private tell(): void {
@@ -116,11 +133,15 @@
       peers: known.slice(-NAMED_PEERS),
       revision: this.options.ownRevision(),
       reachesReplicas: this.options.reachesReplicas(),
+      storeAgeMilliseconds: Math.min(
+        LARGEST_STORE_AGE_MILLISECONDS,
+        Math.round(this.options.storeAgeMilliseconds()),
+      ),
       places: this.options.ownPlaces(PLACE_REPEATS * this.messageMilliseconds),
     };
     const bytes = encodeLoadMessage(message);
     for (const target of targets) {
-      this.socket.send(bytes, this.options.port, target, () => undefined);
+      this.options.datagrams.send(bytes, target);
     }
     this.sumUp();
   }
@@ -154,7 +175,8 @@
     const heardAt = this.options.runtime.now();
     this.peers.set(from, { life, sequence, loads, reachesReplicas, heardAt });
     message.peers.forEach((peer) => this.learn(peer));
-    this.options.onRevision(message.revision);
+    const { revision, storeAgeMilliseconds: ageMilliseconds } = message;
+    this.options.onStoreNews({ from, revision, ageMilliseconds });
     this.options.onPlaces(message.places);
   }
 
@@ -162,7 +184,7 @@
     if (peer !== this.options.host && !this.peers.has(peer)) {
       const heardAt = this.options.runtime.now();
       this.peers.set(peer, {
-        life: -1,
+        life: UNKNOWN_LIFE,
         sequence: 0,
         loads: [],
         reachesReplicas: false,
--- a/src/peers/load-message.ts
+++ b/src/peers/load-message.ts
@@ -29,14 +29,19 @@
   readonly loads: readonly RunnerLoad[];
   /** Hosts of some other gateways that the sender has heard lately. */
   readonly peers: readonly string[];
-  /** Revision of the newest change of the store that the sender knows; 0 when it knows none. */
+  /** Revision of the store up to which the sender misses nothing; 0 when it knows none. */
   readonly revision: number;
   /** What runners have lately begun to keep. */
   readonly places: readonly PromptPlace[];
   /** Whether the sender reaches a majority of the replicas. */
   readonly reachesReplicas: boolean;
+  /** Time since a gateway known to the sender heard from the store, in milliseconds, bounded. */
+  readonly storeAgeMilliseconds: number;
 }
 
+/** Largest age that a message tells, in milliseconds; it stands for all larger ones. */
+export const LARGEST_STORE_AGE_MILLISECONDS = 0xffff;
+
 const load = record({ runnerHash: r.uint32, inFlight: r.uint16 });
 const place = record({ runnerHash: r.uint32, part: r.uint32, tokens: r.uint32 });
 const message = record({
@@ -47,6 +52,7 @@
   revision: real,
   places: listOf(place),
   reachesReplicas: flag,
+  storeAgeMilliseconds: r.uint16,
 });
 
 /** Encodes a datagram. */
--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -1,24 +1,26 @@
 /**
- * Gateways tell one another the stored items they know, so that one that starts or is cut off while
- * the store is out of reach still learns the configuration and the runners. Items carry revisions:
- * whatever a peer tells, nothing goes back to an older one.
+ * Gateways tell one another what has changed in the store, so that few need to follow it, and one that
+ * starts or is cut off while the store is out of reach still learns the configuration and the runners.
+ * Items carry revisions: whatever a peer tells, nothing goes back to an older one.
  */
 import { createServer, request } from 'node:http';
 import type { Server } from 'node:http';
 import { isLeft } from 'fp-ts/lib/Either.js';
 import * as t from 'io-ts';
-import type { StoredItem } from '../mirror/key-space-port.js';
+import type { KeySpaceChanges } from '../mirror/key-space-copy.js';
 import type { Runtime } from '../runtime/runtime.js';
 
 const SnapshotType = t.type({
+  since: t.number,
+  revision: t.number,
   items: t.array(t.type({ key: t.string, value: t.string, revision: t.number })),
+  gone: t.array(t.type({ key: t.string, revision: t.number })),
   members: t.string,
   peers: t.array(t.string),
 });
 
 /** What one gateway tells another. */
-export interface PeerSnapshot {
-  readonly items: readonly StoredItem[];
+export interface PeerSnapshot extends KeySpaceChanges {
   /** Newest record of the members, as text. */
   readonly members: string;
   /** Addresses (`host:port`) of gateways it knows. */
@@ -31,7 +33,10 @@
   /** `host:port` at which this gateway serves its snapshot. */
   readonly ownAddress: string;
   readonly seeds: () => readonly string[];
-  readonly snapshot: () => Omit<PeerSnapshot, 'peers'>;
+  /** Revision of the store up to which nothing is missing here. */
+  readonly ownRevision: () => number;
+  /** What one that misses nothing up to a revision lacks. */
+  readonly snapshotSince: (revision: number) => Omit<PeerSnapshot, 'peers'>;
   readonly onSnapshot: (snapshot: PeerSnapshot, from: string) => void;
   /** Whether anything is needed from peers now. */
   readonly isNeeded: () => 'urgently' | 'now and then' | 'no';
@@ -39,10 +44,13 @@
 
 const PATH = '/ivyloom/snapshot';
 const FROM_PARAMETER = 'from';
+const SINCE_PARAMETER = 'since';
 const URGENT_MILLISECONDS = 150;
 const CALM_MILLISECONDS = 500;
 const CALL_MILLISECONDS = 600;
 const MAXIMUM_PEERS = 400;
+/** Peers named in an answer. */
+const NAMED_PEERS = 8;
 /** Peers asked at a time. */
 const FAN_OUT = 2;
 
@@ -59,7 +67,9 @@
         return;
       }
       this.note(url.searchParams.get(FROM_PARAMETER) ?? '');
-      const snapshot = { ...options.snapshot(), peers: [...this.known, options.ownAddress] };
+      const since = Number(url.searchParams.get(SINCE_PARAMETER) ?? 0);
+      const changes = options.snapshotSince(Number.isFinite(since) ? since : 0);
+      const snapshot = { ...changes, peers: this.namedPeers() };
       response.writeHead(200, { 'content-type': 'application/json' });
       response.end(JSON.stringify(snapshot));
     });
@@ -71,11 +81,22 @@
     this.askLater(0);
   }
 
+  /** Asks one gateway for what is missing here; calls back when that is over, well or not. */
+  fetchFrom(address: string, done: () => void): void {
+    this.ask(address, done);
+  }
+
   /** Stops serving. */
   close(): void {
     this.server.close();
   }
 
+  /** Some of the gateways known: each names some, so that answers stay small at hundreds of them. */
+  private namedPeers(): string[] {
+    const newest = [...this.known].slice(-NAMED_PEERS);
+    return [...newest, this.options.ownAddress];
+  }
+
   private note(address: string): void {
     if (address !== '' && address !== this.options.ownAddress && this.known.size < MAXIMUM_PEERS) {
       this.known.add(address);
@@ -102,11 +123,15 @@
     }
   }
 
-  private ask(peer: string): void {
+  private ask(peer: string, done: () => void = () => undefined): void {
     const separator = peer.lastIndexOf(':');
     const host = peer.slice(0, separator);
     const port = Number(peer.slice(separator + 1));
-    const query = new URLSearchParams({ [FROM_PARAMETER]: this.options.ownAddress });
+    const { ownAddress, ownRevision } = this.options;
+    const query = new URLSearchParams({
+      [FROM_PARAMETER]: ownAddress,
+      [SINCE_PARAMETER]: String(ownRevision()),
+    });
     const client = request({ host, port, path: `${PATH}?${query}`, agent: false }, (response) => {
       const chunks: Buffer[] = [];
       response.on('data', (chunk: Buffer) => chunks.push(chunk));
@@ -114,7 +139,10 @@
       response.on('end', () => this.take(Buffer.concat(chunks).toString('utf8'), peer));
     });
     const cancel = this.options.runtime.setTimer(CALL_MILLISECONDS, () => client.destroy());
-    client.on('close', cancel);
+    client.on('close', () => {
+      cancel();
+      done();
+    });
     client.on('error', () => undefined);
     client.end();
   }
--- /dev/null
+++ b/src/peers/store-catch-up.ts
@@ -0,0 +1,55 @@
+/**
+ * Takes what peers know of the store and this gateway doesn't: who follows the store checks that its
+ * watch does not hang, all others fetch the changes from a peer that has them, one fetch at a time.
+ */
+import type { Runtime } from '../runtime/runtime.js';
+import type { StoreNews } from './load-gossip.js';
+
+/** What of the mirror is read and told from here. */
+export interface CatchUpMirror {
+  /** Whether it follows the store and hears from it. */
+  readonly hearsStore: boolean;
+  /** Revision up to which nothing is missing here. */
+  readonly completeRevision: number;
+  heedRevision(revision: number): void;
+}
+
+/** What the catching up is made with. */
+export interface StoreCatchUpOptions {
+  readonly runtime: Runtime;
+  readonly mirror: CatchUpMirror;
+  /** Gives the mirror what a host has and it lacks; calls back when that is over, well or not. */
+  readonly fetch: (host: string, done: () => void) => void;
+}
+
+/** Pause after a peer had nothing new although it had said so, in milliseconds. */
+const FRUITLESS_MILLISECONDS = 300;
+
+/** See the head of this file. */
+export class StoreCatchUp {
+  private fetching = false;
+
+  constructor(private readonly options: StoreCatchUpOptions) {}
+
+  /** Heeds what a peer told. */
+  heed({ from, revision }: StoreNews): void {
+    const { mirror } = this.options;
+    if (mirror.hearsStore) {
+      mirror.heedRevision(revision);
+    } else if (revision > mirror.completeRevision && !this.fetching) {
+      this.fetch(from);
+    }
+  }
+
+  private fetch(host: string): void {
+    const { runtime, mirror, fetch } = this.options;
+    const before = mirror.completeRevision;
+    this.fetching = true;
+    fetch(host, () => {
+      const pause = mirror.completeRevision > before ? 0 : FRUITLESS_MILLISECONDS;
+      runtime.setTimer(pause, () => {
+        this.fetching = false;
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/peers/store-followers.ts
@@ -0,0 +1,152 @@
+/**
+ * Decides whether this gateway follows the store itself or leaves that to others and takes the changes
+ * from peers. The few gateways that come first by the hash of their host follow it; nobody elects them,
+ * and two that both believe themselves among them cost a few calls more. When none of them is heard of,
+ * whoever notices follows the store itself.
+ */
+import { hashToNumber } from '../runtime/hashing.js';
+import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import { setRepeatingTimer } from '../runtime/runtime.js';
+
+/** What of the mirror is driven from here. */
+export interface FollowableMirror {
+  readonly isFollowing: boolean;
+  /** Whether it follows the store and hears from it. */
+  readonly hearsStore: boolean;
+  follow(): void;
+  rest(): void;
+}
+
+/** What the followers are made with. */
+export interface StoreFollowersOptions {
+  readonly runtime: Runtime;
+  /** Host of this gateway. */
+  readonly host: string;
+  /** Hosts of the gateways heard lately. */
+  readonly peers: () => readonly string[];
+  readonly mirror: FollowableMirror;
+  /** Time after the start in which others may follow the store first, in milliseconds. */
+  readonly patienceMilliseconds: number;
+}
+
+/** What is known when the decision is taken. */
+export interface FollowerView {
+  /** Gateways that come before this one. */
+  readonly rank: number;
+  readonly isFollowing: boolean;
+  /** Time since this gateway began to follow or to rest, in milliseconds. */
+  readonly sinceChangeMilliseconds: number;
+  /** Time since another gateway was last known to hear from the store, in milliseconds. */
+  readonly silenceMilliseconds: number;
+  /** Silence that is borne, in milliseconds. */
+  readonly patienceMilliseconds: number;
+}
+
+/** Gateways that follow the store: enough that a third of them refused by it, and some dead, are few. */
+export const FOLLOWERS = 12;
+/** Ranks beyond `FOLLOWERS` at which one that follows goes on: peers are not always heard all. */
+const RANK_SLACK = 4;
+/** Least time for which this gateway goes on to follow, in milliseconds. */
+const LEAST_FOLLOWING_MILLISECONDS = 4_000;
+/** Time after the start in which peers are found and nobody is told to rest, in milliseconds. */
+const FINDING_MILLISECONDS = 2_000;
+/** Silence of all followers that is borne at least; word of them is usually 0.2 s old. */
+const LEAST_SILENCE_MILLISECONDS = 900;
+/** Drawn on top, so that not all take the place of followers at once. */
+const DRAWN_SILENCE_MILLISECONDS = 600;
+const STEP_MILLISECONDS = 200;
+
+/** Whether to follow the store; plain data in. */
+export function decideFollowing(view: FollowerView): boolean {
+  const { rank, isFollowing, sinceChangeMilliseconds, silenceMilliseconds } = view;
+  if (isFollowing) {
+    const isNeeded = rank < FOLLOWERS + RANK_SLACK;
+    const isAlone = silenceMilliseconds > LEAST_SILENCE_MILLISECONDS;
+    return isNeeded || isAlone || sinceChangeMilliseconds < LEAST_FOLLOWING_MILLISECONDS;
+  }
+  return rank < FOLLOWERS || silenceMilliseconds > view.patienceMilliseconds;
+}
+
+/** See the head of this file. */
+export class StoreFollowers {
+  private readonly startedAt: number;
+  private readonly drawnMilliseconds: number;
+  private readonly cancelTimer: CancelTimer;
+  private readonly hash: number;
+  private changedAt: number;
+  /** Local time at which another gateway was last known to hear from the store, in milliseconds. */
+  private heardAt: number;
+
+  constructor(private readonly options: StoreFollowersOptions) {
+    const { runtime, host, mirror, patienceMilliseconds } = options;
+    this.startedAt = runtime.now();
+    this.changedAt = this.startedAt;
+    this.heardAt = this.startedAt;
+    this.hash = hashToNumber(host);
+    this.drawnMilliseconds = DRAWN_SILENCE_MILLISECONDS * runtime.random.uniform();
+    this.cancelTimer = setRepeatingTimer(runtime, STEP_MILLISECONDS, () => this.step());
+    if (patienceMilliseconds <= 0) {
+      mirror.follow();
+    }
+  }
+
+  /** Takes a peer's word for the time since a gateway heard from the store, in milliseconds. */
+  heard(ageMilliseconds: number): void {
+    this.heardAt = Math.max(this.heardAt, this.options.runtime.now() - ageMilliseconds);
+  }
+
+  /** Time since a gateway, be it this one, was last known to hear from the store, in milliseconds. */
+  get ageMilliseconds(): number {
+    return this.options.mirror.hearsStore ? 0 : this.silenceMilliseconds;
+  }
+
+  /** Whether changes of the store are bound to come, by itself or through peers. */
+  get isInformed(): boolean {
+    return this.ageMilliseconds <= LEAST_SILENCE_MILLISECONDS;
+  }
+
+  /** Stops deciding. */
+  close(): void {
+    this.cancelTimer();
+  }
+
+  private get silenceMilliseconds(): number {
+    return this.options.runtime.now() - this.heardAt;
+  }
+
+  private step(): void {
+    const { runtime, mirror, patienceMilliseconds } = this.options;
+    const now = runtime.now();
+    const upMilliseconds = now - this.startedAt;
+    const isFinding = upMilliseconds < Math.max(FINDING_MILLISECONDS, patienceMilliseconds);
+    if (isFinding && (mirror.isFollowing || upMilliseconds < patienceMilliseconds)) {
+      return;
+    }
+    const rank = this.rank();
+    const follows = decideFollowing({
+      rank,
+      isFollowing: mirror.isFollowing,
+      sinceChangeMilliseconds: now - this.changedAt,
+      silenceMilliseconds: this.silenceMilliseconds,
+      patienceMilliseconds: LEAST_SILENCE_MILLISECONDS + this.drawnMilliseconds,
+    });
+    if (follows === mirror.isFollowing) {
+      return;
+    }
+    this.changedAt = now;
+    runtime.log('info', follows ? 'follows the store' : 'takes changes from peers', {
+      event: follows ? 'store.follow' : 'store.rest',
+      rank,
+      silence: Math.round(this.silenceMilliseconds),
+    });
+    if (follows) {
+      mirror.follow();
+    } else {
+      mirror.rest();
+    }
+  }
+
+  private rank(): number {
+    return this.options.peers().filter((peer) => hashToNumber(peer) < this.hash).length;
+  }
+}
