Tell loads and places of prompts as sums by zone where gateways are many

Cause: each gateway told eight others each 100 ms whatever their number, so that at 171 gateways 13,700 datagrams a second went out, another's load was some two seconds old, and each place of a prompt was told to each gateway three times. Change: beyond sixteen gateways each reports to the two that come first in its zone; the first adds up, exchanges sums with the first of other zones, and sends its zone the sum of all with the places lately told. Who comes first follows from the hashes of those heard; the second stands in after 300 ms. A greeting is answered with who comes first. Followers of the store are the first three of each zone. Small sites tell one another directly as before.

--- a/features/followers.feature
+++ b/features/followers.feature
@@ -1,4 +1,4 @@
-Feature: Few gateways follow the store, the others hear of changes from them
+Feature: What many gateways tell one another does not grow with their number
   Scenario Outline: Whether a gateway follows the store
     Given a gateway of rank <rank> that <does> the store since <since> milliseconds
     When no other gateway is known to have heard from the store for <silence> milliseconds
@@ -7,30 +7,30 @@
     Examples:
       | rank | does          | since | silence | then           |
       | 0    | doesn't ask   | 0     | 100     | follows        |
-      | 11   | doesn't ask   | 0     | 100     | follows        |
-      | 12   | doesn't ask   | 0     | 100     | doesn't follow |
-      | 170  | doesn't ask   | 60000 | 1100    | doesn't follow |
-      | 170  | doesn't ask   | 60000 | 1300    | follows        |
-      | 170  | follows       | 3000  | 100     | follows        |
-      | 170  | follows       | 5000  | 100     | doesn't follow |
-      | 170  | follows       | 5000  | 1000    | follows        |
-      | 14   | follows       | 60000 | 100     | follows        |
+      | 2    | doesn't ask   | 0     | 100     | follows        |
+      | 3    | doesn't ask   | 0     | 100     | doesn't follow |
+      | 40   | doesn't ask   | 60000 | 1100    | doesn't follow |
+      | 40   | doesn't ask   | 60000 | 1300    | follows        |
+      | 40   | follows       | 3000  | 100     | follows        |
+      | 40   | follows       | 5000  | 100     | doesn't follow |
+      | 40   | follows       | 5000  | 1000    | follows        |
+      | 3    | follows       | 60000 | 100     | follows        |
 
   Scenario: Of forty gateways some twelve follow the store, and all hear of a change
     Given 40 gateways that tell one another what they know of the store
-    Then after 8000 milliseconds between 12 and 20 of them follow the store
+    Then after 12000 milliseconds between 12 and 20 of them follow the store
     When a key of the store is changed
     Then within 1200 milliseconds all that run know the change
 
   Scenario: When all that follow the store die at once, others take their place
     Given 40 gateways that tell one another what they know of the store
-    Then after 8000 milliseconds between 12 and 20 of them follow the store
+    Then after 12000 milliseconds between 12 and 20 of them follow the store
     When all that follow the store die and a key of the store is changed
-    Then within 2500 milliseconds all that run know the change
+    Then within 3500 milliseconds all that run know the change
 
   Scenario: When the store refuses those that follow it and serves the others, all hear of a change
     Given 40 gateways that tell one another what they know of the store
-    Then after 8000 milliseconds between 12 and 20 of them follow the store
+    Then after 12000 milliseconds between 12 and 20 of them follow the store
     When the store refuses all that follow it and a key of the store is changed
     Then within 2500 milliseconds all that run know the change
 
@@ -38,3 +38,30 @@
     Given 3 gateways that tell one another what they know of the store
     When one of them says for 5000 milliseconds that it knows revision 900000
     Then each asks it at most 40 times, and a key that is changed then is known to all within 2000 milliseconds
+
+  Scenario Outline: Each knows the load of all others soon, for a bounded number of messages
+    Given <gateways> gateways that tell one another what they know of the store
+    Then after 12000 milliseconds between 1 and 16 of them follow the store
+    When each has 2 requests at a runner and one of them 30
+    Then within 700 milliseconds each knows the requests of all others that run
+    And in 2 seconds each sends <messages> messages and <bytes> bytes a second at most, on average
+
+    Examples:
+      | gateways | messages | bytes |
+      | 12       | 90       | 9000  |
+      | 40       | 50       | 6500  |
+      | 160      | 45       | 5500  |
+
+  Scenario: When the first of each zone dies, the next stand in
+    Given 40 gateways that tell one another what they know of the store
+    Then after 12000 milliseconds between 1 and 20 of them follow the store
+    When each has 2 requests at a runner and one of them 30
+    Then within 700 milliseconds each knows the requests of all others that run
+    When the first of each zone dies
+    Then within 1200 milliseconds each knows the requests of all others that run
+
+  Scenario: What a runner keeps is known to all soon
+    Given 40 gateways that tell one another what they know of the store
+    Then after 12000 milliseconds between 1 and 20 of them follow the store
+    When one gateway tells that a runner keeps a part of a prompt
+    Then within 500 milliseconds all others have heard of the part
--- a/features/steps/followers.steps.ts
+++ b/features/steps/followers.steps.ts
@@ -5,8 +5,15 @@
 import type { DatagramListener, DatagramPort } from '../../src/peers/datagram-port.js';
 import { LoadGossip } from '../../src/peers/load-gossip.js';
 import { StoreCatchUp } from '../../src/peers/store-catch-up.js';
-import { decideFollowing, StoreFollowers } from '../../src/peers/store-followers.js';
+import {
+  decideFollowing,
+  FOLLOWERS_OF_ZONE,
+  StoreFollowers,
+} from '../../src/peers/store-followers.js';
+import type { PromptPlace } from '../../src/peers/recent-places.js';
+import { promptKeyOf } from '../../src/relay/relay-request.js';
 import { createRandom } from '../../src/runtime/random.js';
+import type { RandomSource } from '../../src/runtime/random.js';
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
 import { VirtualClock } from '../../src/simulation/virtual-clock.js';
 import { SimulatedKeySpace } from '../support/simulated-key-space.js';
@@ -14,7 +21,9 @@
 const LINK_MILLISECONDS = 1;
 const LOSS = 0.01;
 const PATIENCE_MILLISECONDS = 1_200;
+const FIRST_PATIENCE_MILLISECONDS = 2_500;
 const KEY = 'a';
+const ZONES = 4;
 
 /** One gateway as far as the store is concerned. */
 interface Gateway {
@@ -23,10 +32,17 @@
   readonly store: SimulatedKeySpace;
   readonly mirror: KeySpaceMirror;
   readonly gossip: LoadGossip;
+  readonly loads: Map<string, number>;
+  /** Places of prompts told to it. */
+  readonly placesHeard: Set<number>;
+  places: readonly PromptPlace[];
   fetchesServed: number;
+  messagesSent: number;
+  bytesSent: number;
 }
 
 interface World {
+  random: RandomSource;
   clock: VirtualClock;
   gateways: Gateway[];
   listeners: Map<string, DatagramListener>;
@@ -38,8 +54,6 @@
   lie: { readonly host: string; readonly revision: number } | undefined;
 }
 
-const random = createRandom(11, 'followers');
-
 function running(world: World): Gateway[] {
   return world.gateways.filter(({ process }) => process.isAlive);
 }
@@ -52,7 +66,12 @@
   return {
     onDatagram: (listener) => world.listeners.set(host, listener),
     send: (bytes, target) => {
-      if (random.uniform() >= LOSS) {
+      const sender = world.gateways.find((gateway) => gateway.host === host);
+      if (sender !== undefined) {
+        sender.messagesSent += 1;
+        sender.bytesSent += bytes.length;
+      }
+      if (world.random.uniform() >= LOSS) {
         world.clock.schedule(LINK_MILLISECONDS, () => world.listeners.get(target)?.(bytes, host));
       }
     },
@@ -79,7 +98,7 @@
 
 function addGateway(world: World, index: number): void {
   const host = `10.0.0.${index}`;
-  const process = new SimulatedProcess(host, world.clock, random);
+  const process = new SimulatedProcess(host, world.clock, world.random);
   const runtime = process.begin();
   const store = new SimulatedKeySpace(world.clock);
   store.put(KEY, 'first');
@@ -93,18 +112,22 @@
     onGone: () => undefined,
     onReachable: () => undefined,
   });
+  const loads = new Map<string, number>();
+  const placesHeard = new Set<number>();
   const isSeed = index < 3;
   const catchUp = new StoreCatchUp({
     runtime,
     mirror,
+    otherSources: () => gossip.firstOfZone(FOLLOWERS_OF_ZONE),
     fetch: (target, done) => fetchFrom(world, mirror, target, done),
   });
   const gossip: LoadGossip = new LoadGossip({
     runtime,
     host,
+    zone: `z${index % ZONES}`,
     datagrams: datagramsOf(world, host),
     seeds: () => ['10.0.0.0', '10.0.0.1', '10.0.0.2'],
-    ownLoads: () => new Map(),
+    ownLoads: () => loads,
     ownRevision: () => (world.lie?.host === host ? world.lie.revision : mirror.completeRevision),
     storeAgeMilliseconds: () => followers.ageMilliseconds,
     onStoreNews: (news) => {
@@ -112,17 +135,17 @@
       catchUp.heed(news);
     },
     reachesReplicas: () => true,
-    ownPlaces: () => [],
-    onPlaces: () => undefined,
+    ownPlaces: () => world.gateways[index]?.places ?? [],
+    onPlaces: (places) => places.forEach(({ part }) => placesHeard.add(part)),
   });
   const followers = new StoreFollowers({
     runtime,
-    host,
-    peers: () => gossip.heardPeers,
+    rank: () => gossip.rank,
     mirror,
-    patienceMilliseconds: isSeed ? 0 : PATIENCE_MILLISECONDS * (1 + random.uniform()),
+    patienceMilliseconds: isSeed ? 0 : FIRST_PATIENCE_MILLISECONDS * (1 + world.random.uniform()),
   });
-  world.gateways.push({ host, process, store, mirror, gossip, fetchesServed: 0 });
+  const counts = { fetchesServed: 0, messagesSent: 0, bytesSent: 0, places: [] };
+  world.gateways.push({ host, process, store, mirror, gossip, loads, placesHeard, ...counts });
 }
 
 function wait(world: World, milliseconds: number): void {
@@ -161,6 +184,7 @@
 Given(
   '{int} gateways that tell one another what they know of the store',
   function (this: World, count: number) {
+    this.random = createRandom(count, 'gateways');
     this.clock = new VirtualClock();
     this.gateways = [];
     this.listeners = new Map();
@@ -237,3 +261,71 @@
     assert.ok(this.clock.runUntil(this.clock.now + milliseconds, () => allKnow(this)));
   },
 );
+
+const RUNNER = 'r';
+const PLACE: PromptPlace = { runnerHash: 5, part: promptKeyOf('a part'), tokens: 900 };
+
+/** Whether each gateway that runs knows the requests of all others that run. */
+function allKnowLoads(world: World): boolean {
+  const alive = running(world);
+  const ownOf = ({ loads }: Gateway): number => loads.get(RUNNER) ?? 0;
+  const all = alive.reduce((sum, gateway) => sum + ownOf(gateway), 0);
+  return alive.every((gateway) => gateway.gossip.inFlightOfOthers(RUNNER) === all - ownOf(gateway));
+}
+
+When(
+  'each has {int} requests at a runner and one of them {int}',
+  function (this: World, few: number, many: number) {
+    this.gateways.forEach(({ loads }, index) => loads.set(RUNNER, index === 7 ? many : few));
+  },
+);
+
+Then(
+  'within {int} milliseconds each knows the requests of all others that run',
+  function (this: World, milliseconds: number) {
+    const { clock } = this;
+    const known = clock.runUntil(clock.now + milliseconds, () => allKnowLoads(this));
+    const told = running(this).map(({ gossip }) => gossip.inFlightOfOthers(RUNNER));
+    assert.ok(known, `they know of ${told.join(' ')}`);
+  },
+);
+
+Then(
+  'in {int} seconds each sends {int} messages and {int} bytes a second at most, on average',
+  function (this: World, seconds: number, messages: number, bytes: number) {
+    const sums = (): [number, number] => [
+      this.gateways.reduce((sum, gateway) => sum + gateway.messagesSent, 0),
+      this.gateways.reduce((sum, gateway) => sum + gateway.bytesSent, 0),
+    ];
+    const before = sums();
+    wait(this, seconds * 1_000);
+    const after = sums();
+    const share = this.gateways.length * seconds;
+    const [sentMessages, sentBytes] = [0, 1].map((at) => (after[at]! - before[at]!) / share);
+    assert.ok(sentMessages! <= messages && sentBytes! <= bytes, `${sentMessages} ${sentBytes}`);
+  },
+);
+
+When('the first of each zone dies', function (this: World) {
+  const firsts = new Set(running(this).filter(({ gossip }) => gossip.rank === 0));
+  assert.ok(firsts.size >= ZONES, `${firsts.size} come first`);
+  for (const { gossip, process } of firsts) {
+    gossip.close();
+    process.kill();
+  }
+});
+
+When('one gateway tells that a runner keeps a part of a prompt', function (this: World) {
+  this.gateways[9]!.places = [PLACE];
+  wait(this, 300);
+  this.gateways[9]!.places = [];
+});
+
+Then(
+  'within {int} milliseconds all others have heard of the part',
+  function (this: World, milliseconds: number) {
+    const others = this.gateways.filter((_, index) => index !== 9);
+    const heard = (): boolean => others.every(({ placesHeard }) => placesHeard.has(PLACE.part));
+    assert.ok(this.clock.runUntil(this.clock.now + milliseconds, heard));
+  },
+);
--- a/features/steps/peers.steps.ts
+++ b/features/steps/peers.steps.ts
@@ -6,7 +6,7 @@
 import { openUdpPort } from '../../src/peers/datagram-port.js';
 import { LoadGossip } from '../../src/peers/load-gossip.js';
 import type { StoreNews } from '../../src/peers/load-gossip.js';
-import { decodeLoadMessage, encodeLoadMessage } from '../../src/peers/load-message.js';
+import { decodeLoadMessage, encodeLoadMessage, LOAD_SCOPES } from '../../src/peers/load-message.js';
 import type { LoadMessage } from '../../src/peers/load-message.js';
 import { PeerExchange } from '../../src/peers/peer-exchange.js';
 import type { PeerSnapshot } from '../../src/peers/peer-exchange.js';
@@ -39,6 +39,7 @@
   const gossip = new LoadGossip({
     runtime: createRealRuntime({ logLevel: 'error' }),
     host: HOSTS[place]!,
+    zone: `z${place}`,
     datagrams: openUdpPort(HOSTS[place]!, world.port!),
     seeds: () => seeds,
     ownLoads: () => loads,
@@ -185,7 +186,10 @@
       sequence: fc.nat(),
       life: fc.nat(),
       loads: fc.array(load),
-      peers: fc.array(fc.ipV4()),
+      scope: fc.constantFrom(...LOAD_SCOPES),
+      zoneHash: fc.nat(0xffff_ffff),
+      gateways: fc.nat(0xffff),
+      peers: fc.array(fc.record({ host: fc.ipV4(), zoneHash: fc.nat(0xffff_ffff) }, plain)),
       revision,
       places: fc.array(place),
       reachesReplicas: fc.boolean(),
--- a/src/peers/load-gossip.ts
+++ b/src/peers/load-gossip.ts
@@ -1,7 +1,10 @@
 /**
- * Gateways tell one another several times a second how many of their requests are at each runner,
- * so that each can weigh all load and not its own alone. Datagrams may be lost; what a silent peer
- * told is forgotten soon. Peers are found through seeds and through one another.
+ * Gateways tell one another several times a second how many of their requests are at each runner, so
+ * that each can weigh all load and not its own alone. A few gateways tell some others directly. Where
+ * there are many, each tells the two that come first in its zone; the first adds up what its zone told,
+ * exchanges sums with the first of the other zones, and sends all of its zone the sum of all: what a
+ * gateway sends and receives does not grow with their number. Datagrams may be lost; what a silent
+ * sender told is forgotten soon. Peers are found through seeds and through one another.
  */
 import { hashToNumber } from '../runtime/hashing.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
@@ -12,13 +15,18 @@
   encodeLoadMessage,
   LARGEST_STORE_AGE_MILLISECONDS,
 } from './load-message.js';
-import type { LoadMessage, RunnerLoad } from './load-message.js';
+import type { LoadMessage, LoadScope, RunnerLoad } from './load-message.js';
+import { loadList, sumLoads, ToldLoads } from './load-sums.js';
+import { PeerTable } from './peer-table.js';
+import type { NamedPeer } from './peer-table.js';
+import { PlaceRelay } from './recent-places.js';
 import type { PromptPlace } from './recent-places.js';
 
 /** What the gossip is made with. */
 export interface LoadGossipOptions {
   readonly runtime: Runtime;
   readonly host: string;
+  readonly zone: string;
   readonly datagrams: DatagramPort;
   /** Hosts to begin with. */
   readonly seeds: () => readonly string[];
@@ -49,42 +57,60 @@
 }
 
 const PERIOD_MILLISECONDS = 100;
+/** Gateways up to which each tells others directly: beyond, sums by zone cost fewer messages. */
+const DIRECT_GATEWAYS = 16;
+/** Most peers told directly in a period. */
+const FAN_OUT = 8;
+/** Gateways of a zone that collect what it tells: the first announces the sum, the next stands in. */
+const COLLECTORS = 2;
+/** Periods between two direct messages to any peer where sums are told: they join parted groups. */
+const GREETING_PERIODS = 3;
 /** Least time after which what a silent peer told is forgotten, in milliseconds. */
 const STALE_MILLISECONDS = 500;
-/** The same in mean times between two messages of a peer: with many peers these are longer. */
+/** The same for what is told each period to the same gateway: three lost messages. */
+const STALE_REPORT_MILLISECONDS = 350;
+/** The same in mean times between two direct messages of a peer: with more peers these are longer. */
 const STALE_MESSAGES = 2.5;
-/** Time after which a silent peer is no longer sent to, in milliseconds. */
-const FORGET_MILLISECONDS = 10_000;
-/** Most peers told in a period. */
-const FAN_OUT = 8;
-/** Times that each peer is told a place, since datagrams are lost now and then. */
+/** Silence of the first of a zone after which the next announces, in milliseconds. */
+const STAND_IN_MILLISECONDS = 300;
+/** Times that each place is told to the same gateway, since datagrams are lost now and then. */
 const PLACE_REPEATS = 3;
 /** Peers named in a message. */
-const NAMED_PEERS = 3;
+const NAMED_PEERS = 4;
+/** Time within which a peer was heard that is named to others, in milliseconds. */
+const NAMED_MILLISECONDS = 1_000;
+/** Periods until this gateway's own requests come back to it in a sum of all. */
+const ECHO_PERIODS = 2;
 const LARGEST_LIFE = 2 ** 31;
-/** Life of a peer that others have named and that was not heard itself. */
-const UNKNOWN_LIFE = -1;
-
-interface PeerLoad {
-  life: number;
-  sequence: number;
-  heardAt: number;
-  loads: readonly RunnerLoad[];
-  reachesReplicas: boolean;
-}
 
 /** See the head of this file. */
 export class LoadGossip {
-  private readonly peers = new Map<string, PeerLoad>();
+  private readonly table: PeerTable;
+  private readonly told: Readonly<Record<LoadScope, ToldLoads>> = {
+    gateway: new ToldLoads(),
+    zone: new ToldLoads(),
+    all: new ToldLoads(),
+    answer: new ToldLoads(),
+  };
+  private readonly zoneHash: number;
   private readonly cancelTimer: CancelTimer;
   private readonly life: number;
+  private readonly zonePlaces: PlaceRelay;
+  private readonly otherPlaces: PlaceRelay;
   private sequence = 0;
+  private period = 0;
+  /** Own requests of the last periods, the newest last. */
+  private ownHistory: RunnerLoad[][] = [];
   /** Requests of all other gateways by the hash of their runner. */
   private totals = new Map<number, number>();
 
   constructor(private readonly options: LoadGossipOptions) {
-    const { runtime, datagrams } = options;
+    const { runtime, host, zone, datagrams } = options;
     this.life = runtime.random.integer(0, LARGEST_LIFE);
+    this.zoneHash = hashToNumber(zone);
+    this.table = new PeerTable({ runtime, host, zoneHash: this.zoneHash });
+    this.zonePlaces = new PlaceRelay(runtime);
+    this.otherPlaces = new PlaceRelay(runtime);
     datagrams.onDatagram((bytes, from) => this.take(bytes, from));
     this.cancelTimer = setRepeatingTimer(runtime, PERIOD_MILLISECONDS, () => this.tell());
   }
@@ -94,20 +120,32 @@
     return this.totals.get(hashToNumber(runner)) ?? 0;
   }
 
-  /** Whether a gateway that was heard lately reaches the replicas. */
+  /** Whether a gateway that was heard or counted lately reaches the replicas. */
   get somePeerReachesReplicas(): boolean {
-    const since = this.options.runtime.now() - this.staleMilliseconds;
-    return [...this.peers.values()].some((peer) => peer.reachesReplicas && peer.heardAt >= since);
+    const { gateway, zone, all } = this.told;
+    const heard = [
+      ...gateway.since(this.since(this.staleMilliseconds)),
+      ...zone.since(this.since(STALE_MILLISECONDS)),
+      ...all.since(this.since(STALE_MILLISECONDS)),
+    ];
+    return heard.some((message) => message.reachesReplicas);
   }
 
-  /** Gateways heard lately. */
+  /** Other gateways, as far as they are known or counted. */
   get peerCount(): number {
-    return this.peers.size;
+    const counted = this.newestSum()?.gateways ?? 0;
+    return Math.max(this.table.size, counted - 1);
+  }
+
+  /** Gateways of this zone that come before this one; none while all tell one another directly. */
+  get rank(): number {
+    return this.usesSums ? this.table.rank() : 0;
   }
 
-  /** Hosts of the gateways that were heard themselves lately. */
-  get heardPeers(): string[] {
-    return [...this.peers].flatMap(([host, { life }]) => (life === UNKNOWN_LIFE ? [] : [host]));
+  /** Hosts of the gateways of this zone that come first. */
+  firstOfZone(count: number): string[] {
+    const peers = this.table.aliveIn(this.zoneHash);
+    return peers.slice(0, count).map(({ host }) => host);
   }
 
   /** Ends. */
@@ -116,34 +154,103 @@
     this.options.datagrams.close();
   }
 
+  private get usesSums(): boolean {
+    return this.peerCount + 1 > DIRECT_GATEWAYS;
+  }
+
+  private since(milliseconds: number): number {
+    return this.options.runtime.now() - milliseconds;
+  }
+
   private tell(): void {
-    this.forgetSilent();
-    const { random } = this.options.runtime;
-    const known = [...this.peers.keys()];
-    const targets = new Set<string>();
-    while (targets.size < Math.min(FAN_OUT, known.length)) {
-      targets.add(random.pick(known));
+    this.table.forgetSilent();
+    this.period += 1;
+    const own = this.ownMessage();
+    this.ownHistory = [...this.ownHistory, [...own.loads]].slice(-1 - ECHO_PERIODS);
+    if (this.usesSums) {
+      this.reportTo(own);
+      this.sumUpZone(own);
+    } else {
+      this.send(own, this.withSeed(this.randomHosts(FAN_OUT)));
+      this.totals = sumLoads(this.directlyTold().map(({ loads }) => loads));
+    }
+  }
+
+  /** Tells the collectors of the zone, and now and then any other gateway. */
+  private reportTo(own: LoadMessage): void {
+    const collectors = new Set(this.firstOfZone(COLLECTORS));
+    const greets = this.period % GREETING_PERIODS === 0;
+    const others = greets ? this.withSeed(this.randomHosts(1)) : [];
+    this.send(own, new Set([...collectors, ...others]));
+  }
+
+  /** Announces the sums if that falls to this gateway, and takes what is told of all load. */
+  private sumUpZone(own: LoadMessage): void {
+    if (!this.announces()) {
+      const sum = this.newestSum();
+      this.totals =
+        sum === undefined
+          ? sumLoads(this.directlyTold().map(({ loads }) => loads))
+          : this.withoutOwn(sumLoads([sum.loads]));
+      return;
     }
-    this.addSeed(targets);
+    const reports = this.reports();
+    const zones = this.otherZones();
+    const zoneOthers = reports.map(({ loads }) => loads);
+    this.totals = sumLoads([...zoneOthers, ...zones.map(({ loads }) => loads)]);
+    const ofZone = this.sumMessage('zone', own, reports, this.zonePlaces);
+    this.send(ofZone, this.firstOfOtherZones());
+    const ofAll = this.sumMessage('all', ofZone, zones, this.otherPlaces);
+    this.send(ofAll, this.reporters());
+  }
+
+  /** Adds what others told to what is told already. */
+  private sumMessage(
+    scope: LoadScope,
+    base: LoadMessage,
+    parts: readonly LoadMessage[],
+    places: PlaceRelay,
+  ): LoadMessage {
+    this.sequence += 1;
+    return {
+      ...base,
+      scope,
+      sequence: this.sequence,
+      gateways: parts.reduce((sum, part) => sum + part.gateways, base.gateways),
+      loads: loadList(sumLoads([base.loads, ...parts.map(({ loads }) => loads)])),
+      places: [...base.places, ...places.within(PLACE_REPEATS * PERIOD_MILLISECONDS)],
+      reachesReplicas: base.reachesReplicas || parts.some((part) => part.reachesReplicas),
+    };
+  }
+
+  private ownMessage(): LoadMessage {
+    const { ownRevision, storeAgeMilliseconds, reachesReplicas, ownPlaces } = this.options;
     this.sequence += 1;
-    const message: LoadMessage = {
+    return {
       sequence: this.sequence,
       life: this.life,
+      scope: 'gateway',
+      zoneHash: this.zoneHash,
+      gateways: 1,
       loads: this.hashedLoads(),
-      peers: known.slice(-NAMED_PEERS),
-      revision: this.options.ownRevision(),
-      reachesReplicas: this.options.reachesReplicas(),
+      peers: this.namedPeers(),
+      revision: ownRevision(),
+      places: ownPlaces(PLACE_REPEATS * this.messageMilliseconds),
+      reachesReplicas: reachesReplicas(),
       storeAgeMilliseconds: Math.min(
         LARGEST_STORE_AGE_MILLISECONDS,
-        Math.round(this.options.storeAgeMilliseconds()),
+        Math.round(storeAgeMilliseconds()),
       ),
-      places: this.options.ownPlaces(PLACE_REPEATS * this.messageMilliseconds),
     };
-    const bytes = encodeLoadMessage(message);
-    for (const target of targets) {
-      this.options.datagrams.send(bytes, target);
-    }
-    this.sumUp();
+  }
+
+  /** The first of the own zone among those heard lately, so that all agree on who they are. */
+  private namedPeers(): NamedPeer[] {
+    const heard = this.table.heardWithin(NAMED_MILLISECONDS);
+    const near = heard.filter((peer) => peer.zoneHash === this.zoneHash);
+    const first = near.sort((left, right) => left.hash - right.hash).slice(0, NAMED_PEERS - 1);
+    const any = heard.length > 0 ? [this.options.runtime.random.pick(heard)] : [];
+    return [...new Set([...first, ...any])].map(({ host, zoneHash }) => ({ host, zoneHash }));
   }
 
   private hashedLoads(): RunnerLoad[] {
@@ -153,12 +260,27 @@
     }));
   }
 
-  /** Greets one seed that was not heard, so that parted groups find one another again. */
-  private addSeed(targets: Set<string>): void {
+  private randomHosts(count: number): Set<string> {
+    const { random } = this.options.runtime;
+    const known = this.table.hosts();
+    const hosts = new Set<string>();
+    while (hosts.size < Math.min(count, known.length)) {
+      hosts.add(random.pick(known));
+    }
+    return hosts;
+  }
+
+  /** With one seed that was not heard, so that parted groups find one another again. */
+  private withSeed(hosts: Set<string>): Set<string> {
     const { seeds, host, runtime } = this.options;
-    const silent = seeds().filter((seed) => seed !== host && !this.peers.has(seed));
-    if (silent.length > 0) {
-      targets.add(runtime.random.pick(silent));
+    const silent = seeds().filter((seed) => seed !== host && !this.table.has(seed));
+    return silent.length > 0 ? hosts.add(runtime.random.pick(silent)) : hosts;
+  }
+
+  private send(message: LoadMessage, hosts: Iterable<string>): void {
+    const bytes = encodeLoadMessage(message);
+    for (const host of hosts) {
+      this.options.datagrams.send(bytes, host);
     }
   }
 
@@ -167,62 +289,110 @@
     if (message === undefined || from === this.options.host) {
       return;
     }
-    const known = this.peers.get(from);
-    if (known?.life === message.life && message.sequence <= known.sequence) {
+    const { scope, zoneHash, revision, storeAgeMilliseconds: ageMilliseconds } = message;
+    const now = this.options.runtime.now();
+    if (!this.told[scope].take(from, message, now)) {
       return;
     }
-    const { life, sequence, loads, reachesReplicas } = message;
-    const heardAt = this.options.runtime.now();
-    this.peers.set(from, { life, sequence, loads, reachesReplicas, heardAt });
-    message.peers.forEach((peer) => this.learn(peer));
-    const { revision, storeAgeMilliseconds: ageMilliseconds } = message;
+    this.table.noteHeard({ host: from, zoneHash });
+    message.peers.forEach((peer) => this.table.noteNamed(peer));
     this.options.onStoreNews({ from, revision, ageMilliseconds });
     this.options.onPlaces(message.places);
+    if (scope === 'gateway' && this.usesSums && !this.collectsFor(zoneHash)) {
+      this.answer(from, zoneHash);
+    }
+    if (scope === 'gateway' || scope === 'zone') {
+      const relay = zoneHash === this.zoneHash ? this.zonePlaces : this.otherPlaces;
+      relay.note(message.places);
+    }
   }
 
-  private learn(peer: string): void {
-    if (peer !== this.options.host && !this.peers.has(peer)) {
-      const heardAt = this.options.runtime.now();
-      this.peers.set(peer, {
-        life: UNKNOWN_LIFE,
-        sequence: 0,
-        loads: [],
-        reachesReplicas: false,
-        heardAt,
-      });
-    }
+  private collectsFor(zoneHash: number): boolean {
+    return zoneHash === this.zoneHash && this.table.rank() < COLLECTORS;
   }
 
-  private forgetSilent(): void {
-    const now = this.options.runtime.now();
-    for (const [peer, state] of this.peers) {
-      if (now - state.heardAt > FORGET_MILLISECONDS) {
-        this.peers.delete(peer);
+  /** Names to a gateway who comes first in its zone: it greets, or does not know whom to report to. */
+  private answer(host: string, zoneHash: number): void {
+    const first = this.table.aliveIn(zoneHash).slice(0, NAMED_PEERS);
+    const peers = first.filter((peer) => peer.host !== host);
+    const own = this.ownMessage();
+    const answer: LoadMessage = {
+      ...own,
+      scope: 'answer',
+      gateways: 0,
+      loads: [],
+      places: [],
+      peers,
+    };
+    this.send(answer, [host]);
+  }
+
+  /** Whether this gateway tells its zone the sums: it comes first, or stands in for who does. */
+  private announces(): boolean {
+    const rank = this.table.rank();
+    const heard = this.told.all.since(this.since(STAND_IN_MILLISECONDS));
+    return rank === 0 || (rank < COLLECTORS && heard.length === 0);
+  }
+
+  /** What the gateways of the zone reported to this one as a collector. */
+  private reports(): LoadMessage[] {
+    return this.told.gateway
+      .since(this.since(STALE_REPORT_MILLISECONDS))
+      .filter((message) => message.zoneHash === this.zoneHash);
+  }
+
+  private reporters(): string[] {
+    return this.table
+      .heardWithin(NAMED_MILLISECONDS)
+      .flatMap(({ host, zoneHash }) => (zoneHash === this.zoneHash ? [host] : []));
+  }
+
+  /** The newest sum of each other zone. */
+  private otherZones(): LoadMessage[] {
+    const newest = new Map<number, LoadMessage>();
+    for (const message of this.told.zone.since(this.since(STALE_REPORT_MILLISECONDS))) {
+      if (message.zoneHash !== this.zoneHash) {
+        newest.set(message.zoneHash, message);
       }
     }
+    return [...newest.values()];
   }
 
-  /** Time after which what a silent peer told is forgotten, in milliseconds. */
-  private get staleMilliseconds(): number {
-    return Math.max(STALE_MILLISECONDS, STALE_MESSAGES * this.messageMilliseconds);
+  private firstOfOtherZones(): string[] {
+    const zones = [...this.table.zones()].filter((zoneHash) => zoneHash !== this.zoneHash);
+    return zones.flatMap((zoneHash) =>
+      this.table
+        .aliveIn(zoneHash)
+        .slice(0, COLLECTORS)
+        .map(({ host }) => host),
+    );
   }
 
-  /** Mean time between two messages to the same peer, in milliseconds. */
-  private get messageMilliseconds(): number {
-    return PERIOD_MILLISECONDS * Math.max(1, this.peers.size / FAN_OUT);
+  /** The newest sum of all that was told here. */
+  private newestSum(): LoadMessage | undefined {
+    return this.told.all.since(this.since(STALE_MILLISECONDS)).at(-1);
   }
 
-  private sumUp(): void {
-    const now = this.options.runtime.now();
-    const totals = new Map<number, number>();
-    const stale = this.staleMilliseconds;
-    for (const state of this.peers.values()) {
-      if (now - state.heardAt <= stale) {
-        for (const { runnerHash, inFlight } of state.loads) {
-          totals.set(runnerHash, (totals.get(runnerHash) ?? 0) + inFlight);
-        }
-      }
+  /** A sum holds this gateway's own requests as they were when it reported them. */
+  private withoutOwn(sums: Map<number, number>): Map<number, number> {
+    for (const { runnerHash, inFlight } of this.ownHistory[0] ?? []) {
+      sums.set(runnerHash, Math.max(0, (sums.get(runnerHash) ?? 0) - inFlight));
     }
-    this.totals = totals;
+    return sums;
+  }
+
+  private directlyTold(): LoadMessage[] {
+    return this.told.gateway.since(this.since(this.staleMilliseconds));
+  }
+
+  /** Time after which what a silent peer told directly is forgotten, in milliseconds. */
+  private get staleMilliseconds(): number {
+    return Math.max(STALE_MILLISECONDS, STALE_MESSAGES * this.messageMilliseconds);
+  }
+
+  /** Mean time between two messages to the same gateway, in milliseconds. */
+  private get messageMilliseconds(): number {
+    const told = this.usesSums ? 1 : this.table.size / FAN_OUT;
+    return PERIOD_MILLISECONDS * Math.max(1, told);
   }
 }
--- a/src/peers/load-message.ts
+++ b/src/peers/load-message.ts
@@ -1,4 +1,4 @@
-/** What gateways tell one another of their load, in one datagram. */
+/** What gateways tell one another of their load and of the store, in one datagram. */
 import * as r from 'restructure';
 import {
   count,
@@ -6,34 +6,50 @@
   encodeField,
   flag,
   listOf,
+  oneOf,
   real,
   record,
   shortText,
 } from '../wire/fields.js';
+import type { NamedPeer } from './peer-table.js';
 import type { PromptPlace } from './recent-places.js';
 
-/** Requests of the sender that are at one runner. */
+/** Requests at one runner. */
 export interface RunnerLoad {
   /** Hash of the runner's identifier, 32 bits: messages stay small at hundreds of runners. */
   readonly runnerHash: number;
   readonly inFlight: number;
 }
 
+/**
+ * Whose requests a message counts: of the sender, of the gateways of its zone, or of all. One of the
+ * scope `answer` counts none: it names to its receiver who comes first in the receiver's zone.
+ */
+export const LOAD_SCOPES = ['gateway', 'zone', 'all', 'answer'] as const;
+
+/** One of these. */
+export type LoadScope = (typeof LOAD_SCOPES)[number];
+
 /** One datagram. */
 export interface LoadMessage {
   /** Rises with each message of one life of the sender. */
   readonly sequence: number;
   /** Names the life of the sender. */
   readonly life: number;
-  /** Runners with requests of the sender; all others have none. */
+  readonly scope: LoadScope;
+  /** Hash of the name of the sender's zone. */
+  readonly zoneHash: number;
+  /** Gateways whose requests are counted. */
+  readonly gateways: number;
+  /** Runners with requests; all others have none. */
   readonly loads: readonly RunnerLoad[];
-  /** Hosts of some other gateways that the sender has heard lately. */
-  readonly peers: readonly string[];
+  /** Some gateways that the sender has heard lately, those of its zone that come first among them. */
+  readonly peers: readonly NamedPeer[];
   /** Revision of the store up to which the sender misses nothing; 0 when it knows none. */
   readonly revision: number;
   /** What runners have lately begun to keep. */
   readonly places: readonly PromptPlace[];
-  /** Whether the sender reaches a majority of the replicas. */
+  /** Whether one of the gateways that are counted reaches a majority of the replicas. */
   readonly reachesReplicas: boolean;
   /** Time since a gateway known to the sender heard from the store, in milliseconds, bounded. */
   readonly storeAgeMilliseconds: number;
@@ -44,11 +60,15 @@
 
 const load = record({ runnerHash: r.uint32, inFlight: r.uint16 });
 const place = record({ runnerHash: r.uint32, part: r.uint32, tokens: r.uint32 });
+const peer = record({ host: shortText, zoneHash: r.uint32 });
 const message = record({
   sequence: count,
   life: count,
+  scope: oneOf(LOAD_SCOPES),
+  zoneHash: r.uint32,
+  gateways: r.uint16,
   loads: listOf(load),
-  peers: listOf(shortText),
+  peers: listOf(peer),
   revision: real,
   places: listOf(place),
   reachesReplicas: flag,
@@ -63,7 +83,8 @@
 /** Decodes a datagram; undefined when it is none. */
 export function decodeLoadMessage(bytes: Uint8Array): LoadMessage | undefined {
   try {
-    return decodeField(message, bytes) as LoadMessage;
+    const decoded = decodeField(message, bytes) as LoadMessage;
+    return LOAD_SCOPES.includes(decoded.scope) ? decoded : undefined;
   } catch {
     return undefined;
   }
--- /dev/null
+++ b/src/peers/load-sums.ts
@@ -0,0 +1,61 @@
+/**
+ * Requests at each runner as gateways have told them: of one gateway, of all of a zone, or of all
+ * zones. What a silent sender told is forgotten soon.
+ */
+import type { LoadMessage, RunnerLoad } from './load-message.js';
+
+/** Requests by the hash of their runner. */
+export type LoadVector = ReadonlyMap<number, number>;
+
+/** What one sender told last. */
+export interface ToldLoad {
+  readonly message: LoadMessage;
+  /** Local time at which it was heard, in milliseconds. */
+  readonly heardAt: number;
+}
+
+/** Adds up loads by runner. */
+export function sumLoads(lists: Iterable<readonly RunnerLoad[]>): Map<number, number> {
+  const sums = new Map<number, number>();
+  for (const loads of lists) {
+    for (const { runnerHash, inFlight } of loads) {
+      sums.set(runnerHash, (sums.get(runnerHash) ?? 0) + inFlight);
+    }
+  }
+  return sums;
+}
+
+/** Loads as a list for a message. */
+export function loadList(sums: LoadVector): RunnerLoad[] {
+  return [...sums].flatMap(([runnerHash, inFlight]) =>
+    inFlight > 0 ? [{ runnerHash, inFlight: Math.min(inFlight, LARGEST_LOAD) }] : [],
+  );
+}
+
+/** Largest number of requests that a message tells of one runner. */
+const LARGEST_LOAD = 0xffff;
+
+/** The newest message of each sender, dropped when it has been silent for too long. */
+export class ToldLoads {
+  private readonly told = new Map<string, ToldLoad>();
+
+  /** Takes a message; false when a newer one of the same life of its sender was taken before. */
+  take(sender: string, message: LoadMessage, heardAt: number): boolean {
+    const known = this.told.get(sender)?.message;
+    if (known?.life === message.life && message.sequence <= known.sequence) {
+      return false;
+    }
+    this.told.set(sender, { message, heardAt });
+    return true;
+  }
+
+  /** Messages heard since a local time; older ones are dropped. */
+  since(time: number): LoadMessage[] {
+    for (const [sender, { heardAt }] of this.told) {
+      if (heardAt < time) {
+        this.told.delete(sender);
+      }
+    }
+    return [...this.told.values()].map(({ message }) => message);
+  }
+}
--- a/src/peers/recent-places.ts
+++ b/src/peers/recent-places.ts
@@ -39,3 +39,39 @@
     return this.noted;
   }
 }
+
+/** Most places relayed in one message: bounds the bytes whatever the number of gateways. */
+const MAXIMUM_RELAYED = 160;
+
+/** Places that other gateways have told lately, to be told on, each for the same time. */
+export class PlaceRelay {
+  private readonly noted = new Map<string, NotedPlace>();
+
+  constructor(private readonly runtime: Runtime) {}
+
+  /** Notes places; one that was told before is not told on for longer. */
+  note(places: readonly PromptPlace[]): void {
+    const notedAt = this.runtime.now();
+    for (const place of places) {
+      const name = `${place.runnerHash} ${place.part}`;
+      if (this.noted.get(name)?.tokens !== place.tokens) {
+        this.noted.delete(name);
+        this.noted.set(name, { ...place, notedAt });
+      }
+    }
+  }
+
+  /** Places first noted within the last milliseconds; those twice as old are dropped. */
+  within(milliseconds: number): readonly PromptPlace[] {
+    const now = this.runtime.now();
+    const lately: PromptPlace[] = [];
+    for (const [name, { notedAt, ...place }] of this.noted) {
+      if (now - notedAt <= milliseconds) {
+        lately.push(place);
+      } else if (now - notedAt > 2 * milliseconds) {
+        this.noted.delete(name);
+      }
+    }
+    return lately.slice(-MAXIMUM_RELAYED);
+  }
+}
--- a/src/peers/store-catch-up.ts
+++ b/src/peers/store-catch-up.ts
@@ -18,16 +18,22 @@
 export interface StoreCatchUpOptions {
   readonly runtime: Runtime;
   readonly mirror: CatchUpMirror;
+  /** Other hosts that are likely to have what one of them has. */
+  readonly otherSources: () => readonly string[];
   /** Gives the mirror what a host has and it lacks; calls back when that is over, well or not. */
   readonly fetch: (host: string, done: () => void) => void;
 }
 
 /** Pause after a peer had nothing new although it had said so, in milliseconds. */
 const FRUITLESS_MILLISECONDS = 300;
+/** Longest pause before a fetch: all of a zone hear of a change in the same moment, in milliseconds. */
+const SPREAD_MILLISECONDS = 120;
 
 /** See the head of this file. */
 export class StoreCatchUp {
   private fetching = false;
+  /** Whether the last fetch brought nothing: the next asks just who told of the change. */
+  private wasFruitless = false;
 
   constructor(private readonly options: StoreCatchUpOptions) {}
 
@@ -37,16 +43,19 @@
     if (mirror.hearsStore) {
       mirror.heedRevision(revision);
     } else if (revision > mirror.completeRevision && !this.fetching) {
-      this.fetch(from);
+      this.fetching = true;
+      const { runtime } = this.options;
+      runtime.setTimer(SPREAD_MILLISECONDS * runtime.random.uniform(), () => this.fetchFrom(from));
     }
   }
 
-  private fetch(host: string): void {
-    const { runtime, mirror, fetch } = this.options;
+  private fetchFrom(from: string): void {
+    const { runtime, mirror, otherSources, fetch } = this.options;
     const before = mirror.completeRevision;
-    this.fetching = true;
-    fetch(host, () => {
-      const pause = mirror.completeRevision > before ? 0 : FRUITLESS_MILLISECONDS;
+    const sources = this.wasFruitless ? [from] : [...new Set([from, ...otherSources()])];
+    fetch(runtime.random.pick(sources), () => {
+      this.wasFruitless = mirror.completeRevision <= before;
+      const pause = this.wasFruitless ? FRUITLESS_MILLISECONDS : 0;
       runtime.setTimer(pause, () => {
         this.fetching = false;
       });
--- a/src/peers/store-followers.ts
+++ b/src/peers/store-followers.ts
@@ -1,10 +1,9 @@
 /**
  * Decides whether this gateway follows the store itself or leaves that to others and takes the changes
- * from peers. The few gateways that come first by the hash of their host follow it; nobody elects them,
- * and two that both believe themselves among them cost a few calls more. When none of them is heard of,
- * whoever notices follows the store itself.
+ * from peers. The few gateways of each zone that come first follow it; nobody elects them, and some that
+ * wrongly believe themselves among them cost a few calls more. When none of them is heard of, whoever
+ * notices follows the store itself.
  */
-import { hashToNumber } from '../runtime/hashing.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import { setRepeatingTimer } from '../runtime/runtime.js';
 
@@ -20,10 +19,8 @@
 /** What the followers are made with. */
 export interface StoreFollowersOptions {
   readonly runtime: Runtime;
-  /** Host of this gateway. */
-  readonly host: string;
-  /** Hosts of the gateways heard lately. */
-  readonly peers: () => readonly string[];
+  /** Gateways of this zone that come before this one. */
+  readonly rank: () => number;
   readonly mirror: FollowableMirror;
   /** Time after the start in which others may follow the store first, in milliseconds. */
   readonly patienceMilliseconds: number;
@@ -31,7 +28,7 @@
 
 /** What is known when the decision is taken. */
 export interface FollowerView {
-  /** Gateways that come before this one. */
+  /** Gateways of the zone that come before this one. */
   readonly rank: number;
   readonly isFollowing: boolean;
   /** Time since this gateway began to follow or to rest, in milliseconds. */
@@ -42,10 +39,10 @@
   readonly patienceMilliseconds: number;
 }
 
-/** Gateways that follow the store: enough that a third of them refused by it, and some dead, are few. */
-export const FOLLOWERS = 12;
-/** Ranks beyond `FOLLOWERS` at which one that follows goes on: peers are not always heard all. */
-const RANK_SLACK = 4;
+/** Gateways of each zone that follow the store: a third may be refused by it, and some be dead. */
+export const FOLLOWERS_OF_ZONE = 3;
+/** Ranks beyond these at which one that follows goes on: peers are not always heard all. */
+const RANK_SLACK = 1;
 /** Least time for which this gateway goes on to follow, in milliseconds. */
 const LEAST_FOLLOWING_MILLISECONDS = 4_000;
 /** Time after the start in which peers are found and nobody is told to rest, in milliseconds. */
@@ -60,11 +57,11 @@
 export function decideFollowing(view: FollowerView): boolean {
   const { rank, isFollowing, sinceChangeMilliseconds, silenceMilliseconds } = view;
   if (isFollowing) {
-    const isNeeded = rank < FOLLOWERS + RANK_SLACK;
+    const isNeeded = rank < FOLLOWERS_OF_ZONE + RANK_SLACK;
     const isAlone = silenceMilliseconds > LEAST_SILENCE_MILLISECONDS;
     return isNeeded || isAlone || sinceChangeMilliseconds < LEAST_FOLLOWING_MILLISECONDS;
   }
-  return rank < FOLLOWERS || silenceMilliseconds > view.patienceMilliseconds;
+  return rank < FOLLOWERS_OF_ZONE || silenceMilliseconds > view.patienceMilliseconds;
 }
 
 /** See the head of this file. */
@@ -72,17 +69,15 @@
   private readonly startedAt: number;
   private readonly drawnMilliseconds: number;
   private readonly cancelTimer: CancelTimer;
-  private readonly hash: number;
   private changedAt: number;
   /** Local time at which another gateway was last known to hear from the store, in milliseconds. */
   private heardAt: number;
 
   constructor(private readonly options: StoreFollowersOptions) {
-    const { runtime, host, mirror, patienceMilliseconds } = options;
+    const { runtime, mirror, patienceMilliseconds } = options;
     this.startedAt = runtime.now();
     this.changedAt = this.startedAt;
     this.heardAt = this.startedAt;
-    this.hash = hashToNumber(host);
     this.drawnMilliseconds = DRAWN_SILENCE_MILLISECONDS * runtime.random.uniform();
     this.cancelTimer = setRepeatingTimer(runtime, STEP_MILLISECONDS, () => this.step());
     if (patienceMilliseconds <= 0) {
@@ -122,7 +117,7 @@
     if (isFinding && (mirror.isFollowing || upMilliseconds < patienceMilliseconds)) {
       return;
     }
-    const rank = this.rank();
+    const rank = this.options.rank();
     const follows = decideFollowing({
       rank,
       isFollowing: mirror.isFollowing,
@@ -145,8 +140,4 @@
       mirror.rest();
     }
   }
-
-  private rank(): number {
-    return this.options.peers().filter((peer) => hashToNumber(peer) < this.hash).length;
-  }
 }
