--- a/src/peers/load-sums.ts
+++ b/src/peers/load-sums.ts
@@ -45,11 +45,13 @@
     if (known?.life === message.life && message.sequence <= known.sequence) {
       return false;
     }
+    // Put at the end: messages stay in the order in which they were heard.
+    this.told.delete(sender);
     this.told.set(sender, { message, heardAt });
     return true;
   }
 
-  /** Messages heard since a local time; older ones are dropped. */
+  /** Messages heard since a local time, the newest last; older ones are dropped. */
   since(time: number): LoadMessage[] {
     for (const [sender, { heardAt }] of this.told) {
       if (heardAt < time) {
--- /dev/null
+++ b/src/relay/own-answers.ts
@@ -0,0 +1,62 @@
+/**
+ * What the relay itself answers when no runner's answer goes out: the status, whether the request may
+ * have run, and when the client should come back. A refusal that says "not run" is given only where no
+ * try can have reached a runner.
+ */
+import type { OwnAnswer } from './client-answer.js';
+
+/** Pause told to clients when no runner had room. */
+const FULL_RETRY_SECONDS = 0.1;
+/** Pause told to clients whose program may not begin yet. */
+const OVERLOAD_RETRY_SECONDS = 0.15;
+/** Pause told to clients when what the request needs is out of reach. */
+const UNAVAILABLE_RETRY_SECONDS = 0.2;
+/** Pause told to clients when another gateway may reach what this one doesn't. */
+const ELSEWHERE_RETRY_SECONDS = 0.02;
+
+/** The program is new and the runners are full of programs under way. */
+export function overloaded(): OwnAnswer {
+  const detail = 'all places are taken, and programs under way go first';
+  return { status: 503, detail, verdict: 'NotRun', retryAfterSeconds: OVERLOAD_RETRY_SECONDS };
+}
+
+/** Enough replicas deny that there is the turn to go on from. */
+export function noSuchTurn(): OwnAnswer {
+  return { status: 404, detail: 'there is no such earlier turn', verdict: 'NotRun' };
+}
+
+/** What is left of the program's budget does not hold this turn. */
+export function budgetSpent(): OwnAnswer {
+  return { status: 402, detail: 'the token budget is spent', verdict: 'NotRun' };
+}
+
+/** What details say that are out of reach, by what is needed. */
+const OUT_OF_REACH = {
+  turns: 'the earlier turns are out of reach',
+  account: 'the token account is out of reach',
+} as const;
+
+/**
+ * Earlier turns or the token account are out of reach.
+ * @param replicasReachable whether enough replicas answer here; if not, another gateway may reach them
+ */
+export function outOfReach(what: keyof typeof OUT_OF_REACH, replicasReachable: boolean): OwnAnswer {
+  const retryAfterSeconds = replicasReachable ? UNAVAILABLE_RETRY_SECONDS : ELSEWHERE_RETRY_SECONDS;
+  return { status: 503, detail: OUT_OF_REACH[what], verdict: 'NotRun', retryAfterSeconds };
+}
+
+/** No runner can have begun it, and none may take it now. */
+export function notTaken(detail: string): OwnAnswer {
+  return { status: 503, detail, verdict: 'NotRun', retryAfterSeconds: FULL_RETRY_SECONDS };
+}
+
+/** A runner may have run it; its answer is lost. */
+export function answerLost(reason: string, timeIsOver: boolean): OwnAnswer {
+  const detail = `the runner's answer is lost: ${reason}`;
+  return { status: timeIsOver ? 504 : 502, detail, verdict: 'MayHaveRun' };
+}
+
+/** Its time is over while a runner may be running it. */
+export function noAnswerInTime(): OwnAnswer {
+  return { status: 504, detail: 'no answer in time', verdict: 'MayHaveRun' };
+}
--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -16,6 +16,15 @@
 import { engineSampleOf } from './engine-sample.js';
 import { headersToRunner } from './forwarded-headers.js';
 import { FIRST_SERVER_ERROR, judgeAnswer } from './judge-answer.js';
+import {
+  answerLost,
+  budgetSpent,
+  noAnswerInTime,
+  noSuchTurn,
+  notTaken,
+  outOfReach,
+  overloaded,
+} from './own-answers.js';
 import { PlainAnswer } from './plain-answer.js';
 import type { ServiceLoad } from './program-admission.js';
 import type { RelayContext } from './relay-context.js';
@@ -31,14 +40,6 @@
 
 /** Time beyond the route's own at which the relay stops waiting, so that runners end first. */
 const END_SLACK_MILLISECONDS = 30;
-/** Pause told to clients when no runner had room. */
-const FULL_RETRY_SECONDS = 0.1;
-/** Pause told to clients whose program may not begin yet. */
-const OVERLOAD_RETRY_SECONDS = 0.15;
-/** Pause told to clients when what the request needs is out of reach. */
-const UNAVAILABLE_RETRY_SECONDS = 0.2;
-/** Pause told to clients when another gateway may reach what this one doesn't. */
-const ELSEWHERE_RETRY_SECONDS = 0.02;
 const FIRST_REDIRECT = 300;
 
 /** What takes the answer of one try apart: whole bodies or streams. */
@@ -101,9 +102,7 @@
     if (this.isAdmitted()) {
       this.preparation.prepare((preparation) => this.takePreparation(preparation));
     } else {
-      const detail = 'all places are taken, and programs under way go first';
-      const retryAfterSeconds = OVERLOAD_RETRY_SECONDS;
-      this.refuse({ status: 503, detail, verdict: 'NotRun', retryAfterSeconds });
+      this.refuse(overloaded());
     }
   }
 
@@ -187,26 +186,16 @@
         this.tryNext();
         return;
       case 'NoSuchTurn':
-        this.refuse({ status: 404, detail: 'there is no such earlier turn', verdict: 'NotRun' });
+        this.refuse(noSuchTurn());
         return;
       case 'BudgetSpent':
-        this.refuse({ status: 402, detail: 'the token budget is spent', verdict: 'NotRun' });
+        this.refuse(budgetSpent());
         return;
       case 'OutOfReach':
-        this.refuseUnavailable(
-          preparation.what === 'turns'
-            ? 'the earlier turns are out of reach'
-            : 'the token account is out of reach',
-        );
+        this.refuse(outOfReach(preparation.what, this.context.turns.isReachable));
     }
   }
 
-  private refuseUnavailable(detail: string): void {
-    const { isReachable } = this.context.turns;
-    const retryAfterSeconds = isReachable ? UNAVAILABLE_RETRY_SECONDS : ELSEWHERE_RETRY_SECONDS;
-    this.refuse({ status: 503, detail, verdict: 'NotRun', retryAfterSeconds });
-  }
-
   private get history(): TryHistory {
     return {
       mayRepeat: mayRepeat(this.request.route),
@@ -374,14 +363,8 @@
   }
 
   private giveUp(reason: string): void {
-    if (this.mayHaveRun) {
-      const detail = `the runner's answer is lost: ${reason}`;
-      const timedOut = this.remainingMilliseconds <= 0;
-      this.refuse({ status: timedOut ? 504 : 502, detail, verdict: 'MayHaveRun' });
-      return;
-    }
-    const retryAfterSeconds = FULL_RETRY_SECONDS;
-    this.refuse({ status: 503, detail: reason, verdict: 'NotRun', retryAfterSeconds });
+    const timeIsOver = this.remainingMilliseconds <= 0;
+    this.refuse(this.mayHaveRun ? answerLost(reason, timeIsOver) : notTaken(reason));
   }
 
   private timeOut(): void {
@@ -389,7 +372,7 @@
       return;
     }
     if (this.current?.attempt.wasSent() === true || this.mayHaveRun) {
-      this.refuse({ status: 504, detail: 'no answer in time', verdict: 'MayHaveRun' });
+      this.refuse(noAnswerInTime());
       return;
     }
     this.giveUp('its time is over');
