--- a/src/peers/load-gossip.ts
+++ b/src/peers/load-gossip.ts
@@ -99,6 +99,7 @@
   private readonly otherPlaces: PlaceRelay;
   private sequence = 0;
   private period = 0;
+  private announcing = false;
   /** Own requests of the last periods, the newest last. */
   private ownHistory: RunnerLoad[][] = [];
   /** Requests of all other gateways by the hash of their runner. */
@@ -186,7 +187,8 @@
 
   /** Announces the sums if that falls to this gateway, and takes what is told of all load. */
   private sumUpZone(own: LoadMessage): void {
-    if (!this.announces()) {
+    this.noteAnnouncing(this.announces());
+    if (!this.announcing) {
       const sum = this.newestSum();
       this.totals =
         sum === undefined
@@ -204,6 +206,20 @@
     this.send(ofAll, this.reporters());
   }
 
+  private noteAnnouncing(announcing: boolean): void {
+    if (announcing === this.announcing) {
+      return;
+    }
+    this.announcing = announcing;
+    const { log } = this.options.runtime;
+    log('info', announcing ? 'tells its zone the sums' : 'leaves the sums to another', {
+      event: announcing ? 'sums.announced' : 'sums.left',
+      rank: this.table.rank(),
+      reporters: this.reporters().length,
+      gateways: this.peerCount + 1,
+    });
+  }
+
   /** Adds what others told to what is told already. */
   private sumMessage(
     scope: LoadScope,
--- a/src/turns/membership-keeper.ts
+++ b/src/turns/membership-keeper.ts
@@ -128,8 +128,10 @@
     const { wantedMembers, runtime } = this.options;
     if (record === undefined || record.members.length >= wantedMembers) {
       this.vacantSince = undefined;
-    } else {
-      this.vacantSince ??= runtime.now();
+    } else if (this.vacantSince === undefined) {
+      this.vacantSince = runtime.now();
+      const fields = { epoch: record.epoch, members: record.members.length, wantedMembers };
+      runtime.log('info', 'a member is wanted', { event: 'members.vacant', ...fields });
     }
   }
 
