Engines' lists are asked for one after another and told to peers; places are relayed a number of times

Cause (read in the code): when all gateways start at once none knows of others yet, so that each of 171 asked each of 41 engines for its list within 150 ms; a list holds up the engine's work. What was read was told to nobody. Change: one question each 12 ms in an order of its own; what was read is told to peers, and with many gateways an engine of which peers told enough is not asked. Relayed places are told twice each, the newest first, 80 a message, in place of all of the last 300 ms.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -5,6 +5,15 @@
     And 400 milliseconds pass after the start
     Then 800 tokens of the prompt "a:500,b:900" are known to be at "e1"
     And only "e1" was asked
+    And its peers are told what "e1" keeps
+
+  Scenario: All gateways start together and know of no others yet: they hear from one another in time
+    Given a gateway that has just started beside 0 others
+    When 41 engines are seen
+    And 100 milliseconds pass after the start
+    And 30 peers are heard, and each engine is told to keep 20 parts
+    And 400 milliseconds pass after the start
+    Then at most 8 engines were asked
 
   Scenario: An engine that is seen later begins empty and is not asked
     Given a gateway that has just started beside 3 others
--- a/features/steps/memory.steps.ts
+++ b/features/steps/memory.steps.ts
@@ -9,6 +9,7 @@
 import { parsePromptParts, promptKeyOf } from '../../src/relay/relay-request.js';
 import { RunnerBook } from '../../src/relay/runner-book.js';
 import type { Runner } from '../../src/relay/runner.js';
+import { hashToNumber } from '../../src/runtime/hashing.js';
 import { createRandom } from '../../src/runtime/random.js';
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
 import { VirtualClock } from '../../src/simulation/virtual-clock.js';
@@ -20,6 +21,8 @@
   book: RunnerBook;
   keptBy: Map<string, readonly KeptPart[]>;
   asked: string[];
+  peerCount: number;
+  told?: Map<number, readonly KeptPart[]>;
 }
 
 function runnerOf(id: string, service: string): Runner {
@@ -32,6 +35,7 @@
   this.book = new RunnerBook(runtime);
   this.keptBy = new Map();
   this.asked = [];
+  this.peerCount = peers;
   const memory = new KeptMemory({
     runtime,
     book: this.book,
@@ -40,7 +44,8 @@
       runtime.setTimer(ANSWER_MILLISECONDS, () => done(E.right(this.keptBy.get(runner.id) ?? [])));
     },
     keepsPrompts: (service) => service === 'engines',
-    peerCount: () => peers,
+    peerCount: () => this.peerCount,
+    tell: (runnerHash, parts) => (this.told ??= new Map()).set(runnerHash, parts),
   });
   this.book.onSeen = (runner) => memory.runnerSeen(runner);
 });
@@ -72,6 +77,26 @@
   },
 );
 
+When(
+  '{int} peers are heard, and each engine is told to keep {int} parts',
+  function (this: World, peers: number, parts: number) {
+    this.peerCount = peers;
+    for (const { hash } of this.book.candidates('engines', [], new Set())) {
+      for (let part = 0; part < parts; part += 1) {
+        this.book.learnPlace(hash, promptKeyOf(`part ${part}`), 100);
+      }
+    }
+  },
+);
+
+Then('its peers are told what {string} keeps', function (this: World, runner: string) {
+  assert.deepEqual(this.told!.get(hashToNumber(runner)), this.keptBy.get(runner));
+});
+
+Then('at most {int} engines were asked', function (this: World, most: number) {
+  assert.ok(this.asked.length <= most, `${this.asked.length} were asked`);
+});
+
 Then('only {string} was asked', function (this: World, runner: string) {
   assert.deepEqual(this.asked, [runner]);
 });
--- a/src/peers/load-gossip.ts
+++ b/src/peers/load-gossip.ts
@@ -234,7 +234,7 @@
       sequence: this.sequence,
       gateways: parts.reduce((sum, part) => sum + part.gateways, base.gateways),
       loads: loadList(sumLoads([base.loads, ...parts.map(({ loads }) => loads)])),
-      places: [...base.places, ...places.within(PLACE_REPEATS * PERIOD_MILLISECONDS)],
+      places: [...base.places, ...places.take()],
       reachesReplicas: base.reachesReplicas || parts.some((part) => part.reachesReplicas),
     };
   }
--- a/src/peers/recent-places.ts
+++ b/src/peers/recent-places.ts
@@ -41,37 +41,54 @@
 }
 
 /** Most places relayed in one message: bounds the bytes whatever the number of gateways. */
-const MAXIMUM_RELAYED = 160;
+const MAXIMUM_RELAYED = 80;
+/** Times that each is relayed, since datagrams are lost now and then. */
+const RELAY_REPEATS = 2;
+/** Time for which a place that was relayed is not taken again: its own gateway repeats it. */
+const REMEMBERED_MILLISECONDS = 1_000;
+/** Most places that wait to be relayed; the oldest are dropped. */
+const MAXIMUM_WAITING = 2_048;
 
-/** Places that other gateways have told lately, to be told on, each for the same time. */
+interface RelayedPlace extends NotedPlace {
+  told: number;
+}
+
+/** Places that other gateways have told lately, to be told on a few times, the newest first. */
 export class PlaceRelay {
-  private readonly noted = new Map<string, NotedPlace>();
+  private readonly noted = new Map<string, RelayedPlace>();
 
   constructor(private readonly runtime: Runtime) {}
 
-  /** Notes places; one that was told before is not told on for longer. */
+  /** Notes places; one that was relayed lately is not relayed again. */
   note(places: readonly PromptPlace[]): void {
     const notedAt = this.runtime.now();
     for (const place of places) {
       const name = `${place.runnerHash} ${place.part}`;
       if (this.noted.get(name)?.tokens !== place.tokens) {
         this.noted.delete(name);
-        this.noted.set(name, { ...place, notedAt });
+        this.noted.set(name, { ...place, notedAt, told: 0 });
       }
     }
   }
 
-  /** Places first noted within the last milliseconds; those twice as old are dropped. */
-  within(milliseconds: number): readonly PromptPlace[] {
-    const now = this.runtime.now();
-    const lately: PromptPlace[] = [];
-    for (const [name, { notedAt, ...place }] of this.noted) {
-      if (now - notedAt <= milliseconds) {
-        lately.push(place);
-      } else if (now - notedAt > 2 * milliseconds) {
+  /** Places for the next message. */
+  take(): readonly PromptPlace[] {
+    this.forget();
+    const waiting = [...this.noted.values()].filter(({ told }) => told < RELAY_REPEATS);
+    const taken = waiting.slice(-MAXIMUM_RELAYED);
+    return taken.map((place) => {
+      place.told += 1;
+      const { runnerHash, part, tokens } = place;
+      return { runnerHash, part, tokens };
+    });
+  }
+
+  private forget(): void {
+    const since = this.runtime.now() - REMEMBERED_MILLISECONDS;
+    for (const [name, { told, notedAt }] of this.noted) {
+      if (this.noted.size > MAXIMUM_WAITING || (told >= RELAY_REPEATS && notedAt < since)) {
         this.noted.delete(name);
       }
     }
-    return lately.slice(-MAXIMUM_RELAYED);
   }
 }
--- a/src/relay/prompt-places.ts
+++ b/src/relay/prompt-places.ts
@@ -13,6 +13,11 @@
   /** @param capacityTokens tokens that the runner has memory for, as far as that is known by now */
   constructor(private readonly capacityTokens: () => number) {}
 
+  /** Parts that are believed to be kept. */
+  get partCount(): number {
+    return this.tokensByPart.size;
+  }
+
   /** Tokens of the leading parts that are kept; a part counts only if all before it are kept whole. */
   leadingTokens(parts: readonly PromptPart[]): number {
     let tokens = 0;
--- a/src/relay/runner-book.ts
+++ b/src/relay/runner-book.ts
@@ -175,6 +175,11 @@
     this.byHash.get(runnerHash)?.places.learn(key, tokens);
   }
 
+  /** Number of parts of prompts that a runner is believed to keep. */
+  partsKeptAt(runnerHash: number): number {
+    return this.byHash.get(runnerHash)?.places.partCount ?? 0;
+  }
+
   /** Notes that a runner could not be reached or spoilt an answer. */
   distrust(record: RunnerRecord, reason: string): void {
     record.failures += 1;
