--- a/features/logs.feature
+++ b/features/logs.feature
@@ -30,5 +30,14 @@
     When the reader reads again
     Then it is told how many lines were dropped
 
+  Scenario: Lines that come within a moment go out in one write
+    Given a writer that gathers lines
+    When 50 lines are written
+    Then nothing is written yet
+    When the moment is over
+    Then all 50 lines went out in one write
+    When 3 lines are written
+    Then 3 lines are handed over when the process ends
+
   Scenario: Every event and metric of the code is documented, and no other
     Then the events and metrics named in the code are those of its reference page
--- a/features/steps/logs.steps.ts
+++ b/features/steps/logs.steps.ts
@@ -97,6 +97,35 @@
   }
 });
 
+Given('a writer that gathers lines', function (this: World) {
+  this.written = [];
+  this.pending = [];
+  this.writer = new BoundedWriter(
+    (bytes, done) => {
+      this.written!.push(bytes.toString());
+      done(null, bytes.length);
+    },
+    (writeNow) => this.pending!.push(writeNow),
+  );
+});
+
+Then('nothing is written yet', function (this: World) {
+  assert.deepEqual(this.written, []);
+});
+
+When('the moment is over', function (this: World) {
+  this.pending!.splice(0).forEach((writeNow) => writeNow());
+});
+
+Then('all {int} lines went out in one write', function (this: World, count: number) {
+  assert.equal(this.written!.length, 1);
+  assert.equal(this.written![0]!.trim().split('\n').length, count);
+});
+
+Then('{int} lines are handed over when the process ends', function (this: World, count: number) {
+  assert.equal(this.writer!.takeWaiting().toString().trim().split('\n').length, count);
+});
+
 Then('the bytes that wait are bounded and the dropped lines are counted', function (this: World) {
   const most = Math.ceil(MAXIMUM_WAITING_BYTES / 90);
   assert.ok(this.writer!.droppedLines >= 100_000 - most);
--- a/src/peers/load-gossip.ts
+++ b/src/peers/load-gossip.ts
@@ -212,12 +212,16 @@
     }
     this.announcing = announcing;
     const { log } = this.options.runtime;
-    log('info', announcing ? 'tells its zone the sums' : 'leaves the sums to another', {
-      event: announcing ? 'sums.announced' : 'sums.left',
+    const inputs = {
       rank: this.table.rank(),
       reporters: this.reporters().length,
       gateways: this.peerCount + 1,
-    });
+    };
+    if (announcing) {
+      log('info', 'tells its zone the sums', { event: 'sums.announced', ...inputs });
+    } else {
+      log('info', 'leaves the sums to another', { event: 'sums.left', ...inputs });
+    }
   }
 
   /** Adds what others told to what is told already. */
--- a/src/peers/store-followers.ts
+++ b/src/peers/store-followers.ts
@@ -129,14 +129,12 @@
       return;
     }
     this.changedAt = now;
-    runtime.log('info', follows ? 'follows the store' : 'takes changes from peers', {
-      event: follows ? 'store.follow' : 'store.rest',
-      rank,
-      silence: Math.round(this.silenceMilliseconds),
-    });
+    const inputs = { rank, silence: Math.round(this.silenceMilliseconds) };
     if (follows) {
+      runtime.log('info', 'follows the store', { event: 'store.follow', ...inputs });
       mirror.follow();
     } else {
+      runtime.log('info', 'takes changes from peers', { event: 'store.rest', ...inputs });
       mirror.rest();
     }
   }
--- a/src/runtime/real-runtime.ts
+++ b/src/runtime/real-runtime.ts
@@ -1,6 +1,7 @@
 /** The real surroundings of a process: the machine's clocks, timers and standard output. */
 import './enable-roarr.js';
 import { randomInt } from 'node:crypto';
+import { writeSync } from 'node:fs';
 import { performance } from 'node:perf_hooks';
 import { ROARR, Roarr, logLevels } from 'roarr';
 import { BoundedWriter, writeTo } from '../telemetry/bounded-writer.js';
@@ -20,9 +21,33 @@
 const STANDARD_OUTPUT = 1;
 const LARGEST_SEED = 2 ** 31;
 
+/** Time for which log lines are gathered for one write, in milliseconds. */
+const GATHER_MILLISECONDS = 100;
+
+/** Writes the last lines before the process ends. */
+function writeLast(bytes: Buffer): void {
+  try {
+    writeSync(STANDARD_OUTPUT, bytes);
+  } catch {
+    // Nobody reads, and there is no later moment in which to say so.
+  }
+}
+
+function openStandardOutput(): BoundedWriter {
+  const writer = new BoundedWriter(writeTo(STANDARD_OUTPUT), (writeNow) => {
+    setTimeout(writeNow, GATHER_MILLISECONDS).unref();
+  });
+  process.on('exit', () => writeLast(writer.takeWaiting()));
+  return writer;
+}
+
+/** One for all logs of the process. */
+let standardOutput: BoundedWriter | undefined;
+
 /** A logger that writes JSON lines by `roarr`. */
 export function createLog(fields: LogFields, least: LogLevel): LogFunction {
-  const writer = new BoundedWriter(writeTo(STANDARD_OUTPUT));
+  standardOutput ??= openStandardOutput();
+  const writer = standardOutput;
   ROARR.write = (line: string): void => writer.push(line);
   const logger = Roarr.child({ application: 'ivyloom', ...fields });
   return (level, message, extra = {}) => {
--- a/src/telemetry/bounded-writer.ts
+++ b/src/telemetry/bounded-writer.ts
@@ -1,6 +1,7 @@
 /**
  * Writes lines to a file descriptor without ever blocking the process: lines wait in a bounded
- * queue, those beyond it are dropped and counted, and the count is told in a line of its own.
+ * queue, those beyond it are dropped and counted, and the count is told in a line of its own. Lines that
+ * come within a moment go out in one write, since each write wakes a thread of its own.
  */
 import { write } from 'node:fs';
 
@@ -14,6 +15,11 @@
   done: (error: Error | null, written: number) => void,
 ) => void;
 
+/** Calls back after a moment in which more lines may come. */
+export type GatherFunction = (write: () => void) => void;
+
+const AT_ONCE: GatherFunction = (writeNow) => writeNow();
+
 /** Writes to a file descriptor by a thread, so that a full pipe blocks no caller. */
 export function writeTo(descriptor: number): WriteFunction {
   return (bytes, done) => write(descriptor, bytes, 0, bytes.length, null, done);
@@ -24,11 +30,15 @@
   private waiting: Buffer[] = [];
   private waitingBytes = 0;
   private writing = false;
+  private gathering = false;
   private untoldDrops = 0;
   /** Lines dropped so far. */
   droppedLines = 0;
 
-  constructor(private readonly writeBytes: WriteFunction) {}
+  constructor(
+    private readonly writeBytes: WriteFunction,
+    private readonly gather: GatherFunction = AT_ONCE,
+  ) {}
 
   /** Takes one line without its line feed. */
   push(line: string): void {
@@ -40,7 +50,23 @@
     }
     this.waiting.push(bytes);
     this.waitingBytes += bytes.length;
-    this.writeNext();
+    if (this.waitingBytes >= LARGEST_WRITE_BYTES) {
+      this.writeNext();
+    } else if (!this.gathering) {
+      this.gathering = true;
+      this.gather(() => {
+        this.gathering = false;
+        this.writeNext();
+      });
+    }
+  }
+
+  /** Hands over the lines that wait and were not begun to be written: for the end of the process. */
+  takeWaiting(): Buffer {
+    const rest = Buffer.concat(this.waiting);
+    this.waiting = [];
+    this.waitingBytes -= rest.length;
+    return rest;
   }
 
   private writeNext(): void {
