Ask the store itself when peers know a change and can not bring it

Cause (read in the code): a gateway that leaves the store to others and whose fetches fail would have heard of a change by its cheap list only, some 12 s later. Change: after 1.2 s behind what peers know it follows the store.

--- a/features/followers.feature
+++ b/features/followers.feature
@@ -34,6 +34,13 @@
     When the store refuses all that follow it and a key of the store is changed
     Then within 2500 milliseconds all that run know the change
 
+  Scenario: When peers know a change and can not bring it, the store is asked itself
+    Given 40 gateways that tell one another what they know of the store
+    Then after 12000 milliseconds between 12 and 20 of them follow the store
+    When no gateway answers fetches any more
+    And a key of the store is changed
+    Then within 2200 milliseconds all that run know the change
+
   Scenario: A gateway that is told a revision that never was does not ask without end
     Given 3 gateways that tell one another what they know of the store
     When one of them says for 5000 milliseconds that it knows revision 900000
--- a/features/steps/followers.steps.ts
+++ b/features/steps/followers.steps.ts
@@ -50,6 +50,8 @@
   value: string;
   view?: { rank: number; isFollowing: boolean; sinceChangeMilliseconds: number };
   follows?: boolean;
+  /** While true, no gateway answers another's fetch. */
+  fetchesFail: boolean;
   /** Revision that a lying gateway tells. */
   lie: { readonly host: string; readonly revision: number } | undefined;
 }
@@ -81,7 +83,7 @@
 
 function fetchFrom(world: World, own: KeySpaceMirror, host: string, done: () => void): void {
   const peer = world.gateways.find((gateway) => gateway.host === host);
-  if (peer === undefined || !peer.process.isAlive) {
+  if (peer === undefined || !peer.process.isAlive || world.fetchesFail) {
     world.clock.schedule(600, done);
     return;
   }
@@ -141,6 +143,7 @@
   const followers = new StoreFollowers({
     runtime,
     rank: () => gossip.rank,
+    behindMilliseconds: () => catchUp.behindMilliseconds,
     mirror,
     patienceMilliseconds: isSeed ? 0 : FIRST_PATIENCE_MILLISECONDS * (1 + world.random.uniform()),
   });
@@ -173,7 +176,8 @@
   'no other gateway is known to have heard from the store for {int} milliseconds',
   function (this: World, silenceMilliseconds: number) {
     const view = { ...this.view!, silenceMilliseconds };
-    this.follows = decideFollowing({ ...view, patienceMilliseconds: PATIENCE_MILLISECONDS });
+    const patienceMilliseconds = PATIENCE_MILLISECONDS;
+    this.follows = decideFollowing({ ...view, patienceMilliseconds, behindMilliseconds: 0 });
   },
 );
 
@@ -189,6 +193,7 @@
     this.gateways = [];
     this.listeners = new Map();
     this.value = 'first';
+    this.fetchesFail = false;
     for (let index = 0; index < count; index += 1) {
       addGateway(this, index);
     }
@@ -209,6 +214,10 @@
   changeKey(this);
 });
 
+When('no gateway answers fetches any more', function (this: World) {
+  this.fetchesFail = true;
+});
+
 When('all that follow the store die and a key of the store is changed', function (this: World) {
   for (const { process, gossip } of followersOf(this)) {
     gossip.close();
--- a/src/peers/store-catch-up.ts
+++ b/src/peers/store-catch-up.ts
@@ -34,12 +34,33 @@
   private fetching = false;
   /** Whether the last fetch brought nothing: the next asks just who told of the change. */
   private wasFruitless = false;
+  /** Newest revision that a peer told. */
+  private toldRevision = 0;
+  /** Local time since which a peer has known more, in milliseconds; undefined while none does. */
+  private behindSince: number | undefined;
 
   constructor(private readonly options: StoreCatchUpOptions) {}
 
+  /** Time for which peers have known more than came here, in milliseconds. */
+  get behindMilliseconds(): number {
+    const { mirror, runtime } = this.options;
+    if (mirror.hearsStore) {
+      // The store's own word goes before that of peers.
+      this.toldRevision = mirror.completeRevision;
+    }
+    if (mirror.completeRevision >= this.toldRevision) {
+      this.behindSince = undefined;
+    }
+    return this.behindSince === undefined ? 0 : runtime.now() - this.behindSince;
+  }
+
   /** Heeds what a peer told. */
   heed({ from, revision }: StoreNews): void {
     const { mirror } = this.options;
+    if (revision > mirror.completeRevision) {
+      this.toldRevision = Math.max(this.toldRevision, revision);
+      this.behindSince ??= this.options.runtime.now();
+    }
     if (mirror.hearsStore) {
       mirror.heedRevision(revision);
     } else if (revision > mirror.completeRevision && !this.fetching) {
--- a/src/peers/store-followers.ts
+++ b/src/peers/store-followers.ts
@@ -22,6 +22,8 @@
   /** Gateways of this zone that come before this one. */
   readonly rank: () => number;
   readonly mirror: FollowableMirror;
+  /** Time for which peers have known more of the store than came here, in milliseconds. */
+  readonly behindMilliseconds: () => number;
   /** Time after the start in which others may follow the store first, in milliseconds. */
   readonly patienceMilliseconds: number;
 }
@@ -37,6 +39,8 @@
   readonly silenceMilliseconds: number;
   /** Silence that is borne, in milliseconds. */
   readonly patienceMilliseconds: number;
+  /** Time for which peers have known more than came here, in milliseconds. */
+  readonly behindMilliseconds: number;
 }
 
 /** Gateways of each zone that follow the store: a third may be refused by it, and some be dead. */
@@ -51,6 +55,8 @@
 const LEAST_SILENCE_MILLISECONDS = 900;
 /** Drawn on top, so that not all take the place of followers at once. */
 const DRAWN_SILENCE_MILLISECONDS = 600;
+/** Time for which a change that peers know may not come from them before the store is asked itself. */
+const LONGEST_BEHIND_MILLISECONDS = 1_200;
 const STEP_MILLISECONDS = 200;
 
 /** Whether to follow the store; plain data in. */
@@ -61,7 +67,8 @@
     const isAlone = silenceMilliseconds > LEAST_SILENCE_MILLISECONDS;
     return isNeeded || isAlone || sinceChangeMilliseconds < LEAST_FOLLOWING_MILLISECONDS;
   }
-  return rank < FOLLOWERS_OF_ZONE || silenceMilliseconds > view.patienceMilliseconds;
+  const isBehind = view.behindMilliseconds > LONGEST_BEHIND_MILLISECONDS;
+  return rank < FOLLOWERS_OF_ZONE || silenceMilliseconds > view.patienceMilliseconds || isBehind;
 }
 
 /** See the head of this file. */
@@ -124,12 +131,14 @@
       sinceChangeMilliseconds: now - this.changedAt,
       silenceMilliseconds: this.silenceMilliseconds,
       patienceMilliseconds: LEAST_SILENCE_MILLISECONDS + this.drawnMilliseconds,
+      behindMilliseconds: this.options.behindMilliseconds(),
     });
     if (follows === mirror.isFollowing) {
       return;
     }
     this.changedAt = now;
-    const inputs = { rank, silence: Math.round(this.silenceMilliseconds) };
+    const behind = Math.round(this.options.behindMilliseconds());
+    const inputs = { rank, behind, silence: Math.round(this.silenceMilliseconds) };
     if (follows) {
       runtime.log('info', 'follows the store', { event: 'store.follow', ...inputs });
       mirror.follow();
