--- a/src/peers/load-gossip.ts
+++ b/src/peers/load-gossip.ts
@@ -10,38 +10,25 @@
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import { setRepeatingTimer } from '../runtime/runtime.js';
 import type { DatagramPort } from './datagram-port.js';
-import {
-  decodeLoadMessage,
-  encodeLoadMessage,
-  LARGEST_STORE_AGE_MILLISECONDS,
-} from './load-message.js';
+import { decodeLoadMessage, encodeLoadMessage } from './load-message.js';
 import type { LoadMessage, LoadScope, RunnerLoad } from './load-message.js';
-import { loadList, sumLoads, ToldLoads } from './load-sums.js';
+import { sumLoads, ToldLoads } from './load-sums.js';
+import { MessageWriter, NAMED_MILLISECONDS } from './message-writer.js';
+import type { OwnNews } from './message-writer.js';
 import { PeerTable } from './peer-table.js';
-import type { NamedPeer } from './peer-table.js';
 import { PlaceRelay } from './recent-places.js';
 import type { PromptPlace } from './recent-places.js';
 
 /** What the gossip is made with. */
-export interface LoadGossipOptions {
+export interface LoadGossipOptions extends OwnNews {
   readonly runtime: Runtime;
   readonly host: string;
   readonly zone: string;
   readonly datagrams: DatagramPort;
   /** Hosts to begin with. */
   readonly seeds: () => readonly string[];
-  /** Requests of this gateway by runner. */
-  readonly ownLoads: () => ReadonlyMap<string, number>;
-  /** Revision of the store up to which nothing is missing here. */
-  readonly ownRevision: () => number;
-  /** Time since a gateway known here heard from the store, in milliseconds. */
-  readonly storeAgeMilliseconds: () => number;
   /** A peer told what it knows of the store. */
   readonly onStoreNews: (news: StoreNews) => void;
-  /** Whether this gateway reaches a majority of the replicas. */
-  readonly reachesReplicas: () => boolean;
-  /** What this gateway's requests have put into runners' memory within the last milliseconds. */
-  readonly ownPlaces: (milliseconds: number) => readonly PromptPlace[];
   /** A peer told what runners have begun to keep. */
   readonly onPlaces: (places: readonly PromptPlace[]) => void;
 }
@@ -75,13 +62,8 @@
 const STAND_IN_MILLISECONDS = 300;
 /** Times that each place is told to the same gateway, since datagrams are lost now and then. */
 const PLACE_REPEATS = 3;
-/** Peers named in a message. */
-const NAMED_PEERS = 4;
-/** Time within which a peer was heard that is named to others, in milliseconds. */
-const NAMED_MILLISECONDS = 1_000;
 /** Periods until this gateway's own requests come back to it in a sum of all. */
 const ECHO_PERIODS = 2;
-const LARGEST_LIFE = 2 ** 31;
 
 /** See the head of this file. */
 export class LoadGossip {
@@ -94,10 +76,9 @@
   };
   private readonly zoneHash: number;
   private readonly cancelTimer: CancelTimer;
-  private readonly life: number;
+  private readonly writer: MessageWriter;
   private readonly zonePlaces: PlaceRelay;
   private readonly otherPlaces: PlaceRelay;
-  private sequence = 0;
   private period = 0;
   private announcing = false;
   /** Own requests of the last periods, the newest last. */
@@ -107,9 +88,9 @@
 
   constructor(private readonly options: LoadGossipOptions) {
     const { runtime, host, zone, datagrams } = options;
-    this.life = runtime.random.integer(0, LARGEST_LIFE);
     this.zoneHash = hashToNumber(zone);
     this.table = new PeerTable({ runtime, host, zoneHash: this.zoneHash });
+    this.writer = new MessageWriter(options, this.table, this.zoneHash);
     this.zonePlaces = new PlaceRelay(runtime);
     this.otherPlaces = new PlaceRelay(runtime);
     datagrams.onDatagram((bytes, from) => this.take(bytes, from));
@@ -166,7 +147,7 @@
   private tell(): void {
     this.table.forgetSilent();
     this.period += 1;
-    const own = this.ownMessage();
+    const own = this.writer.own(PLACE_REPEATS * this.messageMilliseconds);
     this.ownHistory = [...this.ownHistory, [...own.loads]].slice(-1 - ECHO_PERIODS);
     if (this.usesSums) {
       this.reportTo(own);
@@ -200,9 +181,9 @@
     const zones = this.otherZones();
     const zoneOthers = reports.map(({ loads }) => loads);
     this.totals = sumLoads([...zoneOthers, ...zones.map(({ loads }) => loads)]);
-    const ofZone = this.sumMessage('zone', own, reports, this.zonePlaces);
+    const ofZone = this.writer.sum('zone', own, reports, this.zonePlaces.take());
     this.send(ofZone, this.firstOfOtherZones());
-    const ofAll = this.sumMessage('all', ofZone, zones, this.otherPlaces);
+    const ofAll = this.writer.sum('all', ofZone, zones, this.otherPlaces.take());
     this.send(ofAll, this.reporters());
   }
 
@@ -224,62 +205,6 @@
     }
   }
 
-  /** Adds what others told to what is told already. */
-  private sumMessage(
-    scope: LoadScope,
-    base: LoadMessage,
-    parts: readonly LoadMessage[],
-    places: PlaceRelay,
-  ): LoadMessage {
-    this.sequence += 1;
-    return {
-      ...base,
-      scope,
-      sequence: this.sequence,
-      gateways: parts.reduce((sum, part) => sum + part.gateways, base.gateways),
-      loads: loadList(sumLoads([base.loads, ...parts.map(({ loads }) => loads)])),
-      places: [...base.places, ...places.take()],
-      reachesReplicas: base.reachesReplicas || parts.some((part) => part.reachesReplicas),
-    };
-  }
-
-  private ownMessage(): LoadMessage {
-    const { ownRevision, storeAgeMilliseconds, reachesReplicas, ownPlaces } = this.options;
-    this.sequence += 1;
-    return {
-      sequence: this.sequence,
-      life: this.life,
-      scope: 'gateway',
-      zoneHash: this.zoneHash,
-      gateways: 1,
-      loads: this.hashedLoads(),
-      peers: this.namedPeers(),
-      revision: ownRevision(),
-      places: ownPlaces(PLACE_REPEATS * this.messageMilliseconds),
-      reachesReplicas: reachesReplicas(),
-      storeAgeMilliseconds: Math.min(
-        LARGEST_STORE_AGE_MILLISECONDS,
-        Math.round(storeAgeMilliseconds()),
-      ),
-    };
-  }
-
-  /** The first of the own zone among those heard lately, so that all agree on who they are. */
-  private namedPeers(): NamedPeer[] {
-    const heard = this.table.heardWithin(NAMED_MILLISECONDS);
-    const near = heard.filter((peer) => peer.zoneHash === this.zoneHash);
-    const first = near.sort((left, right) => left.hash - right.hash).slice(0, NAMED_PEERS - 1);
-    const any = heard.length > 0 ? [this.options.runtime.random.pick(heard)] : [];
-    return [...new Set([...first, ...any])].map(({ host, zoneHash }) => ({ host, zoneHash }));
-  }
-
-  private hashedLoads(): RunnerLoad[] {
-    return [...this.options.ownLoads()].map(([runner, inFlight]) => ({
-      runnerHash: hashToNumber(runner),
-      inFlight,
-    }));
-  }
-
   private randomHosts(count: number): Set<string> {
     const { random } = this.options.runtime;
     const known = this.table.hosts();
@@ -333,18 +258,7 @@
 
   /** Names to a gateway who comes first in its zone: it greets, or does not know whom to report to. */
   private answer(host: string, zoneHash: number): void {
-    const first = this.table.aliveIn(zoneHash).slice(0, NAMED_PEERS);
-    const peers = first.filter((peer) => peer.host !== host);
-    const own = this.ownMessage();
-    const answer: LoadMessage = {
-      ...own,
-      scope: 'answer',
-      gateways: 0,
-      loads: [],
-      places: [],
-      peers,
-    };
-    this.send(answer, [host]);
+    this.send(this.writer.answer(host, zoneHash), [host]);
   }
 
   /** Whether this gateway tells its zone the sums: it comes first, or stands in for who does. */
--- a/src/peers/load-sums.ts
+++ b/src/peers/load-sums.ts
@@ -35,6 +35,9 @@
 /** Largest number of requests that a message tells of one runner. */
 const LARGEST_LOAD = 0xffff;
 
+/** Time after which a message is of no use to anybody, in milliseconds. */
+const FORGET_MILLISECONDS = 10_000;
+
 /** The newest message of each sender, dropped when it has been silent for too long. */
 export class ToldLoads {
   private readonly told = new Map<string, ToldLoad>();
@@ -48,16 +51,23 @@
     // Put at the end: messages stay in the order in which they were heard.
     this.told.delete(sender);
     this.told.set(sender, { message, heardAt });
+    this.forgetBefore(heardAt - FORGET_MILLISECONDS);
     return true;
   }
 
-  /** Messages heard since a local time, the newest last; older ones are dropped. */
+  /** Messages heard since a local time, the newest last. */
   since(time: number): LoadMessage[] {
+    return [...this.told.values()].flatMap(({ message, heardAt }) =>
+      heardAt >= time ? [message] : [],
+    );
+  }
+
+  private forgetBefore(time: number): void {
     for (const [sender, { heardAt }] of this.told) {
-      if (heardAt < time) {
-        this.told.delete(sender);
+      if (heardAt >= time) {
+        return;
       }
+      this.told.delete(sender);
     }
-    return [...this.told.values()].map(({ message }) => message);
   }
 }
--- /dev/null
+++ b/src/peers/message-writer.ts
@@ -0,0 +1,115 @@
+/** Puts together what this gateway tells others of its load, of sums of loads, and of the store. */
+import { hashToNumber } from '../runtime/hashing.js';
+import type { Runtime } from '../runtime/runtime.js';
+import { LARGEST_STORE_AGE_MILLISECONDS } from './load-message.js';
+import type { LoadMessage, LoadScope, RunnerLoad } from './load-message.js';
+import { loadList, sumLoads } from './load-sums.js';
+import type { NamedPeer, PeerTable } from './peer-table.js';
+import type { PromptPlace } from './recent-places.js';
+
+/** What this gateway has to tell of itself. */
+export interface OwnNews {
+  readonly runtime: Runtime;
+  /** Requests of this gateway by runner. */
+  readonly ownLoads: () => ReadonlyMap<string, number>;
+  /** Revision of the store up to which nothing is missing here. */
+  readonly ownRevision: () => number;
+  /** Time since a gateway known here heard from the store, in milliseconds. */
+  readonly storeAgeMilliseconds: () => number;
+  /** Whether this gateway reaches a majority of the replicas. */
+  readonly reachesReplicas: () => boolean;
+  /** What this gateway's requests have put into runners' memory within the last milliseconds. */
+  readonly ownPlaces: (milliseconds: number) => readonly PromptPlace[];
+}
+
+/** Time within which a peer was heard that is named to others, in milliseconds. */
+export const NAMED_MILLISECONDS = 1_000;
+/** Peers named in a message. */
+const NAMED_PEERS = 4;
+const LARGEST_LIFE = 2 ** 31;
+
+/** See the head of this file. */
+export class MessageWriter {
+  private readonly life: number;
+  private sequence = 0;
+
+  constructor(
+    private readonly news: OwnNews,
+    private readonly table: PeerTable,
+    private readonly zoneHash: number,
+  ) {
+    this.life = news.runtime.random.integer(0, LARGEST_LIFE);
+  }
+
+  /** This gateway's own requests, and what they put into memory within the last milliseconds. */
+  own(placesMilliseconds: number): LoadMessage {
+    const places = this.news.ownPlaces(placesMilliseconds);
+    const counted = { gateways: 1, loads: this.hashedLoads(), places };
+    return { ...this.head('gateway', this.namedPeers()), ...counted };
+  }
+
+  /** What a message counts and what others told beside it. */
+  sum(
+    scope: LoadScope,
+    base: LoadMessage,
+    parts: readonly LoadMessage[],
+    places: readonly PromptPlace[],
+  ): LoadMessage {
+    return {
+      ...base,
+      scope,
+      sequence: this.nextSequence(),
+      gateways: parts.reduce((sum, part) => sum + part.gateways, base.gateways),
+      loads: loadList(sumLoads([base.loads, ...parts.map(({ loads }) => loads)])),
+      places: [...base.places, ...places],
+      reachesReplicas: base.reachesReplicas || parts.some((part) => part.reachesReplicas),
+    };
+  }
+
+  /** Names to a gateway who comes first in its zone, and counts nothing. */
+  answer(host: string, zoneHash: number): LoadMessage {
+    const first = this.table.aliveIn(zoneHash).slice(0, NAMED_PEERS);
+    const peers = first.filter((peer) => peer.host !== host);
+    return { ...this.head('answer', peers), gateways: 0, loads: [], places: [] };
+  }
+
+  /** What every message says of its sender. */
+  private head(
+    scope: LoadScope,
+    peers: readonly NamedPeer[],
+  ): Omit<LoadMessage, 'gateways' | 'loads' | 'places'> {
+    const { ownRevision, storeAgeMilliseconds, reachesReplicas } = this.news;
+    const age = Math.round(storeAgeMilliseconds());
+    return {
+      sequence: this.nextSequence(),
+      life: this.life,
+      scope,
+      zoneHash: this.zoneHash,
+      peers: peers.map(({ host, zoneHash }) => ({ host, zoneHash })),
+      revision: ownRevision(),
+      reachesReplicas: reachesReplicas(),
+      storeAgeMilliseconds: Math.min(LARGEST_STORE_AGE_MILLISECONDS, age),
+    };
+  }
+
+  private nextSequence(): number {
+    this.sequence += 1;
+    return this.sequence;
+  }
+
+  /** The first of the own zone among those heard lately, so that all agree on who they are. */
+  private namedPeers(): NamedPeer[] {
+    const heard = this.table.heardWithin(NAMED_MILLISECONDS);
+    const near = heard.filter((peer) => peer.zoneHash === this.zoneHash);
+    const first = near.sort((left, right) => left.hash - right.hash).slice(0, NAMED_PEERS - 1);
+    const any = heard.length > 0 ? [this.news.runtime.random.pick(heard)] : [];
+    return [...new Set([...first, ...any])];
+  }
+
+  private hashedLoads(): RunnerLoad[] {
+    return [...this.news.ownLoads()].map(([runner, inFlight]) => ({
+      runnerHash: hashToNumber(runner),
+      inFlight,
+    }));
+  }
+}
