Turn histories with two replicas lost at once

What may be lost at once is told by the deployment, so histories lose as many: kills, disks and the disks lost after a retirement.

--- a/features/steps/turns.steps.ts
+++ b/features/steps/turns.steps.ts
@@ -101,6 +101,23 @@
   },
 );
 
+When(
+  'histories of turns with seeds {int} to {int} are played with {int} replicas of which {int} are to be members and {int} are lost at once',
+  function (
+    this: World,
+    first: number,
+    last: number,
+    replicaCount: number,
+    wantedMembers: number,
+    lossesAtOnce: number,
+  ) {
+    this.histories = [];
+    for (let seed = first; seed <= last; seed += 1) {
+      this.histories.push(runTurnHistory(seed, { replicaCount, wantedMembers, lossesAtOnce }));
+    }
+  },
+);
+
 Then('no promise about turns is broken', function (this: World) {
   const broken = this.histories!.filter((history) => history.violations.length > 0);
   assert.deepEqual(broken, []);
--- a/features/turns.feature
+++ b/features/turns.feature
@@ -22,6 +22,20 @@
       | first | last |
       | 1     | 30   |
 
+  Scenario Outline: Histories in which two replicas are lost at once keep every promise too
+    When histories of turns with seeds <first> to <last> are played with <replicas> replicas of which 5 are to be members and 2 are lost at once
+    Then no promise about turns is broken
+    And turns were kept, tokens granted and budgets refused
+    And every kind of fault struck
+
+    Examples:
+      | first | last | replicas |
+      | 1     | 25   | 9        |
+
+  Scenario: Two losses at once are more than three members bear
+    When histories of turns with seeds 1 to 25 are played with 3 replicas of which 3 are to be members and 2 are lost at once
+    Then a promise about "history" is broken
+
   Scenario Outline: The checker finds a planted fault
     When histories of turns are played with the planted fault "<fault>"
     Then a promise about "<promise>" is broken
--- a/src/commands/bench-commands.ts
+++ b/src/commands/bench-commands.ts
@@ -31,6 +31,8 @@
   readonly replicas: number;
   /** Replicas of turn histories that the record is to name; 0 stands for all. */
   readonly members: number;
+  /** Replicas of turn histories that are lost at once. */
+  readonly losses: number;
   readonly json: boolean;
 }
 
@@ -131,6 +133,7 @@
   }
   const result = runTurnHistories(seeds.first, seeds.last, {
     ...(flags.replicas === 0 ? {} : { replicaCount: flags.replicas }),
+    lossesAtOnce: flags.losses,
     ...(flags.members === 0 ? {} : { wantedMembers: flags.members }),
   });
   write(JSON.stringify(result));
--- a/src/commands/ivyloom-bench.ts
+++ b/src/commands/ivyloom-bench.ts
@@ -25,6 +25,7 @@
     --seeds A..B        histories, turn-histories: seeds to run (default 1..100)
     --replicas N        turn-histories: replicas to begin with (default three to five, by the seed)
     --members N         turn-histories: replicas that are members, others stand by (default all)
+    --losses N          turn-histories: replicas that are lost at once (default 1)
     --once              start: end after the report
     --deployment NAME   start: lakeshore, dakar or mixed (default mixed)
     --programs N        start: programs to run (default 100)
@@ -54,6 +55,7 @@
       seeds: { type: 'string', default: '1..100' },
       replicas: { type: 'number', default: 0 },
       members: { type: 'number', default: 0 },
+      losses: { type: 'number', default: 1 },
       calls: { type: 'number', default: 60 },
       minutes: { type: 'number', default: 1 },
       nodes: { type: 'string', default: '6,12,24,48' },
--- a/src/histories/turn-history.ts
+++ b/src/histories/turn-history.ts
@@ -1,7 +1,7 @@
 /**
  * One seeded history of kept turns and token accounts under faults: gateways keep chains of turns
- * and reserve tokens while replicas are killed, wiped, paused, cut off, added and emptied, one at a
- * time or all killed at once. Promises are checked from what the gateways saw.
+ * and reserve tokens while replicas are killed, wiped, paused, cut off, added and emptied, one or two
+ * at a time or all killed at once. Promises are checked from what the gateways saw.
  */
 import { createRandom } from '../runtime/random.js';
 import type { RandomSource } from '../runtime/random.js';
@@ -45,6 +45,8 @@
   readonly replicaCount?: number;
   /** Replicas that the record is to name. @default all */
   readonly wantedMembers?: number;
+  /** Machines that are killed or lose their disks at once. @default 1 */
+  readonly lossesAtOnce?: number;
   readonly log?: LogFunction;
 }
 
@@ -271,18 +273,16 @@
 
   private strike(fault: TurnFault): void {
     this.faults.push(fault);
-    const name = this.random.pick(this.names);
+    const lost = this.pickNames(this.names);
+    const name = lost[0]!;
     const { replicas } = this;
     const pause = this.random.integer(200, 3_500);
     switch (fault) {
       case 'kill':
       case 'wipe':
-        replicas.kill(name);
-        if (fault === 'wipe') {
-          replicas.wipe(name);
-        }
+        this.lose(lost, fault === 'wipe');
         this.wait(pause);
-        replicas.start(name);
+        lost.forEach((other) => replicas.start(other));
         return;
       case 'pause':
         replicas.pause(name);
@@ -307,7 +307,7 @@
       case 'wipeOneKillOthers':
         this.names.forEach((other) => replicas.kill(other));
         if (fault === 'wipeOneKillOthers') {
-          replicas.wipe(name);
+          lost.forEach((other) => replicas.wipe(other));
         }
         this.wait(pause);
         this.names.forEach((other) => replicas.start(other));
@@ -323,6 +323,29 @@
     }
   }
 
+  /** Names of machines that are lost at once. */
+  private pickNames(names: readonly string[]): string[] {
+    const left = [...names];
+    const picked: string[] = [];
+    while (picked.length < this.lossesAtOnce) {
+      picked.push(...left.splice(this.random.integer(0, left.length - 1), 1));
+    }
+    return picked;
+  }
+
+  private get lossesAtOnce(): number {
+    return this.options.lossesAtOnce ?? 1;
+  }
+
+  private lose(names: readonly string[], withDisks: boolean): void {
+    for (const name of names) {
+      this.replicas.kill(name);
+      if (withDisks) {
+        this.replicas.wipe(name);
+      }
+    }
+  }
+
   private cutFor(name: string, others: readonly string[], pause: number): void {
     others.forEach((other) => this.replicas.cut(name, other));
     this.wait(pause);
@@ -340,7 +363,7 @@
 
   /** A machine is emptied; once that is done it goes, and another loses its disk right after. */
   private retire(name: string): void {
-    if (this.names.length < 4) {
+    if (this.names.length < 2 * (this.lossesAtOnce + 1)) {
       this.addMachine();
       this.wait(SETTLE_MILLISECONDS);
     }
@@ -352,11 +375,10 @@
     }
     this.replicas.kill(name);
     this.names.splice(this.names.indexOf(name), 1);
-    const other = this.random.pick(this.names);
-    this.replicas.kill(other);
-    this.replicas.wipe(other);
+    const lost = this.pickNames(this.names);
+    this.lose(lost, true);
     this.wait(1_000);
-    this.replicas.start(other);
+    lost.forEach((other) => this.replicas.start(other));
   }
 }
 
