Look up loads by the hash of a runner, and idle connections only where a charge asks for them

With 48 runners each choice hashed 96 names and walked the idle sockets of 48 addresses, in code that a gateway of 171 runs too seldom for it to be compiled.

--- a/features/steps/followers.steps.ts
+++ b/features/steps/followers.steps.ts
@@ -12,6 +12,7 @@
 } from '../../src/peers/store-followers.js';
 import type { PromptPlace } from '../../src/peers/recent-places.js';
 import { promptKeyOf } from '../../src/relay/relay-request.js';
+import { hashToNumber } from '../../src/runtime/hashing.js';
 import { createRandom } from '../../src/runtime/random.js';
 import type { RandomSource } from '../../src/runtime/random.js';
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
@@ -272,6 +273,7 @@
 );
 
 const RUNNER = 'r';
+const RUNNER_HASH = hashToNumber(RUNNER);
 const PLACE: PromptPlace = { runnerHash: 5, part: promptKeyOf('a part'), tokens: 900 };
 
 /** Whether each gateway that runs knows the requests of all others that run. */
@@ -279,7 +281,9 @@
   const alive = running(world);
   const ownOf = ({ loads }: Gateway): number => loads.get(RUNNER) ?? 0;
   const all = alive.reduce((sum, gateway) => sum + ownOf(gateway), 0);
-  return alive.every((gateway) => gateway.gossip.inFlightOfOthers(RUNNER) === all - ownOf(gateway));
+  return alive.every(
+    (gateway) => gateway.gossip.inFlightOfOthers(RUNNER_HASH) === all - ownOf(gateway),
+  );
 }
 
 When(
@@ -294,7 +298,7 @@
   function (this: World, milliseconds: number) {
     const { clock } = this;
     const known = clock.runUntil(clock.now + milliseconds, () => allKnowLoads(this));
-    const told = running(this).map(({ gossip }) => gossip.inFlightOfOthers(RUNNER));
+    const told = running(this).map(({ gossip }) => gossip.inFlightOfOthers(RUNNER_HASH));
     assert.ok(known, `they know of ${told.join(' ')}`);
   },
 );
--- a/features/steps/peers.steps.ts
+++ b/features/steps/peers.steps.ts
@@ -12,6 +12,7 @@
 import type { PeerSnapshot } from '../../src/peers/peer-exchange.js';
 import type { PromptPlace } from '../../src/peers/recent-places.js';
 import { promptKeyOf } from '../../src/relay/relay-request.js';
+import { hashToNumber } from '../../src/runtime/hashing.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
 
 const HOSTS = ['127.0.8.1', '127.0.8.2', '127.0.8.3'] as const;
@@ -110,8 +111,9 @@
   /^the (second|third) learns within (\d+) milliseconds that others have (\d+) requests at runner "(.*)"$/,
   async function (this: World, _which: string, within: string, count: string, runner: string) {
     const last = this.gossips!.at(-1)!;
-    const holds = (): boolean => last.inFlightOfOthers(runner) === Number(count);
-    assert.ok(await holdsWithin(Number(within), holds), `${last.inFlightOfOthers(runner)}`);
+    const hash = hashToNumber(runner);
+    const holds = (): boolean => last.inFlightOfOthers(hash) === Number(count);
+    assert.ok(await holdsWithin(Number(within), holds), `${last.inFlightOfOthers(hash)}`);
   },
 );
 
--- a/src/peers/load-gossip.ts
+++ b/src/peers/load-gossip.ts
@@ -97,9 +97,9 @@
     this.cancelTimer = setRepeatingTimer(runtime, PERIOD_MILLISECONDS, () => this.tell());
   }
 
-  /** Requests of other gateways that are believed to be at a runner. */
-  inFlightOfOthers(runner: string): number {
-    return this.totals.get(hashToNumber(runner)) ?? 0;
+  /** Requests of other gateways that are believed to be at a runner, by the hash of its name. */
+  inFlightOfOthers(runnerHash: number): number {
+    return this.totals.get(runnerHash) ?? 0;
   }
 
   /** Whether a gateway that was heard or counted lately reaches the replicas. */
--- a/src/relay/runner-book.ts
+++ b/src/relay/runner-book.ts
@@ -58,8 +58,8 @@
   private readonly byHash = new Map<number, RunnerRecord>();
   private readonly learned = new Map<string, LearnedOfService>();
 
-  /** Requests of other gateways at a runner. */
-  inFlightOfOthers: (runner: string) => number = () => 0;
+  /** Requests of other gateways at a runner, by the hash of its name. */
+  inFlightOfOthers: (runnerHash: number) => number = () => 0;
   /** Tokens that a runner of a service has memory for; undefined while that is not known. */
   memoryTokensOf: (service: string) => number | undefined = () => undefined;
   /** A runner begins to keep parts of a prompt that this node has not known there. */
@@ -135,9 +135,9 @@
   loadOf(service: string): ServiceLoad {
     let inFlight = 0;
     let slots = 0;
-    for (const { runner, goneAt, inFlight: own } of this.byService.get(service) ?? []) {
+    for (const { runner, hash, goneAt, inFlight: own } of this.byService.get(service) ?? []) {
       if (runner.ready && goneAt === undefined) {
-        inFlight += own + this.inFlightOfOthers(runner.id);
+        inFlight += own + this.inFlightOfOthers(hash);
         slots += runner.slots;
       }
     }
@@ -200,16 +200,20 @@
 
   private viewOf(record: RunnerRecord, parts: readonly PromptPart[]): RunnerCandidate {
     const { id, zone, slots } = record.runner;
+    const { hasIdleConnection } = this;
     return {
       record,
       id,
       hash: record.hash,
       zone,
       slots,
-      inFlight: record.inFlight + this.inFlightOfOthers(id),
+      inFlight: record.inFlight + this.inFlightOfOthers(record.hash),
       meanMilliseconds: record.pace.expectedMilliseconds,
       cachedTokens: record.places.leadingTokens(parts),
-      hasIdleConnection: this.hasIdleConnection(record.runner),
+      // Looked up only where a charge asks for it: at hundreds of runners that is dear.
+      get hasIdleConnection() {
+        return hasIdleConnection(record.runner);
+      },
     };
   }
 
