Replace members that are gone for good also where no more are named than wanted

Change: who stands by asks each second whether the members are there; a silent one counts as missing, so that another joins first and the silent one is taken out then. The scenario with 4 replicas and 3 members is the case.

--- a/features/steps/turns.steps.ts
+++ b/features/steps/turns.steps.ts
@@ -22,7 +22,12 @@
 import { writeToQuorum } from '../../src/turns/quorum-write.js';
 import type { ReplicaCaller } from '../../src/turns/replica-caller.js';
 import { SegmentTurnStorage } from '../../src/turns/segment-turn-storage.js';
-import { majorityOf, withMember } from '../../src/turns/membership.js';
+import {
+  LEAST_MEMBERS,
+  majorityOf,
+  membersToBear,
+  withMember,
+} from '../../src/turns/membership.js';
 import type { Member, MemberRecord } from '../../src/turns/membership.js';
 import type { StoredState } from '../../src/turns/turn-storage.js';
 
@@ -205,6 +210,31 @@
   );
 });
 
+function recordOf(count: number): MemberRecord {
+  const members = Array.from({ length: count }, (_, place) => member(`m${place}`));
+  return { epoch: 1, members };
+}
+
+Then(
+  'a majority of the members named for some losses outlives them and stays a majority',
+  function () {
+    for (let losses = 0; losses <= 20; losses += 1) {
+      const count = membersToBear(losses);
+      const majority = majorityOf(recordOf(count));
+      assert.ok(majority > losses, 'all that hold a write may be lost');
+      assert.ok(count - losses >= majority, 'no majority is left');
+    }
+  },
+);
+
+Then('with one member fewer it would not stay one, or too few would be left', function () {
+  for (let losses = 0; losses <= 20; losses += 1) {
+    const fewer = membersToBear(losses) - 1;
+    const isTooFew = fewer < LEAST_MEMBERS;
+    assert.ok(isTooFew || fewer - losses < majorityOf(recordOf(fewer)));
+  }
+});
+
 Given(
   'replicas {string} and this one is {string}',
   function (this: World, members: string, self: string) {
@@ -236,6 +266,7 @@
       silentMilliseconds: (id) => (isSilent.has(id) ? REMOVAL_MILLISECONDS : 0),
       retiringNodes: new Set(words(retiring)),
       wantedMembers: Infinity,
+      presentMembers: members.length - isSilent.size,
       vacantMilliseconds: 0,
     });
   },
@@ -258,6 +289,7 @@
       silentMilliseconds: () => 0,
       retiringNodes: new Set(),
       wantedMembers: wanted,
+      presentMembers: members.length,
       vacantMilliseconds: milliseconds,
     });
   },
@@ -284,6 +316,13 @@
   this.replicas!.kill(this.replicas!.activeNames()[0]!);
 });
 
+When('one active replica loses its disk', function (this: World) {
+  const [name] = this.replicas!.activeNames();
+  this.replicas!.kill(name!);
+  this.replicas!.wipe(name!);
+  this.replicas!.start(name!);
+});
+
 When('a replica that stands by is to be emptied', function (this: World) {
   const active = new Set(this.replicas!.activeNames());
   this.standby = this.replicas!.runningNames().find((name) => !active.has(name))!;
--- a/features/turns.feature
+++ b/features/turns.feature
@@ -32,9 +32,9 @@
       | first | last | replicas |
       | 1     | 25   | 9        |
 
-  Scenario: Two losses at once are more than three members bear
-    When histories of turns with seeds 1 to 25 are played with 3 replicas of which 3 are to be members and 2 are lost at once
-    Then a promise about "history" is broken
+  Scenario: As many members are named as the losses at once ask for, and no more
+    Then a majority of the members named for some losses outlives them and stays a majority
+    And with one member fewer it would not stay one, or too few would be left
 
   Scenario Outline: The checker finds a planted fault
     When histories of turns are played with the planted fault "<fault>"
@@ -95,6 +95,14 @@
     When a replica that stands by is to be emptied
     Then within 1000 milliseconds it is told to be empty
 
+  Scenario: One that stands by takes the place of a member that is gone although no more than three were named
+    Given 4 replicas of which 3 are to be members
+    Then 3 replicas are active
+    When one active replica dies for good
+    Then within 9000 milliseconds 3 replicas are active
+    When one active replica loses its disk
+    Then within 3000 milliseconds 3 replicas are active
+
   Scenario: Replicas that hold the same reservations find that out by digests alone
     Then any two sets of reservations are made level by the digests that each lacks
     And who knows a reservation settled lacks no word of it open
--- a/src/turns/decide-membership.ts
+++ b/src/turns/decide-membership.ts
@@ -17,9 +17,14 @@
   readonly silentMilliseconds: (memberId: string) => number;
   /** Names of machines that operators want emptied. */
   readonly retiringNodes: ReadonlySet<string>;
-  /** Members that the record is to name; others stand by. */
+  /** Members that are to be present; others stand by. */
   readonly wantedMembers: number;
-  /** Time for which the record has named fewer, in milliseconds. */
+  /**
+   * Members of the record that are not silent. One that is gone for good is taken out only when enough
+   * others remain, so who takes its place joins first.
+   */
+  readonly presentMembers: number;
+  /** Time for which fewer have been present, in milliseconds. */
   readonly vacantMilliseconds: number;
 }
 
@@ -63,7 +68,7 @@
 }
 
 function decideJoin(view: MembershipView, record: MemberRecord): MembershipAction {
-  if (view.retiringNodes.has(view.self.node) || record.members.length >= view.wantedMembers) {
+  if (view.retiringNodes.has(view.self.node) || view.presentMembers >= view.wantedMembers) {
     return WAIT;
   }
   const neighbours = record.members.filter((member) => member.zone === view.self.zone);
--- a/src/turns/membership-keeper.ts
+++ b/src/turns/membership-keeper.ts
@@ -43,7 +43,7 @@
   private busy = false;
   private readonly logEnds: { readonly at: number; readonly end: number }[] = [];
   private readonly retirement: Retirement;
-  /** Local time since which the record names fewer members than wanted; undefined while it is full. */
+  /** Local time since which fewer members are present than wanted; undefined while enough are. */
   private vacantSince: number | undefined;
 
   constructor(private readonly options: MembershipKeeperOptions) {
@@ -88,6 +88,7 @@
       silentMilliseconds: (member) => runtime.now() - sync.silentSince(member),
       retiringNodes: store.retiringNodes(),
       wantedMembers: this.options.wantedMembers,
+      presentMembers: sync.presentMembers,
       vacantMilliseconds: runtime.now() - (this.vacantSince ?? runtime.now()),
     };
   }
@@ -125,12 +126,13 @@
   }
 
   private noteVacancy(record: MemberRecord | undefined): void {
-    const { wantedMembers, runtime } = this.options;
-    if (record === undefined || record.members.length >= wantedMembers) {
+    const { wantedMembers, runtime, sync } = this.options;
+    const present = sync.presentMembers;
+    if (record === undefined || present >= wantedMembers) {
       this.vacantSince = undefined;
     } else if (this.vacantSince === undefined) {
       this.vacantSince = runtime.now();
-      const fields = { epoch: record.epoch, members: record.members.length, wantedMembers };
+      const fields = { epoch: record.epoch, present, wantedMembers };
       runtime.log('info', 'a member is wanted', { event: 'members.vacant', ...fields });
     }
   }
--- a/src/turns/replica-sync.ts
+++ b/src/turns/replica-sync.ts
@@ -3,7 +3,9 @@
  * the turns it lacks. A replica whose state is incomplete becomes ready when it has read to the end
  * of the logs of enough others that know the epoch in force.
  */
-import type { Runtime } from '../runtime/runtime.js';
+import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import { setRepeatingTimer } from '../runtime/runtime.js';
+import { REMOVAL_MILLISECONDS } from './decide-membership.js';
 import type { MemberDirectory } from './member-directory.js';
 import { hasMember, readQuorumOf } from './membership.js';
 import type { Member } from './membership.js';
@@ -17,6 +19,10 @@
 /** Pause while this replica is not ready or behind, in milliseconds. */
 const HURRIED_MILLISECONDS = 40;
 const CALL_MILLISECONDS = 1_000;
+/** Pause between two questions whether a member is there, while this replica stands by. */
+const LOOK_MILLISECONDS = 1_000;
+/** A turn that never exists: asking for it changes nothing. */
+const NO_TURN = '';
 /** Time for which a member that left is still read, so that it can hand over, in milliseconds. */
 const FAREWELL_MILLISECONDS = 10_000;
 
@@ -56,13 +62,17 @@
   private readonly pulling = new Set<string>();
   /** Local time at which a member was last seen in the record, in milliseconds. */
   private readonly memberAt = new Map<string, number>();
-  /** Local time since which a member has been read from without a break, in milliseconds. */
-  private readonly readSince = new Map<string, number>();
+  /** Local time since which a member has been asked without a break, in milliseconds. */
+  private readonly askedSince = new Map<string, number>();
+  /** Local time of a member's last reply, in milliseconds. */
+  private readonly repliedAt = new Map<string, number>();
+  private readonly cancelLook: CancelTimer;
   private becomingReady = false;
   private closed = false;
 
   constructor(private readonly options: ReplicaSyncOptions) {
     options.directory.onChange(() => this.pullFromAll());
+    this.cancelLook = setRepeatingTimer(options.runtime, LOOK_MILLISECONDS, () => this.look());
     this.pullFromAll();
   }
 
@@ -81,13 +91,21 @@
 
   /** Local time since which a member has not been heard although it was asked, in milliseconds. */
   silentSince(member: string): number {
-    const askedSince = this.readSince.get(member) ?? this.options.runtime.now();
-    return Math.max(askedSince, this.peers.get(member)?.heardAt ?? -Infinity);
+    const askedSince = this.askedSince.get(member) ?? this.options.runtime.now();
+    return Math.max(askedSince, this.repliedAt.get(member) ?? -Infinity);
+  }
+
+  /** Members of the record that are not silent for so long that they are to be taken out. */
+  get presentMembers(): number {
+    const now = this.options.runtime.now();
+    const members = this.options.directory.current?.members ?? [];
+    return members.filter(({ id }) => now - this.silentSince(id) < REMOVAL_MILLISECONDS).length;
   }
 
   /** Stops pulling. */
   close(): void {
     this.closed = true;
+    this.cancelLook();
   }
 
   private others(): readonly Member[] {
@@ -102,11 +120,36 @@
     this.checkReady();
   }
 
-  /** Whether the record names enough members and this replica is none of them. */
+  /** Whether enough members are present and this replica is none of them. */
   private get standsBy(): boolean {
     const { id, directory, wantedMembers } = this.options;
-    const record = directory.current;
-    return record !== undefined && record.members.length >= wantedMembers && !hasMember(record, id);
+    const { current: record } = directory;
+    return record !== undefined && !hasMember(record, id) && this.presentMembers >= wantedMembers;
+  }
+
+  /** While this replica stands by, asks the members whether they are there; else reads from them. */
+  private look(): void {
+    if (this.standsBy) {
+      this.others().forEach((member) => this.probe(member));
+    } else {
+      this.pullFromAll();
+    }
+  }
+
+  private probe(member: Member): void {
+    this.noteAsked(member);
+    const request = { type: 'chain' as const, turn: NO_TURN };
+    this.options.caller.call(member, request, CALL_MILLISECONDS, (reply) => {
+      if (reply !== undefined) {
+        this.repliedAt.set(member.id, this.options.runtime.now());
+      }
+    });
+  }
+
+  private noteAsked(member: Member): void {
+    if (!this.askedSince.has(member.id)) {
+      this.askedSince.set(member.id, this.options.runtime.now());
+    }
   }
 
   private pull(member: Member): void {
@@ -115,9 +158,7 @@
       return;
     }
     this.pulling.add(member.id);
-    if (!this.readSince.has(member.id)) {
-      this.readSince.set(member.id, runtime.now());
-    }
+    this.noteAsked(member);
     const peer = this.peers.get(member.id);
     const { log = '', position = 0 } = peer ?? {};
     const members = directory.currentText;
@@ -152,7 +193,7 @@
       if (!this.standsBy && this.isWorthPulling(member.id)) {
         this.pull(member);
       } else {
-        this.readSince.delete(member.id);
+        this.askedSince.delete(member.id);
       }
     });
   }
@@ -168,6 +209,7 @@
 
   private noteHeard(member: Member, reply: Pulled): void {
     const now = this.options.runtime.now();
+    this.repliedAt.set(member.id, now);
     const peer = this.peers.get(member.id);
     if (peer === undefined || peer.log !== reply.log) {
       const fresh = { position: 0, levelEpoch: 0, levelAt: -Infinity };
