Share the probe for a replica's presence; drop what the change left unused

The question whether a replica is there stood twice (reach of gateways, replicas that stand by) and is now one constant beside the caller's port. Gone: a member's heardAt, whose place repliedAt took, and a comparison of hosts that nothing called.

--- a/src/mirror/key-space-mirror.ts
+++ b/src/mirror/key-space-mirror.ts
@@ -227,6 +227,7 @@
     }
     this.options.port.listStale(this.options.prefix, (result) => {
       if (!isRight(result) || this.closed) {
+        // The next list comes soon; a store out of reach is logged by those that follow it.
         return;
       }
       const { items, revision } = result.right;
--- a/src/peers/peer-table.ts
+++ b/src/peers/peer-table.ts
@@ -97,11 +97,6 @@
     return this.aliveIn(this.options.zoneHash).filter((peer) => peer.hash < this.ownHash).length;
   }
 
-  /** Whether a host comes before this one by its hash. */
-  comesBefore(host: string): boolean {
-    return hashToNumber(host) < this.ownHash;
-  }
-
   /** Drops those that nobody has heard for long. */
   forgetSilent(): void {
     const since = this.options.runtime.now() - FORGET_MILLISECONDS;
--- a/src/turns/replica-caller.ts
+++ b/src/turns/replica-caller.ts
@@ -9,6 +9,9 @@
     : never
   : never;
 
+/** Asks whether a replica is there: the turn never exists, so the question changes nothing. */
+export const PRESENCE_PROBE: UnnumberedRequest = { type: 'chain', turn: '' };
+
 /** Receives the reply, or undefined when none came: the request may or may not have been taken. */
 export type ReplyListener = (reply: ReplicaReply | undefined) => void;
 
--- a/src/turns/replica-reach.ts
+++ b/src/turns/replica-reach.ts
@@ -8,14 +8,13 @@
 import { majorityOf } from './membership.js';
 import type { Member, MemberRecord } from './membership.js';
 import type { OneWayMessage } from './messages.js';
+import { PRESENCE_PROBE } from './replica-caller.js';
 import type { ReplicaCaller, ReplyListener, UnnumberedRequest } from './replica-caller.js';
 
 /** Time without any reply, while calls wait for one, after which a replica counts as silent. */
 const SILENCE_MILLISECONDS = 250;
 /** Pause between looks at the calls that wait, and between probes. */
 const LOOK_MILLISECONDS = 100;
-/** A turn that never exists: asking for it changes nothing. */
-const PROBED_TURN = '';
 
 /** What is known of one replica. */
 interface ReplicaContact {
@@ -105,8 +104,7 @@
 
   private probe(member: Member): void {
     if (this.contactOf(member).waiting === 0) {
-      const request: UnnumberedRequest = { type: 'chain', turn: PROBED_TURN };
-      this.call(member, request, SILENCE_MILLISECONDS, () => undefined);
+      this.call(member, PRESENCE_PROBE, SILENCE_MILLISECONDS, () => undefined);
     }
   }
 
--- a/src/turns/replica-sync.ts
+++ b/src/turns/replica-sync.ts
@@ -10,6 +10,7 @@
 import { hasMember, readQuorumOf } from './membership.js';
 import type { Member } from './membership.js';
 import type { ReplicaReply } from './messages.js';
+import { PRESENCE_PROBE } from './replica-caller.js';
 import type { ReplicaCaller } from './replica-caller.js';
 import type { Replica } from './replica.js';
 import { packDigests, unpackDigests } from './reservation-digests.js';
@@ -21,8 +22,6 @@
 const CALL_MILLISECONDS = 1_000;
 /** Pause between two questions whether a member is there, while this replica stands by. */
 const LOOK_MILLISECONDS = 1_000;
-/** A turn that never exists: asking for it changes nothing. */
-const NO_TURN = '';
 /** Time for which a member that left is still read, so that it can hand over, in milliseconds. */
 const FAREWELL_MILLISECONDS = 10_000;
 
@@ -36,8 +35,6 @@
   levelEpoch: number;
   /** Local time at which this replica last stood at its log's end, in milliseconds. */
   levelAt: number;
-  /** Local time of the peer's last reply, in milliseconds. */
-  heardAt: number;
   /** Whether the peer's own state was complete then. */
   active: boolean;
 }
@@ -138,8 +135,7 @@
 
   private probe(member: Member): void {
     this.noteAsked(member);
-    const request = { type: 'chain' as const, turn: NO_TURN };
-    this.options.caller.call(member, request, CALL_MILLISECONDS, (reply) => {
+    this.options.caller.call(member, PRESENCE_PROBE, CALL_MILLISECONDS, (reply) => {
       if (reply !== undefined) {
         this.repliedAt.set(member.id, this.options.runtime.now());
       }
@@ -208,16 +204,14 @@
   }
 
   private noteHeard(member: Member, reply: Pulled): void {
-    const now = this.options.runtime.now();
-    this.repliedAt.set(member.id, now);
+    this.repliedAt.set(member.id, this.options.runtime.now());
     const peer = this.peers.get(member.id);
     if (peer === undefined || peer.log !== reply.log) {
       const fresh = { position: 0, levelEpoch: 0, levelAt: -Infinity };
-      const progress = { log: reply.log, heardAt: now, active: reply.active, ...fresh };
+      const progress = { log: reply.log, active: reply.active, ...fresh };
       this.peers.set(member.id, progress);
       return;
     }
-    peer.heardAt = now;
     peer.active = reply.active;
   }
 
