--- a/src/mirror/key-space-mirror.ts
+++ b/src/mirror/key-space-mirror.ts
@@ -28,6 +28,13 @@
   readonly onReachable: (reachable: boolean) => void;
 }
 
+/** A call to the store that waits for its answer. */
+interface StoreCall {
+  readonly kind: 'list' | 'watch';
+  /** Local time at which it was sent, in milliseconds. */
+  readonly sentAt: number;
+}
+
 const FIRST_PAUSE_MILLISECONDS = 60;
 const LONGEST_PAUSE_MILLISECONDS = 800;
 /** Pause after changes before the next watch, so that changes in quick succession come in one call. */
@@ -47,6 +54,8 @@
   private checkingBehind = false;
   private failures = 0;
   private reachable: boolean | undefined;
+  /** Local time of the store's last answer, in milliseconds; undefined before the first. */
+  private answeredAt: number | undefined;
   private closed = false;
   private cancelVerify: CancelTimer | undefined;
 
@@ -85,6 +94,11 @@
     return this.following;
   }
 
+  /** Time since the store's last answer, in milliseconds; undefined before the first. */
+  get answerAgeMilliseconds(): number | undefined {
+    return this.answeredAt === undefined ? undefined : this.options.runtime.now() - this.answeredAt;
+  }
+
   /** An item as last seen. */
   get(key: string): StoredItem | undefined {
     return this.copy.get(key);
@@ -148,12 +162,13 @@
     this.generation += 1;
     this.watching = false;
     const { generation } = this;
+    const sentAt = this.options.runtime.now();
     this.options.port.list(this.options.prefix, (result) => {
       if (this.isOver(generation)) {
         return;
       }
       if (!isRight(result)) {
-        this.retry(result.left, () => this.readList());
+        this.retry({ kind: 'list', sentAt }, result.left, () => this.readList());
         return;
       }
       this.noteReached();
@@ -167,6 +182,7 @@
     const { port, prefix, watchMilliseconds, runtime } = this.options;
     const { generation } = this;
     this.watching = true;
+    const sentAt = runtime.now();
     port.watch(prefix, this.completeRevision, watchMilliseconds, (result) => {
       if (this.isOver(generation)) {
         return;
@@ -176,7 +192,7 @@
         if (result.left.tag === 'HistoryLost') {
           this.readList();
         } else {
-          this.retry(result.left, () => this.watch());
+          this.retry({ kind: 'watch', sentAt }, result.left, () => this.watch());
         }
         return;
       }
@@ -239,13 +255,11 @@
     });
   }
 
-  private retry(error: KeySpaceError, again: () => void): void {
+  private retry(call: StoreCall, error: KeySpaceError, again: () => void): void {
     this.failures += 1;
-    const detail = error.tag === 'HistoryLost' ? '' : error.detail;
+    this.logFailure(call, error);
     if (this.reachable !== false && error.tag !== 'HistoryLost') {
       this.reachable = false;
-      const fields = { event: 'store.lost', tag: error.tag, detail, failures: this.failures };
-      this.options.runtime.log('warn', 'store out of reach', fields);
       this.options.onReachable(false);
     }
     const longest = Math.min(
@@ -257,11 +271,29 @@
     this.options.runtime.setTimer(pause, () => this.unlessOver(generation, again));
   }
 
+  /** Logs each failed call with the time for which it was owed: a hanging one is told by it. */
+  private logFailure(call: StoreCall, error: KeySpaceError): void {
+    const { runtime } = this.options;
+    const isNews = this.reachable !== false && error.tag !== 'HistoryLost';
+    runtime.log(isNews ? 'warn' : 'info', isNews ? 'store out of reach' : 'store call failed', {
+      event: isNews ? 'store.lost' : 'store.failed',
+      call: call.kind,
+      owed: Math.round(runtime.now() - call.sentAt),
+      answerAge: Math.round(this.answerAgeMilliseconds ?? -1),
+      tag: error.tag,
+      detail: error.tag === 'HistoryLost' ? '' : error.detail,
+      failures: this.failures,
+    });
+  }
+
   private noteReached(): void {
     this.failures = 0;
+    const answerAge = Math.round(this.answerAgeMilliseconds ?? -1);
+    this.answeredAt = this.options.runtime.now();
     if (this.reachable !== true) {
       this.reachable = true;
-      this.options.runtime.log('info', 'store reached', { event: 'store.reached' });
+      const fields = { event: 'store.reached', answerAge, revision: this.completeRevision };
+      this.options.runtime.log('info', 'store reached', fields);
       this.options.onReachable(true);
     }
   }
