--- a/features/followers.feature
+++ b/features/followers.feature
@@ -41,6 +41,36 @@
     And a key of the store is changed
     Then within 2200 milliseconds all that run know the change
 
+  @known-red
+  Scenario Outline: What the store acknowledges right after a silence is in force within the bound
+    Given <gateways> gateways that tell one another what they know of the store
+    Then after 12000 milliseconds between 1 and 20 of them follow the store
+    When the store says nothing for <silence> milliseconds, and a key is changed as it answers again
+    Then within 1500 milliseconds all that run know the change
+
+    Examples:
+      | gateways | silence |
+      | 1        | 5000    |
+      | 3        | 4500    |
+      | 8        | 5000    |
+      | 8        | 7100    |
+      | 40       | 5000    |
+
+  @known-red
+  Scenario Outline: When all open connections to the store go silent for good, a change is in force soon
+    Given <gateways> gateways that tell one another what they know of the store
+    Then after 12000 milliseconds between 1 and 20 of them follow the store
+    When all open connections to the store go silent
+    And a key of the store is changed
+    Then within 2000 milliseconds all that run know the change
+
+    Examples:
+      | gateways |
+      | 1        |
+      | 3        |
+      | 8        |
+      | 40       |
+
   Scenario: A gateway that is told a revision that never was does not ask without end
     Given 3 gateways that tell one another what they know of the store
     When one of them says for 5000 milliseconds that it knows revision 900000
--- a/features/mirror.feature
+++ b/features/mirror.feature
@@ -42,6 +42,18 @@
     Then the mirror was told once that it is out of reach and once that it is back
     And the mirror has the newest "a" within 2000 milliseconds
 
+  @known-red
+  Scenario Outline: A call sent into a silence is not waited for once the store answers again
+    Given a mirror of a store with keys "a b" whose watches wait 10000 milliseconds
+    When the store says nothing for <silence> milliseconds and "a" is changed as it answers again
+    Then the mirror has the newest "a" within 1500 milliseconds
+
+    Examples:
+      | silence |
+      | 4000    |
+      | 5000    |
+      | 12000   |
+
   Scenario: A store that refuses is asked less and less often
     Given a mirror of a store with keys "a b"
     When the store refuses for 10000 milliseconds
--- a/features/steps/followers.steps.ts
+++ b/features/steps/followers.steps.ts
@@ -215,6 +215,20 @@
   changeKey(this);
 });
 
+When(
+  'the store says nothing for {int} milliseconds, and a key is changed as it answers again',
+  function (this: World, milliseconds: number) {
+    this.gateways.forEach(({ store }) => store.fallSilent());
+    wait(this, milliseconds);
+    this.gateways.forEach(({ store }) => store.speakAgain());
+    changeKey(this);
+  },
+);
+
+When('all open connections to the store go silent', function (this: World) {
+  this.gateways.forEach(({ store }) => store.loseConnections());
+});
+
 When('no gateway answers fetches any more', function (this: World) {
   this.fetchesFail = true;
 });
--- a/features/steps/mirror.steps.ts
+++ b/features/steps/mirror.steps.ts
@@ -22,7 +22,9 @@
   world.clock.runUntil(world.clock.now + milliseconds);
 }
 
-Given('a mirror of a store with keys {string}', function (this: World, keys: string) {
+const WATCH_MILLISECONDS = 2_000;
+
+function startMirror(this: World, keys: string, watchMilliseconds = WATCH_MILLISECONDS): void {
   this.clock = new VirtualClock();
   this.store = new SimulatedKeySpace(this.clock);
   this.reached = [];
@@ -33,15 +35,36 @@
     port: this.store,
     prefix: '',
     verifyMilliseconds: 1_000,
-    watchMilliseconds: 2_000,
+    watchMilliseconds,
     onPut: () => undefined,
     onGone: () => undefined,
     onReachable: (reachable) => this.reached.push(reachable),
   });
   this.mirror.follow();
   wait(this, 500);
+}
+
+Given('a mirror of a store with keys {string}', function (this: World, keys: string) {
+  startMirror.call(this, keys);
 });
 
+Given(
+  'a mirror of a store with keys {string} whose watches wait {int} milliseconds',
+  function (this: World, keys: string, watchMilliseconds: number) {
+    startMirror.call(this, keys, watchMilliseconds);
+  },
+);
+
+When(
+  'the store says nothing for {int} milliseconds and {string} is changed as it answers again',
+  function (this: World, milliseconds: number, key: string) {
+    this.store.fallSilent();
+    wait(this, milliseconds);
+    this.store.speakAgain();
+    this.store.put(key, 'second');
+  },
+);
+
 When('"a" is changed, "b" is removed and an older "a" is offered', function (this: World) {
   this.store.put('a', 'second');
   this.store.remove('b');
--- a/features/support/simulated-key-space.ts
+++ b/features/support/simulated-key-space.ts
@@ -10,6 +10,8 @@
 
 const ANSWER_MILLISECONDS = 4;
 const GIVE_UP_MILLISECONDS = 1_000;
+/** Time after which a caller gives up a short call that is owed an answer, as the real client does. */
+const SHORT_CALL_MILLISECONDS = 1_500;
 
 /** A store in virtual time. */
 export class SimulatedKeySpace implements KeySpacePort {
@@ -22,6 +24,10 @@
   /** What stale lists answer while they are behind; undefined when they are not. */
   frozenList: { items: StoredItem[]; revision: number } | undefined;
   callCount = 0;
+  /** While true, calls are neither answered nor refused. */
+  private silent = false;
+  /** Rises when open connections go silent for good: calls sent before are never answered. */
+  private connections = 0;
   private history: ItemChange[] = [];
   private forgottenBefore = 0;
 
@@ -45,6 +51,22 @@
     this.forgottenBefore = this.revision;
   }
 
+  /** Says nothing from now on; what it owes is never answered, not even after its return. */
+  fallSilent(): void {
+    this.silent = true;
+    this.loseConnections();
+  }
+
+  /** Answers again what is sent from now on. */
+  speakAgain(): void {
+    this.silent = false;
+  }
+
+  /** All open connections go silent for good, while new ones work. */
+  loseConnections(): void {
+    this.connections += 1;
+  }
+
   list(
     prefix: string,
     listener: KeySpaceListener<{ items: StoredItem[]; revision: number }>,
@@ -62,7 +84,12 @@
     listener: KeySpaceListener<{ changes: ItemChange[]; revision: number }>,
   ): void {
     const until = this.clock.now + wait;
+    const { connections } = this;
     const look = (): void => {
+      if (connections !== this.connections) {
+        this.giveUpAt(until + GIVE_UP_MILLISECONDS, listener);
+        return;
+      }
       if (this.cutWatches) {
         listener(E.left({ tag: 'Refused', detail: 'status 503' }));
         return;
@@ -82,7 +109,7 @@
         this.clock.schedule(20, look);
       }
     };
-    this.answer(listener, () => undefined, look);
+    this.answer(listener, () => undefined, look, wait + GIVE_UP_MILLISECONDS);
   }
 
   listStale(
@@ -101,8 +128,15 @@
     listener: KeySpaceListener<Result>,
     result: () => E.Either<never, Result> | undefined,
     otherwise: () => void = () => undefined,
+    deadline = SHORT_CALL_MILLISECONDS,
   ): void {
     this.callCount += 1;
+    const { connections } = this;
+    const sentAt = this.clock.now;
+    if (this.silent) {
+      this.giveUpAt(sentAt + deadline, listener);
+      return;
+    }
     if (this.mode === 'unreachable') {
       this.clock.schedule(GIVE_UP_MILLISECONDS, () =>
         listener(E.left({ tag: 'Unreachable', detail: 'no answer in time' })),
@@ -110,6 +144,10 @@
       return;
     }
     this.clock.schedule(ANSWER_MILLISECONDS, () => {
+      if (connections !== this.connections) {
+        this.giveUpAt(sentAt + deadline, listener);
+        return;
+      }
       if (this.mode === 'refusing') {
         listener(E.left({ tag: 'Refused', detail: 'status 429' }));
         return;
@@ -122,4 +160,10 @@
       }
     });
   }
+
+  private giveUpAt<Result>(time: number, listener: KeySpaceListener<Result>): void {
+    this.clock.schedule(Math.max(0, time - this.clock.now), () =>
+      listener(E.left({ tag: 'Unreachable', detail: 'no answer in time' })),
+    );
+  }
 }
