--- a/features/followers.feature
+++ b/features/followers.feature
@@ -41,7 +41,6 @@
     And a key of the store is changed
     Then within 2200 milliseconds all that run know the change
 
-  @known-red
   Scenario Outline: What the store acknowledges right after a silence is in force within the bound
     Given <gateways> gateways that tell one another what they know of the store
     Then after 12000 milliseconds between 1 and 20 of them follow the store
@@ -56,7 +55,6 @@
       | 8        | 7100    |
       | 40       | 5000    |
 
-  @known-red
   Scenario Outline: When all open connections to the store go silent for good, a change is in force soon
     Given <gateways> gateways that tell one another what they know of the store
     Then after 12000 milliseconds between 1 and 20 of them follow the store
--- a/features/mirror.feature
+++ b/features/mirror.feature
@@ -42,7 +42,6 @@
     Then the mirror was told once that it is out of reach and once that it is back
     And the mirror has the newest "a" within 2000 milliseconds
 
-  @known-red
   Scenario Outline: A call sent into a silence is not waited for once the store answers again
     Given a mirror of a store with keys "a b" whose watches wait 10000 milliseconds
     When the store says nothing for <silence> milliseconds and "a" is changed as it answers again
--- a/features/steps/followers.steps.ts
+++ b/features/steps/followers.steps.ts
@@ -1,7 +1,9 @@
 /** Steps about gateways of which few follow the store, in virtual time. */
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
+import { freshnessTimingsFor } from '../../src/mirror/freshness-timings.js';
 import { KeySpaceMirror } from '../../src/mirror/key-space-mirror.js';
+import { StoreFreshness } from '../../src/mirror/store-freshness.js';
 import type { DatagramListener, DatagramPort } from '../../src/peers/datagram-port.js';
 import { LoadGossip } from '../../src/peers/load-gossip.js';
 import { StoreCatchUp } from '../../src/peers/store-catch-up.js';
@@ -23,6 +25,7 @@
 const LOSS = 0.01;
 const PATIENCE_MILLISECONDS = 1_200;
 const FIRST_PATIENCE_MILLISECONDS = 2_500;
+const APPLY_MILLISECONDS = 2_000;
 const KEY = 'a';
 const ZONES = 4;
 
@@ -104,11 +107,15 @@
   const process = new SimulatedProcess(host, world.clock, world.random);
   const runtime = process.begin();
   const store = new SimulatedKeySpace(world.clock);
+  const timings = freshnessTimingsFor(APPLY_MILLISECONDS);
   store.put(KEY, 'first');
   const mirror = new KeySpaceMirror({
     runtime,
     port: store,
     prefix: '',
+    timings,
+    awaitsProof: true,
+    onListed: (revision, sentAt) => freshness.noteRead(revision, sentAt),
     verifyMilliseconds: 2_500,
     watchMilliseconds: 5_000,
     onPut: () => undefined,
@@ -132,21 +139,37 @@
     seeds: () => ['10.0.0.0', '10.0.0.1', '10.0.0.2'],
     ownLoads: () => loads,
     ownRevision: () => (world.lie?.host === host ? world.lie.revision : mirror.completeRevision),
-    storeAgeMilliseconds: () => followers.ageMilliseconds,
+    proof: () => freshness.proof,
     onStoreNews: (news) => {
-      followers.heard(news.ageMilliseconds);
+      if (news.proof !== undefined) {
+        freshness.hear(news.proof);
+        catchUp.noteStoreAt(news.proof.revision);
+      }
       catchUp.heed(news);
     },
     reachesReplicas: () => true,
     ownPlaces: () => world.gateways[index]?.places ?? [],
     onPlaces: (places) => places.forEach(({ part }) => placesHeard.add(part)),
   });
-  const followers = new StoreFollowers({
+  const patienceMilliseconds = isSeed
+    ? 0
+    : FIRST_PATIENCE_MILLISECONDS * (1 + world.random.uniform());
+  const freshness: StoreFreshness = new StoreFreshness({
+    runtime,
+    port: store,
+    key: KEY,
+    mirror,
+    timings,
+    rank: () => gossip.proofRank,
+    patienceMilliseconds,
+  });
+  new StoreFollowers({
     runtime,
     rank: () => gossip.rank,
+    proofAgeMilliseconds: () => freshness.proofAgeMilliseconds,
     behindMilliseconds: () => catchUp.behindMilliseconds,
     mirror,
-    patienceMilliseconds: isSeed ? 0 : FIRST_PATIENCE_MILLISECONDS * (1 + world.random.uniform()),
+    patienceMilliseconds,
   });
   const counts = { fetchesServed: 0, messagesSent: 0, bytesSent: 0, places: [] };
   world.gateways.push({ host, process, store, mirror, gossip, loads, placesHeard, ...counts });
--- a/features/steps/mirror.steps.ts
+++ b/features/steps/mirror.steps.ts
@@ -3,6 +3,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
 import { KeySpaceCopy } from '../../src/mirror/key-space-copy.js';
+import { freshnessTimingsFor } from '../../src/mirror/freshness-timings.js';
 import { KeySpaceMirror } from '../../src/mirror/key-space-mirror.js';
 import type { StoredItem } from '../../src/mirror/key-space-port.js';
 import { createRandom } from '../../src/runtime/random.js';
@@ -34,6 +35,8 @@
     runtime: new SimulatedProcess('m', this.clock, createRandom(1)).begin(),
     port: this.store,
     prefix: '',
+    timings: freshnessTimingsFor(2_000),
+    awaitsProof: false,
     verifyMilliseconds: 1_000,
     watchMilliseconds,
     onPut: () => undefined,
--- a/features/steps/peers.steps.ts
+++ b/features/steps/peers.steps.ts
@@ -3,6 +3,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
 import { freePorts } from '../../src/bench/free-ports.js';
+import type { StoreProof } from '../../src/mirror/store-freshness.js';
 import { openUdpPort } from '../../src/peers/datagram-port.js';
 import { LoadGossip } from '../../src/peers/load-gossip.js';
 import type { StoreNews } from '../../src/peers/load-gossip.js';
@@ -17,6 +18,8 @@
 
 const HOSTS = ['127.0.8.1', '127.0.8.2', '127.0.8.3'] as const;
 const MEMBERS = 'the members';
+/** What each tells of the store. */
+const PROOF: StoreProof = { life: 9, number: 3, revision: 7, ageMilliseconds: 40 };
 /** What the first gateway tells that a runner keeps. */
 const PLACE: PromptPlace = { runnerHash: 5, part: promptKeyOf('a part'), tokens: 900 };
 
@@ -45,7 +48,7 @@
     seeds: () => seeds,
     ownLoads: () => loads,
     ownRevision: () => 7,
-    storeAgeMilliseconds: () => 40,
+    proof: () => PROOF,
     onStoreNews: (news) => (world.heardNews ??= []).push(news),
     reachesReplicas: () => place === 0,
     ownPlaces: () => places,
@@ -94,8 +97,7 @@
 
 Then('they tell one another the newest revision they know', function (this: World) {
   assert.deepEqual(new Set(this.heardNews!.map(({ revision }) => revision)), new Set([7]));
-  const ages = new Set(this.heardNews!.map(({ ageMilliseconds }) => ageMilliseconds));
-  assert.deepEqual(ages, new Set([40]));
+  this.heardNews!.forEach(({ proof }) => assert.deepEqual(proof, PROOF));
 });
 
 When('the first falls silent', function (this: World) {
@@ -195,7 +197,15 @@
       revision,
       places: fc.array(place),
       reachesReplicas: fc.boolean(),
-      storeAgeMilliseconds: fc.nat(0xffff),
+      proof: fc.record(
+        {
+          life: fc.nat(),
+          number: fc.nat(),
+          revision,
+          ageMilliseconds: fc.nat(0xffff),
+        },
+        plain,
+      ),
     },
     plain,
   );
--- a/src/mirror/key-space-mirror.ts
+++ b/src/mirror/key-space-mirror.ts
@@ -1,53 +1,52 @@
 /**
  * A copy of the items under one prefix of a store. While it follows the store it is kept up to date by
- * a watch. The watch may be silent, cut or forgotten: waits are bounded, a lost history leads to a new
- * list, a cheap list that may be old is read now and then, and a peer that knows a newer change shows
- * that this watch hangs. While it rests, peers bring the changes, and the cheap list, read seldom,
- * finds what they have missed.
+ * a watch. The watch may be silent, cut or forgotten, so it proves nothing: a lost history leads to a
+ * new list, a cheap list that may be old is read now and then, and word that the store is at a newer
+ * revision shows that this watch hangs. A store out of reach gets short calls only, never a long wait.
+ * While the mirror rests, peers bring the changes, and the cheap list, read seldom, finds what they
+ * have missed.
  */
 import { isRight } from 'fp-ts/lib/Either.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import type { FreshnessTimings } from './freshness-timings.js';
 import { KeySpaceCopy } from './key-space-copy.js';
 import type { KeySpaceChanges } from './key-space-copy.js';
-import type { KeySpaceError, KeySpacePort, StoredItem } from './key-space-port.js';
+import type { ItemList, KeySpaceError, KeySpacePort, StoredItem } from './key-space-port.js';
+import { ListAttempts } from './list-attempts.js';
+import type { StoreCall } from './list-attempts.js';
 
 /** What a mirror is made with. */
 export interface KeySpaceMirrorOptions {
   readonly runtime: Runtime;
   readonly port: KeySpacePort;
   readonly prefix: string;
+  readonly timings: FreshnessTimings;
   /** Pause between cheap lists, read since a watch can be silent, in milliseconds. */
   readonly verifyMilliseconds: number;
   /** Longest wait of one watch call, in milliseconds. */
   readonly watchMilliseconds: number;
+  /** Whether others say by `heedRevision` when the store answers them. */
+  readonly awaitsProof: boolean;
   /** An item is new or changed. */
   readonly onPut: (item: StoredItem) => void;
   /** An item is gone. */
   readonly onGone: (key: string) => void;
   /** The store was reached again, or is out of reach. */
   readonly onReachable: (reachable: boolean) => void;
+  /** The store answered a whole list that was asked for at a local time: it was at that revision. */
+  readonly onListed?: (revision: number, sentAt: number) => void;
 }
 
-/** A call to the store that waits for its answer. */
-interface StoreCall {
-  readonly kind: 'list' | 'watch';
-  /** Local time at which it was sent, in milliseconds. */
-  readonly sentAt: number;
-}
-
-const FIRST_PAUSE_MILLISECONDS = 60;
-const LONGEST_PAUSE_MILLISECONDS = 800;
 /** Pause after changes before the next watch, so that changes in quick succession come in one call. */
 const GATHER_MILLISECONDS = 100;
-/** Time that a watch has to bring a change that a peer knows already, in milliseconds. */
-const BEHIND_MILLISECONDS = 400;
 /** Cheap lists of a resting mirror are that many times as far apart. */
 const RESTING_VERIFY_FACTOR = 5;
 
 /** See the head of this file. */
 export class KeySpaceMirror {
   private readonly copy: KeySpaceCopy;
-  /** Rises with each list and each rest: what an earlier call brings later is not followed up. */
+  private readonly lists: ListAttempts;
+  /** Rises with each list and each rest: what an earlier watch brings later is not followed up. */
   private generation = 0;
   private following = false;
   private watching = false;
@@ -61,6 +60,17 @@
 
   constructor(private readonly options: KeySpaceMirrorOptions) {
     this.copy = new KeySpaceCopy(options);
+    const { runtime, port, prefix, awaitsProof, timings } = options;
+    const { overdueMilliseconds } = timings;
+    this.lists = new ListAttempts({
+      runtime,
+      port,
+      prefix,
+      overdueMilliseconds,
+      awaitsProof,
+      onAnswer: (list, sentAt) => this.takeList(list, sentAt),
+      onFailure: (call, error) => this.noteFailure(call, error),
+    });
   }
 
   /** Begins to follow the store: with a list, or after the last change that is known for sure. */
@@ -70,7 +80,7 @@
     }
     this.following = true;
     this.verifyLater();
-    if (this.listed) {
+    if (this.listed && !this.lists.running) {
       this.watch();
     } else {
       this.readList();
@@ -82,6 +92,7 @@
     this.following = false;
     this.watching = false;
     this.generation += 1;
+    this.lists.stop();
     this.verifyLater();
   }
 
@@ -124,22 +135,25 @@
     this.copy.take(changes);
   }
 
-  /** Takes a peer's word for how far it knows all: if the watch does not bring it, the watch hangs. */
+  /** Takes items that the store has told this process outside of the mirror's own calls. */
+  takeRead({ items }: ItemList): void {
+    items.forEach((item) => this.copy.offer(item));
+  }
+
+  /** Takes word that the store is at a revision: if the watch does not bring it, the watch hangs. */
   heedRevision(revision: number): void {
-    if (revision <= this.completeRevision || this.checkingBehind || !this.watching) {
-      return;
+    this.lists.heedProof();
+    if (this.watching) {
+      this.checkBehind(revision, () => this.watching);
+    }
+  }
+
+  /** The same, where the store told this process itself: also one that rests lists what it lacks. */
+  heedOwnRead(revision: number): void {
+    this.heedRevision(revision);
+    if (!this.following) {
+      this.checkBehind(revision, () => !this.following);
     }
-    this.checkingBehind = true;
-    const { runtime } = this.options;
-    runtime.setTimer(BEHIND_MILLISECONDS, () => {
-      this.checkingBehind = false;
-      if (revision > this.completeRevision && this.watching && !this.closed) {
-        const known = this.completeRevision;
-        const fields = { event: 'mirror.behind', known, elsewhere: revision };
-        runtime.log('warn', 'the watch hangs', fields);
-        this.readList();
-      }
-    });
   }
 
   /** Whether a whole list was ever taken. */
@@ -155,27 +169,41 @@
   /** Stops following. */
   close(): void {
     this.closed = true;
+    this.lists.stop();
     this.cancelVerify?.();
   }
 
+  /** Lists anew if the copy still lacks a revision after the time that a watch or peers have for it. */
+  private checkBehind(revision: number, isStillMeant: () => boolean): void {
+    if (revision <= this.completeRevision || this.checkingBehind) {
+      return;
+    }
+    this.checkingBehind = true;
+    const { runtime, timings } = this.options;
+    runtime.setTimer(timings.behindMilliseconds, () => {
+      this.checkingBehind = false;
+      if (revision > this.completeRevision && isStillMeant() && !this.closed) {
+        const { following, completeRevision: known } = this;
+        const fields = { event: 'mirror.behind', known, elsewhere: revision, following };
+        runtime.log('warn', 'changes of the store are missing here', fields);
+        this.readList();
+      }
+    });
+  }
+
   private readList(): void {
     this.generation += 1;
     this.watching = false;
-    const { generation } = this;
-    const sentAt = this.options.runtime.now();
-    this.options.port.list(this.options.prefix, (result) => {
-      if (this.isOver(generation)) {
-        return;
-      }
-      if (!isRight(result)) {
-        this.retry({ kind: 'list', sentAt }, result.left, () => this.readList());
-        return;
-      }
-      this.noteReached();
-      const { items, revision } = result.right;
-      this.copy.replaceAll(items, Math.max(1, revision));
+    this.lists.start();
+  }
+
+  private takeList({ items, revision }: ItemList, sentAt: number): void {
+    this.noteReached();
+    this.copy.replaceAll(items, Math.max(1, revision));
+    this.options.onListed?.(revision, sentAt);
+    if (this.following) {
       this.watch();
-    });
+    }
   }
 
   private watch(): void {
@@ -189,11 +217,10 @@
       }
       this.watching = false;
       if (!isRight(result)) {
-        if (result.left.tag === 'HistoryLost') {
-          this.readList();
-        } else {
-          this.retry({ kind: 'watch', sentAt }, result.left, () => this.watch());
+        if (result.left.tag !== 'HistoryLost') {
+          this.noteFailure({ kind: 'watch', sentAt }, result.left);
         }
+        this.readList();
         return;
       }
       this.noteReached();
@@ -238,12 +265,21 @@
   }
 
   private verify(): void {
-    if (this.following && this.reachable !== true) {
+    if (this.lists.running) {
       return;
     }
+    const sentAt = this.options.runtime.now();
+    const { generation } = this;
     this.options.port.listStale(this.options.prefix, (result) => {
-      if (!isRight(result) || this.closed) {
-        // The next list comes soon; a store out of reach is logged by those that follow it.
+      if (this.closed) {
+        return;
+      }
+      if (!isRight(result)) {
+        if (this.following && generation === this.generation) {
+          // The watch may hang as well: what it would bring is asked for.
+          this.noteFailure({ kind: 'stale list', sentAt }, result.left);
+          this.readList();
+        }
         return;
       }
       const { items, revision } = result.right;
@@ -255,26 +291,11 @@
     });
   }
 
-  private retry(call: StoreCall, error: KeySpaceError, again: () => void): void {
-    this.failures += 1;
-    this.logFailure(call, error);
-    if (this.reachable !== false && error.tag !== 'HistoryLost') {
-      this.reachable = false;
-      this.options.onReachable(false);
-    }
-    const longest = Math.min(
-      LONGEST_PAUSE_MILLISECONDS,
-      FIRST_PAUSE_MILLISECONDS * 2 ** (this.failures - 1),
-    );
-    const pause = longest * (0.5 + 0.5 * this.options.runtime.random.uniform());
-    const { generation } = this;
-    this.options.runtime.setTimer(pause, () => this.unlessOver(generation, again));
-  }
-
   /** Logs each failed call with the time for which it was owed: a hanging one is told by it. */
-  private logFailure(call: StoreCall, error: KeySpaceError): void {
+  private noteFailure(call: StoreCall, error: KeySpaceError): void {
     const { runtime } = this.options;
-    const isNews = this.reachable !== false && error.tag !== 'HistoryLost';
+    this.failures += 1;
+    const isNews = this.reachable !== false;
     runtime.log(isNews ? 'warn' : 'info', isNews ? 'store out of reach' : 'store call failed', {
       event: isNews ? 'store.lost' : 'store.failed',
       call: call.kind,
@@ -284,6 +305,10 @@
       detail: error.tag === 'HistoryLost' ? '' : error.detail,
       failures: this.failures,
     });
+    if (isNews) {
+      this.reachable = false;
+      this.options.onReachable(false);
+    }
   }
 
   private noteReached(): void {
--- a/src/peers/load-gossip.ts
+++ b/src/peers/load-gossip.ts
@@ -6,11 +6,12 @@
  * gateway sends and receives does not grow with their number. Datagrams may be lost; what a silent
  * sender told is forgotten soon. Peers are found through seeds and through one another.
  */
+import type { ProofRank, StoreProof } from '../mirror/store-freshness.js';
 import { hashToNumber } from '../runtime/hashing.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import { setRepeatingTimer } from '../runtime/runtime.js';
 import type { DatagramPort } from './datagram-port.js';
-import { decodeLoadMessage, encodeLoadMessage } from './load-message.js';
+import { decodeLoadMessage, encodeLoadMessage, NO_PROOF } from './load-message.js';
 import type { LoadMessage, LoadScope, RunnerLoad } from './load-message.js';
 import { sumLoads, ToldLoads } from './load-sums.js';
 import { MessageWriter, NAMED_MILLISECONDS } from './message-writer.js';
@@ -39,8 +40,8 @@
   readonly from: string;
   /** Revision up to which it misses nothing. */
   readonly revision: number;
-  /** Time since a gateway known to it heard from the store, in milliseconds. */
-  readonly ageMilliseconds: number;
+  /** Newest proof of the store's revision that it knows; undefined when it knows none. */
+  readonly proof: StoreProof | undefined;
 }
 
 const PERIOD_MILLISECONDS = 100;
@@ -124,6 +125,12 @@
     return this.usesSums ? this.table.rank() : 0;
   }
 
+  /** Where this gateway stands among those of all zones that may read the store. */
+  get proofRank(): ProofRank {
+    const alive = this.usesSums ? this.peerCount : this.table.aliveCount;
+    return { rank: this.table.rankOfAll(), gateways: alive + 1 };
+  }
+
   /** Hosts of the gateways of this zone that come first. */
   firstOfZone(count: number): string[] {
     const peers = this.table.aliveIn(this.zoneHash);
@@ -234,14 +241,15 @@
     if (message === undefined || from === this.options.host) {
       return;
     }
-    const { scope, zoneHash, revision, storeAgeMilliseconds: ageMilliseconds } = message;
+    const { scope, zoneHash, revision } = message;
+    const proof = message.proof.life === NO_PROOF.life ? undefined : message.proof;
     const now = this.options.runtime.now();
     if (!this.told[scope].take(from, message, now)) {
       return;
     }
     this.table.noteHeard({ host: from, zoneHash });
     message.peers.forEach((peer) => this.table.noteNamed(peer));
-    this.options.onStoreNews({ from, revision, ageMilliseconds });
+    this.options.onStoreNews({ from, revision, proof });
     this.options.onPlaces(message.places);
     if (scope === 'gateway' && this.usesSums && !this.collectsFor(zoneHash)) {
       this.answer(from, zoneHash);
--- a/src/peers/load-message.ts
+++ b/src/peers/load-message.ts
@@ -11,6 +11,7 @@
   record,
   shortText,
 } from '../wire/fields.js';
+import type { StoreProof } from '../mirror/store-freshness.js';
 import type { NamedPeer } from './peer-table.js';
 import type { PromptPlace } from './recent-places.js';
 
@@ -51,12 +52,15 @@
   readonly places: readonly PromptPlace[];
   /** Whether one of the gateways that are counted reaches a majority of the replicas. */
   readonly reachesReplicas: boolean;
-  /** Time since a gateway known to the sender heard from the store, in milliseconds, bounded. */
-  readonly storeAgeMilliseconds: number;
+  /** Newest proof of the store's revision that the sender knows, its age bounded; none has the life 0. */
+  readonly proof: StoreProof;
 }
 
-/** Largest age that a message tells, in milliseconds; it stands for all larger ones. */
-export const LARGEST_STORE_AGE_MILLISECONDS = 0xffff;
+/** What stands for no proof. */
+export const NO_PROOF: StoreProof = { life: 0, number: 0, revision: 0, ageMilliseconds: 0 };
+
+/** Largest age that a message tells, in milliseconds; older proofs are told as none. */
+export const LARGEST_PROOF_AGE_MILLISECONDS = 0xffff;
 
 const load = record({ runnerHash: r.uint32, inFlight: r.uint16 });
 const place = record({ runnerHash: r.uint32, part: r.uint32, tokens: r.uint32 });
@@ -72,7 +76,12 @@
   revision: real,
   places: listOf(place),
   reachesReplicas: flag,
-  storeAgeMilliseconds: r.uint16,
+  proof: record({
+    life: r.uint32,
+    number: r.uint32,
+    revision: real,
+    ageMilliseconds: r.uint16,
+  }),
 });
 
 /** Encodes a datagram. */
--- a/src/peers/message-writer.ts
+++ b/src/peers/message-writer.ts
@@ -1,7 +1,8 @@
 /** Puts together what this gateway tells others of its load, of sums of loads, and of the store. */
 import { hashToNumber } from '../runtime/hashing.js';
 import type { Runtime } from '../runtime/runtime.js';
-import { LARGEST_STORE_AGE_MILLISECONDS } from './load-message.js';
+import type { StoreProof } from '../mirror/store-freshness.js';
+import { LARGEST_PROOF_AGE_MILLISECONDS, NO_PROOF } from './load-message.js';
 import type { LoadMessage, LoadScope, RunnerLoad } from './load-message.js';
 import { loadList, sumLoads } from './load-sums.js';
 import type { NamedPeer, PeerTable } from './peer-table.js';
@@ -14,8 +15,8 @@
   readonly ownLoads: () => ReadonlyMap<string, number>;
   /** Revision of the store up to which nothing is missing here. */
   readonly ownRevision: () => number;
-  /** Time since a gateway known here heard from the store, in milliseconds. */
-  readonly storeAgeMilliseconds: () => number;
+  /** Newest proof of the store's revision; undefined while none is known. */
+  readonly proof: () => StoreProof | undefined;
   /** Whether this gateway reaches a majority of the replicas. */
   readonly reachesReplicas: () => boolean;
   /** What this gateway's requests have put into runners' memory within the last milliseconds. */
@@ -78,8 +79,7 @@
     scope: LoadScope,
     peers: readonly NamedPeer[],
   ): Omit<LoadMessage, 'gateways' | 'loads' | 'places'> {
-    const { ownRevision, storeAgeMilliseconds, reachesReplicas } = this.news;
-    const age = Math.round(storeAgeMilliseconds());
+    const { ownRevision, reachesReplicas } = this.news;
     return {
       sequence: this.nextSequence(),
       life: this.life,
@@ -88,10 +88,18 @@
       peers: peers.map(({ host, zoneHash }) => ({ host, zoneHash })),
       revision: ownRevision(),
       reachesReplicas: reachesReplicas(),
-      storeAgeMilliseconds: Math.min(LARGEST_STORE_AGE_MILLISECONDS, age),
+      proof: this.toldProof(),
     };
   }
 
+  private toldProof(): StoreProof {
+    const proof = this.news.proof();
+    if (proof === undefined || proof.ageMilliseconds > LARGEST_PROOF_AGE_MILLISECONDS) {
+      return NO_PROOF;
+    }
+    return { ...proof, ageMilliseconds: Math.ceil(proof.ageMilliseconds) };
+  }
+
   private nextSequence(): number {
     this.sequence += 1;
     return this.sequence;
--- a/src/peers/peer-table.ts
+++ b/src/peers/peer-table.ts
@@ -97,6 +97,22 @@
     return this.aliveIn(this.options.zoneHash).filter((peer) => peer.hash < this.ownHash).length;
   }
 
+  /** Gateways of all zones that are alive and come before this one: the first of each zone, then the next. */
+  rankOfAll(): number {
+    const zones = [...this.zones()].sort((left, right) => left - right);
+    return this.rank() * zones.length + zones.indexOf(this.options.zoneHash);
+  }
+
+  /** Gateways that are alive, as far as they are known, without this one. */
+  get aliveCount(): number {
+    const since = this.options.runtime.now() - ALIVE_MILLISECONDS;
+    let count = 0;
+    for (const { aliveAt } of this.peers.values()) {
+      count += aliveAt >= since ? 1 : 0;
+    }
+    return count;
+  }
+
   /** Drops those that nobody has heard for long. */
   forgetSilent(): void {
     const since = this.options.runtime.now() - FORGET_MILLISECONDS;
--- a/src/peers/store-catch-up.ts
+++ b/src/peers/store-catch-up.ts
@@ -54,13 +54,18 @@
     return this.behindSince === undefined ? 0 : runtime.now() - this.behindSince;
   }
 
-  /** Heeds what a peer told. */
-  heed({ from, revision }: StoreNews): void {
-    const { mirror } = this.options;
-    if (revision > mirror.completeRevision) {
+  /** Takes word that the store is at a revision, whoever has what it holds. */
+  noteStoreAt(revision: number): void {
+    if (revision > this.options.mirror.completeRevision) {
       this.toldRevision = Math.max(this.toldRevision, revision);
       this.behindSince ??= this.options.runtime.now();
     }
+  }
+
+  /** Heeds what a peer told. */
+  heed({ from, revision }: Pick<StoreNews, 'from' | 'revision'>): void {
+    const { mirror } = this.options;
+    this.noteStoreAt(revision);
     if (mirror.hearsStore) {
       mirror.heedRevision(revision);
     } else if (revision > mirror.completeRevision && !this.fetching) {
--- a/src/peers/store-followers.ts
+++ b/src/peers/store-followers.ts
@@ -10,8 +10,6 @@
 /** What of the mirror is driven from here. */
 export interface FollowableMirror {
   readonly isFollowing: boolean;
-  /** Whether it follows the store and hears from it. */
-  readonly hearsStore: boolean;
   follow(): void;
   rest(): void;
 }
@@ -22,6 +20,8 @@
   /** Gateways of this zone that come before this one. */
   readonly rank: () => number;
   readonly mirror: FollowableMirror;
+  /** Time since the store was last proved to answer some gateway, in milliseconds. */
+  readonly proofAgeMilliseconds: () => number;
   /** Time for which peers have known more of the store than came here, in milliseconds. */
   readonly behindMilliseconds: () => number;
   /** Time after the start in which others may follow the store first, in milliseconds. */
@@ -35,7 +35,7 @@
   readonly isFollowing: boolean;
   /** Time since this gateway began to follow or to rest, in milliseconds. */
   readonly sinceChangeMilliseconds: number;
-  /** Time since another gateway was last known to hear from the store, in milliseconds. */
+  /** Time since the store was last known to answer a gateway, in milliseconds. */
   readonly silenceMilliseconds: number;
   /** Silence that is borne, in milliseconds. */
   readonly patienceMilliseconds: number;
@@ -51,8 +51,10 @@
 const LEAST_FOLLOWING_MILLISECONDS = 4_000;
 /** Time after the start in which peers are found and nobody is told to rest, in milliseconds. */
 const FINDING_MILLISECONDS = 2_000;
-/** Silence of all followers that is borne at least; word of them is usually 0.2 s old. */
+/** Silence of the store beyond which one that follows it goes on; a proof is usually 0.6 s old at most. */
 const LEAST_SILENCE_MILLISECONDS = 900;
+/** Silence that one which rests bears at least: proofs may have to wait for the next of the rank. */
+const RESTING_SILENCE_MILLISECONDS = 1_400;
 /** Drawn on top, so that not all take the place of followers at once. */
 const DRAWN_SILENCE_MILLISECONDS = 600;
 /** Time for which a change that peers know may not come from them before the store is asked itself. */
@@ -77,14 +79,11 @@
   private readonly drawnMilliseconds: number;
   private readonly cancelTimer: CancelTimer;
   private changedAt: number;
-  /** Local time at which another gateway was last known to hear from the store, in milliseconds. */
-  private heardAt: number;
 
   constructor(private readonly options: StoreFollowersOptions) {
     const { runtime, mirror, patienceMilliseconds } = options;
     this.startedAt = runtime.now();
     this.changedAt = this.startedAt;
-    this.heardAt = this.startedAt;
     this.drawnMilliseconds = DRAWN_SILENCE_MILLISECONDS * runtime.random.uniform();
     this.cancelTimer = setRepeatingTimer(runtime, STEP_MILLISECONDS, () => this.step());
     if (patienceMilliseconds <= 0) {
@@ -92,19 +91,9 @@
     }
   }
 
-  /** Takes a peer's word for the time since a gateway heard from the store, in milliseconds. */
-  heard(ageMilliseconds: number): void {
-    this.heardAt = Math.max(this.heardAt, this.options.runtime.now() - ageMilliseconds);
-  }
-
-  /** Time since a gateway, be it this one, was last known to hear from the store, in milliseconds. */
-  get ageMilliseconds(): number {
-    return this.options.mirror.hearsStore ? 0 : this.silenceMilliseconds;
-  }
-
   /** Whether changes of the store are bound to come, by itself or through peers. */
   get isInformed(): boolean {
-    return this.ageMilliseconds <= LEAST_SILENCE_MILLISECONDS;
+    return this.options.proofAgeMilliseconds() <= RESTING_SILENCE_MILLISECONDS;
   }
 
   /** Stops deciding. */
@@ -113,7 +102,8 @@
   }
 
   private get silenceMilliseconds(): number {
-    return this.options.runtime.now() - this.heardAt;
+    const { runtime, proofAgeMilliseconds } = this.options;
+    return Math.min(proofAgeMilliseconds(), runtime.now() - this.startedAt);
   }
 
   private step(): void {
@@ -130,7 +120,7 @@
       isFollowing: mirror.isFollowing,
       sinceChangeMilliseconds: now - this.changedAt,
       silenceMilliseconds: this.silenceMilliseconds,
-      patienceMilliseconds: LEAST_SILENCE_MILLISECONDS + this.drawnMilliseconds,
+      patienceMilliseconds: RESTING_SILENCE_MILLISECONDS + this.drawnMilliseconds,
       behindMilliseconds: this.options.behindMilliseconds(),
     });
     if (follows === mirror.isFollowing) {
