--- /dev/null
+++ b/features/freshness.feature
@@ -0,0 +1,47 @@
+Feature: As of which time the copy of the store is known to miss nothing
+  Scenario Outline: The worst path of a change fits the bound of each known deployment
+    Given a bound of <bound> milliseconds for changes of the configuration
+    Then the worst path of a change takes at most that long
+
+    Examples:
+      | bound |
+      | 2000  |
+      | 3000  |
+      | 4000  |
+      | 12000 |
+
+  Scenario: The worst path of a change fits any bound from two seconds on, and shorter ones are called unmet
+    Then the worst path fits every drawn bound from 2000 to 60000 milliseconds
+    And the worst path does not fit a bound of 1000 milliseconds
+
+  Scenario: An open watch proves nothing
+    Given 3 gateways that tell one another what they know of the store
+    Then after 5000 milliseconds each has a proof at most 1000 milliseconds old
+    When the store says nothing for 4000 milliseconds
+    Then each knows that its newest proof is at least 3500 milliseconds old
+
+  Scenario: A proof that comes back over other gateways is not taken as younger
+    Given 8 gateways that tell one another what they know of the store
+    Then after 5000 milliseconds each has a proof at most 1000 milliseconds old
+    When messages between gateways take 90 milliseconds more and the store says nothing for 8000 milliseconds
+    Then each knows that its newest proof is at least 7000 milliseconds old
+
+  Scenario Outline: One gateway reads for all, and the next one when the first is refused
+    Given <gateways> gateways that tell one another what they know of the store
+    Then after 12000 milliseconds each has a proof at most 1200 milliseconds old
+    And in 10000 milliseconds all together ask for at most <calls> short reads
+    When the store refuses the first <refused> of them
+    Then after 3000 milliseconds each has a proof at most 1500 milliseconds old
+
+    Examples:
+      | gateways | refused | calls |
+      | 1        | 0       | 25    |
+      | 8        | 3       | 35    |
+      | 40       | 14      | 45    |
+      | 160      | 60      | 60    |
+
+  Scenario: A store that says nothing is asked little, however many gateways there are
+    Given 160 gateways that tell one another what they know of the store
+    Then after 12000 milliseconds each has a proof at most 1200 milliseconds old
+    When the store says nothing for 10000 milliseconds
+    Then all together made at most 1500 calls meanwhile
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -118,6 +118,14 @@
     When its readiness is asked
     Then it is not ready
 
+  Scenario: An unknown route is not called unknown while the configuration may be old
+    Given the configuration is not proved to be the newest
+    When a client sends a request to an unknown route
+    Then the client gets status 503
+    And the answer says when to come back: yes
+    When a client sends a "repeatable" request
+    Then the client gets status 200 with the runner's body and signature
+
   Scenario: An older configuration never replaces a newer one
     When the configuration of version 3 without routes is offered
     And a client sends a "repeatable" request
--- a/features/steps/followers.steps.ts
+++ b/features/steps/followers.steps.ts
@@ -1,191 +1,27 @@
 /** Steps about gateways of which few follow the store, in virtual time. */
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
-import { freshnessTimingsFor } from '../../src/mirror/freshness-timings.js';
-import { KeySpaceMirror } from '../../src/mirror/key-space-mirror.js';
-import { StoreFreshness } from '../../src/mirror/store-freshness.js';
-import type { DatagramListener, DatagramPort } from '../../src/peers/datagram-port.js';
-import { LoadGossip } from '../../src/peers/load-gossip.js';
-import { StoreCatchUp } from '../../src/peers/store-catch-up.js';
-import {
-  decideFollowing,
-  FOLLOWERS_OF_ZONE,
-  StoreFollowers,
-} from '../../src/peers/store-followers.js';
+import { decideFollowing } from '../../src/peers/store-followers.js';
 import type { PromptPlace } from '../../src/peers/recent-places.js';
 import { promptKeyOf } from '../../src/relay/relay-request.js';
 import { hashToNumber } from '../../src/runtime/hashing.js';
-import { createRandom } from '../../src/runtime/random.js';
-import type { RandomSource } from '../../src/runtime/random.js';
-import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
-import { VirtualClock } from '../../src/simulation/virtual-clock.js';
-import { SimulatedKeySpace } from '../support/simulated-key-space.js';
+import {
+  allKnow,
+  changeKey,
+  followersOf,
+  KEY,
+  running,
+  startFleet,
+  wait,
+  ZONES,
+} from '../support/gateway-fleet.js';
+import type { FleetGateway, FleetWorld } from '../support/gateway-fleet.js';
 
-const LINK_MILLISECONDS = 1;
-const LOSS = 0.01;
 const PATIENCE_MILLISECONDS = 1_200;
-const FIRST_PATIENCE_MILLISECONDS = 2_500;
-const APPLY_MILLISECONDS = 2_000;
-const KEY = 'a';
-const ZONES = 4;
-
-/** One gateway as far as the store is concerned. */
-interface Gateway {
-  readonly host: string;
-  readonly process: SimulatedProcess;
-  readonly store: SimulatedKeySpace;
-  readonly mirror: KeySpaceMirror;
-  readonly gossip: LoadGossip;
-  readonly loads: Map<string, number>;
-  /** Places of prompts told to it. */
-  readonly placesHeard: Set<number>;
-  places: readonly PromptPlace[];
-  fetchesServed: number;
-  messagesSent: number;
-  bytesSent: number;
-}
 
-interface World {
-  random: RandomSource;
-  clock: VirtualClock;
-  gateways: Gateway[];
-  listeners: Map<string, DatagramListener>;
-  /** What the store holds; each gateway has a path of its own to it. */
-  value: string;
+interface World extends FleetWorld {
   view?: { rank: number; isFollowing: boolean; sinceChangeMilliseconds: number };
   follows?: boolean;
-  /** While true, no gateway answers another's fetch. */
-  fetchesFail: boolean;
-  /** Revision that a lying gateway tells. */
-  lie: { readonly host: string; readonly revision: number } | undefined;
-}
-
-function running(world: World): Gateway[] {
-  return world.gateways.filter(({ process }) => process.isAlive);
-}
-
-function followersOf(world: World): Gateway[] {
-  return running(world).filter(({ mirror }) => mirror.isFollowing);
-}
-
-function datagramsOf(world: World, host: string): DatagramPort {
-  return {
-    onDatagram: (listener) => world.listeners.set(host, listener),
-    send: (bytes, target) => {
-      const sender = world.gateways.find((gateway) => gateway.host === host);
-      if (sender !== undefined) {
-        sender.messagesSent += 1;
-        sender.bytesSent += bytes.length;
-      }
-      if (world.random.uniform() >= LOSS) {
-        world.clock.schedule(LINK_MILLISECONDS, () => world.listeners.get(target)?.(bytes, host));
-      }
-    },
-    close: () => world.listeners.delete(host),
-  };
-}
-
-function fetchFrom(world: World, own: KeySpaceMirror, host: string, done: () => void): void {
-  const peer = world.gateways.find((gateway) => gateway.host === host);
-  if (peer === undefined || !peer.process.isAlive || world.fetchesFail) {
-    world.clock.schedule(600, done);
-    return;
-  }
-  peer.fetchesServed += 1;
-  const since = own.completeRevision;
-  world.clock.schedule(LINK_MILLISECONDS, () => {
-    const changes = peer.mirror.changesSince(since);
-    world.clock.schedule(LINK_MILLISECONDS, () => {
-      own.take(changes);
-      done();
-    });
-  });
-}
-
-function addGateway(world: World, index: number): void {
-  const host = `10.0.0.${index}`;
-  const process = new SimulatedProcess(host, world.clock, world.random);
-  const runtime = process.begin();
-  const store = new SimulatedKeySpace(world.clock);
-  const timings = freshnessTimingsFor(APPLY_MILLISECONDS);
-  store.put(KEY, 'first');
-  const mirror = new KeySpaceMirror({
-    runtime,
-    port: store,
-    prefix: '',
-    timings,
-    awaitsProof: true,
-    onListed: (revision, sentAt) => freshness.noteRead(revision, sentAt),
-    verifyMilliseconds: 2_500,
-    watchMilliseconds: 5_000,
-    onPut: () => undefined,
-    onGone: () => undefined,
-    onReachable: () => undefined,
-  });
-  const loads = new Map<string, number>();
-  const placesHeard = new Set<number>();
-  const isSeed = index < 3;
-  const catchUp = new StoreCatchUp({
-    runtime,
-    mirror,
-    otherSources: () => gossip.firstOfZone(FOLLOWERS_OF_ZONE),
-    fetch: (target, done) => fetchFrom(world, mirror, target, done),
-  });
-  const gossip: LoadGossip = new LoadGossip({
-    runtime,
-    host,
-    zone: `z${index % ZONES}`,
-    datagrams: datagramsOf(world, host),
-    seeds: () => ['10.0.0.0', '10.0.0.1', '10.0.0.2'],
-    ownLoads: () => loads,
-    ownRevision: () => (world.lie?.host === host ? world.lie.revision : mirror.completeRevision),
-    proof: () => freshness.proof,
-    onStoreNews: (news) => {
-      if (news.proof !== undefined) {
-        freshness.hear(news.proof);
-        catchUp.noteStoreAt(news.proof.revision);
-      }
-      catchUp.heed(news);
-    },
-    reachesReplicas: () => true,
-    ownPlaces: () => world.gateways[index]?.places ?? [],
-    onPlaces: (places) => places.forEach(({ part }) => placesHeard.add(part)),
-  });
-  const patienceMilliseconds = isSeed
-    ? 0
-    : FIRST_PATIENCE_MILLISECONDS * (1 + world.random.uniform());
-  const freshness: StoreFreshness = new StoreFreshness({
-    runtime,
-    port: store,
-    key: KEY,
-    mirror,
-    timings,
-    rank: () => gossip.proofRank,
-    patienceMilliseconds,
-  });
-  new StoreFollowers({
-    runtime,
-    rank: () => gossip.rank,
-    proofAgeMilliseconds: () => freshness.proofAgeMilliseconds,
-    behindMilliseconds: () => catchUp.behindMilliseconds,
-    mirror,
-    patienceMilliseconds,
-  });
-  const counts = { fetchesServed: 0, messagesSent: 0, bytesSent: 0, places: [] };
-  world.gateways.push({ host, process, store, mirror, gossip, loads, placesHeard, ...counts });
-}
-
-function wait(world: World, milliseconds: number): void {
-  world.clock.runUntil(world.clock.now + milliseconds);
-}
-
-function changeKey(world: World): void {
-  world.value = `changed at ${world.clock.now}`;
-  world.gateways.forEach(({ store }) => store.put(KEY, world.value));
-}
-
-function allKnow(world: World): boolean {
-  return running(world).every(({ mirror }) => mirror.get(KEY)?.value === world.value);
 }
 
 Given(
@@ -212,15 +48,7 @@
 Given(
   '{int} gateways that tell one another what they know of the store',
   function (this: World, count: number) {
-    this.random = createRandom(count, 'gateways');
-    this.clock = new VirtualClock();
-    this.gateways = [];
-    this.listeners = new Map();
-    this.value = 'first';
-    this.fetchesFail = false;
-    for (let index = 0; index < count; index += 1) {
-      addGateway(this, index);
-    }
+    startFleet(this, count);
   },
 );
 
@@ -314,9 +142,9 @@
 const PLACE: PromptPlace = { runnerHash: 5, part: promptKeyOf('a part'), tokens: 900 };
 
 /** Whether each gateway that runs knows the requests of all others that run. */
-function allKnowLoads(world: World): boolean {
+function allKnowLoads(world: FleetWorld): boolean {
   const alive = running(world);
-  const ownOf = ({ loads }: Gateway): number => loads.get(RUNNER) ?? 0;
+  const ownOf = ({ loads }: FleetGateway): number => loads.get(RUNNER) ?? 0;
   const all = alive.reduce((sum, gateway) => sum + ownOf(gateway), 0);
   return alive.every(
     (gateway) => gateway.gossip.inFlightOfOthers(RUNNER_HASH) === all - ownOf(gateway),
--- /dev/null
+++ b/features/steps/freshness.steps.ts
@@ -0,0 +1,109 @@
+/** Steps about as of which time a gateway's copy of the store is known to miss nothing. */
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import fc from 'fast-check';
+import { freshnessTimingsFor, worstApplyMilliseconds } from '../../src/mirror/freshness-timings.js';
+import { running, wait } from '../support/gateway-fleet.js';
+import type { FleetWorld } from '../support/gateway-fleet.js';
+
+const NUMBER_OF_RUNS = 1_000;
+
+interface World extends FleetWorld {
+  bound: number;
+  callsMeanwhile: number;
+}
+
+function worstOf(bound: number): number {
+  return worstApplyMilliseconds(freshnessTimingsFor(bound));
+}
+
+function callsOf(world: FleetWorld): number {
+  return world.gateways.reduce((sum, { store }) => sum + store.callCount, 0);
+}
+
+Given(
+  'a bound of {int} milliseconds for changes of the configuration',
+  function (this: World, bound: number) {
+    this.bound = bound;
+  },
+);
+
+Then('the worst path of a change takes at most that long', function (this: World) {
+  assert.ok(worstOf(this.bound) <= this.bound, `${worstOf(this.bound)} ms`);
+});
+
+Then(
+  'the worst path fits every drawn bound from {int} to {int} milliseconds',
+  function (least: number, most: number) {
+    const bound = fc.integer({ min: least, max: most });
+    fc.assert(
+      fc.property(bound, (drawn) => worstOf(drawn) <= drawn),
+      { numRuns: NUMBER_OF_RUNS },
+    );
+  },
+);
+
+Then('the worst path does not fit a bound of {int} milliseconds', function (bound: number) {
+  assert.ok(worstOf(bound) > bound);
+});
+
+Then(
+  'after {int} milliseconds each has a proof at most {int} milliseconds old',
+  function (this: World, milliseconds: number, most: number) {
+    wait(this, milliseconds);
+    const ages = running(this).map(({ freshness }) => freshness.proofAgeMilliseconds);
+    assert.ok(Math.max(...ages) <= most, `the oldest is ${Math.max(...ages)} ms old`);
+    const missing = running(this).map(({ freshness }) => freshness.ageMilliseconds);
+    assert.ok(Math.max(...missing) <= most, `a copy is ${Math.max(...missing)} ms behind`);
+  },
+);
+
+When('the store says nothing for {int} milliseconds', function (this: World, milliseconds: number) {
+  const before = callsOf(this);
+  this.gateways.forEach(({ store }) => store.fallSilent());
+  wait(this, milliseconds);
+  this.callsMeanwhile = callsOf(this) - before;
+});
+
+When(
+  'messages between gateways take {int} milliseconds more and the store says nothing for {int} milliseconds',
+  function (this: World, delay: number, milliseconds: number) {
+    this.delayMilliseconds = delay;
+    this.gateways.forEach(({ store }) => store.fallSilent());
+    wait(this, milliseconds);
+  },
+);
+
+Then(
+  'each knows that its newest proof is at least {int} milliseconds old',
+  function (this: World, least: number) {
+    const ages = running(this).map(({ freshness }) => freshness.proofAgeMilliseconds);
+    assert.ok(Math.min(...ages) >= least, `the youngest is ${Math.min(...ages)} ms old`);
+  },
+);
+
+Then(
+  'in {int} milliseconds all together ask for at most {int} short reads',
+  function (this: World, milliseconds: number, most: number) {
+    const readsOf = (): number =>
+      this.gateways.reduce((sum, { store }) => sum + store.keyReadCount, 0);
+    const before = readsOf();
+    wait(this, milliseconds);
+    const reads = readsOf() - before;
+    assert.ok(reads > 0 && reads <= most, `${reads} reads`);
+  },
+);
+
+When('the store refuses the first {int} of them', function (this: World, count: number) {
+  const first = [...this.gateways].sort(
+    (left, right) => left.gossip.proofRank.rank - right.gossip.proofRank.rank,
+  );
+  first.slice(0, count).forEach(({ store }) => {
+    store.mode = 'refusing';
+    store.cutWatches = true;
+  });
+});
+
+Then('all together made at most {int} calls meanwhile', function (this: World, most: number) {
+  assert.ok(this.callsMeanwhile <= most, `${this.callsMeanwhile} calls`);
+});
--- a/features/steps/relay.steps.ts
+++ b/features/steps/relay.steps.ts
@@ -132,6 +132,10 @@
   await sendAndNote(this, relayOf(this).send('single', { host: 'nowhere.example' }));
 });
 
+Given('the configuration is not proved to be the newest', function (this: World) {
+  relayOf(this).gateway.isTableProven = () => false;
+});
+
 When('a client sends a request to an unknown route', async function (this: World) {
   await sendAndNote(this, relayOf(this).send('single', { path: '/nowhere/' }));
 });
--- /dev/null
+++ b/features/support/gateway-fleet.ts
@@ -0,0 +1,206 @@
+/** Gateways in virtual time that gossip and of which few follow the store. */
+import { KeySpaceMirror } from '../../src/mirror/key-space-mirror.js';
+import { freshnessTimingsFor } from '../../src/mirror/freshness-timings.js';
+import { StoreFreshness } from '../../src/mirror/store-freshness.js';
+import type { DatagramListener, DatagramPort } from '../../src/peers/datagram-port.js';
+import { LoadGossip } from '../../src/peers/load-gossip.js';
+import type { PromptPlace } from '../../src/peers/recent-places.js';
+import { StoreCatchUp } from '../../src/peers/store-catch-up.js';
+import { FOLLOWERS_OF_ZONE, StoreFollowers } from '../../src/peers/store-followers.js';
+import { createRandom } from '../../src/runtime/random.js';
+import type { RandomSource } from '../../src/runtime/random.js';
+import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
+import { VirtualClock } from '../../src/simulation/virtual-clock.js';
+import { SimulatedKeySpace } from './simulated-key-space.js';
+
+/** What gateways that gossip need of the network, in milliseconds one way. */
+export const LINK_MILLISECONDS = 1;
+const LOSS = 0.01;
+const FIRST_PATIENCE_MILLISECONDS = 2_500;
+const APPLY_MILLISECONDS = 2_000;
+/** The key that is changed, and read as a proof. */
+export const KEY = 'a';
+/** Zones that gateways are spread over in turn. */
+export const ZONES = 4;
+
+/** One gateway as far as the store is concerned. */
+export interface FleetGateway {
+  readonly host: string;
+  readonly process: SimulatedProcess;
+  readonly store: SimulatedKeySpace;
+  readonly mirror: KeySpaceMirror;
+  readonly gossip: LoadGossip;
+  readonly freshness: StoreFreshness;
+  readonly loads: Map<string, number>;
+  /** Places of prompts told to it. */
+  readonly placesHeard: Set<number>;
+  places: readonly PromptPlace[];
+  fetchesServed: number;
+  messagesSent: number;
+  bytesSent: number;
+}
+
+/** Gateways in virtual time. */
+export interface FleetWorld {
+  random: RandomSource;
+  clock: VirtualClock;
+  gateways: FleetGateway[];
+  listeners: Map<string, DatagramListener>;
+  /** What the store holds; each gateway has a path of its own to it. */
+  value: string;
+  /** Added to the way of each message between gateways, in milliseconds. */
+  delayMilliseconds: number;
+  /** While true, no gateway answers another's fetch. */
+  fetchesFail: boolean;
+  /** Revision that a lying gateway tells. */
+  lie: { readonly host: string; readonly revision: number } | undefined;
+}
+
+/** Those that were not killed. */
+export function running(world: FleetWorld): FleetGateway[] {
+  return world.gateways.filter(({ process }) => process.isAlive);
+}
+
+/** Those that follow the store. */
+export function followersOf(world: FleetWorld): FleetGateway[] {
+  return running(world).filter(({ mirror }) => mirror.isFollowing);
+}
+
+function datagramsOf(world: FleetWorld, host: string): DatagramPort {
+  return {
+    onDatagram: (listener) => world.listeners.set(host, listener),
+    send: (bytes, target) => {
+      const sender = world.gateways.find((gateway) => gateway.host === host);
+      if (sender !== undefined) {
+        sender.messagesSent += 1;
+        sender.bytesSent += bytes.length;
+      }
+      if (world.random.uniform() >= LOSS) {
+        const way = LINK_MILLISECONDS + world.delayMilliseconds;
+        world.clock.schedule(way, () => world.listeners.get(target)?.(bytes, host));
+      }
+    },
+    close: () => world.listeners.delete(host),
+  };
+}
+
+function fetchFrom(world: FleetWorld, own: KeySpaceMirror, host: string, done: () => void): void {
+  const peer = world.gateways.find((gateway) => gateway.host === host);
+  if (peer === undefined || !peer.process.isAlive || world.fetchesFail) {
+    world.clock.schedule(600, done);
+    return;
+  }
+  peer.fetchesServed += 1;
+  const since = own.completeRevision;
+  world.clock.schedule(LINK_MILLISECONDS, () => {
+    const changes = peer.mirror.changesSince(since);
+    world.clock.schedule(LINK_MILLISECONDS, () => {
+      own.take(changes);
+      done();
+    });
+  });
+}
+
+function addGateway(world: FleetWorld, index: number): void {
+  const host = `10.0.0.${index}`;
+  const process = new SimulatedProcess(host, world.clock, world.random);
+  const runtime = process.begin();
+  const store = new SimulatedKeySpace(world.clock);
+  const timings = freshnessTimingsFor(APPLY_MILLISECONDS);
+  store.put(KEY, 'first');
+  const mirror = new KeySpaceMirror({
+    runtime,
+    port: store,
+    prefix: '',
+    timings,
+    awaitsProof: true,
+    onListed: (revision, sentAt) => freshness.noteRead(revision, sentAt),
+    verifyMilliseconds: 2_500,
+    watchMilliseconds: 5_000,
+    onPut: () => undefined,
+    onGone: () => undefined,
+    onReachable: () => undefined,
+  });
+  const loads = new Map<string, number>();
+  const placesHeard = new Set<number>();
+  const isSeed = index < 3;
+  const catchUp = new StoreCatchUp({
+    runtime,
+    mirror,
+    otherSources: () => gossip.firstOfZone(FOLLOWERS_OF_ZONE),
+    fetch: (target, done) => fetchFrom(world, mirror, target, done),
+  });
+  const gossip: LoadGossip = new LoadGossip({
+    runtime,
+    host,
+    zone: `z${index % ZONES}`,
+    datagrams: datagramsOf(world, host),
+    seeds: () => ['10.0.0.0', '10.0.0.1', '10.0.0.2'],
+    ownLoads: () => loads,
+    ownRevision: () => (world.lie?.host === host ? world.lie.revision : mirror.completeRevision),
+    proof: () => freshness.proof,
+    onStoreNews: (news) => {
+      if (news.proof !== undefined) {
+        freshness.hear(news.proof);
+        catchUp.noteStoreAt(news.proof.revision);
+      }
+      catchUp.heed(news);
+    },
+    reachesReplicas: () => true,
+    ownPlaces: () => world.gateways[index]?.places ?? [],
+    onPlaces: (places) => places.forEach(({ part }) => placesHeard.add(part)),
+  });
+  const patienceMilliseconds = isSeed
+    ? 0
+    : FIRST_PATIENCE_MILLISECONDS * (1 + world.random.uniform());
+  const freshness: StoreFreshness = new StoreFreshness({
+    runtime,
+    port: store,
+    key: KEY,
+    mirror,
+    timings,
+    rank: () => gossip.proofRank,
+    patienceMilliseconds,
+  });
+  new StoreFollowers({
+    runtime,
+    rank: () => gossip.rank,
+    proofAgeMilliseconds: () => freshness.proofAgeMilliseconds,
+    behindMilliseconds: () => catchUp.behindMilliseconds,
+    mirror,
+    patienceMilliseconds,
+  });
+  const counts = { fetchesServed: 0, messagesSent: 0, bytesSent: 0, places: [] };
+  const parts = { mirror, gossip, freshness, loads, placesHeard };
+  world.gateways.push({ host, process, store, ...parts, ...counts });
+}
+
+/** Lets virtual time pass. */
+export function wait(world: FleetWorld, milliseconds: number): void {
+  world.clock.runUntil(world.clock.now + milliseconds);
+}
+
+/** Changes the key in the store. */
+export function changeKey(world: FleetWorld): void {
+  world.value = `changed at ${world.clock.now}`;
+  world.gateways.forEach(({ store }) => store.put(KEY, world.value));
+}
+
+/** Whether all that run know the newest value of the key. */
+export function allKnow(world: FleetWorld): boolean {
+  return running(world).every(({ mirror }) => mirror.get(KEY)?.value === world.value);
+}
+
+/** Starts gateways that know three seeds. */
+export function startFleet(world: FleetWorld, count: number): void {
+  world.random = createRandom(count, 'gateways');
+  world.clock = new VirtualClock();
+  world.gateways = [];
+  world.listeners = new Map();
+  world.value = 'first';
+  world.fetchesFail = false;
+  world.delayMilliseconds = 0;
+  for (let index = 0; index < count; index += 1) {
+    addGateway(world, index);
+  }
+}
--- a/features/support/simulated-key-space.ts
+++ b/features/support/simulated-key-space.ts
@@ -24,6 +24,8 @@
   /** What stale lists answer while they are behind; undefined when they are not. */
   frozenList: { items: StoredItem[]; revision: number } | undefined;
   callCount = 0;
+  /** Lists of less than all keys. */
+  keyReadCount = 0;
   /** While true, calls are neither answered nor refused. */
   private silent = false;
   /** Rises when open connections go silent for good: calls sent before are never answered. */
@@ -71,6 +73,7 @@
     prefix: string,
     listener: KeySpaceListener<{ items: StoredItem[]; revision: number }>,
   ): void {
+    this.keyReadCount += prefix === '' ? 0 : 1;
     this.answer(listener, () => {
       const items = [...this.items.values()].filter((item) => item.key.startsWith(prefix));
       return E.right({ items, revision: this.revision });
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -25,4 +25,6 @@
   readonly metrics: RelayMetrics;
   /** The newest configuration; undefined before the first. */
   currentTable(): RoutingTable | undefined;
+  /** Whether that is proved to be the newest, to within the bound for changes. */
+  isTableProven(): boolean;
 }
--- a/src/relay/relay-front.ts
+++ b/src/relay/relay-front.ts
@@ -15,6 +15,8 @@
 const PARSER_HEADER_BYTES = 64 * 1024;
 const CHECK_MILLISECONDS = 1_000;
 const RETRY_WITHOUT_CONFIGURATION_SECONDS = 0.2;
+/** A proof comes within half a second of the store's return, or another gateway has one already. */
+const RETRY_WITHOUT_PROOF_SECONDS = 0.5;
 const DEFAULT_TIMEOUT_MILLISECONDS = 30_000;
 /** Longest queue of connections that are not accepted yet. */
 const BACKLOG = 1_024;
@@ -34,6 +36,14 @@
   verdict: 'NotRun',
 };
 
+/** The route may have been added since: a 404 would be final for the client. */
+const ROUTE_UNKNOWN: OwnAnswer = {
+  status: 503,
+  detail: 'no route is known here, and the newest configuration could not be read',
+  verdict: 'NotRun',
+  retryAfterSeconds: RETRY_WITHOUT_PROOF_SECONDS,
+};
+
 function refusal(status: number, detail: string): OwnAnswer {
   return { status, detail, verdict: 'NotRun' };
 }
@@ -149,7 +159,7 @@
     }
     const route = findRoute(table, hostName(request.headers.host ?? ''), request.url ?? '');
     if (route === undefined) {
-      return { refusal: NO_ROUTE };
+      return { refusal: this.context.isTableProven() ? NO_ROUTE : ROUTE_UNKNOWN };
     }
     if (id === undefined || id === '') {
       return { refusal: refusal(400, `the header ${this.context.names.requestId} is missing`) };
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -48,6 +48,8 @@
 export class RelayGateway {
   readonly book: RunnerBook;
   readonly metrics = new RelayMetrics();
+  /** Whether the configuration in force is proved to be the newest, to within the bound for changes. */
+  isTableProven: () => boolean = () => true;
   private readonly front: RelayFront;
   private readonly readiness: Server;
   private table: RoutingTable | undefined;
@@ -72,6 +74,7 @@
       turns,
       metrics: this.metrics,
       currentTable: () => this.table,
+      isTableProven: () => this.isTableProven(),
     };
     this.front = new RelayFront(context);
     this.readiness = createServer((request, response) => {
