--- a/features/freshness.feature
+++ b/features/freshness.feature
@@ -45,3 +45,26 @@
     Then after 12000 milliseconds each has a proof at most 1200 milliseconds old
     When the store says nothing for 10000 milliseconds
     Then all together made at most 1500 calls meanwhile
+
+  Scenario: Runners whose entries lapsed while the store was away are used until they had time to write again
+    Given the runners "a b c" are listed
+    When the entries of "a b" lapse and may be written again for 2400 milliseconds
+    Then the runners "a b c" may get requests
+    When the entry of "a" is written again
+    And 2500 milliseconds pass
+    Then the runners "a c" may get requests
+
+  Scenario Outline: Entries count as lapsed only for the time after the store was away
+    Given <gateways> gateways that tell one another what they know of the store
+    Then after 6000 milliseconds no missing entry counts as lapsed
+    When the store says nothing for 5000 milliseconds
+    Then every missing entry counts as lapsed
+    When the store answers again
+    Then after 1500 milliseconds every missing entry counts as lapsed
+    And after 2500 milliseconds no missing entry counts as lapsed
+
+    Examples:
+      | gateways |
+      | 1        |
+      | 8        |
+      | 40       |
--- a/features/steps/freshness.steps.ts
+++ b/features/steps/freshness.steps.ts
@@ -3,6 +3,11 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
 import { freshnessTimingsFor, worstApplyMilliseconds } from '../../src/mirror/freshness-timings.js';
+import { RunnerBook } from '../../src/relay/runner-book.js';
+import type { Runner } from '../../src/relay/runner.js';
+import { createRandom } from '../../src/runtime/random.js';
+import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
+import { VirtualClock } from '../../src/simulation/virtual-clock.js';
 import { running, wait } from '../support/gateway-fleet.js';
 import type { FleetWorld } from '../support/gateway-fleet.js';
 
@@ -11,6 +16,13 @@
 interface World extends FleetWorld {
   bound: number;
   callsMeanwhile: number;
+  book: RunnerBook;
+}
+
+const SERVICE = 'engines';
+
+function runnerNamed(id: string): Runner {
+  return { id, service: SERVICE, host: 'h', port: 1, zone: 'z', slots: 4, ready: true };
 }
 
 function worstOf(bound: number): number {
@@ -107,3 +119,44 @@
 Then('all together made at most {int} calls meanwhile', function (this: World, most: number) {
   assert.ok(this.callsMeanwhile <= most, `${this.callsMeanwhile} calls`);
 });
+
+Given('the runners {string} are listed', function (this: World, names: string) {
+  this.clock = new VirtualClock();
+  this.book = new RunnerBook(new SimulatedProcess('g', this.clock, createRandom(1)).begin());
+  names.split(' ').forEach((name) => this.book.put(runnerNamed(name)));
+});
+
+When(
+  'the entries of {string} lapse and may be written again for {int} milliseconds',
+  function (this: World, names: string, milliseconds: number) {
+    names.split(' ').forEach((name) => this.book.lapse(name, milliseconds));
+  },
+);
+
+When('the entry of {string} is written again', function (this: World, name: string) {
+  this.book.put(runnerNamed(name));
+});
+
+When('{int} milliseconds pass', function (this: World, milliseconds: number) {
+  wait(this, milliseconds);
+});
+
+Then('the runners {string} may get requests', function (this: World, names: string) {
+  const usable = this.book.candidates(SERVICE, [], new Set()).map(({ id }) => id);
+  assert.deepEqual(usable.sort(), names.split(' '));
+});
+
+When('the store answers again', function (this: World) {
+  this.gateways.forEach(({ store }) => store.speakAgain());
+});
+
+Then(
+  /^(?:after (\d+) milliseconds )?(no|every) missing entry counts as lapsed$/,
+  function (this: World, milliseconds: string | undefined, which: string) {
+    wait(this, Number(milliseconds ?? 0));
+    for (const { freshness, host } of running(this)) {
+      const counts = freshness.settlingMilliseconds > 0;
+      assert.equal(counts, which === 'every', `${host}: ${freshness.settlingMilliseconds} ms`);
+    }
+  },
+);
--- a/src/mirror/store-freshness.ts
+++ b/src/mirror/store-freshness.ts
@@ -63,6 +63,10 @@
 /** Reads that all gateways together send each period while none is answered. */
 const READS_AT_ONCE = 4;
 const LARGEST_LIFE = 2 ** 31;
+/** Time without a proof in which entries may have lapsed that their owners could not renew, in milliseconds. */
+const OUTAGE_MILLISECONDS = 2_000;
+/** Time after the store's return within which those entries are back, in milliseconds: the platform's 2 s and some way. */
+const SETTLE_MILLISECONDS = 2_400;
 /** Lives of which the newest proof is remembered. */
 const REMEMBERED_LIVES = 1_000;
 /** Reads without an answer that one gateway has under way at most. */
@@ -79,6 +83,8 @@
   /** Local time as of which the copy misses nothing, in milliseconds. */
   private freshAt = -Infinity;
   private readonly startedAt: number;
+  /** Local time at which the first proof after an outage came, in milliseconds. */
+  private returnedAt = -Infinity;
   private sentAt = -Infinity;
   private underWay = 0;
   private drawn: number;
@@ -105,6 +111,17 @@
     return this.options.runtime.now() - this.freshAt;
   }
 
+  /**
+   * Time left in which entries that lapsed while the store was away may still be written again, in
+   * milliseconds; 0 when an entry that is missing is gone.
+   */
+  get settlingMilliseconds(): number {
+    if (this.newest !== undefined && this.proofAgeMilliseconds > OUTAGE_MILLISECONDS) {
+      return SETTLE_MILLISECONDS;
+    }
+    return Math.max(0, this.returnedAt + SETTLE_MILLISECONDS - this.options.runtime.now());
+  }
+
   /** The newest proof as it is told to others; undefined before the first. */
   get proof(): StoreProof | undefined {
     const { newest } = this;
@@ -143,6 +160,9 @@
     if (proof.provenAt <= (this.newest?.provenAt ?? -Infinity)) {
       return;
     }
+    if (this.newest !== undefined && proof.provenAt - this.newest.provenAt > OUTAGE_MILLISECONDS) {
+      this.returnedAt = this.options.runtime.now();
+    }
     this.noteFresh();
     this.newest = proof;
     this.drawn = this.options.runtime.random.uniform();
--- a/src/relay/runner-book.ts
+++ b/src/relay/runner-book.ts
@@ -1,5 +1,5 @@
 /** What this node believes of the runners: listed, leaving, reachable, busy, fast, and what they keep. */
-import type { Runtime } from '../runtime/runtime.js';
+import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import { hashToNumber } from '../runtime/hashing.js';
 import { EngineEstimate } from './engine-estimate.js';
 import type { EngineCosts, EngineSample } from './engine-estimate.js';
@@ -26,6 +26,8 @@
   inFlight: number;
   /** Local time at which it left the list; undefined while it is listed. */
   goneAt: number | undefined;
+  /** Stops the wait for an entry that lapsed while the store was away; undefined while none does. */
+  cancelLapse: CancelTimer | undefined;
   /** Not used before this time, after it could not be reached. */
   distrustedUntil: number;
   failures: number;
@@ -100,6 +102,26 @@
     }
     known.runner = runner;
     known.goneAt = undefined;
+    known.cancelLapse?.();
+    known.cancelLapse = undefined;
+  }
+
+  /**
+   * Notes that an entry went while its runner could not renew it, since the store was away. The runner
+   * is used as before: it writes itself down again within the milliseconds, or is gone.
+   */
+  lapse(id: string, milliseconds: number): void {
+    const record = this.records.get(id);
+    if (record === undefined || record.goneAt !== undefined || record.cancelLapse !== undefined) {
+      return;
+    }
+    const wait = Math.round(milliseconds);
+    const fields = { event: 'runner.lapsed', runner: id, service: record.runner.service, wait };
+    this.runtime.log('info', 'entry of a runner lapsed with the store away', fields);
+    record.cancelLapse = this.runtime.setTimer(milliseconds, () => {
+      record.cancelLapse = undefined;
+      this.remove(id);
+    });
   }
 
   /** Notes that an entry is gone from the list. */
@@ -233,6 +255,7 @@
       hash: hashToNumber(runner.id),
       inFlight: 0,
       goneAt: undefined,
+      cancelLapse: undefined,
       distrustedUntil: 0,
       failures: 0,
       outOfReach: false,
