--- a/features/replica-link.feature
+++ b/features/replica-link.feature
@@ -1,5 +1,4 @@
 Feature: Connections to replicas
-  @known-red
   Scenario Outline: A connection that went silent is given up, however short the calls on it are
     Given a replica whose first connection says nothing while later ones answer
     When it is called again and again, each call waiting <wait> milliseconds
--- a/src/turns/tcp-replica-caller.ts
+++ b/src/turns/tcp-replica-caller.ts
@@ -14,8 +14,11 @@
 const RECONNECT_MILLISECONDS = 100;
 /** Bytes that may wait for one replica; beyond, calls to it fail at once. */
 const MAXIMUM_QUEUED_BYTES = 8 * 1024 * 1024;
-/** A connection is given up when calls are under way and nothing came for this long. */
-const SILENCE_MILLISECONDS = 1_500;
+/**
+ * A connection is given up when something is owed on it and nothing came for this long, however many
+ * calls have ended meanwhile: it may be silent for good while a new one works.
+ */
+const SILENCE_MILLISECONDS = 1_000;
 
 interface PendingCall {
   readonly listener: ReplyListener;
@@ -26,7 +29,8 @@
 class ReplicaLink {
   private socket: Socket | undefined;
   private retryAt = -Infinity;
-  private heardAt = 0;
+  /** Local time since which a reply is owed and nothing came, in milliseconds; undefined when none is. */
+  private owedSince: number | undefined;
   /** Frames to which nothing comes back; they go with the next call or after a moment. */
   private lazyFrames: Buffer[] = [];
   private lazyBytes = 0;
@@ -44,9 +48,7 @@
       this.runtime.setTimer(0, () => listener(undefined));
       return;
     }
-    if (this.pending.size === 0) {
-      this.heardAt = this.runtime.now();
-    }
+    this.owedSince ??= this.runtime.now();
     const cancelTimer = this.runtime.setTimer(timeoutMilliseconds, () => this.expire(request.call));
     this.pending.set(request.call, { listener, cancelTimer });
     this.flush(encodeFrame(encodeReplicaMessage(request)));
@@ -94,11 +96,11 @@
   }
 
   private read(socket: Socket, reader: FrameReader, chunk: Buffer): void {
-    this.heardAt = this.runtime.now();
     try {
       for (const content of reader.push(chunk)) {
         this.take(decodeReplicaMessage(content));
       }
+      this.owedSince = this.pending.size > 0 ? this.runtime.now() : undefined;
     } catch (cause) {
       const reason = cause instanceof Error ? cause.message : String(cause);
       const fields = { event: 'replica.unreadable', member: this.member.id, reason };
@@ -126,17 +128,29 @@
   private expire(call: number): void {
     const pending = this.pending.get(call);
     this.pending.delete(call);
-    if (this.runtime.now() - this.heardAt >= SILENCE_MILLISECONDS) {
+    if (this.isSilent) {
+      const fields = {
+        event: 'replica.silent',
+        member: this.member.id,
+        pending: this.pending.size,
+      };
+      this.runtime.log('info', 'connection to a replica given up', fields);
       this.socket?.destroy();
     }
     pending?.listener(undefined);
   }
 
+  private get isSilent(): boolean {
+    const { owedSince } = this;
+    return owedSince !== undefined && this.runtime.now() - owedSince >= SILENCE_MILLISECONDS;
+  }
+
   private drop(socket: Socket): void {
     if (this.socket !== socket) {
       return;
     }
     this.socket = undefined;
+    this.owedSince = undefined;
     this.retryAt = this.runtime.now() + RECONNECT_MILLISECONDS;
     const lost = [...this.pending.values()];
     this.pending.clear();
