--- a/src/commands/bench-commands.ts
+++ b/src/commands/bench-commands.ts
@@ -5,6 +5,7 @@
 import { runExperiment } from '../bench/experiment.js';
 import { formatExperiment } from '../bench/experiment-report.js';
 import { runHistories, shrinkFaults } from '../histories/run-many.js';
+import { runConfigurationHistories } from '../histories/run-configuration-histories.js';
 import { runTurnHistories } from '../histories/run-turn-histories.js';
 import { measureOverhead } from '../bench/overhead.js';
 import { measureScale } from '../bench/scale.js';
@@ -33,6 +34,8 @@
   readonly members: number;
   /** Replicas of turn histories that are lost at once. */
   readonly losses: number;
+  /** Gateways of configuration histories. */
+  readonly gateways: number;
   readonly json: boolean;
 }
 
@@ -140,6 +143,16 @@
   return result.violations.length === 0 ? EXIT_DONE : EXIT_FAILED;
 }
 
+function configurationHistories(flags: BenchFlags): number {
+  const seeds = parseSeeds(flags.seeds);
+  if (seeds === undefined || flags.gateways < 1) {
+    return EXIT_WRONG_USE;
+  }
+  const result = runConfigurationHistories(seeds.first, seeds.last, flags.gateways);
+  write(JSON.stringify(result));
+  return result.violations.length === 0 ? EXIT_DONE : EXIT_FAILED;
+}
+
 function writeRows(rows: readonly object[], json: boolean): void {
   if (json) {
     write(JSON.stringify(rows));
@@ -186,6 +199,8 @@
       return histories(flags);
     case 'turn-histories':
       return turnHistories(flags);
+    case 'configuration-histories':
+      return configurationHistories(flags);
     default:
       return complain('name a command; see --help');
   }
--- a/src/commands/ivyloom-bench.ts
+++ b/src/commands/ivyloom-bench.ts
@@ -12,6 +12,7 @@
     start               a local cluster on embedded stand-ins, under a workload, then a report
     experiment NAME     policies side by side in virtual time: lakeshore, dakar, mixed, scaled
     histories           seeded programs and faults in virtual time, every promise checked
+    configuration-histories  configuration and runners at gateways under troubles of the store and the network
     turn-histories      the same for kept turns and token accounts on their replicas
     chaos               real daemons killed, paused and stopped under load, every promise checked
     overhead            what the scheduler adds to a call, against the engine called directly
@@ -25,6 +26,7 @@
     --seeds A..B        histories, turn-histories: seeds to run (default 1..100)
     --replicas N        turn-histories: replicas to begin with (default three to five, by the seed)
     --members N         turn-histories: replicas that are members, others stand by (default all)
+    --gateways N        configuration-histories: gateways (default 8)
     --losses N          turn-histories: replicas that are lost at once (default 1)
     --once              start: end after the report
     --deployment NAME   start: lakeshore, dakar or mixed (default mixed)
@@ -56,6 +58,7 @@
       replicas: { type: 'number', default: 0 },
       members: { type: 'number', default: 0 },
       losses: { type: 'number', default: 1 },
+      gateways: { type: 'number', default: 8 },
       calls: { type: 'number', default: 60 },
       minutes: { type: 'number', default: 1 },
       nodes: { type: 'string', default: '6,12,24,48' },
--- /dev/null
+++ b/src/histories/history-gateway.ts
@@ -0,0 +1,174 @@
+/**
+ * A gateway of a configuration history: the real parts that follow the store, over simulated links,
+ * through any number of lives. Notes what it holds in force and what it took back.
+ */
+import type { KeySpaceChanges } from '../mirror/key-space-copy.js';
+import type { FreshnessTimings } from '../mirror/freshness-timings.js';
+import type { KeySpacePort, StoredItem } from '../mirror/key-space-port.js';
+import type { DatagramListener, DatagramPort } from '../peers/datagram-port.js';
+import { followTogether } from '../peers/follow-together.js';
+import type { StoreFollowing } from '../peers/follow-together.js';
+import type { RandomSource } from '../runtime/random.js';
+import type { LogFunction, Runtime } from '../runtime/runtime.js';
+import { SimulatedProcess } from '../simulation/simulated-process.js';
+import type { VirtualClock } from '../simulation/virtual-clock.js';
+import { StorePath } from './history-store.js';
+import type { HistoryStore } from './history-store.js';
+
+/** The operator's configuration, whose value is its version. */
+export const CONFIGURATION_KEY = 'op/config';
+/** Entries of runners. */
+export const RUNNER_PREFIX = 'servers/';
+
+/** Bytes and changes on their way between gateways. */
+export interface HistoryLinks {
+  /** Sends a datagram from one host to another. */
+  sendDatagram(bytes: Uint8Array, from: string, to: string): void;
+  /** Asks another host for what one complete up to a revision lacks; undefined when nothing comes. */
+  fetchChanges(
+    from: string,
+    of: string,
+    revision: number,
+    done: (changes: KeySpaceChanges | undefined) => void,
+  ): void;
+}
+
+/** What a gateway of a history is made with. */
+export interface HistoryGatewayOptions {
+  readonly host: string;
+  readonly zone: string;
+  readonly seeds: readonly string[];
+  readonly clock: VirtualClock;
+  readonly random: RandomSource;
+  readonly store: HistoryStore;
+  readonly links: HistoryLinks;
+  readonly timings: FreshnessTimings;
+  readonly log?: LogFunction;
+}
+
+/** See the head of this file. */
+export class HistoryGateway {
+  readonly host: string;
+  readonly path: StorePath;
+  readonly process: SimulatedProcess;
+  /** Version in force in this life; 0 before the first. */
+  version = 0;
+  /** Times that a version older than the one in force came into force. */
+  readonly regressions: string[] = [];
+  /** Whether it reads no proofs; a planted fault. */
+  believesWatches = false;
+  private following: StoreFollowing | undefined;
+  private listener: DatagramListener = () => undefined;
+
+  constructor(private readonly options: HistoryGatewayOptions) {
+    const { host, clock, random, store, log } = options;
+    this.host = host;
+    this.path = new StorePath(store);
+    this.process = new SimulatedProcess(host, clock, random, log);
+  }
+
+  /** Begins a life. */
+  start(patienceMilliseconds: number): void {
+    const { host, zone, seeds, timings, links } = this.options;
+    const runtime = this.process.begin();
+    this.version = 0;
+    this.following = followTogether({
+      runtime,
+      port: this.portOf(runtime),
+      timings,
+      proofKey: CONFIGURATION_KEY,
+      onPut: (item) => this.takeItem(item),
+      onGone: () => undefined,
+      gossip: {
+        host,
+        zone,
+        datagrams: this.datagramPort(),
+        seeds: () => seeds,
+        ownLoads: () => new Map(),
+        reachesReplicas: () => true,
+        ownPlaces: () => [],
+        onPlaces: () => undefined,
+      },
+      fetch: (target, done) =>
+        links.fetchChanges(host, target, this.following!.mirror.completeRevision, (changes) =>
+          runtime.setTimer(0, () => {
+            if (changes !== undefined) {
+              this.following!.mirror.take(changes);
+            }
+            done();
+          }),
+        ),
+      patienceMilliseconds,
+    });
+    if (this.believesWatches) {
+      this.following.freshness.close();
+    }
+  }
+
+  /** Ends the life at once. */
+  kill(): void {
+    this.process.kill();
+    this.listener = () => undefined;
+    this.following = undefined;
+  }
+
+  /** Hands over a datagram, unless the process stands still: then it is lost. */
+  receive(bytes: Uint8Array, from: string): void {
+    if (this.process.isAlive && !this.process.isPaused) {
+      this.listener(bytes, from);
+    }
+  }
+
+  /** What one complete up to a revision lacks; undefined when nobody answers. */
+  changesSince(revision: number): KeySpaceChanges | undefined {
+    const answers = this.process.isAlive && !this.process.isPaused;
+    return answers ? this.following?.mirror.changesSince(revision) : undefined;
+  }
+
+  /** Runners that are listed here. */
+  get runners(): ReadonlySet<string> {
+    const items = this.following?.mirror.list() ?? [];
+    const keys = items.map(({ key }) => key);
+    return new Set(keys.filter((key) => key.startsWith(RUNNER_PREFIX)));
+  }
+
+  private takeItem({ key, value }: StoredItem): void {
+    if (key !== CONFIGURATION_KEY) {
+      return;
+    }
+    const version = Number(value);
+    if (version <= this.version) {
+      const { now } = this.options.clock;
+      this.regressions.push(`${this.host} took ${version} after ${this.version} at ${now} ms`);
+    }
+    this.version = version;
+  }
+
+  private datagramPort(): DatagramPort {
+    return {
+      onDatagram: (listener) => {
+        this.listener = listener;
+      },
+      send: (bytes, target) => this.options.links.sendDatagram(bytes, this.host, target),
+      close: () => undefined,
+    };
+  }
+
+  /** Answers come to a life that stands still when it goes on, and never to a later one. */
+  private portOf(runtime: Runtime): KeySpacePort {
+    const { path } = this;
+    return {
+      list: (prefix, listener) =>
+        path.list(prefix, (result) => void runtime.setTimer(0, () => listener(result))),
+      listStale: (prefix, listener) =>
+        path.listStale(prefix, (result) => void runtime.setTimer(0, () => listener(result))),
+      watch: (prefix, after, wait, listener) =>
+        path.watch(
+          prefix,
+          after,
+          wait,
+          (result) => void runtime.setTimer(0, () => listener(result)),
+        ),
+    };
+  }
+}
