--- a/features/configuration-histories.feature
+++ b/features/configuration-histories.feature
@@ -8,6 +8,7 @@
       | 1     | 30   | 1        |
       | 31    | 60   | 3        |
       | 61    | 64   | 12       |
+      | 2     | 2    | 60       |
 
   Scenario Outline: The checks notice a planted fault
     When a history with the planted fault "<fault>" and 3 gateways is sought among 40 seeds
--- a/src/histories/history-gateway.ts
+++ b/src/histories/history-gateway.ts
@@ -64,7 +64,11 @@
     const { host, clock, random, store, log } = options;
     this.host = host;
     this.path = new StorePath(store);
-    this.process = new SimulatedProcess(host, clock, random, log);
+    const lines: LogFunction | undefined =
+      log === undefined
+        ? undefined
+        : (level, message, fields) => log(level, message, { node: host, at: clock.now, ...fields });
+    this.process = new SimulatedProcess(host, clock, random, lines);
   }
 
   /** Begins a life. */
--- a/src/peers/store-catch-up.ts
+++ b/src/peers/store-catch-up.ts
@@ -1,6 +1,7 @@
 /**
  * Takes what peers know of the store and this gateway doesn't: who follows the store checks that its
- * watch does not hang, all others fetch the changes from a peer that has them, one fetch at a time.
+ * watch does not hang, all others fetch the changes from a peer that has them. One fetch is awaited at a
+ * time, and not for long.
  */
 import type { Runtime } from '../runtime/runtime.js';
 import type { StoreNews } from './load-gossip.js';
@@ -26,6 +27,8 @@
 
 /** Pause after a peer had nothing new although it had said so, in milliseconds. */
 const FRUITLESS_MILLISECONDS = 300;
+/** Time after which a fetch no longer keeps others back: the peer asked may be gone or stand still. */
+const HEDGE_MILLISECONDS = 150;
 /** Longest pause before a fetch: all of a zone hear of a change in the same moment, in milliseconds. */
 const SPREAD_MILLISECONDS = 120;
 
@@ -79,12 +82,21 @@
     const { runtime, mirror, otherSources, fetch } = this.options;
     const before = mirror.completeRevision;
     const sources = this.wasFruitless ? [from] : [...new Set([from, ...otherSources()])];
-    fetch(runtime.random.pick(sources), () => {
-      this.wasFruitless = mirror.completeRevision <= before;
-      const pause = this.wasFruitless ? FRUITLESS_MILLISECONDS : 0;
+    let isAwaited = true;
+    const end = (wasFruitless: boolean, pause: number): void => {
+      if (!isAwaited) {
+        return;
+      }
+      isAwaited = false;
+      this.wasFruitless = wasFruitless;
       runtime.setTimer(pause, () => {
         this.fetching = false;
       });
+    };
+    runtime.setTimer(HEDGE_MILLISECONDS, () => end(true, 0));
+    fetch(runtime.random.pick(sources), () => {
+      const wasFruitless = mirror.completeRevision <= before;
+      end(wasFruitless, wasFruitless ? FRUITLESS_MILLISECONDS : 0);
     });
   }
 }
--- a/src/peers/store-followers.ts
+++ b/src/peers/store-followers.ts
@@ -58,7 +58,7 @@
 /** Drawn on top, so that not all take the place of followers at once. */
 const DRAWN_SILENCE_MILLISECONDS = 600;
 /** Time for which a change that peers know may not come from them before the store is asked itself. */
-const LONGEST_BEHIND_MILLISECONDS = 1_200;
+const LONGEST_BEHIND_MILLISECONDS = 900;
 const STEP_MILLISECONDS = 200;
 
 /** Whether to follow the store; plain data in. */
