--- a/src/peers/load-message.ts
+++ b/src/peers/load-message.ts
@@ -1,5 +1,4 @@
 /** What gateways tell one another of their load and of the store, in one datagram. */
-import * as r from 'restructure';
 import {
   count,
   decodeField,
@@ -9,6 +8,7 @@
   oneOf,
   real,
   record,
+  shortCount,
   shortText,
 } from '../wire/fields.js';
 import type { StoreProof } from '../mirror/store-freshness.js';
@@ -62,25 +62,25 @@
 /** Largest age that a message tells, in milliseconds; older proofs are told as none. */
 export const LARGEST_PROOF_AGE_MILLISECONDS = 0xffff;
 
-const load = record({ runnerHash: r.uint32, inFlight: r.uint16 });
-const place = record({ runnerHash: r.uint32, part: r.uint32, tokens: r.uint32 });
-const peer = record({ host: shortText, zoneHash: r.uint32 });
+const load = record({ runnerHash: count, inFlight: shortCount });
+const place = record({ runnerHash: count, part: count, tokens: count });
+const peer = record({ host: shortText, zoneHash: count });
 const message = record({
   sequence: count,
   life: count,
   scope: oneOf(LOAD_SCOPES),
-  zoneHash: r.uint32,
-  gateways: r.uint16,
+  zoneHash: count,
+  gateways: shortCount,
   loads: listOf(load),
   peers: listOf(peer),
   revision: real,
   places: listOf(place),
   reachesReplicas: flag,
   proof: record({
-    life: r.uint32,
-    number: r.uint32,
+    life: count,
+    number: count,
     revision: real,
-    ageMilliseconds: r.uint16,
+    ageMilliseconds: shortCount,
   }),
 });
 
--- a/src/types/restructure.d.ts
+++ b/src/types/restructure.d.ts
@@ -6,6 +6,9 @@
     pos: number;
     readonly length: number;
     readUInt8(): number;
+    readUInt16BE(): number;
+    readUInt32BE(): number;
+    readDoubleBE(): number;
   }
 
   /** Where encoding stands. */
@@ -13,6 +16,9 @@
     constructor(buffer: Uint8Array);
     pos: number;
     writeUInt8(value: number): void;
+    writeUInt16BE(value: number): void;
+    writeUInt32BE(value: number): void;
+    writeDoubleBE(value: number): void;
   }
 
   /** Anything that can be encoded and decoded. */
--- a/src/wire/fields.ts
+++ b/src/wire/fields.ts
@@ -1,20 +1,76 @@
 /** Field types of the messages between nodes, built on `restructure`. */
 import * as r from 'restructure';
 
+/** Bytes of a whole number, and of what tells the length of a list. */
+const LENGTH_BYTES = 4;
+
 /** A text of at most 64 KB: names and short details. */
 export const shortText: r.Field = new r.String(r.uint16, 'utf8');
 /** A text bounded only by the frame: contents and states. */
 export const longText: r.Field = new r.String(r.uint32, 'utf8');
+/** Bytes of the number fields below. */
+const DOUBLE_BYTES = 8;
+const SHORT_BYTES = 2;
+
+// The library's own number fields look their method up by a name put together at each call.
+
 /** A whole number from 0 to 2^32 - 1. */
-export const count: r.Field = r.uint32;
+export const count: r.Field = {
+  decode: (stream) => stream.readUInt32BE(),
+  encode: (stream, value) => stream.writeUInt32BE(value as number),
+  size: () => LENGTH_BYTES,
+};
+/** A whole number from 0 to 2^16 - 1. */
+export const shortCount: r.Field = {
+  decode: (stream) => stream.readUInt16BE(),
+  encode: (stream, value) => stream.writeUInt16BE(value as number),
+  size: () => SHORT_BYTES,
+};
 /** Any number: times, amounts, costs. */
-export const real: r.Field = r.double;
+export const real: r.Field = {
+  decode: (stream) => stream.readDoubleBE(),
+  encode: (stream, value) => stream.writeDoubleBE(value as number),
+  size: () => DOUBLE_BYTES,
+};
 /** True or false. */
 export const flag: r.Field = new r.Boolean(r.uint8);
 
-/** A list of at most 2^32 - 1 elements, bounded by the frame. */
+/**
+ * A list of at most 2^32 - 1 elements, bounded by the frame. Bytes are those of the library's own list,
+ * whose hidden properties on every list cost more than its elements.
+ */
+class ListField implements r.Field {
+  constructor(private readonly element: r.Field) {}
+
+  decode(stream: r.DecodeStream): unknown {
+    const length = stream.readUInt32BE();
+    const values: unknown[] = [];
+    for (let index = 0; index < length; index += 1) {
+      values.push(this.element.decode(stream));
+    }
+    return values;
+  }
+
+  encode(stream: r.EncodeStream, value: unknown): void {
+    const values = value as readonly unknown[];
+    stream.writeUInt32BE(values.length);
+    for (const each of values) {
+      this.element.encode(stream, each);
+    }
+  }
+
+  size(value: unknown): number {
+    let size = LENGTH_BYTES;
+    for (const each of value as readonly unknown[]) {
+      size += this.element.size(each);
+    }
+    return size;
+  }
+}
+
+/** A list of elements of one kind. */
 export function listOf(element: r.Field): r.Field {
-  return new r.Array(element, r.uint32);
+  return new ListField(element);
 }
 
 /** One of a fixed list of names, in their order. */
@@ -22,9 +78,40 @@
   return new r.Enum(r.uint8, names);
 }
 
+/** Fields one after another; bytes are those of the library's own record, without its pointers. */
+class RecordField implements r.Field {
+  private readonly entries: readonly (readonly [string, r.Field])[];
+
+  constructor(fields: Record<string, r.Field>) {
+    this.entries = Object.entries(fields);
+  }
+
+  decode(stream: r.DecodeStream): Record<string, unknown> {
+    const value: Record<string, unknown> = {};
+    for (const [name, field] of this.entries) {
+      value[name] = field.decode(stream);
+    }
+    return value;
+  }
+
+  encode(stream: r.EncodeStream, value: unknown): void {
+    for (const [name, field] of this.entries) {
+      field.encode(stream, (value as Record<string, unknown>)[name]);
+    }
+  }
+
+  size(value: unknown): number {
+    let size = 0;
+    for (const [name, field] of this.entries) {
+      size += field.size((value as Record<string, unknown>)[name]);
+    }
+    return size;
+  }
+}
+
 /** A record of fields. */
-export function record(fields: Record<string, r.Field>): r.Struct {
-  return new r.Struct(fields);
+export function record(fields: Record<string, r.Field>): r.Field {
+  return new RecordField(fields);
 }
 
 /** A tag that no branch of a union has, or a value beyond its bounds. */
@@ -39,32 +126,32 @@
 
 /** A tagged union, told apart by its `type` property; the branch's place is its number. */
 export class TaggedUnion implements r.Field {
-  private readonly structs: readonly r.Struct[];
+  private readonly records: readonly RecordField[];
   private readonly numbers: ReadonlyMap<string, number>;
 
   constructor(private readonly branches: readonly UnionBranch[]) {
-    this.structs = branches.map((branch) => new r.Struct(branch.fields));
+    this.records = branches.map((branch) => new RecordField(branch.fields));
     this.numbers = new Map(branches.map((branch, number) => [branch.type, number]));
   }
 
   decode(stream: r.DecodeStream): unknown {
     const number = stream.readUInt8();
-    const struct = this.structs[number];
+    const fields = this.records[number];
     const branch = this.branches[number];
-    if (struct === undefined || branch === undefined) {
+    if (fields === undefined || branch === undefined) {
       throw new WireError(`unknown tag ${number}`);
     }
-    return { type: branch.type, ...struct.decode(stream) };
+    return { type: branch.type, ...fields.decode(stream) };
   }
 
   encode(stream: r.EncodeStream, value: unknown): void {
     const number = this.numberOf(value);
     stream.writeUInt8(number);
-    this.structs[number]!.encode(stream, value);
+    this.records[number]!.encode(stream, value);
   }
 
   size(value: unknown): number {
-    return 1 + this.structs[this.numberOf(value)]!.size(value);
+    return 1 + this.records[this.numberOf(value)]!.size(value);
   }
 
   private numberOf(value: unknown): number {
