--- a/features/soak.feature
+++ b/features/soak.feature
@@ -15,3 +15,17 @@
       | ignoresBudget   | budget       |
       | forgetsTurns    | history      |
       | mixesChains     | history      |
+
+  Scenario Outline: The check of the configuration notices a promise that is broken
+    Given a gateway that lies: "<lie>"
+    And a change that added a route and dropped <dropped> others, acknowledged <age> milliseconds ago
+    When its configuration is looked at for 600 milliseconds while it is <touch>
+    Then they tell of "<promise>" and of nothing else
+
+    Examples:
+      | lie           | dropped | age  | touch        | promise       |
+      | nothing       | 0       | 2500 | in touch     |               |
+      | nothing       | 1       | 2500 | in touch     | configuration |
+      | forgetsRoutes | 0       | 2500 | in touch     | configuration |
+      | forgetsRoutes | 0       | 500  | in touch     |               |
+      | forgetsRoutes | 0       | 2500 | out of touch |               |
--- a/features/steps/soak.steps.ts
+++ b/features/steps/soak.steps.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { PLATFORM_HEADER_NAMES } from '../../platform/header-names.js';
+import { ConfigurationCheck } from '../../soak/configuration-check.js';
 import { SOAK_PORTS } from '../../soak/platform-process.js';
 import { SoakClient } from '../../soak/soak-client.js';
 import type { SoakClientContext } from '../../soak/soak-client.js';
@@ -17,6 +18,7 @@
   lyingGateway?: LyingGateway;
   soakRunner?: RelayRunner;
   told?: Set<string>;
+  check?: ConfigurationCheck;
 }
 
 After(function (this: World) {
@@ -49,6 +51,30 @@
   },
 );
 
+Given(
+  'a change that added a route and dropped {int} others, acknowledged {int} milliseconds ago',
+  function (this: World, droppedCount: number, age: number) {
+    this.told = new Set();
+    this.check = new ConfigurationCheck({
+      gatewayHosts: [HOST],
+      violate: (promise) => this.told!.add(promise),
+    });
+    const dropped = Array.from({ length: droppedCount }, (_, index) => `dropped-${index}`);
+    this.check.acknowledge(2, 'added-2', dropped, performance.now() - age);
+  },
+);
+
+When(
+  /^its configuration is looked at for (\d+) milliseconds while it is (in|out of) touch$/,
+  async function (this: World, milliseconds: string, touch: string) {
+    if (touch === 'out of') {
+      this.check!.excuse([HOST]);
+    }
+    const until = performance.now() + Number(milliseconds);
+    await this.check!.run(() => performance.now() > until);
+  },
+);
+
 Then('they tell of {string} and of nothing else', function (this: World, promise: string) {
   assert.deepEqual([...this.told!], promise === '' ? [] : [promise]);
 });
--- a/features/support/lying-gateway.ts
+++ b/features/support/lying-gateway.ts
@@ -23,7 +23,9 @@
   /** Knows no earlier turn. */
   | 'forgetsTurns'
   /** Gives a runner the chain of nobody. */
-  | 'mixesChains';
+  | 'mixesChains'
+  /** Knows no route that was added. */
+  | 'forgetsRoutes';
 
 const MOST_TOKENS = SOAK_EVENTS * SOAK_TOKENS_PER_EVENT;
 
@@ -57,6 +59,10 @@
 
   private answer(request: IncomingMessage, response: ServerResponse, body: string): void {
     const id = String(request.headers[NAMES.requestId]);
+    if (this.lie === 'forgetsRoutes') {
+      response.writeHead(404).end();
+      return;
+    }
     if (request.url?.includes('stream') === true) {
       this.answerTurn(request, response, id, body);
       return;
--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -27,6 +27,9 @@
   metrics: 17395,
 };
 
+/** Time within which a change of the configuration must be in force, in milliseconds. */
+export const SOAK_APPLY_MILLISECONDS = 2_000;
+
 const PROGRAM = resolve('target/main.mjs');
 const HEAP_MEGABYTES = 160;
 
@@ -48,7 +51,7 @@
     InternalPorts: [SOAK_PORTS.peer, SOAK_PORTS.metrics],
     Seeds: seeds,
     DataDir: role === 'replica' ? join(folder, 'data') : null,
-    Bounds: { GraceS: 8 },
+    Bounds: { GraceS: 8, ConfigApplyMs: SOAK_APPLY_MILLISECONDS, DrainMs: SOAK_APPLY_MILLISECONDS },
     Platform: { Address: storeAddress },
   };
 }
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -13,6 +13,7 @@
 import type { RunnerBehaviour } from '../src/emulator/relay-runner.js';
 import { createRandom } from '../src/runtime/random.js';
 import type { RandomSource } from '../src/runtime/random.js';
+import { ConfigurationCheck } from './configuration-check.js';
 import { FaultProxy } from './fault-proxy.js';
 import type { ProxyMode } from './fault-proxy.js';
 import { PlatformProcess, SOAK_PORTS } from './platform-process.js';
@@ -33,6 +34,10 @@
   readonly seed: number;
   readonly counts: SoakCounts;
   readonly faults: Readonly<Record<string, number>>;
+  /** Pairs of faults that struck at the same time. */
+  readonly pairs: Readonly<Record<string, number>>;
+  /** Looks at the configuration of gateways in touch. */
+  readonly configurationLooks: number;
   readonly violations: readonly string[];
   /** Where the logs of the processes are. */
   readonly folder: string;
@@ -68,6 +73,11 @@
 const SERVICE = 'workers';
 const START_MILLISECONDS = 5_000;
 const SETTLE_MILLISECONDS = 4_500;
+/** Part of the faults that begin while another lasts. */
+const OVERLAP = 0.5;
+const LONGEST_OVERLAP_MILLISECONDS = 1_200;
+/** Routes of earlier versions that are kept. */
+const KEPT_ROUTES = 2;
 const RECOVERY_MILLISECONDS = 15_000;
 const MISBEHAVIOURS: readonly RunnerBehaviour[] = [
   'refuse',
@@ -81,6 +91,22 @@
   'unframed',
 ];
 
+/** Faults of the store: all gateways owe nothing of the configuration meanwhile. */
+const STORE_FAULTS: ReadonlySet<Fault> = new Set([
+  'storeRefuses',
+  'storeSilent',
+  'storeLosesAnswers',
+  'storeForgets',
+]);
+/** What faults of replicas strike: one at a time, since two of three disks lost are not promised to be borne. */
+const REPLICAS_TOGETHER = 'replicas';
+/** Pause before another fault is drawn when one can not be struck now, in milliseconds. */
+const SOAK_STEP_MILLISECONDS = 50;
+
+function gatewayHost(number: number): string {
+  return `127.0.2.${number}`;
+}
+
 function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
@@ -121,9 +147,18 @@
     budgetRefused: 0,
   };
   private version = 1;
+  private readonly pairs: Record<string, number> = {};
+  /** Faults that last, and what each of them strikes: a machine, or the store. */
+  private readonly lasting = new Map<Fault, readonly string[]>();
+  private addedRoutes: string[] = [];
+  private readonly configuration: ConfigurationCheck;
 
   constructor(private readonly options: SoakOptions) {
     this.random = createRandom(options.seed, 'soak');
+    this.configuration = new ConfigurationCheck({
+      gatewayHosts: Array.from({ length: GATEWAYS }, (_, index) => gatewayHost(index + 1)),
+      violate: (promise, detail) => this.violations.push(`${promise}: ${detail}`),
+    });
   }
 
   async run(): Promise<SoakReport> {
@@ -133,20 +168,99 @@
       this.client(`c${index}`),
     );
     const work = clients.map((client) => client.run(() => over));
-    const until = performance.now() + this.options.minutes * 60_000;
-    while (performance.now() < until) {
-      const fault = this.random.pick(FAULTS);
-      this.faults[fault] = (this.faults[fault] ?? 0) + 1;
-      await this.strike(fault);
-      await sleep(SETTLE_MILLISECONDS);
-    }
+    work.push(this.configuration.run(() => over));
+    await this.strikeUntil(performance.now() + this.options.minutes * 60_000);
     over = true;
     await Promise.all(work);
     await this.checkRecovery();
     await this.stopAll();
     const { seed } = this.options;
-    const { counts, faults, violations, folder } = this;
-    return { seed, counts, faults, violations, folder };
+    const { counts, faults, pairs, violations, folder } = this;
+    const { looks: configurationLooks } = this.configuration;
+    return { seed, counts, faults, pairs, configurationLooks, violations, folder };
+  }
+
+  /** Strikes in series, and now and then while another fault lasts. */
+  private async strikeUntil(until: number): Promise<void> {
+    let lasting: Promise<void>[] = [];
+    while (performance.now() < until) {
+      const fault = this.random.pick(FAULTS);
+      const struck = this.targetsOf(fault);
+      const taken = new Set([...this.lasting.values()].flat());
+      if (this.lasting.has(fault) || struck.some((target) => taken.has(target))) {
+        await sleep(SOAK_STEP_MILLISECONDS);
+        continue;
+      }
+      this.note(fault);
+      lasting.push(this.strikeOnce(fault, struck));
+      if (this.random.uniform() < OVERLAP) {
+        await sleep(LONGEST_OVERLAP_MILLISECONDS * this.random.uniform());
+      } else {
+        await Promise.all(lasting);
+        lasting = [];
+        await sleep(SETTLE_MILLISECONDS);
+      }
+    }
+    await Promise.all(lasting);
+  }
+
+  private note(fault: Fault): void {
+    this.faults[fault] = (this.faults[fault] ?? 0) + 1;
+    for (const other of this.lasting.keys()) {
+      const pair = [fault, other].sort().join(' + ');
+      this.pairs[pair] = (this.pairs[pair] ?? 0) + 1;
+    }
+  }
+
+  /** Strikes, and notes meanwhile which gateways owe nothing. */
+  private async strikeOnce(fault: Fault, struck: readonly string[]): Promise<void> {
+    this.lasting.set(fault, struck);
+    const gateways = this.of('gateway');
+    const excused = STORE_FAULTS.has(fault)
+      ? gateways
+      : gateways.filter(({ machine }) => struck.includes(machine.name));
+    const end = this.configuration.excuse(excused.map(({ machine }) => machine.host));
+    await this.strike(fault, struck);
+    end();
+    if (struck.includes(REPLICAS_TOGETHER)) {
+      await sleep(SETTLE_MILLISECONDS);
+    }
+    this.lasting.delete(fault);
+  }
+
+  /** Names of the machines that a fault strikes, or of the store or a runner. */
+  private targetsOf(fault: Fault): readonly string[] {
+    const nameOf = ({ machine }: PlatformProcess): string => machine.name;
+    const gateway = nameOf(this.random.pick(this.of('gateway')));
+    const replica = nameOf(this.random.pick(this.of('replica')));
+    switch (fault) {
+      case 'killGateway':
+      case 'pauseGateway':
+      case 'stopGateway':
+      case 'storePath':
+        return [gateway];
+      case 'killReplica':
+      case 'wipeReplica':
+      case 'pauseReplica':
+        return [replica, REPLICAS_TOGETHER];
+      case 'killAll':
+        return [...this.processes.map(nameOf), REPLICAS_TOGETHER];
+      case 'storeRefuses':
+      case 'storeSilent':
+      case 'storeLosesAnswers':
+      case 'storeForgets':
+        return ['store'];
+      case 'runnerPath':
+      case 'runnerCrash':
+        return ['runners'];
+      case 'runnerMisbehaves':
+      case 'configurationChange':
+        return [];
+    }
+  }
+
+  private named(struck: readonly string[]): PlatformProcess {
+    return this.processes.find(({ machine }) => struck.includes(machine.name))!;
   }
 
   private client(name: string): SoakClient {
@@ -177,7 +291,7 @@
       const proxyHost = `127.0.5.${index}`;
       await proxy.listen(proxyHost, STORE_PORT);
       this.storeProxies.set(name, proxy);
-      const host = role === 'gateway' ? `127.0.2.${number}` : `127.0.3.${number}`;
+      const host = role === 'gateway' ? gatewayHost(number) : `127.0.3.${number}`;
       const storeAddress = `${proxyHost}:${STORE_PORT}`;
       const machine = { name, role, host, zone: `z${number}`, storeAddress, seeds };
       const folder = join(this.folder, name);
@@ -213,12 +327,16 @@
 
   private changeConfiguration(): void {
     this.version += this.random.integer(1, 4);
+    const added = `added-${this.version}`;
+    this.addedRoutes.push(added);
+    const dropped = this.addedRoutes.slice(0, -KEPT_ROUTES);
     this.store.put(CONFIGURATION_KEY, {
       Version: this.version,
       Routes: [
         route('single', 'non_idempotent', {}),
         route('repeatable', 'idempotent', { TimeoutMs: 2_000 + this.version }),
         route('kept', 'streaming', { Retain: true, RetentionS: 600 }),
+        ...this.addedRoutes.slice(-KEPT_ROUTES).map((name) => route(name, 'idempotent', {})),
       ],
       Services: [{ Name: SERVICE, MaxConnections: 60, Engine: { Stride: SOAK_TOKENS_PER_EVENT } }],
       Limits: {
@@ -228,33 +346,30 @@
         IdleTimeoutMs: 15_000,
       },
     });
+    this.configuration.acknowledge(this.version, added, dropped);
   }
 
-  private async strike(fault: Fault): Promise<void> {
+  private async strike(fault: Fault, struck: readonly string[]): Promise<void> {
     const pause = this.random.integer(300, 3_000);
-    const gateway = this.random.pick(this.of('gateway'));
-    const replica = this.random.pick(this.of('replica'));
+    const machine = this.named(struck);
     switch (fault) {
       case 'killGateway':
-        return this.kill([gateway], pause, []);
       case 'killReplica':
-        return this.kill([replica], pause, []);
+        return this.kill([machine], pause, []);
       case 'wipeReplica':
-        return this.kill([replica], pause, [replica]);
+        return this.kill([machine], pause, [machine]);
       case 'killAll':
         return this.kill(this.processes, pause, []);
       case 'pauseGateway':
-      case 'pauseReplica': {
-        const paused = fault === 'pauseGateway' ? gateway : replica;
-        paused.signal('SIGSTOP');
+      case 'pauseReplica':
+        machine.signal('SIGSTOP');
         await sleep(pause);
-        paused.signal('SIGCONT');
+        machine.signal('SIGCONT');
         return;
-      }
       case 'stopGateway':
-        gateway.signal('SIGTERM');
-        await gateway.ended();
-        gateway.start();
+        machine.signal('SIGTERM');
+        await machine.ended();
+        machine.start();
         return;
       case 'storeRefuses':
         return this.troubleStore('refusing', pause);
@@ -267,7 +382,7 @@
         this.store.forget();
         return;
       case 'storePath':
-        return this.troublePath(this.storeProxies.get(gateway.machine.name)!, pause);
+        return this.troublePath(this.storeProxies.get(machine.machine.name)!, pause);
       case 'runnerPath':
         return this.troublePath(this.random.pick(this.runnerProxies), pause);
       case 'runnerCrash':
