--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -18,6 +18,8 @@
 import type { ProxyMode } from './fault-proxy.js';
 import { PlatformProcess, SOAK_PORTS } from './platform-process.js';
 import type { PlatformRole } from './platform-process.js';
+import { FAULTS, REPLICAS_TOGETHER, STORE_FAULTS, targetsOf } from './soak-faults.js';
+import type { Fault, FaultTargets } from './soak-faults.js';
 import { SOAK_EVENTS, SOAK_HOST, SOAK_TOKENS_PER_EVENT, SoakClient } from './soak-client.js';
 import type { SoakCounts } from './soak-client.js';
 
@@ -43,27 +45,6 @@
   readonly folder: string;
 }
 
-/** Kinds of faults. */
-const FAULTS = [
-  'killGateway',
-  'killReplica',
-  'wipeReplica',
-  'pauseGateway',
-  'pauseReplica',
-  'stopGateway',
-  'killAll',
-  'storeRefuses',
-  'storeSilent',
-  'storeLosesAnswers',
-  'storeForgets',
-  'storePath',
-  'runnerPath',
-  'runnerCrash',
-  'runnerMisbehaves',
-  'configurationChange',
-] as const;
-type Fault = (typeof FAULTS)[number];
-
 const GATEWAYS = 3;
 const REPLICAS = 3;
 const RUNNERS = 4;
@@ -91,15 +72,6 @@
   'unframed',
 ];
 
-/** Faults of the store: all gateways owe nothing of the configuration meanwhile. */
-const STORE_FAULTS: ReadonlySet<Fault> = new Set([
-  'storeRefuses',
-  'storeSilent',
-  'storeLosesAnswers',
-  'storeForgets',
-]);
-/** What faults of replicas strike: one at a time, since two of three disks lost are not promised to be borne. */
-const REPLICAS_TOGETHER = 'replicas';
 /** Pause before another fault is drawn when one can not be struck now, in milliseconds. */
 const SOAK_STEP_MILLISECONDS = 50;
 
@@ -185,7 +157,7 @@
     let lasting: Promise<void>[] = [];
     while (performance.now() < until) {
       const fault = this.random.pick(FAULTS);
-      const struck = this.targetsOf(fault);
+      const struck = targetsOf(fault, this.drawTargets());
       const taken = new Set([...this.lasting.values()].flat());
       if (this.lasting.has(fault) || struck.some((target) => taken.has(target))) {
         await sleep(SOAK_STEP_MILLISECONDS);
@@ -228,35 +200,13 @@
     this.lasting.delete(fault);
   }
 
-  /** Names of the machines that a fault strikes, or of the store or a runner. */
-  private targetsOf(fault: Fault): readonly string[] {
+  private drawTargets(): FaultTargets {
     const nameOf = ({ machine }: PlatformProcess): string => machine.name;
-    const gateway = nameOf(this.random.pick(this.of('gateway')));
-    const replica = nameOf(this.random.pick(this.of('replica')));
-    switch (fault) {
-      case 'killGateway':
-      case 'pauseGateway':
-      case 'stopGateway':
-      case 'storePath':
-        return [gateway];
-      case 'killReplica':
-      case 'wipeReplica':
-      case 'pauseReplica':
-        return [replica, REPLICAS_TOGETHER];
-      case 'killAll':
-        return [...this.processes.map(nameOf), REPLICAS_TOGETHER];
-      case 'storeRefuses':
-      case 'storeSilent':
-      case 'storeLosesAnswers':
-      case 'storeForgets':
-        return ['store'];
-      case 'runnerPath':
-      case 'runnerCrash':
-        return ['runners'];
-      case 'runnerMisbehaves':
-      case 'configurationChange':
-        return [];
-    }
+    return {
+      gateway: nameOf(this.random.pick(this.of('gateway'))),
+      replica: nameOf(this.random.pick(this.of('replica'))),
+      all: this.processes.map(nameOf),
+    };
   }
 
   private named(struck: readonly string[]): PlatformProcess {
--- /dev/null
+++ b/soak/soak-faults.ts
@@ -0,0 +1,70 @@
+/** Kinds of faults of the soak, and what each strikes: two that strike the same never overlap. */
+
+/** Kinds of faults. */
+export const FAULTS = [
+  'killGateway',
+  'killReplica',
+  'wipeReplica',
+  'pauseGateway',
+  'pauseReplica',
+  'stopGateway',
+  'killAll',
+  'storeRefuses',
+  'storeSilent',
+  'storeLosesAnswers',
+  'storeForgets',
+  'storePath',
+  'runnerPath',
+  'runnerCrash',
+  'runnerMisbehaves',
+  'configurationChange',
+] as const;
+/** One of these. */
+export type Fault = (typeof FAULTS)[number];
+
+/** Faults of the store: all gateways owe nothing of the configuration meanwhile. */
+export const STORE_FAULTS: ReadonlySet<Fault> = new Set([
+  'storeRefuses',
+  'storeSilent',
+  'storeLosesAnswers',
+  'storeForgets',
+]);
+/** What faults of replicas strike: one at a time, since two of three disks lost are not promised to be borne. */
+export const REPLICAS_TOGETHER = 'replicas';
+/** Machines drawn for a fault, by name. */
+export interface FaultTargets {
+  readonly gateway: string;
+  readonly replica: string;
+  readonly all: readonly string[];
+}
+
+/** Names of the machines that a fault strikes, or of the store or a runner. */
+export function targetsOf(
+  fault: Fault,
+  { gateway, replica, all }: FaultTargets,
+): readonly string[] {
+  switch (fault) {
+    case 'killGateway':
+    case 'pauseGateway':
+    case 'stopGateway':
+    case 'storePath':
+      return [gateway];
+    case 'killReplica':
+    case 'wipeReplica':
+    case 'pauseReplica':
+      return [replica, REPLICAS_TOGETHER];
+    case 'killAll':
+      return [...all, REPLICAS_TOGETHER];
+    case 'storeRefuses':
+    case 'storeSilent':
+    case 'storeLosesAnswers':
+    case 'storeForgets':
+      return ['store'];
+    case 'runnerPath':
+    case 'runnerCrash':
+      return ['runners'];
+    case 'runnerMisbehaves':
+    case 'configurationChange':
+      return [];
+  }
+}
--- a/src/histories/configuration-history.ts
+++ b/src/histories/configuration-history.ts
@@ -13,13 +13,13 @@
 import { endOfPlan, planConfigurationHistory } from './configuration-plan.js';
 import type {
   ConfigurationPlan,
-  ConfigurationTrouble,
   ConfigurationTroubleKind,
   PlannedChange,
 } from './configuration-plan.js';
 import { CONFIGURATION_KEY, HistoryGateway, RUNNER_PREFIX } from './history-gateway.js';
 import type { HistoryLinks } from './history-gateway.js';
 import { HistoryStore } from './history-store.js';
+import { HistoryTroubles } from './history-troubles.js';
 
 /** Faults planted to show that the checks find them. */
 export type PlantedConfigurationFault =
@@ -58,14 +58,7 @@
 const LINK_MILLISECONDS = 1.4;
 const ZONES = 3;
 const SEEDS = 3;
-const USUAL_LOSS = 0.005;
-const TROUBLED_LOSS = 0.15;
 const FETCH_LOST_MILLISECONDS = 600;
-const DEAF_MILLISECONDS = 1_000;
-const OLD_LIST_MILLISECONDS = 3_000;
-const LONGEST_FREEZE_MILLISECONDS = 3_000;
-const RESTART_MILLISECONDS = 400;
-const SLOW_MILLISECONDS = 200;
 const FIRST_PATIENCE_MILLISECONDS = 2_500;
 const MOST_VIOLATIONS = 5;
 /** Age that lists reach where short reads answer from the past, in milliseconds. */
@@ -93,16 +86,14 @@
   private readonly store: HistoryStore;
   private readonly gateways: HistoryGateway[] = [];
   private readonly byHost = new Map<string, HistoryGateway>();
-  private readonly cutHosts = new Set<string>();
   /** Local time until which a gateway is out of touch, by host. */
   private readonly outOfTouchUntil = new Map<string, number>();
   private readonly acknowledged: Acknowledged[] = [];
   private readonly violations: string[] = [];
   private readonly plan: ConfigurationPlan;
+  private readonly troubles: HistoryTroubles;
   /** Changes that wait for the store to take writes again. */
   private waiting: PlannedChange[] = [];
-  private storeTakesWrites = true;
-  private loss = USUAL_LOSS;
   private version = 0;
   private runnerCount = 0;
   private looks = 0;
@@ -114,6 +105,15 @@
     this.random = createRandom(seed, 'configuration history');
     this.store = new HistoryStore(this.clock);
     this.plan = options.plan ?? planConfigurationHistory(seed);
+    this.troubles = new HistoryTroubles({
+      clock: this.clock,
+      store: this.store,
+      gateways: this.gateways,
+      random: this.random,
+      excuse: (gateway, milliseconds) => this.excuse(gateway, milliseconds),
+      change: (change) => this.change(change),
+      onStoreOpen: () => this.waiting.splice(0).forEach((change) => this.write(change)),
+    });
   }
 
   run(): ConfigurationHistoryResult {
@@ -125,7 +125,9 @@
     }
     const { changes, troubles } = this.plan;
     changes.forEach((change) => this.clock.schedule(change.at, () => this.change(change)));
-    troubles.forEach((trouble) => this.clock.schedule(trouble.at, () => this.strike(trouble)));
+    troubles.forEach((trouble) =>
+      this.clock.schedule(trouble.at, () => this.troubles.strike(trouble)),
+    );
     const end = endOfPlan(this.plan);
     this.lookUntil(end);
     this.clock.runUntil(end);
@@ -176,10 +178,10 @@
 
   private links(): HistoryLinks {
     const isCut = (from: string, to: string): boolean =>
-      this.cutHosts.has(from) || this.cutHosts.has(to);
+      this.troubles.cutHosts.has(from) || this.troubles.cutHosts.has(to);
     return {
       sendDatagram: (bytes, from, to) => {
-        if (!isCut(from, to) && this.random.uniform() >= this.loss) {
+        if (!isCut(from, to) && this.random.uniform() >= this.troubles.loss) {
           this.clock.schedule(LINK_MILLISECONDS, () => this.byHost.get(to)?.receive(bytes, from));
         }
       },
@@ -197,7 +199,7 @@
   }
 
   private change(change: PlannedChange): void {
-    if (this.storeTakesWrites) {
+    if (this.troubles.storeTakesWrites) {
       this.write(change);
     } else {
       this.waiting.push(change);
@@ -239,116 +241,10 @@
     this.outOfTouchUntil.set(host, Math.max(until, this.outOfTouchUntil.get(host) ?? 0));
   }
 
-  private struck(share: number): HistoryGateway[] {
-    const left = [...this.gateways];
-    const count = Math.max(1, Math.round(share * left.length));
-    return Array.from({ length: count }, () => {
-      const [gateway] = left.splice(this.random.integer(0, left.length - 1), 1);
-      return gateway!;
-    });
-  }
-
   private later(milliseconds: number, action: () => void): void {
     this.clock.schedule(milliseconds, action);
   }
 
-  private strike(trouble: ConfigurationTrouble): void {
-    HANDLERS[trouble.kind](this, trouble);
-  }
-
-  /** The store does something to all paths, and takes no writes meanwhile. */
-  closeStore(mode: 'silent' | 'refusing', lasts: number): void {
-    this.storeTakesWrites = false;
-    this.setPaths(this.gateways, mode, lasts);
-    this.later(lasts, () => {
-      this.storeTakesWrites = true;
-      this.waiting.splice(0).forEach((change) => this.write(change));
-    });
-  }
-
-  setPaths(gateways: readonly HistoryGateway[], mode: 'silent' | 'refusing', lasts: number): void {
-    for (const gateway of gateways) {
-      this.excuse(gateway, lasts);
-      gateway.path.mode = mode;
-      gateway.path.loseConnections();
-      this.later(lasts, () => (gateway.path.mode = 'well'));
-    }
-  }
-
-  strikeShare({ share }: ConfigurationTrouble): HistoryGateway[] {
-    return this.struck(share);
-  }
-
-  slowStore(lasts: number): void {
-    this.store.slowMilliseconds = SLOW_MILLISECONDS;
-    this.excuseAll(lasts);
-    this.later(lasts, () => (this.store.slowMilliseconds = 0));
-  }
-
-  loseAllConnections(): void {
-    this.excuseAll(0);
-    this.gateways.forEach(({ path }) => path.loseConnections());
-  }
-
-  forgetHistory(): void {
-    this.excuseAll(DEAF_MILLISECONDS);
-    this.store.watchesDeaf = true;
-    this.store.freezeOldLists();
-    this.change({ at: this.clock.now, what: 'configuration' });
-    this.later(DEAF_MILLISECONDS, () => {
-      this.store.forget();
-      this.store.watchesDeaf = false;
-    });
-    this.later(OLD_LIST_MILLISECONDS, () => this.store.thawOldLists());
-  }
-
-  ageLists(lasts: number): void {
-    this.store.freezeOldLists();
-    this.later(Math.min(lasts, OLD_LIST_MILLISECONDS), () => this.store.thawOldLists());
-  }
-
-  killGateways(gateways: readonly HistoryGateway[]): void {
-    for (const gateway of gateways) {
-      this.excuse(gateway, RESTART_MILLISECONDS);
-      gateway.kill();
-      this.later(RESTART_MILLISECONDS, () => {
-        if (!gateway.process.isAlive) {
-          gateway.start(0);
-        }
-      });
-    }
-  }
-
-  freezeGateways(gateways: readonly HistoryGateway[], lasts: number): void {
-    const milliseconds = Math.min(lasts, LONGEST_FREEZE_MILLISECONDS);
-    for (const gateway of gateways) {
-      this.excuse(gateway, milliseconds);
-      gateway.process.pause();
-      this.later(milliseconds, () => gateway.process.resume());
-    }
-  }
-
-  cutGateways(gateways: readonly HistoryGateway[], lasts: number): void {
-    for (const gateway of gateways) {
-      this.excuse(gateway, lasts);
-      this.cutHosts.add(gateway.host);
-      this.later(lasts, () => this.cutHosts.delete(gateway.host));
-    }
-  }
-
-  loseMessages(lasts: number): void {
-    this.loss = TROUBLED_LOSS;
-    this.later(lasts, () => (this.loss = USUAL_LOSS));
-  }
-
-  get all(): readonly HistoryGateway[] {
-    return this.gateways;
-  }
-
-  private excuseAll(milliseconds: number): void {
-    this.gateways.forEach((gateway) => this.excuse(gateway, milliseconds));
-  }
-
   private lookUntil(end: number): void {
     this.later(LOOK_MILLISECONDS, () => {
       this.look();
@@ -397,32 +293,6 @@
   }
 }
 
-/** What each trouble does. */
-const HANDLERS: Readonly<
-  Record<
-    ConfigurationTroubleKind,
-    (history: ConfigurationHistory, trouble: ConfigurationTrouble) => void
-  >
-> = {
-  storeSilent: (history, { lasts }) => history.closeStore('silent', lasts),
-  storeRefuses: (history, { lasts }) => history.closeStore('refusing', lasts),
-  storeSlow: (history, { lasts }) => history.slowStore(lasts),
-  pathsSilent: (history, trouble) =>
-    history.setPaths(history.strikeShare(trouble), 'silent', trouble.lasts),
-  pathsRefused: (history, trouble) =>
-    history.setPaths(history.strikeShare(trouble), 'refusing', trouble.lasts),
-  connectionsDie: (history) => history.loseAllConnections(),
-  historyLost: (history) => history.forgetHistory(),
-  oldLists: (history, { lasts }) => history.ageLists(lasts),
-  gatewaysKilled: (history, trouble) => history.killGateways(history.strikeShare(trouble)),
-  gatewaysFrozen: (history, trouble) =>
-    history.freezeGateways(history.strikeShare(trouble), trouble.lasts),
-  gatewaysCut: (history, trouble) =>
-    history.cutGateways(history.strikeShare(trouble), trouble.lasts),
-  messagesLost: (history, { lasts }) => history.loseMessages(lasts),
-  allKilled: (history) => history.killGateways(history.all),
-};
-
 /** Plays one history. */
 export function runConfigurationHistory(
   seed: number,
