--- a/src/mirror/key-space-mirror.ts
+++ b/src/mirror/key-space-mirror.ts
@@ -295,20 +295,21 @@
   private noteFailure(call: StoreCall, error: KeySpaceError): void {
     const { runtime } = this.options;
     this.failures += 1;
-    const isNews = this.reachable !== false;
-    runtime.log(isNews ? 'warn' : 'info', isNews ? 'store out of reach' : 'store call failed', {
-      event: isNews ? 'store.lost' : 'store.failed',
+    const fields = {
       call: call.kind,
       owed: Math.round(runtime.now() - call.sentAt),
       answerAge: Math.round(this.answerAgeMilliseconds ?? -1),
       tag: error.tag,
       detail: error.tag === 'HistoryLost' ? '' : error.detail,
       failures: this.failures,
-    });
-    if (isNews) {
-      this.reachable = false;
-      this.options.onReachable(false);
+    };
+    if (this.reachable === false) {
+      runtime.log('info', 'store call failed', { event: 'store.failed', ...fields });
+      return;
     }
+    this.reachable = false;
+    runtime.log('warn', 'store out of reach', { event: 'store.lost', ...fields });
+    this.options.onReachable(false);
   }
 
   private noteReached(): void {
