--- a/features/support/simulated-key-space.ts
+++ b/features/support/simulated-key-space.ts
@@ -1,7 +1,9 @@
 /** A store of keys in virtual time: out of reach, refusing, silent, forgetful or behind as asked. */
 import * as E from 'fp-ts/lib/Either.js';
+import { HistoryStore } from '../../src/histories/history-store.js';
 import type {
-  ItemChange,
+  ChangeList,
+  ItemList,
   KeySpaceListener,
   KeySpacePort,
   StoredItem,
@@ -15,8 +17,6 @@
 
 /** A store in virtual time. */
 export class SimulatedKeySpace implements KeySpacePort {
-  readonly items = new Map<string, StoredItem>();
-  revision = 0;
   mode: 'well' | 'unreachable' | 'refusing' = 'well';
   silentWatches = false;
   /** While true, watches that wait end with a refusal. */
@@ -30,27 +30,30 @@
   private silent = false;
   /** Rises when open connections go silent for good: calls sent before are never answered. */
   private connections = 0;
-  private history: ItemChange[] = [];
-  private forgottenBefore = 0;
+  private readonly store: HistoryStore;
 
-  constructor(private readonly clock: VirtualClock) {}
+  constructor(private readonly clock: VirtualClock) {
+    this.store = new HistoryStore(clock);
+  }
+
+  get items(): ReadonlyMap<string, StoredItem> {
+    return this.store.items;
+  }
+
+  get revision(): number {
+    return this.store.revision;
+  }
 
   put(key: string, value: string): void {
-    this.revision += 1;
-    const item = { key, value, revision: this.revision };
-    this.items.set(key, item);
-    this.history.push({ tag: 'Put', item });
+    this.store.put(key, value);
   }
 
   remove(key: string): void {
-    this.revision += 1;
-    this.items.delete(key);
-    this.history.push({ tag: 'Gone', key, revision: this.revision });
+    this.store.remove(key);
   }
 
   forget(): void {
-    this.history = [];
-    this.forgottenBefore = this.revision;
+    this.store.forget();
   }
 
   /** Says nothing from now on; what it owes is never answered, not even after its return. */
@@ -69,22 +72,16 @@
     this.connections += 1;
   }
 
-  list(
-    prefix: string,
-    listener: KeySpaceListener<{ items: StoredItem[]; revision: number }>,
-  ): void {
+  list(prefix: string, listener: KeySpaceListener<ItemList>): void {
     this.keyReadCount += prefix === '' ? 0 : 1;
-    this.answer(listener, () => {
-      const items = [...this.items.values()].filter((item) => item.key.startsWith(prefix));
-      return E.right({ items, revision: this.revision });
-    });
+    this.answer(listener, () => E.right(this.store.listOf(prefix)));
   }
 
   watch(
     _prefix: string,
     after: number,
     wait: number,
-    listener: KeySpaceListener<{ changes: ItemChange[]; revision: number }>,
+    listener: KeySpaceListener<ChangeList>,
   ): void {
     const until = this.clock.now + wait;
     const { connections } = this;
@@ -97,13 +94,11 @@
         listener(E.left({ tag: 'Refused', detail: 'status 503' }));
         return;
       }
-      if (after < this.forgottenBefore) {
+      const changes = this.store.changesAfter(after);
+      if (changes === undefined) {
         listener(E.left({ tag: 'HistoryLost' }));
         return;
       }
-      const changes = this.history.filter(
-        (change) => (change.tag === 'Put' ? change.item.revision : change.revision) > after,
-      );
       if (!this.silentWatches && (changes.length > 0 || this.clock.now >= until)) {
         listener(E.right({ changes, revision: this.revision }));
       } else if (this.clock.now >= until + GIVE_UP_MILLISECONDS) {
@@ -115,10 +110,7 @@
     this.answer(listener, () => undefined, look, wait + GIVE_UP_MILLISECONDS);
   }
 
-  listStale(
-    prefix: string,
-    listener: KeySpaceListener<{ items: StoredItem[]; revision: number }>,
-  ): void {
+  listStale(prefix: string, listener: KeySpaceListener<ItemList>): void {
     if (this.frozenList === undefined) {
       this.list(prefix, listener);
     } else {
