--- a/features/steps/turns.steps.ts
+++ b/features/steps/turns.steps.ts
@@ -575,3 +575,56 @@
     assert.ok(this.answering!.messageCount <= messages, `${this.answering!.messageCount} messages`);
   },
 );
+
+Given('{int} replicas that are members', function (this: World, count: number) {
+  this.clock = new VirtualClock();
+  this.replicas = new SimulatedReplicas(this.clock, createRandom(7));
+  for (let index = 1; index <= count; index += 1) {
+    this.replicas.add(`m${index}`, `z${index}`);
+  }
+  const { clock, replicas } = this;
+  assert.ok(clock.runUntil(20_000, () => replicas.activeNames().length === count));
+  clock.runUntil(clock.now + 2_000);
+});
+
+When('{int} turns are kept', function (this: World, count: number) {
+  const { client } = this.replicas!.client('g', 'z1', 'm1');
+  this.keptTurns = [];
+  for (let index = 1; index <= count; index += 1) {
+    const id = `t${index}`;
+    const turn = {
+      id,
+      previous: '',
+      input: Buffer.from(`in ${id}`),
+      output: Buffer.from(`out ${id}`),
+      retentionMilliseconds: 60_000,
+    };
+    client.keep(turn, 700, (done) => done && this.keptTurns!.push(id));
+    this.clock!.runUntil(this.clock!.now + 40);
+  }
+});
+
+When('replica {string} loses its disk and starts again', function (this: World, name: string) {
+  const { replicas } = this;
+  replicas!.kill(name);
+  replicas!.wipe(name);
+  replicas!.start(name);
+  replicas!.copiedTurns = 0;
+});
+
+Then(
+  'within {int} milliseconds all replicas hold all turns',
+  function (this: World, milliseconds: number) {
+    const { clock, replicas } = this;
+    const count = replicas!.runningNames().length;
+    const hold = (): boolean =>
+      this.keptTurns!.every((turn) => replicas!.holdersOf(turn).length === count);
+    assert.ok(clock!.runUntil(clock!.now + milliseconds, hold));
+    assert.ok(this.keptTurns!.length > 0);
+  },
+);
+
+Then('each turn was copied {float} times on average at most', function (this: World, most: number) {
+  const copies = this.replicas!.copiedTurns / this.keptTurns!.length;
+  assert.ok(copies > 0 && copies <= most, `${copies} times`);
+});
--- a/features/turns.feature
+++ b/features/turns.feature
@@ -103,6 +103,15 @@
     When one active replica loses its disk
     Then within 3000 milliseconds 3 replicas are active
 
+  Scenario: A turn that a replica lacks is copied from one other, not from all
+    Given 5 replicas that are members
+    When 150 turns are kept
+    Then within 3000 milliseconds all replicas hold all turns
+    And each turn was copied 1.3 times on average at most
+    When replica "m5" loses its disk and starts again
+    Then within 5000 milliseconds all replicas hold all turns
+    And each turn was copied 1.3 times on average at most
+
   Scenario: Replicas that hold the same reservations find that out by digests alone
     Then any two sets of reservations are made level by the digests that each lacks
     And who knows a reservation settled lacks no word of it open
--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -159,6 +159,8 @@
   private readonly machines = new Map<string, SimulatedMachine>();
   /** Pairs of names, `a b`, between which nothing passes. */
   private readonly cuts = new Set<string>();
+  /** Turns that replicas have sent one another to copy. */
+  copiedTurns = 0;
   private lastCall = 0;
   private readonly log: LogFunction;
 
@@ -348,6 +350,7 @@
       }
       const serve = (): void =>
         replica.handle(numbered, (reply) => {
+          this.copiedTurns += reply.type === 'fetched' ? reply.turns.length : 0;
           this.clock.schedule(this.delay(), () => {
             if (this.cuts.has(`${member.node} ${from}`)) {
               return;
--- a/src/turns/replica-sync.ts
+++ b/src/turns/replica-sync.ts
@@ -19,6 +19,8 @@
 const PULL_MILLISECONDS = 300;
 /** Pause while this replica is not ready or behind, in milliseconds. */
 const HURRIED_MILLISECONDS = 40;
+/** The same while turns are being copied from some replica: asking others again brings nothing sooner. */
+const COPYING_MILLISECONDS = 120;
 const CALL_MILLISECONDS = 1_000;
 /** Pause between two questions whether a member is there, while this replica stands by. */
 const LOOK_MILLISECONDS = 1_000;
@@ -57,6 +59,8 @@
 export class ReplicaSync {
   private readonly peers = new Map<string, PeerProgress>();
   private readonly pulling = new Set<string>();
+  /** Turns that are being copied: one that several others have is asked of one of them only. */
+  private readonly copying = new Set<string>();
   /** Local time at which a member was last seen in the record, in milliseconds. */
   private readonly memberAt = new Map<string, number>();
   /** Local time since which a member has been asked without a break, in milliseconds. */
@@ -173,7 +177,7 @@
             this.advance(member, reply);
           }
           const behind = !complete || reply.next < reply.end || !this.options.replica.ready;
-          this.pullLater(member, behind ? HURRIED_MILLISECONDS : PULL_MILLISECONDS);
+          this.pullLater(member, behind ? this.hurriedPause : PULL_MILLISECONDS);
         });
       },
     );
@@ -183,6 +187,10 @@
     }
   }
 
+  private get hurriedPause(): number {
+    return this.copying.size > 0 ? COPYING_MILLISECONDS : HURRIED_MILLISECONDS;
+  }
+
   private pullLater(member: Member, pause: number): void {
     this.options.runtime.setTimer(pause, () => {
       this.pulling.delete(member.id);
@@ -219,16 +227,26 @@
   private take(member: Member, reply: Pulled, done: (complete: boolean) => void): void {
     const { state } = this.options.replica;
     const missing = state.missingDigests(unpackDigests(reply.digests));
-    const turns = reply.turns.filter((turn) => !state.hasTurn(turn));
     this.fetchEntries(member, missing, (complete) => {
       if (complete) {
-        this.fetch(member, turns, done);
+        const turns = reply.turns.filter((turn) => !state.hasTurn(turn));
+        this.copy(member, turns, done);
       } else {
         done(false);
       }
     });
   }
 
+  /** Fetches and stores turns; not complete while some of them come from other replicas. */
+  private copy(member: Member, turns: readonly string[], done: (complete: boolean) => void): void {
+    const free = turns.filter((turn) => !this.copying.has(turn));
+    free.forEach((turn) => this.copying.add(turn));
+    this.fetch(member, free, (complete) => {
+      free.forEach((turn) => this.copying.delete(turn));
+      done(complete && free.length === turns.length);
+    });
+  }
+
   private fetchEntries(
     member: Member,
     digests: readonly string[],
