--- a/soak/configuration-check.ts
+++ b/soak/configuration-check.ts
@@ -68,9 +68,7 @@
   }
 
   private async look(host: string): Promise<void> {
-    const owed = this.changes.findLast(
-      ({ at }) => at <= performance.now() - SOAK_APPLY_MILLISECONDS,
-    );
+    const owed = this.newestOwed;
     if (owed === undefined || !this.isInTouch(host)) {
       return;
     }
--- a/src/histories/history-gateway.ts
+++ b/src/histories/history-gateway.ts
@@ -16,9 +16,9 @@
 import type { HistoryStore } from './history-store.js';
 
 /** The operator's configuration, whose value is its version. */
-export const CONFIGURATION_KEY = 'op/config';
+export const CONFIGURATION_KEY = 'configuration';
 /** Entries of runners. */
-export const RUNNER_PREFIX = 'servers/';
+export const RUNNER_PREFIX = 'runners/';
 
 /** Bytes and changes on their way between gateways. */
 export interface HistoryLinks {
