--- a/features/steps/turns.steps.ts
+++ b/features/steps/turns.steps.ts
@@ -29,7 +29,7 @@
   withMember,
 } from '../../src/turns/membership.js';
 import type { Member, MemberRecord } from '../../src/turns/membership.js';
-import type { StoredState } from '../../src/turns/turn-storage.js';
+import type { WrittenChange } from '../../src/turns/turn-storage.js';
 
 /** Replicas that answer, refuse or say nothing; counts what they are asked. */
 interface AnsweringReplicas {
@@ -52,7 +52,7 @@
   action?: MembershipAction;
   folder?: string;
   storage?: SegmentTurnStorage;
-  found?: StoredState;
+  found?: WrittenChange[];
 }
 
 const RUNTIME: Runtime = {
@@ -448,7 +448,8 @@
 
 When('the disk is opened again', async function (this: World) {
   this.storage = await SegmentTurnStorage.open(this.folder!, RUNTIME);
-  this.found = await this.storage.load();
+  this.found = [];
+  await this.storage.load((change) => this.found!.push(change));
 });
 
 Given('a write was torn off at the end of its newest file', function (this: World) {
@@ -460,8 +461,10 @@
 });
 
 Then('the turn, the reservation and the members are there', function (this: World) {
-  const { meta, turns, entries } = this.found!;
-  assert.deepEqual(meta, { ready: true, members: '{}' });
+  const metas = this.found!.flatMap((change) => (change.tag === 'meta' ? [change.meta] : []));
+  const turns = this.found!.flatMap((change) => (change.tag === 'turn' ? [change.turn] : []));
+  const entries = this.found!.flatMap((change) => (change.tag === 'entry' ? [change.entry] : []));
+  assert.deepEqual(metas.at(-1), { ready: true, members: '{}' });
   assert.deepEqual(new Set(turns.map((stored) => stored.turn.id)), new Set(['t1']));
   assert.equal(turns[0]!.turn.input.toString() + turns[0]!.turn.output.toString(), 'in\nout\n');
   assert.equal(turns[0]!.turn.previous, 't0');
--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -14,7 +14,14 @@
 import { ReplicaSync } from '../turns/replica-sync.js';
 import { Replica } from '../turns/replica.js';
 import { TurnClient } from '../turns/turn-client.js';
-import type { StorageChange, StoredState, TurnStorage } from '../turns/turn-storage.js';
+import type {
+  ReplicaMeta,
+  StorageChange,
+  StoredEntry,
+  StoredTurn,
+  TurnStorage,
+  WrittenChange,
+} from '../turns/turn-storage.js';
 import { silentLog, SimulatedProcess } from './simulated-process.js';
 import type { VirtualClock } from './virtual-clock.js';
 
@@ -34,9 +41,14 @@
     this.state = emptyState();
   }
 
-  read(): StoredState {
+  /** Tells everything that was written. */
+  load(take: (change: WrittenChange) => void): void {
     const { meta, entries, turns } = this.state;
-    return { meta, entries: [...entries.values()], turns: [...turns.values()] };
+    if (meta !== undefined) {
+      take({ tag: 'meta', meta });
+    }
+    entries.forEach((entry) => take({ tag: 'entry', entry }));
+    turns.forEach((turn) => take({ tag: 'turn', turn }));
   }
 
   open(runtime: Runtime, planted: SimulatedReplicasOptions['planted']): TurnStorage {
@@ -84,9 +96,9 @@
 }
 
 interface DiskState {
-  meta: StoredState['meta'];
-  readonly entries: Map<string, StoredState['entries'][number]>;
-  readonly turns: Map<string, StoredState['turns'][number]>;
+  meta: ReplicaMeta | undefined;
+  readonly entries: Map<string, StoredEntry>;
+  readonly turns: Map<string, StoredTurn>;
 }
 
 function emptyState(): DiskState {
@@ -195,7 +207,8 @@
     const { id } = machine.member;
     const storage = machine.disk.open(runtime, this.options.planted);
     const replica = new Replica({ id, runtime, storage, directory });
-    replica.restore(machine.disk.read());
+    machine.disk.load((change) => replica.restore(change));
+    replica.endRestore();
     if (this.options.planted === 'noRepair') {
       replica.becomeReady('planted fault');
     }
--- a/src/turns/replica-state.ts
+++ b/src/turns/replica-state.ts
@@ -39,11 +39,25 @@
   readonly turns: string[];
 }
 
+/** As many entries as a map has now: those that are added while it is read come after them. */
+function* firstOf<Key, Value>(map: ReadonlyMap<Key, Value>): Generator<[Key, Value]> {
+  let left = map.size;
+  for (const entry of map) {
+    if (left === 0) {
+      return;
+    }
+    left -= 1;
+    yield entry;
+  }
+}
+
 /** See the head of this file. */
 export class ReplicaState {
   private readonly accounts = new Map<string, AccountRecord>();
   private readonly turns = new Map<string, TurnRecord>();
   private readonly log: LoggedChange[] = [];
+  /** Position of the first change in `log`: what came before is past its time. */
+  private logStart = 0;
   private readonly digests = new ReservationDigests();
 
   /** Takes a reservation. */
@@ -133,11 +147,12 @@
 
   /** Changes after a position of the log; what has been dropped since is left out. */
   readLog(after: number): LogPart {
-    const end = this.log.length;
-    const next = Math.min(end, after + PULL_ENTRIES);
+    const end = this.logEnd;
+    const from = Math.max(after, this.logStart);
+    const next = Math.min(end, from + PULL_ENTRIES);
     const digests: string[] = [];
     const turns: string[] = [];
-    for (const change of this.log.slice(after, next)) {
+    for (const change of this.log.slice(from - this.logStart, next - this.logStart)) {
       if (change.tag === 'entry') {
         digests.push(change.digest);
       } else if (this.turns.has(change.id)) {
@@ -149,7 +164,7 @@
 
   /** Position of the log's end. */
   get logEnd(): number {
-    return this.log.length;
+    return this.logStart + this.log.length;
   }
 
   /** Drops what is past its time; returns what is to be dropped from the disk. */
@@ -170,24 +185,39 @@
         }
       }
     }
+    this.trimLog();
     return changes;
   }
 
-  /** Everything held, as changes that make it again. */
-  allChanges(wallTime: number): StorageChange[] {
-    const changes: StorageChange[] = [];
-    for (const [program, { account, changedAt: storedAt }] of this.accounts) {
+  /** Forgets the oldest changes that are past their time: nobody needs to be told them any more. */
+  private trimLog(): void {
+    const isLive = (change: LoggedChange): boolean =>
+      change.tag === 'turn'
+        ? this.turns.has(change.id)
+        : this.digests.find(change.digest) !== undefined;
+    const firstLive = this.log.findIndex(isLive);
+    const count = firstLive < 0 ? this.log.length : firstLive;
+    this.log.splice(0, count);
+    this.logStart += count;
+  }
+
+  /**
+   * Everything held, as changes that make it again, read as it stands at that moment. What is added
+   * meanwhile may be left out: it has a record of its own already.
+   */
+  *liveChanges(wallTime: () => number): Generator<StorageChange> {
+    for (const [program, { account, changedAt: storedAt }] of firstOf(this.accounts)) {
       for (const reservation of account.values()) {
-        changes.push({ tag: 'entry', entry: { entry: { program, ...reservation }, storedAt } });
+        yield { tag: 'entry', entry: { entry: { program, ...reservation }, storedAt } };
       }
     }
-    for (const { turn, expiresAt } of this.turns.values()) {
+    for (const [, { turn, expiresAt }] of firstOf(this.turns)) {
+      const storedAt = wallTime();
       // Its time may have been extended by later turns.
-      const left = expiresAt - CLOCK_SLACK_MILLISECONDS - wallTime;
+      const left = expiresAt - CLOCK_SLACK_MILLISECONDS - storedAt;
       const kept = { ...turn, retentionMilliseconds: Math.max(0, left) };
-      changes.push({ tag: 'turn', turn: { turn: kept, storedAt: wallTime } });
+      yield { tag: 'turn', turn: { turn: kept, storedAt } };
     }
-    return changes;
   }
 
   /** Counts for metrics. */
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -18,7 +18,13 @@
 import type { KeptTurn } from './kept-turn.js';
 import { ReplicaState } from './replica-state.js';
 import { unpackDigests } from './reservation-digests.js';
-import type { StorageChange, StoredState, TurnStorage, WriteUrgency } from './turn-storage.js';
+import type {
+  ReplicaMeta,
+  StorageChange,
+  TurnStorage,
+  WriteUrgency,
+  WrittenChange,
+} from './turn-storage.js';
 
 const EXPIRY_MILLISECONDS = 5_000;
 /** Largest reply to a fetch, in bytes; at least one turn is sent. */
@@ -49,6 +55,7 @@
   readonly logName: string;
   readonly pullers = new Map<string, PullerProgress>();
   private isReady = false;
+  private storedMeta: ReplicaMeta | undefined;
   private readonly cancelExpiry: CancelTimer;
 
   constructor(private readonly options: ReplicaOptions) {
@@ -58,17 +65,31 @@
     directory.onChange(() => this.saveMeta());
   }
 
-  /** Takes what was on the disk. */
-  restore(stored: StoredState): void {
-    stored.entries.forEach((entry) => this.state.mergeEntry(entry));
-    stored.turns.forEach((turn) => this.state.addTurn(turn));
-    if (stored.meta !== undefined) {
-      this.isReady = stored.meta.ready;
-      this.options.directory.offerText(stored.meta.members, 'disk');
+  /** Takes one change that was on the disk; the last word of itself counts. */
+  restore(change: WrittenChange): void {
+    switch (change.tag) {
+      case 'entry':
+        this.state.mergeEntry(change.entry);
+        return;
+      case 'turn':
+        this.state.addTurn(change.turn);
+        return;
+      case 'meta':
+        this.storedMeta = change.meta;
+    }
+  }
+
+  /** Begins to serve with what was restored. */
+  endRestore(): void {
+    const { storedMeta, options } = this;
+    this.state.expire(options.runtime.wallTime());
+    if (storedMeta !== undefined) {
+      this.isReady = storedMeta.ready;
+      options.directory.offerText(storedMeta.members, 'disk');
     }
     const { programs, turns } = this.state.counts;
     const fields = { event: 'replica.restored', ready: this.isReady, programs, turns };
-    this.options.runtime.log('info', 'state read from disk', fields);
+    options.runtime.log('info', 'state read from disk', fields);
   }
 
   /** Whether its state is complete: it holds all that it ever acknowledged. */
@@ -161,11 +182,11 @@
     this.options.storage.write(changes, done);
   }
 
-  /** Everything it holds, as changes that make it again. */
-  allChanges(): StorageChange[] {
-    const members = this.options.directory.currentText;
-    const changes = this.state.allChanges(this.options.runtime.wallTime());
-    return [{ tag: 'meta', meta: { ready: this.isReady, members } }, ...changes];
+  /** Everything it holds, as changes that make it again; it may go on changing meanwhile. */
+  *liveChanges(): Generator<StorageChange> {
+    const { directory, runtime } = this.options;
+    yield { tag: 'meta', meta: { ready: this.isReady, members: directory.currentText } };
+    yield* this.state.liveChanges(() => runtime.wallTime());
   }
 
   /** Stops its timers. */
--- a/src/turns/segment-codec.ts
+++ b/src/turns/segment-codec.ts
@@ -6,15 +6,12 @@
 import * as r from 'restructure';
 import { decodeField, encodeField, flag, longText, real, TaggedUnion } from '../wire/fields.js';
 import { accountEntryField, keptTurnField } from './messages.js';
-import type { StorageChange } from './turn-storage.js';
+import type { WrittenChange } from './turn-storage.js';
 
 const HEADER_BYTES = 8;
 /** Longest record that is believed, in bytes. */
 const MAXIMUM_RECORD_BYTES = 64 * 1024 * 1024;
 
-/** Changes that are written; what is past its time is dropped by its age, not by a record. */
-export type WrittenChange = Extract<StorageChange, { tag: 'meta' | 'entry' | 'turn' }>;
-
 /** Append only: a branch's place is its number on disk. */
 const recordField: r.Field = new TaggedUnion([
   { type: 'meta', fields: { ready: flag, members: longText } },
@@ -67,16 +64,17 @@
   return bytes;
 }
 
-/** Records read from a segment. */
+/** What was found in a segment. */
 export interface ReadSegment {
-  readonly changes: readonly WrittenChange[];
+  /** Whole records. */
+  readonly records: number;
   /** Bytes after the last whole record. */
   readonly tornBytes: number;
 }
 
-/** All whole records from the start of a segment. */
-export function decodeSegment(bytes: Buffer): ReadSegment {
-  const changes: WrittenChange[] = [];
+/** Tells all whole records from the start of a segment. */
+export function decodeSegment(bytes: Buffer, take: (change: WrittenChange) => void): ReadSegment {
+  let records = 0;
   let at = 0;
   while (at + HEADER_BYTES <= bytes.length) {
     const length = bytes.readUInt32LE(at);
@@ -88,8 +86,9 @@
     if (crc32(content) !== bytes.readUInt32LE(at + 4)) {
       break;
     }
-    changes.push(changeOf(decodeField(recordField, content) as RecordValue));
+    take(changeOf(decodeField(recordField, content) as RecordValue));
+    records += 1;
     at = end;
   }
-  return { changes, tornBytes: bytes.length - at };
+  return { records, tornBytes: bytes.length - at };
 }
--- a/src/turns/segment-turn-storage.ts
+++ b/src/turns/segment-turn-storage.ts
@@ -1,7 +1,8 @@
 /**
- * Durable storage of a replica in append-only segment files. Each process begins a new segment and
- * only ever appends to it, so no rename and no removal has to last for the state to be right: a file
- * that comes back after a loss of power holds nothing but old records, which merge again.
+ * Durable storage of a replica in append-only segment files. Each process begins a new segment, and
+ * another when one is long, and only ever appends to the newest, so no rename and no removal has to
+ * last for the state to be right: a file that comes back after a loss of power holds nothing but old
+ * records, which merge again.
  *
  * `classic-level` was tried first: after a loss of power that kept the removal of an old manifest but
  * not the renaming of its successor, the database no longer opened.
@@ -10,27 +11,26 @@
 import type { FileHandle } from 'node:fs/promises';
 import { join } from 'node:path';
 import type { Runtime } from '../runtime/runtime.js';
+import { isCompactionDue, writeInSlices } from './compaction.js';
+import type { DiskUse } from './compaction.js';
 import { decodeSegment, encodeRecord } from './segment-codec.js';
-import type { WrittenChange } from './segment-codec.js';
-import type {
-  ReplicaMeta,
-  StorageChange,
-  StoredEntry,
-  StoredState,
-  StoredTurn,
-  TurnStorage,
-  WriteUrgency,
-} from './turn-storage.js';
+import type { StorageChange, TurnStorage, WriteUrgency, WrittenChange } from './turn-storage.js';
 
 const SEGMENT_PATTERN = /^segment-(\d+)\.log$/;
 /** Longest wait of a lazy write, in milliseconds. */
 const LAZY_MILLISECONDS = 250;
 /** Pause before a refused write is tried in a new segment, in milliseconds. */
 const REFUSED_MILLISECONDS = 500;
-/** Bytes after which the state is written anew and old segments are removed. */
-const COMPACTION_BYTES = 48 * 1024 * 1024;
-/** Segments after which the same is done. */
-const COMPACTION_SEGMENTS = 12;
+/** Length at which a segment is ended: a start reads one at a time into memory. */
+const SEGMENT_BYTES = 8 * 1024 * 1024;
+/** Time after the start in which nothing is compacted: callers wait for it then, in milliseconds. */
+const SETTLING_MILLISECONDS = 20_000;
+const EMPTY_DISK: DiskUse = { bytes: 0, segments: 0 };
+
+interface Segment {
+  readonly number: number;
+  bytes: number;
+}
 
 interface PendingWrite {
   readonly changes: readonly StorageChange[];
@@ -47,19 +47,24 @@
   private writing = false;
   private lazyTimerSet = false;
   private file: FileHandle | undefined;
-  private number = 0;
-  private segments: number[] = [];
-  private bytes = 0;
+  /** All that are on the disk, the newest last. */
+  private segments: Segment[] = [];
+  /** What the last compaction left. */
+  private left = EMPTY_DISK;
+  private compacting = false;
+  private readonly openedAt: number;
   private closing: (() => void) | undefined;
   /** Everything that is to survive a compaction; set by the replica. */
-  private liveChanges: () => readonly StorageChange[] = () => [];
+  private liveChanges: () => Iterable<StorageChange> = () => [];
   /** Synced writes so far. */
   writeCount = 0;
 
   private constructor(
     private readonly folder: string,
     private readonly runtime: Runtime,
-  ) {}
+  ) {
+    this.openedAt = runtime.now();
+  }
 
   /** Opens a folder, made when it is missing. Rejects when the disk refuses. */
   static async open(folder: string, runtime: Runtime): Promise<SegmentTurnStorage> {
@@ -68,40 +73,26 @@
     const names = await readdir(folder);
     storage.segments = names
       .flatMap((name) => SEGMENT_PATTERN.exec(name)?.[1] ?? [])
-      .map(Number)
-      .sort((left, right) => left - right);
-    storage.number = storage.segments.at(-1) ?? 0;
+      .map((number) => ({ number: Number(number), bytes: 0 }))
+      .sort((left, right) => left.number - right.number);
     return storage;
   }
 
-  /** Reads all segments. */
-  async load(): Promise<StoredState> {
-    let meta: ReplicaMeta | undefined;
-    const entries: StoredEntry[] = [];
-    const turns: StoredTurn[] = [];
+  /** Reads all segments, the oldest first, one at a time; tells each change. */
+  async load(take: (change: WrittenChange) => void): Promise<void> {
     for (const segment of this.segments) {
       const bytes = await readFile(this.pathOf(segment));
-      const { changes, tornBytes } = decodeSegment(bytes);
-      this.bytes += bytes.length;
+      segment.bytes = bytes.length;
+      const { records, tornBytes } = decodeSegment(bytes, take);
       if (tornBytes > 0) {
-        const fields = { event: 'disk.torn', segment, tornBytes, records: changes.length };
+        const fields = { event: 'disk.torn', segment: segment.number, tornBytes, records };
         this.runtime.log('warn', 'segment ends in a torn write', fields);
       }
-      for (const change of changes) {
-        if (change.tag === 'meta') {
-          meta = change.meta;
-        } else if (change.tag === 'entry') {
-          entries.push(change.entry);
-        } else {
-          turns.push(change.turn);
-        }
-      }
     }
-    return { meta, entries, turns };
   }
 
   /** Tells what is to survive when old segments are removed. */
-  useLiveChanges(liveChanges: () => readonly StorageChange[]): void {
+  useLiveChanges(liveChanges: () => Iterable<StorageChange>): void {
     this.liveChanges = liveChanges;
   }
 
@@ -128,8 +119,13 @@
     this.writeNext();
   }
 
-  private pathOf(segment: number): string {
-    return join(this.folder, `segment-${segment}.log`);
+  private pathOf({ number }: Segment): string {
+    return join(this.folder, `segment-${number}.log`);
+  }
+
+  private get use(): DiskUse {
+    const bytes = this.segments.reduce((sum, segment) => sum + segment.bytes, 0);
+    return { bytes, segments: this.segments.length };
   }
 
   private writeNext(): void {
@@ -148,7 +144,7 @@
         this.writing = false;
         this.writeCount += 1;
         writes.forEach((write) => write.done(true));
-        this.compactIfLarge();
+        this.compactIfDue();
         this.writeNext();
       },
       (cause: unknown) => this.refuse(writes, cause),
@@ -167,22 +163,32 @@
       from += bytesWritten;
     }
     await this.file.datasync();
-    this.bytes += bytes.length;
+    const segment = this.segments.at(-1)!;
+    segment.bytes += bytes.length;
+    if (segment.bytes >= SEGMENT_BYTES) {
+      this.endSegment();
+    }
   }
 
   private async openSegment(): Promise<FileHandle> {
-    this.number += 1;
-    this.segments.push(this.number);
-    return open(this.pathOf(this.number), 'wx');
+    const segment = { number: (this.segments.at(-1)?.number ?? 0) + 1, bytes: 0 };
+    this.segments.push(segment);
+    return open(this.pathOf(segment), 'wx');
+  }
+
+  /** What is written from now on goes into a new segment. */
+  private endSegment(): void {
+    const { file } = this;
+    this.file = undefined;
+    // What was written is synced: a refusal to close takes nothing away.
+    file?.close().catch(() => undefined);
   }
 
   /** What may stand half written in this segment is written again into a new one. */
   private refuse(writes: readonly PendingWrite[], cause: unknown): void {
     const reason = cause instanceof Error ? cause.message : String(cause);
     this.runtime.log('error', 'disk refused a write', { event: 'disk.refused', reason });
-    const { file } = this;
-    this.file = undefined;
-    file?.close().catch(() => undefined);
+    this.endSegment();
     this.queue = [...writes, ...this.queue];
     this.runtime.setTimer(REFUSED_MILLISECONDS, () => {
       this.writing = false;
@@ -190,27 +196,39 @@
     });
   }
 
-  /** Writes the live state into a new segment; once that is synced, the older ones may go. */
-  private compactIfLarge(): void {
-    if (this.bytes < COMPACTION_BYTES && this.segments.length < COMPACTION_SEGMENTS) {
+  /** Writes the live state into new segments; once that is synced, the older ones may go. */
+  private compactIfDue(): void {
+    const { use, left, runtime } = this;
+    const isSettling = runtime.now() - this.openedAt < SETTLING_MILLISECONDS;
+    if (this.compacting || isSettling || !isCompactionDue(use, left)) {
       return;
     }
-    const { file } = this;
-    const old = this.segments;
-    this.file = undefined;
-    this.segments = [];
-    this.bytes = 0;
-    file?.close().catch(() => undefined);
-    this.queue.unshift({
-      changes: this.liveChanges(),
-      done: () => this.removeSegments(old),
-    });
+    this.compacting = true;
+    this.endSegment();
+    const old = [...this.segments];
+    const startedAt = runtime.now();
+    const inputs = { bytes: use.bytes, segments: use.segments, leftBefore: left.bytes };
+    runtime.log('info', 'state is written anew', { event: 'disk.compacting', ...inputs });
+    writeInSlices(
+      runtime,
+      this.liveChanges(),
+      (changes, done) => this.write(changes, () => done()),
+      () => this.endCompaction(old, startedAt),
+    );
   }
 
-  private removeSegments(segments: readonly number[]): void {
-    const fields = { event: 'disk.compacted', segments: segments.length };
-    this.runtime.log('info', 'old segments removed', fields);
-    for (const segment of segments) {
+  private endCompaction(old: readonly Segment[], startedAt: number): void {
+    this.segments = this.segments.filter((segment) => !old.includes(segment));
+    this.left = this.use;
+    this.compacting = false;
+    this.runtime.log('info', 'old segments removed', {
+      event: 'disk.compacted',
+      segments: old.length,
+      bytesLeft: this.left.bytes,
+      milliseconds: Math.round(this.runtime.now() - startedAt),
+    });
+    for (const segment of old) {
+      // One that stays is read again at the next start and changes nothing.
       unlink(this.pathOf(segment)).catch(() => undefined);
     }
   }
--- a/src/turns/turn-storage.ts
+++ b/src/turns/turn-storage.ts
@@ -30,13 +30,8 @@
   | { readonly tag: 'dropEntry'; readonly program: string; readonly turn: string }
   | { readonly tag: 'dropTurn'; readonly id: string };
 
-/** Everything found on the disk at the start. */
-export interface StoredState {
-  /** Undefined when the disk is empty. */
-  readonly meta: ReplicaMeta | undefined;
-  readonly entries: readonly StoredEntry[];
-  readonly turns: readonly StoredTurn[];
-}
+/** Changes that are written; what is past its time is dropped by its age, not by a record. */
+export type WrittenChange = Extract<StorageChange, { tag: 'meta' | 'entry' | 'turn' }>;
 
 /** A lazy write may wait for the next urgent one, or for a moment. */
 export type WriteUrgency = 'urgent' | 'lazy';
