--- a/features/steps/placement.steps.ts
+++ b/features/steps/placement.steps.ts
@@ -56,6 +56,7 @@
     resumable: false,
     retained: false,
     retentionSeconds: 0,
+    isPublic: false,
   };
 }
 
--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -11,6 +11,7 @@
 import type { Runtime } from '../../src/runtime/runtime.js';
 import { MemberDirectory } from '../../src/turns/member-directory.js';
 import { MemoryTurnStorage } from '../../src/turns/memory-turn-storage.js';
+import { QuotaClient } from '../../src/turns/quota-client.js';
 import { Replica } from '../../src/turns/replica.js';
 import { ReplicaServer } from '../../src/turns/replica-server.js';
 import { TcpReplicaCaller } from '../../src/turns/tcp-replica-caller.js';
@@ -60,6 +61,7 @@
     resumable: false,
     retained: false,
     retentionSeconds: 60,
+    isPublic: false,
     ...extra,
   };
 }
@@ -123,6 +125,7 @@
       zone: ZONE,
       names: NAMES,
       turns,
+      quotas: new QuotaClient({ runtime, directory, caller }),
       front: { host: HOST, port: front },
       ready: { host: HOST, port: ready },
       graceMilliseconds: 8_000,
--- a/src/mirror/store-freshness.ts
+++ b/src/mirror/store-freshness.ts
@@ -53,6 +53,8 @@
   readonly rank: () => ProofRank;
   /** Time after the start in which others may read first, in milliseconds. */
   readonly patienceMilliseconds: number;
+  /** The key was read: what was taken then was the newest at a local time. */
+  readonly onRead?: (sentAt: number) => void;
 }
 
 /** Gateways that wait for one another; those beyond draw a time, so that not all read at once. */
@@ -247,6 +249,7 @@
         return;
       }
       mirror.takeRead(result.right);
+      this.options.onRead?.(sentAt);
       this.noteRead(result.right.revision, sentAt);
       mirror.heedOwnRead(result.right.revision);
     });
--- a/src/peers/follow-together.ts
+++ b/src/peers/follow-together.ts
@@ -2,6 +2,7 @@
  * Puts together how gateways follow the store as one: a copy, proofs that it is fresh, few followers,
  * and gossip by which the others learn what changed.
  */
+import { ConfigurationProof } from '../mirror/configuration-proof.js';
 import type { FreshnessTimings } from '../mirror/freshness-timings.js';
 import { KeySpaceMirror } from '../mirror/key-space-mirror.js';
 import type { KeySpacePort, StoredItem } from '../mirror/key-space-port.js';
@@ -39,6 +40,8 @@
 export interface StoreFollowing {
   readonly mirror: KeySpaceMirror;
   readonly freshness: StoreFreshness;
+  /** As of when the item of the key that is read as a proof is surely the newest. */
+  readonly proof: ConfigurationProof;
   readonly gossip: LoadGossip;
   readonly followers: StoreFollowers;
   /** Stops all of them. */
@@ -59,8 +62,12 @@
     onPut: options.onPut,
     onGone: (key) => options.onGone(key, freshness.settlingMilliseconds),
     onReachable: () => undefined,
-    onListed: (revision, sentAt) => freshness.noteRead(revision, sentAt),
+    onListed: (revision, sentAt) => {
+      proof.noteRead(sentAt);
+      freshness.noteRead(revision, sentAt);
+    },
   });
+  const proof = new ConfigurationProof(runtime, () => mirror.get(options.proofKey)?.revision ?? 0);
   const catchUp = new StoreCatchUp({
     runtime,
     mirror,
@@ -89,6 +96,7 @@
     timings,
     rank: () => gossip.proofRank,
     patienceMilliseconds,
+    onRead: (sentAt) => proof.noteRead(sentAt),
   });
   const followers = new StoreFollowers({
     runtime,
@@ -100,5 +108,5 @@
     patienceMilliseconds,
   });
   const close = (): void => [mirror, freshness, gossip, followers].forEach((part) => part.close());
-  return { mirror, freshness, gossip, followers, close };
+  return { mirror, freshness, proof, gossip, followers, close };
 }
--- a/src/peers/load-gossip.ts
+++ b/src/peers/load-gossip.ts
@@ -137,6 +137,11 @@
     return peers.slice(0, count).map(({ host }) => host);
   }
 
+  /** Hosts of some gateways, drawn anew each time. */
+  somePeers(count: number): string[] {
+    return [...this.withSeed(this.randomHosts(count))];
+  }
+
   /** Ends. */
   close(): void {
     this.cancelTimer();
--- /dev/null
+++ b/src/peers/proof-exchange.ts
@@ -0,0 +1,111 @@
+/**
+ * Gateways ask one another as of when the configuration is known to be the newest. Word that is told
+ * unasked may lie in a buffer for any time, so it proves nothing; an answer is never older than the
+ * asker's own time of asking less the age that it tells.
+ */
+import type { ConfigurationProof } from '../mirror/configuration-proof.js';
+import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import { setRepeatingTimer } from '../runtime/runtime.js';
+import { decodeField, encodeField, real, TaggedUnion } from '../wire/fields.js';
+import type { DatagramPort } from './datagram-port.js';
+
+/** A question with the asker's local time, which comes back in the answer. */
+interface ProofQuestion {
+  readonly type: 'question';
+  readonly askedAt: number;
+}
+
+/** What the one asked knows. */
+interface ProofAnswer {
+  readonly type: 'answer';
+  readonly askedAt: number;
+  readonly revision: number;
+  /** Time since it was proved, as the one asked knows, in milliseconds. */
+  readonly ageMilliseconds: number;
+}
+
+const message = new TaggedUnion([
+  { type: 'question', fields: { askedAt: real } },
+  { type: 'answer', fields: { askedAt: real, revision: real, ageMilliseconds: real } },
+]);
+
+/** What the exchange is made with. */
+export interface ProofExchangeOptions {
+  readonly runtime: Runtime;
+  readonly datagrams: DatagramPort;
+  readonly proof: ConfigurationProof;
+  /** Hosts to ask in this round. */
+  readonly hostsToAsk: () => readonly string[];
+  /** Whether a proof is needed here at all. */
+  readonly isNeeded: () => boolean;
+}
+
+/** Time between two rounds of questions, in milliseconds. */
+const ROUND_MILLISECONDS = 400;
+/** Age of a proof below which nobody is asked, in milliseconds. */
+const YOUNG_MILLISECONDS = 300;
+
+/** See the head of this file. */
+export class ProofExchange {
+  private readonly cancelTimer: CancelTimer;
+
+  constructor(private readonly options: ProofExchangeOptions) {
+    const { runtime, datagrams } = options;
+    datagrams.onDatagram((bytes, from) => this.take(bytes, from));
+    this.cancelTimer = setRepeatingTimer(runtime, ROUND_MILLISECONDS, () => this.ask());
+  }
+
+  /** Ends. */
+  close(): void {
+    this.cancelTimer();
+    this.options.datagrams.close();
+  }
+
+  private ask(): void {
+    const { runtime, datagrams, proof, hostsToAsk, isNeeded } = this.options;
+    if (!isNeeded() || proof.ageMilliseconds < YOUNG_MILLISECONDS) {
+      return;
+    }
+    const question = encodeField(message, { type: 'question', askedAt: runtime.now() });
+    new Set(hostsToAsk()).forEach((host) => datagrams.send(question, host));
+  }
+
+  private take(bytes: Uint8Array, from: string): void {
+    const taken = decode(bytes);
+    if (taken?.type === 'question') {
+      this.answer(taken, from);
+    } else if (taken?.type === 'answer') {
+      this.learn(taken);
+    }
+  }
+
+  private answer({ askedAt }: ProofQuestion, asker: string): void {
+    const { proof, datagrams } = this.options;
+    const { proven, ageMilliseconds } = proof;
+    if (proven !== undefined) {
+      const { revision } = proven;
+      datagrams.send(
+        encodeField(message, { type: 'answer', askedAt, revision, ageMilliseconds }),
+        asker,
+      );
+    }
+  }
+
+  private learn({ askedAt, revision, ageMilliseconds }: ProofAnswer): void {
+    const { proof, runtime } = this.options;
+    // One from an earlier life or with a broken time would prove too much.
+    if (askedAt <= runtime.now() && ageMilliseconds >= 0) {
+      proof.note({ revision, provenAt: askedAt - ageMilliseconds });
+    }
+  }
+}
+
+function decode(bytes: Uint8Array): ProofQuestion | ProofAnswer | undefined {
+  try {
+    const decoded = decodeField(message, bytes) as ProofQuestion | ProofAnswer;
+    const numbers = Object.values(decoded).filter((value) => typeof value === 'number');
+    return numbers.every(Number.isFinite) ? decoded : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/src/relay/call-log.ts
+++ b/src/relay/call-log.ts
@@ -83,7 +83,7 @@
   const { runtime, metrics } = context;
   const { request, outcome, tries, dispatchedAt, firstByteAt, eventCount, fields } = end;
   const { deadline, unread, reading, running } = inputsOf(context, end);
-  const { id, route, program, arrivedAt, configurationVersion } = request;
+  const { id, route, program, tenant, arrivedAt, configurationVersion } = request;
   const sinceArrival = (at: number | undefined): number =>
     at === undefined ? NEVER : Math.round(at - arrivedAt);
   const total = runtime.now() - arrivedAt;
@@ -96,6 +96,7 @@
     event: 'relay.end',
     request: id,
     program: program?.program ?? '',
+    tenant: tenant?.id ?? '',
     route: route.name,
     version: configurationVersion,
     outcome,
--- a/src/relay/default-header-names.ts
+++ b/src/relay/default-header-names.ts
@@ -18,5 +18,7 @@
   programDeadline: 'ivyloom-program-deadline-milliseconds',
   tokenBudget: 'ivyloom-token-budget',
   previousTurn: 'ivyloom-previous-turn',
+  key: 'authorization',
+  tenant: 'ivyloom-tenant',
   reserved: new Set(['ivyloom-runner', 'ivyloom-signature', 'ivyloom-not-executed']),
 };
--- a/src/relay/forwarded-headers.ts
+++ b/src/relay/forwarded-headers.ts
@@ -60,10 +60,17 @@
   instructions: RunnerInstructions,
 ): string[] {
   const replaced = new Set([names.timeout, names.priority, names.lastEventId]);
+  if (request.hidesKey) {
+    // Whatever the client wrote there: only the gateway tells runners of tenants.
+    [names.key, names.tenant].forEach((name) => replaced.add(name));
+  }
   const headers = passedOn(
     request.rawHeaders,
     (name) => names.reserved.has(name) || replaced.has(name),
   );
+  if (request.tenant !== undefined) {
+    headers.push(names.tenant, request.tenant.id);
+  }
   headers.push(names.timeout, String(Math.max(1, Math.floor(instructions.remainingMilliseconds))));
   headers.push(names.expectedRunner, instructions.runnerId);
   headers.push(names.priority, String(instructions.urgency));
--- a/src/relay/header-names.ts
+++ b/src/relay/header-names.ts
@@ -28,6 +28,10 @@
   readonly programDeadline: string;
   readonly tokenBudget: string;
   readonly previousTurn: string;
+  /** Key by which a client shows whose its requests are. */
+  readonly key: string;
+  /** Name of the tenant, told to runners. */
+  readonly tenant: string;
   /** Headers of clients that are never passed on, since only the relay may set them. */
   readonly reserved: ReadonlySet<string>;
 }
--- a/src/relay/own-answers.ts
+++ b/src/relay/own-answers.ts
@@ -14,6 +14,10 @@
 /** Pause told to clients when another gateway may reach what this one doesn't. */
 const ELSEWHERE_RETRY_SECONDS = 0.02;
 
+/** Least pause told to clients of a tenant whose requests are used up. */
+const LEAST_QUOTA_RETRY_SECONDS = 0.05;
+const MILLISECONDS_IN_SECOND = 1_000;
+
 /** The program is new and the runners are full of programs under way. */
 export function overloaded(): OwnAnswer {
   const detail = 'all places are taken, and programs under way go first';
@@ -25,6 +29,18 @@
   return { status: 404, detail: 'there is no such earlier turn', verdict: 'NotRun' };
 }
 
+/**
+ * The tenant's requests are used up.
+ * @param waitMilliseconds time until its rate has room again
+ * @param drawn from 0 to 1: spreads clients, so that they don't come back together
+ */
+export function quotaSpent(waitMilliseconds: number, drawn: number): OwnAnswer {
+  const pause = (waitMilliseconds / MILLISECONDS_IN_SECOND) * (1 + drawn);
+  const retryAfterSeconds = Number(Math.max(LEAST_QUOTA_RETRY_SECONDS, pause).toFixed(3));
+  const detail = "the tenant's requests are used up";
+  return { status: 429, detail, verdict: 'NotRun', retryAfterSeconds };
+}
+
 /** What is left of the program's budget does not hold this turn. */
 export function budgetSpent(): OwnAnswer {
   return { status: 402, detail: 'the token budget is spent', verdict: 'NotRun' };
@@ -34,6 +50,7 @@
 const OUT_OF_REACH = {
   turns: 'the earlier turns are out of reach',
   account: 'the token account is out of reach',
+  quota: "the tenant's limit is out of reach",
 } as const;
 
 /**
--- a/src/relay/program-admission.ts
+++ b/src/relay/program-admission.ts
@@ -54,6 +54,16 @@
     return true;
   }
 
+  /** Whether a program was let in here before. */
+  knows(program: string): boolean {
+    return this.underWay.has(program);
+  }
+
+  /** Takes back that a program was let in: it could not begin for another reason. */
+  forget(program: string): void {
+    this.underWay.delete(program);
+  }
+
   private learn(late: boolean): void {
     const next = this.limit + (late ? -LATE_STEP : TIMELY_STEP);
     this.limit = Math.min(LARGEST_LIMIT, Math.max(LEAST_LIMIT, next));
--- /dev/null
+++ b/src/relay/quota-gate.ts
@@ -0,0 +1,72 @@
+/**
+ * Holds tenants to their limits. What is beyond a limit is refused at once, with the time at which the
+ * tenant's rate has room again; new programs before requests of programs under way, since a program
+ * that is broken off halfway has cost its tenant all its earlier requests.
+ */
+import type { RandomSource } from '../runtime/random.js';
+import type { QuotaClient } from '../turns/quota-client.js';
+import type { OwnAnswer } from './client-answer.js';
+import { outOfReach, quotaSpent } from './own-answers.js';
+import type { RelayMetrics } from './relay-metrics.js';
+import type { RelayRequest } from './relay-request.js';
+
+/** What the gate is made with. */
+export interface QuotaGateOptions {
+  readonly client: QuotaClient;
+  readonly metrics: RelayMetrics;
+  readonly random: RandomSource;
+  /** Whether enough replicas answer here. */
+  readonly isReachable: () => boolean;
+}
+
+/** Longest time for asking, in milliseconds. */
+const ASKING_MILLISECONDS = 300;
+/** Tenants that have a figure of their own; all others share one. */
+const NAMED_TENANTS = 100;
+const OTHER_TENANTS = 'others';
+
+/** See the head of this file. */
+export class QuotaGate {
+  private readonly named = new Set<string>();
+
+  constructor(private readonly options: QuotaGateOptions) {}
+
+  /** Calls back with a refusal, or with undefined when the request may run. */
+  check(
+    request: RelayRequest,
+    isNewProgram: boolean,
+    remainingMilliseconds: number,
+    done: (refusal: OwnAnswer | undefined) => void,
+  ): void {
+    const { tenant, configurationVersion: version } = request;
+    if (tenant?.quota === undefined) {
+      done(undefined);
+      return;
+    }
+    const { client, random, isReachable } = this.options;
+    const quota = { tenant: tenant.id, version, ...tenant.quota };
+    const timeout = Math.min(ASKING_MILLISECONDS, remainingMilliseconds);
+    client.spend(quota, isNewProgram, timeout, (outcome) => {
+      switch (outcome.tag) {
+        case 'Granted':
+          done(undefined);
+          return;
+        case 'Exhausted':
+          this.count(tenant.id);
+          done(quotaSpent(outcome.waitMilliseconds, random.uniform()));
+          return;
+        case 'OutOfReach':
+          done(outOfReach('quota', isReachable()));
+      }
+    });
+  }
+
+  private count(tenant: string): void {
+    if (this.named.size < NAMED_TENANTS) {
+      this.named.add(tenant);
+    }
+    const name = this.named.has(tenant) ? tenant : OTHER_TENANTS;
+    const label = `tenant=${JSON.stringify(name)}`;
+    this.options.metrics.count('ivyloom_relay_quota_refusals_total', label);
+  }
+}
--- a/src/relay/relay-call.ts
+++ b/src/relay/relay-call.ts
@@ -74,6 +74,8 @@
   private cancelDeadline: CancelTimer = () => undefined;
   private over = false;
   private readonly preparation: TurnPreparation;
+  private isPrepared = false;
+  private isWithinQuota = false;
   private body: Buffer;
   private readonly endAt: number;
   private readonly stream: StreamAnswer | undefined;
@@ -99,11 +101,13 @@
     const left = this.endAt - runtime.now() + END_SLACK_MILLISECONDS;
     this.cancelDeadline = runtime.setTimer(Math.max(0, left), () => this.timeOut());
     this.answer.onLeft(() => this.leave());
-    if (this.isAdmitted()) {
-      this.preparation.prepare((preparation) => this.takePreparation(preparation));
-    } else {
+    const isNewProgram = this.beginsProgram;
+    if (!this.isAdmitted()) {
       this.refuse(overloaded());
+      return;
     }
+    this.checkQuota(isNewProgram);
+    this.preparation.prepare((preparation) => this.takePreparation(preparation));
   }
 
   /** Milliseconds until the request's time is over. */
@@ -175,6 +179,38 @@
     return this.context.admission.admit(program.program, late, load, route.priority);
   }
 
+  /** Whether it is the first request of a program, as far as is known here. */
+  private get beginsProgram(): boolean {
+    const { route, program, previousTurn } = this.request;
+    const isFirst = route.kind === 'stream' && previousTurn === undefined;
+    return isFirst && !this.context.admission.knows(program?.program ?? '');
+  }
+
+  /** Asked beside the preparation: both are a way to the replicas and back. */
+  private checkQuota(isNewProgram: boolean): void {
+    const { request, context, remainingMilliseconds } = this;
+    context.quotas.check(request, isNewProgram, remainingMilliseconds, (refusal) => {
+      if (this.over) {
+        return;
+      }
+      if (refusal !== undefined) {
+        if (isNewProgram && request.program !== undefined) {
+          context.admission.forget(request.program.program);
+        }
+        this.refuse(refusal);
+        return;
+      }
+      this.isWithinQuota = true;
+      this.tryIfReady();
+    });
+  }
+
+  private tryIfReady(): void {
+    if (this.isWithinQuota && this.isPrepared) {
+      this.tryNext();
+    }
+  }
+
   private takePreparation(preparation: Preparation): void {
     if (this.over) {
       this.settle();
@@ -183,7 +219,8 @@
     switch (preparation.tag) {
       case 'Ready':
         this.body = preparation.body;
-        this.tryNext();
+        this.isPrepared = true;
+        this.tryIfReady();
         return;
       case 'NoSuchTurn':
         this.refuse(noSuchTurn());
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -4,6 +4,7 @@
 import type { HeaderNames } from './header-names.js';
 import type { ProgramAdmission } from './program-admission.js';
 import type { PlacementCharge } from './placement-charges.js';
+import type { QuotaGate } from './quota-gate.js';
 import type { RelayMetrics } from './relay-metrics.js';
 import type { RunnerBook } from './runner-book.js';
 import type { RunnerConnections } from './runner-connections.js';
@@ -22,9 +23,12 @@
   /** What placement adds up. */
   readonly charges: readonly PlacementCharge[];
   readonly turns: TurnClient;
+  readonly quotas: QuotaGate;
   readonly metrics: RelayMetrics;
   /** The newest configuration; undefined before the first. */
   currentTable(): RoutingTable | undefined;
   /** Whether that is proved to be the newest, to within the bound for changes. */
   isTableProven(): boolean;
+  /** Whether no key can have been taken away so long ago that it must not be served. */
+  areKeysFresh(): boolean;
 }
--- a/src/relay/relay-front.ts
+++ b/src/relay/relay-front.ts
@@ -2,6 +2,8 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { authenticate } from './authenticate.js';
+import type { Authentication } from './authenticate.js';
 import { ClientAnswer } from './client-answer.js';
 import type { OwnAnswer } from './client-answer.js';
 import { RelayCall } from './relay-call.js';
@@ -10,6 +12,7 @@
 import type { ProgramReference, RelayRequest } from './relay-request.js';
 import { findRoute, hostName } from './routing-table.js';
 import type { Route, RoutingTable } from './routing-table.js';
+import type { Tenant } from './tenant.js';
 
 /** Largest header that Node itself reads, in bytes; the configured limit is checked after. */
 const PARSER_HEADER_BYTES = 64 * 1024;
@@ -60,6 +63,13 @@
   return bytes + (rawHeaders.length / 2) * HEADER_LINE_BYTES;
 }
 
+/** A request whose head is in order. */
+interface CheckedRequest {
+  readonly table: RoutingTable;
+  readonly route: Route;
+  readonly id: string;
+}
+
 /** See the head of this file. */
 export class RelayFront {
   private readonly server: Server;
@@ -141,7 +151,15 @@
       return;
     }
     this.readBody(request, answer, checked.table, (body) => {
-      const parsed = this.parse(request, checked.id, checked.route, checked.table, body, arrivedAt);
+      // Asked once the request is read whole: what is decided by a proof counts from that moment.
+      const table = this.context.currentTable() ?? checked.table;
+      const whose = this.authenticate(request, table, checked.route);
+      if (whose.tag === 'Refused') {
+        this.refuse(request, answer, whose.answer, id);
+        return;
+      }
+      const tenant = whose.tag === 'Known' ? whose.tenant : undefined;
+      const parsed = this.parse(request, checked, tenant, body, arrivedAt);
       new RelayCall(this.context, parsed, answer).start();
     });
   }
@@ -149,7 +167,7 @@
   private check(
     request: IncomingMessage,
     id: string | undefined,
-  ): { refusal: OwnAnswer } | { table: RoutingTable; route: Route; id: string } {
+  ): { refusal: OwnAnswer } | CheckedRequest {
     const table = this.context.currentTable();
     if (table === undefined) {
       return { refusal: NO_CONFIGURATION };
@@ -167,7 +185,20 @@
     if (Number(request.headers['content-length'] ?? 0) > table.limits.bodyBytes) {
       return { refusal: refusal(413, 'the body exceeds the bound') };
     }
-    return { table, route, id };
+    const whose = this.authenticate(request, table, route);
+    return whose.tag === 'Refused' ? { refusal: whose.answer } : { table, route, id };
+  }
+
+  private authenticate(
+    request: IncomingMessage,
+    table: RoutingTable,
+    route: Route,
+  ): Authentication {
+    const { context } = this;
+    return authenticate(table, route, request.rawHeaders, context.names, () => ({
+      isProven: context.isTableProven(),
+      areKeysFresh: context.areKeysFresh(),
+    }));
   }
 
   private refuse(
@@ -233,9 +264,8 @@
 
   private parse(
     request: IncomingMessage,
-    id: string,
-    route: Route,
-    table: RoutingTable,
+    { id, route, table }: CheckedRequest,
+    tenant: Tenant | undefined,
     body: Buffer,
     arrivedAt: number,
   ): RelayRequest {
@@ -252,6 +282,8 @@
       arrivedAt,
       deadlineAt: arrivedAt + this.timeoutOf(request),
       route,
+      tenant,
+      hidesKey: table.tenants !== undefined,
       configurationVersion: table.version,
       program: this.programOf(header),
       programDeadlineAt: Number.isFinite(programLeft) ? arrivedAt + programLeft : undefined,
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -5,11 +5,13 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 import type { Runtime } from '../runtime/runtime.js';
+import type { QuotaClient } from '../turns/quota-client.js';
 import type { TurnClient } from '../turns/turn-client.js';
 import type { HeaderNames } from './header-names.js';
 import { chargesWithout } from './placement-charges.js';
 import { ProgramAdmission } from './program-admission.js';
 import type { RelayContext } from './relay-context.js';
+import { QuotaGate } from './quota-gate.js';
 import { RelayFront } from './relay-front.js';
 import { RelayMetrics } from './relay-metrics.js';
 import type { RoutingTable } from './routing-table.js';
@@ -29,6 +31,7 @@
   readonly zone: string;
   readonly names: HeaderNames;
   readonly turns: TurnClient;
+  readonly quotas: QuotaClient;
   readonly front: ListenAddress;
   readonly ready: ListenAddress;
   /** Time between the request to stop and the kill, in milliseconds. */
@@ -50,6 +53,10 @@
   readonly metrics = new RelayMetrics();
   /** Whether the configuration in force is proved to be the newest, to within the bound for changes. */
   isTableProven: () => boolean = () => true;
+  /** Whether no key can have been taken away so long ago that it must not be served. */
+  areKeysFresh: () => boolean = () => true;
+  /** Whether requests with a key are served elsewhere although they can't be here. */
+  areKeysFresherElsewhere: () => boolean = () => false;
   private readonly front: RelayFront;
   private readonly readiness: Server;
   private table: RoutingTable | undefined;
@@ -72,9 +79,16 @@
       split: new TrafficSplit(),
       charges: chargesWithout(options.policiesOff ?? new Set()),
       turns,
+      quotas: new QuotaGate({
+        client: options.quotas,
+        metrics: this.metrics,
+        random: runtime.random,
+        isReachable: () => turns.isReachable,
+      }),
       metrics: this.metrics,
       currentTable: () => this.table,
       isTableProven: () => this.isTableProven(),
+      areKeysFresh: () => this.areKeysFresh(),
     };
     this.front = new RelayFront(context);
     this.readiness = createServer((request, response) => {
@@ -86,7 +100,14 @@
 
   /** Whether new connections should come here. */
   get ready(): boolean {
-    return this.listening && !this.stopping && this.options.turns.isReachable;
+    const { turns } = this.options;
+    return this.listening && !this.stopping && turns.isReachable && !this.lacksKeys;
+  }
+
+  /** Whether requests with a key are better off at other gateways. */
+  private get lacksKeys(): boolean {
+    const needsKeys = this.table?.tenants !== undefined;
+    return needsKeys && !this.areKeysFresh() && this.areKeysFresherElsewhere();
   }
 
   /** The configuration in force; undefined before the first. */
--- a/src/relay/relay-request.ts
+++ b/src/relay/relay-request.ts
@@ -1,6 +1,7 @@
 /** A request as a client sent it, read and bounded, ready to be relayed. */
 import { hashToNumber } from '../runtime/hashing.js';
 import type { Route } from './routing-table.js';
+import type { Tenant } from './tenant.js';
 
 /** Short name of a part of a prompt: the hash of its identifier, unsigned 32 bits. */
 export type PromptKey = number & { readonly brand: 'PromptKey' };
@@ -34,6 +35,10 @@
   /** Local time after which the client no longer waits, in milliseconds. */
   readonly deadlineAt: number;
   readonly route: Route;
+  /** Whose it is; undefined where no key was needed. */
+  readonly tenant: Tenant | undefined;
+  /** Whether keys are told apart, so that none may reach a runner. */
+  readonly hidesKey: boolean;
   readonly configurationVersion: number;
   readonly program: ProgramReference | undefined;
   /** Local time at which the program should be over, in milliseconds. */
--- a/src/relay/routing-table.ts
+++ b/src/relay/routing-table.ts
@@ -1,4 +1,6 @@
 /** One version of the routed configuration: which request goes to which service, and within what. */
+import type { TenantsByKey } from './tenant.js';
+
 /**
  * What may be done with a request again: `repeatable` requests may run more than once, `single`
  * ones at most once, and a `stream` at most once unless its route says that it may be resumed.
@@ -34,6 +36,8 @@
   readonly retained: boolean;
   /** How long a kept turn is kept, in seconds. */
   readonly retentionSeconds: number;
+  /** Whether requests need no key. */
+  readonly isPublic: boolean;
 }
 
 /** Settings of one service. */
@@ -64,6 +68,8 @@
   readonly routesByHost: ReadonlyMap<string, readonly Route[]>;
   readonly services: ReadonlyMap<string, ServiceSettings>;
   readonly limits: RelayLimits;
+  /** Undefined where requests carry no keys. */
+  readonly tenants: TenantsByKey | undefined;
 }
 
 /** Builds a table; routes come in any order. */
@@ -72,6 +78,7 @@
   routes: readonly Route[],
   services: readonly ServiceSettings[],
   limits: RelayLimits,
+  tenants?: TenantsByKey,
 ): RoutingTable {
   const routesByHost = new Map<string, Route[]>();
   for (const route of routes) {
@@ -82,7 +89,7 @@
     ofHost.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
   }
   const byName = new Map(services.map((service) => [service.name, service]));
-  return { version, routesByHost, services: byName, limits };
+  return { version, routesByHost, services: byName, limits, tenants };
 }
 
 /** The host of a `Host` header: lower case, without the port. */
--- a/src/relay/stream-answer.ts
+++ b/src/relay/stream-answer.ts
@@ -6,6 +6,7 @@
 import { EventSplitter } from './event-splitter.js';
 import type { StreamEvent } from './event-splitter.js';
 import type { AnswerReader, RelayCall } from './relay-call.js';
+import { nameForTenant } from './tenant.js';
 
 const FIRST_REDIRECT = 300;
 const LINE_FEED = Buffer.from('\n');
@@ -107,8 +108,11 @@
       return;
     }
     const turn = {
-      id: request.id,
-      previous: request.previousTurn ?? '',
+      id: nameForTenant(request.tenant, request.id),
+      previous:
+        request.previousTurn === undefined
+          ? ''
+          : nameForTenant(request.tenant, request.previousTurn),
       input: request.body,
       output: Buffer.concat(this.output),
       retentionMilliseconds: request.route.retentionSeconds * MILLISECONDS_IN_SECOND,
--- /dev/null
+++ b/src/relay/tenant.ts
@@ -0,0 +1,88 @@
+/**
+ * Tenants: whose requests are whose. A key is only ever kept and looked up by its digest, so that no
+ * log line, metric or dump can show one.
+ */
+import { createHash } from 'node:crypto';
+import * as E from 'fp-ts/lib/Either.js';
+
+/** Name of a tenant, as runners are told it. */
+export type TenantId = string & { readonly brand: 'TenantId' };
+/** A key as a client sends it. */
+export type ApiKey = string & { readonly brand: 'ApiKey' };
+/** SHA-256 of a key, in base64. */
+export type ApiKeyDigest = string & { readonly brand: 'ApiKeyDigest' };
+
+/** How many requests a tenant may have run; over all gateways together. */
+export interface RequestQuota {
+  /** Requests a second on average. */
+  readonly ratePerSecond: number;
+  /** Requests beyond that at once. */
+  readonly burst: number;
+}
+
+/** One tenant as configured. */
+export interface Tenant {
+  readonly id: TenantId;
+  /** Rank among tenants, 0 is the most urgent; comes before the rank of the route. */
+  readonly priority: number;
+  /** Undefined where the tenant has no limit. */
+  readonly quota: RequestQuota | undefined;
+}
+
+/** A tenant with its keys. */
+export interface TenantSettings extends Tenant {
+  readonly keys: readonly ApiKey[];
+}
+
+/** Tenants by the digests of their keys. */
+export type TenantsByKey = ReadonlyMap<ApiKeyDigest, Tenant>;
+
+/** Digest of a key. */
+export function digestOfKey(key: ApiKey): ApiKeyDigest {
+  return createHash('sha256').update(key).digest('base64') as ApiKeyDigest;
+}
+
+function mistakesOf({ id, quota }: TenantSettings): string[] {
+  const rate = quota?.ratePerSecond ?? 0;
+  const burst = quota?.burst ?? 0;
+  const isAmount = (value: number): boolean => Number.isFinite(value) && value >= 0;
+  return [
+    ...(id === '' ? ['a tenant has no name'] : []),
+    ...(isAmount(rate) ? [] : [`tenant ${id}: the rate is no amount`]),
+    ...(isAmount(burst) ? [] : [`tenant ${id}: the burst is no amount`]),
+  ];
+}
+
+/** Builds the look-up; or tells what is wrong, naming tenants but no key. */
+export function createTenantsByKey(
+  tenants: readonly TenantSettings[],
+): E.Either<string, TenantsByKey> {
+  const byKey = new Map<ApiKeyDigest, Tenant>();
+  const names = new Set<TenantId>();
+  const mistakes: string[] = [];
+  for (const settings of tenants) {
+    const { keys, ...tenant } = settings;
+    mistakes.push(...mistakesOf(settings));
+    if (names.has(tenant.id)) {
+      mistakes.push(`tenant ${tenant.id} stands twice`);
+    }
+    names.add(tenant.id);
+    for (const key of keys) {
+      const digest = digestOfKey(key);
+      const holder = byKey.get(digest);
+      if (key === '' || (holder !== undefined && holder.id !== tenant.id)) {
+        mistakes.push(`tenant ${tenant.id}: a key is empty or another tenant's as well`);
+      }
+      byKey.set(digest, tenant);
+    }
+  }
+  return mistakes.length === 0 ? E.right(byKey) : E.left(mistakes.join('; '));
+}
+
+/**
+ * The name under which replicas keep what belongs to a tenant: what another tenant has under the same
+ * identifier is another thing. Without tenants, the identifier itself.
+ */
+export function nameForTenant(tenant: Tenant | undefined, id: string): string {
+  return tenant === undefined ? id : `${tenant.id.length}:${tenant.id}:${id}`;
+}
--- a/src/relay/turn-preparation.ts
+++ b/src/relay/turn-preparation.ts
@@ -4,6 +4,7 @@
  */
 import type { RelayContext } from './relay-context.js';
 import type { RelayRequest } from './relay-request.js';
+import { nameForTenant } from './tenant.js';
 
 /** Longest time for a reservation or a chain, in milliseconds. */
 const STATE_MILLISECONDS = 700;
@@ -30,12 +31,13 @@
 
   /** Reads the chain, then reserves; calls back once. */
   prepare(done: (preparation: Preparation) => void): void {
-    const { previousTurn, route, body } = this.request;
+    const { previousTurn, route, body, tenant } = this.request;
     if (!route.retained || previousTurn === undefined) {
       this.reserve(body, done);
       return;
     }
-    this.context.turns.readChain(previousTurn, this.timeout(), (chain) => {
+    const turn = nameForTenant(tenant, previousTurn);
+    this.context.turns.readChain(turn, this.timeout(), (chain) => {
       if (chain.tag === 'found') {
         this.reserve(Buffer.concat([chain.body, body]), done);
       } else {
@@ -48,10 +50,11 @@
 
   /** Gives back what was reserved beyond the tokens handed out. */
   settle(usedTokens: number): void {
-    const { program, id, maximumOutputTokens } = this.request;
+    const { program, id, maximumOutputTokens, tenant } = this.request;
     if (this.reserved && program !== undefined) {
       this.reserved = false;
-      this.context.turns.settle(program.program, id, maximumOutputTokens, usedTokens);
+      const account = nameForTenant(tenant, program.program);
+      this.context.turns.settle(account, id, maximumOutputTokens, usedTokens);
     }
   }
 
@@ -66,7 +69,8 @@
       done({ tag: 'Ready', body });
       return;
     }
-    const reservation = { program: program.program, turn, mostTokens, budgetTokens };
+    const account = nameForTenant(this.request.tenant, program.program);
+    const reservation = { program: account, turn, mostTokens, budgetTokens };
     this.context.turns.reserve(reservation, this.timeout(), (outcome) => {
       this.reserved = outcome !== 'spent';
       if (outcome === 'granted') {
--- a/src/relay/urgency.ts
+++ b/src/relay/urgency.ts
@@ -5,6 +5,8 @@
 export const LEAST_URGENT = 9;
 /** Ranks between neighbouring priorities of routes, so that a late program falls behind the next. */
 const RANKS_PER_PRIORITY = 2;
+/** Ranks between neighbouring priorities of tenants, within which routes are ranked. */
+const RANKS_PER_TENANT = 3;
 /** Ranks that a program falls behind once it is late. */
 const LATE_RANKS = 3;
 
@@ -15,7 +17,11 @@
 
 /** Rank from 0, the most urgent, to 9. */
 export function urgencyOf(request: RelayRequest, now: number): number {
-  const rank = request.route.priority * RANKS_PER_PRIORITY;
+  const { tenant, route } = request;
+  const rank =
+    tenant === undefined
+      ? route.priority * RANKS_PER_PRIORITY
+      : tenant.priority * RANKS_PER_TENANT + Math.min(route.priority, RANKS_PER_TENANT - 1);
   const late = isLate(request, now) ? LATE_RANKS : 0;
   return Math.min(LEAST_URGENT, Math.max(0, rank + late));
 }
--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -215,6 +215,7 @@
     const caller = this.callerOf(name, runtime, directory);
     const { wantedMembers = Infinity } = this.options;
     const sync = new ReplicaSync({ id, runtime, replica, directory, caller, wantedMembers });
+    replica.holdsQuorum = () => sync.holdsQuorum;
     if (this.options.planted === 'noRepair') {
       sync.close();
     }
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -15,6 +15,7 @@
 } from '../wire/fields.js';
 import type { Reservation } from './account.js';
 import type { KeptTurn } from './kept-turn.js';
+import type { QuotaDecision, ToldQuota } from './quota-buckets.js';
 
 /** How a replica took a request. */
 export type ReplicaOutcome =
@@ -60,7 +61,9 @@
   | { type: 'pull'; call: number; from: string; members: string; log: string; after: number }
   | { type: 'fetch'; call: number; turns: string[] }
   /** Asks for the reservations with these digests. */
-  | { type: 'readEntries'; call: number; digests: Buffer };
+  | { type: 'readEntries'; call: number; digests: Buffer }
+  /** Asks whether one request of a tenant may run. */
+  | { type: 'spend'; call: number; epoch: number; quota: ToldQuota; isNewProgram: boolean };
 
 /** Replies. */
 export type ReplicaReply =
@@ -81,7 +84,8 @@
       turns: string[];
     }
   | { type: 'fetched'; call: number; turns: KeptTurn[] }
-  | { type: 'entriesRead'; call: number; entries: AccountEntry[] };
+  | { type: 'entriesRead'; call: number; entries: AccountEntry[] }
+  | ({ type: 'spent'; call: number; outcome: ReplicaOutcome } & QuotaDecision);
 
 /** A newer record of the members; either side sends it whenever the other may not know it. */
 export interface MembersMessage {
@@ -144,6 +148,7 @@
   retentionMilliseconds: real,
 });
 const outcome = oneOf(REPLICA_OUTCOMES);
+const toldQuota = record({ tenant: shortText, version: real, ratePerSecond: real, burst: real });
 
 /** Append only: a branch's place is its number on the wire. */
 const message = new TaggedUnion([
@@ -176,6 +181,8 @@
   { type: 'members', fields: { record: longText } },
   { type: 'readEntries', fields: { call: count, digests: bytes } },
   { type: 'entriesRead', fields: { call: count, entries: listOf(accountEntryField) } },
+  { type: 'spend', fields: { call: count, epoch: count, quota: toldQuota, isNewProgram: flag } },
+  { type: 'spent', fields: { call: count, outcome, granted: flag, waitMilliseconds: real } },
 ]);
 
 /** Encodes a message without its frame. */
--- a/src/turns/replica-sync.ts
+++ b/src/turns/replica-sync.ts
@@ -7,7 +7,7 @@
 import { setRepeatingTimer } from '../runtime/runtime.js';
 import { REMOVAL_MILLISECONDS } from './decide-membership.js';
 import type { MemberDirectory } from './member-directory.js';
-import { hasMember, readQuorumOf } from './membership.js';
+import { hasMember, majorityOf, readQuorumOf } from './membership.js';
 import type { Member } from './membership.js';
 import type { ReplicaReply } from './messages.js';
 import { PRESENCE_PROBE } from './replica-caller.js';
@@ -29,6 +29,12 @@
 
 type Pulled = Extract<ReplicaReply, { type: 'pulled' }>;
 
+/**
+ * Time for which the word of a member that it knows no newer record counts. A member that is cut off
+ * goes on giving out its share of quotas for as long, while others may have taken its place.
+ */
+const QUORUM_MILLISECONDS = 1_500;
+
 /** How far this replica has read the log of another. */
 interface PeerProgress {
   log: string;
@@ -67,6 +73,8 @@
   private readonly askedSince = new Map<string, number>();
   /** Local time of a member's last reply, in milliseconds. */
   private readonly repliedAt = new Map<string, number>();
+  /** Local time at which a pull was sent that a member answered without a newer record, by member. */
+  private readonly confirmedAt = new Map<string, number>();
   private readonly cancelLook: CancelTimer;
   private becomingReady = false;
   private closed = false;
@@ -90,6 +98,19 @@
     return peer !== undefined && peer.levelAt >= since && peer.levelEpoch >= epoch;
   }
 
+  /** Whether a majority of the members has lately known no newer record. */
+  get holdsQuorum(): boolean {
+    const record = this.options.directory.current;
+    if (record === undefined) {
+      return false;
+    }
+    const since = this.options.runtime.now() - QUORUM_MILLISECONDS;
+    const confirmed = this.others().filter(
+      ({ id }) => (this.confirmedAt.get(id) ?? -Infinity) >= since,
+    );
+    return confirmed.length + 1 >= majorityOf(record);
+  }
+
   /** Local time since which a member has not been heard although it was asked, in milliseconds. */
   silentSince(member: string): number {
     const askedSince = this.askedSince.get(member) ?? this.options.runtime.now();
@@ -162,6 +183,7 @@
     const peer = this.peers.get(member.id);
     const { log = '', position = 0 } = peer ?? {};
     const members = directory.currentText;
+    const sentAt = runtime.now();
     caller.call(
       member,
       { type: 'pull', from: id, members, log, after: position },
@@ -172,6 +194,9 @@
           return;
         }
         this.noteHeard(member, reply);
+        if (reply.epoch <= (directory.current?.epoch ?? 0)) {
+          this.confirmedAt.set(member.id, sentAt);
+        }
         this.take(member, reply, (complete) => {
           if (complete) {
             this.advance(member, reply);
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -16,6 +16,8 @@
   ReplicaRequest,
 } from './messages.js';
 import type { KeptTurn } from './kept-turn.js';
+import { QuotaBuckets } from './quota-buckets.js';
+import type { QuotaDecision } from './quota-buckets.js';
 import { ReplicaState } from './replica-state.js';
 import { unpackDigests } from './reservation-digests.js';
 import type {
@@ -54,12 +56,16 @@
   /** Names this life of the log: positions of another life mean nothing. */
   readonly logName: string;
   readonly pullers = new Map<string, PullerProgress>();
+  /** Whether a majority of the members is known to know no newer record. */
+  holdsQuorum: () => boolean = () => true;
+  private readonly quotas: QuotaBuckets;
   private isReady = false;
   private storedMeta: ReplicaMeta | undefined;
   private readonly cancelExpiry: CancelTimer;
 
   constructor(private readonly options: ReplicaOptions) {
     const { id, runtime, directory } = options;
+    this.quotas = new QuotaBuckets(runtime.now());
     this.logName = `${id} ${runtime.wallTime()} ${runtime.random.uniform()}`;
     this.cancelExpiry = setRepeatingTimer(runtime, EXPIRY_MILLISECONDS, () => this.expire());
     directory.onChange(() => this.saveMeta());
@@ -153,7 +159,10 @@
       case 'readEntries': {
         const entries = this.state.entriesByDigest(unpackDigests(request.digests));
         send({ type: 'entriesRead', call, entries });
+        return;
       }
+      case 'spend':
+        send({ type: 'spent', call, ...this.spend(request, send) });
     }
   }
 
@@ -206,6 +215,22 @@
     return this.active && epoch === current?.epoch ? 'done' : 'inactive';
   }
 
+  /** Decides on a tenant's request, as long as this replica is sure to be one of the members. */
+  private spend(
+    request: Extract<ReplicaRequest, { type: 'spend' }>,
+    send: ReplySender,
+  ): QuotaDecision & { readonly outcome: ReplicaOutcome } {
+    const outcome = this.outcomeOf(request.epoch, true, send);
+    const { current } = this.options.directory;
+    if (outcome !== 'done' || current === undefined || !this.holdsQuorum()) {
+      const refused = outcome === 'done' ? 'inactive' : outcome;
+      return { outcome: refused, granted: false, waitMilliseconds: 0 };
+    }
+    const share = 1 / current.members.length;
+    const now = this.options.runtime.now();
+    return { outcome, ...this.quotas.take(request.quota, share, request.isNewProgram, now) };
+  }
+
   private readChain(turn: string): ReturnType<ReplicaState['chainOf']> {
     const chain = this.state.chainOf(turn);
     return chain.state === 'missing' && !this.active ? { ...chain, state: 'unsure' } : chain;
