--- /dev/null
+++ b/features/steps/quotas.steps.ts
@@ -0,0 +1,390 @@
+/** Steps about proofs of the configuration and quotas in virtual time: what is sure whatever is cut off or frozen. */
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import fc from 'fast-check';
+import { ConfigurationProof } from '../../src/mirror/configuration-proof.js';
+import type { DatagramPort } from '../../src/peers/datagram-port.js';
+import { ProofExchange } from '../../src/peers/proof-exchange.js';
+import { createRandom } from '../../src/runtime/random.js';
+import type { RandomSource } from '../../src/runtime/random.js';
+import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
+import type { SimulatedReplicas } from '../../src/simulation/simulated-replicas.js';
+import { VirtualClock } from '../../src/simulation/virtual-clock.js';
+import { QuotaBuckets } from '../../src/turns/quota-buckets.js';
+import type { QuotaClient } from '../../src/turns/quota-client.js';
+
+interface World {
+  clock?: VirtualClock;
+  replicas?: SimulatedReplicas;
+  grants?: number[];
+}
+
+const SEEDS = 40;
+const GATEWAYS = 5;
+const HISTORY_MILLISECONDS = 30_000;
+const READ_MILLISECONDS = 700;
+const LONGEST_DELAY_MILLISECONDS = 3_000;
+
+/** Gateways that ask one another; the first reads the store. Each takes a configuration late or never. */
+class ProofHistory {
+  readonly violations: string[] = [];
+  private readonly clock = new VirtualClock();
+  private readonly random: RandomSource;
+  /** Times at which the store's configuration changed. */
+  private readonly changedAt: number[] = [];
+  private readonly revisions: number[] = [];
+  private readonly proofs: ConfigurationProof[] = [];
+  private readonly processes: SimulatedProcess[] = [];
+  private readonly listeners = new Map<string, (bytes: Uint8Array, from: string) => void>();
+
+  constructor(
+    seed: number,
+    /** A planted fault: an answer counts from when it was received. */
+    private readonly believesReceipt: boolean,
+  ) {
+    this.random = createRandom(seed);
+    for (let index = 0; index < GATEWAYS; index += 1) {
+      this.addGateway(index);
+    }
+  }
+
+  run(): this {
+    this.change();
+    this.freezeSome();
+    for (let time = 0; time < HISTORY_MILLISECONDS; time += 50) {
+      this.clock.runUntil(time);
+      this.check();
+    }
+    return this;
+  }
+
+  private addGateway(index: number): void {
+    const process = new SimulatedProcess(`g${index}`, this.clock, this.random);
+    const runtime = process.begin();
+    this.revisions.push(0);
+    const proof = new ConfigurationProof(runtime, () => this.revisions[index]!);
+    this.processes.push(process);
+    this.proofs.push(proof);
+    const host = `g${index}`;
+    const datagrams: DatagramPort = {
+      onDatagram: (listener) => this.listeners.set(host, listener),
+      send: (bytes, to) => this.send(bytes, host, to),
+      close: () => undefined,
+    };
+    const others = Array.from({ length: GATEWAYS }, (_, other) => `g${other}`);
+    const hostsToAsk = () =>
+      others.filter((other) => other !== host && this.random.uniform() < 0.5);
+    new ProofExchange({ runtime, datagrams, proof, hostsToAsk, isNeeded: () => true });
+    if (index === 0) {
+      this.readLater(index);
+    }
+  }
+
+  /** The store answers what it holds when it is reached; the reader's time is that of sending. */
+  private readLater(index: number): void {
+    this.clock.schedule(READ_MILLISECONDS, () => {
+      this.processes[index]!.enter(() => {
+        const sentAt = this.clock.now;
+        this.clock.schedule(this.random.uniform() * 100, () => {
+          const revision = this.changedAt.length;
+          this.clock.schedule(this.random.uniform() * LONGEST_DELAY_MILLISECONDS, () =>
+            this.processes[index]!.enter(() => {
+              this.revisions[index] = Math.max(this.revisions[index]!, revision);
+              this.proofs[index]!.noteRead(sentAt);
+            }),
+          );
+        });
+      });
+      this.readLater(index);
+    });
+  }
+
+  private send(bytes: Uint8Array, from: string, to: string): void {
+    const copies = this.random.uniform() < 0.1 ? 2 : this.random.uniform() < 0.1 ? 0 : 1;
+    for (let copy = 0; copy < copies; copy += 1) {
+      const isLate = this.random.uniform() < 0.2;
+      const delay = this.random.uniform() * (isLate ? LONGEST_DELAY_MILLISECONDS : 10);
+      this.clock.schedule(delay, () => {
+        const target = Number(to.slice(1));
+        this.processes[target]!.enter(() => this.deliver(target, bytes, from));
+      });
+    }
+  }
+
+  private deliver(target: number, bytes: Uint8Array, from: string): void {
+    if (!this.believesReceipt) {
+      this.listeners.get(`g${target}`)!(bytes, from);
+      return;
+    }
+    const source = this.proofs[Number(from.slice(1))]!.proven;
+    if (source !== undefined) {
+      const { revision } = source;
+      this.proofs[target]!.note({ revision, provenAt: this.clock.now });
+    }
+  }
+
+  private change(): void {
+    this.clock.schedule(this.random.exponential(2_000), () => {
+      this.changedAt.push(this.clock.now);
+      const revision = this.changedAt.length;
+      for (let index = 1; index < GATEWAYS; index += 1) {
+        const isNeverTold = this.random.uniform() < 0.1;
+        const delay = isNeverTold ? Infinity : this.random.exponential(1_500);
+        if (Number.isFinite(delay)) {
+          this.clock.schedule(delay, () =>
+            this.processes[index]!.enter(() => {
+              this.revisions[index] = Math.max(this.revisions[index]!, revision);
+            }),
+          );
+        }
+      }
+      this.change();
+    });
+  }
+
+  private freezeSome(): void {
+    this.clock.schedule(this.random.exponential(1_500), () => {
+      const process = this.random.pick(this.processes);
+      if (!process.isPaused) {
+        process.pause();
+        this.clock.schedule(this.random.uniform() * 4_000, () => process.resume());
+      }
+      this.freezeSome();
+    });
+  }
+
+  /** Nothing that the store acknowledged before the time of a proof may be missing where it is held. */
+  private check(): void {
+    this.proofs.forEach((proof, index) => {
+      const { proven } = proof;
+      const before = this.changedAt.filter((at) => at < (proven?.provenAt ?? -Infinity)).length;
+      if (before > this.revisions[index]!) {
+        this.violations.push(`g${index} lacks change ${before} at ${this.clock.now}`);
+      }
+    });
+  }
+}
+
+Then(
+  'in any exchange with late, lost and repeated words between frozen gateways no proof is too young',
+  function () {
+    for (let seed = 1; seed <= SEEDS; seed += 1) {
+      assert.deepEqual(new ProofHistory(seed, false).run().violations, [], `seed ${seed}`);
+    }
+  },
+);
+
+Then('a believer in the time of receipt would be caught', function () {
+  const caught = Array.from({ length: SEEDS }, (_, seed) => new ProofHistory(seed, true).run());
+  assert.ok(caught.some(({ violations }) => violations.length > 0));
+});
+
+Then(
+  'a gateway that lacks the newest configuration has no proof of it until it takes it',
+  function () {
+    let revision = 3;
+    const runtime = { ...new SimulatedProcess('g', new VirtualClock(), createRandom(1)).begin() };
+    const proof = new ConfigurationProof(runtime, () => revision);
+    proof.note({ revision: 3, provenAt: 100 });
+    proof.note({ revision: 4, provenAt: 200 });
+    assert.equal(proof.proven?.provenAt, 100);
+    revision = 4;
+    assert.equal(proof.proven?.provenAt, 200);
+  },
+);
+
+const WINDOW_MILLISECONDS = 5_000;
+const MEMBERS = 5;
+/** What the users' rules allow beyond the limit: a tenth, and 20 requests. */
+const OVERSHOOT = 1.1;
+const SLACK = 20;
+
+/** Most grants in any window. */
+function largestWindow(grants: readonly number[]): number {
+  let first = 0;
+  let largest = 0;
+  grants.forEach((at, index) => {
+    while (grants[first]! < at - WINDOW_MILLISECONDS) {
+      first += 1;
+    }
+    largest = Math.max(largest, index - first + 1);
+  });
+  return largest;
+}
+
+function largestAllowed(ratePerSecond: number, burst: number): number {
+  return ((ratePerSecond * WINDOW_MILLISECONDS) / 1_000 + burst) * OVERSHOOT + SLACK;
+}
+
+/** Asks members in a drawn order until one grants. */
+function spendAt(
+  members: readonly QuotaBuckets[],
+  quota: { ratePerSecond: number; burst: number },
+  isNewProgram: boolean,
+  now: number,
+  random: RandomSource,
+): boolean {
+  const told = { tenant: 't', version: 1, ...quota };
+  const first = random.integer(0, members.length - 1);
+  return members.some((_, index) => {
+    const member = members[(first + index) % members.length]!;
+    return member.take(told, 1 / members.length, isNewProgram, now).granted;
+  });
+}
+
+function fullMembers(): QuotaBuckets[] {
+  return Array.from({ length: MEMBERS }, () => new QuotaBuckets(-60_000));
+}
+
+Then('in any run of requests no window holds more than its limit at five members', function () {
+  const gaps = fc.array(fc.integer({ min: 0, max: 300 }), { minLength: 50, maxLength: 600 });
+  fc.assert(
+    fc.property(
+      gaps,
+      fc.integer({ min: 1, max: 40 }),
+      fc.nat(40),
+      fc.nat(),
+      (drawn, rate, burst, seed) => {
+        const random = createRandom(seed + 1);
+        const members = fullMembers();
+        const grants: number[] = [];
+        let now = 0;
+        for (const gap of drawn) {
+          now += gap;
+          if (
+            spendAt(members, { ratePerSecond: rate, burst }, random.uniform() < 0.2, now, random)
+          ) {
+            grants.push(now);
+          }
+        }
+        assert.ok(largestWindow(grants) <= largestAllowed(rate, burst));
+      },
+    ),
+  );
+});
+
+Then('a tenant that stays beneath its limit is refused nothing at five members', function () {
+  const random = createRandom(5);
+  const members = fullMembers();
+  const quota = { ratePerSecond: 100, burst: 100 };
+  let refused = 0;
+  let now = 0;
+  for (let count = 0; count < 3_000; count += 1) {
+    now += random.exponential(1_000 / 62);
+    refused += spendAt(members, quota, count % 9 === 0, now, random) ? 0 : 1;
+  }
+  assert.equal(refused, 0);
+});
+
+Then(
+  'of a tenant that sends four times its limit more than nine tenths of the requests under way are granted',
+  function () {
+    const random = createRandom(7);
+    const members = fullMembers();
+    const quota = { ratePerSecond: 60, burst: 60 };
+    const requests = 9;
+    // Programs begin at once or not at all; each further request comes a third of a second later.
+    const due: { at: number; left: number }[] = [];
+    const counts = { granted: 0, refused: 0 };
+    let now = 0;
+    const goOnUntil = (until: number): void => {
+      due.sort((left, right) => left.at - right.at);
+      while (due.length > 0 && due[0]!.at <= until) {
+        const { at, left } = due.shift()!;
+        const granted = spendAt(members, quota, false, at, random);
+        counts[granted ? 'granted' : 'refused'] += 1;
+        if (granted && left > 1) {
+          due.push({ at: at + 333, left: left - 1 });
+          due.sort((one, other) => one.at - other.at);
+        }
+      }
+    };
+    const begin = (perSecond: number, until: number): void => {
+      while (now < until) {
+        now += random.exponential(1_000 / perSecond);
+        goOnUntil(now);
+        if (spendAt(members, quota, true, now, random)) {
+          due.push({ at: now + 333, left: requests - 1 });
+        }
+      }
+    };
+    begin((0.6 * 60) / requests, 60_000);
+    counts.granted = 0;
+    counts.refused = 0;
+    begin((4 * 60) / requests, 80_000);
+    const share = counts.granted / (counts.granted + counts.refused);
+    assert.ok(share > 0.9, `${share}`);
+  },
+);
+
+type Trouble = (world: World) => void;
+
+const TROUBLES: Readonly<Record<string, Trouble>> = {
+  'nothing is amiss': () => undefined,
+  'two members are cut off from the others': ({ replicas }) => {
+    for (const lonely of ['m1', 'm2']) {
+      ['m3', 'm4', 'm5', 'store'].forEach((other) => replicas!.cut(lonely, other));
+    }
+  },
+  'half of the gateways reach just two members': ({ replicas }) => {
+    for (const gateway of ['q0', 'q1', 'q2']) {
+      ['m1', 'm2', 'm3'].forEach((member) => replicas!.cut(gateway, member));
+    }
+  },
+  'a member dies and another machine takes its place': ({ replicas }) => {
+    replicas!.kill('m5');
+    replicas!.add('m6', 'z6');
+  },
+};
+
+const TROUBLE_AT_MILLISECONDS = 5_000;
+const LIMIT = 100;
+
+When(
+  /^a tenant with a limit of 100 a second sends (\d+) a second through 6 gateways for 20 seconds while (.+)$/,
+  function (this: World, rate: string, trouble: string) {
+    const clock = this.clock!;
+    const random = createRandom(11);
+    const clients: QuotaClient[] = Array.from({ length: 6 }, (_, index) =>
+      this.replicas!.quotaClient(`q${index}`, 'm3'),
+    );
+    clock.runUntil(clock.now + 3_000);
+    const quota = { tenant: 't', version: 1, ratePerSecond: LIMIT, burst: LIMIT };
+    const grants: number[] = [];
+    const begunAt = clock.now;
+    const sendNext = (): void => {
+      if (clock.now > begunAt + 20_000) {
+        return;
+      }
+      random.pick(clients).spend(quota, false, 300, ({ tag }) => {
+        if (tag === 'Granted') {
+          grants.push(clock.now);
+        }
+      });
+      clock.schedule(random.exponential(1_000 / Number(rate)), sendNext);
+    };
+    sendNext();
+    clock.schedule(TROUBLE_AT_MILLISECONDS, () => TROUBLES[trouble]!(this));
+    clock.runUntil(begunAt + 21_000);
+    this.grants = grants;
+    this.asked = Number(rate) * 20;
+  },
+);
+
+interface World {
+  asked?: number;
+}
+
+Then('no window holds more than its limit', function (this: World) {
+  const largest = largestWindow(this.grants!);
+  assert.ok(largest <= largestAllowed(LIMIT, LIMIT), `${largest}`);
+});
+
+Then(
+  'at least {int} in 100 of what it may have are granted',
+  function (this: World, least: number) {
+    const owed = Math.min(this.asked!, LIMIT * 20);
+    const share = (100 * this.grants!.length) / owed;
+    assert.ok(share >= least, `${share}`);
+  },
+);
--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -1,12 +1,15 @@
 /** A gateway with runners and replicas on loopback, and a plain HTTP client to drive it. */
 import { request as httpRequest } from 'node:http';
 import type { IncomingMessage } from 'node:http';
+import { isLeft } from 'fp-ts/lib/Either.js';
 import { RelayRunner } from '../../src/emulator/relay-runner.js';
 import { freePorts } from '../../src/bench/free-ports.js';
 import { DEFAULT_HEADER_NAMES } from '../../src/relay/default-header-names.js';
 import { RelayGateway } from '../../src/relay/relay-gateway.js';
 import { createRoutingTable } from '../../src/relay/routing-table.js';
 import type { RequestKind, Route } from '../../src/relay/routing-table.js';
+import { createTenantsByKey } from '../../src/relay/tenant.js';
+import type { TenantSettings } from '../../src/relay/tenant.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
 import type { Runtime } from '../../src/runtime/runtime.js';
 import { MemberDirectory } from '../../src/turns/member-directory.js';
@@ -40,11 +43,13 @@
   readonly path?: string;
   readonly id?: string | undefined;
   readonly body?: string;
-  readonly headers?: Record<string, string>;
+  readonly headers?: Record<string, string | string[]>;
   /** Leaves after this many milliseconds. */
   readonly leaveAfter?: number;
   /** Sends the head and half of the body only. */
   readonly stopHalfway?: boolean;
+  /** Sends the second half of the body after this many milliseconds. */
+  readonly pauseHalfway?: number;
 }
 
 function routeOf(name: string, kind: RequestKind, extra: Partial<Route>): Route {
@@ -73,6 +78,7 @@
   routeOf('once', 'single', { maximumAttempts: 1 }),
   routeOf('lone', 'stream', { resumable: true, maximumAttempts: 1 }),
   routeOf('kept', 'stream', { retained: true }),
+  routeOf('open', 'single', { isPublic: true }),
 ];
 const LIMITS = {
   headerBytes: 4_096,
@@ -146,6 +152,16 @@
     this.gateway.applyTable(createRoutingTable(version, [], [], LIMITS), 'test');
   }
 
+  /** Offers a configuration with tenants; what is wrong with it is thrown. */
+  offerTenants(version: number, tenants: readonly TenantSettings[]): void {
+    const byKey = createTenantsByKey(tenants);
+    if (isLeft(byKey)) {
+      throw new Error(byKey.left);
+    }
+    const table = createRoutingTable(version, ROUTES, SERVICES, LIMITS, byKey.right);
+    this.gateway.applyTable(table, 'test');
+  }
+
   /** Puts a runner on the list. */
   listRunner(index: number, ready: boolean): void {
     const id = ['one', 'two'][index]!;
@@ -166,7 +182,7 @@
     this.lastId = id ?? '';
     const { body = '', host = ROUTED_HOST, path = `/${route}/work?${route}` } = options;
     const streamPath = route === 'kept' || route === 'lone' ? `/${route}/work?stream` : path;
-    const headers: Record<string, string> = {
+    const headers: Record<string, string | string[]> = {
       host,
       'content-length': String(body.length),
       ...(id === undefined ? {} : { [NAMES.requestId]: id }),
@@ -200,6 +216,9 @@
       client.on('error', () => resolve({ status: 0, headers: {}, body: '', complete: false }));
       if (options.stopHalfway === true) {
         client.write(body.slice(0, body.length / 2));
+      } else if (options.pauseHalfway !== undefined) {
+        client.write(body.slice(0, body.length / 2));
+        setTimeout(() => client.end(body.slice(body.length / 2)), options.pauseHalfway);
       } else {
         client.end(body);
       }
--- /dev/null
+++ b/features/tenants.feature
@@ -0,0 +1,109 @@
+Feature: Tenants
+  Whose a request is follows from its key; a key that was taken away serves nobody beyond its bound,
+  and no tenant has more requests run than its limit, whatever is cut off from whom.
+
+  Scenario: The key stays here, and the runner is told the tenant
+    Given a gateway with tenants "north" and "south"
+    When a client sends a request with the key of "north" and the tenant's header "south" twice
+    Then the client gets status 200
+    And the runner was told the tenant "north" once and no key
+
+  Scenario Outline: A request without one known key is refused for good
+    Given a gateway with tenants "north" and "south"
+    When a client sends a request with the authorization <authorization>
+    Then the client gets status <status>
+    And no runner was sent anything
+
+    Examples:
+      | authorization                      | status |
+      | none                               | 401    |
+      | "Bearer key-of-north"              | 401    |
+      | "Token"                            | 401    |
+      | "Token key-of-north key-of-south"  | 401    |
+      | "Token key-of-nobody"              | 401    |
+      | twice "Token key-of-north"         | 401    |
+      | 3000 characters                    | 401    |
+
+  Scenario: Neither the scheme's case nor further spaces matter
+    Given a gateway with tenants "north" and "south"
+    When a client sends a request with the authorization "token   key-of-north "
+    Then the client gets status 200
+
+  Scenario: A public route needs no key and passes none on
+    Given a gateway with tenants "north" and "south"
+    When a client sends a request to the public route with the key of "north" and the tenant's header "south"
+    Then the client gets status 200
+    And the runner was told no tenant and no key
+
+  Scenario: An unknown key is not called unknown while the configuration may be old
+    Given a gateway with tenants "north" and "south"
+    And the configuration is not proved to be the newest
+    When a client sends a request with the authorization "Token key-of-nobody"
+    Then the client gets 503 with a time to come back
+
+  Scenario: Without a proof young enough no key is served, and clients are sent where one is
+    Given a gateway with tenants "north" and "south"
+    And its keys are not proved to be valid, but those of another gateway are
+    When a client sends a request with the authorization "Token key-of-north"
+    Then the client gets 503 with a time to come back
+    And the gateway says that it is not ready
+    When a client sends a request to the public route with the key of "north" and the tenant's header "south"
+    Then the client gets status 200
+
+  Scenario: A key that is taken away while the request is being sent does not serve it
+    Given a gateway with tenants "north" and "south"
+    When the key of "north" is taken away while a client sends the body of its request
+    Then the client gets status 401
+    And no runner was sent anything
+
+  Scenario: What another tenant has kept is not there
+    Given a gateway with tenants "north" and "south"
+    When "north" keeps a turn
+    Then "north" can go on from that turn
+    And "south" is told that there is no such turn
+
+  Scenario: What is beyond a limit is refused with the time at which there is room
+    Given a gateway with tenants "north" and "south" of which "north" may send 5 requests a second and 5 at once
+    When 8 requests with the key of "north" and 8 with the key of "south" are sent
+    Then between 5 and 6 of "north" and all of "south" are answered
+    And the others were told with 429 to come back within a second
+
+  Scenario Outline: A configuration with mistakes in its tenants is refused and names no key
+    Then tenants with <mistake> are refused, naming "<named>" and no key
+
+    Examples:
+      | mistake              | named         |
+      | a name twice         | stands twice  |
+      | a key of two tenants | as well       |
+      | a negative rate      | no amount     |
+      | an endless burst     | no amount     |
+      | an empty name        | has no name   |
+
+  Scenario: Nobody believes the configuration newer than it is, whatever is frozen or late
+    Then in any exchange with late, lost and repeated words between frozen gateways no proof is too young
+    And a believer in the time of receipt would be caught
+
+  Scenario: A proof of a newer configuration counts once that has come
+    Then a gateway that lacks the newest configuration has no proof of it until it takes it
+
+  Scenario: Members together give out a tenant's rate and no more
+    Then in any run of requests no window holds more than its limit at five members
+    And a tenant that stays beneath its limit is refused nothing at five members
+
+  Scenario: Requests of programs under way go before new programs
+    Then of a tenant that sends four times its limit more than nine tenths of the requests under way are granted
+
+  Scenario Outline: Quotas while replicas are cut off and die
+    Given 5 replicas that are members
+    When a tenant with a limit of 100 a second sends <rate> a second through 6 gateways for 20 seconds while <trouble>
+    Then no window holds more than its limit
+    And at least <least> in 100 of what it may have are granted
+
+    Examples:
+      | rate | trouble                                        | least |
+      | 60   | nothing is amiss                               | 99    |
+      | 400  | nothing is amiss                               | 95    |
+      | 400  | two members are cut off from the others        | 50    |
+      | 400  | half of the gateways reach just two members    | 80    |
+      | 60   | a member dies and another machine takes its place | 90 |
+      | 400  | a member dies and another machine takes its place | 70 |
--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -10,6 +10,7 @@
 import type { MembershipStore, StoredRecord } from '../turns/membership-store.js';
 import type { Member } from '../turns/membership.js';
 import type { OneWayMessage, ReplicaReply, ReplicaRequest } from '../turns/messages.js';
+import { QuotaClient } from '../turns/quota-client.js';
 import type { ReplicaCaller, ReplyListener, UnnumberedRequest } from '../turns/replica-caller.js';
 import { ReplicaSync } from '../turns/replica-sync.js';
 import { Replica } from '../turns/replica.js';
@@ -303,6 +304,16 @@
     return { client: new TurnClient({ runtime, directory, caller, zone }), process };
   }
 
+  /** A gateway's client for quotas; it knows the members that a machine knows, and follows them. */
+  quotaClient(name: string, knownTo: string): QuotaClient {
+    const process = new SimulatedProcess(name, this.clock, this.random, this.log);
+    const runtime = process.begin();
+    const directory = new MemberDirectory(runtime);
+    directory.offerText(this.machine(knownTo).directory?.currentText ?? '', knownTo);
+    const caller = this.callerOf(name, runtime, directory);
+    return new QuotaClient({ runtime, directory, caller });
+  }
+
   private machine(name: string): SimulatedMachine {
     const machine = this.machines.get(name);
     if (machine === undefined) {
