Quotas count programs as wholes by the requests that a tenant's programs need, and use the platform's allowance

Beneath a limit few programs that begin together are let in; of a tenant at four times its limit nine tenths of the requests under way are granted (both in features/tenants.feature).

--- a/features/steps/quotas.steps.ts
+++ b/features/steps/quotas.steps.ts
@@ -5,6 +5,8 @@
 import { ConfigurationProof } from '../../src/mirror/configuration-proof.js';
 import type { DatagramPort } from '../../src/peers/datagram-port.js';
 import { ProofExchange } from '../../src/peers/proof-exchange.js';
+import { ProgramSizes } from '../../src/relay/program-sizes.js';
+import type { TenantId } from '../../src/relay/tenant.js';
 import { createRandom } from '../../src/runtime/random.js';
 import type { RandomSource } from '../../src/runtime/random.js';
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
@@ -220,7 +222,7 @@
 function spendAt(
   members: readonly QuotaBuckets[],
   quota: { ratePerSecond: number; burst: number },
-  isNewProgram: boolean,
+  beginsRequests: number,
   now: number,
   random: RandomSource,
 ): boolean {
@@ -228,12 +230,14 @@
   const first = random.integer(0, members.length - 1);
   return members.some((_, index) => {
     const member = members[(first + index) % members.length]!;
-    return member.take(told, 1 / members.length, isNewProgram, now).granted;
+    return member.take(told, 1 / members.length, beginsRequests, now).granted;
   });
 }
 
+const ALLOWANCE = { overshoot: OVERSHOOT - 1, slack: SLACK };
+
 function fullMembers(): QuotaBuckets[] {
-  return Array.from({ length: MEMBERS }, () => new QuotaBuckets(-60_000));
+  return Array.from({ length: MEMBERS }, () => new QuotaBuckets(-60_000, ALLOWANCE));
 }
 
 Then('in any run of requests no window holds more than its limit at five members', function () {
@@ -252,7 +256,13 @@
         for (const gap of drawn) {
           now += gap;
           if (
-            spendAt(members, { ratePerSecond: rate, burst }, random.uniform() < 0.2, now, random)
+            spendAt(
+              members,
+              { ratePerSecond: rate, burst },
+              random.uniform() < 0.2 ? 5 : 0,
+              now,
+              random,
+            )
           ) {
             grants.push(now);
           }
@@ -271,52 +281,105 @@
   let now = 0;
   for (let count = 0; count < 3_000; count += 1) {
     now += random.exponential(1_000 / 62);
-    refused += spendAt(members, quota, count % 9 === 0, now, random) ? 0 : 1;
+    refused += spendAt(members, quota, count % 9 === 0 ? 9 : 0, now, random) ? 0 : 1;
   }
   assert.equal(refused, 0);
 });
 
+const TENANT = 't' as TenantId;
+
+/** Programs of nine requests, a third of a second apart; one that is refused a request ends. */
+class ProgramLoad {
+  granted = 0;
+  refusedPrograms = 0;
+  refusedUnderWay = 0;
+  private now = 0;
+  private readonly due: { readonly at: number; readonly left: number }[] = [];
+  private readonly members = fullMembers();
+  private readonly sizes = new ProgramSizes();
+
+  constructor(
+    private readonly quota: { ratePerSecond: number; burst: number },
+    private readonly random: RandomSource,
+  ) {}
+
+  /** Begins programs until a time. */
+  run(programsPerSecond: number, until: number): void {
+    while (this.now < until) {
+      this.now += this.random.exponential(1_000 / programsPerSecond);
+      this.goOnUntil(this.now);
+      if (this.spend(true, this.now)) {
+        this.add(this.now, REQUESTS_OF_PROGRAM - 1);
+      } else {
+        this.refusedPrograms += 1;
+      }
+    }
+  }
+
+  /** Counts anew. */
+  resetCounts(): void {
+    this.granted = 0;
+    this.refusedPrograms = 0;
+    this.refusedUnderWay = 0;
+  }
+
+  private goOnUntil(until: number): void {
+    for (let next = this.due[0]; next !== undefined && next.at <= until; next = this.due[0]) {
+      this.due.shift();
+      if (!this.spend(false, next.at)) {
+        this.refusedUnderWay += 1;
+      } else if (next.left > 1) {
+        this.add(next.at, next.left - 1);
+      }
+    }
+  }
+
+  /** All pauses are alike, so what is added comes last. */
+  private add(at: number, left: number): void {
+    this.due.push({ at: at + PAUSE_OF_PROGRAM, left });
+  }
+
+  private spend(isNewProgram: boolean, at: number): boolean {
+    const begins = isNewProgram ? this.sizes.expected(TENANT) : 0;
+    const granted = spendAt(this.members, this.quota, begins, at, this.random);
+    if (granted) {
+      this.granted += 1;
+      this.sizes.note(TENANT, isNewProgram);
+    }
+    return granted;
+  }
+}
+
+const REQUESTS_OF_PROGRAM = 9;
+const PAUSE_OF_PROGRAM = 333;
+const SETTLING_MILLISECONDS = 60_000;
+
 Then(
   'of a tenant that sends four times its limit more than nine tenths of the requests under way are granted',
   function () {
-    const random = createRandom(7);
-    const members = fullMembers();
-    const quota = { ratePerSecond: 60, burst: 60 };
-    const requests = 9;
-    // Programs begin at once or not at all; each further request comes a third of a second later.
-    const due: { at: number; left: number }[] = [];
-    const counts = { granted: 0, refused: 0 };
-    let now = 0;
-    const goOnUntil = (until: number): void => {
-      due.sort((left, right) => left.at - right.at);
-      while (due.length > 0 && due[0]!.at <= until) {
-        const { at, left } = due.shift()!;
-        const granted = spendAt(members, quota, false, at, random);
-        counts[granted ? 'granted' : 'refused'] += 1;
-        if (granted && left > 1) {
-          due.push({ at: at + 333, left: left - 1 });
-          due.sort((one, other) => one.at - other.at);
-        }
-      }
-    };
-    const begin = (perSecond: number, until: number): void => {
-      while (now < until) {
-        now += random.exponential(1_000 / perSecond);
-        goOnUntil(now);
-        if (spendAt(members, quota, true, now, random)) {
-          due.push({ at: now + 333, left: requests - 1 });
-        }
-      }
-    };
-    begin((0.6 * 60) / requests, 60_000);
-    counts.granted = 0;
-    counts.refused = 0;
-    begin((4 * 60) / requests, 80_000);
-    const share = counts.granted / (counts.granted + counts.refused);
+    const load = new ProgramLoad({ ratePerSecond: 60, burst: 60 }, createRandom(7));
+    load.run((0.62 * 60) / REQUESTS_OF_PROGRAM, SETTLING_MILLISECONDS);
+    load.resetCounts();
+    load.run((4 * 60) / REQUESTS_OF_PROGRAM, SETTLING_MILLISECONDS + 20_000);
+    const share = load.granted / (load.granted + load.refusedUnderWay);
     assert.ok(share > 0.9, `${share}`);
   },
 );
 
+Then(
+  /^of a tenant whose programs use 0.62 of a limit of (\d+) a second fewer than (\d+) in 100 requests are refused$/,
+  function (limit: string, most: string) {
+    const rate = Number(limit);
+    const load = new ProgramLoad({ ratePerSecond: rate, burst: rate }, createRandom(9));
+    load.run((0.62 * rate) / REQUESTS_OF_PROGRAM, SETTLING_MILLISECONDS);
+    load.resetCounts();
+    load.run((0.62 * rate) / REQUESTS_OF_PROGRAM, 10 * SETTLING_MILLISECONDS);
+    const refused = load.refusedPrograms * REQUESTS_OF_PROGRAM + load.refusedUnderWay;
+    const share = (100 * refused) / (load.granted + refused);
+    assert.ok(share < Number(most), `${share}`);
+  },
+);
+
 type Trouble = (world: World) => void;
 
 const TROUBLES: Readonly<Record<string, Trouble>> = {
@@ -356,7 +419,7 @@
       if (clock.now > begunAt + 20_000) {
         return;
       }
-      random.pick(clients).spend(quota, false, 300, ({ tag }) => {
+      random.pick(clients).spend(quota, 0, 300, ({ tag }) => {
         if (tag === 'Granted') {
           grants.push(clock.now);
         }
--- a/features/steps/turns.steps.ts
+++ b/features/steps/turns.steps.ts
@@ -581,7 +581,8 @@
 
 Given('{int} replicas that are members', function (this: World, count: number) {
   this.clock = new VirtualClock();
-  this.replicas = new SimulatedReplicas(this.clock, createRandom(7));
+  const quotaAllowance = { overshoot: 0.1, slack: 20 };
+  this.replicas = new SimulatedReplicas(this.clock, createRandom(7), { quotaAllowance });
   for (let index = 1; index <= count; index += 1) {
     this.replicas.add(`m${index}`, `z${index}`);
   }
--- a/features/tenants.feature
+++ b/features/tenants.feature
@@ -90,6 +90,16 @@
     Then in any run of requests no window holds more than its limit at five members
     And a tenant that stays beneath its limit is refused nothing at five members
 
+  Scenario Outline: Programs of a tenant that stays beneath its limit are let in, also where few begin together
+    Then of a tenant whose programs use 0.62 of a limit of <limit> a second fewer than <most> in 100 requests are refused
+
+    Examples:
+      | limit | most |
+      | 3     | 2    |
+      | 10    | 2    |
+      | 60    | 1    |
+      | 228   | 1    |
+
   Scenario: Requests of programs under way go before new programs
     Then of a tenant that sends four times its limit more than nine tenths of the requests under way are granted
 
--- a/src/relay/quota-gate.ts
+++ b/src/relay/quota-gate.ts
@@ -7,6 +7,7 @@
 import type { QuotaClient } from '../turns/quota-client.js';
 import type { OwnAnswer } from './client-answer.js';
 import { outOfReach, quotaSpent } from './own-answers.js';
+import { ProgramSizes } from './program-sizes.js';
 import type { RelayMetrics } from './relay-metrics.js';
 import type { RelayRequest } from './relay-request.js';
 
@@ -17,6 +18,8 @@
   readonly random: RandomSource;
   /** Whether enough replicas answer here. */
   readonly isReachable: () => boolean;
+  /** Whether a program is let in with all the requests that it is expected to need. */
+  readonly countsPrograms: boolean;
 }
 
 /** Longest time for asking, in milliseconds. */
@@ -28,6 +31,7 @@
 /** See the head of this file. */
 export class QuotaGate {
   private readonly named = new Set<string>();
+  private readonly sizes = new ProgramSizes();
 
   constructor(private readonly options: QuotaGateOptions) {}
 
@@ -43,12 +47,14 @@
       done(undefined);
       return;
     }
-    const { client, random, isReachable } = this.options;
+    const { client, random, isReachable, countsPrograms } = this.options;
     const quota = { tenant: tenant.id, version, ...tenant.quota };
     const timeout = Math.min(ASKING_MILLISECONDS, remainingMilliseconds);
-    client.spend(quota, isNewProgram, timeout, (outcome) => {
+    const beginsRequests = isNewProgram && countsPrograms ? this.sizes.expected(tenant.id) : 0;
+    client.spend(quota, beginsRequests, timeout, (outcome) => {
       switch (outcome.tag) {
         case 'Granted':
+          this.sizes.note(tenant.id, isNewProgram);
           done(undefined);
           return;
         case 'Exhausted':
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -44,6 +44,8 @@
 const STILL_OPEN_MILLISECONDS = 3_200;
 /** Kept before the kill, in milliseconds. */
 const KILL_SLACK_MILLISECONDS = 600;
+/** Policy of charging a tenant with a whole program when that begins. */
+const PROGRAM_QUOTAS = 'program-quotas';
 const OK = 200;
 const UNAVAILABLE = 503;
 
@@ -84,6 +86,7 @@
         metrics: this.metrics,
         random: runtime.random,
         isReachable: () => turns.isReachable,
+        countsPrograms: options.policiesOff?.has(PROGRAM_QUOTAS) !== true,
       }),
       metrics: this.metrics,
       currentTable: () => this.table,
--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -13,6 +13,7 @@
 import { QuotaClient } from '../turns/quota-client.js';
 import type { ReplicaCaller, ReplyListener, UnnumberedRequest } from '../turns/replica-caller.js';
 import { ReplicaSync } from '../turns/replica-sync.js';
+import type { QuotaAllowance } from '../turns/quota-buckets.js';
 import { Replica } from '../turns/replica.js';
 import { TurnClient } from '../turns/turn-client.js';
 import type {
@@ -164,6 +165,8 @@
   readonly log?: LogFunction;
   /** Members that the record is to name. @default as many as there are machines */
   readonly wantedMembers?: number;
+  /** What may be given out beyond the limits of tenants. @default nothing */
+  readonly quotaAllowance?: QuotaAllowance;
 }
 
 /** See the head of this file. */
@@ -207,7 +210,8 @@
     const directory = new MemberDirectory(runtime);
     const { id } = machine.member;
     const storage = machine.disk.open(runtime, this.options.planted);
-    const replica = new Replica({ id, runtime, storage, directory });
+    const { quotaAllowance = { overshoot: 0, slack: 0 } } = this.options;
+    const replica = new Replica({ id, runtime, storage, directory, quotaAllowance });
     machine.disk.load((change) => replica.restore(change));
     replica.endRestore();
     if (this.options.planted === 'noRepair') {
--- a/src/turns/quota-buckets.ts
+++ b/src/turns/quota-buckets.ts
@@ -14,6 +14,17 @@
   readonly burst: number;
 }
 
+/**
+ * What the platform lets all members together give out beyond a tenant's limit in one window. Most of it
+ * is used up by what can't be helped: a member that is out of the record goes on for a moment.
+ */
+export interface QuotaAllowance {
+  /** Part of the rate, such as 0.1. */
+  readonly overshoot: number;
+  /** Requests. */
+  readonly slack: number;
+}
+
 /** Whether a request may run. */
 export interface QuotaDecision {
   readonly granted: boolean;
@@ -22,8 +33,19 @@
 }
 
 const MILLISECONDS_IN_SECOND = 1_000;
-/** Weight of the newest program in the mean number of its requests. */
-const PROGRAM_SHARE = 0.02;
+/** Part of the overshoot that is given out; 0.06 of a rate is kept for a member that was taken out. */
+const OVERSHOOT_SHARE = 0.4;
+/** Part of the slack that is given out, so that few programs at once don't exceed a small limit. */
+const SLACK_SHARE = 0.8;
+/**
+ * Programs that a limit must hold in one window for them to be counted as wholes: where it holds fewer,
+ * more are refused by that than are broken off without it.
+ */
+const LEAST_PROGRAMS = 4;
+/** Window over which that is told, in seconds. */
+const WINDOW_SECONDS = 5;
+/** Time over which a program's requests come, in seconds: what is promised may exceed what is there by so much. */
+const PROMISE_SECONDS = 2;
 /** Time without a request after which a tenant is forgotten, in milliseconds: any bucket is full by then. */
 const FORGET_MILLISECONDS = 60_000;
 /** Tenants beyond which idle ones are looked for. */
@@ -38,10 +60,6 @@
   /** The same, less what the programs that were let in are expected to need. */
   unpromised: number;
   filledAt: number;
-  /** Mean number of requests that a program needs. */
-  requestsPerProgram: number;
-  /** Requests granted since a program was last let in. */
-  requestsSinceProgram: number;
 }
 
 /** See the head of this file. */
@@ -51,37 +69,30 @@
   constructor(
     /** Local time since which this replica gives out tokens, in milliseconds: it remembers none before. */
     private readonly startedAt: number,
+    private readonly allowance: QuotaAllowance = NO_ALLOWANCE,
   ) {}
 
   /**
    * Decides on one request.
    * @param share part of the rate that is given out here, 0 to 1
-   * @param isNewProgram whether it is the first of a program
+   * @param beginsRequests requests that the program is expected to need which begins with it; 0 for a
+   *   request of a program under way
    */
-  take(quota: ToldQuota, share: number, isNewProgram: boolean, now: number): QuotaDecision {
+  take(quota: ToldQuota, share: number, beginsRequests: number, now: number): QuotaDecision {
     const bucket = this.bucketOf(quota, share, now);
+    const isCounted = beginsRequests > 0 && holdsPrograms(bucket, beginsRequests * share);
     const lacking = Math.max(
       1 - bucket.tokens,
-      isNewProgram && bucket.unpromised <= 0 ? -bucket.unpromised + 1 : 0,
+      isCounted && bucket.unpromised <= 0 ? -bucket.unpromised + 1 : 0,
     );
     if (lacking > 0) {
       return { granted: false, waitMilliseconds: waitFor(lacking, bucket.ratePerSecond) };
     }
     bucket.tokens -= 1;
-    if (isNewProgram) {
-      bucket.unpromised -= bucket.requestsPerProgram;
-      this.learnProgram(bucket);
-    }
-    bucket.requestsSinceProgram += 1;
+    bucket.unpromised -= beginsRequests;
     return { granted: true, waitMilliseconds: 0 };
   }
 
-  private learnProgram(bucket: Bucket): void {
-    const seen = Math.max(1, bucket.requestsSinceProgram);
-    bucket.requestsPerProgram += (seen - bucket.requestsPerProgram) * PROGRAM_SHARE;
-    bucket.requestsSinceProgram = 0;
-  }
-
   private bucketOf(quota: ToldQuota, share: number, now: number): Bucket {
     let bucket = this.buckets.get(quota.tenant);
     if (bucket === undefined) {
@@ -91,13 +102,15 @@
     }
     if (quota.version >= bucket.version) {
       bucket.version = quota.version;
-      bucket.ratePerSecond = quota.ratePerSecond * share;
-      bucket.capacity = Math.max(1, quota.burst * share);
+      const { overshoot, slack } = this.allowance;
+      bucket.ratePerSecond = quota.ratePerSecond * (1 + overshoot * OVERSHOOT_SHARE) * share;
+      bucket.capacity = Math.max(1, (quota.burst + slack * SLACK_SHARE) * share);
     }
     const filled =
       (Math.max(0, now - bucket.filledAt) * bucket.ratePerSecond) / MILLISECONDS_IN_SECOND;
     bucket.tokens = Math.min(bucket.capacity, bucket.tokens + filled);
-    bucket.unpromised = Math.min(bucket.capacity, bucket.unpromised + filled);
+    const mostPromised = bucket.capacity + bucket.ratePerSecond * PROMISE_SECONDS;
+    bucket.unpromised = Math.min(mostPromised, bucket.unpromised + filled);
     bucket.filledAt = now;
     return bucket;
   }
@@ -114,10 +127,16 @@
   }
 }
 
+const NO_ALLOWANCE: QuotaAllowance = { overshoot: 0, slack: 0 };
+
 function emptyBucket(filledAt: number): Bucket {
   const unlimited = { version: -1, ratePerSecond: 0, capacity: 0 };
-  const counts = { requestsPerProgram: 1, requestsSinceProgram: 0 };
-  return { ...unlimited, ...counts, tokens: 0, unpromised: 0, filledAt };
+  return { ...unlimited, tokens: 0, unpromised: 0, filledAt };
+}
+
+/** Whether a limit has room for several programs, each taking so many requests of this member's share. */
+function holdsPrograms({ ratePerSecond, capacity }: Bucket, requestsHere: number): boolean {
+  return requestsHere * LEAST_PROGRAMS <= ratePerSecond * WINDOW_SECONDS + capacity;
 }
 
 function waitFor(tokens: number, ratePerSecond: number): number {
--- a/src/turns/quota-client.ts
+++ b/src/turns/quota-client.ts
@@ -33,7 +33,8 @@
 /** A question on its way from member to member. */
 interface Spending {
   readonly quota: ToldQuota;
-  readonly isNewProgram: boolean;
+  /** Requests that the program is expected to need which begins; 0 for one under way. */
+  readonly beginsRequests: number;
   readonly record: MemberRecord;
   readonly until: number;
   readonly done: (outcome: QuotaOutcome) => void;
@@ -51,10 +52,13 @@
 
   constructor(private readonly options: QuotaClientOptions) {}
 
-  /** Asks whether one request may run. */
+  /**
+   * Asks whether one request may run.
+   * @param beginsRequests see {@link QuotaBuckets.take}
+   */
   spend(
     quota: ToldQuota,
-    isNewProgram: boolean,
+    beginsRequests: number,
     timeoutMilliseconds: number,
     done: (outcome: QuotaOutcome) => void,
   ): void {
@@ -66,7 +70,7 @@
     }
     const spending: Spending = {
       quota,
-      isNewProgram,
+      beginsRequests,
       record,
       until: runtime.now() + timeoutMilliseconds,
       done,
@@ -108,8 +112,8 @@
       return;
     }
     spending.open += 1;
-    const { quota, isNewProgram, record } = spending;
-    const request = { type: 'spend' as const, epoch: record.epoch, quota, isNewProgram };
+    const { quota, beginsRequests, record } = spending;
+    const request = { type: 'spend' as const, epoch: record.epoch, quota, beginsRequests };
     caller.call(member, request, left, (reply) => {
       spending.open -= 1;
       this.take(spending, member, reply);
@@ -167,8 +171,8 @@
   }
 }
 
-function refusalKey({ quota, isNewProgram }: Spending, member: Member): string {
-  return `${member.id} ${isNewProgram ? 'program' : 'request'} ${quota.version} ${quota.tenant}`;
+function refusalKey({ quota, beginsRequests }: Spending, member: Member): string {
+  return `${member.id} ${beginsRequests > 0 ? 'program' : 'request'} ${quota.version} ${quota.tenant}`;
 }
 
 function noteRefusal(spending: Spending, waitMilliseconds: number): void {
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -17,7 +17,7 @@
 } from './messages.js';
 import type { KeptTurn } from './kept-turn.js';
 import { QuotaBuckets } from './quota-buckets.js';
-import type { QuotaDecision } from './quota-buckets.js';
+import type { QuotaAllowance, QuotaDecision } from './quota-buckets.js';
 import { ReplicaState } from './replica-state.js';
 import { unpackDigests } from './reservation-digests.js';
 import type {
@@ -38,6 +38,8 @@
   readonly runtime: Runtime;
   readonly storage: TurnStorage;
   readonly directory: MemberDirectory;
+  /** What may be given out beyond the limits of tenants. @default nothing */
+  readonly quotaAllowance?: QuotaAllowance;
 }
 
 /** Sends one message back on the connection a request came from. */
@@ -65,7 +67,7 @@
 
   constructor(private readonly options: ReplicaOptions) {
     const { id, runtime, directory } = options;
-    this.quotas = new QuotaBuckets(runtime.now());
+    this.quotas = new QuotaBuckets(runtime.now(), options.quotaAllowance);
     this.logName = `${id} ${runtime.wallTime()} ${runtime.random.uniform()}`;
     this.cancelExpiry = setRepeatingTimer(runtime, EXPIRY_MILLISECONDS, () => this.expire());
     directory.onChange(() => this.saveMeta());
@@ -228,7 +230,7 @@
     }
     const share = 1 / current.members.length;
     const now = this.options.runtime.now();
-    return { outcome, ...this.quotas.take(request.quota, share, request.isNewProgram, now) };
+    return { outcome, ...this.quotas.take(request.quota, share, request.beginsRequests, now) };
   }
 
   private readChain(turn: string): ReturnType<ReplicaState['chainOf']> {
