--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -10,11 +10,20 @@
 import type { MembershipStore, StoredRecord } from '../turns/membership-store.js';
 import type { Member } from '../turns/membership.js';
 import type { OneWayMessage, ReplicaReply, ReplicaRequest } from '../turns/messages.js';
+import { QuotaClient } from '../turns/quota-client.js';
 import type { ReplicaCaller, ReplyListener, UnnumberedRequest } from '../turns/replica-caller.js';
 import { ReplicaSync } from '../turns/replica-sync.js';
+import type { QuotaAllowance } from '../turns/quota-buckets.js';
 import { Replica } from '../turns/replica.js';
 import { TurnClient } from '../turns/turn-client.js';
-import type { StorageChange, StoredState, TurnStorage } from '../turns/turn-storage.js';
+import type {
+  ReplicaMeta,
+  StorageChange,
+  StoredEntry,
+  StoredTurn,
+  TurnStorage,
+  WrittenChange,
+} from '../turns/turn-storage.js';
 import { silentLog, SimulatedProcess } from './simulated-process.js';
 import type { VirtualClock } from './virtual-clock.js';
 
@@ -34,9 +43,14 @@
     this.state = emptyState();
   }
 
-  read(): StoredState {
+  /** Tells everything that was written. */
+  load(take: (change: WrittenChange) => void): void {
     const { meta, entries, turns } = this.state;
-    return { meta, entries: [...entries.values()], turns: [...turns.values()] };
+    if (meta !== undefined) {
+      take({ tag: 'meta', meta });
+    }
+    entries.forEach((entry) => take({ tag: 'entry', entry }));
+    turns.forEach((turn) => take({ tag: 'turn', turn }));
   }
 
   open(runtime: Runtime, planted: SimulatedReplicasOptions['planted']): TurnStorage {
@@ -84,9 +98,9 @@
 }
 
 interface DiskState {
-  meta: StoredState['meta'];
-  readonly entries: Map<string, StoredState['entries'][number]>;
-  readonly turns: Map<string, StoredState['turns'][number]>;
+  meta: ReplicaMeta | undefined;
+  readonly entries: Map<string, StoredEntry>;
+  readonly turns: Map<string, StoredTurn>;
 }
 
 function emptyState(): DiskState {
@@ -151,6 +165,8 @@
   readonly log?: LogFunction;
   /** Members that the record is to name. @default as many as there are machines */
   readonly wantedMembers?: number;
+  /** What may be given out beyond the limits of tenants. @default nothing */
+  readonly quotaAllowance?: QuotaAllowance;
 }
 
 /** See the head of this file. */
@@ -194,14 +210,17 @@
     const directory = new MemberDirectory(runtime);
     const { id } = machine.member;
     const storage = machine.disk.open(runtime, this.options.planted);
-    const replica = new Replica({ id, runtime, storage, directory });
-    replica.restore(machine.disk.read());
+    const { quotaAllowance = { overshoot: 0, slack: 0 } } = this.options;
+    const replica = new Replica({ id, runtime, storage, directory, quotaAllowance });
+    machine.disk.load((change) => replica.restore(change));
+    replica.endRestore();
     if (this.options.planted === 'noRepair') {
       replica.becomeReady('planted fault');
     }
     const caller = this.callerOf(name, runtime, directory);
     const { wantedMembers = Infinity } = this.options;
     const sync = new ReplicaSync({ id, runtime, replica, directory, caller, wantedMembers });
+    replica.holdsQuorum = () => sync.holdsQuorum;
     if (this.options.planted === 'noRepair') {
       sync.close();
     }
@@ -289,6 +308,16 @@
     return { client: new TurnClient({ runtime, directory, caller, zone }), process };
   }
 
+  /** A gateway's client for quotas; it knows the members that a machine knows, and follows them. */
+  quotaClient(name: string, knownTo: string): QuotaClient {
+    const process = new SimulatedProcess(name, this.clock, this.random, this.log);
+    const runtime = process.begin();
+    const directory = new MemberDirectory(runtime);
+    directory.offerText(this.machine(knownTo).directory?.currentText ?? '', knownTo);
+    const caller = this.callerOf(name, runtime, directory);
+    return new QuotaClient({ runtime, directory, caller });
+  }
+
   private machine(name: string): SimulatedMachine {
     const machine = this.machines.get(name);
     if (machine === undefined) {
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -16,9 +16,17 @@
   ReplicaRequest,
 } from './messages.js';
 import type { KeptTurn } from './kept-turn.js';
+import { QuotaBuckets } from './quota-buckets.js';
+import type { QuotaAllowance, QuotaDecision } from './quota-buckets.js';
 import { ReplicaState } from './replica-state.js';
 import { unpackDigests } from './reservation-digests.js';
-import type { StorageChange, StoredState, TurnStorage, WriteUrgency } from './turn-storage.js';
+import type {
+  ReplicaMeta,
+  StorageChange,
+  TurnStorage,
+  WriteUrgency,
+  WrittenChange,
+} from './turn-storage.js';
 
 const EXPIRY_MILLISECONDS = 5_000;
 /** Largest reply to a fetch, in bytes; at least one turn is sent. */
@@ -30,6 +38,8 @@
   readonly runtime: Runtime;
   readonly storage: TurnStorage;
   readonly directory: MemberDirectory;
+  /** What may be given out beyond the limits of tenants. @default nothing */
+  readonly quotaAllowance?: QuotaAllowance;
 }
 
 /** Sends one message back on the connection a request came from. */
@@ -48,27 +58,46 @@
   /** Names this life of the log: positions of another life mean nothing. */
   readonly logName: string;
   readonly pullers = new Map<string, PullerProgress>();
+  /** Whether a majority of the members is known to know no newer record. */
+  holdsQuorum: () => boolean = () => true;
+  private readonly quotas: QuotaBuckets;
   private isReady = false;
+  private storedMeta: ReplicaMeta | undefined;
   private readonly cancelExpiry: CancelTimer;
 
   constructor(private readonly options: ReplicaOptions) {
     const { id, runtime, directory } = options;
+    this.quotas = new QuotaBuckets(runtime.now(), options.quotaAllowance);
     this.logName = `${id} ${runtime.wallTime()} ${runtime.random.uniform()}`;
     this.cancelExpiry = setRepeatingTimer(runtime, EXPIRY_MILLISECONDS, () => this.expire());
     directory.onChange(() => this.saveMeta());
   }
 
-  /** Takes what was on the disk. */
-  restore(stored: StoredState): void {
-    stored.entries.forEach((entry) => this.state.mergeEntry(entry));
-    stored.turns.forEach((turn) => this.state.addTurn(turn));
-    if (stored.meta !== undefined) {
-      this.isReady = stored.meta.ready;
-      this.options.directory.offerText(stored.meta.members, 'disk');
+  /** Takes one change that was on the disk; the last word of itself counts. */
+  restore(change: WrittenChange): void {
+    switch (change.tag) {
+      case 'entry':
+        this.state.mergeEntry(change.entry);
+        return;
+      case 'turn':
+        this.state.addTurn(change.turn);
+        return;
+      case 'meta':
+        this.storedMeta = change.meta;
+    }
+  }
+
+  /** Begins to serve with what was restored. */
+  endRestore(): void {
+    const { storedMeta, options } = this;
+    this.state.expire(options.runtime.wallTime());
+    if (storedMeta !== undefined) {
+      this.isReady = storedMeta.ready;
+      options.directory.offerText(storedMeta.members, 'disk');
     }
     const { programs, turns } = this.state.counts;
     const fields = { event: 'replica.restored', ready: this.isReady, programs, turns };
-    this.options.runtime.log('info', 'state read from disk', fields);
+    options.runtime.log('info', 'state read from disk', fields);
   }
 
   /** Whether its state is complete: it holds all that it ever acknowledged. */
@@ -132,7 +161,10 @@
       case 'readEntries': {
         const entries = this.state.entriesByDigest(unpackDigests(request.digests));
         send({ type: 'entriesRead', call, entries });
+        return;
       }
+      case 'spend':
+        send({ type: 'spent', call, ...this.spend(request, send) });
     }
   }
 
@@ -161,11 +193,11 @@
     this.options.storage.write(changes, done);
   }
 
-  /** Everything it holds, as changes that make it again. */
-  allChanges(): StorageChange[] {
-    const members = this.options.directory.currentText;
-    const changes = this.state.allChanges(this.options.runtime.wallTime());
-    return [{ tag: 'meta', meta: { ready: this.isReady, members } }, ...changes];
+  /** Everything it holds, as changes that make it again; it may go on changing meanwhile. */
+  *liveChanges(): Generator<StorageChange> {
+    const { directory, runtime } = this.options;
+    yield { tag: 'meta', meta: { ready: this.isReady, members: directory.currentText } };
+    yield* this.state.liveChanges(() => runtime.wallTime());
   }
 
   /** Stops its timers. */
@@ -185,6 +217,22 @@
     return this.active && epoch === current?.epoch ? 'done' : 'inactive';
   }
 
+  /** Decides on a tenant's request, as long as this replica is sure to be one of the members. */
+  private spend(
+    request: Extract<ReplicaRequest, { type: 'spend' }>,
+    send: ReplySender,
+  ): QuotaDecision & { readonly outcome: ReplicaOutcome } {
+    const outcome = this.outcomeOf(request.epoch, true, send);
+    const { current } = this.options.directory;
+    if (outcome !== 'done' || current === undefined || !this.holdsQuorum()) {
+      const refused = outcome === 'done' ? 'inactive' : outcome;
+      return { outcome: refused, granted: false, waitMilliseconds: 0 };
+    }
+    const share = 1 / current.members.length;
+    const now = this.options.runtime.now();
+    return { outcome, ...this.quotas.take(request.quota, share, request.beginsRequests, now) };
+  }
+
   private readChain(turn: string): ReturnType<ReplicaState['chainOf']> {
     const chain = this.state.chainOf(turn);
     return chain.state === 'missing' && !this.active ? { ...chain, state: 'unsure' } : chain;
