A request of a program under way is held until its tenant has room, if that is soon and sure

At nine tenths of a limit fewer than a quarter as many requests under way are refused (features/tenants.feature).

--- a/features/steps/quotas.steps.ts
+++ b/features/steps/quotas.steps.ts
@@ -218,22 +218,31 @@
   return ((ratePerSecond * WINDOW_MILLISECONDS) / 1_000 + burst) * OVERSHOOT + SLACK;
 }
 
-/** Asks members in a drawn order until one grants. */
+/** Asks members in a drawn order until one grants; returns when the request runs. */
 function spendAt(
   members: readonly QuotaBuckets[],
   quota: { ratePerSecond: number; burst: number },
   beginsRequests: number,
   now: number,
   random: RandomSource,
-): boolean {
+  patienceMilliseconds = 0,
+): number | undefined {
   const told = { tenant: 't', version: 1, ...quota };
   const first = random.integer(0, members.length - 1);
-  return members.some((_, index) => {
-    const member = members[(first + index) % members.length]!;
-    return member.take(told, 1 / members.length, beginsRequests, now).granted;
-  });
+  const share = 1 / members.length;
+  for (const patience of new Set([0, patienceMilliseconds])) {
+    for (let index = 0; index < members.length; index += 1) {
+      const member = members[(first + index) % members.length]!;
+      const decision = member.take(told, share, beginsRequests, now, patience);
+      if (decision.granted) {
+        return now + decision.waitMilliseconds;
+      }
+    }
+  }
+  return undefined;
 }
 
+const LONGEST_PATIENCE = 600;
 const ALLOWANCE = { overshoot: OVERSHOOT - 1, slack: SLACK };
 
 function fullMembers(): QuotaBuckets[] {
@@ -255,18 +264,15 @@
         let now = 0;
         for (const gap of drawn) {
           now += gap;
-          if (
-            spendAt(
-              members,
-              { ratePerSecond: rate, burst },
-              random.uniform() < 0.2 ? 5 : 0,
-              now,
-              random,
-            )
-          ) {
-            grants.push(now);
+          const isNewProgram = random.uniform() < 0.2;
+          const patience = isNewProgram ? 0 : random.integer(0, LONGEST_PATIENCE);
+          const quota = { ratePerSecond: rate, burst };
+          const runsAt = spendAt(members, quota, isNewProgram ? 5 : 0, now, random, patience);
+          if (runsAt !== undefined) {
+            grants.push(runsAt);
           }
         }
+        grants.sort((left, right) => left - right);
         assert.ok(largestWindow(grants) <= largestAllowed(rate, burst));
       },
     ),
@@ -281,7 +287,7 @@
   let now = 0;
   for (let count = 0; count < 3_000; count += 1) {
     now += random.exponential(1_000 / 62);
-    refused += spendAt(members, quota, count % 9 === 0 ? 9 : 0, now, random) ? 0 : 1;
+    refused += spendAt(members, quota, count % 9 === 0 ? 9 : 0, now, random) === undefined ? 1 : 0;
   }
   assert.equal(refused, 0);
 });
@@ -301,6 +307,7 @@
   constructor(
     private readonly quota: { ratePerSecond: number; burst: number },
     private readonly random: RandomSource,
+    private readonly patienceMilliseconds = 0,
   ) {}
 
   /** Begins programs until a time. */
@@ -341,7 +348,9 @@
 
   private spend(isNewProgram: boolean, at: number): boolean {
     const begins = isNewProgram ? this.sizes.expected(TENANT) : 0;
-    const granted = spendAt(this.members, this.quota, begins, at, this.random);
+    const patience = isNewProgram ? 0 : this.patienceMilliseconds;
+    const runsAt = spendAt(this.members, this.quota, begins, at, this.random, patience);
+    const granted = runsAt !== undefined;
     if (granted) {
       this.granted += 1;
       this.sizes.note(TENANT, isNewProgram);
@@ -380,6 +389,19 @@
   },
 );
 
+Then(
+  'of a tenant at nine tenths of its limit fewer requests under way are refused when they may be held',
+  function () {
+    const refusedWith = (patience: number): number => {
+      const load = new ProgramLoad({ ratePerSecond: 20, burst: 5 }, createRandom(13), patience);
+      load.run((0.9 * 20) / REQUESTS_OF_PROGRAM, 5 * SETTLING_MILLISECONDS);
+      return load.refusedUnderWay / (load.granted + load.refusedUnderWay);
+    };
+    const [atOnce, held] = [refusedWith(0), refusedWith(LONGEST_PATIENCE)];
+    assert.ok(atOnce > 0.01 && held < atOnce / 4, `${atOnce} ${held}`);
+  },
+);
+
 type Trouble = (world: World) => void;
 
 const TROUBLES: Readonly<Record<string, Trouble>> = {
@@ -419,7 +441,8 @@
       if (clock.now > begunAt + 20_000) {
         return;
       }
-      random.pick(clients).spend(quota, 0, 300, ({ tag }) => {
+      const question = { quota, beginsRequests: 0, patienceMilliseconds: 200 };
+      random.pick(clients).spend(question, 300, ({ tag }) => {
         if (tag === 'Granted') {
           grants.push(clock.now);
         }
--- a/features/steps/tenants.steps.ts
+++ b/features/steps/tenants.steps.ts
@@ -169,7 +169,7 @@
   },
 );
 
-Then('the others were told with 429 to come back within a second', function (this: World) {
+Then('the others were told with 429 to come back within two seconds', function (this: World) {
   const refused = Object.values(this.results!)
     .flat()
     .filter(({ status }) => status !== 200);
@@ -177,7 +177,7 @@
   for (const { status, headers } of refused) {
     assert.equal(status, 429);
     const seconds = Number(headers['retry-after']);
-    assert.ok(seconds > 0 && seconds <= 1, `${seconds}`);
+    assert.ok(seconds > 0 && seconds <= 2, `${seconds}`);
   }
 });
 
--- a/features/tenants.feature
+++ b/features/tenants.feature
@@ -64,9 +64,9 @@
 
   Scenario: What is beyond a limit is refused with the time at which there is room
     Given a gateway with tenants "north" and "south" of which "north" may send 5 requests a second and 5 at once
-    When 8 requests with the key of "north" and 8 with the key of "south" are sent
-    Then between 5 and 6 of "north" and all of "south" are answered
-    And the others were told with 429 to come back within a second
+    When 20 requests with the key of "north" and 8 with the key of "south" are sent
+    Then between 8 and 9 of "north" and all of "south" are answered
+    And the others were told with 429 to come back within two seconds
 
   Scenario Outline: A configuration with mistakes in its tenants is refused and names no key
     Then tenants with <mistake> are refused, naming "<named>" and no key
@@ -103,6 +103,9 @@
   Scenario: Requests of programs under way go before new programs
     Then of a tenant that sends four times its limit more than nine tenths of the requests under way are granted
 
+  Scenario: A request under way is held rather than refused when its tenant has room soon
+    Then of a tenant at nine tenths of its limit fewer requests under way are refused when they may be held
+
   Scenario Outline: Quotas while replicas are cut off and die
     Given 5 replicas that are members
     When a tenant with a limit of 100 a second sends <rate> a second through 6 gateways for 20 seconds while <trouble>
--- a/src/relay/quota-gate.ts
+++ b/src/relay/quota-gate.ts
@@ -24,6 +24,13 @@
 
 /** Longest time for asking, in milliseconds. */
 const ASKING_MILLISECONDS = 300;
+/**
+ * Longest time for which a request of a program under way is held until its tenant has room: it is held
+ * only when it is known to be served then.
+ */
+const HELD_MILLISECONDS = 600;
+/** The same as a share of the time that the request has. */
+const HELD_SHARE = 0.25;
 /** Tenants that have a figure of their own; all others share one. */
 const NAMED_TENANTS = 100;
 const OTHER_TENANTS = 'others';
@@ -51,7 +58,11 @@
     const quota = { tenant: tenant.id, version, ...tenant.quota };
     const timeout = Math.min(ASKING_MILLISECONDS, remainingMilliseconds);
     const beginsRequests = isNewProgram && countsPrograms ? this.sizes.expected(tenant.id) : 0;
-    client.spend(quota, beginsRequests, timeout, (outcome) => {
+    const patienceMilliseconds = isNewProgram
+      ? 0
+      : Math.min(HELD_MILLISECONDS, remainingMilliseconds * HELD_SHARE);
+    const question = { quota, beginsRequests, patienceMilliseconds };
+    client.spend(question, timeout, (outcome) => {
       switch (outcome.tag) {
         case 'Granted':
           this.sizes.note(tenant.id, isNewProgram);
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -63,7 +63,14 @@
   /** Asks for the reservations with these digests. */
   | { type: 'readEntries'; call: number; digests: Buffer }
   /** Asks whether one request of a tenant may run. */
-  | { type: 'spend'; call: number; epoch: number; quota: ToldQuota; beginsRequests: number };
+  | {
+      type: 'spend';
+      call: number;
+      epoch: number;
+      quota: ToldQuota;
+      beginsRequests: number;
+      patienceMilliseconds: number;
+    };
 
 /** Replies. */
 export type ReplicaReply =
@@ -181,7 +188,16 @@
   { type: 'members', fields: { record: longText } },
   { type: 'readEntries', fields: { call: count, digests: bytes } },
   { type: 'entriesRead', fields: { call: count, entries: listOf(accountEntryField) } },
-  { type: 'spend', fields: { call: count, epoch: count, quota: toldQuota, beginsRequests: real } },
+  {
+    type: 'spend',
+    fields: {
+      call: count,
+      epoch: count,
+      quota: toldQuota,
+      beginsRequests: real,
+      patienceMilliseconds: real,
+    },
+  },
   { type: 'spent', fields: { call: count, outcome, granted: flag, waitMilliseconds: real } },
 ]);
 
--- a/src/turns/quota-buckets.ts
+++ b/src/turns/quota-buckets.ts
@@ -28,7 +28,7 @@
 /** Whether a request may run. */
 export interface QuotaDecision {
   readonly granted: boolean;
-  /** Time until there is room here again, in milliseconds; 0 when granted. */
+  /** Granted: time after which it may run; else time until there is room here again; in milliseconds. */
   readonly waitMilliseconds: number;
 }
 
@@ -77,20 +77,28 @@
    * @param share part of the rate that is given out here, 0 to 1
    * @param beginsRequests requests that the program is expected to need which begins with it; 0 for a
    *   request of a program under way
+   * @param patienceMilliseconds time for which it may be held: it is then granted ahead of what comes in
    */
-  take(quota: ToldQuota, share: number, beginsRequests: number, now: number): QuotaDecision {
+  take(
+    quota: ToldQuota,
+    share: number,
+    beginsRequests: number,
+    now: number,
+    patienceMilliseconds = 0,
+  ): QuotaDecision {
     const bucket = this.bucketOf(quota, share, now);
     const isCounted = beginsRequests > 0 && holdsPrograms(bucket, beginsRequests * share);
     const lacking = Math.max(
       1 - bucket.tokens,
       isCounted && bucket.unpromised <= 0 ? -bucket.unpromised + 1 : 0,
     );
-    if (lacking > 0) {
-      return { granted: false, waitMilliseconds: waitFor(lacking, bucket.ratePerSecond) };
+    const waitMilliseconds = waitFor(Math.max(0, lacking), bucket.ratePerSecond);
+    if (waitMilliseconds > patienceMilliseconds) {
+      return { granted: false, waitMilliseconds };
     }
     bucket.tokens -= 1;
     bucket.unpromised -= beginsRequests;
-    return { granted: true, waitMilliseconds: 0 };
+    return { granted: true, waitMilliseconds };
   }
 
   private bucketOf(quota: ToldQuota, share: number, now: number): Bucket {
@@ -140,6 +148,9 @@
 }
 
 function waitFor(tokens: number, ratePerSecond: number): number {
+  if (tokens === 0) {
+    return 0;
+  }
   return ratePerSecond > 0
     ? (tokens / ratePerSecond) * MILLISECONDS_IN_SECOND
     : MILLISECONDS_IN_SECOND;
--- a/src/turns/quota-client.ts
+++ b/src/turns/quota-client.ts
@@ -1,7 +1,8 @@
 /**
  * A gateway's side of the tenants' quotas: asks one replica whether a request may run, and the next
  * ones when that one has nothing left to give or doesn't answer. Each member gives out its own share,
- * so one grant is enough; what a member has refused is remembered until it has room again.
+ * so one grant is enough; what a member has refused is remembered until it has room again. A request
+ * that may be held takes the next place of the member that has room soonest.
  */
 import type { Runtime } from '../runtime/runtime.js';
 import type { MemberDirectory } from './member-directory.js';
@@ -27,22 +28,31 @@
 
 /** Time after which the next member is asked beside one that is slow, in milliseconds. */
 const HEDGE_MILLISECONDS = 40;
+/** What is asked. */
+export interface QuotaQuestion {
+  readonly quota: ToldQuota;
+  /** Requests that the program is expected to need which begins with this one; 0 for one under way. */
+  readonly beginsRequests: number;
+  /** Time for which the request may be held, in milliseconds. */
+  readonly patienceMilliseconds: number;
+}
+
 /** Refusals that are remembered; beyond, those that are over are dropped. */
 const MANY_REFUSALS = 2_000;
 
 /** A question on its way from member to member. */
 interface Spending {
-  readonly quota: ToldQuota;
-  /** Requests that the program is expected to need which begins; 0 for one under way. */
-  readonly beginsRequests: number;
+  readonly question: QuotaQuestion;
   readonly record: MemberRecord;
   readonly until: number;
   readonly done: (outcome: QuotaOutcome) => void;
   readonly waiting: Member[];
+  /** Members that refused, with the time until they have room, in milliseconds. */
+  readonly refusals: { readonly member: Member; readonly waitMilliseconds: number }[];
   open: number;
   over: boolean;
-  /** Shortest time until a member that refused has room, in milliseconds; undefined before any refusal. */
-  waitMilliseconds: number | undefined;
+  /** Whether the member that has room soonest was asked for its next place. */
+  isHeld: boolean;
 }
 
 /** See the head of this file. */
@@ -52,13 +62,9 @@
 
   constructor(private readonly options: QuotaClientOptions) {}
 
-  /**
-   * Asks whether one request may run.
-   * @param beginsRequests see {@link QuotaBuckets.take}
-   */
+  /** Asks whether one request may run; calls back when it may, or that it may not. */
   spend(
-    quota: ToldQuota,
-    beginsRequests: number,
+    question: QuotaQuestion,
     timeoutMilliseconds: number,
     done: (outcome: QuotaOutcome) => void,
   ): void {
@@ -68,21 +74,13 @@
       done({ tag: 'OutOfReach' });
       return;
     }
-    const spending: Spending = {
-      quota,
-      beginsRequests,
-      record,
-      until: runtime.now() + timeoutMilliseconds,
-      done,
-      waiting: [],
-      open: 0,
-      over: false,
-      waitMilliseconds: undefined,
-    };
+    const until = runtime.now() + timeoutMilliseconds;
+    const state = { waiting: [], refusals: [], open: 0, over: false, isHeld: false };
+    const spending: Spending = { question, record, until, done, ...state };
     for (const member of this.inDrawnOrder(record.members)) {
-      const left = this.refusalLeft(spending, member);
-      if (left > 0) {
-        noteRefusal(spending, left);
+      const waitMilliseconds = this.refusalLeft(spending, member);
+      if (waitMilliseconds > 0) {
+        spending.refusals.push({ member, waitMilliseconds });
       } else {
         spending.waiting.push(member);
       }
@@ -101,55 +99,82 @@
   }
 
   private askNext(spending: Spending): void {
-    const { runtime, caller } = this.options;
-    const left = spending.until - runtime.now();
     if (spending.over) {
       return;
     }
-    const member = left > 0 ? spending.waiting.shift() : undefined;
+    const hasTime = spending.until > this.options.runtime.now();
+    const member = hasTime ? spending.waiting.shift() : undefined;
     if (member === undefined) {
-      this.endIfAnswered(spending);
+      this.holdOrEnd(spending, hasTime);
       return;
     }
-    spending.open += 1;
-    const { quota, beginsRequests, record } = spending;
-    const request = { type: 'spend' as const, epoch: record.epoch, quota, beginsRequests };
-    caller.call(member, request, left, (reply) => {
-      spending.open -= 1;
-      this.take(spending, member, reply);
-    });
-    runtime.setTimer(HEDGE_MILLISECONDS, () => {
+    this.ask(spending, member, 0);
+    this.options.runtime.setTimer(HEDGE_MILLISECONDS, () => {
       if (spending.waiting.length > 0) {
         this.askNext(spending);
       }
     });
   }
 
+  private ask(spending: Spending, member: Member, patienceMilliseconds: number): void {
+    const { runtime, caller } = this.options;
+    const { question, record, until } = spending;
+    const request = { ...question, type: 'spend' as const, epoch: record.epoch };
+    spending.open += 1;
+    caller.call(member, { ...request, patienceMilliseconds }, until - runtime.now(), (reply) => {
+      spending.open -= 1;
+      this.take(spending, member, reply);
+    });
+  }
+
   private take(spending: Spending, member: Member, reply: ReplicaReply | undefined): void {
     if (spending.over) {
       return;
     }
     if (reply?.type === 'spent' && reply.outcome === 'done') {
-      if (reply.granted) {
-        finish(spending, { tag: 'Granted' });
+      const { granted, waitMilliseconds } = reply;
+      if (granted) {
+        this.grant(spending, waitMilliseconds);
         return;
       }
-      this.rememberRefusal(spending, member, reply.waitMilliseconds);
-      noteRefusal(spending, reply.waitMilliseconds);
+      this.rememberRefusal(spending, member, waitMilliseconds);
+      spending.refusals.push({ member, waitMilliseconds });
     }
     this.askNext(spending);
   }
 
-  private endIfAnswered(spending: Spending): void {
-    if (spending.open > 0 && spending.until > this.options.runtime.now()) {
+  private grant(spending: Spending, waitMilliseconds: number): void {
+    spending.over = true;
+    if (waitMilliseconds > 0) {
+      const granted = (): void => spending.done({ tag: 'Granted' });
+      this.options.runtime.setTimer(waitMilliseconds, granted);
+    } else {
+      spending.done({ tag: 'Granted' });
+    }
+  }
+
+  /** Nobody is left to ask: takes the next place of the member that has room soonest, or gives up. */
+  private holdOrEnd(spending: Spending, hasTime: boolean): void {
+    if (spending.open > 0 && hasTime) {
+      return;
+    }
+    const soonest = spending.refusals.reduce<Spending['refusals'][number] | undefined>(
+      (best, each) =>
+        best === undefined || each.waitMilliseconds < best.waitMilliseconds ? each : best,
+      undefined,
+    );
+    const { patienceMilliseconds } = spending.question;
+    const mayHold = hasTime && !spending.isHeld && patienceMilliseconds > 0;
+    if (soonest !== undefined && mayHold && soonest.waitMilliseconds <= patienceMilliseconds) {
+      spending.isHeld = true;
+      this.ask(spending, soonest.member, patienceMilliseconds);
       return;
     }
-    const { waitMilliseconds } = spending;
-    finish(
-      spending,
-      waitMilliseconds === undefined
+    spending.over = true;
+    spending.done(
+      soonest === undefined
         ? { tag: 'OutOfReach' }
-        : { tag: 'Exhausted', waitMilliseconds },
+        : { tag: 'Exhausted', waitMilliseconds: soonest.waitMilliseconds },
     );
   }
 
@@ -171,17 +196,8 @@
   }
 }
 
-function refusalKey({ quota, beginsRequests }: Spending, member: Member): string {
-  return `${member.id} ${beginsRequests > 0 ? 'program' : 'request'} ${quota.version} ${quota.tenant}`;
-}
-
-function noteRefusal(spending: Spending, waitMilliseconds: number): void {
-  spending.waitMilliseconds = Math.min(spending.waitMilliseconds ?? Infinity, waitMilliseconds);
-}
-
-function finish(spending: Spending, outcome: QuotaOutcome): void {
-  if (!spending.over) {
-    spending.over = true;
-    spending.done(outcome);
-  }
+function refusalKey({ question }: Spending, member: Member): string {
+  const { quota, beginsRequests } = question;
+  const kind = beginsRequests > 0 ? 'program' : 'request';
+  return `${member.id} ${kind} ${quota.version} ${quota.tenant}`;
 }
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -229,8 +229,12 @@
       return { outcome: refused, granted: false, waitMilliseconds: 0 };
     }
     const share = 1 / current.members.length;
+    const { quota, beginsRequests, patienceMilliseconds } = request;
     const now = this.options.runtime.now();
-    return { outcome, ...this.quotas.take(request.quota, share, request.beginsRequests, now) };
+    return {
+      outcome,
+      ...this.quotas.take(quota, share, beginsRequests, now, patienceMilliseconds),
+    };
   }
 
   private readChain(turn: string): ReturnType<ReplicaState['chainOf']> {
