--- a/soak/configuration-check.ts
+++ b/soak/configuration-check.ts
@@ -5,7 +5,7 @@
 import { request as httpRequest } from 'node:http';
 import { PLATFORM_HEADER_NAMES as NAMES } from '../platform/header-names.js';
 import { SOAK_APPLY_MILLISECONDS, SOAK_PORTS } from './platform-process.js';
-import { SOAK_HOST } from './soak-client.js';
+import { SOAK_HOST, SOAK_KEY } from './soak-client.js';
 
 /** Time after a trouble in which a gateway owes nothing, in milliseconds. */
 const CONTACT_MILLISECONDS = 3_000;
@@ -108,6 +108,7 @@
       host: SOAK_HOST,
       [NAMES.requestId]: `look-${host}-${this.requestCount}`,
       [NAMES.timeout]: String(ANSWER_MILLISECONDS),
+      [NAMES.key]: `Token ${SOAK_KEY}`,
     };
     return new Promise((resolve) => {
       const target = { host, port: SOAK_PORTS.front, path: `/${route}/look`, headers };
--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -30,6 +30,13 @@
 /** Time within which a change of the configuration must be in force, in milliseconds. */
 export const SOAK_APPLY_MILLISECONDS = 2_000;
 
+/** Bounds on tenants. */
+export const SOAK_BOUNDS = {
+  revokeMilliseconds: 4_000,
+  quotaOvershoot: 0.1,
+  quotaSlack: 20,
+};
+
 const PROGRAM = resolve('target/main.mjs');
 const HEAP_MEGABYTES = 160;
 
@@ -51,7 +58,15 @@
     InternalPorts: [SOAK_PORTS.peer, SOAK_PORTS.metrics],
     Seeds: seeds,
     DataDir: role === 'replica' ? join(folder, 'data') : null,
-    Bounds: { GraceS: 8, ConfigApplyMs: SOAK_APPLY_MILLISECONDS, DrainMs: SOAK_APPLY_MILLISECONDS },
+    Bounds: {
+      GraceS: 8,
+      ConfigApplyMs: SOAK_APPLY_MILLISECONDS,
+      DrainMs: SOAK_APPLY_MILLISECONDS,
+      StrictRevoke: true,
+      RevokeMs: SOAK_BOUNDS.revokeMilliseconds,
+      QuotaOvershoot: SOAK_BOUNDS.quotaOvershoot,
+      QuotaSlack: SOAK_BOUNDS.quotaSlack,
+    },
     Platform: { Address: storeAddress },
   };
 }
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -14,13 +14,21 @@
 import { createRandom } from '../src/runtime/random.js';
 import type { RandomSource } from '../src/runtime/random.js';
 import { ConfigurationCheck } from './configuration-check.js';
+import { LIMITED_KEY, LIMITED_RATE, TenantCheck } from './tenant-check.js';
 import { FaultProxy } from './fault-proxy.js';
 import type { ProxyMode } from './fault-proxy.js';
 import { PlatformProcess, SOAK_PORTS } from './platform-process.js';
 import type { PlatformRole } from './platform-process.js';
 import { FAULTS, REPLICAS_TOGETHER, STORE_FAULTS, targetsOf } from './soak-faults.js';
 import type { Fault, FaultTargets } from './soak-faults.js';
-import { SOAK_EVENTS, SOAK_HOST, SOAK_TOKENS_PER_EVENT, SoakClient } from './soak-client.js';
+import {
+  SOAK_EVENTS,
+  SOAK_HOST,
+  SOAK_KEY,
+  SOAK_TENANT,
+  SOAK_TOKENS_PER_EVENT,
+  SoakClient,
+} from './soak-client.js';
 import type { SoakCounts } from './soak-client.js';
 
 /** What a soak is run with. */
@@ -40,6 +48,10 @@
   readonly pairs: Readonly<Record<string, number>>;
   /** Looks at the configuration of gateways in touch. */
   readonly configurationLooks: number;
+  /** Requests sent under keys that were taken away. */
+  readonly oldKeyRequests: number;
+  /** Requests of the tenant with a limit that were answered. */
+  readonly limitedAnswers: number;
   readonly violations: readonly string[];
   /** Where the logs of the processes are. */
   readonly folder: string;
@@ -124,13 +136,20 @@
   private readonly lasting = new Map<Fault, readonly string[]>();
   private addedRoutes: string[] = [];
   private readonly configuration: ConfigurationCheck;
+  private readonly tenants: TenantCheck;
+  /** Key that each change of the configuration takes away. */
+  private guestKey = 'key-of-guest-0';
 
   constructor(private readonly options: SoakOptions) {
     this.random = createRandom(options.seed, 'soak');
-    this.configuration = new ConfigurationCheck({
-      gatewayHosts: Array.from({ length: GATEWAYS }, (_, index) => gatewayHost(index + 1)),
-      violate: (promise, detail) => this.violations.push(`${promise}: ${detail}`),
-    });
+    const gatewayHosts = Array.from({ length: GATEWAYS }, (_, index) => gatewayHost(index + 1));
+    const violate = (promise: string, detail: string): void => {
+      this.violations.push(`${promise}: ${detail}`);
+    };
+    this.configuration = new ConfigurationCheck({ gatewayHosts, violate });
+    const { runners } = this;
+    const random = createRandom(options.seed, 'tenants');
+    this.tenants = new TenantCheck({ random, gatewayHosts, runners, violate });
   }
 
   async run(): Promise<SoakReport> {
@@ -141,6 +160,7 @@
     );
     const work = clients.map((client) => client.run(() => over));
     work.push(this.configuration.run(() => over));
+    work.push(this.tenants.run(() => over));
     await this.strikeUntil(performance.now() + this.options.minutes * 60_000);
     over = true;
     await Promise.all(work);
@@ -149,7 +169,9 @@
     const { seed } = this.options;
     const { counts, faults, pairs, violations, folder } = this;
     const { looks: configurationLooks } = this.configuration;
-    return { seed, counts, faults, pairs, configurationLooks, violations, folder };
+    const { oldKeyRequests, limitedAnswers } = this.tenants;
+    const looks = { configurationLooks, oldKeyRequests, limitedAnswers };
+    return { seed, counts, faults, pairs, ...looks, violations, folder };
   }
 
   /** Strikes in series, and now and then while another fault lasts. */
@@ -278,6 +300,8 @@
   private changeConfiguration(): void {
     this.version += this.random.integer(1, 4);
     const added = `added-${this.version}`;
+    const before = this.guestKey;
+    this.guestKey = `key-of-guest-${this.version}`;
     this.addedRoutes.push(added);
     const dropped = this.addedRoutes.slice(0, -KEPT_ROUTES);
     this.store.put(CONFIGURATION_KEY, {
@@ -289,6 +313,17 @@
         ...this.addedRoutes.slice(-KEPT_ROUTES).map((name) => route(name, 'idempotent', {})),
       ],
       Services: [{ Name: SERVICE, MaxConnections: 60, Engine: { Stride: SOAK_TOKENS_PER_EVENT } }],
+      Tenants: [
+        { Name: SOAK_TENANT, ApiKeys: [SOAK_KEY], Priority: 0 },
+        { Name: 'guest', ApiKeys: [this.guestKey], Priority: 1 },
+        {
+          Name: 'limited',
+          ApiKeys: [LIMITED_KEY],
+          Priority: 1,
+          RatePerS: LIMITED_RATE,
+          Burst: LIMITED_RATE,
+        },
+      ],
       Limits: {
         MaxHeaderBytes: 16_384,
         MaxBodyBytes: 4_194_304,
@@ -297,6 +332,7 @@
       },
     });
     this.configuration.acknowledge(this.version, added, dropped);
+    this.tenants.removeKey(before);
   }
 
   private async strike(fault: Fault, struck: readonly string[]): Promise<void> {
--- a/soak/soak-client.ts
+++ b/soak/soak-client.ts
@@ -8,6 +8,9 @@
 
 /** Host of the routes. */
 export const SOAK_HOST = 'soak.example';
+/** Tenant of the clients, and its key. */
+export const SOAK_TENANT = 'soak';
+export const SOAK_KEY = 'key-of-soak';
 /** Events of each stream, and tokens in each event. */
 export const SOAK_EVENTS = 6;
 export const SOAK_TOKENS_PER_EVENT = 10;
@@ -151,8 +154,18 @@
     }
   }
 
+  /** Runners are told the tenant and never the key. */
+  private checkTenant(id: string): void {
+    for (const { headers } of this.runsOf(id)) {
+      if (headers[NAMES.tenant] !== SOAK_TENANT || headers[NAMES.key] !== undefined) {
+        this.context.violate('tenant', `${id} ran as ${String(headers[NAMES.tenant])}`);
+      }
+    }
+  }
+
   private judge(kind: 'single' | 'repeatable', id: string, result: Result): void {
     const { counts } = this.context;
+    this.checkTenant(id);
     if (result.status === 200 && result.complete) {
       counts.answered += 1;
     } else if (PROMISES.has(result.status)) {
@@ -195,6 +208,7 @@
       'content-length': String(Buffer.byteLength(body)),
       [NAMES.requestId]: id,
       [NAMES.timeout]: String(TIMEOUT_MILLISECONDS),
+      [NAMES.key]: `Token ${SOAK_KEY}`,
       ...extra,
     };
     const nothing: Result = { status: 0, headers: {}, body: '', complete: false };
