--- a/features/steps/disk.steps.ts
+++ b/features/steps/disk.steps.ts
@@ -76,7 +76,11 @@
   assert.ok(condition(), 'it did not come to hold in time');
 }
 
-After(function (this: World) {
+After(async function (this: World) {
+  const { storage } = this;
+  if (storage !== undefined && this.live !== undefined) {
+    await new Promise<void>((resolve) => storage.close(resolve));
+  }
   if (this.folder !== undefined) {
     rmSync(this.folder, { recursive: true, force: true });
   }
@@ -142,6 +146,7 @@
 When('the disk is closed and read again', async function (this: World) {
   await new Promise<void>((resolve) => this.storage!.close(resolve));
   const storage = await SegmentTurnStorage.open(this.folder!, runtimeOf(this));
+  this.storage = storage;
   this.found = [];
   await storage.load((change) => this.found!.push(change));
 });
--- a/src/turns/segment-turn-storage.ts
+++ b/src/turns/segment-turn-storage.ts
@@ -133,7 +133,10 @@
       return;
     }
     if (this.queue.length === 0) {
-      this.closing?.();
+      if (this.closing !== undefined) {
+        this.endSegment();
+        this.closing();
+      }
       return;
     }
     this.writing = true;
