A retirement that is never reported, reproduced (known red)

In virtual time: 7 replicas, 5 members, one stands still as the machine leaves, one that stood by takes the place, and the machine waits for ever for the newcomer to read its log.

--- a/features/steps/turns.steps.ts
+++ b/features/steps/turns.steps.ts
@@ -357,29 +357,60 @@
   },
 );
 
+/** Starts replicas that gateways keep writing to. */
+function startBusyReplicas(
+  world: World,
+  count: number,
+  wantedMembers: number,
+  writesPerSecond: number,
+): void {
+  const clock = new VirtualClock();
+  const replicas = new SimulatedReplicas(clock, createRandom(1), { wantedMembers });
+  for (let index = 1; index <= count; index += 1) {
+    replicas.add(`m${index}`, `z${index}`);
+  }
+  clock.runUntil(clock.now + 6_000);
+  const { client } = replicas.client('g', 'z1', 'm2');
+  const kept: string[] = [];
+  let turns = 0;
+  const keepNext = (): void => {
+    turns += 1;
+    const id = `t${turns}`;
+    const bytes = Buffer.from(id);
+    const turn = { id, previous: '', input: bytes, output: bytes, retentionMilliseconds: 60_000 };
+    client.keep(turn, 700, (done) => done && kept.push(id));
+    clock.schedule(1_000 / writesPerSecond, keepNext);
+  };
+  keepNext();
+  clock.runUntil(clock.now + 2_000);
+  Object.assign(world, { clock, replicas, keptTurns: kept });
+}
+
 Given(
   '{int} replicas that take {int} writes a second',
   function (this: World, count: number, writes: number) {
-    const clock = new VirtualClock();
-    const replicas = new SimulatedReplicas(clock, createRandom(1));
-    for (let index = 1; index <= count; index += 1) {
-      replicas.add(`m${index}`, `z${index}`);
-    }
-    clock.runUntil(clock.now + 6_000);
-    const { client } = replicas.client('g', 'z1', 'm2');
-    const kept: string[] = [];
-    let turns = 0;
-    const keepNext = (): void => {
-      turns += 1;
-      const id = `t${turns}`;
-      const bytes = Buffer.from(id);
-      const turn = { id, previous: '', input: bytes, output: bytes, retentionMilliseconds: 60_000 };
-      client.keep(turn, 700, (done) => done && kept.push(id));
-      clock.schedule(1_000 / writes, keepNext);
-    };
-    keepNext();
-    clock.runUntil(clock.now + 2_000);
-    Object.assign(this, { clock, replicas, keptTurns: kept });
+    startBusyReplicas(this, count, Infinity, writes);
+  },
+);
+
+Given(
+  '{int} replicas of which {int} are to be members that take {int} writes a second',
+  function (this: World, count: number, wantedMembers: number, writes: number) {
+    startBusyReplicas(this, count, wantedMembers, writes);
+  },
+);
+
+When(
+  'machine {string} is to be emptied and {string} stands still for {int} milliseconds as it leaves',
+  function (this: World, name: string, slow: string, milliseconds: number) {
+    const { clock, replicas } = this;
+    assert.ok(replicas!.activeNames().includes(name) && replicas!.activeNames().includes(slow));
+    replicas!.store.retiring.add(name);
+    const hasLeft = (): boolean => !replicas!.activeNames().includes(name);
+    assert.ok(clock!.runUntil(clock!.now + 3_000, hasLeft), 'it has not left');
+    replicas!.pause(slow);
+    clock!.runUntil(clock!.now + milliseconds);
+    replicas!.resume(slow);
   },
 );
 
