--- a/features/soak.feature
+++ b/features/soak.feature
@@ -15,6 +15,8 @@
       | ignoresBudget   | budget       |
       | forgetsTurns    | history      |
       | mixesChains     | history      |
+      | namesAnother    | tenant       |
+      | passesKey       | tenant       |
 
   Scenario Outline: The check of the configuration notices a promise that is broken
     Given a gateway that lies: "<lie>"
@@ -29,3 +31,14 @@
       | forgetsRoutes | 0       | 2500 | in touch     | configuration |
       | forgetsRoutes | 0       | 500  | in touch     |               |
       | forgetsRoutes | 0       | 2500 | out of touch |               |
+
+  Scenario Outline: The check of tenants notices a promise that is broken
+    Given a gateway that lies: "<lie>"
+    When its tenants are looked at for 3500 milliseconds with a key that was taken away <age> milliseconds ago
+    Then they tell of "<promise>" and of nothing else
+
+    Examples:
+      | lie           | age  | promise        |
+      | nothing       | 4500 |                |
+      | servesOldKeys | 4500 | key taken away |
+      | ignoresLimit  | 4500 | limit          |
--- a/features/steps/soak.steps.ts
+++ b/features/steps/soak.steps.ts
@@ -6,6 +6,7 @@
 import { SOAK_PORTS } from '../../soak/platform-process.js';
 import { SoakClient } from '../../soak/soak-client.js';
 import type { SoakClientContext } from '../../soak/soak-client.js';
+import { TenantCheck } from '../../soak/tenant-check.js';
 import { RelayRunner } from '../../src/emulator/relay-runner.js';
 import { createRandom } from '../../src/runtime/random.js';
 import { LyingGateway } from '../support/lying-gateway.js';
@@ -75,6 +76,23 @@
   },
 );
 
+When(
+  'its tenants are looked at for {int} milliseconds with a key that was taken away {int} milliseconds ago',
+  async function (this: World, milliseconds: number, age: number) {
+    this.told = new Set();
+    const check = new TenantCheck({
+      random: createRandom(3),
+      gatewayHosts: [HOST],
+      runners: [this.soakRunner!],
+      violate: (promise) => this.told!.add(promise),
+    });
+    check.removeKey('key-of-guest', performance.now() - age);
+    const until = performance.now() + milliseconds;
+    await check.run(() => performance.now() > until);
+    assert.ok(check.oldKeyRequests > 0 && check.limitedAnswers > 0);
+  },
+);
+
 Then('they tell of {string} and of nothing else', function (this: World, promise: string) {
   assert.deepEqual([...this.told!], promise === '' ? [] : [promise]);
 });
--- a/features/support/lying-gateway.ts
+++ b/features/support/lying-gateway.ts
@@ -2,7 +2,13 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { PLATFORM_HEADER_NAMES as NAMES } from '../../platform/header-names.js';
-import { SOAK_EVENTS, SOAK_TOKENS_PER_EVENT } from '../../soak/soak-client.js';
+import {
+  SOAK_EVENTS,
+  SOAK_KEY,
+  SOAK_TENANT,
+  SOAK_TOKENS_PER_EVENT,
+} from '../../soak/soak-client.js';
+import { LIMITED_KEY, LIMITED_TENANT } from '../../soak/tenant-check.js';
 import type { RelayRunner } from '../../src/emulator/relay-runner.js';
 
 /** Promises that it may break; `nothing` keeps them all. */
@@ -25,8 +31,23 @@
   /** Gives a runner the chain of nobody. */
   | 'mixesChains'
   /** Knows no route that was added. */
-  | 'forgetsRoutes';
+  | 'forgetsRoutes'
+  /** Names another tenant to runners. */
+  | 'namesAnother'
+  /** Passes the key on. */
+  | 'passesKey'
+  /** Knows every key there ever was. */
+  | 'servesOldKeys'
+  /** Never says that a tenant's requests are used up. */
+  | 'ignoresLimit';
 
+/** Tenants by key. */
+const TENANTS: Readonly<Record<string, string>> = {
+  [`Token ${SOAK_KEY}`]: SOAK_TENANT,
+  [`Token ${LIMITED_KEY}`]: LIMITED_TENANT,
+};
+/** Requests of the tenant with a limit that are let in at all. */
+const LIMITED_REQUESTS = 100;
 const MOST_TOKENS = SOAK_EVENTS * SOAK_TOKENS_PER_EVENT;
 
 /** See the head of this file. */
@@ -34,6 +55,7 @@
   private readonly server: Server;
   private readonly chains = new Map<string, string>();
   private readonly handed = new Map<string, number>();
+  private limitedCount = 0;
 
   constructor(
     private readonly lie: Lie,
@@ -63,6 +85,11 @@
       response.writeHead(404).end();
       return;
     }
+    const refusal = this.refusalOf(request);
+    if (refusal !== undefined) {
+      response.writeHead(refusal).end();
+      return;
+    }
     if (request.url?.includes('stream') === true) {
       this.answerTurn(request, response, id, body);
       return;
@@ -115,8 +142,25 @@
     return this.lie === 'skipsEvent' ? all.filter((event) => event !== 2) : all;
   }
 
+  /** Status with which a request is refused for its key or its tenant's limit. */
+  private refusalOf({ headers }: IncomingMessage): number | undefined {
+    const tenant = TENANTS[String(headers[NAMES.key])];
+    if (tenant === undefined) {
+      return this.lie === 'servesOldKeys' ? undefined : 401;
+    }
+    if (tenant === LIMITED_TENANT) {
+      this.limitedCount += 1;
+      return this.limitedCount > LIMITED_REQUESTS && this.lie !== 'ignoresLimit' ? 429 : undefined;
+    }
+    return undefined;
+  }
+
   private run(request: IncomingMessage, requestId: string, body: string): void {
-    const { method = '', url: path = '', headers } = request;
+    const { method = '', url: path = '' } = request;
+    const { [NAMES.key]: key, ...others } = request.headers;
+    const tenant = this.lie === 'namesAnother' ? 'another' : TENANTS[String(key)];
+    const told = { ...others, [NAMES.tenant]: tenant };
+    const headers = this.lie === 'passesKey' ? { ...told, [NAMES.key]: key } : told;
     this.runner.runs.push({ requestId, method, path, body, headers, left: false });
   }
 
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -14,7 +14,7 @@
 import { createRandom } from '../src/runtime/random.js';
 import type { RandomSource } from '../src/runtime/random.js';
 import { ConfigurationCheck } from './configuration-check.js';
-import { LIMITED_KEY, LIMITED_RATE, TenantCheck } from './tenant-check.js';
+import { LIMITED_KEY, LIMITED_RATE, LIMITED_TENANT, TenantCheck } from './tenant-check.js';
 import { FaultProxy } from './fault-proxy.js';
 import type { ProxyMode } from './fault-proxy.js';
 import { PlatformProcess, SOAK_PORTS } from './platform-process.js';
@@ -317,7 +317,7 @@
         { Name: SOAK_TENANT, ApiKeys: [SOAK_KEY], Priority: 0 },
         { Name: 'guest', ApiKeys: [this.guestKey], Priority: 1 },
         {
-          Name: 'limited',
+          Name: LIMITED_TENANT,
           ApiKeys: [LIMITED_KEY],
           Priority: 1,
           RatePerS: LIMITED_RATE,
--- a/soak/tenant-check.ts
+++ b/soak/tenant-check.ts
@@ -10,7 +10,8 @@
 import { SOAK_BOUNDS, SOAK_PORTS } from './platform-process.js';
 import { SOAK_HOST } from './soak-client.js';
 
-/** Key of the tenant whose limit is checked, and its limit. */
+/** Name and key of the tenant whose limit is checked, and its limit. */
+export const LIMITED_TENANT = 'limited';
 export const LIMITED_KEY = 'key-of-limited';
 export const LIMITED_RATE = 20;
 const LIMITED_SENT_PER_SECOND = 60;
@@ -55,9 +56,9 @@
 
   constructor(private readonly options: TenantCheckOptions) {}
 
-  /** Notes that a configuration without a key was acknowledged just now. */
-  removeKey(key: string): void {
-    this.removed.push({ key, removedAt: performance.now() });
+  /** Notes that a configuration without a key was acknowledged at a local time, in milliseconds. */
+  removeKey(key: string, removedAt = performance.now()): void {
+    this.removed.push({ key, removedAt });
   }
 
   /** Sends until told to stop, then looks at all windows. */
