--- a/src/turns/segment-turn-storage.ts
+++ b/src/turns/segment-turn-storage.ts
@@ -23,7 +23,10 @@
 const REFUSED_MILLISECONDS = 500;
 /** Length at which a segment is ended: a start reads one at a time into memory. */
 const SEGMENT_BYTES = 8 * 1024 * 1024;
-/** Time after the start in which nothing is compacted: callers wait for it then, in milliseconds. */
+/**
+ * Time after the start in which nothing is compacted, since callers wait for other work then, in
+ * milliseconds; as much again is drawn, so that replicas that started together don't compact together.
+ */
 const SETTLING_MILLISECONDS = 20_000;
 const EMPTY_DISK: DiskUse = { bytes: 0, segments: 0 };
 
@@ -52,7 +55,8 @@
   /** What the last compaction left. */
   private left = EMPTY_DISK;
   private compacting = false;
-  private readonly openedAt: number;
+  /** Local time before which nothing is compacted, in milliseconds. */
+  private readonly settledAt: number;
   private closing: (() => void) | undefined;
   /** Everything that is to survive a compaction; set by the replica. */
   private liveChanges: () => Iterable<StorageChange> = () => [];
@@ -63,7 +67,7 @@
     private readonly folder: string,
     private readonly runtime: Runtime,
   ) {
-    this.openedAt = runtime.now();
+    this.settledAt = runtime.now() + SETTLING_MILLISECONDS * (1 + runtime.random.uniform());
   }
 
   /** Opens a folder, made when it is missing. Rejects when the disk refuses. */
@@ -202,8 +206,7 @@
   /** Writes the live state into new segments; once that is synced, the older ones may go. */
   private compactIfDue(): void {
     const { use, left, runtime } = this;
-    const isSettling = runtime.now() - this.openedAt < SETTLING_MILLISECONDS;
-    if (this.compacting || isSettling || !isCompactionDue(use, left)) {
+    if (this.compacting || runtime.now() < this.settledAt || !isCompactionDue(use, left)) {
       return;
     }
     this.compacting = true;
