--- a/features/steps/quotas.steps.ts
+++ b/features/steps/quotas.steps.ts
@@ -181,6 +181,50 @@
   assert.ok(caught.some(({ violations }) => violations.length > 0));
 });
 
+/** A gateway's side of the exchange with what it sent; its clock begins at 0, as each process's does. */
+function startAsking(seed: number) {
+  const clock = new VirtualClock();
+  const runtime = new SimulatedProcess('g', clock, createRandom(seed)).begin();
+  const proof = new ConfigurationProof(runtime, () => 1);
+  const sent: Uint8Array[] = [];
+  let listener: (bytes: Uint8Array, from: string) => void = () => undefined;
+  const datagrams: DatagramPort = {
+    onDatagram: (taken) => {
+      listener = taken;
+    },
+    send: (bytes) => sent.push(bytes),
+    close: () => undefined,
+  };
+  new ProofExchange({
+    runtime,
+    datagrams,
+    proof,
+    hostsToAsk: () => ['other'],
+    isNeeded: () => true,
+  });
+  const take = (bytes: Uint8Array): void => listener(bytes, 'other');
+  return { clock, proof, sent, take };
+}
+
+Then(
+  'a gateway that was started again takes no answer to what it asked before, and takes those to what it asks now',
+  function () {
+    const before = startAsking(1);
+    before.clock.runUntil(450);
+    const other = startAsking(2);
+    other.proof.noteRead(0);
+    other.take(before.sent.at(-1)!);
+    const late = other.sent.at(-1)!;
+    const again = startAsking(3);
+    again.clock.runUntil(1_000);
+    again.take(late);
+    assert.equal(again.proof.ageMilliseconds, Infinity);
+    other.take(again.sent.at(-1)!);
+    again.take(other.sent.at(-1)!);
+    assert.equal(again.proof.proven?.revision, 1);
+  },
+);
+
 Then(
   'a gateway that lacks the newest configuration has no proof of it until it takes it',
   function () {
--- a/features/tenants.feature
+++ b/features/tenants.feature
@@ -83,6 +83,9 @@
     Then in any exchange with late, lost and repeated words between frozen gateways no proof is too young
     And a believer in the time of receipt would be caught
 
+  Scenario: An answer to a question of an earlier life proves nothing
+    Then a gateway that was started again takes no answer to what it asked before, and takes those to what it asks now
+
   Scenario: A proof of a newer configuration counts once that has come
     Then a gateway that lacks the newest configuration has no proof of it until it takes it
 
--- a/src/relay/authenticate.ts
+++ b/src/relay/authenticate.ts
@@ -5,14 +5,13 @@
  */
 import type { OwnAnswer } from './client-answer.js';
 import type { HeaderNames } from './header-names.js';
+import { RETRY_WITHOUT_PROOF_SECONDS } from './own-answers.js';
 import type { Route, RoutingTable } from './routing-table.js';
 import { digestOfKey } from './tenant.js';
 import type { ApiKey, Tenant } from './tenant.js';
 
 /** Longest key that is looked up, in characters. */
 const LONGEST_KEY = 1_024;
-/** A proof comes within half a second of the store's return, or another gateway has one already. */
-const RETRY_WITHOUT_PROOF_SECONDS = 0.5;
 
 /** How the client is to name its key. */
 const KEY_PATTERN = /^token +([\x21-\x7e]+) *$/i;
@@ -62,7 +61,7 @@
 }
 
 /** The key of a request; undefined when there is none, two, or one of another scheme. */
-export function keyOf(rawHeaders: readonly string[], header: string): ApiKey | undefined {
+function keyOf(rawHeaders: readonly string[], header: string): ApiKey | undefined {
   const [value, second] = valuesOf(rawHeaders, header);
   if (value === undefined || second !== undefined) {
     return undefined;
--- a/src/relay/own-answers.ts
+++ b/src/relay/own-answers.ts
@@ -14,6 +14,8 @@
 /** Pause told to clients when another gateway may reach what this one doesn't. */
 const ELSEWHERE_RETRY_SECONDS = 0.02;
 
+/** A proof comes within half a second of the store's return, or another gateway has one already. */
+export const RETRY_WITHOUT_PROOF_SECONDS = 0.5;
 /** Least pause told to clients of a tenant whose requests are used up. */
 const LEAST_QUOTA_RETRY_SECONDS = 0.05;
 const MILLISECONDS_IN_SECOND = 1_000;
--- a/src/relay/relay-front.ts
+++ b/src/relay/relay-front.ts
@@ -6,6 +6,7 @@
 import type { Authentication } from './authenticate.js';
 import { ClientAnswer } from './client-answer.js';
 import type { OwnAnswer } from './client-answer.js';
+import { RETRY_WITHOUT_PROOF_SECONDS } from './own-answers.js';
 import { RelayCall } from './relay-call.js';
 import type { RelayContext } from './relay-context.js';
 import { parsePromptParts, parseTokenUsage } from './relay-request.js';
@@ -18,8 +19,6 @@
 const PARSER_HEADER_BYTES = 64 * 1024;
 const CHECK_MILLISECONDS = 1_000;
 const RETRY_WITHOUT_CONFIGURATION_SECONDS = 0.2;
-/** A proof comes within half a second of the store's return, or another gateway has one already. */
-const RETRY_WITHOUT_PROOF_SECONDS = 0.5;
 const DEFAULT_TIMEOUT_MILLISECONDS = 30_000;
 /** Longest queue of connections that are not accepted yet. */
 const BACKLOG = 1_024;
