--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -23,10 +23,14 @@
   | 'done'
   /** The sender's epoch is older: a `members` message with the newest record went ahead. */
   | 'staleEpoch'
-  /** This replica may not answer: it is not a member, or its state is not complete yet. */
+  /** This replica is not a member. */
   | 'inactive'
   /** Its disk refused. */
-  | 'diskFailed';
+  | 'diskFailed'
+  /** It is a member, and its state is not complete yet. */
+  | 'incomplete'
+  /** It knows only an older epoch than the sender does. */
+  | 'olderEpoch';
 
 /** All outcomes, in the order of the wire format; append only. */
 export const REPLICA_OUTCOMES: readonly ReplicaOutcome[] = [
@@ -34,6 +38,8 @@
   'staleEpoch',
   'inactive',
   'diskFailed',
+  'incomplete',
+  'olderEpoch',
 ];
 
 /** What a replica knows of a chain of turns. */
--- a/src/turns/quorum-write.ts
+++ b/src/turns/quorum-write.ts
@@ -7,7 +7,7 @@
 import type { Runtime } from '../runtime/runtime.js';
 import { majorityOf } from './membership.js';
 import type { Member, MemberRecord } from './membership.js';
-import type { ReplicaReply } from './messages.js';
+import type { ReplicaOutcome, ReplicaReply } from './messages.js';
 import type { ReplicaCaller, UnnumberedRequest } from './replica-caller.js';
 
 /** Time after which the replicas left out are asked as well, in milliseconds. */
@@ -22,8 +22,16 @@
   /** Writes with the same key go to the same replicas first. */
   readonly key: string;
   readonly timeoutMilliseconds: number;
+  /** Told what the members said when no majority acknowledged. */
+  readonly onFailed?: (outcomes: MemberOutcomes) => void;
 }
 
+/** How a member took a write; `none` while it has not answered, or when it did not. */
+export type MemberOutcome = ReplicaOutcome | 'none';
+
+/** What each member that was asked said last. */
+export type MemberOutcomes = ReadonlyMap<Member, MemberOutcome>;
+
 /** Members in the order in which they are asked for a key. */
 export function membersForKey(record: MemberRecord, key: string): Member[] {
   const weight = (member: Member): number => hashToNumber(`${key} ${member.id}`);
@@ -34,6 +42,7 @@
   private readonly waiting: Member[];
   private readonly needed: number;
   private readonly replies: ReplicaReply[] = [];
+  private readonly outcomes = new Map<Member, MemberOutcome>();
   private readonly until: number;
   private open = 0;
   private over = false;
@@ -65,16 +74,19 @@
     const asked = this.waiting.splice(0, count);
     this.open += asked.length;
     for (const member of asked) {
-      this.caller.call(member, this.write.request, left, (reply) => this.take(reply));
+      this.outcomes.set(member, 'none');
+      this.caller.call(member, this.write.request, left, (reply) => this.take(member, reply));
     }
   }
 
-  private take(reply: ReplicaReply | undefined): void {
+  private take(member: Member, reply: ReplicaReply | undefined): void {
     this.open -= 1;
     if (this.over) {
       return;
     }
-    if (reply !== undefined && 'outcome' in reply && reply.outcome === 'done') {
+    const outcome = reply !== undefined && 'outcome' in reply ? reply.outcome : 'none';
+    this.outcomes.set(member, outcome);
+    if (reply !== undefined && outcome === 'done') {
       this.replies.push(reply);
     } else {
       this.ask(1);
@@ -89,6 +101,7 @@
   private endIfHopeless(): void {
     const possible = this.replies.length + this.open + this.waiting.length;
     if (!this.over && possible < this.needed) {
+      this.write.onFailed?.(this.outcomes);
       this.finish(undefined);
     }
   }
--- a/src/turns/replica-sync.ts
+++ b/src/turns/replica-sync.ts
@@ -8,7 +8,7 @@
 import { REMOVAL_MILLISECONDS } from './decide-membership.js';
 import type { MemberDirectory } from './member-directory.js';
 import { hasMember, majorityOf, readQuorumOf } from './membership.js';
-import type { Member } from './membership.js';
+import type { Member, MemberRecord } from './membership.js';
 import type { ReplicaReply } from './messages.js';
 import { PRESENCE_PROBE } from './replica-caller.js';
 import type { ReplicaCaller } from './replica-caller.js';
@@ -24,6 +24,8 @@
 const CALL_MILLISECONDS = 1_000;
 /** Pause between two questions whether a member is there, while this replica stands by. */
 const LOOK_MILLISECONDS = 1_000;
+/** Pause between two lines that tell why this replica's state is not complete yet, in milliseconds. */
+const INCOMPLETE_LINE_MILLISECONDS = 1_000;
 /** Time for which a member that left is still read, so that it can hand over, in milliseconds. */
 const FAREWELL_MILLISECONDS = 10_000;
 
@@ -76,6 +78,7 @@
   /** Local time at which a pull was sent that a member answered without a newer record, by member. */
   private readonly confirmedAt = new Map<string, number>();
   private readonly cancelLook: CancelTimer;
+  private nextIncompleteLineAt = -Infinity;
   private becomingReady = false;
   private closed = false;
 
@@ -347,6 +350,7 @@
     });
     const needed = Math.min(readQuorumOf(record), record.members.length - 1);
     if (read.length < needed) {
+      this.logIncomplete(record, needed);
       return;
     }
     this.becomingReady = true;
@@ -355,4 +359,28 @@
       this.becomingReady = false;
     });
   }
+
+  /** Tells what is known of each other member while too few complete ones have been read. */
+  private logIncomplete(record: MemberRecord, needed: number): void {
+    const { runtime } = this.options;
+    if (runtime.now() < this.nextIncompleteLineAt) {
+      return;
+    }
+    this.nextIncompleteLineAt = runtime.now() + INCOMPLETE_LINE_MILLISECONDS;
+    const { epoch } = record;
+    const others = this.others().map(({ id }) => `${id}=${this.progressOf(id, epoch)}`);
+    const fields = { event: 'replica.incomplete', epoch, needed, others: others.join(' ') };
+    runtime.log('info', 'too few complete replicas have been read', fields);
+  }
+
+  private progressOf(member: string, epoch: number): string {
+    const peer = this.peers.get(member);
+    if (peer === undefined) {
+      return 'unheard';
+    }
+    if (!peer.active) {
+      return 'inactive';
+    }
+    return peer.levelEpoch >= epoch ? 'read' : 'reading';
+  }
 }
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -96,8 +96,15 @@
       options.directory.offerText(storedMeta.members, 'disk');
     }
     const { programs, turns } = this.state.counts;
-    const fields = { event: 'replica.restored', ready: this.isReady, programs, turns };
-    options.runtime.log('info', 'state read from disk', fields);
+    options.runtime.log('info', 'state read from disk', {
+      event: 'replica.restored',
+      ready: this.isReady,
+      // Without any record of itself the disk is new, or lost.
+      emptyDisk: storedMeta === undefined,
+      epoch: options.directory.current?.epoch ?? 0,
+      programs,
+      turns,
+    });
   }
 
   /** Whether its state is complete: it holds all that it ever acknowledged. */
@@ -214,7 +221,13 @@
       send({ type: 'members', record: currentText });
       return 'staleEpoch';
     }
-    return this.active && epoch === current?.epoch ? 'done' : 'inactive';
+    if (!hasMember(current, this.options.id)) {
+      return 'inactive';
+    }
+    if (!this.isReady) {
+      return 'incomplete';
+    }
+    return epoch === current?.epoch ? 'done' : 'olderEpoch';
   }
 
   /** Decides on a tenant's request, as long as this replica is sure to be one of the members. */
--- a/src/turns/segment-turn-storage.ts
+++ b/src/turns/segment-turn-storage.ts
@@ -93,6 +93,13 @@
         this.runtime.log('warn', 'segment ends in a torn write', fields);
       }
     }
+    const { segments, use } = this;
+    const numbers = segments.map((segment) => segment.number).join(' ');
+    this.runtime.log('info', 'segments read', {
+      event: 'disk.read',
+      segments: numbers,
+      bytes: use.bytes,
+    });
   }
 
   /** Tells what is to survive when old segments are removed. */
--- a/src/turns/turn-client.ts
+++ b/src/turns/turn-client.ts
@@ -7,12 +7,14 @@
 import type { Account } from './account.js';
 import { mergeReservation } from './account.js';
 import { ChainCache } from './chain-cache.js';
+import { FailedWriteLog } from './failed-write-log.js';
 import type { KeptTurn } from './kept-turn.js';
 import type { MemberDirectory } from './member-directory.js';
 import { readQuorumOf } from './membership.js';
 import type { Member, MemberRecord } from './membership.js';
 import type { ReplicaReply } from './messages.js';
 import { writeToQuorum } from './quorum-write.js';
+import type { MemberOutcomes } from './quorum-write.js';
 import type { ReplicaCaller, UnnumberedRequest } from './replica-caller.js';
 
 /** How a reservation ended. */
@@ -59,8 +61,11 @@
 /** See the head of this file. */
 export class TurnClient {
   private readonly chains = new ChainCache();
+  private readonly failedWrites: FailedWriteLog;
 
-  constructor(private readonly options: TurnClientOptions) {}
+  constructor(private readonly options: TurnClientOptions) {
+    this.failedWrites = new FailedWriteLog(options.runtime);
+  }
 
   /** Reserves tokens for a turn; grants only what a majority has on disk. */
   reserve(
@@ -166,7 +171,13 @@
       done(undefined);
       return;
     }
-    const write = { record, request: request(record.epoch), key, timeoutMilliseconds: left };
+    const write = {
+      record,
+      request: request(record.epoch),
+      key,
+      timeoutMilliseconds: left,
+      onFailed: (outcomes: MemberOutcomes) => this.failedWrites.note(record.epoch, outcomes),
+    };
     writeToQuorum(runtime, this.options.caller, write, (replies) => {
       const changed = (directory.current?.epoch ?? 0) > record.epoch;
       if (replies === undefined && (changed || until - runtime.now() > EPOCH_RETRY_MILLISECONDS)) {
