--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -3,6 +3,10 @@
 import type { ChildProcess } from 'node:child_process';
 import { createWriteStream, mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import { join, resolve } from 'node:path';
+import { pathToFileURL } from 'node:url';
+import type { RandomSource } from '../src/runtime/random.js';
+import { losePower } from './power-loss-ledger.js';
+import type { PowerLoss, RecordedFolder } from './power-loss-ledger.js';
 
 /** The role of a process. */
 export type PlatformRole = 'gateway' | 'replica';
@@ -39,6 +43,14 @@
 
 const PROGRAM = resolve('target/main.mjs');
 const HEAP_MEGABYTES = 160;
+/** Loaded before the program where there is a disk. */
+const RECORDER = pathToFileURL(resolve('dist/soak/record-disk.js')).href;
+/** Parts of the names that were not synced which a loss of power takes away. */
+const NAME_LOSSES = [0.5, 1];
+
+function dataFolder(folder: string): string {
+  return join(folder, 'data');
+}
 
 function settingsOf(machine: SoakMachine, folder: string): Record<string, unknown> {
   const { name, host, zone, role, seeds, storeAddress } = machine;
@@ -57,7 +69,7 @@
     Listen: listen,
     InternalPorts: [SOAK_PORTS.peer, SOAK_PORTS.metrics],
     Seeds: seeds,
-    DataDir: role === 'replica' ? join(folder, 'data') : null,
+    DataDir: role === 'replica' ? dataFolder(folder) : null,
     Bounds: {
       GraceS: 8,
       ConfigApplyMs: SOAK_APPLY_MILLISECONDS,
@@ -78,12 +90,14 @@
   private endExpected = false;
   /** Exits that nobody asked for. */
   readonly ownExits: string[] = [];
+  private readonly disk: RecordedFolder;
 
   constructor(
     readonly machine: SoakMachine,
     private readonly folder: string,
   ) {
     mkdirSync(folder, { recursive: true });
+    this.disk = { root: dataFolder(folder), ledger: join(folder, 'disk-ledger') };
   }
 
   /** Whether the process lives. */
@@ -96,9 +110,7 @@
     const file = join(this.folder, 'node.json');
     writeFileSync(file, JSON.stringify(settingsOf(this.machine, this.folder)));
     const log = createWriteStream(join(this.folder, 'log'), { flags: 'a' });
-    const words = [`--max-old-space-size=${HEAP_MEGABYTES}`, PROGRAM, this.machine.role];
-    const environment = { ...process.env, IVYLOOM_NODE_FILE: file };
-    const child = spawn(process.execPath, words, { env: environment });
+    const child = spawn(process.execPath, this.words(), { env: this.environment(file) });
     child.stdout.pipe(log);
     child.stderr.pipe(log);
     this.child = child;
@@ -135,6 +147,26 @@
 
   /** Empties the disk of an ended process. */
   wipe(): void {
-    rmSync(join(this.folder, 'data'), { recursive: true, force: true });
+    rmSync(this.disk.root, { recursive: true, force: true });
+    rmSync(this.disk.ledger, { force: true });
+  }
+
+  /** Takes from the disk of an ended process what was not synced. */
+  losePower(random: RandomSource): PowerLoss {
+    return losePower(this.disk, { random, nameLoss: random.pick(NAME_LOSSES) });
+  }
+
+  private words(): string[] {
+    const recorder = this.machine.role === 'replica' ? ['--import', RECORDER] : [];
+    return [`--max-old-space-size=${HEAP_MEGABYTES}`, ...recorder, PROGRAM, this.machine.role];
+  }
+
+  private environment(settingsFile: string): NodeJS.ProcessEnv {
+    return {
+      ...process.env,
+      IVYLOOM_NODE_FILE: settingsFile,
+      IVYLOOM_SOAK_DISK: this.disk.root,
+      IVYLOOM_SOAK_LEDGER: this.disk.ledger,
+    };
   }
 }
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -16,6 +16,7 @@
 import { ConfigurationCheck } from './configuration-check.js';
 import { LIMITED_KEY, LIMITED_RATE, LIMITED_TENANT, TenantCheck } from './tenant-check.js';
 import { FaultProxy } from './fault-proxy.js';
+import { RecoveryCheck } from './recovery-check.js';
 import type { ProxyMode } from './fault-proxy.js';
 import { PlatformProcess, SOAK_PORTS } from './platform-process.js';
 import type { PlatformRole } from './platform-process.js';
@@ -52,6 +53,8 @@
   readonly oldKeyRequests: number;
   /** Requests of the tenant with a limit that were answered. */
   readonly limitedAnswers: number;
+  /** Milliseconds from the start of all processes after each loss of all power to service of every kind. */
+  readonly recoveries: readonly number[];
   readonly violations: readonly string[];
   /** Where the logs of the processes are. */
   readonly folder: string;
@@ -71,7 +74,6 @@
 const LONGEST_OVERLAP_MILLISECONDS = 1_200;
 /** Routes of earlier versions that are kept. */
 const KEPT_ROUTES = 2;
-const RECOVERY_MILLISECONDS = 15_000;
 const MISBEHAVIOURS: readonly RunnerBehaviour[] = [
   'refuse',
   'loseAnswer',
@@ -137,6 +139,7 @@
   private addedRoutes: string[] = [];
   private readonly configuration: ConfigurationCheck;
   private readonly tenants: TenantCheck;
+  private readonly recovery: RecoveryCheck;
   /** Key that each change of the configuration takes away. */
   private guestKey = 'key-of-guest-0';
 
@@ -150,6 +153,10 @@
     const { runners } = this;
     const random = createRandom(options.seed, 'tenants');
     this.tenants = new TenantCheck({ random, gatewayHosts, runners, violate });
+    this.recovery = new RecoveryCheck({
+      newClient: (name, counts) => this.client(name, counts),
+      violate,
+    });
   }
 
   async run(): Promise<SoakReport> {
@@ -162,16 +169,20 @@
     work.push(this.configuration.run(() => over));
     work.push(this.tenants.run(() => over));
     await this.strikeUntil(performance.now() + this.options.minutes * 60_000);
+    this.note('loseAllPower');
+    await this.strikeOnce('loseAllPower', targetsOf('loseAllPower', this.drawTargets()));
     over = true;
     await Promise.all(work);
-    await this.checkRecovery();
+    await this.recovery.check('the last fault');
+    await this.recovery.checkTurns(clients.flatMap((client) => client.answeredTurns));
     await this.stopAll();
     const { seed } = this.options;
     const { counts, faults, pairs, violations, folder } = this;
     const { looks: configurationLooks } = this.configuration;
     const { oldKeyRequests, limitedAnswers } = this.tenants;
     const looks = { configurationLooks, oldKeyRequests, limitedAnswers };
-    return { seed, counts, faults, pairs, ...looks, violations, folder };
+    const { recoveries } = this.recovery;
+    return { seed, counts, faults, pairs, ...looks, recoveries, violations, folder };
   }
 
   /** Strikes in series, and now and then while another fault lasts. */
@@ -235,12 +246,12 @@
     return this.processes.find(({ machine }) => struck.includes(machine.name))!;
   }
 
-  private client(name: string): SoakClient {
+  private client(name: string, counts = this.counts): SoakClient {
     const gatewayHosts = this.of('gateway').map((process) => process.machine.host);
     const violate = (promise: string, detail: string): void => {
       this.violations.push(`${promise}: ${detail}`);
     };
-    const { random, runners, counts } = this;
+    const { random, runners } = this;
     return new SoakClient(name, { random, gatewayHosts, runners, counts, violate });
   }
 
@@ -341,11 +352,16 @@
     switch (fault) {
       case 'killGateway':
       case 'killReplica':
-        return this.kill([machine], pause, []);
+        return this.kill([machine], pause);
       case 'wipeReplica':
-        return this.kill([machine], pause, [machine]);
+        return this.kill([machine], pause, () => machine.wipe());
       case 'killAll':
-        return this.kill(this.processes, pause, []);
+        return this.kill(this.processes, pause);
+      case 'losePower':
+        return this.kill([machine], pause, () => machine.losePower(this.random));
+      case 'loseAllPower':
+        await this.kill(this.processes, pause, () => this.loseDisks());
+        return this.recovery.check('a loss of all power');
       case 'pauseGateway':
       case 'pauseReplica':
         machine.signal('SIGSTOP');
@@ -386,16 +402,26 @@
   private async kill(
     victims: readonly PlatformProcess[],
     pause: number,
-    wiped: readonly PlatformProcess[],
+    whileDead: () => void = () => undefined,
   ): Promise<void> {
     const ended = victims.map((victim) => victim.ended());
     victims.forEach((victim) => victim.signal('SIGKILL'));
     await Promise.all(ended);
-    wiped.forEach((victim) => victim.wipe());
+    whileDead();
     await sleep(pause);
     victims.forEach((victim) => victim.start());
   }
 
+  /** One replica's disk is lost, all others lose what was not synced. */
+  private loseDisks(): void {
+    const replicas = this.of('replica');
+    const lost = this.random.pick(replicas);
+    lost.wipe();
+    replicas
+      .filter((replica) => replica !== lost)
+      .forEach((replica) => replica.losePower(this.random));
+  }
+
   private async troubleStore(mode: StoreMode, pause: number): Promise<void> {
     this.store.mode = mode;
     this.changeConfiguration();
@@ -421,24 +447,6 @@
     await this.startRunner(index);
   }
 
-  /** After all faults every kind is served again. */
-  private async checkRecovery(): Promise<void> {
-    const client = this.client('after');
-    const until = performance.now() + RECOVERY_MILLISECONDS;
-    let inARow = 0;
-    while (inARow < 10 && performance.now() < until) {
-      inARow = (await client.sendPlain('single')) ? inARow + 1 : 0;
-      await sleep(50);
-    }
-    const keptBefore = this.counts.kept;
-    if (inARow === 10) {
-      await client.run(() => performance.now() > until || this.counts.kept > keptBefore);
-    }
-    if (inARow < 10 || this.counts.kept === keptBefore) {
-      this.violations.push('recovery: not all kinds were served after the last fault');
-    }
-  }
-
   private async stopAll(): Promise<void> {
     const ended = this.processes.map((process) => process.ended());
     this.processes.forEach((process) => {
--- a/soak/soak-client.ts
+++ b/soak/soak-client.ts
@@ -17,8 +17,21 @@
 
 const MOST_TOKENS = SOAK_EVENTS * SOAK_TOKENS_PER_EVENT;
 const TIMEOUT_MILLISECONDS = 3_000;
+/** Programs of one client whose last turn is remembered. */
+const REMEMBERED_PROGRAMS = 12;
 const PROMISES = new Set([408, 421, 429, 503]);
 
+/** Headers of a turn of a program. */
+function turnHeaders(program: string, previous: string): Record<string, string> {
+  return {
+    [NAMES.program]: program,
+    [NAMES.session]: program,
+    [NAMES.tokenBudget]: String(MOST_TOKENS),
+    [NAMES.tokenUsage]: `100,${MOST_TOKENS}`,
+    ...(previous === '' ? {} : { [NAMES.previousTurn]: previous }),
+  };
+}
+
 interface Result {
   readonly status: number;
   readonly headers: IncomingMessage['headers'];
@@ -36,6 +49,12 @@
   budgetRefused: number;
 }
 
+/** A turn that was answered whole: what it is, and the chain that ends with it. */
+export interface AnsweredTurn {
+  readonly id: string;
+  readonly chain: string;
+}
+
 /** What clients share. */
 export interface SoakClientContext {
   readonly random: RandomSource;
@@ -49,6 +68,8 @@
 /** One client that does one thing after another. */
 export class SoakClient {
   private programCount = 0;
+  /** The last turns of the newest programs, the newest last. */
+  private readonly lastTurns: AnsweredTurn[] = [];
 
   constructor(
     private readonly name: string,
@@ -85,30 +106,40 @@
     return false;
   }
 
+  /** The last turns of the newest programs: of each program one, the newest last. */
+  get answeredTurns(): readonly AnsweredTurn[] {
+    return this.lastTurns;
+  }
+
+  /** Goes on from a turn; true when that ran with its whole chain. */
+  async goOnFrom(turn: AnsweredTurn): Promise<boolean> {
+    const id = this.newId();
+    const input = `in ${id};`;
+    const result = await this.send('/kept/work?stream', id, turnHeaders(id, turn.id), input);
+    this.checkChain(id, turn.chain + input);
+    if (result.status === 404) {
+      this.context.violate('history', `${turn.id} was answered whole and is said not to exist`);
+    }
+    return result.status === 200 && result.complete;
+  }
+
   /** Turns that go on from one another, until the budget is spent or too many fail. */
   private async runProgram(isOver: () => boolean): Promise<void> {
     const { random, counts, violate } = this.context;
     this.programCount += 1;
     const program = `${this.name}-p${this.programCount}`;
     const budget = MOST_TOKENS * random.integer(3, 6);
-    let previous = '';
-    let chain = '';
+    let last: AnsweredTurn = { id: '', chain: '' };
     let handed = 0;
     for (let failures = 0; failures < 4 && !isOver();) {
       const id = this.newId();
       const input = `in ${id};`;
-      const headers = {
-        [NAMES.program]: program,
-        [NAMES.session]: program,
-        [NAMES.tokenBudget]: String(budget),
-        [NAMES.tokenUsage]: `100,${MOST_TOKENS}`,
-        ...(previous === '' ? {} : { [NAMES.previousTurn]: previous }),
-      };
+      const headers = { ...turnHeaders(program, last.id), [NAMES.tokenBudget]: String(budget) };
       const result = await this.send('/kept/work?stream', id, headers, input);
       const events = [...result.body.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
       handed += events.length * SOAK_TOKENS_PER_EVENT;
       this.checkEvents(id, events, result);
-      this.checkChain(id, chain + input);
+      this.checkChain(id, last.chain + input);
       if (handed > budget + MOST_TOKENS) {
         violate('budget', `${program} was handed ${handed} of ${budget} tokens`);
       }
@@ -117,14 +148,16 @@
         this.checkNotRun(id, 402);
         return;
       }
-      if (result.status === 404 && previous !== '') {
-        violate('history', `${previous} was answered whole and is said not to exist`);
+      if (result.status === 404 && last.id !== '') {
+        violate('history', `${last.id} was answered whole and is said not to exist`);
       }
       this.judge('single', id, result);
       if (result.status === 200 && result.complete) {
         counts.kept += 1;
-        previous = id;
-        chain += input + events.map((event) => `event ${event}\n`).join('');
+        const output = events.map((event) => `event ${event}\n`).join('');
+        const answered = { id, chain: last.chain + input + output };
+        this.remember(answered, last);
+        last = answered;
       } else {
         failures += 1;
         await new Promise((resolve) => setTimeout(resolve, 100 + random.uniform() * 300));
@@ -132,6 +165,18 @@
     }
   }
 
+  /** Takes the place of the turn before it. */
+  private remember(turn: AnsweredTurn, before: AnsweredTurn): void {
+    const place = this.lastTurns.indexOf(before);
+    if (place >= 0) {
+      this.lastTurns.splice(place, 1);
+    }
+    this.lastTurns.push(turn);
+    if (this.lastTurns.length > REMEMBERED_PROGRAMS) {
+      this.lastTurns.shift();
+    }
+  }
+
   private checkEvents(id: string, events: readonly number[], result: Result): void {
     const { violate } = this.context;
     if (result.status !== 200) {
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -18,6 +18,10 @@
   'runnerCrash',
   'runnerMisbehaves',
   'configurationChange',
+  // A replica loses power, and what was not synced.
+  'losePower',
+  // All machines do, and one replica its whole disk besides.
+  'loseAllPower',
 ] as const;
 /** One of these. */
 export type Fault = (typeof FAULTS)[number];
@@ -52,8 +56,10 @@
     case 'killReplica':
     case 'wipeReplica':
     case 'pauseReplica':
+    case 'losePower':
       return [replica, REPLICAS_TOGETHER];
     case 'killAll':
+    case 'loseAllPower':
       return [...all, REPLICAS_TOGETHER];
     case 'storeRefuses':
     case 'storeSilent':
