--- /dev/null
+++ b/features/steps/completeness.steps.ts
@@ -0,0 +1,222 @@
+/** Steps about whether a replica's word that its state is complete outlasts its processes. */
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { createRandom } from '../../src/runtime/random.js';
+import type { Runtime } from '../../src/runtime/runtime.js';
+import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
+import { SimulatedReplicas } from '../../src/simulation/simulated-replicas.js';
+import { VirtualClock } from '../../src/simulation/virtual-clock.js';
+import { MemberDirectory } from '../../src/turns/member-directory.js';
+import { MembershipKeeper } from '../../src/turns/membership-keeper.js';
+import type { MembershipStore, StoredRecord } from '../../src/turns/membership-store.js';
+import { encodeMemberRecord } from '../../src/turns/membership.js';
+import type { Member, MemberRecord } from '../../src/turns/membership.js';
+import type { ReplicaCaller } from '../../src/turns/replica-caller.js';
+import { ReplicaSync } from '../../src/turns/replica-sync.js';
+import { Replica } from '../../src/turns/replica.js';
+import type { ReplicaMeta, TurnStorage } from '../../src/turns/turn-storage.js';
+
+const WRITE_MILLISECONDS = 5;
+/** Longer than a replica takes to see a change of the stored record. */
+const UNTIL_KNOWN_MILLISECONDS = 600;
+/** Latest start of a machine after the one before it, in milliseconds. */
+const LATEST_START_MILLISECONDS = 300;
+const NAMES = ['m1', 'm2', 'm3'];
+
+/** Three replicas that were started at moments drawn from a seed, and again without power and a disk. */
+interface PlayedStart {
+  readonly seed: number;
+  readonly clock: VirtualClock;
+  readonly replicas: SimulatedReplicas;
+  readonly completeBefore: number;
+}
+
+interface World {
+  clock?: VirtualClock;
+  replicas?: SimulatedReplicas;
+  seeds?: readonly number[];
+  writeMilliseconds?: number;
+  starts?: readonly PlayedStart[];
+  lone?: LoneReplica;
+}
+
+Given(
+  'three replicas on disks that take {int} milliseconds, started at moments drawn from seeds {int} to {int}',
+  function (this: World, writeMilliseconds: number, first: number, last: number) {
+    const count = last - first + 1;
+    this.seeds = Array.from({ length: count }, (_, index) => first + index);
+    this.writeMilliseconds = writeMilliseconds;
+  },
+);
+
+When(
+  'they have had {int} milliseconds, all lose power, and one its disk',
+  function (this: World, milliseconds: number) {
+    this.starts = this.seeds!.map((seed) => {
+      const clock = new VirtualClock();
+      const { writeMilliseconds } = this;
+      const options = { wantedMembers: NAMES.length, writeMilliseconds: writeMilliseconds! };
+      const replicas = new SimulatedReplicas(clock, createRandom(seed, 'links'), options);
+      const moments = createRandom(seed, 'starts');
+      for (const name of NAMES) {
+        replicas.add(name, name);
+        clock.runUntil(clock.now + moments.uniform() * LATEST_START_MILLISECONDS);
+      }
+      clock.runUntil(clock.now + milliseconds);
+      const completeBefore = replicas.activeNames().length;
+      NAMES.forEach((name) => replicas.kill(name));
+      replicas.wipe(moments.pick(NAMES));
+      NAMES.forEach((name) => replicas.start(name));
+      return { seed, clock, replicas, completeBefore };
+    });
+  },
+);
+
+Then(
+  'all three were complete before, and are within {int} milliseconds',
+  function (this: World, milliseconds: number) {
+    const failed = this.starts!.flatMap(({ seed, clock, replicas, completeBefore }) => {
+      clock.runUntil(clock.now + milliseconds);
+      const completeAfter = replicas.activeNames().length;
+      const isWell = completeBefore === NAMES.length && completeAfter === NAMES.length;
+      return isWell ? [] : [`seed ${seed}: ${completeBefore}, then ${completeAfter}`];
+    });
+    assert.deepEqual(failed, []);
+  },
+);
+
+/** One replica before a store that shows it records as a test says. */
+class LoneReplica {
+  private readonly clock = new VirtualClock();
+  private readonly process = new SimulatedProcess('a', this.clock, createRandom(1));
+  private stored: StoredRecord = { tag: 'Unknown' };
+  private meta: ReplicaMeta | undefined;
+  private runtime: Runtime = this.process.begin();
+  directory = new MemberDirectory(this.runtime);
+  replica: Replica = this.begin();
+
+  /** Begins a life with what is on the disk. */
+  restart(): void {
+    this.process.kill();
+    this.runtime = this.process.begin();
+    this.directory = new MemberDirectory(this.runtime);
+    this.replica = this.begin();
+  }
+
+  show(record: MemberRecord): void {
+    this.stored = { tag: 'Present', text: encodeMemberRecord(record), revision: record.epoch };
+    this.wait(1_000);
+  }
+
+  wait(milliseconds: number): void {
+    this.clock.runUntil(this.clock.now + milliseconds);
+  }
+
+  private begin(): Replica {
+    const { runtime, directory } = this;
+    const id = 'a';
+    const replica = new Replica({ id, runtime, storage: this.storage(runtime), directory });
+    if (this.meta !== undefined) {
+      replica.restore({ tag: 'meta', meta: this.meta });
+    }
+    replica.endRestore();
+    const caller: ReplicaCaller = { call: () => undefined, tell: () => undefined };
+    const sync = new ReplicaSync({ id, runtime, replica, directory, caller, wantedMembers: 3 });
+    const store: MembershipStore = {
+      readRecord: () => this.stored,
+      swapRecord: () => undefined,
+      retiringNodes: () => new Set(),
+      reportRetirement: () => undefined,
+    };
+    const keeper = { self: memberOf(id), runtime, replica, sync, directory, store };
+    new MembershipKeeper({ ...keeper, wantedMembers: 3 });
+    return replica;
+  }
+
+  /** A disk on which each write takes a while. */
+  private storage(runtime: Runtime): TurnStorage {
+    return {
+      write: (changes, done) => {
+        runtime.setTimer(WRITE_MILLISECONDS, () => {
+          for (const change of changes) {
+            this.meta = change.tag === 'meta' ? change.meta : this.meta;
+          }
+          done(true);
+        });
+      },
+    };
+  }
+}
+
+function memberOf(id: string): Member {
+  return { id, node: id, host: id, port: 1, zone: id };
+}
+
+function recordOf(epoch: number, names: string): MemberRecord {
+  return { epoch, members: names.split(' ').map(memberOf) };
+}
+
+Given(
+  'a replica that becomes complete while a newer record of the members arrives',
+  function (this: World) {
+    this.lone = new LoneReplica();
+    this.lone.directory.offer(recordOf(2, 'a b'), 'test');
+    this.lone.wait(100);
+    this.lone.replica.becomeReady('test');
+    this.lone.wait(WRITE_MILLISECONDS / 2);
+    this.lone.directory.offer(recordOf(3, 'a b c'), 'test');
+    this.lone.wait(100);
+    assert.equal(this.lone.replica.ready, true);
+  },
+);
+
+Given('a complete replica that is a member', function (this: World) {
+  this.lone = new LoneReplica();
+  this.lone.directory.offer(recordOf(4, 'a b c'), 'test');
+  this.lone.replica.becomeReady('test');
+  this.lone.wait(100);
+});
+
+When('its process dies and starts again', function (this: World) {
+  this.lone!.restart();
+});
+
+When('the store shows it the record from before it joined', function (this: World) {
+  this.lone!.show(recordOf(3, 'b c'));
+});
+
+When('the store shows it a newer record without it', function (this: World) {
+  this.lone!.show(recordOf(5, 'b c'));
+});
+
+Then('it is complete', function (this: World) {
+  assert.equal(this.lone!.replica.ready, true);
+});
+
+Then('it is not complete', function (this: World) {
+  assert.equal(this.lone!.replica.ready, false);
+});
+
+When(
+  '{string} is emptied, another stands still as it is named in its place, then all lose power and a complete one its disk',
+  function (this: World, name: string) {
+    const { clock, replicas } = this;
+    assert.ok(replicas!.activeNames().includes(name));
+    replicas!.store.retiring.add(name);
+    const isNamed = (): boolean => {
+      const active = replicas!.activeNames();
+      const named = replicas!.namedMembers();
+      return named.length === 3 && !named.includes(name) && active.length === 2;
+    };
+    assert.ok(clock!.runUntil(clock!.now + 10_000, isNamed), 'nobody was named in its place');
+    const active = replicas!.activeNames();
+    const fresh = replicas!.namedMembers().find((each) => !active.includes(each))!;
+    replicas!.pause(fresh);
+    clock!.runUntil(clock!.now + UNTIL_KNOWN_MILLISECONDS);
+    const [lost] = active;
+    const names = replicas!.runningNames();
+    names.forEach((each) => replicas!.kill(each));
+    replicas!.wipe(lost!);
+    names.forEach((each) => replicas!.start(each));
+  },
+);
--- a/features/steps/power-loss.steps.ts
+++ b/features/steps/power-loss.steps.ts
@@ -27,7 +27,7 @@
 interface World {
   disks?: RecordedDisk[];
   acknowledged?: string[];
-  replicas?: Map<string, Replica>;
+  diskReplicas?: Map<string, Replica>;
   syncs?: ReplicaSync[];
 }
 
@@ -42,7 +42,7 @@
 
 After(async function (this: World) {
   this.syncs?.forEach((sync) => sync.close());
-  this.replicas?.forEach((replica) => replica.close());
+  this.diskReplicas?.forEach((replica) => replica.close());
   for (const disk of this.disks ?? []) {
     await disk.remove();
   }
@@ -143,7 +143,7 @@
 function callerOf(world: World): ReplicaCaller {
   return {
     call: (to, request, timeout, listener) => {
-      const replica = world.replicas!.get(to.id);
+      const replica = world.diskReplicas!.get(to.id);
       if (replica === undefined) {
         setTimeout(() => listener(undefined), timeout);
         return;
@@ -160,7 +160,7 @@
 
 /** Starts a replica on each disk. */
 async function startReplicas(world: World): Promise<void> {
-  world.replicas = new Map();
+  world.diskReplicas = new Map();
   world.syncs = [];
   for (const [place, id] of REPLICA_NAMES.entries()) {
     const disk = world.disks![place]!;
@@ -170,7 +170,7 @@
     disk.found.forEach((change) => replica.restore(change));
     replica.endRestore();
     directory.offer(RECORD, 'test');
-    world.replicas.set(id, replica);
+    world.diskReplicas.set(id, replica);
     const caller = callerOf(world);
     world.syncs.push(
       new ReplicaSync({ id, runtime, replica, directory, caller, wantedMembers: 3 }),
@@ -186,7 +186,7 @@
 }
 
 function completeCount(world: World): number {
-  return [...world.replicas!.values()].filter((replica) => replica.active).length;
+  return [...world.diskReplicas!.values()].filter((replica) => replica.active).length;
 }
 
 Given(
@@ -194,7 +194,7 @@
   async function (this: World, count: number) {
     this.disks = REPLICA_NAMES.map(() => new RecordedDisk());
     await startReplicas(this);
-    for (const replica of this.replicas!.values()) {
+    for (const replica of this.diskReplicas!.values()) {
       await new Promise<void>((resolve) => replica.becomeReady('first start', resolve));
     }
     const client = clientOf(this);
@@ -212,7 +212,7 @@
   'power is lost at all of them with every name that was not synced, and one disk besides',
   async function (this: World) {
     this.syncs!.forEach((sync) => sync.close());
-    this.replicas!.forEach((replica) => replica.close());
+    this.diskReplicas!.forEach((replica) => replica.close());
     const [lost, ...others] = this.disks!;
     await lost!.loseDisk();
     for (const disk of others) {
--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -8,6 +8,7 @@
 import { MemberDirectory } from '../turns/member-directory.js';
 import { MembershipKeeper } from '../turns/membership-keeper.js';
 import type { MembershipStore, StoredRecord } from '../turns/membership-store.js';
+import { decodeMemberRecord } from '../turns/membership.js';
 import type { Member } from '../turns/membership.js';
 import type { OneWayMessage, ReplicaReply, ReplicaRequest } from '../turns/messages.js';
 import { QuotaClient } from '../turns/quota-client.js';
@@ -53,7 +54,8 @@
     turns.forEach((turn) => take({ tag: 'turn', turn }));
   }
 
-  open(runtime: Runtime, planted: SimulatedReplicasOptions['planted']): TurnStorage {
+  open(runtime: Runtime, options: SimulatedReplicasOptions): TurnStorage {
+    const { planted, writeMilliseconds = WRITE_MILLISECONDS } = options;
     return {
       write: (changes, done, urgency = 'urgent') => {
         if (planted === 'hastyAcknowledge') {
@@ -63,7 +65,7 @@
           done(true);
           return;
         }
-        const pause = urgency === 'lazy' ? LAZY_MILLISECONDS : WRITE_MILLISECONDS;
+        const pause = urgency === 'lazy' ? LAZY_MILLISECONDS : writeMilliseconds;
         // The timer dies with the process, and with it whatever was not yet written.
         runtime.setTimer(pause, () => {
           changes
@@ -118,6 +120,11 @@
   readonly retiring = new Set<string>();
   readonly finished = new Set<string>();
 
+  /** Members that the stored record names. */
+  get members(): readonly Member[] {
+    return decodeMemberRecord(this.text)?.members ?? [];
+  }
+
   portOf(runtime: Runtime, isCut: () => boolean): MembershipStore {
     return {
       readRecord: (): StoredRecord => {
@@ -163,6 +170,8 @@
 export interface SimulatedReplicasOptions {
   readonly planted?: 'noRepair' | 'hastyAcknowledge' | 'lostAccounts';
   readonly log?: LogFunction;
+  /** Time that a synced write takes, in milliseconds. @default 1 */
+  readonly writeMilliseconds?: number;
   /** Members that the record is to name. @default as many as there are machines */
   readonly wantedMembers?: number;
   /** What may be given out beyond the limits of tenants. @default nothing */
@@ -209,7 +218,7 @@
     const runtime = machine.process.begin();
     const directory = new MemberDirectory(runtime);
     const { id } = machine.member;
-    const storage = machine.disk.open(runtime, this.options.planted);
+    const storage = machine.disk.open(runtime, this.options);
     const { quotaAllowance = { overshoot: 0, slack: 0 } } = this.options;
     const replica = new Replica({ id, runtime, storage, directory, quotaAllowance });
     machine.disk.load((change) => replica.restore(change));
@@ -282,6 +291,11 @@
     return [...this.machines].flatMap(([name, { replica }]) => (replica ? [name] : []));
   }
 
+  /** Machines that the stored record names. */
+  namedMembers(): string[] {
+    return this.store.members.map(({ node }) => node);
+  }
+
   /** Machines whose acknowledgements count. */
   activeNames(): string[] {
     return [...this.machines].flatMap(([name, { replica }]) => (replica?.active ? [name] : []));
