A replica's word that it is complete is written from one place

Cause: becomeReady wrote the word and set it in memory once that was durable; any save of the members' record in between wrote the word as it stood in memory, behind it. The process served as complete until its next start, whose disk then said that it was not. Mended: all writes are made from what the newest write says (declaresReady).

--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -62,6 +62,11 @@
   holdsQuorum: () => boolean = () => true;
   private readonly quotas: QuotaBuckets;
   private isReady = false;
+  /**
+   * What the disk says, or will once it has written what it was given: whatever is written of this replica
+   * is made from this, so that no write takes back the one before it.
+   */
+  private declaresReady = false;
   private storedMeta: ReplicaMeta | undefined;
   private readonly cancelExpiry: CancelTimer;
 
@@ -93,6 +98,7 @@
     this.state.expire(options.runtime.wallTime());
     if (storedMeta !== undefined) {
       this.isReady = storedMeta.ready;
+      this.declaresReady = storedMeta.ready;
       options.directory.offerText(storedMeta.members, 'disk');
     }
     const { programs, turns } = this.state.counts;
@@ -119,8 +125,9 @@
 
   /** Declares the state complete, durably; calls back when it is so. */
   becomeReady(reason: string, done: () => void = () => undefined): void {
-    this.saveMeta(true, (durable) => {
-      if (!durable) {
+    this.declaresReady = true;
+    this.saveMeta((durable) => {
+      if (!durable || !this.declaresReady) {
         return;
       }
       this.isReady = true;
@@ -132,6 +139,7 @@
   /** Declares the state incomplete: it left the members and others no longer write to it. */
   loseReadiness(): void {
     this.isReady = false;
+    this.declaresReady = false;
     this.saveMeta();
   }
 
@@ -203,7 +211,7 @@
   /** Everything it holds, as changes that make it again; it may go on changing meanwhile. */
   *liveChanges(): Generator<StorageChange> {
     const { directory, runtime } = this.options;
-    yield { tag: 'meta', meta: { ready: this.isReady, members: directory.currentText } };
+    yield { tag: 'meta', meta: { ready: this.declaresReady, members: directory.currentText } };
     yield* this.state.liveChanges(() => runtime.wallTime());
   }
 
@@ -283,15 +291,15 @@
       });
     // A newer epoch is on disk before the puller may rely on it.
     if (directory.offerText(request.members, request.from)) {
-      this.saveMeta(this.isReady, answer);
+      this.saveMeta(answer);
     } else {
       answer();
     }
   }
 
-  private saveMeta(ready = this.isReady, done: (durable: boolean) => void = () => undefined): void {
-    const members = this.options.directory.currentText;
-    this.options.storage.write([{ tag: 'meta', meta: { ready, members } }], done);
+  private saveMeta(done: (durable: boolean) => void = () => undefined): void {
+    const meta = { ready: this.declaresReady, members: this.options.directory.currentText };
+    this.options.storage.write([{ tag: 'meta', meta }], done);
   }
 
   private expire(): void {
