Nothing is concluded from a record of members older than the newest known

Cause: the keeper acted on what the store showed although its disk or a peer knew a newer record; a list from before it joined made a replica give up its completeness, durably. Mended: an older record is logged (members.older) and decides nothing.

--- a/src/turns/membership-keeper.ts
+++ b/src/turns/membership-keeper.ts
@@ -43,6 +43,8 @@
   private busy = false;
   private readonly logEnds: { readonly at: number; readonly end: number }[] = [];
   private readonly retirement: Retirement;
+  /** Epoch of the older record that the store shows; undefined while it shows the newest known. */
+  private olderEpoch: number | undefined;
   /** Local time since which fewer members are present than wanted; undefined while enough are. */
   private vacantSince: number | undefined;
 
@@ -63,6 +65,12 @@
     if (record !== undefined) {
       directory.offer(record, 'store');
     }
+    if ((record?.epoch ?? 0) < (directory.current?.epoch ?? 0)) {
+      // The store shows what was true earlier: nothing may be concluded from that.
+      this.noteOlderRecord(record);
+      return;
+    }
+    this.olderEpoch = undefined;
     this.noteOwnMembership(record);
     this.noteVacancy(record);
     const revision = stored.tag === 'Present' ? stored.revision : 0;
@@ -117,6 +125,16 @@
     );
   }
 
+  private noteOlderRecord(record: MemberRecord | undefined): void {
+    const epoch = record?.epoch ?? 0;
+    if (epoch !== this.olderEpoch) {
+      this.olderEpoch = epoch;
+      const known = this.options.directory.current?.epoch ?? 0;
+      const fields = { event: 'members.older', epoch, known };
+      this.options.runtime.log('warn', 'the store shows an older record of members', fields);
+    }
+  }
+
   /** Out of the record, others no longer write here: the state must be made complete again. */
   private noteOwnMembership(record: MemberRecord | undefined): void {
     const { self: own, replica } = this.options;
