--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,11 +1,14 @@
 /** `npm run soak`: the fault soak from the command line. */
 import meow from 'meow';
+import { MOST_BLOCKS } from './soak-hosts.js';
 import { runSoak } from './run-soak.js';
 
+const EXIT_WRONG_USE = 2;
+
 const cli = meow(
   `
   Usage
-    $ npm run -s soak -- [--seed N] [--minutes M] [--clients C]
+    $ npm run -s soak -- [--seed N] [--minutes M] [--clients C] [--gateways G] [--block B]
 
   Starts three gateways, three replicas and stand-ins as real processes and servers on loopback,
   strikes them with faults from outside, and checks the promises from what clients and runners see.
@@ -14,10 +17,14 @@
     --seed N      faults and load depend on it (default: the time)
     --minutes M   how long faults strike (default 2)
     --clients C   clients at work (default 8)
+    --gateways G  gateways at work (default 3)
+    --block B     block of loopback addresses, 0 to ${MOST_BLOCKS}: soaks of different blocks run beside
+                  one another (default 0)
 
   Exit codes
     0  no promise broken
     1  a promise was broken; the report names it, the seed and the folder with the logs
+    2  wrong use
 `,
   {
     importMeta: import.meta,
@@ -25,11 +32,18 @@
       seed: { type: 'number', default: Date.now() % 1_000_000 },
       minutes: { type: 'number', default: 2 },
       clients: { type: 'number', default: 8 },
+      gateways: { type: 'number', default: 3 },
+      block: { type: 'number', default: 0 },
     },
   },
 );
 
-const { seed, minutes, clients } = cli.flags;
-const report = await runSoak({ seed, minutes, clientCount: clients });
+const { seed, minutes, clients: clientCount, gateways: gatewayCount, block } = cli.flags;
+const isWhole = Number.isInteger(block) && block >= 0 && block <= MOST_BLOCKS;
+if (!isWhole || !Number.isInteger(gatewayCount) || gatewayCount < 1) {
+  process.stderr.write('soak: --block and --gateways are whole numbers within their bounds\n');
+  process.exit(EXIT_WRONG_USE);
+}
+const report = await runSoak({ seed, minutes, clientCount, gatewayCount, block });
 process.stdout.write(`${JSON.stringify(report, null, 2)}\n`);
 process.exit(report.violations.length > 0 ? 1 : 0);
--- /dev/null
+++ b/soak/soak-configuration.ts
@@ -0,0 +1,89 @@
+/** The configuration of a soak: each version adds a route and a key, and drops older ones. */
+import type { RandomSource } from '../src/runtime/random.js';
+import { SOAK_HOST, SOAK_KEY, SOAK_TENANT, SOAK_TOKENS_PER_EVENT } from './soak-client.js';
+import { LIMITED_KEY, LIMITED_RATE, LIMITED_TENANT } from './tenant-check.js';
+
+/** Service that all routes go to. */
+export const SOAK_SERVICE = 'workers';
+/** Routes of earlier versions that are kept. */
+const KEPT_ROUTES = 2;
+/** Largest step from one version to the next. */
+const LARGEST_STEP = 4;
+
+/** One change of the configuration. */
+export interface ConfigurationChange {
+  readonly version: number;
+  /** The whole configuration, as it is written to the store. */
+  readonly value: Record<string, unknown>;
+  readonly addedRoute: string;
+  readonly droppedRoutes: readonly string[];
+  /** Key that this change takes away. */
+  readonly removedKey: string;
+}
+
+function route(name: string, kind: string, more: Record<string, unknown>): Record<string, unknown> {
+  return {
+    Name: name,
+    Host: SOAK_HOST,
+    PathPrefix: `/${name}/`,
+    Kind: kind,
+    TimeoutMs: 3_000,
+    TargetLatencyMs: 200,
+    Priority: 1,
+    Service: SOAK_SERVICE,
+    MaxAttempts: 2,
+    ...more,
+  };
+}
+
+/** See the head of this file. */
+export class SoakConfiguration {
+  private version = 1;
+  private addedRoutes: string[] = [];
+  private guestKey = 'key-of-guest-0';
+
+  constructor(private readonly random: RandomSource) {}
+
+  /** Draws the next version. */
+  next(): ConfigurationChange {
+    this.version += this.random.integer(1, LARGEST_STEP);
+    const { version, guestKey: removedKey } = this;
+    const addedRoute = `added-${version}`;
+    this.guestKey = `key-of-guest-${version}`;
+    this.addedRoutes.push(addedRoute);
+    const droppedRoutes = this.addedRoutes.slice(0, -KEPT_ROUTES);
+    return { version, value: this.value(), addedRoute, droppedRoutes, removedKey };
+  }
+
+  private value(): Record<string, unknown> {
+    return {
+      Version: this.version,
+      Routes: [
+        route('single', 'non_idempotent', {}),
+        route('repeatable', 'idempotent', { TimeoutMs: 2_000 + this.version }),
+        route('kept', 'streaming', { Retain: true, RetentionS: 600 }),
+        ...this.addedRoutes.slice(-KEPT_ROUTES).map((name) => route(name, 'idempotent', {})),
+      ],
+      Services: [
+        { Name: SOAK_SERVICE, MaxConnections: 60, Engine: { Stride: SOAK_TOKENS_PER_EVENT } },
+      ],
+      Tenants: [
+        { Name: SOAK_TENANT, ApiKeys: [SOAK_KEY], Priority: 0 },
+        { Name: 'guest', ApiKeys: [this.guestKey], Priority: 1 },
+        {
+          Name: LIMITED_TENANT,
+          ApiKeys: [LIMITED_KEY],
+          Priority: 1,
+          RatePerS: LIMITED_RATE,
+          Burst: LIMITED_RATE,
+        },
+      ],
+      Limits: {
+        MaxHeaderBytes: 16_384,
+        MaxBodyBytes: 4_194_304,
+        HeaderTimeoutMs: 3_000,
+        IdleTimeoutMs: 15_000,
+      },
+    };
+  }
+}
