What decides when a replica's state is complete is a module of its own; what a member took in while it became complete is read again

A member that had been read while it was incomplete counted as read once it said that it is complete, without what it had copied in between.

--- a/features/steps/turns.steps.ts
+++ b/features/steps/turns.steps.ts
@@ -147,7 +147,8 @@
     for (let seed = 1; seed <= MOST_PLANTED_SEEDS; seed += 1) {
       const history = runTurnHistory(seed, { planted: PLANTED[fault]! });
       this.histories.push(history);
-      if (history.violations.length > 0) {
+      // Service that is lost besides shows earlier with some faults, and is not what they are planted for.
+      if (history.violations.some((violation) => !violation.startsWith('service'))) {
         return;
       }
     }
--- a/src/turns/replica-sync.ts
+++ b/src/turns/replica-sync.ts
@@ -1,14 +1,14 @@
 /**
  * Keeps a replica level with the others: pulls the log of each, position by position, and fetches
- * the turns it lacks. A replica whose state is incomplete becomes ready when it has read to the end
- * of the logs of enough others that know the epoch in force.
+ * the turns it lacks.
  */
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import { setRepeatingTimer } from '../runtime/runtime.js';
+import { Completeness } from './completeness.js';
 import { REMOVAL_MILLISECONDS } from './decide-membership.js';
 import type { MemberDirectory } from './member-directory.js';
-import { hasMember, majorityOf, readsToBecomeComplete } from './membership.js';
-import type { Member, MemberRecord } from './membership.js';
+import { hasMember, majorityOf } from './membership.js';
+import type { Member } from './membership.js';
 import type { ReplicaReply } from './messages.js';
 import { PRESENCE_PROBE } from './replica-caller.js';
 import type { ReplicaCaller } from './replica-caller.js';
@@ -24,8 +24,6 @@
 const CALL_MILLISECONDS = 1_000;
 /** Pause between two questions whether a member is there, while this replica stands by. */
 const LOOK_MILLISECONDS = 1_000;
-/** Pause between two lines that tell why this replica's state is not complete yet, in milliseconds. */
-const INCOMPLETE_LINE_MILLISECONDS = 1_000;
 /** Time for which a member that left is still read, so that it can hand over, in milliseconds. */
 const FAREWELL_MILLISECONDS = 10_000;
 
@@ -55,17 +53,6 @@
   freshEpoch: number;
 }
 
-/** What an incomplete replica has of a member. */
-type ReadProgress =
-  | 'unheard'
-  /** Its own state is not complete. */
-  | 'inactive'
-  /** Neither is it, but it has acknowledged nothing yet. */
-  | 'fresh'
-  | 'reading'
-  /** All that it had was read under the epoch in force. */
-  | 'read';
-
 /** What a replica knows of another. */
 export type PeerView = Readonly<PeerProgress>;
 
@@ -95,11 +82,12 @@
   /** Local time at which a pull was sent that a member answered without a newer record, by member. */
   private readonly confirmedAt = new Map<string, number>();
   private readonly cancelLook: CancelTimer;
-  private nextIncompleteLineAt = -Infinity;
-  private becomingReady = false;
+  private readonly completeness: Completeness;
   private closed = false;
 
   constructor(private readonly options: ReplicaSyncOptions) {
+    const viewOf = (member: string): PeerView | undefined => this.view(member);
+    this.completeness = new Completeness({ ...options, viewOf });
     options.directory.onChange(() => this.pullFromAll());
     this.cancelLook = setRepeatingTimer(options.runtime, LOOK_MILLISECONDS, () => this.look());
     this.pullFromAll();
@@ -159,7 +147,7 @@
     if (!this.standsBy) {
       this.others().forEach((member) => this.pull(member));
     }
-    this.checkReady();
+    this.completeness.check();
   }
 
   /** Whether enough members are present and this replica is none of them. */
@@ -266,7 +254,9 @@
       this.peers.set(member.id, { log, active, freshEpoch, ...unread });
       return;
     }
-    Object.assign(peer, { active, freshEpoch });
+    // What it took in while it became complete is still to be read.
+    const levelEpoch = active && !peer.active ? 0 : peer.levelEpoch;
+    Object.assign(peer, { active, freshEpoch, levelEpoch });
   }
 
   /** Fetches and stores what a pull named and this replica lacks. */
@@ -351,60 +341,7 @@
     if (reply.next === reply.end) {
       peer.levelAt = this.options.runtime.now();
       peer.levelEpoch = reply.epoch;
-      this.checkReady();
-    }
-  }
-
-  /**
-   * Becomes ready when enough complete replicas have been read under the epoch in force. Members that have
-   * never acknowledged anything don't count: they have nothing that could be missed, and waiting for them
-   * to be complete would be waiting for one another.
-   */
-  private checkReady(): void {
-    const { directory, replica, id } = this.options;
-    const record = directory.current;
-    if (this.becomingReady || replica.ready || record === undefined || !hasMember(record, id)) {
-      return;
-    }
-    const progress = this.others().map(({ id: other }) => this.progressOf(other, record.epoch));
-    const read = progress.filter((each) => each === 'read').length;
-    const acknowledgers = progress.filter((each) => each !== 'fresh').length;
-    const own = replica.isFresh ? 0 : 1;
-    const isAlone = record.members.length === 1;
-    const needed = isAlone ? 0 : readsToBecomeComplete(acknowledgers + own);
-    if (read < needed) {
-      this.logIncomplete(record, needed);
-      return;
-    }
-    this.becomingReady = true;
-    const fresh = progress.length - acknowledgers;
-    replica.becomeReady(`read ${read} of ${progress.length} others, ${fresh} of them fresh`);
-    this.options.runtime.setTimer(PULL_MILLISECONDS, () => {
-      this.becomingReady = false;
-    });
-  }
-
-  /** Tells what is known of each other member while too few complete ones have been read. */
-  private logIncomplete(record: MemberRecord, needed: number): void {
-    const { runtime } = this.options;
-    if (runtime.now() < this.nextIncompleteLineAt) {
-      return;
-    }
-    this.nextIncompleteLineAt = runtime.now() + INCOMPLETE_LINE_MILLISECONDS;
-    const { epoch } = record;
-    const others = this.others().map(({ id }) => `${id}=${this.progressOf(id, epoch)}`);
-    const fields = { event: 'replica.incomplete', epoch, needed, others: others.join(' ') };
-    runtime.log('info', 'too few complete replicas have been read', fields);
-  }
-
-  private progressOf(member: string, epoch: number): ReadProgress {
-    const peer = this.peers.get(member);
-    if (peer === undefined) {
-      return 'unheard';
-    }
-    if (!peer.active) {
-      return peer.freshEpoch >= epoch ? 'fresh' : 'inactive';
+      this.completeness.check();
     }
-    return peer.levelEpoch >= epoch ? 'read' : 'reading';
   }
 }
