Soak: no process stays behind when it ends early; its logs take both outputs to their ends

A soak ended by a signal left its gateways running, so that the next of its block found the addresses taken; and the first output of a process to end closed the log for the other.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -24,7 +24,7 @@
   Exit codes
     0  no promise broken
     1  a promise was broken; the report names it, the seed and the folder with the logs
-    2  wrong use
+    2  wrong use, or ended by a signal
 `,
   {
     importMeta: import.meta,
@@ -44,6 +44,12 @@
   process.stderr.write('soak: --block and --gateways are whole numbers within their bounds\n');
   process.exit(EXIT_WRONG_USE);
 }
-const report = await runSoak({ seed, minutes, clientCount, gatewayCount, block });
+const soak = runSoak({ seed, minutes, clientCount, gatewayCount, block });
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
+  process.once(signal, () => process.exit(EXIT_WRONG_USE));
+}
+// Also where the soak itself fails: no process of it stays behind.
+process.once('exit', () => soak.killAll());
+const report = await soak.report;
 process.stdout.write(`${JSON.stringify(report, null, 2)}\n`);
 process.exit(report.violations.length > 0 ? 1 : 0);
--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -111,8 +111,10 @@
     writeFileSync(file, JSON.stringify(settingsOf(this.machine, this.folder)));
     const log = createWriteStream(join(this.folder, 'log'), { flags: 'a' });
     const child = spawn(process.execPath, this.words(), { env: this.environment(file) });
-    child.stdout.pipe(log);
-    child.stderr.pipe(log);
+    // The log outlasts whichever of the two ends first.
+    child.stdout.pipe(log, { end: false });
+    child.stderr.pipe(log, { end: false });
+    child.on('close', () => log.end());
     this.child = child;
     this.endExpected = false;
     child.on('exit', (code, signal) => {
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -317,6 +317,11 @@
     proxy.setMode('pass');
   }
 
+  /** Ends all processes; nothing is checked any more. */
+  killAll(): void {
+    this.world.processes.forEach((process) => process.signal('SIGKILL'));
+  }
+
   private noteOwnExits(): void {
     for (const { ownExits } of this.world.processes) {
       this.violations.push(...ownExits.map((exit) => `own exit: ${exit}`));
@@ -324,7 +329,15 @@
   }
 }
 
+/** A soak under way. */
+export interface RunningSoak {
+  readonly report: Promise<SoakReport>;
+  /** Ends all processes at once, for when the soak itself is to end. */
+  readonly killAll: () => void;
+}
+
 /** Runs one soak. */
-export function runSoak(options: SoakOptions): Promise<SoakReport> {
-  return new Soak(options).run();
+export function runSoak(options: SoakOptions): RunningSoak {
+  const soak = new Soak(options);
+  return { report: soak.run(), killAll: () => soak.killAll() };
 }
