The worst path of a change leaves a tenth of its bound to processes that are late

The sum of the worst path had no reserve at a bound of two seconds (2,000 ms). Ways weighed: the watch's time (an eighth; a shorter one lists on each slow watch), the rank's step and the rounds of gossip (constants of the number of gateways), the time between proofs and until a call is overdue. Taken: both a fifth of the bound, 1,780 ms. It costs a quarter more proofs, which one gateway reads for all. The scenario on the tenth fails before (2000 ms).

--- a/features/freshness.feature
+++ b/features/freshness.feature
@@ -10,6 +10,19 @@
       | 4000  |
       | 12000 |
 
+  # Seen: on a day of bursts, a request reached an engine 191 ms after the bound on its leaving, once; the sum had no
+  #   reserve, and a process that waits for its turn on a part of a core adds to each step of it.
+  Scenario Outline: The worst path of a change leaves a tenth of the bound to processes that are late
+    Given a bound of <bound> milliseconds for changes of the configuration
+    Then the worst path of a change leaves a tenth of that
+
+    Examples:
+      | bound |
+      | 2000  |
+      | 3000  |
+      | 4000  |
+      | 12000 |
+
   Scenario: The worst path of a change fits any bound from two seconds on, and shorter ones are called unmet
     Then the worst path fits every drawn bound from 2000 to 60000 milliseconds
     And the worst path does not fit a bound of 1000 milliseconds
--- a/features/steps/freshness.steps.ts
+++ b/features/steps/freshness.steps.ts
@@ -44,6 +44,10 @@
   assert.ok(worstOf(this.bound) <= this.bound, `${worstOf(this.bound)} ms`);
 });
 
+Then('the worst path of a change leaves a tenth of that', function (this: World) {
+  assert.ok(worstOf(this.bound) <= 0.9 * this.bound, `${worstOf(this.bound)} ms`);
+});
+
 Then(
   'the worst path fits every drawn bound from {int} to {int} milliseconds',
   function (least: number, most: number) {
--- a/src/mirror/freshness-timings.ts
+++ b/src/mirror/freshness-timings.ts
@@ -15,9 +15,10 @@
 
 /** Bound where the platform names none, in milliseconds. */
 export const DEFAULT_APPLY_MILLISECONDS = 2_000;
-const PROOF_SHARE = 1 / 4;
+/** Together these leave a tenth of a bound of two seconds to processes that are late. */
+const PROOF_SHARE = 1 / 5;
 const BEHIND_SHARE = 1 / 8;
-const OVERDUE_SHARE = 1 / 4;
+const OVERDUE_SHARE = 1 / 5;
 /** Beyond these, shorter or longer times gain nothing; in milliseconds. */
 const LEAST_MILLISECONDS = 100;
 const LONGEST_MILLISECONDS = 1_000;
