--- /dev/null
+++ b/features/steps/power-loss-day.steps.ts
@@ -0,0 +1,41 @@
+/** Steps about days that end with a loss of all power. */
+import assert from 'node:assert/strict';
+import { Then, When } from '@cucumber/cucumber';
+import { playPowerLossDay } from '../../src/histories/power-loss-day.js';
+import type { PowerLossDayResult } from '../../src/histories/power-loss-day.js';
+
+/** Turns that each day keeps at least: it lasts half a minute and writes some thirty times a second. */
+const LEAST_TURNS = 200;
+
+interface World {
+  days?: PowerLossDayResult[];
+}
+
+When(
+  'days with {int} replicas, {int} of them members, and {int} disks lost at once are played with seeds {int} to {int}',
+  function (
+    this: World,
+    replicaCount: number,
+    wantedMembers: number,
+    lossesAtOnce: number,
+    first: number,
+    last: number,
+  ) {
+    this.days = [];
+    for (let seed = first; seed <= last; seed += 1) {
+      this.days.push(playPowerLossDay(seed, { replicaCount, wantedMembers, lossesAtOnce }));
+    }
+  },
+);
+
+Then('no day breaks a promise', function (this: World) {
+  const broken = this.days!.filter(({ violations }) => violations.length > 0);
+  assert.deepEqual(
+    broken.map(({ seed, violations }) => `seed ${seed}: ${violations[0]}`),
+    [],
+  );
+});
+
+Then('turns were kept on each day', function (this: World) {
+  assert.ok(this.days!.length > 0 && this.days!.every(({ kept }) => kept >= LEAST_TURNS));
+});
--- a/src/commands/bench-commands.ts
+++ b/src/commands/bench-commands.ts
@@ -6,6 +6,7 @@
 import { formatExperiment } from '../bench/experiment-report.js';
 import { runHistories, shrinkFaults } from '../histories/run-many.js';
 import { runConfigurationHistories } from '../histories/run-configuration-histories.js';
+import { playPowerLossDay } from '../histories/power-loss-day.js';
 import { runTurnHistories } from '../histories/run-turn-histories.js';
 import { measureOverhead } from '../bench/overhead.js';
 import { measureScale } from '../bench/scale.js';
@@ -41,6 +42,10 @@
   readonly json: boolean;
 }
 
+/** Replicas and members of a day where none are named. */
+const DAY_REPLICAS = 8;
+const DAY_MEMBERS = 5;
+
 const EXIT_DONE = 0;
 const EXIT_FAILED = 1;
 const EXIT_WRONG_USE = 2;
@@ -146,6 +151,26 @@
   return result.violations.length === 0 ? EXIT_DONE : EXIT_FAILED;
 }
 
+function powerLossDays(flags: BenchFlags): number {
+  const seeds = parseSeeds(flags.seeds);
+  if (seeds === undefined) {
+    return EXIT_WRONG_USE;
+  }
+  const options = {
+    replicaCount: flags.replicas || DAY_REPLICAS,
+    wantedMembers: flags.members || DAY_MEMBERS,
+    lossesAtOnce: flags.losses,
+    writeMilliseconds: flags.write,
+  };
+  let isBroken = false;
+  for (let seed = seeds.first; seed <= seeds.last; seed += 1) {
+    const day = playPowerLossDay(seed, options);
+    isBroken ||= day.violations.length > 0;
+    write(JSON.stringify(day));
+  }
+  return isBroken ? EXIT_FAILED : EXIT_DONE;
+}
+
 function configurationHistories(flags: BenchFlags): number {
   const seeds = parseSeeds(flags.seeds);
   if (seeds === undefined || flags.gateways < 1) {
@@ -202,6 +227,8 @@
       return histories(flags);
     case 'turn-histories':
       return turnHistories(flags);
+    case 'power-loss-days':
+      return powerLossDays(flags);
     case 'configuration-histories':
       return configurationHistories(flags);
     default:
--- a/src/commands/ivyloom-bench.ts
+++ b/src/commands/ivyloom-bench.ts
@@ -14,6 +14,7 @@
     histories           seeded programs and faults in virtual time, every promise checked
     configuration-histories  configuration and runners at gateways under troubles of the store and the network
     turn-histories      the same for kept turns and token accounts on their replicas
+    power-loss-days     days of replicas that end with a loss of all power and of disks, a line each
     chaos               real daemons killed, paused and stopped under load, every promise checked
     overhead            what the scheduler adds to a call, against the engine called directly
     slopes              processor time, bytes and memory of each mechanism
@@ -23,12 +24,12 @@
     --minutes N         chaos: how long (default 1)
     --calls N           overhead: calls each way (default 60)
     --nodes A,B,…       scale: numbers of nodes (default 6,12,24,48)
-    --seeds A..B        histories, turn-histories: seeds to run (default 1..100)
-    --replicas N        turn-histories: replicas to begin with (default three to five, by the seed)
-    --members N         turn-histories: replicas that are members, others stand by (default all)
+    --seeds A..B        histories of all kinds: seeds to run (default 1..100)
+    --replicas N        turn-histories, power-loss-days: replicas to begin with
+    --members N         the same: replicas that are members, others stand by
     --gateways N        configuration-histories: gateways (default 8)
-    --losses N          turn-histories: replicas that are lost at once (default 1)
-    --write MS          turn-histories: time that a synced write takes (default 1)
+    --losses N          the same: replicas that are lost at once (default 1)
+    --write MS          the same: time that a synced write takes (default 1)
     --once              start: end after the report
     --deployment NAME   start: lakeshore, dakar or mixed (default mixed)
     --programs N        start: programs to run (default 100)
