--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,5 +1,6 @@
 /** `npm run soak`: the fault soak from the command line. */
 import meow from 'meow';
+import { FAULTS } from './soak-faults.js';
 import { MOST_BLOCKS } from './soak-hosts.js';
 import { runSoak } from './run-soak.js';
 
@@ -8,7 +9,7 @@
 const cli = meow(
   `
   Usage
-    $ npm run -s soak -- [--seed N] [--minutes M] [--clients C] [--gateways G] [--block B]
+    $ npm run -s soak -- [--seed N] [--minutes M] [--clients C] [--gateways G] [--block B] [--faults A,B,…]
 
   Starts three gateways, three replicas and stand-ins as real processes and servers on loopback,
   strikes them with faults from outside, and checks the promises from what clients and runners see.
@@ -18,6 +19,7 @@
     --minutes M   how long faults strike (default 2)
     --clients C   clients at work (default 8)
     --gateways G  gateways at work (default 3)
+    --faults A,B  kinds of faults that strike (default all): ${FAULTS.join(', ')}
     --block B     block of loopback addresses, 0 to ${MOST_BLOCKS}: soaks of different blocks run beside
                   one another (default 0)
 
@@ -34,6 +36,7 @@
       clients: { type: 'number', default: 8 },
       gateways: { type: 'number', default: 3 },
       block: { type: 'number', default: 0 },
+      faults: { type: 'string', default: FAULTS.join(',') },
     },
   },
 );
@@ -44,7 +47,14 @@
   process.stderr.write('soak: --block and --gateways are whole numbers within their bounds\n');
   process.exit(EXIT_WRONG_USE);
 }
-const soak = runSoak({ seed, minutes, clientCount, gatewayCount, block });
+const named = cli.flags.faults.split(',');
+const unknown = named.filter((name) => !FAULTS.some((fault) => fault === name));
+if (unknown.length > 0) {
+  process.stderr.write(`soak: no such faults: ${unknown.join(', ')}\n`);
+  process.exit(EXIT_WRONG_USE);
+}
+const faults = FAULTS.filter((fault) => named.includes(fault));
+const soak = runSoak({ seed, minutes, clientCount, gatewayCount, block, faults });
 for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
   process.once(signal, () => process.exit(EXIT_WRONG_USE));
 }
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -3,7 +3,7 @@
  * the promises checked from what clients and runners see.
  */
 import type { StoreMode } from '../platform/stand-in/store-server.js';
-import { CONFIGURATION_KEY } from '../platform/store-keys.js';
+import { CONFIGURATION_KEY, RETIRE_PREFIX, RETIRE_STATUS_PREFIX } from '../platform/store-keys.js';
 import type { RunnerBehaviour } from '../src/emulator/relay-runner.js';
 import { createRandom } from '../src/runtime/random.js';
 import type { RandomSource } from '../src/runtime/random.js';
@@ -27,6 +27,8 @@
   readonly clientCount?: number;
   /** Gateways at work. @default 3 */
   readonly gatewayCount?: number;
+  /** Kinds of faults that strike. @default all */
+  readonly faults?: readonly Fault[];
   /** Block of addresses, so that soaks can run beside one another. @default 0 */
   readonly block?: number;
 }
@@ -52,7 +54,8 @@
 }
 
 const GATEWAYS = 3;
-const REPLICAS = 3;
+/** Three are members, one stands by. */
+const REPLICAS = 4;
 const RUNNERS = 4;
 const SETTLE_MILLISECONDS = 4_500;
 /** Part of the faults that begin while another lasts. */
@@ -70,6 +73,8 @@
   'unframed',
 ];
 
+/** Time within which a machine is to be reported empty, in milliseconds: that of the users' deployments. */
+const EMPTYING_MILLISECONDS = 8_000;
 /** Pause before another fault is drawn when one can not be struck now, in milliseconds. */
 const SOAK_STEP_MILLISECONDS = 50;
 
@@ -152,7 +157,7 @@
   private async strikeUntil(until: number): Promise<void> {
     let lasting: Promise<void>[] = [];
     while (performance.now() < until) {
-      const fault = this.random.pick(FAULTS);
+      const fault = this.random.pick(this.options.faults ?? FAULTS);
       const struck = targetsOf(fault, this.drawTargets());
       const taken = new Set([...this.lasting.values()].flat());
       if (this.lasting.has(fault) || struck.some((target) => taken.has(target))) {
@@ -241,6 +246,8 @@
       case 'loseAllPower':
         await this.kill(this.world.processes, pause, () => this.loseDisks());
         return this.recovery.check('a loss of all power');
+      case 'emptyReplica':
+        return this.emptyReplica(machine, pause);
       case 'pauseGateway':
       case 'pauseReplica':
         machine.signal('SIGSTOP');
@@ -291,6 +298,28 @@
     victims.forEach((victim) => victim.start());
   }
 
+  /** A machine is emptied and goes; the moment that is reported, another replica loses its disk. */
+  private async emptyReplica(machine: PlatformProcess, pause: number): Promise<void> {
+    const { store } = this.world;
+    const { name } = machine.machine;
+    store.remove(RETIRE_STATUS_PREFIX + name);
+    store.put(RETIRE_PREFIX + name, {});
+    const until = performance.now() + EMPTYING_MILLISECONDS;
+    const isEmpty = (): boolean =>
+      store.read(RETIRE_STATUS_PREFIX + name)?.includes('succeeded') ?? false;
+    while (!isEmpty() && performance.now() < until) {
+      await sleep(SOAK_STEP_MILLISECONDS);
+    }
+    if (isEmpty()) {
+      const others = this.world.of('replica').filter((replica) => replica !== machine);
+      const lost = [machine, this.random.pick(others)];
+      await this.kill(lost, pause, () => lost.forEach((replica) => replica.wipe()));
+    } else {
+      this.violations.push(`emptying: ${name} was not reported empty in time`);
+    }
+    store.remove(RETIRE_PREFIX + name);
+  }
+
   /** One replica's disk is lost, all others lose what was not synced. */
   private loseDisks(): void {
     const replicas = this.world.of('replica');
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -22,6 +22,8 @@
   'losePower',
   // All machines do, and one replica its whole disk besides.
   'loseAllPower',
+  // A replica's machine is emptied; once that is reported it goes, and another loses its disk right then.
+  'emptyReplica',
 ] as const;
 /** One of these. */
 export type Fault = (typeof FAULTS)[number];
@@ -61,6 +63,8 @@
     case 'killAll':
     case 'loseAllPower':
       return [...all, REPLICAS_TOGETHER];
+    case 'emptyReplica':
+      return [replica, REPLICAS_TOGETHER, 'store'];
     case 'storeRefuses':
     case 'storeSilent':
     case 'storeLosesAnswers':
