--- a/features/completeness.feature
+++ b/features/completeness.feature
@@ -46,6 +46,12 @@
     When "m1" is emptied, another stands still as it is named in its place, then all lose power and a complete one its disk
     Then within 5000 milliseconds 3 replicas are active
 
+  Scenario: A disk that refuses writes keeps no other replica from becoming complete
+    Given 3 replicas of which 3 are to be members
+    When the disk of "m2" refuses writes and "m1" loses its disk
+    Then within 3000 milliseconds 3 replicas are active
+    And a reservation is granted although the disk of "m2" refuses writes
+
   Scenario Outline: Who becomes complete by the rule lacks no write that others could miss with it
     When the rule is played by itself with seeds 1 to 3000 and the mistake "<mistake>"
     Then writes are <found>
--- a/features/steps/completeness.steps.ts
+++ b/features/steps/completeness.steps.ts
@@ -25,6 +25,7 @@
 const UNTIL_KNOWN_MILLISECONDS = 600;
 /** Latest start of a machine after the one before it, in milliseconds. */
 const LATEST_START_MILLISECONDS = 300;
+const RESERVE_MILLISECONDS = 700;
 const NAMES = ['m1', 'm2', 'm3'];
 
 /** Three replicas that were started at moments drawn from a seed, and again without power and a disk. */
@@ -253,3 +254,30 @@
 Then('writes are missing at times', function (this: World) {
   assert.ok(this.missing!.length > 0);
 });
+
+When(
+  'the disk of {string} refuses writes and {string} loses its disk',
+  function (this: World, refusing: string, lost: string) {
+    const { replicas } = this;
+    replicas!.refuseWrites(refusing, true);
+    replicas!.kill(lost);
+    replicas!.wipe(lost);
+    replicas!.start(lost);
+  },
+);
+
+Then(
+  'a reservation is granted although the disk of {string} refuses writes',
+  function (this: World, refusing: string) {
+    const { clock, replicas } = this;
+    const knownTo = replicas!.activeNames().find((name) => name !== refusing)!;
+    const { client } = replicas!.client('g', 'z1', knownTo);
+    const request = { program: 'p', turn: 't', mostTokens: 1, budgetTokens: 1 };
+    let outcome = 'none';
+    client.reserve(request, RESERVE_MILLISECONDS, (ended) => {
+      outcome = ended;
+    });
+    clock!.runUntil(clock!.now + RESERVE_MILLISECONDS);
+    assert.equal(outcome, 'granted');
+  },
+);
--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -30,6 +30,8 @@
 
 const WRITE_MILLISECONDS = 1;
 const LAZY_MILLISECONDS = 250;
+/** Pause before a refused write is tried again. */
+const REFUSED_MILLISECONDS = 500;
 /** Delay of writes that are acknowledged before they are on disk: a planted fault. */
 const HASTY_MILLISECONDS = 2_000;
 const LINK_MILLISECONDS = 1;
@@ -39,6 +41,8 @@
 /** A disk of one machine: what was written lasts, unless the disk is wiped. */
 class SimulatedTurnDisk {
   private state = emptyState();
+  /** While true, writes are refused; they are tried again as the real storage does. */
+  refuses = false;
 
   wipe(): void {
     this.state = emptyState();
@@ -70,12 +74,17 @@
         }
         const pause = urgency === 'lazy' ? LAZY_MILLISECONDS : writeMilliseconds;
         // The timer dies with the process, and with it whatever was not yet written.
-        runtime.setTimer(pause, () => {
+        const write = (): void => {
+          if (this.refuses) {
+            runtime.setTimer(REFUSED_MILLISECONDS, write);
+            return;
+          }
           changes
             .filter((change) => planted !== 'lostAccounts' || change.tag !== 'entry')
             .forEach((change) => this.apply(change));
           done(true);
-        });
+        };
+        runtime.setTimer(pause, write);
       },
     };
   }
@@ -274,6 +283,11 @@
     this.machine(name).disk.wipe();
   }
 
+  /** Lets the disk of a machine refuse writes, or take them again. */
+  refuseWrites(name: string, refuses: boolean): void {
+    this.machine(name).disk.refuses = refuses;
+  }
+
   /** Stops a process without ending it, and lets it go on. */
   pause(name: string): void {
     this.machine(name).process.pause();
