--- a/soak/recovery-check.ts
+++ b/soak/recovery-check.ts
@@ -15,6 +15,8 @@
 const PAUSE_MILLISECONDS = 50;
 /** Tries to go on from one turn. */
 const TURN_TRIES = 5;
+/** Lost turns after which no more are tried: the soak has failed, and each takes seconds. */
+const MOST_LOST = 8;
 
 function noCounts(): SoakCounts {
   return { sent: 0, answered: 0, refused: 0, failed: 0, kept: 0, budgetRefused: 0 };
@@ -50,12 +52,17 @@
   /** Whether programs can go on from turns that were answered whole; tried again as clients do. */
   async checkTurns(turns: readonly AnsweredTurn[]): Promise<void> {
     const client = this.options.newClient('turns', noCounts());
+    let lost = 0;
     for (const turn of turns) {
+      if (lost >= MOST_LOST) {
+        return;
+      }
       let isFound = false;
       for (let tries = 0; !isFound && tries < TURN_TRIES; tries += 1) {
         isFound = await client.goOnFrom(turn);
       }
       if (!isFound) {
+        lost += 1;
         this.options.violate('history', `nothing went on from ${turn.id} in ${TURN_TRIES} tries`);
       }
     }
