--- /dev/null
+++ b/features/steps/members.steps.ts
@@ -0,0 +1,145 @@
+/** Steps about the record of the members: majorities, and what a replica does about it. */
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import fc from 'fast-check';
+import { decideMembership, REMOVAL_MILLISECONDS } from '../../src/turns/decide-membership.js';
+import type { MembershipAction } from '../../src/turns/decide-membership.js';
+import {
+  LEAST_MEMBERS,
+  majorityOf,
+  membersToBear,
+  withMember,
+} from '../../src/turns/membership.js';
+import type { Member, MemberRecord } from '../../src/turns/membership.js';
+
+interface World {
+  members?: string[];
+  self?: string;
+  ready?: boolean;
+  action?: MembershipAction;
+}
+
+function member(name: string): Member {
+  return { id: name, node: name, host: name, port: 1, zone: name };
+}
+
+function words(text: string): string[] {
+  return text.split(' ').filter((word) => word !== '');
+}
+
+Then('any majority of a record meets any majority of the record with one member more', function () {
+  const ids = ['a', 'b', 'c', 'd', 'e', 'f'];
+  fc.assert(
+    fc.property(fc.integer({ min: 1, max: 5 }), fc.infiniteStream(fc.nat()), (size, draws) => {
+      const record: MemberRecord = { epoch: 1, members: ids.slice(0, size).map(member) };
+      const larger = withMember(record, member(ids[size]!));
+      const draw = (from: MemberRecord): string[] => {
+        const left = from.members.map(({ id }) => id);
+        const drawn: string[] = [];
+        while (drawn.length < majorityOf(from)) {
+          drawn.push(...left.splice((draws.next().value as number) % left.length, 1));
+        }
+        return drawn;
+      };
+      const other = new Set(draw(larger));
+      assert.ok(draw(record).some((id) => other.has(id)));
+    }),
+  );
+});
+
+function recordOf(count: number): MemberRecord {
+  const members = Array.from({ length: count }, (_, place) => member(`m${place}`));
+  return { epoch: 1, members };
+}
+
+Then(
+  'a majority of the members named for some losses outlives them and stays a majority',
+  function () {
+    for (let losses = 0; losses <= 20; losses += 1) {
+      const count = membersToBear(losses);
+      const majority = majorityOf(recordOf(count));
+      assert.ok(majority > losses, 'all that hold a write may be lost');
+      assert.ok(count - losses >= majority, 'no majority is left');
+    }
+  },
+);
+
+Then('with one member fewer it would not stay one, or too few would be left', function () {
+  for (let losses = 0; losses <= 20; losses += 1) {
+    const fewer = membersToBear(losses) - 1;
+    const isTooFew = fewer < LEAST_MEMBERS;
+    assert.ok(isTooFew || fewer - losses < majorityOf(recordOf(fewer)));
+  }
+});
+
+Given(
+  'replicas {string} and this one is {string}',
+  function (this: World, members: string, self: string) {
+    this.members = words(members);
+    this.self = self;
+  },
+);
+
+Given('its state is complete', function (this: World) {
+  this.ready = true;
+});
+
+Given('its state is incomplete', function (this: World) {
+  this.ready = false;
+});
+
+When(
+  'members {string} are silent, it is level with {string} and machines {string} are to be emptied',
+  function (this: World, silent: string, level: string, retiring: string) {
+    const isSilent = new Set(words(silent));
+    const isLevel = new Set(words(level));
+    const members = this.members!.map(member);
+    this.action = decideMembership({
+      self: member(this.self!),
+      record: members.length === 0 ? undefined : { epoch: 1, members },
+      ready: this.ready!,
+      isLevelWith: (id) => isLevel.has(id),
+      hasRead: (id) => isLevel.has(id),
+      isComplete: () => true,
+      silentMilliseconds: (id) => (isSilent.has(id) ? REMOVAL_MILLISECONDS : 0),
+      retiringNodes: new Set(words(retiring)),
+      wantedMembers: Infinity,
+      presentMembers: members.length - isSilent.size,
+      vacantMilliseconds: 0,
+    });
+  },
+);
+
+When(
+  'the record is to name {int} members and has named {string} with zones {string} for {int} milliseconds',
+  function (this: World, wanted: number, names: string, zones: string, milliseconds: number) {
+    const zoneNames = words(zones);
+    const members = words(names).map((name, place) => ({
+      ...member(name),
+      zone: zoneNames[place]!,
+    }));
+    this.action = decideMembership({
+      self: { ...member(this.self!), zone: 'z1' },
+      record: { epoch: 1, members },
+      ready: false,
+      isLevelWith: () => true,
+      hasRead: () => true,
+      isComplete: () => true,
+      silentMilliseconds: () => 0,
+      retiringNodes: new Set(),
+      wantedMembers: wanted,
+      presentMembers: members.length,
+      vacantMilliseconds: milliseconds,
+    });
+  },
+);
+
+Then(
+  /^it decides to (Create|Join|Wait|Remove)(?: (\w+))?$/,
+  function (this: World, tag: string, id?: string) {
+    assert.equal(this.action!.tag, tag);
+    if (this.action!.tag === 'Remove') {
+      assert.equal(this.action!.member.id, id);
+    }
+  },
+);
