--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -79,6 +79,8 @@
       QuotaOvershoot: SOAK_BOUNDS.quotaOvershoot,
       QuotaSlack: SOAK_BOUNDS.quotaSlack,
     },
+    // One machine may be lost at once: three replicas are members, others stand by.
+    FaultTolerance: { Machines: 1, Zones: 0, Regions: 0 },
     Platform: { Address: storeAddress },
   };
 }
