--- a/soak/power-loss-recorder.ts
+++ b/soak/power-loss-recorder.ts
@@ -9,7 +9,7 @@
 import { syncBuiltinESMExports } from 'node:module';
 import { sep } from 'node:path';
 import { keptPathFor, noteInLedger } from './power-loss-ledger.js';
-import type { RecordedFolder } from './power-loss-ledger.js';
+import type { LedgerLine, RecordedFolder } from './power-loss-ledger.js';
 
 type Open = typeof files.open;
 type Mkdir = typeof files.mkdir;
@@ -21,20 +21,19 @@
 
 /** Notes each sync of an open file or folder. */
 function recordSyncs(folder: RecordedFolder, path: string, file: FileHandle): void {
-  const note = (): void => {
+  // What is written while a sync is under way may not be part of it, so the length counts from before.
+  const lineOf = (): LedgerLine => {
     const status = fstatSync(file.fd);
-    noteInLedger(
-      folder,
-      status.isDirectory()
-        ? { op: 'folderSynced', path }
-        : { op: 'fileSynced', inode: status.ino, bytes: status.size },
-    );
+    return status.isDirectory()
+      ? { op: 'folderSynced', path }
+      : { op: 'fileSynced', inode: status.ino, bytes: status.size };
   };
   for (const name of ['sync', 'datasync'] as const) {
     const original = file[name].bind(file);
     file[name] = async () => {
+      const line = lineOf();
       await original();
-      note();
+      noteInLedger(folder, line);
     };
   }
 }
