--- a/features/support/acknowledgement-model.ts
+++ b/features/support/acknowledgement-model.ts
@@ -3,6 +3,7 @@
  * disks one at a time, and read from as few others as the rule asks for, drawn as unluckily as they come.
  * Nothing is levelled in the background, so that the rule alone has to keep every write.
  */
+import { drawSeveral } from '../../src/histories/draw-several.js';
 import type { RandomSource } from '../../src/runtime/random.js';
 import {
   LEAST_MEMBERS,
@@ -74,14 +75,6 @@
     return this.members.filter(({ standing }) => standing === 'complete');
   }
 
-  private draw(from: readonly ModelMember[], count: number): ModelMember[] {
-    const left = [...from];
-    return Array.from(
-      { length: count },
-      () => left.splice(this.random.integer(0, left.length - 1), 1)[0]!,
-    );
-  }
-
   private write(): boolean {
     const complete = this.completeOnes();
     const needed = majorityOf(this.record);
@@ -89,7 +82,9 @@
       return false;
     }
     this.writeCount += 1;
-    this.draw(complete, needed).forEach((member) => member.writes.add(this.writeCount));
+    drawSeveral(this.random, complete, needed).forEach((member) =>
+      member.writes.add(this.writeCount),
+    );
     return true;
   }
 
@@ -114,7 +109,7 @@
     if (readable.length < needed) {
       return false;
     }
-    for (const other of this.draw(readable, needed)) {
+    for (const other of drawSeveral(this.random, readable, needed)) {
       other.writes.forEach((write) => member.writes.add(write));
     }
     member.standing = 'complete';
--- a/src/histories/power-loss-day.ts
+++ b/src/histories/power-loss-day.ts
@@ -9,6 +9,7 @@
 import { SimulatedReplicas } from '../simulation/simulated-replicas.js';
 import { VirtualClock } from '../simulation/virtual-clock.js';
 import type { TurnClient } from '../turns/turn-client.js';
+import { drawSeveral } from './draw-several.js';
 
 /** How the day is played. */
 export interface PowerLossDayOptions {
@@ -165,11 +166,7 @@
   }
 
   private pickLost(): string[] {
-    const left = [...this.names];
-    return Array.from(
-      { length: this.options.lossesAtOnce },
-      () => left.splice(this.random.integer(0, left.length - 1), 1)[0]!,
-    );
+    return drawSeveral(this.random, this.names, this.options.lossesAtOnce);
   }
 
   private loseDisks(): void {
--- a/src/histories/turn-history.ts
+++ b/src/histories/turn-history.ts
@@ -9,6 +9,7 @@
 import { SimulatedReplicas } from '../simulation/simulated-replicas.js';
 import { VirtualClock } from '../simulation/virtual-clock.js';
 import type { TurnClient } from '../turns/turn-client.js';
+import { drawSeveral } from './draw-several.js';
 
 /** Kinds of faults. */
 export const TURN_FAULTS = [
@@ -341,12 +342,7 @@
 
   /** Names of machines that are lost at once. */
   private pickNames(names: readonly string[]): string[] {
-    const left = [...names];
-    const picked: string[] = [];
-    while (picked.length < this.lossesAtOnce) {
-      picked.push(...left.splice(this.random.integer(0, left.length - 1), 1));
-    }
-    return picked;
+    return drawSeveral(this.random, names, this.lossesAtOnce);
   }
 
   private get lossesAtOnce(): number {
