--- /dev/null
+++ b/src/histories/replica-day.ts
@@ -0,0 +1,171 @@
+/**
+ * What days of replicas in virtual time share: machines that come and go, turns that are kept all day long,
+ * and a last loss of all power after which service is looked at each second, since it may come back and be
+ * lost again.
+ */
+import { createRandom } from '../runtime/random.js';
+import type { RandomSource } from '../runtime/random.js';
+import { SimulatedReplicas } from '../simulation/simulated-replicas.js';
+import type { SimulatedReplicasOptions } from '../simulation/simulated-replicas.js';
+import { VirtualClock } from '../simulation/virtual-clock.js';
+import type { TurnClient } from '../turns/turn-client.js';
+import { drawSeveral } from './draw-several.js';
+
+/** How a day is played. */
+export interface ReplicaDayOptions extends SimulatedReplicasOptions {
+  /** Machines to begin with. */
+  readonly replicaCount: number;
+  /** Members that the record is to name. */
+  readonly wantedMembers: number;
+  /** Disks that are lost at once. */
+  readonly lossesAtOnce: number;
+}
+
+/** Time in which all machines have started and found one another, in milliseconds. */
+export const START_MILLISECONDS = 8_000;
+const KEEP_MILLISECONDS = 25;
+const OPERATION_MILLISECONDS = 700;
+const RETENTION_MILLISECONDS = 600_000;
+/** Time for which machines without power are down, in milliseconds. */
+const DOWN_MILLISECONDS = 1_200;
+/** Time from the return of power from which on service is owed, and for which it is looked at. */
+const OWED_MILLISECONDS = 5_000;
+const LOOKS = 15;
+const LOOK_MILLISECONDS = 1_000;
+/** Zones over which machines are spread. */
+const ZONES = 4;
+
+/** See the head of this file. */
+export abstract class ReplicaDay {
+  protected readonly clock = new VirtualClock();
+  protected readonly random: RandomSource;
+  protected readonly replicas: SimulatedReplicas;
+  /** Machines that count: those that are not gone, nor emptied. */
+  protected readonly names: string[] = [];
+  protected readonly kept: string[] = [];
+  protected readonly violations: string[] = [];
+  protected servedAfter = 0;
+  private machineCount = 0;
+  private turnCount = 0;
+  private isOver = false;
+
+  constructor(
+    protected readonly seed: number,
+    kind: string,
+    protected readonly options: ReplicaDayOptions,
+  ) {
+    this.random = createRandom(seed, kind);
+    this.replicas = new SimulatedReplicas(this.clock, createRandom(seed, 'links'), options);
+  }
+
+  /** Starts all machines, and the writer of turns. */
+  protected begin(): void {
+    for (let index = 0; index < this.options.replicaCount; index += 1) {
+      this.addMachine();
+    }
+    this.wait(START_MILLISECONDS);
+    this.keepNext(this.client('writer'));
+  }
+
+  protected wait(milliseconds: number): void {
+    this.clock.runUntil(this.clock.now + milliseconds);
+  }
+
+  /** Adds an empty machine; its process runs after a pause. */
+  protected addMachine(startMilliseconds = 0): string {
+    this.machineCount += 1;
+    const name = `m${this.machineCount}`;
+    this.wait(startMilliseconds);
+    this.names.push(name);
+    this.replicas.add(name, `z${this.machineCount % ZONES}`);
+    return name;
+  }
+
+  /** Draws a machine that counts, and lets it count no longer. */
+  protected takeName(): string {
+    return this.names.splice(this.random.integer(0, this.names.length - 1), 1)[0]!;
+  }
+
+  protected pickLost(): string[] {
+    return drawSeveral(this.random, this.names, this.options.lossesAtOnce);
+  }
+
+  /** Some machines lose their disks, and are back after a while. */
+  protected loseDisks(): void {
+    const lost = this.pickLost();
+    this.losePower(lost, lost);
+  }
+
+  /** All machines lose power, and some their disks; no more turns are kept. */
+  protected loseAllPower(): void {
+    this.isOver = true;
+    this.losePower(this.names, this.pickLost());
+  }
+
+  /** Looks at service each second from the return of power on. */
+  protected watchService(): void {
+    const from = this.clock.now;
+    for (let look = 1; look <= LOOKS; look += 1) {
+      this.clock.runUntil(from + look * LOOK_MILLISECONDS);
+      const client = this.client(`look-${look}`);
+      const at = this.clock.now - from;
+      const request = { program: `p${look}`, turn: `r${look}`, mostTokens: 1, budgetTokens: 1 };
+      client.reserve(request, OPERATION_MILLISECONDS, (outcome) => {
+        if (outcome !== 'granted') {
+          this.noteUnserved(at, outcome);
+        }
+      });
+    }
+    this.wait(OPERATION_MILLISECONDS);
+  }
+
+  /** Whether every turn that was kept is found. */
+  protected checkTurns(): void {
+    const client = this.client('reader');
+    for (const id of this.kept) {
+      client.readChain(id, OPERATION_MILLISECONDS, (chain) => {
+        if (chain.tag !== 'found') {
+          this.violations.push(`${id} was kept and is ${chain.tag}`);
+        }
+      });
+    }
+    this.wait(2 * OPERATION_MILLISECONDS);
+  }
+
+  private client(name: string): TurnClient {
+    const knownTo = this.replicas.activeNames()[0] ?? this.names[0]!;
+    return this.replicas.client(name, 'z1', knownTo).client;
+  }
+
+  /** Turns are kept all day long, one after another. */
+  private keepNext(client: TurnClient): void {
+    if (this.isOver) {
+      return;
+    }
+    this.turnCount += 1;
+    const id = `t${this.turnCount}`;
+    const bytes = Buffer.from(id);
+    const turn = { id, previous: '', input: bytes, output: bytes };
+    const kept = { ...turn, retentionMilliseconds: RETENTION_MILLISECONDS };
+    client.keep(kept, OPERATION_MILLISECONDS, (done) => {
+      if (done) {
+        this.kept.push(id);
+      }
+      this.clock.schedule(KEEP_MILLISECONDS, () => this.keepNext(client));
+    });
+  }
+
+  private losePower(dark: readonly string[], lost: readonly string[]): void {
+    dark.forEach((name) => this.replicas.kill(name));
+    lost.forEach((name) => this.replicas.wipe(name));
+    this.wait(DOWN_MILLISECONDS);
+    dark.forEach((name) => this.replicas.start(name));
+  }
+
+  private noteUnserved(at: number, outcome: string): void {
+    this.servedAfter = at + LOOK_MILLISECONDS;
+    if (at >= OWED_MILLISECONDS) {
+      this.violations.push(`a reservation is ${outcome} ${at} ms after the return of power`);
+    }
+  }
+}
