--- a/soak/main.ts
+++ b/soak/main.ts
@@ -9,9 +9,9 @@
 const cli = meow(
   `
   Usage
-    $ npm run -s soak -- [--seed N] [--minutes M] [--clients C] [--gateways G] [--block B] [--faults A,B,…]
+    $ npm run -s soak -- [--seed N] [--minutes M] [--clients C] [--gateways G] [--replicas R] [--block B] [--faults A,B,…]
 
-  Starts three gateways, three replicas and stand-ins as real processes and servers on loopback,
+  Starts gateways, replicas and stand-ins as real processes and servers on loopback,
   strikes them with faults from outside, and checks the promises from what clients and runners see.
 
   Options
@@ -19,6 +19,7 @@
     --minutes M   how long faults strike (default 2)
     --clients C   clients at work (default 8)
     --gateways G  gateways at work (default 3)
+    --replicas R  replicas at work, three of them members (default 4)
     --faults A,B  kinds of faults that strike (default all): ${FAULTS.join(', ')}
     --block B     block of loopback addresses, 0 to ${MOST_BLOCKS}: soaks of different blocks run beside
                   one another (default 0)
@@ -35,6 +36,7 @@
       minutes: { type: 'number', default: 2 },
       clients: { type: 'number', default: 8 },
       gateways: { type: 'number', default: 3 },
+      replicas: { type: 'number', default: 4 },
       block: { type: 'number', default: 0 },
       faults: { type: 'string', default: FAULTS.join(',') },
     },
@@ -42,9 +44,15 @@
 );
 
 const { seed, minutes, clients: clientCount, gateways: gatewayCount, block } = cli.flags;
+const { replicas: replicaCount } = cli.flags;
+const LEAST_REPLICAS = 3;
 const isWhole = Number.isInteger(block) && block >= 0 && block <= MOST_BLOCKS;
-if (!isWhole || !Number.isInteger(gatewayCount) || gatewayCount < 1) {
-  process.stderr.write('soak: --block and --gateways are whole numbers within their bounds\n');
+const hasGateways = Number.isInteger(gatewayCount) && gatewayCount >= 1;
+const hasReplicas = Number.isInteger(replicaCount) && replicaCount >= LEAST_REPLICAS;
+if (!isWhole || !hasGateways || !hasReplicas) {
+  process.stderr.write(
+    'soak: --block, --gateways and --replicas are whole numbers within their bounds\n',
+  );
   process.exit(EXIT_WRONG_USE);
 }
 const named = cli.flags.faults.split(',');
@@ -54,7 +62,7 @@
   process.exit(EXIT_WRONG_USE);
 }
 const faults = FAULTS.filter((fault) => named.includes(fault));
-const soak = runSoak({ seed, minutes, clientCount, gatewayCount, block, faults });
+const soak = runSoak({ seed, minutes, clientCount, gatewayCount, replicaCount, block, faults });
 for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
   process.once(signal, () => process.exit(EXIT_WRONG_USE));
 }
--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -34,6 +34,9 @@
 /** Time within which a change of the configuration must be in force, in milliseconds. */
 export const SOAK_APPLY_MILLISECONDS = 2_000;
 
+/** Time after its start from which on a machine that replaces another one counts, in milliseconds. */
+export const SOAK_CATCH_UP_MILLISECONDS = 4_000;
+
 /** Bounds on tenants. */
 export const SOAK_BOUNDS = {
   revokeMilliseconds: 4_000,
@@ -74,6 +77,7 @@
       GraceS: 8,
       ConfigApplyMs: SOAK_APPLY_MILLISECONDS,
       DrainMs: SOAK_APPLY_MILLISECONDS,
+      CatchUpS: SOAK_CATCH_UP_MILLISECONDS / 1_000,
       StrictRevoke: true,
       RevokeMs: SOAK_BOUNDS.revokeMilliseconds,
       QuotaOvershoot: SOAK_BOUNDS.quotaOvershoot,
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -9,6 +9,7 @@
 import type { RandomSource } from '../src/runtime/random.js';
 import { ConfigurationCheck } from './configuration-check.js';
 import type { FaultProxy, ProxyMode } from './fault-proxy.js';
+import { SOAK_CATCH_UP_MILLISECONDS } from './platform-process.js';
 import type { PlatformProcess } from './platform-process.js';
 import { RecoveryCheck } from './recovery-check.js';
 import { SoakClient } from './soak-client.js';
@@ -27,6 +28,8 @@
   readonly clientCount?: number;
   /** Gateways at work. @default 3 */
   readonly gatewayCount?: number;
+  /** Replicas at work: three are members, others stand by. @default 4 */
+  readonly replicaCount?: number;
   /** Kinds of faults that strike. @default all */
   readonly faults?: readonly Fault[];
   /** Block of addresses, so that soaks can run beside one another. @default 0 */
@@ -54,7 +57,6 @@
 }
 
 const GATEWAYS = 3;
-/** Three are members, one stands by. */
 const REPLICAS = 4;
 const RUNNERS = 4;
 const SETTLE_MILLISECONDS = 4_500;
@@ -107,8 +109,8 @@
   constructor(private readonly options: SoakOptions) {
     this.random = createRandom(options.seed, 'soak');
     this.configurations = new SoakConfiguration(this.random);
-    const { gatewayCount = GATEWAYS, block = 0 } = options;
-    const sizes = { gatewayCount, replicaCount: REPLICAS, runnerCount: RUNNERS };
+    const { gatewayCount = GATEWAYS, replicaCount = REPLICAS, block = 0 } = options;
+    const sizes = { gatewayCount, replicaCount, runnerCount: RUNNERS };
     this.world = new SoakWorld({ ...sizes, block });
     const { gatewayHosts, runners } = this.world;
     const violate = (promise: string, detail: string): void => {
@@ -244,10 +246,11 @@
       case 'losePower':
         return this.kill([machine], pause, () => machine.losePower(this.random));
       case 'loseAllPower':
-        await this.kill(this.world.processes, pause, () => this.loseDisks());
-        return this.recovery.check('a loss of all power');
+        return this.loseAllPower(pause);
       case 'emptyReplica':
         return this.emptyReplica(machine, pause);
+      case 'replaceReplica':
+        return this.replaceReplica(machine, pause);
       case 'pauseGateway':
       case 'pauseReplica':
         machine.signal('SIGSTOP');
@@ -298,6 +301,22 @@
     victims.forEach((victim) => victim.start());
   }
 
+  private async loseAllPower(pause: number): Promise<void> {
+    await this.kill(this.world.processes, pause, () => this.loseDisks());
+    await this.recovery.check('a loss of all power');
+  }
+
+  /** A machine is gone for good; the last fault comes the moment that its successor counts. */
+  private async replaceReplica(gone: PlatformProcess, pause: number): Promise<void> {
+    const ended = gone.ended();
+    gone.signal('SIGKILL');
+    await ended;
+    await sleep(pause);
+    await this.world.replaceReplica(gone);
+    await sleep(SOAK_CATCH_UP_MILLISECONDS);
+    await this.loseAllPower(pause);
+  }
+
   /** A machine is emptied and goes; the moment that is reported, another replica loses its disk. */
   private async emptyReplica(machine: PlatformProcess, pause: number): Promise<void> {
     const { store } = this.world;
@@ -352,7 +371,7 @@
   }
 
   private noteOwnExits(): void {
-    for (const { ownExits } of this.world.processes) {
+    for (const { ownExits } of [...this.world.processes, ...this.world.gone]) {
       this.violations.push(...ownExits.map((exit) => `own exit: ${exit}`));
     }
   }
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -24,6 +24,8 @@
   'loseAllPower',
   // A replica's machine is emptied; once that is reported it goes, and another loses its disk right then.
   'emptyReplica',
+  // A replica's machine is gone for good; the moment that its successor counts, all power and a disk are lost.
+  'replaceReplica',
 ] as const;
 /** One of these. */
 export type Fault = (typeof FAULTS)[number];
@@ -63,6 +65,8 @@
     case 'killAll':
     case 'loseAllPower':
       return [...all, REPLICAS_TOGETHER];
+    case 'replaceReplica':
+      return [...all, REPLICAS_TOGETHER, 'store'];
     case 'emptyReplica':
       return [replica, REPLICAS_TOGETHER, 'store'];
     case 'storeRefuses':
--- a/soak/soak-world.ts
+++ b/soak/soak-world.ts
@@ -46,6 +46,9 @@
   readonly runners: RelayRunner[] = [];
   readonly liveRunners: RelayRunner[] = [];
   readonly processes: PlatformProcess[] = [];
+  /** Those whose machines are gone for good. */
+  readonly gone: PlatformProcess[] = [];
+  private startedReplicas = 0;
   private readonly hosts: SoakHosts;
 
   constructor(private readonly options: SoakWorldOptions) {
@@ -75,14 +78,21 @@
   async startProcesses(): Promise<void> {
     const { gatewayCount, replicaCount } = this.options;
     for (let number = 1; number <= gatewayCount; number += 1) {
-      await this.startProcess('gateway', number, number);
+      await this.startProcess('gateway', number, zoneOf(number));
     }
     for (let number = 1; number <= replicaCount; number += 1) {
-      await this.startProcess('replica', number, gatewayCount + number);
+      await this.startReplica(zoneOf(number));
     }
     await new Promise((resolve) => setTimeout(resolve, START_MILLISECONDS));
   }
 
+  /** Lets a killed replica's machine be gone for good and starts an empty one elsewhere in its place. */
+  async replaceReplica(gone: PlatformProcess): Promise<void> {
+    this.processes.splice(this.processes.indexOf(gone), 1);
+    this.gone.push(gone);
+    await this.startReplica(gone.machine.zone);
+  }
+
   /** Crashes a runner; another takes its address after a pause. */
   async replaceRunner(index: number, pauseMilliseconds: number): Promise<void> {
     const crashed = this.liveRunners[index]!;
@@ -103,7 +113,13 @@
     this.store.close();
   }
 
-  private async startProcess(role: PlatformRole, number: number, place: number): Promise<void> {
+  private async startReplica(zone: string): Promise<void> {
+    this.startedReplicas += 1;
+    await this.startProcess('replica', this.startedReplicas, zone);
+  }
+
+  private async startProcess(role: PlatformRole, number: number, zone: string): Promise<void> {
+    const place = this.storeProxies.size + 1;
     const name = `${role}-${number}`;
     const proxy = new FaultProxy(this.hosts.of('store', 1), STORE_PORT);
     const proxyHost = this.hosts.of('storeProxy', place);
@@ -112,7 +128,7 @@
     const seeds = this.gatewayHosts.slice(0, 2).map((host) => `${host}:${SOAK_PORTS.control}`);
     const storeAddress = `${proxyHost}:${STORE_PORT}`;
     const host = this.hosts.of(role, number);
-    const machine = { name, role, host, zone: zoneOf(number), storeAddress, seeds };
+    const machine = { name, role, host, zone, storeAddress, seeds };
     const folder = join(this.folder, name);
     mkdirSync(folder);
     const process = new PlatformProcess(machine, folder);
