--- a/src/turns/decide-membership.ts
+++ b/src/turns/decide-membership.ts
@@ -30,9 +30,32 @@
   readonly vacantMilliseconds: number;
 }
 
+/** Why nothing is done, as it stands in the log. */
+export type WaitReason =
+  /** As many members as wanted are present. */
+  | 'enough present'
+  /** The machine of this replica is to be emptied. */
+  | 'retiring'
+  /** The place is left to one of a zone with fewer members for a while. */
+  | 'courtesy'
+  /** Too few complete members have been read to their end. */
+  | 'not level'
+  /** A member whose state is not complete decides nothing. */
+  | 'incomplete'
+  /** Too few others have read all that is here. */
+  | 'not handed over'
+  /** All members are heard. */
+  | 'nobody silent'
+  /** Too few members would be left. */
+  | 'too few left'
+  /** Another member comes first. */
+  | 'not first'
+  /** Those that would be left have not read all of one another. */
+  | 'others not level';
+
 /** What to do. */
 export type MembershipAction =
-  | { readonly tag: 'Wait' }
+  | { readonly tag: 'Wait'; readonly reason: WaitReason }
   /** Write the first record, with this replica alone. */
   | { readonly tag: 'Create' }
   /** Add this replica. */
@@ -51,7 +74,9 @@
 /** Complete members that have read all that was here before this replica leaves. */
 const LEAST_HEIRS = 2;
 
-const WAIT: MembershipAction = { tag: 'Wait' };
+function waitFor(reason: WaitReason): MembershipAction {
+  return { tag: 'Wait', reason };
+}
 
 /** See the head of this file. */
 export function decideMembership(view: MembershipView): MembershipAction {
@@ -63,7 +88,7 @@
     return decideJoin(view, record);
   }
   if (!view.ready) {
-    return WAIT;
+    return waitFor('incomplete');
   }
   const others = record.members.filter((member) => member.id !== self.id);
   if (view.retiringNodes.has(self.node)) {
@@ -73,15 +98,18 @@
 }
 
 function decideJoin(view: MembershipView, record: MemberRecord): MembershipAction {
-  if (view.retiringNodes.has(view.self.node) || view.presentMembers >= view.wantedMembers) {
-    return WAIT;
+  if (view.retiringNodes.has(view.self.node)) {
+    return waitFor('retiring');
+  }
+  if (view.presentMembers >= view.wantedMembers) {
+    return waitFor('enough present');
   }
   const neighbours = record.members.filter((member) => member.zone === view.self.zone);
   if (view.vacantMilliseconds < neighbours.length * ZONE_COURTESY_MILLISECONDS) {
-    return WAIT;
+    return waitFor('courtesy');
   }
   const level = record.members.filter((member) => view.isLevelWith(member.id));
-  return level.length >= readQuorumOf(record) ? { tag: 'Join' } : WAIT;
+  return level.length >= readQuorumOf(record) ? { tag: 'Join' } : waitFor('not level');
 }
 
 function decideLeave(view: MembershipView, record: MemberRecord): MembershipAction {
@@ -93,7 +121,9 @@
   const heirs = present.filter((member) => view.isComplete(member.id));
   const isEnough = heirs.length >= Math.max(LEAST_HEIRS, majorityOf(left));
   const handedOver = isEnough && present.every((member) => view.hasRead(member.id));
-  return handedOver ? { tag: 'Remove', member: view.self, reason: 'retiring' } : WAIT;
+  return handedOver
+    ? { tag: 'Remove', member: view.self, reason: 'retiring' }
+    : waitFor('not handed over');
 }
 
 /** Whether this replica and another complete one have lately read all of one another. */
@@ -102,16 +132,18 @@
 }
 
 function decideRemoval(view: MembershipView, others: readonly Member[]): MembershipAction {
-  for (const silent of others) {
-    if (view.silentMilliseconds(silent.id) < REMOVAL_MILLISECONDS) {
-      continue;
-    }
-    const remaining = others.filter((member) => member.id !== silent.id);
-    const enough = remaining.length + 1 >= LEAST_MEMBERS;
-    const first = remaining.every((member) => view.self.id < member.id);
-    if (enough && first && remaining.every(({ id }) => holdsAll(view, id))) {
-      return { tag: 'Remove', member: silent, reason: 'silent' };
-    }
+  const silent = others.find(({ id }) => view.silentMilliseconds(id) >= REMOVAL_MILLISECONDS);
+  if (silent === undefined) {
+    return waitFor('nobody silent');
+  }
+  const remaining = others.filter((member) => member.id !== silent.id);
+  if (remaining.length + 1 < LEAST_MEMBERS) {
+    return waitFor('too few left');
+  }
+  if (!remaining.every((member) => view.self.id < member.id)) {
+    return waitFor('not first');
   }
-  return WAIT;
+  return remaining.every(({ id }) => holdsAll(view, id))
+    ? { tag: 'Remove', member: silent, reason: 'silent' }
+    : waitFor('others not level');
 }
--- a/src/turns/membership-keeper.ts
+++ b/src/turns/membership-keeper.ts
@@ -15,6 +15,7 @@
   withoutMember,
 } from './membership.js';
 import type { Member, MemberRecord } from './membership.js';
+import { MembershipWaitLog } from './membership-wait-log.js';
 import type { MembershipStore } from './membership-store.js';
 import type { Replica } from './replica.js';
 import type { ReplicaSync } from './replica-sync.js';
@@ -47,8 +48,10 @@
   private olderEpoch: number | undefined;
   /** Local time since which fewer members are present than wanted; undefined while enough are. */
   private vacantSince: number | undefined;
+  private readonly waitLog: MembershipWaitLog;
 
   constructor(private readonly options: MembershipKeeperOptions) {
+    this.waitLog = new MembershipWaitLog(options);
     this.retirement = new Retirement(options);
     this.cancelTimer = setRepeatingTimer(options.runtime, STEP_MILLISECONDS, () => this.step());
   }
@@ -163,6 +166,7 @@
   ): void {
     switch (action.tag) {
       case 'Wait':
+        this.waitLog.note(action.reason, record);
         return;
       case 'Create':
       case 'Join':
