--- a/src/histories/replacement-day.ts
+++ b/src/histories/replacement-day.ts
@@ -14,6 +14,8 @@
   'planned',
   /** Another one goes the moment that the first one's successor counts. */
   'two',
+  /** Two go at the same moment; their successors start one behind the other. */
+  'both',
   /** The store of the members is away; the successor's time begins anew at its return. */
   'storeAway',
   /** The machine that goes was to be emptied. */
@@ -75,6 +77,14 @@
       case 'two':
         this.replace(this.takeMember());
         return this.replace(this.takeMember());
+      case 'both': {
+        const [first, second] = [this.takeMember(), this.takeMember()];
+        this.replicas.kill(first);
+        this.replicas.kill(second);
+        this.wait(this.random.uniform() * LONGEST_PAUSE_MILLISECONDS);
+        this.addMachine(PROCESS_START_MILLISECONDS);
+        return this.startSuccessor();
+      }
       case 'storeAway':
         return this.replaceWhileStoreIsAway();
       case 'retiring': {
