--- a/features/replaced-member.feature
+++ b/features/replaced-member.feature
@@ -30,3 +30,19 @@
   Scenario: Two members that are gone at the same time don't keep one another in the record
     When days of a machine replaced, "both", with 8 replicas, 5 of them members, 2 disks lost at once and 6000 milliseconds to catch up are played with seeds 1 to 30
     Then no replacement breaks a promise
+
+  # Seen: read in the code while the incident above was traced; then on such days.
+  # How: a turn was acknowledged by those cut off and one other. When they were taken out, fewer members were
+  #   asked before a turn is denied, and the others had not read it yet from the one that has it.
+  # Cause: what a member acknowledged under earlier members counted as known to all in the moment of a change.
+  @known-red
+  Scenario Outline: What was acknowledged just before the members changed is not denied
+    When days with <replicas> replicas, <members> of them members, of which <cut> are cut off from the others, are played with seeds 1 to 40
+    Then no turn that was kept is denied, although the members changed
+
+    Examples:
+      | replicas | members | cut |
+      | 4        | 3       | 1   |
+      | 5        | 5       | 1   |
+      | 5        | 5       | 2   |
+      | 8        | 5       | 2   |
--- a/src/histories/replica-day.ts
+++ b/src/histories/replica-day.ts
@@ -132,9 +132,15 @@
     this.wait(2 * OPERATION_MILLISECONDS);
   }
 
-  private client(name: string): TurnClient {
+  /** A gateway that knows nothing but the members. */
+  protected client(name: string, zone = 'z1'): TurnClient {
     const knownTo = this.replicas.activeNames()[0] ?? this.names[0]!;
-    return this.replicas.client(name, 'z1', knownTo).client;
+    return this.replicas.client(name, zone, knownTo).client;
+  }
+
+  /** Told each turn that was kept. */
+  protected onKept(_id: string): void {
+    // Days that look at turns as they are kept do so here.
   }
 
   /** Turns are kept all day long, one after another. */
@@ -150,6 +156,7 @@
     client.keep(kept, OPERATION_MILLISECONDS, (done) => {
       if (done) {
         this.kept.push(id);
+        this.onKept(id);
       }
       this.clock.schedule(KEEP_MILLISECONDS, () => this.keepNext(client));
     });
--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -146,6 +146,11 @@
     return decodeMemberRecord(this.text)?.members ?? [];
   }
 
+  /** Epoch of the stored record; 0 when there is none. */
+  get epoch(): number {
+    return decodeMemberRecord(this.text)?.epoch ?? 0;
+  }
+
   portOf(runtime: Runtime, isCut: () => boolean): MembershipStore {
     return {
       readRecord: (): StoredRecord => {
