A turn is denied only by who knows the same members and has read what was acknowledged under earlier ones

Denials were counted by the asker's members, whatever the one asked knew, and from the moment of a change on.

--- a/features/replaced-member.feature
+++ b/features/replaced-member.feature
@@ -35,7 +35,6 @@
   # How: a turn was acknowledged by those cut off and one other. When they were taken out, fewer members were
   #   asked before a turn is denied, and the others had not read it yet from the one that has it.
   # Cause: what a member acknowledged under earlier members counted as known to all in the moment of a change.
-  @known-red
   Scenario Outline: What was acknowledged just before the members changed is not denied
     When days with <replicas> replicas, <members> of them members, of which <cut> are cut off from the others, are played with seeds 1 to 40
     Then no turn that was kept is denied, although the members changed
--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -261,6 +261,7 @@
     const shared = { runtime, replica, directory, wantedMembers, timings };
     const sync = new ReplicaSync({ ...shared, id, caller });
     replica.holdsQuorum = () => sync.holdsQuorum;
+    replica.hasReadEarlierEpochs = () => sync.hasReadEarlierEpochs;
     replica.silenceWords = () => sync.silenceWords();
     if (this.options.planted === 'noRepair') {
       sync.close();
--- a/src/turns/membership.ts
+++ b/src/turns/membership.ts
@@ -75,6 +75,12 @@
   return record.members.length - majorityOf(record) + 1;
 }
 
+/** The same when the record before had a member more, as far as a record of this size can have as many. */
+export function readQuorumBefore({ members }: MemberRecord): number {
+  const before = members.length + 1;
+  return Math.min(members.length, before - majorityOfCount(before) + 1);
+}
+
 /**
  * Complete replicas to read from so that one of them has every acknowledged write, when so many members
  * may ever have acknowledged one. Of these a majority at least has each write: acknowledgements by a
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -64,11 +64,14 @@
 export type ReplicaRequest =
   | { type: 'reserve'; call: number; epoch: number; entry: AccountEntry }
   | { type: 'keep'; call: number; epoch: number; turn: KeptTurn }
+  /** Asks whether the replica is there: the turn never exists. */
   | { type: 'chain'; call: number; turn: string }
   | { type: 'pull'; call: number; from: string; members: string; log: string; after: number }
   | { type: 'fetch'; call: number; turns: string[] }
   /** Asks for the reservations with these digests. */
   | { type: 'readEntries'; call: number; digests: Buffer }
+  /** Asks for a chain of turns; a turn is denied only by who knows the same members as the sender. */
+  | { type: 'chainUnder'; call: number; epoch: number; turn: string }
   /** Asks a member how long it has not heard the others. */
   | { type: 'askSilences'; call: number }
   /** Asks whether one request of a tenant may run. */
@@ -217,6 +220,7 @@
     type: 'silencesTold',
     fields: { call: count, from: shortText, words: listOf(silenceWord) },
   },
+  { type: 'chainUnder', fields: { call: count, epoch: count, turn: shortText } },
 ]);
 
 /** Encodes a message without its frame. */
--- a/src/turns/replica-sync.ts
+++ b/src/turns/replica-sync.ts
@@ -7,7 +7,7 @@
 import type { MemberDirectory } from './member-directory.js';
 import { MemberSilence } from './member-silence.js';
 import type { SilenceWord } from './member-silence.js';
-import { hasMember, majorityOf } from './membership.js';
+import { hasMember, majorityOf, readQuorumBefore } from './membership.js';
 import type { Member } from './membership.js';
 import { HURRIED_LOOK_MILLISECONDS, PULL_MILLISECONDS } from './membership-timings.js';
 import type { MembershipTimings } from './membership-timings.js';
@@ -123,6 +123,25 @@
     return confirmed.length + 1 >= majorityOf(record);
   }
 
+  /**
+   * Whether this replica has all that members acknowledged under earlier records: since the one in force came it
+   * has read to their ends the logs of all that are heard, and of as many as a majority of one member more leaves.
+   * Until then, what a member that left acknowledged with one other may be on that one alone.
+   */
+  get hasReadEarlierEpochs(): boolean {
+    const record = this.options.directory.current;
+    if (record === undefined) {
+      return false;
+    }
+    const isRead = ({ id }: Member): boolean =>
+      (this.peers.get(id)?.levelEpoch ?? 0) >= record.epoch;
+    const unread = this.others().filter((member) => !isRead(member));
+    const readCount = record.members.length - unread.length;
+    const isGone = ({ id }: Member): boolean =>
+      this.silence.of(id) >= this.options.timings.removalMilliseconds;
+    return readCount >= readQuorumBefore(record) && unread.every(isGone);
+  }
+
   /** Time since a member was last heard, as far as is known here, in milliseconds. */
   silenceOf(member: string): number {
     return this.silence.of(member);
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -54,6 +54,13 @@
   readonly at: number;
 }
 
+type FoundChain = ReturnType<ReplicaState['chainOf']>;
+
+/** A chain that is missing here is denied only where the replica may say so. */
+function deniedBy(chain: FoundChain, mayDeny: boolean): FoundChain {
+  return chain.state === 'missing' && !mayDeny ? { ...chain, state: 'unsure' } : chain;
+}
+
 /** See the head of this file. */
 export class Replica {
   readonly state = new ReplicaState();
@@ -62,6 +69,8 @@
   readonly pullers = new Map<string, PullerProgress>();
   /** Whether a majority of the members is known to know no newer record. */
   holdsQuorum: () => boolean = () => true;
+  /** Whether what was acknowledged under earlier members is known to be here, or with those of now. */
+  hasReadEarlierEpochs: () => boolean = () => true;
   /** What this replica can say of how long other members have been silent. */
   silenceWords: () => readonly SilenceWord[] = () => [];
   private readonly quotas: QuotaBuckets;
@@ -196,8 +205,13 @@
           send({ type: 'taken', call, outcome: this.outcomeOf(request.epoch, durable, send) });
         });
         return;
-      case 'chain':
-        send({ type: 'chained', call, ...this.readChain(request.turn) });
+      case 'chain': {
+        const chain = this.state.chainOf(request.turn);
+        send({ type: 'chained', call, ...deniedBy(chain, false) });
+        return;
+      }
+      case 'chainUnder':
+        send({ type: 'chained', call, ...this.readChain(request.turn, request.epoch, send) });
         return;
       case 'pull':
         this.answerPull(request, send);
@@ -298,9 +312,11 @@
     };
   }
 
-  private readChain(turn: string): ReturnType<ReplicaState['chainOf']> {
-    const chain = this.state.chainOf(turn);
-    return chain.state === 'missing' && !this.active ? { ...chain, state: 'unsure' } : chain;
+  private readChain(turn: string, epoch: number, send: ReplySender): FoundChain {
+    // A client gives up for good what is denied: only who surely has what was ever acknowledged may say so, and
+    // only to one that counts denials by the same members.
+    const isSameEpoch = this.outcomeOf(epoch, true, send) === 'done';
+    return deniedBy(this.state.chainOf(turn), isSameEpoch && this.hasReadEarlierEpochs());
   }
 
   private readTurns(ids: readonly string[]): KeptTurn[] {
--- a/src/turns/turn-client.ts
+++ b/src/turns/turn-client.ts
@@ -231,7 +231,9 @@
       return;
     }
     this.open += 1;
-    this.options.caller.call(member, { type: 'chain', turn: this.turn }, left, (reply) => {
+    const { epoch } = this.record;
+    const request = { type: 'chainUnder' as const, epoch, turn: this.turn };
+    this.options.caller.call(member, request, left, (reply) => {
       this.open -= 1;
       this.take(reply);
     });
