--- a/features/steps/turn-histories.steps.ts
+++ b/features/steps/turn-histories.steps.ts
@@ -1,7 +1,8 @@
 /** Steps about seeded histories of kept turns and token accounts. */
 import assert from 'node:assert/strict';
 import { Then, When } from '@cucumber/cucumber';
-import { runTurnHistory, TURN_FAULTS } from '../../src/histories/turn-history.js';
+import { TURN_FAULTS } from '../../src/histories/turn-faults.js';
+import { runTurnHistory } from '../../src/histories/turn-history.js';
 import type { PlantedFault, TurnHistoryResult } from '../../src/histories/turn-history.js';
 
 interface World {
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -9,53 +9,20 @@
 import type { RandomSource } from '../src/runtime/random.js';
 import { ConfigurationCheck } from './configuration-check.js';
 import type { FaultProxy, ProxyMode } from './fault-proxy.js';
+import { addLoss } from './power-loss-counts.js';
+import type { PowerLossCounts } from './power-loss-counts.js';
 import { SOAK_CATCH_UP_MILLISECONDS } from './platform-process.js';
 import type { PlatformProcess } from './platform-process.js';
 import { RecoveryCheck } from './recovery-check.js';
 import { SoakClient } from './soak-client.js';
 import type { SoakCounts } from './soak-client.js';
+import type { SoakOptions, SoakReport } from './soak-report.js';
 import { SoakConfiguration } from './soak-configuration.js';
 import { FAULTS, REPLICAS_TOGETHER, STORE_FAULTS, targetsOf } from './soak-faults.js';
 import type { Fault, FaultTargets } from './soak-faults.js';
 import { SoakWorld } from './soak-world.js';
 import { TenantCheck } from './tenant-check.js';
 
-/** What a soak is run with. */
-export interface SoakOptions {
-  readonly seed: number;
-  readonly minutes: number;
-  /** Clients at work at the same time. @default 8 */
-  readonly clientCount?: number;
-  /** Gateways at work. @default 3 */
-  readonly gatewayCount?: number;
-  /** Replicas at work: three are members, others stand by. @default 4 */
-  readonly replicaCount?: number;
-  /** Kinds of faults that strike. @default all */
-  readonly faults?: readonly Fault[];
-  /** Block of addresses, so that soaks can run beside one another. @default 0 */
-  readonly block?: number;
-}
-
-/** What a soak showed. */
-export interface SoakReport {
-  readonly seed: number;
-  readonly counts: SoakCounts;
-  readonly faults: Readonly<Record<string, number>>;
-  /** Pairs of faults that struck at the same time. */
-  readonly pairs: Readonly<Record<string, number>>;
-  /** Looks at the configuration of gateways in touch. */
-  readonly configurationLooks: number;
-  /** Requests sent under keys that were taken away. */
-  readonly oldKeyRequests: number;
-  /** Requests of the tenant with a limit that were answered. */
-  readonly limitedAnswers: number;
-  /** Milliseconds from the start of all processes after each loss of all power to service of every kind. */
-  readonly recoveries: readonly number[];
-  readonly violations: readonly string[];
-  /** Where the logs of the processes are. */
-  readonly folder: string;
-}
-
 const GATEWAYS = 3;
 const REPLICAS = 4;
 const RUNNERS = 4;
@@ -100,6 +67,7 @@
     budgetRefused: 0,
   };
   private readonly pairs: Record<string, number> = {};
+  private readonly lost: PowerLossCounts = { disks: 0, names: 0, bytes: 0 };
   /** Faults that last, and what each of them strikes: a machine, or the store. */
   private readonly lasting = new Map<Fault, readonly string[]>();
   private readonly configuration: ConfigurationCheck;
@@ -146,13 +114,13 @@
     this.noteOwnExits();
     await this.world.stop();
     const { seed } = this.options;
-    const { counts, faults, pairs, violations } = this;
+    const { counts, faults, pairs, lost, violations } = this;
     const { folder } = this.world;
     const { looks: configurationLooks } = this.configuration;
     const { oldKeyRequests, limitedAnswers } = this.tenants;
     const looks = { configurationLooks, oldKeyRequests, limitedAnswers };
     const { recoveries } = this.recovery;
-    return { seed, counts, faults, pairs, ...looks, recoveries, violations, folder };
+    return { seed, counts, faults, pairs, ...looks, recoveries, lost, violations, folder };
   }
 
   /** Strikes in series, and now and then while another fault lasts. */
@@ -247,7 +215,7 @@
       case 'killAll':
         return this.kill(this.world.processes, pause);
       case 'losePower':
-        return this.kill([machine], pause, () => machine.losePower(this.random));
+        return this.kill([machine], pause, () => this.losePowerOf(machine));
       case 'loseAllPower':
         return this.loseAllPower(pause);
       case 'emptyReplica':
@@ -347,9 +315,11 @@
     const replicas = this.world.of('replica');
     const lost = this.random.pick(replicas);
     lost.wipe();
-    replicas
-      .filter((replica) => replica !== lost)
-      .forEach((replica) => replica.losePower(this.random));
+    replicas.filter((replica) => replica !== lost).forEach((replica) => this.losePowerOf(replica));
+  }
+
+  private losePowerOf(replica: PlatformProcess): void {
+    addLoss(this.lost, replica.losePower(this.random));
   }
 
   private async troubleStore(mode: StoreMode, pause: number): Promise<void> {
--- a/src/commands/bench-commands.ts
+++ b/src/commands/bench-commands.ts
@@ -37,6 +37,8 @@
   readonly losses: number;
   /** Milliseconds that a synced write takes in turn histories. */
   readonly write: number;
+  /** Milliseconds after its start from which on a replica that replaces another counts. */
+  readonly catchUp: number;
   /** Gateways of configuration histories. */
   readonly gateways: number;
   readonly json: boolean;
@@ -145,6 +147,7 @@
     ...(flags.replicas === 0 ? {} : { replicaCount: flags.replicas }),
     lossesAtOnce: flags.losses,
     writeMilliseconds: flags.write,
+    catchUpMilliseconds: flags.catchUp,
     ...(flags.members === 0 ? {} : { wantedMembers: flags.members }),
   });
   write(JSON.stringify(result));
@@ -161,6 +164,7 @@
     wantedMembers: flags.members || DAY_MEMBERS,
     lossesAtOnce: flags.losses,
     writeMilliseconds: flags.write,
+    catchUpMilliseconds: flags.catchUp,
   };
   let isBroken = false;
   for (let seed = seeds.first; seed <= seeds.last; seed += 1) {
--- a/src/commands/ivyloom-bench.ts
+++ b/src/commands/ivyloom-bench.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 /** The bench: a local cluster, emulators, experiments and proofs. */
 import meow from 'meow';
+import { DEFAULT_CATCH_UP_MILLISECONDS } from '../turns/membership-timings.js';
 import { runBenchCommand } from './bench-commands.js';
 
 const cli = meow(
@@ -30,6 +31,7 @@
     --gateways N        configuration-histories: gateways (default 8)
     --losses N          the same: replicas that are lost at once (default 1)
     --write MS          the same: time that a synced write takes (default 1)
+    --catch-up MS       the same: time after its start from which on a successor counts (default ${DEFAULT_CATCH_UP_MILLISECONDS})
     --once              start: end after the report
     --deployment NAME   start: lakeshore, dakar or mixed (default mixed)
     --programs N        start: programs to run (default 100)
@@ -61,6 +63,7 @@
       members: { type: 'number', default: 0 },
       losses: { type: 'number', default: 1 },
       write: { type: 'number', default: 1 },
+      catchUp: { type: 'number', default: DEFAULT_CATCH_UP_MILLISECONDS },
       gateways: { type: 'number', default: 8 },
       calls: { type: 'number', default: 60 },
       minutes: { type: 'number', default: 1 },
--- a/src/histories/run-turn-histories.ts
+++ b/src/histories/run-turn-histories.ts
@@ -1,6 +1,8 @@
 /** Plays many histories of kept turns and token accounts and sums up what they showed. */
-import { runTurnHistory, TURN_FAULTS } from './turn-history.js';
-import type { TurnFault, TurnHistoryOptions } from './turn-history.js';
+import { TURN_FAULTS } from './turn-faults.js';
+import type { TurnFault } from './turn-faults.js';
+import { runTurnHistory } from './turn-history.js';
+import type { TurnHistoryOptions } from './turn-history.js';
 
 /** A promise that was broken, with the seed that plays it again. */
 export interface TurnViolation {
--- a/src/histories/turn-history.ts
+++ b/src/histories/turn-history.ts
@@ -10,25 +10,8 @@
 import { VirtualClock } from '../simulation/virtual-clock.js';
 import type { TurnClient } from '../turns/turn-client.js';
 import { drawSeveral } from './draw-several.js';
-
-/** Kinds of faults. */
-export const TURN_FAULTS = [
-  'kill',
-  'wipe',
-  'pause',
-  'cutGateway',
-  'cutPeers',
-  'cutStore',
-  'storeDown',
-  'killAll',
-  'wipeOneKillOthers',
-  'add',
-  'retire',
-  'replace',
-] as const;
-
-/** One kind of fault. */
-export type TurnFault = (typeof TURN_FAULTS)[number];
+import { TURN_FAULTS } from './turn-faults.js';
+import type { TurnFault } from './turn-faults.js';
 
 /** Faults planted to show that the checks find them. */
 export type PlantedFault =
@@ -48,6 +31,8 @@
   readonly wantedMembers?: number;
   /** Time that a synced write takes, in milliseconds. @default 1 */
   readonly writeMilliseconds?: number;
+  /** Time after its start from which on a successor counts, in milliseconds. @default 16,000 */
+  readonly catchUpMilliseconds?: number;
   /** Machines that are killed or lose their disks at once. @default 1 */
   readonly lossesAtOnce?: number;
   readonly log?: LogFunction;
--- a/src/turns/completeness.ts
+++ b/src/turns/completeness.ts
@@ -7,7 +7,7 @@
 import type { MemberDirectory } from './member-directory.js';
 import { hasMember, readsToBecomeComplete } from './membership.js';
 import type { MemberRecord } from './membership.js';
-import type { PeerView } from './replica-sync.js';
+import type { PeerView } from './peer-progress.js';
 import type { Replica } from './replica.js';
 
 /** Pause between two lines that tell why the state is not complete yet, in milliseconds. */
--- a/src/turns/replica-sync.ts
+++ b/src/turns/replica-sync.ts
@@ -12,6 +12,7 @@
 import { HURRIED_LOOK_MILLISECONDS, PULL_MILLISECONDS } from './membership-timings.js';
 import type { MembershipTimings } from './membership-timings.js';
 import type { ReplicaReply } from './messages.js';
+import type { PeerProgress, PeerView } from './peer-progress.js';
 import type { ReplicaCaller } from './replica-caller.js';
 import type { Replica } from './replica.js';
 import { packDigests, unpackDigests } from './reservation-digests.js';
@@ -41,23 +42,6 @@
  */
 const QUORUM_MILLISECONDS = 1_500;
 
-/** How far this replica has read the log of another. */
-interface PeerProgress {
-  log: string;
-  position: number;
-  /** Epoch that the peer knew when this replica last stood at its log's end; 0 before. */
-  levelEpoch: number;
-  /** Local time at which this replica last stood at its log's end, in milliseconds. */
-  levelAt: number;
-  /** Whether the peer's own state was complete then. */
-  active: boolean;
-  /** Epoch under which it said that it had acknowledged nothing as a member; 0 when it did not. */
-  freshEpoch: number;
-}
-
-/** What a replica knows of another. */
-export type PeerView = Readonly<PeerProgress>;
-
 /** What the synchronisation is made with. */
 export interface ReplicaSyncOptions {
   readonly id: string;
