--- a/features/entries.feature
+++ b/features/entries.feature
@@ -33,3 +33,9 @@
     And one line tells of it
     When the entry of "a" is written as before
     Then "a" and "b" are in use
+
+  Scenario: Very many and very long entries of strangers are told in a bounded number of short lines
+    Given gateways know the runners "a" and "b"
+    When 2000 entries of strangers are written, each 100000 signs long, twice
+    Then "a" and "b" are in use
+    And at most 1001 lines of at most 400 signs tell of them
--- a/features/steps/entries.steps.ts
+++ b/features/steps/entries.steps.ts
@@ -22,6 +22,8 @@
   entry?: string;
   takers?: ItemTakers;
   lines?: string[];
+  /** Signs of the longest line. */
+  longestLine?: number;
 }
 
 When(/^the entry of a runner reads (.*)$/, function (this: World, entry: string) {
@@ -81,7 +83,10 @@
       'g',
       new VirtualClock(),
       createRandom(1),
-      (_level, _, fields) => lines.push(String(fields?.event)),
+      (_level, _, fields) => {
+        lines.push(String(fields?.event));
+        this.longestLine = Math.max(this.longestLine ?? 0, JSON.stringify(fields).length);
+      },
     );
     const runtime = process.begin();
     this.lines = lines;
@@ -124,6 +129,25 @@
   assert.deepEqual(inUse(this), [a, b]);
 });
 
+When(
+  '{int} entries of strangers are written, each {int} signs long, twice',
+  function (this: World, count: number, signs: number) {
+    const entry = JSON.stringify({ Service: SERVICE, Address: { text: 'x'.repeat(signs) } });
+    for (let place = 0; place < 2 * count; place += 1) {
+      put(this, `stranger-${place % count}`, entry);
+    }
+  },
+);
+
+Then(
+  'at most {int} lines of at most {int} signs tell of them',
+  function (this: World, lines: number, signs: number) {
+    const told = this.lines!.filter((event) => event === 'item.refused').length;
+    assert.ok(told > 0 && told <= lines, `${told} lines`);
+    assert.ok(this.longestLine! <= signs, `${this.longestLine} signs`);
+  },
+);
+
 Then('one line tells of it', function (this: World) {
   assert.equal(this.lines!.filter((event) => event === 'item.refused').length, 1);
 });
--- a/soak/soak-world.ts
+++ b/soak/soak-world.ts
@@ -30,6 +30,15 @@
 /** Time between two events of a stream, in milliseconds. */
 const EVENT_MILLISECONDS = 8;
 
+/** Entries of other writers, which stand beside those of the runners: none names a runner. */
+const STRANGE_ENTRIES: readonly Record<string, unknown>[] = [
+  { Service: SOAK_SERVICE, Address: 'x', State: 'ready' },
+  { Service: SOAK_SERVICE, Address: '127.0.0.1:99999', State: 'ready' },
+  { Service: SOAK_SERVICE, Address: '127.0.0.1:9', State: 'asleep' },
+  { Service: SOAK_SERVICE, State: 'ready', Slots: 'many' },
+  {},
+];
+
 function zoneOf(number: number): string {
   return `z${((number - 1) % ZONES) + 1}`;
 }
@@ -72,6 +81,9 @@
     for (let index = 0; index < this.options.runnerCount; index += 1) {
       await this.startRunner(index);
     }
+    STRANGE_ENTRIES.forEach((entry, place) =>
+      this.store.put(`${RUNNER_PREFIX}stranger-${place}`, entry),
+    );
   }
 
   /** Starts all processes; resolves when they have had time to find one another. */
