--- a/src/histories/replacement-day.ts
+++ b/src/histories/replacement-day.ts
@@ -21,6 +21,8 @@
   'both',
   /** The store of the members is away; the successor's time begins anew at its return. */
   'storeAway',
+  /** One is emptied and taken away, then another is replaced as planned: fewer machines than members wanted are left. */
+  'plannedAfterEmptied',
   /** The machine that goes was to be emptied. */
   'retiring',
 ] as const;
@@ -47,6 +49,8 @@
 const LONGEST_PAUSE_MILLISECONDS = 8_000;
 /** Time in which nothing happens before the first machine goes, in milliseconds: up to this. */
 const CALM_MILLISECONDS = 3_000;
+/** Time that a machine has to be emptied, in milliseconds. */
+const EMPTYING_MILLISECONDS = 8_000;
 const LONGEST_AWAY_MILLISECONDS = 8_000;
 
 /** See the head of this file. */
@@ -73,6 +77,9 @@
     switch (replacement) {
       case 'one':
         return this.replace(this.takeMember());
+      case 'plannedAfterEmptied':
+        this.emptyMachine();
+        return this.replaceAsPlanned();
       case 'emptied':
         return this.emptyDisk();
       case 'planned':
@@ -119,6 +126,18 @@
     this.wait(catchUpMilliseconds - START_MILLISECONDS);
   }
 
+  /** Waits until a machine is reported empty, and takes it away. */
+  private emptyMachine(): void {
+    const name = this.takeMember();
+    const { store } = this.replicas;
+    store.retiring.add(name);
+    const isEmpty = (): boolean => store.finished.has(name);
+    if (!this.clock.runUntil(this.clock.now + EMPTYING_MILLISECONDS, isEmpty)) {
+      this.violations.push(`${name} was not reported empty in ${EMPTYING_MILLISECONDS} ms`);
+    }
+    this.replicas.kill(name);
+  }
+
   private emptyDisk(): void {
     const name = this.random.pick(this.names);
     this.replicas.kill(name);
