--- a/features/freshness.feature
+++ b/features/freshness.feature
@@ -67,6 +67,20 @@
     And 2500 milliseconds pass
     Then the runners "a c" may get requests
 
+  # Seen: on days of high load, requests reached an engine up to 191 ms after the bound on its leaving, as second tries after
+  #   another engine had shed them, while every gateway had known for two seconds that it had left.
+  # How: an engine that left may be used for 1.2 s when no other is left, and is forgotten by a timer after that. The timer
+  #   came a fraction of a millisecond early, found that 1.2 s were not over, and was not set again: usable for ever.
+  # Cause: a timer's callback measured again what the timer had been set for.
+  # Proof: the gateways' logs of such a day: left at 16.04 s, tried up to 18.1 s; a clock whose timers come early.
+  @known-red
+  Scenario: A runner that left is forgotten although the timer for that comes a little early
+    Given the runners "a b" are listed at a process whose timers come half a millisecond early
+    When the runner "a" leaves
+    And 1300 milliseconds pass
+    And the runner "b" leaves
+    Then the runners "b" may get requests
+
   Scenario Outline: Entries count as lapsed only for the time after the store was away
     Given <gateways> gateways that tell one another what they know of the store
     Then after 6000 milliseconds no missing entry counts as lapsed
--- a/features/steps/freshness.steps.ts
+++ b/features/steps/freshness.steps.ts
@@ -130,6 +130,22 @@
   names.split(' ').forEach((name) => this.book.put(runnerNamed(name)));
 });
 
+Given(
+  'the runners {string} are listed at a process whose timers come half a millisecond early',
+  function (this: World, names: string) {
+    this.clock = new VirtualClock();
+    const runtime = new SimulatedProcess('g', this.clock, createRandom(1)).begin();
+    const setTimer: typeof runtime.setTimer = (delay, callback) =>
+      runtime.setTimer(Math.max(0, delay - 0.5), callback);
+    this.book = new RunnerBook({ ...runtime, setTimer });
+    names.split(' ').forEach((name) => this.book.put(runnerNamed(name)));
+  },
+);
+
+When('the runner {string} leaves', function (this: World, name: string) {
+  this.book.remove(name);
+});
+
 When(
   'the entries of {string} lapse and may be written again for {int} milliseconds',
   function (this: World, names: string, milliseconds: number) {
