The relay in rooms along a request's way; stages between the door and the tries stand in two tables

Everything met in relay-front.ts and relay-call.ts, and what comes next (queues, shares, byte budgets) would have come on top. Now: front, stages, tries, answers, admission, placement, runners, request, arrows downwards. A stage is one function from a request to go on, wait or refuse; the call knows tries and their ends. The circle between the call and its answers is opened by an interface. Refusals carry their stage in the log and a metric. No decision changes.

--- a/features/steps/entries.steps.ts
+++ b/features/steps/entries.steps.ts
@@ -9,7 +9,7 @@
 import type { ItemTakers } from '../../platform/take-item.js';
 import { RefusedItems } from '../../platform/refused-items.js';
 import { RUNNER_PREFIX } from '../../platform/store-keys.js';
-import { RunnerBook } from '../../src/relay/runner-book.js';
+import { RunnerBook } from '../../src/relay/runners/runner-book.js';
 import { createRandom } from '../../src/runtime/random.js';
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
 import { VirtualClock } from '../../src/simulation/virtual-clock.js';
--- a/features/steps/followers.steps.ts
+++ b/features/steps/followers.steps.ts
@@ -3,7 +3,7 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { decideFollowing } from '../../src/peers/store-followers.js';
 import type { PromptPlace } from '../../src/peers/recent-places.js';
-import { promptKeyOf } from '../../src/relay/relay-request.js';
+import { promptKeyOf } from '../../src/relay/request/relay-request.js';
 import { hashToNumber } from '../../src/runtime/hashing.js';
 import {
   allKnow,
--- a/features/steps/peers.steps.ts
+++ b/features/steps/peers.steps.ts
@@ -12,7 +12,7 @@
 import { PeerExchange } from '../../src/peers/peer-exchange.js';
 import type { PeerSnapshot } from '../../src/peers/peer-exchange.js';
 import type { PromptPlace } from '../../src/peers/recent-places.js';
-import { promptKeyOf } from '../../src/relay/relay-request.js';
+import { promptKeyOf } from '../../src/relay/request/relay-request.js';
 import { hashToNumber } from '../../src/runtime/hashing.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
 
--- a/features/steps/placement.steps.ts
+++ b/features/steps/placement.steps.ts
@@ -2,22 +2,22 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
-import { chooseRunner } from '../../src/relay/choose-runner.js';
-import { chargesWithout } from '../../src/relay/placement-charges.js';
-import type { PlacementNeed, RunnerView } from '../../src/relay/placement-charges.js';
-import { ProgramAdmission } from '../../src/relay/program-admission.js';
-import type { ServiceLoad } from '../../src/relay/program-admission.js';
-import type { RelayRequest } from '../../src/relay/relay-request.js';
-import { EngineEstimate } from '../../src/relay/engine-estimate.js';
-import { PromptPlaces } from '../../src/relay/prompt-places.js';
-import { parsePromptParts } from '../../src/relay/relay-request.js';
-import { LEAST_URGENT, urgencyOf } from '../../src/relay/urgency.js';
-import { EventSplitter } from '../../src/relay/event-splitter.js';
-import { createRoutingTable, findRoute } from '../../src/relay/routing-table.js';
-import type { Route } from '../../src/relay/routing-table.js';
-import { RunnerPace, ServicePace } from '../../src/relay/service-pace.js';
-import { SilenceEstimate } from '../../src/relay/silence-estimate.js';
-import { TrafficSplit } from '../../src/relay/traffic-split.js';
+import { chooseRunner } from '../../src/relay/placement/choose-runner.js';
+import { chargesWithout } from '../../src/relay/placement/placement-charges.js';
+import type { PlacementNeed } from '../../src/relay/placement/placement-charges.js';
+import { ProgramAdmission } from '../../src/relay/admission/program-admission.js';
+import type { RunnerView, ServiceLoad } from '../../src/relay/runners/runner-view.js';
+import type { RelayRequest } from '../../src/relay/request/relay-request.js';
+import { EngineEstimate } from '../../src/relay/runners/engine-estimate.js';
+import { PromptPlaces } from '../../src/relay/runners/prompt-places.js';
+import { parsePromptParts } from '../../src/relay/request/relay-request.js';
+import { LEAST_URGENT, urgencyOf } from '../../src/relay/request/urgency.js';
+import { EventSplitter } from '../../src/relay/answers/event-splitter.js';
+import { createRoutingTable, findRoute } from '../../src/relay/request/routing-table.js';
+import type { Route } from '../../src/relay/request/routing-table.js';
+import { RunnerPace, ServicePace } from '../../src/relay/runners/service-pace.js';
+import { SilenceEstimate } from '../../src/relay/runners/silence-estimate.js';
+import { TrafficSplit } from '../../src/relay/runners/traffic-split.js';
 
 interface World {
   admission: ProgramAdmission;
--- a/features/steps/relay.steps.ts
+++ b/features/steps/relay.steps.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import type { RunnerBehaviour, RunnerRun } from '../../src/emulator/relay-runner.js';
-import { DEFAULT_HEADER_NAMES } from '../../src/relay/default-header-names.js';
+import { DEFAULT_HEADER_NAMES } from '../../src/relay/request/default-header-names.js';
 import { RelayWorld } from '../support/relay-world.js';
 import type { ClientResult } from '../support/relay-world.js';
 
--- a/features/steps/stale-loads.steps.ts
+++ b/features/steps/stale-loads.steps.ts
@@ -6,11 +6,11 @@
 import assert from 'node:assert/strict';
 import { Then } from '@cucumber/cucumber';
 import fc from 'fast-check';
-import { chooseRunner } from '../../src/relay/choose-runner.js';
-import { drawCandidates } from '../../src/relay/draw-candidates.js';
-import type { LoadView } from '../../src/relay/draw-candidates.js';
-import { chargesWithout } from '../../src/relay/placement-charges.js';
-import type { PlacementNeed } from '../../src/relay/placement-charges.js';
+import { chooseRunner } from '../../src/relay/placement/choose-runner.js';
+import { drawCandidates } from '../../src/relay/placement/draw-candidates.js';
+import { chargesWithout } from '../../src/relay/placement/placement-charges.js';
+import type { PlacementNeed } from '../../src/relay/placement/placement-charges.js';
+import type { LoadView } from '../../src/relay/runners/runner-view.js';
 import { createRandom } from '../../src/runtime/random.js';
 import type { RandomSource } from '../../src/runtime/random.js';
 import { VirtualClock } from '../../src/simulation/virtual-clock.js';
--- a/features/steps/tenants.steps.ts
+++ b/features/steps/tenants.steps.ts
@@ -2,9 +2,9 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { isLeft } from 'fp-ts/lib/Either.js';
-import { DEFAULT_HEADER_NAMES } from '../../src/relay/default-header-names.js';
-import { createTenantsByKey } from '../../src/relay/tenant.js';
-import type { ApiKey, TenantId, TenantSettings } from '../../src/relay/tenant.js';
+import { DEFAULT_HEADER_NAMES } from '../../src/relay/request/default-header-names.js';
+import { createTenantsByKey } from '../../src/relay/request/tenant.js';
+import type { ApiKey, TenantId, TenantSettings } from '../../src/relay/request/tenant.js';
 import type { ClientResult, RelayWorld } from '../support/relay-world.js';
 
 interface World {
--- a/src/emulator/relay-runner.ts
+++ b/src/emulator/relay-runner.ts
@@ -5,7 +5,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
-import type { HeaderNames } from '../relay/header-names.js';
+import type { HeaderNames } from '../relay/request/header-names.js';
 
 /** How the stand-in treats one request. */
 export type RunnerBehaviour =
--- a/src/peers/recent-places.ts
+++ b/src/peers/recent-places.ts
@@ -1,6 +1,6 @@
 /** What this gateway's requests have lately put into the memory of runners, to be told to its peers. */
 import type { Runtime } from '../runtime/runtime.js';
-import type { PromptKey, PromptPart } from '../relay/relay-request.js';
+import type { PromptKey, PromptPart } from '../relay/request/relay-request.js';
 
 /** A part of a prompt that a runner keeps. */
 export interface PromptPlace {
--- a/src/relay/program-admission.ts
+++ b/src/relay/admission/program-admission.ts
@@ -3,14 +3,7 @@
  * late for want of places has cost as much as one in time. Which programs are under way is known
  * from their requests that this gateway has let in before.
  */
-
-/** How busy the runners of a service are, all gateways' requests together. */
-export interface ServiceLoad {
-  /** Requests there, running or waiting. */
-  readonly inFlight: number;
-  /** Requests that can run at the same time. */
-  readonly slots: number;
-}
+import type { ServiceLoad } from '../runners/runner-view.js';
 
 /** Programs remembered; the longest unused go first. */
 const MAXIMUM_PROGRAMS = 20_000;
--- a/src/relay/program-sizes.ts
+++ b/src/relay/admission/program-sizes.ts
@@ -2,7 +2,7 @@
  * Learns how many requests a program of a tenant needs, from what was let in here. A tenant of which
  * little is known is taken to be like all others together.
  */
-import type { TenantId } from './tenant.js';
+import type { TenantId } from '../request/tenant.js';
 
 /** Programs of all tenants that count for one of which nothing is known. */
 const PRIOR_PROGRAMS = 5;
--- a/src/relay/quota-gate.ts
+++ b/src/relay/admission/quota-gate.ts
@@ -3,13 +3,13 @@
  * tenant's rate has room again; new programs before requests of programs under way, since a program
  * that is broken off halfway has cost its tenant all its earlier requests.
  */
-import type { RandomSource } from '../runtime/random.js';
-import type { QuotaClient } from '../turns/quota-client.js';
-import type { OwnAnswer } from './client-answer.js';
-import { outOfReach, quotaSpent } from './own-answers.js';
+import type { RandomSource } from '../../runtime/random.js';
+import type { QuotaClient } from '../../turns/quota-client.js';
+import type { OwnAnswer } from '../answers/own-answers.js';
+import { outOfReach, quotaSpent } from '../answers/own-answers.js';
 import { ProgramSizes } from './program-sizes.js';
-import type { RelayMetrics } from './relay-metrics.js';
-import type { RelayRequest } from './relay-request.js';
+import type { RelayMetrics } from '../relay-metrics.js';
+import type { RelayRequest } from '../request/relay-request.js';
 
 /** What the gate is made with. */
 export interface QuotaGateOptions {
--- a/src/relay/client-answer.ts
+++ b/src/relay/answers/client-answer.ts
@@ -1,20 +1,9 @@
 /** The answer to one client: a runner's own, passed on unchanged, or a short one of the relay. */
 import type { ServerResponse } from 'node:http';
 import { STATUS_CODES } from 'node:http';
-import type { Verdict } from '../model/verdict.js';
-import type { AnswerHead } from './attempt.js';
-import { headersToClient } from './forwarded-headers.js';
-
-/** An answer that the relay gives itself. */
-export interface OwnAnswer {
-  readonly status: number;
-  /** One sentence for people. */
-  readonly detail: string;
-  /** Whether the request may have run. */
-  readonly verdict: Verdict;
-  /** When a new try makes sense; undefined when the relay can't tell. */
-  readonly retryAfterSeconds?: number;
-}
+import { headersToClient } from '../request/forwarded-headers.js';
+import type { AnswerHead } from './answer-reader.js';
+import type { OwnAnswer } from './own-answers.js';
 
 /** See the head of this file. */
 export class ClientAnswer {
--- a/src/relay/own-answers.ts
+++ b/src/relay/answers/own-answers.ts
@@ -3,7 +3,18 @@
  * have run, and when the client should come back. A refusal that says "not run" is given only where no
  * try can have reached a runner.
  */
-import type { OwnAnswer } from './client-answer.js';
+import type { Verdict } from '../../model/verdict.js';
+
+/** An answer that the relay gives itself. */
+export interface OwnAnswer {
+  readonly status: number;
+  /** One sentence for people. */
+  readonly detail: string;
+  /** Whether the request may have run. */
+  readonly verdict: Verdict;
+  /** When a new try makes sense; undefined when the relay can't tell. */
+  readonly retryAfterSeconds?: number;
+}
 
 /** Pause told to clients when no runner had room. */
 const FULL_RETRY_SECONDS = 0.1;
--- a/src/relay/plain-answer.ts
+++ b/src/relay/answers/plain-answer.ts
@@ -1,6 +1,5 @@
 /** A runner's answer that is passed on as a whole, once all of it is there. */
-import type { AnswerHead } from './attempt.js';
-import type { AnswerReader, RelayCall } from './relay-call.js';
+import type { AnsweredCall, AnswerHead, AnswerReader } from './answer-reader.js';
 
 /** Largest answer that is taken, in bytes. */
 const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
@@ -11,7 +10,7 @@
   private bytes = 0;
   private head: AnswerHead | undefined;
 
-  constructor(private readonly call: RelayCall) {}
+  constructor(private readonly call: AnsweredCall) {}
 
   onHead(head: AnswerHead): void {
     this.head = head;
--- a/src/relay/stream-answer.ts
+++ b/src/relay/answers/stream-answer.ts
@@ -2,11 +2,10 @@
  * A runner's stream, passed on event by event. Only whole events go to the client, so a broken
  * stream can be taken up after the last one. A kept turn is stored before the stream's end goes out.
  */
-import type { AnswerHead } from './attempt.js';
 import { EventSplitter } from './event-splitter.js';
 import type { StreamEvent } from './event-splitter.js';
-import type { AnswerReader, RelayCall } from './relay-call.js';
-import { nameForTenant } from './tenant.js';
+import type { AnsweredCall, AnswerHead, AnswerReader } from './answer-reader.js';
+import { nameForTenant } from '../request/tenant.js';
 
 const FIRST_REDIRECT = 300;
 const LINE_FEED = Buffer.from('\n');
@@ -27,7 +26,7 @@
   private head: AnswerHead | undefined;
   private readonly output: Buffer[] = [];
 
-  constructor(private readonly call: RelayCall) {}
+  constructor(private readonly call: AnsweredCall) {}
 
   /** Tokens handed to the client. */
   get handedTokens(): number {
--- a/src/relay/choose-runner.ts
+++ b/src/relay/placement/choose-runner.ts
@@ -1,5 +1,6 @@
 /** Decides which runner gets a request: the one with the least expected cost in milliseconds. */
-import type { PlacementCharge, PlacementNeed, RunnerView } from './placement-charges.js';
+import type { RunnerView } from '../runners/runner-view.js';
+import type { PlacementCharge, PlacementNeed } from './placement-charges.js';
 
 /** Expected cost of a request at a runner, in milliseconds, to itself and to those beside it. */
 export function placementCost(
--- a/src/relay/draw-candidates.ts
+++ b/src/relay/placement/draw-candidates.ts
@@ -5,20 +5,14 @@
  * each runner before it is known, two runners are drawn anew for each request, as is known to be enough,
  * and weighed beside one of those that keep the most of the prompt.
  */
-import type { RandomSource } from '../runtime/random.js';
-import type { RunnerView } from './placement-charges.js';
+import type { RandomSource } from '../../runtime/random.js';
+import type { LoadView, RunnerView } from '../runners/runner-view.js';
 
 /** Runners that are drawn. */
 const DRAWN_RUNNERS = 2;
 /** Requests of others to one runner that aren't known yet, up to which all runners are weighed. */
 const MOST_UNSEEN = 1;
 
-/** What is known of one runner's load. */
-export interface LoadView extends RunnerView {
-  /** Requests of other gateways that are believed to be there. */
-  readonly inFlightOfOthers: number;
-}
-
 /** Requests that others are likely to have sent to one runner since their loads were told. */
 export function unseenRequests(views: readonly LoadView[], ageMilliseconds: number): number {
   let sum = 0;
--- a/src/relay/placement-charges.ts
+++ b/src/relay/placement/placement-charges.ts
@@ -3,25 +3,9 @@
  * to the request and to those beside it. The table is what placement adds up; a charge can be
  * switched off by its name to measure what it is worth.
  */
-import { mixHashes } from '../runtime/hashing.js';
-import type { EngineCosts } from './engine-estimate.js';
-
-/** What is known of one runner that may get the request. */
-export interface RunnerView {
-  readonly id: string;
-  /** Hash of its name. */
-  readonly hash: number;
-  readonly zone: string;
-  readonly slots: number;
-  /** Requests that are believed to be there, ours and those of other nodes. */
-  readonly inFlight: number;
-  /** Mean time from sending to the end of a request there, in milliseconds. */
-  readonly meanMilliseconds: number;
-  /** Tokens of the prompt's leading parts believed to be in its memory. */
-  readonly cachedTokens: number;
-  /** Whether a connection to it is open and idle. */
-  readonly hasIdleConnection: boolean;
-}
+import { mixHashes } from '../../runtime/hashing.js';
+import type { EngineCosts } from '../runners/engine-estimate.js';
+import type { RunnerView } from '../runners/runner-view.js';
 
 /** What the request needs. */
 export interface PlacementNeed {
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -1,15 +1,15 @@
 /** What all calls of one gateway share. */
 import type { Runtime } from '../runtime/runtime.js';
 import type { TurnClient } from '../turns/turn-client.js';
-import type { HeaderNames } from './header-names.js';
-import type { ProgramAdmission } from './program-admission.js';
-import type { PlacementCharge } from './placement-charges.js';
-import type { QuotaGate } from './quota-gate.js';
+import type { HeaderNames } from './request/header-names.js';
+import type { ProgramAdmission } from './admission/program-admission.js';
+import type { PlacementCharge } from './placement/placement-charges.js';
+import type { QuotaGate } from './admission/quota-gate.js';
 import type { RelayMetrics } from './relay-metrics.js';
-import type { RunnerBook } from './runner-book.js';
-import type { RunnerConnections } from './runner-connections.js';
-import type { TrafficSplit } from './traffic-split.js';
-import type { RoutingTable } from './routing-table.js';
+import type { RunnerBook } from './runners/runner-book.js';
+import type { RunnerConnections } from './tries/runner-connections.js';
+import type { TrafficSplit } from './runners/traffic-split.js';
+import type { RoutingTable } from './request/routing-table.js';
 
 /** See the head of this file. */
 export interface RelayContext {
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -7,17 +7,17 @@
 import type { Runtime } from '../runtime/runtime.js';
 import type { QuotaClient } from '../turns/quota-client.js';
 import type { TurnClient } from '../turns/turn-client.js';
-import type { HeaderNames } from './header-names.js';
-import { chargesWithout } from './placement-charges.js';
-import { ProgramAdmission } from './program-admission.js';
+import type { HeaderNames } from './request/header-names.js';
+import { chargesWithout } from './placement/placement-charges.js';
+import { ProgramAdmission } from './admission/program-admission.js';
 import type { RelayContext } from './relay-context.js';
-import { QuotaGate } from './quota-gate.js';
-import { RelayFront } from './relay-front.js';
+import { QuotaGate } from './admission/quota-gate.js';
+import { RelayFront } from './front/relay-front.js';
 import { RelayMetrics } from './relay-metrics.js';
-import type { RoutingTable } from './routing-table.js';
-import { RunnerBook } from './runner-book.js';
-import { RunnerConnections } from './runner-connections.js';
-import { TrafficSplit } from './traffic-split.js';
+import type { RoutingTable } from './request/routing-table.js';
+import { RunnerBook } from './runners/runner-book.js';
+import { RunnerConnections } from './tries/runner-connections.js';
+import { TrafficSplit } from './runners/traffic-split.js';
 
 /** An address to listen on. */
 export interface ListenAddress {
--- a/src/relay/relay-request.ts
+++ b/src/relay/request/relay-request.ts
@@ -1,5 +1,5 @@
 /** A request as a client sent it, read and bounded, ready to be relayed. */
-import { hashToNumber } from '../runtime/hashing.js';
+import { hashToNumber } from '../../runtime/hashing.js';
 import type { Route } from './routing-table.js';
 import type { Tenant } from './tenant.js';
 
--- a/src/relay/engine-estimate.ts
+++ b/src/relay/runners/engine-estimate.ts
@@ -3,7 +3,7 @@
  * prompt token takes to be read, and by how much one more request slows the events of those beside
  * it. No engine is known beforehand: the first guesses are wide, and some tens of streams replace them.
  */
-import { RecursiveLeastSquares } from '../scheduling/recursive-least-squares.js';
+import { RecursiveLeastSquares } from '../../scheduling/recursive-least-squares.js';
 
 /** What a model engine costs, as far as it is known. */
 export interface EngineCosts {
--- a/src/relay/engine-sample.ts
+++ b/src/relay/runners/engine-sample.ts
@@ -1,6 +1,6 @@
 /** What an answered stream shows of the engine that made it. */
 import type { EngineSample } from './engine-estimate.js';
-import type { RelayRequest } from './relay-request.js';
+import type { RelayRequest } from '../request/relay-request.js';
 import type { RunnerCandidate } from './runner-book.js';
 
 /** Events of one stream and when they came; local times in milliseconds. */
--- a/src/relay/kept-memory.ts
+++ b/src/relay/runners/kept-memory.ts
@@ -6,10 +6,10 @@
  */
 import { isLeft } from 'fp-ts/lib/Either.js';
 import type { Either } from 'fp-ts/lib/Either.js';
-import { hashToNumber } from '../runtime/hashing.js';
-import type { Runtime } from '../runtime/runtime.js';
+import { hashToNumber } from '../../runtime/hashing.js';
+import type { Runtime } from '../../runtime/runtime.js';
 import type { RunnerBook } from './runner-book.js';
-import type { PromptKey } from './relay-request.js';
+import type { PromptKey } from '../request/relay-request.js';
 import type { Runner } from './runner.js';
 
 /** A part of a prompt that an engine keeps. */
--- a/src/relay/prompt-places.ts
+++ b/src/relay/runners/prompt-places.ts
@@ -1,5 +1,5 @@
 /** Which parts of prompts one runner is believed to keep: those sent there lately, within its memory. */
-import type { PromptKey, PromptPart } from './relay-request.js';
+import type { PromptKey, PromptPart } from '../request/relay-request.js';
 
 /** Most parts remembered of one runner, whatever its memory. */
 const MAXIMUM_PARTS = 8_192;
--- a/src/relay/runner-book.ts
+++ b/src/relay/runners/runner-book.ts
@@ -1,13 +1,12 @@
 /** What this node believes of the runners: listed, leaving, reachable, busy, fast, and what they keep. */
-import type { CancelTimer, Runtime } from '../runtime/runtime.js';
-import { hashToNumber } from '../runtime/hashing.js';
-import type { LoadView } from './draw-candidates.js';
+import type { CancelTimer, Runtime } from '../../runtime/runtime.js';
+import { hashToNumber } from '../../runtime/hashing.js';
 import { EngineEstimate } from './engine-estimate.js';
 import type { EngineCosts, EngineSample } from './engine-estimate.js';
-import type { ServiceLoad } from './program-admission.js';
 import { PromptPlaces } from './prompt-places.js';
-import type { PromptKey, PromptPart } from './relay-request.js';
+import type { PromptKey, PromptPart } from '../request/relay-request.js';
 import type { Runner } from './runner.js';
+import type { LoadView, ServiceLoad } from './runner-view.js';
 import { SilenceEstimate } from './silence-estimate.js';
 import { RunnerPace, ServicePace } from './service-pace.js';
 import type { PaceSample } from './service-pace.js';
--- /dev/null
+++ b/src/relay/runners/runner-view.ts
@@ -0,0 +1,32 @@
+/** What placement knows of one runner when it weighs it for a request, and of a service's runners together. */
+
+/** What is known of one runner that may get the request. */
+export interface RunnerView {
+  readonly id: string;
+  /** Hash of its name. */
+  readonly hash: number;
+  readonly zone: string;
+  readonly slots: number;
+  /** Requests that are believed to be there, ours and those of other nodes. */
+  readonly inFlight: number;
+  /** Mean time from sending to the end of a request there, in milliseconds. */
+  readonly meanMilliseconds: number;
+  /** Tokens of the prompt's leading parts believed to be in its memory. */
+  readonly cachedTokens: number;
+  /** Whether a connection to it is open and idle. */
+  readonly hasIdleConnection: boolean;
+}
+
+/** What is known of one runner's load. */
+export interface LoadView extends RunnerView {
+  /** Requests of other gateways that are believed to be there. */
+  readonly inFlightOfOthers: number;
+}
+
+/** How busy the runners of a service are, all gateways' requests together. */
+export interface ServiceLoad {
+  /** Requests there, running or waiting. */
+  readonly inFlight: number;
+  /** Requests that can run at the same time. */
+  readonly slots: number;
+}
--- a/src/relay/traffic-split.ts
+++ b/src/relay/runners/traffic-split.ts
@@ -3,7 +3,7 @@
  * stay with one service; a new key goes to the service that is furthest behind its share, so that the
  * shares hold over tens of requests and not over thousands only.
  */
-import type { Route } from './routing-table.js';
+import type { Route } from '../request/routing-table.js';
 
 /** Keys remembered for each route; the longest unused go first. */
 const MAXIMUM_KEYS = 20_000;
--- a/src/relay/authenticate.ts
+++ b/src/relay/stages/authenticate.ts
@@ -3,12 +3,12 @@
  * client, so it is given only where the newest configuration is known not to have the key; and a key
  * that may have been taken away since is not served.
  */
-import type { OwnAnswer } from './client-answer.js';
-import type { HeaderNames } from './header-names.js';
-import { RETRY_WITHOUT_PROOF_SECONDS } from './own-answers.js';
-import type { Route, RoutingTable } from './routing-table.js';
-import { digestOfKey } from './tenant.js';
-import type { ApiKey, Tenant } from './tenant.js';
+import type { OwnAnswer } from '../answers/own-answers.js';
+import type { HeaderNames } from '../request/header-names.js';
+import { RETRY_WITHOUT_PROOF_SECONDS } from '../answers/own-answers.js';
+import type { Route, RoutingTable } from '../request/routing-table.js';
+import { digestOfKey } from '../request/tenant.js';
+import type { ApiKey, Tenant } from '../request/tenant.js';
 
 /** Longest key that is looked up, in characters. */
 const LONGEST_KEY = 1_024;
--- a/src/relay/attempt.ts
+++ b/src/relay/tries/attempt.ts
@@ -1,32 +1,12 @@
 /** One try of a request at one runner, over HTTP/1.1. */
 import { request as httpRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
-import type { HeaderNames } from './header-names.js';
-import type { Runner } from './runner.js';
+import type { AnswerHead, AttemptFailure } from '../answers/answer-reader.js';
+import type { HeaderNames } from '../request/header-names.js';
+import type { Runner } from '../runners/runner.js';
 import type { RunnerAgent } from './runner-agent.js';
 import { noteKeepAlive } from './runner-agent.js';
 
-/** How a try failed: `NeverSent` proves that the runner has not run it, the others prove nothing. */
-export type AttemptFailure =
-  /** No connection came up, so nothing was sent. */
-  | { readonly tag: 'NeverSent'; readonly detail: string }
-  /** The request was sent, and the connection ended before the whole answer. */
-  | { readonly tag: 'Lost'; readonly detail: string }
-  /** What came is not the answer of this request. */
-  | { readonly tag: 'BadAnswer'; readonly detail: string };
-
-/** The first part of an answer. */
-export interface AnswerHead {
-  readonly status: number;
-  readonly reason: string;
-  readonly rawHeaders: readonly string[];
-  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-  /** The runner says that it has not run the request. */
-  readonly notExecuted: boolean;
-  /** The runner is going to close its connections: it may be leaving. */
-  readonly closing: boolean;
-}
-
 /** Receives what comes of a try; nothing follows `onEnd` or `onFailure`. */
 export interface AttemptListener {
   onHead(head: AnswerHead): void;
--- a/src/relay/call-log.ts
+++ b/src/relay/tries/call-log.ts
@@ -1,8 +1,8 @@
 /** Log lines and figures of relayed requests. */
-import type { LogFields } from '../runtime/runtime.js';
-import type { RelayContext } from './relay-context.js';
-import type { RelayRequest } from './relay-request.js';
-import type { RunnerCandidate, RunnerRecord } from './runner-book.js';
+import type { LogFields } from '../../runtime/runtime.js';
+import type { RelayContext } from '../relay-context.js';
+import type { RelayRequest } from '../request/relay-request.js';
+import type { RunnerCandidate, RunnerRecord } from '../runners/runner-book.js';
 
 /** Told in place of a time that never came, such as that of the first try of a request without one. */
 const NEVER = -1;
--- a/src/relay/judge-answer.ts
+++ b/src/relay/tries/judge-answer.ts
@@ -1,6 +1,6 @@
 /** What the head of a runner's answer says about its request. */
-import type { AnswerHead } from './attempt.js';
-import type { HeaderNames } from './header-names.js';
+import type { AnswerHead } from '../answers/answer-reader.js';
+import type { HeaderNames } from '../request/header-names.js';
 
 /** The judgement of an answer's head. */
 export type AnswerJudgement =
--- a/src/relay/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -1,56 +1,45 @@
 /**
- * The life of one relayed request: its chain and account first, then tries at runners until one
+ * The life of one relayed request: the stages before its first try, then tries at runners until one
  * answers, the request may not be tried again, or its time is over. Every end is given at once.
  */
-import { hashToNumber } from '../runtime/hashing.js';
-import type { LogFields } from '../runtime/runtime.js';
-import type { CancelTimer } from '../runtime/runtime.js';
+import type { CancelTimer, LogFields } from '../../runtime/runtime.js';
+import type {
+  AnsweredCall,
+  AnswerHead,
+  AnswerReader,
+  AttemptFailure,
+} from '../answers/answer-reader.js';
+import type { ClientAnswer } from '../answers/client-answer.js';
+import { answerLost, noAnswerInTime, notTaken } from '../answers/own-answers.js';
+import type { OwnAnswer } from '../answers/own-answers.js';
+import { PlainAnswer } from '../answers/plain-answer.js';
+import { StreamAnswer } from '../answers/stream-answer.js';
+import { placeRequest } from '../placement/place-request.js';
+import type { RelayContext } from '../relay-context.js';
+import { headersToRunner } from '../request/forwarded-headers.js';
+import { mayRepeat } from '../request/relay-request.js';
+import type { RelayRequest } from '../request/relay-request.js';
+import { urgencyOf } from '../request/urgency.js';
+import type { EngineSample } from '../runners/engine-estimate.js';
+import { engineSampleOf } from '../runners/engine-sample.js';
+import type { RunnerCandidate, RunnerRecord } from '../runners/runner-book.js';
+import { CALL_STAGES } from '../stages/call-stages.js';
+import { Passage } from '../stages/passage.js';
+import { passStages } from '../stages/stage.js';
+import type { StageRefusal } from '../stages/stage.js';
 import { maySendTo, mayTryAgain } from './attempt-rules.js';
 import type { TryHistory } from './attempt-rules.js';
 import { startAttempt } from './attempt.js';
-import type { AnswerHead, Attempt, AttemptFailure } from './attempt.js';
-import type { ClientAnswer, OwnAnswer } from './client-answer.js';
+import type { Attempt } from './attempt.js';
 import { logCallEnd, logFailedTry } from './call-log.js';
-import { chooseRunner } from './choose-runner.js';
-import { drawCandidates } from './draw-candidates.js';
-import type { EngineSample } from './engine-estimate.js';
-import { engineSampleOf } from './engine-sample.js';
-import { headersToRunner } from './forwarded-headers.js';
 import { FIRST_SERVER_ERROR, judgeAnswer } from './judge-answer.js';
-import {
-  answerLost,
-  budgetSpent,
-  noAnswerInTime,
-  noSuchTurn,
-  notTaken,
-  outOfReach,
-  overloaded,
-} from './own-answers.js';
-import { PlainAnswer } from './plain-answer.js';
-import type { ServiceLoad } from './program-admission.js';
-import type { RelayContext } from './relay-context.js';
-import { mayRepeat } from './relay-request.js';
-import type { RelayRequest } from './relay-request.js';
-import type { RunnerCandidate, RunnerRecord } from './runner-book.js';
 import { CONNECT_MILLISECONDS } from './runner-connections.js';
 import { SilenceWatch } from './silence-watch.js';
-import { StreamAnswer } from './stream-answer.js';
-import { TurnPreparation } from './turn-preparation.js';
-import type { Preparation } from './turn-preparation.js';
-import { isLate, urgencyOf } from './urgency.js';
 
-/** Time beyond the route's own at which the relay stops waiting, so that runners end first. */
+/** Kept between a request's time and the answer that it is over, in milliseconds. */
 const END_SLACK_MILLISECONDS = 30;
 const FIRST_REDIRECT = 300;
 
-/** What takes the answer of one try apart: whole bodies or streams. */
-export interface AnswerReader {
-  onHead(head: AnswerHead): void;
-  onData(chunk: Buffer): void;
-  /** The runner ended its answer in order. */
-  onEnd(): void;
-}
-
 /** One try under way. */
 interface CurrentTry {
   readonly attempt: Attempt;
@@ -62,23 +51,19 @@
 }
 
 /** See the head of this file. */
-export class RelayCall {
+export class RelayCall implements AnsweredCall {
   private readonly sentTo = new Set<string>();
   private readonly failedAt = new Set<string>();
   /** Runners that refused the request: asking them again at once helps nobody. */
   private readonly refusedBy = new Set<string>();
   private tries = 0;
-  /** The service that was chosen for the request. */
-  private service: string | undefined;
   private mayHaveRun = false;
   private current: CurrentTry | undefined;
   private cancelDeadline: CancelTimer = () => undefined;
   private over = false;
-  private readonly preparation: TurnPreparation;
-  private isPrepared = false;
-  private isWithinQuota = false;
-  private body: Buffer;
-  private readonly endAt: number;
+  private readonly passage: Passage;
+  /** Stage that refused it; none where it came to a try. */
+  private refusedAt = '';
   private readonly stream: StreamAnswer | undefined;
   private firstByteAt: number | undefined;
   private dispatchedAt: number | undefined;
@@ -89,31 +74,22 @@
     readonly request: RelayRequest,
     readonly answer: ClientAnswer,
   ) {
-    this.body = request.body;
-    this.preparation = new TurnPreparation(context, request, () => this.remainingMilliseconds);
-    const routeEnd = request.arrivedAt + request.route.timeoutMilliseconds;
-    this.endAt = Math.min(routeEnd, request.deadlineAt);
+    this.passage = new Passage(context, request);
     this.stream = request.route.kind === 'stream' ? new StreamAnswer(this) : undefined;
   }
 
   /** Begins. */
   start(): void {
     const { runtime } = this.context;
-    const left = this.endAt - runtime.now() + END_SLACK_MILLISECONDS;
+    const left = this.remainingMilliseconds + END_SLACK_MILLISECONDS;
     this.cancelDeadline = runtime.setTimer(Math.max(0, left), () => this.timeOut());
     this.answer.onLeft(() => this.leave());
-    const isNewProgram = this.beginsProgram;
-    if (!this.isAdmitted()) {
-      this.refuse(overloaded());
-      return;
-    }
-    this.checkQuota(isNewProgram);
-    this.preparation.prepare((preparation) => this.takePreparation(preparation));
+    passStages(CALL_STAGES, this.passage, (refusal) => this.leaveStages(refusal));
   }
 
   /** Milliseconds until the request's time is over. */
   get remainingMilliseconds(): number {
-    return this.endAt - this.context.runtime.now();
+    return this.passage.remainingMilliseconds;
   }
 
   /** Notes the first byte of the answer that is passed on. */
@@ -163,75 +139,21 @@
     this.finish('refused', {
       status: answer.status,
       verdict: answer.verdict,
+      stage: this.refusedAt,
       reason: answer.detail,
       retryAfter: answer.retryAfterSeconds ?? -1,
     });
   }
 
-  /** Programs under way go before new ones when the runners are full. */
-  private isAdmitted(): boolean {
-    const { route, program } = this.request;
-    if (route.kind !== 'stream' || program === undefined) {
-      return true;
-    }
-    this.service = this.context.split.pick(route, program.program);
-    const load = (): ServiceLoad => this.context.book.loadOf(this.service ?? '');
-    const late = isLate(this.request, this.context.runtime.now());
-    return this.context.admission.admit(program.program, late, load, route.priority);
-  }
-
-  /** Whether it is the first request of a program, as far as is known here. */
-  private get beginsProgram(): boolean {
-    const { route, program, previousTurn } = this.request;
-    const isFirst = route.kind === 'stream' && previousTurn === undefined;
-    return isFirst && !this.context.admission.knows(program?.program ?? '');
-  }
-
-  /** Asked beside the preparation: both are a way to the replicas and back. */
-  private checkQuota(isNewProgram: boolean): void {
-    const { request, context, remainingMilliseconds } = this;
-    context.quotas.check(request, isNewProgram, remainingMilliseconds, (refusal) => {
-      if (this.over) {
-        return;
-      }
-      if (refusal !== undefined) {
-        if (isNewProgram && request.program !== undefined) {
-          context.admission.forget(request.program.program);
-        }
-        this.refuse(refusal);
-        return;
-      }
-      this.isWithinQuota = true;
-      this.tryIfReady();
-    });
-  }
-
-  private tryIfReady(): void {
-    if (this.isWithinQuota && this.isPrepared) {
+  private leaveStages(refusal: StageRefusal | undefined): void {
+    if (refusal === undefined) {
       this.tryNext();
-    }
-  }
-
-  private takePreparation(preparation: Preparation): void {
-    if (this.over) {
-      this.settle();
       return;
     }
-    switch (preparation.tag) {
-      case 'Ready':
-        this.body = preparation.body;
-        this.isPrepared = true;
-        this.tryIfReady();
-        return;
-      case 'NoSuchTurn':
-        this.refuse(noSuchTurn());
-        return;
-      case 'BudgetSpent':
-        this.refuse(budgetSpent());
-        return;
-      case 'OutOfReach':
-        this.refuse(outOfReach(preparation.what, this.context.turns.isReachable));
-    }
+    const { stage, answer } = refusal;
+    this.refusedAt = stage;
+    this.context.metrics.count('ivyloom_relay_stage_refusals_total', `stage="${stage}"`);
+    this.refuse(answer);
   }
 
   private get history(): TryHistory {
@@ -255,28 +177,9 @@
   }
 
   private chooseNext(): RunnerCandidate | undefined {
-    const { request, context } = this;
-    const key = request.program?.program ?? request.affinityKey ?? request.id;
-    this.service ??= context.split.pick(request.route, key);
-    if (this.service === undefined) {
-      return undefined;
-    }
-    const all = context.book.candidates(this.service, request.promptParts, this.refusedBy);
-    const allowed = all.filter((candidate) => maySendTo(this.history, candidate.id));
-    const fresh = allowed.filter((candidate) => !this.failedAt.has(candidate.id));
-    const isEngine = context.currentTable()?.services.get(this.service)?.cachesPrompts === true;
-    const need = {
-      zone: context.zone,
-      promptTokens: request.promptTokens,
-      bodyBytes: this.body.length,
-      affinityHash: request.promptParts[0]?.key ?? hashToNumber(request.program?.session ?? key),
-      engine: isEngine ? context.book.engineCosts(this.service) : undefined,
-    };
-    const usable = fresh.length > 0 ? fresh : allowed;
-    const weighed = context.drawsCandidates
-      ? drawCandidates(usable, context.book.loadAgeMilliseconds(), context.runtime.random)
-      : usable;
-    return chooseRunner(weighed, need, context.charges);
+    const { context, passage, history, refusedBy, failedAt } = this;
+    const mayGoTo = (runnerId: string): boolean => maySendTo(history, runnerId);
+    return placeRequest(context, passage, { mayGoTo, refusedBy, failedAt });
   }
 
   private tryNext(): void {
@@ -305,13 +208,13 @@
       remainingMilliseconds: this.remainingMilliseconds,
       urgency: urgencyOf(request, now),
       lastEventId: this.stream?.lastEventId ?? request.lastEventId,
-      bodyBytes: this.body.length,
+      bodyBytes: this.passage.body.length,
     });
     const reader: AnswerReader = this.stream ?? new PlainAnswer(this);
     const limit = context.currentTable()?.services.get(runner.service)?.maximumConnections;
     const agent = context.connections.agentFor(runner, limit);
     const { method, path, id: requestId } = request;
-    const sent = { requestId, method, path, headers, body: this.body };
+    const sent = { requestId, method, path, headers, body: this.passage.body };
     const attempt = startAttempt(runner, agent, sent, context.names, CONNECT_MILLISECONDS, {
       onHead: (head) => this.takeHead(head, reader),
       onData: (chunk) => {
@@ -448,17 +351,13 @@
     }
   }
 
-  private settle(): void {
-    this.preparation.settle(this.stream?.handedTokens ?? 0);
-  }
-
   private finish(outcome: string, fields: LogFields): void {
     if (this.over) {
       return;
     }
     this.over = true;
     this.cancelDeadline();
-    this.settle();
+    this.passage.finish(this.stream?.handedTokens ?? 0);
     const { request, tries, dispatchedAt, firstByteAt } = this;
     const eventCount = this.stream?.eventCount ?? 0;
     const { lastChosen: chosen } = this;
--- a/src/relay/runner-connections.ts
+++ b/src/relay/tries/runner-connections.ts
@@ -1,8 +1,8 @@
 /** Connections to all runners: one agent an address, and probes of addresses that fell silent. */
 import { connect } from 'node:net';
-import type { Runtime } from '../runtime/runtime.js';
-import { addressOf } from './runner.js';
-import type { Runner } from './runner.js';
+import type { Runtime } from '../../runtime/runtime.js';
+import { addressOf } from '../runners/runner.js';
+import type { Runner } from '../runners/runner.js';
 import { RunnerAgent } from './runner-agent.js';
 
 /** Time that a connection to a runner may take to come up, in milliseconds. */
--- a/src/relay/silence-watch.ts
+++ b/src/relay/tries/silence-watch.ts
@@ -1,7 +1,7 @@
 /** Notices that a runner has fallen silent: probes its address, since a dead one never answers. */
-import type { CancelTimer } from '../runtime/runtime.js';
-import type { RelayContext } from './relay-context.js';
-import type { RunnerRecord } from './runner-book.js';
+import type { CancelTimer } from '../../runtime/runtime.js';
+import type { RelayContext } from '../relay-context.js';
+import type { RunnerRecord } from '../runners/runner-book.js';
 
 /** How much longer the next silence may be after a probe that found the runner in reach. */
 const PATIENCE_FACTOR = 2;
