Figures that all gateways add up travel with the loads, in a tail that older builds are never sent

What parts to come share (evidence of runners, demand of services and tenants) needs sums over all gateways. Ways: a datagram of its own (doubles the wake-ups of an idle gateway); a new form of the load message (an older build refuses it); a tail of sections behind the old form, sent only to who reads it. Taken: the tail. Who reads it tells so by the range of its life, which older builds take as any other number. Unknown kinds of sections are passed over, unknown topics are added up and told on. Without figures the bytes are those of before.

--- a/features/followers.feature
+++ b/features/followers.feature
@@ -100,3 +100,15 @@
     Then after 12000 milliseconds between 1 and 20 of them follow the store
     When one gateway tells that a runner keeps a part of a prompt
     Then within 500 milliseconds all others have heard of the part
+
+  Scenario: Figures that each gateway tells are known to all as one sum
+    Given 40 gateways that tell one another what they know of the store
+    When each tells 3 of a topic that all know and 2 of one that nobody knows
+    Then within 2500 milliseconds each knows that the others have 117 and 78
+
+  Scenario: Gateways of an older build are told nothing that they can not read
+    Given 40 gateways that tell one another what they know of the store
+    And every fourth of them is of a build that reads no figures
+    When each tells 3 of a topic that all know and 2 of one that nobody knows
+    Then after 4000 milliseconds the older ones were never sent any figures
+    And none of the newer ones counts more than 90, and some count what newer ones told
--- a/features/steps/followers.steps.ts
+++ b/features/steps/followers.steps.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { decideFollowing } from '../../src/peers/store-followers.js';
+import { TALLY_TOPICS } from '../../src/peers/tallies.js';
 import type { PromptPlace } from '../../src/peers/recent-places.js';
 import { promptKeyOf } from '../../src/relay/request/relay-request.js';
 import { hashToNumber } from '../../src/runtime/hashing.js';
@@ -207,3 +208,64 @@
     assert.ok(this.clock.runUntil(this.clock.now + milliseconds, heard));
   },
 );
+
+const KNOWN_TOPIC = TALLY_TOPICS.serviceDemand;
+const UNKNOWN_TOPIC = 250;
+const TALLY_KEY = 77;
+
+/** Sums of others that a gateway knows under both topics. */
+function talliesKnownBy({ gossip }: FleetGateway): number[] {
+  const sumOf = (topic: number): number => gossip.talliesOfOthers(topic).get(TALLY_KEY)?.[0] ?? 0;
+  return [sumOf(KNOWN_TOPIC), sumOf(UNKNOWN_TOPIC)];
+}
+
+Given('every fourth of them is of a build that reads no figures', function (this: FleetWorld) {
+  this.gateways.forEach((gateway, index) => {
+    gateway.isOlder = index % 4 === Math.floor(index / 4) % 4;
+  });
+});
+
+When(
+  'each tells {int} of a topic that all know and {int} of one that nobody knows',
+  function (this: FleetWorld, known: number, unknown: number) {
+    for (const gateway of this.gateways.filter(({ isOlder }) => !isOlder)) {
+      gateway.tallies = [
+        { topic: KNOWN_TOPIC, rows: [{ key: TALLY_KEY, amounts: [known, 1] }] },
+        { topic: UNKNOWN_TOPIC, rows: [{ key: TALLY_KEY, amounts: [unknown] }] },
+      ];
+    }
+  },
+);
+
+Then(
+  'within {int} milliseconds each knows that the others have {int} and {int}',
+  function (this: FleetWorld, milliseconds: number, known: number, unknown: number) {
+    wait(this, milliseconds);
+    for (const gateway of running(this)) {
+      assert.deepEqual(talliesKnownBy(gateway), [known, unknown], gateway.host);
+    }
+  },
+);
+
+Then(
+  'after {int} milliseconds the older ones were never sent any figures',
+  function (this: FleetWorld, milliseconds: number) {
+    wait(this, milliseconds);
+    const older = this.gateways.filter(({ isOlder }) => isOlder);
+    assert.equal(older.length, this.gateways.length / 4);
+    assert.deepEqual(
+      older.map(({ tailsRefused }) => tailsRefused),
+      older.map(() => 0),
+    );
+  },
+);
+
+Then(
+  'none of the newer ones counts more than {int}, and some count what newer ones told',
+  function (this: FleetWorld, most: number) {
+    const newer = this.gateways.filter(({ isOlder }) => !isOlder);
+    const counted = newer.map((gateway) => talliesKnownBy(gateway)[0]!);
+    assert.ok(Math.max(...counted) <= most, `${Math.max(...counted)} counted`);
+    assert.ok(counted.some((count) => count > 0));
+  },
+);
--- a/features/steps/peers.steps.ts
+++ b/features/steps/peers.steps.ts
@@ -7,7 +7,12 @@
 import { openUdpPort } from '../../src/peers/datagram-port.js';
 import { LoadGossip } from '../../src/peers/load-gossip.js';
 import type { StoreNews } from '../../src/peers/load-gossip.js';
-import { decodeLoadMessage, encodeLoadMessage, LOAD_SCOPES } from '../../src/peers/load-message.js';
+import {
+  decodeLoadMessage,
+  encodeLoadMessage,
+  LOAD_SCOPES,
+  withTail,
+} from '../../src/peers/load-message.js';
 import type { LoadMessage } from '../../src/peers/load-message.js';
 import { PeerExchange } from '../../src/peers/peer-exchange.js';
 import type { PeerSnapshot } from '../../src/peers/peer-exchange.js';
@@ -52,6 +57,7 @@
     onStoreNews: (news) => (world.heardNews ??= []).push(news),
     reachesReplicas: () => place === 0,
     ownPlaces: () => places,
+    ownTallies: () => [],
     onPlaces: (told) => (world.heardPlaces ??= []).push(...told),
   });
   world.gossips!.push(gossip);
@@ -185,6 +191,10 @@
   const revision = fc.nat(Number.MAX_SAFE_INTEGER);
   const part = fc.nat(0xffff_ffff).map((key) => key as PromptPlace['part']);
   const place = fc.record({ runnerHash, part, tokens: fc.nat(0xffff_ffff) }, plain);
+  const amounts = fc.array(fc.float({ noNaN: true, noDefaultInfinity: true }), { maxLength: 8 });
+  const row = fc.record({ key: fc.nat(0xffff_ffff), amounts }, plain);
+  const rows = fc.array(row, { minLength: 1 });
+  const tally = fc.record({ topic: fc.nat(0xff), rows }, plain);
   const message: fc.Arbitrary<LoadMessage> = fc.record(
     {
       sequence: fc.nat(),
@@ -197,6 +207,7 @@
       revision,
       places: fc.array(place),
       reachesReplicas: fc.boolean(),
+      tallies: fc.uniqueArray(tally, { selector: ({ topic }) => topic }),
       proof: fc.record(
         {
           life: fc.nat(),
@@ -211,7 +222,9 @@
   );
   fc.assert(
     fc.property(message, (value) => {
-      assert.deepEqual(decodeLoadMessage(encodeLoadMessage(value)), value);
+      const bytes = encodeLoadMessage(value);
+      assert.deepEqual(decodeLoadMessage(withTail(bytes, value)), value);
+      assert.deepEqual(decodeLoadMessage(bytes), { ...value, tallies: [] });
     }),
   );
 });
--- a/features/support/gateway-fleet.ts
+++ b/features/support/gateway-fleet.ts
@@ -6,8 +6,13 @@
 import { followTogether } from '../../src/peers/follow-together.js';
 import type { StoreFollowing } from '../../src/peers/follow-together.js';
 import type { LoadGossip } from '../../src/peers/load-gossip.js';
-import { decodeLoadMessage, encodeLoadMessage } from '../../src/peers/load-message.js';
+import {
+  decodeLoadMessage,
+  encodeLoadMessage,
+  FIRST_LIFE_WITH_TAIL,
+} from '../../src/peers/load-message.js';
 import type { PromptPlace } from '../../src/peers/recent-places.js';
+import type { Tally } from '../../src/peers/tallies.js';
 import { createRandom } from '../../src/runtime/random.js';
 import type { RandomSource } from '../../src/runtime/random.js';
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
@@ -36,6 +41,10 @@
   /** Places of prompts told to it. */
   readonly placesHeard: Set<number>;
   places: readonly PromptPlace[];
+  tallies: readonly Tally[];
+  /** Whether it is of a build that reads no tail: its life tells, and it refuses a message with one. */
+  isOlder: boolean;
+  tailsRefused: number;
   fetchesServed: number;
   messagesSent: number;
   bytesSent: number;
@@ -73,19 +82,36 @@
   return encodeLoadMessage({ ...message, revision, proof: { ...message.proof, revision } });
 }
 
+/** The message as a build without tails sends it. */
+function asOlder(bytes: Uint8Array): Uint8Array {
+  const message = decodeLoadMessage(bytes)!;
+  return encodeLoadMessage({ ...message, life: message.life - FIRST_LIFE_WITH_TAIL });
+}
+
+/** Hands a message over, unless its receiver is of a build that can't read it. */
+function deliver(world: FleetWorld, bytes: Uint8Array, from: string, target: string): void {
+  const receiver = world.gateways.find((gateway) => gateway.host === target);
+  if (receiver?.isOlder === true && decodeLoadMessage(bytes)?.tallies.length !== 0) {
+    receiver.tailsRefused += 1;
+    return;
+  }
+  world.listeners.get(target)?.(bytes, from);
+}
+
 function datagramsOf(world: FleetWorld, host: string): DatagramPort {
   return {
     onDatagram: (listener) => world.listeners.set(host, listener),
     send: (told, target) => {
-      const bytes = world.lie?.host === host ? withRevision(told, world.lie.revision) : told;
       const sender = world.gateways.find((gateway) => gateway.host === host);
+      const spoken = sender?.isOlder === true ? asOlder(told) : told;
+      const bytes = world.lie?.host === host ? withRevision(spoken, world.lie.revision) : spoken;
       if (sender !== undefined) {
         sender.messagesSent += 1;
         sender.bytesSent += bytes.length;
       }
       if (world.random.uniform() >= LOSS) {
         const way = LINK_MILLISECONDS + world.delayMilliseconds;
-        world.clock.schedule(way, () => world.listeners.get(target)?.(bytes, host));
+        world.clock.schedule(way, () => deliver(world, bytes, host, target));
       }
     },
     close: () => world.listeners.delete(host),
@@ -133,15 +159,17 @@
       ownLoads: () => loads,
       reachesReplicas: () => true,
       ownPlaces: () => world.gateways[index]?.places ?? [],
+      ownTallies: () => world.gateways[index]?.tallies ?? [],
       onPlaces: (places) => places.forEach(({ part }) => placesHeard.add(part)),
     },
     fetch: (target, done) => fetchFrom(world, following.mirror, target, done),
     patienceMilliseconds: isSeed ? 0 : FIRST_PATIENCE_MILLISECONDS * (1 + world.random.uniform()),
   });
   const counts = { fetchesServed: 0, messagesSent: 0, bytesSent: 0, places: [] };
+  const build = { tallies: [], isOlder: false, tailsRefused: 0 };
   const { mirror, gossip, freshness } = following;
   const parts = { mirror, gossip, freshness, loads, placesHeard };
-  world.gateways.push({ host, process, store, ...parts, ...counts });
+  world.gateways.push({ host, process, store, ...parts, ...counts, ...build });
 }
 
 /** Lets virtual time pass. */
--- a/src/histories/history-gateway.ts
+++ b/src/histories/history-gateway.ts
@@ -91,6 +91,7 @@
         ownLoads: () => new Map(),
         reachesReplicas: () => true,
         ownPlaces: () => [],
+        ownTallies: () => [],
         onPlaces: () => undefined,
       },
       fetch: (target, done) =>
--- a/src/peers/load-gossip.ts
+++ b/src/peers/load-gossip.ts
@@ -11,7 +11,13 @@
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import { setRepeatingTimer } from '../runtime/runtime.js';
 import type { DatagramPort } from './datagram-port.js';
-import { decodeLoadMessage, encodeLoadMessage, NO_PROOF } from './load-message.js';
+import {
+  decodeLoadMessage,
+  encodeLoadMessage,
+  NO_PROOF,
+  readsTail,
+  withTail,
+} from './load-message.js';
 import type { LoadMessage, LoadScope, RunnerLoad } from './load-message.js';
 import { sumLoads, ToldLoads } from './load-sums.js';
 import { MessageWriter, NAMED_MILLISECONDS } from './message-writer.js';
@@ -19,6 +25,8 @@
 import { PeerTable } from './peer-table.js';
 import { PlaceRelay } from './recent-places.js';
 import type { PromptPlace } from './recent-places.js';
+import { sumTallies } from './tallies.js';
+import type { Tally, TallyAmounts, TallySums, TallyTopic } from './tallies.js';
 
 /** What the gossip is made with. */
 export interface LoadGossipOptions extends OwnNews {
@@ -68,6 +76,22 @@
 /** Periods until this gateway's own requests come back to it in a sum of all. */
 const ECHO_PERIODS = 2;
 
+const NO_AMOUNTS: TallyAmounts = new Map();
+
+/** What this gateway told of itself in one period. */
+interface OwnPeriod {
+  readonly loads: readonly RunnerLoad[];
+  readonly tallies: readonly Tally[];
+}
+
+/** A sum holds this gateway's own requests as they were when it reported them. */
+function withoutOwn(sums: Map<number, number>, own: readonly RunnerLoad[]): Map<number, number> {
+  for (const { runnerHash, inFlight } of own) {
+    sums.set(runnerHash, Math.max(0, (sums.get(runnerHash) ?? 0) - inFlight));
+  }
+  return sums;
+}
+
 /** See the head of this file. */
 export class LoadGossip {
   private readonly table: PeerTable;
@@ -84,10 +108,12 @@
   private readonly otherPlaces: PlaceRelay;
   private period = 0;
   private announcing = false;
-  /** Own requests of the last periods, the newest last. */
-  private ownHistory: RunnerLoad[][] = [];
+  /** What was told of itself in the last periods, the newest last. */
+  private ownHistory: OwnPeriod[] = [];
   /** Requests of all other gateways by the hash of their runner. */
   private totals = new Map<number, number>();
+  /** Figures of all other gateways. */
+  private tallies: TallySums = new Map();
 
   constructor(private readonly options: LoadGossipOptions) {
     const { runtime, host, zone, datagrams } = options;
@@ -105,6 +131,11 @@
     return this.totals.get(runnerHash) ?? 0;
   }
 
+  /** Figures of all other gateways under a topic, added up by key. */
+  talliesOfOthers(topic: TallyTopic): TallyAmounts {
+    return this.tallies.get(topic) ?? NO_AMOUNTS;
+  }
+
   /** Age of what is known of other gateways' requests, in milliseconds: reports, sums of zones, sums of all. */
   get loadAgeMilliseconds(): number {
     return this.usesSums ? SUM_PERIODS * PERIOD_MILLISECONDS : this.messageMilliseconds;
@@ -167,16 +198,26 @@
     this.table.forgetSilent();
     this.period += 1;
     const own = this.writer.own(PLACE_REPEATS * this.messageMilliseconds);
-    this.ownHistory = [...this.ownHistory, [...own.loads]].slice(-1 - ECHO_PERIODS);
+    const { loads, tallies } = own;
+    this.ownHistory = [...this.ownHistory, { loads, tallies }].slice(-1 - ECHO_PERIODS);
     if (this.usesSums) {
       this.reportTo(own);
       this.sumUpZone(own);
     } else {
       this.send(own, this.withSeed(this.randomHosts(FAN_OUT)));
-      this.totals = sumLoads(this.directlyTold().map(({ loads }) => loads));
+      this.takeTotals(this.directlyTold());
     }
   }
 
+  private takeTotals(messages: readonly LoadMessage[], own?: OwnPeriod): void {
+    const sums = sumLoads(messages.map(({ loads }) => loads));
+    this.totals = own === undefined ? sums : withoutOwn(sums, own.loads);
+    this.tallies = sumTallies(
+      messages.map(({ tallies }) => tallies),
+      own?.tallies,
+    );
+  }
+
   /** Tells the collectors of the zone, and now and then any other gateway. */
   private reportTo(own: LoadMessage): void {
     const collectors = new Set(this.firstOfZone(COLLECTORS));
@@ -190,16 +231,16 @@
     this.noteAnnouncing(this.announces());
     if (!this.announcing) {
       const sum = this.newestSum();
-      this.totals =
-        sum === undefined
-          ? sumLoads(this.directlyTold().map(({ loads }) => loads))
-          : this.withoutOwn(sumLoads([sum.loads]));
+      if (sum === undefined) {
+        this.takeTotals(this.directlyTold());
+      } else {
+        this.takeTotals([sum], this.ownHistory[0]);
+      }
       return;
     }
     const reports = this.reports();
     const zones = this.otherZones();
-    const zoneOthers = reports.map(({ loads }) => loads);
-    this.totals = sumLoads([...zoneOthers, ...zones.map(({ loads }) => loads)]);
+    this.takeTotals([...reports, ...zones]);
     const ofZone = this.writer.sum('zone', own, reports, this.zonePlaces.take());
     this.send(ofZone, this.firstOfOtherZones());
     const ofAll = this.writer.sum('all', ofZone, zones, this.otherPlaces.take());
@@ -242,9 +283,10 @@
   }
 
   private send(message: LoadMessage, hosts: Iterable<string>): void {
-    const bytes = encodeLoadMessage(message);
+    const plain = encodeLoadMessage(message);
+    const whole = withTail(plain, message);
     for (const host of hosts) {
-      this.options.datagrams.send(bytes, host);
+      this.options.datagrams.send(this.table.readsTail(host) ? whole : plain, host);
     }
   }
 
@@ -259,7 +301,7 @@
     if (!this.told[scope].take(from, message, now)) {
       return;
     }
-    this.table.noteHeard({ host: from, zoneHash });
+    this.table.noteHeard({ host: from, zoneHash }, readsTail(message));
     message.peers.forEach((peer) => this.table.noteNamed(peer));
     this.options.onStoreNews({ from, revision, proof });
     this.options.onPlaces(message.places);
@@ -327,14 +369,6 @@
     return this.told.all.since(this.since(STALE_MILLISECONDS)).at(-1);
   }
 
-  /** A sum holds this gateway's own requests as they were when it reported them. */
-  private withoutOwn(sums: Map<number, number>): Map<number, number> {
-    for (const { runnerHash, inFlight } of this.ownHistory[0] ?? []) {
-      sums.set(runnerHash, Math.max(0, (sums.get(runnerHash) ?? 0) - inFlight));
-    }
-    return sums;
-  }
-
   private directlyTold(): LoadMessage[] {
     return this.told.gateway.since(this.since(this.staleMilliseconds));
   }
--- a/src/peers/load-message.ts
+++ b/src/peers/load-message.ts
@@ -1,7 +1,7 @@
 /** What gateways tell one another of their load and of the store, in one datagram. */
+import * as r from 'restructure';
 import {
   count,
-  decodeField,
   encodeField,
   flag,
   listOf,
@@ -11,9 +11,12 @@
   shortCount,
   shortText,
 } from '../wire/fields.js';
+import { decodeSections, encodeSections } from '../wire/sections.js';
 import type { StoreProof } from '../mirror/store-freshness.js';
 import type { NamedPeer } from './peer-table.js';
 import type { PromptPlace } from './recent-places.js';
+import type { Tally } from './tallies.js';
+import { decodeTallies, encodeTallies } from './tally-codec.js';
 
 /** Requests at one runner. */
 export interface RunnerLoad {
@@ -35,7 +38,7 @@
 export interface LoadMessage {
   /** Rises with each message of one life of the sender. */
   readonly sequence: number;
-  /** Names the life of the sender. */
+  /** Names the life of the sender; see `FIRST_LIFE_WITH_TAIL`. */
   readonly life: number;
   readonly scope: LoadScope;
   /** Hash of the name of the sender's zone. */
@@ -54,6 +57,8 @@
   readonly reachesReplicas: boolean;
   /** Newest proof of the store's revision that the sender knows, its age bounded; none has the life 0. */
   readonly proof: StoreProof;
+  /** Figures beside the loads; only told to who reads them. */
+  readonly tallies: readonly Tally[];
 }
 
 /** What stands for no proof. */
@@ -84,16 +89,49 @@
   }),
 });
 
-/** Encodes a datagram. */
+/**
+ * Lives from here on are of processes that read a tail of sections behind the fields above; earlier builds
+ * drew theirs below, and refuse a datagram with a tail.
+ */
+export const FIRST_LIFE_WITH_TAIL = 2 ** 31;
+
+/** Kinds of sections in the tail: append only, a number is never used again. */
+const TALLIES_SECTION = 1;
+
+/** Whether the sender of a message reads a tail. */
+export function readsTail({ life }: LoadMessage): boolean {
+  return life >= FIRST_LIFE_WITH_TAIL;
+}
+
+/** Encodes a datagram as every build reads it: without a tail. */
 export function encodeLoadMessage(value: LoadMessage): Uint8Array {
   return encodeField(message, value);
 }
 
-/** Decodes a datagram; undefined when it is none. */
+/** Puts the tail behind an encoded datagram. */
+export function withTail(encoded: Uint8Array, { tallies }: LoadMessage): Uint8Array {
+  if (tallies.length === 0) {
+    return encoded;
+  }
+  const tail = encodeSections([{ kind: TALLIES_SECTION, content: encodeTallies(tallies) }]);
+  const bytes = new Uint8Array(encoded.length + tail.length);
+  bytes.set(encoded);
+  bytes.set(tail, encoded.length);
+  return bytes;
+}
+
+function talliesOf(tail: Uint8Array): readonly Tally[] {
+  const sections = decodeSections(tail).filter(({ kind }) => kind === TALLIES_SECTION);
+  return sections.flatMap(({ content }) => decodeTallies(content));
+}
+
+/** Decodes a datagram with or without a tail; undefined when it is none. */
 export function decodeLoadMessage(bytes: Uint8Array): LoadMessage | undefined {
   try {
-    const decoded = decodeField(message, bytes) as LoadMessage;
-    return LOAD_SCOPES.includes(decoded.scope) ? decoded : undefined;
+    const stream = new r.DecodeStream(bytes);
+    const decoded = message.decode(stream) as Omit<LoadMessage, 'tallies'>;
+    const isWhole = stream.pos <= bytes.length && LOAD_SCOPES.includes(decoded.scope);
+    return isWhole ? { ...decoded, tallies: talliesOf(bytes.subarray(stream.pos)) } : undefined;
   } catch {
     return undefined;
   }
--- a/src/peers/message-writer.ts
+++ b/src/peers/message-writer.ts
@@ -2,11 +2,13 @@
 import { hashToNumber } from '../runtime/hashing.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { StoreProof } from '../mirror/store-freshness.js';
-import { LARGEST_PROOF_AGE_MILLISECONDS, NO_PROOF } from './load-message.js';
+import { FIRST_LIFE_WITH_TAIL, LARGEST_PROOF_AGE_MILLISECONDS, NO_PROOF } from './load-message.js';
 import type { LoadMessage, LoadScope, RunnerLoad } from './load-message.js';
 import { loadList, sumLoads } from './load-sums.js';
 import type { NamedPeer, PeerTable } from './peer-table.js';
 import type { PromptPlace } from './recent-places.js';
+import { sumTallies, tallyList } from './tallies.js';
+import type { Tally } from './tallies.js';
 
 /** What this gateway has to tell of itself. */
 export interface OwnNews {
@@ -21,13 +23,16 @@
   readonly reachesReplicas: () => boolean;
   /** What this gateway's requests have put into runners' memory within the last milliseconds. */
   readonly ownPlaces: (milliseconds: number) => readonly PromptPlace[];
+  /** This gateway's own figures, to be added up over all. */
+  readonly ownTallies: () => readonly Tally[];
 }
 
 /** Time within which a peer was heard that is named to others, in milliseconds. */
 export const NAMED_MILLISECONDS = 1_000;
 /** Peers named in a message. */
 const NAMED_PEERS = 4;
-const LARGEST_LIFE = 2 ** 31;
+/** Lives that are told apart: of so many two hardly ever fall together. */
+const LIVES = 2 ** 31;
 
 /** See the head of this file. */
 export class MessageWriter {
@@ -39,13 +44,14 @@
     private readonly table: PeerTable,
     private readonly zoneHash: number,
   ) {
-    this.life = news.runtime.random.integer(0, LARGEST_LIFE);
+    this.life = FIRST_LIFE_WITH_TAIL + news.runtime.random.integer(0, LIVES - 1);
   }
 
   /** This gateway's own requests, and what they put into memory within the last milliseconds. */
   own(placesMilliseconds: number): LoadMessage {
     const places = this.news.ownPlaces(placesMilliseconds);
-    const counted = { gateways: 1, loads: this.hashedLoads(), places };
+    const tallies = this.news.ownTallies();
+    const counted = { gateways: 1, loads: this.hashedLoads(), places, tallies };
     return { ...this.head('gateway', this.namedPeers()), ...counted };
   }
 
@@ -63,6 +69,7 @@
       gateways: parts.reduce((sum, part) => sum + part.gateways, base.gateways),
       loads: loadList(sumLoads([base.loads, ...parts.map(({ loads }) => loads)])),
       places: [...base.places, ...places],
+      tallies: tallyList(sumTallies([base.tallies, ...parts.map(({ tallies }) => tallies)])),
       reachesReplicas: base.reachesReplicas || parts.some((part) => part.reachesReplicas),
     };
   }
@@ -71,14 +78,14 @@
   answer(host: string, zoneHash: number): LoadMessage {
     const first = this.table.aliveIn(zoneHash).slice(0, NAMED_PEERS);
     const peers = first.filter((peer) => peer.host !== host);
-    return { ...this.head('answer', peers), gateways: 0, loads: [], places: [] };
+    return { ...this.head('answer', peers), gateways: 0, loads: [], places: [], tallies: [] };
   }
 
   /** What every message says of its sender. */
   private head(
     scope: LoadScope,
     peers: readonly NamedPeer[],
-  ): Omit<LoadMessage, 'gateways' | 'loads' | 'places'> {
+  ): Omit<LoadMessage, 'gateways' | 'loads' | 'places' | 'tallies'> {
     const { ownRevision, reachesReplicas } = this.news;
     return {
       sequence: this.nextSequence(),
--- a/src/peers/peer-table.ts
+++ b/src/peers/peer-table.ts
@@ -15,6 +15,8 @@
 
 /** What is known of a gateway. */
 export interface Peer extends NamedPeer {
+  /** Whether its process reads messages with a tail, as its own messages tell. */
+  readsTail: boolean;
   /** Rank of the host: lower ones come first. */
   readonly hash: number;
   /** Local time of its last message here, in milliseconds. */
@@ -58,10 +60,15 @@
     return this.peers.has(host);
   }
 
+  /** Whether a gateway is known to read messages with a tail. */
+  readsTail(host: string): boolean {
+    return this.peers.get(host)?.readsTail ?? false;
+  }
+
   /** Notes a message of a gateway. */
-  noteHeard(named: NamedPeer): void {
+  noteHeard(named: NamedPeer, readsTail: boolean): void {
     const now = this.options.runtime.now();
-    this.put(named, now, now);
+    this.put(named, now, now).readsTail = readsTail;
   }
 
   /** Notes that another gateway named one that it had heard just now. */
@@ -123,13 +130,16 @@
     }
   }
 
-  private put({ host, zoneHash }: NamedPeer, heardAt: number, aliveAt: number): void {
+  private put({ host, zoneHash }: NamedPeer, heardAt: number, aliveAt: number): Peer {
     const known = this.peers.get(host);
     if (known === undefined || known.zoneHash !== zoneHash) {
-      this.peers.set(host, { host, zoneHash, hash: hashToNumber(host), heardAt, aliveAt });
-      return;
+      const hash = hashToNumber(host);
+      const peer: Peer = { host, zoneHash, readsTail: false, hash, heardAt, aliveAt };
+      this.peers.set(host, peer);
+      return peer;
     }
     known.heardAt = heardAt;
     known.aliveAt = aliveAt;
+    return known;
   }
 }
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -1,4 +1,5 @@
 /** What all calls of one gateway share. */
+import type { TallyBoard } from '../peers/tally-board.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { TurnClient } from '../turns/turn-client.js';
 import type { HeaderNames } from './request/header-names.js';
@@ -27,6 +28,7 @@
   readonly turns: TurnClient;
   readonly quotas: QuotaGate;
   readonly metrics: RelayMetrics;
+  readonly tallies: TallyBoard;
   /** The newest configuration; undefined before the first. */
   currentTable(): RoutingTable | undefined;
   /** Whether that is proved to be the newest, to within the bound for changes. */
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -4,6 +4,7 @@
  */
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
+import { TallyBoard } from '../peers/tally-board.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { QuotaClient } from '../turns/quota-client.js';
 import type { TurnClient } from '../turns/turn-client.js';
@@ -55,6 +56,8 @@
 export class RelayGateway {
   readonly book: RunnerBook;
   readonly metrics = new RelayMetrics();
+  /** Figures that all gateways add up. */
+  readonly tallies = new TallyBoard();
   /** Whether the configuration in force is proved to be the newest, to within the bound for changes. */
   isTableProven: () => boolean = () => true;
   /** Whether no key can have been taken away so long ago that it must not be served. */
@@ -92,6 +95,7 @@
         countsPrograms: options.policiesOff?.has(PROGRAM_QUOTAS) !== true,
       }),
       metrics: this.metrics,
+      tallies: this.tallies,
       currentTable: () => this.table,
       isTableProven: () => this.isTableProven(),
       areKeysFresh: () => this.areKeysFresh(),
--- a/src/types/restructure.d.ts
+++ b/src/types/restructure.d.ts
@@ -8,6 +8,7 @@
     readUInt8(): number;
     readUInt16BE(): number;
     readUInt32BE(): number;
+    readFloatBE(): number;
     readDoubleBE(): number;
   }
 
@@ -18,6 +19,7 @@
     writeUInt8(value: number): void;
     writeUInt16BE(value: number): void;
     writeUInt32BE(value: number): void;
+    writeFloatBE(value: number): void;
     writeDoubleBE(value: number): void;
   }
 
