A runner that starts again under its id is another life: nothing believed of the earlier one holds

Cause: beliefs (kept prompts, places, failures, lapses, refusals) were held by the id, which may start again. The soak restarts runners under their id.

--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -249,6 +249,8 @@
         return this.troublePath(this.random.pick(this.world.runnerProxies), pause);
       case 'runnerCrash':
         return this.world.replaceRunner(this.random.integer(0, RUNNERS - 1), pause);
+      case 'runnerRestart':
+        return this.world.restartRunner(this.random.integer(0, RUNNERS - 1), pause);
       case 'runnerMisbehaves':
         this.world.liveRunners.forEach((runner) =>
           runner.behaviours.push(this.random.pick(MISBEHAVIOURS), this.random.pick(MISBEHAVIOURS)),
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -16,6 +16,8 @@
   'storePath',
   'runnerPath',
   'runnerCrash',
+  // A runner starts again under its id, and knows nothing of before.
+  'runnerRestart',
   'runnerMisbehaves',
   'configurationChange',
   // A replica loses power, and what was not synced.
@@ -76,6 +78,7 @@
       return ['store'];
     case 'runnerPath':
     case 'runnerCrash':
+    case 'runnerRestart':
       return ['runners'];
     case 'runnerMisbehaves':
     case 'configurationChange':
--- a/soak/soak-world.ts
+++ b/soak/soak-world.ts
@@ -79,7 +79,7 @@
   async startSurroundings(): Promise<void> {
     await this.store.listen(this.hosts.of('store', 1), STORE_PORT);
     for (let index = 0; index < this.options.runnerCount; index += 1) {
-      await this.startRunner(index);
+      await this.startRunner(index, `runner-${index}-${index}`);
     }
     STRANGE_ENTRIES.forEach((entry, place) =>
       this.store.put(`${RUNNER_PREFIX}stranger-${place}`, entry),
@@ -107,11 +107,15 @@
 
   /** Crashes a runner; another takes its address after a pause. */
   async replaceRunner(index: number, pauseMilliseconds: number): Promise<void> {
-    const crashed = this.liveRunners[index]!;
-    await crashed.crash();
-    await new Promise((resolve) => setTimeout(resolve, pauseMilliseconds));
+    const crashed = await this.crashRunner(index, pauseMilliseconds);
     this.store.remove(RUNNER_PREFIX + crashed.id);
-    await this.startRunner(index);
+    await this.startRunner(index, `runner-${index}-${this.runners.length}`);
+  }
+
+  /** Crashes a runner; it starts again under its id after a pause, and knows nothing of before. */
+  async restartRunner(index: number, pauseMilliseconds: number): Promise<void> {
+    const crashed = await this.crashRunner(index, pauseMilliseconds);
+    await this.startRunner(index, crashed.id);
   }
 
   /** Ends everything. */
@@ -148,8 +152,14 @@
     process.start();
   }
 
-  private async startRunner(index: number): Promise<void> {
-    const id = `runner-${index}-${this.runners.length}`;
+  private async crashRunner(index: number, pauseMilliseconds: number): Promise<RelayRunner> {
+    const crashed = this.liveRunners[index]!;
+    await crashed.crash();
+    await new Promise((resolve) => setTimeout(resolve, pauseMilliseconds));
+    return crashed;
+  }
+
+  private async startRunner(index: number, id: string): Promise<void> {
     const runner = new RelayRunner({
       id,
       names: PLATFORM_HEADER_NAMES,
@@ -172,6 +182,7 @@
       Zone: zoneOf(index + 1),
       Slots: 8,
       State: 'ready',
+      born: Date.now(),
     });
   }
 }
--- a/src/relay/placement/place-request.ts
+++ b/src/relay/placement/place-request.ts
@@ -1,6 +1,7 @@
 /** Chooses the runner of a request's next try from what is believed of the runners of its service. */
 import { hashToNumber } from '../../runtime/hashing.js';
 import type { RelayContext } from '../relay-context.js';
+import type { RunnerLife } from '../runners/runner.js';
 import type { RunnerCandidate } from '../runners/runner-book.js';
 import type { Passage } from '../stages/passage.js';
 import { chooseRunner } from './choose-runner.js';
@@ -9,11 +10,11 @@
 
 /** What the tries so far leave to choose from. */
 export interface OpenRunners {
-  readonly mayGoTo: (runnerId: string) => boolean;
+  readonly mayGoTo: (runner: RunnerLife) => boolean;
   /** Runners that refused it: asking them again at once helps nobody. */
-  readonly refusedBy: ReadonlySet<string>;
+  readonly refusedBy: ReadonlySet<RunnerLife>;
   /** Runners at which a try failed: taken only when no other is left. */
-  readonly failedAt: ReadonlySet<string>;
+  readonly failedAt: ReadonlySet<RunnerLife>;
 }
 
 function needOf(context: RelayContext, passage: Passage, service: string): PlacementNeed {
--- a/src/relay/runners/kept-memory.ts
+++ b/src/relay/runners/kept-memory.ts
@@ -6,10 +6,10 @@
  */
 import { isLeft } from 'fp-ts/lib/Either.js';
 import type { Either } from 'fp-ts/lib/Either.js';
-import { hashToNumber } from '../../runtime/hashing.js';
 import type { Runtime } from '../../runtime/runtime.js';
 import type { RunnerBook } from './runner-book.js';
 import type { PromptKey } from '../request/relay-request.js';
+import { lifeHash } from './runner.js';
 import type { Runner } from './runner.js';
 
 /** A part of a prompt that an engine keeps. */
@@ -96,8 +96,7 @@
   private isToAsk(runner: Runner): boolean {
     const { runtime, book, keepsPrompts, peerCount } = this.options;
     const gateways = peerCount() + 1;
-    const isTold =
-      gateways > MANY_GATEWAYS && book.partsKeptAt(hashToNumber(runner.id)) >= TOLD_PARTS;
+    const isTold = gateways > MANY_GATEWAYS && book.partsKeptAt(lifeHash(runner)) >= TOLD_PARTS;
     if (!keepsPrompts(runner.service) || isTold) {
       return false;
     }
@@ -106,7 +105,7 @@
 
   private ask(runner: Runner): void {
     const { runtime, book, read, tell } = this.options;
-    const hash = hashToNumber(runner.id);
+    const hash = lifeHash(runner);
     read(runner, (result) => {
       if (isLeft(result)) {
         const fields = { event: 'memory.unread', runner: runner.id, reason: result.left };
--- a/src/relay/runners/runner-book.ts
+++ b/src/relay/runners/runner-book.ts
@@ -1,11 +1,11 @@
 /** What this node believes of the runners: listed, leaving, reachable, busy, fast, and what they keep. */
 import type { CancelTimer, Runtime } from '../../runtime/runtime.js';
-import { hashToNumber } from '../../runtime/hashing.js';
 import { EngineEstimate } from './engine-estimate.js';
 import type { EngineCosts, EngineSample } from './engine-estimate.js';
 import { PromptPlaces } from './prompt-places.js';
 import type { PromptKey, PromptPart } from '../request/relay-request.js';
-import type { Runner } from './runner.js';
+import { isEarlierLife, lifeHash, lifeOf } from './runner.js';
+import type { Runner, RunnerLife } from './runner.js';
 import type { LoadView, ServiceLoad } from './runner-view.js';
 import { SilenceEstimate } from './silence-estimate.js';
 import { RunnerPace, ServicePace } from './service-pace.js';
@@ -19,7 +19,7 @@
 /** Beliefs about one runner. */
 export interface RunnerRecord {
   runner: Runner;
-  /** Hash of its name. */
+  /** Short name of its life. */
   readonly hash: number;
   /** Requests of this node that are there now. */
   inFlight: number;
@@ -42,6 +42,7 @@
 
 /** A runner that may be chosen. */
 export interface RunnerCandidate extends LoadView {
+  readonly id: RunnerLife;
   readonly record: RunnerRecord;
 }
 
@@ -74,12 +75,12 @@
 
   constructor(private readonly runtime: Runtime) {}
 
-  /** Requests of this gateway at each runner that has some. */
-  ownLoads(): Map<string, number> {
-    const loads = new Map<string, number>();
+  /** Requests of this gateway at each runner that has some, by its life. */
+  ownLoads(): Map<RunnerLife, number> {
+    const loads = new Map<RunnerLife, number>();
     for (const { runner, inFlight } of this.records.values()) {
       if (inFlight > 0) {
-        loads.set(runner.id, inFlight);
+        loads.set(lifeOf(runner), inFlight);
       }
     }
     return loads;
@@ -92,6 +93,14 @@
       this.add(runner);
       return;
     }
+    if (isEarlierLife(runner, known.runner)) {
+      this.ignoreEarlierLife(runner, known.runner);
+      return;
+    }
+    if (lifeOf(runner) !== lifeOf(known.runner) && runner.bornAt !== undefined) {
+      this.beginLife(runner, known);
+      return;
+    }
     if (known.runner.ready !== runner.ready || known.goneAt !== undefined) {
       const { id, service, ready } = runner;
       this.runtime.log('info', 'runner changed', {
@@ -101,7 +110,8 @@
         ready,
       });
     }
-    known.runner = runner;
+    // An entry that no longer tells its start is the same life's.
+    known.runner = { ...runner, bornAt: known.runner.bornAt };
     known.goneAt = undefined;
     known.cancelLapse?.();
     known.cancelLapse = undefined;
@@ -142,11 +152,11 @@
   candidates(
     service: string,
     parts: readonly PromptPart[],
-    excluded: ReadonlySet<string>,
+    excluded: ReadonlySet<RunnerLife>,
   ): RunnerCandidate[] {
     const now = this.runtime.now();
     const usable = [...(this.byService.get(service) ?? [])].filter(
-      (record) => !excluded.has(record.runner.id),
+      (record) => !excluded.has(lifeOf(record.runner)),
     );
     const listed = usable.filter((record) => record.runner.ready && record.goneAt === undefined);
     const trusted = listed.filter((record) => record.distrustedUntil <= now);
@@ -223,12 +233,12 @@
   }
 
   private viewOf(record: RunnerRecord, parts: readonly PromptPart[]): RunnerCandidate {
-    const { id, zone, slots } = record.runner;
+    const { zone, slots } = record.runner;
     const { hasIdleConnection } = this;
     const inFlightOfOthers = this.inFlightOfOthers(record.hash);
     return {
       record,
-      id,
+      id: lifeOf(record.runner),
       hash: record.hash,
       zone,
       slots,
@@ -253,10 +263,31 @@
     }
   }
 
+  /** Nothing that was believed of the earlier life is true of this one. */
+  private beginLife(runner: Runner, before: RunnerRecord): void {
+    before.cancelLapse?.();
+    this.drop(before);
+    const { id, service, bornAt } = runner;
+    const fields = { event: 'runner.reborn', runner: id, service, bornAt: bornAt ?? 0 };
+    this.runtime.log('info', 'runner started again', fields);
+    this.add(runner);
+  }
+
+  private ignoreEarlierLife({ id, bornAt = 0 }: Runner, { bornAt: known = 0 }: Runner): void {
+    const fields = { event: 'runner.earlierLife', runner: id, bornAt, known };
+    this.runtime.log('warn', 'entry of an earlier life of a runner ignored', fields);
+  }
+
+  private drop(record: RunnerRecord): void {
+    this.records.delete(record.runner.id);
+    this.byHash.delete(record.hash);
+    this.byService.get(record.runner.service)?.delete(record);
+  }
+
   private add(runner: Runner): void {
     const record: RunnerRecord = {
       runner,
-      hash: hashToNumber(runner.id),
+      hash: lifeHash(runner),
       inFlight: 0,
       goneAt: undefined,
       cancelLapse: undefined,
@@ -284,9 +315,7 @@
   private forget(id: string, goneAt: number): void {
     const record = this.records.get(id);
     if (record?.goneAt === goneAt) {
-      this.records.delete(id);
-      this.byHash.delete(record.hash);
-      this.byService.get(record.runner.service)?.delete(record);
+      this.drop(record);
     }
   }
 
--- a/src/relay/runners/runner-view.ts
+++ b/src/relay/runners/runner-view.ts
@@ -3,7 +3,7 @@
 /** What is known of one runner that may get the request. */
 export interface RunnerView {
   readonly id: string;
-  /** Hash of its name. */
+  /** Short name of its life. */
   readonly hash: number;
   readonly zone: string;
   readonly slots: number;
--- a/src/relay/runners/runner.ts
+++ b/src/relay/runners/runner.ts
@@ -1,9 +1,18 @@
 /** A runner of a service as the list of runners tells it. */
+import { hashToNumber } from '../../runtime/hashing.js';
 
-/** One incarnation of a runner. */
+/**
+ * Names one life of a runner: its id and, where that is told, when it started. Whatever is believed of a runner is
+ * believed of a life: one that starts again under its id holds and knows nothing of before.
+ */
+export type RunnerLife = string & { readonly brand: 'RunnerLife' };
+
+/** One life of a runner. */
 export interface Runner {
-  /** Name of this incarnation; a restart gives a new one. */
+  /** Name of the runner; it may start again under it. */
   readonly id: string;
+  /** Unix time of its start in milliseconds by its own clock; undefined where that is not told. */
+  readonly bornAt?: number | undefined;
   readonly service: string;
   readonly host: string;
   readonly port: number;
@@ -18,3 +27,18 @@
 export function addressOf(runner: Runner): string {
   return `${runner.host}:${runner.port}`;
 }
+
+/** The life of a runner. */
+export function lifeOf({ id, bornAt }: Runner): RunnerLife {
+  return (bornAt === undefined ? id : `${id}@${bornAt}`) as RunnerLife;
+}
+
+/** Short name of a life, 32 bits: what gateways tell one another of runners stands under it. */
+export function lifeHash(runner: Runner): number {
+  return hashToNumber(lifeOf(runner));
+}
+
+/** Whether an entry is of an earlier life than another one; where one doesn't tell its start, it isn't known to be. */
+export function isEarlierLife(entry: Runner, other: Runner): boolean {
+  return entry.bornAt !== undefined && other.bornAt !== undefined && entry.bornAt < other.bornAt;
+}
--- a/src/relay/tries/attempt-rules.ts
+++ b/src/relay/tries/attempt-rules.ts
@@ -1,4 +1,5 @@
 /** Decides, after a try failed, whether and where the request may be tried again. */
+import type { RunnerLife } from '../runners/runner.js';
 
 /** What is known of one call's tries. */
 export interface TryHistory {
@@ -7,7 +8,7 @@
   /** Most runners that may be sent the request. */
   readonly maximumAttempts: number;
   /** Runners that were sent it and may still be there. */
-  readonly sentTo: ReadonlySet<string>;
+  readonly sentTo: ReadonlySet<RunnerLife>;
   /** Tries so far, those that never left included. */
   readonly tries: number;
   /** Whether any try may have run. */
@@ -26,6 +27,6 @@
 }
 
 /** Whether a try may go to a runner. */
-export function maySendTo(history: TryHistory, runnerId: string): boolean {
-  return history.sentTo.has(runnerId) || history.sentTo.size < history.maximumAttempts;
+export function maySendTo(history: TryHistory, runner: RunnerLife): boolean {
+  return history.sentTo.has(runner) || history.sentTo.size < history.maximumAttempts;
 }
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -22,6 +22,8 @@
 import { urgencyOf } from '../request/urgency.js';
 import type { EngineSample } from '../runners/engine-estimate.js';
 import { engineSampleOf } from '../runners/engine-sample.js';
+import { lifeOf } from '../runners/runner.js';
+import type { RunnerLife } from '../runners/runner.js';
 import type { RunnerCandidate, RunnerRecord } from '../runners/runner-book.js';
 import { CALL_STAGES } from '../stages/call-stages.js';
 import { Passage } from '../stages/passage.js';
@@ -52,10 +54,10 @@
 
 /** See the head of this file. */
 export class RelayCall implements AnsweredCall {
-  private readonly sentTo = new Set<string>();
-  private readonly failedAt = new Set<string>();
+  private readonly sentTo = new Set<RunnerLife>();
+  private readonly failedAt = new Set<RunnerLife>();
   /** Runners that refused the request: asking them again at once helps nobody. */
-  private readonly refusedBy = new Set<string>();
+  private readonly refusedBy = new Set<RunnerLife>();
   private tries = 0;
   private mayHaveRun = false;
   private current: CurrentTry | undefined;
@@ -178,7 +180,7 @@
 
   private chooseNext(): RunnerCandidate | undefined {
     const { context, passage, history, refusedBy, failedAt } = this;
-    const mayGoTo = (runnerId: string): boolean => maySendTo(history, runnerId);
+    const mayGoTo = (runner: RunnerLife): boolean => maySendTo(history, runner);
     return placeRequest(context, passage, { mayGoTo, refusedBy, failedAt });
   }
 
@@ -266,8 +268,9 @@
     const current = this.takeCurrent();
     if (current !== undefined) {
       this.context.book.finish(current.record, undefined);
-      this.sentTo.add(current.record.runner.id);
-      this.refusedBy.add(current.record.runner.id);
+      const life = lifeOf(current.record.runner);
+      this.sentTo.add(life);
+      this.refusedBy.add(life);
       this.logTry('NotExecuted', `status ${status}`, current);
     }
     this.tryNext();
@@ -281,12 +284,12 @@
     const { book, connections } = this.context;
     const { runner } = current.record;
     book.finish(current.record, undefined);
-    this.failedAt.add(runner.id);
+    this.failedAt.add(lifeOf(runner));
     this.logTry(failure.tag, failure.detail, current);
     if (failure.tag === 'NeverSent') {
       book.distrust(current.record, failure.detail);
       connections.closeAll(runner);
-      this.sentTo.delete(runner.id);
+      this.sentTo.delete(lifeOf(runner));
     } else {
       this.mayHaveRun = true;
       this.noteSentTo(current.record);
@@ -301,9 +304,9 @@
   /** Runners that ended or are cut off take none of the number of runners that a route allows. */
   private noteSentTo(record: RunnerRecord): void {
     if (record.outOfReach) {
-      this.sentTo.delete(record.runner.id);
+      this.sentTo.delete(lifeOf(record.runner));
     } else {
-      this.sentTo.add(record.runner.id);
+      this.sentTo.add(lifeOf(record.runner));
     }
   }
 
