--- /dev/null
+++ b/soak/cost/cost-load.ts
@@ -0,0 +1,108 @@
+/** Sends programs' turns to one gateway at an even rate. */
+import { Agent, request as httpRequest } from 'node:http';
+import { PLATFORM_HEADER_NAMES as NAMES } from '../../platform/header-names.js';
+import type { Runtime } from '../../src/runtime/runtime.js';
+import { SOAK_PORTS } from '../platform-process.js';
+import { SOAK_EVENTS, SOAK_HOST, SOAK_KEY, SOAK_TOKENS_PER_EVENT } from '../soak-client.js';
+
+/** What a load is made with. */
+export interface CostLoadOptions {
+  readonly runtime: Runtime;
+  readonly host: string;
+  /** Tells loads of one world apart. */
+  readonly name: string;
+  /** Requests a second. */
+  readonly rate: number;
+  readonly seconds: number;
+}
+
+/** What came of a load. */
+export interface CostLoadCounts {
+  readonly sent: number;
+  /** Answered whole, with 200. */
+  readonly answered: number;
+}
+
+const MILLISECONDS_IN_SECOND = 1_000;
+const TIMEOUT_MILLISECONDS = 3_000;
+/** Turns of one program. */
+const TURNS = 5;
+const TURN_TOKENS = SOAK_EVENTS * SOAK_TOKENS_PER_EVENT;
+const PROMPT_BYTES = 2_000;
+const OK = 200;
+
+/** Programs of five turns, one begun with each turn that falls to nobody. */
+class CostLoad {
+  private readonly agent = new Agent({ keepAlive: true });
+  /** Programs whose last turn was answered: their names and turns so far. */
+  private readonly waiting: { readonly program: string; readonly turns: number }[] = [];
+  private programs = 0;
+  sent = 0;
+  answered = 0;
+
+  constructor(private readonly options: CostLoadOptions) {}
+
+  sendNext(): Promise<void> {
+    const next = this.waiting.shift() ?? { program: this.newProgram(), turns: 0 };
+    this.sent += 1;
+    return this.send(next.program, next.turns).then((isAnswered) => {
+      this.answered += isAnswered ? 1 : 0;
+      if (isAnswered && next.turns + 1 < TURNS) {
+        this.waiting.push({ program: next.program, turns: next.turns + 1 });
+      }
+    });
+  }
+
+  close(): void {
+    this.agent.destroy();
+  }
+
+  private newProgram(): string {
+    this.programs += 1;
+    return `${this.options.name}-p${this.programs}`;
+  }
+
+  private send(program: string, turn: number): Promise<boolean> {
+    const { host } = this.options;
+    const body = 'x'.repeat(PROMPT_BYTES);
+    const headers = {
+      host: SOAK_HOST,
+      'content-length': String(body.length),
+      [NAMES.requestId]: `${program}-${turn}`,
+      [NAMES.timeout]: String(TIMEOUT_MILLISECONDS),
+      [NAMES.key]: `Token ${SOAK_KEY}`,
+      [NAMES.program]: program,
+      [NAMES.session]: program,
+      [NAMES.tokenBudget]: String(TURN_TOKENS * (TURNS + 1)),
+      [NAMES.tokenUsage]: `100,${TURN_TOKENS}`,
+      ...(turn === 0 ? {} : { [NAMES.previousTurn]: `${program}-${turn - 1}` }),
+    };
+    const address = { host, port: SOAK_PORTS.front, path: '/kept/work?stream', agent: this.agent };
+    return new Promise((resolve) => {
+      const client = httpRequest({ ...address, method: 'POST', headers }, (response) => {
+        response.resume();
+        response.on('error', () => undefined);
+        response.on('close', () => resolve(response.statusCode === OK && response.complete));
+      });
+      client.on('error', () => resolve(false));
+      client.end(body);
+    });
+  }
+}
+
+/** Sends for some seconds; resolves when all are answered. */
+export async function sendCostLoad(options: CostLoadOptions): Promise<CostLoadCounts> {
+  const load = new CostLoad(options);
+  const { runtime, rate, seconds } = options;
+  const beganAt = runtime.now();
+  const ends: Promise<void>[] = [];
+  for (let number = 0; number < rate * seconds; number += 1) {
+    const dueAt = beganAt + (number * MILLISECONDS_IN_SECOND) / rate;
+    await new Promise<void>((resolve) => runtime.setTimer(dueAt - runtime.now(), resolve));
+    ends.push(load.sendNext());
+  }
+  await Promise.all(ends);
+  load.close();
+  const { sent, answered } = load;
+  return { sent, answered };
+}
--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -44,6 +44,7 @@
   quotaSlack: 20,
 };
 
+/** The program as the build leaves it. */
 const PROGRAM = resolve('target/main.mjs');
 const HEAP_MEGABYTES = 160;
 /** Loaded before the program where there is a disk. */
@@ -104,11 +105,18 @@
   constructor(
     readonly machine: SoakMachine,
     private readonly folder: string,
+    /** Path of the bundle that runs. */
+    private readonly program = PROGRAM,
   ) {
     mkdirSync(folder, { recursive: true });
     this.disk = { root: dataFolder(folder), ledger: join(folder, 'disk-ledger') };
   }
 
+  /** Number of the process; undefined while it does not run. */
+  get processId(): number | undefined {
+    return this.child?.pid;
+  }
+
   /** Whether the process lives. */
   get isRunning(): boolean {
     return this.child !== undefined;
@@ -169,7 +177,7 @@
 
   private words(): string[] {
     const recorder = this.machine.role === 'replica' ? ['--import', RECORDER] : [];
-    return [`--max-old-space-size=${HEAP_MEGABYTES}`, ...recorder, PROGRAM, this.machine.role];
+    return [`--max-old-space-size=${HEAP_MEGABYTES}`, ...recorder, this.program, this.machine.role];
   }
 
   private environment(settingsFile: string): NodeJS.ProcessEnv {
