--- /dev/null
+++ b/features/support/prepared-hashing.ts
@@ -0,0 +1,2 @@
+/** Scenarios take hashes from their first step on. */
+import '../../src/runtime/prepared-hashing.js';
--- a/soak/cost/cost-world.ts
+++ b/soak/cost/cost-world.ts
@@ -143,7 +143,7 @@
         seeds: this.seeds.map((host) => `${host}:${SOAK_PORTS.control}`),
       },
       folder,
-      this.options.program,
+      { program: this.options.program, recordsDisk: false },
     );
   }
 
--- a/soak/cost/main.ts
+++ b/soak/cost/main.ts
@@ -1,4 +1,6 @@
 /** `npm run cost`: what a start, an idle gateway and a request cost, paired between builds. */
+import '../../src/runtime/prepared-hashing.js';
+import { existsSync } from 'node:fs';
 import { resolve } from 'node:path';
 import meow from 'meow';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
@@ -18,7 +20,7 @@
   Prints for each figure the median of the runs and the least and the most.
 
   Options
-    --program FOLDER  folder with main.mjs that is measured (default target)
+    --program FOLDER  folder of the build that is measured (default target)
     --against FOLDER  the same of an earlier build; runs alternate between the two
     --runs N          runs of each build (default 5)
     --gateways G      gateways known, all but one hollow (default 16)
@@ -55,6 +57,12 @@
   process.once(signal, () => process.exit(EXIT_WRONG_USE));
 }
 
+/** Earlier builds left a module. */
+function programIn(folder: string): string {
+  const path = resolve(folder, 'main.cjs');
+  return existsSync(path) ? path : resolve(folder, 'main.mjs');
+}
+
 function median(values: readonly number[]): number {
   const sorted = [...values].sort((left, right) => left - right);
   return sorted[Math.floor(sorted.length / 2)]!;
@@ -75,7 +83,7 @@
 const measured = new Map<string, CostFigures[]>(folders.map((folder) => [folder, []]));
 for (let run = 0; run < runs; run += 1) {
   for (const folder of folders) {
-    const options = { runtime, program: resolve(folder, 'main.mjs'), gatewayCount, block };
+    const options = { runtime, program: programIn(folder), gatewayCount, block };
     const parts = { idleSeconds: idle, rates, secondsOfRate: seconds };
     const figures = await measureCosts(options, parts, (world) => {
       current = world;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,4 +1,5 @@
 /** `npm run soak`: the fault soak from the command line. */
+import '../src/runtime/prepared-hashing.js';
 import meow from 'meow';
 import { FAULTS } from './soak-faults.js';
 import { MOST_BLOCKS } from './soak-hosts.js';
--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -1,8 +1,15 @@
 /** One process of the platform's program, started and struck by the soak. */
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
-import { createWriteStream, mkdirSync, rmSync, writeFileSync } from 'node:fs';
-import { join, resolve } from 'node:path';
+import {
+  createWriteStream,
+  existsSync,
+  mkdirSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
+import { dirname, join, resolve } from 'node:path';
 import { pathToFileURL } from 'node:url';
 import type { RandomSource } from '../src/runtime/random.js';
 import { losePower } from './power-loss-ledger.js';
@@ -45,13 +52,27 @@
 };
 
 /** The program as the build leaves it. */
-const PROGRAM = resolve('target/main.mjs');
-const HEAP_MEGABYTES = 160;
+const PROGRAM = resolve('target/main.cjs');
+/** What the build tells of how each role is started: the program's compiled code holds for these flags. */
+const RUNS = 'runs.json';
 /** Loaded before the program where there is a disk. */
 const RECORDER = pathToFileURL(resolve('dist/soak/record-disk.js')).href;
 /** Parts of the names that were not synced which a loss of power takes away. */
 const NAME_LOSSES = [0.5, 1];
 
+interface DeployedRun {
+  readonly role: PlatformRole;
+  readonly flags: readonly string[];
+}
+
+/** Flags of node under which a role runs where it is deployed; those of the last build where an older one tells none. */
+function flagsOf(role: PlatformRole, program: string): readonly string[] {
+  const own = join(dirname(program), RUNS);
+  const path = existsSync(own) ? own : join(dirname(PROGRAM), RUNS);
+  const runs = JSON.parse(readFileSync(path, 'utf8')) as readonly DeployedRun[];
+  return runs.find((run) => run.role === role)?.flags ?? [];
+}
+
 function dataFolder(folder: string): string {
   return join(folder, 'data');
 }
@@ -93,6 +114,14 @@
   };
 }
 
+/** How a process is run. */
+export interface PlatformProcessOptions {
+  /** Path of the program. @default that of the last build */
+  readonly program?: string;
+  /** Whether what a replica's disk would lose is recorded, which costs time. @default true */
+  readonly recordsDisk?: boolean;
+}
+
 /** See the head of this file. */
 export class PlatformProcess {
   private child: ChildProcess | undefined;
@@ -105,8 +134,7 @@
   constructor(
     readonly machine: SoakMachine,
     private readonly folder: string,
-    /** Path of the bundle that runs. */
-    private readonly program = PROGRAM,
+    private readonly options: PlatformProcessOptions = {},
   ) {
     mkdirSync(folder, { recursive: true });
     this.disk = { root: dataFolder(folder), ledger: join(folder, 'disk-ledger') };
@@ -176,8 +204,10 @@
   }
 
   private words(): string[] {
-    const recorder = this.machine.role === 'replica' ? ['--import', RECORDER] : [];
-    return [`--max-old-space-size=${HEAP_MEGABYTES}`, ...recorder, this.program, this.machine.role];
+    const { role } = this.machine;
+    const { program = PROGRAM, recordsDisk = true } = this.options;
+    const recorder = role === 'replica' && recordsDisk ? ['--import', RECORDER] : [];
+    return [...flagsOf(role, program), ...recorder, program, role];
   }
 
   private environment(settingsFile: string): NodeJS.ProcessEnv {
--- a/src/commands/ivyloom-bench.ts
+++ b/src/commands/ivyloom-bench.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 /** The bench: a local cluster, emulators, experiments and proofs. */
+import '../runtime/prepared-hashing.js';
 import meow from 'meow';
 import { DEFAULT_CATCH_UP_MILLISECONDS } from '../turns/membership-timings.js';
 import { runBenchCommand } from './bench-commands.js';
--- a/src/commands/ivyloom.ts
+++ b/src/commands/ivyloom.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 /** The operators' client: sends statements to a node and shows what comes back. */
+import '../runtime/prepared-hashing.js';
 import meow from 'meow';
 import { runClient } from './client.js';
 import { runExplainProgram, runExplainRequest, runLogs, runReportLosses } from './log-commands.js';
--- a/src/commands/ivyloomd.ts
+++ b/src/commands/ivyloomd.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 /** The daemon: one on every machine. */
+import '../runtime/prepared-hashing.js';
 import * as E from 'fp-ts/lib/Either.js';
 import meow from 'meow';
 import { FLAG_SETTINGS, readSettings } from '../configuration/settings.js';
--- a/src/runtime/hashing.ts
+++ b/src/runtime/hashing.ts
@@ -1,16 +1,32 @@
-/** 64-bit hashes (xxhash) for placement, digests and identifiers. Not for secrets. */
+/**
+ * 64-bit hashes (xxhash) for placement, digests and identifiers. Not for secrets. Each program prepares them
+ * before anything else: a module that waits for itself could not be kept as compiled code.
+ */
 import xxhash from 'xxhash-wasm';
+import type { XXHashAPI } from 'xxhash-wasm';
 
-const hasher = await xxhash();
+let prepared: XXHashAPI | undefined;
+
+/** Resolves when hashes can be taken. */
+export async function prepareHashing(): Promise<void> {
+  prepared ??= await xxhash();
+}
+
+function hasher(): XXHashAPI {
+  if (prepared === undefined) {
+    throw new Error('hashes are taken before prepareHashing()');
+  }
+  return prepared;
+}
 
 /** Hash of a text as 16 hexadecimal digits. */
 export function hashText(text: string): string {
-  return hasher.h64ToString(text);
+  return hasher().h64ToString(text);
 }
 
 /** Hash of a text as an unsigned 32-bit number, for buckets. */
 export function hashToNumber(text: string): number {
-  return hasher.h32(text);
+  return hasher().h32(text);
 }
 
 const MIX_MULTIPLIER = 0x9e37_79b1;
