Admission by predicted wait: programs begin while they can bear the wait they would meet

Change: a new program is let in unless the wait predicted for a turn (requests that go before it by rank, told by all gateways; places of the listed runners; learned time of a turn) is more than its program can bear in each of its turns. A turn that shows that its program has run goes on at any gateway. Refused clients are told to come back when room is expected, spread, within what they wait. A log line with the inputs and their age; explained by request.

The scenarios of the one limit (placement.feature) are replaced: its rule is gone, a program is no longer refused with places free. What takes their place (contention.feature) checks the bound of both sides and the whole in a laboratory against the old rule.

--- /dev/null
+++ b/features/contention.feature
@@ -0,0 +1,58 @@
+Feature: Callers that compete for too little room
+
+  Scenario Outline: A program begins where it can bear the wait that it would meet
+    Given runners with 100 places and <ahead> requests that go before it, of which <urgent> are more urgent
+    When a program of 6 turns with <left> ms left begins
+    Then it is <admitted>
+
+    Examples:
+      | ahead | urgent | left | admitted |
+      | 20    | 0      | 3000 | let in   |
+      | 99    | 0      | 100  | let in   |
+      | 110   | 0      | 3000 | let in   |
+      | 110   | 99     | 3000 | kept out |
+      | 400   | 0      | 3000 | kept out |
+
+  Scenario: A program that was let in stays so, however full the runners are
+    Then a program that was let in before is let in again whatever the load
+
+  Scenario: A program that ran through another gateway stays under way
+    Then a turn that shows that its program has run is let in where a new program is kept out
+
+  Scenario: Without runners no new program begins
+    Then with no places a new program is kept out and a program under way isn't
+
+  Scenario: Refused clients come back within what they wait, and not together
+    Then pauses lie between half of what is expected and a third of the request's time, whatever the figures
+
+  Scenario: Who is behind counts for nothing to who goes before
+    Then requests of later ranks at all gateways are told apart from those of earlier ranks
+
+  Scenario: A million programs and kinds take bounded memory
+    Then a million distinct programs and kinds leave bounded tables
+
+  Scenario: Absurd figures let in or keep out, and break nothing
+    Then whatever clients tell, a program is let in or kept out with a pause within its request's time
+
+  Scenario Outline: In a burst no less is earned than by one limit of each gateway, whatever the age of the loads
+    Given a day with a burst of <factor> times in <kinds> and loads told <age> ms late
+    When the day is played with predicted finishes and with one limit of each gateway
+    Then predicted finishes earn no less, and less urgent kinds no less
+    And urgent programs are served no less often than less urgent ones
+    And no more programs and no more requests are refused
+
+    Examples:
+      | factor | kinds | age  |
+      | 2.5    | all   | 50   |
+      | 2.5    | all   | 300  |
+      | 2.5    | all   | 1000 |
+      | 2.5    | less  | 300  |
+      | 1.6    | all   | 300  |
+      | 1      | all   | 300  |
+
+  Scenario: Half of the runners go
+    Given a day with a burst of 1 times in all and loads told 300 ms late
+    And 17 of the 34 engines lost at second 6
+    When the day is played with predicted finishes and with one limit of each gateway
+    Then predicted finishes earn no less, and less urgent kinds no less
+    And urgent programs are served no less often than less urgent ones
--- a/features/logs.feature
+++ b/features/logs.feature
@@ -9,6 +9,11 @@
     When another request is explained
     Then nothing is said
 
+  Scenario: Why a program was kept out is told with the figures that decided it
+    Given a log of a program that was kept out
+    When the request is explained
+    Then the sentence names the wait, what was bearable, who goes before, their age and the pause
+
   Scenario: The time of programs is split by what held them up
     Given logs of a program that was late, one that was in time and one whose last answer was lost
     When the losses are reported
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -63,28 +63,6 @@
     Then streams of any length leave a usual runner as fast as its service
     And a runner that takes five times as long is known after 4 requests
 
-  Scenario Outline: New programs wait while the runners are full, those under way go on
-    Given runners with <slots> places that hold <held> requests
-    When a program on a route of priority <priority> begins
-    Then it is <admitted>
-    And a program that was let in before is let in again
-
-    Examples:
-      | slots | held | priority | admitted |
-      | 100   | 20   | 1        | let in   |
-      | 100   | 90   | 1        | kept out |
-      | 100   | 90   | 0        | let in   |
-      | 100   | 150  | 0        | kept out |
-
-  Scenario: Late programs lower the limit, timely ones raise it again
-    Given runners with 100 places that hold 60 requests
-    When 20 turns of late programs arrive
-    And a program on a route of priority 1 begins
-    Then it is kept out
-    When 400 turns of timely programs arrive
-    And a program on a route of priority 1 begins
-    Then it is let in
-
   Scenario: A late program ranks behind those in time, and no rank leaves its range
     Then late requests rank behind timely ones of the same and of the next priority
 
--- /dev/null
+++ b/features/steps/contention.steps.ts
@@ -0,0 +1,256 @@
+/**
+ * Steps about admission. The day in the laboratory is that of 34 engines of 6 places behind 52 gateways, with an
+ * urgent and a less urgent kind of programs, and bursts of up to 2.5 times the usual.
+ */
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import fc from 'fast-check';
+import { bearableWait, waitOf } from '../../src/relay/admission/predicted-wait.js';
+import type { AdmissionOutlook } from '../../src/relay/admission/predicted-wait.js';
+import { ProgramAdmission } from '../../src/relay/admission/program-admission.js';
+import { ProgramShapes } from '../../src/relay/admission/program-shape.js';
+import { pauseUntilRoom } from '../../src/relay/admission/return-pause.js';
+import { ServiceDemand } from '../../src/relay/admission/service-demand.js';
+import { TallyBoard } from '../../src/peers/tally-board.js';
+import { TALLY_TOPICS } from '../../src/peers/tallies.js';
+import { hashToNumber } from '../../src/runtime/hashing.js';
+import { createRandom } from '../../src/runtime/random.js';
+import { limitOfOneGateway, predictedFinish } from '../support/contention-admissions.js';
+import { ContentionLab } from '../support/contention-lab.js';
+import type { LabDay, LabKind } from '../support/contention-lab.js';
+
+const IDLE: AdmissionOutlook = {
+  ahead: 0,
+  moreUrgent: 0,
+  slots: 100,
+  turnMilliseconds: 230,
+  turns: 6,
+  leftMilliseconds: 3_000,
+  requestMilliseconds: 3_000,
+};
+const FULL: AdmissionOutlook = { ...IDLE, ahead: 10_000 };
+
+interface World {
+  outlook: AdmissionOutlook;
+  isAdmitted: boolean;
+  day: LabDay;
+  predicted: ContentionLab;
+  limited: ContentionLab;
+}
+
+function freshAdmission(): ProgramAdmission {
+  return new ProgramAdmission(createRandom(3));
+}
+
+function isAdmitted(
+  admission: ProgramAdmission,
+  program: string,
+  outlook: AdmissionOutlook,
+  isUnderWay = false,
+): boolean {
+  const question = { program, outlook: () => outlook, isUnderWay: () => isUnderWay };
+  return admission.decide(question).pauseMilliseconds === undefined;
+}
+
+Given(
+  'runners with {int} places and {int} requests that go before it, of which {int} are more urgent',
+  function (this: World, slots: number, ahead: number, moreUrgent: number) {
+    this.outlook = { ...IDLE, slots, ahead, moreUrgent };
+  },
+);
+
+When(
+  'a program of {int} turns with {int} ms left begins',
+  function (this: World, turns: number, leftMilliseconds: number) {
+    const outlook = { ...this.outlook, turns, leftMilliseconds };
+    this.isAdmitted = isAdmitted(freshAdmission(), 'new', outlook);
+  },
+);
+
+Then('it is let in', function (this: World) {
+  assert.equal(this.isAdmitted, true);
+});
+
+Then('it is kept out', function (this: World) {
+  assert.equal(this.isAdmitted, false);
+});
+
+Then('a program that was let in before is let in again whatever the load', function () {
+  const admission = freshAdmission();
+  assert.ok(isAdmitted(admission, 'known', IDLE));
+  assert.ok(isAdmitted(admission, 'known', FULL));
+  assert.ok(isAdmitted(admission, 'known', { ...FULL, slots: 0, leftMilliseconds: 0 }));
+  admission.forget('known');
+  assert.ok(!isAdmitted(admission, 'known', FULL));
+});
+
+Then(
+  'a turn that shows that its program has run is let in where a new program is kept out',
+  function () {
+    const admission = freshAdmission();
+    assert.ok(!isAdmitted(admission, 'a', FULL));
+    assert.ok(isAdmitted(admission, 'a', FULL, true));
+    assert.ok(isAdmitted(admission, 'a', FULL));
+  },
+);
+
+Then("with no places a new program is kept out and a program under way isn't", function () {
+  const gone = { ...IDLE, slots: 0 };
+  assert.ok(!isAdmitted(freshAdmission(), 'a', gone));
+  assert.ok(isAdmitted(freshAdmission(), 'a', gone, true));
+});
+
+const AMOUNT = fc.double({ min: 0, max: 1e9, noNaN: true });
+
+Then(
+  "pauses lie between half of what is expected and a third of the request's time, whatever the figures",
+  function () {
+    const drawn = fc.double({ min: 0, max: 1, noNaN: true });
+    fc.assert(
+      fc.property(AMOUNT, AMOUNT, drawn, (excess, request, draw) => {
+        const pause = pauseUntilRoom(excess, request, draw);
+        assert.ok(pause >= 0 && pause <= request / 3);
+        assert.ok(pause >= Math.min(10_000, Math.max(0, request / 3 - 11), excess) / 2);
+      }),
+    );
+    const drawnPauses = [0, 0.25, 0.5, 0.75, 1].map((draw) => pauseUntilRoom(300, 3_000, draw));
+    assert.equal(new Set(drawnPauses).size, drawnPauses.length);
+  },
+);
+
+Then(
+  'requests of later ranks at all gateways are told apart from those of earlier ranks',
+  function () {
+    const board = new TallyBoard();
+    const others = new Map([[hashToNumber('s'), [1, 0, 4, 0, 0, 2, 0, 0]]]);
+    board.ofOthers = () => others;
+    const demand = new ServiceDemand(board);
+    const ends = [0, 2, 2, 9].map((rank) => demand.begin('s', rank));
+    assert.equal(demand.behind('s', 0), 4 + 2 + 2 + 1);
+    assert.equal(demand.behind('s', 2), 2 + 1);
+    assert.equal(demand.at('s', 2), 4 + 2);
+    assert.equal(demand.behind('s', -1), 1 + 1 + demand.behind('s', 0));
+    assert.deepEqual(board.own(), [
+      {
+        topic: TALLY_TOPICS.serviceDemand,
+        rows: [{ key: hashToNumber('s'), amounts: [1, 0, 2, 0, 0, 0, 0, 1] }],
+      },
+    ]);
+    ends.forEach((end) => end());
+    assert.deepEqual(board.own(), []);
+  },
+);
+
+Then('a million distinct programs and kinds leave bounded tables', function () {
+  const MILLION = 1_000_000;
+  const admission = freshAdmission();
+  const shapes = new ProgramShapes();
+  for (let number = 0; number < MILLION; number += 1) {
+    isAdmitted(admission, `program ${number}`, IDLE);
+    shapes.note(`kind ${number}`, true);
+  }
+  assert.ok(!admission.knows('program 0') && admission.knows(`program ${MILLION - 1}`));
+  assert.ok(admission.programCount <= 20_000);
+  assert.ok(shapes.kindCount <= 2_000);
+});
+
+Then(
+  "whatever clients tell, a program is let in or kept out with a pause within its request's time",
+  function () {
+    const figure = fc.oneof(
+      fc.double(),
+      fc.constantFrom(0, -1, Infinity, -Infinity, NaN, Number.MAX_VALUE),
+    );
+    const outlooks = fc.record({
+      ahead: AMOUNT,
+      moreUrgent: AMOUNT,
+      slots: fc.nat(10_000),
+      turnMilliseconds: AMOUNT,
+      turns: fc.double({ min: 0, max: 1e6, noNaN: true }),
+      leftMilliseconds: fc.option(figure, { nil: undefined }),
+      requestMilliseconds: figure,
+    });
+    fc.assert(
+      fc.property(outlooks, (outlook) => {
+        const question = { program: 'p', outlook: () => outlook, isUnderWay: () => false };
+        const { pauseMilliseconds: pause } = freshAdmission().decide(question);
+        const most = Math.max(0, outlook.requestMilliseconds / 3);
+        assert.ok(pause === undefined || (pause >= 0 && !(pause > most)), `${pause}`);
+        assert.ok(pause === undefined || Number.isFinite(pause), `${pause}`);
+      }),
+    );
+    assert.ok(waitOf(IDLE) === 0 && bearableWait(IDLE) > 0);
+  },
+);
+
+const URGENT: LabKind = {
+  name: 'urgent',
+  rank: 0,
+  programsPerSecond: 48,
+  turns: 3,
+  fan: 0.04,
+  aimFactor: 1.4,
+  aimMilliseconds: 200,
+  worth: 6.4,
+  lateWorth: 1.3,
+};
+const LESS: LabKind = {
+  name: 'less',
+  rank: 2,
+  programsPerSecond: 37,
+  turns: 6.5,
+  fan: 0.025,
+  aimFactor: 1.3,
+  aimMilliseconds: 400,
+  worth: 5.6,
+  lateWorth: 4.2,
+};
+const BURST_FROM_SECOND = 4;
+const BURST_TO_SECOND = 10;
+
+Given(
+  'a day with a burst of {float} times in {word} and loads told {int} ms late',
+  function (this: World, burst: number, kinds: string, ageMilliseconds: number) {
+    const factor = (kind: LabKind, second: number): number => {
+      const isIn = second >= BURST_FROM_SECOND && second < BURST_TO_SECOND;
+      return isIn && (kinds === 'all' || kinds === kind.name) ? burst : 1;
+    };
+    this.day = { kinds: [URGENT, LESS], seed: 11, ageMilliseconds, factor };
+  },
+);
+
+Given(
+  '{int} of the 34 engines lost at second {int}',
+  function (this: World, engines: number, second: number) {
+    this.day = { ...this.day, lost: { engines, second } };
+  },
+);
+
+When(
+  'the day is played with predicted finishes and with one limit of each gateway',
+  function (this: World) {
+    this.predicted = new ContentionLab(this.day, predictedFinish).run();
+    this.limited = new ContentionLab(this.day, limitOfOneGateway).run();
+  },
+);
+
+Then('predicted finishes earn no less, and less urgent kinds no less', function (this: World) {
+  const [now, before] = [this.predicted, this.limited];
+  assert.ok(now.worth >= before.worth, `${now.worth} of ${before.worth}`);
+  const [less, lessBefore] = [now.outcomes.get('less')!, before.outcomes.get('less')!];
+  assert.ok(less.earned >= lessBefore.earned, `${less.earned} of ${lessBefore.earned}`);
+});
+
+Then('urgent programs are served no less often than less urgent ones', function (this: World) {
+  const [urgent, less] = ['urgent', 'less'].map((name) => this.predicted.outcomes.get(name)!);
+  assert.ok(urgent!.earned >= less!.earned, `${urgent!.earned} of ${less!.earned}`);
+});
+
+Then('no more programs and no more requests are refused', function (this: World) {
+  const [now, before] = [this.predicted, this.limited].map(({ outcomes }) => ({
+    requests: [...outcomes.values()].reduce((sum, { refusals }) => sum + refusals, 0),
+    programs: [...outcomes.values()].reduce((sum, { refused }) => sum + refused, 0),
+  }));
+  assert.ok(now!.requests <= before!.requests, `${now!.requests} of ${before!.requests}`);
+  assert.ok(now!.programs <= before!.programs, `${now!.programs} of ${before!.programs}`);
+});
--- a/features/steps/logs.steps.ts
+++ b/features/steps/logs.steps.ts
@@ -50,6 +50,24 @@
   },
 );
 
+Given('a log of a program that was kept out', function (this: World) {
+  const load = { ahead: 300, moreUrgent: 40, slots: 204, age: 120 };
+  const time = { wait: 141, bearable: 97, left: 2_700, turns: 7, pause: 88 };
+  const fields = { request: 'q1', cause: 'unbearable', ...load, ...time };
+  const parsed = parseLogLine(line(10, 'n1', 'relay.admission', fields));
+  this.lines = parsed === undefined ? [] : [parsed];
+});
+
+Then(
+  'the sentence names the wait, what was bearable, who goes before, their age and the pause',
+  function (this: World) {
+    const [sentence, ...others] = this.sentences!;
+    assert.deepEqual(others, []);
+    assert.match(sentence!, /kept out.*141 ms.*97 bearable.*2700 ms.*7 turns/);
+    assert.match(sentence!, /300 requests.*204 places.*40.*120 ms old.*88 ms/);
+  },
+);
+
 When('the request is explained', function (this: World) {
   this.sentences = explainRequest(this.lines!, 'q1');
 });
--- a/src/relay/admission/program-admission.ts
+++ b/src/relay/admission/program-admission.ts
@@ -1,50 +1,70 @@
 /**
- * Under overload, keeps new programs out so that those under way finish in time: a program that is
- * late for want of places has cost as much as one in time. Which programs are under way is known
- * from their requests that this gateway has let in before.
+ * Lets new programs in as long as they can be over while their callers wait, and tells the others when room is
+ * expected. A turn that has to wait does so at its runner, behind whatever is more urgent, so a program that is let
+ * in costs those under way no more than what they too can bear; one that is refused for a place that would have
+ * come costs its caller everything. Programs under way keep their place at every gateway.
  */
-import type { ServiceLoad } from '../runners/runner-view.js';
+import type { RandomSource } from '../../runtime/random.js';
+import { bearableWait, waitOf } from './predicted-wait.js';
+import type { AdmissionOutlook } from './predicted-wait.js';
+import { pauseUntilRoom } from './return-pause.js';
 
 /** Programs remembered; the longest unused go first. */
 const MAXIMUM_PROGRAMS = 20_000;
-/** Load in requests a slot at which routine programs are kept out: where it starts and its bounds. */
-const FIRST_LIMIT = 0.7;
-const LEAST_LIMIT = 0.5;
-const LARGEST_LIMIT = 1.2;
-/** Added for programs of the most urgent routes. */
-const URGENT_MARGIN = 0.4;
-/** Fall of the limit with each turn of a late program, and rise with each other turn. */
-const LATE_STEP = 0.015;
-const TIMELY_STEP = 0.002;
 
-/** Whether a new program may begin under a load and a limit in requests a slot. */
-export function mayBegin(load: ServiceLoad, limit: number, routePriority: number): boolean {
-  const margin = routePriority === 0 ? URGENT_MARGIN : 0;
-  return load.inFlight < load.slots * (limit + margin);
+/** What is asked for one request of a program. */
+export interface AdmissionQuestion {
+  readonly program: string;
+  /** Whether the request itself shows that its program has run before; asked only where it decides. */
+  readonly isUnderWay: () => boolean;
+  readonly outlook: () => AdmissionOutlook;
 }
 
+/** Why a request was let in or not. */
+export type AdmissionCause = 'known' | 'shown' | 'bearable' | 'unbearable';
+
+/** What is decided, and by what. */
+export interface AdmissionVerdict {
+  readonly cause: AdmissionCause;
+  /** Pause until the client should come back, in milliseconds; undefined where the request is let in. */
+  readonly pauseMilliseconds: number | undefined;
+  /** What decided; undefined for programs known here. */
+  readonly outlook: AdmissionOutlook | undefined;
+  readonly waitMilliseconds: number;
+  readonly bearableMilliseconds: number;
+}
+
+const KNOWN: AdmissionVerdict = {
+  cause: 'known',
+  pauseMilliseconds: undefined,
+  outlook: undefined,
+  waitMilliseconds: 0,
+  bearableMilliseconds: 0,
+};
+
 /** See the head of this file. */
 export class ProgramAdmission {
   private readonly underWay = new Set<string>();
-  private limit = FIRST_LIMIT;
 
-  /**
-   * Whether a request of a program is let in; one that was let in once always is. Turns of programs
-   * that are late lower the limit, those of others raise it: how full the runners may be depends on
-   * how much time programs have, which nobody tells.
-   */
-  admit(program: string, late: boolean, load: () => ServiceLoad, routePriority: number): boolean {
-    const known = this.underWay.delete(program);
-    if (known) {
-      this.learn(late);
-    } else if (!mayBegin(load(), this.limit, routePriority)) {
-      return false;
+  constructor(private readonly random: RandomSource) {}
+
+  /** Decides on a request of a program; a program that was let in once always is. */
+  decide(question: AdmissionQuestion): AdmissionVerdict {
+    const { program } = question;
+    if (this.underWay.delete(program)) {
+      this.remember(program);
+      return KNOWN;
     }
-    this.underWay.add(program);
-    if (this.underWay.size > MAXIMUM_PROGRAMS) {
-      this.underWay.delete(this.underWay.values().next().value!);
+    const verdict = this.judge(question);
+    if (verdict.pauseMilliseconds === undefined) {
+      this.remember(program);
     }
-    return true;
+    return verdict;
+  }
+
+  /** Programs remembered. */
+  get programCount(): number {
+    return this.underWay.size;
   }
 
   /** Whether a program was let in here before. */
@@ -57,8 +77,30 @@
     this.underWay.delete(program);
   }
 
-  private learn(late: boolean): void {
-    const next = this.limit + (late ? -LATE_STEP : TIMELY_STEP);
-    this.limit = Math.min(LARGEST_LIMIT, Math.max(LEAST_LIMIT, next));
+  private judge(question: AdmissionQuestion): AdmissionVerdict {
+    const outlook = question.outlook();
+    const waitMilliseconds = waitOf(outlook);
+    const bearableMilliseconds = bearableWait(outlook);
+    const figures = { outlook, waitMilliseconds, bearableMilliseconds };
+    if (waitMilliseconds <= bearableMilliseconds) {
+      return { ...figures, cause: 'bearable', pauseMilliseconds: undefined };
+    }
+    if (question.isUnderWay()) {
+      return { ...figures, cause: 'shown', pauseMilliseconds: undefined };
+    }
+    const excess = waitMilliseconds - bearableMilliseconds;
+    const pauseMilliseconds = pauseUntilRoom(
+      excess,
+      outlook.requestMilliseconds,
+      this.random.uniform(),
+    );
+    return { ...figures, cause: 'unbearable', pauseMilliseconds };
+  }
+
+  private remember(program: string): void {
+    this.underWay.add(program);
+    if (this.underWay.size > MAXIMUM_PROGRAMS) {
+      this.underWay.delete(this.underWay.values().next().value!);
+    }
   }
 }
--- /dev/null
+++ b/src/relay/admission/service-demand.ts
@@ -0,0 +1,66 @@
+/**
+ * Requests under way at each service by their rank at the runners, this gateway's and those of all others: whoever
+ * is more urgent waits for nobody behind it. Others' figures are 0.1 to 0.3 s old; older builds tell none, so what
+ * is not known to be behind a request counts as ahead of it.
+ */
+import { hashToNumber } from '../../runtime/hashing.js';
+import type { TallyBoard } from '../../peers/tally-board.js';
+import { MAXIMUM_AMOUNTS, TALLY_TOPICS } from '../../peers/tallies.js';
+import type { TallyRow } from '../../peers/tallies.js';
+
+/** The last amount of a row holds this rank and all behind it. */
+const LAST_PLACE = MAXIMUM_AMOUNTS - 1;
+
+function placeOf(rank: number): number {
+  return Math.min(LAST_PLACE, Math.max(0, Math.floor(rank)));
+}
+
+/** See the head of this file. */
+export class ServiceDemand {
+  private readonly byService = new Map<string, number[]>();
+
+  constructor(private readonly tallies: TallyBoard) {
+    tallies.tell(TALLY_TOPICS.serviceDemand, () => this.rows());
+  }
+
+  /** Notes a request that is let in; the function returned notes its end. */
+  begin(service: string, rank: number): () => void {
+    const place = placeOf(rank);
+    const amounts = this.byService.get(service) ?? new Array<number>(MAXIMUM_AMOUNTS).fill(0);
+    this.byService.set(service, amounts);
+    amounts[place]! += 1;
+    return () => {
+      amounts[place]! -= 1;
+    };
+  }
+
+  /** Requests at a service of ranks behind one. */
+  behind(service: string, rank: number): number {
+    return this.between(service, rank < 0 ? 0 : placeOf(rank) + 1, LAST_PLACE);
+  }
+
+  /** Requests at a service of one rank. */
+  at(service: string, rank: number): number {
+    return this.between(service, placeOf(rank), placeOf(rank));
+  }
+
+  private between(service: string, first: number, last: number): number {
+    const own = this.byService.get(service) ?? [];
+    const others = this.tallies.ofOthers(TALLY_TOPICS.serviceDemand).get(hashToNumber(service));
+    let sum = 0;
+    for (let place = first; place <= last; place += 1) {
+      sum += (own[place] ?? 0) + Math.max(0, others?.[place] ?? 0);
+    }
+    return sum;
+  }
+
+  private rows(): TallyRow[] {
+    const rows: TallyRow[] = [];
+    for (const [service, amounts] of this.byService) {
+      if (amounts.some((amount) => amount > 0)) {
+        rows.push({ key: hashToNumber(service), amounts: [...amounts] });
+      }
+    }
+    return rows;
+  }
+}
--- a/src/relay/answers/own-answers.ts
+++ b/src/relay/answers/own-answers.ts
@@ -18,8 +18,6 @@
 
 /** Pause told to clients when no runner had room. */
 const FULL_RETRY_SECONDS = 0.1;
-/** Pause told to clients whose program may not begin yet. */
-const OVERLOAD_RETRY_SECONDS = 0.15;
 /** Pause told to clients when what the request needs is out of reach. */
 const UNAVAILABLE_RETRY_SECONDS = 0.2;
 /** Pause told to clients when another gateway may reach what this one doesn't. */
@@ -31,10 +29,14 @@
 const LEAST_QUOTA_RETRY_SECONDS = 0.05;
 const MILLISECONDS_IN_SECOND = 1_000;
 
-/** The program is new and the runners are full of programs under way. */
-export function overloaded(): OwnAnswer {
+/**
+ * The program is new and would wait longer than it can bear behind those under way.
+ * @param pauseMilliseconds time until there is expected to be room
+ */
+export function overloaded(pauseMilliseconds: number): OwnAnswer {
   const detail = 'all places are taken, and programs under way go first';
-  return { status: 503, detail, verdict: 'NotRun', retryAfterSeconds: OVERLOAD_RETRY_SECONDS };
+  const retryAfterSeconds = Number((pauseMilliseconds / MILLISECONDS_IN_SECOND).toFixed(3));
+  return { status: 503, detail, verdict: 'NotRun', retryAfterSeconds };
 }
 
 /** Enough replicas deny that there is the turn to go on from. */
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -4,6 +4,8 @@
 import type { TurnClient } from '../turns/turn-client.js';
 import type { HeaderNames } from './request/header-names.js';
 import type { ProgramAdmission } from './admission/program-admission.js';
+import type { ProgramShapes } from './admission/program-shape.js';
+import type { ServiceDemand } from './admission/service-demand.js';
 import type { PlacementCharge } from './placement/placement-charges.js';
 import type { QuotaGate } from './admission/quota-gate.js';
 import type { RelayMetrics } from './relay-metrics.js';
@@ -20,6 +22,8 @@
   readonly book: RunnerBook;
   readonly connections: RunnerConnections;
   readonly admission: ProgramAdmission;
+  readonly shapes: ProgramShapes;
+  readonly demand: ServiceDemand;
   readonly split: TrafficSplit;
   /** Whether a few runners are drawn and weighed, in place of all. */
   readonly drawsCandidates: boolean;
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -11,6 +11,8 @@
 import type { HeaderNames } from './request/header-names.js';
 import { chargesWithout } from './placement/placement-charges.js';
 import { ProgramAdmission } from './admission/program-admission.js';
+import { ProgramShapes } from './admission/program-shape.js';
+import { ServiceDemand } from './admission/service-demand.js';
 import type { RelayContext } from './relay-context.js';
 import { QuotaGate } from './admission/quota-gate.js';
 import { RelayFront } from './front/relay-front.js';
@@ -82,7 +84,9 @@
       names,
       book: this.book,
       connections,
-      admission: new ProgramAdmission(),
+      admission: new ProgramAdmission(runtime.random),
+      shapes: new ProgramShapes(),
+      demand: new ServiceDemand(this.tallies),
       split: new TrafficSplit(),
       drawsCandidates: options.policiesOff?.has(DRAWN_CANDIDATES) !== true,
       charges: chargesWithout(options.policiesOff ?? new Set()),
--- a/src/relay/request/urgency.ts
+++ b/src/relay/request/urgency.ts
@@ -8,7 +8,7 @@
 /** Ranks between neighbouring priorities of tenants, within which routes are ranked. */
 const RANKS_PER_TENANT = 3;
 /** Ranks that a program falls behind once it is late. */
-const LATE_RANKS = 3;
+export const LATE_RANKS = 3;
 
 /** Whether the time by which a request's program should be over has passed. */
 export function isLate(request: RelayRequest, now: number): boolean {
--- a/src/relay/runners/engine-estimate.ts
+++ b/src/relay/runners/engine-estimate.ts
@@ -110,4 +110,10 @@
   get meanEvents(): number {
     return this.events;
   }
+
+  /** Time that a stream of mean length takes beside so many others, its reading left out, in milliseconds. */
+  streamMilliseconds(beside: number): number {
+    const pause = dot(this.pause.coefficients, [1, beside / REQUESTS_IN_UNIT]);
+    return this.events * Math.max(0, pause);
+  }
 }
--- a/src/relay/runners/runner-book.ts
+++ b/src/relay/runners/runner-book.ts
@@ -2,7 +2,7 @@
 import type { CancelTimer, Runtime } from '../../runtime/runtime.js';
 import { hashToNumber } from '../../runtime/hashing.js';
 import { EngineEstimate } from './engine-estimate.js';
-import type { EngineCosts, EngineSample } from './engine-estimate.js';
+import type { EngineSample } from './engine-estimate.js';
 import { PromptPlaces } from './prompt-places.js';
 import type { PromptKey, PromptPart } from '../request/relay-request.js';
 import type { Runner } from './runner.js';
@@ -159,13 +159,15 @@
   loadOf(service: string): ServiceLoad {
     let inFlight = 0;
     let slots = 0;
+    let runners = 0;
     for (const { runner, hash, goneAt, inFlight: own } of this.byService.get(service) ?? []) {
       if (runner.ready && goneAt === undefined) {
         inFlight += own + this.inFlightOfOthers(hash);
         slots += runner.slots;
+        runners += 1;
       }
     }
-    return { inFlight, slots };
+    return { inFlight, slots, runners };
   }
 
   /** Notes that a request is sent to a runner. */
@@ -190,7 +192,7 @@
   }
 
   /** What the engines of a service cost, as far as it was learned. */
-  engineCosts(service: string): EngineCosts {
+  engineCosts(service: string): EngineEstimate {
     return this.learnedOf(service).engine;
   }
 
--- a/src/relay/runners/runner-view.ts
+++ b/src/relay/runners/runner-view.ts
@@ -29,4 +29,6 @@
   readonly inFlight: number;
   /** Requests that can run at the same time. */
   readonly slots: number;
+  /** Runners that take new requests. */
+  readonly runners: number;
 }
--- a/src/relay/stages/admission-stage.ts
+++ b/src/relay/stages/admission-stage.ts
@@ -1,21 +1,112 @@
-/** Programs under way go before new ones when the runners are full. */
+/** Programs under way go on; new ones begin as long as they can bear the wait that they would meet. */
 import { overloaded } from '../answers/own-answers.js';
-import { isLate } from '../request/urgency.js';
+import type { AdmissionVerdict } from '../admission/program-admission.js';
+import type { AdmissionOutlook } from '../admission/predicted-wait.js';
+import { LATE_RANKS, urgencyOf } from '../request/urgency.js';
+import type { RelayRequest } from '../request/relay-request.js';
+import type { Passage } from './passage.js';
 import { GO_ON, refuseWith } from './stage.js';
 import type { RequestStage } from './stage.js';
 
+const NO_RUNNERS: ReadonlySet<string> = new Set();
+
+/** Time until the program should be over, in milliseconds; undefined where none is told. */
+function leftOf({ context, request }: Passage): number | undefined {
+  const { programDeadlineAt } = request;
+  return programDeadlineAt === undefined
+    ? undefined
+    : Math.max(0, programDeadlineAt - context.runtime.now());
+}
+
+function outlookOf(passage: Passage, service: string, rank: number): AdmissionOutlook {
+  const { context, request } = passage;
+  const { book, demand, shapes } = context;
+  const { inFlight, slots, runners } = book.loadOf(service);
+  // Programs of its kind that have become late are behind it at the runners, and yet have come before it.
+  const late = demand.at(service, rank + LATE_RANKS);
+  return {
+    ahead: Math.max(0, inFlight - demand.behind(service, rank)) + late,
+    moreUrgent: Math.max(0, inFlight - demand.behind(service, rank - 1)),
+    slots,
+    turnMilliseconds: book.engineCosts(service).streamMilliseconds(slots / Math.max(1, runners)),
+    turns: shapes.turns(request.route.name),
+    leftMilliseconds: leftOf(passage),
+    requestMilliseconds: passage.remainingMilliseconds,
+  };
+}
+
+/** Whether a runner is believed to keep something of the part that is the line's own. */
+function isPromptKnown({ context }: Passage, service: string, request: RelayRequest): boolean {
+  const { promptParts } = request;
+  const shared = promptParts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
+  const views = context.book.candidates(service, promptParts, NO_RUNNERS);
+  return views.some(({ cachedTokens }) => cachedTokens > shared);
+}
+
+/** Whether the request itself shows that its program has run before. */
+function namesEarlierTurn({ context, request }: Passage): boolean {
+  const { route, previousTurn, promptParts } = request;
+  return previousTurn !== undefined || context.shapes.isOfSubAgent(route.name, promptParts.length);
+}
+
+/** Whether a program has run before, though not through this gateway, as far as that can be told. */
+function isUnderWay(passage: Passage, service: string): boolean {
+  const isLate = leftOf(passage) === 0;
+  return isLate || namesEarlierTurn(passage) || isPromptKnown(passage, service, passage.request);
+}
+
+function logDecision({ context, request }: Passage, verdict: AdmissionVerdict): void {
+  const { runtime, book, metrics } = context;
+  const { cause, outlook, waitMilliseconds, bearableMilliseconds, pauseMilliseconds } = verdict;
+  metrics.count('ivyloom_relay_admissions_total', `cause="${cause}"`);
+  if (outlook === undefined || waitMilliseconds <= 0) {
+    return;
+  }
+  metrics.observe('ivyloom_relay_expected_wait_milliseconds', waitMilliseconds);
+  runtime.log('info', 'admission decided', {
+    event: 'relay.admission',
+    request: request.id,
+    program: request.program?.program ?? '',
+    tenant: request.tenant?.id ?? '',
+    route: request.route.name,
+    cause,
+    wait: Math.round(waitMilliseconds),
+    bearable: Math.round(bearableMilliseconds),
+    ahead: Math.round(outlook.ahead),
+    moreUrgent: Math.round(outlook.moreUrgent),
+    slots: outlook.slots,
+    turn: Math.round(outlook.turnMilliseconds),
+    turns: Number(outlook.turns.toFixed(1)),
+    left: Math.round(outlook.leftMilliseconds ?? -1),
+    pause: Math.round(pauseMilliseconds ?? -1),
+    age: Math.round(book.loadAgeMilliseconds()),
+  });
+}
+
 /** See the head of this file. */
 export const ADMISSION_STAGE: RequestStage = {
   name: 'admission',
   decide: (passage) => {
     const { context, request, service } = passage;
-    const { route, program } = request;
-    if (route.kind !== 'stream' || program === undefined) {
+    const { route, program, promptParts } = request;
+    if (route.kind !== 'stream' || program === undefined || service === undefined) {
       return GO_ON;
     }
-    const late = isLate(request, context.runtime.now());
-    const load = (): ReturnType<typeof context.book.loadOf> => context.book.loadOf(service ?? '');
-    const isAdmitted = context.admission.admit(program.program, late, load, route.priority);
-    return isAdmitted ? GO_ON : refuseWith(overloaded());
+    const rank = urgencyOf(request, context.runtime.now());
+    const { admission, shapes, demand } = context;
+    const isNew = !admission.knows(program.program);
+    const verdict = admission.decide({
+      program: program.program,
+      isUnderWay: () => isUnderWay(passage, service),
+      outlook: () => outlookOf(passage, service, rank),
+    });
+    logDecision(passage, verdict);
+    shapes.noteParts(route.name, promptParts.length);
+    if (verdict.pauseMilliseconds !== undefined) {
+      return refuseWith(overloaded(verdict.pauseMilliseconds));
+    }
+    shapes.note(route.name, isNew && verdict.cause !== 'shown' && !namesEarlierTurn(passage));
+    passage.onOver(demand.begin(service, rank));
+    return GO_ON;
   },
 };
--- a/src/telemetry/explain-request.ts
+++ b/src/telemetry/explain-request.ts
@@ -13,6 +13,8 @@
       return `${at} refused at the door with ${text(line, 'status')}, because ${text(line, 'reason')}; configuration version ${text(line, 'version')}, host ${text(line, 'host')}, path ${text(line, 'path')}.`;
     case 'relay.try':
       return `${at} try ${text(line, 'tries')} at runner ${text(line, 'runner')} ended after ${text(line, 'age')} ms as ${text(line, 'tag')} (${text(line, 'detail')}); ${text(line, 'inFlight')} other requests of this gateway were there.`;
+    case 'relay.admission':
+      return explainAdmission(line, at);
     case 'relay.end':
       return explainEnd(line, at);
     default:
@@ -20,6 +22,20 @@
   }
 }
 
+/** What an admission's cause means for its request. */
+const ADMISSION_CAUSES: ReadonlyMap<string, string> = new Map([
+  ['bearable', 'let in, since its program can bear the wait'],
+  ['shown', 'let in, since its program has run before'],
+  ['unbearable', 'kept out, since its program cannot bear the wait'],
+]);
+
+function explainAdmission(line: LogLine, at: string): string {
+  const cause = ADMISSION_CAUSES.get(text(line, 'cause')) ?? text(line, 'cause');
+  const wait = `${text(line, 'wait')} ms a turn expected, ${text(line, 'bearable')} bearable with ${text(line, 'left')} ms left for ${text(line, 'turns')} turns`;
+  const load = `${text(line, 'ahead')} requests go before it at ${text(line, 'slots')} places, ${text(line, 'moreUrgent')} of them more urgent, by loads ${text(line, 'age')} ms old`;
+  return `${at} ${cause}: ${wait}; ${load}; pause told ${text(line, 'pause')} ms.`;
+}
+
 function explainEnd(line: LogLine, at: string): string {
   const spent = `after ${text(line, 'total')} ms (${text(line, 'beforeDispatch')} ms before the first try, first byte at ${text(line, 'firstByte')} ms, ${text(line, 'events')} events, ${text(line, 'tries')} tries), configuration version ${text(line, 'version')}`;
   switch (text(line, 'outcome')) {
