Answers are read from runners no faster than clients take them, within a budget of bytes

Cause: what a client did not take was written all the same and waited in the process without a bound or a count. Change: a client that is behind is handed pieces; beyond a window its runner is not read, and not blamed for it. Bodies, answers and kept outputs are counted; at the marks of the budget new bodies wait, new requests are refused, the slowest readers that hold the most are cut.

--- a/src/relay/answers/answer-reader.ts
+++ b/src/relay/answers/answer-reader.ts
@@ -30,6 +30,8 @@
   onData(chunk: Buffer): void;
   /** The runner ended its answer in order. */
   onEnd(): void;
+  /** Gives back what is held: the call is over, or another try takes its place. */
+  release(): void;
 }
 
 /** The call that an answer belongs to. */
--- a/src/relay/answers/client-answer.ts
+++ b/src/relay/answers/client-answer.ts
@@ -1,29 +1,96 @@
-/** The answer to one client: a runner's own, passed on unchanged, or a short one of the relay. */
+/**
+ * The answer to one client: a runner's own, passed on unchanged, or a short one of the relay. What the client has
+ * not taken is bounded: the runner is read no faster than the client takes beyond a window.
+ */
 import type { ServerResponse } from 'node:http';
 import { STATUS_CODES } from 'node:http';
+import type { Runtime } from '../../runtime/runtime.js';
+import type { Holding } from '../memory/memory-accounts.js';
+import type { MemoryBudget, SlowReader } from '../memory/memory-budget.js';
 import { headersToClient } from '../request/forwarded-headers.js';
 import type { AnswerHead } from './answer-reader.js';
+import { ClientOutlet, PIECE_BYTES } from './client-outlet.js';
 import type { OwnAnswer } from './own-answers.js';
+import { ReaderWatch } from './reader-watch.js';
+import type { ReaderStand } from './reader-watch.js';
+
+/**
+ * Bytes that a client may be behind before its runner is held, in bytes: some hundred events, so that a client
+ * that pauses for a moment holds nobody, and 300 such clients take some 20 MB.
+ */
+export const WINDOW_BYTES = 64 * 1024;
+
+/** Where the answer comes from, as long as it comes. */
+export interface AnswerSource {
+  /** Whether it is read on whatever the client takes. */
+  readonly readsOn: boolean;
+  /** Reads nothing more from the runner. */
+  hold(): void;
+  /** Reads on. */
+  release(): void;
+  /** The client does not take its answer, which is cut. */
+  end(reason: string): void;
+}
+
+/** What an answer is made with. */
+export interface ClientAnswerOptions {
+  readonly runtime: Runtime;
+  readonly memory: MemoryBudget;
+  readonly requestIdHeader: string;
+  readonly requestId: string;
+  /** Whether the connection is to be closed after the answer. */
+  readonly isClosing: () => boolean;
+}
 
 /** See the head of this file. */
-export class ClientAnswer {
+export class ClientAnswer implements SlowReader {
   private headSent = false;
+  private ended = false;
+  private held = false;
+  private windowBytes = WINDOW_BYTES;
+  private source: AnswerSource | undefined;
+  private readonly outlet: ClientOutlet;
+  private readonly watch: ReaderWatch;
+  private readonly holding: Holding;
 
   constructor(
     private readonly response: ServerResponse,
-    private readonly requestIdHeader: string,
-    /** Whether the connection is to be closed after the answer. */
-    private readonly isClosing: () => boolean,
-  ) {}
+    private readonly options: ClientAnswerOptions,
+  ) {
+    const { runtime, memory } = options;
+    this.holding = memory.open('answers');
+    this.outlet = new ClientOutlet(response, {
+      onBehind: () => this.noteBehind(),
+      onTaken: () => this.noteTaken(),
+      onCaughtUp: () => this.noteCaughtUp(),
+    });
+    this.watch = new ReaderWatch(runtime, {
+      stand: () => this.stand,
+      isMemoryCalm: () => memory.isCalm,
+      readOn: () => this.readOn(),
+      cut: (reason) => this.cut(reason),
+    });
+    response.on('close', () => this.release());
+  }
 
   /** Whether the first byte of an answer is out. */
   get started(): boolean {
     return this.headSent;
   }
 
+  /** Name of the request. */
+  get requestId(): string {
+    return this.options.requestId;
+  }
+
   /** Bytes that the client has not taken yet. */
-  get queuedBytes(): number {
-    return this.response.writableLength;
+  get heldBytes(): number {
+    return this.outlet.heldBytes;
+  }
+
+  /** Time since the client last took something, in milliseconds; it counts while the client is behind. */
+  get idleMilliseconds(): number {
+    return this.watch.idleMilliseconds;
   }
 
   /** Calls back when the client left before the end of its answer. */
@@ -35,6 +102,11 @@
     });
   }
 
+  /** Names what is read for this answer. */
+  comesFrom(source: AnswerSource): void {
+    this.source = source;
+  }
+
   /** Gives an answer of the relay itself. */
   sendOwn(answer: OwnAnswer, requestId: string | undefined): void {
     const { status, detail, verdict, retryAfterSeconds } = answer;
@@ -47,7 +119,7 @@
       String(body.length),
     ];
     if (requestId !== undefined) {
-      headers.push(this.requestIdHeader, requestId);
+      headers.push(this.options.requestIdHeader, requestId);
     }
     if (retryAfterSeconds !== undefined) {
       headers.push('retry-after', String(retryAfterSeconds));
@@ -61,7 +133,13 @@
     const headers = headersToClient(head.rawHeaders);
     headers.push('content-length', String(body.length));
     this.writeHead(head.status, head.reason, headers);
-    this.response.end(body);
+    this.ended = true;
+    if (body.length <= PIECE_BYTES) {
+      this.response.end(body);
+      return;
+    }
+    this.outlet.push(body);
+    this.outlet.end();
   }
 
   /** Begins to pass on a runner's stream. */
@@ -71,12 +149,16 @@
   }
 
   write(bytes: Buffer): void {
-    this.response.write(bytes);
+    this.outlet.push(bytes);
+    if (this.outlet.isBehind) {
+      this.noteHeld();
+    }
   }
 
   /** Ends a stream as complete. */
   end(): void {
-    this.response.end();
+    this.ended = true;
+    this.outlet.end();
   }
 
   /** Breaks the connection, so that what was sent can't look complete. */
@@ -84,9 +166,87 @@
     this.response.destroy();
   }
 
+  /** Ends an answer that its client does not take. */
+  cut(reason: string): void {
+    const { runtime, requestId } = this.options;
+    runtime.log('warn', 'slow reader cut', {
+      event: 'memory.cut',
+      request: requestId,
+      reason,
+      stand: this.stand,
+      held: this.heldBytes,
+      idle: Math.round(this.idleMilliseconds),
+    });
+    this.source?.end(reason);
+    this.abort();
+    this.release();
+  }
+
+  private get stand(): ReaderStand {
+    if (this.ended) {
+      return 'ready';
+    }
+    return this.source?.readsOn === true ? 'readOn' : 'held';
+  }
+
+  private noteBehind(): void {
+    this.options.memory.addReader(this);
+    this.watch.start();
+    this.noteHeld();
+  }
+
+  /** Some more waits for the client. */
+  private noteHeld(): void {
+    const { heldBytes } = this;
+    this.watch.noteRead();
+    if (heldBytes > this.windowBytes && !this.held && this.stand === 'held') {
+      this.held = true;
+      this.source?.hold();
+    }
+    this.holding.set(heldBytes);
+  }
+
+  private noteTaken(): void {
+    this.watch.noteTaken();
+    this.holding.set(this.heldBytes);
+    if (this.held && this.heldBytes <= WINDOW_BYTES / 2) {
+      this.letSourceGo();
+    }
+  }
+
+  private noteCaughtUp(): void {
+    this.watch.stop();
+    this.options.memory.removeReader(this);
+    this.windowBytes = WINDOW_BYTES;
+    this.holding.release();
+    if (this.held) {
+      this.letSourceGo();
+    }
+  }
+
+  /** The runner must not go unread for long: one more window is read. */
+  private readOn(): void {
+    if (this.held) {
+      this.windowBytes = this.heldBytes + WINDOW_BYTES;
+      this.letSourceGo();
+    }
+  }
+
+  private letSourceGo(): void {
+    this.held = false;
+    this.source?.release();
+  }
+
+  private release(): void {
+    this.watch.stop();
+    this.options.memory.removeReader(this);
+    this.outlet.drop();
+    this.holding.release();
+  }
+
   private writeHead(status: number, reason: string, headers: string[]): void {
     this.headSent = true;
-    if (this.isClosing()) {
+    if (this.options.isClosing()) {
       headers.push('connection', 'close');
     }
     this.response.writeHead(status, reason, headers);
--- a/src/relay/answers/own-answers.ts
+++ b/src/relay/answers/own-answers.ts
@@ -20,6 +20,8 @@
 const FULL_RETRY_SECONDS = 0.1;
 /** Pause told to clients whose program may not begin yet. */
 const OVERLOAD_RETRY_SECONDS = 0.15;
+/** Pause told to clients while the gateway's memory is short: slow readers are cut within a second or two. */
+const MEMORY_RETRY_SECONDS = 0.5;
 /** Pause told to clients when what the request needs is out of reach. */
 const UNAVAILABLE_RETRY_SECONDS = 0.2;
 /** Pause told to clients when another gateway may reach what this one doesn't. */
@@ -37,6 +39,12 @@
   return { status: 503, detail, verdict: 'NotRun', retryAfterSeconds: OVERLOAD_RETRY_SECONDS };
 }
 
+/** The gateway holds as many bytes for others as it may. */
+export function memoryShort(): OwnAnswer {
+  const detail = 'this gateway holds as much as it may for clients and runners that are slow';
+  return { status: 503, detail, verdict: 'NotRun', retryAfterSeconds: MEMORY_RETRY_SECONDS };
+}
+
 /** Enough replicas deny that there is the turn to go on from. */
 export function noSuchTurn(): OwnAnswer {
   return { status: 404, detail: 'there is no such earlier turn', verdict: 'NotRun' };
--- a/src/relay/answers/plain-answer.ts
+++ b/src/relay/answers/plain-answer.ts
@@ -1,4 +1,5 @@
 /** A runner's answer that is passed on as a whole, once all of it is there. */
+import type { Holding } from '../memory/memory-accounts.js';
 import type { AnsweredCall, AnswerHead, AnswerReader } from './answer-reader.js';
 
 /** Largest answer that is taken, in bytes. */
@@ -10,7 +11,11 @@
   private bytes = 0;
   private head: AnswerHead | undefined;
 
-  constructor(private readonly call: AnsweredCall) {}
+  private readonly holding: Holding;
+
+  constructor(private readonly call: AnsweredCall) {
+    this.holding = call.context.memory.open('answers');
+  }
 
   onHead(head: AnswerHead): void {
     this.head = head;
@@ -19,6 +24,7 @@
   onData(chunk: Buffer): void {
     this.chunks.push(chunk);
     this.bytes += chunk.length;
+    this.holding.set(this.bytes);
     if (this.bytes > MAXIMUM_ANSWER_BYTES) {
       this.call.failCurrent({ tag: 'BadAnswer', detail: 'the answer exceeds the bound' });
     }
@@ -27,8 +33,15 @@
   onEnd(): void {
     if (this.head !== undefined) {
       this.call.noteFirstByte();
-      this.call.answer.sendWhole(this.head, Buffer.concat(this.chunks));
+      const body = Buffer.concat(this.chunks);
+      this.release();
+      this.call.answer.sendWhole(this.head, body);
       this.call.finishAnswered(this.head.status);
     }
   }
+
+  release(): void {
+    this.chunks.length = 0;
+    this.holding.release();
+  }
 }
--- a/src/relay/answers/stream-answer.ts
+++ b/src/relay/answers/stream-answer.ts
@@ -2,6 +2,7 @@
  * A runner's stream, passed on event by event. Only whole events go to the client, so a broken
  * stream can be taken up after the last one. A kept turn is stored before the stream's end goes out.
  */
+import type { Holding } from '../memory/memory-accounts.js';
 import { EventSplitter } from './event-splitter.js';
 import type { StreamEvent } from './event-splitter.js';
 import type { AnsweredCall, AnswerHead, AnswerReader } from './answer-reader.js';
@@ -25,8 +26,11 @@
   private splitter = new EventSplitter();
   private head: AnswerHead | undefined;
   private readonly output: Buffer[] = [];
+  private readonly holding: Holding;
 
-  constructor(private readonly call: AnsweredCall) {}
+  constructor(private readonly call: AnsweredCall) {
+    this.holding = call.context.memory.open('turns');
+  }
 
   /** Tokens handed to the client. */
   get handedTokens(): number {
@@ -57,6 +61,7 @@
     const status = this.head?.status ?? 0;
     if (status >= FIRST_REDIRECT) {
       this.output.push(chunk);
+      this.holding.add(chunk.length);
       return;
     }
     try {
@@ -85,6 +90,11 @@
     this.keepThenEnd(head.status);
   }
 
+  release(): void {
+    this.output.length = 0;
+    this.holding.release();
+  }
+
   private pass(event: StreamEvent): void {
     this.call.noteFirstByte();
     this.lastEventAt = this.call.context.runtime.now();
@@ -94,6 +104,7 @@
       this.eventCount += 1;
       if (this.call.request.route.retained) {
         this.output.push(event.data, LINE_FEED);
+        this.holding.add(event.data.length + LINE_FEED.length);
       }
     }
     this.call.answer.write(event.bytes);
--- a/src/relay/front/relay-front.ts
+++ b/src/relay/front/relay-front.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { ClientAnswer } from '../answers/client-answer.js';
+import { memoryShort } from '../answers/own-answers.js';
 import type { OwnAnswer } from '../answers/own-answers.js';
 import type { RelayContext } from '../relay-context.js';
 import type { RoutingTable } from '../request/routing-table.js';
@@ -11,6 +12,8 @@
 import { BODY_STAGES, HEAD_STAGES, passDoor, refusal } from '../stages/door-stages.js';
 import type { DoorRefusal } from '../stages/door-stages.js';
 import { RelayCall } from '../tries/relay-call.js';
+import { readBody } from './body-reader.js';
+import type { BodyEnd } from './body-reader.js';
 import { headOf, parseRequest, timeoutOf } from './request-parser.js';
 
 /** Largest header that Node itself reads, in bytes; the configured limit is checked after. */
@@ -20,6 +23,12 @@
 const BACKLOG = 1_024;
 /** Stage named where a request is refused while its body is read. */
 const BODY = 'body';
+/** What is answered where a body could not be read. */
+const BODY_REFUSALS: Readonly<Record<Exclude<BodyEnd['tag'], 'Whole'>, () => OwnAnswer>> = {
+  TooLarge: () => refusal(413, 'the body exceeds the bound'),
+  Late: () => refusal(408, 'the body did not come in time'),
+  NoMemory: memoryShort,
+};
 
 /** See the head of this file. */
 export class RelayFront {
@@ -89,19 +98,26 @@
   private take(request: IncomingMessage, response: ServerResponse): void {
     const { names, runtime } = this.context;
     const arrivedAt = runtime.now();
-    const answer = new ClientAnswer(response, names.requestId, () => this.isClosing);
+    const head = headOf(request);
+    const answer = new ClientAnswer(response, {
+      runtime,
+      memory: this.context.memory,
+      requestIdHeader: names.requestId,
+      requestId: head.header(names.requestId) ?? '',
+      isClosing: () => this.isClosing,
+    });
     this.activeCount += 1;
     response.on('close', () => {
       this.activeCount -= 1;
       this.checkIdle();
     });
-    const door = createDoor(this.context, headOf(request));
+    const door = createDoor(this.context, head);
     const refused = passDoor(door, HEAD_STAGES);
     if (refused !== undefined) {
       this.refuse(request, answer, refused, door.id);
       return;
     }
-    this.readBody(request, answer, door, (body) => {
+    this.read(request, response, answer, door, (body) => {
       const latest = { ...door, table: this.context.currentTable() ?? door.table };
       const refusedNow = passDoor(latest, BODY_STAGES);
       if (refusedNow !== undefined) {
@@ -135,39 +151,24 @@
     answer.sendOwn(own, id);
   }
 
-  private readBody(
+  private read(
     request: IncomingMessage,
+    response: ServerResponse,
     answer: ClientAnswer,
     door: Door,
     done: (body: Buffer) => void,
   ): void {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    let over = false;
-    const refuse = (own: OwnAnswer): void =>
-      this.refuse(request, answer, { stage: BODY, answer: own }, undefined);
-    const cancel = this.context.runtime.setTimer(timeoutOf(door), () => {
-      over = true;
-      refuse(refusal(408, 'the body did not come in time'));
-    });
-    request.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (!over && bytes > door.table!.limits.bodyBytes) {
-        over = true;
-        cancel();
-        refuse(refusal(413, 'the body exceeds the bound'));
-      } else if (!over) {
-        chunks.push(chunk);
-      }
-    });
-    request.on('error', () => cancel());
-    request.on('close', () => cancel());
-    request.on('end', () => {
-      cancel();
-      if (!over) {
-        over = true;
-        done(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks));
+    const { runtime, memory } = this.context;
+    const holding = memory.open('bodies');
+    response.on('close', () => holding.release());
+    const { bodyBytes: limitBytes } = door.table!.limits;
+    const reading = { runtime, memory, limitBytes, timeoutMilliseconds: timeoutOf(door) };
+    readBody(request, reading, holding, (end) => {
+      if (end.tag === 'Whole') {
+        done(end.body);
+        return;
       }
+      this.refuse(request, answer, { stage: BODY, answer: BODY_REFUSALS[end.tag]() }, undefined);
     });
   }
 
--- /dev/null
+++ b/src/relay/memory/memory-accounts.ts
@@ -0,0 +1,50 @@
+/** Bytes that a process holds for others, by account. */
+
+/** Accounts, each with its name in logs and metrics. */
+export const MEMORY_ACCOUNTS = [
+  /** Bodies being read or kept until their answer is out, and the chains put before them. */
+  'bodies',
+  /** Answers that are gathered, or that their clients haven't taken. */
+  'answers',
+  /** Outputs of turns that are to be kept. */
+  'turns',
+] as const;
+/** One of these. */
+export type MemoryAccount = (typeof MEMORY_ACCOUNTS)[number];
+
+/** Bytes of each account. */
+export type AccountBytes = Readonly<Record<MemoryAccount, number>>;
+
+/** What one request holds in one account. */
+export class Holding {
+  private held = 0;
+
+  constructor(
+    readonly account: MemoryAccount,
+    private readonly change: (account: MemoryAccount, bytes: number) => void,
+  ) {}
+
+  /** Bytes held. */
+  get bytes(): number {
+    return this.held;
+  }
+
+  /** Notes how many bytes are held now. */
+  set(bytes: number): void {
+    const more = bytes - this.held;
+    this.held = bytes;
+    if (more !== 0) {
+      this.change(this.account, more);
+    }
+  }
+
+  /** Notes that more bytes are held. */
+  add(bytes: number): void {
+    this.set(this.held + bytes);
+  }
+
+  /** Notes that nothing is held any more; calling it twice does nothing. */
+  release(): void {
+    this.set(0);
+  }
+}
--- /dev/null
+++ b/src/relay/memory/memory-budget.ts
@@ -0,0 +1,180 @@
+/**
+ * The budget of bytes of one process. At its marks, in this order: bodies of new requests wait unread, new
+ * requests are refused, and the slowest readers that hold the most are cut. A reader that keeps up is never
+ * cut, whoever else holds what.
+ */
+import type { Runtime } from '../../runtime/runtime.js';
+import { Holding, MEMORY_ACCOUNTS } from './memory-accounts.js';
+import type { AccountBytes, MemoryAccount } from './memory-accounts.js';
+import { levelOf } from './memory-bounds.js';
+import type { MemoryBounds, MemoryLevel } from './memory-bounds.js';
+
+/** A client that has not taken what was written for it. */
+export interface SlowReader {
+  readonly requestId: string;
+  /** Bytes held for it. */
+  readonly heldBytes: number;
+  /** Time since it last took any, in milliseconds. */
+  readonly idleMilliseconds: number;
+  /** Ends its answer. */
+  cut(reason: string): void;
+}
+
+/** Idle time below which a reader counts as reading: a round trip to a far client and a pause of its process. */
+const READING_MILLISECONDS = 250;
+/** Least time between two log lines of one level, in milliseconds: a level swings with the load. */
+const LOG_MILLISECONDS = 1_000;
+
+/** See the head of this file. */
+export class MemoryBudget {
+  private readonly accounts = new Map<MemoryAccount, number>();
+  private readonly readers = new Set<SlowReader>();
+  private readonly loggedAt = new Map<MemoryLevel, number>();
+  private waiting: (() => void)[] = [];
+  private current: MemoryLevel = 'calm';
+  private total = 0;
+  private cutting = false;
+  /** Readers cut so far. */
+  cutCount = 0;
+
+  constructor(
+    private readonly runtime: Runtime,
+    private readonly bounds: MemoryBounds,
+  ) {}
+
+  /** Bytes held in all accounts. */
+  get heldBytes(): number {
+    return this.total;
+  }
+
+  /** How near the budget is to its end. */
+  get level(): MemoryLevel {
+    return this.current;
+  }
+
+  /** Whether slow readers may be waited for: nobody else needs the memory. */
+  get isCalm(): boolean {
+    return this.current === 'calm';
+  }
+
+  /** Whether a new request may come in. */
+  get takesRequests(): boolean {
+    return this.current === 'calm' || this.current === 'wait';
+  }
+
+  /** Opens a holding for one request. */
+  open(account: MemoryAccount): Holding {
+    return new Holding(account, (name, bytes) => this.change(name, bytes));
+  }
+
+  /** Calls back when the body of a new request may be read: at once, or when there is room. */
+  whenBodyMayCome(listener: () => void): void {
+    if (this.isCalm) {
+      listener();
+    } else {
+      this.waiting.push(listener);
+    }
+  }
+
+  /** Adds a client that is behind. */
+  addReader(reader: SlowReader): void {
+    this.readers.add(reader);
+  }
+
+  /** Removes one that has caught up or is gone. */
+  removeReader(reader: SlowReader): void {
+    this.readers.delete(reader);
+  }
+
+  /** Bytes by account. */
+  byAccount(): AccountBytes {
+    const bytesOf = (name: MemoryAccount): number => this.accounts.get(name) ?? 0;
+    return { bodies: bytesOf('bodies'), answers: bytesOf('answers'), turns: bytesOf('turns') };
+  }
+
+  /** The figures as text in the Prometheus format. */
+  render(): string {
+    const bytes = this.byAccount();
+    const lines = MEMORY_ACCOUNTS.map(
+      (name) => `ivyloom_memory_held_bytes{account="${name}"} ${bytes[name]}`,
+    );
+    lines.push(
+      `ivyloom_memory_budget_bytes ${this.bounds.cutBytes === Infinity ? '+Inf' : this.bounds.cutBytes}`,
+      `ivyloom_memory_slow_readers ${this.readers.size}`,
+      `ivyloom_memory_cut_readers_total ${this.cutCount}`,
+      `ivyloom_memory_waiting_bodies ${this.waiting.length}`,
+    );
+    return `${lines.join('\n')}\n`;
+  }
+
+  private change(account: MemoryAccount, bytes: number): void {
+    this.accounts.set(account, (this.accounts.get(account) ?? 0) + bytes);
+    this.total += bytes;
+    this.judge();
+  }
+
+  private judge(): void {
+    const before = this.current;
+    this.current = levelOf(this.total, this.bounds, before);
+    if (this.current !== before) {
+      this.logLevel(before);
+    }
+    if (this.current === 'cut') {
+      this.cutReaders();
+    }
+    if (this.isCalm && this.waiting.length > 0) {
+      const listeners = this.waiting;
+      this.waiting = [];
+      listeners.forEach((listener) => this.whenBodyMayCome(listener));
+    }
+  }
+
+  /** Cuts those that hold the most for the longest, until the level is left. */
+  private cutReaders(): void {
+    if (this.cutting) {
+      return;
+    }
+    this.cutting = true;
+    const weightOf = (reader: SlowReader): number => reader.heldBytes * reader.idleMilliseconds;
+    const victims = [...this.readers]
+      .filter((reader) => reader.idleMilliseconds >= READING_MILLISECONDS)
+      .sort((left, right) => weightOf(right) - weightOf(left));
+    for (const victim of victims) {
+      if (levelOf(this.total, this.bounds, 'cut') !== 'cut') {
+        break;
+      }
+      this.cutCount += 1;
+      victim.cut('memory is short, and the client does not take its answer');
+    }
+    this.cutting = false;
+    this.current = levelOf(this.total, this.bounds, 'cut');
+  }
+
+  /** Says who holds what when a mark is passed, either way. */
+  private logLevel(before: MemoryLevel): void {
+    const now = this.runtime.now();
+    const level = this.current;
+    if (now - (this.loggedAt.get(level) ?? -Infinity) < LOG_MILLISECONDS) {
+      return;
+    }
+    this.loggedAt.set(level, now);
+    let largest: SlowReader | undefined;
+    for (const reader of this.readers) {
+      if (reader.heldBytes > (largest?.heldBytes ?? 0)) {
+        largest = reader;
+      }
+    }
+    this.runtime.log(level === 'calm' ? 'info' : 'warn', 'memory passed a mark', {
+      event: 'memory.level',
+      level,
+      before,
+      held: this.total,
+      budget: Math.round(this.bounds.cutBytes),
+      ...this.byAccount(),
+      slowReaders: this.readers.size,
+      waitingBodies: this.waiting.length,
+      largestReader: largest?.requestId ?? '',
+      largestReaderBytes: largest?.heldBytes ?? 0,
+    });
+  }
+}
--- /dev/null
+++ b/src/relay/memory/runner-intake.ts
@@ -0,0 +1,60 @@
+/**
+ * What was handed to each runner's connections and not taken by it. A runner that takes nothing gets no more
+ * than a bounded amount; placement leaves it out until it takes.
+ */
+
+/**
+ * Bytes that one runner may leave untaken, unless they are of a single request: several usual bodies of some tens
+ * of kilobytes, which a runner that reads at all takes within a round trip.
+ */
+export const RUNNER_UNTAKEN_BYTES = 256 * 1024;
+
+/** See the head of this file. */
+export class RunnerIntake {
+  private readonly untaken = new Map<string, number>();
+
+  /** Bytes that a runner has not taken. */
+  untakenBytes(runnerId: string): number {
+    return this.untaken.get(runnerId) ?? 0;
+  }
+
+  /** Whether a runner may be sent another request. */
+  mayTake(runnerId: string): boolean {
+    return this.untakenBytes(runnerId) < RUNNER_UNTAKEN_BYTES;
+  }
+
+  /** Notes bytes handed to a runner; the returned function notes that they are taken or given up, once. */
+  hand(runnerId: string, bytes: number): () => void {
+    this.change(runnerId, bytes);
+    let open = true;
+    return () => {
+      if (open) {
+        open = false;
+        this.change(runnerId, -bytes);
+      }
+    };
+  }
+
+  /** The figures as text in the Prometheus format. */
+  render(): string {
+    let total = 0;
+    let full = 0;
+    for (const bytes of this.untaken.values()) {
+      total += bytes;
+      full += bytes >= RUNNER_UNTAKEN_BYTES ? 1 : 0;
+    }
+    return `ivyloom_memory_untaken_bytes ${total}\nivyloom_memory_full_runners ${full}\n`;
+  }
+
+  private change(runnerId: string, bytes: number): void {
+    if (bytes === 0) {
+      return;
+    }
+    const left = this.untakenBytes(runnerId) + bytes;
+    if (left > 0) {
+      this.untaken.set(runnerId, left);
+    } else {
+      this.untaken.delete(runnerId);
+    }
+  }
+}
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -2,6 +2,8 @@
 import type { TallyBoard } from '../peers/tally-board.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { TurnClient } from '../turns/turn-client.js';
+import type { MemoryBudget } from './memory/memory-budget.js';
+import type { RunnerIntake } from './memory/runner-intake.js';
 import type { HeaderNames } from './request/header-names.js';
 import type { ProgramAdmission } from './admission/program-admission.js';
 import type { PlacementCharge } from './placement/placement-charges.js';
@@ -29,6 +31,10 @@
   readonly quotas: QuotaGate;
   readonly metrics: RelayMetrics;
   readonly tallies: TallyBoard;
+  /** Bytes that this process holds for others. */
+  readonly memory: MemoryBudget;
+  /** Bytes that runners have not taken. */
+  readonly intake: RunnerIntake;
   /** The newest configuration; undefined before the first. */
   currentTable(): RoutingTable | undefined;
   /** Whether that is proved to be the newest, to within the bound for changes. */
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -12,6 +12,10 @@
 import { chargesWithout } from './placement/placement-charges.js';
 import { ProgramAdmission } from './admission/program-admission.js';
 import type { RelayContext } from './relay-context.js';
+import { NO_BOUNDS } from './memory/memory-bounds.js';
+import type { MemoryBounds } from './memory/memory-bounds.js';
+import { MemoryBudget } from './memory/memory-budget.js';
+import { RunnerIntake } from './memory/runner-intake.js';
 import { QuotaGate } from './admission/quota-gate.js';
 import { RelayFront } from './front/relay-front.js';
 import { RelayMetrics } from './relay-metrics.js';
@@ -37,6 +41,8 @@
   readonly ready: ListenAddress;
   /** Time between the request to stop and the kill, in milliseconds. */
   readonly graceMilliseconds: number;
+  /** Bounds of the bytes held for others. @default none */
+  readonly memoryBounds?: MemoryBounds;
   /** Names of policies that are switched off, to measure what they are worth. */
   readonly policiesOff?: ReadonlySet<string>;
 }
@@ -58,6 +64,9 @@
   readonly metrics = new RelayMetrics();
   /** Figures that all gateways add up. */
   readonly tallies = new TallyBoard();
+  /** Bytes that this process holds for others, and those that runners have not taken. */
+  readonly memory: MemoryBudget;
+  readonly intake = new RunnerIntake();
   /** Whether the configuration in force is proved to be the newest, to within the bound for changes. */
   isTableProven: () => boolean = () => true;
   /** Whether no key can have been taken away so long ago that it must not be served. */
@@ -72,6 +81,7 @@
 
   constructor(private readonly options: RelayGatewayOptions) {
     const { runtime, zone, names, turns } = options;
+    this.memory = new MemoryBudget(runtime, options.memoryBounds ?? NO_BOUNDS);
     this.book = new RunnerBook(runtime);
     this.book.memoryTokensOf = (service) => this.table?.services.get(service)?.memoryTokens;
     const connections = new RunnerConnections(runtime);
@@ -96,6 +106,8 @@
       }),
       metrics: this.metrics,
       tallies: this.tallies,
+      memory: this.memory,
+      intake: this.intake,
       currentTable: () => this.table,
       isTableProven: () => this.isTableProven(),
       areKeysFresh: () => this.areKeysFresh(),
--- a/src/relay/stages/door-stages.ts
+++ b/src/relay/stages/door-stages.ts
@@ -8,6 +8,7 @@
 import { findRoute, hostName } from '../request/routing-table.js';
 import { authenticate } from './authenticate.js';
 import type { Door } from './door.js';
+import { MEMORY_STAGE } from './memory-stage.js';
 
 /** One stage at the door: undefined lets the request go on. */
 export interface DoorStage {
@@ -123,6 +124,7 @@
   headerSize,
   route,
   identifier,
+  MEMORY_STAGE,
   bodySize,
   key,
 ];
--- a/src/relay/stages/passage.ts
+++ b/src/relay/stages/passage.ts
@@ -62,6 +62,14 @@
     }
   }
 
+  /** Sets what goes on to the runner where that is not the client's own body; it counts until the end. */
+  replaceBody(body: Buffer): void {
+    this.body = body;
+    const holding = this.context.memory.open('bodies');
+    holding.set(body.length);
+    this.onOver(() => holding.release());
+  }
+
   /** Notes that the request is over. */
   finish(handedTokens: number): void {
     this.handedTokens = handedTokens;
--- a/src/relay/stages/preparation-stage.ts
+++ b/src/relay/stages/preparation-stage.ts
@@ -37,7 +37,7 @@
   context.turns.readChain(turn, timeoutOf(passage), (chain) => {
     switch (chain.tag) {
       case 'found':
-        passage.body = Buffer.concat([chain.body, request.body]);
+        passage.replaceBody(Buffer.concat([chain.body, request.body]));
         if (needsReservation(passage)) {
           reserve(passage, resume);
         } else {
--- a/src/relay/tries/attempt.ts
+++ b/src/relay/tries/attempt.ts
@@ -9,6 +9,8 @@
 
 /** Receives what comes of a try; nothing follows `onEnd` or `onFailure`. */
 export interface AttemptListener {
+  /** The connection took the whole request, or the try is over; may come twice. */
+  onTaken(): void;
   onHead(head: AnswerHead): void;
   onData(chunk: Buffer): void;
   onEnd(): void;
@@ -31,10 +33,14 @@
   cancel(): void;
   /** The listener hears nothing more; the rest of the answer is read, so the connection stays. */
   ignoreRest(): void;
-  /** Whether a byte may have reached the runner. */
+  /**
+   * Whether a byte may have reached the runner. A runner may answer before it has read a long body, so one that
+   * got any byte may have run the request.
+   */
   wasSent(): boolean;
-  /** Stops and resumes reading of the answer. */
+  /** Stops reading the answer; what has come already waits in a buffer of the connection's size. */
   pause(): void;
+  /** Reads on. */
   resume(): void;
 }
 
@@ -85,6 +91,8 @@
       agent,
     });
     this.watchConnection(connectMilliseconds);
+    this.client.on('finish', () => listener.onTaken());
+    this.client.on('close', () => listener.onTaken());
     this.client.on('response', (response) => this.take(response));
     this.client.on('error', (error) => this.fail(error.message));
     this.client.on('close', () => this.fail('connection closed'));
--- a/src/relay/tries/call-log.ts
+++ b/src/relay/tries/call-log.ts
@@ -29,6 +29,8 @@
   readonly dispatchedAt: number | undefined;
   readonly firstByteAt: number | undefined;
   readonly eventCount: number;
+  /** Time that its runner was not read because its client did not read, in milliseconds. */
+  readonly pausedMilliseconds: number;
   /** Runner of the last try as it was believed to be; undefined when nothing was tried. */
   readonly chosen: RunnerCandidate | undefined;
   /** What else decided the end. */
@@ -105,6 +107,7 @@
     beforeDispatch: sinceArrival(dispatchedAt),
     firstByte: sinceArrival(firstByteAt),
     events: eventCount,
+    ...(end.pausedMilliseconds > 0 ? { paused: Math.round(end.pausedMilliseconds) } : {}),
     deadline,
     unread,
     reading,
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -33,6 +33,7 @@
 import type { Attempt } from './attempt.js';
 import { logCallEnd, logFailedTry } from './call-log.js';
 import { FIRST_SERVER_ERROR, judgeAnswer } from './judge-answer.js';
+import { CallReading } from './call-reading.js';
 import { CONNECT_MILLISECONDS } from './runner-connections.js';
 import { SilenceWatch } from './silence-watch.js';
 
@@ -65,6 +66,8 @@
   /** Stage that refused it; none where it came to a try. */
   private refusedAt = '';
   private readonly stream: StreamAnswer | undefined;
+  private plain: PlainAnswer | undefined;
+  private readonly reading: CallReading;
   private firstByteAt: number | undefined;
   private dispatchedAt: number | undefined;
   private lastChosen: RunnerCandidate | undefined;
@@ -76,6 +79,11 @@
   ) {
     this.passage = new Passage(context, request);
     this.stream = request.route.kind === 'stream' ? new StreamAnswer(this) : undefined;
+    this.reading = new CallReading(context.runtime, {
+      readsOn: request.route.retained,
+      current: () => this.current,
+      end: (reason) => this.breakOff(reason),
+    });
   }
 
   /** Begins. */
@@ -84,6 +92,7 @@
     const left = this.remainingMilliseconds + END_SLACK_MILLISECONDS;
     this.cancelDeadline = runtime.setTimer(Math.max(0, left), () => this.timeOut());
     this.answer.onLeft(() => this.leave());
+    this.answer.comesFrom(this.reading);
     passStages(CALL_STAGES, this.passage, (refusal) => this.leaveStages(refusal));
   }
 
@@ -106,7 +115,8 @@
       const totalMilliseconds = runtime.now() - current.startedAt;
       const eventCount = this.stream?.eventCount ?? 0;
       const isWhole = status < FIRST_REDIRECT;
-      const pace = isWhole ? { totalMilliseconds, eventCount } : undefined;
+      const pace =
+        isWhole && !this.reading.wasStopped ? { totalMilliseconds, eventCount } : undefined;
       book.finish(current.record, pace, isWhole ? this.engineSampleOf(current) : undefined);
     }
     this.finish('answered', { status, runner: current?.record.runner.id ?? '' });
@@ -169,7 +179,7 @@
   /** What an answered stream showed of its engine; undefined where it shows nothing. */
   private engineSampleOf({ chosen, startedAt: sentAt }: CurrentTry): EngineSample | undefined {
     const { stream, request, tries } = this;
-    if (stream?.firstEventAt === undefined || tries > 1) {
+    if (stream?.firstEventAt === undefined || tries > 1 || this.reading.wasStopped) {
       return undefined;
     }
     const { firstEventAt, lastEventAt, eventCount } = stream;
@@ -178,7 +188,8 @@
 
   private chooseNext(): RunnerCandidate | undefined {
     const { context, passage, history, refusedBy, failedAt } = this;
-    const mayGoTo = (runnerId: string): boolean => maySendTo(history, runnerId);
+    const mayGoTo = (runnerId: string): boolean =>
+      maySendTo(history, runnerId) && context.intake.mayTake(runnerId);
     return placeRequest(context, passage, { mayGoTo, refusedBy, failedAt });
   }
 
@@ -210,12 +221,15 @@
       lastEventId: this.stream?.lastEventId ?? request.lastEventId,
       bodyBytes: this.passage.body.length,
     });
-    const reader: AnswerReader = this.stream ?? new PlainAnswer(this);
+    const reader = this.nextReader();
+    this.reading.noteNewTry();
     const limit = context.currentTable()?.services.get(runner.service)?.maximumConnections;
     const agent = context.connections.agentFor(runner, limit);
     const { method, path, id: requestId } = request;
     const sent = { requestId, method, path, headers, body: this.passage.body };
+    const onTaken = context.intake.hand(runner.id, this.passage.body.length);
     const attempt = startAttempt(runner, agent, sent, context.names, CONNECT_MILLISECONDS, {
+      onTaken,
       onHead: (head) => this.takeHead(head, reader),
       onData: (chunk) => {
         this.noteHeard();
@@ -233,6 +247,16 @@
     this.current = { attempt, record, startedAt: now, silence, chosen };
   }
 
+  /** A stream goes on where the try before ended; a plain answer begins anew. */
+  private nextReader(): AnswerReader {
+    if (this.stream !== undefined) {
+      return this.stream;
+    }
+    this.plain?.release();
+    this.plain = new PlainAnswer(this);
+    return this.plain;
+  }
+
   private takeHead(head: AnswerHead, reader: AnswerReader): void {
     this.noteHeard();
     const current = this.current;
@@ -357,11 +381,13 @@
     }
     this.over = true;
     this.cancelDeadline();
+    (this.stream ?? this.plain)?.release();
     this.passage.finish(this.stream?.handedTokens ?? 0);
     const { request, tries, dispatchedAt, firstByteAt } = this;
     const eventCount = this.stream?.eventCount ?? 0;
     const { lastChosen: chosen } = this;
-    const times = { dispatchedAt, firstByteAt };
+    const { pausedMilliseconds } = this.reading;
+    const times = { dispatchedAt, firstByteAt, pausedMilliseconds };
     logCallEnd(this.context, { request, outcome, tries, ...times, eventCount, chosen, fields });
   }
 
--- a/src/relay/tries/silence-watch.ts
+++ b/src/relay/tries/silence-watch.ts
@@ -10,6 +10,7 @@
 export class SilenceWatch {
   private cancelTimer: CancelTimer = () => undefined;
   private stopped = false;
+  private paused = false;
   private heardAt: number;
   /** Longest time without a byte so far, in milliseconds. */
   private longestSilence = 0;
@@ -40,6 +41,21 @@
     this.record.silence.take(this.longestSilence);
   }
 
+  /** The runner is not read for a while: its silence says nothing. */
+  pause(): void {
+    this.cancelTimer();
+    this.paused = true;
+  }
+
+  /** The runner is read again; its silence counts from now on. */
+  resume(): void {
+    if (this.paused && !this.stopped) {
+      this.paused = false;
+      this.heardAt = this.context.runtime.now();
+      this.lookAfter(this.limit);
+    }
+  }
+
   /** Ends the watch. */
   stop(): void {
     this.stopped = true;
@@ -61,7 +77,7 @@
   }
 
   private judge(reachable: boolean): void {
-    if (this.stopped) {
+    if (this.stopped || this.paused) {
       return;
     }
     if (reachable) {
