--- /dev/null
+++ b/features/steps/memory-accounts.steps.ts
@@ -0,0 +1,337 @@
+/** Steps about accounts of bytes and the judgement of slow readers, in virtual time and without a network. */
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import type { DataTable } from '@cucumber/cucumber';
+import fc from 'fast-check';
+import { ClientOutlet } from '../../src/relay/answers/client-outlet.js';
+import type { OutletTarget } from '../../src/relay/answers/client-outlet.js';
+import { ReaderWatch } from '../../src/relay/answers/reader-watch.js';
+import type { ReaderStand } from '../../src/relay/answers/reader-watch.js';
+import { MEMORY_ACCOUNTS } from '../../src/relay/memory/memory-accounts.js';
+import type { Holding } from '../../src/relay/memory/memory-accounts.js';
+import { NO_BOUNDS, boundsFor } from '../../src/relay/memory/memory-bounds.js';
+import { MemoryBudget, byBytesAndTime } from '../../src/relay/memory/memory-budget.js';
+import type { CutOrder, SlowReader } from '../../src/relay/memory/memory-budget.js';
+import { RunnerIntake } from '../../src/relay/memory/runner-intake.js';
+import { createRandom } from '../../src/runtime/random.js';
+import type { LogFields, Runtime } from '../../src/runtime/runtime.js';
+import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
+import { VirtualClock } from '../../src/simulation/virtual-clock.js';
+
+interface World {
+  clock: VirtualClock;
+  budget: MemoryBudget;
+  others: Holding;
+  lines: LogFields[];
+  bodiesRead: number;
+  cut: string[];
+}
+
+function runtimeOn(clock: VirtualClock, lines: LogFields[]): Runtime {
+  const runtime = new SimulatedProcess('g', clock, createRandom(1)).begin();
+  return { ...bound(runtime), log: (_level, _message, fields = {}) => lines.push(fields) };
+}
+
+/** Lets virtual milliseconds pass. */
+function pass(clock: VirtualClock, milliseconds: number): void {
+  clock.runUntil(clock.now + milliseconds);
+}
+
+/** The parts of a runtime that work without it. */
+function bound(runtime: Runtime): Runtime {
+  return {
+    now: () => runtime.now(),
+    wallTime: () => runtime.wallTime(),
+    setTimer: (delay, callback) => runtime.setTimer(delay, callback),
+    random: runtime.random,
+    log: runtime.log,
+  };
+}
+
+Then(
+  'whatever is held and given back in any order, the accounts add up to what is held',
+  function () {
+    const step = fc.record({ holder: fc.nat(5), bytes: fc.nat(5_000) });
+    fc.assert(
+      fc.property(fc.array(step), (steps) => {
+        const budget = new MemoryBudget(runtimeOn(new VirtualClock(), []), NO_BOUNDS);
+        const holdings = Array.from({ length: 6 }, (_, index) =>
+          budget.open(MEMORY_ACCOUNTS[index % MEMORY_ACCOUNTS.length]!),
+        );
+        steps.forEach(({ holder, bytes }) => holdings[holder]!.set(bytes));
+        const held = holdings.reduce((sum, { bytes }) => sum + bytes, 0);
+        const byAccount = Object.values(budget.byAccount()).reduce((sum, bytes) => sum + bytes, 0);
+        assert.equal(budget.heldBytes, held);
+        assert.equal(byAccount, held);
+        holdings.forEach((holding) => holding.release());
+        holdings.forEach((holding) => holding.release());
+        assert.equal(budget.heldBytes, 0);
+      }),
+    );
+  },
+);
+
+Given('a budget of {int} bytes', function (this: World, bytes: number) {
+  this.clock = new VirtualClock();
+  this.lines = [];
+  this.bodiesRead = 0;
+  this.cut = [];
+  this.budget = new MemoryBudget(runtimeOn(this.clock, this.lines), boundsFor(bytes));
+  this.others = this.budget.open('bodies');
+});
+
+When('the bytes held rise to {int}', function (this: World, bytes: number) {
+  pass(this.clock, 2_000);
+  this.others.set(bytes);
+});
+
+Then(
+  'the level is {string}, new requests are {word}, new bodies {word}( read)',
+  function (this: World, level: string, requests: string, bodies: string) {
+    let isRead = false;
+    this.budget.whenBodyMayCome(() => {
+      isRead = true;
+    });
+    assert.equal(this.budget.level, level);
+    assert.equal(this.budget.takesRequests, requests === 'taken');
+    assert.equal(isRead, bodies === 'are');
+  },
+);
+
+Then(
+  'a line in the log names each level that was met, and how much each account held',
+  function (this: World) {
+    const levels = this.lines.map(({ level }) => level);
+    assert.deepEqual(levels, ['wait', 'refuse', 'cut', 'refuse', 'calm']);
+    assert.deepEqual(
+      this.lines.map(({ bodies }) => bodies),
+      [610_000, 760_000, 1_000_000, 690_000, 530_000],
+    );
+  },
+);
+
+When('{int} bodies of new requests come', function (this: World, count: number) {
+  for (let body = 0; body < count; body += 1) {
+    this.budget.whenBodyMayCome(() => (this.bodiesRead += 1));
+  }
+  assert.equal(this.bodiesRead, 0);
+});
+
+Then('{int} of them are read', function (this: World, count: number) {
+  assert.equal(this.bodiesRead, count);
+});
+
+/** A reader that gives back what it holds when it is cut. */
+function readerOf(
+  budget: MemoryBudget,
+  requestId: string,
+  heldBytes: number,
+  idleMilliseconds: number,
+  onCut: (requestId: string) => void,
+): SlowReader {
+  const holding = budget.open('answers');
+  holding.set(heldBytes);
+  const reader: SlowReader = {
+    requestId,
+    get heldBytes() {
+      return holding.bytes;
+    },
+    idleMilliseconds,
+    cut: () => {
+      budget.removeReader(reader);
+      holding.release();
+      onCut(requestId);
+    },
+  };
+  budget.addReader(reader);
+  return reader;
+}
+
+Given('readers that hold and last took something:', function (this: World, table: DataTable) {
+  for (const { reader, bytes, milliseconds } of table.hashes()) {
+    const note = (requestId: string): number => this.cut.push(requestId);
+    readerOf(this.budget, reader!, Number(bytes), Number(milliseconds), note);
+  }
+});
+
+When('the bytes held beside them rise to {int}', function (this: World, bytes: number) {
+  this.others.set(bytes);
+});
+
+Then('the readers cut are {string}', function (this: World, names: string) {
+  assert.deepEqual(this.cut, names.split(','));
+});
+
+/** Answers ended until the level is left, on 300 clients that read nothing, 20 of which hold most. */
+function cutsUnder(order: CutOrder): number {
+  const bounds = boundsFor(24_000_000);
+  const budget = new MemoryBudget(runtimeOn(new VirtualClock(), []), bounds, order);
+  const random = createRandom(7);
+  let cuts = 0;
+  for (let index = 0; index < 300; index += 1) {
+    const bytes = index % 15 === 0 ? 900_000 : 12_000;
+    readerOf(budget, `c${index}`, bytes, random.integer(300, 1_900), () => (cuts += 1));
+  }
+  budget.open('bodies').set(2_800_000);
+  return cuts;
+}
+
+Then(
+  'cutting by bytes and time ends at most a tenth of the answers that cutting by time alone ends',
+  function () {
+    const byTime: CutOrder = (left, right) => right.idleMilliseconds - left.idleMilliseconds;
+    const ended = cutsUnder(byBytesAndTime);
+    const others = cutsUnder(byTime);
+    assert.ok(ended >= 1 && ended * 10 <= others, `${ended} ended, by time alone ${others}`);
+  },
+);
+
+/** One watched client in virtual time. */
+class WatchedClient {
+  readonly clock = new VirtualClock();
+  stand: ReaderStand = 'held';
+  isCalm = true;
+  cutAt: number | undefined;
+  readonly readAt: number[] = [];
+  readonly watch: ReaderWatch;
+
+  constructor() {
+    const runtime = runtimeOn(this.clock, []);
+    this.watch = new ReaderWatch(runtime, {
+      stand: () => this.stand,
+      isMemoryCalm: () => this.isCalm,
+      readOn: () => this.readAt.push(this.clock.now),
+      cut: () => (this.cutAt = this.clock.now),
+    });
+    this.watch.start();
+  }
+}
+
+Then(
+  'a client whose runner waits for it is cut after {int} seconds without taking, and after {int} while memory is short',
+  function (calmSeconds: number, shortSeconds: number) {
+    for (const isCalm of [true, false]) {
+      const client = new WatchedClient();
+      client.isCalm = isCalm;
+      pass(client.clock, 30_000);
+      assert.equal(client.cutAt, (isCalm ? calmSeconds : shortSeconds) * 1_000);
+    }
+  },
+);
+
+Then(
+  'a client that takes something every {int} seconds is not cut in {int} minutes, and its runner is never left unread longer than {int} ms',
+  function (seconds: number, minutes: number, most: number) {
+    const client = new WatchedClient();
+    for (let second = 0; second < minutes * 60; second += seconds) {
+      pass(client.clock, seconds * 1_000);
+      client.watch.noteTaken();
+    }
+    assert.equal(client.cutAt, undefined);
+    const gaps = client.readAt.map((at, index) => at - (client.readAt[index - 1] ?? 0));
+    assert.ok(Math.max(...gaps) <= most, `${Math.max(...gaps)} ms unread`);
+    assert.ok(client.clock.now - client.readAt.at(-1)! <= most);
+  },
+);
+
+Then(
+  'a client whose turn is kept is not cut while the turn comes, and {int} seconds after it is ready',
+  function (seconds: number) {
+    const client = new WatchedClient();
+    client.stand = 'readOn';
+    pass(client.clock, 60_000);
+    assert.equal(client.cutAt, undefined);
+    client.stand = 'ready';
+    client.watch.noteTaken();
+    pass(client.clock, seconds * 1_000 - 1_000);
+    assert.equal(client.cutAt, undefined);
+    pass(client.clock, 2_000);
+    assert.notEqual(client.cutAt, undefined);
+  },
+);
+
+/** A client that takes what it is written when the test says so. */
+class TakingTarget implements OutletTarget {
+  readonly taken: Buffer[] = [];
+  ends = 0;
+  private waiting: { readonly bytes: Buffer; readonly done: (() => void) | undefined }[] = [];
+  private onDrain: (() => void) | undefined;
+
+  constructor(private readonly markBytes: number) {}
+
+  get writableLength(): number {
+    return this.waiting.reduce((sum, { bytes }) => sum + bytes.length, 0);
+  }
+
+  write(bytes: Buffer, done?: (error: Error | null | undefined) => void): boolean {
+    this.waiting.push({ bytes, done: done === undefined ? undefined : () => done(undefined) });
+    return this.writableLength < this.markBytes;
+  }
+
+  end(): void {
+    this.ends += 1;
+  }
+
+  once(_event: 'drain', listener: () => void): void {
+    this.onDrain = listener;
+  }
+
+  /** Takes everything that waits here. */
+  take(): void {
+    const took = this.waiting;
+    this.waiting = [];
+    took.forEach(({ bytes }) => this.taken.push(bytes));
+    took.forEach(({ done }) => done?.());
+    const drained = this.onDrain;
+    this.onDrain = undefined;
+    drained?.();
+  }
+}
+
+Then('any bytes reach a client in order, whatever it takes when', function () {
+  const step = fc.record({ bytes: fc.uint8Array({ maxLength: 30_000 }), takes: fc.boolean() });
+  const listener = {
+    onBehind: () => undefined,
+    onTaken: () => undefined,
+    onCaughtUp: () => undefined,
+  };
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 12 }), (steps) => {
+      const target = new TakingTarget(16_384);
+      const outlet = new ClientOutlet(target, listener);
+      for (const { bytes, takes } of steps) {
+        outlet.push(Buffer.from(bytes));
+        if (takes) {
+          target.take();
+        }
+      }
+      outlet.end();
+      while (outlet.heldBytes > 0) {
+        assert.ok(target.ends === 0 || !outlet.isBehind, 'ended while something waits');
+        target.take();
+      }
+      assert.equal(target.ends, 1);
+      const sent = Buffer.concat(steps.map(({ bytes }) => Buffer.from(bytes)));
+      assert.ok(Buffer.concat(target.taken).equals(sent));
+    }),
+  );
+});
+
+Then(
+  'a runner that takes nothing may be sent requests until {int} bytes wait for it, and again once it takes',
+  function (bound: number) {
+    const intake = new RunnerIntake();
+    const taken: (() => void)[] = [];
+    while (intake.mayTake('r')) {
+      taken.push(intake.hand('r', 20_000));
+    }
+    assert.ok(intake.untakenBytes('r') >= bound && intake.untakenBytes('r') < bound + 20_000);
+    assert.ok(intake.mayTake('other'));
+    taken[0]!();
+    taken[0]!();
+    assert.equal(intake.untakenBytes('r'), 20_000 * (taken.length - 1));
+    taken.forEach((take) => take());
+    assert.ok(intake.mayTake('r'));
+    assert.equal(intake.untakenBytes('r'), 0);
+  },
+);
--- a/src/relay/memory/memory-budget.ts
+++ b/src/relay/memory/memory-budget.ts
@@ -25,6 +25,13 @@
 /** Least time between two log lines of one level, in milliseconds: a level swings with the load. */
 const LOG_MILLISECONDS = 1_000;
 
+/** Sorts readers so that the first to be cut comes first. */
+export type CutOrder = (left: SlowReader, right: SlowReader) => number;
+
+/** Those that hold the most for the longest come first: few are cut, and none that took something just now. */
+export const byBytesAndTime: CutOrder = (left, right) =>
+  right.heldBytes * right.idleMilliseconds - left.heldBytes * left.idleMilliseconds;
+
 /** See the head of this file. */
 export class MemoryBudget {
   private readonly accounts = new Map<MemoryAccount, number>();
@@ -40,6 +47,7 @@
   constructor(
     private readonly runtime: Runtime,
     private readonly bounds: MemoryBounds,
+    private readonly cutOrder = byBytesAndTime,
   ) {}
 
   /** Bytes held in all accounts. */
@@ -135,10 +143,9 @@
       return;
     }
     this.cutting = true;
-    const weightOf = (reader: SlowReader): number => reader.heldBytes * reader.idleMilliseconds;
     const victims = [...this.readers]
       .filter((reader) => reader.idleMilliseconds >= READING_MILLISECONDS)
-      .sort((left, right) => weightOf(right) - weightOf(left));
+      .sort(this.cutOrder);
     for (const victim of victims) {
       if (levelOf(this.total, this.bounds, 'cut') !== 'cut') {
         break;
--- a/src/turns/chain-cache.ts
+++ b/src/turns/chain-cache.ts
@@ -2,7 +2,7 @@
 import type { KeptTurn } from './kept-turn.js';
 
 /** Bytes of chains that are kept; the least lately used go first. */
-const MAXIMUM_BYTES = 24 * 1024 * 1024;
+export const CHAIN_CACHE_BYTES = 24 * 1024 * 1024;
 
 /** See the head of this file. */
 export class ChainCache {
@@ -33,7 +33,7 @@
     this.chains.delete(turn);
     this.chains.set(turn, chain);
     for (const [oldest, body] of this.chains) {
-      if (this.bytes <= MAXIMUM_BYTES) {
+      if (this.bytes <= CHAIN_CACHE_BYTES) {
         return;
       }
       this.chains.delete(oldest);
