Slow clients and runners over real sockets: bounded, cut in a stated time, kept turns whole

Cause: nothing showed what a client or a runner that doesn't read costs the others. Change: a runner that streams and answers at any length and respects its reader; clients that read nothing or in sips. Memory for waiting ends at three tenths of the budget, so that slow readers alone keep nobody out; cuts are counted.

--- a/features/steps/memory-accounts.steps.ts
+++ b/features/steps/memory-accounts.steps.ts
@@ -199,7 +199,7 @@
     const runtime = runtimeOn(this.clock, []);
     this.watch = new ReaderWatch(runtime, {
       stand: () => this.stand,
-      isMemoryCalm: () => this.isCalm,
+      hasMemory: () => this.isCalm,
       readOn: () => this.readAt.push(this.clock.now),
       cut: () => (this.cutAt = this.clock.now),
     });
--- /dev/null
+++ b/features/steps/slow-readers.steps.ts
@@ -0,0 +1,380 @@
+/** Steps about clients and runners that read slowly, over loopback sockets. */
+import assert from 'node:assert/strict';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { boundsFor } from '../../src/relay/memory/memory-bounds.js';
+import { WINDOW_BYTES } from '../../src/relay/answers/client-answer.js';
+import { RelayWorld } from '../support/relay-world.js';
+import type { ClientResult, RelayWorldOptions } from '../support/relay-world.js';
+import { SlowClient } from '../support/slow-client.js';
+import { TakingNothing } from '../support/taking-nothing.js';
+
+const MEGABYTE = 1024 * 1024;
+/** Long enough that what the kernel takes for a client that reads nothing is not all of it. */
+const EVENT_BYTES = 16 * 1024;
+const EVENTS = 512;
+/**
+ * Streams where there are hundreds of clients. The kernel takes some 9 MB for each client that reads nothing, on both
+ * ways together: only one stream in five is longer than that, the others are taken by the kernel.
+ */
+const CROWD_STREAMS = { eventBytes: 64 * 1024, eventCount: 20 };
+const ENDLESS_QUERY = 'stream&events=600';
+const ENDLESS_SHARE = 5;
+const ANSWER_BYTES = 8 * MEGABYTE;
+const STEP_MILLISECONDS = 20;
+/** Expected of a runner of which nothing is known. */
+const UNKNOWN_MILLISECONDS = 100;
+/** Answers that say that the request has not run. */
+const PROMISES = new Set([408, 421, 429, 503]);
+const LONG = { timeout: 60_000 };
+
+interface World {
+  slow: RelayWorld;
+  reader: SlowClient;
+  readers: SlowClient[];
+  usual: { result: ClientResult; milliseconds: number }[][];
+  residentBefore: number;
+  heldMost: number;
+  residentMost: number;
+  stuck?: TakingNothing;
+  answers: ClientResult[];
+}
+
+function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+/** Waits for a condition; fails after a time. */
+async function until(what: string, milliseconds: number, holds: () => boolean): Promise<void> {
+  const end = performance.now() + milliseconds;
+  while (!holds()) {
+    assert.ok(performance.now() < end, `not within ${milliseconds} ms: ${what}`);
+    await sleep(STEP_MILLISECONDS);
+  }
+}
+
+async function startWorld(world: World, options: RelayWorldOptions): Promise<void> {
+  world.slow = new RelayWorld(options);
+  world.readers = [];
+  world.usual = [];
+  world.heldMost = 0;
+  world.residentMost = 0;
+  await world.slow.start(true);
+}
+
+After(async function (this: Partial<World>) {
+  this.reader?.leave();
+  this.readers?.forEach((reader) => reader.leave());
+  this.stuck?.close();
+  await this.slow?.stop();
+  delete this.slow;
+  delete this.stuck;
+  delete this.reader;
+});
+
+const LONG_STREAMS = { eventBytes: EVENT_BYTES, eventCount: EVENTS, pauseMilliseconds: 0 };
+
+Given('a gateway with two runners whose streams are long', async function (this: World) {
+  await startWorld(this, { timeoutMilliseconds: 20_000, runner: LONG_STREAMS });
+});
+
+Given('a gateway with two runners whose plain answers are large', async function (this: World) {
+  await startWorld(this, { timeoutMilliseconds: 20_000, runner: { answerBytes: ANSWER_BYTES } });
+});
+
+Given(
+  'a gateway with a budget of {int} MB and two runners whose streams are long',
+  async function (this: World, megabytes: number) {
+    const memoryBounds = boundsFor(megabytes * MEGABYTE);
+    const timeoutMilliseconds = 20_000;
+    const runner = { ...LONG_STREAMS, ...CROWD_STREAMS };
+    const common = { timeoutMilliseconds, maximumConnections: 700 };
+    await startWorld(this, { memoryBounds, ...common, runner });
+  },
+);
+
+Given('the first stream breaks off in the middle', function (this: World) {
+  const shared = ['cutOff' as const];
+  this.slow.runners.forEach((runner) => {
+    runner.behaviours.shift = () => shared.shift();
+  });
+});
+
+When('a client of a {string} route reads nothing', async function (this: World, route: string) {
+  this.reader = new SlowClient(
+    this.slow.frontPort,
+    route,
+    'slow-1',
+    'nothing',
+    route === 'kept' ? 'stream' : route,
+  );
+  await until('the client is behind', 4_000, () => this.slow.gateway.memory.heldBytes > 0);
+});
+
+When('it reads on after {int} milliseconds', async function (this: World, pause: number) {
+  await sleep(pause);
+  this.reader.readOn();
+});
+
+When('it leaves', function (this: World) {
+  this.reader.leave();
+});
+
+Then(
+  'the gateway holds at most {int} bytes for it, and its runner waits',
+  async function (this: World, most: number) {
+    const { memory } = this.slow.gateway;
+    await sleep(400);
+    const held = memory.heldBytes;
+    const sent = this.slow.runners.map((runner) => runner.eventsSent);
+    assert.ok(held > WINDOW_BYTES / 2 && held <= most, `${held} bytes held`);
+    await sleep(300);
+    assert.deepEqual(
+      this.slow.runners.map((runner) => runner.eventsSent),
+      sent,
+    );
+  },
+);
+
+function eventsOf(text: string): number[] {
+  return [...text.matchAll(/^id: (\d+)\r?$/gm)].map((match) => Number(match[1]));
+}
+
+Then('it gets the whole stream in order', LONG, async function (this: World) {
+  await until('the end of the stream', 20_000, () => this.reader.isComplete);
+  assert.deepEqual(
+    eventsOf(this.reader.text),
+    Array.from({ length: EVENTS }, (_, index) => index + 1),
+  );
+});
+
+Then('it gets the whole plain answer', LONG, async function (this: World) {
+  await until('the end of the answer', 20_000, () => this.reader.isComplete);
+  const { text } = this.reader;
+  assert.equal(text.length - text.indexOf('\r\n\r\n') - 4, ANSWER_BYTES);
+});
+
+Then("no try failed, and nothing was learned of its runner's pace", function (this: World) {
+  assert.ok(!this.slow.gateway.metrics.render().includes('ivyloom_relay_failed_tries_total'));
+  const paces = this.slow.gateway.book.candidates('workers', [], new Set());
+  // Without a sample each runner is as quick as its service, and that as quick as any.
+  assert.deepEqual(
+    paces.map(({ record }) => record.pace.expectedMilliseconds),
+    [UNKNOWN_MILLISECONDS, UNKNOWN_MILLISECONDS],
+  );
+});
+
+Then(
+  'its answer is cut within {int} milliseconds without looking complete',
+  LONG,
+  async function (this: World, most: number) {
+    const { memory } = this.slow.gateway;
+    await until('the cut', most, () => memory.heldBytes === 0);
+    this.reader.readOn();
+    await until('the close', 3_000, () => this.reader.isClosed);
+    assert.ok(!this.reader.isComplete);
+  },
+);
+
+Then('its run has ended, and nothing is held any more', async function (this: World) {
+  await until('the end of the run', 1_000, () =>
+    this.slow.runners.flatMap((runner) => runner.runs).every((run) => run.left),
+  );
+  assert.equal(this.slow.gateway.memory.heldBytes, 0);
+});
+
+Then('its run ends within {int} milliseconds', async function (this: World, most: number) {
+  const runs = this.slow.runners.flatMap((runner) => runner.runs);
+  assert.equal(runs.length, 1);
+  await until('the end of the run', most, () => runs[0]!.left);
+  assert.equal(this.slow.gateway.memory.heldBytes, 0);
+});
+
+Then(
+  'the turn is kept whole within {int} milliseconds, and the gateway holds the rest of the answer',
+  LONG,
+  async function (this: World, most: number) {
+    await until('the kept turn', most, () => this.slow.keptTurns === 1);
+    assert.ok(this.slow.gateway.memory.byAccount().answers > MEGABYTE);
+    assert.ok(!this.reader.isClosed);
+  },
+);
+
+Then('the gateway holds the rest of the answer, and the run is over', async function (this: World) {
+  const { memory } = this.slow.gateway;
+  await until('the whole answer', 3_000, () => memory.byAccount().answers > MEGABYTE);
+  await until('the end of the run', 1_000, () =>
+    this.slow.runners.some((runner) => runner.runs[0]?.isAnswered === true),
+  );
+});
+
+/** Asks in ten lines of thirty; each is answered by a short plain answer. */
+async function askAsUsual(world: World, count: number): Promise<void> {
+  const LINES = 10;
+  const done: { result: ClientResult; milliseconds: number }[] = [];
+  const line = async (): Promise<void> => {
+    for (let asked = 0; asked < count / LINES; asked += 1) {
+      const before = performance.now();
+      const result = await world.slow.send('repeatable', { body: 'usual' });
+      done.push({ result, milliseconds: performance.now() - before });
+    }
+  };
+  await Promise.all(Array.from({ length: LINES }, line));
+  world.usual.push(done);
+}
+
+When(
+  '{int} usual clients ask, one after another of each ten',
+  LONG,
+  async function (this: World, count: number) {
+    await askAsUsual(this, count);
+    this.heldMost = this.slow.gateway.memory.heldBytes;
+    this.residentMost = process.memoryUsage.rss();
+  },
+);
+
+async function startReaders(world: World, nothing: number, sips: number): Promise<void> {
+  world.residentBefore = process.memoryUsage.rss();
+  const { frontPort } = world.slow;
+  for (let index = 0; index < sips; index += 1) {
+    world.readers.push(new SlowClient(frontPort, 'repeatable', `sip-${index}`, 'sips'));
+  }
+  for (let index = 0; index < nothing; index += 1) {
+    const query = index % ENDLESS_SHARE === 0 ? ENDLESS_QUERY : 'stream';
+    world.readers.push(new SlowClient(frontPort, 'stream', `none-${index}`, 'nothing', query));
+  }
+}
+
+When(
+  '{int} clients read nothing, and {int} read a few bytes a second',
+  LONG,
+  async function (this: World, nothing: number, sips: number) {
+    await startReaders(this, nothing, sips);
+    const { memory } = this.slow.gateway;
+    const slow = (): number => Number(/slow_readers (\d+)/.exec(memory.render())?.[1]);
+    const endless = nothing / ENDLESS_SHARE;
+    await until('all are behind', 20_000, () => slow() + memory.cutCount >= endless);
+  },
+);
+
+When('{int} clients read nothing', LONG, async function (this: World, count: number) {
+  await startReaders(this, count, 0);
+});
+
+function hundredth(milliseconds: readonly number[], part: number): number {
+  const sorted = [...milliseconds].sort((left, right) => left - right);
+  return sorted[Math.floor(sorted.length * part)]!;
+}
+
+/** What a client may notice, in milliseconds: half of the time within which an event is to be passed on. */
+const NOTICED_MILLISECONDS = 100;
+
+Then(
+  'all usual clients were answered whole, the later ones as soon as the earlier ones',
+  function (this: World) {
+    const [before, after] = this.usual.map((asked) =>
+      asked.map(({ milliseconds }) => milliseconds),
+    );
+    this.usual.flat().forEach(({ result }) => {
+      assert.equal(result.status, 200);
+      assert.ok(result.complete);
+    });
+    const middle = [before!, after!].map((asked) => hundredth(asked, 0.5));
+    const late = [before!, after!].map((asked) => hundredth(asked, 0.95));
+    const seen = `median ${middle.join(', ')} ms; 95 in 100 ${late.join(', ')} ms`;
+    assert.ok(middle[1]! <= middle[0]! + NOTICED_MILLISECONDS, seen);
+    assert.ok(late[1]! <= late[0]! + NOTICED_MILLISECONDS, seen);
+  },
+);
+
+Then(
+  'the gateway held at most {int} MB for the others, and the process took at most {int} MB more',
+  function (this: World, held: number, resident: number) {
+    assert.ok(this.heldMost <= held * MEGABYTE, `${this.heldMost} bytes held`);
+    const more = this.residentMost - this.residentBefore;
+    assert.ok(more <= resident * MEGABYTE, `${more} bytes more resident`);
+  },
+);
+
+Then(
+  'those that read nothing are cut within {int} milliseconds, and nothing is held for them any more',
+  LONG,
+  async function (this: World, most: number) {
+    const { memory } = this.slow.gateway;
+    await until('all cuts', most, () => memory.byAccount().answers === 0);
+    const streams = this.slow.runners.flatMap((runner) => runner.runs);
+    const unread = streams.filter(({ requestId }) => requestId.startsWith('none-'));
+    assert.equal(unread.length, 300);
+    const endless = unread.filter(({ path }) => path.includes(ENDLESS_QUERY));
+    await until('the end of all runs', 1_000, () => endless.every((run) => run.left));
+  },
+);
+
+Then(
+  'a new request is refused with 503, a time to come back, and no run',
+  LONG,
+  async function (this: World) {
+    const { memory } = this.slow.gateway;
+    await until('memory is short', 5_000, () => !memory.takesRequests);
+    const result = await this.slow.send('repeatable', { body: 'late', id: 'refused' });
+    assert.equal(result.status, 503);
+    assert.ok(Number(result.headers['retry-after']) > 0);
+    const runs = this.slow.runners.flatMap((runner) => runner.runs);
+    assert.ok(runs.every(({ requestId }) => requestId !== 'refused'));
+  },
+);
+
+Then(
+  'a new request is answered within {int} milliseconds',
+  LONG,
+  async function (this: World, most: number) {
+    const { memory } = this.slow.gateway;
+    await until('memory is free', most, () => memory.isCalm);
+    const result = await this.slow.send('repeatable', { body: 'later' });
+    assert.equal(result.status, 200);
+  },
+);
+
+Given('a gateway with two runners, the first of which takes nothing', async function (this: World) {
+  await startWorld(this, { maximumConnections: 200 });
+  this.stuck = new TakingNothing();
+  const port = await this.stuck.listen();
+  this.slow.listRunner(0, true, port);
+});
+
+When(
+  '{int} clients send bodies of {int} bytes to a {string} route',
+  LONG,
+  async function (this: World, count: number, bytes: number, route: string) {
+    const body = 'x'.repeat(bytes);
+    const asked = Array.from({ length: count }, async (_, index) =>
+      this.slow.send(route, { body, id: `body-${index}` }),
+    );
+    const { intake } = this.slow.gateway;
+    const watch = setInterval(() => {
+      this.heldMost = Math.max(this.heldMost, intake.untakenBytes('one'));
+    }, 1);
+    this.answers = await Promise.all(asked);
+    clearInterval(watch);
+  },
+);
+
+Then(
+  'at most {int} bytes wait for the first runner, and the others were answered by the second',
+  function (this: World, most: number) {
+    assert.ok(this.heldMost <= most, `${this.heldMost} bytes waited`);
+    const answered = this.answers.filter(({ status }) => status === 200).length;
+    assert.ok(answered > this.answers.length / 2, `${answered} answered`);
+  },
+);
+
+Then(
+  'none that reached the first runner in part or whole is said not to have run',
+  async function (this: World) {
+    const reached = await this.stuck!.readIds();
+    assert.ok(reached.length > 0);
+    for (const id of reached) {
+      const { status } = this.answers[Number(id.split('-')[1])]!;
+      assert.ok(!PROMISES.has(status), `${id} reached a runner and got ${status}`);
+    }
+  },
+);
--- a/features/support/lying-gateway.ts
+++ b/features/support/lying-gateway.ts
@@ -161,7 +161,15 @@
     const tenant = this.lie === 'namesAnother' ? 'another' : TENANTS[String(key)];
     const told = { ...others, [NAMES.tenant]: tenant };
     const headers = this.lie === 'passesKey' ? { ...told, [NAMES.key]: key } : told;
-    this.runner.runs.push({ requestId, method, path, body, headers, left: false });
+    this.runner.runs.push({
+      requestId,
+      method,
+      path,
+      body,
+      headers,
+      left: false,
+      isAnswered: false,
+    });
   }
 
   private get signature(): Record<string, string> {
--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -3,8 +3,10 @@
 import type { IncomingMessage } from 'node:http';
 import { isLeft } from 'fp-ts/lib/Either.js';
 import { RelayRunner } from '../../src/emulator/relay-runner.js';
+import type { RelayRunnerOptions } from '../../src/emulator/relay-runner.js';
 import { freePorts } from '../../src/bench/free-ports.js';
 import { DEFAULT_HEADER_NAMES } from '../../src/relay/request/default-header-names.js';
+import type { MemoryBounds } from '../../src/relay/memory/memory-bounds.js';
 import { RelayGateway } from '../../src/relay/relay-gateway.js';
 import { createRoutingTable } from '../../src/relay/request/routing-table.js';
 import type { RequestKind, Route } from '../../src/relay/request/routing-table.js';
@@ -96,6 +98,18 @@
   },
 ];
 
+/** What a world has beside the usual. */
+export interface RelayWorldOptions {
+  /** Bounds of what the gateway may hold. @default none */
+  readonly memoryBounds?: MemoryBounds;
+  /** Connections that each runner takes. @default 20 */
+  readonly maximumConnections?: number;
+  /** Longest time that a request may be held, in milliseconds. @default 3000 */
+  readonly timeoutMilliseconds?: number;
+  /** What the runners answer. */
+  readonly runner?: Partial<RelayRunnerOptions>;
+}
+
 /** See the head of this file. */
 export class RelayWorld {
   readonly runtime: Runtime = createRealRuntime({ seed: 1, logLevel: 'error' });
@@ -111,6 +125,18 @@
   /** Id of the last request sent. */
   lastId = '';
 
+  constructor(private readonly options: RelayWorldOptions = {}) {}
+
+  /** Port that clients call. */
+  get frontPort(): number {
+    return this.ports[0]!;
+  }
+
+  /** Turns that the replica keeps. */
+  get keptTurns(): number {
+    return this.replica?.state.counts.turns ?? 0;
+  }
+
   /** Starts everything; without a configuration the gateway serves nothing. */
   async start(configured: boolean): Promise<void> {
     this.ports = await freePorts(HOST, 3);
@@ -125,6 +151,7 @@
     this.replicaServer.listen(HOST, replicaPort, () => undefined);
     this.caller = new TcpReplicaCaller(this.runtime, () => undefined);
     const { runtime, caller } = this;
+    const { memoryBounds } = this.options;
     const turns = new TurnClient({ runtime, directory, caller, zone: ZONE });
     this.gateway = new RelayGateway({
       runtime,
@@ -135,18 +162,36 @@
       front: { host: HOST, port: front },
       ready: { host: HOST, port: ready },
       graceMilliseconds: 8_000,
+      ...(memoryBounds === undefined ? {} : { memoryBounds }),
     });
     for (const id of ['one', 'two']) {
-      const runner = new RelayRunner({ id, names: NAMES, pauseMilliseconds: 20 });
+      const runner = new RelayRunner({
+        id,
+        names: NAMES,
+        pauseMilliseconds: 20,
+        ...this.options.runner,
+      });
       this.runners.push(runner);
       this.runnerPorts.push(await runner.listen());
       this.listRunner(this.runners.length - 1, true);
     }
     if (configured) {
-      this.gateway.applyTable(createRoutingTable(7, ROUTES, SERVICES, LIMITS), 'test');
+      this.gateway.applyTable(createRoutingTable(7, this.routes, this.services, LIMITS), 'test');
     }
   }
 
+  private get routes(): readonly Route[] {
+    const { timeoutMilliseconds } = this.options;
+    return timeoutMilliseconds === undefined
+      ? ROUTES
+      : ROUTES.map((route) => ({ ...route, timeoutMilliseconds }));
+  }
+
+  private get services(): typeof SERVICES {
+    const { maximumConnections = SERVICES[0]!.maximumConnections } = this.options;
+    return SERVICES.map((service) => ({ ...service, maximumConnections }));
+  }
+
   /** Offers an empty configuration. */
   offerEmpty(version: number): void {
     this.gateway.applyTable(createRoutingTable(version, [], [], LIMITS), 'test');
@@ -163,9 +208,9 @@
   }
 
   /** Puts a runner on the list. */
-  listRunner(index: number, ready: boolean): void {
+  listRunner(index: number, ready: boolean, atPort?: number): void {
     const id = ['one', 'two'][index]!;
-    const port = this.runnerPorts[index]!;
+    const port = atPort ?? this.runnerPorts[index]!;
     this.gateway.book.put({ id, service: SERVICE, host: HOST, port, zone: ZONE, slots: 4, ready });
   }
 
--- /dev/null
+++ b/features/support/taking-nothing.ts
@@ -0,0 +1,46 @@
+/** A runner that takes connections and reads nothing from them. */
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { DEFAULT_HEADER_NAMES } from '../../src/relay/request/default-header-names.js';
+
+const READ_MILLISECONDS = 500;
+const REQUEST_ID = new RegExp(`${DEFAULT_HEADER_NAMES.requestId}: (\\S+)`, 'gi');
+
+/** See the head of this file. */
+export class TakingNothing {
+  private readonly sockets = new Set<Socket>();
+  private readonly server: Server;
+
+  constructor() {
+    this.server = createServer({ pauseOnConnect: true }, (socket) => {
+      this.sockets.add(socket);
+      socket.on('error', () => undefined);
+    });
+  }
+
+  /** Listens on a free loopback port; resolves with it. */
+  listen(): Promise<number> {
+    return new Promise((resolve) => {
+      this.server.listen(0, '127.0.0.1', () => {
+        resolve((this.server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /** Reads at last; resolves with the names of all requests of which anything came. */
+  async readIds(): Promise<string[]> {
+    let text = '';
+    this.sockets.forEach((socket) => {
+      socket.on('data', (bytes: Buffer) => (text += bytes.toString('latin1')));
+      socket.resume();
+    });
+    await new Promise((resolve) => setTimeout(resolve, READ_MILLISECONDS));
+    return [...text.matchAll(REQUEST_ID)].map((match) => match[1]!);
+  }
+
+  /** Ends at once. */
+  close(): void {
+    this.server.close();
+    this.sockets.forEach((socket) => socket.destroy());
+  }
+}
--- a/src/emulator/relay-runner.ts
+++ b/src/emulator/relay-runner.ts
@@ -42,6 +42,8 @@
   readonly headers: IncomingMessage['headers'];
   /** Whether its client left before the end. */
   left: boolean;
+  /** Whether its connection took the whole answer. */
+  isAnswered: boolean;
 }
 
 /** What the stand-in is made with. */
@@ -53,9 +55,21 @@
   readonly eventCount?: number;
   /** Pause before each event and each answer, in milliseconds. @default 1 */
   readonly pauseMilliseconds?: number;
+  /** Bytes that each event of a stream is filled up with; none for 0. @default 0 */
+  readonly eventBytes?: number;
+  /** Bytes that a plain answer is filled up with. @default 0 */
+  readonly answerBytes?: number;
 }
 
 const STREAM_QUERY = 'stream';
+/** Queries by which a request asks for long answers or events, in bytes, and for a number of events. */
+const FILLING_QUERY = /fill=(\d+)/;
+const EVENTS_QUERY = /events=(\d+)/;
+
+function numberIn({ url = '' }: IncomingMessage, query: RegExp): number | undefined {
+  const value = query.exec(url)?.[1];
+  return value === undefined ? undefined : Number(value);
+}
 
 /** See the head of this file. */
 export class RelayRunner {
@@ -64,6 +78,10 @@
   readonly behaviours: RunnerBehaviour[] = [];
   /** Connections taken so far. */
   connectionCount = 0;
+  /** Events of all streams that were written so far. */
+  eventsSent = 0;
+  /** Pause before a body is read, in milliseconds: a runner that reads slowly. */
+  readPauseMilliseconds = 0;
   private readonly sockets = new Set<Socket>();
   private readonly server: Server;
 
@@ -97,6 +115,14 @@
   }
 
   private take(request: IncomingMessage, response: ServerResponse): void {
+    if (this.readPauseMilliseconds > 0) {
+      setTimeout(() => this.read(request, response), this.readPauseMilliseconds);
+    } else {
+      this.read(request, response);
+    }
+  }
+
+  private read(request: IncomingMessage, response: ServerResponse): void {
     const chunks: Buffer[] = [];
     request.on('data', (chunk: Buffer) => chunks.push(chunk));
     request.on('end', () => this.work(request, response, Buffer.concat(chunks).toString('utf8')));
@@ -116,8 +142,19 @@
       return;
     }
     const { method = '', url: path = '', headers } = request;
-    const run: RunnerRun = { requestId, method, path, body, headers, left: false };
+    const run: RunnerRun = {
+      requestId,
+      method,
+      path,
+      body,
+      headers,
+      left: false,
+      isAnswered: false,
+    };
     this.runs.push(run);
+    response.on('finish', () => {
+      run.isAnswered = true;
+    });
     response.on('close', () => {
       run.left = !response.writableFinished;
     });
@@ -161,7 +198,8 @@
     behaviour: RunnerBehaviour,
     requestId: string,
   ): void {
-    const body = `answer of ${this.options.id} to ${requestId}`;
+    const filling = numberIn(request, FILLING_QUERY) ?? this.options.answerBytes ?? 0;
+    const body = `answer of ${this.options.id} to ${requestId}`.padEnd(filling, '.');
     const length = { 'content-length': String(body.length) };
     if (behaviour === 'cutOff') {
       response.writeHead(200, { ...this.headersOf(requestId), ...length });
@@ -192,7 +230,9 @@
     behaviour: RunnerBehaviour,
     requestId: string,
   ): void {
-    const { eventCount = 4, pauseMilliseconds = 1, names } = this.options;
+    const { pauseMilliseconds = 1, names } = this.options;
+    const eventCount = numberIn(request, EVENTS_QUERY) ?? this.options.eventCount ?? 4;
+    const filling = numberIn(request, FILLING_QUERY) ?? this.options.eventBytes ?? 0;
     const first = Number(request.headers[names.lastEventId] ?? 0) + 1;
     const type = { 'content-type': 'text/event-stream' };
     const answeredId = behaviour === 'wrongId' ? 'another-request' : requestId;
@@ -213,8 +253,16 @@
         response.end();
         return;
       }
-      response.write(`id: ${id}\ndata: event ${id}\n\n`);
-      setTimeout(() => next(id + 1), pauseMilliseconds);
+      this.eventsSent += 1;
+      const isTaken = response.write(`id: ${id}\ndata: ${`event ${id}`.padEnd(filling, '.')}\n\n`);
+      const goOn = (): void => {
+        setTimeout(() => next(id + 1), pauseMilliseconds);
+      };
+      if (isTaken) {
+        goOn();
+      } else {
+        response.once('drain', goOn);
+      }
     };
     next(first);
   }
--- a/src/relay/answers/client-answer.ts
+++ b/src/relay/answers/client-answer.ts
@@ -15,10 +15,10 @@
 import type { ReaderStand } from './reader-watch.js';
 
 /**
- * Bytes that a client may be behind before its runner is held, in bytes: some hundred events, so that a client
- * that pauses for a moment holds nobody, and 300 such clients take some 20 MB.
+ * Bytes that a client may be behind before its runner is held: a hundred usual events, so that a client that pauses
+ * for a moment holds nobody. What came from its runner at once is held beside, at most 64 KiB more.
  */
-export const WINDOW_BYTES = 64 * 1024;
+export const WINDOW_BYTES = 16 * 1024;
 
 /** Where the answer comes from, as long as it comes. */
 export interface AnswerSource {
@@ -66,7 +66,7 @@
     });
     this.watch = new ReaderWatch(runtime, {
       stand: () => this.stand,
-      isMemoryCalm: () => memory.isCalm,
+      hasMemory: () => memory.hasPlenty,
       readOn: () => this.readOn(),
       cut: (reason) => this.cut(reason),
     });
@@ -168,7 +168,8 @@
 
   /** Ends an answer that its client does not take. */
   cut(reason: string): void {
-    const { runtime, requestId } = this.options;
+    const { runtime, memory, requestId } = this.options;
+    memory.noteCut();
     runtime.log('warn', 'slow reader cut', {
       event: 'memory.cut',
       request: requestId,
--- a/src/relay/answers/reader-watch.ts
+++ b/src/relay/answers/reader-watch.ts
@@ -34,7 +34,7 @@
 export interface WatchedReader {
   stand(): ReaderStand;
   /** Whether there is memory for waiting. */
-  isMemoryCalm(): boolean;
+  hasMemory(): boolean;
   /** Reads a little more from the runner. */
   readOn(): void;
   /** Ends the answer. */
@@ -87,7 +87,7 @@
       case 'readOn':
         return Infinity;
       case 'held':
-        return this.reader.isMemoryCalm() ? IDLE_MILLISECONDS : SHORT_IDLE_MILLISECONDS;
+        return this.reader.hasMemory() ? IDLE_MILLISECONDS : SHORT_IDLE_MILLISECONDS;
     }
   }
 
@@ -98,7 +98,7 @@
       return;
     }
     const unread = runtime.now() - this.readAt;
-    if (reader.stand() === 'held' && unread >= UNREAD_MILLISECONDS && reader.isMemoryCalm()) {
+    if (reader.stand() === 'held' && unread >= UNREAD_MILLISECONDS && reader.hasMemory()) {
       this.readAt = runtime.now();
       reader.readOn();
     }
--- a/src/relay/memory/memory-bounds.ts
+++ b/src/relay/memory/memory-bounds.ts
@@ -2,6 +2,8 @@
 
 /** Bounds of one process, in bytes. */
 export interface MemoryBounds {
+  /** Below this there is memory for waiting for slow readers. */
+  readonly plentyBytes: number;
   /** From here on the bodies of new requests wait unread. */
   readonly waitBytes: number;
   /** From here on new requests are refused. */
@@ -10,6 +12,8 @@
   readonly cutBytes: number;
 }
 
+/** Part of the budget that may be spent on waiting for slow readers, so that they alone keep nobody out. */
+const PLENTY_SHARE = 0.3;
 /** Part of the budget at which new bodies wait: the rest holds what has begun, which is worth more. */
 const WAIT_SHARE = 0.6;
 /** Part at which new requests are refused: what is under way may still double its answers from there. */
@@ -17,6 +21,7 @@
 
 /** Bounds that are never met, for a process that is told no limit. */
 export const NO_BOUNDS: MemoryBounds = {
+  plentyBytes: Infinity,
   waitBytes: Infinity,
   refuseBytes: Infinity,
   cutBytes: Infinity,
@@ -25,6 +30,7 @@
 /** Bounds for a budget in bytes. */
 export function boundsFor(budgetBytes: number): MemoryBounds {
   return {
+    plentyBytes: budgetBytes * PLENTY_SHARE,
     waitBytes: budgetBytes * WAIT_SHARE,
     refuseBytes: budgetBytes * REFUSE_SHARE,
     cutBytes: budgetBytes,
--- a/src/relay/memory/memory-budget.ts
+++ b/src/relay/memory/memory-budget.ts
@@ -41,8 +41,7 @@
   private current: MemoryLevel = 'calm';
   private total = 0;
   private cutting = false;
-  /** Readers cut so far. */
-  cutCount = 0;
+  private cuts = 0;
 
   constructor(
     private readonly runtime: Runtime,
@@ -60,11 +59,16 @@
     return this.current;
   }
 
-  /** Whether slow readers may be waited for: nobody else needs the memory. */
+  /** Whether bodies of new requests are read. */
   get isCalm(): boolean {
     return this.current === 'calm';
   }
 
+  /** Whether slow readers may be waited for: nobody else needs the memory. */
+  get hasPlenty(): boolean {
+    return this.total < this.bounds.plentyBytes;
+  }
+
   /** Whether a new request may come in. */
   get takesRequests(): boolean {
     return this.current === 'calm' || this.current === 'wait';
@@ -94,6 +98,16 @@
     this.readers.delete(reader);
   }
 
+  /** Readers cut so far, for whatever reason. */
+  get cutCount(): number {
+    return this.cuts;
+  }
+
+  /** Notes that a reader is cut. */
+  noteCut(): void {
+    this.cuts += 1;
+  }
+
   /** Bytes by account. */
   byAccount(): AccountBytes {
     const bytesOf = (name: MemoryAccount): number => this.accounts.get(name) ?? 0;
@@ -150,7 +164,6 @@
       if (levelOf(this.total, this.bounds, 'cut') !== 'cut') {
         break;
       }
-      this.cutCount += 1;
       victim.cut('memory is short, and the client does not take its answer');
     }
     this.cutting = false;
