The soak reads slowly on both sides: long streams in fits and starts, runners that leave bodies unread

Change: a route of long streams read with pauses, long bodies, a fault of runners; limits and heaps as deployed.

--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -45,7 +45,9 @@
 };
 
 const PROGRAM = resolve('target/main.mjs');
-const HEAP_MEGABYTES = 160;
+/** Memory of each machine as its settings tell it, and the heaps of both roles, in megabytes: as deployed. */
+const MEMORY_MEGABYTES = { gateway: 178, replica: 210 };
+const HEAP_MEGABYTES = { gateway: 80, replica: 128 };
 /** Loaded before the program where there is a disk. */
 const RECORDER = pathToFileURL(resolve('dist/soak/record-disk.js')).href;
 /** Parts of the names that were not synced which a loss of power takes away. */
@@ -88,6 +90,7 @@
     },
     // One machine may be lost at once: three replicas are members, others stand by.
     FaultTolerance: { Machines: 1, Zones: 0, Regions: 0 },
+    Limits: { MemoryMb: MEMORY_MEGABYTES[role] },
     Platform: { Address: storeAddress },
   };
 }
@@ -169,7 +172,12 @@
 
   private words(): string[] {
     const recorder = this.machine.role === 'replica' ? ['--import', RECORDER] : [];
-    return [`--max-old-space-size=${HEAP_MEGABYTES}`, ...recorder, PROGRAM, this.machine.role];
+    return [
+      `--max-old-space-size=${HEAP_MEGABYTES[this.machine.role]}`,
+      ...recorder,
+      PROGRAM,
+      this.machine.role,
+    ];
   }
 
   private environment(settingsFile: string): NodeJS.ProcessEnv {
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -4,7 +4,7 @@
  */
 import type { StoreMode } from '../platform/stand-in/store-server.js';
 import { CONFIGURATION_KEY, RETIRE_PREFIX, RETIRE_STATUS_PREFIX } from '../platform/store-keys.js';
-import type { RunnerBehaviour } from '../src/emulator/relay-runner.js';
+import type { RelayRunner, RunnerBehaviour } from '../src/emulator/relay-runner.js';
 import { createRandom } from '../src/runtime/random.js';
 import type { RandomSource } from '../src/runtime/random.js';
 import { ConfigurationCheck } from './configuration-check.js';
@@ -30,6 +30,8 @@
 /** Part of the faults that begin while another lasts. */
 const OVERLAP = 0.5;
 const LONGEST_OVERLAP_MILLISECONDS = 1_200;
+/** Least and longest pause of a runner that reads slowly, in milliseconds. */
+const READ_PAUSES_MILLISECONDS: readonly [number, number] = [100, 1_500];
 const MISBEHAVIOURS: readonly RunnerBehaviour[] = [
   'refuse',
   'loseAnswer',
@@ -249,6 +251,8 @@
         return this.troublePath(this.random.pick(this.world.runnerProxies), pause);
       case 'runnerCrash':
         return this.world.replaceRunner(this.random.integer(0, RUNNERS - 1), pause);
+      case 'runnerReadsSlowly':
+        return this.slowDownReading(this.random.pick(this.world.liveRunners), pause);
       case 'runnerMisbehaves':
         this.world.liveRunners.forEach((runner) =>
           runner.behaviours.push(this.random.pick(MISBEHAVIOURS), this.random.pick(MISBEHAVIOURS)),
@@ -277,6 +281,12 @@
     await this.recovery.check('a loss of all power');
   }
 
+  private async slowDownReading(runner: RelayRunner, pause: number): Promise<void> {
+    runner.readPauseMilliseconds = this.random.integer(...READ_PAUSES_MILLISECONDS);
+    await sleep(pause);
+    runner.readPauseMilliseconds = 0;
+  }
+
   /** A machine is gone for good; the last fault comes the moment that its successor counts. */
   private async replaceReplica(gone: PlatformProcess, pause: number): Promise<void> {
     const ended = gone.ended();
--- a/soak/soak-client.ts
+++ b/soak/soak-client.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { RelayRunner, RunnerRun } from '../src/emulator/relay-runner.js';
 import type { RandomSource } from '../src/runtime/random.js';
+import { LONG_EVENTS, LONG_PATH, SlowReading } from './slow-reading.js';
 import { PLATFORM_HEADER_NAMES as NAMES } from '../platform/header-names.js';
 import { SOAK_PORTS } from './platform-process.js';
 
@@ -17,6 +18,11 @@
 
 const MOST_TOKENS = SOAK_EVENTS * SOAK_TOKENS_PER_EVENT;
 const TIMEOUT_MILLISECONDS = 3_000;
+/** Part of what a client does that is a long stream, read slowly or not at all for a while. */
+const SLOW_SHARE = 0.03;
+/** Part of plain requests that carry a long body, and its bytes: more than a runner that reads nothing takes. */
+const LONG_BODY_SHARE = 0.01;
+const LONG_BODY = 'x'.repeat(3 * 1024 * 1024);
 /** Programs of one client whose last turn is remembered. */
 const REMEMBERED_PROGRAMS = 12;
 const PROMISES = new Set([408, 421, 429, 503]);
@@ -80,7 +86,9 @@
   async run(isOver: () => boolean): Promise<void> {
     while (!isOver()) {
       const draw = this.context.random.uniform();
-      if (draw < 0.35) {
+      if (draw < SLOW_SHARE) {
+        await this.readSlowly();
+      } else if (draw < 0.35) {
         await this.sendPlain('single');
       } else if (draw < 0.6) {
         await this.sendPlain('repeatable');
@@ -94,7 +102,8 @@
   /** Sends one request of a kind; true when it was answered well. */
   async sendPlain(kind: 'single' | 'repeatable'): Promise<boolean> {
     const id = this.newId();
-    const result = await this.send(`/${kind}/work`, id, {}, '');
+    const body = this.context.random.uniform() < LONG_BODY_SHARE ? LONG_BODY : '';
+    const result = await this.send(`/${kind}/work`, id, {}, body);
     this.judge(kind, id, result);
     if (result.status === 200 && result.complete) {
       const signer = /^signed by (.*)$/.exec(String(result.headers[NAMES.signature]))?.[1];
@@ -106,6 +115,16 @@
     return false;
   }
 
+  /** A long stream: whatever the pauses, its events come in order, and its end only after the last. */
+  private async readSlowly(): Promise<void> {
+    const id = this.newId();
+    const reading = new SlowReading(this.context.random);
+    const result = await this.send(LONG_PATH, id, {}, '', reading);
+    const events = [...result.body.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
+    this.judge('single', id, result);
+    this.checkEvents(id, events, result, LONG_EVENTS);
+  }
+
   /** The last turns of the newest programs: of each program one, the newest last. */
   get answeredTurns(): readonly AnsweredTurn[] {
     return this.lastTurns;
@@ -177,7 +196,12 @@
     }
   }
 
-  private checkEvents(id: string, events: readonly number[], result: Result): void {
+  private checkEvents(
+    id: string,
+    events: readonly number[],
+    result: Result,
+    whole = SOAK_EVENTS,
+  ): void {
     const { violate } = this.context;
     if (result.status !== 200) {
       return;
@@ -186,7 +210,7 @@
     if (events.some((event, index) => event !== expected[index])) {
       violate('whole answer', `${id} got events ${events.join(',')}`);
     }
-    if (result.complete && events.length !== SOAK_EVENTS) {
+    if (result.complete && events.length !== whole) {
       violate('whole answer', `${id} ended as complete after ${events.length} events`);
     }
   }
@@ -246,6 +270,7 @@
     id: string,
     extra: Record<string, string>,
     body: string,
+    reading?: SlowReading,
   ): Promise<Result> {
     const host = this.context.random.pick(this.context.gatewayHosts);
     const headers = {
@@ -262,6 +287,7 @@
       const client = httpRequest({ ...options, agent: false }, (response) => {
         const chunks: Buffer[] = [];
         response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        reading?.slowDown(response);
         response.on('error', () => undefined);
         response.on('close', () => {
           clearTimeout(timer);
--- a/soak/soak-configuration.ts
+++ b/soak/soak-configuration.ts
@@ -62,6 +62,7 @@
         route('single', 'non_idempotent', {}),
         route('repeatable', 'idempotent', { TimeoutMs: 2_000 + this.version }),
         route('kept', 'streaming', { Retain: true, RetentionS: 600 }),
+        route('long', 'streaming', {}),
         ...this.addedRoutes.slice(-KEPT_ROUTES).map((name) => route(name, 'idempotent', {})),
       ],
       Services: [
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -17,6 +17,8 @@
   'runnerPath',
   'runnerCrash',
   'runnerMisbehaves',
+  // A runner takes requests and leaves their bodies unread for a while.
+  'runnerReadsSlowly',
   'configurationChange',
   // A replica loses power, and what was not synced.
   'losePower',
@@ -76,6 +78,7 @@
       return ['store'];
     case 'runnerPath':
     case 'runnerCrash':
+    case 'runnerReadsSlowly':
       return ['runners'];
     case 'runnerMisbehaves':
     case 'configurationChange':
