--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -55,6 +55,8 @@
 const PROGRAM = resolve('target/main.cjs');
 /** What the build tells of how each role is started: the program's compiled code holds for these flags. */
 const RUNS = 'runs.json';
+/** Memory of each machine as its settings tell it, in megabytes: as deployed. */
+const MEMORY_MEGABYTES = { gateway: 178, replica: 210 };
 /** Loaded before the program where there is a disk. */
 const RECORDER = pathToFileURL(resolve('dist/soak/record-disk.js')).href;
 /** Parts of the names that were not synced which a loss of power takes away. */
@@ -110,6 +112,7 @@
     },
     // One machine may be lost at once: three replicas are members, others stand by.
     FaultTolerance: { Machines: 1, Zones: 0, Regions: 0 },
+    Limits: { MemoryMb: MEMORY_MEGABYTES[role] },
     Platform: { Address: storeAddress },
   };
 }
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -19,6 +19,8 @@
   // A runner starts again under its id, and knows nothing of before.
   'runnerRestart',
   'runnerMisbehaves',
+  // A runner takes requests and leaves their bodies unread for a while.
+  'runnerReadsSlowly',
   'configurationChange',
   // A replica loses power, and what was not synced.
   'losePower',
@@ -79,6 +81,7 @@
     case 'runnerPath':
     case 'runnerCrash':
     case 'runnerRestart':
+    case 'runnerReadsSlowly':
       return ['runners'];
     case 'runnerMisbehaves':
     case 'configurationChange':
--- a/src/relay/stages/admission-stage.ts
+++ b/src/relay/stages/admission-stage.ts
@@ -4,11 +4,12 @@
 import type { AdmissionOutlook } from '../admission/predicted-wait.js';
 import { LATE_RANKS, urgencyOf } from '../request/urgency.js';
 import type { RelayRequest } from '../request/relay-request.js';
+import type { RunnerLife } from '../runners/runner.js';
 import type { Passage } from './passage.js';
 import { GO_ON, refuseWith } from './stage.js';
 import type { RequestStage } from './stage.js';
 
-const NO_RUNNERS: ReadonlySet<string> = new Set();
+const NO_RUNNERS: ReadonlySet<RunnerLife> = new Set();
 
 /** Time until the program should be over, in milliseconds; undefined where none is told. */
 function leftOf({ context, request }: Passage): number | undefined {
