Soak: machines are rolled from the build of another commit to the one at hand, whole, halfway or back

The one build that was ever played was the one at hand. All machines can now start with the build of a commit and begin again one after the other, gateways or replicas first, to the end, halfway for good or back. Without faults, each refusal during the roll counts as broken.

--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -44,7 +44,8 @@
   quotaSlack: 20,
 };
 
-const PROGRAM = resolve('target/main.mjs');
+/** The program of the build at hand. */
+export const PROGRAM = resolve('target/main.mjs');
 const HEAP_MEGABYTES = 160;
 /** Loaded before the program where there is a disk. */
 const RECORDER = pathToFileURL(resolve('dist/soak/record-disk.js')).href;
@@ -104,6 +105,8 @@
   constructor(
     readonly machine: SoakMachine,
     private readonly folder: string,
+    /** What it starts with the next time: that of the build at hand, or of another. */
+    public program: string,
   ) {
     mkdirSync(folder, { recursive: true });
     this.disk = { root: dataFolder(folder), ledger: join(folder, 'disk-ledger') };
@@ -169,7 +172,7 @@
 
   private words(): string[] {
     const recorder = this.machine.role === 'replica' ? ['--import', RECORDER] : [];
-    return [`--max-old-space-size=${HEAP_MEGABYTES}`, ...recorder, PROGRAM, this.machine.role];
+    return [`--max-old-space-size=${HEAP_MEGABYTES}`, ...recorder, this.program, this.machine.role];
   }
 
   private environment(settingsFile: string): NodeJS.ProcessEnv {
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -4,22 +4,28 @@
  */
 import type { StoreMode } from '../platform/stand-in/store-server.js';
 import { CONFIGURATION_KEY, RETIRE_PREFIX, RETIRE_STATUS_PREFIX } from '../platform/store-keys.js';
-import type { RunnerBehaviour } from '../src/emulator/relay-runner.js';
 import { createRandom } from '../src/runtime/random.js';
 import type { RandomSource } from '../src/runtime/random.js';
 import { ConfigurationCheck } from './configuration-check.js';
 import type { FaultProxy, ProxyMode } from './fault-proxy.js';
 import { addLoss } from './power-loss-counts.js';
 import type { PowerLossCounts } from './power-loss-counts.js';
-import { SOAK_CATCH_UP_MILLISECONDS } from './platform-process.js';
-import type { PlatformProcess } from './platform-process.js';
+import { PROGRAM, SOAK_CATCH_UP_MILLISECONDS } from './platform-process.js';
+import type { PlatformProcess, PlatformRole } from './platform-process.js';
 import { RecoveryCheck } from './recovery-check.js';
 import { SoakClient } from './soak-client.js';
 import type { SoakCounts } from './soak-client.js';
-import type { SoakOptions, SoakReport } from './soak-report.js';
+import type { RunningSoak, SoakOptions, SoakReport } from './soak-report.js';
 import { SoakConfiguration } from './soak-configuration.js';
-import { FAULTS, REPLICAS_TOGETHER, STORE_FAULTS, targetsOf } from './soak-faults.js';
+import {
+  FAULTS,
+  MISBEHAVIOURS,
+  REPLICAS_TOGETHER,
+  STORE_FAULTS,
+  targetsOf,
+} from './soak-faults.js';
 import type { Fault, FaultTargets } from './soak-faults.js';
+import { SoakUpgrade } from './soak-upgrade.js';
 import { SoakWorld } from './soak-world.js';
 import { TenantCheck } from './tenant-check.js';
 
@@ -30,20 +36,13 @@
 /** Part of the faults that begin while another lasts. */
 const OVERLAP = 0.5;
 const LONGEST_OVERLAP_MILLISECONDS = 1_200;
-const MISBEHAVIOURS: readonly RunnerBehaviour[] = [
-  'refuse',
-  'loseAnswer',
-  'wrongId',
-  'unsigned',
-  'extraAnswer',
-  'cutOff',
-  'falsePromise',
-  'fail',
-  'unframed',
-];
 
 /** Time within which a machine is to be reported empty, in milliseconds: that of the users' deployments. */
 const EMPTYING_MILLISECONDS = 8_000;
+/** What stands for a machine that changes its build, beside the faults. */
+const ROLL = 'roll';
+/** Time after the start of a machine of another build in which nothing else strikes it, in milliseconds. */
+const ROLL_MILLISECONDS = 2_000;
 /** Pause before another fault is drawn when one can not be struck now, in milliseconds. */
 const SOAK_STEP_MILLISECONDS = 50;
 
@@ -69,17 +68,20 @@
   private readonly pairs: Record<string, number> = {};
   private readonly lost: PowerLossCounts = { disks: 0, names: 0, bytes: 0 };
   /** Faults that last, and what each of them strikes: a machine, or the store. */
-  private readonly lasting = new Map<Fault, readonly string[]>();
+  private readonly lasting = new Map<Fault | typeof ROLL, readonly string[]>();
   private readonly configuration: ConfigurationCheck;
   private readonly tenants: TenantCheck;
   private readonly recovery: RecoveryCheck;
+  private readonly upgrade: SoakUpgrade | undefined;
 
   constructor(private readonly options: SoakOptions) {
     this.random = createRandom(options.seed, 'soak');
     this.configurations = new SoakConfiguration(this.random);
     const { gatewayCount = GATEWAYS, replicaCount = REPLICAS, block = 0 } = options;
     const sizes = { gatewayCount, replicaCount, runnerCount: RUNNERS };
-    this.world = new SoakWorld({ ...sizes, block });
+    const program = options.upgrade?.program ?? PROGRAM;
+    const { hasStrangeEntries = true } = options;
+    this.world = new SoakWorld({ ...sizes, block, program, hasStrangeEntries });
     const { gatewayHosts, runners } = this.world;
     const violate = (promise: string, detail: string): void => {
       this.violations.push(`${promise}: ${detail}`);
@@ -91,6 +93,13 @@
       newClient: (name, counts) => this.client(name, counts),
       violate,
     });
+    if (options.upgrade !== undefined) {
+      const { counts, world } = this;
+      const reserve = (machine: PlatformProcess, action: () => Promise<void>): Promise<void> =>
+        this.reserve(machine, action);
+      const of = (role: PlatformRole): PlatformProcess[] => world.of(role);
+      this.upgrade = new SoakUpgrade({ plan: options.upgrade, of, counts, reserve });
+    }
   }
 
   async run(): Promise<SoakReport> {
@@ -104,7 +113,14 @@
     const work = clients.map((client) => client.run(() => over));
     work.push(this.configuration.run(() => over));
     work.push(this.tenants.run(() => over));
-    await this.strikeUntil(performance.now() + this.options.minutes * 60_000);
+    const until = performance.now() + this.options.minutes * 60_000;
+    let isRolled = false;
+    const rolled = this.upgrade?.run().then(() => (isRolled = true));
+    await this.strikeUntil(() => performance.now() >= until && (rolled === undefined || isRolled));
+    await rolled;
+    if (this.options.faults?.length === 0) {
+      this.violations.push(...(this.upgrade?.refusals ?? []));
+    }
     this.note('loseAllPower');
     await this.strikeOnce('loseAllPower', targetsOf('loseAllPower', this.drawTargets()));
     over = true;
@@ -120,17 +136,22 @@
     const { oldKeyRequests, limitedAnswers } = this.tenants;
     const looks = { configurationLooks, oldKeyRequests, limitedAnswers };
     const { recoveries } = this.recovery;
-    return { seed, counts, faults, pairs, ...looks, recoveries, lost, violations, folder };
+    const upgrade = this.upgrade?.steps ?? [];
+    return { seed, counts, faults, pairs, ...looks, recoveries, lost, upgrade, violations, folder };
   }
 
   /** Strikes in series, and now and then while another fault lasts. */
-  private async strikeUntil(until: number): Promise<void> {
+  private async strikeUntil(isOver: () => boolean): Promise<void> {
+    const { faults = FAULTS } = this.options;
     let lasting: Promise<void>[] = [];
-    while (performance.now() < until) {
-      const fault = this.random.pick(this.options.faults ?? FAULTS);
+    while (!isOver()) {
+      if (faults.length === 0) {
+        await sleep(SOAK_STEP_MILLISECONDS);
+        continue;
+      }
+      const fault = this.random.pick(faults);
       const struck = targetsOf(fault, this.drawTargets());
-      const taken = new Set([...this.lasting.values()].flat());
-      if (this.lasting.has(fault) || struck.some((target) => taken.has(target))) {
+      if (this.lasting.has(fault) || this.isTaken(struck)) {
         await sleep(SOAK_STEP_MILLISECONDS);
         continue;
       }
@@ -147,6 +168,26 @@
     await Promise.all(lasting);
   }
 
+  private isTaken(targets: readonly string[]): boolean {
+    const taken = new Set([...this.lasting.values()].flat());
+    return targets.some((target) => taken.has(target));
+  }
+
+  /** Lets a machine change its build: like a fault, never at the same time as one that strikes it. */
+  private async reserve(machine: PlatformProcess, action: () => Promise<void>): Promise<void> {
+    const { name, role, host } = machine.machine;
+    const targets = role === 'replica' ? [name, REPLICAS_TOGETHER] : [name];
+    while (this.isTaken(targets)) {
+      await sleep(SOAK_STEP_MILLISECONDS);
+    }
+    this.lasting.set(ROLL, targets);
+    const end = this.configuration.excuse([host]);
+    await action();
+    await sleep(ROLL_MILLISECONDS);
+    end();
+    this.lasting.delete(ROLL);
+  }
+
   private note(fault: Fault): void {
     this.faults[fault] = (this.faults[fault] ?? 0) + 1;
     for (const other of this.lasting.keys()) {
@@ -350,13 +391,6 @@
   }
 }
 
-/** A soak under way. */
-export interface RunningSoak {
-  readonly report: Promise<SoakReport>;
-  /** Ends all processes at once, for when the soak itself is to end. */
-  readonly killAll: () => void;
-}
-
 /** Runs one soak. */
 export function runSoak(options: SoakOptions): RunningSoak {
   const soak = new Soak(options);
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -1,4 +1,5 @@
 /** Kinds of faults of the soak, and what each strikes: two that strike the same never overlap. */
+import type { RunnerBehaviour } from '../src/emulator/relay-runner.js';
 
 /** Kinds of faults. */
 export const FAULTS = [
@@ -30,6 +31,19 @@
 /** One of these. */
 export type Fault = (typeof FAULTS)[number];
 
+/** What runners do wrong. */
+export const MISBEHAVIOURS: readonly RunnerBehaviour[] = [
+  'refuse',
+  'loseAnswer',
+  'wrongId',
+  'unsigned',
+  'extraAnswer',
+  'cutOff',
+  'falsePromise',
+  'fail',
+  'unframed',
+];
+
 /** Faults of the store: all gateways owe nothing of the configuration meanwhile. */
 export const STORE_FAULTS: ReadonlySet<Fault> = new Set([
   'storeRefuses',
--- a/soak/soak-report.ts
+++ b/soak/soak-report.ts
@@ -2,6 +2,7 @@
 import type { PowerLossCounts } from './power-loss-counts.js';
 import type { SoakCounts } from './soak-client.js';
 import type { Fault } from './soak-faults.js';
+import type { UpgradePlan, UpgradeStep } from './soak-upgrade.js';
 
 /** What a soak is run with. */
 export interface SoakOptions {
@@ -17,6 +18,10 @@
   readonly faults?: readonly Fault[];
   /** Block of addresses, so that soaks can run beside one another. @default 0 */
   readonly block?: number;
+  /** Whether entries of other writers stand in the store; older builds end over them. @default true */
+  readonly hasStrangeEntries?: boolean;
+  /** Machines that change their build meanwhile. @default none */
+  readonly upgrade?: UpgradePlan | undefined;
 }
 
 /** What a soak showed. */
@@ -36,7 +41,16 @@
   readonly recoveries: readonly number[];
   /** What losses of power took that was not synced: that they bite. */
   readonly lost: PowerLossCounts;
+  /** Machines that were started with another build, in their order. */
+  readonly upgrade: readonly UpgradeStep[];
   readonly violations: readonly string[];
   /** Where the logs of the processes are. */
   readonly folder: string;
 }
+
+/** A soak under way. */
+export interface RunningSoak {
+  readonly report: Promise<SoakReport>;
+  /** Ends all processes at once, for when the soak itself is to end. */
+  readonly killAll: () => void;
+}
--- a/soak/soak-world.ts
+++ b/soak/soak-world.ts
@@ -20,6 +20,10 @@
   readonly runnerCount: number;
   /** Block of its addresses, see `SoakHosts`. */
   readonly block: number;
+  /** Program with which all machines start. */
+  readonly program: string;
+  /** Whether entries of other writers stand in the store. */
+  readonly hasStrangeEntries: boolean;
 }
 
 const STORE_PORT = 18142;
@@ -81,19 +85,20 @@
     for (let index = 0; index < this.options.runnerCount; index += 1) {
       await this.startRunner(index);
     }
-    STRANGE_ENTRIES.forEach((entry, place) =>
+    const strangeEntries = this.options.hasStrangeEntries ? STRANGE_ENTRIES : [];
+    strangeEntries.forEach((entry, place) =>
       this.store.put(`${RUNNER_PREFIX}stranger-${place}`, entry),
     );
   }
 
   /** Starts all processes; resolves when they have had time to find one another. */
   async startProcesses(): Promise<void> {
-    const { gatewayCount, replicaCount } = this.options;
+    const { gatewayCount, replicaCount, program } = this.options;
     for (let number = 1; number <= gatewayCount; number += 1) {
-      await this.startProcess('gateway', number, zoneOf(number));
+      await this.startProcess('gateway', number, zoneOf(number), program);
     }
     for (let number = 1; number <= replicaCount; number += 1) {
-      await this.startReplica(zoneOf(number));
+      await this.startReplica(zoneOf(number), program);
     }
     await new Promise((resolve) => setTimeout(resolve, START_MILLISECONDS));
   }
@@ -102,7 +107,7 @@
   async replaceReplica(gone: PlatformProcess): Promise<void> {
     this.processes.splice(this.processes.indexOf(gone), 1);
     this.gone.push(gone);
-    await this.startReplica(gone.machine.zone);
+    await this.startReplica(gone.machine.zone, gone.program);
   }
 
   /** Crashes a runner; another takes its address after a pause. */
@@ -125,12 +130,17 @@
     this.store.close();
   }
 
-  private async startReplica(zone: string): Promise<void> {
+  private async startReplica(zone: string, program: string): Promise<void> {
     this.startedReplicas += 1;
-    await this.startProcess('replica', this.startedReplicas, zone);
+    await this.startProcess('replica', this.startedReplicas, zone, program);
   }
 
-  private async startProcess(role: PlatformRole, number: number, zone: string): Promise<void> {
+  private async startProcess(
+    role: PlatformRole,
+    number: number,
+    zone: string,
+    program: string,
+  ): Promise<void> {
     const place = this.storeProxies.size + 1;
     const name = `${role}-${number}`;
     const proxy = new FaultProxy(this.hosts.of('store', 1), STORE_PORT);
@@ -143,7 +153,7 @@
     const machine = { name, role, host, zone, storeAddress, seeds };
     const folder = join(this.folder, name);
     mkdirSync(folder);
-    const process = new PlatformProcess(machine, folder);
+    const process = new PlatformProcess(machine, folder, program);
     this.processes.push(process);
     process.start();
   }
