Builds side by side: a replica is asked only what it reads, and what isn't known is answered so

Cause: a gateway of a newer build asked replicas of an older one with a kind of message that these don't know; they ended the connection, and with it the writes and reservations of others. A disk with a record of a strange kind ended the process that read it.

What a replica reads is learned for each connection: it tells it in the reply that every build understands; one that tells nothing is tried on a connection of its own. Until then, and to older ones, calls go out in their older form; a denial by who was not told the members counts as unsure. Strange kinds are answered notKnown and the connection stays; sections behind messages, records and proofs are passed over; a replica whose disk holds records of strange kinds is not complete. The record of members keeps fields of newer builds. Lives that tell of a tail begin one later: older builds draw 2^31 too.

--- /dev/null
+++ b/features/steps/older-replica.steps.ts
@@ -0,0 +1,205 @@
+/** Steps about calls to replicas of older builds, and to ones that are asked what they don't know: real sockets. */
+import assert from 'node:assert/strict';
+import { connect, createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { createRandom } from '../../src/runtime/random.js';
+import type { Runtime } from '../../src/runtime/runtime.js';
+import { MemberDirectory } from '../../src/turns/member-directory.js';
+import type { Member } from '../../src/turns/membership.js';
+import { MemoryTurnStorage } from '../../src/turns/memory-turn-storage.js';
+import {
+  decodeReplicaMessage,
+  encodeReplicaMessage,
+  REPLICA_KINDS,
+} from '../../src/turns/messages.js';
+import type { ChainState, ReplicaReply } from '../../src/turns/messages.js';
+import type { UnnumberedRequest } from '../../src/turns/replica-caller.js';
+import { encodeOwnKinds } from '../../src/turns/replica-forms.js';
+import { Replica } from '../../src/turns/replica.js';
+import { ReplicaServer } from '../../src/turns/replica-server.js';
+import { TcpReplicaCaller } from '../../src/turns/tcp-replica-caller.js';
+import { encodeFrame, FrameReader } from '../../src/wire/framing.js';
+
+const HOST = '127.0.0.1';
+const CALL_MILLISECONDS = 2_000;
+/** Time in which replies come on loopback. */
+const REPLY_MILLISECONDS = 200;
+/** Time after which the older replica answers a write. */
+const SLOW_MILLISECONDS = 50;
+/** Time in which a server listens. */
+const LISTEN_MILLISECONDS = 100;
+
+interface World {
+  olderServer?: Server;
+  olderSockets?: Socket[];
+  olderCaller?: TcpReplicaCaller;
+  olderMember: Member;
+  /** Names of the kinds in which chains were asked for on the first connection. */
+  askedForms: string[];
+  otherReply?: ReplicaReply | undefined;
+  servingReplica?: Replica;
+  replicaServer?: ReplicaServer;
+  servingPort: number;
+  replies: string[];
+}
+
+const runtime: Runtime = {
+  now: () => performance.now(),
+  wallTime: () => 0,
+  setTimer: (delay, callback) => {
+    const timer = setTimeout(callback, delay);
+    return () => clearTimeout(timer);
+  },
+  random: createRandom(1),
+  log: () => undefined,
+};
+
+/** Reads as many kinds as its build has, and ends the connection on others, as older builds do. */
+class OlderReplica {
+  constructor(
+    private readonly world: World,
+    private readonly kinds: number,
+    private readonly tellsKinds: boolean,
+    private readonly says: ChainState,
+  ) {}
+
+  serve(socket: Socket): void {
+    const { olderSockets } = this.world;
+    olderSockets!.push(socket);
+    const isFirst = olderSockets!.length === 1;
+    const reader = new FrameReader();
+    socket.on('error', () => undefined);
+    socket.on('data', (chunk: Buffer) => {
+      for (const content of reader.push(chunk)) {
+        if (content[0]! >= this.kinds) {
+          socket.destroy();
+          return;
+        }
+        this.take(socket, content, isFirst);
+      }
+    });
+  }
+
+  private take(socket: Socket, content: Buffer, isFirst: boolean): void {
+    const message = decodeReplicaMessage(content);
+    if (message.type === 'keep') {
+      const reply = { type: 'taken' as const, call: message.call, outcome: 'done' as const };
+      setTimeout(() => this.send(socket, reply), SLOW_MILLISECONDS);
+    } else if (message.type === 'chain' || message.type === 'chainUnder') {
+      const isProbe = message.turn === '';
+      if (isFirst && !isProbe) {
+        this.world.askedForms.push(message.type);
+      }
+      const body = isProbe && this.tellsKinds ? encodeOwnKinds() : Buffer.alloc(0);
+      const state = isProbe ? 'found' : this.says;
+      this.send(socket, { type: 'chained', call: message.call, state, body });
+    }
+  }
+
+  private send(socket: Socket, reply: ReplicaReply): void {
+    if (!socket.destroyed) {
+      socket.write(encodeFrame(encodeReplicaMessage(reply)));
+    }
+  }
+}
+
+After(function (this: World) {
+  this.olderCaller?.close();
+  this.olderSockets?.forEach((socket) => socket.destroy());
+  this.olderServer?.close();
+  this.replicaServer?.close();
+  this.servingReplica?.close();
+});
+
+Given(
+  /^a replica that reads (\d+) kinds, tells (nothing|all) of it and says of chains "(.*)"$/,
+  async function (this: World, kinds: string, told: string, says: ChainState) {
+    this.olderSockets = [];
+    this.askedForms = [];
+    this.replies = [];
+    const older = new OlderReplica(this, Number(kinds), told === 'all', says);
+    const server = createServer((socket) => older.serve(socket));
+    await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+    this.olderServer = server;
+    const { port } = server.address() as AddressInfo;
+    this.olderMember = { id: 'a', node: 'a', host: HOST, port, zone: 'z' };
+    this.olderCaller = new TcpReplicaCaller(runtime, () => undefined);
+  },
+);
+
+function ask(world: World, request: UnnumberedRequest): Promise<ReplicaReply | undefined> {
+  return new Promise((resolve) =>
+    world.olderCaller!.call(world.olderMember, request, CALL_MILLISECONDS, resolve),
+  );
+}
+
+When('a chain is asked for under members while another call waits', async function (this: World) {
+  const none = Buffer.alloc(0);
+  const turn = { id: 't', previous: '', input: none, output: none, retentionMilliseconds: 1 };
+  const other = ask(this, { type: 'keep', epoch: 1, turn });
+  const reply = await ask(this, { type: 'chainUnder', epoch: 1, turn: 't' });
+  this.replies.push(reply?.type === 'chained' ? reply.state : String(reply?.type));
+  this.otherReply = await other;
+});
+
+When('it is asked for the silences of others', async function (this: World) {
+  const reply = await ask(this, { type: 'askSilences' });
+  this.replies.push(String(reply?.type));
+});
+
+Then(
+  'the answer is {string}, asked for as {string}',
+  function (this: World, answer: string, form: string) {
+    assert.deepEqual(this.replies, [answer]);
+    assert.deepEqual(this.askedForms, form === 'nothing' ? [] : [form]);
+  },
+);
+
+Then(
+  'the other call is answered, and {int} connection(s) were made',
+  function (this: World, connections: number) {
+    assert.equal(this.otherReply?.type, 'taken');
+    assert.equal(this.olderSockets!.length, connections);
+  },
+);
+
+Given('a replica that serves', async function (this: World) {
+  const directory = new MemberDirectory(runtime);
+  const storage = new MemoryTurnStorage(runtime);
+  this.servingReplica = new Replica({ id: 'a', runtime, storage, directory });
+  const free = createServer().listen(0, HOST);
+  await pause(LISTEN_MILLISECONDS);
+  this.servingPort = (free.address() as AddressInfo).port;
+  free.close();
+  this.replicaServer = new ReplicaServer(this.servingReplica, directory, runtime);
+  await new Promise<void>((resolve) => this.replicaServer!.listen(HOST, this.servingPort, resolve));
+});
+
+When(
+  "it gets a message of a kind beyond today's, and then a question that it knows",
+  async function (this: World) {
+    this.replies = [];
+    const socket = connect({ host: HOST, port: this.servingPort });
+    const reader = new FrameReader();
+    socket.on('data', (chunk: Buffer) => {
+      for (const content of reader.push(chunk)) {
+        const reply = decodeReplicaMessage(content);
+        this.replies.push(`${reply.type} ${'call' in reply ? reply.call : ''}`);
+      }
+    });
+    const strange = Buffer.from([REPLICA_KINDS.length, 0, 0, 0, 7, 1, 2, 3]);
+    socket.write(encodeFrame(strange));
+    socket.write(encodeFrame(encodeReplicaMessage({ type: 'chain', call: 8, turn: '' })));
+    await pause(REPLY_MILLISECONDS);
+    socket.destroy();
+  },
+);
+
+Then(
+  'it says of the first that it is not known, and answers the second on the same connection',
+  function (this: World) {
+    assert.deepEqual(this.replies, ['notKnown 7', 'chained 8']);
+  },
+);
--- /dev/null
+++ b/features/steps/two-builds.steps.ts
@@ -0,0 +1,278 @@
+/** Steps about builds that run side by side: frozen bytes of older ones, and strange bytes of newer ones. */
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import { crc32 } from 'node:zlib';
+import { Given, Then } from '@cucumber/cucumber';
+import fc from 'fast-check';
+import { ConfigurationProof } from '../../src/mirror/configuration-proof.js';
+import { ProofExchange } from '../../src/peers/proof-exchange.js';
+import { decodeLoadMessage, encodeLoadMessage } from '../../src/peers/load-message.js';
+import type { LoadMessage } from '../../src/peers/load-message.js';
+import { createRandom } from '../../src/runtime/random.js';
+import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
+import { VirtualClock } from '../../src/simulation/virtual-clock.js';
+import { MemberDirectory } from '../../src/turns/member-directory.js';
+import {
+  decodeMemberRecord,
+  encodeMemberRecord,
+  withMember,
+  withoutMember,
+} from '../../src/turns/membership.js';
+import type { MemberRecord } from '../../src/turns/membership.js';
+import {
+  decodeReplicaMessage,
+  encodeReplicaMessage,
+  REPLICA_KINDS,
+} from '../../src/turns/messages.js';
+import type { ReplicaMessage } from '../../src/turns/messages.js';
+import { MemoryTurnStorage } from '../../src/turns/memory-turn-storage.js';
+import { Replica } from '../../src/turns/replica.js';
+import { decodeSegment, encodeRecord } from '../../src/turns/segment-codec.js';
+import type { WrittenChange } from '../../src/turns/turn-storage.js';
+import { anyChange, anyMessage, anySections, MESSAGE_FIELDS } from '../support/wire-arbitraries.js';
+
+interface Sample {
+  readonly form: 'message' | 'record' | 'load' | 'members' | 'proof';
+  readonly value: { readonly type?: string };
+  readonly hex: string;
+}
+
+interface World {
+  samples: readonly Sample[];
+  builtReplica: Replica;
+}
+
+/** Bytes of kinds that came after the oldest build that is met, with the call 9. */
+const NEWER_MESSAGES: Readonly<Record<string, string>> = { notKnown: '1400000009' };
+const RECORD_HEADER_BYTES = 8;
+const UNKNOWN_RECORD_KIND = 4;
+
+/** Buffers stand in the samples as `{ bytes: hex }`. */
+function revive(_key: string, value: unknown): unknown {
+  const bytes = (value as { bytes?: unknown } | null)?.bytes;
+  return typeof bytes === 'string' ? Buffer.from(bytes, 'hex') : value;
+}
+
+function samplesOf(build: string): readonly Sample[] {
+  const text = readFileSync(`features/support/frozen-${build}.json`, 'utf8');
+  const { commit, samples } = JSON.parse(text, revive) as { commit: string; samples: Sample[] };
+  assert.ok(commit.startsWith(build));
+  return samples;
+}
+
+function plainOf(value: unknown): unknown {
+  return JSON.parse(JSON.stringify(value));
+}
+
+/** A gateway's side of the exchange of proofs, with what it sends, as hexadecimal text. */
+function proofExchange(): { sent: string[]; take: (bytes: Uint8Array) => void } {
+  const clock = new VirtualClock();
+  const runtime = new SimulatedProcess('g', clock, createRandom(1)).begin();
+  const proof = new ConfigurationProof(runtime, () => 12);
+  const sent: string[] = [];
+  let take: (bytes: Uint8Array, from: string) => void = () => undefined;
+  const datagrams = {
+    send: (bytes: Uint8Array): void => void sent.push(Buffer.from(bytes).toString('hex')),
+    onDatagram: (listener: typeof take): void => void (take = listener),
+    close: (): void => undefined,
+  };
+  clock.runUntil(1_000);
+  proof.note({ revision: 12, provenAt: runtime.now() - 40 });
+  new ProofExchange({ runtime, datagrams, proof, hostsToAsk: () => [], isNeeded: () => false });
+  return { sent, take: (bytes) => take(bytes, 'h') };
+}
+
+function checkProof({ value, hex }: Sample, questions: readonly string[]): void {
+  if (value.type === 'question') {
+    const { sent, take } = proofExchange();
+    take(Buffer.from(hex, 'hex'));
+    assert.equal(sent.length, 1, 'a question of an older build is answered');
+  } else {
+    assert.ok(questions.length > 0);
+    const { sent, take } = proofExchange();
+    take(Buffer.from(questions[0]!, 'hex'));
+    assert.equal(sent[0], hex, 'an answer has the bytes that older builds read');
+  }
+}
+
+const READERS: Readonly<Record<Sample['form'], (sample: Sample, all: readonly Sample[]) => void>> =
+  {
+    message: ({ value, hex }) => {
+      const message = decodeReplicaMessage(Buffer.from(hex, 'hex'));
+      assert.deepEqual(plainOf(message), plainOf(value));
+      const encoded = encodeReplicaMessage(message as ReplicaMessage);
+      assert.equal(Buffer.from(encoded).toString('hex'), hex);
+    },
+    record: ({ value, hex }) => {
+      const found: WrittenChange[] = [];
+      decodeSegment(Buffer.from(hex, 'hex'), (change) => found.push(change));
+      assert.deepEqual(plainOf(found), plainOf([value]));
+      assert.equal(encodeRecord(found[0]!).toString('hex'), hex);
+    },
+    load: ({ value, hex }) => {
+      const message = decodeLoadMessage(Buffer.from(hex, 'hex'));
+      assert.deepEqual(plainOf(message), plainOf({ ...value, tallies: [] }));
+      const encoded = encodeLoadMessage(message as LoadMessage);
+      assert.equal(Buffer.from(encoded).toString('hex'), hex);
+    },
+    members: ({ value, hex }) => {
+      const text = Buffer.from(hex, 'hex').toString('utf8');
+      assert.deepEqual(plainOf(decodeMemberRecord(text)), plainOf(value));
+      assert.equal(encodeMemberRecord(decodeMemberRecord(text)!), text);
+    },
+    proof: (sample, all) =>
+      checkProof(
+        sample,
+        all.filter(({ value }) => value.type === 'question').map(({ hex }) => hex),
+      ),
+  };
+
+Given('the samples of build {string}', function (this: World, build: string) {
+  this.samples = samplesOf(build);
+});
+
+Then('each is read as what it was made of, and made of that again', function (this: World) {
+  this.samples.forEach((sample) => READERS[sample.form](sample, this.samples));
+});
+
+Then(
+  /^its kinds of messages are the first (\d+) of today's$/,
+  function (this: World, count: string) {
+    const kinds = this.samples.flatMap(({ form, value }) => (form === 'message' ? value.type : []));
+    assert.deepEqual(kinds, REPLICA_KINDS.slice(0, Number(count)));
+  },
+);
+
+Then(
+  'the kinds of messages beyond those of {string} have the bytes that were declared for them',
+  function (build: string) {
+    const frozen = samplesOf(build).filter(({ form }) => form === 'message').length;
+    const newer = REPLICA_KINDS.slice(frozen);
+    assert.deepEqual(newer, Object.keys(NEWER_MESSAGES));
+    assert.deepEqual(Object.keys(MESSAGE_FIELDS), [...REPLICA_KINDS]);
+    for (const type of newer) {
+      const encoded = encodeReplicaMessage({ type, call: 9 } as ReplicaMessage);
+      assert.equal(Buffer.from(encoded).toString('hex'), NEWER_MESSAGES[type]);
+    }
+  },
+);
+
+Then('the kinds of records on disk are those of {string}', function (build: string) {
+  const frozen = samplesOf(build).filter(({ form }) => form === 'record');
+  const kinds = frozen.map(({ hex }) => Buffer.from(hex, 'hex')[RECORD_HEADER_BYTES]);
+  assert.deepEqual(kinds, [0, 1, 2, 3]);
+  const { unknownRecords } = decodeSegment(
+    recordOf(Buffer.from([UNKNOWN_RECORD_KIND])),
+    () => undefined,
+  );
+  assert.equal(unknownRecords, 1, 'a kind that is added has its sample here');
+});
+
+function recordOf(content: Uint8Array): Buffer {
+  const header = Buffer.alloc(RECORD_HEADER_BYTES);
+  header.writeUInt32LE(content.length, 0);
+  header.writeUInt32LE(crc32(content), 4);
+  return Buffer.concat([header, content]);
+}
+
+Then('any message is read the same with any sections behind it', function () {
+  fc.assert(
+    fc.property(anyMessage, anySections, (message, sections) => {
+      const encoded = encodeReplicaMessage(message);
+      assert.deepEqual(decodeReplicaMessage(Buffer.from(encoded)), message);
+      assert.deepEqual(decodeReplicaMessage(Buffer.concat([encoded, sections])), message);
+    }),
+    { numRuns: 1_000 },
+  );
+});
+
+Then("any message of a kind beyond today's is told as unknown, with its call", function () {
+  const kinds = fc.integer({ min: REPLICA_KINDS.length, max: 0xff });
+  fc.assert(
+    fc.property(kinds, fc.nat(0xffff_ffff), fc.uint8Array(), (kind, call, rest) => {
+      const head = Buffer.alloc(5);
+      head.writeUInt8(kind, 0);
+      head.writeUInt32BE(call, 1);
+      const message = decodeReplicaMessage(Buffer.concat([head, rest]));
+      assert.deepEqual(message, { type: 'unknown', kind, call });
+    }),
+  );
+});
+
+Then(
+  'any record is read the same with any sections behind it and strange records between',
+  function () {
+    const kinds = fc.integer({ min: UNKNOWN_RECORD_KIND, max: 0xff });
+    const strange = fc
+      .tuple(kinds, fc.uint8Array())
+      .map(([kind, rest]) => recordOf(Uint8Array.of(kind, ...rest)));
+    const known = fc.tuple(anyChange, fc.option(anySections, { nil: Buffer.alloc(0) }));
+    fc.assert(
+      fc.property(fc.array(known), fc.array(strange), (changes, others) => {
+        const records = changes.map(([change, sections]) => {
+          const content = encodeRecord(change).subarray(RECORD_HEADER_BYTES);
+          return recordOf(Buffer.concat([content, sections]));
+        });
+        const mixed = records.flatMap((each, place) => [each, others[place] ?? Buffer.alloc(0)]);
+        const rest = others.slice(records.length);
+        const found: WrittenChange[] = [];
+        const segment = Buffer.concat([...mixed, ...rest]);
+        const read = decodeSegment(segment, (change) => found.push(change));
+        assert.deepEqual(
+          found,
+          changes.map(([change]) => change),
+        );
+        assert.equal(read.unknownRecords, others.length);
+        assert.equal(read.tornBytes, 0);
+      }),
+    );
+  },
+);
+
+Then(
+  'a message between gateways about proofs is read the same with sections behind it',
+  function () {
+    const question = samplesOf('8a76974').find(({ value }) => value.type === 'question')!;
+    fc.assert(
+      fc.property(anySections, (sections) => {
+        const { sent, take } = proofExchange();
+        take(Buffer.concat([Buffer.from(question.hex, 'hex'), sections]));
+        take(Uint8Array.of(9, 1, 2, 3));
+        assert.equal(sent.length, 1);
+      }),
+    );
+  },
+);
+
+Then('fields of a newer build stay in the record of members when that changes', function () {
+  const sample = samplesOf('8a76974').find(({ form }) => form === 'members')!;
+  const value = sample.value as unknown as MemberRecord;
+  const [first, ...others] = value.members;
+  const grown = { ...value, later: 7, members: [{ ...first!, build: 'x' }, ...others] };
+  const read = decodeMemberRecord(JSON.stringify(grown))!;
+  const more = withMember(read, { ...first!, id: 'n3' });
+  const text = encodeMemberRecord(withoutMember(more, others[0]!.id));
+  const changed = JSON.parse(text) as MemberRecord & { later: number };
+  assert.equal(changed.later, 7);
+  assert.equal(changed.epoch, value.epoch + 2);
+  assert.equal((changed.members[0] as unknown as { build: string }).build, 'x');
+});
+
+Given(
+  /^a replica that was complete, and (\d+) records? of a newer build on its disk$/,
+  function (this: World, unknownRecords: string) {
+    const runtime = new SimulatedProcess('r', new VirtualClock(), createRandom(1)).begin();
+    const storage = new MemoryTurnStorage(runtime);
+    const directory = new MemberDirectory(runtime);
+    this.builtReplica = new Replica({ id: 'r', runtime, storage, directory });
+    this.builtReplica.restore({ tag: 'meta', meta: { ready: true, members: '' } });
+    this.builtReplica.endRestore(Number(unknownRecords));
+    this.builtReplica.close();
+  },
+);
+
+Then(/^it begins as one that is (not )?complete$/, function (this: World, not: string | null) {
+  assert.equal(this.builtReplica.ready, not === null);
+  const [meta] = this.builtReplica.liveChanges();
+  assert.deepEqual(meta, { tag: 'meta', meta: { ready: not === null, members: '' } });
+});
--- /dev/null
+++ b/features/support/wire-arbitraries.ts
@@ -0,0 +1,108 @@
+/** Any messages between gateways and replicas, any changes on disk, and any sections behind them. */
+import fc from 'fast-check';
+import { CHAIN_STATES, REPLICA_OUTCOMES } from '../../src/turns/messages.js';
+import type { ReplicaMessage } from '../../src/turns/messages.js';
+import type { JoinToken } from '../../src/turns/membership.js';
+import type { WrittenChange } from '../../src/turns/turn-storage.js';
+import { encodeSections } from '../../src/wire/sections.js';
+
+const plain = { noNullPrototype: true };
+const text = fc.string({ maxLength: 20 });
+const whole = fc.nat(0xffff_ffff);
+const amount = fc.double({ min: 0, max: 1e12, noNaN: true });
+const bytes = fc.uint8Array({ maxLength: 40 }).map((array) => Buffer.from(array));
+const entry = fc.record(
+  {
+    program: text,
+    turn: text,
+    mostTokens: amount,
+    usedTokens: fc.option(amount, { nil: undefined }),
+  },
+  plain,
+);
+const turn = fc.record(
+  { id: text, previous: text, input: bytes, output: bytes, retentionMilliseconds: amount },
+  plain,
+);
+const outcome = fc.constantFrom(...REPLICA_OUTCOMES);
+const quota = fc.record(
+  { tenant: text, version: amount, ratePerSecond: amount, burst: amount },
+  plain,
+);
+const word = fc.record({ member: text, milliseconds: amount, wasHeard: fc.boolean() }, plain);
+
+const pulled = {
+  call: whole,
+  active: fc.boolean(),
+  epoch: whole,
+  log: text,
+  next: amount,
+  end: amount,
+  digests: bytes,
+  turns: fc.array(text),
+};
+
+type Fields = Record<string, fc.Arbitrary<unknown>>;
+
+/** Fields of each kind, by its name. */
+export const MESSAGE_FIELDS: Readonly<Record<string, Fields>> = {
+  reserve: { call: whole, epoch: whole, entry },
+  settle: { entry },
+  keep: { call: whole, epoch: whole, turn },
+  chain: { call: whole, turn: text },
+  pull: { call: whole, from: text, members: text, log: text, after: amount },
+  fetch: { call: whole, turns: fc.array(text) },
+  taken: { call: whole, outcome },
+  account: { call: whole, outcome, entries: fc.array(entry) },
+  chained: { call: whole, state: fc.constantFrom(...CHAIN_STATES), body: bytes },
+  pulled,
+  fetched: { call: whole, turns: fc.array(turn) },
+  members: { record: text },
+  readEntries: { call: whole, digests: bytes },
+  entriesRead: { call: whole, entries: fc.array(entry) },
+  spend: { call: whole, epoch: whole, quota, beginsRequests: amount, patienceMilliseconds: amount },
+  spent: { call: whole, outcome, granted: fc.boolean(), waitMilliseconds: amount },
+  pulledFresh: pulled,
+  askSilences: { call: whole },
+  silencesTold: { call: whole, from: text, words: fc.array(word) },
+  chainUnder: { call: whole, epoch: whole, turn: text },
+  notKnown: { call: whole },
+};
+
+/** Any message of any kind. */
+export const anyMessage = fc.oneof(
+  ...Object.entries(MESSAGE_FIELDS).map(([type, fields]) =>
+    fc.record({ type: fc.constant(type), ...fields }, plain),
+  ),
+) as unknown as fc.Arbitrary<ReplicaMessage>;
+
+/** Any change that is written. */
+export const anyChange: fc.Arbitrary<WrittenChange> = fc.oneof(
+  fc.record(
+    {
+      tag: fc.constant('meta' as const),
+      meta: fc.record({ ready: fc.boolean(), members: text }, plain),
+    },
+    plain,
+  ),
+  fc.record(
+    { tag: fc.constant('entry' as const), entry: fc.record({ entry, storedAt: amount }, plain) },
+    plain,
+  ),
+  fc.record(
+    { tag: fc.constant('turn' as const), turn: fc.record({ turn, storedAt: amount }, plain) },
+    plain,
+  ),
+  fc.record(
+    { tag: fc.constant('joining' as const), token: text.map((name) => name as JoinToken) },
+    plain,
+  ),
+);
+
+/** Sections of any kinds, as bytes. */
+export const anySections = fc
+  .array(fc.record({ kind: fc.nat(0xff), content: fc.uint8Array({ maxLength: 30 }) }, plain), {
+    minLength: 1,
+    maxLength: 4,
+  })
+  .map(encodeSections);
--- a/src/peers/load-message.ts
+++ b/src/peers/load-message.ts
@@ -91,9 +91,9 @@
 
 /**
  * Lives from here on are of processes that read a tail of sections behind the fields above; earlier builds
- * drew theirs below, and refuse a datagram with a tail.
+ * drew theirs below, up to 2^31, and refuse a datagram with a tail.
  */
-export const FIRST_LIFE_WITH_TAIL = 2 ** 31;
+export const FIRST_LIFE_WITH_TAIL = 2 ** 31 + 1;
 
 /** Kinds of sections in the tail: append only, a number is never used again. */
 const TALLIES_SECTION = 1;
--- a/src/peers/message-writer.ts
+++ b/src/peers/message-writer.ts
@@ -32,7 +32,7 @@
 /** Peers named in a message. */
 const NAMED_PEERS = 4;
 /** Lives that are told apart: of so many two hardly ever fall together. */
-const LIVES = 2 ** 31;
+const LIVES = 2 ** 31 - 1;
 
 /** See the head of this file. */
 export class MessageWriter {
--- a/src/peers/proof-exchange.ts
+++ b/src/peers/proof-exchange.ts
@@ -7,7 +7,8 @@
 import type { ConfigurationProof } from '../mirror/configuration-proof.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import { setRepeatingTimer } from '../runtime/runtime.js';
-import { count, decodeField, encodeField, real, TaggedUnion } from '../wire/fields.js';
+import { count, encodeField, real, TaggedUnion } from '../wire/fields.js';
+import { decodeGrown } from '../wire/sections.js';
 import type { DatagramPort } from './datagram-port.js';
 
 /** A question with the asker's life and local time, which come back in the answer. */
@@ -114,9 +115,10 @@
   }
 }
 
+/** A message with whatever sections behind it; undefined when it is none that is known here. */
 function decode(bytes: Uint8Array): ProofQuestion | ProofAnswer | undefined {
   try {
-    const decoded = decodeField(message, bytes) as ProofQuestion | ProofAnswer;
+    const decoded = decodeGrown(message, bytes).value as ProofQuestion | ProofAnswer;
     const numbers = Object.values(decoded).filter((value) => typeof value === 'number');
     return numbers.every(Number.isFinite) ? decoded : undefined;
   } catch {
--- a/src/turns/membership.ts
+++ b/src/turns/membership.ts
@@ -24,7 +24,7 @@
 /** Names one joining of one replica. */
 export type JoinToken = string & { readonly brand: 'JoinToken' };
 
-/** The members of one epoch. */
+/** The members of one epoch. Fields that a newer build has added stay in it, whoever changes the record. */
 export interface MemberRecord {
   /** Rises by one with each change. */
   readonly epoch: number;
@@ -92,13 +92,14 @@
 
 /** The record with one member more. */
 export function withMember(record: MemberRecord | undefined, member: Member): MemberRecord {
-  return { epoch: (record?.epoch ?? 0) + 1, members: [...(record?.members ?? []), member] };
+  const members = [...(record?.members ?? []), member];
+  return { ...record, epoch: (record?.epoch ?? 0) + 1, members };
 }
 
 /** The record with one member fewer. */
 export function withoutMember(record: MemberRecord, id: string): MemberRecord {
   const members = record.members.filter((member) => member.id !== id);
-  return { epoch: record.epoch + 1, members };
+  return { ...record, epoch: record.epoch + 1, members };
 }
 
 /** Whether a member is in the record. */
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -2,7 +2,6 @@
 import * as r from 'restructure';
 import {
   count,
-  decodeField,
   encodeField,
   flag,
   listOf,
@@ -12,7 +11,10 @@
   record,
   shortText,
   TaggedUnion,
+  UnknownKindError,
 } from '../wire/fields.js';
+import { decodeGrown } from '../wire/sections.js';
+import type { UnionBranch } from '../wire/fields.js';
 import type { Reservation } from './account.js';
 import type { KeptTurn } from './kept-turn.js';
 import type { SilenceWord } from './member-silence.js';
@@ -105,6 +107,8 @@
     }
   | { type: 'fetched'; call: number; turns: KeptTurn[] }
   | { type: 'entriesRead'; call: number; entries: AccountEntry[] }
+  /** The request is of a kind that this build doesn't know: it was not taken. */
+  | { type: 'notKnown'; call: number }
   | { type: 'silencesTold'; call: number; from: string; words: SilenceWord[] }
   | ({ type: 'spent'; call: number; outcome: ReplicaOutcome } & QuotaDecision);
 
@@ -184,8 +188,12 @@
   turns: listOf(shortText),
 };
 
-/** Append only: a branch's place is its number on the wire. */
-const message = new TaggedUnion([
+/**
+ * Append only: a branch's place is its number on the wire. Each one that is added begins with `call`, 0 where
+ * nothing is answered, so that a build that doesn't know it can say so. What a message carries besides goes into
+ * sections behind it.
+ */
+const BRANCHES: readonly UnionBranch[] = [
   { type: 'reserve', fields: { call: count, epoch: count, entry: accountEntryField } },
   { type: 'settle', fields: { entry: accountEntryField } },
   { type: 'keep', fields: { call: count, epoch: count, turn: keptTurnField } },
@@ -221,14 +229,42 @@
     fields: { call: count, from: shortText, words: listOf(silenceWord) },
   },
   { type: 'chainUnder', fields: { call: count, epoch: count, turn: shortText } },
-]);
+  { type: 'notKnown', fields: { call: count } },
+];
+const message = new TaggedUnion(BRANCHES);
+
+/** Names of all kinds, in the order of their numbers. */
+export const REPLICA_KINDS: readonly string[] = BRANCHES.map(({ type }) => type);
+
+/** Number of a message's kind. */
+export function kindOf(value: { readonly type: string }): number {
+  return message.numberOf(value);
+}
 
 /** Encodes a message without its frame. */
 export function encodeReplicaMessage(value: ReplicaMessage): Uint8Array {
   return encodeField(message, value);
 }
 
-/** Decodes the content of a frame. Throws on bytes that are no message. */
-export function decodeReplicaMessage(content: Buffer): ReplicaMessage {
-  return decodeField(message, content) as ReplicaMessage;
+/** A message of a kind that only newer builds know. */
+export interface UnknownMessage {
+  readonly type: 'unknown';
+  readonly kind: number;
+  /** Its call; 0 where nobody waits for a reply. */
+  readonly call: number;
+}
+
+const KIND_BYTES = 1;
+const CALL_BYTES = 4;
+
+/** Decodes the content of a frame. Throws on bytes that are no message of any build. */
+export function decodeReplicaMessage(content: Buffer): ReplicaMessage | UnknownMessage {
+  try {
+    return decodeGrown(message, content).value as ReplicaMessage;
+  } catch (cause) {
+    if (cause instanceof UnknownKindError && content.length >= KIND_BYTES + CALL_BYTES) {
+      return { type: 'unknown', kind: cause.kind, call: content.readUInt32BE(KIND_BYTES) };
+    }
+    throw cause;
+  }
 }
--- a/src/turns/replica-server.ts
+++ b/src/turns/replica-server.ts
@@ -5,7 +5,13 @@
 import { encodeFrame, FrameReader } from '../wire/framing.js';
 import type { MemberDirectory } from './member-directory.js';
 import { decodeReplicaMessage, encodeReplicaMessage } from './messages.js';
-import type { ReplicaMessage, ReplicaRequest } from './messages.js';
+import type {
+  MembersMessage,
+  ReplicaMessage,
+  ReplicaReply,
+  ReplicaRequest,
+  UnknownMessage,
+} from './messages.js';
 import type { Replica } from './replica.js';
 
 /** Bytes of replies that may wait for one caller; a slower one is cut off. */
@@ -16,6 +22,8 @@
 export class ReplicaServer {
   private readonly sockets = new Set<Socket>();
   private readonly server: Server;
+  /** Kinds that were told in the log: each once. */
+  private readonly unknownKinds = new Set<number>();
 
   constructor(
     private readonly replica: Replica,
@@ -53,7 +61,11 @@
     });
   }
 
-  private take(socket: Socket, message: ReplicaMessage): void {
+  private take(socket: Socket, message: ReplicaMessage | UnknownMessage): void {
+    if (message.type === 'unknown') {
+      this.refuseUnknown(socket, message);
+      return;
+    }
     if (message.type === 'members') {
       this.directory.offerText(message.record, 'caller');
       return;
@@ -62,15 +74,29 @@
       this.replica.settle(message.entry);
       return;
     }
-    this.replica.handle(message as ReplicaRequest, (reply) => {
-      if (socket.destroyed) {
-        return;
-      }
-      if (socket.writableLength > MAXIMUM_QUEUED_BYTES) {
-        socket.destroy();
-        return;
-      }
-      socket.write(encodeFrame(encodeReplicaMessage(reply)));
-    });
+    this.replica.handle(message as ReplicaRequest, (reply) => this.send(socket, reply));
+  }
+
+  /** Who sends a kind that is not known here is of a newer build, and reads that it is not. */
+  private refuseUnknown(socket: Socket, { kind, call }: UnknownMessage): void {
+    if (!this.unknownKinds.has(kind)) {
+      this.unknownKinds.add(kind);
+      const fields = { event: 'replica.unknown', kind };
+      this.runtime.log('warn', 'a request of a kind that this build does not know', fields);
+    }
+    if (call > 0) {
+      this.send(socket, { type: 'notKnown', call });
+    }
+  }
+
+  private send(socket: Socket, reply: ReplicaReply | MembersMessage): void {
+    if (socket.destroyed) {
+      return;
+    }
+    if (socket.writableLength > MAXIMUM_QUEUED_BYTES) {
+      socket.destroy();
+      return;
+    }
+    socket.write(encodeFrame(encodeReplicaMessage(reply)));
   }
 }
--- a/src/turns/replica-sync.ts
+++ b/src/turns/replica-sync.ts
@@ -215,6 +215,10 @@
         this.silence.noteHeard(member.id);
         this.silence.noteTold(member.id, reply.words);
       }
+      // An older build says nothing of the others; that it is there itself shows by what can be read from it.
+      if (reply?.type === 'notKnown') {
+        this.pull(member);
+      }
     });
   }
 
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -20,6 +20,7 @@
 import type { KeptTurn } from './kept-turn.js';
 import { QuotaBuckets } from './quota-buckets.js';
 import type { QuotaAllowance, QuotaDecision } from './quota-buckets.js';
+import { encodeOwnKinds } from './replica-forms.js';
 import { ReplicaState } from './replica-state.js';
 import { unpackDigests } from './reservation-digests.js';
 import type {
@@ -111,19 +112,23 @@
     }
   }
 
-  /** Begins to serve with what was restored. */
-  endRestore(): void {
+  /**
+   * Begins to serve with what was restored. Where a newer build wrote what can't be read here, the state is not
+   * complete, whatever that build declared: it is read from the others first.
+   */
+  endRestore(unknownRecords = 0): void {
     const { storedMeta, options } = this;
     this.state.expire(options.runtime.wallTime());
     if (storedMeta !== undefined) {
-      this.isReady = storedMeta.ready;
-      this.declaresReady = storedMeta.ready;
+      this.isReady = storedMeta.ready && unknownRecords === 0;
+      this.declaresReady = this.isReady;
       options.directory.offerText(storedMeta.members, 'disk');
     }
     const { programs, turns } = this.state.counts;
     options.runtime.log('info', 'state read from disk', {
       event: 'replica.restored',
       ready: this.isReady,
+      unknownRecords,
       emptyDisk: this.beganEmpty,
       epoch: options.directory.current?.epoch ?? 0,
       programs,
@@ -206,8 +211,9 @@
         });
         return;
       case 'chain': {
-        const chain = this.state.chainOf(request.turn);
-        send({ type: 'chained', call, ...deniedBy(chain, false) });
+        const chain = deniedBy(this.state.chainOf(request.turn), false);
+        const body = request.turn === '' ? encodeOwnKinds() : chain.body;
+        send({ type: 'chained', call, state: chain.state, body });
         return;
       }
       case 'chainUnder':
--- a/src/turns/segment-codec.ts
+++ b/src/turns/segment-codec.ts
@@ -5,14 +5,15 @@
 import { crc32 } from 'node:zlib';
 import * as r from 'restructure';
 import {
-  decodeField,
   encodeField,
   flag,
   longText,
   real,
   shortText,
   TaggedUnion,
+  UnknownKindError,
 } from '../wire/fields.js';
+import { decodeGrown } from '../wire/sections.js';
 import type { JoinToken } from './membership.js';
 import { accountEntryField, keptTurnField } from './messages.js';
 import type { WrittenChange } from './turn-storage.js';
@@ -21,7 +22,10 @@
 /** Longest record that is believed, in bytes. */
 const MAXIMUM_RECORD_BYTES = 64 * 1024 * 1024;
 
-/** Append only: a branch's place is its number on disk. */
+/**
+ * Append only: a branch's place is its number on disk. One that is added is read by a build before any writes it,
+ * since the build before that may come back to this disk. What a record carries besides goes into sections behind it.
+ */
 const recordField: r.Field = new TaggedUnion([
   { type: 'meta', fields: { ready: flag, members: longText } },
   { type: 'entry', fields: { entry: accountEntryField, storedAt: real } },
@@ -81,15 +85,30 @@
 
 /** What was found in a segment. */
 export interface ReadSegment {
-  /** Whole records. */
+  /** Whole records, known or not. */
   readonly records: number;
+  /** Those of kinds that only newer builds know: what they hold is not here. */
+  readonly unknownRecords: number;
   /** Bytes after the last whole record. */
   readonly tornBytes: number;
 }
 
+/** The change of a record; undefined when only newer builds know its kind. */
+function changeIn(content: Buffer): WrittenChange | undefined {
+  try {
+    return changeOf(decodeGrown(recordField, content).value as RecordValue);
+  } catch (cause) {
+    if (cause instanceof UnknownKindError) {
+      return undefined;
+    }
+    throw cause;
+  }
+}
+
 /** Tells all whole records from the start of a segment. */
 export function decodeSegment(bytes: Buffer, take: (change: WrittenChange) => void): ReadSegment {
   let records = 0;
+  let unknownRecords = 0;
   let at = 0;
   while (at + HEADER_BYTES <= bytes.length) {
     const length = bytes.readUInt32LE(at);
@@ -101,9 +120,14 @@
     if (crc32(content) !== bytes.readUInt32LE(at + 4)) {
       break;
     }
-    take(changeOf(decodeField(recordField, content) as RecordValue));
+    const change = changeIn(content);
+    if (change === undefined) {
+      unknownRecords += 1;
+    } else {
+      take(change);
+    }
     records += 1;
     at = end;
   }
-  return { records, tornBytes: bytes.length - at };
+  return { records, unknownRecords, tornBytes: bytes.length - at };
 }
--- a/src/turns/segment-turn-storage.ts
+++ b/src/turns/segment-turn-storage.ts
@@ -86,12 +86,17 @@
     return storage;
   }
 
-  /** Reads all segments, the oldest first, one at a time; tells each change. */
-  async load(take: (change: WrittenChange) => void): Promise<void> {
+  /**
+   * Reads all segments, the oldest first, one at a time; tells each change. Resolves with the number of records of
+   * kinds that only newer builds know.
+   */
+  async load(take: (change: WrittenChange) => void): Promise<number> {
+    let unknownRecords = 0;
     for (const segment of this.segments) {
       const bytes = await this.folder.read(nameOf(segment));
       segment.bytes = bytes.length;
-      const { records, tornBytes } = decodeSegment(bytes, take);
+      const { records, tornBytes, ...read } = decodeSegment(bytes, take);
+      unknownRecords += read.unknownRecords;
       if (tornBytes > 0) {
         const fields = { event: 'disk.torn', segment: segment.number, tornBytes, records };
         this.runtime.log('warn', 'segment ends in a torn write', fields);
@@ -103,7 +108,9 @@
       event: 'disk.read',
       segments: numbers,
       bytes: use.bytes,
+      unknownRecords,
     });
+    return unknownRecords;
   }
 
   /** Tells what is to survive when old segments are removed. */
--- a/src/turns/tcp-replica-caller.ts
+++ b/src/turns/tcp-replica-caller.ts
@@ -5,8 +5,18 @@
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { Member } from './membership.js';
 import { decodeReplicaMessage, encodeReplicaMessage } from './messages.js';
-import type { OneWayMessage, ReplicaMessage, ReplicaReply, ReplicaRequest } from './messages.js';
+import type {
+  OneWayMessage,
+  ReplicaMessage,
+  ReplicaReply,
+  ReplicaRequest,
+  UnknownMessage,
+} from './messages.js';
+import { LinkKinds } from './link-kinds.js';
+import { PRESENCE_PROBE } from './replica-caller.js';
 import type { ReplicaCaller, ReplyListener, UnnumberedRequest } from './replica-caller.js';
+import { olderFormOf, replyToOlderForm, toldKinds } from './replica-forms.js';
+import { tryKinds } from './trial-connection.js';
 
 /** Longest wait for a connection to a replica, in milliseconds. */
 export const CONNECT_MILLISECONDS = 500;
@@ -21,6 +31,8 @@
  * calls have ended meanwhile: it may be silent for good while a new one works.
  */
 export const LINK_SILENCE_MILLISECONDS = 1_000;
+/** Longest wait for what a replica tells of its build, in milliseconds: well below that of a request. */
+const KINDS_MILLISECONDS = 500;
 
 interface PendingCall {
   readonly listener: ReplyListener;
@@ -37,12 +49,18 @@
   private lazyFrames: Buffer[] = [];
   private lazyBytes = 0;
   private readonly pending = new Map<number, PendingCall>();
+  /** Of the connection that stands. */
+  private kinds: LinkKinds;
+  private unknownLogged = false;
 
   constructor(
     private readonly member: Member,
     private readonly runtime: Runtime,
     private readonly onMembers: (record: string) => void,
-  ) {}
+    private readonly newCall: () => number,
+  ) {
+    this.kinds = this.unknownKinds();
+  }
 
   call(request: ReplicaRequest, timeoutMilliseconds: number, listener: ReplyListener): void {
     const socket = this.open();
@@ -52,8 +70,45 @@
     }
     this.owedSince ??= this.runtime.now();
     const cancelTimer = this.runtime.setTimer(timeoutMilliseconds, () => this.expire(request.call));
-    this.pending.set(request.call, { listener, cancelTimer });
-    this.flush(encodeFrame(encodeReplicaMessage(request)));
+    const pending = { listener, cancelTimer };
+    this.pending.set(request.call, pending);
+    this.kinds.whetherRead(request, (isRead) => {
+      if (this.pending.get(request.call) !== pending) {
+        return;
+      }
+      if (isRead) {
+        this.flush(encodeFrame(encodeReplicaMessage(request)));
+      } else {
+        this.sendOlderForm(request, pending);
+      }
+    });
+  }
+
+  /** Sends what an older build reads, or says in its place that it doesn't know the request. */
+  private sendOlderForm(request: ReplicaRequest, pending: PendingCall): void {
+    const older = olderFormOf(request);
+    if (older === undefined) {
+      this.answer({ type: 'notKnown', call: request.call });
+      return;
+    }
+    const listener: ReplyListener = (reply) =>
+      pending.listener(reply === undefined ? undefined : replyToOlderForm(reply));
+    this.pending.set(request.call, { ...pending, listener });
+    this.flush(encodeFrame(encodeReplicaMessage(older)));
+  }
+
+  private unknownKinds(): LinkKinds {
+    return new LinkKinds((done) => {
+      const question = { ...PRESENCE_PROBE, call: this.newCall() } as ReplicaRequest;
+      this.call(question, KINDS_MILLISECONDS, (reply) => {
+        const told = toldKinds(reply);
+        if (told !== undefined || reply === undefined) {
+          done(told);
+        } else {
+          tryKinds(this.member, this.runtime, done);
+        }
+      });
+    });
   }
 
   tell(message: OneWayMessage): void {
@@ -88,6 +143,8 @@
     }
     const socket = connect({ host: this.member.host, port: this.member.port, noDelay: true });
     this.socket = socket;
+    this.kinds = this.unknownKinds();
+    this.unknownLogged = false;
     const reader = new FrameReader();
     socket.setTimeout(CONNECT_MILLISECONDS, () => socket.connecting && socket.destroy());
     socket.on('connect', () => socket.setTimeout(0));
@@ -111,7 +168,12 @@
     }
   }
 
-  private take(message: ReplicaMessage): void {
+  private take(message: ReplicaMessage | UnknownMessage): void {
+    if (message.type === 'unknown') {
+      this.noteUnknown(message);
+      this.answerWith(message.call, undefined);
+      return;
+    }
     if (message.type === 'members') {
       this.onMembers(message.record);
       return;
@@ -119,11 +181,27 @@
     if (message.type === 'settle') {
       return;
     }
-    const pending = this.pending.get(message.call);
+    this.answer(message as ReplicaReply);
+  }
+
+  private answer(reply: ReplicaReply): void {
+    this.answerWith(reply.call, reply);
+  }
+
+  private answerWith(call: number, reply: ReplicaReply | undefined): void {
+    const pending = this.pending.get(call);
     if (pending !== undefined) {
-      this.pending.delete(message.call);
+      this.pending.delete(call);
       pending.cancelTimer();
-      pending.listener(message as ReplicaReply);
+      pending.listener(reply);
+    }
+  }
+
+  private noteUnknown({ kind }: UnknownMessage): void {
+    if (!this.unknownLogged) {
+      this.unknownLogged = true;
+      const fields = { event: 'replica.unknown', member: this.member.id, kind };
+      this.runtime.log('warn', 'a reply of a kind that this build does not know', fields);
     }
   }
 
@@ -180,8 +258,7 @@
     timeoutMilliseconds: number,
     listener: ReplyListener,
   ): void {
-    this.lastCall = (this.lastCall + 1) >>> 0;
-    const numbered = { ...request, call: this.lastCall } as ReplicaRequest;
+    const numbered = { ...request, call: this.newCall() } as ReplicaRequest;
     this.linkTo(member).call(numbered, timeoutMilliseconds, listener);
   }
 
@@ -205,10 +282,15 @@
     this.keepOnly([]);
   }
 
+  private newCall(): number {
+    this.lastCall = (this.lastCall + 1) >>> 0;
+    return this.lastCall;
+  }
+
   private linkTo(member: Member): ReplicaLink {
     let link = this.links.get(member.id);
     if (link === undefined) {
-      link = new ReplicaLink(member, this.runtime, this.onMembers);
+      link = new ReplicaLink(member, this.runtime, this.onMembers, () => this.newCall());
       this.links.set(member.id, link);
     }
     return link;
--- /dev/null
+++ b/src/turns/trial-connection.ts
@@ -0,0 +1,42 @@
+/**
+ * Asks a replica of a build that tells nothing of itself for the newest kind of that time, on a connection of its
+ * own: builds that don't know a kind end the connection it came on, and this one carries nothing else.
+ */
+import { connect } from 'node:net';
+import type { Runtime } from '../runtime/runtime.js';
+import { encodeFrame } from '../wire/framing.js';
+import type { Member } from './membership.js';
+import { encodeReplicaMessage } from './messages.js';
+import { KINDS_OF_ALL_BUILDS, KINDS_OF_UNTOLD_BUILDS } from './replica-forms.js';
+
+/** Longest wait for either end, in milliseconds: well below that of a request. */
+const TRIAL_MILLISECONDS = 500;
+/** The turn never exists: the question changes nothing. */
+const QUESTION = { type: 'chainUnder', call: 1, epoch: 0, turn: '' } as const;
+
+/** Calls back with the number of kinds that are read; undefined when it can't be told now. */
+export function tryKinds(
+  member: Member,
+  runtime: Runtime,
+  done: (kinds: number | undefined) => void,
+): void {
+  const socket = connect({ host: member.host, port: member.port, noDelay: true });
+  let kinds: number | undefined;
+  const cancelTimer = runtime.setTimer(TRIAL_MILLISECONDS, () => socket.destroy());
+  const noteEnd = (): void => {
+    kinds ??= socket.bytesWritten > 0 ? KINDS_OF_ALL_BUILDS : undefined;
+  };
+  socket.on('error', noteEnd);
+  socket.on('end', noteEnd);
+  socket.on('connect', () => socket.write(encodeFrame(encodeReplicaMessage(QUESTION))));
+  socket.once('data', () => {
+    kinds = KINDS_OF_UNTOLD_BUILDS;
+    socket.destroy();
+  });
+  socket.on('close', () => {
+    cancelTimer();
+    const fields = { event: 'replica.forms', member: member.id, kinds: kinds ?? 0 };
+    runtime.log('info', 'a replica tells nothing of its build', fields);
+    done(kinds);
+  });
+}
--- a/src/wire/fields.ts
+++ b/src/wire/fields.ts
@@ -117,6 +117,13 @@
 /** A tag that no branch of a union has, or a value beyond its bounds. */
 export class WireError extends Error {}
 
+/** A branch that a newer build has: what follows its number can't be told here. */
+export class UnknownKindError extends WireError {
+  constructor(readonly kind: number) {
+    super(`unknown tag ${kind}`);
+  }
+}
+
 /** One branch of a tagged union. */
 export interface UnionBranch {
   /** Value of the `type` property. */
@@ -139,7 +146,7 @@
     const fields = this.records[number];
     const branch = this.branches[number];
     if (fields === undefined || branch === undefined) {
-      throw new WireError(`unknown tag ${number}`);
+      throw new UnknownKindError(number);
     }
     return { type: branch.type, ...fields.decode(stream) };
   }
@@ -154,7 +161,8 @@
     return 1 + this.records[this.numberOf(value)]!.size(value);
   }
 
-  private numberOf(value: unknown): number {
+  /** Number of a branch. Throws on a name that none has. */
+  numberOf(value: unknown): number {
     const { type } = value as { type: string };
     const number = this.numbers.get(type);
     if (number === undefined) {
--- a/src/wire/sections.ts
+++ b/src/wire/sections.ts
@@ -53,3 +53,19 @@
   }
   return sections;
 }
+
+/** A value, and what a newer build has put behind it. */
+export interface Grown {
+  readonly value: unknown;
+  readonly sections: readonly Section[];
+}
+
+/** Decodes a value that sections may follow. Throws on anything else behind it. */
+export function decodeGrown(field: r.Field, bytes: Uint8Array): Grown {
+  const stream = new r.DecodeStream(bytes);
+  const value = field.decode(stream);
+  if (stream.pos > bytes.length) {
+    throw new WireError(`${bytes.length} bytes given, ${stream.pos} needed`);
+  }
+  return { value, sections: decodeSections(bytes.subarray(stream.pos)) };
+}
