--- a/features/steps/memory-accounts.steps.ts
+++ b/features/steps/memory-accounts.steps.ts
@@ -330,7 +330,7 @@
       taken.push(intake.hand(RUNNER, 20_000));
     }
     assert.ok(intake.untakenBytes(RUNNER) >= bound && intake.untakenBytes(RUNNER) < bound + 20_000);
-    assert.ok(intake.mayTake('other'));
+    assert.ok(intake.mayTake('other' as RunnerLife));
     taken[0]!();
     taken[0]!();
     assert.equal(intake.untakenBytes(RUNNER), 20_000 * (taken.length - 1));
--- a/features/steps/slow-readers.steps.ts
+++ b/features/steps/slow-readers.steps.ts
@@ -7,6 +7,7 @@
 import type { ClientResult, RelayWorldOptions } from '../support/relay-world.js';
 import { SlowClient } from '../support/slow-client.js';
 import { TakingNothing } from '../support/taking-nothing.js';
+import type { RunnerLife } from '../../src/relay/runners/runner.js';
 
 const MEGABYTE = 1024 * 1024;
 /** Long enough that what the kernel takes for a client that reads nothing is not all of it. */
@@ -351,7 +352,7 @@
     );
     const { intake } = this.slow.gateway;
     const watch = setInterval(() => {
-      this.heldMost = Math.max(this.heldMost, intake.untakenBytes('one'));
+      this.heldMost = Math.max(this.heldMost, intake.untakenBytes('one' as RunnerLife));
     }, 1);
     this.answers = await Promise.all(asked);
     clearInterval(watch);
--- a/soak/cost/main.ts
+++ b/soak/cost/main.ts
@@ -1,6 +1,5 @@
 /** `npm run cost`: what a start, an idle gateway and a request cost, paired between builds. */
 import '../../src/runtime/prepared-hashing.js';
-import { existsSync } from 'node:fs';
 import { resolve } from 'node:path';
 import meow from 'meow';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
@@ -8,6 +7,7 @@
 import type { CostWorld } from './cost-world.js';
 import { measureCosts } from './measure-costs.js';
 import type { CostFigures } from './measure-costs.js';
+import { programIn } from '../built-program.js';
 
 const EXIT_WRONG_USE = 2;
 
@@ -57,12 +57,6 @@
   process.once(signal, () => process.exit(EXIT_WRONG_USE));
 }
 
-/** Earlier builds left a module. */
-function programIn(folder: string): string {
-  const path = resolve(folder, 'main.cjs');
-  return existsSync(path) ? path : resolve(folder, 'main.mjs');
-}
-
 function median(values: readonly number[]): number {
   const sorted = [...values].sort((left, right) => left - right);
   return sorted[Math.floor(sorted.length / 2)]!;
--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -52,7 +52,7 @@
 };
 
 /** The program as the build leaves it. */
-const PROGRAM = resolve('target/main.cjs');
+export const PROGRAM = resolve('target/main.cjs');
 /** What the build tells of how each role is started: the program's compiled code holds for these flags. */
 const RUNS = 'runs.json';
 /** Memory of each machine as its settings tell it, in megabytes: as deployed. */
@@ -133,12 +133,17 @@
   /** Exits that nobody asked for. */
   readonly ownExits: string[] = [];
   private readonly disk: RecordedFolder;
+  private readonly recordsDisk: boolean;
+  /** What it starts with the next time: that of the build at hand, or of another. */
+  program: string;
 
   constructor(
     readonly machine: SoakMachine,
     private readonly folder: string,
-    private readonly options: PlatformProcessOptions = {},
+    { program = PROGRAM, recordsDisk = true }: PlatformProcessOptions = {},
   ) {
+    this.program = program;
+    this.recordsDisk = recordsDisk;
     mkdirSync(folder, { recursive: true });
     this.disk = { root: dataFolder(folder), ledger: join(folder, 'disk-ledger') };
   }
@@ -208,9 +213,8 @@
 
   private words(): string[] {
     const { role } = this.machine;
-    const { program = PROGRAM, recordsDisk = true } = this.options;
-    const recorder = role === 'replica' && recordsDisk ? ['--import', RECORDER] : [];
-    return [...flagsOf(role, program), ...recorder, program, role];
+    const recorder = role === 'replica' && this.recordsDisk ? ['--import', RECORDER] : [];
+    return [...flagsOf(role, this.program), ...recorder, this.program, role];
   }
 
   private environment(settingsFile: string): NodeJS.ProcessEnv {
