--- a/scripts/compile.cjs
+++ b/scripts/compile.cjs
@@ -1,12 +1,12 @@
-/** Leaves the program's compiled code beside it, for processes that run under this process's flags. */
+/** Leaves the program's compiled code beside it. */
 'use strict';
 const { writeFileSync } = require('node:fs');
 const { resolve } = require('node:path');
 const { setFlagsFromString } = require('node:v8');
-const { compiledPath, openProgram } = require(resolve('target/main.cjs'));
+const { COMPILED, openProgram } = require(resolve('target/main.cjs'));
 
 // All functions at once; the flag is back before the code is written, which names the flags it holds for.
 setFlagsFromString('--no-lazy');
 const script = openProgram(undefined);
 setFlagsFromString('--lazy');
-writeFileSync(compiledPath(process.execArgv), script.createCachedData());
+writeFileSync(COMPILED, script.createCachedData());
--- a/scripts/loader.cjs
+++ b/scripts/loader.cjs
@@ -1,15 +1,22 @@
 /**
- * Runs the program from its compiled code, where the build left some for these flags; otherwise from its text. The
- * whole of it is compiled at the build, so that neither a start nor the first requests wait for the compiler.
+ * Runs the program from code that was compiled at the build, all functions of it, so that neither a start nor the
+ * first requests wait for the compiler.
  */
 'use strict';
 const { existsSync, readFileSync } = require('node:fs');
 const { join } = require('node:path');
+const { setFlagsFromString } = require('node:v8');
 const { Script } = require('node:vm');
 
-/** Path of the compiled code for a process's flags. */
-function compiledPath(flags) {
-  return join(__dirname, `program${flags.join('')}.compiled`);
+const COMPILED = join(__dirname, 'program.compiled');
+
+/**
+ * V8 takes compiled code only under the flags that it was made with, be it the program's or that of Node's own
+ * modules. The sizes of the heap count among them, and are of no further use once the heap is there.
+ */
+function takeBackHeapFlags() {
+  setFlagsFromString('--max-old-space-size=0');
+  setFlagsFromString('--max-semi-space-size=0');
 }
 
 /** The program as a function of what a module is given. */
@@ -20,13 +27,13 @@
   return new Script(wrapped, { filename: path, cachedData });
 }
 
-module.exports = { compiledPath, openProgram };
+module.exports = { COMPILED, openProgram };
 
 if (require.main === module) {
-  const path = compiledPath(process.execArgv);
-  const script = openProgram(existsSync(path) ? readFileSync(path) : undefined);
+  takeBackHeapFlags();
+  const script = openProgram(existsSync(COMPILED) ? readFileSync(COMPILED) : undefined);
   if (script.cachedDataRejected) {
-    process.stderr.write('ivyloom: the compiled code was made by another build of node\n');
+    process.stderr.write('ivyloom: the compiled code is of another build of node\n');
   }
   script.runInThisContext()(exports, require, module, __filename, __dirname);
 }
--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -1,15 +1,8 @@
 /** One process of the platform's program, started and struck by the soak. */
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
-import {
-  createWriteStream,
-  existsSync,
-  mkdirSync,
-  readFileSync,
-  rmSync,
-  writeFileSync,
-} from 'node:fs';
-import { dirname, join, resolve } from 'node:path';
+import { createWriteStream, mkdirSync, rmSync, writeFileSync } from 'node:fs';
+import { join, resolve } from 'node:path';
 import { pathToFileURL } from 'node:url';
 import type { RandomSource } from '../src/runtime/random.js';
 import { losePower } from './power-loss-ledger.js';
@@ -53,26 +46,13 @@
 
 /** The program as the build leaves it. */
 const PROGRAM = resolve('target/main.cjs');
-/** What the build tells of how each role is started: the program's compiled code holds for these flags. */
-const RUNS = 'runs.json';
+/** Sizes of the heap, as where it is deployed. */
+const HEAP_FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=4'];
 /** Loaded before the program where there is a disk. */
 const RECORDER = pathToFileURL(resolve('dist/soak/record-disk.js')).href;
 /** Parts of the names that were not synced which a loss of power takes away. */
 const NAME_LOSSES = [0.5, 1];
 
-interface DeployedRun {
-  readonly role: PlatformRole;
-  readonly flags: readonly string[];
-}
-
-/** Flags of node under which a role runs where it is deployed; those of the last build where an older one tells none. */
-function flagsOf(role: PlatformRole, program: string): readonly string[] {
-  const own = join(dirname(program), RUNS);
-  const path = existsSync(own) ? own : join(dirname(PROGRAM), RUNS);
-  const runs = JSON.parse(readFileSync(path, 'utf8')) as readonly DeployedRun[];
-  return runs.find((run) => run.role === role)?.flags ?? [];
-}
-
 function dataFolder(folder: string): string {
   return join(folder, 'data');
 }
@@ -207,12 +187,14 @@
     const { role } = this.machine;
     const { program = PROGRAM, recordsDisk = true } = this.options;
     const recorder = role === 'replica' && recordsDisk ? ['--import', RECORDER] : [];
-    return [...flagsOf(role, program), ...recorder, program, role];
+    return [...HEAP_FLAGS, ...recorder, program, role];
   }
 
   private environment(settingsFile: string): NodeJS.ProcessEnv {
     return {
       ...process.env,
+      // Reading certificates that nothing needs would count as a cost of each start.
+      NODE_EXTRA_CA_CERTS: undefined,
       IVYLOOM_NODE_FILE: settingsFile,
       IVYLOOM_SOAK_DISK: this.disk.root,
       IVYLOOM_SOAK_LEDGER: this.disk.ledger,
