--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -17,6 +17,9 @@
   target: 'node20',
   // The loader reads one byte a character.
   charset: 'ascii',
+  // The parts of a library that nothing uses stay out.
+  alias: { 'fp-ts/lib': 'fp-ts/es6', 'io-ts/lib': 'io-ts/es6' },
+  mainFields: ['module', 'main'],
   legalComments: 'none',
   logLevel: 'warning',
 });
