--- a/src/types/restructure.d.ts
+++ b/src/types/restructure.d.ts
@@ -3,6 +3,7 @@
   /** Where decoding stands. */
   export class DecodeStream {
     constructor(buffer: Uint8Array);
+    readonly buffer: Uint8Array;
     pos: number;
     readonly length: number;
     readUInt8(): number;
@@ -15,6 +16,7 @@
   /** Where encoding stands. */
   export class EncodeStream {
     constructor(buffer: Uint8Array);
+    readonly buffer: Uint8Array;
     pos: number;
     writeUInt8(value: number): void;
     writeUInt16BE(value: number): void;
--- a/src/wire/fields.ts
+++ b/src/wire/fields.ts
@@ -4,10 +4,6 @@
 /** Bytes of a whole number, and of what tells the length of a list. */
 const LENGTH_BYTES = 4;
 
-/** A text of at most 64 KB: names and short details. */
-export const shortText: r.Field = new r.String(r.uint16, 'utf8');
-/** A text bounded only by the frame: contents and states. */
-export const longText: r.Field = new r.String(r.uint32, 'utf8');
 /** Bytes of the number fields below. */
 const DOUBLE_BYTES = 8;
 const SHORT_BYTES = 2;
@@ -33,7 +29,46 @@
   size: () => DOUBLE_BYTES,
 };
 /** True or false. */
-export const flag: r.Field = new r.Boolean(r.uint8);
+export const flag: r.Field = {
+  decode: (stream) => stream.readUInt8() !== 0,
+  encode: (stream, value) => stream.writeUInt8(value === true ? 1 : 0),
+  size: () => 1,
+};
+
+/** The bytes of a stream with the methods of a buffer, not copied. */
+function asBuffer({ buffer }: { readonly buffer: Uint8Array }): Buffer {
+  return Buffer.isBuffer(buffer)
+    ? buffer
+    : Buffer.from(buffer.buffer, buffer.byteOffset, buffer.byteLength);
+}
+
+/** A text in UTF-8 behind its length. The library's own makes a decoder anew for each text. */
+class TextField implements r.Field {
+  constructor(private readonly length: r.Field) {}
+
+  decode(stream: r.DecodeStream): string {
+    const length = this.length.decode(stream) as number;
+    const start = stream.pos;
+    stream.pos += length;
+    return asBuffer(stream).toString('utf8', start, stream.pos);
+  }
+
+  encode(stream: r.EncodeStream, value: unknown): void {
+    const text = value as string;
+    const length = Buffer.byteLength(text, 'utf8');
+    this.length.encode(stream, length);
+    stream.pos += asBuffer(stream).write(text, stream.pos, length, 'utf8');
+  }
+
+  size(value: unknown): number {
+    return this.length.size(value) + Buffer.byteLength(value as string, 'utf8');
+  }
+}
+
+/** A text of at most 64 KB: names and short details. */
+export const shortText: r.Field = new TextField(shortCount);
+/** A text bounded only by the frame: contents and states. */
+export const longText: r.Field = new TextField(count);
 
 /**
  * A list of at most 2^32 - 1 elements, bounded by the frame. Bytes are those of the library's own list,
@@ -75,35 +110,63 @@
 
 /** One of a fixed list of names, in their order. */
 export function oneOf(names: readonly string[]): r.Field {
-  return new r.Enum(r.uint8, names);
+  const numbers = new Map(names.map((name, number) => [name, number]));
+  return {
+    decode: (stream) => {
+      const number = stream.readUInt8();
+      return names[number] ?? number;
+    },
+    encode: (stream, value) => {
+      const number = numbers.get(value as string);
+      if (number === undefined) {
+        throw new WireError(`unknown name ${String(value)}`);
+      }
+      stream.writeUInt8(number);
+    },
+    size: () => 1,
+  };
 }
 
-/** Fields one after another; bytes are those of the library's own record, without its pointers. */
+/**
+ * Fields one after another; bytes are those of the library's own record, without its pointers. Plain loops: most
+ * processes encode some thousand messages only, and iterators cost the most before they are optimised.
+ */
 class RecordField implements r.Field {
-  private readonly entries: readonly (readonly [string, r.Field])[];
+  private readonly names: readonly string[];
+  private readonly fields: readonly r.Field[];
 
   constructor(fields: Record<string, r.Field>) {
-    this.entries = Object.entries(fields);
+    this.names = Object.keys(fields);
+    this.fields = Object.values(fields);
   }
 
   decode(stream: r.DecodeStream): Record<string, unknown> {
-    const value: Record<string, unknown> = {};
-    for (const [name, field] of this.entries) {
-      value[name] = field.decode(stream);
+    return this.decodeInto({}, stream);
+  }
+
+  /** Sets the fields of a value. */
+  decodeInto(value: Record<string, unknown>, stream: r.DecodeStream): Record<string, unknown> {
+    const { names, fields } = this;
+    for (let index = 0; index < fields.length; index += 1) {
+      value[names[index]!] = fields[index]!.decode(stream);
     }
     return value;
   }
 
   encode(stream: r.EncodeStream, value: unknown): void {
-    for (const [name, field] of this.entries) {
-      field.encode(stream, (value as Record<string, unknown>)[name]);
+    const { names, fields } = this;
+    const values = value as Record<string, unknown>;
+    for (let index = 0; index < fields.length; index += 1) {
+      fields[index]!.encode(stream, values[names[index]!]);
     }
   }
 
   size(value: unknown): number {
+    const { names, fields } = this;
+    const values = value as Record<string, unknown>;
     let size = 0;
-    for (const [name, field] of this.entries) {
-      size += field.size((value as Record<string, unknown>)[name]);
+    for (let index = 0; index < fields.length; index += 1) {
+      size += fields[index]!.size(values[names[index]!]);
     }
     return size;
   }
@@ -141,7 +204,7 @@
     if (fields === undefined || branch === undefined) {
       throw new WireError(`unknown tag ${number}`);
     }
-    return { type: branch.type, ...fields.decode(stream) };
+    return fields.decodeInto({ type: branch.type }, stream);
   }
 
   encode(stream: r.EncodeStream, value: unknown): void {
@@ -164,9 +227,9 @@
   }
 }
 
-/** Encodes a value into bytes of its own. */
+/** Encodes a value into bytes, each of which a field sets. */
 export function encodeField(field: r.Field, value: unknown): Uint8Array {
-  const buffer = new Uint8Array(field.size(value));
+  const buffer = Buffer.allocUnsafe(field.size(value));
   field.encode(new r.EncodeStream(buffer), value);
   return buffer;
 }
