--- a/soak/cost/main.ts
+++ b/soak/cost/main.ts
@@ -1,6 +1,5 @@
 /** `npm run cost`: what a start, an idle gateway and a request cost, paired between builds. */
 import '../../src/runtime/prepared-hashing.js';
-import { resolve } from 'node:path';
 import meow from 'meow';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
 import { MOST_BLOCKS } from '../soak-hosts.js';
--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -1,15 +1,8 @@
 /** One process of the platform's program, started and struck by the soak. */
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
-import {
-  createWriteStream,
-  existsSync,
-  mkdirSync,
-  readFileSync,
-  rmSync,
-  writeFileSync,
-} from 'node:fs';
-import { dirname, join, resolve } from 'node:path';
+import { createWriteStream, mkdirSync, rmSync, writeFileSync } from 'node:fs';
+import { join, resolve } from 'node:path';
 import { pathToFileURL } from 'node:url';
 import type { RandomSource } from '../src/runtime/random.js';
 import { losePower } from './power-loss-ledger.js';
@@ -53,28 +46,18 @@
 
 /** The program as the build leaves it. */
 export const PROGRAM = resolve('target/main.cjs');
-/** What the build tells of how each role is started: the program's compiled code holds for these flags. */
-const RUNS = 'runs.json';
 /** Memory of each machine as its settings tell it, in megabytes: as deployed. */
 const MEMORY_MEGABYTES = { gateway: 178, replica: 210 };
+/** Sizes of the heaps, as where they are deployed. */
+const HEAP_FLAGS = {
+  gateway: ['--max-old-space-size=80', '--max-semi-space-size=4'],
+  replica: ['--max-old-space-size=128', '--max-semi-space-size=4'],
+};
 /** Loaded before the program where there is a disk. */
 const RECORDER = pathToFileURL(resolve('dist/soak/record-disk.js')).href;
 /** Parts of the names that were not synced which a loss of power takes away. */
 const NAME_LOSSES = [0.5, 1];
 
-interface DeployedRun {
-  readonly role: PlatformRole;
-  readonly flags: readonly string[];
-}
-
-/** Flags of node under which a role runs where it is deployed; those of the last build where an older one tells none. */
-function flagsOf(role: PlatformRole, program: string): readonly string[] {
-  const own = join(dirname(program), RUNS);
-  const path = existsSync(own) ? own : join(dirname(PROGRAM), RUNS);
-  const runs = JSON.parse(readFileSync(path, 'utf8')) as readonly DeployedRun[];
-  return runs.find((run) => run.role === role)?.flags ?? [];
-}
-
 function dataFolder(folder: string): string {
   return join(folder, 'data');
 }
@@ -214,12 +197,14 @@
   private words(): string[] {
     const { role } = this.machine;
     const recorder = role === 'replica' && this.recordsDisk ? ['--import', RECORDER] : [];
-    return [...flagsOf(role, this.program), ...recorder, this.program, role];
+    return [...HEAP_FLAGS[role], ...recorder, this.program, role];
   }
 
   private environment(settingsFile: string): NodeJS.ProcessEnv {
     return {
       ...process.env,
+      // Reading certificates that nothing needs would count as a cost of each start.
+      NODE_EXTRA_CA_CERTS: undefined,
       IVYLOOM_NODE_FILE: settingsFile,
       IVYLOOM_SOAK_DISK: this.disk.root,
       IVYLOOM_SOAK_LEDGER: this.disk.ledger,
