Tenants' limits: a program that ran through another gateway isn't charged as a new one

Change: what runners are believed to keep of a prompt, its parts and its time tell that a program has run; the limit is then asked as for a program under way.

--- a/features/contention.feature
+++ b/features/contention.feature
@@ -19,6 +19,9 @@
   Scenario: A program that ran through another gateway stays under way
     Then a turn that shows that its program has run is let in where a new program is kept out
 
+  Scenario: A program that ran through another gateway is not charged to its tenant's limit as a new one
+    Then of a tenant's first requests here, only that of a program that no runner knows begins a program
+
   Scenario: Without runners no new program begins
     Then with no places a new program is kept out and a program under way isn't
 
--- a/features/steps/contention.steps.ts
+++ b/features/steps/contention.steps.ts
@@ -15,6 +15,13 @@
 import { TALLY_TOPICS } from '../../src/peers/tallies.js';
 import { hashToNumber } from '../../src/runtime/hashing.js';
 import { createRandom } from '../../src/runtime/random.js';
+import type { RelayContext } from '../../src/relay/relay-context.js';
+import { RelayMetrics } from '../../src/relay/relay-metrics.js';
+import { parsePromptParts } from '../../src/relay/request/relay-request.js';
+import type { PromptPart, RelayRequest } from '../../src/relay/request/relay-request.js';
+import { EngineEstimate } from '../../src/relay/runners/engine-estimate.js';
+import { ADMISSION_STAGE } from '../../src/relay/stages/admission-stage.js';
+import { Passage } from '../../src/relay/stages/passage.js';
 import { limitOfOneGateway, predictedFinish } from '../support/contention-admissions.js';
 import { ContentionLab } from '../support/contention-lab.js';
 import type { LabDay, LabKind } from '../support/contention-lab.js';
@@ -100,6 +107,47 @@
   assert.ok(isAdmitted(freshAdmission(), 'a', gone, true));
 });
 
+/** A request of a tenant at a gateway that knows none of its programs; runners keep so much of its prompt. */
+function passageWith(program: string, promptParts: readonly PromptPart[], kept: number): Passage {
+  const context = {
+    admission: freshAdmission(),
+    shapes: new ProgramShapes(),
+    demand: new ServiceDemand(new TallyBoard()),
+    metrics: new RelayMetrics(),
+    runtime: { now: () => 0 },
+    split: { pick: () => 's' },
+    book: {
+      loadOf: () => ({ inFlight: 0, slots: 6, runners: 1 }),
+      engineCosts: () => new EngineEstimate(),
+      candidates: () => [{ cachedTokens: kept }],
+    },
+  } as unknown as RelayContext;
+  const route = { kind: 'stream', name: 'r', priority: 0, timeoutMilliseconds: 3_000 };
+  const quota = { ratePerSecond: 1, burst: 1 };
+  const request = {
+    arrivedAt: 0,
+    deadlineAt: 3_000,
+    route,
+    promptParts,
+    program: { program },
+    tenant: { id: 't', priority: 0, quota },
+  };
+  return new Passage(context, request as unknown as RelayRequest);
+}
+
+Then(
+  "of a tenant's first requests here, only that of a program that no runner knows begins a program",
+  function () {
+    const parts = parsePromptParts('aa:500,bb:300');
+    const [fresh, known] = [500, 700].map((kept) => passageWith(`keeps ${kept}`, parts, kept));
+    for (const passage of [fresh!, known!]) {
+      assert.equal(ADMISSION_STAGE.decide(passage).tag, 'GoOn');
+    }
+    assert.equal(fresh!.beginsProgram, true);
+    assert.equal(known!.beginsProgram, false);
+  },
+);
+
 const AMOUNT = fc.double({ min: 0, max: 1e9, noNaN: true });
 
 Then(
--- a/src/relay/stages/admission-stage.ts
+++ b/src/relay/stages/admission-stage.ts
@@ -55,6 +55,21 @@
   return isLate || namesEarlierTurn(passage) || isPromptKnown(passage, service, passage.request);
 }
 
+/**
+ * Tells the tenant's limit that a program unknown here has run before, so that it isn't counted once more with all its
+ * requests. What runners keep is looked up only for tenants that have a limit.
+ */
+function noteUnderWay(passage: Passage, service: string, { cause }: AdmissionVerdict): void {
+  const { beginsProgram, request } = passage;
+  if (!beginsProgram) {
+    return;
+  }
+  const hasLimit = request.tenant?.quota !== undefined;
+  if (cause === 'shown' || (hasLimit && isUnderWay(passage, service))) {
+    passage.noteUnderWay();
+  }
+}
+
 function logDecision({ context, request }: Passage, verdict: AdmissionVerdict): void {
   const { runtime, book, metrics } = context;
   const { cause, outlook, waitMilliseconds, bearableMilliseconds, pauseMilliseconds } = verdict;
@@ -106,6 +121,7 @@
       return refuseWith(overloaded(verdict.pauseMilliseconds));
     }
     shapes.note(route.name, isNew && verdict.cause !== 'shown' && !namesEarlierTurn(passage));
+    noteUnderWay(passage, service, verdict);
     passage.onOver(demand.begin(service, rank));
     return GO_ON;
   },
--- a/src/relay/stages/passage.ts
+++ b/src/relay/stages/passage.ts
@@ -9,10 +9,9 @@
 export class Passage {
   /** What goes on to the runner. */
   body: Buffer;
-  /** Whether it is the first request of a program, as far as was known here when it came. */
-  readonly beginsProgram: boolean;
   /** Local time after which its client or its route waits no longer, in milliseconds. */
   readonly endAt: number;
+  private isBeginning: boolean;
   private pickedService: string | undefined;
   private overListeners: OverListener[] = [];
   private handedTokens: number | undefined;
@@ -28,7 +27,17 @@
     );
     const { route, program, previousTurn } = request;
     const isFirst = route.kind === 'stream' && previousTurn === undefined;
-    this.beginsProgram = isFirst && !context.admission.knows(program?.program ?? '');
+    this.isBeginning = isFirst && !context.admission.knows(program?.program ?? '');
+  }
+
+  /** Whether it is the first request of a program, as far as is known here. */
+  get beginsProgram(): boolean {
+    return this.isBeginning;
+  }
+
+  /** Notes that its program has run through another gateway. */
+  noteUnderWay(): void {
+    this.isBeginning = false;
   }
 
   /** Milliseconds until its time is over. */
