--- a/features/slow-readers.feature
+++ b/features/slow-readers.feature
@@ -55,11 +55,14 @@
     And the gateway held at most 8 MB for the others, and the process took at most 120 MB more
     And those that read nothing are cut within 6000 milliseconds, and nothing is held for them any more
 
-  Scenario: While memory is short new requests are refused as not run, with a time to come back
+  Scenario: While memory is short bodies wait, then new requests are refused as not run, with a time to come back
     Given a gateway with a budget of 1 MB and two runners whose streams are long
-    When 200 clients read nothing
+    When it holds 700000 bytes for others
+    Then a new request without a body is answered, and one with a body waits
+    When it holds 800000 bytes for others
     Then a new request is refused with 503, a time to come back, and no run
-    And a new request is answered within 4000 milliseconds
+    When it holds 1000 bytes for others
+    Then the request that waited is answered, and so is a new one
 
   Scenario: A runner that takes nothing is handed no more than its bound, and the others serve
     Given a gateway with two runners, the first of which takes nothing
--- a/features/steps/memory-accounts.steps.ts
+++ b/features/steps/memory-accounts.steps.ts
@@ -65,6 +65,8 @@
         assert.equal(byAccount, held);
         holdings.forEach((holding) => holding.release());
         holdings.forEach((holding) => holding.release());
+        // What comes late for a request that is over is held by nobody.
+        holdings.forEach((holding) => holding.add(7));
         assert.equal(budget.heldBytes, 0);
       }),
     );
--- a/features/support/slow-client.ts
+++ b/features/support/slow-client.ts
@@ -11,6 +11,9 @@
 const SIP_BYTES = 4;
 const SIP_MILLISECONDS = 1_000;
 
+const END_OF_HEAD = 4;
+const LAST_CHUNK = '0\r\n\r\n';
+
 /** How a client reads. */
 export type ReadingPace = 'nothing' | 'sips' | 'all';
 
@@ -60,12 +63,14 @@
 
   /** Whether a whole chunked or sized answer was read. */
   get isComplete(): boolean {
-    const { text } = this;
-    const length = /content-length: (\d+)/i.exec(text)?.[1];
-    const bodyAt = text.indexOf('\r\n\r\n') + 4;
-    return length === undefined
-      ? text.endsWith('0\r\n\r\n')
-      : text.length - bodyAt === Number(length);
+    const first = this.chunks[0]?.toString('latin1') ?? '';
+    const length = /content-length: (\d+)/i.exec(first)?.[1];
+    if (length !== undefined) {
+      const bytes = this.chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+      return bytes - first.indexOf('\r\n\r\n') - END_OF_HEAD === Number(length);
+    }
+    const last = Buffer.concat(this.chunks.slice(-LAST_CHUNK.length));
+    return last.toString('latin1').endsWith(LAST_CHUNK);
   }
 
   /** Reads everything from now on. */
--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -47,6 +47,7 @@
 const PROGRAM = resolve('target/main.mjs');
 /** Memory of each machine as its settings tell it, and the heaps of both roles, in megabytes: as deployed. */
 const MEMORY_MEGABYTES = { gateway: 178, replica: 210 };
+const YOUNG_GENERATION = '--max-semi-space-size=4';
 const HEAP_MEGABYTES = { gateway: 80, replica: 128 };
 /** Loaded before the program where there is a disk. */
 const RECORDER = pathToFileURL(resolve('dist/soak/record-disk.js')).href;
@@ -174,6 +175,7 @@
     const recorder = this.machine.role === 'replica' ? ['--import', RECORDER] : [];
     return [
       `--max-old-space-size=${HEAP_MEGABYTES[this.machine.role]}`,
+      YOUNG_GENERATION,
       ...recorder,
       PROGRAM,
       this.machine.role,
--- a/src/relay/answers/client-answer.ts
+++ b/src/relay/answers/client-answer.ts
@@ -148,7 +148,11 @@
     this.response.flushHeaders();
   }
 
+  /** Passes on some of a stream; nothing once the client is gone. */
   write(bytes: Buffer): void {
+    if (this.response.destroyed) {
+      return;
+    }
     this.outlet.push(bytes);
     if (this.outlet.isBehind) {
       this.noteHeld();
@@ -219,7 +223,7 @@
     this.watch.stop();
     this.options.memory.removeReader(this);
     this.windowBytes = WINDOW_BYTES;
-    this.holding.release();
+    this.holding.set(0);
     if (this.held) {
       this.letSourceGo();
     }
--- a/src/relay/memory/memory-accounts.ts
+++ b/src/relay/memory/memory-accounts.ts
@@ -18,6 +18,7 @@
 /** What one request holds in one account. */
 export class Holding {
   private held = 0;
+  private released = false;
 
   constructor(
     readonly account: MemoryAccount,
@@ -29,8 +30,11 @@
     return this.held;
   }
 
-  /** Notes how many bytes are held now. */
+  /** Notes how many bytes are held now; after the release nothing counts any more. */
   set(bytes: number): void {
+    if (this.released) {
+      return;
+    }
     const more = bytes - this.held;
     this.held = bytes;
     if (more !== 0) {
@@ -43,8 +47,9 @@
     this.set(this.held + bytes);
   }
 
-  /** Notes that nothing is held any more; calling it twice does nothing. */
+  /** Notes that nothing is held any more, for good: what still comes for a request that is over is dropped. */
   release(): void {
     this.set(0);
+    this.released = true;
   }
 }
--- a/src/relay/memory/memory-plan.ts
+++ b/src/relay/memory/memory-plan.ts
@@ -4,8 +4,8 @@
 
 const BYTES_IN_MEGABYTE = 1024 * 1024;
 /**
- * Memory beside the heap, in bytes: the runtime's own code and tables, measured at rest, and the sockets' native
- * parts of some thousand connections.
+ * Memory beside the heap, in bytes: the runtime's own tables, 13 MB measured at rest, and the native parts of some
+ * 3,500 connections, 5.4 KB each.
  */
 const NATIVE_BYTES = 32 * BYTES_IN_MEGABYTE;
 /** Least budget that is worked with where the limit leaves less, in bytes: some hundred requests at once. */
--- a/src/relay/memory/runner-intake.ts
+++ b/src/relay/memory/runner-intake.ts
@@ -43,7 +43,8 @@
       total += bytes;
       full += bytes >= RUNNER_UNTAKEN_BYTES ? 1 : 0;
     }
-    return `ivyloom_memory_untaken_bytes ${total}\nivyloom_memory_full_runners ${full}\n`;
+    const lines = [`ivyloom_memory_untaken_bytes ${total}`, `ivyloom_memory_full_runners ${full}`];
+    return `${lines.join('\n')}\n`;
   }
 
   private change(runnerId: string, bytes: number): void {
