--- a/features/steps/older-replica.steps.ts
+++ b/features/steps/older-replica.steps.ts
@@ -15,13 +15,21 @@
   REPLICA_KINDS,
 } from '../../src/turns/messages.js';
 import type { ChainState, ReplicaReply } from '../../src/turns/messages.js';
-import type { UnnumberedRequest } from '../../src/turns/replica-caller.js';
+import type { ReplicaCaller, UnnumberedRequest } from '../../src/turns/replica-caller.js';
 import { encodeOwnKinds } from '../../src/turns/replica-forms.js';
 import { Replica } from '../../src/turns/replica.js';
+import { ReplicaSync } from '../../src/turns/replica-sync.js';
+import { membershipTimingsFor } from '../../src/turns/membership-timings.js';
+import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
+import { VirtualClock } from '../../src/simulation/virtual-clock.js';
 import { ReplicaServer } from '../../src/turns/replica-server.js';
 import { TcpReplicaCaller } from '../../src/turns/tcp-replica-caller.js';
 import { encodeFrame, FrameReader } from '../../src/wire/framing.js';
 
+const OLDER_MEMBERS = ['a', 'b', 'c'];
+/** As the users' deployments have it. */
+const CATCH_UP_MILLISECONDS = 4_000;
+const STEP_MILLISECONDS = 20;
 const HOST = '127.0.0.1';
 const CALL_MILLISECONDS = 2_000;
 /** Time in which replies come on loopback. */
@@ -43,6 +51,10 @@
   replicaServer?: ReplicaServer;
   servingPort: number;
   replies: string[];
+  outsideClock: VirtualClock;
+  outsideSync: ReplicaSync;
+  outsideReplica: Replica;
+  suspicionMilliseconds: number;
 }
 
 const runtime: Runtime = {
@@ -165,6 +177,63 @@
   },
 );
 
+/** A member of an older build: it says nothing of silences, and tells its log. */
+function answerAsOlder(member: Member, request: UnnumberedRequest): ReplicaReply {
+  if (request.type !== 'pull') {
+    return { type: 'notKnown', call: 1 };
+  }
+  const empty = { digests: Buffer.alloc(0), turns: [], next: 0, end: 0 };
+  return { type: 'pulled', call: 1, active: true, epoch: 1, log: `${member.id} 1`, ...empty };
+}
+
+Given(
+  'a replica outside the members, which are of a build that says nothing of silences',
+  function (this: World) {
+    this.outsideClock = new VirtualClock();
+    const process = new SimulatedProcess('o', this.outsideClock, createRandom(1)).begin();
+    const directory = new MemberDirectory(process);
+    const storage = new MemoryTurnStorage(process);
+    const replica = new Replica({ id: 'o', runtime: process, storage, directory });
+    replica.restore({ tag: 'meta', meta: { ready: true, members: '' } });
+    replica.endRestore();
+    const members = OLDER_MEMBERS.map((id) => ({ id, node: id, host: HOST, port: 1, zone: 'z' }));
+    directory.offer({ epoch: 1, members }, 'test');
+    const caller: ReplicaCaller = {
+      call: (member, request, _timeout, listener) =>
+        void process.setTimer(1, () => listener(answerAsOlder(member, request))),
+      tell: () => undefined,
+    };
+    const timings = membershipTimingsFor(CATCH_UP_MILLISECONDS);
+    this.outsideSync = new ReplicaSync({
+      id: 'o',
+      runtime: process,
+      replica,
+      directory,
+      caller,
+      wantedMembers: members.length,
+      timings,
+    });
+    this.suspicionMilliseconds = timings.suspicionMilliseconds;
+    this.outsideReplica = replica;
+  },
+);
+
+Then(
+  'none of them counts as silent after {int} milliseconds',
+  function (this: World, milliseconds: number) {
+    const silences: number[] = [];
+    for (let at = STEP_MILLISECONDS; at <= milliseconds; at += STEP_MILLISECONDS) {
+      this.outsideClock.runUntil(at);
+      silences.push(...OLDER_MEMBERS.map((id) => this.outsideSync.silenceOf(id)));
+    }
+    this.outsideSync.close();
+    this.outsideReplica.close();
+    const longest = Math.max(...silences);
+    assert.ok(longest < this.suspicionMilliseconds, `silent for ${longest} ms`);
+    assert.equal(this.outsideSync.presentMembers, OLDER_MEMBERS.length);
+  },
+);
+
 Given('a replica that serves', async function (this: World) {
   const directory = new MemberDirectory(runtime);
   const storage = new MemoryTurnStorage(runtime);
--- a/features/steps/two-builds.steps.ts
+++ b/features/steps/two-builds.steps.ts
@@ -6,7 +6,11 @@
 import fc from 'fast-check';
 import { ConfigurationProof } from '../../src/mirror/configuration-proof.js';
 import { ProofExchange } from '../../src/peers/proof-exchange.js';
-import { decodeLoadMessage, encodeLoadMessage } from '../../src/peers/load-message.js';
+import {
+  decodeLoadMessage,
+  encodeLoadMessage,
+  FIRST_LIFE_WITH_TAIL,
+} from '../../src/peers/load-message.js';
 import type { LoadMessage } from '../../src/peers/load-message.js';
 import { createRandom } from '../../src/runtime/random.js';
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
@@ -29,6 +33,7 @@
 import { Replica } from '../../src/turns/replica.js';
 import { decodeSegment, encodeRecord } from '../../src/turns/segment-codec.js';
 import type { WrittenChange } from '../../src/turns/turn-storage.js';
+import { encodeSections } from '../../src/wire/sections.js';
 import { anyChange, anyMessage, anySections, MESSAGE_FIELDS } from '../support/wire-arbitraries.js';
 
 interface Sample {
@@ -244,6 +249,22 @@
   },
 );
 
+Then(
+  'any sections of strange kinds behind the loads of a gateway change nothing of them',
+  function () {
+    const sample = samplesOf('8a76974').find(({ form }) => form === 'load')!;
+    const bytes = Buffer.from(sample.hex, 'hex');
+    // Older builds draw their lives up to here, and refuse a tail.
+    assert.ok(FIRST_LIFE_WITH_TAIL > 2 ** 31);
+    fc.assert(
+      fc.property(fc.integer({ min: 2, max: 0xff }), fc.uint8Array(), (kind, content) => {
+        const grown = Buffer.concat([bytes, encodeSections([{ kind, content }])]);
+        assert.deepEqual(decodeLoadMessage(grown), decodeLoadMessage(bytes));
+      }),
+    );
+  },
+);
+
 Then('fields of a newer build stay in the record of members when that changes', function () {
   const sample = samplesOf('8a76974').find(({ form }) => form === 'members')!;
   const value = sample.value as unknown as MemberRecord;
--- a/features/two-builds.feature
+++ b/features/two-builds.feature
@@ -18,6 +18,7 @@
     And any message of a kind beyond today's is told as unknown, with its call
     And any record is read the same with any sections behind it and strange records between
     And a message between gateways about proofs is read the same with sections behind it
+    And any sections of strange kinds behind the loads of a gateway change nothing of them
     And fields of a newer build stay in the record of members when that changes
 
   Scenario: A disk that holds records of a newer build is not complete
@@ -45,6 +46,10 @@
     When it is asked for the silences of others
     Then the answer is "notKnown", asked for as "nothing"
 
+  Scenario: Members of an older build, which say nothing of one another, are seen to be there all the same
+    Given a replica outside the members, which are of a build that says nothing of silences
+    Then none of them counts as silent after 5000 milliseconds
+
   Scenario: A replica that is asked what it doesn't know says so, and the connection stays
     Given a replica that serves
     When it gets a message of a kind beyond today's, and then a question that it knows
