--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,10 +1,10 @@
-/** Builds what runs on the platform into `target/`: the program as one file, its compiled code and a small loader. */
+/** Builds what runs on the platform into `target/` or a folder that is named: the program as one file, its compiled code and a small loader. */
 import { spawnSync } from 'node:child_process';
 import { copyFileSync, mkdirSync, rmSync } from 'node:fs';
 import { join } from 'node:path';
 import { build } from 'esbuild';
 
-const FOLDER = 'target';
+const FOLDER = process.argv[2] ?? 'target';
 
 rmSync(FOLDER, { recursive: true, force: true });
 mkdirSync(FOLDER);
@@ -24,7 +24,7 @@
   logLevel: 'warning',
 });
 copyFileSync('scripts/loader.cjs', join(FOLDER, 'main.cjs'));
-const compiled = spawnSync(process.execPath, ['scripts/compile.cjs'], { stdio: 'inherit' });
+const compiled = spawnSync(process.execPath, ['scripts/compile.cjs', FOLDER], { stdio: 'inherit' });
 if (compiled.status !== 0) {
   throw new Error('the program was not compiled');
 }
--- a/src/peers/load-gossip.ts
+++ b/src/peers/load-gossip.ts
@@ -8,9 +8,9 @@
  */
 import type { ProofRank, StoreProof } from '../mirror/store-freshness.js';
 import { hashToNumber } from '../runtime/hashing.js';
-import type { CancelTimer, Runtime } from '../runtime/runtime.js';
-import { setRepeatingTimer } from '../runtime/runtime.js';
+import type { Runtime } from '../runtime/runtime.js';
 import type { DatagramPort } from './datagram-port.js';
+import { GossipPace, PERIOD_MILLISECONDS } from './gossip-pace.js';
 import {
   decodeLoadMessage,
   encodeLoadMessage,
@@ -52,7 +52,6 @@
   readonly proof: StoreProof | undefined;
 }
 
-const PERIOD_MILLISECONDS = 100;
 /** Gateways up to which each tells others directly: beyond, sums by zone cost fewer messages. */
 const DIRECT_GATEWAYS = 16;
 /** Most peers told directly in a period. */
@@ -102,7 +101,7 @@
     answer: new ToldLoads(),
   };
   private readonly zoneHash: number;
-  private readonly cancelTimer: CancelTimer;
+  private readonly pace: GossipPace;
   private readonly writer: MessageWriter;
   private readonly zonePlaces: PlaceRelay;
   private readonly otherPlaces: PlaceRelay;
@@ -123,7 +122,11 @@
     this.zonePlaces = new PlaceRelay(runtime);
     this.otherPlaces = new PlaceRelay(runtime);
     datagrams.onDatagram((bytes, from) => this.take(bytes, from));
-    this.cancelTimer = setRepeatingTimer(runtime, PERIOD_MILLISECONDS, () => this.tell());
+    this.pace = new GossipPace({
+      runtime,
+      isReliedOn: () => this.announcing || !this.usesSums,
+      tell: () => this.tell(),
+    });
   }
 
   /** Requests of other gateways that are believed to be at a runner, by the hash of its name. */
@@ -182,7 +185,7 @@
 
   /** Ends. */
   close(): void {
-    this.cancelTimer();
+    this.pace.close();
     this.options.datagrams.close();
   }
 
@@ -194,7 +197,8 @@
     return this.options.runtime.now() - milliseconds;
   }
 
-  private tell(): void {
+  /** True when there was something of its own to tell. */
+  private tell(): boolean {
     this.table.forgetSilent();
     this.period += 1;
     const own = this.writer.own(PLACE_REPEATS * this.messageMilliseconds);
@@ -207,6 +211,7 @@
       this.send(own, this.withSeed(this.randomHosts(FAN_OUT)));
       this.takeTotals(this.directlyTold());
     }
+    return loads.length + tallies.length + own.places.length > 0;
   }
 
   private takeTotals(messages: readonly LoadMessage[], own?: OwnPeriod): void {
--- a/src/relay/request/tenant.ts
+++ b/src/relay/request/tenant.ts
@@ -2,7 +2,7 @@
  * Tenants: whose requests are whose. A key is only ever kept and looked up by its digest, so that no
  * log line, metric or dump can show one.
  */
-import { createHash } from 'node:crypto';
+import { hash } from 'node:crypto';
 import * as E from 'fp-ts/lib/Either.js';
 
 /** Name of a tenant, as runners are told it. */
@@ -39,7 +39,7 @@
 
 /** Digest of a key. */
 export function digestOfKey(key: ApiKey): ApiKeyDigest {
-  return createHash('sha256').update(key).digest('base64') as ApiKeyDigest;
+  return hash('sha256', key, 'base64') as ApiKeyDigest;
 }
 
 function mistakesOf({ id, quota }: TenantSettings): string[] {
--- a/src/runtime/real-runtime.ts
+++ b/src/runtime/real-runtime.ts
@@ -22,7 +22,7 @@
 const LARGEST_SEED = 2 ** 31;
 
 /** Time for which log lines are gathered for one write, in milliseconds. */
-const GATHER_MILLISECONDS = 100;
+const GATHER_MILLISECONDS = 250;
 
 /** Writes the last lines before the process ends. */
 function writeLast(bytes: Buffer): void {
