The gateway that lies serves long streams whole, so that only its lie is noticed

Cause: the soak's clients ask for streams of 150 events since they read slowly; the stand-in sent 6, as a second lie. Change: it sends as many as the path asks for.

--- a/features/support/lying-gateway.ts
+++ b/features/support/lying-gateway.ts
@@ -8,6 +8,7 @@
   SOAK_TENANT,
   SOAK_TOKENS_PER_EVENT,
 } from '../../soak/soak-client.js';
+import { LONG_EVENTS } from '../../soak/slow-reading.js';
 import { LIMITED_KEY, LIMITED_TENANT } from '../../soak/tenant-check.js';
 import type { RelayRunner } from '../../src/emulator/relay-runner.js';
 
@@ -126,7 +127,7 @@
     }
     const chain = this.lie === 'mixesChains' ? 'of nobody;' : this.chains.get(String(previous));
     this.run(request, id, (chain ?? '') + input);
-    const events = this.events();
+    const events = this.events(request.url ?? '');
     this.handed.set(program, handed + events.length * SOAK_TOKENS_PER_EVENT);
     const output = events.map((event) => `event ${event}\n`).join('');
     this.chains.set(id, (chain ?? '') + input + output);
@@ -134,8 +135,9 @@
     response.end(events.map((event) => `id: ${event}\ndata: event ${event}\n\n`).join(''));
   }
 
-  private events(): number[] {
-    const all = Array.from({ length: SOAK_EVENTS }, (_, index) => index + 1);
+  private events(path: string): number[] {
+    const count = path.startsWith('/long/') ? LONG_EVENTS : SOAK_EVENTS;
+    const all = Array.from({ length: count }, (_, index) => index + 1);
     if (this.lie === 'endsEarly') {
       return all.slice(0, -1);
     }
