Read by a newcomer: a reply is owed only for what was sent, rows that grow are read, names and comments

Causes: a connection to a replica counted as silent for a request that was never sent; a row of tallies with more amounts than known here made the whole datagram unread; the rows of a full message were chosen by their first amount alone; two names for one type and two functions of one name. Trials of older replicas end below the silence that counts as out of reach.

--- a/features/runner-lives.feature
+++ b/features/runner-lives.feature
@@ -33,7 +33,7 @@
   Scenario: In whatever order entries of several lives come, the latest life is used
     Then of any entries of lives in any order the latest is used, with nothing of the others
 
-  Scenario Outline: A start that is no whole number makes an entry one that names no runner
+  Scenario Outline: An entry whose start is no whole number is refused
     When the entry of a runner reads {"Service":"s","Address":"10.0.0.1:80","State":"ready","born":<born>}
     Then that entry is refused
 
--- a/src/peers/datagram-port.ts
+++ b/src/peers/datagram-port.ts
@@ -13,13 +13,16 @@
   close(): void;
 }
 
-/** Hosts are addresses: asking for names would cost each datagram more than its sending. */
-const AS_GIVEN: SocketOptions['lookup'] = (host, _options, done) => done(null, host, IPV4);
 const IPV4 = 4;
+/**
+ * Hands a host back as it is: hosts are IPv4 addresses, and Node's own look-up for each datagram costs more than
+ * sending it.
+ */
+const lookUpNothing: SocketOptions['lookup'] = (host, _options, done) => done(null, host, IPV4);
 
 /** Sends and receives over UDP; all gateways listen on the same port. */
 export function openUdpPort(host: string, port: number): DatagramPort {
-  const socket = createSocket({ type: 'udp4', lookup: AS_GIVEN });
+  const socket = createSocket({ type: 'udp4', lookup: lookUpNothing });
   // A datagram that could not be sent is a datagram lost.
   socket.on('error', () => undefined);
   socket.bind(port, host);
--- a/src/peers/load-gossip.ts
+++ b/src/peers/load-gossip.ts
@@ -26,6 +26,7 @@
 import { PlaceRelay } from './recent-places.js';
 import type { PromptPlace } from './recent-places.js';
 import { sumTallies } from './tallies.js';
+import { NO_AMOUNTS } from './tally-board.js';
 import type { Tally, TallyAmounts, TallySums, TallyTopic } from './tallies.js';
 
 /** What the gossip is made with. */
@@ -62,7 +63,7 @@
 const GREETING_PERIODS = 3;
 /** Least time after which what a silent peer told is forgotten, in milliseconds. */
 const STALE_MILLISECONDS = 500;
-/** The same for what is told each period to the same gateway: three lost messages. */
+/** The same for what is told each period to the same gateway: two lost messages of a busy one, none of a quiet one. */
 const STALE_REPORT_MILLISECONDS = 350;
 /** The same in mean times between two direct messages of a peer: with more peers these are longer. */
 const STALE_MESSAGES = 2.5;
@@ -75,8 +76,6 @@
 /** Periods until this gateway's own requests come back to it in a sum of all. */
 const ECHO_PERIODS = 2;
 
-const NO_AMOUNTS: TallyAmounts = new Map();
-
 /** What this gateway told of itself in one period. */
 interface OwnPeriod {
   readonly loads: readonly RunnerLoad[];
@@ -129,7 +128,7 @@
     });
   }
 
-  /** Requests of other gateways that are believed to be at a runner, by the hash of its name. */
+  /** Requests of other gateways that are believed to be at a runner, by the hash of its life, see `lifeHash`. */
   inFlightOfOthers(runnerHash: number): number {
     return this.totals.get(runnerHash) ?? 0;
   }
--- a/src/peers/recent-places.ts
+++ b/src/peers/recent-places.ts
@@ -4,7 +4,7 @@
 
 /** A part of a prompt that a runner keeps. */
 export interface PromptPlace {
-  /** Hash of the runner's identifier, 32 bits. */
+  /** Hash of the runner's life, 32 bits. */
   readonly runnerHash: number;
   readonly part: PromptKey;
   /** Tokens of the part that are kept. */
--- a/src/peers/tallies.ts
+++ b/src/peers/tallies.ts
@@ -78,7 +78,7 @@
   return sums;
 }
 
-/** Sums as a message tells them: the rows of the largest first amounts. */
+/** Sums as a message tells them: the rows of the largest sums. */
 export function tallyList(sums: TallySums): Tally[] {
   return [...sums].map(([topic, byKey]) => {
     const rows = [...byKey].map(([key, amounts]) => ({ key, amounts }));
@@ -86,11 +86,11 @@
   });
 }
 
-/** The rows of the largest first amounts, as many as a message takes. */
+/** The rows of the largest sums of amounts, as many as a message takes. */
 export function boundedRows(rows: readonly TallyRow[]): readonly TallyRow[] {
   if (rows.length <= MAXIMUM_ROWS) {
     return rows;
   }
-  const first = ({ amounts }: TallyRow): number => amounts[0] ?? 0;
-  return [...rows].sort((left, right) => first(right) - first(left)).slice(0, MAXIMUM_ROWS);
+  const weight = ({ amounts }: TallyRow): number => amounts.reduce((sum, each) => sum + each, 0);
+  return [...rows].sort((left, right) => weight(right) - weight(left)).slice(0, MAXIMUM_ROWS);
 }
--- a/src/peers/tally-board.ts
+++ b/src/peers/tally-board.ts
@@ -2,7 +2,8 @@
 import { boundedRows } from './tallies.js';
 import type { Tally, TallyAmounts, TallyRow, TallyTopic } from './tallies.js';
 
-const NO_AMOUNTS: TallyAmounts = new Map();
+/** What nobody tells. */
+export const NO_AMOUNTS: TallyAmounts = new Map();
 
 /** See the head of this file. */
 export class TallyBoard {
--- a/src/peers/tally-codec.ts
+++ b/src/peers/tally-codec.ts
@@ -50,9 +50,6 @@
 function decodeRow(stream: r.DecodeStream): TallyRow {
   const key = stream.readUInt32BE();
   const length = stream.readUInt8();
-  if (length > MAXIMUM_AMOUNTS) {
-    throw new WireError(`a row of ${length} amounts`);
-  }
   const amounts: number[] = [];
   for (let place = 0; place < length; place += 1) {
     const amount = stream.readFloatBE();
@@ -61,5 +58,7 @@
     }
     amounts.push(amount);
   }
+  // A later build may append places that nobody here reads.
+  amounts.splice(MAXIMUM_AMOUNTS);
   return { key, amounts };
 }
--- a/src/relay/front/relay-front.ts
+++ b/src/relay/front/relay-front.ts
@@ -10,11 +10,11 @@
 import { createDoor } from '../stages/door.js';
 import type { Door } from '../stages/door.js';
 import { BODY_STAGES, HEAD_STAGES, passDoor, refusal } from '../stages/door-stages.js';
-import type { DoorRefusal } from '../stages/door-stages.js';
+import type { StageRefusal } from '../stages/stage.js';
 import { RelayCall } from '../tries/relay-call.js';
 import { readBody } from './body-reader.js';
 import type { BodyEnd } from './body-reader.js';
-import { headOf, parseRequest, timeoutOf } from './request-parser.js';
+import { headOf, parseRequest, clientTimeoutMilliseconds } from './request-parser.js';
 
 /** Largest header that Node itself reads, in bytes; the configured limit is checked after. */
 const PARSER_HEADER_BYTES = 64 * 1024;
@@ -132,7 +132,7 @@
   private refuse(
     request: IncomingMessage,
     answer: ClientAnswer,
-    { stage, answer: own }: DoorRefusal,
+    { stage, answer: own }: StageRefusal,
     id: string | undefined,
   ): void {
     const version = this.context.currentTable()?.version ?? -1;
@@ -162,7 +162,12 @@
     const holding = memory.open('bodies');
     response.on('close', () => holding.release());
     const { bodyBytes: limitBytes } = door.table!.limits;
-    const reading = { runtime, memory, limitBytes, timeoutMilliseconds: timeoutOf(door) };
+    const reading = {
+      runtime,
+      memory,
+      limitBytes,
+      timeoutMilliseconds: clientTimeoutMilliseconds(door),
+    };
     readBody(request, reading, holding, (end) => {
       if (end.tag === 'Whole') {
         done(end.body);
--- a/src/relay/front/request-parser.ts
+++ b/src/relay/front/request-parser.ts
@@ -22,7 +22,7 @@
 }
 
 /** Milliseconds that the client waits. */
-export function timeoutOf({ head, context }: Door): number {
+export function clientTimeoutMilliseconds({ head, context }: Door): number {
   const value = Number(head.header(context.names.timeout));
   return Number.isFinite(value) && value > 0 ? value : DEFAULT_TIMEOUT_MILLISECONDS;
 }
@@ -53,7 +53,7 @@
     rawHeaders: head.rawHeaders,
     body,
     arrivedAt,
-    deadlineAt: arrivedAt + timeoutOf(door),
+    deadlineAt: arrivedAt + clientTimeoutMilliseconds(door),
     route: door.route!,
     tenant,
     hidesKey: table.tenants !== undefined,
--- a/src/relay/stages/door-stages.ts
+++ b/src/relay/stages/door-stages.ts
@@ -8,6 +8,7 @@
 import { findRoute, hostName } from '../request/routing-table.js';
 import { authenticate } from './authenticate.js';
 import type { Door } from './door.js';
+import type { StageRefusal } from './stage.js';
 import { MEMORY_STAGE } from './memory-stage.js';
 
 /** One stage at the door: undefined lets the request go on. */
@@ -16,12 +17,6 @@
   readonly check: (door: Door) => OwnAnswer | undefined;
 }
 
-/** A request that was refused, and by which stage. */
-export interface DoorRefusal {
-  readonly stage: string;
-  readonly answer: OwnAnswer;
-}
-
 /** A configuration follows within this time of a start: the store or a peer has it. */
 const RETRY_WITHOUT_CONFIGURATION_SECONDS = 0.2;
 /** Bytes that each header takes beside its name and value. */
@@ -133,7 +128,7 @@
 export const BODY_STAGES: readonly DoorStage[] = [key];
 
 /** Passes a request through stages; undefined lets it go on. */
-export function passDoor(door: Door, stages: readonly DoorStage[]): DoorRefusal | undefined {
+export function passDoor(door: Door, stages: readonly DoorStage[]): StageRefusal | undefined {
   for (const { name, check } of stages) {
     const answer = check(door);
     if (answer !== undefined) {
--- a/src/relay/stages/door.ts
+++ b/src/relay/stages/door.ts
@@ -1,4 +1,4 @@
-/** A request at the door: its head is read, its body isn't yet. The door's stages find out what it is. */
+/** What the head stages know of one request: its head is read, its body isn't yet. */
 import type { RelayContext } from '../relay-context.js';
 import type { Route, RoutingTable } from '../request/routing-table.js';
 import type { Tenant } from '../request/tenant.js';
--- a/src/relay/stages/passage.ts
+++ b/src/relay/stages/passage.ts
@@ -1,4 +1,4 @@
-/** One request on its way through the stages and its tries: what they share of it, and what its end gives back. */
+/** The progress of one request through the stages and its tries: what they share of it, and what its end gives back. */
 import type { RelayContext } from '../relay-context.js';
 import type { RelayRequest } from '../request/relay-request.js';
 
--- a/src/relay/stages/preparation-stage.ts
+++ b/src/relay/stages/preparation-stage.ts
@@ -14,7 +14,7 @@
 
 type Resume = (end: StageEnd) => void;
 
-function timeoutOf(passage: Passage): number {
+function replicaTimeoutMilliseconds(passage: Passage): number {
   return Math.min(STATE_MILLISECONDS, passage.remainingMilliseconds);
 }
 
@@ -34,7 +34,7 @@
 function readChain(passage: Passage, resume: Resume): void {
   const { request, context } = passage;
   const turn = nameForTenant(request.tenant, request.previousTurn ?? '');
-  context.turns.readChain(turn, timeoutOf(passage), (chain) => {
+  context.turns.readChain(turn, replicaTimeoutMilliseconds(passage), (chain) => {
     switch (chain.tag) {
       case 'found':
         passage.replaceBody(Buffer.concat([chain.body, request.body]));
@@ -63,7 +63,7 @@
   }
   const account = nameForTenant(tenant, program.program);
   const reservation = { program: account, turn, mostTokens, budgetTokens };
-  context.turns.reserve(reservation, timeoutOf(passage), (outcome) => {
+  context.turns.reserve(reservation, replicaTimeoutMilliseconds(passage), (outcome) => {
     if (outcome === 'spent') {
       resume(refuseWith(budgetSpent()));
       return;
--- a/src/turns/tcp-replica-caller.ts
+++ b/src/turns/tcp-replica-caller.ts
@@ -31,7 +31,10 @@
  * calls have ended meanwhile: it may be silent for good while a new one works.
  */
 export const LINK_SILENCE_MILLISECONDS = 1_000;
-/** Longest wait for what a replica tells of its build, in milliseconds: well below that of a request. */
+/**
+ * Longest wait for what a replica tells of its build, in milliseconds; a trial may follow, so that the first request
+ * that needs it may end before: its client comes back when it is known.
+ */
 const KINDS_MILLISECONDS = 500;
 
 interface PendingCall {
@@ -68,7 +71,6 @@
       this.runtime.setTimer(0, () => listener(undefined));
       return;
     }
-    this.owedSince ??= this.runtime.now();
     const cancelTimer = this.runtime.setTimer(timeoutMilliseconds, () => this.expire(request.call));
     const pending = { listener, cancelTimer };
     this.pending.set(request.call, pending);
@@ -77,7 +79,7 @@
         return;
       }
       if (isRead) {
-        this.flush(encodeFrame(encodeReplicaMessage(request)));
+        this.ask(request);
       } else {
         this.sendOlderForm(request, pending);
       }
@@ -88,13 +90,20 @@
   private sendOlderForm(request: ReplicaRequest, pending: PendingCall): void {
     const older = olderFormOf(request);
     if (older === undefined) {
-      this.answer({ type: 'notKnown', call: request.call });
+      // Later, as any reply: nobody is called back within the call.
+      this.runtime.setTimer(0, () => this.answer({ type: 'notKnown', call: request.call }));
       return;
     }
     const listener: ReplyListener = (reply) =>
       pending.listener(reply === undefined ? undefined : replyToOlderForm(reply));
     this.pending.set(request.call, { ...pending, listener });
-    this.flush(encodeFrame(encodeReplicaMessage(older)));
+    this.ask(older);
+  }
+
+  /** From now on a reply is owed. */
+  private ask(request: ReplicaRequest): void {
+    this.owedSince ??= this.runtime.now();
+    this.flush(encodeFrame(encodeReplicaMessage(request)));
   }
 
   private unknownKinds(): LinkKinds {
--- a/src/turns/trial-connection.ts
+++ b/src/turns/trial-connection.ts
@@ -9,8 +9,8 @@
 import { encodeReplicaMessage } from './messages.js';
 import { KINDS_OF_ALL_BUILDS, KINDS_OF_UNTOLD_BUILDS } from './replica-forms.js';
 
-/** Longest wait for either end, in milliseconds: well below that of a request. */
-const TRIAL_MILLISECONDS = 500;
+/** Longest wait for either end, in milliseconds: below the silence after which a replica counts as out of reach. */
+const TRIAL_MILLISECONDS = 200;
 /** The turn never exists: the question changes nothing. */
 const QUESTION = { type: 'chainUnder', call: 1, epoch: 0, turn: '' } as const;
 
@@ -36,7 +36,8 @@
   socket.on('close', () => {
     cancelTimer();
     const fields = { event: 'replica.forms', member: member.id, kinds: kinds ?? 0 };
-    runtime.log('info', 'a replica tells nothing of its build', fields);
+    const found = kinds === undefined ? 'could not be tried' : 'was tried';
+    runtime.log('info', `a replica tells nothing of its build, which ${found}`, fields);
     done(kinds);
   });
 }
