Programs of the last ranks begin while places are free

The last place of what is told by rank holds ranks 7 to 9. Ranks there counted it once as equals and once as late programs, and ranks 8 and 9 all equals as more urgent, so that a configuration without priorities refused new programs from about 0.6 of its places on. What is ahead is now never more than there is, late programs are among those behind, and the laboratory asks the same function as the stage.

--- a/features/contention.feature
+++ b/features/contention.feature
@@ -31,6 +31,10 @@
   Scenario: Who is behind counts for nothing to who goes before
     Then requests of later ranks at all gateways are told apart from those of earlier ranks
 
+  Scenario: With places free none is kept out, whatever the rank
+    Then programs of each rank begin among 130 requests of their own rank at 200 places
+    And programs of each rank bear equals as well as any other rank does
+
   Scenario: A million programs and kinds take bounded memory
     Then a million distinct programs and kinds leave bounded tables
 
--- a/features/steps/contention.steps.ts
+++ b/features/steps/contention.steps.ts
@@ -115,12 +115,13 @@
     shapes: new ProgramShapes(),
     demand: new ServiceDemand(new TallyBoard()),
     metrics: new RelayMetrics(),
-    runtime: { now: () => 0 },
+    runtime: { now: () => 0, log: () => undefined },
     split: { pick: () => 's' },
     book: {
       loadOf: () => ({ inFlight: 0, slots: 6, runners: 1 }),
       engineCosts: () => new EngineEstimate(),
       candidates: () => [{ cachedTokens: kept }],
+      loadAgeMilliseconds: () => 100,
     },
   } as unknown as RelayContext;
   const route = { kind: 'stream', name: 'r', priority: 0, timeoutMilliseconds: 3_000 };
@@ -190,6 +191,48 @@
   },
 );
 
+const RANKS = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
+const PLACES = 200;
+
+/** Whether a program of a rank begins at a service whose requests in flight are all known by rank. */
+function beginsAmong(rank: number, inFlight: number, ranks: readonly number[]): boolean {
+  const demand = new ServiceDemand(new TallyBoard());
+  ranks.forEach((other) => demand.begin('s', other));
+  const passage = passageWith('new', [], 0);
+  const { context, request } = passage;
+  const book = { ...context.book, loadOf: () => ({ inFlight, slots: PLACES, runners: 34 }) };
+  const urgency = { tenantPriority: Math.floor(rank / 3), routePriority: rank % 3 };
+  const ranked = {
+    ...request,
+    tenant: { ...request.tenant, priority: urgency.tenantPriority },
+    route: { ...request.route, priority: urgency.routePriority },
+    programDeadlineAt: 3_000,
+  };
+  const shown = { ...context, demand, book } as unknown as RelayContext;
+  const decided = ADMISSION_STAGE.decide(new Passage(shown, ranked as unknown as RelayRequest));
+  return decided.tag === 'GoOn';
+}
+
+Then(
+  'programs of each rank begin among {int} requests of their own rank at 200 places',
+  function (inFlight: number) {
+    for (const rank of RANKS) {
+      const equals = new Array<number>(inFlight).fill(rank);
+      assert.ok(beginsAmong(rank, inFlight, equals), `rank ${rank}`);
+      assert.ok(beginsAmong(rank, PLACES - 1, equals), `rank ${rank}, others' ranks not told`);
+    }
+  },
+);
+
+Then('programs of each rank bear equals as well as any other rank does', function () {
+  for (const inFlight of [205, 220, 240, 300, 1_000]) {
+    const begun = RANKS.map((rank) =>
+      beginsAmong(rank, inFlight, new Array<number>(inFlight).fill(rank)),
+    );
+    assert.equal(new Set(begun).size, 1, `${inFlight}: ${begun.join(' ')}`);
+  }
+});
+
 Then('a million distinct programs and kinds leave bounded tables', function () {
   const MILLION = 1_000_000;
   const admission = freshAdmission();
--- a/features/support/contention-admissions.ts
+++ b/features/support/contention-admissions.ts
@@ -1,5 +1,6 @@
 /** Ways of admission that the laboratory compares. */
 import { ProgramAdmission } from '../../src/relay/admission/program-admission.js';
+import { demandAhead } from '../../src/relay/admission/outlook.js';
 import type { RandomSource } from '../../src/runtime/random.js';
 import { ProgramShapes } from '../../src/relay/admission/program-shape.js';
 import type { LabAdmission, LabLoad, LabTurn } from './contention-day.js';
@@ -47,7 +48,12 @@
   return (turn: LabTurn, load: LabLoad) => {
     const { program, kind, leftMilliseconds, requestMilliseconds, isSubAgent } = turn;
     const rank = kind.rank + (leftMilliseconds <= 0 ? LATE_RANKS_AT_RUNNERS : 0);
-    const late = load.behind(rank + 2) - load.behind(rank + 3);
+    const ranked = {
+      inFlight: load.inFlight,
+      behind: load.behind(rank),
+      equal: load.behind(rank - 1) - load.behind(rank),
+      late: load.behind(rank + 2) - load.behind(rank + 3),
+    };
     shapes.noteParts(kind.name, isSubAgent ? 3 : 2);
     const isNew = !admission.knows(program);
     const verdict = admission.decide({
@@ -57,8 +63,7 @@
         leftMilliseconds <= 0 ||
         shapes.isOfSubAgent(kind.name, isSubAgent ? 3 : 2),
       outlook: () => ({
-        ahead: load.inFlight - load.behind(rank) + late,
-        moreUrgent: load.inFlight - load.behind(rank - 1),
+        ...demandAhead(ranked),
         slots: load.slots,
         turnMilliseconds: TURN_MILLISECONDS,
         turns: shapes.turns(kind.name),
--- /dev/null
+++ b/src/relay/admission/outlook.ts
@@ -0,0 +1,31 @@
+/** Which of the requests at the runners of a service go before a new program of some rank: plain data in, data out. */
+
+/** Requests at the runners of a service, as a program of one rank sees them. */
+export interface RankedDemand {
+  /** All of them. */
+  readonly inFlight: number;
+  /** Those of later ranks. */
+  readonly behind: number;
+  /** Those of its own rank. */
+  readonly equal: number;
+  /** Those behind it that were of its own rank until their programs became late. */
+  readonly late: number;
+}
+
+/** Requests that go before a turn of the program, and those of them that are more urgent. */
+export interface DemandAhead {
+  readonly ahead: number;
+  readonly moreUrgent: number;
+}
+
+/**
+ * What is before a program. Late programs of its rank are behind it at the runners, and yet have come before it.
+ * Figures are of different ages, so none is taken for more than there is in all: where places are free none waits.
+ */
+export function demandAhead({ inFlight, behind, equal, late }: RankedDemand): DemandAhead {
+  const notBehind = Math.max(0, inFlight - behind);
+  return {
+    ahead: Math.min(inFlight, notBehind + Math.min(late, behind)),
+    moreUrgent: Math.max(0, notBehind - equal),
+  };
+}
--- a/src/relay/stages/admission-stage.ts
+++ b/src/relay/stages/admission-stage.ts
@@ -1,6 +1,7 @@
 /** Programs under way go on; new ones begin as long as they can bear the wait that they would meet. */
 import { overloaded } from '../answers/own-answers.js';
 import type { AdmissionVerdict } from '../admission/program-admission.js';
+import { demandAhead } from '../admission/outlook.js';
 import type { AdmissionOutlook } from '../admission/predicted-wait.js';
 import { LATE_RANKS, urgencyOf } from '../request/urgency.js';
 import type { RelayRequest } from '../request/relay-request.js';
@@ -23,11 +24,14 @@
   const { context, request } = passage;
   const { book, demand, shapes } = context;
   const { inFlight, slots, runners } = book.loadOf(service);
-  // Programs of its kind that have become late are behind it at the runners, and yet have come before it.
-  const late = demand.at(service, rank + LATE_RANKS);
+  const ranked = {
+    inFlight,
+    behind: demand.behind(service, rank),
+    equal: demand.at(service, rank),
+    late: demand.at(service, rank + LATE_RANKS),
+  };
   return {
-    ahead: Math.max(0, inFlight - demand.behind(service, rank)) + late,
-    moreUrgent: Math.max(0, inFlight - demand.behind(service, rank - 1)),
+    ...demandAhead(ranked),
     slots,
     turnMilliseconds: book.engineCosts(service).streamMilliseconds(slots / Math.max(1, runners)),
     turns: shapes.turns(request.route.name),
