Absurd counts of tokens are taken for ones that aren't told

A count as 1e200 in a usage or prompt header made the fit of costs no number, and with it every cost of placement, until a restart. Counts beyond 100 million are passed over, and a step of the fit that isn't finite isn't taken.

--- a/features/contention.feature
+++ b/features/contention.feature
@@ -35,6 +35,10 @@
     Then programs of each rank begin among 130 requests of their own rank at 200 places
     And programs of each rank bear equals as well as any other rank does
 
+  Scenario: Absurd sizes are taken for sizes that aren't told
+    Then whatever clients and engines tell, token counts are those of possible prompts
+    And a fit stays finite whatever it observes, and goes on learning
+
   Scenario: A million programs and kinds take bounded memory
     Then a million distinct programs and kinds leave bounded tables
 
--- a/features/steps/contention.steps.ts
+++ b/features/steps/contention.steps.ts
@@ -17,9 +17,10 @@
 import { createRandom } from '../../src/runtime/random.js';
 import type { RelayContext } from '../../src/relay/relay-context.js';
 import { RelayMetrics } from '../../src/relay/relay-metrics.js';
-import { parsePromptParts } from '../../src/relay/request/relay-request.js';
+import { parsePromptParts, parseTokenUsage } from '../../src/relay/request/relay-request.js';
 import type { PromptPart, RelayRequest } from '../../src/relay/request/relay-request.js';
 import { EngineEstimate } from '../../src/relay/runners/engine-estimate.js';
+import { RecursiveLeastSquares } from '../../src/scheduling/recursive-least-squares.js';
 import { ADMISSION_STAGE } from '../../src/relay/stages/admission-stage.js';
 import { Passage } from '../../src/relay/stages/passage.js';
 import { limitOfOneGateway, predictedFinish } from '../support/contention-admissions.js';
@@ -233,6 +234,49 @@
   }
 });
 
+const TOLD_COUNT = fc.oneof(
+  fc.double().map(String),
+  fc.constantFrom('1e200', '1e308', '1e9', '-1', 'NaN', 'Infinity', '', '800'),
+);
+const MOST_TOKENS = 1e8;
+
+Then('whatever clients and engines tell, token counts are those of possible prompts', function () {
+  const isPossible = (tokens: number): boolean => tokens >= 0 && tokens <= MOST_TOKENS;
+  fc.assert(
+    fc.property(TOLD_COUNT, TOLD_COUNT, (first, second) => {
+      const { prompt, output } = parseTokenUsage(`${first},${second}`);
+      assert.ok(isPossible(prompt) && isPossible(output), `${first},${second}`);
+      const parts = parsePromptParts(`aa:${first},bb:${second}`);
+      assert.ok(parts.every(({ tokens }) => isPossible(tokens)));
+    }),
+  );
+  assert.deepEqual(parseTokenUsage('1e200,7'), { prompt: 0, output: 7 });
+  assert.equal(parsePromptParts('aa:1e200,bb:7').length, 1);
+});
+
+Then('a fit stays finite whatever it observes, and goes on learning', function () {
+  const figure = fc.oneof(
+    fc.double({ noNaN: false }),
+    fc.constantFrom(1e200, 1e308, Infinity, -Infinity, NaN, 0),
+  );
+  const observations = fc.array(fc.tuple(figure, figure, figure), { maxLength: 20 });
+  fc.assert(
+    fc.property(observations, (observed) => {
+      const fit = new RecursiveLeastSquares([1, 0.1], [1, 1], 0.99);
+      for (const [first, second, value] of observed) {
+        fit.observe([first, second], value);
+        assert.ok(fit.coefficients.every(Number.isFinite), `${fit.coefficients.join(' ')}`);
+      }
+    }),
+  );
+  const fit = new RecursiveLeastSquares([1, 0.1], [1, 1], 0.99);
+  fit.observe([1, 1e200], 5);
+  for (let round = 0; round < 500; round += 1) {
+    fit.observe([1, round % 10], 20 + 3 * (round % 10));
+  }
+  assert.ok(Math.abs(fit.coefficients[1]! - 3) < 0.1, `${fit.coefficients.join(' ')}`);
+});
+
 Then('a million distinct programs and kinds leave bounded tables', function () {
   const MILLION = 1_000_000;
   const admission = freshAdmission();
--- a/src/relay/request/relay-request.ts
+++ b/src/relay/request/relay-request.ts
@@ -65,6 +65,13 @@
   return hashToNumber(id) as PromptKey;
 }
 
+/** More tokens than any prompt or answer has: a count beyond it is no size, and would spoil what is learned of sizes. */
+const MAXIMUM_TOKENS = 100_000_000;
+
+function isTokenCount(count: number | undefined): count is number {
+  return count !== undefined && count >= 0 && count <= MAXIMUM_TOKENS;
+}
+
 /** Reads `ID:TOKENS,ID:TOKENS`; parts that are not in this form are passed over. */
 export function parsePromptParts(text: string | undefined): PromptPart[] {
   if (text === undefined || text === '') {
@@ -73,16 +80,15 @@
   return text.split(',').flatMap((part) => {
     const [id, tokens] = part.trim().split(':');
     const count = Number(tokens);
-    return id !== undefined && id !== '' && Number.isFinite(count) && count >= 0
+    return id !== undefined && id !== '' && isTokenCount(count)
       ? [{ key: promptKeyOf(id), tokens: count }]
       : [];
   });
 }
 
-/** Reads `IN,OUT` counts of tokens. */
+/** Reads `IN,OUT` counts of tokens; what can't be a count is 0, which stands for not told. */
 export function parseTokenUsage(text: string | undefined): { prompt: number; output: number } {
   const [prompt, output] = (text ?? '').split(',').map(Number);
-  const whole = (value: number | undefined): number =>
-    value !== undefined && Number.isFinite(value) && value > 0 ? value : 0;
-  return { prompt: whole(prompt), output: whole(output) };
+  const told = (value: number | undefined): number => (isTokenCount(value) ? value : 0);
+  return { prompt: told(prompt), output: told(output) };
 }
--- a/src/scheduling/recursive-least-squares.ts
+++ b/src/scheduling/recursive-least-squares.ts
@@ -2,7 +2,7 @@
 
 /** A running fit of a few coefficients. */
 export class RecursiveLeastSquares {
-  private readonly covariance: number[][];
+  private covariance: number[][];
 
   /**
    * @param coefficients first guesses, changed in place as the fit goes on
@@ -19,19 +19,28 @@
     );
   }
 
-  /** Learns from one observation. */
+  /** Learns from one observation; one from which no finite fit follows is passed over. */
   observe(features: readonly number[], value: number): void {
     const gain = this.covariance.map((row) => dot(row, features));
     const scale = this.forgetting + dot(features, gain);
     const error = value - dot(this.coefficients, features);
-    for (let row = 0; row < gain.length; row += 1) {
-      this.coefficients[row] = this.coefficients[row]! + (gain[row]! / scale) * error;
-      for (let column = 0; column < gain.length; column += 1) {
-        const reduced = this.covariance[row]![column]! - (gain[row]! * gain[column]!) / scale;
+    const coefficients = this.coefficients.map(
+      (coefficient, row) => coefficient + (gain[row]! / scale) * error,
+    );
+    const covariance = this.covariance.map((variances, row) =>
+      variances.map((variance, column) => {
+        const reduced = variance - (gain[row]! * gain[column]!) / scale;
         // The bound keeps a direction that is never observed from growing without end.
-        this.covariance[row]![column] = Math.min(1, reduced / this.forgetting);
-      }
+        return Math.min(1, reduced / this.forgetting);
+      }),
+    );
+    if (![...coefficients, ...covariance.flat()].every(Number.isFinite)) {
+      return;
     }
+    coefficients.forEach((coefficient, row) => {
+      this.coefficients[row] = coefficient;
+    });
+    this.covariance = covariance;
   }
 }
 
