A few odd requests don't change what is learned of their kind

The least number of parts was a plain minimum by route, learned from refused requests too: one prompt without parts made all others sub-agents, and admission let all in for 1,000 to 2,000 requests. Now it is the lowest but a tenth of those of programs that began here, once five were seen, and a program is never believed to need more than 64 turns. Steps about requests stand in a file of their own.

--- a/features/contention.feature
+++ b/features/contention.feature
@@ -39,6 +39,10 @@
     Then whatever clients and engines tell, token counts are those of possible prompts
     And a fit stays finite whatever it observes, and goes on learning
 
+  Scenario: A few odd requests don't change what is learned of their kind
+    Then a request that tells few parts or none, or is refused, doesn't make others of its route sub-agents
+    And turns of programs that began elsewhere don't grow what a program is believed to need beyond 64
+
   Scenario: A million programs and kinds take bounded memory
     Then a million distinct programs and kinds leave bounded tables
 
--- /dev/null
+++ b/features/steps/contention-requests.steps.ts
@@ -0,0 +1,149 @@
+/** Steps about what admission makes of requests of each rank and shape, and of absurd ones. */
+import assert from 'node:assert/strict';
+import { Then } from '@cucumber/cucumber';
+import fc from 'fast-check';
+import { ProgramShapes } from '../../src/relay/admission/program-shape.js';
+import { ServiceDemand } from '../../src/relay/admission/service-demand.js';
+import { TallyBoard } from '../../src/peers/tally-board.js';
+import type { RelayContext } from '../../src/relay/relay-context.js';
+import { parsePromptParts, parseTokenUsage } from '../../src/relay/request/relay-request.js';
+import type { RelayRequest } from '../../src/relay/request/relay-request.js';
+import { RecursiveLeastSquares } from '../../src/scheduling/recursive-least-squares.js';
+import { ADMISSION_STAGE } from '../../src/relay/stages/admission-stage.js';
+import { Passage } from '../../src/relay/stages/passage.js';
+import { passageWith } from '../support/contention-passages.js';
+
+const RANKS = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
+const PLACES = 200;
+
+/** Whether a program of a rank begins at a service whose requests in flight are all known by rank. */
+function beginsAmong(rank: number, inFlight: number, ranks: readonly number[]): boolean {
+  const demand = new ServiceDemand(new TallyBoard());
+  ranks.forEach((other) => demand.begin('s', other));
+  const passage = passageWith('new', [], 0);
+  const { context, request } = passage;
+  const book = { ...context.book, loadOf: () => ({ inFlight, slots: PLACES, runners: 34 }) };
+  const urgency = { tenantPriority: Math.floor(rank / 3), routePriority: rank % 3 };
+  const ranked = {
+    ...request,
+    tenant: { ...request.tenant, priority: urgency.tenantPriority },
+    route: { ...request.route, priority: urgency.routePriority },
+    programDeadlineAt: 3_000,
+  };
+  const shown = { ...context, demand, book } as unknown as RelayContext;
+  const decided = ADMISSION_STAGE.decide(new Passage(shown, ranked as unknown as RelayRequest));
+  return decided.tag === 'GoOn';
+}
+
+Then(
+  'programs of each rank begin among {int} requests of their own rank at 200 places',
+  function (inFlight: number) {
+    for (const rank of RANKS) {
+      const equals = new Array<number>(inFlight).fill(rank);
+      assert.ok(beginsAmong(rank, inFlight, equals), `rank ${rank}`);
+      assert.ok(beginsAmong(rank, PLACES - 1, equals), `rank ${rank}, others' ranks not told`);
+    }
+  },
+);
+
+Then('programs of each rank bear equals as well as any other rank does', function () {
+  for (const inFlight of [205, 220, 240, 300, 1_000]) {
+    const begun = RANKS.map((rank) =>
+      beginsAmong(rank, inFlight, new Array<number>(inFlight).fill(rank)),
+    );
+    assert.equal(new Set(begun).size, 1, `${inFlight}: ${begun.join(' ')}`);
+  }
+});
+
+const TOLD_COUNT = fc.oneof(
+  fc.double().map(String),
+  fc.constantFrom('1e200', '1e308', '1e9', '-1', 'NaN', 'Infinity', '', '800'),
+);
+const MOST_TOKENS = 1e8;
+
+Then('whatever clients and engines tell, token counts are those of possible prompts', function () {
+  const isPossible = (tokens: number): boolean => tokens >= 0 && tokens <= MOST_TOKENS;
+  fc.assert(
+    fc.property(TOLD_COUNT, TOLD_COUNT, (first, second) => {
+      const { prompt, output } = parseTokenUsage(`${first},${second}`);
+      assert.ok(isPossible(prompt) && isPossible(output), `${first},${second}`);
+      const parts = parsePromptParts(`aa:${first},bb:${second}`);
+      assert.ok(parts.every(({ tokens }) => isPossible(tokens)));
+    }),
+  );
+  assert.deepEqual(parseTokenUsage('1e200,7'), { prompt: 0, output: 7 });
+  assert.equal(parsePromptParts('aa:1e200,bb:7').length, 1);
+});
+
+Then('a fit stays finite whatever it observes, and goes on learning', function () {
+  const figure = fc.oneof(
+    fc.double({ noNaN: false }),
+    fc.constantFrom(1e200, 1e308, Infinity, -Infinity, NaN, 0),
+  );
+  const observations = fc.array(fc.tuple(figure, figure, figure), { maxLength: 20 });
+  fc.assert(
+    fc.property(observations, (observed) => {
+      const fit = new RecursiveLeastSquares([1, 0.1], [1, 1], 0.99);
+      for (const [first, second, value] of observed) {
+        fit.observe([first, second], value);
+        assert.ok(fit.coefficients.every(Number.isFinite), `${fit.coefficients.join(' ')}`);
+      }
+    }),
+  );
+  const fit = new RecursiveLeastSquares([1, 0.1], [1, 1], 0.99);
+  fit.observe([1, 1e200], 5);
+  for (let round = 0; round < 500; round += 1) {
+    fit.observe([1, round % 10], 20 + 3 * (round % 10));
+  }
+  assert.ok(Math.abs(fit.coefficients[1]! - 3) < 0.1, `${fit.coefficients.join(' ')}`);
+});
+
+/** A passage of a program with so many parts in its prompt, at a gateway with some shapes and load. */
+function passageOfShape(
+  program: string,
+  parts: number,
+  shapes: ProgramShapes,
+  inFlight = 0,
+): Passage {
+  const told = Array.from({ length: parts }, (_unused, part) => `${part}:100`).join(',');
+  const { context, request } = passageWith(program, parsePromptParts(told), 0);
+  const book = { ...context.book, loadOf: () => ({ inFlight, slots: PLACES, runners: 34 }) };
+  const shown = { ...context, shapes, book } as unknown as RelayContext;
+  const due = { ...request, programDeadlineAt: 3_000 };
+  return new Passage(shown, due as unknown as RelayRequest);
+}
+
+Then(
+  "a request that tells few parts or none, or is refused, doesn't make others of its route sub-agents",
+  function () {
+    const shapes = new ProgramShapes();
+    const decide = (program: string, parts: number, inFlight = 0): string =>
+      ADMISSION_STAGE.decide(passageOfShape(program, parts, shapes, inFlight)).tag;
+    for (let number = 0; number < 50; number += 1) {
+      assert.equal(decide(`first ${number}`, 3), 'GoOn');
+    }
+    assert.equal(decide('tells none', 0), 'GoOn');
+    assert.equal(decide('tells one', 1), 'GoOn');
+    const FAR_TOO_MANY = 100_000;
+    for (let number = 0; number < 20; number += 1) {
+      assert.notEqual(decide(`refused ${number}`, 1, FAR_TOO_MANY), 'GoOn');
+    }
+    assert.notEqual(decide('new', 3, FAR_TOO_MANY), 'GoOn');
+    assert.equal(decide('sub-agent', 4, FAR_TOO_MANY), 'GoOn');
+    for (let number = 0; number < 2_000; number += 1) {
+      assert.equal(decide(`longer ${number}`, 5), 'GoOn');
+    }
+    assert.notEqual(decide('longer', 5, FAR_TOO_MANY), 'GoOn');
+  },
+);
+
+Then(
+  "turns of programs that began elsewhere don't grow what a program is believed to need beyond {int}",
+  function (most: number) {
+    const shapes = new ProgramShapes();
+    for (let turn = 0; turn < 10_000; turn += 1) {
+      shapes.note('r', false);
+    }
+    assert.ok(shapes.turns('r') <= most, `${shapes.turns('r')}`);
+  },
+);
--- a/features/steps/contention.steps.ts
+++ b/features/steps/contention.steps.ts
@@ -7,23 +7,17 @@
 import fc from 'fast-check';
 import { bearableWait, waitOf } from '../../src/relay/admission/predicted-wait.js';
 import type { AdmissionOutlook } from '../../src/relay/admission/predicted-wait.js';
-import { ProgramAdmission } from '../../src/relay/admission/program-admission.js';
+import type { ProgramAdmission } from '../../src/relay/admission/program-admission.js';
 import { ProgramShapes } from '../../src/relay/admission/program-shape.js';
 import { pauseUntilRoom } from '../../src/relay/admission/return-pause.js';
 import { ServiceDemand } from '../../src/relay/admission/service-demand.js';
 import { TallyBoard } from '../../src/peers/tally-board.js';
 import { TALLY_TOPICS } from '../../src/peers/tallies.js';
 import { hashToNumber } from '../../src/runtime/hashing.js';
-import { createRandom } from '../../src/runtime/random.js';
-import type { RelayContext } from '../../src/relay/relay-context.js';
-import { RelayMetrics } from '../../src/relay/relay-metrics.js';
-import { parsePromptParts, parseTokenUsage } from '../../src/relay/request/relay-request.js';
-import type { PromptPart, RelayRequest } from '../../src/relay/request/relay-request.js';
-import { EngineEstimate } from '../../src/relay/runners/engine-estimate.js';
-import { RecursiveLeastSquares } from '../../src/scheduling/recursive-least-squares.js';
+import { parsePromptParts } from '../../src/relay/request/relay-request.js';
 import { ADMISSION_STAGE } from '../../src/relay/stages/admission-stage.js';
-import { Passage } from '../../src/relay/stages/passage.js';
 import { limitOfOneGateway, predictedFinish } from '../support/contention-admissions.js';
+import { freshAdmission, passageWith } from '../support/contention-passages.js';
 import { ContentionLab } from '../support/contention-lab.js';
 import type { LabDay } from '../support/contention-day.js';
 import type { LabKind } from '../support/contention-programs.js';
@@ -47,10 +41,6 @@
   limited: ContentionLab;
 }
 
-function freshAdmission(): ProgramAdmission {
-  return new ProgramAdmission(createRandom(3));
-}
-
 function isAdmitted(
   admission: ProgramAdmission,
   program: string,
@@ -109,35 +99,6 @@
   assert.ok(isAdmitted(freshAdmission(), 'a', gone, true));
 });
 
-/** A request of a tenant at a gateway that knows none of its programs; runners keep so much of its prompt. */
-function passageWith(program: string, promptParts: readonly PromptPart[], kept: number): Passage {
-  const context = {
-    admission: freshAdmission(),
-    shapes: new ProgramShapes(),
-    demand: new ServiceDemand(new TallyBoard()),
-    metrics: new RelayMetrics(),
-    runtime: { now: () => 0, log: () => undefined },
-    split: { pick: () => 's' },
-    book: {
-      loadOf: () => ({ inFlight: 0, slots: 6, runners: 1 }),
-      engineCosts: () => new EngineEstimate(),
-      candidates: () => [{ cachedTokens: kept }],
-      loadAgeMilliseconds: () => 100,
-    },
-  } as unknown as RelayContext;
-  const route = { kind: 'stream', name: 'r', priority: 0, timeoutMilliseconds: 3_000 };
-  const quota = { ratePerSecond: 1, burst: 1 };
-  const request = {
-    arrivedAt: 0,
-    deadlineAt: 3_000,
-    route,
-    promptParts,
-    program: { program },
-    tenant: { id: 't', priority: 0, quota },
-  };
-  return new Passage(context, request as unknown as RelayRequest);
-}
-
 Then(
   "of a tenant's first requests here, only that of a program that no runner knows begins a program",
   function () {
@@ -192,91 +153,6 @@
   },
 );
 
-const RANKS = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
-const PLACES = 200;
-
-/** Whether a program of a rank begins at a service whose requests in flight are all known by rank. */
-function beginsAmong(rank: number, inFlight: number, ranks: readonly number[]): boolean {
-  const demand = new ServiceDemand(new TallyBoard());
-  ranks.forEach((other) => demand.begin('s', other));
-  const passage = passageWith('new', [], 0);
-  const { context, request } = passage;
-  const book = { ...context.book, loadOf: () => ({ inFlight, slots: PLACES, runners: 34 }) };
-  const urgency = { tenantPriority: Math.floor(rank / 3), routePriority: rank % 3 };
-  const ranked = {
-    ...request,
-    tenant: { ...request.tenant, priority: urgency.tenantPriority },
-    route: { ...request.route, priority: urgency.routePriority },
-    programDeadlineAt: 3_000,
-  };
-  const shown = { ...context, demand, book } as unknown as RelayContext;
-  const decided = ADMISSION_STAGE.decide(new Passage(shown, ranked as unknown as RelayRequest));
-  return decided.tag === 'GoOn';
-}
-
-Then(
-  'programs of each rank begin among {int} requests of their own rank at 200 places',
-  function (inFlight: number) {
-    for (const rank of RANKS) {
-      const equals = new Array<number>(inFlight).fill(rank);
-      assert.ok(beginsAmong(rank, inFlight, equals), `rank ${rank}`);
-      assert.ok(beginsAmong(rank, PLACES - 1, equals), `rank ${rank}, others' ranks not told`);
-    }
-  },
-);
-
-Then('programs of each rank bear equals as well as any other rank does', function () {
-  for (const inFlight of [205, 220, 240, 300, 1_000]) {
-    const begun = RANKS.map((rank) =>
-      beginsAmong(rank, inFlight, new Array<number>(inFlight).fill(rank)),
-    );
-    assert.equal(new Set(begun).size, 1, `${inFlight}: ${begun.join(' ')}`);
-  }
-});
-
-const TOLD_COUNT = fc.oneof(
-  fc.double().map(String),
-  fc.constantFrom('1e200', '1e308', '1e9', '-1', 'NaN', 'Infinity', '', '800'),
-);
-const MOST_TOKENS = 1e8;
-
-Then('whatever clients and engines tell, token counts are those of possible prompts', function () {
-  const isPossible = (tokens: number): boolean => tokens >= 0 && tokens <= MOST_TOKENS;
-  fc.assert(
-    fc.property(TOLD_COUNT, TOLD_COUNT, (first, second) => {
-      const { prompt, output } = parseTokenUsage(`${first},${second}`);
-      assert.ok(isPossible(prompt) && isPossible(output), `${first},${second}`);
-      const parts = parsePromptParts(`aa:${first},bb:${second}`);
-      assert.ok(parts.every(({ tokens }) => isPossible(tokens)));
-    }),
-  );
-  assert.deepEqual(parseTokenUsage('1e200,7'), { prompt: 0, output: 7 });
-  assert.equal(parsePromptParts('aa:1e200,bb:7').length, 1);
-});
-
-Then('a fit stays finite whatever it observes, and goes on learning', function () {
-  const figure = fc.oneof(
-    fc.double({ noNaN: false }),
-    fc.constantFrom(1e200, 1e308, Infinity, -Infinity, NaN, 0),
-  );
-  const observations = fc.array(fc.tuple(figure, figure, figure), { maxLength: 20 });
-  fc.assert(
-    fc.property(observations, (observed) => {
-      const fit = new RecursiveLeastSquares([1, 0.1], [1, 1], 0.99);
-      for (const [first, second, value] of observed) {
-        fit.observe([first, second], value);
-        assert.ok(fit.coefficients.every(Number.isFinite), `${fit.coefficients.join(' ')}`);
-      }
-    }),
-  );
-  const fit = new RecursiveLeastSquares([1, 0.1], [1, 1], 0.99);
-  fit.observe([1, 1e200], 5);
-  for (let round = 0; round < 500; round += 1) {
-    fit.observe([1, round % 10], 20 + 3 * (round % 10));
-  }
-  assert.ok(Math.abs(fit.coefficients[1]! - 3) < 0.1, `${fit.coefficients.join(' ')}`);
-});
-
 Then('a million distinct programs and kinds leave bounded tables', function () {
   const MILLION = 1_000_000;
   const admission = freshAdmission();
--- a/features/support/contention-admissions.ts
+++ b/features/support/contention-admissions.ts
@@ -54,7 +54,6 @@
       equal: load.behind(rank - 1) - load.behind(rank),
       late: load.behind(rank + 2) - load.behind(rank + 3),
     };
-    shapes.noteParts(kind.name, isSubAgent ? 3 : 2);
     const isNew = !admission.knows(program);
     const verdict = admission.decide({
       program,
@@ -73,6 +72,9 @@
     });
     if (verdict.pauseMilliseconds === undefined) {
       shapes.note(kind.name, isNew);
+      if (isNew && verdict.cause !== 'shown') {
+        shapes.noteFirstTurn(kind.name, isSubAgent ? 3 : 2);
+      }
     }
     return verdict.pauseMilliseconds;
   };
--- /dev/null
+++ b/features/support/contention-passages.ts
@@ -0,0 +1,49 @@
+/** Requests of programs as the stage of admission meets them, without a network. */
+import { ProgramAdmission } from '../../src/relay/admission/program-admission.js';
+import { ProgramShapes } from '../../src/relay/admission/program-shape.js';
+import { ServiceDemand } from '../../src/relay/admission/service-demand.js';
+import { TallyBoard } from '../../src/peers/tally-board.js';
+import { createRandom } from '../../src/runtime/random.js';
+import type { RelayContext } from '../../src/relay/relay-context.js';
+import { RelayMetrics } from '../../src/relay/relay-metrics.js';
+import type { PromptPart, RelayRequest } from '../../src/relay/request/relay-request.js';
+import { EngineEstimate } from '../../src/relay/runners/engine-estimate.js';
+import { Passage } from '../../src/relay/stages/passage.js';
+
+/** Admission that knows no program. */
+export function freshAdmission(): ProgramAdmission {
+  return new ProgramAdmission(createRandom(3));
+}
+
+/** A request of a tenant at a gateway that knows none of its programs; runners keep so much of its prompt. */
+export function passageWith(
+  program: string,
+  promptParts: readonly PromptPart[],
+  kept: number,
+): Passage {
+  const context = {
+    admission: freshAdmission(),
+    shapes: new ProgramShapes(),
+    demand: new ServiceDemand(new TallyBoard()),
+    metrics: new RelayMetrics(),
+    runtime: { now: () => 0, log: () => undefined },
+    split: { pick: () => 's' },
+    book: {
+      loadOf: () => ({ inFlight: 0, slots: 6, runners: 1 }),
+      engineCosts: () => new EngineEstimate(),
+      candidates: () => [{ cachedTokens: kept }],
+      loadAgeMilliseconds: () => 100,
+    },
+  } as unknown as RelayContext;
+  const route = { kind: 'stream', name: 'r', priority: 0, timeoutMilliseconds: 3_000 };
+  const quota = { ratePerSecond: 1, burst: 1 };
+  const request = {
+    arrivedAt: 0,
+    deadlineAt: 3_000,
+    route,
+    promptParts,
+    program: { program },
+    tenant: { id: 't', priority: 0, quota },
+  };
+  return new Passage(context, request as unknown as RelayRequest);
+}
--- a/src/relay/admission/program-shape.ts
+++ b/src/relay/admission/program-shape.ts
@@ -11,16 +11,36 @@
 const REMEMBERED_PROGRAMS = 200;
 /** Kinds remembered; the longest unused go first. */
 const MAXIMUM_KINDS = 2_000;
-/** Requests of a kind after which its least number of parts is learned anew. */
-const PARTS_LEARNED_ANEW = 1_000;
+/** Most turns that a program is believed to have: more would leave it next to no wait, and no new one begins. */
+const MOST_TURNS = 64;
+/** Numbers of parts told apart; a longer prompt counts as one of the last. */
+const MOST_PARTS = 32;
+/** First turns after which older ones count half: kinds change with their clients. */
+const REMEMBERED_FIRST_TURNS = 200;
+/** Share of first turns with fewer parts that is passed over: clients that tell less than the others of their kind. */
+const PASSED_OVER_SHARE = 0.1;
+/** First turns below which nothing is told of parts: one alone may be of a client that tells less. */
+const LEAST_FIRST_TURNS = 5;
 
 interface Shape {
   turns: number;
   programs: number;
-  leastParts: number;
-  /** Least number of parts since it was last learned anew. */
-  leastPartsAnew: number;
-  requests: number;
+  /** First turns by the number of parts of their prompts. */
+  readonly firstTurns: number[];
+}
+
+function sumOf(counts: readonly number[]): number {
+  return counts.reduce((sum, count) => sum + count, 0);
+}
+
+/** Parts that prompts of first turns have at least, but for a few of them; infinite while too few were seen. */
+function usualParts(firstTurns: readonly number[]): number {
+  const all = sumOf(firstTurns);
+  if (all < LEAST_FIRST_TURNS) {
+    return Infinity;
+  }
+  let seen = 0;
+  return firstTurns.findIndex((count) => (seen += count) > all * PASSED_OVER_SHARE);
 }
 
 /** See the head of this file. */
@@ -46,24 +66,26 @@
   /** Turns that a program of a kind usually has. */
   turns(kind: string): number {
     const { turns, programs } = this.shapeOf(kind);
-    return turns / programs;
+    return Math.min(MOST_TURNS, turns / programs);
   }
 
   /** Whether a prompt of so many parts is a sub-agent's. */
   isOfSubAgent(kind: string, parts: number): boolean {
-    return parts > this.shapeOf(kind).leastParts;
+    return parts > usualParts(this.shapeOf(kind).firstTurns);
   }
 
-  /** Notes the number of parts of a prompt. */
-  noteParts(kind: string, parts: number): void {
-    const shape = this.shapeOf(kind);
-    shape.requests += 1;
-    shape.leastParts = Math.min(shape.leastParts, parts);
-    shape.leastPartsAnew = Math.min(shape.leastPartsAnew, parts);
-    if (shape.requests >= PARTS_LEARNED_ANEW) {
-      shape.leastParts = shape.leastPartsAnew;
-      shape.leastPartsAnew = Infinity;
-      shape.requests = 0;
+  /** Notes the number of parts of the prompt of a program's first turn; 0 stands for not told. */
+  noteFirstTurn(kind: string, parts: number): void {
+    if (parts <= 0) {
+      return;
+    }
+    const { firstTurns } = this.shapeOf(kind);
+    const place = Math.min(MOST_PARTS, parts);
+    firstTurns[place] = (firstTurns[place] ?? 0) + 1;
+    if (sumOf(firstTurns) > REMEMBERED_FIRST_TURNS) {
+      firstTurns.forEach((count, at) => {
+        firstTurns[at] = count / 2;
+      });
     }
   }
 
@@ -77,9 +99,7 @@
     const shape: Shape = {
       turns: PRIOR_TURNS,
       programs: PRIOR_PROGRAMS,
-      leastParts: Infinity,
-      leastPartsAnew: Infinity,
-      requests: 0,
+      firstTurns: new Array<number>(MOST_PARTS + 1).fill(0),
     };
     this.byKind.set(kind, shape);
     if (this.byKind.size > MAXIMUM_KINDS) {
--- a/src/relay/stages/admission-stage.ts
+++ b/src/relay/stages/admission-stage.ts
@@ -121,11 +121,14 @@
       outlook: () => outlookOf(passage, service, rank),
     });
     logDecision(passage, verdict);
-    shapes.noteParts(route.name, promptParts.length);
     if (verdict.pauseMilliseconds !== undefined) {
       return refuseWith(overloaded(verdict.pauseMilliseconds));
     }
     shapes.note(route.name, isNew && verdict.cause !== 'shown' && !namesEarlierTurn(passage));
+    // Prompts with more parts count too: else a kind whose prompts grow would be taken for sub-agents for good.
+    if (isNew && verdict.cause === 'bearable' && request.previousTurn === undefined) {
+      shapes.noteFirstTurn(route.name, promptParts.length);
+    }
     noteUnderWay(passage, service, verdict);
     passage.onOver(demand.begin(service, rank));
     return GO_ON;
