More urgent programs don't wait for less urgent tenants' work in time

Late requests are told by the rank that they had, under a topic of its own; older builds tell none, and count as in time. The unused topic of tenants goes, its number stays taken.

Without places the expected wait is endless: it is no longer added to the metric, whose sum it spoiled for good.

--- a/features/contention.feature
+++ b/features/contention.feature
@@ -43,6 +43,12 @@
     Then a request that tells few parts or none, or is refused, doesn't make others of its route sub-agents
     And turns of programs that began elsewhere don't grow what a program is believed to need beyond 64
 
+  Scenario: On-time work of less urgent tenants doesn't keep out more urgent ones
+    Then a new program waits for late programs of its own rank, here and at others, and not for on-time ones of the next tenants
+
+  Scenario: Without places the expected wait stays a number
+    Then a program that is refused for want of places leaves the sum of expected waits finite
+
   Scenario: A million programs and kinds take bounded memory
     Then a million distinct programs and kinds leave bounded tables
 
--- a/features/steps/contention-requests.steps.ts
+++ b/features/steps/contention-requests.steps.ts
@@ -147,3 +147,44 @@
     assert.ok(shapes.turns('r') <= most, `${shapes.turns('r')}`);
   },
 );
+
+Then(
+  'a new program waits for late programs of its own rank, here and at others, and not for on-time ones of the next tenants',
+  function () {
+    const MANY = 600;
+    const NEXT_TENANT = 3;
+    const board = new TallyBoard();
+    const demand = new ServiceDemand(board);
+    const isNewLetIn = (): boolean => {
+      const { context, request } = passageOfShape('new', 0, new ProgramShapes(), MANY);
+      const shown = { ...context, demand } as unknown as RelayContext;
+      return ADMISSION_STAGE.decide(new Passage(shown, request)).tag === 'GoOn';
+    };
+    const onTime = Array.from({ length: MANY }, () => demand.begin('s', NEXT_TENANT));
+    assert.ok(isNewLetIn());
+    onTime.forEach((end) => end());
+    const late = Array.from({ length: MANY }, () => demand.begin('s', NEXT_TENANT, 0));
+    assert.ok(!isNewLetIn());
+    const told = board.own();
+    late.forEach((end) => end());
+    assert.equal(demand.late('s', 0), 0);
+    board.ofOthers = (topic) =>
+      new Map(
+        told
+          .filter((tally) => tally.topic === topic)
+          .flatMap(({ rows }) => rows.map(({ key, amounts }) => [key, amounts] as const)),
+      );
+    assert.ok(!isNewLetIn());
+  },
+);
+
+Then(
+  'a program that is refused for want of places leaves the sum of expected waits finite',
+  function () {
+    const { context, request } = passageOfShape('new', 0, new ProgramShapes());
+    const book = { ...context.book, loadOf: () => ({ inFlight: 0, slots: 0, runners: 0 }) };
+    const shown = { ...context, book } as unknown as RelayContext;
+    assert.notEqual(ADMISSION_STAGE.decide(new Passage(shown, request)).tag, 'GoOn');
+    assert.ok(!context.metrics.render().includes('Infinity'));
+  },
+);
--- a/src/peers/tallies.ts
+++ b/src/peers/tallies.ts
@@ -10,8 +10,9 @@
   runnerEvidence: 1,
   /** What is asked of a service; the key is the hash of its name. */
   serviceDemand: 2,
-  /** What a tenant asks of a service; the key is the hash of both names. */
-  tenantDemand: 3,
+  // 3 was that of a tenant's demand, which nobody told.
+  /** Late requests of a service by the rank that they had in time; the key is the hash of its name. */
+  lateDemand: 4,
 } as const;
 
 /** Number of a topic. */
--- a/src/relay/admission/service-demand.ts
+++ b/src/relay/admission/service-demand.ts
@@ -1,12 +1,13 @@
 /**
  * Requests under way at each service by their rank at the runners, this gateway's and those of all others: whoever
  * is more urgent waits for nobody behind it. Others' figures are 0.1 to 0.3 s old; older builds tell none, so what
- * is not known to be behind a request counts as ahead of it.
+ * is not known to be behind a request counts as ahead of it. Late requests are told once more by the rank that they had
+ * before, since the rank that they fall to is also that of less urgent tenants' work in time.
  */
 import { hashToNumber } from '../../runtime/hashing.js';
 import type { TallyBoard } from '../../peers/tally-board.js';
 import { MAXIMUM_AMOUNTS, TALLY_TOPICS } from '../../peers/tallies.js';
-import type { TallyRow } from '../../peers/tallies.js';
+import type { TallyRow, TallyTopic } from '../../peers/tallies.js';
 
 /** The last amount of a row holds this rank and all behind it. */
 const LAST_PLACE = MAXIMUM_AMOUNTS - 1;
@@ -15,15 +16,17 @@
   return Math.min(LAST_PLACE, Math.max(0, Math.floor(rank)));
 }
 
-/** See the head of this file. */
-export class ServiceDemand {
+/** Requests by service and place of their rank: this gateway's, told under a topic, and those of others. */
+class RankCounts {
   private readonly byService = new Map<string, number[]>();
 
-  constructor(private readonly tallies: TallyBoard) {
-    tallies.tell(TALLY_TOPICS.serviceDemand, () => this.rows());
+  constructor(
+    private readonly tallies: TallyBoard,
+    private readonly topic: TallyTopic,
+  ) {
+    tallies.tell(topic, () => this.rows());
   }
 
-  /** Notes a request that is let in; the function returned notes its end. */
   begin(service: string, rank: number): () => void {
     const place = placeOf(rank);
     const amounts = this.byService.get(service) ?? new Array<number>(MAXIMUM_AMOUNTS).fill(0);
@@ -34,19 +37,9 @@
     };
   }
 
-  /** Requests at a service of ranks behind one. */
-  behind(service: string, rank: number): number {
-    return this.between(service, rank < 0 ? 0 : placeOf(rank) + 1, LAST_PLACE);
-  }
-
-  /** Requests at a service of one rank. */
-  at(service: string, rank: number): number {
-    return this.between(service, placeOf(rank), placeOf(rank));
-  }
-
-  private between(service: string, first: number, last: number): number {
+  between(service: string, first: number, last: number): number {
     const own = this.byService.get(service) ?? [];
-    const others = this.tallies.ofOthers(TALLY_TOPICS.serviceDemand).get(hashToNumber(service));
+    const others = this.tallies.ofOthers(this.topic).get(hashToNumber(service));
     let sum = 0;
     for (let place = first; place <= last; place += 1) {
       sum += (own[place] ?? 0) + Math.max(0, others?.[place] ?? 0);
@@ -64,3 +57,42 @@
     return rows;
   }
 }
+
+/** See the head of this file. */
+export class ServiceDemand {
+  private readonly all: RankCounts;
+  private readonly lateOnes: RankCounts;
+
+  constructor(tallies: TallyBoard) {
+    this.all = new RankCounts(tallies, TALLY_TOPICS.serviceDemand);
+    this.lateOnes = new RankCounts(tallies, TALLY_TOPICS.lateDemand);
+  }
+
+  /**
+   * Notes a request that is let in; the function returned notes its end.
+   * @param rankInTime the rank that it would have in time, where its program is late
+   */
+  begin(service: string, rank: number, rankInTime?: number): () => void {
+    const end = this.all.begin(service, rank);
+    const endLate = rankInTime === undefined ? undefined : this.lateOnes.begin(service, rankInTime);
+    return () => {
+      end();
+      endLate?.();
+    };
+  }
+
+  /** Requests at a service of ranks behind one. */
+  behind(service: string, rank: number): number {
+    return this.all.between(service, rank < 0 ? 0 : placeOf(rank) + 1, LAST_PLACE);
+  }
+
+  /** Requests at a service of one rank. */
+  at(service: string, rank: number): number {
+    return this.all.between(service, placeOf(rank), placeOf(rank));
+  }
+
+  /** Requests at a service that would have a rank if their programs weren't late. */
+  late(service: string, rank: number): number {
+    return this.lateOnes.between(service, placeOf(rank), placeOf(rank));
+  }
+}
--- a/src/relay/stages/admission-stage.ts
+++ b/src/relay/stages/admission-stage.ts
@@ -3,7 +3,7 @@
 import type { AdmissionVerdict } from '../admission/program-admission.js';
 import { demandAhead } from '../admission/outlook.js';
 import type { AdmissionOutlook } from '../admission/predicted-wait.js';
-import { LATE_RANKS, urgencyOf } from '../request/urgency.js';
+import { isLate, rankInTime, urgencyOf } from '../request/urgency.js';
 import type { RelayRequest } from '../request/relay-request.js';
 import type { RunnerLife } from '../runners/runner.js';
 import type { Passage } from './passage.js';
@@ -28,7 +28,7 @@
     inFlight,
     behind: demand.behind(service, rank),
     equal: demand.at(service, rank),
-    late: demand.at(service, rank + LATE_RANKS),
+    late: demand.late(service, rank),
   };
   return {
     ...demandAhead(ranked),
@@ -56,8 +56,9 @@
 
 /** Whether a program has run before, though not through this gateway, as far as that can be told. */
 function isUnderWay(passage: Passage, service: string): boolean {
-  const isLate = leftOf(passage) === 0;
-  return isLate || namesEarlierTurn(passage) || isPromptKnown(passage, service, passage.request);
+  const { context, request } = passage;
+  const hasNoTime = isLate(request, context.runtime.now());
+  return hasNoTime || namesEarlierTurn(passage) || isPromptKnown(passage, service, request);
 }
 
 /**
@@ -82,7 +83,10 @@
   if (outlook === undefined || waitMilliseconds <= 0) {
     return;
   }
-  metrics.observe('ivyloom_relay_expected_wait_milliseconds', waitMilliseconds);
+  // Without places the wait has no end, which would spoil the metric's sum for good.
+  if (Number.isFinite(waitMilliseconds)) {
+    metrics.observe('ivyloom_relay_expected_wait_milliseconds', waitMilliseconds);
+  }
   runtime.log('info', 'admission decided', {
     event: 'relay.admission',
     request: request.id,
@@ -130,7 +134,8 @@
       shapes.noteFirstTurn(route.name, promptParts.length);
     }
     noteUnderWay(passage, service, verdict);
-    passage.onOver(demand.begin(service, rank));
+    const inTime = isLate(request, context.runtime.now()) ? rankInTime(request) : undefined;
+    passage.onOver(demand.begin(service, rank, inTime));
     return GO_ON;
   },
 };
