--- a/features/support/contention-admissions.ts
+++ b/features/support/contention-admissions.ts
@@ -7,9 +7,6 @@
 import { LATE_RANKS_AT_RUNNERS } from './contention-lab.js';
 import { TURN_MILLISECONDS } from './contention-programs.js';
 
-/** Lets all in. */
-export const admitAll = (): LabAdmission => () => undefined;
-
 /** One limit in requests a place, learned by each gateway from turns of late programs; 0.15 s of pause for all. */
 export function limitOfOneGateway(): LabAdmission {
   const underWay = new Set<string>();
@@ -31,18 +28,6 @@
 
 /** What decides in the gateway. */
 export function predictedFinish(random: RandomSource): LabAdmission {
-  return predictedFinishWith(random, () => false);
-}
-
-/** The same by a clairvoyant that knows which programs run, through whatever gateway. */
-export function predictedFinishKnowingAll(random: RandomSource): LabAdmission {
-  return predictedFinishWith(random, ({ isFirst }) => !isFirst);
-}
-
-function predictedFinishWith(
-  random: RandomSource,
-  isKnown: (turn: LabTurn) => boolean,
-): LabAdmission {
   const admission = new ProgramAdmission(random);
   const shapes = new ProgramShapes();
   return (turn: LabTurn, load: LabLoad) => {
@@ -57,10 +42,7 @@
     const isNew = !admission.knows(program);
     const verdict = admission.decide({
       program,
-      isUnderWay: () =>
-        isKnown(turn) ||
-        leftMilliseconds <= 0 ||
-        shapes.isOfSubAgent(kind.name, isSubAgent ? 3 : 2),
+      isUnderWay: () => leftMilliseconds <= 0 || shapes.isOfSubAgent(kind.name, isSubAgent ? 3 : 2),
       outlook: () => ({
         ...demandAhead(ranked),
         slots: load.slots,
--- a/features/support/contention-day.ts
+++ b/features/support/contention-day.ts
@@ -23,8 +23,6 @@
   /** Time that the client waits for this send, in milliseconds. */
   readonly requestMilliseconds: number;
   readonly isSubAgent: boolean;
-  /** Whether it is the first turn of its program: no gateway is told. */
-  readonly isFirst: boolean;
 }
 
 /** What a gateway believes of the engines. */
--- a/features/support/contention-lab.ts
+++ b/features/support/contention-lab.ts
@@ -246,7 +246,6 @@
       leftMilliseconds: Math.max(0, program.aimAt - now),
       requestMilliseconds: deadlineAt - now,
       isSubAgent,
-      isFirst: !program.began,
     };
     const refusal = this.admissions[gateway]!(turn, this.loadSeenBy(gateway));
     const outcome = this.outcomes.get(kind.name)!;
