--- a/features/contention.feature
+++ b/features/contention.feature
@@ -31,6 +31,24 @@
   Scenario: Who is behind counts for nothing to who goes before
     Then requests of later ranks at all gateways are told apart from those of earlier ranks
 
+  Scenario: With places free none is kept out, whatever the rank
+    Then programs of each rank begin among 130 requests of their own rank at 200 places
+    And programs of each rank bear equals as well as any other rank does
+
+  Scenario: Absurd sizes are taken for sizes that aren't told
+    Then whatever clients and engines tell, token counts are those of possible prompts
+    And a fit stays finite whatever it observes, and goes on learning
+
+  Scenario: A few odd requests don't change what is learned of their kind
+    Then a request that tells few parts or none, or is refused, doesn't make others of its route sub-agents
+    And turns of programs that began elsewhere don't grow what a program is believed to need beyond 64
+
+  Scenario: On-time work of less urgent tenants doesn't keep out more urgent ones
+    Then a new program waits for late programs of its own rank, here and at others, and not for on-time ones of the next tenants
+
+  Scenario: Without places the expected wait stays a number
+    Then a program that is refused for want of places leaves the sum of expected waits finite
+
   Scenario: A million programs and kinds take bounded memory
     Then a million distinct programs and kinds leave bounded tables
 
--- a/features/steps/contention.steps.ts
+++ b/features/steps/contention.steps.ts
@@ -7,22 +7,17 @@
 import fc from 'fast-check';
 import { bearableWait, waitOf } from '../../src/relay/admission/predicted-wait.js';
 import type { AdmissionOutlook } from '../../src/relay/admission/predicted-wait.js';
-import { ProgramAdmission } from '../../src/relay/admission/program-admission.js';
+import type { ProgramAdmission } from '../../src/relay/admission/program-admission.js';
 import { ProgramShapes } from '../../src/relay/admission/program-shape.js';
 import { pauseUntilRoom } from '../../src/relay/admission/return-pause.js';
 import { ServiceDemand } from '../../src/relay/admission/service-demand.js';
 import { TallyBoard } from '../../src/peers/tally-board.js';
 import { TALLY_TOPICS } from '../../src/peers/tallies.js';
 import { hashToNumber } from '../../src/runtime/hashing.js';
-import { createRandom } from '../../src/runtime/random.js';
-import type { RelayContext } from '../../src/relay/relay-context.js';
-import { RelayMetrics } from '../../src/relay/relay-metrics.js';
 import { parsePromptParts } from '../../src/relay/request/relay-request.js';
-import type { PromptPart, RelayRequest } from '../../src/relay/request/relay-request.js';
-import { EngineEstimate } from '../../src/relay/runners/engine-estimate.js';
 import { ADMISSION_STAGE } from '../../src/relay/stages/admission-stage.js';
-import { Passage } from '../../src/relay/stages/passage.js';
 import { limitOfOneGateway, predictedFinish } from '../support/contention-admissions.js';
+import { freshAdmission, passageWith } from '../support/contention-passages.js';
 import { ContentionLab } from '../support/contention-lab.js';
 import type { LabDay } from '../support/contention-day.js';
 import type { LabKind } from '../support/contention-programs.js';
@@ -46,10 +41,6 @@
   limited: ContentionLab;
 }
 
-function freshAdmission(): ProgramAdmission {
-  return new ProgramAdmission(createRandom(3));
-}
-
 function isAdmitted(
   admission: ProgramAdmission,
   program: string,
@@ -108,34 +99,6 @@
   assert.ok(isAdmitted(freshAdmission(), 'a', gone, true));
 });
 
-/** A request of a tenant at a gateway that knows none of its programs; runners keep so much of its prompt. */
-function passageWith(program: string, promptParts: readonly PromptPart[], kept: number): Passage {
-  const context = {
-    admission: freshAdmission(),
-    shapes: new ProgramShapes(),
-    demand: new ServiceDemand(new TallyBoard()),
-    metrics: new RelayMetrics(),
-    runtime: { now: () => 0 },
-    split: { pick: () => 's' },
-    book: {
-      loadOf: () => ({ inFlight: 0, slots: 6, runners: 1 }),
-      engineCosts: () => new EngineEstimate(),
-      candidates: () => [{ cachedTokens: kept }],
-    },
-  } as unknown as RelayContext;
-  const route = { kind: 'stream', name: 'r', priority: 0, timeoutMilliseconds: 3_000 };
-  const quota = { ratePerSecond: 1, burst: 1 };
-  const request = {
-    arrivedAt: 0,
-    deadlineAt: 3_000,
-    route,
-    promptParts,
-    program: { program },
-    tenant: { id: 't', priority: 0, quota },
-  };
-  return new Passage(context, request as unknown as RelayRequest);
-}
-
 Then(
   "of a tenant's first requests here, only that of a program that no runner knows begins a program",
   function () {
--- a/features/support/contention-admissions.ts
+++ b/features/support/contention-admissions.ts
@@ -1,14 +1,12 @@
 /** Ways of admission that the laboratory compares. */
 import { ProgramAdmission } from '../../src/relay/admission/program-admission.js';
+import { demandAhead } from '../../src/relay/admission/outlook.js';
 import type { RandomSource } from '../../src/runtime/random.js';
 import { ProgramShapes } from '../../src/relay/admission/program-shape.js';
 import type { LabAdmission, LabLoad, LabTurn } from './contention-day.js';
 import { LATE_RANKS_AT_RUNNERS } from './contention-lab.js';
 import { TURN_MILLISECONDS } from './contention-programs.js';
 
-/** Lets all in. */
-export const admitAll = (): LabAdmission => () => undefined;
-
 /** One limit in requests a place, learned by each gateway from turns of late programs; 0.15 s of pause for all. */
 export function limitOfOneGateway(): LabAdmission {
   const underWay = new Set<string>();
@@ -30,35 +28,23 @@
 
 /** What decides in the gateway. */
 export function predictedFinish(random: RandomSource): LabAdmission {
-  return predictedFinishWith(random, () => false);
-}
-
-/** The same by a clairvoyant that knows which programs run, through whatever gateway. */
-export function predictedFinishKnowingAll(random: RandomSource): LabAdmission {
-  return predictedFinishWith(random, ({ isFirst }) => !isFirst);
-}
-
-function predictedFinishWith(
-  random: RandomSource,
-  isKnown: (turn: LabTurn) => boolean,
-): LabAdmission {
   const admission = new ProgramAdmission(random);
   const shapes = new ProgramShapes();
   return (turn: LabTurn, load: LabLoad) => {
     const { program, kind, leftMilliseconds, requestMilliseconds, isSubAgent } = turn;
     const rank = kind.rank + (leftMilliseconds <= 0 ? LATE_RANKS_AT_RUNNERS : 0);
-    const late = load.behind(rank + 2) - load.behind(rank + 3);
-    shapes.noteParts(kind.name, isSubAgent ? 3 : 2);
+    const ranked = {
+      inFlight: load.inFlight,
+      behind: load.behind(rank),
+      equal: load.behind(rank - 1) - load.behind(rank),
+      late: load.behind(rank + 2) - load.behind(rank + 3),
+    };
     const isNew = !admission.knows(program);
     const verdict = admission.decide({
       program,
-      isUnderWay: () =>
-        isKnown(turn) ||
-        leftMilliseconds <= 0 ||
-        shapes.isOfSubAgent(kind.name, isSubAgent ? 3 : 2),
+      isUnderWay: () => leftMilliseconds <= 0 || shapes.isOfSubAgent(kind.name, isSubAgent ? 3 : 2),
       outlook: () => ({
-        ahead: load.inFlight - load.behind(rank) + late,
-        moreUrgent: load.inFlight - load.behind(rank - 1),
+        ...demandAhead(ranked),
         slots: load.slots,
         turnMilliseconds: TURN_MILLISECONDS,
         turns: shapes.turns(kind.name),
@@ -68,6 +54,9 @@
     });
     if (verdict.pauseMilliseconds === undefined) {
       shapes.note(kind.name, isNew);
+      if (isNew && verdict.cause !== 'shown') {
+        shapes.noteFirstTurn(kind.name, isSubAgent ? 3 : 2);
+      }
     }
     return verdict.pauseMilliseconds;
   };
--- a/src/relay/stages/admission-stage.ts
+++ b/src/relay/stages/admission-stage.ts
@@ -1,8 +1,9 @@
 /** Programs under way go on; new ones begin as long as they can bear the wait that they would meet. */
 import { overloaded } from '../answers/own-answers.js';
 import type { AdmissionVerdict } from '../admission/program-admission.js';
+import { demandAhead } from '../admission/outlook.js';
 import type { AdmissionOutlook } from '../admission/predicted-wait.js';
-import { LATE_RANKS, urgencyOf } from '../request/urgency.js';
+import { isLate, rankInTime, urgencyOf } from '../request/urgency.js';
 import type { RelayRequest } from '../request/relay-request.js';
 import type { RunnerLife } from '../runners/runner.js';
 import type { Passage } from './passage.js';
@@ -23,11 +24,14 @@
   const { context, request } = passage;
   const { book, demand, shapes } = context;
   const { inFlight, slots, runners } = book.loadOf(service);
-  // Programs of its kind that have become late are behind it at the runners, and yet have come before it.
-  const late = demand.at(service, rank + LATE_RANKS);
+  const ranked = {
+    inFlight,
+    behind: demand.behind(service, rank),
+    equal: demand.at(service, rank),
+    late: demand.late(service, rank),
+  };
   return {
-    ahead: Math.max(0, inFlight - demand.behind(service, rank)) + late,
-    moreUrgent: Math.max(0, inFlight - demand.behind(service, rank - 1)),
+    ...demandAhead(ranked),
     slots,
     turnMilliseconds: book.engineCosts(service).streamMilliseconds(slots / Math.max(1, runners)),
     turns: shapes.turns(request.route.name),
@@ -52,8 +56,9 @@
 
 /** Whether a program has run before, though not through this gateway, as far as that can be told. */
 function isUnderWay(passage: Passage, service: string): boolean {
-  const isLate = leftOf(passage) === 0;
-  return isLate || namesEarlierTurn(passage) || isPromptKnown(passage, service, passage.request);
+  const { context, request } = passage;
+  const hasNoTime = isLate(request, context.runtime.now());
+  return hasNoTime || namesEarlierTurn(passage) || isPromptKnown(passage, service, request);
 }
 
 /**
@@ -78,7 +83,10 @@
   if (outlook === undefined || waitMilliseconds <= 0) {
     return;
   }
-  metrics.observe('ivyloom_relay_expected_wait_milliseconds', waitMilliseconds);
+  // Without places the wait has no end, which would spoil the metric's sum for good.
+  if (Number.isFinite(waitMilliseconds)) {
+    metrics.observe('ivyloom_relay_expected_wait_milliseconds', waitMilliseconds);
+  }
   runtime.log('info', 'admission decided', {
     event: 'relay.admission',
     request: request.id,
@@ -117,13 +125,17 @@
       outlook: () => outlookOf(passage, service, rank),
     });
     logDecision(passage, verdict);
-    shapes.noteParts(route.name, promptParts.length);
     if (verdict.pauseMilliseconds !== undefined) {
       return refuseWith(overloaded(verdict.pauseMilliseconds));
     }
     shapes.note(route.name, isNew && verdict.cause !== 'shown' && !namesEarlierTurn(passage));
+    // Prompts with more parts count too: else a kind whose prompts grow would be taken for sub-agents for good.
+    if (isNew && verdict.cause === 'bearable' && request.previousTurn === undefined) {
+      shapes.noteFirstTurn(route.name, promptParts.length);
+    }
     noteUnderWay(passage, service, verdict);
-    passage.onOver(demand.begin(service, rank));
+    const inTime = isLate(request, context.runtime.now()) ? rankInTime(request) : undefined;
+    passage.onOver(demand.begin(service, rank, inTime));
     return GO_ON;
   },
 };
