An answer whose runner closes while it is not read is no longer failed

Cause: Node tells the close of a request's connection although the whole answer waits in its buffer, and the try was failed as lost. Change: a close after a whole answer says nothing; its end follows once it is read, or the deadline or the client's leaving ends the call. The scenario fails without the change ('connection closed').

--- a/features/slow-readers.feature
+++ b/features/slow-readers.feature
@@ -13,6 +13,10 @@
     Then it gets the whole stream in order
     And no try failed, and nothing was learned of its runner's pace
 
+  Scenario: An answer whose runner closes the connection while it is not read is whole
+    Given a gateway with two runners whose streams are long
+    Then an answer of 8000 bytes that is read 200 milliseconds after its runner closed the connection is whole
+
   Scenario: A client that reads nothing is cut, its run ends, and the log says so
     Given a gateway with two runners whose streams are long
     When a client of a "stream" route reads nothing
--- a/features/steps/slow-readers.steps.ts
+++ b/features/steps/slow-readers.steps.ts
@@ -3,6 +3,10 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import type { Holding } from '../../src/relay/memory/memory-accounts.js';
 import { boundsFor } from '../../src/relay/memory/memory-bounds.js';
+import { DEFAULT_HEADER_NAMES } from '../../src/relay/request/default-header-names.js';
+import { startAttempt } from '../../src/relay/tries/attempt.js';
+import type { Attempt } from '../../src/relay/tries/attempt.js';
+import { RunnerAgent } from '../../src/relay/tries/runner-agent.js';
 import { RelayWorld } from '../support/relay-world.js';
 import type { ClientResult, RelayWorldOptions } from '../support/relay-world.js';
 import { SlowClient } from '../support/slow-client.js';
@@ -402,3 +406,46 @@
     }
   },
 );
+
+/** Sends one try over a connection that closes after it, and does not read its answer. */
+function startUnread(world: World, bytes: number, ended: (outcome: string) => void): Attempt {
+  const { runner } = world.slow.gateway.book.candidates('workers', [], new Set())[0]!.record;
+  let read = 0;
+  const attempt = startAttempt(
+    runner,
+    new RunnerAgent(1),
+    {
+      requestId: 'closing',
+      method: 'GET',
+      path: `/work?fill=${bytes}`,
+      headers: ['host', 'runner', DEFAULT_HEADER_NAMES.requestId, 'closing', 'connection', 'close'],
+      body: Buffer.alloc(0),
+    },
+    DEFAULT_HEADER_NAMES,
+    WAIT_MILLISECONDS,
+    {
+      onTaken: () => undefined,
+      onHead: () => attempt.pause(),
+      onData: (chunk) => (read += chunk.length),
+      onEnd: () => ended(`${read} bytes`),
+      onFailure: ({ detail }) => ended(detail),
+    },
+  );
+  return attempt;
+}
+
+Then(
+  'an answer of {int} bytes that is read {int} milliseconds after its runner closed the connection is whole',
+  async function (this: World, bytes: number, pause: number) {
+    const outcomes: string[] = [];
+    const attempt = startUnread(this, bytes, (outcome) => outcomes.push(outcome));
+    const runs = (): boolean[] =>
+      this.slow.runners.flatMap((runner) => runner.runs.map(({ isAnswered }) => isAnswered));
+    await until('the answer', WAIT_MILLISECONDS, () => runs().includes(true));
+    await sleep(pause);
+    assert.deepEqual(outcomes, []);
+    attempt.resume();
+    await until('the end', WAIT_MILLISECONDS, () => outcomes.length > 0);
+    assert.deepEqual(outcomes, [`${bytes} bytes`]);
+  },
+);
--- a/src/relay/tries/attempt.ts
+++ b/src/relay/tries/attempt.ts
@@ -95,7 +95,7 @@
     this.client.on('close', () => listener.onTaken());
     this.client.on('response', (response) => this.take(response));
     this.client.on('error', (error) => this.fail(error.message));
-    this.client.on('close', () => this.fail('connection closed'));
+    this.client.on('close', () => this.takeClose());
     this.client.end(request.body);
   }
 
@@ -163,6 +163,13 @@
     this.listener.onHead(head);
   }
 
+  /** An answer that came whole and is not read yet ends when it is read: a runner may close behind it. */
+  private takeClose(): void {
+    if (this.response?.complete !== true) {
+      this.fail('connection closed');
+    }
+  }
+
   private end(response: IncomingMessage): void {
     if (this.over) {
       return;
