A new try is held for a client that is behind, and one timer watches a runner's silence

Cause: an answer stayed marked as held when its runner's stream broke, so the next runner was read without a window; and a watch paused and resumed during a probe went on with two timers. Change: each try begins with its window; arming the watch cancels what was armed, and a rested one does not look. Both module tests fail without the change (held once in two tries; three probes for two).

--- a/features/memory-accounts.feature
+++ b/features/memory-accounts.feature
@@ -56,3 +56,9 @@
 
   Scenario: A runner that takes nothing is handed no more than its bound
     Then a runner that takes nothing may be sent requests until 262144 bytes wait for it, and again once it takes
+
+  Scenario: A runner that takes over from another is held as soon as its client is behind
+    Then a client that is behind holds the first runner, and the next one after the same bytes
+
+  Scenario: The silence of a runner is watched by one timer, whatever was paused while its address was probed
+    Then a watch that is paused and resumed while a probe is out probes once in each silence
--- a/features/steps/memory-accounts.steps.ts
+++ b/features/steps/memory-accounts.steps.ts
@@ -1,9 +1,12 @@
 /** Steps about accounts of bytes and the judgement of slow readers, in virtual time and without a network. */
 import assert from 'node:assert/strict';
+import { EventEmitter } from 'node:events';
+import type { ServerResponse } from 'node:http';
 import { Given, Then, When } from '@cucumber/cucumber';
 import type { DataTable } from '@cucumber/cucumber';
 import fc from 'fast-check';
-import { ClientOutlet } from '../../src/relay/answers/client-outlet.js';
+import { ClientAnswer, WINDOW_BYTES } from '../../src/relay/answers/client-answer.js';
+import { ClientOutlet, PIECE_BYTES } from '../../src/relay/answers/client-outlet.js';
 import type { OutletTarget } from '../../src/relay/answers/client-outlet.js';
 import { ReaderWatch } from '../../src/relay/answers/reader-watch.js';
 import type { ReaderStand } from '../../src/relay/answers/reader-watch.js';
@@ -14,6 +17,9 @@
 import type { CutOrder, SlowReader } from '../../src/relay/memory/memory-budget.js';
 import type { RunnerLife } from '../../src/relay/runners/runner.js';
 import { RunnerIntake } from '../../src/relay/memory/runner-intake.js';
+import type { RelayContext } from '../../src/relay/relay-context.js';
+import type { RunnerRecord } from '../../src/relay/runners/runner-book.js';
+import { SilenceWatch } from '../../src/relay/tries/silence-watch.js';
 import { createRandom } from '../../src/runtime/random.js';
 import type { LogFields, Runtime } from '../../src/runtime/runtime.js';
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
@@ -341,3 +347,69 @@
     assert.equal(intake.untakenBytes(RUNNER), 0);
   },
 );
+
+/** A response whose client takes nothing. */
+function untakenResponse(): ServerResponse {
+  const response = Object.assign(new EventEmitter(), { writableLength: 0, write: () => false });
+  return response as unknown as ServerResponse;
+}
+
+Then(
+  'a client that is behind holds the first runner, and the next one after the same bytes',
+  function () {
+    const runtime = runtimeOn(new VirtualClock(), []);
+    const answer = new ClientAnswer(untakenResponse(), {
+      runtime,
+      memory: new MemoryBudget(runtime, NO_BOUNDS),
+      requestIdHeader: 'id',
+      requestId: 'behind',
+      isClosing: () => false,
+    });
+    const held: number[] = [];
+    answer.comesFrom({
+      readsOn: false,
+      hold: () => held.push(answer.heldBytes),
+      release: () => undefined,
+      noteNewTry: () => undefined,
+      end: () => undefined,
+    });
+    const pass = (): void => answer.write(Buffer.alloc(PIECE_BYTES));
+    for (let tries = 1; tries <= 3; tries += 1) {
+      answer.noteNewTry();
+      for (let bytes = 0; bytes <= WINDOW_BYTES + PIECE_BYTES; bytes += PIECE_BYTES) {
+        pass();
+      }
+      assert.equal(held.length, tries, `held ${held.length} times`);
+    }
+  },
+);
+
+Then(
+  'a watch that is paused and resumed while a probe is out probes once in each silence',
+  function () {
+    const clock = new VirtualClock();
+    const probes: ((reachable: boolean) => void)[] = [];
+    const record = { silence: { unusualMilliseconds: 100 }, heardAt: 0, runner: {} };
+    const context = {
+      runtime: runtimeOn(clock, []),
+      connections: {
+        probe: (_runner: unknown, done: (reachable: boolean) => void) => probes.push(done),
+      },
+    };
+    const watch = new SilenceWatch(
+      context as unknown as RelayContext,
+      record as unknown as RunnerRecord,
+      () => undefined,
+    );
+    pass(clock, 100);
+    assert.equal(probes.length, 1);
+    watch.pause();
+    watch.resume();
+    probes[0]!(true);
+    pass(clock, 250);
+    assert.equal(probes.length, 2);
+    watch.stop();
+    pass(clock, 1_000);
+    assert.equal(probes.length, 2);
+  },
+);
--- a/src/relay/answers/client-answer.ts
+++ b/src/relay/answers/client-answer.ts
@@ -28,6 +28,8 @@
   hold(): void;
   /** Reads on. */
   release(): void;
+  /** A try that begins is read. */
+  noteNewTry(): void;
   /** The client does not take its answer, which is cut. */
   end(reason: string): void;
 }
@@ -107,6 +109,13 @@
     this.source = source;
   }
 
+  /** Another runner is read from now on: only what it sends may hold it. */
+  noteNewTry(): void {
+    this.held = false;
+    this.windowBytes = WINDOW_BYTES;
+    this.source?.noteNewTry();
+  }
+
   /** Gives an answer of the relay itself. */
   sendOwn(answer: OwnAnswer, requestId: string | undefined): void {
     const { status, detail, verdict, retryAfterSeconds } = answer;
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -224,7 +224,7 @@
       bodyBytes: this.passage.body.length,
     });
     const reader = this.nextReader();
-    this.reading.noteNewTry();
+    this.answer.noteNewTry();
     const limit = context.currentTable()?.services.get(runner.service)?.maximumConnections;
     const agent = context.connections.agentFor(runner, limit);
     const { method, path, id: requestId } = request;
--- a/src/relay/tries/silence-watch.ts
+++ b/src/relay/tries/silence-watch.ts
@@ -63,10 +63,14 @@
   }
 
   private lookAfter(milliseconds: number): void {
+    this.cancelTimer();
     this.cancelTimer = this.context.runtime.setTimer(milliseconds, () => this.look());
   }
 
   private look(): void {
+    if (this.stopped || this.paused) {
+      return;
+    }
     const { runtime, connections } = this.context;
     const silence = runtime.now() - Math.max(this.heardAt, this.record.heardAt);
     if (silence < this.limit) {
