A connection's close ends every request that came over it

Cause: a response that waits behind another on its connection never gets a socket, and Node tells no close of it: the count of requests, the holdings and the call stayed for ever. Change: one end for each request, told by its response or its connection. The scenario fails without the change (still under way after 500 ms).

--- a/features/slow-readers.feature
+++ b/features/slow-readers.feature
@@ -17,6 +17,11 @@
     Given a gateway with two runners whose streams are long
     Then an answer of 8000 bytes that is read 200 milliseconds after its runner closed the connection is whole
 
+  Scenario: A client that leaves ends all requests that it sent one behind the other, and nothing is held for them
+    Given a gateway with two runners whose streams are long
+    When a client sends 3 requests with bodies one behind the other, and leaves after 300 milliseconds
+    Then no request is under way within 500 milliseconds, all runs have ended, and nothing is held
+
   Scenario: A client that reads nothing is cut, its run ends, and the log says so
     Given a gateway with two runners whose streams are long
     When a client of a "stream" route reads nothing
--- a/features/steps/memory-accounts.steps.ts
+++ b/features/steps/memory-accounts.steps.ts
@@ -17,6 +17,7 @@
 import type { CutOrder, SlowReader } from '../../src/relay/memory/memory-budget.js';
 import type { RunnerLife } from '../../src/relay/runners/runner.js';
 import { RunnerIntake } from '../../src/relay/memory/runner-intake.js';
+import { RequestEnd } from '../../src/relay/front/request-ends.js';
 import type { RelayContext } from '../../src/relay/relay-context.js';
 import type { RunnerRecord } from '../../src/relay/runners/runner-book.js';
 import { SilenceWatch } from '../../src/relay/tries/silence-watch.js';
@@ -359,6 +360,7 @@
   function () {
     const runtime = runtimeOn(new VirtualClock(), []);
     const answer = new ClientAnswer(untakenResponse(), {
+      end: new RequestEnd(),
       runtime,
       memory: new MemoryBudget(runtime, NO_BOUNDS),
       requestIdHeader: 'id',
--- a/features/steps/slow-readers.steps.ts
+++ b/features/steps/slow-readers.steps.ts
@@ -1,5 +1,6 @@
 /** Steps about clients and runners that read slowly, over loopback sockets. */
 import assert from 'node:assert/strict';
+import { connect } from 'node:net';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import type { Holding } from '../../src/relay/memory/memory-accounts.js';
 import { boundsFor } from '../../src/relay/memory/memory-bounds.js';
@@ -7,7 +8,7 @@
 import { startAttempt } from '../../src/relay/tries/attempt.js';
 import type { Attempt } from '../../src/relay/tries/attempt.js';
 import { RunnerAgent } from '../../src/relay/tries/runner-agent.js';
-import { RelayWorld } from '../support/relay-world.js';
+import { ROUTED_HOST, RelayWorld } from '../support/relay-world.js';
 import type { ClientResult, RelayWorldOptions } from '../support/relay-world.js';
 import { SlowClient } from '../support/slow-client.js';
 import { TakingNothing } from '../support/taking-nothing.js';
@@ -449,3 +450,36 @@
     assert.deepEqual(outcomes, [`${bytes} bytes`]);
   },
 );
+
+When(
+  'a client sends {int} requests with bodies one behind the other, and leaves after {int} milliseconds',
+  async function (this: World, count: number, pause: number) {
+    const socket = connect(this.slow.frontPort, '127.0.0.1');
+    for (let index = 0; index < count; index += 1) {
+      const head = [
+        'POST /stream/work?stream HTTP/1.1',
+        `host: ${ROUTED_HOST}`,
+        `${DEFAULT_HEADER_NAMES.requestId}: behind-${index}`,
+        `${DEFAULT_HEADER_NAMES.timeout}: 20000`,
+        'content-length: 4',
+      ];
+      socket.write(`${head.join('\r\n')}\r\n\r\nbody`);
+    }
+    const runs = (): number =>
+      this.slow.runners.reduce((sum, runner) => sum + runner.runs.length, 0);
+    await until('all runs', 2_000, () => runs() === count);
+    await sleep(pause);
+    socket.destroy();
+  },
+);
+
+Then(
+  'no request is under way within {int} milliseconds, all runs have ended, and nothing is held',
+  async function (this: World, most: number) {
+    const { gateway, runners } = this.slow;
+    await until('no request is under way', most, () => gateway.activeRequests === 0);
+    const runs = runners.flatMap((runner) => runner.runs);
+    await until('the end of all runs', most, () => runs.every(({ left }) => left));
+    assert.equal(gateway.memory.heldBytes, 0);
+  },
+);
--- a/src/relay/answers/client-answer.ts
+++ b/src/relay/answers/client-answer.ts
@@ -5,6 +5,7 @@
 import type { ServerResponse } from 'node:http';
 import { STATUS_CODES } from 'node:http';
 import type { Runtime } from '../../runtime/runtime.js';
+import type { RequestEnd } from '../front/request-ends.js';
 import type { Holding } from '../memory/memory-accounts.js';
 import type { MemoryBudget, SlowReader } from '../memory/memory-budget.js';
 import { headersToClient } from '../request/forwarded-headers.js';
@@ -36,6 +37,8 @@
 
 /** What an answer is made with. */
 export interface ClientAnswerOptions {
+  /** When the request is over. */
+  readonly end: RequestEnd;
   readonly runtime: Runtime;
   readonly memory: MemoryBudget;
   readonly requestIdHeader: string;
@@ -72,7 +75,7 @@
       readOn: () => this.readOn(),
       cut: (reason) => this.cut(reason),
     });
-    response.on('close', () => this.release());
+    options.end.onOver(() => this.release());
   }
 
   /** Whether the first byte of an answer is out. */
@@ -97,7 +100,7 @@
 
   /** Calls back when the client left before the end of its answer. */
   onLeft(listener: () => void): void {
-    this.response.on('close', () => {
+    this.options.end.onOver(() => {
       if (!this.response.writableFinished) {
         listener();
       }
--- a/src/relay/front/relay-front.ts
+++ b/src/relay/front/relay-front.ts
@@ -14,6 +14,8 @@
 import { RelayCall } from '../tries/relay-call.js';
 import { readBody } from './body-reader.js';
 import type { BodyEnd } from './body-reader.js';
+import { RequestEnds } from './request-ends.js';
+import type { RequestEnd } from './request-ends.js';
 import { headOf, parseRequest, timeoutOf } from './request-parser.js';
 
 /** Largest header that Node itself reads, in bytes; the configured limit is checked after. */
@@ -33,7 +35,7 @@
 /** See the head of this file. */
 export class RelayFront {
   private readonly server: Server;
-  private readonly sockets = new Set<Socket>();
+  private readonly ends = new RequestEnds();
   /** Requests under way. */
   activeCount = 0;
   private draining = false;
@@ -54,10 +56,7 @@
       response.writeContinue();
       this.take(request, response);
     });
-    this.server.on('connection', (socket: Socket) => {
-      this.sockets.add(socket);
-      socket.on('close', () => this.sockets.delete(socket));
-    });
+    this.server.on('connection', (socket: Socket) => this.ends.addSocket(socket));
   }
 
   /** Listens; calls back when it does. */
@@ -87,7 +86,7 @@
   /** Breaks every connection and stops listening. */
   close(): void {
     this.server.close();
-    this.sockets.forEach((socket) => socket.destroy());
+    this.ends.destroyAll();
   }
 
   /** Clients are to come back over another connection, which may lead to another gateway. */
@@ -99,7 +98,9 @@
     const { names, runtime } = this.context;
     const arrivedAt = runtime.now();
     const head = headOf(request);
+    const end = this.ends.open(request.socket, response);
     const answer = new ClientAnswer(response, {
+      end,
       runtime,
       memory: this.context.memory,
       requestIdHeader: names.requestId,
@@ -107,7 +108,7 @@
       isClosing: () => this.isClosing,
     });
     this.activeCount += 1;
-    response.on('close', () => {
+    end.onOver(() => {
       this.activeCount -= 1;
       this.checkIdle();
     });
@@ -117,7 +118,7 @@
       this.refuse(request, answer, refused, door.id);
       return;
     }
-    this.read(request, response, answer, door, (body) => {
+    this.read(request, end, answer, door, (body) => {
       const latest = { ...door, table: this.context.currentTable() ?? door.table };
       const refusedNow = passDoor(latest, BODY_STAGES);
       if (refusedNow !== undefined) {
@@ -153,14 +154,14 @@
 
   private read(
     request: IncomingMessage,
-    response: ServerResponse,
+    ended: RequestEnd,
     answer: ClientAnswer,
     door: Door,
     done: (body: Buffer) => void,
   ): void {
     const { runtime, memory } = this.context;
     const holding = memory.open('bodies');
-    response.on('close', () => holding.release());
+    ended.onOver(() => holding.release());
     const { bodyBytes: limitBytes } = door.table!.limits;
     const reading = { runtime, memory, limitBytes, timeoutMilliseconds: timeoutOf(door) };
     readBody(request, reading, holding, (end) => {
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -157,6 +157,11 @@
     this.listen();
   }
 
+  /** Requests under way. */
+  get activeRequests(): number {
+    return this.front.activeCount;
+  }
+
   /** Stops as planned: serves while new connections may come, finishes all, then calls back. */
   stop(done: () => void): void {
     if (this.stopping) {
@@ -164,7 +169,7 @@
     }
     this.stopping = true;
     const { runtime, graceMilliseconds } = this.options;
-    const { activeCount: active } = this.front;
+    const { activeRequests: active } = this;
     runtime.log('info', 'planned stop', { event: 'process.stopping', active });
     this.front.startDraining();
     runtime.setTimer(STILL_OPEN_MILLISECONDS, () => this.front.stop(done));
