A part of an error's body is forgotten before the next try of a stream

Cause: bytes of an error's body that broke off stayed beside the output of the next try and were kept with the turn. Change: prepareResume clears them and what is held for them.

--- a/src/relay/answers/stream-answer.ts
+++ b/src/relay/answers/stream-answer.ts
@@ -46,6 +46,11 @@
   /** Prepares for another runner; false when the stream has begun and may not be taken up. */
   prepareResume(): boolean {
     this.splitter = new EventSplitter();
+    if ((this.head?.status ?? 0) >= FIRST_REDIRECT) {
+      // The part of an error's body is of no turn.
+      this.output.length = 0;
+      this.holding.set(0);
+    }
     this.head = undefined;
     return !this.call.answer.started || this.call.request.route.resumable;
   }
