Bodies that waited are let in some at a time, and one never begun is refused as not run

Cause: all waiting bodies were let in at one change, requests that were over stayed in the list, and a body that this gateway never began to read was answered as its client's lateness (408). Change: 16 in a lot, a lot each 10 ms while there is room, a request that is over gives up its wait; such a body gets the refusal of short memory (503, not run, time to come back).

--- a/features/memory-accounts.feature
+++ b/features/memory-accounts.feature
@@ -65,3 +65,14 @@
 
   Scenario: Bytes that wait for a connection are not the runner's
     Then 30 bodies of 90000 bytes that wait for connections leave a runner in, and count from their connections on
+
+  Scenario: Bodies that wait are let in some at a time, the first first, and none of a request that is over
+    Given a budget of 1000000 bytes
+    When the bytes held rise to 700000
+    And 100 bodies of 30000 bytes come, 20 of which are given up
+    And the bytes held rise to 100000
+    Then no more than 16 of them are read together, and the mark is not passed by more than those
+    And all but those that were given up are read once there is room for each
+
+  Scenario: A part of an error's body is of no turn
+    Then a turn whose first try broke off in an error's body is kept with the second one's events only
--- a/features/slow-readers.feature
+++ b/features/slow-readers.feature
@@ -68,6 +68,7 @@
     Given a gateway with a budget of 1 MB and two runners whose streams are long
     When it holds 700000 bytes for others
     Then a new request without a body is answered, and one with a body waits
+    And one with a body whose time is over before it is read is refused with 503 and a time to come back, and no run
     When it holds 800000 bytes for others
     Then a new request is refused with 503, a time to come back, and no run
     When it holds 1000 bytes for others
--- a/features/steps/memory-accounts.steps.ts
+++ b/features/steps/memory-accounts.steps.ts
@@ -18,6 +18,8 @@
 import type { RunnerLife } from '../../src/relay/runners/runner.js';
 import { RunnerIntake } from '../../src/relay/memory/runner-intake.js';
 import { RequestEnd } from '../../src/relay/front/request-ends.js';
+import { StreamAnswer } from '../../src/relay/answers/stream-answer.js';
+import type { AnsweredCall, AnswerHead } from '../../src/relay/answers/answer-reader.js';
 import type { RelayContext } from '../../src/relay/relay-context.js';
 import type { RunnerRecord } from '../../src/relay/runners/runner-book.js';
 import { SilenceWatch } from '../../src/relay/tries/silence-watch.js';
@@ -36,6 +38,8 @@
   lines: LogFields[];
   bodiesRead: number;
   cut: string[];
+  /** Numbers of bodies that were let in, and whose bytes are held since. */
+  letIn: { readonly body: number; readonly holding: Holding }[];
 }
 
 function runtimeOn(clock: VirtualClock, lines: LogFields[]): Runtime {
@@ -434,3 +438,77 @@
     assert.equal(intake.untakenBytes(RUNNER), 0);
   },
 );
+
+When(
+  '{int} bodies of {int} bytes come, {int} of which are given up',
+  function (this: World, count: number, bytes: number, givenUp: number) {
+    this.letIn = [];
+    for (let body = 0; body < count; body += 1) {
+      const giveUp = this.budget.whenBodyMayCome(() => {
+        const holding = this.budget.open('bodies');
+        this.letIn.push({ body, holding });
+        // Its bytes come later than the word that it may.
+        this.clock.schedule(2, () => holding.set(bytes));
+      });
+      if (body < givenUp) {
+        giveUp();
+      }
+    }
+  },
+);
+
+Then(
+  'no more than {int} of them are read together, and the mark is not passed by more than those',
+  function (this: World, most: number) {
+    assert.equal(this.letIn.length, most);
+    pass(this.clock, 1_000);
+    assert.ok(!this.budget.isCalm);
+    assert.ok(this.budget.heldBytes <= 600_000 + most * 30_000, `${this.budget.heldBytes} held`);
+  },
+);
+
+Then(
+  'all but those that were given up are read once there is room for each',
+  function (this: World) {
+    for (let round = 0; round < 20; round += 1) {
+      this.letIn.forEach(({ holding }) => holding.release());
+      pass(this.clock, 100);
+    }
+    assert.deepEqual(
+      this.letIn.map(({ body }) => body),
+      Array.from({ length: 80 }, (_, index) => index + 20),
+    );
+  },
+);
+
+/** Head of a runner's answer. */
+function headOf(status: number): AnswerHead {
+  const nothing = { reason: '', rawHeaders: [], headers: {}, notExecuted: false, closing: false };
+  return { status, ...nothing };
+}
+
+Then(
+  "a turn whose first try broke off in an error's body is kept with the second one's events only",
+  function () {
+    const kept: string[] = [];
+    const runtime = runtimeOn(new VirtualClock(), []);
+    const turns = { keep: (turn: { output: Buffer }) => kept.push(turn.output.toString()) };
+    const memory = new MemoryBudget(runtime, NO_BOUNDS);
+    const call = {
+      context: { memory, runtime, turns },
+      request: { route: { retained: true, resumable: false, retentionSeconds: 1 }, body: '' },
+      answer: { started: false, beginStream: () => undefined, write: () => undefined },
+      remainingMilliseconds: 1_000,
+      noteFirstByte: () => undefined,
+    };
+    const stream = new StreamAnswer(call as unknown as AnsweredCall);
+    stream.onHead(headOf(404));
+    stream.onData(Buffer.from('no such'));
+    assert.ok(stream.prepareResume());
+    assert.equal(memory.heldBytes, 0);
+    stream.onHead(headOf(200));
+    stream.onData(Buffer.from('id: 1\ndata: one\n\n'));
+    stream.onEnd();
+    assert.deepEqual(kept, ['one\n']);
+  },
+);
--- a/features/steps/slow-readers.steps.ts
+++ b/features/steps/slow-readers.steps.ts
@@ -497,3 +497,15 @@
     this.answers.map(() => 200),
   );
 });
+
+Then(
+  'one with a body whose time is over before it is read is refused with 503 and a time to come back, and no run',
+  async function (this: World) {
+    const headers = { [DEFAULT_HEADER_NAMES.timeout]: '200' };
+    const result = await this.slow.send('repeatable', { body: 'unread', id: 'unread', headers });
+    assert.equal(result.status, 503);
+    assert.ok(Number(result.headers['retry-after']) > 0);
+    const runs = this.slow.runners.flatMap((runner) => runner.runs);
+    assert.ok(runs.every(({ requestId }) => requestId !== 'unread'));
+  },
+);
--- a/src/relay/front/body-reader.ts
+++ b/src/relay/front/body-reader.ts
@@ -11,7 +11,7 @@
   | { readonly tag: 'TooLarge' }
   /** It did not come in time. */
   | { readonly tag: 'Late' }
-  /** There is no memory for it. */
+  /** There is no memory for it, or there was none to begin in its time. */
   | { readonly tag: 'NoMemory' };
 
 /** What a body is read with. */
@@ -32,7 +32,9 @@
   private readonly chunks: Buffer[] = [];
   private bytes = 0;
   private over = false;
+  private begun = false;
   private readonly cancel: () => void;
+  private stopWaiting: () => void = () => undefined;
 
   constructor(
     private readonly request: IncomingMessage,
@@ -41,14 +43,14 @@
     private readonly done: (end: BodyEnd) => void,
   ) {
     const { runtime, timeoutMilliseconds } = reading;
-    this.cancel = runtime.setTimer(timeoutMilliseconds, () => this.finish({ tag: 'Late' }));
+    this.cancel = runtime.setTimer(timeoutMilliseconds, () => this.endLate());
     request.on('error', () => this.giveUp());
     request.on('close', () => this.giveUp());
   }
 
   start(): void {
     if (hasBody(this.request)) {
-      this.reading.memory.whenBodyMayCome(() => this.read());
+      this.stopWaiting = this.reading.memory.whenBodyMayCome(() => this.read());
     } else {
       this.read();
     }
@@ -58,10 +60,16 @@
     if (this.over) {
       return;
     }
+    this.begun = true;
     this.request.on('data', (chunk: Buffer) => this.take(chunk));
     this.request.on('end', () => this.finish({ tag: 'Whole', body: this.joined() }));
   }
 
+  /** A body that was never begun was kept waiting here: that is not its client's fault. */
+  private endLate(): void {
+    this.finish({ tag: this.begun ? 'Late' : 'NoMemory' });
+  }
+
   private take(chunk: Buffer): void {
     if (this.over) {
       return;
@@ -97,6 +105,7 @@
   private giveUp(): void {
     this.over = true;
     this.cancel();
+    this.stopWaiting();
   }
 }
 
--- a/src/relay/memory/memory-budget.ts
+++ b/src/relay/memory/memory-budget.ts
@@ -25,6 +25,11 @@
 /** Least time between two log lines of one level, in milliseconds: a level swings with the load. */
 const LOG_MILLISECONDS = 1_000;
 
+/** Bodies let in together: of some tens of kilobytes each, a small part of the smallest budget. */
+const BODIES_AT_ONCE = 16;
+/** Pause between two lots of bodies, in milliseconds: what was let in has begun to count by then. */
+const LET_IN_MILLISECONDS = 10;
+
 /** Sorts readers so that the first to be cut comes first. */
 export type CutOrder = (left: SlowReader, right: SlowReader) => number;
 
@@ -37,7 +42,9 @@
   private readonly accounts = new Map<MemoryAccount, number>();
   private readonly readers = new Set<SlowReader>();
   private readonly loggedAt = new Map<MemoryLevel, number>();
-  private waiting: (() => void)[] = [];
+  /** Bodies that wait, the first first. */
+  private readonly waiting = new Set<() => void>();
+  private isLetting = false;
   private current: MemoryLevel = 'calm';
   private total = 0;
   private cutting = false;
@@ -79,13 +86,19 @@
     return new Holding(account, (name, bytes) => this.change(name, bytes));
   }
 
-  /** Calls back when the body of a new request may be read: at once, or when there is room. */
-  whenBodyMayCome(listener: () => void): void {
-    if (this.isCalm) {
+  /**
+   * Calls back when the body of a new request may be read: at once, or when there is room. The returned function
+   * gives up the wait of a request that is over.
+   */
+  whenBodyMayCome(listener: () => void): () => void {
+    const entry = (): void => listener();
+    if (this.isCalm && this.waiting.size === 0) {
       listener();
     } else {
-      this.waiting.push(listener);
+      this.waiting.add(entry);
+      this.letBodiesIn();
     }
+    return () => this.waiting.delete(entry);
   }
 
   /** Adds a client that is behind. */
@@ -124,7 +137,7 @@
       `ivyloom_memory_budget_bytes ${this.bounds.cutBytes === Infinity ? '+Inf' : this.bounds.cutBytes}`,
       `ivyloom_memory_slow_readers ${this.readers.size}`,
       `ivyloom_memory_cut_readers_total ${this.cutCount}`,
-      `ivyloom_memory_waiting_bodies ${this.waiting.length}`,
+      `ivyloom_memory_waiting_bodies ${this.waiting.size}`,
     );
     return `${lines.join('\n')}\n`;
   }
@@ -144,10 +157,22 @@
     if (this.current === 'cut') {
       this.cutReaders();
     }
-    if (this.isCalm && this.waiting.length > 0) {
-      const listeners = this.waiting;
-      this.waiting = [];
-      listeners.forEach((listener) => this.whenBodyMayCome(listener));
+    this.letBodiesIn();
+  }
+
+  /** Lets some of the bodies in that wait, and looks again for the others, since all at once pass the mark again. */
+  private letBodiesIn(): void {
+    if (!this.isCalm || this.waiting.size === 0 || this.isLetting) {
+      return;
+    }
+    this.isLetting = true;
+    this.runtime.setTimer(LET_IN_MILLISECONDS, () => {
+      this.isLetting = false;
+      this.letBodiesIn();
+    });
+    for (const listener of [...this.waiting].slice(0, BODIES_AT_ONCE)) {
+      this.waiting.delete(listener);
+      listener();
     }
   }
 
@@ -192,7 +217,7 @@
       budget: Math.round(this.bounds.cutBytes),
       ...this.byAccount(),
       slowReaders: this.readers.size,
-      waitingBodies: this.waiting.length,
+      waitingBodies: this.waiting.size,
       largestReader: largest?.requestId ?? '',
       largestReaderBytes: largest?.heldBytes ?? 0,
     });
