Gateways tell on the eight topics of tallies with the lowest numbers

Cause: a topic that is not known here was told on without a bound on their number, so peers that tell of many made the section longer than one may be, and its encoder threw inside the gossip's timer. Change: the lowest eight topics, some 15 KB with all their rows. Property test on up to 255 topics of up to 60 rows.

--- a/features/peers.feature
+++ b/features/peers.feature
@@ -21,3 +21,6 @@
 
   Scenario: Bytes that are no message change nothing
     Then any bytes are decoded to a load message or to nothing
+
+  Scenario: Peers that tell of many topics that are not known here leave a message that can be told on
+    Then whatever topics and rows peers tell, their sum fits in a section and has all topics that are known here
--- a/features/steps/peers.steps.ts
+++ b/features/steps/peers.steps.ts
@@ -17,9 +17,12 @@
 import { PeerExchange } from '../../src/peers/peer-exchange.js';
 import type { PeerSnapshot } from '../../src/peers/peer-exchange.js';
 import type { PromptPlace } from '../../src/peers/recent-places.js';
+import { MAXIMUM_AMOUNTS, TALLY_TOPICS, sumTallies, tallyList } from '../../src/peers/tallies.js';
+import { encodeTallies } from '../../src/peers/tally-codec.js';
 import { promptKeyOf } from '../../src/relay/request/relay-request.js';
 import { hashToNumber } from '../../src/runtime/hashing.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
+import { MAXIMUM_SECTION_BYTES } from '../../src/wire/sections.js';
 
 const HOSTS = ['127.0.8.1', '127.0.8.2', '127.0.8.3'] as const;
 const MEMBERS = 'the members';
@@ -228,3 +231,28 @@
     }),
   );
 });
+
+Then(
+  'whatever topics and rows peers tell, their sum fits in a section and has all topics that are known here',
+  function () {
+    const known = Object.values(TALLY_TOPICS);
+    const counts = {
+      topics: fc.integer({ min: 1, max: 255 }),
+      rows: fc.integer({ min: 1, max: 60 }),
+    };
+    fc.assert(
+      fc.property(fc.record(counts), ({ topics, rows }) => {
+        const amounts = Array.from({ length: MAXIMUM_AMOUNTS }, () => 1);
+        const told = Array.from({ length: topics }, (_, index) => ({
+          topic: 255 - index,
+          rows: Array.from({ length: rows }, (_row, key) => ({ key, amounts })),
+        }));
+        const own = known.map((topic) => ({ topic, rows: [{ key: 1, amounts }] }));
+        const list = tallyList(sumTallies([told, own]));
+        const content = encodeTallies(list);
+        assert.ok(content.length <= MAXIMUM_SECTION_BYTES, `${content.length} bytes`);
+        assert.deepEqual(list.map(({ topic }) => topic).slice(0, known.length), known);
+      }),
+    );
+  },
+);
--- a/src/peers/tallies.ts
+++ b/src/peers/tallies.ts
@@ -37,6 +37,11 @@
 
 /** Rows of one topic in a message: bounds the bytes whatever the number of runners or tenants. */
 const MAXIMUM_ROWS = 48;
+/**
+ * Topics in a message, the lowest numbers first: more than builds that run side by side know, and with all their
+ * rows a message stays a quarter of what a section holds.
+ */
+const MAXIMUM_TOPICS = 8;
 /** Amounts in a row. */
 export const MAXIMUM_AMOUNTS = 8;
 
@@ -78,9 +83,10 @@
   return sums;
 }
 
-/** Sums as a message tells them: the rows of the largest first amounts. */
+/** Sums as a message tells them: the topics of the lowest numbers, and of each the rows of the largest first amounts. */
 export function tallyList(sums: TallySums): Tally[] {
-  return [...sums].map(([topic, byKey]) => {
+  const topics = [...sums].sort(([left], [right]) => left - right).slice(0, MAXIMUM_TOPICS);
+  return topics.map(([topic, byKey]) => {
     const rows = [...byKey].map(([key, amounts]) => ({ key, amounts }));
     return { topic, rows: boundedRows(rows) };
   });
