A soak in which no slow reader was ever served whole fails

Cause: long streams that are read slowly were only checked for their order, so a soak passed though each was broken off. Change: those asked and those that came whole are counted; of more than ten, one comes whole at least. The counts of a soak start in one place.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -54,3 +54,8 @@
       | nothing       | 4500 |                |
       | servesOldKeys | 4500 | key taken away |
       | ignoresLimit  | 4500 | limit          |
+
+  Scenario: A soak in which no slow reader is ever served whole fails
+    Then a soak of 30 long streams fails where 0 came whole
+    And a soak of 30 long streams passes where 1 came whole
+    And a soak of 3 long streams passes where 0 came whole
--- a/features/steps/soak.steps.ts
+++ b/features/steps/soak.steps.ts
@@ -4,8 +4,9 @@
 import { PLATFORM_HEADER_NAMES } from '../../platform/header-names.js';
 import { ConfigurationCheck } from '../../soak/configuration-check.js';
 import { SOAK_PORTS } from '../../soak/platform-process.js';
-import { SoakClient } from '../../soak/soak-client.js';
+import { noCounts, SoakClient } from '../../soak/soak-client.js';
 import type { SoakClientContext } from '../../soak/soak-client.js';
+import { slowReaderViolations } from '../../soak/slow-reading.js';
 import { TenantCheck } from '../../soak/tenant-check.js';
 import { RelayRunner } from '../../src/emulator/relay-runner.js';
 import { createRandom } from '../../src/runtime/random.js';
@@ -40,7 +41,7 @@
       random: createRandom(1),
       gatewayHosts: [HOST],
       runners: [this.soakRunner!],
-      counts: { sent: 0, answered: 0, refused: 0, failed: 0, kept: 0, budgetRefused: 0 },
+      counts: noCounts(),
       violate: (promise) => this.told!.add(promise),
     };
     const until = performance.now() + milliseconds;
@@ -104,3 +105,17 @@
 Then('they tell of {string} and of nothing else', function (this: World, promise: string) {
   assert.deepEqual([...this.told!], promise === '' ? [] : [promise]);
 });
+
+Then(
+  'a soak of {int} long streams fails where {int} came whole',
+  function (asked: number, whole: number) {
+    assert.equal(slowReaderViolations({ slowAsked: asked, slowWhole: whole }).length, 1);
+  },
+);
+
+Then(
+  'a soak of {int} long streams passes where {int} came whole',
+  function (asked: number, whole: number) {
+    assert.deepEqual(slowReaderViolations({ slowAsked: asked, slowWhole: whole }), []);
+  },
+);
--- a/soak/recovery-check.ts
+++ b/soak/recovery-check.ts
@@ -1,4 +1,5 @@
 /** Whether every kind of request is served again after a fault, within the time allowed for that. */
+import { noCounts } from './soak-client.js';
 import type { AnsweredTurn, SoakClient, SoakCounts } from './soak-client.js';
 
 /** What the check is made with. */
@@ -18,10 +19,6 @@
 /** Lost turns after which no more are tried: the soak has failed, and each takes seconds. */
 const MOST_LOST = 8;
 
-function noCounts(): SoakCounts {
-  return { sent: 0, answered: 0, refused: 0, failed: 0, kept: 0, budgetRefused: 0 };
-}
-
 /** See the head of this file. */
 export class RecoveryCheck {
   /** Milliseconds until service was back, for each check. */
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -14,8 +14,8 @@
 import { PROGRAM, SOAK_CATCH_UP_MILLISECONDS } from './platform-process.js';
 import type { PlatformProcess, PlatformRole } from './platform-process.js';
 import { RecoveryCheck } from './recovery-check.js';
-import { SoakClient } from './soak-client.js';
-import type { SoakCounts } from './soak-client.js';
+import { noCounts, SoakClient } from './soak-client.js';
+import { slowReaderViolations } from './slow-reading.js';
 import type { RunningSoak, SoakOptions, SoakReport } from './soak-report.js';
 import { SoakConfiguration } from './soak-configuration.js';
 import {
@@ -60,14 +60,7 @@
   private readonly configurations: SoakConfiguration;
   private readonly violations: string[] = [];
   private readonly faults: Record<string, number> = {};
-  private readonly counts: SoakCounts = {
-    sent: 0,
-    answered: 0,
-    refused: 0,
-    failed: 0,
-    kept: 0,
-    budgetRefused: 0,
-  };
+  private readonly counts = noCounts();
   private readonly pairs: Record<string, number> = {};
   private readonly lost: PowerLossCounts = { disks: 0, names: 0, bytes: 0 };
   /** Faults that last, and what each of them strikes: a machine, or the store. */
@@ -128,6 +121,7 @@
     await this.recovery.check('the last fault');
     await this.recovery.checkTurns(clients.flatMap((client) => client.answeredTurns));
     this.noteOwnExits();
+    this.violations.push(...slowReaderViolations(this.counts));
     await this.world.stop();
     this.violations.push(...(this.upgrade?.violationsIn(this.world.folder) ?? []));
     const { seed } = this.options;
--- a/soak/soak-client.ts
+++ b/soak/soak-client.ts
@@ -53,6 +53,15 @@
   failed: number;
   kept: number;
   budgetRefused: number;
+  /** Long streams that were read slowly, and how many of them came whole. */
+  slowAsked: number;
+  slowWhole: number;
+}
+
+/** Counts before anything was sent. */
+export function noCounts(): SoakCounts {
+  const plain = { sent: 0, answered: 0, refused: 0, failed: 0 };
+  return { ...plain, kept: 0, budgetRefused: 0, slowAsked: 0, slowWhole: 0 };
 }
 
 /** A turn that was answered whole: what it is, and the chain that ends with it. */
@@ -123,6 +132,9 @@
     const events = [...result.body.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
     this.judge('single', id, result);
     this.checkEvents(id, events, result, LONG_EVENTS);
+    const { counts } = this.context;
+    counts.slowAsked += 1;
+    counts.slowWhole += result.status === 200 && result.complete ? 1 : 0;
   }
 
   /** The last turns of the newest programs: of each program one, the newest last. */
