--- a/features/memory-accounts.feature
+++ b/features/memory-accounts.feature
@@ -56,3 +56,23 @@
 
   Scenario: A runner that takes nothing is handed no more than its bound
     Then a runner that takes nothing may be sent requests until 262144 bytes wait for it, and again once it takes
+
+  Scenario: A runner that takes over from another is held as soon as its client is behind
+    Then a client that is behind holds the first runner, and the next one after the same bytes
+
+  Scenario: The silence of a runner is watched by one timer, whatever was paused while its address was probed
+    Then a watch that is paused and resumed while a probe is out probes once in each silence
+
+  Scenario: Bytes that wait for a connection are not the runner's
+    Then 30 bodies of 90000 bytes that wait for connections leave a runner in, and count from their connections on
+
+  Scenario: Bodies that wait are let in some at a time, the first first, and none of a request that is over
+    Given a budget of 1000000 bytes
+    When the bytes held rise to 700000
+    And 100 bodies of 30000 bytes come, 20 of which are given up
+    And the bytes held rise to 100000
+    Then no more than 16 of them are read together, and the mark is not passed by more than those
+    And all but those that were given up are read once there is room for each
+
+  Scenario: A part of an error's body is of no turn
+    Then a turn whose first try broke off in an error's body is kept with the second one's events only
--- a/features/slow-readers.feature
+++ b/features/slow-readers.feature
@@ -13,6 +13,15 @@
     Then it gets the whole stream in order
     And no try failed, and nothing was learned of its runner's pace
 
+  Scenario: An answer whose runner closes the connection while it is not read is whole
+    Given a gateway with two runners whose streams are long
+    Then an answer of 8000 bytes that is read 200 milliseconds after its runner closed the connection is whole
+
+  Scenario: A client that leaves ends all requests that it sent one behind the other, and nothing is held for them
+    Given a gateway with two runners whose streams are long
+    When a client sends 3 requests with bodies one behind the other, and leaves after 300 milliseconds
+    Then no request is under way within 500 milliseconds, all runs have ended, and nothing is held
+
   Scenario: A client that reads nothing is cut, its run ends, and the log says so
     Given a gateway with two runners whose streams are long
     When a client of a "stream" route reads nothing
@@ -59,6 +68,7 @@
     Given a gateway with a budget of 1 MB and two runners whose streams are long
     When it holds 700000 bytes for others
     Then a new request without a body is answered, and one with a body waits
+    And one with a body whose time is over before it is read is refused with 503 and a time to come back, and no run
     When it holds 800000 bytes for others
     Then a new request is refused with 503, a time to come back, and no run
     When it holds 1000 bytes for others
@@ -69,3 +79,8 @@
     When 120 clients send bodies of 90000 bytes to a "repeatable" route
     Then at most 400000 bytes wait for the first runner, and the others were answered by the second
     And none that reached the first runner in part or whole is said not to have run
+
+  Scenario: Long bodies that come at once leave no runner out that takes them
+    Given a gateway with two runners whose streams are long
+    When 120 clients send bodies of 90000 bytes to a "repeatable" route
+    Then all of them are answered
--- a/features/steps/memory-accounts.steps.ts
+++ b/features/steps/memory-accounts.steps.ts
@@ -1,9 +1,12 @@
 /** Steps about accounts of bytes and the judgement of slow readers, in virtual time and without a network. */
 import assert from 'node:assert/strict';
+import { EventEmitter } from 'node:events';
+import type { ServerResponse } from 'node:http';
 import { Given, Then, When } from '@cucumber/cucumber';
 import type { DataTable } from '@cucumber/cucumber';
 import fc from 'fast-check';
-import { ClientOutlet } from '../../src/relay/answers/client-outlet.js';
+import { ClientAnswer, WINDOW_BYTES } from '../../src/relay/answers/client-answer.js';
+import { ClientOutlet, PIECE_BYTES } from '../../src/relay/answers/client-outlet.js';
 import type { OutletTarget } from '../../src/relay/answers/client-outlet.js';
 import { ReaderWatch } from '../../src/relay/answers/reader-watch.js';
 import type { ReaderStand } from '../../src/relay/answers/reader-watch.js';
@@ -14,6 +17,12 @@
 import type { CutOrder, SlowReader } from '../../src/relay/memory/memory-budget.js';
 import type { RunnerLife } from '../../src/relay/runners/runner.js';
 import { RunnerIntake } from '../../src/relay/memory/runner-intake.js';
+import { RequestEnd } from '../../src/relay/front/request-ends.js';
+import { StreamAnswer } from '../../src/relay/answers/stream-answer.js';
+import type { AnsweredCall, AnswerHead } from '../../src/relay/answers/answer-reader.js';
+import type { RelayContext } from '../../src/relay/relay-context.js';
+import type { RunnerRecord } from '../../src/relay/runners/runner-book.js';
+import { SilenceWatch } from '../../src/relay/tries/silence-watch.js';
 import { createRandom } from '../../src/runtime/random.js';
 import type { LogFields, Runtime } from '../../src/runtime/runtime.js';
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
@@ -29,6 +38,8 @@
   lines: LogFields[];
   bodiesRead: number;
   cut: string[];
+  /** Numbers of bodies that were let in, and whose bytes are held since. */
+  letIn: { readonly body: number; readonly holding: Holding }[];
 }
 
 function runtimeOn(clock: VirtualClock, lines: LogFields[]): Runtime {
@@ -341,3 +352,163 @@
     assert.equal(intake.untakenBytes(RUNNER), 0);
   },
 );
+
+/** A response whose client takes nothing. */
+function untakenResponse(): ServerResponse {
+  const response = Object.assign(new EventEmitter(), { writableLength: 0, write: () => false });
+  return response as unknown as ServerResponse;
+}
+
+Then(
+  'a client that is behind holds the first runner, and the next one after the same bytes',
+  function () {
+    const runtime = runtimeOn(new VirtualClock(), []);
+    const answer = new ClientAnswer(untakenResponse(), {
+      end: new RequestEnd(),
+      runtime,
+      memory: new MemoryBudget(runtime, NO_BOUNDS),
+      requestIdHeader: 'id',
+      requestId: 'behind',
+      isClosing: () => false,
+    });
+    const held: number[] = [];
+    answer.comesFrom({
+      readsOn: false,
+      hold: () => held.push(answer.heldBytes),
+      release: () => undefined,
+      noteNewTry: () => undefined,
+      end: () => undefined,
+    });
+    const pass = (): void => answer.write(Buffer.alloc(PIECE_BYTES));
+    for (let tries = 1; tries <= 3; tries += 1) {
+      answer.noteNewTry();
+      for (let bytes = 0; bytes <= WINDOW_BYTES + PIECE_BYTES; bytes += PIECE_BYTES) {
+        pass();
+      }
+      assert.equal(held.length, tries, `held ${held.length} times`);
+    }
+  },
+);
+
+Then(
+  'a watch that is paused and resumed while a probe is out probes once in each silence',
+  function () {
+    const clock = new VirtualClock();
+    const probes: ((reachable: boolean) => void)[] = [];
+    const record = { silence: { unusualMilliseconds: 100 }, heardAt: 0, runner: {} };
+    const context = {
+      runtime: runtimeOn(clock, []),
+      connections: {
+        probe: (_runner: unknown, done: (reachable: boolean) => void) => probes.push(done),
+      },
+    };
+    const watch = new SilenceWatch(
+      context as unknown as RelayContext,
+      record as unknown as RunnerRecord,
+      () => undefined,
+    );
+    pass(clock, 100);
+    assert.equal(probes.length, 1);
+    watch.pause();
+    watch.resume();
+    probes[0]!(true);
+    pass(clock, 250);
+    assert.equal(probes.length, 2);
+    watch.stop();
+    pass(clock, 1_000);
+    assert.equal(probes.length, 2);
+  },
+);
+
+Then(
+  '{int} bodies of {int} bytes that wait for connections leave a runner in, and count from their connections on',
+  function (count: number, bytes: number) {
+    const intake = new RunnerIntake();
+    const handovers = Array.from({ length: count }, () => intake.prepare(RUNNER, bytes));
+    assert.ok(intake.mayTake(RUNNER));
+    const [first, ...others] = handovers;
+    first!.onTaken();
+    first!.onConnected();
+    assert.equal(intake.untakenBytes(RUNNER), 0);
+    others.forEach((handover) => handover.onConnected());
+    assert.equal(intake.untakenBytes(RUNNER), others.length * bytes);
+    assert.ok(!intake.mayTake(RUNNER));
+    handovers.forEach((handover) => handover.onTaken());
+    handovers.forEach((handover) => handover.onTaken());
+    assert.equal(intake.untakenBytes(RUNNER), 0);
+  },
+);
+
+When(
+  '{int} bodies of {int} bytes come, {int} of which are given up',
+  function (this: World, count: number, bytes: number, givenUp: number) {
+    this.letIn = [];
+    for (let body = 0; body < count; body += 1) {
+      const giveUp = this.budget.whenBodyMayCome(() => {
+        const holding = this.budget.open('bodies');
+        this.letIn.push({ body, holding });
+        // Its bytes come later than the word that it may.
+        this.clock.schedule(2, () => holding.set(bytes));
+      });
+      if (body < givenUp) {
+        giveUp();
+      }
+    }
+  },
+);
+
+Then(
+  'no more than {int} of them are read together, and the mark is not passed by more than those',
+  function (this: World, most: number) {
+    assert.equal(this.letIn.length, most);
+    pass(this.clock, 1_000);
+    assert.ok(!this.budget.isCalm);
+    assert.ok(this.budget.heldBytes <= 600_000 + most * 30_000, `${this.budget.heldBytes} held`);
+  },
+);
+
+Then(
+  'all but those that were given up are read once there is room for each',
+  function (this: World) {
+    for (let round = 0; round < 20; round += 1) {
+      this.letIn.forEach(({ holding }) => holding.release());
+      pass(this.clock, 100);
+    }
+    assert.deepEqual(
+      this.letIn.map(({ body }) => body),
+      Array.from({ length: 80 }, (_, index) => index + 20),
+    );
+  },
+);
+
+/** Head of a runner's answer. */
+function headOf(status: number): AnswerHead {
+  const nothing = { reason: '', rawHeaders: [], headers: {}, notExecuted: false, closing: false };
+  return { status, ...nothing };
+}
+
+Then(
+  "a turn whose first try broke off in an error's body is kept with the second one's events only",
+  function () {
+    const kept: string[] = [];
+    const runtime = runtimeOn(new VirtualClock(), []);
+    const turns = { keep: (turn: { output: Buffer }) => kept.push(turn.output.toString()) };
+    const memory = new MemoryBudget(runtime, NO_BOUNDS);
+    const call = {
+      context: { memory, runtime, turns },
+      request: { route: { retained: true, resumable: false, retentionSeconds: 1 }, body: '' },
+      answer: { started: false, beginStream: () => undefined, write: () => undefined },
+      remainingMilliseconds: 1_000,
+      noteFirstByte: () => undefined,
+    };
+    const stream = new StreamAnswer(call as unknown as AnsweredCall);
+    stream.onHead(headOf(404));
+    stream.onData(Buffer.from('no such'));
+    assert.ok(stream.prepareResume());
+    assert.equal(memory.heldBytes, 0);
+    stream.onHead(headOf(200));
+    stream.onData(Buffer.from('id: 1\ndata: one\n\n'));
+    stream.onEnd();
+    assert.deepEqual(kept, ['one\n']);
+  },
+);
--- a/features/steps/slow-readers.steps.ts
+++ b/features/steps/slow-readers.steps.ts
@@ -1,9 +1,14 @@
 /** Steps about clients and runners that read slowly, over loopback sockets. */
 import assert from 'node:assert/strict';
+import { connect } from 'node:net';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import type { Holding } from '../../src/relay/memory/memory-accounts.js';
 import { boundsFor } from '../../src/relay/memory/memory-bounds.js';
-import { RelayWorld } from '../support/relay-world.js';
+import { DEFAULT_HEADER_NAMES } from '../../src/relay/request/default-header-names.js';
+import { startAttempt } from '../../src/relay/tries/attempt.js';
+import type { Attempt } from '../../src/relay/tries/attempt.js';
+import { RunnerAgent } from '../../src/relay/tries/runner-agent.js';
+import { ROUTED_HOST, RelayWorld } from '../support/relay-world.js';
 import type { ClientResult, RelayWorldOptions } from '../support/relay-world.js';
 import { SlowClient } from '../support/slow-client.js';
 import { TakingNothing } from '../support/taking-nothing.js';
@@ -44,6 +49,8 @@
   residentMost: number;
   stuck?: TakingNothing;
   answers: ClientResult[];
+  /** Requests of which anything came to the runner that takes nothing. */
+  reached: string[];
   others?: Holding;
   waiting?: Promise<ClientResult>;
   /** Events of the stream that is read. */
@@ -384,21 +391,121 @@
 
 Then(
   'at most {int} bytes wait for the first runner, and the others were answered by the second',
-  function (this: World, most: number) {
+  async function (this: World, most: number) {
     assert.ok(this.heldMost <= most, `${this.heldMost} bytes waited`);
-    const answered = this.answers.filter(({ status }) => status === 200).length;
-    assert.ok(answered > this.answers.length / 2, `${answered} answered`);
+    this.reached = await this.stuck!.readIds();
+    const others = this.answers.filter((_, index) => !this.reached.includes(`body-${index}`));
+    assert.deepEqual(
+      others.map(({ status }) => status),
+      others.map(() => 200),
+    );
+    assert.ok(others.length > 0, 'all went to the first runner');
   },
 );
 
 Then(
   'none that reached the first runner in part or whole is said not to have run',
-  async function (this: World) {
-    const reached = await this.stuck!.readIds();
-    assert.ok(reached.length > 0);
-    for (const id of reached) {
+  function (this: World) {
+    assert.ok(this.reached.length > 0);
+    for (const id of this.reached) {
       const { status } = this.answers[Number(id.split('-')[1])]!;
       assert.ok(!PROMISES.has(status), `${id} reached a runner and got ${status}`);
     }
   },
 );
+
+/** Sends one try over a connection that closes after it, and does not read its answer. */
+function startUnread(world: World, bytes: number, ended: (outcome: string) => void): Attempt {
+  const { runner } = world.slow.gateway.book.candidates('workers', [], new Set())[0]!.record;
+  let read = 0;
+  const attempt = startAttempt(
+    runner,
+    new RunnerAgent(1),
+    {
+      requestId: 'closing',
+      method: 'GET',
+      path: `/work?fill=${bytes}`,
+      headers: ['host', 'runner', DEFAULT_HEADER_NAMES.requestId, 'closing', 'connection', 'close'],
+      body: Buffer.alloc(0),
+    },
+    DEFAULT_HEADER_NAMES,
+    WAIT_MILLISECONDS,
+    {
+      onConnected: () => undefined,
+      onTaken: () => undefined,
+      onHead: () => attempt.pause(),
+      onData: (chunk) => (read += chunk.length),
+      onEnd: () => ended(`${read} bytes`),
+      onFailure: ({ detail }) => ended(detail),
+    },
+  );
+  return attempt;
+}
+
+Then(
+  'an answer of {int} bytes that is read {int} milliseconds after its runner closed the connection is whole',
+  async function (this: World, bytes: number, pause: number) {
+    const outcomes: string[] = [];
+    const attempt = startUnread(this, bytes, (outcome) => outcomes.push(outcome));
+    const runs = (): boolean[] =>
+      this.slow.runners.flatMap((runner) => runner.runs.map(({ isAnswered }) => isAnswered));
+    await until('the answer', WAIT_MILLISECONDS, () => runs().includes(true));
+    await sleep(pause);
+    assert.deepEqual(outcomes, []);
+    attempt.resume();
+    await until('the end', WAIT_MILLISECONDS, () => outcomes.length > 0);
+    assert.deepEqual(outcomes, [`${bytes} bytes`]);
+  },
+);
+
+When(
+  'a client sends {int} requests with bodies one behind the other, and leaves after {int} milliseconds',
+  async function (this: World, count: number, pause: number) {
+    const socket = connect(this.slow.frontPort, '127.0.0.1');
+    for (let index = 0; index < count; index += 1) {
+      const head = [
+        'POST /stream/work?stream HTTP/1.1',
+        `host: ${ROUTED_HOST}`,
+        `${DEFAULT_HEADER_NAMES.requestId}: behind-${index}`,
+        `${DEFAULT_HEADER_NAMES.timeout}: 20000`,
+        'content-length: 4',
+      ];
+      socket.write(`${head.join('\r\n')}\r\n\r\nbody`);
+    }
+    const runs = (): number =>
+      this.slow.runners.reduce((sum, runner) => sum + runner.runs.length, 0);
+    await until('all runs', 2_000, () => runs() === count);
+    await sleep(pause);
+    socket.destroy();
+  },
+);
+
+Then(
+  'no request is under way within {int} milliseconds, all runs have ended, and nothing is held',
+  async function (this: World, most: number) {
+    const { gateway, runners } = this.slow;
+    await until('no request is under way', most, () => gateway.activeRequests === 0);
+    const runs = runners.flatMap((runner) => runner.runs);
+    await until('the end of all runs', most, () => runs.every(({ left }) => left));
+    assert.equal(gateway.memory.heldBytes, 0);
+  },
+);
+
+Then('all of them are answered', function (this: World) {
+  assert.deepEqual(
+    this.answers.map(({ status }) => status),
+    this.answers.map(() => 200),
+  );
+});
+
+Then(
+  'one with a body whose time is over before it is read is refused with 503 and a time to come back, and no run',
+  async function (this: World) {
+    const headers = { [DEFAULT_HEADER_NAMES.timeout]: '200' };
+    const result = await this.slow.send('repeatable', { body: 'unread', id: 'unread', headers });
+    assert.equal(result.status, 503);
+    assert.ok(Number(result.headers['retry-after']) > 0);
+    const runs = this.slow.runners.flatMap((runner) => runner.runs);
+    assert.ok(runs.every(({ requestId }) => requestId !== 'unread'));
+  },
+);
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -190,8 +190,7 @@
 
   private chooseNext(): RunnerCandidate | undefined {
     const { context, passage, history, refusedBy, failedAt } = this;
-    const mayGoTo = (runner: RunnerLife): boolean =>
-      maySendTo(history, runner) && context.intake.mayTake(runner);
+    const mayGoTo = (runner: RunnerLife): boolean => maySendTo(history, runner);
     return placeRequest(context, passage, { mayGoTo, refusedBy, failedAt });
   }
 
@@ -224,14 +223,13 @@
       bodyBytes: this.passage.body.length,
     });
     const reader = this.nextReader();
-    this.reading.noteNewTry();
+    this.answer.noteNewTry();
     const limit = context.currentTable()?.services.get(runner.service)?.maximumConnections;
     const agent = context.connections.agentFor(runner, limit);
     const { method, path, id: requestId } = request;
     const sent = { requestId, method, path, headers, body: this.passage.body };
-    const onTaken = context.intake.hand(lifeOf(runner), this.passage.body.length);
     const attempt = startAttempt(runner, agent, sent, context.names, CONNECT_MILLISECONDS, {
-      onTaken,
+      ...context.intake.prepare(lifeOf(runner), this.passage.body.length),
       onHead: (head) => this.takeHead(head, reader),
       onData: (chunk) => {
         this.noteHeard();
