--- a/features/contention.feature
+++ b/features/contention.feature
@@ -55,7 +55,7 @@
   Scenario: Absurd figures let in or keep out, and break nothing
     Then whatever clients tell, a program is let in or kept out with a pause within its request's time
 
-  Scenario Outline: In a burst no less is earned than by one limit of each gateway, whatever the age of the loads
+  Scenario Outline: In a burst as much is earned as under a fixed limit of each gateway, however old the loads are
     Given a day with a burst of <factor> times in <kinds> and loads told <age> ms late
     When the day is played with predicted finishes and with one limit of each gateway
     Then predicted finishes earn no less, and less urgent kinds no less
@@ -71,7 +71,7 @@
       | 1.6    | all   | 300  |
       | 1      | all   | 300  |
 
-  Scenario: Half of the runners go
+  Scenario: When half of the runners go, as much is earned as under a fixed limit of each gateway
     Given a day with a burst of 1 times in all and loads told 300 ms late
     And 17 of the 34 engines lost at second 6
     When the day is played with predicted finishes and with one limit of each gateway
--- a/soak/cost/cost-load.ts
+++ b/soak/cost/cost-load.ts
@@ -31,7 +31,7 @@
 const PROMPT_BYTES = 2_000;
 const OK = 200;
 
-/** Programs of five turns, one begun with each turn that falls to nobody. */
+/** Programs of five turns. A turn goes to a program whose last one was answered; where there is none, one begins. */
 class CostLoad {
   private readonly agent = new Agent({ keepAlive: true });
   /** Programs whose last turn was answered: their names and turns so far. */
--- a/soak/soak-upgrade.ts
+++ b/soak/soak-upgrade.ts
@@ -18,7 +18,8 @@
 export type UpgradeEnd = (typeof UPGRADE_ENDS)[number];
 
 /**
- * Under faults nothing; else that no connection which others use ended over a message, and that nothing was refused.
+ * What is judged: nothing while faults strike; else that no shared connection ended over an unreadable message
+ * (`connections`), and besides that no request was refused (`refusals`).
  * On a machine that is busy with other work replicas may be too slow for a request without any upgrade.
  */
 export type UpgradeJudgement = 'nothing' | 'connections' | 'refusals';
--- a/src/peers/tallies.ts
+++ b/src/peers/tallies.ts
@@ -6,8 +6,7 @@
 
 /** Topics known here, by their number on the wire: append only, a number is never used again. */
 export const TALLY_TOPICS = {
-  /** What requests showed of a runner; the key is the hash of its name. */
-  runnerEvidence: 1,
+  // 1 is that of what requests showed of runners, which nobody tells.
   /** What is asked of a service; the key is the hash of its name. */
   serviceDemand: 2,
   // 3 was that of a tenant's demand, which nobody told.
--- a/src/relay/front/relay-front.ts
+++ b/src/relay/front/relay-front.ts
@@ -174,7 +174,7 @@
         done(end.body);
         return;
       }
-      this.refuse(request, answer, { stage: BODY, answer: BODY_REFUSALS[end.tag]() }, undefined);
+      this.refuse(request, answer, { stage: BODY, answer: BODY_REFUSALS[end.tag]() }, door.id);
     });
   }
 
--- a/src/relay/memory/memory-bounds.ts
+++ b/src/relay/memory/memory-bounds.ts
@@ -43,6 +43,7 @@
 /** Part of a mark below which its level is left again: a level that came and went would be only noise. */
 const LEAVE_SHARE = 0.9;
 
+/** The highest first: the order decides. */
 const LEVELS: readonly { readonly level: MemoryLevel; readonly mark: keyof MemoryBounds }[] = [
   { level: 'cut', mark: 'cutBytes' },
   { level: 'refuse', mark: 'refuseBytes' },
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -1,5 +1,4 @@
 /** What all calls of one gateway share. */
-import type { TallyBoard } from '../peers/tally-board.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { TurnClient } from '../turns/turn-client.js';
 import type { MemoryBudget } from './memory/memory-budget.js';
@@ -34,7 +33,6 @@
   readonly turns: TurnClient;
   readonly quotas: QuotaGate;
   readonly metrics: RelayMetrics;
-  readonly tallies: TallyBoard;
   /** Bytes that this process holds for others. */
   readonly memory: MemoryBudget;
   /** Bytes that runners have not taken. */
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -109,7 +109,6 @@
         countsPrograms: options.policiesOff?.has(PROGRAM_QUOTAS) !== true,
       }),
       metrics: this.metrics,
-      tallies: this.tallies,
       memory: this.memory,
       intake: this.intake,
       currentTable: () => this.table,
--- a/src/runtime/real-runtime.ts
+++ b/src/runtime/real-runtime.ts
@@ -21,7 +21,7 @@
 const STANDARD_OUTPUT = 1;
 const LARGEST_SEED = 2 ** 31;
 
-/** Time for which log lines are gathered for one write, in milliseconds. */
+/** Time for which log lines are gathered for one write, in milliseconds: longer saves wake-ups, and a crash may lose that much. */
 const GATHER_MILLISECONDS = 250;
 
 /** Writes the last lines before the process ends. */
