Runners' speeds and failures are learned from what all gateways saw

Each gateway knew a runner by a mean of its own few requests, and nothing counted requests that failed while the runner was in reach. Evidence (requests, failures, speeds against the service's law) now travels as tallies; speeds weigh in placement, failing runners are halved, then ejected down to a floor of room, and come back by trials.

--- a/features/steps/stale-loads.steps.ts
+++ b/features/steps/stale-loads.steps.ts
@@ -10,6 +10,7 @@
 import { drawCandidates } from '../../src/relay/placement/draw-candidates.js';
 import { chargesWithout } from '../../src/relay/placement/placement-charges.js';
 import type { PlacementNeed } from '../../src/relay/placement/placement-charges.js';
+import { USUAL_SPEED } from '../../src/relay/runners/runner-speed.js';
 import type { LoadView } from '../../src/relay/runners/runner-view.js';
 import { createRandom } from '../../src/runtime/random.js';
 import type { RandomSource } from '../../src/runtime/random.js';
@@ -93,6 +94,7 @@
       inFlight: now[gateway]! + others,
       inFlightOfOthers: others,
       meanMilliseconds: REQUEST_MILLISECONDS,
+      speed: USUAL_SPEED,
       cachedTokens: SHARED_TOKENS,
       hasIdleConnection: true,
     };
@@ -126,6 +128,7 @@
     inFlight: inFlightOfOthers,
     inFlightOfOthers,
     meanMilliseconds: REQUEST_MILLISECONDS,
+    speed: USUAL_SPEED,
     cachedTokens,
     hasIdleConnection: true,
   };
--- a/src/relay/placement/place-request.ts
+++ b/src/relay/placement/place-request.ts
@@ -1,6 +1,7 @@
 /** Chooses the runner of a request's next try from what is believed of the runners of its service. */
 import { hashToNumber } from '../../runtime/hashing.js';
 import type { RelayContext } from '../relay-context.js';
+import { mayRepeat } from '../request/relay-request.js';
 import type { RunnerCandidate } from '../runners/runner-book.js';
 import type { Passage } from '../stages/passage.js';
 import { chooseRunner } from './choose-runner.js';
@@ -38,7 +39,8 @@
   if (service === undefined) {
     return undefined;
   }
-  const all = context.book.candidates(service, request.promptParts, refusedBy);
+  const { promptParts, route } = request;
+  const all = context.book.candidates(service, promptParts, refusedBy, mayRepeat(route));
   const allowed = all.filter((candidate) => mayGoTo(candidate.id));
   const fresh = allowed.filter((candidate) => !failedAt.has(candidate.id));
   const usable = fresh.length > 0 ? fresh : allowed;
--- a/src/relay/placement/placement-charges.ts
+++ b/src/relay/placement/placement-charges.ts
@@ -68,7 +68,8 @@
   reading: (view, need) => {
     const unread = Math.max(0, need.promptTokens - view.cachedTokens);
     const heldUp = runningBeside(view) * HELD_UP_SHARE;
-    return unread * (need.engine?.millisecondsPerToken ?? 0) * (1 + heldUp);
+    const perToken = (need.engine?.millisecondsPerToken ?? 0) * view.speed.reading;
+    return unread * perToken * (1 + heldUp);
   },
 
   /** Generating beside others: each slows the others' events and its own. */
@@ -78,7 +79,7 @@
     }
     const { eventMillisecondsPerRequest, meanEvents } = need.engine;
     const slowed = runningBeside(view) * (1 + HELD_UP_SHARE);
-    return eventMillisecondsPerRequest * meanEvents * slowed;
+    return eventMillisecondsPerRequest * meanEvents * slowed * view.speed.generating;
   },
 
   /** Leaving the zone. */
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -4,6 +4,7 @@
  */
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
+import { TALLY_TOPICS } from '../peers/tallies.js';
 import { TallyBoard } from '../peers/tally-board.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { QuotaClient } from '../turns/quota-client.js';
@@ -74,6 +75,8 @@
     const { runtime, zone, names, turns } = options;
     this.book = new RunnerBook(runtime);
     this.book.memoryTokensOf = (service) => this.table?.services.get(service)?.memoryTokens;
+    this.book.evidenceOfOthers = () => this.tallies.ofOthers(TALLY_TOPICS.runnerEvidence);
+    this.tallies.tell(TALLY_TOPICS.runnerEvidence, () => this.book.evidenceRows());
     const connections = new RunnerConnections(runtime);
     this.book.hasIdleConnection = (runner) => connections.hasIdle(runner);
     const context: RelayContext = {
--- a/src/relay/runners/engine-estimate.ts
+++ b/src/relay/runners/engine-estimate.ts
@@ -28,6 +28,18 @@
   readonly eventCount: number;
 }
 
+/** What the law of a service expects of one stream. */
+export interface ExpectedStream {
+  /** From sending to the first event, in milliseconds; undefined where unread tokens aren't known. */
+  readonly firstEventMilliseconds: number | undefined;
+  /** Share of that time that goes by reading. */
+  readonly readingShare: number;
+  /** Pause between events, in milliseconds. */
+  readonly pauseMilliseconds: number;
+  /** From 0 to 1: how far the law is known by now. */
+  readonly trust: number;
+}
+
 /** First guesses: a token is read in 1/30 ms; nothing is known of how requests slow one another. */
 const FIRST_MILLISECONDS_PER_TOKEN = 1 / 30;
 const FIRST_BASE_MILLISECONDS = 50;
@@ -40,6 +52,8 @@
 const FORGETTING = 0.995;
 /** Weight of the newest stream in the mean number of events. */
 const EVENTS_SHARE = 0.02;
+/** Streams that make up for the first guesses. */
+const KNOWN_STREAMS = 12;
 /** Features of the fits are scaled to be about one. */
 const TOKENS_IN_UNIT = 1_000;
 const REQUESTS_IN_UNIT = 10;
@@ -98,6 +112,21 @@
     }
   }
 
+  /** What is expected of a stream of the usual speed, sent as this one was. */
+  expected({ unreadTokens, running }: EngineSample): ExpectedStream {
+    const beside = running / REQUESTS_IN_UNIT;
+    const pauseMilliseconds = Math.max(0, dot(this.pause.coefficients, [1, beside]));
+    const trust = this.streamCount / (this.streamCount + KNOWN_STREAMS);
+    if (unreadTokens === undefined) {
+      return { firstEventMilliseconds: undefined, readingShare: 0, pauseMilliseconds, trust };
+    }
+    const features = [1, unreadTokens / TOKENS_IN_UNIT, beside];
+    const firstEventMilliseconds = Math.max(0, dot(this.firstEvent.coefficients, features));
+    const reading = unreadTokens * this.millisecondsPerToken;
+    const readingShare = Math.min(1, reading / Math.max(1, firstEventMilliseconds));
+    return { firstEventMilliseconds, readingShare, pauseMilliseconds, trust };
+  }
+
   get millisecondsPerToken(): number {
     const learned = this.firstEvent.coefficients[1]! / TOKENS_IN_UNIT;
     return Math.min(MOST_MILLISECONDS_PER_TOKEN, Math.max(LEAST_MILLISECONDS_PER_TOKEN, learned));
--- a/src/relay/runners/runner-book.ts
+++ b/src/relay/runners/runner-book.ts
@@ -1,15 +1,19 @@
 /** What this node believes of the runners: listed, leaving, reachable, busy, fast, and what they keep. */
 import type { CancelTimer, Runtime } from '../../runtime/runtime.js';
 import { hashToNumber } from '../../runtime/hashing.js';
-import { EngineEstimate } from './engine-estimate.js';
 import type { EngineCosts, EngineSample } from './engine-estimate.js';
 import { PromptPlaces } from './prompt-places.js';
 import type { PromptKey, PromptPart } from '../request/relay-request.js';
 import type { Runner } from './runner.js';
 import type { LoadView, ServiceLoad } from './runner-view.js';
+import { evidenceAmounts } from './runner-evidence.js';
+import { ServiceLaw } from './service-law.js';
+import { openByStanding, RunnerBelief, ServiceReview } from './service-review.js';
+import type { RowsOfOthers } from './service-review.js';
 import { SilenceEstimate } from './silence-estimate.js';
-import { RunnerPace, ServicePace } from './service-pace.js';
 import type { PaceSample } from './service-pace.js';
+import { weighOutcome } from './try-outcome.js';
+import type { TryOutcome } from './try-outcome.js';
 
 /** Time for which a runner that left the list may still be used when no other is left. */
 const GONE_GRACE_MILLISECONDS = 1_200;
@@ -34,7 +38,8 @@
   outOfReach: boolean;
   /** Local time at which a byte last came from it, in milliseconds. */
   heardAt: number;
-  readonly pace: RunnerPace;
+  /** How fast it is, and how far it is trusted. */
+  readonly belief: RunnerBelief;
   /** Usual silences of its service. */
   readonly silence: SilenceEstimate;
   readonly places: PromptPlaces;
@@ -47,20 +52,29 @@
 
 /** What is learned of all runners of one service together. */
 interface LearnedOfService {
-  readonly pace: ServicePace;
-  readonly engine: EngineEstimate;
+  readonly law: ServiceLaw;
+  readonly review: ServiceReview;
   readonly silence: SilenceEstimate;
 }
 
+/** A row that other gateways are told of a runner. */
+export interface EvidenceRow {
+  /** Hash of the runner's name. */
+  readonly key: number;
+  readonly amounts: readonly number[];
+}
+
 /** See the head of this file. */
 export class RunnerBook {
-  private readonly records = new Map<string, RunnerRecord>();
+  private readonly byId = new Map<string, RunnerRecord>();
   private readonly byService = new Map<string, Set<RunnerRecord>>();
   private readonly byHash = new Map<number, RunnerRecord>();
   private readonly learned = new Map<string, LearnedOfService>();
 
   /** Requests of other gateways at a runner, by the hash of its name. */
   inFlightOfOthers: (runnerHash: number) => number = () => 0;
+  /** What other gateways saw of the runners, added up. */
+  evidenceOfOthers: () => RowsOfOthers = () => new Map();
   /** Age of what is known of other gateways' requests, in milliseconds. */
   loadAgeMilliseconds: () => number = () => 0;
   /** Tokens that a runner of a service has memory for; undefined while that is not known. */
@@ -77,7 +91,7 @@
   /** Requests of this gateway at each runner that has some. */
   ownLoads(): Map<string, number> {
     const loads = new Map<string, number>();
-    for (const { runner, inFlight } of this.records.values()) {
+    for (const { runner, inFlight } of this.byId.values()) {
       if (inFlight > 0) {
         loads.set(runner.id, inFlight);
       }
@@ -85,9 +99,14 @@
     return loads;
   }
 
+  /** Beliefs about all runners that are known. */
+  records(): RunnerRecord[] {
+    return [...this.byHash.values()];
+  }
+
   /** Takes one entry of the list. */
   put(runner: Runner): void {
-    const known = this.records.get(runner.id);
+    const known = this.byId.get(runner.id);
     if (known === undefined) {
       this.add(runner);
       return;
@@ -112,7 +131,7 @@
    * is used as before: it writes itself down again within the milliseconds, or is gone.
    */
   lapse(id: string, milliseconds: number): void {
-    const record = this.records.get(id);
+    const record = this.byId.get(id);
     if (record === undefined || record.goneAt !== undefined || record.cancelLapse !== undefined) {
       return;
     }
@@ -127,7 +146,7 @@
 
   /** Notes that an entry is gone from the list. */
   remove(id: string): void {
-    const record = this.records.get(id);
+    const record = this.byId.get(id);
     if (record === undefined || record.goneAt !== undefined) {
       return;
     }
@@ -138,21 +157,27 @@
     this.runtime.setTimer(GONE_GRACE_MILLISECONDS, () => this.forget(id, goneAt));
   }
 
-  /** Runners of a service that may get a request, the trusted ones only if there are any. */
+  /**
+   * Runners of a service that may get a request, the trusted ones only if there are any.
+   * @param isRepeatable whether the request may serve as a trial of a runner that is out
+   */
   candidates(
     service: string,
     parts: readonly PromptPart[],
     excluded: ReadonlySet<string>,
+    isRepeatable = false,
   ): RunnerCandidate[] {
     const now = this.runtime.now();
-    const usable = [...(this.byService.get(service) ?? [])].filter(
-      (record) => !excluded.has(record.runner.id),
-    );
-    const listed = usable.filter((record) => record.runner.ready && record.goneAt === undefined);
+    const known = [...(this.byService.get(service) ?? [])];
+    this.learnedOf(service).review.look(known.filter(isListed));
+    const usable = known.filter((record) => !excluded.has(record.runner.id));
+    const listed = usable.filter(isListed);
     const trusted = listed.filter((record) => record.distrustedUntil <= now);
     const chosen =
       trusted.length > 0 ? trusted : listed.length > 0 ? listed : usable.filter(isGone);
-    return chosen.map((record) => this.viewOf(record, parts));
+    const open = openByStanding(chosen, isRepeatable, this.runtime.random);
+    const { meanMilliseconds } = this.learnedOf(service).law;
+    return open.map((record) => this.viewOf(record, parts, meanMilliseconds));
   }
 
   /** Requests and places of all runners of a service that take new requests. */
@@ -181,17 +206,38 @@
   finish(record: RunnerRecord, whole: PaceSample | undefined, engine?: EngineSample): void {
     record.inFlight -= 1;
     if (whole !== undefined) {
-      record.pace.take(whole);
+      const { law } = this.learnedOf(record.runner.service);
+      const { belief } = record;
+      belief.evidence.add(this.runtime.now(), law.take(whole, engine, belief.speed));
       this.trust(record);
     }
-    if (engine !== undefined) {
-      this.learnedOf(record.runner.service).engine.take(engine);
+  }
+
+  /**
+   * Notes what a request showed of whether its runner works.
+   * @param sentAt local time at which it was sent there, in milliseconds
+   */
+  noteOutcome(record: RunnerRecord, outcome: TryOutcome, sentAt: number): void {
+    const { evidence, standing } = record.belief;
+    evidence.add(this.runtime.now(), weighOutcome(outcome, standing, sentAt));
+  }
+
+  /** What this gateway saw of runners lately, for others. */
+  evidenceRows(): EvidenceRow[] {
+    const now = this.runtime.now();
+    const rows: EvidenceRow[] = [];
+    for (const { hash, belief, goneAt } of this.byId.values()) {
+      const amounts = evidenceAmounts(belief.evidence.at(now));
+      if (amounts !== undefined && goneAt === undefined) {
+        rows.push({ key: hash, amounts });
+      }
     }
+    return rows;
   }
 
   /** What the engines of a service cost, as far as it was learned. */
   engineCosts(service: string): EngineCosts {
-    return this.learnedOf(service).engine;
+    return this.learnedOf(service).law.engine;
   }
 
   /** Takes another gateway's word that a runner keeps a part of a prompt. */
@@ -222,8 +268,13 @@
     this.distrust(record, reason);
   }
 
-  private viewOf(record: RunnerRecord, parts: readonly PromptPart[]): RunnerCandidate {
+  private viewOf(
+    record: RunnerRecord,
+    parts: readonly PromptPart[],
+    usualMilliseconds: number,
+  ): RunnerCandidate {
     const { id, zone, slots } = record.runner;
+    const { speed } = record.belief;
     const { hasIdleConnection } = this;
     const inFlightOfOthers = this.inFlightOfOthers(record.hash);
     return {
@@ -234,7 +285,8 @@
       slots,
       inFlight: record.inFlight + inFlightOfOthers,
       inFlightOfOthers,
-      meanMilliseconds: record.pace.expectedMilliseconds,
+      meanMilliseconds: usualMilliseconds * speed.generating,
+      speed,
       cachedTokens: record.places.leadingTokens(parts),
       // Looked up only where a charge asks for it: at hundreds of runners that is dear.
       get hasIdleConnection() {
@@ -264,11 +316,11 @@
       failures: 0,
       outOfReach: false,
       heardAt: this.runtime.now(),
-      pace: new RunnerPace(this.learnedOf(runner.service).pace),
+      belief: new RunnerBelief(),
       silence: this.learnedOf(runner.service).silence,
       places: new PromptPlaces(() => this.memoryTokensOf(runner.service) ?? Infinity),
     };
-    this.records.set(runner.id, record);
+    this.byId.set(runner.id, record);
     this.byHash.set(record.hash, record);
     const ofService = this.byService.get(runner.service) ?? new Set();
     this.byService.set(runner.service, ofService.add(record));
@@ -282,9 +334,9 @@
    * fraction of a millisecond early, and one that then did nothing would leave the runner usable for ever.
    */
   private forget(id: string, goneAt: number): void {
-    const record = this.records.get(id);
+    const record = this.byId.get(id);
     if (record?.goneAt === goneAt) {
-      this.records.delete(id);
+      this.byId.delete(id);
       this.byHash.delete(record.hash);
       this.byService.get(record.runner.service)?.delete(record);
     }
@@ -294,8 +346,8 @@
     let learned = this.learned.get(service);
     if (learned === undefined) {
       learned = {
-        pace: new ServicePace(),
-        engine: new EngineEstimate(),
+        law: new ServiceLaw(),
+        review: new ServiceReview(this.runtime, () => this.evidenceOfOthers()),
         silence: new SilenceEstimate(),
       };
       this.learned.set(service, learned);
@@ -304,6 +356,10 @@
   }
 }
 
+function isListed(record: RunnerRecord): boolean {
+  return record.runner.ready && record.goneAt === undefined;
+}
+
 function isGone(record: RunnerRecord): boolean {
   return record.goneAt !== undefined && record.runner.ready;
 }
--- a/src/relay/runners/runner-view.ts
+++ b/src/relay/runners/runner-view.ts
@@ -1,5 +1,7 @@
 /** What placement knows of one runner when it weighs it for a request, and of a service's runners together. */
 
+import type { RunnerSpeed } from './runner-speed.js';
+
 /** What is known of one runner that may get the request. */
 export interface RunnerView {
   readonly id: string;
@@ -11,6 +13,8 @@
   readonly inFlight: number;
   /** Mean time from sending to the end of a request there, in milliseconds. */
   readonly meanMilliseconds: number;
+  /** How it compares with its peers. */
+  readonly speed: RunnerSpeed;
   /** Tokens of the prompt's leading parts believed to be in its memory. */
   readonly cachedTokens: number;
   /** Whether a connection to it is open and idle. */
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -23,6 +23,7 @@
 import type { EngineSample } from '../runners/engine-estimate.js';
 import { engineSampleOf } from '../runners/engine-sample.js';
 import type { RunnerCandidate, RunnerRecord } from '../runners/runner-book.js';
+import type { PaceSample } from '../runners/service-pace.js';
 import { CALL_STAGES } from '../stages/call-stages.js';
 import { Passage } from '../stages/passage.js';
 import { passStages } from '../stages/stage.js';
@@ -35,6 +36,7 @@
 import { FIRST_SERVER_ERROR, judgeAnswer } from './judge-answer.js';
 import { CONNECT_MILLISECONDS } from './runner-connections.js';
 import { SilenceWatch } from './silence-watch.js';
+import { TryReport } from './try-report.js';
 
 /** Kept between a request's time and the answer that it is over, in milliseconds. */
 const END_SLACK_MILLISECONDS = 30;
@@ -46,6 +48,7 @@
   readonly record: RunnerRecord;
   readonly startedAt: number;
   readonly silence: SilenceWatch;
+  readonly report: TryReport;
   /** What its runner was believed to be like when it was chosen. */
   readonly chosen: RunnerCandidate;
 }
@@ -106,8 +109,9 @@
       const totalMilliseconds = runtime.now() - current.startedAt;
       const eventCount = this.stream?.eventCount ?? 0;
       const isWhole = status < FIRST_REDIRECT;
-      const pace = isWhole ? { totalMilliseconds, eventCount } : undefined;
+      const pace = isWhole ? this.paceOf(current, totalMilliseconds, eventCount) : undefined;
       book.finish(current.record, pace, isWhole ? this.engineSampleOf(current) : undefined);
+      current.report.end(status >= FIRST_SERVER_ERROR ? 'Failed' : 'Answered');
     }
     this.finish('answered', { status, runner: current?.record.runner.id ?? '' });
   }
@@ -176,6 +180,16 @@
     return engineSampleOf(request, chosen, { sentAt, firstEventAt, lastEventAt, eventCount });
   }
 
+  private paceOf(
+    { chosen, record }: CurrentTry,
+    totalMilliseconds: number,
+    eventCount: number,
+  ): PaceSample {
+    const { slots } = record.runner;
+    const kind = this.request.route.name;
+    return { totalMilliseconds, eventCount, kind, running: chosen.inFlight + 1, slots };
+  }
+
   private chooseNext(): RunnerCandidate | undefined {
     const { context, passage, history, refusedBy, failedAt } = this;
     const mayGoTo = (runnerId: string): boolean => maySendTo(history, runnerId);
@@ -230,7 +244,8 @@
     const silence = new SilenceWatch(context, record, () =>
       this.failCurrent({ tag: 'Lost', detail: 'runner out of reach' }),
     );
-    this.current = { attempt, record, startedAt: now, silence, chosen };
+    const report = new TryReport(context, record);
+    this.current = { attempt, record, startedAt: now, silence, report, chosen };
   }
 
   private takeHead(head: AnswerHead, reader: AnswerReader): void {
@@ -268,6 +283,7 @@
       this.context.book.finish(current.record, undefined);
       this.sentTo.add(current.record.runner.id);
       this.refusedBy.add(current.record.runner.id);
+      current.report.end('Refused');
       this.logTry('NotExecuted', `status ${status}`, current);
     }
     this.tryNext();
@@ -288,6 +304,7 @@
       connections.closeAll(runner);
       this.sentTo.delete(runner.id);
     } else {
+      current.report.end('Failed');
       this.mayHaveRun = true;
       this.noteSentTo(current.record);
     }
@@ -333,12 +350,14 @@
 
   private noteHeard(): void {
     this.current?.silence.noteHeard();
+    this.current?.report.noteHeard();
   }
 
   private takeCurrent(): CurrentTry | undefined {
     const current = this.current;
     this.current = undefined;
     current?.silence.stop();
+    current?.report.stop();
     return current;
   }
 
