--- a/features/steps/slow-readers.steps.ts
+++ b/features/steps/slow-readers.steps.ts
@@ -167,7 +167,7 @@
   const paces = this.slow.gateway.book.candidates('workers', [], new Set());
   // Without a sample each runner is as quick as its service, and that as quick as any.
   assert.deepEqual(
-    paces.map(({ record }) => record.pace.expectedMilliseconds),
+    paces.map(({ meanMilliseconds }) => meanMilliseconds),
     [UNKNOWN_MILLISECONDS, UNKNOWN_MILLISECONDS],
   );
 });
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -25,6 +25,7 @@
 import { lifeOf } from '../runners/runner.js';
 import type { RunnerLife } from '../runners/runner.js';
 import type { RunnerCandidate, RunnerRecord } from '../runners/runner-book.js';
+import type { PaceSample } from '../runners/service-pace.js';
 import { CALL_STAGES } from '../stages/call-stages.js';
 import { Passage } from '../stages/passage.js';
 import { passStages } from '../stages/stage.js';
@@ -38,6 +39,7 @@
 import { CallReading } from './call-reading.js';
 import { CONNECT_MILLISECONDS } from './runner-connections.js';
 import { SilenceWatch } from './silence-watch.js';
+import { TryReport } from './try-report.js';
 
 /** Kept between a request's time and the answer that it is over, in milliseconds. */
 const END_SLACK_MILLISECONDS = 30;
@@ -49,6 +51,7 @@
   readonly record: RunnerRecord;
   readonly startedAt: number;
   readonly silence: SilenceWatch;
+  readonly report: TryReport;
   /** What its runner was believed to be like when it was chosen. */
   readonly chosen: RunnerCandidate;
 }
@@ -117,9 +120,10 @@
       const totalMilliseconds = runtime.now() - current.startedAt;
       const eventCount = this.stream?.eventCount ?? 0;
       const isWhole = status < FIRST_REDIRECT;
-      const pace =
-        isWhole && !this.reading.wasStopped ? { totalMilliseconds, eventCount } : undefined;
+      const isTimed = isWhole && !this.reading.wasStopped;
+      const pace = isTimed ? this.paceOf(current, totalMilliseconds, eventCount) : undefined;
       book.finish(current.record, pace, isWhole ? this.engineSampleOf(current) : undefined);
+      current.report.end(status >= FIRST_SERVER_ERROR ? 'Failed' : 'Answered');
     }
     this.finish('answered', { status, runner: current?.record.runner.id ?? '' });
   }
@@ -188,6 +192,16 @@
     return engineSampleOf(request, chosen, { sentAt, firstEventAt, lastEventAt, eventCount });
   }
 
+  private paceOf(
+    { chosen, record }: CurrentTry,
+    totalMilliseconds: number,
+    eventCount: number,
+  ): PaceSample {
+    const { slots } = record.runner;
+    const kind = this.request.route.name;
+    return { totalMilliseconds, eventCount, kind, running: chosen.inFlight + 1, slots };
+  }
+
   private chooseNext(): RunnerCandidate | undefined {
     const { context, passage, history, refusedBy, failedAt } = this;
     const mayGoTo = (runner: RunnerLife): boolean =>
@@ -246,7 +260,8 @@
     const silence = new SilenceWatch(context, record, () =>
       this.failCurrent({ tag: 'Lost', detail: 'runner out of reach' }),
     );
-    this.current = { attempt, record, startedAt: now, silence, chosen };
+    const report = new TryReport(context, record);
+    this.current = { attempt, record, startedAt: now, silence, report, chosen };
   }
 
   /** A stream goes on where the try before ended; a plain answer begins anew. */
@@ -295,6 +310,7 @@
       const life = lifeOf(current.record.runner);
       this.sentTo.add(life);
       this.refusedBy.add(life);
+      current.report.end('Refused');
       this.logTry('NotExecuted', `status ${status}`, current);
     }
     this.tryNext();
@@ -315,6 +331,7 @@
       connections.closeAll(runner);
       this.sentTo.delete(lifeOf(runner));
     } else {
+      current.report.end('Failed');
       this.mayHaveRun = true;
       this.noteSentTo(current.record);
     }
@@ -360,12 +377,14 @@
 
   private noteHeard(): void {
     this.current?.silence.noteHeard();
+    this.current?.report.noteHeard();
   }
 
   private takeCurrent(): CurrentTry | undefined {
     const current = this.current;
     this.current = undefined;
     current?.silence.stop();
+    current?.report.stop();
     return current;
   }
 
