--- /dev/null
+++ b/features/steps/uneven.steps.ts
@@ -0,0 +1,214 @@
+/**
+ * Steps about runners that are not alike. The load is that of a service of 6 places a runner whose engines run
+ * at 0.7 to 1.7 of its usual speed, and whose plain runners have spells.
+ */
+import assert from 'node:assert/strict';
+import { Given, Then } from '@cucumber/cucumber';
+import fc from 'fast-check';
+import { evidenceAmounts, evidenceOf } from '../../src/relay/runners/runner-evidence.js';
+import { openByStanding, RunnerBelief } from '../../src/relay/runners/service-review.js';
+import { createRandom } from '../../src/runtime/random.js';
+import { UnevenLab } from '../support/uneven-lab.js';
+import type { LabBeliefs, LabOptions } from '../support/uneven-lab.js';
+import type { FaultKind, LabRunner } from '../support/uneven-runners.js';
+
+interface World {
+  playWith: (beliefs: LabBeliefs) => number;
+  shared: number;
+}
+
+const GATEWAYS = 24;
+const SLOTS = 6;
+const SPELL_SHARE = 0.15;
+const LEARNING_MILLISECONDS = 3_000;
+const FAULT_AT = 3_000;
+const NEVER = Infinity;
+const SEEDS = [1, 2, 3] as const;
+
+const USUAL: LabRunner = { speed: 1 };
+
+function optionsWith(runners: readonly LabRunner[], more: Partial<LabOptions> = {}): LabOptions {
+  return {
+    beliefs: 'shared',
+    gateways: GATEWAYS,
+    runners,
+    service: { slots: SLOTS, isEngine: false, spellShare: SPELL_SHARE },
+    load: 0.3,
+    milliseconds: LEARNING_MILLISECONDS,
+    seed: 1,
+    ...more,
+  };
+}
+
+function failing(kind: FaultKind, share: number, until: number = NEVER): LabRunner {
+  return { speed: 1, fault: { kind, share, from: FAULT_AT, until } };
+}
+
+function among(count: number, faulty: readonly LabRunner[]): LabRunner[] {
+  return Array.from({ length: count }, (_, index) => faulty[index] ?? USUAL);
+}
+
+/** Gateways at which a runner is out. */
+function outAt(lab: UnevenLab, index: number): number {
+  return lab.standings(index).filter((tag) => tag === 'Out').length;
+}
+
+/** Mean time of the requests after the first seconds, in milliseconds. */
+function meanTime(options: LabOptions): number {
+  const { requests } = new UnevenLab(options).run();
+  const counted = requests.filter(({ arrivedAt }) => arrivedAt > LEARNING_MILLISECONDS);
+  return counted.reduce((sum, { milliseconds }) => sum + milliseconds, 0) / counted.length;
+}
+
+Given(
+  /^runners of speeds 0.7, 0.7 and 1.7 that are (plain|engines), at a load of (\S+) of their room$/,
+  function (this: World, kind: string, load: string) {
+    const runners = Array.from({ length: 12 }, (_, index) => ({
+      speed: index % 3 === 2 ? 1.7 : 0.7,
+    }));
+    const isEngine = kind === 'engines';
+    const service = { slots: SLOTS, isEngine, spellShare: isEngine ? 0 : SPELL_SHARE };
+    this.playWith = (beliefs) => {
+      const more = { beliefs, service, load: Number(load), milliseconds: 9_000 };
+      const times = SEEDS.map((seed) => meanTime(optionsWith(runners, { ...more, seed })));
+      return times.reduce((sum, time) => sum + time, 0) / times.length;
+    };
+    this.shared = this.playWith('shared');
+  },
+);
+
+Then(
+  /^requests take at most (\S+) of their time with means of each gateway's own requests$/,
+  function (this: World, bound: string) {
+    const means = this.playWith('means');
+    assert.ok(this.shared <= means * Number(bound), `${this.shared} ms, with means ${means} ms`);
+  },
+);
+
+Then(
+  /^at most (\S+) of their time where all speeds are known beforehand$/,
+  function (this: World, bound: string) {
+    const known = this.playWith('clairvoyant');
+    assert.ok(this.shared <= known * Number(bound), `${this.shared} ms, known ${known} ms`);
+  },
+);
+
+Then('among 20 plain runners with such spells none is called slow or ejected in 12 s', function () {
+  for (const seed of SEEDS) {
+    const options = optionsWith(among(20, []), { load: 0.5, milliseconds: 12_000, seed });
+    const events = new Set(new UnevenLab(options).run().news.map(({ event }) => event));
+    assert.deepEqual([...events], ['runner.seen']);
+  }
+});
+
+Then(
+  /^a runner that is to (\S+) on (\S+) of its requests is out after at most (\d+) requests$/,
+  function (kind: FaultKind, share: string, most: string) {
+    for (const seed of SEEDS) {
+      const runners = among(20, [failing(kind, Number(share))]);
+      const lab = new UnevenLab(optionsWith(runners, { seed })).run();
+      const before = lab.tries[0]!;
+      const isOut = (): boolean => outAt(lab, 0) > GATEWAYS / 2;
+      assert.ok(lab.clock.runUntil(FAULT_AT + 8_000, isOut), `seed ${seed}: not out`);
+      const tries = lab.tries[0]! - before;
+      assert.ok(tries <= Number(most), `seed ${seed}: ${tries} requests`);
+      const others = lab.news.filter(({ event, runner }) => runner > 0 && event !== 'runner.seen');
+      assert.deepEqual(others, []);
+    }
+  },
+);
+
+Then('a runner that turns slow gets at most a third of its share from 2 s later on', function () {
+  const lab = new UnevenLab(optionsWith(among(20, [failing('slow', 1)]))).run();
+  lab.clock.runUntil(FAULT_AT + 2_000);
+  const before = [...lab.tries];
+  lab.clock.runUntil(FAULT_AT + 10_000);
+  const tries = lab.tries.map((count, index) => count - before[index]!);
+  const share = tries.reduce((sum, count) => sum + count, 0) / tries.length;
+  assert.ok(tries[0]! < share / 3, `${tries[0]} of ${share}`);
+});
+
+Then(
+  'of 100 runners of which 40 fail, at least 30 of those and no other are out after 5 s',
+  function () {
+    const faulty = Array.from({ length: 40 }, () => failing('reset', 0.5));
+    const options = optionsWith(among(100, faulty), { gateways: 12, load: 0.1 });
+    const lab = new UnevenLab(options).run();
+    lab.clock.runUntil(FAULT_AT + 5_000);
+    const out = lab.tries.map((_, index) => outAt(lab, index) > 6);
+    assert.ok(out.slice(0, 40).filter(Boolean).length >= 30, `${out.filter(Boolean).length}`);
+    assert.equal(out.slice(40).filter(Boolean).length, 0);
+  },
+);
+
+Then(
+  'while half of the runners are being replaced and 20 of the rest fail, none is taken out of use',
+  function () {
+    const faulty = Array.from({ length: 20 }, () => failing('reset', 0.5));
+    const options = optionsWith(among(100, faulty), { gateways: 12, load: 0.1 });
+    const lab = new UnevenLab(options).run();
+    for (let index = 50; index < 100; index += 1) {
+      lab.list(index, false);
+    }
+    lab.clock.runUntil(FAULT_AT + 5_000);
+    const out = lab.tries.filter((_, index) => outAt(lab, index) > 0);
+    assert.equal(out.length, 0);
+  },
+);
+
+Then(
+  'a runner whose fault ends is in use again within 20 s, and one that goes on failing is not',
+  function () {
+    const mended = failing('reset', 1, FAULT_AT + 4_000);
+    const lab = new UnevenLab(optionsWith(among(20, [mended, failing('reset', 1)]))).run();
+    lab.clock.runUntil(FAULT_AT + 4_000);
+    assert.ok(outAt(lab, 0) > GATEWAYS / 2 && outAt(lab, 1) > GATEWAYS / 2);
+    lab.clock.runUntil(FAULT_AT + 24_000);
+    assert.ok(outAt(lab, 0) < GATEWAYS / 2, `out at ${outAt(lab, 0)}`);
+    assert.ok(outAt(lab, 1) > GATEWAYS / 2, `out at ${outAt(lab, 1)}`);
+  },
+);
+
+Then('one that gets no repeatable work stays out', function () {
+  const random = createRandom(1);
+  const runners = Array.from({ length: 4 }, (_, hash) => {
+    const belief = new RunnerBelief();
+    belief.standing = hash === 0 ? { tag: 'Out', since: 0 } : { tag: 'Whole' };
+    return { hash, runner: { id: `r${hash}`, service: 's', slots: SLOTS }, belief };
+  });
+  for (let draw = 0; draw < 1_000; draw += 1) {
+    assert.ok(openByStanding(runners, false, random).every(({ hash }) => hash > 0));
+  }
+});
+
+Then('a gateway that tells failures of all runners ejects none of them', function () {
+  const told = { requests: 1e6, failures: 1e6 };
+  const none = { weight: 0, sum: 0 };
+  const evidence = { usual: told, generating: none, reading: none, trials: told };
+  const amounts = evidenceAmounts({ ...evidence, trials: { requests: 0, failures: 0 } })!;
+  const lies = (hashes: readonly number[]) => hashes.map((key) => ({ key, amounts }));
+  for (const few of [0, 19]) {
+    const options = optionsWith(among(20, []), {
+      milliseconds: 8_000,
+      lies: (hashes) => lies(hashes.slice(few)),
+    });
+    const lab = new UnevenLab(options).run();
+    assert.equal(lab.news.filter(({ event }) => event === 'runner.ejected').length, 0);
+  }
+});
+
+Then('whatever a gateway saw, what it tells of a runner stays within its bounds', function () {
+  const amount = fc.double({ min: 0, max: 1e9, noNaN: true });
+  const counts = fc.record({ requests: amount, failures: amount });
+  const logs = fc.record({ weight: amount, sum: fc.double({ min: -1e9, max: 1e9, noNaN: true }) });
+  const seen = fc.record({ usual: counts, generating: logs, reading: logs, trials: counts });
+  fc.assert(
+    fc.property(seen, (evidence) => {
+      const told = evidenceOf(evidenceAmounts(evidence) ?? []);
+      for (const { requests, failures } of [told.usual, told.trials]) {
+        assert.ok(requests <= 8.01 && failures <= 2.51);
+      }
+      assert.ok(told.generating.weight <= 8.01 && told.reading.weight <= 8.01);
+    }),
+  );
+});
--- a/src/relay/runners/runner-speed.ts
+++ b/src/relay/runners/runner-speed.ts
@@ -17,7 +17,7 @@
 export const USUAL_SPEED: RunnerSpeed = { generating: 1, reading: 1 };
 
 /** Requests whose evidence weighs as much as the belief that a runner is like its peers. */
-const PRIOR_REQUESTS = 3;
+const PRIOR_REQUESTS = 6;
 /** Bounds of a factor: beyond, a runner is as good as out, and evidence that far off is noise. */
 const LARGEST_FACTOR = 8;
 /** A logarithm of one request beyond this one counts as this one. */
--- a/src/relay/runners/service-law.ts
+++ b/src/relay/runners/service-law.ts
@@ -11,6 +11,8 @@
 import { ServicePace } from './service-pace.js';
 import type { PaceSample } from './service-pace.js';
 
+/** Pauses of one stream that count as so many answers: a mean of several is less noisy than one time. */
+const MOST_PAUSES = 4;
 const NO_LOG: LogSum = { weight: 0, sum: 0 };
 
 function logOf(weight: number, milliseconds: number, expected: number): LogSum {
@@ -19,10 +21,12 @@
 
 /** Pauses show how fast a runner generates. */
 function generatingLog(sample: EngineSample, law: ExpectedStream): LogSum {
-  const { pauseMilliseconds } = sample;
-  return pauseMilliseconds === undefined
-    ? NO_LOG
-    : logOf(law.trust, pauseMilliseconds, law.pauseMilliseconds);
+  const { pauseMilliseconds, eventCount } = sample;
+  if (pauseMilliseconds === undefined) {
+    return NO_LOG;
+  }
+  const weight = law.trust * Math.min(MOST_PAUSES, eventCount - 1);
+  return logOf(weight, pauseMilliseconds, law.pauseMilliseconds);
 }
 
 /**
--- a/src/relay/runners/service-pace.ts
+++ b/src/relay/runners/service-pace.ts
@@ -10,7 +10,7 @@
 /** Bounds of the scaling of one sample, so that a stream of one event does not count for many. */
 const LARGEST_SCALE = 3;
 /** Requests of a kind that make its mean known well enough to compare with. */
-const KNOWN_REQUESTS = 3;
+const KNOWN_REQUESTS = 8;
 /** Kinds that are told apart; more count as one. */
 const MOST_KINDS = 64;
 
--- a/src/relay/runners/service-review.ts
+++ b/src/relay/runners/service-review.ts
@@ -125,10 +125,10 @@
     before: RunnerStanding,
     now: number,
   ): void {
-    const event = EVENT_BY_STANDING[standing.tag][before.tag === 'Out' ? 'back' : 'other'];
+    const change = CHANGES[standing.tag][before.tag === 'Out' ? 'back' : 'other'];
     const { requests, failures } = counts;
     this.runtime.log('warn', 'standing of a runner changed', {
-      event,
+      ...change,
       runner: runner.id,
       service: runner.service,
       requests: rounded(requests),
@@ -148,7 +148,7 @@
     }
     belief.saidSlow = isSlow;
     this.runtime.log('info', 'speed of a runner changed', {
-      event: isSlow ? 'runner.slow' : 'runner.usual',
+      ...(isSlow ? { event: 'runner.slow' } : { event: 'runner.usual' }),
       runner: runner.id,
       service: runner.service,
       generating: rounded(generating),
@@ -160,10 +160,10 @@
 }
 
 /** Names of the log lines by the new standing, and by whether the runner was out before. */
-const EVENT_BY_STANDING = {
-  Whole: { back: 'runner.readmitted', other: 'runner.restored' },
-  Halved: { back: 'runner.readmitted', other: 'runner.halved' },
-  Out: { back: 'runner.ejected', other: 'runner.ejected' },
+const CHANGES = {
+  Whole: { back: { event: 'runner.readmitted' }, other: { event: 'runner.restored' } },
+  Halved: { back: { event: 'runner.readmitted' }, other: { event: 'runner.halved' } },
+  Out: { back: { event: 'runner.ejected' }, other: { event: 'runner.ejected' } },
 } as const;
 
 function rounded(value: number): number {
--- a/src/relay/runners/try-outcome.ts
+++ b/src/relay/runners/try-outcome.ts
@@ -17,7 +17,7 @@
 const FAILURE_BY_OUTCOME: Readonly<Record<TryOutcome, number>> = {
   Answered: 0,
   Failed: 1,
-  Refused: 0.5,
+  Refused: 0.75,
   Silent: 1,
 };
 
