An ejected runner comes back at low traffic and without repeatable work

Trials faded in 6 s like other counts: at 0.5 requests/s a runner their steady sum was 0.3 where 4, 8 or 12 are needed, and a service without repeatable routes made none, so up to half of its places stayed out until a restart. Good trials are now kept while a runner is out and a failed one takes them; without a trial for 30, 60, 120, then 240 s a runner gets half of its share. 130 s bound at 0.5 requests/s a runner (4 trials, each at most 30 s apart), 35 s without repeatable work.

The step "one that gets no repeatable work stays out" stated the fault. Its check of 1,000 draws is kept whole; the new step adds the exact pauses before and after which a runner is and is not out.

--- a/features/steps/uneven.steps.ts
+++ b/features/steps/uneven.steps.ts
@@ -5,11 +5,17 @@
 import assert from 'node:assert/strict';
 import { Given, Then } from '@cucumber/cucumber';
 import fc from 'fast-check';
-import { evidenceAmounts, evidenceOf } from '../../src/relay/runners/runner-evidence.js';
+import {
+  evidenceAmounts,
+  evidenceOf,
+  NO_EVIDENCE,
+} from '../../src/relay/runners/runner-evidence.js';
 import { openByStanding, RunnerBelief } from '../../src/relay/runners/service-review.js';
+import { reviewStandings } from '../../src/relay/runners/runner-standing.js';
 import { createRandom } from '../../src/runtime/random.js';
 import { UnevenLab } from '../support/uneven-lab.js';
 import type { LabBeliefs, LabOptions } from '../support/uneven-lab.js';
+import { usualMilliseconds } from '../support/uneven-runners.js';
 import type { FaultKind, LabRunner } from '../support/uneven-runners.js';
 
 interface World {
@@ -169,7 +175,67 @@
   },
 );
 
-Then('one that gets no repeatable work stays out', function () {
+const PAUSES_SECONDS = [30, 60, 120, 240, 240];
+
+/** Standing of one of four runners that was ejected so often, without a trial for some time. */
+function untriedStanding(ejections: number, untriedMilliseconds: number): string {
+  const usual = { standing: { tag: 'Whole' }, ejections: 0, slots: SLOTS } as const;
+  const whole = { ...usual, untriedMilliseconds, evidence: NO_EVIDENCE };
+  const out = { ...whole, ejections, standing: { tag: 'Out', since: 0 } } as const;
+  return reviewStandings([out, whole, whole, whole], 4 * SLOTS, untriedMilliseconds)[0]!.standing
+    .tag;
+}
+
+Then(
+  'one that gets no repeatable work gets none while it is out, and half of its share 30 s later, then 60, 120, 240 and 240 s',
+  function () {
+    keepsOutWithoutTrials();
+    PAUSES_SECONDS.forEach((seconds, index) => {
+      assert.equal(untriedStanding(index + 1, seconds * 1_000 - 1), 'Out');
+      assert.equal(untriedStanding(index + 1, seconds * 1_000), 'Halved');
+    });
+  },
+);
+
+/** A service of 10 runners that each get a request every two seconds, one of them ejected at the start. */
+function quietLab(first: LabRunner, isRepeatable: boolean): UnevenLab {
+  const load = (0.5 * usualMilliseconds(QUIET_SERVICE)) / 1_000 / SLOTS;
+  const more = { gateways: 6, service: QUIET_SERVICE, load, isRepeatable };
+  const lab = new UnevenLab(optionsWith(among(10, [first]), more)).run();
+  lab.eject(0);
+  return lab;
+}
+
+const QUIET_SERVICE = { slots: SLOTS, isEngine: false, spellShare: 0 };
+
+Then(
+  'at 0.5 requests a second for each runner, a runner that is well again is in use within 130 s',
+  function () {
+    const lab = quietLab(USUAL, true);
+    assert.equal(outAt(lab, 0), 6);
+    lab.clock.runUntil(LEARNING_MILLISECONDS + 130_000);
+    assert.equal(outAt(lab, 0), 0);
+  },
+);
+
+Then(
+  'so is one of a service without repeatable work, within 35 s, but none that went on failing trials',
+  function () {
+    const lab = quietLab(USUAL, false);
+    lab.clock.runUntil(LEARNING_MILLISECONDS + 29_000);
+    assert.equal(outAt(lab, 0), 6);
+    lab.clock.runUntil(LEARNING_MILLISECONDS + 35_000);
+    assert.equal(outAt(lab, 0), 0);
+    const busy = new UnevenLab(
+      optionsWith(among(10, [failing('reset', 1)]), { gateways: 6 }),
+    ).run();
+    busy.eject(0);
+    busy.clock.runUntil(LEARNING_MILLISECONDS + 35_000);
+    assert.equal(outAt(busy, 0), 6);
+  },
+);
+
+function keepsOutWithoutTrials(): void {
   const random = createRandom(1);
   const runners = Array.from({ length: 4 }, (_, hash) => {
     const belief = new RunnerBelief();
@@ -179,7 +245,7 @@
   for (let draw = 0; draw < 1_000; draw += 1) {
     assert.ok(openByStanding(runners, false, random).every(({ hash }) => hash > 0));
   }
-});
+}
 
 Then('a gateway that tells failures of all runners ejects none of them', function () {
   const told = { requests: 1e6, failures: 1e6 };
--- a/features/support/uneven-lab.ts
+++ b/features/support/uneven-lab.ts
@@ -40,6 +40,8 @@
   readonly service: LabService;
   /** Requests as a share of what the runners can bear. */
   readonly load: number;
+  /** Whether requests may be sent again; they may unless said otherwise. */
+  readonly isRepeatable?: boolean;
   readonly milliseconds: number;
   readonly seed: number;
   /** Rows that a lying gateway adds to what is told. */
@@ -136,11 +138,15 @@
     });
   }
 
-  /** Speed of a runner as a gateway believes it. */
-  speedAt(gateway: number, index: number): number {
-    const records = this.gateways[gateway]!.book.records();
-    const found = records.find(({ runner }) => runner.id === this.ids[index]);
-    return found?.belief.speed.generating ?? 1;
+  /** Takes a runner out of use at all gateways, as a review does. */
+  eject(index: number): void {
+    for (const { book } of this.gateways) {
+      const { belief } = book.records().find(({ runner }) => runner.id === this.ids[index])!;
+      belief.standing = { tag: 'Out', since: this.clock.now };
+      belief.ejections += 1;
+      belief.triedAt = this.clock.now;
+      belief.evidence.beginTrials();
+    }
   }
 
   private gateway(index: number): LabGateway {
@@ -217,7 +223,10 @@
       affinityHash: this.random.integer(0, 2 ** 32 - 1),
       engine: isEngine ? ENGINE_LAW : undefined,
     };
-    const views = book.candidates(SERVICE, [], tried, true).map((view) => this.seen(index, view));
+    const isRepeatable = this.options.isRepeatable ?? true;
+    const views = book
+      .candidates(SERVICE, [], tried, isRepeatable)
+      .map((view) => this.seen(index, view));
     const drawn = drawCandidates(views, book.loadAgeMilliseconds(), runtime.random);
     return chooseRunner(drawn, need, CHARGES);
   }
--- a/src/relay/runners/runner-evidence.ts
+++ b/src/relay/runners/runner-evidence.ts
@@ -120,6 +120,12 @@
   return { requests: requests * share, failures: failures * share };
 }
 
+/** Failures fade, what went well stays. */
+function fadeFailures({ requests, failures }: FailureCounts, share: number): FailureCounts {
+  const left = failures * share;
+  return { requests: requests - failures + left, failures: left };
+}
+
 function fadeLogs({ weight, sum }: LogSum, share: number): LogSum {
   return { weight: weight * share, sum: sum * share };
 }
@@ -127,6 +133,7 @@
 /** What this gateway itself saw of one runner. */
 export class OwnEvidence {
   private sums = NO_EVIDENCE;
+  private keepsTrials = false;
   private fadedAt = 0;
 
   /** The evidence at a local time in milliseconds. */
@@ -140,7 +147,9 @@
         usual: fadeCounts(this.sums.usual, counts),
         generating: fadeLogs(this.sums.generating, speeds),
         reading: fadeLogs(this.sums.reading, speeds),
-        trials: fadeCounts(this.sums.trials, counts),
+        trials: this.keepsTrials
+          ? fadeFailures(this.sums.trials, counts)
+          : fadeCounts(this.sums.trials, counts),
       };
     }
     return this.sums;
@@ -156,8 +165,20 @@
     this.sums = { ...this.sums, usual: NO_EVIDENCE.usual };
   }
 
-  /** Forgets earlier trials. */
-  forgetTrials(): void {
+  /** Begins to count trials anew; good ones are kept until the runner is back, however seldom they come. */
+  beginTrials(): void {
+    this.keepsTrials = true;
     this.sums = { ...this.sums, trials: NO_EVIDENCE.trials };
   }
+
+  /** The runner is back: its trials fade like other counts. */
+  endTrials(): void {
+    this.keepsTrials = false;
+  }
+
+  /** Forgets good trials, since another one failed. */
+  forgetGoodTrials(): void {
+    const { failures } = this.sums.trials;
+    this.sums = { ...this.sums, trials: { requests: failures, failures } };
+  }
 }
--- a/src/relay/runners/runner-standing.ts
+++ b/src/relay/runners/runner-standing.ts
@@ -1,7 +1,8 @@
 /**
  * How far each runner of a service is trusted with work, out of what all gateways saw: it takes its whole
  * share, half of it, or none but trials. However many fail, a floor of the service's places stays in use.
- * A runner comes back by trials that went well, and never since time passed or a health check was good.
+ * A runner comes back by trials that went well, and never since a health check was good. Where none is made,
+ * since nothing that is asked may be repeated, it gets half of its share after a pause that grows.
  */
 import type { FailureCounts, RunnerEvidence } from './runner-evidence.js';
 import { failureScore, usualFailureShare } from './failure-score.js';
@@ -21,6 +22,8 @@
   /** Times that it was ejected so far. */
   readonly ejections: number;
   readonly slots: number;
+  /** Time since it was ejected or since its last trial, in milliseconds; counts only while it is out. */
+  readonly untriedMilliseconds: number;
   /** What all gateways saw. */
   readonly evidence: RunnerEvidence;
 }
@@ -45,21 +48,36 @@
 /** Score below which a halved runner gets its whole share again. */
 const RESTORING_SCORE = 0;
 /** Share of a service's usual places that stays in use, whatever the evidence. */
-export const ROOM_FLOOR = 0.5;
+const ROOM_FLOOR = 0.5;
 /** Good trials that bring a runner back after its first ejection; twice as many after each further one. */
 const GOOD_TRIALS = 4;
 const MOST_GOOD_TRIALS = 12;
 /** Failures among trials up to which they went well: what is left of one that has faded. */
 const FAILED_TRIALS = 0.4;
+/**
+ * Time without a trial after which a runner gets half of its share, in milliseconds: twice as long after each
+ * further ejection. One that still fails then costs some requests a few times an hour.
+ */
+const FIRST_UNTRIED_MILLISECONDS = 30_000;
+const MOST_UNTRIED_MILLISECONDS = 240_000;
 
 /** Good trials that are needed after so many ejections. */
-export function neededTrials(ejections: number): number {
+function neededTrials(ejections: number): number {
   return Math.min(MOST_GOOD_TRIALS, GOOD_TRIALS * 2 ** Math.max(0, ejections - 1));
 }
 
+/** Whether a failed trial is known that takes what earlier good ones showed. */
+export function hasFailedTrial({ trials }: RunnerEvidence): boolean {
+  return trials.failures > FAILED_TRIALS;
+}
+
 function hasProved({ ejections, evidence }: ReviewedRunner): boolean {
-  const { requests, failures } = evidence.trials;
-  return failures <= FAILED_TRIALS && requests >= neededTrials(ejections);
+  return !hasFailedTrial(evidence) && evidence.trials.requests >= neededTrials(ejections);
+}
+
+function hasWaited({ ejections, untriedMilliseconds }: ReviewedRunner): boolean {
+  const pause = FIRST_UNTRIED_MILLISECONDS * 2 ** Math.max(0, ejections - 1);
+  return untriedMilliseconds >= Math.min(MOST_UNTRIED_MILLISECONDS, pause);
 }
 
 /** Trials that others make count as requests for a gateway that has not ejected the runner itself. */
@@ -74,7 +92,7 @@
 function wished(runner: ReviewedRunner, score: number, now: number): RunnerStanding {
   const { standing } = runner;
   if (standing.tag === 'Out') {
-    return hasProved(runner) ? HALVED : standing;
+    return hasProved(runner) || hasWaited(runner) ? HALVED : standing;
   }
   if (score >= EJECTING_SCORE) {
     return { tag: 'Out', since: now };
--- a/src/relay/runners/service-review.ts
+++ b/src/relay/runners/service-review.ts
@@ -8,7 +8,7 @@
 import type { RunnerEvidence } from './runner-evidence.js';
 import { speedsOf, USUAL_SPEED } from './runner-speed.js';
 import type { RunnerSpeed } from './runner-speed.js';
-import { reviewStandings, WHOLE } from './runner-standing.js';
+import { hasFailedTrial, reviewStandings, WHOLE } from './runner-standing.js';
 import type { Finding, RunnerStanding } from './runner-standing.js';
 
 /** Beliefs about one incarnation of a runner; a restart begins anew. */
@@ -18,6 +18,10 @@
   standing: RunnerStanding = WHOLE;
   /** Times that it was ejected. */
   ejections = 0;
+  /** Local time of its ejection or of the last trial that is known since, in milliseconds. */
+  triedAt = 0;
+  /** Trials of all gateways at the last review. */
+  trialsSeen = 0;
   /** Whether it was last logged as slow. */
   saidSlow = false;
 }
@@ -43,6 +47,8 @@
 const NO_LONGER_SLOW_FACTOR = 1.25;
 /** Share of the requests of a usual runner that one that is out gets as trials. */
 const TRIAL_SHARE = 0.1;
+/** Growth of the sum of trials that is a new one: less is what the wire rounds. */
+const NEW_TRIAL = 0.5;
 /** Share of its requests that a halved runner gets. */
 const HALVED_SHARE = 0.5;
 
@@ -82,10 +88,12 @@
     evidence: readonly RunnerEvidence[],
     now: number,
   ): void {
+    runners.forEach(({ belief }, index) => noteTrials(belief, evidence[index]!, now));
     const reviewed = runners.map(({ belief, runner }, index) => ({
       standing: belief.standing,
       ejections: belief.ejections,
       slots: runner.slots,
+      untriedMilliseconds: now - belief.triedAt,
       evidence: evidence[index]!,
     }));
     reviewStandings(reviewed, this.usualSlots, now).forEach((finding, index) =>
@@ -115,7 +123,12 @@
     }
     if (standing.tag === 'Out' && before.tag !== 'Out') {
       belief.ejections += 1;
-      belief.evidence.forgetTrials();
+      belief.triedAt = now;
+      belief.trialsSeen = 0;
+      belief.evidence.beginTrials();
+    }
+    if (standing.tag !== 'Out' && before.tag === 'Out') {
+      belief.evidence.endTrials();
     }
   }
 
@@ -166,6 +179,21 @@
   Out: { back: { event: 'runner.ejected' }, other: { event: 'runner.ejected' } },
 } as const;
 
+/** Takes down when a runner that is out was last tried; a failed trial of anybody's takes the good ones. */
+function noteTrials(belief: RunnerBelief, evidence: RunnerEvidence, now: number): void {
+  if (belief.standing.tag !== 'Out') {
+    return;
+  }
+  const { requests } = evidence.trials;
+  if (requests > belief.trialsSeen + NEW_TRIAL) {
+    belief.triedAt = now;
+  }
+  belief.trialsSeen = requests;
+  if (hasFailedTrial(evidence)) {
+    belief.evidence.forgetGoodTrials();
+  }
+}
+
 function rounded(value: number): number {
   return Math.round(value * 100) / 100;
 }
