A held client, a slow store or quiet work is no silence of the runner; no outliers where all fail

TryReport ran on while a slow client held the reading and while a whole answer waited up to 1.5 s for the replicas, and its limit was three times an estimate that is capped at 1 s, so work that is rightly quiet for more than 3 s failed with each answer. The report is now paused and resumed with the reading, paused at the end of the answer, and limits come from what is usual of the kind of request, uncapped; nothing is silent before one answer of its kind came.

A usual share of failures was bounded at 0.6 and a failing one at 0.95: of a service whose runners all fail, half were ejected. One bound now serves both (100 requests of each of 10 runners, all failed: none is out or halved).

--- a/features/steps/uneven.steps.ts
+++ b/features/steps/uneven.steps.ts
@@ -12,6 +12,12 @@
 } from '../../src/relay/runners/runner-evidence.js';
 import { openByStanding, RunnerBelief } from '../../src/relay/runners/service-review.js';
 import { reviewStandings } from '../../src/relay/runners/runner-standing.js';
+import { RunnerBook } from '../../src/relay/runners/runner-book.js';
+import type { TryOutcome } from '../../src/relay/runners/try-outcome.js';
+import { CallReading } from '../../src/relay/tries/call-reading.js';
+import { TryReport } from '../../src/relay/tries/try-report.js';
+import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
+import { VirtualClock } from '../../src/simulation/virtual-clock.js';
 import { createRandom } from '../../src/runtime/random.js';
 import { UnevenLab } from '../support/uneven-lab.js';
 import type { LabBeliefs, LabOptions } from '../support/uneven-lab.js';
@@ -147,6 +153,26 @@
   },
 );
 
+Then('where all runners fail 0.9 or 1.0 of their requests, none is taken out of use', function () {
+  for (const share of [0.9, 1]) {
+    const faulty = Array.from({ length: 10 }, () => failing('reset', share));
+    const lab = new UnevenLab(optionsWith(among(10, faulty), { gateways: 6 })).run();
+    lab.clock.runUntil(FAULT_AT + 10_000);
+    const ejected = lab.news.filter(({ event }) => event === 'runner.ejected');
+    assert.equal(ejected.length, 0, `${ejected.length} ejections at ${share}`);
+    const usual = { requests: 100, failures: 100 * share };
+    const runners = Array.from({ length: 10 }, () => ({
+      standing: { tag: 'Whole' } as const,
+      ejections: 0,
+      slots: SLOTS,
+      untriedMilliseconds: 0,
+      evidence: { ...NO_EVIDENCE, usual },
+    }));
+    const findings = reviewStandings(runners, 10 * SLOTS, 0);
+    assert.deepEqual(new Set(findings.map(({ standing }) => standing.tag)), new Set(['Whole']));
+  }
+});
+
 Then(
   'while half of the runners are being replaced and 20 of the rest fail, none is taken out of use',
   function () {
@@ -278,3 +304,79 @@
     }),
   );
 });
+
+/** A try at a runner of which 20 quick answers are known, and what it told. */
+function reportOf(kind = QUICK): {
+  clock: VirtualClock;
+  told: TryOutcome[];
+  begin: (kind: string) => TryReport;
+  report: TryReport;
+} {
+  const clock = new VirtualClock();
+  const runtime = new SimulatedProcess('g', clock, createRandom(1), () => undefined).begin();
+  const book = new RunnerBook(runtime);
+  book.put({ id: 'r', service: 's', host: 'r', port: 1, zone: 'z', slots: SLOTS, ready: true });
+  const record = book.records()[0]!;
+  const told: TryOutcome[] = [];
+  book.noteOutcome = (_record, outcome) => told.push(outcome);
+  const begin = (of: string): TryReport => new TryReport({ runtime, book }, record, of);
+  for (let answer = 0; answer < 20; answer += 1) {
+    const quick = begin(QUICK);
+    clock.runUntil(clock.now + 40);
+    quick.end('Answered');
+  }
+  told.length = 0;
+  return { clock, told, begin, report: begin(kind) };
+}
+
+const QUICK = 'quick';
+
+Then(
+  'a client that is held for 20 s makes no silent try, and a runner that says nothing after that does',
+  function () {
+    const { clock, told, report } = reportOf();
+    const nothing = { pause: () => undefined, resume: () => undefined };
+    const current = () => ({ attempt: nothing, silence: nothing, report });
+    const call = { readsOn: false, current, end: () => undefined };
+    const reading = new CallReading({ now: () => clock.now }, call);
+    reading.hold();
+    clock.runUntil(clock.now + 20_000);
+    assert.deepEqual(told, []);
+    reading.release();
+    clock.runUntil(clock.now + 400);
+    assert.deepEqual(told, []);
+    clock.runUntil(clock.now + 100);
+    assert.deepEqual(told, ['Silent']);
+  },
+);
+
+Then(
+  'an answer that waits 1500 ms for the replicas after its end makes no silent try',
+  function () {
+    const { clock, told, report } = reportOf();
+    clock.runUntil(clock.now + 40);
+    report.pause();
+    clock.runUntil(clock.now + 1_500);
+    report.end('Answered');
+    assert.deepEqual(told, ['Answered']);
+  },
+);
+
+Then(
+  'work that is quiet for 5 s beside work that takes 40 ms makes none, and one that hangs is silent within 60 s',
+  function () {
+    const { clock, told, begin, report } = reportOf('quiet');
+    const answers = [report, ...Array.from({ length: 7 }, () => begin('quiet'))];
+    for (const answer of answers) {
+      clock.runUntil(clock.now + (answer === report ? 5_000 : 0));
+      answer.end('Answered');
+    }
+    const later = begin('quiet');
+    clock.runUntil(clock.now + 5_500);
+    later.end('Answered');
+    assert.deepEqual(new Set(told), new Set(['Answered']));
+    begin('quiet');
+    clock.runUntil(clock.now + 60_000);
+    assert.equal(told.at(-1), 'Silent');
+  },
+);
--- a/features/support/uneven-lab.ts
+++ b/features/support/uneven-lab.ts
@@ -83,6 +83,8 @@
 const PERIOD_MILLISECONDS = 100;
 const AGE_PERIODS = 3;
 const TIMEOUT_MILLISECONDS = 1_210;
+/** The only kind of request. */
+const WORK = 'work';
 const MOST_TRIES = 3;
 const CHARGES = chargesWithout(new Set());
 
@@ -294,7 +296,7 @@
     const { gateway, beliefs } = this.lab.partsOf(this.index);
     const { record } = chosen;
     gateway.book.begin(record, []);
-    const report = new TryReport(gateway, record);
+    const report = new TryReport(gateway, record, WORK);
     if (beliefs !== 'shared') {
       report.stop();
     }
@@ -348,7 +350,7 @@
     const whole: PaceSample = {
       totalMilliseconds: this.lab.clock.now - sentAt,
       eventCount: service.isEngine ? ENGINE_LAW.meanEvents : 0,
-      kind: 'work',
+      kind: WORK,
       running,
       slots: service.slots,
     };
--- a/features/uneven.feature
+++ b/features/uneven.feature
@@ -33,6 +33,7 @@
 
   Scenario: However many fail, half of the usual places stay in use
     Then of 100 runners of which 40 fail, at least 30 of those and no other are out after 5 s
+    And where all runners fail 0.9 or 1.0 of their requests, none is taken out of use
     And while half of the runners are being replaced and 20 of the rest fail, none is taken out of use
 
   Scenario: A runner comes back by trials that went well
@@ -41,6 +42,11 @@
     And at 0.5 requests a second for each runner, a runner that is well again is in use within 130 s
     And so is one of a service without repeatable work, within 35 s, but none that went on failing trials
 
+  Scenario: What a slow client, a slow store or a quiet kind of work does is no failure of the runner
+    Then a client that is held for 20 s makes no silent try, and a runner that says nothing after that does
+    And an answer that waits 1500 ms for the replicas after its end makes no silent try
+    And work that is quiet for 5 s beside work that takes 40 ms makes none, and one that hangs is silent within 60 s
+
   Scenario: One gateway can't eject a runner alone
     Then a gateway that tells failures of all runners ejects none of them
     And whatever a gateway saw, what it tells of a runner stays within its bounds
--- a/src/relay/runners/failure-score.ts
+++ b/src/relay/runners/failure-score.ts
@@ -6,13 +6,12 @@
 
 /** Share of failures that is expected of a runner at least: chance failures are no fault. */
 const LEAST_USUAL_SHARE = 0.02;
-/** Most that counts as usual: a service that fails throughout has no outliers. */
-const MOST_USUAL_SHARE = 0.6;
 /** Share of failures from which a runner costs its callers more than another place for it would. */
 const FAILING_SHARE = 0.15;
 /** A failing runner fails so many times as often as its peers. */
 const FAILING_RATIO = 3;
-const MOST_FAILING_SHARE = 0.95;
+/** Most that is expected of a usual or a failing runner: a service that fails throughout has no outliers. */
+const MOST_SHARE = 0.95;
 /** Requests of a usual runner that are added to each count, so that the first failure isn't a rate of one. */
 const PRIOR_REQUESTS = 2;
 /** Fewest requests of a runner that counts among the peers. */
@@ -29,12 +28,12 @@
     .map(shareOf)
     .sort((left, right) => left - right);
   const middle = shares[Math.floor((shares.length - 1) / 2)] ?? LEAST_USUAL_SHARE;
-  return Math.min(MOST_USUAL_SHARE, Math.max(LEAST_USUAL_SHARE, middle));
+  return Math.min(MOST_SHARE, Math.max(LEAST_USUAL_SHARE, middle));
 }
 
 /** Logarithm of the likelihood ratio; above 0 the counts speak for a failing runner. */
 export function failureScore({ requests, failures }: FailureCounts, usualShare: number): number {
-  const failing = Math.min(MOST_FAILING_SHARE, Math.max(FAILING_SHARE, usualShare * FAILING_RATIO));
+  const failing = Math.min(MOST_SHARE, Math.max(FAILING_SHARE, usualShare * FAILING_RATIO));
   const answered = Math.max(0, requests - failures);
   return (
     failures * Math.log(failing / usualShare) +
--- a/src/relay/runners/silence-estimate.ts
+++ b/src/relay/runners/silence-estimate.ts
@@ -16,6 +16,14 @@
 export class SilenceEstimate {
   private mean: number | undefined;
   private deviation = 0;
+  private readonly byKind = new Map<string, SilenceEstimate>();
+
+  /** What is learned of one kind of request alone. */
+  ofKind(kind: string): SilenceEstimate {
+    const known = this.byKind.get(kind) ?? new SilenceEstimate();
+    this.byKind.set(kind, known);
+    return known;
+  }
 
   /** Takes the longest silence within one answer that came whole, in milliseconds. */
   take(milliseconds: number): void {
@@ -31,7 +39,16 @@
 
   /** Silence from which on a runner may be out of reach, in milliseconds. */
   get unusualMilliseconds(): number {
-    const unusual = (this.mean ?? 0) + UNUSUAL_DEVIATIONS * this.deviation;
-    return Math.min(MOST_UNUSUAL_MILLISECONDS, Math.max(LEAST_UNUSUAL_MILLISECONDS, unusual));
+    return Math.min(
+      MOST_UNUSUAL_MILLISECONDS,
+      this.learnedMilliseconds ?? LEAST_UNUSUAL_MILLISECONDS,
+    );
+  }
+
+  /** The same without an upper bound, in milliseconds; undefined until something is known. */
+  get learnedMilliseconds(): number | undefined {
+    return this.mean === undefined
+      ? undefined
+      : Math.max(LEAST_UNUSUAL_MILLISECONDS, this.mean + UNUSUAL_DEVIATIONS * this.deviation);
   }
 }
--- a/src/relay/tries/call-reading.ts
+++ b/src/relay/tries/call-reading.ts
@@ -6,13 +6,21 @@
 import type { AnswerSource } from '../answers/client-answer.js';
 import type { Attempt } from './attempt.js';
 import type { SilenceWatch } from './silence-watch.js';
+import type { TryReport } from './try-report.js';
+
+/** A try whose runner is read. */
+export interface ReadTry {
+  readonly attempt: Pick<Attempt, 'pause' | 'resume'>;
+  readonly silence: Pick<SilenceWatch, 'pause' | 'resume'>;
+  readonly report: TryReport;
+}
 
 /** What the reading needs of its call. */
 export interface ReadCall {
   /** Whether the runner is read on whatever the client takes. */
   readonly readsOn: boolean;
   /** The try under way. */
-  current(): { readonly attempt: Attempt; readonly silence: SilenceWatch } | undefined;
+  current(): ReadTry | undefined;
   /** Ends the call, since its client takes nothing. */
   end(reason: string): void;
 }
@@ -24,7 +32,7 @@
   private stopped = false;
 
   constructor(
-    private readonly runtime: Runtime,
+    private readonly runtime: Pick<Runtime, 'now'>,
     private readonly call: ReadCall,
   ) {}
 
@@ -48,12 +56,14 @@
     const current = this.call.current();
     current?.attempt.pause();
     current?.silence.pause();
+    current?.report.pause();
   }
 
   release(): void {
     this.noteNewTry();
     const current = this.call.current();
     current?.silence.resume();
+    current?.report.resume();
     current?.attempt.resume();
   }
 
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -253,6 +253,7 @@
       },
       onEnd: () => {
         this.current?.silence.stop();
+        this.current?.report.pause();
         reader.onEnd();
       },
       onFailure: (failure) => this.takeFailure(failure),
@@ -260,7 +261,7 @@
     const silence = new SilenceWatch(context, record, () =>
       this.failCurrent({ tag: 'Lost', detail: 'runner out of reach' }),
     );
-    const report = new TryReport(context, record);
+    const report = new TryReport(context, record, request.route.name);
     this.current = { attempt, record, startedAt: now, silence, report, chosen };
   }
 
