What a request allows is filtered before trials and half shares are drawn

The draw came before the limits of attempts, intake and failed tries: a drawn runner that may not be taken ended the request with healthy ones left, a second try could go back to where it failed, and second tries and resumed streams became trials. Now filtered first; only first tries of repeatable requests are trials (1,000 draws in the module test).

--- a/features/steps/uneven.steps.ts
+++ b/features/steps/uneven.steps.ts
@@ -12,6 +12,8 @@
 } from '../../src/relay/runners/runner-evidence.js';
 import { openByStanding, RunnerBelief } from '../../src/relay/runners/service-review.js';
 import { reviewStandings } from '../../src/relay/runners/runner-standing.js';
+import { lifeOf } from '../../src/relay/runners/runner.js';
+import type { RunnerLife } from '../../src/relay/runners/runner.js';
 import { RunnerBook } from '../../src/relay/runners/runner-book.js';
 import type { TryOutcome } from '../../src/relay/runners/try-outcome.js';
 import { CallReading } from '../../src/relay/tries/call-reading.js';
@@ -223,6 +225,30 @@
   },
 );
 
+Then(
+  'a request that may not go to the runner that is out, or that failed at one, is drawn among the others only',
+  function () {
+    const clock = new VirtualClock();
+    const runtime = new SimulatedProcess('g', clock, createRandom(1), () => undefined).begin();
+    const book = new RunnerBook(runtime);
+    for (const id of ['out', 'failed', 'well']) {
+      book.put({ id, service: 's', host: id, port: 1, zone: 'z', slots: SLOTS, ready: true });
+    }
+    const [out, failed] = book.records();
+    out!.belief.standing = { tag: 'Out', since: 0 };
+    const failedAt = new Set([lifeOf(failed!.runner)]);
+    const mayGoTo = (life: RunnerLife): boolean => life !== lifeOf(out!.runner);
+    const choice = { mayGoTo, failedAt, mayBeTrial: true };
+    for (let draw = 0; draw < 1_000; draw += 1) {
+      const drawn = book.candidates('s', [], new Set(), choice);
+      assert.deepEqual(
+        drawn.map(({ record }) => record.runner.id),
+        ['well'],
+      );
+    }
+  },
+);
+
 /** A service of 10 runners that each get a request every two seconds, one of them ejected at the start. */
 function quietLab(first: LabRunner, isRepeatable: boolean): UnevenLab {
   const load = (0.5 * usualMilliseconds(QUIET_SERVICE)) / 1_000 / SLOTS;
--- a/features/support/uneven-lab.ts
+++ b/features/support/uneven-lab.ts
@@ -8,6 +8,7 @@
 import type { PlacementNeed } from '../../src/relay/placement/placement-charges.js';
 import { sumTallies, TALLY_TOPICS, tallyList } from '../../src/peers/tallies.js';
 import type { Tally, TallyRow } from '../../src/peers/tallies.js';
+import { ANY_RUNNER } from '../../src/relay/runners/runner-choice.js';
 import { RunnerBook } from '../../src/relay/runners/runner-book.js';
 import type { RunnerLife } from '../../src/relay/runners/runner.js';
 import type { RunnerCandidate, RunnerRecord } from '../../src/relay/runners/runner-book.js';
@@ -225,9 +226,9 @@
       affinityHash: this.random.integer(0, 2 ** 32 - 1),
       engine: isEngine ? ENGINE_LAW : undefined,
     };
-    const isRepeatable = this.options.isRepeatable ?? true;
+    const mayBeTrial = (this.options.isRepeatable ?? true) && tried.size === 0;
     const views = book
-      .candidates(SERVICE, [], tried, isRepeatable)
+      .candidates(SERVICE, [], tried, { ...ANY_RUNNER, mayBeTrial })
       .map((view) => this.seen(index, view));
     const drawn = drawCandidates(views, book.loadAgeMilliseconds(), runtime.random);
     return chooseRunner(drawn, need, CHARGES);
--- a/features/uneven.feature
+++ b/features/uneven.feature
@@ -39,6 +39,7 @@
   Scenario: A runner comes back by trials that went well
     Then a runner whose fault ends is in use again within 20 s, and one that goes on failing is not
     And one that gets no repeatable work gets none while it is out, and half of its share 30 s later, then 60, 120, 240 and 240 s
+    And a request that may not go to the runner that is out, or that failed at one, is drawn among the others only
     And at 0.5 requests a second for each runner, a runner that is well again is in use within 130 s
     And so is one of a service without repeatable work, within 35 s, but none that went on failing trials
 
--- a/src/relay/placement/place-request.ts
+++ b/src/relay/placement/place-request.ts
@@ -16,6 +16,8 @@
   readonly refusedBy: ReadonlySet<RunnerLife>;
   /** Runners at which a try failed: taken only when no other is left. */
   readonly failedAt: ReadonlySet<RunnerLife>;
+  /** Whether nothing of it was tried before: what failed once is no trial. */
+  readonly isFirstTry: boolean;
 }
 
 function needOf(context: RelayContext, passage: Passage, service: string): PlacementNeed {
@@ -34,17 +36,16 @@
 export function placeRequest(
   context: RelayContext,
   passage: Passage,
-  { mayGoTo, refusedBy, failedAt }: OpenRunners,
+  { mayGoTo, refusedBy, failedAt, isFirstTry }: OpenRunners,
 ): RunnerCandidate | undefined {
   const { service, request } = passage;
   if (service === undefined) {
     return undefined;
   }
   const { promptParts, route } = request;
-  const all = context.book.candidates(service, promptParts, refusedBy, mayRepeat(route));
-  const allowed = all.filter((candidate) => mayGoTo(candidate.id));
-  const fresh = allowed.filter((candidate) => !failedAt.has(candidate.id));
-  const usable = fresh.length > 0 ? fresh : allowed;
+  const mayBeTrial = isFirstTry && request.lastEventId === undefined && mayRepeat(route);
+  const choice = { mayGoTo, failedAt, mayBeTrial };
+  const usable = context.book.candidates(service, promptParts, refusedBy, choice);
   const weighed = context.drawsCandidates
     ? drawCandidates(usable, context.book.loadAgeMilliseconds(), context.runtime.random)
     : usable;
--- a/src/relay/runners/runner-book.ts
+++ b/src/relay/runners/runner-book.ts
@@ -8,7 +8,9 @@
 import type { LoadView, ServiceLoad } from './runner-view.js';
 import { evidenceAmounts } from './runner-evidence.js';
 import { ServiceLaw } from './service-law.js';
-import { openByStanding, RunnerBelief, ServiceReview } from './service-review.js';
+import { ANY_RUNNER, openRunners } from './runner-choice.js';
+import type { RunnerChoice } from './runner-choice.js';
+import { RunnerBelief, ServiceReview } from './service-review.js';
 import type { RowsOfOthers } from './service-review.js';
 import { SilenceEstimate } from './silence-estimate.js';
 import type { PaceSample } from './service-pace.js';
@@ -169,13 +171,13 @@
 
   /**
    * Runners of a service that may get a request, the trusted ones only if there are any.
-   * @param isRepeatable whether the request may serve as a trial of a runner that is out
+   * @param choice what the request leaves to choose from: drawn is only among these
    */
   candidates(
     service: string,
     parts: readonly PromptPart[],
     excluded: ReadonlySet<RunnerLife>,
-    isRepeatable = false,
+    choice: RunnerChoice = ANY_RUNNER,
   ): RunnerCandidate[] {
     const now = this.runtime.now();
     const known = [...(this.byService.get(service) ?? [])];
@@ -185,7 +187,7 @@
     const trusted = listed.filter((record) => record.distrustedUntil <= now);
     const chosen =
       trusted.length > 0 ? trusted : listed.length > 0 ? listed : usable.filter(isGone);
-    const open = openByStanding(chosen, isRepeatable, this.runtime.random);
+    const open = openRunners(chosen, choice, this.runtime.random);
     const { meanMilliseconds } = this.learnedOf(service).law;
     return open.map((record) => this.viewOf(record, parts, meanMilliseconds));
   }
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -206,7 +206,12 @@
     const { context, passage, history, refusedBy, failedAt } = this;
     const mayGoTo = (runner: RunnerLife): boolean =>
       maySendTo(history, runner) && context.intake.mayTake(runner);
-    return placeRequest(context, passage, { mayGoTo, refusedBy, failedAt });
+    return placeRequest(context, passage, {
+      mayGoTo,
+      refusedBy,
+      failedAt,
+      isFirstTry: this.tries === 0,
+    });
   }
 
   private tryNext(): void {
