--- a/src/relay/answers/answer-reader.ts
+++ b/src/relay/answers/answer-reader.ts
@@ -24,6 +24,9 @@
   readonly closing: boolean;
 }
 
+/** First status that is no success. */
+export const FIRST_REDIRECT = 300;
+
 /** What takes the answer of one try apart: whole bodies or streams. */
 export interface AnswerReader {
   onHead(head: AnswerHead): void;
--- a/src/relay/answers/stream-answer.ts
+++ b/src/relay/answers/stream-answer.ts
@@ -5,10 +5,10 @@
 import type { Holding } from '../memory/memory-accounts.js';
 import { EventSplitter } from './event-splitter.js';
 import type { StreamEvent } from './event-splitter.js';
+import { FIRST_REDIRECT } from './answer-reader.js';
 import type { AnsweredCall, AnswerHead, AnswerReader } from './answer-reader.js';
 import { nameForTenant } from '../request/tenant.js';
 
-const FIRST_REDIRECT = 300;
 const LINE_FEED = Buffer.from('\n');
 /** Longest time for storing a turn, in milliseconds. */
 const KEEP_MILLISECONDS = 1_500;
--- a/src/relay/stages/admission-stage.ts
+++ b/src/relay/stages/admission-stage.ts
@@ -4,7 +4,6 @@
 import { demandAhead } from '../admission/outlook.js';
 import type { AdmissionOutlook } from '../admission/predicted-wait.js';
 import { isLate, rankInTime, urgencyOf } from '../request/urgency.js';
-import type { RelayRequest } from '../request/relay-request.js';
 import type { RunnerLife } from '../runners/runner.js';
 import type { Passage } from './passage.js';
 import { GO_ON, refuseWith } from './stage.js';
@@ -40,8 +39,11 @@
   };
 }
 
-/** Whether a runner is believed to keep something of the part that is the line's own. */
-function isPromptKnown({ context }: Passage, service: string, request: RelayRequest): boolean {
+/**
+ * Whether a runner is believed to keep something of the prompt's last part, which only earlier turns of the same
+ * session can have put there.
+ */
+function isPromptKnown({ context, request }: Passage, service: string): boolean {
   const { promptParts } = request;
   const shared = promptParts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
   const views = context.book.candidates(service, promptParts, NO_RUNNERS);
@@ -58,7 +60,7 @@
 function isUnderWay(passage: Passage, service: string): boolean {
   const { context, request } = passage;
   const hasNoTime = isLate(request, context.runtime.now());
-  return hasNoTime || namesEarlierTurn(passage) || isPromptKnown(passage, service, request);
+  return hasNoTime || namesEarlierTurn(passage) || isPromptKnown(passage, service);
 }
 
 /**
--- a/src/relay/tries/judge-answer.ts
+++ b/src/relay/tries/judge-answer.ts
@@ -1,4 +1,5 @@
 /** What the head of a runner's answer says about its request. */
+import { FIRST_REDIRECT } from '../answers/answer-reader.js';
 import type { AnswerHead } from '../answers/answer-reader.js';
 import type { HeaderNames } from '../request/header-names.js';
 
@@ -16,7 +17,6 @@
 /** Statuses by which a client learns that its request has not run. */
 const PROMISES = new Set([408, 421, 429, 503]);
 const FIRST_SUCCESS = 200;
-const FIRST_REDIRECT = 300;
 /** First status by which a runner says that it failed. */
 export const FIRST_SERVER_ERROR = 500;
 
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -3,6 +3,7 @@
  * answers, the request may not be tried again, or its time is over. Every end is given at once.
  */
 import type { CancelTimer, LogFields } from '../../runtime/runtime.js';
+import { FIRST_REDIRECT } from '../answers/answer-reader.js';
 import type {
   AnsweredCall,
   AnswerHead,
@@ -41,7 +42,6 @@
 
 /** Kept between a request's time and the answer that it is over, in milliseconds. */
 const END_SLACK_MILLISECONDS = 30;
-const FIRST_REDIRECT = 300;
 
 /** One try under way. */
 interface CurrentTry {
