Interfaces for evacuated zones, cold runners, regions and program quotas

Cause: two deployments need zones that operators evacuate, cold runners, the loss of a zone, several regions and quotas by whole programs. These parts meet at the settings, the configuration, the selection of runners and the topology.

--- a/src/relay/placement/place-request.ts
+++ b/src/relay/placement/place-request.ts
@@ -44,7 +44,12 @@
   if (service === undefined) {
     return undefined;
   }
-  const all = context.registry.candidates(service, request.promptParts, refusedBy);
+  const all = context.registry.candidates(
+    service,
+    request.promptParts,
+    refusedBy,
+    (runner) => context.exclusions.reasonAgainst(runner, request) === undefined,
+  );
   const allowed = all.filter((candidate) => isAllowed(candidate.id));
   const accepting = allowed.filter((candidate) => context.backpressure.isWritable(candidate.id));
   const available = accepting.length > 0 ? accepting : allowed;
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -10,6 +10,7 @@
 import type { PlacementCharge } from './placement/placement-charges.js';
 import type { QuotaGate } from './admission/quota-gate.js';
 import type { RelayMetrics } from './relay-metrics.js';
+import type { RunnerExclusions } from './runners/runner-exclusions.js';
 import type { RunnerRegistry } from './runners/runner-registry.js';
 import type { RunnerConnections } from './tries/runner-connections.js';
 import type { TrafficSplit } from './runners/traffic-split.js';
@@ -21,6 +22,8 @@
   readonly zone: string;
   readonly names: HeaderNames;
   readonly registry: RunnerRegistry;
+  /** Rules by which a runner must not get a request. */
+  readonly exclusions: RunnerExclusions;
   readonly connections: RunnerConnections;
   readonly admission: ProgramAdmission;
   readonly kindStats: ProgramStats;
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -22,6 +22,8 @@
 import { RelayFront } from './front/relay-front.js';
 import { RelayMetrics } from './relay-metrics.js';
 import type { RoutingTable } from './request/routing-table.js';
+import { RunnerExclusions } from './runners/runner-exclusions.js';
+import type { RunnerExclusion } from './runners/runner-exclusions.js';
 import { RunnerRegistry } from './runners/runner-registry.js';
 import { RunnerConnections } from './tries/runner-connections.js';
 import { TrafficSplit } from './runners/traffic-split.js';
@@ -45,6 +47,8 @@
   readonly graceMilliseconds: number;
   /** Thresholds of the memory budget. @default none */
   readonly memoryBounds?: MemoryBounds;
+  /** Rules by which a runner must not get a request. @default none */
+  readonly exclusions?: readonly RunnerExclusion[];
   /** Names of policies that are switched off, to compare the gateway without them. */
   readonly policiesOff?: ReadonlySet<string>;
 }
@@ -96,6 +100,7 @@
       zone,
       names,
       registry: this.registry,
+      exclusions: new RunnerExclusions(options.exclusions),
       connections,
       admission: new ProgramAdmission(runtime.random),
       kindStats: new ProgramStats(),
--- a/src/relay/request/routing-table.ts
+++ b/src/relay/request/routing-table.ts
@@ -41,6 +41,8 @@
   readonly retentionSeconds: number;
   /** Whether requests need no key. */
   readonly isPublic: boolean;
+  /** The only regions in which requests may be served and stored; undefined for all regions. */
+  readonly allowedRegions?: ReadonlySet<string> | undefined;
 }
 
 /** Settings of one service. */
@@ -54,6 +56,10 @@
   readonly cachesPrompts: boolean;
   /** Memory capacity of one runner, in tokens; undefined if not configured. */
   readonly memoryTokens: number | undefined;
+  /** Time for which a runner stays cold after a start, in milliseconds; 0 if runners are never cold. */
+  readonly coldStartMilliseconds?: number;
+  /** Requests per second that one cold runner can take; undefined if there is no limit. */
+  readonly coldRequestsPerSecond?: number | undefined;
 }
 
 /**
--- a/src/relay/request/tenant.ts
+++ b/src/relay/request/tenant.ts
@@ -27,6 +27,8 @@
   readonly priority: number;
   /** Undefined if the tenant has no limit. */
   readonly quota: RequestQuota | undefined;
+  /** The only regions in which the tenant's requests may be served and stored; undefined for all regions. */
+  readonly allowedRegions?: ReadonlySet<string> | undefined;
 }
 
 /** A tenant with its keys. */
--- a/src/relay/runners/runner-registry.ts
+++ b/src/relay/runners/runner-registry.ts
@@ -164,15 +164,17 @@
    * any, else all listed ones, else those that were removed within the grace period.
    * @param parts prompt of the request, for counting cached tokens
    * @param excluded runners to leave out
+   * @param isAllowed whether a runner may get the request at all
    */
   candidates(
     service: string,
     parts: readonly PromptPart[],
     excluded: ReadonlySet<RunnerIncarnation>,
+    isAllowed: (runner: Runner) => boolean = () => true,
   ): RunnerCandidate[] {
     const now = this.runtime.now();
     const usable = [...(this.recordsByService.get(service) ?? [])].filter(
-      (record) => !excluded.has(incarnationOf(record.runner)),
+      ({ runner }) => !excluded.has(incarnationOf(runner)) && isAllowed(runner),
     );
     const listed = usable.filter((record) => record.runner.ready && record.removedAt === undefined);
     const healthy = listed.filter((record) => record.unhealthyUntil <= now);
--- a/src/relay/runners/runner.ts
+++ b/src/relay/runners/runner.ts
@@ -21,6 +21,8 @@
   readonly slots: number;
   /** False once the runner is shutting down and accepts no new requests. */
   readonly ready: boolean;
+  /** Time for which the runner stays cold after its entry was written, in milliseconds; 0 or absent if it is warm. */
+  readonly coldMilliseconds?: number;
 }
 
 /** Returns the `host:port` of a runner, by which connections are kept. */
