Evacuated zones: followed through the mirror of the store

Cause: operators evacuate a zone by the key op/evacuate/ZONE; gateways ignored it.

Change: EvacuatedZones holds the evacuated zones with the revision of each key and is one rule of a gateway's exclusions. The mirror feeds it; a removal lifts an evacuation at once, without the expiry grace of runner entries. A complete list that arrives late no longer brings back items whose later removal the copy knows of from peers or an earlier complete list. Removals carry their revision to the listener.

--- a/features/steps/entries.steps.ts
+++ b/features/steps/entries.steps.ts
@@ -9,10 +9,12 @@
 import type { ItemTargets } from '../../platform/apply-item.js';
 import { RefusedItemLog } from '../../platform/refused-item-log.js';
 import { RUNNER_PREFIX } from '../../platform/store-keys.js';
+import { EvacuatedZones } from '../../src/relay/runners/evacuated-zones.js';
 import { RunnerRegistry } from '../../src/relay/runners/runner-registry.js';
 import { createRandom } from '../../src/runtime/random.js';
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
 import { VirtualClock } from '../../src/simulation/virtual-clock.js';
+import { UNKNOWN_TOPOLOGY } from '../../src/topology/topology.js';
 import { MemberDirectory } from '../../src/turns/member-directory.js';
 
 const NUMBER_OF_RUNS = 5_000;
@@ -96,6 +98,8 @@
     this.loggedEvents = events;
     this.itemTargets = {
       registry: new RunnerRegistry(runtime),
+      evacuatedZones: new EvacuatedZones(runtime),
+      topology: UNKNOWN_TOPOLOGY,
       directory: new MemberDirectory(runtime),
       refusedItems: new RefusedItemLog(runtime),
       applyTable: () => undefined,
--- a/src/mirror/key-space-copy.ts
+++ b/src/mirror/key-space-copy.ts
@@ -24,8 +24,8 @@
 export interface KeySpaceCopyListener {
   /** Called with each new or changed item. */
   readonly onPut: (item: StoredItem) => void;
-  /** Called with the key of each removed item. */
-  readonly onRemoved: (key: string) => void;
+  /** Called with the key of each removed item and the revision at which it was known to be removed. */
+  readonly onRemoved: (key: string, revision: number) => void;
 }
 
 /**
@@ -42,6 +42,8 @@
   /** Keys that are neither here nor in `removedAt` had been removed by this revision. */
   private compactedRevision = 0;
   private completeUpTo = 0;
+  /** Revision of the newest complete list of the store itself. */
+  private listedRevision = 0;
 
   constructor(private readonly listener: KeySpaceCopyListener) {}
 
@@ -78,17 +80,26 @@
     // changes.
     this.removedAt.set(key, revision);
     if (this.items.delete(key)) {
-      this.listener.onRemoved(key);
+      this.listener.onRemoved(key, revision);
     }
     this.compactRemovals();
   }
 
-  /** Replaces the copy by all items of the store at a revision. */
+  /**
+   * Replaces the copy by all items of the store at a revision. Removals known from later ones are kept: the list may
+   * have arrived late.
+   */
   replaceAll(items: readonly StoredItem[], revision: number): void {
-    this.removedAt.clear();
-    this.compactedRevision = 0;
+    for (const [key, removedRevision] of this.removedAt) {
+      if (removedRevision <= revision) {
+        this.removedAt.delete(key);
+      }
+    }
+    // What peers claim to be complete is no longer relied on, only what the store listed.
+    this.compactedRevision = this.listedRevision > revision ? this.listedRevision : 0;
     this.merge(items, revision);
-    this.compactedRevision = revision;
+    this.listedRevision = Math.max(this.listedRevision, revision);
+    this.compactedRevision = this.listedRevision;
     this.completeUpTo = revision;
   }
 
--- a/src/mirror/key-space-mirror.ts
+++ b/src/mirror/key-space-mirror.ts
@@ -28,8 +28,8 @@
   readonly awaitsProof: boolean;
   /** Called with each new or changed item. */
   readonly onPut: (item: StoredItem) => void;
-  /** Called with the key of each removed item. */
-  readonly onRemoved: (key: string) => void;
+  /** Called with the key of each removed item and the revision at which it was known to be removed. */
+  readonly onRemoved: (key: string, revision: number) => void;
   /** Called when the store becomes reachable or unreachable. */
   readonly onReachable: (reachable: boolean) => void;
   /** Called with the revision of a complete list and the local time at which it was requested. */
--- a/src/peers/store-sync.ts
+++ b/src/peers/store-sync.ts
@@ -30,10 +30,10 @@
   /** Called with each new or changed item. */
   readonly onPut: (item: StoredItem) => void;
   /**
-   * Called when an item is removed. If the milliseconds are not 0, its owner may still write it
-   * again within that time.
+   * Called when an item is removed, as of a revision. If the milliseconds are not 0, its owner may
+   * still write it again within that time.
    */
-  readonly onRemoved: (key: string, expiryGraceMilliseconds: number) => void;
+  readonly onRemoved: (key: string, expiryGraceMilliseconds: number, revision: number) => void;
   /** Options of the gossip that do not concern the store. */
   readonly gossip: Omit<
     LoadGossipOptions,
@@ -73,7 +73,7 @@
     verifyIntervalMilliseconds: VERIFY_INTERVAL_MILLISECONDS,
     watchTimeoutMilliseconds: WATCH_TIMEOUT_MILLISECONDS,
     onPut: options.onPut,
-    onRemoved: (key) => options.onRemoved(key, freshness.expiryGraceMilliseconds),
+    onRemoved: (key, at) => options.onRemoved(key, freshness.expiryGraceMilliseconds, at),
     onReachable: () => undefined,
     onListed: (revision, sentAt) => {
       proof.noteRead(sentAt);
--- a/src/relay/runners/runner-exclusions.ts
+++ b/src/relay/runners/runner-exclusions.ts
@@ -11,6 +11,11 @@
   readonly name: string;
   /** Whether the runner must not get the request; has no effect on later checks. */
   readonly excludes: (runner: Runner, request: RelayRequest) => boolean;
+  /**
+   * Whether the runner must get no request at all, so that its slots do not count as capacity. Omitted by rules that
+   * depend on the request or that only delay requests.
+   */
+  readonly withdrawsCapacity?: (runner: Runner) => boolean;
   /** Called immediately before a request is written to a runner. */
   readonly recordSend?: (runner: Runner) => void;
 }
@@ -24,6 +29,11 @@
     return this.rules.find((rule) => rule.excludes(runner, request))?.name;
   }
 
+  /** Whether the slots of a runner count as capacity of its service. */
+  countsAsCapacity(runner: Runner): boolean {
+    return !this.rules.some((rule) => rule.withdrawsCapacity?.(runner) === true);
+  }
+
   /** Records that a request is about to be written to a runner. */
   recordSend(runner: Runner): void {
     this.rules.forEach((rule) => rule.recordSend?.(runner));
