Requests are written once connected, after a second check of the exclusions

Cause: a request may wait for a connection after it was placed; a rule that excludes its runner meanwhile came too late, since the bytes had been handed to the connection already.

Change: an attempt writes its request only once its connection is established, evaluates the exclusions immediately before, and calls recordSend right before the bytes. If a rule applies, the attempt ends as Excluded: never sent, not counted, and without effect on the runner's health; the request is placed again. An attempt that had waited in the agent's queue is checked before the connection is attached to it, so that the connection passes to the next waiting request; without that, four waiting requests opened three more connections to the excluded runner.

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -24,3 +24,20 @@
 
   Scenario: Lists, snapshots and items that arrive late neither lift an evacuation nor reinstate one
     Then whatever a copy receives late, partly or twice, it never returns to an older state of an evacuation
+
+  Scenario: Requests that wait for a connection to a runner go elsewhere once its zone is evacuated
+    Given a gateway that may open 1 connection to the runner of each of two zones, one of them ready
+    When 5 requests are sent, and then the first zone is evacuated while the runner of the other becomes ready
+    Then all requests are answered, 1 by the runner of the first zone and 4 by the other
+    And the gateway opened 1 connection to the runner of the first zone and marked it healthy
+
+  Scenario: A request whose connection is established after the evacuation is not written
+    Given a gateway that may open 1 connection to the runner of each of two zones, one of them ready
+    When the first zone is evacuated after a request was placed there and before its connection is established
+    Then all requests are answered, 0 by the runner of the first zone and 1 by the other
+    And the gateway opened 1 connection to the runner of the first zone and marked it healthy
+
+  Scenario: A stream in progress in an evacuated zone ends normally
+    Given a gateway that may open 1 connection to the runner of each of two zones, one of them ready
+    When the first zone is evacuated in the middle of a stream
+    Then all requests are answered, 1 by the runner of the first zone and 0 by the other
--- a/features/steps/slow-readers.steps.ts
+++ b/features/steps/slow-readers.steps.ts
@@ -442,6 +442,7 @@
     DEFAULT_HEADER_NAMES,
     WAIT_MILLISECONDS,
     {
+      reasonAgainstSending: () => undefined,
       onConnected: () => undefined,
       onSendEnd: () => undefined,
       onHead: () => attempt.pause(),
--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -13,6 +13,7 @@
 import { createTenantsByKey } from '../../src/relay/request/tenant.js';
 import type { TenantSettings } from '../../src/relay/request/tenant.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
+import type { RunnerExclusion } from '../../src/relay/runners/runner-exclusions.js';
 import type { Runtime } from '../../src/runtime/runtime.js';
 import { MemberDirectory } from '../../src/turns/member-directory.js';
 import { MemoryTurnStorage } from '../../src/turns/memory-turn-storage.js';
@@ -106,6 +107,8 @@
   readonly maximumConnections?: number;
   /** Timeout of the routes, in milliseconds. @default 3000 */
   readonly timeoutMilliseconds?: number;
+  /** Rules by which a runner must not get a request. @default none */
+  readonly exclusions?: readonly RunnerExclusion[];
   /** Options of the runners. */
   readonly runner?: Partial<RelayRunnerOptions>;
 }
@@ -151,7 +154,7 @@
     this.replicaServer.listen(HOST, replicaPort, () => undefined);
     this.caller = new TcpReplicaCaller(this.runtime, () => undefined);
     const { runtime, caller } = this;
-    const { memoryBounds } = this.options;
+    const { memoryBounds, exclusions = [] } = this.options;
     const turns = new TurnClient({ runtime, directory, caller, zone: ZONE });
     this.gateway = new RelayGateway({
       runtime,
@@ -162,6 +165,7 @@
       front: { host: HOST, port: front },
       ready: { host: HOST, port: ready },
       graceMilliseconds: 8_000,
+      exclusions,
       ...(memoryBounds === undefined ? {} : { memoryBounds }),
     });
     for (const id of ['one', 'two']) {
@@ -208,7 +212,7 @@
   }
 
   /** Adds or updates a runner in the gateway's list. */
-  listRunner(index: number, ready: boolean, atPort?: number): void {
+  listRunner(index: number, ready: boolean, atPort?: number, zone = ZONE): void {
     const id = ['one', 'two'][index]!;
     const port = atPort ?? this.runnerPorts[index]!;
     this.gateway.registry.put({
@@ -216,7 +220,7 @@
       service: SERVICE,
       host: HOST,
       port,
-      zone: ZONE,
+      zone,
       slots: 4,
       ready,
     });
--- a/src/relay/answers/answer-reader.ts
+++ b/src/relay/answers/answer-reader.ts
@@ -3,10 +3,12 @@
 import type { RelayRequest } from '../request/relay-request.js';
 import type { ClientAnswer } from './client-answer.js';
 
-/** How an attempt failed. Only `NeverSent` proves that the runner has not run the request. */
+/** How an attempt failed. `NeverSent` and `Excluded` prove that the runner has not run the request, other tags do not. */
 export type AttemptFailure =
   /** No connection could be established, so nothing was sent. */
   | { readonly tag: 'NeverSent'; readonly detail: string }
+  /** A connection was established, but the named rule excluded the runner by then, so nothing was sent. */
+  | { readonly tag: 'Excluded'; readonly detail: string }
   /** The request was sent, but the connection ended before the answer was complete. */
   | { readonly tag: 'Lost'; readonly detail: string }
   /** The runner sent something that cannot be the answer to this request. */
--- a/src/relay/tries/attempt.ts
+++ b/src/relay/tries/attempt.ts
@@ -9,7 +9,12 @@
 
 /** Receives the events of an attempt. After `onEnd` or `onFailure`, only `onSendEnd` may still be called. */
 export interface AttemptListener {
-  /** The connection is established, and the request is being sent over it. */
+  /**
+   * Returns the name of a rule that excludes the runner by now; the attempt then fails as `Excluded`. Called as soon as
+   * there is a connection, and again immediately before the request is written.
+   */
+  reasonAgainstSending(): string | undefined;
+  /** The connection is established, and the request is written immediately after this call. */
   onConnected(): void;
   /** The whole request was written, or the attempt is over; may be called twice. */
   onSendEnd(): void;
@@ -93,13 +98,13 @@
       headers: request.headers as string[],
       agent,
     });
+    this.checkOnAssignment();
     this.watchConnection(connectMilliseconds);
     this.client.on('finish', () => listener.onSendEnd());
     this.client.on('close', () => listener.onSendEnd());
     this.client.on('response', (response) => this.handleResponse(response));
     this.client.on('error', (error) => this.fail(error.message));
     this.client.on('close', () => this.handleClose());
-    this.client.end(request.body);
   }
 
   cancel(): void {
@@ -124,6 +129,22 @@
     this.response?.resume();
   }
 
+  /**
+   * Ends an excluded attempt before its connection is attached to it: the agent then hands the connection to the next
+   * waiting request. Closing it instead would open a new connection for each of the waiting requests.
+   */
+  private checkOnAssignment(): void {
+    const { client } = this;
+    const attach = client.onSocket.bind(client);
+    client.onSocket = (...connection) => {
+      const rule = this.finished ? undefined : this.listener.reasonAgainstSending();
+      if (rule !== undefined) {
+        this.endExcluded(rule);
+      }
+      attach(...connection);
+    };
+  }
+
   private watchConnection(connectMilliseconds: number): void {
     this.client.on('socket', (socket) => {
       if (!socket.connecting) {
@@ -142,11 +163,25 @@
     });
   }
 
+  /** Writes the request: only now, since it may have waited for a connection while the runner became excluded. */
   private noteConnected(): void {
-    this.sent = true;
-    if (!this.client.destroyed) {
-      this.listener.onConnected();
+    if (this.finished || this.client.destroyed) {
+      return;
+    }
+    const rule = this.listener.reasonAgainstSending();
+    if (rule !== undefined) {
+      this.endExcluded(rule);
+      return;
     }
+    this.sent = true;
+    this.listener.onConnected();
+    this.client.end(this.request.body);
+  }
+
+  private endExcluded(rule: string): void {
+    this.finished = true;
+    this.client.destroy();
+    this.listener.onFailure({ tag: 'Excluded', detail: rule });
   }
 
   private handleResponse(response: IncomingMessage): void {
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -232,8 +232,17 @@
     const agent = context.connections.agentFor(runner, limit);
     const { method, path, id: requestId } = request;
     const sent = { requestId, method, path, headers, body: this.requestState.body };
+    const pendingSend = context.backpressure.prepareSend(
+      incarnationOf(runner),
+      this.requestState.body.length,
+    );
     const attempt = startAttempt(runner, agent, sent, context.names, CONNECT_MILLISECONDS, {
-      ...context.backpressure.prepareSend(incarnationOf(runner), this.requestState.body.length),
+      reasonAgainstSending: () => context.exclusions.reasonAgainst(record.runner, request),
+      onConnected: () => {
+        context.exclusions.recordSend(record.runner);
+        pendingSend.onConnected();
+      },
+      onSendEnd: () => pendingSend.onSendEnd(),
       onHead: (head) => this.handleHead(head, reader),
       onData: (chunk) => {
         this.noteActivity();
@@ -313,13 +322,18 @@
     const { registry, connections } = this.context;
     const { runner } = current.record;
     registry.noteRequestEnded(current.record, undefined);
-    this.failedAt.add(incarnationOf(runner));
     this.logFailure(failure.tag, failure.detail, current);
+    if (failure.tag === 'Excluded') {
+      // Not the runner's fault: the attempt does not count, and placement leaves the runner out while the rule applies.
+      this.attemptCount -= 1;
+    } else {
+      this.failedAt.add(incarnationOf(runner));
+    }
     if (failure.tag === 'NeverSent') {
       registry.markUnhealthy(current.record, failure.detail);
       connections.closeAll(runner);
       this.sentTo.delete(incarnationOf(runner));
-    } else {
+    } else if (failure.tag !== 'Excluded') {
       this.mayHaveRun = true;
       this.noteSentTo(current.record);
     }
