Runners: track cold periods by the local clock

Cause: ColdRemainingMs was decoded but had no effect, and a value of another type took the runner out of use. Change: ColdPeriods counts the cold time from the receipt of the newest revision of an entry. Repeated and older entries change nothing, and a runner that leaves the list and returns keeps its period. Turning cold empties the estimate of the prompt cache and ignores reports of cached parts for a second. Invalid cold times cause one log line. Log events runner.cold, runner.warm and runner.coldInvalid, metric ivyloom_cold_runners.

--- a/src/relay/runners/runner-registry.ts
+++ b/src/relay/runners/runner-registry.ts
@@ -1,5 +1,6 @@
 /** Tracks what a gateway knows of the runners: membership, health, load, latency and cached prompts. */
 import type { CancelTimer, Runtime } from '../../runtime/runtime.js';
+import { ColdPeriods } from './cold-periods.js';
 import { EngineEstimate } from './engine-estimate.js';
 import type { EngineSample } from './engine-estimate.js';
 import { PromptCacheEstimate } from './prompt-cache-estimate.js';
@@ -16,6 +17,11 @@
 /** Time for which a runner is avoided after its first failure; doubles with each further failure. */
 const INITIAL_BACKOFF_MILLISECONDS = 300;
 const MAXIMUM_BACKOFF_MILLISECONDS = 3_000;
+/**
+ * Time after a runner turned cold in which reports of cached parts are ignored, in milliseconds: peers may have sent
+ * them before the cache was lost.
+ */
+const LATE_REPORT_MILLISECONDS = 1_000;
 
 /** Local state of one runner incarnation. Times are local clock times in milliseconds. */
 export interface RunnerRecord {
@@ -40,6 +46,8 @@
   /** Usual inactivity of the runners of its service; shared by all of them. */
   readonly inactivity: InactivityEstimate;
   readonly promptCache: PromptCacheEstimate;
+  /** Local time until which reports of cached parts are ignored. */
+  ignoresReportsUntil: number;
 }
 
 /** A runner that placement may choose, with its state at that moment. */
@@ -64,6 +72,8 @@
   private readonly recordsByService = new Map<string, Set<RunnerRecord>>();
   private readonly recordsByHash = new Map<number, RunnerRecord>();
   private readonly estimatesByService = new Map<string, ServiceEstimates>();
+  /** Cold periods of the runners. */
+  readonly coldPeriods: ColdPeriods;
 
   /** Returns the requests that other gateways have in flight on a runner, by the hash of its incarnation. */
   inFlightOfOthers: (runnerHash: number) => number = () => 0;
@@ -78,7 +88,9 @@
   /** Returns whether an idle connection to a runner is open. */
   hasIdleConnection: (runner: Runner) => boolean = () => false;
 
-  constructor(private readonly runtime: Runtime) {}
+  constructor(private readonly runtime: Runtime) {
+    this.coldPeriods = new ColdPeriods(runtime);
+  }
 
   /** Returns the requests of this gateway in flight, by incarnation, for the runners that have any. */
   ownLoads(): Map<RunnerIncarnation, number> {
@@ -91,11 +103,14 @@
     return loads;
   }
 
-  /** Adds or updates a runner from an entry of the list. Entries of earlier incarnations are ignored. */
-  put(runner: Runner): void {
+  /**
+   * Adds or updates a runner from an entry of the list. Entries of earlier incarnations are ignored.
+   * @param revision revision of the entry in the store; undefined if unknown
+   */
+  put(runner: Runner, revision?: number): void {
     const known = this.records.get(runner.id);
     if (known === undefined) {
-      this.add(runner);
+      this.add(runner, revision);
       return;
     }
     if (isEarlierIncarnation(runner, known.runner)) {
@@ -103,7 +118,7 @@
       return;
     }
     if (incarnationOf(runner) !== incarnationOf(known.runner) && runner.startedAt !== undefined) {
-      this.replaceIncarnation(runner, known);
+      this.replaceIncarnation(runner, known, revision);
       return;
     }
     if (known.runner.ready !== runner.ready || known.removedAt !== undefined) {
@@ -120,6 +135,7 @@
     known.removedAt = undefined;
     known.cancelRemoval?.();
     known.cancelRemoval = undefined;
+    this.updateColdPeriod(known, revision);
   }
 
   /**
@@ -235,7 +251,10 @@
 
   /** Records that a runner has a prompt part cached, as reported by a peer or by the runner itself. */
   learnCachedPart(runnerHash: number, key: PromptKey, tokens: number): void {
-    this.recordsByHash.get(runnerHash)?.promptCache.learn(key, tokens);
+    const record = this.recordsByHash.get(runnerHash);
+    if (record !== undefined && record.ignoresReportsUntil <= this.runtime.now()) {
+      record.promptCache.learn(key, tokens);
+    }
   }
 
   /** Returns the number of prompt parts that are assumed to be cached on a runner. */
@@ -293,13 +312,21 @@
   }
 
   /** Starts a new record: a restarted runner shares no state with its earlier incarnation. */
-  private replaceIncarnation(runner: Runner, before: RunnerRecord): void {
+  private replaceIncarnation(runner: Runner, before: RunnerRecord, revision?: number): void {
     before.cancelRemoval?.();
     this.deleteRecord(before);
     const { id, service, startedAt } = runner;
     const fields = { event: 'runner.reborn', runner: id, service, bornAt: startedAt ?? 0 };
     this.runtime.log('info', 'runner restarted', fields);
-    this.add(runner);
+    this.add(runner, revision);
+  }
+
+  /** A runner that turns cold has lost its prompt cache. */
+  private updateColdPeriod(record: RunnerRecord, revision?: number): void {
+    if (this.coldPeriods.update(record.runner, revision)) {
+      record.promptCache.clear();
+      record.ignoresReportsUntil = this.runtime.now() + LATE_REPORT_MILLISECONDS;
+    }
   }
 
   private logEarlierIncarnation(
@@ -314,9 +341,10 @@
     this.records.delete(record.runner.id);
     this.recordsByHash.delete(record.hash);
     this.recordsByService.get(record.runner.service)?.delete(record);
+    this.coldPeriods.noteUnlisted(record.runner);
   }
 
-  private add(runner: Runner): void {
+  private add(runner: Runner, revision?: number): void {
     const record: RunnerRecord = {
       runner,
       hash: incarnationHash(runner),
@@ -330,6 +358,7 @@
       latency: new RunnerLatency(this.estimatesOf(runner.service).latency),
       inactivity: this.estimatesOf(runner.service).inactivity,
       promptCache: new PromptCacheEstimate(() => this.cacheCapacityOf(runner.service) ?? Infinity),
+      ignoresReportsUntil: -Infinity,
     };
     this.records.set(runner.id, record);
     this.recordsByHash.set(record.hash, record);
@@ -338,6 +367,7 @@
     const { id, service, ready } = runner;
     this.onRunnerAdded(runner);
     this.runtime.log('info', 'runner added', { event: 'runner.seen', runner: id, service, ready });
+    this.updateColdPeriod(record, revision);
   }
 
   /**
