Cold runners: limit the arrivals of all gateways without coordinating requests

Cause: gateways that discover the same empty runner exceed its limit of 41 arrivals a second together. Change: ColdLimits, a rule among the exclusions, gives each gateway a whole number of requests per runner and window. Ranks come from the number of gateways at each of 384 positions, summed by the gossip as aggregate topic 5 and remembered for 5 to 10 minutes. Requests whose only runners are limited wait in ColdQueue for at most one window, or are refused with 503 and a spread Retry-After. Placement charges coldness, which fades after the cold period.

--- a/features/cold-runners.feature
+++ b/features/cold-runners.feature
@@ -63,3 +63,56 @@
       | "12"  |
       | null  |
       | [1]   |
+
+  Scenario: A third of the runners turn cold at once under 300 requests a second from 72 gateways
+    Given 6 runners, 2 of which turn cold at once, and 300 requests a second from 72 gateways
+    And a gateway restarts every 4 seconds
+    When 200 seeds are simulated with load information 0.3 s old
+    Then no cold runner gets more than 41 requests in any second
+    And at least 0.9 of the requests that the limit allows are sent to cold runners
+
+  Scenario: A third of the runners turn cold at once under 2000 requests a second from 350 gateways
+    Given 6 runners, 2 of which turn cold at once, and 2000 requests a second from 350 gateways
+    When 5 seeds are simulated with load information 0.3 s old
+    Then no cold runner gets more than 41 requests in any second
+    And at least 0.9 of the requests that the limit allows are sent to cold runners
+
+  Scenario Outline: No cold runner exceeds its limit, however many runners and gateways there are
+    Given <runners> runners, <cold> of which turn cold at once, and 300 requests a second from <gateways> gateways
+    And a gateway restarts every <restart> seconds
+    When <seeds> seeds are simulated with load information 0.3 s old
+    Then no cold runner gets more than 41 requests in any second
+
+    Examples:
+      | runners | cold | gateways | restart | seeds |
+      | 34      | 11   | 72       | 0.5     | 5     |
+      | 34      | 11   | 350      | 2       | 2     |
+      | 6       | 2    | 45       | 2       | 5     |
+      | 6       | 2    | 20       | 2       | 5     |
+      | 6       | 2    | 2        | 2       | 5     |
+
+  Scenario: In a network partition no cold runner exceeds its limit, although gateways restart in both halves
+    Given 6 runners, 2 of which turn cold at once, and 300 requests a second from 72 gateways
+    And a gateway restarts every 0.5 seconds
+    And a network partition splits the gateways into two halves
+    When 10 seeds are simulated with load information 0.3 s old
+    Then no cold runner gets more than 41 requests in any second
+
+  Scenario Outline: The simulation detects limiters that are too generous
+    Given 6 runners, 2 of which turn cold at once, and 300 requests a second from 72 gateways
+    And gateways that <fault>
+    When 3 seeds are simulated with load information 0.3 s old
+    Then some cold runner gets more than 41 requests in a second
+
+    Examples:
+      | fault                                           |
+      | send one request a second each                  |
+      | send two requests a second more than the limit  |
+      | have never known the gateways of the other half |
+
+  Scenario: The shares of all gateways add up to the limit
+    Then for any limit and number of gateways, the shares of all ranks add up to the limit
+
+  Scenario: A gateway sends nothing to cold runners until it knows the others
+    Given a gateway that started now and expects others
+    Then it withholds requests from cold runners for 2 s, and as long as it knows no other gateway
--- a/src/peers/aggregates.ts
+++ b/src/peers/aggregates.ts
@@ -18,6 +18,11 @@
    * service's name.
    */
   lateDemand: 4,
+  /**
+   * Number of gateways by the hash of their name, and what they know of one another; keys and
+   * amounts are described in `gateway-positions.ts`.
+   */
+  gatewayPositions: 5,
 } as const;
 
 /** Number of a topic on the wire. */
--- a/src/relay/answers/local-answers.ts
+++ b/src/relay/answers/local-answers.ts
@@ -89,6 +89,16 @@
   return { status: 503, detail: UNAVAILABLE_DETAILS[what], verdict: 'NotRun', retryAfterSeconds };
 }
 
+/**
+ * The runners of the service are cold, and all requests that this gateway may send to them soon are promised to others.
+ * @param pauseMilliseconds retry delay, different for each client
+ */
+export function coldRunnersBusy(pauseMilliseconds: number): LocalAnswer {
+  const retryAfterSeconds = Number((pauseMilliseconds / MILLISECONDS_IN_SECOND).toFixed(3));
+  const detail = 'all runners are cold and get as many requests as they can take';
+  return { status: 503, detail, verdict: 'NotRun', retryAfterSeconds };
+}
+
 /** No runner can have run the request, and none may be tried now. */
 export function noRunnerAvailable(detail: string): LocalAnswer {
   return { status: 503, detail, verdict: 'NotRun', retryAfterSeconds: NO_RUNNER_RETRY_SECONDS };
--- a/src/relay/placement/placement-charges.ts
+++ b/src/relay/placement/placement-charges.ts
@@ -38,6 +38,8 @@
 const CONNECTION_MILLISECONDS = 15;
 /** Largest charge for a runner that the affinity hash does not prefer. */
 const MAXIMUM_AFFINITY_MILLISECONDS = 8;
+/** Additional time that a cold runner takes for a request, relative to that of a warm one. */
+const COLD_SLOWDOWN = 1;
 const HASH_RANGE = 2 ** 32;
 
 function slotsOf(view: RunnerView): number {
@@ -82,6 +84,14 @@
     return eventMillisecondsPerRequest * meanEvents * slowed;
   },
 
+  /** Slower execution on a cold runner; its empty cache is charged as `reading`, but takes longer as well. */
+  cold: (view, need) => {
+    const { coldness = 0, meanMilliseconds, cachedTokens } = view;
+    const uncachedTokens = Math.max(0, need.promptTokens - cachedTokens);
+    const readMilliseconds = uncachedTokens * (need.engine?.millisecondsPerToken ?? 0);
+    return coldness * COLD_SLOWDOWN * (meanMilliseconds + readMilliseconds);
+  },
+
   /** Network cost of sending the request to another zone. */
   zone: (view, need) => {
     if (view.zone === need.zone) {
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -7,9 +7,11 @@
 import type { ProgramAdmission } from './admission/program-admission.js';
 import type { ProgramStats } from './admission/program-stats.js';
 import type { ServiceDemand } from './admission/service-demand.js';
+import type { ColdQueue } from './admission/cold-queue.js';
 import type { PlacementCharge } from './placement/placement-charges.js';
 import type { QuotaGate } from './admission/quota-gate.js';
 import type { RelayMetrics } from './relay-metrics.js';
+import type { ColdLimits } from './runners/cold-limits.js';
 import type { RunnerExclusions } from './runners/runner-exclusions.js';
 import type { RunnerRegistry } from './runners/runner-registry.js';
 import type { RunnerConnections } from './tries/runner-connections.js';
@@ -24,6 +26,10 @@
   readonly registry: RunnerRegistry;
   /** Rules by which a runner must not get a request. */
   readonly exclusions: RunnerExclusions;
+  /** Limits of the requests that are sent to cold runners; also one of the exclusions. */
+  readonly coldLimits: ColdLimits;
+  /** Requests that wait until one may be sent to a cold runner. */
+  readonly coldQueue: ColdQueue;
   readonly connections: RunnerConnections;
   readonly admission: ProgramAdmission;
   readonly kindStats: ProgramStats;
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -12,6 +12,7 @@
 import { chargesWithout } from './placement/placement-charges.js';
 import { ProgramAdmission } from './admission/program-admission.js';
 import { ProgramStats } from './admission/program-stats.js';
+import { ColdQueue } from './admission/cold-queue.js';
 import { ServiceDemand } from './admission/service-demand.js';
 import type { RelayContext } from './relay-context.js';
 import { NO_BOUNDS } from './memory/memory-bounds.js';
@@ -22,6 +23,9 @@
 import { RelayFront } from './front/relay-front.js';
 import { RelayMetrics } from './relay-metrics.js';
 import type { RoutingTable } from './request/routing-table.js';
+import { ColdLimits } from './runners/cold-limits.js';
+import type { ColdAllowance } from './runners/cold-limits.js';
+import { GatewayPositions } from './runners/gateway-positions.js';
 import { RunnerExclusions } from './runners/runner-exclusions.js';
 import type { RunnerExclusion } from './runners/runner-exclusions.js';
 import { RunnerRegistry } from './runners/runner-registry.js';
@@ -49,6 +53,10 @@
   readonly memoryBounds?: MemoryBounds;
   /** Rules by which a runner must not get a request. @default none */
   readonly exclusions?: readonly RunnerExclusion[];
+  /** Name of this gateway among all gateways, which it keeps across restarts. @default its address for clients */
+  readonly name?: string;
+  /** Requests that cold runners may get beyond their rate. @default none */
+  readonly coldAllowance?: ColdAllowance;
   /** Names of policies that are switched off, to compare the gateway without them. */
   readonly policiesOff?: ReadonlySet<string>;
 }
@@ -61,6 +69,7 @@
 const CANDIDATE_SAMPLING_POLICY = 'drawn-candidates';
 /** Name of the policy that charges a tenant for a whole program when it starts. */
 const PROGRAM_QUOTAS_POLICY = 'program-quotas';
+const NO_ALLOWANCE: ColdAllowance = { factor: 1, slack: 0 };
 const OK = 200;
 const UNAVAILABLE = 503;
 
@@ -82,6 +91,10 @@
   areKeysFresh: () => boolean = () => true;
   /** Whether another gateway can accept keys although this one can't. */
   areKeysFreshElsewhere: () => boolean = () => false;
+  /** Number of gateways that are known to exist, including this one. */
+  knownGateways: () => number = () => 1;
+  /** Whether other gateways must exist, even if none is known. */
+  expectsPeers: () => boolean = () => false;
   private readonly front: RelayFront;
   private readonly readiness: Server;
   private table: RoutingTable | undefined;
@@ -95,12 +108,16 @@
     this.registry.cacheCapacityOf = (service) => this.table?.services.get(service)?.memoryTokens;
     const connections = new RunnerConnections(runtime);
     this.registry.hasIdleConnection = (runner) => connections.hasIdle(runner);
+    const coldLimits = this.createColdLimits();
     const context: RelayContext = {
       runtime,
       zone,
       names,
       registry: this.registry,
-      exclusions: new RunnerExclusions(options.exclusions),
+      // The limits of cold runners come last, so that only runners that nothing else excludes are waited for.
+      exclusions: new RunnerExclusions([...(options.exclusions ?? []), coldLimits]),
+      coldLimits,
+      coldQueue: new ColdQueue(runtime, () => coldLimits.coldSendCount),
       connections,
       admission: new ProgramAdmission(runtime.random),
       kindStats: new ProgramStats(),
@@ -192,6 +209,38 @@
     this.front.close();
   }
 
+  private createColdLimits(): ColdLimits {
+    const { runtime, front, name = `${front.host}:${front.port}` } = this.options;
+    const { coldPeriods } = this.registry;
+    const requestsPerSecond = (service: string): number | undefined =>
+      this.table?.services.get(service)?.coldRequestsPerSecond;
+    const positions = new GatewayPositions({
+      runtime,
+      name,
+      aggregates: this.aggregates,
+      isEnabled: () =>
+        [...(this.table?.services.keys() ?? [])].some(
+          (service) => requestsPerSecond(service) !== undefined,
+        ),
+      isNeeded: () => coldPeriods.coldCount > 0,
+      knownGateways: () => this.knownGateways(),
+      expectsPeers: () => this.expectsPeers(),
+    });
+    return new ColdLimits({
+      runtime,
+      allowance: this.options.coldAllowance ?? NO_ALLOWANCE,
+      requestsPerSecond,
+      isCold: (runner) => coldPeriods.isCold(runner),
+      rankFor: (runnerHash) => positions.rankFor(runnerHash),
+      isSettled: () => positions.isSettled,
+      onWithheld: ({ service }) =>
+        this.metrics.count(
+          'ivyloom_relay_cold_withheld_total',
+          `service=${JSON.stringify(service)}`,
+        ),
+    });
+  }
+
   private listen(): void {
     if (this.listening) {
       return;
--- a/src/relay/runners/runner-registry.ts
+++ b/src/relay/runners/runner-registry.ts
@@ -199,6 +199,13 @@
     return chosen.map((record) => this.viewOf(record, parts));
   }
 
+  /** Returns the listed runners of a service that accept new requests. */
+  readyRunners(service: string): Runner[] {
+    return [...(this.recordsByService.get(service) ?? [])].flatMap(({ runner, removedAt }) =>
+      runner.ready && removedAt === undefined ? [runner] : [],
+    );
+  }
+
   /** Returns the total load and capacity of the runners of a service that accept new requests. */
   loadOf(service: string): ServiceLoad {
     let inFlight = 0;
@@ -294,6 +301,7 @@
       inFlightOfOthers,
       meanMilliseconds: record.latency.expectedMilliseconds,
       cachedTokens: record.promptCache.leadingTokens(parts),
+      coldness: this.coldPeriods.coldnessOf(record.runner),
       // Evaluated lazily: the lookup is expensive with hundreds of runners, and few charges need it.
       get hasIdleConnection() {
         return hasIdleConnection(record.runner);
--- a/src/relay/runners/runner-view.ts
+++ b/src/relay/runners/runner-view.ts
@@ -14,6 +14,8 @@
   readonly meanMilliseconds: number;
   /** Estimated leading tokens of the request's prompt in the runner's cache. */
   readonly cachedTokens: number;
+  /** From 1 for a cold runner to 0 for a warm one; falls gradually after a cold period. Absent for a warm runner. */
+  readonly coldness?: number;
   /** Whether an idle connection to the runner is open. */
   readonly hasIdleConnection: boolean;
 }
--- a/src/relay/stages/call-stages.ts
+++ b/src/relay/stages/call-stages.ts
@@ -3,6 +3,7 @@
  * a request passes all of them. A new stage is a module of its own and an entry here.
  */
 import { ADMISSION_STAGE } from './admission-stage.js';
+import { COLD_STAGE } from './cold-stage.js';
 import { PREPARATION_STAGE } from './preparation-stage.js';
 import { QUOTA_STAGE } from './quota-stage.js';
 import type { RequestStage } from './stage.js';
@@ -11,4 +12,5 @@
 export const CALL_STAGES: readonly (readonly RequestStage[])[] = [
   [ADMISSION_STAGE],
   [QUOTA_STAGE, PREPARATION_STAGE],
+  [COLD_STAGE],
 ];
