Distances between zones

Cause: timers and preferences assume that every replica and runner is about a millisecond away. With several regions a round trip takes 24 ms.

Change: ZoneDistances gives the expected round trip between two zones by kind of distance, refined by the lowest round trip of the last 30 to 60 s. With at most one region its additions are 0 and it reorders nothing. Nothing uses it yet.

Result: three scenarios in features/regions.feature.

--- /dev/null
+++ b/features/regions.feature
@@ -0,0 +1,20 @@
+Feature: Several regions
+
+  Scenario: A distance is the lowest round trip measured lately, and an initial value without one
+    Given zones "a1 a2 b1" in regions "a a b", seen from "a1"
+    Then the round trips to "a1 a2 b1" are "1 3 25" ms
+    When round trips to "b1" of "31 24 90" ms are measured
+    Then the round trips to "a1 a2 b1" are "1 3 24" ms
+    When 70 seconds pass between regions
+    Then the round trips to "a1 a2 b1" are "1 3 25" ms
+
+  Scenario: A near zone stays the nearest while its answers are late
+    Given zones "a1 a2 b1" in regions "a a b", seen from "a1"
+    When round trips to "a1" of "60" ms are measured
+    Then the zones "b1 a2 a1" are ordered "a1 a2 b1" by distance
+
+  Scenario: In one region nothing is reordered or delayed
+    Given zones "a1 a2" in regions "a a", seen from "a1"
+    When round trips to "a2" of "31" ms are measured
+    Then the zones "a2 a1" are ordered "a2 a1" by distance
+    And no delay is added for any zone
