State across regions: near members first, and delays that allow for the distance

Cause: reads preferred the own zone only, quota questions went to a random member and writes to members in the order of a hash. With 12 ms one way between regions, a gateway whose own region holds a majority of the members still waited for another region.

Change: where the settings list several regions, chain reads and quota questions go to the nearest member first, and writes to members by proximity, the order of the key among equally near ones. The delays after which further members are asked, and the silence by which a member counts as lost, are longer by the round trip; so is the sum behind the bound on contact. Round trips are learned from calls that write nothing to a disk.

One region: order and delays as before.

--- a/features/regions.feature
+++ b/features/regions.feature
@@ -18,3 +18,14 @@
     When round trips to "a2" of "31" ms are measured
     Then the zones "a2 a1" are ordered "a2 a1" by distance
     And no delay is added for any zone
+
+  Scenario: Requests to members stay near where members are near
+    Given members in zones "a1 b1 b2 b1 c1" of three regions
+    Then gateways of region "b" wait "0.4 0.4 7.8 7.8" ms for a quota, a chain, a reservation and a stored turn
+    And gateways of region "c" wait "1.6 1.6 29 29" ms for a quota, a chain, a reservation and a stored turn
+    And without the regions gateways of region "b" wait longer for each
+
+  Scenario: Members of another region are given the round trip before others are asked as well
+    Given members in zones "b1 b2 c1" whose answers take 50 ms
+    When a gateway in "a1" reads a chain and asks for a quota
+    Then each was asked of one member
--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -21,6 +21,8 @@
 import type { QuotaAllowance } from '../turns/quota-buckets.js';
 import { Replica } from '../turns/replica.js';
 import { TurnClient } from '../turns/turn-client.js';
+import { ZoneDistances } from '../topology/zone-distances.js';
+import type { Topology } from '../topology/topology.js';
 import type {
   ReplicaMeta,
   StorageChange,
@@ -205,6 +207,10 @@
   readonly catchUpMilliseconds?: number;
   /** The amount by which tenants' limits may be exceeded. @default nothing */
   readonly quotaAllowance?: QuotaAllowance;
+  /** Zones and regions that gateways know of. @default none */
+  readonly topology?: Topology;
+  /** One-way latency between two zones, in milliseconds. @default random, whatever the zones */
+  readonly linkMilliseconds?: (fromZone: string, toZone: string) => number;
 }
 
 /** Runs replicas on simulated machines and gives gateways clients to them. */
@@ -213,6 +219,7 @@
   private readonly machines = new Map<string, SimulatedMachine>();
   /** Links that are cut, as `from to`. */
   private readonly cutLinks = new Set<string>();
+  private readonly zoneOfGateway = new Map<string, string>();
   /** Number of turns that replicas have copied from one another. */
   copiedTurns = 0;
   private lastCallNumber = 0;
@@ -355,17 +362,25 @@
     const directory = new MemberDirectory(runtime);
     directory.offerText(this.machine(knownTo).directory?.currentText ?? '', knownTo);
     const caller = this.createCaller(name, runtime, directory);
-    return { client: new TurnClient({ runtime, directory, caller, zone }), process };
+    const distances = this.distancesFrom(name, zone, runtime);
+    return { client: new TurnClient({ runtime, directory, caller, zone, distances }), process };
   }
 
   /** Creates the quota client of a gateway, with the members that the machine `knownTo` knows. */
-  quotaClient(name: string, knownTo: string): QuotaClient {
+  quotaClient(name: string, knownTo: string, zone = ''): QuotaClient {
     const process = new SimulatedProcess(name, this.clock, this.random, this.log);
     const runtime = process.start();
     const directory = new MemberDirectory(runtime);
     directory.offerText(this.machine(knownTo).directory?.currentText ?? '', knownTo);
     const caller = this.createCaller(name, runtime, directory);
-    return new QuotaClient({ runtime, directory, caller });
+    const distances = this.distancesFrom(name, zone, runtime);
+    return new QuotaClient({ runtime, directory, caller, distances });
+  }
+
+  private distancesFrom(name: string, zone: string, runtime: Runtime): ZoneDistances | undefined {
+    this.zoneOfGateway.set(name, zone);
+    const { topology } = this.options;
+    return topology === undefined ? undefined : new ZoneDistances({ runtime, topology, zone });
   }
 
   private machine(name: string): SimulatedMachine {
@@ -376,7 +391,15 @@
     return machine;
   }
 
-  private delay(): number {
+  private zoneOf(name: string): string {
+    return this.machines.get(name)?.member.zone ?? this.zoneOfGateway.get(name) ?? '';
+  }
+
+  private delay(from: string, to: string): number {
+    const { linkMilliseconds } = this.options;
+    if (linkMilliseconds !== undefined) {
+      return linkMilliseconds(this.zoneOf(from), this.zoneOf(to));
+    }
     return LINK_DELAY_MILLISECONDS + this.random.uniform() * LINK_JITTER_MILLISECONDS;
   }
 
@@ -385,7 +408,9 @@
       call: (member, request, timeout, listener) =>
         this.call(from, runtime, directory, member, request, timeout, listener),
       notify: (member, message) => {
-        this.clock.schedule(this.delay(), () => this.deliverNotification(from, member, message));
+        this.clock.schedule(this.delay(from, member.node), () =>
+          this.deliverNotification(from, member, message),
+        );
       },
     };
   }
@@ -422,7 +447,7 @@
     const numberedRequest = { ...request, call: this.lastCallNumber } as ReplicaRequest;
     const target = this.machines.get(member.node);
     const { replica } = target ?? {};
-    this.clock.schedule(this.delay(), () => {
+    this.clock.schedule(this.delay(from, member.node), () => {
       const isReplicaGone = replica === undefined || target?.replica !== replica;
       if (isReplicaGone || this.cutLinks.has(`${from} ${member.node}`)) {
         return;
@@ -430,7 +455,7 @@
       const serve = (): void =>
         replica.handle(numberedRequest, (reply) => {
           this.copiedTurns += reply.type === 'fetched' ? reply.turns.length : 0;
-          this.clock.schedule(this.delay(), () => {
+          this.clock.schedule(this.delay(member.node, from), () => {
             if (this.cutLinks.has(`${member.node} ${from}`)) {
               return;
             }
--- a/src/topology/zone-distances.ts
+++ b/src/topology/zone-distances.ts
@@ -74,6 +74,12 @@
     return this.hasSeveralRegions ? this.roundTripMilliseconds(this.options.zone, zone) : 0;
   }
 
+  /** The largest addition for any zone of the deployment, in milliseconds; 0 in deployments of one region. */
+  get largestAllowanceMilliseconds(): number {
+    const { zones } = this.options.topology;
+    return Math.max(0, ...zones.map((zone) => this.allowanceMilliseconds(zone)));
+  }
+
   /**
    * Returns the items nearest first: own zone, own region, then the other regions by round trip. Equally near items
    * keep their order. In deployments of one region all do.
--- a/src/turns/quorum-write.ts
+++ b/src/turns/quorum-write.ts
@@ -1,10 +1,11 @@
 /**
  * Writes to the replicas of one epoch until a majority has acknowledged. The write is first sent to one replica more
- * than a majority, chosen by rendezvous hashing of the key; the other replicas of a large group receive it by batched
- * replication. They are written to directly when a replica rejects the write or is slow.
+ * than a majority, chosen by rendezvous hashing of the key, or by distance where there are several regions; the other
+ * replicas of a large group receive it by batched replication. They are written to directly when a replica rejects the write or is slow.
  */
 import { hashToNumber } from '../runtime/hashing.js';
 import type { Runtime } from '../runtime/runtime.js';
+import type { ZoneDistances } from '../topology/zone-distances.js';
 import { majorityOf } from './membership.js';
 import type { Member, MemberRecord } from './membership.js';
 import type { ReplicaOutcome, ReplicaReply } from './messages.js';
@@ -22,6 +23,8 @@
   /** Determines the order of the replicas: writes with the same key go to the same replicas first. */
   readonly key: string;
   readonly timeoutMilliseconds: number;
+  /** Where there are several regions, near replicas come first, and equally near ones in the order of the key. */
+  readonly distances?: ZoneDistances | undefined;
   /** Called with the outcome at each member when no majority acknowledged. */
   readonly onFailed?: (outcomes: MemberOutcomes) => void;
 }
@@ -53,19 +56,28 @@
     private readonly write: QuorumWriteRequest,
     private readonly done: (replies: readonly ReplicaReply[] | undefined) => void,
   ) {
-    this.unaskedMembers = membersForKey(write.record, write.key);
+    const members = membersForKey(write.record, write.key);
+    this.unaskedMembers = write.distances?.nearestFirst(members) ?? members;
     this.needed = majorityOf(write.record);
     this.deadline = runtime.now() + write.timeoutMilliseconds;
   }
 
   start(): void {
+    const hedgeMilliseconds = HEDGE_MILLISECONDS + this.allowanceMilliseconds();
     this.sendToNext(this.needed + SPARE_REPLICAS);
     if (this.unaskedMembers.length > 0) {
-      this.runtime.setTimer(HEDGE_MILLISECONDS, () => this.sendToNext(this.unaskedMembers.length));
+      this.runtime.setTimer(hedgeMilliseconds, () => this.sendToNext(this.unaskedMembers.length));
     }
     this.failIfImpossible();
   }
 
+  /** Round trip to the farthest member of the majority that is asked first, in milliseconds; 0 within one region. */
+  private allowanceMilliseconds(): number {
+    const { distances } = this.write;
+    const majority = this.unaskedMembers.slice(0, this.needed);
+    return Math.max(0, ...majority.map(({ zone }) => distances?.allowanceMilliseconds(zone) ?? 0));
+  }
+
   private sendToNext(count: number): void {
     const remainingMilliseconds = this.deadline - this.runtime.now();
     if (this.finished || remainingMilliseconds <= 0) {
--- a/src/turns/quota-client.ts
+++ b/src/turns/quota-client.ts
@@ -5,6 +5,7 @@
  * shortest wait.
  */
 import type { Runtime } from '../runtime/runtime.js';
+import type { ZoneDistances } from '../topology/zone-distances.js';
 import type { MemberDirectory } from './member-directory.js';
 import type { Member, MemberRecord } from './membership.js';
 import type { ReplicaReply } from './messages.js';
@@ -24,6 +25,8 @@
   readonly runtime: Runtime;
   readonly directory: MemberDirectory;
   readonly caller: ReplicaCaller;
+  /** Distances to the zones of the members; where there are several regions, near members are asked first. @default none */
+  readonly distances?: ZoneDistances | undefined;
 }
 
 /** Time after which the next member is asked while the previous one has not replied, in milliseconds. */
@@ -90,7 +93,7 @@
       done,
       ...state,
     };
-    for (const member of this.inRandomOrder(record.members)) {
+    for (const member of this.inOrderOfAsking(record.members)) {
       const waitMilliseconds = this.refusalMilliseconds(attempt, member);
       if (waitMilliseconds > 0) {
         attempt.refusals.push({ member, waitMilliseconds });
@@ -101,6 +104,12 @@
     this.askNext(attempt);
   }
 
+  /** Random, so that members share the load; nearest first where there are several regions. */
+  private inOrderOfAsking(members: readonly Member[]): Member[] {
+    const shuffled = this.inRandomOrder(members);
+    return this.options.distances?.nearestFirst(shuffled) ?? shuffled;
+  }
+
   private inRandomOrder(members: readonly Member[]): Member[] {
     const { random } = this.options.runtime;
     const remaining = [...members];
@@ -122,7 +131,8 @@
       return;
     }
     this.ask(attempt, member, 0);
-    this.options.runtime.setTimer(HEDGE_MILLISECONDS, () => {
+    const allowance = this.options.distances?.allowanceMilliseconds(member.zone) ?? 0;
+    this.options.runtime.setTimer(HEDGE_MILLISECONDS + allowance, () => {
       if (attempt.unaskedMembers.length > 0) {
         this.askNext(attempt);
       }
--- a/src/turns/replica-bounds.ts
+++ b/src/turns/replica-bounds.ts
@@ -77,20 +77,29 @@
   return untilPulled + CALL_TIMEOUT_MILLISECONDS + DECLARATION_MILLISECONDS + CHANGE_MILLISECONDS;
 }
 
-/** Worst time until a gateway reaches its replicas again over a new connection after a disturbance, in milliseconds. */
-export function worstContactMilliseconds(): number {
+/**
+ * Worst time until a gateway reaches its replicas again over a new connection after a disturbance, in milliseconds.
+ * @param farthestMilliseconds round trip to the farthest region, by which a silence is longer; 0 within one region
+ */
+export function worstContactMilliseconds(farthestMilliseconds = 0): number {
   const untilConnected =
     SOCKET_SILENCE_MILLISECONDS + RECONNECT_DELAY_MILLISECONDS + CONNECT_TIMEOUT_MILLISECONDS;
-  return untilConnected + MEMBER_SILENCE_MILLISECONDS + REACHABILITY_CHECK_MILLISECONDS;
+  const untilSilent = MEMBER_SILENCE_MILLISECONDS + farthestMilliseconds;
+  return untilConnected + untilSilent + REACHABILITY_CHECK_MILLISECONDS;
 }
 
 /** Worst time from the return of all machines until writes are acknowledged, in milliseconds. */
-export function worstRecoveryMilliseconds(): number {
-  return REOPEN_DELAY_MILLISECONDS + worstRefillMilliseconds() + worstContactMilliseconds();
+export function worstRecoveryMilliseconds(farthestMilliseconds = 0): number {
+  const untilContact = worstContactMilliseconds(farthestMilliseconds);
+  return REOPEN_DELAY_MILLISECONDS + worstRefillMilliseconds() + untilContact;
 }
 
 /** Returns the bounds that cannot be met in the worst case. */
-export function unmetBounds(bounds: ReplicaBounds, sameZoneMembers: number): readonly UnmetBound[] {
+export function unmetBounds(
+  bounds: ReplicaBounds,
+  sameZoneMembers: number,
+  farthestMilliseconds = 0,
+): readonly UnmetBound[] {
   const { catchUpMilliseconds, recoveryMilliseconds, contactMilliseconds } = bounds;
   const timings = membershipTimingsFor(catchUpMilliseconds);
   const replacement = worstReplacementMilliseconds(timings, sameZoneMembers);
@@ -100,9 +109,13 @@
     {
       promise: 'service after a return',
       bound: recoveryMilliseconds,
-      worst: worstRecoveryMilliseconds(),
+      worst: worstRecoveryMilliseconds(farthestMilliseconds),
+    },
+    {
+      promise: 'contact',
+      bound: contactMilliseconds,
+      worst: worstContactMilliseconds(farthestMilliseconds),
     },
-    { promise: 'contact', bound: contactMilliseconds, worst: worstContactMilliseconds() },
   ];
   return sums.filter(({ bound, worst }) => worst > bound * (1 - LATENESS_MARGIN));
 }
--- a/src/turns/replica-reachability.ts
+++ b/src/turns/replica-reachability.ts
@@ -5,6 +5,7 @@
  * instead of each request waiting for its own timeout.
  */
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import type { ZoneDistances } from '../topology/zone-distances.js';
 import { majorityOf } from './membership.js';
 import type { Member, MemberRecord } from './membership.js';
 import type { OneWayMessage } from './messages.js';
@@ -16,6 +17,9 @@
 /** Interval between checks of the pending calls, and between probes, in milliseconds. */
 export const REACHABILITY_CHECK_MILLISECONDS = 100;
 
+/** Requests that a replica answers without writing to its disk, so that their times show the distance. */
+const REQUESTS_WITHOUT_WRITES: ReadonlySet<string> = new Set(['chain', 'chainUnder', 'spend']);
+
 /** The calls to one replica. */
 interface ReplicaContact {
   /** Number of calls without a reply. */
@@ -36,6 +40,8 @@
     private readonly currentRecord: () => MemberRecord | undefined,
     /** Called each time a majority becomes unreachable or reachable again. */
     private readonly onChange: (reachable: boolean) => void = () => undefined,
+    /** Where there are several regions: lengthens the silence by the distance, and learns distances from calls. */
+    private readonly distances?: ZoneDistances,
   ) {}
 
   /** Whether a majority of the replicas is not silent; true until shown otherwise. */
@@ -53,10 +59,15 @@
     contact.pendingCalls += 1;
     contact.dueSince ??= this.runtime.now();
     this.scheduleCheck();
+    const calledAt = this.runtime.now();
     this.caller.call(member, request, timeoutMilliseconds, (reply) => {
       contact.pendingCalls -= 1;
       if (reply !== undefined) {
         contact.dueSince = contact.pendingCalls > 0 ? this.runtime.now() : undefined;
+        // The caller itself gives the reply `notKnown` on behalf of older replicas, without a round trip.
+        if (REQUESTS_WITHOUT_WRITES.has(request.type) && reply.type !== 'notKnown') {
+          this.distances?.recordRoundTrip(member.zone, this.runtime.now() - calledAt);
+        }
       }
       listener(reply);
     });
@@ -99,12 +110,18 @@
 
   private isSilent(member: Member): boolean {
     const { dueSince } = this.contactOf(member);
-    return dueSince !== undefined && this.runtime.now() - dueSince >= MEMBER_SILENCE_MILLISECONDS;
+    const silence = this.silenceLimitMilliseconds(member);
+    return dueSince !== undefined && this.runtime.now() - dueSince >= silence;
+  }
+
+  private silenceLimitMilliseconds({ zone }: Member): number {
+    return MEMBER_SILENCE_MILLISECONDS + (this.distances?.allowanceMilliseconds(zone) ?? 0);
   }
 
   private probe(member: Member): void {
     if (this.contactOf(member).pendingCalls === 0) {
-      this.call(member, PRESENCE_PROBE, MEMBER_SILENCE_MILLISECONDS, () => undefined);
+      const timeoutMilliseconds = this.silenceLimitMilliseconds(member);
+      this.call(member, PRESENCE_PROBE, timeoutMilliseconds, () => undefined);
     }
   }
 
--- a/src/turns/turn-client.ts
+++ b/src/turns/turn-client.ts
@@ -3,6 +3,7 @@
  * until their deadline, under the newest membership record; reads ask the replicas in the gateway's own zone first.
  */
 import type { Runtime } from '../runtime/runtime.js';
+import type { ZoneDistances } from '../topology/zone-distances.js';
 import { fitsBudget } from './account.js';
 import type { Account } from './account.js';
 import { mergeReservation } from './account.js';
@@ -35,6 +36,8 @@
   readonly caller: ReplicaCaller;
   /** Zone of this process; replicas in the same zone are read first. */
   readonly zone: string;
+  /** Distances to the zones of the members; orders reads and writes where there are several regions. @default none */
+  readonly distances?: ZoneDistances | undefined;
   /** Whether a majority of the replicas is reachable; while it is not, operations fail at once. @default always */
   readonly isReachable?: () => boolean;
 }
@@ -181,6 +184,7 @@
       request: request(record.epoch),
       key,
       timeoutMilliseconds: remainingMilliseconds,
+      distances: this.options.distances,
       onFailed: (outcomes: MemberOutcomes) =>
         this.failedWrites.recordFailure(record.epoch, outcomes),
     };
@@ -224,9 +228,10 @@
     private readonly done: (result: ChainResult) => void,
   ) {
     const zoneRank = (member: Member): number => (member.zone === options.zone ? 0 : 1);
-    this.unaskedMembers = [...record.members].sort(
+    const ownZoneFirst = [...record.members].sort(
       (left, right) => zoneRank(left) - zoneRank(right),
     );
+    this.unaskedMembers = options.distances?.nearestFirst(ownZoneFirst) ?? ownZoneFirst;
     this.deadline = options.runtime.now() + timeoutMilliseconds;
   }
 
@@ -248,7 +253,8 @@
       this.pendingCalls -= 1;
       this.handleReply(reply);
     });
-    this.options.runtime.setTimer(HEDGE_MILLISECONDS, () => {
+    const allowance = this.options.distances?.allowanceMilliseconds(member.zone) ?? 0;
+    this.options.runtime.setTimer(HEDGE_MILLISECONDS + allowance, () => {
       if (!this.finished && this.unaskedMembers.length > 0) {
         this.askNext();
       }
