Bytes between regions: counted, and gossip by region

Cause: every zone told its sums to every other zone each 100 ms, every gateway reported to random ones of all regions, and places of prompts went everywhere. Changes of the store were fetched from whoever told of them.

Change: where the settings list several regions, zones exchange sums within their region only. The acting aggregator of one zone of a region sends the sum of its region, without places, to the first two of each other region each 500 ms (scope `region`, appended), and tells its own zones of the others as a part of its zone's sum. Random reports go to the own region, a tenth of them anywhere and without loads and places. Ranks for proofs are by region, so that no bound depends on a link between regions.

Opening connections to runners measures distances.

One region: messages and ranks as before.

--- a/features/regions.feature
+++ b/features/regions.feature
@@ -29,3 +29,22 @@
     Given members in zones "b1 b2 c1" whose answers take 50 ms
     When a gateway in "a1" reads a chain and asks for a quota
     Then each was asked of one member
+
+  Scenario: Gossip between regions is a small part of what it is without regions, and all learn what they need
+    Given 67 gateways in 3 regions of 2 zones with 33 runners
+    Then they send at most 14000 bytes a second between regions, less than a twentieth of what they send without regions
+    And each knows the load of all others within 1500 ms of a change
+    And a place of a prompt is known in its region within 500 ms, and in no other
+    And a change of the store is known to all within 1200 ms, fetched from gateways of the own region
+
+  Scenario: A region that is cut off goes on alone, and its load is known again after that
+    Given 67 gateways in 3 regions of 2 zones with 33 runners
+    When the regions are cut off from each other for 6000 ms
+    Then a change of the store is known to all within 1200 ms
+    When the regions reach each other again
+    Then each knows the load of all others within 4000 ms of a change
+
+  Scenario: When the gateways that exchange the sums of their regions die, others take their place
+    Given 67 gateways in 3 regions of 2 zones with 33 runners
+    When the first-ranked gateway of each zone dies
+    Then each knows the load of all others within 3500 ms of a change
--- a/features/support/gateway-fleet.ts
+++ b/features/support/gateway-fleet.ts
@@ -17,6 +17,7 @@
 import type { RandomSource } from '../../src/runtime/random.js';
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
 import { VirtualClock } from '../../src/simulation/virtual-clock.js';
+import { Topology } from '../../src/topology/topology.js';
 import { SimulatedKeySpace } from './simulated-key-space.js';
 
 /** One-way latency of messages between gateways, in milliseconds. */
@@ -28,6 +29,14 @@
 export const CHANGED_KEY = 'a';
 /** Number of zones; gateways are assigned to them in turn. */
 export const ZONES = 4;
+/** Regions by zone; gateways are assigned to the zones in turn. */
+export interface FleetRegions {
+  readonly regionByZone: ReadonlyMap<string, string>;
+  /** Whether the gateways know the regions. */
+  readonly areKnown: boolean;
+  /** One-way latency between regions, in milliseconds. */
+  readonly linkMilliseconds: number;
+}
 
 /** A gateway with its own link to the store. */
 export interface FleetGateway {
@@ -69,6 +78,28 @@
   fetchesFail: boolean;
   /** Revision that one gateway falsely claims to have. */
   falseRevision: { readonly host: string; readonly revision: number } | undefined;
+  /** Regions of the zones; undefined for a fleet in one region. */
+  regions?: FleetRegions | undefined;
+  /** Bytes and messages sent from one region to another. */
+  betweenRegions: { bytes: number; messages: number };
+  /** Fetches from a gateway of another region. */
+  fetchesBetweenRegions: number;
+  /** Whether messages between regions are lost. */
+  regionsAreCut?: boolean;
+}
+
+/** Returns the zone of a host. */
+export function zoneOfHost(world: FleetWorld, host: string): string {
+  const index = Number(host.split('.')[3]);
+  const zones = [...(world.regions?.regionByZone.keys() ?? [])];
+  return zones[index % zones.length] ?? `z${index % ZONES}`;
+}
+
+/** Whether two hosts are in different regions. */
+export function areInDifferentRegions(world: FleetWorld, host: string, other: string): boolean {
+  const regionOf = (each: string): string | undefined =>
+    world.regions?.regionByZone.get(zoneOfHost(world, each));
+  return regionOf(host) !== regionOf(other);
 }
 
 /** Returns the gateways that have not been killed. */
@@ -117,8 +148,14 @@
         sender.messagesSent += 1;
         sender.bytesSent += bytes.length;
       }
-      if (world.random.uniform() >= LOSS) {
-        const delay = LINK_MILLISECONDS + world.delayMilliseconds;
+      const isFar = areInDifferentRegions(world, host, target);
+      if (isFar) {
+        world.betweenRegions.bytes += bytes.length;
+        world.betweenRegions.messages += 1;
+      }
+      if (world.random.uniform() >= LOSS && !(isFar && world.regionsAreCut === true)) {
+        const link = isFar ? world.regions!.linkMilliseconds : LINK_MILLISECONDS;
+        const delay = link + world.delayMilliseconds;
         world.clock.schedule(delay, () => deliver(world, bytes, host, target));
       }
     },
@@ -126,13 +163,20 @@
   };
 }
 
-function fetchFrom(world: FleetWorld, own: KeySpaceMirror, host: string, done: () => void): void {
+function fetchFrom(
+  world: FleetWorld,
+  own: KeySpaceMirror,
+  asker: string,
+  host: string,
+  done: () => void,
+): void {
   const peer = world.gateways.find((gateway) => gateway.host === host);
   if (peer === undefined || !peer.process.isAlive || world.fetchesFail) {
     world.clock.schedule(600, done);
     return;
   }
   peer.fetchesServed += 1;
+  world.fetchesBetweenRegions += areInDifferentRegions(world, asker, host) ? 1 : 0;
   const since = own.completeRevision;
   world.clock.schedule(LINK_MILLISECONDS, () => {
     const changes = peer.mirror.changesSince(since);
@@ -161,7 +205,10 @@
     onRemoved: () => undefined,
     gossip: {
       host,
-      zone: `z${index % ZONES}`,
+      zone: zoneOfHost(world, host),
+      ...(world.regions?.areKnown === true
+        ? { topology: new Topology(world.regions.regionByZone) }
+        : {}),
       datagrams: datagramsOf(world, host),
       seeds: () => ['10.0.0.0', '10.0.0.1', '10.0.0.2'],
       ownLoads: () => loads,
@@ -170,7 +217,7 @@
       ownAggregates: () => world.gateways[index]?.aggregates ?? [],
       onPlaces: (places) => places.forEach(({ part }) => receivedPlaces.add(part)),
     },
-    fetch: (target, done) => fetchFrom(world, storeSync.mirror, target, done),
+    fetch: (target, done) => fetchFrom(world, storeSync.mirror, host, target, done),
     startDelayMilliseconds: isSeed
       ? 0
       : FIRST_START_DELAY_MILLISECONDS * (1 + world.random.uniform()),
@@ -198,7 +245,11 @@
 }
 
 /** Starts a fleet in which every gateway knows the same three seeds. */
-export function startFleet(world: FleetWorld, count: number): void {
+export function startFleet(world: FleetWorld, count: number, regions?: FleetRegions): void {
+  world.regions = regions;
+  world.betweenRegions = { bytes: 0, messages: 0 };
+  world.fetchesBetweenRegions = 0;
+  world.regionsAreCut = false;
   world.random = createRandom(count, 'gateways');
   world.clock = new VirtualClock();
   world.gateways = [];
--- a/src/peers/load-gossip.ts
+++ b/src/peers/load-gossip.ts
@@ -6,11 +6,15 @@
  * zone, exchanges sums with the aggregators of the other zones, and sends the global sum to its
  * zone, so that the traffic of a gateway does not grow with the number of gateways. Datagrams may
  * be lost; the reports of a silent sender expire soon. Gateways discover one another through seeds
- * and through their peers.
+ * and through their peers. Where there are several regions, all of this happens within each region,
+ * and the acting aggregator of one zone of a region exchanges sums with the other regions.
  */
 import type { ProofRank, StoreProof } from '../mirror/store-freshness.js';
 import { hashToNumber } from '../runtime/hashing.js';
 import type { Runtime } from '../runtime/runtime.js';
+import { UNKNOWN_TOPOLOGY } from '../topology/topology.js';
+import type { Topology } from '../topology/topology.js';
+import type { RegionTraffic } from '../topology/region-traffic.js';
 import type { DatagramPort } from './datagram-port.js';
 import { GossipPace, GOSSIP_PERIOD_MILLISECONDS } from './gossip-pace.js';
 import {
@@ -26,6 +30,7 @@
 import type { OwnState } from './message-writer.js';
 import { PeerTable } from './peer-table.js';
 import { PlaceRelay } from './recent-places.js';
+import { ZoneRegions } from './zone-regions.js';
 import type { PromptPlace } from './recent-places.js';
 import { sumAggregates } from './aggregates.js';
 import { NO_AMOUNTS } from './aggregate-registry.js';
@@ -44,6 +49,10 @@
    * Called with the prompt parts that runners have recently begun to cache, as a peer reports them.
    */
   readonly onPlaces: (places: readonly PromptPlace[]) => void;
+  /** Zones and regions of the deployment. @default one region */
+  readonly topology?: Topology;
+  /** Counts the bytes sent to each region. @default not counted */
+  readonly traffic?: RegionTraffic;
 }
 
 /** What a peer knows of the store. */
@@ -68,6 +77,18 @@
  * over when the first is silent.
  */
 const AGGREGATORS_PER_ZONE = 2;
+/** Periods between two sums sent to the other regions. */
+const REGION_PERIODS = 5;
+/**
+ * Time after which the sum of another region is no longer added up, in milliseconds. Covers two lost
+ * messages.
+ */
+const STALE_REGION_MILLISECONDS = 1_600;
+/**
+ * Share of the random gateways that are drawn from all regions instead of the own one, so that
+ * regions that lost sight of each other meet again.
+ */
+const ANY_REGION_SHARE = 0.1;
 /**
  * Periods between two reports to a random gateway while aggregation is in use; these reunite groups
  * of gateways that lost sight of each other.
@@ -114,6 +135,11 @@
   return sums;
 }
 
+/** Returns a message without what is of no use in other regions. */
+function withoutDetails(message: LoadMessage): LoadMessage {
+  return { ...message, loads: [], places: [], aggregates: [] };
+}
+
 /** Exchanges load messages with other gateways and keeps the resulting totals. */
 export class LoadGossip {
   private readonly table: PeerTable;
@@ -122,7 +148,9 @@
     zone: new LatestMessages(),
     all: new LatestMessages(),
     answer: new LatestMessages(),
+    region: new LatestMessages(),
   };
+  private readonly regions: ZoneRegions;
   private readonly zoneHash: number;
   private readonly pace: GossipPace;
   private readonly writer: MessageWriter;
@@ -132,6 +160,8 @@
   private readonly otherPlaces: PlaceRelay;
   private period = 0;
   private isAggregating = false;
+  /** Number of gateways in the sum of all regions that this gateway last sent; undefined if it sends none. */
+  private gatewaysInOwnSum: number | undefined;
   /** Reports of the last periods, newest last. */
   private ownHistory: OwnReport[] = [];
   /** Requests of all other gateways by the hash of their runner. */
@@ -142,6 +172,7 @@
   constructor(private readonly options: LoadGossipOptions) {
     const { runtime, host, zone, datagrams } = options;
     this.zoneHash = hashToNumber(zone);
+    this.regions = new ZoneRegions(options.topology ?? UNKNOWN_TOPOLOGY, zone);
     this.table = new PeerTable({ runtime, host, zoneHash: this.zoneHash });
     this.writer = new MessageWriter(options, this.table, this.zoneHash);
     this.zonePlaces = new PlaceRelay(runtime);
@@ -179,33 +210,46 @@
 
   /** Whether a gateway heard from recently, or one counted in its sums, reaches the replicas. */
   get somePeerReachesReplicas(): boolean {
-    const { gateway, zone, all } = this.received;
+    const { gateway, zone, all, region } = this.received;
     const recent = [
       ...gateway.since(this.since(this.staleMilliseconds)),
       ...zone.since(this.since(STALE_MILLISECONDS)),
       ...all.since(this.since(STALE_MILLISECONDS)),
+      ...region.since(this.since(STALE_REGION_MILLISECONDS)),
     ];
     return recent.some((message) => message.reachesReplicas);
   }
 
   /** Number of other gateways, whether known directly or counted in the global sum. */
   get peerCount(): number {
-    const counted = this.newestGlobalSum()?.gateways ?? 0;
+    const counted = this.gatewaysInOwnSum ?? this.newestGlobalSum()?.gateways ?? 0;
     return Math.max(this.table.size, counted - 1);
   }
 
   /**
-   * Number of gateways of this zone that rank before this one; 0 while gateways report directly to
-   * peers.
+   * Number of gateways of this zone that rank before this one; 0 in small clusters.
    */
   get rank(): number {
-    return this.usesAggregation ? this.table.rankInZone() : 0;
+    return this.isLarge ? this.table.rankInZone() : 0;
   }
 
-  /** Rank of this gateway among those of all zones that may read the store for a proof. */
+  /** Rank of this gateway among those of all zones of its region that may read the store for a proof. */
   get proofRank(): ProofRank {
     const alive = this.usesAggregation ? this.peerCount : this.table.aliveCount;
-    return { rank: this.table.globalRank(), gateways: alive + 1 };
+    const rank = this.table.globalRank((zoneHash) => this.regions.isOwn(zoneHash));
+    return { rank, gateways: alive + 1 };
+  }
+
+  /** Returns the region of a gateway; undefined if it is not known. */
+  regionOf(host: string): string | undefined {
+    const zoneHash = this.table.zoneOf(host);
+    return zoneHash === undefined ? undefined : this.regions.regionOf(zoneHash);
+  }
+
+  /** Whether a gateway is known to be in this one's region; true for all in deployments of one region. */
+  isInOwnRegion(host: string): boolean {
+    const zoneHash = this.table.zoneOf(host);
+    return !this.regions.hasSeveral || (zoneHash !== undefined && this.regions.isOwn(zoneHash));
   }
 
   /** Returns the hosts of the first-ranked gateways of this zone. */
@@ -225,10 +269,14 @@
     this.options.datagrams.close();
   }
 
-  private get usesAggregation(): boolean {
+  private get isLarge(): boolean {
     return this.peerCount + 1 > MAXIMUM_DIRECT_GATEWAYS;
   }
 
+  private get usesAggregation(): boolean {
+    return this.regions.hasSeveral || this.isLarge;
+  }
+
   private since(milliseconds: number): number {
     return this.options.runtime.now() - milliseconds;
   }
@@ -271,6 +319,7 @@
   private exchangeSums(own: LoadMessage): void {
     this.setAggregating(this.shouldAggregate());
     if (!this.isAggregating) {
+      this.gatewaysInOwnSum = undefined;
       const sum = this.newestGlobalSum();
       if (sum === undefined) {
         this.updateTotals(this.directMessages());
@@ -281,11 +330,26 @@
     }
     const reports = this.reports();
     const zones = this.otherZoneSums();
-    this.updateTotals([...reports, ...zones]);
+    const speaksForRegion = this.speaksForRegion();
+    const regions = speaksForRegion ? this.otherRegionSums() : [];
+    this.updateTotals([...reports, ...zones, ...regions]);
     const ofZone = this.writer.sum('zone', own, reports, this.zonePlaces.take());
-    this.send(ofZone, this.aggregatorsOfOtherZones());
-    const ofAll = this.writer.sum('all', ofZone, zones, this.otherPlaces.take());
+    // The other zones of the region learn of the other regions as a part of this zone's sum.
+    const ofZoneAndRegions =
+      regions.length > 0 ? this.writer.sum('zone', ofZone, regions, []) : ofZone;
+    this.send(ofZoneAndRegions, this.aggregatorsOfOtherZones());
+    const ofAll = this.writer.sum('all', ofZone, [...zones, ...regions], this.otherPlaces.take());
     this.send(ofAll, this.reporters());
+    this.gatewaysInOwnSum = this.regions.hasSeveral ? ofAll.gateways : undefined;
+    if (speaksForRegion && this.period % REGION_PERIODS === 0) {
+      const base = { ...ofZone, places: [] };
+      this.send(this.writer.sum('region', base, zones, []), this.speakersOfOtherRegions());
+    }
+  }
+
+  /** Whether this gateway exchanges the sums of its region with the other regions. */
+  private speaksForRegion(): boolean {
+    return this.regions.hasSeveral && this.isAggregating && this.speakingZone() === this.zoneHash;
   }
 
   private setAggregating(isAggregating: boolean): void {
@@ -308,7 +372,7 @@
 
   private randomHosts(count: number): Set<string> {
     const { random } = this.options.runtime;
-    const known = this.table.hosts();
+    const known = this.candidateHosts();
     const hosts = new Set<string>();
     while (hosts.size < Math.min(count, known.length)) {
       hosts.add(random.pick(known));
@@ -316,6 +380,17 @@
     return hosts;
   }
 
+  /** Hosts among which random ones are drawn: mostly those of the own region, where there are several. */
+  private candidateHosts(): string[] {
+    const all = this.table.hosts();
+    if (!this.regions.hasSeveral) {
+      return all;
+    }
+    const near = all.filter((host) => this.isInOwnRegion(host));
+    const drawsAny = this.options.runtime.random.uniform() < ANY_REGION_SHARE;
+    return drawsAny || near.length === 0 ? all : near;
+  }
+
   /**
    * Adds one seed that has not been heard from, so that separated groups of gateways find each
    * other again.
@@ -329,11 +404,22 @@
   private send(message: LoadMessage, hosts: Iterable<string>): void {
     const base = encodeLoadMessage(message);
     const extended = withExtensions(base, message);
+    const isReport = message.scope === 'gateway';
     for (const host of hosts) {
-      this.options.datagrams.send(this.table.supportsExtensions(host) ? extended : base, host);
+      if (isReport && !this.isInOwnRegion(host)) {
+        this.sendBytes(encodeLoadMessage(withoutDetails(message)), host);
+      } else {
+        this.sendBytes(this.table.supportsExtensions(host) ? extended : base, host);
+      }
     }
   }
 
+  private sendBytes(bytes: Uint8Array, host: string): void {
+    const { datagrams, traffic } = this.options;
+    datagrams.send(bytes, host);
+    traffic?.record('gossip', 'sent', this.regionOf(host), bytes.length);
+  }
+
   private receive(bytes: Uint8Array, from: string): void {
     const message = decodeLoadMessage(bytes);
     if (message === undefined || from === this.options.host) {
@@ -352,6 +438,9 @@
     if (scope === 'gateway' && this.usesAggregation && !this.aggregatesFor(zoneHash)) {
       this.answer(from, zoneHash);
     }
+    if (scope === 'region' && !this.aggregatesFor(this.speakingZone())) {
+      this.answer(from, this.speakingZone());
+    }
     if (scope === 'gateway' || scope === 'zone') {
       const relay = zoneHash === this.zoneHash ? this.zonePlaces : this.otherPlaces;
       relay.note(message.places);
@@ -364,7 +453,7 @@
 
   /**
    * Answers a gateway that reported to the wrong peer, or is discovering peers, with the
-   * first-ranked gateways of its zone.
+   * first-ranked gateways of the zone to report to.
    */
   private answer(host: string, zoneHash: number): void {
     this.send(this.writer.answer(host, zoneHash), [host]);
@@ -397,21 +486,68 @@
   private otherZoneSums(): LoadMessage[] {
     const newest = new Map<number, LoadMessage>();
     for (const message of this.received.zone.since(this.since(STALE_REPORT_MILLISECONDS))) {
-      if (message.zoneHash !== this.zoneHash) {
+      if (message.zoneHash !== this.zoneHash && this.regions.isOwn(message.zoneHash)) {
         newest.set(message.zoneHash, message);
       }
     }
     return [...newest.values()];
   }
 
+  /** Newest sum of each other region; of a region whose builds send none, the newest sum of each zone. */
+  private otherRegionSums(): LoadMessage[] {
+    const { regions } = this;
+    const newest = new Map<string | undefined, LoadMessage>();
+    for (const message of this.received.region.since(this.since(STALE_REGION_MILLISECONDS))) {
+      if (!regions.isOwn(message.zoneHash)) {
+        newest.set(regions.regionOf(message.zoneHash), message);
+      }
+    }
+    const ofZones = new Map<number, LoadMessage>();
+    for (const message of this.received.zone.since(this.since(STALE_REPORT_MILLISECONDS))) {
+      const { zoneHash } = message;
+      if (!regions.isOwn(zoneHash) && !newest.has(regions.regionOf(zoneHash))) {
+        ofZones.set(zoneHash, message);
+      }
+    }
+    return [...newest.values(), ...ofZones.values()];
+  }
+
+  /** The aggregators of the other zones of this region. */
   private aggregatorsOfOtherZones(): string[] {
-    const zones = [...this.table.zones()].filter((zoneHash) => zoneHash !== this.zoneHash);
-    return zones.flatMap((zoneHash) =>
-      this.table
-        .aliveInZone(zoneHash)
-        .slice(0, AGGREGATORS_PER_ZONE)
-        .map(({ host }) => host),
+    const zones = [...this.table.zones()].filter(
+      (zoneHash) => zoneHash !== this.zoneHash && this.regions.isOwn(zoneHash),
     );
+    return zones.flatMap((zoneHash) => this.aggregatorsOf(zoneHash));
+  }
+
+  /** The aggregators of the zone of each other region that exchanges the region's sums. */
+  private speakersOfOtherRegions(): string[] {
+    const { regions, table } = this;
+    const others = new Set(
+      [...table.zones()]
+        .filter((zone) => !regions.isOwn(zone))
+        .map((zone) => regions.regionOf(zone)),
+    );
+    return [...others].flatMap((region) => {
+      const first = table.firstLiveZone((zone) => regions.regionOf(zone) === region);
+      return first === undefined ? this.anyHostIn(region) : this.aggregatorsOf(first);
+    });
+  }
+
+  /** Returns a random host of a region of which no gateway seems alive; if it is, it answers who comes first. */
+  private anyHostIn(region: string | undefined): string[] {
+    const hosts = this.table.hosts().filter((host) => this.regionOf(host) === region);
+    return hosts.length > 0 ? [this.options.runtime.random.pick(hosts)] : [];
+  }
+
+  /** Returns the zone of this region that exchanges sums with the other regions. */
+  private speakingZone(): number {
+    return this.table.firstLiveZone((zone) => this.regions.isOwn(zone)) ?? this.zoneHash;
+  }
+
+  private aggregatorsOf(zoneHash: number): string[] {
+    const first = this.table.aliveInZone(zoneHash).slice(0, AGGREGATORS_PER_ZONE);
+    return first.map(({ host }) => host);
   }
 
   /** Newest global sum received. */
--- a/src/peers/load-message.ts
+++ b/src/peers/load-message.ts
@@ -26,11 +26,11 @@
 }
 
 /**
- * Which requests a message counts: those of the sender, of all gateways of its zone, or of all
- * gateways. A message of the scope `answer` counts none: it lists the first-ranked gateways of the
- * receiver's zone.
+ * Which requests a message counts: those of the sender, of all gateways of its zone, of all
+ * gateways, or of all gateways of its region. A message of the scope `answer` counts none: it lists
+ * the first-ranked gateways of the receiver's zone. Builds without regions ignore the last scope.
  */
-export const LOAD_SCOPES = ['gateway', 'zone', 'all', 'answer'] as const;
+export const LOAD_SCOPES = ['gateway', 'zone', 'all', 'answer', 'region'] as const;
 
 export type LoadScope = (typeof LOAD_SCOPES)[number];
 
--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -40,6 +40,10 @@
   readonly onSnapshot: (snapshot: PeerSnapshot, from: string) => void;
   /** How urgently this gateway needs snapshots from its peers. */
   readonly isNeeded: () => 'urgently' | 'now and then' | 'no';
+  /** Whether a host is known to be in the own region; such hosts are asked first. @default all are */
+  readonly isInOwnRegion?: (host: string) => boolean;
+  /** Called with the size of each snapshot that is sent. */
+  readonly onSent?: (host: string, bytes: number) => void;
 }
 
 const PATH = '/ivyloom/snapshot';
@@ -53,11 +57,19 @@
 const NAMED_PEERS = 8;
 /** Peers asked in one round. */
 const FAN_OUT = 2;
+/** Every so many rounds peers of all regions are asked: those of the own region may be cut off from the store. */
+const ANY_REGION_ROUNDS = 4;
+
+/** Returns the host of an address `host:port`. */
+function hostOf(address: string): string {
+  return address.slice(0, address.lastIndexOf(':'));
+}
 
 /** Serves snapshots to other gateways and fetches theirs. */
 export class PeerExchange {
   private readonly known = new Set<string>();
   private readonly server: Server;
+  private round = 0;
 
   constructor(private readonly options: PeerExchangeOptions) {
     this.server = createServer((incoming, response) => {
@@ -66,12 +78,15 @@
         response.writeHead(404).end();
         return;
       }
-      this.addPeer(url.searchParams.get(FROM_PARAMETER) ?? '');
+      const asker = url.searchParams.get(FROM_PARAMETER) ?? '';
+      this.addPeer(asker);
       const since = Number(url.searchParams.get(SINCE_PARAMETER) ?? 0);
       const changes = options.snapshotSince(Number.isFinite(since) ? since : 0);
       const snapshot = { ...changes, peers: this.namedPeers() };
       response.writeHead(200, { 'content-type': 'application/json' });
-      response.end(JSON.stringify(snapshot));
+      const body = JSON.stringify(snapshot);
+      options.onSent?.(hostOf(asker), Buffer.byteLength(body));
+      response.end(body);
     });
   }
 
@@ -124,17 +139,28 @@
 
   private askRandomPeers(): void {
     const { seeds, ownAddress, runtime } = this.options;
-    const all = [...new Set([...seeds(), ...this.known])].filter((peer) => peer !== ownAddress);
+    const others = [...new Set([...seeds(), ...this.known])].filter((peer) => peer !== ownAddress);
+    const all = this.nearPeers(others);
     for (let asked = 0; asked < FAN_OUT && all.length > 0; asked += 1) {
       const [peer] = all.splice(runtime.random.integer(0, all.length - 1), 1);
       this.ask(peer!);
     }
   }
 
+  /** Returns the peers of the own region if any are known, except in some rounds. */
+  private nearPeers(peers: string[]): string[] {
+    const { isInOwnRegion } = this.options;
+    this.round += 1;
+    if (isInOwnRegion === undefined || this.round % ANY_REGION_ROUNDS === 0) {
+      return peers;
+    }
+    const near = peers.filter((peer) => isInOwnRegion(hostOf(peer)));
+    return near.length > 0 ? near : peers;
+  }
+
   private ask(peer: string, done: () => void = () => undefined): void {
-    const separator = peer.lastIndexOf(':');
-    const host = peer.slice(0, separator);
-    const port = Number(peer.slice(separator + 1));
+    const host = hostOf(peer);
+    const port = Number(peer.slice(host.length + 1));
     const { ownAddress, ownRevision } = this.options;
     const query = new URLSearchParams({
       [FROM_PARAMETER]: ownAddress,
--- a/src/peers/peer-table.ts
+++ b/src/peers/peer-table.ts
@@ -97,6 +97,19 @@
     return [...this.peers.values()].filter((peer) => peer.heardAt >= since);
   }
 
+  /** Returns the hash of a gateway's zone; undefined if the gateway is not known. */
+  zoneOf(host: string): number | undefined {
+    return this.peers.get(host)?.zoneHash;
+  }
+
+  /** Returns the lowest of some zones in which a gateway is alive, this one included. */
+  firstLiveZone(isConsidered: (zoneHash: number) => boolean): number | undefined {
+    const zones = [...this.zones()].filter(isConsidered).sort((left, right) => left - right);
+    return zones.find(
+      (zone) => zone === this.options.zoneHash || this.aliveInZone(zone).length > 0,
+    );
+  }
+
   /** Returns the hashes of all known zones, including this gateway's own. */
   zones(): Set<number> {
     const hashes = [...this.peers.values()].map((peer) => peer.zoneHash);
@@ -110,11 +123,11 @@
   }
 
   /**
-   * Rank among the live gateways of all zones: the first of each zone comes before the second of
-   * any.
+   * Rank among the live gateways of all zones, or of some: the first of each zone comes before the
+   * second of any.
    */
-  globalRank(): number {
-    const zones = [...this.zones()].sort((left, right) => left - right);
+  globalRank(isRanked: (zoneHash: number) => boolean = () => true): number {
+    const zones = [...this.zones()].filter(isRanked).sort((left, right) => left - right);
     return this.rankInZone() * zones.length + zones.indexOf(this.options.zoneHash);
   }
 
--- a/src/peers/proof-exchange.ts
+++ b/src/peers/proof-exchange.ts
@@ -45,6 +45,8 @@
   readonly hostsToAsk: () => readonly string[];
   /** Whether this gateway needs proofs at all. */
   readonly isNeeded: () => boolean;
+  /** Called with the size of each message that is sent. */
+  readonly onSent?: (host: string, bytes: number) => void;
 }
 
 /** Time between two rounds of questions, in milliseconds. */
@@ -73,7 +75,7 @@
   }
 
   private ask(): void {
-    const { runtime, datagrams, proof, hostsToAsk, isNeeded } = this.options;
+    const { runtime, proof, hostsToAsk, isNeeded } = this.options;
     if (!isNeeded() || proof.ageMilliseconds < FRESH_PROOF_MILLISECONDS) {
       return;
     }
@@ -82,7 +84,12 @@
       life: this.life,
       askedAt: runtime.now(),
     });
-    new Set(hostsToAsk()).forEach((host) => datagrams.send(question, host));
+    new Set(hostsToAsk()).forEach((host) => this.send(question, host));
+  }
+
+  private send(bytes: Uint8Array, host: string): void {
+    this.options.datagrams.send(bytes, host);
+    this.options.onSent?.(host, bytes.length);
   }
 
   private receive(bytes: Uint8Array, from: string): void {
@@ -95,11 +102,11 @@
   }
 
   private handleQuestion({ life, askedAt }: ProofQuestion, asker: string): void {
-    const { proof, datagrams } = this.options;
+    const { proof } = this.options;
     const { proven, ageMilliseconds } = proof;
     if (proven !== undefined) {
       const { revision } = proven;
-      datagrams.send(
+      this.send(
         encodeField(message, { type: 'answer', life, askedAt, revision, ageMilliseconds }),
         asker,
       );
--- a/src/peers/store-catch-up.ts
+++ b/src/peers/store-catch-up.ts
@@ -20,6 +20,8 @@
   readonly mirror: CatchUpMirror;
   /** Returns other hosts that are likely to have a change that one of them has. */
   readonly otherSources: () => readonly string[];
+  /** Whether a host is in the own region; such hosts are asked first. @default all are */
+  readonly isInOwnRegion?: (host: string) => boolean;
   /**
    * Fetches the missing changes from a host into the mirror; `done` is called at the end, also
    * after a failure.
@@ -91,10 +93,18 @@
     }
   }
 
+  /** Returns the sources of the own region if there are any, else all. */
+  private nearSources(sources: readonly string[]): string[] {
+    const { isInOwnRegion = () => true } = this.options;
+    const distinct = [...new Set(sources)];
+    const near = distinct.filter(isInOwnRegion);
+    return near.length > 0 ? near : distinct;
+  }
+
   private fetchFrom(from: string): void {
     const { runtime, mirror, otherSources, fetch } = this.options;
     const before = mirror.completeRevision;
-    const sources = this.wasEmpty ? [from] : [...new Set([from, ...otherSources()])];
+    const sources = this.wasEmpty ? [from] : this.nearSources([from, ...otherSources()]);
     let isAwaited = true;
     const end = (wasEmpty: boolean, pause: number): void => {
       if (!isAwaited) {
--- a/src/peers/store-sync.ts
+++ b/src/peers/store-sync.ts
@@ -12,6 +12,7 @@
 import { LoadGossip } from './load-gossip.js';
 import type { LoadGossipOptions, PeerStoreState } from './load-gossip.js';
 import { StoreCatchUp } from './store-catch-up.js';
+import type { StoreCatchUpOptions } from './store-catch-up.js';
 import { FOLLOWERS_PER_ZONE, StoreFollowers } from './store-followers.js';
 
 /**
@@ -61,6 +62,16 @@
   close(): void;
 }
 
+/** Where changes are fetched from: the first-ranked gateways of the zone, and others of the own region first. */
+function catchUpSources(
+  gossip: () => LoadGossip,
+): Pick<StoreCatchUpOptions, 'otherSources' | 'isInOwnRegion'> {
+  return {
+    otherSources: () => gossip().firstInZone(FOLLOWERS_PER_ZONE),
+    isInOwnRegion: (host) => gossip().isInOwnRegion(host),
+  };
+}
+
 /** Creates and starts all components. */
 export function startStoreSync(options: StoreSyncOptions): StoreSync {
   const { runtime, port, timings, fetch, startDelayMilliseconds } = options;
@@ -84,7 +95,7 @@
   const catchUp = new StoreCatchUp({
     runtime,
     mirror,
-    otherSources: () => gossip.firstInZone(FOLLOWERS_PER_ZONE),
+    ...catchUpSources(() => gossip),
     fetch: fetch ?? ((_host, done) => done()),
   });
   const handleStoreState = (state: PeerStoreState): void => {
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -1,5 +1,7 @@
 /** Dependencies and settings that all calls of a gateway share. */
 import type { Runtime } from '../runtime/runtime.js';
+import type { RegionTraffic } from '../topology/region-traffic.js';
+import type { ZoneDistances } from '../topology/zone-distances.js';
 import type { TurnClient } from '../turns/turn-client.js';
 import type { MemoryBudget } from './memory/memory-budget.js';
 import type { RunnerBackpressure } from './memory/runner-backpressure.js';
@@ -20,6 +22,10 @@
 export interface RelayContext {
   readonly runtime: Runtime;
   readonly zone: string;
+  /** Distances to the zones of runners; undefined if regions are not known. */
+  readonly distances: ZoneDistances | undefined;
+  /** Counts the bytes exchanged with runners by region; undefined if regions are not known. */
+  readonly traffic: RegionTraffic | undefined;
   readonly names: HeaderNames;
   readonly registry: RunnerRegistry;
   /** Rules by which a runner must not get a request. */
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -6,6 +6,8 @@
 import type { Server } from 'node:http';
 import { AggregateRegistry } from '../peers/aggregate-registry.js';
 import type { Runtime } from '../runtime/runtime.js';
+import type { RegionTraffic } from '../topology/region-traffic.js';
+import type { ZoneDistances } from '../topology/zone-distances.js';
 import type { QuotaClient } from '../turns/quota-client.js';
 import type { TurnClient } from '../turns/turn-client.js';
 import type { HeaderNames } from './request/header-names.js';
@@ -38,6 +40,10 @@
 export interface RelayGatewayOptions {
   readonly runtime: Runtime;
   readonly zone: string;
+  /** Distances to the zones of runners. @default all runners are near */
+  readonly distances?: ZoneDistances;
+  /** Counts the bytes exchanged with runners by region. @default not counted */
+  readonly traffic?: RegionTraffic;
   readonly names: HeaderNames;
   readonly turns: TurnClient;
   readonly quotas: QuotaClient;
@@ -98,6 +104,8 @@
     const context: RelayContext = {
       runtime,
       zone,
+      distances: options.distances,
+      traffic: options.traffic,
       names,
       registry: this.registry,
       exclusions: new RunnerExclusions(options.exclusions),
--- a/src/relay/tries/attempt.ts
+++ b/src/relay/tries/attempt.ts
@@ -11,6 +11,8 @@
 export interface AttemptListener {
   /** The connection is established, and the request is being sent over it. */
   onConnected(): void;
+  /** Called before `onConnected` if a new connection is opened for the request. */
+  onOpening?(): void;
   /** The whole request was written, or the attempt is over; may be called twice. */
   onSendEnd(): void;
   onHead(head: AnswerHead): void;
@@ -130,6 +132,7 @@
         this.noteConnected();
         return;
       }
+      this.listener.onOpening?.();
       socket.setTimeout(connectMilliseconds, () => {
         if (socket.connecting) {
           socket.destroy(new Error('connection timed out'));
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -38,6 +38,7 @@
 import { FIRST_SERVER_ERROR_STATUS, classifyAnswer } from './classify-answer.js';
 import { CallFlowControl } from './call-flow-control.js';
 import { CONNECT_MILLISECONDS } from './runner-connections.js';
+import { observeSend } from './runner-traffic.js';
 import { InactivityMonitor } from './inactivity-monitor.js';
 
 /** Time between a request's deadline and the timeout answer. */
@@ -232,11 +233,13 @@
     const agent = context.connections.agentFor(runner, limit);
     const { method, path, id: requestId } = request;
     const sent = { requestId, method, path, headers, body: this.requestState.body };
+    const sendListener = context.backpressure.prepareSend(incarnationOf(runner), sent.body.length);
     const attempt = startAttempt(runner, agent, sent, context.names, CONNECT_MILLISECONDS, {
-      ...context.backpressure.prepareSend(incarnationOf(runner), this.requestState.body.length),
+      ...observeSend(context, runner.zone, sent.body.length, sendListener),
       onHead: (head) => this.handleHead(head, reader),
       onData: (chunk) => {
         this.noteActivity();
+        context.traffic?.recordZone('runners', 'received', runner.zone, chunk.length);
         reader.onData(chunk);
       },
       onEnd: () => {
--- a/src/turns/tcp-replica-caller.ts
+++ b/src/turns/tcp-replica-caller.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import { encodeFrame, FrameReader } from '../wire/framing.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
+import type { RegionTraffic } from '../topology/region-traffic.js';
 import type { Member } from './membership.js';
 import { decodeReplicaMessage, encodeReplicaMessage } from './messages.js';
 import type {
@@ -61,6 +62,7 @@
     private readonly runtime: Runtime,
     private readonly onMembers: (record: string) => void,
     private readonly newCall: () => number,
+    private readonly traffic: RegionTraffic | undefined,
   ) {
     this.protocol = this.newProtocol();
   }
@@ -143,8 +145,10 @@
     const frames = frame === undefined ? this.bufferedFrames : [...this.bufferedFrames, frame];
     this.bufferedFrames = [];
     this.bufferedBytes = 0;
-    if (frames.length > 0) {
-      this.socket?.write(frames.length === 1 ? frames[0]! : Buffer.concat(frames));
+    if (frames.length > 0 && this.socket !== undefined) {
+      const bytes = frames.length === 1 ? frames[0]! : Buffer.concat(frames);
+      this.socket.write(bytes);
+      this.traffic?.recordZone('replicas', 'sent', this.member.zone, bytes.length);
     }
   }
 
@@ -166,6 +170,7 @@
   }
 
   private handleData(socket: Socket, reader: FrameReader, chunk: Buffer): void {
+    this.traffic?.recordZone('replicas', 'received', this.member.zone, chunk.length);
     try {
       for (const content of reader.push(chunk)) {
         this.dispatch(decodeReplicaMessage(content));
@@ -261,6 +266,8 @@
     private readonly runtime: Runtime,
     /** Called with each membership record, as JSON, that a replica sends. */
     private readonly onMembers: (record: string) => void,
+    /** Counts the bytes exchanged with replicas by region. @default not counted */
+    private readonly traffic?: RegionTraffic,
   ) {}
 
   call(
@@ -301,8 +308,13 @@
   private connectionTo(member: Member): ReplicaConnection {
     let connection = this.connections.get(member.id);
     if (connection === undefined) {
-      connection = new ReplicaConnection(member, this.runtime, this.onMembers, () =>
-        this.newCall(),
+      const newCall = (): number => this.newCall();
+      connection = new ReplicaConnection(
+        member,
+        this.runtime,
+        this.onMembers,
+        newCall,
+        this.traffic,
       );
       this.connections.set(member.id, connection);
     }
