--- a/features/steps/cold-periods.steps.ts
+++ b/features/steps/cold-periods.steps.ts
@@ -7,11 +7,13 @@
 import { RUNNER_PREFIX } from '../../platform/store-keys.js';
 import { parsePromptParts } from '../../src/relay/request/relay-request.js';
 import { incarnationHash } from '../../src/relay/runners/runner.js';
+import { EvacuatedZones } from '../../src/relay/runners/evacuated-zones.js';
 import { RunnerRegistry } from '../../src/relay/runners/runner-registry.js';
 import type { RunnerCandidate } from '../../src/relay/runners/runner-registry.js';
 import { createRandom } from '../../src/runtime/random.js';
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
 import { VirtualClock } from '../../src/simulation/virtual-clock.js';
+import { UNKNOWN_TOPOLOGY } from '../../src/topology/topology.js';
 import { MemberDirectory } from '../../src/turns/member-directory.js';
 
 const SERVICE = 's';
@@ -39,6 +41,9 @@
   return world.targets.registry.coldPeriods.isCold(candidateOf(world).record.runner);
 }
 
+/** Revision of the removal of the runner's entry. */
+const REMOVAL_REVISION = 100;
+
 function countOf({ events }: World, event: string): number {
   return events.filter((each) => each === event).length;
 }
@@ -53,7 +58,14 @@
   const registry = new RunnerRegistry(runtime);
   const directory = new MemberDirectory(runtime);
   const refusedItems = new RefusedItemLog(runtime);
-  this.targets = { registry, directory, refusedItems, applyTable: () => undefined };
+  this.targets = {
+    registry,
+    directory,
+    refusedItems,
+    evacuatedZones: new EvacuatedZones(runtime),
+    topology: UNKNOWN_TOPOLOGY,
+    applyTable: () => undefined,
+  };
   putEntry(this, 1, undefined);
   const { record } = candidateOf(this);
   registry.noteRequestSent(record, PARTS);
@@ -79,7 +91,7 @@
 });
 
 When('the runner leaves the list for {int} ms', function (this: World, milliseconds: number) {
-  removeItem(`${RUNNER_PREFIX}a`, 0, this.targets);
+  removeItem(`${RUNNER_PREFIX}a`, 0, REMOVAL_REVISION, this.targets);
   this.clock.runUntil(this.clock.now + milliseconds);
   assert.deepEqual(this.targets.registry.candidates(SERVICE, PARTS, new Set()), []);
 });
--- a/src/relay/tries/attempt.ts
+++ b/src/relay/tries/attempt.ts
@@ -16,6 +16,8 @@
   reasonAgainstSending(): string | undefined;
   /** The connection is established, and the request is written immediately after this call. */
   onConnected(): void;
+  /** Called before `onConnected` if a new connection is opened for the request. */
+  onOpening?(): void;
   /** The whole request was written, or the attempt is over; may be called twice. */
   onSendEnd(): void;
   onHead(head: AnswerHead): void;
@@ -151,6 +153,7 @@
         this.noteConnected();
         return;
       }
+      this.listener.onOpening?.();
       socket.setTimeout(connectMilliseconds, () => {
         if (socket.connecting) {
           socket.destroy(new Error('connection timed out'));
