Members spread over zones: as few as the tolerance requires

Cause: settings that tolerate the loss of a zone made every replica a member and the sums of timers infinite.

Change: the target number follows from the tolerance and the zones. A standby joins when too few members are present or when it improves the spread, with bounded head starts for better placed ones; a silent or retiring member stays for a while so that its successor joins first; a superfluous member removes itself once all others are complete, have read its log and nothing has changed for a while. Replicas of an older build never leave, so others leave in their place. The shortfall is logged and a metric. Decisions where only machines may be lost are as before.

--- a/features/replaced-member.feature
+++ b/features/replaced-member.feature
@@ -52,6 +52,10 @@
       | 4300    | 12000    | 3000    | 3       | 3     |
       | 15000   | 15000    | 4000    | 5       | 4     |
 
+  Scenario: The sums also meet them where a zone is away whose replicas would join first
+    Given bounds of 6000 ms to catch up, 15000 ms to recover, 4000 ms for contact, and members spread over zones
+    Then the sums of the replicas' timers meet all bounds
+
   Scenario: Bounds that are not met are reported
     Given bounds of 3000 ms to catch up, 3000 ms to recover, 1500 ms for contact, 3 members in 3 zones
     Then "a machine replaced", "service after a return", "contact" are unmet
--- a/features/steps/replaced-member.steps.ts
+++ b/features/steps/replaced-member.steps.ts
@@ -12,6 +12,7 @@
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
 import { VirtualClock } from '../../src/simulation/virtual-clock.js';
 import { MemberDirectory } from '../../src/turns/member-directory.js';
+import { MAXIMUM_JOIN_RANK } from '../../src/turns/decide-membership.js';
 import type { Member } from '../../src/turns/membership.js';
 import { membershipTimingsFor } from '../../src/turns/membership-timings.js';
 import type { ReplicaReply } from '../../src/turns/messages.js';
@@ -32,7 +33,7 @@
 
 interface World {
   bounds?: ReplicaBounds;
-  sameZoneMembers?: number;
+  headStarts?: number;
   observer?: { clock: VirtualClock; sync: ReplicaSync };
   splits?: PartitionScenarioResult[];
   replacements?: ReplacementScenarioResult[];
@@ -118,18 +119,31 @@
     zones: number,
   ) {
     this.bounds = { catchUpMilliseconds, recoveryMilliseconds, contactMilliseconds };
-    this.sameZoneMembers = maximumSameZoneMembers(members, zones);
+    this.headStarts = maximumSameZoneMembers(members, zones);
+  },
+);
+
+Given(
+  'bounds of {int} ms to catch up, {int} ms to recover, {int} ms for contact, and members spread over zones',
+  function (
+    this: World,
+    catchUpMilliseconds: number,
+    recoveryMilliseconds: number,
+    contactMilliseconds: number,
+  ) {
+    this.bounds = { catchUpMilliseconds, recoveryMilliseconds, contactMilliseconds };
+    this.headStarts = MAXIMUM_JOIN_RANK;
   },
 );
 
 Then("the sums of the replicas' timers meet all bounds", function (this: World) {
-  assert.deepEqual(unmetBounds(this.bounds!, this.sameZoneMembers!), []);
+  assert.deepEqual(unmetBounds(this.bounds!, this.headStarts!), []);
 });
 
 Then(
   '{string}, {string}, {string} are unmet',
   function (this: World, first: string, second: string, third: string) {
-    const unmet = unmetBounds(this.bounds!, this.sameZoneMembers!).map(({ promise }) => promise);
+    const unmet = unmetBounds(this.bounds!, this.headStarts!).map(({ promise }) => promise);
     assert.deepEqual(unmet, [first, second, third]);
   },
 );
--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -12,6 +12,8 @@
   DEFAULT_CATCH_UP_MILLISECONDS,
   membershipTimingsFor,
 } from '../turns/membership-timings.js';
+import { isJoinUseful } from '../turns/member-spread.js';
+import type { SpreadPolicy } from '../turns/member-spread.js';
 import { decodeMemberRecord } from '../turns/membership.js';
 import type { JoinToken, Member } from '../turns/membership.js';
 import type { OneWayMessage, ReplicaReply, ReplicaRequest } from '../turns/messages.js';
@@ -190,6 +192,8 @@
   readonly disk: SimulatedTurnDisk;
   replica: Replica | undefined;
   directory: MemberDirectory | undefined;
+  /** Whether the process is of a build that knows no spread and wants every replica as a member. */
+  isOlderBuild: boolean;
   close: () => void;
 }
 
@@ -201,6 +205,8 @@
   readonly writeMilliseconds?: number;
   /** Wanted number of members in the record. @default as many as there are machines */
   readonly wantedMembers?: number;
+  /** How the members are spread over zones; takes the place of `wantedMembers`. @default not at all */
+  readonly spread?: SpreadPolicy;
   /** Upper bound on the time from a successor's start to its activation. @default `DEFAULT_CATCH_UP_MILLISECONDS` */
   readonly catchUpMilliseconds?: number;
   /** The amount by which tenants' limits may be exceeded. @default nothing */
@@ -227,7 +233,7 @@
   }
 
   /** Adds a machine with an empty disk and starts its process. */
-  add(name: string, zone: string): void {
+  add(name: string, zone: string, { isOlderBuild = false } = {}): void {
     const member: Member = { id: `${name}@${name}`, node: name, host: name, port: 1, zone };
     const machine: SimulatedMachine = {
       member,
@@ -235,12 +241,20 @@
       disk: new SimulatedTurnDisk(),
       replica: undefined,
       directory: undefined,
+      isOlderBuild,
       close: () => undefined,
     };
     this.machines.set(name, machine);
     this.start(name);
   }
 
+  /** Restarts the process of a machine with the current build. */
+  upgrade(name: string): void {
+    this.kill(name);
+    this.machine(name).isOlderBuild = false;
+    this.start(name);
+  }
+
   /** Starts the process of a machine from the state on its disk. */
   start(name: string): void {
     const machine = this.machine(name);
@@ -256,11 +270,18 @@
       replica.markReady('injected fault');
     }
     const caller = this.createCaller(name, runtime, directory);
-    const { wantedMembers = Infinity } = this.options;
+    const spread = machine.isOlderBuild ? undefined : this.options.spread;
+    const wantedMembers = spread?.wantedMembers ?? this.options.wantedMembers ?? Infinity;
     const { catchUpMilliseconds = DEFAULT_CATCH_UP_MILLISECONDS } = this.options;
     const timings = membershipTimingsFor(catchUpMilliseconds);
-    const shared = { runtime, replica, directory, wantedMembers, timings };
-    const sync = new ReplicaSync({ ...shared, id, caller });
+    const shared = { runtime, replica, directory, wantedMembers, spread, timings };
+    const isUseful =
+      spread &&
+      ((present: readonly Member[]) => {
+        const staying = present.filter(({ node }) => !this.store.retiring.has(node));
+        return isJoinUseful(spread, staying, machine.member);
+      });
+    const sync = new ReplicaSync({ ...shared, id, caller, isJoinUseful: isUseful });
     replica.holdsQuorum = () => sync.holdsQuorum;
     replica.hasReadEarlierEpochs = () => sync.hasReadEarlierEpochs;
     replica.silenceReports = () => sync.silenceReports();
--- a/src/turns/decide-membership.ts
+++ b/src/turns/decide-membership.ts
@@ -1,8 +1,21 @@
 /** Decides, as a pure function, how a replica should change the membership record. */
 import { hasMember, majorityOf, readQuorumOf, withoutMember } from './membership.js';
 import type { Member, MemberRecord } from './membership.js';
+import { isJoinUseful, joinRank, superfluousMembers } from './member-spread.js';
+import type { SpreadPolicy } from './member-spread.js';
 import type { MembershipTimings } from './membership-timings.js';
 
+/** The input of a decision where the loss of zones or regions must be tolerated. */
+export interface SpreadView {
+  readonly policy: SpreadPolicy;
+  /** Time since the current record became known, in milliseconds. */
+  readonly recordAgeMilliseconds: number;
+  /** Time since the record last changed or one of its members was suspected, in milliseconds. */
+  readonly calmMilliseconds: number;
+  /** Time for which the retirement of this machine has been known, in milliseconds. */
+  readonly retiringMilliseconds: number;
+}
+
 /** The input of a decision. */
 export interface MembershipView {
   readonly self: Member;
@@ -30,6 +43,8 @@
   /** Time for which fewer members than wanted have been present, in milliseconds. */
   readonly vacantMilliseconds: number;
   readonly timings: MembershipTimings;
+  /** Undefined where only machines may be lost: members are then not spread over zones, and none is superfluous. */
+  readonly spread?: SpreadView | undefined;
 }
 
 /** Why the record is left unchanged; written to the log. */
@@ -38,7 +53,7 @@
   | 'enough present'
   /** The machine of this replica is being retired. */
   | 'retiring'
-  /** Replicas in zones with fewer members get a head start. */
+  /** Replicas that improve the spread more, or in zones with fewer members, get a head start. */
   | 'courtesy'
   /** The logs of too few complete members have been read to their ends. */
   | 'not level'
@@ -52,6 +67,10 @@
   | 'too few left'
   /** A present member with a lower id is responsible for the removal. */
   | 'not first'
+  /** A member that is silent or retiring stays for a while, so that its successor joins first. */
+  | 'no successor'
+  /** This member is superfluous, but the members have not been stable for long enough. */
+  | 'not stable'
   /** This replica and the other remaining members have not read each other's logs to their ends. */
   | 'others not level';
 
@@ -62,7 +81,10 @@
   | { readonly tag: 'Create' }
   /** Add this replica to the record. */
   | { readonly tag: 'Join' }
-  | { readonly tag: 'Remove'; readonly member: Member; readonly reason: 'retiring' | 'silent' };
+  | { readonly tag: 'Remove'; readonly member: Member; readonly reason: RemovalReason };
+
+/** Why a member is removed from the record. */
+export type RemovalReason = 'retiring' | 'silent' | 'superfluous';
 
 /** Minimum number of complete members that must have read this replica's log before it leaves. */
 const MINIMUM_HANDOVER_TARGETS = 2;
@@ -74,6 +96,13 @@
  */
 const MINIMUM_REMAINING_MEMBERS = 2;
 
+/** Maximum number of head starts that a replica grants to others that improve the spread more. */
+export const MAXIMUM_JOIN_RANK = 2;
+/** Time without changes or suspected members after which a superfluous member leaves, in milliseconds. */
+const STABLE_MILLISECONDS = 1_500;
+/** Additional time that a superfluous member grants to each one that should rather leave, in milliseconds. */
+const DEPARTURE_STEP_MILLISECONDS = 2_000;
+
 function waitFor(reason: WaitReason): MembershipAction {
   return { tag: 'Wait', reason };
 }
@@ -100,13 +129,10 @@
   if (view.retiringNodes.has(view.self.node)) {
     return waitFor('retiring');
   }
-  if (view.presentMembers >= view.wantedMembers) {
+  if (!isVacant(view, record)) {
     return waitFor('enough present');
   }
-  const sameZoneMembers = record.members.filter(
-    (member) => member.zone === view.self.zone && isPresent(view, member),
-  );
-  if (view.vacantMilliseconds < sameZoneMembers.length * view.timings.sameZoneDelayMilliseconds) {
+  if (isHeadStartOfOthers(view, record)) {
     return waitFor('courtesy');
   }
   // With fewer complete members, the majority of the larger record would include an incomplete or absent member.
@@ -116,11 +142,62 @@
   return caughtUpMembers.length >= readQuorumOf(record) ? { tag: 'Join' } : waitFor('not level');
 }
 
+function isVacant(view: MembershipView, record: MemberRecord): boolean {
+  return view.spread === undefined
+    ? view.presentMembers < view.wantedMembers
+    : isJoinUseful(view.spread.policy, stayingMembers(view, record), view.self);
+}
+
+/** Whether replicas that improve the spread more, or in zones with fewer members, may still join before this one. */
+function isHeadStartOfOthers(view: MembershipView, record: MemberRecord): boolean {
+  const { spread, self, timings, vacantMilliseconds } = view;
+  if (spread === undefined) {
+    const sameZoneMembers = record.members.filter(
+      (member) => member.zone === self.zone && isPresent(view, member),
+    );
+    return vacantMilliseconds < sameZoneMembers.length * timings.sameZoneDelayMilliseconds;
+  }
+  const rank = joinRank(spread.policy, stayingMembers(view, record), self.zone);
+  const headStart = Math.min(rank, MAXIMUM_JOIN_RANK) * timings.sameZoneDelayMilliseconds;
+  // Each change of the record changes the ranks, so the head starts begin again.
+  return Math.min(vacantMilliseconds, spread.recordAgeMilliseconds) < headStart;
+}
+
+/** Members that are present and not about to be retired. */
+function stayingMembers(view: MembershipView, record: MemberRecord): readonly Member[] {
+  return record.members.filter(
+    (member) =>
+      !view.retiringNodes.has(member.node) &&
+      (member.id === view.self.id || isPresent(view, member)),
+  );
+}
+
+/** Whether a member should remain for now, since a standby is likely to join in its place. */
+function isSuccessorAwaited(
+  view: MembershipView,
+  record: MemberRecord,
+  /** Time since which standbys could have joined, in milliseconds. */
+  vacantMilliseconds: number,
+): boolean {
+  const { spread, timings } = view;
+  const allowance = (MAXIMUM_JOIN_RANK + 1) * timings.sameZoneDelayMilliseconds;
+  return (
+    spread !== undefined &&
+    stayingMembers(view, record).length < spread.policy.wantedMembers &&
+    vacantMilliseconds < allowance
+  );
+}
+
 function isPresent(view: MembershipView, member: Member): boolean {
   return view.silentMilliseconds(member.id) < view.timings.removalMilliseconds;
 }
 
 function decideLeave(view: MembershipView, record: MemberRecord): MembershipAction {
+  // A standby begins to read once it knows of the retirement, as long before it may join as with a silent member.
+  const retiringMilliseconds = view.spread?.retiringMilliseconds ?? Infinity;
+  if (isSuccessorAwaited(view, record, retiringMilliseconds - view.timings.removalMilliseconds)) {
+    return waitFor('no successor');
+  }
   const remaining = withoutMember(record, view.self.id);
   const present = remaining.members.filter((member) => isPresent(view, member));
   // Writes held only by this replica and one other must reach a majority of the members that can acknowledge.
@@ -138,13 +215,49 @@
   return view.isComplete(member) && view.isCaughtUpWith(member) && view.hasRead(member);
 }
 
-function decideRemoval(view: MembershipView, record: MemberRecord): MembershipAction {
-  const silent = record.members.find(
+/** Returns the silent member to remove first: where spread matters, one of the zone with the most members. */
+function silentMember(view: MembershipView, record: MemberRecord): Member | undefined {
+  const silent = record.members.filter(
     (member) => member.id !== view.self.id && !isPresent(view, member),
   );
-  if (silent === undefined) {
+  if (view.spread === undefined) {
+    return silent[0];
+  }
+  const zoneSize = ({ zone }: Member): number =>
+    record.members.filter((member) => member.zone === zone).length;
+  return silent.sort((left, right) => zoneSize(right) - zoneSize(left))[0];
+}
+
+/** Decides whether this member leaves because the others suffice; each member decides only on itself. */
+function decideDeparture(view: MembershipView, record: MemberRecord): MembershipAction {
+  const { spread, self } = view;
+  if (spread === undefined) {
+    return waitFor('nobody silent');
+  }
+  const candidates = superfluousMembers(spread.policy, stayingMembers(view, record));
+  const place = candidates.findIndex(({ id }) => id === self.id);
+  if (place < 0) {
     return waitFor('nobody silent');
   }
+  // Members of an older build never leave; others further down the order leave in their place.
+  if (spread.calmMilliseconds < STABLE_MILLISECONDS + place * DEPARTURE_STEP_MILLISECONDS) {
+    return waitFor('not stable');
+  }
+  const others = withoutMember(record, self.id).members;
+  return others.every(({ id }) => isMutuallyCaughtUp(view, id))
+    ? { tag: 'Remove', member: self, reason: 'superfluous' }
+    : waitFor('not handed over');
+}
+
+function decideRemoval(view: MembershipView, record: MemberRecord): MembershipAction {
+  const silent = silentMember(view, record);
+  if (silent === undefined) {
+    return decideDeparture(view, record);
+  }
+  const vacantMilliseconds = view.silentMilliseconds(silent.id) - view.timings.removalMilliseconds;
+  if (isSuccessorAwaited(view, record, vacantMilliseconds)) {
+    return waitFor('no successor');
+  }
   const remaining = withoutMember(record, silent.id);
   // Other silent members are not required to be caught up, but the present ones must form a majority without them.
   const present = remaining.members.filter(
--- a/src/turns/membership-controller.ts
+++ b/src/turns/membership-controller.ts
@@ -1,12 +1,14 @@
 /**
- * Maintains the membership record: a replica joins it, leaves it when operators retire its machine, and removes members
- * that have gone silent. Changes take effect only through compare-and-swap on the stored record.
+ * Maintains the membership record: a replica joins it, leaves it when operators retire its machine or when it is
+ * superfluous, and removes members that have gone silent. Changes take effect only through compare-and-swap on the stored record.
  */
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import { setRepeatingTimer } from '../runtime/runtime.js';
 import { decideMembership } from './decide-membership.js';
-import type { MembershipAction, MembershipView } from './decide-membership.js';
+import type { MembershipAction, MembershipView, SpreadView } from './decide-membership.js';
 import type { MemberDirectory } from './member-directory.js';
+import { isJoinUseful } from './member-spread.js';
+import type { SpreadPolicy } from './member-spread.js';
 import {
   decodeMemberRecord,
   encodeMemberRecord,
@@ -22,6 +24,7 @@
 import type { Replica } from './replica.js';
 import type { ReplicaSync } from './replica-sync.js';
 import { RetirementReporter } from './retirement-reporter.js';
+import { SpreadMonitor } from './spread-monitor.js';
 
 /** Dependencies of a {@link MembershipController}. */
 export interface MembershipControllerOptions {
@@ -33,6 +36,8 @@
   readonly store: MembershipStore;
   /** Target number of members; further replicas remain standbys. */
   readonly wantedMembers: number;
+  /** How the members are spread over zones; undefined where only machines may be lost. */
+  readonly spread?: SpreadPolicy | undefined;
   readonly timings: MembershipTimings;
 }
 
@@ -54,11 +59,24 @@
   private readonly waitLog: MembershipWaitLog;
   /** End of the log when the current record became known. */
   private epochLogEnd = 0;
+  /** Local time at which the current record became known, in milliseconds. */
+  private recordKnownAt: number;
+  /** Local time at which the record last changed or one of its members was suspected, in milliseconds. */
+  private calmSince: number;
+  /** Local time since which the retirement of this machine is known, in milliseconds; undefined while there is none. */
+  private retiringSince: number | undefined;
+  private readonly spreadMonitor: SpreadMonitor | undefined;
 
   constructor(private readonly options: MembershipControllerOptions) {
+    const { runtime, spread, timings } = options;
     this.waitLog = new MembershipWaitLog(options);
+    this.spreadMonitor = spread && new SpreadMonitor(runtime, spread, timings.catchUpMilliseconds);
+    this.recordKnownAt = runtime.now();
+    this.calmSince = runtime.now();
     options.directory.onChange(() => {
       this.epochLogEnd = options.replica.state.logEnd;
+      this.recordKnownAt = runtime.now();
+      this.calmSince = runtime.now();
     });
     this.retirementReporter = new RetirementReporter(options);
     this.cancelTimer = setRepeatingTimer(options.runtime, DECISION_INTERVAL_MILLISECONDS, () =>
@@ -86,6 +104,7 @@
     this.olderEpoch = undefined;
     this.markIncompleteIfRemoved(record);
     this.trackVacancy(record);
+    this.trackStability(record);
     const revision = stored.tag === 'Present' ? stored.revision : 0;
     this.execute(decideMembership(this.viewOf(record)), record, revision);
     if (record !== undefined) {
@@ -93,6 +112,11 @@
     }
   }
 
+  /** Members that a tolerated loss may take beyond those without which a majority remains. */
+  get spreadShortfall(): number {
+    return this.spreadMonitor?.shortfall ?? 0;
+  }
+
   /** Stops making decisions. */
   close(): void {
     this.cancelTimer();
@@ -113,9 +137,23 @@
       presentMembers: sync.presentMembers,
       vacantMilliseconds: this.vacantMilliseconds(record),
       timings: this.options.timings,
+      spread: this.spreadView(),
     };
   }
 
+  private spreadView(): SpreadView | undefined {
+    const { spread, runtime } = this.options;
+    const now = runtime.now();
+    return (
+      spread && {
+        policy: spread,
+        recordAgeMilliseconds: now - this.recordKnownAt,
+        calmMilliseconds: now - this.calmSince,
+        retiringMilliseconds: now - (this.retiringSince ?? now),
+      }
+    );
+  }
+
   /** Duration of a vacancy: since this replica noticed it, or since a silent member passed the removal threshold. */
   private vacantMilliseconds(record: MemberRecord | undefined): number {
     const { runtime, sync, timings, self: own } = this.options;
@@ -175,10 +213,44 @@
     }
   }
 
+  private isVacant(record: MemberRecord): boolean {
+    const { spread, self: own, sync, wantedMembers } = this.options;
+    if (spread === undefined) {
+      return sync.presentMembers < wantedMembers;
+    }
+    const staying = this.stayingMembers(record);
+    return hasMember(record, own.id)
+      ? staying.length < wantedMembers
+      : isJoinUseful(spread, staying, own);
+  }
+
+  /** Members that are present and not about to be retired. */
+  private stayingMembers(record: MemberRecord): readonly Member[] {
+    const { self: own, sync, store, timings } = this.options;
+    const retiring = store.retiringNodes();
+    const isPresent = ({ id }: Member): boolean =>
+      id === own.id || sync.silenceOf(id) < timings.removalMilliseconds;
+    return record.members.filter((member) => !retiring.has(member.node) && isPresent(member));
+  }
+
+  private trackStability(record: MemberRecord | undefined): void {
+    const { self: own, runtime, store, sync, timings } = this.options;
+    const isRetiring = store.retiringNodes().has(own.node);
+    this.retiringSince = isRetiring ? (this.retiringSince ?? runtime.now()) : undefined;
+    const isSuspected = ({ id }: Member): boolean =>
+      id !== own.id && sync.silenceOf(id) >= timings.suspicionMilliseconds;
+    if (record === undefined || record.members.some(isSuspected)) {
+      this.calmSince = runtime.now();
+    }
+    if (record !== undefined) {
+      this.spreadMonitor?.update(record.epoch, this.stayingMembers(record));
+    }
+  }
+
   private trackVacancy(record: MemberRecord | undefined): void {
     const { wantedMembers, runtime, sync } = this.options;
     const present = sync.presentMembers;
-    if (record === undefined || present >= wantedMembers) {
+    if (record === undefined || !this.isVacant(record)) {
       this.vacantSince = undefined;
     } else if (this.vacantSince === undefined) {
       this.vacantSince = runtime.now();
--- a/src/turns/replica-bounds.ts
+++ b/src/turns/replica-bounds.ts
@@ -55,11 +55,11 @@
  */
 export function worstReplacementMilliseconds(
   { removalMilliseconds, sameZoneDelayMilliseconds }: MembershipTimings,
-  /** Number of members present in the successor's zone. */
-  sameZoneMembers: number,
+  /** Number of head starts that the successor grants: members in its zone, or better ranks where spread matters. */
+  headStarts: number,
 ): number {
   const untilVacant =
-    START_MILLISECONDS + removalMilliseconds + sameZoneMembers * sameZoneDelayMilliseconds;
+    START_MILLISECONDS + removalMilliseconds + headStarts * sameZoneDelayMilliseconds;
   const untilJoined =
     URGENT_POLL_MILLISECONDS + DECISION_INTERVAL_MILLISECONDS + CHANGE_MILLISECONDS;
   const untilRemoved =
@@ -90,10 +90,10 @@
 }
 
 /** Returns the bounds that cannot be met in the worst case. */
-export function unmetBounds(bounds: ReplicaBounds, sameZoneMembers: number): readonly UnmetBound[] {
+export function unmetBounds(bounds: ReplicaBounds, headStarts: number): readonly UnmetBound[] {
   const { catchUpMilliseconds, recoveryMilliseconds, contactMilliseconds } = bounds;
   const timings = membershipTimingsFor(catchUpMilliseconds);
-  const replacement = worstReplacementMilliseconds(timings, sameZoneMembers);
+  const replacement = worstReplacementMilliseconds(timings, headStarts);
   const sums: readonly UnmetBound[] = [
     { promise: 'a machine replaced', bound: catchUpMilliseconds, worst: replacement },
     { promise: 'a disk replaced', bound: catchUpMilliseconds, worst: worstRefillMilliseconds() },
--- a/src/turns/replica-sync.ts
+++ b/src/turns/replica-sync.ts
@@ -48,6 +48,11 @@
   readonly caller: ReplicaCaller;
   /** Target number of members; while as many are present, other replicas are idle standbys. */
   readonly wantedMembers: number;
+  /**
+   * Whether this replica should become a member when these members are present.
+   * @default when they are fewer than wanted
+   */
+  readonly isJoinUseful?: ((presentMembers: readonly Member[]) => boolean) | undefined;
   readonly timings: MembershipTimings;
 }
 
@@ -136,15 +141,15 @@
 
   /** Number of members whose silence is below the removal threshold, including this replica. */
   get presentMembers(): number {
-    return this.countMembersHeardWithin(this.options.timings.removalMilliseconds);
+    return this.membersHeardWithin(this.options.timings.removalMilliseconds).length;
   }
 
-  private countMembersHeardWithin(milliseconds: number): number {
+  private membersHeardWithin(milliseconds: number): readonly Member[] {
     const members = this.options.directory.current?.members ?? [];
     const own = this.options.id;
     return members.filter(
       ({ id }) => id === own || this.silenceTracker.silenceOf(id) < milliseconds,
-    ).length;
+    );
   }
 
   /** Stops polling and pulling. */
@@ -172,7 +177,7 @@
 
   /** Whether this replica is a non-member that has no reason to pull from the members. */
   private get isIdleStandby(): boolean {
-    return this.isNonMember && !this.isNewReplica && !this.isMemberSuspected;
+    return this.isNonMember && !this.isNewReplica && !this.isJoinLikely;
   }
 
   /**
@@ -184,9 +189,11 @@
     return this.options.replica.startedEmpty && age < this.options.timings.catchUpMilliseconds;
   }
 
-  private get isMemberSuspected(): boolean {
-    const { wantedMembers, timings } = this.options;
-    return this.countMembersHeardWithin(timings.suspicionMilliseconds) < wantedMembers;
+  /** Whether this replica, as a non-member, will probably join the members. */
+  private get isJoinLikely(): boolean {
+    const { wantedMembers, timings, isJoinUseful } = this.options;
+    const unsuspected = this.membersHeardWithin(timings.suspicionMilliseconds);
+    return isJoinUseful?.(unsuspected) ?? unsuspected.length < wantedMembers;
   }
 
   /** Pulls from the members, unless idle; as a non-member, also asks the members for each other's silences. */
@@ -201,7 +208,7 @@
       this.otherMembers().forEach((member) => this.requestSilences(member));
     }
     this.pullFromAll();
-    const isUrgent = this.isNonMember && this.isMemberSuspected;
+    const isUrgent = this.isNonMember && this.isJoinLikely;
     const pause = isUrgent ? URGENT_POLL_MILLISECONDS : this.options.timings.pollMilliseconds;
     this.pollDueAt = this.options.runtime.now() + pause;
     this.cancelPoll = this.options.runtime.setTimer(pause, () => this.poll());
