Evacuated runners do not count as capacity; observability of evacuations

Cause: admission counted the slots of runners that get no requests, and a request of a service with no runner left went through quota and preparation before it was refused with a retry delay of 0.1 s.

Change: a rule may withdraw capacity, which needs no request; loadOf and the admission stage leave such runners out. A new first stage, capacity, refuses requests of a service whose usable runners are all withdrawn: 503, NotRun, and a retry delay spread over the client's own time (the longest that admission uses, as the end of an evacuation is unknown). Prompt caches of evacuated runners stay believed during the evacuation, since they show that a program has run before and thus continues elsewhere, and are forgotten when the zone is restored, since its runners come back cold.

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -37,6 +37,33 @@
     Then all requests are answered, 0 by the runner of the first zone and 1 by the other
     And the gateway opened 1 connection to the runner of the first zone and marked it healthy
 
+  Scenario Outline: Requests of a service with no runner left are refused at once as not run
+    Given a gateway that may open 1 connection to the runner of each of two zones, one of them ready
+    When the first zone is evacuated and a "<kind>" request is sent
+    Then it is refused within 200 ms with 503, "NotRun" and a retry delay of 0.4 to 1 s
+    And the gateway opened 0 connections to the runner of the first zone and marked it healthy
+
+    Examples:
+      | kind       |
+      | single     |
+      | repeatable |
+      | stream     |
+
+  Scenario: Only runners that may get requests count as capacity
+    Given a gateway in a deployment with the zones "z1 z2 z3"
+    And each zone has a runner with 6 slots
+    When the zone "z2" is evacuated in the store
+    Then the service has 2 runners with 12 slots
+
+  Scenario: Cached prompts show during an evacuation that a program has run, and are forgotten after it
+    Given a gateway in a deployment with the zones "z1 z2 z3"
+    And each zone has a runner with 6 slots
+    And the runner of "z2" has cached a prompt
+    When the zone "z2" is evacuated in the store
+    Then the prompt counts as cached by 1 runner
+    When the evacuation of "z2" is removed while entries of runners have a grace period
+    Then the prompt counts as cached by 0 runners
+
   Scenario: A stream in progress in an evacuated zone ends normally
     Given a gateway that may open 1 connection to the runner of each of two zones, one of them ready
     When the first zone is evacuated in the middle of a stream
--- a/features/logs.feature
+++ b/features/logs.feature
@@ -9,6 +9,11 @@
     When another request is explained
     Then no sentence is returned
 
+  Scenario: A request is explained with the rule that excluded runners
+    Given a log of a request that was placed elsewhere since the rule "evacuatedZone" excluded its runner
+    When the request is explained
+    Then the sentences name the rule of the attempt and of the placement
+
   Scenario: A program that was not admitted is explained with the figures that decided it
     Given a log of a program that was not admitted
     When the request is explained
--- a/features/steps/evacuated-requests.steps.ts
+++ b/features/steps/evacuated-requests.steps.ts
@@ -18,6 +18,7 @@
   evacuatedRelay?: RelayWorld;
   zones: EvacuatedZones;
   clientResults: readonly ClientResult[];
+  waitMilliseconds: number;
   /** Called whenever placement or an attempt evaluates the rule. */
   onEvaluated: () => void;
 }
@@ -86,6 +87,35 @@
   this.clientResults = [await sent];
 });
 
+When(
+  'the first zone is evacuated and a {string} request is sent',
+  async function (this: World, route: string) {
+    this.zones.evacuate(FIRST_ZONE, 1);
+    const sentAt = performance.now();
+    this.clientResults = [await this.evacuatedRelay!.send(route)];
+    this.waitMilliseconds = performance.now() - sentAt;
+  },
+);
+
+Then(
+  'it is refused within {int} ms with {int}, {string} and a retry delay of {float} to {float} s',
+  function (
+    this: World,
+    limit: number,
+    status: number,
+    verdict: string,
+    earliest: number,
+    latest: number,
+  ) {
+    const [result] = this.clientResults;
+    assert.equal(result!.status, status);
+    assert.ok(result!.body.includes(verdict), result!.body);
+    const retryAfter = Number(result!.headers['retry-after']);
+    assert.ok(retryAfter >= earliest && retryAfter <= latest, `retry after ${retryAfter} s`);
+    assert.ok(this.waitMilliseconds < limit, `answered after ${this.waitMilliseconds} ms`);
+  },
+);
+
 Then(
   'all requests are answered, {int} by the runner of the first zone and {int} by the other',
   function (this: World, first: number, other: number) {
--- a/features/steps/evacuation.steps.ts
+++ b/features/steps/evacuation.steps.ts
@@ -5,10 +5,14 @@
 import { applyItem, removeItem } from '../../platform/apply-item.js';
 import type { ItemTargets } from '../../platform/apply-item.js';
 import { RefusedItemLog } from '../../platform/refused-item-log.js';
-import { EVACUATE_PREFIX } from '../../platform/store-keys.js';
+import { EVACUATE_PREFIX, RUNNER_PREFIX } from '../../platform/store-keys.js';
 import { KeySpaceCopy } from '../../src/mirror/key-space-copy.js';
 import type { StoredItem } from '../../src/mirror/key-space-port.js';
 import { EvacuatedZones } from '../../src/relay/runners/evacuated-zones.js';
+import type { PromptKey, PromptPart } from '../../src/relay/request/relay-request.js';
+import { RunnerExclusions } from '../../src/relay/runners/runner-exclusions.js';
+import type { Runner } from '../../src/relay/runners/runner.js';
+import type { RunnerCandidate } from '../../src/relay/runners/runner-registry.js';
 import { RunnerRegistry } from '../../src/relay/runners/runner-registry.js';
 import { createRandom } from '../../src/runtime/random.js';
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
@@ -16,6 +20,8 @@
 import { Topology } from '../../src/topology/topology.js';
 import { MemberDirectory } from '../../src/turns/member-directory.js';
 
+const SERVICE = 's';
+const PROMPT: PromptPart = { key: 7 as PromptKey, tokens: 100 };
 const NUMBER_OF_RUNS = 2_000;
 const EXPIRY_GRACE_MILLISECONDS = 2_400;
 
@@ -27,6 +33,10 @@
   events: string[];
 }
 
+function candidatesOf({ targets }: World): RunnerCandidate[] {
+  return targets.registry.candidates(SERVICE, [PROMPT], new Set());
+}
+
 Given('a gateway in a deployment with the zones {string}', function (this: World, zones: string) {
   this.zones = zones.split(' ');
   this.revision = 0;
@@ -46,8 +56,39 @@
     refusedItems: new RefusedItemLog(runtime),
     applyTable: () => undefined,
   };
+  const { evacuatedZones, registry } = this.targets;
+  evacuatedZones.onRestored = (zone) => registry.forgetPromptCaches(zone);
+});
+
+Given('each zone has a runner with {int} slots', function (this: World, slots: number) {
+  this.zones.forEach((zone, place) => {
+    const entry = { Service: SERVICE, Address: `10.0.0.${place}:80`, State: 'ready', Zone: zone };
+    const value = JSON.stringify({ ...entry, Slots: slots });
+    applyItem({ key: RUNNER_PREFIX + zone, value, revision: 1 }, this.targets);
+  });
+});
+
+Given('the runner of {string} has cached a prompt', function (this: World, zone: string) {
+  const { registry } = this.targets;
+  const { hash } = candidatesOf(this).find((candidate) => candidate.zone === zone)!;
+  registry.learnCachedPart(hash, PROMPT.key, PROMPT.tokens);
 });
 
+Then('the prompt counts as cached by {int} runner(s)', function (this: World, count: number) {
+  const cached = candidatesOf(this).filter(({ cachedTokens }) => cachedTokens > 0);
+  assert.equal(cached.length, count);
+});
+
+Then(
+  'the service has {int} runners with {int} slots',
+  function (this: World, runners: number, slots: number) {
+    const exclusions = new RunnerExclusions([this.targets.evacuatedZones.rule]);
+    const counts = (runner: Runner): boolean => exclusions.reasonAgainstAll(runner) === undefined;
+    const load = this.targets.registry.loadOf(SERVICE, counts);
+    assert.deepEqual([load.runners, load.slots], [runners, slots]);
+  },
+);
+
 When('the zone {string} is evacuated in the store', function (this: World, zone: string) {
   this.revision += 1;
   applyItem({ key: EVACUATE_PREFIX + zone, value: '?', revision: this.revision }, this.targets);
--- a/features/steps/logs.steps.ts
+++ b/features/steps/logs.steps.ts
@@ -65,6 +65,24 @@
   },
 );
 
+Given(
+  'a log of a request that was placed elsewhere since the rule {string} excluded its runner',
+  function (this: World, rule: string) {
+    const attempt = { request: 'q1', runner: 'a', tag: 'Excluded', detail: rule, tries: 1 };
+    const end = { request: 'q1', outcome: 'answered', status: 200, runner: 'b', excludedBy: rule };
+    const texts = [
+      createLogText(10, 'n1', 'relay.try', attempt),
+      createLogText(20, 'n1', 'relay.end', end),
+    ];
+    this.lines = texts.flatMap((text) => parseLogLine(text) ?? []);
+  },
+);
+
+Then('the sentences name the rule of the attempt and of the placement', function (this: World) {
+  assert.match(this.sentences![0]!, /runner a .* as Excluded \(evacuatedZone\)/);
+  assert.match(this.sentences![1]!, /by runner b .*the rule evacuatedZone excluded other runners/);
+});
+
 Given('a log of a program that was not admitted', function (this: World) {
   const load = { ahead: 300, moreUrgent: 40, slots: 204, age: 120 };
   const time = { wait: 141, bearable: 97, left: 2_700, turns: 7, pause: 88 };
--- a/features/steps/memory.steps.ts
+++ b/features/steps/memory.steps.ts
@@ -48,6 +48,7 @@
         );
       },
       cachesPrompts: (service) => service === 'engines',
+      mayQuery: () => true,
       peerCount: () => this.peerCount,
       announce: (runnerHash, parts) => (this.announced ??= new Map()).set(runnerHash, parts),
     });
--- a/features/support/contention-requests.ts
+++ b/features/support/contention-requests.ts
@@ -8,6 +8,7 @@
 import { RelayMetrics } from '../../src/relay/relay-metrics.js';
 import type { PromptPart, RelayRequest } from '../../src/relay/request/relay-request.js';
 import { EngineEstimate } from '../../src/relay/runners/engine-estimate.js';
+import { RunnerExclusions } from '../../src/relay/runners/runner-exclusions.js';
 import { RequestState } from '../../src/relay/stages/request-state.js';
 
 /** Returns admission control that has admitted no program yet. */
@@ -31,6 +32,7 @@
     metrics: new RelayMetrics(),
     runtime: { now: () => 0, log: () => undefined },
     split: { pick: () => 's' },
+    exclusions: new RunnerExclusions(),
     registry: {
       loadOf: () => ({ inFlight: 0, slots: 6, runners: 1 }),
       engineCosts: () => new EngineEstimate(),
--- a/src/relay/answers/local-answers.ts
+++ b/src/relay/answers/local-answers.ts
@@ -30,14 +30,36 @@
 const MINIMUM_QUOTA_RETRY_SECONDS = 0.05;
 const MILLISECONDS_IN_SECOND = 1_000;
 
+function toSeconds(milliseconds: number): number {
+  return Number((milliseconds / MILLISECONDS_IN_SECOND).toFixed(3));
+}
+
 /**
  * Admission control refused a new program because its predicted wait exceeds the limit.
  * @param pauseMilliseconds expected time until there is capacity
  */
 export function overloaded(pauseMilliseconds: number): LocalAnswer {
   const detail = 'all places are taken, and programs under way go first';
-  const retryAfterSeconds = Number((pauseMilliseconds / MILLISECONDS_IN_SECOND).toFixed(3));
-  return { status: 503, detail, verdict: 'NotRun', retryAfterSeconds };
+  return {
+    status: 503,
+    detail,
+    verdict: 'NotRun',
+    retryAfterSeconds: toSeconds(pauseMilliseconds),
+  };
+}
+
+/**
+ * A rule excludes every runner of the service.
+ * @param pauseMilliseconds time after which a retry makes sense
+ */
+export function noCapacity(rule: string, pauseMilliseconds: number): LocalAnswer {
+  const detail = `the rule ${rule} excludes every runner of the service`;
+  return {
+    status: 503,
+    detail,
+    verdict: 'NotRun',
+    retryAfterSeconds: toSeconds(pauseMilliseconds),
+  };
 }
 
 /** The gateway has reached its memory budget for buffered data. */
--- a/src/relay/placement/place-request.ts
+++ b/src/relay/placement/place-request.ts
@@ -1,7 +1,7 @@
 /** Chooses the runner for the next attempt of a request from the state of its service's runners. */
 import { hashToNumber } from '../../runtime/hashing.js';
 import type { RelayContext } from '../relay-context.js';
-import type { RunnerIncarnation } from '../runners/runner.js';
+import type { Runner, RunnerIncarnation } from '../runners/runner.js';
 import type { RunnerCandidate } from '../runners/runner-registry.js';
 import type { RequestState } from '../stages/request-state.js';
 import { chooseRunner } from './choose-runner.js';
@@ -44,12 +44,13 @@
   if (service === undefined) {
     return undefined;
   }
-  const all = context.registry.candidates(
-    service,
-    request.promptParts,
-    refusedBy,
-    (runner) => context.exclusions.reasonAgainst(runner, request) === undefined,
-  );
+  requestState.excludedBy = undefined;
+  const mayGetRequest = (runner: Runner): boolean => {
+    const rule = context.exclusions.reasonAgainst(runner, request);
+    requestState.excludedBy = rule ?? requestState.excludedBy;
+    return rule === undefined;
+  };
+  const all = context.registry.candidates(service, request.promptParts, refusedBy, mayGetRequest);
   const allowed = all.filter((candidate) => isAllowed(candidate.id));
   const accepting = allowed.filter((candidate) => context.backpressure.isWritable(candidate.id));
   const available = accepting.length > 0 ? accepting : allowed;
--- a/src/relay/runners/engine-cache-discovery.ts
+++ b/src/relay/runners/engine-cache-discovery.ts
@@ -32,6 +32,8 @@
   readonly read: ReadCachedParts;
   /** Whether a service's runners are model engines that cache prompts. */
   readonly cachesPrompts: (service: string) => boolean;
+  /** Whether a runner may be queried. */
+  readonly mayQuery: (runner: Runner) => boolean;
   /** Number of gateways heard from recently, not counting this one. */
   readonly peerCount: () => number;
   /** Announces a runner's cached parts to the peers. */
@@ -94,12 +96,12 @@
   }
 
   private shouldQuery(runner: Runner): boolean {
-    const { runtime, registry, cachesPrompts, peerCount } = this.options;
+    const { runtime, registry, cachesPrompts, mayQuery, peerCount } = this.options;
     const gateways = peerCount() + 1;
     const isAlreadyKnown =
       gateways > MANY_GATEWAYS &&
       registry.cachedPartCount(incarnationHash(runner)) >= ANNOUNCED_PARTS;
-    if (!cachesPrompts(runner.service) || isAlreadyKnown) {
+    if (!cachesPrompts(runner.service) || !mayQuery(runner) || isAlreadyKnown) {
       return false;
     }
     return runtime.random.uniform() < GATEWAYS_PER_ENGINE / gateways;
--- a/src/relay/runners/evacuated-zones.ts
+++ b/src/relay/runners/evacuated-zones.ts
@@ -36,14 +36,16 @@
     const isNew = !this.has(zone);
     this.revisionByZone.set(zone, revision);
     if (isNew) {
-      this.log('zone.evacuated', 'zone evacuated', zone, revision);
+      const fields = { event: 'zone.evacuated', zone, revision, proofAge: this.loggedProofAge };
+      this.runtime.log('info', 'zone evacuated', fields);
     }
   }
 
   /** Lifts the evacuation of a zone as of a revision of the store; ignored for other zones. */
   restore(zone: string, revision: number): void {
     if (this.revisionByZone.delete(zone)) {
-      this.log('zone.restored', 'evacuation of a zone lifted', zone, revision);
+      const fields = { event: 'zone.restored', zone, revision, proofAge: this.loggedProofAge };
+      this.runtime.log('info', 'evacuation of a zone lifted', fields);
       this.onRestored(zone);
     }
   }
@@ -53,9 +55,8 @@
     return `ivyloom_evacuated_zones ${this.revisionByZone.size}\n`;
   }
 
-  private log(event: string, message: string, zone: string, revision: number): void {
+  private get loggedProofAge(): number {
     const age = this.proofAgeMilliseconds();
-    const proofAge = Number.isFinite(age) ? Math.round(age) : NO_PROOF;
-    this.runtime.log('info', message, { event, zone, revision, proofAge });
+    return Number.isFinite(age) ? Math.round(age) : NO_PROOF;
   }
 }
--- a/src/relay/runners/prompt-cache-estimate.ts
+++ b/src/relay/runners/prompt-cache-estimate.ts
@@ -45,6 +45,12 @@
     this.evict();
   }
 
+  /** Forgets all parts. */
+  clear(): void {
+    this.tokensByPart.clear();
+    this.totalTokens = 0;
+  }
+
   private put(key: PromptKey, tokens: number): void {
     this.totalTokens += tokens - (this.tokensByPart.get(key) ?? 0);
     this.tokensByPart.delete(key);
--- a/src/relay/runners/runner-exclusions.ts
+++ b/src/relay/runners/runner-exclusions.ts
@@ -29,9 +29,9 @@
     return this.rules.find((rule) => rule.excludes(runner, request))?.name;
   }
 
-  /** Whether the slots of a runner count as capacity of its service. */
-  countsAsCapacity(runner: Runner): boolean {
-    return !this.rules.some((rule) => rule.withdrawsCapacity?.(runner) === true);
+  /** Returns the name of the first rule by which a runner gets no request at all, or undefined. */
+  reasonAgainstAll(runner: Runner): string | undefined {
+    return this.rules.find((rule) => rule.withdrawsCapacity?.(runner) === true)?.name;
   }
 
   /** Records that a request is about to be written to a runner. */
--- a/src/relay/runners/runner-registry.ts
+++ b/src/relay/runners/runner-registry.ts
@@ -183,14 +183,36 @@
     return chosen.map((record) => this.viewOf(record, parts));
   }
 
-  /** Returns the total load and capacity of the runners of a service that accept new requests. */
-  loadOf(service: string): ServiceLoad {
+  /** Whether a service has a runner that may be used, if only as a last resort, and that passes a test. */
+  hasUsableRunner(service: string, test: (runner: Runner) => boolean): boolean {
+    for (const record of this.recordsByService.get(service) ?? []) {
+      if ((record.runner.ready || isRemoved(record)) && test(record.runner)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Forgets the prompts cached on the runners of a zone. */
+  forgetPromptCaches(zone: string): void {
+    for (const { runner, promptCache } of this.records.values()) {
+      if (runner.zone === zone) {
+        promptCache.clear();
+      }
+    }
+  }
+
+  /**
+   * Returns the total load and capacity of the runners of a service that accept new requests.
+   * @param counts whether a runner counts
+   */
+  loadOf(service: string, counts: (runner: Runner) => boolean = () => true): ServiceLoad {
     let inFlight = 0;
     let slots = 0;
     let runners = 0;
     for (const { runner, hash, removedAt, inFlight: own } of this.recordsByService.get(service) ??
       []) {
-      if (runner.ready && removedAt === undefined) {
+      if (runner.ready && removedAt === undefined && counts(runner)) {
         inFlight += own + this.inFlightOfOthers(hash);
         slots += runner.slots;
         runners += 1;
--- a/src/relay/stages/admission-stage.ts
+++ b/src/relay/stages/admission-stage.ts
@@ -28,8 +28,11 @@
   rank: number,
 ): AdmissionInputs {
   const { context, request } = requestState;
-  const { registry, demand, kindStats } = context;
-  const { inFlight, slots, runners } = registry.loadOf(service);
+  const { registry, demand, kindStats, exclusions } = context;
+  const { inFlight, slots, runners } = registry.loadOf(
+    service,
+    (runner) => exclusions.reasonAgainstAll(runner) === undefined,
+  );
   const demandByRank = {
     inFlight,
     lessUrgent: demand.countLessUrgent(service, rank),
@@ -50,7 +53,8 @@
 
 /**
  * Whether a runner is believed to cache some of the prompt's last part, which only earlier turns of
- * the same session can have put there.
+ * the same session can have put there. Excluded runners count too: their programs continue
+ * elsewhere.
  */
 function isPromptCached({ context, request }: RequestState, service: string): boolean {
   const { promptParts } = request;
--- a/src/relay/stages/call-stages.ts
+++ b/src/relay/stages/call-stages.ts
@@ -3,12 +3,14 @@
  * a request passes all of them. A new stage is a module of its own and an entry here.
  */
 import { ADMISSION_STAGE } from './admission-stage.js';
+import { CAPACITY_STAGE } from './capacity-stage.js';
 import { PREPARATION_STAGE } from './preparation-stage.js';
 import { QUOTA_STAGE } from './quota-stage.js';
 import type { RequestStage } from './stage.js';
 
 /** Steps of stages that a request passes before its first attempt. */
 export const CALL_STAGES: readonly (readonly RequestStage[])[] = [
+  [CAPACITY_STAGE],
   [ADMISSION_STAGE],
   [QUOTA_STAGE, PREPARATION_STAGE],
 ];
--- a/src/relay/stages/request-state.ts
+++ b/src/relay/stages/request-state.ts
@@ -11,6 +11,8 @@
   body: Buffer;
   /** Local time at which the timeout of the client or of the route expires, in milliseconds. */
   readonly expiresAt: number;
+  /** Name of a rule that excluded a runner from the last placement; undefined if none did. */
+  excludedBy: string | undefined;
   private isProgramStart: boolean;
   private selectedService: string | undefined;
   private finishListeners: FinishListener[] = [];
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -26,6 +26,7 @@
 import { incarnationOf } from '../runners/runner.js';
 import type { RunnerIncarnation } from '../runners/runner.js';
 import type { RunnerCandidate, RunnerRecord } from '../runners/runner-registry.js';
+import { refusalWithoutCapacity } from '../stages/capacity-stage.js';
 import { CALL_STAGES } from '../stages/call-stages.js';
 import { RequestState } from '../stages/request-state.js';
 import { runStages } from '../stages/stage.js';
@@ -203,8 +204,12 @@
       return;
     }
     const chosen = mayRetry(this.history) ? this.chooseRunner() : undefined;
-    if (chosen === undefined || this.remainingMilliseconds <= 0) {
-      this.giveUp(chosen === undefined ? 'no runner may take it' : 'its time is over');
+    if (chosen === undefined) {
+      this.giveUpWithoutRunner();
+      return;
+    }
+    if (this.remainingMilliseconds <= 0) {
+      this.giveUp('its time is over');
       return;
     }
     this.attemptCount += 1;
@@ -353,6 +358,17 @@
     }
   }
 
+  private giveUpWithoutRunner(): void {
+    const { excludedBy } = this.requestState;
+    const refusal = this.mayHaveRun ? undefined : refusalWithoutCapacity(this.requestState);
+    if (refusal !== undefined) {
+      this.refuse(refusal);
+      return;
+    }
+    const rule = excludedBy === undefined ? '' : `; the rule ${excludedBy} excludes others`;
+    this.giveUp(`no runner may take it${rule}`);
+  }
+
   private giveUp(reason: string): void {
     const isPastDeadline = this.remainingMilliseconds <= 0;
     this.refuse(this.mayHaveRun ? answerLost(reason, isPastDeadline) : noRunnerAvailable(reason));
@@ -410,6 +426,7 @@
     const { lastChosen: chosen } = this;
     const { pausedMilliseconds } = this.flowControl;
     const times = { dispatchedAt, firstByteAt, pausedMilliseconds };
+    const { excludedBy } = this.requestState;
     logCallEnd(this.context, {
       request,
       outcome,
@@ -417,7 +434,7 @@
       ...times,
       eventCount,
       chosen,
-      fields,
+      fields: excludedBy === undefined ? fields : { ...fields, excludedBy },
     });
   }
 
--- a/src/telemetry/explain-request.ts
+++ b/src/telemetry/explain-request.ts
@@ -38,9 +38,11 @@
 
 function explainEnd(line: LogLine, at: string): string {
   const spent = `after ${fieldText(line, 'total')} ms (${fieldText(line, 'beforeDispatch')} ms before the first try, first byte at ${fieldText(line, 'firstByte')} ms, ${fieldText(line, 'events')} events, ${fieldText(line, 'tries')} tries), configuration version ${fieldText(line, 'version')}`;
+  const rule = fieldText(line, 'excludedBy');
+  const excluded = rule === '' ? '' : `; the rule ${rule} excluded other runners`;
   switch (fieldText(line, 'outcome')) {
     case 'answered':
-      return `${at} answered with ${fieldText(line, 'status')} by runner ${fieldText(line, 'runner')} ${spent}.`;
+      return `${at} answered with ${fieldText(line, 'status')} by runner ${fieldText(line, 'runner')} ${spent}${excluded}.`;
     case 'refused':
       return `${at} refused with ${fieldText(line, 'status')} (${fieldText(line, 'verdict')}) ${spent}, because ${fieldText(line, 'reason')}.`;
     case 'left':
