Configuration histories with evacuations and paged lists

Cause: the histories under faults of the store did not cover evacuations, nor lists that are read in several pages.

Change: the operator evacuates and restores zones throughout a history; every gateway that no recent fault exempts must know each change within the bound, and none may take back a newer change of an evacuation, also not when it is exempt. An injected delay of evacuations shows that the check detects it.

--- a/features/configuration-histories.feature
+++ b/features/configuration-histories.feature
@@ -15,8 +15,9 @@
     Then one violates an invariant, also with a minimized list of faults
 
     Examples:
-      | fault         |
-      | watchBelieved |
-      | oldReads      |
-      | boundIgnored  |
-      | goesBack      |
+      | fault              |
+      | watchBelieved      |
+      | oldReads           |
+      | boundIgnored       |
+      | goesBack           |
+      | evacuationsDelayed |
--- a/src/histories/configuration-history.ts
+++ b/src/histories/configuration-history.ts
@@ -1,7 +1,7 @@
 /**
- * Simulates one seeded history of configuration changes and runner registrations under faults. Every
- * gateway must apply each acknowledged change within a deadline, unless a recent fault exempts it, and must
- * never return to an older version.
+ * Simulates one seeded history of configuration changes, runner registrations and evacuations under faults.
+ * Every gateway must apply each acknowledged change within a deadline, unless a recent fault exempts it, and
+ * must never return to an older version or an older state of an evacuation.
  */
 import { freshnessTimingsFor } from '../mirror/freshness-timings.js';
 import type { FreshnessTimings } from '../mirror/freshness-timings.js';
@@ -16,7 +16,12 @@
   ConfigurationFaultKind,
   PlannedChange,
 } from './configuration-plan.js';
-import { CONFIGURATION_KEY, HistoryGateway, RUNNER_PREFIX } from './history-gateway.js';
+import {
+  CONFIGURATION_KEY,
+  EVACUATION_PREFIX,
+  HistoryGateway,
+  RUNNER_PREFIX,
+} from './history-gateway.js';
 import type { HistoryLinks } from './history-gateway.js';
 import { HistoryStore } from './history-store.js';
 import { ConfigurationFaultInjector } from './configuration-fault-injector.js';
@@ -30,7 +35,9 @@
   /** Gateways use timings far above the freshness bound. */
   | 'boundIgnored'
   /** The store replaces a version by the one before it. */
-  | 'goesBack';
+  | 'goesBack'
+  /** Gateways apply evacuations late. */
+  | 'evacuationsDelayed';
 
 /** Options of a configuration history. */
 export interface ConfigurationHistoryOptions {
@@ -59,6 +66,8 @@
 const LINK_DELAY_MILLISECONDS = 1.4;
 const ZONE_COUNT = 3;
 const SEED_HOST_COUNT = 3;
+/** Delay of evacuations with the injected fault 'evacuationsDelayed'. */
+const EVACUATION_DELAY_MILLISECONDS = 3_000;
 const FETCH_TIMEOUT_MILLISECONDS = 600;
 const MINIMUM_START_DELAY_MILLISECONDS = 2_500;
 const MAXIMUM_VIOLATIONS = 5;
@@ -86,12 +95,16 @@
 class ConfigurationHistory {
   private readonly clock = new VirtualClock();
   private readonly random: RandomSource;
+  private readonly evacuationRandom: RandomSource;
   private readonly store: HistoryStore;
   private readonly gateways: HistoryGateway[] = [];
   private readonly gatewaysByHost = new Map<string, HistoryGateway>();
   /** Virtual time until which a gateway is not checked, by host. */
   private readonly exemptUntil = new Map<string, number>();
   private readonly acknowledged: AcknowledgedChange[] = [];
+  /** Time of the last acknowledged change of each zone's evacuation. */
+  private readonly evacuationChangedAt = new Map<string, number>();
+  private evacuationChanges = 0;
   private readonly violations: string[] = [];
   private readonly plan: ConfigurationPlan;
   private readonly faultInjector: ConfigurationFaultInjector;
@@ -106,8 +119,10 @@
     private readonly options: ConfigurationHistoryOptions,
   ) {
     this.random = createRandom(seed, 'configuration history');
+    this.evacuationRandom = createRandom(seed, 'evacuated zones');
     this.store = new HistoryStore(this.clock);
     this.plan = options.plan ?? planConfigurationHistory(seed);
+    this.store.pageItems = this.plan.pageItems;
     this.faultInjector = new ConfigurationFaultInjector({
       clock: this.clock,
       store: this.store,
@@ -143,7 +158,7 @@
       seed: this.seed,
       violations: [...this.violations, ...regressions].slice(0, MAXIMUM_VIOLATIONS),
       faults: faults.map(({ kind }) => kind),
-      changes: this.acknowledged.length,
+      changes: this.acknowledged.length + this.evacuationChanges,
       looks: this.checkCount,
       storeCalls,
     };
@@ -170,6 +185,8 @@
         ...(log === undefined ? {} : { log }),
       });
       gateway.skipsProofs = this.options.injectedFault === 'watchBelieved';
+      gateway.evacuationDelayMilliseconds =
+        this.options.injectedFault === 'evacuationsDelayed' ? EVACUATION_DELAY_MILLISECONDS : 0;
       gateway.storeClient.readsStale = this.options.injectedFault === 'oldReads';
       this.gateways.push(gateway);
       this.gatewaysByHost.set(host, gateway);
@@ -219,6 +236,10 @@
 
   private write({ what }: PlannedChange): void {
     const at = this.clock.now;
+    if (what === 'evacuation') {
+      this.toggleEvacuation(at);
+      return;
+    }
     if (what === 'configuration') {
       this.version += 1;
       this.store.put(CONFIGURATION_KEY, String(this.version));
@@ -239,6 +260,19 @@
     }
   }
 
+  /** Evacuates a zone, or restores it if it is evacuated. */
+  private toggleEvacuation(at: number): void {
+    this.evacuationChanges += 1;
+    const zone = `z${this.evacuationRandom.integer(0, ZONE_COUNT - 1)}`;
+    const key = EVACUATION_PREFIX + zone;
+    if (this.store.items.has(key)) {
+      this.store.remove(key);
+    } else {
+      this.store.put(key, '');
+    }
+    this.evacuationChangedAt.set(zone, at);
+  }
+
   private injectRevert(): void {
     if (this.options.injectedFault === 'goesBack' && this.version % 5 === 0) {
       this.version -= 1;
@@ -282,6 +316,19 @@
         );
       }
       this.checkRunners(gateway, dueChanges);
+      this.checkEvacuations(gateway);
+    }
+  }
+
+  private checkEvacuations(gateway: HistoryGateway): void {
+    const { now } = this.clock;
+    for (const [zone, changedAt] of this.evacuationChangedAt) {
+      const isEvacuated = this.store.items.has(EVACUATION_PREFIX + zone);
+      const isDue = changedAt <= now - APPLY_DEADLINE_MILLISECONDS;
+      if (isDue && gateway.isEvacuated(zone) !== isEvacuated) {
+        const state = isEvacuated ? 'evacuated' : 'restored';
+        this.recordViolation(`${gateway.host} does not know at ${now} ms that ${zone} is ${state}`);
+      }
     }
   }
 
--- a/src/histories/configuration-plan.ts
+++ b/src/histories/configuration-plan.ts
@@ -30,16 +30,21 @@
   readonly share: number;
 }
 
-/** A change of the configuration or of the registered runners; `at` in milliseconds since the start. */
+/**
+ * A change of the configuration, of the registered runners or of the evacuated zones; `at` in milliseconds since the
+ * start. An evacuation is lifted if the zone is evacuated already.
+ */
 export interface PlannedChange {
   readonly at: number;
-  readonly what: 'configuration' | 'runnerComes' | 'runnerLeaves';
+  readonly what: 'configuration' | 'runnerComes' | 'runnerLeaves' | 'evacuation';
 }
 
 /** The changes and faults of one history. */
 export interface ConfigurationPlan {
   readonly changes: readonly PlannedChange[];
   readonly faults: readonly ConfigurationFault[];
+  /** Number of items in each page of a list of the store. */
+  readonly pageItems: number;
 }
 
 /** Earliest time of a fault: all gateways have started by then. */
@@ -49,6 +54,9 @@
 const MAXIMUM_FAULTS = 4;
 const MAXIMUM_FAULT_MILLISECONDS = 9_000;
 const MAXIMUM_CHANGE_GAP_MILLISECONDS = 1_500;
+/** Longest time between two changes of evacuations. */
+const MAXIMUM_EVACUATION_GAP_MILLISECONDS = 4_000;
+const PAGE_ITEMS = [Infinity, 4, 12] as const;
 /** Time for which changes continue after the last fault has ended. */
 const RECOVERY_MILLISECONDS = 7_000;
 
@@ -73,13 +81,25 @@
   return changes;
 }
 
+/** Draws from a random source of its own, so that the other parts of a seed's plan do not depend on evacuations. */
+function drawEvacuations(random: RandomSource, until: number): PlannedChange[] {
+  const changes: PlannedChange[] = [];
+  for (let at = 0; at < until; at += 100 + MAXIMUM_EVACUATION_GAP_MILLISECONDS * random.uniform()) {
+    changes.push({ at, what: 'evacuation' });
+  }
+  return changes;
+}
+
 /** Draws the plan of a seed. */
 export function planConfigurationHistory(seed: number): ConfigurationPlan {
   const random = createRandom(seed, 'configuration plan');
   const faults = drawFaults(random);
   const ends = faults.map(({ at, lasts }) => at + lasts);
   const until = Math.max(FIRST_FAULT_MILLISECONDS, ...ends) + RECOVERY_MILLISECONDS;
-  return { changes: drawChanges(random, until), faults };
+  const evacuationRandom = createRandom(seed, 'evacuations');
+  const pageItems = evacuationRandom.pick(PAGE_ITEMS);
+  const changes = [...drawChanges(random, until), ...drawEvacuations(evacuationRandom, until)];
+  return { changes: changes.sort((left, right) => left.at - right.at), faults, pageItems };
 }
 
 /** Time at which a history with this plan ends, in milliseconds since its start. */
--- a/src/histories/history-gateway.ts
+++ b/src/histories/history-gateway.ts
@@ -8,6 +8,7 @@
 import type { DatagramListener, DatagramPort } from '../peers/datagram-port.js';
 import { startStoreSync } from '../peers/store-sync.js';
 import type { StoreSync } from '../peers/store-sync.js';
+import { EvacuatedZones } from '../relay/runners/evacuated-zones.js';
 import type { RandomSource } from '../runtime/random.js';
 import type { LogFunction, Runtime } from '../runtime/runtime.js';
 import { SimulatedProcess } from '../simulation/simulated-process.js';
@@ -17,6 +18,8 @@
 
 /** Key of the operator's configuration; its value is the version as a decimal number. */
 export const CONFIGURATION_KEY = 'configuration';
+/** Prefix of the keys of evacuated zones. */
+export const EVACUATION_PREFIX = 'evacuated/';
 /** Prefix of the keys of registered runners. */
 export const RUNNER_PREFIX = 'runners/';
 
@@ -52,11 +55,16 @@
   readonly process: SimulatedProcess;
   /** Configuration version in force since the last start; 0 until the first is applied. */
   version = 0;
-  /** Descriptions of updates that did not raise the version in force. */
+  /** Descriptions of updates that did not raise the version in force, or that took back a change of an evacuation. */
   readonly regressions: string[] = [];
   /** Injected fault: the gateway reads no proofs of freshness. */
   skipsProofs = false;
+  /** Injected fault: delay of evacuations, in milliseconds. */
+  evacuationDelayMilliseconds = 0;
+  /** Revision of the last change of each evacuation since the last start. */
+  private readonly evacuationRevisions = new Map<string, number>();
   private storeSync: StoreSync | undefined;
+  private evacuatedZones: EvacuatedZones | undefined;
   private listener: DatagramListener = () => undefined;
 
   constructor(private readonly options: HistoryGatewayOptions) {
@@ -75,13 +83,16 @@
     const { host, zone, seeds, timings, links } = this.options;
     const runtime = this.process.start();
     this.version = 0;
+    const evacuatedZones = new EvacuatedZones(runtime);
+    this.evacuatedZones = evacuatedZones;
+    this.evacuationRevisions.clear();
     this.storeSync = startStoreSync({
       runtime,
       port: this.createStorePort(runtime),
       timings,
       proofKey: CONFIGURATION_KEY,
-      onPut: (item) => this.applyItem(item),
-      onRemoved: () => undefined,
+      onPut: (item) => this.applyItem(item, runtime, evacuatedZones),
+      onRemoved: (key, _grace, revision) => this.applyRemoval(key, revision),
       gossip: {
         host,
         zone,
@@ -136,7 +147,27 @@
     return new Set(keys.filter((key) => key.startsWith(RUNNER_PREFIX)));
   }
 
-  private applyItem({ key, value }: StoredItem): void {
+  /** Whether the gateway sends no requests to runners of a zone. */
+  isEvacuated(zone: string): boolean {
+    return this.evacuatedZones?.has(zone) ?? false;
+  }
+
+  private applyItem(
+    { key, value, revision }: StoredItem,
+    runtime: Runtime,
+    evacuatedZones: EvacuatedZones,
+  ): void {
+    if (key.startsWith(EVACUATION_PREFIX)) {
+      this.noteEvacuationChange(key, revision);
+      const zone = key.slice(EVACUATION_PREFIX.length);
+      const { evacuationDelayMilliseconds: delay } = this;
+      if (delay > 0) {
+        runtime.setTimer(delay, () => evacuatedZones.evacuate(zone, revision));
+      } else {
+        evacuatedZones.evacuate(zone, revision);
+      }
+      return;
+    }
     if (key !== CONFIGURATION_KEY) {
       return;
     }
@@ -148,6 +179,23 @@
     this.version = version;
   }
 
+  private applyRemoval(key: string, revision: number): void {
+    if (key.startsWith(EVACUATION_PREFIX)) {
+      this.noteEvacuationChange(key, revision);
+      this.evacuatedZones?.restore(key.slice(EVACUATION_PREFIX.length), revision);
+    }
+  }
+
+  /** Records a regression if a change of an evacuation is older than the one before. */
+  private noteEvacuationChange(key: string, revision: number): void {
+    const before = this.evacuationRevisions.get(key) ?? 0;
+    if (revision < before) {
+      const { now } = this.options.clock;
+      this.regressions.push(`${this.host} took ${key} of ${revision} after ${before} at ${now} ms`);
+    }
+    this.evacuationRevisions.set(key, revision);
+  }
+
   private datagramPort(): DatagramPort {
     return {
       onDatagram: (listener) => {
--- a/src/histories/history-store.ts
+++ b/src/histories/history-store.ts
@@ -33,6 +33,8 @@
   revision = 0;
   /** Delay added to each reply. */
   extraLatencyMilliseconds = 0;
+  /** Number of items in each page of a list; the pages are read one after another. */
+  pageItems = Infinity;
   /** While true, watches report no changes. */
   suppressesWatches = false;
   /** Rises when all open watches are cut. */
@@ -90,6 +92,10 @@
   }
 }
 
+function byKey(left: StoredItem, right: StoredItem): number {
+  return left.key < right.key ? -1 : 1;
+}
+
 function revisionOf(change: ItemChange): number {
   return change.tag === 'Put' ? change.item.revision : change.revision;
 }
@@ -110,13 +116,14 @@
   }
 
   list(prefix: string, listener: KeySpaceListener<ItemList>): void {
-    this.reply(CALL_TIMEOUT_MILLISECONDS, listener, () =>
-      this.readsStale ? this.store.staleListOf(prefix) : this.store.listOf(prefix),
-    );
+    const read = (): ItemList =>
+      this.readsStale ? this.store.staleListOf(prefix) : this.store.listOf(prefix);
+    this.readPages(read, { items: [], revision: Infinity }, listener);
   }
 
   listStale(prefix: string, listener: KeySpaceListener<ItemList>): void {
-    this.reply(CALL_TIMEOUT_MILLISECONDS, listener, () => this.store.staleListOf(prefix));
+    const read = (): ItemList => this.store.staleListOf(prefix);
+    this.readPages(read, { items: [], revision: Infinity }, listener);
   }
 
   watch(
@@ -148,6 +155,36 @@
     this.send(wait + WATCH_SLACK_MILLISECONDS, listener, poll);
   }
 
+  /** Reads the pages after those in `earlier`, each by a call of its own; reports the lowest revision of all pages. */
+  private readPages(
+    read: () => ItemList,
+    earlier: ItemList,
+    listener: KeySpaceListener<ItemList>,
+  ): void {
+    this.reply<ItemList>(
+      CALL_TIMEOUT_MILLISECONDS,
+      (result) => {
+        if (E.isLeft(result)) {
+          listener(result);
+          return;
+        }
+        const { items, revision } = result.right;
+        const after = earlier.items.at(-1)?.key ?? '';
+        const remaining = items.filter(({ key }) => key > after).sort(byKey);
+        const list: ItemList = {
+          items: [...earlier.items, ...remaining.slice(0, this.store.pageItems)],
+          revision: Math.min(earlier.revision, revision),
+        };
+        if (remaining.length > this.store.pageItems) {
+          this.readPages(read, list, listener);
+        } else {
+          listener(E.right(list));
+        }
+      },
+      read,
+    );
+  }
+
   private reply<Result>(
     deadline: number,
     listener: KeySpaceListener<Result>,
