--- a/src/relay/runners/prompt-cache-estimate.ts
+++ b/src/relay/runners/prompt-cache-estimate.ts
@@ -45,7 +45,7 @@
     this.evict();
   }
 
-  /** Forgets all parts after the runner lost its cache. */
+  /** Forgets all parts. */
   clear(): void {
     this.tokensByPart.clear();
     this.totalTokens = 0;
