--- a/features/cold-runners.feature
+++ b/features/cold-runners.feature
@@ -41,6 +41,14 @@
     When 3000 ms pass
     Then the runner is warm
 
+  Scenario: The runners of a restored zone are assumed to be cold until an entry states otherwise
+    Given a gateway that knows a runner with a cached prompt
+    When its zone is evacuated and restored
+    Then the runner is cold with an empty cache, and one log line reports it
+    When its entry of revision 4 reports 1000 ms of cold time
+    And 1000 ms pass
+    Then the runner is warm, and one log line reports it
+
   Scenario: Cached prompts reported before the cache was lost are ignored, and refreshed cold times keep later ones
     Given a gateway that knows a runner with a cached prompt
     When its entry of revision 2 reports 6000 ms of cold time
@@ -116,3 +124,16 @@
   Scenario: A gateway sends nothing to cold runners until it knows the others
     Given a gateway that started now and expects others
     Then it withholds requests from cold runners for 2 s, and as long as it knows no other gateway
+
+  Scenario: The end of a cold period causes no thundering herd
+    Then the coldness of a runner falls from 1 to 0 within 1 to 3 s after its cold period, at a different time for each gateway
+    And the charge for cold runners at least halves the queueing at runners that have just become warm, and later changes nothing
+
+  Scenario: With all runners cold, requests wait for their turn or are refused at once, and no runner fails
+    Given a gateway in front of two runners that take 5 requests a second while cold
+    When both turn cold and 30 requests arrive at once
+    Then 20 requests are answered, the first 10 within 0.5 s and the others after 1 s
+    And 10 requests are refused within 0.5 s with 503, a true "not run" and different retry delays
+    And no runner failed
+    When both turn cold and 30 requests are sent to one of them directly
+    Then that runner failed
--- a/features/support/cold-simulation.ts
+++ b/features/support/cold-simulation.ts
@@ -168,7 +168,7 @@
     return {
       periods,
       limits,
-      queue: new ColdQueue(runtime, () => limits.coldSendCount),
+      queue: new ColdQueue(runtime, (service) => limits.coldSendCount(service)),
       aggregates,
     };
   }
@@ -258,17 +258,18 @@
   private startRequest(gateway: SimulatedGateway): void {
     const known = this.coldRunners.filter((runner) => gateway.periods.isCold(runner));
     const { queue, limits } = gateway;
+    let isOver = false;
     queue.enter({
       service: SERVICE,
       patienceMilliseconds: PATIENCE_MILLISECONDS,
-      isCancelled: () => !gateway.process.isAlive || gateway.queue !== queue,
+      isCancelled: () => isOver || !gateway.process.isAlive || gateway.queue !== queue,
       outlook: () => ({
         hasOtherRunner: this.warmPermits >= 1 && !known.some((runner) => !limits.excludes(runner)),
         permitDelays: limits.permitDelays(known),
       }),
       done: ({ tag }) => {
         if (tag === 'GoOn') {
-          this.place(gateway, known);
+          this.place(gateway, known, () => (isOver = true));
         } else {
           this.refused += 1;
         }
@@ -276,17 +277,19 @@
     });
   }
 
-  private place(gateway: SimulatedGateway, known: readonly Runner[]): void {
+  private place(gateway: SimulatedGateway, known: readonly Runner[], onDropped: () => void): void {
     const { limits, process } = gateway;
     const permitted = known.filter((runner) => !limits.excludes(runner));
     if (permitted.length === 0) {
       this.warmPermits = Math.max(0, this.warmPermits - 1);
+      onDropped();
       return;
     }
     const runner = this.random.pick(permitted);
     this.clock.schedule(CONNECT_MILLISECONDS, () => {
       if (!process.isAlive || gateway.limits !== limits || limits.excludes(runner)) {
         this.refused += 1;
+        onDropped();
         return;
       }
       limits.recordSend(runner);
--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -13,6 +13,7 @@
 import { createTenantsByKey } from '../../src/relay/request/tenant.js';
 import type { TenantSettings } from '../../src/relay/request/tenant.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
+import type { RunnerExclusion } from '../../src/relay/runners/runner-exclusions.js';
 import type { Runtime } from '../../src/runtime/runtime.js';
 import { MemberDirectory } from '../../src/turns/member-directory.js';
 import { MemoryTurnStorage } from '../../src/turns/memory-turn-storage.js';
@@ -106,6 +107,10 @@
   readonly maximumConnections?: number;
   /** Timeout of the routes, in milliseconds. @default 3000 */
   readonly timeoutMilliseconds?: number;
+  /** Rules by which a runner must not get a request. @default none */
+  readonly exclusions?: readonly RunnerExclusion[];
+  /** Requests per second that a cold runner of the service takes. @default unlimited */
+  readonly coldRequestsPerSecond?: number;
   /** Options of the runners. */
   readonly runner?: Partial<RelayRunnerOptions>;
 }
@@ -132,6 +137,16 @@
     return this.ports[0]!;
   }
 
+  /** Name of the header with a request's timeout in milliseconds. */
+  get timeoutHeader(): string {
+    return NAMES.timeout;
+  }
+
+  /** Address of the first runner. */
+  get runnerAddress(): { readonly host: string; readonly port: number } {
+    return { host: HOST, port: this.runnerPorts[0]! };
+  }
+
   /** Number of turns that the replica has stored. */
   get storedTurns(): number {
     return this.replica?.state.counts.turns ?? 0;
@@ -151,7 +166,7 @@
     this.replicaServer.listen(HOST, replicaPort, () => undefined);
     this.caller = new TcpReplicaCaller(this.runtime, () => undefined);
     const { runtime, caller } = this;
-    const { memoryBounds } = this.options;
+    const { memoryBounds, exclusions = [] } = this.options;
     const turns = new TurnClient({ runtime, directory, caller, zone: ZONE });
     this.gateway = new RelayGateway({
       runtime,
@@ -162,6 +177,7 @@
       front: { host: HOST, port: front },
       ready: { host: HOST, port: ready },
       graceMilliseconds: 8_000,
+      exclusions,
       ...(memoryBounds === undefined ? {} : { memoryBounds }),
     });
     for (const id of ['one', 'two']) {
@@ -188,8 +204,9 @@
   }
 
   private get services(): typeof SERVICES {
-    const { maximumConnections = SERVICES[0]!.maximumConnections } = this.options;
-    return SERVICES.map((service) => ({ ...service, maximumConnections }));
+    const { maximumConnections = SERVICES[0]!.maximumConnections, coldRequestsPerSecond } =
+      this.options;
+    return SERVICES.map((service) => ({ ...service, maximumConnections, coldRequestsPerSecond }));
   }
 
   /** Applies a configuration without routes. */
@@ -208,7 +225,7 @@
   }
 
   /** Adds or updates a runner in the gateway's list. */
-  listRunner(index: number, ready: boolean, atPort?: number): void {
+  listRunner(index: number, ready: boolean, atPort?: number, zone = ZONE): void {
     const id = ['one', 'two'][index]!;
     const port = atPort ?? this.runnerPorts[index]!;
     this.gateway.registry.put({
@@ -216,12 +233,22 @@
       service: SERVICE,
       host: HOST,
       port,
-      zone: ZONE,
+      zone,
       slots: 4,
       ready,
     });
   }
 
+  /** Turns all runners cold, as their entries report it. */
+  turnCold(milliseconds: number, limit: number): void {
+    this.runners.forEach((runner, index) => {
+      runner.turnCold(milliseconds, limit);
+      const [id, port] = [runner.id, this.runnerPorts[index]!];
+      const place = { service: SERVICE, host: HOST, port, zone: ZONE, slots: 4, ready: true };
+      this.gateway.registry.put({ id, ...place, coldMilliseconds: milliseconds });
+    });
+  }
+
   /** Stops the replica. */
   stopReplicas(): void {
     this.replicaServer?.close();
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -106,6 +106,8 @@
     this.memory = new MemoryBudget(runtime, options.memoryBounds ?? NO_BOUNDS);
     this.registry = new RunnerRegistry(runtime);
     this.registry.cacheCapacityOf = (service) => this.table?.services.get(service)?.memoryTokens;
+    this.registry.coldStartMillisecondsOf = (service) =>
+      this.table?.services.get(service)?.coldStartMilliseconds ?? 0;
     const connections = new RunnerConnections(runtime);
     this.registry.hasIdleConnection = (runner) => connections.hasIdle(runner);
     const coldLimits = this.createColdLimits();
@@ -117,7 +119,7 @@
       // The limits of cold runners come last, so that only runners that nothing else excludes are waited for.
       exclusions: new RunnerExclusions([...(options.exclusions ?? []), coldLimits]),
       coldLimits,
-      coldQueue: new ColdQueue(runtime, () => coldLimits.coldSendCount),
+      coldQueue: new ColdQueue(runtime, (service) => coldLimits.coldSendCount(service)),
       connections,
       admission: new ProgramAdmission(runtime.random),
       kindStats: new ProgramStats(),
--- a/src/relay/runners/cold-limits.ts
+++ b/src/relay/runners/cold-limits.ts
@@ -60,15 +60,15 @@
    * runners are recorded too, since a runner may turn cold within the window.
    */
   private readonly sentAt = new Map<string, number[]>();
-  private coldSends = 0;
+  private readonly coldSends = new Map<string, number>();
 
   constructor(private readonly options: ColdLimitsOptions) {
     this.startedAt = options.runtime.now();
   }
 
-  /** Number of requests sent to cold runners so far. */
-  get coldSendCount(): number {
-    return this.coldSends;
+  /** Returns the number of requests sent to cold runners of a service so far. */
+  coldSendCount(service: string): number {
+    return this.coldSends.get(service) ?? 0;
   }
 
   /** Whether this gateway must not send a request to the runner now. */
@@ -95,7 +95,9 @@
       return;
     }
     this.recentSends(runner).push(this.options.runtime.now());
-    this.coldSends += this.options.isCold(runner) ? 1 : 0;
+    if (this.options.isCold(runner)) {
+      this.coldSends.set(runner.service, this.coldSendCount(runner.service) + 1);
+    }
     if (this.sentAt.size > MAXIMUM_IDLE_RUNNERS) {
       this.forgetIdleRunners();
     }
--- a/src/relay/runners/runner-registry.ts
+++ b/src/relay/runners/runner-registry.ts
@@ -81,6 +81,8 @@
   loadAgeMilliseconds: () => number = () => 0;
   /** Returns the prompt cache capacity of a service's runners in tokens, or undefined if unknown. */
   cacheCapacityOf: (service: string) => number | undefined = () => undefined;
+  /** Returns the time for which the runners of a service are cold after a start, in milliseconds. */
+  coldStartMillisecondsOf: (service: string) => number = () => 0;
   /** Called when a request brings prompt parts to a runner that were not known to be cached there. */
   onPartsCached: (runnerHash: number, parts: readonly PromptPart[]) => void = () => undefined;
   /** Called when a runner incarnation is added. */
@@ -160,6 +162,20 @@
     });
   }
 
+  /**
+   * Records that the evacuation of a zone was lifted. Its runners are assumed to be cold for as long as after a start:
+   * their entries may say so only later, and all gateways return to them at once.
+   */
+  noteZoneRestored(zone: string): void {
+    for (const record of this.records.values()) {
+      const { runner } = record;
+      const milliseconds = this.coldStartMillisecondsOf(runner.service);
+      if (runner.zone === zone && this.coldPeriods.assumeCold(runner, milliseconds)) {
+        this.noteCacheLost(record);
+      }
+    }
+  }
+
   /** Removes a runner whose entry is gone; it stays usable as a last resort for a grace period. */
   remove(id: string): void {
     const record = this.records.get(id);
@@ -329,14 +345,17 @@
     this.add(runner, revision);
   }
 
-  /** A runner that turns cold has lost its prompt cache. */
   private updateColdPeriod(record: RunnerRecord, revision?: number): void {
     if (this.coldPeriods.update(record.runner, revision)) {
-      record.promptCache.clear();
-      record.ignoresReportsUntil = this.runtime.now() + LATE_REPORT_MILLISECONDS;
+      this.noteCacheLost(record);
     }
   }
 
+  private noteCacheLost(record: RunnerRecord): void {
+    record.promptCache.clear();
+    record.ignoresReportsUntil = this.runtime.now() + LATE_REPORT_MILLISECONDS;
+  }
+
   private logEarlierIncarnation(
     { id, startedAt = 0 }: Runner,
     { startedAt: known = 0 }: Runner,
