--- a/features/steps/cold-periods.steps.ts
+++ b/features/steps/cold-periods.steps.ts
@@ -6,8 +6,8 @@
 import { RefusedItemLog } from '../../platform/refused-item-log.js';
 import { RUNNER_PREFIX } from '../../platform/store-keys.js';
 import { parsePromptParts } from '../../src/relay/request/relay-request.js';
-import { incarnationHash } from '../../src/relay/runners/runner.js';
 import { EvacuatedZones } from '../../src/relay/runners/evacuated-zones.js';
+import { incarnationHash } from '../../src/relay/runners/runner.js';
 import { RunnerRegistry } from '../../src/relay/runners/runner-registry.js';
 import type { RunnerCandidate } from '../../src/relay/runners/runner-registry.js';
 import { createRandom } from '../../src/runtime/random.js';
@@ -17,6 +17,8 @@
 import { MemberDirectory } from '../../src/turns/member-directory.js';
 
 const SERVICE = 's';
+const ZONE = 'z1';
+const COLD_START_MILLISECONDS = 4_000;
 const PARTS = parsePromptParts('5c1e07a2:800');
 
 interface World {
@@ -26,7 +28,13 @@
 }
 
 function putEntry(world: World, revision: number, coldTime: unknown): void {
-  const entry = { Service: SERVICE, Address: '10.0.0.1:80', State: 'ready', born: 1_000 };
+  const entry = {
+    Service: SERVICE,
+    Address: '10.0.0.1:80',
+    State: 'ready',
+    Zone: ZONE,
+    born: 1_000,
+  };
   const value = JSON.stringify({ ...entry, ColdRemainingMs: coldTime });
   applyItem({ key: `${RUNNER_PREFIX}a`, value, revision }, world.targets);
 }
@@ -41,9 +49,6 @@
   return world.targets.registry.coldPeriods.isCold(candidateOf(world).record.runner);
 }
 
-/** Revision of the removal of the runner's entry. */
-const REMOVAL_REVISION = 100;
-
 function countOf({ events }: World, event: string): number {
   return events.filter((each) => each === event).length;
 }
@@ -58,14 +63,12 @@
   const registry = new RunnerRegistry(runtime);
   const directory = new MemberDirectory(runtime);
   const refusedItems = new RefusedItemLog(runtime);
-  this.targets = {
-    registry,
-    directory,
-    refusedItems,
-    evacuatedZones: new EvacuatedZones(runtime),
-    topology: UNKNOWN_TOPOLOGY,
-    applyTable: () => undefined,
-  };
+  const evacuatedZones = new EvacuatedZones(runtime);
+  evacuatedZones.onRestored = (zone) => registry.noteZoneRestored(zone);
+  registry.coldStartMillisecondsOf = () => COLD_START_MILLISECONDS;
+  const targets = { registry, directory, refusedItems, evacuatedZones };
+  const topology = UNKNOWN_TOPOLOGY;
+  this.targets = { ...targets, topology, applyTable: () => undefined };
   putEntry(this, 1, undefined);
   const { record } = candidateOf(this);
   registry.noteRequestSent(record, PARTS);
@@ -91,11 +94,17 @@
 });
 
 When('the runner leaves the list for {int} ms', function (this: World, milliseconds: number) {
-  removeItem(`${RUNNER_PREFIX}a`, 0, REMOVAL_REVISION, this.targets);
+  removeItem(`${RUNNER_PREFIX}a`, 0, 3, this.targets);
   this.clock.runUntil(this.clock.now + milliseconds);
   assert.deepEqual(this.targets.registry.candidates(SERVICE, PARTS, new Set()), []);
 });
 
+When('its zone is evacuated and restored', function (this: World) {
+  const { evacuatedZones } = this.targets;
+  evacuatedZones.evacuate(ZONE, 2);
+  evacuatedZones.restore(ZONE, 3);
+});
+
 When('a peer reports the cached prompt', function (this: World) {
   const hash = incarnationHash(candidateOf(this).record.runner);
   this.targets.registry.learnCachedPart(hash, PARTS[0]!.key, PARTS[0]!.tokens);
--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -109,6 +109,8 @@
   readonly timeoutMilliseconds?: number;
   /** Rules by which a runner must not get a request. @default none */
   readonly exclusions?: readonly RunnerExclusion[];
+  /** Requests per second that a cold runner of the service takes. @default unlimited */
+  readonly coldRequestsPerSecond?: number;
   /** Options of the runners. */
   readonly runner?: Partial<RelayRunnerOptions>;
 }
@@ -135,6 +137,16 @@
     return this.ports[0]!;
   }
 
+  /** Name of the header with a request's timeout in milliseconds. */
+  get timeoutHeader(): string {
+    return NAMES.timeout;
+  }
+
+  /** Address of the first runner. */
+  get runnerAddress(): { readonly host: string; readonly port: number } {
+    return { host: HOST, port: this.runnerPorts[0]! };
+  }
+
   /** Number of turns that the replica has stored. */
   get storedTurns(): number {
     return this.replica?.state.counts.turns ?? 0;
@@ -192,8 +204,9 @@
   }
 
   private get services(): typeof SERVICES {
-    const { maximumConnections = SERVICES[0]!.maximumConnections } = this.options;
-    return SERVICES.map((service) => ({ ...service, maximumConnections }));
+    const { maximumConnections = SERVICES[0]!.maximumConnections, coldRequestsPerSecond } =
+      this.options;
+    return SERVICES.map((service) => ({ ...service, maximumConnections, coldRequestsPerSecond }));
   }
 
   /** Applies a configuration without routes. */
@@ -226,6 +239,16 @@
     });
   }
 
+  /** Turns all runners cold, as their entries report it. */
+  turnCold(milliseconds: number, limit: number): void {
+    this.runners.forEach((runner, index) => {
+      runner.turnCold(milliseconds, limit);
+      const [id, port] = [runner.id, this.runnerPorts[index]!];
+      const place = { service: SERVICE, host: HOST, port, zone: ZONE, slots: 4, ready: true };
+      this.gateway.registry.put({ id, ...place, coldMilliseconds: milliseconds });
+    });
+  }
+
   /** Stops the replica. */
   stopReplicas(): void {
     this.replicaServer?.close();
--- a/src/emulator/relay-runner.ts
+++ b/src/emulator/relay-runner.ts
@@ -5,6 +5,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
+import { performance } from 'node:perf_hooks';
 import type { HeaderNames } from '../relay/request/header-names.js';
 
 /** How the runner treats one request. */
@@ -61,6 +62,10 @@
   readonly answerBytes?: number;
 }
 
+/** Time in which a cold runner counts its arrivals, in milliseconds. */
+const COLD_WINDOW_MILLISECONDS = 1_000;
+/** Factor by which a cold runner is slower. */
+const COLD_SLOWDOWN = 2;
 const STREAM_QUERY = 'stream';
 /** Query parameters that override the length of an answer or event and the number of events. */
 const PADDING_QUERY = /fill=(\d+)/;
@@ -82,6 +87,16 @@
   eventsSent = 0;
   /** Pause before a request body is read, which emulates a slow reader. */
   readPauseMilliseconds = 0;
+  /** Largest number of requests that arrived in any second while the runner was cold. */
+  maximumColdArrivals = 0;
+  /** Number of times that the runner failed since more requests arrived than it can take while cold. */
+  coldFailures = 0;
+  private coldSince = -Infinity;
+  private coldUntil = -Infinity;
+  private coldLimit = Infinity;
+  private failedUntil = -Infinity;
+  /** Arrival times within the last second, in milliseconds; those answered with 421 are left out. */
+  private arrivals: number[] = [];
   private readonly sockets = new Set<Socket>();
   private readonly server: Server;
 
@@ -106,6 +121,22 @@
     });
   }
 
+  /** Whether the runner is cold. */
+  get isCold(): boolean {
+    return performance.now() < this.coldUntil;
+  }
+
+  /**
+   * Makes the runner cold: it is slower, and fails until it is warm once more requests arrive in a second than
+   * `limit`.
+   * @param noticeMilliseconds time in which gateways may not know the cold state, so that arrivals do not count
+   */
+  turnCold(milliseconds: number, limit: number, noticeMilliseconds = 0): void {
+    this.coldSince = performance.now() + noticeMilliseconds;
+    this.coldUntil = performance.now() + milliseconds;
+    this.coldLimit = limit;
+  }
+
   /** Stops listening and destroys all connections. */
   crash(): Promise<void> {
     return new Promise((resolve) => {
@@ -115,6 +146,14 @@
   }
 
   private handleRequest(request: IncomingMessage, response: ServerResponse): void {
+    const expected = request.headers[this.options.names.expectedRunner];
+    if (expected === undefined || expected === this.id) {
+      this.countArrival();
+    }
+    if (performance.now() < this.failedUntil) {
+      request.socket.destroy();
+      return;
+    }
     if (this.readPauseMilliseconds > 0) {
       setTimeout(() => this.readBody(request, response), this.readPauseMilliseconds);
     } else {
@@ -122,6 +161,23 @@
     }
   }
 
+  private countArrival(): void {
+    const now = performance.now();
+    const since = now - COLD_WINDOW_MILLISECONDS;
+    this.arrivals = [...this.arrivals.filter((at) => at > since), now];
+    if (!this.isCold) {
+      return;
+    }
+    // Requests that were sent before the gateways could know of the cold state are not counted.
+    const count = this.arrivals.filter((at) => at >= this.coldSince).length;
+    this.maximumColdArrivals = Math.max(this.maximumColdArrivals, count);
+    if (count > this.coldLimit && now >= this.failedUntil) {
+      this.coldFailures += 1;
+      this.failedUntil = this.coldUntil;
+      this.sockets.forEach((socket) => socket.destroy());
+    }
+  }
+
   private readBody(request: IncomingMessage, response: ServerResponse): void {
     const chunks: Buffer[] = [];
     request.on('data', (chunk: Buffer) => chunks.push(chunk));
@@ -160,7 +216,8 @@
     response.on('close', () => {
       run.clientDisconnected = !response.writableFinished;
     });
-    setTimeout(() => this.respond(request, response, behaviour, requestId), pauseMilliseconds);
+    const pause = pauseMilliseconds * (this.isCold ? COLD_SLOWDOWN : 1);
+    setTimeout(() => this.respond(request, response, behaviour, requestId), pause);
   }
 
   private respond(
--- a/src/relay/admission/cold-queue.ts
+++ b/src/relay/admission/cold-queue.ts
@@ -36,21 +36,22 @@
 }
 
 interface Release {
+  readonly request: ColdRequest;
   readonly at: number;
-  /** Number of sends to cold runners that were recorded before. */
-  readonly sendCount: number;
 }
 
 interface ServiceQueue {
   waiting: Waiting[];
-  /** Releases of requests whose send may not be recorded yet. */
+  /** Requests that were released and whose send is not recorded yet, oldest first. */
   releases: Release[];
+  /** Number of sends to cold runners when `releases` was last updated. */
+  knownSends: number;
   cancelPoll: CancelTimer | undefined;
 }
 
 const GO_ON: ColdResult = { tag: 'GoOn' };
-/** Time from the release of a request until its send is recorded, while a connection is opened, in milliseconds. */
-const CONNECT_MILLISECONDS = 15;
+/** Longest time for which a released request is expected to be sent, while a connection is opened, in milliseconds. */
+const MAXIMUM_RELEASE_MILLISECONDS = 300;
 /** Longest and shortest time between two checks of a queue, in milliseconds. */
 const MAXIMUM_POLL_MILLISECONDS = 50;
 const MINIMUM_POLL_MILLISECONDS = 5;
@@ -59,16 +60,16 @@
 export class ColdQueue {
   private readonly queues = new Map<string, ServiceQueue>();
 
-  /** @param sendCount returns the number of requests sent to cold runners so far */
+  /** @param sendCount returns the number of requests sent to cold runners of a service so far */
   constructor(
     private readonly runtime: Runtime,
-    private readonly sendCount: () => number,
+    private readonly sendCount: (service: string) => number,
   ) {}
 
   /** Decides at once, or queues the request and decides later. */
   enter(request: ColdRequest): void {
     const queue = this.queueOf(request.service);
-    const pending = this.pendingReleases(queue);
+    const pending = this.pendingReleases(request.service, queue);
     const { hasOtherRunner, permitDelays } = request.outlook();
     if (hasOtherRunner) {
       request.done(GO_ON);
@@ -85,44 +86,47 @@
     }
     const expiresAt = this.runtime.now() + request.patienceMilliseconds;
     queue.waiting.push({ request, expiresAt });
-    this.schedulePoll(queue, delay);
+    this.schedulePoll(request.service, queue, delay);
   }
 
   private queueOf(service: string): ServiceQueue {
     let queue = this.queues.get(service);
     if (queue === undefined) {
-      queue = { waiting: [], releases: [], cancelPoll: undefined };
+      const knownSends = this.sendCount(service);
+      queue = { waiting: [], releases: [], knownSends, cancelPoll: undefined };
       this.queues.set(service, queue);
     }
     return queue;
   }
 
   private release(queue: ServiceQueue, request: ColdRequest): void {
-    queue.releases.push({ at: this.runtime.now(), sendCount: this.sendCount() });
+    queue.releases.push({ request, at: this.runtime.now() });
     request.done(GO_ON);
   }
 
-  /** Returns the number of released requests whose send is not recorded yet. */
-  private pendingReleases(queue: ServiceQueue): number {
-    const since = this.runtime.now() - CONNECT_MILLISECONDS;
-    queue.releases = queue.releases.filter(({ at }) => at > since);
-    const [first] = queue.releases;
-    const recorded = first === undefined ? 0 : this.sendCount() - first.sendCount;
-    return Math.max(0, queue.releases.length - recorded);
+  /** Returns the number of released requests whose send is expected and not recorded yet. */
+  private pendingReleases(service: string, queue: ServiceQueue): number {
+    const sends = this.sendCount(service);
+    const since = this.runtime.now() - MAXIMUM_RELEASE_MILLISECONDS;
+    queue.releases = queue.releases
+      .slice(sends - queue.knownSends)
+      .filter(({ request, at }) => at > since && !request.isCancelled());
+    queue.knownSends = sends;
+    return queue.releases.length;
   }
 
-  private schedulePoll(queue: ServiceQueue, delayMilliseconds: number): void {
+  private schedulePoll(service: string, queue: ServiceQueue, delayMilliseconds: number): void {
     const delay = Math.max(
       MINIMUM_POLL_MILLISECONDS,
       Math.min(MAXIMUM_POLL_MILLISECONDS, delayMilliseconds),
     );
     queue.cancelPoll ??= this.runtime.setTimer(delay, () => {
       queue.cancelPoll = undefined;
-      this.poll(queue);
+      this.poll(service, queue);
     });
   }
 
-  private poll(queue: ServiceQueue): void {
+  private poll(service: string, queue: ServiceQueue): void {
     const now = this.runtime.now();
     queue.waiting = queue.waiting.filter(({ request }) => !request.isCancelled());
     const expired = queue.waiting.filter(({ expiresAt }) => expiresAt <= now);
@@ -131,20 +135,25 @@
     while (queue.waiting.length > 0) {
       const { request } = queue.waiting[0]!;
       const { hasOtherRunner, permitDelays } = request.outlook();
-      const delay = hasOtherRunner ? 0 : (permitDelays[this.pendingReleases(queue)] ?? Infinity);
+      const pending = this.pendingReleases(service, queue);
+      const delay = hasOtherRunner ? 0 : (permitDelays[pending] ?? Infinity);
       if (delay > 0) {
         nextDelay = delay;
         break;
       }
       queue.waiting.shift();
-      this.release(queue, request);
+      if (hasOtherRunner) {
+        request.done(GO_ON);
+      } else {
+        this.release(queue, request);
+      }
     }
     expired.forEach(({ request }) => {
       const [delayMilliseconds] = request.outlook().permitDelays;
       request.done({ tag: 'Refuse', delayMilliseconds });
     });
     if (queue.waiting.length > 0) {
-      this.schedulePoll(queue, nextDelay);
+      this.schedulePoll(service, queue, nextDelay);
     }
   }
 }
--- a/src/relay/runners/cold-periods.ts
+++ b/src/relay/runners/cold-periods.ts
@@ -81,6 +81,25 @@
     return turnsCold;
   }
 
+  /**
+   * Assumes that a runner is cold from now on, until a newer entry states otherwise; returns whether it turned cold.
+   */
+  assumeCold(runner: Runner, milliseconds: number): boolean {
+    const state = this.stateOf(runner);
+    const endsAt = this.runtime.now() + milliseconds;
+    if (milliseconds <= 0 || endsAt <= state.endsAt) {
+      return false;
+    }
+    const turnsCold = endsAt > state.endsAt + LATE_ENTRY_MILLISECONDS;
+    this.startPeriod(runner, state, endsAt);
+    return turnsCold;
+  }
+
+  /** Renders the metrics in the Prometheus text format. */
+  render(): string {
+    return `ivyloom_cold_runners ${this.cold}\n`;
+  }
+
   /** Whether a runner is cold. */
   isCold({ id }: Runner): boolean {
     return this.states.get(id)?.cancelEnd !== undefined;
