Reads and writes while a zone is away: silent members last, own zone first

Cause: each request waited 40 to 60 ms for silent members before others were asked, and a gateway in a partitioned zone waited for its timeout, since no peer of the zone reached the members either.

Change: where zones or regions may be lost, members known to be silent are asked last and get no quota requests; writes go to the gateway's own zone first instead of in hash order; operations that need a majority fail at once while none is reachable, whatever peers reach. Other deployments keep their order.

Result: with two of five members silent, reservations, reads and quota requests each end within 10 ms in virtual time; without a majority a reservation fails within 1 ms.

--- a/features/steps/reach.steps.ts
+++ b/features/steps/reach.steps.ts
@@ -6,7 +6,10 @@
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
 import { VirtualClock } from '../../src/simulation/virtual-clock.js';
 import type { Member, MemberRecord } from '../../src/turns/membership.js';
-import type { ReplicaCaller } from '../../src/turns/replica-caller.js';
+import type { ReplicaReply } from '../../src/turns/messages.js';
+import { QuotaClient } from '../../src/turns/quota-client.js';
+import type { QuotaOutcome } from '../../src/turns/quota-client.js';
+import type { ReplicaCaller, UnnumberedRequest } from '../../src/turns/replica-caller.js';
 import { ReplicaReachability } from '../../src/turns/replica-reachability.js';
 import { TurnClient } from '../../src/turns/turn-client.js';
 import type { ReserveOutcome } from '../../src/turns/turn-client.js';
@@ -18,21 +21,33 @@
 /** Replicas that can be silenced one by one. */
 class SilenceableReplicas implements ReplicaCaller {
   readonly silent = new Set<string>();
+  /** Names of the replicas that reservations were sent to, by turn. */
+  readonly askedByTurn = new Map<string, string[]>();
 
   constructor(private readonly runtime: Runtime) {}
 
   call(...[member, request, timeout, listener]: Parameters<ReplicaCaller['call']>): void {
+    if (request.type === 'reserve') {
+      const { turn } = request.entry;
+      this.askedByTurn.set(turn, [...(this.askedByTurn.get(turn) ?? []), member.id]);
+    }
     if (this.silent.has(member.id)) {
       this.runtime.setTimer(timeout, () => listener(undefined));
       return;
     }
-    this.runtime.setTimer(REPLY_DELAY_MILLISECONDS, () =>
-      listener(
-        request.type === 'reserve'
-          ? { type: 'account', call: 1, outcome: 'done', entries: [request.entry] }
-          : { type: 'chained', call: 1, state: 'missing', body: Buffer.alloc(0) },
-      ),
-    );
+    this.runtime.setTimer(REPLY_DELAY_MILLISECONDS, () => listener(this.replyTo(request)));
+  }
+
+  private replyTo(request: UnnumberedRequest): ReplicaReply {
+    if (request.type === 'reserve') {
+      return { type: 'account', call: 1, outcome: 'done', entries: [request.entry] };
+    }
+    if (request.type === 'spend') {
+      // A member that reaches no majority of the others grants nothing.
+      const outcome = this.silent.size > 2 ? 'inactive' : 'done';
+      return { type: 'spent', call: 1, outcome, granted: outcome === 'done', waitMilliseconds: 0 };
+    }
+    return { type: 'chained', call: 1, state: 'missing', body: Buffer.alloc(0) };
   }
 
   notify(): void {
@@ -46,6 +61,7 @@
   silenceableReplicas: SilenceableReplicas;
   reach: ReplicaReachability;
   client: TurnClient;
+  quotas: QuotaClient;
   reserved: { outcome: ReserveOutcome; milliseconds: number } | undefined;
 }
 
@@ -58,30 +74,50 @@
   });
 }
 
-Given('a gateway before replicas {string}', function (this: World, names: string) {
-  this.reachClock = new VirtualClock();
-  this.runtime = new SimulatedProcess('g', this.reachClock, createRandom(1)).start();
-  this.silenceableReplicas = new SilenceableReplicas(this.runtime);
+/** Starts a gateway before replicas whose zone is the first letter of their name. */
+function startGateway(world: World, names: string, zone: string, isSpread: boolean): void {
+  world.reachClock = new VirtualClock();
+  world.runtime = new SimulatedProcess('g', world.reachClock, createRandom(1)).start();
+  world.silenceableReplicas = new SilenceableReplicas(world.runtime);
   const members: Member[] = names
     .split(' ')
-    .map((name) => ({ id: name, node: name, host: name, port: 1, zone: name }));
+    .map((name) => ({ id: name, node: name, host: name, port: 1, zone: name[0]! }));
   const record: MemberRecord = { epoch: 1, members };
-  const directory = new MemberDirectory(this.runtime);
+  const { runtime } = world;
+  const directory = new MemberDirectory(runtime);
   directory.offer(record, 'test');
-  this.reach = new ReplicaReachability(
-    this.runtime,
-    this.silenceableReplicas,
+  const caller = new ReplicaReachability(
+    runtime,
+    world.silenceableReplicas,
     () => directory.current,
   );
-  this.client = new TurnClient({
-    runtime: this.runtime,
-    directory,
-    caller: this.reach,
-    zone: 'z',
-    isReachable: () => this.reach.isReachable,
+  world.reach = caller;
+  const locality = {
+    isSilent: (member: Member): boolean => caller.isSilent(member),
+    mayReachMajority: (): boolean => caller.isReachable,
+  };
+  const options = { runtime, directory, caller };
+  world.client = new TurnClient({
+    ...options,
+    zone,
+    // Where members are spread, no other gateway may reach them either, so that this one counts as reachable.
+    isReachable: () => isSpread || caller.isReachable,
+    ...(isSpread ? { locality } : {}),
   });
+  world.quotas = new QuotaClient({ ...options, ...(isSpread ? locality : {}) });
+}
+
+Given('a gateway before replicas {string}', function (this: World, names: string) {
+  startGateway(this, names, 'z', false);
 });
 
+Given(
+  'a gateway in zone {string} before replicas {string} that are spread over zones',
+  function (this: World, zone: string, names: string) {
+    startGateway(this, names, zone, true);
+  },
+);
+
 When('replicas {string} fall silent', function (this: World, names: string) {
   names.split(' ').forEach((name) => this.silenceableReplicas.silent.add(name));
 });
@@ -114,3 +150,60 @@
     assert.equal(this.reserved?.outcome, outcome);
   },
 );
+
+/** Asks for a request of a tenant's quota; the outcome after a while, undefined while there is none. */
+function spendWithin(world: World, milliseconds: number): QuotaOutcome | undefined {
+  const quota = { tenant: 't', version: 1, ratePerSecond: 100, burst: 100 };
+  const request = { quota, beginsRequests: 0, patienceMilliseconds: 0 };
+  let outcome: QuotaOutcome | undefined;
+  world.quotas.spend(request, RESERVE_TIMEOUT_MILLISECONDS, (ended) => {
+    outcome = ended;
+  });
+  world.reachClock.runUntil(world.reachClock.now + milliseconds);
+  return outcome;
+}
+
+Then(
+  '{int} reservations, reads and quota requests each end within {int} milliseconds',
+  function (this: World, count: number, milliseconds: number) {
+    for (let each = 0; each < count; each += 1) {
+      reserve(this);
+      let read = '';
+      this.client.readChain(`t${each}`, RESERVE_TIMEOUT_MILLISECONDS, ({ tag }) => {
+        read = tag;
+      });
+      assert.equal(spendWithin(this, milliseconds)?.tag, 'Granted');
+      assert.equal(this.reserved?.outcome, 'granted');
+      assert.equal(read, 'missing');
+    }
+  },
+);
+
+When('{int} reservations are made', function (this: World, count: number) {
+  for (let each = 0; each < count; each += 1) {
+    reserve(this);
+    this.reachClock.runUntil(this.reachClock.now + 100);
+  }
+});
+
+Then(
+  'each was sent to {int} replicas, among them {string}',
+  function (this: World, count: number, names: string) {
+    const asked = [...this.silenceableReplicas.askedByTurn.values()];
+    assert.ok(asked.length > 0);
+    for (const each of asked) {
+      assert.equal(each.length, count);
+      assert.ok(
+        names.split(' ').every((name) => each.includes(name)),
+        each.join(' '),
+      );
+    }
+  },
+);
+
+Then(
+  'a quota request is out of reach within {int} milliseconds',
+  function (this: World, milliseconds: number) {
+    assert.equal(spendWithin(this, milliseconds)?.tag, 'OutOfReach');
+  },
+);
--- a/src/turns/quorum-write.ts
+++ b/src/turns/quorum-write.ts
@@ -1,6 +1,6 @@
 /**
  * Writes to the replicas of one epoch until a majority has acknowledged. The write is first sent to one replica more
- * than a majority, chosen by rendezvous hashing of the key; the other replicas of a large group receive it by batched
+ * than a majority, chosen by rank and then by rendezvous hashing of the key; the other replicas of a large group receive it by batched
  * replication. They are written to directly when a replica rejects the write or is slow.
  */
 import { hashToNumber } from '../runtime/hashing.js';
@@ -22,6 +22,8 @@
   /** Determines the order of the replicas: writes with the same key go to the same replicas first. */
   readonly key: string;
   readonly timeoutMilliseconds: number;
+  /** Members of a lower rank are written to first. @default the same for all */
+  readonly rankOf?: ((member: Member) => number) | undefined;
   /** Called with the outcome at each member when no majority acknowledged. */
   readonly onFailed?: (outcomes: MemberOutcomes) => void;
 }
@@ -33,9 +35,15 @@
 export type MemberOutcomes = ReadonlyMap<Member, MemberOutcome>;
 
 /** Returns the members in the order in which writes with a key are sent to them. */
-export function membersForKey(record: MemberRecord, key: string): Member[] {
+export function membersForKey(
+  record: MemberRecord,
+  key: string,
+  rankOf: (member: Member) => number = () => 0,
+): Member[] {
   const weight = (member: Member): number => hashToNumber(`${key} ${member.id}`);
-  return [...record.members].sort((left, right) => weight(right) - weight(left));
+  return [...record.members].sort(
+    (left, right) => rankOf(left) - rankOf(right) || weight(right) - weight(left),
+  );
 }
 
 class QuorumWrite {
@@ -53,7 +61,7 @@
     private readonly write: QuorumWriteRequest,
     private readonly done: (replies: readonly ReplicaReply[] | undefined) => void,
   ) {
-    this.unaskedMembers = membersForKey(write.record, write.key);
+    this.unaskedMembers = membersForKey(write.record, write.key, write.rankOf);
     this.needed = majorityOf(write.record);
     this.deadline = runtime.now() + write.timeoutMilliseconds;
   }
--- a/src/turns/quota-client.ts
+++ b/src/turns/quota-client.ts
@@ -24,6 +24,8 @@
   readonly runtime: Runtime;
   readonly directory: MemberDirectory;
   readonly caller: ReplicaCaller;
+  /** Whether a member is known not to reply; it is not asked. @default none */
+  readonly isSilent?: ((member: Member) => boolean) | undefined;
 }
 
 /** Time after which the next member is asked while the previous one has not replied, in milliseconds. */
@@ -90,7 +92,10 @@
       done,
       ...state,
     };
-    for (const member of this.inRandomOrder(record.members)) {
+    const { isSilent = () => false } = this.options;
+    // Silent members are probed until they reply, so a request gains nothing by waiting for them.
+    const replying = record.members.filter((member) => !isSilent(member));
+    for (const member of this.inRandomOrder(replying)) {
       const waitMilliseconds = this.refusalMilliseconds(attempt, member);
       if (waitMilliseconds > 0) {
         attempt.refusals.push({ member, waitMilliseconds });
--- a/src/turns/replica-reachability.ts
+++ b/src/turns/replica-reachability.ts
@@ -97,8 +97,9 @@
     }
   }
 
-  private isSilent(member: Member): boolean {
-    const { dueSince } = this.contactOf(member);
+  /** Whether replies of a member are overdue; such a member is probed until it replies. */
+  isSilent(member: Member): boolean {
+    const dueSince = this.contacts.get(member.id)?.dueSince;
     return dueSince !== undefined && this.runtime.now() - dueSince >= MEMBER_SILENCE_MILLISECONDS;
   }
 
--- a/src/turns/turn-client.ts
+++ b/src/turns/turn-client.ts
@@ -37,6 +37,24 @@
   readonly zone: string;
   /** Whether a majority of the replicas is reachable; while it is not, operations fail at once. @default always */
   readonly isReachable?: () => boolean;
+  /** How to order replicas in several zones. @default by the hash of the key, and nothing is known to be silent */
+  readonly locality?: ReplicaLocality | undefined;
+}
+
+/** What a client in a deployment of several zones knows of its replicas. */
+export interface ReplicaLocality {
+  /** Whether a replica is known not to reply; it is asked last. */
+  readonly isSilent: (member: Member) => boolean;
+  /** Whether a majority of the replicas may reply; operations that need one fail at once while it is false. */
+  readonly mayReachMajority: () => boolean;
+}
+
+/** Ranks replicas: those known to be silent last, and otherwise those in the client's own zone first. */
+export function rankByLocality(
+  zone: string,
+  { isSilent }: ReplicaLocality,
+): (member: Member) => number {
+  return (member) => (isSilent(member) ? 2 : 0) + (member.zone === zone ? 0 : 1);
 }
 
 /** The parameters of a reservation. */
@@ -63,8 +81,11 @@
 export class TurnClient {
   private readonly chains = new ChainCache();
   private readonly failedWrites: FailedWriteLog;
+  private readonly rankOf: ((member: Member) => number) | undefined;
 
   constructor(private readonly options: TurnClientOptions) {
+    const { locality, zone } = options;
+    this.rankOf = locality && rankByLocality(zone, locality);
     this.failedWrites = new FailedWriteLog(options.runtime);
   }
 
@@ -74,7 +95,7 @@
     timeoutMilliseconds: number,
     done: (outcome: ReserveOutcome) => void,
   ): void {
-    if (!this.isReachable) {
+    if (!this.mayReachMajority) {
       done('unavailable');
       return;
     }
@@ -91,6 +112,11 @@
     return this.options.isReachable?.() ?? true;
   }
 
+  /** Whether an operation that needs a majority may succeed. */
+  private get mayReachMajority(): boolean {
+    return this.isReachable && (this.options.locality?.mayReachMajority() ?? true);
+  }
+
   /** Settles a turn to the tokens that it returned, best effort; replicas propagate the settlement to each other. */
   settle(program: string, turn: string, mostTokens: number, usedTokens: number): void {
     const entry = { program, turn, mostTokens, usedTokens };
@@ -122,7 +148,7 @@
       return;
     }
     const record = this.options.directory.current;
-    if (record === undefined || !this.isReachable) {
+    if (record === undefined || !this.mayReachMajority) {
       done({ tag: 'unsure' });
       return;
     }
@@ -181,6 +207,7 @@
       request: request(record.epoch),
       key,
       timeoutMilliseconds: remainingMilliseconds,
+      rankOf: this.rankOf,
       onFailed: (outcomes: MemberOutcomes) =>
         this.failedWrites.recordFailure(record.epoch, outcomes),
     };
@@ -223,10 +250,9 @@
     timeoutMilliseconds: number,
     private readonly done: (result: ChainResult) => void,
   ) {
-    const zoneRank = (member: Member): number => (member.zone === options.zone ? 0 : 1);
-    this.unaskedMembers = [...record.members].sort(
-      (left, right) => zoneRank(left) - zoneRank(right),
-    );
+    const locality = options.locality ?? { isSilent: () => false, mayReachMajority: () => true };
+    const rankOf = rankByLocality(options.zone, locality);
+    this.unaskedMembers = [...record.members].sort((left, right) => rankOf(left) - rankOf(right));
     this.deadline = options.runtime.now() + timeoutMilliseconds;
   }
 
