--- a/features/steps/power-loss-day.steps.ts
+++ b/features/steps/power-loss-day.steps.ts
@@ -1,6 +1,7 @@
 /** Steps for scenarios that end with a loss of all power. */
 import assert from 'node:assert/strict';
 import { Then, When } from '@cucumber/cucumber';
+import { spreadOverZones } from '../../src/histories/zone-spread.js';
 import { runPowerLossScenario } from '../../src/histories/power-loss-scenario.js';
 import type { PowerLossScenarioResult } from '../../src/histories/power-loss-scenario.js';
 
@@ -28,6 +29,26 @@
   },
 );
 
+When(
+  'power loss scenarios with {int} replicas in {int} zones, of which 1 zone or {int} machines may be lost, run from seed {int} to {int}',
+  function (
+    this: World,
+    replicaCount: number,
+    zones: number,
+    lossesAtOnce: number,
+    first: number,
+    last: number,
+  ) {
+    const spread = spreadOverZones(zones, lossesAtOnce);
+    const { wantedMembers } = spread;
+    const options = { replicaCount, wantedMembers, lossesAtOnce, spread };
+    this.results = [];
+    for (let seed = first; seed <= last; seed += 1) {
+      this.results.push(runPowerLossScenario(seed, { ...options, catchUpMilliseconds: 6_000 }));
+    }
+  },
+);
+
 Then('no power loss scenario violates an invariant', function (this: World) {
   const failed = this.results!.filter(({ violations }) => violations.length > 0);
   assert.deepEqual(
--- a/features/steps/turn-histories.steps.ts
+++ b/features/steps/turn-histories.steps.ts
@@ -1,8 +1,9 @@
 /** Steps for seeded histories of stored turns and token accounts. */
 import assert from 'node:assert/strict';
 import { Then, When } from '@cucumber/cucumber';
-import { TURN_FAULTS } from '../../src/histories/turn-faults.js';
+import { TURN_FAULTS, ZONE_FAULTS } from '../../src/histories/turn-faults.js';
 import { runTurnHistory } from '../../src/histories/turn-history.js';
+import { spreadOverZones } from '../../src/histories/zone-spread.js';
 import type { InjectedFault, TurnHistoryResult } from '../../src/histories/turn-history.js';
 
 interface World {
@@ -53,6 +54,40 @@
   },
 );
 
+When(
+  /^turn histories run from seed (\d+) to (\d+) with (\d+) replicas in (\d+) zones, of which 1 zone or (\d+) machines may be lost(, after an older build)?$/,
+  function (
+    this: World,
+    first: string,
+    last: string,
+    replicas: string,
+    zones: string,
+    losses: string,
+    olderBuild?: string,
+  ) {
+    const lossesAtOnce = Number(losses);
+    const options = {
+      replicaCount: Number(replicas),
+      lossesAtOnce,
+      spread: spreadOverZones(Number(zones), lossesAtOnce),
+      catchUpMilliseconds: 6_000,
+      startsWithOlderBuild: olderBuild !== undefined,
+    };
+    this.histories = [];
+    for (let seed = Number(first); seed <= Number(last); seed += 1) {
+      this.histories.push(runTurnHistory(seed, options));
+    }
+  },
+);
+
+Then('zones were lost and cut off', function (this: World) {
+  const struck = new Set(this.histories!.flatMap((history) => history.faults));
+  assert.deepEqual(
+    ZONE_FAULTS.filter((fault) => !struck.has(fault)),
+    [],
+  );
+});
+
 Then('no turn history violates a guarantee', function (this: World) {
   const failed = this.histories!.filter((history) => history.violations.length > 0);
   assert.deepEqual(failed, []);
--- a/features/zone-loss.feature
+++ b/features/zone-loss.feature
@@ -42,3 +42,19 @@
     And 30000 milliseconds pass at the members
     Then the members by zone are "2 2 1", unchanged for 20000 milliseconds
     And all stored turns are found
+
+  Scenario Outline: Histories in which zones are lost or cut off violate no guarantee, and end with the best spread
+    When turn histories run from seed <first> to <last> with 10 replicas in 3 zones, of which 1 zone or 2 machines may be lost<build>
+    Then no turn history violates a guarantee
+    And turns were stored, and reservations were granted and refused
+    And zones were lost and cut off
+
+    Examples:
+      | first | last | build                 |
+      | 1     | 10   |                       |
+      | 1001  | 1010 | , after an older build |
+
+  Scenario: Days with a lost zone that end with a loss of all power violate no invariant
+    When power loss scenarios with 10 replicas in 3 zones, of which 1 zone or 2 machines may be lost, run from seed 1 to 10
+    Then no power loss scenario violates an invariant
+    And turns were stored in each power loss scenario
--- a/src/commands/bench-commands.ts
+++ b/src/commands/bench-commands.ts
@@ -8,12 +8,14 @@
 import { runConfigurationHistories } from '../histories/run-configuration-histories.js';
 import { runPowerLossScenario } from '../histories/power-loss-scenario.js';
 import { runTurnHistories } from '../histories/run-turn-histories.js';
+import { spreadOverZones } from '../histories/zone-spread.js';
 import { measureOverhead } from '../bench/overhead.js';
 import { measureScale } from '../bench/scale.js';
 import { measureSlopes } from '../bench/slopes.js';
 import { runStart } from '../bench/start.js';
 import { POLICY_NAMES } from '../scheduling/create-policy.js';
 import type { PolicyName } from '../scheduling/create-policy.js';
+import type { SpreadPolicy } from '../turns/member-spread.js';
 
 /** Flags of `ivyloom-bench`; its help describes them. */
 export interface BenchFlags {
@@ -39,6 +41,10 @@
   readonly write: number;
   /** Time after its start after which a replacement replica counts, in milliseconds. */
   readonly catchUp: number;
+  /** Zones, one of which may be lost, in turn histories and power-loss days. 0 tolerates the loss of machines only. */
+  readonly zones: number;
+  /** Whether turn histories start with a build that knows no spread over zones. */
+  readonly olderBuild: boolean;
   /** Gateways in configuration histories. */
   readonly gateways: number;
   readonly json: boolean;
@@ -140,6 +146,10 @@
   return EXIT_FAILED;
 }
 
+function spreadOption({ zones, losses }: BenchFlags): { readonly spread?: SpreadPolicy } {
+  return zones === 0 ? {} : { spread: spreadOverZones(zones, losses) };
+}
+
 function turnHistories(flags: BenchFlags): number {
   const seeds = parseSeeds(flags.seeds);
   if (seeds === undefined) {
@@ -151,6 +161,8 @@
     writeMilliseconds: flags.write,
     catchUpMilliseconds: flags.catchUp,
     ...(flags.members === 0 ? {} : { wantedMembers: flags.members }),
+    ...spreadOption(flags),
+    startsWithOlderBuild: flags.olderBuild,
   });
   writeLine(JSON.stringify(result));
   return result.violations.length === 0 ? EXIT_DONE : EXIT_FAILED;
@@ -167,6 +179,7 @@
     lossesAtOnce: flags.losses,
     writeMilliseconds: flags.write,
     catchUpMilliseconds: flags.catchUp,
+    ...spreadOption(flags),
   };
   let hasViolations = false;
   for (let seed = seeds.first; seed <= seeds.last; seed += 1) {
--- a/src/commands/ivyloom-bench.ts
+++ b/src/commands/ivyloom-bench.ts
@@ -29,6 +29,8 @@
     --seeds A..B        histories of all kinds: seeds to run (default 1..100)
     --replicas N        turn-histories, power-loss-days: replicas to begin with
     --members N         the same: replicas that are members, others stand by
+    --zones N           the same: zones of which one may be lost, which sets the members
+    --older-build       turn-histories: begin with a build that makes every replica a member
     --gateways N        configuration-histories: gateways (default 8)
     --losses N          the same: replicas that are lost at once (default 1)
     --write MS          the same: time that a synced write takes (default 1)
@@ -63,6 +65,8 @@
       replicas: { type: 'number', default: 0 },
       members: { type: 'number', default: 0 },
       losses: { type: 'number', default: 1 },
+      zones: { type: 'number', default: 0 },
+      olderBuild: { type: 'boolean', default: false },
       write: { type: 'number', default: 1 },
       catchUp: { type: 'number', default: DEFAULT_CATCH_UP_MILLISECONDS },
       gateways: { type: 'number', default: 8 },
--- a/src/histories/replica-scenario.ts
+++ b/src/histories/replica-scenario.ts
@@ -10,6 +10,7 @@
 import { VirtualClock } from '../simulation/virtual-clock.js';
 import type { TurnClient } from '../turns/turn-client.js';
 import { pickDistinct } from './pick-distinct.js';
+import { emptiestZone } from './zone-spread.js';
 
 /** Options of a scenario. */
 export interface ReplicaScenarioOptions extends SimulatedReplicasOptions {
@@ -41,6 +42,7 @@
   protected readonly replicas: SimulatedReplicas;
   /** Names of the active machines: neither removed nor retired. */
   protected readonly names: string[] = [];
+  private readonly zoneByName = new Map<string, string>();
   protected readonly storedTurns: string[] = [];
   protected readonly violations: string[] = [];
   /** Time after the return of power from which on all checks succeeded, in milliseconds. */
@@ -76,8 +78,15 @@
     this.machineCount += 1;
     const name = `m${this.machineCount}`;
     this.wait(startDelayMilliseconds);
+    const { spread } = this.options;
+    const activeZones = new Map(this.names.map((each) => [each, this.zoneByName.get(each)!]));
+    const zone =
+      spread === undefined
+        ? `z${this.machineCount % ZONE_COUNT}`
+        : emptiestZone(spread, activeZones);
     this.names.push(name);
-    this.replicas.add(name, `z${this.machineCount % ZONE_COUNT}`);
+    this.zoneByName.set(name, zone);
+    this.replicas.add(name, zone);
     return name;
   }
 
@@ -86,8 +95,14 @@
     return this.names.splice(this.random.integer(0, this.names.length - 1), 1)[0]!;
   }
 
+  /** Draws the machines whose disks are lost at once: half of the time all in a zone, where one may be lost. */
   protected pickLostDisks(): string[] {
-    return pickDistinct(this.random, this.names, this.options.lossesAtOnce);
+    const lost = pickDistinct(this.random, this.names, this.options.lossesAtOnce);
+    if (this.options.spread === undefined || this.random.uniform() < 1 / 2) {
+      return lost;
+    }
+    const zone = this.zoneByName.get(lost[0]!);
+    return this.names.filter((name) => this.zoneByName.get(name) === zone);
   }
 
   /** Some machines lose power and their disks and return empty after a while. */
--- a/src/histories/run-turn-histories.ts
+++ b/src/histories/run-turn-histories.ts
@@ -1,5 +1,5 @@
 /** Runs many histories of stored turns and token accounts and sums up their results. */
-import { TURN_FAULTS } from './turn-faults.js';
+import { TURN_FAULTS, ZONE_FAULTS } from './turn-faults.js';
 import type { TurnFault } from './turn-faults.js';
 import { runTurnHistory } from './turn-history.js';
 import type { TurnHistoryOptions } from './turn-history.js';
@@ -20,7 +20,7 @@
   readonly refused: number;
   readonly unavailable: number;
   /** Number of faults by kind. */
-  readonly faults: Readonly<Record<TurnFault, number>>;
+  readonly faults: Readonly<Partial<Record<TurnFault, number>>>;
   readonly violations: readonly TurnViolation[];
 }
 
@@ -30,7 +30,8 @@
   lastSeed: number,
   options: TurnHistoryOptions = {},
 ): TurnHistoriesResult {
-  const faults = Object.fromEntries(TURN_FAULTS.map((fault) => [fault, 0]));
+  const kinds = options.spread === undefined ? TURN_FAULTS : [...TURN_FAULTS, ...ZONE_FAULTS];
+  const faults = Object.fromEntries(kinds.map((fault) => [fault, 0]));
   const sum = { kept: 0, granted: 0, refused: 0, unavailable: 0 };
   const violations: TurnViolation[] = [];
   for (let seed = firstSeed; seed <= lastSeed; seed += 1) {
@@ -45,5 +46,5 @@
     violations.push(...history.violations.map((detail) => ({ seed, detail })));
   }
   const histories = lastSeed - firstSeed + 1;
-  return { histories, ...sum, faults: faults as Record<TurnFault, number>, violations };
+  return { histories, ...sum, faults, violations };
 }
--- a/src/histories/turn-faults.ts
+++ b/src/histories/turn-faults.ts
@@ -14,4 +14,7 @@
   'replace',
 ] as const;
 
-export type TurnFault = (typeof TURN_FAULTS)[number];
+/** Kinds of faults that occur only where replicas are in zones of which one may be lost. */
+export const ZONE_FAULTS = ['killZone', 'wipeZone', 'cutZone', 'wipeZoneKillOthers'] as const;
+
+export type TurnFault = (typeof TURN_FAULTS)[number] | (typeof ZONE_FAULTS)[number];
--- a/src/histories/turn-history.ts
+++ b/src/histories/turn-history.ts
@@ -8,9 +8,12 @@
 import type { LogFunction } from '../runtime/runtime.js';
 import { SimulatedReplicas } from '../simulation/simulated-replicas.js';
 import { VirtualClock } from '../simulation/virtual-clock.js';
+import { bestSpread, spreadOf } from '../turns/member-spread.js';
+import type { SpreadPolicy } from '../turns/member-spread.js';
 import type { TurnClient } from '../turns/turn-client.js';
 import { pickDistinct } from './pick-distinct.js';
-import { TURN_FAULTS } from './turn-faults.js';
+import { emptiestZone } from './zone-spread.js';
+import { TURN_FAULTS, ZONE_FAULTS } from './turn-faults.js';
 import type { TurnFault } from './turn-faults.js';
 
 /** Defects built into the replicas to show that the checks detect them. */
@@ -29,6 +32,10 @@
   readonly replicaCount?: number;
   /** Number of members that the membership record shall name. @default all */
   readonly wantedMembers?: number;
+  /** How members are spread over zones, one of which may be lost. @default each machine in a zone of its own */
+  readonly spread?: SpreadPolicy;
+  /** Whether all machines start with a build that knows no spread, and are upgraded in the course of the history. */
+  readonly startsWithOlderBuild?: boolean;
   /** Duration of a synced write, in milliseconds. @default 1 */
   readonly writeMilliseconds?: number;
   /** Time that a replacement replica has for catching up after its start, in milliseconds. @default 16,000 */
@@ -54,6 +61,14 @@
 /** Virtual time for recovery after each fault. */
 const RECOVERY_MILLISECONDS = 4_500;
 const FAULT_COUNT = 5;
+/** Additional virtual time for recovery after the loss of a zone: together, the time for catching up of 6 s. */
+const ZONE_RECOVERY_MILLISECONDS = 1_500;
+/** Factor by which faults of zones last longer than others, so that some outlast the removal of silent members. */
+const ZONE_PAUSE_FACTOR = 4;
+/** Virtual time in which superfluous members leave after all faults. */
+const SPREAD_RECOVERY_MILLISECONDS = 20_000;
+/** Virtual time for which the record must then stay as it is. */
+const STABLE_RECORD_MILLISECONDS = 10_000;
 const PROGRAM_COUNT = 3;
 const BUDGET_TOKENS = 600;
 /** Tokens reserved for each turn, and the most that it uses. */
@@ -62,6 +77,7 @@
 /** Virtual time in which the replicas start before the first turn. */
 const STARTUP_MILLISECONDS = 6_000;
 const RETENTION_MILLISECONDS = 600_000;
+const UPGRADE_INTERVAL_MILLISECONDS = 1_500;
 
 interface ProgramState {
   readonly name: string;
@@ -77,6 +93,8 @@
   private readonly random: RandomSource;
   private readonly replicas: SimulatedReplicas;
   private readonly names: string[] = [];
+  private readonly zoneByName = new Map<string, string>();
+  private readonly notUpgraded: string[] = [];
   private clients: TurnClient[] = [];
   private readonly programs: ProgramState[] = [];
   private readonly storedBodies = new Map<string, string>();
@@ -103,21 +121,29 @@
       this.addMachine();
     }
     this.wait(STARTUP_MILLISECONDS);
-    this.clients = ['g1', 'g2'].map(
-      (name) => this.replicas.client(name, 'z1', this.names[0]!).client,
-    );
+    const secondZone = this.options.spread === undefined ? 'z1' : 'z2';
+    this.clients = [
+      this.replicas.client('g1', 'z1', this.names[0]!).client,
+      this.replicas.client('g2', secondZone, this.names[0]!).client,
+    ];
     for (let index = 0; index < PROGRAM_COUNT; index += 1) {
       const name = `p${index}`;
       this.programs.push({ name, lastTurn: '', body: '', deliveredTokens: 0, turns: 0 });
     }
     this.programs.forEach((program) => this.nextTurn(program));
+    const kinds =
+      this.options.spread === undefined ? TURN_FAULTS : [...TURN_FAULTS, ...ZONE_FAULTS];
     for (let index = 0; index < FAULT_COUNT; index += 1) {
-      this.injectFault(this.random.pick(TURN_FAULTS));
+      this.upgradeSome(FAULT_COUNT - index);
+      this.injectFault(this.random.pick(kinds));
       this.wait(RECOVERY_MILLISECONDS);
     }
     this.isStopped = true;
     this.wait(RECOVERY_MILLISECONDS);
     this.checkAll();
+    if (this.options.spread !== undefined) {
+      this.checkSpread(this.options.spread);
+    }
     return {
       seed: this.seed,
       violations: this.violations,
@@ -136,11 +162,56 @@
   private addMachine(): string {
     this.machineCount += 1;
     const name = `m${this.machineCount}`;
+    const { spread, startsWithOlderBuild = false } = this.options;
+    const zone =
+      spread === undefined ? `z${this.machineCount}` : emptiestZone(spread, this.zoneByName);
+    const isOlderBuild = startsWithOlderBuild && this.clock.now === 0;
     this.names.push(name);
-    this.replicas.add(name, `z${this.machineCount}`);
+    this.zoneByName.set(name, zone);
+    if (isOlderBuild) {
+      this.notUpgraded.push(name);
+    }
+    this.replicas.add(name, zone, { isOlderBuild });
     return name;
   }
 
+  private removeMachine(name: string): void {
+    this.names.splice(this.names.indexOf(name), 1);
+    this.zoneByName.delete(name);
+  }
+
+  /** Upgrades as many machines as are due when some of the faults are left. */
+  private upgradeSome(faultsLeft: number): void {
+    const due = Math.ceil(this.notUpgraded.length / faultsLeft);
+    for (const name of this.notUpgraded.splice(0, due)) {
+      if (this.names.includes(name)) {
+        this.replicas.upgrade(name);
+        this.wait(UPGRADE_INTERVAL_MILLISECONDS);
+      }
+    }
+  }
+
+  /** Checks that the members have the best spread that the machines allow, and keep it. */
+  private checkSpread(spread: SpreadPolicy): void {
+    this.wait(SPREAD_RECOVERY_MILLISECONDS);
+    const { store } = this.replicas;
+    const { epoch, members } = store;
+    const machinesByZone = new Map<string, number>();
+    this.zoneByName.forEach((zone) =>
+      machinesByZone.set(zone, (machinesByZone.get(zone) ?? 0) + 1),
+    );
+    const best = bestSpread(spread, machinesByZone);
+    const { size, shortfall, membersByZone } = spreadOf(spread, members);
+    if (size > spread.wantedMembers || shortfall > best.shortfall) {
+      const zones = [...membersByZone].map(([zone, count]) => `${zone}=${count}`).join(' ');
+      this.violations.push(`spread: ${size} members with a shortfall of ${shortfall}: ${zones}`);
+    }
+    this.wait(STABLE_RECORD_MILLISECONDS);
+    if (store.epoch !== epoch) {
+      this.violations.push(`spread: the record changed from epoch ${epoch} to ${store.epoch}`);
+    }
+  }
+
   /** Runs a turn (reserve, read the chain, store, settle) and schedules the next one. */
   private nextTurn(program: ProgramState): void {
     if (this.isStopped) {
@@ -327,7 +398,54 @@
         return;
       case 'retire':
         this.retire(name);
+        return;
+      case 'killZone':
+      case 'wipeZone':
+      case 'cutZone':
+      case 'wipeZoneKillOthers':
+        this.injectZoneFault(fault, this.zoneByName.get(name)!, pause);
+    }
+  }
+
+  private injectZoneFault(fault: (typeof ZONE_FAULTS)[number], zone: string, pause: number): void {
+    const { replicas } = this;
+    const inside = this.names.filter((name) => this.zoneByName.get(name) === zone);
+    const outside = this.names.filter((name) => this.zoneByName.get(name) !== zone);
+    if (fault === 'cutZone') {
+      this.cutZone(zone, inside, outside, pause * ZONE_PAUSE_FACTOR);
+    } else {
+      const hasLostPower = fault === 'wipeZoneKillOthers';
+      const stopped = hasLostPower ? [...this.names] : inside;
+      stopped.forEach((name) => replicas.kill(name));
+      if (fault !== 'killZone') {
+        inside.forEach((name) => replicas.wipe(name));
+      }
+      this.wait(hasLostPower ? pause : pause * ZONE_PAUSE_FACTOR);
+      stopped.forEach((name) => replicas.start(name));
     }
+    this.wait(ZONE_RECOVERY_MILLISECONDS);
+  }
+
+  /** Cuts a zone off from the other zones, with its gateway and, half of the time, from the store. */
+  private cutZone(
+    zone: string,
+    inside: readonly string[],
+    outside: readonly string[],
+    pause: number,
+  ): void {
+    const gateways = new Map([
+      ['g1', 'z1'],
+      ['g2', 'z2'],
+    ]);
+    const gatewaysInside = [...gateways].flatMap(([name, at]) => (at === zone ? [name] : []));
+    const gatewaysOutside = [...gateways].flatMap(([name, at]) => (at === zone ? [] : [name]));
+    const store = this.random.uniform() < 1 / 2 ? ['store'] : [];
+    const left = [...inside, ...gatewaysInside];
+    const right = [...outside, ...gatewaysOutside, ...store];
+    const links = left.flatMap((from) => right.map((to): [string, string] => [from, to]));
+    links.forEach(([from, to]) => this.replicas.cut(from, to));
+    this.wait(pause);
+    links.forEach(([from, to]) => this.replicas.heal(from, to));
   }
 
   /** Draws the machines that are lost at once. */
@@ -357,7 +475,7 @@
   /** Removes a machine for good and adds an empty one under another name. */
   private replace(name: string, pause: number): void {
     this.replicas.kill(name);
-    this.names.splice(this.names.indexOf(name), 1);
+    this.removeMachine(name);
     this.wait(pause);
     this.addMachine();
     this.wait(RECOVERY_MILLISECONDS);
@@ -376,7 +494,7 @@
       return;
     }
     this.replicas.kill(name);
-    this.names.splice(this.names.indexOf(name), 1);
+    this.removeMachine(name);
     const lost = this.pickMachines(this.names);
     this.failMachines(lost, true);
     this.wait(1_000);
--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -19,6 +19,7 @@
 import type { OneWayMessage, ReplicaReply, ReplicaRequest } from '../turns/messages.js';
 import { QuotaClient } from '../turns/quota-client.js';
 import type { ReplicaCaller, ReplyListener, UnnumberedRequest } from '../turns/replica-caller.js';
+import { ReplicaReachability } from '../turns/replica-reachability.js';
 import { ReplicaSync } from '../turns/replica-sync.js';
 import type { QuotaAllowance } from '../turns/quota-buckets.js';
 import { Replica } from '../turns/replica.js';
@@ -375,8 +376,17 @@
     const runtime = process.start();
     const directory = new MemberDirectory(runtime);
     directory.offerText(this.machine(knownTo).directory?.currentText ?? '', knownTo);
-    const caller = this.createCaller(name, runtime, directory);
-    return { client: new TurnClient({ runtime, directory, caller, zone }), process };
+    const directCaller = this.createCaller(name, runtime, directory);
+    if (this.options.spread === undefined) {
+      const options = { runtime, directory, caller: directCaller, zone };
+      return { client: new TurnClient(options), process };
+    }
+    const caller = new ReplicaReachability(runtime, directCaller, () => directory.current);
+    const locality = {
+      isSilent: (member: Member): boolean => caller.isSilent(member),
+      mayReachMajority: (): boolean => caller.isReachable,
+    };
+    return { client: new TurnClient({ runtime, directory, caller, zone, locality }), process };
   }
 
   /** Creates the quota client of a gateway, with the members that the machine `knownTo` knows. */
