--- a/src/turns/membership-wait-log.ts
+++ b/src/turns/membership-wait-log.ts
@@ -1,6 +1,7 @@
 /**
- * Logs why a replica leaves the membership record unchanged while the membership is degraded: this replica is not a
- * member, or a member is silent. Operators see from it why a vacancy isn't filled.
+ * Logs why a replica leaves the membership record unchanged while the membership is not as it should be: this replica is
+ * not a member, or a member is silent, superfluous or awaits its successor. Operators see from it why a vacancy isn't
+ * filled.
  */
 import type { Runtime } from '../runtime/runtime.js';
 import type { WaitReason } from './decide-membership.js';
@@ -32,7 +33,8 @@
     const { self, runtime } = this.options;
     const now = runtime.now();
     const silences = this.silencesOf(record);
-    const hasNothingToLog = hasMember(record, self.id) && silences.length === 0;
+    const isDeparting = reason === 'not stable' || reason === 'no successor';
+    const hasNothingToLog = hasMember(record, self.id) && silences.length === 0 && !isDeparting;
     const state = hasNothingToLog ? '' : [reason, ...silences.map(({ id }) => id)].join(' ');
     if (state === this.lastLogged || now < this.nextLogAt) {
       return;
