--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -19,6 +19,7 @@
 import type { OneWayMessage, ReplicaReply, ReplicaRequest } from '../turns/messages.js';
 import { QuotaClient } from '../turns/quota-client.js';
 import type { ReplicaCaller, ReplyListener, UnnumberedRequest } from '../turns/replica-caller.js';
+import { ReplicaReachability } from '../turns/replica-reachability.js';
 import { ReplicaSync } from '../turns/replica-sync.js';
 import type { QuotaAllowance } from '../turns/quota-buckets.js';
 import { Replica } from '../turns/replica.js';
@@ -382,9 +383,25 @@
     const runtime = process.start();
     const directory = new MemberDirectory(runtime);
     directory.offerText(this.machine(knownTo).directory?.currentText ?? '', knownTo);
-    const caller = this.createCaller(name, runtime, directory);
+    const directCaller = this.createCaller(name, runtime, directory);
     const distances = this.distancesFrom(name, zone, runtime);
-    return { client: new TurnClient({ runtime, directory, caller, zone, distances }), process };
+    if (this.options.spread === undefined) {
+      const options = { runtime, directory, caller: directCaller, zone, distances };
+      return { client: new TurnClient(options), process };
+    }
+    const caller = new ReplicaReachability(
+      runtime,
+      directCaller,
+      () => directory.current,
+      () => undefined,
+      distances,
+    );
+    const locality = {
+      isSilent: (member: Member): boolean => caller.isSilent(member),
+      mayReachMajority: (): boolean => caller.isReachable,
+    };
+    const options = { runtime, directory, caller, zone, distances, locality };
+    return { client: new TurnClient(options), process };
   }
 
   /** Creates the quota client of a gateway, with the members that the machine `knownTo` knows. */
--- a/src/turns/quorum-write.ts
+++ b/src/turns/quorum-write.ts
@@ -1,7 +1,8 @@
 /**
  * Writes to the replicas of one epoch until a majority has acknowledged. The write is first sent to one replica more
- * than a majority, chosen by rendezvous hashing of the key, or by distance where there are several regions; the other
- * replicas of a large group receive it by batched replication. They are written to directly when a replica rejects the write or is slow.
+ * than a majority, chosen by rank, by distance where there are several regions, and by rendezvous hashing of the key; the
+ * other replicas of a large group receive it by batched replication. They are written to directly when a replica rejects
+ * the write or is slow.
  */
 import { hashToNumber } from '../runtime/hashing.js';
 import type { Runtime } from '../runtime/runtime.js';
@@ -25,6 +26,8 @@
   readonly timeoutMilliseconds: number;
   /** Where there are several regions, near replicas come first, and equally near ones in the order of the key. */
   readonly distances?: ZoneDistances | undefined;
+  /** Members of a lower rank are written to first. @default the same for all */
+  readonly rankOf?: ((member: Member) => number) | undefined;
   /** Called with the outcome at each member when no majority acknowledged. */
   readonly onFailed?: (outcomes: MemberOutcomes) => void;
 }
@@ -41,6 +44,14 @@
   return [...record.members].sort((left, right) => weight(right) - weight(left));
 }
 
+/** Returns the members by ascending rank; members of the same rank keep their order. */
+export function sortByRank(
+  members: readonly Member[],
+  rankOf: (member: Member) => number = () => 0,
+): Member[] {
+  return [...members].sort((left, right) => rankOf(left) - rankOf(right));
+}
+
 class QuorumWrite {
   private readonly unaskedMembers: Member[];
   private readonly needed: number;
@@ -57,7 +68,8 @@
     private readonly done: (replies: readonly ReplicaReply[] | undefined) => void,
   ) {
     const members = membersForKey(write.record, write.key);
-    this.unaskedMembers = write.distances?.nearestFirst(members) ?? members;
+    const nearestFirst = write.distances?.nearestFirst(members) ?? members;
+    this.unaskedMembers = sortByRank(nearestFirst, write.rankOf);
     this.needed = majorityOf(write.record);
     this.deadline = runtime.now() + write.timeoutMilliseconds;
   }
--- a/src/turns/turn-client.ts
+++ b/src/turns/turn-client.ts
@@ -14,7 +14,7 @@
 import { readQuorumOf } from './membership.js';
 import type { Member, MemberRecord } from './membership.js';
 import type { ReplicaReply } from './messages.js';
-import { writeToQuorum } from './quorum-write.js';
+import { sortByRank, writeToQuorum } from './quorum-write.js';
 import type { MemberOutcomes } from './quorum-write.js';
 import type { ReplicaCaller, UnnumberedRequest } from './replica-caller.js';
 
@@ -40,6 +40,24 @@
   readonly distances?: ZoneDistances | undefined;
   /** Whether a majority of the replicas is reachable; while it is not, operations fail at once. @default always */
   readonly isReachable?: () => boolean;
+  /** How to order replicas in several zones. @default by the hash of the key, and nothing is known to be silent */
+  readonly locality?: ReplicaLocality | undefined;
+}
+
+/** What a client in a deployment of several zones knows of its replicas. */
+export interface ReplicaLocality {
+  /** Whether a replica is known not to reply; it is asked last. */
+  readonly isSilent: (member: Member) => boolean;
+  /** Whether a majority of the replicas may reply; operations that need one fail at once while it is false. */
+  readonly mayReachMajority: () => boolean;
+}
+
+/** Ranks replicas: those known to be silent last, and otherwise those in the client's own zone first. */
+export function rankByLocality(
+  zone: string,
+  { isSilent }: ReplicaLocality,
+): (member: Member) => number {
+  return (member) => (isSilent(member) ? 2 : 0) + (member.zone === zone ? 0 : 1);
 }
 
 /** The parameters of a reservation. */
@@ -66,8 +84,11 @@
 export class TurnClient {
   private readonly chains = new ChainCache();
   private readonly failedWrites: FailedWriteLog;
+  private readonly rankOf: ((member: Member) => number) | undefined;
 
   constructor(private readonly options: TurnClientOptions) {
+    const { locality, zone } = options;
+    this.rankOf = locality && rankByLocality(zone, locality);
     this.failedWrites = new FailedWriteLog(options.runtime);
   }
 
@@ -77,7 +98,7 @@
     timeoutMilliseconds: number,
     done: (outcome: ReserveOutcome) => void,
   ): void {
-    if (!this.isReachable) {
+    if (!this.mayReachMajority) {
       done('unavailable');
       return;
     }
@@ -94,6 +115,11 @@
     return this.options.isReachable?.() ?? true;
   }
 
+  /** Whether an operation that needs a majority may succeed. */
+  private get mayReachMajority(): boolean {
+    return this.isReachable && (this.options.locality?.mayReachMajority() ?? true);
+  }
+
   /** Settles a turn to the tokens that it returned, best effort; replicas propagate the settlement to each other. */
   settle(program: string, turn: string, mostTokens: number, usedTokens: number): void {
     const entry = { program, turn, mostTokens, usedTokens };
@@ -125,7 +151,7 @@
       return;
     }
     const record = this.options.directory.current;
-    if (record === undefined || !this.isReachable) {
+    if (record === undefined || !this.mayReachMajority) {
       done({ tag: 'unsure' });
       return;
     }
@@ -185,6 +211,7 @@
       key,
       timeoutMilliseconds: remainingMilliseconds,
       distances: this.options.distances,
+      rankOf: this.rankOf,
       onFailed: (outcomes: MemberOutcomes) =>
         this.failedWrites.recordFailure(record.epoch, outcomes),
     };
@@ -227,11 +254,9 @@
     timeoutMilliseconds: number,
     private readonly done: (result: ChainResult) => void,
   ) {
-    const zoneRank = (member: Member): number => (member.zone === options.zone ? 0 : 1);
-    const ownZoneFirst = [...record.members].sort(
-      (left, right) => zoneRank(left) - zoneRank(right),
-    );
-    this.unaskedMembers = options.distances?.nearestFirst(ownZoneFirst) ?? ownZoneFirst;
+    const locality = options.locality ?? { isSilent: () => false, mayReachMajority: () => true };
+    const nearestFirst = options.distances?.nearestFirst(record.members) ?? record.members;
+    this.unaskedMembers = sortByRank(nearestFirst, rankByLocality(options.zone, locality));
     this.deadline = options.runtime.now() + timeoutMilliseconds;
   }
 
