Placement by region: distance, bytes, and overflow in shares

Cause: placement knew zones only. It sent two thirds of the requests to other regions at 24 ms a turn, and charged a kilobyte between regions like one between zones.

Change: where the settings list several regions, the zone charge of a runner elsewhere is the round trip and four times the price of bytes. A request is placed in its own region, or, as a share that grows with the difference, in the region whose wait is shorter by more than two round trips. Runners are sampled within that region, with those that have the most of the prompt cached compared as well.

One region: candidates and charges as before.

--- a/src/relay/placement/place-request.ts
+++ b/src/relay/placement/place-request.ts
@@ -5,7 +5,7 @@
 import type { RunnerCandidate } from '../runners/runner-registry.js';
 import type { RequestState } from '../stages/request-state.js';
 import { chooseRunner } from './choose-runner.js';
-import { sampleCandidates } from './sample-candidates.js';
+import { compareInRegions } from './sample-candidates.js';
 import type { PlacementNeed } from './placement-charges.js';
 
 /** Runners that earlier attempts of the request rule out or make less preferable. */
@@ -23,6 +23,7 @@
   const isEngine = context.currentTable()?.services.get(service)?.cachesPrompts === true;
   return {
     zone: context.zone,
+    distances: context.distances,
     promptTokens: request.promptTokens,
     bodyBytes: body.length,
     affinityHash:
@@ -55,8 +56,14 @@
   const available = accepting.length > 0 ? accepting : allowed;
   const untried = available.filter((candidate) => !failedAt.has(candidate.id));
   const usable = untried.length > 0 ? untried : available;
-  const compared = context.samplesCandidates
-    ? sampleCandidates(usable, context.registry.loadAgeMilliseconds(), context.runtime.random)
-    : usable;
+  const ageMilliseconds = context.samplesCandidates
+    ? context.registry.loadAgeMilliseconds()
+    : undefined;
+  const compared = compareInRegions(
+    usable,
+    context.distances,
+    ageMilliseconds,
+    context.runtime.random,
+  );
   return chooseRunner(compared, needOf(context, requestState, service), context.charges);
 }
--- a/src/relay/placement/placement-charges.ts
+++ b/src/relay/placement/placement-charges.ts
@@ -4,6 +4,7 @@
  * each can be switched off by name.
  */
 import { mixHashes } from '../../runtime/hashing.js';
+import type { ZoneDistances } from '../../topology/zone-distances.js';
 import type { EngineCosts } from '../runners/engine-estimate.js';
 import type { RunnerView } from '../runners/runner-view.js';
 
@@ -11,6 +12,8 @@
 export interface PlacementNeed {
   /** Zone of the gateway that sends the request. */
   readonly zone: string;
+  /** Distances to the zones of runners; undefined if regions are not known. */
+  readonly distances?: ZoneDistances | undefined;
   readonly promptTokens: number;
   /** Size of the request body that is sent to the runner. */
   readonly bodyBytes: number;
@@ -33,6 +36,9 @@
 const ZONE_MILLISECONDS = 3;
 const ZONE_MILLISECONDS_PER_KILOBYTE = 1;
 const MAXIMUM_ZONE_MILLISECONDS = 60;
+/** Bytes between regions weigh this many times those between zones. */
+const REGION_BYTES_FACTOR = 4;
+const MAXIMUM_REGION_MILLISECONDS = REGION_BYTES_FACTOR * MAXIMUM_ZONE_MILLISECONDS;
 const BYTES_IN_KILOBYTE = 1_000;
 /** Charge for opening a new connection, which may also occupy a slot for a moment. */
 const CONNECTION_MILLISECONDS = 15;
@@ -82,12 +88,16 @@
     return eventMillisecondsPerRequest * meanEvents * slowed;
   },
 
-  /** Network cost of sending the request to another zone. */
+  /** Network cost of sending the request to another zone or region. */
   zone: (view, need) => {
     if (view.zone === need.zone) {
       return 0;
     }
     const bytes = (need.bodyBytes / BYTES_IN_KILOBYTE) * ZONE_MILLISECONDS_PER_KILOBYTE;
+    if (need.distances?.isOtherRegion(view.zone) === true) {
+      const roundTrip = need.distances.allowanceMilliseconds(view.zone);
+      return roundTrip + Math.min(MAXIMUM_REGION_MILLISECONDS, REGION_BYTES_FACTOR * bytes);
+    }
     return Math.min(MAXIMUM_ZONE_MILLISECONDS, ZONE_MILLISECONDS + bytes);
   },
 
--- a/src/relay/placement/sample-candidates.ts
+++ b/src/relay/placement/sample-candidates.ts
@@ -3,9 +3,12 @@
  * send with a delay of some hundred milliseconds. If all gateways compared all runners, they would all choose the
  * runner that seemed least busy and overload it before any of them noticed. When other gateways are likely to have
  * sent more than about one unreported request to each runner, only two randomly sampled runners are compared
- * (the power of two choices), together with one of the runners that have the most of the prompt cached.
+ * (the power of two choices), together with one of the runners that have the most of the prompt cached. Where there
+ * are several regions, they are of the own region, or of the one that takes its overflow.
  */
 import type { RandomSource } from '../../runtime/random.js';
+import type { ZoneDistances } from '../../topology/zone-distances.js';
+import { runnersInReach } from './region-overflow.js';
 import type { LoadView, RunnerView } from '../runners/runner-view.js';
 
 const SAMPLED_RUNNERS = 2;
@@ -43,6 +46,36 @@
   return best;
 }
 
+/**
+ * Returns the runners that placement compares where there may be several regions: those of the own region, or of the
+ * region that takes its overflow, and those with the most of the prompt cached.
+ * @param ageMilliseconds age of the reported load; undefined to compare all instead of a sample
+ */
+export function compareInRegions<View extends LoadView>(
+  views: readonly View[],
+  distances: ZoneDistances | undefined,
+  ageMilliseconds: number | undefined,
+  random: RandomSource,
+): readonly View[] {
+  const { near, overflow, overflowShare } = runnersInReach(views, distances);
+  const sample = (from: readonly View[]): readonly View[] =>
+    ageMilliseconds === undefined ? from : sampleCandidates(from, ageMilliseconds, random);
+  if (near.length === views.length) {
+    return sample(near);
+  }
+  const overflows = overflowShare > 0 && random.uniform() < overflowShare;
+  const compared = new Set(sample(overflows ? overflow : near));
+  const cachedNear = mostCached(near, random.integer(0, near.length - 1));
+  if (overflows && cachedNear !== undefined) {
+    compared.add(cachedNear);
+  }
+  // The same part may be cached in each region; only more of it makes another region worth the way.
+  const cached = mostCached(views, random.integer(0, views.length - 1));
+  return cached === undefined || cached.cachedTokens <= (cachedNear?.cachedTokens ?? 0)
+    ? [...compared]
+    : [...compared.add(cached)];
+}
+
 /**
  * Returns the runners that placement compares: all of them, or a random sample if the known load is too stale.
  * @param ageMilliseconds age of the load that other gateways reported
--- a/src/topology/zone-distances.ts
+++ b/src/topology/zone-distances.ts
@@ -63,6 +63,16 @@
       : OTHER_REGION_MILLISECONDS;
   }
 
+  /** Region of this process. */
+  get ownRegion(): string {
+    return this.regionOf(this.options.zone);
+  }
+
+  /** Returns the region of a zone. */
+  regionOf(zone: string): string {
+    return this.options.topology.regionOf(zone);
+  }
+
   /** Whether a zone belongs to another region than this process. */
   isOtherRegion(zone: string): boolean {
     const { topology, zone: own } = this.options;
