--- a/features/steps/entries.steps.ts
+++ b/features/steps/entries.steps.ts
@@ -10,6 +10,7 @@
 import { RefusedItemLog } from '../../platform/refused-item-log.js';
 import { RUNNER_PREFIX } from '../../platform/store-keys.js';
 import { RunnerRegistry } from '../../src/relay/runners/runner-registry.js';
+import { UNKNOWN_TOPOLOGY } from '../../src/topology/topology.js';
 import { createRandom } from '../../src/runtime/random.js';
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
 import { VirtualClock } from '../../src/simulation/virtual-clock.js';
@@ -98,6 +99,7 @@
       registry: new RunnerRegistry(runtime),
       directory: new MemberDirectory(runtime),
       refusedItems: new RefusedItemLog(runtime),
+      topology: UNKNOWN_TOPOLOGY,
       applyTable: () => undefined,
     };
     putEntry(this, first, entryOf(1));
--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -11,6 +11,7 @@
 import { createRoutingTable } from '../../src/relay/request/routing-table.js';
 import type { RequestKind, Route } from '../../src/relay/request/routing-table.js';
 import { createTenantsByKey } from '../../src/relay/request/tenant.js';
+import type { RunnerExclusion } from '../../src/relay/runners/runner-exclusions.js';
 import type { TenantSettings } from '../../src/relay/request/tenant.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
 import type { Runtime } from '../../src/runtime/runtime.js';
@@ -106,6 +107,11 @@
   readonly maximumConnections?: number;
   /** Timeout of the routes, in milliseconds. @default 3000 */
   readonly timeoutMilliseconds?: number;
+  /** Zones of the two runners. @default the gateway's */
+  readonly runnerZones?: readonly [string, string];
+  /** Regions that the routes allow, and the rules that exclude runners. @default none */
+  readonly allowedRegions?: ReadonlySet<string>;
+  readonly exclusions?: readonly RunnerExclusion[];
   /** Options of the runners. */
   readonly runner?: Partial<RelayRunnerOptions>;
 }
@@ -163,6 +169,7 @@
       ready: { host: HOST, port: ready },
       graceMilliseconds: 8_000,
       ...(memoryBounds === undefined ? {} : { memoryBounds }),
+      exclusions: this.options.exclusions ?? [],
     });
     for (const id of ['one', 'two']) {
       const runner = new RelayRunner({
@@ -181,10 +188,14 @@
   }
 
   private get routes(): readonly Route[] {
-    const { timeoutMilliseconds } = this.options;
-    return timeoutMilliseconds === undefined
-      ? ROUTES
-      : ROUTES.map((route) => ({ ...route, timeoutMilliseconds }));
+    const { timeoutMilliseconds, allowedRegions } = this.options;
+    const routes =
+      timeoutMilliseconds === undefined
+        ? ROUTES
+        : ROUTES.map((route) => ({ ...route, timeoutMilliseconds }));
+    return allowedRegions === undefined
+      ? routes
+      : routes.map((route) => ({ ...route, allowedRegions }));
   }
 
   private get services(): typeof SERVICES {
@@ -216,7 +227,7 @@
       service: SERVICE,
       host: HOST,
       port,
-      zone: ZONE,
+      zone: this.options.runnerZones?.[index] ?? ZONE,
       slots: 4,
       ready,
     });
