--- a/features/steps/entries.steps.ts
+++ b/features/steps/entries.steps.ts
@@ -11,10 +11,10 @@
 import { RUNNER_PREFIX } from '../../platform/store-keys.js';
 import { EvacuatedZones } from '../../src/relay/runners/evacuated-zones.js';
 import { RunnerRegistry } from '../../src/relay/runners/runner-registry.js';
+import { UNKNOWN_TOPOLOGY } from '../../src/topology/topology.js';
 import { createRandom } from '../../src/runtime/random.js';
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
 import { VirtualClock } from '../../src/simulation/virtual-clock.js';
-import { UNKNOWN_TOPOLOGY } from '../../src/topology/topology.js';
 import { MemberDirectory } from '../../src/turns/member-directory.js';
 
 const NUMBER_OF_RUNS = 5_000;
--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -11,9 +11,9 @@
 import { createRoutingTable } from '../../src/relay/request/routing-table.js';
 import type { RequestKind, Route } from '../../src/relay/request/routing-table.js';
 import { createTenantsByKey } from '../../src/relay/request/tenant.js';
+import type { RunnerExclusion } from '../../src/relay/runners/runner-exclusions.js';
 import type { TenantSettings } from '../../src/relay/request/tenant.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
-import type { RunnerExclusion } from '../../src/relay/runners/runner-exclusions.js';
 import type { Runtime } from '../../src/runtime/runtime.js';
 import { MemberDirectory } from '../../src/turns/member-directory.js';
 import { MemoryTurnStorage } from '../../src/turns/memory-turn-storage.js';
@@ -111,6 +111,10 @@
   readonly exclusions?: readonly RunnerExclusion[];
   /** Requests per second that a cold runner of the service takes. @default unlimited */
   readonly coldRequestsPerSecond?: number;
+  /** Zones of the two runners. @default the gateway's */
+  readonly runnerZones?: readonly [string, string];
+  /** Regions that the routes allow. @default all */
+  readonly allowedRegions?: ReadonlySet<string>;
   /** Options of the runners. */
   readonly runner?: Partial<RelayRunnerOptions>;
 }
@@ -197,10 +201,14 @@
   }
 
   private get routes(): readonly Route[] {
-    const { timeoutMilliseconds } = this.options;
-    return timeoutMilliseconds === undefined
-      ? ROUTES
-      : ROUTES.map((route) => ({ ...route, timeoutMilliseconds }));
+    const { timeoutMilliseconds, allowedRegions } = this.options;
+    const routes =
+      timeoutMilliseconds === undefined
+        ? ROUTES
+        : ROUTES.map((route) => ({ ...route, timeoutMilliseconds }));
+    return allowedRegions === undefined
+      ? routes
+      : routes.map((route) => ({ ...route, allowedRegions }));
   }
 
   private get services(): typeof SERVICES {
@@ -233,7 +241,7 @@
       service: SERVICE,
       host: HOST,
       port,
-      zone,
+      zone: this.options.runnerZones?.[index] ?? zone,
       slots: 4,
       ready,
     });
