--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -215,6 +215,8 @@
   private readonly cutLinks = new Set<string>();
   /** Number of turns that replicas have copied from one another. */
   copiedTurns = 0;
+  /** Number of questions about quotas that were sent to replicas. */
+  quotaCalls = 0;
   private lastCallNumber = 0;
   private readonly log: LogFunction;
 
@@ -411,6 +413,7 @@
     listener: ReplyListener,
   ): void {
     this.lastCallNumber += 1;
+    this.quotaCalls += request.type === 'spend' ? 1 : 0;
     let hasEnded = false;
     const finish = (reply: ReplicaReply | undefined): void => {
       if (!hasEnded) {
