Space the returns of refused programs, and log each decision about quotas

Cause: refused clients were told the time until one more request had room, so they returned together and too early; nothing showed why a program was refused.

Change: the home keeps the places of refused programs (WaitingPrograms). Retry-After is the time at which there is room for the whole program, after those refused before it; a program that returns in time goes before new ones, and more urgent kinds before less urgent ones for at most 10 s. Decisions about new programs and refusals are logged as relay.quota with their inputs and counted by tenant and reason. A gateway forgets a refused program only if the home does not know it either. The module test also holds windows after a lowered limit against the lowered limit.

Result: properties of windows of 2, 5 and 12 s, of a program a minute, of the order of returns and of urgent kinds pass.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -25,3 +25,25 @@
 
   Scenario: The check of the holders detects a lease that ends too late
     Then a lease that is counted from the receipt of the reply is detected
+
+  Scenario Outline: The hard limit holds in windows of any length
+    Then in any run of bursts and of programs at the home no window of <seconds> seconds holds more than its limit
+
+    Examples:
+      | seconds |
+      | 2       |
+      | 5       |
+      | 12      |
+
+  Scenario: A tenant that sends once a minute
+    Then a program of 9 requests each minute is granted whole under a limit of 0.2 a second and 1 at once
+
+  Scenario: A program that a gateway takes for a new one is recognized at the home
+    Then a later turn that looks like a first one is granted where a new program is refused
+
+  Scenario: Refused clients return one after another
+    Then of 6 programs refused together, those refused first are told to return first, a program's time apart
+    And a program that returns in time goes before new ones
+
+  Scenario: More urgent kinds go first and do not starve the others
+    Then while more urgent programs wait, a less urgent one is refused at first and admitted later
--- a/features/support/quota-simulation.ts
+++ b/features/support/quota-simulation.ts
@@ -155,8 +155,13 @@
     TENANTS.forEach((tenant, index) => {
       const limit = hardLimitOf(tenant, 1);
       const times = this.grants[index]!.sort((left, right) => left - right);
-      const share = largestWindow(times) / limit;
-      this.outcome.largestWindowShare = Math.max(this.outcome.largestWindowShare, share);
+      const loweredAt = this.startedAt + LOWERED_AT_MILLISECONDS + CONFIGURATION_DELAY_MILLISECONDS;
+      const lowered = index === LOWERED_TENANT ? times.filter((at) => at > loweredAt) : [];
+      this.outcome.largestWindowShare = Math.max(
+        this.outcome.largestWindowShare,
+        largestWindow(times) / limit,
+        largestWindow(lowered) / hardLimitOf(tenant, LOWERED_FACTOR),
+      );
     });
     return this.outcome;
   }
@@ -168,6 +173,7 @@
       client,
       metrics: this.metrics,
       random,
+      log: () => undefined,
       isReachable: () => true,
       chargesWholePrograms: true,
     });
--- a/features/support/wire-arbitraries.ts
+++ b/features/support/wire-arbitraries.ts
@@ -38,6 +38,7 @@
     assumedRequests: amount,
     patienceMilliseconds: amount,
     isFallback: fc.boolean(),
+    rank: whole,
   },
   plain,
 );
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -113,6 +113,7 @@
         client: options.quotas,
         metrics: this.metrics,
         random: runtime.random,
+        log: runtime.log,
         isReachable: () => turns.isReachable,
         chargesWholePrograms: options.policiesOff?.has(PROGRAM_QUOTAS_POLICY) !== true,
       }),
--- a/src/relay/stages/quota-stage.ts
+++ b/src/relay/stages/quota-stage.ts
@@ -15,16 +15,21 @@
     return {
       tag: 'Wait',
       begin: (resume) =>
-        context.quotas.check(request, startsProgram, remainingMilliseconds, (refusal) => {
-          if (refusal === undefined) {
-            resume(GO_ON);
-            return;
-          }
-          if (startsProgram && request.program !== undefined) {
-            context.admission.forget(request.program.program);
-          }
-          resume(refuseWith(refusal));
-        }),
+        context.quotas.check(
+          request,
+          startsProgram,
+          remainingMilliseconds,
+          (refusal, isProgramRefused) => {
+            if (refusal === undefined) {
+              resume(GO_ON);
+              return;
+            }
+            if (startsProgram && isProgramRefused && request.program !== undefined) {
+              context.admission.forget(request.program.program);
+            }
+            resume(refuseWith(refusal));
+          },
+        ),
     };
   },
 };
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -220,6 +220,7 @@
   assumedRequests: float64,
   patienceMilliseconds: float64,
   isFallback: bool,
+  rank: uint32,
 });
 const lentSharesField = record({
   milliseconds: float64,
--- a/src/turns/quota-buckets.ts
+++ b/src/turns/quota-buckets.ts
@@ -8,6 +8,7 @@
 import { ProgramLedger } from './program-ledger.js';
 import type { ProgramNeed } from './program-sizes-by-kind.js';
 import type { HeldShare } from './quota-shares.js';
+import { WaitingPrograms } from './waiting-programs.js';
 
 /** A tenant's rate limit as known to the requesting gateway. */
 export interface TenantQuota {
@@ -43,6 +44,8 @@
   readonly patienceMilliseconds: number;
   /** Whether the sender could not get a decision from an earlier member in the tenant's order. */
   readonly isFallback: boolean;
+  /** Urgency among the programs of the tenant, 0 is the most urgent. */
+  readonly rank: number;
 }
 
 /**
@@ -125,6 +128,7 @@
   unreserved: number;
   filledAt: number;
   readonly ledger: ProgramLedger;
+  readonly waiting: WaitingPrograms;
 }
 
 /** Grants requests from one token bucket per tenant. */
@@ -156,7 +160,7 @@
     const { program, kind, startsProgram, assumedRequests } = request;
     const isNew = startsProgram && program !== 0 && !ledger.has(program, now);
     const decision = isNew
-      ? decideNewProgram(bucket, ledger.needOf(kind, assumedRequests), now)
+      ? decideNewProgram(bucket, request, now)
       : decideInProgress(bucket, request.patienceMilliseconds);
     const inputs = { ...nothing, tokens: bucket.tokens, ...decision };
     if (decision.granted) {
@@ -302,7 +306,14 @@
     ratePerSecond: 0,
     capacity: 0,
   };
-  return { ...unconfigured, tokens: 0, unreserved: 0, filledAt, ledger: new ProgramLedger() };
+  return {
+    ...unconfigured,
+    tokens: 0,
+    unreserved: 0,
+    filledAt,
+    ledger: new ProgramLedger(),
+    waiting: new WaitingPrograms(),
+  };
 }
 
 /** Whether a bucket fits several programs per window, each with the given number of requests at this member. */
@@ -332,26 +343,38 @@
 }
 
 /** A new program starts if the tokens suffice for all of it beside what the programs in progress still need. */
-function decideNewProgram(bucket: Bucket, need: ProgramNeed, now: number): TokenDecision {
-  const { tokens, capacity, ratePerSecond, ledger } = bucket;
+function decideNewProgram(bucket: Bucket, request: ProgramRequest, now: number): TokenDecision {
+  const { tokens, capacity, ratePerSecond, ledger, waiting } = bucket;
+  const { program, kind, rank, assumedRequests } = request;
+  const need = ledger.needOf(kind, assumedRequests);
   const outstanding = ledger.outstanding(now);
   const reserved = outstanding.reduce((sum, { requests }) => sum + requests, 0);
   const inputs = { reserved, needed: need.requests };
-  const isIdle = outstanding.length === 0;
+  const ahead = waiting.requestsAhead(program, rank, now);
+  const isIdle = outstanding.length === 0 && ahead === 0;
   if (isIdle && tokens >= Math.min(need.requests, capacity * IDLE_TOKENS_SHARE)) {
+    waiting.admit(program, rank, now);
     return { ...inputs, granted: true, waitMilliseconds: 0, reason: 'fits' };
   }
   const missing = CHECKPOINTS.map((checkpoint) => {
     const milliseconds = need.milliseconds * checkpoint;
     const others = outstanding.reduce((sum, each) => sum + needWithin(each, milliseconds), 0);
     const refilled = (ratePerSecond * milliseconds) / MILLISECONDS_IN_SECOND;
-    return needWithin(need, milliseconds) + others - tokens - refilled;
+    return needWithin(need, milliseconds) + others + ahead - tokens - refilled;
   });
   const mostMissing = Math.max(1 - tokens, ...missing);
   if (mostMissing <= 0) {
+    waiting.admit(program, rank, now);
     return { ...inputs, granted: true, waitMilliseconds: 0, reason: 'fits' };
   }
-  const waitMilliseconds = refillMilliseconds(mostMissing, ratePerSecond);
+  const waitMilliseconds = waiting.refuse(
+    program,
+    rank,
+    need.requests,
+    refillMilliseconds(Math.max(0, mostMissing - ahead), ratePerSecond),
+    refillMilliseconds(need.requests, ratePerSecond),
+    now,
+  );
   return { ...inputs, granted: false, waitMilliseconds, reason: 'noRoom' };
 }
 
--- a/src/turns/quota-client.ts
+++ b/src/turns/quota-client.ts
@@ -67,6 +67,8 @@
   readonly program?: number;
   /** Name of the route. @default none */
   readonly kind?: string;
+  /** Urgency of the route among those of the tenant, 0 is the most urgent. @default 0 */
+  readonly rank?: number;
 }
 
 /** A member's refusal. */
@@ -216,7 +218,7 @@
   private ask(attempt: SpendAttempt, member: Member, patienceMilliseconds: number): void {
     const { runtime, caller } = this.options;
     const { quotaRequest, record, deadline } = attempt;
-    const { quota, beginsRequests, program = 0, kind = '' } = quotaRequest;
+    const { quota, beginsRequests, program = 0, kind = '', rank = 0 } = quotaRequest;
     const request: ProgramRequest = {
       program,
       kind,
@@ -224,6 +226,7 @@
       assumedRequests: beginsRequests,
       patienceMilliseconds,
       isFallback: attempt.unreachedMembers > 0,
+      rank,
     };
     const message = { type: 'spendForProgram' as const, epoch: record.epoch, quota, request };
     attempt.pendingCalls += 1;
