--- a/features/logs.feature
+++ b/features/logs.feature
@@ -14,6 +14,11 @@
     When the request is explained
     Then the sentence names the expected wait, the limit, the requests ahead, the age of the load and the retry delay
 
+  Scenario: A program that its tenant's quota refused is explained with the figures that decided it
+    Given a log of a program for which the quota had no room
+    When the request is explained
+    Then the sentence names the tokens, the reserved and the needed requests, the share and the retry delay
+
   Scenario: The time of programs is split by cause
     Given logs of a program that was late, one that was in time and one whose last answer was lost
     When the losses are reported
--- a/features/steps/logs.steps.ts
+++ b/features/steps/logs.steps.ts
@@ -83,6 +83,23 @@
   },
 );
 
+Given('a log of a program for which the quota had no room', function (this: World) {
+  const amounts = { tokens: 3.5, reserved: 40, needed: 14, share: 0.8, pause: 2_100 };
+  const fields = { request: 'q1', tenant: 't', reason: 'noRoom', member: 'm2', ...amounts };
+  const parsed = parseLogLine(createLogText(10, 'n1', 'relay.quota', fields));
+  this.lines = parsed === undefined ? [] : [parsed];
+});
+
+Then(
+  'the sentence names the tokens, the reserved and the needed requests, the share and the retry delay',
+  function (this: World) {
+    const [sentence, ...others] = this.sentences!;
+    assert.deepEqual(others, []);
+    assert.match(sentence!, /refused.*no room.*3.5 requests of tenant t.*needed 40.*program 14/);
+    assert.match(sentence!, /member m2 held 0.8 .*2100 ms/);
+  },
+);
+
 When('the request is explained', function (this: World) {
   this.sentences = explainRequest(this.lines!, 'q1');
 });
--- a/src/telemetry/explain-request.ts
+++ b/src/telemetry/explain-request.ts
@@ -15,6 +15,8 @@
       return `${at} try ${fieldText(line, 'tries')} at runner ${fieldText(line, 'runner')} ended after ${fieldText(line, 'age')} ms as ${fieldText(line, 'tag')} (${fieldText(line, 'detail')}); ${fieldText(line, 'inFlight')} other requests of this gateway were there.`;
     case 'relay.admission':
       return explainAdmission(line, at);
+    case 'relay.quota':
+      return explainQuota(line, at);
     case 'relay.end':
       return explainEnd(line, at);
     default:
@@ -36,6 +38,22 @@
   return `${at} ${cause}: ${wait}; ${load}; pause told ${fieldText(line, 'pause')} ms.`;
 }
 
+/** Descriptions of the reasons of a quota decision, by the value of the field `reason`. */
+const QUOTA_REASON_TEXTS: ReadonlyMap<string, string> = new Map([
+  ['fits', 'its program started, since the quota has room for all of it'],
+  ['noRoom', 'its program was refused, since the quota has no room for all of it'],
+  ['exhausted', 'refused as a part of a program in progress, since the quota was exhausted'],
+  ['lent', 'refused, since the members that answered had lent their shares of the quota'],
+  ['unreachable', 'refused, since no member answered about the quota'],
+]);
+
+function explainQuota(line: LogLine, at: string): string {
+  const reason = QUOTA_REASON_TEXTS.get(fieldText(line, 'reason')) ?? fieldText(line, 'reason');
+  const inputs = `${fieldText(line, 'tokens')} requests of tenant ${fieldText(line, 'tenant')} could run at once, programs in progress still needed ${fieldText(line, 'reserved')}, this program ${fieldText(line, 'needed')}`;
+  const member = `member ${fieldText(line, 'member')} held ${fieldText(line, 'share')} of the quota`;
+  return `${at} ${reason}: ${inputs}; ${member}; pause told ${fieldText(line, 'pause')} ms.`;
+}
+
 function explainEnd(line: LogLine, at: string): string {
   const spent = `after ${fieldText(line, 'total')} ms (${fieldText(line, 'beforeDispatch')} ms before the first try, first byte at ${fieldText(line, 'firstByte')} ms, ${fieldText(line, 'events')} events, ${fieldText(line, 'tries')} tries), configuration version ${fieldText(line, 'version')}`;
   switch (fieldText(line, 'outcome')) {
