--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -229,6 +229,8 @@
   private readonly zoneOfGateway = new Map<string, string>();
   /** Number of turns that replicas have copied from one another. */
   copiedTurns = 0;
+  /** Number of questions about quotas that were sent to replicas. */
+  quotaCalls = 0;
   private lastCallNumber = 0;
   private readonly log: LogFunction;
 
@@ -291,6 +293,8 @@
       });
     const sync = new ReplicaSync({ ...shared, id, caller, isJoinUseful: isUseful });
     replica.holdsQuorum = () => sync.holdsQuorum;
+    replica.forwardToMember = (member, request, listener) =>
+      sync.forwardQuotaRequest(member, request, listener);
     replica.hasReadEarlierEpochs = () => sync.hasReadEarlierEpochs;
     replica.silenceReports = () => sync.silenceReports();
     if (this.options.injectedFault === 'noRepair') {
@@ -474,6 +478,7 @@
     listener: ReplyListener,
   ): void {
     this.lastCallNumber += 1;
+    this.quotaCalls += request.type === 'spendForProgram' ? 1 : 0;
     let hasEnded = false;
     const finish = (reply: ReplicaReply | undefined): void => {
       if (!hasEnded) {
