Cold runners: requests that are held up on their way count until they have arrived

Change: a request counts for a second from the latest time at which it can have arrived, which follows from the first byte received after it and the usual time of an answer.

--- a/features/cold-runners.feature
+++ b/features/cold-runners.feature
@@ -106,6 +106,26 @@
     When 10 seeds are simulated with load information 0.3 s old
     Then no cold runner gets more than 41 requests in any second
 
+  Scenario Outline: Requests that are held up on their way do not arrive in a burst
+    Given 6 runners, 2 of which turn cold at once, and 300 requests a second from 72 gateways
+    And the paths to one of them are interrupted for <time> ms
+    When 3 seeds are simulated with load information 0.3 s old
+    Then no cold runner gets more than 41 requests in any second
+
+    Examples:
+      | time |
+      | 300  |
+      | 700  |
+      | 1100 |
+      | 2500 |
+
+  Scenario: The simulation detects a limiter that takes requests for arrived once they are sent
+    Given 6 runners, 2 of which turn cold at once, and 300 requests a second from 72 gateways
+    And the paths to one of them are interrupted for 700 ms
+    And gateways that take requests for arrived once they are sent
+    When 1 seeds are simulated with load information 0.3 s old
+    Then some cold runner gets more than 41 requests in a second
+
   Scenario Outline: The simulation detects limiters that are too generous
     Given 6 runners, 2 of which turn cold at once, and 300 requests a second from 72 gateways
     And gateways that <fault>
--- a/features/steps/cold-limits.steps.ts
+++ b/features/steps/cold-limits.steps.ts
@@ -37,7 +37,11 @@
     gateways: number,
   ) {
     const load = { requestsPerSecond, warmPerSecond: WARM_PER_SECOND };
-    const faults = { restartsPerSecond: 0, partitionAtMilliseconds: Infinity };
+    const faults = {
+      stallMilliseconds: 0,
+      restartsPerSecond: 0,
+      partitionAtMilliseconds: Infinity,
+    };
     this.scenario = { seed: 1, gateways, runners, coldRunners, ...load, ...faults };
   },
 );
@@ -50,6 +54,13 @@
   this.scenario = { ...this.scenario, partitionAtMilliseconds: PARTITION_AT_MILLISECONDS };
 });
 
+Given(
+  'the paths to one of them are interrupted for {int} ms',
+  function (this: World, stallMilliseconds: number) {
+    this.scenario = { ...this.scenario, stallMilliseconds };
+  },
+);
+
 const FAULTS: Record<string, (scenario: ColdScenario) => Partial<ColdScenario>> = {
   'send one request a second each': ({ gateways }) => ({
     limiterOptions: { rankFor: () => ({ rank: 1, gateways }) },
@@ -57,6 +68,7 @@
   'send two requests a second more than the limit': () => ({
     limiterOptions: { allowance: { factor: 1.5, slack: 7 } },
   }),
+  'take requests for arrived once they are sent': () => ({ assumesArrival: true }),
   'have never known the gateways of the other half': () => ({ partitionAtMilliseconds: 0 }),
 };
 
--- a/features/support/cold-simulation.ts
+++ b/features/support/cold-simulation.ts
@@ -30,6 +30,10 @@
   readonly restartsPerSecond: number;
   /** Time from which a network partition splits the gateways into two halves; the runners turn cold at 3 s. */
   readonly partitionAtMilliseconds: number;
+  /** Time for which the paths to the first cold runner are interrupted; requests sent meanwhile arrive later. */
+  readonly stallMilliseconds: number;
+  /** Whether gateways take requests for arrived once they are sent. */
+  readonly assumesArrival?: boolean;
   /** Replaces options of the limiter, to show what the simulation detects. */
   readonly limiterOptions?: Partial<ColdLimitsOptions>;
 }
@@ -65,6 +69,10 @@
 const ONE_WAY_MILLISECONDS = 0.9;
 const MEAN_DELAY_JITTER_MILLISECONDS = 4;
 const MAXIMUM_DELAY_JITTER_MILLISECONDS = 35;
+/** Shortest and longest time from the arrival of a request to the first byte of its answer. */
+const ANSWER_MILLISECONDS: readonly [number, number] = [60, 120];
+/** Time at which the paths to a runner are interrupted. */
+const STALL_FROM = 4_500;
 const WINDOW_MILLISECONDS = 1_000;
 /** Time after the runners turned cold from which their use is measured. */
 const RAMP_UP_MILLISECONDS = 1_000;
@@ -277,6 +285,14 @@
     });
   }
 
+  /** Time before which no request arrives at a runner that is sent now. */
+  private stallEnd({ id }: Runner): number {
+    const { now } = this.clock;
+    const endsAt = STALL_FROM + this.scenario.stallMilliseconds;
+    const isStalled = now >= STALL_FROM && now < endsAt && id === this.coldRunners[0]!.id;
+    return isStalled ? endsAt : -Infinity;
+  }
+
   private place(gateway: SimulatedGateway, known: readonly Runner[], onDropped: () => void): void {
     const { limits, process } = gateway;
     const permitted = known.filter((runner) => !limits.excludes(runner));
@@ -297,7 +313,13 @@
       const delay = ONE_WAY_MILLISECONDS + Math.min(MAXIMUM_DELAY_JITTER_MILLISECONDS, jitter);
       const times = this.arrivals.get(runner.id) ?? [];
       this.arrivals.set(runner.id, times);
-      times.push(this.clock.now + delay);
+      const arrivesAt = Math.max(this.clock.now + delay, this.stallEnd(runner));
+      times.push(arrivesAt);
+      const answersIn = this.random.integer(...ANSWER_MILLISECONDS);
+      const isAssumed = this.scenario.assumesArrival === true;
+      this.clock.schedule(isAssumed ? 0 : arrivesAt - this.clock.now + answersIn, () =>
+        limits.noteActivity(runner),
+      );
     });
   }
 }
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -111,6 +111,7 @@
     const connections = new RunnerConnections(runtime);
     this.registry.hasIdleConnection = (runner) => connections.hasIdle(runner);
     const coldLimits = this.createColdLimits();
+    this.registry.onActivity = (runner) => coldLimits.noteActivity(runner);
     const context: RelayContext = {
       runtime,
       zone,
--- a/src/relay/runners/cold-limits.ts
+++ b/src/relay/runners/cold-limits.ts
@@ -7,6 +7,7 @@
  */
 import { hashToNumber } from '../../runtime/hashing.js';
 import type { Runtime } from '../../runtime/runtime.js';
+import { AnswerTime } from './answer-time.js';
 import type { GatewayRank } from './gateway-positions.js';
 import type { Runner } from './runner.js';
 import type { RunnerExclusion } from './runner-exclusions.js';
@@ -34,18 +35,49 @@
 
 /** Time in which a runner counts its arrivals, in milliseconds. */
 const WINDOW_MILLISECONDS = 1_000;
-/** Largest difference between the delays of two requests on their way to a runner, in milliseconds. */
+/** Smallest assumed difference between the delays of two requests on their way to a runner, in milliseconds. */
 const DELAY_SPREAD_MILLISECONDS = 40;
-/** Time in which the sends of this gateway are counted: those sent in it may arrive within one window. */
-const SEND_WINDOW_MILLISECONDS = WINDOW_MILLISECONDS + DELAY_SPREAD_MILLISECONDS;
 /**
  * Time after the start in which nothing is sent to cold runners, in milliseconds: requests that the gateway sent
  * before it restarted still count, and the other gateways must learn of it first.
  */
 const START_HOLD_MILLISECONDS = 2_000;
+/** Time after which a request to which the runner sent nothing is no longer counted, in milliseconds. */
+const MAXIMUM_UNANSWERED_MILLISECONDS = 3_000;
 /** Number of runners above which those without recent sends are forgotten. */
 const MAXIMUM_IDLE_RUNNERS = 1_000;
 
+/** A request that was sent to a runner. */
+interface Send {
+  readonly sentAt: number;
+  /** Time of the first byte received from the runner since; undefined if there was none. */
+  answeredAt: number | undefined;
+}
+
+/** Requests to one runner. */
+interface RunnerSends {
+  /** Requests that count towards the limit, oldest first. */
+  sends: Send[];
+  readonly answerTime: AnswerTime;
+}
+
+/**
+ * Returns the time until which a request counts towards the limit, as it is known now. It may have been held up on its
+ * way for as long as the answer took longer than usual, and arrived only then.
+ */
+function countsUntil(
+  { sentAt, answeredAt }: Send,
+  answerMilliseconds: number,
+  now: number,
+): number {
+  const sinceSent = (answeredAt ?? now) - sentAt;
+  if (answeredAt === undefined && sinceSent > MAXIMUM_UNANSWERED_MILLISECONDS) {
+    return -Infinity;
+  }
+  const delay = Math.max(DELAY_SPREAD_MILLISECONDS, sinceSent - answerMilliseconds);
+  return sentAt + delay + WINDOW_MILLISECONDS;
+}
+
 /** Returns the whole number of requests that a gateway may send within a window. */
 export function shareOf(limit: number, { rank, gateways }: GatewayRank): number {
   return Math.floor(limit / gateways) + (rank <= limit % gateways ? 1 : 0);
@@ -56,10 +88,10 @@
   readonly name = 'cold';
   private readonly startedAt: number;
   /**
-   * Times of the sends within the last window, by runner id: a runner that restarts keeps its limit. Sends to warm
+   * Requests that count towards the limits, by runner id: a runner that restarts keeps its limit. Requests to warm
    * runners are recorded too, since a runner may turn cold within the window.
    */
-  private readonly sentAt = new Map<string, number[]>();
+  private readonly byRunner = new Map<string, RunnerSends>();
   private readonly coldSends = new Map<string, number>();
 
   constructor(private readonly options: ColdLimitsOptions) {
@@ -77,7 +109,7 @@
     if (limit === undefined || !this.options.isCold(runner)) {
       return false;
     }
-    const isExcluded = this.recentSends(runner).length >= this.shareOfThis(runner, limit);
+    const isExcluded = this.sendsTo(runner).sends.length >= this.shareOfThis(runner, limit);
     if (isExcluded) {
       this.options.onWithheld(runner);
     }
@@ -94,15 +126,30 @@
     if (this.limitOf(runner) === undefined) {
       return;
     }
-    this.recentSends(runner).push(this.options.runtime.now());
+    this.sendsTo(runner).sends.push({ sentAt: this.options.runtime.now(), answeredAt: undefined });
     if (this.options.isCold(runner)) {
       this.coldSends.set(runner.service, this.coldSendCount(runner.service) + 1);
     }
-    if (this.sentAt.size > MAXIMUM_IDLE_RUNNERS) {
+    if (this.byRunner.size > MAXIMUM_IDLE_RUNNERS) {
       this.forgetIdleRunners();
     }
   }
 
+  /** Records that data was received from a runner. */
+  noteActivity({ id }: Runner): void {
+    const known = this.byRunner.get(id);
+    if (known === undefined || known.sends.at(-1)?.answeredAt !== undefined) {
+      return;
+    }
+    const now = this.options.runtime.now();
+    for (const send of known.sends) {
+      if (send.answeredAt === undefined) {
+        send.answeredAt = now;
+        known.answerTime.observe(now - send.sentAt);
+      }
+    }
+  }
+
   /**
    * Returns the times until this gateway may send a request to one of some cold runners, in milliseconds and ascending
    * order: one for each request, and 0 for each that may be sent now.
@@ -112,10 +159,12 @@
     return runners
       .flatMap((runner) => {
         const share = this.shareOfThis(runner, this.limitOf(runner) ?? 0);
-        const sends = this.recentSends(runner).slice(-share);
-        const free = new Array<number>(Math.max(0, share - sends.length)).fill(0);
-        const later = sends.map((sentAt) => sentAt + SEND_WINDOW_MILLISECONDS - now);
-        return share === 0 ? [] : [...free, ...later];
+        const { sends, answerTime } = this.sendsTo(runner);
+        const delays = sends
+          .map((send) => countsUntil(send, answerTime.leastMilliseconds, now) - now)
+          .sort((left, right) => left - right);
+        const free = new Array<number>(Math.max(0, share - delays.length)).fill(0);
+        return share === 0 ? [] : [...free, ...delays.slice(-share)];
       })
       .sort((left, right) => left - right);
   }
@@ -134,24 +183,25 @@
   }
 
   private forgetIdleRunners(): void {
-    const since = this.options.runtime.now() - SEND_WINDOW_MILLISECONDS;
-    for (const [id, sends] of this.sentAt) {
-      if ((sends.at(-1) ?? -Infinity) <= since) {
-        this.sentAt.delete(id);
+    const now = this.options.runtime.now();
+    for (const [id, { sends, answerTime }] of this.byRunner) {
+      if (!sends.some((send) => countsUntil(send, answerTime.leastMilliseconds, now) > now)) {
+        this.byRunner.delete(id);
       }
     }
   }
 
-  /** Returns the sends to a runner within the last window. */
-  private recentSends({ id }: Runner): number[] {
-    const since = this.options.runtime.now() - SEND_WINDOW_MILLISECONDS;
-    let sends = this.sentAt.get(id);
-    if (sends === undefined) {
-      sends = [];
-      this.sentAt.set(id, sends);
+  /** Returns the requests to a runner, without those that no longer count. */
+  private sendsTo({ id }: Runner): RunnerSends {
+    const now = this.options.runtime.now();
+    const known = this.byRunner.get(id);
+    if (known === undefined) {
+      const created: RunnerSends = { sends: [], answerTime: new AnswerTime() };
+      this.byRunner.set(id, created);
+      return created;
     }
-    const firstRecent = sends.findIndex((sentAt) => sentAt > since);
-    sends.splice(0, firstRecent < 0 ? sends.length : firstRecent);
-    return sends;
+    const { leastMilliseconds } = known.answerTime;
+    known.sends = known.sends.filter((send) => countsUntil(send, leastMilliseconds, now) > now);
+    return known;
   }
 }
--- a/src/relay/runners/runner-registry.ts
+++ b/src/relay/runners/runner-registry.ts
@@ -40,7 +40,7 @@
   failures: number;
   /** Whether a connection to the runner's address failed; reset by the next answer with a usable timing. */
   unreachable: boolean;
-  /** When the last byte was received from the runner, or a probe last reached it. */
+  /** When the last byte was received from the runner, or a probe last reached it; see `onActivity`. */
   lastActivityAt: number;
   readonly latency: RunnerLatency;
   /** Usual inactivity of the runners of its service; shared by all of them. */
@@ -87,6 +87,8 @@
   onPartsCached: (runnerHash: number, parts: readonly PromptPart[]) => void = () => undefined;
   /** Called when a runner incarnation is added. */
   onRunnerAdded: (runner: Runner) => void = () => undefined;
+  /** Called when data was received from a runner, or a probe reached it. */
+  onActivity: (runner: Runner) => void = () => undefined;
   /** Returns whether an idle connection to a runner is open. */
   hasIdleConnection: (runner: Runner) => boolean = () => false;
 
@@ -372,6 +374,11 @@
   }
 
   private add(runner: Runner, revision?: number): void {
+    let lastActivityAt = this.runtime.now();
+    const noteActivity = (at: number): void => {
+      lastActivityAt = at;
+      this.onActivity(runner);
+    };
     const record: RunnerRecord = {
       runner,
       hash: incarnationHash(runner),
@@ -381,7 +388,12 @@
       unhealthyUntil: 0,
       failures: 0,
       unreachable: false,
-      lastActivityAt: this.runtime.now(),
+      get lastActivityAt() {
+        return lastActivityAt;
+      },
+      set lastActivityAt(at) {
+        noteActivity(at);
+      },
       latency: new RunnerLatency(this.estimatesOf(runner.service).latency),
       inactivity: this.estimatesOf(runner.service).inactivity,
       promptCache: new PromptCacheEstimate(() => this.cacheCapacityOf(runner.service) ?? Infinity),
