--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -44,6 +44,9 @@
   quotaSlack: 20,
 };
 
+/** Requests per second that a cold runner takes, and what may reach it beyond them. */
+export const SOAK_COLD = { requestsPerSecond: 3, overshoot: 1.5, slack: 2 };
+
 /** Path of the program of the current build. */
 export const PROGRAM = resolve('target/main.cjs');
 /** Memory limit in the settings of each role, in megabytes. */
@@ -92,6 +95,8 @@
       RevokeMs: SOAK_BOUNDS.revokeMilliseconds,
       QuotaOvershoot: SOAK_BOUNDS.quotaOvershoot,
       QuotaSlack: SOAK_BOUNDS.quotaSlack,
+      ColdOvershoot: SOAK_COLD.overshoot,
+      ColdSlack: SOAK_COLD.slack,
     },
     // Tolerates the loss of one machine: three replicas are members, others idle standbys.
     FaultTolerance: { Machines: 1, Zones: 0, Regions: 0 },
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -21,7 +21,7 @@
 import { FAULTS, MISBEHAVIOURS, ALL_REPLICAS, STORE_FAULTS, targetsOf } from './soak-faults.js';
 import type { Fault, FaultTargets } from './soak-faults.js';
 import { SoakUpgrade } from './soak-upgrade.js';
-import { SoakWorld } from './soak-world.js';
+import { COLD_LIMIT, SoakWorld } from './soak-world.js';
 import { TenantCheck } from './tenant-check.js';
 
 const GATEWAY_COUNT = 3;
@@ -119,6 +119,7 @@
     await this.recoveryCheck.checkTurns(clients.flatMap((client) => client.answeredTurns));
     this.recordUnexpectedExits();
     this.violations.push(...slowReaderViolations(this.counts));
+    this.recordColdFailures();
     await this.world.stop();
     this.violations.push(...(this.upgrade?.violationsIn(this.world.folder) ?? []));
     const { seed } = this.options;
@@ -126,7 +127,10 @@
     const { folder } = this.world;
     const { completedChecks: configurationLooks } = this.configurationCheck;
     const { oldKeyRequests, limitedAnswers } = this.tenantCheck;
-    const looks = { configurationLooks, oldKeyRequests, limitedAnswers };
+    const coldArrivals = Math.max(
+      ...this.world.runners.map((runner) => runner.maximumColdArrivals),
+    );
+    const looks = { configurationLooks, oldKeyRequests, limitedAnswers, coldArrivals };
     const { recoveries } = this.recoveryCheck;
     const upgrade = this.upgrade?.steps ?? [];
     return { seed, counts, faults, pairs, ...looks, recoveries, lost, upgrade, violations, folder };
@@ -285,18 +289,23 @@
         return this.world.replaceRunner(this.random.integer(0, RUNNER_COUNT - 1), pause);
       case 'runnerRestart':
         return this.world.restartRunner(this.random.integer(0, RUNNER_COUNT - 1), pause);
+      case 'runnerTurnsCold':
+        return this.world.coolRunner(this.random.integer(0, RUNNER_COUNT - 1));
       case 'runnerReadsSlowly':
         return this.slowDownReading(this.random.pick(this.world.liveRunners), pause);
       case 'runnerMisbehaves':
-        this.world.liveRunners.forEach((runner) =>
-          runner.behaviours.push(this.random.pick(MISBEHAVIOURS), this.random.pick(MISBEHAVIOURS)),
-        );
-        return;
+        return this.misbehave();
       case 'configurationChange':
         this.changeConfiguration();
     }
   }
 
+  private misbehave(): void {
+    this.world.liveRunners.forEach((runner) =>
+      runner.behaviours.push(this.random.pick(MISBEHAVIOURS), this.random.pick(MISBEHAVIOURS)),
+    );
+  }
+
   private async kill(
     victims: readonly PlatformProcess[],
     pause: number,
@@ -387,6 +396,19 @@
     this.world.processes.forEach((process) => process.signal('SIGKILL'));
   }
 
+  /** Builds before the current one, which an upgrade starts with, do not limit requests to cold runners. */
+  private recordColdFailures(): void {
+    if (this.options.upgrade !== undefined) {
+      return;
+    }
+    for (const { id, coldFailures, maximumColdArrivals } of this.world.runners) {
+      if (coldFailures > 0) {
+        const detail = `${maximumColdArrivals} requests in a second at ${id}, limit ${COLD_LIMIT}`;
+        this.violations.push(`cold runner: ${detail}`);
+      }
+    }
+  }
+
   private recordUnexpectedExits(): void {
     for (const { unexpectedExits } of [...this.world.processes, ...this.world.removedProcesses]) {
       this.violations.push(...unexpectedExits.map((exit) => `own exit: ${exit}`));
--- a/soak/soak-configuration.ts
+++ b/soak/soak-configuration.ts
@@ -1,5 +1,6 @@
 /** Generates the configuration versions of a soak: each adds a route and a key, and drops older ones. */
 import type { RandomSource } from '../src/runtime/random.js';
+import { SOAK_COLD } from './platform-process.js';
 import { SOAK_HOST, SOAK_KEY, SOAK_TENANT, SOAK_TOKENS_PER_EVENT } from './soak-client.js';
 import { LIMITED_KEY, LIMITED_RATE, LIMITED_TENANT } from './tenant-check.js';
 
@@ -66,7 +67,12 @@
         ...this.addedRoutes.slice(-ADDED_ROUTE_COUNT).map((name) => route(name, 'idempotent', {})),
       ],
       Services: [
-        { Name: SOAK_SERVICE, MaxConnections: 60, Engine: { Stride: SOAK_TOKENS_PER_EVENT } },
+        {
+          Name: SOAK_SERVICE,
+          MaxConnections: 60,
+          ColdPerS: SOAK_COLD.requestsPerSecond,
+          Engine: { Stride: SOAK_TOKENS_PER_EVENT },
+        },
       ],
       Tenants: [
         { Name: SOAK_TENANT, ApiKeys: [SOAK_KEY], Priority: 0 },
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -19,6 +19,8 @@
   'runnerCrash',
   // A runner restarts under its id with empty state.
   'runnerRestart',
+  // A runner loses its cache and becomes slow, as its entry reports it.
+  'runnerTurnsCold',
   'runnerMisbehaves',
   // A runner accepts requests but pauses before it reads their bodies.
   'runnerReadsSlowly',
@@ -100,6 +102,9 @@
     case 'runnerRestart':
     case 'runnerReadsSlowly':
       return ['runners'];
+    case 'runnerTurnsCold':
+      // Gateways learn of it from the store.
+      return ['runners', 'store'];
     case 'runnerMisbehaves':
     case 'configurationChange':
       return [];
--- a/soak/soak-report.ts
+++ b/soak/soak-report.ts
@@ -37,6 +37,8 @@
   readonly oldKeyRequests: number;
   /** Answered requests of the rate-limited tenant. */
   readonly limitedAnswers: number;
+  /** Largest number of requests that reached a cold runner in any second. */
+  readonly coldArrivals: number;
   /** Duration of each recovery check until every kind was served or its time was over, in milliseconds. */
   readonly recoveries: readonly number[];
   /** Unsynced data that power losses discarded; shows that the fault has an effect. */
--- a/soak/soak-world.ts
+++ b/soak/soak-world.ts
@@ -10,7 +10,12 @@
 import { RUNNER_PREFIX } from '../platform/store-keys.js';
 import { RelayRunner } from '../src/emulator/relay-runner.js';
 import { FaultProxy } from './fault-proxy.js';
-import { PlatformProcess, SOAK_PORTS } from './platform-process.js';
+import {
+  PlatformProcess,
+  SOAK_APPLY_MILLISECONDS,
+  SOAK_COLD,
+  SOAK_PORTS,
+} from './platform-process.js';
 import type { PlatformRole } from './platform-process.js';
 import { SOAK_EVENTS } from './soak-client.js';
 import { SOAK_SERVICE } from './soak-configuration.js';
@@ -37,6 +42,13 @@
 /** Time between two events of a stream, in milliseconds. */
 const EVENT_MILLISECONDS = 8;
 
+/** Time for which a runner stays cold, in milliseconds. */
+const COLD_MILLISECONDS = 6_000;
+/** Requests that may reach a cold runner in any second. */
+export const COLD_LIMIT = Math.floor(
+  SOAK_COLD.requestsPerSecond * SOAK_COLD.overshoot + SOAK_COLD.slack,
+);
+
 /** Invalid entries under the runners' prefix; processes must ignore them. */
 const INVALID_ENTRIES: readonly Record<string, unknown>[] = [
   { Service: SOAK_SERVICE, Address: 'x', State: 'ready' },
@@ -65,6 +77,8 @@
   /** Processes whose machines were removed for good. */
   readonly removedProcesses: PlatformProcess[] = [];
   private startedReplicas = 0;
+  /** Start time of each runner, by id, in milliseconds since 1970. */
+  private readonly bornAt = new Map<string, number>();
   private readonly hosts: SoakHosts;
 
   constructor(private readonly options: SoakWorldOptions) {
@@ -119,7 +133,13 @@
   async replaceRunner(index: number, pauseMilliseconds: number): Promise<void> {
     const crashed = await this.crashRunner(index, pauseMilliseconds);
     this.store.remove(RUNNER_PREFIX + crashed.id);
-    await this.startRunner(index, `runner-${index}-${this.runners.length}`);
+    await this.startRunner(index, `runner-${index}-${this.runners.length}`, true);
+  }
+
+  /** Turns a running runner cold for some seconds; resolves once it is warm. */
+  async coolRunner(index: number): Promise<void> {
+    this.turnCold(index, this.liveRunners[index]!, SOAK_APPLY_MILLISECONDS);
+    await new Promise((resolve) => setTimeout(resolve, COLD_MILLISECONDS));
   }
 
   /** Crashes a runner; after a pause it restarts under the same id with empty state. */
@@ -174,7 +194,25 @@
     return crashed;
   }
 
-  private async startRunner(index: number, id: string): Promise<void> {
+  private turnCold(index: number, runner: RelayRunner, noticeMilliseconds: number): void {
+    runner.turnCold(COLD_MILLISECONDS, COLD_LIMIT, noticeMilliseconds);
+    this.putEntry(index, runner.id, { ColdRemainingMs: COLD_MILLISECONDS });
+  }
+
+  private putEntry(index: number, id: string, more: Record<string, unknown>): void {
+    const bornAt = this.bornAt.get(id);
+    this.store.put(RUNNER_PREFIX + id, {
+      Service: SOAK_SERVICE,
+      Address: `${this.hosts.addressOf('runnerProxy', index + 1)}:${RUNNER_PORT}`,
+      Zone: zoneOf(index + 1),
+      Slots: 8,
+      State: 'ready',
+      born: bornAt,
+      ...more,
+    });
+  }
+
+  private async startRunner(index: number, id: string, isCold = false): Promise<void> {
     const runner = new RelayRunner({
       id,
       names: PLATFORM_HEADER_NAMES,
@@ -191,13 +229,12 @@
       await proxy.listen(proxyHost, RUNNER_PORT);
       this.runnerProxies[index] = proxy;
     }
-    this.store.put(RUNNER_PREFIX + id, {
-      Service: SOAK_SERVICE,
-      Address: `${proxyHost}:${RUNNER_PORT}`,
-      Zone: zoneOf(index + 1),
-      Slots: 8,
-      State: 'ready',
-      born: Date.now(),
-    });
+    this.bornAt.set(id, Date.now());
+    if (isCold) {
+      // Gateways learn of the new id and of its cold state together.
+      this.turnCold(index, runner, 0);
+    } else {
+      this.putEntry(index, id, {});
+    }
   }
 }
