Soak: loss and standstill of a zone

Cause: no run with real processes lost a whole zone or had settings that tolerate it.

Seeds of other runs draw as before.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -2,7 +2,7 @@
 import '../src/runtime/prepared-hashing.js';
 import meow from 'meow';
 import { BuildError, buildProgram } from './built-program.js';
-import { FAULTS } from './soak-faults.js';
+import { FAULTS, ZONE_FAULTS } from './soak-faults.js';
 import { MAXIMUM_BLOCK } from './soak-hosts.js';
 import { runSoak } from './run-soak.js';
 import { UPGRADE_ENDS, UPGRADE_ORDERS } from './soak-upgrade.js';
@@ -24,7 +24,9 @@
     --clients C   number of concurrent clients (default 8)
     --gateways G  number of gateways (default 3)
     --replicas R  number of replicas, three of them members (default 4)
-    --faults A,B  fault kinds to inject (default all), or none: ${FAULTS.join(', ')}
+    --faults A,B  fault kinds to inject (default all), or none: ${FAULTS.join(', ')};
+                  also ${ZONE_FAULTS.join(', ')}, with settings that tolerate the loss of a zone
+    --tolerate-zone  let the settings tolerate the loss of a zone also without these faults
     --no-strangers  put no invalid runner entries of other writers into the store: older builds exit on them
     --upgrade-from COMMIT  start all machines with the build of this commit, and restart one after another
                   with the current build
@@ -52,6 +54,7 @@
       block: { type: 'number', default: 0 },
       faults: { type: 'string', default: FAULTS.join(',') },
       judgeRefusals: { type: 'boolean', default: true },
+      tolerateZone: { type: 'boolean', default: false },
       strangers: { type: 'boolean', default: true },
       upgradeFrom: { type: 'string' },
       order: { type: 'string', default: UPGRADE_ORDERS[0], choices: [...UPGRADE_ORDERS] },
@@ -73,12 +76,15 @@
   process.exit(EXIT_USAGE_ERROR);
 }
 const requestedFaults = cli.flags.faults === 'none' ? [] : cli.flags.faults.split(',');
-const unknownFaults = requestedFaults.filter((name) => !FAULTS.some((fault) => fault === name));
+const allFaults = [...FAULTS, ...ZONE_FAULTS];
+const unknownFaults = requestedFaults.filter((name) => !allFaults.some((fault) => fault === name));
 if (unknownFaults.length > 0) {
   process.stderr.write(`soak: unknown fault kinds in --faults: ${unknownFaults.join(', ')}\n`);
   process.exit(EXIT_USAGE_ERROR);
 }
-const faults = FAULTS.filter((fault) => requestedFaults.includes(fault));
+const faults = allFaults.filter((fault) => requestedFaults.includes(fault));
+const toleratesZoneLoss =
+  cli.flags.tolerateZone || ZONE_FAULTS.some((fault) => requestedFaults.includes(fault));
 
 /** Builds the old commit and returns the upgrade plan; exits when the commit can't be built. */
 function createUpgradePlan(from: string): UpgradePlan {
@@ -104,7 +110,8 @@
 const upgrade = upgradeFrom === undefined ? undefined : createUpgradePlan(upgradeFrom);
 const { strangers: hasInvalidEntries } = cli.flags;
 const sizes = { clientCount, gatewayCount, replicaCount };
-const soak = runSoak({ seed, minutes, ...sizes, block, faults, upgrade, hasInvalidEntries });
+const content = { hasInvalidEntries, toleratesZoneLoss };
+const soak = runSoak({ seed, minutes, ...sizes, block, faults, upgrade, ...content });
 for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
   process.once(signal, () => process.exit(EXIT_USAGE_ERROR));
 }
--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -62,7 +62,11 @@
   return join(folder, 'data');
 }
 
-function settingsOf(machine: SoakMachine, folder: string): Record<string, unknown> {
+function settingsOf(
+  machine: SoakMachine,
+  folder: string,
+  toleratesZoneLoss: boolean,
+): Record<string, unknown> {
   const { name, host, zone, role, seeds, storeAddress } = machine;
   const listen =
     role === 'gateway'
@@ -94,7 +98,7 @@
       QuotaSlack: SOAK_BOUNDS.quotaSlack,
     },
     // Tolerates the loss of one machine: three replicas are members, others idle standbys.
-    FaultTolerance: { Machines: 1, Zones: 0, Regions: 0 },
+    FaultTolerance: { Machines: 1, Zones: toleratesZoneLoss ? 1 : 0, Regions: 0 },
     Limits: { MemoryMb: MEMORY_MEGABYTES[role] },
     Platform: { Address: storeAddress },
   };
@@ -106,6 +110,8 @@
   readonly program?: string;
   /** Whether a replica's disk operations are recorded, which takes processor time. @default true */
   readonly recordsDisk?: boolean;
+  /** Whether the settings tolerate the loss of a zone. @default false */
+  readonly toleratesZoneLoss?: boolean;
 }
 
 /** A process of the platform's program that can be started, signalled and restarted. */
@@ -117,16 +123,22 @@
   readonly unexpectedExits: string[] = [];
   private readonly disk: RecordedFolder;
   private readonly recordsDisk: boolean;
+  private readonly toleratesZoneLoss: boolean;
   /** Path of the program for the next start. */
   program: string;
 
   constructor(
     readonly machine: SoakMachine,
     private readonly folder: string,
-    { program = PROGRAM, recordsDisk = true }: PlatformProcessOptions = {},
+    {
+      program = PROGRAM,
+      recordsDisk = true,
+      toleratesZoneLoss = false,
+    }: PlatformProcessOptions = {},
   ) {
     this.program = program;
     this.recordsDisk = recordsDisk;
+    this.toleratesZoneLoss = toleratesZoneLoss;
     mkdirSync(folder, { recursive: true });
     this.disk = { root: dataFolder(folder), ledger: join(folder, 'disk-ledger') };
   }
@@ -143,7 +155,10 @@
   /** Writes the settings and starts the process; its output is appended to the log file. */
   start(): void {
     const file = join(this.folder, 'node.json');
-    writeFileSync(file, JSON.stringify(settingsOf(this.machine, this.folder)));
+    writeFileSync(
+      file,
+      JSON.stringify(settingsOf(this.machine, this.folder, this.toleratesZoneLoss)),
+    );
     const log = createWriteStream(join(this.folder, 'log'), { flags: 'a' });
     const child = spawn(process.execPath, this.commandArguments(), { env: this.environment(file) });
     // Neither stream may close the log while the other still writes.
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -32,6 +32,8 @@
 /** Probability that the next fault begins while the last one is still active. */
 const OVERLAP_PROBABILITY = 0.5;
 const MAXIMUM_OVERLAP_MILLISECONDS = 1_200;
+/** Factor by which a zone is away longer than a machine, so that some losses outlast the removal of silent members. */
+const ZONE_PAUSE_FACTOR = 3;
 /** Shortest and longest read pause of a slow runner, in milliseconds. */
 const READ_PAUSES_MILLISECONDS: readonly [number, number] = [100, 1_500];
 
@@ -72,7 +74,9 @@
     const sizes = { gatewayCount, replicaCount, runnerCount: RUNNER_COUNT };
     const program = options.upgrade?.program ?? PROGRAM;
     const { hasInvalidEntries = true } = options;
-    this.world = new SoakWorld({ ...sizes, block, program, hasInvalidEntries });
+    const { toleratesZoneLoss = false } = options;
+    const content = { hasInvalidEntries, toleratesZoneLoss };
+    this.world = new SoakWorld({ ...sizes, block, program, ...content });
     const { gatewayHosts, runners } = this.world;
     const violate = (promise: string, detail: string): void => {
       this.violations.push(`${promise}: ${detail}`);
@@ -206,10 +210,15 @@
 
   private pickMachines(): FaultTargets {
     const nameOf = ({ machine }: PlatformProcess): string => machine.name;
+    const gateway = this.random.pick(this.world.processesOf('gateway'));
+    const replica = this.random.pick(this.world.processesOf('replica'));
+    const { processes } = this.world;
+    const zone = processes.filter(({ machine }) => machine.zone === replica.machine.zone);
     return {
-      gateway: nameOf(this.random.pick(this.world.processesOf('gateway'))),
-      replica: nameOf(this.random.pick(this.world.processesOf('replica'))),
-      all: this.world.processes.map(nameOf),
+      gateway: nameOf(gateway),
+      replica: nameOf(replica),
+      all: processes.map(nameOf),
+      zone: zone.map(nameOf),
     };
   }
 
@@ -256,12 +265,13 @@
         return this.retireReplica(machine, pause);
       case 'replaceReplica':
         return this.replaceReplica(machine, pause);
+      case 'loseZone':
+        return this.loseZone(this.machinesOf(targets), pause * ZONE_PAUSE_FACTOR);
+      case 'pauseZone':
+        return this.pauseMachines(this.machinesOf(targets), pause);
       case 'pauseGateway':
       case 'pauseReplica':
-        machine.signal('SIGSTOP');
-        await sleep(pause);
-        machine.signal('SIGCONT');
-        return;
+        return this.pauseMachines([machine], pause);
       case 'stopGateway':
         machine.signal('SIGTERM');
         await machine.whenExited();
@@ -310,6 +320,23 @@
     victims.forEach((victim) => victim.start());
   }
 
+  private machinesOf(targets: readonly string[]): readonly PlatformProcess[] {
+    return this.world.processes.filter(({ machine }) => targets.includes(machine.name));
+  }
+
+  private async pauseMachines(machines: readonly PlatformProcess[], pause: number): Promise<void> {
+    machines.forEach((machine) => machine.signal('SIGSTOP'));
+    await sleep(pause);
+    machines.forEach((machine) => machine.signal('SIGCONT'));
+  }
+
+  /** Kills the machines of a zone and wipes the disks of its replicas; after its return, requests must be served. */
+  private async loseZone(machines: readonly PlatformProcess[], pause: number): Promise<void> {
+    const replicas = machines.filter(({ machine }) => machine.role === 'replica');
+    await this.kill(machines, pause, () => replicas.forEach((replica) => replica.wipe()));
+    await this.recoveryCheck.check('the loss of a zone');
+  }
+
   private async loseAllPower(pause: number): Promise<void> {
     await this.kill(this.world.processes, pause, () => this.loseDisks());
     await this.recoveryCheck.check('a loss of all power');
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -32,8 +32,15 @@
   // A replica is replaced for good; once the replacement must have caught up, loseAllPower follows.
   'replaceReplica',
 ] as const;
+/** Fault kinds that are injected only on request, where the settings tolerate the loss of a zone. */
+export const ZONE_FAULTS = [
+  // All machines of a zone are killed, and its replicas lose their disks.
+  'loseZone',
+  // All machines of a zone stand still, so that connections to them stay open and silent.
+  'pauseZone',
+] as const;
 /** A fault kind. */
-export type Fault = (typeof FAULTS)[number];
+export type Fault = (typeof FAULTS)[number] | (typeof ZONE_FAULTS)[number];
 
 /** Runner behaviours from which `runnerMisbehaves` draws. */
 export const MISBEHAVIOURS: readonly RunnerBehaviour[] = [
@@ -65,12 +72,14 @@
   readonly gateway: string;
   readonly replica: string;
   readonly all: readonly string[];
+  /** Machines in the zone of the replica. */
+  readonly zone: readonly string[];
 }
 
 /** Returns the targets of a fault: names of machines, 'store', 'runners' or the shared replica target. */
 export function targetsOf(
   fault: Fault,
-  { gateway, replica, all }: FaultTargets,
+  { gateway, replica, all, zone }: FaultTargets,
 ): readonly string[] {
   switch (fault) {
     case 'killGateway':
@@ -86,6 +95,9 @@
     case 'killAll':
     case 'loseAllPower':
       return [...all, ALL_REPLICAS];
+    case 'loseZone':
+    case 'pauseZone':
+      return [...zone, ALL_REPLICAS];
     case 'replaceReplica':
       return [replica, ...all, ALL_REPLICAS, 'store'];
     case 'emptyReplica':
--- a/soak/soak-report.ts
+++ b/soak/soak-report.ts
@@ -20,6 +20,8 @@
   readonly block?: number;
   /** Whether the store also holds invalid runner entries of other writers; older builds exit on them. @default true */
   readonly hasInvalidEntries?: boolean;
+  /** Whether the settings tolerate the loss of a zone. @default false */
+  readonly toleratesZoneLoss?: boolean;
   /** Rolling upgrade to perform during the run. @default none */
   readonly upgrade?: UpgradePlan | undefined;
 }
--- a/soak/soak-world.ts
+++ b/soak/soak-world.ts
@@ -27,6 +27,8 @@
   readonly program: string;
   /** Whether the store also holds invalid runner entries of other writers. */
   readonly hasInvalidEntries: boolean;
+  /** Whether the settings tolerate the loss of a zone. */
+  readonly toleratesZoneLoss: boolean;
 }
 
 const STORE_PORT = 18142;
@@ -161,8 +163,9 @@
     const host = this.hosts.addressOf(role, number);
     const machine = { name, role, host, zone, storeAddress, seeds };
     const folder = join(this.folder, name);
+    const { toleratesZoneLoss } = this.options;
     mkdirSync(folder);
-    const process = new PlatformProcess(machine, folder, { program });
+    const process = new PlatformProcess(machine, folder, { program, toleratesZoneLoss });
     this.processes.push(process);
     process.start();
   }
