A replica with a full disk refuses writes at once and goes on reading

Cause: a write that met a full disk was tried again each 500 ms, and its caller, and all behind it, waited until their timeouts. Each try left a file behind. The client of a majority of full disks tried until its deadline.

Change: on ENOSPC or EDQUOT the storage answers the writes of callers with a failure, keeps their changes queued, and removes the file that holds nothing durable. While it is full, the replica answers `diskFailed` without taking the write, drops settlements, and does not count what it copies from others as durable. Compaction, metadata and copies wait as before. A gateway that hears `diskFailed` from so many members that no majority is left gives up at once. Log lines disk.full and disk.hasSpace.

--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -48,6 +48,8 @@
   private state = emptyState();
   /** While true, writes fail and are retried, as the production storage does. */
   refusesWrites = false;
+  /** While true, there is no space: answered writes fail at once, and all are retried. */
+  isFull = false;
 
   wipe(): void {
     this.state = emptyState();
@@ -68,7 +70,11 @@
 
   open(runtime: Runtime, options: SimulatedReplicasOptions): TurnStorage {
     const { injectedFault, writeMilliseconds = WRITE_DELAY_MILLISECONDS } = options;
+    const hasNoSpace = (): boolean => this.isFull;
     return {
+      get isFull() {
+        return hasNoSpace();
+      },
       write: (changes, done, urgency = 'urgent') => {
         if (injectedFault === 'hastyAcknowledge') {
           runtime.setTimer(EARLY_ACKNOWLEDGED_WRITE_DELAY_MILLISECONDS, () =>
@@ -79,15 +85,20 @@
         }
         const delay = urgency === 'lazy' ? LAZY_WRITE_DELAY_MILLISECONDS : writeMilliseconds;
         // Timers of a killed process don't fire, so its pending writes are lost.
+        let answer = done;
         const write = (): void => {
-          if (this.refusesWrites) {
+          if (this.isFull && urgency === 'answered') {
+            answer(false);
+            answer = () => undefined;
+          }
+          if (this.refusesWrites || this.isFull) {
             runtime.setTimer(WRITE_RETRY_DELAY_MILLISECONDS, write);
             return;
           }
           changes
             .filter((change) => injectedFault !== 'lostAccounts' || change.tag !== 'entry')
             .forEach((change) => this.apply(change));
-          done(true);
+          answer(true);
         };
         runtime.setTimer(delay, write);
       },
@@ -309,6 +320,11 @@
     this.machine(name).disk.refusesWrites = refuses;
   }
 
+  /** Takes the space of a machine's disk away, or gives it back. */
+  fillDisk(name: string, isFull: boolean): void {
+    this.machine(name).disk.isFull = isFull;
+  }
+
   /** Pauses the process of a machine until `resume`. */
   pause(name: string): void {
     this.machine(name).process.pause();
--- a/src/turns/durable-folder.ts
+++ b/src/turns/durable-folder.ts
@@ -7,8 +7,22 @@
 import { join } from 'node:path';
 import { createDurableFolder, syncFolder } from '../runtime/sync-folder.js';
 
-/** Creates, reads and removes files durably. All rejections are I/O errors. */
-export class DurableFolder {
+/** A file of a segment that is being written. */
+export type SegmentFile = Pick<FileHandle, 'datasync' | 'close'> & {
+  /** Writes from an offset in the buffer; may write only a part. */
+  write(bytes: Uint8Array, from: number): Promise<{ readonly bytesWritten: number }>;
+};
+
+/** The folder of a storage. All rejections are I/O errors. */
+export interface SegmentFolder {
+  names(): Promise<string[]>;
+  create(name: string): Promise<SegmentFile>;
+  read(name: string): Promise<Buffer>;
+  remove(name: string): Promise<void>;
+}
+
+/** Creates, reads and removes files durably. */
+export class DurableFolder implements SegmentFolder {
   private constructor(private readonly path: string) {}
 
   /** Opens a folder, creating it if it is missing. */
--- a/src/turns/replica-sync.ts
+++ b/src/turns/replica-sync.ts
@@ -251,7 +251,9 @@
         if (reply.epoch <= (directory.current?.epoch ?? 0)) {
           this.confirmedAt.set(member.id, sentAt);
         }
-        this.storeMissing(member, reply, (complete) => {
+        this.storeMissing(member, reply, (stored) => {
+          // On a full disk, what this replica already has in memory may not be durable.
+          const complete = stored && !this.options.replica.isDiskFull;
           if (complete) {
             this.advancePosition(member, reply);
           }
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -195,27 +195,35 @@
     return !this.isReady && this.joinToken !== undefined && own?.joinToken === this.joinToken;
   }
 
-  /** Applies a settlement. Until it is durable the reservation counts in full, which never exceeds the budget. */
+  /**
+   * Applies a settlement. Until it is durable the reservation counts in full, which never exceeds the budget. With a
+   * full disk it is dropped, and copied from other members later, so that settlements do not pile up in memory.
+   */
   settle(entry: AccountEntry): void {
-    this.storeEntries([entry], () => undefined, 'lazy');
+    if (!this.isDiskFull) {
+      this.storeEntries([entry], () => undefined, 'lazy');
+    }
   }
 
   /** Handles one request and sends its reply. */
   handle(request: ReplicaRequest, send: ReplySender): void {
     const { call } = request;
     switch (request.type) {
-      case 'reserve':
-        this.storeEntries([request.entry], (durable) => {
+      case 'reserve': {
+        const answer = (durable: boolean): void => {
           const outcome = this.outcomeOf(request.epoch, durable, send);
           const entries = this.state.entriesOf(request.entry.program);
           send({ type: 'account', call, outcome, entries });
-        });
+        };
+        this.unlessFull(answer, () => this.storeEntries([request.entry], answer, 'answered'));
         return;
-      case 'keep':
-        this.storeTurns([request.turn], (durable) => {
+      }
+      case 'keep': {
+        const answer = (durable: boolean): void =>
           send({ type: 'taken', call, outcome: this.outcomeOf(request.epoch, durable, send) });
-        });
+        this.unlessFull(answer, () => this.storeTurns([request.turn], answer, 'answered'));
         return;
+      }
       case 'chain': {
         const chain = downgradeMissing(this.state.chainOf(request.turn), false);
         const body = request.turn === '' ? encodeKindCount() : chain.body;
@@ -246,6 +254,20 @@
     }
   }
 
+  /** Whether the disk has no space: what was stored last may not be durable yet. */
+  get isDiskFull(): boolean {
+    return this.options.storage.isFull === true;
+  }
+
+  /** Takes a write unless the disk is full; the replica then copies it from others once there is space. */
+  private unlessFull(answer: (durable: boolean) => void, store: () => void): void {
+    if (this.isDiskFull) {
+      answer(false);
+    } else {
+      store();
+    }
+  }
+
   /** Merges reservations; calls back once they are durable. */
   storeEntries(
     entries: readonly AccountEntry[],
@@ -262,13 +284,17 @@
   }
 
   /** Stores turns; calls back once they are durable. */
-  storeTurns(turns: readonly ConversationTurn[], done: (durable: boolean) => void): void {
+  storeTurns(
+    turns: readonly ConversationTurn[],
+    done: (durable: boolean) => void,
+    urgency: WriteUrgency = 'urgent',
+  ): void {
     const storedAt = this.options.runtime.wallTime();
     const changes = turns.map((turn): StorageChange => {
       this.state.addTurn({ turn, storedAt });
       return { tag: 'turn', turn: { turn, storedAt } };
     });
-    this.options.storage.write(changes, done);
+    this.options.storage.write(changes, done, urgency);
   }
 
   /** Iterates over the live state as changes that recreate it; the state may change during the iteration. */
--- a/src/turns/segment-turn-storage.ts
+++ b/src/turns/segment-turn-storage.ts
@@ -8,11 +8,11 @@
  * An embedded LevelDB (`classic-level`) does not meet this requirement: it failed to open after a power loss that
  * preserved the removal of an old manifest but not the rename of its successor.
  */
-import type { FileHandle } from 'node:fs/promises';
 import type { Runtime } from '../runtime/runtime.js';
 import { isCompactionDue, writeInSlices } from './compaction.js';
 import type { DiskUse } from './compaction.js';
 import { DurableFolder } from './durable-folder.js';
+import type { SegmentFile, SegmentFolder } from './durable-folder.js';
 import { decodeSegment, encodeRecord } from './segment-codec.js';
 import type { StorageChange, TurnStorage, WriteUrgency, WrittenChange } from './turn-storage.js';
 
@@ -28,6 +28,8 @@
  * delay of up to the same length is added, so that replicas started together do not compact together.
  */
 const COMPACTION_GRACE_MILLISECONDS = 20_000;
+/** Errors of a disk without space, or without any left of the user's quota. */
+const NO_SPACE_ERRORS: ReadonlySet<unknown> = new Set(['ENOSPC', 'EDQUOT']);
 const EMPTY_DISK: DiskUse = { bytes: 0, segments: 0 };
 
 interface Segment {
@@ -42,6 +44,11 @@
 interface PendingWrite {
   readonly changes: readonly StorageChange[];
   readonly done: (durable: boolean) => void;
+  readonly urgency: WriteUrgency;
+}
+
+function isNoSpace(cause: unknown): boolean {
+  return cause instanceof Error && NO_SPACE_ERRORS.has((cause as NodeJS.ErrnoException).code);
 }
 
 function isWritten(change: StorageChange): change is WrittenChange {
@@ -53,7 +60,10 @@
   private queue: PendingWrite[] = [];
   private writing = false;
   private lazyTimerSet = false;
-  private file: FileHandle | undefined;
+  private full = false;
+  private file: SegmentFile | undefined;
+  /** Number of the newest segment; never reused, since a removed file may reappear. */
+  private lastNumber = 0;
   /** All segments on disk, oldest first. */
   private segments: Segment[] = [];
   /** Disk usage right after the last compaction. */
@@ -68,25 +78,37 @@
   writeCount = 0;
 
   private constructor(
-    private readonly folder: DurableFolder,
+    private readonly folder: SegmentFolder,
     private readonly runtime: Runtime,
   ) {
     this.compactionAllowedAt =
       runtime.now() + COMPACTION_GRACE_MILLISECONDS * (1 + runtime.random.uniform());
   }
 
-  /** Opens a folder, creating it if it is missing. Rejects on I/O errors. */
-  static async open(path: string, runtime: Runtime): Promise<SegmentTurnStorage> {
-    const folder = await DurableFolder.open(path);
+  /**
+   * Opens a folder, creating it if it is missing. Rejects on I/O errors.
+   * @param wrap gives the folder whose files are used, for injecting faults
+   */
+  static async open(
+    path: string,
+    runtime: Runtime,
+    wrap: (folder: SegmentFolder) => SegmentFolder = (folder) => folder,
+  ): Promise<SegmentTurnStorage> {
+    const folder = wrap(await DurableFolder.open(path));
     const storage = new SegmentTurnStorage(folder, runtime);
     const names = await folder.names();
     storage.segments = names
       .flatMap((name) => SEGMENT_PATTERN.exec(name)?.[1] ?? [])
       .map((number) => ({ number: Number(number), bytes: 0 }))
       .sort((left, right) => left.number - right.number);
+    storage.lastNumber = storage.segments.at(-1)?.number ?? 0;
     return storage;
   }
 
+  get isFull(): boolean {
+    return this.full;
+  }
+
   /**
    * Reads all segments, oldest first, and calls back with each change. Resolves with the number of records whose kind
    * this build does not know.
@@ -124,8 +146,8 @@
     done: (durable: boolean) => void,
     urgency: WriteUrgency = 'urgent',
   ): void {
-    this.queue.push({ changes, done });
-    if (urgency === 'urgent') {
+    this.queue.push({ changes, done, urgency });
+    if (urgency !== 'lazy') {
       this.writeNext();
     } else if (!this.lazyTimerSet) {
       this.lazyTimerSet = true;
@@ -165,6 +187,7 @@
       () => {
         this.writing = false;
         this.writeCount += 1;
+        this.setFull(false);
         writes.forEach((write) => write.done(true));
         this.compactIfDue();
         this.writeNext();
@@ -192,8 +215,9 @@
     }
   }
 
-  private async openSegment(): Promise<FileHandle> {
-    const segment = { number: (this.segments.at(-1)?.number ?? 0) + 1, bytes: 0 };
+  private async openSegment(): Promise<SegmentFile> {
+    this.lastNumber += 1;
+    const segment = { number: this.lastNumber, bytes: 0 };
     this.segments.push(segment);
     return this.folder.create(fileNameOf(segment));
   }
@@ -208,15 +232,58 @@
 
   /** Retries failed writes in a new segment, since the current one may end in a torn record. */
   private retryInNewSegment(writes: readonly PendingWrite[], cause: unknown): void {
-    this.logDiskError(cause);
     this.closeSegment();
     this.queue = [...writes, ...this.queue];
+    if (isNoSpace(cause)) {
+      this.removeUnusedSegment();
+      this.setFull(true);
+      this.failAnsweredWrites();
+      if (this.closing !== undefined) {
+        this.closing();
+        return;
+      }
+    } else {
+      this.logDiskError(cause);
+    }
     this.runtime.setTimer(RETRY_DELAY_MILLISECONDS, () => {
       this.writing = false;
       this.writeNext();
     });
   }
 
+  /** Removes the newest segment if nothing in it is durable; each retry would otherwise leave one behind. */
+  private removeUnusedSegment(): void {
+    const segment = this.segments.at(-1);
+    if (segment?.bytes === 0) {
+      this.segments.pop();
+      this.folder.remove(fileNameOf(segment)).catch(() => undefined);
+    }
+  }
+
+  /** Reports the failure of the writes for which callers wait; their changes stay queued. */
+  private failAnsweredWrites(): void {
+    const failed = this.queue.filter(({ urgency }) => urgency === 'answered');
+    this.queue = this.queue.map((write) =>
+      write.urgency === 'answered'
+        ? { changes: write.changes, done: () => undefined, urgency: 'urgent' }
+        : write,
+    );
+    failed.forEach(({ done }) => done(false));
+  }
+
+  private setFull(full: boolean): void {
+    if (full === this.full) {
+      return;
+    }
+    this.full = full;
+    const fields = { segments: this.segments.length, bytes: this.use.bytes };
+    if (full) {
+      this.runtime.log('error', 'disk is full', { event: 'disk.full', ...fields });
+    } else {
+      this.runtime.log('info', 'disk has space again', { event: 'disk.hasSpace', ...fields });
+    }
+  }
+
   private logDiskError(cause: unknown): void {
     const reason = cause instanceof Error ? cause.message : String(cause);
     this.runtime.log('error', 'disk operation failed', { event: 'disk.refused', reason });
--- a/src/turns/turn-client.ts
+++ b/src/turns/turn-client.ts
@@ -11,7 +11,7 @@
 import { FailedWriteLog } from './failed-write-log.js';
 import type { ConversationTurn } from './conversation-turn.js';
 import type { MemberDirectory } from './member-directory.js';
-import { readQuorumOf } from './membership.js';
+import { majorityOf, readQuorumOf } from './membership.js';
 import type { Member, MemberRecord } from './membership.js';
 import type { ReplicaReply } from './messages.js';
 import { writeToQuorum } from './quorum-write.js';
@@ -179,20 +179,23 @@
       done(undefined);
       return;
     }
+    let isFull = false;
     const write = {
       record,
       request: request(record.epoch),
       key,
       timeoutMilliseconds: remainingMilliseconds,
       distances: this.options.distances,
-      onFailed: (outcomes: MemberOutcomes) =>
-        this.failedWrites.recordFailure(record.epoch, outcomes),
+      onFailed: (outcomes: MemberOutcomes) => {
+        isFull = hasMajorityOfFullDisks(record, outcomes);
+        this.failedWrites.recordFailure(record.epoch, outcomes);
+      },
     };
     writeToQuorum(runtime, this.options.caller, write, (replies) => {
       const hasNewerRecord = (directory.current?.epoch ?? 0) > record.epoch;
       if (
         replies === undefined &&
-        (hasNewerRecord || deadline - runtime.now() > EPOCH_RETRY_MILLISECONDS)
+        (hasNewerRecord || (!isFull && deadline - runtime.now() > EPOCH_RETRY_MILLISECONDS))
       ) {
         runtime.setTimer(EPOCH_RETRY_MILLISECONDS, () => this.write(key, request, deadline, done));
       } else {
@@ -202,6 +205,12 @@
   }
 }
 
+/** Whether so many disks are full that no majority can acknowledge; a retry would only keep the caller waiting. */
+function hasMajorityOfFullDisks(record: MemberRecord, outcomes: MemberOutcomes): boolean {
+  const full = [...outcomes.values()].filter((outcome) => outcome === 'diskFailed').length;
+  return record.members.length - full < majorityOf(record);
+}
+
 function mergeReplies(replies: readonly ReplicaReply[]): Account {
   const account: Account = new Map();
   for (const reply of replies) {
--- a/src/turns/turn-storage.ts
+++ b/src/turns/turn-storage.ts
@@ -36,11 +36,16 @@
 /** Changes that are written as records; expired state is recognized by its age, so drops are not recorded. */
 export type WrittenChange = Extract<StorageChange, { tag: 'meta' | 'joining' | 'entry' | 'turn' }>;
 
-/** A lazy write may be delayed until the next urgent one, or for a short time. */
-export type WriteUrgency = 'urgent' | 'lazy';
+/**
+ * A lazy write may be delayed until the next urgent one, or for a short time. An answered one is urgent, and a caller
+ * waits for its outcome: when the disk is full it fails at once, and is written later all the same.
+ */
+export type WriteUrgency = 'urgent' | 'lazy' | 'answered';
 
 /** Persists the changes of a replica. */
 export interface TurnStorage {
+  /** Whether the disk has no space: nothing new becomes durable until it has. @default never */
+  readonly isFull?: boolean;
   /** Makes changes durable, in the order of the calls; calls back with false when the write failed. */
   write(
     changes: readonly StorageChange[],
