--- a/src/turns/replica-sync.ts
+++ b/src/turns/replica-sync.ts
@@ -281,7 +281,9 @@
         if (reply.type === 'pulledAndLent') {
           this.options.replica.borrowShares(member.id, reply.lent, reply.epoch, sentAt);
         }
-        this.storeMissing(member, reply, (complete) => {
+        this.storeMissing(member, reply, (stored) => {
+          // On a full disk, what this replica already has in memory may not be durable.
+          const complete = stored && !this.options.replica.isDiskFull;
           if (complete) {
             this.advancePosition(member, reply);
           }
