--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -29,19 +29,23 @@
     Given a gateway that may open 1 connection to the runner of each of two zones, one of them ready
     When 5 requests are sent, and then the first zone is evacuated while the runner of the other becomes ready
     Then all requests are answered, 1 by the runner of the first zone and 4 by the other
-    And the gateway opened 1 connection to the runner of the first zone and marked it healthy
+    And the runner of the first zone is not marked unhealthy
+
+  Scenario: Attempts that become excluded while they wait for a connection open none
+    When 5 attempts share 1 connection to a runner that becomes excluded once it runs the first
+    Then 1 of them is answered, 4 end as "Excluded" without having been sent, and the runner accepted 1 connection
 
   Scenario: A request whose connection is established after the evacuation is not written
     Given a gateway that may open 1 connection to the runner of each of two zones, one of them ready
     When the first zone is evacuated after a request was placed there and before its connection is established
     Then all requests are answered, 0 by the runner of the first zone and 1 by the other
-    And the gateway opened 1 connection to the runner of the first zone and marked it healthy
+    And the runner of the first zone is not marked unhealthy
 
   Scenario Outline: Requests of a service with no runner left are refused at once as not run
     Given a gateway that may open 1 connection to the runner of each of two zones, one of them ready
     When the first zone is evacuated and a "<kind>" request is sent
-    Then it is refused within 200 ms with 503, "NotRun" and a retry delay of 0.4 to 1 s
-    And the gateway opened 0 connections to the runner of the first zone and marked it healthy
+    Then it is refused with 503, "NotRun" and a retry delay of 0.4 to 1 s, long before its deadline
+    And since the evacuation the gateway has opened no connection to the runner of the first zone
 
     Examples:
       | kind       |
@@ -49,6 +53,14 @@
       | repeatable |
       | stream     |
 
+  Scenario: The first stage refuses a request without waiting, only if every zone of its service is evacuated
+    Given a gateway in a deployment with the zones "z1 z2"
+    And each zone has a runner with 6 slots
+    When the zone "z1" is evacuated in the store
+    Then the first stage lets a request continue
+    When the zone "z2" is evacuated in the store
+    Then the first stage refuses a request without waiting
+
   Scenario: Only runners that may get requests count as capacity
     Given a gateway in a deployment with the zones "z1 z2 z3"
     And each zone has a runner with 6 slots
@@ -68,3 +80,12 @@
     Given a gateway that may open 1 connection to the runner of each of two zones, one of them ready
     When the first zone is evacuated in the middle of a stream
     Then all requests are answered, 1 by the runner of the first zone and 0 by the other
+
+  Scenario: A gateway that starts while the store does not answer learns evacuations from its peers
+    Given 3 gateways in touch with a store in which the zone "z1" is evacuated
+    When the store falls silent and gateway 3 restarts
+    Then within 2000 ms gateway 3 has a configuration and sends no requests to the zone "z1"
+    When the evacuation is lifted in the silent store
+    Then after 20000 ms no gateway sends requests to the zone "z1"
+    When the silent store answers again
+    Then within 5000 ms every gateway sends requests to the zone "z1"
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -32,6 +32,16 @@
       | forgetsRoutes | 0       | 500  | in touch     |               |
       | forgetsRoutes | 0       | 2500 | out of touch |               |
 
+  Scenario Outline: The evacuation check detects a request to a runner of an evacuated zone
+    When a request arrives in a zone evacuated <age> milliseconds ago, from a gateway that is <touch>
+    Then exactly this guarantee is reported as violated: "<guarantee>"
+
+    Examples:
+      | age  | touch        | guarantee  |
+      | 2500 | in touch     | evacuation |
+      | 1500 | in touch     |            |
+      | 2500 | out of touch |            |
+
   Scenario Outline: A route that a newer acknowledged change drops need not be served
     Given a fake gateway with the fault "forgetsRoutes"
     And a configuration change that added a route and dropped 0 others, acknowledged 2500 milliseconds ago
--- a/features/steps/evacuation.steps.ts
+++ b/features/steps/evacuation.steps.ts
@@ -9,11 +9,15 @@
 import { KeySpaceCopy } from '../../src/mirror/key-space-copy.js';
 import type { StoredItem } from '../../src/mirror/key-space-port.js';
 import { EvacuatedZones } from '../../src/relay/runners/evacuated-zones.js';
-import type { PromptKey, PromptPart } from '../../src/relay/request/relay-request.js';
+import type { RelayContext } from '../../src/relay/relay-context.js';
+import type { PromptKey, PromptPart, RelayRequest } from '../../src/relay/request/relay-request.js';
 import { RunnerExclusions } from '../../src/relay/runners/runner-exclusions.js';
 import type { Runner } from '../../src/relay/runners/runner.js';
 import type { RunnerCandidate } from '../../src/relay/runners/runner-registry.js';
 import { RunnerRegistry } from '../../src/relay/runners/runner-registry.js';
+import { CALL_STAGES } from '../../src/relay/stages/call-stages.js';
+import { RequestState } from '../../src/relay/stages/request-state.js';
+import type { StageDecision } from '../../src/relay/stages/stage.js';
 import { createRandom } from '../../src/runtime/random.js';
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
 import { VirtualClock } from '../../src/simulation/virtual-clock.js';
@@ -89,6 +93,29 @@
   },
 );
 
+/** Returns what the first stage decides on a request of the service. */
+function decideFirstStage({ targets: { registry, evacuatedZones } }: World): StageDecision {
+  const context = {
+    registry,
+    exclusions: new RunnerExclusions([evacuatedZones.rule]),
+    runtime: { now: () => 0, random: createRandom(1) },
+    admission: { isAdmitted: () => false },
+    split: { pick: () => SERVICE },
+  } as unknown as RelayContext;
+  const route = { kind: 'single', timeoutMilliseconds: 3_000 };
+  const request = { arrivedAt: 0, deadlineAt: 3_000, route } as RelayRequest;
+  return CALL_STAGES[0]![0]!.decide(new RequestState(context, request));
+}
+
+Then('the first stage lets a request continue', function (this: World) {
+  assert.equal(decideFirstStage(this).tag, 'GoOn');
+});
+
+Then('the first stage refuses a request without waiting', function (this: World) {
+  const decision = decideFirstStage(this);
+  assert.ok(decision.tag === 'Refuse' && decision.answer.verdict === 'NotRun');
+});
+
 When('the zone {string} is evacuated in the store', function (this: World, zone: string) {
   this.revision += 1;
   applyItem({ key: EVACUATE_PREFIX + zone, value: '?', revision: this.revision }, this.targets);
--- a/features/steps/soak.steps.ts
+++ b/features/steps/soak.steps.ts
@@ -3,6 +3,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { PLATFORM_HEADER_NAMES } from '../../platform/header-names.js';
 import { ConfigurationCheck } from '../../soak/configuration-check.js';
+import { EvacuationCheck, SOAK_GATEWAY_HEADER } from '../../soak/evacuation-check.js';
 import { SOAK_PORTS } from '../../soak/platform-process.js';
 import { createCounts, SoakClient } from '../../soak/soak-client.js';
 import type { SoakClientContext } from '../../soak/soak-client.js';
@@ -85,6 +86,20 @@
   },
 );
 
+When(
+  /^a request arrives in a zone evacuated (\d+) milliseconds ago, from a gateway that is (in|out of) touch$/,
+  function (this: World, age: string, touch: string) {
+    this.violatedGuarantees = new Set();
+    const check = new EvacuationCheck({
+      isInContact: () => touch === 'in',
+      violate: (promise) => this.violatedGuarantees!.add(promise),
+    });
+    check.evacuate('z1', performance.now() - Number(age));
+    check.noteArrival('z1', { [SOAK_GATEWAY_HEADER]: HOST });
+    check.noteArrival('z2', { [SOAK_GATEWAY_HEADER]: HOST });
+  },
+);
+
 When(
   'the tenant check runs for {int} milliseconds with a key that was revoked {int} milliseconds ago',
   async function (this: World, milliseconds: number, age: number) {
--- a/soak/configuration-check.ts
+++ b/soak/configuration-check.ts
@@ -110,7 +110,8 @@
     this.options.violate('configuration', detail);
   }
 
-  private isInContact(host: string): boolean {
+  /** Whether a gateway is not exempt because of a recent fault. */
+  isInContact(host: string): boolean {
     return performance.now() >= (this.exemptUntil.get(host) ?? 0);
   }
 
--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -82,6 +82,7 @@
     Seeds: seeds,
     DataDir: role === 'replica' ? dataFolder(folder) : null,
     Bounds: {
+      EvacuateMs: SOAK_APPLY_MILLISECONDS,
       GraceS: 8,
       ConfigApplyMs: SOAK_APPLY_MILLISECONDS,
       DrainMs: SOAK_APPLY_MILLISECONDS,
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -8,10 +8,15 @@
 import { createRandom } from '../src/runtime/random.js';
 import type { RandomSource } from '../src/runtime/random.js';
 import { ConfigurationCheck } from './configuration-check.js';
+import { EvacuationCheck } from './evacuation-check.js';
 import type { FaultProxy, ProxyMode } from './fault-proxy.js';
 import { addLoss } from './power-loss-counts.js';
 import type { PowerLossCounts } from './power-loss-counts.js';
-import { PROGRAM, SOAK_CATCH_UP_MILLISECONDS } from './platform-process.js';
+import {
+  PROGRAM,
+  SOAK_APPLY_MILLISECONDS,
+  SOAK_CATCH_UP_MILLISECONDS,
+} from './platform-process.js';
 import type { PlatformProcess, PlatformRole } from './platform-process.js';
 import { RecoveryCheck } from './recovery-check.js';
 import { createCounts, SoakClient } from './soak-client.js';
@@ -21,7 +26,8 @@
 import { FAULTS, MISBEHAVIOURS, ALL_REPLICAS, STORE_FAULTS, targetsOf } from './soak-faults.js';
 import type { Fault, FaultTargets } from './soak-faults.js';
 import { SoakUpgrade } from './soak-upgrade.js';
-import { SoakWorld } from './soak-world.js';
+import { SOAK_ZONES, SoakWorld } from './soak-world.js';
+import type { SoakWorldOptions } from './soak-world.js';
 import { TenantCheck } from './tenant-check.js';
 
 const GATEWAY_COUNT = 3;
@@ -61,6 +67,7 @@
   /** Active faults, with the targets of each. */
   private readonly activeFaults = new Map<Fault | typeof RESTART, readonly string[]>();
   private readonly configurationCheck: ConfigurationCheck;
+  private readonly evacuationCheck: EvacuationCheck;
   private readonly tenantCheck: TenantCheck;
   private readonly recoveryCheck: RecoveryCheck;
   private readonly upgrade: SoakUpgrade | undefined;
@@ -72,12 +79,20 @@
     const sizes = { gatewayCount, replicaCount, runnerCount: RUNNER_COUNT };
     const program = options.upgrade?.program ?? PROGRAM;
     const { hasInvalidEntries = true } = options;
-    this.world = new SoakWorld({ ...sizes, block, program, hasInvalidEntries });
+    // The older build of an upgrade need not know evacuations.
+    const onArrival: SoakWorldOptions['onArrival'] = (zone, headers) => {
+      if (options.upgrade === undefined) {
+        this.evacuationCheck.noteArrival(zone, headers);
+      }
+    };
+    this.world = new SoakWorld({ ...sizes, block, program, hasInvalidEntries, onArrival });
     const { gatewayHosts, runners } = this.world;
     const violate = (promise: string, detail: string): void => {
       this.violations.push(`${promise}: ${detail}`);
     };
     this.configurationCheck = new ConfigurationCheck({ gatewayHosts, violate });
+    const isInContact = (host: string): boolean => this.configurationCheck.isInContact(host);
+    this.evacuationCheck = new EvacuationCheck({ isInContact, violate });
     const random = createRandom(options.seed, 'tenants');
     this.tenantCheck = new TenantCheck({ random, gatewayHosts, runners, violate });
     this.recoveryCheck = new RecoveryCheck({
@@ -126,7 +141,8 @@
     const { folder } = this.world;
     const { completedChecks: configurationLooks } = this.configurationCheck;
     const { oldKeyRequests, limitedAnswers } = this.tenantCheck;
-    const looks = { configurationLooks, oldKeyRequests, limitedAnswers };
+    const { checkedArrivals: evacuationArrivals } = this.evacuationCheck;
+    const looks = { configurationLooks, evacuationArrivals, oldKeyRequests, limitedAnswers };
     const { recoveries } = this.recoveryCheck;
     const upgrade = this.upgrade?.steps ?? [];
     return { seed, counts, faults, pairs, ...looks, recoveries, lost, upgrade, violations, folder };
@@ -274,13 +290,11 @@
       case 'storeLosesAnswers':
         return this.disturbStore('losingAnswers', pause);
       case 'storeForgets':
-        this.changeConfiguration();
-        this.world.store.compact();
-        return;
+        return this.forgetHistory();
       case 'storePath':
         return this.disturbPath(this.world.storeProxies.get(machine.machine.name)!, pause);
       case 'runnerPath':
-        return this.disturbPath(this.random.pick(this.world.runnerProxies), pause);
+        return this.disturbRunnerPath(this.random.pick(this.world.runnerProxies), pause);
       case 'runnerCrash':
         return this.world.replaceRunner(this.random.integer(0, RUNNER_COUNT - 1), pause);
       case 'runnerRestart':
@@ -293,7 +307,9 @@
         );
         return;
       case 'configurationChange':
-        this.changeConfiguration();
+        return this.changeConfiguration();
+      case 'zoneEvacuated':
+        return this.evacuateZone(this.random.pick(SOAK_ZONES), pause);
     }
   }
 
@@ -373,6 +389,26 @@
     this.world.store.mode = 'well';
   }
 
+  private forgetHistory(): void {
+    this.changeConfiguration();
+    this.world.store.compact();
+  }
+
+  /** Evacuates a zone for the time until the evacuation must be in force and a pause after it. */
+  private async evacuateZone(zone: string, pause: number): Promise<void> {
+    this.world.store.evacuate(zone);
+    this.evacuationCheck.evacuate(zone);
+    await sleep(SOAK_APPLY_MILLISECONDS + pause);
+    this.evacuationCheck.restore(zone);
+    this.world.store.restore(zone);
+  }
+
+  private async disturbRunnerPath(proxy: FaultProxy, pause: number): Promise<void> {
+    const end = this.evacuationCheck.exempt();
+    await this.disturbPath(proxy, pause);
+    end();
+  }
+
   private async disturbPath(proxy: FaultProxy, pause: number): Promise<void> {
     const mode: ProxyMode = this.random.pick(['delay', 'silence', 'oneWay', 'reset']);
     proxy.setMode(mode);
--- a/soak/soak-client.ts
+++ b/soak/soak-client.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { RelayRunner, RunnerRun } from '../src/emulator/relay-runner.js';
 import type { RandomSource } from '../src/runtime/random.js';
+import { SOAK_GATEWAY_HEADER } from './evacuation-check.js';
 import { LONG_EVENTS, LONG_PATH, SlowReading } from './slow-reading.js';
 import { PLATFORM_HEADER_NAMES as NAMES } from '../platform/header-names.js';
 import { SOAK_PORTS } from './platform-process.js';
@@ -307,6 +308,7 @@
     const headers = {
       host: SOAK_HOST,
       'content-length': String(Buffer.byteLength(body)),
+      [SOAK_GATEWAY_HEADER]: host,
       [NAMES.requestId]: id,
       [NAMES.timeout]: String(TIMEOUT_MILLISECONDS),
       [NAMES.key]: `Token ${SOAK_KEY}`,
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -23,6 +23,8 @@
   // A runner accepts requests but pauses before it reads their bodies.
   'runnerReadsSlowly',
   'configurationChange',
+  // Operators evacuate a zone and restore it some seconds later.
+  'zoneEvacuated',
   // A replica is killed and loses the writes that were not synced.
   'losePower',
   // All machines are killed and lose unsynced writes; one replica also loses its whole disk.
@@ -102,6 +104,7 @@
       return ['runners'];
     case 'runnerMisbehaves':
     case 'configurationChange':
+    case 'zoneEvacuated':
       return [];
   }
 }
--- a/soak/soak-report.ts
+++ b/soak/soak-report.ts
@@ -33,6 +33,8 @@
   readonly pairs: Readonly<Record<string, number>>;
   /** Completed configuration checks of gateways that were not exempt because of a fault. */
   readonly configurationLooks: number;
+  /** Arrivals at runners, from gateways not exempt because of a fault, while a zone was evacuated. */
+  readonly evacuationArrivals: number;
   /** Requests sent with revoked or unknown keys. */
   readonly oldKeyRequests: number;
   /** Answered requests of the rate-limited tenant. */
--- a/src/emulator/relay-runner.ts
+++ b/src/emulator/relay-runner.ts
@@ -80,6 +80,8 @@
   connectionCount = 0;
   /** Number of events written so far, over all streams. */
   eventsSent = 0;
+  /** Called with the headers of each request for this incarnation as soon as they arrive. */
+  onArrival: (headers: IncomingMessage['headers']) => void = () => undefined;
   /** Pause before a request body is read, which emulates a slow reader. */
   readPauseMilliseconds = 0;
   private readonly sockets = new Set<Socket>();
@@ -115,6 +117,9 @@
   }
 
   private handleRequest(request: IncomingMessage, response: ServerResponse): void {
+    if (this.isExpected(request)) {
+      this.onArrival(request.headers);
+    }
     if (this.readPauseMilliseconds > 0) {
       setTimeout(() => this.readBody(request, response), this.readPauseMilliseconds);
     } else {
@@ -122,6 +127,13 @@
     }
   }
 
+  /** Whether a request is for this incarnation; others are answered with 421. */
+  private isExpected({ headers }: IncomingMessage): boolean {
+    const { names, id } = this.options;
+    const expected = headers[names.expectedRunner];
+    return expected === undefined || expected === id;
+  }
+
   private readBody(request: IncomingMessage, response: ServerResponse): void {
     const chunks: Buffer[] = [];
     request.on('data', (chunk: Buffer) => chunks.push(chunk));
@@ -131,10 +143,9 @@
   }
 
   private runRequest(request: IncomingMessage, response: ServerResponse, body: string): void {
-    const { names, id, pauseMilliseconds = 1 } = this.options;
+    const { names, pauseMilliseconds = 1 } = this.options;
     const requestId = String(request.headers[names.requestId]);
-    const expected = request.headers[names.expectedRunner];
-    if (expected !== undefined && expected !== id) {
+    if (!this.isExpected(request)) {
       response.writeHead(421).end();
       return;
     }
