--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -89,6 +89,7 @@
     Seeds: seeds,
     DataDir: role === 'replica' ? dataFolder(folder) : null,
     Bounds: {
+      EvacuateMs: SOAK_APPLY_MILLISECONDS,
       GraceS: 8,
       ConfigApplyMs: SOAK_APPLY_MILLISECONDS,
       DrainMs: SOAK_APPLY_MILLISECONDS,
