A record that can't shrink without a shortfall takes a detour

Cause: from members (3, 3, 1) every departure leads to six that don't bear the loss of a zone, so the record stayed at seven.

Change: a reduction also knows the largest shortfall on its way. A standby joins that makes a way without shortfall possible; where none does, a member leaves all the same, 6 s later. The property test now asks for the target size.

--- a/features/member-spread.feature
+++ b/features/member-spread.feature
@@ -22,9 +22,9 @@
 
   # Otherwise replicas would join and leave forever, each time with a copy of the state.
   Scenario: Joining and leaving ends with the best spread, and never tolerates less on the way
-    Then in any fleet, joins and departures end, and never make a full record intolerant that tolerated the losses
-    And they never increase its shortfall where at most one zone or region may be lost
-    And they end with a spread that tolerates the losses, if the target size allows one
+    Then in any fleet, joins and departures end
+    And a full record that tolerated the losses never stops doing so where each zone has replicas to spare
+    And they end with a spread that tolerates the losses, if there is one, and with one zone or region to lose at the target size
     And replicas that join in the order of their ranks reach such a spread without departures
 
   Scenario: Without zones or regions in the tolerance the target number stays as it was
--- a/src/turns/decide-membership.ts
+++ b/src/turns/decide-membership.ts
@@ -103,6 +103,9 @@
 /** Additional time that a superfluous member grants to each one that should rather leave, in milliseconds. */
 const DEPARTURE_STEP_MILLISECONDS = 2_000;
 
+/** Number of such times that a departure waits after which less is tolerated. */
+const HARMFUL_DEPARTURE_STEPS = 3;
+
 function waitFor(reason: WaitReason): MembershipAction {
   return { tag: 'Wait', reason };
 }
@@ -234,13 +237,15 @@
   if (spread === undefined) {
     return waitFor('nobody silent');
   }
-  const candidates = superfluousMembers(spread.policy, stayingMembers(view, record));
-  const place = candidates.findIndex(({ id }) => id === self.id);
+  const { members, isHarmless } = superfluousMembers(spread.policy, stayingMembers(view, record));
+  const place = members.findIndex(({ id }) => id === self.id);
   if (place < 0) {
     return waitFor('nobody silent');
   }
-  // Members of an older build never leave; others further down the order leave in their place.
-  if (spread.calmMilliseconds < STABLE_MILLISECONDS + place * DEPARTURE_STEP_MILLISECONDS) {
+  // Members of an older build never leave; others further down the order leave in their place. A departure after which
+  // less is tolerated waits longer, since a standby may join that makes it unnecessary.
+  const steps = place + (isHarmless ? 0 : HARMFUL_DEPARTURE_STEPS);
+  if (spread.calmMilliseconds < STABLE_MILLISECONDS + steps * DEPARTURE_STEP_MILLISECONDS) {
     return waitFor('not stable');
   }
   const others = withoutMember(record, self.id).members;
--- a/src/turns/member-spread.ts
+++ b/src/turns/member-spread.ts
@@ -182,30 +182,38 @@
   );
 }
 
-/** The best that members reach by removing superfluous ones. */
-interface Reduction {
-  /** Least shortfall on the way. */
+/** What members reach by removing superfluous ones, one by one. */
+interface Reduction extends SpreadScore {
+  /** Least shortfall on the way, the current one included. */
   readonly shortfall: number;
   /** Concentration at the target number of members. */
   readonly concentration: number;
+  /** Largest shortfall on the way. */
+  readonly peak: number;
 }
 
 function bestReduction(policy: SpreadPolicy, members: readonly Member[]): Reduction {
   let counts = zoneCountsOf(members);
   let score = scoreOf(policy, counts);
-  let { shortfall } = score;
+  const shortfalls = [score.shortfall];
   for (let size = members.length; size > policy.wantedMembers; size -= 1) {
     const occupied = [...counts.keys()].filter((zone) => counts.get(zone)! > 0);
     counts = bestChange(policy, counts, occupied, -1) ?? counts;
     score = scoreOf(policy, counts);
-    shortfall = Math.min(shortfall, score.shortfall);
+    shortfalls.push(score.shortfall);
   }
-  return { shortfall, concentration: score.concentration };
+  return {
+    shortfall: Math.min(...shortfalls),
+    concentration: score.concentration,
+    peak: Math.max(...shortfalls),
+  };
 }
 
 /**
- * Whether a replica should become a member: too few members are left, or those that are left tolerate too little and
- * exchanging one of them for this replica improves it, without tolerating less until the other one has left.
+ * Whether a replica should become a member: too few members are left; or those that are left tolerate too little and
+ * exchanging one of them for this replica improves it, without tolerating less until the other one has left; or there
+ * are too many, of which superfluous ones can't leave without tolerating too little on the way until this one has
+ * joined.
  */
 export function isJoinUseful(
   policy: SpreadPolicy,
@@ -215,15 +223,16 @@
   if (members.length < policy.wantedMembers) {
     return true;
   }
+  const joined = [...members, self];
   const { shortfall } = spreadOf(policy, members);
-  if (shortfall === 0) {
+  if (spreadOf(policy, joined).shortfall > shortfall) {
     return false;
   }
-  const joined = [...members, self];
-  return (
-    spreadOf(policy, joined).shortfall <= shortfall &&
-    compareScores(bestReduction(policy, joined), bestReduction(policy, members)) < 0
-  );
+  const reduction = bestReduction(policy, members);
+  const joinedReduction = bestReduction(policy, joined);
+  return shortfall === 0
+    ? joinedReduction.peak < reduction.peak
+    : compareScores(joinedReduction, reduction) < 0;
 }
 
 /** Number of different ratings of zones in which a new member would improve the spread more than in its own zone. */
@@ -237,18 +246,22 @@
   return new Set(better).size;
 }
 
+/** Members that may leave as superfluous. */
+export interface Departures {
+  /** In the order of preference. */
+  readonly members: readonly Member[];
+  /** Whether the others tolerate no less at any time on the way to the target number. */
+  readonly isHarmless: boolean;
+}
+
 /**
- * Returns the members that may leave as superfluous, in the order of preference. Without any one of them, the others
- * still are as many as wanted and reach a spread that is no worse by further removals, so whoever left has no reason to
- * join again. They also tolerate no less than now; only where too little is tolerated already, and no departure meets
- * that, they may tolerate less until the next departure.
+ * Returns the members that may leave as superfluous. Without any one of them, the others still are as many as wanted and
+ * reach a spread that is no worse by further departures, so whoever left has no reason to join again. They also tolerate
+ * no less than now, unless no departure meets that.
  */
-export function superfluousMembers(
-  policy: SpreadPolicy,
-  members: readonly Member[],
-): readonly Member[] {
+export function superfluousMembers(policy: SpreadPolicy, members: readonly Member[]): Departures {
   if (members.length <= policy.wantedMembers) {
-    return [];
+    return { members: [], isHarmless: true };
   }
   const { shortfall } = spreadOf(policy, members);
   const reduction = bestReduction(policy, members);
@@ -258,11 +271,13 @@
       const score = scoreOf(policy, zoneCountsOf(others));
       return { member, place, score, reduction: bestReduction(policy, others) };
     })
-    .filter((each) => compareScores(each.reduction, reduction) <= 0);
-  const harmless = candidates.filter(({ score }) => score.shortfall <= shortfall);
-  const allowed = harmless.length === 0 && shortfall > 0 ? candidates : harmless;
-  // Among equals, the latest member leaves, so that all replicas derive the same order from the record.
-  return allowed
-    .sort((left, right) => compareScores(left.score, right.score) || right.place - left.place)
-    .map(({ member }) => member);
+    .filter((each) => compareScores(each.reduction, reduction) <= 0)
+    // Among equals, the latest member leaves, so that all replicas derive the same order from the record.
+    .sort((left, right) => compareScores(left.score, right.score) || right.place - left.place);
+  const harmless = candidates.filter(({ score, reduction: { peak } }) =>
+    shortfall === 0 ? peak === 0 : score.shortfall <= shortfall,
+  );
+  const isHarmless = harmless.length > 0;
+  const allowed = isHarmless ? harmless : candidates;
+  return { members: allowed.map(({ member }) => member), isHarmless };
 }
