Tell clients that return too early when there is room after those before them

Cause: a client that came back as told and found no room was told a very short time, and asked again many times.

Change: its wait covers the programs that go before it, and at least half of the time in which its tenant has room for a program.

The module tests of quotas pass unchanged.

--- a/src/turns/quota-buckets.ts
+++ b/src/turns/quota-buckets.ts
@@ -373,7 +373,7 @@
     program,
     rank,
     need.requests,
-    refillMilliseconds(Math.max(0, mostMissing - ahead), ratePerSecond),
+    refillMilliseconds(mostMissing, ratePerSecond),
     refillMilliseconds(need.requests, ratePerSecond),
     now,
   );
--- a/src/turns/waiting-programs.ts
+++ b/src/turns/waiting-programs.ts
@@ -6,6 +6,8 @@
 
 /** Time around its return in which a refused program goes before others, in milliseconds. */
 const GRACE_MILLISECONDS = 500;
+/** Wait of a client that has returned too early, relative to the time in which its tenant has room for a program. */
+const RETURNED_SPACING_SHARE = 0.5;
 /** Maximum time that a client is told, in milliseconds. */
 const MAXIMUM_WAIT_MILLISECONDS = 30_000;
 /** Maximum number of refused programs to remember; the earliest are evicted. */
@@ -59,7 +61,7 @@
 
   /**
    * Records a refused program, and returns the time after which its client should return, in milliseconds.
-   * @param waitMilliseconds time until there is room for the program
+   * @param waitMilliseconds time until there is room for the program after those that go before it
    * @param spacingMilliseconds time in which the tenant gets as many requests as the program needs
    */
   refuse(
@@ -78,9 +80,11 @@
       this.countReturn(true);
     }
     // A client that has returned in its turn is not put behind those that were refused after it.
-    const nextReturnAt = hasReturned ? now : (this.nextReturnAt.get(rank) ?? now);
+    const earliest = hasReturned
+      ? now + spacingMilliseconds * RETURNED_SPACING_SHARE
+      : (this.nextReturnAt.get(rank) ?? now);
     const latest = now + MAXIMUM_WAIT_MILLISECONDS;
-    const dueAt = Math.min(latest, Math.max(now + waitMilliseconds, nextReturnAt));
+    const dueAt = Math.min(latest, Math.max(now + waitMilliseconds, earliest));
     if (!hasReturned) {
       this.nextReturnAt.set(rank, Math.min(latest, dueAt + spacingMilliseconds));
     }
