A region whose load is not known takes no overflow

Cause: when the sums of a region lapse, its runners seem idle, and a busy region would send overflow over a link that may be cut.

Change: gateways count themselves by region in an aggregate (regionGateways, topic 6). A region of which none is counted takes no overflow.

--- a/features/region-placement.feature
+++ b/features/region-placement.feature
@@ -19,5 +19,10 @@
       | 20  | 2     | 0.35  | 0.45 |
       | 2   | 8     | 0     | 0    |
 
+  Scenario: A region whose load is not known takes no overflow
+    Given that the load of the other region is not known
+    Given runners of the own region with 8 of 6 slots taken and of another with 0, 170 ms a request
+    Then the share that overflows is between 0 and 0
+
   Scenario: The bytes of a request count four times as much between regions as between zones
     Then a body of 10 kilobytes is charged 13 ms to another zone and 65 ms to another region
--- a/features/regions.feature
+++ b/features/regions.feature
@@ -39,8 +39,10 @@
 
   Scenario: A region that is cut off goes on alone, and its load is known again after that
     Given 67 gateways in 3 regions of 2 zones with 33 runners
+    Then each gateway counts gateways of 3 regions
     When the regions are cut off from each other for 6000 ms
-    Then a change of the store is known to all within 1200 ms
+    Then each gateway counts gateways of 1 region
+    And a change of the store is known to all within 1200 ms
     When the regions reach each other again
     Then each knows the load of all others within 4000 ms of a change
 
--- a/features/steps/region-gossip.steps.ts
+++ b/features/steps/region-gossip.steps.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { Given, Then, When } from '@cucumber/cucumber';
 import { promptKeyOf } from '../../src/relay/request/relay-request.js';
+import { AGGREGATE_TOPICS } from '../../src/peers/aggregates.js';
 import { hashToNumber } from '../../src/runtime/hashing.js';
 import {
   allKnow,
@@ -112,6 +113,14 @@
   },
 );
 
+Then(/^each gateway counts gateways of (\d+) regions?$/, function (this: World, count: string) {
+  for (const { gossip } of running(this)) {
+    const counted = gossip.aggregatesOfOthers(AGGREGATE_TOPICS.regionGateways);
+    const present = [...counted.values()].filter(([gateways]) => gateways! > 0);
+    assert.equal(present.length, Number(count));
+  }
+});
+
 When('the regions reach each other again', function (this: World) {
   this.regionsAreCut = false;
 });
--- a/features/steps/region-placement.steps.ts
+++ b/features/steps/region-placement.steps.ts
@@ -1,6 +1,6 @@
 /** Steps about placement in several regions. */
 import assert from 'node:assert/strict';
-import { Given, Then, When } from '@cucumber/cucumber';
+import { After, Given, Then, When } from '@cucumber/cucumber';
 import { PLACEMENT_CHARGES } from '../../src/relay/placement/placement-charges.js';
 import { runnersInReach } from '../../src/relay/placement/region-overflow.js';
 import type { RunnerView } from '../../src/relay/runners/runner-view.js';
@@ -69,6 +69,14 @@
   },
 );
 
+Given('that the load of the other region is not known', function () {
+  DISTANCES.isLoadKnown = () => false;
+});
+
+After(() => {
+  DISTANCES.isLoadKnown = () => true;
+});
+
 function viewOf(zone: string, inFlight: number, meanMilliseconds: number): RunnerView {
   const id = zone;
   const known = { cachedTokens: 0, hasIdleConnection: true, hash: 1, slots: 6 };
--- a/features/support/region-fleet.ts
+++ b/features/support/region-fleet.ts
@@ -1,7 +1,8 @@
 /** A fleet of gateways in several regions under a steady load, for measuring what they send between regions. */
 import { promptKeyOf } from '../../src/relay/request/relay-request.js';
 import { AGGREGATE_TOPICS } from '../../src/peers/aggregates.js';
-import { startFleet, wait } from './gateway-fleet.js';
+import { hashToNumber } from '../../src/runtime/hashing.js';
+import { startFleet, wait, zoneOfHost } from './gateway-fleet.js';
 import type { FleetWorld } from './gateway-fleet.js';
 
 const REGION_LINK_MILLISECONDS = 12;
@@ -45,7 +46,11 @@
       key,
       amounts: new Array<number>(RANKS).fill(1),
     }));
-    gateway.aggregates = [{ topic: AGGREGATE_TOPICS.serviceDemand, rows }];
+    const region = hashToNumber(world.regions!.regionByZone.get(zoneOfHost(world, gateway.host))!);
+    gateway.aggregates = [
+      { topic: AGGREGATE_TOPICS.serviceDemand, rows },
+      { topic: AGGREGATE_TOPICS.regionGateways, rows: [{ key: region, amounts: [1] }] },
+    ];
     const place = (): void => {
       const kept = Math.round((placesPerSecond * PLACE_MILLISECONDS) / 1_000);
       const isNew = random.uniform() < (placesPerSecond * PLACE_PERIOD_MILLISECONDS) / 1_000;
--- a/src/peers/aggregates.ts
+++ b/src/peers/aggregates.ts
@@ -18,6 +18,11 @@
    * service's name.
    */
   lateDemand: 4,
+  /**
+   * Gateways of a region; the key is the hash of its name. Absent while the load of a region is not
+   * known.
+   */
+  regionGateways: 6,
 } as const;
 
 /** Number of a topic on the wire. */
--- a/src/relay/placement/region-overflow.ts
+++ b/src/relay/placement/region-overflow.ts
@@ -98,7 +98,11 @@
   const own = loadOf(near);
   let overflow: readonly View[] = [];
   let shorterMilliseconds = 0;
-  for (const others of groups.values()) {
+  for (const [region, others] of groups) {
+    // Without sums, the runners of a region that is cut off would seem idle.
+    if (!distances.isLoadKnown(region)) {
+      continue;
+    }
     const margin = MARGIN_ROUND_TRIPS * distances.allowanceMilliseconds(others[0]!.zone);
     const shorter = own.waitMilliseconds - loadOf(others).waitMilliseconds - margin;
     if (shorter > shorterMilliseconds) {
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -5,6 +5,8 @@
 import { createServer } from 'node:http';
 import type { Server } from 'node:http';
 import { AggregateRegistry } from '../peers/aggregate-registry.js';
+import { AGGREGATE_TOPICS } from '../peers/aggregates.js';
+import { hashToNumber } from '../runtime/hashing.js';
 import type { Runtime } from '../runtime/runtime.js';
 import type { RegionTraffic } from '../topology/region-traffic.js';
 import type { ZoneDistances } from '../topology/zone-distances.js';
@@ -100,6 +102,7 @@
     this.registry = new RunnerRegistry(runtime);
     this.registry.cacheCapacityOf = (service) => this.table?.services.get(service)?.memoryTokens;
     const connections = new RunnerConnections(runtime);
+    this.shareRegion();
     this.registry.hasIdleConnection = (runner) => connections.hasIdle(runner);
     const context: RelayContext = {
       runtime,
@@ -139,6 +142,19 @@
     this.readiness.listen(options.ready);
   }
 
+  /** Counts the gateways of each region over all gateways: a region of which none is counted is cut off. */
+  private shareRegion(): void {
+    const { distances } = this.options;
+    if (distances?.hasSeveralRegions !== true) {
+      return;
+    }
+    const { regionGateways } = AGGREGATE_TOPICS;
+    const key = hashToNumber(distances.ownRegion);
+    this.aggregates.register(regionGateways, () => [{ key, amounts: [1] }]);
+    distances.isLoadKnown = (region) =>
+      (this.aggregates.ofOthers(regionGateways).get(hashToNumber(region))?.[0] ?? 0) > 0;
+  }
+
   /** Whether this gateway should receive new connections. */
   get ready(): boolean {
     const { turns } = this.options;
--- a/src/topology/zone-distances.ts
+++ b/src/topology/zone-distances.ts
@@ -41,6 +41,8 @@
 export class ZoneDistances {
   /** Whether the deployment has more than one region. */
   readonly hasSeveralRegions: boolean;
+  /** Whether the load of a region is known; nothing is placed there by load while it is not. */
+  isLoadKnown: (region: string) => boolean = () => true;
   private readonly measured = new Map<string, MeasuredRoundTrip>();
 
   constructor(private readonly options: ZoneDistancesOptions) {
