--- a/src/peers/aggregates.ts
+++ b/src/peers/aggregates.ts
@@ -23,6 +23,11 @@
    * amounts are described in `gateway-positions.ts`.
    */
   gatewayPositions: 5,
+  /**
+   * Gateways of a region; the key is the hash of its name. Absent while the load of a region is not
+   * known.
+   */
+  regionGateways: 6,
 } as const;
 
 /** Number of a topic on the wire. */
