Quotas and nearness joined: silent members are left out, and the stand-ins speak the new question

Two stand-ins answered only the older question. Members known to be silent were asked last instead of not at all, so a refusal without any reachable member took 40 ms a member. One expectation, that a quota question goes to the nearest member, no longer holds: it goes to the home of the tenant, which holds the whole of its limit, wherever that is.

Change: members known to be silent are not asked; the stand-ins answer spendForProgram; the scenario of regions asserts the nearness of chains, reservations and stored turns as before, and for a quota that it takes at most one round trip to the home.

--- a/features/regions.feature
+++ b/features/regions.feature
@@ -21,9 +21,10 @@
 
   Scenario: Requests to members stay near where members are near
     Given members in zones "a1 b1 b2 b1 c1" of three regions
-    Then gateways of region "b" wait "0.4 0.4 7.8 7.8" ms for a quota, a chain, a reservation and a stored turn
-    And gateways of region "c" wait "1.6 1.6 29 29" ms for a quota, a chain, a reservation and a stored turn
+    Then gateways of region "b" wait "0.4 7.8 7.8" ms for a chain, a reservation and a stored turn
+    And gateways of region "c" wait "1.6 29 29" ms for a chain, a reservation and a stored turn
     And without the regions gateways of region "b" wait longer for each
+    And no region waits longer than the round trip of 24 ms to the tenant's home for a quota
 
   Scenario: Members of another region are given the round trip before others are asked as well
     Given members in zones "b1 b2 c1" whose answers take 50 ms
--- a/features/steps/reach.steps.ts
+++ b/features/steps/reach.steps.ts
@@ -42,10 +42,12 @@
     if (request.type === 'reserve') {
       return { type: 'account', call: 1, outcome: 'done', entries: [request.entry] };
     }
-    if (request.type === 'spend') {
+    if (request.type === 'spendForProgram') {
       // A member that reaches no majority of the others grants nothing.
       const outcome = this.silent.size > 2 ? 'inactive' : 'done';
-      return { type: 'spent', call: 1, outcome, granted: outcome === 'done', waitMilliseconds: 0 };
+      const granted = outcome === 'done';
+      const inputs = { share: 1, tokens: 1, reserved: 0, needed: 0, reason: 'inProgress' } as const;
+      return { type: 'spentForProgram', call: 1, outcome, granted, waitMilliseconds: 0, ...inputs };
     }
     return { type: 'chained', call: 1, state: 'missing', body: Buffer.alloc(0) };
   }
--- a/src/turns/quota-client.ts
+++ b/src/turns/quota-client.ts
@@ -43,7 +43,7 @@
   readonly caller: ReplicaCaller;
   /** Distances to the zones of the members, by which a reply may take longer. @default none */
   readonly distances?: ZoneDistances | undefined;
-  /** Whether a member is known not to reply; it is asked last. @default none */
+  /** Whether a member is known not to reply; it is not asked. @default none */
   readonly isSilent?: ((member: Member) => boolean) | undefined;
 }
 
@@ -165,13 +165,20 @@
   private begin(attempt: SpendAttempt): void {
     const { tenant } = attempt.quotaRequest.quota;
     const members = membersByTenant(attempt.record, tenant);
-    const now = this.options.runtime.now();
+    const { runtime, isSilent = () => false } = this.options;
+    const now = runtime.now();
+    // Members that are probed until they reply are left out, so that no request waits for them.
+    const probed = members.filter(isSilent);
+    const others = members.filter((member) => !probed.includes(member));
     attempt.unaskedMembers = [];
     attempt.refusals = [];
     attempt.refusedShare = 0;
     attempt.queuedAt = undefined;
-    attempt.unreachedMembers = members[0] !== undefined && this.isSilent(members[0], now) ? 1 : 0;
-    for (const member of this.silentLast(members, now)) {
+    const [home] = members;
+    const isHomeReached =
+      home === undefined || (!probed.includes(home) && !this.isSilent(home, now));
+    attempt.unreachedMembers = isHomeReached ? 0 : 1;
+    for (const member of this.silentLast(others, now)) {
       const waitMilliseconds = this.refusalMilliseconds(attempt, member);
       if (waitMilliseconds > 0) {
         attempt.refusals.push({ member, waitMilliseconds });
@@ -195,9 +202,8 @@
     return true;
   }
 
-  private isSilent(member: Member, now: number): boolean {
-    const isKnownSilent = this.options.isSilent?.(member) ?? false;
-    return isKnownSilent || (this.silentUntil.get(member.id) ?? -Infinity) > now;
+  private isSilent({ id }: Member, now: number): boolean {
+    return (this.silentUntil.get(id) ?? -Infinity) > now;
   }
 
   /** Returns the members in the order in which they are asked. */
--- a/src/turns/replica-reachability.ts
+++ b/src/turns/replica-reachability.ts
@@ -18,7 +18,12 @@
 export const REACHABILITY_CHECK_MILLISECONDS = 100;
 
 /** Requests that a replica answers without writing to its disk, so that their times show the distance. */
-const REQUESTS_WITHOUT_WRITES: ReadonlySet<string> = new Set(['chain', 'chainUnder', 'spend']);
+const REQUESTS_WITHOUT_WRITES: ReadonlySet<string> = new Set([
+  'chain',
+  'chainUnder',
+  'spend',
+  'spendForProgram',
+]);
 
 /** The calls to one replica. */
 interface ReplicaContact {
