Shares of quotas move to a new home as soon as the earlier home's own lease has ended

Cause: after each change of the members that are present, an owner lent no share until the last lease to any member under the earlier view had ended, and only to a home of all views.

Change: an owner remembers the end of the lease of each borrower by view, and a lease names the borrowers whose leases under an earlier view may be in force. A share is withheld only where the tenant's home in that view is one of them. One holder at a time, as before; the property test of holders and the tests of quotas are unchanged. The declared bytes of the new message kind changed with it.

Features quotas, tenants and two-builds pass.

--- a/features/steps/two-builds.steps.ts
+++ b/features/steps/two-builds.steps.ts
@@ -94,9 +94,9 @@
       digests: Buffer.from('ab', 'hex'),
       turns: ['t'],
       fresh: false,
-      lent: { milliseconds: 2, views: [['m']], keptTenants: ['t'] },
+      lent: { milliseconds: 2, views: [{ members: ['m'], borrowers: ['n'] }], keptTenants: ['t'] },
     },
-    hex: '1800000009010000000300016c3ff0000000000000400000000000000000000001ab00000001000174004000000000000000000000010000000100016d00000001000174',
+    hex: '1800000009010000000300016c3ff0000000000000400000000000000000000001ab00000001000174004000000000000000000000010000000100016d0000000100016e00000001000174',
   },
 };
 const RECORD_HEADER_BYTES = 8;
--- a/features/support/wire-arbitraries.ts
+++ b/features/support/wire-arbitraries.ts
@@ -42,8 +42,9 @@
   },
   plain,
 );
+const lentView = fc.record({ members: fc.array(text), borrowers: fc.array(text) }, plain);
 const lentShares = fc.record(
-  { milliseconds: amount, views: fc.array(fc.array(text)), keptTenants: fc.array(text) },
+  { milliseconds: amount, views: fc.array(lentView), keptTenants: fc.array(text) },
   plain,
 );
 const silenceReport = fc.record(
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -224,7 +224,7 @@
 });
 const lentSharesField = record({
   milliseconds: float64,
-  views: listOf(listOf(shortText)),
+  views: listOf(record({ members: listOf(shortText), borrowers: listOf(shortText) })),
   keptTenants: listOf(shortText),
 });
 
--- a/src/turns/quota-shares.ts
+++ b/src/turns/quota-shares.ts
@@ -5,8 +5,8 @@
  *
  * A share has one holder at any time: the borrower counts the lease from before it asked, the owner from when it
  * replied, and the owner grants again, or lends to another member, only once the lease has ended. Which members the
- * owner takes for present is its own decision, sent with the lease; while leases of an earlier view may be in force, a
- * share is lent only to a member that is the home in all of these views.
+ * owner takes for present is its own decision, sent with the lease. A share is not lent while the tenant's home in an
+ * earlier view may still hold a lease.
  */
 import { homeAmong } from './quota-home.js';
 import type { MemberRecord } from './membership.js';
@@ -30,14 +30,24 @@
   readonly home: string;
 }
 
+/** A view with the members that may hold a lease that was given under it. */
+export interface LentView {
+  readonly members: PresenceView;
+  /** Empty for the current view. */
+  readonly borrowers: readonly string[];
+}
+
 /** What one member lends to another. */
 export interface LentShares {
   /** Duration of the lease, in milliseconds; 0 if nothing is lent. */
   readonly milliseconds: number;
-  /** The borrower gets the shares of the tenants whose home it is in all of these views. */
-  readonly views: PresenceView[];
+  /**
+   * The current view, then earlier ones. The borrower gets the shares of the tenants whose home it is in the current
+   * view, except those whose home in an earlier view is another of its borrowers.
+   */
+  readonly views: readonly LentView[];
   /** Tenants whose shares are not lent. */
-  readonly keptTenants: string[];
+  readonly keptTenants: readonly string[];
 }
 
 /** Duration of a lease; two pulls fall into it, so that one that is late does not end it. */
@@ -74,8 +84,8 @@
 /** A view that is no longer current. */
 interface EarlierView {
   readonly view: PresenceView;
-  /** End of the last lease that was given under it, in milliseconds. */
-  readonly lentUntil: number;
+  /** End of the last lease that was given to each member under it, in milliseconds. */
+  readonly lentUntil: ReadonlyMap<string, number>;
 }
 
 /** The share of the only member, to which nobody lends and which lends to nobody. */
@@ -95,10 +105,8 @@
   private earlierViews: EarlierView[] = [];
   /** End of the last lease under forgotten views, and under those of an earlier process, in milliseconds. */
   private forgottenLentUntil: number;
-  /** End of the last lease given to any member, in milliseconds. */
-  private lastLentUntil = -Infinity;
   /** End of the last lease given to each member under the current view, in milliseconds. */
-  private readonly lentUntil = new Map<string, number>();
+  private lentUntil = new Map<string, number>();
   private readonly heardAt = new Map<string, number>();
   private readonly keptTenants = new Map<string, KeptTenant>();
   private readonly loans = new Map<string, Loan>();
@@ -119,15 +127,13 @@
   lend(to: string, record: MemberRecord, now: number): LentShares {
     this.noteHeard(to, now);
     this.update(record, now);
-    const leased = this.earlierViews.filter(({ lentUntil }) => lentUntil > now);
     const isClear = now >= this.forgottenLentUntil && this.keptTenants.size <= MAXIMUM_KEPT_TENANTS;
     if (!isClear || !this.view.includes(to)) {
       return NOTHING_LENT;
     }
     const until = now + LEASE_MILLISECONDS;
     this.lentUntil.set(to, until);
-    this.lastLentUntil = Math.max(this.lastLentUntil, until);
-    const views = [this.view, ...leased.map(({ view }) => view)];
+    const views = [{ members: this.view, borrowers: [] }, ...this.leasedEarlierViews(now)];
     return { milliseconds: LEASE_MILLISECONDS, views, keptTenants: [...this.keptTenants.keys()] };
   }
 
@@ -196,9 +202,23 @@
   }
 
   private isLent({ views, keptTenants }: LentShares, tenant: string): boolean {
-    return (
-      !keptTenants.includes(tenant) && views.every((view) => homeAmong(view, tenant) === this.ownId)
-    );
+    const [current, ...earlierViews] = views;
+    const isHome = current !== undefined && homeAmong(current.members, tenant) === this.ownId;
+    const isLentElsewhere = earlierViews.some(({ members, borrowers }) => {
+      const home = homeAmong(members, tenant);
+      return home !== undefined && home !== this.ownId && borrowers.includes(home);
+    });
+    return isHome && !isLentElsewhere && !keptTenants.includes(tenant);
+  }
+
+  /** Returns the earlier views with the members whose leases may be in force. */
+  private leasedEarlierViews(now: number): LentView[] {
+    return this.earlierViews
+      .map(({ view, lentUntil }) => {
+        const borrowers = [...lentUntil].filter(([, until]) => until > now).map(([id]) => id);
+        return { members: view, borrowers };
+      })
+      .filter(({ borrowers }) => borrowers.length > 0);
   }
 
   private lentUntilOf(tenant: string, home: string): number {
@@ -211,7 +231,7 @@
   private lentEarlierUntil(tenant: string): number {
     return this.earlierViews.reduce(
       (until, { view, lentUntil }) =>
-        homeAmong(view, tenant) === this.ownId ? until : Math.max(until, lentUntil),
+        Math.max(until, lentUntil.get(homeAmong(view, tenant) ?? '') ?? -Infinity),
       this.forgottenLentUntil,
     );
   }
@@ -235,8 +255,8 @@
       id === this.ownId || (this.heardAt.get(id) ?? -Infinity) >= since;
     const view = record.members.map(({ id }) => id).filter(isPresent);
     if (this.record !== undefined && !sameTexts(view, this.view)) {
-      this.earlierViews.push({ view: this.view, lentUntil: this.lastLentUntil });
-      this.lentUntil.clear();
+      this.earlierViews.push({ view: this.view, lentUntil: this.lentUntil });
+      this.lentUntil = new Map();
       this.keptTenants.clear();
     }
     this.record = record;
@@ -252,14 +272,23 @@
   }
 
   private forgetEarlierViews(now: number): void {
-    while (
-      this.earlierViews.length > MAXIMUM_VIEWS ||
-      (this.earlierViews[0]?.lentUntil ?? Infinity) < now - REMEMBERED_MILLISECONDS
-    ) {
-      const { lentUntil } = this.earlierViews.shift()!;
+    while (this.earlierViews.length > MAXIMUM_VIEWS || this.isOutdated(this.earlierViews[0], now)) {
+      const lentUntil = latestEnd(this.earlierViews.shift()!);
       this.forgottenLentUntil = Math.max(this.forgottenLentUntil, lentUntil);
     }
   }
+
+  private isOutdated(view: EarlierView | undefined, now: number): boolean {
+    return view !== undefined && latestEnd(view) < now - REMEMBERED_MILLISECONDS;
+  }
+}
+
+function latestEnd({ lentUntil }: EarlierView): number {
+  return Math.max(-Infinity, ...lentUntil.values());
+}
+
+function isSameView(left: LentView, right: LentView): boolean {
+  return sameTexts(left.members, right.members) && sameTexts(left.borrowers, right.borrowers);
 }
 
 function sameTexts(left: readonly string[], right: readonly string[]): boolean {
@@ -270,6 +299,6 @@
   return (
     sameTexts(left.keptTenants, right.keptTenants) &&
     left.views.length === right.views.length &&
-    left.views.every((view, index) => sameTexts(view, right.views[index]!))
+    left.views.every((view, index) => isSameView(view, right.views[index]!))
   );
 }
