Logs and metrics show the software version of runners and what a request resumes

No log line told the version of a runner, nor that a request takes up a stream, so the logs could not tell whether a stream changed its version inside one answer or over a client's tries. Nothing is decided by it.

--- a/src/relay/request/default-header-names.ts
+++ b/src/relay/request/default-header-names.ts
@@ -9,6 +9,7 @@
   promptParts: 'ivyloom-prompt-parts',
   tokenUsage: 'ivyloom-token-usage',
   lastEventId: 'last-event-id',
+  resumes: 'ivyloom-resumes',
   expectedRunner: 'ivyloom-runner',
   priority: 'ivyloom-priority',
   signature: 'ivyloom-signature',
--- a/src/relay/request/header-names.ts
+++ b/src/relay/request/header-names.ts
@@ -14,6 +14,8 @@
   readonly tokenUsage: string;
   /** Identifier of the last event that the client received of a broken stream. */
   readonly lastEventId: string;
+  /** Identifier of the request whose answer brought the first event of the stream that the client resumes. */
+  readonly resumes: string;
   /** The only runner that may run the request. */
   readonly expectedRunner: string;
   /** Rank of the request at the runner. */
--- a/src/relay/request/relay-request.ts
+++ b/src/relay/request/relay-request.ts
@@ -49,6 +49,8 @@
   readonly previousTurn: string | undefined;
   /** Identifier of the last event that the client has received. */
   readonly lastEventId: string | undefined;
+  /** Identifier of the request whose answer brought the first event of the stream that this one resumes. */
+  readonly resumes: string | undefined;
   readonly promptParts: readonly PromptPart[];
   readonly promptTokens: number;
   /** Maximum number of tokens of the answer; 0 if not given. */
--- a/src/relay/runners/runner-registry.ts
+++ b/src/relay/runners/runner-registry.ts
@@ -5,7 +5,12 @@
 import type { EngineSample } from './engine-estimate.js';
 import { PromptCacheEstimate } from './prompt-cache-estimate.js';
 import type { PromptKey, PromptPart } from '../request/relay-request.js';
-import { isEarlierIncarnation, incarnationHash, incarnationOf } from './runner.js';
+import {
+  incarnationHash,
+  incarnationOf,
+  isEarlierIncarnation,
+  softwareVersionOf,
+} from './runner.js';
 import type { Runner, RunnerIncarnation } from './runner.js';
 import type { LoadView, ServiceLoad } from './runner-view.js';
 import { InactivityEstimate } from './inactivity-estimate.js';
@@ -427,7 +432,9 @@
     this.recordsByService.set(runner.service, ofService.add(record));
     const { id, service, ready } = runner;
     this.onRunnerAdded(runner);
-    this.runtime.log('info', 'runner added', { event: 'runner.seen', runner: id, service, ready });
+    const version = softwareVersionOf(runner);
+    const fields = { event: 'runner.seen', runner: id, service, ready, version };
+    this.runtime.log('info', 'runner added', fields);
     this.updateColdPeriod(record, revision);
   }
 
--- a/src/relay/runners/runner.ts
+++ b/src/relay/runners/runner.ts
@@ -17,6 +17,8 @@
   readonly host: string;
   readonly port: number;
   readonly zone: string;
+  /** Version of the runner's software; empty or absent if its entry names none. */
+  readonly softwareVersion?: string;
   /** Number of requests the runner processes at the same time. */
   readonly slots: number;
   /** False once the runner is shutting down and accepts no new requests. */
@@ -35,6 +37,11 @@
   return (startedAt === undefined ? id : `${id}@${startedAt}`) as RunnerIncarnation;
 }
 
+/** Returns the version of a runner's software; empty if its entry names none. */
+export function softwareVersionOf({ softwareVersion = '' }: Runner): string {
+  return softwareVersion;
+}
+
 /** Returns the 32-bit hash of an incarnation, which gateways use for runners in messages to each other. */
 export function incarnationHash(runner: Runner): number {
   return hashToNumber(incarnationOf(runner));
--- a/src/relay/stages/request-state.ts
+++ b/src/relay/stages/request-state.ts
@@ -1,6 +1,7 @@
 /** State of one relayed request, shared by its stages and attempts. */
 import type { RelayContext } from '../relay-context.js';
 import type { RelayRequest } from '../request/relay-request.js';
+import type { StreamOrigin } from '../request/stream-origin.js';
 
 /** Called when a request has finished, with the number of tokens delivered to the client. */
 export type FinishListener = (deliveredTokens: number) => void;
@@ -23,6 +24,8 @@
   predictedWait: PredictedWait | undefined;
   /** Name of a rule that excluded a runner from the last placement; undefined if none did. */
   excludedBy: string | undefined;
+  /** Where the stream of the answer began; undefined before its first event. */
+  origin: StreamOrigin | undefined;
   private isProgramStart: boolean;
   private selectedService: string | undefined;
   private finishListeners: FinishListener[] = [];
--- a/src/relay/tries/call-log.ts
+++ b/src/relay/tries/call-log.ts
@@ -2,6 +2,9 @@
 import type { LogFields } from '../../runtime/runtime.js';
 import type { RelayContext } from '../relay-context.js';
 import type { RelayRequest } from '../request/relay-request.js';
+import type { StreamOrigin } from '../request/stream-origin.js';
+import { softwareVersionOf } from '../runners/runner.js';
+import type { Runner } from '../runners/runner.js';
 import type { RunnerCandidate, RunnerRecord } from '../runners/runner-registry.js';
 
 /** Logged in place of a missing value, such as the dispatch time of a request that was never dispatched. */
@@ -47,6 +50,7 @@
     event: 'relay.try',
     request,
     runner: record.runner.id,
+    runnerVersion: softwareVersionOf(record.runner),
     tag,
     detail,
     tries,
@@ -55,6 +59,44 @@
   });
 }
 
+/** An attempt that continues a stream. */
+export interface ResumedStream {
+  readonly request: RelayRequest;
+  readonly runner: Runner;
+  /** Where the stream began; undefined if unknown. */
+  readonly origin: StreamOrigin | undefined;
+  /** Identifier of the event after which the stream continues. */
+  readonly lastEventId: string;
+  /** Whether the answer in progress continues, rather than one that the client received earlier. */
+  readonly isWithinAnswer: boolean;
+}
+
+function compareVersions(runner: Runner, origin: StreamOrigin | undefined): string {
+  if (origin === undefined) {
+    return 'unknown';
+  }
+  return origin.version === softwareVersionOf(runner) ? 'same' : 'other';
+}
+
+/** Logs and counts an attempt that continues a stream. */
+export function logResumedStream({ runtime, metrics }: RelayContext, resumed: ResumedStream): void {
+  const { request, runner, origin, lastEventId, isWithinAnswer } = resumed;
+  const within = isWithinAnswer ? 'answer' : 'tries';
+  const version = compareVersions(runner, origin);
+  metrics.count('ivyloom_relay_resumed_streams_total', `within="${within}",version="${version}"`);
+  runtime.log('info', 'stream resumed', {
+    event: 'relay.resume',
+    request: request.id,
+    resumes: request.resumes ?? '',
+    within,
+    lastEvent: lastEventId,
+    runner: runner.id,
+    runnerVersion: softwareVersionOf(runner),
+    beganAt: origin?.version ?? '',
+    version,
+  });
+}
+
 /** The inputs on which placement decided, as logged. */
 interface PlacementInputs {
   /** Time until the program's deadline when the request arrived, in milliseconds. */
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -24,8 +24,8 @@
 import { rankOf } from '../request/request-rank.js';
 import type { EngineSample } from '../runners/engine-estimate.js';
 import { engineSampleOf } from '../runners/engine-sample.js';
-import { incarnationOf } from '../runners/runner.js';
-import type { RunnerIncarnation } from '../runners/runner.js';
+import { incarnationOf, softwareVersionOf } from '../runners/runner.js';
+import type { Runner, RunnerIncarnation } from '../runners/runner.js';
 import type { RunnerCandidate, RunnerRecord } from '../runners/runner-registry.js';
 import { refusalWithoutCapacity } from '../stages/capacity-stage.js';
 import { CALL_STAGES } from '../stages/call-stages.js';
@@ -36,7 +36,7 @@
 import type { AttemptHistory } from './attempt-rules.js';
 import { startAttempt } from './attempt.js';
 import type { Attempt } from './attempt.js';
-import { logCallEnd, logFailedAttempt } from './call-log.js';
+import { logCallEnd, logFailedAttempt, logResumedStream } from './call-log.js';
 import { FIRST_SERVER_ERROR_STATUS, classifyAnswer } from './classify-answer.js';
 import { CallFlowControl } from './call-flow-control.js';
 import { CONNECT_MILLISECONDS } from './runner-connections.js';
@@ -50,6 +50,8 @@
 interface CurrentAttempt {
   readonly attempt: Attempt;
   readonly record: RunnerRecord;
+  /** The runner as its entry described it when the attempt started. */
+  readonly runner: Runner;
   readonly startedAt: number;
   readonly inactivity: InactivityMonitor;
   /** State of the runner when it was chosen. */
@@ -111,11 +113,26 @@
     this.firstByteAt ??= this.context.runtime.now();
   }
 
+  /** Records what the first event of the stream shows. */
+  noteFirstEvent(): void {
+    this.recordOrigin();
+    this.observeWait();
+  }
+
+  /** Records the runner of the first event as the origin of the stream. */
+  private recordOrigin(): void {
+    const { current, requestState } = this;
+    if (current !== undefined) {
+      const { service } = current.runner;
+      requestState.origin ??= { service, version: softwareVersionOf(current.runner) };
+    }
+  }
+
   /**
    * Compares the time to the first event with the wait that admission predicted; after a retry, or
    * at a cold runner, it shows nothing of the load.
    */
-  noteFirstEvent(): void {
+  private observeWait(): void {
     const { current, requestState, attemptCount } = this;
     const predicted = requestState.predictedWait;
     if (predicted === undefined || current === undefined || attemptCount > 1) {
@@ -256,11 +273,13 @@
     this.dispatchedAt ??= now;
     this.lastChosen = chosen;
     context.registry.noteRequestSent(record, request.promptParts);
+    const lastEventId = this.stream?.lastEventId ?? request.lastEventId;
+    this.logResumption(runner, lastEventId);
     const headers = headersToRunner(request, context.names, {
       runnerId: runner.id,
       remainingMilliseconds: this.remainingMilliseconds,
       rank: rankOf(request, now),
-      lastEventId: this.stream?.lastEventId ?? request.lastEventId,
+      lastEventId,
       bodyBytes: this.requestState.body.length,
     });
     const reader = this.nextReader();
@@ -297,7 +316,7 @@
     const inactivity = new InactivityMonitor(context, record, () =>
       this.failAttempt({ tag: 'Lost', detail: 'runner unreachable' }),
     );
-    this.current = { attempt, record, startedAt: now, inactivity, chosen };
+    this.current = { attempt, record, runner, startedAt: now, inactivity, chosen };
   }
 
   /** Returns the reader for the next attempt: a stream continues, a plain answer starts over. */
@@ -473,6 +492,15 @@
     });
   }
 
+  private logResumption(runner: Runner, lastEventId: string | undefined): void {
+    if (this.stream !== undefined && lastEventId !== undefined) {
+      const { context, request, requestState } = this;
+      const isWithinAnswer = this.stream.lastEventId !== undefined;
+      const { origin } = requestState;
+      logResumedStream(context, { request, runner, origin, lastEventId, isWithinAnswer });
+    }
+  }
+
   private logFailure(tag: string, detail: string, current: CurrentAttempt): void {
     const { record, startedAt } = current;
     const { request, attemptCount } = this;
--- a/src/telemetry/explain-request.ts
+++ b/src/telemetry/explain-request.ts
@@ -13,6 +13,8 @@
       return `${at} refused at the door with ${fieldText(line, 'status')}, because ${fieldText(line, 'reason')}; configuration version ${fieldText(line, 'version')}, host ${fieldText(line, 'host')}, path ${fieldText(line, 'path')}.`;
     case 'relay.try':
       return `${at} try ${fieldText(line, 'tries')} at runner ${fieldText(line, 'runner')} ended after ${fieldText(line, 'age')} ms as ${fieldText(line, 'tag')} (${fieldText(line, 'detail')}); ${fieldText(line, 'inFlight')} other requests of this gateway were there.`;
+    case 'relay.resume':
+      return explainResumption(line, at);
     case 'relay.admission':
       return explainAdmission(line, at);
     case 'relay.quota':
@@ -54,6 +56,16 @@
   return `${at} ${reason}: ${inputs}; ${member}; pause told ${fieldText(line, 'pause')} ms.`;
 }
 
+function explainResumption(line: LogLine, at: string): string {
+  const began =
+    fieldText(line, 'version') === 'unknown'
+      ? 'an unknown version'
+      : `version "${fieldText(line, 'beganAt')}"`;
+  const stream = fieldText(line, 'resumes');
+  const which = stream === '' ? 'the stream' : `the stream of request ${stream}`;
+  return `${at} resumed ${which} after event ${fieldText(line, 'lastEvent')} at runner ${fieldText(line, 'runner')} of software version "${fieldText(line, 'runnerVersion')}"; it began at ${began}.`;
+}
+
 function explainEnd(line: LogLine, at: string): string {
   const spent = `after ${fieldText(line, 'total')} ms (${fieldText(line, 'beforeDispatch')} ms before the first try, first byte at ${fieldText(line, 'firstByte')} ms, ${fieldText(line, 'events')} events, ${fieldText(line, 'tries')} tries), configuration version ${fieldText(line, 'version')}`;
   const rule = fieldText(line, 'excludedBy');
