Streams that change the software version of their runner: red tests

Three scenarios over real connections, seen from the clients: an answer that is interrupted, a stream that is resumed at another gateway, and one whose gateway was killed.

--- /dev/null
+++ b/features/support/version-world.ts
@@ -0,0 +1,246 @@
+/** Gateways that share replicas, before runners of several software versions of one service, all on loopback. */
+import { request as httpRequest } from 'node:http';
+import { findFreePorts } from '../../src/bench/free-ports.js';
+import { RelayRunner } from '../../src/emulator/relay-runner.js';
+import { DEFAULT_HEADER_NAMES as NAMES } from '../../src/relay/request/default-header-names.js';
+import { RelayGateway } from '../../src/relay/relay-gateway.js';
+import { createRoutingTable } from '../../src/relay/request/routing-table.js';
+import type { Route } from '../../src/relay/request/routing-table.js';
+import { createRealRuntime } from '../../src/runtime/real-runtime.js';
+import { MemberDirectory } from '../../src/turns/member-directory.js';
+import type { Member } from '../../src/turns/membership.js';
+import { MemoryTurnStorage } from '../../src/turns/memory-turn-storage.js';
+import { QuotaClient } from '../../src/turns/quota-client.js';
+import { Replica } from '../../src/turns/replica.js';
+import { ReplicaServer } from '../../src/turns/replica-server.js';
+import { TcpReplicaCaller } from '../../src/turns/tcp-replica-caller.js';
+import { TurnClient } from '../../src/turns/turn-client.js';
+
+const HOST = '127.0.0.1';
+const ZONE = 'hall';
+const SERVICE = 'minds';
+const REPLICAS = 3;
+const EVENTS = 6;
+const EVENT_MILLISECONDS = 10;
+const ROUTE: Route = {
+  name: 'chat',
+  host: 'shop.example',
+  pathPrefix: '/',
+  kind: 'stream',
+  timeoutMilliseconds: 3_000,
+  targetMilliseconds: 200,
+  priority: 1,
+  services: [{ service: SERVICE, weight: 1 }],
+  maximumAttempts: 2,
+  resumable: true,
+  retained: false,
+  retentionSeconds: 0,
+  isPublic: false,
+};
+const LIMITS = {
+  headerBytes: 4_096,
+  bodyBytes: 100_000,
+  headerMilliseconds: 3_000,
+  idleMilliseconds: 5_000,
+};
+
+/** An event as a client received it. */
+export interface ReceivedEvent {
+  readonly id: number;
+  readonly version: string;
+}
+
+/** What a client received in one try. */
+export interface TryResult {
+  readonly requestId: string;
+  readonly status: number;
+  readonly events: readonly ReceivedEvent[];
+  /** Whether the answer is complete. */
+  readonly complete: boolean;
+  readonly retryAfter: string | undefined;
+}
+
+/** The events that a stream consists of, over all tries of its client. */
+export const ALL_EVENTS: readonly number[] = Array.from(
+  { length: EVENTS },
+  (_, index) => index + 1,
+);
+
+function eventsOf(text: string): ReceivedEvent[] {
+  const events = text.matchAll(/^id: (\d+)\ndata: event \d+ by (\S+)\n\n/gm);
+  return [...events].map(([, id, version]) => ({ id: Number(id), version: version! }));
+}
+
+/** A runner with its place in the lists of the gateways. */
+export interface VersionedRunner {
+  readonly runner: RelayRunner;
+  readonly version: string;
+  readonly port: number;
+}
+
+/** Starts the parts, lists runners and sends requests. */
+export class VersionWorld {
+  readonly runtime = createRealRuntime({ seed: 1, logLevel: 'error' });
+  readonly runners: VersionedRunner[] = [];
+  gateways: RelayGateway[] = [];
+  private readonly fronts: number[] = [];
+  private readonly replicas: Replica[] = [];
+  private readonly servers: ReplicaServer[] = [];
+  private readonly callers: TcpReplicaCaller[] = [];
+  private members: readonly Member[] = [];
+  private requestCount = 0;
+
+  /** Starts the replicas and some gateways. */
+  async start(gatewayCount: number): Promise<void> {
+    const ports = await findFreePorts(HOST, REPLICAS);
+    this.members = ports.map((port, index) => {
+      const id = `r${index + 1}`;
+      return { id, node: id, host: HOST, port, zone: ZONE };
+    });
+    this.members.forEach((member) => this.startReplica(member));
+    for (let index = 0; index < gatewayCount; index += 1) {
+      await this.startGateway();
+    }
+  }
+
+  /** Starts a gateway that knows the replicas and no runner. */
+  async startGateway(): Promise<RelayGateway> {
+    const { runtime } = this;
+    const [front, ready] = await findFreePorts(HOST, 2);
+    const directory = this.createDirectory();
+    const caller = new TcpReplicaCaller(runtime, () => undefined);
+    const gateway = new RelayGateway({
+      runtime,
+      zone: ZONE,
+      names: NAMES,
+      turns: new TurnClient({ runtime, directory, caller, zone: ZONE }),
+      quotas: new QuotaClient({ runtime, directory, caller }),
+      front: { host: HOST, port: front! },
+      ready: { host: HOST, port: ready! },
+      graceMilliseconds: 8_000,
+    });
+    const service = {
+      name: SERVICE,
+      maximumConnections: 20,
+      tokensPerEvent: 10,
+      cachesPrompts: true,
+      memoryTokens: undefined,
+    };
+    gateway.applyTable(createRoutingTable(7, [ROUTE], [service], LIMITS), 'test');
+    this.gateways.push(gateway);
+    this.fronts.push(front!);
+    this.callers.push(caller);
+    return gateway;
+  }
+
+  /** Starts a runner of a software version and lists it at all gateways. */
+  async startRunner(version: string): Promise<VersionedRunner> {
+    const runner = new RelayRunner({
+      id: `runner-${this.runners.length}`,
+      names: NAMES,
+      softwareVersion: version,
+      eventCount: EVENTS,
+      pauseMilliseconds: EVENT_MILLISECONDS,
+    });
+    const versioned = { runner, version, port: await runner.listen() };
+    this.runners.push(versioned);
+    this.gateways.forEach((gateway) => this.list(gateway, versioned));
+    return versioned;
+  }
+
+  /** Puts a runner's entry into the list of a gateway. */
+  list(gateway: RelayGateway, { runner, version, port }: VersionedRunner, ready = true): void {
+    const place = { host: HOST, port, zone: ZONE, slots: 8 };
+    const entry = { id: runner.id, service: SERVICE, softwareVersion: version, ready, ...place };
+    gateway.registry.put(entry);
+  }
+
+  /** Ends a gateway at once, as a kill does. */
+  kill(index: number): void {
+    this.gateways[index]!.close();
+    this.callers[index]!.close();
+  }
+
+  /** Stops the replicas, which lose what they hold in memory. */
+  stopReplicas(): void {
+    this.servers.splice(0).forEach((server) => server.close());
+    this.replicas.splice(0).forEach((replica) => replica.close());
+  }
+
+  /**
+   * Sends one try to a gateway.
+   * @param resumed the try whose answer brought the stream's first event, and the last event received
+   * @param leaveAfter number of events after which the client leaves
+   */
+  send(
+    gateway: number,
+    resumed?: { readonly requestId: string | undefined; readonly lastEvent: number | string },
+    leaveAfter = Infinity,
+  ): Promise<TryResult> {
+    this.requestCount += 1;
+    const requestId = `request-${this.requestCount}`;
+    const headers: Record<string, string> = {
+      host: ROUTE.host,
+      'content-length': '0',
+      [NAMES.requestId]: requestId,
+      [NAMES.timeout]: '3000',
+    };
+    if (resumed !== undefined) {
+      headers[NAMES.lastEventId] = String(resumed.lastEvent);
+    }
+    if (resumed?.requestId !== undefined) {
+      headers[NAMES.resumes] = resumed.requestId;
+    }
+    const target = { host: HOST, port: this.fronts[gateway]!, agent: false as const };
+    return new Promise((resolve) => {
+      const options = { ...target, method: 'POST', path: '/chat?stream', headers };
+      const client = httpRequest(options, (response) => {
+        let text = '';
+        response.setEncoding('utf8');
+        response.on('data', (chunk: string) => {
+          text += chunk;
+          if (eventsOf(text).length >= leaveAfter) {
+            client.destroy();
+          }
+        });
+        response.on('error', () => undefined);
+        response.on('close', () => {
+          const retryAfter = response.headers['retry-after'];
+          const status = response.statusCode ?? 0;
+          const { complete } = response;
+          resolve({ requestId, status, events: eventsOf(text), complete, retryAfter });
+        });
+      });
+      client.on('error', () =>
+        resolve({ requestId, status: 0, events: [], complete: false, retryAfter: undefined }),
+      );
+      client.end();
+    });
+  }
+
+  /** Stops all parts. */
+  async stop(): Promise<void> {
+    this.gateways.forEach((gateway) => gateway.close());
+    this.callers.forEach((caller) => caller.close());
+    this.stopReplicas();
+    await Promise.all(this.runners.map(({ runner }) => runner.crash()));
+  }
+
+  private createDirectory(): MemberDirectory {
+    const directory = new MemberDirectory(this.runtime);
+    directory.offer({ epoch: 1, members: this.members }, 'test');
+    return directory;
+  }
+
+  private startReplica({ id, host, port }: Member): void {
+    const { runtime } = this;
+    const directory = this.createDirectory();
+    const storage = new MemoryTurnStorage(runtime);
+    const replica = new Replica({ id, runtime, storage, directory });
+    replica.markReady('test');
+    const server = new ReplicaServer(replica, directory, runtime);
+    server.listen(host, port, () => undefined);
+    this.replicas.push(replica);
+    this.servers.push(server);
+  }
+}
--- a/src/emulator/relay-runner.ts
+++ b/src/emulator/relay-runner.ts
@@ -52,6 +52,8 @@
   /** Name of this incarnation. */
   readonly id: string;
   readonly names: HeaderNames;
+  /** Version of its software, which the text of each event then names. @default not named */
+  readonly softwareVersion?: string;
   /** Number of events of a stream. @default 4 */
   readonly eventCount?: number;
   /** Pause before each event and each answer. @default 1 */
@@ -322,7 +324,7 @@
       }
       this.eventsSent += 1;
       const isWritable = response.write(
-        `id: ${id}\ndata: ${`event ${id}`.padEnd(paddedBytes, '.')}\n\n`,
+        `id: ${id}\ndata: ${this.textOf(id).padEnd(paddedBytes, '.')}\n\n`,
       );
       const scheduleNext = (): void => {
         setTimeout(() => sendEvent(id + 1), pauseMilliseconds);
@@ -336,6 +338,13 @@
     sendEvent(firstEventId);
   }
 
+  private textOf(event: number): string {
+    const { softwareVersion } = this.options;
+    return softwareVersion === undefined
+      ? `event ${event}`
+      : `event ${event} by ${softwareVersion}`;
+  }
+
   private headersOf(requestId: string): Record<string, string> {
     const { names, id } = this.options;
     return { [names.requestId]: requestId, [names.signature]: `signed by ${id}` };
