Streams continue only at the software version that began them

Cause: nothing in the product knew the software version of a runner. An answer that was interrupted went on at any runner of the service, and a gateway that a client came to with Last-Event-Id placed the request like a new one.

Change: the version of the runner that sends the first event is the origin of a stream. A rule excludes all other runners from then on, at placement and again before the bytes. While the versions that serve don't tell where a stream began, gateways record it at the members of the replicas, in memory and without waiting; a resumption asks them. Unknown origins are refused, never guessed. With one version nothing is recorded. A route split among services keeps the service of a stream in the same way, which each gateway chose for itself. An entry that changes its version under one id counts as a restart.

Why it works: the origin is known to the gateway that runs the stream, and else follows from a record or from the versions of the last minute, which a gateway knows from its list, its peers and the gossip. A lost record costs a resumption, not a wrong one.

--- a/features/steps/two-builds.steps.ts
+++ b/features/steps/two-builds.steps.ts
@@ -98,6 +98,16 @@
     },
     hex: '1800000009010000000300016c3ff0000000000000400000000000000000000001ab00000001000174004000000000000000000000010000000100016d0000000100016e00000001000174',
   },
+  recordOrigins: {
+    fields: { entries: [{ stream: 's', service: 'm', version: 'v' }] },
+    hex: '19000000090000000100017300016d000176',
+  },
+  originsRecorded: { fields: {}, hex: '1a00000009' },
+  findOrigin: { fields: { stream: 's' }, hex: '1b00000009000173' },
+  originFound: {
+    fields: { found: true, service: 'm', version: 'v' },
+    hex: '1c000000090100016d000176',
+  },
 };
 const RECORD_HEADER_BYTES = 8;
 const UNKNOWN_RECORD_KIND = 4;
--- a/features/stream-versions.feature
+++ b/features/stream-versions.feature
@@ -7,19 +7,16 @@
     Given 2 gateways, and runners of the software versions "v1" and "v2" in one service
 
   # Guards against a gateway that continues an interrupted answer at any runner of the service.
-  @known-red
   Scenario: An interrupted answer continues at the version that began it
     When 12 streams are cut off by their runner after half of their events
     Then every stream is complete, with events of one version
 
   # Guards against a gateway that doesn't know the version of a stream that another gateway began.
-  @known-red
   Scenario: A client resumes its stream at another gateway
     When 24 clients leave their streams after 2 events and resume them at the other gateway
     Then every stream is complete, with events of one version
 
   # Guards against a record of the version that is lost with the gateway that began the stream.
-  @known-red
   Scenario: A client resumes its stream at another gateway after the one that began it was killed
     When 24 clients receive 2 events, their gateway is killed, and they resume at the other gateway
     Then every stream is complete, with events of one version
--- a/features/support/wire-arbitraries.ts
+++ b/features/support/wire-arbitraries.ts
@@ -102,6 +102,13 @@
   },
   pullAndBorrow: { call: whole, from: text, members: text, log: text, after: amount },
   pulledAndLent: { ...pulled, fresh: fc.boolean(), lent: lentShares },
+  recordOrigins: {
+    call: whole,
+    entries: fc.array(fc.record({ stream: text, service: text, version: text }, plain)),
+  },
+  originsRecorded: { call: whole },
+  findOrigin: { call: whole, stream: text },
+  originFound: { call: whole, found: fc.boolean(), service: text, version: text },
 };
 
 /** Generates a message of any kind. */
--- /dev/null
+++ b/src/histories/stream-history.ts
@@ -0,0 +1,532 @@
+/**
+ * Simulates one seeded history of streams that clients resume at any gateway while several software versions of a runner
+ * serve and change, under faults. Checks what clients see: events of one version in each stream, and that resumptions go
+ * on at gateways and replicas without a recent fault.
+ */
+import { createRandom } from '../runtime/random.js';
+import type { RandomSource } from '../runtime/random.js';
+import type { Runtime } from '../runtime/runtime.js';
+import { SimulatedProcess } from '../simulation/simulated-process.js';
+import { SimulatedReplicas } from '../simulation/simulated-replicas.js';
+import { VirtualClock } from '../simulation/virtual-clock.js';
+import type { RelayRequest } from '../relay/request/relay-request.js';
+import type { Route } from '../relay/request/routing-table.js';
+import { ResumableStreams } from '../relay/runners/resumable-streams.js';
+import { RunnerExclusions } from '../relay/runners/runner-exclusions.js';
+import { RunnerRegistry } from '../relay/runners/runner-registry.js';
+import { softwareVersionOf } from '../relay/runners/runner.js';
+import type { Runner } from '../relay/runners/runner.js';
+import { SOFTWARE_VERSION_RULE } from '../relay/runners/software-version-rule.js';
+import type { StreamOrigin } from '../turns/stream-origins.js';
+
+/** Defects built into the system under test to show that the checks detect them. */
+export type InjectedStreamFault =
+  /** Any runner may continue a stream. */
+  | 'anyVersion'
+  /** Gateways take the only version that they have listed for the origin, whatever they know of the past. */
+  | 'listBelieved'
+  /** Gateways record nothing. */
+  | 'nothingRecorded';
+
+/** Options of a stream history. */
+export interface StreamHistoryOptions {
+  /** @default 6 */
+  readonly gateways?: number;
+  readonly injectedFault?: InjectedStreamFault;
+}
+
+/** Result of a stream history. */
+export interface StreamHistoryResult {
+  readonly seed: number;
+  readonly streams: number;
+  /** Resumptions by clients, and how many of them went on. */
+  readonly resumptions: number;
+  readonly resumed: number;
+  /** The same at gateways and replicas without a recent fault, while two runners of the stream's version served. */
+  readonly dueResumptions: number;
+  readonly dueResumed: number;
+  readonly violations: readonly string[];
+}
+
+const SERVICE = 'minds';
+const ZONE = 'z1';
+const VERSIONS = ['v1', 'v2', 'v3'];
+const RUNNERS_PER_VERSION = 3;
+const REPLICAS = 3;
+const DURATION_MILLISECONDS = 60_000;
+const STARTUP_MILLISECONDS = 8_000;
+const STREAM_INTERVAL_MILLISECONDS = 40;
+const EVENTS = 8;
+const EVENT_MILLISECONDS = 30;
+const FAULT_INTERVAL_MILLISECONDS = 2_500;
+/** Time after a fault in which the gateways and replicas concerned owe nothing. */
+const CONTACT_MILLISECONDS = 3_000;
+/** Longest time until a gateway in contact has a change of the list. */
+const APPLY_MILLISECONDS = 2_000;
+const GOSSIP_MILLISECONDS = 300;
+const LINK_MILLISECONDS = 2;
+/** Resumptions from which on their share is checked. */
+const MINIMUM_RESUMPTIONS = 12;
+const MINIMUM_SHARE = 0.5;
+/** Share of the streams whose client leaves, of those that resume twice, and of those that resume late. */
+const LEAVE_SHARE = 0.3;
+const RESUME_LATE_SHARE = 0.1;
+const LATE_MILLISECONDS = 8_000;
+const REMAINING_MILLISECONDS = 3_000;
+const ROUTE: Route = {
+  name: 'chat',
+  host: 'host',
+  pathPrefix: '/',
+  kind: 'stream',
+  timeoutMilliseconds: REMAINING_MILLISECONDS,
+  targetMilliseconds: 200,
+  priority: 1,
+  services: [{ service: SERVICE, weight: 1 }],
+  maximumAttempts: 2,
+  resumable: true,
+  retained: false,
+  retentionSeconds: 0,
+  isPublic: false,
+};
+const REQUEST = { route: ROUTE } as RelayRequest;
+
+/** A stream as its client sees it. */
+interface ClientStream {
+  /** Request whose answer brought the first event; undefined before it. */
+  first: string | undefined;
+  events: number;
+  readonly versions: Set<string>;
+  tries: number;
+}
+
+/** A simulated gateway with the production parts that decide where streams continue. */
+interface StreamGateway {
+  readonly name: string;
+  readonly process: SimulatedProcess;
+  registry: RunnerRegistry;
+  streams: ResumableStreams;
+  /** Runs of the process; a stream ends with the run that serves it. */
+  run: number;
+  isCutFromStore: boolean;
+  /** Local time of the last proof that the list is recent, in milliseconds. */
+  provenAt: number;
+  faultAt: number;
+}
+
+class StreamHistory {
+  private readonly clock = new VirtualClock();
+  private readonly random: RandomSource;
+  private readonly replicas: SimulatedReplicas;
+  private readonly gateways: StreamGateway[] = [];
+  private readonly exclusions: RunnerExclusions;
+  private readonly violations: string[] = [];
+  /** Runners as the store lists them. */
+  private listed: Runner[] = [];
+  private readonly crashed = new Set<string>();
+  private replicaFaultAt = -Infinity;
+  private runnerCount = 0;
+  private requestCount = 0;
+  private streamCount = 0;
+  private readonly counts = { resumptions: 0, resumed: 0, dueResumptions: 0, dueResumed: 0 };
+
+  constructor(
+    private readonly seed: number,
+    private readonly options: StreamHistoryOptions,
+  ) {
+    this.random = createRandom(seed, 'stream history');
+    this.replicas = new SimulatedReplicas(this.clock, createRandom(seed, 'links'));
+    const rules = options.injectedFault === 'anyVersion' ? [] : [SOFTWARE_VERSION_RULE];
+    this.exclusions = new RunnerExclusions(rules);
+  }
+
+  run(): StreamHistoryResult {
+    for (let index = 1; index <= REPLICAS; index += 1) {
+      this.replicas.add(`r${index}`, ZONE);
+    }
+    this.wait(STARTUP_MILLISECONDS);
+    const { gateways = 6 } = this.options;
+    for (let index = 1; index <= gateways; index += 1) {
+      this.gateways.push(this.createGateway(`g${index}`));
+    }
+    this.gateways.forEach((gateway) => this.start(gateway, true));
+    this.startRunners(VERSIONS[0]!, RUNNERS_PER_VERSION);
+    this.wait(APPLY_MILLISECONDS);
+    this.repeat(STREAM_INTERVAL_MILLISECONDS, () => this.beginStream());
+    this.repeat(FAULT_INTERVAL_MILLISECONDS, () => this.injectFault());
+    this.repeat(APPLY_MILLISECONDS / 4, () => this.proveLists());
+    this.wait(DURATION_MILLISECONDS);
+    this.checkShare();
+    const { seed, violations, counts, streamCount: streams } = this;
+    return { seed, streams, ...counts, violations };
+  }
+
+  private wait(milliseconds: number): void {
+    this.clock.runUntil(this.clock.now + milliseconds);
+  }
+
+  private repeat(milliseconds: number, action: () => void): void {
+    this.clock.schedule(milliseconds * (0.5 + this.random.uniform()), () => {
+      action();
+      this.repeat(milliseconds, action);
+    });
+  }
+
+  private createGateway(name: string): StreamGateway {
+    const process = new SimulatedProcess(name, this.clock, this.random);
+    const parts = this.createParts(name, process.start());
+    return {
+      name,
+      process,
+      ...parts,
+      run: 0,
+      isCutFromStore: false,
+      provenAt: 0,
+      faultAt: -Infinity,
+    };
+  }
+
+  private createParts(name: string, runtime: Runtime): Pick<StreamGateway, 'registry' | 'streams'> {
+    const registry = new RunnerRegistry(runtime);
+    const [knownTo] = this.replicas.runningNames();
+    const { client } = this.replicas.client(name, ZONE, knownTo ?? 'r1');
+    const { versions } = registry;
+    return {
+      registry,
+      streams: new ResumableStreams({ runtime, client: client.origins, versions }),
+    };
+  }
+
+  /** Starts a gateway: it lists the runners, and learns from peers which versions were listed before. */
+  private start(gateway: StreamGateway, isFirstStart = false): void {
+    gateway.run += 1;
+    Object.assign(gateway, this.createParts(gateway.name, gateway.process.start()));
+    const { versions } = gateway.registry;
+    const { injectedFault } = this.options;
+    versions.isListProven = () => this.clock.now - gateway.provenAt <= APPLY_MILLISECONDS;
+    versions.isMixedElsewhere = (service) => this.isMixedElsewhere(gateway, service);
+    if (injectedFault === 'listBelieved') {
+      versions.isListProven = () => true;
+    } else if (!isFirstStart) {
+      versions.forgetPast();
+    }
+    const { run } = gateway;
+    this.clock.schedule(this.lag(), () => {
+      if (gateway.run === run && gateway.process.isAlive && !gateway.isCutFromStore) {
+        this.listed.forEach((runner) => gateway.registry.put(runner));
+        gateway.provenAt = this.clock.now;
+        this.readReports(gateway);
+      }
+    });
+  }
+
+  private readReports(gateway: StreamGateway): void {
+    const { versions } = gateway.registry;
+    for (const peer of this.gateways.filter((each) => each !== gateway && this.isRunning(each))) {
+      const report = peer.registry.versions.report();
+      if (report !== undefined && versions.needsReports) {
+        versions.merge(report);
+      }
+    }
+  }
+
+  private isRunning({ process }: StreamGateway): boolean {
+    return process.isAlive && !process.isPaused;
+  }
+
+  /** Gossip reaches all gateways that run; one that is cut from the store still hears its peers. */
+  private isMixedElsewhere(gateway: StreamGateway, service: string): boolean {
+    return this.gateways.some(
+      (peer) =>
+        peer !== gateway &&
+        this.isRunning(peer) &&
+        this.clock.now - peer.faultAt > GOSSIP_MILLISECONDS &&
+        peer.registry.versions.mixedServices().includes(service),
+    );
+  }
+
+  private lag(): number {
+    return LINK_MILLISECONDS + this.random.uniform() * (APPLY_MILLISECONDS / 2);
+  }
+
+  /** Brings a change of the list to the gateways, each after a while of its own. */
+  private announce(apply: (registry: RunnerRegistry) => void): void {
+    for (const gateway of this.gateways) {
+      const { run } = gateway;
+      this.clock.schedule(this.lag(), () =>
+        gateway.process.execute(() => {
+          if (gateway.run === run && !gateway.isCutFromStore) {
+            apply(gateway.registry);
+          }
+        }),
+      );
+    }
+  }
+
+  private proveLists(): void {
+    for (const gateway of this.gateways) {
+      if (this.isRunning(gateway) && !gateway.isCutFromStore) {
+        gateway.provenAt = this.clock.now;
+      }
+    }
+  }
+
+  private startRunners(version: string, count: number): void {
+    for (let index = 0; index < count; index += 1) {
+      this.runnerCount += 1;
+      const runner: Runner = {
+        id: `runner-${this.runnerCount}`,
+        service: SERVICE,
+        host: `10.0.1.${this.runnerCount % 250}`,
+        port: 1,
+        zone: ZONE,
+        softwareVersion: version,
+        slots: 8,
+        ready: true,
+      };
+      this.listed.push(runner);
+      this.announce((registry) => registry.put(runner));
+    }
+  }
+
+  /** Removes runners; those that crash serve no stream any longer, the others go on with theirs. */
+  private removeRunners(removed: readonly Runner[], isCrash: boolean): void {
+    this.listed = this.listed.filter((runner) => !removed.includes(runner));
+    for (const { id } of removed) {
+      if (isCrash) {
+        this.crashed.add(id);
+      }
+      this.announce((registry) => registry.remove(id));
+    }
+  }
+
+  private injectFault(): void {
+    const { random } = this;
+    const gateway = random.pick(this.gateways);
+    const faults: readonly (() => void)[] = [
+      () => this.killGateways([gateway]),
+      () => this.killGateways([gateway]),
+      () => this.killGateways(this.gateways.filter(() => random.uniform() < MINIMUM_SHARE)),
+      () => this.killGateways(this.gateways),
+      () => this.pauseGateway(gateway),
+      () => this.cutFromStore(gateway),
+      () => this.killReplicas(1),
+      () => this.killReplicas(REPLICAS),
+      () => this.release(),
+      () => this.release(),
+      () => this.release(),
+      () => this.crashRunner(),
+      () => this.crashRunner(),
+    ];
+    random.pick(faults)();
+  }
+
+  private killGateways(gateways: readonly StreamGateway[]): void {
+    const downMilliseconds = 200 + this.random.uniform() * 1_000;
+    for (const gateway of gateways) {
+      gateway.process.kill();
+      gateway.run += 1;
+      gateway.faultAt = this.clock.now + downMilliseconds;
+      this.clock.schedule(downMilliseconds, () => {
+        if (!gateway.process.isAlive) {
+          this.start(gateway);
+        }
+      });
+    }
+  }
+
+  private pauseGateway(gateway: StreamGateway): void {
+    const milliseconds = 300 + this.random.uniform() * 2_500;
+    gateway.process.pause();
+    gateway.faultAt = this.clock.now + milliseconds;
+    this.clock.schedule(milliseconds, () => gateway.process.resume());
+  }
+
+  /** Cuts a gateway off from the store; afterwards it lists the runners anew. */
+  private cutFromStore(gateway: StreamGateway): void {
+    const milliseconds = 1_000 + this.random.uniform() * 5_000;
+    gateway.isCutFromStore = true;
+    gateway.faultAt = this.clock.now + milliseconds;
+    this.clock.schedule(milliseconds, () => {
+      gateway.isCutFromStore = false;
+      const ids = new Set(this.listed.map(({ id }) => id));
+      gateway.registry.readyRunners(SERVICE).forEach(({ id }) => {
+        if (!ids.has(id)) {
+          gateway.registry.remove(id);
+        }
+      });
+      this.listed.forEach((runner) => gateway.registry.put(runner));
+    });
+  }
+
+  private killReplicas(count: number): void {
+    const names = this.replicas.runningNames().slice(0, count);
+    const downMilliseconds = 300 + this.random.uniform() * 700;
+    this.replicaFaultAt = this.clock.now + downMilliseconds;
+    names.forEach((name) => this.replicas.kill(name));
+    this.clock.schedule(downMilliseconds, () => names.forEach((name) => this.replicas.start(name)));
+  }
+
+  /** Starts runners of another version; some time later the runners of one version leave. */
+  private release(): void {
+    const version = this.random.pick(VERSIONS);
+    this.startRunners(version, RUNNERS_PER_VERSION);
+    this.clock.schedule(1_000 + this.random.uniform() * 4_000, () => {
+      const versions = [...new Set(this.listed.map(softwareVersionOf))];
+      if (versions.length > 1) {
+        const leaving = this.random.pick(versions);
+        const runners = this.listed.filter((runner) => softwareVersionOf(runner) === leaving);
+        this.removeRunners(runners, false);
+      }
+    });
+  }
+
+  private crashRunner(): void {
+    if (this.listed.length > 0) {
+      const runner = this.random.pick(this.listed);
+      this.removeRunners([runner], true);
+      this.startRunners(softwareVersionOf(runner), 1);
+    }
+  }
+
+  private beginStream(): void {
+    this.streamCount += 1;
+    this.attempt({ first: undefined, events: 0, versions: new Set(), tries: 0 });
+  }
+
+  /** Sends one try of a stream to a gateway. */
+  private attempt(stream: ClientStream): void {
+    const running = this.gateways.filter((gateway) => this.isRunning(gateway));
+    if (running.length === 0) {
+      return;
+    }
+    stream.tries += 1;
+    this.requestCount += 1;
+    const gateway = this.random.pick(running);
+    const request = `request-${this.requestCount}`;
+    const { first } = stream;
+    if (first === undefined) {
+      this.serve(gateway, stream, request, undefined);
+      return;
+    }
+    const isDue = this.isDue(gateway, stream);
+    this.counts.resumptions += 1;
+    this.counts.dueResumptions += isDue ? 1 : 0;
+    const { run } = gateway;
+    gateway.streams.find(first, ROUTE, REMAINING_MILLISECONDS, (found) => {
+      if (found !== undefined && gateway.run === run) {
+        const goesOn = this.serve(gateway, stream, request, found.origin);
+        this.counts.resumed += goesOn ? 1 : 0;
+        this.counts.dueResumed += goesOn && isDue ? 1 : 0;
+      }
+    });
+  }
+
+  /** Whether a resumption has to go on, but for the share that may fail. */
+  private isDue(gateway: StreamGateway, { versions }: ClientStream): boolean {
+    const since = this.clock.now - CONTACT_MILLISECONDS;
+    const [version] = versions;
+    const ofVersion = this.listed.filter((runner) => softwareVersionOf(runner) === version);
+    const isInContact = gateway.faultAt < since && this.replicaFaultAt < since;
+    return isInContact && ofVersion.length >= 2 && versions.size === 1;
+  }
+
+  /** Runs a stream at a gateway until it ends, breaks, or its client leaves; returns whether it found a runner. */
+  private serve(
+    gateway: StreamGateway,
+    stream: ClientStream,
+    request: string,
+    origin: StreamOrigin | undefined,
+  ): boolean {
+    const candidates = gateway.registry.candidates(
+      SERVICE,
+      [],
+      new Set(),
+      (runner) => this.exclusions.reasonAgainst(runner, REQUEST, origin) === undefined,
+    );
+    const usable = candidates.filter(({ record }) => !this.crashed.has(record.runner.id));
+    if (usable.length === 0) {
+      return false;
+    }
+    const { runner } = this.random.pick(usable).record;
+    const { run } = gateway;
+    const leavesAfter =
+      this.random.uniform() < LEAVE_SHARE ? this.random.integer(1, EVENTS) : Infinity;
+    const begun = origin ?? { service: SERVICE, version: softwareVersionOf(runner) };
+    const next = (received: number): void => {
+      if (gateway.run !== run) {
+        this.resumeLater(stream);
+        return;
+      }
+      if (this.crashed.has(runner.id)) {
+        // The gateway continues the answer itself at another runner.
+        if (!this.serve(gateway, stream, request, received === 0 ? origin : begun)) {
+          this.resumeLater(stream);
+        }
+        return;
+      }
+      this.receive(stream, request, softwareVersionOf(runner));
+      if (received === 0) {
+        this.recordOrigin(gateway, stream, request, begun);
+      }
+      if (stream.events >= EVENTS) {
+        [request, stream.first!].forEach((id) => gateway.streams.end(id));
+      } else if (received + 1 >= leavesAfter) {
+        this.resumeLater(stream);
+      } else {
+        this.clock.schedule(EVENT_MILLISECONDS, () =>
+          gateway.process.isPaused ? this.resumeLater(stream) : next(received + 1),
+        );
+      }
+    };
+    this.clock.schedule(EVENT_MILLISECONDS, () => next(0));
+    return true;
+  }
+
+  private recordOrigin(
+    gateway: StreamGateway,
+    { first = '' }: ClientStream,
+    request: string,
+    origin: StreamOrigin,
+  ): void {
+    if (this.options.injectedFault !== 'nothingRecorded') {
+      new Set([request, first]).forEach((id) => gateway.streams.begin(id, origin, ROUTE));
+    }
+  }
+
+  private receive(stream: ClientStream, request: string, version: string): void {
+    stream.first ??= request;
+    stream.events += 1;
+    stream.versions.add(version);
+    if (stream.versions.size > 1) {
+      const versions = [...stream.versions].join(', ');
+      this.violations.push(
+        `stream ${stream.first} holds events of ${versions} at ${this.clock.now} ms`,
+      );
+    }
+  }
+
+  /** The client resumes its stream, at most twice; some do so late. */
+  private resumeLater(stream: ClientStream): void {
+    if (stream.tries > 2 || stream.versions.size > 1) {
+      return;
+    }
+    const isLate = this.random.uniform() < RESUME_LATE_SHARE;
+    const pause = this.random.uniform() * (isLate ? LATE_MILLISECONDS : EVENT_MILLISECONDS);
+    this.clock.schedule(LINK_MILLISECONDS + pause, () => this.attempt(stream));
+  }
+
+  private checkShare(): void {
+    const { dueResumptions, dueResumed } = this.counts;
+    if (dueResumptions >= MINIMUM_RESUMPTIONS && dueResumed < MINIMUM_SHARE * dueResumptions) {
+      this.violations.push(`${dueResumed} of ${dueResumptions} resumptions went on`);
+    }
+  }
+}
+
+/** Runs the history of one seed. */
+export function runStreamHistory(
+  seed: number,
+  options: StreamHistoryOptions = {},
+): StreamHistoryResult {
+  return new StreamHistory(seed, options).run();
+}
--- a/src/peers/aggregates.ts
+++ b/src/peers/aggregates.ts
@@ -28,6 +28,8 @@
    * known.
    */
   regionGateways: 6,
+  /** Gateways that have lately seen several software versions of a service; the key is the hash of its name. */
+  mixedServices: 7,
 } as const;
 
 /** Number of a topic on the wire. */
--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -11,19 +11,31 @@
 import type { KeySpaceChanges } from '../mirror/key-space-copy.js';
 import type { Runtime } from '../runtime/runtime.js';
 
-const SnapshotType = t.type({
-  since: t.number,
-  revision: t.number,
-  items: t.array(t.type({ key: t.string, value: t.string, revision: t.number })),
-  gone: t.array(t.type({ key: t.string, revision: t.number })),
-  members: t.string,
-  peers: t.array(t.string),
+const VersionReportType = t.type({
+  knownMilliseconds: t.number,
+  versions: t.readonlyArray(
+    t.type({ service: t.string, version: t.string, ageMilliseconds: t.number }),
+  ),
 });
 
+const SnapshotType = t.intersection([
+  t.type({
+    since: t.number,
+    revision: t.number,
+    items: t.array(t.type({ key: t.string, value: t.string, revision: t.number })),
+    gone: t.array(t.type({ key: t.string, revision: t.number })),
+    members: t.string,
+    peers: t.array(t.string),
+  }),
+  t.partial({ versions: VersionReportType }),
+]);
+
 /** The answer of a gateway: changes of the store and what else it knows. */
 export interface PeerSnapshot extends KeySpaceChanges {
   /** Newest member record, as text. */
   readonly members: string;
+  /** Software versions of runners; undefined if the sender knows nothing of them for sure, or is of an older build. */
+  readonly versions?: t.TypeOf<typeof VersionReportType> | undefined;
   /** Addresses (`host:port`) of gateways known to the sender. */
   readonly peers: readonly string[];
 }
--- a/src/relay/answers/local-answers.ts
+++ b/src/relay/answers/local-answers.ts
@@ -3,6 +3,7 @@
  * request may have run and when to retry. The verdict `NotRun` is given only if no attempt can have reached a runner.
  */
 import type { Verdict } from '../../model/verdict.js';
+import type { StreamOrigin } from '../../turns/stream-origins.js';
 
 /** An answer that the relay sends on its own. */
 export interface LocalAnswer {
@@ -19,6 +20,8 @@
 const NO_RUNNER_RETRY_SECONDS = 0.1;
 /** Retry delay while the gateway's memory is low; disconnecting slow readers takes a second or two. */
 const MEMORY_RETRY_SECONDS = 0.5;
+/** Retry delay while the origin of a stream is not known. */
+const ORIGIN_RETRY_SECONDS = 0.1;
 /** Retry delay when a dependency of the request is unavailable. */
 const UNAVAILABLE_RETRY_SECONDS = 0.2;
 /** Retry delay when another gateway may still reach the dependency. */
@@ -121,6 +124,32 @@
   return { status: 503, detail, verdict: 'NotRun', retryAfterSeconds };
 }
 
+/** The software version that began a stream is not known; a record of it may be on its way. */
+export function originUnknown(): LocalAnswer {
+  return {
+    status: 503,
+    detail: 'the software version that began the stream is not known',
+    verdict: 'NotRun',
+    retryAfterSeconds: ORIGIN_RETRY_SECONDS,
+  };
+}
+
+/**
+ * Several software versions may have begun a stream, and the request doesn't name it. To wait changes nothing, so there is
+ * no time to return.
+ */
+export function originUnnamed(): LocalAnswer {
+  const detail =
+    'the request does not name the stream, and several software versions may have begun it';
+  return { status: 503, detail, verdict: 'NotRun' };
+}
+
+/** No runner of the software version that began a stream is left. To wait changes nothing: the client has to start anew. */
+export function originLost({ service, version }: StreamOrigin): LocalAnswer {
+  const detail = `no runner of service ${service} is left of the software version "${version}", which began the stream`;
+  return { status: 503, detail, verdict: 'NotRun' };
+}
+
 /** No runner can have run the request, and none may be tried now. */
 export function noRunnerAvailable(detail: string): LocalAnswer {
   return { status: 503, detail, verdict: 'NotRun', retryAfterSeconds: NO_RUNNER_RETRY_SECONDS };
--- a/src/relay/front/request-parser.ts
+++ b/src/relay/front/request-parser.ts
@@ -66,7 +66,7 @@
     programDeadlineAt: Number.isFinite(programRemaining) ? arrivedAt + programRemaining : undefined,
     previousTurn: header(names.previousTurn),
     lastEventId: header(names.lastEventId),
-    resumes: header(names.resumes),
+    resumes: header(names.resumes) || undefined,
     promptParts: parsePromptParts(header(names.promptParts)),
     promptTokens: usage.prompt,
     maximumOutputTokens: usage.output,
--- a/src/relay/placement/place-request.ts
+++ b/src/relay/placement/place-request.ts
@@ -47,7 +47,7 @@
   }
   requestState.excludedBy = undefined;
   const mayGetRequest = (runner: Runner): boolean => {
-    const rule = context.exclusions.reasonAgainst(runner, request);
+    const rule = context.exclusions.reasonAgainst(runner, request, requestState.origin);
     requestState.excludedBy = rule ?? requestState.excludedBy;
     return rule === undefined;
   };
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -15,6 +15,7 @@
 import type { QuotaGate } from './admission/quota-gate.js';
 import type { RelayMetrics } from './relay-metrics.js';
 import type { ColdLimits } from './runners/cold-limits.js';
+import type { ResumableStreams } from './runners/resumable-streams.js';
 import type { RunnerExclusions } from './runners/runner-exclusions.js';
 import type { RunnerRegistry } from './runners/runner-registry.js';
 import type { RunnerConnections } from './tries/runner-connections.js';
@@ -43,6 +44,8 @@
   readonly demand: ServiceDemand;
   readonly loadCorrection: LoadCorrection;
   readonly split: TrafficSplit;
+  /** Where streams began that clients may resume. */
+  readonly streams: ResumableStreams;
   /** Whether placement compares a few randomly drawn runners instead of all. */
   readonly samplesCandidates: boolean;
   /** Cost terms that placement adds up. */
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -31,9 +31,11 @@
 import { ColdLimits } from './runners/cold-limits.js';
 import type { ColdAllowance } from './runners/cold-limits.js';
 import { GatewayPositions } from './runners/gateway-positions.js';
+import { ResumableStreams } from './runners/resumable-streams.js';
 import { RunnerExclusions } from './runners/runner-exclusions.js';
 import type { RunnerExclusion } from './runners/runner-exclusions.js';
 import { RunnerRegistry } from './runners/runner-registry.js';
+import { SOFTWARE_VERSION_RULE } from './runners/software-version-rule.js';
 import { RunnerConnections } from './tries/runner-connections.js';
 import { TrafficSplit } from './runners/traffic-split.js';
 
@@ -121,6 +123,7 @@
       this.table?.services.get(service)?.coldStartMilliseconds ?? 0;
     const connections = new RunnerConnections(runtime);
     this.shareRegion();
+    const streams = this.createStreams();
     this.registry.hasIdleConnection = (runner) => connections.hasIdle(runner);
     const coldLimits = this.createColdLimits();
     this.registry.onActivity = (runner) => coldLimits.noteActivity(runner);
@@ -131,8 +134,7 @@
       traffic: options.traffic,
       names,
       registry: this.registry,
-      // The limits of cold runners come last, so that only runners that nothing else excludes are waited for.
-      exclusions: new RunnerExclusions([...(options.exclusions ?? []), coldLimits]),
+      exclusions: this.createExclusions(coldLimits),
       coldLimits,
       coldQueue: new ColdQueue(runtime, (service) => coldLimits.coldSendCount(service)),
       connections,
@@ -141,6 +143,7 @@
       loadCorrection: this.loadCorrection,
       demand: new ServiceDemand(this.aggregates),
       split: new TrafficSplit(),
+      streams,
       samplesCandidates: options.policiesOff?.has(CANDIDATE_SAMPLING_POLICY) !== true,
       charges: chargesWithout(options.policiesOff ?? new Set()),
       turns,
@@ -180,6 +183,26 @@
       (this.aggregates.ofOthers(regionGateways).get(hashToNumber(region))?.[0] ?? 0) > 0;
   }
 
+  /** The limits of cold runners come last, so that only runners that nothing else excludes are waited for. */
+  private createExclusions(coldLimits: ColdLimits): RunnerExclusions {
+    const { exclusions = [] } = this.options;
+    return new RunnerExclusions([...exclusions, SOFTWARE_VERSION_RULE, coldLimits]);
+  }
+
+  /** Also tells the other gateways which services have several software versions, and learns it from them. */
+  private createStreams(): ResumableStreams {
+    const { runtime, turns } = this.options;
+    const { versions } = this.registry;
+    const { mixedServices } = AGGREGATE_TOPICS;
+    versions.isListProven = () => this.isTableProven();
+    versions.isMixedElsewhere = (service) =>
+      (this.aggregates.ofOthers(mixedServices).get(hashToNumber(service))?.[0] ?? 0) > 0;
+    this.aggregates.register(mixedServices, () =>
+      versions.mixedServices().map((service) => ({ key: hashToNumber(service), amounts: [1] })),
+    );
+    return new ResumableStreams({ runtime, client: turns.origins, versions });
+  }
+
   /** Whether this gateway should receive new connections. */
   get ready(): boolean {
     const { turns } = this.options;
--- a/src/relay/request/relay-request.ts
+++ b/src/relay/request/relay-request.ts
@@ -59,6 +59,12 @@
   readonly affinityKey: string | undefined;
 }
 
+/** Whether a request continues a stream of which its client has received events. */
+export function isResumption({ route, lastEventId, resumes }: RelayRequest): boolean {
+  const namesStream = lastEventId !== undefined || resumes !== undefined;
+  return route.kind === 'stream' && route.resumable && namesStream;
+}
+
 /** Whether a request of the route may run more than once. */
 export function mayRepeat(route: Route): boolean {
   return route.kind === 'repeatable' || (route.kind === 'stream' && route.resumable);
--- a/src/relay/runners/runner-registry.ts
+++ b/src/relay/runners/runner-registry.ts
@@ -14,6 +14,7 @@
 import type { Runner, RunnerIncarnation } from './runner.js';
 import type { LoadView, ServiceLoad } from './runner-view.js';
 import { InactivityEstimate } from './inactivity-estimate.js';
+import { VersionHistory } from './version-history.js';
 import { RunnerLatency, ServiceLatency } from './latency-estimate.js';
 import type { LatencySample } from './latency-estimate.js';
 
@@ -77,6 +78,8 @@
   private readonly recordsByService = new Map<string, Set<RunnerRecord>>();
   private readonly recordsByHash = new Map<number, RunnerRecord>();
   private readonly estimatesByService = new Map<string, ServiceEstimates>();
+  /** Software versions that are and were listed. */
+  readonly versions: VersionHistory;
   /** Cold periods of the runners. */
   readonly coldPeriods: ColdPeriods;
 
@@ -99,6 +102,7 @@
 
   constructor(private readonly runtime: Runtime) {
     this.coldPeriods = new ColdPeriods(runtime);
+    this.versions = new VersionHistory(runtime);
   }
 
   /** Returns the requests of this gateway in flight, by incarnation, for the runners that have any. */
@@ -126,7 +130,9 @@
       this.logEarlierIncarnation(runner, known.runner);
       return;
     }
-    if (incarnationOf(runner) !== incarnationOf(known.runner) && runner.startedAt !== undefined) {
+    const isOtherIncarnation =
+      runner.startedAt !== undefined && incarnationOf(runner) !== incarnationOf(known.runner);
+    if (isOtherIncarnation || softwareVersionOf(runner) !== softwareVersionOf(known.runner)) {
       this.replaceIncarnation(runner, known, revision);
       return;
     }
@@ -267,6 +273,12 @@
     return { inFlight, slots, runners };
   }
 
+  /** Whether another record has replaced one, since its runner restarted or changed its version. */
+  isReplaced(record: RunnerRecord): boolean {
+    const current = this.records.get(record.runner.id);
+    return current !== undefined && current !== record;
+  }
+
   /** Records that a request was sent to a runner. */
   noteRequestSent(record: RunnerRecord, parts: readonly PromptPart[]): void {
     record.inFlight += 1;
@@ -398,6 +410,7 @@
     this.recordsByHash.delete(record.hash);
     this.recordsByService.get(record.runner.service)?.delete(record);
     this.coldPeriods.noteUnlisted(record.runner);
+    this.versions.noteUnlisted(record.runner.service, softwareVersionOf(record.runner));
   }
 
   private add(runner: Runner, revision?: number): void {
@@ -433,6 +446,7 @@
     const { id, service, ready } = runner;
     this.onRunnerAdded(runner);
     const version = softwareVersionOf(runner);
+    this.versions.noteListed(service, version);
     const fields = { event: 'runner.seen', runner: id, service, ready, version };
     this.runtime.log('info', 'runner added', fields);
     this.updateColdPeriod(record, revision);
--- a/src/relay/stages/call-stages.ts
+++ b/src/relay/stages/call-stages.ts
@@ -5,6 +5,7 @@
 import { ADMISSION_STAGE } from './admission-stage.js';
 import { COLD_STAGE } from './cold-stage.js';
 import { CAPACITY_STAGE } from './capacity-stage.js';
+import { ORIGIN_STAGE } from './origin-stage.js';
 import { PREPARATION_STAGE } from './preparation-stage.js';
 import { QUOTA_STAGE } from './quota-stage.js';
 import type { RequestStage } from './stage.js';
@@ -12,6 +13,7 @@
 /** Steps of stages that a request passes before its first attempt. */
 export const CALL_STAGES: readonly (readonly RequestStage[])[] = [
   [CAPACITY_STAGE],
+  [ORIGIN_STAGE],
   [ADMISSION_STAGE],
   [QUOTA_STAGE, PREPARATION_STAGE],
   [COLD_STAGE],
--- a/src/relay/stages/capacity-stage.ts
+++ b/src/relay/stages/capacity-stage.ts
@@ -6,6 +6,7 @@
 import { computeRetryDelay } from '../admission/retry-delay.js';
 import { noCapacity } from '../answers/local-answers.js';
 import type { LocalAnswer } from '../answers/local-answers.js';
+import { isResumption } from '../request/relay-request.js';
 import type { RequestState } from './request-state.js';
 import { GO_ON, refuseWith } from './stage.js';
 import type { RequestStage } from './stage.js';
@@ -40,6 +41,10 @@
 export const CAPACITY_STAGE: RequestStage = {
   name: 'capacity',
   decide: (requestState) => {
+    if (isResumption(requestState.request)) {
+      // Its service is that which began the stream; the origin stage decides.
+      return GO_ON;
+    }
     const refusal = refusalWithoutCapacity(requestState);
     return refusal === undefined ? GO_ON : refuseWith(refusal);
   },
--- a/src/relay/stages/cold-stage.ts
+++ b/src/relay/stages/cold-stage.ts
@@ -24,14 +24,19 @@
  * Returns the cold runners that may take the request once their limits allow it; undefined if it needs not wait for
  * them, since another runner may take it.
  */
-function runnersToWaitFor({ context, request, service }: RequestState): Runner[] | undefined {
+function runnersToWaitFor({
+  context,
+  request,
+  service,
+  origin,
+}: RequestState): Runner[] | undefined {
   const { registry, exclusions, coldLimits } = context;
   if (service === undefined || registry.coldPeriods.coldCount === 0) {
     return undefined;
   }
   const limited: Runner[] = [];
   for (const runner of registry.readyRunners(service)) {
-    const reason = exclusions.reasonAgainst(runner, request);
+    const reason = exclusions.reasonAgainst(runner, request, origin);
     if (reason === undefined && !coldLimits.isLimited(runner)) {
       return undefined;
     }
--- a/src/relay/stages/request-state.ts
+++ b/src/relay/stages/request-state.ts
@@ -1,7 +1,8 @@
 /** State of one relayed request, shared by its stages and attempts. */
 import type { RelayContext } from '../relay-context.js';
 import type { RelayRequest } from '../request/relay-request.js';
-import type { StreamOrigin } from '../request/stream-origin.js';
+import type { FoundOrigin, OriginSource } from '../runners/resumable-streams.js';
+import type { StreamOrigin } from '../../turns/stream-origins.js';
 
 /** Called when a request has finished, with the number of tokens delivered to the client. */
 export type FinishListener = (deliveredTokens: number) => void;
@@ -24,8 +25,10 @@
   predictedWait: PredictedWait | undefined;
   /** Name of a rule that excluded a runner from the last placement; undefined if none did. */
   excludedBy: string | undefined;
-  /** Where the stream of the answer began; undefined before its first event. */
+  /** Where the stream of the answer began; undefined before the first event of a new one. */
   origin: StreamOrigin | undefined;
+  /** What the origin of a stream that the client resumes was taken from; undefined for a new stream. */
+  originSource: OriginSource | undefined;
   private isProgramStart: boolean;
   private selectedService: string | undefined;
   private finishListeners: FinishListener[] = [];
@@ -66,6 +69,13 @@
     return this.selectedService;
   }
 
+  /** Continues a stream of which the client has received events: only runners of its origin may get the request. */
+  continueAt({ origin, source }: FoundOrigin): void {
+    this.origin = origin;
+    this.originSource = source;
+    this.selectedService = origin.service;
+  }
+
   /** Key by which requests are routed together: the program, the object, or the request alone. */
   get routingKey(): string {
     const { program, affinityKey, id } = this.request;
--- a/src/relay/tries/call-log.ts
+++ b/src/relay/tries/call-log.ts
@@ -2,7 +2,8 @@
 import type { LogFields } from '../../runtime/runtime.js';
 import type { RelayContext } from '../relay-context.js';
 import type { RelayRequest } from '../request/relay-request.js';
-import type { StreamOrigin } from '../request/stream-origin.js';
+import type { StreamOrigin } from '../../turns/stream-origins.js';
+import type { OriginSource } from '../runners/resumable-streams.js';
 import { softwareVersionOf } from '../runners/runner.js';
 import type { Runner } from '../runners/runner.js';
 import type { RunnerCandidate, RunnerRecord } from '../runners/runner-registry.js';
@@ -65,6 +66,8 @@
   readonly runner: Runner;
   /** Where the stream began; undefined if unknown. */
   readonly origin: StreamOrigin | undefined;
+  /** What the origin was taken from; undefined if this request began the stream. */
+  readonly source: OriginSource | undefined;
   /** Identifier of the event after which the stream continues. */
   readonly lastEventId: string;
   /** Whether the answer in progress continues, rather than one that the client received earlier. */
@@ -80,7 +83,7 @@
 
 /** Logs and counts an attempt that continues a stream. */
 export function logResumedStream({ runtime, metrics }: RelayContext, resumed: ResumedStream): void {
-  const { request, runner, origin, lastEventId, isWithinAnswer } = resumed;
+  const { request, runner, origin, source, lastEventId, isWithinAnswer } = resumed;
   const within = isWithinAnswer ? 'answer' : 'tries';
   const version = compareVersions(runner, origin);
   metrics.count('ivyloom_relay_resumed_streams_total', `within="${within}",version="${version}"`);
@@ -93,6 +96,7 @@
     runner: runner.id,
     runnerVersion: softwareVersionOf(runner),
     beganAt: origin?.version ?? '',
+    source: source ?? '',
     version,
   });
 }
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -20,6 +20,7 @@
 import type { RelayContext } from '../relay-context.js';
 import { headersToRunner } from '../request/forwarded-headers.js';
 import { mayRepeat } from '../request/relay-request.js';
+import { tenantScopedId } from '../request/tenant.js';
 import type { RelayRequest } from '../request/relay-request.js';
 import { rankOf } from '../request/request-rank.js';
 import type { EngineSample } from '../runners/engine-estimate.js';
@@ -46,6 +47,9 @@
 /** Time between a request's deadline and the timeout answer. */
 const DEADLINE_GRACE_MILLISECONDS = 30;
 
+/** Why a request is not sent to a runner that restarted, or changed its version, after it was placed there. */
+const REPLACED_RUNNER = 'replaced-runner';
+
 /** The attempt in progress. */
 interface CurrentAttempt {
   readonly attempt: Attempt;
@@ -122,12 +126,27 @@
   /** Records the runner of the first event as the origin of the stream. */
   private recordOrigin(): void {
     const { current, requestState } = this;
-    if (current !== undefined) {
-      const { service } = current.runner;
-      requestState.origin ??= { service, version: softwareVersionOf(current.runner) };
+    if (current === undefined) {
+      return;
+    }
+    const { service } = current.runner;
+    requestState.origin ??= { service, version: softwareVersionOf(current.runner) };
+    const { route } = this.request;
+    if (route.resumable) {
+      for (const stream of this.streamIds) {
+        this.context.streams.begin(stream, requestState.origin, route);
+      }
     }
   }
 
+  /** Ids under which a client may resume the stream: that of the request, and of the one that it resumes. */
+  private get streamIds(): string[] {
+    const { id, resumes, tenant } = this.request;
+    return [id, resumes].flatMap((each) =>
+      each === undefined ? [] : [tenantScopedId(tenant, each)],
+    );
+  }
+
   /**
    * Compares the time to the first event with the wait that admission predicted; after a retry, or
    * at a cold runner, it shows nothing of the load.
@@ -175,6 +194,7 @@
         isSuccess ? this.engineSampleOf(current) : undefined,
       );
     }
+    this.streamIds.forEach((stream) => this.context.streams.end(stream));
     this.finish('answered', { status, runner: current?.record.runner.id ?? '' });
   }
 
@@ -295,7 +315,7 @@
       context.backpressure.prepareSend(incarnationOf(runner), sent.body.length),
     );
     const attempt = startAttempt(runner, agent, sent, context.names, CONNECT_MILLISECONDS, {
-      reasonAgainstSending: () => context.exclusions.reasonAgainst(record.runner, request),
+      reasonAgainstSending: () => this.reasonAgainstSending(record),
       onConnected: () => {
         context.exclusions.recordSend(record.runner);
         pendingSend.onConnected();
@@ -319,6 +339,14 @@
     this.current = { attempt, record, runner, startedAt: now, inactivity, chosen };
   }
 
+  /** Checks again immediately before the request is written: it may have waited for a connection. */
+  private reasonAgainstSending(record: RunnerRecord): string | undefined {
+    const { context, request, requestState } = this;
+    return context.registry.isReplaced(record)
+      ? REPLACED_RUNNER
+      : context.exclusions.reasonAgainst(record.runner, request, requestState.origin);
+  }
+
   /** Returns the reader for the next attempt: a stream continues, a plain answer starts over. */
   private nextReader(): AnswerReader {
     if (this.stream !== undefined) {
@@ -496,8 +524,8 @@
     if (this.stream !== undefined && lastEventId !== undefined) {
       const { context, request, requestState } = this;
       const isWithinAnswer = this.stream.lastEventId !== undefined;
-      const { origin } = requestState;
-      logResumedStream(context, { request, runner, origin, lastEventId, isWithinAnswer });
+      const { origin, originSource: source } = requestState;
+      logResumedStream(context, { request, runner, origin, source, lastEventId, isWithinAnswer });
     }
   }
 
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -26,6 +26,7 @@
   TenantQuota,
 } from './quota-buckets.js';
 import type { LentShares } from './quota-shares.js';
+import type { StreamOrigin, StreamOriginEntry } from './stream-origins.js';
 
 /** The outcome of a request at one replica. */
 export type ReplicaOutcome =
@@ -108,7 +109,11 @@
       members: string;
       log: string;
       after: number;
-    };
+    }
+  /** Records where streams began; held in memory for the time in which clients may resume them. */
+  | { type: 'recordOrigins'; call: number; entries: StreamOriginEntry[] }
+  /** Asks where a stream began. */
+  | { type: 'findOrigin'; call: number; stream: string };
 
 /** Replies. */
 export type ReplicaReply =
@@ -124,7 +129,10 @@
   | { type: 'notKnown'; call: number }
   | { type: 'silencesTold'; call: number; from: string; words: SilenceReport[] }
   | ({ type: 'spent'; call: number; outcome: ReplicaOutcome } & QuotaDecision)
-  | ({ type: 'spentForProgram'; call: number; outcome: ReplicaOutcome } & ProgramDecision);
+  | ({ type: 'spentForProgram'; call: number; outcome: ReplicaOutcome } & ProgramDecision)
+  | { type: 'originsRecorded'; call: number }
+  /** The origin of a stream; its texts are empty if this replica has no record. */
+  | ({ type: 'originFound'; call: number; found: boolean } & StreamOrigin);
 
 /** The reply to a pull. */
 export interface PulledLog {
@@ -230,6 +238,8 @@
 
 const silenceReportField = record({ member: shortText, milliseconds: float64, wasHeard: bool });
 
+const streamOriginField = record({ stream: shortText, service: shortText, version: shortText });
+
 const pulledFields = {
   call: uint32,
   active: bool,
@@ -306,6 +316,13 @@
     fields: { call: uint32, from: shortText, members: longText, log: shortText, after: float64 },
   },
   { type: 'pulledAndLent', fields: { ...pulledFields, fresh: bool, lent: lentSharesField } },
+  { type: 'recordOrigins', fields: { call: uint32, entries: listOf(streamOriginField) } },
+  { type: 'originsRecorded', fields: { call: uint32 } },
+  { type: 'findOrigin', fields: { call: uint32, stream: shortText } },
+  {
+    type: 'originFound',
+    fields: { call: uint32, found: bool, service: shortText, version: shortText },
+  },
 ];
 const message = new TaggedUnion(BRANCHES);
 
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -31,6 +31,8 @@
 import type { ReplyListener, UnnumberedRequest } from './replica-caller.js';
 import { ReplicaState } from './replica-state.js';
 import { unpackDigests } from './reservation-digests.js';
+import { StreamOrigins } from './stream-origins.js';
+import type { StreamOrigin } from './stream-origins.js';
 import type {
   ReplicaMeta,
   StorageChange,
@@ -40,6 +42,8 @@
 } from './turn-storage.js';
 
 const EXPIRY_INTERVAL_MILLISECONDS = 5_000;
+/** Origins of streams in a generation: at most some 40 MB in both. */
+const MAXIMUM_STREAM_ORIGINS = 200_000;
 /** Size of a fetch reply beyond which no further turn is added, in bytes; at least one turn is sent. */
 const MAXIMUM_FETCH_BYTES = 1024 * 1024;
 
@@ -88,6 +92,8 @@
 /** Handles the requests to one replica and persists its state. */
 export class Replica {
   readonly state = new ReplicaState();
+  /** Where streams began; lost with this process, since other members hold the same. */
+  readonly streamOrigins: StreamOrigins;
   /** Identifies the log of this process; positions are only valid within the log of one process. */
   readonly logName: string;
   /** Read progress of other replicas in this replica's log, keyed by replica id. */
@@ -126,6 +132,7 @@
       options.quotaWindowMilliseconds,
     );
     this.quotaShares = new QuotaShares(id, runtime.now());
+    this.streamOrigins = new StreamOrigins({ runtime, maximumEntries: MAXIMUM_STREAM_ORIGINS });
     this.logName = `${id} ${runtime.wallTime()} ${runtime.random.uniform()}`;
     this.cancelExpiry = setRepeatingTimer(runtime, EXPIRY_INTERVAL_MILLISECONDS, () =>
       this.expire(),
@@ -291,9 +298,21 @@
         return;
       case 'spendForProgram':
         this.spendForProgram(request, send);
+        return;
+      case 'recordOrigins':
+        request.entries.forEach((entry) => this.streamOrigins.record(entry));
+        send({ type: 'originsRecorded', call });
+        return;
+      case 'findOrigin':
+        send({ type: 'originFound', call, ...this.findOrigin(request.stream) });
     }
   }
 
+  private findOrigin(stream: string): StreamOrigin & { readonly found: boolean } {
+    const origin = this.streamOrigins.find(stream);
+    return { service: '', version: '', ...origin, found: origin !== undefined };
+  }
+
   /** Whether gateways have asked this replica as the home of a tenant, so that shares are worth borrowing. */
   get servesQuotas(): boolean {
     return this.knowsQuotas;
--- a/src/turns/turn-client.ts
+++ b/src/turns/turn-client.ts
@@ -17,6 +17,7 @@
 import { sortByRank, writeToQuorum } from './quorum-write.js';
 import type { MemberOutcomes } from './quorum-write.js';
 import type { ReplicaCaller, UnnumberedRequest } from './replica-caller.js';
+import { StreamOriginClient } from './stream-origin-client.js';
 
 /** The outcome of a reservation. */
 export type ReserveOutcome = 'granted' | 'spent' | 'unavailable';
@@ -80,8 +81,10 @@
 /** Builds the request for the replicas of an epoch. */
 type EpochRequest = (epoch: number) => UnnumberedRequest;
 
-/** Reserves and settles tokens, and stores and reads turns. */
+/** Reserves and settles tokens, stores and reads turns, and knows where streams began. */
 export class TurnClient {
+  /** Where streams began that clients may resume. */
+  readonly origins: StreamOriginClient;
   private readonly chains = new ChainCache();
   private readonly failedWrites: FailedWriteLog;
   private readonly rankOf: ((member: Member) => number) | undefined;
@@ -90,6 +93,7 @@
     const { locality, zone } = options;
     this.rankOf = locality && rankByLocality(zone, locality);
     this.failedWrites = new FailedWriteLog(options.runtime);
+    this.origins = new StreamOriginClient(options);
   }
 
   /** Reserves tokens for a turn; grants only what is durable at a majority of the replicas. */
