The soak resumes streams while versions are released

Four clients leave their streams and resume them at any gateway, beside all other faults; runners of three versions are released one after another and cut streams off. Checked: events of one version, none missing or repeated, and half of the resumptions that are due go on. The check finds a gateway that mixes versions and one that refuses every resumption.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -65,6 +65,17 @@
       | servesOldKeys | 4500 | key taken away |
       | ignoresLimit  | 4500 | limit          |
 
+  Scenario Outline: The check of resumed streams detects a violated guarantee
+    Given a fake gateway with the fault "<fault>"
+    When streams are resumed at it for 4500 milliseconds
+    Then exactly this guarantee is reported as violated: "<guarantee>"
+
+    Examples:
+      | fault              | guarantee   |
+      | nothing            |             |
+      | mixesVersions      | one version |
+      | refusesResumptions | resumption  |
+
   Scenario: A soak fails if no slow reader ever receives a complete stream
     Then a soak with 30 long streams fails if 0 of them are received completely
     And a soak with 30 long streams passes if 1 of them is received completely
--- a/features/support/faulty-gateway.ts
+++ b/features/support/faulty-gateway.ts
@@ -9,6 +9,7 @@
   SOAK_TOKENS_PER_EVENT,
 } from '../../soak/soak-client.js';
 import { LONG_EVENTS } from '../../soak/slow-reading.js';
+import { RESUMABLE_ROUTE } from '../../soak/stream-version-check.js';
 import { LIMITED_KEY, LIMITED_TENANT } from '../../soak/tenant-check.js';
 import type { RelayRunner } from '../../src/emulator/relay-runner.js';
 
@@ -40,7 +41,11 @@
   /** Accepts revoked keys. */
   | 'servesOldKeys'
   /** Never enforces a tenant's quota. */
-  | 'ignoresLimit';
+  | 'ignoresLimit'
+  /** Continues streams at another software version. */
+  | 'mixesVersions'
+  /** Refuses to continue any stream. */
+  | 'refusesResumptions';
 
 /** Tenants by key. */
 const TENANTS: Readonly<Record<string, string>> = {
@@ -49,6 +54,9 @@
 };
 /** Number of requests of the limited tenant that are accepted. */
 const LIMITED_REQUESTS = 100;
+/** Events of a stream that may be resumed, and the time between two of them. */
+const RESUMABLE_EVENTS = 8;
+const EVENT_MILLISECONDS = 5;
 const MAXIMUM_TOKENS = SOAK_EVENTS * SOAK_TOKENS_PER_EVENT;
 
 /** HTTP server that answers like a gateway and runs requests in memory, with the given fault. */
@@ -91,6 +99,10 @@
       response.writeHead(refusal).end();
       return;
     }
+    if (request.url?.startsWith(`/${RESUMABLE_ROUTE}/`) === true) {
+      this.answerResumable(request, response);
+      return;
+    }
     if (request.url?.includes('stream') === true) {
       this.answerTurn(request, response, id, body);
       return;
@@ -107,6 +119,25 @@
     response.writeHead(200, this.signature).end(`answer of ${this.runner.id} to ${owner}`);
   }
 
+  private answerResumable(request: IncomingMessage, response: ServerResponse): void {
+    const isResumption = request.headers[NAMES.resumes] !== undefined;
+    if (isResumption && this.fault === 'refusesResumptions') {
+      response.writeHead(503).end();
+      return;
+    }
+    const version = isResumption && this.fault === 'mixesVersions' ? 'v2' : 'v1';
+    response.writeHead(200, { ...this.signature, 'content-type': 'text/event-stream' });
+    const send = (event: number): void => {
+      if (event > RESUMABLE_EVENTS) {
+        response.end();
+      } else {
+        response.write(`id: ${event}\ndata: event ${event} by ${version}\n\n`);
+        setTimeout(() => send(event + 1), EVENT_MILLISECONDS);
+      }
+    };
+    send(Number(request.headers[NAMES.lastEventId] ?? 0) + 1);
+  }
+
   private answerTurn(
     request: IncomingMessage,
     response: ServerResponse,
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -28,6 +28,7 @@
 import { SoakUpgrade } from './soak-upgrade.js';
 import { COLD_LIMIT, SOAK_ZONES, SoakWorld } from './soak-world.js';
 import type { SoakWorldOptions } from './soak-world.js';
+import { StreamVersionCheck } from './stream-version-check.js';
 import { TenantCheck } from './tenant-check.js';
 
 const GATEWAY_COUNT = 3;
@@ -72,6 +73,9 @@
   private readonly evacuationCheck: EvacuationCheck;
   private readonly tenantCheck: TenantCheck;
   private readonly recoveryCheck: RecoveryCheck;
+  private readonly versionCheck: StreamVersionCheck;
+  /** Local time of the end of the last fault of a replica, in milliseconds; Infinity while one lasts. */
+  private replicaFaultEndedAt = -Infinity;
   private readonly upgrade: SoakUpgrade | undefined;
 
   constructor(private readonly options: SoakOptions) {
@@ -97,6 +101,17 @@
     this.configurationCheck = new ConfigurationCheck({ gatewayHosts, violate });
     const isInContact = (host: string): boolean => this.configurationCheck.isInContact(host);
     this.evacuationCheck = new EvacuationCheck({ isInContact, violate });
+    this.versionCheck = new StreamVersionCheck({
+      random: createRandom(options.seed, 'streams'),
+      gatewayHosts,
+      zones: SOAK_ZONES,
+      store: this.world.store,
+      addressOf: (number) => this.world.runnerAddressOf(number),
+      isInContact,
+      areReplicasInContact: () =>
+        performance.now() - this.replicaFaultEndedAt >= SETTLE_MILLISECONDS,
+      violate,
+    });
     const random = createRandom(options.seed, 'tenants');
     this.tenantCheck = new TenantCheck({ random, gatewayHosts, runners, violate });
     this.recoveryCheck = new RecoveryCheck({
@@ -112,8 +127,21 @@
     }
   }
 
+  private runChecks(isOver: () => boolean): Promise<void>[] {
+    const checks = [this.configurationCheck.run(isOver), this.tenantCheck.run(isOver)];
+    return this.checksVersions ? [...checks, this.versionCheck.run(isOver)] : checks;
+  }
+
+  /** The older build of an upgrade need not know software versions. */
+  private get checksVersions(): boolean {
+    return this.options.upgrade === undefined;
+  }
+
   async run(): Promise<SoakReport> {
     await this.world.startDependencies();
+    if (this.checksVersions) {
+      await this.versionCheck.start();
+    }
     this.changeConfiguration();
     await this.world.startProcesses();
     let over = false;
@@ -121,8 +149,7 @@
       this.createClient(`c${index}`),
     );
     const work = clients.map((client) => client.run(() => over));
-    work.push(this.configurationCheck.run(() => over));
-    work.push(this.tenantCheck.run(() => over));
+    work.push(...this.runChecks(() => over));
     const until = performance.now() + this.options.minutes * 60_000;
     let isUpgraded = false;
     const upgraded = this.upgrade?.run().then(() => (isUpgraded = true));
@@ -152,9 +179,22 @@
     const { checkedArrivals: evacuationArrivals } = this.evacuationCheck;
     const counted = { evacuationArrivals, oldKeyRequests, limitedAnswers, coldArrivals };
     const looks = { configurationLooks, ...counted };
+    const { counts: resumptions } = this.versionCheck;
     const { recoveries } = this.recoveryCheck;
     const upgrade = this.upgrade?.steps ?? [];
-    return { seed, counts, faults, pairs, ...looks, recoveries, lost, upgrade, violations, folder };
+    return {
+      seed,
+      counts,
+      faults,
+      pairs,
+      ...looks,
+      resumptions,
+      recoveries,
+      lost,
+      upgrade,
+      violations,
+      folder,
+    };
   }
 
   /** Injects faults one after another, with a random overlap, until `isOver` returns true. */
@@ -221,9 +261,14 @@
       ? gateways
       : gateways.filter(({ machine }) => targets.includes(machine.name));
     const end = this.configurationCheck.exempt(exemptGateways.map(({ machine }) => machine.host));
+    const strikesReplicas = targets.includes(ALL_REPLICAS);
+    if (strikesReplicas) {
+      this.replicaFaultEndedAt = Infinity;
+    }
     await this.applyFault(fault, targets);
     end();
-    if (targets.includes(ALL_REPLICAS)) {
+    if (strikesReplicas) {
+      this.replicaFaultEndedAt = performance.now();
       await sleep(SETTLE_MILLISECONDS);
     }
     this.activeFaults.delete(fault);
--- a/soak/soak-configuration.ts
+++ b/soak/soak-configuration.ts
@@ -2,6 +2,7 @@
 import type { RandomSource } from '../src/runtime/random.js';
 import { SOAK_COLD } from './platform-process.js';
 import { SOAK_HOST, SOAK_KEY, SOAK_TENANT, SOAK_TOKENS_PER_EVENT } from './soak-client.js';
+import { RESUMABLE_ROUTE, VERSIONED_SERVICE } from './stream-version-check.js';
 import { LIMITED_KEY, LIMITED_RATE, LIMITED_TENANT } from './tenant-check.js';
 
 /** Service that is the target of all routes. */
@@ -64,6 +65,7 @@
         route('repeatable', 'idempotent', { TimeoutMs: 2_000 + this.version }),
         route('kept', 'streaming', { Retain: true, RetentionS: 600 }),
         route('long', 'streaming', {}),
+        route(RESUMABLE_ROUTE, 'streaming', { Resumable: true, Service: VERSIONED_SERVICE }),
         ...this.addedRoutes.slice(-ADDED_ROUTE_COUNT).map((name) => route(name, 'idempotent', {})),
       ],
       Services: [
@@ -73,6 +75,7 @@
           ColdPerS: SOAK_COLD.requestsPerSecond,
           Engine: { Stride: SOAK_TOKENS_PER_EVENT },
         },
+        { Name: VERSIONED_SERVICE, MaxConnections: 60 },
       ],
       Tenants: [
         { Name: SOAK_TENANT, ApiKeys: [SOAK_KEY], Priority: 0 },
--- a/soak/soak-report.ts
+++ b/soak/soak-report.ts
@@ -2,6 +2,7 @@
 import type { PowerLossCounts } from './power-loss-counts.js';
 import type { SoakCounts } from './soak-client.js';
 import type { Fault } from './soak-faults.js';
+import type { ResumptionCounts } from './stream-version-check.js';
 import type { UpgradePlan, UpgradeStep } from './soak-upgrade.js';
 
 /** Options of a soak run. */
@@ -43,6 +44,8 @@
   readonly limitedAnswers: number;
   /** Largest number of requests that reached a cold runner in any second. */
   readonly coldArrivals: number;
+  /** Streams with several software versions of runners; all 0 in an upgrade, whose older build knows none. */
+  readonly resumptions: ResumptionCounts;
   /** Duration of each recovery check until every kind was served or its time was over, in milliseconds. */
   readonly recoveries: readonly number[];
   /** Unsynced data that power losses discarded; shows that the fault has an effect. */
--- a/soak/soak-world.ts
+++ b/soak/soak-world.ts
@@ -96,6 +96,11 @@
     this.hosts = new SoakHosts(options.block);
   }
 
+  /** Returns the address of a runner; those beyond the deployment's own are free. */
+  runnerAddressOf(number: number): string {
+    return this.hosts.addressOf('runner', number);
+  }
+
   /** Addresses of all gateways, running or not. */
   get gatewayHosts(): string[] {
     const { gatewayCount } = this.options;
