Scenarios of streams whose version is unknown, gone or changed

Records lost with all copies, streams of nobody, unnamed ones, ids that are no ids, a version without runners, a gateway that starts and asks a peer, a second version that shows up after the stream, an entry that changes its version.

--- a/features/steps/stream-versions.steps.ts
+++ b/features/steps/stream-versions.steps.ts
@@ -5,12 +5,17 @@
 import type { TryResult } from '../support/version-world.js';
 
 const OK = 200;
+const UNAVAILABLE = 503;
+const EVENT_MILLISECONDS = 30;
+/** Time in which a record reaches the replicas. */
+const RECORD_MILLISECONDS = 100;
 const WAIT_MILLISECONDS = 3_000;
 
 interface World {
   versions?: VersionWorld;
   /** The tries of each stream, in order. */
   streams: TryResult[][];
+  resumptionMilliseconds: number;
 }
 
 After(async function (this: World) {
@@ -101,3 +106,176 @@
     assert.equal(new Set(events.map(({ version }) => version)).size, 1, JSON.stringify(tries));
   }
 });
+
+Given(
+  '{int} gateways, and runners of the software version {string} in one service',
+  async function (this: World, gateways: number, version: string) {
+    await this.versions?.stop();
+    this.streams = [];
+    this.versions = new VersionWorld();
+    await this.versions.start(gateways);
+    await this.versions.startRunner(version);
+  },
+);
+
+Given('a third gateway that starts later', async function (this: World) {
+  const versions = this.versions!;
+  const gateway = await versions.startGateway();
+  gateway.registry.versions.forgetPast();
+  versions.runners.forEach((runner) => versions.list(gateway, runner));
+});
+
+When('the third gateway reads what another one knows', function (this: World) {
+  const [first, , third] = this.versions!.gateways;
+  third!.registry.versions.merge(first!.registry.versions.report()!);
+});
+
+When(
+  '{int} clients receive {int} events, and then a runner of {string} is listed and the runner of {string} serves on',
+  async function (this: World, count: number, events: number, version: string, _first: string) {
+    const firsts = await times(count, () => this.versions!.send(0, undefined, events));
+    this.streams = firsts.map((first) => [first]);
+    await this.versions!.startRunner(version);
+    // Records are on their way for a moment.
+    await new Promise((resolve) => setTimeout(resolve, RECORD_MILLISECONDS));
+  },
+);
+
+When('their gateway is killed, and they resume at the other gateway', async function (this: World) {
+  const versions = this.versions!;
+  versions.kill(0);
+  this.streams = await Promise.all(this.streams.map(([first]) => resume(versions, 1, first!)));
+});
+
+When(
+  '{int} clients receive {int} events, all gateways and replicas but one gateway are killed, and they resume there',
+  async function (this: World, count: number, events: number) {
+    const versions = this.versions!;
+    const firsts = await times(count, () => versions.send(0, undefined, events));
+    versions.kill(0);
+    versions.stopReplicas();
+    this.streams = await Promise.all(firsts.map((first) => resume(versions, 1, first)));
+  },
+);
+
+const STREAM_NAMES: Readonly<Record<string, string | undefined>> = {
+  'a stream of nobody': 'nobody',
+  'an unnamed stream': undefined,
+  'a very long id': 'x'.repeat(2_000),
+};
+
+When(
+  /^a client resumes (a stream of nobody|an unnamed stream|a very long id) after event "(.*?)"( at the third gateway)?$/,
+  async function (this: World, name: string, lastEvent: string, atThird: string | null) {
+    const requestId = STREAM_NAMES[name];
+    const first: TryResult = {
+      requestId: requestId ?? '',
+      status: OK,
+      events: [],
+      complete: false,
+      retryAfter: undefined,
+    };
+    const gateway = atThird === null ? 1 : 2;
+    this.streams = [[first, await this.versions!.send(gateway, { requestId, lastEvent })]];
+  },
+);
+
+When(
+  '{int} clients receive {int} events, the runners of {string} leave, and they resume at the other gateway',
+  async function (this: World, count: number, events: number, leaving: string) {
+    const versions = this.versions!;
+    const firsts = await times(count, () => versions.send(0, undefined, events));
+    const left = versions.runners.filter(({ version }) => version === leaving);
+    versions.gateways.forEach((gateway) =>
+      left.forEach((runner) => versions.list(gateway, runner, false)),
+    );
+    const resumedAt = performance.now();
+    this.streams = await Promise.all(firsts.map((first) => resume(versions, 1, first)));
+    this.resumptionMilliseconds = performance.now() - resumedAt;
+  },
+);
+
+When(
+  'the entry of the runner of {string} names {string} while {int} clients receive {int} events and resume',
+  async function (this: World, before: string, after: string, count: number, events: number) {
+    const versions = this.versions!;
+    const firsts = await times(count, () => versions.send(0, undefined, events));
+    const changed = versions.runners.find(({ version }) => version === before)!;
+    versions.gateways.forEach((gateway) => versions.list(gateway, { ...changed, version: after }));
+    this.streams = await Promise.all(firsts.map((first) => resume(versions, 1, first)));
+  },
+);
+
+Then(
+  /^every resumption is refused as not run, with(out)? a time to return$/,
+  function (this: World, without: string | null) {
+    assert.ok(this.streams.length > 0);
+    for (const [, resumption] of this.streams) {
+      assert.equal(resumption!.status, UNAVAILABLE);
+      assert.equal(resumption!.retryAfter === undefined, without !== null);
+    }
+  },
+);
+
+Then('no runner ran a resumption', function (this: World) {
+  const resumed = new Set(this.streams.map(([, resumption]) => resumption!.requestId));
+  const runs = this.versions!.runners.flatMap(({ runner }) => runner.runs);
+  assert.ok(runs.every(({ requestId }) => !resumed.has(requestId)));
+});
+
+Then('the resumption is complete from event {int} on', function (this: World, first: number) {
+  const [, resumption] = this.streams[0]!;
+  assert.equal(resumption!.status, OK);
+  assert.deepEqual(
+    resumption!.events.map(({ id }) => id),
+    ALL_EVENTS.slice(first - 1),
+  );
+});
+
+function streamsOf({ streams }: World, version: string): TryResult[][] {
+  return streams.filter(([first]) => first!.events[0]?.version === version);
+}
+
+Then(
+  'streams of {string} are refused as not run within {int} ms, without a time to return',
+  function (this: World, version: string, milliseconds: number) {
+    const refused = streamsOf(this, version);
+    assert.ok(refused.length > 0);
+    refused.forEach(([, resumption]) => {
+      assert.equal(resumption!.status, UNAVAILABLE);
+      assert.equal(resumption!.retryAfter, undefined);
+    });
+    const others = ALL_EVENTS.length * EVENT_MILLISECONDS;
+    assert.ok(
+      this.resumptionMilliseconds < milliseconds + others,
+      `${this.resumptionMilliseconds}`,
+    );
+  },
+);
+
+Then(
+  'streams of {string} are complete, with events of one version',
+  function (this: World, version: string) {
+    const goingOn = streamsOf(this, version);
+    assert.ok(goingOn.length > 0);
+    for (const tries of goingOn) {
+      const events = tries.flatMap((each) => each.events);
+      assert.deepEqual(
+        events.map(({ id }) => id),
+        ALL_EVENTS,
+      );
+      assert.ok(events.every((event) => event.version === version));
+    }
+  },
+);
+
+Then('no stream continues under the entry of another version', function (this: World) {
+  const [changed, other] = this.versions!.runners;
+  // Streams of the first runner were written by the version that its entry no longer names.
+  streamsOf(this, changed!.version).forEach(([, resumption]) =>
+    assert.equal(resumption!.status, UNAVAILABLE),
+  );
+  const goingOn = streamsOf(this, other!.version);
+  assert.ok(goingOn.length > 0);
+  goingOn.forEach(([, resumption]) => assert.equal(resumption!.status, OK));
+});
--- a/features/stream-versions.feature
+++ b/features/stream-versions.feature
@@ -20,3 +20,51 @@
   Scenario: A client resumes its stream at another gateway after the one that began it was killed
     When 24 clients receive 2 events, their gateway is killed, and they resume at the other gateway
     Then every stream is complete, with events of one version
+
+  # Guards against a record that goes to the replicas only from the second version on.
+  Scenario: A stream that began before a second version served is resumed after its gateway was killed
+    Given 2 gateways, and runners of the software version "v1" in one service
+    When 6 clients receive 2 events, and then a runner of "v2" is listed and the runner of "v1" serves on
+    And their gateway is killed, and they resume at the other gateway
+    Then every stream is complete, with events of one version
+
+  Scenario: A stream of which all records are lost is refused, not guessed
+    When 12 clients receive 2 events, all gateways and replicas but one gateway are killed, and they resume there
+    Then every resumption is refused as not run, with a time to return
+    And no runner ran a resumption
+
+  Scenario Outline: A request that names no known stream is refused while several versions serve
+    When a client resumes <stream> after event "<event>"
+    Then every resumption is refused as not run, <return>
+    And no runner ran a resumption
+
+    Examples:
+      | stream               | event | return                   |
+      | a stream of nobody   | 2     | with a time to return    |
+      | an unnamed stream    | 2     | without a time to return |
+      | a very long id       | 2     | with a time to return    |
+      | a stream of nobody   | ???   | with a time to return    |
+
+  Scenario: A client may resume a stream of nobody while one version serves
+    Given 2 gateways, and runners of the software version "v1" in one service
+    When a client resumes a stream of nobody after event "2"
+    Then the resumption is complete from event 3 on
+
+  Scenario: A stream whose version has no runner left is refused at once
+    When 12 clients receive 2 events, the runners of "v1" leave, and they resume at the other gateway
+    Then streams of "v1" are refused as not run within 100 ms, without a time to return
+    And streams of "v2" are complete, with events of one version
+
+  Scenario: A gateway that starts knows only from its peers that one version served
+    Given 2 gateways, and runners of the software version "v1" in one service
+    And a third gateway that starts later
+    When a client resumes a stream of nobody after event "2" at the third gateway
+    Then every resumption is refused as not run, with a time to return
+    When the third gateway reads what another one knows
+    And a client resumes a stream of nobody after event "2" at the third gateway
+    Then the resumption is complete from event 3 on
+
+  # Guards against a request that was placed at a runner and is sent after its entry names another version.
+  Scenario: An entry that changes its version counts as another runner
+    When the entry of the runner of "v1" names "v2" while 12 clients receive 2 events and resume
+    Then no stream continues under the entry of another version
