A program whose stream is resumed counts as in progress

A resumption at another gateway was admitted like the first turn of a new program, and refused with new programs while runners were full, although its program had run. The request itself shows it. Unit scenario; red without the change by its second assertion.

--- a/features/contention.feature
+++ b/features/contention.feature
@@ -19,6 +19,10 @@
   Scenario: A program that ran through another gateway stays admitted
     Then a turn that shows that its program has run before is admitted where a new program is refused
 
+  # Guards against refusing, as a new program, one whose stream is resumed at another gateway.
+  Scenario: A program whose stream is resumed here has run before
+    Then a request that resumes a stream does not start a program, and another one does
+
   Scenario: A program that ran through another gateway is not charged to its tenant's quota as a new one
     Then of a tenant's first requests here, only that of a program without cached prompts starts a program
 
--- a/features/steps/contention.steps.ts
+++ b/features/steps/contention.steps.ts
@@ -119,6 +119,15 @@
   },
 );
 
+Then('a request that resumes a stream does not start a program, and another one does', function () {
+  const parts = parsePromptParts('aa:500,bb:300');
+  const fresh = requestStateWith('fresh', parts, 0);
+  const resumed = requestStateWith('resumed', parts, 0, { resumes: 'r', lastEventId: '2' });
+  [fresh, resumed].forEach((requestState) => ADMISSION_STAGE.decide(requestState));
+  assert.equal(fresh.startsProgram, true);
+  assert.equal(resumed.startsProgram, false);
+});
+
 const AMOUNT = fc.double({ min: 0, max: 1e9, noNaN: true });
 
 Then(
--- a/features/support/contention-requests.ts
+++ b/features/support/contention-requests.ts
@@ -25,6 +25,7 @@
   program: string,
   promptParts: readonly PromptPart[],
   cachedTokens: number,
+  resumed: Partial<RelayRequest> = {},
 ): RequestState {
   const context = {
     admission: freshAdmission(),
@@ -42,7 +43,13 @@
       loadAgeMilliseconds: () => 100,
     },
   } as unknown as RelayContext;
-  const route = { kind: 'stream', name: 'r', priority: 0, timeoutMilliseconds: 3_000 };
+  const route = {
+    kind: 'stream',
+    name: 'r',
+    priority: 0,
+    timeoutMilliseconds: 3_000,
+    resumable: true,
+  };
   const quota = { ratePerSecond: 1, burst: 1 };
   const request = {
     arrivedAt: 0,
@@ -51,6 +58,7 @@
     promptParts,
     program: { program },
     tenant: { id: 't', priority: 0, quota },
+    ...resumed,
   };
   return new RequestState(context, request as unknown as RelayRequest);
 }
--- a/src/relay/stages/admission-stage.ts
+++ b/src/relay/stages/admission-stage.ts
@@ -8,6 +8,7 @@
 import type { DemandAhead } from '../admission/demand-ahead.js';
 import { predictWait } from '../admission/predicted-wait.js';
 import type { AdmissionInputs } from '../admission/predicted-wait.js';
+import { isResumption } from '../request/relay-request.js';
 import { isLate, baseRankOf, rankOf } from '../request/request-rank.js';
 import type { RunnerIncarnation } from '../runners/runner.js';
 import type { RequestState } from './request-state.js';
@@ -69,7 +70,11 @@
 /** Whether the request itself shows that its program has run before. */
 function isFollowUpTurn({ context, request }: RequestState): boolean {
   const { route, previousTurn, promptParts } = request;
-  return previousTurn !== undefined || context.kindStats.isSubAgent(route.name, promptParts.length);
+  return (
+    previousTurn !== undefined ||
+    isResumption(request) ||
+    context.kindStats.isSubAgent(route.name, promptParts.length)
+  );
 }
 
 /** Whether the program appears to have run before, through another gateway. */
