Comments: four reasons and figures that the rewording dropped

Restored: the usual age of a proof, the length of the quorum lease and what it protects, what is kept of an overshoot, the age of other gateways' counts. No code changed.

--- a/src/peers/store-followers.ts
+++ b/src/peers/store-followers.ts
@@ -60,7 +60,7 @@
 const DISCOVERY_MILLISECONDS = 2_000;
 /**
  * Silence of the store beyond which a surplus follower goes on following, in milliseconds; exceeds
- * the usual age of a proof.
+ * the usual age of a proof, which is at most 0.6 s.
  */
 const FOLLOWER_SILENCE_LIMIT_MILLISECONDS = 900;
 /**
--- a/src/relay/admission/service-demand.ts
+++ b/src/relay/admission/service-demand.ts
@@ -1,7 +1,7 @@
 /**
  * Counts the requests in progress at each service by rank: those of this gateway and, through
  * gossip, those of all others. A request does not wait for less urgent ones. The counts of other
- * gateways lag by a few gossip periods, and gateways of older builds publish none, so a request
+ * gateways are 0.1 to 0.3 s old, and gateways of older builds publish none, so a request
  * counts as ahead unless it is known to be less urgent. Late requests are counted a second time, by the rank
  * that they had before they became late, since the rank that they drop to is also that of on-time
  * work of less urgent tenants.
--- a/src/turns/membership-timings.ts
+++ b/src/turns/membership-timings.ts
@@ -29,7 +29,10 @@
 /** Shorter silences are mostly brief stalls, for which reading the logs would be wasted effort. */
 const MINIMUM_SUSPICION_MILLISECONDS = 750;
 const MAXIMUM_SUSPICION_MILLISECONDS = 2_000;
-/** Exceeds the quorum lease, for which a member that lost contact with the majority still grants its quota share. */
+/**
+ * Exceeds the quorum lease of 1.5 s, for which a member that lost contact with the majority still grants its quota
+ * share: no place is taken before.
+ */
 const MINIMUM_REMOVAL_MILLISECONDS = 1_600;
 /** Outlasts process freezes of a few seconds; waiting longer would not improve detection. */
 const MAXIMUM_REMOVAL_MILLISECONDS = 4_000;
--- a/src/turns/quota-buckets.ts
+++ b/src/turns/quota-buckets.ts
@@ -78,7 +78,10 @@
 }
 
 const MILLISECONDS_IN_SECOND = 1_000;
-/** Maximum fraction of the overshoot that is granted. */
+/**
+ * Maximum fraction of the overshoot that is granted. At an overshoot of 0.1, 0.06 of the rate is kept for what a removed
+ * member still grants.
+ */
 const OVERSHOOT_SHARE_GRANTED = 0.4;
 /**
  * Time for which the whole rate is held back in a window, since a member that was removed from the record continues to
