--- a/features/steps/stream-versions.steps.ts
+++ b/features/steps/stream-versions.steps.ts
@@ -1,7 +1,7 @@
 /** Steps about streams that are resumed while runners of several software versions serve. */
 import assert from 'node:assert/strict';
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import { ALL_EVENTS, VersionWorld } from '../support/version-world.js';
+import { ALL_EVENTS, OTHER_SERVICE, SPLIT_PATH, VersionWorld } from '../support/version-world.js';
 import type { TryResult } from '../support/version-world.js';
 
 const OK = 200;
@@ -42,10 +42,11 @@
   versions: VersionWorld,
   gateway: number,
   first: TryResult,
+  path = '',
 ): Promise<TryResult[]> {
   const { requestId, events } = first;
   const lastEvent = events.at(-1)?.id ?? 0;
-  return [first, await versions.send(gateway, { requestId, lastEvent })];
+  return [first, await versions.send(gateway, { requestId, lastEvent }, Infinity, path)];
 }
 
 /** Waits until a stream runs beyond the attempts so far. */
@@ -279,3 +280,25 @@
   assert.ok(goingOn.length > 0);
   goingOn.forEach(([, resumption]) => assert.equal(resumption!.status, OK));
 });
+
+Given(
+  'a runner of {string} in another service of a split route',
+  async function (this: World, version: string) {
+    await this.versions!.startRunner(version, OTHER_SERVICE, `${version}-of-another-service`);
+  },
+);
+
+When(
+  '{int} clients leave streams of the split route after {int} events and resume them at the other gateway',
+  async function (this: World, count: number, events: number) {
+    const versions = this.versions!;
+    this.streams = await times(count, async () => {
+      const first = await versions.send(0, undefined, events, SPLIT_PATH);
+      return resume(versions, 1, first, SPLIT_PATH);
+    });
+  },
+);
+
+Then('streams ran in both services', function (this: World) {
+  assert.ok(this.versions!.runners.every(({ runner }) => runner.runs.length > 0));
+});
--- a/features/stream-versions.feature
+++ b/features/stream-versions.feature
@@ -68,3 +68,11 @@
   Scenario: An entry that changes its version counts as another runner
     When the entry of the runner of "v1" names "v2" while 12 clients receive 2 events and resume
     Then no stream continues under the entry of another version
+
+  # Guards against a split of a route that each gateway decides for itself when a stream is resumed.
+  Scenario: A stream on a route that is split between two services stays with its service
+    Given 2 gateways, and runners of the software version "v1" in one service
+    And a runner of "v1" in another service of a split route
+    When 24 clients leave streams of the split route after 2 events and resume them at the other gateway
+    Then every stream is complete, with events of one version
+    And streams ran in both services
--- a/features/support/version-world.ts
+++ b/features/support/version-world.ts
@@ -19,6 +19,7 @@
 const HOST = '127.0.0.1';
 const ZONE = 'hall';
 const SERVICE = 'minds';
+export const OTHER_SERVICE = 'other-minds';
 const REPLICAS = 3;
 const EVENTS = 6;
 const EVENT_MILLISECONDS = 10;
@@ -37,6 +38,17 @@
   retentionSeconds: 0,
   isPublic: false,
 };
+/** Path prefix of a route that is split evenly between two services. */
+export const SPLIT_PATH = '/split';
+const SPLIT_ROUTE: Route = {
+  ...ROUTE,
+  name: 'split',
+  pathPrefix: `${SPLIT_PATH}/`,
+  services: [
+    { service: SERVICE, weight: 1 },
+    { service: OTHER_SERVICE, weight: 1 },
+  ],
+};
 const LIMITS = {
   headerBytes: 4_096,
   bodyBytes: 100_000,
@@ -75,6 +87,7 @@
 export interface VersionedRunner {
   readonly runner: RelayRunner;
   readonly version: string;
+  readonly service: string;
   readonly port: number;
 }
 
@@ -119,39 +132,46 @@
       ready: { host: HOST, port: ready! },
       graceMilliseconds: 8_000,
     });
-    const service = {
-      name: SERVICE,
+    const services = [SERVICE, OTHER_SERVICE].map((name) => ({
+      name,
       maximumConnections: 20,
       tokensPerEvent: 10,
       cachesPrompts: true,
       memoryTokens: undefined,
-    };
-    gateway.applyTable(createRoutingTable(7, [ROUTE], [service], LIMITS), 'test');
+    }));
+    gateway.applyTable(createRoutingTable(7, [ROUTE, SPLIT_ROUTE], services, LIMITS), 'test');
     this.gateways.push(gateway);
     this.fronts.push(front!);
     this.callers.push(caller);
     return gateway;
   }
 
-  /** Starts a runner of a software version and lists it at all gateways. */
-  async startRunner(version: string): Promise<VersionedRunner> {
+  /**
+   * Starts a runner of a software version and lists it at all gateways.
+   * @param text how its events name it
+   */
+  async startRunner(version: string, service = SERVICE, text = version): Promise<VersionedRunner> {
     const runner = new RelayRunner({
       id: `runner-${this.runners.length}`,
       names: NAMES,
-      softwareVersion: version,
+      softwareVersion: text,
       eventCount: EVENTS,
       pauseMilliseconds: EVENT_MILLISECONDS,
     });
-    const versioned = { runner, version, port: await runner.listen() };
+    const versioned = { runner, version, service, port: await runner.listen() };
     this.runners.push(versioned);
     this.gateways.forEach((gateway) => this.list(gateway, versioned));
     return versioned;
   }
 
   /** Puts a runner's entry into the list of a gateway. */
-  list(gateway: RelayGateway, { runner, version, port }: VersionedRunner, ready = true): void {
+  list(
+    gateway: RelayGateway,
+    { runner, version, service, port }: VersionedRunner,
+    ready = true,
+  ): void {
     const place = { host: HOST, port, zone: ZONE, slots: 8 };
-    const entry = { id: runner.id, service: SERVICE, softwareVersion: version, ready, ...place };
+    const entry = { id: runner.id, service, softwareVersion: version, ready, ...place };
     gateway.registry.put(entry);
   }
 
@@ -176,6 +196,7 @@
     gateway: number,
     resumed?: { readonly requestId: string | undefined; readonly lastEvent: number | string },
     leaveAfter = Infinity,
+    path = '',
   ): Promise<TryResult> {
     this.requestCount += 1;
     const requestId = `request-${this.requestCount}`;
@@ -193,7 +214,7 @@
     }
     const target = { host: HOST, port: this.fronts[gateway]!, agent: false as const };
     return new Promise((resolve) => {
-      const options = { ...target, method: 'POST', path: '/chat?stream', headers };
+      const options = { ...target, method: 'POST', path: `${path}/chat?stream`, headers };
       const client = httpRequest(options, (response) => {
         let text = '';
         response.setEncoding('utf8');
--- a/src/commands/bench-commands.ts
+++ b/src/commands/bench-commands.ts
@@ -10,6 +10,7 @@
   planFirstRankedFaults,
 } from '../histories/configuration-plan.js';
 import { runConfigurationHistories } from '../histories/run-configuration-histories.js';
+import { runStreamHistories } from '../histories/run-stream-histories.js';
 import { runPowerLossScenario } from '../histories/power-loss-scenario.js';
 import { runTurnHistories } from '../histories/run-turn-histories.js';
 import { spreadOverZones } from '../histories/zone-spread.js';
@@ -207,6 +208,17 @@
   return result.violations.length === 0 ? EXIT_DONE : EXIT_FAILED;
 }
 
+function streamHistories(flags: BenchFlags): number {
+  const seeds = parseSeeds(flags.seeds);
+  if (seeds === undefined || flags.gateways < 1) {
+    return EXIT_USAGE_ERROR;
+  }
+  const { gateways } = flags;
+  const result = runStreamHistories(seeds.first, seeds.last, gateways);
+  writeLine(JSON.stringify(result));
+  return result.violations.length === 0 ? EXIT_DONE : EXIT_FAILED;
+}
+
 function writeRows(rows: readonly object[], json: boolean): void {
   if (json) {
     writeLine(JSON.stringify(rows));
@@ -257,6 +269,8 @@
       return powerLossDays(flags);
     case 'configuration-histories':
       return configurationHistories(flags);
+    case 'stream-histories':
+      return streamHistories(flags);
     default:
       return reportUsageError('name a command; see --help');
   }
--- a/src/commands/ivyloom-bench.ts
+++ b/src/commands/ivyloom-bench.ts
@@ -15,6 +15,7 @@
     experiment NAME     policies side by side in virtual time: lakeshore, dakar, mixed, scaled
     histories           seeded programs and faults in virtual time, every promise checked
     configuration-histories  configuration and runners at gateways under troubles of the store and the network
+    stream-histories    streams that clients resume while software versions of runners change
     turn-histories      the same for kept turns and token accounts on their replicas
     power-loss-days     days of replicas that end with a loss of all power and of disks, a line each
     chaos               real daemons killed, paused and stopped under load, every promise checked
@@ -31,7 +32,7 @@
     --members N         the same: replicas that are members, others stand by
     --zones N           the same: zones of which one may be lost, which sets the members
     --older-build       turn-histories: begin with a build that makes every replica a member
-    --gateways N        configuration-histories: gateways (default 8)
+    --gateways N        configuration-histories, stream-histories: gateways (default 8)
     --first-ranked      configuration-histories: stall the gateways that the others hear from, around changes
     --losses N          the same: replicas that are lost at once (default 1)
     --write MS          the same: time that a synced write takes (default 1)
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -194,7 +194,9 @@
         isSuccess ? this.engineSampleOf(current) : undefined,
       );
     }
-    this.streamIds.forEach((stream) => this.context.streams.end(stream));
+    if (this.request.route.resumable) {
+      this.streamIds.forEach((stream) => this.context.streams.end(stream));
+    }
     this.finish('answered', { status, runner: current?.record.runner.id ?? '' });
   }
 
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -42,7 +42,7 @@
 } from './turn-storage.js';
 
 const EXPIRY_INTERVAL_MILLISECONDS = 5_000;
-/** Origins of streams in a generation: at most some 40 MB in both. */
+/** Origins of streams in a generation; two generations take at most 28 MB. */
 const MAXIMUM_STREAM_ORIGINS = 200_000;
 /** Size of a fetch reply beyond which no further turn is added, in bytes; at least one turn is sent. */
 const MAXIMUM_FETCH_BYTES = 1024 * 1024;
--- a/src/turns/stream-origin-client.ts
+++ b/src/turns/stream-origin-client.ts
@@ -112,7 +112,11 @@
   }
 
   private send(member: Member, queue: MemberQueue): void {
-    if (queue.isSending || queue.waiting.length === 0) {
+    if (queue.isSending) {
+      return;
+    }
+    if (queue.waiting.length === 0) {
+      this.queues.delete(member.id);
       return;
     }
     queue.isSending = true;
--- a/src/turns/stream-origins.ts
+++ b/src/turns/stream-origins.ts
@@ -31,7 +31,10 @@
 export class StreamOrigins {
   private current: Generation = new Map();
   private previous: Generation = new Map();
+  /** Local time at which the current generation started, in milliseconds. */
   private startedAt: number;
+  /** The origins of the current generation; few differ, so that streams share them. */
+  private readonly origins = new Map<string, StreamOrigin>();
 
   constructor(private readonly options: StreamOriginsOptions) {
     this.startedAt = options.runtime.now();
@@ -85,9 +88,6 @@
     this.startedAt = this.options.runtime.now();
   }
 
-  /** The origins of the current generation; few differ, so that streams share them. */
-  private readonly origins = new Map<string, StreamOrigin>();
-
   private shared(service: string, version: string): StreamOrigin {
     const key = `${service}\n${version}`;
     const known = this.origins.get(key);
