--- a/src/histories/stream-history.ts
+++ b/src/histories/stream-history.ts
@@ -59,6 +59,8 @@
 const EVENTS = 8;
 const EVENT_MILLISECONDS = 30;
 const FAULT_INTERVAL_MILLISECONDS = 2_500;
+/** Share of the gateways that one fault kills together. */
+const KILLED_SHARE = 0.5;
 /** Time after a fault in which the gateways and replicas concerned owe nothing. */
 const CONTACT_MILLISECONDS = 3_000;
 /** Longest time until a gateway in contact has a change of the list. */
@@ -68,8 +70,9 @@
 /** Resumptions from which on their share is checked. */
 const MINIMUM_RESUMPTIONS = 12;
 const MINIMUM_SHARE = 0.5;
-/** Share of the streams whose client leaves, of those that resume twice, and of those that resume late. */
+/** Share of the tries that their client leaves. */
 const LEAVE_SHARE = 0.3;
+/** Share of the resumptions that come late, and the longest pause before these, in milliseconds. */
 const RESUME_LATE_SHARE = 0.1;
 const LATE_MILLISECONDS = 8_000;
 const REMAINING_MILLISECONDS = 3_000;
@@ -305,7 +308,7 @@
     const faults: readonly (() => void)[] = [
       () => this.killGateways([gateway]),
       () => this.killGateways([gateway]),
-      () => this.killGateways(this.gateways.filter(() => random.uniform() < MINIMUM_SHARE)),
+      () => this.killGateways(this.gateways.filter(() => random.uniform() < KILLED_SHARE)),
       () => this.killGateways(this.gateways),
       () => this.pauseGateway(gateway),
       () => this.cutFromStore(gateway),
