Clients that name no stream resume as before while one version is known

They were refused while the versions of the last minute were not proved: for a minute after all gateways had started, while the store was silent, and always on split routes. Such clients belong to deployments in which no two versions serve at a time, so only a second version that this gateway or another one knows refuses them. A service without any runner is treated as before, and is not called lost.

Scenarios: an unnamed stream at a gateway that knows nothing of the past, and on a split route.

--- a/features/steps/stream-versions.steps.ts
+++ b/features/steps/stream-versions.steps.ts
@@ -166,8 +166,14 @@
 };
 
 When(
-  /^a client resumes (a stream of nobody|an unnamed stream|a very long id) after event "(.*?)"( at the third gateway)?$/,
-  async function (this: World, name: string, lastEvent: string, atThird: string | null) {
+  /^a client resumes (a stream of nobody|an unnamed stream|a very long id)( of the split route)? after event "(.*?)"( at the third gateway)?$/,
+  async function (
+    this: World,
+    name: string,
+    ofSplit: string | null,
+    lastEvent: string,
+    atThird: string | null,
+  ) {
     const requestId = STREAM_NAMES[name];
     const first: TryResult = {
       requestId: requestId ?? '',
@@ -177,7 +183,9 @@
       retryAfter: undefined,
     };
     const gateway = atThird === null ? 1 : 2;
-    this.streams = [[first, await this.versions!.send(gateway, { requestId, lastEvent })]];
+    const path = ofSplit === null ? '' : SPLIT_PATH;
+    const resumed = { requestId, lastEvent };
+    this.streams = [[first, await this.versions!.send(gateway, resumed, Infinity, path)]];
   },
 );
 
--- a/features/stream-versions.feature
+++ b/features/stream-versions.feature
@@ -50,6 +50,13 @@
     When a client resumes a stream of nobody after event "2"
     Then the resumption is complete from event 3 on
 
+  # Guards against refusing clients that name no stream after all gateways were restarted.
+  Scenario: A client that names no stream is served as long as no second version is known
+    Given 2 gateways, and runners of the software version "v1" in one service
+    And a third gateway that starts later
+    When a client resumes an unnamed stream after event "2" at the third gateway
+    Then the resumption is complete from event 3 on
+
   Scenario: A stream whose version has no runner left is refused at once
     When 12 clients receive 2 events, the runners of "v1" leave, and they resume at the other gateway
     Then streams of "v1" are refused as not run within 100 ms, without a time to return
@@ -76,3 +83,9 @@
     When 24 clients leave streams of the split route after 2 events and resume them at the other gateway
     Then every stream is complete, with events of one version
     And streams ran in both services
+
+  Scenario: An unnamed stream on a split route goes on while each of its services has one version
+    Given 2 gateways, and runners of the software version "v1" in one service
+    And a runner of "v1" in another service of a split route
+    When a client resumes an unnamed stream of the split route after event "2"
+    Then the resumption is complete from event 3 on
--- a/src/relay/runners/resumable-streams.ts
+++ b/src/relay/runners/resumable-streams.ts
@@ -21,7 +21,9 @@
   /** The record of another gateway. */
   | 'record'
   /** Only one version can have begun it. */
-  | 'single';
+  | 'single'
+  /** The client doesn't name the stream, and no second version is known. */
+  | 'listed';
 
 /** An origin, and what it was taken from. */
 export interface FoundOrigin {
@@ -67,15 +69,14 @@
   /**
    * Finds the origin of a stream: what this gateway knows itself goes before a record, and a record before what follows from
    * the versions that serve. Calls back once, with undefined if the origin is unknown.
-   * @param stream undefined if the client doesn't name it
    */
   find(
-    stream: string | undefined,
+    stream: string,
     route: Route,
     remainingMilliseconds: number,
     done: (found: FoundOrigin | undefined) => void,
   ): void {
-    if (stream === undefined || !isPossibleId(stream)) {
+    if (!isPossibleId(stream)) {
       done(this.findSingle(route));
       return;
     }
@@ -90,16 +91,29 @@
     );
   }
 
+  /**
+   * Whether a stream that its client doesn't name may be resumed. Only clients for which no two versions of a service serve
+   * at a time don't name their streams, so that they are refused only if a second version is known.
+   */
+  mayResumeUnnamed({ services }: Route): boolean {
+    const { versions } = this.options;
+    return !services.some(({ service }) => versions.isMixed(service));
+  }
+
+  /** Returns the origin that unnamed streams of a route have in common; undefined if it is split or no runner is known. */
+  findListed(route: Route): FoundOrigin | undefined {
+    const origin = originOf(route, (service) => this.options.versions.knownVersion(service));
+    return origin === undefined ? undefined : { origin, source: 'listed' };
+  }
+
   /** Returns the origin that all streams of a route have in common; undefined if they may differ. */
   private findSingle(route: Route): FoundOrigin | undefined {
     const origin = this.singleOrigin(route);
     return origin === undefined ? undefined : { origin, source: 'single' };
   }
 
-  private singleOrigin({ services }: Route): StreamOrigin | undefined {
-    const service = services.length === 1 ? services[0]!.service : undefined;
-    const version = service === undefined ? undefined : this.options.versions.soleVersion(service);
-    return service === undefined || version === undefined ? undefined : { service, version };
+  private singleOrigin(route: Route): StreamOrigin | undefined {
+    return originOf(route, (service) => this.options.versions.soleVersion(service));
   }
 
   private recordOwn(service: string): void {
@@ -108,6 +122,16 @@
   }
 }
 
+/** Returns the origin that follows from a route with one service and the only version of it. */
+function originOf(
+  { services }: Route,
+  versionOf: (service: string) => string | undefined,
+): StreamOrigin | undefined {
+  const service = services.length === 1 ? services[0]!.service : undefined;
+  const version = service === undefined ? undefined : versionOf(service);
+  return service === undefined || version === undefined ? undefined : { service, version };
+}
+
 function isPossibleId(stream: string): boolean {
   return stream !== '' && stream.length <= MAXIMUM_ID_LENGTH;
 }
--- a/src/relay/stages/origin-stage.ts
+++ b/src/relay/stages/origin-stage.ts
@@ -5,34 +5,41 @@
 import { originLost, originUnknown, originUnnamed } from '../answers/local-answers.js';
 import { isResumption } from '../request/relay-request.js';
 import { tenantScopedId } from '../request/tenant.js';
-import type { FoundOrigin } from '../runners/resumable-streams.js';
+import type { FoundOrigin, OriginSource } from '../runners/resumable-streams.js';
 import { softwareVersionOf } from '../runners/runner.js';
+import type { Runner } from '../runners/runner.js';
 import { refusalWithoutCapacity } from './capacity-stage.js';
 import type { RequestState } from './request-state.js';
 import { GO_ON, refuseWith } from './stage.js';
 import type { RequestStage, StageOutcome } from './stage.js';
 
-function hasRunnerOf({ context }: RequestState, { origin }: FoundOrigin): boolean {
+/**
+ * Whether only runners of other versions are left. If there is no runner at all, the request goes on to its first attempt
+ * like any other: runners may be listed meanwhile.
+ */
+function isOriginLost({ context }: RequestState, { origin }: FoundOrigin): boolean {
   const { registry, exclusions } = context;
-  return registry.hasUsableRunner(
-    origin.service,
-    (runner) =>
-      softwareVersionOf(runner) === origin.version &&
-      exclusions.reasonAgainstAll(runner) === undefined,
+  const hasRunner = (test: (runner: Runner) => boolean): boolean =>
+    registry.hasUsableRunner(
+      origin.service,
+      (runner) => exclusions.reasonAgainstAll(runner) === undefined && test(runner),
+    );
+  return (
+    hasRunner(() => true) && !hasRunner((runner) => softwareVersionOf(runner) === origin.version)
   );
 }
 
+function countOrigin({ context }: RequestState, source: OriginSource | 'unknown'): void {
+  context.metrics.count('ivyloom_relay_stream_origins_total', `source="${source}"`);
+}
+
 function decideBy(requestState: RequestState, found: FoundOrigin | undefined): StageOutcome {
-  const { context, request } = requestState;
-  context.metrics.count(
-    'ivyloom_relay_stream_origins_total',
-    `source="${found?.source ?? 'unknown'}"`,
-  );
+  countOrigin(requestState, found?.source ?? 'unknown');
   if (found === undefined) {
-    return refuseWith(request.resumes === undefined ? originUnnamed() : originUnknown());
+    return refuseWith(originUnknown());
   }
   const { service } = found.origin;
-  const isServed = request.route.services.some((part) => part.service === service);
+  const isServed = requestState.request.route.services.some((part) => part.service === service);
   if (!isServed) {
     return refuseWith(originLost(found.origin));
   }
@@ -41,7 +48,23 @@
   if (refusal !== undefined) {
     return refuseWith(refusal);
   }
-  return hasRunnerOf(requestState, found) ? GO_ON : refuseWith(originLost(found.origin));
+  return isOriginLost(requestState, found) ? refuseWith(originLost(found.origin)) : GO_ON;
+}
+
+/** Without an origin in common, since the route is split or no runner is known, unnamed streams go on like new ones. */
+function decideUnnamed(requestState: RequestState): StageOutcome {
+  const { context, request } = requestState;
+  const { streams } = context;
+  if (!streams.mayResumeUnnamed(request.route)) {
+    countOrigin(requestState, 'unknown');
+    return refuseWith(originUnnamed());
+  }
+  const found = streams.findListed(request.route);
+  if (found === undefined) {
+    countOrigin(requestState, 'listed');
+    return GO_ON;
+  }
+  return decideBy(requestState, found);
 }
 
 /** Refuses resumptions of streams that can't continue at the version that began them. */
@@ -53,7 +76,10 @@
       return GO_ON;
     }
     const { resumes, route, tenant } = request;
-    const stream = resumes === undefined ? undefined : tenantScopedId(tenant, resumes);
+    if (resumes === undefined) {
+      return decideUnnamed(requestState);
+    }
+    const stream = tenantScopedId(tenant, resumes);
     return {
       tag: 'Wait',
       begin: (resume) =>
