A gateway that starts reads what a dozen peers know of versions, not three

When many gateways are killed together, three reports may all come from peers that started with it: with five of eight, by chance in one of five cases. Such a gateway refused for a minute streams that others had begun without a record. Of a dozen reports one in a thousand times none knows more. Doc comments of public members.

--- a/src/relay/runners/version-history.ts
+++ b/src/relay/runners/version-history.ts
@@ -26,8 +26,8 @@
   lastListedAt: number;
 }
 
-/** Largest number of peers whose reports are merged after a start. */
-const MAXIMUM_MERGED_REPORTS = 3;
+/** Largest number of reports that are merged after a start: many peers may have started at the same time and know as little. */
+const MAXIMUM_MERGED_REPORTS = 12;
 
 /** Tracks the versions that are listed, and those that were. */
 export class VersionHistory {
@@ -49,12 +49,14 @@
     this.knownSince = Infinity;
   }
 
+  /** Records that one more runner of a version is listed. */
   noteListed(service: string, version: string): void {
     const state = this.stateOf(service, version);
     state.listed += 1;
     this.noteSeen(service, state);
   }
 
+  /** Records that a runner of a version is no longer listed. */
   noteUnlisted(service: string, version: string): void {
     const state = this.stateOf(service, version);
     state.listed -= 1;
--- a/src/turns/stream-origins.ts
+++ b/src/turns/stream-origins.ts
@@ -16,6 +16,7 @@
 /** Longest supported time from the first event of a stream to its resumption, in milliseconds. */
 export const ORIGIN_RETENTION_MILLISECONDS = 60_000;
 
+/** Dependencies and bounds of {@link StreamOrigins}. */
 export interface StreamOriginsOptions {
   readonly runtime: Pick<Runtime, 'now'>;
   /** Entries in a generation; two generations are kept. */
@@ -45,6 +46,7 @@
     return this.current.size + this.previous.size;
   }
 
+  /** Records the origin of a stream; a full generation starts the next one early. */
   record({ stream, service, version }: StreamOriginEntry): void {
     this.dropExpired();
     if (this.current.size >= this.options.maximumEntries) {
@@ -53,11 +55,13 @@
     this.current.set(stream, this.shared(service, version));
   }
 
+  /** Returns the origin of a stream; undefined if it is unknown or too old. */
   find(stream: string): StreamOrigin | undefined {
     this.dropExpired();
     return this.current.get(stream) ?? this.previous.get(stream);
   }
 
+  /** Removes the origin of a stream. */
   forget(stream: string): void {
     this.current.delete(stream);
     this.previous.delete(stream);
