--- a/soak/stream-version-check.ts
+++ b/soak/stream-version-check.ts
@@ -1,6 +1,6 @@
 /**
  * Checks streams that clients resume while runners of several software versions serve in one service and are released one
- * after another: a stream gets events of one version, and resumptions go on at gateways that no recent fault affects.
+ * after another: a stream gets events of one version, and resumptions succeed at gateways that no recent fault affects.
  */
 import { request as httpRequest } from 'node:http';
 import { PLATFORM_HEADER_NAMES as NAMES } from '../platform/header-names.js';
@@ -36,7 +36,7 @@
 const PAUSE_MILLISECONDS = 80;
 const LATE_SHARE = 0.05;
 const LATE_MILLISECONDS = 5_000;
-/** Resumptions from which on the share that goes on is checked. */
+/** Number of due resumptions from which on the share that succeeds is checked. */
 export const MINIMUM_RESUMPTIONS = 12;
 const MINIMUM_SHARE = 0.5;
 const OK = 200;
@@ -62,7 +62,7 @@
   streams: number;
   resumptions: number;
   resumed: number;
-  /** Those that had to go on, and did. */
+  /** Resumptions that count towards the share that must succeed, and those of them that did. */
   due: number;
   dueResumed: number;
 }
@@ -219,7 +219,7 @@
     }
   }
 
-  /** Whether a stream has to go on, but for the share that may fail. */
+  /** Whether a resumption counts towards the share that must succeed. */
   private isDue(host: string, [event]: readonly ReceivedEvent[]): boolean {
     const usable = this.runners.filter(
       ({ version, usableSince }) => version === event?.version && performance.now() >= usableSince,
--- a/src/histories/stream-history.ts
+++ b/src/histories/stream-history.ts
@@ -23,7 +23,7 @@
 export type InjectedStreamFault =
   /** Any runner may continue a stream. */
   | 'anyVersion'
-  /** Gateways take the only version that they have listed for the origin, whatever they know of the past. */
+  /** Gateways take the only version that they list for the origin, without regard to earlier ones. */
   | 'listBelieved'
   /** Gateways record nothing. */
   | 'nothingRecorded';
@@ -61,7 +61,7 @@
 const FAULT_INTERVAL_MILLISECONDS = 2_500;
 /** Share of the gateways that one fault kills together. */
 const KILLED_SHARE = 0.5;
-/** Time after a fault in which the gateways and replicas concerned owe nothing. */
+/** Time after a fault in which no resumption at the affected gateways and replicas is due. */
 const CONTACT_MILLISECONDS = 3_000;
 /** Longest time until a gateway in contact has a change of the list. */
 const APPLY_MILLISECONDS = 2_000;
@@ -236,7 +236,7 @@
     return process.isAlive && !process.isPaused;
   }
 
-  /** Gossip reaches all gateways that run; one that is cut from the store still hears its peers. */
+  /** Gossip reaches all running gateways, including those that are cut off from the store. */
   private isMixedElsewhere(gateway: StreamGateway, service: string): boolean {
     return this.gateways.some(
       (peer) =>
@@ -291,7 +291,7 @@
     }
   }
 
-  /** Removes runners; those that crash serve no stream any longer, the others go on with theirs. */
+  /** Removes runners; those that crash interrupt their streams, the others finish them. */
   private removeRunners(removed: readonly Runner[], isCrash: boolean): void {
     this.listed = this.listed.filter((runner) => !removed.includes(runner));
     for (const { id } of removed) {
@@ -424,7 +424,7 @@
     });
   }
 
-  /** Whether a resumption has to go on, but for the share that may fail. */
+  /** Whether a resumption counts towards the share that must succeed. */
   private isDue(gateway: StreamGateway, { versions }: ClientStream): boolean {
     const since = this.clock.now - CONTACT_MILLISECONDS;
     const [version] = versions;
--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -34,7 +34,7 @@
 export interface PeerSnapshot extends KeySpaceChanges {
   /** Newest member record, as text. */
   readonly members: string;
-  /** Software versions of runners; undefined if the sender knows nothing of them for sure, or is of an older build. */
+  /** Software versions of runners; undefined if the sender's list is not proved recent, or its build is older. */
   readonly versions?: t.TypeOf<typeof VersionReportType> | undefined;
   /** Addresses (`host:port`) of gateways known to the sender. */
   readonly peers: readonly string[];
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -189,7 +189,7 @@
     return new RunnerExclusions([...exclusions, SOFTWARE_VERSION_RULE, coldLimits]);
   }
 
-  /** Also tells the other gateways which services have several software versions, and learns it from them. */
+  /** Also publishes which services have several software versions, and reads what other gateways publish. */
   private createStreams(): ResumableStreams {
     const { runtime, turns } = this.options;
     const { versions } = this.registry;
--- a/src/relay/runners/resumable-streams.ts
+++ b/src/relay/runners/resumable-streams.ts
@@ -1,6 +1,6 @@
 /**
- * Knows where streams began that clients may resume. A gateway keeps the origins of its own unfinished streams. It records
- * them at the replicas while the service alone doesn't tell at which version a stream began.
+ * Tracks the origins of the streams that clients may resume. A gateway keeps those of its own unfinished streams in memory. It
+ * also records them at the replicas, except while the origin of any stream follows from its route.
  */
 import type { Runtime } from '../../runtime/runtime.js';
 import type { StreamOriginClient } from '../../turns/stream-origin-client.js';
--- a/src/relay/runners/version-history.ts
+++ b/src/relay/runners/version-history.ts
@@ -1,6 +1,6 @@
 /**
- * The software versions that the runners of each service have had lately, as far as this gateway knows. Tells whether a
- * stream can have begun at one version only.
+ * The software versions that were listed for each service recently. Determines whether a stream can have begun at only one
+ * version.
  */
 import type { Runtime } from '../../runtime/runtime.js';
 import { ORIGIN_RETENTION_MILLISECONDS } from '../../turns/stream-origins.js';
@@ -26,7 +26,7 @@
   lastListedAt: number;
 }
 
-/** Largest number of reports that are merged after a start: many peers may have started at the same time and know as little. */
+/** Largest number of reports that are merged after a start: peers that started at the same time add nothing. */
 const MAXIMUM_MERGED_REPORTS = 12;
 
 /** Tracks the versions that are listed, and those that were. */
@@ -44,7 +44,7 @@
 
   constructor(private readonly runtime: Pick<Runtime, 'now'>) {}
 
-  /** Records that nothing is known of the time before: this process started while others may have served. */
+  /** Records that other versions may have been listed before this process started. */
   forgetPast(): void {
     this.knownSince = Infinity;
   }
--- a/src/turns/turn-client.ts
+++ b/src/turns/turn-client.ts
@@ -81,7 +81,7 @@
 /** Builds the request for the replicas of an epoch. */
 type EpochRequest = (epoch: number) => UnnumberedRequest;
 
-/** Reserves and settles tokens, stores and reads turns, and knows where streams began. */
+/** Reserves and settles tokens, stores and reads turns, and gives access to the origins of streams. */
 export class TurnClient {
   /** Where streams began that clients may resume. */
   readonly origins: StreamOriginClient;
