Stream histories also cut gateways from replicas, restart all in turn and silence the store

Faults that the histories lacked: a gateway cut off from all replicas, all gateways restarted one after another, a silent store beside kills of gateways, a stalled replica.

--- a/features/stream-histories.feature
+++ b/features/stream-histories.feature
@@ -20,4 +20,4 @@
       | seed | mistake         | promise   |
       | 1    | anyVersion      | holds     |
       | 1    | nothingRecorded | went on   |
-      | 17   | listBelieved    | holds     |
+      | 128  | listBelieved    | holds     |
--- a/src/histories/stream-history.ts
+++ b/src/histories/stream-history.ts
@@ -59,6 +59,8 @@
 const EVENTS = 8;
 const EVENT_MILLISECONDS = 30;
 const FAULT_INTERVAL_MILLISECONDS = 2_500;
+/** Pause between the restarts of two gateways when all are restarted in turn. */
+const ROLL_MILLISECONDS = 400;
 /** Share of the gateways that one fault kills together. */
 const KILLED_SHARE = 0.5;
 /** Time after a fault in which no resumption at the affected gateways and replicas is due. */
@@ -127,6 +129,7 @@
   private listed: Runner[] = [];
   private readonly crashed = new Set<string>();
   private replicaFaultAt = -Infinity;
+  private storeSilentUntil = -Infinity;
   private runnerCount = 0;
   private requestCount = 0;
   private streamCount = 0;
@@ -216,7 +219,7 @@
     this.clock.schedule(this.lag(), () => {
       if (gateway.run === run && gateway.process.isAlive && !gateway.isCutFromStore) {
         this.listed.forEach((runner) => gateway.registry.put(runner));
-        gateway.provenAt = this.clock.now;
+        gateway.provenAt = this.isStoreSilent ? -Infinity : this.clock.now;
         this.readReports(gateway);
       }
     });
@@ -267,12 +270,16 @@
 
   private proveLists(): void {
     for (const gateway of this.gateways) {
-      if (this.isRunning(gateway) && !gateway.isCutFromStore) {
+      if (this.isRunning(gateway) && !gateway.isCutFromStore && !this.isStoreSilent) {
         gateway.provenAt = this.clock.now;
       }
     }
   }
 
+  private get isStoreSilent(): boolean {
+    return this.clock.now < this.storeSilentUntil;
+  }
+
   private startRunners(version: string, count: number): void {
     for (let index = 0; index < count; index += 1) {
       this.runnerCount += 1;
@@ -304,6 +311,11 @@
 
   private injectFault(): void {
     const { random } = this;
+    if (this.isStoreSilent) {
+      // Nothing can be written, so that only processes fail.
+      this.killGateways([random.pick(this.gateways)]);
+      return;
+    }
     const gateway = random.pick(this.gateways);
     const faults: readonly (() => void)[] = [
       () => this.killGateways([gateway]),
@@ -312,6 +324,10 @@
       () => this.killGateways(this.gateways),
       () => this.pauseGateway(gateway),
       () => this.cutFromStore(gateway),
+      () => this.cutFromReplicas(gateway),
+      () => this.rollGateways(),
+      () => this.silenceStore(),
+      () => this.pauseReplica(),
       () => this.killReplicas(1),
       () => this.killReplicas(REPLICAS),
       () => this.release(),
@@ -361,6 +377,43 @@
     });
   }
 
+  private cutFromReplicas({ name }: StreamGateway): void {
+    const milliseconds = 1_000 + this.random.uniform() * 4_000;
+    const replicas = this.replicas.runningNames();
+    replicas.forEach((replica) => this.replicas.cut(name, replica));
+    const gateway = this.gateways.find((each) => each.name === name)!;
+    gateway.faultAt = this.clock.now + milliseconds;
+    this.clock.schedule(milliseconds, () =>
+      replicas.forEach((replica) => this.replicas.heal(name, replica)),
+    );
+  }
+
+  /** Kills and restarts all gateways one after another. */
+  private rollGateways(): void {
+    this.gateways.forEach((gateway, index) =>
+      this.clock.schedule(index * ROLL_MILLISECONDS, () => this.killGateways([gateway])),
+    );
+  }
+
+  /** The store answers nobody: no list is proved recent, and no entry changes. */
+  private silenceStore(): void {
+    const milliseconds = 3_000 + this.random.uniform() * 4_000;
+    this.storeSilentUntil = this.clock.now + milliseconds;
+    this.gateways.forEach((gateway) => {
+      gateway.faultAt = Math.max(gateway.faultAt, this.storeSilentUntil);
+    });
+  }
+
+  private pauseReplica(): void {
+    const [name] = this.replicas.runningNames();
+    const milliseconds = 500 + this.random.uniform() * 2_000;
+    if (name !== undefined) {
+      this.replicaFaultAt = Math.max(this.replicaFaultAt, this.clock.now + milliseconds);
+      this.replicas.pause(name);
+      this.clock.schedule(milliseconds, () => this.replicas.resume(name));
+    }
+  }
+
   private killReplicas(count: number): void {
     const names = this.replicas.runningNames().slice(0, count);
     const downMilliseconds = 300 + this.random.uniform() * 700;
@@ -375,7 +428,7 @@
     this.startRunners(version, RUNNERS_PER_VERSION);
     this.clock.schedule(1_000 + this.random.uniform() * 4_000, () => {
       const versions = [...new Set(this.listed.map(softwareVersionOf))];
-      if (versions.length > 1) {
+      if (versions.length > 1 && !this.isStoreSilent) {
         const leaving = this.random.pick(versions);
         const runners = this.listed.filter((runner) => softwareVersionOf(runner) === leaving);
         this.removeRunners(runners, false);
