Logs and metrics show how an answer was framed and how its connection ended

An answer that a runner broke off and one that it ended in order left the same lines, so the logs could not tell a reset that was lost beneath HTTP from an orderly end in the middle. relay.try and relay.end carry the framing and the ending of the connection, ivyloom_relay_answers_total counts by both, and the explanation of a request names them. Nothing is decided by it.

--- a/src/relay/tries/attempt.ts
+++ b/src/relay/tries/attempt.ts
@@ -1,6 +1,8 @@
 /** One attempt of a request on one runner, over HTTP/1.1. */
 import { request as httpRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
+import { framingOf } from '../answers/answer-delivery.js';
+import type { AnswerDelivery, ConnectionEnding } from '../answers/answer-delivery.js';
 import type { AnswerHead, AttemptFailure } from '../answers/answer-reader.js';
 import type { HeaderNames } from '../request/header-names.js';
 import type { Runner } from '../runners/runner.js';
@@ -47,6 +49,8 @@
    * before it has read all of a long body.
    */
   wasSent(): boolean;
+  /** Returns how the answer was delivered so far; undefined before its head has arrived. */
+  delivery(): AnswerDelivery | undefined;
   /** Stops reading the answer; received data stays in the connection's bounded buffer. */
   pause(): void;
   /** Resumes reading the answer. */
@@ -83,6 +87,7 @@
   private response: IncomingMessage | undefined;
   private sent = false;
   private finished = false;
+  private ending: ConnectionEnding = 'open';
 
   constructor(
     private readonly runner: Runner,
@@ -123,6 +128,11 @@
     return this.sent;
   }
 
+  delivery(): AnswerDelivery | undefined {
+    const { response, request, ending } = this;
+    return response && { framing: framingOf(response, request.method), ending };
+  }
+
   pause(): void {
     this.response?.pause();
   }
@@ -203,6 +213,9 @@
     }
     this.response = response;
     noteKeepAlive(response.socket, firstValue(response.headers['keep-alive']));
+    if (framingOf(response, this.request.method) === 'close') {
+      this.observeEnd(response);
+    }
     response.on('data', (chunk: Buffer) => {
       if (!this.finished) {
         this.listener.onData(chunk);
@@ -214,6 +227,13 @@
     this.listener.onHead(head);
   }
 
+  /** Records how the connection ended; its peer's address is known only until the runtime has handled the end. */
+  private observeEnd({ socket }: IncomingMessage): void {
+    socket.prependOnceListener('end', () => {
+      this.ending = socket.remoteAddress === undefined ? 'peerGone' : 'end';
+    });
+  }
+
   /** Ignores the close after a complete answer that is still being read: `onEnd` follows once it has been read. */
   private handleClose(): void {
     if (this.response?.complete !== true) {
@@ -234,6 +254,9 @@
   }
 
   private fail(detail: string): void {
+    if (this.ending === 'open') {
+      this.ending = 'closed';
+    }
     this.reportFailure({ tag: this.sent ? 'Lost' : 'NeverSent', detail });
   }
 
--- a/src/relay/tries/call-log.ts
+++ b/src/relay/tries/call-log.ts
@@ -1,5 +1,6 @@
 /** Log entries and metrics of relayed requests. */
 import type { LogFields } from '../../runtime/runtime.js';
+import type { AnswerDelivery } from '../answers/answer-delivery.js';
 import type { RelayContext } from '../relay-context.js';
 import type { RelayRequest } from '../request/relay-request.js';
 import type { StreamOrigin } from '../../turns/stream-origins.js';
@@ -23,6 +24,8 @@
   readonly attemptCount: number;
   /** Local time at which the attempt started, in milliseconds. */
   readonly startedAt: number;
+  /** How its answer was delivered; undefined if no head arrived. */
+  readonly delivery: AnswerDelivery | undefined;
 }
 
 /** A finished call. */
@@ -42,6 +45,21 @@
   readonly fields: LogFields;
 }
 
+/** Counts an answer by its delivery and returns the log fields of the delivery; there are none without an answer. */
+export function recordDelivery(
+  { metrics }: RelayContext,
+  delivery: AnswerDelivery | undefined,
+  outcome: 'complete' | 'broken',
+): LogFields {
+  if (delivery === undefined) {
+    return {};
+  }
+  const { framing, ending } = delivery;
+  const labels = `framing="${framing}",ending="${ending}",outcome="${outcome}"`;
+  metrics.count('ivyloom_relay_answers_total', labels);
+  return { framing, ending };
+}
+
 /** Logs and counts a failed attempt. */
 export function logFailedAttempt(context: RelayContext, failed: FailedAttempt): void {
   const { runtime, metrics } = context;
@@ -57,6 +75,7 @@
     tries,
     inFlight: record.inFlight,
     age: Math.round(runtime.now() - startedAt),
+    ...recordDelivery(context, failed.delivery, 'broken'),
   });
 }
 
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -37,7 +37,7 @@
 import type { AttemptHistory } from './attempt-rules.js';
 import { startAttempt } from './attempt.js';
 import type { Attempt } from './attempt.js';
-import { logCallEnd, logFailedAttempt, logResumedStream } from './call-log.js';
+import { logCallEnd, logFailedAttempt, logResumedStream, recordDelivery } from './call-log.js';
 import { FIRST_SERVER_ERROR_STATUS, classifyAnswer } from './classify-answer.js';
 import { CallFlowControl } from './call-flow-control.js';
 import { CONNECT_MILLISECONDS } from './runner-connections.js';
@@ -197,7 +197,11 @@
     if (this.request.route.resumable) {
       this.streamIds.forEach((stream) => this.context.streams.end(stream));
     }
-    this.finish('answered', { status, runner: current?.record.runner.id ?? '' });
+    this.finish('answered', {
+      status,
+      runner: current?.record.runner.id ?? '',
+      ...recordDelivery(this.context, current?.attempt.delivery(), 'complete'),
+    });
   }
 
   /** Fails the attempt in progress although its connection is intact, and retries if allowed. */
@@ -532,7 +536,7 @@
   }
 
   private logFailure(tag: string, detail: string, current: CurrentAttempt): void {
-    const { record, startedAt } = current;
+    const { record, startedAt, attempt } = current;
     const { request, attemptCount } = this;
     logFailedAttempt(this.context, {
       request: request.id,
@@ -541,6 +545,7 @@
       detail,
       attemptCount,
       startedAt,
+      delivery: attempt.delivery(),
     });
   }
 }
--- a/src/telemetry/explain-request.ts
+++ b/src/telemetry/explain-request.ts
@@ -12,7 +12,7 @@
     case 'relay.refused':
       return `${at} refused at the door with ${fieldText(line, 'status')}, because ${fieldText(line, 'reason')}; configuration version ${fieldText(line, 'version')}, host ${fieldText(line, 'host')}, path ${fieldText(line, 'path')}.`;
     case 'relay.try':
-      return `${at} try ${fieldText(line, 'tries')} at runner ${fieldText(line, 'runner')} ended after ${fieldText(line, 'age')} ms as ${fieldText(line, 'tag')} (${fieldText(line, 'detail')}); ${fieldText(line, 'inFlight')} other requests of this gateway were there.`;
+      return `${at} try ${fieldText(line, 'tries')} at runner ${fieldText(line, 'runner')} ended after ${fieldText(line, 'age')} ms as ${fieldText(line, 'tag')} (${fieldText(line, 'detail')}${deliveryText(line)}); ${fieldText(line, 'inFlight')} other requests of this gateway were there.`;
     case 'relay.resume':
       return explainResumption(line, at);
     case 'relay.admission':
@@ -66,13 +66,21 @@
   return `${at} resumed ${which} after event ${fieldText(line, 'lastEvent')} at runner ${fieldText(line, 'runner')} of software version "${fieldText(line, 'runnerVersion')}"; it began at ${began}.`;
 }
 
+/** Describes how an answer was delimited and how its connection ended; empty if no head arrived. */
+function deliveryText(line: LogLine): string {
+  const framing = fieldText(line, 'framing');
+  return framing === ''
+    ? ''
+    : `, answer framed by ${framing}, connection ${fieldText(line, 'ending')}`;
+}
+
 function explainEnd(line: LogLine, at: string): string {
   const spent = `after ${fieldText(line, 'total')} ms (${fieldText(line, 'beforeDispatch')} ms before the first try, first byte at ${fieldText(line, 'firstByte')} ms, ${fieldText(line, 'events')} events, ${fieldText(line, 'tries')} tries), configuration version ${fieldText(line, 'version')}`;
   const rule = fieldText(line, 'excludedBy');
   const excluded = rule === '' ? '' : `; the rule ${rule} excluded other runners`;
   switch (fieldText(line, 'outcome')) {
     case 'answered':
-      return `${at} answered with ${fieldText(line, 'status')} by runner ${fieldText(line, 'runner')} ${spent}${excluded}.`;
+      return `${at} answered with ${fieldText(line, 'status')} by runner ${fieldText(line, 'runner')} ${spent}${deliveryText(line)}${excluded}.`;
     case 'refused':
       return `${at} refused with ${fieldText(line, 'status')} (${fieldText(line, 'verdict')}) ${spent}, because ${fieldText(line, 'reason')}.`;
     case 'left':
