Answers that a runner broke off: red tests

Runners send answers with neither a length nor chunks and reset the connection together with the last bytes. Plain answers reach clients as 200 with the length of what had arrived, streams end as complete after 0 or 2 of 4 events, and truncated turns are stored. Answers that end in order, or within an event, are served as they should be.

--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -53,6 +53,8 @@
   readonly stopHalfway?: boolean;
   /** Sends the second half of the body after this time, in milliseconds. */
   readonly pauseHalfway?: number;
+  /** Starts to read the body of the answer after this time, in milliseconds. @default 0 */
+  readonly readAfter?: number;
 }
 
 function routeOf(name: string, kind: RequestKind, extra: Partial<Route>): Route {
@@ -289,7 +291,14 @@
         },
         (response) => {
           const chunks: Buffer[] = [];
-          response.on('data', (chunk: Buffer) => chunks.push(chunk));
+          const read = (): void => {
+            response.on('data', (chunk: Buffer) => chunks.push(chunk));
+          };
+          if (options.readAfter === undefined) {
+            read();
+          } else {
+            setTimeout(read, options.readAfter);
+          }
           response.on('error', () => undefined);
           response.on('close', () =>
             resolve({
--- a/src/emulator/relay-runner.ts
+++ b/src/emulator/relay-runner.ts
@@ -7,6 +7,8 @@
 import type { AddressInfo, Socket } from 'node:net';
 import { performance } from 'node:perf_hooks';
 import type { HeaderNames } from '../relay/request/header-names.js';
+import { isUnframed, sendUnframed } from './unframed-answer.js';
+import type { UnframedBehaviour } from './unframed-answer.js';
 
 /** How the runner treats one request. */
 export type RunnerBehaviour =
@@ -27,8 +29,8 @@
   | 'falsePromise'
   /** Runs the request and answers 500. */
   | 'fail'
-  /** Answers without `content-length`; the end of the connection ends the body. */
-  | 'unframed'
+  /** Answers with neither a length nor chunks, whole or broken off. */
+  | UnframedBehaviour
   /** Runs the request and never answers. */
   | 'silent'
   /** Simulates a power loss in the middle of a stream: no more bytes, no new connections. */
@@ -275,13 +277,14 @@
       response.write(body.slice(0, body.length / 2), () => request.socket.destroy());
       return;
     }
-    if (behaviour === 'unframed') {
-      const head = Object.entries(this.headersOf(requestId)).map(
-        ([key, value]) => `${key}: ${value}`,
-      );
-      request.socket.end(
-        `HTTP/1.1 200 OK\r\n${head.join('\r\n')}\r\nconnection: close\r\n\r\n${body}`,
-      );
+    if (isUnframed(behaviour)) {
+      const half = Math.floor(body.length / 2);
+      sendUnframed(request.socket, {
+        headers: this.headersOf(requestId),
+        parts: [body.slice(0, half), body.slice(half)],
+        pauseMilliseconds: this.options.pauseMilliseconds ?? 1,
+        behaviour,
+      });
       return;
     }
     const answeredId = behaviour === 'wrongId' ? 'another-request' : requestId;
@@ -305,6 +308,18 @@
     const firstEventId = Number(request.headers[names.lastEventId] ?? 0) + 1;
     const type = { 'content-type': 'text/event-stream' };
     const answeredId = behaviour === 'wrongId' ? 'another-request' : requestId;
+    const eventOf = (id: number): string =>
+      `id: ${id}\ndata: ${this.textOf(id).padEnd(paddedBytes, '.')}\n\n`;
+    if (isUnframed(behaviour)) {
+      const count = Math.max(0, eventCount - firstEventId + 1);
+      sendUnframed(request.socket, {
+        headers: { ...this.headersOf(requestId), ...type },
+        parts: Array.from({ length: count }, (_, index) => eventOf(firstEventId + index)),
+        pauseMilliseconds,
+        behaviour,
+      });
+      return;
+    }
     response.writeHead(200, { ...this.headersOf(answeredId), ...type });
     const sendEvent = (id: number): void => {
       if (response.destroyed) {
@@ -323,9 +338,7 @@
         return;
       }
       this.eventsSent += 1;
-      const isWritable = response.write(
-        `id: ${id}\ndata: ${this.textOf(id).padEnd(paddedBytes, '.')}\n\n`,
-      );
+      const isWritable = response.write(eventOf(id));
       const scheduleNext = (): void => {
         setTimeout(() => sendEvent(id + 1), pauseMilliseconds);
       };
