An unframed answer is whole only if its connection ended in order

Callers got 200 with the runner's signature and a part of the body, framed as complete, and truncated turns were stored, when a runner broke off an answer with neither a length nor chunks.

Cause: after a read that does not fill its buffer, the event loop takes a hang-up for the end of the stream. The error of the reset, which only one more read would have shown, is never read, so the answer ends as complete.

Fix: connections of HTTP clients are ResetAwareSockets. While an answer is framed by the end of its connection, reading stops after each chunk and goes on in the next turn of the event loop, so that the end or the error is the result of a read of its own; an end that was not is never believed. Framed answers are read as before.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,6 +34,7 @@
       'src/commands/**',
       'src/platform/http-*.ts',
       'src/emulator/relay-runner.ts',
+      'src/http-client/reset-aware-socket.ts',
       'src/emulator/unframed-answer.ts',
       'platform/stand-in/**',
       'soak/**',
--- a/features/broken-answers.feature
+++ b/features/broken-answers.feature
@@ -6,7 +6,6 @@
     Given a gateway with two runners
 
   # Guards against a reset that arrives together with the last bytes and is taken for the end of the answer.
-  @known-red
   Scenario Outline: A plain answer that was reset is requested from another runner
     Given the first attempt of a request ends as "<behaviour>"
     When a client sends a "repeatable" request
@@ -20,7 +19,6 @@
       | resetWithinEvent   |
 
   # Guards against a part of an answer that is framed as the whole one, and against a second run.
-  @known-red
   Scenario Outline: A plain answer that was reset and must not be requested again is lost
     Given the first attempt of a request ends as "<behaviour>"
     When a client sends a "single" request
@@ -34,7 +32,6 @@
       | resetWithinEvent   |
 
   # Guards against a stream that is ended as complete after the event that arrived together with a reset.
-  @known-red
   Scenario Outline: A stream that was reset goes on after its last complete event
     Given the first attempt of a request ends as "<behaviour>"
     When a client sends a "stream" request
@@ -47,7 +44,6 @@
       | resetBetweenEvents |
 
   # Guards against a truncated turn that is stored, so that all later turns are built on it.
-  @known-red
   Scenario Outline: A stream that was reset and may not be resumed breaks, and its turn is not stored
     Given the first attempt of a request ends as "<behaviour>"
     When a client sends a "kept" request
@@ -60,7 +56,6 @@
       | resetBetweenEvents |
 
   # Guards against the same while a client that reads slowly pauses the runner.
-  @known-red
   Scenario: A long stream that was reset reaches a slow client whole
     Given the first attempt of a request ends as "resetBetweenEvents"
     When a client requests a stream of 100 events of 100000 bytes and reads it after 500 milliseconds
--- /dev/null
+++ b/src/http-client/reset-aware-agent.ts
@@ -0,0 +1,15 @@
+/** HTTP agent whose connections tell an orderly end from a reset. */
+import { Agent } from 'node:http';
+import type { ClientRequestArgs } from 'node:http';
+import type { SocketConstructorOpts, TcpSocketConnectOpts } from 'node:net';
+import type { Duplex } from 'node:stream';
+import { ResetAwareSocket } from './reset-aware-socket.js';
+
+/** Agent for requests whose answers may be framed by the end of their connection. */
+export class ResetAwareAgent extends Agent {
+  /** Called by Node.js to open a connection. */
+  override createConnection(options: ClientRequestArgs): Duplex {
+    const socket = new ResetAwareSocket(options as SocketConstructorOpts);
+    return socket.connect(options as TcpSocketConnectOpts);
+  }
+}
--- a/src/relay/tries/attempt.ts
+++ b/src/relay/tries/attempt.ts
@@ -1,7 +1,8 @@
 /** One attempt of a request on one runner, over HTTP/1.1. */
 import { request as httpRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
-import { framingOf } from '../answers/answer-delivery.js';
+import { watchEnd } from '../../http-client/answer-end.js';
+import type { AnswerEnd } from '../../http-client/answer-end.js';
 import type { AnswerDelivery, ConnectionEnding } from '../answers/answer-delivery.js';
 import type { AnswerHead, AttemptFailure } from '../answers/answer-reader.js';
 import type { HeaderNames } from '../request/header-names.js';
@@ -87,6 +88,7 @@
   private response: IncomingMessage | undefined;
   private sent = false;
   private finished = false;
+  private answerEnd: AnswerEnd | undefined;
   private ending: ConnectionEnding = 'open';
 
   constructor(
@@ -129,8 +131,8 @@
   }
 
   delivery(): AnswerDelivery | undefined {
-    const { response, request, ending } = this;
-    return response && { framing: framingOf(response, request.method), ending };
+    const { answerEnd, ending } = this;
+    return answerEnd && { framing: answerEnd.framing, ending };
   }
 
   pause(): void {
@@ -213,27 +215,19 @@
     }
     this.response = response;
     noteKeepAlive(response.socket, firstValue(response.headers['keep-alive']));
-    if (framingOf(response, this.request.method) === 'close') {
-      this.observeEnd(response);
-    }
+    const answerEnd = watchEnd(response, this.request.method);
+    this.answerEnd = answerEnd;
     response.on('data', (chunk: Buffer) => {
       if (!this.finished) {
         this.listener.onData(chunk);
       }
     });
-    response.on('end', () => this.handleEnd(response));
+    response.on('end', () => this.handleEnd(answerEnd));
     response.on('aborted', () => this.fail('answer incomplete'));
     response.on('error', (error) => this.fail(error.message));
     this.listener.onHead(head);
   }
 
-  /** Records how the connection ended; its peer's address is known only until the runtime has handled the end. */
-  private observeEnd({ socket }: IncomingMessage): void {
-    socket.prependOnceListener('end', () => {
-      this.ending = socket.remoteAddress === undefined ? 'peerGone' : 'end';
-    });
-  }
-
   /** Ignores the close after a complete answer that is still being read: `onEnd` follows once it has been read. */
   private handleClose(): void {
     if (this.response?.complete !== true) {
@@ -241,14 +235,15 @@
     }
   }
 
-  private handleEnd(response: IncomingMessage): void {
+  private handleEnd({ framing, isWhole }: AnswerEnd): void {
     if (this.finished) {
       return;
     }
-    if (!response.complete) {
+    if (!isWhole()) {
       this.fail('answer incomplete');
       return;
     }
+    this.ending = framing === 'close' ? 'end' : 'open';
     this.finished = true;
     this.listener.onEnd();
   }
--- a/src/relay/tries/runner-agent.ts
+++ b/src/relay/tries/runner-agent.ts
@@ -2,10 +2,10 @@
  * Keep-alive connections to one runner. An idle connection is closed if it receives data that belongs to no request,
  * and well before the runner's own idle timeout, so that no request is sent on a connection that is being closed.
  */
-import { Agent } from 'node:http';
 import type { ClientRequest } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
+import { ResetAwareAgent } from '../../http-client/reset-aware-agent.js';
 
 /** Share of the runner's idle timeout after which an idle connection is closed. */
 const IDLE_FRACTION = 0.85;
@@ -25,7 +25,7 @@
 }
 
 /** HTTP agent for the connections to one address. */
-export class RunnerAgent extends Agent {
+export class RunnerAgent extends ResetAwareAgent {
   constructor(maximumConnections: number) {
     super({ keepAlive: true, maxSockets: maximumConnections, scheduling: 'lifo', noDelay: true });
   }
