A broken answer to a client of HTTP/1.0 ends with a reset

Such a client gets streams without chunks, so the end of its connection marks the end of the answer. A stream that this gateway broke off was ended in order and looked complete, the same class of fault as for answers of runners. The connection is now reset. The scenario failed before (no reset) and passes.

--- a/features/broken-answers.feature
+++ b/features/broken-answers.feature
@@ -90,3 +90,9 @@
     Given a runner that answers "whole" after the head of a request and closes its connection
     When a client sends a "single" request with a body of 90000 bytes
     Then the client gets status 200 and the body "whole"
+
+  # Guards against an answer without chunks that ends like a whole one when the gateway breaks it off.
+  Scenario: A broken stream to a client of HTTP/1.0 ends with a reset
+    Given the first attempt of a request ends as "cutOff"
+    When a client of HTTP/1.0 sends a "kept" request
+    Then its connection is reset after event 2
--- a/features/steps/broken-answers.steps.ts
+++ b/features/steps/broken-answers.steps.ts
@@ -1,14 +1,18 @@
 /** Steps for answers that a runner broke off. */
 import assert from 'node:assert/strict';
-import { createServer } from 'node:net';
-import type { AddressInfo, Server } from 'node:net';
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import { ResetAwareSocket } from '../../src/http-client/reset-aware-socket.js';
 import { DEFAULT_HEADER_NAMES as NAMES } from '../../src/relay/request/default-header-names.js';
+import { ROUTED_HOST } from '../support/relay-world.js';
+import { RawServer } from '../support/raw-server.js';
 import type { ClientResult, RelayWorld } from '../support/relay-world.js';
 
+const HOST = '127.0.0.1';
+
 interface World {
   relay: RelayWorld;
-  earlyRunner?: Server;
+  earlyRunner?: RawServer;
+  received?: { text: string; error: string | undefined };
 }
 
 function lastResult(world: World): ClientResult {
@@ -22,23 +26,18 @@
 Given(
   'a runner that answers {string} after the head of a request and closes its connection',
   async function (this: World, body: string) {
-    const server = createServer((socket) => {
-      socket.on('error', () => undefined);
-      socket.once('data', (chunk: Buffer) => {
-        // The rest of the request stays unread, so that closing the connection resets it.
-        socket.pause();
-        const id = new RegExp(`${NAMES.requestId}: (\\S+)`, 'i').exec(
-          chunk.toString('latin1'),
-        )?.[1];
-        const headers = `${NAMES.requestId}: ${id}\r\n${NAMES.signature}: signed by early\r\n`;
-        socket.end(`HTTP/1.1 200 OK\r\n${headers}connection: close\r\n\r\n${body}`, () =>
-          socket.destroy(),
-        );
-      });
+    this.earlyRunner = new RawServer((socket, received) => {
+      // The rest of the request stays unread, so that closing the connection resets it.
+      socket.pause();
+      const id = new RegExp(`${NAMES.requestId}: (\\S+)`, 'i').exec(
+        received.toString('latin1'),
+      )?.[1];
+      const headers = `${NAMES.requestId}: ${id}\r\n${NAMES.signature}: signed by early\r\n`;
+      socket.end(`HTTP/1.1 200 OK\r\n${headers}connection: close\r\n\r\n${body}`, () =>
+        socket.destroy(),
+      );
     });
-    await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', () => resolve()));
-    this.earlyRunner = server;
-    const { port } = server.address() as AddressInfo;
+    const port = await this.earlyRunner.listen();
     [0, 1].forEach((runner) => this.relay.listRunner(runner, true, port));
   },
 );
@@ -85,3 +84,26 @@
     assert.deepEqual([result.status, result.body, result.complete], [status, body, true]);
   },
 );
+
+When(
+  'a client of HTTP\\/1.0 sends a {string} request',
+  async function (this: World, route: string) {
+    const socket = new ResetAwareSocket();
+    socket.separateReads();
+    socket.connect(this.relay.frontPort, HOST);
+    const received: NonNullable<World['received']> = { text: '', error: undefined };
+    socket.on('data', (chunk: Buffer) => (received.text += chunk.toString('latin1')));
+    socket.on('error', ({ message }) => (received.error = message));
+    socket.write(
+      `POST /${route}/work?stream HTTP/1.0\r\nhost: ${ROUTED_HOST}\r\n${NAMES.requestId}: old-client\r\ncontent-length: 0\r\n\r\n`,
+    );
+    await new Promise((resolve) => socket.once('close', resolve));
+    this.received = received;
+  },
+);
+
+Then('its connection is reset after event {int}', function (this: World, event: number) {
+  const { text, error } = this.received!;
+  assert.ok(text.endsWith(`id: ${event}\ndata: event ${event}\n\n`), text);
+  assert.match(String(error), /ECONNRESET/);
+});
--- a/src/relay/answers/client-answer.ts
+++ b/src/relay/answers/client-answer.ts
@@ -179,6 +179,11 @@
 
   /** Destroys the connection, so that a partial answer cannot be mistaken for a complete one. */
   abort(): void {
+    const { socket, req } = this.response;
+    if (req.httpVersion === '1.0') {
+      // There are no chunks: an orderly end of the connection would mark the end of the answer.
+      socket?.resetAndDestroy();
+    }
     this.response.destroy();
   }
 
