Responses of the store, of gateways and of engines count only if they are whole

A change that was answered by 200 and a part of a body ended the process with an uncaught SyntaxError.

--- /dev/null
+++ b/features/broken-responses.feature
@@ -0,0 +1,20 @@
+Feature: Broken responses of other servers
+  The store, other gateways, engines and replicas are believed only if their response is whole.
+
+  # Guards against a response of the store that is read although it was broken off: parsing it ended the process.
+  Scenario Outline: Responses of other servers are not believed when they were broken off
+    Given a server that answers '<body>' without a length and resets the connection
+    When <reader> reads the answer
+    Then the reader reports that there is none
+
+    Examples:
+      | reader                           | body                                                                         |
+      | the client of the store's lists  | {"items":[],"At":7}                                                          |
+      | the client of the store's writes | {"Revis                                                                      |
+      | the reader of cached parts       | {"held":[]}                                                                  |
+      | a gateway that asks another      | {"since":0,"revision":7,"items":[],"gone":[],"members":"m","peers":[]}       |
+
+  Scenario: A list without a revision is refused
+    Given a server that answers '{}' with a length
+    When the client of the store's lists reads the answer
+    Then the reader reports that there is none
--- /dev/null
+++ b/features/steps/broken-responses.steps.ts
@@ -0,0 +1,87 @@
+/** Steps for responses of other servers that were broken off. */
+import assert from 'node:assert/strict';
+import type { Socket } from 'node:net';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import { isLeft } from 'fp-ts/lib/Either.js';
+import { createCachedPartsReader } from '../../platform/cached-parts.js';
+import { PlatformStoreClient } from '../../platform/store-client.js';
+import { PeerExchange } from '../../src/peers/peer-exchange.js';
+import { createRealRuntime } from '../../src/runtime/real-runtime.js';
+import { RawServer } from '../support/raw-server.js';
+
+const HOST = '127.0.0.1';
+const runtime = createRealRuntime({ logLevel: 'error' });
+
+interface World {
+  rawServer?: RawServer;
+  port: number;
+  /** Whether a reader has got a response. */
+  hasAnswer?: boolean;
+}
+
+async function serve(world: World, respond: (socket: Socket) => void): Promise<void> {
+  world.rawServer = new RawServer(respond);
+  world.port = await world.rawServer.listen();
+}
+
+/** Readers of HTTP answers, by their names in the scenarios; each tells whether it got an answer. */
+const READERS: Readonly<Record<string, (port: number) => Promise<boolean>>> = {
+  "the client of the store's lists": (port) =>
+    new Promise((resolve) => {
+      new PlatformStoreClient(HOST, port, runtime).list('', (list) => resolve(!isLeft(list)));
+    }),
+  "the client of the store's writes": (port) =>
+    new Promise((resolve) => {
+      new PlatformStoreClient(HOST, port, runtime).swap('key', 0, 'value', ({ tag }) =>
+        resolve(tag !== 'Unknown'),
+      );
+    }),
+  'the reader of cached parts': (port) =>
+    new Promise((resolve) => {
+      const read = createCachedPartsReader(runtime);
+      const engine = { id: 'e', service: 's', host: HOST, port, zone: 'z', slots: 1, ready: true };
+      read(engine, (parts) => resolve(!isLeft(parts)));
+    }),
+  'a gateway that asks another': (port) =>
+    new Promise((resolve) => {
+      let hasSnapshot = false;
+      const exchange = new PeerExchange({
+        runtime,
+        ownAddress: `${HOST}:1`,
+        seeds: () => [],
+        ownRevision: () => 0,
+        snapshotSince: () => ({ since: 0, revision: 0, items: [], gone: [], members: '' }),
+        onSnapshot: () => (hasSnapshot = true),
+        isNeeded: () => 'no',
+      });
+      exchange.fetchFrom(`${HOST}:${port}`, () => resolve(hasSnapshot));
+    }),
+};
+
+After(function (this: World) {
+  this.rawServer?.close();
+});
+
+Given(
+  'a server that answers {string} without a length and resets the connection',
+  async function (this: World, body: string) {
+    await serve(this, (socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n${body}`);
+      socket.resetAndDestroy();
+    });
+  },
+);
+
+Given('a server that answers {string} with a length', async function (this: World, body: string) {
+  await serve(this, (socket) => {
+    socket.end(`HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+  });
+});
+
+When(/^(.*) reads the answer$/, async function (this: World, reader: string) {
+  this.hasAnswer = await READERS[reader]!(this.port);
+});
+
+Then('the reader reports that there is none', function (this: World) {
+  assert.equal(this.hasAnswer, false);
+});
--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -6,8 +6,10 @@
  */
 import { createServer, request } from 'node:http';
 import type { Server } from 'node:http';
-import { isLeft } from 'fp-ts/lib/Either.js';
+import { isLeft, isRight } from 'fp-ts/lib/Either.js';
 import * as t from 'io-ts';
+import { readWholeBody } from '../http-client/read-body.js';
+import { ResetAwareAgent } from '../http-client/reset-aware-agent.js';
 import type { KeySpaceChanges } from '../mirror/key-space-copy.js';
 import type { Runtime } from '../runtime/runtime.js';
 
@@ -64,6 +66,8 @@
 const URGENT_INTERVAL_MILLISECONDS = 150;
 const NORMAL_INTERVAL_MILLISECONDS = 500;
 const CALL_TIMEOUT_MILLISECONDS = 600;
+/** Bounds the memory of a snapshot that is received. */
+const MAXIMUM_SNAPSHOT_BYTES = 64 * 1024 * 1024;
 const MAXIMUM_PEERS = 400;
 /** Maximum number of peers listed in an answer. */
 const NAMED_PEERS = 8;
@@ -81,6 +85,7 @@
 export class PeerExchange {
   private readonly known = new Set<string>();
   private readonly server: Server;
+  private readonly agent = new ResetAwareAgent();
   private round = 0;
 
   constructor(private readonly options: PeerExchangeOptions) {
@@ -178,11 +183,15 @@
       [FROM_PARAMETER]: ownAddress,
       [SINCE_PARAMETER]: String(ownRevision()),
     });
-    const client = request({ host, port, path: `${PATH}?${query}`, agent: false }, (response) => {
-      const chunks: Buffer[] = [];
-      response.on('data', (chunk: Buffer) => chunks.push(chunk));
-      response.on('error', () => undefined);
-      response.on('end', () => this.handleSnapshot(Buffer.concat(chunks).toString('utf8'), peer));
+    const { agent } = this;
+    const client = request({ host, port, path: `${PATH}?${query}`, agent }, (response) => {
+      readWholeBody(response, 'GET', MAXIMUM_SNAPSHOT_BYTES, (body) => {
+        if (isRight(body)) {
+          this.handleSnapshot(body.right.toString('utf8'), peer);
+        } else {
+          client.destroy();
+        }
+      });
     });
     const cancel = this.options.runtime.setTimer(CALL_TIMEOUT_MILLISECONDS, () => client.destroy());
     client.on('close', () => {
