A replica whose probe was reset is not taken for one of an older build

The probe of a replica's message kinds took any end of its connection for the end that an older build makes at a message it does not know. A connection that failed shows nothing: the kinds stay unknown, only kinds of every build are sent on this connection, and the next request asks again. The scenario failed before and passes.

--- a/features/broken-responses.feature
+++ b/features/broken-responses.feature
@@ -18,3 +18,9 @@
     Given a server that answers '{}' with a length
     When the client of the store's lists reads the answer
     Then the reader reports that there is none
+
+  # Guards against a replica whose connection failed being taken for one of an older build.
+  Scenario: A replica whose connection is reset shows nothing of its build
+    Given a replica that resets each connection once it has received something
+    When its message kinds are probed
+    Then the probe reports that they are unknown
--- a/features/steps/broken-responses.steps.ts
+++ b/features/steps/broken-responses.steps.ts
@@ -7,6 +7,7 @@
 import { PlatformStoreClient } from '../../platform/store-client.js';
 import { PeerExchange } from '../../src/peers/peer-exchange.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
+import { probeKindCount } from '../../src/turns/protocol-probe.js';
 import { RawServer } from '../support/raw-server.js';
 
 const HOST = '127.0.0.1';
@@ -17,6 +18,7 @@
   port: number;
   /** Whether a reader has got a response. */
   hasAnswer?: boolean;
+  kinds?: number | undefined;
 }
 
 async function serve(world: World, respond: (socket: Socket) => void): Promise<void> {
@@ -85,3 +87,19 @@
 Then('the reader reports that there is none', function (this: World) {
   assert.equal(this.hasAnswer, false);
 });
+
+Given(
+  'a replica that resets each connection once it has received something',
+  async function (this: World) {
+    await serve(this, (socket) => socket.resetAndDestroy());
+  },
+);
+
+When('its message kinds are probed', async function (this: World) {
+  const member = { id: 'r1', node: 'r1', host: HOST, port: this.port, zone: 'hall' };
+  this.kinds = await new Promise((resolve) => probeKindCount(member, runtime, resolve));
+});
+
+Then('the probe reports that they are unknown', function (this: World) {
+  assert.equal(this.kinds, undefined);
+});
--- a/src/turns/protocol-probe.ts
+++ b/src/turns/protocol-probe.ts
@@ -14,7 +14,7 @@
 /** The turn never exists, so the request has no side effects. */
 const PROBE_REQUEST = { type: 'chainUnder', call: 1, epoch: 0, turn: '' } as const;
 
-/** Calls back with the number of message kinds that the replica can decode; undefined when the probe failed. */
+/** Calls back with the number of message kinds that the replica can decode; undefined when the connection failed. */
 export function probeKindCount(
   member: Member,
   runtime: Runtime,
@@ -23,11 +23,11 @@
   const socket = connect({ host: member.host, port: member.port, noDelay: true });
   let kinds: number | undefined;
   const cancelTimer = runtime.setTimer(PROBE_TIMEOUT_MILLISECONDS, () => socket.destroy());
-  const handleEnd = (): void => {
+  // A build that does not know the kind ends the connection in order; a failed connection shows nothing.
+  socket.on('error', () => undefined);
+  socket.on('end', () => {
     kinds ??= socket.bytesWritten > 0 ? BASELINE_KIND_COUNT : undefined;
-  };
-  socket.on('error', handleEnd);
-  socket.on('end', handleEnd);
+  });
   socket.on('connect', () => socket.write(encodeFrame(encodeReplicaMessage(PROBE_REQUEST))));
   socket.once('data', () => {
     kinds = UNANNOUNCED_KIND_COUNT;
