The soak breaks off answers and compares every body with what its runner wrote

New fault `runnersBreakOff`: for some seconds all runners answer with neither a length nor chunks and break off a third of these answers: reset after the head, between or within events, or ended within an event. runnerMisbehaves and the runners of several versions do so too, the latter without a proxy in between, and the proxies hand resets on. Clients compare bodies and events byte by byte, and continue from turns whose answer broke: such a turn must be stored whole or not at all. A complete stream of several tries must have all its events.

--- a/soak/fault-proxy.ts
+++ b/soak/fault-proxy.ts
@@ -1,6 +1,7 @@
 /** A TCP proxy on loopback that can delay or drop bytes and reset connections. */
-import { connect, createServer } from 'node:net';
+import { createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
+import { ResetAwareSocket } from '../src/http-client/reset-aware-socket.js';
 
 /** Modes of the proxy. */
 export type ProxyMode =
@@ -53,14 +54,21 @@
       client.resetAndDestroy();
       return;
     }
-    const target = connect(this.targetPort, this.targetHost);
+    const target = new ResetAwareSocket();
+    target.separateReads();
+    target.connect(this.targetPort, this.targetHost);
     this.join(client, target, ['silence']);
     this.join(target, client, ['silence', 'oneWay']);
   }
 
   private join(from: Socket, to: Socket, dropping: readonly ProxyMode[]): void {
     this.sockets.add(from);
-    from.on('error', () => undefined);
+    from.on('error', ({ code }: NodeJS.ErrnoException) => {
+      if (code === 'ECONNRESET') {
+        // Leaves together with the bytes before it.
+        to.resetAndDestroy();
+      }
+    });
     from.on('close', () => {
       this.sockets.delete(from);
       to.destroy();
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -4,7 +4,8 @@
  */
 import type { StoreMode } from '../platform/stand-in/store-server.js';
 import { CONFIGURATION_KEY, RETIRE_PREFIX, RETIRE_STATUS_PREFIX } from '../platform/store-keys.js';
-import type { RelayRunner } from '../src/emulator/relay-runner.js';
+import type { RelayRunner, RunnerBehaviour } from '../src/emulator/relay-runner.js';
+import { BREAKING_BEHAVIOURS } from '../src/emulator/unframed-answer.js';
 import { createRandom } from '../src/runtime/random.js';
 import type { RandomSource } from '../src/runtime/random.js';
 import { ConfigurationCheck } from './configuration-check.js';
@@ -34,6 +35,11 @@
 const GATEWAY_COUNT = 3;
 const REPLICA_COUNT = 4;
 const RUNNER_COUNT = 4;
+/** Shares of framed answers, and of broken ones among the others, while runners break off answers. */
+const FRAMED_SHARE = 0.4;
+const BREAK_OFF_SHARE = 0.33;
+/** Factor on the duration of a fault for the time in which runners break off answers. */
+const BREAK_OFF_PAUSE_FACTOR = 2;
 /** Pause after a fault in which the processes recover, in milliseconds. */
 const SETTLE_MILLISECONDS = 4_500;
 /** Probability that the next fault begins while the last one is still active. */
@@ -57,6 +63,10 @@
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
 
+function sum(numbers: readonly number[]): number {
+  return numbers.reduce((total, number) => total + number, 0);
+}
+
 /** One run of the fault soak. */
 class Soak {
   private readonly random: RandomSource;
@@ -168,6 +178,10 @@
     this.recordColdFailures();
     await this.world.stop();
     this.violations.push(...(this.upgrade?.violationsIn(this.world.folder) ?? []));
+    return this.createReport();
+  }
+
+  private createReport(): SoakReport {
     const { seed } = this.options;
     const { counts, faults, pairs, lost, violations } = this;
     const { folder } = this.world;
@@ -178,7 +192,11 @@
     );
     const { checkedArrivals: evacuationArrivals } = this.evacuationCheck;
     const counted = { evacuationArrivals, oldKeyRequests, limitedAnswers, coldArrivals };
-    const looks = { configurationLooks, ...counted };
+    const unframedAnswers = {
+      sent: sum(this.world.runners.map(({ unframed }) => unframed.sent)),
+      broken: sum(this.world.runners.map(({ unframed }) => unframed.broken)),
+    };
+    const looks = { configurationLooks, unframedAnswers, ...counted };
     const { counts: resumptions } = this.versionCheck;
     const { recoveries } = this.recoveryCheck;
     const upgrade = this.upgrade?.steps ?? [];
@@ -339,10 +357,7 @@
       case 'pauseReplica':
         return this.pauseMachines([machine], pause);
       case 'stopGateway':
-        machine.signal('SIGTERM');
-        await machine.whenExited();
-        machine.start();
-        return;
+        return this.restart(machine);
       case 'storeRefuses':
         return this.disturbStore('refusing', pause);
       case 'storeSilent':
@@ -365,6 +380,8 @@
         return this.slowDownReading(this.random.pick(this.world.liveRunners), pause);
       case 'runnerMisbehaves':
         return this.misbehave();
+      case 'runnersBreakOff':
+        return this.breakOffAnswers(pause * BREAK_OFF_PAUSE_FACTOR);
       case 'configurationChange':
         return this.changeConfiguration();
       case 'zoneEvacuated':
@@ -372,6 +389,13 @@
     }
   }
 
+  /** Stops a machine's process by the signal of a planned stop and starts it again. */
+  private async restart(machine: PlatformProcess): Promise<void> {
+    machine.signal('SIGTERM');
+    await machine.whenExited();
+    machine.start();
+  }
+
   private misbehave(): void {
     this.world.liveRunners.forEach((runner) =>
       runner.behaviours.push(this.random.pick(MISBEHAVIOURS), this.random.pick(MISBEHAVIOURS)),
@@ -413,6 +437,20 @@
     await this.recoveryCheck.check('a loss of all power');
   }
 
+  /** Lets the runners answer without length or chunks, and break off a part of these answers. */
+  private async breakOffAnswers(pause: number): Promise<void> {
+    const { random, world } = this;
+    const draw = (): RunnerBehaviour => {
+      if (random.uniform() < FRAMED_SHARE) {
+        return 'answer';
+      }
+      return random.uniform() < BREAK_OFF_SHARE ? random.pick(BREAKING_BEHAVIOURS) : 'unframed';
+    };
+    world.liveRunners.forEach((runner) => (runner.drawBehaviour = draw));
+    await sleep(pause);
+    world.liveRunners.forEach((runner) => (runner.drawBehaviour = () => 'answer'));
+  }
+
   private async slowDownReading(runner: RelayRunner, pause: number): Promise<void> {
     runner.readPauseMilliseconds = this.random.integer(...READ_PAUSES_MILLISECONDS);
     await sleep(pause);
--- a/soak/slow-reading.ts
+++ b/soak/slow-reading.ts
@@ -4,8 +4,10 @@
 
 /** Number of events of a long stream. */
 export const LONG_EVENTS = 150;
+/** Length of the text of each of its events. */
+export const LONG_EVENT_BYTES = 61_440;
 /** Path of a 9 MB stream, which exceeds what the kernel buffers for a client that does not read. */
-export const LONG_PATH = `/long/work?stream&events=${LONG_EVENTS}&fill=61440`;
+export const LONG_PATH = `/long/work?stream&events=${LONG_EVENTS}&fill=${LONG_EVENT_BYTES}`;
 
 /** Up to this many long streams may all be interrupted by faults; of more, at least one must complete. */
 const TOLERATED_INTERRUPTED_STREAMS = 10;
--- a/soak/soak-client.ts
+++ b/soak/soak-client.ts
@@ -4,7 +4,7 @@
 import type { RelayRunner, RunnerRun } from '../src/emulator/relay-runner.js';
 import type { RandomSource } from '../src/runtime/random.js';
 import { SOAK_GATEWAY_HEADER } from './evacuation-check.js';
-import { LONG_EVENTS, LONG_PATH, SlowReading } from './slow-reading.js';
+import { LONG_EVENT_BYTES, LONG_EVENTS, LONG_PATH, SlowReading } from './slow-reading.js';
 import { PLATFORM_HEADER_NAMES as NAMES } from '../platform/header-names.js';
 import { SOAK_PORTS } from './platform-process.js';
 
@@ -17,6 +17,10 @@
 export const SOAK_EVENTS = 6;
 export const SOAK_TOKENS_PER_EVENT = 10;
 
+/** Body of a failure of a runner. */
+const RUNNER_FAILURE = 'failed';
+/** Fraction of the turns without a complete answer from which a client tries to continue. */
+const CONTINUED_CUT_FRACTION = 0.5;
 const MAXIMUM_TOKENS = SOAK_EVENTS * SOAK_TOKENS_PER_EVENT;
 const TIMEOUT_MILLISECONDS = 3_000;
 /** Fraction of a client's actions that read a long stream with pauses. */
@@ -126,6 +130,9 @@
       }
       return true;
     }
+    if (result.status === 500 && result.complete && result.body !== RUNNER_FAILURE) {
+      this.context.violate('own answer', `request ${id} got a failure with body "${result.body}"`);
+    }
     return false;
   }
 
@@ -136,7 +143,7 @@
     const result = await this.send(LONG_PATH, id, {}, '', reading);
     const events = [...result.body.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
     this.recordResult('single', id, result);
-    this.checkEvents(id, events, result, LONG_EVENTS);
+    this.checkEvents(id, events, result, LONG_EVENTS, LONG_EVENT_BYTES);
     const { counts } = this.context;
     counts.slowAsked += 1;
     counts.slowWhole += result.status === 200 && result.complete ? 1 : 0;
@@ -205,11 +212,29 @@
         lastTurn = answered;
       } else {
         failures += 1;
+        if (result.status === 200 && random.uniform() < CONTINUED_CUT_FRACTION) {
+          await this.continueCutTurn(id, lastTurn.chain + input);
+        }
         await new Promise((resolve) => setTimeout(resolve, 100 + random.uniform() * 300));
       }
     }
   }
 
+  /**
+   * Continues from a turn whose answer did not arrive completely, under a program of its own. The turn may have been stored, since
+   * only the end of its answer may be lost, but then it must be whole.
+   */
+  private async continueCutTurn(turn: string, chain: string): Promise<void> {
+    const id = this.newId();
+    const input = `in ${id};`;
+    const result = await this.send('/kept/work?stream', id, turnHeaders(id, turn), input);
+    const whole = Array.from({ length: SOAK_EVENTS }, (_, index) => `event ${index + 1}\n`).join(
+      '',
+    );
+    this.checkChain(id, chain + whole + input);
+    this.recordResult('single', id, result);
+  }
+
   /** Replaces the program's previous turn, and drops the oldest program beyond the limit. */
   private rememberTurn(turn: AnsweredTurn, before: AnsweredTurn): void {
     const index = this.lastTurns.indexOf(before);
@@ -227,6 +252,7 @@
     events: readonly number[],
     result: Result,
     whole = SOAK_EVENTS,
+    eventBytes = 0,
   ): void {
     const { violate } = this.context;
     if (result.status !== 200) {
@@ -236,6 +262,13 @@
     if (events.some((event, index) => event !== expected[index])) {
       violate('whole answer', `request ${id} received events out of sequence: ${events.join(',')}`);
     }
+    const written = Array.from({ length: whole }, (_, index) => {
+      const text = `event ${index + 1}`.padEnd(eventBytes, '.');
+      return `id: ${index + 1}\ndata: ${text}\n\n`;
+    }).join('');
+    if (!written.startsWith(result.body)) {
+      violate('whole answer', `request ${id} received other bytes than its runner wrote`);
+    }
     if (result.complete && events.length !== whole) {
       violate('whole answer', `response to ${id} ended as complete after ${events.length} events`);
     }
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -1,5 +1,6 @@
 /** Fault kinds of the soak and the targets of each: two faults with a common target never overlap. */
 import type { RunnerBehaviour } from '../src/emulator/relay-runner.js';
+import { BREAKING_BEHAVIOURS } from '../src/emulator/unframed-answer.js';
 
 /** Names of all fault kinds, as the `--faults` option takes them. */
 export const FAULTS = [
@@ -22,6 +23,8 @@
   // A runner loses its cache and becomes slow, as its entry reports it.
   'runnerTurnsCold',
   'runnerMisbehaves',
+  // All runners answer with neither a length nor chunks, and break off some answers.
+  'runnersBreakOff',
   // A runner accepts requests but pauses before it reads their bodies.
   'runnerReadsSlowly',
   'configurationChange',
@@ -57,6 +60,7 @@
   'falsePromise',
   'fail',
   'unframed',
+  ...BREAKING_BEHAVIOURS,
 ];
 
 /** Faults of the store; the configuration check exempts all gateways while one lasts. */
@@ -120,6 +124,7 @@
       // Gateways learn of it from the store.
       return ['runners', 'store'];
     case 'runnerMisbehaves':
+    case 'runnersBreakOff':
     case 'configurationChange':
     case 'zoneEvacuated':
       return [];
--- a/soak/soak-report.ts
+++ b/soak/soak-report.ts
@@ -36,6 +36,8 @@
   readonly pairs: Readonly<Record<string, number>>;
   /** Completed configuration checks of gateways that were not exempt because of a fault. */
   readonly configurationLooks: number;
+  /** Answers of runners with neither a length nor chunks, and how many of them were broken off. */
+  readonly unframedAnswers: { readonly sent: number; readonly broken: number };
   /** Arrivals at runners, from gateways not exempt because of a fault, while a zone was evacuated. */
   readonly evacuationArrivals: number;
   /** Requests sent with revoked or unknown keys. */
--- a/soak/stream-version-check.ts
+++ b/soak/stream-version-check.ts
@@ -7,6 +7,8 @@
 import type { StandInStore } from '../platform/stand-in/store-server.js';
 import { RUNNER_PREFIX } from '../platform/store-keys.js';
 import { RelayRunner } from '../src/emulator/relay-runner.js';
+import type { RunnerBehaviour } from '../src/emulator/relay-runner.js';
+import { BREAKING_BEHAVIOURS } from '../src/emulator/unframed-answer.js';
 import type { RandomSource } from '../src/runtime/random.js';
 import { SOAK_APPLY_MILLISECONDS, SOAK_PORTS } from './platform-process.js';
 import { SOAK_HOST, SOAK_KEY } from './soak-client.js';
@@ -25,6 +27,8 @@
 const CLIENTS = 4;
 const MAXIMUM_TRIES = 3;
 const TIMEOUT_MILLISECONDS = 3_000;
+/** How runners cut off their answers. */
+const CUTS: readonly RunnerBehaviour[] = ['cutOff', ...BREAKING_BEHAVIOURS];
 /** Shares of the runs that their runner cuts off, and of the streams that their client leaves. */
 const CUT_SHARE = 0.15;
 const LEAVE_SHARE = 0.35;
@@ -212,6 +216,12 @@
         violate('whole answer', `stream ${first} has the events ${ids}`);
       }
       if (result.complete && result.status === OK) {
+        if (received.length !== EVENTS) {
+          violate(
+            'whole answer',
+            `stream ${first} ended as complete after ${received.length} events`,
+          );
+        }
         return;
       }
       const isLate = random.uniform() < LATE_SHARE;
@@ -254,7 +264,7 @@
     const leavesAfter =
       random.uniform() < LEAVE_SHARE ? random.integer(1, EVENTS - 1) : Number.POSITIVE_INFINITY;
     if (random.uniform() < CUT_SHARE) {
-      random.pick(this.runners).runner.behaviours.push('cutOff');
+      random.pick(this.runners).runner.behaviours.push(random.pick(CUTS));
     }
     const headers = {
       host: SOAK_HOST,
--- a/src/emulator/relay-runner.ts
+++ b/src/emulator/relay-runner.ts
@@ -83,8 +83,12 @@
 /** An HTTP server that acts as a runner; requests take its queued behaviours in order. */
 export class RelayRunner {
   readonly runs: RunnerRun[] = [];
-  /** Behaviours of the next requests, in order; once empty, requests are answered. */
+  /** Behaviours of the next requests, in order; once empty, `drawBehaviour` decides. */
   readonly behaviours: RunnerBehaviour[] = [];
+  /** Returns the behaviour of a request for which none is queued. */
+  drawBehaviour: () => RunnerBehaviour = () => 'answer';
+  /** Number of answers with neither a length nor chunks so far, and how many of them were broken off. */
+  readonly unframed = { sent: 0, broken: 0 };
   /** Number of connections accepted so far. */
   connectionCount = 0;
   /** Number of events written so far, over all streams. */
@@ -206,7 +210,7 @@
       response.writeHead(421).end();
       return;
     }
-    const behaviour = this.behaviours.shift() ?? 'answer';
+    const behaviour = this.behaviours.shift() ?? this.drawBehaviour();
     if (behaviour === 'refuse') {
       response.writeHead(503, { [names.notExecuted]: '1' }).end();
       return;
@@ -279,11 +283,14 @@
     }
     if (isUnframed(behaviour)) {
       const half = Math.floor(body.length / 2);
+      // Nothing tells an orderly end within a plain body from the end of a whole one.
+      const provable = behaviour === 'endWithinEvent' ? 'unframed' : behaviour;
+      this.countUnframed(provable);
       sendUnframed(request.socket, {
         headers: this.headersOf(requestId),
         parts: [body.slice(0, half), body.slice(half)],
         pauseMilliseconds: this.options.pauseMilliseconds ?? 1,
-        behaviour,
+        behaviour: provable,
       });
       return;
     }
@@ -311,6 +318,7 @@
     const eventOf = (id: number): string =>
       `id: ${id}\ndata: ${this.textOf(id).padEnd(paddedBytes, '.')}\n\n`;
     if (isUnframed(behaviour)) {
+      this.countUnframed(behaviour);
       const count = Math.max(0, eventCount - firstEventId + 1);
       sendUnframed(request.socket, {
         headers: { ...this.headersOf(requestId), ...type },
@@ -351,6 +359,11 @@
     sendEvent(firstEventId);
   }
 
+  private countUnframed(behaviour: UnframedBehaviour): void {
+    this.unframed.sent += 1;
+    this.unframed.broken += behaviour === 'unframed' ? 0 : 1;
+  }
+
   private textOf(event: number): string {
     const { softwareVersion } = this.options;
     return softwareVersion === undefined
--- a/src/emulator/unframed-answer.ts
+++ b/src/emulator/unframed-answer.ts
@@ -14,6 +14,14 @@
   /** Ended in order after a part of an event. */
   | 'endWithinEvent';
 
+/** Behaviours of answers that are broken off. */
+export const BREAKING_BEHAVIOURS: readonly UnframedBehaviour[] = [
+  'resetAfterHead',
+  'resetBetweenEvents',
+  'resetWithinEvent',
+  'endWithinEvent',
+];
+
 interface Ending {
   /** Share of the parts of the body that is sent. */
   readonly share: number;
