Soak: a client that leaves a stream has not received its end

Its log shows four events and the end written by the gateway; the client left after the third of them, and the parser had found the end in the same chunk. The new check of complete streams now leaves out clients that left.

--- a/soak/stream-version-check.ts
+++ b/soak/stream-version-check.ts
@@ -279,18 +279,22 @@
     return new Promise((resolve) => {
       const options = { host, port: SOAK_PORTS.front, path, method: 'POST', headers };
       let text = '';
+      let hasLeft = false;
       const client = httpRequest({ ...options, agent: false }, (response) => {
         response.setEncoding('utf8');
         response.on('data', (chunk: string) => {
           text += chunk;
           if (eventsOf(text).length >= leavesAfter) {
+            hasLeft = true;
             client.destroy();
           }
         });
         response.on('error', () => undefined);
         response.on('close', () => {
           clearTimeout(timer);
-          const { statusCode: status = 0, complete } = response;
+          const { statusCode: status = 0 } = response;
+          // The end may have arrived with the event after which the client left, unread.
+          const complete = response.complete && !hasLeft;
           resolve({ status, complete, events: eventsOf(text) });
         });
       });
