Line ends after the last event belong to a whole stream

A stream whose last event is followed by further line ends in order was taken for one that ended within an event: its client lost the end, or another runner was asked to go on. Bytes that belong to no event are passed on and the stream is whole. A second scenario holds that an end which the runtime reports in one turn with data is never verified.

--- a/features/broken-answers.feature
+++ b/features/broken-answers.feature
@@ -86,6 +86,12 @@
       | stream     | the client gets events 1 to 4 and the end                    |
       | kept       | the client gets events 1 to 4 and the end                    |
 
+  # Guards against whole streams that are taken for broken ones.
+  Scenario: Line ends after the last event belong to a whole stream
+    Given a runner that answers "data: whole\n\n\r\n" after the head of a request and closes its connection
+    When a client sends a "stream" request with a body of 10 bytes
+    Then the client gets status 200 and the body "data: whole\n\n\r\n"
+
   Scenario: A runner that answers before it has read a long body, and then closes, has answered completely
     Given a runner that answers "whole" after the head of a request and closes its connection
     When a client sends a "single" request with a body of 90000 bytes
--- a/features/broken-responses.feature
+++ b/features/broken-responses.feature
@@ -24,3 +24,14 @@
     Given a replica that resets each connection once it has received something
     When its message kinds are probed
     Then the probe reports that they are unknown
+
+  # Guards against a runtime that reports the end together with data although reading was stopped.
+  Scenario Outline: An end counts as verified only if it was read apart from data
+    Given a connection that is read separately
+    When its end is reported <when> its data
+    Then its end is <result>
+
+    Examples:
+      | when                 | result       |
+      | in the same turn as  | not verified |
+      | in a later turn than | verified     |
--- a/features/steps/broken-answers.steps.ts
+++ b/features/steps/broken-answers.steps.ts
@@ -15,6 +15,11 @@
   received?: { text: string; error: string | undefined };
 }
 
+/** Returns a text of a scenario with its line ends. */
+function unescape(text: string): string {
+  return text.replaceAll('\\n', '\n').replaceAll('\\r', '\r');
+}
+
 function lastResult(world: World): ClientResult {
   return world.relay.results.at(-1)!;
 }
@@ -33,7 +38,7 @@
         received.toString('latin1'),
       )?.[1];
       const headers = `${NAMES.requestId}: ${id}\r\n${NAMES.signature}: signed by early\r\n`;
-      socket.end(`HTTP/1.1 200 OK\r\n${headers}connection: close\r\n\r\n${body}`, () =>
+      socket.end(`HTTP/1.1 200 OK\r\n${headers}connection: close\r\n\r\n${unescape(body)}`, () =>
         socket.destroy(),
       );
     });
@@ -81,7 +86,8 @@
   'the client gets status {int} and the body {string}',
   function (this: World, status: number, body: string) {
     const result = lastResult(this);
-    assert.deepEqual([result.status, result.body, result.complete], [status, body, true]);
+    const { complete } = result;
+    assert.deepEqual([result.status, result.body, complete], [status, unescape(body), true]);
   },
 );
 
--- a/features/steps/broken-responses.steps.ts
+++ b/features/steps/broken-responses.steps.ts
@@ -5,6 +5,7 @@
 import { isLeft } from 'fp-ts/lib/Either.js';
 import { createCachedPartsReader } from '../../platform/cached-parts.js';
 import { PlatformStoreClient } from '../../platform/store-client.js';
+import { ResetAwareSocket } from '../../src/http-client/reset-aware-socket.js';
 import { PeerExchange } from '../../src/peers/peer-exchange.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
 import { probeKindCount } from '../../src/turns/protocol-probe.js';
@@ -19,6 +20,7 @@
   /** Whether a reader has got a response. */
   hasAnswer?: boolean;
   kinds?: number | undefined;
+  socket?: ResetAwareSocket;
 }
 
 async function serve(world: World, respond: (socket: Socket) => void): Promise<void> {
@@ -103,3 +105,23 @@
 Then('the probe reports that they are unknown', function (this: World) {
   assert.equal(this.kinds, undefined);
 });
+
+Given('a connection that is read separately', function (this: World) {
+  this.socket = new ResetAwareSocket();
+  this.socket.separateReads();
+});
+
+When(
+  /^its end is reported (in the same turn as|in a later turn than) its data$/,
+  async function (this: World, when: string) {
+    this.socket!.push('data');
+    if (when === 'in a later turn than') {
+      await new Promise((resolve) => setTimeout(resolve, 1));
+    }
+    this.socket!.push(null);
+  },
+);
+
+Then(/^its end is (not verified|verified)$/, function (this: World, result: string) {
+  assert.equal(this.socket!.hasVerifiedEnd, result === 'verified');
+});
--- a/src/relay/answers/event-splitter.ts
+++ b/src/relay/answers/event-splitter.ts
@@ -20,6 +20,11 @@
 const EMPTY_BUFFER = Buffer.alloc(0);
 const LINE_SEPARATOR = Buffer.from('\n');
 
+/** Returns whether bytes hold line ends only, which belong to no event. */
+export function hasOnlyLineEnds(bytes: Buffer): boolean {
+  return bytes.every((byte) => byte === LINE_FEED || byte === CARRIAGE_RETURN);
+}
+
 /** Largest accepted event. */
 export const MAXIMUM_EVENT_BYTES = 1024 * 1024;
 
--- a/src/relay/answers/stream-answer.ts
+++ b/src/relay/answers/stream-answer.ts
@@ -3,7 +3,7 @@
  * resumed after the last one. On routes that retain turns, the turn is stored before the end of the stream is sent.
  */
 import type { MemoryAllocation } from '../memory/memory-accounts.js';
-import { EventSplitter } from './event-splitter.js';
+import { EventSplitter, hasOnlyLineEnds } from './event-splitter.js';
 import type { StreamEvent } from './event-splitter.js';
 import { FIRST_REDIRECT } from './answer-reader.js';
 import type { AnsweredCall, AnswerHead, AnswerReader } from './answer-reader.js';
@@ -88,10 +88,13 @@
       return;
     }
     const rest = this.splitter.takeRest();
-    if (rest.length > 0) {
+    if (!hasOnlyLineEnds(rest)) {
       this.call.failAttempt({ tag: 'Lost', detail: 'the stream ended within an event' });
       return;
     }
+    if (rest.length > 0) {
+      this.call.answer.write(rest);
+    }
     this.storeThenEnd(head.status);
   }
 
