An emulated runner that crashes resets its unframed answers

The harness closed the connection in order in the middle of an unframed answer, which nobody can tell from the answer's end; a runner that breaks off resets. Now the emulated one does.

--- a/src/emulator/relay-runner.ts
+++ b/src/emulator/relay-runner.ts
@@ -108,6 +108,8 @@
   /** Arrival times within the last second, in milliseconds; those answered with 421 are left out. */
   private arrivals: number[] = [];
   private readonly sockets = new Set<Socket>();
+  /** Connections on which an unframed answer was begun. */
+  private readonly unframedSockets = new WeakSet<Socket>();
   private readonly server: Server;
 
   /** Name of this incarnation. */
@@ -147,11 +149,16 @@
     this.coldLimit = limit;
   }
 
-  /** Stops listening and destroys all connections. */
+  /**
+   * Stops listening and destroys all connections. Those with an unframed answer are reset: an orderly end would mark the end
+   * of the answer.
+   */
   crash(): Promise<void> {
     return new Promise((resolve) => {
       this.server.close(() => resolve());
-      this.sockets.forEach((socket) => socket.destroy());
+      this.sockets.forEach((socket) =>
+        this.unframedSockets.has(socket) ? socket.resetAndDestroy() : socket.destroy(),
+      );
     });
   }
 
@@ -285,7 +292,7 @@
       const half = Math.floor(body.length / 2);
       // An orderly end within a plain body is indistinguishable from the end of a whole one.
       const provable = behaviour === 'endWithinEvent' ? 'unframed' : behaviour;
-      this.countUnframed(provable);
+      this.noteUnframed(request.socket, provable);
       sendUnframed(request.socket, {
         headers: this.headersOf(requestId),
         parts: [body.slice(0, half), body.slice(half)],
@@ -318,7 +325,7 @@
     const eventOf = (id: number): string =>
       `id: ${id}\ndata: ${this.textOf(id).padEnd(paddedBytes, '.')}\n\n`;
     if (isUnframed(behaviour)) {
-      this.countUnframed(behaviour);
+      this.noteUnframed(request.socket, behaviour);
       const count = Math.max(0, eventCount - firstEventId + 1);
       sendUnframed(request.socket, {
         headers: { ...this.headersOf(requestId), ...type },
@@ -359,7 +366,8 @@
     sendEvent(firstEventId);
   }
 
-  private countUnframed(behaviour: UnframedBehaviour): void {
+  private noteUnframed(socket: Socket, behaviour: UnframedBehaviour): void {
+    this.unframedSockets.add(socket);
     this.unframed.sent += 1;
     this.unframed.broken += behaviour === 'unframed' ? 0 : 1;
   }
