--- a/features/soak.feature
+++ b/features/soak.feature
@@ -10,6 +10,7 @@
       | foreignAnswer   | own answer   |
       | endsEarly       | whole answer |
       | skipsEvent      | whole answer |
+      | changesText     | whole answer |
       | runsTwice       | at most once |
       | refusesAfterRun | not run      |
       | ignoresBudget   | budget       |
--- a/features/support/faulty-gateway.ts
+++ b/features/support/faulty-gateway.ts
@@ -8,7 +8,7 @@
   SOAK_TENANT,
   SOAK_TOKENS_PER_EVENT,
 } from '../../soak/soak-client.js';
-import { LONG_EVENTS } from '../../soak/slow-reading.js';
+import { LONG_EVENT_BYTES, LONG_EVENTS } from '../../soak/slow-reading.js';
 import { RESUMABLE_ROUTE } from '../../soak/stream-version-check.js';
 import { LIMITED_KEY, LIMITED_TENANT } from '../../soak/tenant-check.js';
 import type { RelayRunner } from '../../src/emulator/relay-runner.js';
@@ -22,6 +22,8 @@
   | 'endsEarly'
   /** Omits an event. */
   | 'skipsEvent'
+  /** Changes the text of an event. */
+  | 'changesText'
   /** Runs a non-repeatable request twice. */
   | 'runsTwice'
   /** Reports a request that has run as not run. */
@@ -163,11 +165,21 @@
     const output = events.map((event) => `event ${event}\n`).join('');
     this.chains.set(id, (chain ?? '') + input + output);
     response.writeHead(200, { ...this.signature, 'content-type': 'text/event-stream' });
-    response.end(events.map((event) => `id: ${event}\ndata: event ${event}\n\n`).join(''));
+    const isLong = this.isLong(request.url ?? '');
+    response.end(events.map((event) => this.eventOf(event, isLong)).join(''));
+  }
+
+  private isLong(path: string): boolean {
+    return path.startsWith('/long/');
+  }
+
+  private eventOf(event: number, isLong: boolean): string {
+    const name = this.fault === 'changesText' && event === 2 ? 'Event' : 'event';
+    return `id: ${event}\ndata: ${`${name} ${event}`.padEnd(isLong ? LONG_EVENT_BYTES : 0, '.')}\n\n`;
   }
 
   private events(path: string): number[] {
-    const count = path.startsWith('/long/') ? LONG_EVENTS : SOAK_EVENTS;
+    const count = this.isLong(path) ? LONG_EVENTS : SOAK_EVENTS;
     const all = Array.from({ length: count }, (_, index) => index + 1);
     if (this.fault === 'endsEarly') {
       return all.slice(0, -1);
