The scenario of verified ends waits for the end of a turn, not for a timer

In 5 of 28 runs beside load the example of an end in a later turn failed: the timer of 1 ms can fire before the callbacks that end the turn. Product unchanged.

--- a/features/steps/broken-responses.steps.ts
+++ b/features/steps/broken-responses.steps.ts
@@ -116,7 +116,8 @@
   async function (this: World, when: string) {
     this.socket!.push('data');
     if (when === 'in a later turn than') {
-      await new Promise((resolve) => setTimeout(resolve, 1));
+      // A timer may fire before the callbacks that end this turn.
+      await new Promise((resolve) => setImmediate(resolve));
     }
     this.socket!.push(null);
   },
