Logs and metrics show the end of a runner and the requests that were there

No line told which runner ended under which request, how surely that is known, what else ran there, or that requests with two ids are tries of one request. RunnerEnds collects typed evidence (refused connect, entry replaced or gone, 421, silence) and the requests that were written to a runner; runner.ended tells both, relay.try the fingerprint of what was asked. No decision depends on it yet. New on the way: after a lost connection, one probe of the address unless other connections to the runner stand.

The emulated runner can be ended by the content of a request; the soak gets a check of such requests, which is not run by the soak until the fault is mended.

--- /dev/null
+++ b/soak/fatal-request-check.ts
@@ -0,0 +1,276 @@
+/**
+ * Checks requests that end the runner that runs them, while their clients ask again at other gateways under other ids and
+ * other clients send ordinary requests, beside runners that crash by chance: no more than a few runners end under one
+ * request, and no ordinary request is refused for it.
+ */
+import { request as httpRequest } from 'node:http';
+import { PLATFORM_HEADER_NAMES as NAMES } from '../platform/header-names.js';
+import type { StandInStore } from '../platform/stand-in/store-server.js';
+import type { FatalEffect } from '../src/emulator/fatal-effect.js';
+import type { RelayRunner, RunnerRun } from '../src/emulator/relay-runner.js';
+import type { RandomSource } from '../src/runtime/random.js';
+import { SOAK_PORTS } from './platform-process.js';
+import { RestartingRunners } from './restarting-runners.js';
+import { SOAK_HOST, SOAK_KEY } from './soak-client.js';
+
+/** Service whose runners end, and its routes by their kind. */
+export const BRITTLE_SERVICE = 'brittle';
+export const BRITTLE_ROUTES = {
+  repeatable: 'brittle-repeatable',
+  resumable: 'brittle-resumable',
+  once: 'brittle-once',
+  broken: 'brittle-broken',
+} as const;
+/** Runners that one request may end, over all tries of all clients. */
+export const MAXIMUM_ENDED_RUNNERS = 3;
+
+const RUNNERS = 14;
+/** First address, beyond those of the other runners. */
+const FIRST_ADDRESS = 205;
+const EVENTS = 8;
+const EVENT_MILLISECONDS = 8;
+const ORDINARY_CLIENTS = 12;
+const ORDINARY_PAUSE_MILLISECONDS = 30;
+/** Share of the ordinary requests that are all alike. */
+const COMMON_SHARE = 0.25;
+const ORDINARY_TRIES = 3;
+const FATAL_TRIES = 5;
+const TRY_PAUSE_MILLISECONDS = 250;
+/** Share of the tries that follow the one before at once. */
+const PROMPT_SHARE = 0.3;
+/** Pause between two fatal requests, or groups of them, in milliseconds. */
+const FATAL_PAUSE_MILLISECONDS = 2_500;
+const MAXIMUM_GROUP = 3;
+const CRASH_PAUSE_MILLISECONDS = 1_500;
+const CRASHES_AT_ONCE = 3;
+const TIMEOUT_MILLISECONDS = 2_000;
+/** Effects of fatal requests; those that are answered whole show nothing against their request. */
+const EFFECTS: readonly FatalEffect[] = ['crash', 'crash', 'crashMidway', 'freeze', 'dark'];
+/** Text by which a gateway explains that it refuses a request since runners ended under it. */
+const SUSPECTED_TEXT = /runners (have )?ended/;
+const OK = 200;
+const UNAVAILABLE = 503;
+
+type RouteKind = keyof typeof BRITTLE_ROUTES;
+
+/** Dependencies of the check. */
+export interface FatalRequestCheckOptions {
+  readonly random: RandomSource;
+  readonly gatewayHosts: readonly string[];
+  readonly zones: readonly string[];
+  readonly store: StandInStore;
+  /** Returns the address of a runner. */
+  readonly addressOf: (number: number) => string;
+  readonly violate: (promise: string, detail: string) => void;
+  /** Effects of the fatal requests. @default crashes at the start and midway, and runners that stand still */
+  readonly effects?: readonly FatalEffect[];
+  /** Whether runners also crash by chance. @default true */
+  readonly crashesByChance?: boolean;
+}
+
+/** Counts of the check. */
+export interface FatalRequestCounts {
+  /** Fatal requests, and the runners that ended under all of them. */
+  fatal: number;
+  endedRunners: number;
+  /** Largest number of runners that ended under one request. */
+  mostEnded: number;
+  /** Runners that crashed by chance. */
+  crashes: number;
+  /** Ordinary requests that may be repeated or resumed, and those of them that were served, with tries of their client. */
+  repeatable: number;
+  repeatableServed: number;
+  /** Ordinary requests that run once, and those of them that were served. */
+  once: number;
+  onceServed: number;
+}
+
+interface TryResult {
+  readonly status: number;
+  readonly body: string;
+  readonly complete: boolean;
+}
+
+function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+function lastEventOf(text: string): string | undefined {
+  return [...text.matchAll(/^id: (\d+)\ndata: .*\n\n/gm)].at(-1)?.[1];
+}
+
+/** Sends fatal and ordinary requests, and counts the runners that end. */
+export class FatalRequestCheck {
+  readonly counts: FatalRequestCounts = {
+    fatal: 0,
+    endedRunners: 0,
+    mostEnded: 0,
+    crashes: 0,
+    repeatable: 0,
+    repeatableServed: 0,
+    once: 0,
+    onceServed: 0,
+  };
+  private readonly runners: RestartingRunners;
+  /** Runners that ended under a fatal request, by its subject. */
+  private readonly ended = new Map<string, Set<string>>();
+  private requests = 0;
+
+  constructor(private readonly options: FatalRequestCheckOptions) {
+    const { zones, store, addressOf } = options;
+    this.runners = new RestartingRunners({
+      service: BRITTLE_SERVICE,
+      count: RUNNERS,
+      zones,
+      store,
+      addressOf: (place) => addressOf(FIRST_ADDRESS + place),
+      onFatal: (runner, run) => this.noteEnded(runner, run),
+      eventCount: EVENTS,
+      eventMilliseconds: EVENT_MILLISECONDS,
+    });
+  }
+
+  /** Starts the runners. */
+  async start(): Promise<void> {
+    await this.runners.start();
+  }
+
+  /** Sends requests until `isOver` returns true, then stops the runners. */
+  async run(isOver: () => boolean): Promise<void> {
+    const clients = Array.from({ length: ORDINARY_CLIENTS }, () => this.runOrdinary(isOver));
+    const { crashesByChance = true } = this.options;
+    const others = crashesByChance ? [this.crashByChance(isOver)] : [];
+    await Promise.all([...clients, ...others, this.runFatal(isOver)]);
+    await this.runners.stop();
+  }
+
+  /** Sends one fatal request, with all tries of its client. */
+  async askFatal(kind: RouteKind, effect: FatalEffect): Promise<readonly TryResult[]> {
+    const { random, gatewayHosts, violate } = this.options;
+    this.counts.fatal += 1;
+    const subject = String(this.counts.fatal);
+    const runners = new Set<string>();
+    this.ended.set(subject, runners);
+    const results: TryResult[] = [];
+    const first = random.integer(0, gatewayHosts.length - 1);
+    let received = '';
+    for (let tries = 0; tries < FATAL_TRIES; tries += 1) {
+      const host = gatewayHosts[(first + tries) % gatewayHosts.length]!;
+      const query = `fatal=${effect}&subject=${subject}`;
+      const result = await this.send(host, kind, query, lastEventOf(received));
+      results.push(result);
+      received += kind === 'resumable' ? result.body : '';
+      if (result.status === OK && result.complete) {
+        break;
+      }
+      await sleep(random.uniform() < PROMPT_SHARE ? 0 : TRY_PAUSE_MILLISECONDS);
+    }
+    if (runners.size > MAXIMUM_ENDED_RUNNERS) {
+      const detail = `request ${subject} (${kind}, ${effect}) ended ${runners.size} runners in ${results.length} tries`;
+      violate('ended runners', detail);
+    }
+    return results;
+  }
+
+  private noteEnded(runner: RelayRunner, { path }: RunnerRun): void {
+    const subject = /subject=(\w+)/.exec(path)?.[1] ?? '';
+    const runners = this.ended.get(subject);
+    runners?.add(runner.id);
+    this.counts.endedRunners += 1;
+    this.counts.mostEnded = Math.max(this.counts.mostEnded, runners?.size ?? 0);
+  }
+
+  private async runFatal(isOver: () => boolean): Promise<void> {
+    const { random, effects = EFFECTS } = this.options;
+    const kinds = Object.keys(BRITTLE_ROUTES) as RouteKind[];
+    while (!isOver()) {
+      await sleep(random.uniform() * FATAL_PAUSE_MILLISECONDS);
+      const group = Array.from({ length: random.integer(1, MAXIMUM_GROUP) }, () =>
+        this.askFatal(random.pick(kinds), random.pick(effects)),
+      );
+      await Promise.all(group);
+    }
+  }
+
+  private async crashByChance(isOver: () => boolean): Promise<void> {
+    const { random } = this.options;
+    while (!isOver()) {
+      await sleep((0.5 + random.uniform()) * CRASH_PAUSE_MILLISECONDS);
+      const count = random.uniform() < 0.5 ? 1 : CRASHES_AT_ONCE;
+      for (let index = 0; index < count; index += 1) {
+        const { liveRunners } = this.runners;
+        if (liveRunners.length > RUNNERS / 2) {
+          this.counts.crashes += 1;
+          this.runners.crash(random.pick(liveRunners));
+        }
+      }
+    }
+  }
+
+  private async runOrdinary(isOver: () => boolean): Promise<void> {
+    const { random } = this.options;
+    const kinds = Object.keys(BRITTLE_ROUTES) as RouteKind[];
+    while (!isOver()) {
+      await this.askOrdinary(random.pick(kinds));
+      await sleep(random.uniform() * ORDINARY_PAUSE_MILLISECONDS);
+    }
+  }
+
+  private async askOrdinary(kind: RouteKind): Promise<void> {
+    const { random, gatewayHosts, violate } = this.options;
+    const { counts } = this;
+    const mayRepeat = kind === 'repeatable' || kind === 'resumable';
+    const item = random.uniform() < COMMON_SHARE ? 'common' : String(this.requests);
+    let received = '';
+    let isServed = false;
+    for (let tries = 0; tries < (mayRepeat ? ORDINARY_TRIES : 1) && !isServed; tries += 1) {
+      const host = random.pick(gatewayHosts);
+      const result = await this.send(host, kind, `item=${item}`, lastEventOf(received));
+      received += kind === 'resumable' ? result.body : '';
+      isServed = result.status === OK && result.complete;
+      if (result.status === UNAVAILABLE && SUSPECTED_TEXT.test(result.body)) {
+        violate('innocent request', `item ${item} (${kind}) was refused: ${result.body}`);
+      }
+    }
+    counts[mayRepeat ? 'repeatable' : 'once'] += 1;
+    counts[mayRepeat ? 'repeatableServed' : 'onceServed'] += isServed ? 1 : 0;
+  }
+
+  private send(
+    host: string,
+    kind: RouteKind,
+    query: string,
+    lastEvent: string | undefined,
+  ): Promise<TryResult> {
+    this.requests += 1;
+    const isStream = kind === 'resumable' || kind === 'broken';
+    const headers = {
+      host: SOAK_HOST,
+      'content-length': '0',
+      [NAMES.requestId]: `brittle-${this.requests}`,
+      [NAMES.timeout]: String(TIMEOUT_MILLISECONDS),
+      [NAMES.key]: `Token ${SOAK_KEY}`,
+      ...(lastEvent === undefined ? {} : { [NAMES.lastEventId]: lastEvent }),
+    };
+    const path = `/${BRITTLE_ROUTES[kind]}/work?${isStream ? 'stream&' : ''}${query}`;
+    return new Promise((resolve) => {
+      const options = { host, port: SOAK_PORTS.front, path, method: 'POST', headers };
+      let body = '';
+      const client = httpRequest({ ...options, agent: false }, (response) => {
+        response.setEncoding('utf8');
+        response.on('data', (chunk: string) => (body += chunk));
+        response.on('error', () => undefined);
+        response.on('close', () => {
+          clearTimeout(timer);
+          resolve({ status: response.statusCode ?? 0, body, complete: response.complete });
+        });
+      });
+      const timer = setTimeout(() => client.destroy(), TIMEOUT_MILLISECONDS + 500);
+      client.on('error', () => {
+        clearTimeout(timer);
+        resolve({ status: 0, body, complete: false });
+      });
+      client.end();
+    });
+  }
+}
--- a/soak/soak-configuration.ts
+++ b/soak/soak-configuration.ts
@@ -1,5 +1,6 @@
 /** Generates the configuration versions of a soak: each adds a route and a key, and drops older ones. */
 import type { RandomSource } from '../src/runtime/random.js';
+import { BRITTLE_ROUTES, BRITTLE_SERVICE } from './fatal-request-check.js';
 import { SOAK_COLD } from './platform-process.js';
 import { SOAK_HOST, SOAK_KEY, SOAK_TENANT, SOAK_TOKENS_PER_EVENT } from './soak-client.js';
 import { RESUMABLE_ROUTE, VERSIONED_SERVICE } from './stream-version-check.js';
@@ -38,6 +39,18 @@
   };
 }
 
+/** Routes to the service whose runners end under requests. */
+function brittleRoutes(): Record<string, unknown>[] {
+  const { repeatable, resumable, once, broken } = BRITTLE_ROUTES;
+  const more = { Service: BRITTLE_SERVICE, MaxAttempts: 3 };
+  return [
+    route(repeatable, 'idempotent', more),
+    route(resumable, 'streaming', { ...more, Resumable: true }),
+    route(once, 'non_idempotent', more),
+    route(broken, 'streaming', more),
+  ];
+}
+
 /** Produces one configuration version after another. */
 export class SoakConfiguration {
   private version = 1;
@@ -66,6 +79,7 @@
         route('kept', 'streaming', { Retain: true, RetentionS: 600 }),
         route('long', 'streaming', {}),
         route(RESUMABLE_ROUTE, 'streaming', { Resumable: true, Service: VERSIONED_SERVICE }),
+        ...brittleRoutes(),
         ...this.addedRoutes.slice(-ADDED_ROUTE_COUNT).map((name) => route(name, 'idempotent', {})),
       ],
       Services: [
@@ -76,6 +90,7 @@
           Engine: { Stride: SOAK_TOKENS_PER_EVENT },
         },
         { Name: VERSIONED_SERVICE, MaxConnections: 60 },
+        { Name: BRITTLE_SERVICE, MaxConnections: 60 },
       ],
       Tenants: [
         { Name: SOAK_TENANT, ApiKeys: [SOAK_KEY], Priority: 0 },
--- a/src/emulator/relay-runner.ts
+++ b/src/emulator/relay-runner.ts
@@ -7,6 +7,8 @@
 import type { AddressInfo, Socket } from 'node:net';
 import { performance } from 'node:perf_hooks';
 import type { HeaderNames } from '../relay/request/header-names.js';
+import { fatalEffectOf } from './fatal-effect.js';
+import type { FatalEffect } from './fatal-effect.js';
 import { isUnframed, sendUnframed } from './unframed-answer.js';
 import type { UnframedBehaviour } from './unframed-answer.js';
 
@@ -70,6 +72,10 @@
 const COLD_WINDOW_MILLISECONDS = 1_000;
 /** Factor by which a cold runner is slower. */
 const COLD_SLOWDOWN = 2;
+/** Time from the start of a fatal request to the end of its runner, in milliseconds. */
+const FATAL_MILLISECONDS = 10;
+/** Events of a stream that a runner sends before a request ends it midway. */
+const EVENTS_BEFORE_END = 2;
 const STREAM_QUERY = 'stream';
 /** Query parameters that override the length of an answer or event and the number of events. */
 const PADDING_QUERY = /fill=(\d+)/;
@@ -95,6 +101,8 @@
   eventsSent = 0;
   /** Called with the headers of each request for this incarnation as soon as they arrive. */
   onArrival: (headers: IncomingMessage['headers']) => void = () => undefined;
+  /** Called with the request that ended or froze the runner. */
+  onFatal: (run: RunnerRun) => void = () => undefined;
   /** Pause before a request body is read, which emulates a slow reader. */
   readPauseMilliseconds = 0;
   /** Largest number of requests that arrived in any second while the runner was cold. */
@@ -105,6 +113,8 @@
   private coldUntil = -Infinity;
   private coldLimit = Infinity;
   private failedUntil = -Infinity;
+  private hasEnded = false;
+  private isFrozen = false;
   /** Arrival times within the last second, in milliseconds; those answered with 421 are left out. */
   private arrivals: number[] = [];
   private readonly sockets = new Set<Socket>();
@@ -162,7 +172,26 @@
     });
   }
 
+  /** Requests that the runner has begun and neither answered nor given up. */
+  get unfinishedRuns(): readonly RunnerRun[] {
+    return this.runs.filter(
+      ({ isAnswered, clientDisconnected }) => !isAnswered && !clientDisconnected,
+    );
+  }
+
+  /** Ends the runner as the kill of its process does: all connections are reset, and new ones are refused. */
+  end(): void {
+    if (!this.hasEnded) {
+      this.hasEnded = true;
+      this.server.close();
+      this.sockets.forEach((socket) => socket.resetAndDestroy());
+    }
+  }
+
   private handleRequest(request: IncomingMessage, response: ServerResponse): void {
+    if (this.isFrozen) {
+      return;
+    }
     if (this.isExpected(request)) {
       this.onArrival(request.headers);
       this.countArrival();
@@ -240,7 +269,44 @@
       run.clientDisconnected = !response.writableFinished;
     });
     const pause = pauseMilliseconds * (this.isCold ? COLD_SLOWDOWN : 1);
-    setTimeout(() => this.respond(request, response, behaviour, requestId), pause);
+    const respond = (atEvent?: () => void): void => {
+      setTimeout(() => this.respond(request, response, behaviour, requestId, atEvent), pause);
+    };
+    const effect = fatalEffectOf(path);
+    if (effect === undefined) {
+      respond();
+      return;
+    }
+    const strike = (): void => this.strike(effect, run);
+    if (effect === 'crashAfterAnswer') {
+      response.on('finish', () => setTimeout(strike, FATAL_MILLISECONDS));
+      respond();
+    } else if (effect === 'crashMidway' && path.includes(STREAM_QUERY)) {
+      respond(strike);
+    } else {
+      setTimeout(strike, FATAL_MILLISECONDS);
+    }
+  }
+
+  /** Ends or freezes the runner as a fatal request asks. */
+  private strike(effect: FatalEffect, run: RunnerRun): void {
+    if (this.hasEnded || this.isFrozen) {
+      return;
+    }
+    this.onFatal(run);
+    if (effect === 'freeze' || effect === 'dark') {
+      this.freeze(effect === 'dark');
+    } else {
+      this.end();
+    }
+  }
+
+  private freeze(refusesConnections: boolean): void {
+    this.isFrozen = true;
+    this.sockets.forEach((socket) => socket.pause());
+    if (refusesConnections) {
+      this.server.close();
+    }
   }
 
   private respond(
@@ -248,8 +314,12 @@
     response: ServerResponse,
     behaviour: RunnerBehaviour,
     requestId: string,
+    endMidway?: () => void,
   ): void {
     const { names } = this.options;
+    if (this.isFrozen) {
+      return;
+    }
     switch (behaviour) {
       case 'loseAnswer':
         request.socket.destroy();
@@ -267,7 +337,7 @@
         return;
       default:
         if (request.url?.includes(STREAM_QUERY)) {
-          this.respondStream(request, response, behaviour, requestId);
+          this.respondStream(request, response, behaviour, requestId, endMidway);
         } else {
           this.respondPlain(request, response, behaviour, requestId);
         }
@@ -315,6 +385,7 @@
     response: ServerResponse,
     behaviour: RunnerBehaviour,
     requestId: string,
+    endMidway?: () => void,
   ): void {
     const { pauseMilliseconds = 1, names } = this.options;
     const eventCount = readQueryNumber(request, EVENTS_QUERY) ?? this.options.eventCount ?? 4;
@@ -337,7 +408,11 @@
     }
     response.writeHead(200, { ...this.headersOf(answeredId), ...type });
     const sendEvent = (id: number): void => {
-      if (response.destroyed) {
+      if (response.destroyed || this.isFrozen) {
+        return;
+      }
+      if (endMidway !== undefined && id >= firstEventId + EVENTS_BEFORE_END) {
+        endMidway();
         return;
       }
       if (behaviour === 'cutOff' && id > eventCount / 2) {
--- a/src/relay/answers/answer-reader.ts
+++ b/src/relay/answers/answer-reader.ts
@@ -5,8 +5,8 @@
 
 /** How an attempt failed. `NeverSent` and `Excluded` prove that the runner has not run the request, other tags do not. */
 export type AttemptFailure =
-  /** No connection could be established, so nothing was sent. */
-  | { readonly tag: 'NeverSent'; readonly detail: string }
+  /** No connection could be established, so nothing was sent; `isRefused` if nothing listens at the runner's address. */
+  | { readonly tag: 'NeverSent'; readonly detail: string; readonly isRefused: boolean }
   /** A connection was established, but the named rule excluded the runner by then, so nothing was sent. */
   | { readonly tag: 'Excluded'; readonly detail: string }
   /** The request was sent, but the connection ended before the answer was complete. */
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -16,6 +16,7 @@
 import type { RelayMetrics } from './relay-metrics.js';
 import type { ColdLimits } from './runners/cold-limits.js';
 import type { ResumableStreams } from './runners/resumable-streams.js';
+import type { RunnerEnds } from './runners/runner-ends.js';
 import type { RunnerExclusions } from './runners/runner-exclusions.js';
 import type { RunnerRegistry } from './runners/runner-registry.js';
 import type { RunnerConnections } from './tries/runner-connections.js';
@@ -32,6 +33,8 @@
   readonly traffic: RegionTraffic | undefined;
   readonly names: HeaderNames;
   readonly registry: RunnerRegistry;
+  /** Ends of runners, and the requests that were there. */
+  readonly ends: RunnerEnds;
   /** Rules by which a runner must not get a request. */
   readonly exclusions: RunnerExclusions;
   /** Limits of the requests that are sent to cold runners; also one of the exclusions. */
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -32,6 +32,8 @@
 import type { ColdAllowance } from './runners/cold-limits.js';
 import { GatewayPositions } from './runners/gateway-positions.js';
 import { ResumableStreams } from './runners/resumable-streams.js';
+import { RunnerEnds } from './runners/runner-ends.js';
+import { logRunnerEnd, logRunnerEndWithdrawn } from './runners/runner-end-log.js';
 import { RunnerExclusions } from './runners/runner-exclusions.js';
 import type { RunnerExclusion } from './runners/runner-exclusions.js';
 import { RunnerRegistry } from './runners/runner-registry.js';
@@ -134,6 +136,7 @@
       traffic: options.traffic,
       names,
       registry: this.registry,
+      ends: this.createEnds(connections),
       exclusions: this.createExclusions(coldLimits),
       coldLimits,
       coldQueue: new ColdQueue(runtime, (service) => coldLimits.coldSendCount(service)),
@@ -183,6 +186,22 @@
       (this.aggregates.ofOthers(regionGateways).get(hashToNumber(region))?.[0] ?? 0) > 0;
   }
 
+  private createEnds(connections: RunnerConnections): RunnerEnds {
+    const { runtime } = this.options;
+    const { metrics, registry } = this;
+    const ends = new RunnerEnds({
+      runtime,
+      hasConnection: (runner) => connections.hasOpen(runner),
+      probe: (runner, done) => connections.probe(runner, done),
+      onEnd: (record, end, exposures, isFirst) =>
+        logRunnerEnd({ runtime, metrics }, record, end, exposures, isFirst),
+      onWithdrawn: (record) => logRunnerEndWithdrawn(runtime, record),
+    });
+    registry.onReplaced = (record) => ends.noteEvidence(record, 'replaced');
+    registry.onUnlisted = (record) => ends.noteUnlisted(record);
+    return ends;
+  }
+
   /** The limits of cold runners come last, so that only runners that nothing else excludes are waited for. */
   private createExclusions(coldLimits: ColdLimits): RunnerExclusions {
     const { exclusions = [] } = this.options;
--- /dev/null
+++ b/src/relay/request/fingerprint.ts
@@ -0,0 +1,36 @@
+/**
+ * Fingerprints of requests: two tries of a request have the same, whatever their request ids, gateways and times. A request
+ * has two. One covers what its client sends and the program that it belongs to, the other one the content alone, so that
+ * a request is recognized when another program sends it too.
+ */
+import { hashContent } from '../../runtime/hashing.js';
+import type { RelayRequest } from './relay-request.js';
+
+/** Fingerprint of a request, 53 bits. */
+export type Fingerprint = number & { readonly brand: 'Fingerprint' };
+
+/** Radix in which fingerprints are written in logs. */
+const HEXADECIMAL = 16;
+
+function fingerprintOf(request: RelayRequest, sender: readonly string[]): Fingerprint {
+  const { method, path, route, tenant, previousTurn = '', affinityKey = '', body } = request;
+  const content = [tenant?.id ?? '', route.host, method, path, previousTurn, affinityKey];
+  return hashContent(JSON.stringify([...content, ...sender]), body) as Fingerprint;
+}
+
+/**
+ * Returns the fingerprints of a request: that of its program's request, and that of its content, which are the same for
+ * requests without a program.
+ */
+export function fingerprintsOf(request: RelayRequest): readonly [Fingerprint, Fingerprint] {
+  const content = fingerprintOf(request, []);
+  const { program } = request;
+  return program === undefined
+    ? [content, content]
+    : [fingerprintOf(request, [program.program, program.session]), content];
+}
+
+/** Returns a fingerprint as logs name it. */
+export function fingerprintText(fingerprint: Fingerprint): string {
+  return fingerprint.toString(HEXADECIMAL);
+}
--- a/src/relay/runners/runner-registry.ts
+++ b/src/relay/runners/runner-registry.ts
@@ -6,12 +6,14 @@
 import { PromptCacheEstimate } from './prompt-cache-estimate.js';
 import type { PromptKey, PromptPart } from '../request/relay-request.js';
 import {
+  addressOf,
   incarnationHash,
   incarnationOf,
   isEarlierIncarnation,
   softwareVersionOf,
 } from './runner.js';
 import type { Runner, RunnerIncarnation } from './runner.js';
+import type { Exposure, RunnerEnd } from './runner-ends.js';
 import type { LoadView, ServiceLoad } from './runner-view.js';
 import { InactivityEstimate } from './inactivity-estimate.js';
 import { VersionHistory } from './version-history.js';
@@ -54,6 +56,12 @@
   readonly promptCache: PromptCacheEstimate;
   /** Local time until which reports of cached parts are ignored. */
   ignoresReportsUntil: number;
+  /** Revision of its entry in the store; undefined if unknown. */
+  revision: number | undefined;
+  /** Its end, as far as this gateway knows; undefined while it counts as alive. */
+  end: RunnerEnd | undefined;
+  /** Requests of this gateway that were written to it and of which the outcome is not known. */
+  readonly exposures: Set<Exposure>;
 }
 
 /** A runner that placement may choose, with its state at that moment. */
@@ -77,6 +85,8 @@
   private readonly records = new Map<string, RunnerRecord>();
   private readonly recordsByService = new Map<string, Set<RunnerRecord>>();
   private readonly recordsByHash = new Map<number, RunnerRecord>();
+  /** The newest runner at each address. */
+  private readonly recordsByAddress = new Map<string, RunnerRecord>();
   private readonly estimatesByService = new Map<string, ServiceEstimates>();
   /** Software versions that are and were listed. */
   readonly versions: VersionHistory;
@@ -97,6 +107,10 @@
   onRunnerAdded: (runner: Runner) => void = () => undefined;
   /** Called when data was received from a runner, or a probe reached it. */
   onActivity: (runner: Runner) => void = () => undefined;
+  /** Called when another runner is listed at a runner's address, or the runner was started again. */
+  onReplaced: (record: RunnerRecord) => void = () => undefined;
+  /** Called when a runner's entry has gone, before the runner counts as removed. */
+  onUnlisted: (record: RunnerRecord) => void = () => undefined;
   /** Returns whether an idle connection to a runner is open. */
   hasIdleConnection: (runner: Runner) => boolean = () => false;
 
@@ -147,6 +161,7 @@
     }
     // An entry without a start time belongs to the known incarnation.
     known.runner = { ...runner, startedAt: known.runner.startedAt };
+    known.revision = revision ?? known.revision;
     known.removedAt = undefined;
     known.cancelRemoval?.();
     known.cancelRemoval = undefined;
@@ -195,6 +210,7 @@
     if (record === undefined || record.removedAt !== undefined) {
       return;
     }
+    this.onUnlisted(record);
     const removedAt = this.runtime.now();
     record.removedAt = removedAt;
     const { service } = record.runner;
@@ -379,6 +395,7 @@
   /** Starts a new record: a restarted runner shares no state with its earlier incarnation. */
   private replaceIncarnation(runner: Runner, before: RunnerRecord, revision?: number): void {
     before.cancelRemoval?.();
+    this.onReplaced(before);
     this.deleteRecord(before);
     const { id, service, startedAt } = runner;
     const fields = { event: 'runner.reborn', runner: id, service, bornAt: startedAt ?? 0 };
@@ -409,6 +426,10 @@
     this.records.delete(record.runner.id);
     this.recordsByHash.delete(record.hash);
     this.recordsByService.get(record.runner.service)?.delete(record);
+    const address = addressOf(record.runner);
+    if (this.recordsByAddress.get(address) === record) {
+      this.recordsByAddress.delete(address);
+    }
     this.coldPeriods.noteUnlisted(record.runner);
     this.versions.noteUnlisted(record.runner.service, softwareVersionOf(record.runner));
   }
@@ -438,7 +459,11 @@
       inactivity: this.estimatesOf(runner.service).inactivity,
       promptCache: new PromptCacheEstimate(() => this.cacheCapacityOf(runner.service) ?? Infinity),
       ignoresReportsUntil: -Infinity,
+      revision,
+      end: undefined,
+      exposures: new Set(),
     };
+    this.takeAddress(record);
     this.records.set(runner.id, record);
     this.recordsByHash.set(record.hash, record);
     const ofService = this.recordsByService.get(runner.service) ?? new Set();
@@ -452,6 +477,19 @@
     this.updateColdPeriod(record, revision);
   }
 
+  /** Only of two entries with known revisions, the later one shows that the runner of the earlier one has ended. */
+  private takeAddress(record: RunnerRecord): void {
+    const address = addressOf(record.runner);
+    const other = this.recordsByAddress.get(address);
+    const isEarlier = (record.revision ?? Infinity) < (other?.revision ?? -Infinity);
+    if (other === undefined || !isEarlier) {
+      this.recordsByAddress.set(address, record);
+    }
+    if (other?.revision !== undefined && record.revision !== undefined) {
+      this.onReplaced(isEarlier ? record : other);
+    }
+  }
+
   /**
    * Deletes a runner unless it was listed again, or listed and removed again, since `removedAt`. The clock is not
    * checked: timers may fire a fraction of a millisecond early, and ignoring such a timer would leave the runner
--- a/src/relay/tries/call-log.ts
+++ b/src/relay/tries/call-log.ts
@@ -2,6 +2,7 @@
 import type { LogFields } from '../../runtime/runtime.js';
 import type { AnswerDelivery } from '../answers/answer-delivery.js';
 import type { RelayContext } from '../relay-context.js';
+import { fingerprintsOf, fingerprintText } from '../request/fingerprint.js';
 import type { RelayRequest } from '../request/relay-request.js';
 import type { StreamOrigin } from '../../turns/stream-origins.js';
 import type { OriginSource } from '../runners/resumable-streams.js';
@@ -14,8 +15,7 @@
 
 /** One failed attempt. */
 export interface FailedAttempt {
-  /** Request id. */
-  readonly request: string;
+  readonly request: RelayRequest;
   readonly record: RunnerRecord;
   /** Kind of failure. */
   readonly tag: string;
@@ -67,7 +67,8 @@
   metrics.count('ivyloom_relay_failed_tries_total', `tag="${tag}"`);
   runtime.log('info', 'attempt failed', {
     event: 'relay.try',
-    request,
+    request: request.id,
+    content: fingerprintText(fingerprintsOf(request)[0]),
     runner: record.runner.id,
     runnerVersion: softwareVersionOf(record.runner),
     tag,
--- a/src/relay/tries/inactivity-monitor.ts
+++ b/src/relay/tries/inactivity-monitor.ts
@@ -1,6 +1,7 @@
 /** Detects unreachable runners: probes a runner's address when nothing was received for unusually long. */
 import type { CancelTimer } from '../../runtime/runtime.js';
 import type { RelayContext } from '../relay-context.js';
+import type { ProbeResult } from '../runners/runner-ends.js';
 import type { RunnerRecord } from '../runners/runner-registry.js';
 
 /** Factor by which the timeout grows after a probe that reached the runner. */
@@ -77,22 +78,23 @@
       this.scheduleCheck(this.timeoutMilliseconds - inactivity);
       return;
     }
-    connections.probe(this.record.runner, (reachable) => this.handleProbe(reachable));
+    connections.probe(this.record.runner, (result) => this.handleProbe(result));
   }
 
-  private handleProbe(reachable: boolean): void {
+  private handleProbe(result: ProbeResult): void {
     if (this.stopped || this.paused) {
       return;
     }
-    if (reachable) {
+    if (result === 'connected') {
       // Counts as activity, so that other attempts on this runner do not probe it again at once.
       this.record.lastActivityAt = this.context.runtime.now();
       this.timeoutMilliseconds *= TIMEOUT_BACKOFF_FACTOR;
       this.scheduleCheck(this.timeoutMilliseconds);
       return;
     }
-    const { registry, connections } = this.context;
+    const { registry, connections, ends } = this.context;
     this.stop();
+    ends.noteEvidence(this.record, result === 'refused' ? 'refused' : 'unreachable');
     registry.markUnreachable(this.record, 'inactive and unreachable');
     this.onUnreachable();
     connections.closeAll(this.record.runner);
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -24,6 +24,7 @@
 import type { RelayRequest } from '../request/relay-request.js';
 import { rankOf } from '../request/request-rank.js';
 import type { EngineSample } from '../runners/engine-estimate.js';
+import type { Exposure } from '../runners/runner-ends.js';
 import { engineSampleOf } from '../runners/engine-sample.js';
 import { incarnationOf, softwareVersionOf } from '../runners/runner.js';
 import type { Runner, RunnerIncarnation } from '../runners/runner.js';
@@ -35,7 +36,7 @@
 import type { StageRefusal } from '../stages/stage.js';
 import { maySendTo, mayRetry } from './attempt-rules.js';
 import type { AttemptHistory } from './attempt-rules.js';
-import { startAttempt } from './attempt.js';
+import { startAttempt, STATUS_MISDIRECTED_REQUEST } from './attempt.js';
 import type { Attempt } from './attempt.js';
 import { logCallEnd, logFailedAttempt, logResumedStream, recordDelivery } from './call-log.js';
 import { FIRST_SERVER_ERROR_STATUS, classifyAnswer } from './classify-answer.js';
@@ -60,6 +61,8 @@
   readonly inactivity: InactivityMonitor;
   /** State of the runner when it was chosen. */
   readonly chosen: RunnerCandidate;
+  /** Set once the request is written. */
+  exposure: Exposure | undefined;
 }
 
 /** Runs one request from the stages to the end of its answer, retrying failed attempts where allowed. */
@@ -182,6 +185,7 @@
     const current = this.clearCurrent();
     if (current !== undefined) {
       const { runtime, registry } = this.context;
+      this.settleExposure(current);
       current.inactivity.noteAnswerComplete();
       const totalMilliseconds = runtime.now() - current.startedAt;
       const eventCount = this.stream?.eventCount ?? 0;
@@ -324,6 +328,7 @@
       reasonAgainstSending: () => this.reasonAgainstSending(record),
       onConnected: () => {
         context.exclusions.recordSend(record.runner);
+        this.noteWritten(record);
         pendingSend.onConnected();
       },
       onSendEnd: () => pendingSend.onSendEnd(),
@@ -342,7 +347,20 @@
     const inactivity = new InactivityMonitor(context, record, () =>
       this.failAttempt({ tag: 'Lost', detail: 'runner unreachable' }),
     );
-    this.current = { attempt, record, runner, startedAt: now, inactivity, chosen };
+    const exposure = undefined;
+    this.current = { attempt, record, runner, startedAt: now, inactivity, chosen, exposure };
+  }
+
+  private noteWritten(record: RunnerRecord): void {
+    if (this.current !== undefined) {
+      this.current.exposure = this.context.ends.expose(record, this.request);
+    }
+  }
+
+  private settleExposure({ exposure }: CurrentAttempt): void {
+    if (exposure !== undefined) {
+      this.context.ends.settle(exposure);
+    }
   }
 
   /** Checks again immediately before the request is written: it may have waited for a connection. */
@@ -375,6 +393,7 @@
       this.handleNotExecuted(head.status);
       return;
     }
+    this.context.ends.noteAnswer(current.record);
     if (answerClass === 'Unsigned' || answerClass === 'FalsePromise') {
       this.failAttempt({
         tag: 'BadAnswer',
@@ -399,6 +418,10 @@
     const current = this.clearCurrent();
     if (current !== undefined) {
       this.context.registry.noteRequestEnded(current.record, undefined);
+      this.settleExposure(current);
+      if (status === STATUS_MISDIRECTED_REQUEST) {
+        this.context.ends.noteEvidence(current.record, 'misdirected');
+      }
       const incarnation = incarnationOf(current.record.runner);
       this.sentTo.add(incarnation);
       this.refusedBy.add(incarnation);
@@ -412,10 +435,16 @@
     if (current === undefined || this.finished) {
       return;
     }
-    const { registry, connections } = this.context;
+    const { registry, connections, ends } = this.context;
     const { runner } = current.record;
     registry.noteRequestEnded(current.record, undefined);
     this.logFailure(failure.tag, failure.detail, current);
+    if (current.exposure !== undefined) {
+      ends.lose(current.exposure, () => undefined);
+    }
+    if (failure.tag === 'NeverSent' && failure.isRefused) {
+      ends.noteEvidence(current.record, 'refused');
+    }
     if (failure.tag === 'Excluded') {
       // Not the runner's fault: the attempt does not count, and placement leaves the runner out while the rule applies.
       this.attemptCount -= 1;
@@ -497,6 +526,9 @@
     if (current !== undefined) {
       this.mayHaveRun ||= current.attempt.wasSent();
       current.attempt.cancel();
+      if (current.exposure !== undefined) {
+        this.context.ends.abandon(current.exposure);
+      }
       this.context.registry.noteRequestEnded(current.record, undefined);
     }
   }
@@ -539,7 +571,7 @@
     const { record, startedAt, attempt } = current;
     const { request, attemptCount } = this;
     logFailedAttempt(this.context, {
-      request: request.id,
+      request,
       record,
       tag,
       detail,
--- a/src/relay/tries/runner-connections.ts
+++ b/src/relay/tries/runner-connections.ts
@@ -3,6 +3,7 @@
 import type { Runtime } from '../../runtime/runtime.js';
 import { addressOf } from '../runners/runner.js';
 import type { Runner } from '../runners/runner.js';
+import type { ProbeResult } from '../runners/runner-ends.js';
 import { RunnerAgent } from './runner-agent.js';
 
 /** Timeout for establishing a connection to a runner. */
@@ -10,10 +11,15 @@
 /** Largest number of connections to one runner if its service sets no limit. */
 const DEFAULT_CONNECTIONS = 64;
 
+/** Returns whether an error shows that no process listens at an address. */
+export function isRefusal({ code }: NodeJS.ErrnoException): boolean {
+  return code === 'ECONNREFUSED';
+}
+
 /** Pool of the agents of all runner addresses. */
 export class RunnerConnections {
   private readonly agents = new Map<string, RunnerAgent>();
-  private readonly pendingProbes = new Map<string, ((reachable: boolean) => void)[]>();
+  private readonly pendingProbes = new Map<string, ((result: ProbeResult) => void)[]>();
 
   constructor(private readonly runtime: Runtime) {}
 
@@ -33,6 +39,11 @@
     return this.agents.get(addressOf(runner))?.hasIdle ?? false;
   }
 
+  /** Returns whether a connection to a runner's address is open, idle or in use. */
+  hasOpen(runner: Runner): boolean {
+    return this.agents.get(addressOf(runner))?.hasOpen ?? false;
+  }
+
   /** Closes all connections to a runner's address; attempts in progress there fail at once. */
   closeAll(runner: Runner): void {
     const address = addressOf(runner);
@@ -41,7 +52,7 @@
   }
 
   /** Checks whether a runner's address accepts connections; concurrent probes of one address are merged. */
-  probe(runner: Runner, done: (reachable: boolean) => void): void {
+  probe(runner: Runner, done: (result: ProbeResult) => void): void {
     const address = addressOf(runner);
     const waiting = this.pendingProbes.get(address);
     if (waiting !== undefined) {
@@ -50,22 +61,22 @@
     }
     this.pendingProbes.set(address, [done]);
     const socket = connect({ host: runner.host, port: runner.port });
-    const finish = (reachable: boolean): void => {
+    const finish = (result: ProbeResult): void => {
       const listeners = this.pendingProbes.get(address) ?? [];
       this.pendingProbes.delete(address);
       cancel();
       socket.destroy();
-      listeners.forEach((listener) => listener(reachable));
+      listeners.forEach((listener) => listener(result));
     };
     let isFinished = false;
-    const once = (reachable: boolean): void => {
+    const once = (result: ProbeResult): void => {
       if (!isFinished) {
         isFinished = true;
-        finish(reachable);
+        finish(result);
       }
     };
-    const cancel = this.runtime.setTimer(CONNECT_MILLISECONDS, () => once(false));
-    socket.on('connect', () => once(true));
-    socket.on('error', () => once(false));
+    const cancel = this.runtime.setTimer(CONNECT_MILLISECONDS, () => once('timedOut'));
+    socket.on('connect', () => once('connected'));
+    socket.on('error', (error) => once(isRefusal(error) ? 'refused' : 'timedOut'));
   }
 }
--- a/src/runtime/hashing.ts
+++ b/src/runtime/hashing.ts
@@ -30,6 +30,15 @@
   return hasher().h32(text);
 }
 
+/** Number of bits that a JavaScript number holds exactly. */
+const EXACT_BITS = 53;
+
+/** 53-bit hash of a text and some bytes, as an unsigned number. */
+export function hashContent(text: string, bytes: Uint8Array): number {
+  const { h64, h64Raw } = hasher();
+  return Number(BigInt.asUintN(EXACT_BITS, h64(text, bytes.length === 0 ? 0n : h64Raw(bytes))));
+}
+
 const MIX_MULTIPLIER = 0x9e37_79b1;
 const MIX_SHIFT = 15;
 
--- a/src/telemetry/explain-request.ts
+++ b/src/telemetry/explain-request.ts
@@ -13,6 +13,8 @@
       return `${at} refused at the door with ${fieldText(line, 'status')}, because ${fieldText(line, 'reason')}; configuration version ${fieldText(line, 'version')}, host ${fieldText(line, 'host')}, path ${fieldText(line, 'path')}.`;
     case 'relay.try':
       return `${at} try ${fieldText(line, 'tries')} at runner ${fieldText(line, 'runner')} ended after ${fieldText(line, 'age')} ms as ${fieldText(line, 'tag')} (${fieldText(line, 'detail')}${deliveryText(line)}); ${fieldText(line, 'inFlight')} other requests of this gateway were there.`;
+    case 'runner.ended':
+      return explainRunnerEnd(line, at);
     case 'relay.resume':
       return explainResumption(line, at);
     case 'relay.admission':
@@ -90,6 +92,22 @@
   }
 }
 
+/** Descriptions of what shows that a runner has ended, by the value of the field `evidence`. */
+const END_TEXTS: ReadonlyMap<string, string> = new Map([
+  ['refused', 'its address refuses connections'],
+  ['replaced', 'another runner is listed at its address, or it was started again'],
+  ['misdirected', 'another runner answers at its address'],
+  ['unreachable', 'it sends nothing and takes no connection'],
+  ['unlisted', 'its entry went while requests waited for it in silence'],
+]);
+
+function explainRunnerEnd(line: LogLine, at: string): string {
+  const evidence = END_TEXTS.get(fieldText(line, 'evidence')) ?? fieldText(line, 'evidence');
+  const announced = line.fields['announced'] === true ? ', as its entry had announced' : '';
+  const requests = `${fieldText(line, 'requests')} requests of this gateway were there`;
+  return `${at} runner ended (${fieldText(line, 'surety')}: ${evidence})${announced}; ${requests}: ${fieldText(line, 'under')}.`;
+}
+
 /** Lines about the health of the runners that the request was sent to, from the nodes that handled it. */
 function runnerLinesOf(lines: readonly LogLine[], requestLines: readonly LogLine[]): LogLine[] {
   const runners = new Set(
