Requests that end their runner: red tests

Three scenarios (nine examples) on real processes: 3 gateways, 3 replicas, 14 runners. On this code 4 to 16 runners end under one request; at most 3 may.

--- /dev/null
+++ b/features/steps/fatal-requests.steps.ts
@@ -0,0 +1,76 @@
+/** Steps about requests that end their runner, checked by what clients and runners see. */
+import assert from 'node:assert/strict';
+import { AfterAll, Given, Then, When } from '@cucumber/cucumber';
+import { PLATFORM_HEADER_NAMES as NAMES } from '../../platform/header-names.js';
+import type { RouteKind } from '../../soak/fatal-request-check.js';
+import type { FatalEffect } from '../../src/emulator/fatal-effect.js';
+import { FatalWorld } from '../support/fatal-world.js';
+
+const START_TIMEOUT = { timeout: 60_000 };
+const ASK_TIMEOUT = { timeout: 60_000 };
+
+interface World {
+  /** Name of the request that ends its runner. */
+  subject: string;
+}
+
+/** The deployment, which all scenarios share: requests of one have nothing in common with those of another. */
+let deployment: FatalWorld | undefined;
+
+process.once('exit', () => deployment?.killAll());
+
+AfterAll(async () => {
+  await deployment?.stop();
+});
+
+Given(
+  '3 gateways, 3 replicas and 14 runners that start again under another id, as processes and servers',
+  START_TIMEOUT,
+  async function () {
+    if (deployment === undefined) {
+      deployment = new FatalWorld();
+      await deployment.start();
+    }
+    await deployment.check.untilAllUp();
+  },
+);
+
+When(
+  'a client asks 5 times for a {string} request that ends its runner by {string}, each time at another gateway',
+  ASK_TIMEOUT,
+  async function (this: World, kind: RouteKind, effect: FatalEffect) {
+    const { check } = deployment!;
+    this.subject = check.nameSubject();
+    await check.askFatal(kind, effect, this.subject);
+  },
+);
+
+When(
+  '2 clients ask 5 times at the same time for the same {string} request that ends its runner by {string}',
+  ASK_TIMEOUT,
+  async function (this: World, kind: RouteKind, effect: FatalEffect) {
+    const { check } = deployment!;
+    this.subject = check.nameSubject();
+    const ask = (): Promise<unknown> => check.askFatal(kind, effect, this.subject);
+    await Promise.all([ask(), ask()]);
+  },
+);
+
+When(
+  'a client asks 5 times for a {string} request that ends its runner by {string}, each time under another program',
+  ASK_TIMEOUT,
+  async function (this: World, kind: RouteKind, effect: FatalEffect) {
+    const { check } = deployment!;
+    this.subject = check.nameSubject();
+    await check.askFatal(kind, effect, this.subject, (tries) => ({
+      [NAMES.program]: `${this.subject}-${tries}`,
+      [NAMES.session]: `${this.subject}-${tries}`,
+    }));
+  },
+);
+
+Then('at most {int} runners ended under it', function (this: World, limit: number) {
+  const ended = deployment!.check.endedUnder(this.subject);
+  assert.ok(ended > 0, 'no runner ended');
+  assert.ok(ended <= limit, `${ended} runners ended`);
+});
--- a/soak/fatal-request-check.ts
+++ b/soak/fatal-request-check.ts
@@ -43,6 +43,9 @@
 const MAXIMUM_GROUP = 3;
 const CRASH_PAUSE_MILLISECONDS = 1_500;
 const CRASHES_AT_ONCE = 3;
+const POLL_MILLISECONDS = 50;
+/** Time in which a change of the list of runners is known everywhere. */
+const LISTED_MILLISECONDS = 1_200;
 const TIMEOUT_MILLISECONDS = 2_000;
 /** Effects of fatal requests; those that are answered whole show nothing against their request. */
 const EFFECTS: readonly FatalEffect[] = ['crash', 'crash', 'crashMidway', 'freeze', 'dark'];
@@ -51,7 +54,8 @@
 const OK = 200;
 const UNAVAILABLE = 503;
 
-type RouteKind = keyof typeof BRITTLE_ROUTES;
+/** Kind of a request. */
+export type RouteKind = keyof typeof BRITTLE_ROUTES;
 
 /** Dependencies of the check. */
 export interface FatalRequestCheckOptions {
@@ -85,7 +89,8 @@
   onceServed: number;
 }
 
-interface TryResult {
+/** What a client received in one try. */
+export interface TryResult {
   readonly status: number;
   readonly body: string;
   readonly complete: boolean;
@@ -135,29 +140,59 @@
     await this.runners.start();
   }
 
+  /** Stops the runners. */
+  async stop(): Promise<void> {
+    await this.runners.stop();
+  }
+
+  /** Resolves once all runners are up and listed for long enough that the gateways use them. */
+  async untilAllUp(): Promise<void> {
+    while (this.runners.liveRunners.length < RUNNERS) {
+      await sleep(POLL_MILLISECONDS);
+    }
+    await sleep(LISTED_MILLISECONDS);
+  }
+
+  /** Names a new fatal request. */
+  nameSubject(): string {
+    this.counts.fatal += 1;
+    const subject = String(this.counts.fatal);
+    this.ended.set(subject, new Set());
+    return subject;
+  }
+
+  /** Returns how many runners ended under a fatal request. */
+  endedUnder(subject: string): number {
+    return this.ended.get(subject)?.size ?? 0;
+  }
+
   /** Sends requests until `isOver` returns true, then stops the runners. */
   async run(isOver: () => boolean): Promise<void> {
     const clients = Array.from({ length: ORDINARY_CLIENTS }, () => this.runOrdinary(isOver));
     const { crashesByChance = true } = this.options;
     const others = crashesByChance ? [this.crashByChance(isOver)] : [];
     await Promise.all([...clients, ...others, this.runFatal(isOver)]);
-    await this.runners.stop();
+    await this.stop();
   }
 
-  /** Sends one fatal request, with all tries of its client. */
-  async askFatal(kind: RouteKind, effect: FatalEffect): Promise<readonly TryResult[]> {
+  /**
+   * Sends a fatal request, with all tries of its client, each at the next gateway.
+   * @param headers further headers of a try
+   */
+  async askFatal(
+    kind: RouteKind,
+    effect: FatalEffect,
+    subject = this.nameSubject(),
+    headers: (tries: number) => Record<string, string> = () => ({}),
+  ): Promise<readonly TryResult[]> {
     const { random, gatewayHosts, violate } = this.options;
-    this.counts.fatal += 1;
-    const subject = String(this.counts.fatal);
-    const runners = new Set<string>();
-    this.ended.set(subject, runners);
     const results: TryResult[] = [];
     const first = random.integer(0, gatewayHosts.length - 1);
     let received = '';
     for (let tries = 0; tries < FATAL_TRIES; tries += 1) {
       const host = gatewayHosts[(first + tries) % gatewayHosts.length]!;
       const query = `fatal=${effect}&subject=${subject}`;
-      const result = await this.send(host, kind, query, lastEventOf(received));
+      const result = await this.send(host, kind, query, lastEventOf(received), headers(tries));
       results.push(result);
       received += kind === 'resumable' ? result.body : '';
       if (result.status === OK && result.complete) {
@@ -165,8 +200,9 @@
       }
       await sleep(random.uniform() < PROMPT_SHARE ? 0 : TRY_PAUSE_MILLISECONDS);
     }
-    if (runners.size > MAXIMUM_ENDED_RUNNERS) {
-      const detail = `request ${subject} (${kind}, ${effect}) ended ${runners.size} runners in ${results.length} tries`;
+    const ended = this.endedUnder(subject);
+    if (ended > MAXIMUM_ENDED_RUNNERS) {
+      const detail = `request ${subject} (${kind}, ${effect}) ended ${ended} runners in ${results.length} tries`;
       violate('ended runners', detail);
     }
     return results;
@@ -240,7 +276,8 @@
     host: string,
     kind: RouteKind,
     query: string,
-    lastEvent: string | undefined,
+    lastEvent?: string,
+    more: Record<string, string> = {},
   ): Promise<TryResult> {
     this.requests += 1;
     const isStream = kind === 'resumable' || kind === 'broken';
@@ -251,6 +288,7 @@
       [NAMES.timeout]: String(TIMEOUT_MILLISECONDS),
       [NAMES.key]: `Token ${SOAK_KEY}`,
       ...(lastEvent === undefined ? {} : { [NAMES.lastEventId]: lastEvent }),
+      ...more,
     };
     const path = `/${BRITTLE_ROUTES[kind]}/work?${isStream ? 'stream&' : ''}${query}`;
     return new Promise((resolve) => {
