--- a/features/steps/peers.steps.ts
+++ b/features/steps/peers.steps.ts
@@ -24,7 +24,7 @@
   toAggregates,
 } from '../../src/peers/aggregates.js';
 import { encodeAggregates } from '../../src/peers/aggregate-codec.js';
-import { ENCOUNTER_STATES } from '../../src/relay/suspects/suspect-record.js';
+import { ENCOUNTER_STATES } from '../../src/suspects/suspect-record.js';
 import { promptKeyOf } from '../../src/relay/request/relay-request.js';
 import { hashToNumber } from '../../src/runtime/hashing.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
--- a/features/steps/two-builds.steps.ts
+++ b/features/steps/two-builds.steps.ts
@@ -108,6 +108,10 @@
     fields: { found: true, service: 'm', version: 'v' },
     hex: '1c000000090100016d000176',
   },
+  recordSuspects: { fields: { news: Buffer.from('ab', 'hex') }, hex: '1d0000000900000001ab' },
+  suspectsRecorded: { fields: {}, hex: '1e00000009' },
+  readSuspects: { fields: {}, hex: '1f00000009' },
+  suspectsRead: { fields: { news: Buffer.from('ab', 'hex') }, hex: '200000000900000001ab' },
 };
 const RECORD_HEADER_BYTES = 8;
 const UNKNOWN_RECORD_KIND = 4;
--- a/features/support/wire-arbitraries.ts
+++ b/features/support/wire-arbitraries.ts
@@ -109,6 +109,10 @@
   originsRecorded: { call: whole },
   findOrigin: { call: whole, stream: text },
   originFound: { call: whole, found: fc.boolean(), service: text, version: text },
+  recordSuspects: { call: whole, news: bytes },
+  suspectsRecorded: { call: whole },
+  readSuspects: { call: whole },
+  suspectsRead: { call: whole, news: bytes },
 };
 
 /** Generates a message of any kind. */
--- a/src/peers/load-gossip.ts
+++ b/src/peers/load-gossip.ts
@@ -35,7 +35,7 @@
 import { sumAggregates } from './aggregates.js';
 import { NO_AMOUNTS } from './aggregate-registry.js';
 import type { Aggregate, AmountsByKey, AmountsByTopic, AggregateTopic } from './aggregates.js';
-import type { SuspectNews } from './suspect-news.js';
+import type { SuspectNews } from '../suspects/suspect-news.js';
 
 export interface LoadGossipOptions extends OwnState {
   readonly runtime: Runtime;
--- a/src/peers/load-message.ts
+++ b/src/peers/load-message.ts
@@ -17,8 +17,8 @@
 import type { PromptPlace } from './recent-places.js';
 import type { Aggregate } from './aggregates.js';
 import { decodeAggregates, encodeAggregates } from './aggregate-codec.js';
-import { decodeSuspects, encodeSuspects } from './suspect-news.js';
-import type { SuspectNews } from './suspect-news.js';
+import { decodeSuspects, encodeSuspects } from '../suspects/suspect-news.js';
+import type { SuspectNews } from '../suspects/suspect-news.js';
 
 /** Requests in progress at one runner. */
 export interface RunnerLoad {
--- a/src/peers/message-writer.ts
+++ b/src/peers/message-writer.ts
@@ -13,7 +13,7 @@
 import type { PromptPlace } from './recent-places.js';
 import { sumAggregates, toAggregates } from './aggregates.js';
 import type { Aggregate } from './aggregates.js';
-import type { SuspectNews } from './suspect-news.js';
+import type { SuspectNews } from '../suspects/suspect-news.js';
 
 /** What a gateway reports of itself. */
 export interface OwnState {
--- a/src/relay/request/fingerprint.ts
+++ b/src/relay/request/fingerprint.ts
@@ -4,14 +4,9 @@
  * a request is recognized when another program sends it too.
  */
 import { hashContent } from '../../runtime/hashing.js';
+import type { Fingerprint } from '../../suspects/fingerprint.js';
 import type { RelayRequest } from './relay-request.js';
 
-/** Fingerprint of a request, 53 bits. */
-export type Fingerprint = number & { readonly brand: 'Fingerprint' };
-
-/** Radix in which fingerprints are written in logs. */
-const HEXADECIMAL = 16;
-
 function fingerprintOf(request: RelayRequest, sender: readonly string[]): Fingerprint {
   const { method, path, route, tenant, previousTurn = '', affinityKey = '', body } = request;
   const content = [tenant?.id ?? '', route.host, method, path, previousTurn, affinityKey];
@@ -37,8 +32,3 @@
   computed.set(request, [own, content]);
   return [own, content];
 }
-
-/** Returns a fingerprint as logs name it. */
-export function fingerprintText(fingerprint: Fingerprint): string {
-  return fingerprint.toString(HEXADECIMAL);
-}
--- a/src/relay/runners/runner-end-log.ts
+++ b/src/relay/runners/runner-end-log.ts
@@ -1,6 +1,7 @@
 /** Log entries and metrics of the ends of runners. */
 import type { Runtime } from '../../runtime/runtime.js';
-import { fingerprintsOf, fingerprintText } from '../request/fingerprint.js';
+import { fingerprintText } from '../../suspects/fingerprint.js';
+import { fingerprintsOf } from '../request/fingerprint.js';
 import type { RelayMetrics } from '../relay-metrics.js';
 import { END_EVIDENCE } from './runner-ends.js';
 import type { Exposure, RunnerEnd } from './runner-ends.js';
--- a/src/relay/suspects/request-suspects.ts
+++ b/src/relay/suspects/request-suspects.ts
@@ -3,15 +3,16 @@
  * it meets. Nothing is computed for a request while no runner has ended under any.
  */
 import type { Runtime } from '../../runtime/runtime.js';
-import { fingerprintsOf, fingerprintText } from '../request/fingerprint.js';
-import type { Fingerprint } from '../request/fingerprint.js';
+import { fingerprintText } from '../../suspects/fingerprint.js';
+import type { Fingerprint } from '../../suspects/fingerprint.js';
+import type { EncounterState, SuspectRecord } from '../../suspects/suspect-record.js';
+import { SuspectTable, SUSPECT_RETENTION_MILLISECONDS } from '../../suspects/suspect-table.js';
+import { fingerprintsOf } from '../request/fingerprint.js';
 import type { RelayRequest } from '../request/relay-request.js';
 import { runnerLossLimitOf } from '../request/routing-table.js';
 import type { Exposure } from '../runners/runner-ends.js';
 import type { RunnerRegistry } from '../runners/runner-registry.js';
 import { RecentAnswers } from './recent-answers.js';
-import type { EncounterState, SuspectRecord } from './suspect-record.js';
-import { SuspectTable, SUSPECT_RETENTION_MILLISECONDS } from './suspect-table.js';
 
 /** What is known about a request, as far as it matters for sending it. */
 export type Verdict =
@@ -48,6 +49,10 @@
 /** The suspected requests of a gateway. */
 export class RequestSuspects {
   readonly table: SuspectTable;
+  /** Whether what was known before this gateway started has been read. */
+  isLoaded: () => boolean = () => true;
+  /** Calls back once it has been read. */
+  whenLoaded: (listener: () => void) => void = (listener) => listener();
   private readonly answers: RecentAnswers;
   /** Fingerprints whose quarantine was logged. */
   private readonly logged = new Set<Fingerprint>();
--- a/src/relay/tries/call-log.ts
+++ b/src/relay/tries/call-log.ts
@@ -2,7 +2,8 @@
 import type { LogFields } from '../../runtime/runtime.js';
 import type { AnswerDelivery } from '../answers/answer-delivery.js';
 import type { RelayContext } from '../relay-context.js';
-import { fingerprintsOf, fingerprintText } from '../request/fingerprint.js';
+import { fingerprintText } from '../../suspects/fingerprint.js';
+import { fingerprintsOf } from '../request/fingerprint.js';
 import type { RelayRequest } from '../request/relay-request.js';
 import type { StreamOrigin } from '../../turns/stream-origins.js';
 import type { OriginSource } from '../runners/resumable-streams.js';
--- a/src/peers/suspect-news.ts
+++ b/src/suspects/suspect-news.ts
@@ -1,8 +1,8 @@
-/** What gateways tell one another of requests under which runners ended, carried as an extension section of load messages. */
+/** What processes tell one another of requests under which runners ended: between gateways, and to the members. */
 import * as r from 'restructure';
 import { WireError } from '../wire/fields.js';
-import { ENCOUNTER_STATES } from '../relay/suspects/suspect-record.js';
-import type { EncounterState } from '../relay/suspects/suspect-record.js';
+import { ENCOUNTER_STATES } from './suspect-record.js';
+import type { EncounterState } from './suspect-record.js';
 
 /** One runner that met a request. */
 export interface EncounterNews {
@@ -23,8 +23,6 @@
   readonly encounters: readonly EncounterNews[];
 }
 
-/** Largest number of requests in a message. */
-export const MAXIMUM_NEWS = 24;
 /** Largest number of encounters of a request in a message. */
 const MAXIMUM_ENCOUNTERS = 8;
 /** Size of an encoded request without its encounters: fingerprint, age and number of encounters. */
@@ -41,7 +39,7 @@
 
 /** Encodes what is known of requests; a request of which too much is known is told by its first encounters. */
 export function encodeSuspects(news: readonly SuspectNews[]): Uint8Array {
-  const bounded = news.slice(0, MAXIMUM_NEWS).map((each) => ({
+  const bounded = news.map((each) => ({
     ...each,
     encounters: each.encounters.slice(0, MAXIMUM_ENCOUNTERS),
   }));
@@ -65,7 +63,7 @@
   return bytes;
 }
 
-/** Decodes the content of a section. Throws on truncated input; encounters in states of newer builds are left out. */
+/** Decodes what is known of requests. Throws on truncated input; encounters in states of newer builds are left out. */
 export function decodeSuspects(bytes: Uint8Array): SuspectNews[] {
   const stream = new r.DecodeStream(bytes);
   const news: SuspectNews[] = [];
--- a/src/relay/suspects/suspect-table.ts
+++ b/src/suspects/suspect-table.ts
@@ -1,10 +1,9 @@
 /**
  * The requests under which runners have ended, or may have ended, as far as this gateway knows. Empty while nothing ends.
  */
-import type { SuspectNews } from '../../peers/suspect-news.js';
-import { MAXIMUM_NEWS } from '../../peers/suspect-news.js';
-import type { Runtime } from '../../runtime/runtime.js';
-import type { Fingerprint } from '../request/fingerprint.js';
+import type { SuspectNews } from './suspect-news.js';
+import type { Runtime } from '../runtime/runtime.js';
+import type { Fingerprint } from './fingerprint.js';
 import { SuspectRecord } from './suspect-record.js';
 import type { Encounter } from './suspect-record.js';
 
@@ -17,6 +16,10 @@
 const MAXIMUM_RECORDS = 4_096;
 /** Share of the records that goes when there are too many, so that they are ranked only now and then. */
 const EVICTED_SHARE = 0.1;
+/** Largest number of requests in a message between gateways. */
+const MAXIMUM_NEWS = 24;
+/** Largest number of requests in the answer to a gateway that starts. */
+const MAXIMUM_SNAPSHOT = 1_000;
 /** Number of regular messages that carry a change, to make up for lost datagrams. */
 const REPEATS = 3;
 /** Requests that a message repeats in turn, for gateways that missed the change or started since. */
@@ -36,6 +39,8 @@
   private readonly untold = new Map<Fingerprint, number>();
   /** Requests whose changes are to be told at once. */
   private readonly urgent = new Set<Fingerprint>();
+  /** Requests whose changes are to be kept by the members of the replicas. */
+  private readonly unrecorded = new Set<Fingerprint>();
   /** Number of open encounters at each runner. */
   private readonly openByRunner = new Map<number, number>();
   private readonly listeners = new Map<Fingerprint, Set<ChangeListener>>();
@@ -92,6 +97,7 @@
    * @param forwards whether this gateway passes it on at once
    */
   merge(news: readonly SuspectNews[], forwards: boolean): boolean {
+    this.sweep();
     let isNews = false;
     for (const { fingerprint, answeredAgeMilliseconds: age, encounters } of news) {
       const now = this.runtime.now();
@@ -120,7 +126,7 @@
       return [];
     }
     this.sweep();
-    const told = this.mostSerious(this.untold.keys());
+    const told = this.mostSerious(this.untold.keys(), MAXIMUM_NEWS);
     for (const fingerprint of told) {
       const left = this.untold.get(fingerprint)! - 1;
       if (left === 0) {
@@ -134,9 +140,19 @@
 
   /** Returns what is to be told at once; call again until it is empty. */
   takeUrgentNews(): readonly SuspectNews[] {
-    const told = this.mostSerious(this.urgent);
-    told.forEach((fingerprint) => this.urgent.delete(fingerprint));
-    return told.flatMap((each) => this.newsOf(each));
+    return this.takeFrom(this.urgent);
+  }
+
+  /** Returns what the members of the replicas should keep; call again until it is empty. */
+  takeUnrecordedNews(): readonly SuspectNews[] {
+    return this.takeFrom(this.unrecorded);
+  }
+
+  /** Returns what a process that starts should know. */
+  snapshot(): readonly SuspectNews[] {
+    this.sweep();
+    const known = this.mostSerious(this.records.keys(), MAXIMUM_SNAPSHOT);
+    return known.flatMap((each) => this.newsOf(each));
   }
 
   /** Calls a listener once with the next change of one of some requests; returns the function that cancels it. */
@@ -201,16 +217,23 @@
   private tell(fingerprint: Fingerprint): void {
     this.untold.set(fingerprint, REPEATS);
     this.urgent.add(fingerprint);
+    this.unrecorded.add(fingerprint);
+  }
+
+  private takeFrom(waiting: Set<Fingerprint>): readonly SuspectNews[] {
+    const taken = this.mostSerious(waiting, MAXIMUM_NEWS);
+    taken.forEach((fingerprint) => waiting.delete(fingerprint));
+    return taken.flatMap((each) => this.newsOf(each));
   }
 
-  /** Returns the requests with the most ends, as many as a message holds. */
-  private mostSerious(fingerprints: Iterable<Fingerprint>): Fingerprint[] {
+  /** Returns the requests with the most ends, up to a number. */
+  private mostSerious(fingerprints: Iterable<Fingerprint>, maximum: number): Fingerprint[] {
     const all = [...fingerprints];
-    if (all.length <= MAXIMUM_NEWS) {
+    if (all.length <= maximum) {
       return all;
     }
-    const weight = (each: Fingerprint): number => this.records.get(each)?.lossCount ?? 0;
-    return all.sort((left, right) => weight(right) - weight(left)).slice(0, MAXIMUM_NEWS);
+    const weights = new Map(all.map((each) => [each, this.records.get(each)?.lossCount ?? 0]));
+    return all.sort((left, right) => weights.get(right)! - weights.get(left)!).slice(0, maximum);
   }
 
   /** Returns the requests that are repeated in this message, and moves them to the end of the turn. */
@@ -281,6 +304,7 @@
     this.records.delete(fingerprint);
     this.untold.delete(fingerprint);
     this.urgent.delete(fingerprint);
+    this.unrecorded.delete(fingerprint);
     this.change(fingerprint, record);
   }
 }
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -113,7 +113,11 @@
   /** Records where streams began; held in memory for the time in which clients may resume them. */
   | { type: 'recordOrigins'; call: number; entries: StreamOriginEntry[] }
   /** Asks where a stream began. */
-  | { type: 'findOrigin'; call: number; stream: string };
+  | { type: 'findOrigin'; call: number; stream: string }
+  /** Records requests under which runners ended, encoded by `encodeSuspects`; held in memory. */
+  | { type: 'recordSuspects'; call: number; news: Buffer }
+  /** Asks for all such requests. */
+  | { type: 'readSuspects'; call: number };
 
 /** Replies. */
 export type ReplicaReply =
@@ -132,7 +136,9 @@
   | ({ type: 'spentForProgram'; call: number; outcome: ReplicaOutcome } & ProgramDecision)
   | { type: 'originsRecorded'; call: number }
   /** The origin of a stream; its texts are empty if this replica has no record. */
-  | ({ type: 'originFound'; call: number; found: boolean } & StreamOrigin);
+  | ({ type: 'originFound'; call: number; found: boolean } & StreamOrigin)
+  | { type: 'suspectsRecorded'; call: number }
+  | { type: 'suspectsRead'; call: number; news: Buffer };
 
 /** The reply to a pull. */
 export interface PulledLog {
@@ -323,6 +329,10 @@
     type: 'originFound',
     fields: { call: uint32, found: bool, service: shortText, version: shortText },
   },
+  { type: 'recordSuspects', fields: { call: uint32, news: bytes } },
+  { type: 'suspectsRecorded', fields: { call: uint32 } },
+  { type: 'readSuspects', fields: { call: uint32 } },
+  { type: 'suspectsRead', fields: { call: uint32, news: bytes } },
 ];
 const message = new TaggedUnion(BRANCHES);
 
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -33,6 +33,8 @@
 import { unpackDigests } from './reservation-digests.js';
 import { StreamOrigins } from './stream-origins.js';
 import type { StreamOrigin } from './stream-origins.js';
+import { decodeSuspects, encodeSuspects } from '../suspects/suspect-news.js';
+import { SuspectTable } from '../suspects/suspect-table.js';
 import type {
   ReplicaMeta,
   StorageChange,
@@ -71,6 +73,12 @@
 
 type ChainLookup = ReturnType<ReplicaState['chainOf']>;
 
+/** Requests about what a replica holds in memory only. */
+type MemoryRequest = Extract<
+  ReplicaRequest,
+  { type: 'recordOrigins' | 'findOrigin' | 'recordSuspects' | 'readSuspects' }
+>;
+
 type SpendForProgram = Extract<ReplicaRequest, { type: 'spendForProgram' }>;
 
 /** The decision of a replica that may not grant anything. */
@@ -94,6 +102,8 @@
   readonly state = new ReplicaState();
   /** Where streams began; lost with this process, since other members hold the same. */
   readonly streamOrigins: StreamOrigins;
+  /** Requests under which runners ended; lost with this process, since other members hold the same. */
+  readonly suspects: SuspectTable;
   /** Identifies the log of this process; positions are only valid within the log of one process. */
   readonly logName: string;
   /** Read progress of other replicas in this replica's log, keyed by replica id. */
@@ -133,6 +143,7 @@
     );
     this.quotaShares = new QuotaShares(id, runtime.now());
     this.streamOrigins = new StreamOrigins({ runtime, maximumEntries: MAXIMUM_STREAM_ORIGINS });
+    this.suspects = new SuspectTable(runtime);
     this.logName = `${id} ${runtime.wallTime()} ${runtime.random.uniform()}`;
     this.cancelExpiry = setRepeatingTimer(runtime, EXPIRY_INTERVAL_MILLISECONDS, () =>
       this.expire(),
@@ -299,12 +310,30 @@
       case 'spendForProgram':
         this.spendForProgram(request, send);
         return;
+      default:
+        this.handleInMemory(request, send);
+    }
+  }
+
+  /** Handles a request about what this replica holds in memory only. */
+  private handleInMemory(request: MemoryRequest, send: ReplySender): void {
+    const { call } = request;
+    switch (request.type) {
       case 'recordOrigins':
         request.entries.forEach((entry) => this.streamOrigins.record(entry));
         send({ type: 'originsRecorded', call });
         return;
       case 'findOrigin':
         send({ type: 'originFound', call, ...this.findOrigin(request.stream) });
+        return;
+      case 'recordSuspects':
+        this.suspects.merge(decodeSuspects(request.news), false);
+        send({ type: 'suspectsRecorded', call });
+        return;
+      case 'readSuspects': {
+        const news = Buffer.from(encodeSuspects(this.suspects.snapshot()));
+        send({ type: 'suspectsRead', call, news });
+      }
     }
   }
 
