--- a/features/steps/peers.steps.ts
+++ b/features/steps/peers.steps.ts
@@ -212,7 +212,7 @@
     {
       runnerHash,
       state: fc.constantFrom(...ENCOUNTER_STATES),
-      isInformed: fc.boolean(),
+      round: fc.nat(0xff),
       isCommon: fc.boolean(),
       ageMilliseconds: age,
     },
--- a/soak/fatal-request-check.ts
+++ b/soak/fatal-request-check.ts
@@ -33,6 +33,7 @@
 const ORDINARY_PAUSE_MILLISECONDS = 30;
 /** Share of the ordinary requests that are all alike. */
 const COMMON_SHARE = 0.25;
+const COMMON_ITEM = 'common';
 const ORDINARY_TRIES = 3;
 const FATAL_TRIES = 5;
 const TRY_PAUSE_MILLISECONDS = 250;
@@ -52,6 +53,7 @@
 /** Text by which a gateway explains that it refuses a request since runners ended under it. */
 const SUSPECTED_TEXT = /runners (have )?ended/;
 const OK = 200;
+const MILLISECONDS_IN_DAY = 86_400_000;
 const UNAVAILABLE = 503;
 
 /** Kind of a request. */
@@ -87,6 +89,8 @@
   /** Ordinary requests that run once, and those of them that were served. */
   once: number;
   onceServed: number;
+  /** Ordinary requests that were refused since as many runners had ended under them as may, by chance or beside others. */
+  unlucky: number;
 }
 
 /** What a client received in one try. */
@@ -115,10 +119,15 @@
     repeatableServed: 0,
     once: 0,
     onceServed: 0,
+    unlucky: 0,
   };
   private readonly runners: RestartingRunners;
   /** Runners that ended under a fatal request, by its subject. */
   private readonly ended = new Map<string, Set<string>>();
+  /** Number of runners that ended while an ordinary request was there, by its item. */
+  private readonly endedBeside = new Map<string, number>();
+  /** What happened to each fatal request, for the report of a violation. */
+  private readonly histories = new Map<string, string[]>();
   private requests = 0;
 
   constructor(private readonly options: FatalRequestCheckOptions) {
@@ -130,6 +139,7 @@
       store,
       addressOf: (place) => addressOf(FIRST_ADDRESS + place),
       onFatal: (runner, run) => this.noteEnded(runner, run),
+      onEnd: (runs) => this.noteBeside(runs),
       eventCount: EVENTS,
       eventMilliseconds: EVENT_MILLISECONDS,
     });
@@ -192,7 +202,9 @@
     for (let tries = 0; tries < FATAL_TRIES; tries += 1) {
       const host = gatewayHosts[(first + tries) % gatewayHosts.length]!;
       const query = `fatal=${effect}&subject=${subject}`;
+      this.note(subject, `try ${tries + 1} at ${host} as brittle-${this.requests + 1}`);
       const result = await this.send(host, kind, query, lastEventOf(received), headers(tries));
+      this.note(subject, `try ${tries + 1} got ${result.status}`);
       results.push(result);
       received += kind === 'resumable' ? result.body : '';
       if (result.status === OK && result.complete) {
@@ -202,14 +214,28 @@
     }
     const ended = this.endedUnder(subject);
     if (ended > MAXIMUM_ENDED_RUNNERS) {
-      const detail = `request ${subject} (${kind}, ${effect}) ended ${ended} runners in ${results.length} tries`;
+      const history = this.histories.get(subject)?.join('; ') ?? '';
+      const detail = `request ${subject} (${kind}, ${effect}) ended ${ended} runners in ${results.length} tries: ${history}`;
       violate('ended runners', detail);
     }
     return results;
   }
 
-  private noteEnded(runner: RelayRunner, { path }: RunnerRun): void {
+  private noteBeside(runs: readonly RunnerRun[]): void {
+    const items = runs.flatMap(({ path }) => /item=(\w+)/.exec(path)?.[1] ?? []);
+    new Set(items).forEach((item) =>
+      this.endedBeside.set(item, (this.endedBeside.get(item) ?? 0) + 1),
+    );
+  }
+
+  private note(subject: string, text: string): void {
+    const lines = this.histories.get(subject) ?? [];
+    this.histories.set(subject, [...lines, `${Date.now() % MILLISECONDS_IN_DAY} ${text}`]);
+  }
+
+  private noteEnded(runner: RelayRunner, { path, requestId }: RunnerRun): void {
     const subject = /subject=(\w+)/.exec(path)?.[1] ?? '';
+    this.note(subject, `${runner.id} ends under ${requestId}`);
     const runners = this.ended.get(subject);
     runners?.add(runner.id);
     this.counts.endedRunners += 1;
@@ -256,7 +282,7 @@
     const { random, gatewayHosts, violate } = this.options;
     const { counts } = this;
     const mayRepeat = kind === 'repeatable' || kind === 'resumable';
-    const item = random.uniform() < COMMON_SHARE ? 'common' : String(this.requests);
+    const item = random.uniform() < COMMON_SHARE ? COMMON_ITEM : String(this.requests);
     let received = '';
     let isServed = false;
     for (let tries = 0; tries < (mayRepeat ? ORDINARY_TRIES : 1) && !isServed; tries += 1) {
@@ -265,7 +291,13 @@
       received += kind === 'resumable' ? result.body : '';
       isServed = result.status === OK && result.complete;
       if (result.status === UNAVAILABLE && SUSPECTED_TEXT.test(result.body)) {
-        violate('innocent request', `item ${item} (${kind}) was refused: ${result.body}`);
+        const ended = this.endedBeside.get(item) ?? 0;
+        if (item !== COMMON_ITEM && ended >= MAXIMUM_ENDED_RUNNERS) {
+          counts.unlucky += 1;
+        } else {
+          const detail = `item ${item} (${kind}) was refused after ${ended} ended runners: ${result.body}`;
+          violate('innocent request', detail);
+        }
       }
     }
     counts[mayRepeat ? 'repeatable' : 'once'] += 1;
--- a/soak/restarting-runners.ts
+++ b/soak/restarting-runners.ts
@@ -15,6 +15,8 @@
   readonly addressOf: (place: number) => string;
   /** Called with the request that ended or froze a runner. */
   readonly onFatal: (runner: RelayRunner, run: RunnerRun) => void;
+  /** Called with the requests that were at a runner when it ended or froze. */
+  readonly onEnd: (runs: readonly RunnerRun[]) => void;
   readonly eventCount: number;
   readonly eventMilliseconds: number;
 }
@@ -54,8 +56,8 @@
 
   /** Ends a runner that is up, as a crash does. */
   crash(runner: RelayRunner): void {
-    runner.end();
     this.restart(runner);
+    runner.end();
   }
 
   /** Ends all runners for good. */
@@ -70,6 +72,7 @@
       return;
     }
     this.live[place] = undefined;
+    this.options.onEnd(ended.unfinishedRuns);
     void sleep(DOWN_MILLISECONDS).then(async () => {
       // A runner that stands still ends here.
       ended.end();
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -196,7 +196,6 @@
     const { metrics, registry, suspects } = this;
     const ends = new RunnerEnds({
       runtime,
-      hasConnection: (runner) => connections.hasOpen(runner),
       probe: (runner, done) => connections.probe(runner, done),
       onEnd: (record, end, exposures, isFirst) => {
         logRunnerEnd({ runtime, metrics }, record, end, exposures, isFirst);
@@ -208,8 +207,8 @@
         logRunnerEndWithdrawn(runtime, record);
         suspects.noteWithdrawn(record.hash);
       },
-      onSilent: ({ request, record, isInformed }) =>
-        suspects.noteOpen(request, record.hash, isInformed),
+      onDoubtful: ({ request, record, known }) =>
+        suspects.noteOpen(request, record.hash, known.lossCount),
       onSurvived: ({ request, record }) => suspects.noteOver(request, record.hash),
     });
     registry.hasSuspect = (runnerHash) => suspects.isSuspectAt(runnerHash);
--- a/src/relay/request/fingerprint.ts
+++ b/src/relay/request/fingerprint.ts
@@ -3,32 +3,37 @@
  * has two. One covers what its client sends and the program that it belongs to, the other one the content alone, so that
  * a request is recognized when another program sends it too.
  */
-import { hashContent } from '../../runtime/hashing.js';
+import { hashBytes, hashToExactNumber } from '../../runtime/hashing.js';
 import type { Fingerprint } from '../../suspects/fingerprint.js';
 import type { RelayRequest } from './relay-request.js';
 
-function fingerprintOf(request: RelayRequest, sender: readonly string[]): Fingerprint {
-  const { method, path, route, tenant, previousTurn = '', affinityKey = '', body } = request;
-  const content = [tenant?.id ?? '', route.host, method, path, previousTurn, affinityKey];
-  return hashContent(JSON.stringify([...content, ...sender]), body) as Fingerprint;
+/** The fingerprints of a request; the same if it belongs to no program. */
+export interface RequestFingerprints {
+  readonly own: Fingerprint;
+  readonly content: Fingerprint;
 }
 
 /** Fingerprints that were computed before. */
-const computed = new WeakMap<RelayRequest, readonly [Fingerprint, Fingerprint]>();
+const computed = new WeakMap<RelayRequest, RequestFingerprints>();
 
-/**
- * Returns the fingerprints of a request: that of its program's request, and that of its content, which are the same for
- * requests without a program.
- */
-export function fingerprintsOf(request: RelayRequest): readonly [Fingerprint, Fingerprint] {
-  const known = computed.get(request);
-  if (known !== undefined) {
-    return known;
-  }
-  const content = fingerprintOf(request, []);
+function compute(request: RelayRequest): RequestFingerprints {
+  const { method, path, route, tenant, previousTurn = '', affinityKey = '', body } = request;
+  const parts = [tenant?.id ?? '', route.host, method, path, previousTurn, affinityKey];
+  const bodyHash = hashBytes(body);
+  const fingerprintOf = (...sender: string[]): Fingerprint =>
+    hashToExactNumber(JSON.stringify([...parts, ...sender]), bodyHash) as Fingerprint;
+  const content = fingerprintOf();
   const { program } = request;
-  const own =
-    program === undefined ? content : fingerprintOf(request, [program.program, program.session]);
-  computed.set(request, [own, content]);
-  return [own, content];
+  const own = program === undefined ? content : fingerprintOf(program.program, program.session);
+  return { own, content };
+}
+
+/** Returns the fingerprints of a request. */
+export function fingerprintsOf(request: RelayRequest): RequestFingerprints {
+  let known = computed.get(request);
+  if (known === undefined) {
+    known = compute(request);
+    computed.set(request, known);
+  }
+  return known;
 }
--- a/src/relay/runners/runner-end-log.ts
+++ b/src/relay/runners/runner-end-log.ts
@@ -12,7 +12,7 @@
 
 /** Returns the id and the fingerprint of a request, as `id:fingerprint`. */
 function requestText({ request }: Exposure): string {
-  return `${request.id}:${fingerprintText(fingerprintsOf(request)[0])}`;
+  return `${request.id}:${fingerprintText(fingerprintsOf(request).own)}`;
 }
 
 /** Logs and counts the end of a runner and the requests that were there. */
--- a/src/relay/runners/runner-ends.ts
+++ b/src/relay/runners/runner-ends.ts
@@ -9,8 +9,8 @@
  * | `unreachable` | it sends nothing, and no connection to it can be opened                    | presumed  |
  * | `unlisted`    | its entry has gone while requests waited for it and it sent nothing        | presumed  |
  *
- * A presumed end is withdrawn when the runner answers. A connection that is lost proves nothing by itself: the
- * runner counts as alive if other connections to it stand, or if a new one can be opened.
+ * A presumed end is withdrawn when the runner answers. A connection that is lost proves nothing by itself, and one that
+ * stands neither, since its end may not have been read yet: the runner counts as alive if a new one can be opened.
  */
 import type { Runtime } from '../../runtime/runtime.js';
 import type { RelayRequest } from '../request/relay-request.js';
@@ -36,14 +36,22 @@
   readonly wasAnnounced: boolean;
 }
 
+/** What a sender knows of the runners that ended under a request. */
+export interface KnownLosses {
+  /** Whether runners have ended, or may have ended. */
+  readonly isSuspect: boolean;
+  /** Number of ends that count. */
+  readonly lossCount: number;
+}
+
 /** A request that was written to a runner and of which the outcome is not known yet. */
 export interface Exposure {
   readonly request: RelayRequest;
   readonly record: RunnerRecord;
   /** Local time at which the request was written, in milliseconds. */
   readonly sentAt: number;
-  /** Whether it was known that runners may have ended under the request. */
-  readonly isInformed: boolean;
+  /** What was known of the request when it was sent. */
+  readonly known: KnownLosses;
   /** Local time at which its connection was lost or given up, in milliseconds; undefined before. */
   lostAt: number | undefined;
 }
@@ -51,8 +59,6 @@
 /** Dependencies of {@link RunnerEnds}. */
 export interface RunnerEndsOptions {
   readonly runtime: Runtime;
-  /** Whether a connection to the runner's address is open. */
-  readonly hasConnection: (runner: Runner) => boolean;
   /** Tries to open a connection to the runner's address. */
   readonly probe: (
     runner: Runner,
@@ -67,8 +73,8 @@
   ) => void;
   /** Called when a runner that was presumed to have ended answers. */
   readonly onWithdrawn: (record: RunnerRecord) => void;
-  /** Called when a request was given up, or its connection was lost, after its runner had been silent for unusually long. */
-  readonly onSilent: (exposure: Exposure) => void;
+  /** Called when a request was given up, or its connection was lost, and its runner may have ended. */
+  readonly onDoubtful: (exposure: Exposure) => void;
   /** Called when a runner answers after the connection of a request was lost or given up. */
   readonly onSurvived: (exposure: Exposure) => void;
 }
@@ -76,7 +82,7 @@
 /** Called with whether the runner has ended. */
 type ExaminationListener = (hasEnded: boolean) => void;
 
-/** Time in which the other connections to a runner that ends are lost too, in milliseconds. */
+/** Time after a connection was lost in which a runner that ends still may take new ones, in milliseconds. */
 const CLOSING_MILLISECONDS = 5;
 /** Time for which a lost request is remembered in case its runner turns out to have ended, in milliseconds. */
 const LOST_RETENTION_MILLISECONDS = 10_000;
@@ -90,9 +96,9 @@
   constructor(private readonly options: RunnerEndsOptions) {}
 
   /** Records that a request is about to be written to a runner. */
-  expose(record: RunnerRecord, request: RelayRequest, isInformed: boolean): Exposure {
+  expose(record: RunnerRecord, request: RelayRequest, known: KnownLosses): Exposure {
     const sentAt = this.options.runtime.now();
-    return { request, record, sentAt, isInformed, lostAt: undefined };
+    return { request, record, sentAt, known, lostAt: undefined };
   }
 
   /** Records that the connection of a request was lost; calls back once it is known whether its runner has ended. */
@@ -101,8 +107,8 @@
     this.markLost(exposure);
     if (record.end === undefined) {
       this.examine(record, (hasEnded) => {
-        if (!hasEnded && this.wasSilent(exposure)) {
-          this.options.onSilent(exposure);
+        if (!hasEnded && this.isDoubtful(exposure)) {
+          this.options.onDoubtful(exposure);
         }
         done(hasEnded);
       });
@@ -113,12 +119,11 @@
   }
 
   /**
-   * Records that a request was given up without a whole answer; returns whether its runner has sent nothing for so long that
-   * it may have ended.
+   * Records that a request was given up without a whole answer; returns whether it has to be seen first that its runner lives.
    */
   abandon(exposure: Exposure): boolean {
     const { record } = exposure;
-    if (!this.wasSilent(exposure)) {
+    if (!this.isDoubtful(exposure)) {
       return false;
     }
     this.markLost(exposure);
@@ -127,7 +132,7 @@
     } else if (record.removedAt !== undefined && record.runner.ready) {
       this.noteEvidence(record, 'unlisted', false);
     } else {
-      this.options.onSilent(exposure);
+      this.options.onDoubtful(exposure);
     }
     return true;
   }
@@ -169,10 +174,13 @@
     }
   }
 
-  /** Whether a runner has sent nothing since a request was written, for longer than is usual in its service. */
-  private wasSilent({ record, sentAt }: Exposure): boolean {
-    const silence = this.options.runtime.now() - sentAt;
-    return record.lastReceivedAt <= sentAt && silence >= record.inactivity.timeoutMilliseconds;
+  /**
+   * Whether it has to be seen first that a runner lives: it has sent nothing for longer than is usual in its service, or
+   * other runners may have ended under the request.
+   */
+  private isDoubtful({ record, sentAt, known }: Exposure): boolean {
+    const silence = this.options.runtime.now() - Math.max(sentAt, record.lastReceivedAt);
+    return known.isSuspect || silence >= record.inactivity.timeoutMilliseconds;
   }
 
   private markLost(exposure: Exposure): void {
@@ -209,9 +217,9 @@
       return;
     }
     this.examinations.set(record, [done]);
-    const { runtime, hasConnection, probe } = this.options;
+    const { runtime, probe } = this.options;
     runtime.setTimer(CLOSING_MILLISECONDS, () => {
-      if (record.end !== undefined || hasConnection(record.runner)) {
+      if (record.end !== undefined) {
         this.finishExamination(record);
         return;
       }
--- a/src/relay/suspects/recent-answers.ts
+++ b/src/relay/suspects/recent-answers.ts
@@ -1,26 +1,16 @@
-/**
- * Remembers which requests were lately answered in full, by a short form of their content that is cheap to compute for each
- * answer: requests of the same form mostly have the same content.
- */
-import { hashToNumber } from '../../runtime/hashing.js';
+/** Remembers which requests were lately answered in full. */
 import type { Runtime } from '../../runtime/runtime.js';
-import type { RelayRequest } from '../request/relay-request.js';
+import type { Fingerprint } from '../../suspects/fingerprint.js';
 
 /** Time for which an answer is remembered at least, in milliseconds; at most twice as long. */
 const RETENTION_MILLISECONDS = 5_000;
-/** Largest number of forms in a generation; beyond, the next one starts early. */
-const MAXIMUM_FORMS = 4_096;
+/** Largest number of requests in a generation; beyond, the next one starts early. */
+const MAXIMUM_REQUESTS = 4_096;
 
-function formOf({ method, path, route, body, previousTurn = '', tenant }: RelayRequest): number {
-  return hashToNumber(
-    `${tenant?.id ?? ''} ${route.host} ${method} ${path} ${previousTurn} ${body.length}`,
-  );
-}
-
-/** Keeps two generations of answered forms. */
+/** Keeps two generations of answered requests. */
 export class RecentAnswers {
-  private current = new Set<number>();
-  private previous = new Set<number>();
+  private current = new Set<Fingerprint>();
+  private previous = new Set<Fingerprint>();
   private startedAt: number;
 
   constructor(private readonly runtime: Pick<Runtime, 'now'>) {
@@ -28,19 +18,18 @@
   }
 
   /** Records an answer in full. */
-  note(request: RelayRequest): void {
+  note(fingerprint: Fingerprint): void {
     this.dropExpired();
-    if (this.current.size >= MAXIMUM_FORMS) {
+    if (this.current.size >= MAXIMUM_REQUESTS) {
       this.startGeneration();
     }
-    this.current.add(formOf(request));
+    this.current.add(fingerprint);
   }
 
-  /** Returns whether a request of the same form was lately answered in full. */
-  has(request: RelayRequest): boolean {
+  /** Returns whether a request was lately answered in full. */
+  has(fingerprint: Fingerprint): boolean {
     this.dropExpired();
-    const form = formOf(request);
-    return this.current.has(form) || this.previous.has(form);
+    return this.current.has(fingerprint) || this.previous.has(fingerprint);
   }
 
   private dropExpired(): void {
--- a/src/relay/suspects/request-suspects.ts
+++ b/src/relay/suspects/request-suspects.ts
@@ -10,7 +10,7 @@
 import { fingerprintsOf } from '../request/fingerprint.js';
 import type { RelayRequest } from '../request/relay-request.js';
 import { runnerLossLimitOf } from '../request/routing-table.js';
-import type { Exposure } from '../runners/runner-ends.js';
+import type { Exposure, KnownLosses } from '../runners/runner-ends.js';
 import type { RunnerRegistry } from '../runners/runner-registry.js';
 import { RecentAnswers } from './recent-answers.js';
 
@@ -37,6 +37,7 @@
 /** Difference of two announcements up to which their order is decided by their runners, in milliseconds. */
 const ORDER_TOLERANCE_MILLISECONDS = 5;
 const HEXADECIMAL = 16;
+const NOTHING_KNOWN: KnownLosses = { isSuspect: false, lossCount: 0 };
 const MILLISECONDS_IN_SECOND = 1_000;
 
 function precedes(other: AnnouncedSend, own: AnnouncedSend): boolean {
@@ -76,11 +77,15 @@
     return worst;
   }
 
-  /** Whether something is known about a request that its sender takes into account. */
-  isKnown(request: RelayRequest): boolean {
-    return this.recordsOf(request).some(
-      (record) => record.lost.length > 0 || this.openOf(record).length > 0,
-    );
+  /** Returns what is known of the runners that ended under a request. */
+  knownLossesOf(request: RelayRequest): KnownLosses {
+    const records = this.recordsOf(request);
+    return records.length === 0
+      ? NOTHING_KNOWN
+      : {
+          isSuspect: this.verdictOf(request) !== 'clear',
+          lossCount: Math.max(...records.map(({ lossCount }) => lossCount)),
+        };
   }
 
   /** Returns what may be done with an announced send, given what other gateways have announced meanwhile. */
@@ -130,8 +135,8 @@
   }
 
   /** Records that a request is about to be sent to a runner, or has fallen silent there. */
-  noteOpen(request: RelayRequest, runnerHash: number, isInformed: boolean): void {
-    this.note(request, runnerHash, 'open', isInformed);
+  noteOpen(request: RelayRequest, runnerHash: number, round: number): void {
+    this.note(request, runnerHash, 'open', round);
   }
 
   /** Records that a runner lives although a suspected request was sent to it. */
@@ -141,7 +146,7 @@
         this.table.note(fingerprint, {
           runnerHash,
           state: 'over',
-          isInformed: false,
+          round: 0,
           isCommon: false,
         });
       }
@@ -150,8 +155,8 @@
 
   /** Records that a runner ended while requests were there. */
   noteLost(exposures: readonly Exposure[]): void {
-    for (const { request, record, isInformed } of exposures) {
-      this.note(request, record.hash, 'lost', isInformed);
+    for (const { request, record, known } of exposures) {
+      this.note(request, record.hash, 'lost', known.lossCount);
       this.logQuarantine(request);
     }
   }
@@ -160,7 +165,7 @@
   noteWithdrawn(runnerHash: number): void {
     for (const [fingerprint, record] of this.table.entries()) {
       if (record.find(runnerHash)?.state === 'lost') {
-        const encounter = { runnerHash, isInformed: false, isCommon: false };
+        const encounter = { runnerHash, round: 0, isCommon: false };
         this.table.note(fingerprint, { ...encounter, state: 'withdrawn' });
       }
     }
@@ -168,10 +173,7 @@
 
   /** Records that a request was answered in full, which speaks for it. */
   noteAnswered(request: RelayRequest): void {
-    this.answers.note(request);
-    if (this.table.size === 0) {
-      return;
-    }
+    this.answers.note(fingerprintsOf(request).content);
     for (const fingerprint of this.fingerprintsIn(request)) {
       const lost = this.table.find(fingerprint)?.lost ?? [];
       if (lost.length > 0) {
@@ -202,10 +204,10 @@
       return 'quarantined';
     }
     const open = this.openOf(record).length;
-    if (lossCount + open >= limit) {
-      return 'unresolved';
+    if (lossCount + open === 0 || record.isPopular) {
+      return 'clear';
     }
-    return lossCount + open === 0 || record.isPopular ? 'clear' : 'suspect';
+    return lossCount + open >= limit ? 'unresolved' : 'suspect';
   }
 
   private openOf(record: SuspectRecord): readonly AnnouncedSend[] {
@@ -216,7 +218,7 @@
     if (this.table.size === 0) {
       return [];
     }
-    const [own, content] = fingerprintsOf(request);
+    const { own, content } = fingerprintsOf(request);
     return own === content ? [own] : [own, content];
   }
 
@@ -228,19 +230,19 @@
     request: RelayRequest,
     runnerHash: number,
     state: EncounterState,
-    isInformed: boolean,
+    round: number,
   ): void {
-    const [own, content] = fingerprintsOf(request);
-    const isCommon = this.answers.has(request);
+    const { own, content } = fingerprintsOf(request);
+    const isCommon = this.answers.has(content);
     // Only what others send too tells of a cause other than the request; a program's own request is its own.
     this.table.note(own, {
       runnerHash,
       state,
-      isInformed,
+      round,
       isCommon: isCommon && own === content,
     });
     if (own !== content) {
-      this.table.note(content, { runnerHash, state, isInformed, isCommon });
+      this.table.note(content, { runnerHash, state, round, isCommon });
     }
   }
 
--- a/src/relay/suspects/suspect-send.ts
+++ b/src/relay/suspects/suspect-send.ts
@@ -106,7 +106,7 @@
       return;
     }
     this.announced = { runnerHash: chosen.hash, at: runtime.now() };
-    suspects.noteOpen(request, chosen.hash, true);
+    suspects.noteOpen(request, chosen.hash, suspects.knownLossesOf(request).lossCount);
     this.cancelTimer = runtime.setTimer(SETTLE_MILLISECONDS, () => this.confirm(chosen));
   }
 
@@ -141,7 +141,7 @@
       this.decide();
     };
     this.cancelTimer = runtime.setTimer(left, goOn);
-    this.cancelListener = suspects.table.onChange(fingerprintsOf(request), () => {
+    this.cancelListener = suspects.table.onChange(Object.values(fingerprintsOf(request)), () => {
       // A change may come while another one is being applied.
       this.stopWaiting();
       this.cancelTimer = runtime.setTimer(0, goOn);
--- a/src/relay/tries/call-log.ts
+++ b/src/relay/tries/call-log.ts
@@ -69,7 +69,7 @@
   runtime.log('info', 'attempt failed', {
     event: 'relay.try',
     request: request.id,
-    content: fingerprintText(fingerprintsOf(request)[0]),
+    content: fingerprintText(fingerprintsOf(request).own),
     runner: record.runner.id,
     runnerVersion: softwareVersionOf(record.runner),
     tag,
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -407,8 +407,11 @@
   private noteWritten(record: RunnerRecord): void {
     if (this.current !== undefined) {
       const { ends, suspects } = this.context;
-      const isInformed = this.current.announced !== undefined || suspects.isKnown(this.request);
-      this.current.exposure = ends.expose(record, this.request, isInformed);
+      this.current.exposure = ends.expose(
+        record,
+        this.request,
+        suspects.knownLossesOf(this.request),
+      );
     }
   }
 
--- a/src/relay/tries/runner-agent.ts
+++ b/src/relay/tries/runner-agent.ts
@@ -40,14 +40,6 @@
     return false;
   }
 
-  /** Whether a connection is open, idle or in use. */
-  get hasOpen(): boolean {
-    const isOpen = (socket: Socket): boolean => !socket.connecting && !socket.destroyed;
-    return (
-      this.hasIdle || Object.values(this.sockets).some((sockets) => sockets?.some(isOpen) === true)
-    );
-  }
-
   /** Called by Node.js when a request is done; returns true to keep the connection open. */
   override keepSocketAlive(stream: Duplex): boolean {
     const socket = stream as Socket;
--- a/src/relay/tries/runner-connections.ts
+++ b/src/relay/tries/runner-connections.ts
@@ -41,11 +41,6 @@
     return this.agents.get(addressOf(runner))?.hasIdle ?? false;
   }
 
-  /** Returns whether a connection to a runner's address is open, idle or in use. */
-  hasOpen(runner: Runner): boolean {
-    return this.agents.get(addressOf(runner))?.hasOpen ?? false;
-  }
-
   /** Closes all connections to a runner's address; attempts in progress there fail at once. */
   closeAll(runner: Runner): void {
     const address = addressOf(runner);
--- a/src/runtime/hashing.ts
+++ b/src/runtime/hashing.ts
@@ -33,10 +33,14 @@
 /** Number of bits that a JavaScript number holds exactly. */
 const EXACT_BITS = 53;
 
-/** 53-bit hash of a text and some bytes, as an unsigned number. */
-export function hashContent(text: string, bytes: Uint8Array): number {
-  const { h64, h64Raw } = hasher();
-  return Number(BigInt.asUintN(EXACT_BITS, h64(text, bytes.length === 0 ? 0n : h64Raw(bytes))));
+/** 64-bit hash of some bytes. */
+export function hashBytes(bytes: Uint8Array): bigint {
+  return hasher().h64Raw(bytes);
+}
+
+/** 53-bit hash of a text, as an unsigned number; a seed makes it depend on what else belongs to the text. */
+export function hashToExactNumber(text: string, seed: bigint): number {
+  return Number(BigInt.asUintN(EXACT_BITS, hasher().h64(text, seed)));
 }
 
 const MIX_MULTIPLIER = 0x9e37_79b1;
--- a/src/suspects/suspect-news.ts
+++ b/src/suspects/suspect-news.ts
@@ -8,7 +8,7 @@
 export interface EncounterNews {
   readonly runnerHash: number;
   readonly state: EncounterState;
-  readonly isInformed: boolean;
+  readonly round: number;
   readonly isCommon: boolean;
   /** Time since it came into the state, in milliseconds. */
   readonly ageMilliseconds: number;
@@ -27,11 +27,11 @@
 const MAXIMUM_ENCOUNTERS = 8;
 /** Size of an encoded request without its encounters: fingerprint, age and number of encounters. */
 const HEAD_BYTES = 13;
-/** Size of an encounter: hash, state, flags and age. */
-const ENCOUNTER_BYTES = 10;
+/** Size of an encounter: hash, state, round, flags and age. */
+const ENCOUNTER_BYTES = 11;
 const NEVER = 0xffff_ffff;
-const INFORMED_FLAG = 1;
-const COMMON_FLAG = 2;
+const COMMON_FLAG = 1;
+const MAXIMUM_ROUND = 0xff;
 
 function clampAge(milliseconds: number): number {
   return Math.min(NEVER - 1, Math.max(0, Math.round(milliseconds)));
@@ -53,10 +53,11 @@
     stream.writeDoubleBE(fingerprint);
     stream.writeUInt32BE(age === undefined ? NEVER : clampAge(age));
     stream.writeUInt8(encounters.length);
-    for (const { runnerHash, state, isInformed, isCommon, ageMilliseconds } of encounters) {
+    for (const { runnerHash, state, round, isCommon, ageMilliseconds } of encounters) {
       stream.writeUInt32BE(runnerHash);
       stream.writeUInt8(ENCOUNTER_STATES.indexOf(state));
-      stream.writeUInt8((isInformed ? INFORMED_FLAG : 0) + (isCommon ? COMMON_FLAG : 0));
+      stream.writeUInt8(Math.min(MAXIMUM_ROUND, round));
+      stream.writeUInt8(isCommon ? COMMON_FLAG : 0);
       stream.writeUInt32BE(clampAge(ageMilliseconds));
     }
   }
@@ -87,6 +88,7 @@
 function decodeEncounter(stream: r.DecodeStream): EncounterNews | undefined {
   const runnerHash = stream.readUInt32BE();
   const state = ENCOUNTER_STATES[stream.readUInt8()];
+  const round = stream.readUInt8();
   const flags = stream.readUInt8();
   const ageMilliseconds = stream.readUInt32BE();
   return state === undefined
@@ -94,7 +96,7 @@
     : {
         runnerHash,
         state,
-        isInformed: (flags & INFORMED_FLAG) !== 0,
+        round,
         isCommon: (flags & COMMON_FLAG) !== 0,
         ageMilliseconds,
       };
--- a/src/suspects/suspect-record.ts
+++ b/src/suspects/suspect-record.ts
@@ -18,8 +18,8 @@
   readonly state: EncounterState;
   /** Local time at which it came into the state, in milliseconds. */
   readonly at: number;
-  /** Whether the sender knew of other encounters of the request. */
-  readonly isInformed: boolean;
+  /** Number of ends that counted when the request was sent, as its sender knew. */
+  readonly round: number;
   /** Whether the same request had been answered in full shortly before. */
   readonly isCommon: boolean;
 }
@@ -31,6 +31,10 @@
 /** Difference of two reported times up to which they may be the same, in milliseconds. */
 const CLOCK_TOLERANCE_MILLISECONDS = 100;
 
+function isPopular(encounters: readonly Encounter[]): boolean {
+  return encounters.some(({ isCommon }) => isCommon);
+}
+
 /** The encounters of one request. */
 export class SuspectRecord {
   /** Local time of the last change, in milliseconds. */
@@ -55,25 +59,17 @@
   }
 
   /**
-   * Number of ends that count. Ends of sends that were under way at the same time count once if the request was answered in
-   * full shortly before: one cause took their runners.
+   * Number of ends that count. If the request was answered in full shortly before, the ends of a round count once: sends that
+   * were under way at the same time may have lost their runners to one cause.
    */
   get lossCount(): number {
     const { lost } = this;
-    const informed = lost.filter(({ isInformed }) => isInformed).length;
-    const others = lost.length - informed;
-    const isCommon = lost.some((encounter) => encounter.isCommon);
-    return informed + (isCommon ? Math.min(1, others) : others);
+    return isPopular(lost) ? new Set(lost.map(({ round }) => round)).size : lost.length;
   }
 
-  /** Whether all that is known are ends that count once, of a request that was answered in full shortly before. */
+  /** Whether the request was answered in full shortly before runners ended, or may have ended, under it. */
   get isPopular(): boolean {
-    const { lost } = this;
-    return (
-      lost.some(({ isCommon }) => isCommon) &&
-      lost.every(({ isInformed }) => !isInformed) &&
-      this.since('open').length === 0
-    );
+    return isPopular(this.lost) || isPopular(this.since('open'));
   }
 
   /** Returns the sends of which the outcome is unknown. */
@@ -111,7 +107,7 @@
     }
     this.encounters.set(encounter.runnerHash, {
       ...encounter,
-      isInformed: encounter.isInformed || known?.isInformed === true,
+      round: Math.max(encounter.round, known?.round ?? 0),
       isCommon: encounter.isCommon || known?.isCommon === true,
     });
     return true;
