--- a/src/relay/runners/runner-ends.ts
+++ b/src/relay/runners/runner-ends.ts
@@ -52,6 +52,8 @@
   readonly sentAt: number;
   /** What was known of the request when it was sent. */
   readonly known: KnownLosses;
+  /** Whether the runner had fallen silent before, so that the request has nothing to do with it. */
+  readonly isSentInSilence: boolean;
   /** Local time at which its connection was lost or given up, in milliseconds; undefined before. */
   lostAt: number | undefined;
 }
@@ -98,16 +100,21 @@
   /** Records that a request is about to be written to a runner. */
   expose(record: RunnerRecord, request: RelayRequest, known: KnownLosses): Exposure {
     const sentAt = this.options.runtime.now();
-    return { request, record, sentAt, known, lostAt: undefined };
+    record.waitingSince ??= sentAt;
+    const silence = sentAt - record.waitingSince;
+    const isSentInSilence = silence >= record.inactivity.timeoutMilliseconds;
+    return { request, record, sentAt, known, isSentInSilence, lostAt: undefined };
   }
 
   /** Records that the connection of a request was lost; calls back once it is known whether its runner has ended. */
   lose(exposure: Exposure, done: ExaminationListener): void {
-    const { record } = exposure;
-    this.markLost(exposure);
+    const { record, isSentInSilence } = exposure;
+    if (!isSentInSilence) {
+      this.markLost(exposure);
+    }
     if (record.end === undefined) {
       this.examine(record, (hasEnded) => {
-        if (!hasEnded && this.isDoubtful(exposure)) {
+        if (!hasEnded && !isSentInSilence && this.isDoubtful(exposure)) {
           this.options.onDoubtful(exposure);
         }
         done(hasEnded);
@@ -123,7 +130,7 @@
    */
   abandon(exposure: Exposure): boolean {
     const { record } = exposure;
-    if (!this.isDoubtful(exposure)) {
+    if (exposure.isSentInSilence || !this.isDoubtful(exposure)) {
       return false;
     }
     this.markLost(exposure);
--- a/src/relay/tries/inactivity-monitor.ts
+++ b/src/relay/tries/inactivity-monitor.ts
@@ -35,6 +35,7 @@
     this.lastActivityAt = now;
     this.record.lastActivityAt = now;
     this.record.lastReceivedAt = now;
+    this.record.waitingSince = undefined;
   }
 
   /** Adds the longest inactivity of a complete answer to the estimate of its service. */
