--- a/soak/fatal-request-check.ts
+++ b/soak/fatal-request-check.ts
@@ -139,7 +139,7 @@
       store,
       addressOf: (place) => addressOf(FIRST_ADDRESS + place),
       onFatal: (runner, run) => this.noteEnded(runner, run),
-      onEnd: (runs) => this.noteBeside(runs),
+      onEnd: (paths) => this.noteBeside(paths),
       eventCount: EVENTS,
       eventMilliseconds: EVENT_MILLISECONDS,
     });
@@ -221,8 +221,8 @@
     return results;
   }
 
-  private noteBeside(runs: readonly RunnerRun[]): void {
-    const items = runs.flatMap(({ path }) => /item=(\w+)/.exec(path)?.[1] ?? []);
+  private noteBeside(paths: readonly string[]): void {
+    const items = paths.flatMap((path) => /item=(\w+)/.exec(path)?.[1] ?? []);
     new Set(items).forEach((item) =>
       this.endedBeside.set(item, (this.endedBeside.get(item) ?? 0) + 1),
     );
--- a/soak/restarting-runners.ts
+++ b/soak/restarting-runners.ts
@@ -15,8 +15,8 @@
   readonly addressOf: (place: number) => string;
   /** Called with the request that ended or froze a runner. */
   readonly onFatal: (runner: RelayRunner, run: RunnerRun) => void;
-  /** Called with the requests that were at a runner when it ended or froze. */
-  readonly onEnd: (runs: readonly RunnerRun[]) => void;
+  /** Called with the paths of the requests that were at a runner when it ended. */
+  readonly onEnd: (paths: readonly string[]) => void;
   readonly eventCount: number;
   readonly eventMilliseconds: number;
 }
@@ -72,9 +72,11 @@
       return;
     }
     this.live[place] = undefined;
-    this.options.onEnd(ended.unfinishedRuns);
+    const before = new Set(ended.unfinishedPaths);
+    this.options.onEnd([...before]);
     void sleep(DOWN_MILLISECONDS).then(async () => {
-      // A runner that stands still ends here.
+      // A runner that stands still ends here, and has got further requests meanwhile.
+      this.options.onEnd(ended.unfinishedPaths.filter((path) => !before.has(path)));
       ended.end();
       if (!this.isStopped) {
         await this.startAt(place);
--- a/src/emulator/relay-runner.ts
+++ b/src/emulator/relay-runner.ts
@@ -115,6 +115,8 @@
   private failedUntil = -Infinity;
   private hasEnded = false;
   private isFrozen = false;
+  /** Paths of the requests that arrived while the runner stood still. */
+  private readonly ignoredPaths: string[] = [];
   /** Arrival times within the last second, in milliseconds; those answered with 421 are left out. */
   private arrivals: number[] = [];
   private readonly sockets = new Set<Socket>();
@@ -172,6 +174,11 @@
     });
   }
 
+  /** Paths of the requests that are at the runner: begun and neither answered nor given up, or arrived since it stands still. */
+  get unfinishedPaths(): readonly string[] {
+    return [...this.unfinishedRuns.map(({ path }) => path), ...this.ignoredPaths];
+  }
+
   /** Requests that the runner has begun and neither answered nor given up. */
   get unfinishedRuns(): readonly RunnerRun[] {
     return this.runs.filter(
@@ -190,6 +197,7 @@
 
   private handleRequest(request: IncomingMessage, response: ServerResponse): void {
     if (this.isFrozen) {
+      this.ignoredPaths.push(request.url ?? '');
       return;
     }
     if (this.isExpected(request)) {
@@ -303,7 +311,6 @@
 
   private freeze(refusesConnections: boolean): void {
     this.isFrozen = true;
-    this.sockets.forEach((socket) => socket.pause());
     if (refusesConnections) {
       this.server.close();
     }
