A runner that takes connections is asked which one it is, where that matters

The health check of the service tells which runner answers; it is asked only of a runner under a suspected request, or one that was silent for unusually long.

--- a/soak/soak-configuration.ts
+++ b/soak/soak-configuration.ts
@@ -1,6 +1,7 @@
 /** Generates the configuration versions of a soak: each adds a route and a key, and drops older ones. */
 import type { RandomSource } from '../src/runtime/random.js';
 import { BRITTLE_ROUTES, BRITTLE_SERVICE } from './fatal-request-check.js';
+import { HEALTH_PATH } from '../src/emulator/relay-runner.js';
 import { SOAK_COLD } from './platform-process.js';
 import { SOAK_HOST, SOAK_KEY, SOAK_TENANT, SOAK_TOKENS_PER_EVENT } from './soak-client.js';
 import { RESUMABLE_ROUTE, VERSIONED_SERVICE } from './stream-version-check.js';
@@ -90,7 +91,7 @@
           Engine: { Stride: SOAK_TOKENS_PER_EVENT },
         },
         { Name: VERSIONED_SERVICE, MaxConnections: 60 },
-        { Name: BRITTLE_SERVICE, MaxConnections: 60 },
+        { Name: BRITTLE_SERVICE, MaxConnections: 60, HealthPath: HEALTH_PATH },
       ],
       Tenants: [
         { Name: SOAK_TENANT, ApiKeys: [SOAK_KEY], Priority: 0 },
--- a/src/emulator/relay-runner.ts
+++ b/src/emulator/relay-runner.ts
@@ -76,6 +76,8 @@
 const FATAL_MILLISECONDS = 10;
 /** Events of a stream that a runner sends before a request ends it midway. */
 const EVENTS_BEFORE_END = 2;
+/** Path of the health check. */
+export const HEALTH_PATH = '/healthz';
 const STREAM_QUERY = 'stream';
 /** Query parameters that override the length of an answer or event and the number of events. */
 const PADDING_QUERY = /fill=(\d+)/;
@@ -200,6 +202,10 @@
       this.ignoredPaths.push(request.url ?? '');
       return;
     }
+    if (request.url === HEALTH_PATH && this.isExpected(request)) {
+      response.writeHead(200, { [this.options.names.runnerId]: this.id }).end();
+      return;
+    }
     if (this.isExpected(request)) {
       this.onArrival(request.headers);
       this.countArrival();
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -38,6 +38,7 @@
 import type { RunnerExclusion } from './runners/runner-exclusions.js';
 import { RunnerRegistry } from './runners/runner-registry.js';
 import { SOFTWARE_VERSION_RULE } from './runners/software-version-rule.js';
+import { identifyRunner } from './tries/identify-runner.js';
 import { RunnerConnections } from './tries/runner-connections.js';
 import { TrafficSplit } from './runners/traffic-split.js';
 import { RequestSuspects } from './suspects/request-suspects.js';
@@ -192,11 +193,15 @@
   }
 
   private createEnds(connections: RunnerConnections): RunnerEnds {
-    const { runtime } = this.options;
+    const { runtime, names } = this.options;
     const { metrics, registry, suspects } = this;
     const ends = new RunnerEnds({
       runtime,
       probe: (runner, done) => connections.probe(runner, done),
+      identify: (runner, done) => {
+        const path = this.table?.services.get(runner.service)?.healthPath;
+        identifyRunner({ runtime, names, runner, path }, done);
+      },
       onEnd: (record, end, exposures, isFirst) => {
         logRunnerEnd({ runtime, metrics }, record, end, exposures, isFirst);
         if (!end.wasAnnounced) {
--- a/src/relay/request/default-header-names.ts
+++ b/src/relay/request/default-header-names.ts
@@ -11,6 +11,7 @@
   lastEventId: 'last-event-id',
   resumes: 'ivyloom-resumes',
   expectedRunner: 'ivyloom-runner',
+  runnerId: 'ivyloom-runner-id',
   priority: 'ivyloom-priority',
   signature: 'ivyloom-signature',
   notExecuted: 'ivyloom-not-executed',
--- a/src/relay/request/header-names.ts
+++ b/src/relay/request/header-names.ts
@@ -18,6 +18,8 @@
   readonly resumes: string;
   /** The only runner that may run the request. */
   readonly expectedRunner: string;
+  /** Identifier of the runner that answers a health check. */
+  readonly runnerId: string;
   /** Rank of the request at the runner. */
   readonly priority: string;
   /** Signature of the runner's answer. */
--- a/src/relay/request/routing-table.ts
+++ b/src/relay/request/routing-table.ts
@@ -69,6 +69,8 @@
   readonly memoryTokens: number | undefined;
   /** Time for which a runner stays cold after a start, in milliseconds; 0 if runners are never cold. */
   readonly coldStartMilliseconds?: number;
+  /** Path of the health check of its runners, which also tells which runner answers; undefined if there is none. */
+  readonly healthPath?: string | undefined;
   /** Requests per second that one cold runner can take; undefined if there is no limit. */
   readonly coldRequestsPerSecond?: number | undefined;
 }
--- a/src/relay/runners/runner-ends.ts
+++ b/src/relay/runners/runner-ends.ts
@@ -10,7 +10,8 @@
  * | `unlisted`    | its entry has gone while requests waited for it and it sent nothing        | presumed  |
  *
  * A presumed end is withdrawn when the runner answers. A connection that is lost proves nothing by itself, and one that
- * stands neither, since its end may not have been read yet: the runner counts as alive if a new one can be opened.
+ * stands neither, since its end may not have been read yet: the runner counts as alive if a new one can be opened. Where it
+ * matters, the one that takes it is asked which one it is.
  */
 import type { Runtime } from '../../runtime/runtime.js';
 import type { RelayRequest } from '../request/relay-request.js';
@@ -58,6 +59,9 @@
   lostAt: number | undefined;
 }
 
+/** Which runner answers at an address: the expected one, another one, or it is not known. */
+export type RunnerIdentity = 'same' | 'other' | 'unknown';
+
 /** Dependencies of {@link RunnerEnds}. */
 export interface RunnerEndsOptions {
   readonly runtime: Runtime;
@@ -66,6 +70,8 @@
     runner: Runner,
     done: (isReachable: boolean, isRefused: boolean) => void,
   ) => void;
+  /** Asks which runner answers at the address of a runner. */
+  readonly identify: (runner: Runner, done: (identity: RunnerIdentity) => void) => void;
   /** Called when a runner has ended, with the requests that were there; again for those that are found later. */
   readonly onEnd: (
     record: RunnerRecord,
@@ -81,8 +87,11 @@
   readonly onSurvived: (exposure: Exposure) => void;
 }
 
-/** Called with whether the runner has ended. */
-type ExaminationListener = (hasEnded: boolean) => void;
+/** An examination of a runner in progress. */
+interface Examination {
+  asksIdentity: boolean;
+  readonly listeners: (() => void)[];
+}
 
 /** Time after a connection was lost in which a runner that ends still may take new ones, in milliseconds. */
 const CLOSING_MILLISECONDS = 5;
@@ -93,7 +102,7 @@
 
 /** Detects the ends of runners and the requests that they took along. */
 export class RunnerEnds {
-  private readonly examinations = new Map<RunnerRecord, ExaminationListener[]>();
+  private readonly examinations = new Map<RunnerRecord, Examination>();
 
   constructor(private readonly options: RunnerEndsOptions) {}
 
@@ -107,21 +116,24 @@
   }
 
   /** Records that the connection of a request was lost; calls back once it is known whether its runner has ended. */
-  lose(exposure: Exposure, done: ExaminationListener): void {
+  lose(exposure: Exposure, done: () => void): void {
     const { record, isSentInSilence } = exposure;
-    if (!isSentInSilence) {
-      this.markLost(exposure);
+    if (isSentInSilence) {
+      this.options.onSurvived(exposure);
+      done();
+      return;
     }
+    this.markLost(exposure);
     if (record.end === undefined) {
-      this.examine(record, (hasEnded) => {
-        if (!hasEnded && !isSentInSilence && this.isDoubtful(exposure)) {
+      this.examine(record, this.isDoubtful(exposure), () => {
+        if (record.lostExposures.includes(exposure) && this.isDoubtful(exposure)) {
           this.options.onDoubtful(exposure);
         }
-        done(hasEnded);
+        done();
       });
     } else {
       this.report(record, record.end);
-      done(true);
+      done();
     }
   }
 
@@ -140,6 +152,7 @@
       this.noteEvidence(record, 'unlisted', false);
     } else {
       this.options.onDoubtful(exposure);
+      this.examine(record, true, () => undefined);
     }
     return true;
   }
@@ -174,13 +187,18 @@
       this.options.onWithdrawn(record);
     }
     if (record.lostExposures.length > 0) {
-      const before = this.options.runtime.now() - READ_SKEW_MILLISECONDS;
-      const survived = record.lostExposures.filter(({ lostAt = Infinity }) => lostAt < before);
-      record.lostExposures = record.lostExposures.filter((each) => !survived.includes(each));
-      survived.forEach((exposure) => this.options.onSurvived(exposure));
+      // The answer may have left before the runner ended.
+      this.clearLost(record, this.options.runtime.now() - READ_SKEW_MILLISECONDS);
     }
   }
 
+  /** Records that a runner lives, so that requests that were lost before a local time did not end it. */
+  private clearLost(record: RunnerRecord, before: number): void {
+    const survived = record.lostExposures.filter(({ lostAt = Infinity }) => lostAt < before);
+    record.lostExposures = record.lostExposures.filter((each) => !survived.includes(each));
+    survived.forEach((exposure) => this.options.onSurvived(exposure));
+  }
+
   /**
    * Whether it has to be seen first that a runner lives: it has sent nothing for longer than is usual in its service, or
    * other runners may have ended under the request.
@@ -217,13 +235,19 @@
     }
   }
 
-  private examine(record: RunnerRecord, done: ExaminationListener): void {
-    const waiting = this.examinations.get(record);
-    if (waiting !== undefined) {
-      waiting.push(done);
+  /**
+   * Finds out whether a runner lives.
+   * @param asksIdentity whether it matters that the one that takes connections may be another one
+   */
+  private examine(record: RunnerRecord, asksIdentity: boolean, done: () => void): void {
+    const known = this.examinations.get(record);
+    if (known !== undefined) {
+      known.asksIdentity ||= asksIdentity;
+      known.listeners.push(done);
       return;
     }
-    this.examinations.set(record, [done]);
+    const examination = { asksIdentity, listeners: [done] };
+    this.examinations.set(record, examination);
     const { runtime, probe } = this.options;
     runtime.setTimer(CLOSING_MILLISECONDS, () => {
       if (record.end !== undefined) {
@@ -234,14 +258,30 @@
         if (!isReachable) {
           this.noteEvidence(record, isRefused ? 'refused' : 'unreachable');
         }
-        this.finishExamination(record);
+        if (isReachable && examination.asksIdentity) {
+          this.identify(record);
+        } else {
+          this.finishExamination(record);
+        }
       });
     });
   }
 
+  private identify(record: RunnerRecord): void {
+    const askedAt = this.options.runtime.now();
+    this.options.identify(record.runner, (identity) => {
+      if (identity === 'other') {
+        this.noteEvidence(record, 'misdirected');
+      } else if (identity === 'same') {
+        this.clearLost(record, askedAt);
+      }
+      this.finishExamination(record);
+    });
+  }
+
   private finishExamination(record: RunnerRecord): void {
-    const waiting = this.examinations.get(record) ?? [];
+    const examination = this.examinations.get(record);
     this.examinations.delete(record);
-    waiting.forEach((done) => done(record.end !== undefined));
+    examination?.listeners.forEach((done) => done());
   }
 }
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -64,12 +64,6 @@
 const MAXIMUM_SUSPECT_HOLD_MILLISECONDS = 1_000;
 /** The same maximum as a share of the time that the request has left. */
 const MAXIMUM_SUSPECT_HOLD_SHARE = 1 / 3;
-/**
- * Time after a connection was lost in which a runner that takes new ones may still turn out to be another one, in
- * milliseconds.
- */
-const REPLACEMENT_MILLISECONDS = 300;
-
 /** The attempt in progress. */
 interface CurrentAttempt {
   readonly attempt: Attempt;
@@ -520,20 +514,13 @@
     }
     if (failure.tag === 'Lost' && current.exposure !== undefined) {
       // Whether to retry, and what the client finds at another gateway, depends on what became of the runner.
-      ends.lose(current.exposure, (hasEnded) => this.handleExamined(current, hasEnded));
+      ends.lose(current.exposure, () => this.continueAfterFailure());
       return;
     }
     this.closeAnnounced(current.announced);
     this.continueAfterFailure();
   }
 
-  private handleExamined({ announced }: CurrentAttempt, hasEnded: boolean): void {
-    if (!hasEnded && announced !== undefined) {
-      this.context.runtime.setTimer(REPLACEMENT_MILLISECONDS, () => this.closeAnnounced(announced));
-    }
-    this.continueAfterFailure();
-  }
-
   private continueAfterFailure(): void {
     if (this.finished) {
       return;
