--- a/soak/restarting-runners.ts
+++ b/soak/restarting-runners.ts
@@ -2,7 +2,7 @@
 import { PLATFORM_HEADER_NAMES as NAMES } from '../platform/header-names.js';
 import type { StandInStore } from '../platform/stand-in/store-server.js';
 import { RUNNER_PREFIX } from '../platform/store-keys.js';
-import { RelayRunner } from '../src/emulator/relay-runner.js';
+import { ENDING_MILLISECONDS, RelayRunner } from '../src/emulator/relay-runner.js';
 import type { RunnerRun } from '../src/emulator/relay-runner.js';
 
 /** Dependencies and size of {@link RestartingRunners}. */
@@ -72,11 +72,17 @@
       return;
     }
     this.live[place] = undefined;
-    const before = new Set(ended.unfinishedPaths);
-    this.options.onEnd([...before]);
+    const counted = new Set<string>();
+    const countRequests = (): void => {
+      const found = ended.unfinishedPaths.filter((path) => !counted.has(path));
+      found.forEach((path) => counted.add(path));
+      this.options.onEnd(found);
+    };
+    countRequests();
+    setTimeout(countRequests, ENDING_MILLISECONDS - 1);
     void sleep(DOWN_MILLISECONDS).then(async () => {
       // A runner that stands still ends here, and has got further requests meanwhile.
-      this.options.onEnd(ended.unfinishedPaths.filter((path) => !before.has(path)));
+      countRequests();
       ended.end();
       if (!this.isStopped) {
         await this.startAt(place);
--- a/src/emulator/relay-runner.ts
+++ b/src/emulator/relay-runner.ts
@@ -74,6 +74,8 @@
 const COLD_SLOWDOWN = 2;
 /** Time from the start of a fatal request to the end of its runner, in milliseconds. */
 const FATAL_MILLISECONDS = 10;
+/** Time that the end of a runner takes, in milliseconds. */
+export const ENDING_MILLISECONDS = 3;
 /** Events of a stream that a runner sends before a request ends it midway. */
 const EVENTS_BEFORE_END = 2;
 /** Path of the health check. */
@@ -192,8 +194,13 @@
   end(): void {
     if (!this.hasEnded) {
       this.hasEnded = true;
+      // Requests that are on their way are still recorded as being at the runner.
+      this.isFrozen = true;
       this.server.close();
-      this.sockets.forEach((socket) => socket.resetAndDestroy());
+      setTimeout(
+        () => this.sockets.forEach((socket) => socket.resetAndDestroy()),
+        ENDING_MILLISECONDS,
+      );
     }
   }
 
