--- a/src/relay/runners/runner-ends.ts
+++ b/src/relay/runners/runner-ends.ts
@@ -53,7 +53,7 @@
   readonly sentAt: number;
   /** What was known of the request when it was sent. */
   readonly known: KnownLosses;
-  /** Whether the runner had fallen silent before, so that the request has nothing to do with it. */
+  /** Whether the runner had fallen silent before. */
   readonly isSentInSilence: boolean;
   /** Local time at which its connection was lost or given up, in milliseconds; undefined before. */
   lostAt: number | undefined;
@@ -109,16 +109,13 @@
   /** Records that a request is about to be written to a runner. */
   expose(record: RunnerRecord, request: RelayRequest, known: KnownLosses): Exposure {
     const sentAt = this.options.runtime.now();
-    record.waitingSince ??= sentAt;
-    const silence = sentAt - record.waitingSince;
-    const isSentInSilence = silence >= record.inactivity.timeoutMilliseconds;
-    return { request, record, sentAt, known, isSentInSilence, lostAt: undefined };
+    return { request, record, sentAt, known, isSentInSilence: record.isSilent, lostAt: undefined };
   }
 
   /** Records that the connection of a request was lost; calls back once it is known whether its runner has ended. */
   lose(exposure: Exposure, done: () => void): void {
-    const { record, isSentInSilence } = exposure;
-    if (isSentInSilence) {
+    const { record } = exposure;
+    if (this.isBystander(exposure)) {
       this.options.onSurvived(exposure);
       done();
       return;
@@ -142,7 +139,7 @@
    */
   abandon(exposure: Exposure): boolean {
     const { record } = exposure;
-    if (exposure.isSentInSilence || !this.isDoubtful(exposure)) {
+    if (this.isBystander(exposure) || !this.isDoubtful(exposure)) {
       return false;
     }
     this.markLost(exposure);
@@ -199,6 +196,12 @@
     survived.forEach((exposure) => this.options.onSurvived(exposure));
   }
 
+  /** Whether a request has waited in a silence that had begun before it was sent, so that it did not cause it. */
+  private isBystander({ record, sentAt, isSentInSilence }: Exposure): boolean {
+    const wait = this.options.runtime.now() - sentAt;
+    return isSentInSilence && wait >= record.inactivity.timeoutMilliseconds;
+  }
+
   /**
    * Whether it has to be seen first that a runner lives: it has sent nothing for longer than is usual in its service, or
    * other runners may have ended under the request.
--- a/src/relay/runners/runner-registry.ts
+++ b/src/relay/runners/runner-registry.ts
@@ -52,8 +52,8 @@
   lastActivityAt: number;
   /** When the last byte was received from the runner; -Infinity before the first. */
   lastReceivedAt: number;
-  /** When the first request was written to the runner since then; undefined if none was. */
-  waitingSince: number | undefined;
+  /** Whether a request waits for the runner for unusually long and nothing has come since, although it takes connections. */
+  isSilent: boolean;
   readonly latency: RunnerLatency;
   /** Usual inactivity of the runners of its service; shared by all of them. */
   readonly inactivity: InactivityEstimate;
@@ -474,7 +474,7 @@
         noteActivity(at);
       },
       lastReceivedAt: -Infinity,
-      waitingSince: undefined,
+      isSilent: false,
       latency: new RunnerLatency(this.estimatesOf(runner.service).latency),
       inactivity: this.estimatesOf(runner.service).inactivity,
       promptCache: new PromptCacheEstimate(() => this.cacheCapacityOf(runner.service) ?? Infinity),
--- a/src/relay/tries/inactivity-monitor.ts
+++ b/src/relay/tries/inactivity-monitor.ts
@@ -35,7 +35,7 @@
     this.lastActivityAt = now;
     this.record.lastActivityAt = now;
     this.record.lastReceivedAt = now;
-    this.record.waitingSince = undefined;
+    this.record.isSilent = false;
   }
 
   /** Adds the longest inactivity of a complete answer to the estimate of its service. */
@@ -89,6 +89,8 @@
       return;
     }
     if (isReachable) {
+      // What has arrived while this process stood still was read before the probe ended.
+      this.record.isSilent = this.record.lastReceivedAt <= this.lastActivityAt;
       // Counts as activity, so that other attempts on this runner do not probe it again at once.
       this.record.lastActivityAt = this.context.runtime.now();
       this.timeoutMilliseconds *= TIMEOUT_BACKOFF_FACTOR;
