--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -91,7 +91,7 @@
   }
 
   settings() {
-    const { ports, zones, seeds, bounds, memoryMb } = this.deployment;
+    const { ports, zones, region, seeds, bounds, contracts, memoryMb } = this.deployment;
     const isGateway = this.role === 'gateway';
     return {
       NodeName: this.name,
@@ -100,8 +100,8 @@
       Serves: isGateway ? ['edge', 'control'] : ['storage'],
       Ip: this.host,
       Zone: this.zone,
-      Region: 'dakar',
-      Zones: Object.fromEntries(zones.map((zone) => [zone, 'dakar'])),
+      Region: region,
+      Zones: Object.fromEntries(zones.map((zone) => [zone, region])),
       Listen: isGateway
         ? {
             Front: `${this.host}:${ports.front}`,
@@ -125,7 +125,7 @@
       Discovery: 'platform',
       Entry: 'vip',
       HeartbeatMs: 1200,
-      Contracts: ['base', 'drain', 'config', 'cost', 'recover', 'agent', 'stream', 'platform'],
+      Contracts: contracts,
       FaultTolerance: { Machines: 1, Zones: 0, Regions: 0 },
       Bounds: bounds,
       Platform: {
@@ -197,6 +197,8 @@
         gatewayCount: 2,
         replicaCount: 3,
         zones: ['dkr-plateau', 'dkr-yoff', 'dkr-rufisque'],
+        region: 'dakar',
+        contracts: ['base', 'drain', 'config', 'cost', 'recover', 'agent', 'stream', 'platform'],
         bounds: BOUNDS,
         memoryMb: { gateway: 350, replica: 380 },
         extraHosts: 8,
--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -8,7 +8,11 @@
    *   place of the runner and then returns true
    */
   constructor(options) {
-    Object.assign(this, { slots: 8, work: () => 40, answer: () => false, events: 4 }, options);
+    Object.assign(
+      this,
+      { slots: 8, work: () => 40, answer: () => false, isStream: () => false, events: 4, gap: 15 },
+      options,
+    );
     this.runs = [];
     this.queue = [];
     this.running = 0;
@@ -103,8 +107,30 @@
     if (response.destroyed || this.answer(run, response)) {
       return;
     }
+    if (this.isStream(run)) {
+      this.stream(run);
+      return;
+    }
     const body = `answer of ${this.id} to ${run.id}`;
     response.writeHead(200, { ...this.headers(run), 'content-length': String(body.length) });
     response.end(body);
   }
+
+  /** Sends a series of events whose ids rise, from the one after `Last-Event-Id`. */
+  stream(run) {
+    const { request, response } = run;
+    response.writeHead(200, { ...this.headers(run), 'content-type': 'text/event-stream' });
+    const sendFrom = (id) => {
+      if (response.destroyed) {
+        return;
+      }
+      if (id > this.events) {
+        response.end();
+        return;
+      }
+      response.write(`id: ${id}\ndata: event ${id} of ${run.id}\n\n`);
+      setTimeout(() => sendFrom(id + 1), this.gap);
+    };
+    sendFrom(Number(request.headers['last-event-id'] ?? 0) + 1);
+  }
 }
