--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,22 +1,15 @@
-// A change of the configuration adds a tenant whose name holds a typographic sign (U+2013): each request of that tenant ends the
-// gateway's process, and with it all requests of other tenants that it has passed on to sound runners.
+// A change of the configuration that takes a key away, and that limits a tenant to the deployment's only region: the gateways
+// refuse it as a whole and go on with the version before, for good. The key that was taken away stays valid.
 import { Agent, request as httpRequest } from 'node:http';
 import { dirname } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { BOUNDS, runCase, sleep } from '../lib/deployment.mjs';
 import { Runner } from '../lib/runner.mjs';
 
-const RUNNERS = 4;
-const HOST = 'parking.example';
-const ZONES = ['bne', 'ool', 'cns', 'tsv'];
-const TIMEOUT_MILLISECONDS = 2_009;
-const CLIENTS_PER_GATEWAY = 10;
-/** Requests of the new tenant go to the gateways in turn. */
-const NEW_TENANT_PAUSE_MILLISECONDS = 1_500;
-const CHANGE_AT = 3_000;
-const PLAY_MILLISECONDS = 18_000;
-/** The rule allows three. */
-const ALLOWED = 3;
+const HOST = 'filing.example';
+const REGION = 'scot-central';
+const ZONES = ['scot-central-a', 'scot-central-b', 'scot-central-c'];
+const TIMEOUT_MILLISECONDS = 1_200;
 /** Bounds of the site. */
 const SITE_BOUNDS = {
   ...BOUNDS,
@@ -34,40 +27,55 @@
   QuotaOvershoot: 0.1,
   QuotaSlack: 20,
 };
-const KEYS = { 'Long Reach Parking': 'key-of-long-reach' };
-const NEW_KEY = 'key-of-the-new-tenant';
+const KEYS = { stays: 'key-that-stays', first: 'key-taken-first', second: 'key-taken-second' };
+const ADDED = 'key-that-is-added';
+const CLIENTS_PER_KEY = 2;
+const FIRST_CHANGE_AT = 2_000;
+const SECOND_CHANGE_AT = 10_000;
+const PLAY_MILLISECONDS = 22_000;
 
-function configuration(version, newName) {
-  const route = { Host: HOST, TargetLatencyMs: 200, Priority: 2, Service: 'park-app' };
-  const times = { TimeoutMs: TIMEOUT_MILLISECONDS };
-  const tenants = Object.entries(KEYS).map(([Name, key]) => ({
-    Name,
-    ApiKeys: [key],
-    Priority: 0,
-  }));
-  const added = newName === undefined ? [] : [{ Name: newName, ApiKeys: [NEW_KEY], Priority: 0 }];
+function configuration(version, keys, tenantFields) {
+  const route = { Host: HOST, TimeoutMs: 3000, TargetLatencyMs: 200 };
   return {
     Version: version,
     Routes: [
       {
         ...route,
-        ...times,
-        Name: 'gate',
-        PathPrefix: '/gate/',
+        Name: 'status',
+        PathPrefix: '/status/',
         Kind: 'idempotent',
+        Service: 'register-app',
+        Priority: 2,
         MaxAttempts: 2,
       },
       {
         ...route,
-        ...times,
-        Name: 'refund',
-        PathPrefix: '/refund/',
-        Kind: 'non_idempotent',
-        MaxAttempts: 1,
+        Name: 'draft',
+        PathPrefix: '/draft/',
+        Kind: 'streaming',
+        Service: 'assist-models',
+        Priority: 0,
+        MaxAttempts: 2,
+        Retain: true,
+        RetentionS: 60,
+        Sticky: true,
+        Resumable: false,
+        TargetGapMs: 300,
+      },
+    ],
+    Services: [
+      { Name: 'register-app', HealthPath: '/healthz', MaxConnections: 110 },
+      {
+        Name: 'assist-models',
+        HealthPath: '/healthz',
+        MaxConnections: 160,
+        Engine: { Slots: 6, KvCapacity: 64230, Stride: 25, Models: [{ Name: 'm' }] },
       },
     ],
-    Services: [{ Name: 'park-app', HealthPath: '/healthz', MaxConnections: 370 }],
-    Tenants: [...tenants, ...added],
+    Tenants: [
+      { Name: 'glen', ApiKeys: keys, Priority: 0, ...tenantFields },
+      { Name: 'loch', ApiKeys: ['key-of-loch'], Priority: 0 },
+    ],
     Limits: {
       MaxHeaderBytes: 16384,
       MaxBodyBytes: 4194304,
@@ -77,28 +85,25 @@
   };
 }
 
-/** Sends one request; resolves with what the client sees. */
-function send(deployment, gateway, agent, id, isRepeatable, key, tenant) {
+function send(deployment, gateway, agent, id, key) {
   return new Promise((done) => {
     const sentAt = deployment.now();
-    const path = isRepeatable ? `/gate/${id}` : `/refund/${id}`;
     const request = httpRequest({
       host: gateway.host,
       port: deployment.ports.front,
-      method: isRepeatable ? 'GET' : 'POST',
-      path,
+      method: 'GET',
+      path: `/status/${id}`,
       agent,
       headers: {
         host: HOST,
         'request-id': id,
         'timeout-ms': String(TIMEOUT_MILLISECONDS),
-        authorization: `Token ${key}`,
+        authorization: `Token ${KEYS[key] ?? ADDED}`,
       },
     });
     const finish = (outcome) => {
       clearTimeout(timer);
-      const isKept = request.reusedSocket;
-      const result = { id, tenant, path, gateway: gateway.name, sentAt, isKept, ...outcome };
+      const result = { id, key, gateway: gateway.name, sentAt, ...outcome };
       deployment.note('client', result);
       done(result);
     };
@@ -112,43 +117,24 @@
       response.on('error', () => finish({ status: response.statusCode, isCut: true }));
     });
     request.on('error', (error) => finish({ closed: error.code ?? error.message }));
-    request.end(isRepeatable ? undefined : 'x'.repeat(600));
+    request.end();
   });
 }
 
-async function client(deployment, gateway, number, results, isOver) {
+async function client(deployment, gateway, key, number, results, isOver) {
   const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-  const [[tenant, key]] = Object.entries(KEYS);
   for (let count = 1; !isOver(); count += 1) {
-    const id = `${gateway.name}.${number}.${count}`;
-    const result = await send(
-      deployment,
-      gateway,
-      agent,
-      id,
-      (number + count) % 2 === 0,
-      key,
-      tenant,
+    results.push(
+      await send(deployment, gateway, agent, `${gateway.name}.${key}.${number}.${count}`, key),
     );
-    results.push(result);
-    await sleep(result.closed === undefined ? 5 + Math.random() * 20 : 100);
+    await sleep(150 + Math.random() * 100);
   }
   agent.destroy();
 }
 
-/** The clients of the new tenant: one request at a time, to one gateway after the other. */
-async function newTenant(deployment, results, isOver) {
-  for (let count = 1; !isOver(); count += 1) {
-    const gateway = deployment.gateways[count % deployment.gateways.length];
-    const id = `new.${count}`;
-    results.push(await send(deployment, gateway, false, id, true, NEW_KEY, 'new'));
-    await sleep(NEW_TENANT_PAUSE_MILLISECONDS);
-  }
-}
-
 const options = {
   zones: ZONES,
-  region: 'qld',
+  region: REGION,
   bounds: SITE_BOUNDS,
   contracts: [
     'base',
@@ -159,29 +145,32 @@
     'agent',
     'stream',
     'tenants',
-    'quota',
+    'places',
     'platform',
   ],
 };
 
 await runCase(dirname(fileURLToPath(import.meta.url)), options, async (deployment, hasTrouble) => {
   const runners = [];
-  for (let number = 0; number < RUNNERS; number += 1) {
+  for (let number = 0; number < 4; number += 1) {
+    const service = number < 2 ? 'register-app' : 'assist-models';
     const runner = new Runner({
       id: `i-${number + 1}`,
       deployment,
       slots: 6,
-      work: () => 30 + Math.random() * 60,
+      service,
+      work: () => 25,
+      isStream: () => service === 'assist-models',
     });
     await runner.listen(deployment.extraHost(number), deployment.ports.runner);
     runners.push(runner);
   }
-  deployment.store.put('op/config', configuration(7));
+  deployment.store.put('op/config', configuration(7, Object.values(KEYS)));
   let sequence = 0;
   const beat = () =>
-    runners.forEach(({ id, address }, number) =>
+    runners.forEach(({ id, address, service }, number) =>
       deployment.store.put(`servers/${id}`, {
-        Service: 'park-app',
+        Service: service,
         Address: address,
         Zone: ZONES[number % ZONES.length],
         Version: 'v1',
@@ -195,65 +184,86 @@
   const beats = setInterval(beat, 1_200);
   deployment.onClose(() => clearInterval(beats));
   await deployment.whenReady();
-  // All machines are in touch before the traffic starts.
   await sleep(SITE_BOUNDS.ContactMs);
   deployment.note('traffic starts');
+  const startedAt = deployment.now();
   const results = [];
   let isOver = false;
   const clients = deployment.gateways.flatMap((gateway) =>
-    Array.from({ length: CLIENTS_PER_GATEWAY }, (_, number) =>
-      client(deployment, gateway, number, results, () => isOver),
+    Object.keys(KEYS).flatMap((key) =>
+      Array.from({ length: CLIENTS_PER_KEY }, (_, number) =>
+        client(deployment, gateway, key, number, results, () => isOver),
+      ),
     ),
   );
-  await sleep(CHANGE_AT);
-  // Without the trouble the same tenant comes under a name of ASCII signs.
-  const name = hasTrouble ? 'Cairns Airport \u2013 Long Stay' : 'Cairns Airport - Long Stay';
-  deployment.store.put('op/config', configuration(11, name));
-  deployment.note('version 11 is acknowledged: it adds a tenant', { name });
-  await sleep(SITE_BOUNDS.ConfigApplyMs);
-  clients.push(newTenant(deployment, results, () => isOver));
-  await sleep(PLAY_MILLISECONDS - CHANGE_AT - SITE_BOUNDS.ConfigApplyMs);
+  const until = (milliseconds) => sleep(Math.max(0, startedAt + milliseconds - deployment.now()));
+  const takenAt = {};
+  await until(FIRST_CHANGE_AT);
+  deployment.store.put('op/config', configuration(11, [KEYS.stays, KEYS.second]));
+  takenAt.first = deployment.now();
+  deployment.note('version 11 is acknowledged: it takes the first key away');
+  await until(SECOND_CHANGE_AT);
+  if (hasTrouble) {
+    const fields = { AllowedRegions: [REGION] };
+    deployment.store.put('op/config', configuration(16, [KEYS.stays, ADDED], fields));
+    takenAt.second = deployment.now();
+    deployment.note(
+      'version 16 is acknowledged: it takes the second key away, adds one, and sets AllowedRegions',
+      fields,
+    );
+  }
+  if (hasTrouble) {
+    // Its requests are sent later than `ConfigApplyMs` after the acknowledgement.
+    await until(SECOND_CHANGE_AT + SITE_BOUNDS.ConfigApplyMs + 200);
+    deployment.gateways.forEach((gateway) =>
+      clients.push(client(deployment, gateway, 'added', 0, results, () => isOver)),
+    );
+  }
+  await until(PLAY_MILLISECONDS);
   isOver = true;
   await Promise.all(clients);
 
   const ran = new Set(runners.flatMap(({ runs }) => runs.map(({ id }) => id)));
   const reasons = [];
-  for (const gateway of deployment.gateways) {
-    const own = results.filter((result) => result.gateway === gateway.name);
-    const lost = own.filter(
-      ({ id, isKept, closed }) => isKept && closed !== undefined && ran.has(id),
+  for (const [key, at] of Object.entries(takenAt)) {
+    const late = results.filter(
+      (result) => result.key === key && result.sentAt > at + SITE_BOUNDS.RevokeMs,
     );
-    deployment.note('judged', {
-      machine: gateway.name,
-      requests: own.length,
-      endedByItself: gateway.exits.length,
-      keptPassedToSoundRunnerAndClosed: lost.length,
-      notRepeatable: lost.filter(({ path }) => path.startsWith('/refund/')).length,
-    });
+    const run = late.filter(({ id }) => ran.has(id));
+    const fields = { key, takenAt: at, sentAfterBound: late.length, run: run.length };
+    deployment.note('judged', fields);
     console.log(
-      `${gateway.name}: ended by itself ${gateway.exits.length} times; ${lost.length} requests of kept connections, at ` +
-        'sound runners, were closed without an answer',
+      `${key} key: ${late.length} requests sent after the bound, ${run.length} of them run`,
     );
-    if (lost.length > ALLOWED) {
+    if (late.length === 0) {
+      throw new Error('no request was sent after the bound');
+    }
+    if (run.length > 0) {
       reasons.push(
-        `LOST at ${gateway.name}: ${lost.length} closed without an answer, ${ALLOWED} allowed`,
+        `CONFIG: ${run.length} requests run although sent ${SITE_BOUNDS.RevokeMs} ms after their key was gone`,
       );
     }
   }
-  const ofNew = results.filter(({ tenant }) => tenant === 'new');
-  const answeredNew = ofNew.filter(({ status }) => status === 200).length;
-  const answered = results.filter(({ status }) => status === 200).length;
-  deployment.note('sum', {
-    requests: results.length,
-    answered,
-    ofNewTenant: ofNew.length,
-    answeredNew,
-  });
-  console.log(
-    `${results.length} requests, ${answered} answered; ${ofNew.length} of the new tenant, ${answeredNew} answered`,
-  );
-  if (answered < results.length / 4) {
-    throw new Error('hardly any request was answered');
+  const added = results.filter(({ key }) => key === 'added');
+  if (added.length > 0) {
+    const denied = added.filter(({ status }) => status === 401);
+    deployment.note('judged', {
+      key: 'added',
+      sentAfterBound: added.length,
+      denied: denied.length,
+    });
+    console.log(
+      `added key: ${added.length} requests sent after the bound, ${denied.length} of them denied`,
+    );
+    if (denied.length > 5 + results.length / 500) {
+      reasons.push(`CONFIG, DENIED: ${denied.length} requests with a key that is there got 401`);
+    }
+  }
+  const valid = results.filter(({ key }) => key === 'stays');
+  const answered = valid.filter(({ status }) => status === 200).length;
+  console.log(`${valid.length} requests with the key that stays, ${answered} answered`);
+  if (answered < valid.length * 0.9) {
+    throw new Error('requests with the valid key were not answered');
   }
   return reasons;
 });
