A status line that HTTP doesn't allow fails one attempt instead of ending the gateway

Cause: Node's parser accepts any three digits as a status and any bytes as a reason, and its writer throws on those that HTTP doesn't allow. Both were handed from one to the other in an event handler, and nothing on the way caught the exception. Evidence: the stack of the ended process names ServerResponse.writeHead under ClientAnswer.sendWhole.

Change: (1) the head of an answer is parsed into one that can be forwarded: status 200 to 599, a reason without control characters, no content announced with a 204; others are bad answers, so that a repeatable request is tried elsewhere and others get 502. (2) Every handler and timer of a request runs inside a boundary: an exception ends that request, gives back what it holds, is logged with its stack (process.exception) and counted (ivyloom_exceptions_total). Either alone isn't enough: parsing covers what is known, a boundary alone loses a repeatable request.

--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -15,6 +15,7 @@
 import type { TenantSettings } from '../../src/relay/request/tenant.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
 import type { Runtime } from '../../src/runtime/runtime.js';
+import type { RegionTraffic } from '../../src/topology/region-traffic.js';
 import { MemberDirectory } from '../../src/turns/member-directory.js';
 import { MemoryTurnStorage } from '../../src/turns/memory-turn-storage.js';
 import { QuotaClient } from '../../src/turns/quota-client.js';
@@ -117,6 +118,8 @@
   readonly runnerZones?: readonly [string, string];
   /** Regions that the routes allow. @default all */
   readonly allowedRegions?: ReadonlySet<string>;
+  /** Counts the bytes exchanged with runners. @default not counted */
+  readonly traffic?: RegionTraffic;
   /** Options of the runners. */
   readonly runner?: Partial<RelayRunnerOptions>;
 }
@@ -177,7 +180,7 @@
     this.replicaServer.listen(HOST, replicaPort, () => undefined);
     this.caller = new TcpReplicaCaller(this.runtime, () => undefined);
     const { runtime, caller } = this;
-    const { memoryBounds, exclusions = [] } = this.options;
+    const { memoryBounds, traffic, exclusions = [] } = this.options;
     const turns = new TurnClient({ runtime, directory, caller, zone: ZONE });
     this.gateway = new RelayGateway({
       runtime,
@@ -190,6 +193,7 @@
       graceMilliseconds: 8_000,
       exclusions,
       ...(memoryBounds === undefined ? {} : { memoryBounds }),
+      ...(traffic === undefined ? {} : { traffic }),
     });
     for (const id of ['one', 'two']) {
       const runner = new RelayRunner({
--- a/src/relay/answers/client-answer.ts
+++ b/src/relay/answers/client-answer.ts
@@ -140,6 +140,15 @@
     this.response.end(body);
   }
 
+  /** Sends a local answer if none has started, and breaks off the one that has. */
+  sendLocalOrAbort(answer: LocalAnswer, requestId: string | undefined): void {
+    if (this.headSent || this.response.destroyed) {
+      this.abort();
+    } else {
+      this.sendLocal(answer, requestId);
+    }
+  }
+
   /** Forwards a runner's complete answer. */
   sendWhole(head: AnswerHead, body: Buffer): void {
     const headers = headersToClient(head.rawHeaders);
@@ -267,10 +276,10 @@
   }
 
   private writeHead(status: number, reason: string, headers: string[]): void {
-    this.headSent = true;
     if (this.options.isClosing()) {
       headers.push('connection', 'close');
     }
     this.response.writeHead(status, reason, headers);
+    this.headSent = true;
   }
 }
--- a/src/relay/answers/local-answers.ts
+++ b/src/relay/answers/local-answers.ts
@@ -73,6 +73,14 @@
   return { status: 503, detail, verdict: 'NotRun', retryAfterSeconds: MEMORY_RETRY_SECONDS };
 }
 
+/** An unexpected exception ended the processing of the request. */
+export function interruptedByException(mayHaveRun: boolean): LocalAnswer {
+  const detail = 'this gateway could not process the request';
+  return mayHaveRun
+    ? { status: 502, detail, verdict: 'MayHaveRun' }
+    : { status: 503, detail, verdict: 'NotRun', retryAfterSeconds: UNAVAILABLE_RETRY_SECONDS };
+}
+
 /** A quorum of replicas does not know the previous turn. */
 export function turnNotFound(): LocalAnswer {
   return { status: 404, detail: 'there is no such earlier turn', verdict: 'NotRun' };
--- a/src/relay/front/relay-front.ts
+++ b/src/relay/front/relay-front.ts
@@ -6,12 +6,13 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { ClientAnswer } from '../answers/client-answer.js';
-import { memoryLimitReached } from '../answers/local-answers.js';
+import { interruptedByException, memoryLimitReached } from '../answers/local-answers.js';
 import type { LocalAnswer } from '../answers/local-answers.js';
 import type { RelayContext } from '../relay-context.js';
+import { RequestBoundary } from '../request/request-boundary.js';
 import type { RoutingTable } from '../request/routing-table.js';
 import { createIngressRequest } from '../stages/ingress-request.js';
-import type { IngressRequest } from '../stages/ingress-request.js';
+import type { IngressRequest, RequestHead } from '../stages/ingress-request.js';
 import { BODY_STAGES, HEAD_STAGES, runIngressStages, refusal } from '../stages/ingress-stages.js';
 import type { StageRefusal } from '../stages/stage.js';
 import { RelayCall } from '../tries/relay-call.js';
@@ -102,10 +103,24 @@
   }
 
   private handleRequest(request: IncomingMessage, response: ServerResponse): void {
+    const head = headOf(request);
+    const requestId = head.header(this.context.names.requestId) ?? '';
+    const boundary = new RequestBoundary(this.context.exceptions, requestId);
+    boundary.setCleanup(() => response.destroy());
+    boundary.run(() => this.startRequest(request, response, head, boundary));
+  }
+
+  private startRequest(
+    request: IncomingMessage,
+    response: ServerResponse,
+    head: RequestHead,
+    boundary: RequestBoundary,
+  ): void {
     const { names, runtime } = this.context;
     const arrivedAt = runtime.now();
-    const head = headOf(request);
-    const completion = this.completions.track(request.socket, response);
+    const completion = this.completions.track(request.socket, response, (listener) =>
+      boundary.run(listener),
+    );
     const answer = new ClientAnswer(response, {
       completion,
       runtime,
@@ -120,12 +135,13 @@
       this.checkIdle();
     });
     const ingress = createIngressRequest(this.context, head);
+    boundary.setCleanup(() => answer.sendLocalOrAbort(interruptedByException(false), ingress.id));
     const headRefusal = runIngressStages(ingress, HEAD_STAGES);
     if (headRefusal !== undefined) {
       this.refuse(request, answer, headRefusal, ingress.id);
       return;
     }
-    this.readRequestBody(request, completion, answer, ingress, (body) => {
+    const handleBody = boundary.guard((body: Buffer) => {
       const latestIngress = { ...ingress, table: this.context.currentTable() ?? ingress.table };
       const bodyRefusal = runIngressStages(latestIngress, BODY_STAGES);
       if (bodyRefusal !== undefined) {
@@ -133,8 +149,9 @@
         return;
       }
       const parsed = parseRequest({ ...ingress, tenant: latestIngress.tenant }, body, arrivedAt);
-      new RelayCall(this.context, parsed, answer).start();
+      new RelayCall(this.context, parsed, answer, boundary).start();
     });
+    this.readRequestBody(request, completion, answer, ingress, handleBody);
   }
 
   private refuse(
--- a/src/relay/front/request-completions.ts
+++ b/src/relay/front/request-completions.ts
@@ -11,6 +11,9 @@
   private readonly listeners: (() => void)[] = [];
   private completed = false;
 
+  /** @param run runs each listener, so that one that throws doesn't keep the others from being called */
+  constructor(private readonly run: (listener: () => void) => void = (listener) => listener()) {}
+
   /** Adds a listener that is called once the request is complete. */
   onComplete(listener: () => void): void {
     this.listeners.push(listener);
@@ -20,7 +23,7 @@
   complete(): void {
     if (!this.completed) {
       this.completed = true;
-      this.listeners.forEach((listener) => listener());
+      this.listeners.forEach((listener) => this.run(listener));
     }
   }
 }
@@ -40,8 +43,12 @@
   }
 
   /** Starts tracking a request that arrived over a connection. */
-  track(socket: Socket, response: ServerResponse): RequestCompletion {
-    const completion = new RequestCompletion();
+  track(
+    socket: Socket,
+    response: ServerResponse,
+    run?: (listener: () => void) => void,
+  ): RequestCompletion {
+    const completion = new RequestCompletion(run);
     const completions = this.bySocket.get(socket);
     completions?.add(completion);
     completion.onComplete(() => completions?.delete(completion));
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -1,5 +1,6 @@
 /** Dependencies and settings that all calls of a gateway share. */
 import type { Runtime } from '../runtime/runtime.js';
+import type { ExceptionLog } from '../telemetry/exception-log.js';
 import type { RegionTraffic } from '../topology/region-traffic.js';
 import type { ZoneDistances } from '../topology/zone-distances.js';
 import type { TurnClient } from '../turns/turn-client.js';
@@ -59,6 +60,8 @@
   readonly turns: TurnClient;
   readonly quotas: QuotaGate;
   readonly metrics: RelayMetrics;
+  /** Exceptions that no code expected; see `RequestBoundary`. */
+  readonly exceptions: ExceptionLog;
   /** Memory budget of this process. */
   readonly memory: MemoryBudget;
   /** Unsent bytes by runner. */
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -8,6 +8,7 @@
 import { AGGREGATE_TOPICS } from '../peers/aggregates.js';
 import { hashToNumber } from '../runtime/hashing.js';
 import type { Runtime } from '../runtime/runtime.js';
+import { ExceptionLog } from '../telemetry/exception-log.js';
 import type { RegionTraffic } from '../topology/region-traffic.js';
 import type { ZoneDistances } from '../topology/zone-distances.js';
 import type { QuotaClient } from '../turns/quota-client.js';
@@ -92,6 +93,8 @@
 export class RelayGateway {
   readonly registry: RunnerRegistry;
   readonly metrics = new RelayMetrics();
+  /** Exceptions that no code expected. */
+  readonly exceptions: ExceptionLog;
   /** Counts that are added up over all gateways by gossip. */
   readonly aggregates = new AggregateRegistry();
   /** Memory budget of this process. */
@@ -121,6 +124,7 @@
 
   constructor(private readonly options: RelayGatewayOptions) {
     const { runtime, zone, names, turns } = options;
+    this.exceptions = new ExceptionLog(runtime);
     this.memory = new MemoryBudget(runtime, options.memoryBounds ?? NO_BOUNDS);
     this.registry = new RunnerRegistry(runtime);
     this.loadCorrection = new LoadCorrection(runtime);
@@ -165,6 +169,7 @@
         chargesWholePrograms: options.policiesOff?.has(PROGRAM_QUOTAS_POLICY) !== true,
       }),
       metrics: this.metrics,
+      exceptions: this.exceptions,
       memory: this.memory,
       backpressure: this.backpressure,
       currentTable: () => this.table,
@@ -172,11 +177,15 @@
       areKeysFresh: () => this.areKeysFresh(),
     };
     this.front = new RelayFront(context);
-    this.readiness = createServer((request, response) => {
+    this.readiness = this.serveReadiness();
+  }
+
+  private serveReadiness(): Server {
+    const server = createServer((request, response) => {
       request.resume();
       response.writeHead(this.ready ? OK : UNAVAILABLE, { 'content-length': '0' }).end();
     });
-    this.readiness.listen(options.ready);
+    return server.listen(this.options.ready);
   }
 
   /** Counts the gateways of each region over all gateways: a region of which none is counted is cut off. */
--- a/src/relay/stages/stage.ts
+++ b/src/relay/stages/stage.ts
@@ -49,6 +49,7 @@
     private readonly steps: readonly (readonly RequestStage[])[],
     private readonly requestState: RequestState,
     private readonly done: (refusal: StageRefusal | undefined) => void,
+    private readonly run: (work: () => void) => void,
   ) {}
 
   startNextStep(): void {
@@ -69,7 +70,7 @@
   private startStage(stage: RequestStage): void {
     const decision = stage.decide(this.requestState);
     if (decision.tag === 'Wait') {
-      decision.begin((outcome) => this.completeStage(stage, outcome));
+      decision.begin((outcome) => this.run(() => this.completeStage(stage, outcome)));
     } else {
       this.completeStage(stage, decision);
     }
@@ -99,11 +100,13 @@
  * Runs a request through steps of stages: those of one step start together, and all must let the
  * request continue before the next step starts. Calls back once, unless the request finishes
  * before.
+ * @param run runs what follows the operations that stages wait for, to contain its exceptions
  */
 export function runStages(
   steps: readonly (readonly RequestStage[])[],
   requestState: RequestState,
   done: (refusal: StageRefusal | undefined) => void,
+  run: (work: () => void) => void = (work) => work(),
 ): void {
-  new StagePipeline(steps, requestState, done).startNextStep();
+  new StagePipeline(steps, requestState, done, run).startNextStep();
 }
--- a/src/relay/tries/attempt.ts
+++ b/src/relay/tries/attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt of a request on one runner, over HTTP/1.1. */
 import { request as httpRequest } from 'node:http';
 import type { ClientRequest, IncomingMessage } from 'node:http';
+import { isLeft } from 'fp-ts/lib/Either.js';
 import { watchEnd } from '../../http-client/answer-end.js';
 import type { AnswerEnd } from '../../http-client/answer-end.js';
 import type { AnswerDelivery, ConnectionEnding } from '../answers/answer-delivery.js';
@@ -8,6 +9,7 @@
 import type { HeaderNames } from '../request/header-names.js';
 import type { Runner } from '../runners/runner.js';
 import type { RunnerAgent } from './runner-agent.js';
+import { parseAnswerHead } from './answer-head.js';
 import { noteKeepAlive } from './runner-agent.js';
 import { isRefusal } from './runner-connections.js';
 
@@ -28,6 +30,10 @@
   onData(chunk: Buffer): void;
   onEnd(): void;
   onFailure(failure: AttemptFailure): void;
+  /** Wraps each event handler of the attempt, to contain its exceptions. @default they are thrown */
+  guard?<Values extends unknown[]>(
+    handler: (...values: Values) => void,
+  ): (...values: Values) => void;
 }
 
 /** The HTTP request of an attempt. */
@@ -62,19 +68,6 @@
 /** Status of a runner at whose address another one was expected. */
 export const STATUS_MISDIRECTED_REQUEST = 421;
 
-function readHead(response: IncomingMessage, names: HeaderNames): AnswerHead {
-  const status = response.statusCode ?? 0;
-  return {
-    status,
-    reason: response.statusMessage ?? '',
-    rawHeaders: response.rawHeaders,
-    headers: response.headers,
-    notExecuted:
-      response.headers[names.notExecuted] !== undefined || status === STATUS_MISDIRECTED_REQUEST,
-    closing: response.headers.connection?.toLowerCase() === 'close',
-  };
-}
-
 function firstValue(value: string | string[] | undefined): string | undefined {
   return Array.isArray(value) ? value[0] : value;
 }
@@ -111,11 +104,21 @@
     });
     this.checkOnAssignment();
     this.watchConnection(connectMilliseconds);
-    this.client.on('finish', () => listener.onSendEnd());
-    this.client.on('close', () => listener.onSendEnd());
-    this.client.on('response', (response) => this.handleResponse(response));
-    this.client.on('error', (error) => this.fail(error.message, isRefusal(error)));
-    this.client.on('close', () => this.handleClose());
+    const noteSendEnd = this.guard(() => listener.onSendEnd());
+    this.client.on('finish', noteSendEnd);
+    this.client.on('close', noteSendEnd);
+    this.client.on(
+      'response',
+      this.guard((response: IncomingMessage) => this.handleResponse(response)),
+    );
+    this.client.on(
+      'error',
+      this.guard((error: Error) => this.fail(error.message, isRefusal(error))),
+    );
+    this.client.on(
+      'close',
+      this.guard(() => this.handleClose()),
+    );
   }
 
   cancel(): void {
@@ -145,6 +148,12 @@
     this.response?.resume();
   }
 
+  private guard<Values extends unknown[]>(
+    handler: (...values: Values) => void,
+  ): (...values: Values) => void {
+    return this.listener.guard?.(handler) ?? handler;
+  }
+
   /**
    * Ends an excluded attempt before its connection is attached to it: the agent then hands the connection to the next
    * waiting request. Closing it instead would open a new connection for each of the waiting requests.
@@ -152,29 +161,34 @@
   private checkOnAssignment(): void {
     const { client } = this;
     const attach = client.onSocket.bind(client);
-    client.onSocket = (...connection) => {
+    const checkRules = this.guard(() => {
       const rule = this.finished ? undefined : this.listener.reasonAgainstSending();
       if (rule !== undefined) {
         this.endExcluded(rule);
       }
+    });
+    client.onSocket = (...connection) => {
+      checkRules();
       attach(...connection);
     };
   }
 
   private watchConnection(connectMilliseconds: number): void {
+    const noteConnected = this.guard(() => this.noteConnected());
+    const noteOpening = this.guard(() => this.listener.onOpening?.());
     this.client.on('socket', (socket) => {
       if (!socket.connecting) {
-        this.noteConnected();
+        noteConnected();
         return;
       }
-      this.listener.onOpening?.();
+      noteOpening();
       socket.setTimeout(connectMilliseconds, () => {
         if (socket.connecting) {
           socket.destroy(new Error('connection timed out'));
         }
       });
       socket.once('connect', () => {
-        this.noteConnected();
+        noteConnected();
         socket.setTimeout(0);
       });
     });
@@ -205,31 +219,49 @@
     if (this.finished) {
       return;
     }
-    const head = readHead(response, this.names);
+    const parsed = parseAnswerHead(response, this.names);
+    if (isLeft(parsed)) {
+      this.rejectAnswer(parsed.left);
+      return;
+    }
+    const head = parsed.right;
     if (!belongsTo(head, this.names, this.request.requestId)) {
       const id = String(head.headers[this.names.requestId]);
-      this.reportFailure({
-        tag: 'BadAnswer',
-        detail: `answer of request ${id} from ${this.runner.id}`,
-      });
-      this.client.destroy();
+      this.rejectAnswer(`answer of request ${id} from ${this.runner.id}`);
       return;
     }
     this.response = response;
     noteKeepAlive(response.socket, firstValue(response.headers['keep-alive']));
     const answerEnd = watchEnd(response, this.request.method);
     this.answerEnd = answerEnd;
-    response.on('data', (chunk: Buffer) => {
-      if (!this.finished) {
-        this.listener.onData(chunk);
-      }
-    });
-    response.on('end', () => this.handleEnd(answerEnd));
-    response.on('aborted', () => this.fail('answer incomplete'));
-    response.on('error', (error) => this.fail(error.message));
+    response.on(
+      'data',
+      this.guard((chunk: Buffer) => {
+        if (!this.finished) {
+          this.listener.onData(chunk);
+        }
+      }),
+    );
+    response.on(
+      'end',
+      this.guard(() => this.handleEnd(answerEnd)),
+    );
+    response.on(
+      'aborted',
+      this.guard(() => this.fail('answer incomplete')),
+    );
+    response.on(
+      'error',
+      this.guard((error: Error) => this.fail(error.message)),
+    );
     this.listener.onHead(head);
   }
 
+  private rejectAnswer(detail: string): void {
+    this.reportFailure({ tag: 'BadAnswer', detail });
+    this.client.destroy();
+  }
+
   /** Ignores the close after a complete answer that is still being read: `onEnd` follows once it has been read. */
   private handleClose(): void {
     if (this.response?.complete !== true) {
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -2,7 +2,7 @@
  * Processing of one relayed request: first the stages, then attempts on runners until one of them answers, no
  * further attempt is allowed, or the request's deadline has passed.
  */
-import type { CancelTimer, LogFields } from '../../runtime/runtime.js';
+import type { CancelTimer, LogFields, Runtime } from '../../runtime/runtime.js';
 import { FIRST_REDIRECT } from '../answers/answer-reader.js';
 import type {
   AnsweredCall,
@@ -14,6 +14,7 @@
 import {
   answerLost,
   answerTimedOut,
+  interruptedByException,
   lossesUnresolved,
   noRunnerAvailable,
   quarantined,
@@ -26,6 +27,7 @@
 import type { RelayContext } from '../relay-context.js';
 import { headersToRunner } from '../request/forwarded-headers.js';
 import { mayRepeat } from '../request/relay-request.js';
+import type { RequestBoundary } from '../request/request-boundary.js';
 import { runnerLossLimitOf } from '../request/routing-table.js';
 import { tenantScopedId } from '../request/tenant.js';
 import type { RelayRequest } from '../request/relay-request.js';
@@ -107,13 +109,19 @@
     readonly context: RelayContext,
     readonly request: RelayRequest,
     readonly answer: ClientAnswer,
+    private readonly boundary: RequestBoundary,
   ) {
+    boundary.setCleanup(
+      () => this.cancelCurrent(),
+      () => this.sendFailure(),
+      () => this.finish('failed', { reason: 'unexpected exception' }),
+    );
     this.requestState = new RequestState(context, request);
     this.stream = request.route.kind === 'stream' ? new StreamAnswer(this) : undefined;
     this.flowControl = new CallFlowControl(context.runtime, {
       ignoresBackpressure: request.route.retained,
       current: () => this.current,
-      end: (reason) => this.abort(reason),
+      end: boundary.guard((reason) => this.abort(reason)),
     });
   }
 
@@ -121,10 +129,32 @@
   start(): void {
     const { runtime } = this.context;
     const remaining = this.remainingMilliseconds + DEADLINE_GRACE_MILLISECONDS;
-    this.cancelDeadline = runtime.setTimer(Math.max(0, remaining), () => this.handleDeadline());
+    const handleDeadline = this.boundary.guard(() => this.handleDeadline());
+    this.cancelDeadline = runtime.setTimer(Math.max(0, remaining), handleDeadline);
     this.answer.onDisconnect(() => this.handleDisconnect());
     this.answer.setSource(this.flowControl);
-    runStages(CALL_STAGES, this.requestState, (refusal) => this.handleStagesDone(refusal));
+    runStages(
+      CALL_STAGES,
+      this.requestState,
+      (refusal) => this.handleStagesDone(refusal),
+      (work) => this.boundary.run(work),
+    );
+  }
+
+  /** Tells the client, as far as it can still be told, that an unexpected exception ended the call. */
+  private sendFailure(): void {
+    if (!this.finished) {
+      this.answer.sendLocalOrAbort(interruptedByException(this.mayHaveRun), this.request.id);
+    }
+  }
+
+  /** The runtime with timers whose exceptions end this call only. */
+  private get guardedRuntime(): Runtime {
+    const { runtime } = this.context;
+    return {
+      ...runtime,
+      setTimer: (delay, callback) => runtime.setTimer(delay, this.boundary.guard(callback)),
+    };
   }
 
   /** Time until the request's deadline, in milliseconds. */
@@ -304,9 +334,9 @@
       return;
     }
     const { context, request } = this;
-    const { runtime, registry, suspects } = context;
+    const { registry, suspects } = context;
     this.cancelArrangement = arrangeSend({
-      runtime,
+      runtime: this.guardedRuntime,
       suspects,
       request,
       patienceMilliseconds: Math.min(
@@ -343,13 +373,12 @@
   }
 
   private startAttemptAt(chosen: RunnerCandidate): void {
-    const { context, request } = this;
+    const { context, request, boundary } = this;
     const { record } = chosen;
     const { runner } = record;
     const now = context.runtime.now();
     this.dispatchedAt ??= now;
     this.lastChosen = chosen;
-    context.registry.noteRequestSent(record, request.promptParts);
     const lastEventId = this.stream?.lastEventId ?? request.lastEventId;
     this.logResumption(runner, lastEventId);
     const headers = headersToRunner(request, context.names, {
@@ -390,11 +419,14 @@
         reader.onEnd();
       },
       onFailure: (failure) => this.handleFailure(failure),
+      guard: (handler) => boundary.guard(handler),
     });
-    const inactivity = new InactivityMonitor(context, record, (isRefused) => {
+    context.registry.noteRequestSent(record, request.promptParts);
+    const handleUnreachable = boundary.guard((isRefused: boolean) => {
       context.ends.noteEvidence(record, isRefused ? 'refused' : 'unreachable');
       this.failAttempt({ tag: 'Lost', detail: 'runner unreachable' });
     });
+    const inactivity = new InactivityMonitor(context, record, handleUnreachable);
     const placed = { attempt, record, runner, startedAt: now, inactivity, chosen };
     this.current = { ...placed, exposure: undefined };
   }
@@ -512,12 +544,13 @@
     }
     if (failure.tag === 'Lost' && current.exposure !== undefined) {
       // Whether to retry, and what the client finds at another gateway, depends on what became of the runner.
-      ends.lose(current.exposure, () => {
+      const handleFate = this.boundary.guard(() => {
         const { end } = current.record;
         this.endedCount += end !== undefined && !end.wasAnnounced ? 1 : 0;
         this.noteSentTo(current.record);
         this.continueAfterFailure();
       });
+      ends.lose(current.exposure, handleFate);
       return;
     }
     this.noteRunnerAlive(current);
