Event ids, names of tenants and keep-alive times from outside no longer end the gateway

Change: a stream with such an id fails its attempt, and goes on after the last valid event; a name is sent in UTF-8, which is the same for ASCII; the time has an upper bound. Result: the three scenarios fail on, with ERR_INVALID_CHAR twice and ERR_OUT_OF_RANGE, and pass now.

--- a/features/spoiled-answers.feature
+++ b/features/spoiled-answers.feature
@@ -61,6 +61,27 @@
       | chunks  | 81   |
       | close   | 82   |
 
+  # Guards against an idle timeout that a socket refuses: its exception ended the gateway once the answer was complete.
+  Scenario: A keep-alive time of any length ends no process
+    Given a gateway whose runners send a keep-alive time of 400 digits
+    Then a "repeatable" request gets the whole answer
+    And no exception was thrown
+
+  # Guards against an event id that reaches the header of the next attempt, where Node's client refuses it.
+  Scenario: A stream with control characters in an event id goes on at another runner after the last valid event
+    Given a gateway whose runners break off the first stream after the event ids "1" and "2\x01"
+    When a client sends a "stream" request
+    Then the client gets events 1 to 4 and the end
+    And no exception was thrown
+
+  # Guards against a tenant's name that reaches a header as it is, where Node's client refuses all beyond Latin-1.
+  Scenario: A tenant's name in any script reaches the runner in UTF-8
+    Given a gateway with two runners, and a tenant named "Łódź 東京" with the key "key-1"
+    When a client sends a "repeatable" request with the key "key-1"
+    Then the client gets status 200 with the runner's body and signature
+    And the runner was told the tenant "Łódź 東京"
+    And no exception was thrown
+
   # Guards against exceptions that nobody foresaw: they ended the process, and later they would leak what the request holds.
   Scenario Outline: An exception under one request ends that request only, and what it holds is given back
     Given a gateway with two runners, at which an exception is thrown at "<point>" of requests to "/repeatable/faulty"
--- a/src/relay/answers/event-splitter.ts
+++ b/src/relay/answers/event-splitter.ts
@@ -1,4 +1,5 @@
 /** Splits the bytes of a `text/event-stream` into complete events without changing any byte. */
+import { isFieldContent } from '../../http-client/field-value.js';
 
 /** One complete event. */
 export interface StreamEvent {
@@ -66,6 +67,10 @@
     }
     start = stop + 1;
   }
+  if (id !== undefined && !isFieldContent(id)) {
+    // The stream could not be resumed after this event: its id is sent to the next runner in a header.
+    throw new RangeError('the id of an event holds control characters');
+  }
   return {
     bytes,
     id,
@@ -78,7 +83,10 @@
 export class EventSplitter {
   private rest: Buffer = EMPTY_BUFFER;
 
-  /** Adds a chunk; returns the events it completes. Throws a `RangeError` if an event exceeds the maximum size. */
+  /**
+   * Adds a chunk; returns the events it completes. Throws a `RangeError` if an event exceeds the maximum size or has an
+   * invalid id.
+   */
   push(chunk: Buffer): StreamEvent[] {
     this.rest = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
     const events: StreamEvent[] = [];
--- a/src/relay/request/forwarded-headers.ts
+++ b/src/relay/request/forwarded-headers.ts
@@ -1,4 +1,5 @@
 /** Selects the headers to forward to a runner, and those of its answer to forward to the client. */
+import { encodeFieldValue } from '../../http-client/field-value.js';
 import type { HeaderNames } from './header-names.js';
 import type { RelayRequest } from './relay-request.js';
 
@@ -77,7 +78,7 @@
     (name) => names.reserved.has(name) || replaced.has(name),
   );
   if (request.tenant !== undefined) {
-    headers.push(names.tenant, request.tenant.id);
+    headers.push(names.tenant, encodeFieldValue(request.tenant.id));
   }
   headers.push(names.timeout, String(Math.max(1, Math.floor(instructions.remainingMilliseconds))));
   headers.push(names.expectedRunner, instructions.runnerId);
--- a/src/relay/tries/runner-agent.ts
+++ b/src/relay/tries/runner-agent.ts
@@ -11,6 +11,8 @@
 const IDLE_FRACTION = 0.85;
 /** Idle timeout of connections whose runner announced none. */
 const DEFAULT_IDLE_MILLISECONDS = 4_000;
+/** Longest idle timeout that is used: a socket throws on a time that is not finite. */
+const MAXIMUM_IDLE_MILLISECONDS = 3_600_000;
 const MILLISECONDS_IN_SECOND = 1_000;
 
 const discardListeners = new WeakMap<Duplex, () => void>();
@@ -21,7 +23,8 @@
   if (seconds === undefined) {
     return DEFAULT_IDLE_MILLISECONDS;
   }
-  return Math.max(1, Number(seconds) * MILLISECONDS_IN_SECOND * IDLE_FRACTION);
+  const milliseconds = Number(seconds) * MILLISECONDS_IN_SECOND * IDLE_FRACTION;
+  return Math.min(Math.max(1, milliseconds), MAXIMUM_IDLE_MILLISECONDS);
 }
 
 /** HTTP agent for the connections to one address. */
