Bytes from peers, members and the store no longer end a process

A request for '//' at the exchange of gateways threw in new URL; a peer or a member with an impossible port threw in http.request and net.connect; an item of the store without a key, a value that is no text, or a list that is none threw in string and array functions. Each did so in an event handler or a timer.

Result: the scenario of the exchange and five of the six malformed lists fail on with TypeErrors, and pass now.

--- a/features/spoiled-answers.feature
+++ b/features/spoiled-answers.feature
@@ -95,3 +95,10 @@
       | placement    | 503    |
       | sending      | 503    |
       | answer       | 502    |
+
+  # Guards against bytes from peers and operators that reach a call which throws.
+  Scenario: Requests to the exchange of gateways and members with an impossible address end no process
+    Given a gateway's exchange with peers
+    When it is asked at "//", and told the peers "127.0.0.1:99999", "127.0.0.1:x" and "a b:80"
+    Then it answers the next request, and asks none of these
+    And a member record with port 70000 is ignored
--- a/features/steps/peers.steps.ts
+++ b/features/steps/peers.steps.ts
@@ -5,6 +5,7 @@
 import { findFreePorts } from '../../src/bench/free-ports.js';
 import type { StoreProof } from '../../src/mirror/store-freshness.js';
 import { openUdpPort } from '../../src/peers/datagram-port.js';
+import { ExceptionLog } from '../../src/telemetry/exception-log.js';
 import { LoadGossip } from '../../src/peers/load-gossip.js';
 import type { PeerStoreState } from '../../src/peers/load-gossip.js';
 import {
@@ -58,7 +59,11 @@
     runtime: createRealRuntime({ logLevel: 'error' }),
     host: HOSTS[place]!,
     zone: `z${place}`,
-    datagrams: openUdpPort(HOSTS[place]!, world.port!),
+    datagrams: openUdpPort(
+      HOSTS[place]!,
+      world.port!,
+      new ExceptionLog(createRealRuntime({ logLevel: 'error' })),
+    ),
     seeds: () => seeds,
     ownLoads: () => loads,
     ownRevision: () => 7,
--- a/features/store-client.feature
+++ b/features/store-client.feature
@@ -8,3 +8,18 @@
     Given a store that answers lists with "<html>"
     When the stale list is read
     Then the list is refused
+
+  # Guards against an item without a key or a value, which threw in an event handler and ended the gateway.
+  Scenario Outline: A list with a malformed item is refused
+    Given a store that answers lists with <body>
+    When the stale list is read
+    Then the list is refused
+
+    Examples:
+      | body                                                           |
+      | '{"items":[{"Value":"dg==","Revision":1}],"At":5}'             |
+      | '{"items":[{"Key":"k","Value":7,"Revision":1}],"At":5}'        |
+      | '{"items":[{"Key":"k","Value":"dg==","Revision":"1"}],"At":5}' |
+      | '{"items":[null],"At":5}'                                      |
+      | '{"items":{},"At":5}'                                          |
+      | 'null'                                                         |
--- a/soak/cost/hollow-gateways.ts
+++ b/soak/cost/hollow-gateways.ts
@@ -5,6 +5,7 @@
 import type { Runtime } from '../../src/runtime/runtime.js';
 import { setRepeatingTimer } from '../../src/runtime/runtime.js';
 import { openUdpPort } from '../../src/peers/datagram-port.js';
+import { ExceptionLog } from '../../src/telemetry/exception-log.js';
 import { LoadGossip } from '../../src/peers/load-gossip.js';
 import { ProofExchange } from '../../src/peers/proof-exchange.js';
 
@@ -43,7 +44,7 @@
     ({ host }) =>
       new ProofExchange({
         runtime,
-        datagrams: openUdpPort(host, ports.proof),
+        datagrams: openUdpPort(host, ports.proof, new ExceptionLog(runtime)),
         proof,
         hostsToAsk: () => [],
         isNeeded: () => false,
@@ -70,7 +71,7 @@
         runtime,
         host,
         zone,
-        datagrams: openUdpPort(host, ports.peer),
+        datagrams: openUdpPort(host, ports.peer, new ExceptionLog(runtime)),
         seeds: () => seeds,
         onPeerStoreState: () => undefined,
         onPlaces: () => undefined,
--- a/src/peers/datagram-port.ts
+++ b/src/peers/datagram-port.ts
@@ -1,6 +1,7 @@
 /** Datagrams between gateways. They may be lost, duplicated or reordered. */
 import { createSocket } from 'node:dgram';
 import type { SocketOptions } from 'node:dgram';
+import type { ExceptionLog } from '../telemetry/exception-log.js';
 
 /** Receives a datagram and the address of the host that sent it. */
 export type DatagramListener = (bytes: Uint8Array, from: string) => void;
@@ -20,15 +21,20 @@
  */
 const resolveIpAddress: SocketOptions['lookup'] = (host, _options, done) => done(null, host, IPV4);
 
-/** Opens a UDP socket; all gateways listen on the same port. */
-export function openUdpPort(host: string, port: number): DatagramPort {
+/**
+ * Opens a UDP socket; all gateways listen on the same port.
+ * @param exceptions records the exceptions of listeners: one datagram must not end the process
+ */
+export function openUdpPort(host: string, port: number, exceptions: ExceptionLog): DatagramPort {
   const socket = createSocket({ type: 'udp4', lookup: resolveIpAddress });
   // A send error counts as a lost datagram.
   socket.on('error', () => undefined);
   socket.bind(port, host);
   return {
     onDatagram: (listener) =>
-      socket.on('message', (bytes, { address }) => listener(bytes, address)),
+      socket.on('message', (bytes, { address }) =>
+        exceptions.contain('datagram', () => listener(bytes, address), { from: address }),
+      ),
     send: (bytes, target) => socket.send(bytes, port, target),
     close: () => socket.close(),
   };
--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -5,13 +5,15 @@
  * newer item by an older one.
  */
 import { createServer, request } from 'node:http';
-import type { Server } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { isLeft, isRight } from 'fp-ts/lib/Either.js';
 import * as t from 'io-ts';
+import { parseIpEndpoint } from '../http-client/ip-endpoint.js';
 import { readWholeBody } from '../http-client/read-body.js';
 import { ResetAwareAgent } from '../http-client/reset-aware-agent.js';
 import type { KeySpaceChanges } from '../mirror/key-space-copy.js';
 import type { Runtime } from '../runtime/runtime.js';
+import { ExceptionLog } from '../telemetry/exception-log.js';
 
 const VersionReportType = t.type({
   knownMilliseconds: t.number,
@@ -56,6 +58,8 @@
   readonly isNeeded: () => 'urgently' | 'now and then' | 'no';
   /** Whether a host is known to be in the own region; such hosts are asked first. @default all are */
   readonly isInOwnRegion?: (host: string) => boolean;
+  /** Records the exceptions of single exchanges. @default a log of its own */
+  readonly exceptions?: ExceptionLog;
   /** Called with the size of each snapshot that is sent. */
   readonly onSent?: (host: string, bytes: number) => void;
 }
@@ -86,24 +90,13 @@
   private readonly known = new Set<string>();
   private readonly server: Server;
   private readonly agent = new ResetAwareAgent();
+  private readonly exceptions: ExceptionLog;
   private round = 0;
 
   constructor(private readonly options: PeerExchangeOptions) {
+    this.exceptions = options.exceptions ?? new ExceptionLog(options.runtime);
     this.server = createServer((incoming, response) => {
-      const url = new URL(incoming.url ?? '/', 'http://peer');
-      if (url.pathname !== PATH) {
-        response.writeHead(404).end();
-        return;
-      }
-      const asker = url.searchParams.get(FROM_PARAMETER) ?? '';
-      this.addPeer(asker);
-      const since = Number(url.searchParams.get(SINCE_PARAMETER) ?? 0);
-      const changes = options.snapshotSince(Number.isFinite(since) ? since : 0);
-      const snapshot = { ...changes, peers: this.namedPeers() };
-      response.writeHead(200, { 'content-type': 'application/json' });
-      const body = JSON.stringify(snapshot);
-      options.onSent?.(hostOf(asker), Buffer.byteLength(body));
-      response.end(body);
+      this.exceptions.contain('snapshot', () => this.answer(incoming, response));
     });
   }
 
@@ -135,8 +128,30 @@
     return [...newest, this.options.ownAddress];
   }
 
+  private answer(incoming: IncomingMessage, response: ServerResponse): void {
+    const [path, query = ''] = (incoming.url ?? '').split('?');
+    if (path !== PATH) {
+      response.writeHead(404).end();
+      return;
+    }
+    const { snapshotSince, onSent } = this.options;
+    const parameters = new URLSearchParams(query);
+    const asker = parameters.get(FROM_PARAMETER) ?? '';
+    this.addPeer(asker);
+    const since = Number(parameters.get(SINCE_PARAMETER) ?? 0);
+    const changes = snapshotSince(Number.isFinite(since) ? since : 0);
+    const body = JSON.stringify({ ...changes, peers: this.namedPeers() });
+    response.writeHead(200, { 'content-type': 'application/json' });
+    onSent?.(hostOf(asker), Buffer.byteLength(body));
+    response.end(body);
+  }
+
   private addPeer(address: string): void {
-    if (address !== '' && address !== this.options.ownAddress && this.known.size < MAXIMUM_PEERS) {
+    if (
+      parseIpEndpoint(address) !== undefined &&
+      address !== this.options.ownAddress &&
+      this.known.size < MAXIMUM_PEERS
+    ) {
       this.known.add(address);
     }
   }
@@ -176,8 +191,12 @@
   }
 
   private ask(peer: string, done: () => void = () => undefined): void {
-    const host = hostOf(peer);
-    const port = Number(peer.slice(host.length + 1));
+    const endpoint = parseIpEndpoint(peer);
+    if (endpoint === undefined) {
+      done();
+      return;
+    }
+    const { host, port } = endpoint;
     const { ownAddress, ownRevision } = this.options;
     const query = new URLSearchParams({
       [FROM_PARAMETER]: ownAddress,
@@ -212,7 +231,8 @@
     const snapshot = SnapshotType.decode(parsed);
     if (!isLeft(snapshot)) {
       snapshot.right.peers.forEach((peer) => this.addPeer(peer));
-      this.options.onSnapshot(snapshot.right, from);
+      const { onSnapshot } = this.options;
+      this.exceptions.contain('snapshot', () => onSnapshot(snapshot.right, from), { from });
     }
   }
 }
--- a/src/turns/membership.ts
+++ b/src/turns/membership.ts
@@ -4,6 +4,7 @@
  */
 import { isLeft } from 'fp-ts/lib/Either.js';
 import * as t from 'io-ts';
+import { isPort } from '../http-client/ip-endpoint.js';
 
 /** One replica in the membership record. */
 export interface Member {
@@ -117,7 +118,8 @@
 export function decodeMemberRecord(text: string): MemberRecord | undefined {
   try {
     const decoded = MemberRecordType.decode(JSON.parse(text));
-    return isLeft(decoded) ? undefined : decoded.right;
+    const isUsable = !isLeft(decoded) && decoded.right.members.every(({ port }) => isPort(port));
+    return isUsable ? decoded.right : undefined;
   } catch {
     return undefined;
   }
