A configuration is applied part by part, and proofs speak of the version in force

Cause: (1) decoding refused the whole version for one combination or mistake; (2) the proof by which keys are accepted compared the revision that was copied from the store, not the one in force, so that the keys of the old version counted as fresh.

Change: routes, services, tenants and limits are decoded one by one; a route or a tenant with a mistake is refused alone, as not run, and none goes on by an older rule. Turns are refused only if route and tenant don't allow all regions in which turns are stored. The proof speaks of the revision that was applied; a version of which nothing can be read leaves 404 and 401 undecided (503), and keys unaccepted once the bound has passed.

Two scenarios changed: a configuration with mistakes in its tenants, and one with regions that can't be kept, were to be refused as a whole, which is the fault. They now ask that the same mistakes are named in the same words, that the version is in force, that the tenant with the mistake is served nothing and that the others are.

--- a/features/allowed-regions.feature
+++ b/features/allowed-regions.feature
@@ -30,12 +30,13 @@
       |       | c      | c1 c2             |
       | a b   | b c    | b1 b2             |
 
-  Scenario Outline: A configuration that cannot be kept is rejected with the route, the tenant and the region
+  # Guards against a configuration that is refused as a whole since some of its requests have no place: the one before stayed in force.
+  Scenario Outline: A configuration with requests that have no place is in force, and reports the route, the tenant and the region
     Given a configuration with a "<kind>" route "r" that allows "<route>" and a tenant "t" that allows "<tenant>"
-    Then decoding it gives "<error>"
+    Then it is in force and reports "<problem>"
 
     Examples:
-      | kind   | route | tenant | error                                                                                                                          |
+      | kind   | route | tenant | problem                                                                                                                        |
       | plain  | a b   | b c    | nothing wrong                                                                                                                  |
       | plain  | a x   |        | route r: AllowedRegions lists the unknown region x                                                                             |
       | plain  |       | y      | tenant t: AllowedRegions lists the unknown region y                                                                            |
@@ -44,3 +45,20 @@
       | kept   |       |        | nothing wrong                                                                                                                  |
       | kept   | a     |        | route r: AllowedRegions (a) cannot be combined with Retain: turns are stored in all regions                                    |
       | kept   |       | b      | tenant t: AllowedRegions (b) cannot be combined with Retain of route r: turns are stored in all regions                        |
+      | kept   | a b c | c b a  | nothing wrong                                                                                                                  |
+
+  # Guards against turns that are stored in a region that their route or tenant doesn't allow, and against refusing any others.
+  Scenario Outline: A turn is refused as not run if it would be stored in a region that is not allowed
+    Given a gateway whose turns are stored in "<stored>", with a tenant "t" that allows "<tenant>"
+    When "t" sends a "<route>" request
+    Then the client gets status <status>
+    And the runners ran it <runs> times
+
+    Examples:
+      | stored | tenant | route      | status | runs |
+      | a      | a      | kept       | 200    | 1    |
+      | a      | a b    | kept       | 200    | 1    |
+      | a b    | a      | kept       | 503    | 0    |
+      | a b    | a      | repeatable | 200    | 1    |
+      | a b    |        | kept       | 200    | 1    |
+      |        | a      | kept       | 503    | 0    |
--- a/features/steps/cold-periods.steps.ts
+++ b/features/steps/cold-periods.steps.ts
@@ -8,6 +8,7 @@
 import { parsePromptParts } from '../../src/relay/request/relay-request.js';
 import { EvacuatedZones } from '../../src/relay/runners/evacuated-zones.js';
 import { incarnationHash } from '../../src/relay/runners/runner.js';
+import { AppliedRevision } from '../../src/mirror/applied-revision.js';
 import { RunnerRegistry } from '../../src/relay/runners/runner-registry.js';
 import type { RunnerCandidate } from '../../src/relay/runners/runner-registry.js';
 import { createRandom } from '../../src/runtime/random.js';
@@ -68,7 +69,12 @@
   registry.coldStartMillisecondsOf = () => COLD_START_MILLISECONDS;
   const targets = { registry, directory, refusedItems, evacuatedZones };
   const topology = UNKNOWN_TOPOLOGY;
-  this.targets = { ...targets, topology, applyTable: () => undefined };
+  this.targets = {
+    ...targets,
+    topology,
+    applyTable: () => true,
+    appliedRevision: new AppliedRevision(),
+  };
   putEntry(this, 1, undefined);
   const { record } = candidateOf(this);
   registry.noteRequestSent(record, PARTS);
--- a/features/steps/entries.steps.ts
+++ b/features/steps/entries.steps.ts
@@ -10,6 +10,7 @@
 import { RefusedItemLog } from '../../platform/refused-item-log.js';
 import { RUNNER_PREFIX } from '../../platform/store-keys.js';
 import { EvacuatedZones } from '../../src/relay/runners/evacuated-zones.js';
+import { AppliedRevision } from '../../src/mirror/applied-revision.js';
 import { RunnerRegistry } from '../../src/relay/runners/runner-registry.js';
 import { UNKNOWN_TOPOLOGY } from '../../src/topology/topology.js';
 import { createRandom } from '../../src/runtime/random.js';
@@ -102,7 +103,8 @@
       topology: UNKNOWN_TOPOLOGY,
       directory: new MemberDirectory(runtime),
       refusedItems: new RefusedItemLog(runtime),
-      applyTable: () => undefined,
+      applyTable: () => true,
+      appliedRevision: new AppliedRevision(),
     };
     putEntry(this, first, entryOf(1));
     putEntry(this, second, entryOf(2));
--- a/features/steps/evacuation.steps.ts
+++ b/features/steps/evacuation.steps.ts
@@ -14,6 +14,7 @@
 import { RunnerExclusions } from '../../src/relay/runners/runner-exclusions.js';
 import type { Runner } from '../../src/relay/runners/runner.js';
 import type { RunnerCandidate } from '../../src/relay/runners/runner-registry.js';
+import { AppliedRevision } from '../../src/mirror/applied-revision.js';
 import { RunnerRegistry } from '../../src/relay/runners/runner-registry.js';
 import { CALL_STAGES } from '../../src/relay/stages/call-stages.js';
 import { RequestState } from '../../src/relay/stages/request-state.js';
@@ -58,7 +59,8 @@
     topology: new Topology(new Map(this.zones.map((zone) => [zone, 'region']))),
     directory: new MemberDirectory(runtime),
     refusedItems: new RefusedItemLog(runtime),
-    applyTable: () => undefined,
+    applyTable: () => true,
+    appliedRevision: new AppliedRevision(),
   };
   const { evacuatedZones, registry } = this.targets;
   evacuatedZones.onRestored = (zone) => registry.forgetPromptCaches(zone);
--- a/features/steps/quotas.steps.ts
+++ b/features/steps/quotas.steps.ts
@@ -92,7 +92,7 @@
           this.clock.schedule(this.random.uniform() * MAXIMUM_DELAY_MILLISECONDS, () =>
             this.processes[index]!.execute(() => {
               this.revisions[index] = Math.max(this.revisions[index]!, revision);
-              this.proofs[index]!.noteRead(sentAt);
+              this.proofs[index]!.noteRead(this.revisions[index]!, sentAt);
             }),
           );
         });
@@ -212,7 +212,7 @@
     const before = startGateway(1);
     before.clock.runUntil(450);
     const other = startGateway(2);
-    other.proof.noteRead(0);
+    other.proof.noteRead(1, 0);
     other.take(before.sent.at(-1)!);
     const late = other.sent.at(-1)!;
     const again = startGateway(3);
--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -1,7 +1,6 @@
 /** A gateway with runners and replicas on loopback, and an HTTP client for it. */
 import { request as httpRequest } from 'node:http';
 import type { IncomingMessage } from 'node:http';
-import { isLeft } from 'fp-ts/lib/Either.js';
 import { RelayRunner } from '../../src/emulator/relay-runner.js';
 import type { RelayRunnerOptions } from '../../src/emulator/relay-runner.js';
 import { findFreePorts } from '../../src/bench/free-ports.js';
@@ -118,6 +117,8 @@
   readonly runnerZones?: readonly [string, string];
   /** Regions that the routes allow. @default all */
   readonly allowedRegions?: ReadonlySet<string>;
+  /** Regions in which turns are stored. @default not known */
+  readonly storageRegions?: ReadonlySet<string>;
   /** Counts the bytes exchanged with runners. @default not counted */
   readonly traffic?: RegionTraffic;
   /** Options of the runners. */
@@ -180,7 +181,7 @@
     this.replicaServer.listen(HOST, replicaPort, () => undefined);
     this.caller = new TcpReplicaCaller(this.runtime, () => undefined);
     const { runtime, caller } = this;
-    const { memoryBounds, traffic, exclusions = [] } = this.options;
+    const { memoryBounds, traffic, storageRegions, exclusions = [] } = this.options;
     const turns = new TurnClient({ runtime, directory, caller, zone: ZONE });
     this.gateway = new RelayGateway({
       runtime,
@@ -194,6 +195,7 @@
       exclusions,
       ...(memoryBounds === undefined ? {} : { memoryBounds }),
       ...(traffic === undefined ? {} : { traffic }),
+      ...(storageRegions === undefined ? {} : { storageRegions }),
     });
     for (const id of ['one', 'two']) {
       const runner = new RelayRunner({
@@ -235,11 +237,11 @@
 
   /** Applies a configuration with tenants; throws if it is invalid. */
   applyTenants(version: number, tenants: readonly TenantSettings[]): void {
-    const byKey = createTenantsByKey(tenants);
-    if (isLeft(byKey)) {
-      throw new Error(byKey.left);
+    const { byKey, problems } = createTenantsByKey(tenants);
+    if (problems.length > 0) {
+      throw new Error(problems.join('; '));
     }
-    const table = createRoutingTable(version, ROUTES, SERVICES, LIMITS, byKey.right);
+    const table = createRoutingTable(version, ROUTES, SERVICES, LIMITS, byKey);
     this.gateway.applyTable(table, 'test');
   }
 
--- a/features/tenants.feature
+++ b/features/tenants.feature
@@ -68,8 +68,11 @@
     Then between 8 and 9 of "north" and all of "south" are answered
     And the others were refused with 429 and a retry within two seconds
 
-  Scenario Outline: A configuration with mistakes in its tenants is refused and names no key
-    Then tenants with <mistake> are refused, naming "<named>" and no key
+  # Guards against a configuration that is refused as a whole for a mistake in one tenant: keys taken away stayed valid.
+  Scenario Outline: A tenant with a mistake is served nothing, others are, and the mistake is named without a key
+    Given a configuration with <mistake>, and the tenant "west" without one
+    Then requests of "north" are refused as not run, and those of "west" are served
+    And the problem "<named>" is reported, and no key
 
     Examples:
       | mistake              | named                                           |
--- a/soak/cost/hollow-gateways.ts
+++ b/soak/cost/hollow-gateways.ts
@@ -36,9 +36,9 @@
 function answerProofs(options: HollowGatewayOptions): () => void {
   const { runtime, ports, addresses, configurationRevision } = options;
   const proof = new ConfigurationProof(runtime, () => configurationRevision);
-  proof.noteRead(runtime.now());
+  proof.noteRead(configurationRevision, runtime.now());
   const endProofs = setRepeatingTimer(runtime, PROOF_MILLISECONDS, () =>
-    proof.noteRead(runtime.now()),
+    proof.noteRead(configurationRevision, runtime.now()),
   );
   const exchanges = addresses.map(
     ({ host }) =>
--- a/src/mirror/configuration-proof.ts
+++ b/src/mirror/configuration-proof.ts
@@ -26,9 +26,12 @@
     private readonly ownRevision: () => number,
   ) {}
 
-  /** Records that the store answered a read of the configuration that was sent at a local time. */
-  noteRead(sentAt: number): void {
-    this.note({ revision: this.ownRevision(), provenAt: sentAt });
+  /**
+   * Records that the store answered a read of the configuration that was sent at a local time.
+   * @param revision of the configuration that was read, which proves nothing as long as it is not in force here
+   */
+  noteRead(revision: number, sentAt: number): void {
+    this.note({ revision, provenAt: sentAt });
   }
 
   /** Records a proof, such as one obtained from another gateway. */
--- a/src/peers/store-sync.ts
+++ b/src/peers/store-sync.ts
@@ -28,6 +28,8 @@
   readonly timings: FreshnessTimings;
   /** Key that is read to obtain proofs. */
   readonly proofKey: string;
+  /** Revision of that key's item that is in force. @default the one of the copy */
+  readonly appliedRevision?: () => number;
   /** Called with each new or changed item. */
   readonly onPut: (item: StoredItem) => void;
   /**
@@ -72,6 +74,18 @@
   };
 }
 
+function receiveStoreState(
+  state: PeerStoreState,
+  freshness: StoreFreshness,
+  catchUp: StoreCatchUp,
+): void {
+  if (state.proof !== undefined) {
+    freshness.receiveProof(state.proof);
+    catchUp.noteStoreRevision(state.proof.revision);
+  }
+  catchUp.handlePeerState(state);
+}
+
 /** Creates and starts all components. */
 export function startStoreSync(options: StoreSyncOptions): StoreSync {
   const { runtime, port, timings, fetch, startDelayMilliseconds } = options;
@@ -87,30 +101,24 @@
     onRemoved: (key, at) => options.onRemoved(key, freshness.expiryGraceMilliseconds, at),
     onReachable: () => undefined,
     onListed: (revision, sentAt) => {
-      proof.noteRead(sentAt);
+      proof.noteRead(copiedRevision(), sentAt);
       freshness.noteRead(revision, sentAt);
     },
   });
-  const proof = new ConfigurationProof(runtime, () => mirror.get(options.proofKey)?.revision ?? 0);
+  const copiedRevision = (): number => mirror.get(options.proofKey)?.revision ?? 0;
+  const proof = new ConfigurationProof(runtime, options.appliedRevision ?? copiedRevision);
   const catchUp = new StoreCatchUp({
     runtime,
     mirror,
     ...catchUpSources(() => gossip),
     fetch: fetch ?? ((_host, done) => done()),
   });
-  const handleStoreState = (state: PeerStoreState): void => {
-    if (state.proof !== undefined) {
-      freshness.receiveProof(state.proof);
-      catchUp.noteStoreRevision(state.proof.revision);
-    }
-    catchUp.handlePeerState(state);
-  };
   const gossip: LoadGossip = new LoadGossip({
     ...options.gossip,
     runtime,
     ownRevision: () => mirror.completeRevision,
     proof: () => freshness.proof,
-    onPeerStoreState: handleStoreState,
+    onPeerStoreState: (state) => receiveStoreState(state, freshness, catchUp),
   });
   const freshness: StoreFreshness = new StoreFreshness({
     runtime,
@@ -120,7 +128,7 @@
     timings,
     rank: () => gossip.proofRank,
     startDelayMilliseconds,
-    onRead: (sentAt) => proof.noteRead(sentAt),
+    onRead: (sentAt) => proof.noteRead(copiedRevision(), sentAt),
   });
   const followers = new StoreFollowers({
     runtime,
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -58,6 +58,8 @@
   /** Cost terms that placement adds up. */
   readonly charges: readonly PlacementCharge[];
   readonly turns: TurnClient;
+  /** Regions in which turns are stored; empty if regions are not known. */
+  readonly storageRegions: ReadonlySet<string>;
   readonly quotas: QuotaGate;
   readonly metrics: RelayMetrics;
   /** Exceptions that no code expected; see `RequestBoundary`. */
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -60,6 +60,8 @@
   readonly traffic?: RegionTraffic;
   readonly names: HeaderNames;
   readonly turns: TurnClient;
+  /** Regions in which turns are stored. @default not known */
+  readonly storageRegions?: ReadonlySet<string>;
   readonly quotas: QuotaClient;
   readonly front: ListenAddress;
   readonly ready: ListenAddress;
@@ -160,6 +162,7 @@
       samplesCandidates: options.policiesOff?.has(CANDIDATE_SAMPLING_POLICY) !== true,
       charges: chargesWithout(options.policiesOff ?? new Set()),
       turns,
+      storageRegions: options.storageRegions ?? new Set(),
       quotas: new QuotaGate({
         client: options.quotas,
         metrics: this.metrics,
@@ -272,10 +275,10 @@
     return this.table;
   }
 
-  /** Applies a configuration unless the one in force is the same or newer. */
-  applyTable(table: RoutingTable, source: string): void {
+  /** Applies a configuration unless the one in force is the same or newer; returns whether it is in force then. */
+  applyTable(table: RoutingTable, source: string): boolean {
     if (this.table !== undefined && table.version <= this.table.version) {
-      return;
+      return table.version === this.table.version;
     }
     this.options.runtime.log('info', 'configuration applied', {
       event: 'configuration.applied',
@@ -286,6 +289,7 @@
     this.table = table;
     this.front.applyLimits(table);
     this.listen();
+    return true;
   }
 
   /** Number of requests in progress. */
--- a/src/relay/request/routing-table.ts
+++ b/src/relay/request/routing-table.ts
@@ -43,6 +43,8 @@
   readonly isPublic: boolean;
   /** The only regions in which requests may be served and stored; undefined for all regions. */
   readonly allowedRegions?: ReadonlySet<string> | undefined;
+  /** Why requests are refused although the route is known; undefined for a valid route. */
+  readonly unusableBecause?: string | undefined;
   /** Number of runners that may end under one request, over all tries of all clients; 0 for no limit. @default 3 */
   readonly maximumRunnerLosses?: number | undefined;
 }
@@ -94,8 +96,17 @@
   readonly limits: RelayLimits;
   /** Undefined if requests carry no keys. */
   readonly tenants: TenantsByKey | undefined;
+  readonly completeness: TableCompleteness;
 }
 
+/** Whether the table has all that its configuration says; what may be missing is not refused for good. */
+export interface TableCompleteness {
+  readonly hasAllRoutes: boolean;
+  readonly hasAllKeys: boolean;
+}
+
+const COMPLETE: TableCompleteness = { hasAllRoutes: true, hasAllKeys: true };
+
 /** Creates a routing table; the routes may be in any order. */
 export function createRoutingTable(
   version: number,
@@ -103,6 +114,7 @@
   services: readonly ServiceSettings[],
   limits: RelayLimits,
   tenants?: TenantsByKey,
+  completeness = COMPLETE,
 ): RoutingTable {
   const routesByHost = new Map<string, Route[]>();
   for (const route of routes) {
@@ -113,7 +125,7 @@
     hostRoutes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
   }
   const byName = new Map(services.map((service) => [service.name, service]));
-  return { version, routesByHost, services: byName, limits, tenants };
+  return { version, routesByHost, services: byName, limits, tenants, completeness };
 }
 
 /** Returns the host of a `Host` header, in lower case and without the port. */
--- a/src/relay/request/tenant.ts
+++ b/src/relay/request/tenant.ts
@@ -3,7 +3,7 @@
  * line, metric or dump can reveal one.
  */
 import { hash } from 'node:crypto';
-import * as E from 'fp-ts/lib/Either.js';
+import { isEncodable } from '../../http-client/field-value.js';
 
 /** Name of a tenant, also sent to runners. */
 export type TenantId = string & { readonly brand: 'TenantId' };
@@ -29,6 +29,8 @@
   readonly quota: RequestQuota | undefined;
   /** The only regions in which the tenant's requests may be served and stored; undefined for all regions. */
   readonly allowedRegions?: ReadonlySet<string> | undefined;
+  /** Why its requests are refused although its keys are known; undefined for a valid tenant. */
+  readonly unusableBecause?: string | undefined;
 }
 
 /** A tenant with its keys. */
@@ -44,12 +46,21 @@
   return hash('sha256', key, 'base64') as ApiKeyDigest;
 }
 
+/** The look-up table of a configuration, and what is wrong with it; problems name tenants but no keys. */
+export interface CheckedTenants {
+  readonly byKey: TenantsByKey;
+  readonly problems: readonly string[];
+}
+
 function validationErrors({ id, quota }: TenantSettings): string[] {
   const rate = quota?.ratePerSecond ?? 0;
   const burst = quota?.burst ?? 0;
   const isNonNegative = (value: number): boolean => Number.isFinite(value) && value >= 0;
   return [
     ...(id === '' ? ['a tenant has no name'] : []),
+    ...(isEncodable(id)
+      ? []
+      : [`tenant ${id}: runners cannot be told a name with such characters`]),
     ...(isNonNegative(rate)
       ? []
       : [`tenant ${id}: the rate must be a finite number of at least 0`]),
@@ -59,33 +70,44 @@
   ];
 }
 
+function repeatedNames(tenants: readonly TenantSettings[]): ReadonlySet<TenantId> {
+  const names = new Set<TenantId>();
+  const repeated = new Set<TenantId>();
+  for (const { id } of tenants) {
+    (names.has(id) ? repeated : names).add(id);
+  }
+  return repeated;
+}
+
 /**
- * Builds the look-up table, or returns a description of what is invalid, which names tenants but no
- * keys.
+ * Builds the look-up table. The keys of a tenant with a mistake stay known, so that its requests are refused as not run, but not
+ * with the final answer that an unknown key gets; the mistake of one tenant has no effect on others.
  */
-export function createTenantsByKey(
-  tenants: readonly TenantSettings[],
-): E.Either<string, TenantsByKey> {
+export function createTenantsByKey(tenants: readonly TenantSettings[]): CheckedTenants {
   const byKey = new Map<ApiKeyDigest, Tenant>();
-  const names = new Set<TenantId>();
-  const errors: string[] = [];
+  const problems: string[] = [];
+  const repeated = repeatedNames(tenants);
+  for (const id of repeated) {
+    problems.push(`tenant ${id} is defined more than once`);
+  }
   for (const settings of tenants) {
-    const { keys, ...tenant } = settings;
-    errors.push(...validationErrors(settings));
-    if (names.has(tenant.id)) {
-      errors.push(`tenant ${tenant.id} is defined more than once`);
-    }
-    names.add(tenant.id);
+    const { keys, ...valid } = settings;
+    const errors = validationErrors(settings);
+    problems.push(...errors);
+    const mistake = repeated.has(valid.id) ? 'its name is defined more than once' : errors[0];
+    const tenant = mistake === undefined ? valid : { ...valid, unusableBecause: mistake };
     for (const key of keys) {
       const digest = digestOfKey(key);
       const owner = byKey.get(digest);
-      if (key === '' || (owner !== undefined && owner.id !== tenant.id)) {
-        errors.push(`tenant ${tenant.id}: a key is empty or also belongs to another tenant`);
+      const isShared = owner !== undefined && owner.id !== tenant.id;
+      if (key === '' || isShared) {
+        problems.push(`tenant ${tenant.id}: a key is empty or also belongs to another tenant`);
       }
-      byKey.set(digest, tenant);
+      const unusableBecause = 'the key belongs to several tenants';
+      byKey.set(digest, isShared ? { ...tenant, unusableBecause } : tenant);
     }
   }
-  return errors.length === 0 ? E.right(byKey) : E.left(errors.join('; '));
+  return { byKey, problems };
 }
 
 /**
--- a/src/relay/runners/allowed-regions.ts
+++ b/src/relay/runners/allowed-regions.ts
@@ -1,6 +1,6 @@
 /**
- * Requests that may leave only to certain regions: the rule that excludes the runners elsewhere, and the check that a
- * configuration can be kept.
+ * Requests that may leave only to certain regions: the rule that excludes the runners elsewhere, whether their turns may be
+ * stored, and a report of the limits that leave requests without a place.
  */
 import type { Topology } from '../../topology/topology.js';
 import type { Route } from '../request/routing-table.js';
@@ -19,6 +19,24 @@
   };
 }
 
+/**
+ * Whether turns of a route and a tenant may be stored where all turns are stored.
+ * @param storageRegions regions in which turns are stored; if they are not known, no limit can be kept
+ */
+export function isStorableEverywhere(
+  limits: readonly (Pick<Limited, 'allowedRegions'> | undefined)[],
+  storageRegions: ReadonlySet<string>,
+): boolean {
+  return limits.every((limit) => {
+    const allowed = limit?.allowedRegions;
+    const storedIn = [...storageRegions];
+    return (
+      allowed === undefined ||
+      (storedIn.length > 0 && storedIn.every((region) => allowed.has(region)))
+    );
+  });
+}
+
 /** A route or a tenant that may limit the regions. */
 interface Limited {
   readonly title: string;
@@ -29,38 +47,43 @@
   return [...regions].join(', ');
 }
 
-function unknownRegionErrors({ title, allowedRegions }: Limited, topology: Topology): string[] {
+function unknownRegionProblems({ title, allowedRegions }: Limited, topology: Topology): string[] {
   const unknown = [...(allowedRegions ?? [])].filter((region) => !topology.regions.has(region));
   return unknown.map((region) => `${title}: AllowedRegions lists the unknown region ${region}`);
 }
 
-function retentionError(title: string, regions: ReadonlySet<string>, retained: string): string {
+function retentionProblem(title: string, regions: ReadonlySet<string>, retained: string): string {
   const reason = 'turns are stored in all regions';
   return `${title}: AllowedRegions (${namesOf(regions)}) cannot be combined with Retain${retained}: ${reason}`;
 }
 
-function errorsOfRoute(route: Route, tenants: readonly Tenant[]): string[] {
+function problemsOfRoute(
+  route: Route,
+  tenants: readonly Tenant[],
+  storageRegions: ReadonlySet<string>,
+): string[] {
   const title = `route ${route.name}`;
   const { allowedRegions, retained } = route;
-  const errors: string[] = [];
-  if (allowedRegions !== undefined && retained) {
-    errors.push(retentionError(title, allowedRegions, ''));
+  const problems: string[] = [];
+  if (allowedRegions !== undefined && retained && !isStorableEverywhere([route], storageRegions)) {
+    problems.push(retentionProblem(title, allowedRegions, ''));
   }
-  for (const { id, allowedRegions: ofTenant } of route.isPublic ? [] : tenants) {
-    if (ofTenant !== undefined && retained) {
-      errors.push(retentionError(`tenant ${id}`, ofTenant, ` of ${title}`));
+  for (const tenant of route.isPublic ? [] : tenants) {
+    const { id, allowedRegions: ofTenant } = tenant;
+    if (ofTenant !== undefined && retained && !isStorableEverywhere([tenant], storageRegions)) {
+      problems.push(retentionProblem(`tenant ${id}`, ofTenant, ` of ${title}`));
     } else if (ofTenant !== undefined && allowedRegions !== undefined) {
       const common = [...ofTenant].filter((region) => allowedRegions.has(region));
       const both = `${title} allows the regions ${namesOf(allowedRegions)}`;
       const other = `tenant ${id} only ${namesOf(ofTenant)}`;
-      errors.push(...(common.length > 0 ? [] : [`${both}, ${other}: none is allowed by both`]));
+      problems.push(...(common.length > 0 ? [] : [`${both}, ${other}: none is allowed by both`]));
     }
   }
-  return errors;
+  return problems;
 }
 
-/** Returns what is wrong with the allowed regions of a configuration; empty if nothing is. */
-export function allowedRegionsErrors(
+/** Returns which requests the allowed regions leave without a place to run or to be stored, and why. */
+export function allowedRegionsProblems(
   routes: readonly Route[],
   tenants: readonly Tenant[],
   topology: Topology,
@@ -70,7 +93,7 @@
     ...tenants.map((tenant) => ({ ...tenant, title: `tenant ${tenant.id}` })),
   ];
   return [
-    ...limited.flatMap((each) => unknownRegionErrors(each, topology)),
-    ...routes.flatMap((route) => errorsOfRoute(route, tenants)),
+    ...limited.flatMap((each) => unknownRegionProblems(each, topology)),
+    ...routes.flatMap((route) => problemsOfRoute(route, tenants, topology.regions)),
   ];
 }
--- a/src/relay/stages/authenticate.ts
+++ b/src/relay/stages/authenticate.ts
@@ -49,6 +49,10 @@
   retryAfterSeconds: RETRY_WITHOUT_PROOF_SECONDS,
 });
 
+function unusable({ id, unusableBecause: reason }: Tenant): Authentication {
+  return refused({ status: 503, detail: `tenant ${id} is configured with a mistake: ${reason}` });
+}
+
 /** Returns all values of a header. */
 function headerValues(rawHeaders: readonly string[], name: string): string[] {
   const values: string[] = [];
@@ -92,7 +96,10 @@
   const tenant = tenants.get(digestOfKey(key));
   const { isProven, areKeysFresh } = freshness();
   if (tenant === undefined) {
-    return isProven ? UNKNOWN_KEY : UNPROVEN_KEY;
+    return isProven && table.completeness.hasAllKeys ? UNKNOWN_KEY : UNPROVEN_KEY;
+  }
+  if (tenant.unusableBecause !== undefined) {
+    return unusable(tenant);
   }
   return areKeysFresh ? { tag: 'Known', tenant } : STALE_KEYS;
 }
--- a/src/relay/stages/ingress-stages.ts
+++ b/src/relay/stages/ingress-stages.ts
@@ -5,6 +5,7 @@
  */
 import { RETRY_WITHOUT_PROOF_SECONDS } from '../answers/local-answers.js';
 import type { LocalAnswer } from '../answers/local-answers.js';
+import { isStorableEverywhere } from '../runners/allowed-regions.js';
 import { findRoute, hostName } from '../request/routing-table.js';
 import { authenticate } from './authenticate.js';
 import type { IngressRequest } from './ingress-request.js';
@@ -43,6 +44,12 @@
   verdict: 'NotRun',
   retryAfterSeconds: RETRY_WITHOUT_PROOF_SECONDS,
 };
+/** Answer to a turn whose allowed regions don't include all regions in which turns are stored. */
+const STORED_ELSEWHERE: LocalAnswer = {
+  status: 503,
+  detail: 'turns are stored in all regions, and the route or the tenant does not allow all of them',
+  verdict: 'NotRun',
+};
 
 /** Returns an answer that refuses a request that was not run. */
 export function refusal(status: number, detail: string): LocalAnswer {
@@ -79,9 +86,12 @@
     const { table, head, context } = ingress;
     ingress.route = findRoute(table!, hostName(head.header('host') ?? ''), head.path);
     if (ingress.route !== undefined) {
-      return undefined;
+      const { name, unusableBecause: reason } = ingress.route;
+      const detail = `route ${name} is configured with a mistake: ${reason}`;
+      return reason === undefined ? undefined : refusal(503, detail);
     }
-    return context.isTableProven() ? NO_ROUTE : ROUTE_UNKNOWN;
+    const isFinal = context.isTableProven() && table!.completeness.hasAllRoutes;
+    return isFinal ? NO_ROUTE : ROUTE_UNKNOWN;
   },
 };
 
@@ -122,6 +132,15 @@
   },
 };
 
+/** Refuses turns that would be stored in a region that their route or tenant doesn't allow. */
+const storage: IngressStage = {
+  name: 'storage',
+  check: ({ route, tenant, context }) => {
+    const mayBeStored = isStorableEverywhere([route, tenant], context.storageRegions);
+    return route!.retained && !mayBeStored ? STORED_ELSEWHERE : undefined;
+  },
+};
+
 /** Stages after the head was read. */
 export const HEAD_STAGES: readonly IngressStage[] = [
   configuration,
@@ -131,10 +150,11 @@
   MEMORY_STAGE,
   bodySize,
   key,
+  storage,
 ];
 
 /** Stages after the body was read, with the configuration then in force. */
-export const BODY_STAGES: readonly IngressStage[] = [key];
+export const BODY_STAGES: readonly IngressStage[] = [key, storage];
 
 /**
  * Runs a request through stages; returns the first refusal, or undefined if the request may
