Answers without end are bounded in bytes and in time

On the code before, the rest of a refusal was read for as long as it came, the body of an error on a stream's route was kept without a bound, and line breaks and informational answers ahead of a status line held a repeatable request until its deadline.

Cause: bounds stood only where an answer is wanted; what the parser skips, what is read to use a connection again, and what is kept for another purpose had none.

The emulated runner and the soak send endless answers of every part and framing, and heads that HTTP doesn't allow.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -35,6 +35,7 @@
       'src/platform/http-*.ts',
       'src/emulator/relay-runner.ts',
       'src/http-client/reset-aware-socket.ts',
+      'src/emulator/endless-answer.ts',
       'src/emulator/unframed-answer.ts',
       'platform/stand-in/**',
       'soak/**',
--- /dev/null
+++ b/features/steps/endless-answers.steps.ts
@@ -0,0 +1,268 @@
+/** Steps for answers with a part that never ends. */
+import assert from 'node:assert/strict';
+import type { Socket } from 'node:net';
+import { After, Given, Then, When } from '@cucumber/cucumber';
+import * as E from 'fp-ts/lib/Either.js';
+import { createCachedPartsReader } from '../../platform/cached-parts.js';
+import { PlatformStoreClient } from '../../platform/store-client.js';
+import { sendEndless } from '../../src/emulator/endless-answer.js';
+import type {
+  BodyFiller,
+  BodyFraming,
+  EndlessForm,
+  EndlessPart,
+  EndlessRecord,
+} from '../../src/emulator/endless-answer.js';
+import { PeerExchange } from '../../src/peers/peer-exchange.js';
+import { boundsForBudget } from '../../src/relay/memory/memory-bounds.js';
+import { DEFAULT_HEADER_NAMES as NAMES } from '../../src/relay/request/default-header-names.js';
+import { identifyRunner } from '../../src/relay/tries/identify-runner.js';
+import { RunnerConnections } from '../../src/relay/tries/runner-connections.js';
+import { createRealRuntime } from '../../src/runtime/real-runtime.js';
+import { RawServer } from '../support/raw-server.js';
+import { RelayWorld } from '../support/relay-world.js';
+import type { ClientResult } from '../support/relay-world.js';
+
+interface World {
+  relay?: RelayWorld;
+  results: ClientResult[];
+  mostHeldBytes: number;
+  server?: RawServer;
+  port: number;
+  records: EndlessRecord[];
+  report: { hasAnswer: boolean; milliseconds: number };
+}
+
+const HOST = '127.0.0.1';
+const MEBIBYTE = 1024 * 1024;
+const POLL_MILLISECONDS = 10;
+const SAMPLE_MILLISECONDS = 2;
+const BURSTS = 4;
+const runtime = createRealRuntime({ logLevel: 'error' });
+
+After(function (this: World) {
+  this.server?.close();
+});
+
+function formOf(extra: Partial<EndlessForm>): EndlessForm {
+  const form = { part: 'body', framing: 'length', status: 200, filler: 'letters' } as const;
+  return { ...form, isSlow: false, ...extra };
+}
+
+/** Lets the first request that arrives at one of the runners get an endless answer. */
+function spoilFirst({ relay }: World, form: EndlessForm): void {
+  const shared = ['endless' as const];
+  relay!.runners.forEach((runner) => {
+    runner.endlessForm = () => form;
+    runner.behaviours.shift = () => shared.shift();
+  });
+}
+
+Given(
+  'the first answer is endless in its {string}, framed by {string}, with status {int}',
+  function (this: World, part: EndlessPart, framing: BodyFraming, status: number) {
+    spoilFirst(this, formOf({ part, framing, status }));
+  },
+);
+
+Given(
+  'the first answer is endless in its {string}, framed by {string}, with status {int}, and slow',
+  function (this: World, part: EndlessPart, framing: BodyFraming, status: number) {
+    spoilFirst(this, formOf({ part, framing, status, isSlow: true }));
+  },
+);
+
+Given(
+  'the first answer is endless in its {string} of {string}, framed by {string}, with status {int}',
+  function (
+    this: World,
+    part: EndlessPart,
+    filler: BodyFiller,
+    framing: BodyFraming,
+    status: number,
+  ) {
+    spoilFirst(this, formOf({ part, filler, framing, status }));
+  },
+);
+
+async function assertClosed(
+  records: readonly EndlessRecord[],
+  milliseconds: number,
+  mebibytes: number,
+): Promise<void> {
+  assert.ok(records.length > 0, 'no answer was endless');
+  for (const record of records) {
+    const until = record.startedAt + milliseconds;
+    while (record.closedAt === undefined && performance.now() < until) {
+      await new Promise((resolve) => setTimeout(resolve, POLL_MILLISECONDS));
+    }
+    assert.ok(record.closedAt !== undefined, `open after ${milliseconds} ms`);
+    assert.ok(record.closedAt - record.startedAt <= milliseconds);
+    assert.ok(record.bytes <= mebibytes * MEBIBYTE, `${record.bytes} bytes were taken`);
+  }
+}
+
+Then(
+  /^(?:the|each) endless answer was closed within (\d+) ms and after at most (\d+) MiB$/,
+  async function (this: World, milliseconds: string, mebibytes: string) {
+    const records = this.relay!.runners.flatMap(({ endlessRecords }) => endlessRecords);
+    await assertClosed(records, Number(milliseconds), Number(mebibytes));
+  },
+);
+
+Then('nothing is held for it', async function (this: World) {
+  const { memory, registry } = this.relay!.gateway;
+  await new Promise((resolve) => setTimeout(resolve, POLL_MILLISECONDS));
+  assert.equal(memory.heldBytes, 0);
+  assert.deepEqual([...registry.ownLoads()], []);
+});
+
+Given(
+  'a gateway with two runners and a memory budget of {int} MiB',
+  async function (this: World, mebibytes: number) {
+    await this.relay?.stop();
+    this.relay = new RelayWorld({ memoryBounds: boundsForBudget(mebibytes * MEBIBYTE) });
+    await this.relay.start(true);
+  },
+);
+
+Given(
+  '{int} of {int} answers to {string} requests is endless in its {string}, framed by {string}, with status {int}',
+  function (
+    this: World,
+    some: number,
+    all: number,
+    route: string,
+    part: EndlessPart,
+    framing: BodyFraming,
+    status: number,
+  ) {
+    let answers = 0;
+    this.relay!.runners.forEach((runner) => {
+      runner.endlessForm = () => formOf({ part, framing, status });
+      runner.drawBehaviour = (path) => {
+        if (!path.startsWith(`/${route}/`)) {
+          return 'answer';
+        }
+        answers += 1;
+        return answers % all < some ? 'endless' : 'answer';
+      };
+    });
+  },
+);
+
+When(
+  '{int} {string} requests and {int} others are sent over 1 second',
+  { timeout: 30_000 },
+  async function (this: World, spoiled: number, route: string, others: number) {
+    const relay = this.relay!;
+    this.mostHeldBytes = 0;
+    const sampler = setInterval(() => {
+      this.mostHeldBytes = Math.max(this.mostHeldBytes, relay.gateway.memory.heldBytes);
+    }, SAMPLE_MILLISECONDS);
+    const after = async (milliseconds: number, name: string): Promise<ClientResult> => {
+      await new Promise((resolve) => setTimeout(resolve, milliseconds));
+      return relay.send(name);
+    };
+    const burst = (index: number): number => (index % BURSTS) * (1_000 / BURSTS);
+    const pending = Array.from({ length: spoiled }, (_, index) => after(burst(index), route));
+    const sound = Array.from({ length: others }, (_, index) =>
+      after((index * 1_000) / others, 'repeatable'),
+    );
+    this.results = await Promise.all(sound);
+    await Promise.all(pending);
+    clearInterval(sampler);
+  },
+);
+
+Then('the others all get status 200', function (this: World) {
+  const failed = this.results.filter(({ status }) => status !== 200);
+  assert.deepEqual(failed, []);
+});
+
+Then('at most {int} MiB were held at any time', function (this: World, mebibytes: number) {
+  assert.ok(this.mostHeldBytes <= mebibytes * MEBIBYTE, `${this.mostHeldBytes} bytes`);
+});
+
+Given(
+  'a server whose answers are endless in their {string}',
+  async function (this: World, part: EndlessPart) {
+    this.records = [];
+    const form = formOf({ part, framing: 'close' });
+    this.server = new RawServer((socket: Socket) =>
+      this.records.push(sendEndless(socket, form, {})),
+    );
+    this.port = await this.server.listen();
+  },
+);
+
+Given('a server that sends to each connection without end', async function (this: World) {
+  this.records = [];
+  const form = formOf({ part: 'blankLines' });
+  this.server = new RawServer((socket) => this.records.push(sendEndless(socket, form, {})), true);
+  this.port = await this.server.listen();
+});
+
+Then('the runner counts as alive', function (this: World) {
+  assert.equal(this.report.hasAnswer, true);
+});
+
+const READERS: Readonly<Record<string, (port: number) => Promise<boolean>>> = {
+  "the client of the store's lists": (port) =>
+    new Promise((resolve) => {
+      new PlatformStoreClient(HOST, port, runtime).list('', (list) => resolve(E.isRight(list)));
+    }),
+  "the client of the store's writes": (port) =>
+    new Promise((resolve) => {
+      const client = new PlatformStoreClient(HOST, port, runtime);
+      client.swap('key', 0, 'value', ({ tag }) => resolve(tag !== 'Unknown'));
+    }),
+  'the reader of cached parts': (port) =>
+    new Promise((resolve) => {
+      const engine = { id: 'e', service: 's', host: HOST, port, zone: 'z', slots: 1, ready: true };
+      createCachedPartsReader(runtime)(engine, (parts) => resolve(E.isRight(parts)));
+    }),
+  'a gateway that asks another': (port) =>
+    new Promise((resolve) => {
+      let hasSnapshot = false;
+      const exchange = new PeerExchange({
+        runtime,
+        ownAddress: `${HOST}:1`,
+        seeds: () => [],
+        ownRevision: () => 0,
+        snapshotSince: () => ({ since: 0, revision: 0, items: [], gone: [], members: '' }),
+        onSnapshot: () => (hasSnapshot = true),
+        isNeeded: () => 'no',
+      });
+      exchange.fetchFrom(`${HOST}:${port}`, () => resolve(hasSnapshot));
+    }),
+  'the health check of a runner': (port) =>
+    new Promise((resolve) => {
+      const runner = { id: 'e', service: 's', host: HOST, port, zone: 'z', slots: 1, ready: true };
+      const question = { runtime, names: NAMES, runner, path: '/healthz' };
+      identifyRunner(question, (identity) => resolve(identity !== 'unknown'));
+    }),
+  'a connection that watches a runner': (port) =>
+    new Promise((resolve) => {
+      const runner = { id: 'e', service: 's', host: HOST, port, zone: 'z', slots: 1, ready: true };
+      new RunnerConnections(runtime).watch(runner, 5_000, resolve);
+    }),
+};
+
+When(/^(.*) reads an endless answer$/, async function (this: World, reader: string) {
+  const startedAt = performance.now();
+  const hasAnswer = await READERS[reader]!(this.port);
+  this.report = { hasAnswer, milliseconds: performance.now() - startedAt };
+});
+
+Then('it reports that there is none within {int} ms', function (this: World, milliseconds: number) {
+  assert.equal(this.report.hasAnswer, false);
+  assert.ok(this.report.milliseconds <= milliseconds, `${this.report.milliseconds} ms`);
+});
+
+Then(
+  "the server's connection was closed within {int} ms and after at most {int} MiB",
+  async function (this: World, milliseconds: number, mebibytes: number) {
+    await assertClosed(this.records, milliseconds, mebibytes);
+  },
+);
--- a/features/support/raw-server.ts
+++ b/features/support/raw-server.ts
@@ -6,11 +6,18 @@
 export class RawServer {
   private readonly server: Server;
 
-  /** @param respond called with the first bytes of each connection */
-  constructor(respond: (socket: Socket, received: Buffer) => void) {
+  /**
+   * @param respond called with the first bytes of each connection
+   * @param atOnce calls it as soon as a connection is open, before any bytes arrive
+   */
+  constructor(respond: (socket: Socket, received: Buffer) => unknown, atOnce = false) {
     this.server = createServer((socket) => {
       socket.on('error', () => undefined);
-      socket.once('data', (chunk: Buffer) => respond(socket, chunk));
+      if (atOnce) {
+        respond(socket, Buffer.alloc(0));
+      } else {
+        socket.once('data', (chunk: Buffer) => respond(socket, chunk));
+      }
     });
   }
 
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -25,7 +25,14 @@
 import { slowReaderViolations } from './slow-reading.js';
 import type { RunningSoak, SoakOptions, SoakReport } from './soak-report.js';
 import { SoakConfiguration } from './soak-configuration.js';
-import { FAULTS, MISBEHAVIOURS, ALL_REPLICAS, STORE_FAULTS, targetsOf } from './soak-faults.js';
+import {
+  ALL_REPLICAS,
+  drawEndlessForm,
+  FAULTS,
+  MISBEHAVIOURS,
+  STORE_FAULTS,
+  targetsOf,
+} from './soak-faults.js';
 import type { Fault, FaultTargets } from './soak-faults.js';
 import { SoakUpgrade } from './soak-upgrade.js';
 import { COLD_LIMIT, SOAK_ZONES, SoakWorld } from './soak-world.js';
@@ -412,9 +419,10 @@
   }
 
   private misbehave(): void {
-    this.world.liveRunners.forEach((runner) =>
-      runner.behaviours.push(this.random.pick(MISBEHAVIOURS), this.random.pick(MISBEHAVIOURS)),
-    );
+    this.world.liveRunners.forEach((runner) => {
+      runner.endlessForm = () => drawEndlessForm(this.random);
+      runner.behaviours.push(this.random.pick(MISBEHAVIOURS), this.random.pick(MISBEHAVIOURS));
+    });
   }
 
   private async kill(
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -1,6 +1,9 @@
 /** Fault kinds of the soak and the targets of each: two faults with a common target never overlap. */
+import { BODY_FRAMINGS, ENDLESS_PARTS } from '../src/emulator/endless-answer.js';
+import type { EndlessForm } from '../src/emulator/endless-answer.js';
 import type { RunnerBehaviour } from '../src/emulator/relay-runner.js';
 import { BREAKING_BEHAVIOURS } from '../src/emulator/unframed-answer.js';
+import type { RandomSource } from '../src/runtime/random.js';
 
 /** Names of all fault kinds, as the `--faults` option takes them. */
 export const FAULTS = [
@@ -60,9 +63,27 @@
   'falsePromise',
   'fail',
   'unframed',
+  'endless',
+  'spoiledHead',
   ...BREAKING_BEHAVIOURS,
 ];
 
+/** Statuses of endless answers: a refusal would be wrong, since the runner runs the request. */
+const ENDLESS_STATUSES = [200, 404, 500] as const;
+/** Parts without end; what comes behind a whole answer would make a wrong one of it. */
+const SOAKED_PARTS = ENDLESS_PARTS.filter((part) => part !== 'extraBytes');
+
+/** Draws the form of an endless answer. */
+export function drawEndlessForm(random: RandomSource): EndlessForm {
+  return {
+    part: random.pick(SOAKED_PARTS),
+    framing: random.pick(BODY_FRAMINGS),
+    status: random.pick(ENDLESS_STATUSES),
+    filler: 'letters',
+    isSlow: false,
+  };
+}
+
 /** Faults of the store; the configuration check exempts all gateways while one lasts. */
 export const STORE_FAULTS: ReadonlySet<Fault> = new Set([
   'storeRefuses',
--- a/src/emulator/relay-runner.ts
+++ b/src/emulator/relay-runner.ts
@@ -7,6 +7,8 @@
 import type { AddressInfo, Socket } from 'node:net';
 import { performance } from 'node:perf_hooks';
 import type { HeaderNames } from '../relay/request/header-names.js';
+import { sendEndless } from './endless-answer.js';
+import type { EndlessForm, EndlessRecord } from './endless-answer.js';
 import { fatalEffectOf } from './fatal-effect.js';
 import type { FatalEffect } from './fatal-effect.js';
 import { isUnframed, sendUnframed } from './unframed-answer.js';
@@ -33,6 +35,10 @@
   | 'fail'
   /** Answers with neither a length nor chunks, whole or broken off. */
   | UnframedBehaviour
+  /** Runs the request and sends an answer with a part that never ends; see `endlessForm`. */
+  | 'endless'
+  /** Runs the request and sends a whole answer with a status line that HTTP doesn't allow. */
+  | 'spoiledHead'
   /** Runs the request and never answers. */
   | 'silent'
   /** Simulates a power loss in the middle of a stream: no more bytes, no new connections. */
@@ -82,6 +88,10 @@
 export const ENDING_MILLISECONDS = 3;
 /** Events of a stream that a runner sends before a request ends it midway. */
 const EVENTS_BEFORE_END = 2;
+/** Statuses of endless answers that state that the request was not run. */
+const REFUSAL_STATUSES = new Set([421, 429, 503]);
+/** Status lines that a parser may accept, and that must not be forwarded. */
+const SPOILED_STATUS_LINES = ['HTTP/1.1 200 \x0fK', 'HTTP/1.1 000 OK', 'HTTP/1.1 600 OK'];
 /** Path of the health check. */
 export const HEALTH_PATH = '/healthz';
 const STREAM_QUERY = 'stream';
@@ -99,10 +109,20 @@
   readonly runs: RunnerRun[] = [];
   /** Behaviours of the next requests, in order; once empty, `drawBehaviour` decides. */
   readonly behaviours: RunnerBehaviour[] = [];
-  /** Returns the behaviour of a request for which none is queued. */
-  drawBehaviour: () => RunnerBehaviour = () => 'answer';
+  /** Returns the behaviour of a request to a path for which none is queued. */
+  drawBehaviour: (path: string) => RunnerBehaviour = () => 'answer';
   /** Number of answers with neither a length nor chunks so far, and how many of them were broken off. */
   readonly unframed = { sent: 0, broken: 0 };
+  /** Returns the form of the next endless answer. */
+  endlessForm: () => EndlessForm = () => ({
+    part: 'body',
+    framing: 'length',
+    status: 200,
+    filler: 'letters',
+    isSlow: false,
+  });
+  /** The endless answers so far. */
+  readonly endlessRecords: EndlessRecord[] = [];
   /** Number of connections accepted so far. */
   connectionCount = 0;
   /** Number of requests so far that were meant for another incarnation, and answered with 421. */
@@ -282,7 +302,7 @@
       response.writeHead(421).end();
       return;
     }
-    const behaviour = this.behaviours.shift() ?? this.drawBehaviour();
+    const behaviour = this.behaviours.shift() ?? this.drawBehaviour(request.url ?? '');
     if (behaviour === 'refuse') {
       response.writeHead(503, { [names.notExecuted]: '1' }).end();
       return;
@@ -365,6 +385,12 @@
         return;
       case 'silent':
         return;
+      case 'endless':
+        this.respondEndless(request.socket, requestId);
+        return;
+      case 'spoiledHead':
+        this.respondSpoiled(request.socket, requestId);
+        return;
       case 'falsePromise':
         response.writeHead(503, { [names.requestId]: requestId }).end();
         return;
@@ -383,6 +409,23 @@
     }
   }
 
+  private respondSpoiled(socket: Socket, requestId: string): void {
+    const statusLine = SPOILED_STATUS_LINES[this.runs.length % SPOILED_STATUS_LINES.length]!;
+    const lines = Object.entries(this.headersOf(requestId)).map(
+      ([name, value]) => `${name}: ${value}\r\n`,
+    );
+    socket.end(`${statusLine}\r\n${lines.join('')}connection: close\r\n\r\nspoiled`, 'latin1');
+  }
+
+  private respondEndless(socket: Socket, requestId: string): void {
+    const form = this.endlessForm();
+    const refusal = REFUSAL_STATUSES.has(form.status)
+      ? { [this.options.names.notExecuted]: '1' }
+      : {};
+    const headers = { ...this.headersOf(requestId), ...refusal };
+    this.endlessRecords.push(sendEndless(socket, form, headers));
+  }
+
   private respondPlain(
     request: IncomingMessage,
     response: ServerResponse,
--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -9,6 +9,7 @@
 import { isLeft, isRight } from 'fp-ts/lib/Either.js';
 import * as t from 'io-ts';
 import { parseIpEndpoint } from '../http-client/ip-endpoint.js';
+import { limitHead } from '../http-client/answer-limits.js';
 import { readWholeBody } from '../http-client/read-body.js';
 import { ResetAwareAgent } from '../http-client/reset-aware-agent.js';
 import type { KeySpaceChanges } from '../mirror/key-space-copy.js';
@@ -71,7 +72,7 @@
 const NORMAL_INTERVAL_MILLISECONDS = 500;
 const CALL_TIMEOUT_MILLISECONDS = 600;
 /** Bounds the memory of a snapshot that is received. */
-const MAXIMUM_SNAPSHOT_BYTES = 64 * 1024 * 1024;
+const MAXIMUM_SNAPSHOT_BYTES = 16 * 1024 * 1024;
 const MAXIMUM_PEERS = 400;
 /** Maximum number of peers listed in an answer. */
 const NAMED_PEERS = 8;
@@ -212,6 +213,7 @@
         }
       });
     });
+    limitHead(client);
     const cancel = this.options.runtime.setTimer(CALL_TIMEOUT_MILLISECONDS, () => client.destroy());
     client.on('close', () => {
       cancel();
--- a/src/relay/answers/event-splitter.ts
+++ b/src/relay/answers/event-splitter.ts
@@ -50,6 +50,10 @@
   return line.subarray(line[field.length] === SPACE ? field.length + 1 : field.length);
 }
 
+function joined(parts: readonly Buffer[]): Buffer {
+  return parts.length > 1 ? Buffer.concat(parts) : (parts[0] ?? EMPTY_BUFFER);
+}
+
 function parseEvent(bytes: Buffer): StreamEvent {
   const data: Buffer[] = [];
   let id: string | undefined;
@@ -74,7 +78,7 @@
   return {
     bytes,
     id,
-    data: data.length === 1 ? data[0]! : Buffer.concat(data),
+    data: joined(data),
     hasData: data.length > 0,
   };
 }
--- a/src/relay/answers/stream-answer.ts
+++ b/src/relay/answers/stream-answer.ts
@@ -2,9 +2,9 @@
  * Forwards a runner's event stream. Only complete events are sent to the client, so that an interrupted stream can be
  * resumed after the last one. On routes that retain turns, the turn is stored before the end of the stream is sent.
  */
-import type { MemoryAllocation } from '../memory/memory-accounts.js';
 import { EventSplitter, hasOnlyLineEnds } from './event-splitter.js';
 import type { StreamEvent } from './event-splitter.js';
+import { AnswerBody } from './answer-body.js';
 import { FIRST_REDIRECT } from './answer-reader.js';
 import type { AnsweredCall, AnswerHead, AnswerReader } from './answer-reader.js';
 import { tenantScopedId } from '../request/tenant.js';
@@ -13,6 +13,10 @@
 /** Timeout for storing a turn. */
 const STORE_TIMEOUT_MILLISECONDS = 1_500;
 const MILLISECONDS_IN_SECOND = 1_000;
+/** Bytes of line breaks, comments and other events without data that may follow one another. */
+const MAXIMUM_BYTES_WITHOUT_DATA = 64 * 1024;
+/** Events of a turn that is stored: each takes memory beside its data. */
+const MAXIMUM_TURN_EVENTS = 65_536;
 
 /** Reader of one call's stream; it stays in use across attempts. */
 export class StreamAnswer implements AnswerReader {
@@ -25,11 +29,14 @@
   lastEventAt = 0;
   private splitter = new EventSplitter();
   private head: AnswerHead | undefined;
-  private readonly output: Buffer[] = [];
-  private readonly allocation: MemoryAllocation;
+  private bytesWithoutData = 0;
+  /** Whether data of the turn was dropped, so that it can't be stored whole. */
+  private isTurnIncomplete = false;
+  /** Data of the events of a turn that will be stored, or the body of an error. */
+  private readonly output: AnswerBody;
 
   constructor(private readonly call: AnsweredCall) {
-    this.allocation = call.context.memory.allocate('turns');
+    this.output = new AnswerBody(call.context.memory, 'turns');
   }
 
   /** Upper bound of the tokens delivered to the client. */
@@ -48,11 +55,12 @@
     this.splitter = new EventSplitter();
     if ((this.head?.status ?? 0) >= FIRST_REDIRECT) {
       // Collected bytes of an error's body must not become part of the turn.
-      this.output.length = 0;
-      this.allocation.set(0);
+      this.output.clear();
     }
+    this.bytesWithoutData = 0;
     this.head = undefined;
-    return !this.call.answer.started || this.call.request.route.resumable;
+    const mayContinue = !this.call.answer.started || this.call.request.route.resumable;
+    return mayContinue && !this.isTurnIncomplete;
   }
 
   onHead(head: AnswerHead): void {
@@ -65,16 +73,17 @@
   onData(chunk: Buffer): void {
     const status = this.head?.status ?? 0;
     if (status >= FIRST_REDIRECT) {
-      this.output.push(chunk);
-      this.allocation.add(chunk.length);
+      this.failIf(this.output.add(chunk));
       return;
     }
+    let events: StreamEvent[];
     try {
-      this.splitter.push(chunk).forEach((event) => this.forward(event));
+      events = this.splitter.push(chunk);
     } catch (cause) {
-      const detail = cause instanceof Error ? cause.message : String(cause);
-      this.call.failAttempt({ tag: 'BadAnswer', detail });
+      this.failIf(cause instanceof Error ? cause.message : String(cause));
+      return;
     }
+    this.forward(events);
   }
 
   onEnd(): void {
@@ -83,7 +92,7 @@
       return;
     }
     if (head.status >= FIRST_REDIRECT) {
-      this.call.answer.sendWhole(head, Buffer.concat(this.output));
+      this.call.answer.sendWhole(head, this.output.concat());
       this.call.finishAnswered(head.status);
       return;
     }
@@ -99,11 +108,54 @@
   }
 
   release(): void {
-    this.output.length = 0;
-    this.allocation.release();
+    this.output.release();
+  }
+
+  private failIf(mistake: string | undefined): void {
+    if (mistake !== undefined) {
+      this.call.failAttempt({ tag: 'BadAnswer', detail: mistake });
+    }
+  }
+
+  /** Forwards events in one write, up to the first that shows that the stream is not a valid one. */
+  private forward(events: readonly StreamEvent[]): void {
+    const accepted: Buffer[] = [];
+    let mistake: string | undefined;
+    for (const event of events) {
+      mistake = this.mistakeIn(event) ?? this.store(event);
+      if (mistake !== undefined) {
+        break;
+      }
+      this.note(event);
+      accepted.push(event.bytes);
+    }
+    if (accepted.length > 0) {
+      this.call.answer.write(accepted.length === 1 ? accepted[0]! : Buffer.concat(accepted));
+    }
+    this.failIf(mistake);
+  }
+
+  private mistakeIn(event: StreamEvent): string | undefined {
+    this.bytesWithoutData = event.hasData ? 0 : this.bytesWithoutData + event.bytes.length;
+    return this.bytesWithoutData > MAXIMUM_BYTES_WITHOUT_DATA
+      ? `no data within ${MAXIMUM_BYTES_WITHOUT_DATA} bytes`
+      : undefined;
+  }
+
+  /** Keeps the data of an event of a turn; returns why the turn can't be stored. */
+  private store({ data, hasData }: StreamEvent): string | undefined {
+    if (!hasData || !this.call.request.route.retained) {
+      return undefined;
+    }
+    const mistake =
+      this.eventCount < MAXIMUM_TURN_EVENTS
+        ? this.output.add(data, LINE_FEED)
+        : `a turn of more than ${MAXIMUM_TURN_EVENTS} events`;
+    this.isTurnIncomplete ||= mistake !== undefined;
+    return mistake;
   }
 
-  private forward(event: StreamEvent): void {
+  private note(event: StreamEvent): void {
     this.call.noteFirstByte();
     this.lastEventAt = this.call.context.runtime.now();
     if (this.firstEventAt === undefined) {
@@ -111,14 +163,7 @@
       this.call.noteFirstEvent();
     }
     this.lastEventId = event.id ?? this.lastEventId;
-    if (event.hasData) {
-      this.eventCount += 1;
-      if (this.call.request.route.retained) {
-        this.output.push(event.data, LINE_FEED);
-        this.allocation.add(event.data.length + LINE_FEED.length);
-      }
-    }
-    this.call.answer.write(event.bytes);
+    this.eventCount += event.hasData ? 1 : 0;
   }
 
   private storeThenEnd(status: number): void {
@@ -135,7 +180,7 @@
           ? ''
           : tenantScopedId(request.tenant, request.previousTurn),
       input: request.body,
-      output: Buffer.concat(this.output),
+      output: this.output.concat(),
       retentionMilliseconds: request.route.retentionSeconds * MILLISECONDS_IN_SECOND,
     };
     const timeout = Math.min(STORE_TIMEOUT_MILLISECONDS, this.call.remainingMilliseconds);
--- a/src/relay/tries/attempt.ts
+++ b/src/relay/tries/attempt.ts
@@ -4,6 +4,8 @@
 import { isLeft } from 'fp-ts/lib/Either.js';
 import { watchEnd } from '../../http-client/answer-end.js';
 import type { AnswerEnd } from '../../http-client/answer-end.js';
+import { discardRest, limitHead } from '../../http-client/answer-limits.js';
+import type { Runtime } from '../../runtime/runtime.js';
 import type { AnswerDelivery, ConnectionEnding } from '../answers/answer-delivery.js';
 import type { AnswerHead, AttemptFailure } from '../answers/answer-reader.js';
 import type { HeaderNames } from '../request/header-names.js';
@@ -50,8 +52,8 @@
 export interface Attempt {
   /** Closes the connection and reports no further answer events. */
   cancel(): void;
-  /** Reports no further answer events, but reads the rest of the answer so that the connection can be reused. */
-  ignoreRest(): void;
+  /** Reports no further answer events, but reads a short rest of the answer so that the connection can be reused. */
+  ignoreRest(runtime: Pick<Runtime, 'setTimer'>): void;
   /**
    * Whether any byte may have reached the runner. The runner may then have run the request, since it may answer
    * before it has read all of a long body.
@@ -102,6 +104,10 @@
       headers: request.headers as string[],
       agent,
     });
+    limitHead(
+      this.client,
+      this.guard((reason: string) => this.reportFailure({ tag: 'BadAnswer', detail: reason })),
+    );
     this.checkOnAssignment();
     this.watchConnection(connectMilliseconds);
     const noteSendEnd = this.guard(() => listener.onSendEnd());
@@ -126,9 +132,11 @@
     this.client.destroy();
   }
 
-  ignoreRest(): void {
+  ignoreRest(runtime: Pick<Runtime, 'setTimer'>): void {
     this.finished = true;
-    this.response?.resume();
+    if (this.response !== undefined) {
+      discardRest(runtime, this.client, this.response);
+    }
   }
 
   wasSent(): boolean {
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -476,7 +476,7 @@
     }
     const answerClass = classifyAnswer(head, this.context.names);
     if (answerClass === 'NotExecuted') {
-      current.attempt.ignoreRest();
+      current.attempt.ignoreRest(this.context.runtime);
       this.handleNotExecuted(head.status);
       return;
     }
--- a/src/relay/tries/runner-connections.ts
+++ b/src/relay/tries/runner-connections.ts
@@ -10,6 +10,9 @@
 /** Largest number of connections to one runner if its service sets no limit. */
 const DEFAULT_CONNECTIONS = 64;
 
+/** Bytes that are read from a connection on which nothing is expected; more is not waited for. */
+const MAXIMUM_WATCHED_BYTES = 64 * 1024;
+
 /** Called with whether a connection could be opened and, if not, whether it was refused. */
 export type ProbeListener = (isReachable: boolean, isRefused: boolean) => void;
 
@@ -60,7 +63,14 @@
     const cancel = this.runtime.setTimer(milliseconds, () => finish(!socket.connecting));
     socket.on('error', () => undefined);
     socket.on('close', () => finish(false));
-    socket.resume();
+    let receivedBytes = 0;
+    socket.on('data', (chunk: Buffer) => {
+      receivedBytes += chunk.length;
+      if (receivedBytes > MAXIMUM_WATCHED_BYTES) {
+        // Whoever sends that much is alive.
+        finish(true);
+      }
+    });
   }
 
   /** Checks whether a runner's address accepts connections; concurrent probes of one address are merged. */
