Requests that wait for a connection to a runner go elsewhere once it begins to leave

Cause: the check right before a request is written did not ask whether the runner had begun to leave since the request was placed, and was made only when a connection came free.

Change: that check excludes a runner that drains or whose entry has gone since; the registry says so when it happens, and the requests that wait are checked at once. A runner that was the last resort stays one until it is forgotten.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -166,3 +166,21 @@
     When a program sends 40 turns
     Then the load of their service is raised
     And the waits of 40 turns are counted
+
+  # Guards against requests that wait in the gateway for a connection and reach a runner long after it began to leave.
+  Scenario Outline: Requests that wait for a connection to a runner go elsewhere at once when it <leaves>
+    Given a gateway that may open 1 connection to each of two runners
+    When 6 "single" requests that take 300 ms are sent, and the first runner <leaves> after 100 ms
+    Then all clients get status 200
+    And the first runner ran 1 request, and none waited for its connection
+
+    Examples:
+      | leaves                |
+      | drains                |
+      | disappears            |
+
+  # Guards against a request that is sent to a runner as a last resort for longer than that runner may be used.
+  Scenario: A request that waits for the last runner of its service is refused once that runner is forgotten
+    Given a gateway that may open 1 connection to each of two runners, the second of which has left
+    When 3 "single" requests that take 1500 ms are sent, and the first runner disappears after 100 ms
+    Then 1 client gets status 200, and the others get status 503 within 1450 ms
--- a/features/steps/relay.steps.ts
+++ b/features/steps/relay.steps.ts
@@ -3,10 +3,14 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import type { RunnerBehaviour, RunnerRun } from '../../src/emulator/relay-runner.js';
 import { DEFAULT_HEADER_NAMES } from '../../src/relay/request/default-header-names.js';
+import type { RunnerIncarnation } from '../../src/relay/runners/runner.js';
 import { RelayWorld } from '../support/relay-world.js';
 import type { ClientResult } from '../support/relay-world.js';
 
 interface World {
+  durations?: number[];
+  /** Requests at the first runner right after it left. */
+  attemptsAfterLeaving?: number | undefined;
   relay?: RelayWorld;
   pending?: Promise<ClientResult>;
   readiness?: number;
@@ -328,3 +332,64 @@
   const line = `ivyloom_relay_observed_wait_milliseconds_count ${count}`;
   assert.ok(rendered.includes(line), rendered);
 });
+
+async function startWithOneConnection(world: World): Promise<RelayWorld> {
+  await world.relay?.stop();
+  world.relay = new RelayWorld({ maximumConnections: 1, timeoutMilliseconds: 5_000 });
+  await world.relay.start(true);
+  return world.relay;
+}
+
+Given('a gateway that may open 1 connection to each of two runners', async function (this: World) {
+  await startWithOneConnection(this);
+});
+
+Given(
+  'a gateway that may open 1 connection to each of two runners, the second of which has left',
+  async function (this: World) {
+    const relay = await startWithOneConnection(this);
+    relay.listRunner(1, false);
+  },
+);
+
+When(
+  /^(\d+) "(.*)" requests that take (\d+) ms are sent, and the first runner (drains|disappears) after (\d+) ms$/,
+  async function (this: World, count, route: string, pause, leaves: string, after) {
+    const relay = relayOf(this);
+    relay.runners.forEach((runner) => (runner.answerPauseMilliseconds = Number(pause)));
+    const sentAt = performance.now();
+    this.durations = [];
+    const sent = Array.from({ length: Number(count) }, async () => {
+      const result = await relay.send(route);
+      this.durations!.push(performance.now() - sentAt);
+      relay.results.push(result);
+    });
+    await new Promise((resolve) => setTimeout(resolve, Number(after)));
+    if (leaves === 'drains') {
+      relay.listRunner(0, false);
+    } else {
+      relay.gateway.registry.remove('one');
+    }
+    this.attemptsAfterLeaving = relay.gateway.registry.ownLoads().get('one' as RunnerIncarnation);
+    await Promise.all(sent);
+  },
+);
+
+Then('the first runner ran 1 request, and none waited for its connection', function (this: World) {
+  assert.equal(relayOf(this).runners[0]!.runs.length, 1);
+  assert.equal(this.attemptsAfterLeaving, 1);
+});
+
+Then(
+  '{int} client gets status 200, and the others get status 503 within {int} ms',
+  function (this: World, served: number, milliseconds: number) {
+    const { results } = relayOf(this);
+    const statuses = results.map(({ status }) => status).sort();
+    assert.deepEqual(statuses, [
+      ...Array.from({ length: served }, () => 200),
+      ...Array.from({ length: results.length - served }, () => 503),
+    ]);
+    const late = this.durations!.filter((duration) => duration > milliseconds);
+    assert.equal(late.length, served);
+  },
+);
--- a/src/emulator/relay-runner.ts
+++ b/src/emulator/relay-runner.ts
@@ -133,6 +133,8 @@
   onArrival: (headers: IncomingMessage['headers']) => void = () => undefined;
   /** Called with the request that ended or froze the runner. */
   onFatal: (run: RunnerRun) => void = () => undefined;
+  /** Pause before each answer, in place of the one in the options; undefined for that one. */
+  answerPauseMilliseconds: number | undefined;
   /** Pause before a request body is read, which emulates a slow reader. */
   readPauseMilliseconds = 0;
   /** Largest number of requests that arrived in any second while the runner was cold. */
@@ -326,7 +328,8 @@
       run.clientDisconnected = !response.writableFinished;
       run.disconnectedAt = run.clientDisconnected ? performance.now() : undefined;
     });
-    const pause = pauseMilliseconds * (this.isCold ? COLD_SLOWDOWN : 1);
+    const usualPause = this.answerPauseMilliseconds ?? pauseMilliseconds;
+    const pause = usualPause * (this.isCold ? COLD_SLOWDOWN : 1);
     const respond = (atEvent?: () => void): void => {
       setTimeout(() => this.respond(request, response, behaviour, requestId, atEvent), pause);
     };
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -138,6 +138,7 @@
     this.shareRegion();
     const streams = this.createStreams();
     this.registry.hasIdleConnection = (runner) => connections.hasIdle(runner);
+    this.registry.onLeaving = (runner) => connections.checkWaiting(runner);
     const coldLimits = this.createColdLimits();
     this.registry.onActivity = (runner) => coldLimits.noteActivity(runner);
     const context: RelayContext = {
--- a/src/relay/runners/runner-registry.ts
+++ b/src/relay/runners/runner-registry.ts
@@ -116,6 +116,8 @@
   onReplaced: (record: RunnerRecord) => void = () => undefined;
   /** Called when a runner's entry has gone, before the runner counts as removed. */
   onUnlisted: (record: RunnerRecord) => void = () => undefined;
+  /** Called when a runner begins to drain, when its entry has gone, and when it is forgotten after that. */
+  onLeaving: (runner: Runner) => void = () => undefined;
   /** Returns whether a request may be at a runner under which several others have ended, by the hash of its incarnation. */
   hasSuspect: (runnerHash: number) => boolean = () => false;
   /** Returns whether an idle connection to a runner is open. */
@@ -166,6 +168,7 @@
         ready,
       });
     }
+    const beginsToDrain = known.runner.ready && !runner.ready;
     // An entry without a start time belongs to the known incarnation.
     known.runner = { ...runner, startedAt: known.runner.startedAt };
     known.revision = revision ?? known.revision;
@@ -173,6 +176,9 @@
     known.cancelRemoval?.();
     known.cancelRemoval = undefined;
     this.updateColdPeriod(known, revision);
+    if (beginsToDrain) {
+      this.onLeaving(known.runner);
+    }
   }
 
   /**
@@ -222,6 +228,7 @@
     record.removedAt = removedAt;
     const { service } = record.runner;
     this.runtime.log('info', 'runner removed', { event: 'runner.left', runner: id, service });
+    this.onLeaving(record.runner);
     this.runtime.setTimer(REMOVED_GRACE_MILLISECONDS, () =>
       this.deleteIfStillRemoved(id, removedAt),
     );
@@ -310,6 +317,17 @@
     return isListed && !this.isEnded(record) && !this.isReplaced(record);
   }
 
+  /** Whether a runner drains, its entry has gone, or it has been forgotten since. */
+  isLeaving(record: RunnerRecord): boolean {
+    const { runner, removedAt } = record;
+    return !runner.ready || removedAt !== undefined || this.isForgotten(record);
+  }
+
+  /** Whether a runner is not known any more: its entry has been gone for longer than the grace period, or was replaced. */
+  isForgotten(record: RunnerRecord): boolean {
+    return this.records.get(record.runner.id) !== record;
+  }
+
   /** Whether a runner is known to have ended, although it is listed. */
   private isEnded({ end }: RunnerRecord): boolean {
     return end !== undefined && isBelievedEnd(end, this.runtime.now());
@@ -536,6 +554,7 @@
     const record = this.records.get(id);
     if (record?.removedAt === removedAt) {
       this.deleteRecord(record);
+      this.onLeaving(record.runner);
     }
   }
 
--- a/src/relay/tries/attempt.ts
+++ b/src/relay/tries/attempt.ts
@@ -108,7 +108,7 @@
       this.client,
       this.guard((reason: string) => this.reportFailure({ tag: 'BadAnswer', detail: reason })),
     );
-    this.checkOnAssignment();
+    this.checkWhileWaiting(agent);
     this.watchConnection(connectMilliseconds);
     const noteSendEnd = this.guard(() => listener.onSendEnd());
     this.client.on('finish', noteSendEnd);
@@ -163,18 +163,23 @@
   }
 
   /**
-   * Ends an excluded attempt before its connection is attached to it: the agent then hands the connection to the next
-   * waiting request. Closing it instead would open a new connection for each of the waiting requests.
+   * Ends an attempt that becomes excluded while it waits for a connection, at the latest before one is attached to it: the
+   * agent then hands the connection to the next waiting request. Closing it instead would open a new connection for each of the waiting requests.
    */
-  private checkOnAssignment(): void {
+  private checkWhileWaiting(agent: RunnerAgent): void {
     const { client } = this;
     const attach = client.onSocket.bind(client);
     const checkRules = this.guard(() => {
-      const rule = this.finished ? undefined : this.listener.reasonAgainstSending();
+      const isPending = !this.finished && !this.sent;
+      const rule = isPending ? this.listener.reasonAgainstSending() : undefined;
       if (rule !== undefined) {
+        stopWaiting();
         this.endExcluded(rule);
       }
     });
+    const stopWaiting = agent.addWaiting(checkRules);
+    client.once('socket', stopWaiting);
+    client.once('close', stopWaiting);
     client.onSocket = (...connection) => {
       checkRules();
       attach(...connection);
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -61,6 +61,8 @@
 
 /** Why a request is not sent to a runner that restarted, or changed its version, after it was placed there. */
 const REPLACED_RUNNER = 'replaced-runner';
+/** Why a request is not sent to a runner that has begun to leave after it was placed there. */
+const LEAVING_RUNNER = 'leaving-runner';
 
 /** Longest time for which a request is held until it is known what became of its earlier runners, in milliseconds. */
 const MAXIMUM_SUSPECT_HOLD_MILLISECONDS = 1_000;
@@ -388,6 +390,7 @@
       lastEventId,
       bodyBytes: this.requestState.body.length,
     });
+    const wasLeaving = context.registry.isLeaving(record);
     const reader = this.nextReader();
     this.answer.noteNewAttempt();
     const limit = context.currentTable()?.services.get(runner.service)?.maximumConnections;
@@ -401,7 +404,7 @@
       context.backpressure.prepareSend(incarnationOf(runner), sent.body.length),
     );
     const attempt = startAttempt(runner, agent, sent, context.names, CONNECT_MILLISECONDS, {
-      reasonAgainstSending: () => this.reasonAgainstSending(record),
+      reasonAgainstSending: () => this.reasonAgainstSending(record, wasLeaving),
       onConnected: () => {
         context.exclusions.recordSend(record.runner);
         this.noteWritten(record);
@@ -448,11 +451,17 @@
   }
 
   /** Checks again immediately before the request is written: it may have waited for a connection. */
-  private reasonAgainstSending(record: RunnerRecord): string | undefined {
+  private reasonAgainstSending(record: RunnerRecord, wasLeaving: boolean): string | undefined {
     const { context, request, requestState } = this;
-    return context.registry.isReplaced(record)
-      ? REPLACED_RUNNER
-      : context.exclusions.reasonAgainst(record.runner, request, requestState.origin);
+    const { registry, exclusions } = context;
+    if (registry.isReplaced(record)) {
+      return REPLACED_RUNNER;
+    }
+    // A runner that was already leaving was the last resort, as long as it is known.
+    if (wasLeaving ? registry.isForgotten(record) : registry.isLeaving(record)) {
+      return LEAVING_RUNNER;
+    }
+    return exclusions.reasonAgainst(record.runner, request, requestState.origin);
   }
 
   /** Returns the reader for the next attempt: a stream continues, a plain answer starts over. */
--- a/src/relay/tries/runner-agent.ts
+++ b/src/relay/tries/runner-agent.ts
@@ -29,6 +29,9 @@
 
 /** HTTP agent for the connections to one address. */
 export class RunnerAgent extends ResetAwareAgent {
+  /** Requests that wait for a connection, by the functions that check whether they still may be sent. */
+  private readonly waiting = new Set<() => void>();
+
   constructor(maximumConnections: number) {
     super({ keepAlive: true, maxSockets: maximumConnections, scheduling: 'lifo', noDelay: true });
   }
@@ -43,6 +46,17 @@
     return false;
   }
 
+  /** Adds a request that waits for a connection; returns the function that removes it. */
+  addWaiting(check: () => void): () => void {
+    this.waiting.add(check);
+    return () => this.waiting.delete(check);
+  }
+
+  /** Checks again whether the requests that wait for a connection may be sent to the runner. */
+  checkWaiting(): void {
+    [...this.waiting].forEach((check) => check());
+  }
+
   /** Called by Node.js when a request is done; returns true to keep the connection open. */
   override keepSocketAlive(stream: Duplex): boolean {
     const socket = stream as Socket;
--- a/src/relay/tries/runner-connections.ts
+++ b/src/relay/tries/runner-connections.ts
@@ -44,6 +44,11 @@
     return this.agents.get(addressOf(runner))?.hasIdle ?? false;
   }
 
+  /** Checks again whether the requests that wait for a connection to a runner's address may be sent there. */
+  checkWaiting(runner: Runner): void {
+    this.agents.get(addressOf(runner))?.checkWaiting();
+  }
+
   /** Closes all connections to a runner's address; attempts in progress there fail at once. */
   closeAll(runner: Runner): void {
     const address = addressOf(runner);
