A copy of the store no longer returns to an older state of a removed key

What callers would see: an evacuation that was lifted, or a runner that left, could come back until the next list.

Change: the later of the two counts.

--- a/features/evacuation.feature
+++ b/features/evacuation.feature
@@ -25,6 +25,14 @@
   Scenario: Lists, snapshots and items that arrive late neither lift an evacuation nor reinstate one
     Then whatever a copy receives late, partly or twice, it never returns to an older state of an evacuation
 
+  # Guards against an early removal that hides a later one: late changes reinstated an evacuation that a snapshot had shown as lifted.
+  Scenario: A removal that is remembered from an earlier revision doesn't hide that a snapshot showed the key as gone later
+    Given a copy of the store that was listed at revision 2 without the evacuation of "z1"
+    When a snapshot of a peer at revision 8 shows no evacuation, and then changes up to 7 with one of revision 5 arrive
+    Then the copy holds no evacuation
+    When changes up to 10 with one of revision 9 arrive
+    Then the copy holds the evacuation of "z1"
+
   Scenario: Requests that wait for a connection to a runner go elsewhere once its zone is evacuated
     Given a gateway that may open 1 connection to the runner of each of two zones, one of them ready
     When 5 requests are sent, and then the first zone is evacuated while the runner of the other becomes ready
--- a/features/steps/evacuation.steps.ts
+++ b/features/steps/evacuation.steps.ts
@@ -7,6 +7,7 @@
 import { RefusedItemLog } from '../../platform/refused-item-log.js';
 import { EVACUATE_PREFIX, RUNNER_PREFIX } from '../../platform/store-keys.js';
 import { KeySpaceCopy } from '../../src/mirror/key-space-copy.js';
+import type { KeySpaceChanges } from '../../src/mirror/key-space-copy.js';
 import type { StoredItem } from '../../src/mirror/key-space-port.js';
 import { EvacuatedZones } from '../../src/relay/runners/evacuated-zones.js';
 import type { RelayContext } from '../../src/relay/relay-context.js';
@@ -31,6 +32,7 @@
 const EXPIRY_GRACE_MILLISECONDS = 2_400;
 
 interface World {
+  copy?: KeySpaceCopy;
   targets: ItemTargets;
   zones: readonly string[];
   revision: number;
@@ -239,3 +241,44 @@
     );
   },
 );
+
+function changesWith(zone: string, since: number, revision: number, at: number): KeySpaceChanges {
+  const items = [{ key: EVACUATE_PREFIX + zone, value: '', revision: at }];
+  return { since, revision, items, gone: [] };
+}
+
+Given(
+  'a copy of the store that was listed at revision {int} without the evacuation of {string}',
+  function (this: World, revision: number, zone: string) {
+    this.copy = new KeySpaceCopy({ onPut: () => undefined, onRemoved: () => undefined });
+    const key = EVACUATE_PREFIX + zone;
+    this.copy.putIfNewer({ key, value: '', revision: revision - 1 });
+    this.copy.removeIfNewer(key, revision);
+  },
+);
+
+When(
+  'a snapshot of a peer at revision {int} shows no evacuation, and then changes up to {int} with one of revision {int} arrive',
+  function (this: World, revision: number, upTo: number, at: number) {
+    this.copy!.applyChanges({ since: 0, revision, items: [], gone: [] });
+    this.copy!.applyChanges(changesWith('z1', at - 1, upTo, at));
+  },
+);
+
+When(
+  'changes up to {int} with one of revision {int} arrive',
+  function (this: World, upTo: number, at: number) {
+    this.copy!.applyChanges(changesWith('z1', at - 1, upTo, at));
+  },
+);
+
+Then('the copy holds no evacuation', function (this: World) {
+  assert.deepEqual(this.copy!.list(), []);
+});
+
+Then('the copy holds the evacuation of {string}', function (this: World, zone: string) {
+  assert.deepEqual(
+    this.copy!.list().map(({ key }) => key),
+    [EVACUATE_PREFIX + zone],
+  );
+});
--- a/src/mirror/key-space-copy.ts
+++ b/src/mirror/key-space-copy.ts
@@ -157,7 +157,8 @@
 
   /** Revision at which the state of a key, present or removed, was last known. */
   private knownRevision(key: string): number {
-    return this.items.get(key)?.revision ?? this.removedAt.get(key) ?? this.compactedRevision;
+    const present = this.items.get(key);
+    return present?.revision ?? Math.max(this.removedAt.get(key) ?? 0, this.compactedRevision);
   }
 
   private compactRemovals(): void {
