Tokens of a turn count in full although its service is no longer listed when it ends

Cause: the tokens of each event were taken from the configuration in force when the turn ended, which no longer knew the service, so that each event counted as one token.

Change: the largest number of tokens of an event since the request arrived counts.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -146,6 +146,12 @@
     When it sends turns of at most 60 tokens that deliver 40
     Then turns are served until 80 tokens are delivered and then get status 402
 
+  # Guards against tokens that are settled by a configuration without the turn's service, and are handed out a second time.
+  Scenario: Tokens of a turn count in full although its service is no longer listed when it ends
+    Given a program with a budget of 90 tokens
+    When it sends a turn of at most 60 tokens that delivers 40, and its service is no longer listed before it ends
+    Then its next turn of at most 60 tokens gets status 402
+
   Scenario: Stored turns need the replicas; plain requests do not
     Given all replicas are out of reach
     When a client sends a "single" request
--- a/features/steps/relay.steps.ts
+++ b/features/steps/relay.steps.ts
@@ -21,6 +21,8 @@
 const NAMES = DEFAULT_HEADER_NAMES;
 const TOKENS_PER_EVENT = 10;
 const EVENTS = 4;
+/** Time after which a turn that was just sent is running. */
+const RUNNING_MILLISECONDS = 40;
 
 async function startWorld(world: World, configured: boolean): Promise<void> {
   await world.relay?.stop();
@@ -183,17 +185,40 @@
     assert.equal(handed, EVENTS * TOKENS_PER_EVENT);
     this.statuses = [];
     for (let turn = 0; turn < 4; turn += 1) {
-      const headers = {
-        [NAMES.program]: 'p1',
-        [NAMES.tokenBudget]: String(this.budget),
-        [NAMES.tokenUsage]: `100,${most}`,
-      };
-      const result = await relayOf(this).send('stream', { headers });
-      this.statuses.push(result.status);
+      const { status } = await sendTurn(this, most);
+      this.statuses.push(status);
     }
   },
 );
 
+function sendTurn(world: World, mostTokens: number): Promise<ClientResult> {
+  const headers = {
+    [NAMES.program]: 'p1',
+    [NAMES.tokenBudget]: String(world.budget),
+    [NAMES.tokenUsage]: `100,${mostTokens}`,
+  };
+  return relayOf(world).send('stream', { headers });
+}
+
+When(
+  'it sends a turn of at most {int} tokens that delivers {int}, and its service is no longer listed before it ends',
+  async function (this: World, most: number, delivered: number) {
+    assert.equal(delivered, EVENTS * TOKENS_PER_EVENT);
+    const sent = sendTurn(this, most);
+    await new Promise((resolve) => setTimeout(resolve, RUNNING_MILLISECONDS));
+    relayOf(this).dropServices(8);
+    const { status, complete } = await sent;
+    assert.deepEqual([status, complete], [200, true]);
+  },
+);
+
+Then(
+  'its next turn of at most {int} tokens gets status {int}',
+  async function (this: World, most: number, status: number) {
+    assert.equal((await sendTurn(this, most)).status, status);
+  },
+);
+
 When(
   'a client sends a slow {string} request and the gateway is told to stop',
   async function (this: World, route: string) {
--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -235,6 +235,11 @@
     this.gateway.applyTable(createRoutingTable(version, [], [], LIMITS), 'test');
   }
 
+  /** Applies a configuration that has the routes and lists no service any more. */
+  dropServices(version: number): void {
+    this.gateway.applyTable(createRoutingTable(version, this.routes, [], LIMITS), 'test');
+  }
+
   /** Applies a configuration with tenants; throws if it is invalid. */
   applyTenants(version: number, tenants: readonly TenantSettings[]): void {
     const { byKey, problems } = createTenantsByKey(tenants);
--- a/src/relay/answers/stream-answer.ts
+++ b/src/relay/answers/stream-answer.ts
@@ -29,6 +29,8 @@
   lastEventAt = 0;
   private splitter = new EventSplitter();
   private head: AnswerHead | undefined;
+  /** Largest number of tokens of an event, by all configurations seen since the request arrived. */
+  private tokensPerEvent = 1;
   private bytesWithoutData = 0;
   /** Whether data of the turn was dropped, so that it can't be stored whole. */
   private isTurnIncomplete = false;
@@ -37,17 +39,23 @@
 
   constructor(private readonly call: AnsweredCall) {
     this.output = new AnswerBody(call.context.memory, 'turns');
+    this.noteTokensPerEvent();
   }
 
   /** Upper bound of the tokens delivered to the client. */
   get deliveredTokens(): number {
+    this.noteTokensPerEvent();
+    return this.eventCount * this.tokensPerEvent;
+  }
+
+  /** Keeps the largest number of tokens per event: a later configuration may no longer list the service of the runner. */
+  private noteTokensPerEvent(): void {
     const { route } = this.call.request;
     const services = this.call.context.currentTable()?.services;
-    const perEvent = Math.max(
-      1,
-      ...route.services.map((part) => services?.get(part.service)?.tokensPerEvent ?? 1),
-    );
-    return this.eventCount * perEvent;
+    for (const { service } of route.services) {
+      const { tokensPerEvent = 1 } = services?.get(service) ?? {};
+      this.tokensPerEvent = Math.max(this.tokensPerEvent, tokensPerEvent);
+    }
   }
 
   /** Prepares for another attempt; returns false if the stream has started and is not resumable. */
