Readers of answers in scenarios stand once; the parser of heads no longer imports the attempt

Two step files held the same readers; the status of a misdirected request moves to the parser of heads, which ends an import cycle. No change of behaviour: scenarios of relay, ended runners, endless answers and broken responses pass.

--- a/features/steps/broken-responses.steps.ts
+++ b/features/steps/broken-responses.steps.ts
@@ -2,13 +2,10 @@
 import assert from 'node:assert/strict';
 import type { Socket } from 'node:net';
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import { isLeft } from 'fp-ts/lib/Either.js';
-import { createCachedPartsReader } from '../../platform/cached-parts.js';
-import { PlatformStoreClient } from '../../platform/store-client.js';
 import { ResetAwareSocket } from '../../src/http-client/reset-aware-socket.js';
-import { PeerExchange } from '../../src/peers/peer-exchange.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
 import { probeKindCount } from '../../src/turns/protocol-probe.js';
+import { ANSWER_READERS } from '../support/answer-readers.js';
 import { RawServer } from '../support/raw-server.js';
 
 const HOST = '127.0.0.1';
@@ -28,40 +25,6 @@
   world.port = await world.rawServer.listen();
 }
 
-/** Readers of HTTP answers, by their names in the scenarios; each resolves to whether it got an answer. */
-const READERS: Readonly<Record<string, (port: number) => Promise<boolean>>> = {
-  "the client of the store's lists": (port) =>
-    new Promise((resolve) => {
-      new PlatformStoreClient(HOST, port, runtime).list('', (list) => resolve(!isLeft(list)));
-    }),
-  "the client of the store's writes": (port) =>
-    new Promise((resolve) => {
-      new PlatformStoreClient(HOST, port, runtime).swap('key', 0, 'value', ({ tag }) =>
-        resolve(tag !== 'Unknown'),
-      );
-    }),
-  'the reader of cached parts': (port) =>
-    new Promise((resolve) => {
-      const read = createCachedPartsReader(runtime);
-      const engine = { id: 'e', service: 's', host: HOST, port, zone: 'z', slots: 1, ready: true };
-      read(engine, (parts) => resolve(!isLeft(parts)));
-    }),
-  'a gateway that asks another': (port) =>
-    new Promise((resolve) => {
-      let hasSnapshot = false;
-      const exchange = new PeerExchange({
-        runtime,
-        ownAddress: `${HOST}:1`,
-        seeds: () => [],
-        ownRevision: () => 0,
-        snapshotSince: () => ({ since: 0, revision: 0, items: [], gone: [], members: '' }),
-        onSnapshot: () => (hasSnapshot = true),
-        isNeeded: () => 'no',
-      });
-      exchange.fetchFrom(`${HOST}:${port}`, () => resolve(hasSnapshot));
-    }),
-};
-
 After(function (this: World) {
   this.rawServer?.close();
 });
@@ -83,7 +46,7 @@
 });
 
 When(/^(.*) reads the answer$/, async function (this: World, reader: string) {
-  this.hasAnswer = await READERS[reader]!(this.port);
+  this.hasAnswer = await ANSWER_READERS[reader]!(this.port);
 });
 
 Then('the reader reports that there is none', function (this: World) {
--- a/features/steps/endless-answers.steps.ts
+++ b/features/steps/endless-answers.steps.ts
@@ -2,9 +2,6 @@
 import assert from 'node:assert/strict';
 import type { Socket } from 'node:net';
 import { After, Given, Then, When } from '@cucumber/cucumber';
-import * as E from 'fp-ts/lib/Either.js';
-import { createCachedPartsReader } from '../../platform/cached-parts.js';
-import { PlatformStoreClient } from '../../platform/store-client.js';
 import { sendEndless } from '../../src/emulator/endless-answer.js';
 import type {
   BodyFiller,
@@ -13,12 +10,8 @@
   EndlessPart,
   EndlessRecord,
 } from '../../src/emulator/endless-answer.js';
-import { PeerExchange } from '../../src/peers/peer-exchange.js';
 import { boundsForBudget } from '../../src/relay/memory/memory-bounds.js';
-import { DEFAULT_HEADER_NAMES as NAMES } from '../../src/relay/request/default-header-names.js';
-import { identifyRunner } from '../../src/relay/tries/identify-runner.js';
-import { RunnerConnections } from '../../src/relay/tries/runner-connections.js';
-import { createRealRuntime } from '../../src/runtime/real-runtime.js';
+import { ANSWER_READERS } from '../support/answer-readers.js';
 import { RawServer } from '../support/raw-server.js';
 import { RelayWorld } from '../support/relay-world.js';
 import type { ClientResult } from '../support/relay-world.js';
@@ -33,12 +26,10 @@
   report: { hasAnswer: boolean; milliseconds: number };
 }
 
-const HOST = '127.0.0.1';
 const MEBIBYTE = 1024 * 1024;
 const POLL_MILLISECONDS = 10;
 const SAMPLE_MILLISECONDS = 2;
 const BURSTS = 4;
-const runtime = createRealRuntime({ logLevel: 'error' });
 
 After(function (this: World) {
   this.server?.close();
@@ -207,51 +198,9 @@
   assert.equal(this.report.hasAnswer, true);
 });
 
-const READERS: Readonly<Record<string, (port: number) => Promise<boolean>>> = {
-  "the client of the store's lists": (port) =>
-    new Promise((resolve) => {
-      new PlatformStoreClient(HOST, port, runtime).list('', (list) => resolve(E.isRight(list)));
-    }),
-  "the client of the store's writes": (port) =>
-    new Promise((resolve) => {
-      const client = new PlatformStoreClient(HOST, port, runtime);
-      client.swap('key', 0, 'value', ({ tag }) => resolve(tag !== 'Unknown'));
-    }),
-  'the reader of cached parts': (port) =>
-    new Promise((resolve) => {
-      const engine = { id: 'e', service: 's', host: HOST, port, zone: 'z', slots: 1, ready: true };
-      createCachedPartsReader(runtime)(engine, (parts) => resolve(E.isRight(parts)));
-    }),
-  'a gateway that asks another': (port) =>
-    new Promise((resolve) => {
-      let hasSnapshot = false;
-      const exchange = new PeerExchange({
-        runtime,
-        ownAddress: `${HOST}:1`,
-        seeds: () => [],
-        ownRevision: () => 0,
-        snapshotSince: () => ({ since: 0, revision: 0, items: [], gone: [], members: '' }),
-        onSnapshot: () => (hasSnapshot = true),
-        isNeeded: () => 'no',
-      });
-      exchange.fetchFrom(`${HOST}:${port}`, () => resolve(hasSnapshot));
-    }),
-  'the health check of a runner': (port) =>
-    new Promise((resolve) => {
-      const runner = { id: 'e', service: 's', host: HOST, port, zone: 'z', slots: 1, ready: true };
-      const question = { runtime, names: NAMES, runner, path: '/healthz' };
-      identifyRunner(question, (identity) => resolve(identity !== 'unknown'));
-    }),
-  'a connection that watches a runner': (port) =>
-    new Promise((resolve) => {
-      const runner = { id: 'e', service: 's', host: HOST, port, zone: 'z', slots: 1, ready: true };
-      new RunnerConnections(runtime).watch(runner, 5_000, resolve);
-    }),
-};
-
 When(/^(.*) reads an endless answer$/, async function (this: World, reader: string) {
   const startedAt = performance.now();
-  const hasAnswer = await READERS[reader]!(this.port);
+  const hasAnswer = await ANSWER_READERS[reader]!(this.port);
   this.report = { hasAnswer, milliseconds: performance.now() - startedAt };
 });
 
--- a/src/relay/tries/answer-head.ts
+++ b/src/relay/tries/answer-head.ts
@@ -7,8 +7,9 @@
 import { isFieldContent } from '../../http-client/field-value.js';
 import type { AnswerHead } from '../answers/answer-reader.js';
 import type { HeaderNames } from '../request/header-names.js';
-import { STATUS_MISDIRECTED_REQUEST } from './attempt.js';
 
+/** Status of a runner at whose address another one was expected. */
+export const STATUS_MISDIRECTED_REQUEST = 421;
 /** Statuses of final answers; Node handles the informational ones below. */
 const FIRST_FINAL_STATUS = 200;
 const LAST_STATUS = 599;
--- a/src/relay/tries/attempt.ts
+++ b/src/relay/tries/attempt.ts
@@ -67,9 +67,6 @@
   resume(): void;
 }
 
-/** Status of a runner at whose address another one was expected. */
-export const STATUS_MISDIRECTED_REQUEST = 421;
-
 function firstValue(value: string | string[] | undefined): string | undefined {
   return Array.isArray(value) ? value[0] : value;
 }
@@ -164,7 +161,8 @@
 
   /**
    * Ends an attempt that becomes excluded while it waits for a connection, at the latest before one is attached to it: the
-   * agent then hands the connection to the next waiting request. Closing it instead would open a new connection for each of the waiting requests.
+   * agent then hands the connection to the next waiting request. Closing it instead would open a new connection for each of
+   * the waiting requests.
    */
   private checkWhileWaiting(agent: RunnerAgent): void {
     const { client } = this;
--- a/src/relay/tries/identify-runner.ts
+++ b/src/relay/tries/identify-runner.ts
@@ -6,7 +6,7 @@
 import type { HeaderNames } from '../request/header-names.js';
 import type { Runner } from '../runners/runner.js';
 import type { RunnerIdentity } from '../runners/runner-ends.js';
-import { STATUS_MISDIRECTED_REQUEST } from './attempt.js';
+import { STATUS_MISDIRECTED_REQUEST } from './answer-head.js';
 
 /** Time in which the process has to answer, in milliseconds. */
 const TIMEOUT_MILLISECONDS = 250;
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -47,7 +47,8 @@
 import type { IsolatedPlacement, SendOutcome } from '../suspects/suspect-send.js';
 import { maySendTo, mayRetry } from './attempt-rules.js';
 import type { AttemptHistory } from './attempt-rules.js';
-import { startAttempt, STATUS_MISDIRECTED_REQUEST } from './attempt.js';
+import { STATUS_MISDIRECTED_REQUEST } from './answer-head.js';
+import { startAttempt } from './attempt.js';
 import type { Attempt } from './attempt.js';
 import { logCallEnd, logFailedAttempt, logResumedStream, recordDelivery } from './call-log.js';
 import { FIRST_SERVER_ERROR_STATUS, classifyAnswer } from './classify-answer.js';
@@ -143,7 +144,7 @@
     );
   }
 
-  /** Tells the client, as far as it can still be told, that an unexpected exception ended the call. */
+  /** Answers that an unexpected exception ended the call, unless an answer has started. */
   private sendFailure(): void {
     if (!this.finished) {
       this.answer.sendLocalOrAbort(interruptedByException(this.mayHaveRun), this.request.id);
