--- a/features/steps/stream-versions.steps.ts
+++ b/features/steps/stream-versions.steps.ts
@@ -10,6 +10,8 @@
 /** Time in which a record reaches the replicas. */
 const RECORD_MILLISECONDS = 100;
 const WAIT_MILLISECONDS = 3_000;
+/** Time in which a gateway that returns can learn what others know. */
+const RETURN_MILLISECONDS = 300;
 
 interface World {
   versions?: VersionWorld;
@@ -33,6 +35,10 @@
   },
 );
 
+function sleep(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
 function times<Result>(count: number, action: () => Promise<Result>): Promise<Result[]> {
   return Promise.all(Array.from({ length: count }, action));
 }
@@ -93,6 +99,96 @@
   },
 );
 
+/** Begins streams of different paths at the first gateway; their clients leave after some events. */
+function beginStreams(versions: VersionWorld, count: number, events: number): Promise<TryResult>[] {
+  return Array.from({ length: count }, (_, index) =>
+    versions.send(0, undefined, events, `/stream-${index}`),
+  );
+}
+
+When(
+  '{int} clients receive {int} events of streams of their own, and all gateways are killed',
+  async function (this: World, count: number, events: number) {
+    const versions = this.versions!;
+    const firsts = await Promise.all(beginStreams(versions, count, events));
+    await sleep(RECORD_MILLISECONDS);
+    versions.killAllGateways();
+    this.streams = firsts.map((first) => [first]);
+  },
+);
+
+When(
+  '{int} clients receive {int} events of streams of their own, and leave',
+  async function (this: World, count: number, events: number) {
+    this.streams = (await Promise.all(beginStreams(this.versions!, count, events))).map((first) => [
+      first,
+    ]);
+    await sleep(RECORD_MILLISECONDS);
+  },
+);
+
+When('the entries of the runners of {string} are removed', function (this: World, version: string) {
+  this.versions!.unlist(version);
+});
+
+When(
+  'a runner of {string} replaces those of {string}',
+  async function (this: World, next: string, previous: string) {
+    this.versions!.unlist(previous);
+    await this.versions!.startRunner(next);
+  },
+);
+
+When(
+  'a runner of {string} in another service is listed, and the route moves to that service',
+  async function (this: World, version: string) {
+    const text = `${version}-of-another-service`;
+    await this.versions!.startRunner(version, OTHER_SERVICE, text);
+    this.versions!.moveRoute(OTHER_SERVICE);
+  },
+);
+
+When('the first gateway is killed', function (this: World) {
+  this.versions!.kill(0);
+});
+
+When('the replicas are killed and return', function (this: World) {
+  this.versions!.restartReplicas();
+});
+
+When('a gateway returns', async function (this: World) {
+  await this.versions!.returnGateway();
+  await sleep(RETURN_MILLISECONDS);
+});
+
+When(
+  /^the clients resume their streams (by name|without naming them) at the last gateway$/,
+  async function (this: World, naming: string) {
+    const versions = this.versions!;
+    const gateway = versions.gateways.length - 1;
+    this.streams = await Promise.all(
+      this.streams.map(async ([first], index) => {
+        const { requestId, events } = first!;
+        const resumed = {
+          requestId: naming === 'by name' ? requestId : undefined,
+          lastEvent: events.at(-1)!.id,
+        };
+        return [first!, await versions.send(gateway, resumed, Infinity, `/stream-${index}`)];
+      }),
+    );
+  },
+);
+
+Then('no stream holds events of two versions', function (this: World) {
+  assert.ok(this.streams.length > 0);
+  for (const tries of this.streams) {
+    const [first] = tries;
+    assert.ok(first!.events.length > 0);
+    const written = new Set(tries.flatMap(({ events }) => events.map(({ version }) => version)));
+    assert.equal(written.size, 1, JSON.stringify(tries));
+  }
+});
+
 Then('every stream is complete, with events of one version', function (this: World) {
   assert.ok(this.streams.length > 0);
   for (const tries of this.streams) {
@@ -138,7 +234,7 @@
     this.streams = firsts.map((first) => [first]);
     await this.versions!.startRunner(version);
     // Records are on their way for a moment.
-    await new Promise((resolve) => setTimeout(resolve, RECORD_MILLISECONDS));
+    await sleep(RECORD_MILLISECONDS);
   },
 );
 
--- a/features/stream-versions.feature
+++ b/features/stream-versions.feature
@@ -89,3 +89,87 @@
     And a runner of "v1" in another service of a split route
     When a client resumes an unnamed stream of the split route after event "2"
     Then the resumption is complete from event 3 on
+
+  # Guards against a gateway that takes the versions it has seen since its start for all that have served lately.
+  @known-red
+  Scenario Outline: After a restart of all gateways, unnamed streams don't continue at a version that came meanwhile
+    Given 2 gateways, and runners of the software version "v1" in one service
+    When 8 clients receive 2 events of streams of their own, and all gateways are killed
+    And a runner of "v2" replaces those of "v1"
+    And <replicas>
+    And a gateway returns
+    And the clients resume their streams without naming them at the last gateway
+    Then no stream holds events of two versions
+
+    Examples:
+      | replicas                           |
+      | a gateway returns                  |
+      | the replicas are killed and return |
+
+  # Guards against a gateway that forgets a version when it starts as the last entries of that version go.
+  @known-red
+  Scenario: After a restart of all gateways, unnamed streams don't continue at the version that is left
+    When 12 clients receive 2 events of streams of their own, and all gateways are killed
+    And the entries of the runners of "v1" are removed
+    And a gateway returns
+    And the clients resume their streams without naming them at the last gateway
+    Then no stream holds events of two versions
+
+  # Guards against losing the streams of a deployment with one version when all its gateways restart.
+  @known-red
+  Scenario Outline: After a restart of all gateways, streams go on while one version serves
+    Given 2 gateways, and runners of the software version "v1" in one service
+    When 6 clients receive 2 events of streams of their own, and all gateways are killed
+    And a gateway returns
+    And the clients resume their streams <naming> at the last gateway
+    Then every stream is complete, with events of one version
+
+    Examples:
+      | naming              |
+      | by name             |
+      | without naming them |
+
+  # Guards against refusing every stream that its client doesn't name for as long as a release lasts.
+  @known-red
+  Scenario Outline: Unnamed streams go on while two versions serve
+    When 12 clients receive 2 events of streams of their own, and <event>
+    And a gateway returns
+    And the clients resume their streams without naming them at the last gateway
+    Then every stream is complete, with events of one version
+
+    Examples:
+      | event                   |
+      | leave                   |
+      | all gateways are killed |
+
+  # Guards against a route that moves to another service, whose runners don't continue what the earlier ones began.
+  @known-red
+  Scenario Outline: A stream doesn't continue at the service to which its route has moved
+    Given 2 gateways, and runners of the software version "v1" in one service
+    When 6 clients receive 2 events of streams of their own, and <event>
+    And a runner of "v1" in another service is listed, and the route moves to that service
+    And a gateway returns
+    And the clients resume their streams <naming> at the last gateway
+    Then no stream holds events of two versions
+
+    Examples:
+      | event                   | naming              |
+      | leave                   | by name             |
+      | leave                   | without naming them |
+      | all gateways are killed | by name             |
+      | all gateways are killed | without naming them |
+
+  # Guards against a gateway that takes the present service of a route for the one that began its streams.
+  @known-red
+  Scenario Outline: A stream doesn't continue at the service to which its route has moved, at a gateway that saw the move
+    Given 2 gateways, and runners of the software version "v1" in one service
+    When 6 clients receive 2 events of streams of their own, and leave
+    And a runner of "v1" in another service is listed, and the route moves to that service
+    And the first gateway is killed
+    And the clients resume their streams <naming> at the last gateway
+    Then no stream holds events of two versions
+
+    Examples:
+      | naming              |
+      | by name             |
+      | without naming them |
--- a/features/support/version-world.ts
+++ b/features/support/version-world.ts
@@ -89,6 +89,8 @@
   readonly version: string;
   readonly service: string;
   readonly port: number;
+  /** Whether its entry was removed. */
+  hasLeft: boolean;
 }
 
 /** Starts the parts, lists runners and sends requests. */
@@ -102,6 +104,8 @@
   private readonly callers: TcpReplicaCaller[] = [];
   private members: readonly Member[] = [];
   private requestCount = 0;
+  private route = ROUTE;
+  private tableVersion = 7;
 
   /** Starts the replicas and some gateways. */
   async start(gatewayCount: number): Promise<void> {
@@ -116,8 +120,11 @@
     }
   }
 
-  /** Starts a gateway that knows the replicas and no runner. */
-  async startGateway(): Promise<RelayGateway> {
+  /**
+   * Starts a gateway that knows the replicas and no runner.
+   * @param isFirstStart whether no gateway ran before
+   */
+  async startGateway(isFirstStart = true): Promise<RelayGateway> {
     const { runtime } = this;
     const [front, ready] = await findFreePorts(HOST, 2);
     const directory = this.createDirectory();
@@ -132,14 +139,10 @@
       ready: { host: HOST, port: ready! },
       graceMilliseconds: 8_000,
     });
-    const services = [SERVICE, OTHER_SERVICE].map((name) => ({
-      name,
-      maximumConnections: 20,
-      tokensPerEvent: 10,
-      cachesPrompts: true,
-      memoryTokens: undefined,
-    }));
-    gateway.applyTable(createRoutingTable(7, [ROUTE, SPLIT_ROUTE], services, LIMITS), 'test');
+    if (!isFirstStart) {
+      gateway.registry.versions.forgetPast();
+    }
+    this.applyTable(gateway);
     this.gateways.push(gateway);
     this.fronts.push(front!);
     this.callers.push(caller);
@@ -158,7 +161,7 @@
       eventCount: EVENTS,
       pauseMilliseconds: EVENT_MILLISECONDS,
     });
-    const versioned = { runner, version, service, port: await runner.listen() };
+    const versioned = { runner, version, service, port: await runner.listen(), hasLeft: false };
     this.runners.push(versioned);
     this.gateways.forEach((gateway) => this.list(gateway, versioned));
     return versioned;
@@ -167,7 +170,7 @@
   /** Puts a runner's entry into the list of a gateway. */
   list(
     gateway: RelayGateway,
-    { runner, version, service, port }: VersionedRunner,
+    { runner, version, service, port }: Omit<VersionedRunner, 'hasLeft'>,
     ready = true,
   ): void {
     const place = { host: HOST, port, zone: ZONE, slots: 8 };
@@ -181,12 +184,57 @@
     this.callers[index]!.close();
   }
 
+  /** Moves the route to another service at all gateways, as a change of the configuration does. */
+  moveRoute(service: string): void {
+    this.tableVersion += 1;
+    this.route = { ...ROUTE, services: [{ service, weight: 1 }] };
+    this.gateways.forEach((gateway) => this.applyTable(gateway));
+  }
+
+  private applyTable(gateway: RelayGateway): void {
+    const services = [SERVICE, OTHER_SERVICE].map((name) => ({
+      name,
+      maximumConnections: 20,
+      tokensPerEvent: 10,
+      cachesPrompts: true,
+      memoryTokens: undefined,
+    }));
+    const routes = [this.route, SPLIT_ROUTE];
+    gateway.applyTable(createRoutingTable(this.tableVersion, routes, services, LIMITS), 'test');
+  }
+
+  /** Ends all gateways at once. */
+  killAllGateways(): void {
+    this.gateways.forEach((_, index) => this.kill(index));
+  }
+
+  /** Starts a gateway after others had run, which lists all runners that have not left. */
+  async returnGateway(): Promise<number> {
+    const gateway = await this.startGateway(false);
+    this.runners.filter(({ hasLeft }) => !hasLeft).forEach((runner) => this.list(gateway, runner));
+    return this.gateways.length - 1;
+  }
+
+  /** Removes the entries of a version's runners, which serve on. */
+  unlist(version: string): void {
+    for (const runner of this.runners.filter((each) => each.version === version)) {
+      runner.hasLeft = true;
+      this.gateways.forEach(({ registry }) => registry.remove(runner.runner.id));
+    }
+  }
+
   /** Stops the replicas, which lose what they hold in memory. */
   stopReplicas(): void {
     this.servers.splice(0).forEach((server) => server.close());
     this.replicas.splice(0).forEach((replica) => replica.close());
   }
 
+  /** Stops the replicas and starts them again; they lose what they hold in memory. */
+  restartReplicas(): void {
+    this.stopReplicas();
+    this.members.forEach((member) => this.startReplica(member));
+  }
+
   /**
    * Sends one try to a gateway.
    * @param resumed the try whose answer brought the stream's first event, and the last event received
