--- a/features/steps/stream-versions.steps.ts
+++ b/features/steps/stream-versions.steps.ts
@@ -156,6 +156,12 @@
   this.versions!.restartReplicas();
 });
 
+Given('replicas that have lost what they knew', async function (this: World) {
+  // What was reported before arrives first.
+  await sleep(RECORD_MILLISECONDS);
+  this.versions!.restartReplicas();
+});
+
 When('a gateway returns', async function (this: World) {
   await this.versions!.returnGateway();
   await sleep(RETURN_MILLISECONDS);
@@ -217,8 +223,7 @@
 
 Given('a third gateway that starts later', async function (this: World) {
   const versions = this.versions!;
-  const gateway = await versions.startGateway();
-  gateway.registry.versions.forgetPast();
+  const gateway = await versions.startGateway(false);
   versions.runners.forEach((runner) => versions.list(gateway, runner));
 });
 
@@ -403,6 +408,21 @@
   },
 );
 
+When(
+  '{int} clients leave streams of the split route after {int} events and resume them unnamed at the other gateway',
+  async function (this: World, count: number, events: number) {
+    const versions = this.versions!;
+    const clients = Array.from({ length: count }, async (_, index) => {
+      const path = `${SPLIT_PATH}/stream-${index}`;
+      const first = await versions.send(0, undefined, events, path);
+      await sleep(RECORD_MILLISECONDS);
+      const resumed = { requestId: undefined, lastEvent: first.events.at(-1)!.id };
+      return [first, await versions.send(1, resumed, Infinity, path)];
+    });
+    this.streams = await Promise.all(clients);
+  },
+);
+
 Then('streams ran in both services', function (this: World) {
   assert.ok(this.versions!.runners.every(({ runner }) => runner.runs.length > 0));
 });
--- a/features/steps/two-builds.steps.ts
+++ b/features/steps/two-builds.steps.ts
@@ -112,6 +112,30 @@
   suspectsRecorded: { fields: {}, hex: '1e00000009' },
   readSuspects: { fields: {}, hex: '1f00000009' },
   suspectsRead: { fields: { news: Buffer.from('ab', 'hex') }, hex: '200000000900000001ab' },
+  exchangeVersions: {
+    fields: {
+      knownMilliseconds: 2,
+      versions: [{ service: 'm', version: 'v', ageMilliseconds: 1 }],
+    },
+    hex: '210000000940000000000000000000000100016d0001763ff0000000000000',
+  },
+  versionsExchanged: {
+    fields: {
+      knownMilliseconds: 2,
+      versions: [{ service: 'm', version: 'v', ageMilliseconds: 1 }],
+    },
+    hex: '220000000940000000000000000000000100016d0001763ff0000000000000',
+  },
+  recordContents: {
+    fields: { entries: [{ content: 1, stream: 's', service: 'm', version: 'v' }] },
+    hex: '2300000009000000013ff000000000000000017300016d000176',
+  },
+  contentsRecorded: { fields: {}, hex: '2400000009' },
+  findContent: { fields: { content: 2 }, hex: '25000000094000000000000000' },
+  contentFound: {
+    fields: { found: true, stream: 's', service: 'm', version: 'v', isShared: false },
+    hex: '26000000090100017300016d00017600',
+  },
 };
 const RECORD_HEADER_BYTES = 8;
 const UNKNOWN_RECORD_KIND = 5;
--- a/features/stream-histories.feature
+++ b/features/stream-histories.feature
@@ -19,5 +19,6 @@
     Examples:
       | seed | mistake         | promise   |
       | 1    | anyVersion      | holds     |
-      | 1    | nothingRecorded | went on   |
-      | 128  | listBelieved    | holds     |
+      | 2    | nothingRecorded | went on   |
+      | 1    | listBelieved    | holds     |
+      | 1    | unnamedGuessed  | holds     |
--- a/features/stream-versions.feature
+++ b/features/stream-versions.feature
@@ -64,6 +64,7 @@
 
   Scenario: A gateway that starts knows only from its peers that one version served
     Given 2 gateways, and runners of the software version "v1" in one service
+    And replicas that have lost what they knew
     And a third gateway that starts later
     When a client resumes a stream of nobody after event "2" at the third gateway
     Then every resumption is refused as not run, with a time to return
@@ -84,14 +85,22 @@
     Then every stream is complete, with events of one version
     And streams ran in both services
 
-  Scenario: An unnamed stream on a split route goes on while each of its services has one version
+  # Guards against an unnamed stream that continues at the other service of its route.
+  Scenario: An unnamed stream on a split route goes on at its service
+    Given 2 gateways, and runners of the software version "v1" in one service
+    And a runner of "v1" in another service of a split route
+    When 24 clients leave streams of the split route after 2 events and resume them unnamed at the other gateway
+    Then every stream is complete, with events of one version
+    And streams ran in both services
+
+  Scenario: An unnamed stream on a split route that nobody knows is refused
     Given 2 gateways, and runners of the software version "v1" in one service
     And a runner of "v1" in another service of a split route
     When a client resumes an unnamed stream of the split route after event "2"
-    Then the resumption is complete from event 3 on
+    Then every resumption is refused as not run, without a time to return
+    And no runner ran a resumption
 
   # Guards against a gateway that takes the versions it has seen since its start for all that have served lately.
-  @known-red
   Scenario Outline: After a restart of all gateways, unnamed streams don't continue at a version that came meanwhile
     Given 2 gateways, and runners of the software version "v1" in one service
     When 8 clients receive 2 events of streams of their own, and all gateways are killed
@@ -107,7 +116,6 @@
       | the replicas are killed and return |
 
   # Guards against a gateway that forgets a version when it starts as the last entries of that version go.
-  @known-red
   Scenario: After a restart of all gateways, unnamed streams don't continue at the version that is left
     When 12 clients receive 2 events of streams of their own, and all gateways are killed
     And the entries of the runners of "v1" are removed
@@ -116,7 +124,6 @@
     Then no stream holds events of two versions
 
   # Guards against losing the streams of a deployment with one version when all its gateways restart.
-  @known-red
   Scenario Outline: After a restart of all gateways, streams go on while one version serves
     Given 2 gateways, and runners of the software version "v1" in one service
     When 6 clients receive 2 events of streams of their own, and all gateways are killed
@@ -130,7 +137,6 @@
       | without naming them |
 
   # Guards against refusing every stream that its client doesn't name for as long as a release lasts.
-  @known-red
   Scenario Outline: Unnamed streams go on while two versions serve
     When 12 clients receive 2 events of streams of their own, and <event>
     And a gateway returns
--- a/features/support/wire-arbitraries.ts
+++ b/features/support/wire-arbitraries.ts
@@ -63,6 +63,12 @@
   turns: fc.array(text),
 };
 
+const versionReport = {
+  call: whole,
+  knownMilliseconds: amount,
+  versions: fc.array(fc.record({ service: text, version: text, ageMilliseconds: amount }, plain)),
+};
+
 type Fields = Record<string, fc.Arbitrary<unknown>>;
 
 /** Generators of the fields of each message kind, by name. */
@@ -113,6 +119,24 @@
   suspectsRecorded: { call: whole },
   readSuspects: { call: whole },
   suspectsRead: { call: whole, news: bytes },
+  exchangeVersions: versionReport,
+  versionsExchanged: versionReport,
+  recordContents: {
+    call: whole,
+    entries: fc.array(
+      fc.record({ content: amount, stream: text, service: text, version: text }, plain),
+    ),
+  },
+  contentsRecorded: { call: whole },
+  findContent: { call: whole, content: amount },
+  contentFound: {
+    call: whole,
+    found: fc.boolean(),
+    stream: text,
+    service: text,
+    version: text,
+    isShared: fc.boolean(),
+  },
 };
 
 /** Generates a message of any kind. */
--- a/src/histories/stream-history.ts
+++ b/src/histories/stream-history.ts
@@ -17,7 +17,8 @@
 import { softwareVersionOf } from '../relay/runners/runner.js';
 import type { Runner } from '../relay/runners/runner.js';
 import { SOFTWARE_VERSION_RULE } from '../relay/runners/software-version-rule.js';
-import type { StreamOrigin } from '../turns/stream-origins.js';
+import type { StreamContent, StreamOrigin } from '../turns/stream-origins.js';
+import type { VersionExchange } from '../turns/version-exchange.js';
 
 /** Defects built into the system under test to show that the checks detect them. */
 export type InjectedStreamFault =
@@ -26,7 +27,9 @@
   /** Gateways take the only version that they list for the origin, without regard to earlier ones. */
   | 'listBelieved'
   /** Gateways record nothing. */
-  | 'nothingRecorded';
+  | 'nothingRecorded'
+  /** Gateways take the only version that they list for the origin of streams that are not named. */
+  | 'unnamedGuessed';
 
 /** Options of a stream history. */
 export interface StreamHistoryOptions {
@@ -61,6 +64,9 @@
 const FAULT_INTERVAL_MILLISECONDS = 2_500;
 /** Pause between the restarts of two gateways when all are restarted in turn. */
 const ROLL_MILLISECONDS = 400;
+/** Pause after which a client asks again while no gateway runs, and the number of times that it does. */
+const RETURN_MILLISECONDS = 250;
+const MAXIMUM_PAUSES = 12;
 /** Share of the gateways that one fault kills together. */
 const KILLED_SHARE = 0.5;
 /** Time after a fault in which no resumption at the affected gateways and replicas is due. */
@@ -74,6 +80,8 @@
 const MINIMUM_SHARE = 0.5;
 /** Share of the tries that their client leaves. */
 const LEAVE_SHARE = 0.3;
+/** Share of the clients that name the streams that they resume. */
+const NAMED_SHARE = 0.5;
 /** Share of the resumptions that come late, and the longest pause before these, in milliseconds. */
 const RESUME_LATE_SHARE = 0.1;
 const LATE_MILLISECONDS = 8_000;
@@ -102,6 +110,11 @@
   events: number;
   readonly versions: Set<string>;
   tries: number;
+  /** Number of times that the client found no gateway. */
+  pauses: number;
+  readonly content: StreamContent;
+  /** Whether the client names the stream when it resumes it. */
+  readonly isNamed: boolean;
 }
 
 /** A simulated gateway with the production parts that decide where streams continue. */
@@ -110,6 +123,9 @@
   readonly process: SimulatedProcess;
   registry: RunnerRegistry;
   streams: ResumableStreams;
+  exchange: VersionExchange;
+  /** Process of the calls to replicas, which shares the fate of the gateway's. */
+  clientProcess: SimulatedProcess;
   /** Runs of the process; a stream ends with the run that serves it. */
   run: number;
   isCutFromStore: boolean;
@@ -191,20 +207,23 @@
     };
   }
 
-  private createParts(name: string, runtime: Runtime): Pick<StreamGateway, 'registry' | 'streams'> {
+  private createParts(
+    name: string,
+    runtime: Runtime,
+  ): Pick<StreamGateway, 'registry' | 'streams' | 'exchange' | 'clientProcess'> {
     const registry = new RunnerRegistry(runtime);
     const [knownTo] = this.replicas.runningNames();
-    const { client } = this.replicas.client(name, ZONE, knownTo ?? 'r1');
+    const { client, process: clientProcess } = this.replicas.client(name, ZONE, knownTo ?? 'r1');
+    const { origins, versions: exchange } = client;
     const { versions } = registry;
-    return {
-      registry,
-      streams: new ResumableStreams({ runtime, client: client.origins, versions }),
-    };
+    const streams = new ResumableStreams({ runtime, client: origins, versions, exchange });
+    return { registry, streams, exchange, clientProcess };
   }
 
   /** Starts a gateway: it lists the runners, and learns from peers which versions were listed before. */
   private start(gateway: StreamGateway, isFirstStart = false): void {
     gateway.run += 1;
+    gateway.clientProcess.kill();
     Object.assign(gateway, this.createParts(gateway.name, gateway.process.start()));
     const { versions } = gateway.registry;
     const { injectedFault } = this.options;
@@ -212,8 +231,12 @@
     versions.isMixedElsewhere = (service) => this.isMixedElsewhere(gateway, service);
     if (injectedFault === 'listBelieved') {
       versions.isListProven = () => true;
-    } else if (!isFirstStart) {
-      versions.forgetPast();
+    } else {
+      if (!isFirstStart) {
+        versions.forgetPast();
+      }
+      versions.onListed = () => gateway.exchange.reportSoon();
+      gateway.exchange.start(versions);
     }
     const { run } = gateway;
     this.clock.schedule(this.lag(), () => {
@@ -322,6 +345,7 @@
       () => this.killGateways([gateway]),
       () => this.killGateways(this.gateways.filter(() => random.uniform() < KILLED_SHARE)),
       () => this.killGateways(this.gateways),
+      () => this.replaceVersionWhileAway(),
       () => this.pauseGateway(gateway),
       () => this.cutFromStore(gateway),
       () => this.cutFromReplicas(gateway),
@@ -342,7 +366,7 @@
   private killGateways(gateways: readonly StreamGateway[]): void {
     const downMilliseconds = 200 + this.random.uniform() * 1_000;
     for (const gateway of gateways) {
-      gateway.process.kill();
+      [gateway.process, gateway.clientProcess].forEach((process) => process.kill());
       gateway.run += 1;
       gateway.faultAt = this.clock.now + downMilliseconds;
       this.clock.schedule(downMilliseconds, () => {
@@ -353,11 +377,27 @@
     }
   }
 
+  /** Kills all gateways, at times also all replicas; before they return, one version replaces all others. */
+  private replaceVersionWhileAway(): void {
+    const leaving = [...this.listed];
+    const version = this.random.pick(VERSIONS);
+    this.killGateways(this.gateways);
+    if (this.random.uniform() < KILLED_SHARE) {
+      this.killReplicas(REPLICAS);
+    }
+    this.removeRunners(
+      leaving.filter((runner) => softwareVersionOf(runner) !== version),
+      false,
+    );
+    this.startRunners(version, RUNNERS_PER_VERSION);
+  }
+
   private pauseGateway(gateway: StreamGateway): void {
     const milliseconds = 300 + this.random.uniform() * 2_500;
-    gateway.process.pause();
+    const processes = [gateway.process, gateway.clientProcess];
+    processes.forEach((process) => process.pause());
     gateway.faultAt = this.clock.now + milliseconds;
-    this.clock.schedule(milliseconds, () => gateway.process.resume());
+    this.clock.schedule(milliseconds, () => processes.forEach((process) => process.resume()));
   }
 
   /** Cuts a gateway off from the store; afterwards it lists the runners anew. */
@@ -446,13 +486,20 @@
 
   private beginStream(): void {
     this.streamCount += 1;
-    this.attempt({ first: undefined, events: 0, versions: new Set(), tries: 0 });
+    const content = this.streamCount as StreamContent;
+    const isNamed = this.random.uniform() < NAMED_SHARE;
+    const begun = { first: undefined, events: 0, versions: new Set<string>(), tries: 0, pauses: 0 };
+    this.attempt({ ...begun, content, isNamed });
   }
 
   /** Sends one try of a stream to a gateway. */
   private attempt(stream: ClientStream): void {
     const running = this.gateways.filter((gateway) => this.isRunning(gateway));
     if (running.length === 0) {
+      stream.pauses += 1;
+      if (stream.pauses <= MAXIMUM_PAUSES) {
+        this.clock.schedule(RETURN_MILLISECONDS, () => this.attempt(stream));
+      }
       return;
     }
     stream.tries += 1;
@@ -468,13 +515,32 @@
     this.counts.resumptions += 1;
     this.counts.dueResumptions += isDue ? 1 : 0;
     const { run } = gateway;
-    gateway.streams.find(first, ROUTE, REMAINING_MILLISECONDS, (found) => {
-      if (found !== undefined && gateway.run === run) {
-        const goesOn = this.serve(gateway, stream, request, found.origin);
+    const resume = (origin: StreamOrigin | undefined): void => {
+      if (origin !== undefined && gateway.run === run) {
+        const goesOn = this.serve(gateway, stream, request, origin);
         this.counts.resumed += goesOn ? 1 : 0;
         this.counts.dueResumed += goesOn && isDue ? 1 : 0;
       }
-    });
+    };
+    this.findOrigin(gateway, stream, first, resume);
+  }
+
+  private findOrigin(
+    { streams, registry }: StreamGateway,
+    { isNamed, content }: ClientStream,
+    first: string,
+    done: (origin: StreamOrigin | undefined) => void,
+  ): void {
+    if (isNamed) {
+      streams.find(first, ROUTE, REMAINING_MILLISECONDS, (found) => done(found?.origin));
+    } else if (this.options.injectedFault === 'unnamedGuessed') {
+      const versions = [...new Set(registry.readyRunners(SERVICE).map(softwareVersionOf))];
+      const [version, ...others] = versions;
+      const isGuessed = version !== undefined && others.length === 0;
+      done(isGuessed ? { service: SERVICE, version } : undefined);
+    } else {
+      streams.findUnnamed(content, ROUTE, REMAINING_MILLISECONDS, (found) => done(found?.origin));
+    }
   }
 
   /** Whether a resumption counts towards the share that must succeed. */
@@ -525,7 +591,7 @@
         this.recordOrigin(gateway, stream, request, begun);
       }
       if (stream.events >= EVENTS) {
-        [request, stream.first!].forEach((id) => gateway.streams.end(id));
+        gateway.streams.end([request, stream.first!]);
       } else if (received + 1 >= leavesAfter) {
         this.resumeLater(stream);
       } else {
@@ -540,12 +606,12 @@
 
   private recordOrigin(
     gateway: StreamGateway,
-    { first = '' }: ClientStream,
+    { first = '', content }: ClientStream,
     request: string,
     origin: StreamOrigin,
   ): void {
     if (this.options.injectedFault !== 'nothingRecorded') {
-      new Set([request, first]).forEach((id) => gateway.streams.begin(id, origin, ROUTE));
+      gateway.streams.begin([request, first], content, origin, ROUTE);
     }
   }
 
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -256,7 +256,10 @@
     this.aggregates.register(mixedServices, () =>
       versions.mixedServices().map((service) => ({ key: hashToNumber(service), amounts: [1] })),
     );
-    return new ResumableStreams({ runtime, client: turns.origins, versions });
+    const { origins: client, versions: exchange } = turns;
+    versions.onListed = () => exchange.reportSoon();
+    exchange.start(versions);
+    return new ResumableStreams({ runtime, client, versions, exchange });
   }
 
   /** Whether this gateway should receive new connections. */
--- a/src/relay/request/fingerprint.ts
+++ b/src/relay/request/fingerprint.ts
@@ -5,6 +5,7 @@
  */
 import { hashBytes, hashToExactNumber } from '../../runtime/hashing.js';
 import type { Fingerprint } from '../../suspects/fingerprint.js';
+import type { StreamContent } from '../../turns/stream-origins.js';
 import type { RelayRequest } from './relay-request.js';
 
 /** The fingerprints of a request; the same if it belongs to no program. */
@@ -28,6 +29,13 @@
   return { own, content };
 }
 
+/** Returns what a request has in common with the other tries of its client for the same stream, and with few other requests. */
+export function streamContentOf(request: RelayRequest): StreamContent {
+  const { promptParts, maximumOutputTokens } = request;
+  const text = JSON.stringify([promptParts, maximumOutputTokens]);
+  return hashToExactNumber(text, BigInt(fingerprintsOf(request).own)) as StreamContent;
+}
+
 /** Returns the fingerprints of a request. */
 export function fingerprintsOf(request: RelayRequest): RequestFingerprints {
   let known = computed.get(request);
--- a/src/relay/runners/resumable-streams.ts
+++ b/src/relay/runners/resumable-streams.ts
@@ -3,9 +3,16 @@
  * also records them at the replicas, except while the origin of any stream follows from its route.
  */
 import type { Runtime } from '../../runtime/runtime.js';
+import { Generations } from '../../turns/generations.js';
 import type { StreamOriginClient } from '../../turns/stream-origin-client.js';
-import { StreamOrigins } from '../../turns/stream-origins.js';
-import type { StreamOrigin, StreamOriginEntry } from '../../turns/stream-origins.js';
+import { ORIGIN_RETENTION_MILLISECONDS } from '../../turns/stream-origins.js';
+import type {
+  FoundContent,
+  StreamContent,
+  StreamContentEntry,
+  StreamOrigin,
+} from '../../turns/stream-origins.js';
+import type { VersionExchange } from '../../turns/version-exchange.js';
 import type { Route } from '../request/routing-table.js';
 import type { VersionHistory } from './version-history.js';
 
@@ -20,15 +27,17 @@
   | 'own'
   /** The record of another gateway. */
   | 'record'
+  /** The record of the only stream with the content of the request, which doesn't name its stream. */
+  | 'content'
   /** Only one version can have begun it. */
-  | 'single'
-  /** The client doesn't name the stream, and no second version is known. */
-  | 'listed';
+  | 'single';
 
 /** An origin, and what it was taken from. */
 export interface FoundOrigin {
   readonly origin: StreamOrigin;
   readonly source: OriginSource;
+  /** The stream, if the request doesn't name it and it is known. */
+  readonly stream?: string | undefined;
 }
 
 /** Dependencies of {@link ResumableStreams}. */
@@ -36,34 +45,52 @@
   readonly runtime: Runtime;
   readonly client: StreamOriginClient;
   readonly versions: VersionHistory;
+  /** Asks the members which versions were listed. */
+  readonly exchange: VersionExchange;
 }
 
 /** Records and finds the origins of streams. */
 export class ResumableStreams {
-  private readonly own: StreamOrigins;
+  /** By id of a request whose answer brought events of the stream. */
+  private readonly own: Generations<string, StreamContentEntry>;
 
   constructor(private readonly options: ResumableStreamsOptions) {
     const { runtime, versions } = options;
-    this.own = new StreamOrigins({ runtime, maximumEntries: MAXIMUM_OWN_STREAMS });
-    versions.onMixed = (service) => this.recordOwn(service);
+    const retentionMilliseconds = ORIGIN_RETENTION_MILLISECONDS;
+    this.own = new Generations({
+      runtime,
+      retentionMilliseconds,
+      maximumEntries: MAXIMUM_OWN_STREAMS,
+    });
+    versions.onMixed = () => this.recordOwn();
   }
 
-  /** Records where a stream of a route began. */
-  begin(stream: string, origin: StreamOrigin, route: Route): void {
-    if (!isPossibleId(stream)) {
+  /**
+   * Records where a stream of a route began.
+   * @param requests ids under which its client may resume it; the last one is that of its first request, if known
+   */
+  begin(
+    requests: readonly string[],
+    content: StreamContent,
+    origin: StreamOrigin,
+    route: Route,
+  ): void {
+    const streams = requests.filter(isPossibleId);
+    const stream = streams.at(-1);
+    if (stream === undefined) {
       return;
     }
-    const entry = { stream, ...origin };
-    this.own.record(entry);
-    const single = this.singleOrigin(route);
-    if (single?.service !== origin.service || single.version !== origin.version) {
-      this.options.client.record(entry);
+    const entry = { stream, content, ...origin };
+    streams.forEach((each) => this.own.set(each, entry));
+    const sole = this.options.versions.soleOrigin(route);
+    if (sole?.service !== origin.service || sole.version !== origin.version) {
+      streams.forEach((each) => this.record(each, entry));
     }
   }
 
   /** Forgets a stream that was delivered to its end. */
-  end(stream: string): void {
-    this.own.forget(stream);
+  end(requests: readonly string[]): void {
+    requests.forEach((request) => this.own.delete(request));
   }
 
   /**
@@ -76,60 +103,99 @@
     remainingMilliseconds: number,
     done: (found: FoundOrigin | undefined) => void,
   ): void {
-    if (!isPossibleId(stream)) {
-      done(this.findSingle(route));
-      return;
-    }
-    const own = this.own.find(stream);
+    const own = isPossibleId(stream) ? this.own.get(stream) : undefined;
     if (own !== undefined) {
-      done({ origin: own, source: 'own' });
+      done({ origin: originOf(own), source: 'own' });
       return;
     }
-    const isSingle = this.singleOrigin(route) !== undefined;
-    this.options.client.find(stream, remainingMilliseconds, isSingle, (origin) =>
-      done(origin === undefined ? this.findSingle(route) : { origin, source: 'record' }),
+    const isSingle = this.options.versions.soleOrigin(route) !== undefined;
+    this.refreshAnd<StreamOrigin | undefined>(
+      (next) => {
+        if (isPossibleId(stream)) {
+          this.options.client.find(stream, remainingMilliseconds, isSingle, next);
+        } else {
+          next(undefined);
+        }
+      },
+      (origin) =>
+        done(origin === undefined ? this.findSingle(route) : { origin, source: 'record' }),
     );
   }
 
   /**
-   * Whether a stream that its client doesn't name may be resumed. Only clients for which no two versions of a service serve
-   * at a time don't name their streams, so that they are refused only if a second version is known.
+   * Finds the origin of a stream that its client doesn't name by the content of its request. Calls back once, with undefined
+   * if the origin is unknown.
    */
-  mayResumeUnnamed({ services }: Route): boolean {
-    const { versions } = this.options;
-    return !services.some(({ service }) => versions.isMixed(service));
+  findUnnamed(
+    content: StreamContent,
+    route: Route,
+    remainingMilliseconds: number,
+    done: (found: FoundOrigin | undefined) => void,
+  ): void {
+    this.refreshAnd<FoundContent | undefined>(
+      (next) => this.options.client.findContent(content, remainingMilliseconds, next),
+      (found) => {
+        if (found === undefined) {
+          done(this.findSingle(route));
+        } else if (found.isShared) {
+          done(undefined);
+        } else {
+          done({ origin: originOf(found), source: 'content', stream: found.stream });
+        }
+      },
+    );
+  }
+
+  /** Whether this gateway knows all versions that can have begun a stream. */
+  get isPastKnown(): boolean {
+    return this.options.versions.isPastKnown;
   }
 
-  /** Returns the origin that unnamed streams of a route have in common; undefined if it is split or no runner is known. */
-  findListed(route: Route): FoundOrigin | undefined {
-    const origin = originOf(route, (service) => this.options.versions.knownVersion(service));
-    return origin === undefined ? undefined : { origin, source: 'listed' };
+  /** Asks the members a question, and at the same time which versions were listed if this is not known. */
+  private refreshAnd<Answer>(
+    ask: (next: (answer: Answer) => void) => void,
+    done: (answer: Answer) => void,
+  ): void {
+    let pending = 2;
+    let answer: Answer;
+    const finish = (): void => {
+      pending -= 1;
+      if (pending === 0) {
+        done(answer);
+      }
+    };
+    ask((found) => {
+      answer = found;
+      finish();
+    });
+    if (this.isPastKnown) {
+      finish();
+    } else {
+      this.options.exchange.refresh(finish);
+    }
   }
 
   /** Returns the origin that all streams of a route have in common; undefined if they may differ. */
   private findSingle(route: Route): FoundOrigin | undefined {
-    const origin = this.singleOrigin(route);
+    const origin = this.options.versions.soleOrigin(route);
     return origin === undefined ? undefined : { origin, source: 'single' };
   }
 
-  private singleOrigin(route: Route): StreamOrigin | undefined {
-    return originOf(route, (service) => this.options.versions.soleVersion(service));
+  private recordOwn(): void {
+    this.own.entries().forEach(([request, entry]) => this.record(request, entry));
   }
 
-  private recordOwn(service: string): void {
-    const entries: StreamOriginEntry[] = this.own.ofService(service);
-    entries.forEach((entry) => this.options.client.record(entry));
+  private record(request: string, entry: StreamContentEntry): void {
+    const { client } = this.options;
+    client.record({ stream: request, ...originOf(entry) });
+    if (request === entry.stream) {
+      client.recordContent(entry);
+    }
   }
 }
 
-/** Returns the origin that follows from a route with one service and the only version of it. */
-function originOf(
-  { services }: Route,
-  versionOf: (service: string) => string | undefined,
-): StreamOrigin | undefined {
-  const service = services.length === 1 ? services[0]!.service : undefined;
-  const version = service === undefined ? undefined : versionOf(service);
-  return service === undefined || version === undefined ? undefined : { service, version };
+function originOf({ service, version }: StreamOrigin): StreamOrigin {
+  return { service, version };
 }
 
 function isPossibleId(stream: string): boolean {
--- a/src/relay/runners/version-history.ts
+++ b/src/relay/runners/version-history.ts
@@ -1,26 +1,16 @@
 /**
- * The software versions that were listed for each service recently. Determines whether a stream can have begun at only one
- * version.
+ * The software versions that were listed for each service recently, and the services of each route. Determines whether a stream
+ * can have begun at only one version of one service.
  */
 import type { Runtime } from '../../runtime/runtime.js';
 import { ORIGIN_RETENTION_MILLISECONDS } from '../../turns/stream-origins.js';
-
-/** A version of a service, and the time since it was last listed, in milliseconds. */
-export interface ListedVersion {
-  readonly service: string;
-  readonly version: string;
-  readonly ageMilliseconds: number;
-}
-
-/** What a gateway knows of the versions of the runners. */
-export interface VersionReport {
-  /** Time for which it knows all versions that were listed, in milliseconds; at most the retention time. */
-  readonly knownMilliseconds: number;
-  readonly versions: readonly ListedVersion[];
-}
+import type { StreamOrigin } from '../../turns/stream-origins.js';
+import type { VersionReporter } from '../../turns/version-exchange.js';
+import type { ListedVersion, VersionReport } from '../../turns/version-reports.js';
+import type { Route } from '../request/routing-table.js';
 
 interface VersionState {
-  /** Runners of this version that are listed. */
+  /** Runners of this version, or routes, that are listed. */
   listed: number;
   /** Local time at which the last of them was listed, in milliseconds; applies while none is. */
   lastListedAt: number;
@@ -28,15 +18,19 @@
 
 /** Largest number of reports that are merged after a start: peers that started at the same time add nothing. */
 const MAXIMUM_MERGED_REPORTS = 12;
+/** Age that is reported at least for what is not listed any more, in milliseconds. */
+const MINIMUM_AGE_MILLISECONDS = 1;
 
 /** Tracks the versions that are listed, and those that were. */
-export class VersionHistory {
+export class VersionHistory implements VersionReporter {
   /** Whether the list of runners is proved to be recent. */
   isListProven: () => boolean = () => true;
   /** Whether another gateway has seen several versions of a service. */
   isMixedElsewhere: (service: string) => boolean = () => false;
-  /** Called when a service gets a second version. */
+  /** Called when a service gets a second version, or a route a second service. */
   onMixed: (service: string) => void = () => undefined;
+  /** Called when a version or a route is listed that was not before. */
+  onListed: () => void = () => undefined;
   private readonly services = new Map<string, Map<string, VersionState>>();
   /** Local time since which all versions that were listed are known, in milliseconds. */
   private knownSince = -Infinity;
@@ -54,6 +48,19 @@
     const state = this.stateOf(service, version);
     state.listed += 1;
     this.noteSeen(service, state);
+    if (state.listed === 1) {
+      this.onListed();
+    }
+  }
+
+  /** The only origin that a stream of a route that can still be resumed can have; undefined if unknown. */
+  soleOrigin(route: Route): StreamOrigin | undefined {
+    const [first, ...others] = route.services;
+    if (first === undefined || others.length > 0) {
+      return undefined;
+    }
+    const version = this.soleVersion(first.service);
+    return version === undefined ? undefined : { service: first.service, version };
   }
 
   /** Records that a runner of a version is no longer listed. */
@@ -64,18 +71,10 @@
   }
 
   /** The only version at which a stream of a service that can still be resumed can have begun; undefined if unknown. */
-  soleVersion(service: string): string | undefined {
-    return this.isPastKnown && this.isListProven() ? this.knownVersion(service) : undefined;
-  }
-
-  /** Whether this gateway or another one knows several recent versions of a service. */
-  isMixed(service: string): boolean {
-    return this.recentVersions(service).length > 1 || this.isMixedElsewhere(service);
-  }
-
-  /** The only version of a service that is known; undefined if none is, or several are. */
-  knownVersion(service: string): string | undefined {
-    return this.isMixed(service) ? undefined : this.recentVersions(service)[0];
+  private soleVersion(service: string): string | undefined {
+    const [version, ...others] = this.recentVersions(service);
+    const isMixed = others.length > 0 || this.isMixedElsewhere(service);
+    return this.isPastKnown && this.isListProven() && !isMixed ? version : undefined;
   }
 
   /** Returns the services of which this gateway has lately seen several versions. */
@@ -93,24 +92,41 @@
     if (!this.isListProven()) {
       return undefined;
     }
-    const now = this.runtime.now();
     this.startKnowing();
-    const knownMilliseconds = Math.min(ORIGIN_RETENTION_MILLISECONDS, now - this.knownSince);
-    const versions = [...this.services.keys()].flatMap((service) =>
-      this.recentVersions(service).map((version) => {
-        const { listed, lastListedAt } = this.stateOf(service, version);
-        const ageMilliseconds = listed > 0 ? 0 : now - lastListedAt;
-        return { service, version, ageMilliseconds };
-      }),
-    );
-    return { knownMilliseconds, versions };
+    const knownFor = this.runtime.now() - this.knownSince;
+    const knownMilliseconds = Math.min(ORIGIN_RETENTION_MILLISECONDS, knownFor);
+    return { knownMilliseconds, versions: this.listVersions() };
+  }
+
+  /** What this gateway knows; while its list is not proved to be recent, all versions may not be known. */
+  reportToMembers(): VersionReport {
+    return this.report() ?? { knownMilliseconds: 0, versions: this.listVersions() };
+  }
+
+  /** Whether members may know more of the past. */
+  get needsMembers(): boolean {
+    return !this.isPastKnown;
   }
 
   /** Adds what a peer knows; its list, which came with the report, was proved to be recent. */
   merge({ knownMilliseconds, versions }: VersionReport): void {
-    const now = this.runtime.now();
     this.mergedReports += 1;
-    this.knownSince = Math.min(this.knownSince, now - knownMilliseconds);
+    this.addVersions(versions);
+    this.knownSince = Math.min(this.knownSince, this.runtime.now() - knownMilliseconds);
+  }
+
+  /** Adds that all versions that were listed within some time, in milliseconds, are known. */
+  extendKnown(milliseconds: number): void {
+    // Before the list is proved, versions may be listed after the report that are not known here.
+    if (this.isListProven()) {
+      this.startKnowing();
+      this.knownSince = Math.min(this.knownSince, this.runtime.now() - milliseconds);
+    }
+  }
+
+  /** Adds versions that others have listed. */
+  addVersions(versions: readonly ListedVersion[]): void {
+    const now = this.runtime.now();
     for (const { service, version, ageMilliseconds } of versions) {
       const state = this.stateOf(service, version);
       state.lastListedAt = Math.max(state.lastListedAt, now - ageMilliseconds);
@@ -118,8 +134,19 @@
     }
   }
 
+  private listVersions(): ListedVersion[] {
+    const now = this.runtime.now();
+    return [...this.services.keys()].flatMap((service) =>
+      this.recentVersions(service).map((version) => {
+        const { listed, lastListedAt } = this.stateOf(service, version);
+        const age = Math.max(MINIMUM_AGE_MILLISECONDS, now - lastListedAt);
+        return { service, version, ageMilliseconds: listed > 0 ? 0 : age };
+      }),
+    );
+  }
+
   /** Whether the versions of the whole retention time are known. */
-  private get isPastKnown(): boolean {
+  get isPastKnown(): boolean {
     this.startKnowing();
     return this.knownSince <= this.runtime.now() - ORIGIN_RETENTION_MILLISECONDS;
   }
@@ -142,6 +169,9 @@
         versions.delete(version);
       }
     }
+    if (versions.size === 0) {
+      this.services.delete(service);
+    }
     return recent;
   }
 
--- a/src/relay/stages/origin-stage.ts
+++ b/src/relay/stages/origin-stage.ts
@@ -3,6 +3,7 @@
  * request if that is unknown, or if no runner of it is left, before the request reserves anything.
  */
 import { originLost, originUnknown, originUnnamed } from '../answers/local-answers.js';
+import { streamContentOf } from '../request/fingerprint.js';
 import { isResumption } from '../request/relay-request.js';
 import { tenantScopedId } from '../request/tenant.js';
 import type { FoundOrigin, OriginSource } from '../runners/resumable-streams.js';
@@ -33,10 +34,16 @@
   context.metrics.count('ivyloom_relay_stream_origins_total', `source="${source}"`);
 }
 
+/** To wait only helps a client that names its stream, or while this gateway may still learn what was listed. */
+function refuseUnknown({ context, request }: RequestState): StageOutcome {
+  const mayBecomeKnown = request.resumes !== undefined || !context.streams.isPastKnown;
+  return refuseWith(mayBecomeKnown ? originUnknown() : originUnnamed());
+}
+
 function decideBy(requestState: RequestState, found: FoundOrigin | undefined): StageOutcome {
   countOrigin(requestState, found?.source ?? 'unknown');
   if (found === undefined) {
-    return refuseWith(originUnknown());
+    return refuseUnknown(requestState);
   }
   const { service } = found.origin;
   const isServed = requestState.request.route.services.some((part) => part.service === service);
@@ -51,22 +58,6 @@
   return isOriginLost(requestState, found) ? refuseWith(originLost(found.origin)) : GO_ON;
 }
 
-/** Without an origin in common, since the route is split or no runner is known, unnamed streams go on like new ones. */
-function decideUnnamed(requestState: RequestState): StageOutcome {
-  const { context, request } = requestState;
-  const { streams } = context;
-  if (!streams.mayResumeUnnamed(request.route)) {
-    countOrigin(requestState, 'unknown');
-    return refuseWith(originUnnamed());
-  }
-  const found = streams.findListed(request.route);
-  if (found === undefined) {
-    countOrigin(requestState, 'listed');
-    return GO_ON;
-  }
-  return decideBy(requestState, found);
-}
-
 /** Refuses resumptions of streams that can't continue at the version that began them. */
 export const ORIGIN_STAGE: RequestStage = {
   name: 'origin',
@@ -76,16 +67,18 @@
       return GO_ON;
     }
     const { resumes, route, tenant } = request;
-    if (resumes === undefined) {
-      return decideUnnamed(requestState);
-    }
-    const stream = tenantScopedId(tenant, resumes);
+    const { streams } = context;
     return {
       tag: 'Wait',
-      begin: (resume) =>
-        context.streams.find(stream, route, remainingMilliseconds, (found) =>
-          resume(decideBy(requestState, found)),
-        ),
+      begin: (resume) => {
+        const decide = (found: FoundOrigin | undefined): void =>
+          resume(decideBy(requestState, found));
+        if (resumes === undefined) {
+          streams.findUnnamed(streamContentOf(request), route, remainingMilliseconds, decide);
+        } else {
+          streams.find(tenantScopedId(tenant, resumes), route, remainingMilliseconds, decide);
+        }
+      },
     };
   },
 };
--- a/src/relay/stages/request-state.ts
+++ b/src/relay/stages/request-state.ts
@@ -29,6 +29,8 @@
   origin: StreamOrigin | undefined;
   /** What the origin of a stream that the client resumes was taken from; undefined for a new stream. */
   originSource: OriginSource | undefined;
+  /** The stream that the request continues without naming it; undefined if it does, or if the stream isn't known. */
+  unnamedStream: string | undefined;
   private isProgramStart: boolean;
   private selectedService: string | undefined;
   private finishListeners: FinishListener[] = [];
@@ -70,9 +72,10 @@
   }
 
   /** Continues a stream of which the client has received events: only runners of its origin may get the request. */
-  continueAt({ origin, source }: FoundOrigin): void {
+  continueAt({ origin, source, stream }: FoundOrigin): void {
     this.origin = origin;
     this.originSource = source;
+    this.unnamedStream = stream;
     this.selectedService = origin.service;
   }
 
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -29,6 +29,7 @@
 import { mayRepeat } from '../request/relay-request.js';
 import type { RequestBoundary } from '../request/request-boundary.js';
 import { runnerLossLimitOf } from '../request/routing-table.js';
+import { streamContentOf } from '../request/fingerprint.js';
 import { tenantScopedId } from '../request/tenant.js';
 import type { RelayRequest } from '../request/relay-request.js';
 import { rankOf } from '../request/request-rank.js';
@@ -186,18 +187,19 @@
     requestState.origin ??= { service, version: softwareVersionOf(current.runner) };
     const { route } = this.request;
     if (route.resumable) {
-      for (const stream of this.streamIds) {
-        this.context.streams.begin(stream, requestState.origin, route);
-      }
+      const content = streamContentOf(this.request);
+      this.context.streams.begin(this.streamIds, content, requestState.origin, route);
     }
   }
 
   /** Ids under which a client may resume the stream: that of the request, and of the one that it resumes. */
   private get streamIds(): string[] {
     const { id, resumes, tenant } = this.request;
-    return [id, resumes].flatMap((each) =>
+    const ids = [id, resumes].flatMap((each) =>
       each === undefined ? [] : [tenantScopedId(tenant, each)],
     );
+    const { unnamedStream } = this.requestState;
+    return unnamedStream === undefined ? ids : [...ids, unnamedStream];
   }
 
   /**
@@ -249,7 +251,7 @@
       );
     }
     if (this.request.route.resumable) {
-      this.streamIds.forEach((stream) => this.context.streams.end(stream));
+      this.context.streams.end(this.streamIds);
     }
     this.finish('answered', {
       status,
--- /dev/null
+++ b/src/turns/generations.ts
@@ -0,0 +1,78 @@
+/**
+ * A map whose entries last for a retention time, at most twice as long, and less if there are too many. Entries are dropped by whole
+ * generations, which needs neither a time for each entry nor a sweep.
+ */
+import type { Runtime } from '../runtime/runtime.js';
+
+/** Dependencies and bounds of {@link Generations}. */
+export interface GenerationsOptions {
+  readonly runtime: Pick<Runtime, 'now'>;
+  /** Time for which entries last at least, in milliseconds. */
+  readonly retentionMilliseconds: number;
+  /** Entries in a generation; two generations are kept. */
+  readonly maximumEntries: number;
+}
+
+/** Keeps values by key in two generations. */
+export class Generations<Key, Value> {
+  /** Called when a new generation starts. */
+  onStarted: () => void = () => undefined;
+  private current = new Map<Key, Value>();
+  private previous = new Map<Key, Value>();
+  /** Local time at which the current generation started, in milliseconds. */
+  private startedAt: number;
+
+  constructor(private readonly options: GenerationsOptions) {
+    this.startedAt = options.runtime.now();
+  }
+
+  /** Number of entries. */
+  get size(): number {
+    return this.current.size + this.previous.size;
+  }
+
+  /** Sets a value; a full generation starts the next one early. */
+  set(key: Key, value: Value): void {
+    this.dropExpired();
+    if (this.current.size >= this.options.maximumEntries) {
+      this.start();
+    }
+    this.current.set(key, value);
+  }
+
+  /** Returns the value of a key; undefined if it is unknown or too old. */
+  get(key: Key): Value | undefined {
+    this.dropExpired();
+    return this.current.get(key) ?? this.previous.get(key);
+  }
+
+  /** Removes a key. */
+  delete(key: Key): void {
+    this.current.delete(key);
+    this.previous.delete(key);
+  }
+
+  /** Returns all entries, each key with its newest value. */
+  entries(): [Key, Value][] {
+    this.dropExpired();
+    return [...new Map([...this.previous, ...this.current])];
+  }
+
+  private dropExpired(): void {
+    const { runtime, retentionMilliseconds } = this.options;
+    const age = runtime.now() - this.startedAt;
+    if (age >= retentionMilliseconds) {
+      this.start();
+      if (age >= 2 * retentionMilliseconds) {
+        this.previous.clear();
+      }
+    }
+  }
+
+  private start(): void {
+    this.previous = this.current;
+    this.current = new Map();
+    this.startedAt = this.options.runtime.now();
+    this.onStarted();
+  }
+}
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -26,7 +26,14 @@
   TenantQuota,
 } from './quota-buckets.js';
 import type { LentShares } from './quota-shares.js';
-import type { StreamOrigin, StreamOriginEntry } from './stream-origins.js';
+import type {
+  FoundContent,
+  StreamContent,
+  StreamContentEntry,
+  StreamOrigin,
+  StreamOriginEntry,
+} from './stream-origins.js';
+import type { ListedVersion } from './version-reports.js';
 
 /** The outcome of a request at one replica. */
 export type ReplicaOutcome =
@@ -117,7 +124,18 @@
   /** Records requests under which runners ended, encoded by `encodeSuspects`; held in memory. */
   | { type: 'recordSuspects'; call: number; news: Buffer }
   /** Asks for all such requests. */
-  | { type: 'readSuspects'; call: number };
+  | { type: 'readSuspects'; call: number }
+  /** Reports which versions were listed lately, and asks what all gateways have reported. */
+  | {
+      type: 'exchangeVersions';
+      call: number;
+      knownMilliseconds: number;
+      versions: ListedVersion[];
+    }
+  /** Records which stream has a content; held in memory like its origin. */
+  | { type: 'recordContents'; call: number; entries: StreamContentEntry[] }
+  /** Asks which stream has a content. */
+  | { type: 'findContent'; call: number; content: StreamContent };
 
 /** Replies. */
 export type ReplicaReply =
@@ -138,7 +156,16 @@
   /** The origin of a stream; its texts are empty if this replica has no record. */
   | ({ type: 'originFound'; call: number; found: boolean } & StreamOrigin)
   | { type: 'suspectsRecorded'; call: number }
-  | { type: 'suspectsRead'; call: number; news: Buffer };
+  | { type: 'suspectsRead'; call: number; news: Buffer }
+  | {
+      type: 'versionsExchanged';
+      call: number;
+      knownMilliseconds: number;
+      versions: ListedVersion[];
+    }
+  | { type: 'contentsRecorded'; call: number }
+  /** The stream of a content; its texts are empty if this replica has no record. */
+  | ({ type: 'contentFound'; call: number; found: boolean } & FoundContent);
 
 /** The reply to a pull. */
 export interface PulledLog {
@@ -245,6 +272,22 @@
 const silenceReportField = record({ member: shortText, milliseconds: float64, wasHeard: bool });
 
 const streamOriginField = record({ stream: shortText, service: shortText, version: shortText });
+const streamContentField = record({
+  content: float64,
+  stream: shortText,
+  service: shortText,
+  version: shortText,
+});
+const listedVersionField = record({
+  service: shortText,
+  version: shortText,
+  ageMilliseconds: float64,
+});
+const versionReportFields = {
+  call: uint32,
+  knownMilliseconds: float64,
+  versions: listOf(listedVersionField),
+};
 
 const pulledFields = {
   call: uint32,
@@ -333,6 +376,22 @@
   { type: 'suspectsRecorded', fields: { call: uint32 } },
   { type: 'readSuspects', fields: { call: uint32 } },
   { type: 'suspectsRead', fields: { call: uint32, news: bytes } },
+  { type: 'exchangeVersions', fields: versionReportFields },
+  { type: 'versionsExchanged', fields: versionReportFields },
+  { type: 'recordContents', fields: { call: uint32, entries: listOf(streamContentField) } },
+  { type: 'contentsRecorded', fields: { call: uint32 } },
+  { type: 'findContent', fields: { call: uint32, content: float64 } },
+  {
+    type: 'contentFound',
+    fields: {
+      call: uint32,
+      found: bool,
+      stream: shortText,
+      service: shortText,
+      version: shortText,
+      isShared: bool,
+    },
+  },
 ];
 const message = new TaggedUnion(BRANCHES);
 
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -32,8 +32,9 @@
 import { ReplicaState } from './replica-state.js';
 import { unpackDigests } from './reservation-digests.js';
 import { StoredSuspects } from './stored-suspects.js';
-import { StreamOrigins } from './stream-origins.js';
-import type { StreamOrigin } from './stream-origins.js';
+import { StreamContents, StreamOrigins } from './stream-origins.js';
+import type { FoundContent, StreamContent, StreamOrigin } from './stream-origins.js';
+import { VersionReports } from './version-reports.js';
 import type {
   ReplicaMeta,
   StorageChange,
@@ -77,7 +78,16 @@
 /** Requests about what a replica answers from its memory. */
 type MemoryRequest = Extract<
   ReplicaRequest,
-  { type: 'recordOrigins' | 'findOrigin' | 'recordSuspects' | 'readSuspects' }
+  {
+    type:
+      | 'recordOrigins'
+      | 'findOrigin'
+      | 'recordSuspects'
+      | 'readSuspects'
+      | 'exchangeVersions'
+      | 'recordContents'
+      | 'findContent';
+  }
 >;
 
 type SpendForProgram = Extract<ReplicaRequest, { type: 'spendForProgram' }>;
@@ -103,6 +113,10 @@
   readonly state = new ReplicaState();
   /** Where streams began; lost with this process, since other members hold the same. */
   readonly streamOrigins: StreamOrigins;
+  /** Which stream has which content. */
+  readonly streamContents: StreamContents;
+  /** Which versions gateways have listed lately. */
+  private readonly versionReports: VersionReports;
   /** Requests under which runners ended. */
   readonly suspects: StoredSuspects;
   /** Identifies the log of this process; positions are only valid within the log of one process. */
@@ -143,7 +157,10 @@
       options.quotaWindowMilliseconds,
     );
     this.quotaShares = new QuotaShares(id, runtime.now());
-    this.streamOrigins = new StreamOrigins({ runtime, maximumEntries: MAXIMUM_STREAM_ORIGINS });
+    const streamBounds = { runtime, maximumEntries: MAXIMUM_STREAM_ORIGINS };
+    this.streamOrigins = new StreamOrigins(streamBounds);
+    this.streamContents = new StreamContents(streamBounds);
+    this.versionReports = new VersionReports(runtime);
     this.suspects = new StoredSuspects({ runtime, storage: options.suspectStorage });
     this.logName = `${id} ${runtime.wallTime()} ${runtime.random.uniform()}`;
     this.cancelExpiry = setRepeatingTimer(runtime, EXPIRY_INTERVAL_MILLISECONDS, () =>
@@ -336,9 +353,28 @@
         return;
       case 'readSuspects':
         send({ type: 'suspectsRead', call, news: this.suspects.snapshot() });
+        return;
+      case 'exchangeVersions': {
+        this.versionReports.merge(request);
+        const { knownMilliseconds, versions } = this.versionReports.report();
+        send({ type: 'versionsExchanged', call, knownMilliseconds, versions: [...versions] });
+        return;
+      }
+      case 'recordContents':
+        request.entries.forEach((entry) => this.streamContents.record(entry));
+        send({ type: 'contentsRecorded', call });
+        return;
+      case 'findContent':
+        send({ type: 'contentFound', call, ...this.findContent(request.content) });
     }
   }
 
+  private findContent(content: StreamContent): FoundContent & { readonly found: boolean } {
+    const found = this.streamContents.find(content);
+    const none = { stream: '', service: '', version: '', isShared: false };
+    return { ...none, ...found, found: found !== undefined };
+  }
+
   private findOrigin(stream: string): StreamOrigin & { readonly found: boolean } {
     const origin = this.streamOrigins.find(stream);
     return { service: '', version: '', ...origin, found: origin !== undefined };
--- a/src/turns/stream-origin-client.ts
+++ b/src/turns/stream-origin-client.ts
@@ -9,8 +9,15 @@
 import type { Member, MemberRecord } from './membership.js';
 import type { ReplicaReply } from './messages.js';
 import { membersForKey } from './quorum-write.js';
-import type { ReplicaCaller } from './replica-caller.js';
-import type { StreamOrigin, StreamOriginEntry } from './stream-origins.js';
+import { RecordQueue } from './record-queue.js';
+import type { ReplicaCaller, UnnumberedRequest } from './replica-caller.js';
+import type {
+  FoundContent,
+  StreamContent,
+  StreamContentEntry,
+  StreamOrigin,
+  StreamOriginEntry,
+} from './stream-origins.js';
 
 /** Dependencies of a {@link StreamOriginClient}. */
 export interface StreamOriginClientOptions {
@@ -25,43 +32,43 @@
 const RECORD_TIMEOUT_MILLISECONDS = 500;
 /** Timeout of a question, in milliseconds, beside the round trip to another region. */
 const FIND_TIMEOUT_MILLISECONDS = 150;
-/** Largest number of records in a message. */
-const MAXIMUM_BATCH = 500;
-/** Largest number of records that wait for one member; beyond, the oldest are dropped. */
-const MAXIMUM_WAITING = 20_000;
+/** Base in which a content is written as a key. */
+const HEXADECIMAL = 16;
 
-/** Records for one member; one message is under way at a time. */
-interface MemberQueue {
-  waiting: StreamOriginEntry[];
-  isSending: boolean;
-}
-
-/** Returns the members that hold the record of a stream: as many as survive the losses that a majority does. */
-function holdersOf(record: MemberRecord, stream: string): Member[] {
+/** Returns the members that hold a record: as many as survive the losses that a majority does. */
+function holdersOf(record: MemberRecord, key: string): Member[] {
   const count = Math.max(MINIMUM_MEMBERS, majorityOf(record));
-  return membersForKey(record, stream).slice(0, count);
+  return membersForKey(record, key).slice(0, count);
 }
 
 /** The gateway's client for the origins of streams. */
 export class StreamOriginClient {
-  private readonly queues = new Map<string, MemberQueue>();
+  private readonly origins: RecordQueue<StreamOriginEntry>;
+  private readonly contents: RecordQueue<StreamContentEntry>;
 
-  constructor(private readonly options: StreamOriginClientOptions) {}
+  constructor(private readonly options: StreamOriginClientOptions) {
+    const { caller } = options;
+    this.origins = new RecordQueue((member, entries, done) =>
+      caller.call(member, { type: 'recordOrigins', entries }, RECORD_TIMEOUT_MILLISECONDS, done),
+    );
+    this.contents = new RecordQueue((member, entries, done) =>
+      caller.call(member, { type: 'recordContents', entries }, RECORD_TIMEOUT_MILLISECONDS, done),
+    );
+  }
 
   /** Sends the origin of a stream to its holders, without confirmation. */
   record(entry: StreamOriginEntry): void {
     const record = this.options.directory.current;
-    if (record === undefined) {
-      return;
+    if (record !== undefined) {
+      this.origins.add(entry, holdersOf(record, entry.stream));
     }
-    for (const member of holdersOf(record, entry.stream)) {
-      const queue = this.queues.get(member.id) ?? { waiting: [], isSending: false };
-      this.queues.set(member.id, queue);
-      queue.waiting.push(entry);
-      if (queue.waiting.length > MAXIMUM_WAITING) {
-        queue.waiting.shift();
-      }
-      this.send(member, queue);
+  }
+
+  /** Does the same for clients that don't name the stream. */
+  recordContent(entry: StreamContentEntry): void {
+    const record = this.options.directory.current;
+    if (record !== undefined) {
+      this.contents.add(entry, holdersOf(record, entry.content.toString(HEXADECIMAL)));
     }
   }
 
@@ -74,57 +81,78 @@
     remainingMilliseconds: number,
     isMajorityEnough: boolean,
     done: (origin: StreamOrigin | undefined) => void,
+  ): void {
+    const record = this.options.directory.current;
+    const needed = isMajorityEnough && record !== undefined ? majorityOf(record) : Infinity;
+    let denials = 0;
+    let origin: StreamOrigin | undefined;
+    const isDecided = (reply: ReplicaReply | undefined): boolean => {
+      if (reply?.type === 'originFound' && reply.found) {
+        origin = { service: reply.service, version: reply.version };
+      } else if (reply?.type === 'originFound') {
+        denials += 1;
+      }
+      return origin !== undefined || denials >= needed;
+    };
+    this.askMembers({ type: 'findOrigin', stream }, remainingMilliseconds, isDecided, () =>
+      done(origin),
+    );
+  }
+
+  /**
+   * Asks the members for the stream that has a content. Calls back with undefined if none of them knows one, or if too few
+   * answered to know whether other streams have the same content.
+   */
+  findContent(
+    content: StreamContent,
+    remainingMilliseconds: number,
+    done: (found: FoundContent | undefined) => void,
+  ): void {
+    const record = this.options.directory.current;
+    const needed = record === undefined ? Infinity : majorityOf(record);
+    const answers: (FoundContent | undefined)[] = [];
+    const isDecided = (reply: ReplicaReply | undefined): boolean => {
+      if (reply?.type === 'contentFound') {
+        const { found, stream, service, version, isShared } = reply;
+        answers.push(found ? { stream, service, version, isShared } : undefined);
+      }
+      return false;
+    };
+    this.askMembers({ type: 'findContent', content }, remainingMilliseconds, isDecided, () => {
+      const known = answers.filter((answer) => answer !== undefined);
+      const [first] = known;
+      const isShared = known.some((each) => each.isShared || each.stream !== first!.stream);
+      const isKnown = first !== undefined && (isShared || answers.length >= needed);
+      done(isKnown ? { ...first, isShared } : undefined);
+    });
+  }
+
+  /** Sends a question to all members; `done` is called once: when a reply decides, or after the last one. */
+  private askMembers(
+    question: UnnumberedRequest,
+    remainingMilliseconds: number,
+    isDecided: (reply: ReplicaReply | undefined) => boolean,
+    done: () => void,
   ): void {
     const { directory, caller, distances } = this.options;
-    const record = directory.current;
-    if (record === undefined || record.members.length === 0) {
-      done(undefined);
+    const members = directory.current?.members ?? [];
+    let pending = members.length;
+    if (pending === 0) {
+      done();
       return;
     }
-    const { members } = record;
-    const needed = isMajorityEnough ? majorityOf(record) : members.length;
-    let denials = 0;
-    let pending = members.length;
     let isFinished = false;
-    const finish = (origin: StreamOrigin | undefined): void => {
-      if (!isFinished) {
-        isFinished = true;
-        done(origin);
-      }
-    };
     const handleReply = (reply: ReplicaReply | undefined): void => {
       pending -= 1;
-      const isReply = reply?.type === 'originFound';
-      if (isReply && reply.found) {
-        finish({ service: reply.service, version: reply.version });
-        return;
-      }
-      denials += isReply ? 1 : 0;
-      if (pending === 0 || denials >= needed) {
-        finish(undefined);
+      if (!isFinished && (isDecided(reply) || pending === 0)) {
+        isFinished = true;
+        done();
       }
     };
     for (const member of members) {
       const allowance = distances?.allowanceMilliseconds(member.zone) ?? 0;
       const timeout = Math.min(remainingMilliseconds, FIND_TIMEOUT_MILLISECONDS + allowance);
-      caller.call(member, { type: 'findOrigin', stream }, timeout, handleReply);
-    }
-  }
-
-  private send(member: Member, queue: MemberQueue): void {
-    if (queue.isSending) {
-      return;
+      caller.call(member, question, timeout, handleReply);
     }
-    if (queue.waiting.length === 0) {
-      this.queues.delete(member.id);
-      return;
-    }
-    queue.isSending = true;
-    const entries = queue.waiting.splice(0, MAXIMUM_BATCH);
-    const request = { type: 'recordOrigins' as const, entries };
-    this.options.caller.call(member, request, RECORD_TIMEOUT_MILLISECONDS, () => {
-      queue.isSending = false;
-      this.send(member, queue);
-    });
   }
 }
--- a/src/turns/stream-origins.ts
+++ b/src/turns/stream-origins.ts
@@ -1,5 +1,6 @@
 /** Origins of streams, held in memory for as long as clients may resume them. */
 import type { Runtime } from '../runtime/runtime.js';
+import { Generations } from './generations.js';
 
 /** Service and software version of the runner that sent the first event of a stream. */
 export interface StreamOrigin {
@@ -13,83 +14,54 @@
   readonly stream: string;
 }
 
+/** What the requests for a stream have in common, over all tries of its client: a hash of 53 bits. */
+export type StreamContent = number & { readonly brand: 'StreamContent' };
+
+/** A stream with the content of its requests. */
+export interface StreamContentEntry extends StreamOriginEntry {
+  readonly content: StreamContent;
+}
+
+/** The stream of a content, and whether several streams have that content. */
+export interface FoundContent extends StreamOriginEntry {
+  readonly isShared: boolean;
+}
+
 /** Longest supported time from the first event of a stream to its resumption, in milliseconds. */
 export const ORIGIN_RETENTION_MILLISECONDS = 60_000;
 
-/** Dependencies and bounds of {@link StreamOrigins}. */
+/** Dependencies and bounds of {@link StreamOrigins} and {@link StreamContents}. */
 export interface StreamOriginsOptions {
   readonly runtime: Pick<Runtime, 'now'>;
   /** Entries in a generation; two generations are kept. */
   readonly maximumEntries: number;
 }
 
-type Generation = Map<string, StreamOrigin>;
-
-/**
- * Keeps each origin for the retention time, at most twice as long, and less if there are too many. Entries are dropped by
- * whole generations, which needs neither a time for each entry nor a sweep.
- */
+/** Keeps the origin of each stream for the retention time. */
 export class StreamOrigins {
-  private current: Generation = new Map();
-  private previous: Generation = new Map();
-  /** Local time at which the current generation started, in milliseconds. */
-  private startedAt: number;
+  private readonly generations: Generations<string, StreamOrigin>;
   /** The origins of the current generation; few differ, so that streams share them. */
   private readonly origins = new Map<string, StreamOrigin>();
 
-  constructor(private readonly options: StreamOriginsOptions) {
-    this.startedAt = options.runtime.now();
+  constructor(options: StreamOriginsOptions) {
+    const retentionMilliseconds = ORIGIN_RETENTION_MILLISECONDS;
+    this.generations = new Generations({ ...options, retentionMilliseconds });
+    this.generations.onStarted = () => this.origins.clear();
   }
 
   /** Number of streams whose origin is known. */
   get size(): number {
-    return this.current.size + this.previous.size;
+    return this.generations.size;
   }
 
-  /** Records the origin of a stream; a full generation starts the next one early. */
+  /** Records the origin of a stream. */
   record({ stream, service, version }: StreamOriginEntry): void {
-    this.dropExpired();
-    if (this.current.size >= this.options.maximumEntries) {
-      this.startGeneration();
-    }
-    this.current.set(stream, this.shared(service, version));
+    this.generations.set(stream, this.shared(service, version));
   }
 
   /** Returns the origin of a stream; undefined if it is unknown or too old. */
   find(stream: string): StreamOrigin | undefined {
-    this.dropExpired();
-    return this.current.get(stream) ?? this.previous.get(stream);
-  }
-
-  /** Removes the origin of a stream. */
-  forget(stream: string): void {
-    this.current.delete(stream);
-    this.previous.delete(stream);
-  }
-
-  /** Returns the streams that began in a service. */
-  ofService(service: string): StreamOriginEntry[] {
-    this.dropExpired();
-    return [...this.previous, ...this.current]
-      .filter(([, origin]) => origin.service === service)
-      .map(([stream, origin]) => ({ stream, ...origin }));
-  }
-
-  private dropExpired(): void {
-    const age = this.options.runtime.now() - this.startedAt;
-    if (age >= ORIGIN_RETENTION_MILLISECONDS) {
-      this.startGeneration();
-      if (age >= 2 * ORIGIN_RETENTION_MILLISECONDS) {
-        this.previous.clear();
-      }
-    }
-  }
-
-  private startGeneration(): void {
-    this.previous = this.current;
-    this.current = new Map();
-    this.origins.clear();
-    this.startedAt = this.options.runtime.now();
+    return this.generations.get(stream);
   }
 
   private shared(service: string, version: string): StreamOrigin {
@@ -103,3 +75,28 @@
     return origin;
   }
 }
+
+/**
+ * Keeps for each content the stream that has it, for clients that don't name the stream they resume. A content that two streams
+ * have stays shared: either of them may be the one that a client means.
+ */
+export class StreamContents {
+  private readonly generations: Generations<StreamContent, FoundContent>;
+
+  constructor(options: StreamOriginsOptions) {
+    const retentionMilliseconds = ORIGIN_RETENTION_MILLISECONDS;
+    this.generations = new Generations({ ...options, retentionMilliseconds });
+  }
+
+  /** Records the stream of a content. */
+  record({ content, ...entry }: StreamContentEntry): void {
+    const known = this.generations.get(content);
+    const isOther = known !== undefined && known.stream !== entry.stream;
+    this.generations.set(content, { ...entry, isShared: isOther || (known?.isShared ?? false) });
+  }
+
+  /** Returns the stream of a content; undefined if it is unknown or too old. */
+  find(content: StreamContent): FoundContent | undefined {
+    return this.generations.get(content);
+  }
+}
--- a/src/turns/turn-client.ts
+++ b/src/turns/turn-client.ts
@@ -18,6 +18,7 @@
 import type { MemberOutcomes } from './quorum-write.js';
 import type { ReplicaCaller, UnnumberedRequest } from './replica-caller.js';
 import { StreamOriginClient } from './stream-origin-client.js';
+import { VersionExchange } from './version-exchange.js';
 
 /** The outcome of a reservation. */
 export type ReserveOutcome = 'granted' | 'spent' | 'unavailable';
@@ -81,10 +82,12 @@
 /** Builds the request for the replicas of an epoch. */
 type EpochRequest = (epoch: number) => UnnumberedRequest;
 
-/** Reserves and settles tokens, stores and reads turns, and gives access to the origins of streams. */
+/** Reserves and settles tokens, stores and reads turns, and gives access to what members know of the origins of streams. */
 export class TurnClient {
   /** Where streams began that clients may resume. */
   readonly origins: StreamOriginClient;
+  /** Which versions were listed lately. */
+  readonly versions: VersionExchange;
   private readonly chains = new ChainCache();
   private readonly failedWrites: FailedWriteLog;
   private readonly rankOf: ((member: Member) => number) | undefined;
@@ -94,6 +97,7 @@
     this.rankOf = locality && rankByLocality(zone, locality);
     this.failedWrites = new FailedWriteLog(options.runtime);
     this.origins = new StreamOriginClient(options);
+    this.versions = new VersionExchange(options);
   }
 
   /** Reserves tokens for a turn; grants only what is durable at a majority of the replicas. */
--- /dev/null
+++ b/src/turns/version-reports.ts
@@ -0,0 +1,80 @@
+/** What processes know of the origins that streams can have had lately: versions of services, and services of routes. */
+import type { Runtime } from '../runtime/runtime.js';
+import { ORIGIN_RETENTION_MILLISECONDS } from './stream-origins.js';
+
+/** A version of a service, or a service of a route. */
+export interface ListedVersion {
+  readonly service: string;
+  readonly version: string;
+  /** Time since it was last listed, in milliseconds; 0 only while it is. */
+  readonly ageMilliseconds: number;
+}
+
+/** What a process knows of the versions that were listed. */
+export interface VersionReport {
+  /** Time for which it knows all versions that were listed, in milliseconds; at most the retention time. */
+  readonly knownMilliseconds: number;
+  readonly versions: readonly ListedVersion[];
+}
+
+/** Interval at which gateways report to the members, in milliseconds. */
+export const REPORT_INTERVAL_MILLISECONDS = 10_000;
+/** Time without any report after which a member no longer counts as knowing what was listed, in milliseconds. */
+const MAXIMUM_GAP_MILLISECONDS = 3 * REPORT_INTERVAL_MILLISECONDS;
+/** Age that is reported at least for a version that is not known to be listed, in milliseconds. */
+const MINIMUM_AGE_MILLISECONDS = 1;
+
+interface KnownVersion {
+  readonly service: string;
+  readonly version: string;
+  lastListedAt: number;
+}
+
+/** Keeps at a member what gateways report, for gateways that start when no other one runs. */
+export class VersionReports {
+  private readonly versions = new Map<string, KnownVersion>();
+  /** Local time since which all versions that were listed are known, in milliseconds. */
+  private knownSince = Infinity;
+  private lastReportAt = -Infinity;
+
+  constructor(private readonly runtime: Pick<Runtime, 'now'>) {}
+
+  /** Adds what a gateway knows. */
+  merge({ knownMilliseconds, versions }: VersionReport): void {
+    const now = this.runtime.now();
+    if (now - this.lastReportAt > MAXIMUM_GAP_MILLISECONDS) {
+      this.knownSince = Infinity;
+    }
+    this.lastReportAt = now;
+    this.knownSince = Math.min(this.knownSince, now - knownMilliseconds);
+    for (const { service, version, ageMilliseconds } of versions) {
+      const key = JSON.stringify([service, version]);
+      // What is listed may remain so until the next report.
+      const untilNext = ageMilliseconds === 0 ? REPORT_INTERVAL_MILLISECONDS : 0;
+      const lastListedAt = now - ageMilliseconds + untilNext;
+      const known = this.versions.get(key);
+      if (known === undefined) {
+        this.versions.set(key, { service, version, lastListedAt });
+      } else {
+        known.lastListedAt = Math.max(known.lastListedAt, lastListedAt);
+      }
+    }
+  }
+
+  /** Returns what all gateways have reported. */
+  report(): VersionReport {
+    const now = this.runtime.now();
+    const versions: ListedVersion[] = [];
+    for (const [key, { service, version, lastListedAt }] of this.versions) {
+      if (now - lastListedAt > ORIGIN_RETENTION_MILLISECONDS) {
+        this.versions.delete(key);
+      } else {
+        const ageMilliseconds = Math.max(MINIMUM_AGE_MILLISECONDS, now - lastListedAt);
+        versions.push({ service, version, ageMilliseconds });
+      }
+    }
+    const isInContact = now - this.lastReportAt <= MAXIMUM_GAP_MILLISECONDS;
+    const known = isInContact ? Math.min(ORIGIN_RETENTION_MILLISECONDS, now - this.knownSince) : 0;
+    return { knownMilliseconds: Math.max(0, known), versions };
+  }
+}
