A stream doesn't continue at the service to which its route has moved

Seen: a configuration moves a route to another service; streams begun before and resumed after, by name or not, at any gateway that has run all along, were answered 200 by the new service: 6 of 6 each, no kill needed.

Cause: what can have begun a stream was concluded from the present services of its route; the history covered versions of services only. The class: a conclusion about the past from the present state.

Change: the services of a route are kept like the versions of a service (noteRoutes), reported and asked with them; a route that comes or goes passes on the services of the route that gets its requests otherwise.

Evidence: two outlines of stream-versions.feature (6 scenarios), all failing before, off the list.

--- a/features/stream-versions.feature
+++ b/features/stream-versions.feature
@@ -149,7 +149,6 @@
       | all gateways are killed |
 
   # Guards against a route that moves to another service, whose runners don't continue what the earlier ones began.
-  @known-red
   Scenario Outline: A stream doesn't continue at the service to which its route has moved
     Given 2 gateways, and runners of the software version "v1" in one service
     When 6 clients receive 2 events of streams of their own, and <event>
@@ -166,7 +165,6 @@
       | all gateways are killed | without naming them |
 
   # Guards against a gateway that takes the present service of a route for the one that began its streams.
-  @known-red
   Scenario Outline: A stream doesn't continue at the service to which its route has moved, at a gateway that saw the move
     Given 2 gateways, and runners of the software version "v1" in one service
     When 6 clients receive 2 events of streams of their own, and leave
--- a/src/histories/stream-history.ts
+++ b/src/histories/stream-history.ts
@@ -235,6 +235,7 @@
       if (!isFirstStart) {
         versions.forgetPast();
       }
+      versions.noteRoutes([ROUTE]);
       versions.onListed = () => gateway.exchange.reportSoon();
       gateway.exchange.start(versions);
     }
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -291,6 +291,7 @@
       source,
     });
     this.table = table;
+    this.registry.versions.noteRoutes([...table.routesByHost.values()].flat());
     this.front.applyLimits(table);
     this.listen();
     return true;
--- a/src/relay/runners/version-history.ts
+++ b/src/relay/runners/version-history.ts
@@ -21,6 +21,22 @@
 /** Age that is reported at least for what is not listed any more, in milliseconds. */
 const MINIMUM_AGE_MILLISECONDS = 1;
 
+/** Returns the name under which the services of a route are kept, like the versions of a service. */
+function keyOf({ host, pathPrefix }: Route): string {
+  return `//${host}${pathPrefix}`;
+}
+
+function isRouteKey(service: string): boolean {
+  return service.startsWith('//');
+}
+
+/** Returns the route that gets the requests of another one where that other one is not listed. */
+function fallbackOf({ host, pathPrefix }: Route, routes: readonly Route[]): Route | undefined {
+  return routes
+    .filter((each) => each.host === host && pathPrefix.startsWith(each.pathPrefix))
+    .sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)[0];
+}
+
 /** Tracks the versions that are listed, and those that were. */
 export class VersionHistory implements VersionReporter {
   /** Whether the list of runners is proved to be recent. */
@@ -31,6 +47,7 @@
   onMixed: (service: string) => void = () => undefined;
   /** Called when a version or a route is listed that was not before. */
   onListed: () => void = () => undefined;
+  private routes: readonly Route[] = [];
   private readonly services = new Map<string, Map<string, VersionState>>();
   /** Local time since which all versions that were listed are known, in milliseconds. */
   private knownSince = -Infinity;
@@ -53,10 +70,46 @@
     }
   }
 
+  /**
+   * Records the routes of a new configuration. Streams of a route that comes or goes may have begun, or be resumed, on the one that
+   * otherwise gets its requests.
+   */
+  noteRoutes(routes: readonly Route[]): void {
+    const before = this.routes;
+    this.routes = routes;
+    const keysBefore = new Set(before.map(keyOf));
+    const keys = new Set(routes.map(keyOf));
+    const added =
+      before.length === 0 ? [] : routes.filter((route) => !keysBefore.has(keyOf(route)));
+    const removed = before.filter((route) => !keys.has(keyOf(route)));
+    for (const route of routes) {
+      route.services.forEach(({ service }) => this.noteListed(keyOf(route), service));
+    }
+    for (const route of before) {
+      route.services.forEach(({ service }) => this.noteUnlisted(keyOf(route), service));
+    }
+    added.forEach((route) => this.noteServed(route, fallbackOf(route, before)));
+    removed.forEach((route) => this.noteServed(fallbackOf(route, routes), route));
+  }
+
+  /** Records that streams of a route may have begun at the services of another one. */
+  private noteServed(route: Route | undefined, other: Route | undefined): void {
+    if (route === undefined || other === undefined) {
+      return;
+    }
+    for (const { service } of other.services) {
+      const state = this.stateOf(keyOf(route), service);
+      state.lastListedAt = this.runtime.now();
+      this.noteSeen(keyOf(route), state);
+    }
+  }
+
   /** The only origin that a stream of a route that can still be resumed can have; undefined if unknown. */
   soleOrigin(route: Route): StreamOrigin | undefined {
     const [first, ...others] = route.services;
-    if (first === undefined || others.length > 0) {
+    const key = keyOf(route);
+    const earlier = this.recentVersions(key).some((service) => service !== first?.service);
+    if (first === undefined || others.length > 0 || earlier || this.isMixedElsewhere(key)) {
       return undefined;
     }
     const version = this.soleVersion(first.service);
@@ -77,9 +130,14 @@
     return this.isPastKnown && this.isListProven() && !isMixed ? version : undefined;
   }
 
-  /** Returns the services of which this gateway has lately seen several versions. */
+  /** Returns the services of which this gateway has lately seen several versions, and the routes that had other services. */
   mixedServices(): string[] {
-    return [...this.services.keys()].filter((service) => this.recentVersions(service).length > 1);
+    return [...this.services].flatMap(([service, states]) => {
+      const isMixed = this.recentVersions(service).length > 1;
+      // All gateways know the present services of a route.
+      const isKnown = isRouteKey(service) && [...states.values()].every(({ listed }) => listed > 0);
+      return isMixed && !isKnown ? [service] : [];
+    });
   }
 
   /** Whether reports of peers may extend what is known. */
