--- a/features/steps/two-builds.steps.ts
+++ b/features/steps/two-builds.steps.ts
@@ -127,14 +127,14 @@
     hex: '220000000940000000000000000000000100016d0001763ff0000000000000',
   },
   recordContents: {
-    fields: { entries: [{ content: 1, stream: 's', service: 'm', version: 'v' }] },
-    hex: '2300000009000000013ff000000000000000017300016d000176',
+    fields: { entries: [{ content: 1, stream: 's' }] },
+    hex: '2300000009000000013ff0000000000000000173',
   },
   contentsRecorded: { fields: {}, hex: '2400000009' },
   findContent: { fields: { content: 2 }, hex: '25000000094000000000000000' },
   contentFound: {
-    fields: { found: true, stream: 's', service: 'm', version: 'v', isShared: false },
-    hex: '26000000090100017300016d00017600',
+    fields: { found: true, stream: 's', isShared: false },
+    hex: '26000000090100017300',
   },
 };
 const RECORD_HEADER_BYTES = 8;
--- a/features/support/wire-arbitraries.ts
+++ b/features/support/wire-arbitraries.ts
@@ -123,9 +123,7 @@
   versionsExchanged: versionReport,
   recordContents: {
     call: whole,
-    entries: fc.array(
-      fc.record({ content: amount, stream: text, service: text, version: text }, plain),
-    ),
+    entries: fc.array(fc.record({ content: amount, stream: text }, plain)),
   },
   contentsRecorded: { call: whole },
   findContent: { call: whole, content: amount },
@@ -133,8 +131,6 @@
     call: whole,
     found: fc.boolean(),
     stream: text,
-    service: text,
-    version: text,
     isShared: fc.boolean(),
   },
 };
--- a/src/relay/runners/resumable-streams.ts
+++ b/src/relay/runners/resumable-streams.ts
@@ -27,8 +27,6 @@
   | 'own'
   /** The record of another gateway. */
   | 'record'
-  /** The record of the only stream with the content of the request, which doesn't name its stream. */
-  | 'content'
   /** Only one version can have begun it. */
   | 'single';
 
@@ -49,10 +47,15 @@
   readonly exchange: VersionExchange;
 }
 
+/** An unfinished stream that this gateway began or has resumed. */
+interface OwnStream extends StreamContentEntry {
+  readonly origin: StreamOrigin;
+}
+
 /** Records and finds the origins of streams. */
 export class ResumableStreams {
   /** By id of a request whose answer brought events of the stream. */
-  private readonly own: Generations<string, StreamContentEntry>;
+  private readonly own: Generations<string, OwnStream>;
 
   constructor(private readonly options: ResumableStreamsOptions) {
     const { runtime, versions } = options;
@@ -80,7 +83,7 @@
     if (stream === undefined) {
       return;
     }
-    const entry = { stream, content, ...origin };
+    const entry = { stream, content, origin };
     streams.forEach((each) => this.own.set(each, entry));
     const sole = this.options.versions.soleOrigin(route);
     if (sole?.service !== origin.service || sole.version !== origin.version) {
@@ -105,7 +108,7 @@
   ): void {
     const own = isPossibleId(stream) ? this.own.get(stream) : undefined;
     if (own !== undefined) {
-      done({ origin: originOf(own), source: 'own' });
+      done({ origin: own.origin, source: 'own' });
       return;
     }
     const isSingle = this.options.versions.soleOrigin(route) !== undefined;
@@ -137,11 +140,16 @@
       (found) => {
         if (found === undefined) {
           done(this.findSingle(route));
-        } else if (found.isShared) {
+          return;
+        }
+        const { stream, isShared } = found;
+        if (isShared) {
           done(undefined);
-        } else {
-          done({ origin: originOf(found), source: 'content', stream: found.stream });
+          return;
         }
+        this.find(stream, route, remainingMilliseconds, (named) =>
+          done(named && { ...named, stream }),
+        );
       },
     );
   }
@@ -185,19 +193,15 @@
     this.own.entries().forEach(([request, entry]) => this.record(request, entry));
   }
 
-  private record(request: string, entry: StreamContentEntry): void {
+  private record(request: string, { stream, content, origin }: OwnStream): void {
     const { client } = this.options;
-    client.record({ stream: request, ...originOf(entry) });
-    if (request === entry.stream) {
-      client.recordContent(entry);
+    client.record({ stream: request, ...origin });
+    if (request === stream) {
+      client.recordContent({ content, stream });
     }
   }
 }
 
-function originOf({ service, version }: StreamOrigin): StreamOrigin {
-  return { service, version };
-}
-
 function isPossibleId(stream: string): boolean {
   return stream !== '' && stream.length <= MAXIMUM_ID_LENGTH;
 }
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -164,7 +164,7 @@
       versions: ListedVersion[];
     }
   | { type: 'contentsRecorded'; call: number }
-  /** The stream of a content; its texts are empty if this replica has no record. */
+  /** The stream of a content; empty if this replica has no record. */
   | ({ type: 'contentFound'; call: number; found: boolean } & FoundContent);
 
 /** The reply to a pull. */
@@ -272,12 +272,7 @@
 const silenceReportField = record({ member: shortText, milliseconds: float64, wasHeard: bool });
 
 const streamOriginField = record({ stream: shortText, service: shortText, version: shortText });
-const streamContentField = record({
-  content: float64,
-  stream: shortText,
-  service: shortText,
-  version: shortText,
-});
+const streamContentField = record({ content: float64, stream: shortText });
 const listedVersionField = record({
   service: shortText,
   version: shortText,
@@ -383,14 +378,7 @@
   { type: 'findContent', fields: { call: uint32, content: float64 } },
   {
     type: 'contentFound',
-    fields: {
-      call: uint32,
-      found: bool,
-      stream: shortText,
-      service: shortText,
-      version: shortText,
-      isShared: bool,
-    },
+    fields: { call: uint32, found: bool, stream: shortText, isShared: bool },
   },
 ];
 const message = new TaggedUnion(BRANCHES);
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -46,6 +46,8 @@
 const EXPIRY_INTERVAL_MILLISECONDS = 5_000;
 /** Origins of streams in a generation; two generations take at most 28 MB. */
 const MAXIMUM_STREAM_ORIGINS = 200_000;
+/** Contents of streams in a generation. */
+const MAXIMUM_STREAM_CONTENTS = 100_000;
 /** Size of a fetch reply beyond which no further turn is added, in bytes; at least one turn is sent. */
 const MAXIMUM_FETCH_BYTES = 1024 * 1024;
 
@@ -157,9 +159,8 @@
       options.quotaWindowMilliseconds,
     );
     this.quotaShares = new QuotaShares(id, runtime.now());
-    const streamBounds = { runtime, maximumEntries: MAXIMUM_STREAM_ORIGINS };
-    this.streamOrigins = new StreamOrigins(streamBounds);
-    this.streamContents = new StreamContents(streamBounds);
+    this.streamOrigins = new StreamOrigins({ runtime, maximumEntries: MAXIMUM_STREAM_ORIGINS });
+    this.streamContents = new StreamContents({ runtime, maximumEntries: MAXIMUM_STREAM_CONTENTS });
     this.versionReports = new VersionReports(runtime);
     this.suspects = new StoredSuspects({ runtime, storage: options.suspectStorage });
     this.logName = `${id} ${runtime.wallTime()} ${runtime.random.uniform()}`;
@@ -371,7 +372,7 @@
 
   private findContent(content: StreamContent): FoundContent & { readonly found: boolean } {
     const found = this.streamContents.find(content);
-    const none = { stream: '', service: '', version: '', isShared: false };
+    const none = { stream: '', isShared: false };
     return { ...none, ...found, found: found !== undefined };
   }
 
--- a/src/turns/stream-origin-client.ts
+++ b/src/turns/stream-origin-client.ts
@@ -64,7 +64,7 @@
     }
   }
 
-  /** Does the same for clients that don't name the stream. */
+  /** Sends the stream of a content to its holders, without confirmation. */
   recordContent(entry: StreamContentEntry): void {
     const record = this.options.directory.current;
     if (record !== undefined) {
@@ -113,8 +113,8 @@
     const answers: (FoundContent | undefined)[] = [];
     const isDecided = (reply: ReplicaReply | undefined): boolean => {
       if (reply?.type === 'contentFound') {
-        const { found, stream, service, version, isShared } = reply;
-        answers.push(found ? { stream, service, version, isShared } : undefined);
+        const { found, stream, isShared } = reply;
+        answers.push(found ? { stream, isShared } : undefined);
       }
       return false;
     };
--- a/src/turns/stream-origins.ts
+++ b/src/turns/stream-origins.ts
@@ -18,18 +18,24 @@
 export type StreamContent = number & { readonly brand: 'StreamContent' };
 
 /** A stream with the content of its requests. */
-export interface StreamContentEntry extends StreamOriginEntry {
+export interface StreamContentEntry {
   readonly content: StreamContent;
+  readonly stream: string;
 }
 
-/** The stream of a content, and whether several streams have that content. */
-export interface FoundContent extends StreamOriginEntry {
+/** What is known of a content. */
+export interface FoundContent {
+  /** The stream that has it; empty if several have. */
+  readonly stream: string;
   readonly isShared: boolean;
 }
 
 /** Longest supported time from the first event of a stream to its resumption, in milliseconds. */
 export const ORIGIN_RETENTION_MILLISECONDS = 60_000;
 
+/** In place of the stream of a content that several streams have. */
+const SHARED = '';
+
 /** Dependencies and bounds of {@link StreamOrigins} and {@link StreamContents}. */
 export interface StreamOriginsOptions {
   readonly runtime: Pick<Runtime, 'now'>;
@@ -81,7 +87,8 @@
  * have stays shared: either of them may be the one that a client means.
  */
 export class StreamContents {
-  private readonly generations: Generations<StreamContent, FoundContent>;
+  /** Empty for a content that several streams have. */
+  private readonly generations: Generations<StreamContent, string>;
 
   constructor(options: StreamOriginsOptions) {
     const retentionMilliseconds = ORIGIN_RETENTION_MILLISECONDS;
@@ -89,14 +96,14 @@
   }
 
   /** Records the stream of a content. */
-  record({ content, ...entry }: StreamContentEntry): void {
-    const known = this.generations.get(content);
-    const isOther = known !== undefined && known.stream !== entry.stream;
-    this.generations.set(content, { ...entry, isShared: isOther || (known?.isShared ?? false) });
+  record({ content, stream }: StreamContentEntry): void {
+    const known = this.generations.get(content) ?? stream;
+    this.generations.set(content, known === stream ? stream : SHARED);
   }
 
   /** Returns the stream of a content; undefined if it is unknown or too old. */
   find(content: StreamContent): FoundContent | undefined {
-    return this.generations.get(content);
+    const stream = this.generations.get(content);
+    return stream === undefined ? undefined : { stream, isShared: stream === SHARED };
   }
 }
