--- /dev/null
+++ b/features/listed-versions.feature
@@ -0,0 +1,55 @@
+Feature: What is known of the versions that were listed
+  A stream that a client resumes continues at the version that began it. Where no record tells which, it follows only from
+  complete knowledge of the versions that were listed in the last minute, and of the services of its route.
+
+  # Guards against forgetting a version that was listed until just before the next report.
+  Scenario: A member keeps a version for as long as it may have been listed
+    Given a member to which a gateway reports that "v1" of "minds" is listed
+    Then 69 s later the member still reports "v1" of "minds"
+    And 71 s later the member reports no version of "minds"
+
+  # Guards against a member that takes a time in which no gateway reported for one in which nothing was listed.
+  Scenario: A member without reports no longer counts as knowing the past
+    Given a member to which a gateway reports that "v1" of "minds" is listed
+    Then 29 s later the member knows the last 60 s
+    And 31 s later the member knows the last 0 s
+    When a gateway that started just now reports that "v2" of "minds" is listed
+    Then 5 s later the member knows the last 5 s
+
+  # Guards against concluding from the knowledge of members that a write to a majority may have missed.
+  Scenario Outline: Only what a majority of the members knows counts
+    Given a gateway that starts, and three members that know the last <seconds> s
+    When the gateway exchanges versions with the members
+    Then the gateway <knows> the versions of the last minute
+
+    Examples:
+      | seconds      | knows         |
+      | 60, 60 and 0 | knows         |
+      | 60, 0 and 0  | doesn't know  |
+      | 60, 59 and 0 | doesn't know  |
+
+  # Guards against missing what is listed between the report of the members and the own list.
+  Scenario: What the members know counts only once the own list is proved
+    Given a gateway that starts without a proved list, and three members that know the last 60, 60 and 60 s
+    When the gateway exchanges versions with the members
+    Then the gateway doesn't know the versions of the last minute
+    When its list is proved, and the gateway exchanges versions with the members
+    Then the gateway knows the versions of the last minute
+
+  # Guards against a route that takes over requests, or gives them back, and with them streams of another service.
+  Scenario Outline: A route shares the past of the one that otherwise gets its requests
+    Given a gateway with one version of the services "minds" and "desk"
+    When the routes are <before>, and then <after>
+    Then streams of "<path>" have no sole origin for 60 s, and the service "<service>" after that
+
+    Examples:
+      | before                    | after                     | path   | service |
+      | "/a/ minds"               | "/a/ minds, /a/b/ desk"   | /a/b/  | desk    |
+      | "/a/ minds, /a/b/ desk"   | "/a/ minds"               | /a/    | minds   |
+      | "/a/ minds"               | "/a/ desk"                | /a/    | desk    |
+
+  Scenario: A change of other routes leaves the origin of streams known
+    Given a gateway with one version of the services "minds" and "desk"
+    When the routes are "/a/ minds", and then "/a/ minds, /c/ desk"
+    Then the service "minds" is the sole origin of the streams of "/a/"
+    And the service "desk" is the sole origin of the streams of "/c/"
--- /dev/null
+++ b/features/steps/listed-versions.steps.ts
@@ -0,0 +1,196 @@
+/** Steps for what members and gateways know of the versions that were listed. */
+import assert from 'node:assert/strict';
+import { Given, Then, When } from '@cucumber/cucumber';
+import { createRandom } from '../../src/runtime/random.js';
+import type { Route } from '../../src/relay/request/routing-table.js';
+import { VersionHistory } from '../../src/relay/runners/version-history.js';
+import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
+import { VirtualClock } from '../../src/simulation/virtual-clock.js';
+import { MemberDirectory } from '../../src/turns/member-directory.js';
+import type { ReplicaCaller } from '../../src/turns/replica-caller.js';
+import { VersionExchange } from '../../src/turns/version-exchange.js';
+import { VersionReports } from '../../src/turns/version-reports.js';
+
+const MILLISECONDS = 1_000;
+const RETENTION_SECONDS = 60;
+const HOST = 'shop.example';
+const ZONE = 'hall';
+
+interface World {
+  clock: VirtualClock;
+  /** Time from which the steps count, in milliseconds. */
+  since: number;
+  reports: VersionReports;
+  history: VersionHistory;
+  versionExchange: VersionExchange;
+  isProven: boolean;
+}
+
+function startWorld(world: World): ReturnType<SimulatedProcess['start']> {
+  world.clock = new VirtualClock();
+  return new SimulatedProcess('g', world.clock, createRandom(1)).start();
+}
+
+/** Moves the clock to a time after the last step that changed something. */
+function after(world: World, seconds: number): void {
+  world.clock.runUntil(world.since + seconds * MILLISECONDS);
+}
+
+function reportListed(world: World, version: string, service: string, knownSeconds: number): void {
+  const listed = { service, version, ageMilliseconds: 0 };
+  world.reports.merge({
+    knownMilliseconds: knownSeconds * MILLISECONDS,
+    versions: [listed],
+  });
+  world.since = world.clock.now;
+}
+
+Given(
+  'a member to which a gateway reports that {string} of {string} is listed',
+  function (this: World, version: string, service: string) {
+    this.reports = new VersionReports(startWorld(this));
+    reportListed(this, version, service, RETENTION_SECONDS);
+  },
+);
+
+When(
+  'a gateway that started just now reports that {string} of {string} is listed',
+  function (this: World, version: string, service: string) {
+    reportListed(this, version, service, 0);
+  },
+);
+
+Then(
+  '{int} s later the member still reports {string} of {string}',
+  function (this: World, seconds: number, version: string, service: string) {
+    after(this, seconds);
+    const { versions } = this.reports.report();
+    assert.ok(versions.some((each) => each.service === service && each.version === version));
+  },
+);
+
+Then(
+  '{int} s later the member reports no version of {string}',
+  function (this: World, seconds: number, service: string) {
+    after(this, seconds);
+    const { versions } = this.reports.report();
+    assert.deepEqual(
+      versions.filter((each) => each.service === service),
+      [],
+    );
+  },
+);
+
+Then(
+  '{int} s later the member knows the last {int} s',
+  function (this: World, seconds: number, known: number) {
+    after(this, seconds);
+    assert.equal(this.reports.report().knownMilliseconds, known * MILLISECONDS);
+  },
+);
+
+Given(
+  /^a gateway that starts( without a proved list)?, and three members that know the last (.+) s$/,
+  function (this: World, unproven: string | null, seconds: string) {
+    const known = seconds.split(/, | and /);
+    const runtime = startWorld(this);
+    const directory = new MemberDirectory(runtime);
+    const members = ['r1', 'r2', 'r3'].map((id) => ({
+      id,
+      node: id,
+      host: id,
+      port: 1,
+      zone: ZONE,
+    }));
+    directory.offer({ epoch: 1, members }, 'test');
+    const caller: ReplicaCaller = {
+      call: (member, _request, _timeout, listener) => {
+        const index = members.findIndex(({ id }) => id === member.id);
+        const knownMilliseconds = Number(known[index]) * MILLISECONDS;
+        runtime.setTimer(1, () =>
+          listener({ type: 'versionsExchanged', call: 1, knownMilliseconds, versions: [] }),
+        );
+      },
+      notify: () => undefined,
+    };
+    this.isProven = unproven === null;
+    this.history = new VersionHistory(runtime);
+    this.history.isListProven = () => this.isProven;
+    this.history.forgetPast();
+    this.versionExchange = new VersionExchange({ runtime, directory, caller });
+    this.versionExchange.start(this.history);
+  },
+);
+
+function exchangeVersions(world: World): void {
+  let isDone = false;
+  world.versionExchange.refresh(() => (isDone = true));
+  world.clock.runUntil(world.clock.now + 10);
+  assert.ok(isDone);
+}
+
+When('the gateway exchanges versions with the members', function (this: World) {
+  exchangeVersions(this);
+});
+
+When(
+  'its list is proved, and the gateway exchanges versions with the members',
+  function (this: World) {
+    this.isProven = true;
+    exchangeVersions(this);
+  },
+);
+
+Then(
+  /^the gateway (knows|doesn't know) the versions of the last minute$/,
+  function (this: World, knows: string) {
+    assert.equal(this.history.isPastKnown, knows === 'knows');
+  },
+);
+
+Given(
+  'a gateway with one version of the services {string} and {string}',
+  function (this: World, first: string, second: string) {
+    this.history = new VersionHistory(startWorld(this));
+    [first, second].forEach((service) => this.history.noteListed(service, 'v1'));
+  },
+);
+
+/** Parses routes such as `/a/ minds, /a/b/ desk`. */
+function routesOf(text: string): Route[] {
+  return text.split(', ').map((part) => {
+    const [pathPrefix, service] = part.split(' ');
+    return { host: HOST, pathPrefix, services: [{ service, weight: 1 }] } as unknown as Route;
+  });
+}
+
+When(
+  'the routes are {string}, and then {string}',
+  function (this: World, before: string, next: string) {
+    this.history.noteRoutes(routesOf(before));
+    this.clock.runUntil(this.clock.now + 2 * RETENTION_SECONDS * MILLISECONDS);
+    this.history.noteRoutes(routesOf(next));
+    this.since = this.clock.now;
+  },
+);
+
+function soleService({ history }: World, pathPrefix: string, service: string): string | undefined {
+  return history.soleOrigin(routesOf(`${pathPrefix} ${service}`)[0]!)?.service;
+}
+
+Then(
+  'streams of {string} have no sole origin for {int} s, and the service {string} after that',
+  function (this: World, path: string, seconds: number, service: string) {
+    after(this, seconds);
+    assert.equal(soleService(this, path, service), undefined);
+    after(this, seconds + 1);
+    assert.equal(soleService(this, path, service), service);
+  },
+);
+
+Then(
+  'the service {string} is the sole origin of the streams of {string}',
+  function (this: World, service: string, path: string) {
+    assert.equal(soleService(this, path, service), service);
+  },
+);
--- a/features/steps/stream-versions.steps.ts
+++ b/features/steps/stream-versions.steps.ts
@@ -127,6 +127,18 @@
   },
 );
 
+When(
+  '{int} clients leave streams with the same content after {int} events',
+  async function (this: World, count: number, events: number) {
+    await times(count, () => this.versions!.send(0, undefined, events));
+    await sleep(RECORD_MILLISECONDS);
+  },
+);
+
+When('{int} of the replicas are killed', function (this: World, count: number) {
+  this.versions!.stopReplicas(count);
+});
+
 When('the entries of the runners of {string} are removed', function (this: World, version: string) {
   this.versions!.unlist(version);
 });
--- a/features/stream-versions.feature
+++ b/features/stream-versions.feature
@@ -148,6 +148,20 @@
       | leave                   |
       | all gateways are killed |
 
+  # Guards against taking the stream of one client for that of another one that sent the same.
+  Scenario: An unnamed stream is refused if another one has the same content while two versions serve
+    When 2 clients leave streams with the same content after 2 events
+    And a client resumes an unnamed stream after event "2"
+    Then every resumption is refused as not run, without a time to return
+    And no runner ran a resumption
+
+  # Guards against concluding from the records of few members that no other stream has the same content.
+  Scenario: An unnamed stream is refused if fewer than a majority of the members answer while two versions serve
+    When 6 clients receive 2 events of streams of their own, and leave
+    And 2 of the replicas are killed
+    And the clients resume their streams without naming them at the last gateway
+    Then every resumption is refused as not run, without a time to return
+
   # Guards against a route that moves to another service, whose runners don't continue what the earlier ones began.
   Scenario Outline: A stream doesn't continue at the service to which its route has moved
     Given 2 gateways, and runners of the software version "v1" in one service
--- a/features/support/version-world.ts
+++ b/features/support/version-world.ts
@@ -223,10 +223,10 @@
     }
   }
 
-  /** Stops the replicas, which lose what they hold in memory. */
-  stopReplicas(): void {
-    this.servers.splice(0).forEach((server) => server.close());
-    this.replicas.splice(0).forEach((replica) => replica.close());
+  /** Stops replicas, which lose what they hold in memory. */
+  stopReplicas(count = REPLICAS): void {
+    this.servers.splice(0, count).forEach((server) => server.close());
+    this.replicas.splice(0, count).forEach((replica) => replica.close());
   }
 
   /** Stops the replicas and starts them again; they lose what they hold in memory. */
