Bytes around the content of chunks are bounded

What callers saw: an answer whose chunk size has zeros without end was read until the request's deadline. A repeatable request got 504 instead of another runner's answer, and the gateway's processor time went to the zeros. The same with padding or extensions that are short in each chunk, chunk after chunk, and at the store's client, the reader of cached parts and the exchange between gateways, which read until the time limit of their call.

Cause: the parser bounds the extensions of one chunk, but neither the zeros of a size nor extensions over all chunks, and hands on none of these bytes. The limits on heads stopped counting at the head, and those on bodies count only what is handed on.

Why the fix works: limitAnswer goes on counting, for a chunked answer, what the connection has delivered against what the parser has handed on.

--- a/features/endless-answers.feature
+++ b/features/endless-answers.feature
@@ -36,6 +36,49 @@
       | trailers       | chunks  | 200    |
       | trailers       | chunks  | 503    |
 
+  # Guards against bytes around the content of chunks that a parser reads and hands on to nobody: only the deadline ended them.
+  Scenario Outline: A repeatable request whose first answer has an endless <part> in a chunk is answered by another runner
+    Given the first answer is endless in its "<part>", framed by "chunks", with status <status>
+    When a client sends a "repeatable" request
+    Then the client gets status 200 with the runner's body and signature
+    And the endless answer was closed within 1000 ms and after at most 8 MiB
+    And nothing is held for it
+
+    Examples:
+      | part            | status |
+      | foldedHeader    | 200    |
+      | chunkSize       | 200    |
+      | chunkSize       | 404    |
+      | chunkSize       | 503    |
+      | laterChunkSize  | 200    |
+      | laterChunkSize  | 500    |
+      | laterChunkSize  | 421    |
+      | chunkSizeBlanks | 200    |
+      | carriageReturns | 200    |
+      | quotedExtension | 200    |
+      | paddedChunks    | 200    |
+      | paddedChunks    | 500    |
+      | paddedChunks    | 503    |
+      | extendedChunks  | 200    |
+      | extendedChunks  | 404    |
+
+  # Guards against the same in streams, and in answers that no other runner may replace.
+  Scenario Outline: An endless <part> in a chunk of a "<route>" request's answer is given up
+    Given the first answer is endless in its "<part>", framed by "chunks", with status <status>
+    When a client sends a "<route>" request
+    Then <result>
+    And the endless answer was closed within 1000 ms and after at most 8 MiB
+    And nothing is held for it
+
+    Examples:
+      | part           | route  | status | result                                    |
+      | chunkSize      | single | 200    | the client gets status 502                |
+      | paddedChunks   | single | 404    | the client gets status 502                |
+      | chunkSize      | stream | 200    | the client gets events 1 to 4 and the end |
+      | paddedChunks   | stream | 200    | the client gets events 1 to 4 and the end |
+      | extendedChunks | stream | 200    | the client gets events 1 to 4 and the end |
+      | chunkSize      | kept   | 200    | the client's answer is not complete       |
+
   Scenario Outline: An endless answer that can't be replaced by another one is given up
     Given the first answer is endless in its "<part>", framed by "<framing>", with status <status>
     When a client sends a "<route>" request
@@ -128,8 +171,40 @@
       | the health check of a runner        | blankLines  |
       | the health check of a runner        | headerLines |
 
+  # Guards against the same bytes in chunks: these readers read them until the time limit of their call.
+  Scenario Outline: <reader> gives up an endless <part> in a chunk
+    Given a server whose answers are endless in their "<part>"
+    When <reader> reads an endless answer
+    Then it reports that there is none within 500 ms
+    And the server's connection was closed within 500 ms and after at most 8 MiB
+
+    Examples:
+      | reader                           | part           |
+      | the client of the store's lists  | chunkSize      |
+      | the client of the store's lists  | paddedChunks   |
+      | the client of the store's writes | chunkSize      |
+      | the reader of cached parts       | laterChunkSize |
+      | the reader of cached parts       | extendedChunks |
+      | a gateway that asks another      | chunkSize      |
+      | a gateway that asks another      | extendedChunks |
+
   Scenario: A connection that watches a runner ends once the runner sends without end
     Given a server that sends to each connection without end
     When a connection that watches a runner reads an endless answer
     Then the server's connection was closed within 2000 ms and after at most 32 MiB
     And the runner counts as alive
+
+  # Guards against a limit that ends sound answers: servers write chunks of a byte, and pad their sizes.
+  Scenario Outline: A sound answer of <bytes> bytes in chunks of <size> with "<padding>" ahead of their sizes is read
+    Given a server whose answers are lists of <bytes> bytes in chunks of <size>, with "<padding>" ahead of their sizes
+    When the client of the store's lists reads a sound answer
+    Then it reports an answer
+
+    Examples:
+      | bytes   | size | padding |
+      | 100     | 1    |         |
+      | 60000   | 1    |         |
+      | 60000   | 1    | 0000000 |
+      | 600000  | 6    |         |
+      | 2000000 | 64   | 0000    |
+      | 8000000 | 4096 |         |
--- a/features/steps/endless-answers.steps.ts
+++ b/features/steps/endless-answers.steps.ts
@@ -215,3 +215,32 @@
     await assertClosed(this.records, milliseconds, mebibytes);
   },
 );
+
+/** Returns a chunked answer whose body is an empty list of the store, padded with blanks to a size. */
+function chunkedList(bytes: number, chunkBytes: number, padding: string): string {
+  const text = '{"At":1,"items":[]}'.padEnd(bytes);
+  const chunks: string[] = [];
+  for (let at = 0; at < bytes; at += chunkBytes) {
+    const chunk = text.slice(at, at + chunkBytes);
+    chunks.push(`${padding}${chunk.length.toString(16)}\r\n${chunk}\r\n`);
+  }
+  return `HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n${chunks.join('')}0\r\n\r\n`;
+}
+
+Given(
+  'a server whose answers are lists of {int} bytes in chunks of {int}, with {string} ahead of their sizes',
+  async function (this: World, bytes: number, chunkBytes: number, padding: string) {
+    const answer = chunkedList(bytes, chunkBytes, padding);
+    this.server = new RawServer((socket: Socket) => socket.write(answer));
+    this.port = await this.server.listen();
+  },
+);
+
+When(/^(.*) reads a sound answer$/, async function (this: World, reader: string) {
+  const hasAnswer = await ANSWER_READERS[reader]!(this.port);
+  this.report = { hasAnswer, milliseconds: 0 };
+});
+
+Then('it reports an answer', function (this: World) {
+  assert.equal(this.report.hasAnswer, true);
+});
--- a/src/emulator/endless-answer.ts
+++ b/src/emulator/endless-answer.ts
@@ -12,7 +12,22 @@
   | 'headerLines'
   | 'headerValue'
   | 'body'
+  /** Further lines of a folded header. */
+  | 'foldedHeader'
+  /** Zeros ahead of the size of the first chunk. */
+  | 'chunkSize'
+  /** Zeros ahead of the size of a chunk that follows another one. */
+  | 'laterChunkSize'
+  /** Blanks behind a chunk's size. */
+  | 'chunkSizeBlanks'
+  /** Carriage returns without a line feed behind a chunk's size. */
+  | 'carriageReturns'
   | 'chunkExtension'
+  | 'quotedExtension'
+  /** Chunks of one byte whose sizes have many zeros ahead. */
+  | 'paddedChunks'
+  /** Chunks of one byte with long extensions. */
+  | 'extendedChunks'
   | 'trailers'
   /** Bytes behind a whole answer. */
   | 'extraBytes';
@@ -39,8 +54,16 @@
   'reason',
   'headerLines',
   'headerValue',
+  'foldedHeader',
   'body',
+  'chunkSize',
+  'laterChunkSize',
+  'chunkSizeBlanks',
+  'carriageReturns',
   'chunkExtension',
+  'quotedExtension',
+  'paddedChunks',
+  'extendedChunks',
   'trailers',
   'extraBytes',
 ];
@@ -60,6 +83,8 @@
 const MAXIMUM_MILLISECONDS = 10_000;
 const ENDLESS_LENGTH = 1_000_000_000_000;
 const SHORT_BODY = 'short';
+/** Length of the padding in a chunk that has little else: well below what parsers refuse in one chunk. */
+const CHUNK_PADDING_BYTES = 1_000;
 
 const FILLERS: Readonly<Record<BodyFiller, string>> = {
   letters: 'x',
@@ -98,8 +123,24 @@
       return { start: openHead, repeated: 'x-filler: x\r\n' };
     case 'headerValue':
       return { start: `${openHead}x-filler: `, repeated: 'x' };
+    case 'foldedHeader':
+      return { start: `${openHead}x-filler: x\r\n`, repeated: ' x\r\n' };
+    case 'chunkSize':
+      return { start: chunkedHead, repeated: '0' };
+    case 'laterChunkSize':
+      return { start: `${chunkedHead}5\r\n${SHORT_BODY}\r\n`, repeated: '0' };
+    case 'chunkSizeBlanks':
+      return { start: `${chunkedHead}5`, repeated: ' ' };
+    case 'carriageReturns':
+      return { start: `${chunkedHead}5`, repeated: '\r' };
     case 'chunkExtension':
       return { start: `${chunkedHead}5;`, repeated: 'x' };
+    case 'quotedExtension':
+      return { start: `${chunkedHead}5;x="`, repeated: 'x' };
+    case 'paddedChunks':
+      return { start: chunkedHead, repeated: `${'0'.repeat(CHUNK_PADDING_BYTES)}1\r\nx\r\n` };
+    case 'extendedChunks':
+      return { start: chunkedHead, repeated: `1;${'x'.repeat(CHUNK_PADDING_BYTES)}\r\nx\r\n` };
     case 'trailers':
       return {
         start: `${chunkedHead}5\r\n${SHORT_BODY}\r\n0\r\n`,
--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -9,7 +9,7 @@
 import { isLeft, isRight } from 'fp-ts/lib/Either.js';
 import * as t from 'io-ts';
 import { parseIpEndpoint } from '../http-client/ip-endpoint.js';
-import { limitHead } from '../http-client/answer-limits.js';
+import { limitAnswer } from '../http-client/answer-limits.js';
 import { readWholeBody } from '../http-client/read-body.js';
 import { ResetAwareAgent } from '../http-client/reset-aware-agent.js';
 import type { KeySpaceChanges } from '../mirror/key-space-copy.js';
@@ -213,7 +213,7 @@
         }
       });
     });
-    limitHead(client);
+    limitAnswer(client);
     const cancel = this.options.runtime.setTimer(CALL_TIMEOUT_MILLISECONDS, () => client.destroy());
     client.on('close', () => {
       cancel();
--- a/src/relay/tries/attempt.ts
+++ b/src/relay/tries/attempt.ts
@@ -4,7 +4,7 @@
 import { isLeft } from 'fp-ts/lib/Either.js';
 import { watchEnd } from '../../http-client/answer-end.js';
 import type { AnswerEnd } from '../../http-client/answer-end.js';
-import { discardRest, limitHead } from '../../http-client/answer-limits.js';
+import { discardRest, limitAnswer } from '../../http-client/answer-limits.js';
 import type { Runtime } from '../../runtime/runtime.js';
 import type { AnswerDelivery, ConnectionEnding } from '../answers/answer-delivery.js';
 import type { AnswerHead, AttemptFailure } from '../answers/answer-reader.js';
@@ -101,7 +101,7 @@
       headers: request.headers as string[],
       agent,
     });
-    limitHead(
+    limitAnswer(
       this.client,
       this.guard((reason: string) => this.reportFailure({ tag: 'BadAnswer', detail: reason })),
     );
--- a/src/relay/tries/identify-runner.ts
+++ b/src/relay/tries/identify-runner.ts
@@ -1,7 +1,7 @@
 /** Asks the process at a runner's address which runner it is, by the health check of its service. */
 import { request as httpRequest } from 'node:http';
 import type { IncomingMessage } from 'node:http';
-import { limitHead } from '../../http-client/answer-limits.js';
+import { limitAnswer } from '../../http-client/answer-limits.js';
 import type { Runtime } from '../../runtime/runtime.js';
 import type { HeaderNames } from '../request/header-names.js';
 import type { Runner } from '../runners/runner.js';
@@ -66,7 +66,7 @@
       finish(identityOf(response, question));
     },
   );
-  limitHead(client);
+  limitAnswer(client);
   const cancel = runtime.setTimer(TIMEOUT_MILLISECONDS, () => finish('unknown'));
   client.on('error', () => finish('unknown'));
   client.end();
