Answers in tiny chunks take bounded memory and time

What callers saw: an answer in chunks of one byte without end took time and memory from others: each chunk was kept as a buffer of its own, and all that had arrived of an event was copied and searched again for each chunk more.

Cause: bodies were bounded in content only, and a part of one byte takes some 190 bytes; the event splitter joined its rest with each chunk.

Why the fix works: bodies merge small parts, and may have 98,304 parts and one more for each 64 bytes; the rest of an event is kept in storage that grows by doubling, and the search for its end goes on where it stopped. Bytes around content may exceed the content by 1 MiB, so that answers in smaller chunks than six bytes end sooner.

--- a/features/endless-answers.feature
+++ b/features/endless-answers.feature
@@ -79,6 +79,19 @@
       | extendedChunks | stream | 200    | the client gets events 1 to 4 and the end |
       | chunkSize      | kept   | 200    | the client's answer is not complete       |
 
+  # Guards against a buffer for each byte of an answer, and against a copy of what was read for each byte more.
+  Scenario Outline: Endless chunks of one byte in the answer to a "<route>" request take neither memory nor time from others
+    Given the first answer is endless in its "tinyChunks", framed by "chunks", with status <status>
+    When a client sends a "<route>" request
+    Then <result>
+    And the endless answer was closed within 2500 ms and after at most 8 MiB
+    And nothing is held for it
+
+    Examples:
+      | route      | status | result                                                     |
+      | repeatable | 200    | the client gets status 200 with the runner's body and signature |
+      | single     | 404    | the client gets status 502                                 |
+
   Scenario Outline: An endless answer that can't be replaced by another one is given up
     Given the first answer is endless in its "<part>", framed by "<framing>", with status <status>
     When a client sends a "<route>" request
@@ -197,7 +210,7 @@
   # Guards against a limit that ends sound answers: servers write chunks of a byte, and pad their sizes.
   Scenario Outline: A sound answer of <bytes> bytes in chunks of <size> with "<padding>" ahead of their sizes is read
     Given a server whose answers are lists of <bytes> bytes in chunks of <size>, with "<padding>" ahead of their sizes
-    When the client of the store's lists reads a sound answer
+    When a reader without a time limit reads a sound answer
     Then it reports an answer
 
     Examples:
@@ -208,3 +221,17 @@
       | 600000  | 6    |         |
       | 2000000 | 64   | 0000    |
       | 8000000 | 4096 |         |
+
+  # Guards against a copy of all that has arrived of an event for each chunk of it.
+  Scenario: An event that arrives byte by byte is split in time that grows with its length
+    When an event of 262144 bytes arrives in chunks of a byte
+    Then the event was split whole within 2000 ms
+
+  # Guards against memory and time for each of any number of chunks.
+  Scenario: A body in chunks of a byte is given up once there are too many of them, and a long one in larger chunks is not
+    When a body of 16000000 bytes arrives in chunks of 1
+    Then it was given up after at most 101000 chunks
+    When a body of 16000000 bytes arrives in chunks of 64
+    Then it was collected whole
+    When a body of 90000 bytes arrives in chunks of 1
+    Then it was collected whole
--- a/features/steps/endless-answers.steps.ts
+++ b/features/steps/endless-answers.steps.ts
@@ -10,6 +10,10 @@
   EndlessPart,
   EndlessRecord,
 } from '../../src/emulator/endless-answer.js';
+import { AnswerBody } from '../../src/relay/answers/answer-body.js';
+import { EventSplitter } from '../../src/relay/answers/event-splitter.js';
+import { MemoryBudget } from '../../src/relay/memory/memory-budget.js';
+import { createRealRuntime } from '../../src/runtime/real-runtime.js';
 import { boundsForBudget } from '../../src/relay/memory/memory-bounds.js';
 import { ANSWER_READERS } from '../support/answer-readers.js';
 import { RawServer } from '../support/raw-server.js';
@@ -24,6 +28,8 @@
   port: number;
   records: EndlessRecord[];
   report: { hasAnswer: boolean; milliseconds: number };
+  /** Chunks of a body that were accepted, and its bytes unless it was given up. */
+  collected: { chunks: number; bytes: Buffer | undefined; sent: Buffer };
 }
 
 const MEBIBYTE = 1024 * 1024;
@@ -244,3 +250,49 @@
 Then('it reports an answer', function (this: World) {
   assert.equal(this.report.hasAnswer, true);
 });
+
+When(
+  'an event of {int} bytes arrives in chunks of a byte',
+  { timeout: 120_000 },
+  function (this: World, bytes: number) {
+    const sent = Buffer.from(`data: ${'x'.repeat(bytes)}\r\n\r\n`);
+    const splitter = new EventSplitter();
+    const startedAt = performance.now();
+    const events = [...sent.keys()].flatMap((at) => splitter.push(sent.subarray(at, at + 1)));
+    this.report = { hasAnswer: events.length === 1, milliseconds: performance.now() - startedAt };
+    this.collected = { chunks: sent.length, bytes: events[0]?.bytes, sent };
+  },
+);
+
+Then('the event was split whole within {int} ms', function (this: World, milliseconds: number) {
+  assert.equal(this.report.hasAnswer, true);
+  assert.ok(this.collected.bytes?.equals(this.collected.sent));
+  assert.ok(this.report.milliseconds <= milliseconds, `${this.report.milliseconds} ms`);
+});
+
+When(
+  'a body of {int} bytes arrives in chunks of {int}',
+  { timeout: 60_000 },
+  function (this: World, bytes: number, chunkBytes: number) {
+    const memory = new MemoryBudget(createRealRuntime(), boundsForBudget(256 * MEBIBYTE));
+    const body = new AnswerBody(memory, 'answers');
+    const sent = Buffer.alloc(bytes, 'some text ');
+    let chunks = 0;
+    let refusal: string | undefined;
+    for (let at = 0; at < bytes && refusal === undefined; at += chunkBytes) {
+      refusal = body.add(sent.subarray(at, at + chunkBytes));
+      chunks += 1;
+    }
+    this.collected = { chunks, bytes: refusal === undefined ? body.concat() : undefined, sent };
+    body.release();
+  },
+);
+
+Then('it was given up after at most {int} chunks', function (this: World, chunks: number) {
+  assert.equal(this.collected.bytes, undefined);
+  assert.ok(this.collected.chunks <= chunks, `${this.collected.chunks} chunks`);
+});
+
+Then('it was collected whole', function (this: World) {
+  assert.ok(this.collected.bytes?.equals(this.collected.sent));
+});
--- a/features/support/answer-readers.ts
+++ b/features/support/answer-readers.ts
@@ -1,7 +1,10 @@
 /** Readers of HTTP answers that are no answers to requests of clients, by their names in the scenarios. */
+import { request } from 'node:http';
 import { isRight } from 'fp-ts/lib/Either.js';
 import { createCachedPartsReader } from '../../platform/cached-parts.js';
 import { PlatformStoreClient } from '../../platform/store-client.js';
+import { limitAnswer } from '../../src/http-client/answer-limits.js';
+import { readWholeBody } from '../../src/http-client/read-body.js';
 import { PeerExchange } from '../../src/peers/peer-exchange.js';
 import { DEFAULT_HEADER_NAMES as names } from '../../src/relay/request/default-header-names.js';
 import type { Runner } from '../../src/relay/runners/runner.js';
@@ -12,6 +15,8 @@
 const HOST = '127.0.0.1';
 /** Time for which a connection watches a runner that does not end it. */
 const WATCH_MILLISECONDS = 5_000;
+/** Largest body of a sound answer, in bytes. */
+const MAXIMUM_BODY_BYTES = 16 * 1024 * 1024;
 const runtime = createRealRuntime({ logLevel: 'error' });
 
 function runnerAt(port: number): Runner {
@@ -29,6 +34,18 @@
       const client = new PlatformStoreClient(HOST, port, runtime);
       client.swap('key', 0, 'value', ({ tag }) => resolve(tag !== 'Unknown'));
     }),
+  'a reader without a time limit': (port) =>
+    new Promise((resolve) => {
+      const client = request({ host: HOST, port, agent: false }, (answer) => {
+        readWholeBody(answer, 'GET', MAXIMUM_BODY_BYTES, (body) => {
+          resolve(isRight(body) && JSON.parse(body.right.toString()).items.length === 0);
+          client.destroy();
+        });
+      });
+      limitAnswer(client);
+      client.on('error', () => resolve(false));
+      client.end();
+    }),
   'the reader of cached parts': (port) =>
     new Promise((resolve) => {
       const read = createCachedPartsReader(runtime);
--- a/src/emulator/endless-answer.ts
+++ b/src/emulator/endless-answer.ts
@@ -28,6 +28,8 @@
   | 'paddedChunks'
   /** Chunks of one byte with long extensions. */
   | 'extendedChunks'
+  /** Chunks of one byte. */
+  | 'tinyChunks'
   | 'trailers'
   /** Bytes behind a whole answer. */
   | 'extraBytes';
@@ -64,6 +66,7 @@
   'quotedExtension',
   'paddedChunks',
   'extendedChunks',
+  'tinyChunks',
   'trailers',
   'extraBytes',
 ];
@@ -141,6 +144,8 @@
       return { start: chunkedHead, repeated: `${'0'.repeat(CHUNK_PADDING_BYTES)}1\r\nx\r\n` };
     case 'extendedChunks':
       return { start: chunkedHead, repeated: `1;${'x'.repeat(CHUNK_PADDING_BYTES)}\r\nx\r\n` };
+    case 'tinyChunks':
+      return { start: chunkedHead, repeated: '1\r\nx\r\n' };
     case 'trailers':
       return {
         start: `${chunkedHead}5\r\n${SHORT_BODY}\r\n0\r\n`,
--- a/src/http-client/framing-limit.ts
+++ b/src/http-client/framing-limit.ts
@@ -8,7 +8,7 @@
 /** Bytes for each byte of content: the size of a chunk of one byte may be padded to eight digits. */
 const FRAMING_BYTES_PER_CONTENT_BYTE = 16;
 /** Bytes from which on there may be no more of them than of content. */
-const DENSE_FRAMING_BYTES = 4 * 1024 * 1024;
+const DENSE_FRAMING_BYTES = 1024 * 1024;
 
 /** Returns how many bytes may surround the given amount of content. */
 export function maximumFramingBytes(contentBytes: number): number {
--- a/src/http-client/read-body.ts
+++ b/src/http-client/read-body.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http';
 import * as E from 'fp-ts/lib/Either.js';
 import { watchEnd } from './answer-end.js';
+import { PartList } from './part-list.js';
 
 /**
  * Reads the body of an answer; calls back once, with the body of a whole answer or with the reason why there is none. To be called as
@@ -15,8 +16,7 @@
   done: (body: E.Either<string, Buffer>) => void,
 ): void {
   const end = watchEnd(answer, method);
-  const chunks: Buffer[] = [];
-  let receivedBytes = 0;
+  const parts = new PartList();
   let isFinished = false;
   const finish = (body: E.Either<string, Buffer>): void => {
     if (!isFinished) {
@@ -25,16 +25,18 @@
     }
   };
   answer.on('data', (chunk: Buffer) => {
-    receivedBytes += chunk.length;
-    if (receivedBytes > maximumBytes) {
+    parts.add(chunk);
+    if (parts.bytes > maximumBytes || parts.hasTooManyParts) {
       answer.pause();
-      finish(E.left(`the answer exceeds ${maximumBytes} bytes`));
-      return;
+      const excess = parts.hasTooManyParts
+        ? 'has too many chunks'
+        : `exceeds ${maximumBytes} bytes`;
+      parts.clear();
+      finish(E.left(`the answer ${excess}`));
     }
-    chunks.push(chunk);
   });
   answer.on('end', () =>
-    finish(end.isWhole() ? E.right(Buffer.concat(chunks)) : E.left('answer incomplete')),
+    finish(end.isWhole() ? E.right(parts.concat()) : E.left('answer incomplete')),
   );
   answer.on('error', (error) => finish(E.left(error.message)));
   answer.on('aborted', () => finish(E.left('answer incomplete')));
--- a/src/relay/answers/answer-body.ts
+++ b/src/relay/answers/answer-body.ts
@@ -1,4 +1,5 @@
 /** Collects the body of a runner's answer, within bounds on its size and on the memory of the process. */
+import { PartList } from '../../http-client/part-list.js';
 import type { MemoryAccount, MemoryAllocation } from '../memory/memory-accounts.js';
 import type { MemoryBudget } from '../memory/memory-budget.js';
 
@@ -12,7 +13,7 @@
 
 /** Body of one answer. */
 export class AnswerBody {
-  private chunks: Buffer[] = [];
+  private readonly parts = new PartList();
   private readonly allocation: MemoryAllocation;
 
   constructor(
@@ -25,7 +26,7 @@
   /** Adds bytes; returns why there may be no more, and then holds none. */
   add(...parts: Buffer[]): string | undefined {
     for (const part of parts) {
-      this.chunks.push(part);
+      this.parts.add(part);
       this.allocation.add(part.length);
     }
     const { bytes } = this.allocation;
@@ -33,6 +34,10 @@
       this.clear();
       return 'the answer exceeds the maximum size';
     }
+    if (this.parts.hasTooManyParts) {
+      this.clear();
+      return 'the answer has too many chunks';
+    }
     if (bytes > SMALL_ANSWER_BYTES && !this.memory.canBufferSlowReaders) {
       this.clear();
       return `there is no memory for an answer of more than ${bytes} bytes`;
@@ -42,18 +47,18 @@
 
   /** Returns all bytes; they stay counted until the release. */
   concat(): Buffer {
-    return Buffer.concat(this.chunks);
+    return this.parts.concat();
   }
 
   /** Drops all bytes. */
   clear(): void {
-    this.chunks = [];
+    this.parts.clear();
     this.allocation.set(0);
   }
 
   /** Drops all bytes for good. */
   release(): void {
-    this.chunks = [];
+    this.parts.clear();
     this.allocation.release();
   }
 }
--- a/src/relay/answers/event-splitter.ts
+++ b/src/relay/answers/event-splitter.ts
@@ -20,6 +20,10 @@
 const ID_FIELD = Buffer.from('id:');
 const EMPTY_BUFFER = Buffer.alloc(0);
 const LINE_SEPARATOR = Buffer.from('\n');
+/** Bytes of the longest end of an event: a line feed and a blank line that ends in CR LF. */
+const MAXIMUM_BLANK_LINE_BYTES = 3;
+/** Size of new storage for an incomplete event, in relation to its bytes. */
+const STORAGE_GROWTH = 2;
 
 /** Returns whether bytes hold line ends only, which belong to no event. */
 export function hasOnlyLineEnds(bytes: Buffer): boolean {
@@ -85,18 +89,30 @@
 
 /** Incremental splitter for one stream. */
 export class EventSplitter {
+  /** Bytes after the last complete event. */
   private rest: Buffer = EMPTY_BUFFER;
+  /** Memory that starts with `rest` and has room behind it; undefined if `rest` is a part of a received chunk. */
+  private storage: Buffer | undefined;
 
   /**
    * Adds a chunk; returns the events it completes. Throws a `RangeError` if an event exceeds the maximum size or has an
    * invalid id.
    */
   push(chunk: Buffer): StreamEvent[] {
-    this.rest = this.rest.length === 0 ? chunk : Buffer.concat([this.rest, chunk]);
+    // The blank line that ends an event may have begun in the rest.
+    let searchFrom = Math.max(0, this.rest.length - MAXIMUM_BLANK_LINE_BYTES);
+    this.append(chunk);
     const events: StreamEvent[] = [];
-    for (let end = endOfEvent(this.rest, 0); end >= 0; end = endOfEvent(this.rest, 0)) {
+    for (
+      let end = endOfEvent(this.rest, searchFrom);
+      end >= 0;
+      end = endOfEvent(this.rest, searchFrom)
+    ) {
       events.push(parseEvent(this.rest.subarray(0, end)));
       this.rest = this.rest.subarray(end);
+      // The events refer to the storage, which is not written to any more.
+      this.storage = undefined;
+      searchFrom = 0;
     }
     if (this.rest.length > MAXIMUM_EVENT_BYTES) {
       throw new RangeError('an event exceeds the maximum size');
@@ -108,6 +124,24 @@
   takeRest(): Buffer {
     const rest = this.rest;
     this.rest = EMPTY_BUFFER;
+    this.storage = undefined;
     return rest;
   }
+
+  /** Adds a chunk to the rest; the storage grows by doubling, so that many small chunks are not copied again for each of them. */
+  private append(chunk: Buffer): void {
+    const { rest } = this;
+    if (rest.length === 0) {
+      this.rest = chunk;
+      this.storage = undefined;
+      return;
+    }
+    const bytes = rest.length + chunk.length;
+    if (this.storage === undefined || this.storage.length < bytes) {
+      this.storage = Buffer.allocUnsafe(bytes * STORAGE_GROWTH);
+      rest.copy(this.storage);
+    }
+    chunk.copy(this.storage, rest.length);
+    this.rest = this.storage.subarray(0, bytes);
+  }
 }
