Names of invalid UTF-8 no longer leave a record that keeps a replica from starting

A reservation whose names hold invalid bytes was decoded with U+FFFD in their place, three bytes for one. Beyond 65,535 bytes the length field wrapped when the record was written: its checksum was right, its content was not, and each later start threw 'section content is truncated' and tried again for good. All members to which the message went are struck alike.

Change: invalid UTF-8 is refused where a message is decoded, as other malformed bytes are, and no sound sender writes it. A whole record that can't be decoded counts like one of an unknown kind: the others are read, and the replica counts as incomplete until it has read from the other members.

--- /dev/null
+++ b/features/absurd-messages.feature
@@ -0,0 +1,14 @@
+Feature: Messages with senseless content
+  A replica listens to every process that reaches its port.
+
+  # Guards against a name that doesn't fit its length field once its invalid bytes were replaced: such a record could not be read.
+  Scenario: Names of invalid UTF-8 are refused
+    Given a replica at a port, with a disk
+    When it gets a reservation of a program whose name is 40000 invalid bytes
+    Then its disk is read again without an error
+
+  # Guards against a single record, left by an earlier build, that keeps a replica from starting for good.
+  Scenario: A record that can't be decoded counts as unknown, and the others are read
+    Given a replica at a port, with a disk
+    When a record of a name that is longer than its length field is written, and a reservation after it
+    Then its disk is read again with 1 unknown record, and with that reservation
--- a/src/turns/segment-codec.ts
+++ b/src/turns/segment-codec.ts
@@ -4,15 +4,7 @@
  */
 import { crc32 } from 'node:zlib';
 import * as r from 'restructure';
-import {
-  encodeField,
-  bool,
-  longText,
-  float64,
-  shortText,
-  TaggedUnion,
-  UnknownKindError,
-} from '../wire/fields.js';
+import { encodeField, bool, longText, float64, shortText, TaggedUnion } from '../wire/fields.js';
 import { decodeExtended } from '../wire/sections.js';
 import type { JoinToken } from './membership.js';
 import { accountEntryField, conversationTurnField } from './messages.js';
@@ -96,21 +88,18 @@
 export interface SegmentSummary {
   /** Number of complete records, of known and unknown kinds. */
   readonly records: number;
-  /** Number of complete records whose kind this build does not know; their content is lost to it. */
+  /** Number of complete records that this build cannot decode, of newer kinds or with invalid content; their content is lost to it. */
   readonly unknownRecords: number;
   /** Number of bytes after the last complete record. */
   readonly tornBytes: number;
 }
 
-/** Decodes the change of a record; undefined when this build does not know its kind. */
+/** Decodes the change of a record; undefined when this build cannot decode it. */
 function decodeChange(content: Buffer): WrittenChange | undefined {
   try {
     return toChange(decodeExtended(recordField, content).value as RecordValue);
-  } catch (cause) {
-    if (cause instanceof UnknownKindError) {
-      return undefined;
-    }
-    throw cause;
+  } catch {
+    return undefined;
   }
 }
 
--- a/src/turns/segment-turn-storage.ts
+++ b/src/turns/segment-turn-storage.ts
@@ -110,8 +110,8 @@
   }
 
   /**
-   * Reads all segments, oldest first, and calls back with each change. Resolves with the number of records whose kind
-   * this build does not know.
+   * Reads all segments, oldest first, and calls back with each change. Resolves with the number of records that
+   * this build cannot decode.
    */
   async load(onChange: (change: WrittenChange) => void): Promise<number> {
     let unknownRecords = 0;
--- a/src/wire/fields.ts
+++ b/src/wire/fields.ts
@@ -1,4 +1,5 @@
 /** Field types of the binary codecs, built on the streams of `restructure`. */
+import { isUtf8 } from 'node:buffer';
 import * as r from 'restructure';
 
 /** Size of a 32-bit integer, also as the length of a list, in bytes. */
@@ -42,7 +43,10 @@
     : Buffer.from(buffer.buffer, buffer.byteOffset, buffer.byteLength);
 }
 
-/** A UTF-8 string after its length. The string field of the library creates a decoder for each value. */
+/**
+ * A UTF-8 string after its length. The string field of the library creates a decoder for each value. Invalid bytes are refused:
+ * replaced by U+FFFD they take three times the space, and such a text may no longer fit its length field.
+ */
 class TextField implements r.Field {
   constructor(private readonly length: r.Field) {}
 
@@ -50,7 +54,11 @@
     const length = this.length.decode(stream) as number;
     const start = stream.pos;
     stream.pos += length;
-    return asBuffer(stream).toString('utf8', start, stream.pos);
+    const bytes = asBuffer(stream).subarray(start, stream.pos);
+    if (!isUtf8(bytes)) {
+      throw new WireError('text is not UTF-8');
+    }
+    return bytes.toString('utf8');
   }
 
   encode(stream: r.EncodeStream, value: unknown): void {
