A membership record with an epoch that no message can carry is refused

A record with the epoch 1e999, which is Infinity in JavaScript, was adopted from any message: nothing replaced it any more, its text had 'null' for the epoch, and the replica acknowledged nothing until it was started again. The same with a fraction, a negative epoch or one beyond 32 bits, of which messages carry the lower bits.

Change: the epoch of a record is a whole number of 32 bits.

--- a/features/absurd-messages.feature
+++ b/features/absurd-messages.feature
@@ -1,6 +1,19 @@
 Feature: Messages with senseless content
   A replica listens to every process that reaches its port.
 
+  # Guards against a message that ends a replica, or whose record keeps it from starting again.
+  Scenario Outline: A replica outlives <messages>, and so does what it stored
+    Given a replica at a port, with a disk
+    When it gets 1500 <messages>, seed <seed>
+    Then no exception was thrown outside the decoding of messages
+    And a reservation at that replica is acknowledged
+    And its disk is read again without an error, with that reservation
+
+    Examples:
+      | messages                       | seed |
+      | messages with senseless values | 1    |
+      | messages with wrong bytes      | 2    |
+
   # Guards against a name that doesn't fit its length field once its invalid bytes were replaced: such a record could not be read.
   Scenario: Names of invalid UTF-8 are refused
     Given a replica at a port, with a disk
--- a/src/turns/membership.ts
+++ b/src/turns/membership.ts
@@ -114,12 +114,22 @@
   return JSON.stringify(record);
 }
 
+/** Largest epoch; messages carry epochs in 32 bits. */
+const MAXIMUM_EPOCH = 0xffff_ffff;
+
+function isEpoch(epoch: number): boolean {
+  return Number.isSafeInteger(epoch) && epoch >= 0 && epoch <= MAXIMUM_EPOCH;
+}
+
 /** Decodes a JSON record; undefined when the text is malformed. */
 export function decodeMemberRecord(text: string): MemberRecord | undefined {
   try {
     const decoded = MemberRecordType.decode(JSON.parse(text));
-    const isUsable = !isLeft(decoded) && decoded.right.members.every(({ port }) => isPort(port));
-    return isUsable ? decoded.right : undefined;
+    if (isLeft(decoded)) {
+      return undefined;
+    }
+    const { epoch, members } = decoded.right;
+    return isEpoch(epoch) && members.every(({ port }) => isPort(port)) ? decoded.right : undefined;
   } catch {
     return undefined;
   }
