What waits for a disk that takes no writes is bounded, and callers are refused

A replica whose writes fail with another error than a full disk's (EIO, EROFS, EMFILE), or whose sync doesn't return, kept every write in memory and answered none: callers waited until their time was over, and the process grew until its memory limit ends it. Each attempt, two a second, left a file or a listed segment behind.

Change: from the second failure in a row, or from 32 MB of waiting changes on, the disk counts as one that takes no writes, with what holds for a full disk: answered writes fail at once and are written later, nothing is acknowledged before it is durable. New events disk.unavailable and disk.available name the reason.

--- a/features/full-disk.feature
+++ b/features/full-disk.feature
@@ -17,3 +17,18 @@
     When all disks have space again
     Then a turn is stored within 700 ms
     And within 6000 ms all 5 members hold every turn
+
+  # Guards against a replica that keeps all writes in memory while its disk fails, until it exceeds its memory limit.
+  Scenario Outline: What waits for a disk that takes no writes is bounded, and callers are refused
+    Given a replica's disk that fails when told
+    When its <fault> and 400 turns of 256 KB are kept
+    Then within 3000 ms at most 34 MB wait, and at least 260 turns are refused
+    And a file is not left behind by each attempt
+    When the disk works again
+    Then within 5000 ms another turn is kept, and all that was acknowledged is on the disk
+
+    Examples:
+      | fault             |
+      | writes fail       |
+      | files are refused |
+      | syncs hang        |
--- a/features/steps/full-disk.steps.ts
+++ b/features/steps/full-disk.steps.ts
@@ -9,6 +9,7 @@
 import { join } from 'node:path';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { createRandom } from '../../src/runtime/random.js';
+import type { LogFields, Runtime } from '../../src/runtime/runtime.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
 import { SimulatedReplicas } from '../../src/simulation/simulated-replicas.js';
 import { VirtualClock } from '../../src/simulation/virtual-clock.js';
@@ -22,6 +23,9 @@
 interface World {
   fullFolder?: string;
   isFull: boolean;
+  diskFault: DiskFault | undefined;
+  refusedTurns: number;
+  diskLog: LogFields[];
   fullStorage: SegmentTurnStorage;
   fullReplica: Replica;
   kept: string[];
@@ -55,6 +59,45 @@
   };
 }
 
+type DiskFault = 'writes fail' | 'files are refused' | 'syncs hang';
+
+function failureOf(code: string): Error {
+  return Object.assign(new Error(code), { code });
+}
+
+/** Fails, or waits until the disk works again, while it has a fault. */
+function failable(world: World, folder: SegmentFolder): SegmentFolder {
+  const check = async (fault: DiskFault, code: string): Promise<void> => {
+    if (world.diskFault === fault) {
+      throw failureOf(code);
+    }
+  };
+  const create = async (name: string): Promise<SegmentFile> => {
+    await check('files are refused', 'EMFILE');
+    const file = await folder.create(name);
+    return {
+      write: async (bytes, from) => {
+        await check('writes fail', 'EIO');
+        await check('files are refused', 'EROFS');
+        return file.write(bytes, from);
+      },
+      datasync: async () => {
+        while (world.diskFault === 'syncs hang') {
+          await new Promise((resolve) => setTimeout(resolve, 20));
+        }
+        return file.datasync();
+      },
+      close: () => file.close(),
+    };
+  };
+  return {
+    create,
+    names: () => folder.names(),
+    read: (name) => folder.read(name),
+    remove: (name) => folder.remove(name),
+  };
+}
+
 function turnOf(id: string): Parameters<TurnClient['storeTurn']>[0] {
   const bytes = Buffer.from(id);
   return { id, previous: '', input: bytes, output: bytes, retentionMilliseconds: 60_000 };
@@ -73,19 +116,78 @@
   return 'outcome' in found ? found.outcome : found.type;
 }
 
-Given("a replica's disk that gets full", async function (this: World) {
-  this.isFull = false;
-  this.fullFolder = mkdtempSync(join(tmpdir(), 'ivyloom-full-'));
-  const wrap = (folder: SegmentFolder): SegmentFolder => fillable(this, folder);
-  this.fullStorage = await SegmentTurnStorage.open(this.fullFolder, RUNTIME, wrap);
-  const directory = new MemberDirectory(RUNTIME);
+async function startOnDisk(
+  world: World,
+  runtime: Runtime,
+  wrap: (folder: SegmentFolder) => SegmentFolder,
+): Promise<void> {
+  world.isFull = false;
+  world.fullFolder = mkdtempSync(join(tmpdir(), 'ivyloom-full-'));
+  world.fullStorage = await SegmentTurnStorage.open(world.fullFolder, runtime, wrap);
+  const directory = new MemberDirectory(runtime);
   const member = { id: 'm', node: 'm', host: 'm', port: 1, zone: 'z' };
   directory.offer({ epoch: 1, members: [member] }, 'test');
-  const storage = this.fullStorage;
-  this.fullReplica = new Replica({ id: 'm', runtime: RUNTIME, storage, directory });
-  await new Promise<void>((resolve) => this.fullReplica.markReady('test', resolve));
-  this.kept = ['before'];
-  assert.equal(await outcomeOf(keep(this, 'before')), 'done');
+  const storage = world.fullStorage;
+  world.fullReplica = new Replica({ id: 'm', runtime, storage, directory });
+  await new Promise<void>((resolve) => world.fullReplica.markReady('test', resolve));
+  world.kept = ['before'];
+  assert.equal(await outcomeOf(keep(world, 'before')), 'done');
+}
+
+Given("a replica's disk that gets full", async function (this: World) {
+  await startOnDisk(this, RUNTIME, (folder) => fillable(this, folder));
+});
+
+Given("a replica's disk that fails when told", async function (this: World) {
+  this.diskLog = [];
+  const log = (_level: unknown, _message: string, fields?: LogFields): void => {
+    this.diskLog.push(fields ?? {});
+  };
+  await startOnDisk(this, { ...RUNTIME, log }, (folder) => failable(this, folder));
+});
+
+When(
+  /^its (writes fail|files are refused|syncs hang) and (\d+) turns of (\d+) KB are kept$/,
+  function (this: World, fault: DiskFault, count: string, kilobytes: string) {
+    this.diskFault = fault;
+    this.refusedTurns = 0;
+    const content = Buffer.alloc(Number(kilobytes) * 1024, 1);
+    for (let number = 0; number < Number(count); number += 1) {
+      const turn = { ...turnOf(`waiting ${number}`), output: content };
+      this.fullReplica.handle({ type: 'keep', call: 1, epoch: 1, turn }, (reply) => {
+        assert.ok('outcome' in reply);
+        if (reply.outcome === 'done') {
+          this.kept.push(turn.id);
+        } else {
+          this.refusedTurns += 1;
+        }
+      });
+    }
+  },
+);
+
+Then(
+  'within {int} ms at most {int} MB wait, and at least {int} turns are refused',
+  async function (this: World, milliseconds: number, megabytes: number, refused: number) {
+    const end = performance.now() + milliseconds;
+    while (this.refusedTurns < refused && performance.now() < end) {
+      await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+    assert.ok(this.refusedTurns >= refused, `${this.refusedTurns} turns were refused`);
+    const waiting = this.diskLog
+      .filter(({ event }) => event === 'disk.unavailable')
+      .map(({ queuedBytes }) => Number(queuedBytes));
+    assert.ok(waiting.length > 0 && Math.max(...waiting) <= megabytes * 1e6, `${waiting}`);
+  },
+);
+
+Then('a file is not left behind by each attempt', async function (this: World) {
+  await new Promise((resolve) => setTimeout(resolve, 1_200));
+  assert.ok(readdirSync(this.fullFolder!).length <= 2);
+});
+
+When('the disk works again', function (this: World) {
+  this.diskFault = undefined;
 });
 
 When('a turn is kept on the full disk', function (this: World) {
@@ -118,9 +220,9 @@
 });
 
 Then(
-  'within {int} ms a turn is kept, and all that was acknowledged is on the disk',
-  async function (this: World, milliseconds: number) {
-    const end = performance.now() + milliseconds;
+  /^within (\d+) ms (?:a|another) turn is kept, and all that was acknowledged is on the disk$/,
+  async function (this: World, milliseconds: string) {
+    const end = performance.now() + Number(milliseconds);
     while ((await outcomeOf(keep(this, 'after'))) !== 'done') {
       assert.ok(performance.now() < end, 'no turn is kept');
       await new Promise((resolve) => setTimeout(resolve, 20));
--- a/src/turns/compaction.ts
+++ b/src/turns/compaction.ts
@@ -35,7 +35,8 @@
 /** Pause between two slices, in milliseconds. */
 const SLICE_PAUSE_MILLISECONDS = 20;
 
-function bytesOf(change: StorageChange): number {
+/** Size of the turn content of a change, in bytes. */
+export function contentBytesOf(change: StorageChange): number {
   return change.tag === 'turn' ? change.turn.turn.input.length + change.turn.turn.output.length : 0;
 }
 
@@ -49,7 +50,7 @@
       break;
     }
     slice.push(next.value);
-    bytes += bytesOf(next.value);
+    bytes += contentBytesOf(next.value);
   }
   return slice;
 }
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -394,12 +394,12 @@
     }
   }
 
-  /** Whether the disk has no space: what was stored last may not be durable yet. */
+  /** Whether the disk takes no writes: what was stored last may not be durable yet. */
   get isDiskFull(): boolean {
     return this.options.storage.isFull === true;
   }
 
-  /** Takes a write unless the disk is full; the replica then copies it from others once there is space. */
+  /** Takes a write unless the disk takes none; the replica then copies it from others once it does. */
   private unlessFull(answer: (durable: boolean) => void, store: () => void): void {
     if (this.isDiskFull) {
       answer(false);
--- a/src/turns/segment-turn-storage.ts
+++ b/src/turns/segment-turn-storage.ts
@@ -9,7 +9,7 @@
  * preserved the removal of an old manifest but not the rename of its successor.
  */
 import type { Runtime } from '../runtime/runtime.js';
-import { isCompactionDue, writeInSlices } from './compaction.js';
+import { contentBytesOf, isCompactionDue, writeInSlices } from './compaction.js';
 import type { DiskUse } from './compaction.js';
 import { DurableFolder } from './durable-folder.js';
 import type { SegmentFile, SegmentFolder } from './durable-folder.js';
@@ -30,6 +30,12 @@
 const COMPACTION_GRACE_MILLISECONDS = 20_000;
 /** Errors of a disk without space, or without any left of the user's quota. */
 const NO_SPACE_ERRORS: ReadonlySet<unknown> = new Set(['ENOSPC', 'EDQUOT']);
+/** Size of queued changes beyond which no more are taken from callers, in bytes; a disk may stall or fail for long. */
+const MAXIMUM_QUEUED_BYTES = 32 * 1024 * 1024;
+/** Memory that a queued change takes beside the content of a turn, in bytes. */
+const CHANGE_BYTES = 512;
+/** Failures of a write in a row from which on the disk counts as failing; a single one may concern a segment only. */
+const FAILURES_UNTIL_FAILING = 2;
 const EMPTY_DISK: DiskUse = { bytes: 0, segments: 0 };
 
 interface Segment {
@@ -47,10 +53,17 @@
   readonly urgency: WriteUrgency;
 }
 
+/** Why nothing new becomes durable. */
+type Refusal = 'full' | 'failing' | 'stalled';
+
 function isNoSpace(cause: unknown): boolean {
   return cause instanceof Error && NO_SPACE_ERRORS.has((cause as NodeJS.ErrnoException).code);
 }
 
+function memoryBytesOf(change: StorageChange): number {
+  return CHANGE_BYTES + contentBytesOf(change);
+}
+
 function isWritten(change: StorageChange): change is WrittenChange {
   return change.tag !== 'dropEntry' && change.tag !== 'dropTurn';
 }
@@ -60,7 +73,10 @@
   private queue: PendingWrite[] = [];
   private writing = false;
   private lazyTimerSet = false;
-  private full = false;
+  /** Size of the changes that are queued or being written, in bytes. */
+  private queuedBytes = 0;
+  private refusal: Refusal | undefined;
+  private failureCount = 0;
   private file: SegmentFile | undefined;
   /** Number of the newest segment; never reused, since a removed file may reappear. */
   private lastNumber = 0;
@@ -106,7 +122,7 @@
   }
 
   get isFull(): boolean {
-    return this.full;
+    return this.refusal !== undefined;
   }
 
   /**
@@ -147,6 +163,10 @@
     urgency: WriteUrgency = 'urgent',
   ): void {
     this.queue.push({ changes, done, urgency });
+    this.queuedBytes += changes.reduce((sum, change) => sum + memoryBytesOf(change), 0);
+    if (this.queuedBytes > MAXIMUM_QUEUED_BYTES && this.refusal === undefined) {
+      this.setRefusal('stalled');
+    }
     if (urgency !== 'lazy') {
       this.writeNext();
     } else if (!this.lazyTimerSet) {
@@ -182,12 +202,15 @@
     }
     this.writing = true;
     const writes = this.queue;
+    const bytes = this.queuedBytes;
     this.queue = [];
     this.append(writes.flatMap((write) => write.changes)).then(
       () => {
         this.writing = false;
         this.writeCount += 1;
-        this.setFull(false);
+        this.failureCount = 0;
+        this.queuedBytes -= bytes;
+        this.setRefusal(this.queuedBytes > MAXIMUM_QUEUED_BYTES ? 'stalled' : undefined);
         writes.forEach((write) => write.done(true));
         this.compactIfDue();
         this.writeNext();
@@ -234,16 +257,18 @@
   private retryInNewSegment(writes: readonly PendingWrite[], cause: unknown): void {
     this.closeSegment();
     this.queue = [...writes, ...this.queue];
-    if (isNoSpace(cause)) {
-      this.removeUnusedSegment();
-      this.setFull(true);
+    this.failureCount += 1;
+    this.removeUnusedSegment();
+    if (!isNoSpace(cause)) {
+      this.logDiskError(cause);
+    }
+    if (isNoSpace(cause) || this.failureCount >= FAILURES_UNTIL_FAILING) {
+      this.setRefusal(isNoSpace(cause) ? 'full' : 'failing');
       this.failAnsweredWrites();
       if (this.closing !== undefined) {
         this.closing();
         return;
       }
-    } else {
-      this.logDiskError(cause);
     }
     this.runtime.setTimer(RETRY_DELAY_MILLISECONDS, () => {
       this.writing = false;
@@ -271,16 +296,23 @@
     failed.forEach(({ done }) => done(false));
   }
 
-  private setFull(full: boolean): void {
-    if (full === this.full) {
+  private setRefusal(refusal: Refusal | undefined): void {
+    const before = this.refusal;
+    if (refusal === before) {
       return;
     }
-    this.full = full;
-    const fields = { segments: this.segments.length, bytes: this.use.bytes };
-    if (full) {
+    this.refusal = refusal;
+    const { segments, queuedBytes } = this;
+    const fields = { segments: segments.length, bytes: this.use.bytes, queuedBytes };
+    if (refusal === 'full') {
       this.runtime.log('error', 'disk is full', { event: 'disk.full', ...fields });
-    } else {
+    } else if (refusal !== undefined) {
+      const unavailable = { event: 'disk.unavailable', reason: refusal, ...fields };
+      this.runtime.log('error', 'disk takes no writes', unavailable);
+    } else if (before === 'full') {
       this.runtime.log('info', 'disk has space again', { event: 'disk.hasSpace', ...fields });
+    } else {
+      this.runtime.log('info', 'disk takes writes again', { event: 'disk.available', ...fields });
     }
   }
 
--- a/src/turns/turn-storage.ts
+++ b/src/turns/turn-storage.ts
@@ -49,13 +49,13 @@
 
 /**
  * A lazy write may be delayed until the next urgent one, or for a short time. An answered one is urgent, and a caller
- * waits for its outcome: when the disk is full it fails at once, and is written later all the same.
+ * waits for its outcome: when the disk takes no writes it fails at once, and is written later all the same.
  */
 export type WriteUrgency = 'urgent' | 'lazy' | 'answered';
 
 /** Persists the changes of a replica. */
 export interface TurnStorage {
-  /** Whether the disk has no space: nothing new becomes durable until it has. @default never */
+  /** Whether nothing new becomes durable for now: no space, writes that fail, or too many that wait. @default never */
   readonly isFull?: boolean;
   /** Makes changes durable, in the order of the calls; calls back with false when the write failed. */
   write(
