The soak kills all gateways, moves a route, and resumes streams without a name

Seen: streams that clients resume were joined from two versions or services (docs/incidents/joined-streams.md), and no soak could see it: all its clients named their stream and gave up within three tries, gateways were never all away alone, and no route moved.

The check detects seven faults of a fake gateway, each alone.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -79,7 +79,12 @@
       | fault              | guarantee   |
       | nothing            |             |
       | mixesVersions      | one version |
+      | mixesUnnamed       | one version |
+      | mixesServices      | one service |
+      | repeatsEvents      | whole answer |
+      | endsResumedEarly   | whole answer |
       | refusesResumptions | resumption  |
+      | refusesUnnamed     | resumption  |
 
   Scenario: A soak fails if no slow reader ever receives a complete stream
     Then a soak with 30 long streams fails if 0 of them are received completely
--- a/features/steps/soak.steps.ts
+++ b/features/steps/soak.steps.ts
@@ -18,6 +18,8 @@
 
 const HOST = '127.0.9.1';
 const CLIENTS = 4;
+/** Named or unnamed streams, with one version or several. */
+const DUE_KINDS = 4;
 /** Longest time in which enough resumptions are due, on a busy machine. */
 const DUE_MILLISECONDS = 30_000;
 
@@ -53,7 +55,10 @@
   });
   await check.start();
   const until = performance.now() + DUE_MILLISECONDS;
-  const hasEnough = (): boolean => check.counts.due >= MINIMUM_RESUMPTIONS;
+  const hasEnough = (): boolean => {
+    const kinds = Object.values(check.counts.dueBy);
+    return kinds.length === DUE_KINDS && kinds.every(({ due }) => due >= MINIMUM_RESUMPTIONS);
+  };
   await check.run(() => hasEnough() || performance.now() > until);
   assert.ok(hasEnough(), 'too few resumptions were due');
 });
--- a/features/support/faulty-gateway.ts
+++ b/features/support/faulty-gateway.ts
@@ -9,7 +9,7 @@
   SOAK_TOKENS_PER_EVENT,
 } from '../../soak/soak-client.js';
 import { LONG_EVENT_BYTES, LONG_EVENTS } from '../../soak/slow-reading.js';
-import { RESUMABLE_ROUTE } from '../../soak/stream-version-check.js';
+import { MOVABLE_ROUTE, RESUMABLE_EVENTS, RESUMABLE_ROUTE } from '../../soak/versioned-runners.js';
 import { LIMITED_KEY, LIMITED_TENANT } from '../../soak/tenant-check.js';
 import type { RelayRunner } from '../../src/emulator/relay-runner.js';
 
@@ -46,8 +46,18 @@
   | 'ignoresLimit'
   /** Continues streams at another software version. */
   | 'mixesVersions'
+  /** Continues streams that the client doesn't name at another software version. */
+  | 'mixesUnnamed'
+  /** Continues streams at another service. */
+  | 'mixesServices'
+  /** Sends the last event that the client has again. */
+  | 'repeatsEvents'
+  /** Ends continued streams as complete after one event. */
+  | 'endsResumedEarly'
   /** Refuses to continue any stream. */
-  | 'refusesResumptions';
+  | 'refusesResumptions'
+  /** Refuses to continue streams that the client doesn't name. */
+  | 'refusesUnnamed';
 
 /** Tenants by key. */
 const TENANTS: Readonly<Record<string, string>> = {
@@ -56,8 +66,7 @@
 };
 /** Number of requests of the limited tenant that are accepted. */
 const LIMITED_REQUESTS = 100;
-/** Events of a stream that may be resumed, and the time between two of them. */
-const RESUMABLE_EVENTS = 8;
+/** Time between two events of a stream that may be resumed. */
 const EVENT_MILLISECONDS = 5;
 const MAXIMUM_TOKENS = SOAK_EVENTS * SOAK_TOKENS_PER_EVENT;
 
@@ -101,7 +110,8 @@
       response.writeHead(refusal).end();
       return;
     }
-    if (request.url?.startsWith(`/${RESUMABLE_ROUTE}/`) === true) {
+    const route = request.url?.split('/')[1];
+    if (route === RESUMABLE_ROUTE || route === MOVABLE_ROUTE) {
       this.answerResumable(request, response);
       return;
     }
@@ -122,22 +132,33 @@
   }
 
   private answerResumable(request: IncomingMessage, response: ServerResponse): void {
-    const isResumption = request.headers[NAMES.resumes] !== undefined;
-    if (isResumption && this.fault === 'refusesResumptions') {
+    const lastEvent = Number(request.headers[NAMES.lastEventId] ?? 0);
+    const isResumption = lastEvent > 0;
+    const isUnnamed = isResumption && request.headers[NAMES.resumes] === undefined;
+    const { fault } = this;
+    if (
+      (isResumption && fault === 'refusesResumptions') ||
+      (isUnnamed && fault === 'refusesUnnamed')
+    ) {
       response.writeHead(503).end();
       return;
     }
-    const version = isResumption && this.fault === 'mixesVersions' ? 'v2' : 'v1';
+    const isMixed =
+      (isResumption && fault === 'mixesVersions') || (isUnnamed && fault === 'mixesUnnamed');
+    const version = isMixed ? 'v2' : 'v1';
+    const usual = request.url?.startsWith(`/${RESUMABLE_ROUTE}/`) === true ? 'minds' : 'calm-a';
+    const service = isResumption && fault === 'mixesServices' ? 'calm-b' : usual;
+    const last = isResumption && fault === 'endsResumedEarly' ? lastEvent + 1 : RESUMABLE_EVENTS;
     response.writeHead(200, { ...this.signature, 'content-type': 'text/event-stream' });
     const send = (event: number): void => {
-      if (event > RESUMABLE_EVENTS) {
+      if (event > last) {
         response.end();
       } else {
-        response.write(`id: ${event}\ndata: event ${event} by ${version}\n\n`);
+        response.write(`id: ${event}\ndata: event ${event} by ${version}@${service}\n\n`);
         setTimeout(() => send(event + 1), EVENT_MILLISECONDS);
       }
     };
-    send(Number(request.headers[NAMES.lastEventId] ?? 0) + 1);
+    send(isResumption && fault === 'repeatsEvents' ? lastEvent : lastEvent + 1);
   }
 
   private answerTurn(
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -30,6 +30,7 @@
     --no-strangers  put no invalid runner entries of other writers into the store: older builds exit on them
     --upgrade-from COMMIT  start all machines with the build of this commit, and restart one after another
                   with the current build
+    --program-of COMMIT  run all machines with the build of this commit, to see what the checks find there
     --order O     which machines are upgraded first: ${UPGRADE_ORDERS.join(', ')} (default ${UPGRADE_ORDERS[0]})
     --upgrade-end E  how far the upgrade goes: ${UPGRADE_ENDS.join(', ')} (default ${UPGRADE_ENDS[0]});
                   back rolls back from halfway
@@ -57,6 +58,7 @@
       tolerateZone: { type: 'boolean', default: false },
       strangers: { type: 'boolean', default: true },
       upgradeFrom: { type: 'string' },
+      programOf: { type: 'string' },
       order: { type: 'string', default: UPGRADE_ORDERS[0], choices: [...UPGRADE_ORDERS] },
       upgradeEnd: { type: 'string', default: UPGRADE_ENDS[0], choices: [...UPGRADE_ENDS] },
     },
@@ -108,9 +110,23 @@
 
 const { upgradeFrom } = cli.flags;
 const upgrade = upgradeFrom === undefined ? undefined : createUpgradePlan(upgradeFrom);
+/** Builds the commit with which all machines run; exits when it can't be built. */
+function programOf(commit: string): string {
+  try {
+    return buildProgram(commit);
+  } catch (cause) {
+    if (cause instanceof BuildError) {
+      process.stderr.write(`soak: ${cause.message}\n`);
+      process.exit(EXIT_USAGE_ERROR);
+    }
+    throw cause;
+  }
+}
+
+const program = cli.flags.programOf === undefined ? undefined : programOf(cli.flags.programOf);
 const { strangers: hasInvalidEntries } = cli.flags;
 const sizes = { clientCount, gatewayCount, replicaCount };
-const content = { hasInvalidEntries, toleratesZoneLoss };
+const content = { hasInvalidEntries, toleratesZoneLoss, program };
 const soak = runSoak({ seed, minutes, ...sizes, block, faults, upgrade, ...content });
 for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
   process.once(signal, () => process.exit(EXIT_USAGE_ERROR));
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -27,6 +27,7 @@
 import { SoakConfiguration } from './soak-configuration.js';
 import {
   ALL_REPLICAS,
+  CHANGES_WHILE_AWAY,
   drawEndlessForm,
   FAULTS,
   MISBEHAVIOURS,
@@ -39,6 +40,7 @@
 import type { SoakWorldOptions } from './soak-world.js';
 import { StreamVersionCheck } from './stream-version-check.js';
 import { TenantCheck } from './tenant-check.js';
+import { MOVABLE_ROUTE, RESUMABLE_ROUTE } from './versioned-runners.js';
 
 const GATEWAY_COUNT = 3;
 const REPLICA_COUNT = 4;
@@ -53,6 +55,16 @@
 /** Probability that the next fault begins while the last one is still active. */
 const OVERLAP_PROBABILITY = 0.5;
 const MAXIMUM_OVERLAP_MILLISECONDS = 1_200;
+/** Modes of the store, by fault. */
+const STORE_MODES = {
+  storeRefuses: 'refusing',
+  storeSilent: 'silent',
+  storeLosesAnswers: 'losingAnswers',
+} as const;
+/** Probability that all replicas are killed with all gateways. */
+const REPLICAS_KILLED_PROBABILITY = 0.35;
+/** Shortest and longest time for which all gateways are away, in milliseconds. */
+const GATEWAYS_AWAY_MILLISECONDS: readonly [number, number] = [300, 1_500];
 /** Factor by which a zone is away longer than a machine, so that some losses outlast the removal of silent members. */
 const ZONE_PAUSE_FACTOR = 3;
 /** Shortest and longest read pause of a slow runner, in milliseconds. */
@@ -102,7 +114,7 @@
     this.configurationSource = new SoakConfiguration(this.random);
     const { gatewayCount = GATEWAY_COUNT, replicaCount = REPLICA_COUNT, block = 0 } = options;
     const sizes = { gatewayCount, replicaCount, runnerCount: RUNNER_COUNT };
-    const program = options.upgrade?.program ?? PROGRAM;
+    const program = options.upgrade?.program ?? options.program ?? PROGRAM;
     const { hasInvalidEntries = true } = options;
     // The older build of an upgrade need not know evacuations.
     const onArrival: SoakWorldOptions['onArrival'] = (zone, headers) => {
@@ -363,6 +375,8 @@
         return this.kill([machine], pause, () => machine.wipe());
       case 'killAll':
         return this.kill(this.world.processes, pause);
+      case 'killGateways':
+        return this.killGateways();
       case 'losePower':
         return this.kill([machine], pause, () => this.losePowerOf(machine));
       case 'loseAllPower':
@@ -381,11 +395,9 @@
       case 'stopGateway':
         return this.restart(machine);
       case 'storeRefuses':
-        return this.disturbStore('refusing', pause);
       case 'storeSilent':
-        return this.disturbStore('silent', pause);
       case 'storeLosesAnswers':
-        return this.disturbStore('losingAnswers', pause);
+        return this.disturbStore(STORE_MODES[fault], pause);
       case 'storeForgets':
         return this.forgetHistory();
       case 'storePath':
@@ -406,6 +418,8 @@
         return this.breakOffAnswers(pause * BREAK_OFF_PAUSE_FACTOR);
       case 'configurationChange':
         return this.changeConfiguration();
+      case 'routeMoves':
+        return this.moveRoute();
       case 'zoneEvacuated':
         return this.evacuateZone(this.random.pick(SOAK_ZONES), pause);
     }
@@ -438,6 +452,44 @@
     victims.forEach((victim) => victim.start());
   }
 
+  /** Kills all gateways, at times all replicas too; versions or a route change before they return. */
+  private async killGateways(): Promise<void> {
+    const { random, versionCheck } = this;
+    const { runners } = versionCheck;
+    const change = random.pick(CHANGES_WHILE_AWAY);
+    const suffix = random.uniform() < REPLICAS_KILLED_PROBABILITY ? ', replicas killed' : '';
+    const victims = suffix === '' ? this.world.processesOf('gateway') : this.world.processes;
+    const ended = victims.map((victim) => victim.whenExited());
+    victims.forEach((victim) => victim.signal('SIGKILL'));
+    const other = `nothing${suffix}`;
+    if (change === 'nothing') {
+      versionCheck.noteChange(other);
+    } else {
+      const route = change === 'entries go' ? RESUMABLE_ROUTE : MOVABLE_ROUTE;
+      versionCheck.noteChange(`${change}${suffix}`, route, other);
+    }
+    await Promise.all(ended);
+    if (change === 'entries go') {
+      runners.removeOldest();
+    } else if (change === 'replaced') {
+      await runners.replace(versionCheck.movableService);
+    } else if (change === 'route moves') {
+      this.changeMovedRoute();
+    }
+    await sleep(random.integer(...GATEWAYS_AWAY_MILLISECONDS));
+    victims.forEach((victim) => victim.start());
+  }
+
+  private moveRoute(): void {
+    this.versionCheck.noteChange('route moves, no kill', MOVABLE_ROUTE);
+    this.changeMovedRoute();
+  }
+
+  private changeMovedRoute(): void {
+    this.versionCheck.noteMove(this.configurationSource.moveRoute());
+    this.changeConfiguration();
+  }
+
   private machinesOf(targets: readonly string[]): readonly PlatformProcess[] {
     return this.world.processes.filter(({ machine }) => targets.includes(machine.name));
   }
--- a/soak/soak-configuration.ts
+++ b/soak/soak-configuration.ts
@@ -4,8 +4,13 @@
 import { HEALTH_PATH } from '../src/emulator/relay-runner.js';
 import { SOAK_COLD } from './platform-process.js';
 import { SOAK_HOST, SOAK_KEY, SOAK_TENANT, SOAK_TOKENS_PER_EVENT } from './soak-client.js';
-import { RESUMABLE_ROUTE, VERSIONED_SERVICE } from './stream-version-check.js';
 import { LIMITED_KEY, LIMITED_RATE, LIMITED_TENANT } from './tenant-check.js';
+import {
+  CALM_SERVICES,
+  MOVABLE_ROUTE,
+  RESUMABLE_ROUTE,
+  VERSIONED_SERVICE,
+} from './versioned-runners.js';
 
 /** Service that is the target of all routes. */
 export const SOAK_SERVICE = 'workers';
@@ -57,6 +62,7 @@
   private version = 1;
   private addedRoutes: string[] = [];
   private guestKey = 'key-of-guest-0';
+  private movableService: string = CALM_SERVICES[0];
 
   constructor(private readonly random: RandomSource) {}
 
@@ -71,6 +77,13 @@
     return { version, value: this.value(), addedRoute, droppedRoutes, removedKey };
   }
 
+  /** Moves a route to the other service from the next version on, and returns that service. */
+  moveRoute(): string {
+    const [first, second] = CALM_SERVICES;
+    this.movableService = this.movableService === first ? second : first;
+    return this.movableService;
+  }
+
   private value(): Record<string, unknown> {
     return {
       Version: this.version,
@@ -80,6 +93,7 @@
         route('kept', 'streaming', { Retain: true, RetentionS: 600 }),
         route('long', 'streaming', {}),
         route(RESUMABLE_ROUTE, 'streaming', { Resumable: true, Service: VERSIONED_SERVICE }),
+        route(MOVABLE_ROUTE, 'streaming', { Resumable: true, Service: this.movableService }),
         ...brittleRoutes(),
         ...this.addedRoutes.slice(-ADDED_ROUTE_COUNT).map((name) => route(name, 'idempotent', {})),
       ],
@@ -91,6 +105,7 @@
           Engine: { Stride: SOAK_TOKENS_PER_EVENT },
         },
         { Name: VERSIONED_SERVICE, MaxConnections: 60 },
+        ...CALM_SERVICES.map((name) => ({ Name: name, MaxConnections: 60 })),
         { Name: BRITTLE_SERVICE, MaxConnections: 60, HealthPath: HEALTH_PATH },
       ],
       Tenants: [
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -14,6 +14,8 @@
   'pauseReplica',
   'stopGateway',
   'killAll',
+  // All gateways, at times all replicas too, are killed; versions or routes change while they are away.
+  'killGateways',
   'storeRefuses',
   'storeSilent',
   'storeLosesAnswers',
@@ -31,6 +33,8 @@
   // A runner accepts requests but pauses before it reads their bodies.
   'runnerReadsSlowly',
   'configurationChange',
+  // A route moves to another service.
+  'routeMoves',
   // Operators evacuate a zone and restore it some seconds later.
   'zoneEvacuated',
   // A replica is killed and loses the writes that were not synced.
@@ -68,6 +72,16 @@
   ...BREAKING_BEHAVIOURS,
 ];
 
+/** What changes while all gateways are away. */
+export const CHANGES_WHILE_AWAY = [
+  'nothing',
+  // The entries of one of two versions go, while its runners serve on for some time.
+  'entries go',
+  // All runners of a service are replaced by runners of the next version.
+  'replaced',
+  'route moves',
+] as const;
+
 /** Statuses of endless answers: a refusal would be wrong, since the runner runs the request. */
 const ENDLESS_STATUSES = [200, 404, 500] as const;
 /** Parts without end; what comes behind a whole answer would make a wrong one of it. */
@@ -122,6 +136,7 @@
     case 'losePower':
       return [replica, ALL_REPLICAS];
     case 'killAll':
+    case 'killGateways':
     case 'loseAllPower':
       return [...all, ALL_REPLICAS];
     case 'loseZone':
@@ -147,6 +162,7 @@
     case 'runnerMisbehaves':
     case 'runnersBreakOff':
     case 'configurationChange':
+    case 'routeMoves':
     case 'zoneEvacuated':
       return [];
   }
--- a/soak/soak-report.ts
+++ b/soak/soak-report.ts
@@ -24,6 +24,8 @@
   readonly hasInvalidEntries?: boolean;
   /** Whether the settings tolerate the loss of a zone. @default false */
   readonly toleratesZoneLoss?: boolean;
+  /** Path of the program with which all machines run. @default the current build */
+  readonly program?: string | undefined;
   /** Rolling upgrade to perform during the run. @default none */
   readonly upgrade?: UpgradePlan | undefined;
 }
