The soak sees gateways whose configuration becomes older, and keeps stale lists behind

Not seen so far: whether what a gateway serves ever becomes older than what a client saw there. A route of a change that was served must stay served in the same life of a process, whatever is overdue; what gateways that started since lack is counted (versionLooks). New fault kind storeListsStale: lists marked as stale stay behind the store's state. A fake gateway that returns to an older configuration is found; the scenario is not found by the check as it was, since no change is overdue.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -31,6 +31,7 @@
       | nothing       | 1       | 2500 | in touch     | configuration |
       | forgetsRoutes | 0       | 2500 | in touch     | configuration |
       | forgetsRoutes | 0       | 500  | in touch     |               |
+      | returnsToOlder | 0       | 500  | in touch     | configuration |
       | forgetsRoutes | 0       | 2500 | out of touch |               |
 
   Scenario Outline: The evacuation check detects a request to a runner of an evacuated zone
--- a/features/support/faulty-gateway.ts
+++ b/features/support/faulty-gateway.ts
@@ -36,6 +36,8 @@
   | 'mixesChains'
   /** Has no route. */
   | 'forgetsRoutes'
+  /** Returns to a configuration without routes soon after its first answer. */
+  | 'returnsToOlder'
   /** Sends runners the name of another tenant. */
   | 'namesAnother'
   /** Forwards the client's key to the runner. */
@@ -68,6 +70,8 @@
 const LIMITED_REQUESTS = 100;
 /** Time between two events of a stream that may be resumed. */
 const EVENT_MILLISECONDS = 5;
+/** Time from its first answer to the return to an older configuration. */
+const RETURN_MILLISECONDS = 250;
 const MAXIMUM_TOKENS = SOAK_EVENTS * SOAK_TOKENS_PER_EVENT;
 
 /** HTTP server that answers like a gateway and runs requests in memory, with the given fault. */
@@ -76,6 +80,7 @@
   private readonly chains = new Map<string, string>();
   private readonly deliveredTokens = new Map<string, number>();
   private limitedCount = 0;
+  private firstAnswerAt: number | undefined;
 
   constructor(
     private readonly fault: GatewayFault,
@@ -101,7 +106,11 @@
 
   private answer(request: IncomingMessage, response: ServerResponse, body: string): void {
     const id = String(request.headers[NAMES.requestId]);
-    if (this.fault === 'forgetsRoutes') {
+    this.firstAnswerAt ??= performance.now();
+    const hasReturned =
+      this.fault === 'returnsToOlder' &&
+      performance.now() - this.firstAnswerAt > RETURN_MILLISECONDS;
+    if (this.fault === 'forgetsRoutes' || hasReturned) {
       response.writeHead(404).end();
       return;
     }
--- a/soak/configuration-check.ts
+++ b/soak/configuration-check.ts
@@ -28,13 +28,33 @@
 export interface ConfigurationCheckOptions {
   readonly gatewayHosts: readonly string[];
   readonly violate: (promise: string, detail: string) => void;
+  /** Returns a number that changes when a gateway's process does; undefined while none runs. */
+  readonly lifeOf?: (host: string) => number | undefined;
+}
+
+/** Counts of the looks for an older configuration than a client had seen. */
+export interface VersionLooks {
+  looks: number;
+  /** Looks at a gateway that had served a newer one in the same life of its process, which is a violation. */
+  olderInLife: number;
+  /** Looks at a gateway that started since, while another one had served a newer one. */
+  olderAfterStart: number;
+}
+
+/** The newest configuration that a client saw at a gateway. */
+interface SeenVersion {
+  readonly change: AcknowledgedChange;
+  readonly life: number | undefined;
 }
 
 /** Polls the routes of all gateways and reports overdue configuration changes. */
 export class ConfigurationCheck {
   /** Completed checks of gateways that had a change due and were not exempt. */
   completedChecks = 0;
+  readonly versionLooks: VersionLooks = { looks: 0, olderInLife: 0, olderAfterStart: 0 };
   private readonly changes: AcknowledgedChange[] = [];
+  /** By host of the gateway. */
+  private readonly seen = new Map<string, SeenVersion>();
   /** Local time until which a gateway is exempt, by host. */
   private readonly exemptUntil = new Map<string, number>();
   private requestCount = 0;
@@ -63,7 +83,12 @@
   /** Checks all gateways at an interval until `isOver` returns true. */
   async run(isOver: () => boolean): Promise<void> {
     while (!isOver()) {
-      await Promise.all(this.options.gatewayHosts.map((host) => this.checkGateway(host)));
+      await Promise.all(
+        this.options.gatewayHosts.flatMap((host) => [
+          this.checkGateway(host),
+          this.checkSeen(host),
+        ]),
+      );
       await new Promise((resolve) => setTimeout(resolve, CHECK_PAUSE_MILLISECONDS));
     }
   }
@@ -94,6 +119,53 @@
     }
   }
 
+  /** Checks that a gateway serves no older configuration than it did, and notes the newest that it serves. */
+  private async checkSeen(host: string): Promise<void> {
+    const { lifeOf = () => 0 } = this.options;
+    const life = lifeOf(host);
+    const newest = this.changes.at(-1);
+    const own = this.seen.get(host);
+    const newestSeen = [...this.seen.values()].reduce<SeenVersion | undefined>(
+      (best, each) => ((best?.change.version ?? 0) < each.change.version ? each : best),
+      undefined,
+    );
+    const expected = own?.life === life ? own : newestSeen;
+    if (expected !== undefined) {
+      const status = await this.requestStatus(host, expected.change.added);
+      this.countLook(host, status, expected, own, life);
+    }
+    if (newest === undefined) {
+      return;
+    }
+    const status = await this.requestStatus(host, newest.added);
+    if (status === OK && life === lifeOf(host)) {
+      this.seen.set(host, { change: newest, life });
+    }
+  }
+
+  private countLook(
+    host: string,
+    status: number,
+    { change }: SeenVersion,
+    own: SeenVersion | undefined,
+    life: number | undefined,
+  ): void {
+    const { lifeOf = () => 0 } = this.options;
+    if (status === 0 || life !== lifeOf(host) || this.isDroppedAfter(change)) {
+      return;
+    }
+    this.versionLooks.looks += 1;
+    if (status !== NOT_FOUND) {
+      return;
+    }
+    if (own?.life === life) {
+      this.versionLooks.olderInLife += 1;
+      this.violate(`gateway ${host} no longer serves route ${change.added}, which it served`);
+    } else {
+      this.versionLooks.olderAfterStart += 1;
+    }
+  }
+
   /** Whether a newer acknowledged change drops the route; a gateway may apply that change before its bound. */
   private isDroppedAfter({ version, added }: AcknowledgedChange): boolean {
     return this.changes.some(
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -129,7 +129,12 @@
     const violate = (promise: string, detail: string): void => {
       this.violations.push(`${promise}: ${detail}`);
     };
-    this.configurationCheck = new ConfigurationCheck({ gatewayHosts, violate });
+    this.configurationCheck = new ConfigurationCheck({
+      gatewayHosts,
+      violate,
+      lifeOf: (host) =>
+        this.world.processes.find(({ machine }) => machine.host === host)?.processId,
+    });
     const isInContact = (host: string): boolean => this.configurationCheck.isInContact(host);
     this.evacuationCheck = new EvacuationCheck({ isInContact, violate });
     this.versionCheck = new StreamVersionCheck({
@@ -217,7 +222,7 @@
     const { seed } = this.options;
     const { counts, faults, pairs, lost, violations } = this;
     const { folder } = this.world;
-    const { completedChecks: configurationLooks } = this.configurationCheck;
+    const { completedChecks: configurationLooks, versionLooks } = this.configurationCheck;
     const { oldKeyRequests, limitedAnswers } = this.tenantCheck;
     const coldArrivals = Math.max(
       ...this.world.runners.map((runner) => runner.maximumColdArrivals),
@@ -228,7 +233,7 @@
       sent: sum(this.world.runners.map(({ unframed }) => unframed.sent)),
       broken: sum(this.world.runners.map(({ unframed }) => unframed.broken)),
     };
-    const looks = { configurationLooks, unframedAnswers, ...counted };
+    const looks = { configurationLooks, versionLooks, unframedAnswers, ...counted };
     const { counts: resumptions } = this.versionCheck;
     const { counts: fatalRequests } = this.fatalCheck;
     const { recoveries } = this.recoveryCheck;
@@ -370,11 +375,10 @@
     switch (fault) {
       case 'killGateway':
       case 'killReplica':
-        return this.kill([machine], pause);
+      case 'killAll':
+        return this.kill(this.machinesOf(targets), pause);
       case 'wipeReplica':
         return this.kill([machine], pause, () => machine.wipe());
-      case 'killAll':
-        return this.kill(this.world.processes, pause);
       case 'killGateways':
         return this.killGateways();
       case 'losePower':
@@ -388,10 +392,9 @@
       case 'loseZone':
         return this.loseZone(this.machinesOf(targets), pause * ZONE_PAUSE_FACTOR);
       case 'pauseZone':
-        return this.pauseMachines(this.machinesOf(targets), pause);
       case 'pauseGateway':
       case 'pauseReplica':
-        return this.pauseMachines([machine], pause);
+        return this.pauseMachines(this.machinesOf(targets), pause);
       case 'stopGateway':
         return this.restart(machine);
       case 'storeRefuses':
@@ -400,6 +403,8 @@
         return this.disturbStore(STORE_MODES[fault], pause);
       case 'storeForgets':
         return this.forgetHistory();
+      case 'storeListsStale':
+        return this.delayStaleLists(pause);
       case 'storePath':
         return this.disturbPath(this.world.storeProxies.get(machine.machine.name)!, pause);
       case 'runnerPath':
@@ -584,6 +589,13 @@
     this.world.store.mode = 'well';
   }
 
+  private async delayStaleLists(pause: number): Promise<void> {
+    const end = this.world.store.freezeStaleLists();
+    this.changeConfiguration();
+    await sleep(pause);
+    end();
+  }
+
   private forgetHistory(): void {
     this.changeConfiguration();
     this.world.store.compact();
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -20,6 +20,8 @@
   'storeSilent',
   'storeLosesAnswers',
   'storeForgets',
+  // Lists marked as stale stay behind the state of the store.
+  'storeListsStale',
   'storePath',
   'runnerPath',
   'runnerCrash',
@@ -150,6 +152,7 @@
     case 'storeSilent':
     case 'storeLosesAnswers':
     case 'storeForgets':
+    case 'storeListsStale':
       return ['store'];
     case 'runnerPath':
     case 'runnerCrash':
--- a/soak/soak-report.ts
+++ b/soak/soak-report.ts
@@ -1,4 +1,5 @@
 /** Options and report of a soak run. */
+import type { VersionLooks } from './configuration-check.js';
 import type { FatalRequestCounts } from './fatal-request-check.js';
 import type { PowerLossCounts } from './power-loss-counts.js';
 import type { SoakCounts } from './soak-client.js';
@@ -39,6 +40,8 @@
   readonly pairs: Readonly<Record<string, number>>;
   /** Completed configuration checks of gateways that were not exempt because of a fault. */
   readonly configurationLooks: number;
+  /** Whether gateways ever served an older configuration than clients had seen. */
+  readonly versionLooks: VersionLooks;
   /** Answers of runners with neither a length nor chunks, and how many of them were broken off. */
   readonly unframedAnswers: { readonly sent: number; readonly broken: number };
   /** Arrivals at runners, from gateways not exempt because of a fault, while a zone was evacuated. */
