--- a/features/soak.feature
+++ b/features/soak.feature
@@ -31,6 +31,7 @@
       | nothing       | 1       | 2500 | in touch     | configuration |
       | forgetsRoutes | 0       | 2500 | in touch     | configuration |
       | forgetsRoutes | 0       | 500  | in touch     |               |
+      | returnsToOlder | 0       | 500  | in touch     | configuration |
       | forgetsRoutes | 0       | 2500 | out of touch |               |
 
   Scenario Outline: The evacuation check detects a request to a runner of an evacuated zone
@@ -79,7 +80,12 @@
       | fault              | guarantee   |
       | nothing            |             |
       | mixesVersions      | one version |
+      | mixesUnnamed       | one version |
+      | mixesServices      | one service |
+      | repeatsEvents      | whole answer |
+      | endsResumedEarly   | whole answer |
       | refusesResumptions | resumption  |
+      | refusesUnnamed     | resumption  |
 
   Scenario: A soak fails if no slow reader ever receives a complete stream
     Then a soak with 30 long streams fails if 0 of them are received completely
