A signal that comes while a process starts doesn't end it

What operators saw: a gateway or a replica that got SIGHUP shortly after its start was gone, with nothing in its log; SIGTERM at that time ended it with a status other than 0.

Cause: the listeners of both signals were added after the modules were loaded, the settings read and, at a replica, the disk read; until then the signal's default action ends the process.

Why the fix works: the first statements of the loader add listeners, so that Node takes the signals from then on and delivers them in a turn of the event loop, which none of the synchronous loading contains. The program adds its own listeners before that turn, and takes one turn before it starts anything: a reload that was asked for happens once settings can be reloaded, and a stop ends the process with status 0, since it serves nothing.

What remains: Node itself resets the signals as it starts and can't be told to take them; before the first statement of the loader, a signal still ends the process.

--- a/scripts/loader.cjs
+++ b/scripts/loader.cjs
@@ -3,6 +3,14 @@
  * first requests wait for the compiler.
  */
 'use strict';
+
+// Without a listener these signals end the process. The program adds its listeners before any signal is delivered: that takes
+// a turn of the event loop.
+if (require.main === module) {
+  process.on('SIGHUP', () => undefined);
+  process.on('SIGTERM', () => undefined);
+}
+
 const { existsSync, readFileSync } = require('node:fs');
 const { join } = require('node:path');
 const { setFlagsFromString } = require('node:v8');
