A chain of turns that leads back to itself no longer takes a replica's memory

A client that uses an id again with itself as the turn before brings one about at a replica that missed the first write. Reading it put 10,000 turns together, 655 MB for a turn of 64 KB, more than the limit of a replica; turns of 16 MB threw a RangeError. A sound chain beyond the size of a frame closed the connection with all calls on it.

Change: a chain that returns to a turn, or that no reply can carry, is 'unsure', as one that can't be followed. That a client brings it about was read in the code and not played.

--- a/features/absurd-messages.feature
+++ b/features/absurd-messages.feature
@@ -25,3 +25,15 @@
     Given a replica at a port, with a disk
     When a record of a name that is longer than its length field is written, and a reservation after it
     Then its disk is read again with 1 unknown record, and with that reservation
+
+  # Guards against a turn of 64 KB that precedes itself: its chain took 655 MB, more than a replica's memory.
+  Scenario Outline: A chain that never begins, or that no reply can carry, is not put together
+    Given a replica at a port, with a disk
+    When it keeps <turns> turns of <KB> KB, each after the next, and the last after the first
+    Then a read of that chain is answered "unsure" within 64 KB
+
+    Examples:
+      | turns | KB    |
+      | 1     | 64    |
+      | 3     | 64    |
+      | 5     | 16000 |
--- a/features/steps/absurd-messages.steps.ts
+++ b/features/steps/absurd-messages.steps.ts
@@ -58,6 +58,7 @@
   process.off('unhandledRejection', this.absurdListener);
   this.absurdServer?.close();
   this.absurdReplica.close();
+  await new Promise<void>((resolve) => this.absurdStorage.close(resolve));
   rmSync(this.absurdFolder, { recursive: true, force: true });
 });
 
@@ -162,6 +163,33 @@
   },
 );
 
+When(
+  'it keeps {int} turns of {int} KB, each after the next, and the last after the first',
+  { timeout: 20_000 },
+  async function (this: World, count: number, kilobytes: number) {
+    const output = Buffer.alloc(kilobytes * 1024, 1);
+    for (let number = 0; number < count; number += 1) {
+      const names = { id: `c${number}`, previous: `c${(number + 1) % count}` };
+      const turn = { ...names, input: Buffer.alloc(0), output, retentionMilliseconds: 60_000 };
+      const request = { type: 'keep' as const, call: 1, epoch: EPOCH, turn };
+      await new Promise((resolve) => this.absurdReplica.handle(request, resolve));
+    }
+  },
+);
+
+Then(
+  'a read of that chain is answered {string} within {int} KB',
+  { timeout: 20_000 },
+  function (this: World, state: string, kilobytes: number) {
+    const request = { type: 'chainUnder' as const, call: 1, epoch: EPOCH, turn: 'c0' };
+    const replies: ReplicaReply[] = [];
+    this.absurdReplica.handle(request, (reply) => replies.push(reply as ReplicaReply));
+    const [reply] = replies;
+    assert.ok(reply?.type === 'chained' && reply.body.length <= kilobytes * 1024);
+    assert.equal(reply.state, state);
+  },
+);
+
 /** Reads the disk as a process that starts does; returns the changes. */
 async function readAgain(world: World, unknown = 0): Promise<WrittenChange[]> {
   world.absurdServer?.close();
--- a/src/turns/replica-state.ts
+++ b/src/turns/replica-state.ts
@@ -1,4 +1,5 @@
 /** The in-memory state of a replica: accounts, turns, and the change log that other replicas pull. */
+import { MAXIMUM_FRAME_BYTES } from '../wire/framing.js';
 import { mergeReservation } from './account.js';
 import type { Account } from './account.js';
 import type { ConversationTurn } from './conversation-turn.js';
@@ -14,6 +15,10 @@
 const MAXIMUM_PULL_ENTRIES = 2_000;
 /** Maximum number of turns that are followed in a chain. */
 const MAXIMUM_CHAIN_TURNS = 10_000;
+/** Size that a reply takes beside the chain, in bytes. */
+const REPLY_HEAD_BYTES = 1024;
+/** Maximum size of a chain, in bytes; a reply that exceeds the size of a frame closes the connection. */
+const MAXIMUM_CHAIN_BYTES = MAXIMUM_FRAME_BYTES - REPLY_HEAD_BYTES;
 
 interface AccountRecord {
   readonly account: Account;
@@ -133,16 +138,27 @@
     return this.turns.get(id)?.turn;
   }
 
-  /** Looks up the chain that ends with a turn; the body holds the inputs and outputs, oldest first. */
+  /**
+   * Looks up the chain that ends with a turn; the body holds the inputs and outputs, oldest first. A chain that leads back to itself,
+   * which a client can bring about by using an id again, or that is too large, can't be told.
+   */
   chainOf(id: string): { readonly state: ChainState; readonly body: Buffer } {
     const parts: Buffer[] = [];
+    const visited = new Set<string>();
+    let bytes = 0;
     let currentId = id;
     for (let depth = 0; currentId !== '' && depth < MAXIMUM_CHAIN_TURNS; depth += 1) {
       const record = this.turns.get(currentId);
       if (record === undefined) {
         return { state: depth === 0 ? 'missing' : 'unsure', body: Buffer.alloc(0) };
       }
-      parts.push(record.turn.output, record.turn.input);
+      const { output, input } = record.turn;
+      bytes += output.length + input.length;
+      if (visited.has(currentId) || bytes > MAXIMUM_CHAIN_BYTES) {
+        return { state: 'unsure', body: Buffer.alloc(0) };
+      }
+      visited.add(currentId);
+      parts.push(output, input);
       currentId = record.turn.previous;
     }
     return { state: 'found', body: Buffer.concat(parts.reverse()) };
