The tables of streams at a replica are bounded in bytes, whatever the ids of their clients

Origins and contents of streams were bounded by their number, but hold ids that clients choose: full tables with ids of 200 bytes took 155 MB and with 1,000 bytes 637 MB, where the heap of a replica is 128 MB and the process ends beyond it.

Change: a generation is also full at 20 MB of origins or 10 MB of contents; the count still decides for ids of 36 bytes.

--- a/features/absurd-messages.feature
+++ b/features/absurd-messages.feature
@@ -37,3 +37,9 @@
       | 1     | 64    |
       | 3     | 64    |
       | 5     | 16000 |
+
+  # Guards against tables that are bounded by count only: 600,000 ids of 1,000 bytes took five times the heap of a replica.
+  Scenario: Long ids of streams take no more memory than short ones
+    Given a replica at a port, with a disk
+    When it gets the origins and contents of 50000 streams with ids of 2000 bytes
+    Then it knows the origins of the last 5000 streams, and of at most 22000
--- a/features/steps/absurd-messages.steps.ts
+++ b/features/steps/absurd-messages.steps.ts
@@ -15,6 +15,7 @@
 import { Replica } from '../../src/turns/replica.js';
 import { ReplicaServer } from '../../src/turns/replica-server.js';
 import { SegmentTurnStorage } from '../../src/turns/segment-turn-storage.js';
+import type { StreamContent } from '../../src/turns/stream-origins.js';
 import type { WrittenChange } from '../../src/turns/turn-storage.js';
 import { encodeFrame, FrameReader } from '../../src/wire/framing.js';
 import { absurdMessage, mutatedMessage } from '../support/absurd-messages.js';
@@ -30,6 +31,7 @@
   absurdReplica: Replica;
   absurdServer?: ReplicaServer;
   absurdPort: number;
+  absurdStreams: { readonly count: number; readonly length: number };
   absurdLog: LogFields[];
   absurdEscaped: unknown[];
   absurdListener: (cause: unknown) => void;
@@ -190,6 +192,40 @@
   },
 );
 
+function streamName(number: number, length: number): string {
+  return String(number).padEnd(length, '.');
+}
+
+When(
+  'it gets the origins and contents of {int} streams with ids of {int} bytes',
+  function (this: World, count: number, length: number) {
+    for (let number = 0; number < count; number += 1) {
+      const stream = streamName(number, length);
+      const origins = [{ stream, service: 's', version: 'v' }];
+      const contents = [{ stream, content: number as StreamContent }];
+      const ignore = (): void => undefined;
+      this.absurdReplica.handle({ type: 'recordOrigins', call: 1, entries: origins }, ignore);
+      this.absurdReplica.handle({ type: 'recordContents', call: 1, entries: contents }, ignore);
+    }
+    this.absurdStreams = { count, length };
+  },
+);
+
+Then(
+  'it knows the origins of the last {int} streams, and of at most {int}',
+  function (this: World, last: number, most: number) {
+    const { count, length } = this.absurdStreams;
+    const { streamOrigins, streamContents } = this.absurdReplica;
+    const contents = Array.from({ length: count }, (_, number) => number as StreamContent);
+    assert.ok(streamOrigins.size <= most);
+    assert.ok(contents.filter((content) => streamContents.find(content)).length <= most);
+    for (let number = count - last; number < count; number += 1) {
+      assert.ok(streamOrigins.find(streamName(number, length)) !== undefined);
+      assert.ok(streamContents.find(number as StreamContent) !== undefined);
+    }
+  },
+);
+
 /** Reads the disk as a process that starts does; returns the changes. */
 async function readAgain(world: World, unknown = 0): Promise<WrittenChange[]> {
   world.absurdServer?.close();
--- a/src/turns/generations.ts
+++ b/src/turns/generations.ts
@@ -5,12 +5,16 @@
 import type { Runtime } from '../runtime/runtime.js';
 
 /** Dependencies and bounds of {@link Generations}. */
-export interface GenerationsOptions {
+export interface GenerationsOptions<Key, Value> {
   readonly runtime: Pick<Runtime, 'now'>;
   /** Time for which entries last at least, in milliseconds. */
   readonly retentionMilliseconds: number;
   /** Entries in a generation; two generations are kept. */
   readonly maximumEntries: number;
+  /** Memory of the entries in a generation, in bytes. @default not bounded */
+  readonly maximumBytes?: number;
+  /** Memory of an entry, in bytes. @default 0 */
+  readonly bytesOf?: (key: Key, value: Value) => number;
 }
 
 /** Keeps values by key in two generations. */
@@ -19,10 +23,11 @@
   onStarted: () => void = () => undefined;
   private current = new Map<Key, Value>();
   private previous = new Map<Key, Value>();
+  private currentBytes = 0;
   /** Local time at which the current generation started, in milliseconds. */
   private startedAt: number;
 
-  constructor(private readonly options: GenerationsOptions) {
+  constructor(private readonly options: GenerationsOptions<Key, Value>) {
     this.startedAt = options.runtime.now();
   }
 
@@ -34,9 +39,13 @@
   /** Sets a value; a full generation starts the next one early. */
   set(key: Key, value: Value): void {
     this.dropExpired();
-    if (this.current.size >= this.options.maximumEntries) {
+    const { maximumEntries, maximumBytes = Infinity, bytesOf } = this.options;
+    if (this.current.size >= maximumEntries || this.currentBytes >= maximumBytes) {
       this.start();
     }
+    if (bytesOf !== undefined && !this.current.has(key)) {
+      this.currentBytes += bytesOf(key, value);
+    }
     this.current.set(key, value);
   }
 
@@ -72,6 +81,7 @@
   private start(): void {
     this.previous = this.current;
     this.current = new Map();
+    this.currentBytes = 0;
     this.startedAt = this.options.runtime.now();
     this.onStarted();
   }
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -48,6 +48,10 @@
 const MAXIMUM_STREAM_ORIGINS = 200_000;
 /** Contents of streams in a generation. */
 const MAXIMUM_STREAM_CONTENTS = 100_000;
+/** Memory of the origins of streams in a generation, in bytes. */
+const MAXIMUM_ORIGIN_BYTES = 20 * 1024 * 1024;
+/** Memory of the contents of streams in a generation, in bytes. */
+const MAXIMUM_CONTENT_BYTES = 10 * 1024 * 1024;
 /** Size of a fetch reply beyond which no further turn is added, in bytes; at least one turn is sent. */
 const MAXIMUM_FETCH_BYTES = 1024 * 1024;
 
@@ -159,8 +163,16 @@
       options.quotaWindowMilliseconds,
     );
     this.quotaShares = new QuotaShares(id, runtime.now());
-    this.streamOrigins = new StreamOrigins({ runtime, maximumEntries: MAXIMUM_STREAM_ORIGINS });
-    this.streamContents = new StreamContents({ runtime, maximumEntries: MAXIMUM_STREAM_CONTENTS });
+    this.streamOrigins = new StreamOrigins({
+      runtime,
+      maximumEntries: MAXIMUM_STREAM_ORIGINS,
+      maximumBytes: MAXIMUM_ORIGIN_BYTES,
+    });
+    this.streamContents = new StreamContents({
+      runtime,
+      maximumEntries: MAXIMUM_STREAM_CONTENTS,
+      maximumBytes: MAXIMUM_CONTENT_BYTES,
+    });
     this.versionReports = new VersionReports(runtime);
     this.suspects = new StoredSuspects({ runtime, storage: options.suspectStorage });
     this.logName = `${id} ${runtime.wallTime()} ${runtime.random.uniform()}`;
--- a/src/turns/stream-origins.ts
+++ b/src/turns/stream-origins.ts
@@ -33,6 +33,9 @@
 /** Longest supported time from the first event of a stream to its resumption, in milliseconds. */
 export const ORIGIN_RETENTION_MILLISECONDS = 60_000;
 
+/** Memory of an entry beside the id of its stream, which a client may choose, in bytes. */
+const ENTRY_BYTES = 64;
+
 /** In place of the stream of a content that several streams have. */
 const SHARED = '';
 
@@ -41,6 +44,8 @@
   readonly runtime: Pick<Runtime, 'now'>;
   /** Entries in a generation; two generations are kept. */
   readonly maximumEntries: number;
+  /** Memory of the entries in a generation, in bytes. @default not bounded */
+  readonly maximumBytes?: number;
 }
 
 /** Keeps the origin of each stream for the retention time. */
@@ -51,7 +56,8 @@
 
   constructor(options: StreamOriginsOptions) {
     const retentionMilliseconds = ORIGIN_RETENTION_MILLISECONDS;
-    this.generations = new Generations({ ...options, retentionMilliseconds });
+    const bytesOf = (stream: string): number => ENTRY_BYTES + stream.length;
+    this.generations = new Generations({ ...options, retentionMilliseconds, bytesOf });
     this.generations.onStarted = () => this.origins.clear();
   }
 
@@ -92,7 +98,9 @@
 
   constructor(options: StreamOriginsOptions) {
     const retentionMilliseconds = ORIGIN_RETENTION_MILLISECONDS;
-    this.generations = new Generations({ ...options, retentionMilliseconds });
+    const bytesOf = (_content: StreamContent, stream: string): number =>
+      ENTRY_BYTES + stream.length;
+    this.generations = new Generations({ ...options, retentionMilliseconds, bytesOf });
   }
 
   /** Records the stream of a content. */
