Time spans that are none are refused where messages are decoded

A retention of NaN or Infinity kept a turn in a replica's memory for good, and spread to the turns before it; a version with a negative or NaN age stayed listed at members until they restarted, so that a service counted as mixed.

Change: retentions, ages and the time for which versions are known are decoded as finite numbers that aren't negative; a message with another closes its connection. A record on disk with such a retention counts as one that can't be decoded.

--- a/features/absurd-messages.feature
+++ b/features/absurd-messages.feature
@@ -43,3 +43,15 @@
     Given a replica at a port, with a disk
     When it gets the origins and contents of 50000 streams with ids of 2000 bytes
     Then it knows the origins of the last 5000 streams, and of at most 22000
+
+  # Guards against turns that are never dropped, and versions that stay listed until all members restart.
+  Scenario Outline: A time span that is none is refused
+    Given a replica at a port, with a disk
+    When it gets a turn whose retention, and a version whose age, is <milliseconds> ms
+    Then 2 messages were refused, and it holds neither
+
+    Examples:
+      | milliseconds |
+      | NaN          |
+      | Infinity     |
+      | -1           |
--- a/features/steps/absurd-messages.steps.ts
+++ b/features/steps/absurd-messages.steps.ts
@@ -127,7 +127,7 @@
     .filter(({ event }) => event === 'replica.unreadable')
     .map(({ reason }) => String(reason));
   const known =
-    /message has|union tag|section|bounds of the DataView|fingerprint|not UTF-8|value of|Offset/;
+    /message has|union tag|section|bounds of the DataView|fingerprint|not UTF-8|not a duration|value of|Offset/;
   assert.deepEqual(
     causes.filter((reason) => !known.test(reason)),
     [],
@@ -226,6 +226,37 @@
   },
 );
 
+When(
+  'it gets a turn whose retention, and a version whose age, is {word} ms',
+  async function (this: World, text: string) {
+    const empty = Buffer.alloc(0);
+    const retentionMilliseconds = Number(text);
+    const turn = { id: 'r', previous: '', input: empty, output: empty, retentionMilliseconds };
+    const versions = [{ service: 's', version: 'v', ageMilliseconds: Number(text) }];
+    const report = { type: 'exchangeVersions' as const, call: 1, knownMilliseconds: 0, versions };
+    await sendAll(
+      this,
+      [{ type: 'keep' as const, call: 1, epoch: EPOCH, turn }, report].map((request) =>
+        Buffer.from(encodeReplicaMessage(request)),
+      ),
+    );
+  },
+);
+
+Then(
+  '{int} messages were refused, and it holds neither',
+  async function (this: World, count: number) {
+    const refused = this.absurdLog.filter(({ event }) => event === 'replica.unreadable');
+    assert.equal(refused.length, count);
+    assert.ok(!this.absurdReplica.state.hasTurn('r'));
+    const socket = connect(this.absurdPort, HOST);
+    const request = { type: 'exchangeVersions' as const, call: 2, knownMilliseconds: 0 };
+    const reply = await call(socket, { ...request, versions: [] });
+    socket.destroy();
+    assert.deepEqual(reply.type === 'versionsExchanged' && reply.versions, []);
+  },
+);
+
 /** Reads the disk as a process that starts does; returns the changes. */
 async function readAgain(world: World, unknown = 0): Promise<WrittenChange[]> {
   world.absurdServer?.close();
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -7,6 +7,7 @@
   listOf,
   longText,
   oneOf,
+  duration,
   float64,
   record,
   shortText,
@@ -244,7 +245,7 @@
   previous: shortText,
   input: bytes,
   output: bytes,
-  retentionMilliseconds: float64,
+  retentionMilliseconds: duration,
 });
 const outcome = oneOf(REPLICA_OUTCOMES);
 const tenantQuotaField = record({
@@ -276,11 +277,11 @@
 const listedVersionField = record({
   service: shortText,
   version: shortText,
-  ageMilliseconds: float64,
+  ageMilliseconds: duration,
 });
 const versionReportFields = {
   call: uint32,
-  knownMilliseconds: float64,
+  knownMilliseconds: duration,
   versions: listOf(listedVersionField),
 };
 
--- a/src/wire/fields.ts
+++ b/src/wire/fields.ts
@@ -188,6 +188,18 @@
 /** A value that can't be encoded, or bytes that can't be decoded. */
 export class WireError extends Error {}
 
+/** A time span in milliseconds: a 64-bit floating-point number that is finite and not negative. */
+export const duration: r.Field = {
+  ...float64,
+  decode: (stream) => {
+    const milliseconds = stream.readDoubleBE();
+    if (!Number.isFinite(milliseconds) || milliseconds < 0) {
+      throw new WireError('not a duration');
+    }
+    return milliseconds;
+  },
+};
+
 /** A union tag of a newer build; the bytes after it can't be decoded by this build. */
 export class UnknownKindError extends WireError {
   constructor(readonly kind: number) {
