--- a/features/absurd-messages.feature
+++ b/features/absurd-messages.feature
@@ -25,3 +25,33 @@
     Given a replica at a port, with a disk
     When a record of a name that is longer than its length field is written, and a reservation after it
     Then its disk is read again with 1 unknown record, and with that reservation
+
+  # Guards against a turn of 64 KB that precedes itself: its chain took 655 MB, more than a replica's memory.
+  Scenario Outline: A chain that never begins, or that no reply can carry, is not put together
+    Given a replica at a port, with a disk
+    When it keeps <turns> turns of <KB> KB, each after the next, and the last after the first
+    Then a read of that chain is answered "unsure" within 64 KB
+
+    Examples:
+      | turns | KB    |
+      | 1     | 64    |
+      | 3     | 64    |
+      | 5     | 16000 |
+
+  # Guards against tables that are bounded by count only: 600,000 ids of 1,000 bytes took five times the heap of a replica.
+  Scenario: Long ids of streams take no more memory than short ones
+    Given a replica at a port, with a disk
+    When it gets the origins and contents of 50000 streams with ids of 2000 bytes
+    Then it knows the origins of the last 5000 streams, and of at most 22000
+
+  # Guards against turns that are never dropped, and versions that stay listed until all members restart.
+  Scenario Outline: A time span that is none is refused
+    Given a replica at a port, with a disk
+    When it gets a turn whose retention, and a version whose age, is <milliseconds> ms
+    Then 2 messages were refused, and it holds neither
+
+    Examples:
+      | milliseconds |
+      | NaN          |
+      | Infinity     |
+      | -1           |
--- a/features/steps/absurd-messages.steps.ts
+++ b/features/steps/absurd-messages.steps.ts
@@ -15,6 +15,7 @@
 import { Replica } from '../../src/turns/replica.js';
 import { ReplicaServer } from '../../src/turns/replica-server.js';
 import { SegmentTurnStorage } from '../../src/turns/segment-turn-storage.js';
+import type { StreamContent } from '../../src/turns/stream-origins.js';
 import type { WrittenChange } from '../../src/turns/turn-storage.js';
 import { encodeFrame, FrameReader } from '../../src/wire/framing.js';
 import { absurdMessage, mutatedMessage } from '../support/absurd-messages.js';
@@ -30,6 +31,7 @@
   absurdReplica: Replica;
   absurdServer?: ReplicaServer;
   absurdPort: number;
+  absurdStreams: { readonly count: number; readonly length: number };
   absurdLog: LogFields[];
   absurdEscaped: unknown[];
   absurdListener: (cause: unknown) => void;
@@ -58,6 +60,7 @@
   process.off('unhandledRejection', this.absurdListener);
   this.absurdServer?.close();
   this.absurdReplica.close();
+  await new Promise<void>((resolve) => this.absurdStorage.close(resolve));
   rmSync(this.absurdFolder, { recursive: true, force: true });
 });
 
@@ -124,7 +127,7 @@
     .filter(({ event }) => event === 'replica.unreadable')
     .map(({ reason }) => String(reason));
   const known =
-    /message has|union tag|section|bounds of the DataView|fingerprint|not UTF-8|value of|Offset/;
+    /message has|union tag|section|bounds of the DataView|fingerprint|not UTF-8|not a duration|value of|Offset/;
   assert.deepEqual(
     causes.filter((reason) => !known.test(reason)),
     [],
@@ -162,6 +165,98 @@
   },
 );
 
+When(
+  'it keeps {int} turns of {int} KB, each after the next, and the last after the first',
+  { timeout: 20_000 },
+  async function (this: World, count: number, kilobytes: number) {
+    const output = Buffer.alloc(kilobytes * 1024, 1);
+    for (let number = 0; number < count; number += 1) {
+      const names = { id: `c${number}`, previous: `c${(number + 1) % count}` };
+      const turn = { ...names, input: Buffer.alloc(0), output, retentionMilliseconds: 60_000 };
+      const request = { type: 'keep' as const, call: 1, epoch: EPOCH, turn };
+      await new Promise((resolve) => this.absurdReplica.handle(request, resolve));
+    }
+  },
+);
+
+Then(
+  'a read of that chain is answered {string} within {int} KB',
+  { timeout: 20_000 },
+  function (this: World, state: string, kilobytes: number) {
+    const request = { type: 'chainUnder' as const, call: 1, epoch: EPOCH, turn: 'c0' };
+    const replies: ReplicaReply[] = [];
+    this.absurdReplica.handle(request, (reply) => replies.push(reply as ReplicaReply));
+    const [reply] = replies;
+    assert.ok(reply?.type === 'chained' && reply.body.length <= kilobytes * 1024);
+    assert.equal(reply.state, state);
+  },
+);
+
+function streamName(number: number, length: number): string {
+  return String(number).padEnd(length, '.');
+}
+
+When(
+  'it gets the origins and contents of {int} streams with ids of {int} bytes',
+  function (this: World, count: number, length: number) {
+    for (let number = 0; number < count; number += 1) {
+      const stream = streamName(number, length);
+      const origins = [{ stream, service: 's', version: 'v' }];
+      const contents = [{ stream, content: number as StreamContent }];
+      const ignore = (): void => undefined;
+      this.absurdReplica.handle({ type: 'recordOrigins', call: 1, entries: origins }, ignore);
+      this.absurdReplica.handle({ type: 'recordContents', call: 1, entries: contents }, ignore);
+    }
+    this.absurdStreams = { count, length };
+  },
+);
+
+Then(
+  'it knows the origins of the last {int} streams, and of at most {int}',
+  function (this: World, last: number, most: number) {
+    const { count, length } = this.absurdStreams;
+    const { streamOrigins, streamContents } = this.absurdReplica;
+    const contents = Array.from({ length: count }, (_, number) => number as StreamContent);
+    assert.ok(streamOrigins.size <= most);
+    assert.ok(contents.filter((content) => streamContents.find(content)).length <= most);
+    for (let number = count - last; number < count; number += 1) {
+      assert.ok(streamOrigins.find(streamName(number, length)) !== undefined);
+      assert.ok(streamContents.find(number as StreamContent) !== undefined);
+    }
+  },
+);
+
+When(
+  'it gets a turn whose retention, and a version whose age, is {word} ms',
+  async function (this: World, text: string) {
+    const empty = Buffer.alloc(0);
+    const retentionMilliseconds = Number(text);
+    const turn = { id: 'r', previous: '', input: empty, output: empty, retentionMilliseconds };
+    const versions = [{ service: 's', version: 'v', ageMilliseconds: Number(text) }];
+    const report = { type: 'exchangeVersions' as const, call: 1, knownMilliseconds: 0, versions };
+    await sendAll(
+      this,
+      [{ type: 'keep' as const, call: 1, epoch: EPOCH, turn }, report].map((request) =>
+        Buffer.from(encodeReplicaMessage(request)),
+      ),
+    );
+  },
+);
+
+Then(
+  '{int} messages were refused, and it holds neither',
+  async function (this: World, count: number) {
+    const refused = this.absurdLog.filter(({ event }) => event === 'replica.unreadable');
+    assert.equal(refused.length, count);
+    assert.ok(!this.absurdReplica.state.hasTurn('r'));
+    const socket = connect(this.absurdPort, HOST);
+    const request = { type: 'exchangeVersions' as const, call: 2, knownMilliseconds: 0 };
+    const reply = await call(socket, { ...request, versions: [] });
+    socket.destroy();
+    assert.deepEqual(reply.type === 'versionsExchanged' && reply.versions, []);
+  },
+);
+
 /** Reads the disk as a process that starts does; returns the changes. */
 async function readAgain(world: World, unknown = 0): Promise<WrittenChange[]> {
   world.absurdServer?.close();
