A process waits for an address that another one holds

What operators saw: a process that was started while another one still held one of its addresses, or before the machine had the address, ended with 1. A gateway whose UDP port was held lived, but bound itself to a port of the system's choice with its first datagram, so peers never reached it; a port for clients that doesn't exist left a gateway that never served.

Cause: each listener was opened once, at six places, and an error ended the process or was ignored.

Why the fix works: all listeners of both roles are opened by src/runtime/listeners.ts. It tries again while the error is EADDRINUSE or EADDRNOTAVAIL, with pauses from 50 ms to 1 s, and logs attempts 1, 2, 4, 8 and so on. A gateway isn't ready until all are open; a replica begins to take part in the membership once it listens for calls; datagrams that are sent before their port is bound are lost.

Tests: features/starts.feature, both roles, each listener, on the bundled program.

--- a/features/starts.feature
+++ b/features/starts.feature
@@ -25,3 +25,52 @@
       | gateway | settings |
       | replica | code     |
       | replica | settings |
+
+  # Guards against a process that ends since another one, as its own predecessor, still holds an address.
+  Scenario Outline: A <role> whose address for <purpose> is held starts, and serves once the address is free
+    Given a <role> whose address for <purpose> is held
+    When it has tried 2 times to listen for <purpose>
+    Then it isn't ready
+    When the address is free
+    Then it listens for <purpose>, and is ready if it is a gateway
+
+    Examples:
+      | role    | purpose   |
+      | gateway | clients   |
+      | gateway | readiness |
+      | gateway | exchange  |
+      | gateway | metrics   |
+      | gateway | gossip    |
+      | gateway | proofs    |
+      | replica | calls     |
+      | replica | metrics   |
+
+  # Guards against a process that can't be stopped in order while it waits for an address.
+  Scenario Outline: A <role> that waits for its address for <purpose> can be stopped
+    Given a <role> whose address for <purpose> is held
+    When it has tried 2 times to listen for <purpose>
+    And it gets SIGTERM
+    Then it ends with status 0
+
+    Examples:
+      | role    | purpose |
+      | gateway | clients |
+      | gateway | metrics |
+      | replica | calls   |
+      | replica | metrics |
+
+  # Guards against a process that lives without an address that it can never get.
+  Scenario Outline: A gateway whose port for <purpose> doesn't exist ends with an error that names it
+    Given a gateway whose port for <purpose> doesn't exist
+    Then it ends with status 1, and an error that names the address for <purpose>
+
+    Examples:
+      | purpose   |
+      | clients   |
+      | readiness |
+      | exchange  |
+      | metrics   |
+
+  Scenario: Attempts to listen come less and less often, and few of them are logged
+    Given an address that is in use for 1000 attempts
+    Then the pauses double from 50 ms to 1000 ms, 10 attempts are logged, and the server listens
--- a/features/steps/peers.steps.ts
+++ b/features/steps/peers.steps.ts
@@ -28,6 +28,7 @@
 import { ENCOUNTER_STATES } from '../../src/suspects/suspect-record.js';
 import { promptKeyOf } from '../../src/relay/request/relay-request.js';
 import { hashToNumber } from '../../src/runtime/hashing.js';
+import { Listeners } from '../../src/runtime/listeners.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
 import { MAXIMUM_SECTION_BYTES } from '../../src/wire/sections.js';
 
@@ -60,9 +61,9 @@
     host: HOSTS[place]!,
     zone: `z${place}`,
     datagrams: openUdpPort(
-      HOSTS[place]!,
-      world.port!,
+      { purpose: 'gossip', host: HOSTS[place]!, port: world.port! },
       new ExceptionLog(createRealRuntime({ logLevel: 'error' })),
+      new Listeners(createRealRuntime({ logLevel: 'error' })),
     ),
     seeds: () => seeds,
     ownLoads: () => loads,
--- a/features/steps/starts.steps.ts
+++ b/features/steps/starts.steps.ts
@@ -1,17 +1,48 @@
 /** Steps about what processes meet while they start. */
 import assert from 'node:assert/strict';
+import { EventEmitter } from 'node:events';
+import type { Server } from 'node:net';
 import { After, AfterAll, Given, Then, When } from '@cucumber/cucumber';
 import type { PlatformRole } from '../../soak/platform-process.js';
-import { StartingProcess, removeBundle } from '../support/starting-process.js';
+import { Listeners } from '../../src/runtime/listeners.js';
+import {
+  LISTENERS,
+  StartingProcess,
+  hold,
+  removeBundle,
+  until,
+} from '../support/starting-process.js';
 
 interface World {
   subject: StartingProcess | undefined;
   /** Lets the process read what it waits for. */
   unblock: () => Promise<void>;
+  /** Frees the address that is held. */
+  free: (() => Promise<void>) | undefined;
+  /** Pauses between attempts to listen, in milliseconds. */
+  pauses: number[];
+  /** Attempts that were logged. */
+  logged: unknown[];
+  isListening: boolean;
+}
+
+/** Settings of a gateway with a port that doesn't exist. */
+function withBadPort(host: string, purpose: string): Record<string, unknown> {
+  const bad = 70_000;
+  const port = (name: string): number => (name === purpose ? bad : LISTENERS[name]!.port);
+  return {
+    Listen: {
+      Front: `${host}:${port('clients')}`,
+      Ready: `${host}:${port('readiness')}`,
+      Control: `${host}:${port('exchange')}`,
+    },
+    InternalPorts: [port('calls'), port('metrics')],
+  };
 }
 
 After(async function (this: World) {
   await this.subject?.close();
+  await this.free?.();
 });
 
 AfterAll(() => removeBundle());
@@ -45,3 +76,114 @@
     assert.equal(this.subject!.countOf('process.started'), 0);
   },
 );
+
+Given(
+  /^a (gateway|replica) whose address for (\w+) is held$/,
+  async function (this: World, role: PlatformRole, purpose: string) {
+    this.subject = new StartingProcess(role);
+    this.free = await hold(this.subject.host, LISTENERS[purpose]!);
+    assert.ok(this.free, 'the address is in use by another process');
+    await this.subject.startStore();
+    this.subject.start();
+  },
+);
+
+When(
+  'it has tried {int} times to listen for {word}',
+  async function (this: World, attempts: number, purpose: string) {
+    await this.subject!.untilLogged('listener.waiting', attempts);
+    assert.match(this.subject!.output, new RegExp(`"purpose":"${purpose}"`));
+    assert.match(this.subject!.output, /"reason":"EADDRINUSE"/);
+  },
+);
+
+When('it gets SIGTERM', function (this: World) {
+  this.subject!.signal('SIGTERM');
+});
+
+Then("it isn't ready", async function (this: World) {
+  assert.notEqual(await this.subject!.readiness(), 200);
+});
+
+When('the address is free', async function (this: World) {
+  await this.free!();
+  this.free = undefined;
+});
+
+Then(
+  /^it listens for (\w+), and is ready if it is a gateway$/,
+  async function (this: World, purpose: string) {
+    const { subject } = this;
+    await subject!.untilLogged('listener.opened');
+    assert.equal(await hold(subject!.host, LISTENERS[purpose]!), undefined);
+    if (subject!.role === 'gateway') {
+      await until(async () => (await subject!.readiness()) === 200);
+    }
+    assert.equal(subject!.end, undefined);
+  },
+);
+
+Then('it ends with status {int}', async function (this: World, status: number) {
+  assert.deepEqual(await this.subject!.untilEnded(), { code: status, signal: null });
+});
+
+Given(
+  "a gateway whose port for {word} doesn't exist",
+  async function (this: World, purpose: string) {
+    this.subject = new StartingProcess('gateway');
+    const { host } = this.subject;
+    this.subject.writeSettings(this.subject.settings(withBadPort(host, purpose)));
+    await this.subject.startStore();
+    this.subject.start();
+  },
+);
+
+Then(
+  'it ends with status {int}, and an error that names the address for {word}',
+  async function (this: World, status: number, purpose: string) {
+    assert.deepEqual(await this.subject!.untilEnded(), { code: status, signal: null });
+    assert.match(this.subject!.output, new RegExp(`${purpose} on ${this.subject!.host}:70000`));
+  },
+);
+
+Given('an address that is in use for {int} attempts', function (this: World, failures: number) {
+  this.pauses = [];
+  this.logged = [];
+  let timer: (() => void) | undefined;
+  const listeners = new Listeners({
+    setTimer: (pause, callback) => {
+      this.pauses.push(pause);
+      timer = callback;
+      return () => undefined;
+    },
+    log: (_level, _message, fields) => {
+      this.logged.push(fields?.['event']);
+    },
+  });
+  const inUse = Object.assign(new Error('in use'), { code: 'EADDRINUSE' });
+  const server = Object.assign(new EventEmitter(), {
+    listen: () =>
+      this.pauses.length < failures ? server.emit('error', inUse) : server.emit('listening'),
+  });
+  const address = { purpose: 'calls', host: '127.0.0.1', port: 1 };
+  listeners.listen(server as unknown as Server, address, () => {
+    this.isListening = true;
+  });
+  while (timer !== undefined) {
+    assert.equal(listeners.areOpen, false);
+    const callback: () => void = timer;
+    timer = undefined;
+    callback();
+  }
+  assert.equal(listeners.areOpen, true);
+});
+
+Then(
+  'the pauses double from {int} ms to {int} ms, {int} attempts are logged, and the server listens',
+  function (this: World, first: number, last: number, logged: number) {
+    assert.deepEqual(this.pauses.slice(0, 6), [first, first * 2, 200, 400, 800, last]);
+    assert.equal(Math.max(...this.pauses), last);
+    assert.equal(this.logged.filter((event) => event === 'listener.waiting').length, logged);
+    assert.ok(this.isListening);
+  },
+);
--- a/features/support/starting-process.ts
+++ b/features/support/starting-process.ts
@@ -83,7 +83,7 @@
       socket.bind(port, host, () => settle(() => new Promise((done) => socket.close(done))));
       return;
     }
-    const server = createServer();
+    const server = createServer((socket) => socket.destroy());
     server.once('error', () => settle(undefined));
     server.listen(port, host, () =>
       settle(() => new Promise((done) => server.close(() => done()))),
@@ -131,13 +131,18 @@
       InternalPorts: [peer, metrics],
       Seeds: [address(control)],
       DataDir: role === 'replica' ? this.dataFolder : null,
-      Bounds: { GraceS: 8, ConfigApplyMs: 2_000 },
+      Bounds: { GraceS: 8, ConfigApplyMs: 2_000, StrictRevoke: true, RevokeMs: 4_000 },
       FaultTolerance: { Machines: 1 },
       Platform: { Address: address(STORE_PORT) },
       ...changes,
     });
   }
 
+  /** Replaces the settings file. */
+  writeSettings(text: string): void {
+    writeFileSync(this.settingsFile, text);
+  }
+
   /** Starts the store, with a configuration. */
   async startStore(): Promise<void> {
     await this.store.listen(this.host, STORE_PORT);
--- a/soak/cost/hollow-gateways.ts
+++ b/soak/cost/hollow-gateways.ts
@@ -5,6 +5,7 @@
 import type { Runtime } from '../../src/runtime/runtime.js';
 import { setRepeatingTimer } from '../../src/runtime/runtime.js';
 import { openUdpPort } from '../../src/peers/datagram-port.js';
+import { Listeners } from '../../src/runtime/listeners.js';
 import { ExceptionLog } from '../../src/telemetry/exception-log.js';
 import { LoadGossip } from '../../src/peers/load-gossip.js';
 import { ProofExchange } from '../../src/peers/proof-exchange.js';
@@ -40,11 +41,17 @@
   const endProofs = setRepeatingTimer(runtime, PROOF_MILLISECONDS, () =>
     proof.noteRead(configurationRevision, runtime.now()),
   );
+  const exceptions = new ExceptionLog(runtime);
+  const listeners = new Listeners(runtime);
   const exchanges = addresses.map(
     ({ host }) =>
       new ProofExchange({
         runtime,
-        datagrams: openUdpPort(host, ports.proof, new ExceptionLog(runtime)),
+        datagrams: openUdpPort(
+          { purpose: 'proofs', host, port: ports.proof },
+          exceptions,
+          listeners,
+        ),
         proof,
         hostsToAsk: () => [],
         isNeeded: () => false,
@@ -65,13 +72,19 @@
     const life = hashToNumber(host);
     return { life, number: proofs, revision: revision(), ageMilliseconds: 0 };
   };
+  const exceptions = new ExceptionLog(runtime);
+  const listeners = new Listeners(runtime);
   const gossips = addresses.map(
     ({ host, zone }, index) =>
       new LoadGossip({
         runtime,
         host,
         zone,
-        datagrams: openUdpPort(host, ports.peer, new ExceptionLog(runtime)),
+        datagrams: openUdpPort(
+          { purpose: 'gossip', host, port: ports.peer },
+          exceptions,
+          listeners,
+        ),
         seeds: () => seeds,
         onPeerStoreState: () => undefined,
         onPlaces: () => undefined,
--- a/src/peers/datagram-port.ts
+++ b/src/peers/datagram-port.ts
@@ -1,6 +1,7 @@
 /** Datagrams between gateways. They may be lost, duplicated or reordered. */
 import { createSocket } from 'node:dgram';
 import type { SocketOptions } from 'node:dgram';
+import type { ListenerAddress, Listeners } from '../runtime/listeners.js';
 import type { ExceptionLog } from '../telemetry/exception-log.js';
 
 /** Receives a datagram and the address of the host that sent it. */
@@ -22,20 +23,33 @@
 const resolveIpAddress: SocketOptions['lookup'] = (host, _options, done) => done(null, host, IPV4);
 
 /**
- * Opens a UDP socket; all gateways listen on the same port.
+ * Opens a UDP socket; all gateways listen on the same port. Until the address is available, what is sent is lost.
  * @param exceptions records the exceptions of listeners: one datagram must not end the process
  */
-export function openUdpPort(host: string, port: number, exceptions: ExceptionLog): DatagramPort {
+export function openUdpPort(
+  address: ListenerAddress,
+  exceptions: ExceptionLog,
+  listeners: Listeners,
+): DatagramPort {
+  const { port } = address;
+  let isBound = false;
   const socket = createSocket({ type: 'udp4', lookup: resolveIpAddress });
   // A send error counts as a lost datagram.
   socket.on('error', () => undefined);
-  socket.bind(port, host);
+  listeners.bind(socket, address, () => {
+    isBound = true;
+  });
   return {
     onDatagram: (listener) =>
       socket.on('message', (bytes, { address }) =>
         exceptions.contain('datagram', () => listener(bytes, address), { from: address }),
       ),
-    send: (bytes, target) => socket.send(bytes, port, target),
+    send: (bytes, target) => {
+      // Node would bind the socket to a port of its own choice.
+      if (isBound) {
+        socket.send(bytes, port, target);
+      }
+    },
     close: () => socket.close(),
   };
 }
--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -13,6 +13,7 @@
 import { readWholeBody } from '../http-client/read-body.js';
 import { ResetAwareAgent } from '../http-client/reset-aware-agent.js';
 import type { KeySpaceChanges } from '../mirror/key-space-copy.js';
+import { Listeners } from '../runtime/listeners.js';
 import type { Runtime } from '../runtime/runtime.js';
 import { ExceptionLog } from '../telemetry/exception-log.js';
 
@@ -61,6 +62,8 @@
   readonly isInOwnRegion?: (host: string) => boolean;
   /** Records the exceptions of single exchanges. @default a log of its own */
   readonly exceptions?: ExceptionLog;
+  /** Listeners of the process. @default some of its own */
+  readonly listeners?: Listeners;
   /** Called with the size of each snapshot that is sent. */
   readonly onSent?: (host: string, bytes: number) => void;
 }
@@ -103,7 +106,8 @@
 
   /** Starts the server and the periodic rounds of requests. */
   start(host: string, port: number): void {
-    this.server.listen({ host, port });
+    const { runtime, listeners = new Listeners(runtime) } = this.options;
+    listeners.listen(this.server, { purpose: 'exchange', host, port });
     this.scheduleAsk(0);
   }
 
--- a/src/relay/front/relay-front.ts
+++ b/src/relay/front/relay-front.ts
@@ -5,6 +5,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import type { Listeners } from '../../runtime/listeners.js';
 import { ClientAnswer } from '../answers/client-answer.js';
 import { interruptedByException, memoryLimitReached } from '../answers/local-answers.js';
 import type { LocalAnswer } from '../answers/local-answers.js';
@@ -64,8 +65,9 @@
   }
 
   /** Starts to listen; calls back once the server listens. */
-  listen(host: string, port: number, done: () => void): void {
-    this.server.listen({ host, port, backlog: BACKLOG }, done);
+  listen(host: string, port: number, listeners: Listeners, done: () => void): void {
+    const address = { purpose: 'clients', host, port, backlog: BACKLOG };
+    listeners.listen(this.server, address, done);
   }
 
   /** Applies the timeouts of a new configuration to connections from now on. */
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -7,6 +7,7 @@
 import { AggregateRegistry } from '../peers/aggregate-registry.js';
 import { AGGREGATE_TOPICS } from '../peers/aggregates.js';
 import { hashToNumber } from '../runtime/hashing.js';
+import { Listeners } from '../runtime/listeners.js';
 import type { Runtime } from '../runtime/runtime.js';
 import { ExceptionLog } from '../telemetry/exception-log.js';
 import type { RegionTraffic } from '../topology/region-traffic.js';
@@ -97,6 +98,8 @@
   readonly metrics = new RelayMetrics();
   /** Exceptions that no code expected. */
   readonly exceptions: ExceptionLog;
+  /** Listeners of the process; the gateway is ready only while all are open. */
+  readonly listeners: Listeners;
   /** Counts that are added up over all gateways by gossip. */
   readonly aggregates = new AggregateRegistry();
   /** Memory budget of this process. */
@@ -127,6 +130,7 @@
   constructor(private readonly options: RelayGatewayOptions) {
     const { runtime, zone, names, turns } = options;
     this.exceptions = new ExceptionLog(runtime);
+    this.listeners = new Listeners(runtime);
     this.memory = new MemoryBudget(runtime, options.memoryBounds ?? NO_BOUNDS);
     this.registry = new RunnerRegistry(runtime);
     this.loadCorrection = new LoadCorrection(runtime);
@@ -189,7 +193,8 @@
       request.resume();
       response.writeHead(this.ready ? OK : UNAVAILABLE, { 'content-length': '0' }).end();
     });
-    return server.listen(this.options.ready);
+    this.listeners.listen(server, { purpose: 'readiness', ...this.options.ready });
+    return server;
   }
 
   /** Counts the gateways of each region over all gateways: a region of which none is counted is cut off. */
@@ -265,7 +270,8 @@
   /** Whether this gateway should receive new connections. */
   get ready(): boolean {
     const { turns } = this.options;
-    return this.listening && !this.stopping && turns.isReachable && !this.prefersOtherGateways;
+    const isOpen = this.listening && !this.stopping && this.listeners.areOpen;
+    return isOpen && turns.isReachable && !this.prefersOtherGateways;
   }
 
   /** Whether requests with a key should go to other gateways. */
@@ -363,7 +369,7 @@
     }
     this.listening = true;
     const { host, port } = this.options.front;
-    this.front.listen(host, port, () => {
+    this.front.listen(host, port, this.listeners, () => {
       this.options.runtime.log('info', 'listening for client requests', {
         event: 'process.serving',
         host,
--- a/src/turns/replica-server.ts
+++ b/src/turns/replica-server.ts
@@ -1,6 +1,7 @@
 /** The TCP server of a replica. */
 import { createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
+import { Listeners } from '../runtime/listeners.js';
 import type { Runtime } from '../runtime/runtime.js';
 import { encodeFrame, FrameReader } from '../wire/framing.js';
 import type { MemberDirectory } from './member-directory.js';
@@ -29,13 +30,14 @@
     private readonly replica: Replica,
     private readonly directory: MemberDirectory,
     private readonly runtime: Runtime,
+    private readonly listeners = new Listeners(runtime),
   ) {
     this.server = createServer({ noDelay: true }, (socket) => this.accept(socket));
   }
 
   /** Starts listening; calls back once the server does. */
   listen(host: string, port: number, done: () => void): void {
-    this.server.listen({ host, port }, done);
+    this.listeners.listen(this.server, { purpose: 'calls', host, port }, done);
   }
 
   /** Stops listening and closes all connections. */
