--- a/features/starts.feature
+++ b/features/starts.feature
@@ -74,3 +74,32 @@
   Scenario: Attempts to listen come less and less often, and few of them are logged
     Given an address that is in use for 1000 attempts
     Then the pauses double from 50 ms to 1000 ms, 10 attempts are logged, and the server listens
+
+  # Guards against a process that ends since its settings file is just being replaced.
+  Scenario Outline: A <role> whose settings file is <state> as it starts waits for it
+    Given a <role> whose settings file is <state>
+    When it has found that, and the file is complete
+    Then it starts
+
+    Examples:
+      | role    | state        |
+      | gateway | half written |
+      | gateway | missing      |
+      | replica | half written |
+      | replica | missing      |
+
+  Scenario Outline: A process whose settings file stays <state> ends with an error
+    Given a gateway whose settings file is <state>
+    Then it ends with status 2 and the error "<error>"
+
+    Examples:
+      | state        | error  |
+      | half written | JSON   |
+      | missing      | ENOENT |
+
+  # Guards against settings that are never applied, since the file was read when it was half written at the same moment.
+  Scenario: A settings file that is completed without a new modification time is applied
+    Given a gateway that has started
+    When its settings file is half written, and SIGHUP makes it read that
+    And the file is completed with the same modification time
+    Then the settings are reloaded because of the file
--- a/features/steps/starts.steps.ts
+++ b/features/steps/starts.steps.ts
@@ -1,6 +1,7 @@
 /** Steps about what processes meet while they start. */
 import assert from 'node:assert/strict';
 import { EventEmitter } from 'node:events';
+import { renameSync, rmSync, utimesSync, writeFileSync } from 'node:fs';
 import type { Server } from 'node:net';
 import { After, AfterAll, Given, Then, When } from '@cucumber/cucumber';
 import type { PlatformRole } from '../../soak/platform-process.js';
@@ -13,6 +14,11 @@
   until,
 } from '../support/starting-process.js';
 
+/** Length of settings that are half written. */
+const HALF_CHARACTERS = 40;
+/** Modification time of the settings file, in seconds since 1970. */
+const MODIFIED_AT = 1_700_000_000;
+
 interface World {
   subject: StartingProcess | undefined;
   /** Lets the process read what it waits for. */
@@ -187,3 +193,66 @@
     assert.ok(this.isListening);
   },
 );
+
+Given(
+  /^a (gateway|replica) whose settings file is (half written|missing)$/,
+  function (this: World, role: PlatformRole, state: string) {
+    this.subject = new StartingProcess(role);
+    if (state === 'missing') {
+      rmSync(this.subject.settingsFile);
+    } else {
+      this.subject.writeSettings(this.subject.settings().slice(0, HALF_CHARACTERS));
+    }
+    this.subject.start();
+  },
+);
+
+When('it has found that, and the file is complete', async function (this: World) {
+  const { subject } = this;
+  await until(() => subject!.end !== undefined || subject!.output.includes('waiting for'));
+  subject!.writeSettings(subject!.settings());
+});
+
+Then('it starts', async function (this: World) {
+  await this.subject!.untilLogged('process.started');
+});
+
+Then(
+  'it ends with status {int} and the error {string}',
+  async function (this: World, status: number, error: string) {
+    assert.deepEqual(await this.subject!.untilEnded(), { code: status, signal: null });
+    assert.match(this.subject!.output, new RegExp(error));
+  },
+);
+
+Given('a gateway that has started', async function (this: World) {
+  this.subject = new StartingProcess('gateway');
+  this.subject.start();
+  await this.subject.untilLogged('process.started');
+});
+
+When(
+  'its settings file is half written, and SIGHUP makes it read that',
+  async function (this: World) {
+    const { subject } = this;
+    subject!.writeSettings(subject!.settings().slice(0, HALF_CHARACTERS));
+    utimesSync(subject!.settingsFile, MODIFIED_AT, MODIFIED_AT);
+    // The change of the file may be found before the signal is.
+    await subject!.untilLogged('process.reloaded');
+    subject!.signal('SIGHUP');
+    await until(() => subject!.output.includes('"cause":"signal"'));
+  },
+);
+
+When('the file is completed with the same modification time', function (this: World) {
+  const { subject } = this;
+  const whole = `${subject!.settingsFile}.new`;
+  writeFileSync(whole, subject!.settings());
+  utimesSync(whole, MODIFIED_AT, MODIFIED_AT);
+  renameSync(whole, subject!.settingsFile);
+});
+
+Then('the settings are reloaded because of the file', async function (this: World) {
+  await until(() => this.subject!.output.includes('"message":"settings reloaded"'));
+  assert.equal(this.subject!.end, undefined);
+});
