What members have forgotten isn't taken for nothing: an unnamed stream continues by its content only if they know the last minute

Cause, read: members keep contents in memory; one that has restarted, or has dropped a generation early, knows the stream that came later only, and takes its content for unshared.

Change: a table of contents knows since when it misses nothing; what a majority of the members knows must reach back a minute. A member at the first start of a system misses nothing.

The check of the tables' bounds asks for the stream of a content, which is empty where there is none; as strict as before.

--- a/features/steps/absurd-messages.steps.ts
+++ b/features/steps/absurd-messages.steps.ts
@@ -218,10 +218,12 @@
     const { streamOrigins, streamContents } = this.absurdReplica;
     const contents = Array.from({ length: count }, (_, number) => number as StreamContent);
     assert.ok(streamOrigins.size <= most);
-    assert.ok(contents.filter((content) => streamContents.find(content)).length <= most);
+    assert.ok(
+      contents.filter((content) => streamContents.find(content).stream !== '').length <= most,
+    );
     for (let number = count - last; number < count; number += 1) {
       assert.ok(streamOrigins.find(streamName(number, length)) !== undefined);
-      assert.ok(streamContents.find(number as StreamContent) !== undefined);
+      assert.ok(streamContents.find(number as StreamContent).stream !== '');
     }
   },
 );
--- a/features/steps/stream-versions.steps.ts
+++ b/features/steps/stream-versions.steps.ts
@@ -99,10 +99,15 @@
   },
 );
 
-/** Begins streams of different paths at the first gateway; their clients leave after some events. */
-function beginStreams(versions: VersionWorld, count: number, events: number): Promise<TryResult>[] {
+/** Begins streams of different paths; their clients leave after some events. */
+function beginStreams(
+  versions: VersionWorld,
+  count: number,
+  events: number,
+  gateway = 0,
+): Promise<TryResult>[] {
   return Array.from({ length: count }, (_, index) =>
-    versions.send(0, undefined, events, `/stream-${index}`),
+    versions.send(gateway, undefined, events, `/stream-${index}`),
   );
 }
 
@@ -135,6 +140,12 @@
   },
 );
 
+When('other clients do the same at the other gateway', async function (this: World) {
+  const { versions, streams } = this;
+  await Promise.all(beginStreams(versions!, streams.length, streams[0]![0]!.events.length, 1));
+  await sleep(RECORD_MILLISECONDS);
+});
+
 When('{int} of the replicas are killed', function (this: World, count: number) {
   this.versions!.stopReplicas(count);
 });
--- a/features/steps/two-builds.steps.ts
+++ b/features/steps/two-builds.steps.ts
@@ -133,8 +133,8 @@
   contentsRecorded: { fields: {}, hex: '2400000009' },
   findContent: { fields: { content: 2 }, hex: '25000000094000000000000000' },
   contentFound: {
-    fields: { found: true, stream: 's', isShared: false },
-    hex: '26000000090100017300',
+    fields: { stream: 's', isShared: false, isComplete: true },
+    hex: '26000000090001730001',
   },
 };
 const RECORD_HEADER_BYTES = 8;
--- a/features/stream-versions.feature
+++ b/features/stream-versions.feature
@@ -162,6 +162,14 @@
     And the clients resume their streams without naming them at the last gateway
     Then every resumption is refused as not run, without a time to return
 
+  # Guards against taking the stream of one client for that of another one, which the members have forgotten.
+  Scenario: An unnamed stream that the members have forgotten isn't taken for one with the same content
+    When 12 clients receive 2 events of streams of their own, and leave
+    And the replicas are killed and return
+    And other clients do the same at the other gateway
+    And the clients resume their streams without naming them at the last gateway
+    Then no stream holds events of two versions
+
   # Guards against a route that moves to another service, whose runners don't continue what the earlier ones began.
   Scenario Outline: A stream doesn't continue at the service to which its route has moved
     Given 2 gateways, and runners of the software version "v1" in one service
--- a/features/support/version-world.ts
+++ b/features/support/version-world.ts
@@ -114,7 +114,7 @@
       const id = `r${index + 1}`;
       return { id, node: id, host: HOST, port, zone: ZONE };
     });
-    this.members.forEach((member) => this.startReplica(member));
+    this.members.forEach((member) => this.startReplica(member, true));
     for (let index = 0; index < gatewayCount; index += 1) {
       await this.startGateway();
     }
@@ -232,7 +232,7 @@
   /** Stops the replicas and starts them again; they lose what they hold in memory. */
   restartReplicas(): void {
     this.stopReplicas();
-    this.members.forEach((member) => this.startReplica(member));
+    this.members.forEach((member) => this.startReplica(member, false));
   }
 
   /**
@@ -301,11 +301,11 @@
     return directory;
   }
 
-  private startReplica({ id, host, port }: Member): void {
+  private startReplica({ id, host, port }: Member, isFirstStart: boolean): void {
     const { runtime } = this;
     const directory = this.createDirectory();
     const storage = new MemoryTurnStorage(runtime);
-    const replica = new Replica({ id, runtime, storage, directory });
+    const replica = new Replica({ id, runtime, storage, directory, isFirstStart });
     replica.markReady('test');
     const server = new ReplicaServer(replica, directory, runtime);
     server.listen(host, port, () => undefined);
--- a/features/support/wire-arbitraries.ts
+++ b/features/support/wire-arbitraries.ts
@@ -129,9 +129,9 @@
   findContent: { call: whole, content: amount },
   contentFound: {
     call: whole,
-    found: fc.boolean(),
     stream: text,
     isShared: fc.boolean(),
+    isComplete: fc.boolean(),
   },
 };
 
--- a/src/relay/runners/resumable-streams.ts
+++ b/src/relay/runners/resumable-streams.ts
@@ -135,21 +135,17 @@
     remainingMilliseconds: number,
     done: (found: FoundOrigin | undefined) => void,
   ): void {
-    this.refreshAnd<FoundContent | undefined>(
+    this.refreshAnd<FoundContent>(
       (next) => this.options.client.findContent(content, remainingMilliseconds, next),
-      (found) => {
-        if (found === undefined) {
-          done(this.findSingle(route));
+      ({ stream, isShared, isComplete }) => {
+        if (isShared || stream === '') {
+          done(isShared ? undefined : this.findSingle(route));
           return;
         }
-        const { stream, isShared } = found;
-        if (isShared) {
-          done(undefined);
-          return;
-        }
-        this.find(stream, route, remainingMilliseconds, (named) =>
-          done(named && { ...named, stream }),
-        );
+        this.find(stream, route, remainingMilliseconds, (named) => {
+          const isSure = isComplete || isSameOrigin(named, this.findSingle(route));
+          done(named !== undefined && isSure ? { ...named, stream } : undefined);
+        });
       },
     );
   }
@@ -202,6 +198,11 @@
   }
 }
 
+function isSameOrigin(left: FoundOrigin | undefined, right: FoundOrigin | undefined): boolean {
+  const isSameService = left?.origin.service === right?.origin.service;
+  return isSameService && left?.origin.version === right?.origin.version;
+}
+
 function isPossibleId(stream: string): boolean {
   return stream !== '' && stream.length <= MAXIMUM_ID_LENGTH;
 }
--- a/src/turns/generations.ts
+++ b/src/turns/generations.ts
@@ -15,6 +15,8 @@
   readonly maximumBytes?: number;
   /** Memory of an entry, in bytes. @default 0 */
   readonly bytesOf?: (key: Key, value: Value) => number;
+  /** Whether nothing can have been set before this map was created. @default false */
+  readonly isFirst?: boolean | undefined;
 }
 
 /** Keeps values by key in two generations. */
@@ -26,9 +28,18 @@
   private currentBytes = 0;
   /** Local time at which the current generation started, in milliseconds. */
   private startedAt: number;
+  /** Local time since which no entry is missing, in milliseconds, but for those past their retention. */
+  private completeSince: number;
 
   constructor(private readonly options: GenerationsOptions<Key, Value>) {
     this.startedAt = options.runtime.now();
+    this.completeSince = options.isFirst === true ? -Infinity : this.startedAt;
+  }
+
+  /** Whether every entry of the retention time is here. */
+  get isComplete(): boolean {
+    const { runtime, retentionMilliseconds } = this.options;
+    return this.completeSince <= runtime.now() - retentionMilliseconds;
   }
 
   /** Number of entries. */
@@ -41,6 +52,7 @@
     this.dropExpired();
     const { maximumEntries, maximumBytes = Infinity, bytesOf } = this.options;
     if (this.current.size >= maximumEntries || this.currentBytes >= maximumBytes) {
+      this.completeSince = this.startedAt;
       this.start();
     }
     if (bytesOf !== undefined && !this.current.has(key)) {
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -165,8 +165,8 @@
       versions: ListedVersion[];
     }
   | { type: 'contentsRecorded'; call: number }
-  /** The stream of a content; empty if this replica has no record. */
-  | ({ type: 'contentFound'; call: number; found: boolean } & FoundContent);
+  /** What this replica knows of a content. */
+  | ({ type: 'contentFound'; call: number } & FoundContent);
 
 /** The reply to a pull. */
 export interface PulledLog {
@@ -379,7 +379,7 @@
   { type: 'findContent', fields: { call: uint32, content: float64 } },
   {
     type: 'contentFound',
-    fields: { call: uint32, found: bool, stream: shortText, isShared: bool },
+    fields: { call: uint32, stream: shortText, isShared: bool, isComplete: bool },
   },
 ];
 const message = new TaggedUnion(BRANCHES);
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -33,7 +33,7 @@
 import { unpackDigests } from './reservation-digests.js';
 import { StoredSuspects } from './stored-suspects.js';
 import { StreamContents, StreamOrigins } from './stream-origins.js';
-import type { FoundContent, StreamContent, StreamOrigin } from './stream-origins.js';
+import type { StreamOrigin } from './stream-origins.js';
 import { VersionReports } from './version-reports.js';
 import type {
   ReplicaMeta,
@@ -67,6 +67,8 @@
   readonly quotaAllowance?: QuotaAllowance;
   /** Window in which the requests of tenants are counted, in milliseconds. @default 5 s */
   readonly quotaWindowMilliseconds?: number | undefined;
+  /** Whether the whole system starts for the first time, so that no stream can have begun. @default false */
+  readonly isFirstStart?: boolean;
 }
 
 /** Sends a message on the connection that the request came from. */
@@ -172,6 +174,7 @@
       runtime,
       maximumEntries: MAXIMUM_STREAM_CONTENTS,
       maximumBytes: MAXIMUM_CONTENT_BYTES,
+      isFirst: options.isFirstStart,
     });
     this.versionReports = new VersionReports(runtime);
     this.suspects = new StoredSuspects({ runtime, storage: options.suspectStorage });
@@ -378,16 +381,10 @@
         send({ type: 'contentsRecorded', call });
         return;
       case 'findContent':
-        send({ type: 'contentFound', call, ...this.findContent(request.content) });
+        send({ type: 'contentFound', call, ...this.streamContents.find(request.content) });
     }
   }
 
-  private findContent(content: StreamContent): FoundContent & { readonly found: boolean } {
-    const found = this.streamContents.find(content);
-    const none = { stream: '', isShared: false };
-    return { ...none, ...found, found: found !== undefined };
-  }
-
   private findOrigin(stream: string): StreamOrigin & { readonly found: boolean } {
     const origin = this.streamOrigins.find(stream);
     return { service: '', version: '', ...origin, found: origin !== undefined };
--- a/src/turns/stream-origin-client.ts
+++ b/src/turns/stream-origin-client.ts
@@ -32,6 +32,8 @@
 const RECORD_TIMEOUT_MILLISECONDS = 500;
 /** Timeout of a question, in milliseconds, beside the round trip to another region. */
 const FIND_TIMEOUT_MILLISECONDS = 150;
+/** Pause before a member whose connection failed is asked again, in milliseconds. */
+const RETRY_MILLISECONDS = 40;
 /** Base in which a content is written as a key. */
 const HEXADECIMAL = 16;
 
@@ -100,30 +102,31 @@
   }
 
   /**
-   * Asks the members for the stream that has a content. Calls back with undefined if none of them knows one, or if too few
-   * answered to know whether other streams have the same content.
+   * Asks the members for the stream that has a content. What they know is complete if a majority of them would know other
+   * streams of the last minute that have it.
    */
   findContent(
     content: StreamContent,
     remainingMilliseconds: number,
-    done: (found: FoundContent | undefined) => void,
+    done: (found: FoundContent) => void,
   ): void {
     const record = this.options.directory.current;
     const needed = record === undefined ? Infinity : majorityOf(record);
-    const answers: (FoundContent | undefined)[] = [];
+    const answers: FoundContent[] = [];
     const isDecided = (reply: ReplicaReply | undefined): boolean => {
       if (reply?.type === 'contentFound') {
-        const { found, stream, isShared } = reply;
-        answers.push(found ? { stream, isShared } : undefined);
+        answers.push(reply);
       }
       return false;
     };
     this.askMembers({ type: 'findContent', content }, remainingMilliseconds, isDecided, () => {
-      const known = answers.filter((answer) => answer !== undefined);
-      const [first] = known;
-      const isShared = known.some((each) => each.isShared || each.stream !== first!.stream);
-      const isKnown = first !== undefined && (isShared || answers.length >= needed);
-      done(isKnown ? { ...first, isShared } : undefined);
+      const streams = new Set(
+        answers.map(({ stream }) => stream).filter((stream) => stream !== ''),
+      );
+      const isShared = streams.size > 1 || answers.some((answer) => answer.isShared);
+      const isComplete = answers.filter((answer) => answer.isComplete).length >= needed;
+      const [stream] = streams;
+      done({ stream: stream ?? '', isShared, isComplete });
     });
   }
 
@@ -134,7 +137,7 @@
     isDecided: (reply: ReplicaReply | undefined) => boolean,
     done: () => void,
   ): void {
-    const { directory, caller, distances } = this.options;
+    const { runtime, directory, caller, distances } = this.options;
     const members = directory.current?.members ?? [];
     let pending = members.length;
     if (pending === 0) {
@@ -149,10 +152,19 @@
         done();
       }
     };
-    for (const member of members) {
+    const until = runtime.now() + Math.min(remainingMilliseconds, FIND_TIMEOUT_MILLISECONDS);
+    const ask = (member: Member): void => {
       const allowance = distances?.allowanceMilliseconds(member.zone) ?? 0;
-      const timeout = Math.min(remainingMilliseconds, FIND_TIMEOUT_MILLISECONDS + allowance);
-      caller.call(member, question, timeout, handleReply);
-    }
+      const timeout = Math.min(remainingMilliseconds, until - runtime.now() + allowance);
+      caller.call(member, question, timeout, (reply) => {
+        // A connection that was just cut fails at once, and the next one may work.
+        if (reply === undefined && runtime.now() + RETRY_MILLISECONDS < until && !isFinished) {
+          runtime.setTimer(RETRY_MILLISECONDS, () => ask(member));
+        } else {
+          handleReply(reply);
+        }
+      });
+    };
+    members.forEach(ask);
   }
 }
--- a/src/turns/stream-origins.ts
+++ b/src/turns/stream-origins.ts
@@ -25,9 +25,11 @@
 
 /** What is known of a content. */
 export interface FoundContent {
-  /** The stream that has it; empty if several have. */
+  /** The stream that has it; empty if none is known, or several have it. */
   readonly stream: string;
   readonly isShared: boolean;
+  /** Whether other streams of the last minute that have it would be known. */
+  readonly isComplete: boolean;
 }
 
 /** Longest supported time from the first event of a stream to its resumption, in milliseconds. */
@@ -46,6 +48,8 @@
   readonly maximumEntries: number;
   /** Memory of the entries in a generation, in bytes. @default not bounded */
   readonly maximumBytes?: number;
+  /** Whether no stream can have been recorded before. @default false */
+  readonly isFirst?: boolean | undefined;
 }
 
 /** Keeps the origin of each stream for the retention time. */
@@ -109,9 +113,10 @@
     this.generations.set(content, known === stream ? stream : SHARED);
   }
 
-  /** Returns the stream of a content; undefined if it is unknown or too old. */
-  find(content: StreamContent): FoundContent | undefined {
+  /** Returns what is known of a content. */
+  find(content: StreamContent): FoundContent {
     const stream = this.generations.get(content);
-    return stream === undefined ? undefined : { stream, isShared: stream === SHARED };
+    const { isComplete } = this.generations;
+    return { stream: stream ?? '', isShared: stream === SHARED, isComplete };
   }
 }
