An unnamed stream that was recorded nowhere isn't taken for a later one with its content

Seen by a review: one version serves, a stream begins, its gateway is killed, a version replaces the first, another client sends the same request; the first client resumes without a name and gets the rest of the other one's stream. Cause: contents were recorded only while the origin of a stream doesn't follow from its route, and one record was taken for one stream.

Change: contents are recorded at all times; origins as before. What is not recorded may only be concluded from the versions that serve if a majority of the members answered, and they are asked each time which versions were listed: another gateway may list one earlier. A gateway that the tests kill no longer follows the lists.

The two scenarios of a version that only a killed gateway listed pass on both.

--- a/features/steps/stream-versions.steps.ts
+++ b/features/steps/stream-versions.steps.ts
@@ -142,10 +142,18 @@
 
 When('other clients do the same at the other gateway', async function (this: World) {
   const { versions, streams } = this;
-  await Promise.all(beginStreams(versions!, streams.length, streams[0]![0]!.events.length, 1));
+  const { length } = streams[0]![0]!.events;
+  await Promise.all(beginStreams(versions!, streams.length, length, 1));
   await sleep(RECORD_MILLISECONDS);
 });
 
+Given(
+  'a runner of {string} that only the first gateway lists so far',
+  async function (this: World, version: string) {
+    await this.versions!.startRunner(version, undefined, version, 1);
+  },
+);
+
 When('{int} of the replicas are killed', function (this: World, count: number) {
   this.versions!.stopReplicas(count);
 });
--- a/features/stream-versions.feature
+++ b/features/stream-versions.feature
@@ -170,6 +170,31 @@
     And the clients resume their streams without naming them at the last gateway
     Then no stream holds events of two versions
 
+  # Guards against a stream that was recorded nowhere and is taken for a later one, which was.
+  Scenario: An unnamed stream that began while one version served isn't taken for a later one with its content
+    Given 2 gateways, and runners of the software version "v1" in one service
+    When 8 clients receive 2 events of streams of their own, and leave
+    And the first gateway is killed
+    And a runner of "v2" replaces those of "v1"
+    And other clients do the same at the other gateway
+    And the clients resume their streams without naming them at the last gateway
+    Then no stream holds events of two versions
+
+  # Guards against concluding from the own list, which may lag, when too few members answer.
+  Scenario Outline: A stream of a version that only a killed gateway listed isn't continued at another one
+    Given 2 gateways, and runners of the software version "v1" in one service
+    And a runner of "v2" that only the first gateway lists so far
+    When 8 clients receive 2 events of streams of their own, and leave
+    And the first gateway is killed
+    And 2 of the replicas are killed
+    And the clients resume their streams <naming> at the last gateway
+    Then no stream holds events of two versions
+
+    Examples:
+      | naming              |
+      | by name             |
+      | without naming them |
+
   # Guards against a route that moves to another service, whose runners don't continue what the earlier ones began.
   Scenario Outline: A stream doesn't continue at the service to which its route has moved
     Given 2 gateways, and runners of the software version "v1" in one service
--- a/features/support/version-world.ts
+++ b/features/support/version-world.ts
@@ -104,6 +104,7 @@
   private readonly callers: TcpReplicaCaller[] = [];
   private members: readonly Member[] = [];
   private requestCount = 0;
+  private readonly killed = new Set<RelayGateway>();
   private route = ROUTE;
   private tableVersion = 7;
 
@@ -150,10 +151,16 @@
   }
 
   /**
-   * Starts a runner of a software version and lists it at all gateways.
+   * Starts a runner of a software version and lists it at the gateways.
    * @param text how its events name it
+   * @param gatewayCount number of gateways that list it so far
    */
-  async startRunner(version: string, service = SERVICE, text = version): Promise<VersionedRunner> {
+  async startRunner(
+    version: string,
+    service = SERVICE,
+    text = version,
+    gatewayCount = Infinity,
+  ): Promise<VersionedRunner> {
     const runner = new RelayRunner({
       id: `runner-${this.runners.length}`,
       names: NAMES,
@@ -163,7 +170,7 @@
     });
     const versioned = { runner, version, service, port: await runner.listen(), hasLeft: false };
     this.runners.push(versioned);
-    this.gateways.forEach((gateway) => this.list(gateway, versioned));
+    this.runningGateways.slice(0, gatewayCount).forEach((gateway) => this.list(gateway, versioned));
     return versioned;
   }
 
@@ -178,8 +185,9 @@
     gateway.registry.put(entry);
   }
 
-  /** Ends a gateway at once, as a kill does. */
+  /** Ends a gateway at once, as a kill does; it learns nothing more. */
   kill(index: number): void {
+    this.killed.add(this.gateways[index]!);
     this.gateways[index]!.close();
     this.callers[index]!.close();
   }
@@ -188,7 +196,11 @@
   moveRoute(service: string): void {
     this.tableVersion += 1;
     this.route = { ...ROUTE, services: [{ service, weight: 1 }] };
-    this.gateways.forEach((gateway) => this.applyTable(gateway));
+    this.runningGateways.forEach((gateway) => this.applyTable(gateway));
+  }
+
+  private get runningGateways(): RelayGateway[] {
+    return this.gateways.filter((gateway) => !this.killed.has(gateway));
   }
 
   private applyTable(gateway: RelayGateway): void {
@@ -219,7 +231,7 @@
   unlist(version: string): void {
     for (const runner of this.runners.filter((each) => each.version === version)) {
       runner.hasLeft = true;
-      this.gateways.forEach(({ registry }) => registry.remove(runner.runner.id));
+      this.runningGateways.forEach(({ registry }) => registry.remove(runner.runner.id));
     }
   }
 
--- a/src/relay/runners/resumable-streams.ts
+++ b/src/relay/runners/resumable-streams.ts
@@ -52,6 +52,9 @@
   readonly origin: StreamOrigin;
 }
 
+/** Receives what the members know, and whether a majority of them answered. */
+type MemberListener<Answer> = (answer: Answer, isAnswered: boolean) => void;
+
 /** Records and finds the origins of streams. */
 export class ResumableStreams {
   /** By id of a request whose answer brought events of the stream. */
@@ -85,9 +88,11 @@
     }
     const entry = { stream, content, origin };
     streams.forEach((each) => this.own.set(each, entry));
+    // Contents are recorded at all times: a second stream that has one must not be taken for the only one.
+    this.options.client.recordContent({ content, stream });
     const sole = this.options.versions.soleOrigin(route);
     if (sole?.service !== origin.service || sole.version !== origin.version) {
-      streams.forEach((each) => this.record(each, entry));
+      streams.forEach((each) => this.options.client.record({ stream: each, ...origin }));
     }
   }
 
@@ -117,11 +122,13 @@
         if (isPossibleId(stream)) {
           this.options.client.find(stream, remainingMilliseconds, isSingle, next);
         } else {
-          next(undefined);
+          next(undefined, true);
         }
       },
-      (origin) =>
-        done(origin === undefined ? this.findSingle(route) : { origin, source: 'record' }),
+      (origin, isAnswered) => {
+        const single = isAnswered ? this.findSingle(route) : undefined;
+        done(origin === undefined ? single : { origin, source: 'record' });
+      },
     );
   }
 
@@ -137,9 +144,9 @@
   ): void {
     this.refreshAnd<FoundContent>(
       (next) => this.options.client.findContent(content, remainingMilliseconds, next),
-      ({ stream, isShared, isComplete }) => {
+      ({ stream, isShared, isComplete }, isAnswered) => {
         if (isShared || stream === '') {
-          done(isShared ? undefined : this.findSingle(route));
+          done(isShared || !isAnswered ? undefined : this.findSingle(route));
           return;
         }
         this.find(stream, route, remainingMilliseconds, (named) => {
@@ -155,28 +162,29 @@
     return this.options.versions.isPastKnown;
   }
 
-  /** Asks the members a question, and at the same time which versions were listed if this is not known. */
+  /**
+   * Asks the members a question, and at the same time which versions were listed: other gateways may list one earlier. What is not
+   * recorded may only be concluded if a majority answered.
+   */
   private refreshAnd<Answer>(
-    ask: (next: (answer: Answer) => void) => void,
-    done: (answer: Answer) => void,
+    ask: (next: MemberListener<Answer>) => void,
+    done: MemberListener<Answer>,
   ): void {
     let pending = 2;
     let answer: Answer;
+    let isAnswered = false;
     const finish = (): void => {
       pending -= 1;
       if (pending === 0) {
-        done(answer);
+        done(answer, isAnswered);
       }
     };
-    ask((found) => {
+    ask((found, isMajority) => {
       answer = found;
+      isAnswered = isMajority;
       finish();
     });
-    if (this.isPastKnown) {
-      finish();
-    } else {
-      this.options.exchange.refresh(finish);
-    }
+    this.options.exchange.refresh(finish);
   }
 
   /** Returns the origin that all streams of a route have in common; undefined if they may differ. */
--- a/src/turns/stream-origin-client.ts
+++ b/src/turns/stream-origin-client.ts
@@ -82,7 +82,7 @@
     stream: string,
     remainingMilliseconds: number,
     isMajorityEnough: boolean,
-    done: (origin: StreamOrigin | undefined) => void,
+    done: (origin: StreamOrigin | undefined, isAnswered: boolean) => void,
   ): void {
     const record = this.options.directory.current;
     const needed = isMajorityEnough && record !== undefined ? majorityOf(record) : Infinity;
@@ -96,8 +96,11 @@
       }
       return origin !== undefined || denials >= needed;
     };
-    this.askMembers({ type: 'findOrigin', stream }, remainingMilliseconds, isDecided, () =>
-      done(origin),
+    this.askMembers(
+      { type: 'findOrigin', stream },
+      remainingMilliseconds,
+      isDecided,
+      (isAnswered) => done(origin, isAnswered),
     );
   }
 
@@ -108,7 +111,7 @@
   findContent(
     content: StreamContent,
     remainingMilliseconds: number,
-    done: (found: FoundContent) => void,
+    done: (found: FoundContent, isAnswered: boolean) => void,
   ): void {
     const record = this.options.directory.current;
     const needed = record === undefined ? Infinity : majorityOf(record);
@@ -119,37 +122,43 @@
       }
       return false;
     };
-    this.askMembers({ type: 'findContent', content }, remainingMilliseconds, isDecided, () => {
+    const question = { type: 'findContent' as const, content };
+    this.askMembers(question, remainingMilliseconds, isDecided, (isAnswered) => {
       const streams = new Set(
         answers.map(({ stream }) => stream).filter((stream) => stream !== ''),
       );
       const isShared = streams.size > 1 || answers.some((answer) => answer.isShared);
       const isComplete = answers.filter((answer) => answer.isComplete).length >= needed;
       const [stream] = streams;
-      done({ stream: stream ?? '', isShared, isComplete });
+      done({ stream: stream ?? '', isShared, isComplete }, isAnswered);
     });
   }
 
-  /** Sends a question to all members; `done` is called once: when a reply decides, or after the last one. */
+  /**
+   * Sends a question to all members; `done` is called once, when a reply decides or after the last one, with whether a majority
+   * answered. A deployment without members has nothing to answer.
+   */
   private askMembers(
     question: UnnumberedRequest,
     remainingMilliseconds: number,
     isDecided: (reply: ReplicaReply | undefined) => boolean,
-    done: () => void,
+    done: (isAnswered: boolean) => void,
   ): void {
     const { runtime, directory, caller, distances } = this.options;
     const members = directory.current?.members ?? [];
     let pending = members.length;
     if (pending === 0) {
-      done();
+      done(true);
       return;
     }
+    let answers = 0;
     let isFinished = false;
     const handleReply = (reply: ReplicaReply | undefined): void => {
       pending -= 1;
+      answers += reply === undefined ? 0 : 1;
       if (!isFinished && (isDecided(reply) || pending === 0)) {
         isFinished = true;
-        done();
+        done(answers * 2 > members.length);
       }
     };
     const until = runtime.now() + Math.min(remainingMilliseconds, FIND_TIMEOUT_MILLISECONDS);
