Routes that come or go while all gateways are away, or below one that moved, count as moved

Seen by a review: "/" serves minds, all gateways are killed, a configuration adds "/r/" with another service, a gateway returns; streams of "/r/..." continue at the other service, by name or not. The same for a route that goes, for a route below one that moved within the last minute, and for hosts that differ by case. Members kept the past of a listed version for 10 s beyond its last report, but counted as knowing for 30 s.

Cause: a route passed on its present services only, at gateways that see the change; nothing told since when a route is listed.

Change: reports tell for how long something has been listed. A route that was not listed for the whole time in which streams may be resumed shares the past of those above it, and any route that of those below it that are gone. Members keep what is listed for as long as they count as knowing.

--- a/features/listed-versions.feature
+++ b/features/listed-versions.feature
@@ -5,8 +5,8 @@
   # Guards against forgetting a version that was listed until just before the next report.
   Scenario: A member keeps a version for as long as it may have been listed
     Given a member to which a gateway reports that "v1" of "minds" is listed
-    Then 69 s later the member still reports "v1" of "minds"
-    And 71 s later the member reports no version of "minds"
+    Then 89 s later the member still reports "v1" of "minds"
+    And 91 s later the member reports no version of "minds"
 
   # Guards against a member that takes a time in which no gateway reported for one in which nothing was listed.
   Scenario: A member without reports no longer counts as knowing the past
@@ -45,6 +45,7 @@
     Examples:
       | before                    | after                     | path   | service |
       | "/a/ minds"               | "/a/ minds, /a/b/ desk"   | /a/b/  | desk    |
+      | "/ minds"                 | "/ minds, /a/b/ desk"     | /a/b/  | desk    |
       | "/a/ minds, /a/b/ desk"   | "/a/ minds"               | /a/    | minds   |
       | "/a/ minds"               | "/a/ desk"                | /a/    | desk    |
 
@@ -53,3 +54,24 @@
     When the routes are "/a/ minds", and then "/a/ minds, /c/ desk"
     Then the service "minds" is the sole origin of the streams of "/a/"
     And the service "desk" is the sole origin of the streams of "/c/"
+
+  # Guards against taking a route that was added while all gateways were away for one that had always been there.
+  Scenario Outline: A gateway that starts knows from the members which routes are new
+    Given members that know the routes "<before>" for a minute
+    When a gateway starts with the routes "<after>", and learns what the members know
+    Then the streams of "<path>" have <origin>
+
+    Examples:
+      | before                | after                 | path  | origin                          |
+      | /a/ minds             | /a/ minds, /a/b/ desk | /a/b/ | no sole origin                  |
+      | /a/ minds, /a/b/ desk | /a/ minds             | /a/   | no sole origin                  |
+      | /a/ minds, /a/b/ desk | /a/ minds, /a/b/ desk | /a/b/ | the sole origin "desk"          |
+      | /a/ minds, /a/b/ desk | /a/ minds, /a/b/ desk | /a/   | the sole origin "minds"         |
+      | /A/ minds             | /A/ desk              | /A/   | no sole origin                  |
+
+  # Guards against a route that inherits only the present service of the one above it.
+  Scenario: A route below one that has moved lately shares the past of that one
+    Given a gateway with one version of the services "minds" and "desk"
+    When the routes are "/a/ minds", and then "/a/ desk"
+    And the routes become "/a/ desk, /a/b/ desk"
+    Then the streams of "/a/b/" have no sole origin
--- a/features/steps/absurd-messages.steps.ts
+++ b/features/steps/absurd-messages.steps.ts
@@ -234,7 +234,8 @@
     const empty = Buffer.alloc(0);
     const retentionMilliseconds = Number(text);
     const turn = { id: 'r', previous: '', input: empty, output: empty, retentionMilliseconds };
-    const versions = [{ service: 's', version: 'v', ageMilliseconds: Number(text) }];
+    const listed = { service: 's', version: 'v', listedMilliseconds: 0 };
+    const versions = [{ ...listed, ageMilliseconds: Number(text) }];
     const report = { type: 'exchangeVersions' as const, call: 1, knownMilliseconds: 0, versions };
     await sendAll(
       this,
--- a/features/steps/listed-versions.steps.ts
+++ b/features/steps/listed-versions.steps.ts
@@ -9,7 +9,7 @@
 import { MemberDirectory } from '../../src/turns/member-directory.js';
 import type { ReplicaCaller } from '../../src/turns/replica-caller.js';
 import { VersionExchange } from '../../src/turns/version-exchange.js';
-import { VersionReports } from '../../src/turns/version-reports.js';
+import { REPORT_INTERVAL_MILLISECONDS, VersionReports } from '../../src/turns/version-reports.js';
 
 const MILLISECONDS = 1_000;
 const RETENTION_SECONDS = 60;
@@ -24,6 +24,8 @@
   history: VersionHistory;
   versionExchange: VersionExchange;
   isProven: boolean;
+  /** The routes of the last step that set some. */
+  routes: Route[];
 }
 
 function startWorld(world: World): ReturnType<SimulatedProcess['start']> {
@@ -37,7 +39,7 @@
 }
 
 function reportListed(world: World, version: string, service: string, knownSeconds: number): void {
-  const listed = { service, version, ageMilliseconds: 0 };
+  const listed = { service, version, ageMilliseconds: 0, listedMilliseconds: 0 };
   world.reports.merge({
     knownMilliseconds: knownSeconds * MILLISECONDS,
     versions: [listed],
@@ -194,3 +196,44 @@
     assert.equal(soleService(this, path, service), service);
   },
 );
+
+When('the routes become {string}', function (this: World, routes: string) {
+  this.routes = routesOf(routes);
+  this.history.noteRoutes(this.routes);
+});
+
+Given('members that know the routes {string} for a minute', function (this: World, routes: string) {
+  const runtime = startWorld(this);
+  const gateway = new VersionHistory(runtime);
+  ['minds', 'desk'].forEach((service) => gateway.noteListed(service, 'v1'));
+  gateway.noteRoutes(routesOf(routes));
+  this.reports = new VersionReports(runtime);
+  this.history = new VersionHistory(runtime);
+  const minute = this.clock.now + RETENTION_SECONDS * MILLISECONDS;
+  while (this.clock.now < minute) {
+    this.clock.runUntil(this.clock.now + REPORT_INTERVAL_MILLISECONDS);
+    this.reports.merge(gateway.reportToMembers());
+  }
+});
+
+When(
+  'a gateway starts with the routes {string}, and learns what the members know',
+  function (this: World, routes: string) {
+    this.clock.runUntil(this.clock.now + MILLISECONDS);
+    this.routes = routesOf(routes);
+    this.history.forgetPast();
+    this.history.noteRoutes(this.routes);
+    ['minds', 'desk'].forEach((service) => this.history.noteListed(service, 'v1'));
+    const { knownMilliseconds, versions } = this.reports.report();
+    this.history.addVersions(versions);
+    this.history.extendKnown(knownMilliseconds);
+  },
+);
+
+Then(
+  /^the streams of "(.*)" have (?:no sole origin|the sole origin "(.*)")$/,
+  function (this: World, path: string, service: string | null) {
+    const route = this.routes.find(({ pathPrefix }) => pathPrefix === path)!;
+    assert.equal(this.history.soleOrigin(route)?.service, service ?? undefined);
+  },
+);
--- a/features/steps/two-builds.steps.ts
+++ b/features/steps/two-builds.steps.ts
@@ -115,16 +115,16 @@
   exchangeVersions: {
     fields: {
       knownMilliseconds: 2,
-      versions: [{ service: 'm', version: 'v', ageMilliseconds: 1 }],
+      versions: [{ service: 'm', version: 'v', ageMilliseconds: 1, listedMilliseconds: 2 }],
     },
-    hex: '210000000940000000000000000000000100016d0001763ff0000000000000',
+    hex: '210000000940000000000000000000000100016d0001763ff00000000000004000000000000000',
   },
   versionsExchanged: {
     fields: {
       knownMilliseconds: 2,
-      versions: [{ service: 'm', version: 'v', ageMilliseconds: 1 }],
+      versions: [{ service: 'm', version: 'v', ageMilliseconds: 1, listedMilliseconds: 2 }],
     },
-    hex: '220000000940000000000000000000000100016d0001763ff0000000000000',
+    hex: '220000000940000000000000000000000100016d0001763ff00000000000004000000000000000',
   },
   recordContents: {
     fields: { entries: [{ content: 1, stream: 's' }] },
--- a/features/support/wire-arbitraries.ts
+++ b/features/support/wire-arbitraries.ts
@@ -66,7 +66,12 @@
 const versionReport = {
   call: whole,
   knownMilliseconds: amount,
-  versions: fc.array(fc.record({ service: text, version: text, ageMilliseconds: amount }, plain)),
+  versions: fc.array(
+    fc.record(
+      { service: text, version: text, ageMilliseconds: amount, listedMilliseconds: amount },
+      plain,
+    ),
+  ),
 };
 
 type Fields = Record<string, fc.Arbitrary<unknown>>;
--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -20,7 +20,10 @@
 const VersionReportType = t.type({
   knownMilliseconds: t.number,
   versions: t.readonlyArray(
-    t.type({ service: t.string, version: t.string, ageMilliseconds: t.number }),
+    t.intersection([
+      t.type({ service: t.string, version: t.string, ageMilliseconds: t.number }),
+      t.partial({ listedMilliseconds: t.number }),
+    ]),
   ),
 });
 
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -278,6 +278,7 @@
   service: shortText,
   version: shortText,
   ageMilliseconds: duration,
+  listedMilliseconds: duration,
 });
 const versionReportFields = {
   call: uint32,
--- a/src/turns/version-reports.ts
+++ b/src/turns/version-reports.ts
@@ -8,6 +8,8 @@
   readonly version: string;
   /** Time since it was last listed, in milliseconds; 0 only while it is. */
   readonly ageMilliseconds: number;
+  /** Time for which it is known to have been listed without a break, in milliseconds, up to {@link MAXIMUM_LISTED_MILLISECONDS}. */
+  readonly listedMilliseconds: number;
 }
 
 /** What a process knows of the versions that were listed. */
@@ -17,6 +19,8 @@
   readonly versions: readonly ListedVersion[];
 }
 
+/** Longest time of being listed that is reported, in milliseconds: more than that for which streams may be resumed. */
+export const MAXIMUM_LISTED_MILLISECONDS = 2 * ORIGIN_RETENTION_MILLISECONDS;
 /** Interval at which gateways report to the members, in milliseconds. */
 export const REPORT_INTERVAL_MILLISECONDS = 10_000;
 /** Time without any report after which a member no longer counts as knowing what was listed, in milliseconds. */
@@ -28,6 +32,8 @@
   readonly service: string;
   readonly version: string;
   lastListedAt: number;
+  /** Local time since which it has been listed without a break, in milliseconds. */
+  firstListedAt: number;
 }
 
 /** Keeps at a member what gateways report, for gateways that start when no other one runs. */
@@ -47,30 +53,37 @@
     }
     this.lastReportAt = now;
     this.knownSince = Math.min(this.knownSince, now - knownMilliseconds);
-    for (const { service, version, ageMilliseconds } of versions) {
-      const key = JSON.stringify([service, version]);
-      // What is listed may remain so until the next report.
-      const untilNext = ageMilliseconds === 0 ? REPORT_INTERVAL_MILLISECONDS : 0;
-      const lastListedAt = now - ageMilliseconds + untilNext;
-      const known = this.versions.get(key);
-      if (known === undefined) {
-        this.versions.set(key, { service, version, lastListedAt });
-      } else {
-        known.lastListedAt = Math.max(known.lastListedAt, lastListedAt);
-      }
+    versions.forEach((listed) => this.add(listed));
+  }
+
+  private add({ service, version, ageMilliseconds, listedMilliseconds }: ListedVersion): void {
+    const now = this.runtime.now();
+    const key = JSON.stringify([service, version]);
+    // What is listed may remain so for as long as this member counts as knowing without another report.
+    const untilNext = ageMilliseconds === 0 ? MAXIMUM_GAP_MILLISECONDS : 0;
+    const lastListedAt = now - ageMilliseconds + untilNext;
+    const firstListedAt = now - listedMilliseconds;
+    const known = this.versions.get(key);
+    if (known === undefined || known.lastListedAt < firstListedAt) {
+      this.versions.set(key, { service, version, lastListedAt, firstListedAt });
+      return;
     }
+    known.lastListedAt = Math.max(known.lastListedAt, lastListedAt);
+    known.firstListedAt = Math.min(known.firstListedAt, firstListedAt);
   }
 
   /** Returns what all gateways have reported. */
   report(): VersionReport {
     const now = this.runtime.now();
     const versions: ListedVersion[] = [];
-    for (const [key, { service, version, lastListedAt }] of this.versions) {
+    for (const [key, { service, version, lastListedAt, firstListedAt }] of this.versions) {
       if (now - lastListedAt > ORIGIN_RETENTION_MILLISECONDS) {
         this.versions.delete(key);
       } else {
         const ageMilliseconds = Math.max(MINIMUM_AGE_MILLISECONDS, now - lastListedAt);
-        versions.push({ service, version, ageMilliseconds });
+        const listed = Math.min(MAXIMUM_LISTED_MILLISECONDS, now - firstListedAt);
+        const listedMilliseconds = lastListedAt >= now ? listed : 0;
+        versions.push({ service, version, ageMilliseconds, listedMilliseconds });
       }
     }
     const isInContact = now - this.lastReportAt <= MAXIMUM_GAP_MILLISECONDS;
