An unnamed stream continues if one holder of its content misses nothing of the last minute

A record of a content goes to all its holders at once, so one of them that has run all along knows the others' streams as well; that a majority answers is still required.

The soak's replicas start like those of a new system, and an unnamed resumption counts as due only while a replica has run for a minute: after a restart of all of them it can't be told from another with the same content.

--- a/features/steps/soak.steps.ts
+++ b/features/steps/soak.steps.ts
@@ -50,6 +50,7 @@
     addressOf: (number) => `127.0.9.${number}`,
     isInContact: () => true,
     areReplicasInContact: () => true,
+    areStreamsKnown: () => true,
     violate: (promise) => this.violatedGuarantees!.add(promise),
     releasesVersions: false,
   });
--- a/soak/gateway-kills.ts
+++ b/soak/gateway-kills.ts
@@ -33,6 +33,7 @@
   addressOf: (number) => world.runnerAddressOf(number),
   isInContact: () => false,
   areReplicasInContact: () => false,
+  areStreamsKnown: () => false,
   violate: (promise, detail) => violations.push(`${promise}: ${detail}`),
 });
 
--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -47,6 +47,7 @@
 /** Requests per second that a cold runner takes, and what may reach it beyond them. */
 export const SOAK_COLD = { requestsPerSecond: 3, overshoot: 1.5, slack: 2 };
 
+const MINUTE_MILLISECONDS = 60_000;
 /** Path of the program of the current build. */
 export const PROGRAM = resolve('target/main.cjs');
 /** Memory limit in the settings of each role, in megabytes. */
@@ -69,6 +70,7 @@
   machine: SoakMachine,
   folder: string,
   toleratesZoneLoss: boolean,
+  isFirstStart: boolean,
 ): Record<string, unknown> {
   const { name, host, zone, role, seeds, storeAddress } = machine;
   const listen =
@@ -87,6 +89,8 @@
     Listen: listen,
     InternalPorts: [SOAK_PORTS.peer, SOAK_PORTS.metrics],
     Seeds: seeds,
+    // Gateways would wait for the seeds at a first start.
+    Bootstrap: isFirstStart && role === 'replica',
     DataDir: role === 'replica' ? dataFolder(folder) : null,
     Bounds: {
       EvacuateMs: SOAK_APPLY_MILLISECONDS,
@@ -130,6 +134,8 @@
   private readonly disk: RecordedFolder;
   private readonly recordsDisk: boolean;
   private readonly toleratesZoneLoss: boolean;
+  /** Local time since which the process has lost nothing that it held in memory, in milliseconds. */
+  private knowsSince = Infinity;
   /** Path of the program for the next start. */
   program: string;
 
@@ -154,16 +160,25 @@
     return this.child?.pid;
   }
 
+  /** Whether the process holds in memory what it got within the last minute. */
+  get knowsLastMinute(): boolean {
+    return this.isRunning && this.knowsSince < performance.now() - MINUTE_MILLISECONDS;
+  }
+
   get isRunning(): boolean {
     return this.child !== undefined;
   }
 
-  /** Writes the settings and starts the process; its output is appended to the log file. */
-  start(): void {
+  /**
+   * Writes the settings and starts the process; its output is appended to the log file.
+   * @param isFirstStart whether the whole system starts for the first time
+   */
+  start(isFirstStart = false): void {
+    this.knowsSince = isFirstStart ? -Infinity : performance.now();
     const file = join(this.folder, 'node.json');
     writeFileSync(
       file,
-      JSON.stringify(settingsOf(this.machine, this.folder, this.toleratesZoneLoss)),
+      JSON.stringify(settingsOf(this.machine, this.folder, this.toleratesZoneLoss, isFirstStart)),
     );
     const log = createWriteStream(join(this.folder, 'log'), { flags: 'a' });
     const child = spawn(process.execPath, this.commandArguments(), { env: this.environment(file) });
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -146,6 +146,7 @@
       isInContact,
       areReplicasInContact: () =>
         performance.now() - this.replicaFaultEndedAt >= SETTLE_MILLISECONDS,
+      areStreamsKnown: () => this.world.knowsStreams,
       violate,
     });
     this.fatalCheck = new FatalRequestCheck({
--- a/soak/soak-world.ts
+++ b/soak/soak-world.ts
@@ -85,6 +85,7 @@
   readonly runners: RelayRunner[] = [];
   readonly liveRunners: RelayRunner[] = [];
   readonly processes: PlatformProcess[] = [];
+  private hasStarted = false;
   /** Processes whose machines were removed for good. */
   readonly removedProcesses: PlatformProcess[] = [];
   private startedReplicas = 0;
@@ -114,6 +115,11 @@
     return this.processes.filter((process) => process.machine.role === role);
   }
 
+  /** Whether a replica knows the streams of the last minute. */
+  get knowsStreams(): boolean {
+    return this.processesOf('replica').some(({ knowsLastMinute }) => knowsLastMinute);
+  }
+
   /** Starts the store and the runners; the caller writes the configuration next. */
   async startDependencies(): Promise<void> {
     this.store.pageItems = PAGE_ITEMS;
@@ -136,6 +142,7 @@
     for (let number = 1; number <= replicaCount; number += 1) {
       await this.startReplica(zoneOf(number), program);
     }
+    this.hasStarted = true;
     await new Promise((resolve) => setTimeout(resolve, START_MILLISECONDS));
   }
 
@@ -202,7 +209,7 @@
     mkdirSync(folder);
     const process = new PlatformProcess(machine, folder, { program, toleratesZoneLoss });
     this.processes.push(process);
-    process.start();
+    process.start(!this.hasStarted);
   }
 
   private async crashRunner(index: number, pauseMilliseconds: number): Promise<RelayRunner> {
--- a/soak/stream-version-check.ts
+++ b/soak/stream-version-check.ts
@@ -50,6 +50,8 @@
   /** Whether no recent fault affects a gateway, or any replica. */
   readonly isInContact: (host: string) => boolean;
   readonly areReplicasInContact: () => boolean;
+  /** Whether a replica knows the streams of the last minute, so that unnamed ones can be told from others. */
+  readonly areStreamsKnown: () => boolean;
   readonly violate: (promise: string, detail: string) => void;
   /** Whether versions are released while the check runs. @default true */
   readonly releasesVersions?: boolean;
@@ -339,7 +341,7 @@
   /** Kind under which a resumption counts towards the share that must succeed; undefined if it need not. */
   private dueKindOf(stream: ResumedStream, host: string): string | undefined {
     const origin = stream.received[0]?.origin;
-    const { isInContact, areReplicasInContact } = this.options;
+    const { isInContact, areReplicasInContact, areStreamsKnown } = this.options;
     const now = performance.now();
     const service = stream.route === MOVABLE_ROUTE ? this.movable.service : VERSIONED_SERVICE;
     const hasMoved =
@@ -350,7 +352,8 @@
     );
     const isDue = usable.length >= 2 && !hasMoved && isInContact(host) && areReplicasInContact();
     const versions = new Set(serving.map(({ version }) => version)).size;
-    if (!isDue || (!stream.isNamed && stream.isShared && versions > 1)) {
+    const isKnown = stream.isNamed || (areStreamsKnown() && !(stream.isShared && versions > 1));
+    if (!isDue || !isKnown) {
       return undefined;
     }
     return `${stream.isNamed ? 'named' : 'unnamed'}, ${versions > 1 ? 'several versions' : 'one version'}`;
--- a/src/turns/stream-origin-client.ts
+++ b/src/turns/stream-origin-client.ts
@@ -43,6 +43,11 @@
   return membersForKey(record, key).slice(0, count);
 }
 
+/** Returns the key by which the holders of a content are chosen. */
+function contentKey(content: StreamContent): string {
+  return content.toString(HEXADECIMAL);
+}
+
 /** The gateway's client for the origins of streams. */
 export class StreamOriginClient {
   private readonly origins: RecordQueue<StreamOriginEntry>;
@@ -70,7 +75,7 @@
   recordContent(entry: StreamContentEntry): void {
     const record = this.options.directory.current;
     if (record !== undefined) {
-      this.contents.add(entry, holdersOf(record, entry.content.toString(HEXADECIMAL)));
+      this.contents.add(entry, holdersOf(record, contentKey(entry.content)));
     }
   }
 
@@ -105,8 +110,8 @@
   }
 
   /**
-   * Asks the members for the stream that has a content. What they know is complete if a majority of them would know other
-   * streams of the last minute that have it.
+   * Asks the members for the stream that has a content. What they know is complete if a majority answers, and one of the holders
+   * would know other streams of the last minute that have it.
    */
   findContent(
     content: StreamContent,
@@ -114,11 +119,13 @@
     done: (found: FoundContent, isAnswered: boolean) => void,
   ): void {
     const record = this.options.directory.current;
-    const needed = record === undefined ? Infinity : majorityOf(record);
+    const holders = record === undefined ? [] : holdersOf(record, contentKey(content));
     const answers: FoundContent[] = [];
-    const isDecided = (reply: ReplicaReply | undefined): boolean => {
+    let isComplete = false;
+    const isDecided = (reply: ReplicaReply | undefined, { id }: Member): boolean => {
       if (reply?.type === 'contentFound') {
         answers.push(reply);
+        isComplete ||= reply.isComplete && holders.some((holder) => holder.id === id);
       }
       return false;
     };
@@ -128,9 +135,8 @@
         answers.map(({ stream }) => stream).filter((stream) => stream !== ''),
       );
       const isShared = streams.size > 1 || answers.some((answer) => answer.isShared);
-      const isComplete = answers.filter((answer) => answer.isComplete).length >= needed;
       const [stream] = streams;
-      done({ stream: stream ?? '', isShared, isComplete }, isAnswered);
+      done({ stream: stream ?? '', isShared, isComplete: isComplete && isAnswered }, isAnswered);
     });
   }
 
@@ -141,7 +147,7 @@
   private askMembers(
     question: UnnumberedRequest,
     remainingMilliseconds: number,
-    isDecided: (reply: ReplicaReply | undefined) => boolean,
+    isDecided: (reply: ReplicaReply | undefined, member: Member) => boolean,
     done: (isAnswered: boolean) => void,
   ): void {
     const { runtime, directory, caller, distances } = this.options;
@@ -153,10 +159,10 @@
     }
     let answers = 0;
     let isFinished = false;
-    const handleReply = (reply: ReplicaReply | undefined): void => {
+    const handleReply = (reply: ReplicaReply | undefined, member: Member): void => {
       pending -= 1;
       answers += reply === undefined ? 0 : 1;
-      if (!isFinished && (isDecided(reply) || pending === 0)) {
+      if (!isFinished && (isDecided(reply, member) || pending === 0)) {
         isFinished = true;
         done(answers * 2 > members.length);
       }
@@ -170,7 +176,7 @@
         if (reply === undefined && runtime.now() + RETRY_MILLISECONDS < until && !isFinished) {
           runtime.setTimer(RETRY_MILLISECONDS, () => ask(member));
         } else {
-          handleReply(reply);
+          handleReply(reply, member);
         }
       });
     };
