Bytes that clients send beyond requests are bounded

Callers saw: a client that sends zeros of a chunk's size, padded or extended chunks, line breaks, or the rest of a refused request without end was read until it stopped; its bytes took processor time from others.

Cause: Node's parser hands none of these bytes on, and the limits on heads and bodies count only what is handed on.

Why the fix works: limitRequests counts what each connection delivers against the content handed on, at the front, readiness, metrics and peers' servers. Bytes between requests have a limit of 128 KiB with the head, framing that of answers, the rest of an answered request 64 KiB (at the front 16 MiB, or a whole body if that is more). A body that is being read is refused with 400, counted and logged as other refusals. The front keeps small parts of bodies merged (PartList).

--- /dev/null
+++ b/features/endless-requests.feature
@@ -0,0 +1,71 @@
+Feature: Clients that send without end
+  A client may send bytes that belong to no request, or that surround its content. Each is bounded in bytes, and no other client is
+  held up.
+
+  Background:
+    Given a gateway that clients send to without end
+
+  # Guards against bytes of clients that a parser reads and hands on to nobody: no limit on heads or bodies bounded them.
+  Scenario Outline: A client that sends <part> without end is refused
+    When a client sends "<part>" without end to "the front"
+    Then its connection is closed within 2000 ms and after at most <mebibytes> MiB
+    And one request was refused with status <status>
+    And another client is answered
+
+    Examples:
+      | part                         | status | mebibytes |
+      | line breaks first            | 400    | 16        |
+      | line breaks behind a request | 400    | 16        |
+      | chunk size                   | 400    | 16        |
+      | later chunk size             | 400    | 16        |
+      | padded chunks                | 400    | 16        |
+      | extended chunks              | 400    | 16        |
+      | line breaks behind a stream  | 400    | 16        |
+      | chunk size behind a stream   | 400    | 40        |
+
+  # Guards against the rest of a refused request that is read for as long as its client sends.
+  Scenario Outline: The <part> does not go on without end
+    When a client sends "<part>" without end to "the front"
+    Then its connection is closed within 3000 ms and after at most 32 MiB
+    And one request was refused with status <status>
+    And another client is answered
+
+    Examples:
+      | part                               | status |
+      | body of a refused request          | 404    |
+      | declared body of a refused request | 404    |
+      | body above the limit               | 413    |
+
+  # Guards against the same bytes at the servers that are not for clients.
+  Scenario Outline: A client that sends <part> without end to <server> is disconnected
+    When a client sends "<part>" without end to "<server>"
+    Then its connection is closed within 2000 ms and after at most 16 MiB
+
+    Examples:
+      | server               | part                         |
+      | the readiness server | chunk size                   |
+      | the readiness server | line breaks first            |
+      | the readiness server | line breaks behind a request |
+      | the metrics server   | chunk size                   |
+      | the metrics server   | padded chunks                |
+      | the metrics server   | line breaks behind a request |
+      | the server for peers | chunk size                   |
+      | the server for peers | extended chunks              |
+      | the server for peers | line breaks behind a request |
+
+  # Guards against limits that end sound requests: clients send chunks of a byte, padded sizes, and requests ahead of answers.
+  Scenario Outline: <count> sound requests of <bytes> bytes in chunks of <size> with "<padding>" ahead of their sizes are answered
+    When a client sends <count> pipelined requests of <bytes> bytes in chunks of <size> with "<padding>" ahead of their sizes
+    Then <count> requests are answered with status 200
+
+    Examples:
+      | count | bytes | size | padding |
+      | 1     | 90000 | 1    |         |
+      | 1     | 90000 | 1    | 0000000 |
+      | 40    | 1000  | 1    |         |
+      | 20    | 96000 | 6    |         |
+      | 30    | 98304 | 4096 | 0000    |
+
+  Scenario: Requests with large bodies over a connection that is kept are all answered
+    When a client sends 60 requests of 100000 bytes over one connection
+    Then 60 requests are answered with status 200
--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -147,6 +147,11 @@
     return this.ports[0]!;
   }
 
+  /** Port for readiness checks. */
+  get readyPort(): number {
+    return this.ports[1]!;
+  }
+
   /** Name of the header with a request's timeout in milliseconds. */
   get timeoutHeader(): string {
     return NAMES.timeout;
--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -12,6 +12,7 @@
 import { limitAnswer } from '../http-client/answer-limits.js';
 import { readWholeBody } from '../http-client/read-body.js';
 import { ResetAwareAgent } from '../http-client/reset-aware-agent.js';
+import { limitRequests } from '../http-server/limit-requests.js';
 import type { KeySpaceChanges } from '../mirror/key-space-copy.js';
 import type { Runtime } from '../runtime/runtime.js';
 import { ExceptionLog } from '../telemetry/exception-log.js';
@@ -99,6 +100,7 @@
     this.server = createServer((incoming, response) => {
       this.exceptions.contain('snapshot', () => this.answer(incoming, response));
     });
+    limitRequests(this.server);
   }
 
   /** Starts the server and the periodic rounds of requests. */
--- a/src/relay/front/body-reader.ts
+++ b/src/relay/front/body-reader.ts
@@ -2,6 +2,7 @@
  * Reads the body of a request, within limits on its size, its time and the memory of the process.
  */
 import type { IncomingMessage } from 'node:http';
+import { PartList } from '../../http-client/part-list.js';
 import type { Runtime } from '../../runtime/runtime.js';
 import type { MemoryAllocation } from '../memory/memory-accounts.js';
 import type { MemoryBudget } from '../memory/memory-budget.js';
@@ -13,6 +14,8 @@
   | { readonly tag: 'TooLarge' }
   /** The body did not arrive in time. */
   | { readonly tag: 'Late' }
+  /** The body has too many bytes around its content. */
+  | { readonly tag: 'TooMuchFraming' }
   /** There is no memory for the body, or none became available in time to start reading. */
   | { readonly tag: 'NoMemory' };
 
@@ -31,8 +34,7 @@
 }
 
 class BodyReader {
-  private readonly chunks: Buffer[] = [];
-  private bytes = 0;
+  private readonly parts = new PartList();
   private finished = false;
   private started = false;
   private readonly cancelTimeout: () => void;
@@ -64,7 +66,7 @@
     }
     this.started = true;
     this.request.on('data', (chunk: Buffer) => this.addChunk(chunk));
-    this.request.on('end', () => this.finish({ tag: 'Whole', body: this.wholeBody() }));
+    this.request.on('end', () => this.finish({ tag: 'Whole', body: this.parts.concat() }));
   }
 
   /**
@@ -79,20 +81,24 @@
     if (this.finished) {
       return;
     }
-    this.bytes += chunk.length;
-    if (this.bytes > this.options.limitBytes) {
+    this.parts.add(chunk);
+    if (this.parts.bytes > this.options.limitBytes) {
       this.finish({ tag: 'TooLarge' });
       return;
     }
-    this.chunks.push(chunk);
-    this.allocation.set(this.bytes);
+    this.allocation.set(this.parts.bytes);
     if (this.options.memory.level === 'cut') {
       this.finish({ tag: 'NoMemory' });
     }
   }
 
-  private wholeBody(): Buffer {
-    return this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks);
+  /** Gives the body up; returns false if it was read or given up before. */
+  refuse(): boolean {
+    if (this.finished) {
+      return false;
+    }
+    this.finish({ tag: 'TooMuchFraming' });
+    return true;
   }
 
   private finish(result: BodyResult): void {
@@ -101,7 +107,7 @@
     }
     this.detach();
     if (result.tag !== 'Whole') {
-      this.chunks.length = 0;
+      this.parts.clear();
       this.allocation.release();
     }
     this.done(result);
@@ -117,12 +123,15 @@
 /**
  * Reads a body; calls back once, unless the client disconnects first. The allocation counts the
  * bytes read; those of a complete body stay counted until the caller releases them.
+ * @returns a function that ends reading with `TooMuchFraming`, and returns whether the body was still being read
  */
 export function readBody(
   request: IncomingMessage,
   options: BodyReadOptions,
   allocation: MemoryAllocation,
   done: (result: BodyResult) => void,
-): void {
-  new BodyReader(request, options, allocation, done).start();
+): () => boolean {
+  const reader = new BodyReader(request, options, allocation, done);
+  reader.start();
+  return () => reader.refuse();
 }
--- a/src/relay/front/relay-front.ts
+++ b/src/relay/front/relay-front.ts
@@ -5,6 +5,8 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { maximumFramingBytes } from '../../http-client/framing-limit.js';
+import { limitRequests } from '../../http-server/limit-requests.js';
 import { ClientAnswer } from '../answers/client-answer.js';
 import { interruptedByException, memoryLimitReached } from '../answers/local-answers.js';
 import type { LocalAnswer } from '../answers/local-answers.js';
@@ -27,10 +29,14 @@
 const TIMEOUT_CHECK_MILLISECONDS = 1_000;
 /** Maximum number of connections waiting to be accepted. */
 const BACKLOG = 1_024;
+/** Bytes of a request that are read after a refusal, so that its client can read it; more if a body may have more. */
+const MINIMUM_REST_BYTES = 16 * 1024 * 1024;
+const BAD_REQUEST = 400;
 /** Stage name for requests that are refused while their body is read. */
 const BODY_STAGE = 'body';
 /** Answers to requests whose body could not be read. */
 const BODY_REFUSALS: Readonly<Record<Exclude<BodyResult['tag'], 'Whole'>, () => LocalAnswer>> = {
+  TooMuchFraming: () => refusal(400, 'too many bytes around the content of the body'),
   TooLarge: () => refusal(413, 'the body exceeds the bound'),
   Late: () => refusal(408, 'the body did not come in time'),
   NoMemory: memoryLimitReached,
@@ -40,9 +46,14 @@
 export class RelayFront {
   private readonly server: Server;
   private readonly completions = new RequestCompletions();
+  /** Requests with too many bytes around their content: their answers close the connection. */
+  private readonly excessive = new WeakSet<IncomingMessage>();
+  /** Ends reading a request's body with a refusal that closes the connection. */
+  private readonly bodyRefusals = new WeakMap<IncomingMessage, () => boolean>();
   /** Number of requests in progress. */
   activeCount = 0;
   private draining = false;
+  private restBytes = MINIMUM_REST_BYTES;
   private onIdle: () => void = () => undefined;
 
   constructor(private readonly context: RelayContext) {
@@ -61,6 +72,10 @@
       this.handleRequest(request, response);
     });
     this.server.on('connection', (socket: Socket) => this.completions.addSocket(socket));
+    limitRequests(this.server, {
+      restBytes: () => this.restBytes,
+      onExceeded: (reason, request) => this.refuseExcess(reason, request),
+    });
   }
 
   /** Starts to listen; calls back once the server listens. */
@@ -72,6 +87,8 @@
   applyLimits(table: RoutingTable): void {
     this.server.keepAliveTimeout = table.limits.idleMilliseconds;
     this.server.headersTimeout = table.limits.headerMilliseconds;
+    const { bodyBytes } = table.limits;
+    this.restBytes = Math.max(MINIMUM_REST_BYTES, bodyBytes + maximumFramingBytes(bodyBytes));
   }
 
   /** Makes each answer close its connection from now on. */
@@ -110,6 +127,16 @@
     boundary.run(() => this.startRequest(request, response, head, boundary));
   }
 
+  /** Refuses a request whose body is being read. One that was answered before its end was refused and counted then. */
+  private refuseExcess(reason: string, request: IncomingMessage | undefined): boolean {
+    if (request === undefined) {
+      this.noteRefusal(request, undefined, BODY_STAGE, BAD_REQUEST, reason);
+      return false;
+    }
+    this.excessive.add(request);
+    return this.bodyRefusals.get(request)?.() === true;
+  }
+
   private startRequest(
     request: IncomingMessage,
     response: ServerResponse,
@@ -127,7 +154,7 @@
       memory: this.context.memory,
       requestIdHeader: names.requestId,
       requestId: head.header(names.requestId) ?? '',
-      isClosing: () => this.isClosing,
+      isClosing: () => this.isClosing || this.excessive.has(request),
     });
     this.activeCount += 1;
     completion.onComplete(() => {
@@ -159,24 +186,31 @@
     answer: ClientAnswer,
     { stage, answer: localAnswer }: StageRefusal,
     id: string | undefined,
+  ): void {
+    this.noteRefusal(request, id, stage, localAnswer.status, localAnswer.detail);
+    request.resume();
+    answer.sendLocal(localAnswer, id);
+  }
+
+  private noteRefusal(
+    request: IncomingMessage | undefined,
+    id: string | undefined,
+    stage: string,
+    status: number,
+    reason: string,
   ): void {
     const version = this.context.currentTable()?.version ?? -1;
     this.context.runtime.log('info', 'request refused at ingress', {
       event: 'relay.refused',
       request: id ?? '',
-      host: request.headers.host ?? '',
-      path: request.url ?? '',
+      host: request?.headers.host ?? '',
+      path: request?.url ?? '',
       stage,
-      status: localAnswer.status,
-      reason: localAnswer.detail,
+      status,
+      reason,
       version,
     });
-    this.context.metrics.count(
-      'ivyloom_relay_door_refusals_total',
-      `status="${localAnswer.status}"`,
-    );
-    request.resume();
-    answer.sendLocal(localAnswer, id);
+    this.context.metrics.count('ivyloom_relay_door_refusals_total', `status="${status}"`);
   }
 
   private readRequestBody(
@@ -196,7 +230,7 @@
       limitBytes,
       timeoutMilliseconds: clientTimeoutMilliseconds(ingress),
     };
-    readBody(request, options, allocation, (result) => {
+    const refuseBody = readBody(request, options, allocation, (result) => {
       if (result.tag === 'Whole') {
         done(result.body);
         return;
@@ -208,6 +242,7 @@
         ingress.id,
       );
     });
+    this.bodyRefusals.set(request, refuseBody);
   }
 
   private checkIdle(): void {
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -3,6 +3,7 @@
  * readiness, and shuts down gracefully.
  */
 import { createServer } from 'node:http';
+import { limitRequests } from '../http-server/limit-requests.js';
 import type { Server } from 'node:http';
 import { AggregateRegistry } from '../peers/aggregate-registry.js';
 import { AGGREGATE_TOPICS } from '../peers/aggregates.js';
@@ -189,6 +190,7 @@
       request.resume();
       response.writeHead(this.ready ? OK : UNAVAILABLE, { 'content-length': '0' }).end();
     });
+    limitRequests(server);
     return server.listen(this.options.ready);
   }
 
