--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -115,14 +115,13 @@
     const { gatewayCount = GATEWAY_COUNT, replicaCount = REPLICA_COUNT, block = 0 } = options;
     const sizes = { gatewayCount, replicaCount, runnerCount: RUNNER_COUNT };
     const program = options.upgrade?.program ?? options.program ?? PROGRAM;
-    const { hasInvalidEntries = true } = options;
     // The older build of an upgrade need not know evacuations.
     const onArrival: SoakWorldOptions['onArrival'] = (zone, headers) => {
       if (options.upgrade === undefined) {
         this.evacuationCheck.noteArrival(zone, headers);
       }
     };
-    const { toleratesZoneLoss = false } = options;
+    const { hasInvalidEntries = true, toleratesZoneLoss = false } = options;
     const content = { hasInvalidEntries, toleratesZoneLoss, onArrival };
     this.world = new SoakWorld({ ...sizes, block, program, ...content });
     const { gatewayHosts, runners } = this.world;
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -3,6 +3,7 @@
  * readiness, and shuts down gracefully.
  */
 import { createServer } from 'node:http';
+import { limitRequests } from '../http-server/limit-requests.js';
 import type { Server } from 'node:http';
 import { AggregateRegistry } from '../peers/aggregate-registry.js';
 import { AGGREGATE_TOPICS } from '../peers/aggregates.js';
@@ -193,6 +194,7 @@
       request.resume();
       response.writeHead(this.ready ? OK : UNAVAILABLE, { 'content-length': '0' }).end();
     });
+    limitRequests(server);
     this.listeners.listen(server, { purpose: 'readiness', ...this.options.ready });
     return server;
   }
