A machine that restarts after it left the members is reported as retired only once others hold what it holds

What was seen: a replica that had left the members for its retirement, was killed and started again was reported as finished at once, with turns on its disk that no other one had read. The machine and its disk may then be taken away.

Cause: after a start, an incomplete state was taken for one that was never complete, but leaving the members clears the mark on the disk.

Change: metadata on the disk has a mark for as long as the state was never complete since the disk was empty. Only with it, or holding nothing, is there nothing to hand over. It is a section behind the record: older builds skip it and write none, which then means that it isn't known. After a restart, a majority of the current members must have read the log. Members read a former member for ten minutes while its machine is being retired, instead of ten seconds. Where nobody can read it again, the retirement is finished once all that it holds has expired.

A standby whose disk an older build wrote, and that holds copied turns, is reported only once these have expired or have been read.

Tests (turns.feature): "killed as it leaves isn't reported" and "is reported as retired once all that it holds has expired" failed on the code before ("it is reported as finished") and pass. "A standby that holds copied turns" passed before; it fails if the mark is ignored.

--- a/features/steps/replicas.steps.ts
+++ b/features/steps/replicas.steps.ts
@@ -10,6 +10,7 @@
   replicas?: SimulatedReplicas;
   keptTurns?: string[];
   standby?: string;
+  unreadTurns?: string[];
 }
 
 Given(
@@ -163,6 +164,82 @@
   },
 );
 
+/** Cuts or heals the links between one machine and all others. */
+function setIsolated({ replicas }: World, name: string, isolated: boolean): void {
+  const others = replicas!.runningNames().filter((other) => other !== name);
+  others.forEach((other) => (isolated ? replicas!.cut(name, other) : replicas!.heal(name, other)));
+}
+
+When(
+  'machine {string} leaves as it is being retired, with turns that no other one has read, and is killed and started',
+  function (this: World, name: string) {
+    const { clock, replicas } = this;
+    replicas!.store.refusesReports = true;
+    replicas!.store.retiring.add(name);
+    const hasLeft = (): boolean => !replicas!.recordedMembers().includes(name);
+    assert.ok(clock!.runUntil(clock!.now + 3_000, hasLeft), 'it has not left');
+    setIsolated(this, name, true);
+    this.standby = name;
+    this.unreadTurns = ['u1', 'u2'];
+    replicas!.keepOn(name, this.unreadTurns);
+    // The mark that it left is on disk by then.
+    clock!.runUntil(clock!.now + 1_000);
+    replicas!.kill(name);
+    replicas!.start(name);
+    replicas!.store.refusesReports = false;
+  },
+);
+
+Then(
+  "while the others can't read it, its retirement isn't reported as finished for {int} milliseconds",
+  function (this: World, milliseconds: number) {
+    const { clock, replicas } = this;
+    const isReported = clock!.runUntil(clock!.now + milliseconds, () =>
+      replicas!.store.retired.has('m1'),
+    );
+    assert.ok(!isReported, 'it is reported as finished');
+    assert.deepEqual(
+      this.unreadTurns!.flatMap((turn) => replicas!.holdersOf(turn)),
+      ['m1', 'm1'],
+    );
+  },
+);
+
+Then(
+  'once they can, its retirement is reported as finished within {int} milliseconds and two others hold its turns',
+  function (this: World, milliseconds: number) {
+    const { clock, replicas } = this;
+    setIsolated(this, 'm1', false);
+    const finished = (): boolean => replicas!.store.retired.has('m1');
+    assert.ok(
+      clock!.runUntil(clock!.now + milliseconds, finished),
+      'its retirement is not finished',
+    );
+    this.unreadTurns!.forEach((turn) => {
+      const others = replicas!.holdersOf(turn).filter((name) => name !== 'm1');
+      assert.ok(others.length >= 2, `${turn} is held by ${others}`);
+    });
+  },
+);
+
+When(
+  'the standby loses its disk, copies turns, starts again and is being retired',
+  function (this: World) {
+    const { clock, replicas, keptTurns } = this;
+    const active = new Set(replicas!.activeNames());
+    const standby = replicas!.runningNames().find((name) => !active.has(name))!;
+    replicas!.kill(standby);
+    replicas!.wipe(standby);
+    replicas!.start(standby);
+    clock!.runUntil(clock!.now + 2_000);
+    replicas!.kill(standby);
+    replicas!.start(standby);
+    assert.ok(keptTurns!.some((turn) => replicas!.holdersOf(turn).includes(standby)));
+    replicas!.store.retiring.add(standby);
+    this.standby = standby;
+  },
+);
+
 Given('{int} replicas that are members', function (this: World, count: number) {
   this.clock = new VirtualClock();
   const quotaAllowance = { overshoot: 0.1, slack: 20 };
--- a/features/support/wire-arbitraries.ts
+++ b/features/support/wire-arbitraries.ts
@@ -147,7 +147,10 @@
   fc.record(
     {
       tag: fc.constant('meta' as const),
-      meta: fc.record({ ready: fc.boolean(), members: text }, plain),
+      meta: fc.record(
+        { ready: fc.boolean(), members: text, neverReady: fc.constant(true as const) },
+        { ...plain, requiredKeys: ['ready', 'members'] },
+      ),
     },
     plain,
   ),
--- a/features/turns.feature
+++ b/features/turns.feature
@@ -150,6 +150,26 @@
     When machine "m1" is being retired and "m3" pauses for 2500 milliseconds as it leaves
     Then within 3000 milliseconds its retirement is reported as finished and the others hold every turn
 
+  # Guards against a report of a finished retirement, after a restart, for data that no other disk holds.
+  Scenario: A machine that is killed as it leaves isn't reported as retired before others hold what it holds
+    Given 4 replicas that take 50 writes a second
+    When machine "m1" leaves as it is being retired, with turns that no other one has read, and is killed and started
+    Then while the others can't read it, its retirement isn't reported as finished for 15000 milliseconds
+    And once they can, its retirement is reported as finished within 5000 milliseconds and two others hold its turns
+
+  # Guards against a retirement that is never finished, because no member can read the machine again.
+  Scenario: A machine that is killed as it leaves is reported as retired once all that it holds has expired
+    Given 4 replicas that take 50 writes a second
+    When machine "m1" leaves as it is being retired, with turns that no other one has read, and is killed and started
+    Then while the others can't read it, its retirement isn't reported as finished for 60000 milliseconds
+    And within 20000 milliseconds its retirement is reported as finished
+
+  # Guards against a retirement that is never finished, because a standby copied turns before it started again.
+  Scenario: A standby that holds copied turns is retired in time after a restart
+    Given 4 replicas of which 3 are to be members that take 50 writes a second
+    When the standby loses its disk, copies turns, starts again and is being retired
+    Then within 1000 milliseconds its retirement is reported as finished
+
   Scenario: A disk holds what was acknowledged
     Given a replica's disk with a turn, a settled reservation and its members
     When the disk is opened again
--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -305,7 +305,8 @@
         const staying = present.filter(({ node }) => !this.store.retiring.has(node));
         return isJoinUseful(spread, staying, machine.member);
       });
-    const sync = new ReplicaSync({ ...shared, id, caller, isJoinUseful: isUseful });
+    const isRetiring = (node: string): boolean => this.store.retiring.has(node);
+    const sync = new ReplicaSync({ ...shared, id, caller, isJoinUseful: isUseful, isRetiring });
     replica.holdsQuorum = () => sync.holdsQuorum;
     replica.forwardToMember = (member, request, listener) =>
       sync.forwardQuotaRequest(member, request, listener);
@@ -396,6 +397,14 @@
     );
   }
 
+  /** Makes a machine's replica store turns, as writes that reach no other one do. */
+  keepOn(name: string, ids: readonly string[]): void {
+    const bytes = Buffer.alloc(0);
+    const settings = { previous: '', input: bytes, output: bytes, retentionMilliseconds: 60_000 };
+    const turns = ids.map((id) => ({ id, ...settings }));
+    this.machine(name).replica?.storeTurns(turns, () => undefined);
+  }
+
   /** Creates the turn client of a gateway, with the members that the machine `knownTo` knows. */
   client(
     name: string,
--- a/src/turns/replica-sync.ts
+++ b/src/turns/replica-sync.ts
@@ -26,6 +26,8 @@
 const STALL_THRESHOLD_MILLISECONDS = 500;
 /** Time for which the log of a former member is still pulled, so that it can hand over its state, in milliseconds. */
 const FORMER_MEMBER_MILLISECONDS = 10_000;
+/** The same time while the former member's machine is being retired, in which it may restart, in milliseconds. */
+const RETIRING_MEMBER_MILLISECONDS = 600_000;
 
 type PullReply = Extract<ReplicaReply, { type: 'pulled' | 'pulledFresh' | 'pulledAndLent' }>;
 
@@ -61,6 +63,8 @@
    * @default when they are fewer than wanted
    */
   readonly isJoinUseful?: ((presentMembers: readonly Member[]) => boolean) | undefined;
+  /** Whether the machine of this name is being retired. @default none is */
+  readonly isRetiring?: ((node: string) => boolean) | undefined;
   readonly timings: MembershipTimings;
 }
 
@@ -305,7 +309,7 @@
   private pullLater(member: Member, pause: number): void {
     this.options.runtime.setTimer(pause, () => {
       this.pulling.delete(member.id);
-      if (!this.isIdleStandby && this.isWorthPulling(member.id)) {
+      if (!this.isIdleStandby && this.isWorthPulling(member)) {
         this.pull(member);
       } else {
         this.silenceTracker.stopPolling(member.id);
@@ -313,13 +317,17 @@
     });
   }
 
-  private isWorthPulling(member: string): boolean {
-    const { directory, runtime } = this.options;
-    if (hasMember(directory.current, member)) {
-      this.listedAt.set(member, runtime.now());
+  private isWorthPulling({ id, node }: Member): boolean {
+    const { directory, runtime, isRetiring } = this.options;
+    if (hasMember(directory.current, id)) {
+      this.listedAt.set(id, runtime.now());
       return true;
     }
-    return runtime.now() - (this.listedAt.get(member) ?? -Infinity) < FORMER_MEMBER_MILLISECONDS;
+    const unlistedMilliseconds = runtime.now() - (this.listedAt.get(id) ?? -Infinity);
+    const isAwaited = isRetiring?.(node) ?? false;
+    return (
+      unlistedMilliseconds < (isAwaited ? RETIRING_MEMBER_MILLISECONDS : FORMER_MEMBER_MILLISECONDS)
+    );
   }
 
   private recordPullReply(member: Member, reply: PullReply): void {
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -155,6 +155,10 @@
   /** Set before this replica joins and cleared once its state is complete. */
   private joinToken: JoinToken | undefined;
   private storedMeta: ReplicaMeta | undefined;
+  /** Whether it is known that the state was never complete since the disk was empty. */
+  private neverReady = false;
+  /** Whether the disk holds records that this build cannot decode. */
+  private hasUnknownRecords = false;
   private readonly cancelExpiry: CancelTimer;
 
   constructor(private readonly options: ReplicaOptions) {
@@ -219,6 +223,9 @@
       options.directory.offerText(storedMeta.members, 'disk');
     }
     const { programs, turns } = this.state.counts;
+    this.hasUnknownRecords = unknownRecords > 0;
+    const isMarked = storedMeta?.neverReady === true && unknownRecords === 0;
+    this.neverReady = storedMeta === undefined ? this.holdsNothing : isMarked;
     options.runtime.log('info', 'replica state restored from disk', {
       event: 'replica.restored',
       ready: this.isReady,
@@ -235,6 +242,16 @@
     return this.storedMeta === undefined;
   }
 
+  /** Whether the replica may hold acknowledged writes, as far as it knows since its disk was empty. */
+  get mayHoldAcknowledgedWrites(): boolean {
+    return !this.neverReady && !this.holdsNothing;
+  }
+
+  private get holdsNothing(): boolean {
+    const { programs, turns } = this.state.counts;
+    return programs === 0 && turns === 0 && !this.hasUnknownRecords;
+  }
+
   /** Whether the state is complete: the replica holds every write that it ever acknowledged. */
   get ready(): boolean {
     return this.isReady;
@@ -248,6 +265,7 @@
   /** Marks the state as complete; calls back once the mark is durable, unless it was revoked meanwhile. */
   markReady(reason: string, done: () => void = () => undefined): void {
     this.readyOnDisk = true;
+    this.neverReady = false;
     this.saveMeta((durable) => {
       if (!durable || !this.readyOnDisk) {
         return;
@@ -448,8 +466,8 @@
 
   /** Iterates over the live state as changes that recreate it; the state may change during the iteration. */
   *liveChanges(): Generator<StorageChange> {
-    const { directory, runtime } = this.options;
-    yield { tag: 'meta', meta: { ready: this.readyOnDisk, members: directory.currentText } };
+    const { runtime } = this.options;
+    yield { tag: 'meta', meta: this.currentMeta };
     if (this.joinToken !== undefined) {
       yield { tag: 'joining', token: this.joinToken };
     }
@@ -600,8 +618,12 @@
   }
 
   private saveMeta(done: (durable: boolean) => void = () => undefined): void {
-    const meta = { ready: this.readyOnDisk, members: this.options.directory.currentText };
-    this.options.storage.write([{ tag: 'meta', meta }], done);
+    this.options.storage.write([{ tag: 'meta', meta: this.currentMeta }], done);
+  }
+
+  private get currentMeta(): ReplicaMeta {
+    const members = this.options.directory.currentText;
+    return { ready: this.readyOnDisk, members, ...(this.neverReady && { neverReady: true }) };
   }
 
   private expire(): void {
--- a/src/turns/retirement-reporter.ts
+++ b/src/turns/retirement-reporter.ts
@@ -2,7 +2,9 @@
  * Reports the progress of retiring this replica's machine. The retirement is finished once every remaining member of
  * the record that this replica left has, at some time, read this replica's log up to its end at that moment. This
  * replica acknowledges nothing afterwards, and a member that has read the log holds it on disk even if it is down.
- * Members that joined later read from those members. A standby that was never a member has nothing to hand over.
+ * Members that joined later read from those members. After a restart, the members of the record that this replica left
+ * are unknown; a majority of the current members must then have read the log, as with any acknowledged write. A replica
+ * that provably holds no acknowledged writes has nothing to hand over.
  */
 import type { Runtime } from '../runtime/runtime.js';
 import type { MembershipStore } from './membership-store.js';
@@ -28,33 +30,31 @@
   private handoverTargets: ReadonlySet<string> = new Set();
   /** Members that have read the log up to that end. */
   private readonly handedTo = new Set<string>();
-  /** Whether this replica may hold acknowledged writes, because it is or was a member. */
-  private wasMember: boolean;
+  /** Whether this process has seen itself as a member while its machine was being retired. */
+  private wasSeenAsMember = false;
   private reported: RetirementState = 'nothing';
 
-  constructor(private readonly options: RetirementReporterOptions) {
-    this.wasMember = options.replica.ready;
-  }
+  constructor(private readonly options: RetirementReporterOptions) {}
 
   /** Updates the read progress and reports a changed state. Must be called regularly. */
   step(record: MemberRecord): void {
-    const { self: own, store } = this.options;
-    this.wasMember ||= hasMember(record, own.id);
+    const { self: own, store, replica } = this.options;
     if (!store.retiringNodes().has(own.node)) {
       return;
     }
     this.updateHandoverTargets(record);
     this.updateHandovers(record);
     const isOut = this.logEndAtRemoval !== undefined;
-    const isDone = isOut && (this.isHandedOver(record) || !this.wasMember);
+    const isDone = isOut && (this.isHandedOver(record) || !replica.mayHoldAcknowledgedWrites);
     this.report(isDone ? 'finished' : 'running', record);
   }
 
-  /** Whether enough handover targets are still members, and all of those have read the log. */
+  /** Whether enough members have read the log: a majority and, unless they are unknown, all remaining targets. */
   private isHandedOver(record: MemberRecord): boolean {
     const remainingTargets = record.members.filter((member) => this.handoverTargets.has(member.id));
-    const haveRead = remainingTargets.every((member) => this.handedTo.has(member.id));
-    return haveRead && remainingTargets.length >= majorityOf(record);
+    const readers = remainingTargets.filter((member) => this.handedTo.has(member.id));
+    const needed = this.wasSeenAsMember ? remainingTargets.length : 0;
+    return readers.length >= Math.max(needed, majorityOf(record));
   }
 
   private updateHandoverTargets(record: MemberRecord): void {
@@ -67,7 +67,8 @@
       this.logEndAtRemoval ??= replica.state.logEnd;
     }
     // A member that joins at the same moment is no target. After a restart in between, all current members are.
-    if (hasMember(record, own.id) || this.handoverTargets.size === 0) {
+    this.wasSeenAsMember ||= hasMember(record, own.id);
+    if (hasMember(record, own.id) || !this.wasSeenAsMember) {
       this.handoverTargets = new Set(others.map((member) => member.id));
     }
   }
--- a/src/turns/segment-codec.ts
+++ b/src/turns/segment-codec.ts
@@ -5,13 +5,16 @@
 import { crc32 } from 'node:zlib';
 import * as r from 'restructure';
 import { encodeField, bool, longText, float64, shortText, TaggedUnion } from '../wire/fields.js';
-import { decodeExtended } from '../wire/sections.js';
+import { decodeExtended, encodeSections } from '../wire/sections.js';
+import type { Section } from '../wire/sections.js';
 import type { JoinToken } from './membership.js';
 import { accountEntryField, conversationTurnField } from './messages.js';
 import type { WrittenChange } from './turn-storage.js';
 
 const bytesField: r.Field = new r.Buffer(r.uint32);
 const HEADER_BYTES = 8;
+/** Section of a metadata record whose replica was never complete. Builds that do not know it write records without it. */
+const NEVER_READY_SECTION = { kind: 1, content: Buffer.from('never ready') };
 /** Maximum size of a record's content, in bytes; a larger length counts as torn. */
 const MAXIMUM_RECORD_CONTENT_BYTES = 64 * 1024 * 1024;
 
@@ -47,7 +50,7 @@
 function toRecordValue(change: WrittenChange): RecordValue {
   switch (change.tag) {
     case 'meta':
-      return { type: 'meta', ...change.meta };
+      return { type: 'meta', ready: change.meta.ready, members: change.meta.members };
     case 'joining':
       return { type: 'joining', token: change.token };
     case 'entry':
@@ -59,10 +62,17 @@
   }
 }
 
-function toChange(value: RecordValue): WrittenChange {
+function toChange(value: RecordValue, sections: readonly Section[]): WrittenChange {
   switch (value.type) {
     case 'meta':
-      return { tag: 'meta', meta: { ready: value.ready, members: value.members } };
+      return {
+        tag: 'meta',
+        meta: {
+          ready: value.ready,
+          members: value.members,
+          ...(sections.some(isNeverReadyMark) && { neverReady: true }),
+        },
+      };
     case 'joining':
       return { tag: 'joining', token: value.token };
     case 'entry':
@@ -74,9 +84,18 @@
   }
 }
 
+function isNeverReadyMark({ kind, content }: Section): boolean {
+  return kind === NEVER_READY_SECTION.kind && NEVER_READY_SECTION.content.equals(content);
+}
+
+function sectionsOf(change: WrittenChange): readonly Section[] {
+  return change.tag === 'meta' && change.meta.neverReady ? [NEVER_READY_SECTION] : [];
+}
+
 /** Encodes one change as a record with its header. */
 export function encodeRecord(change: WrittenChange): Buffer {
-  const content = encodeField(recordField, toRecordValue(change));
+  const fields = encodeField(recordField, toRecordValue(change));
+  const content = Buffer.concat([fields, encodeSections(sectionsOf(change))]);
   const bytes = Buffer.allocUnsafe(HEADER_BYTES + content.length);
   bytes.writeUInt32LE(content.length, 0);
   bytes.writeUInt32LE(crc32(content), 4);
@@ -97,7 +116,8 @@
 /** Decodes the change of a record; undefined when this build cannot decode it. */
 function decodeChange(content: Buffer): WrittenChange | undefined {
   try {
-    return toChange(decodeExtended(recordField, content).value as RecordValue);
+    const { value, sections } = decodeExtended(recordField, content);
+    return toChange(value as RecordValue, sections);
   } catch {
     return undefined;
   }
--- a/src/turns/turn-storage.ts
+++ b/src/turns/turn-storage.ts
@@ -9,6 +9,11 @@
   readonly ready: boolean;
   /** Newest known membership record, as JSON. */
   readonly members: string;
+  /**
+   * Set as long as the state was never complete since the disk was empty, so that the replica has acknowledged nothing.
+   * Older builds write none: then it isn't known.
+   */
+  readonly neverReady?: true;
 }
 
 /** A turn with the wall time at which it was stored, in milliseconds. */
