Test steps keep their state under names of their own

Hooks of the start and endless request scenarios closed what other scenarios keep under the same names: 16 scenarios of fatal-requests.feature failed in a whole run with 'this.subject?.close is not a function', after their checks had passed.

--- a/features/steps/endless-requests.steps.ts
+++ b/features/steps/endless-requests.steps.ts
@@ -15,8 +15,8 @@
 
 interface World {
   relay?: RelayWorld;
-  client?: EndlessClient;
-  cleanups?: (() => void)[];
+  endlessClient?: EndlessClient;
+  endlessCleanups?: (() => void)[];
   answers: string;
 }
 
@@ -66,8 +66,8 @@
 };
 
 After(async function (this: World) {
-  this.client?.close();
-  this.cleanups?.forEach((cleanup) => cleanup());
+  this.endlessClient?.close();
+  this.endlessCleanups?.forEach((cleanup) => cleanup());
   await this.relay?.stop();
   delete this.relay;
 });
@@ -86,7 +86,7 @@
       new PlatformStoreClient(HOST, 1, runtime),
       new Listeners(runtime),
     );
-    world.cleanups = [() => server.close()];
+    world.endlessCleanups = [() => server.close()];
     await new Promise((resolve) => server.once('listening', resolve));
     return port;
   },
@@ -102,7 +102,7 @@
       isNeeded: () => 'no',
     });
     exchange.start(HOST, port);
-    world.cleanups = [() => exchange.close()];
+    world.endlessCleanups = [() => exchange.close()];
     return port;
   },
 };
@@ -125,7 +125,7 @@
   LONG,
   async function (this: World, part: string, server: string) {
     const port = await SERVERS[server]!(this);
-    this.client = new EndlessClient(port, ...PARTS[part]!());
+    this.endlessClient = new EndlessClient(port, ...PARTS[part]!());
   },
 );
 
@@ -133,7 +133,7 @@
   'its connection is closed within {int} ms and after at most {int} MiB',
   LONG,
   async function (this: World, milliseconds: number, mebibytes: number) {
-    const client = this.client!;
+    const client = this.endlessClient!;
     await until('closed', milliseconds, () => client.closedAfter !== undefined);
     assert.ok(client.bytesSent <= mebibytes * MEBIBYTE, `${client.bytesSent} bytes were taken`);
   },
--- a/features/steps/starts.steps.ts
+++ b/features/steps/starts.steps.ts
@@ -20,11 +20,11 @@
 const MODIFIED_AT = 1_700_000_000;
 
 interface World {
-  subject: StartingProcess | undefined;
+  startingProcess: StartingProcess | undefined;
   /** Lets the process read what it waits for. */
-  unblock: () => Promise<void>;
+  unblockStart: () => Promise<void>;
   /** Frees the address that is held. */
-  free: (() => Promise<void>) | undefined;
+  freeAddress: (() => Promise<void>) | undefined;
   /** Pauses between attempts to listen, in milliseconds. */
   pauses: number[];
   /** Attempts that were logged. */
@@ -47,8 +47,8 @@
 }
 
 After(async function (this: World) {
-  await this.subject?.close();
-  await this.free?.();
+  await this.startingProcess?.close();
+  await this.freeAddress?.();
 });
 
 AfterAll(() => removeBundle());
@@ -56,70 +56,70 @@
 Given(
   /^a (gateway|replica) that waits for its (code|settings)$/,
   async function (this: World, role: PlatformRole, moment: 'code' | 'settings') {
-    this.subject = new StartingProcess(role);
-    this.unblock = await this.subject.startBlockedAt(moment);
+    this.startingProcess = new StartingProcess(role);
+    this.unblockStart = await this.startingProcess.startBlockedAt(moment);
   },
 );
 
 When(
   /^it gets (SIGHUP|SIGTERM), and then its (?:code|settings)$/,
   async function (this: World, signal: NodeJS.Signals) {
-    this.subject!.signal(signal);
-    await this.unblock();
+    this.startingProcess!.signal(signal);
+    await this.unblockStart();
   },
 );
 
 Then('it starts, and reloads its settings because of the signal', async function (this: World) {
-  await this.subject!.untilLogged('process.reloaded');
-  assert.match(this.subject!.output, /"cause":"signal"/);
-  assert.equal(this.subject!.countOf('process.started'), 1);
+  await this.startingProcess!.untilLogged('process.reloaded');
+  assert.match(this.startingProcess!.output, /"cause":"signal"/);
+  assert.equal(this.startingProcess!.countOf('process.started'), 1);
 });
 
 Then(
   'it ends with status {int} before it has started',
   async function (this: World, status: number) {
-    assert.deepEqual(await this.subject!.untilEnded(), { code: status, signal: null });
-    assert.equal(this.subject!.countOf('process.started'), 0);
+    assert.deepEqual(await this.startingProcess!.untilEnded(), { code: status, signal: null });
+    assert.equal(this.startingProcess!.countOf('process.started'), 0);
   },
 );
 
 Given(
   /^a (gateway|replica) whose address for (\w+) is held$/,
   async function (this: World, role: PlatformRole, purpose: string) {
-    this.subject = new StartingProcess(role);
-    this.free = await hold(this.subject.host, LISTENERS[purpose]!);
-    assert.ok(this.free, 'the address is in use by another process');
-    await this.subject.startStore();
-    this.subject.start();
+    this.startingProcess = new StartingProcess(role);
+    this.freeAddress = await hold(this.startingProcess.host, LISTENERS[purpose]!);
+    assert.ok(this.freeAddress, 'the address is in use by another process');
+    await this.startingProcess.startStore();
+    this.startingProcess.start();
   },
 );
 
 When(
   'it has tried {int} times to listen for {word}',
   async function (this: World, attempts: number, purpose: string) {
-    await this.subject!.untilLogged('listener.waiting', attempts);
-    assert.match(this.subject!.output, new RegExp(`"purpose":"${purpose}"`));
-    assert.match(this.subject!.output, /"reason":"EADDRINUSE"/);
+    await this.startingProcess!.untilLogged('listener.waiting', attempts);
+    assert.match(this.startingProcess!.output, new RegExp(`"purpose":"${purpose}"`));
+    assert.match(this.startingProcess!.output, /"reason":"EADDRINUSE"/);
   },
 );
 
 When('it gets SIGTERM', function (this: World) {
-  this.subject!.signal('SIGTERM');
+  this.startingProcess!.signal('SIGTERM');
 });
 
 Then("it isn't ready", async function (this: World) {
-  assert.notEqual(await this.subject!.readiness(), 200);
+  assert.notEqual(await this.startingProcess!.readiness(), 200);
 });
 
 When('the address is free', async function (this: World) {
-  await this.free!();
-  this.free = undefined;
+  await this.freeAddress!();
+  this.freeAddress = undefined;
 });
 
 Then(
   /^it listens for (\w+), and is ready if it is a gateway$/,
   async function (this: World, purpose: string) {
-    const { subject } = this;
+    const { startingProcess: subject } = this;
     await subject!.untilLogged('listener.opened');
     assert.equal(await hold(subject!.host, LISTENERS[purpose]!), undefined);
     if (subject!.role === 'gateway') {
@@ -130,25 +130,28 @@
 );
 
 Then('it ends with status {int}', async function (this: World, status: number) {
-  assert.deepEqual(await this.subject!.untilEnded(), { code: status, signal: null });
+  assert.deepEqual(await this.startingProcess!.untilEnded(), { code: status, signal: null });
 });
 
 Given(
   "a gateway whose port for {word} doesn't exist",
   async function (this: World, purpose: string) {
-    this.subject = new StartingProcess('gateway');
-    const { host } = this.subject;
-    this.subject.writeSettings(this.subject.settings(withBadPort(host, purpose)));
-    await this.subject.startStore();
-    this.subject.start();
+    this.startingProcess = new StartingProcess('gateway');
+    const { host } = this.startingProcess;
+    this.startingProcess.writeSettings(this.startingProcess.settings(withBadPort(host, purpose)));
+    await this.startingProcess.startStore();
+    this.startingProcess.start();
   },
 );
 
 Then(
   'it ends with status {int}, and an error that names the address for {word}',
   async function (this: World, status: number, purpose: string) {
-    assert.deepEqual(await this.subject!.untilEnded(), { code: status, signal: null });
-    assert.match(this.subject!.output, new RegExp(`${purpose} on ${this.subject!.host}:70000`));
+    assert.deepEqual(await this.startingProcess!.untilEnded(), { code: status, signal: null });
+    assert.match(
+      this.startingProcess!.output,
+      new RegExp(`${purpose} on ${this.startingProcess!.host}:70000`),
+    );
   },
 );
 
@@ -197,44 +200,44 @@
 Given(
   /^a (gateway|replica) whose settings file is (half written|missing)$/,
   function (this: World, role: PlatformRole, state: string) {
-    this.subject = new StartingProcess(role);
+    this.startingProcess = new StartingProcess(role);
     if (state === 'missing') {
-      rmSync(this.subject.settingsFile);
+      rmSync(this.startingProcess.settingsFile);
     } else {
-      this.subject.writeSettings(this.subject.settings().slice(0, HALF_CHARACTERS));
+      this.startingProcess.writeSettings(this.startingProcess.settings().slice(0, HALF_CHARACTERS));
     }
-    this.subject.start();
+    this.startingProcess.start();
   },
 );
 
 When('it has found that, and the file is complete', async function (this: World) {
-  const { subject } = this;
+  const { startingProcess: subject } = this;
   await until(() => subject!.end !== undefined || subject!.output.includes('waiting for'));
   subject!.writeSettings(subject!.settings());
 });
 
 Then('it starts', async function (this: World) {
-  await this.subject!.untilLogged('process.started');
+  await this.startingProcess!.untilLogged('process.started');
 });
 
 Then(
   'it ends with status {int} and the error {string}',
   async function (this: World, status: number, error: string) {
-    assert.deepEqual(await this.subject!.untilEnded(), { code: status, signal: null });
-    assert.match(this.subject!.output, new RegExp(error));
+    assert.deepEqual(await this.startingProcess!.untilEnded(), { code: status, signal: null });
+    assert.match(this.startingProcess!.output, new RegExp(error));
   },
 );
 
 Given('a gateway that has started', async function (this: World) {
-  this.subject = new StartingProcess('gateway');
-  this.subject.start();
-  await this.subject.untilLogged('process.started');
+  this.startingProcess = new StartingProcess('gateway');
+  this.startingProcess.start();
+  await this.startingProcess.untilLogged('process.started');
 });
 
 When(
   'its settings file is half written, and SIGHUP makes it read that',
   async function (this: World) {
-    const { subject } = this;
+    const { startingProcess: subject } = this;
     subject!.writeSettings(subject!.settings().slice(0, HALF_CHARACTERS));
     utimesSync(subject!.settingsFile, MODIFIED_AT, MODIFIED_AT);
     // The change of the file may be found before the signal is.
@@ -245,7 +248,7 @@
 );
 
 When('the file is completed with the same modification time', function (this: World) {
-  const { subject } = this;
+  const { startingProcess: subject } = this;
   const whole = `${subject!.settingsFile}.new`;
   writeFileSync(whole, subject!.settings());
   utimesSync(whole, MODIFIED_AT, MODIFIED_AT);
@@ -253,6 +256,6 @@
 });
 
 Then('the settings are reloaded because of the file', async function (this: World) {
-  await until(() => this.subject!.output.includes('"message":"settings reloaded"'));
-  assert.equal(this.subject!.end, undefined);
+  await until(() => this.startingProcess!.output.includes('"message":"settings reloaded"'));
+  assert.equal(this.startingProcess!.end, undefined);
 });
