A report of versions that are known doesn't send the records of all unfinished streams again

Cause: since each resumption asks the members which versions were listed, each of their answers counted a second version, or a second service of a split route, as new, once for each row, and sent the records of all own streams to the members.

Change: a version counts as new only if it was not recent before; as long as it is, streams are recorded as they begin.

--- a/features/listed-versions.feature
+++ b/features/listed-versions.feature
@@ -75,3 +75,10 @@
     When the routes are "/a/ minds", and then "/a/ desk"
     And the routes become "/a/ desk, /a/b/ desk"
     Then the streams of "/a/b/" have no sole origin
+
+  # Guards against sending the records of all unfinished streams with each report that names several versions.
+  Scenario: A report of versions that are known doesn't count as a new version
+    Given a gateway with one version of the services "minds" and "desk"
+    When the routes become "/a/ minds, /a/ desk"
+    And peers report 10 times that "v2" of "minds" was listed 5 s ago
+    Then 1 new version was noticed
--- a/features/steps/listed-versions.steps.ts
+++ b/features/steps/listed-versions.steps.ts
@@ -24,6 +24,8 @@
   history: VersionHistory;
   versionExchange: VersionExchange;
   isProven: boolean;
+  /** Number of times that a second version was noticed. */
+  mixedCount: number;
   /** The routes of the last step that set some. */
   routes: Route[];
 }
@@ -237,3 +239,21 @@
     assert.equal(this.history.soleOrigin(route)?.service, service ?? undefined);
   },
 );
+
+When(
+  'peers report {int} times that {string} of {string} was listed {int} s ago',
+  function (this: World, times: number, version: string, service: string, seconds: number) {
+    this.mixedCount = 0;
+    this.history.onMixed = () => (this.mixedCount += 1);
+    const ageMilliseconds = seconds * MILLISECONDS;
+    const split = ['minds', 'desk'].map((each) => ({ service: `//${HOST}/a/`, version: each }));
+    const listed = split.map((each) => ({ ...each, ageMilliseconds: 0 }));
+    for (let index = 0; index < times; index += 1) {
+      this.history.addVersions([...listed, { service, version, ageMilliseconds }]);
+    }
+  },
+);
+
+Then('{int} new version was noticed', function (this: World, count: number) {
+  assert.equal(this.mixedCount, count);
+});
--- a/src/relay/runners/version-history.ts
+++ b/src/relay/runners/version-history.ts
@@ -71,14 +71,13 @@
   /** Records that one more runner of a version is listed. */
   noteListed(service: string, version: string): void {
     const state = this.stateOf(service, version);
+    const wasRecent = this.isRecent(state);
     state.listed += 1;
     if (state.listed === 1) {
       state.firstListedAt = this.runtime.now();
-    }
-    this.noteSeen(service, state);
-    if (state.listed === 1) {
       this.onListed();
     }
+    this.noteSeen(service, wasRecent);
   }
 
   /** Records the routes of a new configuration. */
@@ -208,9 +207,10 @@
     const now = this.runtime.now();
     for (const { service, version, ageMilliseconds, listedMilliseconds = 0 } of versions) {
       const state = this.stateOf(service, version);
+      const wasRecent = this.isRecent(state);
       state.lastListedAt = Math.max(state.lastListedAt, now - ageMilliseconds);
       state.firstListedAt = Math.min(state.firstListedAt, now - listedMilliseconds);
-      this.noteSeen(service, state);
+      this.noteSeen(service, wasRecent || !this.isRecent(state));
     }
   }
 
@@ -242,11 +242,10 @@
   }
 
   private recentVersions(service: string): string[] {
-    const since = this.runtime.now() - ORIGIN_RETENTION_MILLISECONDS;
     const versions = this.services.get(service) ?? new Map<string, VersionState>();
     const recent: string[] = [];
-    for (const [version, { listed, lastListedAt }] of versions) {
-      if (listed > 0 || lastListedAt >= since) {
+    for (const [version, state] of versions) {
+      if (this.isRecent(state)) {
         recent.push(version);
       } else {
         versions.delete(version);
@@ -258,10 +257,13 @@
     return recent;
   }
 
-  private noteSeen(service: string, state: VersionState): void {
-    const wasRecent = state.lastListedAt >= this.runtime.now() - ORIGIN_RETENTION_MILLISECONDS;
-    const isNew = state.listed === 1 || (state.listed === 0 && wasRecent);
-    if (isNew && this.recentVersions(service).length > 1) {
+  private isRecent({ listed, lastListedAt }: VersionState): boolean {
+    return listed > 0 || lastListedAt >= this.runtime.now() - ORIGIN_RETENTION_MILLISECONDS;
+  }
+
+  /** Streams are recorded as long as a service is mixed, so only a version that was not recent before matters. */
+  private noteSeen(service: string, wasRecent: boolean): void {
+    if (!wasRecent && this.recentVersions(service).length > 1) {
       this.onMixed(service);
     }
   }
