--- a/soak/stream-version-check.ts
+++ b/soak/stream-version-check.ts
@@ -50,7 +50,7 @@
   /** Whether no recent fault affects a gateway, or any replica. */
   readonly isInContact: (host: string) => boolean;
   readonly areReplicasInContact: () => boolean;
-  /** Whether a replica knows the streams of the last minute, so that unnamed ones can be told from others. */
+  /** Whether a replica knows the streams of the last minute, so that unnamed ones can be distinguished. */
   readonly areStreamsKnown: () => boolean;
   readonly violate: (promise: string, detail: string) => void;
   /** Whether versions are released while the check runs. @default true */
--- a/src/histories/stream-history.ts
+++ b/src/histories/stream-history.ts
@@ -556,7 +556,7 @@
     const [version] = versions;
     const ofVersion = this.listed.filter((runner) => softwareVersionOf(runner) === version);
     const isInContact = gateway.faultAt < since && this.replicaFaultAt < since;
-    // Members that have restarted can't tell whether another stream has the same content.
+    // Members that have restarted don't know whether another stream has the same content.
     const isKnown =
       isNamed || this.replicasRestartedAt < this.clock.now - ORIGIN_RETENTION_MILLISECONDS;
     return isInContact && isKnown && ofVersion.length >= 2 && versions.size === 1;
--- a/src/relay/runners/resumable-streams.ts
+++ b/src/relay/runners/resumable-streams.ts
@@ -16,7 +16,7 @@
 import type { Route } from '../request/routing-table.js';
 import type { VersionHistory } from './version-history.js';
 
-/** Own streams in a generation; at 30 new ones a second, a generation has 1,800. */
+/** Own streams in a generation. */
 const MAXIMUM_OWN_STREAMS = 20_000;
 /** Longest id of a stream that is looked up, in characters. */
 const MAXIMUM_ID_LENGTH = 256;
--- a/src/relay/runners/version-history.ts
+++ b/src/relay/runners/version-history.ts
@@ -10,7 +10,7 @@
 import type { ListedVersion, VersionReport } from '../../turns/version-reports.js';
 import type { Route } from '../request/routing-table.js';
 
-/** A listed version as peers report it; older builds don't tell for how long it has been listed. */
+/** A listed version as peers report it; older builds don't report for how long it has been listed. */
 type ReportedVersion = Omit<ListedVersion, 'listedMilliseconds'> & Partial<ListedVersion>;
 
 /** What a peer knows of the versions of the runners. */
@@ -84,6 +84,7 @@
   noteRoutes(routes: readonly Route[]): void {
     const before = this.routes;
     this.routes = routes;
+    // At the first start of the system no stream can have begun on another route.
     const isFirst = before.length === 0 && this.knownSince === -Infinity;
     for (const route of routes) {
       for (const { service } of route.services) {
@@ -93,6 +94,7 @@
         }
       }
     }
+    // Only now, so that a route that stays is listed without a break.
     for (const route of before) {
       route.services.forEach(({ service }) => this.noteUnlisted(keyOf(route), service));
     }
@@ -111,7 +113,7 @@
     const { service } = first;
     const isOther = (key: string): boolean =>
       this.recentVersions(key).some((each) => each !== service) || this.isMixedElsewhere(key);
-    if (this.keysBesides(route, service).some(isOther)) {
+    if (this.routesOfPastStreams(route, service).some(isOther)) {
       return undefined;
     }
     const version = this.soleVersion(service);
@@ -122,7 +124,7 @@
    * Returns the routes at which streams may have begun that now resume at this one: itself, those below it that are gone, and, unless
    * it has been listed for as long as streams may be resumed, those above it.
    */
-  private keysBesides(route: Route, service: string): string[] {
+  private routesOfPastStreams(route: Route, service: string): string[] {
     const key = keyOf(route);
     const { firstListedAt } = this.stateOf(key, service);
     const isSettled = firstListedAt < this.runtime.now() - ORIGIN_RETENTION_MILLISECONDS;
--- a/src/turns/replica-state.ts
+++ b/src/turns/replica-state.ts
@@ -140,7 +140,7 @@
 
   /**
    * Looks up the chain that ends with a turn; the body holds the inputs and outputs, oldest first. A chain that leads back to itself,
-   * which a client can bring about by using an id again, or that is too large, can't be told.
+   * which a client can bring about by using an id again, or that is too large, counts as `unsure`.
    */
   chainOf(id: string): { readonly state: ChainState; readonly body: Buffer } {
     const parts: Buffer[] = [];
