Gateways report the services of those routes only whose streams may be resumed

Cause: each report to a member, and each reply, named the services of all routes, of which a configuration can have hundreds; each resumption asks all members.

Change: routes whose streams can't be resumed are left out; nothing is concluded from them.

--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -299,7 +299,8 @@
       source,
     });
     this.table = table;
-    this.registry.versions.noteRoutes([...table.routesByHost.values()].flat());
+    const routes = [...table.routesByHost.values()].flat();
+    this.registry.versions.noteRoutes(routes.filter(({ resumable }) => resumable));
     this.front.applyLimits(table);
     this.listen();
     return true;
