--- a/features/steps/older-replica.steps.ts
+++ b/features/steps/older-replica.steps.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import { findFreePorts } from '../../src/bench/free-ports.js';
 import { createRandom } from '../../src/runtime/random.js';
 import type { Runtime } from '../../src/runtime/runtime.js';
 import { MemberDirectory } from '../../src/turns/member-directory.js';
@@ -36,8 +37,6 @@
 const REPLY_MILLISECONDS = 200;
 /** Time after which the older replica answers a write, in milliseconds. */
 const SLOW_MILLISECONDS = 50;
-/** Time in which a server starts listening, in milliseconds. */
-const LISTEN_MILLISECONDS = 100;
 
 interface World {
   olderServer?: Server;
@@ -241,10 +240,7 @@
   const directory = new MemberDirectory(runtime);
   const storage = new MemoryTurnStorage(runtime);
   this.servingReplica = new Replica({ id: 'a', runtime, storage, directory });
-  const free = createServer().listen(0, HOST);
-  await pause(LISTEN_MILLISECONDS);
-  this.servingPort = (free.address() as AddressInfo).port;
-  free.close();
+  [this.servingPort] = (await findFreePorts(HOST, 1)) as [number];
   this.replicaServer = new ReplicaServer(this.servingReplica, directory, runtime);
   await new Promise<void>((resolve) => this.replicaServer!.listen(HOST, this.servingPort, resolve));
 });
--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -28,6 +28,8 @@
 const SERVICE = 'workers';
 const NAMES = DEFAULT_HEADER_NAMES;
 const TOKENS_PER_EVENT = 10;
+/** Bytes after which a client closes its connection, so that an endless answer fails a check and doesn't end the tests. */
+const MAXIMUM_ANSWER_BYTES = 256 * 1024 * 1024;
 /** Host name that the routes match. */
 export const ROUTED_HOST = 'shop.example';
 
@@ -319,8 +321,15 @@
         },
         (response) => {
           const chunks: Buffer[] = [];
+          let bytes = 0;
           const read = (): void => {
-            response.on('data', (chunk: Buffer) => chunks.push(chunk));
+            response.on('data', (chunk: Buffer) => {
+              chunks.push(chunk);
+              bytes += chunk.length;
+              if (bytes > MAXIMUM_ANSWER_BYTES) {
+                response.destroy();
+              }
+            });
           };
           if (options.readAfter === undefined) {
             read();
