A stream whose version isn't listed yet at a gateway is refused there for a moment, not for good

What callers saw: a stream that began at a runner which one gateway had just listed was refused at another one as lost, without a time to return, although its runner served on. Clients give such a stream up.

Cause: the origin stage took 'no usable runner of that version is listed here' for 'no runner of it is left'.

A version that others listed in the last 2 s, and that this gateway has never listed, may be listed here soon: Retry-After 0.1 s. One that this gateway has seen leave is lost at once, as before. After a restart of all gateways a lost stream may be told to return for the first 2 s.

--- a/features/steps/stream-versions.steps.ts
+++ b/features/steps/stream-versions.steps.ts
@@ -154,6 +154,12 @@
   },
 );
 
+When('the last gateway lists the runner of {string}', function (this: World, version: string) {
+  const { gateways, runners } = this.versions!;
+  const runner = runners.find((each) => each.version === version)!;
+  this.versions!.list(gateways.at(-1)!, runner);
+});
+
 When('{int} of the replicas are killed', function (this: World, count: number) {
   this.versions!.stopReplicas(count);
 });
@@ -203,6 +209,7 @@
   async function (this: World, naming: string) {
     const versions = this.versions!;
     const gateway = versions.gateways.length - 1;
+    const startedAt = performance.now();
     this.streams = await Promise.all(
       this.streams.map(async ([first], index) => {
         const { requestId, events } = first!;
@@ -213,6 +220,7 @@
         return [first!, await versions.send(gateway, resumed, Infinity, `/stream-${index}`)];
       }),
     );
+    this.resumptionMilliseconds = performance.now() - startedAt;
   },
 );
 
@@ -378,13 +386,14 @@
 }
 
 Then(
-  'streams of {string} are refused as not run within {int} ms, without a time to return',
-  function (this: World, version: string, milliseconds: number) {
+  /^streams of "(.*)" are refused as not run within (\d+) ms, (with|without) a time to return$/,
+  function (this: World, version: string, limit: string, returns: string) {
+    const milliseconds = Number(limit);
     const refused = streamsOf(this, version);
     assert.ok(refused.length > 0);
     refused.forEach(([, resumption]) => {
       assert.equal(resumption!.status, UNAVAILABLE);
-      assert.equal(resumption!.retryAfter, undefined);
+      assert.equal(resumption!.retryAfter !== undefined, returns === 'with');
     });
     const others = ALL_EVENTS.length * EVENT_MILLISECONDS;
     assert.ok(
--- a/features/stream-versions.feature
+++ b/features/stream-versions.feature
@@ -195,6 +195,23 @@
       | by name             |
       | without naming them |
 
+  # Guards against refusing a stream for good where the version that began it is not listed yet.
+  Scenario Outline: A stream is refused for a moment at a gateway whose list is behind
+    Given 2 gateways, and runners of the software version "v1" in one service
+    And a runner of "v2" that only the first gateway lists so far
+    When 8 clients receive 2 events of streams of their own, and leave
+    And the clients resume their streams <naming> at the last gateway
+    Then streams of "v2" are refused as not run within 100 ms, with a time to return
+    And streams of "v1" are complete, with events of one version
+    When the last gateway lists the runner of "v2"
+    And the clients resume their streams <naming> at the last gateway
+    Then streams of "v2" are complete, with events of one version
+
+    Examples:
+      | naming              |
+      | by name             |
+      | without naming them |
+
   # Guards against a route that moves to another service, whose runners don't continue what the earlier ones began.
   Scenario Outline: A stream doesn't continue at the service to which its route has moved
     Given 2 gateways, and runners of the software version "v1" in one service
--- a/src/relay/answers/local-answers.ts
+++ b/src/relay/answers/local-answers.ts
@@ -144,6 +144,16 @@
   };
 }
 
+/** Other gateways list runners of the version that began the stream, and the list of this one may be behind theirs. */
+export function originNotListed({ service, version }: StreamOrigin): LocalAnswer {
+  return {
+    status: 503,
+    detail: `no runner of service ${service} is listed yet of the software version "${version}", which began the stream`,
+    verdict: 'NotRun',
+    retryAfterSeconds: ORIGIN_RETRY_SECONDS,
+  };
+}
+
 /**
  * Several software versions may have begun a stream, and the request doesn't name it. To wait changes nothing, so there is
  * no time to return.
--- a/src/relay/runners/version-history.ts
+++ b/src/relay/runners/version-history.ts
@@ -26,6 +26,8 @@
   lastListedAt: number;
   /** Local time since which it has been listed without a break, in milliseconds, as far as known. */
   firstListedAt: number;
+  /** Whether this gateway has listed it, and not only others. */
+  wasListedHere: boolean;
 }
 
 /** Largest number of reports that are merged after a start: peers that started at the same time add nothing. */
@@ -33,6 +35,9 @@
 /** Age that is reported at least for what is not listed any more, in milliseconds. */
 const MINIMUM_AGE_MILLISECONDS = 1;
 
+/** Time by which a list that is proved to be recent may be behind those of other gateways, in milliseconds. */
+const MAXIMUM_LIST_LAG_MILLISECONDS = 2_000;
+
 /** Returns the name under which the services of a route are kept, like the versions of a service. */
 function keyOf({ host, pathPrefix }: Route): string {
   return `//${host.toLowerCase()}${pathPrefix}`;
@@ -72,6 +77,7 @@
   noteListed(service: string, version: string): void {
     const state = this.stateOf(service, version);
     const wasRecent = this.isRecent(state);
+    state.wasListedHere = true;
     state.listed += 1;
     if (state.listed === 1) {
       state.firstListedAt = this.runtime.now();
@@ -145,6 +151,17 @@
     state.lastListedAt = this.runtime.now();
   }
 
+  /** Whether a version that only others have listed may be listed here soon: the list of this gateway may be behind theirs. */
+  mayBeListedSoon({ service, version }: StreamOrigin): boolean {
+    const state = this.services.get(service)?.get(version);
+    if (state === undefined || state.wasListedHere) {
+      return false;
+    }
+    const wasListedLately =
+      state.lastListedAt >= this.runtime.now() - MAXIMUM_LIST_LAG_MILLISECONDS;
+    return wasListedLately || !this.isListProven();
+  }
+
   /** The only version at which a stream of a service that can still be resumed can have begun; undefined if unknown. */
   private soleVersion(service: string): string | undefined {
     const [version, ...others] = this.recentVersions(service);
@@ -277,6 +294,7 @@
       listed: 0,
       lastListedAt: -Infinity,
       firstListedAt: Infinity,
+      wasListedHere: false,
     };
     versions.set(version, state);
     return state;
--- a/src/relay/stages/origin-stage.ts
+++ b/src/relay/stages/origin-stage.ts
@@ -2,7 +2,12 @@
  * Origin stage: finds out which service and software version began a stream that the client resumes, and refuses the
  * request if that is unknown, or if no runner of it is left, before the request reserves anything.
  */
-import { originLost, originUnknown, originUnnamed } from '../answers/local-answers.js';
+import {
+  originLost,
+  originNotListed,
+  originUnknown,
+  originUnnamed,
+} from '../answers/local-answers.js';
 import { streamContentOf } from '../request/fingerprint.js';
 import { isResumption } from '../request/relay-request.js';
 import { tenantScopedId } from '../request/tenant.js';
@@ -55,7 +60,12 @@
   if (refusal !== undefined) {
     return refuseWith(refusal);
   }
-  return isOriginLost(requestState, found) ? refuseWith(originLost(found.origin)) : GO_ON;
+  if (!isOriginLost(requestState, found)) {
+    return GO_ON;
+  }
+  const { versions } = requestState.context.registry;
+  const refuseBy = versions.mayBeListedSoon(found.origin) ? originNotListed : originLost;
+  return refuseWith(refuseBy(found.origin));
 }
 
 /** Refuses resumptions of streams that can't continue at the version that began them. */
