--- a/features/listed-versions.feature
+++ b/features/listed-versions.feature
@@ -82,3 +82,9 @@
     When the routes become "/a/ minds, /a/ desk"
     And peers report 10 times that "v2" of "minds" was listed 5 s ago
     Then 1 new version was noticed
+
+  # Guards against reports that name the services of all routes of a large configuration.
+  Scenario: Only routes whose streams may be resumed are reported
+    Given a gateway with one version of the services "minds" and "desk"
+    When the routes become "/a/ minds, /b/ desk unresumable, /c/ desk"
+    Then the gateway reports the routes "/a/, /c/" to the members
--- a/features/steps/listed-versions.steps.ts
+++ b/features/steps/listed-versions.steps.ts
@@ -160,14 +160,28 @@
   },
 );
 
-/** Parses routes such as `/a/ minds, /a/b/ desk`. */
+/** Parses routes such as `/a/ minds, /a/b/ desk unresumable`. */
 function routesOf(text: string): Route[] {
   return text.split(', ').map((part) => {
-    const [pathPrefix, service] = part.split(' ');
-    return { host: HOST, pathPrefix, services: [{ service, weight: 1 }] } as unknown as Route;
+    const [pathPrefix, service, flag] = part.split(' ');
+    const resumable = flag !== 'unresumable';
+    const services = [{ service, weight: 1 }];
+    return { host: HOST, pathPrefix, services, resumable } as unknown as Route;
   });
 }
 
+Then(
+  'the gateway reports the routes {string} to the members',
+  function (this: World, paths: string) {
+    const { versions } = this.history.reportToMembers();
+    const routes = versions.filter(({ service }) => service.startsWith('//'));
+    assert.deepEqual(
+      routes.map(({ service }) => service),
+      paths.split(', ').map((path) => `//${HOST}${path}`),
+    );
+  },
+);
+
 When(
   'the routes are {string}, and then {string}',
   function (this: World, before: string, next: string) {
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -299,8 +299,7 @@
       source,
     });
     this.table = table;
-    const routes = [...table.routesByHost.values()].flat();
-    this.registry.versions.noteRoutes(routes.filter(({ resumable }) => resumable));
+    this.registry.versions.noteRoutes([...table.routesByHost.values()].flat());
     this.front.applyLimits(table);
     this.listen();
     return true;
--- a/src/relay/runners/version-history.ts
+++ b/src/relay/runners/version-history.ts
@@ -86,8 +86,9 @@
     this.noteSeen(service, wasRecent);
   }
 
-  /** Records the routes of a new configuration. */
-  noteRoutes(routes: readonly Route[]): void {
+  /** Records the routes of a new configuration; nothing is kept of those whose streams can't be resumed. */
+  noteRoutes(allRoutes: readonly Route[]): void {
+    const routes = allRoutes.filter(({ resumable }) => resumable);
     const before = this.routes;
     this.routes = routes;
     // At the first start of the system no stream can have begun on another route.
