A gateway that has heard what the members know doesn't ask them twice a second for a minute

Cause: a gateway that hadn't run for a minute exchanged versions with all members every 0.5 s. Once a majority has told what it knows, the own knowledge grows by itself; only reports of other gateways, which come every 10 s, add to it. Each resumption asks anyway.

Change: asked every 0.5 s until the list is proved and a majority has answered, and with the reports after that.

Two new examples fail without the change (53 calls in 25 s instead of 2 to 4).

--- a/features/listed-versions.feature
+++ b/features/listed-versions.feature
@@ -36,6 +36,22 @@
     When its list is proved, and the gateway exchanges versions with the members
     Then the gateway knows the versions of the last minute
 
+  # Guards against messages to all members twice a second for as long as a gateway hasn't run for a minute.
+  Scenario Outline: Members that have told what they know are asked again with the next reports only
+    Given a gateway that starts, and three members that know the last <seconds> s
+    When 25 s pass
+    Then each member was called 2 to 4 times
+
+    Examples:
+      | seconds     |
+      | 0, 0 and 0  |
+      | 60, 5 and 0 |
+
+  Scenario: Members are asked until the own list is proved
+    Given a gateway that starts without a proved list, and three members that know the last 60, 60 and 60 s
+    When 25 s pass
+    Then each member was called 48 to 60 times
+
   # Guards against a route that takes over requests, or gives them back, and with them streams of another service.
   Scenario Outline: A route shares the past of the one that otherwise gets its requests
     Given a gateway with one version of the services "minds" and "desk"
--- a/features/steps/listed-versions.steps.ts
+++ b/features/steps/listed-versions.steps.ts
@@ -24,6 +24,8 @@
   history: VersionHistory;
   versionExchange: VersionExchange;
   isProven: boolean;
+  /** Calls to all members. */
+  memberCalls: number;
   /** Number of times that a second version was noticed. */
   mixedCount: number;
   /** The routes of the last step that set some. */
@@ -107,8 +109,10 @@
       zone: ZONE,
     }));
     directory.offer({ epoch: 1, members }, 'test');
+    this.memberCalls = 0;
     const caller: ReplicaCaller = {
       call: (member, _request, _timeout, listener) => {
+        this.memberCalls += 1;
         const index = members.findIndex(({ id }) => id === member.id);
         const knownMilliseconds = Number(known[index]) * MILLISECONDS;
         runtime.setTimer(1, () =>
@@ -126,6 +130,18 @@
   },
 );
 
+When('{int} s pass', function (this: World, seconds: number) {
+  this.clock.runUntil(this.clock.now + seconds * MILLISECONDS);
+});
+
+Then(
+  'each member was called {int} to {int} times',
+  function (this: World, least: number, most: number) {
+    const calls = this.memberCalls / 3;
+    assert.ok(calls >= least && calls <= most, `${calls} calls`);
+  },
+);
+
 function exchangeVersions(world: World): void {
   let isDone = false;
   world.versionExchange.refresh(() => (isDone = true));
--- a/src/relay/runners/version-history.ts
+++ b/src/relay/runners/version-history.ts
@@ -65,12 +65,15 @@
   /** Local time since which all versions that were listed are known, in milliseconds. */
   private knownSince = -Infinity;
   private mergedReports = 0;
+  /** Whether the knowledge of the members was added since this process forgot the past. */
+  private hasAskedMembers = false;
 
   constructor(private readonly runtime: Pick<Runtime, 'now'>) {}
 
   /** Records that other versions may have been listed before this process started. */
   forgetPast(): void {
     this.knownSince = Infinity;
+    this.hasAskedMembers = false;
   }
 
   /** Records that one more runner of a version is listed. */
@@ -201,9 +204,9 @@
     return this.report() ?? { knownMilliseconds: 0, versions: this.listVersions() };
   }
 
-  /** Whether members may know more of the past. */
+  /** Whether members may know more of the past. Once they have told what they know, only reports of other gateways add to it. */
   get needsMembers(): boolean {
-    return !this.isPastKnown;
+    return !this.hasAskedMembers && !this.isPastKnown;
   }
 
   /** Adds what a peer knows; its list, which came with the report, was proved to be recent. */
@@ -218,6 +221,7 @@
     // Before the list is proved, versions may be listed after the report that are not known here.
     if (this.isListProven()) {
       this.startKnowing();
+      this.hasAskedMembers = true;
       this.knownSince = Math.min(this.knownSince, this.runtime.now() - milliseconds);
     }
   }
--- a/src/turns/version-exchange.ts
+++ b/src/turns/version-exchange.ts
@@ -35,7 +35,7 @@
 
 /** Timeout of a call, in milliseconds, beside the round trip to another region. */
 const CALL_TIMEOUT_MILLISECONDS = 150;
-/** Interval at which a gateway that lacks knowledge asks again, in milliseconds. */
+/** Interval at which a gateway asks again until the members have told what they know, in milliseconds. */
 const RETRY_INTERVAL_MILLISECONDS = 500;
 /** Time for which changes are collected before they are reported, in milliseconds. */
 const COLLECT_MILLISECONDS = 5;
