The records of all unfinished streams are sent once for a change, not once for each route or service in it

Cause: every service or route that became mixed sent the records of all own streams anew, and a full queue removed its oldest record with a move of all others.

Change: one sending for all changes of a turn of the event loop, and the oldest records beyond the bound are dropped a batch at a time. The new scenario (5 routes, 10 streams) fails on the code before.

--- a/features/listed-versions.feature
+++ b/features/listed-versions.feature
@@ -104,3 +104,9 @@
     Given a gateway with one version of the services "minds" and "desk"
     When the routes become "/a/ minds, /b/ desk unresumable, /c/ desk"
     Then the gateway reports the routes "/a/, /c/" to the members
+
+  # Guards against sending the records of all unfinished streams once for each route that a configuration moves.
+  Scenario: A configuration that moves many routes has the unfinished streams recorded once
+    Given a gateway with 10 unfinished streams
+    When a configuration moves 5 routes
+    Then 10 origins were recorded
--- a/features/steps/listed-versions.steps.ts
+++ b/features/steps/listed-versions.steps.ts
@@ -3,11 +3,14 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { createRandom } from '../../src/runtime/random.js';
 import type { Route } from '../../src/relay/request/routing-table.js';
+import { ResumableStreams } from '../../src/relay/runners/resumable-streams.js';
 import { VersionHistory } from '../../src/relay/runners/version-history.js';
 import { SimulatedProcess } from '../../src/simulation/simulated-process.js';
 import { VirtualClock } from '../../src/simulation/virtual-clock.js';
 import { MemberDirectory } from '../../src/turns/member-directory.js';
 import type { ReplicaCaller } from '../../src/turns/replica-caller.js';
+import type { StreamOriginClient } from '../../src/turns/stream-origin-client.js';
+import type { StreamContent } from '../../src/turns/stream-origins.js';
 import { VersionExchange } from '../../src/turns/version-exchange.js';
 import { REPORT_INTERVAL_MILLISECONDS, VersionReports } from '../../src/turns/version-reports.js';
 
@@ -26,6 +29,8 @@
   isProven: boolean;
   /** Calls to all members. */
   memberCalls: number;
+  /** Number of origins that a gateway has recorded. */
+  recordedOrigins: number;
   /** Number of times that a second version was noticed. */
   mixedCount: number;
   /** The routes of the last step that set some. */
@@ -287,3 +292,39 @@
 Then('{int} new version was noticed', function (this: World, count: number) {
   assert.equal(this.mixedCount, count);
 });
+
+Given('a gateway with {int} unfinished streams', function (this: World, count: number) {
+  const runtime = startWorld(this);
+  this.history = new VersionHistory(runtime);
+  this.history.noteListed('minds', 'v1');
+  this.recordedOrigins = 0;
+  const client = { recordContent: () => undefined, record: () => (this.recordedOrigins += 1) };
+  const streams = new ResumableStreams({
+    runtime,
+    client: client as unknown as StreamOriginClient,
+    versions: this.history,
+    exchange: undefined as unknown as VersionExchange,
+  });
+  const [route] = routesOf('/a/ minds') as [Route];
+  const origin = { service: 'minds', version: 'v1' };
+  this.history.noteRoutes([route]);
+  for (let index = 0; index < count; index += 1) {
+    streams.begin([`stream-${index}`], index as StreamContent, origin, route);
+  }
+  assert.equal(this.recordedOrigins, 0);
+});
+
+When('a configuration moves {int} routes', function (this: World, count: number) {
+  const paths = Array.from({ length: count }, (_, index) => `/route-${index}/`);
+  const routes = (service: string): Route[] =>
+    routesOf(paths.map((path) => `${path} ${service}`).join(', '));
+  this.history.noteRoutes(routes('minds'));
+  this.clock.runUntil(this.clock.now + MILLISECONDS);
+  this.recordedOrigins = 0;
+  this.history.noteRoutes(routes('desk'));
+  this.clock.runUntil(this.clock.now + MILLISECONDS);
+});
+
+Then('{int} origins were recorded', function (this: World, count: number) {
+  assert.equal(this.recordedOrigins, count);
+});
--- a/src/relay/runners/resumable-streams.ts
+++ b/src/relay/runners/resumable-streams.ts
@@ -2,7 +2,7 @@
  * Tracks the origins of the streams that clients may resume. A gateway keeps those of its own unfinished streams in memory. It
  * also records them at the replicas, except while the origin of any stream follows from its route.
  */
-import type { Runtime } from '../../runtime/runtime.js';
+import type { CancelTimer, Runtime } from '../../runtime/runtime.js';
 import { Generations } from '../../turns/generations.js';
 import type { StreamOriginClient } from '../../turns/stream-origin-client.js';
 import { ORIGIN_RETENTION_MILLISECONDS } from '../../turns/stream-origins.js';
@@ -59,6 +59,7 @@
 export class ResumableStreams {
   /** By id of a request whose answer brought events of the stream. */
   private readonly own: Generations<string, OwnStream>;
+  private cancelRecording: CancelTimer | undefined;
 
   constructor(private readonly options: ResumableStreamsOptions) {
     const { runtime, versions } = options;
@@ -68,7 +69,7 @@
       retentionMilliseconds,
       maximumEntries: MAXIMUM_OWN_STREAMS,
     });
-    versions.onMixed = () => this.recordOwn();
+    versions.onMixed = () => this.recordOwnSoon();
   }
 
   /**
@@ -193,6 +194,14 @@
     return origin === undefined ? undefined : { origin, source: 'single' };
   }
 
+  /** Once for all services and routes that a change concerns. */
+  private recordOwnSoon(): void {
+    this.cancelRecording ??= this.options.runtime.setTimer(0, () => {
+      this.cancelRecording = undefined;
+      this.recordOwn();
+    });
+  }
+
   private recordOwn(): void {
     this.own.entries().forEach(([request, entry]) => this.record(request, entry));
   }
--- a/src/turns/record-queue.ts
+++ b/src/turns/record-queue.ts
@@ -6,7 +6,7 @@
 
 /** Largest number of records in a message. */
 const MAXIMUM_BATCH = 500;
-/** Largest number of records that wait for one member; beyond, the oldest are dropped. */
+/** Records that wait for one member; a batch beyond, the oldest are dropped together, since each removal moves all others. */
 const MAXIMUM_WAITING = 20_000;
 
 interface MemberQueue<Entry> {
@@ -26,8 +26,8 @@
       const queue = this.queues.get(member.id) ?? { waiting: [], isSending: false };
       this.queues.set(member.id, queue);
       queue.waiting.push(entry);
-      if (queue.waiting.length > MAXIMUM_WAITING) {
-        queue.waiting.shift();
+      if (queue.waiting.length > MAXIMUM_WAITING + MAXIMUM_BATCH) {
+        queue.waiting.splice(0, MAXIMUM_BATCH);
       }
       this.send(member, queue);
     }
