A route or version that was gone for a moment doesn't count as listed without a break

Cause: a member adds 30 s to the time at which a version was last listed, since it may have been listed until the next report, and compared the return with that time, so that the break vanished. Gateways then believed it over what they had seen themselves.

Change: members keep the reported time as well, and believe a gateway that knew the time before; a gateway that knew it doesn't let others lengthen the time for which something has been listed. A time that is known never becomes shorter (lastListedAt).

--- a/features/listed-versions.feature
+++ b/features/listed-versions.feature
@@ -105,6 +105,24 @@
     When the routes become "/a/ minds, /b/ desk unresumable, /c/ desk"
     Then the gateway reports the routes "/a/, /c/" to the members
 
+  # Guards against a route that was gone for a moment, whose streams began elsewhere, and counts as listed without a break.
+  Scenario Outline: A member keeps a break that a gateway has seen
+    Given a member to which a gateway reports that "v1" of "minds" is listed
+    When 8 s later a gateway that knows the last <known> s reports that it has been listed for 3 s
+    Then the member reports that it has been listed for <listed> s
+
+    Examples:
+      | known | listed |
+      | 60    | 3      |
+      | 5     | 8      |
+
+  Scenario: A gateway that saw a route return doesn't believe that it was always listed
+    Given a gateway with one version of the services "minds" and "desk"
+    When the routes are "/a/ minds, /a/b/ desk", and then "/a/ minds"
+    And the routes become "/a/ minds, /a/b/ desk"
+    And others report that "/a/b/" has had the service "desk" for 100 s
+    Then the streams of "/a/b/" have no sole origin
+
   # Guards against sending the records of all unfinished streams once for each route that a configuration moves.
   Scenario: A configuration that moves many routes has the unfinished streams recorded once
     Given a gateway with 10 unfinished streams
--- a/features/steps/listed-versions.steps.ts
+++ b/features/steps/listed-versions.steps.ts
@@ -13,6 +13,7 @@
 import type { StreamContent } from '../../src/turns/stream-origins.js';
 import { VersionExchange } from '../../src/turns/version-exchange.js';
 import { REPORT_INTERVAL_MILLISECONDS, VersionReports } from '../../src/turns/version-reports.js';
+import type { ListedVersion } from '../../src/turns/version-reports.js';
 
 const MILLISECONDS = 1_000;
 const RETENTION_SECONDS = 60;
@@ -293,6 +294,34 @@
   assert.equal(this.mixedCount, count);
 });
 
+When(
+  '{int} s later a gateway that knows the last {int} s reports that it has been listed for {int} s',
+  function (this: World, later: number, known: number, listed: number) {
+    after(this, later);
+    const [{ service, version }] = this.reports.report().versions as [ListedVersion];
+    const listedMilliseconds = listed * MILLISECONDS;
+    const versions = [{ service, version, ageMilliseconds: 0, listedMilliseconds }];
+    this.reports.merge({ knownMilliseconds: known * MILLISECONDS, versions });
+  },
+);
+
+Then(
+  'the member reports that it has been listed for {int} s',
+  function (this: World, seconds: number) {
+    const [{ listedMilliseconds }] = this.reports.report().versions as [ListedVersion];
+    assert.equal(listedMilliseconds, seconds * MILLISECONDS);
+  },
+);
+
+When(
+  'others report that {string} has had the service {string} for {int} s',
+  function (this: World, path: string, version: string, seconds: number) {
+    const service = `//${HOST}${path}`;
+    const listedMilliseconds = seconds * MILLISECONDS;
+    this.history.addVersions([{ service, version, ageMilliseconds: 1, listedMilliseconds }]);
+  },
+);
+
 Given('a gateway with {int} unfinished streams', function (this: World, count: number) {
   const runtime = startWorld(this);
   this.history = new VersionHistory(runtime);
--- a/src/relay/runners/version-history.ts
+++ b/src/relay/runners/version-history.ts
@@ -144,6 +144,11 @@
     });
   }
 
+  /** Whether this gateway knows that what it lists was not listed before. */
+  private sawListing({ listed, firstListedAt }: VersionState): boolean {
+    return listed > 0 && this.knownSince < firstListedAt;
+  }
+
   private isListed(key: string): boolean {
     return [...(this.services.get(key)?.values() ?? [])].some(({ listed }) => listed > 0);
   }
@@ -233,7 +238,9 @@
       const state = this.stateOf(service, version);
       const wasRecent = this.isRecent(state);
       state.lastListedAt = Math.max(state.lastListedAt, now - ageMilliseconds);
-      state.firstListedAt = Math.min(state.firstListedAt, now - listedMilliseconds);
+      if (listedMilliseconds > 0 && !this.sawListing(state)) {
+        state.firstListedAt = Math.min(state.firstListedAt, now - listedMilliseconds);
+      }
       this.noteSeen(service, wasRecent || !this.isRecent(state));
     }
   }
--- a/src/turns/version-reports.ts
+++ b/src/turns/version-reports.ts
@@ -27,10 +27,15 @@
 const MAXIMUM_GAP_MILLISECONDS = 3 * REPORT_INTERVAL_MILLISECONDS;
 /** Age that is reported at least for a version that is not known to be listed, in milliseconds. */
 const MINIMUM_AGE_MILLISECONDS = 1;
+/** Time that is reported at least for a version that may be listed, in milliseconds. */
+const MINIMUM_LISTED_MILLISECONDS = 1;
 
 interface KnownVersion {
   readonly service: string;
   readonly version: string;
+  /** Local time at which a gateway listed it, as far as reported, in milliseconds. */
+  seenAt: number;
+  /** Local time until which it may have been listed, in milliseconds. */
   lastListedAt: number;
   /** Local time since which it has been listed without a break, in milliseconds. */
   firstListedAt: number;
@@ -53,23 +58,32 @@
     }
     this.lastReportAt = now;
     this.knownSince = Math.min(this.knownSince, now - knownMilliseconds);
-    versions.forEach((listed) => this.add(listed));
+    versions.forEach((listed) => this.add(listed, now - knownMilliseconds));
   }
 
-  private add({ service, version, ageMilliseconds, listedMilliseconds }: ListedVersion): void {
+  /** @param reporterKnowsSince local time since which the gateway that reports knows all versions, in milliseconds */
+  private add(
+    { service, version, ageMilliseconds, listedMilliseconds }: ListedVersion,
+    reporterKnowsSince: number,
+  ): void {
     const now = this.runtime.now();
     const key = JSON.stringify([service, version]);
     // What is listed may remain so for as long as this member counts as knowing without another report.
     const untilNext = ageMilliseconds === 0 ? MAXIMUM_GAP_MILLISECONDS : 0;
-    const lastListedAt = now - ageMilliseconds + untilNext;
+    const seenAt = now - ageMilliseconds;
+    const lastListedAt = seenAt + untilNext;
     const firstListedAt = now - listedMilliseconds;
     const known = this.versions.get(key);
-    if (known === undefined || known.lastListedAt < firstListedAt) {
-      this.versions.set(key, { service, version, lastListedAt, firstListedAt });
+    if (known === undefined) {
+      this.versions.set(key, { service, version, seenAt, lastListedAt, firstListedAt });
       return;
     }
+    // A gateway that has started since doesn't know that the version was listed before.
+    const isAfterBreak = known.seenAt < firstListedAt && reporterKnowsSince <= known.seenAt;
+    const isNewer = isAfterBreak || known.lastListedAt < firstListedAt;
+    known.firstListedAt = isNewer ? firstListedAt : Math.min(known.firstListedAt, firstListedAt);
     known.lastListedAt = Math.max(known.lastListedAt, lastListedAt);
-    known.firstListedAt = Math.min(known.firstListedAt, firstListedAt);
+    known.seenAt = Math.max(known.seenAt, seenAt);
   }
 
   /** Returns what all gateways have reported. */
@@ -81,7 +95,8 @@
         this.versions.delete(key);
       } else {
         const ageMilliseconds = Math.max(MINIMUM_AGE_MILLISECONDS, now - lastListedAt);
-        const listed = Math.min(MAXIMUM_LISTED_MILLISECONDS, now - firstListedAt);
+        const listedFor = Math.max(MINIMUM_LISTED_MILLISECONDS, now - firstListedAt);
+        const listed = Math.min(MAXIMUM_LISTED_MILLISECONDS, listedFor);
         const listedMilliseconds = lastListedAt >= now ? listed : 0;
         versions.push({ service, version, ageMilliseconds, listedMilliseconds });
       }
