A stream is refused for a moment, not for good, also where the configuration is behind

And the rule of for versions held for some 31 s after a restart instead of 2 s, since members report a version as just listed until 30 s after it was.

Change: what counts is when others began to list the version, or the service of the route: within the last 2 s, the own list may be behind.

--- a/features/steps/stream-versions.steps.ts
+++ b/features/steps/stream-versions.steps.ts
@@ -185,6 +185,18 @@
   },
 );
 
+Given(
+  'the route moves at the first gateway to a runner of {string} in another service',
+  async function (this: World, version: string) {
+    await this.versions!.startRunner(version, OTHER_SERVICE);
+    this.versions!.moveRoute(OTHER_SERVICE, 1);
+  },
+);
+
+When('the route moves at all gateways', function (this: World) {
+  this.versions!.moveRoute(OTHER_SERVICE);
+});
+
 When('the first gateway goes on', () => undefined);
 
 When('the first gateway is killed', function (this: World) {
--- a/features/stream-versions.feature
+++ b/features/stream-versions.feature
@@ -218,6 +218,17 @@
       | by name             |
       | without naming them |
 
+  # Guards against refusing a stream for good where the configuration that moved its route is not applied yet.
+  Scenario: A stream is refused for a moment at a gateway whose configuration is behind
+    Given 2 gateways, and runners of the software version "v1" in one service
+    And the route moves at the first gateway to a runner of "v2" in another service
+    When 6 clients receive 2 events of streams of their own, and leave
+    And the clients resume their streams by name at the last gateway
+    Then streams of "v2" are refused as not run within 100 ms, with a time to return
+    When the route moves at all gateways
+    And the clients resume their streams by name at the last gateway
+    Then streams of "v2" are complete, with events of one version
+
   # Guards against a route that moves to another service, whose runners don't continue what the earlier ones began.
   Scenario Outline: A stream doesn't continue at the service to which its route has moved
     Given 2 gateways, and runners of the software version "v1" in one service
--- a/features/support/version-world.ts
+++ b/features/support/version-world.ts
@@ -192,11 +192,11 @@
     this.callers[index]!.close();
   }
 
-  /** Moves the route to another service at all gateways, as a change of the configuration does. */
-  moveRoute(service: string): void {
+  /** Moves the route to another service at some gateways, as a change of the configuration does. */
+  moveRoute(service: string, gatewayCount = Infinity): void {
     this.tableVersion += 1;
     this.route = { ...ROUTE, services: [{ service, weight: 1 }] };
-    this.runningGateways.forEach((gateway) => this.applyTable(gateway));
+    this.runningGateways.slice(0, gatewayCount).forEach((gateway) => this.applyTable(gateway));
   }
 
   private get runningGateways(): RelayGateway[] {
--- a/src/relay/answers/local-answers.ts
+++ b/src/relay/answers/local-answers.ts
@@ -144,11 +144,11 @@
   };
 }
 
-/** Other gateways list runners of the version that began the stream, and the list of this one may be behind theirs. */
+/** Other gateways have just begun to list what began the stream, and the list of this one may be behind theirs. */
 export function originNotListed({ service, version }: StreamOrigin): LocalAnswer {
   return {
     status: 503,
-    detail: `no runner of service ${service} is listed yet of the software version "${version}", which began the stream`,
+    detail: `service ${service} is not listed yet with the software version "${version}", which began the stream`,
     verdict: 'NotRun',
     retryAfterSeconds: ORIGIN_RETRY_SECONDS,
   };
--- a/src/relay/runners/version-history.ts
+++ b/src/relay/runners/version-history.ts
@@ -160,15 +160,20 @@
     state.lastListedAt = this.runtime.now();
   }
 
-  /** Whether a version that only others have listed may be listed here soon: the list of this gateway may be behind theirs. */
+  /** Whether a version that others began to list just now may be listed here soon: the list of this gateway may be behind theirs. */
   mayBeListedSoon({ service, version }: StreamOrigin): boolean {
     const state = this.services.get(service)?.get(version);
     if (state === undefined || state.wasListedHere) {
       return false;
     }
-    const wasListedLately =
-      state.lastListedAt >= this.runtime.now() - MAXIMUM_LIST_LAG_MILLISECONDS;
-    return wasListedLately || !this.isListProven();
+    const listedFor = this.runtime.now() - state.firstListedAt;
+    const isNew = listedFor >= 0 && listedFor <= MAXIMUM_LIST_LAG_MILLISECONDS;
+    return isNew || !this.isListProven();
+  }
+
+  /** Whether a service that others list for a route may be listed here soon: the configuration may be behind theirs. */
+  mayBeServedSoon(route: Route, service: string): boolean {
+    return this.mayBeListedSoon({ service: keyOf(route), version: service });
   }
 
   /** The only version at which a stream of a service that can still be resumed can have begun; undefined if unknown. */
--- a/src/relay/stages/origin-stage.ts
+++ b/src/relay/stages/origin-stage.ts
@@ -52,8 +52,10 @@
   }
   const { service } = found.origin;
   const isServed = requestState.request.route.services.some((part) => part.service === service);
+  const { versions } = requestState.context.registry;
   if (!isServed) {
-    return refuseWith(originLost(found.origin));
+    const mayBeServed = versions.mayBeServedSoon(requestState.request.route, service);
+    return refuseWith((mayBeServed ? originNotListed : originLost)(found.origin));
   }
   requestState.continueAt(found);
   const refusal = refusalWithoutCapacity(requestState);
@@ -63,7 +65,6 @@
   if (!isOriginLost(requestState, found)) {
     return GO_ON;
   }
-  const { versions } = requestState.context.registry;
   const refuseBy = versions.mayBeListedSoon(found.origin) ? originNotListed : originLost;
   return refuseWith(refuseBy(found.origin));
 }
