The interface closes connections of clients that send without end around their requests

What callers saw: a client could keep a connection of the interface's HTTP server (`src/gateway/http-front.ts`) busy with line breaks, zeros of a chunk's size, padded chunks or the rest of a refused request; all of it was read.

Cause: the server didn't use `limitRequests`, as the platform's four servers do; Node's parser bounds none of these.

Fix: it uses the limits. The rest of an answered request may be a whole body with its framing, so that a client whose key is refused can read that. `limitRequests` listens for `checkContinue`, and Node leaves such requests to the listeners then: the server answers them itself, as the relay's front does.

Before: the six endless examples failed (not closed within 2 or 3 s), the one about clients that ask first passed.

--- a/features/endless-requests.feature
+++ b/features/endless-requests.feature
@@ -52,6 +52,25 @@
       | the server for peers | chunk size                   |
       | the server for peers | extended chunks              |
       | the server for peers | line breaks behind a request |
+      | the interface        | chunk size of a call         |
+      | the interface        | padded chunks of a call      |
+      | the interface        | line breaks first            |
+      | the interface        | line breaks behind a request |
+
+  # Guards against the rest of a request refused by the interface that is read for as long as its client sends.
+  Scenario Outline: The <part> does not go on without end at the interface
+    When a client sends "<part>" without end to "the interface"
+    Then its connection is closed within 3000 ms and after at most 32 MiB
+
+    Examples:
+      | part                               |
+      | body of a refused request          |
+      | declared body of a refused request |
+
+  # Guards against limits whose listeners keep Node from telling such clients to go on.
+  Scenario: A client that asks the interface before it sends its content is told to go on
+    When a client asks "the interface" before it sends "no JSON"
+    Then it is told to go on, and answered with status 422
 
   # Guards against limits that end sound requests: clients send chunks of a byte, padded sizes, and requests ahead of answers.
   Scenario Outline: <count> sound requests of <bytes> bytes in chunks of <size> with "<padding>" ahead of their sizes are answered
--- a/features/steps/endless-requests.steps.ts
+++ b/features/steps/endless-requests.steps.ts
@@ -1,12 +1,15 @@
 /** Steps for clients that send bytes without end. */
 import assert from 'node:assert/strict';
+import { request } from 'node:http';
 import { connect } from 'node:net';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { serveMetrics } from '../../platform/serve-metrics.js';
 import type { PlatformSettings } from '../../platform/settings.js';
 import { Listeners } from '../../src/runtime/listeners.js';
 import { PlatformStoreClient } from '../../platform/store-client.js';
+import { LAKESHORE } from '../../src/bench/deployments.js';
 import { findFreePorts } from '../../src/bench/free-ports.js';
+import { localKeyOf, startLocalCluster } from '../../src/bench/local-cluster.js';
 import { PeerExchange } from '../../src/peers/peer-exchange.js';
 import { DEFAULT_HEADER_NAMES as NAMES } from '../../src/relay/request/default-header-names.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
@@ -16,7 +19,8 @@
 interface World {
   relay?: RelayWorld;
   endlessClient?: EndlessClient;
-  endlessCleanups?: (() => void)[];
+  endlessCleanups?: (() => unknown)[];
+  endlessContinue: { readonly isToldToGoOn: boolean; readonly status: number | undefined };
   answers: string;
 }
 
@@ -27,6 +31,8 @@
 /** Path of a stream that lasts for seconds. */
 const STREAM_PATH = '/stream/work?stream&events=600';
 const SOUND_MILLISECONDS = 20_000;
+/** Time in which a client is told to send its content, and answered. */
+const GO_ON_MILLISECONDS = 5_000;
 /** Time in which the requests of a closed connection end. */
 const END_MILLISECONDS = 1_000;
 const LONG = { timeout: 30_000 };
@@ -44,6 +50,9 @@
 }
 
 const CHUNKED = 'transfer-encoding: chunked';
+const CALL_PATH = '/v1/chat/completions';
+const CALL_KEY = `Bearer ${localKeyOf('brandvold')}`;
+const CHUNKED_CALL = `authorization: ${CALL_KEY}\r\n${CHUNKED}`;
 /** What is sent once, and what is sent again and again, for each endless part. */
 const PARTS: Readonly<Record<string, () => [string, string]>> = {
   'line breaks first': () => ['', '\r\n'],
@@ -52,6 +61,8 @@
   'later chunk size': () => [`${headOf(CHUNKED)}1\r\na\r\n`, '0'],
   'padded chunks': () => [headOf(CHUNKED), `${PADDING}1\r\na\r\n`],
   'extended chunks': () => [headOf(CHUNKED), `1;${PADDING}\r\na\r\n`],
+  'chunk size of a call': () => [headOf(CHUNKED_CALL, CALL_PATH), '0'],
+  'padded chunks of a call': () => [headOf(CHUNKED_CALL, CALL_PATH), `${PADDING}1\r\na\r\n`],
   'line breaks behind a stream': () => [headOf('', STREAM_PATH, 'GET'), '\r\n'],
   'chunk size behind a stream': () => [headOf('', STREAM_PATH, 'GET') + headOf(CHUNKED), '0'],
   'body of a refused request': () => [
@@ -65,9 +76,9 @@
   'body above the limit': () => [headOf(CHUNKED), `400\r\n${'x'.repeat(1024)}\r\n`],
 };
 
-After(async function (this: World) {
+After(LONG, async function (this: World) {
   this.endlessClient?.close();
-  this.endlessCleanups?.forEach((cleanup) => cleanup());
+  await Promise.all((this.endlessCleanups ?? []).map((cleanup) => cleanup()));
   await this.relay?.stop();
   delete this.relay;
 });
@@ -105,6 +116,15 @@
     world.endlessCleanups = [() => exchange.close()];
     return port;
   },
+  'the interface': async (world) => {
+    const cluster = await startLocalCluster({ deployment: LAKESHORE, nodes: 1, seed: 1 });
+    // The only node of a cluster can't hand its shards over before it leaves.
+    world.endlessCleanups = [
+      () => cluster.daemons.forEach((daemon) => daemon.abort()),
+      () => cluster.stop(),
+    ];
+    return Number(new URL(cluster.urls[0]!).port);
+  },
 };
 
 async function until(what: string, milliseconds: number, holds: () => boolean): Promise<void> {
@@ -139,6 +159,39 @@
   },
 );
 
+When(
+  'a client asks {string} before it sends {string}',
+  LONG,
+  async function (this: World, server: string, body: string) {
+    const port = await SERVERS[server]!(this);
+    this.endlessContinue = await new Promise((resolve, reject) => {
+      let isToldToGoOn = false;
+      const headers = {
+        authorization: CALL_KEY,
+        expect: '100-continue',
+        'content-length': body.length,
+      };
+      const options = { host: HOST, port, path: CALL_PATH, method: 'POST', headers };
+      const client = request({ ...options, agent: false, timeout: GO_ON_MILLISECONDS });
+      client.on('continue', () => {
+        isToldToGoOn = true;
+        client.end(body);
+      });
+      client.on('response', (response) => {
+        response.resume();
+        resolve({ isToldToGoOn, status: response.statusCode });
+      });
+      client.on('timeout', () => client.destroy());
+      client.on('error', reject);
+      client.flushHeaders();
+    });
+  },
+);
+
+Then('it is told to go on, and answered with status {int}', function (this: World, status: number) {
+  assert.deepEqual(this.endlessContinue, { isToldToGoOn: true, status });
+});
+
 Then('one request was refused with status {int}', async function (this: World, status: number) {
   const { gateway } = this.relay!;
   const { metrics, memory } = gateway;
--- a/src/gateway/http-front.ts
+++ b/src/gateway/http-front.ts
@@ -6,6 +6,8 @@
 import * as E from 'fp-ts/lib/Either.js';
 import { pipe } from 'fp-ts/lib/function.js';
 import type { KeyDocument } from '../configuration/documents.js';
+import { maximumFramingBytes } from '../http-client/framing-limit.js';
+import { limitRequests } from '../http-server/limit-requests.js';
 import { notRun } from '../model/verdict.js';
 import type { CallError } from '../model/verdict.js';
 import type { IvyloomNode } from '../node/node.js';
@@ -18,7 +20,7 @@
 import { parseChat, parseToolCall } from './call-parsing.js';
 import type { ParsedCall, ParsingContext } from './call-parsing.js';
 import { sendChatAnswer, sendToolAnswer, streamChat } from './chat-answer.js';
-import { readBody, readJsonBody } from './http-body.js';
+import { MAXIMUM_BODY_BYTES, readBody, readJsonBody } from './http-body.js';
 import { sendProblem } from './problem.js';
 import type { ProgramResult } from './gateway.js';
 
@@ -28,6 +30,8 @@
 const HEADERS_TIMEOUT_MILLISECONDS = 10_000;
 /** Timeout for receiving a whole request, in milliseconds. */
 const REQUEST_TIMEOUT_MILLISECONDS = 60_000;
+/** Bytes of a request that are read after its answer, so that a refused client that sends a whole body can read it. */
+const MAXIMUM_REST_BYTES = MAXIMUM_BODY_BYTES + maximumFramingBytes(MAXIMUM_BODY_BYTES);
 /** Maximum number of open connections. */
 const MAXIMUM_CONNECTIONS = 20_000;
 /** Time between closings of idle connections while the server drains, in milliseconds. */
@@ -59,9 +63,16 @@
   private readonly server: Server;
 
   constructor(private readonly node: IvyloomNode) {
-    this.server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES }, (request, response) => {
+    const handleRequest = (request: IncomingMessage, response: ServerResponse): void => {
       this.serve(request, response).catch((cause: unknown) => this.fail(response, cause));
+    };
+    this.server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES }, handleRequest);
+    // Node leaves these requests to the listeners for them, and the limits add one.
+    this.server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
+      response.writeContinue();
+      handleRequest(request, response);
     });
+    limitRequests(this.server, { restBytes: () => MAXIMUM_REST_BYTES });
     this.server.headersTimeout = HEADERS_TIMEOUT_MILLISECONDS;
     this.server.requestTimeout = REQUEST_TIMEOUT_MILLISECONDS;
     this.server.maxConnections = MAXIMUM_CONNECTIONS;
