Exceptions while a replica handles a message are counted, and logged with their stack

What callers saw: an operator saw an exception in a replica's handling of a message as `replica.unreadable` without a stack, and no metric counted it.

Cause: one catch surrounded the decoding and the handling of a message (`ReplicaServer.accept`).

Fix: the handling has its own boundary, which records the exception in an `ExceptionLog` (scope `message`: counted each time, the same one logged at most once a second) and closes the connection, as before. The replica's metrics have `ivyloom_exceptions_total`.

Before: with the one catch of before the new scenario failed (nothing counted).

--- a/features/absurd-messages.feature
+++ b/features/absurd-messages.feature
@@ -55,3 +55,11 @@
       | NaN          |
       | Infinity     |
       | -1           |
+
+  # Guards against exceptions of a replica that no operator sees: they were logged as messages that can't be read, and not counted.
+  Scenario: Messages whose handling throws are counted, and logged once
+    Given a replica at a port, with a disk
+    When it gets 20 reservations whose handling throws
+    Then its metrics have the line 'ivyloom_exceptions_total{scope="message"} 20'
+    And 1 to 3 exceptions were logged with their stack, and no message as unreadable
+    And a reservation at that replica is acknowledged
--- a/features/steps/absurd-messages.steps.ts
+++ b/features/steps/absurd-messages.steps.ts
@@ -309,3 +309,36 @@
     assertHoldsReservation(await readAgain(this, unknown));
   },
 );
+
+When(
+  'it gets {int} reservations whose handling throws',
+  { timeout: 20_000 },
+  async function (this: World, count: number) {
+    const { absurdReplica } = this;
+    const handle = absurdReplica.handle.bind(absurdReplica);
+    absurdReplica.handle = () => {
+      throw new RangeError('seeded');
+    };
+    const request = { type: 'reserve' as const, call: 1, epoch: EPOCH, entry: SOUND_ENTRY };
+    const content = Buffer.from(encodeReplicaMessage(request));
+    await sendAll(
+      this,
+      Array.from({ length: count }, () => content),
+    );
+    absurdReplica.handle = handle;
+  },
+);
+
+Then('its metrics have the line {string}', function (this: World, line: string) {
+  assert.deepEqual(this.absurdServer!.exceptions.render(), `${line}\n`);
+});
+
+Then(
+  '{int} to {int} exceptions were logged with their stack, and no message as unreadable',
+  function (this: World, least: number, most: number) {
+    const logged = this.absurdLog.filter(({ event }) => event === 'process.exception');
+    assert.ok(logged.length >= least && logged.length <= most, `${logged.length} were logged`);
+    assert.ok(logged.every(({ stack }) => String(stack).startsWith('RangeError: seeded')));
+    assert.ok(this.absurdLog.every(({ event }) => event !== 'replica.unreadable'));
+  },
+);
--- a/src/telemetry/exception-log.ts
+++ b/src/telemetry/exception-log.ts
@@ -2,7 +2,7 @@
 import type { LogFields, Runtime } from '../runtime/runtime.js';
 
 /** What an exception interrupted; the rest of the process goes on, except after one of scope `process`. */
-export type ExceptionScope = 'request' | 'datagram' | 'snapshot' | 'item' | 'process';
+export type ExceptionScope = 'request' | 'datagram' | 'message' | 'snapshot' | 'item' | 'process';
 
 /** Minimum time between two log lines about one exception, in milliseconds: it may recur with every request. */
 const LOG_INTERVAL_MILLISECONDS = 1_000;
@@ -50,9 +50,12 @@
     }
   }
 
-  /** Number of exceptions by scope; scopes without any are omitted. */
-  get countByScope(): ReadonlyMap<ExceptionScope, number> {
-    return this.counts;
+  /** Renders the numbers of exceptions by scope as metrics; scopes without any are omitted. */
+  render(): string {
+    const lines = [...this.counts].map(
+      ([scope, count]) => `ivyloom_exceptions_total{scope="${scope}"} ${count}\n`,
+    );
+    return lines.join('');
   }
 
   private wasJustLogged(message: string): boolean {
--- a/src/turns/replica-server.ts
+++ b/src/turns/replica-server.ts
@@ -3,6 +3,8 @@
 import type { Server, Socket } from 'node:net';
 import { Listeners } from '../runtime/listeners.js';
 import type { Runtime } from '../runtime/runtime.js';
+import { decodeSuspects } from '../suspects/suspect-news.js';
+import { ExceptionLog } from '../telemetry/exception-log.js';
 import { encodeFrame, FrameReader } from '../wire/framing.js';
 import type { MemberDirectory } from './member-directory.js';
 import { decodeReplicaMessage, encodeReplicaMessage } from './messages.js';
@@ -19,6 +21,15 @@
 const MAXIMUM_QUEUED_BYTES = 32 * 1024 * 1024;
 const KEEP_ALIVE_MILLISECONDS = 2_000;
 
+/** Decodes a message, with the reports in it that the replica decodes itself; throws if it is malformed. */
+function decodeRequest(content: Buffer): ReplicaMessage | UnknownMessage {
+  const message = decodeReplicaMessage(content);
+  if (message.type === 'recordSuspects') {
+    decodeSuspects(message.news);
+  }
+  return message;
+}
+
 /** Accepts connections and passes their requests to a replica. */
 export class ReplicaServer {
   private readonly sockets = new Set<Socket>();
@@ -31,6 +42,8 @@
     private readonly directory: MemberDirectory,
     private readonly runtime: Runtime,
     private readonly listeners = new Listeners(runtime),
+    /** Records the exceptions of single messages. */
+    readonly exceptions = new ExceptionLog(runtime),
   ) {
     this.server = createServer({ noDelay: true }, (socket) => this.accept(socket));
   }
@@ -52,20 +65,38 @@
     socket.setKeepAlive(true, KEEP_ALIVE_MILLISECONDS);
     socket.on('error', () => undefined);
     socket.on('close', () => this.sockets.delete(socket));
-    socket.on('data', (chunk: Buffer) => {
-      try {
-        reader
-          .push(chunk)
-          .forEach((content) => this.dispatch(socket, decodeReplicaMessage(content)));
-      } catch (cause) {
-        const reason = cause instanceof Error ? cause.message : String(cause);
-        this.runtime.log('error', 'malformed request, connection closed', {
-          event: 'replica.unreadable',
-          reason,
-        });
-        socket.destroy();
+    socket.on('data', (chunk: Buffer) => this.read(socket, reader, chunk));
+  }
+
+  /** Handles the messages that a chunk completes, up to the first one that can't be read or handled: it closes the connection. */
+  private read(socket: Socket, reader: FrameReader, chunk: Buffer): void {
+    try {
+      for (const content of reader.push(chunk)) {
+        if (!this.handle(socket, decodeRequest(content))) {
+          socket.destroy();
+          return;
+        }
       }
-    });
+    } catch (cause) {
+      const reason = cause instanceof Error ? cause.message : String(cause);
+      this.runtime.log('error', 'malformed request, connection closed', {
+        event: 'replica.unreadable',
+        reason,
+      });
+      socket.destroy();
+    }
+  }
+
+  /** Returns whether a message was handled without an exception. */
+  private handle(socket: Socket, message: ReplicaMessage | UnknownMessage): boolean {
+    try {
+      this.dispatch(socket, message);
+      return true;
+    } catch (cause) {
+      const fields = { message: message.type, from: socket.remoteAddress ?? '' };
+      this.exceptions.record('message', cause, fields);
+      return false;
+    }
   }
 
   private dispatch(socket: Socket, message: ReplicaMessage | UnknownMessage): void {
