Servers with limits tell clients that ask before they send to go on

Found by reading while the limits came to the interface.

Change: unless a server has a listener of its own, the limits do what Node does. Three of the four examples fail on the code before; the interface no longer needs a listener of its own.

--- a/features/endless-requests.feature
+++ b/features/endless-requests.feature
@@ -68,9 +68,16 @@
       | declared body of a refused request |
 
   # Guards against limits whose listeners keep Node from telling such clients to go on.
-  Scenario: A client that asks the interface before it sends its content is told to go on
-    When a client asks "the interface" before it sends "no JSON"
-    Then it is told to go on, and answered with status 422
+  Scenario Outline: A client that asks <server> before it sends its content is told to go on
+    When a client asks "<server>" before it sends "no JSON"
+    Then it is told to go on, and answered with status <status>
+
+    Examples:
+      | server               | status |
+      | the interface        | 422    |
+      | the readiness server | 200    |
+      | the metrics server   | 200    |
+      | the server for peers | 404    |
 
   # Guards against limits that end sound requests: clients send chunks of a byte, padded sizes, and requests ahead of answers.
   Scenario Outline: <count> sound requests of <bytes> bytes in chunks of <size> with "<padding>" ahead of their sizes are answered
--- a/src/gateway/http-front.ts
+++ b/src/gateway/http-front.ts
@@ -63,14 +63,8 @@
   private readonly server: Server;
 
   constructor(private readonly node: IvyloomNode) {
-    const handleRequest = (request: IncomingMessage, response: ServerResponse): void => {
+    this.server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES }, (request, response) => {
       this.serve(request, response).catch((cause: unknown) => this.fail(response, cause));
-    };
-    this.server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES }, handleRequest);
-    // Node leaves these requests to the listeners for them, and the limits add one.
-    this.server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
-      response.writeContinue();
-      handleRequest(request, response);
     });
     limitRequests(this.server, { restBytes: () => MAXIMUM_REST_BYTES });
     this.server.headersTimeout = HEADERS_TIMEOUT_MILLISECONDS;
--- a/src/http-server/limit-requests.ts
+++ b/src/http-server/limit-requests.ts
@@ -146,7 +146,15 @@
   const watch = (request: IncomingMessage, response: ServerResponse): void =>
     counts.get(request.socket)?.watch(request, response);
   server.on('request', watch);
-  server.on('checkContinue', watch);
+  server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
+    if (server.listenerCount('checkContinue') > 1) {
+      watch(request, response);
+      return;
+    }
+    // What Node does unless a listener takes these requests, as this one does.
+    response.writeContinue();
+    server.emit('request', request, response);
+  });
 }
 
 function closeConnection(socket: Socket, count: RequestByteCount): void {
