Scenarios fail if parts that keep resumed streams apart are taken out

A review took single parts out of the code for resumed streams, and no test failed. Each of these parts now has a scenario, or an example row, that fails without it.

Two steps take one more form: "later runners" waits until the report that follows the start of the gateways is sent, and "all events" lets clients receive their whole streams.

--- a/features/listed-versions.feature
+++ b/features/listed-versions.feature
@@ -36,6 +36,14 @@
     When its list is proved, and the gateway exchanges versions with the members
     Then the gateway knows the versions of the last minute
 
+  # Guards against a gateway whose list has stopped, and that reports to know what others have listed since.
+  Scenario: A gateway doesn't report to know the past while its list isn't proved
+    Given a gateway that starts, and three members that know the last 60, 60 and 60 s
+    When the gateway exchanges versions with the members
+    Then the gateway reports that it knows the last 60 s
+    When its list is no longer proved
+    Then the gateway reports that it knows the last 0 s
+
   # Guards against messages to all members twice a second for as long as a gateway hasn't run for a minute.
   Scenario Outline: Members that have told what they know are asked again with the next reports only
     Given a gateway that starts, and three members that know the last <seconds> s
@@ -85,6 +93,19 @@
       | /a/ minds, /a/b/ desk | /a/ minds, /a/b/ desk | /a/   | the sole origin "minds"         |
       | /A/ minds             | /A/ desk              | /A/   | no sole origin                  |
 
+  # Guards against concluding from the own list what the lists of other gateways contradict.
+  Scenario Outline: What another gateway has seen mixed has no sole origin
+    Given a gateway with one version of the services "minds" and "desk"
+    When the routes become "/a/ minds"
+    And another gateway has seen a mix at "<key>"
+    Then the streams of "/a/" have <origin>
+
+    Examples:
+      | key               | origin                  |
+      | minds             | no sole origin          |
+      | //shop.example/a/ | no sole origin          |
+      | desk              | the sole origin "minds" |
+
   # Guards against a route that inherits only the present service of the one above it.
   Scenario: A route below one that has moved lately shares the past of that one
     Given a gateway with one version of the services "minds" and "desk"
--- a/features/steps/listed-versions.steps.ts
+++ b/features/steps/listed-versions.steps.ts
@@ -148,6 +148,16 @@
   },
 );
 
+When('its list is no longer proved', function (this: World) {
+  this.isProven = false;
+});
+
+Then('the gateway reports that it knows the last {int} s', function (this: World, seconds: number) {
+  const milliseconds = seconds * MILLISECONDS;
+  assert.equal(this.history.reportToMembers().knownMilliseconds, milliseconds);
+  assert.equal(this.history.report()?.knownMilliseconds ?? 0, milliseconds);
+});
+
 function exchangeVersions(world: World): void {
   let isDone = false;
   world.versionExchange.refresh(() => (isDone = true));
@@ -240,6 +250,10 @@
   this.history.noteRoutes(this.routes);
 });
 
+When('another gateway has seen a mix at {string}', function (this: World, key: string) {
+  this.history.isMixedElsewhere = (other) => other === key;
+});
+
 Given('members that know the routes {string} for a minute', function (this: World, routes: string) {
   const runtime = startWorld(this);
   const gateway = new VersionHistory(runtime);
--- a/features/steps/stream-versions.steps.ts
+++ b/features/steps/stream-versions.steps.ts
@@ -1,6 +1,8 @@
 /** Steps about streams that are resumed while runners of several software versions serve. */
 import assert from 'node:assert/strict';
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import { streamContentOf } from '../../src/relay/request/fingerprint.js';
+import type { RelayRequest } from '../../src/relay/request/relay-request.js';
 import { ALL_EVENTS, OTHER_SERVICE, SPLIT_PATH, VersionWorld } from '../support/version-world.js';
 import type { TryResult } from '../support/version-world.js';
 
@@ -264,12 +266,16 @@
 });
 
 Given(
-  '{int} gateways, and runners of the software version {string} in one service',
-  async function (this: World, gateways: number, version: string) {
+  /^(\d+) gateways, and( later)? runners of the software version "([^"]*)" in one service$/,
+  async function (this: World, gateways: number, later: string | null, version: string) {
     await this.versions?.stop();
     this.streams = [];
     this.versions = new VersionWorld();
     await this.versions.start(gateways);
+    if (later !== null) {
+      // The report that follows a start must not hold the version yet.
+      await sleep(RECORD_MILLISECONDS);
+    }
     await this.versions.startRunner(version);
   },
 );
@@ -286,9 +292,11 @@
 });
 
 When(
-  '{int} clients receive {int} events, and then a runner of {string} is listed and the runner of {string} serves on',
-  async function (this: World, count: number, events: number, version: string, _first: string) {
-    const firsts = await times(count, () => this.versions!.send(0, undefined, events));
+  /^(\d+) clients receive (\d+|all) events, and then a runner of "(.*)" is listed and the runner of ".*" serves on$/,
+  async function (this: World, count: number, events: string, version: string) {
+    const leaveAfter = events === 'all' ? Infinity : Number(events);
+    const firsts = await times(count, () => this.versions!.send(0, undefined, leaveAfter));
+    assert.ok(firsts.every(({ complete }) => complete || events !== 'all'));
     this.streams = firsts.map((first) => [first]);
     await this.versions!.startRunner(version);
     // Records are on their way for a moment.
@@ -480,3 +488,20 @@
 Then('streams ran in both services', function (this: World) {
   assert.ok(this.versions!.runners.every(({ runner }) => runner.runs.length > 0));
 });
+
+const FIELDS: Readonly<Record<string, (value: number) => object>> = {
+  'prompt parts': (tokens) => ({ promptParts: [{ key: 1, tokens }] }),
+  'maximum output tokens': (maximumOutputTokens) => ({ maximumOutputTokens }),
+  tenants: (id) => ({ tenant: { id: String(id) } }),
+};
+
+Then(
+  /^the contents of streams differ if only the (.*) of the requests differ$/,
+  function (field: string) {
+    const request = { method: 'POST', path: '/', route: { host: '' }, body: Buffer.alloc(0) };
+    const contentOf = (value: number): unknown =>
+      streamContentOf({ ...request, ...FIELDS[field]!(value) } as unknown as RelayRequest);
+    assert.equal(contentOf(1), contentOf(1));
+    assert.notEqual(contentOf(1), contentOf(2));
+  },
+);
--- a/features/stream-versions.feature
+++ b/features/stream-versions.feature
@@ -28,6 +28,14 @@
     And their gateway is killed, and they resume at the other gateway
     Then every stream is complete, with events of one version
 
+  # Guards against finished streams that take the place of unfinished ones in what a gateway keeps and records.
+  Scenario: A stream that was delivered to its end isn't recorded when a second version is listed
+    Given 2 gateways, and runners of the software version "v1" in one service
+    When 6 clients receive all events, and then a runner of "v2" is listed and the runner of "v1" serves on
+    And their gateway is killed, and they resume at the other gateway
+    Then every resumption is refused as not run, with a time to return
+    And no runner ran a resumption
+
   Scenario: A stream of which all records are lost is refused, not guessed
     When 12 clients receive 2 events, all gateways and replicas but one gateway are killed, and they resume there
     Then every resumption is refused as not run, with a time to return
@@ -100,9 +108,9 @@
     Then every resumption is refused as not run, without a time to return
     And no runner ran a resumption
 
-  # Guards against a gateway that takes the versions it has seen since its start for all that have served lately.
+  # Guards against a gateway that takes the versions it has seen since its start for all that served lately, and against late reports.
   Scenario Outline: After a restart of all gateways, unnamed streams don't continue at a version that came meanwhile
-    Given 2 gateways, and runners of the software version "v1" in one service
+    Given 2 gateways, and <runners> of the software version "v1" in one service
     When 8 clients receive 2 events of streams of their own, and all gateways are killed
     And a runner of "v2" replaces those of "v1"
     And <replicas>
@@ -111,9 +119,10 @@
     Then no stream holds events of two versions
 
     Examples:
-      | replicas                           |
-      | a gateway returns                  |
-      | the replicas are killed and return |
+      | runners       | replicas                           |
+      | runners       | a gateway returns                  |
+      | runners       | the replicas are killed and return |
+      | later runners | a gateway returns                  |
 
   # Guards against a gateway that forgets a version when it starts as the last entries of that version go.
   Scenario: After a restart of all gateways, unnamed streams don't continue at the version that is left
@@ -155,6 +164,16 @@
     Then every resumption is refused as not run, without a time to return
     And no runner ran a resumption
 
+  # Guards against taking the stream of one client for that of another one that sent the same but for one field.
+  Scenario Outline: Streams of requests that differ in one field have different contents
+    Then the contents of streams differ if only the <field> of the requests differ
+
+    Examples:
+      | field                 |
+      | prompt parts          |
+      | maximum output tokens |
+      | tenants               |
+
   # Guards against concluding from the records of few members that no other stream has the same content.
   Scenario: An unnamed stream is refused if fewer than a majority of the members answer while two versions serve
     When 6 clients receive 2 events of streams of their own, and leave
@@ -229,6 +248,14 @@
     And the clients resume their streams by name at the last gateway
     Then streams of "v2" are complete, with events of one version
 
+  # Guards against a stream that continues at a service that its route has left, whose runners still serve.
+  Scenario: A stream of which the record names a service that its route no longer has is refused
+    When 12 clients receive 2 events of streams of their own, and leave
+    And a runner of "v1" in another service is listed, and the route moves to that service
+    And the clients resume their streams by name at the last gateway
+    Then every resumption is refused as not run, without a time to return
+    And no runner ran a resumption
+
   # Guards against a route that moves to another service, whose runners don't continue what the earlier ones began.
   Scenario Outline: A stream doesn't continue at the service to which its route has moved
     Given 2 gateways, and runners of the software version "v1" in one service
