Looking for mixed services passes over those with one version, and members are not asked by a timer for good

Cause: each message to other gateways asks for the mixed services. Since the services of routes are kept like versions, that went over all routes and copied a list for each: 100 to 112 us for 300 routes and 40 services. And the timer that asks the members every 0.5 s woke the process for its whole life.

--- a/src/relay/runners/version-history.ts
+++ b/src/relay/runners/version-history.ts
@@ -185,12 +185,19 @@
 
   /** Returns the services of which this gateway has lately seen several versions, and the routes that had other services. */
   mixedServices(): string[] {
-    return [...this.services].flatMap(([service, states]) => {
-      const isMixed = this.recentVersions(service).length > 1;
-      // All gateways know the present services of a route.
-      const isKnown = isRouteKey(service) && [...states.values()].every(({ listed }) => listed > 0);
-      return isMixed && !isKnown ? [service] : [];
-    });
+    const mixed: string[] = [];
+    // Asked with each message to other gateways, and nearly all services have one version.
+    for (const [service, states] of this.services) {
+      if (states.size > 1 && this.recentVersions(service).length > 1) {
+        // All gateways know the present services of a route.
+        const isKnown =
+          isRouteKey(service) && [...states.values()].every(({ listed }) => listed > 0);
+        if (!isKnown) {
+          mixed.push(service);
+        }
+      }
+    }
+    return mixed;
   }
 
   /** Whether reports of peers may extend what is known. */
--- a/src/turns/version-exchange.ts
+++ b/src/turns/version-exchange.ts
@@ -56,9 +56,11 @@
     const { runtime } = this.options;
     this.reporter = reporter;
     setRepeatingTimer(runtime, REPORT_INTERVAL_MILLISECONDS, () => this.exchange());
-    setRepeatingTimer(runtime, RETRY_INTERVAL_MILLISECONDS, () => {
+    const cancelRetries = setRepeatingTimer(runtime, RETRY_INTERVAL_MILLISECONDS, () => {
       if (reporter.needsMembers) {
         this.exchange();
+      } else {
+        cancelRetries();
       }
     });
     this.reportSoon();
