A resumption exchanges versions with the members only where its decision needs them

Change: the members are asked for the record first. Versions are exchanged afterwards if there is none, if the content may belong to another stream, or if the version isn't listed here, so that a lost stream can be told from one that is ahead of the own list.

--- a/src/relay/runners/resumable-streams.ts
+++ b/src/relay/runners/resumable-streams.ts
@@ -7,7 +7,6 @@
 import type { StreamOriginClient } from '../../turns/stream-origin-client.js';
 import { ORIGIN_RETENTION_MILLISECONDS } from '../../turns/stream-origins.js';
 import type {
-  FoundContent,
   StreamContent,
   StreamContentEntry,
   StreamOrigin,
@@ -52,9 +51,6 @@
   readonly origin: StreamOrigin;
 }
 
-/** Receives what the members know, and whether a majority of them answered. */
-type MemberListener<Answer> = (answer: Answer, isAnswered: boolean) => void;
-
 /** Records and finds the origins of streams. */
 export class ResumableStreams {
   /** By id of a request whose answer brought events of the stream. */
@@ -117,20 +113,27 @@
       done({ origin: own.origin, source: 'own' });
       return;
     }
-    const isSingle = this.options.versions.soleOrigin(route) !== undefined;
-    this.refreshAnd<StreamOrigin | undefined>(
-      (next) => {
-        if (isPossibleId(stream)) {
-          this.options.client.find(stream, remainingMilliseconds, isSingle, next);
+    if (!isPossibleId(stream)) {
+      this.concludeSingle(route, done);
+      return;
+    }
+    const { client, versions, exchange } = this.options;
+    const isSingle = versions.soleOrigin(route) !== undefined;
+    client.find(stream, remainingMilliseconds, isSingle, (origin, isAnswered) => {
+      if (origin !== undefined) {
+        const finish = (): void => done({ origin, source: 'record' });
+        // What is not listed here may be listed by others, which tells whether the stream is lost.
+        if (versions.lists(origin)) {
+          finish();
         } else {
-          next(undefined, true);
+          exchange.refresh(finish);
         }
-      },
-      (origin, isAnswered) => {
-        const single = isAnswered ? this.findSingle(route) : undefined;
-        done(origin === undefined ? single : { origin, source: 'record' });
-      },
-    );
+      } else if (isAnswered) {
+        this.concludeSingle(route, done);
+      } else {
+        done(undefined);
+      }
+    });
   }
 
   /**
@@ -143,19 +146,25 @@
     remainingMilliseconds: number,
     done: (found: FoundOrigin | undefined) => void,
   ): void {
-    this.refreshAnd<FoundContent>(
-      (next) => this.options.client.findContent(content, remainingMilliseconds, next),
-      ({ stream, isShared, isComplete }, isAnswered) => {
-        if (isShared || stream === '') {
-          done(isShared || !isAnswered ? undefined : this.findSingle(route));
-          return;
-        }
+    const { client } = this.options;
+    client.findContent(content, remainingMilliseconds, (found, isAnswered) => {
+      const { stream, isShared, isComplete } = found;
+      if (isShared || (stream === '' && !isAnswered)) {
+        done(undefined);
+      } else if (stream === '') {
+        this.concludeSingle(route, done);
+      } else {
         this.find(stream, route, remainingMilliseconds, (named) => {
-          const isSure = isComplete || isSameOrigin(named, this.findSingle(route));
-          done(named !== undefined && isSure ? { ...named, stream } : undefined);
+          if (named === undefined || isComplete) {
+            done(named === undefined ? undefined : { ...named, stream });
+            return;
+          }
+          this.concludeSingle(route, (single) =>
+            done(isSameOrigin(named, single) ? { ...named, stream } : undefined),
+          );
         });
-      },
-    );
+      }
+    });
   }
 
   /** Whether this gateway knows all versions that can have begun a stream. */
@@ -164,34 +173,15 @@
   }
 
   /**
-   * Asks the members a question, and at the same time which versions were listed: other gateways may list one earlier. What is not
-   * recorded may only be concluded if a majority answered.
+   * Calls back with the origin that all streams of a route have in common; undefined if they may differ. Asks the members before,
+   * since other gateways may list a version earlier.
    */
-  private refreshAnd<Answer>(
-    ask: (next: MemberListener<Answer>) => void,
-    done: MemberListener<Answer>,
-  ): void {
-    let pending = 2;
-    let answer: Answer;
-    let isAnswered = false;
-    const finish = (): void => {
-      pending -= 1;
-      if (pending === 0) {
-        done(answer, isAnswered);
-      }
-    };
-    ask((found, isMajority) => {
-      answer = found;
-      isAnswered = isMajority;
-      finish();
+  private concludeSingle(route: Route, done: (found: FoundOrigin | undefined) => void): void {
+    const { versions, exchange } = this.options;
+    exchange.refresh(() => {
+      const origin = versions.soleOrigin(route);
+      done(origin === undefined ? undefined : { origin, source: 'single' });
     });
-    this.options.exchange.refresh(finish);
-  }
-
-  /** Returns the origin that all streams of a route have in common; undefined if they may differ. */
-  private findSingle(route: Route): FoundOrigin | undefined {
-    const origin = this.options.versions.soleOrigin(route);
-    return origin === undefined ? undefined : { origin, source: 'single' };
   }
 
   /** Once for all services and routes that a change concerns. */
--- a/src/relay/runners/version-history.ts
+++ b/src/relay/runners/version-history.ts
@@ -6,7 +6,10 @@
 import { ORIGIN_RETENTION_MILLISECONDS } from '../../turns/stream-origins.js';
 import type { StreamOrigin } from '../../turns/stream-origins.js';
 import type { VersionReporter } from '../../turns/version-exchange.js';
-import { MAXIMUM_LISTED_MILLISECONDS } from '../../turns/version-reports.js';
+import {
+  MAXIMUM_LISTED_MILLISECONDS,
+  REPORT_INTERVAL_MILLISECONDS,
+} from '../../turns/version-reports.js';
 import type { ListedVersion, VersionReport } from '../../turns/version-reports.js';
 import type { Route } from '../request/routing-table.js';
 
@@ -28,6 +31,8 @@
   firstListedAt: number;
   /** Whether this gateway has listed it, and not only others. */
   wasListedHere: boolean;
+  /** Local time at which this gateway listed it last, in milliseconds; applies while it doesn't. */
+  unlistedAt: number;
 }
 
 /** Largest number of reports that are merged after a start: peers that started at the same time add nothing. */
@@ -58,7 +63,7 @@
   isMixedElsewhere: (service: string) => boolean = () => false;
   /** Called when a service gets a second version, or a route a second service. */
   onMixed: (service: string) => void = () => undefined;
-  /** Called when a version or a route is listed that was not before. */
+  /** Called when a route is listed that was not before, or a version that was not lately. */
   onListed: () => void = () => undefined;
   private routes: readonly Route[] = [];
   private readonly services = new Map<string, Map<string, VersionState>>();
@@ -83,8 +88,12 @@
     state.wasListedHere = true;
     state.listed += 1;
     if (state.listed === 1) {
-      state.firstListedAt = this.runtime.now();
-      this.onListed();
+      const now = this.runtime.now();
+      state.firstListedAt = now;
+      // What was gone for less than the time between two reports is still known as listed when the next one is due.
+      if (isRouteKey(service) || now - state.unlistedAt > REPORT_INTERVAL_MILLISECONDS) {
+        this.onListed();
+      }
     }
     this.noteSeen(service, wasRecent);
   }
@@ -149,6 +158,11 @@
     return listed > 0 && this.knownSince < firstListedAt;
   }
 
+  /** Whether runners of the version that began a stream are listed here. */
+  lists({ service, version }: StreamOrigin): boolean {
+    return (this.services.get(service)?.get(version)?.listed ?? 0) > 0;
+  }
+
   private isListed(key: string): boolean {
     return [...(this.services.get(key)?.values() ?? [])].some(({ listed }) => listed > 0);
   }
@@ -158,6 +172,7 @@
     const state = this.stateOf(service, version);
     state.listed -= 1;
     state.lastListedAt = this.runtime.now();
+    state.unlistedAt = state.lastListedAt;
   }
 
   /** Whether a version that others began to list just now may be listed here soon: the list of this gateway may be behind theirs. */
@@ -319,6 +334,7 @@
       lastListedAt: -Infinity,
       firstListedAt: Infinity,
       wasListedHere: false,
+      unlistedAt: -Infinity,
     };
     versions.set(version, state);
     return state;
