A version that has left doesn't count as listed anew with each report of a gateway that saw it leave

Since a report that a version was listed until a moment ago set the time since which it has been listed to now. Gateways that have started since would have told clients of its streams to return, for as long as such reports came, instead of that the streams are lost.

Only reports of gateways that list a version tell since when it is listed.

--- a/features/listed-versions.feature
+++ b/features/listed-versions.feature
@@ -137,6 +137,12 @@
       | 60    | 3      |
       | 5     | 8      |
 
+  # Guards against a version that counts as new whenever a gateway reports that it has left.
+  Scenario: A version that a gateway no longer lists doesn't count as listed anew
+    Given a member to which a gateway reports that "v1" of "minds" is listed
+    When 8 s later a gateway that knows the last 60 s reports that it was listed 1 s before
+    Then the member reports that it has been listed for 8 s
+
   Scenario: A gateway that saw a route return doesn't believe that it was always listed
     Given a gateway with one version of the services "minds" and "desk"
     When the routes are "/a/ minds, /a/b/ desk", and then "/a/ minds"
--- a/features/steps/listed-versions.steps.ts
+++ b/features/steps/listed-versions.steps.ts
@@ -309,13 +309,17 @@
 });
 
 When(
-  '{int} s later a gateway that knows the last {int} s reports that it has been listed for {int} s',
-  function (this: World, later: number, known: number, listed: number) {
-    after(this, later);
+  /^(\d+) s later a gateway that knows the last (\d+) s reports that it (has been listed for|was listed) (\d+) s(?: before)?$/,
+  function (this: World, later: string, known: string, state: string, seconds: string) {
+    after(this, Number(later));
     const [{ service, version }] = this.reports.report().versions as [ListedVersion];
-    const listedMilliseconds = listed * MILLISECONDS;
-    const versions = [{ service, version, ageMilliseconds: 0, listedMilliseconds }];
-    this.reports.merge({ knownMilliseconds: known * MILLISECONDS, versions });
+    const milliseconds = Number(seconds) * MILLISECONDS;
+    const listed =
+      state === 'was listed'
+        ? { ageMilliseconds: milliseconds, listedMilliseconds: 0 }
+        : { ageMilliseconds: 0, listedMilliseconds: milliseconds };
+    const versions = [{ service, version, ...listed }];
+    this.reports.merge({ knownMilliseconds: Number(known) * MILLISECONDS, versions });
   },
 );
 
--- a/src/turns/version-reports.ts
+++ b/src/turns/version-reports.ts
@@ -78,10 +78,12 @@
       this.versions.set(key, { service, version, seenAt, lastListedAt, firstListedAt });
       return;
     }
-    // A gateway that has started since doesn't know that the version was listed before.
-    const isAfterBreak = known.seenAt < firstListedAt && reporterKnowsSince <= known.seenAt;
-    const isNewer = isAfterBreak || known.lastListedAt < firstListedAt;
-    known.firstListedAt = isNewer ? firstListedAt : Math.min(known.firstListedAt, firstListedAt);
+    if (ageMilliseconds === 0) {
+      // A gateway that has started since doesn't know that the version was listed before.
+      const isAfterBreak = known.seenAt < firstListedAt && reporterKnowsSince <= known.seenAt;
+      const isNewer = isAfterBreak || known.lastListedAt < firstListedAt;
+      known.firstListedAt = isNewer ? firstListedAt : Math.min(known.firstListedAt, firstListedAt);
+    }
     known.lastListedAt = Math.max(known.lastListedAt, lastListedAt);
     known.seenAt = Math.max(known.seenAt, seenAt);
   }
