--- a/features/steps/absurd-messages.steps.ts
+++ b/features/steps/absurd-messages.steps.ts
@@ -6,6 +6,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import { renderExceptions } from '../../platform/render-exceptions.js';
 import fc from 'fast-check';
 import type { LogFields } from '../../src/runtime/runtime.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
@@ -330,7 +331,7 @@
 );
 
 Then('its metrics have the line {string}', function (this: World, line: string) {
-  assert.deepEqual(this.absurdServer!.exceptions.render(), `${line}\n`);
+  assert.deepEqual(renderExceptions(this.absurdServer!.exceptions), `${line}\n`);
 });
 
 Then(
--- a/src/telemetry/exception-log.ts
+++ b/src/telemetry/exception-log.ts
@@ -50,12 +50,9 @@
     }
   }
 
-  /** Renders the numbers of exceptions by scope as metrics; scopes without any are omitted. */
-  render(): string {
-    const lines = [...this.counts].map(
-      ([scope, count]) => `ivyloom_exceptions_total{scope="${scope}"} ${count}\n`,
-    );
-    return lines.join('');
+  /** Number of exceptions by scope; scopes without any are omitted. */
+  get countByScope(): ReadonlyMap<ExceptionScope, number> {
+    return this.counts;
   }
 
   private wasJustLogged(message: string): boolean {
