Logs tell who closed a connection with requests in progress, and how a planned stop ended

A call whose connection closed was logged as left by its client, also where an earlier answer on the connection had closed it or the process had. An answer that was passed on and never delivered left no trace, and neither did the end of a stop.

relay.end tells closedBy and mayHaveRun of such calls, relay.undelivered names answers that weren't taken, process.stopped tells why the stop was over and how many requests were in progress, and ivyloom_relay_cut_requests_total counts by closer. No change of behaviour.

--- a/features/steps/memory-accounts.steps.ts
+++ b/features/steps/memory-accounts.steps.ts
@@ -379,6 +379,7 @@
       requestIdHeader: 'id',
       requestId: 'behind',
       isClosing: () => false,
+      onClosing: () => undefined,
     });
     const held: number[] = [];
     answer.setSource({
--- a/src/relay/answers/client-answer.ts
+++ b/src/relay/answers/client-answer.ts
@@ -5,7 +5,7 @@
 import type { ServerResponse } from 'node:http';
 import { STATUS_CODES } from 'node:http';
 import type { Runtime } from '../../runtime/runtime.js';
-import type { RequestCompletion } from '../front/request-completions.js';
+import type { ConnectionCloser, RequestCompletion } from '../front/request-completions.js';
 import type { MemoryAllocation } from '../memory/memory-accounts.js';
 import type { MemoryBudget, SlowReader } from '../memory/memory-budget.js';
 import { headersToClient } from '../request/forwarded-headers.js';
@@ -45,6 +45,8 @@
   readonly requestId: string;
   /** Whether to close the connection after the answer. */
   readonly isClosing: () => boolean;
+  /** Called when the head of an answer says that its connection closes. */
+  readonly onClosing: () => void;
 }
 
 /** The answer to one request of a client, with flow control and slow-reader detection. */
@@ -75,7 +77,10 @@
       extendWindow: () => this.extendWindow(),
       disconnect: (reason) => this.cut(reason),
     });
-    options.completion.onComplete(() => this.release());
+    options.completion.onComplete(() => {
+      this.logUndelivered();
+      this.release();
+    });
   }
 
   /** Whether the head of an answer was sent. */
@@ -98,11 +103,12 @@
     return this.monitor.idleMilliseconds;
   }
 
-  /** Calls `listener` if the client disconnects before the end of its answer. */
-  onDisconnect(listener: () => void): void {
-    this.options.completion.onComplete(() => {
+  /** Calls `listener` with who closed the connection, if it closes before the end of the answer. */
+  onDisconnect(listener: (closer: ConnectionCloser) => void): void {
+    const { completion } = this.options;
+    completion.onComplete(() => {
       if (!this.response.writableFinished) {
-        listener();
+        listener(completion.closedBy ?? 'gateway');
       }
     });
   }
@@ -268,6 +274,19 @@
     this.source?.resume();
   }
 
+  /** Logs an answer that was passed on as a whole, and of which the client did not take the end. */
+  private logUndelivered(): void {
+    const { runtime, requestId, completion } = this.options;
+    if (this.ended && !this.response.writableFinished) {
+      runtime.log('info', 'answer not delivered', {
+        event: 'relay.undelivered',
+        request: requestId,
+        held: this.heldBytes,
+        closedBy: completion.closedBy ?? 'gateway',
+      });
+    }
+  }
+
   private release(): void {
     this.monitor.stop();
     this.options.memory.removeReader(this);
@@ -278,6 +297,7 @@
   private writeHead(status: number, reason: string, headers: string[]): void {
     if (this.options.isClosing()) {
       headers.push('connection', 'close');
+      this.options.onClosing();
     }
     this.response.writeHead(status, reason, headers);
     this.headSent = true;
--- a/src/relay/front/relay-front.ts
+++ b/src/relay/front/relay-front.ts
@@ -157,6 +157,7 @@
       requestIdHeader: names.requestId,
       requestId: head.header(names.requestId) ?? '',
       isClosing: () => this.isClosing || this.excessive.has(request),
+      onClosing: () => this.completions.noteClosingAnswer(request.socket),
     });
     this.activeCount += 1;
     completion.onComplete(() => {
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -322,9 +322,18 @@
     const { runtime, graceMilliseconds } = this.options;
     const { activeRequests: active } = this;
     runtime.log('info', 'graceful shutdown started', { event: 'process.stopping', active });
+    const finish = (reason: 'idle' | 'graceEnd'): void => {
+      const { activeRequests: left } = this;
+      runtime.log('info', 'graceful shutdown ends', {
+        event: 'process.stopped',
+        reason,
+        active: left,
+      });
+      done();
+    };
     this.front.startDraining();
-    runtime.setTimer(DRAIN_MILLISECONDS, () => this.front.stop(done));
-    runtime.setTimer(graceMilliseconds - KILL_SLACK_MILLISECONDS, done);
+    runtime.setTimer(DRAIN_MILLISECONDS, () => this.front.stop(() => finish('idle')));
+    runtime.setTimer(graceMilliseconds - KILL_SLACK_MILLISECONDS, () => finish('graceEnd'));
   }
 
   /** Stops listening and destroys all connections at once. */
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -11,6 +11,7 @@
   AttemptFailure,
 } from '../answers/answer-reader.js';
 import type { ClientAnswer } from '../answers/client-answer.js';
+import type { ConnectionCloser } from '../front/request-completions.js';
 import {
   answerLost,
   answerTimedOut,
@@ -135,7 +136,7 @@
     const remaining = this.remainingMilliseconds + DEADLINE_GRACE_MILLISECONDS;
     const handleDeadline = this.boundary.guard(() => this.handleDeadline());
     this.cancelDeadline = runtime.setTimer(Math.max(0, remaining), handleDeadline);
-    this.answer.onDisconnect(() => this.handleDisconnect());
+    this.answer.onDisconnect((closer) => this.handleDisconnect(closer));
     this.answer.setSource(this.flowControl);
     runStages(
       CALL_STAGES,
@@ -637,11 +638,12 @@
     this.giveUp('its time is over');
   }
 
-  /** Cancels the call after the client closed its connection. */
-  private handleDisconnect(): void {
+  /** Cancels the call after the client's connection has closed. */
+  private handleDisconnect(closedBy: ConnectionCloser): void {
     if (!this.finished) {
       this.cancelCurrent();
-      this.finish('left', { started: this.answer.started });
+      this.context.metrics.count('ivyloom_relay_cut_requests_total', `by="${closedBy}"`);
+      this.finish('left', { started: this.answer.started, closedBy, mayHaveRun: this.mayHaveRun });
     }
   }
 
