Known red: requests that ran get no answer when their connection closes

Scenarios of connections that close with requests in progress: three requests sent ahead through a stop or while the replicas are out of reach; a client that doesn't wait for answers; a refusal ahead of others; the end of the grace period; answers that are read late; bytes that are no request behind one in progress.

--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -111,6 +111,8 @@
   readonly maximumConnections?: number;
   /** Timeout of the routes, in milliseconds. @default 3000 */
   readonly timeoutMilliseconds?: number;
+  /** Time from the stop of the gateway to the end of its process, in milliseconds. @default 8000 */
+  readonly graceMilliseconds?: number;
   /** Rules by which a runner must not get a request. @default none */
   readonly exclusions?: readonly RunnerExclusion[];
   /** Requests per second that a cold runner of the service takes. @default unlimited */
@@ -139,6 +141,8 @@
   private replica: Replica | undefined;
   private caller: TcpReplicaCaller | undefined;
   private requestCount = 0;
+  /** Whether the gateway takes the replicas to be in reach. */
+  reachesReplicas = true;
   /** Identifier of the last request sent. */
   lastId = '';
 
@@ -188,8 +192,10 @@
     this.replicaServer.listen(HOST, replicaPort, () => undefined);
     this.caller = new TcpReplicaCaller(this.runtime, () => undefined);
     const { runtime, caller } = this;
-    const { memoryBounds, traffic, storageRegions, exclusions = [] } = this.options;
-    const turns = new TurnClient({ runtime, directory, caller, zone: ZONE });
+    const { memoryBounds, traffic, storageRegions } = this.options;
+    const { exclusions = [], graceMilliseconds = 8_000 } = this.options;
+    const isReachable = (): boolean => this.reachesReplicas;
+    const turns = new TurnClient({ runtime, directory, caller, zone: ZONE, isReachable });
     this.gateway = new RelayGateway({
       runtime,
       zone: ZONE,
@@ -198,7 +204,7 @@
       quotas: new QuotaClient({ runtime, directory, caller }),
       front: { host: HOST, port: front },
       ready: { host: HOST, port: ready },
-      graceMilliseconds: 8_000,
+      graceMilliseconds,
       exclusions,
       ...(memoryBounds === undefined ? {} : { memoryBounds }),
       ...(traffic === undefined ? {} : { traffic }),
