Requests of a connection run one after another, and an answer closes it only behind the last

What callers saw: around a SIGTERM to a gateway, requests that it had read and that runners ran ended with a closed connection and no answer.

Cause: each answer of a gateway that stops, or can't reach its replicas, says Connection: close. Requests behind it on the connection had been dispatched as they were parsed, and Node drops their answers. Class: a connection is closed with requests taken from it in progress. The other ways of the same class: the end of the grace period, which exited with requests in progress; idle connections, of which one whose answer had been passed on and not been taken counted as one; bytes that are no request, or a late head, for which the parser answered in the place of the request in progress; CONNECT; unread bytes, which reset the connection.

Change: ServerConnection serves the requests of a connection in order. What waits is not dispatched; an answer closes only if nothing has arrived behind its request; input errors end the reading and not the requests before them; a closed connection is read for a while. At the end of the grace period each request in progress is answered with what is known of it (502 or 503), and the process exits once that is passed on.

The scenario of a client that disconnects behind three requests expected all three to run at the same time, which is no longer so: it now checks that all three end, and that the two behind the first never run.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -3,7 +3,6 @@
   same, whatever its client sends ahead, and the others have not run. The scenarios use real sockets on loopback.
 
   # Guards against an answer that closes a connection on which requests behind it were sent to runners.
-  @known-red
   Scenario Outline: Requests sent ahead to a "<route>" route are answered although <event>
     Given a gateway whose runners take 150 milliseconds for an answer
     When a client sends 3 requests to a "<route>" route ahead on one connection
@@ -18,7 +17,6 @@
       | single     | the replicas are out of reach |
 
   # Guards against the same for a client that sends its next request before the last one is answered.
-  @known-red
   Scenario: A client that doesn't wait for answers loses none while the gateway stops
     Given a gateway whose runners take 50 milliseconds for an answer
     When a client sends a request every 20 milliseconds on one connection for 2 seconds
@@ -26,14 +24,12 @@
     Then each request that ran is answered, in order, and the connection closes after the last
 
   # Guards against requests of one connection that runners get in another order than their client sent them.
-  @known-red
   Scenario: Requests sent ahead run one after another
     Given a gateway whose runners take 30 milliseconds for an answer
     When a client sends 5 requests to a "single" route ahead on one connection
     Then they are answered, and no two of them ran at the same time
 
   # Guards against requests behind an answer that closes, which are refused where they stand.
-  @known-red
   Scenario: A refused request that was sent ahead of others doesn't take their answers
     Given a gateway whose runners take 50 milliseconds for an answer
     And the gateway is stopped
@@ -41,7 +37,6 @@
     Then the answers to all 3 are whole, and the connection closes after the last
 
   # Guards against a process that exits at the end of its grace period with requests that get no answer.
-  @known-red
   Scenario: Requests in progress at the end of the grace period are answered with what is known of them
     Given a gateway with a grace period of 4200 milliseconds, and runners that never answer
     When a client sends a request to a "single" route, and another one behind it
@@ -50,7 +45,6 @@
     Then the request that ran is answered with 502, and the others with 503
 
   # Guards against an answer that was passed on, and is cut as idle since its client hasn't read it.
-  @known-red
   Scenario: Answers that are read late are whole although the gateway stops meanwhile
     Given a gateway whose runners send long answers
     When a client sends 1500 requests to a "single" route ahead on one connection, and reads nothing
@@ -58,7 +52,6 @@
     Then each request that ran is answered, in order, and the connection closes after the last
 
   # Guards against an answer of the parser in the place of the one to the request in progress.
-  @known-red
   Scenario Outline: <bytes> behind a request in progress doesn't take its answer
     Given a gateway whose runners take <pause> milliseconds for an answer
     When a client sends a request to a "single" route, and "<bytes>" behind it
--- a/features/slow-readers.feature
+++ b/features/slow-readers.feature
@@ -22,6 +22,7 @@
     Given a gateway with two runners whose streams are long
     When a client sends 3 pipelined requests with bodies and disconnects after 300 milliseconds
     Then all requests and all runs have ended within 500 milliseconds, and nothing is buffered
+    And the requests behind the first have not run
 
   Scenario: A client that reads nothing is disconnected, and its run ends
     Given a gateway with two runners whose streams are long
--- a/features/steps/memory-accounts.steps.ts
+++ b/features/steps/memory-accounts.steps.ts
@@ -17,7 +17,7 @@
 import type { CutOrder, SlowReader } from '../../src/relay/memory/memory-budget.js';
 import type { RunnerIncarnation } from '../../src/relay/runners/runner.js';
 import { RunnerBackpressure } from '../../src/relay/memory/runner-backpressure.js';
-import { RequestCompletion } from '../../src/relay/front/request-completions.js';
+import { RequestCompletion } from '../../src/http-server/request-completion.js';
 import { StreamAnswer } from '../../src/relay/answers/stream-answer.js';
 import type { AnsweredCall, AnswerHead } from '../../src/relay/answers/answer-reader.js';
 import type { RelayContext } from '../../src/relay/relay-context.js';
@@ -378,8 +378,6 @@
       memory: new MemoryBudget(runtime, NO_BOUNDS),
       requestIdHeader: 'id',
       requestId: 'behind',
-      isClosing: () => false,
-      onClosing: () => undefined,
     });
     const held: number[] = [];
     answer.setSource({
--- a/features/steps/slow-readers.steps.ts
+++ b/features/steps/slow-readers.steps.ts
@@ -484,14 +484,22 @@
       ];
       socket.write(`${head.join('\r\n')}\r\n\r\nbody`);
     }
-    const runs = (): number =>
-      this.relayWorld.runners.reduce((sum, runner) => sum + runner.runs.length, 0);
-    await until('all runs', 2_000, () => runs() === count);
+    const { gateway } = this.relayWorld;
+    await until('all requests', 2_000, () => gateway.activeRequests === count);
+    await until('the first run', 2_000, () => runCount(this) === 1);
     await sleep(pause);
     socket.destroy();
   },
 );
 
+function runCount({ relayWorld }: World): number {
+  return relayWorld.runners.reduce((sum, runner) => sum + runner.runs.length, 0);
+}
+
+Then('the requests behind the first have not run', function (this: World) {
+  assert.equal(runCount(this), 1);
+});
+
 Then(
   'all requests and all runs have ended within {int} milliseconds, and nothing is buffered',
   async function (this: World, most: number) {
--- a/src/relay/answers/client-answer.ts
+++ b/src/relay/answers/client-answer.ts
@@ -5,7 +5,7 @@
 import type { ServerResponse } from 'node:http';
 import { STATUS_CODES } from 'node:http';
 import type { Runtime } from '../../runtime/runtime.js';
-import type { ConnectionCloser, RequestCompletion } from '../front/request-completions.js';
+import type { ConnectionCloser, RequestCompletion } from '../../http-server/request-completion.js';
 import type { MemoryAllocation } from '../memory/memory-accounts.js';
 import type { MemoryBudget, SlowReader } from '../memory/memory-budget.js';
 import { headersToClient } from '../request/forwarded-headers.js';
@@ -43,10 +43,6 @@
   readonly memory: MemoryBudget;
   readonly requestIdHeader: string;
   readonly requestId: string;
-  /** Whether to close the connection after the answer. */
-  readonly isClosing: () => boolean;
-  /** Called when the head of an answer says that its connection closes. */
-  readonly onClosing: () => void;
 }
 
 /** The answer to one request of a client, with flow control and slow-reader detection. */
@@ -295,10 +291,6 @@
   }
 
   private writeHead(status: number, reason: string, headers: string[]): void {
-    if (this.options.isClosing()) {
-      headers.push('connection', 'close');
-      this.options.onClosing();
-    }
     this.response.writeHead(status, reason, headers);
     this.headSent = true;
   }
--- a/src/relay/answers/local-answers.ts
+++ b/src/relay/answers/local-answers.ts
@@ -81,6 +81,19 @@
     : { status: 503, detail, verdict: 'NotRun', retryAfterSeconds: UNAVAILABLE_RETRY_SECONDS };
 }
 
+/** The gateway stops before the request is answered. */
+export function stopped(mayHaveRun: boolean): LocalAnswer {
+  const detail = 'this gateway stops';
+  return mayHaveRun
+    ? { status: 502, detail, verdict: 'MayHaveRun' }
+    : { status: 503, detail, verdict: 'NotRun', retryAfterSeconds: OTHER_GATEWAY_RETRY_SECONDS };
+}
+
+/** The deadline of the request has passed while earlier requests of its connection were served. */
+export function waitedTooLong(): LocalAnswer {
+  return { status: 503, detail: 'its time was over before its turn came', verdict: 'NotRun' };
+}
+
 /** A quorum of replicas does not know the previous turn. */
 export function turnNotFound(): LocalAnswer {
   return { status: 404, detail: 'there is no such earlier turn', verdict: 'NotRun' };
--- a/src/relay/front/body-reader.ts
+++ b/src/relay/front/body-reader.ts
@@ -17,7 +17,15 @@
   /** The body has too many bytes around its content. */
   | { readonly tag: 'TooMuchFraming' }
   /** There is no memory for the body, or none became available in time to start reading. */
-  | { readonly tag: 'NoMemory' };
+  | { readonly tag: 'NoMemory' }
+  /** The process stops. */
+  | { readonly tag: 'Stopped' };
+
+/** Why a body is given up by others than its reader. */
+export type BodyRefusal = 'TooMuchFraming' | 'Stopped';
+
+/** Gives a body up; returns false if it was read or given up before. */
+export type RefuseBody = (reason: BodyRefusal) => boolean;
 
 /** Options for reading a body. */
 export interface BodyReadOptions {
@@ -93,11 +101,11 @@
   }
 
   /** Gives the body up; returns false if it was read or given up before. */
-  refuse(): boolean {
+  refuse(tag: BodyRefusal): boolean {
     if (this.finished) {
       return false;
     }
-    this.finish({ tag: 'TooMuchFraming' });
+    this.finish({ tag });
     return true;
   }
 
@@ -123,15 +131,15 @@
 /**
  * Reads a body; calls back once, unless the client disconnects first. The allocation counts the
  * bytes read; those of a complete body stay counted until the caller releases them.
- * @returns a function that ends reading with `TooMuchFraming`, and returns whether the body was still being read
+ * @returns a function that ends reading
  */
 export function readBody(
   request: IncomingMessage,
   options: BodyReadOptions,
   allocation: MemoryAllocation,
   done: (result: BodyResult) => void,
-): () => boolean {
+): RefuseBody {
   const reader = new BodyReader(request, options, allocation, done);
   reader.start();
-  return () => reader.refuse();
+  return (reason) => reader.refuse(reason);
 }
--- a/src/relay/front/relay-front.ts
+++ b/src/relay/front/relay-front.ts
@@ -3,26 +3,30 @@
  * calls.
  */
 import { createServer } from 'node:http';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { Socket } from 'node:net';
+import type { IncomingMessage, Server } from 'node:http';
 import { maximumFramingBytes } from '../../http-client/framing-limit.js';
 import { limitRequests } from '../../http-server/limit-requests.js';
+import type { ServerExchange } from '../../http-server/server-connection.js';
+import { ServerConnections } from '../../http-server/server-connections.js';
 import type { Listeners } from '../../runtime/listeners.js';
 import { ClientAnswer } from '../answers/client-answer.js';
-import { interruptedByException, memoryLimitReached } from '../answers/local-answers.js';
+import {
+  interruptedByException,
+  memoryLimitReached,
+  stopped,
+  waitedTooLong,
+} from '../answers/local-answers.js';
 import type { LocalAnswer } from '../answers/local-answers.js';
 import type { RelayContext } from '../relay-context.js';
 import { RequestBoundary } from '../request/request-boundary.js';
 import type { RoutingTable } from '../request/routing-table.js';
 import { createIngressRequest } from '../stages/ingress-request.js';
-import type { IngressRequest, RequestHead } from '../stages/ingress-request.js';
+import type { IngressRequest } from '../stages/ingress-request.js';
 import { BODY_STAGES, HEAD_STAGES, runIngressStages, refusal } from '../stages/ingress-stages.js';
 import type { StageRefusal } from '../stages/stage.js';
 import { RelayCall } from '../tries/relay-call.js';
 import { readBody } from './body-reader.js';
-import type { BodyResult } from './body-reader.js';
-import { RequestCompletions } from './request-completions.js';
-import type { RequestCompletion } from './request-completions.js';
+import type { BodyResult, RefuseBody } from './body-reader.js';
 import { clientTimeoutMilliseconds, headOf, parseRequest } from './request-parser.js';
 
 /** Maximum header size of Node's parser, in bytes; the configured limit is checked afterwards. */
@@ -35,50 +39,72 @@
 const BAD_REQUEST = 400;
 /** Stage name for requests that are refused while their body is read. */
 const BODY_STAGE = 'body';
+/** Stage name for requests that waited too long for earlier ones of their connection. */
+const ORDER_STAGE = 'order';
+/** Stage name for requests that are refused because the gateway stops. */
+const STOP_STAGE = 'stop';
+/** Longest time in which answers are passed on at the end of a planned stop, in milliseconds. */
+const FLUSH_MILLISECONDS = 400;
 /** Answers to requests whose body could not be read. */
 const BODY_REFUSALS: Readonly<Record<Exclude<BodyResult['tag'], 'Whole'>, () => LocalAnswer>> = {
   TooMuchFraming: () => refusal(400, 'too many bytes around the content of the body'),
   TooLarge: () => refusal(413, 'the body exceeds the bound'),
   Late: () => refusal(408, 'the body did not come in time'),
   NoMemory: memoryLimitReached,
+  Stopped: () => stopped(false),
 };
 
+/** A request in progress at ingress. */
+interface Arrival {
+  readonly exchange: ServerExchange;
+  readonly answer: ClientAnswer;
+  readonly ingress: IngressRequest;
+}
+
 /** HTTP server for the requests of clients. */
 export class RelayFront {
   private readonly server: Server;
-  private readonly completions = new RequestCompletions();
-  /** Requests with too many bytes around their content: their answers close the connection. */
+  private readonly connections: ServerConnections;
+  private readonly boundaries = new WeakMap<IncomingMessage, RequestBoundary>();
+  /** Requests with too many bytes around their content that wait for earlier ones. */
   private readonly excessive = new WeakSet<IncomingMessage>();
   /** Ends reading a request's body with a refusal that closes the connection. */
-  private readonly bodyRefusals = new WeakMap<IncomingMessage, () => boolean>();
-  /** Number of requests in progress. */
-  activeCount = 0;
+  private readonly bodyRefusals = new WeakMap<IncomingMessage, RefuseBody>();
+  /** Answers the requests that are being served, at the end of a planned stop. */
+  private readonly interruptions = new Map<ServerExchange, () => void>();
   private draining = false;
+  private interrupted = false;
   private restBytes = MINIMUM_REST_BYTES;
-  private onIdle: () => void = () => undefined;
+  /** Called once nothing is in progress; undefined unless the gateway stops. */
+  private onIdle: (() => void) | undefined;
 
   constructor(private readonly context: RelayContext) {
-    this.server = createServer(
-      {
-        maxHeaderSize: PARSER_HEADER_BYTES,
-        connectionsCheckingInterval: TIMEOUT_CHECK_MILLISECONDS,
-        keepAliveTimeout: 0,
-        requestTimeout: 0,
-        noDelay: true,
-      },
-      (request, response) => this.handleRequest(request, response),
-    );
-    this.server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
-      response.writeContinue();
-      this.handleRequest(request, response);
+    this.server = createServer({
+      maxHeaderSize: PARSER_HEADER_BYTES,
+      connectionsCheckingInterval: TIMEOUT_CHECK_MILLISECONDS,
+      keepAliveTimeout: 0,
+      requestTimeout: 0,
+      noDelay: true,
+    });
+    this.connections = new ServerConnections(this.server, {
+      runtime: context.runtime,
+      isClosing: () => this.isClosing,
+      serve: (exchange) => this.handleRequest(exchange),
+      runListener: (request, listener) => this.boundaryOf(request).run(listener),
+      onUnserved: () => context.metrics.count('ivyloom_relay_unserved_requests_total'),
+      onProgress: () => this.checkIdle(),
     });
-    this.server.on('connection', (socket: Socket) => this.completions.addSocket(socket));
     limitRequests(this.server, {
       restBytes: () => this.restBytes,
       onExceeded: (reason, request) => this.refuseExcess(reason, request),
     });
   }
 
+  /** Number of requests in progress, with those that wait for earlier ones of their connection. */
+  get activeCount(): number {
+    return this.connections.openRequests;
+  }
+
   /** Starts to listen; calls back once the server listens. */
   listen(host: string, port: number, listeners: Listeners, done: () => void): void {
     const address = { purpose: 'clients', host, port, backlog: BACKLOG };
@@ -99,19 +125,30 @@
   }
 
   /**
-   * Stops accepting connections, closes idle ones, and calls back once no request is in progress.
+   * Stops accepting connections, closes idle ones, and calls back once no request is in progress and all answers are delivered.
    */
   stop(done: () => void): void {
     this.onIdle = done;
-    this.server.close();
-    this.server.closeIdleConnections();
+    this.connections.stopListening();
+    this.checkIdle();
+  }
+
+  /**
+   * Ends the requests in progress with answers that tell whether they may have run, and calls back once these are delivered. An answer
+   * that has begun is broken off.
+   */
+  interrupt(done: () => void): void {
+    this.interrupted = true;
+    this.onIdle = done;
+    this.context.runtime.setTimer(FLUSH_MILLISECONDS, done);
+    [...this.interruptions.values()].forEach((interruptRequest) => interruptRequest());
     this.checkIdle();
   }
 
   /** Stops listening and destroys all connections. */
   close(): void {
     this.server.close();
-    this.completions.destroyAll();
+    this.connections.destroyAll();
   }
 
   /**
@@ -121,12 +158,21 @@
     return this.draining || !this.context.turns.isReachable;
   }
 
-  private handleRequest(request: IncomingMessage, response: ServerResponse): void {
-    const head = headOf(request);
-    const requestId = head.header(this.context.names.requestId) ?? '';
-    const boundary = new RequestBoundary(this.context.exceptions, requestId);
+  private boundaryOf(request: IncomingMessage): RequestBoundary {
+    let boundary = this.boundaries.get(request);
+    if (boundary === undefined) {
+      const id = headOf(request).header(this.context.names.requestId) ?? '';
+      boundary = new RequestBoundary(this.context.exceptions, id);
+      this.boundaries.set(request, boundary);
+    }
+    return boundary;
+  }
+
+  private handleRequest(exchange: ServerExchange): void {
+    const { request, response } = exchange;
+    const boundary = this.boundaryOf(request);
     boundary.setCleanup(() => response.destroy());
-    boundary.run(() => this.startRequest(request, response, head, boundary));
+    boundary.run(() => this.startRequest(exchange, boundary));
   }
 
   /** Refuses a request whose body is being read. One that was answered before its end was refused and counted then. */
@@ -135,61 +181,91 @@
       this.noteRefusal(request, undefined, BODY_STAGE, BAD_REQUEST, reason);
       return false;
     }
-    this.excessive.add(request);
-    return this.bodyRefusals.get(request)?.() === true;
+    const isWaiting = this.connections.closeAfter(request);
+    if (isWaiting) {
+      // Its client gets the refusal once earlier requests are answered.
+      this.excessive.add(request);
+      const id = headOf(request).header(this.context.names.requestId);
+      this.noteRefusal(request, id, BODY_STAGE, BAD_REQUEST, reason);
+      return true;
+    }
+    return this.bodyRefusals.get(request)?.('TooMuchFraming') === true;
   }
 
-  private startRequest(
-    request: IncomingMessage,
-    response: ServerResponse,
-    head: RequestHead,
-    boundary: RequestBoundary,
-  ): void {
-    const { names, runtime } = this.context;
-    const arrivedAt = runtime.now();
-    const completion = this.completions.track(request.socket, response, (listener) =>
-      boundary.run(listener),
-    );
+  private startRequest(exchange: ServerExchange, boundary: RequestBoundary): void {
+    const { names, runtime, memory } = this.context;
+    const { request, response, completion } = exchange;
+    const head = headOf(request);
     const answer = new ClientAnswer(response, {
       completion,
       runtime,
-      memory: this.context.memory,
+      memory,
       requestIdHeader: names.requestId,
       requestId: head.header(names.requestId) ?? '',
-      isClosing: () => this.isClosing || this.excessive.has(request),
-      onClosing: () => this.completions.noteClosingAnswer(request.socket),
-    });
-    this.activeCount += 1;
-    completion.onComplete(() => {
-      this.activeCount -= 1;
-      this.checkIdle();
     });
     const ingress = createIngressRequest(this.context, head);
+    const arrival = { exchange, answer, ingress };
     boundary.setCleanup(() => answer.sendLocalOrAbort(interruptedByException(false), ingress.id));
+    const refusalBefore = this.refusalBeforeStages(arrival);
+    if (refusalBefore !== undefined) {
+      this.refuse(arrival, refusalBefore, answer.requestId);
+      return;
+    }
     const headRefusal = runIngressStages(ingress, HEAD_STAGES);
     if (headRefusal !== undefined) {
-      this.refuse(request, answer, headRefusal, ingress.id);
+      this.refuse(arrival, headRefusal);
       return;
     }
-    const handleBody = boundary.guard((body: Buffer) => {
-      const latestIngress = { ...ingress, table: this.context.currentTable() ?? ingress.table };
-      const bodyRefusal = runIngressStages(latestIngress, BODY_STAGES);
-      if (bodyRefusal !== undefined) {
-        this.refuse(request, answer, bodyRefusal, ingress.id);
-        return;
-      }
-      const parsed = parseRequest({ ...ingress, tenant: latestIngress.tenant }, body, arrivedAt);
-      new RelayCall(this.context, parsed, answer, boundary).start();
-    });
-    this.readRequestBody(request, completion, answer, ingress, handleBody);
+    if (exchange.expectsContinue) {
+      response.writeContinue();
+    }
+    this.readRequestBody(
+      arrival,
+      boundary.guard((body: Buffer) => this.startCall(arrival, body, boundary)),
+    );
+  }
+
+  /** Refuses what is known to be in vain when the turn of a request comes. */
+  private refusalBeforeStages({ exchange, ingress }: Arrival): StageRefusal | undefined {
+    if (this.interrupted) {
+      return { stage: STOP_STAGE, answer: stopped(false) };
+    }
+    const waited = this.context.runtime.now() - exchange.arrivedAt;
+    return waited >= clientTimeoutMilliseconds(ingress)
+      ? { stage: ORDER_STAGE, answer: waitedTooLong() }
+      : undefined;
+  }
+
+  private startCall(arrival: Arrival, body: Buffer, boundary: RequestBoundary): void {
+    const { ingress, answer, exchange } = arrival;
+    const latestIngress = { ...ingress, table: this.context.currentTable() ?? ingress.table };
+    const bodyRefusal = runIngressStages(latestIngress, BODY_STAGES);
+    if (bodyRefusal !== undefined) {
+      this.refuse(arrival, bodyRefusal);
+      return;
+    }
+    const { tenant } = latestIngress;
+    const parsed = parseRequest({ ...ingress, tenant }, body, exchange.arrivedAt);
+    const call = new RelayCall(this.context, parsed, answer, boundary);
+    this.setInterruption(exchange, () => call.interrupt());
+    call.start();
+  }
+
+  /** Sets how a request is answered if the gateway stops before its answer. */
+  private setInterruption(exchange: ServerExchange, interrupt: () => void): void {
+    const { request, completion } = exchange;
+    if (!this.interruptions.has(exchange)) {
+      completion.onComplete(() => this.interruptions.delete(exchange));
+    }
+    this.interruptions.set(exchange, this.boundaryOf(request).guard(interrupt));
   }
 
   private refuse(
-    request: IncomingMessage,
-    answer: ClientAnswer,
+    { exchange, answer, ingress }: Arrival,
     { stage, answer: localAnswer }: StageRefusal,
-    id: string | undefined,
+    id = ingress.id,
   ): void {
+    const { request } = exchange;
     this.noteRefusal(request, id, stage, localAnswer.status, localAnswer.detail);
     request.resume();
     answer.sendLocal(localAnswer, id);
@@ -216,40 +292,29 @@
     this.context.metrics.count('ivyloom_relay_door_refusals_total', `status="${status}"`);
   }
 
-  private readRequestBody(
-    request: IncomingMessage,
-    completion: RequestCompletion,
-    answer: ClientAnswer,
-    ingress: IngressRequest,
-    done: (body: Buffer) => void,
-  ): void {
+  private readRequestBody(arrival: Arrival, done: (body: Buffer) => void): void {
     const { runtime, memory } = this.context;
+    const { exchange, ingress } = arrival;
+    const { request, completion, arrivedAt } = exchange;
     const allocation = memory.allocate('bodies');
     completion.onComplete(() => allocation.release());
     const { bodyBytes: limitBytes } = ingress.table!.limits;
-    const options = {
-      runtime,
-      memory,
-      limitBytes,
-      timeoutMilliseconds: clientTimeoutMilliseconds(ingress),
-    };
+    const waited = runtime.now() - arrivedAt;
+    const timeoutMilliseconds = clientTimeoutMilliseconds(ingress) - waited;
+    const options = { runtime, memory, limitBytes, timeoutMilliseconds };
     const refuseBody = readBody(request, options, allocation, (result) => {
       if (result.tag === 'Whole') {
         done(result.body);
         return;
       }
-      this.refuse(
-        request,
-        answer,
-        { stage: BODY_STAGE, answer: BODY_REFUSALS[result.tag]() },
-        ingress.id,
-      );
+      this.refuse(arrival, { stage: BODY_STAGE, answer: BODY_REFUSALS[result.tag]() });
     });
     this.bodyRefusals.set(request, refuseBody);
+    this.setInterruption(exchange, () => refuseBody('Stopped'));
   }
 
   private checkIdle(): void {
-    if (this.activeCount === 0) {
+    if (this.onIdle !== undefined && this.connections.isQuiet) {
       this.onIdle();
     }
   }
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -322,7 +322,12 @@
     const { runtime, graceMilliseconds } = this.options;
     const { activeRequests: active } = this;
     runtime.log('info', 'graceful shutdown started', { event: 'process.stopping', active });
+    let isFinished = false;
     const finish = (reason: 'idle' | 'graceEnd'): void => {
+      if (isFinished) {
+        return;
+      }
+      isFinished = true;
       const { activeRequests: left } = this;
       runtime.log('info', 'graceful shutdown ends', {
         event: 'process.stopped',
@@ -333,7 +338,9 @@
     };
     this.front.startDraining();
     runtime.setTimer(DRAIN_MILLISECONDS, () => this.front.stop(() => finish('idle')));
-    runtime.setTimer(graceMilliseconds - KILL_SLACK_MILLISECONDS, () => finish('graceEnd'));
+    runtime.setTimer(graceMilliseconds - KILL_SLACK_MILLISECONDS, () =>
+      this.front.interrupt(() => finish('graceEnd')),
+    );
   }
 
   /** Stops listening and destroys all connections at once. */
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -11,7 +11,7 @@
   AttemptFailure,
 } from '../answers/answer-reader.js';
 import type { ClientAnswer } from '../answers/client-answer.js';
-import type { ConnectionCloser } from '../front/request-completions.js';
+import type { ConnectionCloser } from '../../http-server/request-completion.js';
 import {
   answerLost,
   answerTimedOut,
@@ -19,6 +19,7 @@
   lossesUnresolved,
   noRunnerAvailable,
   quarantined,
+  stopped,
 } from '../answers/local-answers.js';
 import type { LocalAnswer } from '../answers/local-answers.js';
 import { waitAtRunner } from '../admission/predicted-wait.js';
@@ -294,6 +295,11 @@
     });
   }
 
+  /** Ends the call because the gateway stops, with an answer that tells whether the request may have run. */
+  interrupt(): void {
+    this.refuse(stopped(this.mayHaveRun || this.current?.attempt.wasSent() === true));
+  }
+
   private handleStagesDone(refusal: StageRefusal | undefined): void {
     if (refusal === undefined) {
       this.startNextAttempt();
