--- a/features/support/starting-process.ts
+++ b/features/support/starting-process.ts
@@ -49,7 +49,7 @@
 let bundle: string | undefined;
 
 /** Builds the program at the first call; returns the folder. */
-function bundleFolder(): string {
+export function bundleFolder(): string {
   if (bundle === undefined) {
     bundle = mkdtempSync(join(tmpdir(), 'ivyloom-bundle-'));
     execFileSync(process.execPath, ['scripts/bundle.mjs', bundle]);
