The scenario of an unnamed stream at a gateway that starts later waits until the replicas know what was listed

Cause, traced: a race in the scenario. The first two gateways collect what they list for 5 ms before they report it to the replicas; the third gateway may ask before these reports have arrived. Then a majority of the replicas replies that it knows the last 0 to 4 ms (knownMilliseconds of versionsExchanged; the reports of 60,000 ms arrive 0.1 to 4 ms later), the past isn't known, and the answer is 503, not run, "the software version that began the stream is not known", Retry-After 0.1 (originUnknown).

Change: the scenario waits for its assumption, that what was listed before is known to the replicas, and still wants 200 at the first try. A new scenario holds the race deterministically: before the reports the resumption is refused with a time to return, and after them the same is served.

--- a/features/steps/stream-versions.steps.ts
+++ b/features/steps/stream-versions.steps.ts
@@ -280,6 +280,14 @@
   },
 );
 
+Given('replicas that know what these gateways have listed', async function (this: World) {
+  await this.versions!.untilReplicasKnow();
+});
+
+When('the first two gateways report what they know to the replicas', async function (this: World) {
+  await this.versions!.untilReplicasKnow(2);
+});
+
 Given('a third gateway that starts later', async function (this: World) {
   const versions = this.versions!;
   const gateway = await versions.startGateway(false);
--- a/features/stream-versions.feature
+++ b/features/stream-versions.feature
@@ -61,10 +61,22 @@
   # Guards against refusing clients that name no stream after all gateways were restarted.
   Scenario: A client that names no stream is served as long as no second version is known
     Given 2 gateways, and runners of the software version "v1" in one service
+    And replicas that know what these gateways have listed
     And a third gateway that starts later
     When a client resumes an unnamed stream after event "2" at the third gateway
     Then the resumption is complete from event 3 on
 
+  # Guards against a gateway that takes what the replicas didn't know when it started for what they will ever know.
+  Scenario: A gateway that starts before others have reported serves clients that return once they have
+    Given 2 gateways, and runners of the software version "v1" in one service
+    And replicas that have lost what they knew
+    And a third gateway that starts later
+    When a client resumes an unnamed stream after event "2" at the third gateway
+    Then every resumption is refused as not run, with a time to return
+    When the first two gateways report what they know to the replicas
+    And a client resumes an unnamed stream after event "2" at the third gateway
+    Then the resumption is complete from event 3 on
+
   Scenario: A stream whose version has no runner left is refused at once
     When 12 clients receive 2 events, the runners of "v1" leave, and they resume at the other gateway
     Then streams of "v1" are refused as not run within 100 ms, without a time to return
--- a/features/support/version-world.ts
+++ b/features/support/version-world.ts
@@ -1,4 +1,5 @@
 /** Gateways that share replicas, before runners of several software versions of one service, all on loopback. */
+import assert from 'node:assert/strict';
 import { request as httpRequest } from 'node:http';
 import { findFreePorts } from '../../src/bench/free-ports.js';
 import { RelayRunner } from '../../src/emulator/relay-runner.js';
@@ -13,6 +14,7 @@
 import { QuotaClient } from '../../src/turns/quota-client.js';
 import { Replica } from '../../src/turns/replica.js';
 import { ReplicaServer } from '../../src/turns/replica-server.js';
+import { ORIGIN_RETENTION_MILLISECONDS } from '../../src/turns/stream-origins.js';
 import { TcpReplicaCaller } from '../../src/turns/tcp-replica-caller.js';
 import { TurnClient } from '../../src/turns/turn-client.js';
 
@@ -23,6 +25,9 @@
 const REPLICAS = 3;
 const EVENTS = 6;
 const EVENT_MILLISECONDS = 10;
+const STEP_MILLISECONDS = 10;
+/** Time in which reports reach the replicas, beside busy processes too. */
+const REPORT_MILLISECONDS = 3_000;
 const ROUTE: Route = {
   name: 'chat',
   host: 'shop.example',
@@ -102,6 +107,7 @@
   private readonly replicas: Replica[] = [];
   private readonly servers: ReplicaServer[] = [];
   private readonly callers: TcpReplicaCaller[] = [];
+  private readonly turns: TurnClient[] = [];
   private members: readonly Member[] = [];
   private requestCount = 0;
   private readonly killed = new Set<RelayGateway>();
@@ -130,11 +136,12 @@
     const [front, ready] = await findFreePorts(HOST, 2);
     const directory = this.createDirectory();
     const caller = new TcpReplicaCaller(runtime, () => undefined);
+    const turns = new TurnClient({ runtime, directory, caller, zone: ZONE });
     const gateway = new RelayGateway({
       runtime,
       zone: ZONE,
       names: NAMES,
-      turns: new TurnClient({ runtime, directory, caller, zone: ZONE }),
+      turns,
       quotas: new QuotaClient({ runtime, directory, caller }),
       front: { host: HOST, port: front! },
       ready: { host: HOST, port: ready! },
@@ -147,6 +154,7 @@
     this.gateways.push(gateway);
     this.fronts.push(front!);
     this.callers.push(caller);
+    this.turns.push(turns);
     return gateway;
   }
 
@@ -247,6 +255,35 @@
     this.members.forEach((member) => this.startReplica(member, false));
   }
 
+  /**
+   * Waits until each replica has reports about the whole time for which streams may be resumed.
+   * @param reportingGateways number of gateways that report meanwhile, instead of at the next interval
+   */
+  async untilReplicasKnow(reportingGateways = 0): Promise<void> {
+    const until = performance.now() + REPORT_MILLISECONDS;
+    let known = await this.leastKnownMilliseconds();
+    while (known < ORIGIN_RETENTION_MILLISECONDS) {
+      assert.ok(performance.now() < until, `a replica knows the last ${known} ms only`);
+      this.turns.slice(0, reportingGateways).forEach(({ versions }) => versions.reportSoon());
+      await new Promise((resolve) => setTimeout(resolve, STEP_MILLISECONDS));
+      known = await this.leastKnownMilliseconds();
+    }
+  }
+
+  /** Asks each replica as a gateway does that knows nothing. */
+  private async leastKnownMilliseconds(): Promise<number> {
+    const question = { type: 'exchangeVersions' as const, knownMilliseconds: 0, versions: [] };
+    const replies = this.members.map(
+      (member) =>
+        new Promise<number>((resolve) =>
+          this.callers[0]!.call(member, question, REPORT_MILLISECONDS, (reply) =>
+            resolve(reply?.type === 'versionsExchanged' ? reply.knownMilliseconds : 0),
+          ),
+        ),
+    );
+    return Math.min(...(await Promise.all(replies)));
+  }
+
   /**
    * Sends one try to a gateway.
    * @param resumed the try whose answer brought the stream's first event, and the last event received
