Known red: calls that ran get no answer when the connection of a caller closes

The interface of the daemon has the faults that shutdown.feature showed of the gateway: from the time at which a node is told to leave, each answer closes its connection, and Node drops the answers to the calls that were dispatched behind it; draining closes connections as idle while their answers are not passed on; the parser answers bad bytes in the place of the call in progress. Calls of one connection also begin in another order than they were sent.

--- /dev/null
+++ b/features/interface-shutdown.feature
@@ -0,0 +1,51 @@
+Feature: The interface of a node that leaves
+  The answers of a node that leaves close their connections. Each call that has run is answered all the same, whatever its caller sends
+  ahead, and the others have not run. The scenarios use real sockets on loopback.
+
+  # Guards against an answer that closes a connection on which calls behind it were started.
+  @known-red
+  Scenario: Calls sent ahead are answered although the node leaves
+    Given a cluster whose tools take 150 milliseconds for a call
+    When a node of the cluster is told to leave
+    And a caller sends 3 calls ahead on one connection to it
+    Then each call that ran is answered, in order, and the connection closes after the last
+    And the node stops
+
+  # Guards against the same for a caller that sends its next call before the last one is answered.
+  @known-red
+  Scenario: A caller that doesn't wait for answers loses none while the node leaves
+    Given a cluster whose tools take 50 milliseconds for a call
+    When a caller sends a call every 20 milliseconds on one connection for 2 seconds
+    And a node of the cluster is told to leave after 700 milliseconds
+    Then each call that ran is answered, in order, and the connection closes after the last
+    And the node stops
+
+  # Guards against calls of one connection that run in another order than their caller sent them.
+  @known-red
+  Scenario: Calls sent ahead run one after another
+    Given a cluster whose tools take 50 milliseconds for a call
+    When a caller sends 4 calls ahead on one connection to it
+    Then they are all answered, and no two of them ran at the same time
+
+  # Guards against an answer that was passed on, and is cut as idle since its caller hasn't read it.
+  @known-red
+  Scenario: Answers that are read late are whole although the node leaves meanwhile
+    Given a cluster whose tools take 50 milliseconds for a call
+    When a caller asks for the metrics 3000 times ahead on one connection, and reads nothing
+    And a node of the cluster is told to leave, and the caller begins to read after 1500 milliseconds
+    Then all 3000 answers are whole, and the connection closes after the last
+    And the node stops
+
+  # Guards against an answer of the parser in the place of the one to the call in progress.
+  @known-red
+  Scenario Outline: <bytes> behind a call in progress doesn't take its answer
+    Given a cluster whose tools take 200 milliseconds for a call
+    When a caller sends 1 calls ahead on one connection to it
+    And it sends "<bytes>" behind
+    Then each call that ran is answered, in order, and the connection closes after the last
+
+    Examples:
+      | bytes      |
+      | a bad head |
+      | a bad body |
+      | a tunnel   |
--- a/features/support/pipelining-client.ts
+++ b/features/support/pipelining-client.ts
@@ -15,6 +15,8 @@
   readonly id: string;
   /** Whether it says that the connection closes. */
   readonly closes: boolean;
+  /** By name in lower case. */
+  readonly headers: ReadonlyMap<string, string>;
   readonly body: string;
 }
 
@@ -124,6 +126,7 @@
       status: Number(statusLine.split(' ')[1]),
       id: headers.get(NAMES.requestId) ?? '',
       closes: headers.get('connection') === 'close',
+      headers,
       body: this.unread.slice(bodyStart, end),
     });
     this.unread = this.unread.slice(end);
