--- a/features/steps/interface-shutdown.steps.ts
+++ b/features/steps/interface-shutdown.steps.ts
@@ -6,6 +6,7 @@
 import type { LocalCluster } from '../../src/bench/local-cluster.js';
 import type { Execution } from '../../src/emulator/emulated-back-end.js';
 import { PipeliningClient } from '../support/pipelining-client.js';
+import type { PipelinedAnswer } from '../support/pipelining-client.js';
 
 interface World {
   leavingCluster?: LocalCluster;
@@ -21,8 +22,9 @@
 const LONG = { timeout: 40_000 };
 const STEP_MILLISECONDS = 5;
 /** Time in which all calls of a scenario are over. */
-const END_MILLISECONDS = 20_000;
+const END_MILLISECONDS = 30_000;
 const MILLISECONDS_IN_SECOND = 1_000;
+const MEBIBYTE = 1024 * 1024;
 const TOOL = 'order-desk';
 const OK = 200;
 const PROGRAM = 'ivyloom-program';
@@ -31,6 +33,7 @@
 const METRICS = `GET /metrics HTTP/1.1\r\n${HEAD}\r\n`;
 /** Bytes that are no request. */
 const BAD_INPUT: Readonly<Record<string, string>> = {
+  'half a head': CALL,
   'a bad head': 'this is no request\r\n\r\n',
   'a bad body': `${CALL}transfer-encoding: chunked\r\n\r\nzz\r\n`,
   'a tunnel': 'CONNECT elsewhere:443 HTTP/1.1\r\nhost: elsewhere:443\r\n\r\n',
@@ -56,6 +59,11 @@
     .sort((left, right) => left.at - right.at);
 }
 
+/** Returns the content of an answer that came as one chunk, or without chunks. */
+function bodyOf({ body, headers }: PipelinedAnswer): string {
+  return headers.has('content-length') ? body : body.split('\r\n')[1]!;
+}
+
 function connectToLeaving(world: World, isReading = true): PipeliningClient {
   const port = Number(new URL(world.leavingCluster!.urls[0]!).port);
   world.caller = new PipeliningClient(port, isReading);
@@ -137,6 +145,25 @@
   },
 );
 
+When(
+  'a caller sends a call of {int} MiB and {int} calls ahead on one connection',
+  function (this: World, mebibytes: number, count: number) {
+    const bytes = mebibytes * MEBIBYTE;
+    const large = `${CALL}content-length: ${bytes}\r\n\r\n${'x'.repeat(bytes)}`;
+    connectToLeaving(this).write(large);
+    sendCalls(this, count);
+  },
+);
+
+When(
+  'a caller sends 2 calls ahead on one connection, the second with a timeout of {float} seconds',
+  function (this: World, seconds: number) {
+    connectToLeaving(this);
+    sendCalls(this, 1);
+    sendCalls(this, 1, `ivyloom-timeout: ${seconds}\r\n`);
+  },
+);
+
 When('it sends {string} behind', function (this: World, bytes: string) {
   this.caller!.write(BAD_INPUT[bytes]!);
 });
@@ -210,6 +237,43 @@
   },
 );
 
+Then(
+  'the call of 9 MiB is answered with {int}, the connection closes, and no call ran',
+  async function (this: World, status: number) {
+    await until('the connection closes', () => this.caller!.isClosed);
+    assert.deepEqual(
+      this.caller!.answers.map((answer) => [answer.status, answer.closes]),
+      [[status, true]],
+    );
+    assert.deepEqual(executionsOf(this), []);
+  },
+);
+
+Then(
+  'the first is answered with {int}, the second with {int} as not run, and one call ran',
+  async function (this: World, first: number, second: number) {
+    const { answers } = this.caller!;
+    await until('both are answered', () => answers.length === 2);
+    assert.deepEqual(
+      answers.map(({ status }) => status),
+      [first, second],
+    );
+    const { verdict } = JSON.parse(bodyOf(answers[1]!)) as { verdict: string };
+    assert.equal(verdict, 'NotRun');
+    assert.deepEqual(
+      executionsOf(this).map(({ program }) => program),
+      this.sentPrograms.slice(0, 1),
+    );
+  },
+);
+
+Then('the node stops within {int} seconds', LONG, async function (this: World, seconds: number) {
+  const startedAt = performance.now();
+  await until('the node has stopped', () => this.hasLeft);
+  const took = performance.now() - startedAt;
+  assert.ok(took < seconds * MILLISECONDS_IN_SECOND, `stopped after ${took} ms`);
+});
+
 Then('the node stops', LONG, async function (this: World) {
   await until('the node has stopped', () => this.hasLeft);
 });
--- a/src/gateway/problem.ts
+++ b/src/gateway/problem.ts
@@ -36,9 +36,6 @@
     // Clients that retry on their own must not repeat a call that may have run.
     'x-should-retry': error.verdict === 'NotRun' && error.retryAfterSeconds > 0 ? 'true' : 'false',
   };
-  if (error.tag === 'TooLarge') {
-    headers['connection'] = 'close';
-  }
   if (error.retryAfterSeconds > 0) {
     headers['retry-after'] = String(Math.ceil(error.retryAfterSeconds));
   }
--- a/src/http-server/server-connections.ts
+++ b/src/http-server/server-connections.ts
@@ -61,6 +61,11 @@
     });
   }
 
+  /** Ends all connections in order: what was written is delivered, and what still arrives is not served. */
+  endAll(): void {
+    [...this.bySocket.values()].forEach((connection) => connection.end());
+  }
+
   /** Destroys all connections. */
   destroyAll(): void {
     [...this.bySocket.values()].forEach((connection) => connection.destroy());
