Soak clients that keep connections and send ahead, and a check of planned stops

The soak's clients opened a connection for each request, so they could not see requests that were cut behind an answer that closes. New clients keep their connections, send ahead, read late, half-close, leave midway and send bytes that are no request. Requests that ran and whose connection ended without a whole answer around a planned stop or a reload are violations, with excuses that come from what the soak injected. Faults stopGateways and signalsInSeries send signals in turn and in series.

--- a/features/support/faulty-gateway.ts
+++ b/features/support/faulty-gateway.ts
@@ -239,12 +239,16 @@
     const otherHeaders = { ...others, [NAMES.tenant]: tenant };
     const headers =
       this.fault === 'passesKey' ? { ...otherHeaders, [NAMES.key]: key } : otherHeaders;
+    const startedAt = performance.now();
     this.runner.runs.push({
       requestId,
       method,
       path,
       body,
       headers,
+      behaviour: 'answer',
+      startedAt,
+      answeredAt: startedAt,
       clientDisconnected: false,
       disconnectedAt: undefined,
       isAnswered: false,
--- a/soak/platform-process.ts
+++ b/soak/platform-process.ts
@@ -34,6 +34,9 @@
 /** Time within which a configuration change must take effect, in milliseconds. */
 export const SOAK_APPLY_MILLISECONDS = 2_000;
 
+/** Time between the signal for a planned stop and the end of the process, in milliseconds. */
+export const SOAK_GRACE_MILLISECONDS = 8_000;
+
 /** Time after its start within which a replacement replica must have caught up, in milliseconds. */
 export const SOAK_CATCH_UP_MILLISECONDS = 4_000;
 
@@ -94,7 +97,7 @@
     DataDir: role === 'replica' ? dataFolder(folder) : null,
     Bounds: {
       EvacuateMs: SOAK_APPLY_MILLISECONDS,
-      GraceS: 8,
+      GraceS: SOAK_GRACE_MILLISECONDS / 1_000,
       ConfigApplyMs: SOAK_APPLY_MILLISECONDS,
       DrainMs: SOAK_APPLY_MILLISECONDS,
       RecoveryS: 12,
@@ -114,6 +117,14 @@
   };
 }
 
+/** A signal for a planned stop or a reload. */
+export interface SentSignal {
+  readonly name: 'SIGTERM' | 'SIGHUP';
+  readonly processId: number | undefined;
+  /** Local time at which it was sent, in milliseconds. */
+  readonly at: number;
+}
+
 /** Options of a process. */
 export interface PlatformProcessOptions {
   /** Path of the program. @default the current build */
@@ -131,6 +142,8 @@
   private isExitExpected = false;
   /** Exits that the soak did not cause. */
   readonly unexpectedExits: string[] = [];
+  /** Signals for planned stops and reloads that were sent to running processes. */
+  readonly plannedSignals: SentSignal[] = [];
   private readonly disk: RecordedFolder;
   private readonly recordsDisk: boolean;
   private readonly toleratesZoneLoss: boolean;
@@ -203,6 +216,9 @@
     if (name === 'SIGKILL' || name === 'SIGTERM') {
       this.isExitExpected = true;
     }
+    if (this.isRunning && (name === 'SIGTERM' || name === 'SIGHUP')) {
+      this.plannedSignals.push({ name, processId: this.processId, at: performance.now() });
+    }
     this.child?.kill(name);
   }
 
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -4,14 +4,19 @@
  */
 import type { StoreMode } from '../platform/stand-in/store-server.js';
 import { CONFIGURATION_KEY, RETIRE_PREFIX, RETIRE_STATUS_PREFIX } from '../platform/store-keys.js';
-import type { RelayRunner, RunnerBehaviour } from '../src/emulator/relay-runner.js';
+import type { RelayRunner, RunnerBehaviour, RunnerRun } from '../src/emulator/relay-runner.js';
 import { BREAKING_BEHAVIOURS } from '../src/emulator/unframed-answer.js';
 import { createRandom } from '../src/runtime/random.js';
 import type { RandomSource } from '../src/runtime/random.js';
 import { ConfigurationCheck } from './configuration-check.js';
+import { ConnectionClient } from './connection-client.js';
+import type { ConnectionClientContext } from './connection-client.js';
+import { checkConnections } from './connection-check.js';
+import type { ConnectionCounts } from './connection-check.js';
 import { EvacuationCheck } from './evacuation-check.js';
 import { FatalRequestCheck } from './fatal-request-check.js';
 import type { FaultProxy, ProxyMode } from './fault-proxy.js';
+import { PlannedStopCheck, RUNNERS } from './planned-stop-check.js';
 import { addLoss } from './power-loss-counts.js';
 import type { PowerLossCounts } from './power-loss-counts.js';
 import {
@@ -31,6 +36,8 @@
   drawEndlessForm,
   FAULTS,
   MISBEHAVIOURS,
+  PLANNED_STOPS,
+  SIGNAL_SERIES,
   STORE_FAULTS,
   targetsOf,
 } from './soak-faults.js';
@@ -45,6 +52,10 @@
 const GATEWAY_COUNT = 3;
 const REPLICA_COUNT = 4;
 const RUNNER_COUNT = 4;
+/** Clients that keep their connections, for each of the others. */
+const CONNECTION_CLIENT_SHARE = 0.5;
+/** Violations of one kind that are reported one by one. */
+const MAXIMUM_REPORTED = 8;
 /** Shares of framed answers, and of broken ones among the others, while runners break off answers. */
 const FRAMED_SHARE = 0.4;
 const BREAK_OFF_SHARE = 0.33;
@@ -76,6 +87,12 @@
 const RESTART = 'roll';
 /** Time after a restart with another build in which no fault strikes that machine, in milliseconds. */
 const RESTART_SETTLE_MILLISECONDS = 2_000;
+/** Longest time from one gateway's planned stop to the next one's, in milliseconds. */
+const STOP_INTERVAL_MILLISECONDS = 2_500;
+/** Probability that a process that was stopped by a series of signals is stopped again while it starts. */
+const STOP_AT_START_PROBABILITY = 0.3;
+/** Longest time from such a start to the stop, in milliseconds. */
+const STOP_AT_START_MILLISECONDS = 1_500;
 /** Interval at which the soak polls for a state or for a fault whose targets are free, in milliseconds. */
 const POLL_MILLISECONDS = 50;
 
@@ -93,6 +110,11 @@
   private readonly world: SoakWorld;
   private readonly configurationSource: SoakConfiguration;
   private readonly violations: string[] = [];
+  private readonly violate = (promise: string, detail: string): void => {
+    this.violations.push(`${promise}: ${detail}`);
+  };
+  /** Number of violations by promise, where only the first are reported one by one. */
+  private readonly repeated = new Map<string, number>();
   private readonly faults: Record<string, number> = {};
   private readonly counts = createCounts();
   private readonly pairs: Record<string, number> = {};
@@ -105,6 +127,15 @@
   private readonly recoveryCheck: RecoveryCheck;
   private readonly versionCheck: StreamVersionCheck;
   private readonly fatalCheck: FatalRequestCheck;
+  private readonly connectionContext: ConnectionClientContext;
+  /** Runs of each request on a kept connection, by its id; filled when all have ended. */
+  private readonly connectionRuns = new Map<string, RunnerRun[]>();
+  private readonly plannedStopCheck = new PlannedStopCheck({
+    signalsTo: (host) =>
+      this.world.processes.find(({ machine }) => machine.host === host)?.plannedSignals ?? [],
+    runsOf: (id) => this.connectionRuns.get(id) ?? [],
+    violate: (promise, detail) => this.violateSparingly(promise, detail),
+  });
   /** Local time of the end of the last fault of a replica, in milliseconds; Infinity while one lasts. */
   private replicaFaultEndedAt = -Infinity;
   private readonly upgrade: SoakUpgrade | undefined;
@@ -125,9 +156,7 @@
     const content = { hasInvalidEntries, toleratesZoneLoss, onArrival };
     this.world = new SoakWorld({ ...sizes, block, program, ...content });
     const { gatewayHosts, runners } = this.world;
-    const violate = (promise: string, detail: string): void => {
-      this.violations.push(`${promise}: ${detail}`);
-    };
+    const { violate } = this;
     this.configurationCheck = new ConfigurationCheck({
       gatewayHosts,
       violate,
@@ -162,6 +191,7 @@
       newClient: (name, counts) => this.createClient(name, counts),
       violate,
     });
+    this.connectionContext = this.createConnectionContext();
     if (options.upgrade !== undefined) {
       const { counts, world } = this;
       const reserve = (machine: PlatformProcess, action: () => Promise<void>): Promise<void> =>
@@ -178,6 +208,56 @@
       : checks;
   }
 
+  private createConnectionContext(): ConnectionClientContext {
+    return {
+      random: createRandom(this.options.seed, 'connections'),
+      gatewayHosts: this.world.gatewayHosts,
+      requests: [],
+      violate: (promise, detail) => this.violateSparingly(promise, detail),
+      connectionCount: 0,
+    };
+  }
+
+  /** Starts the clients that keep their connections; the older build of an upgrade may cut their requests. */
+  private runConnectionClients(isOver: () => boolean): Promise<void>[] {
+    const { clientCount = 8 } = this.options;
+    const count = this.checksNewRules ? Math.ceil(clientCount * CONNECTION_CLIENT_SHARE) : 0;
+    return Array.from({ length: count }, (_, index) =>
+      new ConnectionClient(`kept-${index}`, this.connectionContext).run(isOver),
+    );
+  }
+
+  /** Checks the requests on kept connections. Call when all clients have ended and the runners are idle. */
+  private checkConnectionRequests(): ConnectionCounts {
+    const { requests, connectionCount } = this.connectionContext;
+    requests.forEach(({ id }) => this.connectionRuns.set(id, []));
+    this.world.runners
+      .flatMap(({ runs }) => runs)
+      .forEach((run) => this.connectionRuns.get(run.requestId)?.push(run));
+    this.connectionRuns.forEach((runs) => runs.sort((a, b) => a.startedAt - b.startedAt));
+    const counts = checkConnections({
+      requests,
+      connectionCount,
+      runsOf: (id) => this.connectionRuns.get(id) ?? [],
+      violate: (promise, detail) => this.violateSparingly(promise, detail),
+    });
+    this.plannedStopCheck.check(requests);
+    for (const [promise, count] of this.repeated) {
+      if (count > MAXIMUM_REPORTED) {
+        this.violate(promise, `${count - MAXIMUM_REPORTED} more on kept connections`);
+      }
+    }
+    return counts;
+  }
+
+  private violateSparingly(promise: string, detail: string): void {
+    const count = (this.repeated.get(promise) ?? 0) + 1;
+    this.repeated.set(promise, count);
+    if (count <= MAXIMUM_REPORTED) {
+      this.violate(promise, detail);
+    }
+  }
+
   /** The older build of an upgrade need know neither software versions nor fatal requests. */
   private get checksNewRules(): boolean {
     return this.options.upgrade === undefined;
@@ -196,7 +276,7 @@
       this.createClient(`c${index}`),
     );
     const work = clients.map((client) => client.run(() => over));
-    work.push(...this.runChecks(() => over));
+    work.push(...this.runChecks(() => over), ...this.runConnectionClients(() => over));
     const until = performance.now() + this.options.minutes * 60_000;
     let isUpgraded = false;
     const upgraded = this.upgrade?.run().then(() => (isUpgraded = true));
@@ -211,14 +291,15 @@
     await this.recoveryCheck.check('the last fault');
     await this.recoveryCheck.checkTurns(clients.flatMap((client) => client.answeredTurns));
     this.recordUnexpectedExits();
+    const connections = this.checkConnectionRequests();
     this.violations.push(...slowReaderViolations(this.counts));
     this.recordColdFailures();
     await this.world.stop();
     this.violations.push(...(this.upgrade?.violationsIn(this.world.folder) ?? []));
-    return this.createReport();
+    return this.createReport(connections);
   }
 
-  private createReport(): SoakReport {
+  private createReport(connections: ConnectionCounts): SoakReport {
     const { seed } = this.options;
     const { counts, faults, pairs, lost, violations } = this;
     const { folder } = this.world;
@@ -246,6 +327,8 @@
       ...looks,
       resumptions,
       fatalRequests,
+      connections,
+      plannedStops: this.plannedStopCheck.counts,
       recoveries,
       lost,
       upgrade,
@@ -318,12 +401,14 @@
       ? gateways
       : gateways.filter(({ machine }) => targets.includes(machine.name));
     const end = this.configurationCheck.exempt(exemptGateways.map(({ machine }) => machine.host));
+    const endDisturbance = this.disturb(fault, targets);
     const strikesReplicas = targets.includes(ALL_REPLICAS);
     if (strikesReplicas) {
       this.replicaFaultEndedAt = Infinity;
     }
     await this.applyFault(fault, targets);
     end();
+    endDisturbance();
     if (strikesReplicas) {
       this.replicaFaultEndedAt = performance.now();
       await sleep(SETTLE_MILLISECONDS);
@@ -331,6 +416,17 @@
     this.activeFaults.delete(fault);
   }
 
+  /** Lets a fault that is no planned stop excuse cut requests at the gateways and runners that it strikes. */
+  private disturb(fault: Fault, targets: readonly string[]): () => void {
+    if (PLANNED_STOPS.has(fault)) {
+      return () => undefined;
+    }
+    const hosts = this.machinesOf(targets)
+      .filter(({ machine }) => machine.role === 'gateway')
+      .map(({ machine }) => machine.host);
+    return this.plannedStopCheck.disturb(targets.includes(RUNNERS) ? [...hosts, RUNNERS] : hosts);
+  }
+
   private pickMachines(): FaultTargets {
     const nameOf = ({ machine }: PlatformProcess): string => machine.name;
     const gateway = this.random.pick(this.world.processesOf('gateway'));
@@ -341,6 +437,7 @@
       gateway: nameOf(gateway),
       replica: nameOf(replica),
       all: processes.map(nameOf),
+      gateways: this.world.processesOf('gateway').map(nameOf),
       zone: zone.map(nameOf),
     };
   }
@@ -354,10 +451,7 @@
 
   private createClient(name: string, counts = this.counts): SoakClient {
     const { gatewayHosts, runners } = this.world;
-    const violate = (promise: string, detail: string): void => {
-      this.violations.push(`${promise}: ${detail}`);
-    };
-    const { random } = this;
+    const { random, violate } = this;
     return new SoakClient(name, { random, gatewayHosts, runners, counts, violate });
   }
 
@@ -379,10 +473,10 @@
         return this.kill(this.machinesOf(targets), pause);
       case 'wipeReplica':
         return this.kill([machine], pause, () => machine.wipe());
-      case 'killGateways':
-        return this.killGateways();
       case 'losePower':
         return this.kill([machine], pause, () => this.losePowerOf(machine));
+      case 'killGateways':
+        return this.killGateways();
       case 'loseAllPower':
         return this.loseAllPower(pause);
       case 'emptyReplica':
@@ -396,7 +490,9 @@
       case 'pauseReplica':
         return this.pauseMachines(this.machinesOf(targets), pause);
       case 'stopGateway':
-        return this.restart(machine);
+      case 'stopGateways':
+      case 'signalsInSeries':
+        return this.stopPlanned(fault, this.machinesOf(targets));
       case 'storeRefuses':
       case 'storeSilent':
       case 'storeLosesAnswers':
@@ -410,11 +506,9 @@
       case 'runnerPath':
         return this.disturbRunnerPath(this.random.pick(this.world.runnerProxies), pause);
       case 'runnerCrash':
-        return this.world.replaceRunner(this.random.integer(0, RUNNER_COUNT - 1), pause);
       case 'runnerRestart':
-        return this.world.restartRunner(this.random.integer(0, RUNNER_COUNT - 1), pause);
       case 'runnerTurnsCold':
-        return this.world.coolRunner(this.random.integer(0, RUNNER_COUNT - 1));
+        return this.strikeRunner(fault, this.random.integer(0, RUNNER_COUNT - 1), pause);
       case 'runnerReadsSlowly':
         return this.slowDownReading(this.random.pick(this.world.liveRunners), pause);
       case 'runnerMisbehaves':
@@ -426,7 +520,7 @@
       case 'routeMoves':
         return this.moveRoute();
       case 'zoneEvacuated':
-        return this.evacuateZone(this.random.pick(SOAK_ZONES), pause);
+        return this.evacuateZone(pause);
     }
   }
 
@@ -437,6 +531,56 @@
     machine.start();
   }
 
+  private stopPlanned(fault: Fault, machines: readonly PlatformProcess[]): Promise<void> {
+    return fault === 'signalsInSeries'
+      ? this.signalInSeries(machines[0]!)
+      : this.restartInTurn(machines);
+  }
+
+  /** Restarts machines one after another, at times before the last one has started again. */
+  private async restartInTurn(machines: readonly PlatformProcess[]): Promise<void> {
+    const restarts: Promise<void>[] = [];
+    for (const machine of machines) {
+      await sleep(restarts.length === 0 ? 0 : this.random.uniform() * STOP_INTERVAL_MILLISECONDS);
+      restarts.push(this.restart(machine));
+    }
+    await Promise.all(restarts);
+  }
+
+  /** Sends a machine's process signals that follow one another closely, and starts it again if they stop it. */
+  private async signalInSeries(machine: PlatformProcess): Promise<void> {
+    const { random } = this;
+    const series = random.pick(SIGNAL_SERIES);
+    const ended = machine.whenExited();
+    for (const { name, after } of series) {
+      await sleep(random.integer(...after));
+      machine.signal(name);
+    }
+    if (!series.some(({ name }) => name === 'SIGTERM')) {
+      return;
+    }
+    await ended;
+    machine.start();
+    if (random.uniform() < STOP_AT_START_PROBABILITY) {
+      await sleep(random.uniform() * STOP_AT_START_MILLISECONDS);
+      await this.restart(machine);
+    }
+  }
+
+  private strikeRunner(
+    fault: 'runnerCrash' | 'runnerRestart' | 'runnerTurnsCold',
+    index: number,
+    pause: number,
+  ): Promise<void> {
+    const { world } = this;
+    const strikes = {
+      runnerCrash: () => world.replaceRunner(index, pause),
+      runnerRestart: () => world.restartRunner(index, pause),
+      runnerTurnsCold: () => world.coolRunner(index),
+    };
+    return strikes[fault]();
+  }
+
   private misbehave(): void {
     this.world.liveRunners.forEach((runner) => {
       runner.endlessForm = () => drawEndlessForm(this.random);
@@ -602,7 +746,8 @@
   }
 
   /** Evacuates a zone for the time until the evacuation must be in force and a pause after it. */
-  private async evacuateZone(zone: string, pause: number): Promise<void> {
+  private async evacuateZone(pause: number): Promise<void> {
+    const zone = this.random.pick(SOAK_ZONES);
     this.world.store.evacuate(zone);
     this.evacuationCheck.evacuate(zone);
     await sleep(SOAK_APPLY_MILLISECONDS + pause);
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -4,6 +4,7 @@
 import type { RunnerBehaviour } from '../src/emulator/relay-runner.js';
 import { BREAKING_BEHAVIOURS } from '../src/emulator/unframed-answer.js';
 import type { RandomSource } from '../src/runtime/random.js';
+import { RUNNERS } from './planned-stop-check.js';
 
 /** Names of all fault kinds, as the `--faults` option takes them. */
 export const FAULTS = [
@@ -13,6 +14,10 @@
   'pauseGateway',
   'pauseReplica',
   'stopGateway',
+  // All gateways are stopped one after another, some before the last one has started again.
+  'stopGateways',
+  // A gateway gets several signals for stops and reloads, at times before the last one has been obeyed.
+  'signalsInSeries',
   'killAll',
   // All gateways, at times all replicas too, are killed; versions or routes change while they are away.
   'killGateways',
@@ -100,6 +105,41 @@
   };
 }
 
+/** Planned stops: they excuse no request that is cut. */
+export const PLANNED_STOPS: ReadonlySet<Fault> = new Set([
+  'stopGateway',
+  'stopGateways',
+  'signalsInSeries',
+]);
+
+/** A signal of a series, and the time after the one before it, in milliseconds. */
+export interface SignalInSeries {
+  readonly name: 'SIGTERM' | 'SIGHUP';
+  readonly after: readonly [number, number];
+}
+
+/** Series of signals to one process. */
+export const SIGNAL_SERIES: readonly (readonly SignalInSeries[])[] = [
+  [
+    { name: 'SIGTERM', after: [0, 0] },
+    { name: 'SIGTERM', after: [0, 3_500] },
+  ],
+  [
+    { name: 'SIGHUP', after: [0, 0] },
+    { name: 'SIGTERM', after: [0, 50] },
+  ],
+  [
+    { name: 'SIGTERM', after: [0, 0] },
+    { name: 'SIGHUP', after: [0, 3_000] },
+    { name: 'SIGTERM', after: [0, 500] },
+  ],
+  [
+    { name: 'SIGHUP', after: [0, 0] },
+    { name: 'SIGHUP', after: [0, 300] },
+    { name: 'SIGHUP', after: [0, 300] },
+  ],
+];
+
 /** Faults of the store; the configuration check exempts all gateways while one lasts. */
 export const STORE_FAULTS: ReadonlySet<Fault> = new Set([
   'storeRefuses',
@@ -117,6 +157,7 @@
   readonly gateway: string;
   readonly replica: string;
   readonly all: readonly string[];
+  readonly gateways: readonly string[];
   /** Machines in the zone of the replica. */
   readonly zone: readonly string[];
 }
@@ -124,14 +165,17 @@
 /** Returns the targets of a fault: names of machines, 'store', 'runners' or the shared replica target. */
 export function targetsOf(
   fault: Fault,
-  { gateway, replica, all, zone }: FaultTargets,
+  { gateway, replica, all, gateways, zone }: FaultTargets,
 ): readonly string[] {
   switch (fault) {
     case 'killGateway':
     case 'pauseGateway':
     case 'stopGateway':
+    case 'signalsInSeries':
     case 'storePath':
       return [gateway];
+    case 'stopGateways':
+      return gateways;
     case 'killReplica':
     case 'wipeReplica':
     case 'pauseReplica':
@@ -158,10 +202,10 @@
     case 'runnerCrash':
     case 'runnerRestart':
     case 'runnerReadsSlowly':
-      return ['runners'];
+      return [RUNNERS];
     case 'runnerTurnsCold':
       // Gateways learn of it from the store.
-      return ['runners', 'store'];
+      return [RUNNERS, 'store'];
     case 'runnerMisbehaves':
     case 'runnersBreakOff':
     case 'configurationChange':
--- a/soak/soak-report.ts
+++ b/soak/soak-report.ts
@@ -1,6 +1,8 @@
 /** Options and report of a soak run. */
 import type { VersionLooks } from './configuration-check.js';
+import type { ConnectionCounts } from './connection-check.js';
 import type { FatalRequestCounts } from './fatal-request-check.js';
+import type { PlannedStopCounts } from './planned-stop-check.js';
 import type { PowerLossCounts } from './power-loss-counts.js';
 import type { SoakCounts } from './soak-client.js';
 import type { Fault } from './soak-faults.js';
@@ -56,6 +58,10 @@
   readonly resumptions: ResumptionCounts;
   /** Requests that end their runner, and ordinary ones beside them; all 0 in an upgrade. */
   readonly fatalRequests: FatalRequestCounts;
+  /** Requests on kept connections; all 0 in an upgrade, whose older build may cut them. */
+  readonly connections: ConnectionCounts;
+  /** Those of them that ran and ended around a planned stop or a reload. */
+  readonly plannedStops: PlannedStopCounts;
   /** Duration of each recovery check until every kind was served or its time was over, in milliseconds. */
   readonly recoveries: readonly number[];
   /** Unsynced data that power losses discarded; shows that the fault has an effect. */
--- a/src/emulator/relay-runner.ts
+++ b/src/emulator/relay-runner.ts
@@ -51,6 +51,11 @@
   readonly path: string;
   readonly body: string;
   readonly headers: IncomingMessage['headers'];
+  readonly behaviour: RunnerBehaviour;
+  /** Local time at which the run began, in milliseconds. */
+  readonly startedAt: number;
+  /** Local time at which the whole answer was written, in milliseconds; undefined if it was not. */
+  answeredAt: number | undefined;
   /** Whether the client disconnected before the end of the answer. */
   clientDisconnected: boolean;
   /** Local time at which it did, in milliseconds; undefined if it did not. */
@@ -316,6 +321,9 @@
       path,
       body,
       headers,
+      behaviour,
+      startedAt: performance.now(),
+      answeredAt: undefined,
       clientDisconnected: false,
       disconnectedAt: undefined,
       isAnswered: false,
@@ -323,6 +331,7 @@
     this.runs.push(run);
     response.on('finish', () => {
       run.isAnswered = true;
+      run.answeredAt = performance.now();
     });
     response.on('close', () => {
       run.clientDisconnected = !response.writableFinished;
