Scenarios of the clients that keep connections and of the check of planned stops

Each guarantee that the new clients check is broken by a fake gateway, and each excuse of the check of planned stops stands beside a cut that it doesn't excuse. The excuse for the end of the grace period is gone: no request of the soak lasts that long.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -87,6 +87,45 @@
       | refusesResumptions | resumption  |
       | refusesUnnamed     | resumption  |
 
+  Scenario Outline: A client that keeps its connections detects a violated guarantee
+    Given a fake gateway with the fault "<fault>"
+    When clients that keep their connections send requests to it for 1000 milliseconds while it is stopped
+    Then exactly this guarantee is reported as violated: "<guarantee>"
+
+    Examples:
+      | fault           | guarantee     |
+      | nothing         |               |
+      | foreignAnswer   | own answer    |
+      | answersTwice    | own answer    |
+      | endsEarly       | own answer    |
+      | runsTwice       | at most once  |
+      | refusesAfterRun | not run       |
+      | mixesChains     | own request   |
+      | runsAtOnce      | one at a time |
+      | closesEarly     | planned stop  |
+
+  Scenario Outline: The check of planned stops excuses a request only for what struck it
+    When a request that ran, sent <sent> milliseconds after <signal>, is cut <cut> milliseconds after it, and <circumstance>
+    Then exactly this guarantee is reported as violated: "<guarantee>"
+
+    Examples:
+      | signal  | sent  | cut  | circumstance                                 | guarantee    |
+      | SIGTERM | -500  | 300  | nothing else happened                        | planned stop |
+      | SIGTERM | 2500  | 3300 | nothing else happened                        | planned stop |
+      | SIGTERM | 5000  | 7400 | nothing else happened                        | planned stop |
+      | SIGTERM | 8800  | 9100 | nothing else happened                        |              |
+      | SIGTERM | -900  | -300 | nothing else happened                        |              |
+      | SIGTERM | -2960 | 0    | nothing else happened                        |              |
+      | SIGTERM | -500  | 300  | its client had left                          |              |
+      | SIGTERM | -500  | 300  | its runner broke it off                      |              |
+      | SIGTERM | -500  | 300  | its gateway was struck 3700 milliseconds ago |              |
+      | SIGTERM | -500  | 300  | its gateway was struck 4900 milliseconds ago | planned stop |
+      | SIGTERM | -500  | 300  | another gateway was struck 3700 milliseconds ago | planned stop |
+      | SIGTERM | -500  | 300  | the runners were struck 3700 milliseconds ago |             |
+      | SIGTERM | -500  | 300  | the runners were struck 4900 milliseconds ago | planned stop |
+      | SIGHUP  | 1500  | 2500 | nothing else happened                        | planned stop |
+      | SIGHUP  | 2500  | 3000 | nothing else happened                        |              |
+
   Scenario: A soak fails if no slow reader ever receives a complete stream
     Then a soak with 30 long streams fails if 0 of them are received completely
     And a soak with 30 long streams passes if 1 of them is received completely
--- a/features/steps/soak.steps.ts
+++ b/features/steps/soak.steps.ts
@@ -3,8 +3,14 @@
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { PLATFORM_HEADER_NAMES } from '../../platform/header-names.js';
 import { ConfigurationCheck } from '../../soak/configuration-check.js';
+import { checkConnections } from '../../soak/connection-check.js';
+import { ConnectionClient } from '../../soak/connection-client.js';
+import type { ConnectionClientContext } from '../../soak/connection-client.js';
+import { drawRequest } from '../../soak/connection-requests.js';
 import { EvacuationCheck, SOAK_GATEWAY_HEADER } from '../../soak/evacuation-check.js';
 import { SOAK_PORTS } from '../../soak/platform-process.js';
+import type { SentSignal } from '../../soak/platform-process.js';
+import { PlannedStopCheck, RUNNERS } from '../../soak/planned-stop-check.js';
 import { createCounts, SoakClient } from '../../soak/soak-client.js';
 import type { SoakClientContext } from '../../soak/soak-client.js';
 import { MINIMUM_RESUMPTIONS, StreamVersionCheck } from '../../soak/stream-version-check.js';
@@ -12,11 +18,13 @@
 import { slowReaderViolations } from '../../soak/slow-reading.js';
 import { TenantCheck } from '../../soak/tenant-check.js';
 import { RelayRunner } from '../../src/emulator/relay-runner.js';
+import type { RunnerRun } from '../../src/emulator/relay-runner.js';
 import { createRandom } from '../../src/runtime/random.js';
 import { FaultyGateway } from '../support/faulty-gateway.js';
 import type { GatewayFault } from '../support/faulty-gateway.js';
 
 const HOST = '127.0.9.1';
+const OTHER_HOST = '127.0.9.2';
 const CLIENTS = 4;
 /** Named or unnamed streams, with one version or several. */
 const DUE_KINDS = 4;
@@ -84,6 +92,75 @@
   },
 );
 
+When(
+  'clients that keep their connections send requests to it for {int} milliseconds while it is stopped',
+  async function (this: World, milliseconds: number) {
+    this.violatedGuarantees = new Set();
+    const violate = (promise: string): unknown => this.violatedGuarantees!.add(promise);
+    const context: ConnectionClientContext = {
+      random: createRandom(4),
+      gatewayHosts: [HOST],
+      requests: [],
+      violate,
+      connectionCount: 0,
+    };
+    const at = performance.now();
+    const isOver = (): boolean => performance.now() > at + milliseconds;
+    const clients = Array.from({ length: CLIENTS }, (_, index) =>
+      new ConnectionClient(`k${index}`, context).run(isOver),
+    );
+    await Promise.all(clients);
+    const runsOf = (id: string): RunnerRun[] =>
+      this.soakRunner!.runs.filter((run) => run.requestId === id);
+    const { requests, connectionCount } = context;
+    const counts = checkConnections({ requests, connectionCount, runsOf, violate });
+    const signalsTo = (): SentSignal[] => [{ name: 'SIGTERM', processId: 1, at }];
+    new PlannedStopCheck({ signalsTo, runsOf, violate }).check(requests);
+    assert.ok(counts.sent > CLIENTS && counts.connections > 1, 'the clients sent too few requests');
+  },
+);
+
+When(
+  /^a request that ran, sent (-?\d+) milliseconds after (SIGTERM|SIGHUP), is cut (-?\d+) milliseconds after it, and (.+)$/,
+  function (
+    this: World,
+    sent: string,
+    name: SentSignal['name'],
+    cut: string,
+    circumstance: string,
+  ) {
+    this.violatedGuarantees = new Set();
+    const now = performance.now();
+    const at = now - Number(cut);
+    const place = { id: 'cut', host: HOST, connection: 1, behaviour: 'ahead' };
+    const request = { ...drawRequest(createRandom(1), place), sentAt: at + Number(sent) };
+    request.endedAt = now;
+    request.isAbandoned = circumstance === 'its client had left';
+    const { path, body, id: requestId } = request;
+    const run: RunnerRun = {
+      ...{ requestId, method: 'POST', path, body, headers: {} },
+      behaviour: circumstance === 'its runner broke it off' ? 'cutOff' : 'answer',
+      startedAt: request.sentAt + 1,
+      answeredAt: undefined,
+      clientDisconnected: true,
+      disconnectedAt: now,
+      isAnswered: false,
+    };
+    const check = new PlannedStopCheck({
+      signalsTo: (host) => (host === HOST ? [{ name, processId: 1, at }] : []),
+      runsOf: () => [run],
+      violate: (promise) => this.violatedGuarantees!.add(promise),
+    });
+    const struck = /^(.+) (?:was|were) struck (\d+) milliseconds ago$/.exec(circumstance);
+    if (struck !== null) {
+      const until = now - Number(struck[2]);
+      const targets: Record<string, string> = { 'its gateway': HOST, 'the runners': RUNNERS };
+      check.disturb([targets[struck[1]!] ?? OTHER_HOST], until - 1)(until);
+    }
+    check.check([request]);
+  },
+);
+
 Given(
   'a configuration change that added a route and dropped {int} others, acknowledged {int} milliseconds ago',
   function (this: World, droppedCount: number, age: number) {
--- a/features/support/faulty-gateway.ts
+++ b/features/support/faulty-gateway.ts
@@ -8,7 +8,6 @@
   SOAK_TENANT,
   SOAK_TOKENS_PER_EVENT,
 } from '../../soak/soak-client.js';
-import { LONG_EVENT_BYTES, LONG_EVENTS } from '../../soak/slow-reading.js';
 import { MOVABLE_ROUTE, RESUMABLE_EVENTS, RESUMABLE_ROUTE } from '../../soak/versioned-runners.js';
 import { LIMITED_KEY, LIMITED_TENANT } from '../../soak/tenant-check.js';
 import type { RelayRunner } from '../../src/emulator/relay-runner.js';
@@ -36,6 +35,12 @@
   | 'mixesChains'
   /** Has no route. */
   | 'forgetsRoutes'
+  /** Sends a second success after each. */
+  | 'answersTwice'
+  /** Runs requests of one connection at the same time. */
+  | 'runsAtOnce'
+  /** Closes connections behind the first answer, whatever has run behind its request. */
+  | 'closesEarly'
   /** Returns to a configuration without routes soon after its first answer. */
   | 'returnsToOlder'
   /** Sends runners the name of another tenant. */
@@ -70,10 +75,22 @@
 const LIMITED_REQUESTS = 100;
 /** Time between two events of a stream that may be resumed. */
 const EVENT_MILLISECONDS = 5;
+/** Time that an answer takes which closes its connection, in milliseconds. */
+const CLOSING_MILLISECONDS = 20;
+/** Time for which each request runs that others run beside, in milliseconds. */
+const RUNNING_MILLISECONDS = 100;
+/** Time after which a connection ends whose client sent bytes that are no request, in milliseconds. */
+const BAD_BYTES_MILLISECONDS = 50;
 /** Time from its first answer to the return to an older configuration. */
 const RETURN_MILLISECONDS = 250;
 const MAXIMUM_TOKENS = SOAK_EVENTS * SOAK_TOKENS_PER_EVENT;
 
+/** Returns a number from the query of a request; undefined if it has none by that name. */
+function readQueryNumber({ url = '' }: IncomingMessage, name: string): number | undefined {
+  const value = new RegExp(`[?&]${name}=(\\d+)`).exec(url)?.[1];
+  return value === undefined ? undefined : Number(value);
+}
+
 /** HTTP server that answers like a gateway and runs requests in memory, with the given fault. */
 export class FaultyGateway {
   private readonly server: Server;
@@ -91,6 +108,10 @@
       request.on('data', (chunk: Buffer) => chunks.push(chunk));
       request.on('end', () => this.answer(request, response, Buffer.concat(chunks).toString()));
     });
+    // The answers to the requests before these bytes are still to be sent.
+    this.server.on('clientError', (_error, socket) =>
+      setTimeout(() => socket.destroy(), BAD_BYTES_MILLISECONDS),
+    );
   }
 
   /** Starts to listen. */
@@ -137,7 +158,17 @@
       return;
     }
     const owner = this.fault === 'foreignAnswer' ? 'another' : id;
-    response.writeHead(200, this.signature).end(`answer of ${this.runner.id} to ${owner}`);
+    const fillBytes = readQueryNumber(request, 'fill') ?? 0;
+    const text = `answer of ${this.runner.id} to ${owner}`.padEnd(fillBytes, '.');
+    if (this.fault === 'closesEarly') {
+      const headers = { ...this.signature, connection: 'close' };
+      setTimeout(() => response.writeHead(200, headers).end(text), CLOSING_MILLISECONDS);
+      return;
+    }
+    response.writeHead(200, this.signature).end(text);
+    if (this.fault === 'answersTwice') {
+      request.socket.write('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n');
+    }
   }
 
   private answerResumable(request: IncomingMessage, response: ServerResponse): void {
@@ -190,26 +221,22 @@
     }
     const chain = this.fault === 'mixesChains' ? 'of nobody;' : this.chains.get(String(previous));
     this.run(request, id, (chain ?? '') + input);
-    const events = this.events(request.url ?? '');
+    const events = this.events(request);
     this.deliveredTokens.set(program, delivered + events.length * SOAK_TOKENS_PER_EVENT);
     const output = events.map((event) => `event ${event}\n`).join('');
     this.chains.set(id, (chain ?? '') + input + output);
     response.writeHead(200, { ...this.signature, 'content-type': 'text/event-stream' });
-    const isLong = this.isLong(request.url ?? '');
-    response.end(events.map((event) => this.eventOf(event, isLong)).join(''));
-  }
-
-  private isLong(path: string): boolean {
-    return path.startsWith('/long/');
+    const fillBytes = readQueryNumber(request, 'fill') ?? 0;
+    response.end(events.map((event) => this.eventOf(event, fillBytes)).join(''));
   }
 
-  private eventOf(event: number, isLong: boolean): string {
+  private eventOf(event: number, fillBytes: number): string {
     const name = this.fault === 'changesText' && event === 2 ? 'Event' : 'event';
-    return `id: ${event}\ndata: ${`${name} ${event}`.padEnd(isLong ? LONG_EVENT_BYTES : 0, '.')}\n\n`;
+    return `id: ${event}\ndata: ${`${name} ${event}`.padEnd(fillBytes, '.')}\n\n`;
   }
 
-  private events(path: string): number[] {
-    const count = this.isLong(path) ? LONG_EVENTS : SOAK_EVENTS;
+  private events(request: IncomingMessage): number[] {
+    const count = readQueryNumber(request, 'events') ?? SOAK_EVENTS;
     const all = Array.from({ length: count }, (_, index) => index + 1);
     if (this.fault === 'endsEarly') {
       return all.slice(0, -1);
@@ -239,7 +266,8 @@
     const otherHeaders = { ...others, [NAMES.tenant]: tenant };
     const headers =
       this.fault === 'passesKey' ? { ...otherHeaders, [NAMES.key]: key } : otherHeaders;
-    const startedAt = performance.now();
+    const answeredAt = performance.now();
+    const runningTime = this.fault === 'runsAtOnce' ? RUNNING_MILLISECONDS : 0;
     this.runner.runs.push({
       requestId,
       method,
@@ -247,8 +275,8 @@
       body,
       headers,
       behaviour: 'answer',
-      startedAt,
-      answeredAt: startedAt,
+      startedAt: answeredAt - runningTime,
+      answeredAt,
       clientDisconnected: false,
       disconnectedAt: undefined,
       isAnswered: false,
--- a/soak/connection-client.ts
+++ b/soak/connection-client.ts
@@ -29,8 +29,9 @@
 const LEAVE_MILLISECONDS: readonly [number, number] = [0, 60];
 /** Time after which bytes that are no request follow one, in milliseconds. */
 const BAD_BYTES_MILLISECONDS: readonly [number, number] = [0, 30];
-/** Longest time for which the end of a connection is awaited, in milliseconds. */
+/** Longest time for which the end of a connection is awaited, and interval at which the client looks whether it is to end. */
 const END_MILLISECONDS = 6_000;
+const POLL_MILLISECONDS = 100;
 
 /** Bytes that are no request, or a part of one. */
 const BAD_BYTES = [
@@ -72,6 +73,8 @@
   readonly link: ClientConnection;
   readonly host: string;
   readonly connection: number;
+  /** Whether the client is to end. */
+  readonly isOver: () => boolean;
 }
 
 function sleep(milliseconds: number): Promise<void> {
@@ -96,7 +99,7 @@
       const link = new ClientConnection({ host, violate });
       if (await link.opened()) {
         context.connectionCount += 1;
-        await this.use({ link, host, connection: context.connectionCount }, isOver);
+        await this.use({ link, host, connection: context.connectionCount, isOver });
       } else {
         await sleep(random.integer(...RECONNECT_MILLISECONDS));
       }
@@ -104,16 +107,17 @@
     }
   }
 
-  private async use(place: Place, isOver: () => boolean): Promise<void> {
+  private async use(place: Place): Promise<void> {
     const { random } = this.context;
+    const { isOver, link } = place;
     if (random.uniform() < UNUSED_FRACTION) {
       await this.keepUnused(place);
     }
-    while (!isOver() && place.link.isOpen) {
+    while (!isOver() && link.isOpen) {
       await this.act(this.drawBehaviour(), place);
       await sleep(random.integer(...PAUSE_MILLISECONDS));
     }
-    await place.link.ended(isOver() ? 0 : END_MILLISECONDS);
+    await this.awaitEnd(place, END_MILLISECONDS);
   }
 
   private drawBehaviour(): Behaviour {
@@ -148,8 +152,7 @@
       case 'halfClose':
         send(random.integer(1, 2));
         link.halfClose();
-        await link.ended(END_MILLISECONDS);
-        return;
+        return this.awaitEnd(place, END_MILLISECONDS);
       case 'leave':
         send(random.integer(...AHEAD));
         await sleep(random.integer(...LEAVE_MILLISECONDS));
@@ -158,7 +161,7 @@
         send(random.integer(1, 3));
         await sleep(random.integer(...BAD_BYTES_MILLISECONDS));
         link.sendBadBytes(random.pick(BAD_BYTES));
-        await link.ended(END_MILLISECONDS);
+        await this.awaitEnd(place, END_MILLISECONDS);
         return link.leave();
     }
   }
@@ -175,8 +178,16 @@
     await this.awaitAnswers(link);
   }
 
-  private async keepUnused({ link }: Place): Promise<void> {
-    await link.ended(this.context.random.integer(...UNUSED_MILLISECONDS));
+  private keepUnused(place: Place): Promise<void> {
+    return this.awaitEnd(place, this.context.random.integer(...UNUSED_MILLISECONDS));
+  }
+
+  /** Waits until the connection has ended, the client is to end, or some time has passed. */
+  private async awaitEnd({ link, isOver }: Place, milliseconds: number): Promise<void> {
+    const until = performance.now() + milliseconds;
+    while (!isOver() && performance.now() < until && !(await link.ended(POLL_MILLISECONDS))) {
+      // Neither has happened yet.
+    }
   }
 
   /** Sends requests in one piece. */
--- a/soak/planned-stop-check.ts
+++ b/soak/planned-stop-check.ts
@@ -10,10 +10,6 @@
 
 /** Time after the grace period in which a connection may still end because of the stop, in milliseconds. */
 const END_MILLISECONDS = 1_000;
-/** Time after SIGTERM until which a request that is long under way at the end of the grace period may be sent. */
-const LATE_MILLISECONDS = 3_000;
-/** Share of the grace period before its last part, in which a runner at work excuses the end of its request. */
-const WORKED_SHARE = 5 / 6;
 /** Time before a request in which a disturbance excuses the end of it, in milliseconds. */
 const CONTACT_MILLISECONDS = 3_000;
 /** Time by which a request may be sent earlier than its gateway notes it, in milliseconds. */
@@ -26,8 +22,11 @@
 /** Target of the faults that strike runners; a disturbance with it excuses requests at all gateways. */
 export const RUNNERS = 'runners';
 
-/** Why a request that ran need not get a whole answer. */
-export type Excuse = 'left' | 'runner' | 'timeout' | 'graceEnd' | 'disturbed';
+/**
+ * Why a request that ran need not get a whole answer. The end of the grace period is none: a request that may still be answered then
+ * has reached its timeout long before.
+ */
+export type Excuse = 'left' | 'runner' | 'timeout' | 'disturbed';
 
 /** Counts of the requests that ran, and whose connection ended without a whole answer around a planned stop. */
 export interface PlannedStopCounts {
@@ -64,11 +63,11 @@
   constructor(private readonly options: PlannedStopCheckOptions) {}
 
   /** Records that a fault which is no planned stop strikes gateways, by host, or `RUNNERS`; returns a function that ends it. */
-  disturb(targets: readonly string[]): () => void {
-    const disturbance = { targets, from: performance.now(), until: Infinity };
+  disturb(targets: readonly string[], from = performance.now()): (until?: number) => void {
+    const disturbance = { targets, from, until: Infinity };
     this.disturbances.push(disturbance);
-    return () => {
-      disturbance.until = performance.now();
+    return (until = performance.now()) => {
+      disturbance.until = until;
     };
   }
 
@@ -91,7 +90,7 @@
       counts.answered += 1;
       return;
     }
-    const excuse = this.excuseOf(request, request.endedAt, run, signal);
+    const excuse = this.excuseOf(request, request.endedAt, run);
     if (excuse !== undefined) {
       counts.excused[excuse] = (counts.excused[excuse] ?? 0) + 1;
       return;
@@ -131,7 +130,6 @@
     { host, kind, sentAt, isAbandoned }: ConnectionRequest,
     endedAt: number,
     run: RunnerRun,
-    signal: SentSignal,
   ): Excuse | undefined {
     if (isAbandoned) {
       return 'left';
@@ -143,12 +141,6 @@
     if (endedAt - sentAt >= timeout - TIMER_MILLISECONDS) {
       return 'timeout';
     }
-    const lastPart = signal.at + SOAK_GRACE_MILLISECONDS * WORKED_SHARE;
-    const workedUntil = run.answeredAt ?? run.disconnectedAt ?? Infinity;
-    const isLate = signal.name === 'SIGTERM' && sentAt <= signal.at + LATE_MILLISECONDS;
-    if (isLate && endedAt >= lastPart && workedUntil >= lastPart) {
-      return 'graceEnd';
-    }
     const isDisturbed = this.disturbances.some(
       ({ targets, from, until }) =>
         (targets.includes(host) || targets.includes(RUNNERS)) &&
