--- a/soak/connection-client.ts
+++ b/soak/connection-client.ts
@@ -21,7 +21,7 @@
 /** Time for which a connection is kept unused, in milliseconds. */
 const UNUSED_MILLISECONDS: readonly [number, number] = [300, 4_500];
 /** Share of the connections that are first used after this time. */
-const UNUSED_FRACTION = 0.25;
+const UNUSED_FRACTION = 0.15;
 /** Time for which nothing is read, in milliseconds, and the longest plain answer then, in bytes. */
 const LATE_MILLISECONDS: readonly [number, number] = [200, 2_200];
 const LATE_FILL_BYTES = 200_000;
@@ -47,7 +47,7 @@
   oneAtATime: 4,
   ahead: 4,
   beforeAnswer: 3,
-  unused: 0.6,
+  unused: 0.4,
   readLate: 1,
   halfClose: 0.4,
   leave: 0.4,
--- a/soak/connection-requests.ts
+++ b/soak/connection-requests.ts
@@ -17,7 +17,7 @@
 /** Share of bodies that are sent in chunks. */
 const CHUNKED_FRACTION = 0.4;
 /** Most events of a stream, and most bytes that an event or a plain answer is padded to. */
-const MAXIMUM_EVENTS = 60;
+const MAXIMUM_EVENTS = 30;
 const MAXIMUM_FILL_BYTES = 2_000;
 /** Body of a failure of a runner. */
 const RUNNER_FAILURE = 'failed';
