--- a/soak/main.ts
+++ b/soak/main.ts
@@ -21,7 +21,8 @@
   Options
     --seed N      seed of the faults and the load (default: from the time)
     --minutes M   how long faults are injected (default 2)
-    --clients C   number of concurrent clients (default 8)
+    --clients C   number of concurrent clients with a connection for each request (default 8); half as many
+                  others keep their connections and send requests ahead
     --gateways G  number of gateways (default 3)
     --replicas R  number of replicas, three of them members (default 4)
     --faults A,B  fault kinds to inject (default all), or none: ${FAULTS.join(', ')};
