What is behind a request in progress isn't parsed before its turn

Requests were still run behind an answer with which Node closes by itself (no Host, unknown Expect, refused Expect: 100-continue, HTTP/1.0), and got no answer; the same made Node's parser end the process by an assertion. A client that left with a part of another request behind its own wasn't noticed, and its run went on. A stop with anything in progress after 3.2 s lasted to the end of its grace period, and a connection whose last body came in several reads stayed open. The limit of 64 waiting requests didn't hold: 22,921 on one connection.

Cause: what was sent ahead was parsed at once into requests that waited, so that Node's own answers, errors and pauses for them acted on the connection while another request was in progress.

Change: ConnectionInput hands the bytes of a connection to the parser up to the end of the request in progress and holds the rest as it came, so no request waits. Whether anything is behind an answer is known from the bytes. Requests without Host and with an unknown Expect are refused here. What ends is reported after the requests of the connection are settled; a connection that becomes idle after the stop is ended.

The step for bytes behind a request now expects its runner's answer and then the refusal; that of a client that disconnects no longer counts waiting requests, of which there are none. Two examples of requests without end wanted the connection closed within 2 s while its stream went on: the bytes behind it are now held back, so they want the whole stream, then the refusal, and at most 16 MiB taken where one allowed 40. The first scenario wants all three requests answered, no longer only those that ran.

--- a/features/endless-requests.feature
+++ b/features/endless-requests.feature
@@ -20,8 +20,19 @@
       | later chunk size             | 400    | 16        |
       | padded chunks                | 400    | 16        |
       | extended chunks              | 400    | 16        |
-      | line breaks behind a stream  | 400    | 16        |
-      | chunk size behind a stream   | 400    | 40        |
+
+  # Guards against bytes behind a request in progress that are read for as long as their client sends, or that take its answer.
+  Scenario Outline: <part> without end are held back, and refused once the stream is over
+    When a client sends "<part>" without end to "the front"
+    Then its connection is closed within 15000 ms and after at most 16 MiB
+    And it got its whole stream before
+    And one request was refused with status 400
+    And another client is answered
+
+    Examples:
+      | part                        |
+      | line breaks behind a stream |
+      | chunk size behind a stream  |
 
   # Guards against the rest of a refused request that is read for as long as its client sends.
   Scenario Outline: The <part> does not go on without end
--- a/features/interface-shutdown.feature
+++ b/features/interface-shutdown.feature
@@ -37,7 +37,7 @@
     Given a cluster whose tools take 200 milliseconds for a call
     When a caller sends 1 calls ahead on one connection to it
     And it sends "<bytes>" behind
-    Then each call that ran is answered, in order, and the connection closes after the last
+    Then the call is answered by its tool, and the connection closes with status 400
 
     Examples:
       | bytes      |
--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -7,7 +7,7 @@
     Given a gateway whose runners take 150 milliseconds for an answer
     When a client sends 3 requests to a "<route>" route ahead on one connection
     And <event>
-    Then each request that ran is answered, in order, and the connection closes after the last
+    Then all of them are answered, in order, and the connection closes after the last
 
     Examples:
       | route      | event                     |
@@ -55,11 +55,31 @@
   Scenario Outline: <bytes> behind a request in progress doesn't take its answer
     Given a gateway whose runners take <pause> milliseconds for an answer
     When a client sends a request to a "single" route, and "<bytes>" behind it
-    Then the request is answered by its runner, and the connection closes behind the answer
+    Then the request is answered by its runner, and the connection closes with status <status>
 
     Examples:
-      | bytes       | pause |
-      | a bad head  | 300   |
-      | half a head | 5500  |
-      | a bad body  | 300   |
-      | a tunnel    | 300   |
+      | bytes       | pause | status |
+      | a bad head  | 300   | 400    |
+      | half a head | 5500  | 408    |
+      | a bad body  | 300   | 400    |
+      | a tunnel    | 300   | 400    |
+
+  # Guards against a client whose leaving isn't noticed because of what it sent behind its request.
+  Scenario: A client that leaves with half a request behind its own ends its run
+    Given a gateway whose runners take 5000 milliseconds for an answer
+    When a client sends 1 requests to a "single" route ahead on one connection
+    And the client leaves while it runs, with half of another request behind it
+    Then its run ends within 1000 milliseconds, and no other begins
+
+  # Guards against refusals of the parser, which close the connection with requests behind them in progress.
+  Scenario: A request without a host doesn't take the answers of those behind it
+    Given a gateway whose runners take 50 milliseconds for an answer
+    When a client sends a request without a host and 2 requests to a "single" route ahead on one connection
+    Then the first is refused with 400, and each of the others is answered by its runner
+
+  # Guards against a stop that lasts to the end of its grace period although nothing is in progress.
+  Scenario: A stop ends with its last request
+    Given a gateway whose runners take 3600 milliseconds for an answer
+    When a client sends 1 requests to a "single" route ahead on one connection
+    And the gateway is stopped
+    Then the stop ends within 6500 milliseconds
--- a/features/steps/endless-requests.steps.ts
+++ b/features/steps/endless-requests.steps.ts
@@ -29,7 +29,8 @@
 const POLL_MILLISECONDS = 10;
 const PADDING = '0'.repeat(1_000);
 /** Path of a stream that lasts for seconds. */
-const STREAM_PATH = '/stream/work?stream&events=600';
+const STREAM_EVENTS = 100;
+const STREAM_PATH = `/stream/work?stream&events=${STREAM_EVENTS}`;
 const SOUND_MILLISECONDS = 20_000;
 /** Time in which a client is told to send its content, and answered. */
 const GO_ON_MILLISECONDS = 5_000;
@@ -202,6 +203,16 @@
   assert.equal(memory.heldBytes, 0);
 });
 
+Then('it got its whole stream before', function (this: World) {
+  const { text } = this.endlessClient!;
+  const ids = [...text.matchAll(/^id: (\d+)\r?$/gm)].map((match) => Number(match[1]));
+  assert.deepEqual(
+    ids,
+    Array.from({ length: STREAM_EVENTS }, (_, index) => index + 1),
+  );
+  assert.ok(text.includes('\r\n0\r\n\r\n'), 'the end of the stream');
+});
+
 Then('another client is answered', async function (this: World) {
   assert.equal((await this.relay!.send('repeatable', { body: 'b' })).status, 200);
 });
--- a/features/steps/interface-shutdown.steps.ts
+++ b/features/steps/interface-shutdown.steps.ts
@@ -204,6 +204,25 @@
   },
 );
 
+Then(
+  'the call is answered by its tool, and the connection closes with status {int}',
+  LONG,
+  async function (this: World, status: number) {
+    await until('the connection closes', () => this.caller!.isClosed);
+    assert.deepEqual(
+      this.caller!.answers.map((answer) => [answer.headers.get(PROGRAM), answer.status]),
+      [
+        [this.sentPrograms[0], OK],
+        [undefined, status],
+      ],
+    );
+    assert.deepEqual(
+      executionsOf(this).map(({ program }) => program),
+      this.sentPrograms,
+    );
+  },
+);
+
 Then(
   'all {int} answers are whole, and the connection closes after the last',
   LONG,
--- a/features/steps/shutdown.steps.ts
+++ b/features/steps/shutdown.steps.ts
@@ -25,6 +25,8 @@
 /** Length of an answer that is passed on in one piece. */
 const ANSWER_BYTES = 8_000;
 const RUNNER_STATUS = 200;
+/** Time in which bytes that were sent have arrived. */
+const BEHIND_MILLISECONDS = 100;
 
 const TUNNEL = 'CONNECT elsewhere:443 HTTP/1.1\r\nhost: elsewhere:443\r\n\r\n';
 /** Bytes that are no request. */
@@ -177,6 +179,60 @@
   },
 );
 
+When(
+  'the client leaves while it runs, with half of another request behind it',
+  async function (this: World) {
+    this.pipelined.send({ route: 'single', id: 'half', body: 'x'.repeat(100), bytes: -50 });
+    await sleep(BEHIND_MILLISECONDS);
+    this.pipelined.close();
+  },
+);
+
+When(
+  'a client sends a request without a host and {int} requests to a {string} route ahead on one connection',
+  function (this: World, count: number, route: string) {
+    this.pipelined = new PipeliningClient(this.closingRelay!.frontPort);
+    this.pipelined.write('GET /single/work HTTP/1.1\r\n\r\n');
+    this.pipelined.send(...requestsOf(this, count, route));
+  },
+);
+
+Then(
+  'its run ends within {int} milliseconds, and no other begins',
+  async function (this: World, milliseconds: number) {
+    const { runners } = this.closingRelay!;
+    const end = performance.now() + milliseconds;
+    while (runners.some(({ unfinishedRuns }) => unfinishedRuns.length > 0)) {
+      assert.ok(performance.now() < end, 'the run goes on');
+      await sleep(STEP_MILLISECONDS);
+    }
+    assert.deepEqual(ranIds(this), [this.sentIds[0]]);
+  },
+);
+
+Then(
+  'the first is refused with {int}, and each of the others is answered by its runner',
+  async function (this: World, status: number) {
+    await until('all are answered', () => this.pipelined.answers.length > this.sentIds.length);
+    assert.deepEqual(
+      this.pipelined.answers.map(({ status: each }) => each),
+      [status, ...this.sentIds.map(() => RUNNER_STATUS)],
+    );
+  },
+);
+
+Then(
+  'the stop ends within {int} milliseconds',
+  LONG,
+  async function (this: World, milliseconds: number) {
+    const end = performance.now() + milliseconds;
+    while (!this.hasStopped) {
+      assert.ok(performance.now() < end, `not within ${milliseconds} ms`);
+      await sleep(STEP_MILLISECONDS);
+    }
+  },
+);
+
 When('the gateway is stopped', function (this: World) {
   stopGateway(this);
 });
@@ -224,6 +280,19 @@
   },
 );
 
+Then(
+  'all of them are answered, in order, and the connection closes after the last',
+  LONG,
+  async function (this: World) {
+    await until('the connection closes', () => this.pipelined.isClosed);
+    const count = this.sentIds.length;
+    assert.deepEqual(
+      this.pipelined.answers.map(({ id, status, closes }) => [id, status, closes]),
+      this.sentIds.map((id, index) => [id, RUNNER_STATUS, index === count - 1]),
+    );
+  },
+);
+
 Then(
   'they are answered, and no two of them ran at the same time',
   LONG,
@@ -281,13 +350,16 @@
 );
 
 Then(
-  'the request is answered by its runner, and the connection closes behind the answer',
+  'the request is answered by its runner, and the connection closes with status {int}',
   LONG,
-  async function (this: World) {
+  async function (this: World, status: number) {
     await until('the connection closes', () => this.pipelined.isClosed);
     assert.deepEqual(
-      this.pipelined.answers.map(({ id, status, closes }) => [id, status, closes]),
-      [[this.sentIds[0], RUNNER_STATUS, true]],
+      this.pipelined.answers.map(({ id, status: each }) => [id, each]),
+      [
+        [this.sentIds[0], RUNNER_STATUS],
+        ['', status],
+      ],
     );
   },
 );
--- a/features/steps/slow-readers.steps.ts
+++ b/features/steps/slow-readers.steps.ts
@@ -484,8 +484,6 @@
       ];
       socket.write(`${head.join('\r\n')}\r\n\r\nbody`);
     }
-    const { gateway } = this.relayWorld;
-    await until('all requests', 2_000, () => gateway.activeRequests === count);
     await until('the first run', 2_000, () => runCount(this) === 1);
     await sleep(pause);
     socket.destroy();
--- a/src/gateway/http-front.ts
+++ b/src/gateway/http-front.ts
@@ -77,6 +77,7 @@
 
   constructor(private readonly node: IvyloomNode) {
     this.server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES });
+    limitRequests(this.server, { restBytes: () => MAXIMUM_REST_BYTES });
     this.connections = new ServerConnections(this.server, {
       runtime: node.options.runtime,
       isClosing: () => node.isLeaving,
@@ -85,7 +86,6 @@
       },
       onProgress: () => this.endWhenQuiet(),
     });
-    limitRequests(this.server, { restBytes: () => MAXIMUM_REST_BYTES });
     this.server.headersTimeout = HEADERS_TIMEOUT_MILLISECONDS;
     this.server.requestTimeout = REQUEST_TIMEOUT_MILLISECONDS;
     this.server.maxConnections = MAXIMUM_CONNECTIONS;
@@ -133,13 +133,13 @@
   }
 
   private async serve(exchange: ServerExchange): Promise<void> {
-    const { request, response, completion, arrivedAt, expectsContinue } = exchange;
+    const { request, response, completion, arrivedAt, expectation } = exchange;
     const waitedMilliseconds = this.node.options.runtime.now() - arrivedAt;
     const url = new URL(request.url ?? '/', 'http://front');
     const path = url.pathname.split('/').slice(1).map(decodeSegment);
     response.once('prefinish', () => this.undelivered.add(response));
     completion.onComplete(() => this.undelivered.delete(response));
-    if (expectsContinue) {
+    if (expectation === 'continue') {
       response.writeContinue();
     }
     if (this.isOverdue) {
--- a/src/http-server/limit-requests.ts
+++ b/src/http-server/limit-requests.ts
@@ -10,6 +10,7 @@
 export const MAXIMUM_BYTES_TO_HEAD = 128 * 1024;
 /** Bytes of a request that may arrive after its answer was sent, unless a server sets its own limit. */
 const DEFAULT_REST_BYTES = 64 * 1024;
+const EXPECTATION_FAILED = 417;
 const BAD_REQUEST = 'HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n';
 
 /** Options for the limits of a server. */
@@ -146,6 +147,13 @@
   const watch = (request: IncomingMessage, response: ServerResponse): void =>
     counts.get(request.socket)?.watch(request, response);
   server.on('request', watch);
+  server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
+    watch(request, response);
+    if (server.listenerCount('checkExpectation') === 1) {
+      // What Node does unless a listener takes these requests, as this one does.
+      response.writeHead(EXPECTATION_FAILED).end();
+    }
+  });
   server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
     if (server.listenerCount('checkContinue') > 1) {
       watch(request, response);
--- a/src/http-server/server-connection.ts
+++ b/src/http-server/server-connection.ts
@@ -6,31 +6,34 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Runtime } from '../runtime/runtime.js';
+import { ConnectionInput } from './connection-input.js';
 import { RequestCompletion } from './request-completion.js';
 import type { ConnectionCloser } from './request-completion.js';
+import type { SmallChunkQueue } from './small-chunk-queue.js';
 
-/** Requests that may wait for earlier ones of their connection before it is read no further. */
-const MAXIMUM_WAITING_REQUESTS = 64;
 /**
  * Time for which a closed connection is still read, in milliseconds. Closing it with unread bytes would reset it, and the client
  * might lose an answer that it has not read yet (RFC 9112, 9.6).
  */
-const LINGER_MILLISECONDS = 500;
-/** Bytes that are read and discarded in that time. */
-const LINGER_BYTES = 1024 * 1024;
+const LINGER_MILLISECONDS = 2_000;
 
 /** Error of Node's parser for a head that did not arrive in time. */
 const HEAD_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
+/** Error of Node's parser for a head that is too long. */
+const HEAD_OVERFLOW = 'HPE_HEADER_OVERFLOW';
 /** Error of Node's parser for a connection whose client ended it inside a request. */
 const UNEXPECTED_END = 'HPE_INVALID_EOF_STATE';
 /** Answers to bytes that are no request, by the code of the parser's error. */
 const INPUT_ERROR_STATUSES: Readonly<Record<string, string>> = {
   [HEAD_TIMEOUT]: '408 Request Timeout',
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  [HEAD_OVERFLOW]: '431 Request Header Fields Too Large',
   HPE_CHUNK_EXTENSIONS_OVERFLOW: '413 Payload Too Large',
 };
 const BAD_REQUEST = '400 Bad Request';
 
+/** What a client asks for with `Expect`: nothing, to be told to send its body, or something that no server knows. */
+export type Expectation = 'none' | 'continue' | 'unknown';
+
 /** One request and its answer. */
 export interface ServerExchange {
   readonly request: IncomingMessage;
@@ -38,8 +41,8 @@
   readonly completion: RequestCompletion;
   /** Local time at which its head had arrived, in milliseconds. */
   readonly arrivedAt: number;
-  /** Whether its client waits to be told to send the body. */
-  readonly expectsContinue: boolean;
+  /** What its client expects before it sends the body. */
+  readonly expectation: Expectation;
 }
 
 /** Options of the connections of a server. */
@@ -51,10 +54,18 @@
   readonly serve: (exchange: ServerExchange) => void;
   /** Runs a listener of a request's completion. @default calls it */
   readonly runListener?: (request: IncomingMessage, listener: () => void) => void;
-  /** Called for a request that arrived behind an answer which closes its connection; it is not served. */
-  readonly onUnserved?: (request: IncomingMessage) => void;
+  /** Called when a connection closes behind an answer although more had arrived; that was not served. */
+  readonly onUnserved?: () => void;
+  /** Whether there is memory to read what clients send ahead. @default there always is */
+  readonly mayReadAhead?: () => boolean;
+  /** Returns the bytes that the head of a request may take. @default unlimited here, and limited by Node's parser */
+  readonly maximumHeadBytes?: () => number;
+  /** Called with the status line's end for bytes that are no request, or a head that is too long or too late. */
+  readonly onInputRefused?: (status: string) => void;
+  /** Called when the bytes that a connection holds have changed. */
+  readonly onHeld?: (connection: ServerConnection) => void;
   /** Called after a request has completed or a connection has closed. */
-  readonly onProgress?: () => void;
+  readonly onProgress?: (connection: ServerConnection) => void;
 }
 
 /** Whether an error of a connection comes from the system, as when the client has reset it, and not from the parser. */
@@ -66,91 +77,90 @@
   return (error as NodeJS.ErrnoException).code ?? '';
 }
 
-/** A connection, with the request that is being served and those behind it. */
+/** A connection, with the request that is being served. */
 export class ServerConnection {
+  private readonly input: ConnectionInput;
   private current: ServerExchange | undefined;
-  private readonly waiting: ServerExchange[] = [];
   /** Who began to close the connection; undefined while it is open. */
   private closer: ConnectionCloser | undefined;
   /** Whether a head has said that the connection closes behind its answer. */
   private hasClosingAnswer = false;
   /** Status for bytes that were no request; nothing behind them is read. */
   private inputError: string | undefined;
-  /** Whether the last bytes belong to a head that is not complete. */
-  private hasPartialHead = false;
-  /** Whether the last bytes had a request in them. */
-  private hasNewRequest = false;
-  private isReadingPaused = false;
-  private isDiscarding = false;
   private isEnding = false;
 
   constructor(
     private readonly socket: Socket,
     private readonly options: ServerConnectionOptions,
+    smallChunks: SmallChunkQueue,
   ) {
+    const { runtime, maximumHeadBytes = () => Infinity, onHeld } = options;
+    const { mayReadAhead = () => true } = options;
+    this.input = new ConnectionInput(socket, {
+      runtime,
+      smallChunks,
+      mayParse: () => this.mayParse,
+      mayReadAhead,
+      maximumHeadBytes,
+      onHeld: () => onHeld?.(this),
+      onHeadTooLong: () => this.refuseInput(HEAD_OVERFLOW),
+    });
     // Node calls this behind the last answer; its own destroys the connection at once.
     socket.destroySoon = () => this.end();
-    socket.on('data', () => this.notePartialHead());
     socket.on('end', () => (this.closer ??= 'client'));
     socket.on('error', (error) => (this.closer ??= isSystemError(error) ? 'client' : 'gateway'));
     socket.on('close', () => this.handleClose());
   }
 
-  /** Number of requests that are being served or wait. */
-  get openCount(): number {
-    return this.waiting.length + (this.current === undefined ? 0 : 1);
+  /** Whether a request is being served. */
+  get isServing(): boolean {
+    return this.current !== undefined;
+  }
+
+  /** Bytes that have arrived and belong to no request yet. */
+  get heldBytes(): number {
+    return this.input.heldBytes;
+  }
+
+  /** Time since anything arrived, in milliseconds. */
+  get idleMilliseconds(): number {
+    return this.input.idleMilliseconds;
+  }
+
+  /** Whether the connection is closed. */
+  get isDestroyed(): boolean {
+    return this.socket.destroyed;
   }
 
   /** Whether nothing is to be done for the connection but to read its next request. */
   get isIdle(): boolean {
-    return this.openCount === 0 && !this.hasPartialHead && !this.isEnding;
+    return !this.isServing && !this.input.hasPartialHead && !this.isEnding;
   }
 
-  /** Whether the connection is closing, and the end of the last answer may not have reached its client. */
-  get isLingering(): boolean {
-    return this.isEnding;
+  /** Whether nothing that has arrived is left to serve, and the client has all answers. */
+  get isQuiet(): boolean {
+    return !this.isServing && !this.input.hasMore && !this.isEnding;
   }
 
-  /** Takes a request whose head has arrived. */
-  add(request: IncomingMessage, response: ServerResponse, expectsContinue: boolean): void {
-    this.hasNewRequest = true;
-    this.hasPartialHead = false;
-    const { runtime, isClosing, runListener, onUnserved } = this.options;
-    if (this.hasClosingAnswer || this.inputError !== undefined) {
-      request.resume();
-      onUnserved?.(request);
-      return;
-    }
+  /** Serves a request whose head has arrived. */
+  add(request: IncomingMessage, response: ServerResponse, expectation: Expectation): void {
+    const { runListener, serve } = this.options;
+    this.input.startRequest(request);
     const run = (listener: () => void): void =>
       runListener === undefined ? listener() : runListener(request, listener);
     const completion = new RequestCompletion(run);
-    const arrivedAt = runtime.now();
-    const exchange = { request, response, completion, arrivedAt, expectsContinue };
+    const arrivedAt = this.input.receivedAt;
+    const exchange = { request, response, completion, arrivedAt, expectation };
     completion.onComplete(() => this.handleComplete(exchange));
     response.on('close', () => completion.complete());
-    this.closeAtHead(exchange);
-    this.waiting.push(exchange);
-    if (this.waiting.length >= MAXIMUM_WAITING_REQUESTS) {
-      this.isReadingPaused = true;
-      this.socket.pause();
-    }
-    if (isClosing()) {
-      // After the parser has taken all that has arrived: an answer closes only if nothing is behind it.
-      queueMicrotask(() => this.startNext());
-    } else {
-      this.startNext();
-    }
+    this.closeAtHead(response);
+    this.current = exchange;
+    serve(exchange);
   }
 
-  /**
-   * Lets the answer to a request close the connection, since what is behind the request can't be read; returns whether the request
-   * waits for earlier ones.
-   */
-  closeAfter(request: IncomingMessage): boolean {
+  /** Lets the answer in progress close the connection, since what is behind its request can't be read. */
+  closeAfterAnswer(): void {
     this.inputError ??= BAD_REQUEST;
-    const index = this.waiting.findIndex((exchange) => exchange.request === request);
-    this.dropBehind(index + 1);
-    return index >= 0;
   }
 
   /** Handles bytes that are no request, or a head that did not arrive in time. */
@@ -159,17 +169,28 @@
       this.socket.destroy();
       return;
     }
-    const code = codeOf(error);
-    // The rest of a head can't arrive while the connection is not read.
-    const isExpected = code === HEAD_TIMEOUT && this.isReadingPaused;
-    if (isExpected || this.inputError !== undefined || this.isEnding) {
+    this.refuseInput(codeOf(error));
+  }
+
+  /** Gives up what has arrived and is not parsed, as if its rest came too late. */
+  refuse(): void {
+    this.refuseInput(HEAD_TIMEOUT);
+  }
+
+  private refuseInput(code: string): void {
+    if (this.isEnding) {
       return;
     }
     if (code === UNEXPECTED_END) {
       this.closer ??= 'client';
     }
-    this.inputError = INPUT_ERROR_STATUSES[code] ?? BAD_REQUEST;
-    this.discardInput();
+    // A request that was answered before it was complete gets no second answer.
+    this.hasClosingAnswer ||= this.input.isInsideRequest && !this.isServing;
+    if (this.inputError === undefined) {
+      this.inputError = INPUT_ERROR_STATUSES[code] ?? BAD_REQUEST;
+      this.options.onInputRefused?.(this.inputError);
+    }
+    this.closeInput();
     this.dropIncomplete();
     this.endAfterInputError();
   }
@@ -180,10 +201,12 @@
       return;
     }
     this.isEnding = true;
-    const { socket } = this;
-    this.discardInput();
+    this.closer ??= 'answer';
+    const { socket, options } = this;
+    this.closeInput();
+    socket.on('end', () => socket.end());
     socket.end();
-    const cancel = this.options.runtime.setTimer(LINGER_MILLISECONDS, () => socket.destroy());
+    const cancel = options.runtime.setTimer(LINGER_MILLISECONDS, () => socket.destroy());
     socket.on('close', cancel);
   }
 
@@ -193,76 +216,76 @@
     this.socket.destroy();
   }
 
-  private startNext(): void {
-    if (this.current !== undefined || this.socket.destroyed || this.hasClosingAnswer) {
+  private handleComplete(exchange: ServerExchange): void {
+    if (this.current !== exchange) {
       return;
     }
-    this.current = this.waiting.shift();
-    if (this.isReadingPaused && this.waiting.length < MAXIMUM_WAITING_REQUESTS) {
-      this.isReadingPaused = false;
-      this.socket.resume();
+    this.current = undefined;
+    // After what else is called for the completed request.
+    queueMicrotask(() => this.continue());
+  }
+
+  private continue(): void {
+    this.options.onProgress?.(this);
+    if (this.socket.destroyed || this.isServing) {
+      return;
     }
-    if (this.current !== undefined) {
-      this.options.serve(this.current);
-    } else {
+    if (this.inputError !== undefined) {
       this.endAfterInputError();
+    } else if (!this.isEnding) {
+      this.input.parse();
     }
   }
 
-  private handleComplete(exchange: ServerExchange): void {
-    const index = this.waiting.indexOf(exchange);
-    if (this.current === exchange) {
-      this.current = undefined;
-      // After what else is called for the completed request.
-      queueMicrotask(() => this.startNext());
-    } else if (index >= 0) {
-      this.waiting.splice(index, 1);
-    }
-    this.options.onProgress?.();
+  private handleClose(): void {
+    this.closeInput();
+    this.current?.completion.complete(this.closer ?? 'gateway');
+    queueMicrotask(() => this.options.onProgress?.(this));
   }
 
-  private handleClose(): void {
-    const { closer = 'gateway' } = this;
-    const open = this.current === undefined ? this.waiting : [this.current, ...this.waiting];
-    [...open].forEach(({ completion }) => completion.complete(closer));
-    this.options.onProgress?.();
+  /** A body that nobody reads yet stays as it came: parsed, each chunk takes more than its bytes. */
+  private get mayParse(): boolean {
+    const { request } = this.current ?? {};
+    return request === undefined || (!request.complete && request.readableFlowing === true);
+  }
+
+  /** Parses nothing more of what has arrived or will. */
+  private closeInput(): void {
+    if (this.input.hasMore) {
+      this.options.onUnserved?.();
+    }
+    this.input.close();
   }
 
   /** Decides, as the head of an answer is written, whether the connection closes behind it. */
-  private closeAtHead(exchange: ServerExchange): void {
-    const { response } = exchange;
+  private closeAtHead(response: ServerResponse): void {
     const writeHead = response.writeHead as (...values: unknown[]) => ServerResponse;
     response.writeHead = (...values: unknown[]) => {
-      const isLast = this.waiting.length === 0;
-      if (isLast && (this.options.isClosing() || this.inputError !== undefined)) {
+      const isLast = this.options.isClosing() && !this.input.hasMore;
+      if (isLast || this.inputError !== undefined) {
         this.hasClosingAnswer = true;
-        this.closer ??= 'answer';
         response.shouldKeepAlive = false;
       }
       return writeHead.apply(response, values);
     };
   }
 
-  /** Gives up the newest request if its body will not arrive. */
+  /** Gives up a request whose body will not arrive. */
   private dropIncomplete(): void {
-    const newest = this.waiting.at(-1) ?? this.current;
-    if (newest === undefined || newest.request.complete) {
+    const { current } = this;
+    if (current === undefined || current.request.complete) {
       return;
     }
-    if (newest.response.headersSent) {
+    if (current.response.headersSent) {
       this.socket.destroy();
     } else {
-      newest.completion.complete(this.closer ?? 'gateway');
+      current.completion.complete(this.closer ?? 'gateway');
     }
   }
 
-  private dropBehind(count: number): void {
-    this.waiting.splice(count).forEach(({ completion }) => completion.complete('gateway'));
-  }
-
-  /** Answers bytes that were no request, once all requests ahead of them are answered. */
+  /** Answers bytes that were no request, once the request ahead of them is answered. */
   private endAfterInputError(): void {
-    if (this.inputError === undefined || this.openCount > 0 || this.isEnding) {
+    if (this.inputError === undefined || this.isServing || this.isEnding) {
       return;
     }
     if (!this.hasClosingAnswer) {
@@ -273,29 +296,4 @@
     }
     this.end();
   }
-
-  /** Reads on without parsing, so that the end of the connection is noticed. */
-  private discardInput(): void {
-    const { socket } = this;
-    if (this.isDiscarding) {
-      return;
-    }
-    this.isDiscarding = true;
-    let discardedBytes = 0;
-    socket.removeAllListeners('data');
-    socket.on('data', (chunk) => {
-      discardedBytes += chunk.length;
-      if (discardedBytes > LINGER_BYTES) {
-        socket.pause();
-      }
-    });
-    socket.on('end', () => socket.end());
-    socket.resume();
-  }
-
-  private notePartialHead(): void {
-    const newest = this.waiting.at(-1) ?? this.current;
-    this.hasPartialHead = !this.hasNewRequest && newest?.request.complete !== false;
-    this.hasNewRequest = false;
-  }
 }
--- a/src/relay/front/relay-front.ts
+++ b/src/relay/front/relay-front.ts
@@ -39,6 +39,8 @@
 const BAD_REQUEST = 400;
 /** Stage name for requests that are refused while their body is read. */
 const BODY_STAGE = 'body';
+/** Stage name for what is no request, or no whole head. */
+const INPUT_STAGE = 'input';
 /** Stage name for requests that waited too long for earlier ones of their connection. */
 const ORDER_STAGE = 'order';
 /** Stage name for requests that are refused because the gateway stops. */
@@ -53,7 +55,6 @@
   NoMemory: memoryLimitReached,
   Stopped: () => stopped(false),
 };
-
 /** A request in progress at ingress. */
 interface Arrival {
   readonly exchange: ServerExchange;
@@ -66,8 +67,6 @@
   private readonly server: Server;
   private readonly connections: ServerConnections;
   private readonly boundaries = new WeakMap<IncomingMessage, RequestBoundary>();
-  /** Requests with too many bytes around their content that wait for earlier ones. */
-  private readonly excessive = new WeakSet<IncomingMessage>();
   /** Ends reading a request's body with a refusal that closes the connection. */
   private readonly bodyRefusals = new WeakMap<IncomingMessage, RefuseBody>();
   /** Answers the requests that are being served, at the end of a planned stop. */
@@ -84,23 +83,27 @@
       connectionsCheckingInterval: TIMEOUT_CHECK_MILLISECONDS,
       keepAliveTimeout: 0,
       requestTimeout: 0,
+      // Node would answer and close by itself, whatever is in progress.
+      requireHostHeader: false,
       noDelay: true,
     });
+    limitRequests(this.server, {
+      restBytes: () => this.restBytes,
+      onExceeded: (reason, request) => this.refuseExcess(reason, request),
+    });
     this.connections = new ServerConnections(this.server, {
       runtime: context.runtime,
       isClosing: () => this.isClosing,
       serve: (exchange) => this.handleRequest(exchange),
       runListener: (request, listener) => this.boundaryOf(request).run(listener),
+      onInputRefused: (status) =>
+        this.noteRefusal(undefined, undefined, INPUT_STAGE, Number.parseInt(status, 10), status),
       onUnserved: () => context.metrics.count('ivyloom_relay_unserved_requests_total'),
       onProgress: () => this.checkIdle(),
     });
-    limitRequests(this.server, {
-      restBytes: () => this.restBytes,
-      onExceeded: (reason, request) => this.refuseExcess(reason, request),
-    });
   }
 
-  /** Number of requests in progress, with those that wait for earlier ones of their connection. */
+  /** Number of requests in progress. */
   get activeCount(): number {
     return this.connections.openRequests;
   }
@@ -181,14 +184,7 @@
       this.noteRefusal(request, undefined, BODY_STAGE, BAD_REQUEST, reason);
       return false;
     }
-    const isWaiting = this.connections.closeAfter(request);
-    if (isWaiting) {
-      // Its client gets the refusal once earlier requests are answered.
-      this.excessive.add(request);
-      const id = headOf(request).header(this.context.names.requestId);
-      this.noteRefusal(request, id, BODY_STAGE, BAD_REQUEST, reason);
-      return true;
-    }
+    this.connections.closeAfter(request);
     return this.bodyRefusals.get(request)?.('TooMuchFraming') === true;
   }
 
@@ -216,7 +212,7 @@
       this.refuse(arrival, headRefusal);
       return;
     }
-    if (exchange.expectsContinue) {
+    if (exchange.expectation === 'continue') {
       response.writeContinue();
     }
     this.readRequestBody(
@@ -230,6 +226,12 @@
     if (this.interrupted) {
       return { stage: STOP_STAGE, answer: stopped(false) };
     }
+    if (exchange.expectation === 'unknown') {
+      return { stage: INPUT_STAGE, answer: refusal(417, 'what the request expects is not known') };
+    }
+    if (exchange.request.httpVersion === '1.1' && ingress.head.header('host') === undefined) {
+      return { stage: INPUT_STAGE, answer: refusal(400, 'the header host is missing') };
+    }
     const waited = this.context.runtime.now() - exchange.arrivedAt;
     return waited >= clientTimeoutMilliseconds(ingress)
       ? { stage: ORDER_STAGE, answer: waitedTooLong() }
