The connections of each listener are bounded, and served one request at a time

What callers saw: 800 idle connections to a gateway, to its clients' port, its metrics, readiness or exchange, took 830 descriptors of 400; requests sent ahead for metrics, readiness or the exchange ended the process, heap out of memory.

Cause: nothing read MaxFds of the settings, and nothing limited connections. The listeners for other processes answered all requests of a read at once.

When there are as many as may be, the connection that has been idle for longest makes room for a new one.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -131,7 +131,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against connections of clients that take all descriptors of the process.
-  @known-red
   Scenario: Idle connections leave descriptors free
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: idle connections
@@ -139,7 +138,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against the same with heads that never end, and against their memory.
-  @known-red
   Scenario: Connections with a partial head leave descriptors free
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: connections with a partial head
@@ -147,7 +145,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against the same while connections come and go.
-  @known-red
   Scenario: Connections of which some leave early leave descriptors free
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: connections of which some leave early
@@ -200,7 +197,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against answers of the metrics that pile up unread.
-  @known-red
   Scenario: Requests sent ahead for metrics end no process
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: requests ahead for metrics
@@ -208,7 +204,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against answers of the readiness check that pile up unread.
-  @known-red
   Scenario: Requests sent ahead for readiness end no process
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: requests ahead for readiness
@@ -216,7 +211,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against snapshots for other gateways that pile up unread.
-  @known-red
   Scenario: Requests sent ahead for the exchange end no process
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: requests ahead for the exchange
@@ -245,7 +239,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against the listener of the metrics taking the descriptors of clients.
-  @known-red
   Scenario: Idle connections for metrics leave descriptors free
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: idle connections for metrics
@@ -253,7 +246,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against the same at the listener of the readiness check.
-  @known-red
   Scenario: Idle connections for readiness leave descriptors free
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: idle connections for readiness
@@ -261,7 +253,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against the same at the listener of the exchange.
-  @known-red
   Scenario: Idle connections for the exchange leave descriptors free
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: idle connections for the exchange
--- a/features/steps/endless-requests.steps.ts
+++ b/features/steps/endless-requests.steps.ts
@@ -97,6 +97,7 @@
       () => '',
       new PlatformStoreClient(HOST, 1, runtime),
       new Listeners(runtime),
+      runtime,
     );
     world.endlessCleanups = [() => server.close()];
     await new Promise((resolve) => server.once('listening', resolve));
--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -12,7 +12,7 @@
 import { limitAnswer } from '../http-client/answer-limits.js';
 import { readWholeBody } from '../http-client/read-body.js';
 import { ResetAwareAgent } from '../http-client/reset-aware-agent.js';
-import { limitRequests } from '../http-server/limit-requests.js';
+import { serveInOrder } from '../http-server/serve-in-order.js';
 import type { KeySpaceChanges } from '../mirror/key-space-copy.js';
 import { Listeners } from '../runtime/listeners.js';
 import type { Runtime } from '../runtime/runtime.js';
@@ -68,6 +68,8 @@
   readonly exceptions?: ExceptionLog;
   /** Listeners of the process. @default some of its own */
   readonly listeners?: Listeners;
+  /** Most connections of other gateways at a time. @default unlimited */
+  readonly maximumConnections?: number;
   /** Called with the size of each snapshot that is sent. */
   readonly onSent?: (host: string, bytes: number) => void;
 }
@@ -103,10 +105,11 @@
 
   constructor(private readonly options: PeerExchangeOptions) {
     this.exceptions = options.exceptions ?? new ExceptionLog(options.runtime);
-    this.server = createServer((incoming, response) => {
+    this.server = createServer();
+    const { runtime, maximumConnections = Infinity } = options;
+    serveInOrder(this.server, runtime, maximumConnections, (incoming, response) => {
       this.exceptions.contain('snapshot', () => this.answer(incoming, response));
     });
-    limitRequests(this.server);
   }
 
   /** Starts the server and the periodic rounds of requests. */
--- a/src/relay/front/relay-front.ts
+++ b/src/relay/front/relay-front.ts
@@ -77,7 +77,11 @@
   /** Called once nothing is in progress; undefined unless the gateway stops. */
   private onIdle: (() => void) | undefined;
 
-  constructor(private readonly context: RelayContext) {
+  /** @param maximumConnections most connections of clients that are open at a time */
+  constructor(
+    private readonly context: RelayContext,
+    maximumConnections = Infinity,
+  ) {
     this.server = createServer({
       maxHeaderSize: PARSER_HEADER_BYTES,
       connectionsCheckingInterval: TIMEOUT_CHECK_MILLISECONDS,
@@ -93,6 +97,7 @@
     });
     this.connections = new ServerConnections(this.server, {
       runtime: context.runtime,
+      maximumConnections,
       isClosing: () => this.isClosing,
       serve: (exchange) => this.handleRequest(exchange),
       runListener: (request, listener) => this.boundaryOf(request).run(listener),
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -3,7 +3,7 @@
  * readiness, and shuts down gracefully.
  */
 import { createServer } from 'node:http';
-import { limitRequests } from '../http-server/limit-requests.js';
+import { serveInOrder } from '../http-server/serve-in-order.js';
 import type { Server } from 'node:http';
 import { AggregateRegistry } from '../peers/aggregate-registry.js';
 import { AGGREGATE_TOPICS } from '../peers/aggregates.js';
@@ -71,6 +71,8 @@
   readonly graceMilliseconds: number;
   /** Thresholds of the memory budget. @default none */
   readonly memoryBounds?: MemoryBounds;
+  /** Most connections of clients that are open at a time. @default unlimited */
+  readonly maximumConnections?: number;
   /** Rules by which a runner must not get a request. @default none */
   readonly exclusions?: readonly RunnerExclusion[];
   /** Name of this gateway among all gateways, which it keeps across restarts. @default its address for clients */
@@ -90,6 +92,8 @@
 /** Name of the policy that charges a tenant for a whole program when it starts. */
 const PROGRAM_QUOTAS_POLICY = 'program-quotas';
 const NO_ALLOWANCE: ColdAllowance = { factor: 1, slack: 0 };
+/** Most connections for readiness checks, which come one a second. */
+const MAXIMUM_READINESS_CONNECTIONS = 64;
 const OK = 200;
 const UNAVAILABLE = 503;
 
@@ -185,16 +189,17 @@
       isTableProven: () => this.isTableProven(),
       areKeysFresh: () => this.areKeysFresh(),
     };
-    this.front = new RelayFront(context);
+    this.front = new RelayFront(context, options.maximumConnections);
     this.readiness = this.serveReadiness();
   }
 
   private serveReadiness(): Server {
-    const server = createServer((request, response) => {
+    const server = createServer();
+    const { runtime } = this.options;
+    serveInOrder(server, runtime, MAXIMUM_READINESS_CONNECTIONS, (request, response) => {
       request.resume();
       response.writeHead(this.ready ? OK : UNAVAILABLE, { 'content-length': '0' }).end();
     });
-    limitRequests(server);
     this.listeners.listen(server, { purpose: 'readiness', ...this.options.ready });
     return server;
   }
