Requests in progress, what is sent ahead and slow senders count in the memory budget

What callers saw: 200 bodies whose end was missing kept a gateway at 503 for everybody until their time was over; 240 of them took 153 to 174 MB of 140; requests sent ahead with new keys ended the process, heap out of memory; after a crowd of bodies in chunks of 1 to 4 bytes a gateway answered nobody for 40 s.

Cause: the budget counted bytes of bodies, answers and turns, but neither what a request or an unparsed head takes, nor who has stopped sending. Slow readers are disconnected while memory is short, slow senders weren't. A small part of a buffer keeps all of it, which no account counted.

Change: two accounts, of the heap of requests in progress and of unparsed input, set the level with the others. While memory is short, senders that stand still are refused as not run, in the order of slow readers; a body that stands still for the idle timeout is refused at any time. Heads are read up to twice their limit. Small parts are copied. Half of the memory for buffers is planned, as V8 collects them late.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -20,7 +20,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against requests that take more heap than the process has, since all of one read are held at once.
-  @known-red
   Scenario: Requests sent ahead to a plain route end no process
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: requests ahead to a plain route
@@ -28,7 +27,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against the same where each request waits for the replicas to prepare it.
-  @known-red
   Scenario: Requests sent ahead to a route without repetition end no process
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: requests ahead to a route without repetition
@@ -36,7 +34,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against the same where each answer is a stream.
-  @known-red
   Scenario: Requests sent ahead to a streamed route end no process
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: requests ahead to a streamed route
@@ -44,7 +41,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against the same where the replicas are told of each stream.
-  @known-red
   Scenario: Requests sent ahead to a resumable route end no process
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: requests ahead to a resumable route
@@ -52,7 +48,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against the same where each turn is kept, at the gateway and at the replicas.
-  @known-red
   Scenario: Requests sent ahead to a kept route end no process
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: requests ahead to a kept route
@@ -60,7 +55,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against refusals with 404 that pile up unread.
-  @known-red
   Scenario: Requests sent ahead to no route end no process
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: requests ahead to no route
@@ -68,7 +62,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against refusals with 401 that pile up unread, and against state for each key that is not known.
-  @known-red
   Scenario: Requests sent ahead with unknown keys end no process
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: requests ahead with unknown keys
@@ -84,7 +77,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against the same where each chunk takes heap beside its bytes.
-  @known-red
   Scenario: Unfinished bodies in chunks of 1 KiB stay within the memory
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: bodies in chunks of 1 KiB
--- a/src/http-client/part-list.ts
+++ b/src/http-client/part-list.ts
@@ -4,6 +4,8 @@
 const MERGED_PARTS = 256;
 /** Bytes of that many parts from which on they are not merged. */
 const MAXIMUM_MERGED_BYTES = MERGED_PARTS * 1024;
+/** Factor from the bytes of a part to those of its buffer up to which the buffer is kept. */
+const KEPT_BUFFER_FACTOR = 2;
 /** Parts that bytes of any number may come in. */
 const FREE_PARTS = 96 * 1024;
 /** Bytes for which there may be one part more. */
@@ -26,7 +28,9 @@
 
   /** Adds a part. */
   add(part: Buffer): void {
-    this.parts.push(part);
+    // A part of a buffer keeps all of it.
+    const isSmallPart = part.length * KEPT_BUFFER_FACTOR < part.buffer.byteLength;
+    this.parts.push(isSmallPart ? Buffer.from(part) : part);
     this.addedCount += 1;
     this.bytes += part.length;
     this.unsettledBytes += part.length;
--- a/src/relay/front/relay-front.ts
+++ b/src/relay/front/relay-front.ts
@@ -6,7 +6,7 @@
 import type { IncomingMessage, Server } from 'node:http';
 import { maximumFramingBytes } from '../../http-client/framing-limit.js';
 import { limitRequests } from '../../http-server/limit-requests.js';
-import type { ServerExchange } from '../../http-server/server-connection.js';
+import type { ServerConnection, ServerExchange } from '../../http-server/server-connection.js';
 import { ServerConnections } from '../../http-server/server-connections.js';
 import type { Listeners } from '../../runtime/listeners.js';
 import { ClientAnswer } from '../answers/client-answer.js';
@@ -17,6 +17,7 @@
   waitedTooLong,
 } from '../answers/local-answers.js';
 import type { LocalAnswer } from '../answers/local-answers.js';
+import type { MemoryAllocation } from '../memory/memory-accounts.js';
 import type { RelayContext } from '../relay-context.js';
 import { RequestBoundary } from '../request/request-boundary.js';
 import type { RoutingTable } from '../request/routing-table.js';
@@ -31,6 +32,8 @@
 
 /** Maximum header size of Node's parser, in bytes; the configured limit is checked afterwards. */
 const PARSER_HEADER_BYTES = 64 * 1024;
+/** A head is read up to this many times its limit, so that its client gets a reason with the refusal. */
+const HEAD_READ_FACTOR = 2;
 const TIMEOUT_CHECK_MILLISECONDS = 1_000;
 /** Maximum number of connections waiting to be accepted. */
 const BACKLOG = 1_024;
@@ -53,13 +56,29 @@
   TooLarge: () => refusal(413, 'the body exceeds the bound'),
   Late: () => refusal(408, 'the body did not come in time'),
   NoMemory: memoryLimitReached,
+  Idle: () => refusal(408, 'the body came too slowly while memory was short'),
   Stopped: () => stopped(false),
 };
+/** Results after which the rest of a body is not read, so that the answer closes the connection. */
+const CLOSING_RESULTS: ReadonlySet<BodyResult['tag']> = new Set(['Late', 'NoMemory', 'Idle']);
+/** Estimate of what a request in progress takes in the heap beside its head, in bytes. */
+const REQUEST_BYTES = 8 * 1024;
+/** Factor from the bytes of a head to what it takes in the heap: it is held as raw and as parsed headers. */
+const HEAD_BYTES_FACTOR = 2;
+
+/** Estimates what a request takes in the heap while it is in progress, in bytes. */
+function heapBytesOf({ rawHeaders, url = '' }: IncomingMessage): number {
+  const headBytes = rawHeaders.reduce((sum, { length }) => sum + length, url.length);
+  return REQUEST_BYTES + headBytes * HEAD_BYTES_FACTOR;
+}
+
 /** A request in progress at ingress. */
 interface Arrival {
   readonly exchange: ServerExchange;
   readonly answer: ClientAnswer;
   readonly ingress: IngressRequest;
+  /** Estimate of what it takes in the heap. */
+  readonly requestBytes: number;
 }
 
 /** HTTP server for the requests of clients. */
@@ -69,11 +88,14 @@
   private readonly boundaries = new WeakMap<IncomingMessage, RequestBoundary>();
   /** Ends reading a request's body with a refusal that closes the connection. */
   private readonly bodyRefusals = new WeakMap<IncomingMessage, RefuseBody>();
+  private readonly inputs = new WeakMap<ServerConnection, MemoryAllocation>();
   /** Answers the requests that are being served, at the end of a planned stop. */
   private readonly interruptions = new Map<ServerExchange, () => void>();
   private draining = false;
   private interrupted = false;
   private restBytes = MINIMUM_REST_BYTES;
+  /** Bytes from which on the head of a request is not read to its end. */
+  private headBytes = PARSER_HEADER_BYTES;
   /** Called once nothing is in progress; undefined unless the gateway stops. */
   private onIdle: (() => void) | undefined;
 
@@ -101,8 +123,12 @@
       isClosing: () => this.isClosing,
       serve: (exchange) => this.handleRequest(exchange),
       runListener: (request, listener) => this.boundaryOf(request).run(listener),
+      mayReadAhead: () => context.memory.acceptsBodies,
+      maximumHeadBytes: () => this.headBytes,
+      onHeld: (connection) => this.noteInput(connection),
       onInputRefused: (status) =>
         this.noteRefusal(undefined, undefined, INPUT_STAGE, Number.parseInt(status, 10), status),
+      makeRoom: () => context.memory.refuseIdleSender(),
       onUnserved: () => context.metrics.count('ivyloom_relay_unserved_requests_total'),
       onProgress: () => this.checkIdle(),
     });
@@ -123,7 +149,8 @@
   applyLimits(table: RoutingTable): void {
     this.server.keepAliveTimeout = table.limits.idleMilliseconds;
     this.server.headersTimeout = table.limits.headerMilliseconds;
-    const { bodyBytes } = table.limits;
+    const { bodyBytes, headerBytes } = table.limits;
+    this.headBytes = Math.min(headerBytes * HEAD_READ_FACTOR, PARSER_HEADER_BYTES);
     this.restBytes = Math.max(MINIMUM_REST_BYTES, bodyBytes + maximumFramingBytes(bodyBytes));
   }
 
@@ -204,8 +231,12 @@
       requestIdHeader: names.requestId,
       requestId: head.header(names.requestId) ?? '',
     });
+    const requestBytes = heapBytesOf(request);
+    const heap = memory.allocate('requests');
+    heap.set(requestBytes);
+    completion.onComplete(() => heap.release());
     const ingress = createIngressRequest(this.context, head);
-    const arrival = { exchange, answer, ingress };
+    const arrival = { exchange, answer, ingress, requestBytes };
     boundary.setCleanup(() => answer.sendLocalOrAbort(interruptedByException(false), ingress.id));
     const refusalBefore = this.refusalBeforeStages(arrival);
     if (refusalBefore !== undefined) {
@@ -305,21 +336,41 @@
     const { request, completion, arrivedAt } = exchange;
     const allocation = memory.allocate('bodies');
     completion.onComplete(() => allocation.release());
-    const { bodyBytes: limitBytes } = ingress.table!.limits;
+    const { bodyBytes: limitBytes, idleMilliseconds } = ingress.table!.limits;
     const waited = runtime.now() - arrivedAt;
     const timeoutMilliseconds = clientTimeoutMilliseconds(ingress) - waited;
-    const options = { runtime, memory, limitBytes, timeoutMilliseconds };
+    const limits = { limitBytes, timeoutMilliseconds, idleMilliseconds };
+    const options = { runtime, memory, ...limits, requestBytes: arrival.requestBytes };
     const refuseBody = readBody(request, options, allocation, (result) => {
       if (result.tag === 'Whole') {
         done(result.body);
         return;
       }
+      if (CLOSING_RESULTS.has(result.tag)) {
+        this.connections.closeAfter(request);
+      }
       this.refuse(arrival, { stage: BODY_STAGE, answer: BODY_REFUSALS[result.tag]() });
     });
     this.bodyRefusals.set(request, refuseBody);
     this.setInterruption(exchange, () => refuseBody('Stopped'));
   }
 
+  /** Counts what a connection holds that belongs to no request yet. */
+  private noteInput(connection: ServerConnection): void {
+    const { memory } = this.context;
+    let allocation = this.inputs.get(connection);
+    if (allocation === undefined) {
+      allocation = memory.allocate('input');
+      this.inputs.set(connection, allocation);
+    }
+    allocation.set(connection.heldBytes);
+    if (connection.heldBytes > 0) {
+      memory.addSender(connection);
+    } else {
+      memory.removeSender(connection);
+    }
+  }
+
   private checkIdle(): void {
     if (this.onIdle !== undefined && this.connections.isQuiet) {
       this.onIdle();
--- a/src/relay/memory/memory-accounts.ts
+++ b/src/relay/memory/memory-accounts.ts
@@ -8,6 +8,10 @@
   'answers',
   /** Outputs of turns that will be stored. */
   'turns',
+  /** What clients have sent ahead, and heads that are not complete. */
+  'input',
+  /** Estimate of what requests in progress take in the heap. */
+  'requests',
 ] as const;
 /** Name of an account. */
 export type MemoryAccount = (typeof MEMORY_ACCOUNTS)[number];
--- a/src/relay/memory/memory-bounds.ts
+++ b/src/relay/memory/memory-bounds.ts
@@ -13,6 +13,8 @@
   readonly refuseBytes: number;
   /** From this threshold on, slow readers are disconnected. */
   readonly cutBytes: number;
+  /** Bytes of the account `requests` that weigh as much as all bytes at the threshold `cutBytes`. */
+  readonly requestBytes: number;
 }
 
 /**
@@ -37,15 +39,21 @@
   waitBytes: Infinity,
   refuseBytes: Infinity,
   cutBytes: Infinity,
+  requestBytes: Infinity,
 };
 
-/** Returns the thresholds for a budget in bytes. */
-export function boundsForBudget(budgetBytes: number): MemoryBounds {
+/**
+ * Returns the thresholds for a budget.
+ * @param budgetBytes budget outside the heap, in bytes
+ * @param requestBytes bytes of the heap for requests in progress
+ */
+export function boundsForBudget(budgetBytes: number, requestBytes = Infinity): MemoryBounds {
   return {
     slowReaderBytes: budgetBytes * SLOW_READER_SHARE,
     waitBytes: budgetBytes * WAIT_SHARE,
     refuseBytes: budgetBytes * REFUSE_SHARE,
     cutBytes: budgetBytes,
+    requestBytes,
   };
 }
 
--- a/src/relay/memory/memory-budget.ts
+++ b/src/relay/memory/memory-budget.ts
@@ -42,8 +42,26 @@
  */
 const ADMIT_INTERVAL_MILLISECONDS = 10;
 
-/** Compares two readers; the one that sorts first is disconnected first. */
-export type CutOrder = (left: SlowReader, right: SlowReader) => number;
+/** A client that has not sent all of its body. */
+export interface SlowSender {
+  /** Bytes held for the request. */
+  readonly heldBytes: number;
+  /** Time since the client last sent a notable part of its body, in milliseconds. */
+  readonly idleMilliseconds: number;
+  /** Refuses the request as not run, and closes its connection. */
+  refuse(): void;
+}
+
+/** Idle time from which on a sender may be refused for the sake of others, in milliseconds: more than a lost packet takes. */
+const IDLE_SENDER_MILLISECONDS = 1_000;
+/** Time between two searches for idle senders while memory is short, in milliseconds. */
+const SENDER_CHECK_INTERVAL_MILLISECONDS = 250;
+
+/** Compares two clients; the one that sorts first is disconnected first. */
+export type CutOrder = (
+  left: Pick<SlowReader, 'heldBytes' | 'idleMilliseconds'>,
+  right: Pick<SlowReader, 'heldBytes' | 'idleMilliseconds'>,
+) => number;
 
 /**
  * Sorts by bytes held times idle time, the largest first, so that few readers are disconnected, and
@@ -56,6 +74,7 @@
 export class MemoryBudget {
   private readonly accounts = new Map<MemoryAccount, number>();
   private readonly readers = new Set<SlowReader>();
+  private readonly senders = new Set<SlowSender>();
   private readonly levelLoggedAt = new Map<MemoryLevel, number>();
   /** Listeners of the bodies that wait, in the order of arrival. */
   private readonly waitingBodies = new Set<() => void>();
@@ -63,7 +82,9 @@
   private currentLevel: MemoryLevel = 'calm';
   private totalBytes = 0;
   private isCutting = false;
+  private isSenderCheckPending = false;
   private cuts = 0;
+  private refusedSenders = 0;
 
   constructor(
     private readonly runtime: Runtime,
@@ -126,6 +147,29 @@
     this.readers.delete(reader);
   }
 
+  /** Adds a client whose body is being read. */
+  addSender(sender: SlowSender): void {
+    this.senders.add(sender);
+    this.checkSendersSoon();
+  }
+
+  /** Removes a client whose body has arrived or was given up. */
+  removeSender(sender: SlowSender): void {
+    this.senders.delete(sender);
+  }
+
+  /** Refuses the idle sender that holds most for longest; returns false if no sender is idle. */
+  refuseIdleSender(): boolean {
+    const [victim] = this.idleSenders();
+    if (victim === undefined) {
+      return false;
+    }
+    this.refusedSenders += 1;
+    this.senders.delete(victim);
+    victim.refuse();
+    return true;
+  }
+
   /** Number of readers disconnected so far, for any reason. */
   get cutCount(): number {
     return this.cuts;
@@ -139,7 +183,8 @@
   /** Returns the bytes held by account. */
   byAccount(): AccountBytes {
     const bytesOf = (name: MemoryAccount): number => this.accounts.get(name) ?? 0;
-    return { bodies: bytesOf('bodies'), answers: bytesOf('answers'), turns: bytesOf('turns') };
+    const entries = MEMORY_ACCOUNTS.map((name) => [name, bytesOf(name)] as const);
+    return Object.fromEntries(entries) as AccountBytes;
   }
 
   /** Renders the metrics in the Prometheus text format. */
@@ -153,6 +198,7 @@
       `ivyloom_memory_slow_readers ${this.readers.size}`,
       `ivyloom_memory_cut_readers_total ${this.cutCount}`,
       `ivyloom_memory_waiting_bodies ${this.waitingBodies.size}`,
+      `ivyloom_memory_refused_senders_total ${this.refusedSenders}`,
     );
     return `${lines.join('\n')}\n`;
   }
@@ -163,15 +209,57 @@
     this.updateLevel();
   }
 
+  /** Bytes held, or as many as the requests in the heap weigh, if that is more. */
+  private get weightedBytes(): number {
+    const { cutBytes, requestBytes } = this.bounds;
+    if (requestBytes === Infinity) {
+      return this.totalBytes;
+    }
+    const inHeap = this.accounts.get('requests') ?? 0;
+    return Math.max(this.totalBytes, (inHeap / requestBytes) * cutBytes);
+  }
+
+  /** Returns the idle senders, those that are refused first at the start. */
+  private idleSenders(): SlowSender[] {
+    return [...this.senders]
+      .filter((sender) => sender.idleMilliseconds >= IDLE_SENDER_MILLISECONDS)
+      .sort(this.cutOrder);
+  }
+
+  /** While memory is short, idle senders are looked for from time to time: nothing else happens when they send nothing. */
+  private checkSendersSoon(): void {
+    if (this.isSenderCheckPending || this.currentLevel === 'calm' || this.senders.size === 0) {
+      return;
+    }
+    this.isSenderCheckPending = true;
+    this.runtime.setTimer(SENDER_CHECK_INTERVAL_MILLISECONDS, () => {
+      this.isSenderCheckPending = false;
+      this.refuseIdleSenders();
+      this.checkSendersSoon();
+    });
+  }
+
+  private refuseIdleSenders(): void {
+    for (const victim of this.idleSenders()) {
+      if (this.currentLevel === 'calm') {
+        break;
+      }
+      this.refusedSenders += 1;
+      this.senders.delete(victim);
+      victim.refuse();
+    }
+  }
+
   private updateLevel(): void {
     const before = this.currentLevel;
-    this.currentLevel = levelOf(this.totalBytes, this.bounds, before);
+    this.currentLevel = levelOf(this.weightedBytes, this.bounds, before);
     if (this.currentLevel !== before) {
       this.logLevel(before);
     }
     if (this.currentLevel === 'cut') {
       this.cutReaders();
     }
+    this.checkSendersSoon();
     this.admitBodies();
   }
 
@@ -204,13 +292,13 @@
       .filter((reader) => reader.idleMilliseconds >= ACTIVE_READER_MILLISECONDS)
       .sort(this.cutOrder);
     for (const victim of victims) {
-      if (levelOf(this.totalBytes, this.bounds, 'cut') !== 'cut') {
+      if (levelOf(this.weightedBytes, this.bounds, 'cut') !== 'cut') {
         break;
       }
       victim.cut('the memory budget is used up and the client does not read its answer');
     }
     this.isCutting = false;
-    this.currentLevel = levelOf(this.totalBytes, this.bounds, 'cut');
+    this.currentLevel = levelOf(this.weightedBytes, this.bounds, 'cut');
   }
 
   /** Logs a change of level, with the bytes held and the largest reader. */
--- a/src/relay/memory/memory-plan.ts
+++ b/src/relay/memory/memory-plan.ts
@@ -14,6 +14,12 @@
  */
 const MINIMUM_BUDGET_BYTES = 8 * BYTES_PER_MEGABYTE;
 
+/** Share of the heap for requests in progress; the rest is for the state of the gateway, and for what is not collected yet. */
+const REQUESTS_HEAP_SHARE = 0.5;
+
+/** Share of the memory for buffers that they may use; the rest is for buffers that wait to be collected. */
+const USABLE_SHARE = 0.5;
+
 /** Inputs of a memory plan. */
 export interface MemoryRequirements {
   /** Limit of the process, in bytes; infinite if there is none. */
@@ -38,13 +44,15 @@
   const { limitBytes, heapBytes, cacheBytes } = requirements;
   const availableBytes = limitBytes - NATIVE_BYTES - heapBytes - cacheBytes;
   const fits = availableBytes >= MINIMUM_BUDGET_BYTES;
-  const budgetBytes = Math.max(availableBytes, MINIMUM_BUDGET_BYTES);
+  const budgetBytes = Math.max(availableBytes * USABLE_SHARE, MINIMUM_BUDGET_BYTES);
   return { ...requirements, nativeBytes: NATIVE_BYTES, budgetBytes, fits };
 }
 
 /** Returns the thresholds for a plan; unlimited if the process has no limit. */
-export function boundsForPlan({ budgetBytes }: MemoryPlan): MemoryBounds {
-  return budgetBytes === Infinity ? NO_BOUNDS : boundsForBudget(budgetBytes);
+export function boundsForPlan({ budgetBytes, heapBytes }: MemoryPlan): MemoryBounds {
+  return budgetBytes === Infinity
+    ? NO_BOUNDS
+    : boundsForBudget(budgetBytes, heapBytes * REQUESTS_HEAP_SHARE);
 }
 
 /** Returns the plan in whole megabytes, as log fields; -1 if there is no limit. */
