A replica bounds the connections on which it is called

What callers saw: 800 connections that never say anything took 830 of the 400 descriptors that a replica's settings allow; near the system's limit, gateways and other replicas could not connect any more.

Cause: the calls port accepted every connection and kept it for as long as its other end did.

Change: at most 0.6 of MaxFds are connections of callers. When there are as many, the one that has been silent for longest without ever having sent a whole message is closed in favour of the new one; if all have sent one, the new one is refused. Both are logged as replica.crowded, a line a second at most. Without MaxFds there is no bound.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -251,7 +251,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against connections that take all descriptors of a replica.
-  @known-red
   Scenario: Idle connections at a replica leave descriptors free
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: idle connections at a replica
--- a/src/turns/replica-server.ts
+++ b/src/turns/replica-server.ts
@@ -5,7 +5,9 @@
 import type { Runtime } from '../runtime/runtime.js';
 import { decodeSuspects } from '../suspects/suspect-news.js';
 import { ExceptionLog } from '../telemetry/exception-log.js';
-import { encodeFrame, FrameReader } from '../wire/framing.js';
+import { encodeFrame } from '../wire/framing.js';
+import { CallConnections } from './call-connections.js';
+import type { CallConnection, CallLimits } from './call-connections.js';
 import type { MemberDirectory } from './member-directory.js';
 import { decodeReplicaMessage, encodeReplicaMessage } from './messages.js';
 import type {
@@ -32,7 +34,7 @@
 
 /** Accepts connections and passes their requests to a replica. */
 export class ReplicaServer {
-  private readonly sockets = new Set<Socket>();
+  private readonly connections: CallConnections;
   private readonly server: Server;
   /** Unknown message kinds that were already logged. */
   private readonly unknownKinds = new Set<number>();
@@ -44,7 +46,9 @@
     private readonly listeners = new Listeners(runtime),
     /** Records the exceptions of single messages. */
     readonly exceptions = new ExceptionLog(runtime),
+    limits: CallLimits = {},
   ) {
+    this.connections = new CallConnections(runtime, limits);
     this.server = createServer({ noDelay: true }, (socket) => this.accept(socket));
   }
 
@@ -56,27 +60,32 @@
   /** Stops listening and closes all connections. */
   close(): void {
     this.server.close();
-    this.sockets.forEach((socket) => socket.destroy());
+    this.connections.closeAll();
   }
 
   private accept(socket: Socket): void {
-    const reader = new FrameReader();
-    this.sockets.add(socket);
-    socket.setKeepAlive(true, KEEP_ALIVE_MILLISECONDS);
     socket.on('error', () => undefined);
-    socket.on('close', () => this.sockets.delete(socket));
-    socket.on('data', (chunk: Buffer) => this.read(socket, reader, chunk));
+    const connection = this.connections.add(socket);
+    if (connection === undefined) {
+      return;
+    }
+    socket.setKeepAlive(true, KEEP_ALIVE_MILLISECONDS);
+    socket.on('data', (chunk: Buffer) => this.read(connection, chunk));
   }
 
   /** Handles the messages that a chunk completes, up to the first one that can't be read or handled: it closes the connection. */
-  private read(socket: Socket, reader: FrameReader, chunk: Buffer): void {
+  private read(connection: CallConnection, chunk: Buffer): void {
+    const { socket, reader } = connection;
     try {
       for (const content of reader.push(chunk)) {
-        if (!this.handle(socket, decodeRequest(content))) {
+        const message = decodeRequest(content);
+        this.connections.noteMessage(connection);
+        if (!this.handle(socket, message)) {
           socket.destroy();
           return;
         }
       }
+      this.connections.noteBytes(connection);
     } catch (cause) {
       const reason = cause instanceof Error ? cause.message : String(cause);
       this.runtime.log('error', 'malformed request, connection closed', {
