A replica bounds what it holds of unfinished messages

What callers saw: 20 connections that each sent 16 MB of a message of 60 MB took 361 and 363 MB of the 160 MB that a replica's settings allow.

Cause: what had come of a frame was held for as long as its connection, with no bound over all connections; putting it together took its size once more, and a slice of that could stay behind with the next frame.

Beyond, the connection on which one stood still for longest is closed, of those first that have sent no whole message, with the line replica.unfinished, one a second at most. A single unfinished message is taken up to the largest allowed. The frame reader holds an unfinished frame in one buffer of its own, which grows in large steps that take memory only as they are written to.

Tests: "Unfinished frames at a replica stay within the memory" failed before (363 MB of 160) and is no longer known red.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -258,7 +258,6 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against messages that are held without a bound while their end is missing.
-  @known-red
   Scenario: Unfinished frames at a replica stay within the memory
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: unfinished frames at a replica
--- a/src/turns/call-connections.ts
+++ b/src/turns/call-connections.ts
@@ -11,6 +11,8 @@
 export interface CallLimits {
   /** Most connections that are open at a time. @default unlimited */
   readonly maximumConnections?: number;
+  /** Most bytes of unfinished messages of all connections together; a single one may have more. @default unlimited */
+  readonly maximumUnfinishedBytes?: number;
 }
 
 /** One connection. */
@@ -19,9 +21,13 @@
   readonly reader: FrameReader;
   /** Local time of the last bytes received, in milliseconds; that of its start before there are any. */
   heardAt: number;
+  /** Number of bytes that have come of its unfinished message. */
+  unfinishedBytes: number;
 }
 
-/** Minimum time between two log lines, in milliseconds. */
+/** Share of the bytes of unfinished messages that connections may have that have sent no whole message, if there are several. */
+const UNPROVEN_SHARE = 0.5;
+/** Minimum time between two log lines about one bound, in milliseconds. */
 const LOG_INTERVAL_MILLISECONDS = 1_000;
 
 /** All open connections. Where a bound requires it, those are closed first that have sent no whole message yet. */
@@ -29,8 +35,13 @@
   private readonly open = new Set<CallConnection>();
   /** Connections that have sent no whole message, those silent for longest first. */
   private readonly unproven = new Set<CallConnection>();
-  private closedCount = 0;
-  private loggedAt = -Infinity;
+  /** Connections with an unfinished message, those on which it has stood still for longest first. */
+  private readonly unfinished = new Set<CallConnection>();
+  private unfinishedBytes = 0;
+  /** Those of connections that have sent no whole message. */
+  private unprovenBytes = 0;
+  private readonly closedCounts = new Map<string, number>();
+  private readonly loggedAt = new Map<string, number>();
 
   constructor(
     private readonly runtime: Pick<Runtime, 'now' | 'log'>,
@@ -50,7 +61,7 @@
       this.close(longestSilent);
     }
     const reader = new FrameReader();
-    const connection = { socket, reader, heardAt: this.runtime.now() };
+    const connection = { socket, reader, heardAt: this.runtime.now(), unfinishedBytes: 0 };
     this.open.add(connection);
     this.unproven.add(connection);
     socket.on('close', () => this.remove(connection));
@@ -59,15 +70,26 @@
 
   /** Notes that a connection has sent a whole message. */
   noteMessage(connection: CallConnection): void {
-    this.unproven.delete(connection);
+    if (this.unproven.delete(connection)) {
+      this.unprovenBytes -= connection.unfinishedBytes;
+    }
   }
 
-  /** Notes that a connection's reader was given bytes. */
+  /** Notes that a connection's reader was given bytes; may close this connection or others. */
   noteBytes(connection: CallConnection): void {
     connection.heardAt = this.runtime.now();
     if (this.unproven.delete(connection)) {
       this.unproven.add(connection);
     }
+    this.setUnfinished(connection, connection.reader.unfinishedBytes);
+    const { maximumUnfinishedBytes = Infinity } = this.limits;
+    for (
+      let excess = this.findExcess(maximumUnfinishedBytes);
+      excess !== undefined;
+      excess = this.findExcess(maximumUnfinishedBytes)
+    ) {
+      this.closeUnfinished(excess, maximumUnfinishedBytes);
+    }
   }
 
   /** Closes all connections. */
@@ -75,21 +97,75 @@
     this.open.forEach((connection) => this.close(connection));
   }
 
+  private setUnfinished(connection: CallConnection, bytes: number): void {
+    const change = bytes - connection.unfinishedBytes;
+    this.unfinishedBytes += change;
+    this.unprovenBytes += this.unproven.has(connection) ? change : 0;
+    connection.unfinishedBytes = bytes;
+    this.unfinished.delete(connection);
+    if (bytes > 0) {
+      this.unfinished.add(connection);
+    }
+  }
+
+  /** Returns the connection to close for the sake of memory; undefined if none needs to be. */
+  private findExcess(limit: number): CallConnection | undefined {
+    const isBeyond = this.unfinishedBytes > limit && this.unfinished.size > 1;
+    if (!isBeyond && this.unprovenBytes <= limit * UNPROVEN_SHARE) {
+      return undefined;
+    }
+    const [longestStill] = this.unfinished;
+    const unproven = [...this.unfinished].filter((connection) => this.unproven.has(connection));
+    if (isBeyond) {
+      return unproven[0] ?? longestStill;
+    }
+    return unproven.length > 1 ? unproven[0] : undefined;
+  }
+
+  private closeUnfinished(closed: CallConnection, limit: number): void {
+    const count = this.countClosed('unfinished');
+    if (this.mayLog('unfinished')) {
+      this.runtime.log('warn', 'unfinished messages take too much memory, connection closed', {
+        event: 'replica.unfinished',
+        from: closed.socket.remoteAddress ?? '',
+        bytes: closed.unfinishedBytes,
+        still: Math.round(this.runtime.now() - closed.heardAt),
+        total: this.unfinishedBytes,
+        connections: this.unfinished.size,
+        limit,
+        count,
+      });
+    }
+    this.close(closed);
+  }
+
   private logCrowded(closed: CallConnection | undefined, socket: Socket): void {
+    const count = this.countClosed('crowded');
+    if (this.mayLog('crowded')) {
+      this.runtime.log('warn', 'as many connections as may be, one closed', {
+        event: 'replica.crowded',
+        closed: closed === undefined ? 'new' : 'silent',
+        from: (closed?.socket ?? socket).remoteAddress ?? '',
+        silent: closed === undefined ? 0 : Math.round(this.runtime.now() - closed.heardAt),
+        connections: this.open.size,
+        count,
+      });
+    }
+  }
+
+  private countClosed(bound: string): number {
+    const count = (this.closedCounts.get(bound) ?? 0) + 1;
+    this.closedCounts.set(bound, count);
+    return count;
+  }
+
+  private mayLog(bound: string): boolean {
     const now = this.runtime.now();
-    this.closedCount += 1;
-    if (now - this.loggedAt < LOG_INTERVAL_MILLISECONDS) {
-      return;
+    if (now - (this.loggedAt.get(bound) ?? -Infinity) < LOG_INTERVAL_MILLISECONDS) {
+      return false;
     }
-    this.loggedAt = now;
-    this.runtime.log('warn', 'as many connections as may be, one closed', {
-      event: 'replica.crowded',
-      closed: closed === undefined ? 'new' : 'silent',
-      from: (closed?.socket ?? socket).remoteAddress ?? '',
-      silent: closed === undefined ? 0 : Math.round(now - closed.heardAt),
-      connections: this.open.size,
-      count: this.closedCount,
-    });
+    this.loggedAt.set(bound, now);
+    return true;
   }
 
   private close(connection: CallConnection): void {
@@ -98,6 +174,7 @@
   }
 
   private remove(connection: CallConnection): void {
+    this.setUnfinished(connection, 0);
     this.open.delete(connection);
     this.unproven.delete(connection);
   }
--- a/src/wire/framing.ts
+++ b/src/wire/framing.ts
@@ -3,6 +3,12 @@
 /** Maximum content of a frame, in bytes. */
 export const MAXIMUM_FRAME_BYTES = 64 * 1024 * 1024;
 const LENGTH_BYTES = 4;
+/**
+ * Growth of the memory for an unfinished frame. The system provides it only as it is written to, so a frame takes what has
+ * come of it, and leaves little behind on the way.
+ */
+const GROWTH_FACTOR = 8;
+const NO_BYTES = Buffer.alloc(0);
 
 /** Encodes content as a frame. */
 export function encodeFrame(content: Uint8Array): Buffer {
@@ -14,49 +20,77 @@
 
 /** Splits a byte stream into the contents of its frames. */
 export class FrameReader {
-  private chunks: Buffer[] = [];
-  private bufferedBytes = 0;
+  /** Starts with what has come of the unfinished frame. Of its own, since a slice would keep all that came with it. */
+  private unfinished = NO_BYTES;
+  private heldBytes = 0;
 
   constructor(private readonly maximumBytes = MAXIMUM_FRAME_BYTES) {}
 
+  /** Number of bytes that have come of the unfinished frame. */
+  get unfinishedBytes(): number {
+    return this.heldBytes;
+  }
+
   /** Adds a chunk; returns the contents that are now complete. Throws if a frame is too long. */
   push(chunk: Buffer): Buffer[] {
-    this.chunks.push(chunk);
-    this.bufferedBytes += chunk.length;
     const contents: Buffer[] = [];
-    for (let content = this.readFrame(); content !== undefined; content = this.readFrame()) {
-      contents.push(content);
+    let start = 0;
+    while (start < chunk.length) {
+      const end = this.heldBytes === 0 ? this.frameEnd(chunk, start) : undefined;
+      if (end === undefined || end > chunk.length) {
+        start = this.hold(chunk, start);
+        contents.push(...this.takeFinished());
+      } else {
+        contents.push(chunk.subarray(start + LENGTH_BYTES, end));
+        start = end;
+      }
     }
     return contents;
   }
 
-  private readFrame(): Buffer | undefined {
-    if (this.bufferedBytes < LENGTH_BYTES) {
+  /** Returns where the frame that starts at `start` ends; undefined while its length is incomplete. */
+  private frameEnd(bytes: Buffer, start: number): number | undefined {
+    if (bytes.length - start < LENGTH_BYTES) {
       return undefined;
     }
-    if (this.chunks[0]!.length < LENGTH_BYTES) {
-      this.mergeChunks();
-    }
-    const length = this.chunks[0]!.readUInt32BE(0);
+    const length = bytes.readUInt32BE(start);
     if (length > this.maximumBytes) {
       throw new RangeError(
         `frame of ${length} bytes exceeds the maximum of ${this.maximumBytes} bytes`,
       );
     }
-    const end = LENGTH_BYTES + length;
-    if (this.bufferedBytes < end) {
-      return undefined;
-    }
-    if (this.chunks[0]!.length < end) {
-      this.mergeChunks();
+    return start + LENGTH_BYTES + length;
+  }
+
+  /** Size of the unfinished frame, or of its length while that is incomplete. */
+  private get wantedBytes(): number {
+    return this.frameEnd(this.unfinished.subarray(0, this.heldBytes), 0) ?? LENGTH_BYTES;
+  }
+
+  /** Holds what a chunk has of the unfinished frame; returns where that ends. */
+  private hold(chunk: Buffer, start: number): number {
+    const wantedBytes = this.wantedBytes;
+    const end = Math.min(chunk.length, start + wantedBytes - this.heldBytes);
+    const bytes = this.heldBytes + end - start;
+    if (bytes > this.unfinished.length) {
+      const grown = Math.max(bytes, GROWTH_FACTOR * this.unfinished.length);
+      const larger = Buffer.allocUnsafeSlow(Math.min(wantedBytes, grown));
+      this.unfinished.copy(larger, 0, 0, this.heldBytes);
+      this.unfinished = larger;
     }
-    const first = this.chunks[0]!;
-    this.chunks[0] = first.subarray(end);
-    this.bufferedBytes -= end;
-    return first.subarray(LENGTH_BYTES, end);
+    chunk.copy(this.unfinished, this.heldBytes, start, end);
+    this.heldBytes = bytes;
+    return end;
   }
 
-  private mergeChunks(): void {
-    this.chunks = [Buffer.concat(this.chunks)];
+  /** Returns the content of the unfinished frame, and holds nothing any more, if the frame is now complete. */
+  private takeFinished(): Buffer[] {
+    if (this.heldBytes < LENGTH_BYTES || this.heldBytes < this.wantedBytes) {
+      return [];
+    }
+    const content = this.unfinished.subarray(LENGTH_BYTES);
+    this.unfinished = NO_BYTES;
+    this.heldBytes = 0;
+    return [content];
   }
 }
