--- a/soak/planned-stop-check.ts
+++ b/soak/planned-stop-check.ts
@@ -100,7 +100,7 @@
     const sent = `sent ${Math.round(sentAt - signal.at)} ms after ${signal.name}`;
     const ended = `cut ${Math.round(endedAt - signal.at)} ms after it`;
     const ran = `ran ${Math.round(run.startedAt - signal.at)} ms after it`;
-    const detail = `request ${id} (${behaviour}) at ${host} ${ran}, ${sent}, ${ended}`;
+    const detail = `request ${id} (${behaviour}) at ${host}, ${sent}, ${ran}, ${ended}`;
     this.options.violate('planned stop', detail);
   }
 
