A body that waits for memory doesn't make its client a slow sender

A client whose body waited unread at the level wait for a second was refused with 408, as one that sends nothing: what its connection holds counted as sent ahead. It isn't counted among the senders while the body of the request in progress is outstanding.

--- a/src/http-server/server-connection.ts
+++ b/src/http-server/server-connection.ts
@@ -122,6 +122,11 @@
     return this.input.heldBytes;
   }
 
+  /** Whether the body of the request in progress has not arrived, or is not read yet. */
+  get isReceivingBody(): boolean {
+    return this.current?.request.complete === false;
+  }
+
   /** Time since anything arrived, in milliseconds. */
   get idleMilliseconds(): number {
     return this.input.idleMilliseconds;
--- a/src/relay/front/relay-front.ts
+++ b/src/relay/front/relay-front.ts
@@ -388,7 +388,8 @@
       this.inputs.set(connection, allocation);
     }
     allocation.set(connection.heldBytes);
-    if (connection.heldBytes > 0) {
+    // A body that waits here for memory isn't late by its client's fault.
+    if (connection.heldBytes > 0 && !connection.isReceivingBody) {
       memory.addSender(connection);
     } else {
       memory.removeSender(connection);
