--- a/review/lib-2/client.mjs
+++ b/review/lib-2/client.mjs
@@ -13,6 +13,7 @@
   headers,
   body = '',
   timeout = 5_000,
+  agent = false,
   onEvent,
 }) {
   return new Promise((resolve) => {
@@ -21,7 +22,9 @@
     let answer;
     const finish = (whole, error) => {
       clearTimeout(timer);
-      client.destroy();
+      if (!whole || agent === false) {
+        client.destroy();
+      }
       const { statusCode: status, headers: answerHeaders = {} } = answer ?? {};
       resolve({
         status,
@@ -38,7 +41,7 @@
         port,
         method,
         path,
-        agent: false,
+        agent,
         headers: {
           ...headers,
           'timeout-ms': String(timeout),
