--- a/review/lib-2/chat.mjs
+++ b/review/lib-2/chat.mjs
@@ -63,7 +63,7 @@
   deployment,
   note,
   gateway,
-  { id, input, previous, headers, onEvent },
+  { id, input, previous, headers, timeout, onEvent },
 ) {
   note(`${id} is sent to ${gateway.name}`);
   const answer = await send({
@@ -75,12 +75,13 @@
       'request-id': id,
       'program-id': 'program-1',
       'session-id': 'session-1',
-      'program-deadline-ms': '60000',
+      'program-deadline-ms': '90000',
       'token-usage': '20,10',
       ...(previous !== undefined && { 'previous-turn': previous }),
       ...headers,
     },
     body: input,
+    timeout,
     onEvent,
   });
   const events = answer.events.map((event) => event.id).join(' ');
