--- a/review/lib-2/chat.mjs
+++ b/review/lib-2/chat.mjs
@@ -6,8 +6,8 @@
 export const CHAT_PATH = '/chat/';
 const SERVICE = 'lm-pool';
 
-/** Writes the first configuration, with one route of kept turns. */
-export function putChatConfiguration(store, route = {}) {
+/** Writes a configuration with one route of kept turns, and further fields of its parts. */
+export function putChatConfiguration(store, route = {}, service = {}, fields = {}) {
   store.put('op/config', {
     Version: 1,
     Routes: [
@@ -29,13 +29,14 @@
         ...route,
       },
     ],
-    Services: [{ Name: SERVICE, HealthPath: '/healthz', MaxConnections: 370 }],
+    Services: [{ Name: SERVICE, HealthPath: '/healthz', MaxConnections: 370, ...service }],
     Limits: {
       MaxHeaderBytes: 16384,
       MaxBodyBytes: 4194304,
       HeaderTimeoutMs: 3000,
       IdleTimeoutMs: 15000,
     },
+    ...fields,
   });
 }
 
