A replica stays within its memory when many large turns are kept

Cause: a replica holds all kept turns in memory, without a bound, and each took several copies on its way: the received message beside the copy of the state until it was on disk, two copies for the record, all records of a batch at once and joined, two copies for each reply to another replica. None of what is sent made the process look at its buffers.

A turn that makes up most of its message stays in it; what waits for the disk is what the state holds; records are encoded in place and written in slices of 256 KiB; messages are encoded in their frames.

--- a/features/crowds.feature
+++ b/features/crowds.feature
@@ -167,13 +167,19 @@
     And all processes live, within the memory and the descriptors of their settings
 
   # Guards against the same where streams are read to their ends to be kept.
-  @known-red
   Scenario: Large kept streams that nobody reads stay within the memory
     Given a gateway and replicas with little memory
     When a crowd comes and leaves: large kept streams unread
     Then an ordinary request is answered
     And all processes live, within the memory and the descriptors of their settings
 
+  # Guards against replicas that take turns to be kept beyond their memory.
+  Scenario: More kept turns than fit the memory end no replica
+    Given a gateway and replicas with little memory
+    When a crowd comes and leaves: more kept turns than fit the memory of a replica
+    Then an ordinary request is answered
+    And all processes live, within the memory and the descriptors of their settings
+
   # Guards against bounds that hold for each form alone.
   Scenario: All forms of crowds at once end no process
     Given a gateway and replicas with little memory
--- a/features/steps/buffer-collector.steps.ts
+++ b/features/steps/buffer-collector.steps.ts
@@ -39,6 +39,10 @@
     return this.buffers.length * READ_BYTES;
   }
 
+  usedBytes(): number {
+    return this.bufferBytes();
+  }
+
   collectYoung(): void {
     this.youngCollections += 1;
     this.buffers = this.buffers.filter(({ isUsed, age }) => isUsed || age >= YOUNG_COLLECTIONS);
@@ -62,7 +66,7 @@
   world.fullCollectionsBefore = world.heap.fullCollections;
   for (let received = 0; received < megabytes * MEGABYTE; received += READ_BYTES) {
     world.heap.add(mostUsedMegabytes * MEGABYTE);
-    world.collector.noteReceived(READ_BYTES);
+    world.collector.noteBuffers(READ_BYTES);
   }
 }
 
--- a/features/support/crowd-forms.ts
+++ b/features/support/crowd-forms.ts
@@ -16,6 +16,7 @@
 const SMALL_CHUNKS_BYTES = 64 * 1024;
 const LONG_HEAD_BYTES = 14_000;
 const CHUNK_SIZE_RADIX = 16;
+const KEPT_EVENT_BYTES = 4_000;
 /** Requests that are written at once. */
 const BATCH_REQUESTS = 40;
 
@@ -109,6 +110,12 @@
   return { host, port: SOAK_PORTS.front, parts, reads };
 }
 
+/** Turns to be kept, whose answers are read. */
+function keptTurns(turnBytes: number): CrowdForm {
+  const path = `/kept/work?stream&events=${turnBytes / KEPT_EVENT_BYTES}&fill=${KEPT_EVENT_BYTES}`;
+  return (targets) => members(16, () => toGateway(targets, requestsTo(path, 4_000), true));
+}
+
 type CrowdForm = (targets: CrowdTargets) => CrowdMember[];
 
 function ahead(path: string, key?: string): CrowdForm {
@@ -175,6 +182,7 @@
   'large plain answers unread': unread(`/plain/work?fill=${MAXIMUM_BODY_BYTES}`),
   'large streams unread': unread('/streamed/work?stream&events=2000&fill=4000'),
   'large kept streams unread': unread('/kept/work?stream&events=200&fill=4000'),
+  'more kept turns than fit the memory of a replica': keptTurns(100_000),
   'requests ahead for metrics': aheadAt(metrics, '/metrics'),
   'requests ahead for readiness': aheadAt(ready, '/'),
   'requests ahead for the exchange': aheadAt(control, EXCHANGE_PATH),
--- a/src/relay/front/relay-front.ts
+++ b/src/relay/front/relay-front.ts
@@ -131,7 +131,7 @@
       runListener: (request, listener) => this.boundaryOf(request).run(listener),
       mayReadAhead: () => context.memory.acceptsBodies,
       maximumHeadBytes: () => this.headBytes,
-      onReceived: context.onReceived,
+      onReceived: context.onBuffered,
       onHeld: (connection) => this.noteInput(connection),
       onInputRefused: (status) =>
         this.noteRefusal(undefined, undefined, INPUT_STAGE, Number.parseInt(status, 10), status),
--- a/src/relay/relay-context.ts
+++ b/src/relay/relay-context.ts
@@ -67,7 +67,7 @@
   /** Memory budget of this process. */
   readonly memory: MemoryBudget;
   /** Called with the number of bytes of each read of a connection. */
-  readonly onReceived: (bytes: number) => void;
+  readonly onBuffered: (bytes: number) => void;
   /** Unsent bytes by runner. */
   readonly backpressure: RunnerBackpressure;
   /** Returns the configuration in force; undefined before the first. */
--- a/src/relay/relay-gateway.ts
+++ b/src/relay/relay-gateway.ts
@@ -72,7 +72,7 @@
   /** Thresholds of the memory budget. @default none */
   readonly memoryBounds?: MemoryBounds;
   /** Called with the number of bytes of each read of a client's or runner's connection. */
-  readonly onReceived?: (bytes: number) => void;
+  readonly onBuffered?: (bytes: number) => void;
   /** Most connections of clients that are open at a time. @default unlimited */
   readonly maximumConnections?: number;
   /** Rules by which a runner must not get a request. @default none */
@@ -185,7 +185,7 @@
       metrics: this.metrics,
       exceptions: this.exceptions,
       memory: this.memory,
-      onReceived: options.onReceived ?? (() => undefined),
+      onBuffered: options.onBuffered ?? (() => undefined),
       backpressure: this.backpressure,
       currentTable: () => this.table,
       isTableProven: () => this.isTableProven(),
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -424,7 +424,7 @@
       onHead: (head) => this.handleHead(head, reader),
       onData: (chunk) => {
         this.noteActivity();
-        context.onReceived(chunk.length);
+        context.onBuffered(chunk.length);
         context.traffic?.recordZone('runners', 'received', runner.zone, chunk.length);
         reader.onData(chunk);
       },
--- a/src/runtime/v8-buffer-heap.ts
+++ b/src/runtime/v8-buffer-heap.ts
@@ -1,5 +1,5 @@
 /** The buffers of this process, and V8's collections. */
-import { setFlagsFromString } from 'node:v8';
+import { getHeapStatistics, setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
 import type { BufferHeap } from './buffer-collector.js';
 
@@ -17,15 +17,22 @@
   return collect;
 }
 
-/** Returns the buffers of this process. */
-export function createV8BufferHeap(): BufferHeap {
+/**
+ * Returns the buffers of this process.
+ * @param nativeBytes memory that the process takes beside its heap and its buffers
+ */
+export function createV8BufferHeap(nativeBytes: number): BufferHeap {
   let collect: Collect | undefined;
   const run: Collect = (options) => {
     collect ??= exposeCollect();
     collect(options);
   };
   return {
-    bufferBytes: () => process.memoryUsage().arrayBuffers,
+    bufferBytes: () => getHeapStatistics().external_memory,
+    usedBytes: () => {
+      const { total_heap_size: heapBytes, external_memory: bufferBytes } = getHeapStatistics();
+      return heapBytes + bufferBytes + nativeBytes;
+    },
     collectYoung: () => run({ type: 'minor' }),
     collectAll: () => run({ type: 'major' }),
   };
--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -6,6 +6,7 @@
 import type { LogFunction, Runtime } from '../runtime/runtime.js';
 import type { RandomSource } from '../runtime/random.js';
 import { MemberDirectory } from '../turns/member-directory.js';
+import type { TurnMemory } from '../turns/memory-limit.js';
 import { MembershipController } from '../turns/membership-controller.js';
 import type { MembershipStore, StoredRecord } from '../turns/membership-store.js';
 import {
@@ -211,9 +212,21 @@
   directory: MemberDirectory | undefined;
   /** Whether the process is of a build that knows no spread and wants every replica as a member. */
   isOlderBuild: boolean;
+  /** Whether there is no memory for more turns. */
+  hasNoMemory: boolean;
   close: () => void;
 }
 
+/** The memory of a machine, as its replica sees it. */
+function memoryOf(machine: SimulatedMachine): TurnMemory {
+  return {
+    get isReached() {
+      return machine.hasNoMemory;
+    },
+    noteRefused: () => undefined,
+  };
+}
+
 /** Options of the simulated replicas. Faults are injected to verify that the checks detect them. */
 export interface SimulatedReplicasOptions {
   readonly injectedFault?: 'noRepair' | 'hastyAcknowledge' | 'lostAccounts';
@@ -266,6 +279,7 @@
       replica: undefined,
       directory: undefined,
       isOlderBuild,
+      hasNoMemory: false,
       close: () => undefined,
     };
     this.machines.set(name, machine);
@@ -288,7 +302,8 @@
     const storage = machine.disk.open(runtime, this.options);
     const { quotaAllowance = { overshoot: 0, slack: 0 } } = this.options;
     const isFirstStart = this.clock.now === 0;
-    const parts = { id, runtime, storage, directory };
+    const memoryLimit = memoryOf(machine);
+    const parts = { id, runtime, storage, directory, memoryLimit };
     const replica = new Replica({ ...parts, quotaAllowance, isFirstStart });
     machine.disk.load((change) => replica.restore(change));
     replica.endRestore();
@@ -357,6 +372,11 @@
     this.machine(name).disk.isFull = isFull;
   }
 
+  /** Takes the memory for more turns away from a machine, or gives it back. */
+  useUpMemory(name: string, isUsedUp: boolean): void {
+    this.machine(name).hasNoMemory = isUsedUp;
+  }
+
   /** Pauses the process of a machine until `resume`. */
   pause(name: string): void {
     this.machine(name).process.pause();
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -14,6 +14,7 @@
   TaggedUnion,
   UnknownKindError,
 } from '../wire/fields.js';
+import { writeFrame } from '../wire/framing.js';
 import { decodeExtended } from '../wire/sections.js';
 import type { UnionBranch } from '../wire/fields.js';
 import type { Reservation } from './account.js';
@@ -398,6 +399,13 @@
   return encodeField(message, value);
 }
 
+/** Encodes a message as a frame. */
+export function encodeReplicaFrame(value: ReplicaMessage): Buffer {
+  return writeFrame(message.size(value), (content) =>
+    message.encode(new r.EncodeStream(content), value),
+  );
+}
+
 /** A message of a kind that this build does not know. */
 export interface UnknownMessage {
   readonly type: 'unknown';
--- a/src/turns/protocol-probe.ts
+++ b/src/turns/protocol-probe.ts
@@ -4,9 +4,8 @@
  */
 import { connect } from 'node:net';
 import type { Runtime } from '../runtime/runtime.js';
-import { encodeFrame } from '../wire/framing.js';
 import type { Member } from './membership.js';
-import { encodeReplicaMessage } from './messages.js';
+import { encodeReplicaFrame } from './messages.js';
 import { BASELINE_KIND_COUNT, UNANNOUNCED_KIND_COUNT } from './protocol-negotiation.js';
 
 /** Timeout of the probe, in milliseconds; shorter than the silence after which a replica counts as unreachable. */
@@ -28,7 +27,7 @@
   socket.on('end', () => {
     kinds ??= socket.bytesWritten > 0 ? BASELINE_KIND_COUNT : undefined;
   });
-  socket.on('connect', () => socket.write(encodeFrame(encodeReplicaMessage(PROBE_REQUEST))));
+  socket.on('connect', () => socket.write(encodeReplicaFrame(PROBE_REQUEST)));
   socket.once('data', () => {
     kinds = UNANNOUNCED_KIND_COUNT;
     socket.destroy();
--- a/src/turns/replica-server.ts
+++ b/src/turns/replica-server.ts
@@ -5,11 +5,10 @@
 import type { Runtime } from '../runtime/runtime.js';
 import { decodeSuspects } from '../suspects/suspect-news.js';
 import { ExceptionLog } from '../telemetry/exception-log.js';
-import { encodeFrame } from '../wire/framing.js';
 import { CallConnections } from './call-connections.js';
 import type { CallConnection, CallLimits } from './call-connections.js';
 import type { MemberDirectory } from './member-directory.js';
-import { decodeReplicaMessage, encodeReplicaMessage } from './messages.js';
+import { decodeReplicaMessage, encodeReplicaFrame } from './messages.js';
 import type {
   MembersMessage,
   ReplicaMessage,
@@ -47,8 +46,8 @@
     /** Records the exceptions of single messages. */
     readonly exceptions = new ExceptionLog(runtime),
     limits: CallLimits = {},
-    /** Called with the number of bytes of each read of a connection. */
-    private readonly onReceived: (bytes: number) => void = () => undefined,
+    /** Called with the number of bytes of each read, and of each message that is sent. */
+    private readonly onBuffered: (bytes: number) => void = () => undefined,
   ) {
     this.connections = new CallConnections(runtime, limits);
     this.server = createServer({ noDelay: true }, (socket) => this.accept(socket));
@@ -78,7 +77,7 @@
   /** Handles the messages that a chunk completes, up to the first one that can't be read or handled: it closes the connection. */
   private read(connection: CallConnection, chunk: Buffer): void {
     const { socket, reader } = connection;
-    this.onReceived(chunk.length);
+    this.onBuffered(chunk.length);
     try {
       for (const content of reader.push(chunk)) {
         const message = decodeRequest(content);
@@ -147,6 +146,8 @@
       socket.destroy();
       return;
     }
-    socket.write(encodeFrame(encodeReplicaMessage(reply)));
+    const frame = encodeReplicaFrame(reply);
+    this.onBuffered(frame.length);
+    socket.write(frame);
   }
 }
--- a/src/turns/replica-state.ts
+++ b/src/turns/replica-state.ts
@@ -20,6 +20,9 @@
 /** Maximum size of a chain, in bytes; a reply that exceeds the size of a frame closes the connection. */
 const MAXIMUM_CHAIN_BYTES = MAXIMUM_FRAME_BYTES - REPLY_HEAD_BYTES;
 
+/** Factor from the content of a turn to the size of its message up to which the message is kept instead of a copy. */
+const KEPT_MESSAGE_FACTOR = 1.1;
+
 interface AccountRecord {
   readonly account: Account;
   changedAt: number;
@@ -59,6 +62,17 @@
   }
 }
 
+/** Returns a turn that keeps little more than its content: parts of a received message keep all of it. */
+function withOwnContent(turn: ConversationTurn): ConversationTurn {
+  const { input, output } = turn;
+  const contentBytes = input.length + output.length;
+  const isMostOf = ({ buffer }: Buffer): boolean =>
+    buffer.byteLength <= contentBytes * KEPT_MESSAGE_FACTOR;
+  return input.buffer === output.buffer && isMostOf(input)
+    ? turn
+    : { ...turn, input: Buffer.from(input), output: Buffer.from(output) };
+}
+
 /** Holds the accounts and turns of a replica and logs their changes. */
 export class ReplicaState {
   private readonly accounts = new Map<string, AccountRecord>();
@@ -114,10 +128,7 @@
   /** Adds a turn and extends the retention of its predecessors to at least its own. */
   addTurn(stored: StoredTurn): void {
     const { storedAt } = stored;
-    // Copied, so that the received frames can be freed.
-    const input = Buffer.from(stored.turn.input);
-    const output = Buffer.from(stored.turn.output);
-    const turn = { ...stored.turn, input, output };
+    const turn = withOwnContent(stored.turn);
     const expiresAt = storedAt + turn.retentionMilliseconds + CLOCK_SKEW_MILLISECONDS;
     if (!this.turns.has(turn.id)) {
       this.turns.set(turn.id, { turn, expiresAt });
--- a/src/turns/replica-sync.ts
+++ b/src/turns/replica-sync.ts
@@ -401,6 +401,10 @@
       done(true);
       return;
     }
+    if (this.options.replica.isMemoryFull) {
+      done(false);
+      return;
+    }
     const request = { type: 'fetch' as const, turns: [...turns] };
     this.options.caller.call(member, request, CALL_TIMEOUT_MILLISECONDS, (reply) => {
       if (reply?.type !== 'fetched') {
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -29,6 +29,7 @@
 import type { HeldShare, LentShares } from './quota-shares.js';
 import { encodeKindCount } from './protocol-negotiation.js';
 import type { ReplyListener, UnnumberedRequest } from './replica-caller.js';
+import type { TurnMemory } from './memory-limit.js';
 import { ReplicaState } from './replica-state.js';
 import { unpackDigests } from './reservation-digests.js';
 import { StoredSuspects } from './stored-suspects.js';
@@ -63,6 +64,8 @@
   readonly directory: MemberDirectory;
   /** Storage of the requests under which runners ended. @default they are held in memory only */
   readonly suspectStorage?: TurnStorage;
+  /** Bounds the turns that are held. @default none */
+  readonly memoryLimit?: TurnMemory;
   /** The amount by which tenants' limits may be exceeded. @default nothing */
   readonly quotaAllowance?: QuotaAllowance;
   /** Window in which the requests of tenants are counted, in milliseconds. @default 5 s */
@@ -330,7 +333,7 @@
       case 'keep': {
         const answer = (durable: boolean): void =>
           send({ type: 'taken', call, outcome: this.outcomeOf(request.epoch, durable, send) });
-        this.unlessFull(answer, () => this.storeTurns([request.turn], answer, 'answered'));
+        this.unlessFull(answer, () => this.keepTurn(request.turn, answer));
         return;
       }
       case 'chain': {
@@ -435,6 +438,21 @@
     }
   }
 
+  /** Whether there is no memory for more turns. */
+  get isMemoryFull(): boolean {
+    return this.options.memoryLimit?.isReached === true;
+  }
+
+  /** Keeps a turn, unless there is no memory for it. */
+  private keepTurn(turn: ConversationTurn, answer: (durable: boolean) => void): void {
+    if (this.isMemoryFull) {
+      this.options.memoryLimit?.noteRefused();
+      answer(false);
+    } else {
+      this.storeTurns([turn], answer, 'answered');
+    }
+  }
+
   /** Merges reservations; calls back once they are durable. */
   storeEntries(
     entries: readonly AccountEntry[],
@@ -459,7 +477,9 @@
     const storedAt = this.options.runtime.wallTime();
     const changes = turns.map((turn): StorageChange => {
       this.state.addTurn({ turn, storedAt });
-      return { tag: 'turn', turn: { turn, storedAt } };
+      // The state has a copy; what waits for the disk would keep the received message as well.
+      const { input, output } = this.state.getTurn(turn.id) ?? turn;
+      return { tag: 'turn', turn: { turn: { ...turn, input, output }, storedAt } };
     });
     this.options.storage.write(changes, done, urgency);
   }
--- a/src/turns/segment-codec.ts
+++ b/src/turns/segment-codec.ts
@@ -4,7 +4,7 @@
  */
 import { crc32 } from 'node:zlib';
 import * as r from 'restructure';
-import { encodeField, bool, longText, float64, shortText, TaggedUnion } from '../wire/fields.js';
+import { bool, longText, float64, shortText, TaggedUnion } from '../wire/fields.js';
 import { decodeExtended, encodeSections } from '../wire/sections.js';
 import type { Section } from '../wire/sections.js';
 import type { JoinToken } from './membership.js';
@@ -94,12 +94,16 @@
 
 /** Encodes one change as a record with its header. */
 export function encodeRecord(change: WrittenChange): Buffer {
-  const fields = encodeField(recordField, toRecordValue(change));
-  const content = Buffer.concat([fields, encodeSections(sectionsOf(change))]);
-  const bytes = Buffer.allocUnsafe(HEADER_BYTES + content.length);
+  const value = toRecordValue(change);
+  const sections = encodeSections(sectionsOf(change));
+  const fieldBytes = recordField.size(value);
+  // Turns are large, so they are encoded into the record itself.
+  const bytes = Buffer.allocUnsafe(HEADER_BYTES + fieldBytes + sections.length);
+  const content = bytes.subarray(HEADER_BYTES);
+  recordField.encode(new r.EncodeStream(content), value);
+  content.set(sections, fieldBytes);
   bytes.writeUInt32LE(content.length, 0);
   bytes.writeUInt32LE(crc32(content), 4);
-  bytes.set(content, HEADER_BYTES);
   return bytes;
 }
 
--- a/src/turns/segment-turn-storage.ts
+++ b/src/turns/segment-turn-storage.ts
@@ -32,6 +32,8 @@
 const NO_SPACE_ERRORS: ReadonlySet<unknown> = new Set(['ENOSPC', 'EDQUOT']);
 /** Size of queued changes beyond which no more are taken from callers, in bytes; a disk may stall or fail for long. */
 const MAXIMUM_QUEUED_BYTES = 32 * 1024 * 1024;
+/** Size of encoded records from which on they are written, in bytes. */
+const SLICE_BYTES = 256 * 1024;
 /** Memory that a queued change takes beside the content of a turn, in bytes. */
 const CHANGE_BYTES = 512;
 /** Failures of a write in a row from which on the disk counts as failing; a single one may concern a segment only. */
@@ -68,6 +70,29 @@
   return change.tag !== 'dropEntry' && change.tag !== 'dropTurn';
 }
 
+/** Encodes changes, some records at a time: their copies would take as much memory as all that waits. */
+function* encodeSlices(changes: readonly WrittenChange[]): Generator<Buffer> {
+  let records: Buffer[] = [];
+  let bytes = 0;
+  for (const change of changes) {
+    const record = encodeRecord(change);
+    records.push(record);
+    bytes += record.length;
+    if (bytes >= SLICE_BYTES) {
+      yield joinRecords(records);
+      records = [];
+      bytes = 0;
+    }
+  }
+  if (records.length > 0) {
+    yield joinRecords(records);
+  }
+}
+
+function joinRecords(records: readonly Buffer[]): Buffer {
+  return records.length === 1 ? records[0]! : Buffer.concat(records);
+}
+
 /** Appends changes to segment files, syncs them in batches, and compacts the files. */
 export class SegmentTurnStorage implements TurnStorage {
   private queue: PendingWrite[] = [];
@@ -220,19 +245,22 @@
   }
 
   private async append(changes: readonly StorageChange[]): Promise<void> {
-    const records = changes.filter(isWritten).map(encodeRecord);
-    if (records.length === 0) {
+    const written = changes.filter(isWritten);
+    if (written.length === 0) {
       return;
     }
-    const bytes = Buffer.concat(records);
     this.file ??= await this.openSegment();
-    for (let from = 0; from < bytes.length;) {
-      const { bytesWritten } = await this.file.write(bytes, from);
-      from += bytesWritten;
+    let appendedBytes = 0;
+    for (const bytes of encodeSlices(written)) {
+      appendedBytes += bytes.length;
+      for (let from = 0; from < bytes.length;) {
+        const { bytesWritten } = await this.file.write(bytes, from);
+        from += bytesWritten;
+      }
     }
     await this.file.datasync();
     const segment = this.segments.at(-1)!;
-    segment.bytes += bytes.length;
+    segment.bytes += appendedBytes;
     if (segment.bytes >= MAXIMUM_SEGMENT_BYTES) {
       this.closeSegment();
     }
--- a/src/turns/tcp-replica-caller.ts
+++ b/src/turns/tcp-replica-caller.ts
@@ -1,11 +1,11 @@
 /** Calls replicas over TCP, with one persistent connection per replica and multiplexed calls. */
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
-import { encodeFrame, FrameReader } from '../wire/framing.js';
+import { FrameReader } from '../wire/framing.js';
 import type { CancelTimer, Runtime } from '../runtime/runtime.js';
 import type { RegionTraffic } from '../topology/region-traffic.js';
 import type { Member } from './membership.js';
-import { decodeReplicaMessage, encodeReplicaMessage } from './messages.js';
+import { decodeReplicaMessage, encodeReplicaFrame } from './messages.js';
 import type {
   OneWayMessage,
   ReplicaMessage,
@@ -63,7 +63,7 @@
     private readonly onMembers: (record: string) => void,
     private readonly newCall: () => number,
     private readonly traffic: RegionTraffic | undefined,
-    private readonly onReceived: (bytes: number) => void,
+    private readonly onBuffered: (bytes: number) => void,
   ) {
     this.protocol = this.newProtocol();
   }
@@ -108,7 +108,7 @@
   /** Sends a request; a reply is due from now on. */
   private sendRequest(request: ReplicaRequest): void {
     this.dueSince ??= this.runtime.now();
-    this.flush(encodeFrame(encodeReplicaMessage(request)));
+    this.flush(encodeReplicaFrame(request));
   }
 
   private newProtocol(): ConnectionProtocol {
@@ -129,7 +129,7 @@
     if (this.open() === undefined || this.bufferedBytes > MAXIMUM_QUEUED_BYTES) {
       return;
     }
-    const frame = encodeFrame(encodeReplicaMessage(message));
+    const frame = encodeReplicaFrame(message);
     this.bufferedFrames.push(frame);
     this.bufferedBytes += frame.length;
     if (this.bufferedFrames.length === 1) {
@@ -148,6 +148,7 @@
     this.bufferedBytes = 0;
     if (frames.length > 0 && this.socket !== undefined) {
       const bytes = frames.length === 1 ? frames[0]! : Buffer.concat(frames);
+      this.onBuffered(bytes.length);
       this.socket.write(bytes);
       this.traffic?.recordZone('replicas', 'sent', this.member.zone, bytes.length);
     }
@@ -171,7 +172,7 @@
   }
 
   private handleData(socket: Socket, reader: FrameReader, chunk: Buffer): void {
-    this.onReceived(chunk.length);
+    this.onBuffered(chunk.length);
     this.traffic?.recordZone('replicas', 'received', this.member.zone, chunk.length);
     try {
       for (const content of reader.push(chunk)) {
@@ -270,8 +271,8 @@
     private readonly onMembers: (record: string) => void,
     /** Counts the bytes exchanged with replicas by region. @default not counted */
     private readonly traffic?: RegionTraffic,
-    /** Called with the number of bytes of each read of a connection. */
-    private readonly onReceived: (bytes: number) => void = () => undefined,
+    /** Called with the number of bytes of each read, and of each message that is sent. */
+    private readonly onBuffered: (bytes: number) => void = () => undefined,
   ) {}
 
   call(
@@ -319,7 +320,7 @@
         this.onMembers,
         newCall,
         this.traffic,
-        this.onReceived,
+        this.onBuffered,
       );
       this.connections.set(member.id, connection);
     }
--- a/src/wire/framing.ts
+++ b/src/wire/framing.ts
@@ -12,9 +12,14 @@
 
 /** Encodes content as a frame. */
 export function encodeFrame(content: Uint8Array): Buffer {
-  const frame = Buffer.allocUnsafe(LENGTH_BYTES + content.length);
-  frame.writeUInt32BE(content.length, 0);
-  frame.set(content, LENGTH_BYTES);
+  return writeFrame(content.length, (bytes) => bytes.set(content));
+}
+
+/** Encodes content of a known size as a frame; `write` writes it in its place, since large content takes time and memory to copy. */
+export function writeFrame(contentBytes: number, write: (content: Buffer) => void): Buffer {
+  const frame = Buffer.allocUnsafe(LENGTH_BYTES + contentBytes);
+  frame.writeUInt32BE(contentBytes, 0);
+  write(frame.subarray(LENGTH_BYTES));
   return frame;
 }
 
