A member without memory for callers' turns still copies those of others

Found in a review of the bound on kept turns: members refuse turns of callers from 0.75 of their memory on, and copied none from others from there on either. A member whose disk was lost could then never hold what the others had kept, and the next lost disk would take turns.

Now turns of other members are copied up to 0.85. The scenario needs the two shares apart; with one share, as before, copies were refused at 80 of 100 MB. Where V8 doesn't provide its collection, nothing is collected early, in place of an exception.

--- a/features/replica-memory.feature
+++ b/features/replica-memory.feature
@@ -12,6 +12,15 @@
     When 70 MB are in use, of which 70 MB are needed
     Then 3 turns are kept
 
+  # Guards against a member that never holds all that others have kept.
+  Scenario: Turns of other members are copied beyond the share for those of callers
+    Given a replica with a memory limit of 100 MB
+    When 80 MB are in use, of which 80 MB are needed
+    Then after one more turn 20 turns are refused, and a log line says so
+    But turns of other members may be copied
+    When 88 MB are in use, of which 88 MB are needed
+    Then turns of other members may not be copied
+
   # Guards against a replica that copies from others what it has refused.
   Scenario: Members without memory hold no more turns, and copy what they lack once they have room
     Given members with 5 disks in one region
--- a/features/steps/replica-memory.steps.ts
+++ b/features/steps/replica-memory.steps.ts
@@ -115,6 +115,14 @@
   assert.equal(outcomeOf(this, { type: 'reserve', call: 3, epoch: 1, entry }), 'done');
 });
 
+Then('turns of other members may be copied', function (this: World) {
+  assert.equal(this.limited.isMemoryExhausted, false);
+});
+
+Then('turns of other members may not be copied', function (this: World) {
+  assert.equal(this.limited.isMemoryExhausted, true);
+});
+
 When('the memory of {int} members is used up', function (this: World, count: number) {
   for (let index = 0; index < count; index += 1) {
     this.members.useUpMemory(`m${index}`, true);
--- a/src/runtime/v8-buffer-heap.ts
+++ b/src/runtime/v8-buffer-heap.ts
@@ -7,14 +7,14 @@
 type Collect = (options: { readonly type: 'minor' | 'major' }) => void;
 
 /**
- * Returns `gc`. A flag exposes it to contexts that are created while it is set; set at the start, the flag would make V8 reject the
+ * Returns `gc`, or a function without effect where V8 doesn't provide it. A flag exposes it to contexts that are created while it is set; set at the start, the flag would make V8 reject the
  * compiled code of the program.
  */
 function exposeCollect(): Collect {
   setFlagsFromString('--expose-gc');
-  const collect = runInNewContext('gc') as Collect;
+  const collect = runInNewContext('globalThis.gc') as Collect | undefined;
   setFlagsFromString('--no-expose-gc');
-  return collect;
+  return collect ?? (() => undefined);
 }
 
 /**
--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -220,7 +220,10 @@
 /** The memory of a machine, as its replica sees it. */
 function memoryOf(machine: SimulatedMachine): TurnMemory {
   return {
-    get isReached() {
+    get isFull() {
+      return machine.hasNoMemory;
+    },
+    get isExhausted() {
       return machine.hasNoMemory;
     },
     noteRefused: () => undefined,
--- a/src/turns/replica-sync.ts
+++ b/src/turns/replica-sync.ts
@@ -401,7 +401,7 @@
       done(true);
       return;
     }
-    if (this.options.replica.isMemoryFull) {
+    if (this.options.replica.isMemoryExhausted) {
       done(false);
       return;
     }
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -438,15 +438,16 @@
     }
   }
 
-  /** Whether there is no memory for more turns. */
-  get isMemoryFull(): boolean {
-    return this.options.memoryLimit?.isReached === true;
+  /** Whether there is no memory for turns of other members. */
+  get isMemoryExhausted(): boolean {
+    return this.options.memoryLimit?.isExhausted === true;
   }
 
   /** Keeps a turn, unless there is no memory for it. */
   private keepTurn(turn: ConversationTurn, answer: (durable: boolean) => void): void {
-    if (this.isMemoryFull) {
-      this.options.memoryLimit?.noteRefused();
+    const { memoryLimit } = this.options;
+    if (memoryLimit?.isFull === true) {
+      memoryLimit.noteRefused();
       answer(false);
     } else {
       this.storeTurns([turn], answer, 'answered');
