A turn is stored only together with all its predecessors

What callers saw: a turn was answered whole, and every gateway but the one that answered it refused to continue it (503, "the earlier turns are out of reach") for as long as it was kept.

Cause: the retention of a chain is extended when a turn is stored, for the predecessors that are there by then. One that expired while the turn ran was gone, and members stored and acknowledged the turn all the same. The gateway that answered has the chain in its cache, which hid it; no stop is needed.

Change: a member that lacks a predecessor answers `lacksPredecessor` and stores nothing; a gateway that finds no majority with the whole chain stores the turn again with the chain as part of its input, which is what it sent to the runner. Predecessors that are copied after their successor are retained as long as it, and a member whose copy lacks one takes the turn from a member that needs none. A chain of more turns than are followed counts as unsure, not as found.

The scenario of absurd chains brought them about by `keep`, which is refused now: it checks the refusal and copies them.

--- a/features/absurd-messages.feature
+++ b/features/absurd-messages.feature
@@ -29,7 +29,7 @@
   # Guards against a turn of 64 KB that precedes itself: its chain took 655 MB, more than a replica's memory.
   Scenario Outline: A chain that never begins, or that no reply can carry, is not put together
     Given a replica at a port, with a disk
-    When it keeps <turns> turns of <KB> KB, each after the next, and the last after the first
+    When it copies <turns> turns of <KB> KB, each after the next, and the last after the first
     Then a read of that chain is answered "unsure" within 64 KB
 
     Examples:
--- a/features/steps/absurd-messages.steps.ts
+++ b/features/steps/absurd-messages.steps.ts
@@ -167,7 +167,7 @@
 );
 
 When(
-  'it keeps {int} turns of {int} KB, each after the next, and the last after the first',
+  'it copies {int} turns of {int} KB, each after the next, and the last after the first',
   { timeout: 20_000 },
   async function (this: World, count: number, kilobytes: number) {
     const output = Buffer.alloc(kilobytes * 1024, 1);
@@ -175,7 +175,11 @@
       const names = { id: `c${number}`, previous: `c${(number + 1) % count}` };
       const turn = { ...names, input: Buffer.alloc(0), output, retentionMilliseconds: 60_000 };
       const request = { type: 'keep' as const, call: 1, epoch: EPOCH, turn };
-      await new Promise((resolve) => this.absurdReplica.handle(request, resolve));
+      const reply = await new Promise<unknown>((resolve) =>
+        this.absurdReplica.handle(request, resolve),
+      );
+      assert.deepEqual(reply, { type: 'taken', call: 1, outcome: 'lacksPredecessor' });
+      await new Promise((resolve) => this.absurdReplica.storeTurns([turn], resolve));
     }
   },
 );
--- a/src/relay/answers/answer-reader.ts
+++ b/src/relay/answers/answer-reader.ts
@@ -45,6 +45,8 @@
   readonly context: RelayContext;
   readonly request: RelayRequest;
   readonly answer: ClientAnswer;
+  /** Body that is sent to runners: the body of the request, behind the chain of turns that it continues. */
+  readonly prompt: Buffer;
   /** Time until the request's deadline, in milliseconds. */
   readonly remainingMilliseconds: number;
   /** Records when the first byte of the answer is forwarded. */
--- a/src/relay/answers/stream-answer.ts
+++ b/src/relay/answers/stream-answer.ts
@@ -192,13 +192,14 @@
       retentionMilliseconds: request.route.retentionSeconds * MILLISECONDS_IN_SECOND,
     };
     const timeout = Math.min(STORE_TIMEOUT_MILLISECONDS, this.call.remainingMilliseconds);
-    context.turns.storeTurn(turn, timeout, (stored) => {
+    const handleStored = (stored: boolean): void => {
       if (stored) {
         this.call.answer.end();
         this.call.finishAnswered(status);
       } else {
         this.call.abort('the turn could not be stored');
       }
-    });
+    };
+    context.turns.storeTurn(turn, timeout, handleStored, this.call.prompt);
   }
 }
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -163,6 +163,10 @@
     };
   }
 
+  get prompt(): Buffer {
+    return this.requestState.body;
+  }
+
   /** Time until the request's deadline, in milliseconds. */
   get remainingMilliseconds(): number {
     return this.requestState.remainingMilliseconds;
--- a/src/simulation/simulated-replicas.ts
+++ b/src/simulation/simulated-replicas.ts
@@ -6,6 +6,7 @@
 import type { LogFunction, Runtime } from '../runtime/runtime.js';
 import type { RandomSource } from '../runtime/random.js';
 import { MemberDirectory } from '../turns/member-directory.js';
+import type { ConversationTurn } from '../turns/conversation-turn.js';
 import type { TurnMemory } from '../turns/memory-limit.js';
 import { MembershipController } from '../turns/membership-controller.js';
 import type { MembershipStore, StoredRecord } from '../turns/membership-store.js';
@@ -422,11 +423,24 @@
     );
   }
 
+  /** The chain that ends with a turn, as text, if the replica of a machine holds all of it. */
+  chainAt(name: string, turn: string): string | undefined {
+    const chain = this.machine(name).replica?.state.chainOf(turn);
+    return chain?.state === 'found' ? chain.body.toString() : undefined;
+  }
+
   /** Makes a machine's replica store turns, as writes that reach no other one do. */
   keepOn(name: string, ids: readonly string[]): void {
     const bytes = Buffer.alloc(0);
     const settings = { previous: '', input: bytes, output: bytes, retentionMilliseconds: 60_000 };
-    const turns = ids.map((id) => ({ id, ...settings }));
+    this.storeOn(
+      name,
+      ids.map((id) => ({ id, ...settings })),
+    );
+  }
+
+  /** Makes a machine's replica store turns as if it had copied them. */
+  storeOn(name: string, turns: readonly ConversationTurn[]): void {
     this.machine(name).replica?.storeTurns(turns, () => undefined);
   }
 
--- a/src/turns/conversation-turn.ts
+++ b/src/turns/conversation-turn.ts
@@ -13,3 +13,11 @@
   /** How long this turn and its predecessors are retained after the turn ends, in milliseconds. */
   readonly retentionMilliseconds: number;
 }
+
+/**
+ * Returns the same turn with the chain of its predecessors as part of its input, so that it needs none of them.
+ * @param prompt the chain of the predecessors, followed by the input of the turn
+ */
+export function withoutPredecessors(turn: ConversationTurn, prompt: Buffer): ConversationTurn {
+  return { ...turn, previous: '', input: prompt };
+}
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -50,7 +50,9 @@
   /** The replica is a member, but its state is incomplete. */
   | 'incomplete'
   /** The replica only knows an epoch older than the sender's. */
-  | 'olderEpoch';
+  | 'olderEpoch'
+  /** The replica lacks a predecessor of the turn, and has not stored it. */
+  | 'lacksPredecessor';
 
 /** All outcomes; the index is the wire format, so the list is append-only. */
 export const REPLICA_OUTCOMES: readonly ReplicaOutcome[] = [
@@ -60,6 +62,7 @@
   'diskFailed',
   'incomplete',
   'olderEpoch',
+  'lacksPredecessor',
 ];
 
 /** The result of looking up a chain of turns at one replica. */
--- a/src/turns/replica-state.ts
+++ b/src/turns/replica-state.ts
@@ -77,6 +77,8 @@
 export class ReplicaState {
   private readonly accounts = new Map<string, AccountRecord>();
   private readonly turns = new Map<string, TurnRecord>();
+  /** Wall time until which predecessors that are not here are needed, in milliseconds, by turn. */
+  private readonly awaitedUntil = new Map<string, number>();
   private readonly log: LoggedChange[] = [];
   /** Log position of the first entry of `log`; all earlier entries have expired. */
   private logStart = 0;
@@ -125,19 +127,32 @@
       : [...account.values()].map((reservation) => ({ program, ...reservation }));
   }
 
-  /** Adds a turn and extends the retention of its predecessors to at least its own. */
+  /**
+   * Adds a turn and extends the retention of its predecessors to at least its own, also of those that are added later. A turn
+   * that needs no predecessors replaces one whose predecessors are not here.
+   */
   addTurn(stored: StoredTurn): void {
     const { storedAt } = stored;
-    const turn = withOwnContent(stored.turn);
-    const expiresAt = storedAt + turn.retentionMilliseconds + CLOCK_SKEW_MILLISECONDS;
-    if (!this.turns.has(turn.id)) {
-      this.turns.set(turn.id, { turn, expiresAt });
-      this.log.push({ tag: 'turn', id: turn.id });
+    const { id, previous, retentionMilliseconds } = stored.turn;
+    const expiresAt = storedAt + retentionMilliseconds + CLOCK_SKEW_MILLISECONDS;
+    if (!this.turns.has(id) || (previous === '' && !this.hasChain(id))) {
+      this.turns.set(id, { turn: withOwnContent(stored.turn), expiresAt });
+      this.log.push({ tag: 'turn', id });
     }
-    let record = this.turns.get(turn.id);
-    for (let depth = 0; record !== undefined && depth < MAXIMUM_CHAIN_TURNS; depth += 1) {
+    this.extendChain(id, Math.max(expiresAt, this.awaitedUntil.get(id) ?? 0));
+    this.awaitedUntil.delete(id);
+  }
+
+  private extendChain(last: string, expiresAt: number): void {
+    let id = last;
+    for (let depth = 0; id !== '' && depth < MAXIMUM_CHAIN_TURNS; depth += 1) {
+      const record = this.turns.get(id);
+      if (record === undefined) {
+        this.awaitedUntil.set(id, Math.max(expiresAt, this.awaitedUntil.get(id) ?? 0));
+        return;
+      }
       record.expiresAt = Math.max(record.expiresAt, expiresAt);
-      record = this.turns.get(record.turn.previous);
+      id = record.turn.previous;
     }
   }
 
@@ -145,6 +160,19 @@
     return this.turns.has(id);
   }
 
+  /** Whether a turn and all its predecessors are here; true for the empty id, which stands for no turn. */
+  hasChain(last: string): boolean {
+    let id = last;
+    for (let depth = 0; id !== '' && depth < MAXIMUM_CHAIN_TURNS; depth += 1) {
+      const record = this.turns.get(id);
+      if (record === undefined) {
+        return false;
+      }
+      id = record.turn.previous;
+    }
+    return id === '';
+  }
+
   getTurn(id: string): ConversationTurn | undefined {
     return this.turns.get(id)?.turn;
   }
@@ -172,6 +200,9 @@
       parts.push(output, input);
       currentId = record.turn.previous;
     }
+    if (currentId !== '') {
+      return { state: 'unsure', body: Buffer.alloc(0) };
+    }
     return { state: 'found', body: Buffer.concat(parts.reverse()) };
   }
 
@@ -205,6 +236,11 @@
         changes.push({ tag: 'dropTurn', id });
       }
     }
+    for (const [id, neededUntil] of this.awaitedUntil) {
+      if (neededUntil < wallTime) {
+        this.awaitedUntil.delete(id);
+      }
+    }
     for (const [program, record] of this.accounts) {
       if (record.changedAt + ACCOUNT_RETENTION_MILLISECONDS < wallTime) {
         this.accounts.delete(program);
--- a/src/turns/replica-sync.ts
+++ b/src/turns/replica-sync.ts
@@ -351,7 +351,8 @@
     const missing = state.missingDigests(unpackDigests(reply.digests));
     this.fetchEntries(member, missing, (complete) => {
       if (complete) {
-        const turns = reply.turns.filter((turn) => !state.hasTurn(turn));
+        // A turn that is here without its predecessors may need none of them at the other member.
+        const turns = reply.turns.filter((turn) => !state.hasChain(turn));
         this.copyTurns(member, turns, done);
       } else {
         done(false);
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -333,7 +333,11 @@
       case 'keep': {
         const answer = (durable: boolean): void =>
           send({ type: 'taken', call, outcome: this.outcomeOf(request.epoch, durable, send) });
-        this.unlessFull(answer, () => this.keepTurn(request.turn, answer));
+        if (this.lacksPredecessor(request.turn)) {
+          send({ type: 'taken', call, outcome: 'lacksPredecessor' });
+        } else {
+          this.unlessFull(answer, () => this.keepTurn(request.turn, answer));
+        }
         return;
       }
       case 'chain': {
@@ -443,6 +447,14 @@
     return this.options.memoryLimit?.isExhausted === true;
   }
 
+  /**
+   * Whether a turn can't be read here, once it is stored, since a predecessor has expired or has not been copied yet. While this
+   * replica's state is incomplete, predecessors are still being copied, and nothing that it stores counts.
+   */
+  private lacksPredecessor({ id, previous }: ConversationTurn): boolean {
+    return this.isReady && !this.state.hasChain(previous) && !this.state.hasChain(id);
+  }
+
   /** Keeps a turn, unless there is no memory for it. */
   private keepTurn(turn: ConversationTurn, answer: (durable: boolean) => void): void {
     const { memoryLimit } = this.options;
@@ -478,9 +490,10 @@
     const storedAt = this.options.runtime.wallTime();
     const changes = turns.map((turn): StorageChange => {
       this.state.addTurn({ turn, storedAt });
-      // The state has a copy; what waits for the disk would keep the received message as well.
-      const { input, output } = this.state.getTurn(turn.id) ?? turn;
-      return { tag: 'turn', turn: { turn: { ...turn, input, output }, storedAt } };
+      // The state has a copy; what waits for the disk would keep the received message as well. It may hold the turn in its other
+      // form, with or without predecessors.
+      const { previous, input, output } = this.state.getTurn(turn.id) ?? turn;
+      return { tag: 'turn', turn: { turn: { ...turn, previous, input, output }, storedAt } };
     });
     this.options.storage.write(changes, done, urgency);
   }
--- a/src/turns/turn-client.ts
+++ b/src/turns/turn-client.ts
@@ -9,6 +9,7 @@
 import { mergeReservation } from './account.js';
 import { ChainCache } from './chain-cache.js';
 import { FailedWriteLog } from './failed-write-log.js';
+import { withoutPredecessors } from './conversation-turn.js';
 import type { ConversationTurn } from './conversation-turn.js';
 import type { MemberDirectory } from './member-directory.js';
 import { majorityOf, readQuorumOf } from './membership.js';
@@ -79,8 +80,17 @@
 /** Time after which the next replica is also asked for a chain, in milliseconds. */
 const HEDGE_MILLISECONDS = 40;
 
-/** Builds the request for the replicas of an epoch. */
-type EpochRequest = (epoch: number) => UnnumberedRequest;
+/** A write to a majority of the members, repeated until its deadline. */
+interface ClientWrite {
+  /** Determines the order of the members. */
+  readonly key: string;
+  /** Builds the request for the members of an epoch. */
+  readonly request: (epoch: number) => UnnumberedRequest;
+  /** Local time, in milliseconds. */
+  readonly deadline: number;
+  /** Called when no majority acknowledged; returns whether the request is different now and is worth sending at once. */
+  readonly adapt?: (outcomes: MemberOutcomes) => boolean;
+}
 
 /** Reserves and settles tokens, stores and reads turns, and gives access to what members know of the origins of streams. */
 export class TurnClient {
@@ -135,15 +145,35 @@
     members.forEach((member) => this.options.caller.notify(member, { type: 'settle', entry }));
   }
 
-  /** Stores a turn; calls back with true once it is durable at a majority of the replicas. */
+  /**
+   * Stores a turn; calls back with true once it is durable at a majority of the replicas, together with all its predecessors.
+   * @param prompt the chain of the predecessors, followed by the input of the turn. It is stored in place of the input if the
+   * predecessors expired while the turn ran. @default such a turn is not stored
+   */
   storeTurn(
     turn: ConversationTurn,
     timeoutMilliseconds: number,
     done: (stored: boolean) => void,
+    prompt?: Buffer,
   ): void {
-    const request: EpochRequest = (epoch) => ({ type: 'keep', epoch, turn });
-    const deadline = this.options.runtime.now() + timeoutMilliseconds;
-    this.write(turn.id, request, deadline, (replies) => {
+    const { runtime } = this.options;
+    let turnToStore = turn;
+    const write: ClientWrite = {
+      key: turn.id,
+      request: (epoch) => ({ type: 'keep', epoch, turn: turnToStore }),
+      deadline: runtime.now() + timeoutMilliseconds,
+      adapt: (outcomes) => {
+        const canAdapt = prompt !== undefined && turnToStore === turn;
+        if (!canAdapt || ![...outcomes.values()].includes('lacksPredecessor')) {
+          return false;
+        }
+        turnToStore = withoutPredecessors(turn, prompt);
+        const fields = { event: 'turn.selfContained', turn: turn.id, bytes: prompt.length };
+        runtime.log('info', 'the predecessors of a turn are stored with it', fields);
+        return true;
+      },
+    };
+    this.write(write, (replies) => {
       if (replies !== undefined) {
         this.chains.add(turn);
       }
@@ -179,8 +209,12 @@
   ): void {
     const { program, turn, mostTokens, budgetTokens } = request;
     const entry = { program, turn, mostTokens, usedTokens: undefined };
-    const epochRequest: EpochRequest = (epoch) => ({ type: 'reserve', epoch, entry });
-    this.write(program, epochRequest, deadline, (replies) => {
+    const write: ClientWrite = {
+      key: program,
+      request: (epoch) => ({ type: 'reserve', epoch, entry }),
+      deadline,
+    };
+    this.write(write, (replies) => {
       if (replies === undefined) {
         done('unavailable');
         return;
@@ -201,12 +235,11 @@
 
   /** Writes to the current members; calls back with the replies of a majority, or undefined at the deadline. */
   private write(
-    key: string,
-    request: EpochRequest,
-    deadline: number,
+    clientWrite: ClientWrite,
     done: (replies: readonly ReplicaReply[] | undefined) => void,
   ): void {
     const { runtime, directory } = this.options;
+    const { key, request, deadline, adapt = () => false } = clientWrite;
     const record = directory.current;
     const remainingMilliseconds = deadline - runtime.now();
     if (record === undefined || remainingMilliseconds <= 0) {
@@ -214,6 +247,7 @@
       return;
     }
     let isFull = false;
+    let isAdapted = false;
     const write = {
       record,
       request: request(record.epoch),
@@ -222,17 +256,17 @@
       distances: this.options.distances,
       rankOf: this.rankOf,
       onFailed: (outcomes: MemberOutcomes) => {
+        isAdapted = adapt(outcomes);
         isFull = hasMajorityOfFullDisks(record, outcomes);
         this.failedWrites.recordFailure(record.epoch, outcomes);
       },
     };
     writeToQuorum(runtime, this.options.caller, write, (replies) => {
       const hasNewerRecord = (directory.current?.epoch ?? 0) > record.epoch;
-      if (
-        replies === undefined &&
-        (hasNewerRecord || (!isFull && deadline - runtime.now() > EPOCH_RETRY_MILLISECONDS))
-      ) {
-        runtime.setTimer(EPOCH_RETRY_MILLISECONDS, () => this.write(key, request, deadline, done));
+      const pause = isAdapted ? 0 : EPOCH_RETRY_MILLISECONDS;
+      const mayRetry = isAdapted || hasNewerRecord || (!isFull && deadline - runtime.now() > pause);
+      if (replies === undefined && mayRetry) {
+        runtime.setTimer(pause, () => this.write(clientWrite, done));
       } else {
         done(replies);
       }
