The account of a program is retained for as long as its turns

What callers saw: a program that came back more than 300 s after its last change, on a route that retains its turns for longer, could spend its budget again.

Cause: accounts were dropped 300 s after their last change, whatever their turns; the same class as turns without predecessors: a record is kept for less long than something that was promised on it.

Change: an account is dropped once none of its turns is held, and 300 s after its last change at the earliest. A reservation has the id under which its turn is stored, also for tenants.

The new scenarios of an account whose turn is retained for 600 s, and of the ids, fail without the change.

--- a/features/retained-turns.feature
+++ b/features/retained-turns.feature
@@ -36,3 +36,18 @@
     Then it is not stored
     When a turn that continues an unknown one is stored with a prompt
     Then all 3 replicas hold the prompt and the output as its chain
+
+  # Guards against a program that spends its budget again when it comes back: its account was dropped before its turns.
+  Scenario: The account of a program is retained for as long as its turns
+    Given a replica with a turn that is retained for 600 s, and the reservation of its tokens
+    Then the reservation is there after 600 s, and is dropped after 615 s
+
+  # Guards against accounts that are never dropped, and against a program without retained turns that spends its budget again.
+  Scenario: The account of a program without retained turns is retained for 300 s
+    Given a replica with the reservation of the tokens of a turn
+    Then the reservation is there after 295 s, and is dropped after 305 s
+
+  # Guards against accounts of tenants' programs that are dropped before their turns, since the two have different ids.
+  Scenario: A reservation has the id under which its turn is stored
+    When a turn "t" of program "p" of tenant "acme" is prepared
+    Then tokens were reserved for turn "4:acme:t" of program "4:acme:p"
--- a/features/steps/retained-turns.steps.ts
+++ b/features/steps/retained-turns.steps.ts
@@ -3,12 +3,15 @@
 import { Given, Then, When } from '@cucumber/cucumber';
 import { runRetentionHistory } from '../../src/histories/retention-history.js';
 import type { RetentionHistoryResult } from '../../src/histories/retention-history.js';
+import { PREPARATION_STAGE } from '../../src/relay/stages/preparation-stage.js';
+import type { RequestState } from '../../src/relay/stages/request-state.js';
 import { createRandom } from '../../src/runtime/random.js';
 import { SimulatedReplicas } from '../../src/simulation/simulated-replicas.js';
 import { VirtualClock } from '../../src/simulation/virtual-clock.js';
 import { withoutPredecessors } from '../../src/turns/conversation-turn.js';
 import type { ConversationTurn } from '../../src/turns/conversation-turn.js';
 import { ReplicaState } from '../../src/turns/replica-state.js';
+import type { ReserveRequest } from '../../src/turns/turn-client.js';
 
 interface World {
   retentionHistories: RetentionHistoryResult[];
@@ -16,6 +19,7 @@
   retainedClock: VirtualClock;
   holders: SimulatedReplicas;
   isStored: boolean;
+  reservation: ReserveRequest;
 }
 
 const MILLISECONDS_IN_SECOND = 1_000;
@@ -151,3 +155,62 @@
   const chains = NAMES.map((name) => this.holders.chainAt(name, 'd'));
   assert.deepEqual(chains, Array(NAMES.length).fill('c;c;d;d;'));
 });
+
+/** Returns a state with the reservation of the tokens of turn `a`. */
+function stateWithReservation(): ReplicaState {
+  const state = new ReplicaState();
+  const entry = { program: 'p', turn: 'a', mostTokens: 50, usedTokens: 20 };
+  state.mergeEntry({ entry, storedAt: 0 });
+  return state;
+}
+
+Given(
+  'a replica with a turn that is retained for {int} s, and the reservation of its tokens',
+  function (this: World, seconds: number) {
+    this.state = stateWithReservation();
+    this.state.addTurn({ turn: turnOf('a', '', seconds), storedAt: 0 });
+  },
+);
+
+Given('a replica with the reservation of the tokens of a turn', function (this: World) {
+  this.state = stateWithReservation();
+});
+
+Then(
+  'the reservation is there after {int} s, and is dropped after {int} s',
+  function (this: World, seconds: number, dropSeconds: number) {
+    this.state.expire(seconds * MILLISECONDS_IN_SECOND);
+    assert.equal(this.state.entriesOf('p').length, 1);
+    this.state.expire(dropSeconds * MILLISECONDS_IN_SECOND);
+    assert.deepEqual(this.state.entriesOf('p'), []);
+  },
+);
+
+When(
+  'a turn {string} of program {string} of tenant {string} is prepared',
+  function (this: World, id: string, program: string, tenant: string) {
+    const reserve = (request: ReserveRequest): void => {
+      this.reservation = request;
+    };
+    const request = {
+      id,
+      tenant: { id: tenant },
+      program: { program, session: 's', budgetTokens: 100 },
+      maximumOutputTokens: 50,
+      route: { kind: 'stream', retained: true },
+    };
+    const context = { turns: { reserve } };
+    const state = { context, request, isFinished: false, remainingMilliseconds: 1_000 };
+    const outcome = PREPARATION_STAGE.decide(state as unknown as RequestState);
+    assert.ok(outcome.tag === 'Wait');
+    outcome.begin(() => undefined);
+  },
+);
+
+Then(
+  'tokens were reserved for turn {string} of program {string}',
+  function (this: World, turn: string, program: string) {
+    const { turn: reservedTurn, program: account } = this.reservation;
+    assert.deepEqual([reservedTurn, account], [turn, program]);
+  },
+);
--- a/src/relay/stages/preparation-stage.ts
+++ b/src/relay/stages/preparation-stage.ts
@@ -58,13 +58,15 @@
 
 function reserve(requestState: RequestState, resume: Resume): void {
   const { request, context } = requestState;
-  const { id: turn, program, maximumOutputTokens: mostTokens, tenant } = request;
+  const { id, program, maximumOutputTokens: mostTokens, tenant } = request;
   const budgetTokens = program?.budgetTokens;
   if (requestState.isFinished || program === undefined || budgetTokens === undefined) {
     resume(GO_ON);
     return;
   }
   const account = tenantScopedId(tenant, program.program);
+  // The name under which the turn is stored: replicas retain the account for as long as its turns.
+  const turn = tenantScopedId(tenant, id);
   const reservation = { program: account, turn, mostTokens, budgetTokens };
   context.turns.reserve(reservation, replicaTimeoutMilliseconds(requestState), (outcome) => {
     if (outcome === 'spent') {
--- a/src/turns/account.ts
+++ b/src/turns/account.ts
@@ -5,7 +5,7 @@
 
 /** The tokens that one turn reserves from the account. */
 export interface Reservation {
-  /** Request id of the turn. */
+  /** Id of the turn, under which it is stored if its route retains turns. */
   readonly turn: string;
   /** Maximum number of tokens that the turn may return. */
   readonly mostTokens: number;
@@ -13,7 +13,7 @@
   readonly usedTokens: number | undefined;
 }
 
-/** Reservations of one program, keyed by the request id of the turn. */
+/** Reservations of one program, keyed by the id of the turn. */
 export type Account = Map<string, Reservation>;
 
 /** Merges a reservation into an account; returns whether the account changed. A settled reservation stays settled. */
--- a/src/turns/replica-state.ts
+++ b/src/turns/replica-state.ts
@@ -7,7 +7,7 @@
 import { packDigests, ReservationDigests } from './reservation-digests.js';
 import type { StorageChange, StoredEntry, StoredTurn } from './turn-storage.js';
 
-/** Time for which an account is retained after its last change, in milliseconds. */
+/** Time for which an account is retained after its last change at least, in milliseconds. */
 const ACCOUNT_RETENTION_MILLISECONDS = 300_000;
 /** Allowance for clock skew between machines, added to the retention of turns, in milliseconds. */
 const CLOCK_SKEW_MILLISECONDS = 10_000;
@@ -242,7 +242,10 @@
       }
     }
     for (const [program, record] of this.accounts) {
-      if (record.changedAt + ACCOUNT_RETENTION_MILLISECONDS < wallTime) {
+      if (
+        record.changedAt + ACCOUNT_RETENTION_MILLISECONDS < wallTime &&
+        !this.retainsTurnOf(record.account)
+      ) {
         this.accounts.delete(program);
         for (const reservation of record.account.values()) {
           this.digests.drop({ program, ...reservation });
@@ -254,6 +257,16 @@
     return changes;
   }
 
+  /** Whether a program may come back, because a turn that can be continued is here. */
+  private retainsTurnOf(account: Account): boolean {
+    for (const turn of account.keys()) {
+      if (this.turns.has(turn)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Removes log entries from the start of the log whose turns and reservations were dropped. */
   private trimLog(): void {
     const isLive = (change: LoggedChange): boolean =>
