A turn that its client resumes is stored with all that the client received

It needs no kill, and happened at the same gateway too.

Cause: a gateway stored what it had forwarded for the request that ended, not what the client had received by all requests.

Change: gateways send the events of turns that may be resumed to three members before they forward them; members hold them in memory, by position. The new stage `output` reads what the client has received up to its `Last-Event-Id`, and refuses the resumption before it reserves anything if that isn't known. On routes that retain turns and can't be resumed, `Last-Event-Id` is no longer sent to runners: a turn could be stored in part that way as well.

Why it works: what is stored is what members know up to the client's last event, followed by what this request forwards. Where two requests bring different events, none from there on is given out.

--- a/features/steps/two-builds.steps.ts
+++ b/features/steps/two-builds.steps.ts
@@ -136,6 +136,16 @@
     fields: { stream: 's', isShared: false, isComplete: true },
     hex: '26000000090001730001',
   },
+  recordOutput: {
+    fields: { stream: 's', position: 2, events: [{ id: '3', output: Buffer.from('a\n') }] },
+    hex: '2700000009000173000000020000000100013300000002610a',
+  },
+  outputRecorded: { fields: {}, hex: '2800000009' },
+  findOutput: { fields: { stream: 's', lastEvent: '3' }, hex: '2900000009000173000133' },
+  outputFound: {
+    fields: { found: true, position: 3, output: Buffer.from('a\n') },
+    hex: '2a00000009010000000300000002610a',
+  },
 };
 const RECORD_HEADER_BYTES = 8;
 const UNKNOWN_RECORD_KIND = 5;
--- a/features/support/version-world.ts
+++ b/features/support/version-world.ts
@@ -54,6 +54,18 @@
     { service: OTHER_SERVICE, weight: 1 },
   ],
 };
+/** Path prefix of a route that retains its turns, and may be resumed. */
+export const RETAINED_PATH = '/retained';
+/** Path prefix of a route that retains its turns, and may not be resumed. */
+export const UNRESUMABLE_PATH = '/unresumable';
+const RETAINED_ROUTES: readonly Route[] = [RETAINED_PATH, UNRESUMABLE_PATH].map((path) => ({
+  ...ROUTE,
+  name: path.slice(1),
+  pathPrefix: `${path}/`,
+  retained: true,
+  retentionSeconds: 60,
+  resumable: path === RETAINED_PATH,
+}));
 const LIMITS = {
   headerBytes: 4_096,
   bodyBytes: 100_000,
@@ -219,7 +231,7 @@
       cachesPrompts: true,
       memoryTokens: undefined,
     }));
-    const routes = [this.route, SPLIT_ROUTE];
+    const routes = [this.route, SPLIT_ROUTE, ...RETAINED_ROUTES];
     gateway.applyTable(createRoutingTable(this.tableVersion, routes, services, LIMITS), 'test');
   }
 
@@ -288,12 +300,14 @@
    * Sends one try to a gateway.
    * @param resumed the try whose answer brought the stream's first event, and the last event received
    * @param leaveAfter number of events after which the client leaves
+   * @param previousTurn the turn that the request continues
    */
   send(
     gateway: number,
     resumed?: { readonly requestId: string | undefined; readonly lastEvent: number | string },
     leaveAfter = Infinity,
     path = '',
+    previousTurn?: string,
   ): Promise<TryResult> {
     this.requestCount += 1;
     const requestId = `request-${this.requestCount}`;
@@ -309,6 +323,9 @@
     if (resumed?.requestId !== undefined) {
       headers[NAMES.resumes] = resumed.requestId;
     }
+    if (previousTurn !== undefined) {
+      headers[NAMES.previousTurn] = previousTurn;
+    }
     const target = { host: HOST, port: this.fronts[gateway]!, agent: false as const };
     return new Promise((resolve) => {
       const options = { ...target, method: 'POST', path: `${path}/chat?stream`, headers };
--- a/features/support/wire-arbitraries.ts
+++ b/features/support/wire-arbitraries.ts
@@ -138,6 +138,15 @@
     isShared: fc.boolean(),
     isComplete: fc.boolean(),
   },
+  recordOutput: {
+    call: whole,
+    stream: text,
+    position: whole,
+    events: fc.array(fc.record({ id: text, output: bytes }, plain)),
+  },
+  outputRecorded: { call: whole },
+  findOutput: { call: whole, stream: text, lastEvent: text },
+  outputFound: { call: whole, found: fc.boolean(), position: whole, output: bytes },
 };
 
 /** Generates a message of any kind. */
--- a/src/relay/answers/local-answers.ts
+++ b/src/relay/answers/local-answers.ts
@@ -177,6 +177,16 @@
   return { status: 503, detail, verdict: 'NotRun' };
 }
 
+/**
+ * What the client has received of the turn that it resumes is not known, so that the whole turn can't be stored.
+ * @param mayBecomeKnown whether replicas that know it may not have answered; otherwise the client has to start anew
+ */
+export function outputUnknown(mayBecomeKnown: boolean): LocalAnswer {
+  const detail = 'what was received of the turn up to the last event is not known';
+  const answer = { status: 503, detail, verdict: 'NotRun' as const };
+  return mayBecomeKnown ? { ...answer, retryAfterSeconds: ORIGIN_RETRY_SECONDS } : answer;
+}
+
 /** No runner of the software version that began a stream is left. To wait changes nothing: the client has to start anew. */
 export function originLost({ service, version }: StreamOrigin): LocalAnswer {
   const detail = `no runner of service ${service} is left of the software version "${version}", which began the stream`;
--- a/src/relay/answers/stream-answer.ts
+++ b/src/relay/answers/stream-answer.ts
@@ -7,9 +7,13 @@
 import { AnswerBody } from './answer-body.js';
 import { FIRST_REDIRECT } from './answer-reader.js';
 import type { AnsweredCall, AnswerHead, AnswerReader } from './answer-reader.js';
+import type { MemoryAllocation } from '../memory/memory-accounts.js';
 import { tenantScopedId } from '../request/tenant.js';
+import { MAXIMUM_OUTPUT_ID_LENGTH } from '../../turns/stream-outputs.js';
+import type { FoundOutput, OutputEvent } from '../../turns/stream-outputs.js';
 
 const LINE_FEED = Buffer.from('\n');
+const EMPTY_BUFFER = Buffer.alloc(0);
 /** Timeout for storing a turn. */
 const STORE_TIMEOUT_MILLISECONDS = 1_500;
 const MILLISECONDS_IN_SECOND = 1_000;
@@ -18,6 +22,14 @@
 /** Events of a turn that is stored: each takes memory beside its data. */
 const MAXIMUM_TURN_EVENTS = 65_536;
 
+/** What an event adds to the output of its turn, and the id by which its client may resume after it. */
+function outputEventOf({ id = '', data, hasData }: StreamEvent): OutputEvent {
+  return {
+    id: id.length <= MAXIMUM_OUTPUT_ID_LENGTH ? id : '',
+    output: hasData ? Buffer.concat([data, LINE_FEED]) : EMPTY_BUFFER,
+  };
+}
+
 /** Reader of one call's stream; it stays in use across attempts. */
 export class StreamAnswer implements AnswerReader {
   /** Id of the last forwarded event; undefined before the first event with an id. */
@@ -36,9 +48,15 @@
   private isTurnIncomplete = false;
   /** Data of the events of a turn that will be stored, or the body of an error. */
   private readonly output: AnswerBody;
+  /** What the client received of the turn before this request. */
+  private received: FoundOutput = { position: 0, output: EMPTY_BUFFER };
+  private readonly receivedAllocation: MemoryAllocation;
+  /** Number of forwarded events, with or without data. */
+  private forwardedCount = 0;
 
   constructor(private readonly call: AnsweredCall) {
     this.output = new AnswerBody(call.context.memory, 'turns');
+    this.receivedAllocation = call.context.memory.allocate('turns');
     this.noteTokensPerEvent();
   }
 
@@ -58,6 +76,12 @@
     }
   }
 
+  /** Continues a turn of which the client received events by an earlier request. */
+  continueAfter(received: FoundOutput): void {
+    this.received = received;
+    this.receivedAllocation.set(received.output.length);
+  }
+
   /** Prepares for another attempt; returns false if the stream has started and is not resumable. */
   prepareResume(): boolean {
     this.splitter = new EventSplitter();
@@ -117,6 +141,7 @@
 
   release(): void {
     this.output.release();
+    this.receivedAllocation.release();
   }
 
   private failIf(mistake: string | undefined): void {
@@ -127,7 +152,7 @@
 
   /** Forwards events in one write, up to the first that shows that the stream is not a valid one. */
   private forward(events: readonly StreamEvent[]): void {
-    const accepted: Buffer[] = [];
+    const accepted: StreamEvent[] = [];
     let mistake: string | undefined;
     for (const event of events) {
       mistake = this.mistakeIn(event) ?? this.store(event);
@@ -135,14 +160,27 @@
         break;
       }
       this.note(event);
-      accepted.push(event.bytes);
+      accepted.push(event);
     }
     if (accepted.length > 0) {
-      this.call.answer.write(accepted.length === 1 ? accepted[0]! : Buffer.concat(accepted));
+      this.recordOutput(accepted);
+      const [{ bytes }] = accepted as [StreamEvent];
+      const all = accepted.length === 1 ? bytes : Buffer.concat(accepted.map((each) => each.bytes));
+      this.call.answer.write(all);
     }
     this.failIf(mistake);
   }
 
+  /** Records what the client is about to receive, if it may resume the turn elsewhere. */
+  private recordOutput(events: readonly StreamEvent[]): void {
+    const { retained, resumable } = this.call.request.route;
+    if (retained && resumable) {
+      const position = this.received.position + this.forwardedCount;
+      this.call.recordOutput(position, events.map(outputEventOf));
+      this.forwardedCount += events.length;
+    }
+  }
+
   private mistakeIn(event: StreamEvent): string | undefined {
     this.bytesWithoutData = event.hasData ? 0 : this.bytesWithoutData + event.bytes.length;
     return this.bytesWithoutData > MAXIMUM_BYTES_WITHOUT_DATA
@@ -156,7 +194,7 @@
       return undefined;
     }
     const mistake =
-      this.eventCount < MAXIMUM_TURN_EVENTS
+      this.received.position + this.eventCount < MAXIMUM_TURN_EVENTS
         ? this.output.add(data, LINE_FEED)
         : `a turn of more than ${MAXIMUM_TURN_EVENTS} events`;
     this.isTurnIncomplete ||= mistake !== undefined;
@@ -174,6 +212,14 @@
     this.eventCount += event.hasData ? 1 : 0;
   }
 
+  /** What the client has received of the turn, also by earlier requests. */
+  private get wholeOutput(): Buffer {
+    const { output } = this.received;
+    return output.length === 0
+      ? this.output.concat()
+      : Buffer.concat([output, this.output.concat()]);
+  }
+
   private storeThenEnd(status: number): void {
     const { request, context } = this.call;
     if (!request.route.retained) {
@@ -188,7 +234,7 @@
           ? ''
           : tenantScopedId(request.tenant, request.previousTurn),
       input: request.body,
-      output: this.output.concat(),
+      output: this.wholeOutput,
       retentionMilliseconds: request.route.retentionSeconds * MILLISECONDS_IN_SECOND,
     };
     const timeout = Math.min(STORE_TIMEOUT_MILLISECONDS, this.call.remainingMilliseconds);
--- a/src/relay/stages/request-state.ts
+++ b/src/relay/stages/request-state.ts
@@ -3,6 +3,7 @@
 import type { RelayRequest } from '../request/relay-request.js';
 import type { FoundOrigin, OriginSource } from '../runners/resumable-streams.js';
 import type { StreamOrigin } from '../../turns/stream-origins.js';
+import type { FoundOutput } from '../../turns/stream-outputs.js';
 
 /** Called when a request has finished, with the number of tokens delivered to the client. */
 export type FinishListener = (deliveredTokens: number) => void;
@@ -31,6 +32,8 @@
   originSource: OriginSource | undefined;
   /** The stream that the request continues without naming it; undefined if it does, or if the stream isn't known. */
   unnamedStream: string | undefined;
+  /** What the client has received of the turn that it resumes; undefined for other requests. */
+  receivedOutput: FoundOutput | undefined;
   private isProgramStart: boolean;
   private selectedService: string | undefined;
   private finishListeners: FinishListener[] = [];
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -35,6 +35,8 @@
 import { tenantScopedId } from '../request/tenant.js';
 import type { RelayRequest } from '../request/relay-request.js';
 import { rankOf } from '../request/request-rank.js';
+import { MAXIMUM_OUTPUT_ID_LENGTH } from '../../turns/stream-outputs.js';
+import type { OutputEvent } from '../../turns/stream-outputs.js';
 import type { EngineSample } from '../runners/engine-estimate.js';
 import type { Exposure } from '../runners/runner-ends.js';
 import { engineSampleOf } from '../runners/engine-sample.js';
@@ -198,6 +200,13 @@
     }
   }
 
+  recordOutput(position: number, events: readonly OutputEvent[]): void {
+    const stream = this.streamIds.at(-1);
+    if (stream !== undefined && stream.length <= MAXIMUM_OUTPUT_ID_LENGTH) {
+      this.context.turns.outputs.record({ stream, position, events });
+    }
+  }
+
   /** Ids under which a client may resume the stream: that of the request, and of the one that it resumes. */
   private get streamIds(): string[] {
     const { id, resumes, tenant } = this.request;
@@ -306,6 +315,10 @@
 
   private handleStagesDone(refusal: StageRefusal | undefined): void {
     if (refusal === undefined) {
+      const { receivedOutput } = this.requestState;
+      if (receivedOutput !== undefined) {
+        this.stream?.continueAfter(receivedOutput);
+      }
       this.startNextAttempt();
       return;
     }
@@ -395,7 +408,7 @@
     const now = context.runtime.now();
     this.dispatchedAt ??= now;
     this.lastChosen = chosen;
-    const lastEventId = this.stream?.lastEventId ?? request.lastEventId;
+    const lastEventId = this.stream?.lastEventId ?? this.requestedEventId;
     this.logResumption(runner, lastEventId);
     const headers = headersToRunner(request, context.names, {
       runnerId: runner.id,
@@ -449,6 +462,12 @@
     this.current = { ...placed, exposure: undefined };
   }
 
+  /** Id of the event after which the client wants the stream; a turn that can't be resumed is stored, and sent, from its start. */
+  private get requestedEventId(): string | undefined {
+    const { route, lastEventId } = this.request;
+    return route.retained && !route.resumable ? undefined : lastEventId;
+  }
+
   private noteWritten(record: RunnerRecord): void {
     if (this.current !== undefined) {
       const { ends, suspects } = this.context;
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -35,6 +35,7 @@
   StreamOrigin,
   StreamOriginEntry,
 } from './stream-origins.js';
+import type { FoundOutput, OutputEvent } from './stream-outputs.js';
 import type { ListedVersion } from './version-reports.js';
 
 /** The outcome of a request at one replica. */
@@ -140,7 +141,11 @@
   /** Records which stream has a content; held in memory like its origin. */
   | { type: 'recordContents'; call: number; entries: StreamContentEntry[] }
   /** Asks which stream has a content. */
-  | { type: 'findContent'; call: number; content: StreamContent };
+  | { type: 'findContent'; call: number; content: StreamContent }
+  /** Records events of a turn that its client may resume; held in memory for that time. */
+  | { type: 'recordOutput'; call: number; stream: string; position: number; events: OutputEvent[] }
+  /** Asks for the output of a turn up to an event. */
+  | { type: 'findOutput'; call: number; stream: string; lastEvent: string };
 
 /** Replies. */
 export type ReplicaReply =
@@ -170,7 +175,10 @@
     }
   | { type: 'contentsRecorded'; call: number }
   /** What this replica knows of a content. */
-  | ({ type: 'contentFound'; call: number } & FoundContent);
+  | ({ type: 'contentFound'; call: number } & FoundContent)
+  | { type: 'outputRecorded'; call: number }
+  /** The output of a turn up to an event; empty if this replica doesn't know it. */
+  | ({ type: 'outputFound'; call: number; found: boolean } & FoundOutput);
 
 /** The reply to a pull. */
 export interface PulledLog {
@@ -278,6 +286,7 @@
 
 const streamOriginField = record({ stream: shortText, service: shortText, version: shortText });
 const streamContentField = record({ content: float64, stream: shortText });
+const outputEventField = record({ id: shortText, output: bytes });
 const listedVersionField = record({
   service: shortText,
   version: shortText,
@@ -386,6 +395,16 @@
     type: 'contentFound',
     fields: { call: uint32, stream: shortText, isShared: bool, isComplete: bool },
   },
+  {
+    type: 'recordOutput',
+    fields: { call: uint32, stream: shortText, position: uint32, events: listOf(outputEventField) },
+  },
+  { type: 'outputRecorded', fields: { call: uint32 } },
+  { type: 'findOutput', fields: { call: uint32, stream: shortText, lastEvent: shortText } },
+  {
+    type: 'outputFound',
+    fields: { call: uint32, found: bool, position: uint32, output: bytes },
+  },
 ];
 const message = new TaggedUnion(BRANCHES);
 
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -35,6 +35,8 @@
 import { StoredSuspects } from './stored-suspects.js';
 import { StreamContents, StreamOrigins } from './stream-origins.js';
 import type { StreamOrigin } from './stream-origins.js';
+import { StreamOutputs } from './stream-outputs.js';
+import type { FoundOutput } from './stream-outputs.js';
 import { VersionReports } from './version-reports.js';
 import type {
   ReplicaMeta,
@@ -53,6 +55,8 @@
 const MAXIMUM_ORIGIN_BYTES = 20 * 1024 * 1024;
 /** Memory of the contents of streams in a generation, in bytes. */
 const MAXIMUM_CONTENT_BYTES = 10 * 1024 * 1024;
+/** Memory of the output of unfinished turns, in bytes. */
+const MAXIMUM_OUTPUT_BYTES = 16 * 1024 * 1024;
 /** Size of a fetch reply beyond which no further turn is added, in bytes; at least one turn is sent. */
 const MAXIMUM_FETCH_BYTES = 1024 * 1024;
 
@@ -97,7 +101,9 @@
       | 'readSuspects'
       | 'exchangeVersions'
       | 'recordContents'
-      | 'findContent';
+      | 'findContent'
+      | 'recordOutput'
+      | 'findOutput';
   }
 >;
 
@@ -126,6 +132,8 @@
   readonly streamOrigins: StreamOrigins;
   /** Which stream has which content. */
   readonly streamContents: StreamContents;
+  /** What clients have received of turns that they may resume. */
+  readonly streamOutputs: StreamOutputs;
   /** Which versions gateways have listed lately. */
   private readonly versionReports: VersionReports;
   /** Requests under which runners ended. */
@@ -183,6 +191,7 @@
       maximumBytes: MAXIMUM_CONTENT_BYTES,
       isFirst: options.isFirstStart,
     });
+    this.streamOutputs = new StreamOutputs({ runtime, maximumBytes: MAXIMUM_OUTPUT_BYTES });
     this.versionReports = new VersionReports(runtime);
     this.suspects = new StoredSuspects({ runtime, storage: options.suspectStorage });
     this.logName = `${id} ${runtime.wallTime()} ${runtime.random.uniform()}`;
@@ -407,9 +416,22 @@
         return;
       case 'findContent':
         send({ type: 'contentFound', call, ...this.streamContents.find(request.content) });
+        return;
+      case 'recordOutput':
+        this.streamOutputs.record(request);
+        send({ type: 'outputRecorded', call });
+        return;
+      case 'findOutput':
+        send({ type: 'outputFound', call, ...this.findOutput(request.stream, request.lastEvent) });
     }
   }
 
+  private findOutput(stream: string, lastEvent: string): FoundOutput & { readonly found: boolean } {
+    const known = this.streamOutputs.find(stream, lastEvent);
+    const { position, output } = known ?? { position: 0, output: Buffer.alloc(0) };
+    return { found: known !== undefined, position, output };
+  }
+
   private findOrigin(stream: string): StreamOrigin & { readonly found: boolean } {
     const origin = this.streamOrigins.find(stream);
     return { service: '', version: '', ...origin, found: origin !== undefined };
--- a/src/turns/stream-origin-client.ts
+++ b/src/turns/stream-origin-client.ts
@@ -5,12 +5,12 @@
 import type { Runtime } from '../runtime/runtime.js';
 import type { ZoneDistances } from '../topology/zone-distances.js';
 import type { MemberDirectory } from './member-directory.js';
-import { majorityOf, MINIMUM_MEMBERS } from './membership.js';
-import type { Member, MemberRecord } from './membership.js';
+import { askMembers, holdersOf } from './member-questions.js';
+import { majorityOf } from './membership.js';
+import type { Member } from './membership.js';
 import type { ReplicaReply } from './messages.js';
-import { membersForKey } from './quorum-write.js';
 import { RecordQueue } from './record-queue.js';
-import type { ReplicaCaller, UnnumberedRequest } from './replica-caller.js';
+import type { ReplicaCaller } from './replica-caller.js';
 import type {
   FoundContent,
   StreamContent,
@@ -30,19 +30,9 @@
 
 /** Timeout of a message with records, in milliseconds. */
 const RECORD_TIMEOUT_MILLISECONDS = 500;
-/** Timeout of a question, in milliseconds, beside the round trip to another region. */
-const FIND_TIMEOUT_MILLISECONDS = 150;
-/** Pause before a member whose connection failed is asked again, in milliseconds. */
-const RETRY_MILLISECONDS = 40;
 /** Base in which a content is written as a key. */
 const HEXADECIMAL = 16;
 
-/** Returns the members that hold a record: as many as survive the losses that a majority does. */
-function holdersOf(record: MemberRecord, key: string): Member[] {
-  const count = Math.max(MINIMUM_MEMBERS, majorityOf(record));
-  return membersForKey(record, key).slice(0, count);
-}
-
 /** Returns the key by which the holders of a content are chosen. */
 function contentKey(content: StreamContent): string {
   return content.toString(HEXADECIMAL);
@@ -101,11 +91,9 @@
       }
       return origin !== undefined || denials >= needed;
     };
-    this.askMembers(
-      { type: 'findOrigin', stream },
-      remainingMilliseconds,
-      isDecided,
-      (isAnswered) => done(origin, isAnswered),
+    const question = { type: 'findOrigin' as const, stream };
+    askMembers(this.options, question, remainingMilliseconds, isDecided, (isAnswered) =>
+      done(origin, isAnswered),
     );
   }
 
@@ -130,7 +118,7 @@
       return false;
     };
     const question = { type: 'findContent' as const, content };
-    this.askMembers(question, remainingMilliseconds, isDecided, (isAnswered) => {
+    askMembers(this.options, question, remainingMilliseconds, isDecided, (isAnswered) => {
       const streams = new Set(
         answers.map(({ stream }) => stream).filter((stream) => stream !== ''),
       );
@@ -139,47 +127,4 @@
       done({ stream: stream ?? '', isShared, isComplete: isComplete && isAnswered }, isAnswered);
     });
   }
-
-  /**
-   * Sends a question to all members; `done` is called once, when a reply decides or after the last one, with whether a majority
-   * answered. A deployment without members has nothing to answer.
-   */
-  private askMembers(
-    question: UnnumberedRequest,
-    remainingMilliseconds: number,
-    isDecided: (reply: ReplicaReply | undefined, member: Member) => boolean,
-    done: (isAnswered: boolean) => void,
-  ): void {
-    const { runtime, directory, caller, distances } = this.options;
-    const members = directory.current?.members ?? [];
-    let pending = members.length;
-    if (pending === 0) {
-      done(true);
-      return;
-    }
-    let answers = 0;
-    let isFinished = false;
-    const handleReply = (reply: ReplicaReply | undefined, member: Member): void => {
-      pending -= 1;
-      answers += reply === undefined ? 0 : 1;
-      if (!isFinished && (isDecided(reply, member) || pending === 0)) {
-        isFinished = true;
-        done(answers * 2 > members.length);
-      }
-    };
-    const until = runtime.now() + Math.min(remainingMilliseconds, FIND_TIMEOUT_MILLISECONDS);
-    const ask = (member: Member): void => {
-      const allowance = distances?.allowanceMilliseconds(member.zone) ?? 0;
-      const timeout = Math.min(remainingMilliseconds, until - runtime.now() + allowance);
-      caller.call(member, question, timeout, (reply) => {
-        // A connection that was just cut fails at once, and the next one may work.
-        if (reply === undefined && runtime.now() + RETRY_MILLISECONDS < until && !isFinished) {
-          runtime.setTimer(RETRY_MILLISECONDS, () => ask(member));
-        } else {
-          handleReply(reply, member);
-        }
-      });
-    };
-    members.forEach(ask);
-  }
 }
--- a/src/turns/turn-client.ts
+++ b/src/turns/turn-client.ts
@@ -19,6 +19,7 @@
 import type { MemberOutcomes } from './quorum-write.js';
 import type { ReplicaCaller, UnnumberedRequest } from './replica-caller.js';
 import { StreamOriginClient } from './stream-origin-client.js';
+import { StreamOutputClient } from './stream-output-client.js';
 import { VersionExchange } from './version-exchange.js';
 
 /** The outcome of a reservation. */
@@ -96,6 +97,8 @@
 export class TurnClient {
   /** Where streams began that clients may resume. */
   readonly origins: StreamOriginClient;
+  /** What clients have received of turns that they may resume. */
+  readonly outputs: StreamOutputClient;
   /** Which versions were listed lately. */
   readonly versions: VersionExchange;
   private readonly chains = new ChainCache();
@@ -107,6 +110,7 @@
     this.rankOf = locality && rankByLocality(zone, locality);
     this.failedWrites = new FailedWriteLog(options.runtime);
     this.origins = new StreamOriginClient(options);
+    this.outputs = new StreamOutputClient(options);
     this.versions = new VersionExchange(options);
   }
 
