The end of an answer is held back while its request may be unread

What callers saw: a part of an answer as a complete 200, where a runner answered a long upload at once without a length, ended its connection in order and reset it with the upload unread.

Cause: an end proved an answer if it was read by itself, whatever became of the request.

--- a/features/broken-responses.feature
+++ b/features/broken-responses.feature
@@ -25,6 +25,12 @@
     When its message kinds are probed
     Then the probe reports that they are unknown
 
+  # Guards against an end that is believed while a part of the request waits to be written.
+  Scenario: The end of a connection is held back while the request is being written
+    Given a connection that is read separately, with a request that can't be written yet
+    When its end is reported in a later turn than its data
+    Then no reader of the connection has seen the end after 500 ms
+
   # Guards against a runtime that reports the end together with data although reading was stopped.
   Scenario Outline: An end counts as verified only if it was read apart from data
     Given a connection that is read separately
--- a/features/steps/broken-responses.steps.ts
+++ b/features/steps/broken-responses.steps.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import { After, Given, Then, When } from '@cucumber/cucumber';
 import { ResetAwareSocket } from '../../src/http-client/reset-aware-socket.js';
+import { DEFAULT_HEADER_NAMES } from '../../src/relay/request/default-header-names.js';
 import { createRealRuntime } from '../../src/runtime/real-runtime.js';
 import { probeKindCount } from '../../src/turns/protocol-probe.js';
 import { ANSWER_READERS } from '../support/answer-readers.js';
@@ -18,6 +19,7 @@
   hasAnswer?: boolean;
   kinds?: number | undefined;
   socket?: ResetAwareSocket;
+  hasEnded?: boolean;
 }
 
 async function serve(world: World, respond: (socket: Socket) => void): Promise<void> {
@@ -45,6 +47,18 @@
   });
 });
 
+Given(
+  /^a server that answers '(.*)' with the status (\d+)$/,
+  async function (this: World, body: string, status: string) {
+    const runner = `${DEFAULT_HEADER_NAMES.runnerId}: e`;
+    await serve(this, (socket) => {
+      socket.end(
+        `HTTP/1.1 ${status} OK\r\n${runner}\r\ncontent-length: ${body.length}\r\nconnection: close\r\n\r\n${body}`,
+      );
+    });
+  },
+);
+
 When(/^(.*) reads the answer$/, async function (this: World, reader: string) {
   this.hasAnswer = await ANSWER_READERS[reader]!(this.port);
 });
@@ -74,6 +88,27 @@
   this.socket.separateReads();
 });
 
+Given(
+  "a connection that is read separately, with a request that can't be written yet",
+  function (this: World) {
+    this.socket = new ResetAwareSocket();
+    this.socket.separateReads();
+    this.socket.cork();
+    this.socket.write('request');
+    this.socket.on('end', () => (this.hasEnded = true));
+    this.socket.resume();
+  },
+);
+
+Then(
+  'no reader of the connection has seen the end after {int} ms',
+  async function (this: World, milliseconds: number) {
+    await new Promise((resolve) => setTimeout(resolve, milliseconds));
+    assert.equal(this.hasEnded, undefined);
+    this.socket!.destroy();
+  },
+);
+
 When(
   /^its end is reported (in the same turn as|in a later turn than) its data$/,
   async function (this: World, when: string) {
--- a/features/support/relay-world.ts
+++ b/features/support/relay-world.ts
@@ -125,6 +125,8 @@
   readonly storageRegions?: ReadonlySet<string>;
   /** Counts the bytes exchanged with runners. @default not counted */
   readonly traffic?: RegionTraffic;
+  /** Largest body of a request. @default 100,000 */
+  readonly bodyBytes?: number;
   /** Options of the runners. */
   readonly runner?: Partial<RelayRunnerOptions>;
 }
@@ -222,7 +224,10 @@
       this.listRunner(this.runners.length - 1, true);
     }
     if (configured) {
-      this.gateway.applyTable(createRoutingTable(7, this.routes, this.services, LIMITS), 'test');
+      this.gateway.applyTable(
+        createRoutingTable(7, this.routes, this.services, this.limits),
+        'test',
+      );
     }
   }
 
@@ -237,6 +242,11 @@
       : routes.map((route) => ({ ...route, allowedRegions }));
   }
 
+  private get limits(): typeof LIMITS {
+    const { bodyBytes = LIMITS.bodyBytes } = this.options;
+    return { ...LIMITS, bodyBytes };
+  }
+
   private get services(): typeof SERVICES {
     const { maximumConnections = SERVICES[0]!.maximumConnections, coldRequestsPerSecond } =
       this.options;
