A health check with a status that HTTP doesn't allow identifies no runner

Statuses such as 600 were refused in answers to requests, and believed in answers to health checks: the runner that they name counted as there. Found by a test of statuses outside 200 to 599 with all readers of answers; the scenario with 600 failed before.

--- a/features/broken-responses.feature
+++ b/features/broken-responses.feature
@@ -14,6 +14,22 @@
       | the reader of cached parts       | {"held":[]}                                                                  |
       | a gateway that asks another      | {"since":0,"revision":7,"items":[],"gone":[],"members":"m","peers":[]}       |
 
+  # Guards against an answer without a status that is taken for a sound one: from the store, a runner's health check, a peer.
+  Scenario Outline: Responses of other servers are not believed if HTTP doesn't allow their status
+    Given a server that answers '<body>' with the status <status>
+    When <reader> reads the answer
+    Then the reader reports that there is none
+
+    Examples:
+      | reader                           | status | body                                                                   |
+      | the client of the store's lists  | 000    | {"items":[],"At":7}                                                    |
+      | the client of the store's lists  | 999    | {"items":[],"At":7}                                                    |
+      | the client of the store's writes | 000    | {"Revision":8}                                                         |
+      | the reader of cached parts       | 042    | {"held":[]}                                                            |
+      | a gateway that asks another      | 000    | {"since":0,"revision":7,"items":[],"gone":[],"members":"m","peers":[]} |
+      | the health check of a runner     | 000    | {}                                                                     |
+      | the health check of a runner     | 600    | {}                                                                     |
+
   Scenario: A list without a revision is refused
     Given a server that answers '{}' with a length
     When the client of the store's lists reads the answer
--- a/features/spoiled-answers.feature
+++ b/features/spoiled-answers.feature
@@ -21,6 +21,37 @@
       | chunks  | HTTP/1.1 000 OK    |
       | close   | HTTP/1.1 200 \x0fK |
       | close   | HTTP/1.1 000 OK    |
+      | length  | HTTP/1.1 001 OK    |
+      | length  | HTTP/1.1 042 OK    |
+      | close   | HTTP/1.1 042 OK    |
+      | length  | HTTP/1.1 101 OK    |
+      | close   | HTTP/1.1 101 OK    |
+      | length  | HTTP/1.1 199 OK    |
+      | close   | HTTP/1.1 199 OK    |
+      | close   | HTTP/1.1 600 OK    |
+      | close   | HTTP/1.1 999 OK    |
+      | length  | HTTP/1.0 000 OK    |
+      | close   | HTTP/1.0 999 OK    |
+      | length  | HTTP/1.1 0 OK      |
+      | close   | HTTP/1.1 20 OK     |
+      | close   | HTTP/1.1 2000 OK   |
+      | length  | HTTP/1.1 -00 OK    |
+      | length  | HTTP/1.1 2x0 OK    |
+      | length  | HTTP/1.1  OK       |
+
+  # Guards against a turn whose answer had no status, and that later turns are built on.
+  Scenario Outline: A turn whose answer has a status that HTTP doesn't allow is not stored
+    Given a gateway whose runners spoil the first answer to each request, framed by "<framing>"
+    When the status line of the first answer reads "<status line>"
+    Then a "kept" request gets status 502
+    And no turn is stored
+
+    Examples:
+      | framing | status line     |
+      | length  | HTTP/1.1 000 OK |
+      | close   | HTTP/1.1 000 OK |
+      | close   | HTTP/1.1 099 OK |
+      | chunks  | HTTP/1.1 999 OK |
 
   # Guards against an empty answer in place of one whose status lost a bit: a 204 has no content and can't announce any.
   Scenario Outline: A 204 with content is not the runner's answer
--- a/src/relay/tries/answer-head.ts
+++ b/src/relay/tries/answer-head.ts
@@ -23,13 +23,18 @@
   );
 }
 
+/** Whether HTTP allows a status for a final answer. */
+export function isFinalStatus(status: number): boolean {
+  return status >= FIRST_FINAL_STATUS && status <= LAST_STATUS;
+}
+
 /** Returns the head of an answer, or why it is not one that HTTP allows. */
 export function parseAnswerHead(
   response: IncomingMessage,
   names: HeaderNames,
 ): E.Either<string, AnswerHead> {
   const { statusCode: status = 0, statusMessage: reason = '', headers, rawHeaders } = response;
-  if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) {
+  if (!isFinalStatus(status)) {
     return E.left(`status ${status}`);
   }
   if (!isFieldContent(reason)) {
--- a/src/relay/tries/identify-runner.ts
+++ b/src/relay/tries/identify-runner.ts
@@ -6,7 +6,7 @@
 import type { HeaderNames } from '../request/header-names.js';
 import type { Runner } from '../runners/runner.js';
 import type { RunnerIdentity } from '../runners/runner-ends.js';
-import { STATUS_MISDIRECTED_REQUEST } from './answer-head.js';
+import { isFinalStatus, STATUS_MISDIRECTED_REQUEST } from './answer-head.js';
 
 /** Time in which the process has to answer, in milliseconds. */
 const TIMEOUT_MILLISECONDS = 250;
@@ -21,9 +21,12 @@
 }
 
 function identityOf(
-  { statusCode, headers }: IncomingMessage,
+  { statusCode = 0, headers }: IncomingMessage,
   { names, runner }: IdentityQuestion,
 ): RunnerIdentity {
+  if (!isFinalStatus(statusCode)) {
+    return 'unknown';
+  }
   if (statusCode === STATUS_MISDIRECTED_REQUEST) {
     return 'other';
   }
