The soak resumes turns that are retained

Four clients hold conversations on a route that retains turns and lets clients resume them; they leave half of their streams, resume them at any gateway with and without a name, and check that the runner of each turn gets the whole conversation.

--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -45,6 +45,7 @@
 import { SoakUpgrade } from './soak-upgrade.js';
 import { COLD_LIMIT, SOAK_ZONES, SoakWorld } from './soak-world.js';
 import type { SoakWorldOptions } from './soak-world.js';
+import { ResumedTurnCheck } from './resumed-turn-check.js';
 import { StreamVersionCheck } from './stream-version-check.js';
 import { TenantCheck } from './tenant-check.js';
 import { MOVABLE_ROUTE, RESUMABLE_ROUTE } from './versioned-runners.js';
@@ -126,6 +127,7 @@
   private readonly tenantCheck: TenantCheck;
   private readonly recoveryCheck: RecoveryCheck;
   private readonly versionCheck: StreamVersionCheck;
+  private readonly resumedTurnCheck: ResumedTurnCheck;
   private readonly fatalCheck: FatalRequestCheck;
   private readonly connectionContext: ConnectionClientContext;
   /** Runs of each request on a kept connection, by its id; filled when all have ended. */
@@ -177,6 +179,7 @@
       areStreamsKnown: () => this.world.knowsStreams,
       violate,
     });
+    this.resumedTurnCheck = this.createResumedTurnCheck();
     this.fatalCheck = new FatalRequestCheck({
       random: createRandom(options.seed, 'fatal'),
       gatewayHosts,
@@ -204,10 +207,22 @@
   private runChecks(isOver: () => boolean): Promise<void>[] {
     const checks = [this.configurationCheck.run(isOver), this.tenantCheck.run(isOver)];
     return this.checksNewRules
-      ? [...checks, this.versionCheck.run(isOver), this.fatalCheck.run(isOver)]
+      ? [
+          ...checks,
+          this.versionCheck.run(isOver),
+          this.fatalCheck.run(isOver),
+          this.resumedTurnCheck.run(isOver),
+        ]
       : checks;
   }
 
+  private createResumedTurnCheck(): ResumedTurnCheck {
+    const { options, world, violate } = this;
+    const { gatewayHosts, runners } = world;
+    const random = createRandom(options.seed, 'resumed turns');
+    return new ResumedTurnCheck({ random, gatewayHosts, runners, violate });
+  }
+
   private createConnectionContext(): ConnectionClientContext {
     return {
       random: createRandom(this.options.seed, 'connections'),
@@ -326,6 +341,7 @@
       pairs,
       ...looks,
       resumptions,
+      resumedTurns: this.resumedTurnCheck.counts,
       fatalRequests,
       connections,
       plannedStops: this.plannedStopCheck.counts,
--- a/soak/soak-configuration.ts
+++ b/soak/soak-configuration.ts
@@ -3,6 +3,7 @@
 import { BRITTLE_ROUTES, BRITTLE_SERVICE } from './fatal-request-check.js';
 import { HEALTH_PATH } from '../src/emulator/relay-runner.js';
 import { SOAK_COLD } from './platform-process.js';
+import { RESUMABLE_TURN_ROUTE } from './resumed-turn-check.js';
 import { SOAK_HOST, SOAK_KEY, SOAK_TENANT, SOAK_TOKENS_PER_EVENT } from './soak-client.js';
 import { LIMITED_KEY, LIMITED_RATE, LIMITED_TENANT } from './tenant-check.js';
 import {
@@ -91,6 +92,11 @@
         route('single', 'non_idempotent', {}),
         route('repeatable', 'idempotent', { TimeoutMs: 2_000 + this.version }),
         route('kept', 'streaming', { Retain: true, RetentionS: 600 }),
+        route(RESUMABLE_TURN_ROUTE, 'streaming', {
+          Retain: true,
+          RetentionS: 600,
+          Resumable: true,
+        }),
         route('long', 'streaming', {}),
         route(RESUMABLE_ROUTE, 'streaming', { Resumable: true, Service: VERSIONED_SERVICE }),
         route(MOVABLE_ROUTE, 'streaming', { Resumable: true, Service: this.movableService }),
--- a/soak/soak-report.ts
+++ b/soak/soak-report.ts
@@ -4,6 +4,7 @@
 import type { FatalRequestCounts } from './fatal-request-check.js';
 import type { PlannedStopCounts } from './planned-stop-check.js';
 import type { PowerLossCounts } from './power-loss-counts.js';
+import type { ResumedTurnCounts } from './resumed-turn-check.js';
 import type { SoakCounts } from './soak-client.js';
 import type { Fault } from './soak-faults.js';
 import type { ResumptionCounts } from './stream-version-check.js';
@@ -56,6 +57,8 @@
   readonly coldArrivals: number;
   /** Streams with several software versions of runners; all 0 in an upgrade, whose older build knows none. */
   readonly resumptions: ResumptionCounts;
+  /** Turns that are retained and resumed by their clients; all 0 in an upgrade, whose older build stores them in part. */
+  readonly resumedTurns: ResumedTurnCounts;
   /** Requests that end their runner, and ordinary ones beside them; all 0 in an upgrade. */
   readonly fatalRequests: FatalRequestCounts;
   /** Requests on kept connections; all 0 in an upgrade, whose older build may cut them. */
