--- a/src/commands/bench-commands.ts
+++ b/src/commands/bench-commands.ts
@@ -12,6 +12,7 @@
 import { runConfigurationHistories } from '../histories/run-configuration-histories.js';
 import { runStreamHistories } from '../histories/run-stream-histories.js';
 import { runPowerLossScenario } from '../histories/power-loss-scenario.js';
+import { runRetentionHistory } from '../histories/retention-history.js';
 import { runTurnHistories } from '../histories/run-turn-histories.js';
 import { spreadOverZones } from '../histories/zone-spread.js';
 import { measureOverhead } from '../bench/overhead.js';
@@ -175,6 +176,20 @@
   return result.violations.length === 0 ? EXIT_DONE : EXIT_FAILED;
 }
 
+function retentionHistories(flags: BenchFlags): number {
+  const seeds = parseSeeds(flags.seeds);
+  if (seeds === undefined) {
+    return EXIT_USAGE_ERROR;
+  }
+  let hasViolations = false;
+  for (let seed = seeds.first; seed <= seeds.last; seed += 1) {
+    const history = runRetentionHistory(seed);
+    hasViolations ||= history.violations.length > 0;
+    writeLine(JSON.stringify(history));
+  }
+  return hasViolations ? EXIT_FAILED : EXIT_DONE;
+}
+
 function powerLossDays(flags: BenchFlags): number {
   const seeds = parseSeeds(flags.seeds);
   if (seeds === undefined) {
@@ -265,6 +280,8 @@
       return histories(flags);
     case 'turn-histories':
       return turnHistories(flags);
+    case 'retention-histories':
+      return retentionHistories(flags);
     case 'power-loss-days':
       return powerLossDays(flags);
     case 'configuration-histories':
--- a/src/commands/ivyloom-bench.ts
+++ b/src/commands/ivyloom-bench.ts
@@ -17,6 +17,7 @@
     configuration-histories  configuration and runners at gateways under troubles of the store and the network
     stream-histories    streams that clients resume while software versions of runners change
     turn-histories      the same for kept turns and token accounts on their replicas
+    retention-histories the same for turns that outlast the retention time of those before them
     power-loss-days     days of replicas that end with a loss of all power and of disks, a line each
     chaos               real daemons killed, paused and stopped under load, every promise checked
     overhead            what the scheduler adds to a call, against the engine called directly
