A client of the soak that leaves has not received the whole answer

The client had left after the seventh; Node's parser had the eighth and the end in the same read, and set `complete`. The gateway's log shows that the turn was sent whole, with eight events.

--- a/soak/resumed-turn-check.ts
+++ b/soak/resumed-turn-check.ts
@@ -176,19 +176,22 @@
     return new Promise((resolve) => {
       const options = { host, port: SOAK_PORTS.front, path, method: 'POST', headers };
       let text = '';
+      let hasLeft = false;
       const client = httpRequest({ ...options, agent: false }, (response) => {
         response.setEncoding('utf8');
         response.on('data', (chunk: string) => {
           text += chunk;
           if (eventsOf(text).length >= leaveAfter) {
+            hasLeft = true;
             client.destroy();
           }
         });
         response.on('error', () => undefined);
         response.on('close', () => {
           clearTimeout(timer);
-          const { statusCode: status = 0, complete } = response;
-          resolve({ status, events: eventsOf(text), complete });
+          const { statusCode: status = 0 } = response;
+          // The parser may have seen the end behind the event after which the client left.
+          resolve({ status, events: eventsOf(text), complete: response.complete && !hasLeft });
         });
       });
       const timer = setTimeout(() => client.destroy(), TIMEOUT_MILLISECONDS + 500);
