Events of a resumable turn are recorded only behind the events of their own run

A resumption after that event would have stored a mixture, where two requests resume a turn at the same time, bring different events, and a message to a member is lost.

Each message has a checksum of all events before its own; a member that has others drops what it has of the stream, so that its resumption is refused. The counterexample stands in the test, which now tries 1,000 draws; it fails without the check.

--- a/features/steps/resumed-turns.steps.ts
+++ b/features/steps/resumed-turns.steps.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { Then, When } from '@cucumber/cucumber';
 import fc from 'fast-check';
-import { StreamOutputs } from '../../src/turns/stream-outputs.js';
+import { checksumAfter, EMPTY_CHECKSUM, StreamOutputs } from '../../src/turns/stream-outputs.js';
 import type { OutputEvent } from '../../src/turns/stream-outputs.js';
 import {
   ALL_EVENTS,
@@ -210,6 +210,17 @@
   return { id: String(index + 1), output: Buffer.from(`${index + 1} of run ${run};`) };
 }
 
+/** Records events, behind the events that come before them in their run. */
+function record(
+  outputs: StreamOutputs,
+  before: readonly OutputEvent[],
+  events: readonly OutputEvent[],
+  stream = 's',
+): void {
+  const checksum = before.reduce(checksumAfter, EMPTY_CHECKSUM);
+  outputs.record({ stream, position: before.length, checksum, events });
+}
+
 function textOf(count: number, run: number): string {
   return Array.from({ length: count }, (_, index) => `${index + 1} of run ${run};`).join('');
 }
@@ -229,11 +240,10 @@
         const outputs = new StreamOutputs({ runtime: { now: () => 0 }, maximumBytes: 1e6 });
         const runOf = (index: number, run: number): number => (index < commonCount ? 0 : run);
         for (const { position, count, run } of parts) {
-          const length = Math.min(count, STREAM_EVENTS - position);
-          const events = Array.from({ length }, (_, offset) =>
-            eventOf(position + offset, runOf(position + offset, run)),
+          const all = Array.from({ length: STREAM_EVENTS }, (_, index) =>
+            eventOf(index, runOf(index, run)),
           );
-          outputs.record({ stream: 's', position, events });
+          record(outputs, all.slice(0, position), all.slice(position, position + count));
         }
         for (let index = 0; index < STREAM_EVENTS; index += 1) {
           const found = outputs.find('s', String(index + 1));
@@ -247,11 +257,25 @@
           assert.ok(found === undefined || found.position === index + 1);
         }
       }),
+      {
+        numRuns: 1_000,
+        // A member that has events of one run gets a later one of another run, whose events before it has missed.
+        examples: [
+          [
+            [
+              { position: 0, count: 3, run: 1 },
+              { position: 3, count: 1, run: 0 },
+            ],
+            0,
+          ],
+        ],
+      },
     );
     const outputs = new StreamOutputs({ runtime: { now: () => 0 }, maximumBytes: 1e6 });
-    outputs.record({ stream: 's', position: 0, events: [0, 1, 2, 3].map((at) => eventOf(at, 0)) });
-    outputs.record({ stream: 's', position: 2, events: [eventOf(2, 0), eventOf(3, 1)] });
-    outputs.record({ stream: 's', position: 3, events: [eventOf(3, 0)] });
+    const first = [0, 1, 2, 3].map((index) => eventOf(index, 0));
+    record(outputs, [], first);
+    record(outputs, first.slice(0, 2), [eventOf(2, 0), eventOf(3, 1)]);
+    record(outputs, first.slice(0, 3), [eventOf(3, 0)]);
     assert.equal(outputs.find('s', '3')?.output.toString(), textOf(3, 0));
     assert.equal(outputs.find('s', '4'), undefined);
   },
@@ -261,13 +285,12 @@
   let now = 0;
   const outputs = new StreamOutputs({ runtime: { now: () => now }, maximumBytes: 20_000 });
   const output = Buffer.alloc(1_000);
+  const kept: OutputEvent[] = [];
   for (let stream = 0; stream < 100; stream += 1) {
-    outputs.record({ stream: `s${stream}`, position: 0, events: [{ id: '1', output }] });
-    outputs.record({
-      stream: 'kept',
-      position: stream,
-      events: [{ id: `${stream}`, output: Buffer.alloc(1) }],
-    });
+    record(outputs, [], [{ id: '1', output }], `s${stream}`);
+    const event = { id: `${stream}`, output: Buffer.alloc(1) };
+    record(outputs, kept, [event], 'kept');
+    kept.push(event);
   }
   assert.ok(outputs.size >= 3 && outputs.size <= 20, `${outputs.size} streams`);
   assert.equal(outputs.find('kept', '99')?.position, 100);
--- a/features/steps/two-builds.steps.ts
+++ b/features/steps/two-builds.steps.ts
@@ -137,14 +137,19 @@
     hex: '26000000090001730001',
   },
   recordOutput: {
-    fields: { stream: 's', position: 2, events: [{ id: '3', output: Buffer.from('a\n') }] },
-    hex: '2700000009000173000000020000000100013300000002610a',
+    fields: {
+      stream: 's',
+      position: 2,
+      checksum: 4,
+      events: [{ id: '3', output: Buffer.from('a\n') }],
+    },
+    hex: '27000000090001730000000240100000000000000000000100013300000002610a',
   },
   outputRecorded: { fields: {}, hex: '2800000009' },
   findOutput: { fields: { stream: 's', lastEvent: '3' }, hex: '2900000009000173000133' },
   outputFound: {
-    fields: { found: true, position: 3, output: Buffer.from('a\n') },
-    hex: '2a00000009010000000300000002610a',
+    fields: { found: true, position: 3, checksum: 4, output: Buffer.from('a\n') },
+    hex: '2a000000090100000003401000000000000000000002610a',
   },
 };
 const RECORD_HEADER_BYTES = 8;
--- a/features/support/wire-arbitraries.ts
+++ b/features/support/wire-arbitraries.ts
@@ -142,11 +142,18 @@
     call: whole,
     stream: text,
     position: whole,
+    checksum: amount,
     events: fc.array(fc.record({ id: text, output: bytes }, plain)),
   },
   outputRecorded: { call: whole },
   findOutput: { call: whole, stream: text, lastEvent: text },
-  outputFound: { call: whole, found: fc.boolean(), position: whole, output: bytes },
+  outputFound: {
+    call: whole,
+    found: fc.boolean(),
+    position: whole,
+    checksum: amount,
+    output: bytes,
+  },
 };
 
 /** Generates a message of any kind. */
--- a/src/relay/answers/answer-reader.ts
+++ b/src/relay/answers/answer-reader.ts
@@ -1,5 +1,5 @@
 /** Interfaces between the readers of a runner's answer and the call that the answer belongs to. */
-import type { OutputEvent } from '../../turns/stream-outputs.js';
+import type { OutputPart } from '../../turns/stream-outputs.js';
 import type { RelayContext } from '../relay-context.js';
 import type { RelayRequest } from '../request/relay-request.js';
 import type { ClientAnswer } from './client-answer.js';
@@ -56,9 +56,8 @@
   noteFirstEvent(): void;
   /**
    * Records events of a turn that its client may resume, before they are forwarded.
-   * @param position number of events of the stream before these
    */
-  recordOutput(position: number, events: readonly OutputEvent[]): void;
+  recordOutput(part: Omit<OutputPart, 'stream'>): void;
   /** Finishes the call after a complete answer was forwarded. */
   finishAnswered(status: number): void;
   /** Fails the attempt in progress although its connection is intact. */
--- a/src/relay/answers/stream-answer.ts
+++ b/src/relay/answers/stream-answer.ts
@@ -9,7 +9,7 @@
 import type { AnsweredCall, AnswerHead, AnswerReader } from './answer-reader.js';
 import type { MemoryAllocation } from '../memory/memory-accounts.js';
 import { tenantScopedId } from '../request/tenant.js';
-import { MAXIMUM_OUTPUT_ID_LENGTH } from '../../turns/stream-outputs.js';
+import { checksumAfter, MAXIMUM_OUTPUT_ID_LENGTH, NO_OUTPUT } from '../../turns/stream-outputs.js';
 import type { FoundOutput, OutputEvent } from '../../turns/stream-outputs.js';
 
 const LINE_FEED = Buffer.from('\n');
@@ -49,10 +49,12 @@
   /** Data of the events of a turn that will be stored, or the body of an error. */
   private readonly output: AnswerBody;
   /** What the client received of the turn before this request. */
-  private received: FoundOutput = { position: 0, output: EMPTY_BUFFER };
+  private received: FoundOutput = NO_OUTPUT;
   private readonly receivedAllocation: MemoryAllocation;
-  /** Number of forwarded events, with or without data. */
-  private forwardedCount = 0;
+  /** Number of events that were recorded by this request, with or without data. */
+  private recordedCount = 0;
+  /** Checksum of all events that the client has received. */
+  private checksum = NO_OUTPUT.checksum;
 
   constructor(private readonly call: AnsweredCall) {
     this.output = new AnswerBody(call.context.memory, 'turns');
@@ -79,6 +81,7 @@
   /** Continues a turn of which the client received events by an earlier request. */
   continueAfter(received: FoundOutput): void {
     this.received = received;
+    this.checksum = received.checksum;
     this.receivedAllocation.set(received.output.length);
   }
 
@@ -175,9 +178,12 @@
   private recordOutput(events: readonly StreamEvent[]): void {
     const { retained, resumable } = this.call.request.route;
     if (retained && resumable) {
-      const position = this.received.position + this.forwardedCount;
-      this.call.recordOutput(position, events.map(outputEventOf));
-      this.forwardedCount += events.length;
+      const position = this.received.position + this.recordedCount;
+      const { checksum } = this;
+      const outputEvents = events.map(outputEventOf);
+      this.call.recordOutput({ position, checksum, events: outputEvents });
+      this.recordedCount += events.length;
+      this.checksum = outputEvents.reduce(checksumAfter, checksum);
     }
   }
 
--- a/src/relay/tries/relay-call.ts
+++ b/src/relay/tries/relay-call.ts
@@ -36,7 +36,7 @@
 import type { RelayRequest } from '../request/relay-request.js';
 import { rankOf } from '../request/request-rank.js';
 import { MAXIMUM_OUTPUT_ID_LENGTH } from '../../turns/stream-outputs.js';
-import type { OutputEvent } from '../../turns/stream-outputs.js';
+import type { OutputPart } from '../../turns/stream-outputs.js';
 import type { EngineSample } from '../runners/engine-estimate.js';
 import type { Exposure } from '../runners/runner-ends.js';
 import { engineSampleOf } from '../runners/engine-sample.js';
@@ -200,10 +200,10 @@
     }
   }
 
-  recordOutput(position: number, events: readonly OutputEvent[]): void {
+  recordOutput(part: Omit<OutputPart, 'stream'>): void {
     const stream = this.streamIds.at(-1);
     if (stream !== undefined && stream.length <= MAXIMUM_OUTPUT_ID_LENGTH) {
-      this.context.turns.outputs.record({ stream, position, events });
+      this.context.turns.outputs.record({ ...part, stream });
     }
   }
 
--- a/src/turns/messages.ts
+++ b/src/turns/messages.ts
@@ -143,7 +143,14 @@
   /** Asks which stream has a content. */
   | { type: 'findContent'; call: number; content: StreamContent }
   /** Records events of a turn that its client may resume; held in memory for that time. */
-  | { type: 'recordOutput'; call: number; stream: string; position: number; events: OutputEvent[] }
+  | {
+      type: 'recordOutput';
+      call: number;
+      stream: string;
+      position: number;
+      checksum: number;
+      events: OutputEvent[];
+    }
   /** Asks for the output of a turn up to an event. */
   | { type: 'findOutput'; call: number; stream: string; lastEvent: string };
 
@@ -397,13 +404,19 @@
   },
   {
     type: 'recordOutput',
-    fields: { call: uint32, stream: shortText, position: uint32, events: listOf(outputEventField) },
+    fields: {
+      call: uint32,
+      stream: shortText,
+      position: uint32,
+      checksum: float64,
+      events: listOf(outputEventField),
+    },
   },
   { type: 'outputRecorded', fields: { call: uint32 } },
   { type: 'findOutput', fields: { call: uint32, stream: shortText, lastEvent: shortText } },
   {
     type: 'outputFound',
-    fields: { call: uint32, found: bool, position: uint32, output: bytes },
+    fields: { call: uint32, found: bool, position: uint32, checksum: float64, output: bytes },
   },
 ];
 const message = new TaggedUnion(BRANCHES);
--- a/src/turns/replica.ts
+++ b/src/turns/replica.ts
@@ -35,7 +35,7 @@
 import { StoredSuspects } from './stored-suspects.js';
 import { StreamContents, StreamOrigins } from './stream-origins.js';
 import type { StreamOrigin } from './stream-origins.js';
-import { StreamOutputs } from './stream-outputs.js';
+import { NO_OUTPUT, StreamOutputs } from './stream-outputs.js';
 import type { FoundOutput } from './stream-outputs.js';
 import { VersionReports } from './version-reports.js';
 import type {
@@ -428,8 +428,7 @@
 
   private findOutput(stream: string, lastEvent: string): FoundOutput & { readonly found: boolean } {
     const known = this.streamOutputs.find(stream, lastEvent);
-    const { position, output } = known ?? { position: 0, output: Buffer.alloc(0) };
-    return { found: known !== undefined, position, output };
+    return { found: known !== undefined, ...(known ?? NO_OUTPUT) };
   }
 
   private findOrigin(stream: string): StreamOrigin & { readonly found: boolean } {
--- a/src/turns/stream-output-client.ts
+++ b/src/turns/stream-output-client.ts
@@ -15,14 +15,14 @@
   constructor(private readonly options: MemberQuestionOptions) {}
 
   /** Sends events to the holders of their stream, without confirmation. */
-  record({ stream, position, events }: OutputPart): void {
+  record(part: OutputPart): void {
     const { directory, caller } = this.options;
     const record = directory.current;
     if (record === undefined) {
       return;
     }
-    const request = { type: 'recordOutput' as const, stream, position, events: [...events] };
-    for (const member of holdersOf(record, stream)) {
+    const request = { type: 'recordOutput' as const, ...part, events: [...part.events] };
+    for (const member of holdersOf(record, part.stream)) {
       caller.call(member, request, RECORD_TIMEOUT_MILLISECONDS, () => undefined);
     }
   }
@@ -40,7 +40,8 @@
     let found: FoundOutput | undefined;
     const isDecided = (reply: ReplicaReply | undefined): boolean => {
       if (reply?.type === 'outputFound' && reply.found) {
-        found = { position: reply.position, output: reply.output };
+        const { position, checksum, output } = reply;
+        found = { position, checksum, output };
       }
       return found !== undefined;
     };
--- a/src/turns/stream-outputs.ts
+++ b/src/turns/stream-outputs.ts
@@ -2,6 +2,7 @@
  * What clients have received of unfinished turns, held in memory: a client may resume its stream through another gateway, which then
  * stores the whole turn.
  */
+import { hashBytes, hashToExactNumber } from '../runtime/hashing.js';
 import type { Runtime } from '../runtime/runtime.js';
 import { ORIGIN_RETENTION_MILLISECONDS } from './stream-origins.js';
 
@@ -19,6 +20,8 @@
   readonly stream: string;
   /** Number of events of the stream before these. */
   readonly position: number;
+  /** Checksum of the events before these, see {@link checksumAfter}. */
+  readonly checksum: number;
   readonly events: readonly OutputEvent[];
 }
 
@@ -26,9 +29,26 @@
 export interface FoundOutput {
   /** Number of events, including the last one. */
   readonly position: number;
+  /** Checksum of these events. */
+  readonly checksum: number;
   readonly output: Buffer;
 }
 
+/** Checksum of a stream without events. */
+export const EMPTY_CHECKSUM = 0;
+
+/** What a client has received of a stream without events. */
+export const NO_OUTPUT: FoundOutput = {
+  position: 0,
+  checksum: EMPTY_CHECKSUM,
+  output: Buffer.alloc(0),
+};
+
+/** Returns the checksum of a stream up to an event, given that of all events before. */
+export function checksumAfter(before: number, { id, output }: OutputEvent): number {
+  return hashToExactNumber(JSON.stringify([before, id]), hashBytes(output));
+}
+
 /** Dependencies and bounds of {@link StreamOutputs}. */
 export interface StreamOutputsOptions {
   readonly runtime: Pick<Runtime, 'now'>;
@@ -51,30 +71,45 @@
 /** The events of one stream. */
 class StreamOutput {
   readonly events: OutputEvent[] = [];
+  /** Checksum before each event, and after the last one. */
+  private readonly checksums: number[] = [EMPTY_CHECKSUM];
   bytes = STREAM_BYTES;
   /** Local time of the newest part, in milliseconds. */
   changedAt = 0;
-  /** Whether two runs of the stream differ after the events here, so that it is not known which of them its client has received. */
+  /** Whether two runs of the stream differ behind the events here, so that it is not known which of them its client has received. */
   private hasForked = false;
 
   /** Adds the events that are new; events after a gap are left out. */
-  append({ position, events }: OutputPart): void {
+  append({ position, checksum, events }: OutputPart): void {
+    const knownChecksum = this.checksums[position];
+    if (knownChecksum !== undefined && knownChecksum !== checksum) {
+      // The two runs differ somewhere before, in events of which this member has only those of one run.
+      this.forkAt(0);
+      return;
+    }
     for (const [index, event] of events.entries()) {
       const known = this.events[position + index];
       if (known === undefined) {
         this.appendEvent(position + index, event);
       } else if (!isSameEvent(known, event)) {
-        this.hasForked = true;
-        this.events.splice(position + index);
+        this.forkAt(position + index);
         return;
       }
     }
   }
 
+  private forkAt(position: number): void {
+    this.hasForked = true;
+    this.events.splice(position);
+    this.checksums.splice(position + 1);
+  }
+
   private appendEvent(position: number, { id, output }: OutputEvent): void {
     if (position === this.events.length && !this.hasForked) {
       // A part of a received message keeps all of it.
-      this.events.push({ id, output: Buffer.from(output) });
+      const event = { id, output: Buffer.from(output) };
+      this.events.push(event);
+      this.checksums.push(checksumAfter(this.checksums[position]!, event));
       this.bytes += EVENT_BYTES + id.length + output.length;
     }
   }
@@ -85,7 +120,9 @@
       return undefined;
     }
     const events = this.events.slice(0, index + 1);
-    return { position: events.length, output: Buffer.concat(events.map(({ output }) => output)) };
+    const position = events.length;
+    const output = Buffer.concat(events.map((event) => event.output));
+    return { position, checksum: this.checksums[position]!, output };
   }
 }
 
